Add the workspace, the design page and the shared interfaces

The repository was empty. This fixes the crate boundaries and the message and command types first, so that the crates can be written independently.

--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/types/src/units.rs
@@ -0,0 +1,113 @@
+//! Sizes and rates with their units in the type.
+
+use std::{fmt, str::FromStr};
+
+use serde::{Deserialize, Serialize};
+
+/// Number of model tokens.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Tokens(pub u64);
+
+impl fmt::Display for Tokens {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} tokens", self.0)
+    }
+}
+
+impl FromStr for Tokens {
+    type Err = ParseUnitError;
+
+    fn from_str(s: &str) -> Result<Self, Self::Err> {
+        let digits = s.strip_suffix(" tokens").unwrap_or(s);
+        digits.parse().map(Self).map_err(|_| ParseUnitError { kind: "Tokens", value: s.to_owned() })
+    }
+}
+
+/// Defines a finite, positive floating-point quantity.
+macro_rules! positive_type {
+    ($(#[$meta:meta])* pub struct $name:ident; unit $unit:literal;) => {
+        $(#[$meta])*
+        #[derive(Clone, Copy, Debug, PartialEq, PartialOrd, Serialize, Deserialize)]
+        #[serde(try_from = "f64", into = "f64")]
+        pub struct $name(f64);
+
+        impl $name {
+            /// Wraps a finite value above zero.
+            pub fn new(value: f64) -> Result<Self, ParseUnitError> {
+                if value.is_finite() && value > 0.0 {
+                    return Ok(Self(value));
+                }
+                Err(ParseUnitError { kind: stringify!($name), value: value.to_string() })
+            }
+
+            /// The plain value.
+            pub fn get(self) -> f64 {
+                self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, concat!("{}", $unit), self.0)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = ParseUnitError;
+
+            fn from_str(s: &str) -> Result<Self, Self::Err> {
+                let digits = s.strip_suffix($unit).unwrap_or(s);
+                let value = digits.parse().map_err(|_| ParseUnitError {
+                    kind: stringify!($name),
+                    value: s.to_owned(),
+                })?;
+                Self::new(value)
+            }
+        }
+
+        impl TryFrom<f64> for $name {
+            type Error = ParseUnitError;
+
+            fn try_from(value: f64) -> Result<Self, Self::Error> {
+                Self::new(value)
+            }
+        }
+
+        impl From<$name> for f64 {
+            fn from(quantity: $name) -> f64 {
+                quantity.0
+            }
+        }
+    };
+}
+
+positive_type! {
+    /// Events per second.
+    pub struct RatePerSecond;
+    unit "/s";
+}
+
+positive_type! {
+    /// Share of a subscriber relative to the others; 1 is the usual share.
+    pub struct Weight;
+    unit "";
+}
+
+impl Default for Weight {
+    fn default() -> Self {
+        Self(1.0)
+    }
+}
+
+/// Text or number that is not a valid quantity.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("invalid {kind} `{value}`: expected a finite number above zero")]
+pub struct ParseUnitError {
+    /// Type that was parsed.
+    pub kind: &'static str,
+    /// Value that was given.
+    pub value: String,
+}
--- /dev/null
+++ b/xtask/src/main.rs
@@ -0,0 +1,3 @@
+//! Development tasks.
+
+fn main() {}
