--- /dev/null
+++ b/crates/daemon/src/follower.rs
@@ -0,0 +1,64 @@
+//! Keeps the control state of an instance that is no replica up to date.
+//!
+//! Long-polls one replica for commands after the last one applied; changes the replica when it
+//! does not answer.
+
+use std::{net::SocketAddr, time::Duration};
+
+use shallotdrum_control::ControlView;
+use shallotdrum_rpc::{PeerApiClient, Peers, RpcError, WatchReply};
+
+/// How long a replica waits for a new command before it answers with none.
+const WATCH_WAIT: Duration = Duration::from_secs(2);
+
+/// Longest wait for an answer; longer than the replica's wait.
+const WATCH_TIMEOUT: Duration = Duration::from_secs(4);
+
+/// Pause before another replica is asked.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+
+/// Follows the control log until the task is dropped.
+///
+/// `replicas` holds the RPC addresses in order of preference and is not empty.
+pub(crate) async fn follow(
+    view: ControlView,
+    peers: Peers,
+    replicas: Vec<SocketAddr>,
+    log: slog::Logger,
+) {
+    let mut current = 0;
+    loop {
+        let addr = replicas[current % replicas.len()];
+        let result = match tokio::time::timeout(WATCH_TIMEOUT, poll(&view, &peers, addr)).await {
+            Ok(result) => result,
+            Err(_) => Err(RpcError::NoAnswer("timed out".to_owned())),
+        };
+        if let Err(error) = result {
+            slog::debug!(log, "cannot follow the control log at this replica; trying the next";
+                "event" => "K0210", "addr" => %addr, "error" => %error);
+            current += 1;
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+    }
+}
+
+async fn poll(view: &ControlView, peers: &Peers, addr: SocketAddr) -> Result<(), RpcError> {
+    let after = view.read(|state| state.applied());
+    let wait_ms = WATCH_WAIT.as_millis() as u64;
+    match peers.get(addr)?.watch(after, wait_ms).await? {
+        WatchReply::Entries { entries, through } => {
+            for entry in entries {
+                view.apply_follow(entry.index, entry.command);
+            }
+            view.skip_to(through);
+            Ok(())
+        }
+        WatchReply::Snapshot { index, state } if index > after => view
+            .restore_follow(&state.0)
+            .map_err(|e| RpcError::Malformed(format!("snapshot at index {index}: {e}"))),
+        // An older snapshot comes from a replica that is behind.
+        WatchReply::Snapshot { .. } => {
+            Err(RpcError::NoAnswer("the replica is behind this instance".to_owned()))
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/peer.rs
@@ -0,0 +1,89 @@
+//! Methods that other instances call.
+
+use std::sync::Arc;
+
+use jsonrpsee::core::async_trait;
+use shallotdrum_control::{Proposal, Reply};
+use shallotdrum_engine::{Announcement, CacheEvents};
+use shallotdrum_owner::OwnerService;
+use shallotdrum_rpc::{
+    Base64Bytes, PeerApiServer, Permit, PermitRequest, PermitRow, RenewReply, RenewRequest,
+    RpcError, SessionRow, WatchReply,
+};
+use shallotdrum_types::{
+    Incarnation, InstanceId, LogIndex, PermitId, SessionId, TargetId,
+};
+
+use crate::replica::Replica;
+
+/// Methods that other instances call.
+#[derive(Clone)]
+pub(crate) struct Peer {
+    pub(crate) replica: Option<Arc<Replica>>,
+    pub(crate) owner: Arc<OwnerService>,
+}
+
+impl Peer {
+    fn replica(&self) -> Result<&Arc<Replica>, RpcError> {
+        self.replica.as_ref().ok_or(RpcError::NotReplica)
+    }
+}
+
+#[async_trait]
+impl PeerApiServer for Peer {
+    async fn consensus_message(&self, message: Base64Bytes) -> Result<Base64Bytes, RpcError> {
+        Ok(Base64Bytes(self.replica()?.node.handle(message.0).await))
+    }
+
+    async fn propose(&self, proposal: Proposal) -> Result<Reply, RpcError> {
+        self.replica()?.propose(proposal).await
+    }
+
+    async fn watch(&self, after: LogIndex, wait_ms: u64) -> Result<WatchReply, RpcError> {
+        self.replica()?.watch(after, wait_ms).await
+    }
+
+    async fn renew(&self, request: RenewRequest) -> Result<RenewReply, RpcError> {
+        self.replica()?.renew(request)
+    }
+
+    async fn permit(&self, request: PermitRequest) -> Result<Permit, RpcError> {
+        self.replica()?.permit(request).await
+    }
+
+    async fn release_permit(&self, session: SessionId, permit: PermitId) -> Result<(), RpcError> {
+        self.replica()?.release_permit(session, permit)
+    }
+
+    async fn sessions(&self) -> Result<Vec<SessionRow>, RpcError> {
+        self.replica()?.sessions()
+    }
+
+    async fn leader_permits(&self) -> Result<Vec<PermitRow>, RpcError> {
+        self.replica()?.permits()
+    }
+
+    async fn leader_add_replica(&self, instance: InstanceId) -> Result<(), RpcError> {
+        self.replica()?.add_replica(instance).await
+    }
+
+    async fn leader_remove_replica(&self, instance: InstanceId) -> Result<(), RpcError> {
+        self.replica()?.remove_replica(instance).await
+    }
+
+    async fn target_announce(&self, announcement: Announcement) -> Result<(), RpcError> {
+        self.owner.announce(&announcement).map_err(RpcError::NotOwner)
+    }
+
+    async fn target_leave(
+        &self,
+        target: TargetId,
+        incarnation: Incarnation,
+    ) -> Result<(), RpcError> {
+        self.owner.leave(&target, incarnation).map_err(RpcError::NotOwner)
+    }
+
+    async fn target_cache_events(&self, events: CacheEvents) -> Result<(), RpcError> {
+        self.owner.cache_events(&events).map_err(RpcError::NotOwner)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/session.rs
@@ -0,0 +1,197 @@
+//! Session of this instance: opened at start, renewed every second, renewed by no one else.
+//!
+//! Architecture Invariant: `current` returns the session only while the leader certainly has not
+//! ended it. The lease counts from the time at which the renewal was sent, by the monotonic
+//! clock, and ends `CLOCK_DRIFT_MARGIN` early. A process that was frozen finds its lease expired
+//! as soon as it runs again.
+
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
+};
+
+use shallotdrum_control::{
+    CLOCK_DRIFT_MARGIN, Command, ControlView, InstanceInfo, Proposal, Reply, SESSION_LEASE,
+};
+use shallotdrum_entry::Freshness;
+use shallotdrum_owner::HeldPermits;
+use shallotdrum_rpc::{ControlClient, RenewRequest, RpcError};
+use shallotdrum_types::{Revision, SessionId};
+
+/// Pause between renewals; two may fail before the lease ends.
+const RENEW_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Longest time for one renewal, so that a lost answer leaves time for another.
+const RENEW_TIMEOUT: Duration = Duration::from_millis(900);
+
+/// Pause before another try to renew or to open a session.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+
+/// Session of this instance.
+pub(crate) struct SessionKeeper {
+    info: InstanceInfo,
+    client: ControlClient,
+    view: ControlView,
+    permits: HeldPermits,
+    freshness_bound: Duration,
+    serve_when_stale: bool,
+    log: slog::Logger,
+    state: Mutex<State>,
+}
+
+#[derive(Default)]
+struct State {
+    session: Option<SessionId>,
+    lease_until: Option<Instant>,
+    /// Send time of the last renewal after which this instance had the newest manifest.
+    confirmed_at: Option<Instant>,
+    /// Revision that the last renewal named, and its send time.
+    unconfirmed: Option<(Revision, Instant)>,
+    is_draining: bool,
+}
+
+/// What the keeper needs from the instance.
+pub(crate) struct SessionConfig {
+    /// This instance.
+    pub(crate) info: InstanceInfo,
+    /// Longest time without confirmation that the newest manifest is in force.
+    pub(crate) freshness_bound: Duration,
+    /// Whether to serve beyond that time.
+    pub(crate) serve_when_stale: bool,
+}
+
+impl SessionKeeper {
+    pub(crate) fn new(
+        cfg: SessionConfig,
+        client: ControlClient,
+        view: ControlView,
+        permits: HeldPermits,
+        log: slog::Logger,
+    ) -> Arc<Self> {
+        Arc::new(Self {
+            info: cfg.info,
+            client,
+            view,
+            permits,
+            freshness_bound: cfg.freshness_bound,
+            serve_when_stale: cfg.serve_when_stale,
+            log,
+            state: Mutex::default(),
+        })
+    }
+
+    /// Session whose lease is certainly valid now.
+    pub(crate) fn current(&self) -> Option<SessionId> {
+        let state = self.state();
+        state.session.filter(|_| state.lease_until.is_some_and(|until| Instant::now() < until))
+    }
+
+    /// Whether requests may be served.
+    pub(crate) fn freshness(&self) -> Freshness {
+        let revision = self.view.read(|state| state.revision());
+        let mut state = self.state();
+        if let Some((named, sent_at)) = state.unconfirmed
+            && named <= revision
+        {
+            state.confirmed_at = Some(sent_at);
+            state.unconfirmed = None;
+        }
+        let age = state.confirmed_at.map(|at| at.elapsed());
+        match age {
+            _ if state.is_draining => Freshness::Draining,
+            None => Freshness::NoManifest,
+            Some(_) if revision == Revision(0) => Freshness::NoManifest,
+            Some(age) if age > self.freshness_bound && !self.serve_when_stale => {
+                Freshness::Stale { age }
+            }
+            Some(_) => Freshness::Ready,
+        }
+    }
+
+    /// Marks the instance as stopping; the leader gives it no more groups.
+    pub(crate) fn begin_drain(&self) {
+        self.state().is_draining = true;
+    }
+
+    /// Opens the session and renews it until the task is dropped.
+    pub(crate) async fn run(self: Arc<Self>) {
+        loop {
+            let session = self.state().session;
+            let pause = match session {
+                Some(session) => self.renew(session).await,
+                None => self.open().await,
+            };
+            tokio::time::sleep(pause).await;
+        }
+    }
+
+    /// Ends the session of a stopping instance.
+    pub(crate) async fn end(&self) {
+        let Some(session) = self.state().session.take() else { return };
+        let command = Command::EndSession { session };
+        if let Err(error) = self.client.propose(Proposal::Command(command)).await {
+            slog::warn!(self.log, "cannot end the session; its lease will expire";
+                "event" => "S0520", "session" => session.0, "error" => %error);
+        }
+    }
+
+    async fn open(&self) -> Duration {
+        let command = Command::OpenSession(self.info.clone());
+        match self.client.propose(Proposal::Command(command)).await {
+            Ok(Reply::SessionOpened(session)) => {
+                slog::info!(self.log, "opened session"; "event" => "S0521", "session" => session.0);
+                self.state().session = Some(session);
+                Duration::ZERO
+            }
+            Ok(reply) => {
+                slog::error!(self.log, "the control log refused a session";
+                    "event" => "S0522", "reply" => ?reply);
+                RETRY_PAUSE
+            }
+            Err(error) => {
+                slog::debug!(self.log, "cannot open a session yet";
+                    "event" => "S0523", "error" => %error);
+                RETRY_PAUSE
+            }
+        }
+    }
+
+    async fn renew(&self, session: SessionId) -> Duration {
+        let (revision, applied) = self.view.read(|state| (state.revision(), state.applied()));
+        let request = RenewRequest {
+            session,
+            revision,
+            applied,
+            permits: self.permits.lock().unwrap_or_else(PoisonError::into_inner).clone(),
+            is_draining: self.state().is_draining,
+        };
+        let sent_at = Instant::now();
+        match self.client.renew(request, RENEW_TIMEOUT).await {
+            Ok(reply) => {
+                let mut state = self.state();
+                state.lease_until = Some(sent_at + SESSION_LEASE - CLOCK_DRIFT_MARGIN);
+                state.unconfirmed = Some((reply.revision, sent_at));
+                drop(state);
+                self.freshness();
+                RENEW_INTERVAL.saturating_sub(sent_at.elapsed())
+            }
+            Err(RpcError::NoSession(_)) => {
+                slog::warn!(self.log, "the session has ended; opening a new one";
+                    "event" => "S0524", "session" => session.0);
+                let mut state = self.state();
+                state.session = None;
+                state.lease_until = None;
+                Duration::ZERO
+            }
+            Err(error) => {
+                slog::debug!(self.log, "cannot renew the session";
+                    "event" => "S0525", "session" => session.0, "error" => %error);
+                RETRY_PAUSE
+            }
+        }
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -1,10 +1,26 @@
 //! Owner's request path: takes forwarded requests and runs them on the owner's targets.
+//!
+//! `server` receives what the `forwarder` of an entry sends. `service` keeps the owned groups in
+//! line with the control log. `completion` runs model requests, `call` runs calls of plain
+//! services, `load` sends load orders, and `crash` finds requests that crash targets.
 
+mod call;
+mod completion;
+mod context;
+mod crash;
+mod end_guard;
 mod forwarder;
+mod load;
 mod messages;
+mod server;
+mod service;
 
+pub use completion::completion_fingerprint;
+pub use context::{HeldPermits, OwnerContext, PermitFn, ReleaseFn, SessionFn};
 pub use forwarder::{
     CALL_HEADER, COMPLETION_PATH, ERROR_HEADER, ForwardBody, ForwardError, Forwarder, FrameStream,
     SERVICE_PATH, full_body,
 };
 pub use messages::{CompletionCall, Frame, ServiceCall};
+pub use server::serve_forwarded;
+pub use service::{ORDER_TIMEOUT, OwnerService, TARGET_TIMEOUT};
--- /dev/null
+++ b/crates/owner/src/server.rs
@@ -0,0 +1,113 @@
+//! Listener for forwarded requests of other instances.
+
+use std::{convert::Infallible, sync::Arc};
+
+use bytes::Bytes;
+use futures_util::stream;
+use http::{HeaderValue, Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Limited, StreamBody};
+use hyper::{
+    body::{Frame as BodyFrame, Incoming},
+    server::conn::http1,
+    service::service_fn,
+};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use shallotdrum_types::{RequestError, RequestErrorKind};
+use tokio::{net::TcpListener, sync::mpsc};
+
+use crate::{
+    CALL_HEADER, COMPLETION_PATH, CompletionCall, ERROR_HEADER, ForwardBody, Frame, OwnerService,
+    SERVICE_PATH, ServiceCall, full_body,
+};
+
+/// Frames that wait for a slow entry; engines keep generating meanwhile.
+const FRAME_BUFFER: usize = 256;
+
+/// Largest forwarded model request: a prompt and the text so far of a resumed answer.
+const MAX_CALL_BYTES: usize = 16 * 1024 * 1024;
+
+/// Serves forwarded requests until the task is dropped.
+pub async fn serve_forwarded(listener: TcpListener, service: Arc<OwnerService>) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            // Out of file descriptors; accepting again at once would only spin.
+            tokio::time::sleep(std::time::Duration::from_millis(10)).await;
+            continue;
+        };
+        let service = service.clone();
+        tokio::spawn(async move {
+            // Without this, small frames wait for acknowledgements of earlier ones.
+            let _ = stream.set_nodelay(true);
+            let handler = service_fn(move |req| {
+                let service = service.clone();
+                async move { Ok::<_, Infallible>(handle(service, req).await) }
+            });
+            // An error here is the peer's broken connection, which the peer reports itself.
+            let _ = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .serve_connection(TokioIo::new(stream), handler)
+                .await;
+        });
+    }
+}
+
+async fn handle(service: Arc<OwnerService>, req: Request<Incoming>) -> Response<ForwardBody> {
+    let result = match (req.method(), req.uri().path()) {
+        (&Method::POST, COMPLETION_PATH) => completion(service, req).await,
+        (&Method::POST, SERVICE_PATH) => service_call(service, req).await,
+        _ => Err(RequestError::not_run(RequestErrorKind::NotFound, "no such forward path")),
+    };
+    result.unwrap_or_else(|error| error_response(&error))
+}
+
+async fn completion(
+    service: Arc<OwnerService>,
+    req: Request<Incoming>,
+) -> Result<Response<ForwardBody>, RequestError> {
+    let invalid =
+        |e: &dyn std::fmt::Display| RequestError::not_run(RequestErrorKind::InvalidRequest, e);
+    let body = Limited::new(req.into_body(), MAX_CALL_BYTES)
+        .collect()
+        .await
+        .map_err(|e| invalid(&e))?
+        .to_bytes();
+    let call: CompletionCall = serde_json::from_slice(&body).map_err(|e| invalid(&e))?;
+    let (tx, mut rx) = mpsc::channel::<Frame>(FRAME_BUFFER);
+    tokio::spawn(async move { service.complete(call, tx).await });
+    let frames = stream::poll_fn(move |cx| rx.poll_recv(cx));
+    let lines = futures_util::StreamExt::map(frames, |frame| {
+        let mut line = serde_json::to_vec(&frame)?;
+        line.push(b'\n');
+        Ok::<_, Box<dyn std::error::Error + Send + Sync>>(BodyFrame::data(Bytes::from(line)))
+    });
+    Ok(Response::new(BodyExt::boxed(StreamBody::new(lines))))
+}
+
+async fn service_call(
+    service: Arc<OwnerService>,
+    req: Request<Incoming>,
+) -> Result<Response<ForwardBody>, RequestError> {
+    let (parts, body) = req.into_parts();
+    let call: ServiceCall = parts
+        .headers
+        .get(CALL_HEADER)
+        .and_then(|meta| serde_json::from_slice(meta.as_bytes()).ok())
+        .ok_or_else(|| {
+            let detail = format!("header {CALL_HEADER} is missing or malformed");
+            RequestError::not_run(RequestErrorKind::InvalidRequest, detail)
+        })?;
+    service.call(call, body).await
+}
+
+/// Response that carries an error to the entry.
+fn error_response(error: &RequestError) -> Response<ForwardBody> {
+    let mut res = Response::new(full_body(Bytes::new()));
+    *res.status_mut() =
+        StatusCode::from_u16(error.kind.status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let meta = serde_json::to_vec(error)
+        .ok()
+        .and_then(|json| HeaderValue::from_bytes(&json).ok())
+        .unwrap_or_else(|| HeaderValue::from_static("{}"));
+    res.headers_mut().insert(ERROR_HEADER, meta);
+    res
+}
--- /dev/null
+++ b/crates/owner/src/service.rs
@@ -0,0 +1,346 @@
+//! Groups that this instance owns, and the targets in them.
+//!
+//! Architecture Invariant: a group in `OwnerService` belongs to the session and epoch that the
+//! control log assigned. Work is sent to a target only after `OwnedGroup::check_owned`, which
+//! compares with the session whose lease is certainly valid at that moment.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
+};
+
+use shallotdrum_control::{Command, Handover, Reply};
+use shallotdrum_engine::{Announcement, CacheEvents, TargetKind};
+use shallotdrum_scheduler::{GroupScheduler, GroupSnapshot, TargetSpec};
+use shallotdrum_types::{
+    Epoch, GroupId, Incarnation, RequestError, RequestErrorKind, SessionId, TargetId,
+};
+
+use crate::{OwnerContext, crash::CrashWatch, load::load_fn};
+
+/// Longest time that an order may take at a target.
+///
+/// A new owner waits this long after a lost lease before it sends orders to targets that ignore
+/// fencing numbers, so orders of two owners never overlap.
+pub const ORDER_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Target without an announcement for this time gets no new work; three announcements fit in.
+pub const TARGET_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// A new owner gives targets this long for their first announcement to reach it.
+const TAKEOVER_GRACE: Duration = Duration::from_secs(3);
+
+/// Pause between checks of target time-outs.
+const CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
+/// When a caller should try again after an owner change.
+pub(crate) const RETRY_AFTER_OWNER_CHANGE: Duration = Duration::from_secs(1);
+
+/// Groups that this instance owns.
+pub struct OwnerService {
+    pub(crate) cx: OwnerContext,
+    groups: Mutex<BTreeMap<GroupId, Arc<OwnedGroup>>>,
+}
+
+/// Group that this instance owns.
+pub(crate) struct OwnedGroup {
+    pub(crate) id: GroupId,
+    pub(crate) session: SessionId,
+    pub(crate) epoch: Epoch,
+    pub(crate) scheduler: GroupScheduler,
+    pub(crate) crashes: CrashWatch,
+    handover: Handover,
+    since: Instant,
+    targets: Mutex<BTreeMap<TargetId, TargetHealth>>,
+}
+
+/// When a target was last heard of.
+struct TargetHealth {
+    incarnation: Incarnation,
+    last_seen: Instant,
+    is_draining: bool,
+}
+
+impl OwnerService {
+    /// Creates a service that owns no groups yet.
+    pub fn new(cx: OwnerContext) -> Arc<Self> {
+        Arc::new(Self { cx, groups: Mutex::default() })
+    }
+
+    /// Follows the control state: takes over and gives up groups, and checks their targets.
+    pub async fn run(self: Arc<Self>) {
+        let mut changed = self.cx.view.changed();
+        loop {
+            self.sync_groups();
+            self.remove_silent_targets();
+            tokio::select! {
+                _ = changed.changed() => {}
+                () = tokio::time::sleep(CHECK_INTERVAL) => {}
+            }
+        }
+    }
+
+    /// Gives up all groups: queued requests fail, and the ownership is released once no order is
+    /// in flight.
+    pub async fn release_all(&self) {
+        let groups: Vec<_> = std::mem::take(&mut *self.groups()).into_values().collect();
+        for group in &groups {
+            group.scheduler.close(owner_changed(&group.id));
+        }
+        for group in groups {
+            group.scheduler.orders_finished(ORDER_TIMEOUT).await;
+            let command =
+                Command::ReleaseGroup { group: group.id.clone(), session: group.session };
+            if let Err(error) = self.cx.propose(command).await {
+                slog::warn!(self.cx.log, "cannot release group; its lease will expire";
+                    "event" => "O0305", "group" => %group.id, "error" => %error);
+            }
+        }
+    }
+
+    /// Takes a target's announcement relayed by an entry.
+    pub fn announce(&self, announcement: &Announcement) -> Result<(), GroupId> {
+        let group = self.group_of(&announcement.target)?;
+        let is_known = {
+            let mut targets = group.targets();
+            match targets.get_mut(&announcement.target) {
+                Some(health) if health.incarnation == announcement.incarnation => {
+                    health.last_seen = Instant::now();
+                    true
+                }
+                _ => false,
+            }
+        };
+        if is_known {
+            group.scheduler.report(
+                &announcement.target,
+                announcement.incarnation,
+                &announcement.load,
+            );
+        }
+        Ok(())
+    }
+
+    /// Stops new work for a target that is leaving, at once and before the log says so.
+    pub fn leave(&self, target: &TargetId, incarnation: Incarnation) -> Result<(), GroupId> {
+        let group = self.group_of(target)?;
+        let mut targets = group.targets();
+        if let Some(health) = targets.get_mut(target)
+            && health.incarnation == incarnation
+        {
+            health.is_draining = true;
+            group.scheduler.set_draining(target, true);
+        }
+        Ok(())
+    }
+
+    /// Takes cache events of an engine.
+    pub fn cache_events(&self, events: &CacheEvents) -> Result<(), GroupId> {
+        let group = self.group_of(&events.target)?;
+        group.scheduler.cache_events(events);
+        Ok(())
+    }
+
+    /// State of each owned group, for operators and metrics.
+    pub fn snapshots(&self) -> Vec<(GroupId, GroupSnapshot)> {
+        let groups: Vec<_> = self.groups().values().cloned().collect();
+        groups.iter().map(|group| (group.id.clone(), group.scheduler.snapshot())).collect()
+    }
+
+    /// Returns an owned group, or the error that sends the entry to the new owner.
+    pub(crate) fn owned(&self, id: &GroupId) -> Result<Arc<OwnedGroup>, RequestError> {
+        let group = self.groups().get(id).cloned().ok_or_else(|| owner_changed(id))?;
+        self.check_owned(&group)?;
+        Ok(group)
+    }
+
+    /// Checks that the lease of the owning session is certainly valid now.
+    pub(crate) fn check_owned(&self, group: &OwnedGroup) -> Result<(), RequestError> {
+        if (self.cx.session)() == Some(group.session) {
+            return Ok(());
+        }
+        Err(owner_changed(&group.id))
+    }
+
+    fn groups(&self) -> MutexGuard<'_, BTreeMap<GroupId, Arc<OwnedGroup>>> {
+        self.groups.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn group_of(&self, target: &TargetId) -> Result<Arc<OwnedGroup>, GroupId> {
+        let id = self.cx.view.read(|state| state.target(target).map(|t| t.group.clone()));
+        let unknown = || GroupId {
+            pool: "unknown".parse().expect("a valid name"),
+            region: "unknown".parse().expect("a valid name"),
+            shard: 0,
+        };
+        let id = id.ok_or_else(unknown)?;
+        self.groups().get(&id).cloned().ok_or(id)
+    }
+
+    /// Compares the owned groups with the control state.
+    fn sync_groups(self: &Arc<Self>) {
+        let session = (self.cx.session)();
+        let assigned: Vec<_> = self.cx.view.read(|state| {
+            state
+                .groups()
+                .filter(|group| session.is_some() && group.owner == session)
+                .map(|group| (group.id.clone(), group.epoch, group.handover))
+                .collect()
+        });
+        let lost: Vec<_> = {
+            let mut groups = self.groups();
+            let is_kept = |group: &OwnedGroup| {
+                Some(group.session) == session
+                    && assigned.iter().any(|(id, epoch, _)| (id, epoch) == (&group.id, &group.epoch))
+            };
+            let ids: Vec<_> = groups
+                .values()
+                .filter(|group| !is_kept(group))
+                .map(|group| group.id.clone())
+                .collect();
+            ids.iter().filter_map(|id| groups.remove(id)).collect()
+        };
+        for group in lost {
+            slog::warn!(self.cx.log, "gave up group";
+                "event" => "O0302", "group" => %group.id, "epoch" => group.epoch.0);
+            group.scheduler.close(owner_changed(&group.id));
+        }
+        let Some(session) = session else { return };
+        for (id, epoch, handover) in assigned {
+            let group = self.take_over(id, session, epoch, handover);
+            self.sync_targets(&group);
+        }
+    }
+
+    fn take_over(
+        self: &Arc<Self>,
+        id: GroupId,
+        session: SessionId,
+        epoch: Epoch,
+        handover: Handover,
+    ) -> Arc<OwnedGroup> {
+        let mut groups = self.groups();
+        if let Some(group) = groups.get(&id) {
+            return group.clone();
+        }
+        slog::info!(self.cx.log, "took over group";
+            "event" => "O0301", "group" => %id, "epoch" => epoch.0, "handover" => ?handover);
+        let load = load_fn(self.cx.clone(), id.clone(), session, epoch);
+        let group = Arc::new(OwnedGroup {
+            id: id.clone(),
+            session,
+            epoch,
+            scheduler: GroupScheduler::new(self.cx.scheduler.clone(), load, self.cx.log.clone()),
+            crashes: CrashWatch::default(),
+            handover,
+            since: Instant::now(),
+            targets: Mutex::default(),
+        });
+        groups.insert(id, group.clone());
+        group
+    }
+
+    /// Brings the scheduler's targets in line with the control state.
+    fn sync_targets(&self, group: &OwnedGroup) {
+        let registered: Vec<_> = self.cx.view.read(|state| {
+            let ids = state.group(&group.id).into_iter().flat_map(|g| g.targets.iter());
+            ids.filter_map(|id| state.target(id))
+                .map(|target| (target.announced.clone(), target.is_draining))
+                .collect()
+        });
+        let mut targets = group.targets();
+        let names: BTreeSet<_> = registered.iter().map(|(t, _)| t.target.clone()).collect();
+        targets.retain(|id, _| {
+            let is_kept = names.contains(id);
+            if !is_kept {
+                group.scheduler.remove_target(id);
+            }
+            is_kept
+        });
+        for (announced, is_draining) in registered {
+            let health = targets.get_mut(&announced.target);
+            match health {
+                Some(health) if health.incarnation == announced.incarnation => {
+                    if health.is_draining != is_draining && is_draining {
+                        health.is_draining = true;
+                        group.scheduler.set_draining(&announced.target, true);
+                    }
+                    continue;
+                }
+                _ => {}
+            }
+            let last_seen = Instant::now() + TAKEOVER_GRACE;
+            targets.insert(
+                announced.target.clone(),
+                TargetHealth { incarnation: announced.incarnation, last_seen, is_draining },
+            );
+            group.scheduler.upsert_target(TargetSpec {
+                orders_allowed_from: group.orders_allowed_from(&announced.kind).into(),
+                id: announced.target.clone(),
+                incarnation: announced.incarnation,
+                addr: announced.addr,
+                zone: announced.zone,
+                kind: announced.kind,
+            });
+            group.scheduler.set_draining(&announced.target, is_draining);
+        }
+    }
+
+    /// Removes targets that stopped announcing themselves.
+    fn remove_silent_targets(self: &Arc<Self>) {
+        let groups: Vec<_> = self.groups().values().cloned().collect();
+        for group in groups {
+            let mut targets = group.targets();
+            let now = Instant::now();
+            for (id, health) in &mut *targets {
+                if now.saturating_duration_since(health.last_seen) < TARGET_TIMEOUT {
+                    continue;
+                }
+                // Asks again only after another time-out if the log does not answer.
+                health.last_seen = now;
+                group.scheduler.set_draining(id, true);
+                self.propose_removal(id.clone(), health.incarnation);
+            }
+        }
+    }
+
+    fn propose_removal(self: &Arc<Self>, target: TargetId, incarnation: Incarnation) {
+        slog::warn!(self.cx.log, "target stopped announcing itself";
+            "event" => "T0602", "target" => %target, "incarnation" => incarnation.0);
+        let service = self.clone();
+        tokio::spawn(async move {
+            let command =
+                Command::RemoveTarget { target: target.clone(), incarnation, is_leaving: false };
+            match service.cx.propose(command).await {
+                Ok(Reply::Refused(error)) => slog::debug!(service.cx.log, "target not removed";
+                    "event" => "T0603", "target" => %target, "error" => %error),
+                Ok(_) => {}
+                Err(error) => slog::warn!(service.cx.log, "cannot remove target";
+                    "event" => "T0604", "target" => %target, "error" => %error),
+            }
+        });
+    }
+}
+
+impl OwnedGroup {
+    fn targets(&self) -> MutexGuard<'_, BTreeMap<TargetId, TargetHealth>> {
+        self.targets.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// When orders may be sent to a target without overlapping those of the previous owner.
+    fn orders_allowed_from(&self, kind: &TargetKind) -> Instant {
+        match (kind, self.handover) {
+            (TargetKind::Engine { checks_fencing: false, .. }, Handover::Lost) => {
+                self.since + ORDER_TIMEOUT
+            }
+            _ => self.since,
+        }
+    }
+}
+
+/// Error that sends the entry to the new owner; nothing was sent to a target.
+pub(crate) fn owner_changed(group: &GroupId) -> RequestError {
+    let detail = format!("this instance does not own target group {group}; try again");
+    RequestError::not_run(RequestErrorKind::NotReady, detail).retry_after(RETRY_AFTER_OWNER_CHANGE)
+}
--- /dev/null
+++ b/crates/rpc/src/api.rs
@@ -0,0 +1,156 @@
+//! The methods that each instance serves on its RPC address.
+
+use jsonrpsee::proc_macros::rpc;
+use shallotdrum_control::{Proposal, Reply};
+use shallotdrum_engine::{Announcement, CacheEvents};
+use shallotdrum_types::{
+    AdapterId, Fingerprint, Incarnation, InstanceId, LogIndex, PermitId, Revision, SessionId,
+    SubmissionId, TargetId,
+};
+
+use crate::{
+    AdapterRow, Base64Bytes, GroupRow, InstanceRow, ManifestCheck, ManifestView, Permit, PermitRequest,
+    PermitRow, QuarantineRow, RenewReply, RenewRequest, ReplicaStatus, RpcError, SessionRow, SubmissionRow,
+    SubscriberRow, TargetRow, WatchReply,
+};
+
+/// Methods between instances.
+#[rpc(server, client)]
+pub trait PeerApi {
+    /// Delivers a message of the control log to a replica.
+    #[method(name = "consensus_message")]
+    async fn consensus_message(&self, message: Base64Bytes) -> Result<Base64Bytes, RpcError>;
+
+    /// Writes a proposal to the control log; served by the leader.
+    #[method(name = "control_propose")]
+    async fn propose(&self, proposal: Proposal) -> Result<Reply, RpcError>;
+
+    /// Returns committed commands, waiting for one if there are none; served by replicas.
+    #[method(name = "control_watch")]
+    async fn watch(&self, after: LogIndex, wait_ms: u64) -> Result<WatchReply, RpcError>;
+
+    /// Renews a session; served by the leader.
+    #[method(name = "control_renew")]
+    async fn renew(&self, request: RenewRequest) -> Result<RenewReply, RpcError>;
+
+    /// Grants a weight-store permit; served by the leader.
+    #[method(name = "control_permit")]
+    async fn permit(&self, request: PermitRequest) -> Result<Permit, RpcError>;
+
+    /// Gives a weight-store permit back; served by the leader.
+    #[method(name = "control_release_permit")]
+    async fn release_permit(&self, session: SessionId, permit: PermitId) -> Result<(), RpcError>;
+
+    /// Lists what sessions reported with their last renewal; served by the leader.
+    #[method(name = "control_sessions")]
+    async fn sessions(&self) -> Result<Vec<SessionRow>, RpcError>;
+
+    /// Lists the weight-store permits in use; served by the leader.
+    #[method(name = "control_permits")]
+    async fn leader_permits(&self) -> Result<Vec<PermitRow>, RpcError>;
+
+    /// Adds a control replica; served by the leader.
+    #[method(name = "control_add_replica")]
+    async fn leader_add_replica(&self, instance: InstanceId) -> Result<(), RpcError>;
+
+    /// Removes a control replica; served by the leader.
+    #[method(name = "control_remove_replica")]
+    async fn leader_remove_replica(&self, instance: InstanceId) -> Result<(), RpcError>;
+
+    /// Relays a target's announcement to the owner of its group.
+    #[method(name = "target_announce")]
+    async fn target_announce(&self, announcement: Announcement) -> Result<(), RpcError>;
+
+    /// Relays that a target is leaving to the owner of its group.
+    #[method(name = "target_leave")]
+    async fn target_leave(
+        &self,
+        target: TargetId,
+        incarnation: Incarnation,
+    ) -> Result<(), RpcError>;
+
+    /// Relays a target's cache events to the owner of its group.
+    #[method(name = "target_cache_events")]
+    async fn target_cache_events(&self, events: CacheEvents) -> Result<(), RpcError>;
+}
+
+/// Methods for operators; each instance serves them.
+#[rpc(server, client, namespace = "admin")]
+pub trait AdminApi {
+    /// Validates a manifest and compares it with the one in force.
+    #[method(name = "check_manifest")]
+    async fn check_manifest(&self, manifest: String) -> Result<ManifestCheck, RpcError>;
+
+    /// Submits a manifest that is based on a revision.
+    #[method(name = "submit_manifest")]
+    async fn submit_manifest(
+        &self,
+        submission: SubmissionId,
+        base: Revision,
+        manifest: String,
+    ) -> Result<Revision, RpcError>;
+
+    /// Returns the manifest in force in this instance.
+    #[method(name = "manifest")]
+    async fn manifest(&self) -> Result<ManifestView, RpcError>;
+
+    /// Lists the accepted submissions that are still remembered, oldest first.
+    #[method(name = "submissions")]
+    async fn submissions(&self) -> Result<Vec<SubmissionRow>, RpcError>;
+
+    /// Lists instances, with what they have in force as last reported to the leader.
+    #[method(name = "instances")]
+    async fn instances(&self) -> Result<Vec<InstanceRow>, RpcError>;
+
+    /// Lists targets.
+    #[method(name = "targets")]
+    async fn targets(&self) -> Result<Vec<TargetRow>, RpcError>;
+
+    /// Lists target groups with their owners and leases.
+    #[method(name = "groups")]
+    async fn groups(&self) -> Result<Vec<GroupRow>, RpcError>;
+
+    /// Lists subscribers.
+    #[method(name = "subscribers")]
+    async fn subscribers(&self) -> Result<Vec<SubscriberRow>, RpcError>;
+
+    /// Lists at most `limit` adapters after the given name.
+    #[method(name = "adapters")]
+    async fn adapters(
+        &self,
+        after: Option<AdapterId>,
+        limit: u32,
+    ) -> Result<Vec<AdapterRow>, RpcError>;
+
+    /// Lists the weight-store permits in use.
+    #[method(name = "permits")]
+    async fn permits(&self) -> Result<Vec<PermitRow>, RpcError>;
+
+    /// Lists quarantined requests and suspects.
+    #[method(name = "quarantine")]
+    async fn quarantine(&self) -> Result<Vec<QuarantineRow>, RpcError>;
+
+    /// Lifts the quarantine of a request.
+    #[method(name = "lift_quarantine")]
+    async fn lift_quarantine(&self, request: Fingerprint) -> Result<(), RpcError>;
+
+    /// Starts or ends draining an instance.
+    #[method(name = "drain_instance")]
+    async fn drain_instance(&self, instance: InstanceId, drain: bool) -> Result<(), RpcError>;
+
+    /// Starts or ends draining a target.
+    #[method(name = "drain_target")]
+    async fn drain_target(&self, target: TargetId, drain: bool) -> Result<(), RpcError>;
+
+    /// Returns the state of this instance's control replica.
+    #[method(name = "replica_status")]
+    async fn replica_status(&self) -> Result<ReplicaStatus, RpcError>;
+
+    /// Adds a control replica.
+    #[method(name = "add_replica")]
+    async fn add_replica(&self, instance: InstanceId) -> Result<(), RpcError>;
+
+    /// Removes a control replica.
+    #[method(name = "remove_replica")]
+    async fn remove_replica(&self, instance: InstanceId) -> Result<(), RpcError>;
+}
--- /dev/null
+++ b/crates/rpc/src/control_client.rs
@@ -0,0 +1,181 @@
+//! Client of the control log that finds the leader and retries.
+//!
+//! Architecture Invariant: a method is retried until its deadline, which is safe because each
+//! method may be run twice. `Unavailable` is reported only if no attempt can have been run.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use jsonrpsee::{core::ClientError, http_client::HttpClient};
+use rand::RngExt;
+use shallotdrum_control::{Proposal, ProposeError, Reply};
+use shallotdrum_types::{InstanceId, PermitId, SessionId};
+use tokio::time::Instant;
+
+use crate::{
+    PeerApiClient, Peers, Permit, PermitRequest, RenewReply, RenewRequest, RpcError,
+};
+
+/// Settings of the client.
+#[derive(Clone, Debug)]
+pub struct ControlClientConfig {
+    /// RPC addresses of the control replicas.
+    pub replicas: BTreeMap<InstanceId, SocketAddr>,
+    /// Longest time for a proposal; several elections fit into it.
+    pub propose_timeout: Duration,
+    /// Longest wait for one attempt; a silent replica must leave time for the others.
+    pub attempt_timeout: Duration,
+}
+
+/// Shortest and longest pause before another replica is tried, in milliseconds.
+const RETRY_PAUSE_MS: std::ops::Range<u64> = 20..100;
+
+/// Client of the control log; clones share what they know of the leader.
+#[derive(Clone)]
+pub struct ControlClient {
+    cfg: Arc<ControlClientConfig>,
+    peers: Peers,
+    leader: Arc<Mutex<Option<InstanceId>>>,
+}
+
+impl ControlClient {
+    /// Creates a client of the given replicas.
+    pub fn new(cfg: ControlClientConfig, peers: Peers) -> Self {
+        Self { cfg: Arc::new(cfg), peers, leader: Arc::default() }
+    }
+
+    /// Address of each replica.
+    pub fn replicas(&self) -> &BTreeMap<InstanceId, SocketAddr> {
+        &self.cfg.replicas
+    }
+
+    /// Writes a proposal to the control log.
+    pub async fn propose(&self, proposal: Proposal) -> Result<Reply, ProposeError> {
+        let deadline = Instant::now() + self.cfg.propose_timeout;
+        let result = self
+            .call_leader(deadline, |client| {
+                let proposal = proposal.clone();
+                async move { client.propose(proposal).await }
+            })
+            .await;
+        match result {
+            Ok(reply) => Ok(reply),
+            Err(RpcError::Refused(error)) => Ok(Reply::Refused(error)),
+            Err(RpcError::Unavailable) => Err(ProposeError::Unavailable),
+            Err(_) => Err(ProposeError::Unknown),
+        }
+    }
+
+    /// Renews a session; tries for at most the given time.
+    pub async fn renew(
+        &self,
+        request: RenewRequest,
+        timeout: Duration,
+    ) -> Result<RenewReply, RpcError> {
+        self.call_leader(Instant::now() + timeout, |client| {
+            let request = request.clone();
+            async move { client.renew(request).await }
+        })
+        .await
+    }
+
+    /// Waits for a weight-store permit.
+    pub async fn permit(&self, request: PermitRequest) -> Result<Permit, RpcError> {
+        let timeout = Duration::from_millis(request.wait_ms) + self.cfg.attempt_timeout;
+        self.call_leader(Instant::now() + timeout, |client| {
+            let request = request.clone();
+            async move { client.permit(request).await }
+        })
+        .await
+    }
+
+    /// Gives a weight-store permit back.
+    pub async fn release_permit(
+        &self,
+        session: SessionId,
+        permit: PermitId,
+    ) -> Result<(), RpcError> {
+        let deadline = Instant::now() + self.cfg.propose_timeout;
+        self.call_leader(deadline, |client| async move {
+            client.release_permit(session, permit).await
+        })
+        .await
+    }
+
+    /// Calls a method of the leader until it answers or the deadline passes.
+    pub async fn call_leader<T, F, Fut>(&self, deadline: Instant, call: F) -> Result<T, RpcError>
+    where
+        F: Fn(HttpClient) -> Fut,
+        Fut: Future<Output = Result<T, ClientError>>,
+    {
+        let mut may_have_run = false;
+        let mut next = 0;
+        let names: Vec<_> = self.cfg.replicas.keys().cloned().collect();
+        loop {
+            let name = match self.known_leader() {
+                Some(name) => name,
+                None => {
+                    next += 1;
+                    names[next % names.len()].clone()
+                }
+            };
+            let error = match self.attempt(&name, deadline, &call).await {
+                Ok(answer) => {
+                    self.set_leader(Some(name));
+                    return Ok(answer);
+                }
+                Err(error) => error,
+            };
+            match error {
+                RpcError::NotLeader { leader } => {
+                    self.set_leader(leader.filter(|leader| *leader != name));
+                }
+                RpcError::NotReplica | RpcError::Unavailable => self.set_leader(None),
+                RpcError::Unknown | RpcError::NoAnswer(_) => {
+                    may_have_run = true;
+                    self.set_leader(None);
+                }
+                error => return Err(error),
+            }
+            let pause = Duration::from_millis(rand::rng().random_range(RETRY_PAUSE_MS));
+            if Instant::now() + pause >= deadline {
+                let error = if may_have_run { RpcError::Unknown } else { RpcError::Unavailable };
+                return Err(error);
+            }
+            tokio::time::sleep(pause).await;
+        }
+    }
+
+    async fn attempt<T, F, Fut>(
+        &self,
+        name: &InstanceId,
+        deadline: Instant,
+        call: &F,
+    ) -> Result<T, RpcError>
+    where
+        F: Fn(HttpClient) -> Fut,
+        Fut: Future<Output = Result<T, ClientError>>,
+    {
+        let addr = self.cfg.replicas.get(name).ok_or(RpcError::NotReplica)?;
+        let client = self.peers.get(*addr)?;
+        let attempt_deadline = deadline.min(Instant::now() + self.cfg.attempt_timeout);
+        match tokio::time::timeout_at(attempt_deadline, call(client)).await {
+            Ok(result) => result.map_err(RpcError::from),
+            Err(_) => Err(RpcError::NoAnswer(format!("replica {name} timed out"))),
+        }
+    }
+
+    /// Leader that answered last, if any.
+    pub fn known_leader(&self) -> Option<InstanceId> {
+        self.leader.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    fn set_leader(&self, leader: Option<InstanceId>) {
+        let leader = leader.filter(|leader| self.cfg.replicas.contains_key(leader));
+        *self.leader.lock().unwrap_or_else(PoisonError::into_inner) = leader;
+    }
+}
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -1,1 +1,30 @@
-//! Placeholder.
+//! JSON-RPC interface between instances and to the operators' client.
+//!
+//! General first: `api` lists the methods, `messages` and `admin` their parameters, `error` their
+//! failures. `peers` keeps one client for each address; `control_client` finds the control
+//! leader; `transport` carries the messages of the control log.
+//!
+//! Architecture Invariant: each method is safe to send twice, so that a caller may retry when an
+//! answer was lost.
+
+mod admin;
+mod api;
+mod control_client;
+mod error;
+mod messages;
+mod peers;
+mod transport;
+
+pub use admin::{
+    AdapterRow, CallCounts, GroupRow, InstanceRow, ManifestCheck, ManifestSummary, ManifestView,
+    PermitRow, QuarantineRow, ReplicaStatus, SubmissionRow, SubscriberRow, TargetRow,
+};
+pub use api::{AdminApiClient, AdminApiServer, PeerApiClient, PeerApiServer};
+pub use control_client::{ControlClient, ControlClientConfig};
+pub use error::RpcError;
+pub use messages::{
+    Base64Bytes, Permit, PermitRequest, RenewReply, RenewRequest, SessionRow,
+    WatchEntry, WatchReply,
+};
+pub use peers::{Peers, PeersConfig};
+pub use transport::RpcTransport;
