Add the settings file, the event catalogue and the metrics

Cause: instances need checked settings, numbered log events and metrics before the other crates can use them.

--- /dev/null
+++ b/crates/settings/src/model.rs
@@ -0,0 +1,221 @@
+//! Data model of the settings, serialised in the form of the file.
+
+use std::{net::SocketAddr, path::PathBuf};
+
+use serde::{Deserialize, Serialize};
+use shallotdrum_types::{AvailabilityZone, InstanceId, Region};
+
+/// Settings of one instance.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Settings {
+    /// Name of the instance; unique in the deployment and stable across restarts.
+    pub instance: InstanceId,
+    /// Region that the instance is in.
+    pub region: Region,
+    /// Availability zone that the instance is in.
+    pub zone: AvailabilityZone,
+    /// Addresses to listen on.
+    pub addrs: Addrs,
+    /// Addresses that other instances use, if they differ from `addrs`.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub advertise: Option<Addrs>,
+    /// Control replicas of the deployment.
+    pub replicas: Vec<ReplicaAddr>,
+    /// Data folder; present exactly on control replicas.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub data_dir: Option<PathBuf>,
+    /// Limits of the public listener.
+    pub limits: Limits,
+    /// How old the confirmed manifest may be.
+    pub freshness: Freshness,
+    /// Policy of the scheduler.
+    pub policy: Policy,
+    /// How long the listener stays open after the instance reports not ready, in milliseconds.
+    pub drain_delay_ms: u64,
+    /// Log output.
+    pub log: Log,
+    /// Caller's headers, in lower case, that are passed on to plain services.
+    pub forward_headers: Vec<String>,
+    /// Accepts port 0, which lets the system assign the port; for tests only.
+    #[serde(skip_serializing_if = "std::ops::Not::not")]
+    pub allow_port_zero: bool,
+}
+
+impl Settings {
+    /// Addresses that other instances use.
+    pub fn advertised(&self) -> Addrs {
+        self.advertise.unwrap_or(self.addrs)
+    }
+
+    /// Whether the instance is a control replica.
+    pub fn is_replica(&self) -> bool {
+        self.replicas.iter().any(|replica| replica.instance == self.instance)
+    }
+}
+
+/// Addresses of an instance, by IP number.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub struct Addrs {
+    /// Callers, targets and the platform.
+    pub entry: SocketAddr,
+    /// JSON-RPC of other instances and operators.
+    pub rpc: SocketAddr,
+    /// Forwarded requests of other instances.
+    pub data: SocketAddr,
+}
+
+/// Where a control replica is reached.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct ReplicaAddr {
+    /// Name of the instance.
+    pub instance: InstanceId,
+    /// JSON-RPC address.
+    pub rpc: SocketAddr,
+}
+
+/// Limits of the public listener and of the owner's queue.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Limits {
+    /// Largest request body.
+    pub max_body_bytes: usize,
+    /// Largest header section.
+    pub max_header_bytes: usize,
+    /// Connections that may be open at a time.
+    pub max_connections: usize,
+    /// Longest wait for the next part of a request body, or for a caller to take answer bytes.
+    pub idle_timeout_ms: u64,
+    /// Longest wait for a whole header section, also of the next request on a connection.
+    pub header_timeout_ms: u64,
+    /// Deadline of requests that name none.
+    pub default_deadline_ms: u64,
+    /// Longest deadline that a request may name.
+    pub max_deadline_ms: u64,
+    /// Requests that may wait in one group's queue.
+    pub max_queued: usize,
+    /// Requests of one subscriber that may wait in one group's queue.
+    pub max_queued_per_subscriber: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            // Four times the text of a 200,000-token prompt at about 5 bytes a token.
+            max_body_bytes: 4 * 1024 * 1024,
+            max_header_bytes: 16 * 1024,
+            // 10,000 requests/s at up to 0.4 s each, within a process limit of 64 MB.
+            max_connections: 4096,
+            idle_timeout_ms: 30_000,
+            header_timeout_ms: 10_000,
+            default_deadline_ms: 60_000,
+            max_deadline_ms: 120_000,
+            max_queued: 4096,
+            max_queued_per_subscriber: 512,
+        }
+    }
+}
+
+/// How old the confirmed manifest may be.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Freshness {
+    /// Age of the last confirmation at which the instance counts as stale.
+    pub bound_ms: u64,
+    /// What a stale instance does with requests.
+    pub when_stale: WhenStale,
+}
+
+impl Default for Freshness {
+    fn default() -> Self {
+        // A manifest must be in force on every instance within 5 s.
+        Self { bound_ms: 5_000, when_stale: WhenStale::Refuse }
+    }
+}
+
+/// What a stale instance does with requests.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum WhenStale {
+    /// Refuses them as not run.
+    #[default]
+    Refuse,
+    /// Serves them by the manifest it has.
+    Serve,
+}
+
+/// Policy of the scheduler.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Policy {
+    /// Weight of load stall against batch efficiency, from 0 to 1.
+    pub stall_weight: f64,
+    /// Scheduler that is used.
+    pub mode: PolicyMode,
+}
+
+impl Default for Policy {
+    fn default() -> Self {
+        Self { stall_weight: 0.5, mode: PolicyMode::Adaptive }
+    }
+}
+
+/// Scheduler that is used.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum PolicyMode {
+    /// Scheduler of the design page.
+    #[default]
+    Adaptive,
+    /// Round robin, first come first served, least recently used eviction, load on demand.
+    Baseline,
+}
+
+/// Log output.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Log {
+    /// Form of the lines.
+    pub format: LogFormat,
+    /// Lowest level that is written.
+    pub level: LogLevel,
+}
+
+/// Form of log lines.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum LogFormat {
+    /// One JSON object a line.
+    #[default]
+    Json,
+    /// Text for people.
+    Terminal,
+}
+
+/// Lowest log level that is written.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum LogLevel {
+    /// Only failures that end the process.
+    Critical,
+    /// Also failures that an operator must handle.
+    Error,
+    /// Also conditions that an operator should know.
+    Warning,
+    /// Also normal changes of state.
+    #[default]
+    Info,
+    /// Also details of single requests.
+    Debug,
+    /// Everything.
+    Trace,
+}
+
+impl LogLevel {
+    /// Name of the level, as in the settings file.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Critical => "critical",
+            Self::Error => "error",
+            Self::Warning => "warning",
+            Self::Info => "info",
+            Self::Debug => "debug",
+            Self::Trace => "trace",
+        }
+    }
+}
--- /dev/null
+++ b/crates/telemetry/src/events.rs
@@ -0,0 +1,142 @@
+//! Catalogue of numbered log events.
+//!
+//! To add an event, add one line to its area below and run
+//! `UPDATE_EVENTS=1 cargo test -p shallotdrum-telemetry --test events`, which rewrites
+//! `docs/events.md`. A code is never used again for another event.
+
+use std::fmt::Write;
+
+use slog::Level;
+
+/// One numbered log event.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Event {
+    /// Code that each line of the event carries.
+    pub code: &'static str,
+    /// Level of the lines.
+    pub level: Level,
+    /// Message of the lines; details are in the fields.
+    pub message: &'static str,
+    /// What the operator does.
+    pub action: &'static str,
+}
+
+/// Part of the system whose events share a code prefix.
+#[derive(Clone, Copy, Debug)]
+pub struct Area {
+    /// First three characters of the codes.
+    pub prefix: &'static str,
+    /// Name of the area.
+    pub title: &'static str,
+    /// Events in the order of the page.
+    pub events: &'static [Event],
+}
+
+/// Logs an event of the catalogue: `event!(log, OWNER_LOST; "group" => %group)`.
+#[macro_export]
+macro_rules! event {
+    ($log:expr, $event:ident) => {
+        $crate::event!($log, $event;)
+    };
+    ($log:expr, $event:ident; $($kv:tt)*) => {
+        $crate::slog::log!(
+            $log, $crate::events::$event.level, "", "{}", $crate::events::$event.message;
+            "code" => $crate::events::$event.code, $($kv)*
+        )
+    };
+}
+
+/// Defines the events of all areas and the catalogue.
+macro_rules! events {
+    ($(
+        $prefix:literal $title:literal {
+            $($name:ident = $code:literal, $level:ident, $message:literal, $action:literal;)*
+        }
+    )+) => {
+        $($(
+            #[doc = concat!($message, " (", $code, "). Operator: ", $action, ".")]
+            pub const $name: Event = Event {
+                code: $code, level: Level::$level, message: $message, action: $action,
+            };
+        )*)+
+
+        /// All events by area.
+        pub const CATALOGUE: &[Area] = &[
+            $(Area { prefix: $prefix, title: $title, events: &[$($name),*] },)+
+        ];
+    };
+}
+
+events! {
+    "C01" "Consensus" {
+        ELECTION_STARTED = "C0101", Info, "election started", "none, unless elections repeat; then check the network between the replicas";
+        LEADER_ELECTED = "C0102", Info, "control leader elected", "none";
+        LOG_SYNC_FAILED = "C0103", Critical, "log sync failed; the replica stops", "replace the disk, then start the replica with an empty data folder";
+        LOG_CORRUPT = "C0104", Critical, "log record is corrupt", "move the data folder away and start the replica again; it learns from the others";
+    }
+    "K02" "Control" {
+        MANIFEST_APPLIED = "K0201", Info, "manifest revision in force", "none";
+        SESSION_EXPIRED = "K0202", Warning, "session expired", "check the instance, unless it was stopped on purpose";
+        CONTROL_UNAVAILABLE = "K0203", Warning, "control replicas cannot be reached", "check the network and the control replicas";
+    }
+    "O03" "Owner" {
+        GROUP_ACQUIRED = "O0301", Info, "group ownership acquired", "none";
+        GROUP_RELEASED = "O0302", Info, "group ownership released", "none";
+        GROUP_LOST = "O0303", Warning, "group ownership lost", "check why the session was not renewed, if the instance still runs";
+        ADAPTER_LOAD_FAILED = "O0304", Warning, "adapter load failed", "check the weight store and the adapter's path in the manifest, if it repeats";
+        ANSWER_MISMATCH = "O0305", Error, "engine answered with another adapter", "take the engine out of service and report the engine's fault";
+        ORDER_REFUSED = "O0306", Warning, "engine refused an order", "none, unless it repeats for one engine; then restart the engine";
+        REQUEST_SUSPECTED = "O0307", Warning, "request was running on a crashed target", "none; list quarantined requests if it repeats";
+        REQUEST_QUARANTINED = "O0308", Error, "request quarantined after a second crash", "examine the request; lift the quarantine when the engine is fixed";
+        CALL_RESULT_UNKNOWN = "O0309", Error, "result of a non-repeatable call is unknown", "look up in the service whether the call took effect";
+    }
+    "N04" "Entry" {
+        ENTRY_LISTENING = "N0401", Info, "entry listener open", "none";
+        ENTRY_ACCEPT_FAILED = "N0402", Error, "cannot accept a connection", "raise the process limit of open files, or look for a connection leak";
+        ENTRY_CONNECTIONS_FULL = "N0403", Warning, "connection limit reached", "add instances, or raise limits.max_connections";
+        ENTRY_CONNECTION_FAILED = "N0404", Debug, "caller connection ended with an error", "none";
+        ENTRY_REQUEST_FAILED = "N0405", Info, "request failed", "none for single requests; see the problem code if it repeats";
+        ENTRY_OWNER_LOST = "N0406", Warning, "lost the connection to a group's owner", "check the owner's instance, if it was not stopped on purpose";
+        ENTRY_ANSWER_RESUMED = "N0407", Info, "answer resumed at the new owner", "none";
+        ENTRY_RETRY_BUDGET_EMPTY = "N0408", Warning, "retry budget is empty", "find the fault that causes the retries; the entry recovers by itself";
+        ENTRY_DRAINING = "N0409", Info, "entry is draining", "none";
+        ENTRY_CLOSED = "N0410", Info, "entry listener closed, all requests finished", "none";
+    }
+    "S05" "Start, stop and settings" {
+        INSTANCE_STARTED = "S0501", Info, "instance started", "none";
+        INSTANCE_READY = "S0502", Info, "instance ready", "none";
+        INSTANCE_STALE = "S0503", Warning, "instance cannot confirm its manifest", "check the control replicas and the network to them";
+        INSTANCE_STOPPING = "S0504", Info, "instance is stopping", "none";
+        INSTANCE_STOPPED = "S0505", Info, "instance stopped", "none";
+        SETTINGS_INVALID = "S0506", Critical, "settings are invalid", "correct the listed values and start again";
+        REPLICA_COUNT_EVEN = "S0507", Warning, "even number of control replicas", "list an odd number of replicas; an even one tolerates no more failures than one less";
+        START_FAILED = "S0508", Critical, "instance cannot start", "correct the reported cause and start again";
+    }
+    "T06" "Targets" {
+        TARGET_REGISTERED = "T0601", Info, "target registered", "none";
+        TARGET_LEFT = "T0602", Info, "target left", "none";
+        TARGET_LOST = "T0603", Warning, "target stopped announcing itself", "check the target's machine and process";
+        TARGET_CRASHED = "T0604", Error, "target crashed with requests in flight", "check the target's own log";
+        TARGET_REFUSED = "T0605", Warning, "target announcement refused", "correct the target's announcement or the manifest's pools";
+        TARGET_OUTLIER = "T0606", Warning, "target is much slower than the others of its group", "check the target's machine";
+    }
+}
+
+/// Text of `docs/events.md`.
+pub fn page() -> String {
+    let mut page = String::from(
+        "# Events\n\nEach log line carries the code of one event. This page is written from the \
+         catalogue in `crates/telemetry/src/events.rs`;\n`UPDATE_EVENTS=1 cargo test -p \
+         shallotdrum-telemetry --test events` rewrites it.\n",
+    );
+    for area in CATALOGUE {
+        let _ = write!(page, "\n## {}xx {}\n\n", area.prefix, area.title);
+        page.push_str("| Code | Level | Message | What the operator does |\n|---|---|---|---|\n");
+        for event in area.events {
+            let level = event.level.as_str().to_lowercase();
+            let Event { code, message, action, .. } = event;
+            let _ = writeln!(page, "| {code} | {level} | {message} | {action} |");
+        }
+    }
+    page
+}
--- /dev/null
+++ b/crates/telemetry/src/metrics.rs
@@ -0,0 +1,236 @@
+//! Metrics in the prometheus text format.
+//!
+//! Architecture Invariant: the number of time series is bounded. Histograms have one series for
+//! each of the first `MAX_SUBSCRIBER_LABELS` subscribers and one for all others; no label names an
+//! adapter, a target or a request.
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, PoisonError, RwLock},
+    time::Duration,
+};
+
+use prometheus::{
+    Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
+};
+use shallotdrum_types::SubscriberId;
+
+/// Subscribers with series of their own; 200 subscribers with five histograms of about 16 series
+/// keep the page near 1.5 MB and the memory below 2 MB.
+pub const MAX_SUBSCRIBER_LABELS: usize = 200;
+
+/// Label of all subscribers beyond the limit.
+const OTHER: &str = "other";
+
+/// Bounds for waits and whole requests, in seconds. They double from 1 ms (an idle system answers
+/// lookups in about 2 ms) to 131 s (just above the longest default deadline); 1.5 s, the goal for
+/// the first token, has its own bound.
+const WAIT_BUCKETS: &[f64] = &[
+    0.001, 0.002, 0.004, 0.008, 0.016, 0.032, 0.064, 0.125, 0.25, 0.5, 1.0, 1.5, 2.0, 4.0, 8.0,
+    16.0, 32.0, 64.0, 131.0,
+];
+
+/// Bounds for the time between tokens, in seconds; closest around the goal of 56 ms.
+const TOKEN_BUCKETS: &[f64] =
+    &[0.002, 0.005, 0.01, 0.02, 0.03, 0.04, 0.048, 0.056, 0.064, 0.08, 0.1, 0.2, 0.5, 1.0, 5.0];
+
+/// Metrics of one instance; clones share the values.
+#[derive(Clone)]
+pub struct Metrics(Arc<Inner>);
+
+struct Inner {
+    registry: Registry,
+    queue_wait: HistogramVec,
+    load_stall: HistogramVec,
+    first_token: HistogramVec,
+    between_tokens: HistogramVec,
+    total: HistogramVec,
+    requests: IntCounterVec,
+    subscribers: RwLock<HashMap<SubscriberId, SubscriberMetrics>>,
+    other: SubscriberMetrics,
+    plain: Plain,
+}
+
+/// Histograms of one subscriber.
+#[derive(Clone)]
+pub struct SubscriberMetrics {
+    queue_wait: Histogram,
+    load_stall: Histogram,
+    first_token: Histogram,
+    between_tokens: Histogram,
+    total: Histogram,
+}
+
+impl SubscriberMetrics {
+    /// Records the wait of a request in the owner's queue.
+    pub fn queue_wait(&self, time: Duration) {
+        self.queue_wait.observe(time.as_secs_f64());
+    }
+
+    /// Records the time that a request waited for its adapter to be loaded.
+    pub fn load_stall(&self, time: Duration) {
+        self.load_stall.observe(time.as_secs_f64());
+    }
+
+    /// Records the time from the request to its first token.
+    pub fn first_token(&self, time: Duration) {
+        self.first_token.observe(time.as_secs_f64());
+    }
+
+    /// Records the time between two tokens.
+    pub fn between_tokens(&self, time: Duration) {
+        self.between_tokens.observe(time.as_secs_f64());
+    }
+
+    /// Records the time from the request to the end of its answer.
+    pub fn total(&self, time: Duration) {
+        self.total.observe(time.as_secs_f64());
+    }
+}
+
+/// Defines the counters and gauges without labels.
+macro_rules! plain_metrics {
+    ($($field:ident: $kind:ident, $name:literal, $help:literal;)+) => {
+        struct Plain { $($field: $kind,)+ }
+
+        impl Plain {
+            fn register(registry: &Registry) -> Result<Self, prometheus::Error> {
+                Ok(Self {
+                    $($field: {
+                        let metric = $kind::new($name, $help)?;
+                        registry.register(Box::new(metric.clone()))?;
+                        metric
+                    },)+
+                })
+            }
+        }
+
+        impl Metrics {
+            $(#[doc = concat!($help, ".")]
+            pub fn $field(&self) -> &$kind {
+                &self.0.plain.$field
+            })+
+        }
+    };
+}
+
+plain_metrics! {
+    retries: IntCounter, "shallotdrum_retries_total", "Requests sent again to an owner";
+    resumes: IntCounter, "shallotdrum_resumes_total", "Answers resumed after an interruption";
+    loads: IntCounter, "shallotdrum_adapter_loads_total", "Adapter loads ordered";
+    load_failures: IntCounter, "shallotdrum_adapter_load_failures_total", "Adapter loads that failed";
+    evictions: IntCounter, "shallotdrum_adapter_evictions_total", "Adapters evicted";
+    forwarded: IntCounter, "shallotdrum_forwarded_total", "Requests forwarded to an owner";
+    connections: IntGauge, "shallotdrum_connections", "Open caller connections";
+    queued: IntGauge, "shallotdrum_queued", "Requests that wait in queues of owned groups";
+    in_flight: IntGauge, "shallotdrum_in_flight", "Requests in progress on this entry";
+    owned_groups: IntGauge, "shallotdrum_owned_groups", "Target groups owned by this instance";
+    manifest_revision: IntGauge, "shallotdrum_manifest_revision", "Manifest revision in force";
+    log_index: IntGauge, "shallotdrum_log_index", "Last applied index of the control log";
+    is_leader: IntGauge, "shallotdrum_is_leader", "1 on the control leader, else 0";
+}
+
+impl Metrics {
+    /// Creates all metrics in a registry of their own.
+    pub fn new() -> Result<Self, prometheus::Error> {
+        let registry = Registry::new();
+        let histogram = |name: &str, help: &str, buckets: &[f64]| {
+            let opts = HistogramOpts::new(name, help).buckets(buckets.to_vec());
+            let metric = HistogramVec::new(opts, &["subscriber"])?;
+            registry.register(Box::new(metric.clone()))?;
+            Ok::<_, prometheus::Error>(metric)
+        };
+        let queue_wait = histogram(
+            "shallotdrum_queue_wait_seconds",
+            "Wait of requests in the owner's queue",
+            WAIT_BUCKETS,
+        )?;
+        let load_stall = histogram(
+            "shallotdrum_load_stall_seconds",
+            "Wait of requests for their adapter to be loaded",
+            WAIT_BUCKETS,
+        )?;
+        let first_token = histogram(
+            "shallotdrum_first_token_seconds",
+            "Time from request to first token",
+            WAIT_BUCKETS,
+        )?;
+        let between_tokens =
+            histogram("shallotdrum_between_tokens_seconds", "Time between tokens", TOKEN_BUCKETS)?;
+        let total = histogram(
+            "shallotdrum_request_seconds",
+            "Time from request to the end of the answer",
+            WAIT_BUCKETS,
+        )?;
+        let requests = IntCounterVec::new(
+            Opts::new("shallotdrum_requests_total", "Finished requests"),
+            &["outcome", "error"],
+        )?;
+        registry.register(Box::new(requests.clone()))?;
+        let other = SubscriberMetrics {
+            queue_wait: queue_wait.with_label_values(&[OTHER]),
+            load_stall: load_stall.with_label_values(&[OTHER]),
+            first_token: first_token.with_label_values(&[OTHER]),
+            between_tokens: between_tokens.with_label_values(&[OTHER]),
+            total: total.with_label_values(&[OTHER]),
+        };
+        let plain = Plain::register(&registry)?;
+        let subscribers = RwLock::default();
+        Ok(Self(Arc::new(Inner {
+            registry,
+            queue_wait,
+            load_stall,
+            first_token,
+            between_tokens,
+            total,
+            requests,
+            subscribers,
+            other,
+            plain,
+        })))
+    }
+
+    /// Histograms of a subscriber, or the common ones if the limit of subscribers is reached.
+    pub fn subscriber(&self, subscriber: &SubscriberId) -> SubscriberMetrics {
+        let inner = &self.0;
+        {
+            let known = inner.subscribers.read().unwrap_or_else(PoisonError::into_inner);
+            match known.get(subscriber) {
+                Some(metrics) => return metrics.clone(),
+                None if known.len() >= MAX_SUBSCRIBER_LABELS => return inner.other.clone(),
+                None => {}
+            }
+        }
+        let mut known = inner.subscribers.write().unwrap_or_else(PoisonError::into_inner);
+        if known.len() >= MAX_SUBSCRIBER_LABELS && !known.contains_key(subscriber) {
+            return inner.other.clone();
+        }
+        let create = || {
+            let label = &[subscriber.as_str()];
+            SubscriberMetrics {
+                queue_wait: inner.queue_wait.with_label_values(label),
+                load_stall: inner.load_stall.with_label_values(label),
+                first_token: inner.first_token.with_label_values(label),
+                between_tokens: inner.between_tokens.with_label_values(label),
+                total: inner.total.with_label_values(label),
+            }
+        };
+        known.entry(subscriber.clone()).or_insert_with(create).clone()
+    }
+
+    /// Counts a finished request; `error` is the problem code, or `none`.
+    pub fn finished(&self, outcome: &str, error: &str) {
+        self.0.requests.with_label_values(&[outcome, error]).inc();
+    }
+
+    /// All metrics in the prometheus text format.
+    pub fn render(&self) -> String {
+        let mut text = String::new();
+        let families = self.0.registry.gather();
+        match TextEncoder::new().encode_utf8(&families, &mut text) {
+            Ok(()) => text,
+            Err(e) => format!("# cannot encode the metrics: {e}\n"),
+        }
+    }
+}
