--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,23 @@
+//! Operators' command-line client.
+//!
+//! `flags` lists the commands, `commands` runs them, `output` prints tables or JSON, and `exit`
+//! maps failures to exit codes that scripts can use.
+
+mod commands;
+mod exit;
+mod flags;
+mod output;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let flags = flags::Shallotdrum::from_env_or_exit();
+    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(error) => return exit::report(&error.into()),
+    };
+    match runtime.block_on(commands::run(flags)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => exit::report(&error),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/bin/shallotdrumd.rs
@@ -0,0 +1,61 @@
+//! The daemon: one process of the serving layer.
+
+use std::path::PathBuf;
+
+use anyhow::Context;
+use shallotdrum_daemon::{Instance, Listeners};
+use shallotdrum_settings::{LogFormat, Settings};
+use shallotdrum_telemetry::{LogConfig, event};
+use tokio::signal::unix::{SignalKind, signal};
+
+xflags::xflags! {
+    /// Runs one instance of the serving layer.
+    cmd shallotdrumd {
+        /// Settings file, JSON.
+        required settings: PathBuf
+        /// Checks the settings and exits.
+        optional --check
+    }
+}
+
+fn main() -> anyhow::Result<()> {
+    let flags = Shallotdrumd::from_env_or_exit();
+    let settings = Settings::load(&flags.settings)?;
+    if flags.check {
+        println!("{}: the settings are valid", flags.settings.display());
+        return Ok(());
+    }
+    let (log, _guard) = shallotdrum_telemetry::open(LogConfig {
+        format: match settings.log.format {
+            LogFormat::Json => shallotdrum_telemetry::LogFormat::Json,
+            LogFormat::Terminal => shallotdrum_telemetry::LogFormat::Terminal,
+        },
+        level: settings.log.level.into(),
+    });
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
+    let result = runtime.block_on(run(settings, log.clone()));
+    if let Err(error) = &result {
+        event!(log, START_FAILED; "error" => format!("{error:#}"));
+    }
+    result
+}
+
+async fn run(settings: Settings, log: slog::Logger) -> anyhow::Result<()> {
+    let mut terminate = signal(SignalKind::terminate()).context("cannot handle SIGTERM")?;
+    let mut interrupt = signal(SignalKind::interrupt()).context("cannot handle SIGINT")?;
+    let listeners = Listeners::open(&settings).await?;
+    let instance = Instance::start(settings, listeners, log).await?;
+    let failure = tokio::select! {
+        _ = terminate.recv() => None,
+        _ = interrupt.recv() => None,
+        error = instance.failed() => Some(error),
+    };
+    match failure {
+        // The replica acknowledges nothing any more; a graceful stop would need the log.
+        Some(error) => Err(error).context("the control replica has failed"),
+        None => {
+            instance.stop().await;
+            Ok(())
+        }
+    }
+}
--- a/crates/daemon/src/follower.rs
+++ b/crates/daemon/src/follower.rs
@@ -34,8 +34,7 @@
             Err(_) => Err(RpcError::NoAnswer("timed out".to_owned())),
         };
         if let Err(error) = result {
-            slog::debug!(log, "cannot follow the control log at this replica; trying the next";
-                "event" => "K0210", "addr" => %addr, "error" => %error);
+            event!(log, FOLLOW_RETRIED; "addr" => %addr, "error" => %error);
             current += 1;
             tokio::time::sleep(RETRY_PAUSE).await;
         }
--- /dev/null
+++ b/crates/daemon/src/instance.rs
@@ -0,0 +1,386 @@
+//! Assembles an instance from its settings, and stops it gracefully.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{Arc, PoisonError},
+    time::Duration,
+};
+
+use futures_util::FutureExt;
+use jsonrpsee::server::{Server, ServerConfig, ServerHandle};
+use shallotdrum_consensus::{Node, NodeConfig};
+use shallotdrum_control::{ControlState, ControlView, InstanceAddrs, InstanceInfo};
+use shallotdrum_engine::EngineClient;
+use shallotdrum_entry::{EntryConfig, EntryContext, EntryHandle, EntryServer};
+use shallotdrum_owner::{Forwarder, HeldPermits, OwnerContext, OwnerService, serve_forwarded};
+use shallotdrum_rpc::{
+    AdminApiServer, ControlClient, ControlClientConfig, PeerApiServer, Peers, PeersConfig,
+    PermitRequest, RpcTransport,
+};
+use shallotdrum_scheduler::{Policy, SchedulerConfig};
+use shallotdrum_settings::{PolicyMode, Settings, WhenStale};
+use shallotdrum_telemetry::{Metrics, event};
+use shallotdrum_types::Incarnation;
+use tokio::{net::TcpListener, task::JoinSet};
+
+use crate::{
+    admin::Admin,
+    follower::follow,
+    peer::Peer,
+    replica::Replica,
+    session::{SessionConfig, SessionKeeper},
+    targets::Targets,
+};
+
+/// Longest wait for an answer of another instance.
+const PEER_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Longest time for a proposal; two elections of 1.2 s each fit in.
+const PROPOSE_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Longest wait for one replica, so that a silent one leaves time for the others.
+const ATTEMPT_TIMEOUT: Duration = Duration::from_millis(1500);
+
+/// How long the leader may let one request for a permit wait.
+const PERMIT_WAIT: Duration = Duration::from_secs(1);
+
+/// Pause between looks whether forwarded requests have finished.
+const DRAIN_POLL: Duration = Duration::from_millis(20);
+
+/// Connections of other instances and operators that may be open at a time.
+const MAX_RPC_CONNECTIONS: u32 = 2000;
+
+/// Listeners of an instance, opened before anything else so that a port in use is found early.
+pub struct Listeners {
+    entry: TcpListener,
+    rpc: TcpListener,
+    data: TcpListener,
+}
+
+impl Listeners {
+    /// Opens the listeners that the settings name.
+    pub async fn open(settings: &Settings) -> Result<Self, InstanceError> {
+        Ok(Self {
+            entry: listen("addrs.entry", settings.addrs.entry).await?,
+            rpc: listen("addrs.rpc", settings.addrs.rpc).await?,
+            data: listen("addrs.data", settings.addrs.data).await?,
+        })
+    }
+}
+
+/// Running instance.
+pub struct Instance {
+    entry: EntryHandle,
+    rpc: ServerHandle,
+    owner: Arc<OwnerService>,
+    session: Arc<SessionKeeper>,
+    replica: Option<Arc<Replica>>,
+    /// Tasks that end with the instance.
+    tasks: JoinSet<()>,
+    drain_delay: Duration,
+    max_deadline: Duration,
+    log: slog::Logger,
+}
+
+/// Why an instance could not start.
+#[derive(Debug, thiserror::Error)]
+pub enum InstanceError {
+    /// A listener could not be opened.
+    #[error("cannot listen on {name} {addr}: {source}")]
+    Listen {
+        /// Setting that names the address.
+        name: &'static str,
+        /// Address.
+        addr: SocketAddr,
+        /// Cause reported by the system.
+        source: std::io::Error,
+    },
+    /// The control replica could not start.
+    #[error("cannot start the control replica: {0}")]
+    Replica(#[from] shallotdrum_consensus::StartError),
+    /// The metrics could not be set up.
+    #[error("cannot set up the metrics: {0}")]
+    Metrics(#[from] prometheus::Error),
+    /// The methods could not be registered.
+    #[error("cannot register the RPC methods: {0}")]
+    Rpc(#[from] jsonrpsee::core::RegisterMethodError),
+}
+
+impl Instance {
+    /// Starts an instance.
+    pub async fn start(
+        settings: Settings,
+        listeners: Listeners,
+        log: slog::Logger,
+    ) -> Result<Self, InstanceError> {
+        let log = log.new(slog::o!("instance" => settings.instance.to_string()));
+        let view = ControlView::new(ControlState::default());
+        let peers = Peers::new(PeersConfig { timeout: PEER_TIMEOUT });
+        let replicas: BTreeMap<_, _> =
+            settings.replicas.iter().map(|r| (r.instance.clone(), r.rpc)).collect();
+        let client = ControlClient::new(
+            ControlClientConfig {
+                replicas: replicas.clone(),
+                propose_timeout: PROPOSE_TIMEOUT,
+                attempt_timeout: ATTEMPT_TIMEOUT,
+            },
+            peers.clone(),
+        );
+        let metrics = Metrics::new()?;
+        let permits = HeldPermits::default();
+        let mut tasks = JoinSet::new();
+
+        let replica = match &settings.data_dir {
+            Some(data_dir) => {
+                let cfg = NodeConfig::new(
+                    settings.instance.clone(),
+                    data_dir.clone(),
+                    replicas.keys().cloned().collect(),
+                );
+                let transport = RpcTransport::new(peers.clone(), replicas.clone());
+                let node = Node::start(cfg, view.clone(), transport, log.clone()).await?;
+                let replica = Replica::new(node, view.clone(), log.clone());
+                tasks.spawn(replica.clone().run());
+                Some(replica)
+            }
+            None => {
+                let addrs = preferred_replicas(&settings);
+                tasks.spawn(follow(view.clone(), peers.clone(), addrs, log.clone()));
+                None
+            }
+        };
+
+        let session = SessionKeeper::new(
+            SessionConfig {
+                info: instance_info(&settings),
+                freshness_bound: Duration::from_millis(settings.freshness.bound_ms),
+                serve_when_stale: settings.freshness.when_stale == WhenStale::Serve,
+            },
+            client.clone(),
+            view.clone(),
+            permits.clone(),
+            log.clone(),
+        );
+        let owner = OwnerService::new(owner_context(
+            &settings, &view, &client, &session, &permits, &metrics, &log,
+        ));
+        tasks.spawn(owner.clone().run());
+        tasks.spawn(serve_forwarded(listeners.data, owner.clone()));
+
+        let peer = Peer { replica: replica.clone(), owner: owner.clone() };
+        let admin = Admin {
+            instance: settings.instance.clone(),
+            view: view.clone(),
+            client: client.clone(),
+            replica: replica.clone(),
+        };
+        let rpc = serve_rpc(listeners.rpc, peer, admin)?;
+        tasks.spawn(session.clone().run());
+
+        let targets = Targets {
+            view: view.clone(),
+            client: client.clone(),
+            peers,
+            owner: owner.clone(),
+            session: session.clone(),
+        };
+        let entry = EntryServer::start(
+            listeners.entry,
+            EntryConfig::from_settings(&settings),
+            entry_context(view, &session, targets, metrics, &log),
+        );
+        event!(log, INSTANCE_STARTED; "entry" => %entry.local_addr());
+        Ok(Self {
+            entry,
+            rpc,
+            owner,
+            session,
+            replica,
+            tasks,
+            drain_delay: Duration::from_millis(settings.drain_delay_ms),
+            max_deadline: Duration::from_millis(settings.limits.max_deadline_ms),
+            log,
+        })
+    }
+
+    /// Address of the entry listener.
+    pub fn entry_addr(&self) -> SocketAddr {
+        self.entry.local_addr()
+    }
+
+    /// Resolves when the control replica can't go on, for example after a failed sync.
+    pub async fn failed(&self) -> shallotdrum_consensus::FatalError {
+        match &self.replica {
+            Some(replica) => replica.node.failed().await,
+            None => std::future::pending().await,
+        }
+    }
+
+    /// Stops without interrupting a request in progress.
+    ///
+    /// The instance reports not ready and gives its groups to others at once. It accepts
+    /// connections until the platform's balancer has had time to notice, then finishes what is
+    /// in progress.
+    pub async fn stop(mut self) {
+        event!(self.log, INSTANCE_STOPPING);
+        self.session.begin_drain();
+        self.entry.begin_drain();
+        self.owner.release_all().await;
+        if let Some(replica) = &self.replica {
+            // Best effort: without it the others elect a leader after their time-out.
+            let _ = replica.node.transfer_leadership().await;
+        }
+        tokio::time::sleep(self.drain_delay).await;
+        self.entry.close_listener();
+        let finished = async {
+            self.entry.closed().await;
+            while self.owner.in_progress() > 0 {
+                tokio::time::sleep(DRAIN_POLL).await;
+            }
+        };
+        // No request lives longer than its deadline.
+        let _ = tokio::time::timeout(self.max_deadline, finished).await;
+        self.session.end().await;
+        if let Some(replica) = &self.replica {
+            replica.node.shutdown().await;
+        }
+        // The handle fails only if the server has stopped already.
+        let _ = self.rpc.stop();
+        self.tasks.shutdown().await;
+        event!(self.log, INSTANCE_STOPPED);
+    }
+}
+
+async fn listen(name: &'static str, addr: SocketAddr) -> Result<TcpListener, InstanceError> {
+    TcpListener::bind(addr).await.map_err(|source| InstanceError::Listen { name, addr, source })
+}
+
+fn instance_info(settings: &Settings) -> InstanceInfo {
+    let addrs = settings.advertised();
+    InstanceInfo {
+        instance: settings.instance.clone(),
+        incarnation: Incarnation(rand::random()),
+        region: settings.region.clone(),
+        zone: settings.zone.clone(),
+        addrs: InstanceAddrs { entry: addrs.entry, rpc: addrs.rpc, data: addrs.data },
+        replica: settings.is_replica(),
+    }
+}
+
+/// RPC addresses of the replicas, starting at a place that differs between instances.
+fn preferred_replicas(settings: &Settings) -> Vec<SocketAddr> {
+    let mut addrs: Vec<_> = settings.replicas.iter().map(|replica| replica.rpc).collect();
+    let start = rand::random::<u64>() as usize % addrs.len().max(1);
+    addrs.rotate_left(start);
+    addrs
+}
+
+fn owner_context(
+    settings: &Settings,
+    view: &ControlView,
+    client: &ControlClient,
+    session: &Arc<SessionKeeper>,
+    permits: &HeldPermits,
+    metrics: &Metrics,
+    log: &slog::Logger,
+) -> OwnerContext {
+    let mut scheduler = SchedulerConfig::new(settings.zone.clone());
+    scheduler.policy = match settings.policy.mode {
+        PolicyMode::Adaptive => Policy::Adaptive,
+        PolicyMode::Baseline => Policy::Baseline,
+    };
+    scheduler.stall_weight = settings.policy.stall_weight;
+    scheduler.max_queued = settings.limits.max_queued;
+    scheduler.max_queued_per_subscriber = settings.limits.max_queued_per_subscriber;
+
+    let keeper = session.clone();
+    let proposer = client.clone();
+    let (granter, holder, held) = (client.clone(), session.clone(), permits.clone());
+    let (returner, returning, returned) = (client.clone(), session.clone(), permits.clone());
+    OwnerContext {
+        view: view.clone(),
+        session: Arc::new(move || keeper.current()),
+        propose: Arc::new(move |proposal| {
+            let client = proposer.clone();
+            async move { client.propose(proposal).await }.boxed()
+        }),
+        permit: Arc::new(move |group| {
+            let (client, session, held) = (granter.clone(), holder.current(), held.clone());
+            async move {
+                let wait_ms = PERMIT_WAIT.as_millis() as u64;
+                let request = PermitRequest { session: session?, group, wait_ms };
+                let permit = client.permit(request).await.ok()?;
+                held.lock().unwrap_or_else(PoisonError::into_inner).insert(permit.id);
+                Some(permit.id)
+            }
+            .boxed()
+        }),
+        release: Arc::new(move |permit| {
+            returned.lock().unwrap_or_else(PoisonError::into_inner).remove(&permit);
+            let Some(session) = returning.current() else { return };
+            let client = returner.clone();
+            // A permit whose return is lost expires at the leader.
+            tokio::spawn(async move { client.release_permit(session, permit).await });
+        }),
+        engine: EngineClient::new(),
+        scheduler,
+        metrics: metrics.clone(),
+        log: log.clone(),
+        idle_timeout: Duration::from_millis(settings.limits.idle_timeout_ms),
+        max_body_bytes: settings.limits.max_body_bytes,
+    }
+}
+
+fn entry_context(
+    view: ControlView,
+    session: &Arc<SessionKeeper>,
+    targets: Targets,
+    metrics: Metrics,
+    log: &slog::Logger,
+) -> EntryContext {
+    let keeper = session.clone();
+    let (announce, leave, cache_events) = (targets.clone(), targets.clone(), targets);
+    EntryContext {
+        view,
+        forwarder: Forwarder::new(),
+        is_fresh: Arc::new(move || keeper.freshness()),
+        announce: Arc::new(move |announcement| {
+            let targets = announce.clone();
+            async move { targets.announce(announcement).await }.boxed()
+        }),
+        leave: Arc::new(move |target, incarnation| {
+            let targets = leave.clone();
+            async move { targets.leave(target, incarnation).await }.boxed()
+        }),
+        cache_events: Arc::new(move |events| {
+            let targets = cache_events.clone();
+            async move { targets.cache_events(events).await }.boxed()
+        }),
+        metrics,
+        log: log.clone(),
+    }
+}
+
+fn serve_rpc(
+    listener: TcpListener,
+    peer: Peer,
+    admin: Admin,
+) -> Result<ServerHandle, InstanceError> {
+    let mut methods = PeerApiServer::into_rpc(peer);
+    methods.merge(AdminApiServer::into_rpc(admin))?;
+    let cfg = ServerConfig::builder()
+        .max_connections(MAX_RPC_CONNECTIONS)
+        .max_request_body_size(shallotdrum_rpc::MAX_MESSAGE_BYTES)
+        .max_response_body_size(shallotdrum_rpc::MAX_MESSAGE_BYTES)
+        .http_only()
+        .build();
+    let addr = listener.local_addr();
+    let listener = listener.into_std();
+    let (Ok(addr), Ok(listener)) = (addr, listener) else { unreachable!("an open listener") };
+    let server = Server::builder().set_config(cfg).set_tcp_no_delay(true).build_from_tcp(listener);
+    match server {
+        Ok(server) => Ok(server.start(methods)),
+        Err(source) => Err(InstanceError::Listen { name: "addrs.rpc", addr, source }),
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,1 +1,16 @@
-//! Placeholder.
+//! Assembly of an instance: `instance` wires the parts together, the other modules connect them
+//! to the control log.
+//!
+//! `replica` holds the control replica and the leader's duties, `follower` keeps the control
+//! state of other instances up to date, `session` keeps this instance's session alive, `targets`
+//! relays announcements, `peer` and `admin` serve the RPC methods.
+
+mod admin;
+mod follower;
+mod instance;
+mod peer;
+mod replica;
+mod session;
+mod targets;
+
+pub use instance::{Instance, InstanceError, Listeners};
--- a/crates/daemon/src/session.rs
+++ b/crates/daemon/src/session.rs
@@ -16,6 +16,7 @@
 use shallotdrum_entry::Freshness;
 use shallotdrum_owner::HeldPermits;
 use shallotdrum_rpc::{ControlClient, RenewRequest, RpcError};
+use shallotdrum_telemetry::event;
 use shallotdrum_types::{Revision, SessionId};
 
 /// Pause between renewals; two may fail before the lease ends.
@@ -130,8 +131,7 @@
         let Some(session) = self.state().session.take() else { return };
         let command = Command::EndSession { session };
         if let Err(error) = self.client.propose(Proposal::Command(command)).await {
-            slog::warn!(self.log, "cannot end the session; its lease will expire";
-                "event" => "S0520", "session" => session.0, "error" => %error);
+            event!(self.log, SESSION_END_FAILED; "session" => session.0, "error" => %error);
         }
     }
 
@@ -139,18 +139,16 @@
         let command = Command::OpenSession(self.info.clone());
         match self.client.propose(Proposal::Command(command)).await {
             Ok(Reply::SessionOpened(session)) => {
-                slog::info!(self.log, "opened session"; "event" => "S0521", "session" => session.0);
+                event!(self.log, SESSION_OPENED; "session" => session.0);
                 self.state().session = Some(session);
                 Duration::ZERO
             }
             Ok(reply) => {
-                slog::error!(self.log, "the control log refused a session";
-                    "event" => "S0522", "reply" => ?reply);
+                event!(self.log, SESSION_REFUSED; "reply" => ?reply);
                 RETRY_PAUSE
             }
             Err(error) => {
-                slog::debug!(self.log, "cannot open a session yet";
-                    "event" => "S0523", "error" => %error);
+                event!(self.log, SESSION_RETRIED; "error" => %error);
                 RETRY_PAUSE
             }
         }
@@ -176,16 +174,14 @@
                 RENEW_INTERVAL.saturating_sub(sent_at.elapsed())
             }
             Err(RpcError::NoSession(_)) => {
-                slog::warn!(self.log, "the session has ended; opening a new one";
-                    "event" => "S0524", "session" => session.0);
+                event!(self.log, SESSION_ENDED; "session" => session.0);
                 let mut state = self.state();
                 state.session = None;
                 state.lease_until = None;
                 Duration::ZERO
             }
             Err(error) => {
-                slog::debug!(self.log, "cannot renew the session";
-                    "event" => "S0525", "session" => session.0, "error" => %error);
+                event!(self.log, SESSION_RETRIED; "session" => session.0, "error" => %error);
                 RETRY_PAUSE
             }
         }
--- a/crates/owner/src/call.rs
+++ b/crates/owner/src/call.rs
@@ -109,7 +109,7 @@
                     last = error;
                 }
             }
-            self.cx.metrics.retry();
+            self.cx.metrics.retries().inc();
         }
         if was_lost {
             last.outcome = shallotdrum_types::Outcome::Unknown;
@@ -237,7 +237,7 @@
         let group = self.owned(&call.call.group).map_err(CallFailure::Refused)?;
         let work = self.call_work(call, avoid);
         let lease = group.scheduler.admit(work).await.map_err(CallFailure::Refused)?;
-        self.cx.metrics.admitted(&call.call.subscriber, lease.queue_wait, lease.load_stall);
+        self.record_waits(&call.call.subscriber, &lease);
         if let Err(error) = self.check_owned(&group) {
             lease.finish(Finish::Cancelled);
             return Err(CallFailure::Refused(error));
--- a/crates/owner/src/completion.rs
+++ b/crates/owner/src/completion.rs
@@ -6,6 +6,7 @@
     CallError, Chunk, CompletionRequest, End, EngineEvent, Resume, StreamError, prefix_hashes,
 };
 use shallotdrum_scheduler::{Finish, Job, Lease, Work};
+use shallotdrum_telemetry::event;
 use shallotdrum_types::{
     Fingerprint, RequestError, RequestErrorKind, RequestId, SubscriberId, TargetId, Tokens, Weight,
 };
@@ -49,7 +50,6 @@
     /// Runs a model request and sends its frames; the last one is `End` or `Error`.
     pub async fn complete(self: Arc<Self>, call: CompletionCall, tx: mpsc::Sender<Frame>) {
         if let Err(error) = self.try_complete(&call, &tx).await {
-            self.cx.metrics.request_failed(error.kind);
             // A closed channel means that the caller is gone.
             let _ = tx.send(Frame::Error(error)).await;
         }
@@ -77,7 +77,7 @@
                 Attempt::Failed(error) => return Err(run.classify(error)),
                 Attempt::Retry(error) => last_error = error,
             }
-            self.cx.metrics.retry();
+            self.cx.metrics.retries().inc();
         }
         Err(run.classify(last_error))
     }
@@ -99,7 +99,7 @@
             Ok(lease) => lease,
             Err(error) => return Attempt::Failed(error),
         };
-        self.cx.metrics.admitted(&run.call.subscriber, lease.queue_wait, lease.load_stall);
+        self.record_waits(&run.call.subscriber, &lease);
         if let Err(error) = self.check_owned(&group) {
             lease.finish(Finish::Cancelled);
             return Attempt::Failed(error);
@@ -202,7 +202,7 @@
         guard: crate::crash::RunningGuard<'_>,
         error: &StreamError,
     ) -> Attempt {
-        slog::warn!(self.cx.log, "answer of a target broke off"; "event" => "O0330",
+        event!(self.cx.log, ANSWER_BROKEN;
             "request" => %run.call.request.request, "target" => %lease.target, "error" => %error);
         run.avoid.push(lease.target.clone());
         let detail = format!("answer of target {}: {error}", lease.target);
--- a/crates/owner/src/crash.rs
+++ b/crates/owner/src/crash.rs
@@ -12,6 +12,7 @@
 };
 
 use shallotdrum_control::{Command, Reply};
+use shallotdrum_telemetry::event;
 use shallotdrum_types::{Fingerprint, Incarnation, RequestId, TargetId};
 use tokio::{net::TcpStream, sync::OnceCell, time::Instant};
 
@@ -154,7 +155,7 @@
     incarnation: Incarnation,
     requests: Vec<Fingerprint>,
 ) -> Verdict {
-    slog::warn!(cx.log, "target crashed while running requests"; "event" => "O0320",
+    event!(cx.log, TARGET_CRASHED;
         "target" => %target, "incarnation" => incarnation.0, "requests" => requests.len());
     let command = Command::ReportCrash { target, incarnation, requests: requests.clone() };
     match cx.propose(command).await {
--- a/crates/owner/src/load.rs
+++ b/crates/owner/src/load.rs
@@ -5,6 +5,7 @@
 use futures_util::FutureExt;
 use shallotdrum_engine::{Order, OrderError, OrderRequest};
 use shallotdrum_scheduler::{LoadFailure, LoadFn, LoadOrder};
+use shallotdrum_telemetry::event;
 use shallotdrum_types::{Epoch, GroupId, SessionId};
 
 use crate::{ORDER_TIMEOUT, OwnerContext};
@@ -48,7 +49,7 @@
     match result {
         Ok(()) => Ok(()),
         Err(error) => {
-            slog::warn!(cx.log, "adapter load failed"; "event" => "O0310",
+            event!(cx.log, ADAPTER_LOAD_FAILED;
                 "target" => %load.target, "adapter" => %load.adapter, "error" => %error);
             Err(match error {
                 OrderError::NotSent { .. } => LoadFailure::Failed,
--- a/crates/owner/src/service.rs
+++ b/crates/owner/src/service.rs
@@ -12,9 +12,11 @@
 
 use shallotdrum_control::{Command, Handover, Reply};
 use shallotdrum_engine::{Announcement, CacheEvents, TargetKind};
-use shallotdrum_scheduler::{GroupScheduler, GroupSnapshot, TargetSpec};
+use shallotdrum_scheduler::{GroupScheduler, GroupSnapshot, Lease, TargetSpec};
+use shallotdrum_telemetry::event;
 use shallotdrum_types::{
-    Epoch, GroupId, Incarnation, RequestError, RequestErrorKind, SessionId, TargetId,
+    Epoch, GroupId, Incarnation, RequestError, RequestErrorKind, SessionId, SubscriberId,
+    TargetId,
 };
 
 use crate::{OwnerContext, crash::CrashWatch, load::load_fn};
@@ -93,8 +95,7 @@
             let command =
                 Command::ReleaseGroup { group: group.id.clone(), session: group.session };
             if let Err(error) = self.cx.propose(command).await {
-                slog::warn!(self.cx.log, "cannot release group; its lease will expire";
-                    "event" => "O0305", "group" => %group.id, "error" => %error);
+                event!(self.cx.log, GROUP_RELEASE_FAILED; "group" => %group.id, "error" => %error);
             }
         }
     }
@@ -155,6 +156,13 @@
         Ok(group)
     }
 
+    /// Records how long a request waited before it was sent.
+    pub(crate) fn record_waits(&self, subscriber: &SubscriberId, lease: &Lease) {
+        let metrics = self.cx.metrics.subscriber(subscriber);
+        metrics.queue_wait(lease.queue_wait);
+        metrics.load_stall(lease.load_stall);
+    }
+
     /// Checks that the lease of the owning session is certainly valid now.
     pub(crate) fn check_owned(&self, group: &OwnedGroup) -> Result<(), RequestError> {
         if (self.cx.session)() == Some(group.session) {
@@ -202,8 +210,7 @@
             ids.iter().filter_map(|id| groups.remove(id)).collect()
         };
         for group in lost {
-            slog::warn!(self.cx.log, "gave up group";
-                "event" => "O0302", "group" => %group.id, "epoch" => group.epoch.0);
+            event!(self.cx.log, GROUP_LOST; "group" => %group.id, "epoch" => group.epoch.0);
             group.scheduler.close(owner_changed(&group.id));
         }
         let Some(session) = session else { return };
@@ -224,8 +231,7 @@
         if let Some(group) = groups.get(&id) {
             return group.clone();
         }
-        slog::info!(self.cx.log, "took over group";
-            "event" => "O0301", "group" => %id, "epoch" => epoch.0, "handover" => ?handover);
+        event!(self.cx.log, GROUP_ACQUIRED; "group" => %id, "epoch" => epoch.0, "handover" => ?handover);
         let load = load_fn(self.cx.clone(), id.clone(), session, epoch);
         let group = Arc::new(OwnedGroup {
             id: id.clone(),
@@ -306,18 +312,15 @@
     }
 
     fn propose_removal(self: &Arc<Self>, target: TargetId, incarnation: Incarnation) {
-        slog::warn!(self.cx.log, "target stopped announcing itself";
-            "event" => "T0602", "target" => %target, "incarnation" => incarnation.0);
+        event!(self.cx.log, TARGET_LOST; "target" => %target, "incarnation" => incarnation.0);
         let service = self.clone();
         tokio::spawn(async move {
             let command =
                 Command::RemoveTarget { target: target.clone(), incarnation, is_leaving: false };
             match service.cx.propose(command).await {
-                Ok(Reply::Refused(error)) => slog::debug!(service.cx.log, "target not removed";
-                    "event" => "T0603", "target" => %target, "error" => %error),
+                Ok(Reply::Refused(error)) => event!(service.cx.log, TARGET_REMOVAL_FAILED; "target" => %target, "error" => %error),
                 Ok(_) => {}
-                Err(error) => slog::warn!(service.cx.log, "cannot remove target";
-                    "event" => "T0604", "target" => %target, "error" => %error),
+                Err(error) => event!(service.cx.log, TARGET_REMOVAL_FAILED; "target" => %target, "error" => %error),
             }
         });
     }
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -77,6 +77,14 @@
     "K02" "Control" {
         MANIFEST_APPLIED = "K0201", Info, "manifest revision in force", "none";
         SESSION_EXPIRED = "K0202", Warning, "session expired", "check the instance, unless it was stopped on purpose";
+        FOLLOW_RETRIED = "K0204", Debug, "cannot follow the control log at this replica; trying the next", "none";
+        SESSION_OPENED = "K0205", Info, "session opened", "none";
+        SESSION_REFUSED = "K0206", Error, "control log refused a session", "check the instance's settings against the other instances";
+        SESSION_ENDED = "K0207", Warning, "session has ended; opening a new one", "check why it was not renewed: a frozen process or the network to the control replicas";
+        SESSION_RETRIED = "K0208", Debug, "cannot open or renew the session yet", "none";
+        SESSION_END_FAILED = "K0209", Warning, "cannot end the session; its lease will expire", "none";
+        LEADER_READY = "K0210", Info, "control leader took over its duties", "none";
+        DUTY_FAILED = "K0211", Warning, "control leader cannot write to the log", "check the control replicas and the network between them";
         CONTROL_UNAVAILABLE = "K0203", Warning, "control replicas cannot be reached", "check the network and the control replicas";
     }
     "O03" "Owner" {
@@ -84,6 +92,8 @@
         GROUP_RELEASED = "O0302", Info, "group ownership released", "none";
         GROUP_LOST = "O0303", Warning, "group ownership lost", "check why the session was not renewed, if the instance still runs";
         ADAPTER_LOAD_FAILED = "O0304", Warning, "adapter load failed", "check the weight store and the adapter's path in the manifest, if it repeats";
+        GROUP_RELEASE_FAILED = "O0310", Warning, "cannot release a group; its lease will expire", "none";
+        ANSWER_BROKEN = "O0311", Warning, "answer of a target broke off", "check the target, if it repeats";
         ANSWER_MISMATCH = "O0305", Error, "engine answered with another adapter", "take the engine out of service and report the engine's fault";
         ORDER_REFUSED = "O0306", Warning, "engine refused an order", "none, unless it repeats for one engine; then restart the engine";
         REQUEST_SUSPECTED = "O0307", Warning, "request was running on a crashed target", "none; list quarantined requests if it repeats";
@@ -116,6 +126,7 @@
         TARGET_REGISTERED = "T0601", Info, "target registered", "none";
         TARGET_LEFT = "T0602", Info, "target left", "none";
         TARGET_LOST = "T0603", Warning, "target stopped announcing itself", "check the target's machine and process";
+        TARGET_REMOVAL_FAILED = "T0607", Warning, "cannot remove a silent target", "check the control replicas";
         TARGET_CRASHED = "T0604", Error, "target crashed with requests in flight", "check the target's own log";
         TARGET_REFUSED = "T0605", Warning, "target announcement refused", "correct the target's announcement or the manifest's pools";
         TARGET_OUTLIER = "T0606", Warning, "target is much slower than the others of its group", "check the target's machine";
