--- a/crates/control/src/command.rs
+++ b/crates/control/src/command.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 use shallotdrum_engine::TargetKind;
-use shallotdrum_manifest::{Manifest, ManifestDelta};
+use shallotdrum_manifest::{Manifest, ManifestDelta, ManifestErrors};
 use shallotdrum_types::{
     AvailabilityZone, ControlTimeMs, Digest, Epoch, Fingerprint, GroupId, IdempotencyKey,
     Incarnation, InstanceId, PoolId, Region, Revision, SessionId, SubmissionId, SubscriberId,
@@ -31,7 +31,14 @@
         /// Session to end.
         session: SessionId,
     },
+    /// Marks a session as draining until it ends, for the planned stop of a process.
+    DrainSession {
+        /// Session to drain.
+        session: SessionId,
+    },
     /// Marks an instance as draining: it gets no new groups and gives up those it has.
+    ///
+    /// The mark survives restarts of the instance, until draining is ended.
     DrainInstance {
         /// Instance to drain.
         instance: InstanceId,
@@ -58,7 +65,7 @@
         /// Incarnation to remove; a newer one stays.
         incarnation: Incarnation,
     },
-    /// Marks a target as draining: it gets no new work.
+    /// Marks a target as draining: it gets no new work. A new incarnation is not draining.
     DrainTarget {
         /// Target to drain.
         target: TargetId,
@@ -98,6 +105,10 @@
         answer: Option<RecordedAnswer>,
     },
     /// Withdraws a begun call that was certainly not run, so that the key can be used again.
+    ///
+    /// Architecture Invariant: proposed at most once for each `BeginOutcome::Begun`, also when the
+    /// answer is lost. A second copy that is committed late could withdraw a later call of the
+    /// same session that is being sent.
     AbandonCall {
         /// Subscriber and key of the call.
         key: CallKey,
@@ -185,10 +196,24 @@
     pub status: u16,
     /// HTTP headers.
     pub headers: Vec<(String, String)>,
-    /// Body; absent if it was larger than `MAX_RECORDED_BODY_BYTES`.
+    /// Body; absent if it was larger than `MAX_RECORDED_BODY_BYTES` or the ledger had no room.
+    #[serde(with = "body_base64")]
     pub body: Option<Vec<u8>>,
 }
 
+impl Command {
+    /// Whether the command changes the ledger and control time only; followers are not sent it.
+    pub fn is_ledger_only(&self) -> bool {
+        matches!(
+            self,
+            Self::BeginCall { .. }
+                | Self::FinishCall { .. }
+                | Self::AbandonCall { .. }
+                | Self::Tick
+        )
+    }
+}
+
 /// Result of a command.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Reply {
@@ -248,12 +273,23 @@
         /// Digest after applying the delta.
         actual: Digest,
     },
+    /// The delta leads to a manifest that is not valid.
+    #[error("invalid manifest: {0}")]
+    ManifestInvalid(ManifestErrors),
     /// The session has ended or never existed.
     #[error("session {0} has ended")]
     NoSession(SessionId),
     /// The instance is unknown.
     #[error("instance {0} is unknown")]
     NoInstance(InstanceId),
+    /// A newer process of the instance has a session.
+    #[error("instance {instance} has a session of newer incarnation {current}")]
+    OldInstance {
+        /// Instance.
+        instance: InstanceId,
+        /// Incarnation that has a session.
+        current: Incarnation,
+    },
     /// The target is unknown.
     #[error("target {0} is unknown")]
     NoTarget(TargetId),
@@ -265,18 +301,37 @@
         /// Newest incarnation.
         current: Incarnation,
     },
+    /// The target does not run what the other targets of its pool run.
+    #[error("target {target} can't join pool {pool}, whose targets run something else")]
+    PoolKindMismatch {
+        /// Target.
+        target: TargetId,
+        /// Pool.
+        pool: PoolId,
+    },
     /// The group is unknown.
     #[error("group {0} is unknown")]
     NoGroup(GroupId),
     /// The group has another owner.
     #[error("group {0} has another owner")]
     GroupOwned(GroupId),
+    /// The session does not own the group.
+    #[error("session {session} does not own group {group}")]
+    NotOwner {
+        /// Group.
+        group: GroupId,
+        /// Session.
+        session: SessionId,
+    },
     /// The session is draining and takes no groups.
     #[error("session {0} is draining")]
     SessionDraining(SessionId),
     /// The call was not begun by this session.
     #[error("the call was not begun by this session")]
     NoCall,
+    /// The call has another answer, which stays.
+    #[error("the call was finished before with another answer")]
+    CallFinished,
     /// The ledger is full.
     #[error("the ledger holds its limit of calls; try again later")]
     LedgerFull,
@@ -320,3 +375,23 @@
         + Send
         + Sync,
 >;
+
+/// Recorded bodies as base64; as JSON numbers they would take almost four times their size.
+mod body_base64 {
+    use base64::{Engine as _, engine::general_purpose::STANDARD};
+    use serde::{Deserialize, Deserializer, Serialize, Serializer, de::Error};
+
+    pub(super) fn serialize<S: Serializer>(
+        body: &Option<Vec<u8>>,
+        serializer: S,
+    ) -> Result<S::Ok, S::Error> {
+        body.as_ref().map(|body| STANDARD.encode(body)).serialize(serializer)
+    }
+
+    pub(super) fn deserialize<'de, D: Deserializer<'de>>(
+        deserializer: D,
+    ) -> Result<Option<Vec<u8>>, D::Error> {
+        let text = Option::<String>::deserialize(deserializer)?;
+        text.map(|text| STANDARD.decode(text)).transpose().map_err(D::Error::custom)
+    }
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,11 +1,25 @@
 //! Replicated control state: manifest, sessions, targets, group ownership, ledger, quarantine.
 //!
-//! Architecture Invariant: `ControlState` changes only through `StateMachine::apply`, which is
-//! deterministic: it reads no clock, no random numbers and no settings.
+//! Architecture Invariant: `ControlState` changes only by `apply` and by restoring a snapshot.
+//! `apply` is deterministic: it reads no clock, no random numbers and no settings.
 
 mod command;
+mod leader;
+mod state;
+mod view;
 
 pub use command::{
     AnnouncedTarget, BeginOutcome, CallKey, Command, CommandError, InstanceAddrs, InstanceInfo,
     Proposal, ProposeError, ProposeFn, RecordedAnswer, Reply, TimedCommand,
 };
+pub use leader::{
+    CLOCK_DRIFT_MARGIN, LeaderDuties, PERMIT_LIFETIME, PermitAnswer, PermitTable, RenewError,
+    SESSION_LEASE, SessionTable, assignments, permit_term, rebalance,
+};
+pub use state::{
+    CRASHES_TO_QUARANTINE, Call, CallResult, ControlState, DecodeError, Group, GroupKind, Handover,
+    LEDGER_LIFETIME_MS, LOST_OWNER_SETTLE_MS, MAX_GROUP_TARGETS, MAX_LEDGER_CALLS, MAX_QUARANTINED,
+    MAX_RECORDED_BODY_BYTES, MAX_RECORDED_BYTES, MAX_RECORDED_HEADER_BYTES, MAX_SUBMISSIONS,
+    MAX_SUSPECTS, Quarantined, SUSPECT_LIFETIME_MS, Session, Submission, Target,
+};
+pub use view::ControlView;
--- /dev/null
+++ b/crates/control/src/state/ledger.rs
@@ -0,0 +1,225 @@
+//! Ledger of calls that may not be repeated.
+//!
+//! Architecture Invariant: at most one `BeginOutcome::Begun` exists for a key until the call is
+//! abandoned by the session that began it, or forgotten after `LEDGER_LIFETIME_MS`.
+//!
+//! A begun call whose session has ended is unknown. As no other session may send it, an answer
+//! that its session still records afterwards is the true one and replaces "unknown"; a later
+//! resend then gets the answer. An answer never changes.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+use shallotdrum_types::{ControlTimeMs, Fingerprint, LogIndex, SessionId};
+
+use crate::{BeginOutcome, CallKey, CommandError, RecordedAnswer};
+
+/// Most calls that are kept: 2.3 calls a second for 24 hours; both organisations issue far fewer.
+pub const MAX_LEDGER_CALLS: usize = 200_000;
+/// Largest body that is kept; certificates and receipts are far smaller.
+pub const MAX_RECORDED_BODY_BYTES: usize = 64 * 1024;
+/// Most bytes of headers that are kept of an answer; the usual limit of HTTP servers.
+pub const MAX_RECORDED_HEADER_BYTES: usize = 8 * 1024;
+/// Most bytes of answers that are kept altogether, a quarter of an instance's 64 MB; beyond it,
+/// answers are recorded with their status only.
+pub const MAX_RECORDED_BYTES: usize = 16 * 1024 * 1024;
+/// Control time for which a key is kept.
+pub const LEDGER_LIFETIME_MS: u64 = 24 * 60 * 60 * 1_000;
+
+/// Call in the ledger.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Call {
+    /// Hash of service, method, path and body.
+    pub fingerprint: Fingerprint,
+    /// Session that began the call.
+    pub session: SessionId,
+    /// When the call was begun.
+    pub begun_at: ControlTimeMs,
+    /// Log index of `BeginCall`.
+    pub begun_index: LogIndex,
+    /// What its session has reported.
+    pub result: CallResult,
+}
+
+/// What the session that began a call has reported.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum CallResult {
+    /// Nothing yet; the result is unknown if the session has ended.
+    Pending,
+    /// The answer.
+    Answered(RecordedAnswer),
+    /// That it does not know.
+    Unknown,
+}
+
+/// Calls that may not be repeated.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(from = "SavedLedger", into = "SavedLedger")]
+pub(crate) struct Ledger {
+    now: ControlTimeMs,
+    calls: BTreeMap<CallKey, Call>,
+    /// Keys by the index of their `BeginCall`, hence oldest first.
+    order: BTreeMap<LogIndex, CallKey>,
+    recorded_bytes: usize,
+}
+
+/// Ledger in a snapshot: JSON objects have no compound keys, and the rest is derived.
+#[derive(Serialize, Deserialize)]
+struct SavedLedger {
+    now: ControlTimeMs,
+    calls: Vec<(CallKey, Call)>,
+}
+
+impl From<Ledger> for SavedLedger {
+    fn from(ledger: Ledger) -> Self {
+        Self { now: ledger.now, calls: ledger.calls.into_iter().collect() }
+    }
+}
+
+impl From<SavedLedger> for Ledger {
+    fn from(saved: SavedLedger) -> Self {
+        let order = saved.calls.iter().map(|(key, call)| (call.begun_index, key.clone())).collect();
+        let recorded_bytes = saved.calls.iter().map(|(_, call)| call.recorded_bytes()).sum();
+        Self { now: saved.now, calls: saved.calls.into_iter().collect(), order, recorded_bytes }
+    }
+}
+
+impl Call {
+    fn recorded_bytes(&self) -> usize {
+        match &self.result {
+            CallResult::Answered(answer) => answer_bytes(answer),
+            CallResult::Pending | CallResult::Unknown => 0,
+        }
+    }
+}
+
+impl Ledger {
+    pub(crate) fn now(&self) -> ControlTimeMs {
+        self.now
+    }
+
+    pub(crate) fn get(&self, key: &CallKey) -> Option<&Call> {
+        self.calls.get(key)
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.calls.len()
+    }
+
+    /// Advances control time and forgets the calls that are too old.
+    pub(crate) fn advance(&mut self, at: ControlTimeMs) {
+        self.now = self.now.max(at);
+        while let Some((index, key)) = self.order.first_key_value()
+            && self
+                .calls
+                .get(key)
+                .is_none_or(|call| self.now.0.saturating_sub(call.begun_at.0) >= LEDGER_LIFETIME_MS)
+        {
+            let (index, key) = (*index, key.clone());
+            self.order.remove(&index);
+            self.forget(&key);
+        }
+    }
+
+    pub(crate) fn begin(
+        &mut self,
+        index: LogIndex,
+        key: CallKey,
+        fingerprint: Fingerprint,
+        session: SessionId,
+        is_live: impl Fn(SessionId) -> bool,
+    ) -> Result<BeginOutcome, CommandError> {
+        if let Some(call) = self.calls.get(&key) {
+            return Ok(match &call.result {
+                _ if call.fingerprint != fingerprint => BeginOutcome::KeyReused,
+                CallResult::Answered(answer) => BeginOutcome::Answered(answer.clone()),
+                CallResult::Pending if is_live(call.session) => BeginOutcome::InProgress,
+                CallResult::Pending | CallResult::Unknown => BeginOutcome::Unknown,
+            });
+        }
+        if !is_live(session) {
+            return Err(CommandError::NoSession(session));
+        }
+        if self.calls.len() >= MAX_LEDGER_CALLS {
+            return Err(CommandError::LedgerFull);
+        }
+        let call = Call {
+            fingerprint,
+            session,
+            begun_at: self.now,
+            begun_index: index,
+            result: CallResult::Pending,
+        };
+        self.order.insert(index, key.clone());
+        self.calls.insert(key, call);
+        Ok(BeginOutcome::Begun)
+    }
+
+    pub(crate) fn finish(
+        &mut self,
+        key: &CallKey,
+        session: SessionId,
+        answer: Option<RecordedAnswer>,
+    ) -> Result<(), CommandError> {
+        let room = MAX_RECORDED_BYTES.saturating_sub(self.recorded_bytes);
+        let call = self.calls.get_mut(key).filter(|call| call.session == session);
+        let call = call.ok_or(CommandError::NoCall)?;
+        let answer = answer.map(limit_answer);
+        let result = match (&call.result, answer) {
+            // A resent command; the first may have been recorded without its body.
+            (CallResult::Answered(first), Some(answer)) if first.status == answer.status => {
+                return Ok(());
+            }
+            (CallResult::Answered(_), _) => return Err(CommandError::CallFinished),
+            (_, Some(answer)) => CallResult::Answered(fit_answer(answer, room)),
+            (_, None) => CallResult::Unknown,
+        };
+        call.result = result;
+        self.recorded_bytes += call.recorded_bytes();
+        Ok(())
+    }
+
+    pub(crate) fn abandon(
+        &mut self,
+        key: &CallKey,
+        session: SessionId,
+    ) -> Result<(), CommandError> {
+        let call = self.calls.get(key).filter(|call| call.session == session);
+        match call.ok_or(CommandError::NoCall)? {
+            Call { result: CallResult::Pending, begun_index, .. } => {
+                self.order.remove(&begun_index.clone());
+                self.forget(key);
+                Ok(())
+            }
+            _ => Err(CommandError::CallFinished),
+        }
+    }
+
+    fn forget(&mut self, key: &CallKey) {
+        let Some(call) = self.calls.remove(key) else { return };
+        self.recorded_bytes = self.recorded_bytes.saturating_sub(call.recorded_bytes());
+    }
+}
+
+fn answer_bytes(answer: &RecordedAnswer) -> usize {
+    let headers: usize = answer.headers.iter().map(|(name, value)| name.len() + value.len()).sum();
+    headers + answer.body.as_ref().map_or(0, Vec::len)
+}
+
+/// Drops the parts of an answer that are too large to be kept.
+fn limit_answer(mut answer: RecordedAnswer) -> RecordedAnswer {
+    let mut bytes = 0;
+    answer.headers.retain(|(name, value)| {
+        bytes += name.len() + value.len();
+        bytes <= MAX_RECORDED_HEADER_BYTES
+    });
+    answer.body = answer.body.filter(|body| body.len() <= MAX_RECORDED_BODY_BYTES);
+    answer
+}
+
+fn fit_answer(answer: RecordedAnswer, room: usize) -> RecordedAnswer {
+    match answer_bytes(&answer) <= room {
+        true => answer,
+        false => RecordedAnswer { status: answer.status, headers: Vec::new(), body: None },
+    }
+}
--- /dev/null
+++ b/crates/control/src/state/mod.rs
@@ -0,0 +1,335 @@
+//! The replicated state and its transitions.
+//!
+//! Architecture Invariant: everything except the ledger depends only on commands for which
+//! `Command::is_ledger_only` is false, and on their times. A follower that is not sent the others
+//! therefore agrees on everything except the ledger. For this, control time is kept twice: the
+//! ledger's advances with each command, the shared one only with commands that followers get.
+
+mod groups;
+mod ledger;
+mod manifests;
+mod sessions;
+mod snapshot;
+mod suspects;
+
+use std::{collections::BTreeSet, sync::Arc};
+
+use serde::{Deserialize, Serialize};
+use shallotdrum_manifest::Manifest;
+use shallotdrum_types::{
+    ControlTimeMs, Digest, Epoch, Fingerprint, GroupId, InstanceId, KeyHash, LogIndex, PoolId,
+    Revision, SessionId, SubmissionId, SubscriberId, TargetId,
+};
+
+use crate::{CallKey, Command, CommandError, Reply, TimedCommand};
+use {
+    groups::Groups,
+    ledger::Ledger,
+    manifests::{Manifests, Prepared},
+    sessions::Sessions,
+    suspects::Suspects,
+};
+
+pub use groups::{Group, GroupKind, Handover, LOST_OWNER_SETTLE_MS, MAX_GROUP_TARGETS, Target};
+pub use ledger::{
+    Call, CallResult, LEDGER_LIFETIME_MS, MAX_LEDGER_CALLS, MAX_RECORDED_BODY_BYTES,
+    MAX_RECORDED_BYTES, MAX_RECORDED_HEADER_BYTES,
+};
+pub use manifests::{MAX_SUBMISSIONS, Submission};
+pub use sessions::Session;
+pub use snapshot::DecodeError;
+pub use suspects::{
+    CRASHES_TO_QUARANTINE, MAX_QUARANTINED, MAX_SUSPECTS, Quarantined, SUSPECT_LIFETIME_MS,
+};
+
+/// Replicated control state.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ControlState {
+    applied: LogIndex,
+    shared: Shared,
+    ledger: Ledger,
+}
+
+/// What replicas and followers agree on.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+struct Shared {
+    now: ControlTimeMs,
+    manifests: Manifests,
+    sessions: Sessions,
+    groups: Groups,
+    suspects: Suspects,
+}
+
+impl ControlState {
+    /// State before the first command.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Index of the last command applied.
+    pub fn applied(&self) -> LogIndex {
+        self.applied
+    }
+
+    /// Control time. On a follower it lags behind until the next command that followers get.
+    pub fn now(&self) -> ControlTimeMs {
+        self.shared.now.max(self.ledger.now())
+    }
+
+    /// The manifest in force, if one was accepted.
+    pub fn manifest(&self) -> Option<&Arc<Manifest>> {
+        self.shared.manifests.current()
+    }
+
+    /// Revision of the manifest in force; 0 if none was accepted.
+    pub fn revision(&self) -> Revision {
+        self.shared.manifests.revision()
+    }
+
+    /// Digest of the manifest in force.
+    pub fn digest(&self) -> Option<Digest> {
+        self.shared.manifests.digest()
+    }
+
+    /// Accepted submission with this id, if it is remembered.
+    pub fn submission(&self, id: &SubmissionId) -> Option<&Submission> {
+        self.shared.manifests.submission(id)
+    }
+
+    /// Subscriber that has the key.
+    pub fn subscriber_of_key(&self, key: &KeyHash) -> Option<&SubscriberId> {
+        self.shared.manifests.subscriber_of_key(key)
+    }
+
+    /// Command that puts a manifest in force.
+    ///
+    /// The delta is the difference from the manifest in force here; if that is not `base` any
+    /// more, the command gets its first answer or is refused without looking at the delta.
+    pub fn submit_command(
+        &self,
+        submission: SubmissionId,
+        base: Revision,
+        manifest: &Manifest,
+    ) -> Command {
+        let delta = match base == self.revision() {
+            true => self.shared.manifests.diff(manifest),
+            false => Default::default(),
+        };
+        Command::SubmitManifest {
+            submission,
+            base,
+            delta: Box::new(delta),
+            digest: manifest.digest(),
+        }
+    }
+
+    /// Live sessions.
+    pub fn sessions(&self) -> impl Iterator<Item = &Session> {
+        self.shared.sessions.iter()
+    }
+
+    /// Live session with this number.
+    pub fn session(&self, id: SessionId) -> Option<&Session> {
+        self.shared.sessions.get(id)
+    }
+
+    /// Live session of an instance.
+    pub fn session_of(&self, instance: &InstanceId) -> Option<&Session> {
+        self.sessions().find(|session| session.info.instance == *instance)
+    }
+
+    /// Whether a live session is draining, by itself or with its instance.
+    pub fn is_draining(&self, id: SessionId) -> bool {
+        self.session(id).is_some_and(|session| self.shared.sessions.is_draining(session))
+    }
+
+    /// Instances that operators drain.
+    pub fn drained_instances(&self) -> &BTreeSet<InstanceId> {
+        self.shared.sessions.drained()
+    }
+
+    /// All groups, in the order of their ids.
+    pub fn groups(&self) -> impl Iterator<Item = &Group> {
+        self.shared.groups.iter()
+    }
+
+    /// Group with this id.
+    pub fn group(&self, id: &GroupId) -> Option<&Group> {
+        self.shared.groups.get(id)
+    }
+
+    /// Groups of a pool, in all regions.
+    pub fn groups_of_pool<'a>(&'a self, pool: &'a PoolId) -> impl Iterator<Item = &'a Group> {
+        self.shared.groups.of_pool(pool)
+    }
+
+    /// Registered target with this name.
+    pub fn target(&self, id: &TargetId) -> Option<&Target> {
+        self.shared.groups.target(id)
+    }
+
+    /// All registered targets, in the order of their names.
+    pub fn targets(&self) -> impl Iterator<Item = &Target> {
+        self.shared.groups.targets()
+    }
+
+    /// Fencing number for orders of the present owner to a target.
+    ///
+    /// It is the epoch of the target's group, or higher if the target joined the group during the
+    /// present ownership and may have seen a higher number in another group.
+    pub fn fencing(&self, target: &TargetId) -> Option<Epoch> {
+        self.shared.groups.fencing(target)
+    }
+
+    /// Whether a request is refused on all instances.
+    pub fn is_quarantined(&self, request: &Fingerprint) -> bool {
+        self.shared.suspects.is_quarantined(request)
+    }
+
+    /// Number of target processes that crashed while they ran the request.
+    pub fn suspect_crashes(&self, request: &Fingerprint) -> u32 {
+        self.shared.suspects.crashes(request)
+    }
+
+    /// Quarantined requests.
+    pub fn quarantine(&self) -> impl Iterator<Item = &Quarantined> {
+        self.shared.suspects.quarantined()
+    }
+
+    /// Call in the ledger; replicas only. See also `is_call_unknown`.
+    pub fn call(&self, key: &CallKey) -> Option<&Call> {
+        self.ledger.get(key)
+    }
+
+    /// Whether the result of a call in the ledger is unknown: its session says so, or has ended.
+    pub fn is_call_unknown(&self, call: &Call) -> bool {
+        match call.result {
+            CallResult::Unknown => true,
+            CallResult::Pending => self.session(call.session).is_none(),
+            CallResult::Answered(_) => false,
+        }
+    }
+
+    /// Number of calls in the ledger.
+    pub fn ledger_len(&self) -> usize {
+        self.ledger.len()
+    }
+
+    /// Applies the committed command at the given index.
+    pub fn apply(&mut self, index: LogIndex, command: TimedCommand) -> Reply {
+        self.apply_prepared(index, command, None)
+    }
+
+    /// Computes what takes long in a command; `apply_prepared` uses it if it is still valid.
+    pub(crate) fn prepare(&self, command: &Command) -> Option<Prepared> {
+        match command {
+            Command::SubmitManifest { base, delta, .. } if *base == self.revision() => {
+                Some(self.shared.manifests.prepare(delta))
+            }
+            _ => None,
+        }
+    }
+
+    pub(crate) fn apply_prepared(
+        &mut self,
+        index: LogIndex,
+        command: TimedCommand,
+        prepared: Option<Prepared>,
+    ) -> Reply {
+        self.applied = self.applied.max(index);
+        let TimedCommand { at, command } = command;
+        self.ledger.advance(at);
+        let reply = match command.is_ledger_only() {
+            true => self.apply_ledger(index, command),
+            false => {
+                self.shared.now = self.shared.now.max(at);
+                self.shared.suspects.expire(self.shared.now);
+                self.shared.apply(command, prepared)
+            }
+        };
+        reply.unwrap_or_else(Reply::Refused)
+    }
+
+    /// Notes that the commands up to an index are known, without those that followers don't get.
+    pub(crate) fn skip_to(&mut self, index: LogIndex) {
+        self.applied = self.applied.max(index);
+    }
+
+    fn apply_ledger(&mut self, index: LogIndex, command: Command) -> Result<Reply, CommandError> {
+        let sessions = &self.shared.sessions;
+        match command {
+            Command::BeginCall { key, fingerprint, session } => {
+                let is_live = |id| sessions.get(id).is_some();
+                self.ledger.begin(index, key, fingerprint, session, is_live).map(Reply::Begin)
+            }
+            Command::FinishCall { key, session, answer } => {
+                self.ledger.finish(&key, session, answer).map(|()| Reply::Done)
+            }
+            Command::AbandonCall { key, session } => {
+                self.ledger.abandon(&key, session).map(|()| Reply::Done)
+            }
+            _ => Ok(Reply::Done),
+        }
+    }
+}
+
+impl Shared {
+    fn apply(
+        &mut self,
+        command: Command,
+        prepared: Option<Prepared>,
+    ) -> Result<Reply, CommandError> {
+        let now = self.now;
+        let done = |()| Reply::Done;
+        match command {
+            Command::OpenSession(info) => {
+                let opened = self.sessions.open(info, now)?;
+                if let Some(ended) = opened.ended {
+                    self.groups.lose_all(ended, now);
+                }
+                Ok(Reply::SessionOpened(opened.session))
+            }
+            Command::EndSession { session } => {
+                self.sessions.end(session)?;
+                self.groups.lose_all(session, now);
+                Ok(Reply::Done)
+            }
+            Command::DrainSession { session } => self.sessions.drain_session(session).map(done),
+            Command::DrainInstance { instance, drain } => {
+                self.sessions.drain_instance(instance, drain).map(done)
+            }
+            Command::SubmitManifest { submission, base, delta, digest } => self
+                .manifests
+                .submit(submission, base, &delta, digest, prepared)
+                .map(Reply::ManifestAccepted),
+            Command::RegisterTarget(announced) => {
+                self.groups.register(announced, now).map(Reply::TargetRegistered)
+            }
+            Command::RemoveTarget { target, incarnation } => {
+                self.groups.remove(&target, incarnation).map(done)
+            }
+            Command::DrainTarget { target, drain } => self.groups.drain(target, drain).map(done),
+            Command::AssignGroup { group, session } => {
+                let owner = self.sessions.get(session).ok_or(CommandError::NoSession(session))?;
+                let is_owner =
+                    self.groups.get(&group).is_some_and(|group| group.owner == Some(session));
+                if self.sessions.is_draining(owner) && !is_owner {
+                    return Err(CommandError::SessionDraining(session));
+                }
+                self.groups.assign(group, session).map(Reply::GroupAssigned)
+            }
+            Command::ReleaseGroup { group, session } => {
+                self.groups.release(group, session, now).map(done)
+            }
+            Command::ReportCrash { target, incarnation, requests } => {
+                self.suspects.report(&(target, incarnation), requests, now);
+                Ok(Reply::Done)
+            }
+            Command::LiftQuarantine { request } => self.suspects.lift(request).map(done),
+            Command::BeginCall { .. }
+            | Command::FinishCall { .. }
+            | Command::AbandonCall { .. }
+            | Command::Tick => Ok(Reply::Done),
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/state/snapshot.rs
@@ -0,0 +1,78 @@
+//! Encoding of the whole state.
+
+use serde::{Deserialize, Serialize};
+use shallotdrum_types::LogIndex;
+
+use super::{ControlState, Shared, ledger::Ledger};
+
+/// Version of the encoding; another version is refused instead of being misread.
+const VERSION: u32 = 1;
+
+/// Why bytes are not a command or a snapshot.
+#[derive(Debug, thiserror::Error)]
+pub enum DecodeError {
+    /// The bytes are not the expected JSON; they are damaged or from a newer version.
+    #[error("cannot decode a control command or snapshot: {0}")]
+    Json(#[from] serde_json::Error),
+    /// The snapshot was written by another version.
+    #[error("cannot read a control snapshot of version {0}; this program reads version {VERSION}")]
+    Version(u32),
+}
+
+#[derive(Serialize)]
+struct Saved<'a> {
+    version: u32,
+    applied: LogIndex,
+    shared: &'a Shared,
+    ledger: Option<&'a Ledger>,
+}
+
+#[derive(Deserialize)]
+struct Header {
+    version: u32,
+}
+
+#[derive(Deserialize)]
+struct Loaded {
+    applied: LogIndex,
+    shared: Shared,
+    ledger: Option<Ledger>,
+}
+
+impl ControlState {
+    /// Encodes the whole state.
+    pub fn snapshot(&self) -> Vec<u8> {
+        self.encode(Some(&self.ledger))
+    }
+
+    /// Encodes the state for a follower.
+    pub fn snapshot_without_ledger(&self) -> Vec<u8> {
+        self.encode(None)
+    }
+
+    /// Copies what followers have.
+    pub(crate) fn without_ledger(&self) -> Self {
+        Self { applied: self.applied, shared: self.shared.clone(), ledger: Ledger::default() }
+    }
+
+    /// Decodes a snapshot of either kind.
+    pub fn from_snapshot(bytes: &[u8]) -> Result<Self, DecodeError> {
+        let header: Header = serde_json::from_slice(bytes)?;
+        if header.version != VERSION {
+            return Err(DecodeError::Version(header.version));
+        }
+        let mut loaded: Loaded = serde_json::from_slice(bytes)?;
+        loaded.shared.manifests.rebuild();
+        Ok(Self {
+            applied: loaded.applied,
+            shared: loaded.shared,
+            ledger: loaded.ledger.unwrap_or_default(),
+        })
+    }
+
+    fn encode(&self, ledger: Option<&Ledger>) -> Vec<u8> {
+        let saved = Saved { version: VERSION, applied: self.applied, shared: &self.shared, ledger };
+        // Keys of all maps are strings or numbers, so the encoding can't fail.
+        serde_json::to_vec(&saved).expect("the control state is representable as JSON")
+    }
+}
--- /dev/null
+++ b/crates/control/src/state/suspects.rs
@@ -0,0 +1,132 @@
+//! Requests that ran on crashed targets, and quarantined requests.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use serde::{Deserialize, Serialize};
+use shallotdrum_types::{ControlTimeMs, Fingerprint, Incarnation, TargetId};
+
+use crate::CommandError;
+
+/// Crashes of different target processes after which a request is quarantined. One crash may have
+/// another cause; a suspect runs alone afterwards, so the second one is its own.
+pub const CRASHES_TO_QUARANTINE: usize = 2;
+/// Most suspects; a crash adds at most the requests of one target, some hundreds.
+pub const MAX_SUSPECTS: usize = 10_000;
+/// Most quarantined requests; the oldest is released beyond, and needs two more crashes.
+pub const MAX_QUARANTINED: usize = 10_000;
+/// Control time for which a crash counts.
+pub const SUSPECT_LIFETIME_MS: u64 = 24 * 60 * 60 * 1_000;
+
+/// Request that is refused on all instances.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Quarantined {
+    /// The request.
+    pub request: Fingerprint,
+    /// Target processes that crashed while they ran it.
+    pub crashes: BTreeSet<(TargetId, Incarnation)>,
+    /// When it was quarantined.
+    pub since: ControlTimeMs,
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+struct Suspect {
+    crashes: BTreeSet<(TargetId, Incarnation)>,
+    last_crash: ControlTimeMs,
+}
+
+/// Suspects and quarantined requests.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub(crate) struct Suspects {
+    suspects: BTreeMap<Fingerprint, Suspect>,
+    /// Times of `suspects`, oldest first; an entry is outdated if the suspect's time is later.
+    order: VecDeque<(ControlTimeMs, Fingerprint)>,
+    quarantined: BTreeMap<Fingerprint, Quarantined>,
+    /// Keys of `quarantined`, oldest first.
+    quarantine_order: VecDeque<Fingerprint>,
+}
+
+impl Suspects {
+    pub(crate) fn crashes(&self, request: &Fingerprint) -> u32 {
+        let suspect = self.suspects.get(request).map(|s| s.crashes.len());
+        let quarantined = self.quarantined.get(request).map(|q| q.crashes.len());
+        quarantined.or(suspect).unwrap_or(0) as u32
+    }
+
+    pub(crate) fn is_quarantined(&self, request: &Fingerprint) -> bool {
+        self.quarantined.contains_key(request)
+    }
+
+    pub(crate) fn quarantined(&self) -> impl Iterator<Item = &Quarantined> {
+        self.quarantined.values()
+    }
+
+    /// Counts a crash of a target process for each request; a repeated report has no effect.
+    pub(crate) fn report(
+        &mut self,
+        crash: &(TargetId, Incarnation),
+        requests: Vec<Fingerprint>,
+        now: ControlTimeMs,
+    ) {
+        for request in requests {
+            if self.quarantined.contains_key(&request) {
+                continue;
+            }
+            let suspect = self.suspects.entry(request).or_default();
+            if !suspect.crashes.insert(crash.clone()) {
+                continue;
+            }
+            suspect.last_crash = now;
+            if suspect.crashes.len() < CRASHES_TO_QUARANTINE {
+                self.order.push_back((now, request));
+                self.drop_beyond_limit();
+                continue;
+            }
+            if let Some(suspect) = self.suspects.remove(&request) {
+                self.quarantine(request, suspect.crashes, now);
+            }
+        }
+    }
+
+    pub(crate) fn lift(&mut self, request: Fingerprint) -> Result<(), CommandError> {
+        self.quarantined.remove(&request).ok_or(CommandError::NotQuarantined(request))?;
+        self.quarantine_order.retain(|other| *other != request);
+        Ok(())
+    }
+
+    /// Forgets suspects whose last crash is too long ago.
+    pub(crate) fn expire(&mut self, now: ControlTimeMs) {
+        while let Some((time, _)) = self.order.front()
+            && now.0.saturating_sub(time.0) >= SUSPECT_LIFETIME_MS
+        {
+            self.drop_oldest();
+        }
+    }
+
+    fn quarantine(
+        &mut self,
+        request: Fingerprint,
+        crashes: BTreeSet<(TargetId, Incarnation)>,
+        since: ControlTimeMs,
+    ) {
+        if self.quarantine_order.len() >= MAX_QUARANTINED
+            && let Some(oldest) = self.quarantine_order.pop_front()
+        {
+            self.quarantined.remove(&oldest);
+        }
+        self.quarantine_order.push_back(request);
+        self.quarantined.insert(request, Quarantined { request, crashes, since });
+    }
+
+    fn drop_beyond_limit(&mut self) {
+        while self.order.len() > MAX_SUSPECTS {
+            self.drop_oldest();
+        }
+    }
+
+    fn drop_oldest(&mut self) {
+        let Some((time, request)) = self.order.pop_front() else { return };
+        if self.suspects.get(&request).is_some_and(|suspect| suspect.last_crash == time) {
+            self.suspects.remove(&request);
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/view.rs
@@ -0,0 +1,127 @@
+//! Shared handle to the control state of a process.
+//!
+//! Architecture Invariant: one task at a time changes the state, either the consensus node through
+//! `StateMachine` or the watch stream through `apply_follow`, `skip_to` and `restore_follower`.
+//! Long computations are done between two accesses, so readers never wait for them.
+
+use std::sync::{Arc, PoisonError, RwLock};
+
+use shallotdrum_consensus::StateMachine;
+use shallotdrum_types::LogIndex;
+use tokio::sync::watch;
+
+use crate::{ControlState, DecodeError, Reply, TimedCommand};
+
+/// Shared handle to the control state; clones refer to the same state.
+#[derive(Clone, Debug)]
+pub struct ControlView {
+    state: Arc<RwLock<ControlState>>,
+    applied: watch::Sender<LogIndex>,
+}
+
+impl Default for ControlView {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl ControlView {
+    /// Handle to a state before the first command.
+    pub fn new() -> Self {
+        let (applied, _) = watch::channel(LogIndex::default());
+        Self { state: Arc::default(), applied }
+    }
+
+    /// Reads the state; keep it short, as changes wait for it.
+    pub fn read<T>(&self, f: impl FnOnce(&ControlState) -> T) -> T {
+        f(&self.state.read().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Index of the last command applied.
+    pub fn applied(&self) -> LogIndex {
+        *self.applied.borrow()
+    }
+
+    /// Reports the index of the last command applied, whenever it rises.
+    pub fn changed(&self) -> watch::Receiver<LogIndex> {
+        self.applied.subscribe()
+    }
+
+    /// Applies a command of the watch stream on a follower.
+    ///
+    /// Commands that are known already have no effect, and neither have those of the ledger.
+    pub fn apply_follow(&self, index: LogIndex, command: TimedCommand) {
+        if index <= self.applied() {
+            return;
+        }
+        if command.command.is_ledger_only() {
+            return self.skip_to(index);
+        }
+        self.apply_command(index, command);
+    }
+
+    /// Notes on a follower that no command for followers precedes the next index.
+    pub fn skip_to(&self, index: LogIndex) {
+        self.write(|state| state.skip_to(index));
+    }
+
+    /// Replaces the state of a follower by a snapshot, unless the snapshot is older.
+    pub fn restore_follower(&self, snapshot: &[u8]) -> Result<(), DecodeError> {
+        let restored = ControlState::from_snapshot(snapshot)?;
+        self.write(|state| {
+            if restored.applied() >= state.applied() {
+                *state = restored;
+            }
+        });
+        Ok(())
+    }
+
+    /// Encodes the state for followers.
+    pub fn snapshot_without_ledger(&self) -> Vec<u8> {
+        self.read(ControlState::without_ledger).snapshot_without_ledger()
+    }
+
+    fn apply_command(&self, index: LogIndex, command: TimedCommand) -> Reply {
+        let prepared = self.read(|state| state.prepare(&command.command));
+        self.write(|state| state.apply_prepared(index, command, prepared))
+    }
+
+    fn write<T>(&self, f: impl FnOnce(&mut ControlState) -> T) -> T {
+        let mut state = self.state.write().unwrap_or_else(PoisonError::into_inner);
+        let result = f(&mut state);
+        let index = state.applied();
+        drop(state);
+        self.applied.send_if_modified(|applied| std::mem::replace(applied, index) != index);
+        result
+    }
+}
+
+impl StateMachine for ControlView {
+    type Command = TimedCommand;
+    type Reply = Reply;
+    type DecodeError = DecodeError;
+
+    fn encode(command: &TimedCommand) -> Vec<u8> {
+        // Keys of all maps are strings, so the encoding can't fail.
+        serde_json::to_vec(command).expect("a command is representable as JSON")
+    }
+
+    fn decode(bytes: &[u8]) -> Result<TimedCommand, DecodeError> {
+        Ok(serde_json::from_slice(bytes)?)
+    }
+
+    fn apply(&mut self, index: LogIndex, command: TimedCommand) -> Reply {
+        self.apply_command(index, command)
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        // The copy is encoded while others use the state.
+        self.read(ControlState::clone).snapshot()
+    }
+
+    fn restore(&mut self, bytes: &[u8]) -> Result<(), DecodeError> {
+        let restored = ControlState::from_snapshot(bytes)?;
+        self.write(|state| *state = restored);
+        Ok(())
+    }
+}
--- a/crates/manifest/src/lib.rs
+++ b/crates/manifest/src/lib.rs
@@ -1,13 +1,26 @@
 //! The manifest: subscribers, adapters, services and the weight store's limits.
 //!
-//! Architecture Invariant: a `Manifest` value passed validation as a whole. Its maps are ordered,
-//! so equal manifests have equal canonical JSON and equal digests.
+//! Architecture Invariant: a `Manifest` from `Manifest::parse` passed validation as a whole; one
+//! that was deserialized or obtained by `apply` is validated by `check`. Its maps are ordered, so
+//! equal manifests have equal canonical JSON and equal digests.
 
+mod calls;
+mod canonical;
+mod check;
 mod delta;
+mod error;
 mod model;
+mod query;
+mod read;
+mod tree;
 
+pub use calls::{CallPath, CallPathError};
+pub use canonical::{DeltaSummary, KindSummary};
+pub use check::{MAX_ADAPTERS, MAX_FILE_BYTES, MAX_SUBSCRIBERS};
 pub use delta::{ManifestDelta, MapDelta};
+pub use error::{MAX_REPORTED_PROBLEMS, ManifestError, ManifestErrors, ManifestProblem};
 pub use model::{
     Adapter, AdapterSource, BaseModel, CallRule, Limits, Manifest, Permissions, Service,
     Subscriber, WeightStore,
 };
+pub use query::{ResolveError, ResolvedModel};
