--- a/crates/control/src/command.rs
+++ b/crates/control/src/command.rs
@@ -7,7 +7,7 @@
 use shallotdrum_manifest::{Manifest, ManifestDelta, ManifestErrors};
 use shallotdrum_types::{
     AvailabilityZone, ControlTimeMs, Digest, Epoch, Fingerprint, GroupId, IdempotencyKey,
-    Incarnation, InstanceId, PoolId, Region, Revision, SessionId, SubmissionId, SubscriberId,
+    Incarnation, InstanceId, PoolId, Region, RequestId, Revision, SessionId, SubmissionId, SubscriberId,
     TargetId,
 };
 
@@ -64,6 +64,9 @@
         target: TargetId,
         /// Incarnation to remove; a newer one stays.
         incarnation: Incarnation,
+        /// Whether the target said that it leaves; a late announcement of this incarnation does
+        /// not register it again.
+        is_leaving: bool,
     },
     /// Marks a target as draining: it gets no new work. A new incarnation is not draining.
     DrainTarget {
@@ -94,6 +97,8 @@
         fingerprint: Fingerprint,
         /// Session that will send the call.
         session: SessionId,
+        /// Identifies the attempt to begin, so that a resent command gets the first reply.
+        attempt: RequestId,
     },
     /// Records the answer of a begun call.
     FinishCall {
@@ -106,14 +111,15 @@
     },
     /// Withdraws a begun call that was certainly not run, so that the key can be used again.
     ///
-    /// Architecture Invariant: proposed at most once for each `BeginOutcome::Begun`, also when the
-    /// answer is lost. A second copy that is committed late could withdraw a later call of the
-    /// same session that is being sent.
+    /// The attempt protects a later call with the same key from a copy of this command that is
+    /// committed late.
     AbandonCall {
         /// Subscriber and key of the call.
         key: CallKey,
         /// Session that had begun the call.
         session: SessionId,
+        /// Attempt that had begun the call.
+        attempt: RequestId,
     },
     /// Counts a crash for each request that ran on a crashed target.
     ReportCrash {
@@ -301,6 +307,12 @@
         /// Newest incarnation.
         current: Incarnation,
     },
+    /// The target said before that it leaves.
+    #[error("target {target} has left; a new incarnation may join")]
+    TargetLeft {
+        /// Target.
+        target: TargetId,
+    },
     /// The target does not run what the other targets of its pool run.
     #[error("target {target} can't join pool {pool}, whose targets run something else")]
     PoolKindMismatch {
--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -112,6 +112,11 @@
         live.into_iter().filter_map(|id| self.sessions.applied_revision(id)).min()
     }
 
+    /// Outstanding permits.
+    pub fn permits(&self) -> &PermitTable {
+        &self.permits
+    }
+
     /// Leases of the live sessions.
     pub fn sessions(&self) -> &SessionTable {
         &self.sessions
--- a/crates/control/src/leader/permits.rs
+++ b/crates/control/src/leader/permits.rs
@@ -170,6 +170,11 @@
         }
     }
 
+    /// Outstanding permits with the sessions that hold them.
+    pub fn outstanding(&self) -> impl Iterator<Item = (PermitId, SessionId)> {
+        self.outstanding.iter().map(|(id, permit)| (*id, permit.session))
+    }
+
     /// Number of outstanding permits.
     pub fn in_flight(&self, now: Instant) -> usize {
         self.outstanding.values().filter(|permit| permit.expires > now).count()
--- a/crates/control/src/state/groups.rs
+++ b/crates/control/src/state/groups.rs
@@ -4,7 +4,7 @@
 //! from one counter of the whole deployment, so a target that moves to another group, or whose
 //! group is formed anew, never sees a lower fencing number than before (see `Groups::fencing`).
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use serde::{Deserialize, Serialize};
 use shallotdrum_engine::TargetKind;
@@ -18,6 +18,10 @@
 /// the present size (12 engines) still is one group, in which all its requests are known.
 pub const MAX_GROUP_TARGETS: usize = 16;
 
+/// Targets whose leaving is remembered. A late announcement arrives within minutes; 1,200 targets
+/// leave at most a few times a day each.
+pub const MAX_LEFT_TARGETS: usize = 1_000;
+
 /// Control time after which no order of an owner that lost its group can be in flight: a full
 /// session lease (3 s), the order timeout (5 s) and the clock drift margin (300 ms).
 pub const LOST_OWNER_SETTLE_MS: u64 = 3_000 + 5_000 + 300;
@@ -122,6 +126,10 @@
     targets: BTreeMap<TargetId, Target>,
     groups: BTreeMap<GroupId, Group>,
     last_epoch: Epoch,
+    /// Newest incarnation of each target that has left.
+    left: BTreeMap<TargetId, Incarnation>,
+    /// Keys of `left`, oldest first; a target may occur again.
+    left_order: VecDeque<TargetId>,
 }
 
 impl Groups {
@@ -168,6 +176,9 @@
                 current: earlier.announced.incarnation,
             });
         }
+        if self.left.get(&announced.target).is_some_and(|left| *left >= announced.incarnation) {
+            return Err(CommandError::TargetLeft { target: announced.target });
+        }
         let has_other_kind = |group: &Group| {
             group.kind != kind && group.targets.iter().any(|id| *id != announced.target)
         };
@@ -209,7 +220,11 @@
         &mut self,
         id: &TargetId,
         incarnation: Incarnation,
+        is_leaving: bool,
     ) -> Result<(), CommandError> {
+        if is_leaving {
+            self.note_left(id, incarnation);
+        }
         let target = self.targets.get(id).ok_or_else(|| CommandError::NoTarget(id.clone()))?;
         let current = target.announced.incarnation;
         if current > incarnation {
@@ -292,6 +307,19 @@
         group
     }
 
+    fn note_left(&mut self, id: &TargetId, incarnation: Incarnation) {
+        let newest = self.left.entry(id.clone()).or_insert(incarnation);
+        *newest = incarnation.max(*newest);
+        self.left_order.push_back(id.clone());
+        while self.left_order.len() > MAX_LEFT_TARGETS
+            && let Some(oldest) = self.left_order.pop_front()
+        {
+            if !self.left_order.contains(&oldest) {
+                self.left.remove(&oldest);
+            }
+        }
+    }
+
     fn leave_group(&mut self, id: &TargetId) {
         let Some(group) = self.targets.get(id).map(|target| target.group.clone()) else { return };
         if let Some(group) = self.groups.get_mut(&group) {
--- a/crates/control/src/state/ledger.rs
+++ b/crates/control/src/state/ledger.rs
@@ -1,7 +1,7 @@
 //! Ledger of calls that may not be repeated.
 //!
-//! Architecture Invariant: at most one `BeginOutcome::Begun` exists for a key until the call is
-//! abandoned by the session that began it, or forgotten after `LEDGER_LIFETIME_MS`.
+//! Architecture Invariant: at most one attempt gets `BeginOutcome::Begun` for a key until that
+//! attempt abandons the call, or the call is forgotten after `LEDGER_LIFETIME_MS`.
 //!
 //! A begun call whose session has ended is unknown. As no other session may send it, an answer
 //! that its session still records afterwards is the true one and replaces "unknown"; a later
@@ -10,7 +10,7 @@
 use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
-use shallotdrum_types::{ControlTimeMs, Fingerprint, LogIndex, SessionId};
+use shallotdrum_types::{ControlTimeMs, Fingerprint, LogIndex, RequestId, SessionId};
 
 use crate::{BeginOutcome, CallKey, CommandError, RecordedAnswer};
 
@@ -33,6 +33,8 @@
     pub fingerprint: Fingerprint,
     /// Session that began the call.
     pub session: SessionId,
+    /// Attempt that began the call.
+    pub attempt: RequestId,
     /// When the call was begun.
     pub begun_at: ControlTimeMs,
     /// Log index of `BeginCall`.
@@ -126,15 +128,21 @@
         index: LogIndex,
         key: CallKey,
         fingerprint: Fingerprint,
-        session: SessionId,
+        (session, attempt): (SessionId, RequestId),
         is_live: impl Fn(SessionId) -> bool,
     ) -> Result<BeginOutcome, CommandError> {
         if let Some(call) = self.calls.get(&key) {
             return Ok(match &call.result {
                 _ if call.fingerprint != fingerprint => BeginOutcome::KeyReused,
                 CallResult::Answered(answer) => BeginOutcome::Answered(answer.clone()),
-                CallResult::Pending if is_live(call.session) => BeginOutcome::InProgress,
-                CallResult::Pending | CallResult::Unknown => BeginOutcome::Unknown,
+                CallResult::Pending if !is_live(call.session) => BeginOutcome::Unknown,
+                // The same attempt asks again because the first reply was lost; it has not sent
+                // the call yet.
+                CallResult::Pending if (call.session, &call.attempt) == (session, &attempt) => {
+                    BeginOutcome::Begun
+                }
+                CallResult::Pending => BeginOutcome::InProgress,
+                CallResult::Unknown => BeginOutcome::Unknown,
             });
         }
         if !is_live(session) {
@@ -146,6 +154,7 @@
         let call = Call {
             fingerprint,
             session,
+            attempt,
             begun_at: self.now,
             begun_index: index,
             result: CallResult::Pending,
@@ -183,8 +192,11 @@
         &mut self,
         key: &CallKey,
         session: SessionId,
+        attempt: &RequestId,
     ) -> Result<(), CommandError> {
-        let call = self.calls.get(key).filter(|call| call.session == session);
+        let is_begun_by =
+            |call: &&Call| (call.session, &call.attempt) == (session, attempt);
+        let call = self.calls.get(key).filter(is_begun_by);
         match call.ok_or(CommandError::NoCall)? {
             Call { result: CallResult::Pending, begun_index, .. } => {
                 self.order.remove(&begun_index.clone());
--- a/crates/control/src/state/manifests.rs
+++ b/crates/control/src/state/manifests.rs
@@ -68,6 +68,10 @@
         self.submissions.get(id)
     }
 
+    pub(crate) fn submissions(&self) -> impl Iterator<Item = (&SubmissionId, &Submission)> {
+        self.submissions.iter()
+    }
+
     pub(crate) fn subscriber_of_key(&self, key: &KeyHash) -> Option<&SubscriberId> {
         self.keys.get(key)
     }
--- a/crates/control/src/state/mod.rs
+++ b/crates/control/src/state/mod.rs
@@ -96,6 +96,11 @@
         self.shared.manifests.submission(id)
     }
 
+    /// Accepted submissions that are remembered, in order of their ids.
+    pub fn submissions(&self) -> impl Iterator<Item = (&SubmissionId, &Submission)> {
+        self.shared.manifests.submissions()
+    }
+
     /// Subscriber that has the key.
     pub fn subscriber_of_key(&self, key: &KeyHash) -> Option<&SubscriberId> {
         self.shared.manifests.subscriber_of_key(key)
@@ -196,6 +201,11 @@
         self.shared.suspects.quarantined()
     }
 
+    /// Requests with crashes that are not quarantined, with their numbers of crashes.
+    pub fn suspects(&self) -> impl Iterator<Item = (Fingerprint, u32)> {
+        self.shared.suspects.suspects()
+    }
+
     /// Call in the ledger; replicas only. See also `is_call_unknown`.
     pub fn call(&self, key: &CallKey) -> Option<&Call> {
         self.ledger.get(key)
@@ -258,15 +268,16 @@
     fn apply_ledger(&mut self, index: LogIndex, command: Command) -> Result<Reply, CommandError> {
         let sessions = &self.shared.sessions;
         match command {
-            Command::BeginCall { key, fingerprint, session } => {
+            Command::BeginCall { key, fingerprint, session, attempt } => {
                 let is_live = |id| sessions.get(id).is_some();
-                self.ledger.begin(index, key, fingerprint, session, is_live).map(Reply::Begin)
+                let begun_by = (session, attempt);
+                self.ledger.begin(index, key, fingerprint, begun_by, is_live).map(Reply::Begin)
             }
             Command::FinishCall { key, session, answer } => {
                 self.ledger.finish(&key, session, answer).map(|()| Reply::Done)
             }
-            Command::AbandonCall { key, session } => {
-                self.ledger.abandon(&key, session).map(|()| Reply::Done)
+            Command::AbandonCall { key, session, attempt } => {
+                self.ledger.abandon(&key, session, &attempt).map(|()| Reply::Done)
             }
             _ => Ok(Reply::Done),
         }
@@ -305,8 +316,8 @@
             Command::RegisterTarget(announced) => {
                 self.groups.register(announced, now).map(Reply::TargetRegistered)
             }
-            Command::RemoveTarget { target, incarnation } => {
-                self.groups.remove(&target, incarnation).map(done)
+            Command::RemoveTarget { target, incarnation, is_leaving } => {
+                self.groups.remove(&target, incarnation, is_leaving).map(done)
             }
             Command::DrainTarget { target, drain } => self.groups.drain(target, drain).map(done),
             Command::AssignGroup { group, session } => {
--- a/crates/control/src/state/suspects.rs
+++ b/crates/control/src/state/suspects.rs
@@ -52,6 +52,11 @@
         quarantined.or(suspect).unwrap_or(0) as u32
     }
 
+    /// Requests that are not quarantined, with their numbers of crashes.
+    pub(crate) fn suspects(&self) -> impl Iterator<Item = (Fingerprint, u32)> {
+        self.suspects.iter().map(|(request, suspect)| (*request, suspect.crashes.len() as u32))
+    }
+
     pub(crate) fn is_quarantined(&self, request: &Fingerprint) -> bool {
         self.quarantined.contains_key(request)
     }
--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -95,16 +95,18 @@
     }
 
     async fn submissions(&self) -> Result<Vec<SubmissionRow>, RpcError> {
-        Ok(self.view.read(|state| {
+        let mut rows: Vec<_> = self.view.read(|state| {
             state
                 .submissions()
-                .map(|(submission, revision, digest)| SubmissionRow {
+                .map(|(submission, accepted)| SubmissionRow {
                     submission: submission.clone(),
-                    revision,
-                    digest,
+                    revision: accepted.revision,
+                    digest: accepted.digest,
                 })
                 .collect()
-        }))
+        });
+        rows.sort_by_key(|row: &SubmissionRow| row.revision);
+        Ok(rows)
     }
 
     async fn instances(&self) -> Result<Vec<InstanceRow>, RpcError> {
@@ -129,8 +131,7 @@
                         zone: session.info.zone.clone(),
                         is_replica: session.info.replica,
                         is_leader: Some(&session.info.instance) == leader.as_ref(),
-                        is_draining: row.is_some_and(|row| row.is_draining)
-                            || state.is_instance_draining(&session.info.instance),
+                        is_draining: state.is_draining(session.id),
                         revision: row.and_then(|row| row.revision),
                         groups: groups.map(|group| group.id.clone()).collect(),
                     }
@@ -151,7 +152,7 @@
                     kind: target.announced.kind.clone(),
                     group: target.group.clone(),
                     owner: owner_instance(state, &target.group),
-                    is_draining: target.is_draining,
+                    is_draining: target.draining,
                 })
                 .collect()
         }))
@@ -219,6 +220,7 @@
         Ok(self.view.read(|state| {
             state
                 .suspects()
+                .chain(state.quarantine().map(|q| (q.request, q.crashes.len() as u32)))
                 .map(|(request, crashes)| QuarantineRow {
                     request,
                     crashes,
@@ -242,7 +244,7 @@
 
     async fn replica_status(&self) -> Result<ReplicaStatus, RpcError> {
         let replica = self.replica.as_ref().ok_or(RpcError::NotReplica)?;
-        let calls = CallCounts { total: self.view.read(|state| state.call_count()) };
+        let calls = CallCounts { total: self.view.read(|state| state.ledger_len()) };
         Ok(replica.status(&self.instance, calls))
     }
 
--- a/crates/daemon/src/follower.rs
+++ b/crates/daemon/src/follower.rs
@@ -53,7 +53,7 @@
             Ok(())
         }
         WatchReply::Snapshot { index, state } if index > after => view
-            .restore_follow(&state.0)
+            .restore_follower(&state.0)
             .map_err(|e| RpcError::Malformed(format!("snapshot at index {index}: {e}"))),
         // An older snapshot comes from a replica that is behind.
         WatchReply::Snapshot { .. } => {
--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -10,7 +10,7 @@
 use futures_util::FutureExt;
 use jsonrpsee::server::{Server, ServerConfig, ServerHandle};
 use shallotdrum_consensus::{Node, NodeConfig};
-use shallotdrum_control::{ControlState, ControlView, InstanceAddrs, InstanceInfo};
+use shallotdrum_control::{ControlView, InstanceAddrs, InstanceInfo, permit_term};
 use shallotdrum_engine::EngineClient;
 use shallotdrum_entry::{EntryConfig, EntryContext, EntryHandle, EntryServer};
 use shallotdrum_owner::{Forwarder, HeldPermits, OwnerContext, OwnerService, serve_forwarded};
@@ -115,7 +115,7 @@
         log: slog::Logger,
     ) -> Result<Self, InstanceError> {
         let log = log.new(slog::o!("instance" => settings.instance.to_string()));
-        let view = ControlView::new(ControlState::default());
+        let view = ControlView::new();
         let peers = Peers::new(PeersConfig { timeout: PEER_TIMEOUT });
         let replicas: BTreeMap<_, _> =
             settings.replicas.iter().map(|r| (r.instance.clone(), r.rpc)).collect();
@@ -224,8 +224,8 @@
     /// in progress.
     pub async fn stop(mut self) {
         event!(self.log, INSTANCE_STOPPING);
-        self.session.begin_drain();
         self.entry.begin_drain();
+        self.session.begin_drain().await;
         self.owner.release_all().await;
         if let Some(replica) = &self.replica {
             // Best effort: without it the others elect a leader after their time-out.
@@ -260,7 +260,7 @@
     let addrs = settings.advertised();
     InstanceInfo {
         instance: settings.instance.clone(),
-        incarnation: Incarnation(rand::random()),
+        incarnation: new_incarnation(),
         region: settings.region.clone(),
         zone: settings.zone.clone(),
         addrs: InstanceAddrs { entry: addrs.entry, rpc: addrs.rpc, data: addrs.data },
@@ -268,6 +268,15 @@
     }
 }
 
+/// Number of this process start, higher than that of the last one.
+///
+/// If the wall clock was set back, the control log refuses the new session until the old one has
+/// expired, a few seconds later.
+fn new_incarnation() -> Incarnation {
+    let since_epoch = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    Incarnation(since_epoch.map_or(0, |time| time.as_millis() as u64))
+}
+
 /// RPC addresses of the replicas, starting at a place that differs between instances.
 fn preferred_replicas(settings: &Settings) -> Vec<SocketAddr> {
     let mut addrs: Vec<_> = settings.replicas.iter().map(|replica| replica.rpc).collect();
@@ -306,11 +315,15 @@
             async move { client.propose(proposal).await }.boxed()
         }),
         permit: Arc::new(move |group| {
-            let (client, session, held) = (granter.clone(), holder.current(), held.clone());
+            let (client, holder, held) = (granter.clone(), holder.clone(), held.clone());
             async move {
                 let wait_ms = PERMIT_WAIT.as_millis() as u64;
-                let request = PermitRequest { session: session?, group, wait_ms };
+                let request = PermitRequest { session: holder.current()?, group, wait_ms };
                 let permit = client.permit(request).await.ok()?;
+                // A grant of an earlier leader is unknown to the one that leads now.
+                if permit_term(permit.id) < holder.leader_term() {
+                    return None;
+                }
                 held.lock().unwrap_or_else(PoisonError::into_inner).insert(permit.id);
                 Some(permit.id)
             }
--- a/crates/daemon/src/replica.rs
+++ b/crates/daemon/src/replica.rs
@@ -11,8 +11,7 @@
 
 use shallotdrum_consensus::{CommittedTail, MembershipError, Node, ProposeError, Role};
 use shallotdrum_control::{
-    Command, ControlTime, ControlView, PermitTable, Proposal, Reply, SessionTable, TimedCommand,
-    assignments,
+    Command, ControlView, LeaderDuties, PermitAnswer, Proposal, Reply, Session, TimedCommand,
 };
 use shallotdrum_manifest::Manifest;
 use shallotdrum_rpc::{
@@ -49,8 +48,7 @@
     term: Term,
     clock_base: ControlTimeMs,
     clock_start: Instant,
-    sessions: SessionTable,
-    permits: PermitTable,
+    duties: LeaderDuties,
 }
 
 impl Replica {
@@ -66,8 +64,9 @@
             if !self.enter_term().await {
                 continue;
             }
-            self.end_expired_sessions().await;
-            self.assign_groups().await;
+            for command in self.due() {
+                self.duty(command).await;
+            }
             if last_tick.elapsed() >= TICK_INTERVAL {
                 last_tick = Instant::now();
                 self.duty(Command::Tick).await;
@@ -122,47 +121,42 @@
 
     /// Confirms that a session is alive.
     pub(crate) fn renew(&self, request: RenewRequest) -> Result<RenewReply, RpcError> {
+        let RenewRequest { session, revision, permits, .. } = request;
         let mut leader = self.leader();
         let current = self.confirmed(&mut leader)?;
-        let now = Instant::now();
-        if self.view.read(|state| state.session(request.session).is_none()) {
-            return Err(RpcError::NoSession(request.session));
-        }
-        current
-            .sessions
-            .renew(request.session, now, request.revision, request.is_draining)
-            .map_err(|_| RpcError::NoSession(request.session))?;
-        current.permits.renew(request.session, now, &request.permits);
-        let reply = self.view.read(|state| RenewReply {
-            revision: state.revision(),
-            applied: state.applied(),
+        let reply = self.view.read(|state| {
+            current
+                .duties
+                .renew(Instant::now(), state, session, revision, permits.into_iter().collect())
+                .map_err(|_| RpcError::NoSession(session))?;
+            let term = current.term;
+            Ok(RenewReply { term, revision: state.revision(), applied: state.applied() })
         });
         // A replica that was frozen since the check above must not confirm.
         self.check_lease()?;
-        Ok(reply)
+        reply
     }
 
     /// Grants a weight-store permit as soon as the store's limits allow.
     pub(crate) async fn permit(&self, request: PermitRequest) -> Result<Permit, RpcError> {
+        let session = request.session;
         let wait = Duration::from_millis(request.wait_ms).min(MAX_WATCH_WAIT);
         let deadline = Instant::now() + wait;
         loop {
-            let retry_at = {
+            let now = Instant::now();
+            let answer = {
                 let mut leader = self.leader();
                 let current = self.confirmed(&mut leader)?;
-                let store = self
-                    .view
-                    .read(|state| state.manifest().map(|manifest| manifest.weight_store.clone()))
-                    .ok_or(RpcError::NoPermit)?;
-                match current.permits.acquire(request.session, Instant::now(), &store) {
-                    Ok(id) => return Ok(Permit { id }),
-                    Err(retry_at) => retry_at,
-                }
+                self.view.read(|state| current.duties.request_permit(now, state, session))
             };
-            if retry_at > deadline {
-                return Err(RpcError::NoPermit);
+            match answer {
+                Err(_) => return Err(RpcError::NoSession(session)),
+                Ok(PermitAnswer::Granted(id)) => return Ok(Permit { id }),
+                Ok(PermitAnswer::Wait(wait)) if now + wait > deadline => {
+                    return Err(RpcError::NoPermit);
+                }
+                Ok(PermitAnswer::Wait(wait)) => tokio::time::sleep(wait).await,
             }
-            tokio::time::sleep_until(retry_at.into()).await;
         }
     }
 
@@ -173,28 +167,28 @@
         permit: PermitId,
     ) -> Result<(), RpcError> {
         let mut leader = self.leader();
-        self.confirmed(&mut leader)?.permits.release(session, permit);
+        self.confirmed(&mut leader)?.duties.release_permit(session, permit);
         Ok(())
     }
 
     /// What each session reported with its last renewal.
     pub(crate) fn sessions(&self) -> Result<Vec<SessionRow>, RpcError> {
         let mut leader = self.leader();
-        let current = self.confirmed(&mut leader)?;
-        let rows = current.sessions.reported().map(|(session, revision, is_draining)| SessionRow {
-            session,
-            revision,
-            is_draining,
-        });
-        Ok(rows.collect())
+        let sessions = self.confirmed(&mut leader)?.duties.sessions();
+        Ok(self.view.read(|state| {
+            let row = |session: &Session| SessionRow {
+                session: session.id,
+                revision: sessions.applied_revision(session.id),
+            };
+            state.sessions().map(row).collect()
+        }))
     }
 
     /// Weight-store permits in use.
     pub(crate) fn permits(&self) -> Result<Vec<PermitRow>, RpcError> {
         let mut leader = self.leader();
-        let current = self.confirmed(&mut leader)?;
-        let rows = current.permits.held().map(|(permit, session)| PermitRow { permit, session });
-        Ok(rows.collect())
+        let permits = self.confirmed(&mut leader)?.duties.permits();
+        Ok(permits.outstanding().map(|(permit, session)| PermitRow { permit, session }).collect())
     }
 
     pub(crate) async fn add_replica(&self, instance: InstanceId) -> Result<(), RpcError> {
@@ -237,55 +231,30 @@
             return false;
         }
         let now = Instant::now();
-        let (clock_base, sessions) = self.view.read(|state| {
-            (state.now(), state.sessions().map(|session| session.id).collect::<Vec<_>>())
-        });
-        let mut leader = Leader {
+        let leader = self.view.read(|state| Leader {
             term: status.term,
-            clock_base,
+            clock_base: state.now(),
             clock_start: now,
-            sessions: SessionTable::default(),
-            permits: PermitTable::default(),
-        };
-        leader.sessions.reset(now, sessions.iter().copied());
-        leader.permits.reset(now, sessions.iter().copied());
+            duties: LeaderDuties::new(now, status.term, state),
+        });
         *self.leader() = Some(leader);
         event!(self.log, LEADER_READY; "term" => status.term.0);
         true
     }
 
-    async fn end_expired_sessions(&self) {
-        let expired = {
-            let mut leader = self.leader();
-            let Some(leader) = leader.as_mut() else { return };
-            let now = Instant::now();
-            let open: Vec<_> =
-                self.view.read(|state| state.sessions().map(|session| session.id).collect());
-            leader.sessions.retain(now, open.iter().copied());
-            leader.permits.retain(now, &open);
-            leader.sessions.expired(now)
-        };
-        for session in expired {
-            event!(self.log, SESSION_EXPIRED; "session" => session.0);
-            self.duty(Command::EndSession { session }).await;
-        }
-    }
-
-    async fn assign_groups(&self) {
-        let assigned = {
-            let leader = self.leader();
-            let Some(leader) = leader.as_ref() else { return };
-            let live = leader.sessions.assignable();
-            self.view.read(|state| assignments(state, &live))
-        };
-        for (group, session) in assigned {
-            self.duty(Command::AssignGroup { group, session }).await;
-        }
+    /// Commands that are due: ends of expired sessions and assignments of unowned groups.
+    fn due(&self) -> Vec<Command> {
+        let mut leader = self.leader();
+        let Some(leader) = leader.as_mut() else { return Vec::new() };
+        self.view.read(|state| leader.duties.due(Instant::now(), state))
     }
 
     /// Writes a command of the leader's own.
     async fn duty(&self, command: Command) {
         let Ok(at) = self.now() else { return };
+        if let Command::EndSession { session } = command {
+            event!(self.log, SESSION_EXPIRED; "session" => session.0);
+        }
         if let Err(error) = self.node.propose(TimedCommand { at, command }).await {
             event!(self.log, DUTY_FAILED; "error" => %error);
         }
@@ -299,14 +268,7 @@
     ) -> Result<Command, RpcError> {
         // The difference must start from the newest accepted manifest.
         self.node.read_index().await.map_err(propose_error)?;
-        let delta = self.view.read(|state| match state.manifest() {
-            Some(current) if state.revision() == base => current.diff(manifest),
-            None if state.revision() == base => Manifest::default().diff(manifest),
-            // Refused as a conflict, or answered as a resend, when it is applied.
-            _ => Default::default(),
-        });
-        let digest = manifest.digest();
-        Ok(Command::SubmitManifest { submission, base, delta: Box::new(delta), digest })
+        Ok(self.view.read(|state| state.submit_command(submission, base, manifest)))
     }
 
     /// Control time of a leader.
--- a/crates/daemon/src/session.rs
+++ b/crates/daemon/src/session.rs
@@ -17,7 +17,7 @@
 use shallotdrum_owner::HeldPermits;
 use shallotdrum_rpc::{ControlClient, RenewRequest, RpcError};
 use shallotdrum_telemetry::event;
-use shallotdrum_types::{Revision, SessionId};
+use shallotdrum_types::{Revision, SessionId, Term};
 
 /// Pause between renewals; two may fail before the lease ends.
 const RENEW_INTERVAL: Duration = Duration::from_secs(1);
@@ -48,6 +48,8 @@
     confirmed_at: Option<Instant>,
     /// Revision that the last renewal named, and its send time.
     unconfirmed: Option<(Revision, Instant)>,
+    /// Term of the leader that the session was renewed with last.
+    leader_term: Term,
     is_draining: bool,
 }
 
@@ -109,9 +111,19 @@
         }
     }
 
-    /// Marks the instance as stopping; the leader gives it no more groups.
-    pub(crate) fn begin_drain(&self) {
+    /// Term of the leader that the session was renewed with last.
+    pub(crate) fn leader_term(&self) -> Term {
+        self.state().leader_term
+    }
+
+    /// Marks the instance as stopping, so that the leader gives it no more groups.
+    pub(crate) async fn begin_drain(&self) {
         self.state().is_draining = true;
+        let Some(session) = self.state().session else { return };
+        let command = Command::DrainSession { session };
+        if let Err(error) = self.client.propose(Proposal::Command(command)).await {
+            event!(self.log, SESSION_DRAIN_FAILED; "session" => session.0, "error" => %error);
+        }
     }
 
     /// Opens the session and renews it until the task is dropped.
@@ -161,7 +173,6 @@
             revision,
             applied,
             permits: self.permits.lock().unwrap_or_else(PoisonError::into_inner).clone(),
-            is_draining: self.state().is_draining,
         };
         let sent_at = Instant::now();
         match self.client.renew(request, RENEW_TIMEOUT).await {
@@ -169,6 +180,7 @@
                 let mut state = self.state();
                 state.lease_until = Some(sent_at + SESSION_LEASE - CLOCK_DRIFT_MARGIN);
                 state.unconfirmed = Some((reply.revision, sent_at));
+                state.leader_term = reply.term;
                 drop(state);
                 self.freshness();
                 RENEW_INTERVAL.saturating_sub(sent_at.elapsed())
--- a/crates/owner/src/call.rs
+++ b/crates/owner/src/call.rs
@@ -14,7 +14,7 @@
 use shallotdrum_engine::CallError;
 use shallotdrum_scheduler::{Finish, Job, Lease, Work};
 use shallotdrum_types::{
-    Fingerprint, IdempotencyKey, RequestError, RequestErrorKind, TargetId, Tokens,
+    Fingerprint, IdempotencyKey, RequestError, RequestErrorKind, RequestId, TargetId, Tokens,
 };
 use tokio::{sync::oneshot, time::Instant};
 
@@ -125,11 +125,13 @@
     ) -> Result<Response<ForwardBody>, RequestError> {
         let group = self.owned(&call.call.group)?;
         let key = CallKey { subscriber: call.call.subscriber.clone(), key };
+        // The entry may forward the same request twice; each forward is an attempt of its own.
+        let attempt = new_attempt()?;
         let begin = Command::BeginCall {
             key: key.clone(),
             fingerprint: call.fingerprint,
             session: group.session,
-            attempt: call.call.request.clone(),
+            attempt: attempt.clone(),
         };
         match self.cx.propose(begin).await {
             Ok(Reply::Begin(BeginOutcome::Begun)) => {}
@@ -146,7 +148,8 @@
             Err(error) => {
                 // The intent may have been written; without this the key would stay in progress
                 // until this session ends.
-                self.settle(Command::AbandonCall { key: key.clone(), session: group.session });
+                let session = group.session;
+                self.settle(Command::AbandonCall { key: key.clone(), session, attempt });
                 let detail = format!("call with key {}: {error}", key.key);
                 return Err(RequestError::not_run(RequestErrorKind::NotReady, detail)
                     .retry_after(RETRY_AFTER_IN_PROGRESS));
@@ -156,7 +159,7 @@
         let (tx, rx) = oneshot::channel();
         let service = self.clone();
         tokio::spawn(async move {
-            let result = service.run_begun(&call, &group, key).await;
+            let result = service.run_begun(&call, &group, key, attempt).await;
             // The caller may be gone; the result is recorded all the same.
             let _ = tx.send(result);
         });
@@ -170,6 +173,7 @@
         call: &BufferedCall,
         group: &OwnedGroup,
         key: CallKey,
+        attempt: RequestId,
     ) -> Result<Response<ForwardBody>, RequestError> {
         let mut avoid = Vec::new();
         let mut result = Err(CallFailure::NotRun(crate::service::owner_changed(&group.id)));
@@ -183,7 +187,7 @@
         match result {
             Ok((res, lease)) => self.record(res, lease, key, group, call).await,
             Err(CallFailure::NotRun(error) | CallFailure::Refused(error)) => {
-                let _ = self.cx.propose(Command::AbandonCall { key, session }).await;
+                let _ = self.cx.propose(Command::AbandonCall { key, session, attempt }).await;
                 Err(error)
             }
             Err(CallFailure::Lost(error)) => {
@@ -378,6 +382,13 @@
     }
 }
 
+/// Identifier of one attempt to begin a call.
+fn new_attempt() -> Result<RequestId, RequestError> {
+    format!("attempt-{:032x}", rand::random::<u128>())
+        .parse()
+        .map_err(|e| RequestError::not_run(RequestErrorKind::Internal, e))
+}
+
 /// Reply to a call whose key was used before.
 fn not_begun(
     outcome: BeginOutcome,
--- a/crates/owner/src/service.rs
+++ b/crates/owner/src/service.rs
@@ -252,7 +252,7 @@
         let registered: Vec<_> = self.cx.view.read(|state| {
             let ids = state.group(&group.id).into_iter().flat_map(|g| g.targets.iter());
             ids.filter_map(|id| state.target(id))
-                .map(|target| (target.announced.clone(), target.is_draining))
+                .map(|target| (target.announced.clone(), target.draining))
                 .collect()
         });
         let mut targets = group.targets();
--- a/crates/rpc/src/messages.rs
+++ b/crates/rpc/src/messages.rs
@@ -5,7 +5,7 @@
 use base64::{Engine, prelude::BASE64_STANDARD};
 use serde::{Deserialize, Deserializer, Serialize, Serializer, de::Error};
 use shallotdrum_control::TimedCommand;
-use shallotdrum_types::{GroupId, LogIndex, PermitId, Revision, SessionId};
+use shallotdrum_types::{GroupId, LogIndex, PermitId, Revision, SessionId, Term};
 
 /// Bytes, as base64 text in JSON.
 #[derive(Clone, PartialEq, Eq)]
@@ -41,13 +41,13 @@
     pub applied: LogIndex,
     /// Weight-store permits that the instance holds.
     pub permits: BTreeSet<PermitId>,
-    /// Whether the instance is stopping and takes no groups.
-    pub is_draining: bool,
 }
 
 /// Confirms a renewal.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 pub struct RenewReply {
+    /// Term of the leader; permits of earlier leaders that arrive from now on are void.
+    pub term: Term,
     /// Newest accepted manifest revision.
     pub revision: Revision,
     /// Last command applied by the leader.
@@ -61,8 +61,6 @@
     pub session: SessionId,
     /// Manifest revision in force in the instance, once it has renewed with this leader.
     pub revision: Option<Revision>,
-    /// Whether the instance is stopping.
-    pub is_draining: bool,
 }
 
 /// Asks for a weight-store permit.
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -83,6 +83,7 @@
         SESSION_ENDED = "K0207", Warning, "session has ended; opening a new one", "check why it was not renewed: a frozen process or the network to the control replicas";
         SESSION_RETRIED = "K0208", Debug, "cannot open or renew the session yet", "none";
         SESSION_END_FAILED = "K0209", Warning, "cannot end the session; its lease will expire", "none";
+        SESSION_DRAIN_FAILED = "K0212", Warning, "cannot mark the session as draining", "none; the instance stops all the same";
         LEADER_READY = "K0210", Info, "control leader took over its duties", "none";
         DUTY_FAILED = "K0211", Warning, "control leader cannot write to the log", "check the control replicas and the network between them";
         CONTROL_UNAVAILABLE = "K0203", Warning, "control replicas cannot be reached", "check the network and the control replicas";
