Add the engine client and in-process fake targets

The owner and the scheduler need a client that classifies failures and checks answers, and targets to run against.

EngineClient sends requests, orders and service calls over a pooled hyper client without retries. CompletionStream checks id, adapter, version, offsets and end of each answer. FakeEngine and FakeService implement the target interface in the caller's process: announcing, generating, orders, statistics, faults by setting.

--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -1,8 +1,20 @@
 //! Interface between the system and its targets: messages and the HTTP client.
+//!
+//! `docs/engine-interface.md` describes the interface for implementers of targets.
 
+mod client;
 mod messages;
+mod prefix;
+mod stream;
 
+pub use client::{
+    CallError, ClientTimeouts, EngineClient, GENERATE_PATH, NOT_RUN_HEADER, ORDERS_PATH,
+    OrderError, REQUEST_ID_HEADER, RequestBody, full_body,
+};
 pub use messages::{
-    AdapterStatus, Announcement, Chunk, CompletionRequest, End, EngineEvent, FinishReason,
-    LoadReport, Order, OrderRefusal, OrderRequest, Priority, Resume, TargetKind, Usage,
+    AdapterStatus, AnnounceReply, Announcement, CacheEvents, Chunk, CompletionRequest, End,
+    EngineEvent, FinishReason, Leave, LoadReport, Order, OrderRefusal, OrderRequest, PrefixHash,
+    Priority, Resume, TargetKind, Usage,
 };
+pub use prefix::{PREFIX_BLOCK_BYTES, prefix_hashes};
+pub use stream::{CompletionStream, MAX_HELD_CHUNKS, MAX_LINE_BYTES, StreamError};
--- a/crates/engine/src/messages.rs
+++ b/crates/engine/src/messages.rs
@@ -30,6 +30,48 @@
     pub load: LoadReport,
 }
 
+/// Answer to an accepted announcement.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AnnounceReply {
+    /// Time after which the target announces itself again, in milliseconds.
+    pub renew_after_ms: u64,
+}
+
+/// Statement that a target takes no new work: `POST /targets/leave` on any entry.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Leave {
+    /// Target that leaves.
+    pub target: TargetId,
+    /// Process start that leaves; a later one may have announced itself already.
+    pub incarnation: Incarnation,
+}
+
+/// Hash of a prompt prefix, as computed by `prefix_hashes`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct PrefixHash(pub u64);
+
+/// Changes of an engine's prefix cache: `POST /targets/cache-events` on any entry.
+///
+/// May be late, and reports may be missing; a gap in `sequence` shows that some are.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct CacheEvents {
+    /// Engine that reports.
+    pub target: TargetId,
+    /// Process start of the engine; a restart begins with an empty cache and sequence 1.
+    pub incarnation: Incarnation,
+    /// Number of the report; increases by one with each.
+    pub sequence: u64,
+    /// Prefixes that the cache holds now.
+    #[serde(default)]
+    pub stored: Vec<PrefixHash>,
+    /// Prefixes that the cache holds no longer.
+    #[serde(default)]
+    pub removed: Vec<PrefixHash>,
+}
+
 /// What a target runs.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "type", rename_all = "kebab-case", deny_unknown_fields)]
@@ -152,7 +194,7 @@
     pub adapter: AdapterRef,
     /// Prompt text; chat messages are rendered by the entry.
     pub prompt: String,
-    /// Most tokens to generate.
+    /// Most tokens of the whole answer, including a part generated before a resume.
     pub max_tokens: u32,
     /// Sampling temperature.
     pub temperature: f64,
--- /dev/null
+++ b/crates/fakes/src/engine/cache.rs
@@ -0,0 +1,103 @@
+//! Prefix cache with limited memory, and the reports of its changes.
+
+use std::{
+    collections::{HashMap, HashSet},
+    time::Duration,
+};
+
+use shallotdrum_engine::{CacheEvents, PrefixHash};
+use tokio::time::{Instant, sleep};
+
+use super::Engine;
+use crate::presence::lock;
+
+/// Time between reports of cache changes.
+const REPORT_INTERVAL: Duration = Duration::from_millis(100);
+/// Hashes in one report; keeps a report near 20 KB.
+const MAX_REPORTED_HASHES: usize = 1000;
+
+/// Prompt blocks in memory; the least recently used one is dropped first.
+pub(super) struct PrefixCache {
+    capacity: usize,
+    used: HashMap<PrefixHash, u64>,
+    clock: u64,
+    changes: Vec<(Instant, Change)>,
+}
+
+#[derive(Clone, Copy)]
+enum Change {
+    Stored(PrefixHash),
+    Removed(PrefixHash),
+}
+
+impl PrefixCache {
+    pub(super) fn new(capacity: usize) -> Self {
+        Self { capacity, used: HashMap::new(), clock: 0, changes: Vec::new() }
+    }
+
+    /// Looks up and stores the prefixes of a prompt; returns how many blocks were in memory.
+    pub(super) fn touch(&mut self, prefixes: &[PrefixHash]) -> usize {
+        let hits = prefixes.iter().take_while(|hash| self.used.contains_key(hash)).count();
+        let now = Instant::now();
+        // Longer prefixes are dropped before the shorter ones that they extend.
+        for hash in prefixes.iter().rev() {
+            self.clock += 1;
+            if self.used.insert(*hash, self.clock).is_none() {
+                self.changes.push((now, Change::Stored(*hash)));
+            }
+        }
+        while self.used.len() > self.capacity {
+            let Some(oldest) = self.used.iter().min_by_key(|(_, used)| **used).map(|(h, _)| *h)
+            else {
+                break;
+            };
+            self.used.remove(&oldest);
+            self.changes.push((now, Change::Removed(oldest)));
+        }
+        hits
+    }
+
+    /// Takes the changes that are old enough to be reported.
+    fn take_changes(&mut self, delay: Duration) -> Vec<Change> {
+        let due = self.changes.iter().take_while(|(at, _)| at.elapsed() >= delay).count();
+        let due = due.min(MAX_REPORTED_HASHES);
+        self.changes.drain(..due).map(|(_, change)| change).collect()
+    }
+}
+
+impl Engine {
+    /// Reports changes of the prefix cache, late and with gaps as the settings ask.
+    pub(super) async fn send_cache_events(&self) {
+        let presence = &self.shared.presence;
+        let mut sequence = 0;
+        let mut entry = 0;
+        loop {
+            sleep(REPORT_INTERVAL).await;
+            let settings = self.shared.settings();
+            let delay = Duration::from_millis(settings.cache_event_delay_ms);
+            let changes = lock(&self.cache).take_changes(delay);
+            if changes.is_empty() {
+                continue;
+            }
+            sequence += 1;
+            if self.shared.draw(settings.cache_event_loss) {
+                continue;
+            }
+            // Only the last change of a prefix counts.
+            let mut seen = HashSet::new();
+            let (mut stored, mut removed) = (Vec::new(), Vec::new());
+            for change in changes.into_iter().rev() {
+                match change {
+                    Change::Stored(hash) if seen.insert(hash) => stored.push(hash),
+                    Change::Removed(hash) if seen.insert(hash) => removed.push(hash),
+                    _ => {}
+                }
+            }
+            let target = presence.identity.target.clone();
+            let incarnation = self.incarnation;
+            let events = CacheEvents { target, incarnation, sequence, stored, removed };
+            // A report that no entry takes is a gap like any other.
+            let _ = presence.post("/targets/cache-events", &events, &mut entry).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/engine/mod.rs
@@ -0,0 +1,223 @@
+//! Fake engine: adapter slots, continuous batching, prefix cache, orders, faults by setting.
+//!
+//! Architecture Invariant: an adapter leaves its slot only through an order or a crash, and every
+//! request that runs without its adapter being ready is a recorded violation.
+
+mod batch;
+mod cache;
+mod config;
+mod http;
+mod orders;
+mod stats;
+
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use ::http::Request;
+use hyper::body::Incoming;
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+use shallotdrum_engine::{LoadReport, TargetKind};
+use shallotdrum_types::Incarnation;
+use tokio::{net::TcpListener, sync::Notify, task::JoinHandle, task::JoinSet, time::sleep};
+
+pub use config::{EngineSettings, FakeEngineConfig};
+pub use stats::{EngineStats, OrderRecord, Run, RunEnd, Violation, ViolationRecord};
+
+use crate::{
+    port::ReservedPort,
+    presence::{Presence, lock, run_incarnations},
+    serve::serve,
+};
+use batch::BatchState;
+use orders::SlotState;
+
+/// Time between looks at whether the last request of a stopping engine has ended.
+const STOP_POLL_INTERVAL: Duration = Duration::from_millis(5);
+
+/// Handle of a fake engine in this process; dropping it stops the engine at once.
+pub struct FakeEngine {
+    shared: Arc<Shared>,
+    task: JoinHandle<()>,
+}
+
+/// What outlives a crash.
+struct Shared {
+    cfg: FakeEngineConfig,
+    presence: Presence,
+    settings: Mutex<EngineSettings>,
+    stats: Mutex<EngineStats>,
+    rng: Mutex<StdRng>,
+    incarnation: Mutex<Incarnation>,
+}
+
+/// One incarnation of the engine.
+struct Engine {
+    shared: Arc<Shared>,
+    incarnation: Incarnation,
+    slots: Mutex<SlotState>,
+    /// Signals that a load has ended.
+    load_ended: Notify,
+    batch: Mutex<BatchState>,
+    /// Signals that a request waits.
+    work: Notify,
+    cache: Mutex<cache::PrefixCache>,
+    /// Orders go on when the connection that sent them breaks.
+    orders: Mutex<JoinSet<()>>,
+}
+
+impl FakeEngine {
+    /// Starts the engine; it listens when this returns.
+    pub async fn start(cfg: FakeEngineConfig) -> io::Result<Self> {
+        let port = ReservedPort::bind(cfg.identity.listen)?;
+        let listener = port.listen()?;
+        let shared = Arc::new(Shared {
+            presence: Presence::new(cfg.identity.clone(), port.addr()),
+            settings: Mutex::new(cfg.settings.clone()),
+            stats: Mutex::default(),
+            rng: Mutex::new(StdRng::seed_from_u64(cfg.seed)),
+            incarnation: Mutex::default(),
+            cfg,
+        });
+        let task = tokio::spawn(run_incarnations(port, listener, {
+            let shared = shared.clone();
+            move |incarnation, listener| Engine::run(shared.clone(), incarnation, listener)
+        }));
+        Ok(Self { shared, task })
+    }
+
+    /// Address that the engine listens on.
+    pub fn addr(&self) -> SocketAddr {
+        self.shared.presence.addr
+    }
+
+    /// Number of the current start.
+    pub fn incarnation(&self) -> Incarnation {
+        *lock(&self.shared.incarnation)
+    }
+
+    /// Statistics since the handle was made.
+    pub fn stats(&self) -> EngineStats {
+        self.shared.stats()
+    }
+
+    /// Changes the settings.
+    pub fn configure(&self, change: impl FnOnce(&mut EngineSettings)) {
+        change(&mut lock(&self.shared.settings));
+    }
+
+    /// Sets the entries that the engine announces itself to.
+    pub fn set_entries(&self, entries: Vec<SocketAddr>) {
+        self.shared.presence.set_entries(entries);
+    }
+
+    /// Crashes the engine as a request with the crash marker does.
+    pub fn crash(&self) {
+        self.shared.presence.crash();
+    }
+
+    /// Announces that the engine takes no new work; true if an entry accepted it.
+    pub async fn leave(&self) -> bool {
+        self.shared.presence.leave(self.incarnation()).await
+    }
+
+    /// Leaves, waits for the requests in progress, and stops.
+    pub async fn stop(self) {
+        self.leave().await;
+        while lock(&self.shared.stats).runs.iter().any(|run| run.end.is_none()) {
+            sleep(STOP_POLL_INTERVAL).await;
+        }
+    }
+}
+
+impl Drop for FakeEngine {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl Shared {
+    fn settings(&self) -> EngineSettings {
+        lock(&self.settings).clone()
+    }
+
+    fn stats(&self) -> EngineStats {
+        EngineStats { presence: self.presence.stats(), ..lock(&self.stats).clone() }
+    }
+
+    fn violation(&self, violation: Violation) {
+        lock(&self.stats).record_violation(violation);
+    }
+
+    /// Draws whether an event of the given probability happens.
+    fn draw(&self, probability: f64) -> bool {
+        probability > 0.0 && lock(&self.rng).random_bool(probability.min(1.0))
+    }
+}
+
+impl Engine {
+    /// Runs until the engine crashes; returns the delay before the next start.
+    async fn run(shared: Arc<Shared>, incarnation: Incarnation, listener: TcpListener) -> Duration {
+        *lock(&shared.incarnation) = incarnation;
+        let settings = shared.settings();
+        let engine = Arc::new(Self {
+            incarnation,
+            slots: Mutex::default(),
+            load_ended: Notify::new(),
+            batch: Mutex::default(),
+            work: Notify::new(),
+            cache: Mutex::new(cache::PrefixCache::new(settings.prefix_cache_blocks)),
+            orders: Mutex::default(),
+            shared: shared.clone(),
+        });
+        let _guard = StopGuard(engine.clone());
+        let reports = Mutex::default();
+        tokio::select! {
+            () = serve(listener, {
+                let engine = engine.clone();
+                move |req: Request<Incoming>| engine.clone().handle(req)
+            }) => {}
+            () = engine.run_batches() => {}
+            () = engine.send_cache_events() => {}
+            () = shared.presence.announce(incarnation, engine.kind(), || engine.report(&reports)) => {}
+            () = shared.presence.crashed() => {}
+        }
+        shared.settings().restart_delay()
+    }
+
+    fn kind(&self) -> TargetKind {
+        let cfg = &self.shared.cfg;
+        TargetKind::Engine {
+            base_model: cfg.base_model.clone(),
+            adapter_slots: cfg.adapter_slots,
+            max_batch: cfg.max_batch,
+            checks_fencing: cfg.checks_fencing,
+        }
+    }
+
+    /// Load report as old as the settings ask, as far as one was sampled then.
+    fn report(&self, history: &Mutex<config::ReportHistory>) -> LoadReport {
+        let batch = lock(&self.batch);
+        let fresh = LoadReport {
+            age_ms: 0,
+            running: batch.running.len() as u32,
+            queued: batch.queue.len() as u32,
+            adapters: lock(&self.slots).statuses(&batch),
+        };
+        drop(batch);
+        lock(history).push_and_take(fresh, self.shared.settings().report_lag())
+    }
+}
+
+/// Ends what an incarnation has spawned, also when the handle is dropped.
+struct StopGuard(Arc<Engine>);
+
+impl Drop for StopGuard {
+    fn drop(&mut self) {
+        lock(&self.0.orders).abort_all();
+        lock(&self.0.shared.stats).end_runs_of(self.0.incarnation);
+    }
+}
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -1,1 +1,27 @@
-//! Placeholder.
+//! Stand-ins for targets and faults, for tests and benchmarks: engine, plain service, TCP proxy.
+//!
+//! Each stand-in runs in the caller's process, stopped when its handle is dropped, or as a binary.
+//! `docs/engine-interface.md` describes the interface that engine and service implement.
+//!
+//! Architecture Invariant: statistics and settings belong to the handle and outlive a simulated
+//! crash; everything else belongs to one incarnation and is lost with it.
+
+mod clock;
+mod engine;
+mod port;
+mod presence;
+mod serve;
+mod service;
+mod text;
+mod weight_store;
+
+pub use clock::unix_ms;
+pub use engine::{
+    EngineSettings, EngineStats, FakeEngine, FakeEngineConfig, OrderRecord, Run, RunEnd, Violation,
+    ViolationRecord,
+};
+pub use port::ReservedPort;
+pub use presence::{CrashMode, Identity, PresenceStats};
+pub use service::{Execution, FakeService, FakeServiceConfig, ServiceSettings, ServiceStats};
+pub use text::{count_prompt_tokens, expected_text};
+pub use weight_store::WeightStoreModel;
--- /dev/null
+++ b/crates/fakes/src/serve.rs
@@ -0,0 +1,88 @@
+//! HTTP server of the stand-ins.
+
+use std::{convert::Infallible, error::Error};
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode, header::CONTENT_TYPE};
+use http_body_util::{BodyExt, Full, Limited, combinators::UnsyncBoxBody};
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::TokioIo;
+use tokio::{net::TcpListener, task::JoinSet};
+
+/// Longest request body that is read; above any prompt in tests.
+const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
+
+/// Body of an answer.
+pub(crate) type ResponseBody = UnsyncBoxBody<Bytes, CloseConnection>;
+/// Answer, or an order to close the connection without one.
+pub(crate) type Answer = Result<Response<ResponseBody>, CloseConnection>;
+
+/// Closes the connection at once, without the rest of the answer.
+#[derive(Debug, thiserror::Error)]
+#[error("the stand-in closes the connection")]
+pub(crate) struct CloseConnection;
+
+/// Serves connections until the future is dropped, which closes all of them.
+pub(crate) async fn serve<H, F>(listener: TcpListener, handler: H)
+where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    F: Future<Output = Answer> + Send + 'static,
+{
+    let mut connections = JoinSet::new();
+    loop {
+        while connections.try_join_next().is_some() {}
+        // Accept fails for connections that are already reset, or when descriptors run out.
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::task::yield_now().await;
+            continue;
+        };
+        // Without it, Nagle's algorithm delays the small events of a stream.
+        let _ = stream.set_nodelay(true);
+        let handler = handler.clone();
+        connections.spawn(async move {
+            let service = service_fn(handler);
+            // An error closes this connection only; the peer sees it.
+            let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+        });
+    }
+}
+
+/// Reads a request body.
+pub(crate) async fn read_body(body: Incoming) -> Result<Bytes, Box<dyn Error + Send + Sync>> {
+    Ok(Limited::new(body, MAX_BODY_BYTES).collect().await?.to_bytes())
+}
+
+/// Makes an answer of bytes that are at hand.
+pub(crate) fn respond(status: StatusCode, content_type: &str, body: impl Into<Bytes>) -> Answer {
+    let body = Full::new(body.into()).map_err(|never: Infallible| match never {}).boxed_unsync();
+    Response::builder()
+        .status(status)
+        .header(CONTENT_TYPE, content_type)
+        .body(body)
+        .map_err(|_| CloseConnection)
+}
+
+/// Makes an answer of a message.
+pub(crate) fn json(status: StatusCode, message: &impl serde::Serialize) -> Answer {
+    let body = serde_json::to_vec(message).map_err(|_| CloseConnection)?;
+    respond(status, "application/json", body)
+}
+
+/// Makes a problem document.
+pub(crate) fn problem(status: StatusCode, title: &str) -> Answer {
+    let body = serde_json::json!({ "title": title, "status": status.as_u16() });
+    respond(status, "application/problem+json", body.to_string())
+}
+
+/// Overwrites the settings that a JSON object names.
+pub(crate) fn merge_settings<T>(current: &T, changes: &[u8]) -> Result<T, serde_json::Error>
+where
+    T: serde::Serialize + serde::de::DeserializeOwned,
+{
+    let mut merged = serde_json::to_value(current)?;
+    let changes: serde_json::Map<String, serde_json::Value> = serde_json::from_slice(changes)?;
+    if let Some(fields) = merged.as_object_mut() {
+        fields.extend(changes);
+    }
+    serde_json::from_value(merged)
+}
--- /dev/null
+++ b/crates/fakes/src/service.rs
@@ -0,0 +1,365 @@
+//! Fake plain service: certificates, pickups and payouts, each of which must run at most once.
+
+use std::{
+    collections::BTreeMap,
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use futures_util::{StreamExt, stream};
+use http::{HeaderMap, Method, Request, Response, StatusCode, header::CONTENT_TYPE};
+use http_body::Frame;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::Incoming;
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+use serde::{Deserialize, Serialize};
+use shallotdrum_engine::{LoadReport, NOT_RUN_HEADER, REQUEST_ID_HEADER, TargetKind};
+use shallotdrum_types::{Fingerprint, Incarnation};
+use tokio::{net::TcpListener, task::JoinHandle, time::sleep};
+
+use crate::{
+    clock::unix_ms,
+    port::ReservedPort,
+    presence::{Identity, Presence, PresenceStats, lock, run_incarnations},
+    serve::{Answer, CloseConnection, json, merge_settings, problem, read_body, respond, serve},
+};
+
+/// Time between looks at whether the last call of a stopping service has ended.
+const STOP_POLL_INTERVAL: Duration = Duration::from_millis(5);
+/// Pieces in which a slow body is sent.
+const SLOW_BODY_PIECES: u32 = 10;
+
+/// Fixed properties of a fake service.
+#[derive(Clone, Debug)]
+pub struct FakeServiceConfig {
+    /// Name and place.
+    pub identity: Identity,
+    /// Calls that are served at a time, as announced.
+    pub max_concurrent: u32,
+    /// Seed of all random faults.
+    pub seed: u64,
+    /// Settings at the start.
+    pub settings: ServiceSettings,
+}
+
+impl FakeServiceConfig {
+    /// A service that announces 64 calls at a time.
+    pub fn new(identity: Identity) -> Self {
+        Self { identity, max_concurrent: 64, seed: 0, settings: ServiceSettings::default() }
+    }
+}
+
+/// Settings that `POST /fake/config` changes.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ServiceSettings {
+    /// Time of a call before it takes effect, in milliseconds.
+    pub delay_ms: u64,
+    /// Probability that the connection closes after the call has taken effect.
+    pub lose_answer: f64,
+    /// Time over which the body of an answer is sent, in milliseconds.
+    pub slow_body_ms: u64,
+    /// Probability that a call is refused with 503 and the header that states it was not run.
+    pub refuse: f64,
+    /// Probability that a call is answered with 500 after it has taken effect.
+    pub fail: f64,
+    /// Text in a body that crashes the service before the call takes effect.
+    pub crash_marker: Option<String>,
+    /// Time from a crash to the next start, in milliseconds.
+    pub restart_delay_ms: u64,
+}
+
+/// What a fake service records: `GET /fake/stats`.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct ServiceStats {
+    /// Calls that took effect, in order.
+    pub executions: Vec<Execution>,
+    /// Lookups that were answered.
+    pub lookups: u64,
+    /// Calls that were refused.
+    pub refused: u64,
+    /// Calls that are in progress.
+    pub running: u32,
+    /// Crashes by marker.
+    pub crashes: u64,
+    /// What became of announcements.
+    pub presence: PresenceStats,
+}
+
+/// One call that took effect.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Execution {
+    /// Path that was called.
+    pub path: String,
+    /// Key of the caller.
+    pub idempotency_key: Option<String>,
+    /// Identifier of the request.
+    pub request: Option<String>,
+    /// Hash of the body.
+    pub body: Fingerprint,
+    /// Time, in milliseconds since the Unix epoch.
+    pub at_ms: u64,
+    /// Start of the service that ran the call.
+    pub incarnation: Incarnation,
+}
+
+impl ServiceStats {
+    /// Idempotency keys that took effect more than once, with the number of times.
+    pub fn repeated_keys(&self) -> BTreeMap<&str, usize> {
+        let mut counts = BTreeMap::new();
+        for key in self.executions.iter().filter_map(|e| e.idempotency_key.as_deref()) {
+            *counts.entry(key).or_default() += 1;
+        }
+        counts.retain(|_, count| *count > 1);
+        counts
+    }
+}
+
+/// Handle of a fake service in this process; dropping it stops the service at once.
+pub struct FakeService {
+    shared: Arc<Shared>,
+    task: JoinHandle<()>,
+}
+
+struct Shared {
+    presence: Presence,
+    max_concurrent: u32,
+    settings: Mutex<ServiceSettings>,
+    stats: Mutex<ServiceStats>,
+    rng: Mutex<StdRng>,
+    incarnation: Mutex<Incarnation>,
+}
+
+impl FakeService {
+    /// Starts the service; it listens when this returns.
+    pub async fn start(cfg: FakeServiceConfig) -> io::Result<Self> {
+        let port = ReservedPort::bind(cfg.identity.listen)?;
+        let listener = port.listen()?;
+        let shared = Arc::new(Shared {
+            presence: Presence::new(cfg.identity, port.addr()),
+            max_concurrent: cfg.max_concurrent,
+            settings: Mutex::new(cfg.settings),
+            stats: Mutex::default(),
+            rng: Mutex::new(StdRng::seed_from_u64(cfg.seed)),
+            incarnation: Mutex::default(),
+        });
+        let task = tokio::spawn(run_incarnations(port, listener, {
+            let shared = shared.clone();
+            move |incarnation, listener| shared.clone().run(incarnation, listener)
+        }));
+        Ok(Self { shared, task })
+    }
+
+    /// Address that the service listens on.
+    pub fn addr(&self) -> SocketAddr {
+        self.shared.presence.addr
+    }
+
+    /// Number of the current start.
+    pub fn incarnation(&self) -> Incarnation {
+        *lock(&self.shared.incarnation)
+    }
+
+    /// Statistics since the handle was made.
+    pub fn stats(&self) -> ServiceStats {
+        self.shared.stats()
+    }
+
+    /// Changes the settings.
+    pub fn configure(&self, change: impl FnOnce(&mut ServiceSettings)) {
+        change(&mut lock(&self.shared.settings));
+    }
+
+    /// Sets the entries that the service announces itself to.
+    pub fn set_entries(&self, entries: Vec<SocketAddr>) {
+        self.shared.presence.set_entries(entries);
+    }
+
+    /// Crashes the service as a body with the crash marker does.
+    pub fn crash(&self) {
+        self.shared.presence.crash();
+    }
+
+    /// Announces that the service takes no new work; true if an entry accepted it.
+    pub async fn leave(&self) -> bool {
+        self.shared.presence.leave(self.incarnation()).await
+    }
+
+    /// Leaves, waits for the calls in progress, and stops.
+    pub async fn stop(self) {
+        self.leave().await;
+        while lock(&self.shared.stats).running > 0 {
+            sleep(STOP_POLL_INTERVAL).await;
+        }
+    }
+}
+
+impl Drop for FakeService {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl Shared {
+    /// Runs until the service crashes; returns the delay before the next start.
+    async fn run(self: Arc<Self>, incarnation: Incarnation, listener: TcpListener) -> Duration {
+        *lock(&self.incarnation) = incarnation;
+        let kind = TargetKind::Service { max_concurrent: self.max_concurrent };
+        let report = || LoadReport { running: lock(&self.stats).running, ..LoadReport::default() };
+        tokio::select! {
+            () = serve(listener, {
+                let shared = self.clone();
+                move |req: Request<Incoming>| shared.clone().handle(req)
+            }) => {}
+            () = self.presence.announce(incarnation, kind, report) => {}
+            () = self.presence.crashed() => {}
+        }
+        Duration::from_millis(lock(&self.settings).restart_delay_ms)
+    }
+
+    async fn handle(self: Arc<Self>, req: Request<Incoming>) -> Answer {
+        let path = req.uri().path().to_owned();
+        match (req.method(), path.as_str()) {
+            (&Method::GET, "/fake/stats") => json(StatusCode::OK, &self.stats()),
+            (&Method::POST, "/fake/leave") => {
+                let incarnation = *lock(&self.incarnation);
+                let is_accepted = self.presence.leave(incarnation).await;
+                json(StatusCode::OK, &serde_json::json!({ "accepted": is_accepted }))
+            }
+            (&Method::POST, "/fake/crash") => {
+                self.presence.crash();
+                Err(CloseConnection)
+            }
+            (&Method::POST, "/fake/config") => {
+                let body = read_body(req.into_body()).await.map_err(|_| CloseConnection)?;
+                let mut settings = lock(&self.settings);
+                match merge_settings(&*settings, &body) {
+                    Ok(changed) => {
+                        *settings = changed;
+                        json(StatusCode::OK, &*settings)
+                    }
+                    Err(e) => problem(StatusCode::BAD_REQUEST, &e.to_string()),
+                }
+            }
+            (&Method::POST, "/certificates" | "/pickups" | "/payouts") => {
+                let _guard = RunningGuard::new(&self);
+                self.execute(req).await
+            }
+            (&Method::GET, _) => {
+                let _guard = RunningGuard::new(&self);
+                self.look_up(&path).await
+            }
+            _ => problem(StatusCode::NOT_FOUND, "no such path"),
+        }
+    }
+
+    async fn execute(&self, req: Request<Incoming>) -> Answer {
+        let settings = lock(&self.settings).clone();
+        if self.draw(settings.refuse) {
+            return self.refuse();
+        }
+        let (parts, body) = req.into_parts();
+        let body = read_body(body).await.map_err(|_| CloseConnection)?;
+        if settings
+            .crash_marker
+            .is_some_and(|marker| String::from_utf8_lossy(&body).contains(&marker))
+        {
+            lock(&self.stats).crashes += 1;
+            self.presence.crash();
+            return Err(CloseConnection);
+        }
+        sleep(Duration::from_millis(settings.delay_ms)).await;
+        let number = self.record(parts.uri.path(), &parts.headers, &body);
+        if self.draw(settings.lose_answer) {
+            return Err(CloseConnection);
+        }
+        if self.draw(settings.fail) {
+            return problem(StatusCode::INTERNAL_SERVER_ERROR, "failed after running");
+        }
+        let answer = serde_json::json!({ "number": number, "path": parts.uri.path() });
+        respond_slowly(answer.to_string(), settings.slow_body_ms)
+    }
+
+    async fn look_up(&self, path: &str) -> Answer {
+        let settings = lock(&self.settings).clone();
+        if self.draw(settings.refuse) {
+            return self.refuse();
+        }
+        sleep(Duration::from_millis(settings.delay_ms)).await;
+        lock(&self.stats).lookups += 1;
+        if self.draw(settings.lose_answer) {
+            return Err(CloseConnection);
+        }
+        let answer = serde_json::json!({ "path": path, "status": "valid" });
+        respond_slowly(answer.to_string(), settings.slow_body_ms)
+    }
+
+    fn refuse(&self) -> Answer {
+        lock(&self.stats).refused += 1;
+        let mut answer = problem(StatusCode::SERVICE_UNAVAILABLE, "refused by setting")?;
+        answer.headers_mut().insert(NOT_RUN_HEADER, http::HeaderValue::from_static("1"));
+        Ok(answer)
+    }
+
+    /// Lets a call take effect; returns its number.
+    fn record(&self, path: &str, headers: &HeaderMap, body: &[u8]) -> usize {
+        let header = |name| headers.get(name).and_then(|v| v.to_str().ok()).map(str::to_owned);
+        let execution = Execution {
+            path: path.to_owned(),
+            idempotency_key: header("idempotency-key"),
+            request: header(REQUEST_ID_HEADER),
+            body: Fingerprint::of(body),
+            at_ms: unix_ms(),
+            incarnation: *lock(&self.incarnation),
+        };
+        let mut stats = lock(&self.stats);
+        stats.executions.push(execution);
+        stats.executions.len()
+    }
+
+    fn stats(&self) -> ServiceStats {
+        ServiceStats { presence: self.presence.stats(), ..lock(&self.stats).clone() }
+    }
+
+    fn draw(&self, probability: f64) -> bool {
+        probability > 0.0 && lock(&self.rng).random_bool(probability.min(1.0))
+    }
+}
+
+/// Counts a call that is in progress.
+struct RunningGuard(Arc<Shared>);
+
+impl RunningGuard {
+    fn new(shared: &Arc<Shared>) -> Self {
+        lock(&shared.stats).running += 1;
+        Self(shared.clone())
+    }
+}
+
+impl Drop for RunningGuard {
+    fn drop(&mut self) {
+        lock(&self.0.stats).running -= 1;
+    }
+}
+
+/// Sends a body in pieces over the given time.
+fn respond_slowly(body: String, over_ms: u64) -> Answer {
+    if over_ms == 0 {
+        return respond(StatusCode::OK, "application/json", body);
+    }
+    let pause = Duration::from_millis(over_ms) / SLOW_BODY_PIECES;
+    let body = Bytes::from(body);
+    let size = body.len().div_ceil(SLOW_BODY_PIECES as usize).max(1);
+    let pieces: Vec<_> = body.chunks(size).map(Bytes::copy_from_slice).collect();
+    let frames = stream::iter(pieces).then(move |piece| async move {
+        sleep(pause).await;
+        Ok(Frame::data(piece))
+    });
+    Response::builder()
+        .header(CONTENT_TYPE, "application/json")
+        .body(StreamBody::new(frames).boxed_unsync())
+        .map_err(|_| CloseConnection)
+}
