--- a/crates/control/src/state/groups.rs
+++ b/crates/control/src/state/groups.rs
@@ -20,7 +20,7 @@
 
 /// Targets whose leaving is remembered. A late announcement arrives within minutes; 1,200 targets
 /// leave at most a few times a day each.
-pub const MAX_LEFT_TARGETS: usize = 1_000;
+const MAX_LEFT_TARGETS: usize = 1_000;
 
 /// Control time after which no order of an owner that lost its group can be in flight: a full
 /// session lease (3 s), the order timeout (5 s) and the clock drift margin (300 ms).
--- a/crates/owner/src/call.rs
+++ b/crates/owner/src/call.rs
@@ -11,10 +11,10 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use shallotdrum_control::{BeginOutcome, CallKey, Command, RecordedAnswer, Reply};
-use shallotdrum_engine::CallError;
+use shallotdrum_engine::{CallError, REQUEST_ID_HEADER};
 use shallotdrum_scheduler::{Finish, Job, Lease, Work};
 use shallotdrum_types::{
-    Fingerprint, IdempotencyKey, RequestError, RequestErrorKind, RequestId, TargetId, Tokens,
+    Fingerprint, IdempotencyKey, RequestError, RequestErrorKind, RequestId, TargetId,
 };
 use tokio::{sync::oneshot, time::Instant};
 
@@ -23,7 +23,7 @@
     crash::{RunningGuard, Verdict},
     end_guard::EndGuard,
     full_body,
-    service::OwnedGroup,
+    service::{BusyGuard, OwnedGroup},
 };
 
 /// Targets that one call may be sent to.
@@ -35,15 +35,9 @@
 /// When a caller should ask again for a call that is in progress.
 const RETRY_AFTER_IN_PROGRESS: Duration = Duration::from_secs(1);
 
-/// Header that a target sets to say that it refused a call without running it.
-const NOT_RUN_HEADER: &str = "x-shallotdrum-not-run";
-
 /// Header that marks an answer recorded from the first call with the same key.
 const REPLAYED_HEADER: HeaderName = HeaderName::from_static("x-shallotdrum-replayed");
 
-/// Header that gives a target the identifier of the request.
-const REQUEST_ID_HEADER: &str = "x-shallotdrum-request-id";
-
 /// Header that gives a target the caller's key.
 const KEY_HEADER: &str = "idempotency-key";
 
@@ -72,6 +66,7 @@
         call: ServiceCall,
         body: Incoming,
     ) -> Result<Response<ForwardBody>, RequestError> {
+        let busy = self.enter();
         let deadline = Instant::now() + Duration::from_millis(call.deadline_ms);
         let body = Limited::new(body, self.cx.max_body_bytes).collect().await.map_err(|e| {
             RequestError::not_run(RequestErrorKind::BodyTooLarge, format!("body of the call: {e}"))
@@ -85,20 +80,21 @@
         let call = BufferedCall { call, body, fingerprint, deadline };
         match call.call.idempotency_key.clone() {
             Some(key) => self.call_once(call, key).await,
-            None => self.call_repeatable(&call).await,
+            None => self.call_repeatable(&call, busy).await,
         }
     }
 
     async fn call_repeatable(
         self: &Arc<Self>,
         call: &BufferedCall,
+        busy: BusyGuard,
     ) -> Result<Response<ForwardBody>, RequestError> {
         let mut avoid = Vec::new();
         let mut was_lost = false;
         let mut last = crate::service::owner_changed(&call.call.group);
         for _ in 0..MAX_ATTEMPTS {
             match self.send(call, &mut avoid).await {
-                Ok((res, lease)) => return Ok(Self::stream_response(res, lease, call)),
+                Ok((res, lease)) => return Ok(stream_response(res, lease, call, busy)),
                 Err(CallFailure::Refused(error)) => {
                     last = error;
                     break;
@@ -159,6 +155,7 @@
         let (tx, rx) = oneshot::channel();
         let service = self.clone();
         tokio::spawn(async move {
+            let _busy = service.enter();
             let result = service.run_begun(&call, &group, key, attempt).await;
             // The caller may be gone; the result is recorded all the same.
             let _ = tx.send(result);
@@ -256,13 +253,6 @@
         lease.started();
         let sent = tokio::time::timeout_at(call.deadline, self.cx.engine.call(lease.addr, req));
         let error = match sent.await {
-            Ok(Ok(res)) if res.headers().contains_key(NOT_RUN_HEADER) => {
-                avoid.push(lease.target.clone());
-                let detail = format!("target {} refused the call: {}", lease.target, res.status());
-                lease.finish(Finish::Refused);
-                let error = RequestError::not_run(RequestErrorKind::TargetFailed, detail);
-                return Err(CallFailure::NotRun(error));
-            }
             Ok(Ok(res)) => return Ok((res, lease)),
             Ok(Err(error)) => error,
             Err(_) => {
@@ -276,7 +266,8 @@
         let detail = format!("target {}: {error}", lease.target);
         match error {
             CallError::NotSent { .. } | CallError::Refused { .. } => {
-                lease.finish(Finish::TargetFailed);
+                let is_refused = matches!(error, CallError::Refused { .. });
+                lease.finish(if is_refused { Finish::Refused } else { Finish::TargetFailed });
                 let error = RequestError::not_run(RequestErrorKind::TargetFailed, detail);
                 Err(CallFailure::NotRun(error))
             }
@@ -331,24 +322,6 @@
         }
     }
 
-    /// Streams a target's response to the entry; the lease ends with the body.
-    fn stream_response(
-        res: Response<Incoming>,
-        lease: Lease,
-        call: &BufferedCall,
-    ) -> Response<ForwardBody> {
-        let prompt_tokens = body_cost(call.body.len());
-        let mut lease = Some(lease);
-        let on_end = move |is_whole| {
-            let Some(lease) = lease.take() else { return };
-            lease.finish(match is_whole {
-                true => Finish::Answered { prompt_tokens, completion_tokens: Tokens(0) },
-                false => Finish::TargetFailed,
-            });
-        };
-        res.map(|body| EndGuard::new(body, on_end).map_err(Into::into).boxed())
-    }
-
     /// Writes a command that settles a call, trying until the log takes it or the session ends.
     fn settle(self: &Arc<Self>, command: Command) {
         let service = self.clone();
@@ -440,6 +413,25 @@
     Ok(res)
 }
 
+/// Streams a target's response to the entry; the lease ends with the body.
+fn stream_response(
+    res: Response<Incoming>,
+    lease: Lease,
+    call: &BufferedCall,
+    busy: BusyGuard,
+) -> Response<ForwardBody> {
+    let prompt_tokens = body_cost(call.body.len());
+    let mut held = Some((lease, busy));
+    let on_end = move |is_whole| {
+        let Some((lease, _busy)) = held.take() else { return };
+        lease.finish(match is_whole {
+            true => Finish::Answered { prompt_tokens, completion_tokens: 0 },
+            false => Finish::TargetFailed,
+        });
+    };
+    res.map(|body| EndGuard::new(body, on_end).map_err(Into::into).boxed())
+}
+
 /// Identifies a call by all that determines its effect.
 fn call_fingerprint(call: &ServiceCall, body: &Bytes) -> Fingerprint {
     let identity = (
@@ -461,9 +453,9 @@
 }
 
 /// Charge of a service call, so that large bodies weigh as much as long prompts.
-fn body_cost(bytes: usize) -> Tokens {
+fn body_cost(bytes: usize) -> u64 {
     const BYTES_PER_TOKEN: u64 = 4;
-    Tokens((bytes as u64).div_ceil(BYTES_PER_TOKEN))
+    (bytes as u64).div_ceil(BYTES_PER_TOKEN)
 }
 
 fn answered(sent: &Bytes, received: &Bytes) -> Finish {
--- a/crates/owner/src/completion.rs
+++ b/crates/owner/src/completion.rs
@@ -8,7 +8,7 @@
 use shallotdrum_scheduler::{Finish, Job, Lease, Work};
 use shallotdrum_telemetry::event;
 use shallotdrum_types::{
-    Fingerprint, RequestError, RequestErrorKind, RequestId, SubscriberId, TargetId, Tokens, Weight,
+    Fingerprint, RequestError, RequestErrorKind, SubscriberId, TargetId,
 };
 use tokio::{sync::mpsc, time::Instant};
 
@@ -49,6 +49,7 @@
 impl OwnerService {
     /// Runs a model request and sends its frames; the last one is `End` or `Error`.
     pub async fn complete(self: Arc<Self>, call: CompletionCall, tx: mpsc::Sender<Frame>) {
+        let _busy = self.enter();
         if let Err(error) = self.try_complete(&call, &tx).await {
             // A closed channel means that the caller is gone.
             let _ = tx.send(Frame::Error(error)).await;
@@ -121,7 +122,7 @@
         lease.started();
         let sent = tokio::time::timeout_at(
             run.deadline,
-            self.cx.engine.generate(lease.addr, &request, self.cx.idle_timeout),
+            self.cx.engine.generate(lease.addr, &request),
         );
         let mut stream = match sent.await {
             Ok(Ok(stream)) => stream,
@@ -156,7 +157,10 @@
                     return self.stream_failed(run, group, lease, guard, &error).await;
                 }
                 Ok(None) => {
-                    let error = StreamError::Incomplete { delivered_tokens: Tokens(run.offset) };
+                    let error = StreamError::Incomplete {
+                        delivered_tokens: run.offset,
+                        reason: "no end arrived".to_owned(),
+                    };
                     return self.stream_failed(run, group, lease, guard, &error).await;
                 }
                 Err(_) => {
@@ -264,8 +268,11 @@
                 adapter: request.adapter.clone(),
                 source,
                 prompt_tokens: estimate_tokens(&request.prompt),
-                max_tokens: Tokens(u64::from(request.max_tokens)),
-                prompt_prefix_hashes: prefix_hashes(&request.prompt),
+                max_tokens: u64::from(request.max_tokens),
+                prompt_prefix_hashes: prefix_hashes(&request.adapter, &request.prompt)
+                    .into_iter()
+                    .map(|hash| hash.0)
+                    .collect(),
             },
             deadline: run.deadline,
             is_suspect,
@@ -321,13 +328,13 @@
 
 fn answered(end: &End) -> Finish {
     Finish::Answered {
-        prompt_tokens: end.usage.prompt_tokens,
-        completion_tokens: end.usage.completion_tokens,
+        prompt_tokens: end.usage.prompt_tokens.0,
+        completion_tokens: end.usage.completion_tokens.0,
     }
 }
 
-fn estimate_tokens(prompt: &str) -> Tokens {
-    Tokens((prompt.len() as u64).div_ceil(CHARS_PER_TOKEN))
+fn estimate_tokens(prompt: &str) -> u64 {
+    (prompt.len() as u64).div_ceil(CHARS_PER_TOKEN)
 }
 
 fn deadline_passed() -> RequestError {
--- a/crates/owner/src/context.rs
+++ b/crates/owner/src/context.rs
@@ -1,6 +1,6 @@
 //! What the owner's request path needs from the rest of the instance.
 
-use std::{collections::BTreeSet, pin::Pin, sync::Arc, time::Duration};
+use std::{collections::BTreeSet, pin::Pin, sync::Arc};
 
 use shallotdrum_control::{Command, ControlView, Proposal, ProposeError, ProposeFn, Reply};
 use shallotdrum_engine::EngineClient;
@@ -39,8 +39,6 @@
     pub metrics: Metrics,
     /// Log of this instance.
     pub log: slog::Logger,
-    /// Longest pause between events of an answer before the target is given up.
-    pub idle_timeout: Duration,
     /// Longest body of a service call.
     pub max_body_bytes: usize,
 }
--- a/crates/owner/src/load.rs
+++ b/crates/owner/src/load.rs
@@ -1,6 +1,9 @@
 //! Sends load orders to engines, each under a weight-store permit.
 
-use std::sync::Arc;
+use std::sync::{
+    Arc,
+    atomic::{AtomicUsize, Ordering},
+};
 
 use futures_util::FutureExt;
 use shallotdrum_engine::{Order, OrderError, OrderRequest};
@@ -15,23 +18,57 @@
     cx: OwnerContext,
     group: GroupId,
     session: SessionId,
-    epoch: Epoch,
+    orders: OrderCount,
 ) -> LoadFn {
-    Arc::new(move |order| load(cx.clone(), group.clone(), session, epoch, order).boxed())
+    Arc::new(move |order| {
+        load(cx.clone(), group.clone(), session, orders.clone(), order).boxed()
+    })
+}
+
+/// Number of orders that a group's owner has in flight.
+#[derive(Clone, Default)]
+pub(crate) struct OrderCount(Arc<AtomicUsize>);
+
+impl OrderCount {
+    /// Whether no order is in flight.
+    pub(crate) fn is_zero(&self) -> bool {
+        self.0.load(Ordering::SeqCst) == 0
+    }
+
+    fn enter(&self) -> OrderGuard {
+        self.0.fetch_add(1, Ordering::SeqCst);
+        OrderGuard(self.clone())
+    }
+}
+
+/// Order in flight until the value is dropped.
+struct OrderGuard(OrderCount);
+
+impl Drop for OrderGuard {
+    fn drop(&mut self) {
+        self.0.0.fetch_sub(1, Ordering::SeqCst);
+    }
 }
 
 async fn load(
     cx: OwnerContext,
     group: GroupId,
     session: SessionId,
-    epoch: Epoch,
+    orders: OrderCount,
     order: LoadOrder,
 ) -> Result<(), LoadFailure> {
-    let Some(permit) = (cx.permit)(group).await else { return Err(LoadFailure::NoPermit) };
-    let result = match (cx.session)() {
-        Some(current) if current == session => send(&cx, epoch, order).await,
+    let Some(permit) = (cx.permit)(group.clone()).await else { return Err(LoadFailure::NoPermit) };
+    let in_flight = orders.enter();
+    // The permit may have taken longer than the lease or the ownership lasted.
+    let epoch = cx.view.read(|state| {
+        let is_owned = state.group(&group).is_some_and(|group| group.owner == Some(session));
+        is_owned.then(|| state.fencing(&order.target)).flatten()
+    });
+    let result = match epoch {
+        Some(epoch) if (cx.session)() == Some(session) => send(&cx, epoch, order).await,
         _ => Err(LoadFailure::NoPermit),
     };
+    drop(in_flight);
     (cx.release)(permit);
     result
 }
--- a/crates/owner/src/service.rs
+++ b/crates/owner/src/service.rs
@@ -6,7 +6,10 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicUsize, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -19,7 +22,11 @@
     TargetId,
 };
 
-use crate::{OwnerContext, crash::CrashWatch, load::load_fn};
+use crate::{
+    OwnerContext,
+    crash::CrashWatch,
+    load::{OrderCount, load_fn},
+};
 
 /// Longest time that an order may take at a target.
 ///
@@ -36,6 +43,9 @@
 /// Pause between checks of target time-outs.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Pause between looks whether orders are still in flight.
+const ORDER_POLL: Duration = Duration::from_millis(10);
+
 /// When a caller should try again after an owner change.
 pub(crate) const RETRY_AFTER_OWNER_CHANGE: Duration = Duration::from_secs(1);
 
@@ -43,6 +53,16 @@
 pub struct OwnerService {
     pub(crate) cx: OwnerContext,
     groups: Mutex<BTreeMap<GroupId, Arc<OwnedGroup>>>,
+    busy: Arc<AtomicUsize>,
+}
+
+/// Forwarded request that is in progress until the value is dropped.
+pub(crate) struct BusyGuard(Arc<AtomicUsize>);
+
+impl Drop for BusyGuard {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::SeqCst);
+    }
 }
 
 /// Group that this instance owns.
@@ -52,6 +72,7 @@
     pub(crate) epoch: Epoch,
     pub(crate) scheduler: GroupScheduler,
     pub(crate) crashes: CrashWatch,
+    orders: OrderCount,
     handover: Handover,
     since: Instant,
     targets: Mutex<BTreeMap<TargetId, TargetHealth>>,
@@ -67,7 +88,7 @@
 impl OwnerService {
     /// Creates a service that owns no groups yet.
     pub fn new(cx: OwnerContext) -> Arc<Self> {
-        Arc::new(Self { cx, groups: Mutex::default() })
+        Arc::new(Self { cx, groups: Mutex::default(), busy: Arc::default() })
     }
 
     /// Follows the control state: takes over and gives up groups, and checks their targets.
@@ -91,7 +112,7 @@
             group.scheduler.close(owner_changed(&group.id));
         }
         for group in groups {
-            group.scheduler.orders_finished(ORDER_TIMEOUT).await;
+            group.orders_finished().await;
             let command =
                 Command::ReleaseGroup { group: group.id.clone(), session: group.session };
             if let Err(error) = self.cx.propose(command).await {
@@ -149,6 +170,17 @@
         groups.iter().map(|group| (group.id.clone(), group.scheduler.snapshot())).collect()
     }
 
+    /// Number of forwarded requests in progress.
+    pub fn in_progress(&self) -> usize {
+        self.busy.load(Ordering::SeqCst)
+    }
+
+    /// Counts a forwarded request as in progress.
+    pub(crate) fn enter(&self) -> BusyGuard {
+        self.busy.fetch_add(1, Ordering::SeqCst);
+        BusyGuard(self.busy.clone())
+    }
+
     /// Returns an owned group, or the error that sends the entry to the new owner.
     pub(crate) fn owned(&self, id: &GroupId) -> Result<Arc<OwnedGroup>, RequestError> {
         let group = self.groups().get(id).cloned().ok_or_else(|| owner_changed(id))?;
@@ -232,13 +264,15 @@
             return group.clone();
         }
         event!(self.cx.log, GROUP_ACQUIRED; "group" => %id, "epoch" => epoch.0, "handover" => ?handover);
-        let load = load_fn(self.cx.clone(), id.clone(), session, epoch);
+        let orders = OrderCount::default();
+        let load = load_fn(self.cx.clone(), id.clone(), session, orders.clone());
         let group = Arc::new(OwnedGroup {
             id: id.clone(),
             session,
             epoch,
             scheduler: GroupScheduler::new(self.cx.scheduler.clone(), load, self.cx.log.clone()),
             crashes: CrashWatch::default(),
+            orders,
             handover,
             since: Instant::now(),
             targets: Mutex::default(),
@@ -331,6 +365,13 @@
         self.targets.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Waits until no order is in flight; each ends within `ORDER_TIMEOUT`.
+    async fn orders_finished(&self) {
+        while !self.orders.is_zero() {
+            tokio::time::sleep(ORDER_POLL).await;
+        }
+    }
+
     /// When orders may be sent to a target without overlapping those of the previous owner.
     fn orders_allowed_from(&self, kind: &TargetKind) -> Instant {
         match (kind, self.handover) {
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -26,5 +26,5 @@
     Base64Bytes, Permit, PermitRequest, RenewReply, RenewRequest, SessionRow,
     WatchEntry, WatchReply,
 };
-pub use peers::{Peers, PeersConfig};
+pub use peers::{MAX_MESSAGE_BYTES, Peers, PeersConfig};
 pub use transport::RpcTransport;
