--- /dev/null
+++ b/crates/consensus/src/member.rs
@@ -0,0 +1,135 @@
+//! Replicas and the configurations that they form.
+
+use std::{fmt, fmt::Write as _};
+
+use serde::{Deserialize, Serialize};
+use shallotdrum_types::InstanceId;
+
+/// Defines a random 128-bit identifier, shown as hexadecimal digits.
+macro_rules! random_id {
+    ($(#[$meta:meta])* pub struct $name:ident;) => {
+        $(#[$meta])*
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(transparent)]
+        pub struct $name(u128);
+
+        impl $name {
+            pub(crate) fn random() -> Self {
+                Self(rand::random())
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, "{:032x}", self.0)
+            }
+        }
+    };
+}
+
+random_id! {
+    /// Identifies a data folder; a folder that was lost and made again has another one.
+    pub struct DiskId;
+}
+
+random_id! {
+    /// Identifies a group of replicas from its bootstrap on.
+    pub struct ClusterId;
+}
+
+/// A replica: an instance together with its data folder.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Member {
+    /// Instance.
+    pub id: InstanceId,
+    /// Its data folder.
+    pub disk: DiskId,
+}
+
+impl fmt::Display for Member {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.id, self.disk)
+    }
+}
+
+/// A configuration of the replicas, stored in the log.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Membership {
+    /// Cluster that the replicas belong to.
+    pub cluster: ClusterId,
+    /// Replicas that vote and count in the quorum.
+    pub voters: Vec<Member>,
+    /// Replicas that only learn the log; the leader makes them voters once they are up to date.
+    pub learners: Vec<Member>,
+}
+
+impl Membership {
+    /// Smallest number of voters that forms a majority.
+    pub fn quorum(&self) -> usize {
+        self.voters.len() / 2 + 1
+    }
+
+    /// All replicas.
+    pub fn members(&self) -> impl Iterator<Item = &Member> {
+        self.voters.iter().chain(&self.learners)
+    }
+
+    pub(crate) fn is_voter(&self, member: &Member) -> bool {
+        self.voters.contains(member)
+    }
+
+    pub(crate) fn voter(&self, id: &InstanceId) -> Option<&Member> {
+        self.voters.iter().find(|m| m.id == *id)
+    }
+
+    pub(crate) fn learner(&self, id: &InstanceId) -> Option<&Member> {
+        self.learners.iter().find(|m| m.id == *id)
+    }
+
+    /// Same configuration without any folder of the instance.
+    pub(crate) fn without(&self, id: &InstanceId) -> Self {
+        let mut next = self.clone();
+        next.voters.retain(|m| m.id != *id);
+        next.learners.retain(|m| m.id != *id);
+        next
+    }
+
+    /// Same configuration with the replica as the instance's only learner.
+    pub(crate) fn with_learner(&self, member: Member) -> Self {
+        let mut next = self.clone();
+        next.learners.retain(|m| m.id != member.id);
+        next.learners.push(member);
+        next
+    }
+
+    /// Next step that brings an up-to-date learner into the voters.
+    ///
+    /// Exchanging one voter for another in one step would allow disjoint quorums, so an old
+    /// folder of the same instance is removed in a step of its own.
+    pub(crate) fn promote(&self, member: &Member) -> Self {
+        let mut next = self.clone();
+        if self.voter(&member.id).is_some() {
+            next.voters.retain(|m| m.id != member.id);
+            return next;
+        }
+        next.learners.retain(|m| m != member);
+        next.voters.push(member.clone());
+        next.voters.sort();
+        next
+    }
+}
+
+impl fmt::Display for Membership {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut separator = "";
+        for m in &self.voters {
+            write!(f, "{separator}{m}")?;
+            separator = ", ";
+        }
+        for m in &self.learners {
+            write!(f, "{separator}{m} (learner)")?;
+            separator = ", ";
+        }
+        f.write_char('.')
+    }
+}
--- /dev/null
+++ b/crates/consensus/src/node/apply.rs
@@ -0,0 +1,133 @@
+//! The task that drives the state machine.
+
+use std::sync::{Arc, PoisonError};
+
+use shallotdrum_types::LogIndex;
+
+use super::{CommittedTail, Node, Shared};
+use crate::{
+    FatalError, ProposeError, StateMachine,
+    log::{Entry, Payload},
+    storage::Snapshot,
+};
+
+/// Entries are applied in batches of about this size, so that readers of the state machine wait
+/// for no more than a batch.
+const APPLY_BATCH_BYTES: usize = 256 << 10;
+
+enum Work {
+    Restore(Arc<Snapshot>),
+    Apply(Vec<Arc<Entry>>),
+}
+
+/// Applies committed entries and received snapshots in log order.
+pub(super) async fn run<S: StateMachine>(shared: Arc<Shared<S>>) {
+    loop {
+        while let Some(work) = next_work(&shared) {
+            let result = match work {
+                Work::Restore(snapshot) => shared.restore(&snapshot),
+                Work::Apply(entries) => shared.apply(&entries),
+            };
+            if let Err(error) = result {
+                shared.fail(error);
+                return;
+            }
+            shared.compact_if_due().await;
+        }
+        shared.apply_wake.notified().await;
+    }
+}
+
+fn next_work<S: StateMachine>(shared: &Shared<S>) -> Option<Work> {
+    let mut core = shared.core();
+    if core.is_stopped || shared.has_failed() {
+        return None;
+    }
+    if let Some(snapshot) = core.pending_restore.take() {
+        return Some(Work::Restore(snapshot));
+    }
+    let mut entries = core.log.batch(core.applied, APPLY_BATCH_BYTES);
+    entries.retain(|e| e.index <= core.commit);
+    (!entries.is_empty()).then_some(Work::Apply(entries))
+}
+
+impl<S: StateMachine> Shared<S> {
+    fn restore(&self, snapshot: &Snapshot) -> Result<(), FatalError> {
+        let mut machine = self.machine.write().unwrap_or_else(PoisonError::into_inner);
+        machine.restore(&snapshot.data).map_err(|e| FatalError::Decode {
+            what: "snapshot",
+            index: snapshot.index,
+            reason: e.to_string(),
+        })?;
+        drop(machine);
+        let mut core = self.core();
+        core.applied = snapshot.index;
+        self.publish(&core);
+        Ok(())
+    }
+
+    fn apply(&self, entries: &[Arc<Entry>]) -> Result<(), FatalError> {
+        let mut replies = Vec::with_capacity(entries.len());
+        let mut machine = self.machine.write().unwrap_or_else(PoisonError::into_inner);
+        for entry in entries {
+            if let Payload::Command(bytes) = &entry.payload {
+                let command = decode_command::<S>(entry.index, bytes)?;
+                replies.push((entry.index, machine.apply(entry.index, command)));
+            }
+        }
+        drop(machine);
+        let mut core = self.core();
+        core.applied = entries.last().map_or(core.applied, |e| e.index);
+        for (index, reply) in replies {
+            let Some(waiter) = core.waiters.remove(&index) else { continue };
+            let result = if self.has_failed() { Err(ProposeError::Unknown) } else { Ok(reply) };
+            // The proposer may have given up.
+            let _ = waiter.send(result);
+        }
+        self.publish(&core);
+        Ok(())
+    }
+}
+
+fn decode_command<S: StateMachine>(
+    index: LogIndex,
+    bytes: &[u8],
+) -> Result<S::Command, FatalError> {
+    S::decode(bytes).map_err(|e| FatalError::Decode {
+        what: "command",
+        index,
+        reason: e.to_string(),
+    })
+}
+
+impl<S: StateMachine> Node<S> {
+    /// Applied commands after the index, limited to about the given size but at least one; a
+    /// snapshot if the log doesn't reach back that far.
+    pub fn committed_after(&self, after: LogIndex, max_bytes: usize) -> CommittedTail<S> {
+        let (entries, applied) = {
+            let core = self.0.core();
+            match &core.snapshot {
+                Some(snapshot) if after < core.log.base() => {
+                    let (index, bytes) = (snapshot.index, snapshot.data.clone());
+                    return CommittedTail::Snapshot { index, bytes };
+                }
+                _ => (core.log.batch(after, max_bytes), core.applied),
+            }
+        };
+        let mut last = after;
+        let mut commands = Vec::new();
+        for entry in entries.iter().take_while(|e| e.index <= applied) {
+            if let Payload::Command(bytes) = &entry.payload {
+                match decode_command::<S>(entry.index, bytes) {
+                    Ok(command) => commands.push((entry.index, command)),
+                    Err(error) => {
+                        self.0.fail(error);
+                        break;
+                    }
+                }
+            }
+            last = entry.index;
+        }
+        CommittedTail::Entries { entries: commands, last }
+    }
+}
--- /dev/null
+++ b/crates/consensus/src/node/receive.rs
@@ -0,0 +1,211 @@
+//! Messages of other replicas.
+//!
+//! Architecture Invariant: what an answer promises is durable before the answer is returned, and
+//! a refused message has changed nothing but, at most, the term.
+
+use std::sync::Arc;
+
+use shallotdrum_types::{LogIndex, Term};
+use tokio::time::Instant;
+
+use super::{
+    Shared,
+    core::{Core, Incoming, RoleState},
+    election,
+};
+use crate::{
+    Member, StateMachine,
+    message::{Answer, AppendRequest, ChunkRequest, Envelope, Refusal, Request, Response},
+    storage::Ticket,
+};
+
+impl<S: StateMachine> Shared<S> {
+    /// Handles a message.
+    pub(super) async fn receive(self: &Arc<Self>, message: &[u8]) -> Answer {
+        let response = match Envelope::decode(message) {
+            Ok(envelope) => self.respond(envelope).await,
+            Err(e) => {
+                slog::warn!(self.log, "refused a message: {}", e; "event" => "C0117");
+                Err(Refusal::Malformed(e.to_string()))
+            }
+        };
+        let core = self.core();
+        let is_halted = core.is_stopped || self.has_failed();
+        let response = if is_halted { Err(Refusal::Stopped) } else { response };
+        Answer { from: Some(self.me.clone()), term: core.term, response }
+    }
+
+    async fn respond(self: &Arc<Self>, envelope: Envelope) -> Result<Response, Refusal> {
+        let Envelope { from, to, to_disk, cluster, request } = envelope;
+        if to != self.me.id {
+            return Err(Refusal::WrongInstance(to));
+        }
+        match to_disk {
+            Some(disk) if disk != self.me.disk => return Err(Refusal::WrongDisk),
+            None if !matches!(request, Request::Probe { .. }) => return Err(Refusal::WrongDisk),
+            _ => (),
+        }
+        {
+            let core = self.core();
+            if core.is_stopped {
+                return Err(Refusal::Stopped);
+            }
+            let own = core.membership().map(|m| m.cluster);
+            if own.zip(cluster).is_some_and(|(own, other)| own != other) {
+                return Err(Refusal::WrongCluster);
+            }
+        }
+        match request {
+            Request::Probe { initial_members } => Ok(self.probed(&from, &initial_members)),
+            Request::Vote(request) => self.vote(&from, &request).await,
+            Request::Append(request) => {
+                let (ticket, response) = self.append(&from, request)?;
+                self.wait_durable(ticket).await.map_err(|_| Refusal::Stopped)?;
+                Ok(response)
+            }
+            Request::Chunk(request) => {
+                let (ticket, response) = self.receive_chunk(&from, request)?;
+                self.wait_durable(ticket).await.map_err(|_| Refusal::Stopped)?;
+                Ok(response)
+            }
+            Request::Campaign { term } => {
+                let is_from_leader = {
+                    let core = self.core();
+                    core.term == term && core.leader.as_ref() == Some(&from.id)
+                };
+                if !is_from_leader {
+                    return Err(Refusal::StaleTerm);
+                }
+                let shared = self.clone();
+                self.spawn(async move { election::campaign(&shared, true).await });
+                Ok(Response::Campaigning)
+            }
+        }
+    }
+
+    /// Accepts the sender as leader of the term.
+    fn follow(&self, core: &mut Core<S::Reply>, from: &Member, term: Term) -> Result<(), Refusal> {
+        if core.is_stopped {
+            return Err(Refusal::Stopped);
+        }
+        if term < core.term {
+            return Err(Refusal::StaleTerm);
+        }
+        if term == core.term && matches!(core.role, RoleState::Leader(_)) {
+            return Err(Refusal::Conflict);
+        }
+        core.step_down(term);
+        core.leader_contact = Some(Instant::now());
+        core.postpone_election();
+        if core.leader.as_ref() != Some(&from.id) {
+            core.leader = Some(from.id.clone());
+            slog::info!(self.log, "following a leader"; "event" => "C0112",
+                "leader" => %from, "term" => %term);
+            self.publish(core);
+        }
+        Ok(())
+    }
+
+    /// Stores the entries; the answer is valid once the ticket is durable.
+    fn append(&self, from: &Member, request: AppendRequest) -> Result<(Ticket, Response), Refusal> {
+        let AppendRequest { term, prev, prev_term, commit, mut entries } = request;
+        let mut core = self.core();
+        self.follow(&mut core, from, term)?;
+        let base = core.log.base();
+        let matched = LogIndex(prev.0 + entries.len() as u64);
+        if prev >= base && core.log.term(prev) != Some(prev_term) {
+            if prev <= core.commit {
+                return Err(Refusal::Conflict);
+            }
+            let next = core.first_doubtful(prev);
+            return Ok((core.writer.latest(), Response::Mismatch { next }));
+        }
+        // Entries up to the base are committed, so they equal the leader's.
+        let is_known = |e: &_| is_known(&core, e);
+        let new = entries.iter().position(|e| !is_known(e)).unwrap_or(entries.len());
+        entries.drain(..new);
+        if entries.first().is_some_and(|e| e.index <= core.commit) {
+            return Err(Refusal::Conflict);
+        }
+        if !entries.is_empty() {
+            core.append(entries);
+        }
+        let commit = commit.min(matched);
+        if commit > core.commit {
+            core.commit = commit;
+            self.apply_wake.notify_one();
+        }
+        self.publish(&core);
+        // Covers entries of an earlier message that was not answered.
+        Ok((core.writer.latest(), Response::Matched { index: matched }))
+    }
+
+    /// Collects a part of a snapshot, and installs the snapshot when it is complete.
+    fn receive_chunk(
+        self: &Arc<Self>,
+        from: &Member,
+        request: ChunkRequest,
+    ) -> Result<(Ticket, Response), Refusal> {
+        let mut core = self.core();
+        self.follow(&mut core, from, request.term)?;
+        let ticket = core.writer.latest();
+        if request.index <= core.commit {
+            return Ok((ticket, Response::Installed));
+        }
+        let received = |offset| Ok((ticket, Response::Received { offset }));
+        let is_same = |i: &Incoming| {
+            i.from == *from && i.index == request.index && i.checksum == request.checksum
+        };
+        match &core.incoming {
+            Some(incoming) if incoming.is_installing => return received(request.offset),
+            Some(incoming) if is_same(incoming) => (),
+            _ => {
+                core.incoming = Some(Incoming {
+                    from: from.clone(),
+                    index: request.index,
+                    checksum: request.checksum,
+                    data: Vec::new(),
+                    is_installing: false,
+                });
+            }
+        }
+        let Some(incoming) = &mut core.incoming else { return received(0) };
+        if request.offset != incoming.data.len() as u64 {
+            return received(incoming.data.len() as u64);
+        }
+        incoming.data.extend_from_slice(&request.data);
+        let offset = incoming.data.len() as u64;
+        if offset < request.total_bytes {
+            return received(offset);
+        }
+        if crc32fast::hash(&incoming.data) != incoming.checksum {
+            slog::warn!(self.log, "received snapshot has a wrong checksum";
+                "event" => "C0133", "index" => %request.index);
+            core.incoming = None;
+            return received(0);
+        }
+        incoming.is_installing = true;
+        let data = std::mem::take(&mut incoming.data);
+        // A task of its own: the sender's time limit must not interrupt the installation.
+        self.spawn(self.clone().install(request, data.into()));
+        received(offset)
+    }
+}
+
+fn is_known<R>(core: &Core<R>, entry: &crate::log::Entry) -> bool {
+    entry.index <= core.log.base() || core.log.term(entry.index) == Some(entry.term)
+}
+
+impl<R> Core<R> {
+    /// First entry that may differ from the leader's, given that the one at `prev` does.
+    ///
+    /// Skips the whole term of a differing entry, which saves one message for each of its entries.
+    fn first_doubtful(&self, prev: LogIndex) -> LogIndex {
+        let Some(term) = self.log.term(prev) else { return self.log.last().next() };
+        let mut index = prev;
+        while index > self.commit.next() && self.log.term(LogIndex(index.0 - 1)) == Some(term) {
+            index = LogIndex(index.0 - 1);
+        }
+        index
+    }
+}
--- /dev/null
+++ b/crates/consensus/src/node/snapshots.rs
@@ -0,0 +1,97 @@
+//! Taking and installing snapshots.
+//!
+//! Architecture Invariant: a snapshot file is durable before the log is compacted behind it.
+
+use std::sync::{Arc, PoisonError};
+
+use bytes::Bytes;
+
+use super::{Shared, core::Core};
+use crate::{
+    FatalError, StateMachine,
+    message::ChunkRequest,
+    storage::{Snapshot, remove_older},
+};
+
+impl<S: StateMachine> Shared<S> {
+    /// Takes a snapshot if enough entries were applied since the last one.
+    pub(super) async fn compact_if_due(self: &Arc<Self>) {
+        {
+            let core = self.core();
+            let newest = core.snapshot.as_ref().map_or(0, |s| s.index.0);
+            let is_due = core.applied.0.saturating_sub(newest) >= self.cfg.snapshot_every;
+            if !is_due || core.pending_restore.is_some() {
+                return;
+            }
+        }
+        let shared = self.clone();
+        let task = tokio::task::spawn_blocking(move || {
+            // Only the apply task, which waits for this one, changes the state machine.
+            let (index, position) = {
+                let core = shared.core();
+                let position = core.log.term(core.applied);
+                (core.applied, position.zip(core.membership_at(core.applied).cloned()))
+            };
+            let Some((term, membership)) = position else { return };
+            let machine = shared.machine.read().unwrap_or_else(PoisonError::into_inner);
+            let data = Bytes::from(machine.snapshot());
+            drop(machine);
+            let snapshot = Snapshot { index, term, membership, data };
+            if !shared.store(&snapshot) {
+                return;
+            }
+            let mut core = shared.core();
+            if core.snapshot.as_ref().is_none_or(|s| s.index < index) {
+                shared.adopt(&mut core, snapshot);
+            }
+        });
+        // A panic of the state machine was reported by the runtime; the next batch tries again.
+        let _ = task.await;
+    }
+
+    /// Stores a received snapshot and hands it to the apply task.
+    pub(super) async fn install(self: Arc<Self>, request: ChunkRequest, data: Bytes) {
+        let ChunkRequest { index, index_term: term, membership, .. } = request;
+        let snapshot = Snapshot { index, term, membership, data };
+        let shared = self.clone();
+        let stored =
+            tokio::task::spawn_blocking(move || shared.store(&snapshot).then_some(snapshot));
+        let stored = stored.await.ok().flatten();
+        let mut core = self.core();
+        core.incoming = None;
+        let Some(snapshot) = stored else { return };
+        if core.is_stopped || snapshot.index <= core.commit {
+            return;
+        }
+        slog::info!(self.log, "installing a received snapshot"; "event" => "C0132",
+            "index" => %index, "bytes" => snapshot.data.len());
+        let snapshot = self.adopt(&mut core, snapshot);
+        core.commit = index;
+        core.pending_restore = Some(snapshot);
+        self.apply_wake.notify_one();
+        self.publish(&core);
+    }
+
+    fn store(&self, snapshot: &Snapshot) -> bool {
+        let dir = &self.cfg.data_dir;
+        let result = snapshot
+            .write(dir, self.cfg.before_sync.as_ref())
+            .and_then(|()| remove_older(dir, snapshot.index));
+        if let Err(e) = &result {
+            self.fail(FatalError::Storage {
+                action: "write a snapshot to",
+                path: dir.clone(),
+                reason: e.to_string(),
+            });
+        }
+        result.is_ok()
+    }
+
+    fn adopt(&self, core: &mut Core<S::Reply>, snapshot: Snapshot) -> Arc<Snapshot> {
+        let snapshot = Arc::new(snapshot);
+        core.adopt_snapshot(&snapshot, self.cfg.retain_entries);
+        slog::info!(self.log, "log compacted"; "event" => "C0130",
+            "snapshot" => %snapshot.index, "first" => %core.log.base().next());
+        snapshot
+    }
+}
--- /dev/null
+++ b/crates/consensus/src/storage/mod.rs
@@ -0,0 +1,55 @@
+//! Files of a replica: identity, log and snapshots.
+//!
+//! Architecture Invariant: the identity file is created last, so its presence proves that the log
+//! once existed. An identity without a log is damage, never a fresh folder; otherwise a replica
+//! that lost its log could vote again under the same folder id.
+//!
+//! Architecture Invariant: files are written under a temporary name, synced, renamed, and the
+//! folder is synced. Only the log file is ever appended to.
+
+mod frame;
+mod open;
+mod snapshot;
+mod wal;
+mod writer;
+
+use std::{
+    fs::{self, File},
+    io::{self, Write},
+    path::Path,
+};
+
+pub(crate) use open::{Opened, open};
+pub(crate) use snapshot::{Snapshot, remove_older};
+pub(crate) use wal::Record;
+pub(crate) use writer::{Ticket, Writer, WriterHandle};
+
+use crate::SyncHook;
+
+/// Suffix of files that are not complete; they are removed at the next start.
+const TEMPORARY_SUFFIX: &str = "tmp";
+
+/// Syncs the content of the file.
+fn sync(file: &File, path: &Path, hook: Option<&SyncHook>) -> io::Result<()> {
+    if let Some(hook) = hook {
+        hook(path)?;
+    }
+    file.sync_data()
+}
+
+/// Syncs the folder, which makes created, renamed and removed names durable.
+fn sync_dir(dir: &Path) -> io::Result<()> {
+    File::open(dir)?.sync_all()
+}
+
+/// Creates the file with the content, durably, in place of any former one.
+fn write_durably(path: &Path, parts: &[&[u8]], hook: Option<&SyncHook>) -> io::Result<()> {
+    let temporary = path.with_extension(TEMPORARY_SUFFIX);
+    let mut file = File::create(&temporary)?;
+    for part in parts {
+        file.write_all(part)?;
+    }
+    sync(&file, path, hook)?;
+    fs::rename(&temporary, path)?;
+    sync_dir(path.parent().unwrap_or(Path::new(".")))
+}
--- /dev/null
+++ b/crates/consensus/src/storage/open.rs
@@ -0,0 +1,225 @@
+//! Opening a data folder.
+
+use std::{
+    fs::{self, File, TryLockError},
+    path::{Path, PathBuf},
+};
+
+use serde::{Deserialize, Serialize};
+use shallotdrum_types::{LogIndex, Term};
+
+use super::{TEMPORARY_SUFFIX, frame, frame::Frame, snapshot, snapshot::Snapshot, sync_dir, wal};
+use super::{wal::Record, write_durably};
+use crate::{DiskId, Member, NodeConfig, StartError, log::Log};
+
+/// Content of the identity file.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+struct Identity {
+    disk: DiskId,
+    /// The folder replaces a damaged one and must not take part in a bootstrap.
+    must_relearn: bool,
+}
+
+/// An opened data folder.
+pub(crate) struct Opened {
+    pub(crate) disk: DiskId,
+    pub(crate) must_relearn: bool,
+    pub(crate) term: Term,
+    pub(crate) vote: Option<Member>,
+    pub(crate) log: Log,
+    pub(crate) snapshot: Option<Snapshot>,
+    pub(crate) generation: u64,
+    /// Bytes of an incomplete write that were cut off.
+    pub(crate) truncated_bytes: u64,
+    /// Folder that received the damaged files, if they were set aside.
+    pub(crate) set_aside: Option<PathBuf>,
+    /// Holds the lock on the folder.
+    pub(crate) lock: File,
+}
+
+/// Files found in a data folder.
+#[derive(Default)]
+struct Found {
+    /// Generations, newest last.
+    logs: Vec<u64>,
+    /// Indexes, newest last.
+    snapshots: Vec<u64>,
+}
+
+/// Opens the data folder and initialises it if it is empty.
+pub(crate) fn open(cfg: &NodeConfig) -> Result<Opened, StartError> {
+    let dir = &cfg.data_dir;
+    fs::create_dir_all(dir).map_err(|e| StartError::io("create", dir, e))?;
+    let lock_path = dir.join("lock");
+    let lock = File::create(&lock_path).map_err(|e| StartError::io("create", &lock_path, e))?;
+    match lock.try_lock() {
+        Ok(()) => (),
+        Err(TryLockError::WouldBlock) => return Err(StartError::Locked { path: dir.clone() }),
+        Err(TryLockError::Error(e)) => return Err(StartError::io("lock", &lock_path, e)),
+    }
+    let lock = match load(cfg, lock) {
+        Err((StartError::Corrupt { .. }, lock)) if cfg.set_aside_damaged => lock,
+        Err((error, _)) => return Err(error),
+        Ok(opened) => return Ok(opened),
+    };
+    let set_aside = set_aside(dir)?;
+    initialise(cfg, true)?;
+    let mut opened = load(cfg, lock).map_err(|(error, _)| error)?;
+    opened.set_aside = Some(set_aside);
+    Ok(opened)
+}
+
+/// Loads the folder; hands the lock back on error.
+fn load(cfg: &NodeConfig, lock: File) -> Result<Opened, (StartError, File)> {
+    match load_files(cfg) {
+        Ok(load) => Ok(load(lock)),
+        Err(error) => Err((error, lock)),
+    }
+}
+
+fn load_files(cfg: &NodeConfig) -> Result<impl FnOnce(File) -> Opened + use<>, StartError> {
+    let dir = &cfg.data_dir;
+    let identity_path = dir.join("identity");
+    if !identity_path.try_exists().map_err(|e| StartError::io("read", &identity_path, e))? {
+        check_uninitialised(dir, &identity_path)?;
+        // An earlier start may have been interrupted after it had set the damaged files aside.
+        initialise(cfg, aside_path(dir, 1).exists())?;
+    }
+    let identity = read_identity(&identity_path)?;
+    let found = scan(dir)?;
+    let Some(&generation) = found.logs.last() else {
+        return Err(missing(wal::path(dir, 1), "the log file is missing"));
+    };
+    let path = wal::path(dir, generation);
+    let mut replayed = wal::replay(&path)?;
+    let truncated_bytes = replayed.file_bytes - replayed.valid_bytes;
+    // What was read may still be in the page cache only, if the former process was killed before
+    // its sync. It counts as stored from now on.
+    let file = File::options().write(true).open(&path);
+    file.and_then(|f| f.set_len(replayed.valid_bytes).and_then(|()| f.sync_all()))
+        .map_err(|e| StartError::io("sync", &path, e))?;
+    let newest = found.snapshots.last().map(|&i| Snapshot::path(dir, LogIndex(i)));
+    let snapshot = newest.map(|path| Snapshot::read(&path)).transpose()?;
+    let base = snapshot.as_ref().map_or(LogIndex(0), |s| s.index);
+    if replayed.log.base() > base {
+        return Err(missing(
+            Snapshot::path(dir, replayed.log.base()),
+            "the snapshot that precedes the log is missing",
+        ));
+    }
+    if let Some(s) = &snapshot
+        && replayed.log.term(s.index) != Some(s.term)
+    {
+        // The replica stopped between storing a received snapshot and rewriting its log.
+        replayed.log = Log::new(s.index, s.term);
+    }
+    for &old in &found.logs[..found.logs.len() - 1] {
+        let path = wal::path(dir, old);
+        fs::remove_file(&path).map_err(|e| StartError::io("remove", &path, e))?;
+    }
+    Ok(move |lock| Opened {
+        disk: identity.disk,
+        must_relearn: identity.must_relearn,
+        term: replayed.term,
+        vote: replayed.vote,
+        log: replayed.log,
+        snapshot,
+        generation,
+        truncated_bytes,
+        set_aside: None,
+        lock,
+    })
+}
+
+fn missing(path: PathBuf, reason: &'static str) -> StartError {
+    StartError::Corrupt { path, offset: 0, reason }
+}
+
+/// Creates the files of an empty replica, the identity last.
+fn initialise(cfg: &NodeConfig, must_relearn: bool) -> Result<(), StartError> {
+    let dir = &cfg.data_dir;
+    let hook = cfg.before_sync.as_ref();
+    let path = wal::path(dir, 1);
+    let base = frame::encode(&[Record::Base { index: LogIndex(0), term: Term(0) }][..]);
+    write_durably(&path, &[&base], hook).map_err(|e| StartError::io("write", &path, e))?;
+    let path = dir.join("identity");
+    let identity = frame::encode(&Identity { disk: DiskId::random(), must_relearn });
+    write_durably(&path, &[&identity], hook).map_err(|e| StartError::io("write", &path, e))?;
+    // Makes the folder's own name durable.
+    let parent = dir.parent().filter(|p| !p.as_os_str().is_empty()).unwrap_or(Path::new("."));
+    sync_dir(parent).map_err(|e| StartError::io("sync", parent, e))
+}
+
+/// Checks that a folder without identity holds nothing but leftovers of an initialisation.
+fn check_uninitialised(dir: &Path, identity: &Path) -> Result<(), StartError> {
+    let found = scan(dir)?;
+    let is_empty = match found.logs[..] {
+        [] => true,
+        [generation] => wal::replay(&wal::path(dir, generation))
+            .is_ok_and(|r| r.log.last() == LogIndex(0) && r.term == Term(0)),
+        _ => false,
+    };
+    if is_empty && found.snapshots.is_empty() {
+        return Ok(());
+    }
+    Err(missing(identity.to_owned(), "the identity file is missing but a log exists"))
+}
+
+fn read_identity(path: &Path) -> Result<Identity, StartError> {
+    let file = fs::read(path).map_err(|e| StartError::io("read", path, e))?;
+    match frame::read(&file, 0) {
+        Frame::Whole(payload, _) => frame::decode(payload),
+        _ => None,
+    }
+    .ok_or_else(|| missing(path.to_owned(), "checksum of the identity does not match"))
+}
+
+/// Lists the files and removes incomplete ones.
+fn scan(dir: &Path) -> Result<Found, StartError> {
+    let mut found = Found::default();
+    for file in fs::read_dir(dir).map_err(|e| StartError::io("list", dir, e))? {
+        let path = file.map_err(|e| StartError::io("list", dir, e))?.path();
+        if path.extension().is_some_and(|e| e == TEMPORARY_SUFFIX) {
+            fs::remove_file(&path).map_err(|e| StartError::io("remove", &path, e))?;
+            continue;
+        }
+        let Some(name) = path.file_name().and_then(|n| n.to_str()) else { continue };
+        found.logs.extend(wal::generation(name));
+        found.snapshots.extend(snapshot::index(name));
+    }
+    found.logs.sort_unstable();
+    found.snapshots.sort_unstable();
+    Ok(found)
+}
+
+/// Folder that receives damaged files.
+fn aside_path(dir: &Path, n: u32) -> PathBuf {
+    dir.join(format!("damaged-{n}"))
+}
+
+/// Moves all files of the replica into a new subfolder.
+///
+/// The identity moves first: without it, a start after an interruption refuses the rest.
+fn set_aside(dir: &Path) -> Result<PathBuf, StartError> {
+    let aside = (1..)
+        .map(|n| aside_path(dir, n))
+        .find(|p| !p.exists())
+        .expect("fewer than 2^32 damaged folders");
+    fs::create_dir(&aside).map_err(|e| StartError::io("create", &aside, e))?;
+    let mut names = vec!["identity".to_owned()];
+    let found = scan(dir)?;
+    let paths = found.logs.iter().map(|&g| wal::path(dir, g));
+    let paths = paths.chain(found.snapshots.iter().map(|&i| Snapshot::path(dir, LogIndex(i))));
+    names.extend(paths.filter_map(|p| Some(p.file_name()?.to_str()?.to_owned())));
+    for name in names {
+        let (from, to) = (dir.join(&name), aside.join(&name));
+        match fs::rename(&from, &to) {
+            Err(e) if e.kind() != std::io::ErrorKind::NotFound => {
+                return Err(StartError::io("move", from, e));
+            }
+            _ => (),
+        }
+    }
+    sync_dir(&aside).and_then(|()| sync_dir(dir)).map_err(|e| StartError::io("sync", &aside, e))?;
+    Ok(aside)
+}
--- /dev/null
+++ b/crates/consensus/src/storage/wal.rs
@@ -0,0 +1,130 @@
+//! The log file: its records and how they are read back.
+
+use std::{
+    fs,
+    path::{Path, PathBuf},
+    sync::Arc,
+};
+
+use serde::{Deserialize, Serialize};
+use shallotdrum_types::{LogIndex, Term};
+
+use super::frame::{self, Frame};
+use crate::{
+    Member, StartError,
+    log::{Entry, Log},
+};
+
+/// Frames of a rewritten log are about this large, to bound the memory for encoding.
+const REWRITE_FRAME_BYTES: usize = 4 << 20;
+
+/// One record of the log file.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) enum Record {
+    /// First record of a file: the position before its first entry.
+    Base { index: LogIndex, term: Term },
+    /// Term and vote; the newest record counts.
+    Vote { term: Term, vote: Option<Member> },
+    /// An entry; replaces all former entries from its index on.
+    Entry(Arc<Entry>),
+}
+
+impl Record {
+    pub(super) fn size(&self) -> usize {
+        // Base and vote records are smaller than this.
+        const SMALL_RECORD_BYTES: usize = 160;
+        match self {
+            Record::Base { .. } | Record::Vote { .. } => SMALL_RECORD_BYTES,
+            Record::Entry(entry) => entry.size(),
+        }
+    }
+}
+
+/// Content of a log file.
+pub(super) struct Replayed {
+    pub(super) term: Term,
+    pub(super) vote: Option<Member>,
+    pub(super) log: Log,
+    /// Length of the readable part; the rest is a torn tail.
+    pub(super) valid_bytes: u64,
+    pub(super) file_bytes: u64,
+}
+
+/// Name of a generation of the log; each compaction starts a new one.
+pub(super) fn path(dir: &Path, generation: u64) -> PathBuf {
+    dir.join(format!("log-{generation:016}"))
+}
+
+/// Generation that the file name states, if it is a log file.
+pub(super) fn generation(name: &str) -> Option<u64> {
+    name.strip_prefix("log-")?.parse().ok()
+}
+
+/// Encodes the records as one or more frames.
+pub(super) fn encode(records: &[Record]) -> Vec<Vec<u8>> {
+    let mut frames = Vec::new();
+    let mut start = 0;
+    let mut total = 0;
+    for (i, record) in records.iter().enumerate() {
+        total += record.size();
+        if total >= REWRITE_FRAME_BYTES {
+            frames.push(frame::encode(&records[start..=i]));
+            (start, total) = (i + 1, 0);
+        }
+    }
+    if start < records.len() {
+        frames.push(frame::encode(&records[start..]));
+    }
+    frames
+}
+
+/// Reads a log file back.
+pub(super) fn replay(path: &Path) -> Result<Replayed, StartError> {
+    let file = fs::read(path).map_err(|e| StartError::io("read", path, e))?;
+    let corrupt = |at: usize, reason| StartError::Corrupt {
+        path: path.to_owned(),
+        offset: at as u64,
+        reason,
+    };
+    let mut replayed = Replayed {
+        term: Term(0),
+        vote: None,
+        log: Log::default(),
+        valid_bytes: 0,
+        file_bytes: file.len() as u64,
+    };
+    let mut at = 0;
+    loop {
+        let (payload, end) = match frame::read(&file, at) {
+            Frame::Whole(payload, end) => (payload, end),
+            // The first frame was synced before the file got its name.
+            Frame::End | Frame::Torn if at == 0 => {
+                return Err(corrupt(0, "start of the log is unreadable"));
+            }
+            Frame::End | Frame::Torn => break,
+            Frame::Damaged => return Err(corrupt(at, "unreadable record before readable ones")),
+        };
+        let records: Vec<Record> =
+            frame::decode(payload).ok_or_else(|| corrupt(at, "unknown record format"))?;
+        for (i, record) in records.into_iter().enumerate() {
+            match record {
+                Record::Base { index, term } if at == 0 && i == 0 => {
+                    replayed.log = Log::new(index, term);
+                }
+                Record::Vote { term, vote } => (replayed.term, replayed.vote) = (term, vote),
+                Record::Entry(entry)
+                    if entry.index > replayed.log.base()
+                        && entry.index <= replayed.log.last().next() =>
+                {
+                    replayed.log.put(entry);
+                }
+                Record::Base { .. } | Record::Entry(_) => {
+                    return Err(corrupt(at, "record out of order"));
+                }
+            }
+        }
+        at = end;
+    }
+    replayed.valid_bytes = at as u64;
+    Ok(replayed)
+}
--- /dev/null
+++ b/crates/consensus/tests/disk.rs
@@ -0,0 +1,181 @@
+//! Restart, damage and failures of the disk.
+
+mod harness;
+
+use std::{fs, sync::atomic::Ordering, time::Instant};
+
+use harness::{Cluster, id, names, until_true};
+use rstest::rstest;
+use shallotdrum_consensus::{Answer, FatalError, ProposeError, Refusal, StartError};
+
+/// Guards against loss of acknowledged commands when all replicas stop, with and without
+/// snapshots.
+#[rstest]
+#[case::log_only(10_000)]
+#[case::snapshots(7)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn restart_keeps_commands(#[case] snapshot_every: u64) {
+    let mut cluster = Cluster::new(3);
+    (cluster.snapshot_every, cluster.retain_entries) = (snapshot_every, 3);
+    cluster.start_all().await;
+    let mut expected = Vec::new();
+    for round in ["a", "b", "c"] {
+        cluster.propose_many(round, 12).await;
+        expected.extend(names(round, 12));
+        for n in 1..=3 {
+            cluster.stop(n).await;
+        }
+        cluster.start_all().await;
+    }
+    cluster.propose("d-0").await;
+    cluster.check_converged(&expected).await;
+}
+
+/// Guards against a start that takes long, or fails, with 10,000 entries in the log.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn replay_of_long_log() {
+    let mut cluster = Cluster::started(1).await;
+    let node = cluster.nodes[&1].clone();
+    let proposals = (0..10_000).map(|i| node.propose(format!("a-{i}")));
+    let results = futures_util::future::join_all(proposals).await;
+    assert!(results.iter().all(Result::is_ok));
+    cluster.stop(1).await;
+    let start = Instant::now();
+    cluster.start(1).await;
+    println!("replayed 10,000 entries in {:?}", start.elapsed());
+    cluster.propose("b-0").await;
+    cluster.check_converged(&names("a", 10_000)).await;
+}
+
+/// Guards against a replica that refuses to start, or loses synced entries, after a crash in the
+/// middle of a write.
+#[rstest]
+#[case::garbage(&[7; 40])]
+#[case::zeros(&[0; 5000])]
+#[case::part_of_a_frame(b"sdF1\x50\0\0\0")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn torn_tail_is_cut(#[case] tail: &[u8]) {
+    let mut cluster = Cluster::started(1).await;
+    cluster.propose_many("a", 5).await;
+    cluster.stop(1).await;
+    let path = cluster.log_file(1);
+    let whole = fs::read(&path).unwrap();
+    fs::write(&path, [&whole, tail].concat()).unwrap();
+    cluster.start(1).await;
+    cluster.propose("b-0").await;
+    cluster.check_converged(&names("a", 5)).await;
+}
+
+/// Guards against a damaged log that is silently shortened, which would lose acknowledged
+/// entries, and against a replica that can't be repaired.
+#[rstest]
+#[case::early(0.2)]
+#[case::late(0.8)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn damage_is_refused_then_relearned(#[case] place: f64) {
+    let mut cluster = Cluster::started(3).await;
+    cluster.propose_many("a", 20).await;
+    cluster.check_converged(&names("a", 20)).await;
+    cluster.stop(2).await;
+    let path = cluster.log_file(2);
+    let mut bytes = fs::read(&path).unwrap();
+    let at = (bytes.len() as f64 * place) as usize;
+    bytes[at] ^= 0x10;
+    fs::write(&path, bytes).unwrap();
+
+    let cfg = cluster.config(2);
+    match cluster.start_with(2, cfg.clone()).await {
+        Err(StartError::Corrupt { path: named, offset, .. }) => {
+            assert_eq!(named, path);
+            assert!(offset as usize <= at, "offset {offset} is behind the damage at {at}");
+        }
+        other => panic!("unexpected result: {other:?}"),
+    }
+
+    let mut cfg = cfg;
+    cfg.set_aside_damaged = true;
+    cluster.start_with(2, cfg).await.unwrap();
+    cluster.propose("b-0").await;
+    cluster.check_converged(&names("a", 20)).await;
+    assert!(cluster.folder(2).join("damaged-1").join(path.file_name().unwrap()).exists());
+}
+
+/// Guards against a lost log file that is taken for a fresh folder, so that the replica would
+/// vote without its entries.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn missing_log_is_refused() {
+    let mut cluster = Cluster::started(1).await;
+    cluster.propose("a-0").await;
+    cluster.stop(1).await;
+    fs::remove_file(cluster.log_file(1)).unwrap();
+    let result = cluster.start_with(1, cluster.config(1)).await;
+    assert!(matches!(result, Err(StartError::Corrupt { .. })), "{result:?}");
+}
+
+/// Guards against two processes that write the same folder.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn folder_in_use_is_refused() {
+    let mut cluster = Cluster::started(1).await;
+    let result = cluster.start_with(1, cluster.config(1)).await;
+    assert!(matches!(result, Err(StartError::Locked { .. })), "{result:?}");
+}
+
+/// Guards against acknowledgements after a failed sync, whose data may never reach the disk.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn failed_sync_ends_acknowledgement() {
+    let cluster = Cluster::started(3).await;
+    cluster.propose("a-0").await;
+    let old = cluster.leader().await;
+    let node = cluster.nodes[&old].clone();
+    let failed = node.failed();
+    cluster.disks[&old].fails.store(true, Ordering::Relaxed);
+    // The other two may commit the entry; this replica must not tell success after the failure.
+    let first = node.propose("b-0".to_owned()).await;
+    let error = failed.await;
+    assert!(matches!(error, FatalError::Storage { .. }), "{error}");
+    println!("proposal during the failure: {first:?}");
+    until_true("a stopped replica", || node.status().is_stopped).await;
+    assert_eq!(node.propose("c-0".to_owned()).await, Err(ProposeError::Stopped));
+    assert_eq!(node.read_index().await, Err(ProposeError::Stopped));
+    assert!(!node.leader_lease_valid());
+    let answer = Answer::decode(&node.handle(Vec::new()).await).unwrap();
+    assert_eq!(answer.refusal(), Some(&Refusal::Stopped));
+    let new = cluster.leader().await;
+    assert_ne!(new, old);
+    cluster.propose("d-0").await;
+}
+
+/// Guards against one sync per proposal, which would limit throughput to the disk's sync rate.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn concurrent_proposals_share_syncs() {
+    let cluster = Cluster::started(1).await;
+    cluster.propose("start").await;
+    let node = &cluster.nodes[&1];
+    cluster.disks[&1].delay_ms.store(20, Ordering::Relaxed);
+    let before = node.status().syncs;
+    let proposals = (0..100).map(|i| node.propose(format!("a-{i}")));
+    let results = futures_util::future::join_all(proposals).await;
+    assert!(results.iter().all(Result::is_ok));
+    let syncs = node.status().syncs - before;
+    println!("100 proposals took {syncs} syncs");
+    assert!(syncs <= 20, "{syncs} syncs");
+}
+
+/// Guards against crashes or changed state because of bytes that aren't a message for this
+/// replica.
+#[rstest]
+#[case::empty(Vec::new())]
+#[case::garbage(vec![0xff; 64])]
+#[case::oversized(vec![1; 20 << 20])]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn bad_message_is_refused(#[case] message: Vec<u8>) {
+    let cluster = Cluster::started(1).await;
+    cluster.propose("a-0").await;
+    let node = &cluster.nodes[&1];
+    let before = node.status();
+    let answer = Answer::decode(&node.handle(message).await).unwrap();
+    assert!(matches!(answer.refusal(), Some(Refusal::Malformed(_))), "{answer:?}");
+    let after = node.status();
+    assert_eq!((after.term, after.leader), (before.term, Some(id(1))));
+    cluster.propose("b-0").await;
+}
--- /dev/null
+++ b/crates/consensus/tests/elections.rs
@@ -0,0 +1,136 @@
+//! Elections, replication and partitions.
+
+mod harness;
+
+use harness::{Cluster, id, names, until_true};
+use rstest::rstest;
+use shallotdrum_consensus::{ProposeError, Role};
+
+/// Guards against replicas that elect no leader or apply different commands.
+#[rstest]
+#[case(1)]
+#[case(3)]
+#[case(5)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn replication_reaches_all(#[case] replicas: usize) {
+    let cluster = Cluster::started(replicas).await;
+    cluster.propose_many("a", 20).await;
+    cluster.check_converged(&names("a", 20)).await;
+}
+
+/// Guards against loss of acknowledged commands when the leader dies, and against a cluster
+/// that accepts nothing afterwards.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn leader_killed_keeps_commands() {
+    let mut cluster = Cluster::started(3).await;
+    cluster.propose_many("a", 10).await;
+    let old = cluster.leader().await;
+    cluster.stop(old).await;
+    cluster.propose_many("b", 10).await;
+    cluster.start(old).await;
+    cluster.propose("c-0").await;
+    let expected = [names("a", 10), names("b", 10), names("c", 1)].concat();
+    cluster.check_converged(&expected).await;
+}
+
+/// Guards against a returning replica that raises the term and deposes a healthy leader.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn minority_heals_without_election() {
+    let cluster = Cluster::started(3).await;
+    cluster.propose("a-0").await;
+    let leader = cluster.leader().await;
+    let term = cluster.nodes[&leader].status().term;
+    let cut_off = (1..=3).find(|&n| n != leader).unwrap();
+    cluster.isolate(cut_off);
+    let before = cluster.calls(cut_off, leader);
+    until_true("four campaigns", || cluster.calls(cut_off, leader) >= before + 4).await;
+    cluster.propose_many("b", 5).await;
+    cluster.heal();
+    cluster.check_converged(&names("b", 5)).await;
+    let status = cluster.nodes[&leader].status();
+    assert_eq!((status.role, status.term), (Role::Leader, term), "the leader was disturbed");
+}
+
+/// Guards against stale reads, acknowledgements and leases at a leader that lost its quorum,
+/// silently cut off or frozen.
+#[rstest]
+#[case::cut(false)]
+#[case::frozen(true)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn stale_leader_answers_nothing(#[case] is_frozen: bool) {
+    let cluster = Cluster::started(3).await;
+    cluster.propose("a-0").await;
+    let old = cluster.leader().await;
+    let node = cluster.nodes[&old].clone();
+    assert!(node.read_index().await.is_ok());
+    if is_frozen {
+        cluster.freeze(old)
+    } else {
+        cluster.isolate(old)
+    }
+    let (read, write) = tokio::join!(node.read_index(), node.propose("lost".to_owned()));
+    assert!(matches!(read, Err(ProposeError::NotLeader { .. })), "{read:?}");
+    assert_eq!(write, Err(ProposeError::Unknown));
+    assert!(!node.leader_lease_valid());
+    let new = cluster.leader().await;
+    assert_ne!(new, old);
+    cluster.propose("b-0").await;
+    cluster.heal();
+    cluster.check_converged(&["a-0".to_owned(), "b-0".to_owned()]).await;
+}
+
+/// Guards against two leaders that both claim a lease while partitions change.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn leases_never_overlap() {
+    let cluster = Cluster::started(3).await;
+    for _ in 0..4 {
+        let old = cluster.leader().await;
+        cluster.isolate(old);
+        until_true("another leader with a lease", || {
+            for (a, b) in [(1, 2), (2, 1), (1, 3), (3, 1), (2, 3), (3, 2)] {
+                let is_valid = |n: usize| cluster.nodes[&n].leader_lease_valid();
+                // Read before and after the other one, the first lease held in between.
+                assert!(!(is_valid(a) && is_valid(b) && is_valid(a)), "{a} and {b} hold leases");
+            }
+            cluster.nodes.iter().any(|(n, node)| *n != old && node.leader_lease_valid())
+        })
+        .await;
+        cluster.heal();
+    }
+}
+
+/// Guards against commands that are lost or reordered while messages are lost and replicas
+/// restart.
+#[rstest]
+#[case(1)]
+#[case(2)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn lossy_network_loses_nothing(#[case] seed: u64) {
+    println!("seed {seed}");
+    let mut cluster = Cluster::started(3).await;
+    cluster.snapshot_every = 15;
+    cluster.retain_entries = 5;
+    cluster.propose("start").await;
+    cluster.lose(0.03, seed);
+    for n in 1..=3 {
+        cluster.propose_many(&format!("r{n}"), 15).await;
+        cluster.stop(n).await;
+        cluster.propose_many(&format!("s{n}"), 15).await;
+        cluster.start(n).await;
+    }
+    cluster.heal();
+    let all = (1..=3).flat_map(|n| [names(&format!("r{n}"), 15), names(&format!("s{n}"), 15)]);
+    cluster.check_converged(&all.flatten().collect::<Vec<_>>()).await;
+}
+
+/// Guards against a planned stop that waits for an election timeout or loses commands.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn transfer_moves_leadership() {
+    let cluster = Cluster::started(3).await;
+    cluster.propose("a-0").await;
+    let old = cluster.leader().await;
+    assert!(cluster.nodes[&old].transfer_leadership().await);
+    assert_ne!(cluster.nodes[&old].status().leader, Some(id(old)));
+    cluster.propose("b-0").await;
+    cluster.check_converged(&["a-0".to_owned(), "b-0".to_owned()]).await;
+}
--- /dev/null
+++ b/crates/consensus/tests/harness/mod.rs
@@ -0,0 +1,324 @@
+//! Replicas in one process, with real files and a network that can be cut, frozen or lossy.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::{
+    collections::{HashMap, HashSet},
+    io,
+    path::PathBuf,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+use shallotdrum_consensus::{
+    Node, NodeConfig, ProposeError, Role, StartError, StateMachine, Timing, Transport,
+    TransportError,
+};
+use shallotdrum_types::{InstanceId, LogIndex};
+use tempfile::TempDir;
+
+/// Bound on every wait; far above what a loaded machine needs.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// State machine that keeps all commands in order.
+#[derive(Default)]
+pub(crate) struct Journal {
+    pub(crate) commands: Vec<(LogIndex, String)>,
+}
+
+impl StateMachine for Journal {
+    type Command = String;
+    type Reply = usize;
+    type DecodeError = postcard::Error;
+
+    fn encode(command: &String) -> Vec<u8> {
+        postcard::to_stdvec(command).unwrap()
+    }
+
+    fn decode(bytes: &[u8]) -> Result<String, postcard::Error> {
+        postcard::from_bytes(bytes)
+    }
+
+    fn apply(&mut self, index: LogIndex, command: String) -> usize {
+        self.commands.push((index, command));
+        self.commands.len()
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        postcard::to_stdvec(&self.commands).unwrap()
+    }
+
+    fn restore(&mut self, bytes: &[u8]) -> Result<(), postcard::Error> {
+        self.commands = postcard::from_bytes(bytes)?;
+        Ok(())
+    }
+}
+
+pub(crate) fn id(n: usize) -> InstanceId {
+    format!("n{n}").parse().unwrap()
+}
+
+/// Network state; cut and frozen links are silent, like a real partition.
+pub(crate) struct Net {
+    nodes: HashMap<InstanceId, Node<Journal>>,
+    cuts: HashSet<(InstanceId, InstanceId)>,
+    frozen: HashSet<InstanceId>,
+    loss: f64,
+    rng: StdRng,
+    /// Calls per sender and receiver.
+    calls: HashMap<(InstanceId, InstanceId), u64>,
+}
+
+type SharedNet = Arc<Mutex<Net>>;
+
+struct Link(InstanceId, SharedNet);
+
+impl Transport for Link {
+    async fn call(&self, to: &InstanceId, message: Vec<u8>) -> Result<Vec<u8>, TransportError> {
+        let Link(from, net) = self;
+        *net.lock().unwrap().calls.entry((from.clone(), to.clone())).or_default() += 1;
+        cross(net, from, to).await;
+        let node = net.lock().unwrap().nodes.get(to).cloned();
+        let node =
+            node.ok_or_else(|| TransportError { to: to.clone(), reason: "not running".into() })?;
+        let answer = node.handle(message).await;
+        cross(net, to, from).await;
+        Ok(answer)
+    }
+}
+
+/// Passes a message in one direction, or never returns when it is lost.
+async fn cross(net: &SharedNet, from: &InstanceId, to: &InstanceId) {
+    loop {
+        let (is_lost, is_frozen) = {
+            let mut net = net.lock().unwrap();
+            let loss = net.loss;
+            let is_lost = loss > 0.0 && net.rng.random_bool(loss);
+            let is_cut = net.cuts.contains(&(from.clone(), to.clone()));
+            (is_lost || is_cut, net.frozen.contains(from) || net.frozen.contains(to))
+        };
+        if is_lost {
+            return std::future::pending().await;
+        }
+        if !is_frozen {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+}
+
+/// Faults of one replica's disk.
+#[derive(Clone, Default)]
+pub(crate) struct Disk {
+    pub(crate) fails: Arc<AtomicBool>,
+    pub(crate) delay_ms: Arc<AtomicU64>,
+}
+
+impl Disk {
+    fn before_sync(&self) -> io::Result<()> {
+        std::thread::sleep(Duration::from_millis(self.delay_ms.load(Ordering::Relaxed)));
+        if self.fails.load(Ordering::Relaxed) {
+            return Err(io::Error::from(io::ErrorKind::StorageFull));
+        }
+        Ok(())
+    }
+}
+
+pub(crate) struct Cluster {
+    pub(crate) net: SharedNet,
+    pub(crate) nodes: HashMap<usize, Node<Journal>>,
+    pub(crate) disks: HashMap<usize, Disk>,
+    dir: TempDir,
+    initial: Vec<InstanceId>,
+    pub(crate) snapshot_every: u64,
+    pub(crate) retain_entries: u64,
+}
+
+impl Cluster {
+    /// Replicas 1 to `n`, not started yet.
+    pub(crate) fn new(n: usize) -> Self {
+        let net = Net {
+            nodes: HashMap::new(),
+            cuts: HashSet::new(),
+            frozen: HashSet::new(),
+            loss: 0.0,
+            rng: StdRng::seed_from_u64(0),
+            calls: HashMap::new(),
+        };
+        Self {
+            net: Arc::new(Mutex::new(net)),
+            nodes: HashMap::new(),
+            disks: HashMap::new(),
+            dir: tempfile::tempdir().unwrap(),
+            initial: (1..=n).map(id).collect(),
+            snapshot_every: 10_000,
+            retain_entries: 10_000,
+        }
+    }
+
+    pub(crate) async fn started(n: usize) -> Self {
+        let mut cluster = Self::new(n);
+        cluster.start_all().await;
+        cluster
+    }
+
+    pub(crate) async fn start_all(&mut self) {
+        for n in 1..=self.initial.len() {
+            self.start(n).await;
+        }
+    }
+
+    pub(crate) fn config(&self, n: usize) -> NodeConfig {
+        let mut cfg = NodeConfig::new(id(n), self.folder(n), self.initial.clone());
+        cfg.timing = Timing {
+            heartbeat: Duration::from_millis(30),
+            election_min: Duration::from_millis(250),
+            election_max: Duration::from_millis(500),
+            call_timeout: Duration::from_millis(150),
+        };
+        cfg.snapshot_every = self.snapshot_every;
+        cfg.retain_entries = self.retain_entries;
+        let disk = self.disks.get(&n).cloned().unwrap_or_default();
+        cfg.before_sync = Some(Arc::new(move |_| disk.before_sync()));
+        cfg
+    }
+
+    pub(crate) async fn start(&mut self, n: usize) {
+        self.disks.insert(n, Disk::default());
+        self.start_with(n, self.config(n)).await.unwrap();
+    }
+
+    pub(crate) async fn start_with(&mut self, n: usize, cfg: NodeConfig) -> Result<(), StartError> {
+        let link = Link(id(n), self.net.clone());
+        let log = slog::Logger::root(slog::Discard, slog::o!());
+        let node = Node::start(cfg, Journal::default(), link, log).await?;
+        self.net.lock().unwrap().nodes.insert(id(n), node.clone());
+        self.nodes.insert(n, node);
+        Ok(())
+    }
+
+    /// Stops a replica; nothing is handed over or flushed beyond what was already submitted.
+    pub(crate) async fn stop(&mut self, n: usize) {
+        self.net.lock().unwrap().nodes.remove(&id(n));
+        self.nodes.remove(&n).unwrap().shutdown().await;
+    }
+
+    pub(crate) fn folder(&self, n: usize) -> PathBuf {
+        self.dir.path().join(format!("n{n}"))
+    }
+
+    pub(crate) fn wipe(&self, n: usize) {
+        std::fs::remove_dir_all(self.folder(n)).unwrap();
+    }
+
+    /// The replica's log file.
+    pub(crate) fn log_file(&self, n: usize) -> PathBuf {
+        let files = std::fs::read_dir(self.folder(n)).unwrap().map(|f| f.unwrap().path());
+        files
+            .filter(|p| p.file_name().unwrap().to_str().unwrap().starts_with("log-"))
+            .max()
+            .unwrap()
+    }
+
+    pub(crate) fn cut(&self, a: usize, b: usize) {
+        self.net.lock().unwrap().cuts.extend([(id(a), id(b)), (id(b), id(a))]);
+    }
+
+    pub(crate) fn isolate(&self, n: usize) {
+        (1..=self.initial.len()).filter(|&m| m != n).for_each(|m| self.cut(n, m));
+    }
+
+    pub(crate) fn heal(&self) {
+        let mut net = self.net.lock().unwrap();
+        net.cuts.clear();
+        net.frozen.clear();
+        net.loss = 0.0;
+    }
+
+    pub(crate) fn freeze(&self, n: usize) {
+        self.net.lock().unwrap().frozen.insert(id(n));
+    }
+
+    pub(crate) fn lose(&self, share: f64, seed: u64) {
+        let mut net = self.net.lock().unwrap();
+        (net.loss, net.rng) = (share, StdRng::seed_from_u64(seed));
+    }
+
+    /// Calls made so far from one replica to another.
+    pub(crate) fn calls(&self, from: usize, to: usize) -> u64 {
+        self.net.lock().unwrap().calls.get(&(id(from), id(to))).copied().unwrap_or(0)
+    }
+
+    /// The running leader that a quorum follows, once there is one.
+    pub(crate) async fn leader(&self) -> usize {
+        let leads = |n: &Node<Journal>| n.status().role == Role::Leader && n.leader_lease_valid();
+        until("a leader with a valid lease", || {
+            self.nodes.iter().find(|(_, node)| leads(node)).map(|(n, _)| *n)
+        })
+        .await
+    }
+
+    /// Proposes at the leader until the command is certainly accepted; the command may be
+    /// stored more than once if an answer was lost.
+    pub(crate) async fn propose(&self, command: &str) {
+        let start = Instant::now();
+        while start.elapsed() < PATIENCE {
+            let node = &self.nodes[&self.leader().await];
+            match node.propose(command.to_owned()).await {
+                Ok(_) => return,
+                Err(ProposeError::NotLeader { .. } | ProposeError::Unknown) => (),
+                Err(e) => panic!("{command}: {e}"),
+            }
+        }
+        panic!("{command} was not accepted within {PATIENCE:?}");
+    }
+
+    pub(crate) async fn propose_many(&self, name: &str, count: usize) {
+        for i in 0..count {
+            self.propose(&format!("{name}-{i}")).await;
+        }
+    }
+
+    pub(crate) fn commands(&self, n: usize) -> Vec<(LogIndex, String)> {
+        self.nodes[&n].with_state(|s| s.commands.clone())
+    }
+
+    /// Waits until the running replicas agree, and checks that they hold the commands.
+    pub(crate) async fn check_converged(&self, expected: &[String]) {
+        until("equal states", || {
+            let leader = self.nodes.values().map(Node::status).find(|s| s.role == Role::Leader)?;
+            let all = self.nodes.values().all(|n| n.status().applied == leader.last_index);
+            all.then_some(())
+        })
+        .await;
+        let first = self.commands(*self.nodes.keys().next().unwrap());
+        assert!(self.nodes.keys().all(|&n| self.commands(n) == first), "states differ");
+        let held: HashSet<_> = first.iter().map(|(_, c)| c).collect();
+        let lost: Vec<_> = expected.iter().filter(|c| !held.contains(c)).collect();
+        assert!(lost.is_empty(), "acknowledged commands were lost: {lost:?}");
+    }
+}
+
+pub(crate) fn names(name: &str, count: usize) -> Vec<String> {
+    (0..count).map(|i| format!("{name}-{i}")).collect()
+}
+
+/// Polls until the condition gives a value.
+pub(crate) async fn until<R>(what: &str, mut condition: impl FnMut() -> Option<R>) -> R {
+    let start = Instant::now();
+    while start.elapsed() < PATIENCE {
+        if let Some(value) = condition() {
+            return value;
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    panic!("no {what} within {PATIENCE:?}");
+}
+
+pub(crate) async fn until_true(what: &str, mut condition: impl FnMut() -> bool) {
+    until(what, || condition().then_some(())).await;
+}
