Add the fault proxy, the process handle and the binaries of the fakes

Integration tests need link faults and child processes that end with the test.

FaultProxy forwards TCP and drops, holds, delays, throttles, resets or refuses per direction. Process signals, captures and reaps a child. fake-engine, fake-service and fault-proxy run as processes and report their address in a file.

--- a/crates/fakes/src/engine/config.rs
+++ b/crates/fakes/src/engine/config.rs
@@ -7,7 +7,7 @@
 use shallotdrum_types::{AdapterRef, BaseModelId};
 use tokio::time::Instant;
 
-use crate::{presence::Identity, weight_store::WeightStoreModel};
+use crate::{presence::Identity, serve::merge_settings, weight_store::WeightStoreModel};
 
 /// Fixed properties of a fake engine.
 #[derive(Clone, Debug)]
@@ -123,6 +123,11 @@
 }
 
 impl EngineSettings {
+    /// These settings with those that a JSON object names overwritten.
+    pub fn merged(&self, json: &str) -> Result<Self, serde_json::Error> {
+        merge_settings(self, json.as_bytes())
+    }
+
     pub(super) fn restart_delay(&self) -> Duration {
         Duration::from_millis(self.restart_delay_ms)
     }
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -6,15 +6,19 @@
 //! Architecture Invariant: statistics and settings belong to the handle and outlive a simulated
 //! crash; everything else belongs to one incarnation and is lost with it.
 
+mod cli;
 mod clock;
 mod engine;
 mod port;
 mod presence;
+mod process;
+mod proxy;
 mod serve;
 mod service;
 mod text;
 mod weight_store;
 
+pub use cli::{wait_for_stop_signal, write_addr_file};
 pub use clock::unix_ms;
 pub use engine::{
     EngineSettings, EngineStats, FakeEngine, FakeEngineConfig, OrderRecord, Run, RunEnd, Violation,
@@ -22,6 +26,8 @@
 };
 pub use port::ReservedPort;
 pub use presence::{CrashMode, Identity, PresenceStats};
+pub use process::{Process, ProcessError};
+pub use proxy::{Direction, FaultProxy, Flow, LinkSettings, ProxySettings, ProxyStats};
 pub use service::{Execution, FakeService, FakeServiceConfig, ServiceSettings, ServiceStats};
 pub use text::{count_prompt_tokens, expected_text};
 pub use weight_store::WeightStoreModel;
--- a/crates/fakes/src/serve.rs
+++ b/crates/fakes/src/serve.rs
@@ -7,6 +7,7 @@
 use http_body_util::{BodyExt, Full, Limited, combinators::UnsyncBoxBody};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
+use serde_json::Value;
 use tokio::{net::TcpListener, task::JoinSet};
 
 /// Longest request body that is read; above any prompt in tests.
@@ -74,15 +75,23 @@
     respond(status, "application/problem+json", body.to_string())
 }
 
-/// Overwrites the settings that a JSON object names.
+/// Overwrites the settings that a JSON object names, also in nested objects.
 pub(crate) fn merge_settings<T>(current: &T, changes: &[u8]) -> Result<T, serde_json::Error>
 where
     T: serde::Serialize + serde::de::DeserializeOwned,
 {
     let mut merged = serde_json::to_value(current)?;
-    let changes: serde_json::Map<String, serde_json::Value> = serde_json::from_slice(changes)?;
-    if let Some(fields) = merged.as_object_mut() {
-        fields.extend(changes);
-    }
+    merge_values(&mut merged, serde_json::from_slice(changes)?);
     serde_json::from_value(merged)
 }
+
+fn merge_values(current: &mut Value, change: Value) {
+    match (current, change) {
+        (Value::Object(current), Value::Object(change)) => {
+            for (name, value) in change {
+                merge_values(current.entry(name).or_insert(Value::Null), value);
+            }
+        }
+        (current, change) => *current = change,
+    }
+}
--- a/crates/fakes/src/service.rs
+++ b/crates/fakes/src/service.rs
@@ -106,6 +106,13 @@
     pub incarnation: Incarnation,
 }
 
+impl ServiceSettings {
+    /// These settings with those that a JSON object names overwritten.
+    pub fn merged(&self, json: &str) -> Result<Self, serde_json::Error> {
+        merge_settings(self, json.as_bytes())
+    }
+}
+
 impl ServiceStats {
     /// Idempotency keys that took effect more than once, with the number of times.
     pub fn repeated_keys(&self) -> BTreeMap<&str, usize> {
