--- /dev/null
+++ b/crates/harness/src/caller.rs
@@ -0,0 +1,290 @@
+//! Caller that speaks the public HTTP interface with plain `hyper`.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::{Bytes, BytesMut};
+use http::{Method, Request, Response, header};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::TokioExecutor,
+};
+use serde::Deserialize;
+use serde_json::{Value, json};
+use tokio::time::Instant;
+
+/// Caller with a bearer key; clones share connections.
+#[derive(Clone)]
+pub struct Caller {
+    client: Client<HttpConnector, Full<Bytes>>,
+    key: String,
+}
+
+/// Whole answer to a model request.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// Generated text.
+    pub text: String,
+    /// Model that the response names, with its version.
+    pub model: String,
+    /// Time from sending to the first token; the whole time if not streamed.
+    pub first_token: Duration,
+    /// Times between two chunks.
+    pub gaps: Vec<Duration>,
+    /// Time from sending to the end.
+    pub total: Duration,
+}
+
+/// Answer of a plain service.
+#[derive(Clone, Debug)]
+pub struct ServiceAnswer {
+    /// HTTP status.
+    pub status: u16,
+    /// Response headers.
+    pub headers: http::HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// Problem document.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+pub struct Problem {
+    /// Type URI, which ends in the error's code.
+    #[serde(rename = "type")]
+    pub kind: String,
+    /// HTTP status.
+    pub status: u16,
+    /// `answered`, `not-run` or `unknown`.
+    pub outcome: String,
+    /// Explanation.
+    #[serde(default)]
+    pub detail: String,
+    /// Value of the header `Retry-After`, in seconds.
+    #[serde(skip)]
+    pub retry_after: Option<u64>,
+}
+
+/// Why a request got no whole answer.
+#[derive(Clone, Debug, thiserror::Error)]
+pub enum CallerError {
+    /// The instance answered with a problem document, or sent one in the stream.
+    #[error("{} ({}): {}", .0.kind, .0.outcome, .0.detail)]
+    Problem(Problem),
+    /// The connection could not be opened.
+    #[error("cannot connect: {0}")]
+    Connect(String),
+    /// The connection broke, or the answer ended without its end marker.
+    #[error("the answer broke off: {0}")]
+    Broken(String),
+}
+
+impl CallerError {
+    /// Code of the problem, if there is one.
+    pub fn code(&self) -> Option<&str> {
+        match self {
+            Self::Problem(problem) => problem.kind.rsplit(':').next(),
+            Self::Connect(_) | Self::Broken(_) => None,
+        }
+    }
+
+    /// Whether the request was certainly not run.
+    pub fn is_not_run(&self) -> bool {
+        match self {
+            Self::Problem(problem) => problem.outcome == "not-run",
+            Self::Connect(_) => true,
+            Self::Broken(_) => false,
+        }
+    }
+}
+
+impl Caller {
+    /// Creates a caller with the given bearer key.
+    pub fn new(key: &str) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        let client = Client::builder(TokioExecutor::new()).build(connector);
+        Self { client, key: key.to_owned() }
+    }
+
+    /// The same caller with another key.
+    #[must_use]
+    pub fn with_key(&self, key: &str) -> Self {
+        Self { client: self.client.clone(), key: key.to_owned() }
+    }
+
+    /// Requests a completion, whole or as a stream.
+    pub async fn complete(
+        &self,
+        entry: SocketAddr,
+        model: &str,
+        prompt: &str,
+        max_tokens: u32,
+        stream: bool,
+    ) -> Result<Answer, CallerError> {
+        let body = json!({
+            "model": model, "prompt": prompt, "max_tokens": max_tokens, "stream": stream,
+        });
+        let start = Instant::now();
+        let res = self.post(entry, "/v1/completions", &body).await?;
+        match stream {
+            true => read_stream(res, start).await,
+            false => read_whole(res, start).await,
+        }
+    }
+
+    /// Sends a JSON body and returns the response if its status is a success.
+    pub async fn post(
+        &self,
+        entry: SocketAddr,
+        path: &str,
+        body: &Value,
+    ) -> Result<Response<Incoming>, CallerError> {
+        let req = self
+            .request(entry, Method::POST, path)
+            .header(header::CONTENT_TYPE, "application/json")
+            .body(Full::from(body.to_string()))
+            .map_err(|e| CallerError::Connect(e.to_string()))?;
+        let res = self.send(req).await?;
+        if res.status().is_success() {
+            return Ok(res);
+        }
+        Err(read_problem(res).await)
+    }
+
+    /// Calls a plain service.
+    pub async fn call(
+        &self,
+        entry: SocketAddr,
+        method: Method,
+        path: &str,
+        key: Option<&str>,
+        body: &str,
+    ) -> Result<ServiceAnswer, CallerError> {
+        let mut req = self.request(entry, method, &format!("/services{path}"));
+        if let Some(key) = key {
+            req = req.header("idempotency-key", key);
+        }
+        let req = req
+            .body(Full::from(body.to_owned()))
+            .map_err(|e| CallerError::Connect(e.to_string()))?;
+        let res = self.send(req).await?;
+        let is_problem = res
+            .headers()
+            .get(header::CONTENT_TYPE)
+            .is_some_and(|value| value == "application/problem+json");
+        if is_problem {
+            return Err(read_problem(res).await);
+        }
+        let (parts, body) = res.into_parts();
+        let body = body.collect().await.map_err(|e| CallerError::Broken(e.to_string()))?;
+        Ok(ServiceAnswer {
+            status: parts.status.as_u16(),
+            headers: parts.headers,
+            body: body.to_bytes(),
+        })
+    }
+
+    /// Sends any request; the URI is absolute.
+    pub async fn send(&self, req: Request<Full<Bytes>>) -> Result<Response<Incoming>, CallerError> {
+        self.client.request(req).await.map_err(|e| match e.is_connect() {
+            true => CallerError::Connect(e.to_string()),
+            false => CallerError::Broken(format!("{e}: {:?}", std::error::Error::source(&e))),
+        })
+    }
+
+    /// Starts a request with the caller's key.
+    pub fn request(&self, entry: SocketAddr, method: Method, path: &str) -> http::request::Builder {
+        Request::builder()
+            .method(method)
+            .uri(format!("http://{entry}{path}"))
+            .header(header::AUTHORIZATION, format!("Bearer {}", self.key))
+    }
+}
+
+async fn read_problem(res: Response<Incoming>) -> CallerError {
+    let retry_after = res
+        .headers()
+        .get(header::RETRY_AFTER)
+        .and_then(|value| value.to_str().ok()?.parse().ok());
+    let status = res.status();
+    let body = match res.into_body().collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(e) => return CallerError::Broken(e.to_string()),
+    };
+    match serde_json::from_slice::<Problem>(&body) {
+        Ok(problem) => CallerError::Problem(Problem { retry_after, ..problem }),
+        Err(_) => CallerError::Broken(format!(
+            "status {status} without a problem document: {}",
+            String::from_utf8_lossy(&body)
+        )),
+    }
+}
+
+async fn read_whole(res: Response<Incoming>, start: Instant) -> Result<Answer, CallerError> {
+    let broken = |e: &dyn std::fmt::Display| CallerError::Broken(e.to_string());
+    let body = res.into_body().collect().await.map_err(|e| broken(&e))?.to_bytes();
+    let total = start.elapsed();
+    let value: Value = serde_json::from_slice(&body).map_err(|e| broken(&e))?;
+    let text = value["choices"][0]["text"].as_str().ok_or_else(|| broken(&"no text"))?;
+    Ok(Answer {
+        text: text.to_owned(),
+        model: value["model"].as_str().unwrap_or_default().to_owned(),
+        first_token: total,
+        gaps: Vec::new(),
+        total,
+    })
+}
+
+async fn read_stream(res: Response<Incoming>, start: Instant) -> Result<Answer, CallerError> {
+    let mut body = res.into_body();
+    let mut buf = BytesMut::new();
+    let mut answer = Answer {
+        text: String::new(),
+        model: String::new(),
+        first_token: Duration::ZERO,
+        gaps: Vec::new(),
+        total: Duration::ZERO,
+    };
+    let mut last_chunk = None;
+    loop {
+        while let Some(end) = buf.iter().position(|b| *b == b'\n') {
+            let line = buf.split_to(end + 1);
+            let line = String::from_utf8_lossy(&line[..end]).into_owned();
+            let Some(data) = line.strip_prefix("data: ") else { continue };
+            if data == "[DONE]" {
+                answer.total = start.elapsed();
+                return Ok(answer);
+            }
+            let value: Value =
+                serde_json::from_str(data).map_err(|e| CallerError::Broken(e.to_string()))?;
+            if value.get("outcome").is_some() {
+                let problem = serde_json::from_value(value)
+                    .map_err(|e| CallerError::Broken(e.to_string()))?;
+                return Err(CallerError::Problem(problem));
+            }
+            if let Some(model) = value["model"].as_str() {
+                model.clone_into(&mut answer.model);
+            }
+            let Some(text) = value["choices"][0]["text"].as_str() else { continue };
+            if text.is_empty() {
+                continue;
+            }
+            answer.text.push_str(text);
+            let now = Instant::now();
+            match last_chunk.replace(now) {
+                Some(last) => answer.gaps.push(now - last),
+                None => answer.first_token = now - start,
+            }
+        }
+        match body.frame().await {
+            Some(Ok(frame)) => {
+                if let Ok(data) = frame.into_data() {
+                    buf.extend_from_slice(&data);
+                }
+            }
+            Some(Err(e)) => return Err(CallerError::Broken(e.to_string())),
+            None => return Err(CallerError::Broken("no end marker".to_owned())),
+        }
+    }
+}
