--- a/crates/consensus/tests/elections.rs
+++ b/crates/consensus/tests/elections.rs
@@ -64,9 +64,9 @@
     let node = cluster.nodes[&old].clone();
     assert!(node.read_index().await.is_ok());
     if is_frozen {
-        cluster.freeze(old)
+        cluster.freeze(old);
     } else {
-        cluster.isolate(old)
+        cluster.isolate(old);
     }
     let (read, write) = tokio::join!(node.read_index(), node.propose("lost".to_owned()));
     assert!(matches!(read, Err(ProposeError::NotLeader { .. })), "{read:?}");
--- /dev/null
+++ b/crates/consensus/tests/members.rs
@@ -0,0 +1,223 @@
+//! Bootstrap, lost folders, snapshots for replicas that lag, and membership changes.
+
+mod harness;
+
+use harness::{Cluster, Journal, id, names, until, until_true};
+use rstest::rstest;
+use shallotdrum_consensus::{CommittedTail, MembershipError, ProposeError, Role, StateMachine};
+use shallotdrum_types::LogIndex;
+
+/// Waits until the leader counts the replica's present folder as a voter, and nothing else of it.
+async fn until_votes(cluster: &Cluster, n: usize) {
+    let disk = cluster.nodes[&n].status().disk;
+    until_true("a voting replica", || {
+        let statuses = cluster.nodes.values().map(|node| node.status());
+        let Some(leader) = statuses.into_iter().find(|s| s.role == Role::Leader) else {
+            return false;
+        };
+        let members = leader.members.unwrap();
+        let own: Vec<_> = members.members().filter(|m| m.id == id(n)).collect();
+        own.len() == 1 && own[0].disk == disk && members.voters.contains(own[0])
+    })
+    .await;
+}
+
+/// Guards against a replica with an empty folder that votes under its predecessor's identity and
+/// so elects a leader without the acknowledged commands; and against a repair that leaves the
+/// commands on too few disks for the next loss.
+#[rstest]
+#[case::from_log(10_000)]
+#[case::from_snapshot(5)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn empty_folder_learns_before_it_votes(#[case] snapshot_every: u64) {
+    let mut cluster = Cluster::new(3);
+    (cluster.snapshot_every, cluster.retain_entries) = (snapshot_every, 2);
+    cluster.start_all().await;
+    cluster.propose("start").await;
+    // Replica 2 misses the commands; with an empty replica 3 it must not form a quorum.
+    cluster.stop(2).await;
+    cluster.propose_many("a", 20).await;
+    cluster.stop(1).await;
+    cluster.stop(3).await;
+    cluster.wipe(3);
+    cluster.start(2).await;
+    cluster.start(3).await;
+    let before = cluster.calls(2, 3);
+    until_true("six requests for votes", || cluster.calls(2, 3) >= before + 6).await;
+    assert!(cluster.nodes.values().all(|n| n.status().leader.is_none()), "empty replica voted");
+
+    cluster.start(1).await;
+    until_votes(&cluster, 3).await;
+    // The disk of another holder of the commands is lost right after the repair.
+    cluster.check_converged(&names("a", 20)).await;
+    cluster.stop(1).await;
+    cluster.wipe(1);
+    cluster.propose("b-0").await;
+    cluster.start(1).await;
+    until_votes(&cluster, 1).await;
+    cluster.check_converged(&[names("a", 20), names("b", 1)].concat()).await;
+}
+
+/// Guards against a second cluster, formed by the first initial member after it lost its folder
+/// while the others were down or cut off.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn lost_folder_forms_no_second_cluster() {
+    let mut cluster = Cluster::started(3).await;
+    cluster.propose("a-0").await;
+    cluster.check_converged(&names("a", 1)).await;
+    for n in 1..=3 {
+        cluster.stop(n).await;
+    }
+    cluster.wipe(1);
+    cluster.start(1).await;
+    cluster.start(2).await;
+    until_true("probes", || cluster.calls(1, 2) >= 5 && cluster.calls(1, 3) >= 5).await;
+    assert_eq!(cluster.nodes[&1].status().members, None);
+    assert_eq!(cluster.nodes[&2].status().leader, None);
+    cluster.start(3).await;
+    until_votes(&cluster, 1).await;
+    cluster.check_converged(&names("a", 1)).await;
+}
+
+/// Guards against a bootstrap by a part of the initial members.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn bootstrap_waits_for_all() {
+    let mut cluster = Cluster::new(3);
+    cluster.start(1).await;
+    cluster.start(2).await;
+    let before = cluster.calls(1, 2);
+    until_true("probes", || cluster.calls(1, 2) >= before + 5).await;
+    assert!(cluster.nodes.values().all(|n| n.status().members.is_none()));
+    cluster.start(3).await;
+    cluster.propose("a-0").await;
+    cluster.check_converged(&names("a", 1)).await;
+}
+
+/// Guards against a replica that can't catch up once the log is compacted, or only through
+/// snapshots that fit one message.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn snapshot_reaches_replica_behind_log() {
+    let mut cluster = Cluster::new(3);
+    (cluster.snapshot_every, cluster.retain_entries) = (10, 3);
+    cluster.start_all().await;
+    cluster.propose("start").await;
+    let behind = (1..=3).find(|&n| id(n) != leader_id(&cluster)).unwrap();
+    cluster.stop(behind).await;
+    // Each chunk holds 256 KiB.
+    let large = "x".repeat(100 << 10);
+    let commands: Vec<_> = (0..30).map(|i| format!("{large}-{i}")).collect();
+    for command in &commands {
+        cluster.propose(command).await;
+    }
+    cluster.start(behind).await;
+    cluster.check_converged(&commands).await;
+    let status = cluster.nodes[&behind].status();
+    assert!(status.snapshot_index > LogIndex(10), "no snapshot arrived: {status:?}");
+    // The received snapshot must survive a restart.
+    cluster.stop(behind).await;
+    cluster.start(behind).await;
+    cluster.check_converged(&commands).await;
+}
+
+fn leader_id(cluster: &Cluster) -> shallotdrum_types::InstanceId {
+    let mut leaders = cluster.nodes.values().filter_map(|n| n.status().leader);
+    leaders.next().expect("a leader is known")
+}
+
+/// Guards against an added replica that votes before it holds the log, a removed one that still
+/// counts, and changes at a replica that doesn't lead.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn replicas_are_added_and_removed() {
+    let mut cluster = Cluster::started(3).await;
+    cluster.propose_many("a", 10).await;
+    let leader = cluster.nodes[&cluster.leader().await].clone();
+    let missing = leader.add_replica(id(4)).await;
+    assert!(matches!(missing, Err(MembershipError::Unreachable { .. })), "{missing:?}");
+    cluster.start(4).await;
+    assert_eq!(cluster.nodes[&4].status().role, Role::Learner);
+    leader.add_replica(id(4)).await.unwrap();
+    let again = leader.add_replica(id(4)).await;
+    assert_eq!(again, Err(MembershipError::AlreadyMember { id: id(4) }));
+    until_votes(&cluster, 4).await;
+    cluster.check_converged(&names("a", 10)).await;
+
+    let follower = (1..=3).find(|&n| id(n) != leader_id(&cluster)).unwrap();
+    let refused = cluster.nodes[&follower].remove_replica(id(1)).await;
+    assert!(matches!(refused, Err(MembershipError::NotLeader { .. })), "{refused:?}");
+    leader.remove_replica(id(follower)).await.unwrap();
+    let unknown = leader.remove_replica(id(follower)).await;
+    assert_eq!(unknown, Err(MembershipError::NotMember { id: id(follower) }));
+    cluster.stop(follower).await;
+
+    // Three voters remain; the cluster must survive the loss of the leader, and the leader's own
+    // removal.
+    let old = cluster.leader().await;
+    cluster.stop(old).await;
+    cluster.propose("b-0").await;
+    cluster.start(old).await;
+    let leader = cluster.leader().await;
+    cluster.nodes[&leader].remove_replica(id(leader)).await.unwrap();
+    until_true("another leader", || cluster.nodes[&leader].status().role != Role::Leader).await;
+    cluster.stop(leader).await;
+    cluster.propose("c-0").await;
+    cluster.check_converged(&[names("a", 10), names("b", 1), names("c", 1)].concat()).await;
+}
+
+/// Guards against a removal that leaves no replica.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn last_replica_stays() {
+    let cluster = Cluster::started(1).await;
+    cluster.propose("a-0").await;
+    let result = cluster.nodes[&1].remove_replica(id(1)).await;
+    assert_eq!(result, Err(MembershipError::LastVoter { id: id(1) }));
+    cluster.propose("b-0").await;
+}
+
+/// Guards against followers that miss or repeat commands while the log is compacted.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn committed_tail_is_complete() {
+    let mut cluster = Cluster::new(1);
+    (cluster.snapshot_every, cluster.retain_entries) = (10, 5);
+    cluster.start_all().await;
+    cluster.propose_many("a", 34).await;
+    let node = &cluster.nodes[&1];
+    until("a compacted log", || (node.status().first_index > LogIndex(20)).then_some(())).await;
+
+    let mut copy = Journal::default();
+    let mut at = LogIndex(0);
+    let mut snapshots = 0;
+    while at < node.status().applied {
+        at = match node.committed_after(at, 64) {
+            CommittedTail::Snapshot { index, bytes } => {
+                copy.restore(&bytes).unwrap();
+                snapshots += 1;
+                index
+            }
+            CommittedTail::Entries { entries, last } => {
+                assert!(last > at, "no progress after {at}");
+                for (index, command) in entries {
+                    copy.apply(index, command);
+                }
+                last
+            }
+        };
+    }
+    assert_eq!(snapshots, 1);
+    assert_eq!(copy.commands, cluster.commands(1));
+    assert!(matches!(
+        node.committed_after(LogIndex(1000), 64),
+        CommittedTail::Entries { entries, last: LogIndex(1000) } if entries.is_empty()
+    ));
+}
+
+/// Guards against a follower that accepts proposals, and against a wrong hint to the leader.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn follower_names_leader() {
+    let cluster = Cluster::started(3).await;
+    cluster.propose("a-0").await;
+    cluster.check_converged(&names("a", 1)).await;
+    let leader = cluster.leader().await;
+    let follower = (1..=3).find(|&n| n != leader).unwrap();
+    let result = cluster.nodes[&follower].propose("b".to_owned()).await;
+    assert_eq!(result, Err(ProposeError::NotLeader { leader: Some(id(leader)) }));
+}
