--- a/crates/consensus/src/node/snapshots.rs
+++ b/crates/consensus/src/node/snapshots.rs
@@ -45,8 +45,9 @@
                 shared.adopt(&mut core, snapshot);
             }
         });
-        // A panic of the state machine was reported by the runtime; the next batch tries again.
-        let _ = task.await;
+        if task.await.is_err() {
+            self.fail(FatalError::Panicked { task: "snapshot" });
+        }
     }
 
     /// Stores a received snapshot and hands it to the apply task.
