--- /dev/null
+++ b/crates/scheduler/benches/policies.rs
@@ -0,0 +1,3 @@
+//! Comparison of the policies.
+
+fn main() {}
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -1,1 +1,25 @@
-//! Placeholder.
+//! The owner's decisions for one target group: queueing, fairness, batching, adapter loads,
+//! eviction and target choice.
+//!
+//! [`GroupScheduler`] keeps all state of the group behind one mutex. Each change is followed by a
+//! dispatch pass whose cost does not depend on the number of adapters.
+//!
+//! Architecture Invariant: an adapter with admitted or possibly running requests is never named
+//! as the victim of a load order, and the slots in use never exceed the engine's adapter slots.
+
+mod api;
+mod fair;
+mod group;
+mod measure;
+mod slots;
+mod snapshot;
+mod state;
+mod table;
+mod target;
+
+pub use api::{
+    Finish, Job, LoadFailure, LoadFn, LoadOrder, MAX_REQUEST_DEADLINE, Policy, SchedulerConfig,
+    TargetSpec, Work,
+};
+pub use group::{GroupScheduler, Lease};
+pub use snapshot::{GroupSnapshot, SubscriberQueue, TargetSnapshot};
--- /dev/null
+++ b/crates/scheduler/src/state/admission.rs
@@ -0,0 +1,329 @@
+//! Bounds of the queue and refusal of requests that would miss their deadline.
+
+use std::time::Duration;
+
+use shallotdrum_engine::Priority;
+use shallotdrum_types::{RequestError, RequestErrorKind, SubscriberId};
+use tokio::{sync::oneshot, time::Instant};
+
+use super::{Adapter, Grant, Lane, Queued, State, SubKey};
+use crate::{
+    api::{Job, MAX_REQUEST_DEADLINE, Policy, Work},
+    fair::{Account, Cost, Seq},
+    slots::AdapterKey,
+    target::Target,
+};
+
+/// Receives the place in a target's batch, or the refusal.
+pub(crate) type GrantRx = oneshot::Receiver<Result<Grant, RequestError>>;
+
+/// Load interval assumed before loads were observed; the smaller store grants 2 to 3 a second.
+const INITIAL_LOAD_INTERVAL_SECS: f64 = 0.4;
+/// Time that an adapter load takes at least.
+const LOAD_SECS: f64 = 0.25;
+/// Shortest advice for a retry; callers that retry faster only add load.
+const MIN_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Longest advice for a retry, so that callers notice when an overload ends.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(60);
+/// An answer takes at least about this long; a request with less time left is not started.
+const MIN_RUN_TIME: Duration = Duration::from_millis(20);
+/// Lead over virtual time, in tokens, that lowers the priority by one step.
+const PRIORITY_STEP_TOKENS: f64 = 500.0;
+/// Priority of a request within its subscriber's share; leaves room above for others.
+const USUAL_PRIORITY: u8 = 64;
+
+impl State {
+    /// Queues a request, or refuses it at once.
+    pub(crate) fn enqueue(
+        &mut self,
+        work: Work,
+        now: Instant,
+    ) -> Result<(Seq, Instant, GrantRx), RequestError> {
+        if let Some(error) = &self.closed {
+            return Err(error.clone());
+        }
+        if let Err(error) = self.check(&work, now) {
+            self.stats.refused += 1;
+            return Err(error);
+        }
+        let sub = self.account(&work.subscriber, &work);
+        let account = &mut self.subs[sub];
+        account.weight = work.weight.get();
+        let (cost, prompt_tokens) = match &work.job {
+            Job::Completion { prompt_tokens, max_tokens, .. } => {
+                let expected = account.expected_completion(*max_tokens);
+                (Cost::tokens(*prompt_tokens, expected), *prompt_tokens)
+            }
+            Job::Service => (Cost::SERVICE, 0),
+        };
+        let tag = self.clock.enqueue(account, cost);
+        let steps = (self.clock.lead(tag) / PRIORITY_STEP_TOKENS).min(127.0) as u8;
+        let seq = self.next_seq;
+        self.next_seq += 1;
+        let (adapter, prefixes) = match work.job {
+            Job::Completion { adapter, source, prompt_prefix_hashes, .. } => {
+                let key = self.adapters.key_or_insert_with(&adapter, || Adapter::new(now));
+                let row = &mut self.adapters[key];
+                row.source = Some(source);
+                row.users += 1;
+                row.demand.add(1.0, now);
+                (Some(key), prompt_prefix_hashes)
+            }
+            Job::Service => (None, Vec::new()),
+        };
+        let is_special = work.is_suspect || !work.avoid.is_empty();
+        let lane = match (self.cfg.policy, adapter) {
+            (Policy::Baseline, _) => Lane::Assigned(None),
+            (Policy::Adaptive, _) if is_special => Lane::Special,
+            (Policy::Adaptive, Some(adapter)) => Lane::Adapter(adapter),
+            (Policy::Adaptive, None) => Lane::Service,
+        };
+        let give_up_at = work.deadline - MIN_RUN_TIME.min(work.deadline - now);
+        let (tx, rx) = oneshot::channel();
+        let queued = Queued {
+            sub,
+            adapter,
+            lane,
+            tag,
+            cost,
+            prompt_tokens,
+            prefixes,
+            queued_at: now,
+            give_up_at,
+            is_suspect: work.is_suspect,
+            avoid: work.avoid,
+            priority: Priority(USUAL_PRIORITY + steps),
+            tx,
+        };
+        self.queued.insert(seq, queued);
+        let account = &mut self.subs[sub];
+        self.longest.remove(&(account.queued.len(), sub));
+        account.queued.insert(seq);
+        self.longest.insert((account.queued.len(), sub));
+        self.join_lane(seq, lane, now);
+        Ok((seq, give_up_at, rx))
+    }
+
+    fn join_lane(&mut self, seq: Seq, lane: Lane, now: Instant) {
+        let tag = self.queued[&seq].tag;
+        match lane {
+            Lane::Adapter(key) => {
+                self.adapters[key].queue.insert((tag, seq));
+                self.waiting.insert(key);
+                self.dispatch_adapter(key, now);
+            }
+            Lane::Service => {
+                self.services.insert((tag, seq));
+                self.dispatch_services(now);
+            }
+            Lane::Special => {
+                self.special.insert((tag, seq));
+                self.dispatch_special(now);
+            }
+            Lane::Assigned(_) => {
+                self.unassigned.push_back(seq);
+                self.assign(seq, now);
+            }
+        }
+        self.plan(now);
+    }
+
+    fn account(&mut self, id: &SubscriberId, work: &Work) -> SubKey {
+        self.subs.key_or_insert_with(id, || Account::new(work.weight))
+    }
+
+    /// Checks bounds and deadline before a request is queued.
+    fn check(&mut self, work: &Work, now: Instant) -> Result<(), RequestError> {
+        if work.deadline <= now {
+            let detail = format!("the deadline of request {} has passed", work.request);
+            return Err(RequestError::not_run(RequestErrorKind::DeadlineExceeded, detail));
+        }
+        let is_completion = matches!(work.job, Job::Completion { .. });
+        let can_serve = self
+            .targets
+            .values()
+            .any(|target| !target.is_draining && target.is_engine() == is_completion);
+        if !can_serve {
+            let detail = "no target of the group takes requests; retry later";
+            return Err(RequestError::not_run(RequestErrorKind::NoTarget, detail)
+                .retry_after(MIN_RETRY_AFTER));
+        }
+        self.check_limits(work, now)?;
+        let wait = self.expected_wait(work, now);
+        if now + wait > work.deadline {
+            let detail = format!(
+                "the expected wait of {:.1} s exceeds the deadline; retry later",
+                wait.as_secs_f64()
+            );
+            return Err(RequestError::not_run(RequestErrorKind::Overloaded, detail)
+                .retry_after(retry_after(wait)));
+        }
+        if self.queued.len() >= self.cfg.max_queued {
+            self.make_room(work, now)?;
+        }
+        Ok(())
+    }
+
+    fn check_limits(&self, work: &Work, now: Instant) -> Result<(), RequestError> {
+        let Some(sub) = self.subs.key(&work.subscriber) else { return Ok(()) };
+        let account = &self.subs[sub];
+        let is_full = account.queued.len() >= self.cfg.max_queued_per_subscriber;
+        let in_use = account.queued.len() + account.running as usize;
+        let exceeds = work.max_concurrent.is_some_and(|max| in_use >= max as usize);
+        if !is_full && !exceeds {
+            return Ok(());
+        }
+        let detail = if is_full {
+            format!("{} requests of the subscriber are queued; retry later", account.queued.len())
+        } else {
+            format!("{in_use} requests of the subscriber are in progress; retry later")
+        };
+        let wait = self.queue_wait(sub, None, now);
+        Err(RequestError::not_run(RequestErrorKind::RateLimited, detail)
+            .retry_after(retry_after(wait)))
+    }
+
+    /// Makes room in a full queue by refusing the newest request of the longest queue.
+    fn make_room(&mut self, work: &Work, now: Instant) -> Result<(), RequestError> {
+        let own = self.subs.key(&work.subscriber).map_or(0, |sub| self.subs[sub].queued.len());
+        let longest = self.longest.last().copied().filter(|(len, _)| *len > own + 1);
+        let newest = longest.and_then(|(_, sub)| self.subs[sub].queued.last().copied());
+        let (sub, victim) = match (longest, newest) {
+            (Some((_, sub)), Some(victim)) => (Some(sub), Some(victim)),
+            _ => (self.subs.key(&work.subscriber), None),
+        };
+        let wait = sub.map_or(MIN_RETRY_AFTER, |sub| self.queue_wait(sub, None, now));
+        let detail = format!("{} requests are queued in the group; retry later", self.queued.len());
+        let error = RequestError::not_run(RequestErrorKind::Overloaded, detail)
+            .retry_after(retry_after(wait));
+        let Some(victim) = victim else { return Err(error) };
+        self.fail(victim, error);
+        Ok(())
+    }
+
+    /// Requests that are admitted before a new one of the subscriber, at its fair share.
+    fn requests_ahead(&self, sub: SubKey) -> f64 {
+        let account = &self.subs[sub];
+        let share = account.weight / self.active_weight(sub);
+        (account.queued.len() as f64 / share).min(self.queued.len() as f64)
+    }
+
+    /// Sum of the weights of this subscriber and of those with queued requests.
+    fn active_weight(&self, sub: SubKey) -> f64 {
+        // Bounds the cost; the subscribers with the longest queues take most of the capacity.
+        const MAX_SUBSCRIBERS: usize = 64;
+        let others = self.longest.iter().rev().take(MAX_SUBSCRIBERS);
+        let others = others.filter(|(_, other)| *other != sub);
+        self.subs[sub].weight + others.map(|(_, other)| self.subs[*other].weight).sum::<f64>()
+    }
+
+    /// Time in which this many requests are admitted to these targets.
+    fn drain_time<'a>(
+        &self,
+        requests: f64,
+        targets: impl Iterator<Item = &'a Target>,
+        now: Instant,
+    ) -> Duration {
+        let active = targets.filter(|target| target.is_active(now));
+        let places: u32 = active.map(Target::capacity).sum();
+        let secs = self.service_secs.get().unwrap_or(0.0);
+        let wait = requests * secs / f64::from(places.max(1));
+        Duration::from_secs_f64(wait.min(2.0 * MAX_REQUEST_DEADLINE.as_secs_f64()))
+    }
+
+    /// Time until a new request of the subscriber finds a place in a batch.
+    fn queue_wait(&self, sub: SubKey, adapter: Option<AdapterKey>, now: Instant) -> Duration {
+        let ahead = self.requests_ahead(sub);
+        let wait = self.drain_time(ahead, self.targets.values(), now);
+        let Some(adapter) = adapter.map(|key| &self.adapters[key]) else { return wait };
+        if adapter.holders.is_empty() {
+            return wait;
+        }
+        // Only the holders serve the adapter's own queue.
+        let ahead = ahead.min(adapter.queue.len() as f64);
+        let holders = adapter.holders.iter().map(|key| &self.targets[key]);
+        wait.max(self.drain_time(ahead, holders, now))
+    }
+
+    /// Time until the request would be admitted.
+    fn expected_wait(&self, work: &Work, now: Instant) -> Duration {
+        let adapter = match &work.job {
+            Job::Completion { adapter, .. } => self.adapters.key(adapter),
+            Job::Service => None,
+        };
+        let sub = self.subs.key(&work.subscriber);
+        let queue_wait = match sub {
+            Some(sub) if !self.subs[sub].queued.is_empty() => self.queue_wait(sub, adapter, now),
+            _ => Duration::ZERO,
+        };
+        match &work.job {
+            Job::Service => queue_wait,
+            Job::Completion { .. } => queue_wait.max(self.load_wait(sub, adapter, now)),
+        }
+    }
+
+    /// Time until the adapter can serve somewhere.
+    fn load_wait(
+        &self,
+        sub: Option<SubKey>,
+        adapter: Option<AdapterKey>,
+        now: Instant,
+    ) -> Duration {
+        let mut backoff = Duration::ZERO;
+        if let Some(adapter) = adapter.map(|key| &self.adapters[key]) {
+            if !adapter.holders.is_empty() {
+                return Duration::ZERO;
+            }
+            if !adapter.loading.is_empty() {
+                return Duration::from_secs_f64(LOAD_SECS);
+            }
+            backoff = adapter.retry_at.saturating_duration_since(now);
+        }
+        if self.cfg.policy == Policy::Baseline {
+            return backoff;
+        }
+        // The planner weights adapters by fair share, so a light subscriber is ahead of most.
+        let share = sub.map_or(1.0, |sub| self.fair_share(self.subs[sub].last_finish));
+        let ahead = (self.starved_share / share).min(self.starved.min(self.waiting.len()) as f64);
+        let interval = self.load_interval.get().unwrap_or(INITIAL_LOAD_INTERVAL_SECS);
+        backoff.max(Duration::from_secs_f64(LOAD_SECS + interval * ahead))
+    }
+
+    /// Fails the requests of an adapter that can't be loaded before their deadlines.
+    pub(super) fn fail_hopeless(&mut self, adapter: AdapterKey, now: Instant) {
+        let retry_at = self.adapters[adapter].retry_at;
+        let is_hopeless = |queued: &Queued| queued.give_up_at < retry_at;
+        let hopeless: Vec<Seq> = self.adapters[adapter]
+            .queue
+            .iter()
+            .map(|(_, seq)| *seq)
+            .filter(|seq| self.queued.get(seq).is_some_and(is_hopeless))
+            .collect();
+        let detail = format!(
+            "loading adapter {} failed {} times; retry later",
+            self.adapters.name(adapter),
+            self.adapters[adapter].failures
+        );
+        for seq in hopeless {
+            let error = RequestError::not_run(RequestErrorKind::LoadFailed, &detail)
+                .retry_after(retry_after(retry_at.saturating_duration_since(now)));
+            self.fail(seq, error);
+        }
+    }
+
+    /// Error for a request whose time ran out in the queue.
+    pub(crate) fn expired(&mut self, seq: Seq, now: Instant) -> RequestError {
+        let sub = self.queued.get(&seq).map(|queued| queued.sub);
+        let wait = sub.map_or(MIN_RETRY_AFTER, |sub| self.queue_wait(sub, None, now));
+        self.stats.refused += 1;
+        let detail = "the request could not be started before its deadline; retry later";
+        RequestError::not_run(RequestErrorKind::DeadlineExceeded, detail)
+            .retry_after(retry_after(wait))
+    }
+}
+
+/// Advice for a retry in whole seconds, within bounds.
+fn retry_after(wait: Duration) -> Duration {
+    let secs = wait.as_secs_f64().ceil();
+    Duration::from_secs_f64(secs).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
+}
--- /dev/null
+++ b/crates/scheduler/src/state/loads.rs
@@ -0,0 +1,181 @@
+//! Start and end of adapter loads, with back-off after failures.
+
+use std::time::Duration;
+
+use rand::RngExt;
+use shallotdrum_engine::OrderRefusal;
+use tokio::time::Instant;
+
+use super::State;
+use crate::{
+    api::{LoadFailure, LoadOrder, Policy},
+    fair::{Cost, Seq},
+    slots::{AdapterKey, Change, OrderEnd},
+    target::TargetKey,
+};
+
+/// First back-off after a failed load; about the time of one load.
+const FIRST_BACKOFF: Duration = Duration::from_millis(250);
+/// A failing adapter is tried again at least this often.
+const MAX_BACKOFF: Duration = Duration::from_secs(30);
+/// Pause after a lacking permit; the store grants 2 to 3 a second.
+const PERMIT_BACKOFF: Duration = Duration::from_millis(100);
+/// Pause after the target refused an order as outdated; ownership is probably lost by then.
+const FENCED_BACKOFF: Duration = Duration::from_secs(5);
+/// Pause after a refusal that only a load report, sent every second, explains.
+const REPORT_BACKOFF: Duration = Duration::from_secs(1);
+
+impl State {
+    /// Orders a load on behalf of a queued request, or as a prefetch if there is none.
+    pub(super) fn start_load(
+        &mut self,
+        key: TargetKey,
+        adapter: AdapterKey,
+        victim: Option<AdapterKey>,
+        cause: Option<Seq>,
+        now: Instant,
+    ) -> bool {
+        let Some(source) = self.adapters[adapter].source.clone() else { return false };
+        let Some(target) = self.targets.get_mut(&key) else { return false };
+        if !target.slots.begin_load(adapter, victim, now) {
+            slog::error!(self.log, "load order dropped: the slot is in use";
+                "target" => %target.spec.id, "adapter" => %self.adapters.name(adapter));
+            return false;
+        }
+        let order = LoadOrder {
+            target: target.spec.id.clone(),
+            incarnation: target.spec.incarnation,
+            addr: target.spec.addr,
+            adapter: self.adapters.name(adapter).clone(),
+            source,
+            evict: victim.map(|victim| self.adapters.name(victim).clone()),
+        };
+        if let Some(victim) = victim {
+            self.stats.evictions += 1;
+            self.lose_holder(key, victim);
+        }
+        self.adapters[adapter].loading.push(key);
+        self.in_flight.insert((key, adapter));
+        self.stats.loads += 1;
+        if let Some(cause) = cause.and_then(|seq| self.queued.get(&seq)) {
+            self.subs[cause.sub].charge(Cost::LOAD);
+        }
+        self.orders.push((key, adapter, order));
+        true
+    }
+
+    /// Takes the result of a load.
+    pub(crate) fn load_done(
+        &mut self,
+        key: TargetKey,
+        adapter: AdapterKey,
+        result: &Result<(), LoadFailure>,
+        now: Instant,
+    ) {
+        // The target may have been removed or restarted meanwhile.
+        if !self.in_flight.remove(&(key, adapter)) {
+            return;
+        }
+        self.adapters[adapter].loading.retain(|other| *other != key);
+        let end = match result {
+            Ok(()) => OrderEnd::Loaded,
+            Err(LoadFailure::NoPermit) => OrderEnd::NotCarriedOut,
+            Err(LoadFailure::Refused(OrderRefusal::OldEpoch { .. })) => OrderEnd::NotCarriedOut,
+            Err(LoadFailure::Refused(OrderRefusal::AdapterBusy)) => OrderEnd::VictimBusy,
+            Err(LoadFailure::Refused(OrderRefusal::NoFreeSlot)) => OrderEnd::Unknown,
+            Err(LoadFailure::Refused(OrderRefusal::LoadFailed { .. }) | LoadFailure::Failed) => {
+                OrderEnd::Failed
+            }
+            Err(LoadFailure::Unknown) => OrderEnd::Unknown,
+        };
+        let change =
+            self.targets.get_mut(&key).and_then(|target| target.slots.end_load(adapter, end, now));
+        self.back_off(key, adapter, result, now);
+        if end == OrderEnd::Loaded {
+            self.loaded(key, adapter, now);
+        }
+        if let Some(change) = change {
+            self.apply(key, change, now);
+        }
+        self.fill_target(key, now);
+    }
+
+    fn loaded(&mut self, key: TargetKey, adapter: AdapterKey, now: Instant) {
+        let row = &mut self.adapters[adapter];
+        row.failures = 0;
+        row.failed_on.retain(|(target, _)| *target != key);
+        if let Some(last) = self.last_load_end.replace(now) {
+            // Longer gaps are idle time of the store, not its speed.
+            let secs = (now - last).as_secs_f64();
+            if secs < 2.0 {
+                self.load_interval.add(secs);
+            }
+        }
+    }
+
+    fn back_off(
+        &mut self,
+        key: TargetKey,
+        adapter: AdapterKey,
+        result: &Result<(), LoadFailure>,
+        now: Instant,
+    ) {
+        let Err(failure) = result else { return };
+        // Jitter keeps retries of several owners apart.
+        let jitter = 0.5 + self.rng.random::<f64>();
+        let Some(target) = self.targets.get_mut(&key) else { return };
+        slog::info!(self.log, "adapter load failed";
+            "target" => %target.spec.id, "adapter" => %self.adapters.name(adapter),
+            "reason" => %failure);
+        self.stats.failed_loads += 1;
+        let row = &mut self.adapters[adapter];
+        match failure {
+            LoadFailure::NoPermit => {
+                self.next_plan_at = now + PERMIT_BACKOFF.mul_f64(jitter);
+                target.orders_resume_at = self.next_plan_at;
+            }
+            LoadFailure::Refused(OrderRefusal::OldEpoch { .. }) => {
+                target.orders_resume_at = now + FENCED_BACKOFF;
+            }
+            LoadFailure::Refused(OrderRefusal::AdapterBusy | OrderRefusal::NoFreeSlot) => {
+                target.orders_resume_at = now + REPORT_BACKOFF;
+            }
+            LoadFailure::Refused(OrderRefusal::LoadFailed { .. })
+            | LoadFailure::Failed
+            | LoadFailure::Unknown => {
+                let backoff = FIRST_BACKOFF * 2_u32.pow(row.failures.min(10));
+                row.failures += 1;
+                row.retry_at = now + backoff.min(MAX_BACKOFF).mul_f64(jitter);
+                row.failed_on.retain(|(target, _)| *target != key);
+                row.failed_on.push((key, now));
+                if self.cfg.policy == Policy::Adaptive {
+                    self.fail_hopeless(adapter, now);
+                }
+            }
+        }
+    }
+
+    /// Takes note of a change of what a target can serve.
+    pub(super) fn apply(&mut self, key: TargetKey, change: Change, now: Instant) {
+        match change {
+            Change::Ready(adapter) => {
+                let row = &mut self.adapters[adapter];
+                if !row.holders.contains(&key) {
+                    row.holders.push(key);
+                }
+                row.available_since.get_or_insert(now);
+                self.dispatch_adapter(adapter, now);
+            }
+            Change::Gone(adapter) => self.lose_holder(key, adapter),
+        }
+    }
+
+    pub(super) fn lose_holder(&mut self, key: TargetKey, adapter: AdapterKey) {
+        let row = &mut self.adapters[adapter];
+        row.holders.retain(|holder| *holder != key);
+        if row.holders.is_empty() {
+            row.available_since = None;
+            row.blocked_since = None;
+        }
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/state/membership.rs
@@ -0,0 +1,203 @@
+//! Targets of the group, their load reports and periodic upkeep.
+
+use std::{collections::HashSet, time::Duration};
+
+use shallotdrum_engine::LoadReport;
+use shallotdrum_types::{Incarnation, RequestError, RequestErrorKind, TargetId};
+use tokio::time::Instant;
+
+use super::{Adapter, State};
+use crate::{
+    api::TargetSpec,
+    fair::Seq,
+    slots::{AdapterKey, Reported},
+    target::{Health, Target},
+};
+
+/// Queued requests outlast a restart of the only target that is shorter than this.
+const NO_TARGET_GRACE: Duration = Duration::from_secs(3);
+/// Upkeep that need not follow each event: speeds, pins, unused rows.
+const UPKEEP_INTERVAL: Duration = Duration::from_secs(1);
+/// Rows of adapters or subscribers from which unused ones are removed.
+const MAX_UNUSED_ROWS: usize = 8192;
+/// Demand, in requests, below which an unused adapter is forgotten.
+const FORGOTTEN_DEMAND: f64 = 0.01;
+/// A target this much slower than the median is as unattractive as it gets.
+const MAX_SLOWNESS: f64 = 4.0;
+
+impl State {
+    /// Adds a target or updates it; a new incarnation starts with nothing loaded.
+    pub(crate) fn upsert_target(&mut self, spec: TargetSpec, now: Instant) {
+        let known = self.target_keys.get(&spec.id).copied();
+        let mut health = Health::default();
+        let mut is_draining = false;
+        if let Some(target) = known.and_then(|key| self.targets.get_mut(&key)) {
+            if spec.incarnation < target.spec.incarnation {
+                return;
+            }
+            if spec.incarnation == target.spec.incarnation && spec.kind == target.spec.kind {
+                target.spec = spec;
+                return;
+            }
+            health = target.health.clone();
+            is_draining = target.is_draining && spec.incarnation == target.spec.incarnation;
+            let id = spec.id.clone();
+            self.remove_target(&id, now);
+        }
+        let key = self.next_target;
+        self.next_target += 1;
+        self.target_keys.insert(spec.id.clone(), key);
+        let mut target = Target::new(spec, health, now);
+        target.is_draining = is_draining;
+        self.targets.insert(key, target);
+        self.without_target_since = None;
+        self.assign_all(now);
+        self.fill_target(key, now);
+    }
+
+    /// Removes a target; admitted requests keep their leases.
+    pub(crate) fn remove_target(&mut self, id: &TargetId, now: Instant) {
+        let Some(key) = self.target_keys.remove(id) else { return };
+        self.reassign(key, now);
+        let Some(target) = self.targets.remove(&key) else { return };
+        for slot in &target.slots.slots {
+            self.lose_holder(key, slot.adapter);
+            self.adapters[slot.adapter].loading.retain(|other| *other != key);
+            self.in_flight.remove(&(key, slot.adapter));
+        }
+        if self.targets.is_empty() {
+            self.without_target_since = Some(now);
+        }
+        self.plan(now);
+    }
+
+    /// Stops or resumes the admission of requests to a target.
+    pub(crate) fn set_draining(&mut self, id: &TargetId, is_draining: bool, now: Instant) {
+        let Some(key) = self.target_keys.get(id).copied() else { return };
+        let Some(target) = self.targets.get_mut(&key) else { return };
+        target.is_draining = is_draining;
+        if is_draining {
+            target.reserved = None;
+            self.reassign(key, now);
+            self.dispatch_special(now);
+            self.plan(now);
+        } else {
+            self.assign_all(now);
+            self.fill_target(key, now);
+        }
+    }
+
+    /// Takes a load report of one incarnation of a target.
+    pub(crate) fn report(
+        &mut self,
+        id: &TargetId,
+        incarnation: Incarnation,
+        report: &LoadReport,
+        now: Instant,
+    ) {
+        let Some(key) = self.target_keys.get(id).copied() else { return };
+        let reported: Vec<Reported> = report
+            .adapters
+            .iter()
+            .map(|status| Reported {
+                adapter: self.adapters.key_or_insert_with(&status.adapter, || Adapter::new(now)),
+                is_ready: status.ready,
+                running: status.running,
+            })
+            .collect();
+        let Some(target) = self.targets.get_mut(&key) else { return };
+        if target.spec.incarnation != incarnation {
+            return;
+        }
+        // The sample is at least this old; it may be older by the time of the report's way.
+        let age = Duration::from_millis(report.age_ms);
+        let newest = now.checked_sub(age).unwrap_or(now);
+        let oldest = newest.checked_sub(self.cfg.report_transit).unwrap_or(newest);
+        if target.sampled_at.is_some_and(|at| newest < at) {
+            return;
+        }
+        target.sampled_at = Some(newest);
+        target.reported_at = Some(now);
+        let on_target = report.running + report.queued;
+        target.foreign = on_target.saturating_sub(target.take_peak(oldest, now));
+        let changes = target.slots.merge(&reported, oldest, now);
+        for change in changes {
+            self.apply(key, change, now);
+        }
+        self.fill_target(key, now);
+    }
+
+    /// Does what is due with the passing of time; returns when to be called again.
+    pub(crate) fn tick(&mut self, now: Instant) -> Duration {
+        /// Queued requests may become admissible by the end of a pin, an ejection or a back-off.
+        const BUSY_TICK: Duration = Duration::from_millis(20);
+        /// With nothing queued, only prefetch and upkeep are due.
+        const IDLE_TICK: Duration = Duration::from_millis(500);
+
+        if self.closed.is_some() {
+            return UPKEEP_INTERVAL;
+        }
+        if now >= self.next_upkeep_at {
+            self.next_upkeep_at = now + UPKEEP_INTERVAL;
+            self.upkeep(now);
+        }
+        if !self.queued.is_empty() {
+            self.fill_all(now);
+        }
+        self.plan(now);
+        if self.queued.is_empty() { IDLE_TICK } else { BUSY_TICK }
+    }
+
+    fn upkeep(&mut self, now: Instant) {
+        self.compare_speeds();
+        self.forget_unused(now);
+        if self.without_target_since.is_some_and(|since| now >= since + NO_TARGET_GRACE) {
+            let error = RequestError::not_run(
+                RequestErrorKind::NoTarget,
+                "the last target of the group left; retry later",
+            )
+            .retry_after(UPKEEP_INTERVAL);
+            let seqs: Vec<Seq> = self.queued.keys().copied().collect();
+            for seq in seqs {
+                self.fail(seq, error.clone());
+            }
+        }
+    }
+
+    /// Compares the targets' speeds with the median of the group.
+    fn compare_speeds(&mut self) {
+        let mut speeds: Vec<f64> =
+            self.targets.values().filter_map(|target| target.health.secs_per_token.get()).collect();
+        speeds.sort_by(f64::total_cmp);
+        let Some(median) = speeds.get(speeds.len() / 2).copied().filter(|secs| *secs > 0.0) else {
+            return;
+        };
+        for target in self.targets.values_mut() {
+            let secs = target.health.secs_per_token.get();
+            // Below twice the median, batch sizes explain the difference.
+            target.health.slowness =
+                secs.map(|secs| (secs / median / 2.0).clamp(1.0, MAX_SLOWNESS));
+        }
+    }
+
+    fn forget_unused(&mut self, now: Instant) {
+        if self.adapters.len() > MAX_UNUSED_ROWS {
+            let mut used: HashSet<AdapterKey> =
+                self.in_flight.iter().map(|(_, adapter)| *adapter).collect();
+            used.extend(self.targets.values().flat_map(|target| target.slots.adapters()));
+            used.extend(self.running.values().filter_map(|running| running.adapter));
+            self.adapters.retain(|key, adapter| {
+                let is_wanted = adapter.demand.get(now) > FORGOTTEN_DEMAND || adapter.users > 0;
+                is_wanted || used.contains(&key) || !adapter.holders.is_empty()
+            });
+        }
+        if self.subs.len() > MAX_UNUSED_ROWS {
+            let clock = &self.clock;
+            self.subs.retain(|_, account| {
+                !account.queued.is_empty()
+                    || account.running > 0
+                    || clock.lead(account.last_finish) > 0.0
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/state/planner.rs
@@ -0,0 +1,385 @@
+//! Load planner: what to load, where, and what to evict, as one decision.
+//!
+//! Few decisions are outstanding at a time, so each one is made shortly before the weight store
+//! grants its permit. A decision scans the adapters with queued requests; decisions are as rare
+//! as permits, and scans without a decision are spaced by `PLAN_INTERVAL`.
+
+use std::time::Duration;
+
+use shallotdrum_types::TargetId;
+use tokio::time::Instant;
+
+use super::State;
+use crate::{
+    api::Policy,
+    fair::{Seq, Tag},
+    slots::{AdapterKey, Slot},
+    target::{Target, TargetKey},
+};
+
+/// Time between scans that decided nothing; short against the load time of 250 ms.
+const PLAN_INTERVAL: Duration = Duration::from_millis(10);
+/// Queued requests of an adapter that its score takes into account.
+const MAX_SCORED: usize = 64;
+/// Candidates that are tried if the best one can't be placed.
+const MAX_TRIED: usize = 8;
+/// Lead over virtual time, in tokens, that halves the weight of a queued request: a few requests
+/// more than the subscriber's share.
+const FAIR_LEAD_TOKENS: f64 = 1000.0;
+/// A new candidate's age counts as this much, so that a burst of requests for one adapter can
+/// outweigh an older single one.
+const AGE_OFFSET_SECS: f64 = 0.1;
+/// A loaded adapter stays at least this long: about one answer, so that a load serves more than
+/// the request that caused it.
+const MIN_RESIDENCE: Duration = Duration::from_millis(500);
+/// An adapter in use is drained only after it had its turn of several answers.
+const MIN_DRAINED_RESIDENCE: Duration = Duration::from_secs(2);
+/// Candidates wait this long for a slot to become idle by itself before one is drained.
+const DRAIN_AFTER: Duration = Duration::from_millis(500);
+/// A drain that does not end is given up; most answers take a few seconds.
+const MAX_DRAIN: Duration = Duration::from_secs(10);
+/// One draining slot for this many targets.
+const DRAIN_SHARE: usize = 4;
+/// A queue persists this long before a replica is considered.
+const REPLICA_AFTER: Duration = Duration::from_millis(500);
+/// Demand per holder of a replicated adapter must exceed the victim's by this factor.
+const REPLICA_GAIN: f64 = 1.5;
+/// A prefetched adapter's demand must exceed the victim's by this factor.
+const PREFETCH_GAIN: f64 = 2.0;
+/// Requests within the half-life of the demand that make a prefetch worthwhile.
+const PREFETCH_MIN_DEMAND: f64 = 2.0;
+/// Time between prefetches; leaves most of the store's 2 to 3 loads/s to real demand.
+const PREFETCH_INTERVAL: Duration = Duration::from_secs(1);
+/// A failed load is tried on other targets for this long.
+const AVOID_FAILED: Duration = Duration::from_secs(60);
+/// Demand that is given up to load on a target with an empty batch instead of a full one.
+const LOAD_SCORE_DEMAND: f64 = 1.0;
+/// Cost of loading on a target without room: the loaded adapter would wait there.
+const NO_ROOM_DEMAND: f64 = 4.0;
+
+/// Adapter that could be loaded.
+struct Candidate {
+    adapter: AdapterKey,
+    /// Request that caused the load.
+    cause: Seq,
+    tag: Tag,
+    queued_at: Instant,
+    score: f64,
+    /// Set if only this target comes into question.
+    only: Option<TargetKey>,
+    avoid: Vec<TargetId>,
+    is_replica: bool,
+}
+
+/// Where to load, and what to evict.
+struct Place {
+    target: TargetKey,
+    victim: Option<AdapterKey>,
+    /// Demand of the victim.
+    loss: f64,
+    cost: f64,
+}
+
+impl State {
+    /// Decides loads as long as one is useful and may be outstanding.
+    pub(super) fn plan(&mut self, now: Instant) {
+        if self.cfg.policy == Policy::Baseline || self.closed.is_some() {
+            return;
+        }
+        while now >= self.next_plan_at && self.in_flight.len() < self.cfg.max_outstanding_loads {
+            if self.waiting.is_empty() && self.special.is_empty() {
+                self.prefetch(now);
+                return;
+            }
+            if !self.targets.values().any(|target| target.takes_orders(now)) {
+                return;
+            }
+            if !self.plan_one(now) {
+                self.next_plan_at = now + PLAN_INTERVAL;
+            }
+        }
+    }
+
+    fn plan_one(&mut self, now: Instant) -> bool {
+        let mut candidates = self.candidates(now);
+        candidates.sort_by(|a, b| b.score.total_cmp(&a.score));
+        for candidate in candidates.iter().take(MAX_TRIED) {
+            let Some(place) = self.place(candidate, now) else { continue };
+            if candidate.is_replica && !self.is_replica_worthwhile(candidate.adapter, &place, now) {
+                continue;
+            }
+            let (adapter, cause) = (candidate.adapter, Some(candidate.cause));
+            return self.start_load(place.target, adapter, place.victim, cause, now);
+        }
+        self.end_drains(candidates.iter().all(|candidate| candidate.is_replica), now);
+        if let Some(first) = candidates.iter().find(|candidate| !candidate.is_replica) {
+            self.drain_for(first, now);
+        }
+        false
+    }
+
+    fn candidates(&mut self, now: Instant) -> Vec<Candidate> {
+        let mut candidates = Vec::new();
+        let (mut starved, mut starved_share) = (0, 0.0);
+        for key in &self.waiting {
+            let adapter = &self.adapters[*key];
+            if adapter.holders.is_empty() {
+                starved += 1;
+                let head = adapter.queue.first();
+                starved_share += head.map_or(0.0, |(tag, _)| self.fair_share(*tag));
+            }
+            if !adapter.loading.is_empty() || now < adapter.retry_at {
+                continue;
+            }
+            let is_held = adapter.holders.iter().any(|key| self.targets[key].is_open(now));
+            let is_blocked =
+                adapter.blocked_since.is_some_and(|since| now >= since + REPLICA_AFTER);
+            if !is_held || is_blocked {
+                candidates.extend(self.candidate(*key, is_held, now));
+            }
+        }
+        for (tag, seq) in self.special.iter().take(MAX_SCORED) {
+            candidates.extend(self.special_candidate(*tag, *seq, now));
+        }
+        self.starved = starved;
+        self.starved_share = starved_share;
+        candidates
+    }
+
+    fn candidate(&self, key: AdapterKey, is_replica: bool, now: Instant) -> Option<Candidate> {
+        let queue = &self.adapters[key].queue;
+        let (tag, cause) = queue.first().copied()?;
+        let mut requests = 0.0;
+        let mut oldest = 0.0_f64;
+        let mut queued_at = now;
+        for (tag, seq) in queue.iter().take(MAX_SCORED) {
+            let share = self.fair_share(*tag);
+            let queued = &self.queued[seq];
+            requests += share;
+            oldest = oldest.max(share * (now - queued.queued_at).as_secs_f64());
+            queued_at = queued_at.min(queued.queued_at);
+        }
+        let score = self.score(requests, oldest);
+        let avoid = Vec::new();
+        Some(Candidate {
+            adapter: key,
+            cause,
+            tag,
+            queued_at,
+            score,
+            only: None,
+            avoid,
+            is_replica,
+        })
+    }
+
+    fn special_candidate(&self, tag: Tag, seq: Seq, now: Instant) -> Option<Candidate> {
+        let queued = &self.queued[&seq];
+        let adapter = queued.adapter?;
+        let row = &self.adapters[adapter];
+        if !row.loading.is_empty() || now < row.retry_at {
+            return None;
+        }
+        let reserved = self.targets.iter().find(|(_, target)| target.reserved == Some(seq));
+        let only = reserved.map(|(key, _)| *key);
+        if queued.is_suspect && only.is_none() {
+            return None;
+        }
+        let avoid = match self.avoids_all(&queued.avoid, true, now) {
+            true => Vec::new(),
+            false => queued.avoid.clone(),
+        };
+        let is_held = row.holders.iter().any(|key| {
+            let target = &self.targets[key];
+            let is_allowed = only.is_none_or(|only| only == *key);
+            is_allowed && target.is_active(now) && !avoid.contains(&target.spec.id)
+        });
+        if is_held {
+            return None;
+        }
+        let age = (now - queued.queued_at).as_secs_f64();
+        let score = self.score(1.0, age);
+        let queued_at = queued.queued_at;
+        let is_replica = false;
+        Some(Candidate { adapter, cause: seq, tag, queued_at, score, only, avoid, is_replica })
+    }
+
+    /// Weight of a queued request: less the further its subscriber is beyond the fair share.
+    pub(super) fn fair_share(&self, tag: Tag) -> f64 {
+        1.0 / (1.0 + self.clock.lead(tag) / FAIR_LEAD_TOKENS)
+    }
+
+    /// Urgency of a load that serves this many requests, the oldest of which waited for `oldest`.
+    ///
+    /// Both factors matter at each setting: requests alone starve rare adapters, age alone is
+    /// first come first served.
+    fn score(&self, requests: f64, oldest: f64) -> f64 {
+        let weight = self.cfg.stall_weight.clamp(0.0, 1.0);
+        let by_requests = 1.0 - 0.5 * weight;
+        let by_age = 0.25 + 0.75 * weight;
+        requests.powf(by_requests) * (oldest + AGE_OFFSET_SECS).powf(by_age)
+    }
+
+    /// Finds the cheapest slot for a candidate.
+    fn place(&self, candidate: &Candidate, now: Instant) -> Option<Place> {
+        let places = self.targets.iter().filter_map(|(key, target)| {
+            let is_allowed = match candidate.only {
+                Some(only) => only == *key && target.exclusive.is_none(),
+                None => target.is_open(now) && !candidate.avoid.contains(&target.spec.id),
+            };
+            if !is_allowed {
+                return None;
+            }
+            // Nobody else is admitted to a reserved target, so their queues don't count.
+            let tag = if candidate.only.is_some() { Tag(0) } else { candidate.tag };
+            self.place_on(*key, target, candidate.adapter, Some(tag), now)
+        });
+        places.min_by(|a, b| a.cost.total_cmp(&b.cost))
+    }
+
+    fn place_on(
+        &self,
+        key: TargetKey,
+        target: &Target,
+        adapter: AdapterKey,
+        tag: Option<Tag>,
+        now: Instant,
+    ) -> Option<Place> {
+        let has_failed = self.has_failed(adapter, key, now);
+        if !target.takes_orders(now) || target.slots.get(adapter).is_some() || has_failed {
+            return None;
+        }
+        let (victim, loss) = if target.slots.has_free() {
+            (None, 0.0)
+        } else {
+            let victims = target.slots.slots.iter().filter(|slot| self.may_evict(slot, tag, now));
+            let losses = victims.map(|slot| (self.loss(slot, now), slot.adapter));
+            let (loss, victim) = losses.min_by(|a, b| a.0.total_cmp(&b.0))?;
+            (Some(victim), loss)
+        };
+        let no_room = if target.has_room(now) { 0.0 } else { NO_ROOM_DEMAND };
+        let cost = loss + LOAD_SCORE_DEMAND * self.load_score(target, now) + no_room;
+        Some(Place { target: key, victim, loss, cost })
+    }
+
+    /// Whether a load of this adapter failed on the target lately, and others are left to try.
+    fn has_failed(&self, adapter: AdapterKey, key: TargetKey, now: Instant) -> bool {
+        let failed_on = &self.adapters[adapter].failed_on;
+        let is_recent = |target: TargetKey| {
+            failed_on.iter().any(|(other, at)| *other == target && now < *at + AVOID_FAILED)
+        };
+        let mut others = self.targets.iter().filter(|(_, target)| target.is_open(now));
+        is_recent(key) && others.any(|(other, _)| !is_recent(*other))
+    }
+
+    /// Whether an idle adapter may make room for a request with this tag, or for a prefetch.
+    fn may_evict(&self, slot: &Slot, tag: Option<Tag>, now: Instant) -> bool {
+        if !slot.is_idle(now) {
+            return false;
+        }
+        if slot.draining_since.is_some() {
+            return tag.is_some();
+        }
+        let has_served = slot.last_used > slot.ready_at;
+        let min_residence = if has_served { MIN_RESIDENCE } else { MIN_DRAINED_RESIDENCE };
+        let is_settled = now >= slot.ready_at + min_residence;
+        let is_unwanted = match (self.adapters[slot.adapter].queue.first(), tag) {
+            (None, _) => true,
+            (Some((head, _)), Some(tag)) => *head > tag,
+            (Some(_), None) => false,
+        };
+        is_settled && is_unwanted
+    }
+
+    /// Demand that an eviction leaves without a holder.
+    fn loss(&self, slot: &Slot, now: Instant) -> f64 {
+        let adapter = &self.adapters[slot.adapter];
+        let queued = adapter.queue.len() as f64;
+        (adapter.demand.get(now) + queued) / adapter.holders.len().max(1) as f64
+    }
+
+    fn is_replica_worthwhile(&self, adapter: AdapterKey, place: &Place, now: Instant) -> bool {
+        let row = &self.adapters[adapter];
+        let per_holder = row.demand.get(now) / (row.holders.len() + 1) as f64;
+        let has_room = self.targets[&place.target].has_room(now);
+        has_room && per_holder > REPLICA_GAIN * place.loss
+    }
+
+    /// Lets one slot in use become idle, so that a subscriber that holds every slot with running
+    /// requests can't keep others from loading their adapters.
+    fn drain_for(&mut self, candidate: &Candidate, now: Instant) {
+        let is_draining = |slot: &Slot| slot.draining_since.is_some();
+        let slots = self.targets.values().flat_map(|target| &target.slots.slots);
+        let draining = slots.filter(|slot| is_draining(slot)).count();
+        let is_allowed = draining < (self.targets.len() / DRAIN_SHARE).max(1);
+        if !is_allowed || now < candidate.queued_at + DRAIN_AFTER {
+            return;
+        }
+        let targets = self.targets.iter().filter(|(key, target)| {
+            candidate.only.map_or(target.is_open(now), |only| only == **key)
+                && target.takes_orders(now)
+                && !target.slots.has_free()
+                && !candidate.avoid.contains(&target.spec.id)
+                && !self.has_failed(candidate.adapter, **key, now)
+                && !target.slots.slots.iter().any(is_draining)
+        });
+        let in_use = targets.flat_map(|(key, target)| {
+            let slots = target.slots.slots.iter().filter(|slot| {
+                let head = self.adapters[slot.adapter].queue.first();
+                slot.is_ready()
+                    && slot.leases > 0
+                    && !slot.is_uncertain(now)
+                    && now >= slot.ready_at + MIN_DRAINED_RESIDENCE
+                    && head.is_none_or(|(head, _)| *head > candidate.tag)
+            });
+            slots.map(|slot| (self.loss(slot, now), *key, slot.adapter))
+        });
+        let Some((_, key, adapter)) = in_use.min_by(|a, b| a.0.total_cmp(&b.0)) else { return };
+        let slot = self.targets.get_mut(&key).and_then(|target| target.slots.get_mut(adapter));
+        if let Some(slot) = slot {
+            slot.draining_since = Some(now);
+        }
+    }
+
+    /// Ends drains that take too long or serve nobody any more.
+    fn end_drains(&mut self, is_pointless: bool, now: Instant) {
+        let mut resumed = Vec::new();
+        for target in self.targets.values_mut() {
+            for slot in &mut target.slots.slots {
+                let is_over = |since: Instant| is_pointless || now >= since + MAX_DRAIN;
+                if slot.draining_since.is_some_and(is_over) {
+                    slot.draining_since = None;
+                    slot.ready_at = now;
+                    resumed.push(slot.adapter);
+                }
+            }
+        }
+        for adapter in resumed {
+            self.dispatch_adapter(adapter, now);
+        }
+    }
+
+    /// Loads the most popular adapter that no target holds, if nothing waits.
+    fn prefetch(&mut self, now: Instant) {
+        if now < self.next_prefetch_at || !self.in_flight.is_empty() {
+            return;
+        }
+        self.next_prefetch_at = now + PREFETCH_INTERVAL;
+        self.end_drains(true, now);
+        let absent = self.adapters.iter().filter(|(_, _, adapter)| {
+            adapter.holders.is_empty() && adapter.source.is_some() && now >= adapter.retry_at
+        });
+        let demands = absent.map(|(key, _, adapter)| (adapter.demand.get(now), key));
+        let Some((demand, adapter)) = demands.max_by(|a, b| a.0.total_cmp(&b.0)) else { return };
+        if demand < PREFETCH_MIN_DEMAND {
+            return;
+        }
+        let targets = self.targets.iter().filter(|(_, target)| target.is_open(now));
+        let places =
+            targets.filter_map(|(key, target)| self.place_on(*key, target, adapter, None, now));
+        let Some(place) = places.min_by(|a, b| a.cost.total_cmp(&b.cost)) else { return };
+        if place.victim.is_none() || demand > PREFETCH_GAIN * place.loss {
+            self.start_load(place.target, adapter, place.victim, None, now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/target.rs
@@ -0,0 +1,227 @@
+//! What the owner knows of one target.
+
+use std::{
+    collections::{HashMap, VecDeque},
+    time::Duration,
+};
+
+use shallotdrum_engine::TargetKind;
+use tokio::time::Instant;
+
+use crate::{api::TargetSpec, fair::Seq, measure::Mean, slots::Slots};
+
+/// Key of one incarnation of a target; a new incarnation gets a new key.
+pub(crate) type TargetKey = u64;
+
+/// A load figure older than this says nothing about the present.
+const REPORT_VALID: Duration = Duration::from_secs(5);
+/// Orders wait this long for the first report, which lists the adapters found at take-over;
+/// announcements are renewed every second.
+const FIRST_REPORT_WAIT: Duration = Duration::from_millis(1500);
+
+/// Target of the group.
+#[derive(Debug)]
+pub(crate) struct Target {
+    pub(crate) spec: TargetSpec,
+    pub(crate) known_since: Instant,
+    pub(crate) is_draining: bool,
+    pub(crate) slots: Slots,
+    /// Admitted requests.
+    pub(crate) running: u32,
+    /// Most admitted requests at a time since the latest report.
+    pub(crate) running_peak: u32,
+    /// End and peak of the intervals between earlier reports.
+    past_peaks: VecDeque<(Instant, u32)>,
+    /// Requests that run or wait on the target without a lease, by the latest report.
+    pub(crate) foreign: u32,
+    pub(crate) reported_at: Option<Instant>,
+    pub(crate) sampled_at: Option<Instant>,
+    /// Orders are not sent before this time after a refusal or a lacking permit.
+    pub(crate) orders_resume_at: Instant,
+    /// Suspect that runs here alone.
+    pub(crate) exclusive: Option<Seq>,
+    /// Suspect that waits for the target to become idle.
+    pub(crate) reserved: Option<Seq>,
+    /// Requests assigned by the baseline policy.
+    pub(crate) fifo: VecDeque<Seq>,
+    pub(crate) prefixes: PrefixCache,
+    pub(crate) health: Health,
+}
+
+impl Target {
+    pub(crate) fn new(spec: TargetSpec, health: Health, now: Instant) -> Self {
+        let max_slots = match &spec.kind {
+            TargetKind::Engine { adapter_slots, .. } => *adapter_slots as usize,
+            TargetKind::Service { .. } => 0,
+        };
+        Self {
+            spec,
+            known_since: now,
+            is_draining: false,
+            slots: Slots::new(max_slots, now),
+            running: 0,
+            running_peak: 0,
+            past_peaks: VecDeque::new(),
+            foreign: 0,
+            reported_at: None,
+            sampled_at: None,
+            orders_resume_at: now,
+            exclusive: None,
+            reserved: None,
+            fifo: VecDeque::new(),
+            prefixes: PrefixCache::default(),
+            health,
+        }
+    }
+
+    pub(crate) fn is_engine(&self) -> bool {
+        matches!(self.spec.kind, TargetKind::Engine { .. })
+    }
+
+    /// Requests that are served at a time.
+    pub(crate) fn capacity(&self) -> u32 {
+        match self.spec.kind {
+            TargetKind::Engine { max_batch, .. } => max_batch,
+            TargetKind::Service { max_concurrent } => max_concurrent,
+        }
+        .max(1)
+    }
+
+    /// Most admitted requests at a time since a sample was taken; begins a new interval.
+    pub(crate) fn take_peak(&mut self, sampled: Instant, now: Instant) -> u32 {
+        /// Samples that are older than this many reports are no longer of use.
+        const MAX_INTERVALS: usize = 16;
+        let peak = std::mem::replace(&mut self.running_peak, self.running);
+        self.past_peaks.push_back((now, peak));
+        while self.past_peaks.len() > MAX_INTERVALS {
+            self.past_peaks.pop_front();
+        }
+        let since = self.past_peaks.iter().filter(|(end, _)| *end >= sampled);
+        since.map(|(_, peak)| *peak).max().unwrap_or(peak)
+    }
+
+    pub(crate) fn foreign(&self, now: Instant) -> u32 {
+        let is_valid = self.reported_at.is_some_and(|at| now < at + REPORT_VALID);
+        if is_valid { self.foreign } else { 0 }
+    }
+
+    pub(crate) fn has_room(&self, now: Instant) -> bool {
+        self.running + self.foreign(now) < self.capacity()
+    }
+
+    /// Share of the batch or of the concurrent calls in use.
+    pub(crate) fn fullness(&self, now: Instant) -> f64 {
+        f64::from(self.running + self.foreign(now)) / f64::from(self.capacity())
+    }
+
+    /// Whether the target takes part at all.
+    pub(crate) fn is_active(&self, now: Instant) -> bool {
+        !self.is_draining && !self.health.is_ejected(now)
+    }
+
+    /// Whether ordinary requests may be admitted.
+    pub(crate) fn is_open(&self, now: Instant) -> bool {
+        self.is_active(now) && self.exclusive.is_none() && self.reserved.is_none()
+    }
+
+    /// Whether nothing runs and nothing can be running.
+    pub(crate) fn is_quiet(&self, now: Instant) -> bool {
+        self.running == 0 && self.foreign(now) == 0 && !self.slots.has_uncertain(now)
+    }
+
+    /// Whether a load order may be sent.
+    pub(crate) fn takes_orders(&self, now: Instant) -> bool {
+        let knows_slots = self.reported_at.is_some() || now >= self.known_since + FIRST_REPORT_WAIT;
+        self.is_engine()
+            && self.is_active(now)
+            && knows_slots
+            && now >= self.spec.orders_allowed_from
+            && now >= self.orders_resume_at
+            && !self.slots.is_loading()
+    }
+}
+
+/// Recent prompt prefixes that the engine probably still caches.
+#[derive(Debug, Default)]
+pub(crate) struct PrefixCache {
+    uses: HashMap<u64, u32>,
+    order: VecDeque<u64>,
+}
+
+impl PrefixCache {
+    /// Engines cache prefixes in limited memory; older ones are probably gone.
+    const MAX_PREFIXES: usize = 4096;
+
+    pub(crate) fn insert(&mut self, hashes: &[u64]) {
+        for hash in hashes {
+            *self.uses.entry(*hash).or_default() += 1;
+            self.order.push_back(*hash);
+        }
+        while self.order.len() > Self::MAX_PREFIXES {
+            let Some(oldest) = self.order.pop_front() else { return };
+            match self.uses.get_mut(&oldest) {
+                Some(uses) if *uses > 1 => *uses -= 1,
+                _ => {
+                    self.uses.remove(&oldest);
+                }
+            }
+        }
+    }
+
+    /// Share of the prompt whose prefix is cached, 0 to 1.
+    pub(crate) fn matched(&self, hashes: &[u64]) -> f64 {
+        if hashes.is_empty() {
+            return 0.0;
+        }
+        let matched = hashes.iter().take_while(|hash| self.uses.contains_key(hash)).count();
+        matched as f64 / hashes.len() as f64
+    }
+}
+
+/// Failures and speed of a target.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Health {
+    consecutive_failures: u32,
+    ejections: u32,
+    ejected_until: Option<Instant>,
+    pub(crate) secs_per_token: Mean,
+    /// Speed relative to the group's median; 1 is usual, higher is slower.
+    pub(crate) slowness: Option<f64>,
+}
+
+impl Health {
+    /// Single failures happen; three in a row point at the target.
+    const FAILURES_TO_EJECT: u32 = 3;
+    /// First ejection; about the time in which an engine process restarts.
+    const FIRST_EJECTION: Duration = Duration::from_secs(5);
+    /// An ejected target is tried again at least this often.
+    const MAX_EJECTION: Duration = Duration::from_secs(60);
+
+    pub(crate) fn is_ejected(&self, now: Instant) -> bool {
+        self.ejected_until.is_some_and(|until| now < until)
+    }
+
+    pub(crate) fn succeeded(&mut self, now: Instant) {
+        self.consecutive_failures = 0;
+        if self.ejected_until.is_some_and(|until| now > until + Self::MAX_EJECTION) {
+            self.ejections = 0;
+        }
+    }
+
+    /// Takes note of a failure; returns whether the target should be ejected.
+    pub(crate) fn failed(&mut self, is_crash: bool) -> bool {
+        self.consecutive_failures += if is_crash { Self::FAILURES_TO_EJECT } else { 1 };
+        self.consecutive_failures >= Self::FAILURES_TO_EJECT
+    }
+
+    /// Ejects the target for a time that doubles each time; `jitter` is 0 to 1.
+    pub(crate) fn eject(&mut self, jitter: f64, now: Instant) -> Duration {
+        let base = Self::FIRST_EJECTION * 2_u32.pow(self.ejections.min(8));
+        // Jitter keeps targets that failed together from returning together.
+        let time = base.min(Self::MAX_EJECTION).mul_f64(0.9 + 0.2 * jitter);
+        self.ejections += 1;
+        self.consecutive_failures = 0;
+        self.ejected_until = Some(now + time);
+        time
+    }
+}
--- /dev/null
+++ b/crates/scheduler/tests/support/mod.rs
@@ -0,0 +1,190 @@
+//! A small fake of the weight store and the engines' side of load orders.
+
+#![allow(dead_code, reason = "each test file uses its part")]
+
+use std::{
+    collections::BTreeMap,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use futures_util::FutureExt;
+use shallotdrum_engine::{AdapterStatus, LoadReport, TargetKind};
+use shallotdrum_scheduler::{
+    GroupScheduler, Job, Lease, LoadFailure, LoadOrder, SchedulerConfig, TargetSpec, Work,
+};
+use shallotdrum_types::{
+    AdapterRef, Fingerprint, Incarnation, RequestError, SubscriberId, TargetId, Weight,
+};
+use tokio::{
+    task::JoinHandle,
+    time::{Instant, sleep},
+};
+
+pub(crate) const LOAD_TIME: Duration = Duration::from_millis(250);
+
+/// Result of each load order, in the order in which they are sent.
+pub(crate) type Outcomes = Arc<dyn Fn(&LoadOrder) -> Result<(), LoadFailure> + Send + Sync>;
+
+pub(crate) struct Group {
+    pub(crate) scheduler: GroupScheduler,
+    pub(crate) orders: Arc<Mutex<Vec<(Instant, LoadOrder)>>>,
+}
+
+pub(crate) fn config() -> SchedulerConfig {
+    SchedulerConfig { seed: Some(7), ..SchedulerConfig::new("suva-a".parse().unwrap()) }
+}
+
+pub(crate) fn group(cfg: SchedulerConfig) -> Group {
+    group_with(cfg, Arc::new(|_| Ok(())))
+}
+
+pub(crate) fn group_with(cfg: SchedulerConfig, outcomes: Outcomes) -> Group {
+    let orders = Arc::new(Mutex::new(Vec::new()));
+    let log = Arc::clone(&orders);
+    let load = move |order: LoadOrder| {
+        log.lock().unwrap().push((Instant::now(), order.clone()));
+        let result = outcomes(&order);
+        async move {
+            sleep(LOAD_TIME).await;
+            result
+        }
+        .boxed()
+    };
+    let logger = slog::Logger::root(slog::Discard, slog::o!());
+    Group { scheduler: GroupScheduler::new(cfg, Arc::new(load), logger), orders }
+}
+
+impl Group {
+    pub(crate) fn engine(&self, id: &str, incarnation: u64, slots: u32, batch: u32) {
+        self.scheduler.upsert_target(engine_spec(id, incarnation, slots, batch));
+        self.report(id, incarnation, 0, &[]);
+    }
+
+    pub(crate) fn report(&self, id: &str, incarnation: u64, age_ms: u64, adapters: &[(&str, u32)]) {
+        let report = LoadReport {
+            age_ms,
+            running: adapters.iter().map(|(_, running)| running).sum(),
+            queued: 0,
+            adapters: adapters
+                .iter()
+                .map(|(name, running)| AdapterStatus {
+                    adapter: adapter(name),
+                    ready: true,
+                    running: *running,
+                })
+                .collect(),
+        };
+        self.scheduler.report(&target(id), Incarnation(incarnation), &report);
+    }
+
+    pub(crate) async fn admit(&self, work: Work) -> Result<Lease, RequestError> {
+        self.scheduler.admit(work).await
+    }
+
+    /// Admits in a task of its own, holds the lease for a time and returns target and wait.
+    pub(crate) fn run(&self, work: Work, hold: Duration) -> JoinHandle<Result<Done, RequestError>> {
+        let scheduler = self.scheduler.clone();
+        tokio::spawn(async move {
+            let asked_at = Instant::now();
+            let lease = scheduler.admit(work).await?;
+            let done = Done {
+                target: lease.target.to_string(),
+                wait: asked_at.elapsed(),
+                stall: lease.load_stall,
+                at: Instant::now(),
+            };
+            lease.started();
+            sleep(hold).await;
+            lease.finish(answered(100));
+            Ok(done)
+        })
+    }
+
+    pub(crate) fn orders(&self) -> Vec<LoadOrder> {
+        self.orders.lock().unwrap().iter().map(|(_, order)| order.clone()).collect()
+    }
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct Done {
+    pub(crate) target: String,
+    pub(crate) wait: Duration,
+    pub(crate) stall: Duration,
+    pub(crate) at: Instant,
+}
+
+pub(crate) fn answered(tokens: u64) -> shallotdrum_scheduler::Finish {
+    shallotdrum_scheduler::Finish::Answered { prompt_tokens: 10, completion_tokens: tokens }
+}
+
+pub(crate) fn engine_spec(id: &str, incarnation: u64, slots: u32, batch: u32) -> TargetSpec {
+    spec(
+        id,
+        incarnation,
+        TargetKind::Engine {
+            base_model: "base".parse().unwrap(),
+            adapter_slots: slots,
+            max_batch: batch,
+            checks_fencing: true,
+        },
+    )
+}
+
+pub(crate) fn spec(id: &str, incarnation: u64, kind: TargetKind) -> TargetSpec {
+    TargetSpec {
+        id: target(id),
+        incarnation: Incarnation(incarnation),
+        addr: "127.0.0.1:1".parse().unwrap(),
+        zone: "suva-a".parse().unwrap(),
+        kind,
+        orders_allowed_from: Instant::now(),
+    }
+}
+
+pub(crate) fn target(id: &str) -> TargetId {
+    id.parse().unwrap()
+}
+
+pub(crate) fn adapter(name: &str) -> AdapterRef {
+    AdapterRef { adapter: name.parse().unwrap(), version: "1".parse().unwrap() }
+}
+
+pub(crate) fn completion(subscriber: &str, name: &str) -> Work {
+    let job = Job::Completion {
+        adapter: adapter(name),
+        source: format!("store/{name}"),
+        prompt_tokens: 10,
+        max_tokens: 100,
+        prompt_prefix_hashes: Vec::new(),
+    };
+    work(subscriber, job)
+}
+
+pub(crate) fn work(subscriber: &str, job: Job) -> Work {
+    static NEXT: AtomicU64 = AtomicU64::new(0);
+    let n = NEXT.fetch_add(1, Ordering::Relaxed);
+    Work {
+        request: format!("r{n}").parse().unwrap(),
+        subscriber: subscriber.parse::<SubscriberId>().unwrap(),
+        weight: Weight::default(),
+        fingerprint: Fingerprint::of(&n.to_le_bytes()),
+        job,
+        deadline: Instant::now() + Duration::from_secs(60),
+        is_suspect: false,
+        avoid: Vec::new(),
+        max_concurrent: None,
+    }
+}
+
+/// Counts of equal values.
+pub(crate) fn counts(names: impl IntoIterator<Item = String>) -> BTreeMap<String, usize> {
+    let mut counts = BTreeMap::new();
+    for name in names {
+        *counts.entry(name).or_default() += 1;
+    }
+    counts
+}
