Add the entry: public HTTP, routing to owners, retries and resumes

Cause: callers need one public interface that reaches the owner of a target group and survives the loss of owners. Change: hyper listener with limits and drain; OpenAI-compatible model requests, whole and streamed; service calls with idempotency keys; target messages; problem documents; rendezvous choice of the group; retries under a budget and resumes at the token offset. The replicated state is reached through the trait Catalog.

--- /dev/null
+++ b/crates/entry/src/auth.rs
@@ -0,0 +1,70 @@
+//! Caller's identity, deadline and the readiness of the instance.
+
+use std::time::Duration;
+
+use http::{HeaderMap, header::AUTHORIZATION};
+use shallotdrum_settings::WhenStale;
+use shallotdrum_types::{KeyHash, RequestError, RequestErrorKind, SubscriberId};
+use tokio::time::Instant;
+
+use crate::{Freshness, context::Shared};
+
+/// Header in which a caller states the time left for the answer.
+pub(crate) const DEADLINE_HEADER: &str = "x-request-deadline-ms";
+
+/// Delay after which a caller should try an instance again that is not ready; renewals come every
+/// second.
+const NOT_READY_RETRY: Duration = Duration::from_secs(1);
+
+/// Finds the subscriber of the bearer key.
+pub(crate) fn subscriber(
+    shared: &Shared,
+    headers: &HeaderMap,
+) -> Result<SubscriberId, RequestError> {
+    let unauthorized = |detail| RequestError::not_run(RequestErrorKind::Unauthorized, detail);
+    let value = headers
+        .get(AUTHORIZATION)
+        .ok_or_else(|| unauthorized("the Authorization header is missing"))?;
+    let key = match value.as_bytes().split_at_checked(7) {
+        Some((scheme, key)) if scheme.eq_ignore_ascii_case(b"bearer ") => key.trim_ascii(),
+        _ => return Err(unauthorized("the Authorization header holds no bearer key")),
+    };
+    shared
+        .cx
+        .catalog
+        .subscriber_of_key(&KeyHash::of(key))
+        .ok_or_else(|| unauthorized("the bearer key belongs to no subscriber"))
+}
+
+/// Refuses requests that need the manifest while the instance can't confirm it.
+pub(crate) fn check_ready(shared: &Shared) -> Result<(), RequestError> {
+    let not_ready = |detail| {
+        let error = RequestError::not_run(RequestErrorKind::NotReady, detail);
+        Err(error.retry_after(NOT_READY_RETRY))
+    };
+    match (shared.cx.is_fresh)() {
+        Freshness::Ready | Freshness::Draining => Ok(()),
+        Freshness::NoManifest => not_ready("the instance has no manifest yet".to_owned()),
+        Freshness::Stale { .. } if shared.cfg.when_stale == WhenStale::Serve => Ok(()),
+        Freshness::Stale { age } => not_ready(format!(
+            "the instance could not confirm its manifest for {} ms",
+            age.as_millis()
+        )),
+    }
+}
+
+/// Time at which the request's answer is due.
+pub(crate) fn deadline(shared: &Shared, headers: &HeaderMap) -> Result<Instant, RequestError> {
+    let limits = &shared.cfg.limits;
+    let ms = match headers.get(DEADLINE_HEADER) {
+        None => limits.default_deadline_ms,
+        Some(value) => match value.to_str().ok().and_then(|text| text.parse::<u64>().ok()) {
+            Some(ms) if ms > 0 => ms.min(limits.max_deadline_ms),
+            _ => {
+                let detail = format!("{DEADLINE_HEADER}: expected a whole number of 1 or more");
+                return Err(RequestError::not_run(RequestErrorKind::InvalidRequest, detail));
+            }
+        },
+    };
+    Ok(Instant::now() + Duration::from_millis(ms))
+}
--- /dev/null
+++ b/crates/entry/src/openai/request.rs
@@ -0,0 +1,186 @@
+//! Bodies of completion requests.
+//!
+//! Fields that change the answer and are not supported (`n` above 1, `tools`, `logprobs`, `echo`
+//! and the like) are refused. `top_p` and the penalties are checked and otherwise ignored, because
+//! engines take only temperature, seed and stop texts. All other fields, such as `user` and
+//! `metadata`, are ignored.
+
+use std::fmt::Write;
+
+use serde_json::{Value, json};
+use shallotdrum_types::{ModelName, RequestError};
+
+use super::fields::{Fields, invalid, wrong};
+
+/// Most stop texts, as in OpenAI's interface.
+const MAX_STOPS: usize = 4;
+/// Sampling temperature of requests that name none, as in OpenAI's interface.
+const DEFAULT_TEMPERATURE: f64 = 1.0;
+/// Roles of chat messages.
+const ROLES: &[&str] = &["system", "developer", "user", "assistant"];
+
+/// Kind of completion request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Api {
+    /// `/v1/completions`.
+    Text,
+    /// `/v1/chat/completions`.
+    Chat,
+}
+
+/// Parsed completion request.
+#[derive(Debug)]
+pub(crate) struct Completion {
+    pub(crate) model: ModelName,
+    pub(crate) prompt: String,
+    pub(crate) max_tokens: Option<u32>,
+    pub(crate) temperature: f64,
+    pub(crate) stop: Vec<String>,
+    pub(crate) seed: Option<u64>,
+    pub(crate) stream: bool,
+    pub(crate) include_usage: bool,
+}
+
+/// Parses the body of a completion request.
+pub(crate) fn parse(api: Api, body: &[u8]) -> Result<Completion, RequestError> {
+    let mut fields = Fields::parse(body)?;
+    let model = fields.string("model")?.ok_or_else(|| wrong("model", "a model name"))?;
+    let model = model.parse().map_err(|e| invalid(format!("model: {e}")))?;
+    let prompt = match api {
+        Api::Text => prompt(&mut fields)?,
+        Api::Chat => render_chat(&mut fields)?,
+    };
+    let max_tokens = match api {
+        Api::Text => fields.count("max_tokens")?,
+        // The newer name has priority, as in OpenAI's interface.
+        Api::Chat => {
+            let older = fields.count("max_tokens")?;
+            fields.count("max_completion_tokens")?.or(older)
+        }
+    };
+    let stream = fields.bool("stream")?.unwrap_or(false);
+    let include_usage = match fields.object("stream_options")? {
+        Some(_) if !stream => {
+            return Err(wrong("stream_options", "no value unless stream is true"));
+        }
+        Some(mut options) => options.bool("include_usage")?.unwrap_or(false),
+        None => false,
+    };
+    let completion = Completion {
+        model,
+        prompt,
+        max_tokens,
+        temperature: fields.number("temperature", 0.0, 2.0)?.unwrap_or(DEFAULT_TEMPERATURE),
+        stop: stop(&mut fields)?,
+        seed: seed(&mut fields)?,
+        stream,
+        include_usage,
+    };
+    check_rest(&mut fields)?;
+    Ok(completion)
+}
+
+fn prompt(fields: &mut Fields) -> Result<String, RequestError> {
+    let text = match fields.take("prompt") {
+        Some(Value::String(text)) => text,
+        Some(Value::Array(mut items)) if items.len() == 1 => match items.pop() {
+            Some(Value::String(text)) => text,
+            _ => return Err(wrong("prompt", "a string or a list of one string")),
+        },
+        _ => return Err(wrong("prompt", "a string or a list of one string")),
+    };
+    if text.is_empty() {
+        return Err(wrong("prompt", "a text that is not empty"));
+    }
+    Ok(text)
+}
+
+/// Renders chat messages to one prompt.
+///
+/// Each message becomes `<|role|>`, a line break, its text and a line break; `<|assistant|>` and a
+/// line break at the end ask for the answer.
+fn render_chat(fields: &mut Fields) -> Result<String, RequestError> {
+    let messages = match fields.take("messages") {
+        Some(Value::Array(messages)) if !messages.is_empty() => messages,
+        _ => return Err(wrong("messages", "a list of at least one message")),
+    };
+    let mut prompt = String::new();
+    for (i, message) in messages.into_iter().enumerate() {
+        let path = format!("messages[{i}]");
+        let Value::Object(map) = message else { return Err(wrong(&path, "an object")) };
+        let mut message = Fields::new(map);
+        let role = message.string("role")?.filter(|role| ROLES.contains(&role.as_str()));
+        let role =
+            role.ok_or_else(|| wrong(&format!("{path}.role"), &format!("one of {ROLES:?}")))?;
+        let _ = writeln!(prompt, "<|{role}|>");
+        push_content(&mut prompt, &path, message.take("content"))?;
+        prompt.push('\n');
+    }
+    prompt.push_str("<|assistant|>\n");
+    Ok(prompt)
+}
+
+fn push_content(
+    prompt: &mut String,
+    path: &str,
+    content: Option<Value>,
+) -> Result<(), RequestError> {
+    let error = || wrong(&format!("{path}.content"), "a string or a list of text parts");
+    match content {
+        Some(Value::String(text)) => prompt.push_str(&text),
+        Some(Value::Array(parts)) => {
+            for part in &parts {
+                let is_text = part.get("type").and_then(Value::as_str) == Some("text");
+                let text = part.get("text").and_then(Value::as_str).filter(|_| is_text);
+                prompt.push_str(text.ok_or_else(error)?);
+            }
+        }
+        _ => return Err(error()),
+    }
+    Ok(())
+}
+
+fn stop(fields: &mut Fields) -> Result<Vec<String>, RequestError> {
+    let error = || wrong("stop", "a text or a list of up to 4 texts, none of them empty");
+    let items = match fields.take("stop") {
+        None => return Ok(Vec::new()),
+        Some(Value::Array(items)) if items.len() <= MAX_STOPS => items,
+        Some(Value::String(text)) => vec![Value::String(text)],
+        Some(_) => return Err(error()),
+    };
+    let text = |item| match item {
+        Value::String(text) if !text.is_empty() => Ok(text),
+        _ => Err(error()),
+    };
+    items.into_iter().map(text).collect()
+}
+
+/// Reads a seed; a negative one is taken as its two's complement.
+fn seed(fields: &mut Fields) -> Result<Option<u64>, RequestError> {
+    let Some(value) = fields.take("seed") else { return Ok(None) };
+    match (value.as_u64(), value.as_i64()) {
+        (Some(seed), _) => Ok(Some(seed)),
+        (None, Some(seed)) => Ok(Some(seed.cast_unsigned())),
+        (None, None) => Err(wrong("seed", "a whole number")),
+    }
+}
+
+fn check_rest(fields: &mut Fields) -> Result<(), RequestError> {
+    fields.number("top_p", 0.0, 1.0)?;
+    fields.number("presence_penalty", -2.0, 2.0)?;
+    fields.number("frequency_penalty", -2.0, 2.0)?;
+    fields.string("user")?;
+    for (name, allowed) in [
+        ("n", json!(1)),
+        ("best_of", json!(1)),
+        ("echo", json!(false)),
+        ("suffix", json!("")),
+        ("logprobs", json!(false)),
+        ("tools", json!([])),
+        ("functions", json!([])),
+        ("response_format", json!({"type": "text"})),
+    ] {
+        fields.only(name, &allowed)?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/entry/src/routing.rs
@@ -0,0 +1,126 @@
+//! Choice of the target group.
+//!
+//! Rendezvous hashing sends an adapter's requests to the same group from each entry, so that the
+//! adapter is loaded in few places, and moves few adapters when groups come or go. A second choice
+//! bounds the load of a group whose adapters are popular.
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex, PoisonError},
+};
+
+use shallotdrum_types::{GroupId, PoolId};
+
+use crate::context::Shared;
+
+/// Load of a group, relative to the mean of its pool, at which the second choice is considered.
+const LOAD_BOUND: f64 = 1.25;
+/// Requests in flight to a group below which its load is not considered; a batch of one engine
+/// holds more.
+const MIN_LOAD: u32 = 16;
+
+/// Requests of this entry in flight, by group.
+#[derive(Default)]
+pub(crate) struct InFlight(Mutex<HashMap<GroupId, u32>>);
+
+/// Counts one request in flight until dropped.
+pub(crate) struct Ticket {
+    shared: Arc<Shared>,
+    group: GroupId,
+}
+
+impl Ticket {
+    pub(crate) fn new(shared: &Arc<Shared>, group: GroupId) -> Self {
+        let mut counts = shared.in_flight.0.lock().unwrap_or_else(PoisonError::into_inner);
+        *counts.entry(group.clone()).or_default() += 1;
+        drop(counts);
+        shared.cx.metrics.in_flight().inc();
+        Self { shared: shared.clone(), group }
+    }
+
+    pub(crate) fn group(&self) -> &GroupId {
+        &self.group
+    }
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        let mut counts = self.shared.in_flight.0.lock().unwrap_or_else(PoisonError::into_inner);
+        match counts.get_mut(&self.group) {
+            Some(count) if *count > 1 => *count -= 1,
+            _ => {
+                counts.remove(&self.group);
+            }
+        }
+        drop(counts);
+        self.shared.cx.metrics.in_flight().dec();
+    }
+}
+
+/// The two highest scores seen, and the load of all groups.
+#[derive(Default)]
+struct Candidates {
+    first: Option<(u64, u32, GroupId)>,
+    second: Option<(u64, u32, GroupId)>,
+    groups: u32,
+    load: u32,
+}
+
+impl Candidates {
+    fn add(&mut self, score: u64, load: u32, group: &GroupId) {
+        self.groups += 1;
+        self.load += load;
+        let beats = |other: &Option<(u64, u32, GroupId)>| {
+            other.as_ref().is_none_or(|(other, ..)| score > *other)
+        };
+        if beats(&self.first) {
+            self.second = self.first.take();
+            self.first = Some((score, load, group.clone()));
+        } else if beats(&self.second) {
+            self.second = Some((score, load, group.clone()));
+        }
+    }
+
+    fn choose(self) -> Option<GroupId> {
+        let (_, load, first) = self.first?;
+        let mean = f64::from(self.load) / f64::from(self.groups);
+        let is_loaded = load >= MIN_LOAD && f64::from(load) > LOAD_BOUND * mean;
+        match self.second {
+            Some((_, second_load, second)) if is_loaded && second_load < load => Some(second),
+            _ => Some(first),
+        }
+    }
+}
+
+/// Chooses a group of the pool for a key, in the own region if it has any.
+///
+/// `avoid` is chosen only if there is no other group.
+pub(crate) fn choose(
+    shared: &Shared,
+    pool: &PoolId,
+    key: &str,
+    avoid: Option<&GroupId>,
+) -> Option<GroupId> {
+    let counts = shared.in_flight.0.lock().unwrap_or_else(PoisonError::into_inner);
+    let mut own = Candidates::default();
+    let mut other = Candidates::default();
+    let mut avoided = None;
+    shared.cx.catalog.for_each_group(pool, &mut |group| {
+        if avoid == Some(group) {
+            avoided = avoid.cloned();
+            return;
+        }
+        let region = if group.region == shared.cfg.region { &mut own } else { &mut other };
+        region.add(score(key, group), counts.get(group).copied().unwrap_or(0), group);
+    });
+    own.choose().or_else(|| other.choose()).or(avoided)
+}
+
+fn score(key: &str, group: &GroupId) -> u64 {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(key.as_bytes()).update(b"/").update(group.region.as_str().as_bytes());
+    hasher.update(&group.shard.to_le_bytes());
+    let mut score = [0; 8];
+    score.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+    u64::from_le_bytes(score)
+}
--- /dev/null
+++ b/crates/entry/src/services.rs
@@ -0,0 +1,245 @@
+//! Calls of plain services: any method on `/services/<service>/<path>`.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http::{HeaderMap, Request, Response, request::Parts};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::{Body as _, Incoming};
+use shallotdrum_owner::{ForwardBody, ServiceCall, full_body};
+use shallotdrum_types::{
+    GroupId, IdempotencyKey, Outcome, RequestError, RequestErrorKind, RequestId, ServiceId,
+};
+use tokio::time::Instant;
+
+use crate::{
+    auth,
+    body::{self, Body, BodyError},
+    context::Shared,
+    problem,
+    route::{Route, Watched},
+    router::OUTCOME_HEADER,
+};
+
+/// Header that names a call which may not be repeated.
+const KEY_HEADER: &str = "idempotency-key";
+/// Largest body that is kept for another try; larger ones are streamed and not sent again.
+const MAX_KEPT_BYTES: u64 = 64 * 1024;
+/// Headers that concern one connection only (RFC 9110, section 7.6.1).
+const HOP_BY_HOP: &[&str] = &[
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Body of a call.
+enum CallBody {
+    /// Kept, so that the call can be sent again.
+    Kept(Bytes),
+    /// Streamed to the first owner that is reached.
+    Streamed(Option<ForwardBody>, Arc<AtomicBool>),
+}
+
+pub(crate) async fn handle(
+    shared: &Arc<Shared>,
+    req: Request<Incoming>,
+    request: &RequestId,
+) -> Result<Response<Body>, RequestError> {
+    let started = Instant::now();
+    let (parts, body) = req.into_parts();
+    let subscriber = auth::subscriber(shared, &parts.headers)?;
+    auth::check_ready(shared)?;
+    let deadline = auth::deadline(shared, &parts.headers)?;
+    let (service, path) = split_path(&parts)?;
+    let method = parts.method.as_str();
+    let route = shared.cx.catalog.service(&subscriber, &service, method, path)?;
+    let idempotency_key = match idempotency_key(&parts.headers)? {
+        Some(_) if route.repeatable => None,
+        None if !route.repeatable => {
+            let detail = format!("{method} {path} of service {service} may not be repeated");
+            return Err(RequestError::not_run(RequestErrorKind::KeyRequired, detail));
+        }
+        key => key,
+    };
+    body::check_size(&body, &shared.cfg.limits)?;
+    let body = keep_small(body, shared).await?;
+    let path = match parts.uri.query() {
+        Some(query) => format!("{path}?{query}"),
+        None => path.to_owned(),
+    };
+    let mut way = Route::new(shared, route.pool, request.as_str().to_owned(), deadline);
+    if idempotency_key.is_some() {
+        // The ledger answers the second send, whatever became of the first; more would only
+        // repeat that answer.
+        way.limit_losses(1);
+    }
+    let call = ServiceCall {
+        // Replaced when the group is chosen.
+        group: GroupId {
+            pool: "unset".parse().map_err(|_| internal())?,
+            region: shared.cfg.region.clone(),
+            shard: 0,
+        },
+        request: request.clone(),
+        subscriber,
+        service,
+        method: method.to_owned(),
+        path,
+        headers: passed_on(&parts.headers, &shared.cfg.forward_headers),
+        deadline_ms: 0,
+        idempotency_key,
+    };
+    let metrics = shared.cx.metrics.subscriber(&call.subscriber);
+    let result = forward(&mut way, call, body).await;
+    metrics.total(started.elapsed());
+    match &result {
+        Ok(_) => shared.cx.metrics.finished("answered", "none"),
+        Err(error) => {
+            shared.cx.metrics.finished(problem::outcome_text(error.outcome), error.kind.code());
+        }
+    }
+    result.map(|res| shape(res, way))
+}
+
+fn internal() -> RequestError {
+    RequestError::not_run(RequestErrorKind::Internal, "the call can't be formed")
+}
+
+/// Splits `/services/<service>/<path>`; the path starts with `/`.
+///
+/// Refuses paths that a service could read as another one than the rules of its calls do.
+fn split_path(parts: &Parts) -> Result<(ServiceId, &str), RequestError> {
+    let path = parts.uri.path();
+    let rest = path.strip_prefix("/services/").unwrap_or_default();
+    let end = rest.find('/').unwrap_or(rest.len());
+    let (service, path) = rest.split_at(end);
+    let service =
+        service.parse().map_err(|e| RequestError::not_run(RequestErrorKind::NotFound, e))?;
+    let path = if path.is_empty() { "/" } else { path };
+    let lower = path.to_ascii_lowercase();
+    let is_ambiguous = lower.contains("//")
+        || lower.contains('\\')
+        || ["%2e", "%2f", "%5c", "%00"].iter().any(|code| lower.contains(code))
+        || lower.split('/').any(|segment| matches!(segment, "." | ".."));
+    if is_ambiguous {
+        let detail = "the path has empty, `.` or `..` segments, or encoded separators";
+        return Err(RequestError::not_run(RequestErrorKind::InvalidRequest, detail));
+    }
+    Ok((service, path))
+}
+
+fn idempotency_key(headers: &HeaderMap) -> Result<Option<IdempotencyKey>, RequestError> {
+    let Some(value) = headers.get(KEY_HEADER) else { return Ok(None) };
+    let text = value.to_str().unwrap_or_default();
+    // The header's draft standard writes the key as a quoted string.
+    let text = text.strip_prefix('"').and_then(|text| text.strip_suffix('"')).unwrap_or(text);
+    let key = text.parse().map_err(|e| {
+        RequestError::not_run(RequestErrorKind::InvalidRequest, format!("Idempotency-Key: {e}"))
+    })?;
+    Ok(Some(key))
+}
+
+fn passed_on(headers: &HeaderMap, allowed: &[String]) -> Vec<(String, String)> {
+    let mut passed = Vec::new();
+    for name in allowed {
+        let values = headers.get_all(name.as_str()).iter();
+        let texts = values.filter_map(|value| value.to_str().ok());
+        passed.extend(texts.map(|text| (name.clone(), text.to_owned())));
+    }
+    passed
+}
+
+/// Reads a body of known, small size; others stay streams with a size limit.
+async fn keep_small(body: Incoming, shared: &Arc<Shared>) -> Result<CallBody, RequestError> {
+    let limits = &shared.cfg.limits;
+    if body.size_hint().exact().is_some_and(|size| size <= MAX_KEPT_BYTES) {
+        return Ok(CallBody::Kept(body::read(body, limits).await?));
+    }
+    let is_too_large = Arc::new(AtomicBool::new(false));
+    let flag = is_too_large.clone();
+    let body = Limited::new(body, limits.max_body_bytes).map_err(move |e| {
+        flag.fetch_or(e.is::<LengthLimitError>(), Ordering::Relaxed);
+        e
+    });
+    Ok(CallBody::Streamed(Some(body.boxed()), is_too_large))
+}
+
+async fn forward(
+    route: &mut Route,
+    mut call: ServiceCall,
+    mut body: CallBody,
+) -> Result<Response<Incoming>, RequestError> {
+    loop {
+        let (group, owner) = route.owner().await?;
+        call.group = group.clone();
+        call.deadline_ms = route.left_ms();
+        let sent = match &mut body {
+            CallBody::Kept(bytes) => full_body(bytes.clone()),
+            CallBody::Streamed(body, _) => match body.take() {
+                Some(body) => body,
+                None => {
+                    let detail = "the owner was lost and the body is too large to send again";
+                    let error = RequestError::not_run(RequestErrorKind::NotReady, detail);
+                    return Err(route.fail(error.retry_after(Duration::from_secs(1))));
+                }
+            },
+        };
+        let forwarder = route.shared.cx.forwarder.clone();
+        let step = route.watch(owner, forwarder.service(owner.data, &call, sent)).await;
+        let error = match step {
+            Ok(res) => {
+                route.reached();
+                return Ok(res);
+            }
+            Err(Watched::DeadlineExceeded) => return Err(route.deadline_exceeded_at_owner()),
+            Err(Watched::Failed(error)) => error,
+        };
+        if let CallBody::Streamed(_, is_too_large) = &body {
+            if is_too_large.load(Ordering::Relaxed) {
+                let error = body::too_large(route.shared.cfg.limits.max_body_bytes);
+                // The part before the limit has been sent.
+                return Err(RequestError { outcome: Outcome::Unknown, ..error });
+            }
+            route.limit_losses(0);
+        }
+        route.recover(&group, owner, error).await?;
+    }
+}
+
+/// Passes the service's response on; the request counts as in flight until its body has ended.
+fn shape(res: Response<Incoming>, mut route: Route) -> Response<Body> {
+    let (mut parts, body) = res.into_parts();
+    remove_hop_by_hop(&mut parts.headers);
+    parts.headers.insert(OUTCOME_HEADER, problem::outcome_value(Outcome::Answered));
+    let ticket = route.take_ticket();
+    let body = body.map_err(move |e| {
+        let _ = &ticket;
+        BodyError::from(e)
+    });
+    Response::from_parts(parts, body.boxed_unsync())
+}
+
+fn remove_hop_by_hop(headers: &mut HeaderMap) {
+    let named: Vec<String> = headers
+        .get_all("connection")
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    for name in HOP_BY_HOP.iter().copied().chain(named.iter().map(String::as_str)) {
+        headers.remove(name);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/stall.rs
@@ -0,0 +1,91 @@
+//! Ends connections whose caller takes no answer bytes.
+
+use std::{
+    io,
+    pin::Pin,
+    task::{Context, Poll},
+    time::Duration,
+};
+
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    net::TcpStream,
+    time::{Instant, Sleep},
+};
+
+/// Stream that fails when a write makes no progress for a time.
+///
+/// Without it, a caller that stops reading would hold its connection and the owner's stream.
+pub(crate) struct StallGuard {
+    stream: TcpStream,
+    timeout: Duration,
+    timer: Pin<Box<Sleep>>,
+    is_stalled: bool,
+}
+
+impl StallGuard {
+    pub(crate) fn new(stream: TcpStream, timeout: Duration) -> Self {
+        Self { stream, timeout, timer: Box::pin(tokio::time::sleep(timeout)), is_stalled: false }
+    }
+
+    fn check<T>(
+        &mut self,
+        result: Poll<io::Result<T>>,
+        cx: &mut Context<'_>,
+    ) -> Poll<io::Result<T>> {
+        if result.is_ready() {
+            self.is_stalled = false;
+            return result;
+        }
+        if !self.is_stalled {
+            self.is_stalled = true;
+            self.timer.as_mut().reset(Instant::now() + self.timeout);
+        }
+        match self.timer.as_mut().poll(cx) {
+            Poll::Ready(()) => Poll::Ready(Err(io::ErrorKind::TimedOut.into())),
+            Poll::Pending => Poll::Pending,
+        }
+    }
+}
+
+impl AsyncRead for StallGuard {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for StallGuard {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let result = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.check(result, cx)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let result = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.check(result, cx)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- /dev/null
+++ b/crates/entry/tests/common/mod.rs
@@ -0,0 +1,198 @@
+//! Entry with a scripted owner and a catalog in memory.
+
+// Each test file is compiled on its own and uses a part of this module.
+#![allow(dead_code)]
+
+mod catalog;
+mod owner;
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper_util::{client::legacy::Client, rt::TokioExecutor};
+use serde_json::{Value, json};
+use shallotdrum_entry::{
+    AnnounceReply, EntryConfig, EntryContext, EntryHandle, EntryServer, Freshness,
+};
+use shallotdrum_owner::Forwarder;
+use shallotdrum_settings::{Limits, WhenStale};
+use shallotdrum_telemetry::Metrics;
+use shallotdrum_types::{RequestError, RequestErrorKind};
+use tokio::net::TcpListener;
+
+pub(crate) use catalog::FakeCatalog;
+pub(crate) use owner::{FakeOwner, Step, answer, chunk, chunk_of, end};
+
+/// Bearer key of subscriber `clinic`.
+pub(crate) const KEY: &str = "clinic-key";
+/// Longest wait for a condition; far above what a loaded machine needs.
+pub(crate) const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Running entry with its owner.
+pub(crate) struct Bench {
+    pub(crate) entry: EntryHandle,
+    pub(crate) catalog: Arc<FakeCatalog>,
+    pub(crate) owner: FakeOwner,
+    pub(crate) metrics: Metrics,
+    pub(crate) freshness: Arc<std::sync::Mutex<Freshness>>,
+    client: Client<hyper_util::client::legacy::connect::HttpConnector, Full<Bytes>>,
+}
+
+/// Whole response.
+pub(crate) struct Reply {
+    pub(crate) status: u16,
+    pub(crate) headers: http::HeaderMap,
+    pub(crate) body: Vec<u8>,
+}
+
+impl Reply {
+    pub(crate) fn json(&self) -> Value {
+        serde_json::from_slice(&self.body).unwrap()
+    }
+
+    pub(crate) fn text(&self) -> &str {
+        std::str::from_utf8(&self.body).unwrap()
+    }
+
+    /// Code and outcome of a problem document, which must be complete.
+    pub(crate) fn problem(&self) -> (String, String) {
+        let json = self.json();
+        assert_eq!(self.header("content-type"), "application/problem+json");
+        assert_eq!(json["status"], self.status);
+        assert_eq!(json["request_id"], self.header("x-shallotdrum-request-id"));
+        assert_eq!(json["outcome"], self.header("x-shallotdrum-outcome"));
+        assert!(json["title"].is_string() && json["detail"].is_string());
+        let code = json["type"].as_str().unwrap().strip_prefix("urn:shallotdrum:problem:");
+        (code.unwrap().to_owned(), json["outcome"].as_str().unwrap().to_owned())
+    }
+
+    pub(crate) fn header(&self, name: &str) -> &str {
+        self.headers.get(name).map_or("", |value| value.to_str().unwrap())
+    }
+}
+
+impl Bench {
+    pub(crate) async fn start() -> Self {
+        Self::with(|_| {}).await
+    }
+
+    pub(crate) async fn with(change: impl FnOnce(&mut EntryConfig)) -> Self {
+        let owner = FakeOwner::start().await;
+        let catalog = Arc::new(FakeCatalog::new(owner.addr()));
+        let metrics = Metrics::new().unwrap();
+        let freshness = Arc::new(std::sync::Mutex::new(Freshness::Ready));
+        let mut cfg = EntryConfig {
+            region: "north".parse().unwrap(),
+            limits: Limits::default(),
+            when_stale: WhenStale::Refuse,
+            drain_delay: Duration::ZERO,
+            forward_headers: vec!["content-type".to_owned()],
+        };
+        change(&mut cfg);
+        let cx = EntryContext {
+            catalog: catalog.clone(),
+            forwarder: Forwarder::new(),
+            is_fresh: {
+                let freshness = freshness.clone();
+                Arc::new(move || *freshness.lock().unwrap())
+            },
+            announce: Arc::new(|announcement| {
+                Box::pin(async move {
+                    if announcement.pool.as_str() == "engines" {
+                        return Ok(AnnounceReply { renew_after_ms: 1000 });
+                    }
+                    let detail = "the pool is unknown";
+                    Err(RequestError::not_run(RequestErrorKind::NotFound, detail))
+                })
+            }),
+            leave: Arc::new(|_| Box::pin(async { Ok(()) })),
+            cache_events: Arc::new(|_| Box::pin(async { Ok(()) })),
+            metrics: metrics.clone(),
+            log: shallotdrum_telemetry::discard(),
+        };
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let entry = EntryServer::start(listener, cfg, cx).unwrap();
+        let client = Client::builder(TokioExecutor::new()).build_http();
+        Self { entry, catalog, owner, metrics, freshness, client }
+    }
+
+    pub(crate) fn url(&self, path: &str) -> String {
+        format!("http://{}{path}", self.entry.local_addr())
+    }
+
+    /// Sends a request; `headers` replace the default `authorization`.
+    pub(crate) async fn send(
+        &self,
+        method: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: impl Into<Bytes>,
+    ) -> Response<Incoming> {
+        let mut req = Request::builder().method(method).uri(self.url(path));
+        if !headers.iter().any(|(name, _)| *name == "authorization") {
+            req = req.header("authorization", format!("Bearer {KEY}"));
+        }
+        for (name, value) in headers {
+            req = req.header(*name, *value);
+        }
+        let req = req.body(Full::new(body.into())).unwrap();
+        tokio::time::timeout(PATIENCE, self.client.request(req)).await.unwrap().unwrap()
+    }
+
+    pub(crate) async fn call(
+        &self,
+        method: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: impl Into<Bytes>,
+    ) -> Reply {
+        let res = self.send(method, path, headers, body).await;
+        let (parts, body) = res.into_parts();
+        let body = tokio::time::timeout(PATIENCE, body.collect()).await.unwrap().unwrap();
+        let (status, headers) = (parts.status.as_u16(), parts.headers);
+        Reply { status, headers, body: body.to_bytes().to_vec() }
+    }
+
+    /// Sends a completion request with extra fields.
+    pub(crate) async fn complete(&self, extra: Value) -> Reply {
+        self.call("POST", "/v1/completions", &[], body(extra)).await
+    }
+
+    /// Sends a streamed completion; returns the text and whether the body ended without error.
+    pub(crate) async fn stream(&self, extra: Value) -> (Reply, bool) {
+        let mut extra = extra;
+        extra["stream"] = json!(true);
+        let res = self.send("POST", "/v1/completions", &[], body(extra)).await;
+        let (parts, mut incoming) = res.into_parts();
+        let mut text = Vec::new();
+        let is_clean = loop {
+            match tokio::time::timeout(PATIENCE, incoming.frame()).await.unwrap() {
+                None => break true,
+                Some(Err(_)) => break false,
+                Some(Ok(frame)) => text.extend_from_slice(&frame.into_data().unwrap_or_default()),
+            }
+        };
+        let (status, headers) = (parts.status.as_u16(), parts.headers);
+        (Reply { status, headers, body: text }, is_clean)
+    }
+}
+
+/// Body of a good completion request with fields added or replaced.
+pub(crate) fn body(extra: Value) -> Vec<u8> {
+    let mut body = json!({"model": "base/ada", "prompt": "Hello", "max_tokens": 8});
+    body.as_object_mut().unwrap().extend(extra.as_object().unwrap().clone());
+    body.to_string().into_bytes()
+}
+
+/// Waits until a condition holds.
+pub(crate) async fn until(what: &str, condition: impl Fn() -> bool) {
+    let wait = async {
+        while !condition() {
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, wait).await.unwrap_or_else(|_| panic!("waited for {what}"));
+}
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -95,7 +95,7 @@
         ENTRY_ACCEPT_FAILED = "N0402", Error, "cannot accept a connection", "raise the process limit of open files, or look for a connection leak";
         ENTRY_CONNECTIONS_FULL = "N0403", Warning, "connection limit reached", "add instances, or raise limits.max_connections";
         ENTRY_CONNECTION_FAILED = "N0404", Debug, "caller connection ended with an error", "none";
-        ENTRY_REQUEST_FAILED = "N0405", Info, "request failed", "none for single requests; see the problem code if it repeats";
+        ENTRY_REQUEST_FAILED = "N0405", Debug, "request failed", "none for single requests; see the problem code if it repeats";
         ENTRY_OWNER_LOST = "N0406", Warning, "lost the connection to a group's owner", "check the owner's instance, if it was not stopped on purpose";
         ENTRY_ANSWER_RESUMED = "N0407", Info, "answer resumed at the new owner", "none";
         ENTRY_RETRY_BUDGET_EMPTY = "N0408", Warning, "retry budget is empty", "find the fault that causes the retries; the entry recovers by itself";
