--- a/crates/bench/src/lib.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Placeholder.
--- /dev/null
+++ b/crates/bench/src/main.rs
@@ -0,0 +1,23 @@
+//! Load tool: the quick run on an embedded deployment, and the benchmarks.
+
+mod flags;
+mod quick;
+
+use flags::{ShallotdrumBench, ShallotdrumBenchCmd};
+use shallotdrum_telemetry::{LogConfig, LogFormat};
+
+fn main() -> anyhow::Result<()> {
+    let flags = ShallotdrumBench::from_env_or_exit();
+    let (log, _guard) = shallotdrum_telemetry::open(LogConfig {
+        format: LogFormat::Terminal,
+        level: slog::Level::Error,
+    });
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
+    runtime.block_on(async {
+        match flags.subcommand {
+            ShallotdrumBenchCmd::Quick(quick) => {
+                quick::run(quick.requests.unwrap_or(200), quick.seed.unwrap_or(1), &log).await
+            }
+        }
+    })
+}
--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     exit::NotInForce,
-    flags::{DrainCmd, ManifestCmd, QuarantineCmd, ReplicaCmd, Shallotdrum, ShallotdrumCmd, Submit},
+    flags::{DrainCmd, ManifestCmd, ReplicaCmd, Shallotdrum, ShallotdrumCmd, Submit},
     output::Format,
 };
 
@@ -40,7 +40,8 @@
         }
         ShallotdrumCmd::Targets(_) => {
             let rows = client.targets().await.map_err(RpcError::from)?;
-            format.rows(&["target", "kind", "region", "zone", "group", "owner", "is_draining"], &rows)
+            format
+                .rows(&["target", "kind", "region", "zone", "group", "owner", "is_draining"], &rows)
         }
         ShallotdrumCmd::Groups(_) => {
             let rows = client.groups().await.map_err(RpcError::from)?;
@@ -49,7 +50,13 @@
         ShallotdrumCmd::Instances(_) => {
             let rows = client.instances().await.map_err(RpcError::from)?;
             let columns = [
-                "instance", "zone", "session", "is_replica", "is_leader", "is_draining", "revision",
+                "instance",
+                "zone",
+                "session",
+                "is_replica",
+                "is_leader",
+                "is_draining",
+                "revision",
                 "groups",
             ];
             format.rows(&columns, &rows)
@@ -57,15 +64,13 @@
         ShallotdrumCmd::Permits(_) => {
             format.rows(&["permit", "session"], &client.permits().await.map_err(RpcError::from)?)
         }
-        ShallotdrumCmd::Quarantine(cmd) => match cmd.subcommand {
-            QuarantineCmd::List(_) => {
-                let rows = client.quarantine().await.map_err(RpcError::from)?;
-                format.rows(&["request", "crashes", "is_quarantined"], &rows)
-            }
-            QuarantineCmd::Lift(cmd) => {
-                Ok(client.lift_quarantine(cmd.request).await.map_err(RpcError::from)?)
-            }
-        },
+        ShallotdrumCmd::Quarantine(_) => {
+            let rows = client.quarantine().await.map_err(RpcError::from)?;
+            format.rows(&["request", "crashes", "is_quarantined"], &rows)
+        }
+        ShallotdrumCmd::LiftQuarantine(cmd) => {
+            Ok(client.lift_quarantine(cmd.request).await.map_err(RpcError::from)?)
+        }
         ShallotdrumCmd::Drain(cmd) => match cmd.subcommand {
             DrainCmd::Instance(cmd) => {
                 Ok(client.drain_instance(cmd.instance, !cmd.undo).await.map_err(RpcError::from)?)
--- a/crates/cli/src/exit.rs
+++ b/crates/cli/src/exit.rs
@@ -16,7 +16,7 @@
 pub(crate) fn report(error: &anyhow::Error) -> ExitCode {
     eprintln!("error: {error:#}");
     if let Some(RpcError::InvalidManifest(problems)) = error.downcast_ref() {
-        for problem in problems {
+        for problem in &problems.errors {
             eprintln!("  {problem}");
         }
     }
--- a/crates/cli/src/flags.rs
+++ b/crates/cli/src/flags.rs
@@ -2,15 +2,11 @@
 
 use std::{net::SocketAddr, path::PathBuf};
 
-use shallotdrum_types::{
-    AdapterId, Fingerprint, InstanceId, Revision, SubmissionId, TargetId,
-};
+use shallotdrum_types::{AdapterId, Fingerprint, InstanceId, Revision, SubmissionId, TargetId};
 
 use crate::output::Format;
 
 xflags::xflags! {
-    src "./src/flags.rs"
-
     /// Operates a shallotdrum deployment.
     ///
     /// Exit codes: 0 success, 1 other failure, 2 wrong usage, 3 invalid manifest,
@@ -63,15 +59,12 @@
         cmd instances {}
         /// Lists weight-store permits in use.
         cmd permits {}
-        /// Requests that crash targets.
-        cmd quarantine {
-            /// Lists quarantined requests and suspects.
-            cmd list {}
-            /// Allows a quarantined request again.
-            cmd lift {
-                /// Fingerprint of the request.
-                required request: Fingerprint
-            }
+        /// Lists quarantined requests, and suspects that crashed one target.
+        cmd quarantine {}
+        /// Allows a quarantined request again.
+        cmd lift-quarantine {
+            /// Fingerprint of the request.
+            required request: Fingerprint
         }
         /// Takes work away from an instance or a target.
         cmd drain {
--- a/crates/cli/src/output.rs
+++ b/crates/cli/src/output.rs
@@ -7,7 +7,7 @@
 
 /// Output format.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Format {
+pub(crate) enum Format {
     /// Aligned columns.
     #[default]
     Table,
@@ -39,7 +39,7 @@
 /// Text that names no output format.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("unknown output format `{0}`: expected `table` or `json`")]
-pub struct UnknownFormat(String);
+pub(crate) struct UnknownFormat(String);
 
 impl Format {
     /// Prints rows; a table shows the named fields only.
--- a/crates/control/src/command.rs
+++ b/crates/control/src/command.rs
@@ -7,8 +7,8 @@
 use shallotdrum_manifest::{Manifest, ManifestDelta, ManifestErrors};
 use shallotdrum_types::{
     AvailabilityZone, ControlTimeMs, Digest, Epoch, Fingerprint, GroupId, IdempotencyKey,
-    Incarnation, InstanceId, PoolId, Region, RequestId, Revision, SessionId, SubmissionId, SubscriberId,
-    TargetId,
+    Incarnation, InstanceId, PoolId, Region, RequestId, Revision, SessionId, SubmissionId,
+    SubscriberId, TargetId,
 };
 
 /// Command with the control time at which the leader proposed it.
--- a/crates/control/src/state/ledger.rs
+++ b/crates/control/src/state/ledger.rs
@@ -194,8 +194,7 @@
         session: SessionId,
         attempt: &RequestId,
     ) -> Result<(), CommandError> {
-        let is_begun_by =
-            |call: &&Call| (call.session, &call.attempt) == (session, attempt);
+        let is_begun_by = |call: &&Call| (call.session, &call.attempt) == (session, attempt);
         let call = self.calls.get(key).filter(is_begun_by);
         match call.ok_or(CommandError::NoCall)? {
             Call { result: CallResult::Pending, begun_index, .. } => {
--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -1,22 +1,16 @@
 //! Methods for operators, answered from this instance's control state or by the leader.
 
-use std::{
-    collections::BTreeMap,
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use jsonrpsee::core::async_trait;
 use shallotdrum_control::{Command, ControlState, ControlView, Proposal, Reply};
 use shallotdrum_manifest::{Manifest, ManifestDelta};
 use shallotdrum_rpc::{
     AdapterRow, AdminApiServer, CallCounts, ControlClient, GroupRow, InstanceRow, ManifestCheck,
-    ManifestSummary, ManifestView, PeerApiClient, PermitRow, QuarantineRow, ReplicaStatus, RpcError,
-    SubmissionRow, SubscriberRow, TargetRow,
-};
-use shallotdrum_types::{
-    AdapterId, Fingerprint, InstanceId, Revision, SubmissionId, TargetId,
+    ManifestSummary, ManifestView, PeerApiClient, PermitRow, QuarantineRow, ReplicaStatus,
+    RpcError, SubmissionRow, SubscriberRow, TargetRow,
 };
+use shallotdrum_types::{AdapterId, Fingerprint, InstanceId, Revision, SubmissionId, TargetId};
 use tokio::time::Instant;
 
 use crate::replica::Replica;
@@ -270,13 +264,10 @@
 }
 
 fn parse(manifest: &str) -> Result<Manifest, RpcError> {
-    Manifest::parse(manifest.as_bytes()).map_err(|errors| RpcError::InvalidManifest(errors.0))
+    Manifest::parse(manifest.as_bytes()).map_err(RpcError::InvalidManifest)
 }
 
-fn owner_instance(
-    state: &ControlState,
-    group: &shallotdrum_types::GroupId,
-) -> Option<InstanceId> {
+fn owner_instance(state: &ControlState, group: &shallotdrum_types::GroupId) -> Option<InstanceId> {
     let owner = state.group(group)?.owner?;
     Some(state.session(owner)?.info.instance.clone())
 }
--- a/crates/daemon/src/bin/shallotdrumd.rs
+++ b/crates/daemon/src/bin/shallotdrumd.rs
@@ -1,20 +1,25 @@
 //! The daemon: one process of the serving layer.
 
-use std::path::PathBuf;
-
 use anyhow::Context;
+use flags::Shallotdrumd;
 use shallotdrum_daemon::{Instance, Listeners};
-use shallotdrum_settings::{LogFormat, Settings};
+use shallotdrum_settings::{LogFormat, LogLevel, Settings};
 use shallotdrum_telemetry::{LogConfig, event};
 use tokio::signal::unix::{SignalKind, signal};
 
-xflags::xflags! {
-    /// Runs one instance of the serving layer.
-    cmd shallotdrumd {
-        /// Settings file, JSON.
-        required settings: PathBuf
-        /// Checks the settings and exits.
-        optional --check
+mod flags {
+    //! Arguments.
+
+    use std::path::PathBuf;
+
+    xflags::xflags! {
+        /// Runs one instance of the serving layer.
+        cmd shallotdrumd {
+            /// Settings file, JSON.
+            required settings: PathBuf
+            /// Checks the settings and exits.
+            optional --check
+        }
     }
 }
 
@@ -30,7 +35,7 @@
             LogFormat::Json => shallotdrum_telemetry::LogFormat::Json,
             LogFormat::Terminal => shallotdrum_telemetry::LogFormat::Terminal,
         },
-        level: settings.log.level.into(),
+        level: level(settings.log.level),
     });
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
     let result = runtime.block_on(run(settings, log.clone()));
@@ -40,6 +45,17 @@
     result
 }
 
+fn level(level: LogLevel) -> slog::Level {
+    match level {
+        LogLevel::Critical => slog::Level::Critical,
+        LogLevel::Error => slog::Level::Error,
+        LogLevel::Warning => slog::Level::Warning,
+        LogLevel::Info => slog::Level::Info,
+        LogLevel::Debug => slog::Level::Debug,
+        LogLevel::Trace => slog::Level::Trace,
+    }
+}
+
 async fn run(settings: Settings, log: slog::Logger) -> anyhow::Result<()> {
     let mut terminate = signal(SignalKind::terminate()).context("cannot handle SIGTERM")?;
     let mut interrupt = signal(SignalKind::interrupt()).context("cannot handle SIGINT")?;
--- a/crates/daemon/src/catalog.rs
+++ b/crates/daemon/src/catalog.rs
@@ -85,10 +85,9 @@
         self.0.read(|state| {
             let Some(group) = state.group(group) else { return GroupOwner::Gone };
             match group.owner.and_then(|id| state.session(id)) {
-                Some(session) => GroupOwner::Owned(Owner {
-                    session: session.id,
-                    data: session.info.addrs.data,
-                }),
+                Some(session) => {
+                    GroupOwner::Owned(Owner { session: session.id, data: session.info.addrs.data })
+                }
                 None => GroupOwner::Unowned,
             }
         })
--- a/crates/daemon/src/follower.rs
+++ b/crates/daemon/src/follower.rs
@@ -7,6 +7,7 @@
 
 use shallotdrum_control::ControlView;
 use shallotdrum_rpc::{PeerApiClient, Peers, RpcError, WatchReply};
+use shallotdrum_telemetry::event;
 
 /// How long a replica waits for a new command before it answers with none.
 const WATCH_WAIT: Duration = Duration::from_secs(2);
--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -11,7 +11,7 @@
 use jsonrpsee::server::{Server, ServerConfig, ServerHandle};
 use shallotdrum_consensus::{Node, NodeConfig};
 use shallotdrum_control::{ControlView, InstanceAddrs, InstanceInfo, permit_term};
-use shallotdrum_engine::EngineClient;
+use shallotdrum_engine::{AnnounceReply, ClientTimeouts, EngineClient};
 use shallotdrum_entry::{EntryConfig, EntryContext, EntryHandle, EntryServer};
 use shallotdrum_owner::{Forwarder, HeldPermits, OwnerContext, OwnerService, serve_forwarded};
 use shallotdrum_rpc::{
@@ -26,6 +26,7 @@
 
 use crate::{
     admin::Admin,
+    catalog::ViewCatalog,
     follower::follow,
     peer::Peer,
     replica::Replica,
@@ -45,6 +46,9 @@
 /// How long the leader may let one request for a permit wait.
 const PERMIT_WAIT: Duration = Duration::from_secs(1);
 
+/// When a target announces itself again; three announcements fit into its time-out.
+const RENEW_ANNOUNCEMENT_MS: u64 = 1_000;
+
 /// Pause between looks whether forwarded requests have finished.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 
@@ -78,7 +82,6 @@
     replica: Option<Arc<Replica>>,
     /// Tasks that end with the instance.
     tasks: JoinSet<()>,
-    drain_delay: Duration,
     max_deadline: Duration,
     log: slog::Logger,
 }
@@ -99,6 +102,9 @@
     /// The control replica could not start.
     #[error("cannot start the control replica: {0}")]
     Replica(#[from] shallotdrum_consensus::StartError),
+    /// The entry could not start.
+    #[error("cannot start the entry: {0}")]
+    Entry(#[from] std::io::Error),
     /// The metrics could not be set up.
     #[error("cannot set up the metrics: {0}")]
     Metrics(#[from] prometheus::Error),
@@ -187,9 +193,9 @@
         };
         let entry = EntryServer::start(
             listeners.entry,
-            EntryConfig::from_settings(&settings),
+            EntryConfig::from(&settings),
             entry_context(view, &session, targets, metrics, &log),
-        );
+        )?;
         event!(log, INSTANCE_STARTED; "entry" => %entry.local_addr());
         Ok(Self {
             entry,
@@ -198,7 +204,6 @@
             session,
             replica,
             tasks,
-            drain_delay: Duration::from_millis(settings.drain_delay_ms),
             max_deadline: Duration::from_millis(settings.limits.max_deadline_ms),
             log,
         })
@@ -231,8 +236,6 @@
             // Best effort: without it the others elect a leader after their time-out.
             let _ = replica.node.transfer_leadership().await;
         }
-        tokio::time::sleep(self.drain_delay).await;
-        self.entry.close_listener();
         let finished = async {
             self.entry.closed().await;
             while self.owner.in_progress() > 0 {
@@ -336,11 +339,13 @@
             // A permit whose return is lost expires at the leader.
             tokio::spawn(async move { client.release_permit(session, permit).await });
         }),
-        engine: EngineClient::new(),
+        engine: EngineClient::new(ClientTimeouts {
+            idle: Duration::from_millis(settings.limits.idle_timeout_ms),
+            ..ClientTimeouts::default()
+        }),
         scheduler,
         metrics: metrics.clone(),
         log: log.clone(),
-        idle_timeout: Duration::from_millis(settings.limits.idle_timeout_ms),
         max_body_bytes: settings.limits.max_body_bytes,
     }
 }
@@ -355,16 +360,20 @@
     let keeper = session.clone();
     let (announce, leave, cache_events) = (targets.clone(), targets.clone(), targets);
     EntryContext {
-        view,
+        catalog: Arc::new(ViewCatalog(view)),
         forwarder: Forwarder::new(),
         is_fresh: Arc::new(move || keeper.freshness()),
         announce: Arc::new(move |announcement| {
             let targets = announce.clone();
-            async move { targets.announce(announcement).await }.boxed()
+            async move {
+                targets.announce(announcement).await?;
+                Ok(AnnounceReply { renew_after_ms: RENEW_ANNOUNCEMENT_MS })
+            }
+            .boxed()
         }),
-        leave: Arc::new(move |target, incarnation| {
+        leave: Arc::new(move |message| {
             let targets = leave.clone();
-            async move { targets.leave(target, incarnation).await }.boxed()
+            async move { targets.leave(message.target, message.incarnation).await }.boxed()
         }),
         cache_events: Arc::new(move |events| {
             let targets = cache_events.clone();
@@ -387,11 +396,12 @@
         .max_request_body_size(shallotdrum_rpc::MAX_MESSAGE_BYTES)
         .max_response_body_size(shallotdrum_rpc::MAX_MESSAGE_BYTES)
         .http_only()
+        .set_tcp_no_delay(true)
         .build();
     let addr = listener.local_addr();
     let listener = listener.into_std();
     let (Ok(addr), Ok(listener)) = (addr, listener) else { unreachable!("an open listener") };
-    let server = Server::builder().set_config(cfg).set_tcp_no_delay(true).build_from_tcp(listener);
+    let server = Server::builder().set_config(cfg).build_from_tcp(listener);
     match server {
         Ok(server) => Ok(server.start(methods)),
         Err(source) => Err(InstanceError::Listen { name: "addrs.rpc", addr, source }),
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -3,9 +3,11 @@
 //!
 //! `replica` holds the control replica and the leader's duties, `follower` keeps the control
 //! state of other instances up to date, `session` keeps this instance's session alive, `targets`
-//! relays announcements, `peer` and `admin` serve the RPC methods.
+//! relays announcements, `peer` and `admin` serve the RPC methods, `catalog`
+//! answers the entry's queries.
 
 mod admin;
+mod catalog;
 mod follower;
 mod instance;
 mod peer;
--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -10,9 +10,7 @@
     Base64Bytes, PeerApiServer, Permit, PermitRequest, PermitRow, RenewReply, RenewRequest,
     RpcError, SessionRow, WatchReply,
 };
-use shallotdrum_types::{
-    Incarnation, InstanceId, LogIndex, PermitId, SessionId, TargetId,
-};
+use shallotdrum_types::{Incarnation, InstanceId, LogIndex, PermitId, SessionId, TargetId};
 
 use crate::replica::Replica;
 
--- a/crates/daemon/src/targets.rs
+++ b/crates/daemon/src/targets.rs
@@ -6,9 +6,7 @@
 use shallotdrum_engine::{Announcement, CacheEvents};
 use shallotdrum_owner::OwnerService;
 use shallotdrum_rpc::{ControlClient, PeerApiClient, Peers, RpcError};
-use shallotdrum_types::{
-    Incarnation, RequestError, RequestErrorKind, SessionId, TargetId,
-};
+use shallotdrum_types::{Incarnation, RequestError, RequestErrorKind, SessionId, TargetId};
 
 use crate::session::SessionKeeper;
 
--- a/crates/entry/src/route.rs
+++ b/crates/entry/src/route.rs
@@ -44,7 +44,7 @@
     pub(crate) deadline: Instant,
     pool: PoolId,
     key: String,
-    changes: watch::Receiver<u64>,
+    changes: watch::Receiver<shallotdrum_types::LogIndex>,
     ticket: Option<Ticket>,
     avoid: Option<GroupId>,
     wait_until: Option<Instant>,
--- a/crates/harness/src/caller.rs
+++ b/crates/harness/src/caller.rs
@@ -203,10 +203,8 @@
 }
 
 async fn read_problem(res: Response<Incoming>) -> CallerError {
-    let retry_after = res
-        .headers()
-        .get(header::RETRY_AFTER)
-        .and_then(|value| value.to_str().ok()?.parse().ok());
+    let retry_after =
+        res.headers().get(header::RETRY_AFTER).and_then(|value| value.to_str().ok()?.parse().ok());
     let status = res.status();
     let body = match res.into_body().collect().await {
         Ok(body) => body.to_bytes(),
--- a/crates/harness/src/cluster.rs
+++ b/crates/harness/src/cluster.rs
@@ -35,13 +35,7 @@
 impl ClusterConfig {
     /// Eight instances, three of them control replicas.
     pub fn new(program: impl Into<PathBuf>) -> Self {
-        Self {
-            program: program.into(),
-            instances: 8,
-            replicas: 3,
-            seed: 1,
-            overrides: json!({}),
-        }
+        Self { program: program.into(), instances: 8, replicas: 3, seed: 1, overrides: json!({}) }
     }
 }
 
@@ -67,10 +61,8 @@
         let ports: Vec<_> =
             (0..cfg.instances).map(|_| InstancePorts::reserve()).collect::<Result<_, _>>()?;
         let proxy = |addr: SocketAddr| FaultProxy::start(addr, cfg.seed);
-        let rpc: Vec<_> =
-            ports.iter().map(|p| proxy(p.rpc.addr())).collect::<Result<_, _>>()?;
-        let data: Vec<_> =
-            ports.iter().map(|p| proxy(p.data.addr())).collect::<Result<_, _>>()?;
+        let rpc: Vec<_> = ports.iter().map(|p| proxy(p.rpc.addr())).collect::<Result<_, _>>()?;
+        let data: Vec<_> = ports.iter().map(|p| proxy(p.data.addr())).collect::<Result<_, _>>()?;
         let mut control = Vec::new();
         for i in 0..cfg.instances {
             let to_replicas: Vec<_> = ports[..cfg.replicas]
@@ -80,8 +72,7 @@
             let addrs: Vec<_> = (0..cfg.replicas)
                 .map(|r| if r == i { rpc[r].addr() } else { to_replicas[r].addr() })
                 .collect();
-            let mut settings =
-                instance_settings(deployment, i, &ports[i], &addrs, folder.path());
+            let mut settings = instance_settings(deployment, i, &ports[i], &addrs, folder.path());
             settings["advertise"] = json!({
                 "entry": ports[i].entry.addr(), "rpc": rpc[i].addr(), "data": data[i].addr(),
             });
@@ -89,8 +80,7 @@
             std::fs::write(settings_path(folder.path(), i), settings.to_string())?;
             control.push(to_replicas);
         }
-        let mut cluster =
-            Self { cfg, folder, ports, processes: Vec::new(), control, rpc, data };
+        let mut cluster = Self { cfg, folder, ports, processes: Vec::new(), control, rpc, data };
         for i in 0..cluster.cfg.instances {
             cluster.processes.push(None);
             cluster.restart(i)?;
--- a/crates/harness/src/embedded.rs
+++ b/crates/harness/src/embedded.rs
@@ -34,7 +34,7 @@
         let mut running = Vec::new();
         for (i, ports) in ports.iter().enumerate() {
             let json = instance_settings(deployment, i, ports, &replica_addrs, folder.path());
-            let settings = Settings::from_json(json.to_string().as_bytes())?;
+            let settings = Settings::from_json(&json.to_string())?;
             let listeners = Listeners::open(&settings).await?;
             running.push(Instance::start(settings, listeners, log.clone()).await?);
         }
--- a/crates/owner/src/call.rs
+++ b/crates/owner/src/call.rs
@@ -363,10 +363,7 @@
 }
 
 /// Reply to a call whose key was used before.
-fn not_begun(
-    outcome: BeginOutcome,
-    key: &CallKey,
-) -> Result<Response<ForwardBody>, RequestError> {
+fn not_begun(outcome: BeginOutcome, key: &CallKey) -> Result<Response<ForwardBody>, RequestError> {
     let key = &key.key;
     match outcome {
         BeginOutcome::Answered(answer) => replay(answer, key),
@@ -434,13 +431,8 @@
 
 /// Identifies a call by all that determines its effect.
 fn call_fingerprint(call: &ServiceCall, body: &Bytes) -> Fingerprint {
-    let identity = (
-        &call.subscriber,
-        &call.service,
-        &call.method,
-        &call.path,
-        Fingerprint::of(body),
-    );
+    let identity =
+        (&call.subscriber, &call.service, &call.method, &call.path, Fingerprint::of(body));
     // Strings and hashes always serialize.
     Fingerprint::of(&serde_json::to_vec(&identity).unwrap_or_default())
 }
--- a/crates/owner/src/completion.rs
+++ b/crates/owner/src/completion.rs
@@ -7,14 +7,13 @@
 };
 use shallotdrum_scheduler::{Finish, Job, Lease, Work};
 use shallotdrum_telemetry::event;
-use shallotdrum_types::{
-    Fingerprint, RequestError, RequestErrorKind, SubscriberId, TargetId,
-};
+use shallotdrum_types::{Fingerprint, RequestError, RequestErrorKind, TargetId};
 use tokio::{sync::mpsc, time::Instant};
 
 use crate::{
     CompletionCall, Frame, OwnerService,
     crash::Verdict,
+    fingerprint::completion_fingerprint,
     service::{OwnedGroup, owner_changed},
 };
 
@@ -117,13 +116,15 @@
         tx: &mpsc::Sender<Frame>,
     ) -> Attempt {
         let request = run.request(&lease);
-        let guard =
-            group.crashes.enter(&lease.target, lease.incarnation, &request.request, run.fingerprint);
-        lease.started();
-        let sent = tokio::time::timeout_at(
-            run.deadline,
-            self.cx.engine.generate(lease.addr, &request),
+        let guard = group.crashes.enter(
+            &lease.target,
+            lease.incarnation,
+            &request.request,
+            run.fingerprint,
         );
+        lease.started();
+        let sent =
+            tokio::time::timeout_at(run.deadline, self.cx.engine.generate(lease.addr, &request));
         let mut stream = match sent.await {
             Ok(Ok(stream)) => stream,
             Ok(Err(error)) => return self.call_failed(run, group, lease, guard, error).await,
@@ -234,7 +235,10 @@
             Verdict::NotRecorded => Attempt::Failed(failure),
             Verdict::Crashed if is_quarantined => Attempt::Failed(RequestError::unknown(
                 RequestErrorKind::Quarantined,
-                format!("request {} crashed two targets and is refused from now on", run.fingerprint),
+                format!(
+                    "request {} crashed two targets and is refused from now on",
+                    run.fingerprint
+                ),
             )),
             Verdict::Alive | Verdict::Crashed => Attempt::Retry(failure),
         }
@@ -310,22 +314,6 @@
     }
 }
 
-/// Identifies a model request by all that determines its answer.
-pub fn completion_fingerprint(subscriber: &SubscriberId, req: &CompletionRequest) -> Fingerprint {
-    let identity = (
-        subscriber,
-        &req.base_model,
-        &req.adapter,
-        &req.prompt,
-        req.max_tokens,
-        req.temperature,
-        &req.stop,
-        req.seed,
-    );
-    // Strings, numbers and lists always serialize.
-    Fingerprint::of(&serde_json::to_vec(&identity).unwrap_or_default())
-}
-
 fn answered(end: &End) -> Finish {
     Finish::Answered {
         prompt_tokens: end.usage.prompt_tokens.0,
--- a/crates/owner/src/crash.rs
+++ b/crates/owner/src/crash.rs
@@ -135,8 +135,7 @@
 ) -> bool {
     let deadline = Instant::now() + CONFIRM_WINDOW;
     loop {
-        let current =
-            cx.view.read(|state| state.target(target).map(|t| t.announced.incarnation));
+        let current = cx.view.read(|state| state.target(target).map(|t| t.announced.incarnation));
         if current.is_some_and(|current| current != incarnation) {
             return true;
         }
@@ -164,9 +163,8 @@
     }
     let mut changed = cx.view.changed();
     let seen = tokio::time::timeout(VIEW_TIMEOUT, async {
-        let is_counted = |request: &Fingerprint| {
-            cx.view.read(|state| state.suspect_crashes(request) > 0)
-        };
+        let is_counted =
+            |request: &Fingerprint| cx.view.read(|state| state.suspect_crashes(request) > 0);
         while !requests.iter().all(is_counted) && changed.changed().await.is_ok() {}
     });
     match seen.await {
--- a/crates/entry/src/fingerprint.rs
+++ b/crates/owner/src/fingerprint.rs
@@ -5,7 +5,7 @@
 
 /// Hashes what makes a request the same when it is sent again: subscriber, resolved model,
 /// sampling parameters and prompt, but not its id, deadline, priority or resume point.
-pub fn fingerprint(subscriber: &SubscriberId, req: &CompletionRequest) -> Fingerprint {
+pub fn completion_fingerprint(subscriber: &SubscriberId, req: &CompletionRequest) -> Fingerprint {
     let mut hasher = blake3::Hasher::new();
     // Each part is preceded by its length, so that different parts can't join to equal bytes.
     let mut part = |bytes: &[u8]| {
--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -9,14 +9,15 @@
 mod context;
 mod crash;
 mod end_guard;
+mod fingerprint;
 mod forwarder;
 mod load;
 mod messages;
 mod server;
 mod service;
 
-pub use completion::completion_fingerprint;
 pub use context::{HeldPermits, OwnerContext, PermitFn, ReleaseFn, SessionFn};
+pub use fingerprint::completion_fingerprint;
 pub use forwarder::{
     CALL_HEADER, COMPLETION_PATH, ERROR_HEADER, ForwardBody, ForwardError, Forwarder, FrameStream,
     SERVICE_PATH, full_body,
--- a/crates/owner/src/load.rs
+++ b/crates/owner/src/load.rs
@@ -20,9 +20,7 @@
     session: SessionId,
     orders: OrderCount,
 ) -> LoadFn {
-    Arc::new(move |order| {
-        load(cx.clone(), group.clone(), session, orders.clone(), order).boxed()
-    })
+    Arc::new(move |order| load(cx.clone(), group.clone(), session, orders.clone(), order).boxed())
 }
 
 /// Number of orders that a group's owner has in flight.
--- a/crates/owner/src/service.rs
+++ b/crates/owner/src/service.rs
@@ -18,8 +18,7 @@
 use shallotdrum_scheduler::{GroupScheduler, GroupSnapshot, Lease, TargetSpec};
 use shallotdrum_telemetry::event;
 use shallotdrum_types::{
-    Epoch, GroupId, Incarnation, RequestError, RequestErrorKind, SessionId, SubscriberId,
-    TargetId,
+    Epoch, GroupId, Incarnation, RequestError, RequestErrorKind, SessionId, SubscriberId, TargetId,
 };
 
 use crate::{
@@ -113,8 +112,7 @@
         }
         for group in groups {
             group.orders_finished().await;
-            let command =
-                Command::ReleaseGroup { group: group.id.clone(), session: group.session };
+            let command = Command::ReleaseGroup { group: group.id.clone(), session: group.session };
             if let Err(error) = self.cx.propose(command).await {
                 event!(self.cx.log, GROUP_RELEASE_FAILED; "group" => %group.id, "error" => %error);
             }
@@ -158,10 +156,11 @@
     }
 
     /// Takes cache events of an engine.
+    ///
+    /// They have no effect yet: the scheduler estimates each engine's prefix cache from the
+    /// requests that it sent there.
     pub fn cache_events(&self, events: &CacheEvents) -> Result<(), GroupId> {
-        let group = self.group_of(&events.target)?;
-        group.scheduler.cache_events(events);
-        Ok(())
+        self.group_of(&events.target).map(drop)
     }
 
     /// State of each owned group, for operators and metrics.
@@ -232,7 +231,9 @@
             let mut groups = self.groups();
             let is_kept = |group: &OwnedGroup| {
                 Some(group.session) == session
-                    && assigned.iter().any(|(id, epoch, _)| (id, epoch) == (&group.id, &group.epoch))
+                    && assigned
+                        .iter()
+                        .any(|(id, epoch, _)| (id, epoch) == (&group.id, &group.epoch))
             };
             let ids: Vec<_> = groups
                 .values()
@@ -351,11 +352,12 @@
         tokio::spawn(async move {
             let command =
                 Command::RemoveTarget { target: target.clone(), incarnation, is_leaving: false };
-            match service.cx.propose(command).await {
-                Ok(Reply::Refused(error)) => event!(service.cx.log, TARGET_REMOVAL_FAILED; "target" => %target, "error" => %error),
-                Ok(_) => {}
-                Err(error) => event!(service.cx.log, TARGET_REMOVAL_FAILED; "target" => %target, "error" => %error),
-            }
+            let error = match service.cx.propose(command).await {
+                Ok(Reply::Refused(error)) => error.to_string(),
+                Ok(_) => return,
+                Err(error) => error.to_string(),
+            };
+            event!(service.cx.log, TARGET_REMOVAL_FAILED; "target" => %target, "error" => error);
         });
     }
 }
--- a/crates/rpc/src/api.rs
+++ b/crates/rpc/src/api.rs
@@ -9,9 +9,9 @@
 };
 
 use crate::{
-    AdapterRow, Base64Bytes, GroupRow, InstanceRow, ManifestCheck, ManifestView, Permit, PermitRequest,
-    PermitRow, QuarantineRow, RenewReply, RenewRequest, ReplicaStatus, RpcError, SessionRow, SubmissionRow,
-    SubscriberRow, TargetRow, WatchReply,
+    AdapterRow, Base64Bytes, GroupRow, InstanceRow, ManifestCheck, ManifestView, Permit,
+    PermitRequest, PermitRow, QuarantineRow, RenewReply, RenewRequest, ReplicaStatus, RpcError,
+    SessionRow, SubmissionRow, SubscriberRow, TargetRow, WatchReply,
 };
 
 /// Methods between instances.
--- a/crates/rpc/src/control_client.rs
+++ b/crates/rpc/src/control_client.rs
@@ -16,9 +16,7 @@
 use shallotdrum_types::{InstanceId, PermitId, SessionId};
 use tokio::time::Instant;
 
-use crate::{
-    PeerApiClient, Peers, Permit, PermitRequest, RenewReply, RenewRequest, RpcError,
-};
+use crate::{PeerApiClient, Peers, Permit, PermitRequest, RenewReply, RenewRequest, RpcError};
 
 /// Settings of the client.
 #[derive(Clone, Debug)]
@@ -100,9 +98,10 @@
         permit: PermitId,
     ) -> Result<(), RpcError> {
         let deadline = Instant::now() + self.cfg.propose_timeout;
-        self.call_leader(deadline, |client| async move {
-            client.release_permit(session, permit).await
-        })
+        self.call_leader(
+            deadline,
+            |client| async move { client.release_permit(session, permit).await },
+        )
         .await
     }
 
--- a/crates/rpc/src/error.rs
+++ b/crates/rpc/src/error.rs
@@ -6,7 +6,7 @@
 };
 use serde::{Deserialize, Serialize};
 use shallotdrum_control::CommandError;
-use shallotdrum_manifest::ManifestError;
+use shallotdrum_manifest::ManifestErrors;
 use shallotdrum_types::{GroupId, InstanceId, SessionId};
 
 /// First code of the range that JSON-RPC leaves to applications.
@@ -41,8 +41,8 @@
     #[error("no weight-store permit became free in time")]
     NoPermit,
     /// The manifest is not valid.
-    #[error("the manifest is not valid: {} problems", .0.len())]
-    InvalidManifest(Vec<ManifestError>),
+    #[error("the manifest is not valid: {} problem(s)", .0.errors.len())]
+    InvalidManifest(ManifestErrors),
     /// The command was refused.
     #[error(transparent)]
     Refused(#[from] CommandError),
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -23,8 +23,8 @@
 pub use control_client::{ControlClient, ControlClientConfig};
 pub use error::RpcError;
 pub use messages::{
-    Base64Bytes, Permit, PermitRequest, RenewReply, RenewRequest, SessionRow,
-    WatchEntry, WatchReply,
+    Base64Bytes, Permit, PermitRequest, RenewReply, RenewRequest, SessionRow, WatchEntry,
+    WatchReply,
 };
 pub use peers::{MAX_MESSAGE_BYTES, Peers, PeersConfig};
 pub use transport::RpcTransport;
--- a/crates/rpc/src/transport.rs
+++ b/crates/rpc/src/transport.rs
@@ -23,8 +23,7 @@
 impl Transport for RpcTransport {
     async fn call(&self, to: &InstanceId, message: Vec<u8>) -> Result<Vec<u8>, TransportError> {
         let failed = |reason: String| TransportError { to: to.clone(), reason };
-        let addr =
-            self.replicas.get(to).ok_or_else(|| failed("not in the settings".to_owned()))?;
+        let addr = self.replicas.get(to).ok_or_else(|| failed("not in the settings".to_owned()))?;
         let client = self.peers.get(*addr).map_err(|e| failed(e.to_string()))?;
         let answer = client
             .consensus_message(Base64Bytes(message))
