--- a/crates/entry/src/catalog.rs
+++ b/crates/entry/src/catalog.rs
@@ -6,8 +6,8 @@
 use std::net::SocketAddr;
 
 use shallotdrum_types::{
-    AdapterRef, BaseModelId, Fingerprint, GroupId, KeyHash, ModelName, PoolId, RequestError,
-    RequestErrorKind, ServiceId, SessionId, SubscriberId,
+    AdapterRef, BaseModelId, Fingerprint, GroupId, KeyHash, LogIndex, ModelName, PoolId,
+    RequestError, RequestErrorKind, ServiceId, SessionId, SubscriberId,
 };
 use tokio::sync::watch;
 
@@ -44,7 +44,7 @@
     fn is_quarantined(&self, request: &Fingerprint) -> bool;
 
     /// Receiver that is notified after each change of the state.
-    fn changes(&self) -> watch::Receiver<u64>;
+    fn changes(&self) -> watch::Receiver<LogIndex>;
 }
 
 /// Resolved model.
--- a/crates/entry/src/fingerprint.rs
+++ b/crates/entry/src/fingerprint.rs
@@ -3,27 +3,21 @@
 use shallotdrum_engine::CompletionRequest;
 use shallotdrum_types::{Fingerprint, SubscriberId};
 
-/// Hashes what makes a request the same when it is sent again: subscriber, resolved model,
-/// sampling parameters and prompt, but not its id, deadline, priority or resume point.
+/// Identifies a model request by all that determines its answer: subscriber, resolved model,
+/// prompt and sampling parameters, but not its id, deadline, priority or resume point.
+///
+/// Architecture Invariant: owners compute the same value when they report crashes.
 pub fn fingerprint(subscriber: &SubscriberId, req: &CompletionRequest) -> Fingerprint {
-    let mut hasher = blake3::Hasher::new();
-    // Each part is preceded by its length, so that different parts can't join to equal bytes.
-    let mut part = |bytes: &[u8]| {
-        hasher.update(&(bytes.len() as u64).to_le_bytes());
-        hasher.update(bytes);
-    };
-    part(subscriber.as_str().as_bytes());
-    part(req.base_model.as_str().as_bytes());
-    part(req.adapter.adapter.as_str().as_bytes());
-    part(req.adapter.version.as_str().as_bytes());
-    part(&req.max_tokens.to_le_bytes());
-    // Adding zero turns -0.0 into 0.0, which samples in the same way.
-    part(&(req.temperature + 0.0).to_bits().to_le_bytes());
-    part(&(req.stop.len() as u64).to_le_bytes());
-    for stop in &req.stop {
-        part(stop.as_bytes());
-    }
-    part(&req.seed.map_or(Vec::new(), |seed| seed.to_le_bytes().to_vec()));
-    part(req.prompt.as_bytes());
-    Fingerprint::from_bytes(*hasher.finalize().as_bytes())
+    let identity = (
+        subscriber,
+        &req.base_model,
+        &req.adapter,
+        &req.prompt,
+        req.max_tokens,
+        req.temperature,
+        &req.stop,
+        req.seed,
+    );
+    // Strings, numbers and lists always serialize.
+    Fingerprint::of(&serde_json::to_vec(&identity).unwrap_or_default())
 }
--- a/crates/entry/src/openai/request.rs
+++ b/crates/entry/src/openai/request.rs
@@ -70,7 +70,8 @@
         model,
         prompt,
         max_tokens,
-        temperature: fields.number("temperature", 0.0, 2.0)?.unwrap_or(DEFAULT_TEMPERATURE),
+        // Adding zero turns -0.0 into 0.0, so that equal requests have equal fingerprints.
+        temperature: fields.number("temperature", 0.0, 2.0)?.unwrap_or(DEFAULT_TEMPERATURE) + 0.0,
         stop: stop(&mut fields)?,
         seed: seed(&mut fields)?,
         stream,
--- a/crates/entry/src/route.rs
+++ b/crates/entry/src/route.rs
@@ -9,7 +9,7 @@
 use rand::RngExt;
 use shallotdrum_owner::ForwardError;
 use shallotdrum_telemetry::event;
-use shallotdrum_types::{GroupId, Outcome, PoolId, RequestError, RequestErrorKind};
+use shallotdrum_types::{GroupId, LogIndex, Outcome, PoolId, RequestError, RequestErrorKind};
 use tokio::{sync::watch, time::Instant};
 
 use crate::{
@@ -29,8 +29,11 @@
 const MAX_PAUSE: Duration = Duration::from_millis(500);
 /// Longest pause that a refusal may ask for before the caller is told to come back instead.
 const MAX_REFUSAL_PAUSE: Duration = Duration::from_secs(3);
-/// Times that a request is sent again; one that breaks each owner is not sent on.
-const MAX_RETRIES: u32 = 3;
+/// Times that a request is sent again after a loss; one that breaks each owner is not sent on.
+const MAX_LOSSES: u32 = 3;
+/// Times that a request is sent again in all. With back-off they span about 2 s, in which an
+/// instance learns that it owns a group, or an old owner's session expires.
+const MAX_RETRIES: u32 = 8;
 /// Pause that a caller is told when no owner or target is there.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Time that the owner has, after the deadline, to say whether the request ran.
@@ -44,7 +47,7 @@
     pub(crate) deadline: Instant,
     pool: PoolId,
     key: String,
-    changes: watch::Receiver<u64>,
+    changes: watch::Receiver<LogIndex>,
     ticket: Option<Ticket>,
     avoid: Option<GroupId>,
     wait_until: Option<Instant>,
@@ -71,7 +74,7 @@
             pause: FIRST_PAUSE,
             retries: 0,
             losses: 0,
-            max_losses: MAX_RETRIES,
+            max_losses: MAX_LOSSES,
             may_have_run: false,
         }
     }
@@ -158,7 +161,11 @@
             RequestErrorKind::NoTarget => is_not_run,
             _ => false,
         };
-        let pause = error.retry_after.unwrap_or_default();
+        // The delay of "not ready" is meant for callers; the entry sees when the owner changes.
+        let pause = match error.kind {
+            RequestErrorKind::NotReady => Duration::ZERO,
+            _ => error.retry_after.unwrap_or_default(),
+        };
         if !is_retryable || pause > MAX_REFUSAL_PAUSE {
             return Err(self.fail(error));
         }
--- a/crates/entry/tests/common/catalog.rs
+++ b/crates/entry/tests/entry/common/catalog.rs
@@ -8,7 +8,7 @@
 
 use shallotdrum_entry::{Catalog, GroupOwner, LookupError, Model, Owner, ServiceRoute};
 use shallotdrum_types::{
-    AdapterRef, Fingerprint, GroupId, KeyHash, ModelName, PoolId, ServiceId, SessionId,
+    AdapterRef, Fingerprint, GroupId, KeyHash, LogIndex, ModelName, PoolId, ServiceId, SessionId,
     SubscriberId,
 };
 use tokio::sync::watch;
@@ -17,7 +17,7 @@
 /// `desk` and one group each for engines and services.
 pub(crate) struct FakeCatalog {
     state: Mutex<State>,
-    changes: watch::Sender<u64>,
+    changes: watch::Sender<LogIndex>,
 }
 
 pub(crate) struct State {
@@ -35,7 +35,7 @@
             live: BTreeSet::from([SessionId(1), SessionId(2)]),
             quarantined: BTreeSet::new(),
         };
-        Self { state: Mutex::new(state), changes: watch::Sender::new(0) }
+        Self { state: Mutex::new(state), changes: watch::Sender::default() }
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
@@ -44,7 +44,7 @@
 
     pub(crate) fn change(&self, change: impl FnOnce(&mut State)) {
         change(&mut self.state());
-        self.changes.send_modify(|index| *index += 1);
+        self.changes.send_modify(|index| *index = index.next());
     }
 
     /// Gives all groups to another owner, or to none.
@@ -117,7 +117,7 @@
         self.state().quarantined.contains(request)
     }
 
-    fn changes(&self) -> watch::Receiver<u64> {
+    fn changes(&self) -> watch::Receiver<LogIndex> {
         self.changes.subscribe()
     }
 }
--- a/crates/entry/tests/common/mod.rs
+++ b/crates/entry/tests/entry/common/mod.rs
@@ -1,8 +1,5 @@
 //! Entry with a scripted owner and a catalog in memory.
 
-// Each test file is compiled on its own and uses a part of this module.
-#![allow(dead_code)]
-
 mod catalog;
 mod owner;
 
@@ -24,7 +21,7 @@
 use tokio::net::TcpListener;
 
 pub(crate) use catalog::FakeCatalog;
-pub(crate) use owner::{FakeOwner, Step, answer, chunk, chunk_of, end};
+pub(crate) use owner::{FakeOwner, Step, chunk, chunk_of, end};
 
 /// Bearer key of subscriber `clinic`.
 pub(crate) const KEY: &str = "clinic-key";
@@ -158,14 +155,14 @@
 
     /// Sends a completion request with extra fields.
     pub(crate) async fn complete(&self, extra: Value) -> Reply {
-        self.call("POST", "/v1/completions", &[], body(extra)).await
+        self.call("POST", "/v1/completions", &[], body(&extra)).await
     }
 
     /// Sends a streamed completion; returns the text and whether the body ended without error.
     pub(crate) async fn stream(&self, extra: Value) -> (Reply, bool) {
         let mut extra = extra;
         extra["stream"] = json!(true);
-        let res = self.send("POST", "/v1/completions", &[], body(extra)).await;
+        let res = self.send("POST", "/v1/completions", &[], body(&extra)).await;
         let (parts, mut incoming) = res.into_parts();
         let mut text = Vec::new();
         let is_clean = loop {
@@ -181,7 +178,7 @@
 }
 
 /// Body of a good completion request with fields added or replaced.
-pub(crate) fn body(extra: Value) -> Vec<u8> {
+pub(crate) fn body(extra: &Value) -> Vec<u8> {
     let mut body = json!({"model": "base/ada", "prompt": "Hello", "max_tokens": 8});
     body.as_object_mut().unwrap().extend(extra.as_object().unwrap().clone());
     body.to_string().into_bytes()
--- a/crates/entry/tests/common/owner.rs
+++ b/crates/entry/tests/entry/common/owner.rs
@@ -122,7 +122,7 @@
     }
     let steps = shared.scripts.lock().unwrap().pop_front();
     let default = || if call.is_some() { answer() } else { vec![Step::Respond(200, "done")] };
-    let mut steps = VecDeque::from(steps.unwrap_or_else(default));
+    let steps = VecDeque::from(steps.unwrap_or_else(default));
     match steps.front() {
         Some(Step::Refuse(error)) => {
             let res = Response::builder()
--- a/crates/entry/tests/completions.rs
+++ b/crates/entry/tests/entry/completions.rs
@@ -1,10 +1,8 @@
 //! Model requests: whole and streamed answers, retries and resumes.
 
-mod common;
-
 use std::time::Duration;
 
-use common::{Bench, FakeOwner, Step, body, chunk, chunk_of, end, until};
+use crate::common::{Bench, FakeOwner, Step, body, chunk, chunk_of, end, until};
 use rstest::rstest;
 use serde_json::{Value, json};
 use shallotdrum_owner::Frame;
@@ -219,7 +217,7 @@
         bench.catalog.set_owner(None);
     }
     let headers = [("x-request-deadline-ms", "200")];
-    let reply = bench.call("POST", "/v1/completions", &headers, body(json!({}))).await;
+    let reply = bench.call("POST", "/v1/completions", &headers, body(&json!({}))).await;
     assert_eq!(reply.problem(), ("deadline-exceeded".to_owned(), outcome.to_owned()));
 }
 
@@ -231,7 +229,7 @@
 async fn completion_caller_gone_cancels(#[case] is_streamed: bool) {
     let bench = Bench::start().await;
     bench.owner.script(vec![chunk(0, "one "), Step::Hang]);
-    let call = bench.send("POST", "/v1/completions", &[], body(json!({"stream": is_streamed})));
+    let call = bench.send("POST", "/v1/completions", &[], body(&json!({"stream": is_streamed})));
     let forwarded = until("the forward", || bench.owner.open() == 1);
     if is_streamed {
         let res = call.await;
