Test service answers that end early

Cause: the end of a service answer at the deadline had no test. Change: the scripted owner can break or hang in the middle of a body.

--- a/crates/entry/tests/entry/common/owner.rs
+++ b/crates/entry/tests/entry/common/owner.rs
@@ -35,7 +35,7 @@
     Hang,
     /// Refuses the whole request; only as first step.
     Refuse(RequestError),
-    /// Answers a service call; only as first step.
+    /// Answers a service call; only as first step. A second step follows the body.
     Respond(u16, &'static str),
 }
 
@@ -135,7 +135,23 @@
                 .status(*status)
                 .header("x-service", "desk")
                 .header("keep-alive", "timeout=5");
-            return Ok(res.body(full(text))?);
+            let rest = match steps.get(1) {
+                None => return Ok(res.body(full(text))?),
+                Some(step) => step.clone(),
+            };
+            let parts = stream::unfold((Some(*text), rest), |(text, rest)| async move {
+                match (text, &rest) {
+                    (Some(text), _) => {
+                        Some((Ok(hyper::body::Frame::data(Bytes::from(text))), (None, rest)))
+                    }
+                    (None, Step::Hang) => std::future::pending().await,
+                    (None, _) => {
+                        tokio::task::yield_now().await;
+                        Some((Err("broken by script".into()), (None, rest)))
+                    }
+                }
+            });
+            return Ok(res.body(StreamBody::new(parts).boxed_unsync())?);
         }
         // Breaking before the response head loses the request as a whole.
         Some(Step::Break) => return Err("broken by script".into()),
--- a/crates/entry/tests/entry/services.rs
+++ b/crates/entry/tests/entry/services.rs
@@ -1,6 +1,7 @@
 //! Calls of plain services.
 
-use crate::common::{Bench, FakeOwner, Step, until};
+use crate::common::{Bench, FakeOwner, PATIENCE, Step, until};
+use http_body_util::BodyExt;
 use rstest::rstest;
 use shallotdrum_types::{RequestError, RequestErrorKind, SessionId};
 
@@ -33,6 +34,21 @@
     assert_eq!(bench.owner.services()[0].1, large);
 }
 
+/// Guards against a short answer that looks whole, and one that holds its connection for ever.
+#[rstest]
+#[case::broken(Step::Break)]
+#[case::silent(Step::Hang)]
+#[tokio::test]
+async fn service_short_answer_is_an_error(#[case] rest: Step) {
+    let bench = Bench::start().await;
+    bench.owner.script(vec![Step::Respond(200, "half"), rest]);
+    let headers = [("x-request-deadline-ms", "300")];
+    let res = bench.send("GET", "/services/desk/balance", &headers, "").await;
+    let body = tokio::time::timeout(PATIENCE, res.into_body().collect()).await.unwrap();
+    assert!(body.is_err(), "the body must not end regularly");
+    until("the end of the request", || bench.metrics.in_flight().get() == 0).await;
+}
+
 /// Guards against calls without key that run twice, and against keys on calls that need none.
 #[rstest]
 #[case::key_missing("POST", "/services/desk/pay", &[], Err("key-required"))]
