--- a/crates/entry/tests/common/catalog.rs
+++ b/crates/entry/tests/entry/common/catalog.rs
@@ -35,7 +35,7 @@
             live: BTreeSet::from([SessionId(1), SessionId(2)]),
             quarantined: BTreeSet::new(),
         };
-        Self { state: Mutex::new(state), changes: watch::Sender::new(LogIndex(0)) }
+        Self { state: Mutex::new(state), changes: watch::Sender::default() }
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
