--- /dev/null
+++ b/crates/control/tests/follower.rs
@@ -0,0 +1,142 @@
+//! Agreement of replicas, followers and restored states on random command sequences.
+
+mod common;
+
+use common::{answer, call_key, engine, instance_info, registry_with, service};
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+use rstest::rstest;
+use shallotdrum_consensus::StateMachine;
+use shallotdrum_control::{Command, ControlState, ControlView, DecodeError, Reply, TimedCommand};
+use shallotdrum_types::{
+    ControlTimeMs, Fingerprint, GroupId, Incarnation, LogIndex, Revision, SessionId,
+};
+
+/// Commands of one sequence; enough to see each kind often.
+const COMMANDS: u64 = 600;
+
+/// Random command with few distinct names, so that commands meet each other.
+fn random_command(rng: &mut StdRng, state: &ControlState) -> Command {
+    let session = SessionId(rng.random_range(1..12));
+    let incarnation = rng.random_range(1..5);
+    let instance = ["fj-a", "fj-b", "in-c"][rng.random_range(0..3)];
+    let target = format!("e{}", rng.random_range(0..40));
+    let group: GroupId = format!("engines/fj/{}", rng.random_range(0..3)).parse().unwrap();
+    let key = call_key(&format!("k{}", rng.random_range(0..8)));
+    let request = Fingerprint::of(&[rng.random_range(0..6)]);
+    let flag = rng.random_bool(0.5);
+    match rng.random_range(0..18) {
+        0 | 1 => Command::OpenSession(instance_info(instance, incarnation)),
+        2 => Command::EndSession { session },
+        3 => Command::DrainInstance { instance: instance.parse().unwrap(), drain: flag },
+        4 => {
+            let id = format!("s{}", rng.random_range(0..30)).parse().unwrap();
+            let base = Revision(state.revision().0.saturating_sub(rng.random_range(0..2)));
+            state.submit_command(id, base, &registry_with(rng.random_range(0..4)))
+        }
+        5 if flag => Command::RegisterTarget(service(&target)),
+        5 | 6 => Command::RegisterTarget(engine(&target, incarnation)),
+        7 => Command::RemoveTarget {
+            target: target.parse().unwrap(),
+            incarnation: Incarnation(incarnation),
+        },
+        8 => Command::DrainTarget { target: target.parse().unwrap(), drain: flag },
+        9 | 10 => Command::AssignGroup { group, session },
+        11 => Command::ReleaseGroup { group, session },
+        12 => Command::ReportCrash {
+            target: target.parse().unwrap(),
+            incarnation: Incarnation(incarnation),
+            requests: vec![request],
+        },
+        13 if flag => Command::LiftQuarantine { request },
+        13 => Command::DrainSession { session },
+        14 | 15 => Command::BeginCall { key, fingerprint: request, session },
+        16 if flag => Command::FinishCall { key, session, answer: flag.then(|| answer("x")) },
+        16 => Command::AbandonCall { key, session },
+        _ => Command::Tick,
+    }
+}
+
+/// Guards against followers, or replicas that restarted from a snapshot, that decide differently
+/// from replicas that have seen the whole log.
+#[rstest]
+fn follower_agrees(#[values(1, 2, 3, 4, 5, 6, 7, 8)] seed: u64) {
+    println!("seed {seed}");
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut replica = ControlView::new();
+    let mut restarted = ControlView::new();
+    let follower = ControlView::new();
+    let mut now = 0u64;
+    let (mut accepted, mut refused, mut skipped) = (0, 0, 0);
+    for i in 1..=COMMANDS {
+        let index = LogIndex(i);
+        // Mostly seconds; sometimes most of a day, and sometimes back, as after a faulty election.
+        now = match rng.random_range(0..20) {
+            0 => now + 20 * 3_600_000,
+            1 => now.saturating_sub(5_000),
+            _ => now + rng.random_range(0..3_000),
+        };
+        let command = replica.read(|state| random_command(&mut rng, state));
+        let command = TimedCommand { at: ControlTimeMs(now), command };
+        let logged = ControlView::decode(&ControlView::encode(&command)).unwrap();
+        assert_eq!(logged, command);
+        let reply = replica.apply(index, command.clone());
+        match reply {
+            Reply::Refused(_) => refused += 1,
+            _ => accepted += 1,
+        }
+        if rng.random_bool(0.02) {
+            let snapshot = restarted.snapshot();
+            restarted = ControlView::new();
+            restarted.restore(&snapshot).unwrap();
+        }
+        assert_eq!(restarted.apply(index, command.clone()), reply, "command {i}");
+
+        match command.command.is_ledger_only() {
+            true => skipped += 1,
+            false => follower.apply_follow(index, command.clone()),
+        }
+        if rng.random_bool(0.02) {
+            follower.restore_follower(&replica.snapshot_without_ledger()).unwrap();
+        }
+        // Repeated commands, as after a reconnected watch stream, have no effect.
+        follower.apply_follow(LogIndex(rng.random_range(1..=follower.applied().0.max(1))), command);
+        follower.skip_to(index);
+        let agree = follower.snapshot_without_ledger() == replica.snapshot_without_ledger();
+        assert!(agree, "command {i}");
+    }
+    assert!(accepted > 100 && refused > 100 && skipped > 100, "{accepted} {refused} {skipped}");
+    assert!(replica.read(Clone::clone) == restarted.read(Clone::clone));
+}
+
+/// Guards against a snapshot that is misread, or that leaves a half-replaced state.
+#[test]
+fn restore_error() {
+    let mut view = ControlView::new();
+    view.apply(LogIndex(7), TimedCommand { at: ControlTimeMs(1), command: Command::Tick });
+    let snapshot = String::from_utf8(StateMachine::snapshot(&view)).unwrap();
+    let newer = snapshot.replacen("\"version\":1", "\"version\":2", 1);
+    assert!(matches!(view.restore(newer.as_bytes()), Err(DecodeError::Version(2))));
+    assert!(matches!(view.restore(&snapshot.as_bytes()[1..]), Err(DecodeError::Json(_))));
+    assert_eq!(view.applied(), LogIndex(7));
+    // An older snapshot must not move a follower back.
+    view.restore_follower(&ControlView::new().snapshot_without_ledger()).unwrap();
+    assert_eq!(view.applied(), LogIndex(7));
+}
+
+/// Guards against waiters that miss a change, or wake before it can be read.
+#[tokio::test]
+async fn changed_reports_index() {
+    let view = ControlView::new();
+    let mut changed = view.changed();
+    let other = view.clone();
+    let task = tokio::spawn(async move {
+        changed.wait_for(|index| *index >= LogIndex(3)).await.unwrap();
+        other.read(ControlState::applied)
+    });
+    let open = |incarnation| Command::OpenSession(instance_info("fj-a", incarnation));
+    for i in 1..=3 {
+        let command = open(i);
+        view.apply_follow(LogIndex(i), TimedCommand { at: ControlTimeMs(i), command });
+    }
+    assert_eq!(task.await.unwrap(), LogIndex(3));
+}
--- /dev/null
+++ b/crates/control/tests/leader.rs
@@ -0,0 +1,254 @@
+//! Leases, permits and assignments in the leader's memory.
+
+mod common;
+
+use std::{
+    collections::BTreeSet,
+    time::{Duration, Instant},
+};
+
+use common::{Log, engine, registry};
+use rstest::rstest;
+use shallotdrum_control::{
+    CLOCK_DRIFT_MARGIN, Command, LeaderDuties, PERMIT_LIFETIME, PermitAnswer, PermitTable,
+    RenewError, SESSION_LEASE, SessionTable, assignments, permit_term, rebalance,
+};
+use shallotdrum_types::{GroupId, PermitId, Revision, SessionId, Term};
+
+const A: SessionId = SessionId(1);
+const B: SessionId = SessionId(2);
+const C: SessionId = SessionId(3);
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn granted(answer: PermitAnswer) -> Option<PermitId> {
+    match answer {
+        PermitAnswer::Granted(permit) => Some(permit),
+        PermitAnswer::Wait(_) => None,
+    }
+}
+
+/// Table of 3 loads a second and 8 in flight that has heard of all sessions.
+fn permits(now: Instant) -> PermitTable {
+    PermitTable::new(now - ms(1_000), Term(1), &registry().weight_store, [])
+}
+
+/// Guards against a holder that counts on a lease that the leader has ended, and a session that
+/// is ended while it is renewed in time.
+#[test]
+fn session_lease() {
+    let start = Instant::now();
+    let mut table = SessionTable::default();
+    table.reset(start, [A, B]);
+    let renew =
+        |table: &mut SessionTable, session, now| table.renew(session, now, Revision(3), Vec::new());
+    let first = SESSION_LEASE + CLOCK_DRIFT_MARGIN;
+    let late = start + first - ms(1);
+    assert_eq!(renew(&mut table, A, late), Ok(()));
+    assert!(table.expired(late).is_empty());
+    assert_eq!(table.expired(start + first), [B]);
+    assert_eq!(renew(&mut table, B, late), Err(RenewError::Expired(B)));
+    assert_eq!(table.expired(late + SESSION_LEASE - ms(1)), [B]);
+    // A renewal that arrives at the deadline is refused, even before anyone asked.
+    assert_eq!(renew(&mut table, A, late + SESSION_LEASE), Err(RenewError::Expired(A)));
+    table.sync(late, [A, C]);
+    assert_eq!(renew(&mut table, B, late), Err(RenewError::Ended(B)));
+    assert_eq!(table.applied_revision(A), Some(Revision(3)));
+    assert_eq!(table.live(late), BTreeSet::from([C]));
+}
+
+/// Guards against more loads in a second than the store allows, and against slower grants.
+#[test]
+fn permit_rate() {
+    let start = Instant::now();
+    let mut table = permits(start);
+    let mut grants = 0;
+    for i in 0..10_000 {
+        let now = start + ms(i);
+        if let Some(permit) = granted(table.request(A, now)) {
+            table.release(A, permit);
+            grants += 1;
+        }
+    }
+    assert!((29..=31).contains(&grants), "{grants}");
+}
+
+/// Guards against more loads in flight than the store allows, and against lost releases that
+/// occupy the store for ever.
+#[test]
+fn permit_in_flight() {
+    let start = Instant::now();
+    let mut table = permits(start);
+    let mut held = Vec::new();
+    let mut now = start;
+    while held.len() < 8 {
+        held.extend(granted(table.request(A, now)));
+        now += ms(350);
+    }
+    assert_eq!(granted(table.request(B, now)), None);
+    table.release(B, held[0]);
+    assert_eq!(granted(table.request(B, now)), None, "released by another session");
+    table.release(A, held[0]);
+    assert!(granted(table.request(B, now)).is_some());
+    table.ended(A);
+    assert_eq!(table.in_flight(now), 1);
+    assert_eq!(table.in_flight(now + PERMIT_LIFETIME), 0);
+}
+
+/// Guards against a session that gets all permits by asking more often, and against a session
+/// that keeps its turn without asking.
+#[test]
+fn permit_fairness() {
+    let start = Instant::now();
+    let mut table = permits(start);
+    let mut counts = [0u32; 3];
+    for i in 0..12_000 {
+        let now = start + ms(i);
+        for (session, count, every) in [(A, 0, 1), (B, 1, 20), (C, 2, 200)] {
+            // C stops asking after six seconds.
+            let asks = i % every == 0 && (session != C || i < 6_000);
+            if asks && let Some(permit) = granted(table.request(session, now)) {
+                table.release(session, permit);
+                counts[count] += 1;
+            }
+        }
+    }
+    let [a, b, c] = counts;
+    assert!(a + b + c >= 30, "{counts:?}");
+    assert!(a.abs_diff(b) <= 2 && (4..=7).contains(&c), "{counts:?}");
+}
+
+/// Guards against loads beyond the store's limits after an election: the earlier leader's permits
+/// count, and nothing is granted until all of them are known.
+#[rstest]
+#[case::renews(true)]
+#[case::expires(false)]
+fn permits_across_election(#[case] b_renews: bool) {
+    let mut log = Log::default();
+    log.submit("s", 0, &registry());
+    let (a, b) = (log.open("fj-a", 1), log.open("fj-b", 1));
+    let start = Instant::now();
+    let mut first = LeaderDuties::new(start, Term(4), &log.state);
+    let renew = |duties: &mut LeaderDuties, log: &Log, now, session, permits: &[PermitId]| {
+        duties.renew(now, &log.state, session, Revision(1), permits.to_vec()).unwrap();
+    };
+    renew(&mut first, &log, start, a, &[]);
+    renew(&mut first, &log, start, b, &[]);
+    let mut held = Vec::new();
+    let mut now = start + ms(334);
+    for session in [a, a, a, a, b, b, b, b] {
+        renew(&mut first, &log, now, a, &[]);
+        renew(&mut first, &log, now, b, &[]);
+        held.extend(granted(first.request_permit(now, &log.state, session).unwrap()));
+        now += ms(334);
+    }
+    assert_eq!(held.len(), 8);
+
+    let elected = now;
+    let mut second = LeaderDuties::new(elected, Term(5), &log.state);
+    now += ms(1_000);
+    renew(&mut second, &log, now, a, &held[..4]);
+    assert_eq!(granted(second.request_permit(now, &log.state, a).unwrap()), None, "b is unheard");
+    match b_renews {
+        true => renew(&mut second, &log, now, b, &held[4..]),
+        false => {
+            now = elected + SESSION_LEASE + CLOCK_DRIFT_MARGIN;
+            renew(&mut second, &log, now - ms(10), a, &held[..4]);
+            for command in second.due(now, &log.state) {
+                log.apply(command);
+            }
+            assert!(log.state.session(b).is_none());
+        }
+    }
+    let permit = granted(second.request_permit(now, &log.state, a).unwrap());
+    assert_eq!(permit.is_some(), !b_renews, "all eight are in flight unless b has ended");
+    second.release_permit(a, held[0]);
+    now += ms(400);
+    let permit = granted(second.request_permit(now, &log.state, a).unwrap()).unwrap();
+    assert!(permit_term(permit) == Term(5) && !held.contains(&permit));
+}
+
+/// Guards against a burst right after an election.
+#[test]
+fn permit_first_interval() {
+    let start = Instant::now();
+    let mut table = PermitTable::new(start, Term(1), &registry().weight_store, [A]);
+    assert_eq!(granted(table.request(A, start + ms(400))), None, "unheard");
+    table.renewed(A, &[], start + ms(10));
+    assert_eq!(granted(table.request(A, start + ms(300))), None);
+    assert!(granted(table.request(A, start + ms(400))).is_some());
+}
+
+/// Guards against limits that apply only after the next election.
+#[test]
+fn permit_limits_change() {
+    let mut log = Log::default();
+    let a = log.open("fj-a", 1);
+    let start = Instant::now();
+    let mut duties = LeaderDuties::new(start, Term(1), &log.state);
+    duties.renew(start, &log.state, a, Revision(0), Vec::new()).unwrap();
+    log.submit("s", 0, &registry());
+    let mut now = start + ms(1_000);
+    for _ in 0..2 {
+        // Without a manifest, one load is allowed in flight.
+        assert!(granted(duties.request_permit(now, &log.state, a).unwrap()).is_some());
+        now += ms(350);
+    }
+}
+
+/// State with sessions in two regions and unowned groups in the first.
+fn log_with_groups(groups: usize) -> (Log, BTreeSet<SessionId>) {
+    let mut log = Log::default();
+    let live = ["fj-a", "fj-b", "in-c"].map(|name| log.open(name, 1)).into();
+    for i in 0..groups {
+        let mut target = engine(&format!("e{i}"), 1);
+        target.pool = format!("pool{i}").parse().unwrap();
+        log.register(target);
+    }
+    (log, live)
+}
+
+fn group(i: usize) -> GroupId {
+    format!("pool{i}/fj/0").parse().unwrap()
+}
+
+/// Guards against groups without an owner, at a draining or remote instance, or all at one.
+#[test]
+fn assignments_spread() {
+    let (mut log, mut live) = log_with_groups(4);
+    let expected = [(group(0), A), (group(1), B), (group(2), A), (group(3), B)];
+    assert_eq!(assignments(&log.state, &live), expected);
+    assert_eq!(assignments(&log.state, &BTreeSet::new()), []);
+    log.assign(&group(0), B);
+    assert_eq!(assignments(&log.state, &live)[0], (group(1), A));
+    log.apply(Command::DrainSession { session: A });
+    assert!(assignments(&log.state, &live).iter().all(|(_, session)| *session == B));
+    live.remove(&B);
+    assert!(assignments(&log.state, &live).iter().all(|(_, session)| *session == C));
+}
+
+/// Guards against groups that stay at one instance after the others restarted, and against groups
+/// that move back and forth.
+#[test]
+fn rebalance_settles() {
+    let (mut log, live) = log_with_groups(5);
+    for i in 0..5 {
+        let owner = if i == 4 { C } else { A };
+        log.assign(&group(i), owner);
+    }
+    let mut moves = 0;
+    while let Some((moved, owner)) = rebalance(&log.state, &live) {
+        log.release(&moved, owner);
+        assert_eq!(rebalance(&log.state, &live), None, "one group at a time");
+        for (group, session) in assignments(&log.state, &live) {
+            log.assign(&group, session);
+        }
+        moves += 1;
+        assert!(moves < 10, "groups move back and forth");
+    }
+    let owned = |session| log.state.groups().filter(|g| g.owner == Some(session)).count();
+    let counts = (owned(A), owned(B), owned(C));
+    assert!(counts == (3, 2, 0) || counts == (2, 3, 0), "{counts:?}");
+}
--- /dev/null
+++ b/crates/control/tests/ledger.rs
@@ -0,0 +1,158 @@
+//! Calls that may not be repeated.
+
+mod common;
+
+use common::{Log, answer, call_key};
+use rstest::rstest;
+use shallotdrum_control::{
+    BeginOutcome, Command, CommandError, LEDGER_LIFETIME_MS, MAX_LEDGER_CALLS,
+    MAX_RECORDED_BODY_BYTES, MAX_RECORDED_BYTES, RecordedAnswer, Reply,
+};
+use shallotdrum_types::SessionId;
+
+fn refused(error: CommandError) -> Reply {
+    Reply::Refused(error)
+}
+
+fn begun() -> (Log, SessionId, SessionId) {
+    let mut log = Log::default();
+    let (a, b) = (log.open("fj-a", 1), log.open("fj-b", 1));
+    assert_eq!(log.begin("k", "body", a), BeginOutcome::Begun);
+    (log, a, b)
+}
+
+/// Guards against a second send while one is in progress, after an answer, or under a used key.
+#[test]
+fn begin_again() {
+    let (mut log, a, b) = begun();
+    assert_eq!(log.begin("k", "body", b), BeginOutcome::InProgress);
+    assert_eq!(log.begin("k", "body", a), BeginOutcome::InProgress);
+    assert_eq!(log.begin("k", "other", b), BeginOutcome::KeyReused);
+    assert_eq!(log.finish("k", b, Some(answer("b"))), refused(CommandError::NoCall));
+    assert_eq!(log.finish("k", a, Some(answer("a"))), Reply::Done);
+    assert_eq!(log.begin("k", "body", b), BeginOutcome::Answered(answer("a")));
+    assert_eq!(log.begin("k", "other", b), BeginOutcome::KeyReused);
+    let mut other = answer("x");
+    other.status = 500;
+    assert_eq!(log.finish("k", a, Some(answer("a"))), Reply::Done);
+    assert_eq!(log.finish("k", a, Some(other)), refused(CommandError::CallFinished));
+    assert_eq!(log.finish("k", a, None), refused(CommandError::CallFinished));
+    assert_eq!(log.begin("k", "body", b), BeginOutcome::Answered(answer("a")));
+}
+
+/// Guards against a second send after the sender's end, and against a true answer that is lost
+/// since it comes after it.
+#[rstest]
+#[case::end_session(false)]
+#[case::new_process(true)]
+fn finish_after_end(#[case] is_restart: bool) {
+    let (mut log, a, b) = begun();
+    match is_restart {
+        true => drop(log.open("fj-a", 2)),
+        false => drop(log.apply(Command::EndSession { session: a })),
+    }
+    assert_eq!(log.begin("k", "body", b), BeginOutcome::Unknown);
+    let call = log.state.call(&call_key("k")).unwrap();
+    assert!(log.state.is_call_unknown(call));
+    assert_eq!(log.finish("k", b, Some(answer("b"))), refused(CommandError::NoCall));
+    assert_eq!(log.begin("k", "body", b), BeginOutcome::Unknown);
+    assert_eq!(log.finish("k", a, Some(answer("a"))), Reply::Done);
+    assert_eq!(log.begin("k", "body", b), BeginOutcome::Answered(answer("a")));
+}
+
+/// Guards against an unknown result that is withdrawn and sent again.
+#[test]
+fn finish_unknown() {
+    let (mut log, a, b) = begun();
+    assert_eq!(log.finish("k", a, None), Reply::Done);
+    assert_eq!(log.begin("k", "body", b), BeginOutcome::Unknown);
+    let abandon = Command::AbandonCall { key: call_key("k"), session: a };
+    assert_eq!(log.refused(abandon), CommandError::CallFinished);
+    assert_eq!(log.begin("k", "body", a), BeginOutcome::Unknown);
+}
+
+/// Guards against a key that stays blocked by a call that was not run, or that another session
+/// frees.
+#[test]
+fn abandon_frees_key() {
+    let (mut log, a, b) = begun();
+    let abandon = |session| Command::AbandonCall { key: call_key("k"), session };
+    assert_eq!(log.refused(abandon(b)), CommandError::NoCall);
+    assert_eq!(log.apply(abandon(a)), Reply::Done);
+    assert_eq!(log.begin("k", "body", b), BeginOutcome::Begun);
+    assert_eq!(log.refused(abandon(a)), CommandError::NoCall);
+    assert_eq!(log.finish("k", a, Some(answer("a"))), refused(CommandError::NoCall));
+}
+
+/// Guards against a call that is begun for a session that is treated as ended.
+#[test]
+fn begin_ended_session() {
+    let (mut log, a, _) = begun();
+    log.apply(Command::EndSession { session: a });
+    let fingerprint = shallotdrum_types::Fingerprint::of(b"x");
+    let begin = Command::BeginCall { key: call_key("new"), fingerprint, session: a };
+    assert_eq!(log.refused(begin), CommandError::NoSession(a));
+}
+
+/// Guards against keys that are forgotten too early, or never.
+#[test]
+fn tick_expires_calls() {
+    let (mut log, a, _) = begun();
+    log.finish("k", a, Some(answer("a")));
+    log.now = LEDGER_LIFETIME_MS - 1;
+    log.apply(Command::Tick);
+    assert_eq!(log.begin("k", "body", a), BeginOutcome::Answered(answer("a")));
+    // A leader with an earlier time neither moves time back nor prolongs the key's life.
+    log.now = 0;
+    log.apply(Command::Tick);
+    assert_eq!(log.state.now().0, LEDGER_LIFETIME_MS - 1);
+    log.now = LEDGER_LIFETIME_MS;
+    log.apply(Command::Tick);
+    assert_eq!(log.state.ledger_len(), 0);
+    assert_eq!(log.begin("k", "body", a), BeginOutcome::Begun);
+}
+
+/// Guards against a ledger that grows without bound, or that drops keys that still count.
+#[test]
+fn begin_ledger_full() {
+    let mut log = Log::default();
+    let a = log.open("fj-a", 1);
+    for i in 0..MAX_LEDGER_CALLS {
+        log.now = i as u64;
+        assert_eq!(log.begin(&format!("k{i}"), "body", a), BeginOutcome::Begun);
+    }
+    let fingerprint = shallotdrum_types::Fingerprint::of(b"body");
+    let begin = Command::BeginCall { key: call_key("one-more"), fingerprint, session: a };
+    assert_eq!(log.refused(begin.clone()), CommandError::LedgerFull);
+    assert_eq!(log.begin("k0", "body", a), BeginOutcome::InProgress);
+    log.now = LEDGER_LIFETIME_MS;
+    assert_eq!(log.apply(begin), Reply::Begin(BeginOutcome::Begun));
+    assert_eq!(log.state.ledger_len(), MAX_LEDGER_CALLS);
+}
+
+/// Guards against recorded answers that fill the memory, and a body cut short that looks whole.
+#[test]
+fn finish_large_answers() {
+    let (mut log, a, _) = begun();
+    let large = "x".repeat(MAX_RECORDED_BODY_BYTES + 1);
+    log.finish("k", a, Some(answer(&large)));
+    let kept = RecordedAnswer { body: None, ..answer("") };
+    assert_eq!(log.begin("k", "body", a), BeginOutcome::Answered(kept));
+
+    let largest = answer(&"x".repeat(MAX_RECORDED_BODY_BYTES));
+    let fitting = MAX_RECORDED_BYTES / MAX_RECORDED_BODY_BYTES;
+    let mut kept = 0;
+    for i in 0..fitting + 2 {
+        let key = format!("k{i}");
+        log.begin(&key, "body", a);
+        log.finish(&key, a, Some(largest.clone()));
+        match log.begin(&key, "body", a) {
+            BeginOutcome::Answered(answer) if answer == largest => kept += 1,
+            BeginOutcome::Answered(answer) => {
+                assert_eq!((answer.status, answer.body), (200, None));
+            }
+            outcome => panic!("{outcome:?}"),
+        }
+    }
+    assert_eq!(kept, fitting - 1);
+}
--- /dev/null
+++ b/crates/control/tests/ownership.rs
@@ -0,0 +1,175 @@
+//! Sessions, targets, groups and their owners.
+
+mod common;
+
+use common::{Log, engine, instance_info, service};
+use rstest::rstest;
+use shallotdrum_control::{
+    Command, CommandError, GroupKind, Handover, LOST_OWNER_SETTLE_MS, MAX_GROUP_TARGETS, Reply,
+};
+use shallotdrum_types::{GroupId, Incarnation, SessionId};
+
+fn group() -> GroupId {
+    "engines/fj/0".parse().unwrap()
+}
+
+/// Log with two sessions and a group of one engine.
+fn log_with_group() -> (Log, SessionId, SessionId) {
+    let mut log = Log::default();
+    let (a, b) = (log.open("fj-a", 1), log.open("fj-b", 1));
+    assert_eq!(log.register(engine("e1", 1)), group());
+    (log, a, b)
+}
+
+/// Guards against a resent command that ends the session it opened, and a late command of an
+/// earlier process that ends its successor's session.
+#[test]
+fn open_session_resent() {
+    let mut log = Log::default();
+    let first = log.open("fj-a", 5);
+    assert_eq!(log.open("fj-a", 5), first);
+    let second = log.open("fj-a", 6);
+    assert_ne!(second, first);
+    assert!(log.state.session(first).is_none());
+    let error = log.refused(Command::OpenSession(instance_info("fj-a", 5)));
+    assert!(matches!(error, CommandError::OldInstance { current: Incarnation(6), .. }));
+    assert!(log.state.session(second).is_some());
+}
+
+/// Guards against two owners of a group, and an epoch that does not rise.
+#[test]
+fn assign_once() {
+    let (mut log, a, b) = log_with_group();
+    let epoch = log.assign(&group(), a);
+    assert_eq!(log.assign(&group(), a), epoch);
+    let to_b = Command::AssignGroup { group: group(), session: b };
+    assert_eq!(log.refused(to_b.clone()), CommandError::GroupOwned(group()));
+    assert_eq!(
+        log.release(&group(), b),
+        Reply::Refused(CommandError::NotOwner { group: group(), session: b })
+    );
+    assert_eq!(log.release(&group(), a), Reply::Done);
+    assert!(log.assign(&group(), b) > epoch);
+}
+
+/// Guards against groups that are given to a process that is stopping or has ended.
+#[test]
+fn assign_draining() {
+    let (mut log, a, b) = log_with_group();
+    let assign = |session| Command::AssignGroup { group: group(), session };
+    let instance = "fj-a".parse().unwrap();
+    log.apply(Command::DrainInstance { instance, drain: true });
+    assert_eq!(log.refused(assign(a)), CommandError::SessionDraining(a));
+    let restarted = log.open("fj-a", 2);
+    assert_eq!(log.refused(assign(a)), CommandError::NoSession(a));
+    assert_eq!(log.refused(assign(restarted)), CommandError::SessionDraining(restarted));
+    let instance = "fj-a".parse().unwrap();
+    log.apply(Command::DrainInstance { instance, drain: false });
+    log.assign(&group(), restarted);
+
+    log.apply(Command::DrainSession { session: b });
+    assert!(log.state.is_draining(b));
+    let b = log.open("fj-b", 2);
+    assert!(!log.state.is_draining(b));
+}
+
+/// Guards against a new owner that sends orders while those of an earlier owner are in flight.
+#[rstest]
+#[case::released(false, 0, Handover::Released)]
+#[case::lost(true, 0, Handover::Lost)]
+#[case::lost_and_released_early(true, LOST_OWNER_SETTLE_MS - 1, Handover::Lost)]
+#[case::lost_and_released_late(true, LOST_OWNER_SETTLE_MS, Handover::Released)]
+fn handover_cause(#[case] is_lost: bool, #[case] owned_ms: u64, #[case] expected: Handover) {
+    let (mut log, a, b) = log_with_group();
+    assert_eq!(log.state.group(&group()).unwrap().handover, Handover::First);
+    log.assign(&group(), a);
+    log.now = 1_000;
+    match is_lost {
+        true => log.apply(Command::EndSession { session: a }),
+        false => log.release(&group(), a),
+    };
+    let state = log.state.group(&group()).unwrap();
+    assert_eq!((state.owner, state.previous_owner_ended_at.unwrap().0), (None, 1_000));
+    if owned_ms > 0 {
+        log.assign(&group(), b);
+        log.now += owned_ms;
+        log.release(&group(), b);
+    }
+    let group = log.state.group(&group()).unwrap();
+    assert_eq!(group.handover, expected);
+    assert_eq!(group.has_settled(log.state.now()), expected != Handover::Lost);
+}
+
+/// Guards against groups that are too large, or that differ between instances.
+#[test]
+fn register_placement() {
+    let mut log = Log::default();
+    let shards: Vec<u32> = (0..MAX_GROUP_TARGETS + 2)
+        .map(|i| log.register(engine(&format!("e{i}"), 1)).shard)
+        .collect();
+    assert_eq!(shards.iter().filter(|shard| **shard == 0).count(), MAX_GROUP_TARGETS);
+    assert_eq!(&shards[MAX_GROUP_TARGETS..], [1, 1]);
+    let remove =
+        Command::RemoveTarget { target: "e3".parse().unwrap(), incarnation: Incarnation(1) };
+    assert_eq!(log.apply(remove), Reply::Done);
+    assert_eq!(log.register(engine("new", 1)).shard, 0);
+    let mut remote = engine("remote", 1);
+    remote.region = "bengal".parse().unwrap();
+    assert_eq!(log.register(remote).to_string(), "engines/bengal/0");
+    let pool = "engines".parse().unwrap();
+    assert_eq!(log.state.groups_of_pool(&pool).count(), 3);
+    let kind = GroupKind::Engines { base_model: "m".parse().unwrap() };
+    assert!(log.state.groups().all(|group| group.kind == kind));
+}
+
+/// Guards against an old announcement or removal that displaces a restarted target.
+#[test]
+fn register_incarnations() {
+    let mut log = Log::default();
+    log.register(engine("e1", 5));
+    log.apply(Command::DrainTarget { target: "e1".parse().unwrap(), drain: true });
+    log.register(engine("e1", 5));
+    assert!(log.state.target("e1".parse().as_ref().unwrap()).unwrap().draining);
+    log.register(engine("e1", 6));
+    assert!(!log.state.target("e1".parse().as_ref().unwrap()).unwrap().draining);
+    let old = log.refused(Command::RegisterTarget(engine("e1", 5)));
+    assert!(matches!(old, CommandError::OldIncarnation { .. }));
+    let remove =
+        Command::RemoveTarget { target: "e1".parse().unwrap(), incarnation: Incarnation(5) };
+    assert!(matches!(log.refused(remove), CommandError::OldIncarnation { .. }));
+    assert_eq!(log.state.targets().count(), 1);
+}
+
+/// Guards against model requests that reach a plain service of the same pool.
+#[test]
+fn register_other_kind() {
+    let mut log = Log::default();
+    log.register(engine("e1", 1));
+    let error = log.refused(Command::RegisterTarget(service("s1")));
+    assert!(matches!(error, CommandError::PoolKindMismatch { .. }));
+    log.register(service("e1"));
+    assert_eq!(log.state.group(&group()).unwrap().kind, GroupKind::Services);
+}
+
+/// Guards against an engine that refuses all orders, since it saw a higher fencing number in the
+/// group it was in before.
+#[test]
+fn fencing_after_move() {
+    let (mut log, a, b) = log_with_group();
+    for i in 2..=MAX_GROUP_TARGETS + 1 {
+        log.register(engine(&format!("e{i}"), 1));
+    }
+    let second: GroupId = "engines/fj/1".parse().unwrap();
+    log.assign(&second, b);
+    let high = log.assign(&group(), a);
+    let moved = "e1".parse().unwrap();
+    assert_eq!(log.state.fencing(&moved), Some(high));
+    // e1 leaves the first group, another target takes its place, and e1 comes to the second.
+    log.apply(Command::RemoveTarget { target: moved.clone(), incarnation: Incarnation(1) });
+    assert_eq!(log.register(engine("other", 1)), group());
+    assert_eq!(log.register(engine("e1", 1)), second);
+    assert!(log.state.fencing(&moved) > Some(high));
+    log.apply(Command::EndSession { session: b });
+    let next = log.assign(&second, a);
+    assert_eq!(log.state.fencing(&moved), Some(next));
+}
--- /dev/null
+++ b/crates/control/tests/quarantine.rs
@@ -0,0 +1,73 @@
+//! Requests that crash their targets.
+
+mod common;
+
+use common::Log;
+use shallotdrum_control::{Command, CommandError, MAX_SUSPECTS, Reply, SUSPECT_LIFETIME_MS};
+use shallotdrum_types::{Fingerprint, Incarnation};
+
+fn request(name: &str) -> Fingerprint {
+    Fingerprint::of(name.as_bytes())
+}
+
+fn crash(log: &mut Log, target: &str, incarnation: u64, requests: &[&str]) {
+    let requests = requests.iter().map(|name| request(name)).collect();
+    let target = target.parse().unwrap();
+    let report = Command::ReportCrash { target, incarnation: Incarnation(incarnation), requests };
+    assert_eq!(log.apply(report), Reply::Done);
+}
+
+/// Guards against a request that crashes one target after another, and against a harmless one
+/// that is refused because a single crash was reported twice.
+#[test]
+fn crash_twice() {
+    let mut log = Log::default();
+    crash(&mut log, "e1", 1, &["bad", "bystander", "bad"]);
+    crash(&mut log, "e1", 1, &["bad", "bystander"]);
+    assert_eq!(log.state.suspect_crashes(&request("bad")), 1);
+    assert!(!log.state.is_quarantined(&request("bad")));
+    crash(&mut log, "e1", 2, &["bad"]);
+    assert!(log.state.is_quarantined(&request("bad")));
+    assert_eq!(log.state.quarantine().next().unwrap().crashes.len(), 2);
+    assert!(!log.state.is_quarantined(&request("bystander")));
+    assert_eq!(log.state.suspect_crashes(&request("bystander")), 1);
+}
+
+/// Guards against a quarantine that can't be lifted, or that returns at the next single crash.
+#[test]
+fn lift_forgets_crashes() {
+    let mut log = Log::default();
+    let lift = Command::LiftQuarantine { request: request("bad") };
+    assert_eq!(log.refused(lift.clone()), CommandError::NotQuarantined(request("bad")));
+    crash(&mut log, "e1", 1, &["bad"]);
+    crash(&mut log, "e2", 1, &["bad"]);
+    assert_eq!(log.apply(lift), Reply::Done);
+    assert_eq!(log.state.suspect_crashes(&request("bad")), 0);
+    crash(&mut log, "e3", 1, &["bad"]);
+    assert!(!log.state.is_quarantined(&request("bad")));
+}
+
+/// Guards against unrelated crashes on different days that add up, and a quarantine that ends by
+/// itself.
+#[test]
+fn suspects_expire() {
+    let mut log = Log::default();
+    crash(&mut log, "e1", 1, &["a"]);
+    crash(&mut log, "e1", 2, &["b"]);
+    crash(&mut log, "e1", 3, &["b"]);
+    log.now = SUSPECT_LIFETIME_MS;
+    crash(&mut log, "e1", 4, &["a"]);
+    assert_eq!(log.state.suspect_crashes(&request("a")), 1);
+    assert!(log.state.is_quarantined(&request("b")));
+}
+
+/// Guards against a memory of suspects that grows without bound.
+#[test]
+fn suspects_bounded() {
+    let mut log = Log::default();
+    let names: Vec<String> = (0..=MAX_SUSPECTS).map(|i| format!("r{i}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    crash(&mut log, "e1", 1, &names);
+    assert_eq!(log.state.suspect_crashes(&request("r0")), 0);
+    assert_eq!(log.state.suspect_crashes(&request("r1")), 1);
+}
