Make the follower test notice time steps and repeated commands

Two deliberate faults in a trial passed the test: expiry of suspects by the ledger's time, and a watch stream that applies old commands again. The test now steps time back by more than the lifetime and repeats older commands.

--- a/crates/control/tests/follower.rs
+++ b/crates/control/tests/follower.rs
@@ -66,13 +66,14 @@
     let mut restarted = ControlView::new();
     let follower = ControlView::new();
     let mut now = 0u64;
+    let mut history = Vec::new();
     let (mut accepted, mut refused, mut skipped) = (0, 0, 0);
     for i in 1..=COMMANDS {
         let index = LogIndex(i);
-        // Mostly seconds; sometimes most of a day, and sometimes back, as after a faulty election.
+        // Mostly seconds; sometimes most of a day, and sometimes back, as by a faulty leader.
         now = match rng.random_range(0..20) {
             0 => now + 20 * 3_600_000,
-            1 => now.saturating_sub(5_000),
+            1 => now.saturating_sub(30 * 3_600_000),
             _ => now + rng.random_range(0..3_000),
         };
         let command = replica.read(|state| random_command(&mut rng, state));
@@ -98,8 +99,10 @@
         if rng.random_bool(0.02) {
             follower.restore_follower(&replica.snapshot_without_ledger()).unwrap();
         }
+        history.push(command);
         // Repeated commands, as after a reconnected watch stream, have no effect.
-        follower.apply_follow(LogIndex(rng.random_range(1..=follower.applied().0.max(1))), command);
+        let repeated = rng.random_range(0..follower.applied().0.max(1) as usize);
+        follower.apply_follow(LogIndex(repeated as u64 + 1), history[repeated].clone());
         follower.skip_to(index);
         let agree = follower.snapshot_without_ledger() == replica.snapshot_without_ledger();
         assert!(agree, "command {i}");
