Share equal adapters and subscribers between manifest revisions

Applying a change copied every adapter: in a trial with 75,000 adapters and 25,000 subscribers, a follower took 372 ms for a change of one adapter and held two whole copies meanwhile. The maps now hold `Arc` values, so a revision copies pointers. `Group::has_settled` becomes private, as control time may stand still on the follower that would ask.

--- a/crates/control/src/state/groups.rs
+++ b/crates/control/src/state/groups.rs
@@ -68,7 +68,8 @@
     /// No order of a previous owner is in flight.
     Released,
     /// Orders of a previous owner may be in flight until `LOST_OWNER_SETTLE_MS` after
-    /// `Group::previous_owner_ended_at`.
+    /// `Group::previous_owner_ended_at`. The new owner waits that long by its own clock, from when
+    /// it learned of the assignment: a follower's control time may stand still.
     Lost,
 }
 
@@ -110,7 +111,7 @@
     }
 
     /// Whether no order of a previous owner can be in flight at the given control time.
-    pub fn has_settled(&self, now: ControlTimeMs) -> bool {
+    fn has_settled(&self, now: ControlTimeMs) -> bool {
         let ended = self.previous_owner_ended_at.unwrap_or_default();
         self.handover != Handover::Lost || now.0.saturating_sub(ended.0) >= LOST_OWNER_SETTLE_MS
     }
--- a/crates/control/src/state/manifests.rs
+++ b/crates/control/src/state/manifests.rs
@@ -10,7 +10,7 @@
 };
 
 use serde::{Deserialize, Serialize};
-use shallotdrum_manifest::{Manifest, ManifestDelta, ManifestErrors};
+use shallotdrum_manifest::{Manifest, ManifestDelta, ManifestErrors, Subscriber};
 use shallotdrum_types::{Digest, KeyHash, Revision, SubmissionId, SubscriberId};
 
 use crate::CommandError;
@@ -139,7 +139,7 @@
 }
 
 fn index_keys(manifest: &Manifest) -> HashMap<KeyHash, SubscriberId> {
-    let keys_of = |(id, subscriber): (&SubscriberId, &shallotdrum_manifest::Subscriber)| {
+    let keys_of = |(id, subscriber): (&SubscriberId, &Arc<Subscriber>)| {
         let id = id.clone();
         subscriber.key_hashes.iter().map(move |hash| (*hash, id.clone())).collect::<Vec<_>>()
     };
--- a/crates/manifest/src/delta.rs
+++ b/crates/manifest/src/delta.rs
@@ -1,6 +1,9 @@
 //! Differences between manifests, so that a change costs what it changes.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
 use serde::{Deserialize, Serialize};
 use shallotdrum_types::{AdapterId, BaseModelId, ServiceId, SubscriberId};
@@ -13,9 +16,9 @@
     /// Changed base models.
     pub base_models: MapDelta<BaseModelId, BaseModel>,
     /// Changed adapters.
-    pub adapters: MapDelta<AdapterId, Adapter>,
+    pub adapters: MapDelta<AdapterId, Arc<Adapter>>,
     /// Changed subscribers.
-    pub subscribers: MapDelta<SubscriberId, Subscriber>,
+    pub subscribers: MapDelta<SubscriberId, Arc<Subscriber>>,
     /// Changed services.
     pub services: MapDelta<ServiceId, Service>,
     /// New limits of the weight store, if changed.
--- a/crates/manifest/src/model.rs
+++ b/crates/manifest/src/model.rs
@@ -1,6 +1,9 @@
 //! Data model of the manifest, as written in JSON.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
 use serde::{Deserialize, Serialize};
 use shallotdrum_types::{
@@ -14,10 +17,10 @@
 pub struct Manifest {
     /// Base models by name.
     pub base_models: BTreeMap<BaseModelId, BaseModel>,
-    /// Adapters by name.
-    pub adapters: BTreeMap<AdapterId, Adapter>,
-    /// Subscribers by name.
-    pub subscribers: BTreeMap<SubscriberId, Subscriber>,
+    /// Adapters by name; revisions share those that are equal.
+    pub adapters: BTreeMap<AdapterId, Arc<Adapter>>,
+    /// Subscribers by name; revisions share those that are equal.
+    pub subscribers: BTreeMap<SubscriberId, Arc<Subscriber>>,
     /// Plain services by name.
     #[serde(default)]
     pub services: BTreeMap<ServiceId, Service>,
@@ -36,7 +39,7 @@
 }
 
 /// LoRA adapter with its versions.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Adapter {
     /// Base model that the adapter belongs to.
@@ -48,7 +51,7 @@
 }
 
 /// Where the weights of an adapter version are stored.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct AdapterSource {
     /// Path in the weight store.
--- a/crates/manifest/src/read.rs
+++ b/crates/manifest/src/read.rs
@@ -7,6 +7,7 @@
     collections::{BTreeMap, BTreeSet, HashMap, HashSet},
     fmt::Display,
     str::FromStr,
+    sync::Arc,
 };
 
 use shallotdrum_types::{RatePerSecond, Weight};
@@ -75,7 +76,7 @@
     Some(BaseModel { pool: pool?, max_context_tokens: max_context_tokens? })
 }
 
-fn read_adapter(node: &Node, path: Path<'_>, problems: &mut Problems) -> Option<Adapter> {
+fn read_adapter(node: &Node, path: Path<'_>, problems: &mut Problems) -> Option<Arc<Adapter>> {
     let mut object = Object::open(node, path, problems)?;
     let base_model = object.required("base_model");
     let base_model = object.with(base_model, "base_model", read_text);
@@ -88,7 +89,7 @@
         skipped.is_empty().then_some(versions)
     });
     object.close();
-    Some(Adapter { base_model: base_model?, current: current?, versions: versions? })
+    Some(Arc::new(Adapter { base_model: base_model?, current: current?, versions: versions? }))
 }
 
 fn read_source(node: &Node, path: Path<'_>, problems: &mut Problems) -> Option<AdapterSource> {
@@ -99,7 +100,11 @@
     Some(AdapterSource { path: source? })
 }
 
-fn read_subscriber(node: &Node, path: Path<'_>, problems: &mut Problems) -> Option<Subscriber> {
+fn read_subscriber(
+    node: &Node,
+    path: Path<'_>,
+    problems: &mut Problems,
+) -> Option<Arc<Subscriber>> {
     let mut object = Object::open(node, path, problems)?;
     let keys = object.required("key_hashes");
     let key_hashes = object.with(keys, "key_hashes", read_set);
@@ -114,7 +119,12 @@
         .optional("limits")
         .map_or(Some(Limits::default()), |node| object.with(Some(node), "limits", read_limits));
     object.close();
-    Some(Subscriber { key_hashes: key_hashes?, weight: weight?, allow: allow?, limits: limits? })
+    Some(Arc::new(Subscriber {
+        key_hashes: key_hashes?,
+        weight: weight?,
+        allow: allow?,
+        limits: limits?,
+    }))
 }
 
 fn read_permissions(node: &Node, path: Path<'_>, problems: &mut Problems) -> Option<Permissions> {
