--- a/crates/scheduler/src/state/mod.rs
+++ b/crates/scheduler/src/state/mod.rs
@@ -79,6 +79,8 @@
     starved: usize,
     /// The same, with each adapter weighted by the fair share of its first request.
     starved_share: f64,
+    /// Recent arrivals of subscribers within their share.
+    light: Decayed,
     /// Seconds from admission to the end of an answer.
     service_secs: Mean,
     load_interval: Mean,
@@ -225,6 +227,7 @@
             next_prefetch_at: now,
             starved: 0,
             starved_share: 0.0,
+            light: Decayed::new(DEMAND_HALF_LIFE, now),
             service_secs: Mean::default(),
             load_interval: Mean::default(),
             last_load_end: None,
--- a/crates/scheduler/src/state/planner.rs
+++ b/crates/scheduler/src/state/planner.rs
@@ -9,7 +9,7 @@
 use shallotdrum_types::TargetId;
 use tokio::time::Instant;
 
-use super::State;
+use super::{State, SubKey};
 use crate::{
     api::Policy,
     fair::{Seq, Tag},
@@ -26,16 +26,20 @@
 /// Lead over virtual time, in tokens, that halves the weight of a queued request: a few requests
 /// more than the subscriber's share.
 const FAIR_LEAD_TOKENS: f64 = 1000.0;
+/// Queued requests of a subscriber that count in full; a flood counts as this many in all.
+const FAIR_BACKLOG: f64 = 4.0;
 /// A new candidate's age counts as this much, so that a burst of requests for one adapter can
 /// outweigh an older single one.
 const AGE_OFFSET_SECS: f64 = 0.1;
 /// A loaded adapter stays at least this long: about one answer, so that a load serves more than
 /// the request that caused it.
 const MIN_RESIDENCE: Duration = Duration::from_millis(500);
+/// A loaded adapter that served nothing yet stays this long; its requests may be about to come.
+const MIN_UNUSED_RESIDENCE: Duration = Duration::from_secs(2);
 /// An adapter in use is drained only after it had its turn of several answers.
-const MIN_DRAINED_RESIDENCE: Duration = Duration::from_secs(2);
+const MIN_DRAINED_RESIDENCE: Duration = Duration::from_secs(5);
 /// Candidates wait this long for a slot to become idle by itself before one is drained.
-const DRAIN_AFTER: Duration = Duration::from_millis(500);
+const DRAIN_AFTER: Duration = Duration::from_millis(100);
 /// A drain that does not end is given up; most answers take a few seconds.
 const MAX_DRAIN: Duration = Duration::from_secs(10);
 /// One draining slot for this many targets.
@@ -126,7 +130,8 @@
             if adapter.holders.is_empty() {
                 starved += 1;
                 let head = adapter.queue.first();
-                starved_share += head.map_or(0.0, |(tag, _)| self.fair_share(*tag));
+                starved_share +=
+                    head.map_or(0.0, |(tag, seq)| self.fair_share(self.queued[seq].sub, *tag));
             }
             if !adapter.loading.is_empty() || now < adapter.retry_at {
                 continue;
@@ -153,8 +158,8 @@
         let mut oldest = 0.0_f64;
         let mut queued_at = now;
         for (tag, seq) in queue.iter().take(MAX_SCORED) {
-            let share = self.fair_share(*tag);
             let queued = &self.queued[seq];
+            let share = self.fair_share(queued.sub, *tag);
             requests += share;
             oldest = oldest.max(share * (now - queued.queued_at).as_secs_f64());
             queued_at = queued_at.min(queued.queued_at);
@@ -204,9 +209,11 @@
         Some(Candidate { adapter, cause: seq, tag, queued_at, score, only, avoid, is_replica })
     }
 
-    /// Weight of a queued request: less the further its subscriber is beyond the fair share.
-    pub(super) fn fair_share(&self, tag: Tag) -> f64 {
-        1.0 / (1.0 + self.clock.lead(tag) / FAIR_LEAD_TOKENS)
+    /// Weight of a queued request: less the further its subscriber is beyond the fair share, and
+    /// limited over all of the subscriber's requests.
+    pub(super) fn fair_share(&self, sub: SubKey, tag: Tag) -> f64 {
+        let queued = self.subs[sub].queued.len().max(1) as f64;
+        (FAIR_BACKLOG / queued).min(1.0) / (1.0 + self.clock.lead(tag) / FAIR_LEAD_TOKENS)
     }
 
     /// Urgency of a load that serves this many requests, the oldest of which waited for `oldest`.
@@ -281,7 +288,7 @@
             return tag.is_some();
         }
         let has_served = slot.last_used > slot.ready_at;
-        let min_residence = if has_served { MIN_RESIDENCE } else { MIN_DRAINED_RESIDENCE };
+        let min_residence = if has_served { MIN_RESIDENCE } else { MIN_UNUSED_RESIDENCE };
         let is_settled = now >= slot.ready_at + min_residence;
         let is_unwanted = match (self.adapters[slot.adapter].queue.first(), tag) {
             (None, _) => true,
