--- a/crates/scheduler/src/state/admission.rs
+++ b/crates/scheduler/src/state/admission.rs
@@ -48,7 +48,7 @@
             self.stats.refused += 1;
             return Err(error);
         }
-        let sub = self.account(&work.subscriber, &work);
+        let sub = self.account(&work.subscriber, &work, now);
         let account = &mut self.subs[sub];
         account.weight = work.weight.get();
         let (cost, prompt_tokens) = match &work.job {
@@ -135,8 +135,8 @@
         self.plan(now);
     }
 
-    fn account(&mut self, id: &SubscriberId, work: &Work) -> SubKey {
-        self.subs.key_or_insert_with(id, || Account::new(work.weight))
+    fn account(&mut self, id: &SubscriberId, work: &Work, now: Instant) -> SubKey {
+        self.subs.key_or_insert_with(id, || Account::new(work.weight, now))
     }
 
     /// Checks bounds and deadline before a request is queued.
@@ -290,7 +290,7 @@
             return backoff;
         }
         // The planner weights adapters by fair share, so a light subscriber is ahead of most.
-        let share = sub.map_or(1.0, |sub| self.fair_share(sub, self.subs[sub].last_finish));
+        let share = sub.map_or(1.0, |sub| self.load_share(sub, self.subs[sub].last_finish, now));
         let ahead = (self.starved_share / share).min(self.starved.min(self.waiting.len()) as f64);
         let interval = self.load_interval.get().unwrap_or(INITIAL_LOAD_INTERVAL_SECS);
         backoff.max(Duration::from_secs_f64(LOAD_SECS + interval * ahead))
--- a/crates/scheduler/src/state/choice.rs
+++ b/crates/scheduler/src/state/choice.rs
@@ -95,7 +95,7 @@
     }
 
     /// Whether the subscriber has more queued than its share.
-    fn is_flooding(&self, sub: SubKey) -> bool {
+    pub(super) fn is_flooding(&self, sub: SubKey) -> bool {
         self.fair_share(sub, self.subs[sub].last_finish) < FLOODING_SHARE
     }
 
--- a/crates/scheduler/src/state/mod.rs
+++ b/crates/scheduler/src/state/mod.rs
@@ -42,7 +42,7 @@
 
 /// Half-life of an adapter's demand. Of 15, 30, 60, 120 and 300 s, the bench `policies` shows the
 /// best stalls under steady popularity from 60 s on, and after a shift at 30 to 60 s.
-const DEMAND_HALF_LIFE: Duration = Duration::from_secs(60);
+pub(crate) const DEMAND_HALF_LIFE: Duration = Duration::from_secs(60);
 
 /// State of the group.
 pub(crate) struct State {
@@ -110,6 +110,7 @@
 pub(crate) struct Adapter {
     source: Option<String>,
     queue: BTreeSet<(Tag, Seq)>,
+    /// Recent requests, each weighted by its subscriber's fair share.
     demand: Decayed,
     /// Targets on which it can serve.
     holders: Vec<TargetKey>,
--- a/crates/scheduler/src/state/planner.rs
+++ b/crates/scheduler/src/state/planner.rs
@@ -26,6 +26,9 @@
 /// Lead over virtual time, in tokens, that halves the weight of a queued request: a few requests
 /// more than the subscriber's share.
 const FAIR_LEAD_TOKENS: f64 = 1000.0;
+/// Loads within the half-life of the demand that halve the weight of a subscriber's requests. Of
+/// the store's 3 loads/s this is the part of one among about 16 active subscribers.
+const FAIR_LOADS: f64 = 16.0;
 /// Queued requests of a subscriber that count in full; a flood counts as this many in all.
 const FAIR_BACKLOG: f64 = 4.0;
 /// A new candidate's age counts as this much, so that a burst of requests for one adapter can
@@ -107,7 +110,13 @@
     fn plan_one(&mut self, now: Instant) -> bool {
         let mut candidates = self.candidates(now);
         candidates.sort_by(|a, b| b.score.total_cmp(&a.score));
-        for candidate in candidates.iter().take(MAX_TRIED) {
+        // Replicas of a flooded adapter must not keep the others from being tried.
+        let (replicas, missing): (Vec<_>, Vec<_>) =
+            candidates.iter().partition(|candidate| candidate.is_replica);
+        let mut tried: Vec<&Candidate> = replicas.into_iter().take(MAX_TRIED).collect();
+        tried.extend(missing.into_iter().take(MAX_TRIED));
+        tried.sort_by(|a, b| b.score.total_cmp(&a.score));
+        for candidate in tried {
             let Some(place) = self.place(candidate, now) else { continue };
             if candidate.is_replica && !self.is_replica_worthwhile(candidate.adapter, &place, now) {
                 continue;
@@ -131,7 +140,7 @@
                 starved += 1;
                 let head = adapter.queue.first();
                 starved_share +=
-                    head.map_or(0.0, |(tag, seq)| self.fair_share(self.queued[seq].sub, *tag));
+                    head.map_or(0.0, |(tag, seq)| self.load_share(self.queued[seq].sub, *tag, now));
             }
             if !adapter.loading.is_empty() || now < adapter.retry_at {
                 continue;
@@ -159,7 +168,7 @@
         let mut queued_at = now;
         for (tag, seq) in queue.iter().take(MAX_SCORED) {
             let queued = &self.queued[seq];
-            let share = self.fair_share(queued.sub, *tag);
+            let share = self.load_share(queued.sub, *tag, now);
             requests += share;
             oldest = oldest.max(share * (now - queued.queued_at).as_secs_f64());
             queued_at = queued_at.min(queued.queued_at);
@@ -203,7 +212,7 @@
             return None;
         }
         let age = (now - queued.queued_at).as_secs_f64();
-        let score = self.score(1.0, age);
+        let score = self.score(self.load_share(queued.sub, tag, now), age);
         let queued_at = queued.queued_at;
         let is_replica = false;
         Some(Candidate { adapter, cause: seq, tag, queued_at, score, only, avoid, is_replica })
@@ -216,6 +225,15 @@
         (FAIR_BACKLOG / queued).min(1.0) / (1.0 + self.clock.lead(tag) / FAIR_LEAD_TOKENS)
     }
 
+    /// Weight of a queued request in the choice of loads: less the further its subscriber is
+    /// beyond the fair share, and the more loads it caused lately.
+    pub(super) fn load_share(&self, sub: SubKey, tag: Tag, now: Instant) -> f64 {
+        let account = &self.subs[sub];
+        let loads = account.loads.get(now) / account.weight;
+        1.0 / ((1.0 + self.clock.lead(tag) / FAIR_LEAD_TOKENS)
+            * (1.0 + (loads / FAIR_LOADS).powi(2)))
+    }
+
     /// Urgency of a load that serves this many requests, the oldest of which waited for `oldest`.
     ///
     /// By requests alone, rare adapters starve; by age alone, a load serves few requests.
@@ -229,6 +247,9 @@
 
     /// Finds the cheapest slot for a candidate.
     fn place(&self, candidate: &Candidate, now: Instant) -> Option<Place> {
+        // A flooding subscriber gets no slot of an adapter that others want more.
+        let is_flooding = self.is_flooding(self.queued[&candidate.cause].sub);
+        let max_loss = if is_flooding { self.gain(candidate.adapter, now) } else { f64::INFINITY };
         let places = self.targets.iter().filter_map(|(key, target)| {
             let is_allowed = match candidate.only {
                 Some(only) => only == *key && target.exclusive.is_none(),
@@ -237,9 +258,14 @@
             if !is_allowed {
                 return None;
             }
-            // Nobody else is admitted to a reserved target, so their queues don't count.
-            let tag = if candidate.only.is_some() { Tag(0) } else { candidate.tag };
-            self.place_on(*key, target, candidate.adapter, Some(tag), now)
+            let tag = match candidate.only {
+                // Nobody else is admitted to a reserved target, so their queues don't count.
+                Some(_) => Some(Tag(0)),
+                // A replica takes no slot that others wait for.
+                None if candidate.is_replica => None,
+                None => Some(candidate.tag),
+            };
+            self.place_on(*key, target, candidate.adapter, tag, max_loss, now)
         });
         places.min_by(|a, b| a.cost.total_cmp(&b.cost))
     }
@@ -250,6 +276,7 @@
         target: &Target,
         adapter: AdapterKey,
         tag: Option<Tag>,
+        max_loss: f64,
         now: Instant,
     ) -> Option<Place> {
         let has_failed = self.has_failed(adapter, key, now);
@@ -261,6 +288,7 @@
         } else {
             let victims = target.slots.slots.iter().filter(|slot| self.may_evict(slot, tag, now));
             let losses = victims.map(|slot| (self.loss(slot, now), slot.adapter));
+            let losses = losses.filter(|(loss, _)| *loss <= max_loss);
             let (loss, victim) = losses.min_by(|a, b| a.0.total_cmp(&b.0))?;
             (Some(victim), loss)
         };
@@ -300,9 +328,17 @@
 
     /// Demand that an eviction leaves without a holder.
     fn loss(&self, slot: &Slot, now: Instant) -> f64 {
-        let adapter = &self.adapters[slot.adapter];
-        let queued = adapter.queue.len() as f64;
-        (adapter.demand.get(now) + queued) / adapter.holders.len().max(1) as f64
+        if slot.draining_since.is_some() {
+            return 0.0;
+        }
+        let holders = self.adapters[slot.adapter].holders.len();
+        self.gain(slot.adapter, now) / holders.max(1) as f64
+    }
+
+    /// Demand that a resident adapter serves.
+    fn gain(&self, adapter: AdapterKey, now: Instant) -> f64 {
+        let adapter = &self.adapters[adapter];
+        adapter.demand.get(now) + (adapter.queue.len() as f64).min(FAIR_BACKLOG)
     }
 
     fn is_replica_worthwhile(&self, adapter: AdapterKey, place: &Place, now: Instant) -> bool {
@@ -382,8 +418,9 @@
             return;
         }
         let targets = self.targets.iter().filter(|(_, target)| target.is_open(now));
-        let places =
-            targets.filter_map(|(key, target)| self.place_on(*key, target, adapter, None, now));
+        let places = targets.filter_map(|(key, target)| {
+            self.place_on(*key, target, adapter, None, f64::INFINITY, now)
+        });
         let Some(place) = places.min_by(|a, b| a.cost.total_cmp(&b.cost)) else { return };
         if place.victim.is_none() || demand > PREFETCH_GAIN * place.loss {
             self.start_load(place.target, adapter, place.victim, None, now);
--- a/crates/scheduler/tests/fairness.rs
+++ b/crates/scheduler/tests/fairness.rs
@@ -54,8 +54,25 @@
     }
     let mut waits = Vec::new();
     for task in tasks {
-        waits.push(task.await.unwrap().unwrap().wait);
+        let d = task.await.unwrap().unwrap();
+        if d.wait > Duration::from_millis(100) {
+            println!("WAIT {:?} stall {:?} at {:?}", d.wait, d.stall, d.at);
+        }
+        waits.push(d.wait);
+    }
+    for (at, o) in group.orders.lock().unwrap().iter() {
+        if o.adapter.to_string().starts_with("light")
+            || o.evict.as_ref().is_some_and(|e| e.to_string().starts_with("light"))
+        {
+            println!(
+                "ORDER {at:?} {} {} evict {:?}",
+                o.target,
+                o.adapter,
+                o.evict.as_ref().map(|e| e.to_string())
+            );
+        }
     }
+    println!("orders {}", group.orders().len());
     // The first requests of both adapters wait for their loads in any case.
     let mut waits = waits.split_off(10);
     waits.sort();
