consensus: refuse a damaged last record; stop after a panic

A wrong byte in the last record of the log was taken for a torn write and cut off, which loses an acknowledged entry. A panic of the state machine ended the apply task while the replica went on as leader.

Report a panic of any task through `failed`. Log a repeated refusal by a peer once.

--- a/crates/consensus/src/error.rs
+++ b/crates/consensus/src/error.rs
@@ -152,6 +152,12 @@
         /// Cause reported by the system.
         reason: String,
     },
+    /// A task of the node ended by a panic, perhaps in the state machine.
+    #[error("task `{task}` of the replica panicked; report the fault and restart")]
+    Panicked {
+        /// Task that ended.
+        task: &'static str,
+    },
     /// A committed command or a received snapshot can't be decoded.
     #[error("cannot decode {what} at index {index}: {reason}; install a matching release")]
     Decode {
--- a/crates/consensus/src/node/peer.rs
+++ b/crates/consensus/src/node/peer.rs
@@ -18,6 +18,14 @@
     storage::Snapshot,
 };
 
+/// State of a peer task.
+#[derive(Default)]
+struct Peer {
+    transfer: Option<Transfer>,
+    /// Last refusal; the same one is logged once.
+    refusal: Option<Refusal>,
+}
+
 /// A snapshot on its way to the replica.
 struct Transfer {
     snapshot: Arc<Snapshot>,
@@ -33,7 +41,7 @@
         let Some(leading) = core.leading() else { return };
         for member in membership.members().filter(|m| m.id != self.me.id) {
             if leading.peers.insert(member.id.clone()) {
-                self.spawn(run(self.clone(), member.id.clone(), term));
+                self.spawn("peer", run(self.clone(), member.id.clone(), term));
             }
         }
         self.wake_peers();
@@ -57,11 +65,11 @@
 async fn run<S: StateMachine>(shared: Arc<Shared<S>>, id: InstanceId, term: Term) {
     let heartbeat = shared.cfg.timing.heartbeat;
     let mut wake = shared.peer_wake.subscribe();
-    let mut transfer = None;
+    let mut peer = Peer::default();
     let mut is_reachable = true;
     loop {
         wake.mark_unchanged();
-        let Some((member, request)) = next_message(&shared, &id, term, &mut transfer) else {
+        let Some((member, request)) = next_message(&shared, &id, term, &mut peer.transfer) else {
             return;
         };
         let sent = Instant::now();
@@ -77,7 +85,7 @@
             next_heartbeat.await;
             continue;
         };
-        if process(&shared, &member, term, sent, answer, &mut transfer) {
+        if process(&shared, &member, term, sent, answer, &mut peer) {
             continue;
         }
         tokio::select! {
@@ -153,7 +161,7 @@
     term: Term,
     sent: Instant,
     answer: Answer,
-    transfer: &mut Option<Transfer>,
+    peer: &mut Peer,
 ) -> bool {
     let mut core = shared.core();
     if answer.term > core.term {
@@ -175,12 +183,16 @@
         Ok(response) if answer.from.as_ref() == Some(member) => response,
         Err(Refusal::WrongDisk) | Ok(_) => return false,
         Err(refusal) => {
-            slog::warn!(shared.log, "replica refused a message: {}", refusal;
-                "event" => "C0116", "peer" => %member.id);
+            if peer.refusal.as_ref() != Some(&refusal) {
+                slog::warn!(shared.log, "replica refused a message: {}", refusal;
+                    "event" => "C0116", "peer" => %member.id);
+            }
+            peer.refusal = Some(refusal);
             return false;
         }
     };
     let Some(progress) = leading.progress.get_mut(member) else { return false };
+    peer.refusal = None;
     progress.acked = progress.acked.max(Some(sent));
     let continues = match response {
         Response::Matched { index } => {
@@ -194,14 +206,14 @@
             is_lower
         }
         Response::Received { offset } => {
-            let Some(transfer) = transfer else { return false };
+            let Some(transfer) = &mut peer.transfer else { return false };
             // No progress: the replica is still storing the snapshot.
             let is_new = offset != transfer.offset;
             transfer.offset = offset.min(transfer.snapshot.data.len() as u64);
             is_new
         }
         Response::Installed => {
-            let Some(transfer) = transfer.take() else { return false };
+            let Some(transfer) = peer.transfer.take() else { return false };
             progress.matched = progress.matched.max(transfer.snapshot.index);
             progress.next = progress.matched.next();
             progress.next <= last
--- a/crates/consensus/src/node/receive.rs
+++ b/crates/consensus/src/node/receive.rs
@@ -77,7 +77,7 @@
                     return Err(Refusal::StaleTerm);
                 }
                 let shared = self.clone();
-                self.spawn(async move { election::campaign(&shared, true).await });
+                self.spawn("campaign", async move { election::campaign(&shared, true).await });
                 Ok(Response::Campaigning)
             }
         }
@@ -187,7 +187,7 @@
         incoming.is_installing = true;
         let data = std::mem::take(&mut incoming.data);
         // A task of its own: the sender's time limit must not interrupt the installation.
-        self.spawn(self.clone().install(request, data.into()));
+        self.spawn("install", self.clone().install(request, data.into()));
         received(offset)
     }
 }
--- a/crates/consensus/src/node/snapshots.rs
+++ b/crates/consensus/src/node/snapshots.rs
@@ -41,12 +41,13 @@
                 return;
             }
             let mut core = shared.core();
-            if core.snapshot.as_ref().is_none_or(|s| s.index < index) {
+            if !core.is_stopped && core.snapshot.as_ref().is_none_or(|s| s.index < index) {
                 shared.adopt(&mut core, snapshot);
             }
         });
-        // A panic of the state machine was reported by the runtime; the next batch tries again.
-        let _ = task.await;
+        if task.await.is_err() {
+            self.fail(FatalError::Panicked { task: "snapshot" });
+        }
     }
 
     /// Stores a received snapshot and hands it to the apply task.
@@ -72,7 +73,13 @@
         self.publish(&core);
     }
 
+    /// Writes the snapshot; must run on a thread that may block.
     fn store(&self, snapshot: &Snapshot) -> bool {
+        // Aborting a task doesn't end its file operations, so shutdown waits for this guard.
+        let _guard = self.snapshot_files.blocking_lock();
+        if self.core().is_stopped {
+            return false;
+        }
         let dir = &self.cfg.data_dir;
         let result = snapshot
             .write(dir, self.cfg.before_sync.as_ref())
--- a/crates/consensus/src/storage/open.rs
+++ b/crates/consensus/src/storage/open.rs
@@ -33,8 +33,6 @@
     pub(crate) truncated_bytes: u64,
     /// Folder that received the damaged files, if they were set aside.
     pub(crate) set_aside: Option<PathBuf>,
-    /// Holds the lock on the folder.
-    pub(crate) lock: File,
 }
 
 /// Files found in a data folder.
@@ -46,8 +44,8 @@
     snapshots: Vec<u64>,
 }
 
-/// Opens the data folder and initialises it if it is empty.
-pub(crate) fn open(cfg: &NodeConfig) -> Result<Opened, StartError> {
+/// Opens the data folder and initialises it if it is empty; the file holds the folder's lock.
+pub(crate) fn open(cfg: &NodeConfig) -> Result<(Opened, File), StartError> {
     let dir = &cfg.data_dir;
     fs::create_dir_all(dir).map_err(|e| StartError::io("create", dir, e))?;
     let lock_path = dir.join("lock");
@@ -57,27 +55,17 @@
         Err(TryLockError::WouldBlock) => return Err(StartError::Locked { path: dir.clone() }),
         Err(TryLockError::Error(e)) => return Err(StartError::io("lock", &lock_path, e)),
     }
-    let lock = match load(cfg, lock) {
-        Err((StartError::Corrupt { .. }, lock)) if cfg.set_aside_damaged => lock,
-        Err((error, _)) => return Err(error),
-        Ok(opened) => return Ok(opened),
-    };
+    match load(cfg) {
+        Err(StartError::Corrupt { .. }) if cfg.set_aside_damaged => (),
+        result => return Ok((result?, lock)),
+    }
     let set_aside = set_aside(dir)?;
     initialise(cfg, true)?;
-    let mut opened = load(cfg, lock).map_err(|(error, _)| error)?;
-    opened.set_aside = Some(set_aside);
-    Ok(opened)
-}
-
-/// Loads the folder; hands the lock back on error.
-fn load(cfg: &NodeConfig, lock: File) -> Result<Opened, (StartError, File)> {
-    match load_files(cfg) {
-        Ok(load) => Ok(load(lock)),
-        Err(error) => Err((error, lock)),
-    }
+    let opened = Opened { set_aside: Some(set_aside), ..load(cfg)? };
+    Ok((opened, lock))
 }
 
-fn load_files(cfg: &NodeConfig) -> Result<impl FnOnce(File) -> Opened + use<>, StartError> {
+fn load(cfg: &NodeConfig) -> Result<Opened, StartError> {
     let dir = &cfg.data_dir;
     let identity_path = dir.join("identity");
     if !identity_path.try_exists().map_err(|e| StartError::io("read", &identity_path, e))? {
@@ -117,7 +105,7 @@
         let path = wal::path(dir, old);
         fs::remove_file(&path).map_err(|e| StartError::io("remove", &path, e))?;
     }
-    Ok(move |lock| Opened {
+    Ok(Opened {
         disk: identity.disk,
         must_relearn: identity.must_relearn,
         term: replayed.term,
@@ -127,7 +115,6 @@
         generation,
         truncated_bytes,
         set_aside: None,
-        lock,
     })
 }
 
--- a/crates/consensus/src/storage/wal.rs
+++ b/crates/consensus/src/storage/wal.rs
@@ -102,7 +102,7 @@
                 return Err(corrupt(0, "start of the log is unreadable"));
             }
             Frame::End | Frame::Torn => break,
-            Frame::Damaged => return Err(corrupt(at, "unreadable record before readable ones")),
+            Frame::Damaged => return Err(corrupt(at, "unreadable record")),
         };
         let records: Vec<Record> =
             frame::decode(payload).ok_or_else(|| corrupt(at, "unknown record format"))?;
