--- a/crates/consensus/src/node/mod.rs
+++ b/crates/consensus/src/node/mod.rs
@@ -74,6 +74,8 @@
     /// Counts acknowledgements of the peers.
     acks: watch::Sender<u64>,
     tasks: Mutex<JoinSet<()>>,
+    /// Held while snapshot files are written or removed.
+    snapshot_files: tokio::sync::Mutex<()>,
 }
 
 /// The node is stopped or its disk failed.
@@ -212,6 +214,7 @@
             core.writer.stop();
         }
         self.0.lock_tasks().abort_all();
+        drop(self.0.snapshot_files.lock().await);
         let writer = self.0.writer.lock().unwrap_or_else(PoisonError::into_inner).take();
         if let Some(writer) = writer {
             // The thread ends with the jobs submitted before the stop, or has failed already.
@@ -245,7 +248,7 @@
         call: Caller,
         log: Logger,
     ) -> Result<Self, StartError> {
-        let opened = storage::open(&cfg)?;
+        let (opened, lock) = storage::open(&cfg)?;
         let me = Member { id: cfg.id.clone(), disk: opened.disk };
         if let Some(snapshot) = &opened.snapshot {
             machine.restore(&snapshot.data).map_err(|e| StartError::Restore {
@@ -266,8 +269,6 @@
             "snapshot" => %opened.snapshot.as_ref().map_or(LogIndex(0), |s| s.index));
         let failure = watch::Sender::new(None);
         let generation = opened.generation;
-        let lock = opened.lock.try_clone();
-        let lock = lock.map_err(|e| StartError::io("lock", &cfg.data_dir, e))?;
         let (handle, writer) = Writer::start(&cfg, generation, lock, failure.clone())?;
         let core = Core::new(&cfg.timing, me.clone(), opened, handle);
         Ok(Self {
@@ -281,6 +282,7 @@
             peer_wake: watch::Sender::new(0),
             acks: watch::Sender::new(0),
             tasks: Mutex::new(JoinSet::new()),
+            snapshot_files: tokio::sync::Mutex::new(()),
             cfg,
             me,
             call,
