--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -9,7 +9,7 @@
 use shallotdrum_engine::TargetKind;
 use shallotdrum_manifest::Manifest;
 use shallotdrum_types::{
-    ControlTimeMs, Epoch, Fingerprint, GroupId, Incarnation, Revision, SessionId,
+    ControlTimeMs, Epoch, Fingerprint, GroupId, Incarnation, RequestId, Revision, SessionId,
 };
 
 /// State with the log position and time of its next command.
@@ -17,6 +17,7 @@
 pub(crate) struct Log {
     pub(crate) state: ControlState,
     pub(crate) now: u64,
+    attempts: u64,
 }
 
 impl Log {
@@ -59,8 +60,20 @@
     }
 
     pub(crate) fn begin(&mut self, key: &str, body: &str, session: SessionId) -> BeginOutcome {
+        self.attempts += 1;
+        self.begin_attempt(key, body, session, self.attempts)
+    }
+
+    pub(crate) fn begin_attempt(
+        &mut self,
+        key: &str,
+        body: &str,
+        session: SessionId,
+        attempt_number: u64,
+    ) -> BeginOutcome {
         let fingerprint = Fingerprint::of(body.as_bytes());
-        match self.apply(Command::BeginCall { key: call_key(key), fingerprint, session }) {
+        let (key, attempt) = (call_key(key), attempt(attempt_number));
+        match self.apply(Command::BeginCall { key, fingerprint, session, attempt }) {
             Reply::Begin(outcome) => outcome,
             reply => panic!("{reply:?}"),
         }
@@ -136,3 +149,7 @@
     manifest.weight_store.max_loads_in_flight = max_loads_in_flight;
     manifest
 }
+
+pub(crate) fn attempt(number: u64) -> RequestId {
+    format!("attempt-{number}").parse().unwrap()
+}
--- a/crates/control/tests/follower.rs
+++ b/crates/control/tests/follower.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{answer, call_key, engine, instance_info, registry_with, service};
+use common::{answer, attempt, call_key, engine, instance_info, registry_with, service};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use rstest::rstest;
 use shallotdrum_consensus::StateMachine;
@@ -38,6 +38,7 @@
         7 => Command::RemoveTarget {
             target: target.parse().unwrap(),
             incarnation: Incarnation(incarnation),
+            is_leaving: flag,
         },
         8 => Command::DrainTarget { target: target.parse().unwrap(), drain: flag },
         9 | 10 => Command::AssignGroup { group, session },
@@ -49,9 +50,11 @@
         },
         13 if flag => Command::LiftQuarantine { request },
         13 => Command::DrainSession { session },
-        14 | 15 => Command::BeginCall { key, fingerprint: request, session },
+        14 | 15 => {
+            Command::BeginCall { key, fingerprint: request, session, attempt: attempt(incarnation) }
+        }
         16 if flag => Command::FinishCall { key, session, answer: flag.then(|| answer("x")) },
-        16 => Command::AbandonCall { key, session },
+        16 => Command::AbandonCall { key, session, attempt: attempt(incarnation) },
         _ => Command::Tick,
     }
 }
--- a/crates/control/tests/ledger.rs
+++ b/crates/control/tests/ledger.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{Log, answer, call_key};
+use common::{Log, answer, attempt, call_key};
 use rstest::rstest;
 use shallotdrum_control::{
     BeginOutcome, Command, CommandError, LEDGER_LIFETIME_MS, MAX_LEDGER_CALLS,
@@ -66,7 +66,7 @@
     let (mut log, a, b) = begun();
     assert_eq!(log.finish("k", a, None), Reply::Done);
     assert_eq!(log.begin("k", "body", b), BeginOutcome::Unknown);
-    let abandon = Command::AbandonCall { key: call_key("k"), session: a };
+    let abandon = Command::AbandonCall { key: call_key("k"), session: a, attempt: attempt(1) };
     assert_eq!(log.refused(abandon), CommandError::CallFinished);
     assert_eq!(log.begin("k", "body", a), BeginOutcome::Unknown);
 }
@@ -76,7 +76,8 @@
 #[test]
 fn abandon_frees_key() {
     let (mut log, a, b) = begun();
-    let abandon = |session| Command::AbandonCall { key: call_key("k"), session };
+    let abandon =
+        |session| Command::AbandonCall { key: call_key("k"), session, attempt: attempt(1) };
     assert_eq!(log.refused(abandon(b)), CommandError::NoCall);
     assert_eq!(log.apply(abandon(a)), Reply::Done);
     assert_eq!(log.begin("k", "body", b), BeginOutcome::Begun);
@@ -84,13 +85,28 @@
     assert_eq!(log.finish("k", a, Some(answer("a"))), refused(CommandError::NoCall));
 }
 
+/// Guards against a call that is never sent because the reply to its intent was lost, and against
+/// a withdrawal, committed late, that frees the key of a later call.
+#[test]
+fn begin_resent() {
+    let (mut log, a, b) = begun();
+    assert_eq!(log.begin_attempt("k", "body", a, 1), BeginOutcome::Begun);
+    assert_eq!(log.begin_attempt("k", "body", b, 1), BeginOutcome::InProgress);
+    let abandon = Command::AbandonCall { key: call_key("k"), session: a, attempt: attempt(1) };
+    assert_eq!(log.apply(abandon.clone()), Reply::Done);
+    assert_eq!(log.begin("k", "body", a), BeginOutcome::Begun);
+    assert_eq!(log.refused(abandon), CommandError::NoCall);
+    assert_eq!(log.begin_attempt("k", "body", a, 1), BeginOutcome::InProgress);
+}
+
 /// Guards against a call that is begun for a session that is treated as ended.
 #[test]
 fn begin_ended_session() {
     let (mut log, a, _) = begun();
     log.apply(Command::EndSession { session: a });
     let fingerprint = shallotdrum_types::Fingerprint::of(b"x");
-    let begin = Command::BeginCall { key: call_key("new"), fingerprint, session: a };
+    let key = call_key("new");
+    let begin = Command::BeginCall { key, fingerprint, session: a, attempt: attempt(9) };
     assert_eq!(log.refused(begin), CommandError::NoSession(a));
 }
 
@@ -122,7 +138,8 @@
         assert_eq!(log.begin(&format!("k{i}"), "body", a), BeginOutcome::Begun);
     }
     let fingerprint = shallotdrum_types::Fingerprint::of(b"body");
-    let begin = Command::BeginCall { key: call_key("one-more"), fingerprint, session: a };
+    let key = call_key("one-more");
+    let begin = Command::BeginCall { key, fingerprint, session: a, attempt: attempt(0) };
     assert_eq!(log.refused(begin.clone()), CommandError::LedgerFull);
     assert_eq!(log.begin("k0", "body", a), BeginOutcome::InProgress);
     log.now = LEDGER_LIFETIME_MS;
--- a/crates/control/tests/ownership.rs
+++ b/crates/control/tests/ownership.rs
@@ -107,8 +107,11 @@
         .collect();
     assert_eq!(shards.iter().filter(|shard| **shard == 0).count(), MAX_GROUP_TARGETS);
     assert_eq!(&shards[MAX_GROUP_TARGETS..], [1, 1]);
-    let remove =
-        Command::RemoveTarget { target: "e3".parse().unwrap(), incarnation: Incarnation(1) };
+    let remove = Command::RemoveTarget {
+        target: "e3".parse().unwrap(),
+        incarnation: Incarnation(1),
+        is_leaving: false,
+    };
     assert_eq!(log.apply(remove), Reply::Done);
     assert_eq!(log.register(engine("new", 1)).shard, 0);
     let mut remote = engine("remote", 1);
@@ -132,8 +135,11 @@
     assert!(!log.state.target("e1".parse().as_ref().unwrap()).unwrap().draining);
     let old = log.refused(Command::RegisterTarget(engine("e1", 5)));
     assert!(matches!(old, CommandError::OldIncarnation { .. }));
-    let remove =
-        Command::RemoveTarget { target: "e1".parse().unwrap(), incarnation: Incarnation(5) };
+    let remove = Command::RemoveTarget {
+        target: "e1".parse().unwrap(),
+        incarnation: Incarnation(5),
+        is_leaving: false,
+    };
     assert!(matches!(log.refused(remove), CommandError::OldIncarnation { .. }));
     assert_eq!(log.state.targets().count(), 1);
 }
@@ -163,7 +169,11 @@
     let moved = "e1".parse().unwrap();
     assert_eq!(log.state.fencing(&moved), Some(high));
     // e1 leaves the first group, another target takes its place, and e1 comes to the second.
-    log.apply(Command::RemoveTarget { target: moved.clone(), incarnation: Incarnation(1) });
+    log.apply(Command::RemoveTarget {
+        target: moved.clone(),
+        incarnation: Incarnation(1),
+        is_leaving: false,
+    });
     assert_eq!(log.register(engine("other", 1)), group());
     assert_eq!(log.register(engine("e1", 1)), second);
     assert!(log.state.fencing(&moved) > Some(high));
@@ -171,3 +181,21 @@
     let next = log.assign(&second, a);
     assert_eq!(log.state.fencing(&moved), Some(next));
 }
+
+/// Guards against a target that said it leaves and gets new work after a late announcement.
+#[test]
+fn register_after_leaving() {
+    let mut log = Log::default();
+    log.register(engine("e1", 1));
+    let target: shallotdrum_types::TargetId = "e1".parse().unwrap();
+    let incarnation = Incarnation(1);
+    let leave = Command::RemoveTarget { target: target.clone(), incarnation, is_leaving: true };
+    assert_eq!(log.apply(leave), Reply::Done);
+    let late = log.refused(Command::RegisterTarget(engine("e1", 1)));
+    assert_eq!(late, CommandError::TargetLeft { target: target.clone() });
+    log.register(engine("e1", 2));
+    // One that only fell silent comes back with the same incarnation.
+    let silent = Command::RemoveTarget { target, incarnation: Incarnation(2), is_leaving: false };
+    assert_eq!(log.apply(silent), Reply::Done);
+    log.register(engine("e1", 2));
+}
