--- /dev/null
+++ b/crates/daemon/tests/guarantees/manifests.rs
@@ -0,0 +1,118 @@
+//! G8: an accepted manifest is in force everywhere within seconds and never reverts.
+
+use std::time::Duration;
+
+use rstest::rstest;
+use shallotdrum_control::CommandError;
+use shallotdrum_rpc::RpcError;
+use shallotdrum_types::Revision;
+
+use crate::setup::{START_LIMIT, start};
+
+/// A manifest must be in force on every instance within 5 s.
+const IN_FORCE_LIMIT: Duration = Duration::from_secs(5);
+
+/// Guards against two accepted manifests with one revision when operators race, and against a
+/// resend that is taken as a new submission.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn submit_race() {
+    let setup = start().await;
+    let mut manifests = Vec::new();
+    for subscribers in [41, 42] {
+        let mut deployment = setup.deployment.clone();
+        deployment.subscribers = subscribers;
+        manifests.push(deployment.manifest());
+    }
+    let (a, b) = tokio::join!(
+        setup.operator.submit(setup.cluster.rpc_addr(3), "race-a", 1, &manifests[0]),
+        setup.operator.submit(setup.cluster.rpc_addr(4), "race-b", 1, &manifests[1]),
+    );
+    let (winner, loser) = match (&a, &b) {
+        (Ok(_), Err(_)) => (0, &b),
+        (Err(_), Ok(_)) => (1, &a),
+        both => panic!("exactly one must win: {both:?}"),
+    };
+    let conflict = CommandError::ManifestConflict { base: Revision(1), current: Revision(2) };
+    assert_eq!(loser, &Err(RpcError::Refused(conflict)));
+    setup.wait_in_force(setup.cluster.rpc_addr(0), 2, IN_FORCE_LIMIT).await;
+    // The answer was lost, say; the resend goes through another instance.
+    let submission = ["race-a", "race-b"][winner];
+    for i in 0..setup.cluster.len() {
+        let resent = setup
+            .operator
+            .submit(setup.cluster.rpc_addr(i), submission, 1, &manifests[winner])
+            .await;
+        assert_eq!(resent, Ok(Revision(2)));
+    }
+}
+
+/// Guards against an older manifest after a restart, and against serving before the newest is
+/// known: the restarted instance must serve a subscriber that only the newest manifest has.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn restart_serves_newest() {
+    let mut setup = start().await;
+    let mut deployment = setup.deployment.clone();
+    setup.cluster.kill(2).unwrap();
+    setup.cluster.kill(5).unwrap();
+    for revision in 1..=20 {
+        deployment.subscribers += 1;
+        let submission = format!("change-{revision}");
+        let rpc = setup.cluster.rpc_addr(0);
+        let manifest = deployment.manifest();
+        setup.operator.submit(rpc, &submission, revision, &manifest).await.unwrap();
+    }
+    let caller = setup.caller.with_key(&deployment.key(deployment.subscribers - 1));
+    let model = deployment.model(0, 1);
+    for i in [2, 5] {
+        setup.cluster.restart(i).unwrap();
+        let entry = setup.cluster.entry(i);
+        let look = || async {
+            match caller.complete(entry, &model, "who?", 1, false).await {
+                Ok(_) => Ok(()),
+                Err(e) => {
+                    assert_ne!(e.code(), Some("unauthorized"), "served an older manifest");
+                    Err(e.to_string())
+                }
+            }
+        };
+        shallotdrum_harness::wait_until("the instance serves", START_LIMIT, look).await.unwrap();
+    }
+}
+
+/// Guards against an instance that serves an older manifest because it is cut off: it must refuse
+/// once it can't confirm that its manifest is the newest, and serve again after the cut.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn cut_off_refuses() {
+    let setup = start().await;
+    let cut = 6;
+    setup.cluster.isolate(cut);
+    let mut deployment = setup.deployment.clone();
+    deployment.subscribers += 1;
+    let rpc = setup.cluster.rpc_addr(0);
+    setup.operator.submit(rpc, "while-cut", 1, &deployment.manifest()).await.unwrap();
+    let accepted_at = tokio::time::Instant::now();
+    let new_caller = setup.caller.with_key(&deployment.key(deployment.subscribers - 1));
+    let path = format!("/{}/status/7", deployment.service);
+    let entry = setup.cluster.entry(cut);
+    let look = || async {
+        let result = new_caller.call(entry, hyper::Method::GET, &path, None, "").await;
+        match result.as_ref().err().and_then(|e| e.code()) {
+            Some("not-ready") => Ok(result),
+            _ => Err(format!("{result:?}")),
+        }
+    };
+    // The bound counts from the last confirmation, at most one renewal before the cut.
+    let limit = IN_FORCE_LIMIT.saturating_sub(accepted_at.elapsed()) + Duration::from_secs(1);
+    let (refused, _) =
+        shallotdrum_harness::wait_until("the instance refuses", limit, look).await.unwrap();
+    assert!(refused.unwrap_err().is_not_run());
+    setup.cluster.heal(cut);
+    let look = || async {
+        let result = new_caller.call(entry, hyper::Method::GET, &path, None, "").await;
+        result.map(drop).map_err(|e| e.to_string())
+    };
+    shallotdrum_harness::wait_until("it serves again", START_LIMIT, look).await.unwrap();
+}
--- /dev/null
+++ b/crates/daemon/tests/guarantees/stops.rs
@@ -0,0 +1,63 @@
+//! G7: a planned stop interrupts no request in progress.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use rstest::rstest;
+
+use crate::setup::{START_LIMIT, start};
+
+/// Longest stop: the drain delay of the test's settings, and the longest request, with room for a
+/// busy machine.
+const STOP_LIMIT: Duration = Duration::from_secs(30);
+
+/// Guards against requests that fail while all instances are restarted one after another.
+///
+/// Callers behave as behind the platform's balancer: they use instances that report ready.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn rolling_restart() {
+    let mut setup = start().await;
+    let stop = Arc::new(AtomicBool::new(false));
+    let answered = Arc::new(AtomicUsize::new(0));
+    let ready: Vec<_> = (0..setup.cluster.len()).map(|_| Arc::new(AtomicBool::new(true))).collect();
+    let mut load = tokio::task::JoinSet::new();
+    for worker in 0..8 {
+        let (caller, deployment) = (setup.caller.clone(), setup.deployment.clone());
+        let (stop, answered, ready) = (stop.clone(), answered.clone(), ready.clone());
+        let entries = setup.cluster.entries();
+        load.spawn(async move {
+            let mut i = worker;
+            while !stop.load(Ordering::SeqCst) {
+                i += 1;
+                let n = i % entries.len();
+                if !ready[n].load(Ordering::SeqCst) {
+                    continue;
+                }
+                let model = deployment.model(i % 12, 1);
+                let answer = caller.complete(entries[n], &model, "rolling", 12, true).await;
+                answer.unwrap_or_else(|e| panic!("request at instance {n} failed: {e}"));
+                answered.fetch_add(1, Ordering::SeqCst);
+            }
+        });
+    }
+    for i in 0..setup.cluster.len() {
+        // The balancer stops sending at the first not-ready answer, within the drain delay.
+        ready[i].store(false, Ordering::SeqCst);
+        setup.cluster.stop(i, STOP_LIMIT).await.unwrap();
+        setup.cluster.restart(i).unwrap();
+        setup.wait_served(i, START_LIMIT).await;
+        ready[i].store(true, Ordering::SeqCst);
+    }
+    stop.store(true, Ordering::SeqCst);
+    while let Some(result) = load.join_next().await {
+        result.unwrap();
+    }
+    assert!(answered.load(Ordering::SeqCst) > 0);
+    setup.check_targets();
+}
