Keep the versions of an adapter in one allocation

A B-tree node of over 450 bytes for one or two versions dominated the memory of a large manifest. `Versions` is a sorted slice with the same JSON form.

--- a/crates/manifest/src/check.rs
+++ b/crates/manifest/src/check.rs
@@ -133,11 +133,11 @@
     check_count(adapter.versions.len(), MAX_VERSIONS, versions, cx.problems);
     if adapter.versions.is_empty() {
         cx.problems.add(&versions, ManifestProblem::Empty);
-    } else if !adapter.versions.contains_key(&adapter.current) {
+    } else if !adapter.versions.contains(&adapter.current) {
         let problem = ManifestProblem::NoVersion(adapter.current.to_string());
         cx.problems.add(&path.field("current"), problem);
     }
-    for (version, source) in &adapter.versions {
+    for (version, source) in adapter.versions.iter() {
         if !is_source_path(&source.path) {
             let at = versions.key(version.as_str());
             cx.problems.add(&at.field("path"), ManifestProblem::InvalidSourcePath);
--- a/crates/manifest/src/lib.rs
+++ b/crates/manifest/src/lib.rs
@@ -13,6 +13,7 @@
 mod query;
 mod read;
 mod tree;
+mod versions;
 
 pub use calls::{CallPath, CallPathError};
 pub use canonical::{DeltaSummary, KindSummary};
@@ -24,3 +25,4 @@
     Subscriber, WeightStore,
 };
 pub use query::{ResolveError, ResolvedModel};
+pub use versions::Versions;
--- a/crates/manifest/src/model.rs
+++ b/crates/manifest/src/model.rs
@@ -11,6 +11,8 @@
     SubscriberId, Weight,
 };
 
+use crate::Versions;
+
 /// Everything that operators configure; replaced as a whole.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -47,7 +49,7 @@
     /// Version used when a caller names none; a key of `versions`.
     pub current: AdapterVersion,
     /// Versions that callers may name.
-    pub versions: BTreeMap<AdapterVersion, AdapterSource>,
+    pub versions: Versions,
 }
 
 /// Where the weights of an adapter version are stored.
--- a/crates/manifest/src/read.rs
+++ b/crates/manifest/src/read.rs
@@ -86,7 +86,7 @@
     let versions = object.with(versions, "versions", |node, path, problems| {
         let mut skipped = BTreeSet::new();
         let versions = read_map(node, path, problems, &mut skipped, read_source);
-        skipped.is_empty().then_some(versions)
+        skipped.is_empty().then(|| versions.into())
     });
     object.close();
     Some(Arc::new(Adapter { base_model: base_model?, current: current?, versions: versions? }))
--- a/crates/manifest/tests/change.rs
+++ b/crates/manifest/tests/change.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use rstest::rstest;
-use shallotdrum_manifest::{Manifest, ManifestDelta, ResolveError};
+use shallotdrum_manifest::{AdapterSource, Manifest, ManifestDelta, ResolveError};
 
 fn registry() -> Manifest {
     let json = include_bytes!("../../../examples/registry.manifest.json");
@@ -19,8 +19,10 @@
 fn changed() -> Manifest {
     let mut manifest = registry();
     let adapter = Arc::make_mut(manifest.adapters.get_mut("court-suva-renewal").unwrap());
-    let source = adapter.versions.values().next().unwrap().clone();
-    adapter.versions.insert("4".parse().unwrap(), source);
+    let added = [("4".parse().unwrap(), AdapterSource { path: "x".to_owned() })];
+    let versions =
+        adapter.versions.iter().map(|(version, source)| (version.clone(), source.clone()));
+    adapter.versions = versions.chain(added).collect();
     let copy = Arc::new(adapter.clone());
     manifest.adapters.insert("court-suva-new".parse().unwrap(), copy);
     manifest.subscribers.remove("court-nadi");
