Let no half request hold up a stop; refuse repeated settings fields

Cause: a caller that had sent half a header held a planned stop for the whole header time-out (65 s in the test); a settings field given twice silently had its last value; an idle time of 10 s was shorter than the one load balancers keep connections for.

--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -4,10 +4,14 @@
     convert::Infallible,
     io,
     net::SocketAddr,
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
     time::{Duration, Instant},
 };
 
+use http_body_util::BodyExt;
 use hyper::{server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use shallotdrum_telemetry::event;
@@ -29,6 +33,10 @@
 /// Pause after a failed accept, which mostly means that the process has no free descriptor.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Longest wait, once the listener is closed, for the rest of a header or for a caller to take the
+/// end of a finished answer; well below the 30 s after which platforms end a stopping process.
+const CLOSING_WAIT: Duration = Duration::from_secs(5);
+
 /// Public HTTP server of an instance.
 pub struct EntryServer;
 
@@ -147,9 +155,18 @@
     let limits = &shared.cfg.limits;
     let idle_timeout = Duration::from_millis(limits.idle_timeout_ms);
     let io = TokioIo::new(StallGuard::new(stream, idle_timeout));
+    let active = Arc::new(AtomicUsize::new(0));
     let service = service_fn(|req| {
-        let shared = shared.clone();
-        async move { Ok::<_, Infallible>(router::handle(&shared, req).await) }
+        let (shared, request) = (shared.clone(), ActiveRequest::new(&active));
+        async move {
+            let res = router::handle(&shared, req).await;
+            // The request is active until hyper has taken or dropped the whole body.
+            let hold = move |e| {
+                let _ = &request;
+                e
+            };
+            Ok::<_, Infallible>(res.map(|body| body.map_err(hold).boxed_unsync()))
+        }
     });
     let mut phase = shared.phase.subscribe();
     let _open = OpenConnection::new(&shared);
@@ -171,7 +188,13 @@
         Some(result) => result,
         None => {
             connection.as_mut().graceful_shutdown();
-            connection.await
+            let wait = CLOSING_WAIT.min(idle_timeout);
+            match tokio::time::timeout(wait, connection.as_mut()).await {
+                Ok(result) => result,
+                // A caller that has sent half a header must not hold up the stop.
+                Err(_) if active.load(Ordering::Relaxed) == 0 => return,
+                Err(_) => connection.await,
+            }
         }
     };
     if let Err(e) = result {
@@ -179,6 +202,22 @@
     }
 }
 
+/// Counts a request of one connection until its response is written.
+struct ActiveRequest(Arc<AtomicUsize>);
+
+impl ActiveRequest {
+    fn new(count: &Arc<AtomicUsize>) -> Self {
+        count.fetch_add(1, Ordering::Relaxed);
+        Self(count.clone())
+    }
+}
+
+impl Drop for ActiveRequest {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// Counts an open connection.
 struct OpenConnection<'a>(&'a Shared);
 
--- a/crates/entry/tests/entry/completions.rs
+++ b/crates/entry/tests/entry/completions.rs
@@ -284,18 +284,25 @@
 /// Guards against requests in progress that a planned stop interrupts, and a stop that never ends.
 #[tokio::test]
 async fn drain_finishes_requests() {
-    let bench = Bench::start().await;
+    let bench = Bench::with(|cfg| cfg.limits.idle_timeout_ms = 200).await;
+    // Connections without a whole request must not hold up the stop.
+    let silent = TcpStream::connect(bench.entry.local_addr()).await.unwrap();
+    let mut half = TcpStream::connect(bench.entry.local_addr()).await.unwrap();
+    half.write_all(b"GET /healthz HTTP/1.1\r\nhost:").await.unwrap();
+    until("the connections", || bench.metrics.connections().get() == 2).await;
     bench.catalog.set_owner(None);
     let stop = async {
         until("the request", || bench.metrics.in_flight().get() == 1).await;
         bench.entry.begin_drain();
         let addr = bench.entry.local_addr();
         until("the closed listener", || std::net::TcpStream::connect(addr).is_err()).await;
+        until("the request's connection alone", || bench.metrics.connections().get() == 1).await;
         bench.catalog.set_owner(Some((1, bench.owner.addr())));
         bench.entry.closed().await;
     };
     let (reply, ()) = tokio::join!(bench.complete(json!({})), stop);
     assert_eq!(reply.status, 200, "{}", reply.text());
+    drop((silent, half));
 }
 
 /// Guards against callers that read nothing and so hold a connection and the owner's stream.
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -8,6 +8,7 @@
 mod fields;
 mod model;
 mod parse;
+mod tree;
 
 pub use error::{Problem, SettingsErrors};
 pub use model::{
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -105,7 +105,9 @@
             // Enough for 10,000 requests/s that take 0.4 s each.
             max_connections: 4096,
             idle_timeout_ms: 30_000,
-            header_timeout_ms: 10_000,
+            // Longer than the 60 s for which load balancers usually keep idle connections, so that
+            // the entry does not close one just as the balancer uses it.
+            header_timeout_ms: 65_000,
             default_deadline_ms: 60_000,
             max_deadline_ms: 120_000,
             max_queued: 4096,
--- a/crates/settings/src/parse.rs
+++ b/crates/settings/src/parse.rs
@@ -7,6 +7,7 @@
 use crate::{
     Addrs, Freshness, Limits, Log, Policy, Problem, ReplicaAddr, Settings, SettingsErrors,
     fields::{Fields, Problems},
+    tree::Tree,
 };
 
 const NAME: &str = "a name of 1 to 128 characters from A-Z a-z 0-9 . _ -";
@@ -39,7 +40,7 @@
 
     /// Reads and checks settings.
     pub fn from_json(text: &str) -> Result<Self, SettingsErrors> {
-        let value: Value = serde_json::from_str(text)?;
+        let Tree(value) = serde_json::from_str(text)?;
         let problems = Problems::default();
         let settings = read(value, &problems);
         let mut problems = problems.into_vec();
--- a/crates/settings/tests/settings.rs
+++ b/crates/settings/tests/settings.rs
@@ -115,6 +115,15 @@
     assert_eq!(paths(&settings), ["replicas[1].instance", "replicas[1].rpc"]);
 }
 
+/// Guards against one of two values that is silently ignored.
+#[test]
+fn settings_repeated_field() {
+    let text = good().to_string().replacen("\"zone\":", "\"zone\":\"b\",\"zone\":", 1);
+    let error = Settings::from_json(&text).unwrap_err();
+    assert!(matches!(error, SettingsErrors::Json(_)), "{error}");
+    assert!(error.to_string().contains("field `zone` is given twice"), "{error}");
+}
+
 /// Guards against changed defaults.
 #[test]
 fn settings_defaults() {
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -7,7 +7,7 @@
 mod logger;
 mod metrics;
 
-pub use logger::{LogConfig, LogFormat, LogGuard, discard, open};
+pub use logger::{LogConfig, LogFormat, LogGuard, discard, open, open_to};
 pub use metrics::{MAX_SUBSCRIBER_LABELS, Metrics, SubscriberMetrics};
 #[doc(hidden)]
 pub use slog;
--- a/crates/telemetry/src/logger.rs
+++ b/crates/telemetry/src/logger.rs
@@ -1,5 +1,7 @@
 //! Log output through an asynchronous drain.
 
+use std::io::Write;
+
 use slog::{Drain, Level, LevelFilter, Logger, o};
 
 /// Records that wait for the writer; more are dropped and counted, so that logging never blocks a
@@ -31,17 +33,24 @@
 
 /// Opens the log on standard error.
 pub fn open(cfg: LogConfig) -> (Logger, LogGuard) {
+    match cfg.format {
+        LogFormat::Json => open_to(cfg, std::io::stderr()),
+        LogFormat::Terminal => {
+            let decorator = slog_term::TermDecorator::new().stderr().build();
+            start(slog_term::CompactFormat::new(decorator).build().ignore_res(), cfg.level)
+        }
+    }
+}
+
+/// Opens the log on a writer, without colours.
+pub fn open_to(cfg: LogConfig, writer: impl Write + Send + 'static) -> (Logger, LogGuard) {
     match cfg.format {
         LogFormat::Json => {
-            let drain = slog_json::Json::new(std::io::stderr())
-                .add_default_keys()
-                .set_flush(true)
-                .build()
-                .ignore_res();
-            start(drain, cfg.level)
+            let drain = slog_json::Json::new(writer).add_default_keys().set_flush(true).build();
+            start(drain.ignore_res(), cfg.level)
         }
         LogFormat::Terminal => {
-            let decorator = slog_term::TermDecorator::new().stderr().build();
+            let decorator = slog_term::PlainDecorator::new(writer);
             start(slog_term::CompactFormat::new(decorator).build().ignore_res(), cfg.level)
         }
     }
