Wait for the next owner after a refusal as not ready

Cause: an owner accepts the forward before it refuses it, which reset the back-off, so that a request gave up 160 ms after its owner's lease had expired; such refusals also used up the retry budget. Change: a refusal as not ready and not run counts as a wait for an owner (at most 10 s, back-off up to 500 ms, no budget); the back-off is reset by the first text only.

--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -136,7 +136,6 @@
             let step = self.route.watch(owner, forwarder.completion(owner.data, &self.call)).await;
             let error = match step {
                 Ok(frames) => {
-                    self.route.reached();
                     if self.offset > 0 {
                         self.route.shared.cx.metrics.resumes().inc();
                         event!(
@@ -164,6 +163,7 @@
             let (found, expected) = (chunk.offset, self.offset);
             return Err(format!("the chunk starts at token {found}, expected {expected}"));
         }
+        self.route.reached();
         let now = Instant::now();
         match self.last_piece {
             None => self.metrics.first_token(now - self.started),
--- a/crates/entry/src/route.rs
+++ b/crates/entry/src/route.rs
@@ -31,9 +31,8 @@
 const MAX_REFUSAL_PAUSE: Duration = Duration::from_secs(3);
 /// Times that a request is sent again after a loss; one that breaks each owner is not sent on.
 const MAX_LOSSES: u32 = 3;
-/// Times that a request is sent again in all. With back-off they span about 2 s, in which an
-/// instance learns that it owns a group, or an old owner's session expires.
-const MAX_RETRIES: u32 = 8;
+/// Times that a request is sent again in all, also after refusals for lack of a target.
+const MAX_RETRIES: u32 = 5;
 /// Pause that a caller is told when no owner or target is there.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Time that the owner has, after the deadline, to say whether the request ran.
@@ -123,7 +122,7 @@
         Ok(group)
     }
 
-    /// Notes that the owner has taken the request.
+    /// Notes that the owner has begun to answer.
     pub(crate) fn reached(&mut self) {
         self.wait_until = None;
         self.pause = FIRST_PAUSE;
@@ -156,16 +155,16 @@
         self.may_have_run |= !is_not_run;
         let is_retryable = match error.kind {
             _ if is_lost => self.losses < self.max_losses,
-            // The instance is not, or no longer, the owner.
-            RequestErrorKind::NotReady => is_not_run || self.losses < self.max_losses,
+            // The instance is not, or no longer, the owner; nothing reached a target, and the delay
+            // that it states is meant for callers, which can't see the next owner.
+            RequestErrorKind::NotReady if is_not_run => {
+                return self.wait_for_owner(group, Some(owner)).await;
+            }
+            RequestErrorKind::NotReady => self.losses < self.max_losses,
             RequestErrorKind::NoTarget => is_not_run,
             _ => false,
         };
-        // The delay of "not ready" is meant for callers; the entry sees when the owner changes.
-        let pause = match error.kind {
-            RequestErrorKind::NotReady => Duration::ZERO,
-            _ => error.retry_after.unwrap_or_default(),
-        };
+        let pause = error.retry_after.unwrap_or_default();
         if !is_retryable || pause > MAX_REFUSAL_PAUSE {
             return Err(self.fail(error));
         }
