Keep floods from lengthening the waits of light subscribers

Cause: with three flooding subscribers a light one waited up to 15 s (99 %, 36 flooded adapters on 16 slots): the flooded queues outweighed its single request in the choice of loads, their demand evicted its adapters, and their requests took every place in the batches.

A request now counts less in the choice of loads the more loads its subscriber caused lately; demand is weighted by fair share; a flooding subscriber's load may only replace an unused adapter or one that another flood waits for; while light subscribers are present, an eighth of each batch (at stall weight 1) is kept for them; replicas neither take draining slots nor crowd out the other candidates.

--- a/crates/scheduler/benches/policies.rs
+++ b/crates/scheduler/benches/policies.rs
@@ -83,6 +83,7 @@
         Case { name: "8/s zipf 1.1", requests_per_second: 8.0, exponent: 1.1, shifts: false },
         Case { name: "12/s zipf 1.2", requests_per_second: 12.0, exponent: 1.2, shifts: false },
         Case { name: "40/s zipf 1.4", requests_per_second: 40.0, exponent: 1.4, shifts: false },
+        Case { name: "90/s zipf 1.6", requests_per_second: 90.0, exponent: 1.6, shifts: false },
         Case { name: "8/s zipf 1.1 shift", requests_per_second: 8.0, exponent: 1.1, shifts: true },
     ];
     for case in &cases {
--- a/crates/scheduler/src/fair.rs
+++ b/crates/scheduler/src/fair.rs
@@ -9,7 +9,12 @@
 
 use shallotdrum_types::Weight;
 
-use crate::measure::Mean;
+use tokio::time::Instant;
+
+use crate::{
+    measure::{Decayed, Mean},
+    state::DEMAND_HALF_LIFE,
+};
 
 /// Number of a request, in order of arrival.
 pub(crate) type Seq = u64;
@@ -54,17 +59,20 @@
     pub(crate) queued: BTreeSet<Seq>,
     /// Admitted requests.
     pub(crate) running: u32,
+    /// Adapter loads that the subscriber caused lately.
+    pub(crate) loads: Decayed,
     /// Tokens of recent answers.
     pub(crate) completion: Mean,
 }
 
 impl Account {
-    pub(crate) fn new(weight: Weight) -> Self {
+    pub(crate) fn new(weight: Weight, now: Instant) -> Self {
         Self {
             weight: weight.get(),
             last_finish: Tag::default(),
             queued: BTreeSet::new(),
             running: 0,
+            loads: Decayed::new(DEMAND_HALF_LIFE, now),
             completion: Mean::default(),
         }
     }
--- a/crates/scheduler/src/state/admission.rs
+++ b/crates/scheduler/src/state/admission.rs
@@ -27,6 +27,8 @@
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(60);
 /// An answer takes at least about this long; a request with less time left is not started.
 const MIN_RUN_TIME: Duration = Duration::from_millis(20);
+/// Share from which a request counts as one of a light subscriber.
+const LIGHT_SHARE: f64 = 0.5;
 /// Lead over virtual time, in tokens, that lowers the priority by one step.
 const PRIORITY_STEP_TOKENS: f64 = 500.0;
 /// Priority of a request within its subscriber's share; leaves room above for others.
@@ -46,7 +48,7 @@
             self.stats.refused += 1;
             return Err(error);
         }
-        let sub = self.account(&work.subscriber, &work);
+        let sub = self.account(&work.subscriber, &work, now);
         let account = &mut self.subs[sub];
         account.weight = work.weight.get();
         let (cost, prompt_tokens) = match &work.job {
@@ -57,6 +59,10 @@
             Job::Service => (Cost::SERVICE, 0),
         };
         let tag = self.clock.enqueue(account, cost);
+        let share = self.fair_share(sub, tag);
+        if share >= LIGHT_SHARE {
+            self.light.add(1.0, now);
+        }
         let steps = (self.clock.lead(tag) / PRIORITY_STEP_TOKENS).min(127.0) as u8;
         let seq = self.next_seq;
         self.next_seq += 1;
@@ -66,7 +72,8 @@
                 let row = &mut self.adapters[key];
                 row.source = Some(source);
                 row.users += 1;
-                row.demand.add(1.0, now);
+                // A flood beyond the fair share must not keep the subscriber's adapters resident.
+                row.demand.add(share, now);
                 (Some(key), prompt_prefix_hashes)
             }
             Job::Service => (None, Vec::new()),
@@ -128,8 +135,8 @@
         self.plan(now);
     }
 
-    fn account(&mut self, id: &SubscriberId, work: &Work) -> SubKey {
-        self.subs.key_or_insert_with(id, || Account::new(work.weight))
+    fn account(&mut self, id: &SubscriberId, work: &Work, now: Instant) -> SubKey {
+        self.subs.key_or_insert_with(id, || Account::new(work.weight, now))
     }
 
     /// Checks bounds and deadline before a request is queued.
@@ -283,7 +290,7 @@
             return backoff;
         }
         // The planner weights adapters by fair share, so a light subscriber is ahead of most.
-        let share = sub.map_or(1.0, |sub| self.fair_share(self.subs[sub].last_finish));
+        let share = sub.map_or(1.0, |sub| self.load_share(sub, self.subs[sub].last_finish, now));
         let ahead = (self.starved_share / share).min(self.starved.min(self.waiting.len()) as f64);
         let interval = self.load_interval.get().unwrap_or(INITIAL_LOAD_INTERVAL_SECS);
         backoff.max(Duration::from_secs_f64(LOAD_SECS + interval * ahead))
--- a/crates/scheduler/src/state/choice.rs
+++ b/crates/scheduler/src/state/choice.rs
@@ -3,7 +3,7 @@
 use shallotdrum_types::TargetId;
 use tokio::time::Instant;
 
-use super::State;
+use super::{State, SubKey};
 use crate::{
     slots::AdapterKey,
     target::{Target, TargetKey},
@@ -17,10 +17,20 @@
 /// Preference for fuller batches at `stall_weight` 0.
 const PACKING: f64 = -0.5;
 
+/// Light requests within the demand's half-life that are worth keeping places free.
+const MIN_LIGHT: f64 = 2.0;
+/// Smaller batches lose too much by an empty place.
+const MIN_KEPT_CAPACITY: u32 = 8;
+/// Share of a batch that is kept at `stall_weight` 1; at least one place at any weight.
+const KEPT_PLACES: f64 = 0.125;
+/// Share below which a subscriber is flooding.
+const FLOODING_SHARE: f64 = 0.25;
+
 impl State {
     /// Chooses a target that holds the adapter and has room.
     pub(super) fn choose_holder(
         &self,
+        sub: SubKey,
         adapter: AdapterKey,
         prefixes: &[u64],
         avoid: &[TargetId],
@@ -30,17 +40,23 @@
             let target = &self.targets[key];
             target.slots.get(adapter).is_some_and(|slot| slot.accepts())
         });
-        self.choose(holders, prefixes, avoid, now)
+        self.choose(sub, holders, prefixes, avoid, now)
     }
 
     /// Chooses a target with room for a service call.
-    pub(super) fn choose_service(&self, avoid: &[TargetId], now: Instant) -> Option<TargetKey> {
+    pub(super) fn choose_service(
+        &self,
+        sub: SubKey,
+        avoid: &[TargetId],
+        now: Instant,
+    ) -> Option<TargetKey> {
         let services = self.targets.iter().filter(|(_, target)| !target.is_engine());
-        self.choose(services.map(|(key, _)| *key), &[], avoid, now)
+        self.choose(sub, services.map(|(key, _)| *key), &[], avoid, now)
     }
 
     fn choose(
         &self,
+        sub: SubKey,
         keys: impl Iterator<Item = TargetKey>,
         prefixes: &[u64],
         avoid: &[TargetId],
@@ -48,7 +64,9 @@
     ) -> Option<TargetKey> {
         let open = keys.filter(|key| {
             let target = &self.targets[key];
-            target.is_open(now) && target.has_room(now) && !avoid.contains(&target.spec.id)
+            target.is_open(now)
+                && self.has_room(target, sub, now)
+                && !avoid.contains(&target.spec.id)
         });
         let scored = open.map(|key| {
             let target = &self.targets[&key];
@@ -57,6 +75,30 @@
         scored.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, key)| key)
     }
 
+    /// Whether the subscriber may take one of the target's free places.
+    ///
+    /// While there are light subscribers, the last places are kept for them: they would otherwise
+    /// wait for the end of an answer each time that a flood fills the batch.
+    pub(super) fn has_room(&self, target: &Target, sub: SubKey, now: Instant) -> bool {
+        let in_use = target.running + target.foreign(now);
+        let kept = if self.light.get(now) < MIN_LIGHT { 0 } else { self.kept_places(target) };
+        in_use + kept < target.capacity() || (in_use < target.capacity() && !self.is_flooding(sub))
+    }
+
+    fn kept_places(&self, target: &Target) -> u32 {
+        let capacity = target.capacity();
+        if capacity < MIN_KEPT_CAPACITY {
+            return 0;
+        }
+        let weight = self.cfg.stall_weight.clamp(0.0, 1.0);
+        (KEPT_PLACES * weight * f64::from(capacity)).round().max(1.0) as u32
+    }
+
+    /// Whether the subscriber has more queued than its share.
+    pub(super) fn is_flooding(&self, sub: SubKey) -> bool {
+        self.fair_share(sub, self.subs[sub].last_finish) < FLOODING_SHARE
+    }
+
     /// Expected wait on the target relative to others, in units of a full batch; lower is better.
     pub(super) fn load_score(&self, target: &Target, now: Instant) -> f64 {
         let weight = self.cfg.stall_weight.clamp(0.0, 1.0);
--- a/crates/scheduler/src/state/dispatch.rs
+++ b/crates/scheduler/src/state/dispatch.rs
@@ -5,7 +5,7 @@
 use super::State;
 use crate::{
     api::Policy,
-    fair::Seq,
+    fair::{Seq, Tag},
     slots::AdapterKey,
     target::{Target, TargetKey},
 };
@@ -19,8 +19,8 @@
     /// Admits requests of one adapter as long as a holder has room.
     pub(super) fn dispatch_adapter(&mut self, key: AdapterKey, now: Instant) {
         while let Some((_, seq)) = self.adapters[key].queue.first().copied() {
-            let prefixes = &self.queued[&seq].prefixes;
-            match self.choose_holder(key, prefixes, &[], now) {
+            let queued = &self.queued[&seq];
+            match self.choose_holder(queued.sub, key, &queued.prefixes, &[], now) {
                 Some(target) => self.grant(seq, target, now),
                 None => break,
             }
@@ -33,7 +33,8 @@
     /// Admits service calls as long as a target has room.
     pub(super) fn dispatch_services(&mut self, now: Instant) {
         while let Some((_, seq)) = self.services.first().copied() {
-            let Some(target) = self.choose_service(&[], now) else { return };
+            let sub = self.queued[&seq].sub;
+            let Some(target) = self.choose_service(sub, &[], now) else { return };
             self.grant(seq, target, now);
         }
     }
@@ -61,8 +62,8 @@
             false => &queued.avoid,
         };
         match queued.adapter {
-            Some(adapter) => self.choose_holder(adapter, &queued.prefixes, avoid, now),
-            None => self.choose_service(avoid, now),
+            Some(adapter) => self.choose_holder(queued.sub, adapter, &queued.prefixes, avoid, now),
+            None => self.choose_service(queued.sub, avoid, now),
         }
     }
 
@@ -127,12 +128,13 @@
         if !target.is_open(now) || !target.has_room(now) {
             return None;
         }
+        let is_allowed = |(_, seq): &&(Tag, Seq)| self.has_room(target, self.queued[seq].sub, now);
         if !target.is_engine() {
-            return self.services.first().map(|(_, seq)| *seq);
+            return self.services.first().filter(is_allowed).map(|(_, seq)| *seq);
         }
         let accepting = target.slots.slots.iter().filter(|slot| slot.accepts());
         let heads = accepting.filter_map(|slot| self.adapters[slot.adapter].queue.first());
-        heads.min().map(|(_, seq)| *seq)
+        heads.filter(is_allowed).min().map(|(_, seq)| *seq)
     }
 
     /// Admits queued requests wherever there is room.
--- a/crates/scheduler/src/state/loads.rs
+++ b/crates/scheduler/src/state/loads.rs
@@ -58,7 +58,9 @@
         self.in_flight.insert((key, adapter));
         self.stats.loads += 1;
         if let Some(cause) = cause.and_then(|seq| self.queued.get(&seq)) {
-            self.subs[cause.sub].charge(Cost::LOAD);
+            let account = &mut self.subs[cause.sub];
+            account.charge(Cost::LOAD);
+            account.loads.add(1.0, now);
         }
         self.orders.push((key, adapter, order));
         true
--- a/crates/scheduler/src/state/mod.rs
+++ b/crates/scheduler/src/state/mod.rs
@@ -42,7 +42,7 @@
 
 /// Half-life of an adapter's demand. Of 15, 30, 60, 120 and 300 s, the bench `policies` shows the
 /// best stalls under steady popularity from 60 s on, and after a shift at 30 to 60 s.
-const DEMAND_HALF_LIFE: Duration = Duration::from_secs(60);
+pub(crate) const DEMAND_HALF_LIFE: Duration = Duration::from_secs(60);
 
 /// State of the group.
 pub(crate) struct State {
@@ -79,6 +79,8 @@
     starved: usize,
     /// The same, with each adapter weighted by the fair share of its first request.
     starved_share: f64,
+    /// Recent arrivals of subscribers within their share.
+    light: Decayed,
     /// Seconds from admission to the end of an answer.
     service_secs: Mean,
     load_interval: Mean,
@@ -108,6 +110,7 @@
 pub(crate) struct Adapter {
     source: Option<String>,
     queue: BTreeSet<(Tag, Seq)>,
+    /// Recent requests, each weighted by its subscriber's fair share.
     demand: Decayed,
     /// Targets on which it can serve.
     holders: Vec<TargetKey>,
@@ -225,6 +228,7 @@
             next_prefetch_at: now,
             starved: 0,
             starved_share: 0.0,
+            light: Decayed::new(DEMAND_HALF_LIFE, now),
             service_secs: Mean::default(),
             load_interval: Mean::default(),
             last_load_end: None,
--- a/crates/scheduler/src/state/planner.rs
+++ b/crates/scheduler/src/state/planner.rs
@@ -9,7 +9,7 @@
 use shallotdrum_types::TargetId;
 use tokio::time::Instant;
 
-use super::State;
+use super::{State, SubKey};
 use crate::{
     api::Policy,
     fair::{Seq, Tag},
@@ -26,16 +26,23 @@
 /// Lead over virtual time, in tokens, that halves the weight of a queued request: a few requests
 /// more than the subscriber's share.
 const FAIR_LEAD_TOKENS: f64 = 1000.0;
+/// Loads within the half-life of the demand that halve the weight of a subscriber's requests. Of
+/// the store's 3 loads/s this is the part of one among about 16 active subscribers.
+const FAIR_LOADS: f64 = 16.0;
+/// Queued requests of a subscriber that count in full; a flood counts as this many in all.
+const FAIR_BACKLOG: f64 = 4.0;
 /// A new candidate's age counts as this much, so that a burst of requests for one adapter can
 /// outweigh an older single one.
 const AGE_OFFSET_SECS: f64 = 0.1;
 /// A loaded adapter stays at least this long: about one answer, so that a load serves more than
 /// the request that caused it.
 const MIN_RESIDENCE: Duration = Duration::from_millis(500);
+/// A loaded adapter that served nothing yet stays this long; its requests may be about to come.
+const MIN_UNUSED_RESIDENCE: Duration = Duration::from_secs(2);
 /// An adapter in use is drained only after it had its turn of several answers.
-const MIN_DRAINED_RESIDENCE: Duration = Duration::from_secs(2);
+const MIN_DRAINED_RESIDENCE: Duration = Duration::from_secs(5);
 /// Candidates wait this long for a slot to become idle by itself before one is drained.
-const DRAIN_AFTER: Duration = Duration::from_millis(500);
+const DRAIN_AFTER: Duration = Duration::from_millis(100);
 /// A drain that does not end is given up; most answers take a few seconds.
 const MAX_DRAIN: Duration = Duration::from_secs(10);
 /// One draining slot for this many targets.
@@ -50,6 +57,8 @@
 const PREFETCH_MIN_DEMAND: f64 = 2.0;
 /// Time between prefetches; leaves most of the store's 2 to 3 loads/s to real demand.
 const PREFETCH_INTERVAL: Duration = Duration::from_secs(1);
+/// Demand of an adapter that nobody asked for within the half-life.
+const UNUSED_DEMAND: f64 = 0.5;
 /// A failed load is tried on other targets for this long.
 const AVOID_FAILED: Duration = Duration::from_secs(60);
 /// Demand that is given up to load on a target with an empty batch instead of a full one.
@@ -103,7 +112,13 @@
     fn plan_one(&mut self, now: Instant) -> bool {
         let mut candidates = self.candidates(now);
         candidates.sort_by(|a, b| b.score.total_cmp(&a.score));
-        for candidate in candidates.iter().take(MAX_TRIED) {
+        // Replicas of a flooded adapter must not keep the others from being tried.
+        let (replicas, missing): (Vec<_>, Vec<_>) =
+            candidates.iter().partition(|candidate| candidate.is_replica);
+        let mut tried: Vec<&Candidate> = replicas.into_iter().take(MAX_TRIED).collect();
+        tried.extend(missing.into_iter().take(MAX_TRIED));
+        tried.sort_by(|a, b| b.score.total_cmp(&a.score));
+        for candidate in tried {
             let Some(place) = self.place(candidate, now) else { continue };
             if candidate.is_replica && !self.is_replica_worthwhile(candidate.adapter, &place, now) {
                 continue;
@@ -126,7 +141,8 @@
             if adapter.holders.is_empty() {
                 starved += 1;
                 let head = adapter.queue.first();
-                starved_share += head.map_or(0.0, |(tag, _)| self.fair_share(*tag));
+                starved_share +=
+                    head.map_or(0.0, |(tag, seq)| self.load_share(self.queued[seq].sub, *tag, now));
             }
             if !adapter.loading.is_empty() || now < adapter.retry_at {
                 continue;
@@ -153,8 +169,8 @@
         let mut oldest = 0.0_f64;
         let mut queued_at = now;
         for (tag, seq) in queue.iter().take(MAX_SCORED) {
-            let share = self.fair_share(*tag);
             let queued = &self.queued[seq];
+            let share = self.load_share(queued.sub, *tag, now);
             requests += share;
             oldest = oldest.max(share * (now - queued.queued_at).as_secs_f64());
             queued_at = queued_at.min(queued.queued_at);
@@ -198,15 +214,26 @@
             return None;
         }
         let age = (now - queued.queued_at).as_secs_f64();
-        let score = self.score(1.0, age);
+        let score = self.score(self.load_share(queued.sub, tag, now), age);
         let queued_at = queued.queued_at;
         let is_replica = false;
         Some(Candidate { adapter, cause: seq, tag, queued_at, score, only, avoid, is_replica })
     }
 
-    /// Weight of a queued request: less the further its subscriber is beyond the fair share.
-    pub(super) fn fair_share(&self, tag: Tag) -> f64 {
-        1.0 / (1.0 + self.clock.lead(tag) / FAIR_LEAD_TOKENS)
+    /// Weight of a queued request: less the further its subscriber is beyond the fair share, and
+    /// limited over all of the subscriber's requests.
+    pub(super) fn fair_share(&self, sub: SubKey, tag: Tag) -> f64 {
+        let queued = self.subs[sub].queued.len().max(1) as f64;
+        (FAIR_BACKLOG / queued).min(1.0) / (1.0 + self.clock.lead(tag) / FAIR_LEAD_TOKENS)
+    }
+
+    /// Weight of a queued request in the choice of loads: less the further its subscriber is
+    /// beyond the fair share, and the more loads it caused lately.
+    pub(super) fn load_share(&self, sub: SubKey, tag: Tag, now: Instant) -> f64 {
+        let account = &self.subs[sub];
+        let loads = account.loads.get(now) / account.weight;
+        1.0 / ((1.0 + self.clock.lead(tag) / FAIR_LEAD_TOKENS)
+            * (1.0 + (loads / FAIR_LOADS).powi(2)))
     }
 
     /// Urgency of a load that serves this many requests, the oldest of which waited for `oldest`.
@@ -222,6 +249,9 @@
 
     /// Finds the cheapest slot for a candidate.
     fn place(&self, candidate: &Candidate, now: Instant) -> Option<Place> {
+        // A flooding subscriber gets no slot of an adapter that others use.
+        let is_flooding = self.is_flooding(self.queued[&candidate.cause].sub);
+        let max_loss = if is_flooding { UNUSED_DEMAND } else { f64::INFINITY };
         let places = self.targets.iter().filter_map(|(key, target)| {
             let is_allowed = match candidate.only {
                 Some(only) => only == *key && target.exclusive.is_none(),
@@ -230,9 +260,14 @@
             if !is_allowed {
                 return None;
             }
-            // Nobody else is admitted to a reserved target, so their queues don't count.
-            let tag = if candidate.only.is_some() { Tag(0) } else { candidate.tag };
-            self.place_on(*key, target, candidate.adapter, Some(tag), now)
+            let tag = match candidate.only {
+                // Nobody else is admitted to a reserved target, so their queues don't count.
+                Some(_) => Some(Tag(0)),
+                // A replica takes no slot that others wait for.
+                None if candidate.is_replica => None,
+                None => Some(candidate.tag),
+            };
+            self.place_on(*key, target, candidate.adapter, tag, max_loss, now)
         });
         places.min_by(|a, b| a.cost.total_cmp(&b.cost))
     }
@@ -243,6 +278,7 @@
         target: &Target,
         adapter: AdapterKey,
         tag: Option<Tag>,
+        max_loss: f64,
         now: Instant,
     ) -> Option<Place> {
         let has_failed = self.has_failed(adapter, key, now);
@@ -254,6 +290,8 @@
         } else {
             let victims = target.slots.slots.iter().filter(|slot| self.may_evict(slot, tag, now));
             let losses = victims.map(|slot| (self.loss(slot, now), slot.adapter));
+            let losses =
+                losses.filter(|(loss, adapter)| *loss <= max_loss || self.is_flooded(*adapter));
             let (loss, victim) = losses.min_by(|a, b| a.0.total_cmp(&b.0))?;
             (Some(victim), loss)
         };
@@ -281,7 +319,7 @@
             return tag.is_some();
         }
         let has_served = slot.last_used > slot.ready_at;
-        let min_residence = if has_served { MIN_RESIDENCE } else { MIN_DRAINED_RESIDENCE };
+        let min_residence = if has_served { MIN_RESIDENCE } else { MIN_UNUSED_RESIDENCE };
         let is_settled = now >= slot.ready_at + min_residence;
         let is_unwanted = match (self.adapters[slot.adapter].queue.first(), tag) {
             (None, _) => true,
@@ -293,9 +331,23 @@
 
     /// Demand that an eviction leaves without a holder.
     fn loss(&self, slot: &Slot, now: Instant) -> f64 {
-        let adapter = &self.adapters[slot.adapter];
-        let queued = adapter.queue.len() as f64;
-        (adapter.demand.get(now) + queued) / adapter.holders.len().max(1) as f64
+        if slot.draining_since.is_some() {
+            return 0.0;
+        }
+        let holders = self.adapters[slot.adapter].holders.len();
+        self.gain(slot.adapter, now) / holders.max(1) as f64
+    }
+
+    /// Whether a flooding subscriber is the first that waits for the adapter.
+    fn is_flooded(&self, adapter: AdapterKey) -> bool {
+        let head = self.adapters[adapter].queue.first();
+        head.is_some_and(|(_, seq)| self.is_flooding(self.queued[seq].sub))
+    }
+
+    /// Demand that a resident adapter serves.
+    fn gain(&self, adapter: AdapterKey, now: Instant) -> f64 {
+        let adapter = &self.adapters[adapter];
+        adapter.demand.get(now) + (adapter.queue.len() as f64).min(FAIR_BACKLOG)
     }
 
     fn is_replica_worthwhile(&self, adapter: AdapterKey, place: &Place, now: Instant) -> bool {
@@ -323,6 +375,7 @@
                 && !self.has_failed(candidate.adapter, **key, now)
                 && !target.slots.slots.iter().any(is_draining)
         });
+        let is_flooding = self.is_flooding(self.queued[&candidate.cause].sub);
         let in_use = targets.flat_map(|(key, target)| {
             let slots = target.slots.slots.iter().filter(|slot| {
                 let head = self.adapters[slot.adapter].queue.first();
@@ -331,6 +384,7 @@
                     && !slot.is_uncertain(now)
                     && now >= slot.ready_at + MIN_DRAINED_RESIDENCE
                     && head.is_none_or(|(head, _)| *head > candidate.tag)
+                    && (!is_flooding || self.is_flooded(slot.adapter))
             });
             slots.map(|slot| (self.loss(slot, now), *key, slot.adapter))
         });
@@ -375,8 +429,9 @@
             return;
         }
         let targets = self.targets.iter().filter(|(_, target)| target.is_open(now));
-        let places =
-            targets.filter_map(|(key, target)| self.place_on(*key, target, adapter, None, now));
+        let places = targets.filter_map(|(key, target)| {
+            self.place_on(*key, target, adapter, None, f64::INFINITY, now)
+        });
         let Some(place) = places.min_by(|a, b| a.cost.total_cmp(&b.cost)) else { return };
         if place.victim.is_none() || demand > PREFETCH_GAIN * place.loss {
             self.start_load(place.target, adapter, place.victim, None, now);
