Refuse a second slot for the victim of an unsettled load

Cause: an adapter that was named as the victim of a load with unknown result could be loaded again on the same target. When a report restored the victim, the adapter had two slots; one was evicted while the other counted as resident.

Ruled out: forgetting the victim, since it may still occupy the slot.

Conclusion: begin_load, the planner and the baseline check victims of unsettled orders too.

--- a/crates/scheduler/src/slots.rs
+++ b/crates/scheduler/src/slots.rs
@@ -153,6 +153,11 @@
         self.slots.iter_mut().find(|slot| slot.adapter == adapter)
     }
 
+    /// Whether the adapter has a slot, or may still have one as the victim of an order.
+    pub(crate) fn refers_to(&self, adapter: AdapterKey) -> bool {
+        self.adapters().any(|other| other == adapter)
+    }
+
     pub(crate) fn has_free(&self) -> bool {
         self.slots.len() < self.max
     }
@@ -176,7 +181,7 @@
         victim: Option<AdapterKey>,
         now: Instant,
     ) -> bool {
-        if self.get(adapter).is_some() {
+        if self.refers_to(adapter) {
             return false;
         }
         let victim = match victim {
--- a/crates/scheduler/src/state/baseline.rs
+++ b/crates/scheduler/src/state/baseline.rs
@@ -100,7 +100,7 @@
     fn load_on_demand(&mut self, key: TargetKey, adapter: AdapterKey, seq: Seq, now: Instant) {
         let target = &self.targets[&key];
         let is_due = now >= self.adapters[adapter].retry_at && target.takes_orders(now);
-        if !is_due || target.slots.get(adapter).is_some() {
+        if !is_due || target.slots.refers_to(adapter) {
             return;
         }
         if target.slots.has_free() {
--- a/crates/scheduler/src/state/planner.rs
+++ b/crates/scheduler/src/state/planner.rs
@@ -282,7 +282,7 @@
         now: Instant,
     ) -> Option<Place> {
         let has_failed = self.has_failed(adapter, key, now);
-        if !target.takes_orders(now) || target.slots.get(adapter).is_some() || has_failed {
+        if !target.takes_orders(now) || target.slots.refers_to(adapter) || has_failed {
             return None;
         }
         let (victim, loss) = if target.slots.has_free() {
