Test target choice, the baseline policy and queue bounds

Cause: draining, suspects, failed loads, restarts, ejection, replicas, refusal and cancellation had no tests.

--- a/crates/scheduler/tests/admission.rs
+++ b/crates/scheduler/tests/admission.rs
@@ -8,7 +8,7 @@
 use shallotdrum_scheduler::{Job, SchedulerConfig};
 use shallotdrum_types::{Outcome, RequestError, RequestErrorKind};
 use support::{answered, completion, config, group, spec, work};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 /// Guards against a request that waits for a load and is never woken.
 #[tokio::test(start_paused = true)]
@@ -69,3 +69,114 @@
     sleep(Duration::from_millis(1)).await;
     assert!(!light.is_finished());
 }
+
+/// Guards against a full queue that shuts out those who did not fill it.
+#[tokio::test(start_paused = true)]
+async fn admit_full_queue_displaces_longest() {
+    let group = group(SchedulerConfig { max_queued: 4, ..config() });
+    group.engine("e1", 1, 1, 1);
+    let running = group.admit(completion("heavy", "a")).await.unwrap();
+    let queued: Vec<_> =
+        (0..4).map(|_| group.run(completion("heavy", "a"), Duration::ZERO)).collect();
+    sleep(Duration::from_millis(1)).await;
+    let light = group.run(completion("light", "a"), Duration::ZERO);
+    sleep(Duration::from_millis(1)).await;
+    let displaced = queued.iter().filter(|task| task.is_finished()).count();
+    assert_eq!(displaced, 1);
+    let refused = group.admit(completion("heavy", "a")).await.unwrap_err();
+    assert_eq!(refused.kind, RequestErrorKind::Overloaded);
+    assert!(refused.retry_after.is_some());
+    running.finish(answered(1));
+    light.await.unwrap().unwrap();
+}
+
+/// Guards against a request that is held although it will miss its deadline.
+#[tokio::test(start_paused = true)]
+async fn admit_refuses_hopeless_at_once() {
+    let group = group(config());
+    group.engine("e1", 1, 1, 1);
+    for _ in 0..3 {
+        let done = group.run(completion("heavy", "a"), Duration::from_secs(10));
+        done.await.unwrap().unwrap();
+    }
+    let _tasks: Vec<_> =
+        (0..6).map(|_| group.run(completion("heavy", "a"), Duration::from_secs(10))).collect();
+    sleep(Duration::from_secs(1)).await;
+    let mut late = completion("heavy", "a");
+    late.deadline = Instant::now() + Duration::from_secs(30);
+    let asked_at = Instant::now();
+    let refused = group.admit(late).await.unwrap_err();
+    assert_eq!(refused.kind, RequestErrorKind::Overloaded);
+    assert_eq!(asked_at.elapsed(), Duration::ZERO);
+    let advice = refused.retry_after.unwrap();
+    assert!(advice >= Duration::from_secs(30) && advice <= Duration::from_secs(60), "{advice:?}");
+}
+
+/// Guards against a request that is held beyond its deadline.
+#[tokio::test(start_paused = true)]
+async fn admit_expires_before_deadline() {
+    let group = group(config());
+    group.engine("e1", 1, 1, 1);
+    let _running = group.admit(completion("heavy", "a")).await.unwrap();
+    let mut work = completion("light", "a");
+    work.deadline = Instant::now() + Duration::from_secs(2);
+    let asked_at = Instant::now();
+    let refused = group.admit(work).await.unwrap_err();
+    assert_eq!(refused.kind, RequestErrorKind::DeadlineExceeded);
+    assert_eq!(refused.outcome, Outcome::NotRun);
+    assert!(asked_at.elapsed() < Duration::from_secs(2));
+    assert_eq!(group.scheduler.snapshot().queued, 0);
+}
+
+/// Guards against a cancelled request that keeps its place in the queue or in a batch.
+#[tokio::test(start_paused = true)]
+async fn admit_dropped_frees_place() {
+    let group = group(config());
+    group.engine("e1", 1, 1, 1);
+    let running = group.admit(completion("light", "a")).await.unwrap();
+    for _ in 0..3 {
+        let queued = group.run(completion("light", "a"), Duration::ZERO);
+        sleep(Duration::from_millis(1)).await;
+        queued.abort();
+    }
+    sleep(Duration::from_millis(1)).await;
+    assert_eq!(group.scheduler.snapshot().queued, 0);
+    // Granted, but dropped before the place is taken.
+    let mut dropped = Box::pin(group.admit(completion("light", "a")));
+    assert!(futures_util::poll!(dropped.as_mut()).is_pending());
+    running.finish(answered(1));
+    drop(dropped);
+    let snapshot = group.scheduler.snapshot();
+    assert_eq!(snapshot.targets.values().map(|target| target.running).sum::<u32>(), 0);
+    group.admit(completion("light", "a")).await.unwrap();
+}
+
+/// Guards against a subscriber that exceeds its limit of concurrent requests.
+#[tokio::test(start_paused = true)]
+async fn admit_refuses_beyond_max_concurrent() {
+    let group = group(config());
+    group.engine("e1", 1, 1, 8);
+    let limited = || {
+        let mut work = completion("light", "a");
+        work.max_concurrent = Some(2);
+        work
+    };
+    let first = group.admit(limited()).await.unwrap();
+    let _second = group.admit(limited()).await.unwrap();
+    let refused = group.admit(limited()).await.unwrap_err();
+    assert_eq!(refused.kind, RequestErrorKind::RateLimited);
+    first.finish(answered(1));
+    group.admit(limited()).await.unwrap();
+}
+
+/// Guards against a scheduler whose timer task outlives it.
+#[tokio::test(start_paused = true)]
+async fn drop_ends_timer_task() {
+    let before = tokio::runtime::Handle::current().metrics().num_alive_tasks();
+    let group = group(config());
+    group.engine("e1", 1, 1, 1);
+    drop(group.admit(completion("light", "a")).await.unwrap());
+    drop(group);
+    sleep(Duration::from_secs(1)).await;
+    assert_eq!(tokio::runtime::Handle::current().metrics().num_alive_tasks(), before);
+}
--- /dev/null
+++ b/crates/scheduler/tests/targets.rs
@@ -0,0 +1,246 @@
+//! Target choice, draining, suspects, failed loads, restarts and failing targets.
+
+mod support;
+
+use std::{sync::Arc, time::Duration};
+
+use rstest::rstest;
+use shallotdrum_engine::{OrderRefusal, TargetKind};
+use shallotdrum_scheduler::{Finish, Job, LoadFailure, LoadOrder, SchedulerConfig};
+use shallotdrum_types::RequestErrorKind;
+use support::{
+    adapter, answered, completion, config, counts, engine_spec, group, group_with, spec, target,
+    work,
+};
+use tokio::time::{Instant, sleep};
+
+const HOLD: Duration = Duration::from_millis(500);
+
+/// Guards against work or loads that go to a target after it announced that it leaves.
+#[tokio::test(start_paused = true)]
+async fn draining_target_gets_nothing() {
+    let group = group(config());
+    group.engine("e1", 1, 2, 4);
+    group.engine("e2", 1, 2, 4);
+    for name in ["a", "b", "c", "d"] {
+        group.run(completion("light", name), HOLD).await.unwrap().unwrap();
+    }
+    group.scheduler.set_draining(&target("e1"), true);
+    let orders = group.orders().len();
+    let tasks: Vec<_> = ["a", "b", "c", "d", "e", "f"]
+        .map(|name| group.run(completion("light", name), HOLD))
+        .into_iter()
+        .collect();
+    for task in tasks {
+        assert_eq!(task.await.unwrap().unwrap().target, "e2");
+    }
+    assert!(group.orders()[orders..].iter().all(|order| order.target == target("e2")));
+    group.scheduler.set_draining(&target("e2"), true);
+    let refused = group.admit(completion("light", "a")).await.unwrap_err();
+    assert_eq!(refused.kind, RequestErrorKind::NoTarget);
+}
+
+/// Guards against a suspect that shares a target with requests that it could take down.
+#[rstest]
+#[case::engine(true)]
+#[case::service(false)]
+#[tokio::test(start_paused = true)]
+async fn suspect_runs_alone(#[case] is_engine: bool) {
+    let group = group(config());
+    group.engine("e1", 1, 2, 8);
+    group.engine("e2", 1, 2, 8);
+    let service = TargetKind::Service { max_concurrent: 8 };
+    group.scheduler.upsert_target(spec("s1", 1, service.clone()));
+    group.scheduler.upsert_target(spec("s2", 1, service));
+    let request = |name: &str| match is_engine {
+        true => completion("light", name),
+        false => work("light", Job::Service),
+    };
+    let others: Vec<_> =
+        (0..6).map(|n| group.run(request(["a", "b"][n % 2]), Duration::from_secs(2))).collect();
+    sleep(HOLD).await;
+    let mut suspect = request("a");
+    suspect.is_suspect = true;
+    let lease = group.admit(suspect).await.unwrap();
+    let state = |id: &str| group.scheduler.snapshot().targets[&target(id)].running;
+    assert_eq!(state(lease.target.as_str()), 1);
+    let later: Vec<_> = (0..6).map(|n| group.run(request(["a", "b"][n % 2]), HOLD)).collect();
+    sleep(Duration::from_secs(3)).await;
+    assert_eq!(state(lease.target.as_str()), 1);
+    let alone = lease.target.to_string();
+    lease.started();
+    lease.finish(answered(1));
+    for task in others {
+        task.await.unwrap().unwrap();
+    }
+    for task in later {
+        assert_ne!(task.await.unwrap().unwrap().target, alone);
+    }
+}
+
+/// Guards against a resend that goes to the target on which the request failed before.
+#[tokio::test(start_paused = true)]
+async fn resend_avoids_failed_target() {
+    let group = group(config());
+    group.engine("e1", 1, 2, 4);
+    group.engine("e2", 1, 2, 4);
+    let first = group.admit(completion("light", "a")).await.unwrap();
+    let failed = first.target.clone();
+    first.started();
+    first.finish(Finish::TargetFailed);
+    let mut resend = completion("light", "a");
+    resend.avoid = vec![failed.clone()];
+    let second = group.admit(resend).await.unwrap();
+    assert_ne!(second.target, failed);
+}
+
+/// Guards against a load that is repeated on the target where it fails, or without a pause.
+#[tokio::test(start_paused = true)]
+async fn failed_load_backs_off_and_goes_elsewhere() {
+    let fails = |order: &LoadOrder| match order.target == target("e1") {
+        true => Err(LoadFailure::Refused(OrderRefusal::LoadFailed { reason: "test".to_owned() })),
+        false => Ok(()),
+    };
+    let group = group_with(config(), Arc::new(fails));
+    group.engine("e1", 1, 2, 4);
+    group.engine("e2", 1, 2, 4);
+    for name in ["a", "b", "c"] {
+        let done = group.run(completion("light", name), HOLD).await.unwrap().unwrap();
+        assert_eq!(done.target, "e2");
+    }
+    let failed = group.orders().into_iter().filter(|order| order.target == target("e1"));
+    let failed = counts(failed.map(|order| order.adapter.to_string()));
+    assert!(!failed.is_empty() && failed.values().all(|n| *n == 1), "{failed:?}");
+}
+
+/// Guards against a failing adapter that uses up the store's permits, and against requests that
+/// wait for it until their deadline.
+#[tokio::test(start_paused = true)]
+async fn failing_adapter_backs_off_exponentially() {
+    let fails = |order: &LoadOrder| match order.adapter == adapter("bad") {
+        true => Err(LoadFailure::Failed),
+        false => Ok(()),
+    };
+    let group = group_with(config(), Arc::new(fails));
+    group.engine("e1", 1, 2, 4);
+    let waiting = group.run(completion("light", "bad"), HOLD);
+    sleep(Duration::from_millis(10)).await;
+    let done = group.run(completion("light", "good"), HOLD).await.unwrap().unwrap();
+    assert!(done.wait < Duration::from_secs(1));
+    let error = waiting.await.unwrap().unwrap_err();
+    assert_eq!(error.kind, RequestErrorKind::LoadFailed);
+    assert!(error.retry_after.is_some());
+    let attempts = group.orders().iter().filter(|order| order.adapter == adapter("bad")).count();
+    assert!((4..12).contains(&attempts), "{attempts} attempts");
+}
+
+/// Guards against a restarted engine that is taken to hold its former adapters, and against a
+/// stampede that loads them all at once.
+#[tokio::test(start_paused = true)]
+async fn restart_loads_only_what_is_queued() {
+    let group = group(config());
+    group.engine("e1", 1, 8, 8);
+    let names: Vec<String> = (0..8).map(|n| format!("a{n}")).collect();
+    for name in &names {
+        group.run(completion("light", name), HOLD).await.unwrap().unwrap();
+    }
+    let before = group.orders().len();
+    let old = group.admit(completion("light", "a0")).await.unwrap();
+    group.engine("e1", 2, 8, 8);
+    group.report("e1", 1, 0, &[("a1", 0)]);
+    old.finish(Finish::TargetCrashed);
+    let restarted_at = Instant::now();
+    let lease = group.admit(completion("light", "a3")).await.unwrap();
+    assert_eq!(lease.incarnation.0, 2);
+    assert!(restarted_at.elapsed() >= support::LOAD_TIME);
+    sleep(Duration::from_millis(600)).await;
+    let orders = group.orders().split_off(before);
+    assert!(orders.len() <= 2, "{orders:?}");
+    assert_eq!(orders[0].adapter, adapter("a3"));
+}
+
+/// Guards against a failing target that keeps getting work, and against the ejection of so many
+/// that the rest is overloaded.
+#[tokio::test(start_paused = true)]
+async fn failing_targets_are_ejected_up_to_half() {
+    let group = group(config());
+    for n in 0..4 {
+        group.scheduler.upsert_target(spec(
+            &format!("s{n}"),
+            1,
+            TargetKind::Service { max_concurrent: 8 },
+        ));
+    }
+    let mut failed = Vec::new();
+    for _ in 0..40 {
+        let lease = group.admit(work("light", Job::Service)).await.unwrap();
+        failed.push(lease.target.to_string());
+        lease.started();
+        lease.finish(Finish::TargetFailed);
+    }
+    let snapshot = group.scheduler.snapshot();
+    let ejected = snapshot.targets.values().filter(|target| target.is_ejected).count();
+    assert_eq!(ejected, 2, "{:?}", counts(failed));
+    sleep(Duration::from_secs(10)).await;
+    let snapshot = group.scheduler.snapshot();
+    assert!(snapshot.targets.values().all(|target| !target.is_ejected));
+}
+
+/// Guards against cross-zone requests while the own zone has room, and against a preference that
+/// overloads the own zone.
+#[tokio::test(start_paused = true)]
+async fn zone_preference_yields_under_load() {
+    let group = group(SchedulerConfig { stall_weight: 1.0, ..config() });
+    let service = TargetKind::Service { max_concurrent: 10 };
+    group.scheduler.upsert_target(spec("near", 1, service.clone()));
+    let mut far = spec("far", 1, service);
+    far.zone = "lami-c".parse().unwrap();
+    group.scheduler.upsert_target(far);
+    let mut leases = Vec::new();
+    for _ in 0..10 {
+        leases.push(group.admit(work("light", Job::Service)).await.unwrap());
+    }
+    let used = counts(leases.iter().map(|lease| lease.target.to_string()));
+    assert_eq!(leases[0].target, target("near"));
+    assert!(used["near"] > used["far"] && used["far"] >= 3, "{used:?}");
+}
+
+/// Guards against prompts that leave the target which caches their prefix.
+#[tokio::test(start_paused = true)]
+async fn prefix_locality_prefers_caching_target() {
+    let group = group(SchedulerConfig { stall_weight: 1.0, ..config() });
+    for id in ["e1", "e2"] {
+        group.scheduler.upsert_target(engine_spec(id, 1, 1, 10));
+        group.report(id, 1, 0, &[("a", 0)]);
+    }
+    let request = |prefix: u64| {
+        let mut work = completion("light", "a");
+        let Job::Completion { prompt_prefix_hashes, .. } = &mut work.job else { unreachable!() };
+        *prompt_prefix_hashes = vec![prefix, prefix + 1];
+        work
+    };
+    let first = group.admit(request(10)).await.unwrap();
+    let other = group.admit(request(20)).await.unwrap();
+    assert_ne!(first.target, other.target);
+    for _ in 0..2 {
+        let again = group.admit(request(20)).await.unwrap();
+        assert_eq!(again.target, other.target);
+        let again = group.admit(request(10)).await.unwrap();
+        assert_eq!(again.target, first.target);
+    }
+}
+
+/// Guards against a hot adapter whose queue can't use the idle batches of other engines.
+#[tokio::test(start_paused = true)]
+async fn hot_adapter_gets_replica() {
+    let group = group(config());
+    group.engine("e1", 1, 2, 2);
+    group.engine("e2", 1, 2, 2);
+    let tasks: Vec<_> = (0..30).map(|_| group.run(completion("light", "hot"), HOLD)).collect();
+    let mut targets = Vec::new();
+    for task in tasks {
+        targets.push(task.await.unwrap().unwrap().target);
+    }
+    let used = counts(targets);
+    assert!(used.len() == 2 && used.values().all(|n| *n >= 10), "{used:?}");
+}
