Start requests only while their answer fits before the deadline

Cause: a request was admitted until 20 ms before its deadline, and the expected wait counted at most 64 subscribers. In an overload most requests are admitted late, so their answers would be cut off by the deadline and the places wasted.

A request now gives up its place in the queue 1.5 expected answer times before its deadline, at most half of the time that is left. The sum of the weights of waiting subscribers is kept up to date instead of being summed over a part.

Ruled out: subtracting the expected time in full, which would refuse requests of an idle group when the estimate is too long.

--- a/crates/scheduler/benches/policies.rs
+++ b/crates/scheduler/benches/policies.rs
@@ -92,6 +92,9 @@
             run(case, Policy::Adaptive, stall_weight, seed);
         }
     }
+    for factor in [0.5, 1.0, 1.5, 2.0, 3.0] {
+        overload(factor, seed);
+    }
     measure_speed();
 }
 
@@ -187,6 +190,62 @@
     figures
 }
 
+/// Offers a multiple of the group's capacity, with few adapters, and counts the whole answers.
+fn overload(factor: f64, seed: u64) {
+    const FEW_ADAPTERS: usize = 40;
+    const DEADLINE: Duration = Duration::from_secs(10);
+    const MEAN_TOKENS: f64 = 80.0;
+    let capacity = f64::from(MAX_BATCH) * ENGINES as f64 / (MEAN_TOKENS * TOKEN_TIME.as_secs_f64());
+    let runtime = Builder::new_current_thread().enable_time().start_paused(true).build();
+    let (answered, cut_off, refused) = runtime.expect("runtime").block_on(async {
+        let cfg = SchedulerConfig { seed: Some(seed), ..SchedulerConfig::new(name("suva-a")) };
+        let scheduler = scheduler(cfg, store(LOADS_PER_SECOND), ENGINES);
+        let mut rng = StdRng::seed_from_u64(seed);
+        let counts = Arc::new(Mutex::new((0_usize, 0_usize, 0_usize)));
+        let begin = Instant::now();
+        let mut at = begin;
+        while at < begin + WARM_UP * 2 {
+            at += Duration::from_secs_f64(-(1.0 - rng.random::<f64>()).ln() / capacity / factor);
+            sleep_until(at).await;
+            let tokens = 1 + (-(1.0 - rng.random::<f64>()).ln() * MEAN_TOKENS) as u64;
+            let mut work = completion(rng.random_range(0..FEW_ADAPTERS), 400);
+            work.subscriber = name(&format!("s{}", rng.random_range(0..SUBSCRIBERS)));
+            work.deadline = at + DEADLINE;
+            let scheduler = scheduler.clone();
+            let counts = (at >= begin + WARM_UP).then(|| Arc::clone(&counts));
+            tokio::spawn(async move {
+                let result = scheduler.admit(work).await;
+                let is_refused = result.is_err();
+                let end = Instant::now() + TOKEN_TIME * tokens as u32;
+                let is_answered = !is_refused && end <= at + DEADLINE;
+                if let Ok(lease) = result {
+                    lease.started();
+                    sleep_until(end.min(at + DEADLINE)).await;
+                    lease.finish(match is_answered {
+                        true => Finish::Answered { prompt_tokens: 100, completion_tokens: tokens },
+                        false => Finish::Cancelled,
+                    });
+                }
+                if let Some(counts) = counts {
+                    let mut counts = counts.lock().expect("lock");
+                    counts.0 += usize::from(is_answered);
+                    counts.1 += usize::from(!is_answered && !is_refused);
+                    counts.2 += usize::from(is_refused);
+                }
+            });
+        }
+        sleep(DEADLINE).await;
+        *counts.lock().expect("lock")
+    });
+    println!(
+        "overload: offered {factor:.1} x capacity, per second {:.1} answered, {:.1} cut off, {:.1} \
+         refused",
+        answered as f64 / WARM_UP.as_secs_f64(),
+        cut_off as f64 / WARM_UP.as_secs_f64(),
+        refused as f64 / WARM_UP.as_secs_f64(),
+    );
+}
+
 /// Samples how full the batches are, over all engines and over those with requests.
 async fn sample(scheduler: GroupScheduler, figures: Arc<Mutex<Figures>>, begin: Instant) {
     sleep_until(begin).await;
--- a/crates/scheduler/src/fair.rs
+++ b/crates/scheduler/src/fair.rs
@@ -57,6 +57,8 @@
     pub(crate) last_finish: Tag,
     /// Queued requests, oldest first.
     pub(crate) queued: BTreeSet<Seq>,
+    /// Weight that counts in the group's sum while requests are queued.
+    pub(crate) active_weight: f64,
     /// Admitted requests.
     pub(crate) running: u32,
     /// Adapter loads that the subscriber caused lately.
@@ -71,6 +73,7 @@
             weight: weight.get(),
             last_finish: Tag::default(),
             queued: BTreeSet::new(),
+            active_weight: 0.0,
             running: 0,
             loads: Decayed::new(DEMAND_HALF_LIFE, now),
             completion: Mean::default(),
--- a/crates/scheduler/src/state/admission.rs
+++ b/crates/scheduler/src/state/admission.rs
@@ -29,6 +29,10 @@
 const MIN_RUN_TIME: Duration = Duration::from_millis(20);
 /// Share from which a request counts as one of a light subscriber.
 const LIGHT_SHARE: f64 = 0.5;
+/// Lengths of answers vary; this covers about three quarters of exponentially distributed ones.
+const RUN_RESERVE: f64 = 1.5;
+/// Part of the remaining time that the answer may be expected to take.
+const MAX_RUN_SHARE: f64 = 0.5;
 /// Lead over virtual time, in tokens, that lowers the priority by one step.
 const PRIORITY_STEP_TOKENS: f64 = 500.0;
 /// Priority of a request within its subscriber's share; leaves room above for others.
@@ -48,6 +52,7 @@
             self.stats.refused += 1;
             return Err(error);
         }
+        let give_up_at = work.deadline - self.run_time(&work, now);
         let sub = self.account(&work.subscriber, &work, now);
         let account = &mut self.subs[sub];
         account.weight = work.weight.get();
@@ -85,7 +90,6 @@
             (Policy::Adaptive, Some(adapter)) => Lane::Adapter(adapter),
             (Policy::Adaptive, None) => Lane::Service,
         };
-        let give_up_at = work.deadline - MIN_RUN_TIME.min(work.deadline - now);
         let (tx, rx) = oneshot::channel();
         let queued = Queued {
             sub,
@@ -104,6 +108,10 @@
         };
         self.queued.insert(seq, queued);
         let account = &mut self.subs[sub];
+        if account.queued.is_empty() {
+            account.active_weight = account.weight;
+            self.active_weight += account.weight;
+        }
         self.longest.remove(&(account.queued.len(), sub));
         account.queued.insert(seq);
         self.longest.insert((account.queued.len(), sub));
@@ -157,7 +165,8 @@
         }
         self.check_limits(work, now)?;
         let wait = self.expected_wait(work, now);
-        if now + wait > work.deadline {
+        let run_time = self.run_time(work, now);
+        if now + wait + run_time > work.deadline {
             let detail = format!(
                 "the expected wait of {:.1} s exceeds the deadline; retry later",
                 wait.as_secs_f64()
@@ -208,22 +217,37 @@
         Ok(())
     }
 
+    /// Time that the answer takes, with a reserve, once the request is admitted.
+    ///
+    /// An answer that is cut off by the deadline is wasted, and in an overload most requests are
+    /// admitted late.
+    fn run_time(&self, work: &Work, now: Instant) -> Duration {
+        let secs = match &work.job {
+            Job::Completion { max_tokens, .. } => {
+                let sub = self.subs.key(&work.subscriber).map(|sub| &self.subs[sub]);
+                let tokens = match sub {
+                    Some(account) => account.expected_completion(*max_tokens),
+                    None => *max_tokens as f64 / 2.0,
+                };
+                tokens * self.secs_per_token.get().unwrap_or(0.0)
+            }
+            Job::Service => self.service_secs.get().unwrap_or(0.0),
+        };
+        let left = work.deadline.saturating_duration_since(now);
+        // Estimates are not trusted so far that an idle group refuses a request.
+        let most = left.mul_f64(MAX_RUN_SHARE);
+        Duration::from_secs_f64((secs * RUN_RESERVE).min(most.as_secs_f64()))
+            .max(MIN_RUN_TIME.min(left))
+    }
+
     /// Requests that are admitted before a new one of the subscriber, at its fair share.
     fn requests_ahead(&self, sub: SubKey) -> f64 {
         let account = &self.subs[sub];
-        let share = account.weight / self.active_weight(sub);
+        let others = (self.active_weight - account.active_weight).max(0.0);
+        let share = account.weight / (account.weight + others);
         (account.queued.len() as f64 / share).min(self.queued.len() as f64)
     }
 
-    /// Sum of the weights of this subscriber and of those with queued requests.
-    fn active_weight(&self, sub: SubKey) -> f64 {
-        // Bounds the cost; the subscribers with the longest queues take most of the capacity.
-        const MAX_SUBSCRIBERS: usize = 64;
-        let others = self.longest.iter().rev().take(MAX_SUBSCRIBERS);
-        let others = others.filter(|(_, other)| *other != sub);
-        self.subs[sub].weight + others.map(|(_, other)| self.subs[*other].weight).sum::<f64>()
-    }
-
     /// Time in which this many requests are admitted to these targets.
     fn drain_time<'a>(
         &self,
--- a/crates/scheduler/src/state/mod.rs
+++ b/crates/scheduler/src/state/mod.rs
@@ -81,6 +81,10 @@
     starved_share: f64,
     /// Recent arrivals of subscribers within their share.
     light: Decayed,
+    /// Sum of the weights of subscribers with queued requests.
+    active_weight: f64,
+    /// Seconds from admission to the end of an answer, for each generated token.
+    secs_per_token: Mean,
     /// Seconds from admission to the end of an answer.
     service_secs: Mean,
     load_interval: Mean,
@@ -229,6 +233,8 @@
             starved: 0,
             starved_share: 0.0,
             light: Decayed::new(DEMAND_HALF_LIFE, now),
+            active_weight: 0.0,
+            secs_per_token: Mean::default(),
             service_secs: Mean::default(),
             load_interval: Mean::default(),
             last_load_end: None,
@@ -309,7 +315,9 @@
         let sub = &mut self.subs[queued.sub];
         self.longest.remove(&(sub.queued.len(), queued.sub));
         sub.queued.remove(&seq);
-        if !sub.queued.is_empty() {
+        if sub.queued.is_empty() {
+            self.active_weight -= std::mem::take(&mut sub.active_weight);
+        } else {
             self.longest.insert((sub.queued.len(), queued.sub));
         }
         if let Some(adapter) = queued.adapter {
@@ -428,7 +436,11 @@
         let actual = match finish {
             Finish::Answered { prompt_tokens, completion_tokens } => {
                 account.completion.add(completion_tokens as f64);
-                self.service_secs.add((now - running.admitted_at).as_secs_f64());
+                let secs = (now - running.admitted_at).as_secs_f64();
+                self.service_secs.add(secs);
+                if running.adapter.is_some() {
+                    self.secs_per_token.add(secs / completion_tokens.max(1) as f64);
+                }
                 self.stats.tokens.0 += completion_tokens;
                 Cost::tokens(prompt_tokens, completion_tokens as f64)
             }
