--- a/crates/scheduler/src/state/planner.rs
+++ b/crates/scheduler/src/state/planner.rs
@@ -57,6 +57,8 @@
 const PREFETCH_MIN_DEMAND: f64 = 2.0;
 /// Time between prefetches; leaves most of the store's 2 to 3 loads/s to real demand.
 const PREFETCH_INTERVAL: Duration = Duration::from_secs(1);
+/// Demand of an adapter that nobody asked for within the half-life.
+const UNUSED_DEMAND: f64 = 0.5;
 /// A failed load is tried on other targets for this long.
 const AVOID_FAILED: Duration = Duration::from_secs(60);
 /// Demand that is given up to load on a target with an empty batch instead of a full one.
@@ -247,9 +249,9 @@
 
     /// Finds the cheapest slot for a candidate.
     fn place(&self, candidate: &Candidate, now: Instant) -> Option<Place> {
-        // A flooding subscriber gets no slot of an adapter that others want more.
+        // A flooding subscriber gets no slot of an adapter that others use.
         let is_flooding = self.is_flooding(self.queued[&candidate.cause].sub);
-        let max_loss = if is_flooding { self.gain(candidate.adapter, now) } else { f64::INFINITY };
+        let max_loss = if is_flooding { UNUSED_DEMAND } else { f64::INFINITY };
         let places = self.targets.iter().filter_map(|(key, target)| {
             let is_allowed = match candidate.only {
                 Some(only) => only == *key && target.exclusive.is_none(),
@@ -280,7 +282,7 @@
         now: Instant,
     ) -> Option<Place> {
         let has_failed = self.has_failed(adapter, key, now);
-        if !target.takes_orders(now) || target.slots.get(adapter).is_some() || has_failed {
+        if !target.takes_orders(now) || target.slots.refers_to(adapter) || has_failed {
             return None;
         }
         let (victim, loss) = if target.slots.has_free() {
@@ -288,7 +290,8 @@
         } else {
             let victims = target.slots.slots.iter().filter(|slot| self.may_evict(slot, tag, now));
             let losses = victims.map(|slot| (self.loss(slot, now), slot.adapter));
-            let losses = losses.filter(|(loss, _)| *loss <= max_loss);
+            let losses =
+                losses.filter(|(loss, adapter)| *loss <= max_loss || self.is_flooded(*adapter));
             let (loss, victim) = losses.min_by(|a, b| a.0.total_cmp(&b.0))?;
             (Some(victim), loss)
         };
@@ -335,6 +338,12 @@
         self.gain(slot.adapter, now) / holders.max(1) as f64
     }
 
+    /// Whether a flooding subscriber is the first that waits for the adapter.
+    fn is_flooded(&self, adapter: AdapterKey) -> bool {
+        let head = self.adapters[adapter].queue.first();
+        head.is_some_and(|(_, seq)| self.is_flooding(self.queued[seq].sub))
+    }
+
     /// Demand that a resident adapter serves.
     fn gain(&self, adapter: AdapterKey, now: Instant) -> f64 {
         let adapter = &self.adapters[adapter];
@@ -366,6 +375,7 @@
                 && !self.has_failed(candidate.adapter, **key, now)
                 && !target.slots.slots.iter().any(is_draining)
         });
+        let is_flooding = self.is_flooding(self.queued[&candidate.cause].sub);
         let in_use = targets.flat_map(|(key, target)| {
             let slots = target.slots.slots.iter().filter(|slot| {
                 let head = self.adapters[slot.adapter].queue.first();
@@ -374,6 +384,7 @@
                     && !slot.is_uncertain(now)
                     && now >= slot.ready_at + MIN_DRAINED_RESIDENCE
                     && head.is_none_or(|(head, _)| *head > candidate.tag)
+                    && (!is_flooding || self.is_flooded(slot.adapter))
             });
             slots.map(|slot| (self.loss(slot, now), *key, slot.adapter))
         });
