--- a/crates/engine/src/client.rs
+++ b/crates/engine/src/client.rs
@@ -61,6 +61,8 @@
 #[derive(Clone)]
 pub struct EngineClient {
     client: Client<HttpConnector, RequestBody>,
+    /// Opens a connection for each call.
+    unpooled: Client<HttpConnector, RequestBody>,
     timeouts: ClientTimeouts,
 }
 
@@ -131,8 +133,12 @@
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(POOL_IDLE_TIMEOUT)
             .retry_canceled_requests(false)
+            .build(connector.clone());
+        let unpooled = Client::builder(TokioExecutor::new())
+            .pool_max_idle_per_host(0)
+            .retry_canceled_requests(false)
             .build(connector);
-        Self { client, timeouts }
+        Self { client, unpooled, timeouts }
     }
 
     /// Starts a model request; dropping the stream or this future closes the connection, which
@@ -191,19 +197,21 @@
     pub async fn call(
         &self,
         target: SocketAddr,
-        mut req: Request<RequestBody>,
+        req: Request<RequestBody>,
     ) -> Result<Response<Incoming>, CallError> {
-        let path = req.uri().path_and_query().map_or("/", |path| path.as_str());
-        *req.uri_mut() = target_uri(target, path)
-            .map_err(|reason| CallError::NotSent { addr: target, reason })?;
-        let res = self.send(target, req).await?;
-        let status = res.status();
-        let is_refused = !status.is_success() && res.headers().contains_key(NOT_RUN_HEADER);
-        if !is_refused {
-            return Ok(res);
-        }
-        let body = read_error_body(res.into_body()).await;
-        Err(CallError::Refused { status, body })
+        call(&self.client, target, req).await
+    }
+
+    /// Calls a plain service like `call`, on a connection of its own.
+    ///
+    /// For calls that may not be repeated: a pooled connection that the service closes at the
+    /// moment of the call would make the result unknown.
+    pub async fn call_unpooled(
+        &self,
+        target: SocketAddr,
+        req: Request<RequestBody>,
+    ) -> Result<Response<Incoming>, CallError> {
+        call(&self.unpooled, target, req).await
     }
 
     /// Cancels a model request; a request that the engine does not know counts as cancelled.
@@ -229,25 +237,43 @@
         req: Request<RequestBody>,
         limit: Duration,
     ) -> Result<Response<Incoming>, CallError> {
-        timeout(limit, self.send(addr, req)).await.unwrap_or_else(|_| {
+        timeout(limit, send(&self.client, addr, req)).await.unwrap_or_else(|_| {
             let reason = format!("no answer within {} ms", limit.as_millis());
             Err(CallError::Lost { addr, reason })
         })
     }
+}
 
-    async fn send(
-        &self,
-        addr: SocketAddr,
-        req: Request<RequestBody>,
-    ) -> Result<Response<Incoming>, CallError> {
-        self.client.request(req).await.map_err(|e| {
-            let reason = error_chain(&e);
-            if e.is_connect() {
-                return CallError::NotSent { addr, reason };
-            }
-            CallError::Lost { addr, reason }
-        })
+async fn send(
+    client: &Client<HttpConnector, RequestBody>,
+    addr: SocketAddr,
+    req: Request<RequestBody>,
+) -> Result<Response<Incoming>, CallError> {
+    client.request(req).await.map_err(|e| {
+        let reason = error_chain(&e);
+        if e.is_connect() {
+            return CallError::NotSent { addr, reason };
+        }
+        CallError::Lost { addr, reason }
+    })
+}
+
+async fn call(
+    client: &Client<HttpConnector, RequestBody>,
+    target: SocketAddr,
+    mut req: Request<RequestBody>,
+) -> Result<Response<Incoming>, CallError> {
+    let path = req.uri().path_and_query().map_or("/", |path| path.as_str());
+    *req.uri_mut() =
+        target_uri(target, path).map_err(|reason| CallError::NotSent { addr: target, reason })?;
+    let res = send(client, target, req).await?;
+    let status = res.status();
+    let is_refused = !status.is_success() && res.headers().contains_key(NOT_RUN_HEADER);
+    if !is_refused {
+        return Ok(res);
     }
+    let body = read_error_body(res.into_body()).await;
+    Err(CallError::Refused { status, body })
 }
 
 /// Makes a body of bytes that are at hand.
--- /dev/null
+++ b/crates/engine/tests/client.rs
@@ -0,0 +1,234 @@
+//! Classification of errors by `EngineClient`, and that no request is sent twice.
+
+mod support;
+
+use std::{net::SocketAddr, time::Duration};
+
+use http::Request;
+use rstest::rstest;
+use shallotdrum_engine::{
+    CallError, ClientTimeouts, EngineClient, EngineEvent, NOT_RUN_HEADER, Order, OrderError,
+    OrderRefusal, OrderRequest, full_body,
+};
+use shallotdrum_types::Epoch;
+use support::{PATIENCE, ScriptedServer, Step, answer, client, refusing_addr, request, wait_until};
+use tokio::{
+    io::AsyncReadExt,
+    net::{TcpSocket, TcpStream},
+    time::timeout,
+};
+
+fn describe(error: &CallError) -> String {
+    match error {
+        CallError::NotSent { .. } => "NotSent".to_owned(),
+        CallError::Refused { status, .. } => format!("Refused({})", status.as_u16()),
+        CallError::Lost { .. } => "Lost".to_owned(),
+    }
+}
+
+async fn generate(client: &EngineClient, addr: SocketAddr) -> String {
+    match client.generate(addr, &request()).await {
+        Ok(_) => "Ok".to_owned(),
+        Err(e) => describe(&e),
+    }
+}
+
+async fn call(client: &EngineClient, addr: SocketAddr, path: &str) -> String {
+    let req = Request::post(path).body(full_body("body")).unwrap();
+    match client.call(addr, req).await {
+        Ok(res) => format!("Ok({})", res.status().as_u16()),
+        Err(e) => describe(&e),
+    }
+}
+
+async fn order(client: &EngineClient, addr: SocketAddr, limit: Duration) -> Result<(), OrderError> {
+    client.order(addr, &OrderRequest { epoch: Epoch(1), order: Order::Fence }, limit).await
+}
+
+/// Guards against "not run" for a request that may have been run, which breaks guarantee G4.
+#[rstest]
+#[case::accepted("Ok", Step::Answer(answer("200 OK", "")))]
+#[case::bad_request("Refused(400)", Step::Answer(answer("400 Bad Request", "")))]
+#[case::not_loaded("Refused(404)", Step::Answer(answer("404 Not Found", "")))]
+#[case::not_ready("Refused(409)", Step::Answer(answer("409 Conflict", "")))]
+#[case::too_many("Refused(429)", Step::Answer(answer("429 Too Many Requests", "")))]
+#[case::unavailable("Refused(503)", Step::Answer(answer("503 Service Unavailable", "")))]
+#[case::failed("Lost", Step::Answer(answer("500 Internal Server Error", "")))]
+#[case::bad_gateway("Lost", Step::Answer(answer("502 Bad Gateway", "")))]
+#[case::closed_after_request("Lost", Step::AnswerAndClose(String::new()))]
+#[case::closed_in_head("Lost", Step::AnswerAndClose("HTTP/1.1 503 Serv".to_owned()))]
+#[case::no_http("Lost", Step::AnswerAndClose("garbage\r\n\r\n".to_owned()))]
+#[tokio::test]
+async fn generate_classifies(#[case] expected: &str, #[case] step: Step) {
+    let server = ScriptedServer::start(vec![step]).await;
+    assert_eq!(generate(&client(), server.addr).await, expected);
+    assert_eq!(server.log(), ["post /v1/generate"]);
+}
+
+/// Guards against "unknown" for requests that certainly reached no target; they can be retried.
+#[tokio::test]
+async fn refused_connection_is_not_sent() {
+    let (_socket, addr) = refusing_addr();
+    assert_eq!(generate(&client(), addr).await, "NotSent");
+    assert_eq!(call(&client(), addr, "/certificates").await, "NotSent");
+    let result = order(&client(), addr, PATIENCE).await;
+    assert!(matches!(result, Err(OrderError::NotSent { .. })), "{result:?}");
+}
+
+/// Guards against a connect timeout that counts as sent, or a late connect that sends after all.
+#[tokio::test]
+async fn connect_timeout_is_not_sent() {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let listener = socket.listen(1).unwrap();
+    let addr = listener.local_addr().unwrap();
+    // Linux leaves connections unanswered while the queue of the listener is full.
+    let mut fillers = Vec::new();
+    while let Ok(stream) = timeout(Duration::from_millis(100), TcpStream::connect(addr)).await {
+        fillers.push(stream.unwrap());
+    }
+    let client =
+        EngineClient::new(ClientTimeouts { connect: Duration::from_millis(100), idle: PATIENCE });
+    assert_eq!(generate(&client, addr).await, "NotSent");
+    drop(fillers);
+    drop(client);
+    // Whatever was connected carries no byte of the request.
+    while let Ok(accepted) = timeout(Duration::from_millis(100), listener.accept()).await {
+        let mut bytes = Vec::new();
+        let _ = accepted.unwrap().0.read_to_end(&mut bytes).await;
+        assert!(bytes.is_empty(), "{bytes:?}");
+    }
+}
+
+/// Guards against a repeated send on a new connection after the pooled one has failed.
+#[rstest]
+#[case::generate(true)]
+#[case::call(false)]
+#[tokio::test]
+async fn reused_connection_closed_after_request_is_lost(#[case] is_generate: bool) {
+    let close = Step::AnswerAndClose(String::new());
+    let script = vec![Step::Answer(answer("200 OK", "")), close];
+    let server = ScriptedServer::start(script).await;
+    let client = client();
+    assert_eq!(call(&client, server.addr, "/first").await, "Ok(200)");
+    let result = match is_generate {
+        true => generate(&client, server.addr).await,
+        false => call(&client, server.addr, "/second").await,
+    };
+    assert_eq!(result, "Lost");
+    assert_eq!(server.log().len(), 2, "{:?}", server.log());
+}
+
+/// Guards against a second run, or a wrong "not sent", when the peer closes idle connections at the
+/// moment at which they are used again.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn idle_connection_closed_by_peer_never_runs_twice() {
+    let server = ScriptedServer::start(vec![Step::AnswerAndClose(answer("200 OK", ""))]).await;
+    let client = client();
+    let mut results = Vec::new();
+    for i in 0..300 {
+        let path = format!("/call-{i}");
+        results.push((call(&client, server.addr, &path).await, format!("post {path}")));
+    }
+    let log = server.log();
+    for (result, line) in results {
+        let runs = log.iter().filter(|run| **run == line).count();
+        match result.as_str() {
+            "Ok(200)" => assert_eq!(runs, 1),
+            "NotSent" => assert_eq!(runs, 0),
+            "Lost" => assert!(runs <= 1, "{runs} runs"),
+            other => panic!("unexpected result {other}"),
+        }
+    }
+}
+
+/// Guards against calls without a known result, because of a pooled connection, where a call may
+/// not be repeated.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn unpooled_call_meets_no_closed_connection() {
+    let server = ScriptedServer::start(vec![Step::AnswerAndClose(answer("200 OK", ""))]).await;
+    let client = client();
+    for _ in 0..100 {
+        let req = Request::post("/certificates").body(full_body("body")).unwrap();
+        let res = client.call_unpooled(server.addr, req).await;
+        assert!(res.is_ok(), "{res:?}");
+    }
+    assert_eq!(server.log().len(), 100);
+}
+
+/// Guards against a service's own 503, sent after running, that counts as "not run".
+#[rstest]
+#[case::own_error("Ok(503)", "content-length: 0\r\n")]
+#[case::refusal("Refused(503)", &format!("content-length: 0\r\n{NOT_RUN_HEADER}: 1\r\n"))]
+#[tokio::test]
+async fn call_classifies_service_errors(#[case] expected: &str, #[case] headers: &str) {
+    let res = format!("HTTP/1.1 503 Service Unavailable\r\n{headers}\r\n");
+    let server = ScriptedServer::start(vec![Step::Answer(res)]).await;
+    assert_eq!(call(&client(), server.addr, "/pickups?x=1").await, expected);
+    assert_eq!(server.log(), ["post /pickups?x=1"]);
+}
+
+/// Guards against refusals of an engine that are taken for lost orders.
+#[rstest]
+#[case::old_epoch("409 Conflict", OrderRefusal::OldEpoch { highest: Epoch(7) })]
+#[case::busy("409 Conflict", OrderRefusal::AdapterBusy)]
+#[case::no_slot("409 Conflict", OrderRefusal::NoFreeSlot)]
+#[case::failed("422 Unprocessable", OrderRefusal::LoadFailed { reason: "disk".to_owned() })]
+#[tokio::test]
+async fn order_refusals(#[case] status: &str, #[case] refusal: OrderRefusal) {
+    let body = serde_json::to_string(&refusal).unwrap();
+    let server = ScriptedServer::start(vec![Step::Answer(answer(status, &body))]).await;
+    match order(&client(), server.addr, PATIENCE).await {
+        Err(OrderError::Refused(actual)) => assert_eq!(actual, refusal),
+        other => panic!("unexpected result {other:?}"),
+    }
+}
+
+/// Guards against orders that count as refused although the engine may carry them out.
+#[rstest]
+#[case::closed(Step::AnswerAndClose(String::new()))]
+#[case::failed(Step::Answer(answer("500 Internal Server Error", "")))]
+#[case::foreign_conflict(Step::Answer(answer("409 Conflict", "{}")))]
+#[case::refusal_with_wrong_status(Step::Answer(answer(
+    "500 Internal Server Error",
+    "{\"type\":\"adapter-busy\"}"
+)))]
+#[tokio::test]
+async fn order_without_result_is_unknown(#[case] step: Step) {
+    let server = ScriptedServer::start(vec![step]).await;
+    let result = order(&client(), server.addr, PATIENCE).await;
+    assert!(matches!(result, Err(OrderError::Unknown { .. })), "{result:?}");
+}
+
+/// Guards against an order that times out and counts as not sent.
+#[tokio::test]
+async fn order_timeout_is_unknown() {
+    let server = ScriptedServer::start(vec![Step::AnswerAndWait(String::new())]).await;
+    let result = order(&client(), server.addr, Duration::from_millis(200)).await;
+    assert!(matches!(result, Err(OrderError::Unknown { .. })), "{result:?}");
+}
+
+/// Guards against requests that keep running for callers that are gone.
+#[tokio::test]
+async fn dropped_stream_closes_the_connection() {
+    let event = "HTTP/1.1 200 OK\r\n\r\ndata: {\"type\":\"chunk\",\"request\":\"r\",\
+        \"adapter\":{\"adapter\":\"a\",\"version\":\"1\"},\"offset\":0,\"tokens\":1,\"text\":\"t\"}\n\n";
+    let server = ScriptedServer::start(vec![Step::AnswerAndWait(event.to_owned())]).await;
+    let mut stream = client().generate(server.addr, &request()).await.unwrap();
+    assert!(matches!(stream.next().await, Some(Ok(EngineEvent::Chunk(_)))));
+    drop(stream);
+    wait_until("the server sees the end", || server.log().contains(&"closed".to_owned())).await;
+}
+
+/// Guards against a cancellation that fails because the request has ended meanwhile.
+#[rstest]
+#[case::running("200 OK", true)]
+#[case::ended("404 Not Found", true)]
+#[case::failed("500 Internal Server Error", false)]
+#[tokio::test]
+async fn cancel_results(#[case] status: &str, #[case] is_ok: bool) {
+    let server = ScriptedServer::start(vec![Step::Answer(answer(status, ""))]).await;
+    let result = client().cancel(server.addr, &"r".parse().unwrap()).await;
+    assert_eq!(result.is_ok(), is_ok, "{result:?}");
+    assert_eq!(server.log(), ["delete /v1/generate/r"]);
+}
--- a/crates/fakes/src/engine/batch.rs
+++ b/crates/fakes/src/engine/batch.rs
@@ -53,14 +53,11 @@
 }
 
 impl BatchState {
-    /// Requests of an adapter that wait or run.
+    /// Requests of an adapter that wait or run and are not cancelled.
     pub(super) fn count(&self, adapter: &AdapterRef) -> u32 {
         let all = self.queue.iter().chain(&self.running);
-        all.filter(|sequence| sequence.adapter == *adapter).count() as u32
-    }
-
-    pub(super) fn contains(&self, request: &RequestId) -> bool {
-        self.queue.iter().chain(&self.running).any(|sequence| sequence.request == *request)
+        let is_live = |s: &&Sequence| s.adapter == *adapter && !s.tx.is_closed();
+        all.filter(is_live).count() as u32
     }
 
     /// Takes out the requests for which the condition holds.
@@ -70,6 +67,7 @@
         taken
     }
 
+    /// Ends the run of a request; false if there is none.
     pub(super) fn cancel(&mut self, request: &RequestId, shared: &Shared) -> bool {
         let taken = self.take(|sequence| sequence.request == *request);
         let is_found = !taken.is_empty();
--- a/crates/fakes/src/engine/http.rs
+++ b/crates/fakes/src/engine/http.rs
@@ -94,9 +94,9 @@
                 Some(_) => problem(StatusCode::CONFLICT, "the adapter is being loaded"),
             };
         }
-        if batch.contains(&req.request) {
-            shared.violation(Violation::RequestTwice { request: req.request.clone() });
-            return problem(StatusCode::CONFLICT, "the request is already running");
+        // The sender has lost the earlier connection, which may not show here yet.
+        if batch.cancel(&req.request, shared) {
+            lock(&shared.stats).superseded += 1;
         }
         if batch.queue.len() >= settings.max_queue {
             return problem(StatusCode::TOO_MANY_REQUESTS, "the queue is full");
--- a/crates/fakes/src/engine/mod.rs
+++ b/crates/fakes/src/engine/mod.rs
@@ -28,6 +28,7 @@
 pub use stats::{EngineStats, OrderRecord, Run, RunEnd, Violation, ViolationRecord};
 
 use crate::{
+    clock::next_incarnation,
     port::ReservedPort,
     presence::{Presence, lock, run_incarnations},
     serve::serve,
@@ -74,15 +75,16 @@
     pub async fn start(cfg: FakeEngineConfig) -> io::Result<Self> {
         let port = ReservedPort::bind(cfg.identity.listen)?;
         let listener = port.listen()?;
+        let incarnation = next_incarnation();
         let shared = Arc::new(Shared {
             presence: Presence::new(cfg.identity.clone(), port.addr()),
             settings: Mutex::new(cfg.settings.clone()),
             stats: Mutex::default(),
             rng: Mutex::new(StdRng::seed_from_u64(cfg.seed)),
-            incarnation: Mutex::default(),
+            incarnation: Mutex::new(incarnation),
             cfg,
         });
-        let task = tokio::spawn(run_incarnations(port, listener, {
+        let task = tokio::spawn(run_incarnations(port, listener, incarnation, {
             let shared = shared.clone();
             move |incarnation, listener| Engine::run(shared.clone(), incarnation, listener)
         }));
--- a/crates/fakes/src/presence.rs
+++ b/crates/fakes/src/presence.rs
@@ -227,13 +227,18 @@
 }
 
 /// Runs one incarnation after the other; `run` returns the delay before the next start.
-pub(crate) async fn run_incarnations<R, F>(port: ReservedPort, mut listener: TcpListener, run: R)
-where
+pub(crate) async fn run_incarnations<R, F>(
+    port: ReservedPort,
+    mut listener: TcpListener,
+    mut incarnation: Incarnation,
+    run: R,
+) where
     R: Fn(Incarnation, TcpListener) -> F,
     F: Future<Output = Duration>,
 {
     loop {
-        let delay = run(next_incarnation(), listener).await;
+        let delay = run(incarnation, listener).await;
+        incarnation = next_incarnation();
         sleep(delay).await;
         listener = loop {
             match port.listen() {
--- a/crates/fakes/src/service.rs
+++ b/crates/fakes/src/service.rs
@@ -21,7 +21,7 @@
 use tokio::{net::TcpListener, task::JoinHandle, time::sleep};
 
 use crate::{
-    clock::unix_ms,
+    clock::{next_incarnation, unix_ms},
     port::ReservedPort,
     presence::{Identity, Presence, PresenceStats, lock, run_incarnations},
     serve::{Answer, CloseConnection, json, merge_settings, problem, read_body, respond, serve},
@@ -145,15 +145,16 @@
     pub async fn start(cfg: FakeServiceConfig) -> io::Result<Self> {
         let port = ReservedPort::bind(cfg.identity.listen)?;
         let listener = port.listen()?;
+        let incarnation = next_incarnation();
         let shared = Arc::new(Shared {
             presence: Presence::new(cfg.identity, port.addr()),
             max_concurrent: cfg.max_concurrent,
             settings: Mutex::new(cfg.settings),
             stats: Mutex::default(),
             rng: Mutex::new(StdRng::seed_from_u64(cfg.seed)),
-            incarnation: Mutex::default(),
+            incarnation: Mutex::new(incarnation),
         });
-        let task = tokio::spawn(run_incarnations(port, listener, {
+        let task = tokio::spawn(run_incarnations(port, listener, incarnation, {
             let shared = shared.clone();
             move |incarnation, listener| shared.clone().run(incarnation, listener)
         }));
--- a/crates/fakes/tests/engine.rs
+++ b/crates/fakes/tests/engine.rs
@@ -1,10 +1,22 @@
-//! Fake engine: text, orders, fencing, batching, crashes and faults of the stream.
+//! Fake engine: text, orders, fencing, batching, announcing and crashes.
 
 mod support;
 
-use shallotdrum_engine::{CallError, EngineClient};
-use shallotdrum_fakes::{FakeEngine, RunEnd, Violation, expected_text};
-use support::{adapter, engine_cfg, load, order, request, run, wait_until};
+use rstest::rstest;
+use shallotdrum_engine::{
+    Announcement, CacheEvents, CallError, EngineClient, Leave, Order, OrderError, OrderRefusal,
+    PREFIX_BLOCK_BYTES, Priority, prefix_hashes,
+};
+use shallotdrum_fakes::{EngineStats, FakeEngine, RunEnd, Violation, expected_text};
+use shallotdrum_types::{Epoch, RequestId};
+use support::{
+    EntryRecorder, adapter, call, engine_cfg, load, order, request, run, run_resuming, wait_until,
+};
+
+/// Slows the engine down so far that a request runs until the test ends it.
+fn slow_down(engine: &FakeEngine) {
+    engine.configure(|settings| settings.step_base_ms = 20.0);
+}
 
 /// Guards against answers whose text a checker can't tell from that of another version.
 #[tokio::test]
@@ -34,3 +46,315 @@
     let violations = engine.stats().violations;
     assert!(matches!(violations[0].violation, Violation::AdapterNotReady { .. }));
 }
+
+/// Guards against slots that hold more than they can, and adapters that vanish without an order.
+#[tokio::test]
+async fn orders_fill_and_empty_slots() {
+    let mut cfg = engine_cfg("e");
+    cfg.adapter_slots = 1;
+    let engine = FakeEngine::start(cfg).await.unwrap();
+    let (a, b) = (adapter("a"), adapter("b"));
+    order(engine.addr(), 1, load(&a, None)).await.unwrap();
+    let full = order(engine.addr(), 1, load(&b, None)).await;
+    assert!(matches!(full, Err(OrderError::Refused(OrderRefusal::NoFreeSlot))), "{full:?}");
+    order(engine.addr(), 1, load(&b, Some(&a))).await.unwrap();
+    order(engine.addr(), 1, load(&b, None)).await.unwrap();
+    order(engine.addr(), 1, Order::Evict { adapter: b }).await.unwrap();
+    let stats = engine.stats();
+    assert_eq!((stats.loads, stats.evictions, stats.orders.len()), (2, 2, 5));
+}
+
+/// Guards against failed loads that keep their slot or count as loaded.
+#[tokio::test]
+async fn failed_load_frees_its_slot() {
+    let mut cfg = engine_cfg("e");
+    cfg.adapter_slots = 1;
+    let engine = FakeEngine::start(cfg).await.unwrap();
+    let (a, b) = (adapter("a"), adapter("b"));
+    engine.configure(|settings| settings.failing_adapters = vec![a.clone()]);
+    let failed = order(engine.addr(), 1, load(&a, None)).await;
+    assert!(
+        matches!(failed, Err(OrderError::Refused(OrderRefusal::LoadFailed { .. }))),
+        "{failed:?}"
+    );
+    order(engine.addr(), 1, load(&b, None)).await.unwrap();
+    assert_eq!((engine.stats().loads, engine.stats().failed_loads), (1, 1));
+}
+
+/// Guards against a fake engine that protects from old owners although it announces that it does
+/// not, or the other way round.
+#[rstest]
+#[case::fencing_on(true)]
+#[case::fencing_off(false)]
+#[tokio::test]
+async fn old_epoch_is_refused_if_fencing_is_checked(#[case] checks_fencing: bool) {
+    let mut cfg = engine_cfg("e");
+    cfg.checks_fencing = checks_fencing;
+    let engine = FakeEngine::start(cfg).await.unwrap();
+    order(engine.addr(), 2, Order::Fence).await.unwrap();
+    let result = order(engine.addr(), 1, load(&adapter("a"), None)).await;
+    match (checks_fencing, result) {
+        (true, Err(OrderError::Refused(refusal))) => {
+            assert_eq!(refusal, OrderRefusal::OldEpoch { highest: Epoch(2) });
+        }
+        (false, Ok(())) => {}
+        (_, other) => panic!("unexpected result {other:?}"),
+    }
+    assert_eq!(engine.stats().highest_epoch, Epoch(2));
+    assert_eq!(engine.stats().loads, u64::from(!checks_fencing));
+}
+
+/// Guards against two owners at once that go unnoticed on engines without fencing.
+#[tokio::test]
+async fn concurrent_orders_of_two_epochs_are_recorded() {
+    let mut cfg = engine_cfg("e");
+    cfg.checks_fencing = false;
+    let engine = FakeEngine::start(cfg).await.unwrap();
+    let (a, b) = (adapter("a"), adapter("b"));
+    let (first, second) = tokio::join!(
+        order(engine.addr(), 1, load(&a, None)),
+        order(engine.addr(), 2, load(&b, None))
+    );
+    first.unwrap();
+    second.unwrap();
+    let violations = engine.stats().violations;
+    assert!(matches!(violations[0].violation, Violation::ConcurrentEpochs { .. }));
+}
+
+/// Guards against evictions under running requests, and against blind obedience that goes
+/// unrecorded.
+#[rstest]
+#[case::refuses(false)]
+#[case::obeys_blindly(true)]
+#[tokio::test]
+async fn evict_serving_adapter(#[case] obeys_blindly: bool) {
+    let engine = FakeEngine::start(engine_cfg("e")).await.unwrap();
+    let a = adapter("a");
+    order(engine.addr(), 1, load(&a, None)).await.unwrap();
+    slow_down(&engine);
+    engine.configure(|settings| settings.obeys_blindly = obeys_blindly);
+    let client = EngineClient::default();
+    let mut stream =
+        client.generate(engine.addr(), &request("r", &a, "prompt", 10_000)).await.unwrap();
+    stream.next().await.unwrap().unwrap();
+    let result = order(engine.addr(), 1, Order::Evict { adapter: a.clone() }).await;
+    let violations = engine.stats().violations;
+    assert!(matches!(violations[0].violation, Violation::EvictionWhileServing { carried_out, .. }
+            if carried_out == obeys_blindly));
+    if obeys_blindly {
+        result.unwrap();
+        while stream.next().await.is_some_and(|event| event.is_ok()) {}
+        assert_eq!(engine.stats().runs[0].end, Some(RunEnd::Cut));
+        return;
+    }
+    assert!(matches!(result, Err(OrderError::Refused(OrderRefusal::AdapterBusy))));
+    drop(stream);
+    wait_until("the engine notices the cancellation", async || {
+        engine.stats().runs[0].end == Some(RunEnd::Cancelled)
+    })
+    .await;
+    order(engine.addr(), 1, Order::Evict { adapter: a }).await.unwrap();
+}
+
+/// Guards against cancelled requests that keep their place in the batch.
+#[tokio::test]
+async fn cancel_ends_the_run() {
+    let engine = FakeEngine::start(engine_cfg("e")).await.unwrap();
+    let a = adapter("a");
+    order(engine.addr(), 1, load(&a, None)).await.unwrap();
+    slow_down(&engine);
+    let client = EngineClient::default();
+    let req = request("r", &a, "prompt", 10_000);
+    let mut stream = client.generate(engine.addr(), &req).await.unwrap();
+    client.cancel(engine.addr(), &req.request).await.unwrap();
+    while stream.next().await.is_some_and(|event| event.is_ok()) {}
+    assert_eq!(engine.stats().runs[0].end, Some(RunEnd::Cancelled));
+    client.cancel(engine.addr(), &req.request).await.unwrap();
+}
+
+/// Guards against a batch that runs its requests one after the other, or ignores priorities.
+#[tokio::test]
+async fn batch_is_shared_and_queue_is_by_priority() {
+    let mut cfg = engine_cfg("e");
+    cfg.max_batch = 2;
+    let engine = FakeEngine::start(cfg).await.unwrap();
+    let a = adapter("a");
+    order(engine.addr(), 1, load(&a, None)).await.unwrap();
+    engine.configure(|settings| settings.step_base_ms = 5.0);
+    let client = EngineClient::default();
+    let mut streams = Vec::new();
+    for (id, priority) in [("first", 1), ("second", 0), ("low", 9), ("high", 0)] {
+        let mut req = request(id, &a, "prompt", 30);
+        req.priority = Priority(priority);
+        streams.push(client.generate(engine.addr(), &req).await.unwrap());
+    }
+    for mut stream in streams {
+        while let Some(event) = stream.next().await {
+            event.unwrap();
+        }
+    }
+    let stats = engine.stats();
+    let started = |id: &str| {
+        let id: RequestId = id.parse().unwrap();
+        stats.runs.iter().find(|run| run.request == id).unwrap().started_ms.unwrap()
+    };
+    assert!(started("high") <= started("low"));
+    assert!(started("second") < started("high"), "the batch holds two");
+    // 120 tokens in steps of at most 2; the arrival of the second may cost a few steps.
+    assert!((60..90).contains(&stats.steps), "{} steps", stats.steps);
+    assert_eq!(stats.occupancy_sum, 120);
+}
+
+/// Guards against a cold restart that keeps adapters, epochs or connections, and against a crash
+/// that goes unrecorded.
+#[rstest]
+#[case::marker(true)]
+#[case::handle(false)]
+#[tokio::test]
+async fn crash_forgets_everything(#[case] by_marker: bool) {
+    let mut cfg = engine_cfg("e");
+    cfg.settings.crash_marker = Some("CRASH".to_owned());
+    let engine = FakeEngine::start(cfg).await.unwrap();
+    let (a, before) = (adapter("a"), engine.incarnation());
+    order(engine.addr(), 5, load(&a, None)).await.unwrap();
+    slow_down(&engine);
+    let client = EngineClient::default();
+    let mut victim = client.generate(engine.addr(), &request("v", &a, "p", 10_000)).await.unwrap();
+    victim.next().await.unwrap().unwrap();
+    // The crash may come before the head of the answer; a dropped stream would cancel the request.
+    let _crashing = match by_marker {
+        true => client.generate(engine.addr(), &request("c", &a, "a CRASH b", 1)).await.ok(),
+        false => {
+            engine.crash();
+            None
+        }
+    };
+    while victim.next().await.is_some_and(|event| event.is_ok()) {}
+    wait_until("the engine is back", async || engine.incarnation() > before).await;
+    wait_until("it listens", async || order(engine.addr(), 1, Order::Fence).await.is_ok()).await;
+    let refused = client.generate(engine.addr(), &request("n", &a, "p", 1)).await;
+    assert!(matches!(refused, Err(CallError::Refused { status, .. }) if status == 404));
+    let stats = engine.stats();
+    assert_eq!(stats.runs[0].end, Some(RunEnd::Stopped));
+    assert_eq!(stats.crashes, u64::from(by_marker));
+    assert_eq!(stats.highest_epoch, Epoch(1));
+}
+
+/// Guards against announcements that miss a restart, a leave, or a dead entry.
+#[tokio::test]
+async fn announces_itself_until_it_leaves() {
+    let entry = EntryRecorder::start().await;
+    let dead = shallotdrum_fakes::ReservedPort::reserve().unwrap();
+    let mut cfg = engine_cfg("e");
+    cfg.identity.entries = vec![dead.addr(), entry.addr];
+    let engine = FakeEngine::start(cfg).await.unwrap();
+    let a = adapter("a");
+    let announcements = || entry.messages::<Announcement>("/targets/announce");
+    wait_until("it is announced", async || !announcements().is_empty()).await;
+    assert_eq!(announcements()[0].addr, engine.addr());
+    order(engine.addr(), 1, load(&a, None)).await.unwrap();
+    wait_until("the load report names the adapter", async || {
+        announcements().last().unwrap().load.adapters.iter().any(|s| s.adapter == a && s.ready)
+    })
+    .await;
+    engine.crash();
+    wait_until("the new start is announced", async || {
+        let last = announcements().pop().unwrap();
+        last.incarnation > announcements()[0].incarnation && last.load.adapters.is_empty()
+    })
+    .await;
+    assert!(engine.leave().await);
+    let leaves = entry.messages::<Leave>("/targets/leave");
+    assert_eq!(leaves[0].incarnation, engine.incarnation());
+}
+
+/// Guards against load reports that are fresher than the settings ask, or of unknown age.
+#[tokio::test]
+async fn load_reports_lag() {
+    let entry = EntryRecorder::start().await;
+    let mut cfg = engine_cfg("e");
+    cfg.identity.entries = vec![entry.addr];
+    cfg.settings.report_lag_ms = 100;
+    let engine = FakeEngine::start(cfg).await.unwrap();
+    let announcements = || entry.messages::<Announcement>("/targets/announce");
+    wait_until("reports are old", async || {
+        announcements().last().is_some_and(|last| last.load.age_ms >= 100)
+    })
+    .await;
+    drop(engine);
+}
+
+/// Guards against a prefix cache that saves nothing, or whose events name other hashes than the
+/// owner computes.
+#[tokio::test]
+async fn prefix_cache_shortens_prefill_and_reports_changes() {
+    let entry = EntryRecorder::start().await;
+    let mut cfg = engine_cfg("e");
+    cfg.identity.entries = vec![entry.addr];
+    cfg.settings.prefix_cache_blocks = 2;
+    cfg.settings.cache_event_delay_ms = 0;
+    let engine = FakeEngine::start(cfg).await.unwrap();
+    let a = adapter("a");
+    order(engine.addr(), 1, load(&a, None)).await.unwrap();
+    let client = EngineClient::default();
+    let prompt = "x".repeat(2 * PREFIX_BLOCK_BYTES);
+    for id in ["r1", "r2"] {
+        run(&client, engine.addr(), &request(id, &a, &prompt, 1)).await.unwrap();
+    }
+    wait_until("both steps are counted", async || engine.stats().steps == 2).await;
+    assert_eq!((engine.stats().prefill_tokens, engine.stats().cached_tokens), (128, 128));
+    let other = "y".repeat(2 * PREFIX_BLOCK_BYTES);
+    run(&client, engine.addr(), &request("r3", &a, &other, 1)).await.unwrap();
+    let events = || entry.messages::<CacheEvents>("/targets/cache-events");
+    let (first, second) = (prefix_hashes(&a, &prompt), prefix_hashes(&a, &other));
+    wait_until("all changes are reported", async || {
+        let is_stored = second.iter().all(|h| events().iter().any(|e| e.stored.contains(h)));
+        let is_removed = first.iter().all(|h| events().iter().any(|e| e.removed.contains(h)));
+        is_stored && is_removed
+    })
+    .await;
+    let sequences: Vec<_> = events().iter().map(|e| e.sequence).collect();
+    assert!(sequences.is_sorted() && sequences[0] == 1, "{sequences:?}");
+}
+
+/// Guards against stream faults of the fake that the client can't put right or report.
+#[tokio::test]
+async fn faulty_stream_is_whole_after_resuming() {
+    let engine = FakeEngine::start(engine_cfg("e")).await.unwrap();
+    let a = adapter("a");
+    order(engine.addr(), 1, load(&a, None)).await.unwrap();
+    engine.configure(|settings| {
+        settings.duplicate_chunk = 0.3;
+        settings.reorder_chunk = 0.3;
+        settings.foreign_chunk = 0.2;
+        settings.lose_chunk = 0.02;
+        settings.cut = 0.05;
+    });
+    let client = EngineClient::default();
+    for i in 0..10 {
+        let req = request(&format!("r{i}"), &a, &format!("prompt {i}"), 60);
+        let text = run_resuming(&client, engine.addr(), &req).await;
+        assert_eq!(text, expected_text(&req.base_model, &a, &req.prompt, 60));
+    }
+    assert!(engine.stats().runs.len() > 10, "no stream was cut");
+    assert_eq!(engine.stats().violations, []);
+}
+
+/// Guards against control endpoints that tests of separate processes can't use.
+#[tokio::test]
+async fn control_endpoints() {
+    let engine = FakeEngine::start(engine_cfg("e")).await.unwrap();
+    let post = async |path: &str, body: &str| {
+        call(engine.addr(), http::Method::POST, path, &[], body).await.unwrap()
+    };
+    assert_eq!(post("/fake/config", r#"{"max_queue":0}"#).await.0, 200);
+    assert_eq!(post("/fake/config", r#"{"unknown":1}"#).await.0, 400);
+    let a = adapter("a");
+    order(engine.addr(), 1, load(&a, None)).await.unwrap();
+    let refused = EngineClient::default().generate(engine.addr(), &request("r", &a, "p", 1)).await;
+    assert!(matches!(refused, Err(CallError::Refused { status, .. }) if status == 429));
+    let stats = call(engine.addr(), http::Method::GET, "/fake/stats", &[], "").await.unwrap().1;
+    let stats: EngineStats = serde_json::from_str(&stats).unwrap();
+    assert_eq!(stats, engine.stats());
+    assert_eq!(post("/fake/leave", "").await.1, r#"{"accepted":false}"#);
+}
