Check freshness before the bearer key, and outwait a killed owner's lease

Cause: an instance whose manifest was stale answered `unauthorized` to a subscriber that only the newest manifest has; and an entry used up its three tries within 2.4 s, before a killed owner's session had ended.

--- a/crates/control/src/state/groups.rs
+++ b/crates/control/src/state/groups.rs
@@ -226,7 +226,12 @@
         if is_leaving {
             self.note_left(id, incarnation);
         }
-        let target = self.targets.get(id).ok_or_else(|| CommandError::NoTarget(id.clone()))?;
+        let target = match self.targets.get(id) {
+            Some(target) => target,
+            // A resent announcement that the target leaves.
+            None if is_leaving => return Ok(()),
+            None => return Err(CommandError::NoTarget(id.clone())),
+        };
         let current = target.announced.incarnation;
         if current > incarnation {
             return Err(CommandError::OldIncarnation { target: id.clone(), current });
--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -197,7 +197,7 @@
                     adapter: id.clone(),
                     base_model: adapter.base_model.clone(),
                     current: adapter.current.clone(),
-                    versions: adapter.versions.keys().cloned().collect(),
+                    versions: adapter.versions.iter().map(|(version, _)| version.clone()).collect(),
                 })
                 .collect()
         }))
--- a/crates/daemon/tests/guarantees/ownership.rs
+++ b/crates/daemon/tests/guarantees/ownership.rs
@@ -48,7 +48,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn target_leaves() {
     let setup = start().await;
-    assert!(setup.targets.engines[0].leave().await);
+    let engine = &setup.targets.engines[0];
+    assert!(engine.leave().await, "{:?}", engine.stats().presence);
     // No new work after 3 s; here from the answer to the announcement on.
     tokio::time::sleep(Duration::from_millis(100)).await;
     let runs_before = setup.targets.engines[0].stats().runs.len();
--- a/crates/daemon/tests/guarantees/stops.rs
+++ b/crates/daemon/tests/guarantees/stops.rs
@@ -46,13 +46,13 @@
             }
         });
     }
-    for i in 0..setup.cluster.len() {
+    for (i, is_ready) in ready.iter().enumerate() {
         // The balancer stops sending at the first not-ready answer, within the drain delay.
-        ready[i].store(false, Ordering::SeqCst);
+        is_ready.store(false, Ordering::SeqCst);
         setup.cluster.stop(i, STOP_LIMIT).await.unwrap();
         setup.cluster.restart(i).unwrap();
         setup.wait_served(i, START_LIMIT).await;
-        ready[i].store(true, Ordering::SeqCst);
+        is_ready.store(true, Ordering::SeqCst);
     }
     stop.store(true, Ordering::SeqCst);
     while let Some(result) = load.join_next().await {
--- a/crates/entry/src/completions.rs
+++ b/crates/entry/src/completions.rs
@@ -41,8 +41,9 @@
     request: &RequestId,
 ) -> Result<Response<Body>, RequestError> {
     let started = Instant::now();
-    let subscriber = auth::subscriber(shared, req.headers())?;
+    // A stale manifest may lack the subscriber, so this comes before the bearer key.
     auth::check_ready(shared)?;
+    let subscriber = auth::subscriber(shared, req.headers())?;
     let deadline = auth::deadline(shared, req.headers())?;
     let body = body::read(req.into_body(), &shared.cfg.limits).await?;
     let parsed = openai::parse(api, &body)?;
--- a/crates/entry/src/models.rs
+++ b/crates/entry/src/models.rs
@@ -35,8 +35,9 @@
     headers: &HeaderMap,
     query: Option<&str>,
 ) -> Result<Response<Body>, RequestError> {
-    let subscriber = auth::subscriber(shared, headers)?;
+    // A stale manifest may lack the subscriber, so this comes before the bearer key.
     auth::check_ready(shared)?;
+    let subscriber = auth::subscriber(shared, headers)?;
     let invalid = |detail: String| RequestError::not_run(RequestErrorKind::InvalidRequest, detail);
     let mut after = None;
     let mut limit = MAX_PAGE;
--- a/crates/entry/src/services.rs
+++ b/crates/entry/src/services.rs
@@ -60,8 +60,9 @@
 ) -> Result<Response<Body>, RequestError> {
     let started = Instant::now();
     let (parts, body) = req.into_parts();
-    let subscriber = auth::subscriber(shared, &parts.headers)?;
+    // A stale manifest may lack the subscriber, so this comes before the bearer key.
     auth::check_ready(shared)?;
+    let subscriber = auth::subscriber(shared, &parts.headers)?;
     let deadline = auth::deadline(shared, &parts.headers)?;
     let (service, path) = split_path(&parts)?;
     let method = parts.method.as_str();
--- a/crates/owner/src/forwarder.rs
+++ b/crates/owner/src/forwarder.rs
@@ -1,6 +1,6 @@
 //! Client that forwards requests to the owner of a target group.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use bytes::{Bytes, BytesMut};
 use http::{Method, Request, Response, StatusCode, header::CONTENT_TYPE};
@@ -26,6 +26,9 @@
 /// Body of forwarded requests and their answers.
 pub type ForwardBody = BoxBody<Bytes, Box<dyn std::error::Error + Send + Sync>>;
 
+/// Longest time to open a connection; a lost first packet is sent again after 1 s.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1500);
+
 /// Longest line of a frame; a chunk of text and its names are far below it.
 const MAX_FRAME_BYTES: usize = 1024 * 1024;
 
@@ -78,6 +81,7 @@
     pub fn new() -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         Self { client: Client::builder(TokioExecutor::new()).build(connector) }
     }
 
--- a/crates/owner/src/service.rs
+++ b/crates/owner/src/service.rs
@@ -13,7 +13,7 @@
     time::{Duration, Instant},
 };
 
-use shallotdrum_control::{Command, Handover, Reply};
+use shallotdrum_control::{Command, Handover, LOST_OWNER_SETTLE_MS, Reply};
 use shallotdrum_engine::{Announcement, CacheEvents, TargetKind};
 use shallotdrum_scheduler::{GroupScheduler, GroupSnapshot, Lease, TargetSpec};
 use shallotdrum_telemetry::event;
@@ -27,10 +27,8 @@
     load::{OrderCount, load_fn},
 };
 
-/// Longest time that an order may take at a target.
-///
-/// A new owner waits this long after a lost lease before it sends orders to targets that ignore
-/// fencing numbers, so orders of two owners never overlap.
+/// Longest time that an order may take at a target; a part of `LOST_OWNER_SETTLE_MS`, which a new
+/// owner waits before it sends orders to targets that ignore fencing numbers.
 pub const ORDER_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Target without an announcement for this time gets no new work; three announcements fit in.
@@ -378,7 +376,7 @@
     fn orders_allowed_from(&self, kind: &TargetKind) -> Instant {
         match (kind, self.handover) {
             (TargetKind::Engine { checks_fencing: false, .. }, Handover::Lost) => {
-                self.since + ORDER_TIMEOUT
+                self.since + Duration::from_millis(LOST_OWNER_SETTLE_MS)
             }
             _ => self.since,
         }
