--- a/crates/fakes/src/proxy.rs
+++ b/crates/fakes/src/proxy.rs
@@ -161,7 +161,9 @@
 }
 
 impl Direction {
-    fn opposite(self) -> Self {
+    /// The other direction.
+    #[must_use]
+    pub fn opposite(self) -> Self {
         match self {
             Self::ToUpstream => Self::ToClient,
             Self::ToClient => Self::ToUpstream,
@@ -356,37 +358,42 @@
 }
 
 /// Forwards one connection until both directions have ended or it is reset.
-async fn forward(mut client: TcpStream, shared: Arc<Shared>) {
+async fn forward(client: TcpStream, shared: Arc<Shared>) {
     let _guard = OpenGuard::new(&shared);
     let mut state = shared.state.subscribe();
     let resets = state.borrow().resets;
     let _ = client.set_nodelay(true);
-    let is_finished = tokio::select! {
-        _ = state.wait_for(|state| state.resets > resets) => false,
-        is_finished = connect_and_pump(&mut client, &shared) => is_finished,
+    let mut client = ResetOnDrop { stream: client, is_finished: false };
+    // Opening a connection takes packets in both directions.
+    let can_connect = async {
+        shared.passes(Direction::ToUpstream).await;
+        shared.passes(Direction::ToClient).await;
     };
-    if !is_finished {
-        // Zero linger makes the kernel send a reset instead of a regular end.
-        let _ = client.set_zero_linger();
+    tokio::select! {
+        _ = state.wait_for(|state| state.resets > resets) => return,
+        () = can_connect => {}
     }
-}
-
-/// Returns whether the connection ended regularly; otherwise the upstream side is reset.
-async fn connect_and_pump(client: &mut TcpStream, shared: &Shared) -> bool {
-    // Opening a connection takes packets in both directions.
-    shared.passes(Direction::ToUpstream).await;
-    shared.passes(Direction::ToClient).await;
+    // A reset waits for the connection, since abandoning the attempt would end it regularly.
     let upstream = shared.state.borrow().settings.upstream;
-    let Ok(upstream) = TcpStream::connect(upstream).await else { return false };
+    let Ok(upstream) = TcpStream::connect(upstream).await else { return };
     let _ = upstream.set_nodelay(true);
     let mut upstream = ResetOnDrop { stream: upstream, is_finished: false };
+    let is_finished = tokio::select! {
+        _ = state.wait_for(|state| state.resets > resets) => false,
+        is_finished = pump_both(&mut client.stream, &mut upstream.stream, &shared) => is_finished,
+    };
+    client.is_finished = is_finished;
+    upstream.is_finished = is_finished;
+}
+
+/// Returns whether both directions ended regularly.
+async fn pump_both(client: &mut TcpStream, upstream: &mut TcpStream, shared: &Shared) -> bool {
     let (client_read, client_write) = client.split();
-    let (upstream_read, upstream_write) = upstream.stream.split();
+    let (upstream_read, upstream_write) = upstream.split();
     let result = tokio::try_join!(
         pump(client_read, upstream_write, Direction::ToUpstream, shared),
         pump(upstream_read, client_write, Direction::ToClient, shared),
     );
-    upstream.is_finished = result.is_ok();
     result.is_ok()
 }
 
@@ -399,6 +406,7 @@
 impl Drop for ResetOnDrop {
     fn drop(&mut self) {
         if !self.is_finished {
+            // Zero linger makes the kernel send a reset instead of a regular end.
             let _ = self.stream.set_zero_linger();
         }
     }
--- /dev/null
+++ b/crates/fakes/tests/proxy.rs
@@ -0,0 +1,262 @@
+//! Fault proxy: what passes, what is lost, and what the two sides notice.
+
+mod support;
+
+use std::{io, net::SocketAddr, time::Duration};
+
+use rstest::rstest;
+use shallotdrum_fakes::{Direction, FaultProxy, Flow, ProxySettings, ReservedPort};
+use support::{PATIENCE, wait_until};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    time::{Instant, timeout},
+};
+
+/// Time in which nothing may arrive; a loopback connection delivers within microseconds.
+const SILENCE: Duration = Duration::from_millis(50);
+
+struct Pair {
+    proxy: FaultProxy,
+    listener: TcpListener,
+    client: TcpStream,
+    upstream: TcpStream,
+}
+
+/// Connects a client through a proxy to an upstream that the test plays.
+async fn connect_pair() -> Pair {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let proxy = FaultProxy::start(listener.local_addr().unwrap(), 1).unwrap();
+    let client = TcpStream::connect(proxy.addr()).await.unwrap();
+    let upstream = listener.accept().await.unwrap().0;
+    Pair { proxy, listener, client, upstream }
+}
+
+impl Pair {
+    /// Sending and receiving end of a direction.
+    fn ends(&mut self, direction: Direction) -> (&mut TcpStream, &mut TcpStream) {
+        match direction {
+            Direction::ToUpstream => (&mut self.client, &mut self.upstream),
+            Direction::ToClient => (&mut self.upstream, &mut self.client),
+        }
+    }
+
+    async fn send(&mut self, direction: Direction, text: &str) {
+        self.ends(direction).0.write_all(text.as_bytes()).await.unwrap();
+    }
+
+    async fn receive(&mut self, direction: Direction, len: usize) -> String {
+        let mut buf = vec![0; len];
+        let read = self.ends(direction).1.read_exact(&mut buf);
+        timeout(PATIENCE, read).await.expect("nothing arrived").unwrap();
+        String::from_utf8(buf).unwrap()
+    }
+
+    async fn is_silent(&mut self, direction: Direction) -> bool {
+        timeout(SILENCE, self.ends(direction).1.read(&mut [0; 64])).await.is_err()
+    }
+}
+
+fn is_reset(result: &io::Result<usize>) -> bool {
+    matches!(result, Err(e) if e.kind() == io::ErrorKind::ConnectionReset)
+}
+
+async fn read(stream: &mut TcpStream) -> io::Result<usize> {
+    timeout(PATIENCE, stream.read(&mut [0; 64])).await.expect("nothing arrived")
+}
+
+/// Guards against a proxy that changes what passes, or hides the end of a connection.
+#[rstest]
+#[tokio::test]
+async fn pass(#[values(Direction::ToUpstream, Direction::ToClient)] direction: Direction) {
+    let mut pair = connect_pair().await;
+    pair.send(direction, "hello").await;
+    assert_eq!(pair.receive(direction, 5).await, "hello");
+    pair.ends(direction).0.shutdown().await.unwrap();
+    assert_eq!(read(pair.ends(direction).1).await.unwrap(), 0);
+    // The other direction is still open.
+    pair.send(direction.opposite(), "reply").await;
+    assert_eq!(pair.receive(direction.opposite(), 5).await, "reply");
+}
+
+/// Guards against a cut that lets bytes or the end of the connection through, that affects the
+/// other direction, or that delivers bytes after a hole.
+#[rstest]
+#[tokio::test]
+async fn cut_existing_connection(
+    #[values(Direction::ToUpstream, Direction::ToClient)] direction: Direction,
+) {
+    let mut pair = connect_pair().await;
+    pair.send(direction, "before").await;
+    assert_eq!(pair.receive(direction, 6).await, "before");
+    pair.proxy.cut(direction);
+    pair.send(direction, "lost").await;
+    assert!(pair.is_silent(direction).await);
+    pair.send(direction.opposite(), "reply").await;
+    assert_eq!(pair.receive(direction.opposite(), 5).await, "reply");
+    wait_until("the bytes are dropped", async || pair.proxy.stats().dropped_bytes == 4).await;
+    pair.proxy.heal();
+    assert!(is_reset(&read(pair.ends(direction).1).await));
+}
+
+/// Guards against a silent partition that one side notices.
+#[rstest]
+#[tokio::test]
+async fn cut_both_hides_the_end(
+    #[values(Direction::ToUpstream, Direction::ToClient)] direction: Direction,
+) {
+    let mut pair = connect_pair().await;
+    pair.proxy.cut_both();
+    pair.ends(direction).0.shutdown().await.unwrap();
+    assert!(pair.is_silent(direction).await);
+    assert_eq!(pair.proxy.stats().open, 1);
+}
+
+/// Guards against a cut that new connections get around.
+#[rstest]
+#[tokio::test]
+async fn cut_new_connection(
+    #[values(Direction::ToUpstream, Direction::ToClient)] direction: Direction,
+) {
+    let pair = connect_pair().await;
+    pair.proxy.cut(direction);
+    let mut client = TcpStream::connect(pair.proxy.addr()).await.unwrap();
+    client.write_all(b"hello").await.unwrap();
+    assert!(timeout(SILENCE, pair.listener.accept()).await.is_err());
+    pair.proxy.heal();
+    let mut upstream = timeout(PATIENCE, pair.listener.accept()).await.unwrap().unwrap().0;
+    let mut buf = [0; 5];
+    timeout(PATIENCE, upstream.read_exact(&mut buf)).await.unwrap().unwrap();
+    assert_eq!(&buf, b"hello");
+}
+
+/// Guards against held bytes that are lost, or delivered early.
+#[rstest]
+#[tokio::test]
+async fn hold_delivers_later(
+    #[values(Direction::ToUpstream, Direction::ToClient)] direction: Direction,
+) {
+    let mut pair = connect_pair().await;
+    pair.proxy.configure(|s| {
+        s.to_upstream.flow = Flow::Hold;
+        s.to_client.flow = Flow::Hold;
+    });
+    pair.send(direction, "held").await;
+    pair.ends(direction).0.shutdown().await.unwrap();
+    assert!(pair.is_silent(direction).await);
+    pair.proxy.heal();
+    assert_eq!(pair.receive(direction, 4).await, "held");
+    assert_eq!(read(pair.ends(direction).1).await.unwrap(), 0);
+}
+
+/// Guards against refused connections that are accepted first, and a port that is lost meanwhile.
+#[tokio::test]
+async fn refuse_new_connections() {
+    let mut pair = connect_pair().await;
+    pair.proxy.configure(|s| s.refuse = true);
+    let addr: SocketAddr = pair.proxy.addr();
+    wait_until("connections are refused", async || {
+        matches!(
+            TcpStream::connect(addr).await,
+            Err(e) if e.kind() == io::ErrorKind::ConnectionRefused
+        )
+    })
+    .await;
+    pair.send(Direction::ToUpstream, "still open").await;
+    assert_eq!(pair.receive(Direction::ToUpstream, 10).await, "still open");
+    pair.proxy.heal();
+    wait_until("connections are accepted", async || TcpStream::connect(addr).await.is_ok()).await;
+}
+
+/// Guards against connections that survive a reset, or end as if they were complete.
+#[tokio::test]
+async fn reset_existing_connections() {
+    let mut pair = connect_pair().await;
+    pair.proxy.reset_connections();
+    assert!(is_reset(&read(&mut pair.client).await));
+    assert!(is_reset(&read(&mut pair.upstream).await));
+    wait_until("it is closed", async || pair.proxy.stats().open == 0).await;
+    let mut client = TcpStream::connect(pair.proxy.addr()).await.unwrap();
+    let mut upstream = pair.listener.accept().await.unwrap().0;
+    client.write_all(b"x").await.unwrap();
+    assert_eq!(read(&mut upstream).await.unwrap(), 1);
+}
+
+/// Guards against a reset by one side that reaches the other as a regular end.
+#[tokio::test]
+async fn reset_is_passed_on() {
+    let mut pair = connect_pair().await;
+    pair.upstream.set_zero_linger().unwrap();
+    drop(pair.upstream);
+    assert!(is_reset(&read(&mut pair.client).await));
+}
+
+/// Guards against a dead upstream that looks like a silent one.
+#[tokio::test]
+async fn refusing_upstream_resets() {
+    let upstream = ReservedPort::reserve().unwrap();
+    let proxy = FaultProxy::start(upstream.addr(), 1).unwrap();
+    let mut client = TcpStream::connect(proxy.addr()).await.unwrap();
+    assert!(is_reset(&read(&mut client).await));
+}
+
+/// Guards against delays that are not kept, reorder bytes, or add up over chunks.
+#[tokio::test]
+async fn delay_keeps_order() {
+    let mut pair = connect_pair().await;
+    pair.proxy.configure(|s| {
+        s.to_upstream.delay_ms = 30;
+        s.to_upstream.jitter_ms = 20;
+    });
+    let started = Instant::now();
+    let text: String = (0..50).map(|i| format!("{i:02}")).collect();
+    for piece in text.as_bytes().chunks(2) {
+        pair.client.write_all(piece).await.unwrap();
+        tokio::task::yield_now().await;
+    }
+    assert_eq!(pair.receive(Direction::ToUpstream, 100).await, text);
+    let elapsed = started.elapsed();
+    assert!(elapsed >= Duration::from_millis(30), "{elapsed:?}");
+}
+
+/// Guards against a throttle that has no effect.
+#[tokio::test]
+async fn throttle_limits_rate() {
+    let mut pair = connect_pair().await;
+    pair.proxy.configure(|s| s.to_client.bytes_per_second = Some(100_000));
+    let started = Instant::now();
+    pair.send(Direction::ToClient, &"x".repeat(10_000)).await;
+    pair.receive(Direction::ToClient, 10_000).await;
+    assert!(started.elapsed() >= Duration::from_millis(100));
+}
+
+/// Guards against duplication that is never seen.
+#[tokio::test]
+async fn duplicate_chunk() {
+    let mut pair = connect_pair().await;
+    pair.proxy.configure(|s| s.to_client.duplicate = 1.0);
+    pair.send(Direction::ToClient, "abc").await;
+    assert_eq!(pair.receive(Direction::ToClient, 6).await, "abcabc");
+}
+
+/// Guards against connections that outlive the handle.
+#[tokio::test]
+async fn drop_ends_everything() {
+    let Pair { proxy, mut client, mut upstream, .. } = connect_pair().await;
+    let addr = proxy.addr();
+    drop(proxy);
+    // Whether the end is regular does not matter here.
+    assert!(!matches!(read(&mut client).await, Ok(1..)));
+    assert!(!matches!(read(&mut upstream).await, Ok(1..)));
+    wait_until("it refuses", async || TcpStream::connect(addr).await.is_err()).await;
+}
+
+/// Guards against settings of the binary that replace a whole direction.
+#[test]
+fn settings_merge_nested() {
+    let settings = ProxySettings::new("127.0.0.1:1".parse().unwrap());
+    let settings = settings.merged(r#"{"to_client":{"delay_ms":5}}"#).unwrap();
+    let settings = settings.merged(r#"{"to_client":{"flow":"drop"}}"#).unwrap();
+    assert_eq!((settings.to_client.delay_ms, settings.to_client.flow), (5, Flow::Drop));
+    assert!(settings.merged(r#"{"to_client":{"flaw":"drop"}}"#).is_err());
+}
--- /dev/null
+++ b/crates/fakes/tests/service.rs
@@ -0,0 +1,87 @@
+//! Fake service: records of executions, and faults by setting.
+
+mod support;
+
+use http::Method;
+use rstest::rstest;
+use shallotdrum_engine::{Announcement, CallError, REQUEST_ID_HEADER, TargetKind};
+use shallotdrum_fakes::{FakeService, FakeServiceConfig, ServiceSettings, ServiceStats};
+use shallotdrum_types::Fingerprint;
+use support::{EntryRecorder, call, identity, wait_until};
+
+async fn start() -> FakeService {
+    FakeService::start(FakeServiceConfig::new(identity("s"))).await.unwrap()
+}
+
+/// Guards against records that don't show which call ran, or how often.
+#[tokio::test]
+async fn executions_are_recorded() {
+    let service = start().await;
+    let headers = [("idempotency-key", "k"), (REQUEST_ID_HEADER, "r")];
+    for (path, body) in [("/certificates", "one"), ("/pickups", "two"), ("/payouts", "three")] {
+        let res = call(service.addr(), Method::POST, path, &headers[..1], body).await.unwrap();
+        assert_eq!(res.0, 200);
+    }
+    call(service.addr(), Method::POST, "/payouts", &headers[1..], "three").await.unwrap();
+    assert_eq!(call(service.addr(), Method::GET, "/pickups/1", &[], "").await.unwrap().0, 200);
+    let stats = service.stats();
+    assert_eq!(stats.executions.len(), 4);
+    assert_eq!(stats.executions[0].body, Fingerprint::of(b"one"));
+    assert_eq!(stats.executions[3].request.as_deref(), Some("r"));
+    assert_eq!(stats.repeated_keys().into_iter().collect::<Vec<_>>(), [("k", 3)]);
+    assert_eq!(stats.lookups, 1);
+    let json = call(service.addr(), Method::GET, "/fake/stats", &[], "").await.unwrap().1;
+    assert_eq!(serde_json::from_str::<ServiceStats>(&json).unwrap(), stats);
+}
+
+/// Guards against faults that hit at the wrong side of the execution, which would turn a test of
+/// "at most once" around.
+#[rstest]
+#[case::refused("Refused 503", 0, |s: &mut ServiceSettings| s.refuse = 1.0)]
+#[case::answer_lost("Lost", 1, |s: &mut ServiceSettings| s.lose_answer = 1.0)]
+#[case::failed("Ok 500", 1, |s: &mut ServiceSettings| s.fail = 1.0)]
+#[case::crashed("Lost", 0, |s: &mut ServiceSettings| s.crash_marker = Some("bo".to_owned()))]
+#[case::slow("Ok 200", 1, |s: &mut ServiceSettings| {
+    s.delay_ms = 5;
+    s.slow_body_ms = 10;
+})]
+#[tokio::test]
+async fn faults(
+    #[case] expected: &str,
+    #[case] executions: usize,
+    #[case] change: fn(&mut ServiceSettings),
+) {
+    let service = start().await;
+    service.configure(change);
+    let before = service.incarnation();
+    let result = call(service.addr(), Method::POST, "/pickups", &[], "body").await;
+    let result = match result {
+        Ok((status, _)) => format!("Ok {}", status.as_u16()),
+        Err(CallError::Refused { status, .. }) => format!("Refused {}", status.as_u16()),
+        Err(CallError::Lost { .. }) => "Lost".to_owned(),
+        Err(e) => panic!("unexpected error {e}"),
+    };
+    assert_eq!(result, expected);
+    assert_eq!(service.stats().executions.len(), executions);
+    if service.stats().crashes > 0 {
+        wait_until("it starts again", async || service.incarnation() > before).await;
+    }
+}
+
+/// Guards against a service that can't be found or does not leave.
+#[tokio::test]
+async fn announces_itself_and_leaves() {
+    let entry = EntryRecorder::start().await;
+    let service = start().await;
+    service.set_entries(vec![entry.addr]);
+    let announcements = || entry.messages::<Announcement>("/targets/announce");
+    wait_until("it is announced", async || !announcements().is_empty()).await;
+    assert_eq!(announcements()[0].kind, TargetKind::Service { max_concurrent: 64 });
+    let addr = service.addr();
+    service.stop().await;
+    assert_eq!(entry.messages::<serde_json::Value>("/targets/leave").len(), 1);
+    wait_until("it refuses connections", async || {
+        matches!(call(addr, Method::GET, "/x", &[], "").await, Err(CallError::NotSent { .. }))
+    })
+    .await;
+}
