--- a/crates/fakes/src/engine/cache.rs
+++ b/crates/fakes/src/engine/cache.rs
@@ -80,6 +80,7 @@
                 continue;
             }
             sequence += 1;
+            lock(&self.shared.stats).cache_reports += 1;
             if self.shared.draw(settings.cache_event_loss) {
                 continue;
             }
--- a/crates/fakes/src/engine/mod.rs
+++ b/crates/fakes/src/engine/mod.rs
@@ -28,7 +28,7 @@
 pub use stats::{EngineStats, OrderRecord, Run, RunEnd, Violation, ViolationRecord};
 
 use crate::{
-    clock::next_incarnation,
+    clock::{next_incarnation, unix_ms},
     port::ReservedPort,
     presence::{Presence, lock, run_incarnations},
     serve::serve,
@@ -151,7 +151,9 @@
     }
 
     fn violation(&self, violation: Violation) {
-        lock(&self.stats).record_violation(violation);
+        let incarnation = *lock(&self.incarnation);
+        let record = ViolationRecord { at_ms: unix_ms(), incarnation, violation };
+        lock(&self.stats).violations.push(record);
     }
 
     /// Draws whether an event of the given probability happens.
--- a/crates/fakes/src/engine/stats.rs
+++ b/crates/fakes/src/engine/stats.rs
@@ -4,7 +4,7 @@
 use shallotdrum_engine::Order;
 use shallotdrum_types::{AdapterRef, Epoch, Incarnation, RequestId};
 
-use crate::{clock::unix_ms, presence::PresenceStats};
+use crate::presence::PresenceStats;
 
 /// Statistics of a fake engine, over all incarnations of one handle.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -27,6 +27,8 @@
     pub prefill_tokens: u64,
     /// Prompt tokens that the prefix cache saved.
     pub cached_tokens: u64,
+    /// Reports of cache changes that were made, including lost ones.
+    pub cache_reports: u64,
     /// Highest fencing number of the current incarnation.
     pub highest_epoch: Epoch,
     /// Orders, in order of arrival.
@@ -96,6 +98,8 @@
 pub struct ViolationRecord {
     /// Time, in milliseconds since the Unix epoch.
     pub at_ms: u64,
+    /// Start of the engine; requests and orders may be on their way when an engine restarts.
+    pub incarnation: Incarnation,
     /// What happened.
     pub violation: Violation,
 }
@@ -136,15 +140,16 @@
 }
 
 impl EngineStats {
+    /// Runs of a request, in order of arrival.
+    pub fn runs_of(&self, request: &RequestId) -> impl Iterator<Item = &Run> {
+        self.runs.iter().filter(move |run| run.request == *request)
+    }
+
     /// Requests in the average batch step.
     pub fn mean_occupancy(&self) -> f64 {
         self.occupancy_sum as f64 / self.steps.max(1) as f64
     }
 
-    pub(super) fn record_violation(&mut self, violation: Violation) {
-        self.violations.push(ViolationRecord { at_ms: unix_ms(), violation });
-    }
-
     /// Marks what was waiting or running when an incarnation ended.
     pub(super) fn end_runs_of(&mut self, incarnation: Incarnation) {
         for run in self.runs.iter_mut().filter(|run| run.incarnation == incarnation) {
--- a/crates/fakes/tests/engine.rs
+++ b/crates/fakes/tests/engine.rs
@@ -317,6 +317,32 @@
     assert!(sequences.is_sorted() && sequences[0] == 1, "{sequences:?}");
 }
 
+/// Guards against cache events without gaps where the settings ask for some.
+#[tokio::test]
+async fn lost_cache_events_leave_gaps() {
+    let entry = EntryRecorder::start().await;
+    let mut cfg = engine_cfg("e");
+    cfg.identity.entries = vec![entry.addr];
+    cfg.settings.cache_event_delay_ms = 0;
+    cfg.settings.cache_event_loss = 1.0;
+    let engine = FakeEngine::start(cfg).await.unwrap();
+    let a = adapter("a");
+    order(engine.addr(), 1, load(&a, None)).await.unwrap();
+    let client = EngineClient::default();
+    let run_with = async |id: &str, letter: &str| {
+        let prompt = letter.repeat(PREFIX_BLOCK_BYTES);
+        run(&client, engine.addr(), &request(id, &a, &prompt, 1)).await.unwrap();
+    };
+    run_with("r1", "x").await;
+    wait_until("a report is lost", async || engine.stats().cache_reports == 1).await;
+    engine.configure(|settings| settings.cache_event_loss = 0.0);
+    run_with("r2", "y").await;
+    let events = || entry.messages::<CacheEvents>("/targets/cache-events");
+    wait_until("a report arrives", async || !events().is_empty()).await;
+    assert_eq!(events()[0].sequence, 2);
+    assert_eq!(events()[0].stored, prefix_hashes(&a, &"y".repeat(PREFIX_BLOCK_BYTES)));
+}
+
 /// Guards against stream faults of the fake that the client can't put right or report.
 #[tokio::test]
 async fn faulty_stream_is_whole_after_resuming() {
