Make the pause after repeated losses a setting of the entry

Cause: a 4 s pause on each second loss let the test of the retry budget, which loses 100 owners one after another, run for 480 s. Tests set it to 0.

--- a/crates/daemon/tests/guarantees/manifests.rs
+++ b/crates/daemon/tests/guarantees/manifests.rs
@@ -116,3 +116,26 @@
     };
     shallotdrum_harness::wait_until("it serves again", START_LIMIT, look).await.unwrap();
 }
+
+/// Guards against an accepted manifest that is lost with the control leader, and against a second
+/// acceptance when the operator resends after losing the answer.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn leader_killed() {
+    let mut setup = start().await;
+    let mut deployment = setup.deployment.clone();
+    deployment.subscribers += 1;
+    let manifest = deployment.manifest();
+    let leader = setup.leader(None).await;
+    let alive = setup.cluster.rpc_addr((leader + 1) % setup.cluster.replicas());
+    let accepted = setup.operator.submit(alive, "before-kill", 1, &manifest).await;
+    assert_eq!(accepted, Ok(Revision(2)));
+    setup.cluster.kill(leader).unwrap();
+    setup.leader(Some(leader)).await;
+    let resent = setup.operator.submit(alive, "before-kill", 1, &manifest).await;
+    assert_eq!(resent, Ok(Revision(2)));
+    deployment.subscribers += 1;
+    let next = setup.operator.submit(alive, "after-kill", 2, &deployment.manifest()).await;
+    assert_eq!(next, Ok(Revision(3)));
+    setup.wait_in_force(alive, 3, IN_FORCE_LIMIT).await;
+}
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -11,6 +11,10 @@
 
 use crate::{AnnounceReply, CacheEvents, Catalog, Leave, budget::RetryBudget, routing::InFlight};
 
+/// A killed owner keeps its lease for 3.3 s; without a pause of this length a request would use up
+/// its tries in less.
+const REPEATED_LOSS_PAUSE: Duration = Duration::from_secs(4);
+
 /// Settings of an entry.
 #[derive(Clone, Debug)]
 pub struct EntryConfig {
@@ -22,6 +26,8 @@
     pub when_stale: WhenStale,
     /// How long the listener stays open after `begin_drain`.
     pub drain_delay: Duration,
+    /// Pause after a second loss of an owner, unless the owner changes before.
+    pub repeated_loss_pause: Duration,
     /// Caller's headers, in lower case, that are passed on to plain services.
     pub forward_headers: Vec<String>,
 }
@@ -33,6 +39,7 @@
             limits: settings.limits.clone(),
             when_stale: settings.freshness.when_stale,
             drain_delay: Duration::from_millis(settings.drain_delay_ms),
+            repeated_loss_pause: REPEATED_LOSS_PAUSE,
             forward_headers: settings.forward_headers.clone(),
         }
     }
--- a/crates/entry/src/route.rs
+++ b/crates/entry/src/route.rs
@@ -31,9 +31,6 @@
 const MAX_REFUSAL_PAUSE: Duration = Duration::from_secs(3);
 /// Times that a request is sent again after a loss; one that breaks each owner is not sent on.
 const MAX_LOSSES: u32 = 3;
-/// Pause after a second loss, unless the owner changes before. A killed owner keeps its lease for
-/// 3.3 s; without this pause a request would use up its tries in less.
-const REPEATED_LOSS_PAUSE: Duration = Duration::from_secs(4);
 /// Times that a request is sent again in all, also after refusals for lack of a target.
 const MAX_RETRIES: u32 = 5;
 /// Pause that a caller is told when no owner or target is there.
@@ -177,7 +174,7 @@
             self.ticket = None;
         }
         self.spend(error)?;
-        let pause = if self.losses > 1 { pause.max(REPEATED_LOSS_PAUSE) } else { pause };
+        let pause = if self.losses > 1 { pause.max(self.shared.cfg.repeated_loss_pause) } else { pause };
         self.pause_unless_changed(group, owner, pause).await;
         Ok(())
     }
--- a/crates/entry/tests/entry/common/mod.rs
+++ b/crates/entry/tests/entry/common/mod.rs
@@ -86,6 +86,7 @@
             limits: Limits::default(),
             when_stale: WhenStale::Refuse,
             drain_delay: Duration::ZERO,
+            repeated_loss_pause: Duration::ZERO,
             forward_headers: vec!["content-type".to_owned()],
         };
         change(&mut cfg);
