Measure stalls around a popularity shift in the bench

Cause: the goal for a shift compares the stall rate 30 s after it with the one before, which the bench did not show.

--- a/crates/scheduler/benches/policies.rs
+++ b/crates/scheduler/benches/policies.rs
@@ -45,6 +45,8 @@
 #[derive(Default)]
 struct Figures {
     stalls: Vec<f64>,
+    /// Seconds from the popularity shift to the arrival, and the stall.
+    around_shift: Vec<(f64, f64)>,
     waits: Vec<f64>,
     refused: usize,
     loads: u64,
@@ -84,6 +86,7 @@
         Case { name: "12/s zipf 1.2", requests_per_second: 12.0, exponent: 1.2, shifts: false },
         Case { name: "40/s zipf 1.4", requests_per_second: 40.0, exponent: 1.4, shifts: false },
         Case { name: "90/s zipf 1.6", requests_per_second: 90.0, exponent: 1.6, shifts: false },
+        Case { name: "4/s zipf 1.1 shift", requests_per_second: 4.0, exponent: 1.1, shifts: true },
         Case { name: "8/s zipf 1.1 shift", requests_per_second: 8.0, exponent: 1.1, shifts: true },
     ];
     for case in &cases {
@@ -104,6 +107,7 @@
     let mut stalls = figures.stalls;
     let mut waits = figures.waits;
     let total: f64 = stalls.iter().sum();
+    let around_shift = figures.around_shift;
     let count = stalls.len();
     let label = match policy {
         Policy::Baseline => "baseline".to_owned(),
@@ -123,6 +127,24 @@
         100.0 * figures.occupied / figures.samples as f64,
         100.0 * figures.occupied_busy / figures.samples as f64,
     );
+    if case.shifts {
+        println!(
+            "    mean stall: 120 s before the shift {:.3}, 0 to 30 s after {:.3}, 30 to 120 s {:.3}",
+            mean_stall(&around_shift, -120.0, 0.0),
+            mean_stall(&around_shift, 0.0, 30.0),
+            mean_stall(&around_shift, 30.0, 120.0),
+        );
+    }
+}
+
+/// Mean stall of the requests that arrive in a span of seconds around the shift.
+fn mean_stall(around_shift: &[(f64, f64)], from: f64, to: f64) -> f64 {
+    let stalls: Vec<f64> = around_shift
+        .iter()
+        .filter(|(at, _)| (from..to).contains(at))
+        .map(|(_, stall)| *stall)
+        .collect();
+    stalls.iter().sum::<f64>() / stalls.len().max(1) as f64
 }
 
 fn percentile(values: &mut [f64], p: f64) -> f64 {
@@ -162,6 +184,7 @@
         let tokens = 1 + (-(1.0 - rng.random::<f64>()).ln() * 80.0) as u64;
         let work = completion(adapter, tokens);
         let scheduler = scheduler.clone();
+        let since_shift = (at - begin).as_secs_f64() - (WARM_UP + MEASURED / 2).as_secs_f64();
         let figures = (at >= begin + WARM_UP).then(|| Arc::clone(&figures));
         tokio::spawn(async move {
             let asked_at = Instant::now();
@@ -171,6 +194,7 @@
                 match &result {
                     Ok(lease) => {
                         figures.stalls.push(lease.load_stall.as_secs_f64());
+                        figures.around_shift.push((since_shift, lease.load_stall.as_secs_f64()));
                         figures.waits.push(asked_at.elapsed().as_secs_f64());
                     }
                     Err(_) => figures.refused += 1,
