Revert the limit of demand by the time since the latest request

Ruled out: longer half-lives in combination, which are worse after a shift.

Conclusion: not worth the additional rule.

--- a/crates/scheduler/src/fair.rs
+++ b/crates/scheduler/src/fair.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     measure::{Decayed, Mean},
-    state::SHARE_HALF_LIFE,
+    state::DEMAND_HALF_LIFE,
 };
 
 /// Number of a request, in order of arrival.
@@ -75,7 +75,7 @@
             queued: BTreeSet::new(),
             active_weight: 0.0,
             running: 0,
-            loads: Decayed::new(SHARE_HALF_LIFE, now),
+            loads: Decayed::new(DEMAND_HALF_LIFE, now),
             completion: Mean::default(),
         }
     }
--- a/crates/scheduler/src/state/admission.rs
+++ b/crates/scheduler/src/state/admission.rs
@@ -79,7 +79,6 @@
                 row.users += 1;
                 // A flood beyond the fair share must not keep the subscriber's adapters resident.
                 row.demand.add(share, now);
-                row.last_request = now;
                 (Some(key), prompt_prefix_hashes)
             }
             Job::Service => (None, Vec::new()),
--- a/crates/scheduler/src/state/membership.rs
+++ b/crates/scheduler/src/state/membership.rs
@@ -198,7 +198,7 @@
             used.extend(self.targets.values().flat_map(|target| target.slots.adapters()));
             used.extend(self.running.values().filter_map(|running| running.adapter));
             self.adapters.retain(|key, adapter| {
-                let is_wanted = adapter.demand(now) > FORGOTTEN_DEMAND || adapter.users > 0;
+                let is_wanted = adapter.demand.get(now) > FORGOTTEN_DEMAND || adapter.users > 0;
                 is_wanted || used.contains(&key) || !adapter.holders.is_empty()
             });
         }
--- a/crates/scheduler/src/state/mod.rs
+++ b/crates/scheduler/src/state/mod.rs
@@ -42,12 +42,7 @@
 
 /// Half-life of an adapter's demand. Of 15, 30, 60, 120 and 300 s, the bench `policies` shows the
 /// best stalls under steady popularity from 60 s on, and after a shift at 30 to 60 s.
-const DEMAND_HALF_LIFE: Duration = Duration::from_secs(60);
-/// Mean gaps between requests after which an adapter's demand is taken to have ended. Of Poisson
-/// arrivals, 5 % have a longer gap.
-const MAX_MEAN_GAPS: f64 = 2.0;
-/// Half-life of the loads caused by a subscriber and of the presence of light subscribers.
-pub(crate) const SHARE_HALF_LIFE: Duration = Duration::from_secs(60);
+pub(crate) const DEMAND_HALF_LIFE: Duration = Duration::from_secs(60);
 
 /// State of the group.
 pub(crate) struct State {
@@ -123,7 +118,6 @@
     queue: BTreeSet<(Tag, Seq)>,
     /// Recent requests, each weighted by its subscriber's fair share.
     demand: Decayed,
-    last_request: Instant,
     /// Targets on which it can serve.
     holders: Vec<TargetKey>,
     /// Targets on which it is being loaded.
@@ -146,7 +140,6 @@
             source: None,
             queue: BTreeSet::new(),
             demand: Decayed::new(DEMAND_HALF_LIFE, now),
-            last_request: now,
             holders: Vec::new(),
             loading: Vec::new(),
             available_since: None,
@@ -159,18 +152,6 @@
     }
 }
 
-impl Adapter {
-    /// Recent requests, as far as the time since the latest one allows to expect more.
-    ///
-    /// Without this limit, an adapter that was hot keeps its slot for several half-lives after
-    /// popularity has shifted away from it.
-    fn demand(&self, now: Instant) -> f64 {
-        let gap = now.saturating_duration_since(self.last_request).as_secs_f64();
-        let mean_life = DEMAND_HALF_LIFE.as_secs_f64() / std::f64::consts::LN_2;
-        self.demand.get(now).min(MAX_MEAN_GAPS * mean_life / gap.max(0.001))
-    }
-}
-
 /// Where a queued request waits.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Lane {
@@ -254,7 +235,7 @@
             next_prefetch_at: now,
             starved: 0,
             starved_share: 0.0,
-            light: Decayed::new(SHARE_HALF_LIFE, now),
+            light: Decayed::new(DEMAND_HALF_LIFE, now),
             active_weight: 0.0,
             secs_per_token: Mean::default(),
             service_secs: Mean::default(),
--- a/crates/scheduler/src/state/planner.rs
+++ b/crates/scheduler/src/state/planner.rs
@@ -347,12 +347,12 @@
     /// Demand that a resident adapter serves.
     fn gain(&self, adapter: AdapterKey, now: Instant) -> f64 {
         let adapter = &self.adapters[adapter];
-        adapter.demand(now) + (adapter.queue.len() as f64).min(FAIR_BACKLOG)
+        adapter.demand.get(now) + (adapter.queue.len() as f64).min(FAIR_BACKLOG)
     }
 
     fn is_replica_worthwhile(&self, adapter: AdapterKey, place: &Place, now: Instant) -> bool {
         let row = &self.adapters[adapter];
-        let per_holder = row.demand(now) / (row.holders.len() + 1) as f64;
+        let per_holder = row.demand.get(now) / (row.holders.len() + 1) as f64;
         let has_room = self.targets[&place.target].has_room(now);
         has_room && per_holder > REPLICA_GAIN * place.loss
     }
@@ -423,7 +423,7 @@
         let absent = self.adapters.iter().filter(|(_, _, adapter)| {
             adapter.holders.is_empty() && adapter.source.is_some() && now >= adapter.retry_at
         });
-        let demands = absent.map(|(key, _, adapter)| (adapter.demand(now), key));
+        let demands = absent.map(|(key, _, adapter)| (adapter.demand.get(now), key));
         let Some((demand, adapter)) = demands.max_by(|a, b| a.0.total_cmp(&b.0)) else { return };
         if demand < PREFETCH_MIN_DEMAND {
             return;
