--- a/crates/scheduler/tests/admission.rs
+++ b/crates/scheduler/tests/admission.rs
@@ -180,3 +180,52 @@
     sleep(Duration::from_secs(1)).await;
     assert_eq!(tokio::runtime::Handle::current().metrics().num_alive_tasks(), before);
 }
+
+/// Guards against load decisions that are made long before the store can carry them out.
+#[tokio::test(start_paused = true)]
+async fn admit_keeps_few_loads_outstanding() {
+    let group = group(config());
+    for n in 0..6 {
+        group.engine(&format!("e{n}"), 1, 4, 8);
+    }
+    let tasks: Vec<_> =
+        (0..20).map(|n| group.run(completion("light", &format!("a{n}")), Duration::ZERO)).collect();
+    while tasks.iter().any(|task| !task.is_finished()) {
+        assert!(group.scheduler.snapshot().loads_in_flight <= config().max_outstanding_loads);
+        sleep(Duration::from_millis(10)).await;
+    }
+    assert_eq!(group.orders().len(), 20);
+}
+
+/// Guards against deadlocks and lost places when threads admit, finish and cancel at a time.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn admit_in_parallel_leaves_nothing_behind() {
+    let group = group(config());
+    group.engine("e1", 1, 4, 4);
+    group.engine("e2", 1, 4, 4);
+    let tasks: Vec<_> = (0..16)
+        .map(|n| {
+            let scheduler = group.scheduler.clone();
+            tokio::spawn(async move {
+                for round in 0..200 {
+                    let work = completion(&format!("s{}", n % 5), &format!("a{}", n % 3));
+                    let admitted = scheduler.admit(work);
+                    if round % 7 == 0 {
+                        drop(tokio::time::timeout(Duration::from_micros(50), admitted).await);
+                        continue;
+                    }
+                    let lease = admitted.await.unwrap();
+                    lease.started();
+                    tokio::task::yield_now().await;
+                    lease.finish(answered(1));
+                }
+            })
+        })
+        .collect();
+    for task in tasks {
+        task.await.unwrap();
+    }
+    let snapshot = group.scheduler.snapshot();
+    assert_eq!(snapshot.queued, 0);
+    assert!(snapshot.targets.values().all(|target| target.running == 0));
+}
