Show in the bench how long refused requests were held

Cause: with a saturated weight store, requests for rare adapters are refused late, and the bench did not show by how much.

Trial, not kept: each plan refused requests whose adapter's rank in the load order, times the load interval, exceeded their time left. The rank says little, since scores rise with age.

Conclusion: the refusal at admission stays; late refusals with a saturated store remain open.

--- a/crates/scheduler/benches/policies.rs
+++ b/crates/scheduler/benches/policies.rs
@@ -49,6 +49,8 @@
     around_shift: Vec<(f64, f64)>,
     waits: Vec<f64>,
     refused: usize,
+    /// Seconds that refused requests were held.
+    held: f64,
     loads: u64,
     occupied: f64,
     occupied_busy: f64,
@@ -127,6 +129,10 @@
         100.0 * figures.occupied / figures.samples as f64,
         100.0 * figures.occupied_busy / figures.samples as f64,
     );
+    if figures.refused > 0 {
+        let held = figures.held / figures.refused as f64;
+        println!("    refused requests were held for {held:.1} s on average");
+    }
     if case.shifts {
         println!(
             "    mean stall: 120 s before the shift {:.3}, 0 to 30 s after {:.3}, 30 to 120 s {:.3}",
@@ -197,7 +203,10 @@
                         figures.around_shift.push((since_shift, lease.load_stall.as_secs_f64()));
                         figures.waits.push(asked_at.elapsed().as_secs_f64());
                     }
-                    Err(_) => figures.refused += 1,
+                    Err(_) => {
+                        figures.refused += 1;
+                        figures.held += asked_at.elapsed().as_secs_f64();
+                    }
                 }
             }
             if let Ok(lease) = result {
