--- a/crates/scheduler/benches/policies.rs
+++ b/crates/scheduler/benches/policies.rs
@@ -45,8 +45,12 @@
 #[derive(Default)]
 struct Figures {
     stalls: Vec<f64>,
+    /// Seconds from the popularity shift to the arrival, and the stall.
+    around_shift: Vec<(f64, f64)>,
     waits: Vec<f64>,
     refused: usize,
+    /// Seconds that refused requests were held.
+    held: f64,
     loads: u64,
     occupied: f64,
     occupied_busy: f64,
@@ -84,6 +88,7 @@
         Case { name: "12/s zipf 1.2", requests_per_second: 12.0, exponent: 1.2, shifts: false },
         Case { name: "40/s zipf 1.4", requests_per_second: 40.0, exponent: 1.4, shifts: false },
         Case { name: "90/s zipf 1.6", requests_per_second: 90.0, exponent: 1.6, shifts: false },
+        Case { name: "4/s zipf 1.1 shift", requests_per_second: 4.0, exponent: 1.1, shifts: true },
         Case { name: "8/s zipf 1.1 shift", requests_per_second: 8.0, exponent: 1.1, shifts: true },
     ];
     for case in &cases {
@@ -104,6 +109,7 @@
     let mut stalls = figures.stalls;
     let mut waits = figures.waits;
     let total: f64 = stalls.iter().sum();
+    let around_shift = figures.around_shift;
     let count = stalls.len();
     let label = match policy {
         Policy::Baseline => "baseline".to_owned(),
@@ -123,6 +129,28 @@
         100.0 * figures.occupied / figures.samples as f64,
         100.0 * figures.occupied_busy / figures.samples as f64,
     );
+    if figures.refused > 0 {
+        let held = figures.held / figures.refused as f64;
+        println!("    refused requests were held for {held:.1} s on average");
+    }
+    if case.shifts {
+        println!(
+            "    mean stall: 120 s before the shift {:.3}, 0 to 30 s after {:.3}, 30 to 120 s {:.3}",
+            mean_stall(&around_shift, -120.0, 0.0),
+            mean_stall(&around_shift, 0.0, 30.0),
+            mean_stall(&around_shift, 30.0, 120.0),
+        );
+    }
+}
+
+/// Mean stall of the requests that arrive in a span of seconds around the shift.
+fn mean_stall(around_shift: &[(f64, f64)], from: f64, to: f64) -> f64 {
+    let stalls: Vec<f64> = around_shift
+        .iter()
+        .filter(|(at, _)| (from..to).contains(at))
+        .map(|(_, stall)| *stall)
+        .collect();
+    stalls.iter().sum::<f64>() / stalls.len().max(1) as f64
 }
 
 fn percentile(values: &mut [f64], p: f64) -> f64 {
@@ -162,6 +190,7 @@
         let tokens = 1 + (-(1.0 - rng.random::<f64>()).ln() * 80.0) as u64;
         let work = completion(adapter, tokens);
         let scheduler = scheduler.clone();
+        let since_shift = (at - begin).as_secs_f64() - (WARM_UP + MEASURED / 2).as_secs_f64();
         let figures = (at >= begin + WARM_UP).then(|| Arc::clone(&figures));
         tokio::spawn(async move {
             let asked_at = Instant::now();
@@ -171,9 +200,13 @@
                 match &result {
                     Ok(lease) => {
                         figures.stalls.push(lease.load_stall.as_secs_f64());
+                        figures.around_shift.push((since_shift, lease.load_stall.as_secs_f64()));
                         figures.waits.push(asked_at.elapsed().as_secs_f64());
                     }
-                    Err(_) => figures.refused += 1,
+                    Err(_) => {
+                        figures.refused += 1;
+                        figures.held += asked_at.elapsed().as_secs_f64();
+                    }
                 }
             }
             if let Ok(lease) = result {
@@ -279,6 +312,7 @@
 
 fn scheduler(cfg: SchedulerConfig, load: LoadFn, engines: usize) -> GroupScheduler {
     let log = slog::Logger::root(slog::Discard, slog::o!());
+    let cfg = SchedulerConfig { report_transit: Duration::ZERO, ..cfg };
     let scheduler = GroupScheduler::new(cfg, load, log);
     for engine in 0..engines {
         let id = name::<shallotdrum_types::TargetId>(&format!("casereader-{engine}"));
@@ -295,6 +329,8 @@
             },
             orders_allowed_from: Instant::now(),
         });
+        // Two reports settle what the engine holds.
+        scheduler.report(&id, Incarnation(1), &LoadReport::default());
         scheduler.report(&id, Incarnation(1), &LoadReport::default());
     }
     scheduler
--- a/crates/scheduler/src/state/mod.rs
+++ b/crates/scheduler/src/state/mod.rs
@@ -73,6 +73,8 @@
     orders: Vec<(TargetKey, AdapterKey, LoadOrder)>,
     /// Load decisions without a result.
     pub(crate) in_flight: BTreeSet<(TargetKey, AdapterKey)>,
+    /// Orders without a result to targets that were removed meanwhile.
+    orphaned: BTreeMap<(TargetKey, AdapterKey), (TargetId, Incarnation)>,
     next_plan_at: Instant,
     next_prefetch_at: Instant,
     /// Adapters without a holder at the latest plan, for the expected wait.
@@ -228,6 +230,7 @@
             longest: BTreeSet::new(),
             orders: Vec::new(),
             in_flight: BTreeSet::new(),
+            orphaned: BTreeMap::new(),
             next_plan_at: now,
             next_prefetch_at: now,
             starved: 0,
@@ -465,7 +468,7 @@
         if let Some(slot) = running.adapter.and_then(|key| target.slots.get_mut(key)) {
             let secs = (now - running.admitted_at).as_secs_f64();
             self.subs[running.sub].charge(Cost::slot_time(secs, slot.leases));
-            slot.leases -= 1;
+            slot.leases = slot.leases.saturating_sub(1);
             slot.last_used = now;
             // The engine may still be running a request whose answer did not end.
             if running.is_started && !matches!(finish, Finish::Answered { .. } | Finish::Refused) {
