consensus: test a partial partition

A mutation that lets replicas vote although they hear a live leader passed all tests, because the returning replica in minority_heals_without_election lacks entries and is refused for that reason.

Add partial_partition_keeps_leader, where only the link to the leader is cut and the logs are equal.

--- a/crates/consensus/tests/elections.rs
+++ b/crates/consensus/tests/elections.rs
@@ -51,6 +51,23 @@
     assert_eq!((status.role, status.term), (Role::Leader, term), "the leader was disturbed");
 }
 
+/// Guards against a replica that loses only its link to the leader and deposes it with the vote
+/// of another one that still hears the leader, which would also break the leader's lease.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn partial_partition_keeps_leader() {
+    let cluster = Cluster::started(3).await;
+    cluster.propose("a-0").await;
+    cluster.check_converged(&names("a", 1)).await;
+    let leader = cluster.leader().await;
+    let term = cluster.nodes[&leader].status().term;
+    let others: Vec<_> = (1..=3).filter(|&n| n != leader).collect();
+    cluster.cut(leader, others[0]);
+    let before = cluster.calls(others[0], others[1]);
+    until_true("four campaigns", || cluster.calls(others[0], others[1]) >= before + 4).await;
+    let status = cluster.nodes[&leader].status();
+    assert_eq!((status.role, status.term), (Role::Leader, term), "the leader was deposed");
+}
+
 /// Guards against stale reads, acknowledgements and leases at a leader that lost its quorum,
 /// silently cut off or frozen.
 #[rstest]
