--- a/crates/consensus/tests/elections.rs
+++ b/crates/consensus/tests/elections.rs
@@ -2,7 +2,7 @@
 
 mod harness;
 
-use harness::{Cluster, id, names, until_true};
+use harness::{Cluster, id, names, until_true, within};
 use rstest::rstest;
 use shallotdrum_consensus::{ProposeError, Role};
 
@@ -86,7 +86,8 @@
     } else {
         cluster.isolate(old);
     }
-    let (read, write) = tokio::join!(node.read_index(), node.propose("lost".to_owned()));
+    let write = node.propose("lost".to_owned());
+    let (read, write) = tokio::join!(within(node.read_index()), within(write));
     assert!(matches!(read, Err(ProposeError::NotLeader { .. })), "{read:?}");
     assert_eq!(write, Err(ProposeError::Unknown));
     assert!(!node.leader_lease_valid());
@@ -102,6 +103,38 @@
     cluster.check_converged(&expected).await;
 }
 
+/// Waits until another replica holds the lease; no two may hold it at once.
+async fn until_lease_moves(cluster: &Cluster, old: usize) {
+    until_true("another leader with a lease", || {
+        for (a, b) in [(1, 2), (2, 1), (1, 3), (3, 1), (2, 3), (3, 2)] {
+            let is_valid = |n: usize| cluster.nodes[&n].leader_lease_valid();
+            // Read before and after the other one, the first lease held in between.
+            assert!(!(is_valid(a) && is_valid(b) && is_valid(a)), "{a} and {b} hold leases");
+        }
+        cluster.nodes.iter().any(|(n, node)| *n != old && node.leader_lease_valid())
+    })
+    .await;
+}
+
+/// Guards against a restarted replica that forgets the leader it acknowledged and votes for
+/// another one while the first still counts on its lease.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn restart_respects_lease() {
+    let mut cluster = Cluster::started(3).await;
+    for _ in 0..6 {
+        let old = cluster.leader().await;
+        let others: Vec<_> = (1..=3).filter(|&n| n != old).collect();
+        cluster.cut(old, others[0]);
+        let before = cluster.calls(others[0], others[1]);
+        until_true("two campaigns", || cluster.calls(others[0], others[1]) >= before + 2).await;
+        cluster.cut(old, others[1]);
+        cluster.stop(others[1]).await;
+        cluster.start(others[1]).await;
+        until_lease_moves(&cluster, old).await;
+        cluster.heal();
+    }
+}
+
 /// Guards against two leaders that both claim a lease while partitions change.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn leases_never_overlap() {
@@ -109,15 +142,7 @@
     for _ in 0..4 {
         let old = cluster.leader().await;
         cluster.isolate(old);
-        until_true("another leader with a lease", || {
-            for (a, b) in [(1, 2), (2, 1), (1, 3), (3, 1), (2, 3), (3, 2)] {
-                let is_valid = |n: usize| cluster.nodes[&n].leader_lease_valid();
-                // Read before and after the other one, the first lease held in between.
-                assert!(!(is_valid(a) && is_valid(b) && is_valid(a)), "{a} and {b} hold leases");
-            }
-            cluster.nodes.iter().any(|(n, node)| *n != old && node.leader_lease_valid())
-        })
-        .await;
+        until_lease_moves(&cluster, old).await;
         cluster.heal();
     }
 }
