--- a/crates/entry/src/route.rs
+++ b/crates/entry/src/route.rs
@@ -174,7 +174,8 @@
             self.ticket = None;
         }
         self.spend(error)?;
-        let pause = if self.losses > 1 { pause.max(self.shared.cfg.repeated_loss_pause) } else { pause };
+        let pause =
+            if self.losses > 1 { pause.max(self.shared.cfg.repeated_loss_pause) } else { pause };
         self.pause_unless_changed(group, owner, pause).await;
         Ok(())
     }
--- a/crates/owner/src/call.rs
+++ b/crates/owner/src/call.rs
@@ -251,7 +251,15 @@
             call.fingerprint,
         );
         lease.started();
-        let sent = tokio::time::timeout_at(call.deadline, self.cx.engine.call(lease.addr, req));
+        let exchange = async {
+            match call.call.idempotency_key {
+                // A pooled connection that the target has just closed would make the result
+                // unknown, and the call could not be sent again.
+                Some(_) => self.cx.engine.call_unpooled(lease.addr, req).await,
+                None => self.cx.engine.call(lease.addr, req).await,
+            }
+        };
+        let sent = tokio::time::timeout_at(call.deadline, exchange);
         let error = match sent.await {
             Ok(Ok(res)) => return Ok((res, lease)),
             Ok(Err(error)) => error,
