--- /dev/null
+++ b/crates/cli/tests/commands.rs
@@ -0,0 +1,183 @@
+//! The operators' client against running instances: output, exit codes, errors.
+
+use std::{
+    path::{Path, PathBuf},
+    process::{Command, Output},
+    time::Duration,
+};
+
+use rstest::rstest;
+use serde_json::Value;
+use shallotdrum_harness::{Deployment, Embedded, Operator, Targets, TargetsConfig, wait_until};
+use tempfile::TempDir;
+
+/// Time for sessions and targets to be in place on a busy machine.
+const LIMIT: Duration = Duration::from_secs(30);
+
+struct Setup {
+    deployment: Deployment,
+    embedded: Embedded,
+    _targets: Targets,
+    folder: TempDir,
+}
+
+/// Starts four instances with targets, but without a manifest.
+async fn start() -> Setup {
+    let deployment = Deployment::registry().scaled(2, 1, 5);
+    let log = shallotdrum_telemetry::discard();
+    let embedded = Embedded::start(&deployment, 4, 3, &log).await.unwrap();
+    Operator::default().wait_for_instances(embedded.rpcs[0], 4, LIMIT).await.unwrap();
+    let cfg = TargetsConfig::default();
+    let targets = Targets::start(&deployment, &cfg, &embedded.entries).await.unwrap();
+    let folder = tempfile::tempdir().unwrap();
+    Setup { deployment, embedded, _targets: targets, folder }
+}
+
+impl Setup {
+    async fn run(&self, args: &[&str]) -> Output {
+        let rpc = self.embedded.rpcs[3].to_string();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_shallotdrum"));
+        command.args(["--rpc", &rpc]).args(args);
+        tokio::task::spawn_blocking(move || command.output().unwrap()).await.unwrap()
+    }
+
+    /// Runs a command that must succeed and returns its JSON output.
+    async fn json(&self, args: &[&str]) -> Value {
+        let output = self.run(&[&["--output", "json"], args].concat()).await;
+        assert!(output.status.success(), "{args:?}: {}", text(&output.stderr));
+        match output.stdout.as_slice() {
+            b"" => Value::Null,
+            json => serde_json::from_slice(json).unwrap(),
+        }
+    }
+
+    fn manifest_file(&self, name: &str, manifest: &Value) -> PathBuf {
+        let path = self.folder.path().join(name);
+        std::fs::write(&path, manifest.to_string()).unwrap();
+        path
+    }
+
+    async fn submit(&self, file: &Path, base: &str, submission: &str) -> Output {
+        let file = file.to_str().unwrap();
+        let args =
+            ["manifest", "submit", file, "--base", base, "--submission", submission, "--wait", "5"];
+        self.run(&args).await
+    }
+}
+
+fn text(bytes: &[u8]) -> String {
+    String::from_utf8_lossy(bytes).into_owned()
+}
+
+/// Guards against exit codes that scripts can't tell apart, and against a wait that ends before
+/// the manifest is in force everywhere.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn manifest_submit_cases() {
+    let setup = start().await;
+    let mut manifest = setup.deployment.manifest();
+    let file = setup.manifest_file("first.json", &manifest);
+    let first = setup.submit(&file, "0", "first").await;
+    assert_eq!(first.status.code(), Some(0), "{}", text(&first.stderr));
+    assert!(text(&first.stderr).contains("in force on 4 of 4 instances"));
+    let resent = setup.submit(&file, "0", "first").await;
+    assert_eq!((resent.status.code(), &resent.stdout), (Some(0), &first.stdout));
+    let conflict = setup.submit(&file, "0", "second").await;
+    assert_eq!(conflict.status.code(), Some(4));
+    assert!(text(&conflict.stderr).contains("revision 1 is in force"));
+
+    manifest["adapters"]["adapter-00001"]["current"] = "9".into();
+    let file = setup.manifest_file("invalid.json", &manifest);
+    let invalid = setup.submit(&file, "1", "third").await;
+    assert_eq!(invalid.status.code(), Some(3));
+    let stderr = text(&invalid.stderr);
+    assert!(stderr.contains("adapter-00001") && stderr.contains("`9`"), "{stderr}");
+
+    let missing = setup.submit(Path::new("no-such-file.json"), "1", "fourth").await;
+    assert_eq!(missing.status.code(), Some(1));
+    assert!(text(&missing.stderr).contains("no-such-file.json"));
+    let usage = setup.run(&["manifest", "submit"]).await;
+    assert_eq!(usage.status.code(), Some(2));
+}
+
+/// Guards against a dry run that changes something, and against lists that miss what is there.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn lists_after_submit() {
+    let setup = start().await;
+    let file = setup.manifest_file("manifest.json", &setup.deployment.manifest());
+    let check = setup.json(&["manifest", "check", file.to_str().unwrap()]).await;
+    assert_eq!(
+        (&check["compared_with"], &check["changes"]["adapters_set"]),
+        (&0.into(), &5.into())
+    );
+    assert_eq!(setup.json(&["manifest", "show"]).await["revision"], 0);
+    assert!(setup.submit(&file, "0", "first").await.status.success());
+
+    assert_eq!(setup.json(&["manifest", "show"]).await["revision"], 1);
+    assert_eq!(setup.json(&["manifest", "list"]).await[0]["submission"], "first");
+    let count = |rows: &Value| rows.as_array().unwrap().len();
+    assert_eq!(count(&setup.json(&["subscribers"]).await), setup.deployment.subscribers);
+    assert_eq!(count(&setup.json(&["adapters", "--limit", "2"]).await), 2);
+    assert_eq!(count(&setup.json(&["adapters", "--after", "adapter-00001"]).await), 3);
+    assert_eq!(count(&setup.json(&["quarantine"]).await), 0);
+    let instances = setup.json(&["instances"]).await;
+    let leaders = instances.as_array().unwrap().iter().filter(|row| row["is_leader"] == true);
+    assert_eq!((count(&instances), leaders.count()), (4, 1));
+
+    let look = || async {
+        let targets = setup.json(&["targets"]).await;
+        let owned = targets.as_array().unwrap().iter().filter(|row| !row["owner"].is_null());
+        match owned.count() {
+            3 => Ok(()),
+            n => Err(format!("{n} targets have an owner")),
+        }
+    };
+    wait_until("all targets have owners", LIMIT, look).await.unwrap();
+    let table = setup.run(&["groups"]).await;
+    assert!(text(&table.stdout).starts_with("GROUP"), "{}", text(&table.stdout));
+}
+
+/// Guards against draining that has no effect, or that can't be ended.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn drain_cases() {
+    let setup = start().await;
+    let instances = setup.json(&["instances"]).await;
+    let instance = instances[0]["instance"].as_str().unwrap().to_owned();
+    for (undo, is_draining) in [(false, true), (true, false)] {
+        let mut args = vec!["drain", "instance", &instance];
+        args.extend(undo.then_some("--undo"));
+        setup.json(&args).await;
+        let look = || async {
+            let rows = setup.json(&["instances"]).await;
+            let row = rows.as_array().unwrap().iter().find(|row| row["instance"] == *instance);
+            match row.unwrap()["is_draining"] == is_draining {
+                true => Ok(()),
+                false => Err(rows.to_string()),
+            }
+        };
+        wait_until("the instance shows its state", LIMIT, look).await.unwrap();
+    }
+    let unknown = setup.run(&["drain", "target", "no-such-target"]).await;
+    assert_eq!(unknown.status.code(), Some(4));
+    assert!(text(&unknown.stderr).contains("no-such-target"));
+}
+
+/// Guards against an error without a hint when no instance answers.
+#[test]
+fn connect_nowhere() {
+    let run = |rpc: Option<&str>| {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_shallotdrum"));
+        command.env_remove("SHALLOTDRUM_RPC");
+        command.args(rpc.map_or(vec![], |rpc| vec!["--rpc", rpc])).arg("instances");
+        command.output().unwrap()
+    };
+    let port = shallotdrum_fakes::ReservedPort::reserve().unwrap();
+    let refused = run(Some(&port.addr().to_string()));
+    assert_eq!(refused.status.code(), Some(5));
+    assert!(text(&refused.stderr).contains(&port.addr().to_string()));
+    let nowhere = run(None);
+    assert_eq!(nowhere.status.code(), Some(1));
+    assert!(text(&nowhere.stderr).contains("--rpc"));
+}
