Give up groups when an instance drains, and end draining of targets

Cause: an operator's drain only kept new groups away, a drained target could not be taken back, and a target that fell silent while the control log was not available stayed without work after its return. While an instance stopped, its owner loop could take a group back before its release was applied.

--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -231,7 +231,7 @@
         event!(self.log, INSTANCE_STOPPING);
         self.entry.begin_drain();
         self.session.begin_drain().await;
-        self.owner.release_all().await;
+        self.owner.stop().await;
         if let Some(replica) = &self.replica {
             // Best effort: without it the others elect a leader after their time-out.
             let _ = replica.node.transfer_leadership().await;
--- a/crates/daemon/tests/guarantees/stops.rs
+++ b/crates/daemon/tests/guarantees/stops.rs
@@ -9,6 +9,7 @@
 };
 
 use rstest::rstest;
+use shallotdrum_harness::wait_until;
 
 use crate::setup::{START_LIMIT, start};
 
@@ -61,3 +62,31 @@
     assert!(answered.load(Ordering::SeqCst) > 0);
     setup.check_targets();
 }
+
+/// Guards against an operator's drain that leaves the groups where they are, or that fails
+/// requests while they move.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn drain_instance_moves_groups() {
+    use shallotdrum_rpc::AdminApiClient;
+    let setup = start().await;
+    let rpc = setup.cluster.rpc_addr(0);
+    let owner = setup.engine_owner(rpc).await.unwrap();
+    let stream = setup.complete(setup.cluster.entry(owner), 1, 2, "long stream", 60);
+    let drain = async {
+        let client = setup.operator.client(rpc).unwrap();
+        let instance = format!("instance-{owner}").parse().unwrap();
+        client.drain_instance(instance, true).await.unwrap();
+        let look = || async {
+            match setup.engine_owner(rpc).await {
+                Some(now) if now != owner => Ok(()),
+                now => Err(format!("owner {now:?}")),
+            }
+        };
+        wait_until("the group has another owner", START_LIMIT, look).await.unwrap();
+        setup.complete(setup.cluster.entry(owner), 2, 1, "after the move", 4).await.unwrap();
+    };
+    let (stream, ()) = tokio::join!(stream, drain);
+    stream.expect("the stream goes on while its owner drains");
+    setup.check_targets();
+}
--- a/crates/owner/src/service.rs
+++ b/crates/owner/src/service.rs
@@ -8,7 +8,7 @@
     collections::{BTreeMap, BTreeSet},
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     time::{Duration, Instant},
 };
@@ -51,6 +51,7 @@
     pub(crate) cx: OwnerContext,
     groups: Mutex<BTreeMap<GroupId, Arc<OwnedGroup>>>,
     busy: Arc<AtomicUsize>,
+    is_stopping: AtomicBool,
 }
 
 /// Forwarded request that is in progress until the value is dropped.
@@ -79,20 +80,39 @@
 struct TargetHealth {
     incarnation: Incarnation,
     last_seen: Instant,
+    /// The control log says that it is draining.
     is_draining: bool,
+    /// It said that it leaves; the control log may not say so yet.
+    is_leaving: bool,
+    /// It has not announced itself in time.
+    is_silent: bool,
+}
+
+impl TargetHealth {
+    fn takes_no_work(&self) -> bool {
+        self.is_draining || self.is_leaving || self.is_silent
+    }
 }
 
 impl OwnerService {
     /// Creates a service that owns no groups yet.
     pub fn new(cx: OwnerContext) -> Arc<Self> {
-        Arc::new(Self { cx, groups: Mutex::default(), busy: Arc::default() })
+        Arc::new(Self {
+            cx,
+            groups: Mutex::default(),
+            busy: Arc::default(),
+            is_stopping: AtomicBool::new(false),
+        })
     }
 
     /// Follows the control state: takes over and gives up groups, and checks their targets.
     pub async fn run(self: Arc<Self>) {
         let mut changed = self.cx.view.changed();
         loop {
-            self.sync_groups();
+            match self.is_draining() {
+                true => self.release_all().await,
+                false => self.sync_groups(),
+            }
             self.remove_silent_targets();
             tokio::select! {
                 _ = changed.changed() => {}
@@ -101,18 +121,31 @@
         }
     }
 
+    /// Gives up all groups for good, because the instance stops.
+    pub async fn stop(&self) {
+        self.is_stopping.store(true, Ordering::SeqCst);
+        self.release_all().await;
+    }
+
     /// Gives up all groups: queued requests fail, and the ownership is released once no order is
     /// in flight.
-    pub async fn release_all(&self) {
-        let groups: Vec<_> = std::mem::take(&mut *self.groups()).into_values().collect();
-        for group in &groups {
+    async fn release_all(&self) {
+        let held: Vec<_> = std::mem::take(&mut *self.groups()).into_values().collect();
+        for group in &held {
             group.scheduler.close(owner_changed(&group.id));
         }
-        for group in groups {
+        for group in &held {
             group.orders_finished().await;
-            let command = Command::ReleaseGroup { group: group.id.clone(), session: group.session };
+        }
+        let Some(session) = (self.cx.session)() else { return };
+        let owned: Vec<_> = self.cx.view.read(|state| {
+            let owned = state.groups().filter(|group| group.owner == Some(session));
+            owned.map(|group| group.id.clone()).collect()
+        });
+        for group in owned {
+            let command = Command::ReleaseGroup { group: group.clone(), session };
             if let Err(error) = self.cx.propose(command).await {
-                event!(self.cx.log, GROUP_RELEASE_FAILED; "group" => %group.id, "error" => %error);
+                event!(self.cx.log, GROUP_RELEASE_FAILED; "group" => %group, "error" => %error);
             }
         }
     }
@@ -120,23 +153,17 @@
     /// Takes a target's announcement relayed by an entry.
     pub fn announce(&self, announcement: &Announcement) -> Result<(), GroupId> {
         let group = self.group_of(&announcement.target)?;
-        let is_known = {
-            let mut targets = group.targets();
-            match targets.get_mut(&announcement.target) {
-                Some(health) if health.incarnation == announcement.incarnation => {
-                    health.last_seen = Instant::now();
-                    true
-                }
-                _ => false,
-            }
-        };
-        if is_known {
-            group.scheduler.report(
-                &announcement.target,
-                announcement.incarnation,
-                &announcement.load,
-            );
+        let mut targets = group.targets();
+        let Some(health) = targets.get_mut(&announcement.target) else { return Ok(()) };
+        if health.incarnation != announcement.incarnation {
+            return Ok(());
+        }
+        health.last_seen = Instant::now();
+        if std::mem::take(&mut health.is_silent) {
+            group.scheduler.set_draining(&announcement.target, health.takes_no_work());
         }
+        let Announcement { target, incarnation, load, .. } = announcement;
+        group.scheduler.report(target, *incarnation, load);
         Ok(())
     }
 
@@ -147,7 +174,7 @@
         if let Some(health) = targets.get_mut(target)
             && health.incarnation == incarnation
         {
-            health.is_draining = true;
+            health.is_leaving = true;
             group.scheduler.set_draining(target, true);
         }
         Ok(())
@@ -215,6 +242,13 @@
         self.groups().get(&id).cloned().ok_or(id)
     }
 
+    /// Whether this instance is to give up its groups: it stops, or operators drain it.
+    fn is_draining(&self) -> bool {
+        let session = (self.cx.session)();
+        let is_drained = |session| self.cx.view.read(|state| state.is_draining(session));
+        self.is_stopping.load(Ordering::SeqCst) || session.is_some_and(is_drained)
+    }
+
     /// Compares the owned groups with the control state.
     fn sync_groups(self: &Arc<Self>) {
         let session = (self.cx.session)();
@@ -301,9 +335,10 @@
             let health = targets.get_mut(&announced.target);
             match health {
                 Some(health) if health.incarnation == announced.incarnation => {
-                    if health.is_draining != is_draining && is_draining {
-                        health.is_draining = true;
-                        group.scheduler.set_draining(&announced.target, true);
+                    if health.is_draining != is_draining {
+                        health.is_draining = is_draining;
+                        let takes_no_work = health.takes_no_work();
+                        group.scheduler.set_draining(&announced.target, takes_no_work);
                     }
                     continue;
                 }
@@ -312,7 +347,13 @@
             let last_seen = Instant::now() + TAKEOVER_GRACE;
             targets.insert(
                 announced.target.clone(),
-                TargetHealth { incarnation: announced.incarnation, last_seen, is_draining },
+                TargetHealth {
+                    incarnation: announced.incarnation,
+                    last_seen,
+                    is_draining,
+                    is_leaving: false,
+                    is_silent: false,
+                },
             );
             group.scheduler.upsert_target(TargetSpec {
                 orders_allowed_from: group.orders_allowed_from(&announced.kind).into(),
@@ -338,6 +379,7 @@
                 }
                 // Asks again only after another time-out if the log does not answer.
                 health.last_seen = now;
+                health.is_silent = true;
                 group.scheduler.set_draining(id, true);
                 self.propose_removal(id.clone(), health.incarnation);
             }
