consensus: test partial partitions, lease at restart, learners

Trial mutations of the crate that passed all tests: replicas that vote although they hear a live leader, a restarted replica that forgets the leader it acknowledged, and a learner that is made a voter before it has the log.

Add partial_partition_keeps_leader, restart_respects_lease and unreachable_learner_does_not_vote, and bound the waits for calls that must end.

--- a/crates/consensus/tests/disk.rs
+++ b/crates/consensus/tests/disk.rs
@@ -4,7 +4,7 @@
 
 use std::{fs, sync::atomic::Ordering, time::Instant};
 
-use harness::{Cluster, id, names, until_true};
+use harness::{Cluster, id, names, until_true, within};
 use rstest::rstest;
 use shallotdrum_consensus::{Answer, FatalError, ProposeError, Refusal, StartError};
 
@@ -134,8 +134,8 @@
     let failed = node.failed();
     cluster.disks[&old].fails.store(true, Ordering::Relaxed);
     // The other two may commit the entry; this replica must not tell success after the failure.
-    let first = node.propose("b-0".to_owned()).await;
-    let error = failed.await;
+    let first = within(node.propose("b-0".to_owned())).await;
+    let error = within(failed).await;
     assert!(matches!(error, FatalError::Storage { .. }), "{error}");
     println!("proposal during the failure: {first:?}");
     until_true("a stopped replica", || node.status().is_stopped).await;
--- a/crates/consensus/tests/elections.rs
+++ b/crates/consensus/tests/elections.rs
@@ -2,7 +2,7 @@
 
 mod harness;
 
-use harness::{Cluster, id, names, until_true};
+use harness::{Cluster, id, names, until_true, within};
 use rstest::rstest;
 use shallotdrum_consensus::{ProposeError, Role};
 
@@ -51,6 +51,24 @@
     assert_eq!((status.role, status.term), (Role::Leader, term), "the leader was disturbed");
 }
 
+/// Guards against a replica that loses only its link to the leader and deposes it with the vote
+/// of another one that still hears the leader, which would also break the leader's lease.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn partial_partition_keeps_leader() {
+    let cluster = Cluster::started(3).await;
+    cluster.propose("a-0").await;
+    cluster.check_converged(&names("a", 1)).await;
+    let leader = cluster.leader().await;
+    let term = cluster.nodes[&leader].status().term;
+    let others: Vec<_> = (1..=3).filter(|&n| n != leader).collect();
+    cluster.cut(leader, others[0]);
+    let before = cluster.calls(others[0], others[1]);
+    until_true("four campaigns", || cluster.calls(others[0], others[1]) >= before + 4).await;
+    let terms: Vec<_> = cluster.nodes.values().map(|n| n.status().term).collect();
+    assert_eq!(terms, [term; 3], "a replica was elected although the leader is alive");
+    assert_eq!(cluster.nodes[&leader].status().role, Role::Leader);
+}
+
 /// Guards against stale reads, acknowledgements and leases at a leader that lost its quorum,
 /// silently cut off or frozen.
 #[rstest]
@@ -68,7 +86,8 @@
     } else {
         cluster.isolate(old);
     }
-    let (read, write) = tokio::join!(node.read_index(), node.propose("lost".to_owned()));
+    let write = node.propose("lost".to_owned());
+    let (read, write) = tokio::join!(within(node.read_index()), within(write));
     assert!(matches!(read, Err(ProposeError::NotLeader { .. })), "{read:?}");
     assert_eq!(write, Err(ProposeError::Unknown));
     assert!(!node.leader_lease_valid());
@@ -84,6 +103,41 @@
     cluster.check_converged(&expected).await;
 }
 
+/// Waits until another replica holds the lease; no two may hold it at once.
+async fn until_lease_moves(cluster: &Cluster, old: usize) {
+    until_true("another leader with a lease", || {
+        for (a, b) in [(1, 2), (2, 1), (1, 3), (3, 1), (2, 3), (3, 2)] {
+            let is_valid = |n: usize| cluster.nodes[&n].leader_lease_valid();
+            // Read before and after the other one, the first lease held in between.
+            assert!(!(is_valid(a) && is_valid(b) && is_valid(a)), "{a} and {b} hold leases");
+        }
+        cluster.nodes.iter().any(|(n, node)| *n != old && node.leader_lease_valid())
+    })
+    .await;
+}
+
+/// Guards against a restarted replica that forgets the leader it acknowledged and votes for
+/// another one while the first still counts on its lease.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn restart_respects_lease() {
+    let mut cluster = Cluster::started(3).await;
+    for _ in 0..6 {
+        let old = cluster.leader().await;
+        let others: Vec<_> = (1..=3).filter(|&n| n != old).collect();
+        cluster.cut(old, others[0]);
+        let before = cluster.calls(others[0], others[1]);
+        until_true("two campaigns", || cluster.calls(others[0], others[1]) >= before + 2).await;
+        // Six heartbeats bring the next campaign close, while the lease is still renewed.
+        let before = cluster.calls(old, others[1]);
+        until_true("heartbeats", || cluster.calls(old, others[1]) >= before + 6).await;
+        cluster.cut(old, others[1]);
+        cluster.stop(others[1]).await;
+        cluster.start(others[1]).await;
+        until_lease_moves(&cluster, old).await;
+        cluster.heal();
+    }
+}
+
 /// Guards against two leaders that both claim a lease while partitions change.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn leases_never_overlap() {
@@ -91,15 +145,7 @@
     for _ in 0..4 {
         let old = cluster.leader().await;
         cluster.isolate(old);
-        until_true("another leader with a lease", || {
-            for (a, b) in [(1, 2), (2, 1), (1, 3), (3, 1), (2, 3), (3, 2)] {
-                let is_valid = |n: usize| cluster.nodes[&n].leader_lease_valid();
-                // Read before and after the other one, the first lease held in between.
-                assert!(!(is_valid(a) && is_valid(b) && is_valid(a)), "{a} and {b} hold leases");
-            }
-            cluster.nodes.iter().any(|(n, node)| *n != old && node.leader_lease_valid())
-        })
-        .await;
+        until_lease_moves(&cluster, old).await;
         cluster.heal();
     }
 }
--- a/crates/consensus/tests/harness/mod.rs
+++ b/crates/consensus/tests/harness/mod.rs
@@ -319,6 +319,11 @@
     panic!("no {what} within {PATIENCE:?}");
 }
 
+/// Result of a call that must end.
+pub(crate) async fn within<R>(call: impl Future<Output = R>) -> R {
+    tokio::time::timeout(PATIENCE, call).await.expect("the call ends")
+}
+
 pub(crate) async fn until_true(what: &str, mut condition: impl FnMut() -> bool) {
     until(what, || condition().then_some(())).await;
 }
--- a/crates/consensus/tests/members.rs
+++ b/crates/consensus/tests/members.rs
@@ -2,6 +2,8 @@
 
 mod harness;
 
+use std::sync::atomic::Ordering;
+
 use harness::{Cluster, Journal, id, names, until, until_true};
 use rstest::rstest;
 use shallotdrum_consensus::{CommittedTail, MembershipError, ProposeError, Role, StateMachine};
@@ -163,6 +165,34 @@
     cluster.check_converged(&[names("a", 10), names("b", 1), names("c", 1)].concat()).await;
 }
 
+/// Guards against a replica that counts in the quorum while it lacks entries, so that the loss of
+/// another one stops the cluster.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn unreachable_learner_does_not_vote() {
+    let mut cluster = Cluster::started(3).await;
+    cluster.propose_many("a", 5).await;
+    cluster.start(4).await;
+    // Slow enough that the link is cut before the replica has stored anything.
+    cluster.disks[&4].delay_ms.store(500, Ordering::Relaxed);
+    let n = cluster.leader().await;
+    let leader = cluster.nodes[&n].clone();
+    let change = tokio::spawn({
+        let leader = leader.clone();
+        async move { leader.add_replica(id(4)).await }
+    });
+    let members = || leader.status().members.unwrap();
+    until_true("a learner", || members().members().any(|m| m.id == id(4))).await;
+    cluster.cut(n, 4);
+    cluster.propose_many("b", 5).await;
+    let before = cluster.calls(n, 4);
+    until_true("calls", || cluster.calls(n, 4) >= before + 5).await;
+    assert!(members().voters.iter().all(|m| m.id != id(4)), "a replica without entries votes");
+    cluster.disks[&4].delay_ms.store(0, Ordering::Relaxed);
+    cluster.heal();
+    change.await.unwrap().unwrap();
+    cluster.check_converged(&[names("a", 5), names("b", 5)].concat()).await;
+}
+
 /// Guards against a removal that leaves no replica.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn last_replica_stays() {
