--- a/crates/consensus/src/node/bootstrap.rs
+++ b/crates/consensus/src/node/bootstrap.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 
 use futures_util::future::join_all;
+use shallotdrum_telemetry::event;
 use shallotdrum_types::{InstanceId, LogIndex, Term};
 
 use super::Shared;
@@ -58,8 +59,7 @@
             }
         }
         if let Some(problem) = problem {
-            slog::debug!(self.log, "waiting to form the first configuration";
-                "event" => "C0106", "reason" => problem);
+            event!(self.log, BOOTSTRAP_WAITING; "reason" => problem);
             tokio::time::sleep(self.cfg.timing.heartbeat).await;
             return;
         }
@@ -68,8 +68,7 @@
             return;
         }
         let membership = Membership { cluster: ClusterId::random(), voters, learners: Vec::new() };
-        slog::info!(self.log, "forming the first configuration"; "event" => "C0107",
-            "cluster" => %membership.cluster, "members" => %membership);
+        event!(self.log, BOOTSTRAP_FORMING; "cluster" => %membership.cluster, "members" => %membership);
         if core.term == Term(0) {
             core.term = Term(1);
             core.store_vote();
--- a/crates/consensus/src/node/election.rs
+++ b/crates/consensus/src/node/election.rs
@@ -7,6 +7,7 @@
 use std::{sync::Arc, time::Duration};
 
 use futures_util::{StreamExt, stream::FuturesUnordered};
+use shallotdrum_telemetry::event;
 use shallotdrum_types::Term;
 use tokio::time::Instant;
 
@@ -45,8 +46,7 @@
         let since = leading.since;
         let contact = core.quorum_contact().map_or(since, |at| at.max(since));
         if contact.elapsed() > timing.election_max {
-            slog::warn!(shared.log, "leader lost contact to a quorum and steps down";
-                "event" => "C0113", "term" => %core.term);
+            event!(shared.log, LEADER_LOST_QUORUM; "term" => %core.term);
             let term = core.term;
             core.step_down(term);
         } else {
@@ -91,7 +91,7 @@
         return;
     }
     core.become_leader();
-    slog::info!(shared.log, "became leader"; "event" => "C0111", "term" => %core.term);
+    event!(shared.log, LEADER_ELECTED; "term" => %core.term);
     shared.start_peers(&mut core);
     shared.publish(&core);
 }
@@ -113,7 +113,7 @@
     core.leader = None;
     core.postpone_election();
     let ticket = core.store_vote();
-    slog::info!(shared.log, "campaigning"; "event" => "C0110", "term" => %core.term);
+    event!(shared.log, ELECTION_STARTED; "term" => %core.term);
     shared.publish(&core);
     let request = VoteRequest {
         is_trial: false,
--- a/crates/consensus/src/node/membership.rs
+++ b/crates/consensus/src/node/membership.rs
@@ -5,6 +5,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use shallotdrum_telemetry::event;
 use shallotdrum_types::{InstanceId, Term};
 
 use super::{
@@ -27,7 +28,7 @@
             return;
         }
         if !core.is_voter() {
-            slog::info!(self.log, "leader was removed and steps down"; "event" => "C0121");
+            event!(self.log, LEADER_REMOVED);
             let term = core.term;
             core.step_down(term);
             return;
@@ -38,7 +39,7 @@
     }
 
     fn change_membership(self: &Arc<Self>, core: &mut Core<S::Reply>, next: Membership) {
-        slog::info!(self.log, "changing the membership"; "event" => "C0120", "members" => %next);
+        event!(self.log, MEMBERSHIP_CHANGE; "members" => %next);
         core.append_own(Payload::Membership(next));
         self.start_peers(core);
         self.publish(core);
@@ -223,8 +224,7 @@
                 return false;
             }
         };
-        slog::info!(self.log, "handing leadership over"; "event" => "C0118",
-            "to" => %successor.id, "term" => %term);
+        event!(self.log, LEADERSHIP_TRANSFER; "to" => %successor.id, "term" => %term);
         if self.ask(&successor, Request::Campaign { term }).await.is_none() {
             return false;
         }
--- a/crates/consensus/src/node/mod.rs
+++ b/crates/consensus/src/node/mod.rs
@@ -24,6 +24,7 @@
 };
 
 use futures_util::FutureExt;
+use shallotdrum_telemetry::event;
 use shallotdrum_types::{InstanceId, LogIndex};
 use slog::Logger;
 use tokio::{
@@ -221,7 +222,7 @@
             let _ = tokio::task::spawn_blocking(move || writer.thread.join()).await;
         }
         self.0.publish(&self.0.core());
-        slog::info!(self.0.log, "replica stopped"; "event" => "C0102");
+        event!(self.0.log, REPLICA_STOPPED);
     }
 
     /// Resolves when the disk fails or the log can't be decoded; the process should then exit.
@@ -257,14 +258,12 @@
             })?;
         }
         if let Some(path) = &opened.set_aside {
-            slog::warn!(log, "damaged files were set aside; the replica learns the state from \
-                the others"; "event" => "C0104", "folder" => %path.display());
+            event!(log, LOG_SET_ASIDE; "folder" => %path.display());
         }
         if opened.truncated_bytes > 0 {
-            slog::warn!(log, "incomplete write at the end of the log was cut off";
-                "event" => "C0103", "bytes" => opened.truncated_bytes);
+            event!(log, LOG_TAIL_CUT; "bytes" => opened.truncated_bytes);
         }
-        slog::info!(log, "replica started"; "event" => "C0101", "member" => %me,
+        event!(log, REPLICA_STARTED; "member" => %me,
             "term" => %opened.term, "last" => %opened.log.last(),
             "snapshot" => %opened.snapshot.as_ref().map_or(LogIndex(0), |s| s.index));
         let failure = watch::Sender::new(None);
@@ -350,7 +349,7 @@
 
     /// Stops acknowledging because of the error.
     fn fail(&self, error: FatalError) {
-        slog::crit!(self.log, "replica stops acknowledging: {}", error; "event" => "C0105");
+        event!(self.log, REPLICA_FAILED; "error" => %error);
         self.failure.send_if_modified(|failure| {
             let is_first = failure.is_none();
             failure.get_or_insert(error);
--- a/crates/consensus/src/node/peer.rs
+++ b/crates/consensus/src/node/peer.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use shallotdrum_telemetry::event;
 use shallotdrum_types::{InstanceId, LogIndex, Term};
 use tokio::time::Instant;
 
@@ -77,8 +78,7 @@
         if is_reachable != outcome.is_ok() {
             is_reachable = outcome.is_ok();
             let reason = outcome.as_ref().err().map_or("", String::as_str);
-            slog::info!(shared.log, "replica became {}", if is_reachable { "reachable" }
-                else { "unreachable" }; "event" => "C0114", "peer" => %id, "reason" => reason);
+            event!(shared.log, PEER_REACHABILITY; "is_reachable" => is_reachable, "peer" => %id, "reason" => reason);
         }
         let next_heartbeat = tokio::time::sleep_until(sent + heartbeat);
         let Ok(answer) = outcome else {
@@ -127,8 +127,7 @@
         Some(transfer) => transfer,
         None => {
             let snapshot = core.snapshot.clone()?;
-            slog::info!(shared.log, "sending a snapshot"; "event" => "C0131",
-                "peer" => %member, "index" => %snapshot.index, "bytes" => snapshot.data.len());
+            event!(shared.log, SNAPSHOT_SENDING; "peer" => %member, "index" => %snapshot.index, "bytes" => snapshot.data.len());
             let checksum = crc32fast::hash(&snapshot.data);
             transfer.insert(Transfer { snapshot, checksum, offset: 0 })
         }
@@ -165,8 +164,7 @@
 ) -> bool {
     let mut core = shared.core();
     if answer.term > core.term {
-        slog::info!(shared.log, "a replica has a later term; leader steps down";
-            "event" => "C0115", "peer" => %member.id, "term" => %answer.term);
+        event!(shared.log, LEADER_SUPERSEDED; "peer" => %member.id, "term" => %answer.term);
         core.step_down(answer.term);
         shared.publish(&core);
         return false;
@@ -184,8 +182,7 @@
         Err(Refusal::WrongDisk) | Ok(_) => return false,
         Err(refusal) => {
             if peer.refusal.as_ref() != Some(&refusal) {
-                slog::warn!(shared.log, "replica refused a message: {}", refusal;
-                    "event" => "C0116", "peer" => %member.id);
+                event!(shared.log, MESSAGE_REFUSED_BY_PEER; "refusal" => %refusal, "peer" => %member.id);
             }
             peer.refusal = Some(refusal);
             return false;
--- a/crates/consensus/src/node/receive.rs
+++ b/crates/consensus/src/node/receive.rs
@@ -5,6 +5,7 @@
 
 use std::sync::Arc;
 
+use shallotdrum_telemetry::event;
 use shallotdrum_types::{LogIndex, Term};
 use tokio::time::Instant;
 
@@ -25,7 +26,7 @@
         let response = match Envelope::decode(message) {
             Ok(envelope) => self.respond(envelope).await,
             Err(e) => {
-                slog::warn!(self.log, "refused a message: {}", e; "event" => "C0117");
+                event!(self.log, MESSAGE_REFUSED; "error" => %e);
                 Err(Refusal::Malformed(e.to_string()))
             }
         };
@@ -99,8 +100,7 @@
         core.postpone_election();
         if core.leader.as_ref() != Some(&from.id) {
             core.leader = Some(from.id.clone());
-            slog::info!(self.log, "following a leader"; "event" => "C0112",
-                "leader" => %from, "term" => %term);
+            event!(self.log, LEADER_FOLLOWED; "leader" => %from, "term" => %term);
             self.publish(core);
         }
         Ok(())
@@ -179,8 +179,7 @@
             return received(offset);
         }
         if crc32fast::hash(&incoming.data) != incoming.checksum {
-            slog::warn!(self.log, "received snapshot has a wrong checksum";
-                "event" => "C0133", "index" => %request.index);
+            event!(self.log, SNAPSHOT_CORRUPT; "index" => %request.index);
             core.incoming = None;
             return received(0);
         }
--- a/crates/consensus/src/node/snapshots.rs
+++ b/crates/consensus/src/node/snapshots.rs
@@ -7,6 +7,8 @@
 use bytes::Bytes;
 
 use super::{Shared, core::Core};
+use shallotdrum_telemetry::event;
+
 use crate::{
     FatalError, StateMachine,
     message::ChunkRequest,
@@ -64,8 +66,7 @@
         if core.is_stopped || snapshot.index <= core.commit {
             return;
         }
-        slog::info!(self.log, "installing a received snapshot"; "event" => "C0132",
-            "index" => %index, "bytes" => snapshot.data.len());
+        event!(self.log, SNAPSHOT_INSTALLING; "index" => %index, "bytes" => snapshot.data.len());
         let snapshot = self.adopt(&mut core, snapshot);
         core.commit = index;
         core.pending_restore = Some(snapshot);
@@ -97,8 +98,7 @@
     fn adopt(&self, core: &mut Core<S::Reply>, snapshot: Snapshot) -> Arc<Snapshot> {
         let snapshot = Arc::new(snapshot);
         core.adopt_snapshot(&snapshot, self.cfg.retain_entries);
-        slog::info!(self.log, "log compacted"; "event" => "C0130",
-            "snapshot" => %snapshot.index, "first" => %core.log.base().next());
+        event!(self.log, LOG_COMPACTED; "snapshot" => %snapshot.index, "first" => %core.log.base().next());
         snapshot
     }
 }
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -69,10 +69,28 @@
 
 events! {
     "C01" "Consensus" {
-        ELECTION_STARTED = "C0101", Info, "election started", "none, unless elections repeat; then check the network between the replicas";
-        LEADER_ELECTED = "C0102", Info, "control leader elected", "none";
-        LOG_SYNC_FAILED = "C0103", Critical, "log sync failed; the replica stops", "replace the disk, then start the replica with an empty data folder";
-        LOG_CORRUPT = "C0104", Critical, "log record is corrupt", "move the data folder away and start the replica again; it learns from the others";
+        REPLICA_STARTED = "C0101", Info, "replica started", "none";
+        REPLICA_STOPPED = "C0102", Info, "replica stopped", "none";
+        LOG_TAIL_CUT = "C0103", Warning, "incomplete write at the end of the log was cut off", "none; expected after a crash or power loss";
+        LOG_SET_ASIDE = "C0104", Warning, "damaged files were set aside; the replica learns the state from the others", "keep the files for an examination, then delete them";
+        REPLICA_FAILED = "C0105", Critical, "replica stops acknowledging", "free or replace the disk, then start the replica; with an empty data folder if the disk is new";
+        BOOTSTRAP_WAITING = "C0106", Debug, "waiting to form the first configuration", "start all control replicas";
+        BOOTSTRAP_FORMING = "C0107", Info, "forming the first configuration", "none";
+        ELECTION_STARTED = "C0110", Info, "campaigning", "none, unless it repeats; then check the network between the replicas";
+        LEADER_ELECTED = "C0111", Info, "became leader", "none";
+        LEADER_FOLLOWED = "C0112", Info, "following a leader", "none";
+        LEADER_LOST_QUORUM = "C0113", Warning, "leader lost contact to a quorum and steps down", "check the other replicas and the network to them";
+        PEER_REACHABILITY = "C0114", Info, "reachability of a replica changed", "check the replica, if it stays unreachable";
+        LEADER_SUPERSEDED = "C0115", Info, "a replica has a later term; leader steps down", "none";
+        MESSAGE_REFUSED_BY_PEER = "C0116", Warning, "replica refused a message", "check that all replicas run the same release and list the same replicas";
+        MESSAGE_REFUSED = "C0117", Warning, "refused a malformed message", "find the sender; the RPC address must not be reachable by others";
+        LEADERSHIP_TRANSFER = "C0118", Info, "handing leadership over", "none";
+        MEMBERSHIP_CHANGE = "C0120", Info, "changing the membership", "none";
+        LEADER_REMOVED = "C0121", Info, "leader was removed and steps down", "none";
+        LOG_COMPACTED = "C0130", Info, "log compacted", "none";
+        SNAPSHOT_SENDING = "C0131", Info, "sending a snapshot", "none";
+        SNAPSHOT_INSTALLING = "C0132", Info, "installing a received snapshot", "none";
+        SNAPSHOT_CORRUPT = "C0133", Warning, "received snapshot has a wrong checksum", "check the network, if it repeats";
     }
     "K02" "Control" {
         MANIFEST_APPLIED = "K0201", Info, "manifest revision in force", "none";
