--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -70,7 +70,7 @@
     }
 
     async fn target_announce(&self, announcement: Announcement) -> Result<(), RpcError> {
-        self.owner.announce(&announcement).map_err(RpcError::NotOwner)
+        self.owner.announce(&announcement).map_err(|e| RpcError::NotOwner(e.target))
     }
 
     async fn target_leave(
@@ -78,10 +78,10 @@
         target: TargetId,
         incarnation: Incarnation,
     ) -> Result<(), RpcError> {
-        self.owner.leave(&target, incarnation).map_err(RpcError::NotOwner)
+        self.owner.leave(&target, incarnation).map_err(|e| RpcError::NotOwner(e.target))
     }
 
     async fn target_cache_events(&self, events: CacheEvents) -> Result<(), RpcError> {
-        self.owner.cache_events(&events).map_err(RpcError::NotOwner)
+        self.owner.cache_events(&events).map_err(|e| RpcError::NotOwner(e.target))
     }
 }
--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -24,4 +24,4 @@
 };
 pub use messages::{CompletionCall, Frame, ServiceCall};
 pub use server::serve_forwarded;
-pub use service::{ORDER_TIMEOUT, OwnerService, TARGET_TIMEOUT};
+pub use service::{NotOwned, ORDER_TIMEOUT, OwnerService, TARGET_TIMEOUT};
--- a/crates/owner/src/service.rs
+++ b/crates/owner/src/service.rs
@@ -1,7 +1,7 @@
 //! Groups that this instance owns, and the targets in them.
 //!
 //! Architecture Invariant: a group in `OwnerService` belongs to the session and epoch that the
-//! control log assigned. Work is sent to a target only after `OwnedGroup::check_owned`, which
+//! control log assigned. Work is sent to a target only after `OwnerService::check_owned`, which
 //! compares with the session whose lease is certainly valid at that moment.
 
 use std::{
@@ -54,6 +54,14 @@
     is_stopping: AtomicBool,
 }
 
+/// A message of a target came to an instance that does not own the target's group.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("this instance does not own the group of target {target}")]
+pub struct NotOwned {
+    /// Target.
+    pub target: TargetId,
+}
+
 /// Forwarded request that is in progress until the value is dropped.
 pub(crate) struct BusyGuard(Arc<AtomicUsize>);
 
@@ -151,7 +159,7 @@
     }
 
     /// Takes a target's announcement relayed by an entry.
-    pub fn announce(&self, announcement: &Announcement) -> Result<(), GroupId> {
+    pub fn announce(&self, announcement: &Announcement) -> Result<(), NotOwned> {
         let group = self.group_of(&announcement.target)?;
         let mut targets = group.targets();
         let Some(health) = targets.get_mut(&announcement.target) else { return Ok(()) };
@@ -168,7 +176,7 @@
     }
 
     /// Stops new work for a target that is leaving, at once and before the log says so.
-    pub fn leave(&self, target: &TargetId, incarnation: Incarnation) -> Result<(), GroupId> {
+    pub fn leave(&self, target: &TargetId, incarnation: Incarnation) -> Result<(), NotOwned> {
         let group = self.group_of(target)?;
         let mut targets = group.targets();
         if let Some(health) = targets.get_mut(target)
@@ -184,7 +192,7 @@
     ///
     /// They have no effect yet: the scheduler estimates each engine's prefix cache from the
     /// requests that it sent there.
-    pub fn cache_events(&self, events: &CacheEvents) -> Result<(), GroupId> {
+    pub fn cache_events(&self, events: &CacheEvents) -> Result<(), NotOwned> {
         self.group_of(&events.target).map(drop)
     }
 
@@ -231,15 +239,10 @@
         self.groups.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn group_of(&self, target: &TargetId) -> Result<Arc<OwnedGroup>, GroupId> {
+    fn group_of(&self, target: &TargetId) -> Result<Arc<OwnedGroup>, NotOwned> {
         let id = self.cx.view.read(|state| state.target(target).map(|t| t.group.clone()));
-        let unknown = || GroupId {
-            pool: "unknown".parse().expect("a valid name"),
-            region: "unknown".parse().expect("a valid name"),
-            shard: 0,
-        };
-        let id = id.ok_or_else(unknown)?;
-        self.groups().get(&id).cloned().ok_or(id)
+        let group = id.and_then(|id| self.groups().get(&id).cloned());
+        group.ok_or_else(|| NotOwned { target: target.clone() })
     }
 
     /// Whether this instance is to give up its groups: it stops, or operators drain it.
--- a/crates/rpc/src/error.rs
+++ b/crates/rpc/src/error.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 use shallotdrum_control::CommandError;
 use shallotdrum_manifest::ManifestErrors;
-use shallotdrum_types::{GroupId, InstanceId, SessionId};
+use shallotdrum_types::{InstanceId, SessionId, TargetId};
 
 /// First code of the range that JSON-RPC leaves to applications.
 const APPLICATION_ERROR_CODE: i32 = -32_000;
@@ -34,9 +34,9 @@
     /// The session has ended.
     #[error("session {0} has ended")]
     NoSession(SessionId),
-    /// The instance does not own the group.
-    #[error("this instance does not own group {0}")]
-    NotOwner(GroupId),
+    /// The instance does not own the target's group.
+    #[error("this instance does not own the group of target {0}")]
+    NotOwner(TargetId),
     /// No permit became free within the wait.
     #[error("no weight-store permit became free in time")]
     NoPermit,
