Correct the prefix cache estimate by the engines' cache events

A gap in the sequence may have hidden removals, so prefixes known before it count half until a request or an event names them again. Removals within 2 s of a request are ignored: they may be older than the request.

--- a/crates/owner/src/service.rs
+++ b/crates/owner/src/service.rs
@@ -153,12 +153,10 @@
         Ok(())
     }
 
-    /// Takes cache events of an engine.
-    ///
-    /// They have no effect yet: the scheduler estimates each engine's prefix cache from the
-    /// requests that it sent there.
+    /// Takes cache events of an engine, which correct the estimate of its prefix cache.
     pub fn cache_events(&self, events: &CacheEvents) -> Result<(), GroupId> {
-        self.group_of(&events.target).map(drop)
+        self.group_of(&events.target)?.scheduler.cache_events(events);
+        Ok(())
     }
 
     /// State of each owned group, for operators and metrics.
--- a/crates/scheduler/src/group.rs
+++ b/crates/scheduler/src/group.rs
@@ -8,7 +8,7 @@
 };
 
 use futures_util::FutureExt;
-use shallotdrum_engine::{LoadReport, Priority};
+use shallotdrum_engine::{CacheEvents, LoadReport, Priority};
 use shallotdrum_types::{Incarnation, RequestError, RequestErrorKind, TargetId};
 use tokio::{
     runtime::Handle,
@@ -79,6 +79,13 @@
         self.shared.change(|state, now| state.report(id, incarnation, report, now));
     }
 
+    /// Takes changes of an engine's prefix cache; they may be late and have gaps.
+    ///
+    /// Events of another incarnation than the current one are ignored.
+    pub fn cache_events(&self, events: &CacheEvents) {
+        self.shared.change(|state, now| state.cache_events(events, now));
+    }
+
     /// Waits until the request may be sent to the lease's target, or refuses it.
     ///
     /// Dropping the future withdraws the request.
--- a/crates/scheduler/src/state/membership.rs
+++ b/crates/scheduler/src/state/membership.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::HashSet, time::Duration};
 
-use shallotdrum_engine::LoadReport;
+use shallotdrum_engine::{CacheEvents, LoadReport};
 use shallotdrum_types::{Incarnation, RequestError, RequestErrorKind, TargetId};
 use tokio::time::Instant;
 
@@ -137,6 +137,18 @@
         self.fill_target(key, now);
     }
 
+    /// Corrects the estimate of an engine's prefix cache.
+    pub(crate) fn cache_events(&mut self, events: &CacheEvents, now: Instant) {
+        let Some(key) = self.target_keys.get(&events.target) else { return };
+        let Some(target) = self.targets.get_mut(key) else { return };
+        if target.spec.incarnation != events.incarnation {
+            return;
+        }
+        let stored = events.stored.iter().map(|hash| hash.0);
+        let removed = events.removed.iter().map(|hash| hash.0);
+        target.prefixes.event(events.sequence, stored, removed, now);
+    }
+
     /// Does what is due with the passing of time; returns when to be called again.
     pub(crate) fn tick(&mut self, now: Instant) -> Duration {
         /// Queued requests may become admissible by the end of a pin, an ejection or a back-off.
--- a/crates/scheduler/src/state/mod.rs
+++ b/crates/scheduler/src/state/mod.rs
@@ -376,7 +376,7 @@
             if let Lane::Adapter(_) = queued.lane {
                 ready_since = self.adapters[adapter].available_since;
             }
-            target.prefixes.insert(&queued.prefixes);
+            target.prefixes.sent(&queued.prefixes, now);
         }
         target.running += 1;
         target.running_peak = target.running_peak.max(target.running);
--- a/crates/scheduler/src/target.rs
+++ b/crates/scheduler/src/target.rs
@@ -146,28 +146,86 @@
 }
 
 /// Recent prompt prefixes that the engine probably still caches.
+///
+/// The estimate follows the requests that were sent and is corrected by the engine's cache events.
+/// Events that were lost may have named removals, so after a gap every prefix counts half until a
+/// request or an event names it again: forgetting them all would scatter running conversations.
 #[derive(Debug, Default)]
 pub(crate) struct PrefixCache {
-    uses: HashMap<u64, u32>,
-    order: VecDeque<u64>,
+    known: HashMap<u64, Prefix>,
+    /// Uses, oldest first; only the latest use of a prefix has its stamp.
+    order: VecDeque<(u64, u64)>,
+    next_stamp: u64,
+    /// Gaps in the events so far.
+    gaps: u64,
+    /// Number of the latest cache event.
+    sequence: u64,
+}
+
+/// Prefix that the engine probably caches.
+#[derive(Debug)]
+struct Prefix {
+    stamp: u64,
+    /// Gaps in the events before the latest use.
+    gaps: u64,
+    /// When a request with the prefix was admitted last.
+    sent_at: Option<Instant>,
 }
 
 impl PrefixCache {
     /// Engines cache prefixes in limited memory; older ones are probably gone.
     const MAX_PREFIXES: usize = 4096;
+    /// Weight of a prefix whose removal may have been missed.
+    const UNCERTAIN: f64 = 0.5;
+    /// Events may be this late. A removal does not concern a request that was sent since.
+    const EVENT_DELAY: Duration = Duration::from_secs(2);
 
-    pub(crate) fn insert(&mut self, hashes: &[u64]) {
+    /// Takes note of the prefixes of a request that is sent.
+    pub(crate) fn sent(&mut self, hashes: &[u64], now: Instant) {
         for hash in hashes {
-            *self.uses.entry(*hash).or_default() += 1;
-            self.order.push_back(*hash);
+            self.insert(*hash, Some(now));
+        }
+    }
+
+    /// Takes a report of the engine.
+    pub(crate) fn event(
+        &mut self,
+        sequence: u64,
+        stored: impl Iterator<Item = u64>,
+        removed: impl Iterator<Item = u64>,
+        now: Instant,
+    ) {
+        // A report that was overtaken is older than what is known; it was counted as a gap.
+        if sequence <= self.sequence {
+            return;
+        }
+        if sequence > self.sequence + 1 {
+            self.gaps += 1;
         }
+        self.sequence = sequence;
+        for hash in removed {
+            let is_recent = |prefix: &Prefix| {
+                prefix.sent_at.is_some_and(|sent_at| now < sent_at + Self::EVENT_DELAY)
+            };
+            if self.known.get(&hash).is_some_and(|prefix| !is_recent(prefix)) {
+                self.known.remove(&hash);
+            }
+        }
+        for hash in stored {
+            self.insert(hash, None);
+        }
+    }
+
+    fn insert(&mut self, hash: u64, sent_at: Option<Instant>) {
+        let stamp = self.next_stamp;
+        self.next_stamp += 1;
+        let sent_at = sent_at.or_else(|| self.known.get(&hash)?.sent_at);
+        self.known.insert(hash, Prefix { stamp, gaps: self.gaps, sent_at });
+        self.order.push_back((hash, stamp));
         while self.order.len() > Self::MAX_PREFIXES {
-            let Some(oldest) = self.order.pop_front() else { return };
-            match self.uses.get_mut(&oldest) {
-                Some(uses) if *uses > 1 => *uses -= 1,
-                _ => {
-                    self.uses.remove(&oldest);
-                }
+            let Some((oldest, stamp)) = self.order.pop_front() else { return };
+            if self.known.get(&oldest).is_some_and(|prefix| prefix.stamp == stamp) {
+                self.known.remove(&oldest);
             }
         }
     }
@@ -177,8 +235,12 @@
         if hashes.is_empty() {
             return 0.0;
         }
-        let matched = hashes.iter().take_while(|hash| self.uses.contains_key(hash)).count();
-        matched as f64 / hashes.len() as f64
+        let prefixes = hashes.iter().map_while(|hash| self.known.get(hash));
+        let weight = |prefix: &Prefix| match prefix.gaps == self.gaps {
+            true => 1.0,
+            false => Self::UNCERTAIN,
+        };
+        prefixes.map(weight).sum::<f64>() / hashes.len() as f64
     }
 }
 
