Reserve an eighth of each service's places for lookups

Calls that may not be repeated, and subscribers that queue or hold more than their share, leave these places alone. Lookups use them only if the others are taken.

--- a/crates/owner/src/call.rs
+++ b/crates/owner/src/call.rs
@@ -322,7 +322,7 @@
             subscriber: subscriber.clone(),
             weight: limits.0,
             fingerprint: call.fingerprint,
-            job: Job::Service,
+            job: Job::Service { is_repeatable: call.call.idempotency_key.is_none() },
             deadline: call.deadline,
             is_suspect,
             avoid: avoid.to_vec(),
--- a/crates/scheduler/benches/policies.rs
+++ b/crates/scheduler/benches/policies.rs
@@ -100,6 +100,9 @@
     for factor in [0.5, 1.0, 1.5, 2.0, 3.0] {
         overload(factor, seed);
     }
+    for (is_repeatable, callers) in [(false, 3), (false, 100), (true, 3)] {
+        lookups(is_repeatable, callers, seed);
+    }
     measure_speed();
 }
 
@@ -279,6 +282,80 @@
     );
 }
 
+/// Offers lookups of many subscribers next to a flood of long calls that fills the service.
+fn lookups(is_flood_repeatable: bool, callers: usize, seed: u64) {
+    const TARGETS: usize = 4;
+    const PLACES: u32 = 32;
+    const CALLS: usize = 300;
+    const LOOKUPS_PER_SECOND: f64 = 50.0;
+    const CALL_TIME: Duration = Duration::from_secs(1);
+    const LOOKUP_TIME: Duration = Duration::from_millis(5);
+    let runtime = Builder::new_current_thread().enable_time().start_paused(true).build();
+    let (mut waits, calls) = runtime.expect("runtime").block_on(async {
+        let cfg = SchedulerConfig { seed: Some(seed), ..SchedulerConfig::new(name("suva-a")) };
+        let log = slog::Logger::root(slog::Discard, slog::o!());
+        let scheduler = GroupScheduler::new(cfg, store(LOADS_PER_SECOND), log);
+        for target in 0..TARGETS {
+            scheduler.upsert_target(TargetSpec {
+                id: name(&format!("registry-app-{target}")),
+                incarnation: Incarnation(1),
+                addr: "127.0.0.1:1".parse().expect("address"),
+                zone: name("suva-a"),
+                kind: TargetKind::Service { max_concurrent: PLACES },
+                orders_allowed_from: Instant::now(),
+            });
+        }
+        let answered = Finish::Answered { prompt_tokens: 0, completion_tokens: 0 };
+        let calls = Arc::new(Mutex::new(0_usize));
+        let mut rng = StdRng::seed_from_u64(seed);
+        for n in 0..CALLS {
+            let (scheduler, calls) = (scheduler.clone(), Arc::clone(&calls));
+            let mut rng = StdRng::seed_from_u64(rng.random());
+            tokio::spawn(async move {
+                loop {
+                    let subscriber = format!("heavy{}", n % callers);
+                    match scheduler.admit(call(&subscriber, is_flood_repeatable)).await {
+                        Ok(lease) => {
+                            sleep(CALL_TIME.mul_f64(2.0 * rng.random::<f64>())).await;
+                            lease.finish(answered);
+                            *calls.lock().expect("lock") += 1;
+                        }
+                        Err(_) => sleep(CALL_TIME).await,
+                    }
+                }
+            });
+        }
+        sleep(CALL_TIME * 5).await;
+        let (begin, mut at) = (Instant::now(), Instant::now());
+        let calls_before = *calls.lock().expect("lock");
+        let waits = Arc::new(Mutex::new(Vec::new()));
+        while at < begin + WARM_UP {
+            at += Duration::from_secs_f64(-(1.0 - rng.random::<f64>()).ln() / LOOKUPS_PER_SECOND);
+            sleep_until(at).await;
+            let subscriber = format!("s{}", rng.random_range(0..SUBSCRIBERS));
+            let (scheduler, waits) = (scheduler.clone(), Arc::clone(&waits));
+            tokio::spawn(async move {
+                let result = scheduler.admit(call(&subscriber, true)).await;
+                waits.lock().expect("lock").push(at.elapsed().as_secs_f64());
+                if let Ok(lease) = result {
+                    sleep(LOOKUP_TIME).await;
+                    lease.finish(answered);
+                }
+            });
+        }
+        let calls = *calls.lock().expect("lock") - calls_before;
+        sleep(DEADLINE).await;
+        (std::mem::take(&mut *waits.lock().expect("lock")), calls)
+    });
+    println!(
+        "lookups next to {} calls of {callers} subscribers: wait p50 {:.4} s, p99 {:.4} s; {:.1} calls/s",
+        if is_flood_repeatable { "repeatable" } else { "non-repeatable" },
+        percentile(&mut waits, 0.5),
+        percentile(&mut waits, 0.99),
+        calls as f64 / WARM_UP.as_secs_f64(),
+    );
+}
+
 /// Samples how full the batches are, over all engines and over those with requests.
 async fn sample(scheduler: GroupScheduler, figures: Arc<Mutex<Figures>>, begin: Instant) {
     sleep_until(begin).await;
@@ -336,6 +413,11 @@
     scheduler
 }
 
+fn call(subscriber: &str, is_repeatable: bool) -> Work {
+    let job = Job::Service { is_repeatable };
+    Work { subscriber: name(subscriber), job, ..completion(0, 0) }
+}
+
 fn completion(adapter: usize, max_tokens: u64) -> Work {
     Work {
         request: name("r"),
--- a/crates/scheduler/src/api.rs
+++ b/crates/scheduler/src/api.rs
@@ -102,7 +102,10 @@
         prompt_prefix_hashes: Vec<u64>,
     },
     /// Call of a plain service.
-    Service,
+    Service {
+        /// Whether the call may be sent again. Some places are reserved for such lookups.
+        is_repeatable: bool,
+    },
 }
 
 /// Request that waits for admission.
--- a/crates/scheduler/src/state/admission.rs
+++ b/crates/scheduler/src/state/admission.rs
@@ -61,7 +61,7 @@
                 let expected = account.expected_completion(*max_tokens);
                 (Cost::tokens(*prompt_tokens, expected), *prompt_tokens)
             }
-            Job::Service => (Cost::SERVICE, 0),
+            Job::Service { .. } => (Cost::SERVICE, 0),
         };
         let tag = self.clock.enqueue(account, cost);
         let share = self.fair_share(sub, tag);
@@ -71,6 +71,7 @@
         let steps = (self.clock.lead(tag) / PRIORITY_STEP_TOKENS).min(127.0) as u8;
         let seq = self.next_seq;
         self.next_seq += 1;
+        let is_repeatable = !matches!(work.job, Job::Service { is_repeatable: false });
         let (adapter, prefixes) = match work.job {
             Job::Completion { adapter, source, prompt_prefix_hashes, .. } => {
                 let key = self.adapters.key_or_insert_with(&adapter, || Adapter::new(now));
@@ -81,14 +82,14 @@
                 row.demand.add(share, now);
                 (Some(key), prompt_prefix_hashes)
             }
-            Job::Service => (None, Vec::new()),
+            Job::Service { .. } => (None, Vec::new()),
         };
         let is_special = work.is_suspect || !work.avoid.is_empty();
         let lane = match (self.cfg.policy, adapter) {
             (Policy::Baseline, _) => Lane::Assigned(None),
             (Policy::Adaptive, _) if is_special => Lane::Special,
             (Policy::Adaptive, Some(adapter)) => Lane::Adapter(adapter),
-            (Policy::Adaptive, None) => Lane::Service,
+            (Policy::Adaptive, None) => Lane::Service { is_repeatable },
         };
         let (tx, rx) = oneshot::channel();
         let queued = Queued {
@@ -101,6 +102,7 @@
             prefixes,
             queued_at: now,
             give_up_at,
+            is_repeatable,
             is_suspect: work.is_suspect,
             avoid: work.avoid,
             priority: Priority(USUAL_PRIORITY + steps),
@@ -127,8 +129,8 @@
                 self.waiting.insert(key);
                 self.dispatch_adapter(key, now);
             }
-            Lane::Service => {
-                self.services.insert((tag, seq));
+            Lane::Service { is_repeatable } => {
+                self.services_mut(is_repeatable).insert((tag, seq));
                 self.dispatch_services(now);
             }
             Lane::Special => {
@@ -231,7 +233,7 @@
                 };
                 tokens * self.secs_per_token.get().unwrap_or(0.0)
             }
-            Job::Service => self.service_secs.get().unwrap_or(0.0),
+            Job::Service { .. } => self.service_secs.get().unwrap_or(0.0),
         };
         let left = work.deadline.saturating_duration_since(now);
         // Estimates are not trusted so far that an idle group refuses a request.
@@ -280,7 +282,7 @@
     fn expected_wait(&self, work: &Work, now: Instant) -> Duration {
         let adapter = match &work.job {
             Job::Completion { adapter, .. } => self.adapters.key(adapter),
-            Job::Service => None,
+            Job::Service { .. } => None,
         };
         let sub = self.subs.key(&work.subscriber);
         let queue_wait = match sub {
@@ -288,7 +290,7 @@
             _ => Duration::ZERO,
         };
         match &work.job {
-            Job::Service => queue_wait,
+            Job::Service { .. } => queue_wait,
             Job::Completion { .. } => queue_wait.max(self.load_wait(sub, adapter, now)),
         }
     }
--- a/crates/scheduler/src/state/choice.rs
+++ b/crates/scheduler/src/state/choice.rs
@@ -3,7 +3,7 @@
 use shallotdrum_types::TargetId;
 use tokio::time::Instant;
 
-use super::{State, SubKey};
+use super::{Claim, State, SubKey};
 use crate::{
     slots::AdapterKey,
     target::{Target, TargetKey},
@@ -23,14 +23,18 @@
 const MIN_KEPT_CAPACITY: u32 = 8;
 /// Share of a batch that is kept at `stall_weight` 1; at least one place at any weight.
 const KEPT_PLACES: f64 = 0.125;
-/// Share below which a subscriber is flooding.
+/// Share below which a subscriber is flooding, and share of all places of a service from which a
+/// subscriber that holds them is.
 const FLOODING_SHARE: f64 = 0.25;
+/// Share of a service's places that only lookups within their subscriber's share may take; about
+/// one place of a small service. Lookups end within milliseconds, so few places serve many.
+const LOOKUP_PLACES: f64 = 0.125;
 
 impl State {
     /// Chooses a target that holds the adapter and has room.
     pub(super) fn choose_holder(
         &self,
-        sub: SubKey,
+        claim: Claim,
         adapter: AdapterKey,
         prefixes: &[u64],
         avoid: &[TargetId],
@@ -40,23 +44,23 @@
             let target = &self.targets[key];
             target.slots.get(adapter).is_some_and(|slot| slot.accepts())
         });
-        self.choose(sub, holders, prefixes, avoid, now)
+        self.choose(claim, holders, prefixes, avoid, now)
     }
 
     /// Chooses a target with room for a service call.
     pub(super) fn choose_service(
         &self,
-        sub: SubKey,
+        claim: Claim,
         avoid: &[TargetId],
         now: Instant,
     ) -> Option<TargetKey> {
         let services = self.targets.iter().filter(|(_, target)| !target.is_engine());
-        self.choose(sub, services.map(|(key, _)| *key), &[], avoid, now)
+        self.choose(claim, services.map(|(key, _)| *key), &[], avoid, now)
     }
 
     fn choose(
         &self,
-        sub: SubKey,
+        claim: Claim,
         keys: impl Iterator<Item = TargetKey>,
         prefixes: &[u64],
         avoid: &[TargetId],
@@ -65,7 +69,7 @@
         let open = keys.filter(|key| {
             let target = &self.targets[key];
             target.is_open(now)
-                && self.has_room(target, sub, now)
+                && self.has_room(target, claim, now)
                 && !avoid.contains(&target.spec.id)
         });
         let scored = open.map(|key| {
@@ -79,10 +83,24 @@
     ///
     /// While there are light subscribers, the last places are kept for them: they would otherwise
     /// wait for the end of an answer each time that a flood fills the batch.
-    pub(super) fn has_room(&self, target: &Target, sub: SubKey, now: Instant) -> bool {
+    pub(super) fn has_room(&self, target: &Target, claim: Claim, now: Instant) -> bool {
         let in_use = target.running + target.foreign(now);
+        if !target.is_engine() && !has_common_place(target, now) && !self.may_use_reserved(claim) {
+            return false;
+        }
         let kept = if self.light.get(now) < MIN_LIGHT { 0 } else { self.kept_places(target) };
-        in_use + kept < target.capacity() || (in_use < target.capacity() && !self.is_flooding(sub))
+        in_use + kept < target.capacity()
+            || (in_use < target.capacity() && !self.is_flooding(claim.sub))
+    }
+
+    /// Whether a service call may take the places reserved for lookups.
+    fn may_use_reserved(&self, claim: Claim) -> bool {
+        let services = self.targets.values().filter(|target| !target.is_engine());
+        let places: u32 = services.map(Target::capacity).sum();
+        // A flood that finds free places has nothing queued.
+        let running = f64::from(self.subs[claim.sub].running);
+        let holds_many = running >= FLOODING_SHARE * f64::from(places);
+        claim.is_repeatable && !holds_many && !self.is_flooding(claim.sub)
     }
 
     fn kept_places(&self, target: &Target) -> u32 {
@@ -120,3 +138,19 @@
         })
     }
 }
+
+/// Whether a place is free that is not reserved for lookups.
+pub(super) fn has_common_place(target: &Target, now: Instant) -> bool {
+    // What runs there without a lease may be of any kind.
+    let common = target.common + target.foreign(now);
+    common + reserved_places(target) < target.capacity()
+}
+
+/// Places of a service target that are reserved for lookups; a single place is shared by all.
+fn reserved_places(target: &Target) -> u32 {
+    match target.capacity() {
+        _ if target.is_engine() => 0,
+        ..2 => 0,
+        capacity => (LOOKUP_PLACES * f64::from(capacity)).round().max(1.0) as u32,
+    }
+}
--- a/crates/scheduler/src/state/dispatch.rs
+++ b/crates/scheduler/src/state/dispatch.rs
@@ -1,8 +1,10 @@
 //! Admission of queued requests to targets with room.
 
+use std::collections::BTreeSet;
+
 use tokio::time::Instant;
 
-use super::State;
+use super::{Claim, State};
 use crate::{
     api::Policy,
     fair::{Seq, Tag},
@@ -12,6 +14,9 @@
 
 /// Suspects and resends are rare; this bounds a pass when a large batch crashed at once.
 const MAX_SPECIAL_PER_PASS: usize = 64;
+/// Service calls of each kind that are looked at in a pass. Those in front of a light subscriber's
+/// call are about as many as there are flooding subscribers.
+const MAX_SERVICE_HEADS: usize = 16;
 /// Share of the group that suspects may take for themselves.
 const SUSPECT_SHARE: usize = 4;
 
@@ -20,7 +25,7 @@
     pub(super) fn dispatch_adapter(&mut self, key: AdapterKey, now: Instant) {
         while let Some((_, seq)) = self.adapters[key].queue.first().copied() {
             let queued = &self.queued[&seq];
-            match self.choose_holder(queued.sub, key, &queued.prefixes, &[], now) {
+            match self.choose_holder(queued.claim(), key, &queued.prefixes, &[], now) {
                 Some(target) => self.grant(seq, target, now),
                 None => break,
             }
@@ -32,13 +37,30 @@
 
     /// Admits service calls as long as a target has room.
     pub(super) fn dispatch_services(&mut self, now: Instant) {
-        while let Some((_, seq)) = self.services.first().copied() {
-            let sub = self.queued[&seq].sub;
-            let Some(target) = self.choose_service(sub, &[], now) else { return };
+        loop {
+            let is_free = |target: &Target| {
+                !target.is_engine() && target.is_open(now) && target.has_room(now)
+            };
+            if !self.targets.values().any(is_free) {
+                return;
+            }
+            let first = self.first_service(|claim| self.choose_service(claim, &[], now));
+            let Some((seq, target)) = first else { return };
             self.grant(seq, target, now);
         }
     }
 
+    /// First service call, in order of tags, for which there is a choice.
+    fn first_service<T>(&self, choose: impl Fn(Claim) -> Option<T>) -> Option<(Seq, T)> {
+        // A call that may take none of the free places must not block those that may.
+        let first = |queue: &BTreeSet<(Tag, Seq)>| {
+            let mut heads = queue.iter().take(MAX_SERVICE_HEADS);
+            heads.find_map(|(tag, seq)| Some((*tag, *seq, choose(self.queued[seq].claim())?)))
+        };
+        let firsts = [first(&self.lookups), first(&self.calls)].into_iter().flatten();
+        firsts.min_by_key(|(tag, seq, _)| (*tag, *seq)).map(|(_, seq, choice)| (seq, choice))
+    }
+
     /// Admits suspects and resends, each of which needs its own choice.
     pub(super) fn dispatch_special(&mut self, now: Instant) {
         let seqs: Vec<Seq> =
@@ -62,8 +84,10 @@
             false => &queued.avoid,
         };
         match queued.adapter {
-            Some(adapter) => self.choose_holder(queued.sub, adapter, &queued.prefixes, avoid, now),
-            None => self.choose_service(queued.sub, avoid, now),
+            Some(adapter) => {
+                self.choose_holder(queued.claim(), adapter, &queued.prefixes, avoid, now)
+            }
+            None => self.choose_service(queued.claim(), avoid, now),
         }
     }
 
@@ -128,10 +152,12 @@
         if !target.is_open(now) || !target.has_room(now) {
             return None;
         }
-        let is_allowed = |(_, seq): &&(Tag, Seq)| self.has_room(target, self.queued[seq].sub, now);
         if !target.is_engine() {
-            return self.services.first().filter(is_allowed).map(|(_, seq)| *seq);
+            let is_allowed = |claim| self.has_room(target, claim, now).then_some(());
+            return self.first_service(is_allowed).map(|(seq, ())| seq);
         }
+        let is_allowed =
+            |(_, seq): &&(Tag, Seq)| self.has_room(target, self.queued[seq].claim(), now);
         let accepting = target.slots.slots.iter().filter(|slot| slot.accepts());
         let heads = accepting.filter_map(|slot| self.adapters[slot.adapter].queue.first());
         heads.filter(is_allowed).min().map(|(_, seq)| *seq)
--- a/crates/scheduler/src/state/mod.rs
+++ b/crates/scheduler/src/state/mod.rs
@@ -37,6 +37,8 @@
     target::{Target, TargetKey},
 };
 
+use self::choice::has_common_place;
+
 /// Key of a subscriber in the group's table.
 pub(crate) type SubKey = usize;
 
@@ -58,8 +60,10 @@
     next_seq: Seq,
     queued: HashMap<Seq, Queued>,
     running: HashMap<Seq, Running>,
-    /// Service calls in order of tags.
-    services: BTreeSet<(Tag, Seq)>,
+    /// Repeatable service calls in order of tags.
+    lookups: BTreeSet<(Tag, Seq)>,
+    /// Service calls that may not be repeated, in order of tags.
+    calls: BTreeSet<(Tag, Seq)>,
     /// Suspects and resends in order of tags.
     special: BTreeSet<(Tag, Seq)>,
     /// Adapters with queued requests.
@@ -156,7 +160,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Lane {
     Adapter(AdapterKey),
-    Service,
+    Service {
+        is_repeatable: bool,
+    },
     Special,
     /// Baseline policy: at the target, or without one.
     Assigned(Option<TargetKey>),
@@ -173,17 +179,33 @@
     prefixes: Vec<u64>,
     queued_at: Instant,
     give_up_at: Instant,
+    is_repeatable: bool,
     is_suspect: bool,
     avoid: Vec<TargetId>,
     priority: Priority,
     tx: oneshot::Sender<Result<Grant, RequestError>>,
 }
 
+impl Queued {
+    fn claim(&self) -> Claim {
+        Claim { sub: self.sub, is_repeatable: self.is_repeatable }
+    }
+}
+
+/// What decides which places of a target a request may take.
+#[derive(Clone, Copy, Debug)]
+struct Claim {
+    sub: SubKey,
+    is_repeatable: bool,
+}
+
 /// Admitted request.
 struct Running {
     sub: SubKey,
     target: TargetKey,
     adapter: Option<AdapterKey>,
+    /// Whether it has a place that is not reserved for lookups.
+    is_common: bool,
     cost: Cost,
     prompt_tokens: u64,
     admitted_at: Instant,
@@ -222,7 +244,8 @@
             next_seq: 0,
             queued: HashMap::new(),
             running: HashMap::new(),
-            services: BTreeSet::new(),
+            lookups: BTreeSet::new(),
+            calls: BTreeSet::new(),
             special: BTreeSet::new(),
             waiting: BTreeSet::new(),
             unassigned: VecDeque::new(),
@@ -344,8 +367,8 @@
                     self.waiting.remove(&key);
                 }
             }
-            Lane::Service => {
-                self.services.remove(&(queued.tag, seq));
+            Lane::Service { is_repeatable } => {
+                self.services_mut(is_repeatable).remove(&(queued.tag, seq));
             }
             Lane::Special => {
                 self.special.remove(&(queued.tag, seq));
@@ -362,6 +385,10 @@
         }
     }
 
+    fn services_mut(&mut self, is_repeatable: bool) -> &mut BTreeSet<(Tag, Seq)> {
+        if is_repeatable { &mut self.lookups } else { &mut self.calls }
+    }
+
     /// Admits a queued request to a target.
     fn grant(&mut self, seq: Seq, key: TargetKey, now: Instant) {
         let Some(queued) = self.remove_queued(seq) else { return };
@@ -378,7 +405,10 @@
             }
             target.prefixes.sent(&queued.prefixes, now);
         }
+        // Lookups take a reserved place only if the others are in use.
+        let is_common = has_common_place(target, now);
         target.running += 1;
+        target.common += u32::from(is_common);
         target.running_peak = target.running_peak.max(target.running);
         if queued.is_suspect {
             target.exclusive = Some(seq);
@@ -403,6 +433,7 @@
             sub: queued.sub,
             target: key,
             adapter: queued.adapter,
+            is_common,
             cost: queued.cost,
             prompt_tokens: queued.prompt_tokens,
             admitted_at: now,
@@ -464,6 +495,7 @@
     fn leave_target(&mut self, seq: Seq, running: &Running, finish: Finish, now: Instant) {
         let Some(target) = self.targets.get_mut(&running.target) else { return };
         target.running -= 1;
+        target.common -= u32::from(running.is_common);
         target.exclusive = target.exclusive.filter(|exclusive| *exclusive != seq);
         if let Some(slot) = running.adapter.and_then(|key| target.slots.get_mut(key)) {
             let secs = (now - running.admitted_at).as_secs_f64();
--- a/crates/scheduler/src/target.rs
+++ b/crates/scheduler/src/target.rs
@@ -28,6 +28,8 @@
     pub(crate) slots: Slots,
     /// Admitted requests.
     pub(crate) running: u32,
+    /// Admitted requests outside of the places reserved for lookups.
+    pub(crate) common: u32,
     /// Most admitted requests at a time since the latest report.
     pub(crate) running_peak: u32,
     /// End and peak of the intervals between earlier reports.
@@ -63,6 +65,7 @@
             is_draining: false,
             slots: Slots::new(max_slots, now),
             running: 0,
+            common: 0,
             running_peak: 0,
             past_peaks: VecDeque::new(),
             foreign: 0,
--- a/crates/scheduler/tests/admission.rs
+++ b/crates/scheduler/tests/admission.rs
@@ -28,8 +28,8 @@
 async fn admit_service_respects_max_concurrent() {
     let group = group(config());
     group.scheduler.upsert_target(spec("s1", 1, TargetKind::Service { max_concurrent: 1 }));
-    let first = group.admit(work("light", Job::Service)).await.unwrap();
-    let second = group.run(work("light", Job::Service), Duration::ZERO);
+    let first = group.admit(work("light", Job::Service { is_repeatable: true })).await.unwrap();
+    let second = group.run(work("light", Job::Service { is_repeatable: true }), Duration::ZERO);
     sleep(Duration::from_secs(1)).await;
     assert!(!second.is_finished());
     drop(first);
--- /dev/null
+++ b/crates/scheduler/tests/lookups.rs
@@ -0,0 +1,90 @@
+//! Places of plain services that are reserved for lookups.
+
+mod support;
+
+use std::time::Duration;
+
+use rstest::rstest;
+use shallotdrum_engine::TargetKind;
+use shallotdrum_scheduler::{Job, Work};
+use support::{Group, answered, config, group, spec, target, work};
+use tokio::time::sleep;
+
+const LONG: Duration = Duration::from_secs(20);
+
+fn service(max_concurrent: u32) -> Group {
+    let group = group(config());
+    group.scheduler.upsert_target(spec("s1", 1, TargetKind::Service { max_concurrent }));
+    group
+}
+
+fn call(subscriber: &str, is_repeatable: bool) -> Work {
+    work(subscriber, Job::Service { is_repeatable })
+}
+
+fn running(group: &Group) -> u32 {
+    group.scheduler.snapshot().targets[&target("s1")].running
+}
+
+/// Guards against calls that may not be repeated, or a flood of lookups, that take every place
+/// so that lookups wait for the end of one.
+#[rstest]
+#[case::not_repeatable(false)]
+#[case::flood(true)]
+#[tokio::test(start_paused = true)]
+async fn lookup_finds_reserved_place(#[case] is_repeatable: bool) {
+    let group = service(16);
+    let _others: Vec<_> = (0..100).map(|_| group.run(call("heavy", is_repeatable), LONG)).collect();
+    sleep(Duration::from_millis(100)).await;
+    assert!((1..16).contains(&running(&group)), "{} running", running(&group));
+    let lookup = group.run(call("light", true), Duration::from_millis(5)).await.unwrap().unwrap();
+    assert_eq!(lookup.wait, Duration::ZERO);
+}
+
+/// Guards against a call that may not take a reserved place and blocks the lookups behind it.
+#[tokio::test(start_paused = true)]
+async fn lookup_passes_blocked_calls() {
+    let group = service(8);
+    let _calls: Vec<_> = (0..20).map(|_| group.run(call("heavy", false), LONG)).collect();
+    sleep(Duration::from_millis(100)).await;
+    let first = group.admit(call("light", true)).await.unwrap();
+    let second = group.run(call("light", true), Duration::ZERO);
+    sleep(Duration::from_millis(100)).await;
+    assert!(!second.is_finished());
+    first.finish(answered(0));
+    sleep(Duration::from_millis(1)).await;
+    assert!(second.is_finished());
+}
+
+/// Guards against reserved places that keep lookups out of the others, and against a service
+/// with a single place that refuses calls which may not be repeated.
+#[tokio::test(start_paused = true)]
+async fn lookups_use_every_place() {
+    let group = service(8);
+    let mut leases = Vec::new();
+    for n in 0..8 {
+        leases.push(group.admit(call(&format!("s{n}"), true)).await.unwrap());
+    }
+    assert_eq!(running(&group), 8);
+    let single = service(1);
+    single.admit(call("light", false)).await.unwrap().finish(answered(0));
+}
+
+/// Guards against places that are lost when calls end in any way.
+#[tokio::test(start_paused = true)]
+async fn calls_give_places_back() {
+    let group = service(8);
+    for round in 0..30 {
+        let mut leases = Vec::new();
+        for _ in 0..7 {
+            leases.push(group.admit(call("light", false)).await.unwrap());
+        }
+        let queued = group.run(call("light", false), Duration::ZERO);
+        sleep(Duration::from_millis(1)).await;
+        assert!(!queued.is_finished(), "round {round}");
+        for (n, lease) in leases.into_iter().enumerate() {
+            if n % 2 == 0 { lease.finish(answered(0)) } else { drop(lease) }
+        }
+        queued.await.unwrap().unwrap();
+    }
+}
--- a/crates/scheduler/tests/targets.rs
+++ b/crates/scheduler/tests/targets.rs
@@ -54,7 +54,7 @@
     group.scheduler.upsert_target(spec("s2", 1, service));
     let request = |name: &str| match is_engine {
         true => completion("light", name),
-        false => work("light", Job::Service),
+        false => work("light", Job::Service { is_repeatable: true }),
     };
     let others: Vec<_> =
         (0..6).map(|n| group.run(request(["a", "b"][n % 2]), Duration::from_secs(2))).collect();
@@ -173,7 +173,7 @@
     }
     let mut failed = Vec::new();
     for _ in 0..40 {
-        let lease = group.admit(work("light", Job::Service)).await.unwrap();
+        let lease = group.admit(work("light", Job::Service { is_repeatable: true })).await.unwrap();
         failed.push(lease.target.to_string());
         lease.started();
         lease.finish(Finish::TargetFailed);
@@ -198,7 +198,8 @@
     group.scheduler.upsert_target(far);
     let mut leases = Vec::new();
     for _ in 0..10 {
-        leases.push(group.admit(work("light", Job::Service)).await.unwrap());
+        leases
+            .push(group.admit(work("light", Job::Service { is_repeatable: true })).await.unwrap());
     }
     let used = counts(leases.iter().map(|lease| lease.target.to_string()));
     assert_eq!(leases[0].target, target("near"));
