Log numbered events of the scheduler and fill the owner's metrics

The scheduler logs failed loads (O0304), ejected targets (T0608) and, at most every 10 s, full queues of subscribers (O0313). The owner's own line about an order becomes O0312 at debug level, as it names the same failure. A missing permit no longer counts as a failed load.

--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -157,6 +157,7 @@
             }
         };
 
+        tasks.spawn(follow_gauges(view.clone(), metrics.clone()));
         let session = SessionKeeper::new(
             SessionConfig {
                 info: instance_info(&settings),
@@ -255,6 +256,19 @@
     }
 }
 
+/// Keeps the gauges of the control state up to date until the task is dropped.
+async fn follow_gauges(view: ControlView, metrics: Metrics) {
+    let mut changed = view.changed();
+    loop {
+        let (index, revision) = view.read(|state| (state.applied(), state.revision()));
+        metrics.log_index().set(index.0 as i64);
+        metrics.manifest_revision().set(revision.0 as i64);
+        if changed.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
 async fn listen(name: &'static str, addr: SocketAddr) -> Result<TcpListener, InstanceError> {
     TcpListener::bind(addr).await.map_err(|source| InstanceError::Listen { name, addr, source })
 }
--- a/crates/owner/src/load.rs
+++ b/crates/owner/src/load.rs
@@ -72,6 +72,7 @@
 }
 
 async fn send(cx: &OwnerContext, epoch: Epoch, load: LoadOrder) -> Result<(), LoadFailure> {
+    let is_eviction = load.evict.is_some();
     let order = OrderRequest {
         epoch,
         order: Order::Load {
@@ -80,11 +81,16 @@
             evict: load.evict,
         },
     };
+    cx.metrics.loads().inc();
     let result = cx.engine.order(load.addr, &order, ORDER_TIMEOUT).await;
     match result {
-        Ok(()) => Ok(()),
+        Ok(()) => {
+            cx.metrics.evictions().inc_by(u64::from(is_eviction));
+            Ok(())
+        }
         Err(error) => {
-            event!(cx.log, ADAPTER_LOAD_FAILED;
+            cx.metrics.load_failures().inc();
+            event!(cx.log, ORDER_FAILED;
                 "target" => %load.target, "adapter" => %load.adapter, "error" => %error);
             Err(match error {
                 OrderError::NotSent { .. } => LoadFailure::Failed,
--- a/crates/owner/src/service.rs
+++ b/crates/owner/src/service.rs
@@ -94,6 +94,7 @@
         loop {
             self.sync_groups();
             self.remove_silent_targets();
+            self.update_gauges();
             tokio::select! {
                 _ = changed.changed() => {}
                 () = tokio::time::sleep(CHECK_INTERVAL) => {}
@@ -101,6 +102,13 @@
         }
     }
 
+    fn update_gauges(&self) {
+        let snapshots = self.snapshots();
+        let queued: usize = snapshots.iter().map(|(_, group)| group.queued).sum();
+        self.cx.metrics.queued().set(queued as i64);
+        self.cx.metrics.owned_groups().set(snapshots.len() as i64);
+    }
+
     /// Gives up all groups: queued requests fail, and the ownership is released once no order is
     /// in flight.
     pub async fn release_all(&self) {
--- a/crates/scheduler/src/snapshot.rs
+++ b/crates/scheduler/src/snapshot.rs
@@ -28,7 +28,7 @@
     pub refused: u64,
     /// Loads ordered since the start.
     pub loads: u64,
-    /// Loads that failed since the start.
+    /// Loads that failed since the start, other than for lack of a permit.
     pub failed_loads: u64,
     /// Evictions ordered since the start.
     pub evictions: u64,
--- a/crates/scheduler/src/state/admission.rs
+++ b/crates/scheduler/src/state/admission.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use shallotdrum_engine::Priority;
+use shallotdrum_telemetry::event;
 use shallotdrum_types::{RequestError, RequestErrorKind, SubscriberId};
 use tokio::{sync::oneshot, time::Instant};
 
@@ -35,6 +36,8 @@
 const MAX_RUN_SHARE: f64 = 0.5;
 /// Lead over virtual time, in tokens, that lowers the priority by one step.
 const PRIORITY_STEP_TOKENS: f64 = 500.0;
+/// Lines about full queues are this far apart in each group.
+const FULL_QUEUE_LOG_INTERVAL: Duration = Duration::from_secs(10);
 /// Priority of a request within its subscriber's share; leaves room above for others.
 const USUAL_PRIORITY: u8 = 64;
 
@@ -182,7 +185,7 @@
         Ok(())
     }
 
-    fn check_limits(&self, work: &Work, now: Instant) -> Result<(), RequestError> {
+    fn check_limits(&mut self, work: &Work, now: Instant) -> Result<(), RequestError> {
         let Some(sub) = self.subs.key(&work.subscriber) else { return Ok(()) };
         let account = &self.subs[sub];
         let is_full = account.queued.len() >= self.cfg.max_queued_per_subscriber;
@@ -197,10 +200,25 @@
             format!("{in_use} requests of the subscriber are in progress; retry later")
         };
         let wait = self.queue_wait(sub, None, now);
+        if is_full {
+            self.log_full_queue(&work.subscriber, now);
+        }
         Err(RequestError::not_run(RequestErrorKind::RateLimited, detail)
             .retry_after(retry_after(wait)))
     }
 
+    /// Logs a full queue at a bounded rate: a flood is refused thousands of times a second.
+    fn log_full_queue(&mut self, subscriber: &SubscriberId, now: Instant) {
+        if now < self.next_full_log_at {
+            self.unlogged_full += 1;
+            return;
+        }
+        self.next_full_log_at = now + FULL_QUEUE_LOG_INTERVAL;
+        event!(self.log, SUBSCRIBER_QUEUE_FULL; "subscriber" => %subscriber,
+            "limit" => self.cfg.max_queued_per_subscriber,
+            "unlogged" => std::mem::take(&mut self.unlogged_full));
+    }
+
     /// Makes room in a full queue by refusing the newest request of the longest queue.
     fn make_room(&mut self, work: &Work, now: Instant) -> Result<(), RequestError> {
         let own = self.subs.key(&work.subscriber).map_or(0, |sub| self.subs[sub].queued.len());
--- a/crates/scheduler/src/state/loads.rs
+++ b/crates/scheduler/src/state/loads.rs
@@ -4,6 +4,7 @@
 
 use rand::RngExt;
 use shallotdrum_engine::OrderRefusal;
+use shallotdrum_telemetry::event;
 use tokio::time::Instant;
 
 use super::State;
@@ -38,7 +39,7 @@
         let Some(source) = self.adapters[adapter].source.clone() else { return false };
         let Some(target) = self.targets.get_mut(&key) else { return false };
         if !target.slots.begin_load(adapter, victim, now) {
-            slog::error!(self.log, "load order dropped: the slot is in use";
+            event!(self.log, LOAD_ORDER_DROPPED;
                 "target" => %target.spec.id, "adapter" => %self.adapters.name(adapter));
             return false;
         }
@@ -138,10 +139,12 @@
         // Jitter keeps retries of several owners apart.
         let jitter = 0.5 + self.rng.random::<f64>();
         let Some(target) = self.targets.get_mut(&key) else { return };
-        slog::info!(self.log, "adapter load failed";
-            "target" => %target.spec.id, "adapter" => %self.adapters.name(adapter),
-            "reason" => %failure);
-        self.stats.failed_loads += 1;
+        if *failure != LoadFailure::NoPermit {
+            event!(self.log, ADAPTER_LOAD_FAILED;
+                "target" => %target.spec.id, "adapter" => %self.adapters.name(adapter),
+                "error" => %failure);
+            self.stats.failed_loads += 1;
+        }
         let row = &mut self.adapters[adapter];
         match failure {
             LoadFailure::NoPermit => {
--- a/crates/scheduler/src/state/mod.rs
+++ b/crates/scheduler/src/state/mod.rs
@@ -24,6 +24,7 @@
 
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use shallotdrum_engine::Priority;
+use shallotdrum_telemetry::event;
 use shallotdrum_types::{AdapterRef, Incarnation, RequestError, SubscriberId, TargetId, Tokens};
 use tokio::{sync::oneshot, time::Instant};
 
@@ -97,6 +98,10 @@
     last_load_end: Option<Instant>,
     without_target_since: Option<Instant>,
     next_upkeep_at: Instant,
+    /// The next full queue of a subscriber is logged from here on.
+    next_full_log_at: Instant,
+    /// Full queues that were not logged since the latest line.
+    unlogged_full: u64,
     pub(crate) stats: Stats,
     pub(crate) closed: Option<RequestError>,
 }
@@ -266,6 +271,8 @@
             last_load_end: None,
             without_target_since: None,
             next_upkeep_at: now,
+            next_full_log_at: now,
+            unlogged_full: 0,
             stats: Stats::default(),
             closed: None,
         }
@@ -541,7 +548,7 @@
         let jitter = self.rng.random::<f64>();
         let Some(target) = self.targets.get_mut(&key) else { return };
         let time = target.health.eject(jitter, now);
-        slog::warn!(self.log, "target ejected after repeated failures";
+        event!(self.log, TARGET_EJECTED;
             "target" => %target.spec.id, "seconds" => time.as_secs_f64());
     }
 
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -95,6 +95,9 @@
         ADAPTER_LOAD_FAILED = "O0304", Warning, "adapter load failed", "check the weight store and the adapter's path in the manifest, if it repeats";
         GROUP_RELEASE_FAILED = "O0310", Warning, "cannot release a group; its lease will expire", "none";
         ANSWER_BROKEN = "O0311", Warning, "answer of a target broke off", "check the target, if it repeats";
+        ORDER_FAILED = "O0312", Debug, "load order failed", "none; see the event of the adapter's load";
+        SUBSCRIBER_QUEUE_FULL = "O0313", Warning, "queue of a subscriber is full", "examine the subscriber's traffic; raise limits.max_queued_per_subscriber if it is legitimate";
+        LOAD_ORDER_DROPPED = "O0314", Error, "load order dropped: the slot is in use", "report it as a fault of the scheduler";
         ANSWER_MISMATCH = "O0305", Error, "engine answered with another adapter", "take the engine out of service and report the engine's fault";
         ORDER_REFUSED = "O0306", Warning, "engine refused an order", "none, unless it repeats for one engine; then restart the engine";
         REQUEST_SUSPECTED = "O0307", Warning, "request was running on a crashed target", "none; list quarantined requests if it repeats";
@@ -130,6 +133,7 @@
         TARGET_REMOVAL_FAILED = "T0607", Warning, "cannot remove a silent target", "check the control replicas";
         TARGET_CRASHED = "T0604", Error, "target crashed with requests in flight", "check the target's own log";
         TARGET_REFUSED = "T0605", Warning, "target announcement refused", "correct the target's announcement or the manifest's pools";
+        TARGET_EJECTED = "T0608", Warning, "target ejected as an outlier after repeated failures", "check the target's machine and its own log";
         TARGET_OUTLIER = "T0606", Warning, "target is much slower than the others of its group", "check the target's machine";
     }
 }
