Let the bench's token time depend on the batch

A token takes 20 ms and 0.5 ms for each sequence of the engine's batch. The bench also shows how many requests were refused after more than a second in the queue, and the engines in use.

--- a/crates/scheduler/benches/policies.rs
+++ b/crates/scheduler/benches/policies.rs
@@ -3,10 +3,14 @@
 //!
 //! Usage: `cargo bench -p shallotdrum-scheduler --bench policies [-- SEED]`. The model has 12
 //! engines of 4 adapter slots, 3,000 adapters with Zipf popularity and a weight store that grants
-//! 3 loads/s, each of which takes 0.25 s.
+//! 3 loads/s, each of which takes 0.25 s. A token takes 20 ms, and 0.5 ms more for each sequence
+//! of the engine's batch.
 
 use std::{
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU32, Ordering},
+    },
     time::Duration,
 };
 
@@ -14,12 +18,12 @@
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use shallotdrum_engine::{LoadReport, TargetKind};
 use shallotdrum_scheduler::{
-    Finish, GroupScheduler, Job, LoadFn, Policy, SchedulerConfig, TargetSpec, Work,
+    Finish, GroupScheduler, Job, Lease, LoadFn, Policy, SchedulerConfig, TargetSpec, Work,
 };
 use shallotdrum_types::{AdapterRef, Fingerprint, Incarnation, Weight};
 use tokio::{
     runtime::Builder,
-    time::{Instant, sleep, sleep_until},
+    time::{Instant, sleep, sleep_until, timeout_at},
 };
 
 const ENGINES: usize = 12;
@@ -32,7 +36,12 @@
 const WARM_UP: Duration = Duration::from_secs(60);
 const MEASURED: Duration = Duration::from_secs(240);
 const DEADLINE: Duration = Duration::from_secs(60);
+/// Time between tokens of a batch of one, without the share of the batch.
 const TOKEN_TIME: Duration = Duration::from_millis(20);
+/// Time that each sequence of the batch adds.
+const SEQUENCE_TIME: Duration = Duration::from_micros(500);
+/// Tokens after which a sequence looks at the batch again.
+const TOKENS_PER_STEP: u64 = 8;
 
 struct Case {
     name: &'static str,
@@ -49,38 +58,77 @@
     around_shift: Vec<(f64, f64)>,
     waits: Vec<f64>,
     refused: usize,
+    /// Refused requests that were held for more than a second first.
+    held_long: usize,
     /// Seconds that refused requests were held.
     held: f64,
     loads: u64,
     occupied: f64,
     occupied_busy: f64,
+    /// Engines with requests, summed over the samples.
+    busy_engines: f64,
     samples: usize,
 }
 
 impl Figures {
-    fn sample(&mut self, running: f64, busy_places: f64) {
+    fn sample(&mut self, running: f64, busy_engines: usize) {
+        let busy_places = f64::from(MAX_BATCH) * busy_engines.max(1) as f64;
+        self.busy_engines += busy_engines as f64;
         self.occupied += running / (f64::from(MAX_BATCH) * ENGINES as f64);
         self.occupied_busy += running / busy_places;
         self.samples += 1;
     }
 }
 
+/// Sequences in each engine's batch.
+#[derive(Clone, Default)]
+struct Batches(Arc<[AtomicU32; ENGINES]>);
+
+/// Sequence in a batch until the value is dropped.
+struct Sequence<'a>(&'a AtomicU32);
+
+impl Drop for Sequence<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+impl Batches {
+    /// Takes the time of an answer, which depends on the batch.
+    async fn generate(&self, lease: &Lease, tokens: u64) {
+        let (_, engine) = lease.target.as_str().rsplit_once('-').expect("engine name");
+        let batch = &self.0[engine.parse::<usize>().expect("engine number")];
+        batch.fetch_add(1, Ordering::Relaxed);
+        let _sequence = Sequence(batch);
+        let mut left = tokens;
+        while left > 0 {
+            let step = left.min(TOKENS_PER_STEP);
+            let token_time = TOKEN_TIME + SEQUENCE_TIME * batch.load(Ordering::Relaxed);
+            sleep(token_time * step as u32).await;
+            left -= step;
+        }
+    }
+}
+
 fn main() {
     let seed = std::env::args().filter_map(|arg| arg.parse().ok()).next().unwrap_or(1);
     println!("seed {seed}; stall in s, sums over admitted requests; occupancy in %");
+    println!("held: refused after more than a second in the queue; engines: mean number in use");
     println!(
-        "{:<28} {:<22} {:>8} {:>8} {:>9} {:>8} {:>8} {:>8} {:>6} {:>7} {:>7}",
+        "{:<20} {:<21} {:>8} {:>8} {:>6} {:>9} {:>8} {:>8} {:>8} {:>6} {:>6} {:>6} {:>7}",
         "case",
         "policy",
         "admitted",
         "refused",
+        "held",
         "stall",
         "p99",
         "mean",
         "wait99",
         "loads",
         "occup",
-        "busy"
+        "busy",
+        "engines"
     );
     let cases = [
         Case { name: "4/s zipf 1.1", requests_per_second: 4.0, exponent: 1.1, shifts: false },
@@ -92,8 +140,8 @@
         Case { name: "8/s zipf 1.1 shift", requests_per_second: 8.0, exponent: 1.1, shifts: true },
     ];
     for case in &cases {
-        run(case, Policy::Baseline, 1.0, seed);
-        for stall_weight in [1.0, 0.5, 0.0] {
+        run(case, Policy::Baseline, 0.5, seed);
+        for stall_weight in [0.8, 0.5, 0.2] {
             run(case, Policy::Adaptive, stall_weight, seed);
         }
     }
@@ -119,11 +167,12 @@
         Policy::Adaptive => format!("adaptive, weight {stall_weight}"),
     };
     println!(
-        "{:<28} {:<22} {:>8} {:>8} {:>9.1} {:>8.2} {:>8.3} {:>8.2} {:>6} {:>7.1} {:>7.1}",
+        "{:<20} {:<21} {:>8} {:>8} {:>6} {:>9.1} {:>8.2} {:>8.3} {:>8.2} {:>6} {:>6.1} {:>6.1} {:>7.2}",
         case.name,
         label,
         count,
         figures.refused,
+        figures.held_long,
         total,
         percentile(&mut stalls, 0.99),
         total / count.max(1) as f64,
@@ -131,6 +180,7 @@
         figures.loads,
         100.0 * figures.occupied / figures.samples as f64,
         100.0 * figures.occupied_busy / figures.samples as f64,
+        figures.busy_engines / figures.samples as f64,
     );
     if figures.refused > 0 {
         let held = figures.held / figures.refused as f64;
@@ -170,6 +220,7 @@
         ..SchedulerConfig::new(name("suva-a"))
     };
     let scheduler = scheduler(cfg, store(LOADS_PER_SECOND), ENGINES);
+    let batches = Batches::default();
     let mut rng = StdRng::seed_from_u64(seed);
     let popularity = cumulative_zipf(case.exponent);
     let mut ranks: Vec<usize> = (0..ADAPTERS).collect();
@@ -194,6 +245,7 @@
         let work = completion(adapter, tokens);
         let scheduler = scheduler.clone();
         let since_shift = (at - begin).as_secs_f64() - (WARM_UP + MEASURED / 2).as_secs_f64();
+        let batches = batches.clone();
         let figures = (at >= begin + WARM_UP).then(|| Arc::clone(&figures));
         tokio::spawn(async move {
             let asked_at = Instant::now();
@@ -208,13 +260,15 @@
                     }
                     Err(_) => {
                         figures.refused += 1;
-                        figures.held += asked_at.elapsed().as_secs_f64();
+                        let held = asked_at.elapsed();
+                        figures.held += held.as_secs_f64();
+                        figures.held_long += usize::from(held > Duration::from_secs(1));
                     }
                 }
             }
             if let Ok(lease) = result {
                 lease.started();
-                sleep(TOKEN_TIME * tokens as u32).await;
+                batches.generate(&lease, tokens).await;
                 lease.finish(Finish::Answered { prompt_tokens: 100, completion_tokens: tokens });
             }
         });
@@ -231,13 +285,15 @@
     const FEW_ADAPTERS: usize = 40;
     const DEADLINE: Duration = Duration::from_secs(10);
     const MEAN_TOKENS: f64 = 80.0;
-    let capacity = f64::from(MAX_BATCH) * ENGINES as f64 / (MEAN_TOKENS * TOKEN_TIME.as_secs_f64());
+    let full_token_time = (TOKEN_TIME + SEQUENCE_TIME * MAX_BATCH).as_secs_f64();
+    let capacity = f64::from(MAX_BATCH) * ENGINES as f64 / (MEAN_TOKENS * full_token_time);
     let runtime = Builder::new_current_thread().enable_time().start_paused(true).build();
     let (answered, cut_off, refused) = runtime.expect("runtime").block_on(async {
         let cfg = SchedulerConfig { seed: Some(seed), ..SchedulerConfig::new(name("suva-a")) };
         let scheduler = scheduler(cfg, store(LOADS_PER_SECOND), ENGINES);
         let mut rng = StdRng::seed_from_u64(seed);
         let counts = Arc::new(Mutex::new((0_usize, 0_usize, 0_usize)));
+        let batches = Batches::default();
         let begin = Instant::now();
         let mut at = begin;
         while at < begin + WARM_UP * 2 {
@@ -248,15 +304,16 @@
             work.subscriber = name(&format!("s{}", rng.random_range(0..SUBSCRIBERS)));
             work.deadline = at + DEADLINE;
             let scheduler = scheduler.clone();
+            let batches = batches.clone();
             let counts = (at >= begin + WARM_UP).then(|| Arc::clone(&counts));
             tokio::spawn(async move {
                 let result = scheduler.admit(work).await;
                 let is_refused = result.is_err();
-                let end = Instant::now() + TOKEN_TIME * tokens as u32;
-                let is_answered = !is_refused && end <= at + DEADLINE;
+                let mut is_answered = false;
                 if let Ok(lease) = result {
                     lease.started();
-                    sleep_until(end.min(at + DEADLINE)).await;
+                    let answer = batches.generate(&lease, tokens);
+                    is_answered = timeout_at(at + DEADLINE, answer).await.is_ok();
                     lease.finish(match is_answered {
                         true => Finish::Answered { prompt_tokens: 100, completion_tokens: tokens },
                         false => Finish::Cancelled,
@@ -364,8 +421,7 @@
         let running: Vec<u32> =
             snapshot.targets.values().map(|target| target.running).filter(|n| *n > 0).collect();
         let sum = f64::from(running.iter().sum::<u32>());
-        let busy = f64::from(MAX_BATCH) * running.len().max(1) as f64;
-        figures.lock().expect("lock").sample(sum, busy);
+        figures.lock().expect("lock").sample(sum, running.len());
         sleep(Duration::from_millis(100)).await;
     }
 }
