--- a/crates/owner/src/service.rs
+++ b/crates/owner/src/service.rs
@@ -122,6 +122,7 @@
                 false => self.sync_groups(),
             }
             self.remove_silent_targets();
+            self.update_gauges();
             tokio::select! {
                 _ = changed.changed() => {}
                 () = tokio::time::sleep(CHECK_INTERVAL) => {}
@@ -135,6 +136,13 @@
         self.release_all().await;
     }
 
+    fn update_gauges(&self) {
+        let snapshots = self.snapshots();
+        let queued: usize = snapshots.iter().map(|(_, group)| group.queued).sum();
+        self.cx.metrics.queued().set(queued as i64);
+        self.cx.metrics.owned_groups().set(snapshots.len() as i64);
+    }
+
     /// Gives up all groups: queued requests fail, and the ownership is released once no order is
     /// in flight.
     async fn release_all(&self) {
@@ -188,12 +196,10 @@
         Ok(())
     }
 
-    /// Takes cache events of an engine.
-    ///
-    /// They have no effect yet: the scheduler estimates each engine's prefix cache from the
-    /// requests that it sent there.
+    /// Takes cache events of an engine, which correct the estimate of its prefix cache.
     pub fn cache_events(&self, events: &CacheEvents) -> Result<(), NotOwned> {
-        self.group_of(&events.target).map(drop)
+        self.group_of(&events.target)?.scheduler.cache_events(events);
+        Ok(())
     }
 
     /// State of each owned group, for operators and metrics.
--- a/crates/scheduler/benches/policies.rs
+++ b/crates/scheduler/benches/policies.rs
@@ -3,10 +3,14 @@
 //!
 //! Usage: `cargo bench -p shallotdrum-scheduler --bench policies [-- SEED]`. The model has 12
 //! engines of 4 adapter slots, 3,000 adapters with Zipf popularity and a weight store that grants
-//! 3 loads/s, each of which takes 0.25 s.
+//! 3 loads/s, each of which takes 0.25 s. A token takes 20 ms, and 0.5 ms more for each sequence
+//! of the engine's batch.
 
 use std::{
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU32, Ordering},
+    },
     time::Duration,
 };
 
@@ -14,12 +18,12 @@
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use shallotdrum_engine::{LoadReport, TargetKind};
 use shallotdrum_scheduler::{
-    Finish, GroupScheduler, Job, LoadFn, Policy, SchedulerConfig, TargetSpec, Work,
+    Finish, GroupScheduler, Job, Lease, LoadFn, Policy, SchedulerConfig, TargetSpec, Work,
 };
 use shallotdrum_types::{AdapterRef, Fingerprint, Incarnation, Weight};
 use tokio::{
     runtime::Builder,
-    time::{Instant, sleep, sleep_until},
+    time::{Instant, sleep, sleep_until, timeout_at},
 };
 
 const ENGINES: usize = 12;
@@ -32,7 +36,12 @@
 const WARM_UP: Duration = Duration::from_secs(60);
 const MEASURED: Duration = Duration::from_secs(240);
 const DEADLINE: Duration = Duration::from_secs(60);
+/// Time between tokens of a batch of one, without the share of the batch.
 const TOKEN_TIME: Duration = Duration::from_millis(20);
+/// Time that each sequence of the batch adds.
+const SEQUENCE_TIME: Duration = Duration::from_micros(500);
+/// Tokens after which a sequence looks at the batch again.
+const TOKENS_PER_STEP: u64 = 8;
 
 struct Case {
     name: &'static str,
@@ -49,38 +58,77 @@
     around_shift: Vec<(f64, f64)>,
     waits: Vec<f64>,
     refused: usize,
+    /// Refused requests that were held for more than a second first.
+    held_long: usize,
     /// Seconds that refused requests were held.
     held: f64,
     loads: u64,
     occupied: f64,
     occupied_busy: f64,
+    /// Engines with requests, summed over the samples.
+    busy_engines: f64,
     samples: usize,
 }
 
 impl Figures {
-    fn sample(&mut self, running: f64, busy_places: f64) {
+    fn sample(&mut self, running: f64, busy_engines: usize) {
+        let busy_places = f64::from(MAX_BATCH) * busy_engines.max(1) as f64;
+        self.busy_engines += busy_engines as f64;
         self.occupied += running / (f64::from(MAX_BATCH) * ENGINES as f64);
         self.occupied_busy += running / busy_places;
         self.samples += 1;
     }
 }
 
+/// Sequences in each engine's batch.
+#[derive(Clone, Default)]
+struct Batches(Arc<[AtomicU32; ENGINES]>);
+
+/// Sequence in a batch until the value is dropped.
+struct Sequence<'a>(&'a AtomicU32);
+
+impl Drop for Sequence<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+impl Batches {
+    /// Takes the time of an answer, which depends on the batch.
+    async fn generate(&self, lease: &Lease, tokens: u64) {
+        let (_, engine) = lease.target.as_str().rsplit_once('-').expect("engine name");
+        let batch = &self.0[engine.parse::<usize>().expect("engine number")];
+        batch.fetch_add(1, Ordering::Relaxed);
+        let _sequence = Sequence(batch);
+        let mut left = tokens;
+        while left > 0 {
+            let step = left.min(TOKENS_PER_STEP);
+            let token_time = TOKEN_TIME + SEQUENCE_TIME * batch.load(Ordering::Relaxed);
+            sleep(token_time * step as u32).await;
+            left -= step;
+        }
+    }
+}
+
 fn main() {
     let seed = std::env::args().filter_map(|arg| arg.parse().ok()).next().unwrap_or(1);
     println!("seed {seed}; stall in s, sums over admitted requests; occupancy in %");
+    println!("held: refused after more than a second in the queue; engines: mean number in use");
     println!(
-        "{:<28} {:<22} {:>8} {:>8} {:>9} {:>8} {:>8} {:>8} {:>6} {:>7} {:>7}",
+        "{:<20} {:<21} {:>8} {:>8} {:>6} {:>9} {:>8} {:>8} {:>8} {:>6} {:>6} {:>6} {:>7}",
         "case",
         "policy",
         "admitted",
         "refused",
+        "held",
         "stall",
         "p99",
         "mean",
         "wait99",
         "loads",
         "occup",
-        "busy"
+        "busy",
+        "engines"
     );
     let cases = [
         Case { name: "4/s zipf 1.1", requests_per_second: 4.0, exponent: 1.1, shifts: false },
@@ -92,14 +140,17 @@
         Case { name: "8/s zipf 1.1 shift", requests_per_second: 8.0, exponent: 1.1, shifts: true },
     ];
     for case in &cases {
-        run(case, Policy::Baseline, 1.0, seed);
-        for stall_weight in [1.0, 0.5, 0.0] {
+        run(case, Policy::Baseline, 0.5, seed);
+        for stall_weight in [0.8, 0.5, 0.2] {
             run(case, Policy::Adaptive, stall_weight, seed);
         }
     }
     for factor in [0.5, 1.0, 1.5, 2.0, 3.0] {
         overload(factor, seed);
     }
+    for (is_repeatable, callers) in [(false, 3), (false, 100), (true, 3)] {
+        lookups(is_repeatable, callers, seed);
+    }
     measure_speed();
 }
 
@@ -116,11 +167,12 @@
         Policy::Adaptive => format!("adaptive, weight {stall_weight}"),
     };
     println!(
-        "{:<28} {:<22} {:>8} {:>8} {:>9.1} {:>8.2} {:>8.3} {:>8.2} {:>6} {:>7.1} {:>7.1}",
+        "{:<20} {:<21} {:>8} {:>8} {:>6} {:>9.1} {:>8.2} {:>8.3} {:>8.2} {:>6} {:>6.1} {:>6.1} {:>7.2}",
         case.name,
         label,
         count,
         figures.refused,
+        figures.held_long,
         total,
         percentile(&mut stalls, 0.99),
         total / count.max(1) as f64,
@@ -128,6 +180,7 @@
         figures.loads,
         100.0 * figures.occupied / figures.samples as f64,
         100.0 * figures.occupied_busy / figures.samples as f64,
+        figures.busy_engines / figures.samples as f64,
     );
     if figures.refused > 0 {
         let held = figures.held / figures.refused as f64;
@@ -167,6 +220,7 @@
         ..SchedulerConfig::new(name("suva-a"))
     };
     let scheduler = scheduler(cfg, store(LOADS_PER_SECOND), ENGINES);
+    let batches = Batches::default();
     let mut rng = StdRng::seed_from_u64(seed);
     let popularity = cumulative_zipf(case.exponent);
     let mut ranks: Vec<usize> = (0..ADAPTERS).collect();
@@ -191,6 +245,7 @@
         let work = completion(adapter, tokens);
         let scheduler = scheduler.clone();
         let since_shift = (at - begin).as_secs_f64() - (WARM_UP + MEASURED / 2).as_secs_f64();
+        let batches = batches.clone();
         let figures = (at >= begin + WARM_UP).then(|| Arc::clone(&figures));
         tokio::spawn(async move {
             let asked_at = Instant::now();
@@ -205,13 +260,15 @@
                     }
                     Err(_) => {
                         figures.refused += 1;
-                        figures.held += asked_at.elapsed().as_secs_f64();
+                        let held = asked_at.elapsed();
+                        figures.held += held.as_secs_f64();
+                        figures.held_long += usize::from(held > Duration::from_secs(1));
                     }
                 }
             }
             if let Ok(lease) = result {
                 lease.started();
-                sleep(TOKEN_TIME * tokens as u32).await;
+                batches.generate(&lease, tokens).await;
                 lease.finish(Finish::Answered { prompt_tokens: 100, completion_tokens: tokens });
             }
         });
@@ -228,13 +285,15 @@
     const FEW_ADAPTERS: usize = 40;
     const DEADLINE: Duration = Duration::from_secs(10);
     const MEAN_TOKENS: f64 = 80.0;
-    let capacity = f64::from(MAX_BATCH) * ENGINES as f64 / (MEAN_TOKENS * TOKEN_TIME.as_secs_f64());
+    let full_token_time = (TOKEN_TIME + SEQUENCE_TIME * MAX_BATCH).as_secs_f64();
+    let capacity = f64::from(MAX_BATCH) * ENGINES as f64 / (MEAN_TOKENS * full_token_time);
     let runtime = Builder::new_current_thread().enable_time().start_paused(true).build();
     let (answered, cut_off, refused) = runtime.expect("runtime").block_on(async {
         let cfg = SchedulerConfig { seed: Some(seed), ..SchedulerConfig::new(name("suva-a")) };
         let scheduler = scheduler(cfg, store(LOADS_PER_SECOND), ENGINES);
         let mut rng = StdRng::seed_from_u64(seed);
         let counts = Arc::new(Mutex::new((0_usize, 0_usize, 0_usize)));
+        let batches = Batches::default();
         let begin = Instant::now();
         let mut at = begin;
         while at < begin + WARM_UP * 2 {
@@ -245,15 +304,16 @@
             work.subscriber = name(&format!("s{}", rng.random_range(0..SUBSCRIBERS)));
             work.deadline = at + DEADLINE;
             let scheduler = scheduler.clone();
+            let batches = batches.clone();
             let counts = (at >= begin + WARM_UP).then(|| Arc::clone(&counts));
             tokio::spawn(async move {
                 let result = scheduler.admit(work).await;
                 let is_refused = result.is_err();
-                let end = Instant::now() + TOKEN_TIME * tokens as u32;
-                let is_answered = !is_refused && end <= at + DEADLINE;
+                let mut is_answered = false;
                 if let Ok(lease) = result {
                     lease.started();
-                    sleep_until(end.min(at + DEADLINE)).await;
+                    let answer = batches.generate(&lease, tokens);
+                    is_answered = timeout_at(at + DEADLINE, answer).await.is_ok();
                     lease.finish(match is_answered {
                         true => Finish::Answered { prompt_tokens: 100, completion_tokens: tokens },
                         false => Finish::Cancelled,
@@ -279,6 +339,80 @@
     );
 }
 
+/// Offers lookups of many subscribers next to a flood of long calls that fills the service.
+fn lookups(is_flood_repeatable: bool, callers: usize, seed: u64) {
+    const TARGETS: usize = 4;
+    const PLACES: u32 = 32;
+    const CALLS: usize = 300;
+    const LOOKUPS_PER_SECOND: f64 = 50.0;
+    const CALL_TIME: Duration = Duration::from_secs(1);
+    const LOOKUP_TIME: Duration = Duration::from_millis(5);
+    let runtime = Builder::new_current_thread().enable_time().start_paused(true).build();
+    let (mut waits, calls) = runtime.expect("runtime").block_on(async {
+        let cfg = SchedulerConfig { seed: Some(seed), ..SchedulerConfig::new(name("suva-a")) };
+        let log = slog::Logger::root(slog::Discard, slog::o!());
+        let scheduler = GroupScheduler::new(cfg, store(LOADS_PER_SECOND), log);
+        for target in 0..TARGETS {
+            scheduler.upsert_target(TargetSpec {
+                id: name(&format!("registry-app-{target}")),
+                incarnation: Incarnation(1),
+                addr: "127.0.0.1:1".parse().expect("address"),
+                zone: name("suva-a"),
+                kind: TargetKind::Service { max_concurrent: PLACES },
+                orders_allowed_from: Instant::now(),
+            });
+        }
+        let answered = Finish::Answered { prompt_tokens: 0, completion_tokens: 0 };
+        let calls = Arc::new(Mutex::new(0_usize));
+        let mut rng = StdRng::seed_from_u64(seed);
+        for n in 0..CALLS {
+            let (scheduler, calls) = (scheduler.clone(), Arc::clone(&calls));
+            let mut rng = StdRng::seed_from_u64(rng.random());
+            tokio::spawn(async move {
+                loop {
+                    let subscriber = format!("heavy{}", n % callers);
+                    match scheduler.admit(call(&subscriber, is_flood_repeatable)).await {
+                        Ok(lease) => {
+                            sleep(CALL_TIME.mul_f64(2.0 * rng.random::<f64>())).await;
+                            lease.finish(answered);
+                            *calls.lock().expect("lock") += 1;
+                        }
+                        Err(_) => sleep(CALL_TIME).await,
+                    }
+                }
+            });
+        }
+        sleep(CALL_TIME * 5).await;
+        let (begin, mut at) = (Instant::now(), Instant::now());
+        let calls_before = *calls.lock().expect("lock");
+        let waits = Arc::new(Mutex::new(Vec::new()));
+        while at < begin + WARM_UP {
+            at += Duration::from_secs_f64(-(1.0 - rng.random::<f64>()).ln() / LOOKUPS_PER_SECOND);
+            sleep_until(at).await;
+            let subscriber = format!("s{}", rng.random_range(0..SUBSCRIBERS));
+            let (scheduler, waits) = (scheduler.clone(), Arc::clone(&waits));
+            tokio::spawn(async move {
+                let result = scheduler.admit(call(&subscriber, true)).await;
+                waits.lock().expect("lock").push(at.elapsed().as_secs_f64());
+                if let Ok(lease) = result {
+                    sleep(LOOKUP_TIME).await;
+                    lease.finish(answered);
+                }
+            });
+        }
+        let calls = *calls.lock().expect("lock") - calls_before;
+        sleep(DEADLINE).await;
+        (std::mem::take(&mut *waits.lock().expect("lock")), calls)
+    });
+    println!(
+        "lookups next to {} calls of {callers} subscribers: wait p50 {:.4} s, p99 {:.4} s; {:.1} calls/s",
+        if is_flood_repeatable { "repeatable" } else { "non-repeatable" },
+        percentile(&mut waits, 0.5),
+        percentile(&mut waits, 0.99),
+        calls as f64 / WARM_UP.as_secs_f64(),
+    );
+}
+
 /// Samples how full the batches are, over all engines and over those with requests.
 async fn sample(scheduler: GroupScheduler, figures: Arc<Mutex<Figures>>, begin: Instant) {
     sleep_until(begin).await;
@@ -287,8 +421,7 @@
         let running: Vec<u32> =
             snapshot.targets.values().map(|target| target.running).filter(|n| *n > 0).collect();
         let sum = f64::from(running.iter().sum::<u32>());
-        let busy = f64::from(MAX_BATCH) * running.len().max(1) as f64;
-        figures.lock().expect("lock").sample(sum, busy);
+        figures.lock().expect("lock").sample(sum, running.len());
         sleep(Duration::from_millis(100)).await;
     }
 }
@@ -336,6 +469,11 @@
     scheduler
 }
 
+fn call(subscriber: &str, is_repeatable: bool) -> Work {
+    let job = Job::Service { is_repeatable };
+    Work { subscriber: name(subscriber), job, ..completion(0, 0) }
+}
+
 fn completion(adapter: usize, max_tokens: u64) -> Work {
     Work {
         request: name("r"),
--- a/crates/scheduler/src/state/admission.rs
+++ b/crates/scheduler/src/state/admission.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use shallotdrum_engine::Priority;
+use shallotdrum_telemetry::event;
 use shallotdrum_types::{RequestError, RequestErrorKind, SubscriberId};
 use tokio::{sync::oneshot, time::Instant};
 
@@ -35,6 +36,8 @@
 const MAX_RUN_SHARE: f64 = 0.5;
 /// Lead over virtual time, in tokens, that lowers the priority by one step.
 const PRIORITY_STEP_TOKENS: f64 = 500.0;
+/// Lines about full queues are this far apart in each group.
+const FULL_QUEUE_LOG_INTERVAL: Duration = Duration::from_secs(10);
 /// Priority of a request within its subscriber's share; leaves room above for others.
 const USUAL_PRIORITY: u8 = 64;
 
@@ -61,7 +64,7 @@
                 let expected = account.expected_completion(*max_tokens);
                 (Cost::tokens(*prompt_tokens, expected), *prompt_tokens)
             }
-            Job::Service => (Cost::SERVICE, 0),
+            Job::Service { .. } => (Cost::SERVICE, 0),
         };
         let tag = self.clock.enqueue(account, cost);
         let share = self.fair_share(sub, tag);
@@ -71,6 +74,7 @@
         let steps = (self.clock.lead(tag) / PRIORITY_STEP_TOKENS).min(127.0) as u8;
         let seq = self.next_seq;
         self.next_seq += 1;
+        let is_repeatable = !matches!(work.job, Job::Service { is_repeatable: false });
         let (adapter, prefixes) = match work.job {
             Job::Completion { adapter, source, prompt_prefix_hashes, .. } => {
                 let key = self.adapters.key_or_insert_with(&adapter, || Adapter::new(now));
@@ -81,14 +85,14 @@
                 row.demand.add(share, now);
                 (Some(key), prompt_prefix_hashes)
             }
-            Job::Service => (None, Vec::new()),
+            Job::Service { .. } => (None, Vec::new()),
         };
         let is_special = work.is_suspect || !work.avoid.is_empty();
         let lane = match (self.cfg.policy, adapter) {
             (Policy::Baseline, _) => Lane::Assigned(None),
             (Policy::Adaptive, _) if is_special => Lane::Special,
             (Policy::Adaptive, Some(adapter)) => Lane::Adapter(adapter),
-            (Policy::Adaptive, None) => Lane::Service,
+            (Policy::Adaptive, None) => Lane::Service { is_repeatable },
         };
         let (tx, rx) = oneshot::channel();
         let queued = Queued {
@@ -101,6 +105,7 @@
             prefixes,
             queued_at: now,
             give_up_at,
+            is_repeatable,
             is_suspect: work.is_suspect,
             avoid: work.avoid,
             priority: Priority(USUAL_PRIORITY + steps),
@@ -127,8 +132,8 @@
                 self.waiting.insert(key);
                 self.dispatch_adapter(key, now);
             }
-            Lane::Service => {
-                self.services.insert((tag, seq));
+            Lane::Service { is_repeatable } => {
+                self.services_mut(is_repeatable).insert((tag, seq));
                 self.dispatch_services(now);
             }
             Lane::Special => {
@@ -180,7 +185,7 @@
         Ok(())
     }
 
-    fn check_limits(&self, work: &Work, now: Instant) -> Result<(), RequestError> {
+    fn check_limits(&mut self, work: &Work, now: Instant) -> Result<(), RequestError> {
         let Some(sub) = self.subs.key(&work.subscriber) else { return Ok(()) };
         let account = &self.subs[sub];
         let is_full = account.queued.len() >= self.cfg.max_queued_per_subscriber;
@@ -195,10 +200,25 @@
             format!("{in_use} requests of the subscriber are in progress; retry later")
         };
         let wait = self.queue_wait(sub, None, now);
+        if is_full {
+            self.log_full_queue(&work.subscriber, now);
+        }
         Err(RequestError::not_run(RequestErrorKind::RateLimited, detail)
             .retry_after(retry_after(wait)))
     }
 
+    /// Logs a full queue at a bounded rate: a flood is refused thousands of times a second.
+    fn log_full_queue(&mut self, subscriber: &SubscriberId, now: Instant) {
+        if now < self.next_full_log_at {
+            self.unlogged_full += 1;
+            return;
+        }
+        self.next_full_log_at = now + FULL_QUEUE_LOG_INTERVAL;
+        event!(self.log, SUBSCRIBER_QUEUE_FULL; "subscriber" => %subscriber,
+            "limit" => self.cfg.max_queued_per_subscriber,
+            "unlogged" => std::mem::take(&mut self.unlogged_full));
+    }
+
     /// Makes room in a full queue by refusing the newest request of the longest queue.
     fn make_room(&mut self, work: &Work, now: Instant) -> Result<(), RequestError> {
         let own = self.subs.key(&work.subscriber).map_or(0, |sub| self.subs[sub].queued.len());
@@ -231,7 +251,7 @@
                 };
                 tokens * self.secs_per_token.get().unwrap_or(0.0)
             }
-            Job::Service => self.service_secs.get().unwrap_or(0.0),
+            Job::Service { .. } => self.service_secs.get().unwrap_or(0.0),
         };
         let left = work.deadline.saturating_duration_since(now);
         // Estimates are not trusted so far that an idle group refuses a request.
@@ -280,7 +300,7 @@
     fn expected_wait(&self, work: &Work, now: Instant) -> Duration {
         let adapter = match &work.job {
             Job::Completion { adapter, .. } => self.adapters.key(adapter),
-            Job::Service => None,
+            Job::Service { .. } => None,
         };
         let sub = self.subs.key(&work.subscriber);
         let queue_wait = match sub {
@@ -288,7 +308,7 @@
             _ => Duration::ZERO,
         };
         match &work.job {
-            Job::Service => queue_wait,
+            Job::Service { .. } => queue_wait,
             Job::Completion { .. } => queue_wait.max(self.load_wait(sub, adapter, now)),
         }
     }
--- a/crates/scheduler/src/state/mod.rs
+++ b/crates/scheduler/src/state/mod.rs
@@ -24,6 +24,7 @@
 
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use shallotdrum_engine::Priority;
+use shallotdrum_telemetry::event;
 use shallotdrum_types::{AdapterRef, Incarnation, RequestError, SubscriberId, TargetId, Tokens};
 use tokio::{sync::oneshot, time::Instant};
 
@@ -37,6 +38,8 @@
     target::{Target, TargetKey},
 };
 
+use self::choice::has_common_place;
+
 /// Key of a subscriber in the group's table.
 pub(crate) type SubKey = usize;
 
@@ -58,8 +61,10 @@
     next_seq: Seq,
     queued: HashMap<Seq, Queued>,
     running: HashMap<Seq, Running>,
-    /// Service calls in order of tags.
-    services: BTreeSet<(Tag, Seq)>,
+    /// Repeatable service calls in order of tags.
+    lookups: BTreeSet<(Tag, Seq)>,
+    /// Service calls that may not be repeated, in order of tags.
+    calls: BTreeSet<(Tag, Seq)>,
     /// Suspects and resends in order of tags.
     special: BTreeSet<(Tag, Seq)>,
     /// Adapters with queued requests.
@@ -93,6 +98,10 @@
     last_load_end: Option<Instant>,
     without_target_since: Option<Instant>,
     next_upkeep_at: Instant,
+    /// The next full queue of a subscriber is logged from here on.
+    next_full_log_at: Instant,
+    /// Full queues that were not logged since the latest line.
+    unlogged_full: u64,
     pub(crate) stats: Stats,
     pub(crate) closed: Option<RequestError>,
 }
@@ -156,7 +165,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Lane {
     Adapter(AdapterKey),
-    Service,
+    Service {
+        is_repeatable: bool,
+    },
     Special,
     /// Baseline policy: at the target, or without one.
     Assigned(Option<TargetKey>),
@@ -173,17 +184,33 @@
     prefixes: Vec<u64>,
     queued_at: Instant,
     give_up_at: Instant,
+    is_repeatable: bool,
     is_suspect: bool,
     avoid: Vec<TargetId>,
     priority: Priority,
     tx: oneshot::Sender<Result<Grant, RequestError>>,
 }
 
+impl Queued {
+    fn claim(&self) -> Claim {
+        Claim { sub: self.sub, is_repeatable: self.is_repeatable }
+    }
+}
+
+/// What decides which places of a target a request may take.
+#[derive(Clone, Copy, Debug)]
+struct Claim {
+    sub: SubKey,
+    is_repeatable: bool,
+}
+
 /// Admitted request.
 struct Running {
     sub: SubKey,
     target: TargetKey,
     adapter: Option<AdapterKey>,
+    /// Whether it has a place that is not reserved for lookups.
+    is_common: bool,
     cost: Cost,
     prompt_tokens: u64,
     admitted_at: Instant,
@@ -222,7 +249,8 @@
             next_seq: 0,
             queued: HashMap::new(),
             running: HashMap::new(),
-            services: BTreeSet::new(),
+            lookups: BTreeSet::new(),
+            calls: BTreeSet::new(),
             special: BTreeSet::new(),
             waiting: BTreeSet::new(),
             unassigned: VecDeque::new(),
@@ -243,6 +271,8 @@
             last_load_end: None,
             without_target_since: None,
             next_upkeep_at: now,
+            next_full_log_at: now,
+            unlogged_full: 0,
             stats: Stats::default(),
             closed: None,
         }
@@ -344,8 +374,8 @@
                     self.waiting.remove(&key);
                 }
             }
-            Lane::Service => {
-                self.services.remove(&(queued.tag, seq));
+            Lane::Service { is_repeatable } => {
+                self.services_mut(is_repeatable).remove(&(queued.tag, seq));
             }
             Lane::Special => {
                 self.special.remove(&(queued.tag, seq));
@@ -362,6 +392,10 @@
         }
     }
 
+    fn services_mut(&mut self, is_repeatable: bool) -> &mut BTreeSet<(Tag, Seq)> {
+        if is_repeatable { &mut self.lookups } else { &mut self.calls }
+    }
+
     /// Admits a queued request to a target.
     fn grant(&mut self, seq: Seq, key: TargetKey, now: Instant) {
         let Some(queued) = self.remove_queued(seq) else { return };
@@ -376,9 +410,12 @@
             if let Lane::Adapter(_) = queued.lane {
                 ready_since = self.adapters[adapter].available_since;
             }
-            target.prefixes.insert(&queued.prefixes);
+            target.prefixes.sent(&queued.prefixes, now);
         }
+        // Lookups take a reserved place only if the others are in use.
+        let is_common = has_common_place(target, now);
         target.running += 1;
+        target.common += u32::from(is_common);
         target.running_peak = target.running_peak.max(target.running);
         if queued.is_suspect {
             target.exclusive = Some(seq);
@@ -403,6 +440,7 @@
             sub: queued.sub,
             target: key,
             adapter: queued.adapter,
+            is_common,
             cost: queued.cost,
             prompt_tokens: queued.prompt_tokens,
             admitted_at: now,
@@ -464,6 +502,7 @@
     fn leave_target(&mut self, seq: Seq, running: &Running, finish: Finish, now: Instant) {
         let Some(target) = self.targets.get_mut(&running.target) else { return };
         target.running -= 1;
+        target.common -= u32::from(running.is_common);
         target.exclusive = target.exclusive.filter(|exclusive| *exclusive != seq);
         if let Some(slot) = running.adapter.and_then(|key| target.slots.get_mut(key)) {
             let secs = (now - running.admitted_at).as_secs_f64();
@@ -509,7 +548,7 @@
         let jitter = self.rng.random::<f64>();
         let Some(target) = self.targets.get_mut(&key) else { return };
         let time = target.health.eject(jitter, now);
-        slog::warn!(self.log, "target ejected after repeated failures";
+        event!(self.log, TARGET_EJECTED;
             "target" => %target.spec.id, "seconds" => time.as_secs_f64());
     }
 
