--- /dev/null
+++ b/crates/daemon/tests/guarantees/answers.rs
@@ -0,0 +1,257 @@
+//! G1, G3 and G4: a caller gets its own whole answer on the version that it named, or an error
+//! that does not claim "not run" of a request that a target ran.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use http::Method;
+use rstest::rstest;
+use serde_json::json;
+use shallotdrum_fakes::{EngineSettings, Violation};
+use shallotdrum_harness::{Answer, CallerError, TargetsConfig, wait_until};
+use shallotdrum_types::RequestId;
+use tokio::task::JoinHandle;
+
+use crate::setup::{START_LIMIT, Setup, start};
+
+/// Targets that an owner sends one request to at most.
+const MAX_RUNS: usize = 4;
+
+/// Model request that runs in the background, so that instances can be killed meanwhile.
+pub(crate) struct Background {
+    adapter: usize,
+    version: u32,
+    prompt: String,
+    max_tokens: u32,
+    task: JoinHandle<Result<Answer, CallerError>>,
+}
+
+impl Background {
+    /// Sends a streamed request.
+    pub(crate) fn send(
+        setup: &Setup,
+        instance: usize,
+        adapter: usize,
+        prompt: &str,
+        max_tokens: u32,
+    ) -> Self {
+        let version = 1 + (adapter % 2) as u32;
+        let (caller, entry) = (setup.caller.clone(), setup.cluster.entry(instance));
+        let model = setup.deployment.model(adapter, version);
+        let text = prompt.to_owned();
+        let task =
+            tokio::spawn(
+                async move { caller.complete(entry, &model, &text, max_tokens, true).await },
+            );
+        Self { adapter, version, prompt: prompt.to_owned(), max_tokens, task }
+    }
+
+    /// Waits for the answer and checks that it is whole and of the version that was named.
+    pub(crate) async fn finish(self, setup: &Setup) -> Result<Answer, CallerError> {
+        let answer = self.task.await.unwrap()?;
+        setup.check_answer(&answer, self.adapter, self.version, &self.prompt, self.max_tokens);
+        Ok(answer)
+    }
+}
+
+/// Waits until the engines have generated `more` tokens since now.
+pub(crate) async fn wait_tokens(setup: &Setup, more: u64) {
+    let count = || setup.targets.engines.iter().map(|e| e.stats().tokens).sum::<u64>();
+    let start = count();
+    let look = || async {
+        match count() - start {
+            n if n >= more => Ok(()),
+            n => Err(format!("{n} tokens")),
+        }
+    };
+    wait_until("tokens are generated", START_LIMIT, look).await.unwrap();
+}
+
+/// Fails if a request that was reported as not run has a run at an engine.
+pub(crate) fn check_not_run(setup: &Setup, errors: &[CallerError]) {
+    for error in errors.iter().filter(|error| error.is_not_run()) {
+        let CallerError::Problem(problem) = error else { continue };
+        let request: RequestId = problem.request_id.parse().unwrap();
+        for engine in &setup.targets.engines {
+            assert_eq!(engine.stats().runs_of(&request).count(), 0, "{error}: {request} did run");
+        }
+    }
+}
+
+fn configure(setup: &Setup, change: impl Fn(&mut EngineSettings)) {
+    setup.targets.engines.iter().for_each(|engine| engine.configure(&change));
+}
+
+/// Runs of each request at all engines.
+fn runs_by_request(setup: &Setup) -> BTreeMap<RequestId, Vec<u64>> {
+    let mut runs: BTreeMap<_, Vec<_>> = BTreeMap::new();
+    for run in setup.targets.engines.iter().flat_map(|engine| engine.stats().runs) {
+        runs.entry(run.request).or_default().push((run.arrived_ms, run.resume_offset));
+    }
+    let in_order = |mut runs: Vec<(u64, u64)>| {
+        runs.sort_unstable();
+        runs.into_iter().map(|(_, offset)| offset).collect()
+    };
+    runs.into_iter().map(|(request, runs)| (request, in_order(runs))).collect()
+}
+
+/// Guards against an answer with missing, repeated or foreign parts, or of another version, that
+/// ends as if it were whole, when engines misbehave.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn engine_faults_all() {
+    let setup = start().await;
+    eprintln!("targets seed {}", TargetsConfig::default().seed);
+    type Change = fn(&mut EngineSettings);
+    let faults: [(&str, Change); 6] = [
+        ("duplicate", |s| s.duplicate_chunk = 0.3),
+        ("reorder", |s| s.reorder_chunk = 0.3),
+        ("foreign", |s| s.foreign_chunk = 0.3),
+        ("lose", |s| s.lose_chunk = 0.02),
+        ("cut", |s| s.cut = 0.02),
+        ("wrong version", |s| s.wrong_version = 0.3),
+    ];
+    for (name, change) in faults {
+        configure(&setup, |settings| *settings = EngineSettings::default());
+        configure(&setup, change);
+        let requests: Vec<_> = (0..24)
+            .map(|i| Background::send(&setup, i % 8, i % 4, &format!("{name} {i}"), 16))
+            .collect();
+        let mut errors = Vec::new();
+        for request in requests {
+            // An answer that is not whole and right fails the test here.
+            errors.extend(request.finish(&setup).await.err());
+        }
+        eprintln!("{name}: {} of 24 requests failed: {:?}", errors.len(), errors.first());
+        assert!(errors.len() < 12, "{name}: most requests failed: {errors:?}");
+        check_not_run(&setup, &errors);
+    }
+    setup.check_targets();
+}
+
+/// Guards against a stream that starts again, skips tokens or ends early when the connection to
+/// its engine is cut: each run must go on at the token where the one before broke.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn engine_cut_resumes() {
+    let setup = start().await;
+    let before = runs_by_request(&setup);
+    configure(&setup, |settings| settings.cut_after_tokens = Some(10));
+    let requests: Vec<_> =
+        (0..6).map(|i| Background::send(&setup, i, i % 2, &format!("cut {i}"), 30)).collect();
+    for request in requests {
+        request.finish(&setup).await.unwrap();
+    }
+    let mut runs = runs_by_request(&setup);
+    runs.retain(|request, _| !before.contains_key(request));
+    assert_eq!(runs.len(), 6);
+    assert!(runs.values().all(|offsets| *offsets == [0, 10, 20]), "{runs:?}");
+    setup.check_targets();
+}
+
+/// Guards against streams that end or repeat tokens when the owner that relays them is killed.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn owner_killed_resumes() {
+    let mut setup = start().await;
+    let owner = setup.engine_owner(setup.cluster.rpc_addr(0)).await.unwrap();
+    let entries = (0..setup.cluster.len()).filter(|i| *i != owner);
+    let requests: Vec<_> = entries
+        .map(|i| Background::send(&setup, i, i % 2, &format!("owner killed {i}"), 120))
+        .collect();
+    wait_tokens(&setup, 100).await;
+    setup.cluster.kill(owner).unwrap();
+    let count = requests.len();
+    for request in requests {
+        request.finish(&setup).await.unwrap();
+    }
+    let resumed =
+        runs_by_request(&setup).values().filter(|runs| runs.iter().any(|o| *o > 0)).count();
+    assert_eq!(resumed, count, "every stream was in progress at the kill");
+    setup.check_targets();
+}
+
+/// Guards against retries that multiply the load when every engine fails, and against "not run"
+/// for requests that ran in part.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn all_engines_fail() {
+    let setup = start().await;
+    let before = runs_by_request(&setup);
+    configure(&setup, |settings| settings.cut = 1.0);
+    let requests: Vec<_> =
+        (0..24).map(|i| Background::send(&setup, i % 8, i % 4, &format!("fail {i}"), 64)).collect();
+    let mut errors = Vec::new();
+    for request in requests {
+        errors.push(request.finish(&setup).await.expect_err("no engine sends a whole answer"));
+    }
+    check_not_run(&setup, &errors);
+    let mut runs = runs_by_request(&setup);
+    runs.retain(|request, _| !before.contains_key(request));
+    let most = runs.values().map(Vec::len).max();
+    eprintln!(
+        "runs: {}, most of one request: {most:?}",
+        runs.values().map(Vec::len).sum::<usize>()
+    );
+    assert!(most.is_some_and(|n| n <= MAX_RUNS), "{runs:?}");
+    configure(&setup, |settings| settings.cut = 0.0);
+    setup.wait_served(3, START_LIMIT).await;
+    setup.check_targets();
+}
+
+/// Guards against requests lost to failed loads, and against an adapter that never loads and is
+/// reported as run or holds up the others.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn loads_fail() {
+    let setup = start().await;
+    let broken = shallotdrum_types::AdapterRef {
+        adapter: setup.deployment.adapter(11).parse().unwrap(),
+        version: "1".parse().unwrap(),
+    };
+    configure(&setup, |settings| {
+        settings.load_failure = 0.3;
+        settings.failing_adapters = vec![broken.clone()];
+    });
+    let requests: Vec<_> =
+        (1..7).map(|i| Background::send(&setup, i, i, &format!("load {i}"), 8)).collect();
+    let body =
+        json!({ "model": setup.deployment.model(11, 1), "prompt": "never", "max_tokens": 4 });
+    let req = setup
+        .caller
+        .request(setup.cluster.entry(0), Method::POST, "/v1/completions")
+        .header("x-request-deadline-ms", "3000")
+        .body(body.to_string().into())
+        .unwrap();
+    let res = setup.caller.send(req).await.unwrap();
+    let request = res.headers()["x-shallotdrum-request-id"].to_str().unwrap().to_owned();
+    assert!(!res.status().is_success());
+    assert_eq!(res.headers()["x-shallotdrum-outcome"], "not-run");
+    let request: RequestId = request.parse().unwrap();
+    assert!(!runs_by_request(&setup).contains_key(&request));
+    for request in requests {
+        request.finish(&setup).await.unwrap();
+    }
+    assert!(setup.targets.engines.iter().any(|engine| engine.stats().failed_loads > 0));
+    setup.check_targets();
+}
+
+/// Guards against short answers and lost requests when all engines restart with nothing loaded.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn engines_restarted_cold() {
+    let setup = start().await;
+    let requests: Vec<_> =
+        (0..8).map(|i| Background::send(&setup, i, i % 4, &format!("cold {i}"), 40)).collect();
+    wait_tokens(&setup, 60).await;
+    setup.targets.engines.iter().for_each(shallotdrum_fakes::FakeEngine::crash);
+    for request in requests {
+        request.finish(&setup).await.unwrap();
+    }
+    setup.wait_served(5, Duration::from_secs(10)).await;
+    for engine in &setup.targets.engines {
+        // A request can be under way to an engine that has just restarted; an eviction cannot.
+        let violations = engine.stats().violations;
+        let is_eviction = |v: &Violation| matches!(v, Violation::EvictionWhileServing { .. });
+        assert!(!violations.iter().any(|v| is_eviction(&v.violation)), "{violations:?}");
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/guarantees/calls.rs
@@ -0,0 +1,286 @@
+//! G4 and G5: a call that may not be repeated runs at most once, and "not run" is true.
+
+use std::{
+    collections::BTreeMap,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+use futures_util::future::join_all;
+use http::Method;
+use rstest::rstest;
+use shallotdrum_fakes::ServiceSettings;
+use shallotdrum_harness::{CallerError, ServiceAnswer, wait_until};
+use shallotdrum_rpc::AdminApiClient;
+
+use crate::setup::{START_LIMIT, Setup, start};
+
+/// Body of the calls.
+const BODY: &str = r#"{"mediator":"M-17"}"#;
+
+/// Calls for a certificate through one instance.
+async fn issue(
+    setup: &Setup,
+    instance: usize,
+    key: &str,
+    body: &str,
+) -> Result<ServiceAnswer, CallerError> {
+    let path = format!("/{}/certificates", setup.deployment.service);
+    let entry = setup.cluster.entry(instance);
+    setup.caller.call(entry, Method::POST, &path, Some(key), body).await
+}
+
+fn configure(setup: &Setup, change: impl Fn(&mut ServiceSettings)) {
+    setup.targets.services.iter().for_each(|service| service.configure(&change));
+}
+
+/// Number of times that a key took effect at all services.
+fn runs_of(setup: &Setup, key: &str) -> usize {
+    let services = setup.targets.services.iter().map(|service| service.stats().executions);
+    services.flatten().filter(|e| e.idempotency_key.as_deref() == Some(key)).count()
+}
+
+/// Waits until a service works on a call.
+async fn wait_running(setup: &Setup) {
+    let look = || async {
+        match setup.targets.services.iter().any(|service| service.stats().running > 0) {
+            true => Ok(()),
+            false => Err("no call runs".to_owned()),
+        }
+    };
+    wait_until("a call runs", START_LIMIT, look).await.unwrap();
+}
+
+/// Waits until a resend gets something else than "in progress" or a refusal that is not final.
+async fn settled(setup: &Setup, instance: usize, key: &str) -> Result<ServiceAnswer, CallerError> {
+    let look = || async {
+        let result = issue(setup, instance, key, BODY).await;
+        match result.as_ref().err().and_then(CallerError::code) {
+            Some("in-progress" | "not-ready" | "no-target") => Err(format!("{result:?}")),
+            _ => Ok(result),
+        }
+    };
+    wait_until("the resend gets a final answer", START_LIMIT, look).await.unwrap().0
+}
+
+/// Kills all instances, starts them again and waits until they serve.
+pub(crate) async fn restart_all(setup: &mut Setup) {
+    for i in 0..setup.cluster.len() {
+        setup.cluster.kill(i).unwrap();
+    }
+    for i in 0..setup.cluster.len() {
+        setup.cluster.restart(i).unwrap();
+    }
+    for i in 0..setup.cluster.len() {
+        setup.wait_served(i, START_LIMIT).await;
+    }
+}
+
+/// Guards against a second certificate when the owner that sent the call is killed while the
+/// service runs it: the new owner can't know whether it ran, so nobody may send it again.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn owner_killed_while_running() {
+    let mut setup = start().await;
+    let pool = setup.deployment.service.to_string();
+    let owner = setup.owner_of(setup.cluster.rpc_addr(0), &pool).await.unwrap();
+    let alive = (owner + 1) % setup.cluster.len();
+    configure(&setup, |settings| settings.delay_ms = 1000);
+    let (caller, entry) = (setup.caller.clone(), setup.cluster.entry(alive));
+    let path = format!("/{}/certificates", setup.deployment.service);
+    let first = tokio::spawn(async move {
+        caller.call(entry, Method::POST, &path, Some("owner-killed"), BODY).await
+    });
+    wait_running(&setup).await;
+    setup.cluster.kill(owner).unwrap();
+    let first = first.await.unwrap().expect_err("the answer is lost with the owner");
+    assert!(!first.is_not_run(), "{first}");
+    configure(&setup, |settings| settings.delay_ms = 0);
+    for i in (0..setup.cluster.len()).filter(|i| *i != owner) {
+        let resent = settled(&setup, i, "owner-killed").await.unwrap_err();
+        assert_eq!(resent.code(), Some("result-unknown"), "{resent}");
+    }
+    setup.cluster.restart(owner).unwrap();
+    setup.wait_served(owner, START_LIMIT).await;
+    let resent = settled(&setup, owner, "owner-killed").await.unwrap_err();
+    assert_eq!(resent.code(), Some("result-unknown"), "{resent}");
+    assert!(runs_of(&setup, "owner-killed") <= 1);
+    settled(&setup, owner, "after-kill").await.expect("other keys are served");
+    setup.check_targets();
+}
+
+/// Guards against a second run after the answer was lost, against resends that miss the recorded
+/// answer after restarts, and against a key that answers for another body.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn resends_after_restarts() {
+    let mut setup = start().await;
+    configure(&setup, |settings| settings.lose_answer = 1.0);
+    let lost = issue(&setup, 3, "lost", BODY).await.unwrap_err();
+    assert!(!lost.is_not_run(), "{lost}");
+    configure(&setup, |settings| settings.lose_answer = 0.0);
+    let answer = issue(&setup, 4, "kept", BODY).await.unwrap().body;
+    for round in ["running", "replicas restarted", "all restarted"] {
+        for i in 0..setup.cluster.len() {
+            let resent = settled(&setup, i, "lost").await.unwrap_err();
+            assert_eq!(resent.code(), Some("result-unknown"), "{round}: {resent}");
+            let resent = settled(&setup, i, "kept").await.unwrap();
+            assert_eq!(resent.body, answer, "{round}");
+            assert!(resent.headers.contains_key("x-shallotdrum-replayed"), "{round}");
+            let other = issue(&setup, i, "kept", "another body").await.unwrap_err();
+            assert_eq!(other.code(), Some("key-reused"), "{round}: {other}");
+        }
+        if round == "running" {
+            for replica in 0..setup.cluster.replicas() {
+                setup.cluster.kill(replica).unwrap();
+            }
+            for replica in 0..setup.cluster.replicas() {
+                setup.cluster.restart(replica).unwrap();
+            }
+            for i in 0..setup.cluster.len() {
+                setup.wait_served(i, START_LIMIT).await;
+            }
+        } else if round == "replicas restarted" {
+            restart_all(&mut setup).await;
+        }
+    }
+    assert_eq!((runs_of(&setup, "lost"), runs_of(&setup, "kept")), (1, 1));
+    setup.check_targets();
+}
+
+/// Guards against two runs of one key when a caller sends it many times at once through all
+/// instances.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn concurrent_resends() {
+    let setup = start().await;
+    configure(&setup, |settings| settings.delay_ms = 300);
+    for round in 0..5 {
+        let key = format!("many-{round}");
+        let calls = (0..40).map(|i| issue(&setup, i % setup.cluster.len(), &key, BODY));
+        let results = join_all(calls).await;
+        let answer = settled(&setup, round, &key).await.unwrap().body;
+        for result in results {
+            match result {
+                Ok(res) => assert_eq!(res.body, answer),
+                Err(e) => assert_eq!(e.code(), Some("in-progress"), "{e}"),
+            }
+        }
+        assert_eq!(runs_of(&setup, &key), 1);
+    }
+    setup.check_targets();
+}
+
+/// Guards against second runs and false "not run" while the control leader changes under load.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn leader_killed_under_load() {
+    let mut setup = start().await;
+    let leader = setup.leader(None).await;
+    let stop = Arc::new(AtomicBool::new(false));
+    let mut load = tokio::task::JoinSet::new();
+    for worker in 0..8 {
+        let (caller, stop) = (setup.caller.clone(), stop.clone());
+        let path = format!("/{}/certificates", setup.deployment.service);
+        let entries = setup.cluster.entries();
+        load.spawn(async move {
+            let mut results = Vec::new();
+            for n in 0.. {
+                if stop.load(Ordering::SeqCst) {
+                    break;
+                }
+                let key = format!("load-{worker}-{n}");
+                let entry = entries[(worker + n) % entries.len()];
+                let result = caller.call(entry, Method::POST, &path, Some(&key), BODY).await;
+                results.push((key, result));
+            }
+            results
+        });
+    }
+    let count = || setup.targets.services.iter().map(|s| s.stats().executions.len()).sum::<usize>();
+    let wait_calls = async |more: usize, count: &dyn Fn() -> usize| {
+        let start = count();
+        let look = || async {
+            match count() - start {
+                n if n >= more => Ok(()),
+                n => Err(format!("{n} calls")),
+            }
+        };
+        wait_until("calls run", START_LIMIT, look).await.unwrap();
+    };
+    wait_calls(50, &count).await;
+    setup.cluster.kill(leader).unwrap();
+    let count = || setup.targets.services.iter().map(|s| s.stats().executions.len()).sum::<usize>();
+    wait_calls(50, &count).await;
+    stop.store(true, Ordering::SeqCst);
+    let results: Vec<_> = load.join_all().await.into_iter().flatten().collect();
+    let mut outcomes = BTreeMap::<String, usize>::new();
+    let alive = (leader + 1) % setup.cluster.len();
+    for (key, result) in &results {
+        let runs = runs_of(&setup, key);
+        match result {
+            Ok(_) => assert_eq!(runs, 1, "{key} was answered"),
+            Err(e) if e.is_not_run() => assert_eq!(runs, 0, "{key} was reported as not run: {e}"),
+            Err(_) => assert!(runs <= 1, "{key}"),
+        }
+        let outcome = result.as_ref().err().map_or("answered".to_owned(), |e| match e.code() {
+            Some(code) => format!("{code} {}", e.is_not_run()),
+            None => "connection".to_owned(),
+        });
+        *outcomes.entry(outcome).or_default() += 1;
+        if result.is_err() {
+            // The key is never stuck, and a resend does not run a call that may have run.
+            let _ = settled(&setup, alive, key).await;
+            assert!(runs_of(&setup, key) <= 1, "{key} ran again");
+        }
+    }
+    eprintln!("outcomes: {outcomes:?}");
+    setup.check_targets();
+}
+
+/// Guards against a key that is free again after its call ran and its service crashed: the call
+/// is quarantined with the second crash, and must not run a second time once that is lifted.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn quarantine_keeps_key() {
+    let setup = start().await;
+    configure(&setup, |settings| {
+        settings.lose_answer = 1.0;
+        settings.restart_delay_ms = 300;
+    });
+    for key in ["crash-a", "crash-b"] {
+        let crash = async {
+            let look = || async {
+                let ran = setup.targets.services.iter().find(|service| {
+                    let runs = service.stats().executions;
+                    runs.iter().any(|e| e.idempotency_key.as_deref() == Some(key))
+                });
+                ran.ok_or_else(|| "not run yet".to_owned())
+            };
+            let (service, _) = wait_until("the call runs", START_LIMIT, look).await.unwrap();
+            service.crash();
+        };
+        let (result, ()) = tokio::join!(issue(&setup, 2, key, BODY), crash);
+        let error = result.unwrap_err();
+        assert!(!error.is_not_run(), "{error}");
+    }
+    configure(&setup, |settings| settings.lose_answer = 0.0);
+    let admin = setup.operator.client(setup.cluster.rpc_addr(5)).unwrap();
+    let rows = admin.quarantine().await.unwrap();
+    let row = rows.iter().find(|row| row.is_quarantined).expect("the call is quarantined");
+    admin.lift_quarantine(row.request).await.unwrap();
+    let look = || async {
+        let result = issue(&setup, 6, "crash-c", BODY).await;
+        result.map_err(|e| e.to_string())
+    };
+    wait_until("the lift is in force", Duration::from_secs(10), look).await.unwrap();
+    for key in ["crash-a", "crash-b"] {
+        let resent = settled(&setup, 4, key).await;
+        assert_eq!(runs_of(&setup, key), 1, "{key} ran again: {resent:?}");
+        assert_eq!(resent.unwrap_err().code(), Some("result-unknown"));
+    }
+    setup.check_targets();
+}
--- a/crates/daemon/tests/guarantees/main.rs
+++ b/crates/daemon/tests/guarantees/main.rs
@@ -2,6 +2,9 @@
 //!
 //! `docs/guarantees.md` names the mechanism, the fault and the test of each guarantee.
 
+mod answers;
+mod calls;
+mod crashes;
 mod manifests;
 mod ownership;
 mod setup;
--- a/crates/harness/src/caller.rs
+++ b/crates/harness/src/caller.rs
@@ -60,6 +60,9 @@
     /// Explanation.
     #[serde(default)]
     pub detail: String,
+    /// Identifier under which targets record the request.
+    #[serde(default)]
+    pub request_id: String,
     /// Value of the header `Retry-After`, in seconds.
     #[serde(skip)]
     pub retry_after: Option<u64>,
