Wait until a second crash is visible before a request is sent again

Cause: after a crash the owner waited until its copy of the control state counted any crash of the requests that ran. For a suspect that was true before the report of its second crash arrived, so the owner did not see the quarantine and sent the request to a third engine. The wait now looks for the crash of this very process start.

Ruled out: the fake engine counts each request with the marker as a crash; the test counts process starts that ended instead.

--- a/crates/control/src/state/mod.rs
+++ b/crates/control/src/state/mod.rs
@@ -17,8 +17,8 @@
 use serde::{Deserialize, Serialize};
 use shallotdrum_manifest::Manifest;
 use shallotdrum_types::{
-    ControlTimeMs, Digest, Epoch, Fingerprint, GroupId, InstanceId, KeyHash, LogIndex, PoolId,
-    Revision, SessionId, SubmissionId, SubscriberId, TargetId,
+    ControlTimeMs, Digest, Epoch, Fingerprint, GroupId, Incarnation, InstanceId, KeyHash, LogIndex,
+    PoolId, Revision, SessionId, SubmissionId, SubscriberId, TargetId,
 };
 
 use crate::{CallKey, Command, CommandError, Reply, TimedCommand};
@@ -196,6 +196,12 @@
         self.shared.suspects.crashes(request)
     }
 
+    /// Whether the crash of a target process is counted for a request, or the request is
+    /// quarantined.
+    pub fn is_crash_counted(&self, request: &Fingerprint, crash: &(TargetId, Incarnation)) -> bool {
+        self.shared.suspects.is_counted(request, crash)
+    }
+
     /// Quarantined requests.
     pub fn quarantine(&self) -> impl Iterator<Item = &Quarantined> {
         self.shared.suspects.quarantined()
--- a/crates/control/src/state/suspects.rs
+++ b/crates/control/src/state/suspects.rs
@@ -52,6 +52,16 @@
         quarantined.or(suspect).unwrap_or(0) as u32
     }
 
+    /// Whether a crash is counted for a request, or needs no counting because it is quarantined.
+    pub(crate) fn is_counted(
+        &self,
+        request: &Fingerprint,
+        crash: &(TargetId, Incarnation),
+    ) -> bool {
+        self.quarantined.contains_key(request)
+            || self.suspects.get(request).is_some_and(|suspect| suspect.crashes.contains(crash))
+    }
+
     /// Requests that are not quarantined, with their numbers of crashes.
     pub(crate) fn suspects(&self) -> impl Iterator<Item = (Fingerprint, u32)> {
         self.suspects.iter().map(|(request, suspect)| (*request, suspect.crashes.len() as u32))
--- a/crates/owner/src/crash.rs
+++ b/crates/owner/src/crash.rs
@@ -156,6 +156,7 @@
 ) -> Verdict {
     event!(cx.log, TARGET_CRASHED;
         "target" => %target, "incarnation" => incarnation.0, "requests" => requests.len());
+    let crash = (target.clone(), incarnation);
     let command = Command::ReportCrash { target, incarnation, requests: requests.clone() };
     match cx.propose(command).await {
         Ok(Reply::Refused(_)) | Err(_) => return Verdict::NotRecorded,
@@ -163,8 +164,9 @@
     }
     let mut changed = cx.view.changed();
     let seen = tokio::time::timeout(VIEW_TIMEOUT, async {
+        // An earlier crash of the same request does not show that this one has arrived.
         let is_counted =
-            |request: &Fingerprint| cx.view.read(|state| state.suspect_crashes(request) > 0);
+            |request: &Fingerprint| cx.view.read(|state| state.is_crash_counted(request, &crash));
         while !requests.iter().all(is_counted) && changed.changed().await.is_ok() {}
     });
     match seen.await {
