Keep the key of a call that may have run when its service crashed

Cause: a call whose service crashed ends its attempts with a failure of the same kind as a refusal when the call is quarantined or the crash could not be recorded. The owner then abandoned the key although the call may have run, and a resend ran it again. The key is now abandoned only if the outcome is "not run"; an abandonment that the log does not take is tried again, as other commands that settle a call are.

--- a/crates/owner/src/call.rs
+++ b/crates/owner/src/call.rs
@@ -14,7 +14,7 @@
 use shallotdrum_engine::{CallError, REQUEST_ID_HEADER};
 use shallotdrum_scheduler::{Finish, Job, Lease, Work};
 use shallotdrum_types::{
-    Fingerprint, IdempotencyKey, RequestError, RequestErrorKind, RequestId, TargetId,
+    Fingerprint, IdempotencyKey, Outcome, RequestError, RequestErrorKind, RequestId, TargetId,
 };
 use tokio::{sync::oneshot, time::Instant};
 
@@ -108,7 +108,7 @@
             self.cx.metrics.retries().inc();
         }
         if was_lost {
-            last.outcome = shallotdrum_types::Outcome::Unknown;
+            last.outcome = Outcome::Unknown;
         }
         Err(last)
     }
@@ -183,11 +183,21 @@
         let session = group.session;
         match result {
             Ok((res, lease)) => self.record(res, lease, key, group, call).await,
-            Err(CallFailure::NotRun(error) | CallFailure::Refused(error)) => {
-                let _ = self.cx.propose(Command::AbandonCall { key, session, attempt }).await;
+            // A failure that ends the attempts can follow a run; the key is free again only if the
+            // call was certainly not run.
+            Err(CallFailure::NotRun(error) | CallFailure::Refused(error))
+                if error.outcome == Outcome::NotRun =>
+            {
+                let abandon = Command::AbandonCall { key, session, attempt };
+                // Otherwise the key would stay in progress until this session ends.
+                if self.cx.propose(abandon.clone()).await.is_err() {
+                    self.settle(abandon);
+                }
                 Err(error)
             }
-            Err(CallFailure::Lost(error)) => {
+            Err(
+                CallFailure::NotRun(error) | CallFailure::Refused(error) | CallFailure::Lost(error),
+            ) => {
                 self.settle(Command::FinishCall { key, session, answer: None });
                 Err(error)
             }
@@ -399,7 +409,7 @@
     let Some(body) = answer.body else {
         return Err(RequestError {
             kind: RequestErrorKind::ResultNotKept,
-            outcome: shallotdrum_types::Outcome::Answered,
+            outcome: Outcome::Answered,
             detail: format!(
                 "the call with key {key} was answered with status {}; the body was too large to keep",
                 answer.status
