Let a resumed stream wait until the new owner knows its group

Cause: the owner marked each error of a resumed request as "unknown", because an earlier forward ran. Entries therefore took "this instance does not own the group" as a loss, and gave up after three of them, while the new owner was still learning of its assignment. The owner's outcome is now about its own forward; the entry remembers that an earlier one ran and turns "not run" into "unknown" in its final answer, as before.

--- a/crates/owner/src/completion.rs
+++ b/crates/owner/src/completion.rs
@@ -30,7 +30,7 @@
     deadline: Instant,
     offset: u64,
     text: String,
-    /// Whether a target may have run any part of the request.
+    /// Whether a target may have run any part of the request since it was forwarded here.
     may_have_run: bool,
     avoid: Vec<TargetId>,
 }
@@ -66,7 +66,8 @@
             fingerprint: completion_fingerprint(&call.subscriber, &call.request),
             deadline: Instant::now() + Duration::from_millis(call.request.deadline_ms),
             offset: resume.as_ref().map_or(0, |resume| resume.offset),
-            may_have_run: resume.is_some(),
+            // Of this forward only; the entry knows that an earlier one ran.
+            may_have_run: false,
             text: resume.map(|resume| resume.text).unwrap_or_default(),
             avoid: Vec::new(),
         };
