Refuse queued requests once they are quarantined

Cause: owners checked the quarantine of a model request only after it had crashed a target. Resends that were queued at the second crash, or that an entry had let through, still ran, one after the other. Owners now check after admission, just before a target gets the request.

A call that may not be repeated was refused as quarantined, "not run", before the ledger was asked, also when the first call with its key had run. It is now checked after the intent is written, so a resend gets what became of the first call.

--- a/crates/daemon/tests/guarantees/calls.rs
+++ b/crates/daemon/tests/guarantees/calls.rs
@@ -43,15 +43,15 @@
     services.flatten().filter(|e| e.idempotency_key.as_deref() == Some(key)).count()
 }
 
-/// Waits until a service works on a call.
-async fn wait_running(setup: &Setup) {
+/// Waits until a call has taken effect.
+async fn wait_run(setup: &Setup, key: &str) {
     let look = || async {
-        match setup.targets.services.iter().any(|service| service.stats().running > 0) {
-            true => Ok(()),
-            false => Err("no call runs".to_owned()),
+        match runs_of(setup, key) {
+            0 => Err("not run yet".to_owned()),
+            _ => Ok(()),
         }
     };
-    wait_until("a call runs", START_LIMIT, look).await.unwrap();
+    wait_until("the call runs", START_LIMIT, look).await.unwrap();
 }
 
 /// Waits until a resend gets the answer of the ledger, not "in progress" or, while the group has
@@ -91,17 +91,17 @@
     let pool = setup.deployment.service.to_string();
     let owner = setup.owner_of(setup.cluster.rpc_addr(0), &pool).await.unwrap();
     let alive = (owner + 1) % setup.cluster.len();
-    configure(&setup, |settings| settings.delay_ms = 1000);
+    configure(&setup, |settings| settings.slow_body_ms = 2000);
     let (caller, entry) = (setup.caller.clone(), setup.cluster.entry(alive));
     let path = format!("/{}/certificates", setup.deployment.service);
     let first = tokio::spawn(async move {
         caller.call(entry, Method::POST, &path, Some("owner-killed"), BODY).await
     });
-    wait_running(&setup).await;
+    wait_run(&setup, "owner-killed").await;
     setup.cluster.kill(owner).unwrap();
     let first = first.await.unwrap().expect_err("the answer is lost with the owner");
     assert!(!first.is_not_run(), "{first}");
-    configure(&setup, |settings| settings.delay_ms = 0);
+    configure(&setup, |settings| settings.slow_body_ms = 0);
     for i in (0..setup.cluster.len()).filter(|i| *i != owner) {
         let resent = settled(&setup, i, "owner-killed").await.unwrap_err();
         assert_eq!(resent.code(), Some("result-unknown"), "{resent}");
@@ -110,7 +110,7 @@
     setup.wait_served(owner, START_LIMIT).await;
     let resent = settled(&setup, owner, "owner-killed").await.unwrap_err();
     assert_eq!(resent.code(), Some("result-unknown"), "{resent}");
-    assert!(runs_of(&setup, "owner-killed") <= 1);
+    assert_eq!(runs_of(&setup, "owner-killed"), 1);
     settled(&setup, owner, "after-kill").await.expect("other keys are served");
     setup.check_targets();
 }
@@ -279,6 +279,13 @@
     };
     let what = "the call is quarantined";
     let (request, _) = wait_until(what, Duration::from_secs(5), look).await.unwrap();
+    for key in ["crash-a", "crash-b"] {
+        let resent = settled(&setup, 3, key).await.unwrap_err();
+        assert_eq!(resent.code(), Some("result-unknown"), "{resent}");
+    }
+    let refused = issue(&setup, 3, "crash-d", BODY).await.unwrap_err();
+    assert_eq!(refused.code(), Some("quarantined"), "{refused}");
+    assert!(refused.is_not_run() && runs_of(&setup, "crash-d") == 0, "{refused}");
     admin.lift_quarantine(request).await.unwrap();
     let look = || async {
         let result = issue(&setup, 6, "crash-c", BODY).await;
--- a/crates/owner/src/call.rs
+++ b/crates/owner/src/call.rs
@@ -73,10 +73,6 @@
         })?;
         let body = body.to_bytes();
         let fingerprint = call_fingerprint(&call, &body);
-        if self.cx.view.read(|state| state.is_quarantined(&fingerprint)) {
-            let detail = format!("call {fingerprint} crashed two targets and is refused");
-            return Err(RequestError::not_run(RequestErrorKind::Quarantined, detail));
-        }
         let call = BufferedCall { call, body, fingerprint, deadline };
         match call.call.idempotency_key.clone() {
             Some(key) => self.call_once(call, key).await,
@@ -246,10 +242,14 @@
         avoid: &mut Vec<TargetId>,
     ) -> Result<(Response<Incoming>, Lease), CallFailure> {
         let group = self.owned(&call.call.group).map_err(CallFailure::Refused)?;
+        // After the ledger was asked: a resend gets what became of the first call with its key.
+        self.check_quarantine(&call.fingerprint).map_err(CallFailure::Refused)?;
         let work = self.call_work(call, avoid);
         let lease = group.scheduler.admit(work).await.map_err(CallFailure::Refused)?;
         self.record_waits(&call.call.subscriber, &lease);
-        if let Err(error) = self.check_owned(&group) {
+        let allowed =
+            self.check_owned(&group).and_then(|()| self.check_quarantine(&call.fingerprint));
+        if let Err(error) = allowed {
             lease.finish(Finish::Cancelled);
             return Err(CallFailure::Refused(error));
         }
--- a/crates/owner/src/completion.rs
+++ b/crates/owner/src/completion.rs
@@ -101,7 +101,9 @@
             Err(error) => return Attempt::Failed(error),
         };
         self.record_waits(&run.call.subscriber, &lease);
-        if let Err(error) = self.check_owned(&group) {
+        let allowed =
+            self.check_owned(&group).and_then(|()| self.check_quarantine(&run.fingerprint));
+        if let Err(error) = allowed {
             lease.finish(Finish::Cancelled);
             return Attempt::Failed(error);
         }
--- a/crates/owner/src/service.rs
+++ b/crates/owner/src/service.rs
@@ -18,7 +18,8 @@
 use shallotdrum_scheduler::{GroupScheduler, GroupSnapshot, Lease, TargetSpec};
 use shallotdrum_telemetry::event;
 use shallotdrum_types::{
-    Epoch, GroupId, Incarnation, RequestError, RequestErrorKind, SessionId, SubscriberId, TargetId,
+    Epoch, Fingerprint, GroupId, Incarnation, RequestError, RequestErrorKind, SessionId,
+    SubscriberId, TargetId,
 };
 
 use crate::{
@@ -200,6 +201,16 @@
         Err(owner_changed(&group.id))
     }
 
+    /// Refuses a request that crashed two targets, also one that was queued before the second
+    /// crash.
+    pub(crate) fn check_quarantine(&self, request: &Fingerprint) -> Result<(), RequestError> {
+        if !self.cx.view.read(|state| state.is_quarantined(request)) {
+            return Ok(());
+        }
+        let detail = format!("request {request} crashed two targets; ask the operators to lift it");
+        Err(RequestError::not_run(RequestErrorKind::Quarantined, detail))
+    }
+
     fn groups(&self) -> MutexGuard<'_, BTreeMap<GroupId, Arc<OwnedGroup>>> {
         self.groups.lock().unwrap_or_else(PoisonError::into_inner)
     }
