--- a/crates/daemon/tests/guarantees/answers.rs
+++ b/crates/daemon/tests/guarantees/answers.rs
@@ -203,6 +203,26 @@
     setup.check_targets();
 }
 
+/// Guards against "unknown" for requests that every engine refused, and against runs of them.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn all_engines_refuse() {
+    let setup = start().await;
+    let before = runs_by_request(&setup);
+    configure(&setup, |settings| settings.max_queue = 0);
+    let requests: Vec<_> = (0..16)
+        .map(|i| Background::send(&setup, i % 8, i % 4, &format!("refuse {i}"), 8))
+        .collect();
+    for request in requests {
+        let error = request.finish(&setup).await.expect_err("every engine refuses");
+        assert!(error.is_not_run(), "{error}");
+    }
+    assert_eq!(runs_by_request(&setup), before);
+    configure(&setup, |settings| *settings = EngineSettings::default());
+    setup.wait_served(6, START_LIMIT).await;
+    setup.check_targets();
+}
+
 /// Guards against requests lost to failed loads, and against an adapter that never loads and is
 /// reported as run or holds up the others.
 #[rstest]
--- a/crates/daemon/tests/guarantees/calls.rs
+++ b/crates/daemon/tests/guarantees/calls.rs
@@ -9,7 +9,7 @@
     time::Duration,
 };
 
-use futures_util::future::join_all;
+use futures_util::{StreamExt, future::join_all, stream};
 use http::Method;
 use rstest::rstest;
 use shallotdrum_fakes::ServiceSettings;
@@ -21,6 +21,12 @@
 /// Body of the calls.
 const BODY: &str = r#"{"mediator":"M-17"}"#;
 
+/// Pause of a caller after a failed call, so that it does not fill its list while nothing is served.
+const BACK_OFF: Duration = Duration::from_millis(20);
+
+/// Resends in progress at a time; a bound on open connections.
+const CONCURRENT_RESENDS: usize = 32;
+
 /// Calls for a certificate through one instance.
 async fn issue(
     setup: &Setup,
@@ -82,6 +88,59 @@
     }
 }
 
+/// Guards against "unknown" for a call that every service refused, and against a key that stays
+/// taken by a call that was not run.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn refused_runs_later() {
+    let setup = start().await;
+    configure(&setup, |settings| settings.refuse = 1.0);
+    for i in 0..setup.cluster.len() {
+        let refused = issue(&setup, i, "refused", BODY).await.unwrap_err();
+        assert!(refused.is_not_run(), "{refused}");
+        assert_eq!(runs_of(&setup, "refused"), 0);
+    }
+    configure(&setup, |settings| settings.refuse = 0.0);
+    settled(&setup, 2, "refused").await.unwrap();
+    assert_eq!(runs_of(&setup, "refused"), 1);
+    setup.check_targets();
+}
+
+/// Guards against a second certificate when the owner that sent the call is frozen until another
+/// owns the group, and then goes on.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn owner_frozen_while_running() {
+    let mut setup = start().await;
+    let pool = setup.deployment.service.to_string();
+    let owner = setup.owner_of(setup.cluster.rpc_addr(0), &pool).await.unwrap();
+    let alive = (owner + 1) % setup.cluster.len();
+    configure(&setup, |settings| settings.slow_body_ms = 1000);
+    let (caller, entry) = (setup.caller.clone(), setup.cluster.entry(alive));
+    let path = format!("/{}/certificates", setup.deployment.service);
+    let first =
+        tokio::spawn(
+            async move { caller.call(entry, Method::POST, &path, Some("frozen"), BODY).await },
+        );
+    wait_run(&setup, "frozen").await;
+    setup.cluster.process(owner).unwrap().sigstop().unwrap();
+    let first = first.await.unwrap().expect_err("the answer is at the frozen owner");
+    assert!(!first.is_not_run(), "{first}");
+    configure(&setup, |settings| settings.slow_body_ms = 0);
+    let resent = settled(&setup, alive, "frozen").await.unwrap_err();
+    assert_eq!(resent.code(), Some("result-unknown"), "{resent}");
+    setup.cluster.process(owner).unwrap().sigcont().unwrap();
+    setup.wait_served(owner, START_LIMIT).await;
+    for i in 0..setup.cluster.len() {
+        // The owner may have read the whole answer and recorded it after it went on.
+        if let Err(e) = settled(&setup, i, "frozen").await {
+            assert_eq!(e.code(), Some("result-unknown"), "{e}");
+        }
+    }
+    assert_eq!(runs_of(&setup, "frozen"), 1);
+    setup.check_targets();
+}
+
 /// Guards against a second certificate when the owner that sent the call is killed while the
 /// service runs it: the new owner can't know whether it ran, so nobody may send it again.
 #[rstest]
@@ -198,6 +257,9 @@
                 let key = format!("load-{worker}-{n}");
                 let entry = entries[(worker + n) % entries.len()];
                 let result = caller.call(entry, Method::POST, &path, Some(&key), BODY).await;
+                if result.is_err() {
+                    tokio::time::sleep(BACK_OFF).await;
+                }
                 results.push((key, result));
             }
             results
@@ -234,11 +296,13 @@
             None => "connection".to_owned(),
         });
         *outcomes.entry(outcome).or_default() += 1;
-        if result.is_err() {
-            // The key is never stuck, and a resend does not run a call that may have run.
-            let _ = settled(&setup, alive, key).await;
-            assert!(runs_of(&setup, key) <= 1, "{key} ran again");
-        }
+    }
+    // No key is stuck, and a resend does not run a call that may have run.
+    let failed = results.iter().filter(|(_, result)| result.is_err());
+    let resends = failed.map(|(key, _)| settled(&setup, alive, key));
+    stream::iter(resends).buffer_unordered(CONCURRENT_RESENDS).count().await;
+    for (key, _) in &results {
+        assert!(runs_of(&setup, key) <= 1, "{key} ran again");
     }
     eprintln!("outcomes: {outcomes:?}");
     setup.check_targets();
