--- a/crates/owner/src/call.rs
+++ b/crates/owner/src/call.rs
@@ -14,7 +14,7 @@
 use shallotdrum_engine::{CallError, REQUEST_ID_HEADER};
 use shallotdrum_scheduler::{Finish, Job, Lease, Work};
 use shallotdrum_types::{
-    Fingerprint, IdempotencyKey, RequestError, RequestErrorKind, RequestId, TargetId,
+    Fingerprint, IdempotencyKey, Outcome, RequestError, RequestErrorKind, RequestId, TargetId,
 };
 use tokio::{sync::oneshot, time::Instant};
 
@@ -73,10 +73,6 @@
         })?;
         let body = body.to_bytes();
         let fingerprint = call_fingerprint(&call, &body);
-        if self.cx.view.read(|state| state.is_quarantined(&fingerprint)) {
-            let detail = format!("call {fingerprint} crashed two targets and is refused");
-            return Err(RequestError::not_run(RequestErrorKind::Quarantined, detail));
-        }
         let call = BufferedCall { call, body, fingerprint, deadline };
         match call.call.idempotency_key.clone() {
             Some(key) => self.call_once(call, key).await,
@@ -108,7 +104,7 @@
             self.cx.metrics.retries().inc();
         }
         if was_lost {
-            last.outcome = shallotdrum_types::Outcome::Unknown;
+            last.outcome = Outcome::Unknown;
         }
         Err(last)
     }
@@ -183,11 +179,21 @@
         let session = group.session;
         match result {
             Ok((res, lease)) => self.record(res, lease, key, group, call).await,
-            Err(CallFailure::NotRun(error) | CallFailure::Refused(error)) => {
-                let _ = self.cx.propose(Command::AbandonCall { key, session, attempt }).await;
+            // A failure that ends the attempts can follow a run; the key is free again only if the
+            // call was certainly not run.
+            Err(CallFailure::NotRun(error) | CallFailure::Refused(error))
+                if error.outcome == Outcome::NotRun =>
+            {
+                let abandon = Command::AbandonCall { key, session, attempt };
+                // Otherwise the key would stay in progress until this session ends.
+                if self.cx.propose(abandon.clone()).await.is_err() {
+                    self.settle(abandon);
+                }
                 Err(error)
             }
-            Err(CallFailure::Lost(error)) => {
+            Err(
+                CallFailure::NotRun(error) | CallFailure::Refused(error) | CallFailure::Lost(error),
+            ) => {
                 self.settle(Command::FinishCall { key, session, answer: None });
                 Err(error)
             }
@@ -236,10 +242,14 @@
         avoid: &mut Vec<TargetId>,
     ) -> Result<(Response<Incoming>, Lease), CallFailure> {
         let group = self.owned(&call.call.group).map_err(CallFailure::Refused)?;
+        // After the ledger was asked: a resend gets what became of the first call with its key.
+        self.check_quarantine(&call.fingerprint).map_err(CallFailure::Refused)?;
         let work = self.call_work(call, avoid);
         let lease = group.scheduler.admit(work).await.map_err(CallFailure::Refused)?;
         self.record_waits(&call.call.subscriber, &lease);
-        if let Err(error) = self.check_owned(&group) {
+        let allowed =
+            self.check_owned(&group).and_then(|()| self.check_quarantine(&call.fingerprint));
+        if let Err(error) = allowed {
             lease.finish(Finish::Cancelled);
             return Err(CallFailure::Refused(error));
         }
@@ -399,7 +409,7 @@
     let Some(body) = answer.body else {
         return Err(RequestError {
             kind: RequestErrorKind::ResultNotKept,
-            outcome: shallotdrum_types::Outcome::Answered,
+            outcome: Outcome::Answered,
             detail: format!(
                 "the call with key {key} was answered with status {}; the body was too large to keep",
                 answer.status
