Test the loss, cut, freeze and change of control replicas

The tests submit manifests and issue certificates before, during and after each fault, and look for all of them at the end. Operators see which members only learn: the status listed all members as one string, because it iterated over an option instead of the members.

--- a/crates/daemon/src/replica.rs
+++ b/crates/daemon/src/replica.rs
@@ -202,6 +202,7 @@
     /// State for operators.
     pub(crate) fn status(&self, instance: &InstanceId, calls: CallCounts) -> ReplicaStatus {
         let status = self.node.status();
+        let members = status.members.as_ref();
         ReplicaStatus {
             instance: instance.clone(),
             is_leader: status.role == Role::Leader,
@@ -211,7 +212,12 @@
             applied: status.applied,
             first: status.first_index,
             syncs: status.syncs,
-            members: status.members.iter().map(ToString::to_string).collect(),
+            members: members
+                .map(|m| m.members().map(ToString::to_string).collect())
+                .unwrap_or_default(),
+            learners: members
+                .map(|m| m.learners.iter().map(ToString::to_string).collect())
+                .unwrap_or_default(),
             calls,
         }
     }
--- a/crates/daemon/tests/guarantees/main.rs
+++ b/crates/daemon/tests/guarantees/main.rs
@@ -4,5 +4,6 @@
 
 mod manifests;
 mod ownership;
+mod replicas;
 mod setup;
 mod stops;
--- /dev/null
+++ b/crates/daemon/tests/guarantees/replicas.rs
@@ -0,0 +1,405 @@
+//! G8 and G5: what the control log has accepted outlives the loss of replicas.
+
+use std::{collections::BTreeSet, time::Duration};
+
+use bytes::Bytes;
+use hyper::Method;
+use rstest::rstest;
+use shallotdrum_control::CommandError;
+use shallotdrum_fakes::FaultProxy;
+use shallotdrum_harness::{CallerError, Deployment, wait_until};
+use shallotdrum_rpc::{AdminApiClient, ReplicaStatus, RpcError};
+use shallotdrum_types::{Revision, Term};
+
+use crate::setup::{START_LIMIT, Setup, start};
+
+/// A manifest must be in force on every instance within 5 s.
+const IN_FORCE_LIMIT: Duration = Duration::from_secs(5);
+
+/// Longest time until an instance that can't confirm its manifest refuses requests: the freshness
+/// bound of 5 s, one renewal, and a second for a busy machine.
+const REFUSE_LIMIT: Duration = Duration::from_secs(7);
+
+/// Manifests and calls that were accepted, to be found again after the faults.
+struct Accepted {
+    deployment: Deployment,
+    revision: u64,
+    /// Keys and answers of calls that were answered.
+    calls: Vec<(String, Bytes)>,
+}
+
+impl Accepted {
+    fn new(setup: &Setup) -> Self {
+        Self { deployment: setup.deployment.clone(), revision: 1, calls: Vec::new() }
+    }
+
+    /// Submits the next manifest and repeats the submission until it is answered.
+    async fn change(&mut self, setup: &Setup, i: usize) {
+        self.deployment.subscribers += 1;
+        let manifest = self.deployment.manifest();
+        let submission = format!("change-{}", self.revision);
+        let rpc = setup.cluster.rpc_addr(i);
+        let look = || async {
+            match setup.operator.submit(rpc, &submission, self.revision, &manifest).await {
+                Ok(revision) => Ok(revision),
+                Err(error @ RpcError::Refused(_)) => panic!("{submission}: {error}"),
+                Err(error) => Err(error.to_string()),
+            }
+        };
+        let (revision, time) = wait_until("a change is accepted", START_LIMIT, look).await.unwrap();
+        self.revision += 1;
+        assert_eq!(revision, Revision(self.revision));
+        eprintln!("revision {revision} accepted after {time:?}");
+    }
+
+    /// Issues a certificate and repeats the call until it is answered.
+    async fn call(&mut self, setup: &Setup, i: usize) {
+        let key = format!("certificate-{}", self.calls.len());
+        let look = || async {
+            issue(setup, i, &key).await.map_err(|e| {
+                assert_ne!(e.code(), Some("result-unknown"), "no owner was lost during the call");
+                e.to_string()
+            })
+        };
+        let (answer, _) = wait_until("a call is answered", START_LIMIT, look).await.unwrap();
+        self.calls.push((key, answer));
+    }
+
+    /// Fails unless all that was accepted is in force and recorded, as the instances see it.
+    async fn check(&self, setup: &Setup, instances: &[usize]) {
+        setup
+            .wait_in_force(setup.cluster.rpc_addr(instances[0]), self.revision, IN_FORCE_LIMIT)
+            .await;
+        for i in instances {
+            setup.wait_served(*i, START_LIMIT).await;
+            let client = setup.operator.client(setup.cluster.rpc_addr(*i)).unwrap();
+            assert_eq!(client.manifest().await.unwrap().revision, Revision(self.revision));
+            let rows = client.submissions().await.unwrap();
+            let found: BTreeSet<_> =
+                rows.iter().map(|row| (row.submission.to_string(), row.revision.0)).collect();
+            for revision in 1..self.revision {
+                let row = (format!("change-{revision}"), revision + 1);
+                assert!(found.contains(&row), "instance {i} lacks {row:?}");
+            }
+            for (key, answer) in &self.calls {
+                let look = || async { issue(setup, *i, key).await.map_err(|e| e.to_string()) };
+                let (again, _) =
+                    wait_until("a resend is answered", START_LIMIT, look).await.unwrap();
+                assert_eq!(again, answer, "answer to {key} at instance {i}");
+            }
+        }
+        setup.check_targets();
+        let executions: usize =
+            setup.targets.services.iter().map(|s| s.stats().executions.len()).sum();
+        assert_eq!(executions, self.calls.len(), "calls that took effect");
+    }
+}
+
+/// Issues a certificate.
+async fn issue(setup: &Setup, i: usize, key: &str) -> Result<Bytes, CallerError> {
+    let path = format!("/{}/certificates", setup.deployment.service);
+    let body = format!("{{\"certificate\":\"{key}\"}}");
+    let entry = setup.cluster.entry(i);
+    let answer = setup.caller.call(entry, Method::POST, &path, Some(key), &body).await?;
+    assert_eq!(answer.status, 200);
+    Ok(answer.body)
+}
+
+/// Waits until an instance reports that it is not ready; it must then refuse at once.
+///
+/// A request that came before may go on waiting for an owner, so it is no probe.
+async fn check_refuses(setup: &Setup, i: usize) {
+    let entry = setup.cluster.entry(i);
+    let look = || async {
+        let req = setup.caller.request(entry, Method::GET, "/readyz").body(Default::default());
+        match setup.caller.send(req.unwrap()).await {
+            Ok(res) if res.status() == 503 => Ok(()),
+            other => Err(format!("{:?}", other.map(|res| res.status()))),
+        }
+    };
+    wait_until("the instance is not ready", REFUSE_LIMIT, look).await.unwrap();
+    let error = setup.lookup(entry).await.unwrap_err();
+    assert_eq!(error.code(), Some("not-ready"), "{error}");
+    assert!(error.is_not_run(), "{error}");
+}
+
+async fn status(setup: &Setup, i: usize) -> Option<ReplicaStatus> {
+    setup.operator.client(setup.cluster.rpc_addr(i)).unwrap().replica_status().await.ok()
+}
+
+/// Waits until the replicas vote, each with one data folder, and have applied the same log.
+async fn wait_voting(setup: &Setup, replicas: &[usize]) -> Duration {
+    let expected: BTreeSet<_> = replicas.iter().map(|i| format!("instance-{i}")).collect();
+    let look = || async {
+        let mut seen = Vec::new();
+        for i in replicas {
+            seen.push(status(setup, *i).await.ok_or_else(|| format!("no status of {i}"))?);
+        }
+        let is_same = seen.iter().all(|s| {
+            let members: Vec<_> =
+                s.members.iter().map(|m| m.split('/').next().unwrap_or_default()).collect();
+            members.len() == expected.len()
+                && members.iter().all(|m| expected.contains(*m))
+                && s.learners.is_empty()
+                && s.applied == seen[0].applied
+                && s.leader.is_some()
+                && s.leader == seen[0].leader
+        });
+        if is_same { Ok(()) } else { Err(format!("{seen:?}")) }
+    };
+    wait_until("all replicas vote", START_LIMIT, look).await.unwrap().1
+}
+
+/// Guards against the loss of accepted manifests and recorded calls when a second replica is lost
+/// right after the first one was repaired from nothing.
+#[rstest]
+#[case::leader_first(true)]
+#[case::follower_first(false)]
+#[tokio::test(flavor = "multi_thread")]
+async fn data_lost_then_next_lost(#[case] is_leader: bool) {
+    let mut setup = start().await;
+    let mut accepted = Accepted::new(&setup);
+    let leader = setup.leader(None).await;
+    let lost = if is_leader { leader } else { (leader + 1) % setup.cluster.replicas() };
+    for _ in 0..3 {
+        accepted.change(&setup, 4).await;
+        accepted.call(&setup, 5).await;
+    }
+    setup.cluster.kill(lost).unwrap();
+    setup.cluster.lose_data(lost).unwrap();
+    setup.leader(Some(lost)).await;
+    // The owner of the services may have been lost with the replica.
+    let entry = (lost + 1) % setup.cluster.replicas();
+    accepted.change(&setup, entry).await;
+    setup.wait_served(entry, START_LIMIT).await;
+    accepted.call(&setup, entry).await;
+    setup.cluster.restart(lost).unwrap();
+    accepted.change(&setup, entry).await;
+    accepted.call(&setup, entry).await;
+    let repair = wait_voting(&setup, &[0, 1, 2]).await;
+    eprintln!("repaired after {repair:?}");
+    // The next loss is that of a replica with the original folder.
+    let next = setup.leader(Some(lost)).await;
+    setup.cluster.kill(next).unwrap();
+    setup.cluster.lose_data(next).unwrap();
+    accepted.change(&setup, lost).await;
+    let alive: Vec<_> = (0..setup.cluster.len()).filter(|i| *i != next).collect();
+    setup.wait_served(lost, START_LIMIT).await;
+    accepted.call(&setup, lost).await;
+    accepted.check(&setup, &alive).await;
+}
+
+/// Guards against a repaired replica that counts in the quorum without having the whole log: each
+/// replica in turn is killed with its peers' newest changes still to learn.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn killed_in_turn() {
+    let mut setup = start().await;
+    let mut accepted = Accepted::new(&setup);
+    for round in 0..4 {
+        let killed = round % setup.cluster.replicas();
+        setup.cluster.kill(killed).unwrap();
+        accepted.change(&setup, 5).await;
+        setup.wait_served(5, START_LIMIT).await;
+        accepted.call(&setup, 5).await;
+        setup.cluster.restart(killed).unwrap();
+        wait_voting(&setup, &[0, 1, 2]).await;
+    }
+    accepted.check(&setup, &[0, 1, 2, 5, 7]).await;
+}
+
+/// Guards against two leaders that answer, and against a healed replica that forces an election or
+/// brings an unaccepted change back.
+#[rstest]
+#[case::both_ways(None)]
+#[case::outgoing(Some(true))]
+#[case::incoming(Some(false))]
+#[tokio::test(flavor = "multi_thread")]
+async fn leader_cut(#[case] outgoing: Option<bool>) {
+    let setup = start().await;
+    let mut accepted = Accepted::new(&setup);
+    accepted.change(&setup, 5).await;
+    let stale = setup.leader(None).await;
+    let cut_at = tokio::time::Instant::now();
+    match outgoing {
+        None => setup.cluster.isolate(stale),
+        Some(outgoing) => setup.cluster.isolate_one_way(stale, outgoing),
+    }
+    // Operators reach the stale leader around all proxies.
+    let stale_rpc = setup.cluster.rpc_addr(stale);
+    let mut other = accepted.deployment.clone();
+    other.subscribers += 50;
+    let lost = setup.operator.submit(stale_rpc, "at-stale", 2, &other.manifest()).await;
+    assert!(matches!(lost, Err(RpcError::Unknown | RpcError::Unavailable)), "{lost:?}");
+    let leader = setup.leader(Some(stale)).await;
+    eprintln!("leader {leader} seen {:?} after the cut", cut_at.elapsed());
+    accepted.change(&setup, leader).await;
+    accepted.call(&setup, leader).await;
+    // Longer than every lease: the stale instance refuses once its freshness bound has passed.
+    check_refuses(&setup, stale).await;
+    let client = setup.operator.client(stale_rpc).unwrap();
+    assert!(client.instances().await.is_err(), "a stale leader answered for the sessions");
+    assert_eq!(client.manifest().await.unwrap().revision, Revision(2), "applied without a quorum");
+    assert!(!status(&setup, stale).await.unwrap().is_leader);
+    let term = status(&setup, leader).await.unwrap().term;
+    setup.cluster.heal(stale);
+    wait_voting(&setup, &[0, 1, 2]).await;
+    let all: Vec<_> = (0..setup.cluster.len()).collect();
+    accepted.check(&setup, &all).await;
+    assert_eq!(term_of_all(&setup).await, BTreeSet::from([term]), "an election after healing");
+    let late = setup.operator.submit(stale_rpc, "at-stale", 2, &other.manifest()).await;
+    let conflict = CommandError::ManifestConflict { base: Revision(2), current: Revision(3) };
+    assert_eq!(late, Err(RpcError::Refused(conflict)));
+}
+
+async fn term_of_all(setup: &Setup) -> BTreeSet<Term> {
+    let mut terms = BTreeSet::new();
+    for i in 0..setup.cluster.replicas() {
+        terms.extend(status(setup, i).await.map(|status| status.term));
+    }
+    terms
+}
+
+/// Guards against a frozen leader that confirms or accepts something on its old lease after it
+/// runs again.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn leader_frozen() {
+    let mut setup = start().await;
+    let mut accepted = Accepted::new(&setup);
+    let stale = setup.leader(None).await;
+    let stale_rpc = setup.cluster.rpc_addr(stale);
+    setup.cluster.process(stale).unwrap().sigstop().unwrap();
+    let leader = setup.leader(Some(stale)).await;
+    accepted.change(&setup, leader).await;
+    accepted.change(&setup, leader).await;
+    let accepted_at = tokio::time::Instant::now();
+    setup.wait_served(leader, START_LIMIT).await;
+    accepted.call(&setup, leader).await;
+    // These wait in the frozen leader's sockets and are the first that it reads.
+    let mut other = setup.deployment.clone();
+    other.subscribers += 50;
+    let manifest = other.manifest();
+    let rpc_path = FaultProxy::start(stale_rpc, 1).unwrap();
+    let entry_path = FaultProxy::start(setup.cluster.entry(stale), 1).unwrap();
+    let (operator, rpc) = (setup.operator.clone(), rpc_path.addr());
+    let submission =
+        tokio::spawn(async move { operator.submit(rpc, "at-frozen", 1, &manifest).await });
+    let path = format!("/{}/status/7", setup.deployment.service);
+    let new_key = accepted.deployment.key(accepted.deployment.subscribers - 1);
+    let (new_caller, entry) = (setup.caller.with_key(&new_key), entry_path.addr());
+    let lookup =
+        tokio::spawn(async move { new_caller.call(entry, Method::GET, &path, None, "").await });
+    for proxy in [&rpc_path, &entry_path] {
+        let look = || async {
+            let stats = proxy.stats();
+            if stats.bytes_to_upstream > 0 { Ok(()) } else { Err(format!("{stats:?}")) }
+        };
+        wait_until("the request waits at the frozen leader", START_LIMIT, look).await.unwrap();
+    }
+    // Within the bound it may still serve the older manifest.
+    tokio::time::sleep_until(accepted_at + IN_FORCE_LIMIT).await;
+    setup.cluster.process(stale).unwrap().sigcont().unwrap();
+    let answer = submission.await.unwrap();
+    assert!(answer.is_err(), "accepted at the old revision: {answer:?}");
+    if let Err(error) = lookup.await.unwrap() {
+        assert_ne!(error.code(), Some("unauthorized"), "served an older manifest");
+    }
+    wait_voting(&setup, &[0, 1, 2]).await;
+    let all: Vec<_> = (0..setup.cluster.len()).collect();
+    accepted.check(&setup, &all).await;
+}
+
+/// Guards against changes that are lost or slow to be found again when all replicas start at once
+/// after hundreds of changes.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn all_restarted() {
+    let mut setup = start().await;
+    let mut accepted = Accepted::new(&setup);
+    for _ in 0..200 {
+        accepted.change(&setup, 0).await;
+    }
+    for _ in 0..3 {
+        accepted.call(&setup, 5).await;
+    }
+    for i in 0..setup.cluster.replicas() {
+        setup.cluster.kill(i).unwrap();
+    }
+    for i in 0..setup.cluster.replicas() {
+        setup.cluster.restart(i).unwrap();
+    }
+    let time = wait_voting(&setup, &[0, 1, 2]).await;
+    eprintln!("all replicas voted {time:?} after the restart");
+    accepted.change(&setup, 1).await;
+    accepted.check(&setup, &[0, 1, 2, 5, 7]).await;
+}
+
+/// Guards against changes that are accepted and requests that are served without a quorum, and
+/// against instances that stay unusable after the quorum is back.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn no_quorum() {
+    let mut setup = start().await;
+    let mut accepted = Accepted::new(&setup);
+    accepted.change(&setup, 5).await;
+    accepted.call(&setup, 5).await;
+    setup.cluster.kill(1).unwrap();
+    setup.cluster.kill(2).unwrap();
+    let mut next = accepted.deployment.clone();
+    next.subscribers += 1;
+    let rpc = setup.cluster.rpc_addr(0);
+    let manifest = next.manifest();
+    let alive = [0, 3, 4, 5, 6, 7];
+    let (refused, ()) = tokio::join!(setup.operator.submit(rpc, "change-2", 2, &manifest), async {
+        for i in alive {
+            check_refuses(&setup, i).await;
+        }
+    });
+    assert!(matches!(refused, Err(RpcError::Unknown | RpcError::Unavailable)), "{refused:?}");
+    for i in alive {
+        let error = issue(&setup, i, "without-quorum").await.unwrap_err();
+        assert!(error.is_not_run(), "{error}");
+        let CallerError::Problem(problem) = error else { panic!("{error}") };
+        assert!(problem.retry_after.is_some(), "{problem:?}");
+    }
+    setup.cluster.restart(1).unwrap();
+    setup.cluster.restart(2).unwrap();
+    wait_voting(&setup, &[0, 1, 2]).await;
+    // Resends the submission that was refused or unknown.
+    accepted.change(&setup, 5).await;
+    let all: Vec<_> = (0..setup.cluster.len()).collect();
+    accepted.check(&setup, &all).await;
+}
+
+/// Guards against operators' changes of the replicas that don't reach the consensus node, and
+/// against a removed replica that still counts in the quorum.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn removed_and_added() {
+    let mut setup = start().await;
+    let mut accepted = Accepted::new(&setup);
+    accepted.change(&setup, 5).await;
+    let leader = setup.leader(None).await;
+    let removed = (leader + 1) % 3;
+    let kept: Vec<_> = (0..3).filter(|i| *i != removed).collect();
+    let operator = setup.operator.client(setup.cluster.rpc_addr(6)).unwrap();
+    let name: shallotdrum_types::InstanceId = format!("instance-{removed}").parse().unwrap();
+    operator.remove_replica(name.clone()).await.unwrap();
+    wait_voting(&setup, &kept).await;
+    let again = operator.remove_replica(name.clone()).await.map_err(RpcError::from);
+    assert!(matches!(again, Err(RpcError::Membership(_))), "{again:?}");
+    setup.cluster.kill(removed).unwrap();
+    setup.cluster.lose_data(removed).unwrap();
+    accepted.change(&setup, 5).await;
+    setup.wait_served(5, START_LIMIT).await;
+    accepted.call(&setup, 5).await;
+    setup.cluster.restart(removed).unwrap();
+    let look = || async { operator.add_replica(name.clone()).await.map_err(|e| e.to_string()) };
+    wait_until("the replica is added", START_LIMIT, look).await.unwrap();
+    wait_voting(&setup, &[0, 1, 2]).await;
+    setup.cluster.kill(leader).unwrap();
+    accepted.change(&setup, removed).await;
+    let alive: Vec<_> = (0..setup.cluster.len()).filter(|i| *i != leader).collect();
+    accepted.check(&setup, &alive).await;
+}
--- a/crates/harness/src/cluster.rs
+++ b/crates/harness/src/cluster.rs
@@ -12,7 +12,7 @@
 
 use anyhow::Context;
 use serde_json::{Value, json};
-use shallotdrum_fakes::{FaultProxy, Process};
+use shallotdrum_fakes::{Direction, FaultProxy, Process};
 use tempfile::TempDir;
 
 use crate::{Deployment, InstancePorts, Operator, instance_settings};
@@ -152,7 +152,33 @@
         self.for_each_path_of(i, FaultProxy::cut_both);
     }
 
-    /// Ends the cuts of an instance.
+    /// Cuts all control traffic of an instance silently in one direction: what it sends if
+    /// `outgoing`, else what it receives.
+    pub fn isolate_one_way(&self, i: usize, outgoing: bool) {
+        let (own, others) = match outgoing {
+            true => (Direction::ToUpstream, Direction::ToClient),
+            false => (Direction::ToClient, Direction::ToUpstream),
+        };
+        self.control[i].iter().for_each(|proxy| proxy.cut(own));
+        self.rpc[i].cut(others);
+        self.data[i].cut(others);
+        if i < self.cfg.replicas {
+            self.control.iter().for_each(|to_replicas| to_replicas[i].cut(others));
+        }
+    }
+
+    /// Delays all control traffic of an instance by a time and a random addition.
+    pub fn delay(&self, i: usize, delay_ms: u64, jitter_ms: u64) {
+        self.for_each_path_of(i, |proxy| {
+            proxy.configure(|settings| {
+                for link in [&mut settings.to_upstream, &mut settings.to_client] {
+                    (link.delay_ms, link.jitter_ms) = (delay_ms, jitter_ms);
+                }
+            });
+        });
+    }
+
+    /// Ends the cuts and delays of an instance.
     pub fn heal(&self, i: usize) {
         self.for_each_path_of(i, FaultProxy::heal);
     }
--- a/crates/rpc/src/admin.rs
+++ b/crates/rpc/src/admin.rs
@@ -194,6 +194,8 @@
     pub syncs: u64,
     /// Members, voting or learning.
     pub members: Vec<String>,
+    /// Members that only learn the log and don't count in the quorum.
+    pub learners: Vec<String>,
     /// Ledger entries.
     pub calls: CallCounts,
 }
