--- a/crates/daemon/tests/guarantees/random_mix.rs
+++ b/crates/daemon/tests/guarantees/random_mix.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, sync::atomic::Ordering, time::Duration};
 
-use rand::{RngExt, SeedableRng, rngs::StdRng, seq::IndexedRandom};
+use rand::{RngExt, SeedableRng, rngs::StdRng, seq::SliceRandom};
 use rstest::rstest;
 use shallotdrum_harness::{ClusterConfig, TargetsConfig, wait_until};
 use shallotdrum_rpc::{AdminApiClient, RpcError};
@@ -17,7 +17,7 @@
 const CI_DURATION: Duration = Duration::from_secs(12);
 
 /// Longest time of two overlapping faults; longer than the leases of sessions (3 s) and leaders.
-const MAX_FAULT_MS: u64 = 4_500;
+const MAX_FAULT_MS: u64 = 6_000;
 
 /// Fault that ends by itself or is ended before the next one.
 #[derive(Clone, Copy, Debug)]
@@ -141,6 +141,8 @@
     let load = Load::start(&setup, LoadConfig { workers: 16, max_tokens: 30, seed });
     let mut manifests = Manifests::default();
     manifests.look(&setup).await;
+    // Each fault comes once before any comes again.
+    let mut deck = Vec::new();
     let end = Instant::now() + duration;
     while Instant::now() < end {
         // Two faults at two instances overlap; both may be replicas, which ends the quorum.
@@ -148,7 +150,11 @@
         let second = (first + rng.random_range(1..setup.cluster.len())) % setup.cluster.len();
         let mut active = Vec::new();
         for i in [first, second] {
-            let fault = *FAULTS.choose(&mut rng).unwrap();
+            if deck.is_empty() {
+                deck.extend(FAULTS);
+                deck.shuffle(&mut rng);
+            }
+            let fault = deck.pop().unwrap();
             let lasts = Duration::from_millis(rng.random_range(100..MAX_FAULT_MS / 2));
             eprintln!("{fault:?} at {i}, on for {lasts:?}");
             inject(&mut setup, &load, &mut manifests, fault, i, &mut rng).await;
