--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -2,6 +2,7 @@
 
 mod flags;
 mod quick;
+mod slopes;
 
 use flags::{ShallotdrumBench, ShallotdrumBenchCmd};
 use shallotdrum_telemetry::{LogConfig, LogFormat};
@@ -18,6 +19,9 @@
             ShallotdrumBenchCmd::Quick(quick) => {
                 quick::run(quick.requests.unwrap_or(200), quick.seed.unwrap_or(1), &log).await
             }
+            ShallotdrumBenchCmd::Slopes(args) => {
+                slopes::run(args.json.as_deref(), args.probe.as_deref()).await
+            }
         }
     })
 }
--- /dev/null
+++ b/crates/bench/src/slopes/instances.rs
@@ -0,0 +1,289 @@
+//! Use of whole processes, by the number of instances and of announcing targets.
+
+use std::{
+    net::SocketAddr,
+    path::PathBuf,
+    time::{Duration, Instant},
+};
+
+use anyhow::ensure;
+use shallotdrum_fakes::ProxyStats;
+use shallotdrum_harness::{
+    Cluster, ClusterConfig, Deployment, Operator, Targets, TargetsConfig, wait_until,
+};
+use shallotdrum_rpc::AdminApiClient;
+use shallotdrum_types::Revision;
+
+use super::{SEED, report::Report, usage};
+
+const REPLICAS: usize = 3;
+
+/// Numbers of processes.
+const INSTANCES: [usize; 4] = [4, 8, 16, 32];
+
+/// Numbers of announcing targets, on the number of processes below.
+const TARGETS: [usize; 4] = [0, 300, 600, 1_200];
+const INSTANCES_WITH_TARGETS: usize = 16;
+
+/// Adapters and subscribers of the design size.
+const ADAPTERS: usize = 75_000;
+const SUBSCRIBERS: usize = 25_000;
+
+/// Time over which processor time and bytes are counted.
+const WINDOW: Duration = Duration::from_secs(4);
+
+/// Longest wait for a step of the set-up.
+const LIMIT: Duration = Duration::from_secs(40);
+
+/// Changes that are timed for each number of processes.
+const CHANGES: u64 = 3;
+
+const MIB: f64 = 1024.0 * 1024.0;
+
+/// Program of the daemon, which is built next to this one.
+pub(crate) fn program() -> anyhow::Result<PathBuf> {
+    let path = std::env::current_exe()?.with_file_name("shallotdrumd");
+    ensure!(
+        path.exists(),
+        "{} does not exist; build it with `cargo build --release -p shallotdrum-daemon`",
+        path.display()
+    );
+    Ok(path)
+}
+
+/// Number of the instance that leads the control log.
+pub(crate) async fn leader(operator: &Operator, cluster: &Cluster) -> anyhow::Result<usize> {
+    for i in 0..cluster.replicas() {
+        if operator.client(cluster.rpc_addr(i))?.replica_status().await?.is_leader {
+            return Ok(i);
+        }
+    }
+    anyhow::bail!("no replica leads")
+}
+
+/// Waits until a number of targets is registered and each has an owner.
+pub(crate) async fn wait_for_targets(
+    operator: &Operator,
+    rpc: SocketAddr,
+    count: usize,
+) -> anyhow::Result<()> {
+    let look = || async {
+        let client = operator.client(rpc).map_err(|e| e.to_string())?;
+        let rows = client.targets().await.map_err(|e| e.to_string())?;
+        match rows.iter().filter(|row| row.owner.is_some()).count() {
+            owned if owned == count && rows.len() == count => Ok(()),
+            owned => Err(format!("{owned} of {} targets have an owner", rows.len())),
+        }
+    };
+    wait_until(&format!("{count} targets are registered"), LIMIT, look).await?;
+    Ok(())
+}
+
+/// Mean use over a window.
+#[derive(Clone, Copy, Default)]
+struct Use {
+    /// Percent of a core.
+    cpu: f64,
+    resident: f64,
+    sent: f64,
+    received: f64,
+}
+
+/// Use by role.
+struct Sample {
+    leader: Use,
+    /// Mean over the other replicas.
+    replica: Use,
+    /// Mean over the followers.
+    follower: Use,
+    /// Highest memory of a follower.
+    follower_peak: f64,
+}
+
+/// Measures processes by number of instances, then by number of targets.
+pub(crate) async fn measure(report: &mut Report) -> anyhow::Result<()> {
+    report.section("Processes by number of instances: 75,000 adapters, 25,000 subscribers, idle");
+    let deployment =
+        Deployment { subscribers: SUBSCRIBERS, ..Deployment::registry() }.scaled(0, 0, ADAPTERS);
+    let mut samples = Vec::new();
+    let mut changed = Vec::new();
+    let (mut times, mut accept, mut spread) = (Vec::new(), Vec::new(), Vec::new());
+    for instances in INSTANCES {
+        let mut cluster = start(&deployment, instances).await?;
+        samples.push((instances as f64, sample(&mut cluster).await?));
+        let change = time_changes(&deployment, &mut cluster).await?;
+        times.push((instances as f64, change.in_force.as_secs_f64() * 1e3));
+        accept.push((instances as f64, change.accepted.as_secs_f64() * 1e3));
+        spread.push((instances as f64, change.after_accepted().as_secs_f64() * 1e3));
+        changed.push((instances as f64, change.follower_resident / MIB));
+    }
+    add_samples(report, "instance", &samples);
+    report.add("a follower's highest memory after 3 changes", "MiB", "instance", &changed);
+    report.add("change sent until accepted, slowest of 3", "ms", "instance", &accept);
+    report.add("accepted until reported by all, slowest of 3", "ms", "instance", &spread);
+    report.add("change sent until reported by all, slowest of 3", "ms", "instance", &times);
+
+    report.section("16 processes by number of announcing engines: 3,000 adapters");
+    let deployment = Deployment::registry().scaled(0, 0, 3_000);
+    let mut cluster = start(&deployment, INSTANCES_WITH_TARGETS).await?;
+    let operator = Operator::default();
+    let mut samples = Vec::new();
+    let mut own = Vec::new();
+    for count in TARGETS {
+        let deployment = deployment.clone().scaled(count, 0, 3_000);
+        let cfg = TargetsConfig { seed: SEED, ..TargetsConfig::default() };
+        let targets = Targets::start(&deployment, &cfg, &cluster.entries()).await?;
+        wait_for_targets(&operator, cluster.rpc_addr(0), count).await?;
+        let before = usage::process_cpu(std::process::id())?;
+        samples.push((count as f64, sample(&mut cluster).await?));
+        let used = usage::process_cpu(std::process::id())?.saturating_sub(before);
+        own.push((count as f64, used.as_secs_f64() / WINDOW.as_secs_f64() * 100.0));
+        drop(targets);
+    }
+    add_samples(report, "target", &samples);
+    report.add("this process with fake engines and proxies, CPU", "% core", "target", &own);
+    Ok(())
+}
+
+async fn start(deployment: &Deployment, instances: usize) -> anyhow::Result<Cluster> {
+    let cfg = ClusterConfig {
+        instances,
+        replicas: REPLICAS,
+        seed: SEED,
+        ..ClusterConfig::new(program()?)
+    };
+    let cluster = Cluster::start(deployment, cfg).await?;
+    cluster.set_up(deployment, LIMIT).await?;
+    wait_in_force(&cluster, Revision(1)).await?;
+    Ok(cluster)
+}
+
+async fn wait_in_force(cluster: &Cluster, revision: Revision) -> anyhow::Result<()> {
+    let operator = Operator::default();
+    let look = || async {
+        let rows = operator.instances(cluster.rpc_addr(0)).await.map_err(|e| e.to_string())?;
+        match rows.iter().filter(|row| row.revision >= Some(revision)).count() {
+            n if n == cluster.len() => Ok(()),
+            n => Err(format!("in force on {n} of {} instances", cluster.len())),
+        }
+    };
+    wait_until("the manifest is in force everywhere", LIMIT, look).await?;
+    Ok(())
+}
+
+struct Changes {
+    /// Slowest change, from its submission until it is accepted.
+    accepted: Duration,
+    /// Slowest change, from its submission until every instance has reported it.
+    in_force: Duration,
+    follower_resident: f64,
+}
+
+impl Changes {
+    fn after_accepted(&self) -> Duration {
+        self.in_force.saturating_sub(self.accepted)
+    }
+}
+
+/// Times changes of one adapter; an instance reports a revision with its renewal every second.
+async fn time_changes(deployment: &Deployment, cluster: &mut Cluster) -> anyhow::Result<Changes> {
+    let operator = Operator::default();
+    let mut manifest = deployment.manifest();
+    let mut changes =
+        Changes { accepted: Duration::ZERO, in_force: Duration::ZERO, follower_resident: 0.0 };
+    for base in 1..=CHANGES {
+        let adapter = deployment.adapter(base as usize);
+        manifest["adapters"][&adapter]["current"] = "1".into();
+        let start = Instant::now();
+        let id = format!("change-{base}");
+        operator.submit(cluster.rpc_addr(0), &id, base, &manifest).await?;
+        let accepted = start.elapsed();
+        wait_in_force(cluster, Revision(base + 1)).await?;
+        let in_force = start.elapsed();
+        if in_force > changes.in_force {
+            changes.accepted = accepted;
+            changes.in_force = in_force;
+        }
+    }
+    for i in REPLICAS..cluster.len() {
+        let pid = cluster.process(i)?.id();
+        changes.follower_resident = changes.follower_resident.max(usage::resident(pid)?);
+    }
+    Ok(changes)
+}
+
+/// Counts use over a window.
+async fn sample(cluster: &mut Cluster) -> anyhow::Result<Sample> {
+    let leader = leader(&Operator::default(), cluster).await?;
+    let mut cpu = Vec::new();
+    for i in 0..cluster.len() {
+        cpu.push(usage::process_cpu(cluster.process(i)?.id())?);
+    }
+    let bytes = (0..cluster.len()).map(|i| traffic(cluster, i)).collect::<Vec<_>>();
+    let start = Instant::now();
+    tokio::time::sleep(WINDOW).await;
+    let seconds = start.elapsed().as_secs_f64();
+    let mut uses = Vec::new();
+    for i in 0..cluster.len() {
+        let pid = cluster.process(i)?.id();
+        let used = usage::process_cpu(pid)?.saturating_sub(cpu[i]).as_secs_f64();
+        let (sent, received) = traffic(cluster, i);
+        uses.push(Use {
+            cpu: used / seconds * 100.0,
+            resident: usage::resident(pid)?,
+            sent: (sent - bytes[i].0) as f64 / seconds,
+            received: (received - bytes[i].1) as f64 / seconds,
+        });
+    }
+    let replicas = (0..cluster.replicas()).filter(|i| *i != leader).map(|i| uses[i]);
+    let followers = &uses[cluster.replicas()..];
+    Ok(Sample {
+        leader: uses[leader],
+        replica: mean(&replicas.collect::<Vec<_>>()),
+        follower: mean(followers),
+        follower_peak: followers.iter().map(|used| used.resident).fold(0.0, f64::max),
+    })
+}
+
+/// Bytes of control messages that an instance has sent and received at the proxies.
+///
+/// What an instance sends to other instances' RPC addresses is counted at the receiver only.
+fn traffic(cluster: &Cluster, i: usize) -> (u64, u64) {
+    let outgoing: Vec<ProxyStats> = cluster.control[i].iter().map(|proxy| proxy.stats()).collect();
+    let mut incoming = vec![cluster.rpc[i].stats()];
+    if i < cluster.replicas() {
+        incoming.extend(cluster.control.iter().map(|to_replicas| to_replicas[i].stats()));
+    }
+    let to = |stats: &[ProxyStats]| stats.iter().map(|s| s.bytes_to_upstream).sum::<u64>();
+    let from = |stats: &[ProxyStats]| stats.iter().map(|s| s.bytes_to_client).sum::<u64>();
+    (to(&outgoing) + from(&incoming), from(&outgoing) + to(&incoming))
+}
+
+fn mean(uses: &[Use]) -> Use {
+    let n = uses.len().max(1) as f64;
+    let of = |f: fn(&Use) -> f64| uses.iter().map(f).sum::<f64>() / n;
+    Use {
+        cpu: of(|used| used.cpu),
+        resident: of(|used| used.resident),
+        sent: of(|used| used.sent),
+        received: of(|used| used.received),
+    }
+}
+
+fn add_samples(report: &mut Report, per: &'static str, samples: &[(f64, Sample)]) {
+    let mut add = |name: &str, unit, value: &dyn Fn(&Sample) -> f64| {
+        let points: Vec<_> = samples.iter().map(|(size, sample)| (*size, value(sample))).collect();
+        report.add(name, unit, per, &points);
+    };
+    type Role = fn(&Sample) -> Use;
+    let leader: Role = |s| s.leader;
+    let replica: Role = |s| s.replica;
+    let follower: Role = |s| s.follower;
+    for (role, of) in [("leader", leader), ("replica", replica), ("follower", follower)] {
+        add(&format!("{role}, CPU"), "% core", &|s| of(s).cpu);
+        add(&format!("{role}, resident memory"), "MiB", &|s| of(s).resident / MIB);
+        add(&format!("{role}, sent"), "B/s", &|s| of(s).sent);
+        add(&format!("{role}, received"), "B/s", &|s| of(s).received);
+    }
+    add("a follower's highest memory", "MiB", &|s| s.follower_peak / MIB);
+}
--- /dev/null
+++ b/crates/bench/src/slopes/state.rs
@@ -0,0 +1,292 @@
+//! Memory of control states, and the cost of a manifest change.
+//!
+//! Each state is built here, saved as a snapshot and restored in a process of its own. The
+//! difference of that process's resident memory before and after is the memory of the state.
+
+use std::{path::Path, process::Command as Program};
+
+use anyhow::{Context, ensure};
+use serde::{Deserialize, Serialize};
+use shallotdrum_consensus::StateMachine;
+use shallotdrum_control::{
+    AnnouncedTarget, CallKey, Command, ControlState, ControlView, InstanceAddrs, InstanceInfo,
+    RecordedAnswer, Reply, TimedCommand,
+};
+use shallotdrum_engine::TargetKind;
+use shallotdrum_harness::Deployment;
+use shallotdrum_manifest::Manifest;
+use shallotdrum_types::{ControlTimeMs, Fingerprint, Incarnation, LogIndex, SessionId};
+
+use super::{report::Report, usage};
+
+const MIB: f64 = 1024.0 * 1024.0;
+
+/// Files of a stored state.
+const SNAPSHOT: &str = "snapshot";
+const CHANGE: &str = "change";
+
+/// Numbers of items in a state.
+#[derive(Clone, Copy)]
+struct Sizes {
+    adapters: usize,
+    subscribers: usize,
+    targets: usize,
+    sessions: usize,
+    revisions: usize,
+    calls: usize,
+}
+
+/// Small enough to leave the item that grows in view.
+const SMALL: Sizes =
+    Sizes { adapters: 10, subscribers: 10, targets: 0, sessions: 1, revisions: 1, calls: 0 };
+
+/// Share of the design size; a third of the adapters have a subscriber of their own.
+fn design(share: f64) -> Sizes {
+    let part = |n: f64| (n * share) as usize;
+    Sizes {
+        adapters: part(75_000.0),
+        subscribers: part(25_000.0),
+        targets: part(1_200.0),
+        sessions: part(390.0),
+        revisions: part(4_096.0),
+        calls: 0,
+    }
+}
+
+/// What the process of a state reports.
+#[derive(Serialize, Deserialize)]
+struct Probe {
+    /// Resident memory that the restored state takes.
+    state: f64,
+    /// Resident memory of the process.
+    resident: f64,
+    /// Resident memory of the process after one change of one adapter.
+    resident_after: f64,
+    restore_ms: f64,
+    change_ms: f64,
+}
+
+/// Restores a stored state in this process, changes it once, and prints a `Probe`.
+pub(crate) fn probe(folder: &Path) -> anyhow::Result<()> {
+    let pid = std::process::id();
+    let before = usage::resident(pid)?;
+    let mut view = ControlView::new();
+    let start = usage::thread_cpu()?;
+    let snapshot = std::fs::read(folder.join(SNAPSHOT))?;
+    StateMachine::restore(&mut view, &snapshot)?;
+    drop(snapshot);
+    let restore = usage::thread_cpu()? - start;
+    let resident = usage::resident(pid)?;
+    let change = std::fs::read(folder.join(CHANGE))?;
+    let start = usage::thread_cpu()?;
+    let command = ControlView::decode(&change)?;
+    let index = view.applied().next();
+    let reply = StateMachine::apply(&mut view, index, command);
+    let change = usage::thread_cpu()? - start;
+    ensure!(matches!(reply, Reply::ManifestAccepted(_)), "the change was refused: {reply:?}");
+    let probe = Probe {
+        state: resident - before,
+        resident,
+        resident_after: usage::resident(pid)?,
+        restore_ms: restore.as_secs_f64() * 1e3,
+        change_ms: change.as_secs_f64() * 1e3,
+    };
+    println!("{}", serde_json::to_string(&probe)?);
+    Ok(())
+}
+
+/// Measures memory and change cost of states of growing size.
+pub(crate) fn measure(report: &mut Report) -> anyhow::Result<()> {
+    report.section("Control state: resident memory, each state alone in a process");
+    let thirds = [0.25, 0.5, 1.0];
+    let of = |n: usize| thirds.map(|share| (n as f64 * share) as usize);
+    let with = |n: usize, f: fn(&mut Sizes, usize)| {
+        of(n).map(|n| {
+            let mut sizes = SMALL;
+            f(&mut sizes, n);
+            (n, sizes)
+        })
+    };
+    let series: [(&'static str, [(usize, Sizes); 3]); 6] = [
+        ("adapter", with(75_000, |s, n| s.adapters = n)),
+        ("subscriber", with(25_000, |s, n| s.subscribers = n)),
+        ("target", with(1_200, |s, n| s.targets = n)),
+        ("session", with(390, |s, n| s.sessions = n)),
+        ("revision", with(4_096, |s, n| s.revisions = n)),
+        ("ledger call", with(20_000, |s, n| s.calls = n)),
+    ];
+    for (per, points) in series {
+        let (mut replica, mut follower, mut change) = (Vec::new(), Vec::new(), Vec::new());
+        for (n, sizes) in points {
+            let state = build(sizes)?;
+            let on_replica = store_and_probe(&state, true)?;
+            let on_follower = store_and_probe(&state, false)?;
+            replica.push((n as f64, on_replica.state));
+            follower.push((n as f64, on_follower.state));
+            change.push((n as f64, on_follower.change_ms));
+        }
+        report.add(format!("replica, per {per}"), "B", per, &replica);
+        report.add(format!("follower, per {per}"), "B", per, &follower);
+        if matches!(per, "adapter" | "subscriber") {
+            report.add(format!("CPU of a change of 1 adapter, per {per}"), "ms", per, &change);
+        }
+    }
+
+    report.section("Follower and replica at shares of the design size (75,000 adapters, ...)");
+    let mut rows: [Vec<(f64, f64)>; 6] = Default::default();
+    for share in thirds {
+        let sizes = design(share);
+        let state = build(sizes)?;
+        let follower = store_and_probe(&state, false)?;
+        let replica = store_and_probe(&Sizes { calls: 20_000, ..sizes }.build()?, true)?;
+        let values = [
+            follower.resident / MIB,
+            follower.resident_after / MIB,
+            replica.resident / MIB,
+            replica.resident_after / MIB,
+            follower.restore_ms,
+            follower.change_ms,
+        ];
+        for (row, value) in rows.iter_mut().zip(values) {
+            row.push((share * 100.0, value));
+        }
+        if share == 1.0 {
+            let bytes = state.snapshot_without_ledger().len() as f64;
+            println!("  snapshot for a follower at the design size: {bytes:.0} B");
+        }
+    }
+    let names = [
+        ("follower, restored", "MiB"),
+        ("follower, after one change", "MiB"),
+        ("replica with 20,000 calls, restored", "MiB"),
+        ("replica with 20,000 calls, after one change", "MiB"),
+        ("CPU to restore a snapshot", "ms"),
+        ("CPU of a change of 1 adapter", "ms"),
+    ];
+    for ((name, unit), row) in names.into_iter().zip(&rows) {
+        report.add(name, unit, "%", row);
+    }
+    measure_change_bytes(report)
+}
+
+/// Bytes of a change in the log and to each follower, by the number of changed adapters.
+fn measure_change_bytes(report: &mut Report) -> anyhow::Result<()> {
+    report.section("Bytes of a change of k adapters out of N");
+    for adapters in [18_750, 37_500, 75_000] {
+        let state = build(Sizes { adapters, ..SMALL })?;
+        let points = [1, 10, 100, 1_000]
+            .map(|k| anyhow::Ok((k as f64, change(&state, k)?.len() as f64)))
+            .into_iter()
+            .collect::<Result<Vec<_>, _>>()?;
+        report.add(format!("command, N = {adapters}"), "B", "adapter", &points);
+    }
+    Ok(())
+}
+
+impl Sizes {
+    fn build(self) -> anyhow::Result<ControlState> {
+        build(self)
+    }
+}
+
+fn store_and_probe(state: &ControlState, is_replica: bool) -> anyhow::Result<Probe> {
+    let folder = tempfile::tempdir()?;
+    let snapshot = match is_replica {
+        true => state.snapshot(),
+        false => state.snapshot_without_ledger(),
+    };
+    std::fs::write(folder.path().join(SNAPSHOT), snapshot)?;
+    std::fs::write(folder.path().join(CHANGE), change(state, 1)?)?;
+    let output = Program::new(std::env::current_exe()?)
+        .args(["slopes", "--probe"])
+        .arg(folder.path())
+        .output()?;
+    let error = String::from_utf8_lossy(&output.stderr);
+    ensure!(output.status.success(), "a probe has failed: {error}");
+    serde_json::from_slice(&output.stdout).with_context(|| format!("output of a probe: {error}"))
+}
+
+/// Encoded command that changes the current version of the first `k` adapters.
+fn change(state: &ControlState, k: usize) -> anyhow::Result<Vec<u8>> {
+    let mut manifest = Manifest::clone(state.manifest().context("no manifest")?);
+    for adapter in manifest.adapters.values_mut().take(k) {
+        std::sync::Arc::make_mut(adapter).current = "1".parse()?;
+    }
+    let command = state.submit_command("change".parse()?, state.revision(), &manifest);
+    Ok(ControlView::encode(&TimedCommand { at: state.now(), command }))
+}
+
+fn build(sizes: Sizes) -> anyhow::Result<ControlState> {
+    let deployment = Deployment { subscribers: sizes.subscribers, ..Deployment::registry() }
+        .scaled(0, 0, sizes.adapters);
+    let json = serde_json::to_vec(&deployment.manifest())?;
+    let mut manifest = Manifest::parse(&json)?;
+    let mut state = ControlState::new();
+    let apply = |state: &mut ControlState, command| -> anyhow::Result<()> {
+        let index = LogIndex(state.applied().0 + 1);
+        let reply = state.apply(index, TimedCommand { at: ControlTimeMs(1), command });
+        ensure!(!matches!(reply, Reply::Refused(_)), "a command was refused: {reply:?}");
+        Ok(())
+    };
+    let addr = "10.1.2.3:12345".parse()?;
+    for i in 0..sizes.sessions {
+        let info = InstanceInfo {
+            instance: format!("instance-{i}").parse()?,
+            incarnation: Incarnation(1),
+            region: deployment.region.clone(),
+            zone: deployment.zones[i % deployment.zones.len()].clone(),
+            addrs: InstanceAddrs { entry: addr, rpc: addr, data: addr },
+            replica: false,
+        };
+        apply(&mut state, Command::OpenSession(info))?;
+    }
+    for i in 0..sizes.targets {
+        let target = AnnouncedTarget {
+            target: format!("engine-{i}").parse()?,
+            incarnation: Incarnation(1),
+            addr,
+            pool: deployment.engine_pool.clone(),
+            region: deployment.region.clone(),
+            zone: deployment.zones[i % deployment.zones.len()].clone(),
+            kind: TargetKind::Engine {
+                base_model: deployment.base_model.clone(),
+                adapter_slots: 4,
+                max_batch: 16,
+                checks_fencing: true,
+            },
+        };
+        apply(&mut state, Command::RegisterTarget(target))?;
+    }
+    // Revisions are remembered by submission and digest; a small manifest makes them the same.
+    let mut small = Manifest::empty();
+    for i in 1..sizes.revisions {
+        small.weight_store.max_loads_in_flight = 1 + (i as u32 % 2);
+        let id = format!("submission-{i}").parse()?;
+        let command = state.submit_command(id, state.revision(), &small);
+        apply(&mut state, command)?;
+    }
+    manifest.weight_store.max_loads_in_flight = 8;
+    let command = state.submit_command("submission-0".parse()?, state.revision(), &manifest);
+    apply(&mut state, command)?;
+    for i in 0..sizes.calls {
+        let key = CallKey {
+            subscriber: deployment.subscriber(0).parse()?,
+            key: format!("certificate-{i}").parse()?,
+        };
+        let command = Command::BeginCall {
+            key: key.clone(),
+            fingerprint: Fingerprint::of(&i.to_le_bytes()),
+            session: SessionId(1),
+            attempt: format!("attempt-{i}").parse()?,
+        };
+        apply(&mut state, command)?;
+        let answer = RecordedAnswer {
+            status: 200,
+            headers: vec![("content-type".to_owned(), "application/json".to_owned())],
+            body: Some(vec![b'x'; 300]),
+        };
+        let session = SessionId(1);
+        apply(&mut state, Command::FinishCall { key, session, answer: Some(answer) })?;
+    }
+    Ok(state)
+}
