Add load tool commands for policy and overhead

`policy` runs the adaptive policy and the baseline at the same time on whole deployments with instances as processes; `overhead` compares requests through one instance with direct ones. Clusters can run without fault proxies, which would add to the measured latency.

--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,7 +1,12 @@
 //! Load tool: the quick run on an embedded deployment, and the benchmarks.
 
+mod cluster;
 mod flags;
+mod load;
+mod overhead;
+mod policy;
 mod quick;
+mod scrape;
 
 use flags::{ShallotdrumBench, ShallotdrumBenchCmd};
 use shallotdrum_telemetry::{LogConfig, LogFormat};
@@ -18,6 +23,8 @@
             ShallotdrumBenchCmd::Quick(quick) => {
                 quick::run(quick.requests.unwrap_or(200), quick.seed.unwrap_or(1), &log).await
             }
+            ShallotdrumBenchCmd::Policy(policy) => policy::run(&policy).await,
+            ShallotdrumBenchCmd::Overhead(overhead) => overhead::run(&overhead).await,
         }
     })
 }
--- a/crates/harness/src/cluster.rs
+++ b/crates/harness/src/cluster.rs
@@ -30,12 +30,22 @@
     pub seed: u64,
     /// Settings that replace those of `instance_settings`, by field.
     pub overrides: Value,
+    /// Whether instances reach each other through the fault proxies; benchmarks go without, as a
+    /// proxy adds to the latency that they measure.
+    pub proxies: bool,
 }
 
 impl ClusterConfig {
     /// Eight instances, three of them control replicas.
     pub fn new(program: impl Into<PathBuf>) -> Self {
-        Self { program: program.into(), instances: 8, replicas: 3, seed: 1, overrides: json!({}) }
+        Self {
+            program: program.into(),
+            instances: 8,
+            replicas: 3,
+            seed: 1,
+            overrides: json!({}),
+            proxies: true,
+        }
     }
 }
 
@@ -70,12 +80,18 @@
                 .map(|p| proxy(p.rpc.addr()))
                 .collect::<Result<_, _>>()?;
             let addrs: Vec<_> = (0..cfg.replicas)
-                .map(|r| if r == i { rpc[r].addr() } else { to_replicas[r].addr() })
+                .map(|r| match cfg.proxies {
+                    false => ports[r].rpc.addr(),
+                    true if r == i => rpc[r].addr(),
+                    true => to_replicas[r].addr(),
+                })
                 .collect();
             let mut settings = instance_settings(deployment, i, &ports[i], &addrs, folder.path());
-            settings["advertise"] = json!({
-                "entry": ports[i].entry.addr(), "rpc": rpc[i].addr(), "data": data[i].addr(),
-            });
+            if cfg.proxies {
+                settings["advertise"] = json!({
+                    "entry": ports[i].entry.addr(), "rpc": rpc[i].addr(), "data": data[i].addr(),
+                });
+            }
             merge(&mut settings, &cfg.overrides);
             std::fs::write(settings_path(folder.path(), i), settings.to_string())?;
             control.push(to_replicas);
