--- a/crates/bench/src/slopes/mod.rs
+++ b/crates/bench/src/slopes/mod.rs
@@ -28,12 +28,17 @@
         return state::probe(folder);
     }
     let mut report = Report::new(SEED);
-    state::measure(&mut report).context("control state")?;
-    scheduler::measure(&mut report).context("scheduler")?;
-    messages::measure(&mut report).await.context("messages")?;
-    instances::measure(&mut report).await.context("instances")?;
-    match json {
-        Some(path) => report.write_json(path),
-        None => Ok(()),
+    let measured = measure(&mut report).await;
+    // What was measured before a failure is written as well.
+    if let Some(path) = json {
+        report.write_json(path)?;
     }
+    measured
+}
+
+async fn measure(report: &mut Report) -> anyhow::Result<()> {
+    state::measure(report).context("control state")?;
+    scheduler::measure(report).context("scheduler")?;
+    messages::measure(report).await.context("messages")?;
+    instances::measure(report).await.context("instances")
 }
