Give whole manifests more time on their way to the control leader

Cause: a submission of 75,000 adapters had 1.5 s for each attempt and 5 s in all, and failed with 32 instances on a machine with a load average of 33, although the leader was healthy. Commands keep their limits.

--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -34,7 +34,7 @@
     targets::Targets,
 };
 
-/// Longest wait for an answer of another instance.
+/// Longest wait for an answer of another instance; above that for a whole manifest, 9 s.
 const PEER_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Longest time for a proposal; two elections of 1.2 s each fit in.
--- a/crates/rpc/src/control_client.rs
+++ b/crates/rpc/src/control_client.rs
@@ -32,6 +32,18 @@
 /// Shortest and longest pause before another replica is tried, in milliseconds.
 const RETRY_PAUSE_MS: std::ops::Range<u64> = 20..100;
 
+/// Time for a whole manifest: at the design size the leader parses about 16 MB and compares it with
+/// the one in force, which takes seconds on a busy machine.
+const MANIFEST_LIMITS: Limits =
+    Limits { total: Duration::from_secs(30), attempt: Duration::from_secs(9) };
+
+/// Time limits of a call.
+#[derive(Clone, Copy)]
+struct Limits {
+    total: Duration,
+    attempt: Duration,
+}
+
 /// Client of the control log; clones share what they know of the leader.
 #[derive(Clone)]
 pub struct ControlClient {
@@ -53,9 +65,14 @@
 
     /// Writes a proposal to the control log.
     pub async fn propose(&self, proposal: Proposal) -> Result<Reply, ProposeError> {
-        let deadline = Instant::now() + self.cfg.propose_timeout;
+        let limits = match proposal {
+            Proposal::Manifest { .. } => MANIFEST_LIMITS,
+            Proposal::Command(_) => {
+                Limits { total: self.cfg.propose_timeout, attempt: self.cfg.attempt_timeout }
+            }
+        };
         let result = self
-            .call_leader(deadline, |client| {
+            .call_leader_within(limits, |client| {
                 let proposal = proposal.clone();
                 async move { client.propose(proposal).await }
             })
@@ -111,6 +128,16 @@
         F: Fn(HttpClient) -> Fut,
         Fut: Future<Output = Result<T, ClientError>>,
     {
+        let total = deadline.saturating_duration_since(Instant::now());
+        self.call_leader_within(Limits { total, attempt: self.cfg.attempt_timeout }, call).await
+    }
+
+    async fn call_leader_within<T, F, Fut>(&self, limits: Limits, call: F) -> Result<T, RpcError>
+    where
+        F: Fn(HttpClient) -> Fut,
+        Fut: Future<Output = Result<T, ClientError>>,
+    {
+        let deadline = Instant::now() + limits.total;
         let mut may_have_run = false;
         let mut next = 0;
         let names: Vec<_> = self.cfg.replicas.keys().cloned().collect();
@@ -122,7 +149,8 @@
                     names[next % names.len()].clone()
                 }
             };
-            let error = match self.attempt(&name, deadline, &call).await {
+            let attempt_deadline = deadline.min(Instant::now() + limits.attempt);
+            let error = match self.attempt(&name, attempt_deadline, &call).await {
                 Ok(answer) => {
                     self.set_leader(Some(name));
                     return Ok(answer);
@@ -161,8 +189,7 @@
     {
         let addr = self.cfg.replicas.get(name).ok_or(RpcError::NotReplica)?;
         let client = self.peers.get(*addr)?;
-        let attempt_deadline = deadline.min(Instant::now() + self.cfg.attempt_timeout);
-        match tokio::time::timeout_at(attempt_deadline, call(client)).await {
+        match tokio::time::timeout_at(deadline, call(client)).await {
             Ok(result) => result.map_err(RpcError::from),
             Err(_) => Err(RpcError::NoAnswer(format!("replica {name} timed out"))),
         }
