Hand requests to an owner in this process directly

Cause: an entry whose own instance owns the group forwarded to its own data address. Each request took a second HTTP exchange on loopback, and each token was encoded and parsed once more. Change: the forwarder calls the owner service of its own process for that address. The owner takes the body as bytes, so that both ways limit it where it arrives; the time left still counts from the arrival of the call. Ruled out: waiting in the scheduler, whose admission is synchronous.

--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -184,6 +184,7 @@
         let rpc = serve_rpc(listeners.rpc, peer, admin)?;
         tasks.spawn(session.clone().run());
 
+        let forwarder = Forwarder::new().with_local(settings.advertised().data, owner.clone());
         let targets = Targets {
             view: view.clone(),
             client: client.clone(),
@@ -194,7 +195,7 @@
         let entry = EntryServer::start(
             listeners.entry,
             EntryConfig::from(&settings),
-            entry_context(view, &session, targets, metrics, &log),
+            entry_context(view, &session, targets, forwarder, metrics, &log),
         )?;
         event!(log, INSTANCE_STARTED; "entry" => %entry.local_addr());
         Ok(Self {
@@ -354,6 +355,7 @@
     view: ControlView,
     session: &Arc<SessionKeeper>,
     targets: Targets,
+    forwarder: Forwarder,
     metrics: Metrics,
     log: &slog::Logger,
 ) -> EntryContext {
@@ -361,7 +363,7 @@
     let (announce, leave, cache_events) = (targets.clone(), targets.clone(), targets);
     EntryContext {
         catalog: Arc::new(ViewCatalog(view)),
-        forwarder: Forwarder::new(),
+        forwarder,
         is_fresh: Arc::new(move || keeper.freshness()),
         announce: Arc::new(move |announcement| {
             let targets = announce.clone();
--- a/crates/entry/src/services.rs
+++ b/crates/entry/src/services.rs
@@ -174,7 +174,7 @@
     route: &mut Route,
     mut call: ServiceCall,
     mut body: CallBody,
-) -> Result<Response<Incoming>, RequestError> {
+) -> Result<Response<ForwardBody>, RequestError> {
     loop {
         let (group, owner) = route.owner().await?;
         call.group = group.clone();
@@ -216,7 +216,7 @@
 ///
 /// A body that breaks or outlasts the deadline breaks the caller's connection, so that it never
 /// looks whole.
-fn shape(res: Response<Incoming>, mut route: Route) -> Response<Body> {
+fn shape(res: Response<ForwardBody>, mut route: Route) -> Response<Body> {
     let (mut parts, body) = res.into_parts();
     remove_hop_by_hop(&mut parts.headers);
     parts.headers.insert(OUTCOME_HEADER, problem::outcome_value(Outcome::Answered));
--- a/crates/owner/src/call.rs
+++ b/crates/owner/src/call.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Limited};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use shallotdrum_control::{BeginOutcome, CallKey, Command, RecordedAnswer, Reply};
 use shallotdrum_engine::{CallError, REQUEST_ID_HEADER};
@@ -60,18 +60,16 @@
 }
 
 impl OwnerService {
-    /// Runs a call of a plain service and returns the target's response.
+    /// Runs a call of a plain service and returns the target's response; the time that the call
+    /// has left counts from `received`.
     pub async fn call(
         self: &Arc<Self>,
         call: ServiceCall,
-        body: Incoming,
+        body: Bytes,
+        received: Instant,
     ) -> Result<Response<ForwardBody>, RequestError> {
         let busy = self.enter();
-        let deadline = Instant::now() + Duration::from_millis(call.deadline_ms);
-        let body = Limited::new(body, self.cx.max_body_bytes).collect().await.map_err(|e| {
-            RequestError::not_run(RequestErrorKind::BodyTooLarge, format!("body of the call: {e}"))
-        })?;
-        let body = body.to_bytes();
+        let deadline = received + Duration::from_millis(call.deadline_ms);
         let fingerprint = call_fingerprint(&call, &body);
         if self.cx.view.read(|state| state.is_quarantined(&fingerprint)) {
             let detail = format!("call {fingerprint} crashed two targets and is refused");
--- a/crates/owner/src/forwarder.rs
+++ b/crates/owner/src/forwarder.rs
@@ -1,6 +1,9 @@
 //! Client that forwards requests to the owner of a target group.
+//!
+//! Requests whose owner is this instance are handed to its `OwnerService` directly: a loopback
+//! connection would add two HTTP exchanges and two encodings of each token.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
 use http::{Method, Request, Response, StatusCode, header::CONTENT_TYPE};
@@ -10,9 +13,10 @@
     client::legacy::{Client, connect::HttpConnector},
     rt::TokioExecutor,
 };
-use shallotdrum_types::{RequestError, RequestId};
+use shallotdrum_types::{RequestError, RequestErrorKind, RequestId};
+use tokio::{sync::mpsc, time::Instant};
 
-use crate::{CompletionCall, Frame, ServiceCall};
+use crate::{CompletionCall, Frame, OwnerService, ServiceCall};
 
 /// Path of forwarded model requests on the peer data address.
 pub const COMPLETION_PATH: &str = "/forward/completion";
@@ -23,6 +27,9 @@
 /// Header that holds a `RequestError` as JSON when the owner refuses or fails a request.
 pub const ERROR_HEADER: &str = "x-shallotdrum-error";
 
+/// Frames that wait for a slow entry; engines keep generating meanwhile.
+pub(crate) const FRAME_BUFFER: usize = 256;
+
 /// Body of forwarded requests and their answers.
 pub type ForwardBody = BoxBody<Bytes, Box<dyn std::error::Error + Send + Sync>>;
 
@@ -36,6 +43,14 @@
 #[derive(Clone)]
 pub struct Forwarder {
     client: Client<HttpConnector, ForwardBody>,
+    local: Option<Local>,
+}
+
+/// The owner in this process.
+#[derive(Clone)]
+struct Local {
+    addr: SocketAddr,
+    service: Arc<OwnerService>,
 }
 
 /// Why a forwarded request got no answer from its owner.
@@ -82,7 +97,17 @@
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
-        Self { client: Client::builder(TokioExecutor::new()).build(connector) }
+        Self { client: Client::builder(TokioExecutor::new()).build(connector), local: None }
+    }
+
+    /// Hands requests for the given data address to the owner in this process.
+    #[must_use]
+    pub fn with_local(self, addr: SocketAddr, service: Arc<OwnerService>) -> Self {
+        Self { local: Some(Local { addr, service }), ..self }
+    }
+
+    fn local(&self, addr: SocketAddr) -> Option<&Arc<OwnerService>> {
+        self.local.as_ref().filter(|local| local.addr == addr).map(|local| &local.service)
     }
 
     /// Forwards a model request; the answer is a stream of frames.
@@ -91,6 +116,11 @@
         addr: SocketAddr,
         call: &CompletionCall,
     ) -> Result<FrameStream, ForwardError> {
+        if let Some(service) = self.local(addr) {
+            let (tx, rx) = mpsc::channel(FRAME_BUFFER);
+            tokio::spawn(service.clone().complete(call.clone(), tx));
+            return Ok(FrameStream::new(addr, call, Source::Local(rx)));
+        }
         let body = serde_json::to_vec(call)
             .map_err(|e| ForwardError::NotSent { addr, reason: e.to_string() })?;
         let req = Request::builder()
@@ -104,13 +134,8 @@
             let reason = format!("status {}", res.status());
             return Err(ForwardError::Malformed { addr, reason });
         }
-        Ok(FrameStream {
-            addr,
-            request: call.request.request.clone(),
-            body: res.into_body(),
-            buf: BytesMut::new(),
-            is_done: false,
-        })
+        let source = Source::Remote { body: res.into_body(), buf: BytesMut::new() };
+        Ok(FrameStream::new(addr, call, source))
     }
 
     /// Forwards a service call; the answer is the target's own response.
@@ -119,7 +144,16 @@
         addr: SocketAddr,
         call: &ServiceCall,
         body: ForwardBody,
-    ) -> Result<Response<Incoming>, ForwardError> {
+    ) -> Result<Response<ForwardBody>, ForwardError> {
+        if let Some(service) = self.local(addr) {
+            let received = Instant::now();
+            // The entry has limited the size of the body.
+            let body = body.collect().await.map_err(|e| {
+                let detail = format!("body of the call: {e}");
+                RequestError::not_run(RequestErrorKind::InvalidRequest, detail)
+            })?;
+            return Ok(service.call(call.clone(), body.to_bytes(), received).await?);
+        }
         let meta = serde_json::to_string(call)
             .map_err(|e| ForwardError::NotSent { addr, reason: e.to_string() })?;
         let req = Request::builder()
@@ -128,7 +162,8 @@
             .header(CALL_HEADER, meta)
             .body(body)
             .map_err(|e| ForwardError::NotSent { addr, reason: e.to_string() })?;
-        self.send(addr, req).await
+        let res = self.send(addr, req).await?;
+        Ok(res.map(|body| body.map_err(Into::into).boxed()))
     }
 
     async fn send(
@@ -154,12 +189,23 @@
 pub struct FrameStream {
     addr: SocketAddr,
     request: RequestId,
-    body: Incoming,
-    buf: BytesMut,
+    source: Source,
     is_done: bool,
 }
 
+/// Where frames come from.
+enum Source {
+    /// Answer of another instance, and the part of it that is not parsed yet.
+    Remote { body: Incoming, buf: BytesMut },
+    /// Owner in this process.
+    Local(mpsc::Receiver<Frame>),
+}
+
 impl FrameStream {
+    fn new(addr: SocketAddr, call: &CompletionCall, source: Source) -> Self {
+        Self { addr, request: call.request.request.clone(), source, is_done: false }
+    }
+
     /// Returns the next frame, or `None` after `Frame::End` or `Frame::Error`.
     ///
     /// An answer that breaks off, or that belongs to another request, is an error.
@@ -167,51 +213,57 @@
         if self.is_done {
             return Ok(None);
         }
-        loop {
-            if let Some(end) = self.buf.iter().position(|b| *b == b'\n') {
-                let line = self.buf.split_to(end + 1);
-                return self.parse(&line[..end]).map(Some);
-            }
-            if self.buf.len() > MAX_FRAME_BYTES {
-                return Err(self.malformed("a frame is too long"));
-            }
-            match self.body.frame().await {
-                Some(Ok(frame)) => {
-                    if let Ok(data) = frame.into_data() {
-                        self.buf.extend_from_slice(&data);
-                    }
-                }
-                Some(Err(e)) => {
-                    return Err(ForwardError::Lost { addr: self.addr, reason: error_chain(&e) });
-                }
-                None => {
-                    let reason = "the answer ended early".to_owned();
-                    return Err(ForwardError::Lost { addr: self.addr, reason });
-                }
-            }
-        }
-    }
-
-    fn parse(&mut self, line: &[u8]) -> Result<Frame, ForwardError> {
-        let frame: Frame =
-            serde_json::from_slice(line).map_err(|e| self.malformed(&e.to_string()))?;
+        let frame = match &mut self.source {
+            Source::Remote { body, buf } => read_frame(self.addr, body, buf).await?,
+            Source::Local(rx) => rx.recv().await.ok_or_else(|| ended_early(self.addr))?,
+        };
         let request = match &frame {
             Frame::Chunk(chunk) => Some(&chunk.request),
             Frame::End(end) => Some(&end.request),
             Frame::Error(_) => None,
         };
         if request.is_some_and(|request| *request != self.request) {
-            return Err(self.malformed("a frame belongs to another request"));
+            return Err(malformed(self.addr, "a frame belongs to another request"));
         }
         self.is_done = !matches!(frame, Frame::Chunk(_));
-        Ok(frame)
+        Ok(Some(frame))
     }
+}
 
-    fn malformed(&self, reason: &str) -> ForwardError {
-        ForwardError::Malformed { addr: self.addr, reason: reason.to_owned() }
+async fn read_frame(
+    addr: SocketAddr,
+    body: &mut Incoming,
+    buf: &mut BytesMut,
+) -> Result<Frame, ForwardError> {
+    loop {
+        if let Some(end) = buf.iter().position(|b| *b == b'\n') {
+            let line = buf.split_to(end + 1);
+            return serde_json::from_slice(&line[..end])
+                .map_err(|e| malformed(addr, &e.to_string()));
+        }
+        if buf.len() > MAX_FRAME_BYTES {
+            return Err(malformed(addr, "a frame is too long"));
+        }
+        match body.frame().await {
+            Some(Ok(frame)) => {
+                if let Ok(data) = frame.into_data() {
+                    buf.extend_from_slice(&data);
+                }
+            }
+            Some(Err(e)) => return Err(ForwardError::Lost { addr, reason: error_chain(&e) }),
+            None => return Err(ended_early(addr)),
+        }
     }
 }
 
+fn ended_early(addr: SocketAddr) -> ForwardError {
+    ForwardError::Lost { addr, reason: "the answer ended early".to_owned() }
+}
+
+fn malformed(addr: SocketAddr, reason: &str) -> ForwardError {
+    ForwardError::Malformed { addr, reason: reason.to_owned() }
+}
+
 /// Makes a body of bytes that are at hand.
 pub fn full_body(bytes: impl Into<Bytes>) -> ForwardBody {
     Full::new(bytes.into()).map_err(|never| match never {}).boxed()
--- a/crates/owner/src/server.rs
+++ b/crates/owner/src/server.rs
@@ -13,16 +13,13 @@
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
 use shallotdrum_types::{RequestError, RequestErrorKind};
-use tokio::{net::TcpListener, sync::mpsc};
+use tokio::{net::TcpListener, sync::mpsc, time::Instant};
 
 use crate::{
     CALL_HEADER, COMPLETION_PATH, CompletionCall, ERROR_HEADER, ForwardBody, Frame, OwnerService,
-    SERVICE_PATH, ServiceCall, full_body,
+    SERVICE_PATH, ServiceCall, forwarder::FRAME_BUFFER, full_body,
 };
 
-/// Frames that wait for a slow entry; engines keep generating meanwhile.
-const FRAME_BUFFER: usize = 256;
-
 /// Largest forwarded model request: a prompt and the text so far of a resumed answer.
 const MAX_CALL_BYTES: usize = 16 * 1024 * 1024;
 
@@ -96,7 +93,13 @@
             let detail = format!("header {CALL_HEADER} is missing or malformed");
             RequestError::not_run(RequestErrorKind::InvalidRequest, detail)
         })?;
-    service.call(call, body).await
+    // A planned stop waits for calls whose body is still on its way.
+    let _busy = service.enter();
+    let received = Instant::now();
+    let body = Limited::new(body, service.cx.max_body_bytes).collect().await.map_err(|e| {
+        RequestError::not_run(RequestErrorKind::BodyTooLarge, format!("body of the call: {e}"))
+    })?;
+    service.call(call, body.to_bytes(), received).await
 }
 
 /// Response that carries an error to the entry.
