Report processor time in the overhead bench and lower default loads

Requests in a second vary by a factor of two with other load of the machine, processor time for each request by a tenth. The first default of the policy comparison (8 and 16 requests/s) needed more loads than the weight store allows, so that both policies only queued for it.

--- a/crates/bench/src/overhead.rs
+++ b/crates/bench/src/overhead.rs
@@ -94,7 +94,8 @@
         seed: 1,
         targets,
     };
-    let cluster = BenchCluster::start(&deployment, &cfg).await?;
+    let mut cluster = BenchCluster::start(&deployment, &cfg).await?;
+    let pid = cluster.cluster.process(0)?.id();
     let way = Way {
         caller: Caller::new(&deployment.key(0)),
         engine: EngineClient::new(ClientTimeouts::default()),
@@ -118,11 +119,16 @@
         measure(&way, kind, rate, Duration::from_secs(seconds)).await?;
     }
     for kind in [Kind::Lookup, Kind::Stream] {
-        let direct = highest_rate(&way, kind, true, Duration::from_secs(seconds)).await?;
-        let through = highest_rate(&way, kind, false, Duration::from_secs(seconds)).await?;
+        let time = Duration::from_secs(seconds);
+        let direct = highest_rate(&way, kind, true, time).await?;
+        let cpu_before = cpu_seconds(pid)?;
+        let through = highest_rate(&way, kind, false, time).await?;
+        let cpu = cpu_seconds(pid)? - cpu_before;
         println!(
             "{kind:?}: {direct:.0} requests/s direct, {through:.0} requests/s through the \
-             instance, {CONCURRENCY} at a time"
+             instance, {CONCURRENCY} at a time; the instance used {:.1} us of processor time for \
+             each",
+            1e6 * cpu / (through * time.as_secs_f64())
         );
     }
     cluster.stop().await
@@ -198,6 +204,24 @@
     Ok(answers as f64 / start.elapsed().as_secs_f64())
 }
 
+/// Processor time that a process has used; depends less on other load of the machine than the
+/// requests in a second do.
+fn cpu_seconds(pid: u32) -> anyhow::Result<f64> {
+    /// Unit of the times in `/proc/PID/stat`, fixed for user space on Linux.
+    const TICKS_PER_SECOND: f64 = 100.0;
+    let path = format!("/proc/{pid}/stat");
+    let stat = std::fs::read_to_string(&path).with_context(|| format!("cannot read {path}"))?;
+    // The name in parentheses may hold spaces; user and system time are fields 14 and 15.
+    let fields = stat.rsplit_once(')').map_or("", |(_, rest)| rest);
+    let ticks: f64 = fields
+        .split_whitespace()
+        .skip(11)
+        .take(2)
+        .filter_map(|field| field.parse::<f64>().ok())
+        .sum();
+    Ok(ticks / TICKS_PER_SECOND)
+}
+
 impl Way {
     /// Returns the times to the first token and to the end.
     async fn send(&self, kind: Kind, is_direct: bool) -> anyhow::Result<(Duration, Duration)> {
--- a/crates/bench/src/policy/mod.rs
+++ b/crates/bench/src/policy/mod.rs
@@ -127,13 +127,14 @@
     Ok(())
 }
 
-/// Loads that keep the slots of the deployment busy but leave the baseline able to serve: about
-/// 70% of the requests of the first hit the most popular adapters that fit into all slots, and
-/// the rest need about as many loads as the weight store allows.
+/// Requests in a second and Zipf exponent.
+///
+/// With these the adapters that are new after the start and after the shift need about the loads
+/// that the weight store allows; with more, each policy only queues for the store.
 fn defaults(deployment: &Deployment) -> (f64, f64) {
     match deployment.name {
-        "registry" => (8.0, 1.2),
-        _ => (16.0, 1.5),
+        "registry" => (3.0, 1.3),
+        _ => (12.0, 1.8),
     }
 }
 
@@ -222,19 +223,14 @@
     let capacity = capacity(deployment);
     let flood = args.rate.unwrap_or(1.5 * capacity);
     // All adapters fit into the slots, so that waiting for loads does not hide waiting in queues.
-    let adapters = |range| range;
     let light = Senders {
         is_heavy: false,
         subscribers: HEAVY.end..deployment.subscribers,
         rate: 0.1 * capacity,
-        adapters: adapters(0..12),
-    };
-    let heavy = |subscribers| Senders {
-        is_heavy: true,
-        subscribers,
-        rate: flood,
-        adapters: adapters(12..24),
+        adapters: 0..12,
     };
+    let heavy =
+        |subscribers| Senders { is_heavy: true, subscribers, rate: flood, adapters: 12..24 };
     let mut json = Vec::new();
     report::head();
     let mut light_ratios = Vec::new();
