Measure recovery after a shift by the last window above the limit

A stall is recorded when it ends, so windows right after the shift were low and counted as recovered: 1 s for a run whose rate doubled 10 s later.

--- a/crates/bench/src/policy/mod.rs
+++ b/crates/bench/src/policy/mod.rs
@@ -77,7 +77,7 @@
 const STALL_RATE_LIMIT: f64 = 1.5;
 
 /// Samples over which the stall rate is averaged; fewer leave it to single loads.
-const RATE_SAMPLES: usize = 5;
+const RATE_SAMPLES: usize = 10;
 
 /// Stall rate, in seconds for each admitted request, below which a level counts as no stall: one
 /// load in a hundred requests.
@@ -299,7 +299,10 @@
     Ok(json)
 }
 
-/// Stall rate before the shift, and the time after it from which on the rate is near that.
+/// Stall rate before the shift, and the time after it from which on the rate stays near that.
+///
+/// A stall is recorded when it ends, so the first samples after the shift don't show it yet; what
+/// counts is the last window above the limit.
 fn recovery(figures: &Figures, shift_at: f64) -> (f64, Option<f64>) {
     let (before, after): (Vec<&Sample>, Vec<&Sample>) =
         figures.timeline.iter().partition(|sample| sample.at <= shift_at);
@@ -309,8 +312,13 @@
     };
     let level = rate(&before);
     let limit = (level * STALL_RATE_LIMIT).max(NO_STALL);
-    let found = after.windows(RATE_SAMPLES).find(|window| rate(window) <= limit);
-    (level, found.and_then(|window| window.first()).map(|sample| sample.at - shift_at))
+    let windows: Vec<_> = after.windows(RATE_SAMPLES).collect();
+    let time = match windows.iter().rposition(|window| rate(window) > limit) {
+        None => Some(0.0),
+        Some(last) if last + 1 >= windows.len() => None,
+        Some(last) => windows[last].last().map(|sample| sample.at - shift_at),
+    };
+    (level, time)
 }
 
 /// Answers in a second at several multiples of what the engines can generate.
