Make the hand-over tests fail without pins and without the settling time

The earlier versions of both hand-over tests passed with the mechanism off: their orders ended before the old lease did, and their one stream left slots for the other adapters.

--- a/crates/daemon/tests/guarantees/ownership.rs
+++ b/crates/daemon/tests/guarantees/ownership.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use rstest::rstest;
-use shallotdrum_fakes::{FakeEngine, Run, unix_ms};
+use shallotdrum_fakes::{FakeEngine, OrderRecord, unix_ms};
 use shallotdrum_harness::{ClusterConfig, TargetsConfig, wait_until};
 use shallotdrum_rpc::AdminApiClient;
 use shallotdrum_types::TargetId;
@@ -110,7 +110,8 @@
 #[rstest]
 #[tokio::test(flavor = "multi_thread")]
 async fn handover_without_fencing() {
-    let load_time = Duration::from_millis(1500);
+    // Ends after the old owner's lease, but within the time that an order may take (5 s).
+    let load_time = Duration::from_millis(4500);
     let targets = TargetsConfig {
         checks_fencing: false,
         adapter_slots: 2,
@@ -123,8 +124,10 @@
     let load = Load::start(&setup, LoadConfig { workers: 16, max_tokens: 8, seed: 31 });
     let look = || async {
         let under_way = setup.targets.engines.iter().flat_map(|e| e.stats().orders);
-        match under_way.filter(|order| order.result.is_none()).count() {
-            0 | 1 => Err("no orders under way".to_owned()),
+        // Only orders that have just begun are still carried out when the lease has ended.
+        let is_new = |order: &OrderRecord| order.arrived_ms + 200 >= unix_ms();
+        match under_way.filter(|order| order.result.is_none() && is_new(order)).count() {
+            0 => Err("no new order under way".to_owned()),
             _ => Ok(()),
         }
     };
@@ -152,8 +155,8 @@
     setup.check_targets();
 }
 
-/// Guards against evictions of a serving adapter around a hand-over: requests for more adapters
-/// than there are slots start through all instances while a stream outlives its owner.
+/// Guards against evictions of a serving adapter around a hand-over: streams occupy all slots and
+/// outlive their owner, while requests for other adapters start through all instances.
 #[rstest]
 #[case::killed(Loss::Kill)]
 #[case::frozen(Loss::Freeze)]
@@ -166,37 +169,43 @@
     let mut setup = start_with(cluster_config(), targets).await;
     let owner = setup.engine_owner(setup.cluster.rpc_addr(0)).await.unwrap();
     let alive = bystander(&setup, owner);
-    let load = Load::start(&setup, LoadConfig { workers: 24, max_tokens: 10, seed: 32 });
-    let entry = setup.cluster.entry(alive);
-    let (caller, model) = (setup.caller.clone(), setup.deployment.model(0, 2));
-    let tokens = 300;
-    let stream =
-        tokio::spawn(async move { caller.complete(entry, &model, "long", tokens, true).await });
-    // Only the stream asks for version 2.
-    let is_stream = |run: &Run| run.adapter.version.as_str() == "2" && run.end.is_none();
+    let (tokens, slots) = (400, 6);
+    let mut streams = tokio::task::JoinSet::new();
+    for adapter in 0..slots {
+        let (caller, model) = (setup.caller.clone(), setup.deployment.model(adapter, 2));
+        let entry = setup.cluster.entry(alive);
+        streams.spawn(async move {
+            (adapter, caller.complete(entry, &model, "long", tokens, true).await)
+        });
+    }
     let look = || async {
-        let mut runs = setup.targets.engines.iter().flat_map(|e| e.stats().runs);
-        match runs.any(|run| is_stream(&run) && run.started_ms.is_some()) {
-            false => Err("the stream has not begun".to_owned()),
-            true => Ok(()),
+        let runs = setup.targets.engines.iter().flat_map(|e| e.stats().runs);
+        let streams = runs.filter(|run| run.adapter.version.as_str() == "2");
+        match streams.filter(|run| run.started_ms.is_some() && run.end.is_none()).count() {
+            n if n == slots => Ok(()),
+            n => Err(format!("{n} streams")),
         }
     };
-    wait_until("the stream runs", START_LIMIT, look).await.unwrap();
-    load.ready[owner].store(false, std::sync::atomic::Ordering::SeqCst);
+    wait_until("the streams run", START_LIMIT, look).await.unwrap();
     let lost_at = Instant::now();
     match loss {
         Loss::Kill => setup.cluster.kill(owner).unwrap(),
         Loss::Freeze => setup.cluster.process(owner).unwrap().sigstop().unwrap(),
         Loss::Stop => setup.cluster.process(owner).unwrap().sigterm().unwrap(),
     }
+    let load = Load::start(&setup, LoadConfig { workers: 24, max_tokens: 10, seed: 32 });
+    load.ready[owner].store(false, std::sync::atomic::Ordering::SeqCst);
     let (new, _) = wait_new_owner(&setup, alive, owner).await;
     eprintln!("measured: {loss:?}: owner {new} {:?} after the loss", lost_at.elapsed());
-    let answered = load.answered();
     if loss == Loss::Freeze {
         setup.cluster.process(owner).unwrap().sigcont().unwrap();
     }
-    let answer = stream.await.unwrap().expect("the stream outlives its owner");
-    setup.check_answer(&answer, 0, 2, "long", tokens);
+    while let Some(result) = streams.join_next().await {
+        let (adapter, answer) = result.unwrap();
+        let answer = answer.unwrap_or_else(|e| panic!("stream of {adapter}: {e}"));
+        setup.check_answer(&answer, adapter, 2, "long", tokens);
+    }
+    let answered = load.answered();
     let look = || async {
         if load.answered() > answered + 50 { Ok(()) } else { Err(load.answered().to_string()) }
     };
