--- a/crates/daemon/tests/guarantees/load.rs
+++ b/crates/daemon/tests/guarantees/load.rs
@@ -23,7 +23,7 @@
 const MAX_SENDS: usize = 20;
 
 /// What to send.
-#[derive(Clone, Debug)]
+#[derive(Clone, Copy, Debug)]
 pub(crate) struct LoadConfig {
     /// Workers; one half requests completions, a quarter each calls and lookups.
     pub(crate) workers: usize,
--- a/crates/daemon/tests/guarantees/random_mix.rs
+++ b/crates/daemon/tests/guarantees/random_mix.rs
@@ -1,4 +1,7 @@
 //! All guarantees under a random mix of faults.
+//!
+//! Longer runs: `SHALLOTDRUM_MIX_SEED=7 SHALLOTDRUM_MIX_SECONDS=60 cargo nextest run -p
+//! shallotdrum-daemon --test guarantees faults_combined::case_1`; nextest ends a test after 180 s.
 
 use std::{collections::BTreeMap, sync::atomic::Ordering, time::Duration};
 
@@ -88,21 +91,21 @@
                 match (&result, again) {
                     (Ok(first), Ok(again)) => assert_eq!(*first, again, "resend of {name}"),
                     (Ok(_), Err(RpcError::Refused(e))) => panic!("resend of {name}: {e}"),
-                    (Err(_), Ok(again)) => self.accept(again.0, name.clone()),
+                    (Err(_), Ok(again)) => self.accept(again.0, &name),
                     _ => {}
                 }
             }
             if let Ok(revision) = result {
                 assert_eq!(revision.0, base + 1);
-                self.accept(revision.0, name);
+                self.accept(revision.0, &name);
             }
         }
         // After unknown results, the next race starts from what the log says.
         self.look(setup).await;
     }
 
-    fn accept(&mut self, revision: u64, submission: String) {
-        let winner = self.winners.entry(revision).or_insert_with(|| submission.clone());
+    fn accept(&mut self, revision: u64, submission: &str) {
+        let winner = self.winners.entry(revision).or_insert_with(|| submission.to_owned());
         assert_eq!(*winner, submission, "two winners of revision {revision}");
     }
 
@@ -118,7 +121,7 @@
             let seen = self.seen.insert(i, newest).unwrap_or_default();
             assert!(newest >= seen, "instance {i} went back from {seen} to {newest}");
             for row in rows {
-                self.accept(row.revision.0, row.submission.to_string());
+                self.accept(row.revision.0, row.submission.as_str());
             }
         }
     }
