Wake followers after a command counts as applied

Cause: a replica that answers a follower's long poll waited for the state machine's signal, which comes before the node counts the command as applied. The poll then found no new command and waited for the next signal or its end after 2 s. Ruled out: acceptance (median about 40 ms in the same run) and freshness checks (5 s bound). The poll now waits for the node's own status.

Measured by replicas::in_force_everywhere, 40 changes, eight processes, debug build, shared machine: in force on all instances after a median of 1.93 s, at worst 2.45 s before; 0.20 s and 0.35 s after. Entries learn of new owners and of targets that leave by the same path.

--- a/crates/daemon/src/replica.rs
+++ b/crates/daemon/src/replica.rs
@@ -94,8 +94,11 @@
     ) -> Result<WatchReply, RpcError> {
         let wait = Duration::from_millis(wait_ms).min(MAX_WATCH_WAIT);
         let deadline = tokio::time::Instant::now() + wait;
-        let mut changed = self.view.changed();
+        // The state machine's own signal comes before the node counts the command as applied, so
+        // it would wake this loop too early.
+        let mut status = self.node.watch();
         loop {
+            let seen = status.borrow_and_update().applied;
             match self.node.committed_after(after, MAX_WATCH_BYTES) {
                 CommittedTail::Snapshot { .. } => {
                     return Ok(self.view.read(|state| WatchReply::Snapshot {
@@ -115,7 +118,8 @@
                 }
             }
             // On a time-out the next round returns what there is.
-            let _ = tokio::time::timeout_at(deadline, changed.changed()).await;
+            let applied = status.wait_for(|status| status.applied > seen);
+            let _ = tokio::time::timeout_at(deadline, applied).await;
         }
     }
 
