--- a/crates/daemon/tests/guarantees/crashes.rs
+++ b/crates/daemon/tests/guarantees/crashes.rs
@@ -99,6 +99,12 @@
         check_not_run(&setup, &errors);
     }
     eprintln!("crashes: {}", crashes(&setup));
+    for engine in &setup.targets.engines {
+        // Shows which crashes overlapped if there were too many.
+        for run in engine.stats().runs.iter().filter(|run| run.end == Some(RunEnd::Stopped)) {
+            eprintln!("{} {} {}", run.incarnation, run.arrived_ms, run.request);
+        }
+    }
     assert!(crashes(&setup) <= MAX_CRASHES, "{} crashes", crashes(&setup));
     set_marker(&setup, None);
     setup.wait_served(2, START_LIMIT).await;
