Refuse requests at once whose load would queue for too long

A request that adds a load to the queue is refused with Retry-After if the expected wait exceeds a part of its remaining time that depends on stall_weight. The queue of loads dominated: requests that the store could not keep up with waited for almost their whole deadline, and most refused requests had been held. The store's interval is measured only while another load is under way. Many adapters that wait for one subscriber count as FAIR_LOADS in all, so that a flood does not make the group refuse a light subscriber.

--- a/crates/scheduler/src/state/admission.rs
+++ b/crates/scheduler/src/state/admission.rs
@@ -34,6 +34,11 @@
 const RUN_RESERVE: f64 = 1.5;
 /// Part of the remaining time that the answer may be expected to take.
 const MAX_RUN_SHARE: f64 = 0.5;
+/// Part of the remaining time that the wait for a load may be expected to take at `stall_weight`
+/// 0. Requests for popular adapters overtake, so the wait may become several times as long.
+const MAX_LOAD_SHARE: f64 = 0.3;
+/// What `stall_weight` 1 takes off that part.
+const LOAD_SHARE_SPAN: f64 = 0.2;
 /// Lead over virtual time, in tokens, that lowers the priority by one step.
 const PRIORITY_STEP_TOKENS: f64 = 500.0;
 /// Lines about full queues are this far apart in each group.
@@ -129,7 +134,12 @@
         match lane {
             Lane::Adapter(key) => {
                 self.adapters[key].queue.insert((tag, seq));
-                self.waiting.insert(key);
+                if self.waiting.insert(key) && self.adapters[key].holders.is_empty() {
+                    // Counted anew by the next plan.
+                    self.starved += 1;
+                    *self.starved_subs.entry(self.queued[&seq].sub).or_default() += 1;
+                    self.starved_share += self.load_share(self.queued[&seq].sub, tag, now);
+                }
                 self.dispatch_adapter(key, now);
             }
             Lane::Service { is_repeatable } => {
@@ -169,6 +179,7 @@
                 .retry_after(MIN_RETRY_AFTER));
         }
         self.check_limits(work, now)?;
+        self.check_load(work, now)?;
         let wait = self.expected_wait(work, now);
         let run_time = self.run_time(work, now);
         if now + wait + run_time > work.deadline {
@@ -185,6 +196,37 @@
         Ok(())
     }
 
+    /// Refuses a request that would add a load to a long queue of loads.
+    ///
+    /// In an overload of the weight store, requests that are queued beyond its rate only lengthen
+    /// the stalls of all others until their own deadline passes.
+    fn check_load(&self, work: &Work, now: Instant) -> Result<(), RequestError> {
+        let Job::Completion { adapter, .. } = &work.job else { return Ok(()) };
+        let key = self.adapters.key(adapter);
+        let row = key.map(|key| &self.adapters[key]);
+        let is_new_load = row.is_none_or(|row| {
+            row.holders.is_empty() && row.loading.is_empty() && row.queue.is_empty()
+        });
+        if !is_new_load || self.cfg.policy == Policy::Baseline {
+            return Ok(());
+        }
+        let sub = self.subs.key(&work.subscriber);
+        let wait = self.load_wait(sub, key, now);
+        let weight = self.cfg.stall_weight.clamp(0.0, 1.0);
+        let left = work.deadline.saturating_duration_since(now);
+        let most = left.mul_f64(MAX_LOAD_SHARE - LOAD_SHARE_SPAN * weight);
+        if wait <= most {
+            return Ok(());
+        }
+        let detail = format!(
+            "adapter {adapter} would be loaded in {:.1} s, after {} others; retry later",
+            wait.as_secs_f64(),
+            self.starved
+        );
+        Err(RequestError::not_run(RequestErrorKind::Overloaded, detail)
+            .retry_after(retry_after(wait - most)))
+    }
+
     fn check_limits(&mut self, work: &Work, now: Instant) -> Result<(), RequestError> {
         let Some(sub) = self.subs.key(&work.subscriber) else { return Ok(()) };
         let account = &self.subs[sub];
--- a/crates/scheduler/src/state/loads.rs
+++ b/crates/scheduler/src/state/loads.rs
@@ -119,12 +119,11 @@
         let row = &mut self.adapters[adapter];
         row.failures = 0;
         row.failed_on.retain(|(target, _)| *target != key);
-        if let Some(last) = self.last_load_end.replace(now) {
-            // Longer gaps are idle time of the store, not its speed.
-            let secs = (now - last).as_secs_f64();
-            if secs < 2.0 {
-                self.load_interval.add(secs);
-            }
+        // A gap without another load under way is idle time of the store, not its speed.
+        let is_busy = !self.in_flight.is_empty();
+        let last = std::mem::replace(&mut self.last_load_end, is_busy.then_some(now));
+        if let Some(last) = last {
+            self.load_interval.add((now - last).as_secs_f64());
         }
     }
 
--- a/crates/scheduler/src/state/mod.rs
+++ b/crates/scheduler/src/state/mod.rs
@@ -86,6 +86,8 @@
     starved: usize,
     /// The same, with each adapter weighted by the fair share of its first request.
     starved_share: f64,
+    /// Adapters without a holder that each subscriber waits for.
+    starved_subs: HashMap<SubKey, u32>,
     /// Recent arrivals of subscribers within their share.
     light: Decayed,
     /// Sum of the weights of subscribers with queued requests.
@@ -263,6 +265,7 @@
             next_prefetch_at: now,
             starved: 0,
             starved_share: 0.0,
+            starved_subs: HashMap::new(),
             light: Decayed::new(DEMAND_HALF_LIFE, now),
             active_weight: 0.0,
             secs_per_token: Mean::default(),
--- a/crates/scheduler/src/state/planner.rs
+++ b/crates/scheduler/src/state/planner.rs
@@ -27,7 +27,8 @@
 /// more than the subscriber's share.
 const FAIR_LEAD_TOKENS: f64 = 1000.0;
 /// Loads within the half-life of the demand that halve the weight of a subscriber's requests. Of
-/// the store's 3 loads/s this is the part of one among about 16 active subscribers.
+/// the store's 3 loads/s this is the part of one among about 16 active subscribers. More adapters
+/// that wait for the same subscriber count as this many in all.
 const FAIR_LOADS: f64 = 16.0;
 /// Queued requests of a subscriber that count in full; a flood counts as this many in all.
 const FAIR_BACKLOG: f64 = 4.0;
@@ -136,6 +137,7 @@
     fn candidates(&mut self, now: Instant) -> Vec<Candidate> {
         let mut candidates = Vec::new();
         let (mut starved, mut starved_share) = (0, 0.0);
+        self.count_starved_subs();
         for key in &self.waiting {
             let adapter = &self.adapters[*key];
             if adapter.holders.is_empty() {
@@ -162,6 +164,19 @@
         candidates
     }
 
+    /// Counts the adapters without a holder for each subscriber that waits first for them.
+    fn count_starved_subs(&mut self) {
+        self.starved_subs.clear();
+        for key in &self.waiting {
+            let adapter = &self.adapters[*key];
+            if let Some((_, seq)) = adapter.queue.first()
+                && adapter.holders.is_empty()
+            {
+                *self.starved_subs.entry(self.queued[seq].sub).or_default() += 1;
+            }
+        }
+    }
+
     fn candidate(&self, key: AdapterKey, is_replica: bool, now: Instant) -> Option<Candidate> {
         let queue = &self.adapters[key].queue;
         let (tag, cause) = queue.first().copied()?;
@@ -228,12 +243,15 @@
     }
 
     /// Weight of a queued request in the choice of loads: less the further its subscriber is
-    /// beyond the fair share, and the more loads it caused lately.
+    /// beyond the fair share, and the more loads it caused lately. The limit over all
+    /// adapters that wait holds back a flood that could not load any lately but grows old.
     pub(super) fn load_share(&self, sub: SubKey, tag: Tag, now: Instant) -> f64 {
         let account = &self.subs[sub];
         let loads = account.loads.get(now) / account.weight;
-        1.0 / ((1.0 + self.clock.lead(tag) / FAIR_LEAD_TOKENS)
-            * (1.0 + (loads / FAIR_LOADS).powi(2)))
+        let starved = self.starved_subs.get(&sub).map_or(1.0, |n| f64::from(*n));
+        (FAIR_LOADS / starved).min(1.0)
+            / ((1.0 + self.clock.lead(tag) / FAIR_LEAD_TOKENS)
+                * (1.0 + (loads / FAIR_LOADS).powi(2)))
     }
 
     /// Urgency of a load that serves this many requests, the oldest of which waited for `oldest`.
