--- a/crates/scheduler/src/state/choice.rs
+++ b/crates/scheduler/src/state/choice.rs
@@ -16,6 +16,8 @@
 const PREFIX_BONUS: f64 = 0.3;
 /// Preference for fuller batches at `stall_weight` 0.
 const PACKING: f64 = -0.5;
+/// The same for the place of a load, on top.
+const LOAD_PACKING: f64 = -4.0;
 
 /// Light requests within the demand's half-life that are worth keeping places free.
 const MIN_LIGHT: f64 = 2.0;
@@ -129,6 +131,16 @@
         load + slow + zone
     }
 
+    /// How far batches come before stalls: 1 at `stall_weight` 0, 0 from 0.5 on.
+    pub(super) fn batch_weight(&self) -> f64 {
+        (1.0 - 2.0 * self.cfg.stall_weight).clamp(0.0, 1.0)
+    }
+
+    /// Score that makes loads prefer engines with full batches.
+    pub(super) fn packing(&self, target: &Target, now: Instant) -> f64 {
+        LOAD_PACKING * self.batch_weight() * target.fullness(now)
+    }
+
     /// Whether every active target is to be avoided, so that avoiding is pointless.
     pub(super) fn avoids_all(&self, avoid: &[TargetId], is_engine: bool, now: Instant) -> bool {
         !self.targets.values().any(|target| {
--- a/crates/scheduler/src/state/planner.rs
+++ b/crates/scheduler/src/state/planner.rs
@@ -42,6 +42,11 @@
 const MIN_UNUSED_RESIDENCE: Duration = Duration::from_secs(2);
 /// An adapter in use is drained only after it had its turn of several answers.
 const MIN_DRAINED_RESIDENCE: Duration = Duration::from_secs(5);
+/// Requests of an adapter that are loaded for without a delay.
+const MIN_GATHERED: usize = 2;
+/// A load for a single request is delayed this long at `stall_weight` 0, so that it serves more;
+/// not at all from `stall_weight` 0.5 on.
+const MAX_GATHER_TIME: Duration = Duration::from_secs(2);
 /// Candidates wait this long for a slot to become idle by itself before one is drained.
 const DRAIN_AFTER: Duration = Duration::from_millis(100);
 /// A drain that does not end is given up; most answers take a few seconds.
@@ -137,6 +142,7 @@
     fn candidates(&mut self, now: Instant) -> Vec<Candidate> {
         let mut candidates = Vec::new();
         let (mut starved, mut starved_share) = (0, 0.0);
+        let gather_time = MAX_GATHER_TIME.mul_f64(self.batch_weight());
         self.count_starved_subs();
         for key in &self.waiting {
             let adapter = &self.adapters[*key];
@@ -149,6 +155,11 @@
             if !adapter.loading.is_empty() || now < adapter.retry_at {
                 continue;
             }
+            let head = adapter.queue.first().and_then(|(_, seq)| self.queued.get(seq));
+            let is_single = adapter.queue.len() < MIN_GATHERED;
+            if is_single && head.is_some_and(|head| now < head.queued_at + gather_time) {
+                continue;
+            }
             let is_held = adapter.holders.iter().any(|key| self.targets[key].is_open(now));
             let is_blocked =
                 adapter.blocked_since.is_some_and(|since| now >= since + REPLICA_AFTER);
@@ -285,7 +296,8 @@
                 None if candidate.is_replica => None,
                 None => Some(candidate.tag),
             };
-            self.place_on(*key, target, candidate.adapter, tag, max_loss, now)
+            let is_replica = candidate.is_replica;
+            self.place_on(*key, target, candidate.adapter, tag, max_loss, is_replica, now)
         });
         places.min_by(|a, b| a.cost.total_cmp(&b.cost))
     }
@@ -297,6 +309,7 @@
         adapter: AdapterKey,
         tag: Option<Tag>,
         max_loss: f64,
+        is_replica: bool,
         now: Instant,
     ) -> Option<Place> {
         let has_failed = self.has_failed(adapter, key, now);
@@ -314,7 +327,9 @@
             (Some(victim), loss)
         };
         let no_room = if target.has_room(now) { 0.0 } else { NO_ROOM_DEMAND };
-        let cost = loss + LOAD_SCORE_DEMAND * self.load_score(target, now) + no_room;
+        // A replica that joins a full batch relieves nothing, so replicas are spread.
+        let packing = if is_replica { target.fullness(now) } else { self.packing(target, now) };
+        let cost = loss + LOAD_SCORE_DEMAND * (self.load_score(target, now) + packing) + no_room;
         Some(Place { target: key, victim, loss, cost })
     }
 
@@ -448,7 +463,7 @@
         }
         let targets = self.targets.iter().filter(|(_, target)| target.is_open(now));
         let places = targets.filter_map(|(key, target)| {
-            self.place_on(*key, target, adapter, None, f64::INFINITY, now)
+            self.place_on(*key, target, adapter, None, f64::INFINITY, false, now)
         });
         let Some(place) = places.min_by(|a, b| a.cost.total_cmp(&b.cost)) else { return };
         if place.victim.is_none() || demand > PREFETCH_GAIN * place.loss {
