--- a/crates/scheduler/src/state/planner.rs
+++ b/crates/scheduler/src/state/planner.rs
@@ -42,11 +42,6 @@
 const MIN_UNUSED_RESIDENCE: Duration = Duration::from_secs(2);
 /// An adapter in use is drained only after it had its turn of several answers.
 const MIN_DRAINED_RESIDENCE: Duration = Duration::from_secs(5);
-/// Requests of an adapter that are loaded for without a delay.
-const MIN_GATHERED: usize = 2;
-/// A load for a single request is delayed this long at `stall_weight` 0, so that it serves more;
-/// not at all from `stall_weight` 0.5 on.
-const MAX_GATHER_TIME: Duration = Duration::from_secs(2);
 /// Candidates wait this long for a slot to become idle by itself before one is drained.
 const DRAIN_AFTER: Duration = Duration::from_millis(100);
 /// A drain that does not end is given up; most answers take a few seconds.
@@ -142,7 +137,6 @@
     fn candidates(&mut self, now: Instant) -> Vec<Candidate> {
         let mut candidates = Vec::new();
         let (mut starved, mut starved_share) = (0, 0.0);
-        let gather_time = MAX_GATHER_TIME.mul_f64(self.batch_weight());
         self.count_starved_subs();
         for key in &self.waiting {
             let adapter = &self.adapters[*key];
@@ -155,11 +149,6 @@
             if !adapter.loading.is_empty() || now < adapter.retry_at {
                 continue;
             }
-            let head = adapter.queue.first().and_then(|(_, seq)| self.queued.get(seq));
-            let is_single = adapter.queue.len() < MIN_GATHERED;
-            if is_single && head.is_some_and(|head| now < head.queued_at + gather_time) {
-                continue;
-            }
             let is_held = adapter.holders.iter().any(|key| self.targets[key].is_open(now));
             let is_blocked =
                 adapter.blocked_since.is_some_and(|since| now >= since + REPLICA_AFTER);
