--- a/crates/scheduler/src/state/planner.rs
+++ b/crates/scheduler/src/state/planner.rs
@@ -56,6 +56,9 @@
 const PREFETCH_GAIN: f64 = 2.0;
 /// Requests within the half-life of the demand that make a prefetch worthwhile.
 const PREFETCH_MIN_DEMAND: f64 = 2.0;
+/// An adapter that moves to a busier engine must have this many times the victim's demand, as the
+/// victim may have to be loaded again.
+const CONSOLIDATION_GAIN: f64 = 2.0;
 /// Time between prefetches; leaves most of the store's 2 to 3 loads/s to real demand.
 const PREFETCH_INTERVAL: Duration = Duration::from_secs(1);
 /// Demand of an adapter that nobody asked for within the half-life.
@@ -442,6 +445,9 @@
         }
         self.next_prefetch_at = now + PREFETCH_INTERVAL;
         self.end_drains(true, now);
+        if self.batch_weight() > 0.0 && self.consolidate(now) {
+            return;
+        }
         let absent = self.adapters.iter().filter(|(_, _, adapter)| {
             adapter.holders.is_empty() && adapter.source.is_some() && now >= adapter.retry_at
         });
@@ -459,4 +465,44 @@
             self.start_load(place.target, adapter, place.victim, None, now);
         }
     }
+
+    /// Loads a popular adapter on a busier engine than the one that holds it, from spare permits.
+    ///
+    /// Requests then go to the fuller batch, and the other copy becomes the first to be evicted.
+    fn consolidate(&mut self, now: Instant) -> bool {
+        let open = self.targets.iter().filter(|(_, target)| {
+            target.is_open(now) && target.is_engine() && target.has_room(now)
+        });
+        let mut engines: Vec<(f64, TargetKey)> = open
+            .map(|(key, target)| {
+                let ready = target.slots.slots.iter().filter(|slot| slot.is_ready());
+                let demand = ready.map(|slot| {
+                    let adapter = &self.adapters[slot.adapter];
+                    adapter.demand.get(now) / adapter.holders.len().max(1) as f64
+                });
+                (demand.sum(), *key)
+            })
+            .collect();
+        engines.sort_by(|a, b| b.0.total_cmp(&a.0));
+        for (at, (_, busy)) in engines.iter().enumerate() {
+            let less_busy = engines[at + 1..].iter().flat_map(|(_, key)| {
+                self.targets[key].slots.slots.iter().filter(|slot| slot.is_ready())
+            });
+            let single = less_busy.filter(|slot| self.adapters[slot.adapter].holders.len() == 1);
+            let demands = single.map(|slot| (self.gain(slot.adapter, now), slot.adapter));
+            let Some((demand, adapter)) = demands.max_by(|a, b| a.0.total_cmp(&b.0)) else {
+                return false;
+            };
+            if demand < PREFETCH_MIN_DEMAND || self.adapters[adapter].source.is_none() {
+                return false;
+            }
+            let target = &self.targets[busy];
+            let place = self.place_on(*busy, target, adapter, None, f64::INFINITY, false, now);
+            let Some(place) = place else { continue };
+            if demand > CONSOLIDATION_GAIN * place.loss {
+                return self.start_load(place.target, adapter, place.victim, None, now);
+            }
+        }
+        false
+    }
 }
