--- a/crates/scheduler/src/state/choice.rs
+++ b/crates/scheduler/src/state/choice.rs
@@ -17,7 +17,7 @@
 /// Preference for fuller batches at `stall_weight` 0.
 const PACKING: f64 = -0.5;
 /// The same for the place of a load, on top.
-const LOAD_PACKING: f64 = -4.0;
+const LOAD_PACKING: f64 = -10.0;
 
 /// Light requests within the demand's half-life that are worth keeping places free.
 const MIN_LIGHT: f64 = 2.0;
