--- a/crates/scheduler/src/state/planner.rs
+++ b/crates/scheduler/src/state/planner.rs
@@ -14,7 +14,7 @@
     api::Policy,
     fair::{Seq, Tag},
     slots::{AdapterKey, Slot},
-    target::{Target, TargetKey},
+    target::TargetKey,
 };
 
 /// Time between scans that decided nothing; short against the load time of 250 ms.
@@ -289,7 +289,7 @@
                 None => Some(candidate.tag),
             };
             let is_replica = candidate.is_replica;
-            self.place_on(*key, target, candidate.adapter, tag, max_loss, is_replica, now)
+            self.place_on(*key, candidate.adapter, tag, max_loss, is_replica, now)
         });
         places.min_by(|a, b| a.cost.total_cmp(&b.cost))
     }
@@ -297,13 +297,13 @@
     fn place_on(
         &self,
         key: TargetKey,
-        target: &Target,
         adapter: AdapterKey,
         tag: Option<Tag>,
         max_loss: f64,
         is_replica: bool,
         now: Instant,
     ) -> Option<Place> {
+        let target = &self.targets[&key];
         let has_failed = self.has_failed(adapter, key, now);
         if !target.takes_orders(now) || target.slots.refers_to(adapter) || has_failed {
             return None;
@@ -457,9 +457,8 @@
             return;
         }
         let targets = self.targets.iter().filter(|(_, target)| target.is_open(now));
-        let places = targets.filter_map(|(key, target)| {
-            self.place_on(*key, target, adapter, None, f64::INFINITY, false, now)
-        });
+        let places = targets
+            .filter_map(|(key, _)| self.place_on(*key, adapter, None, f64::INFINITY, false, now));
         let Some(place) = places.min_by(|a, b| a.cost.total_cmp(&b.cost)) else { return };
         if place.victim.is_none() || demand > PREFETCH_GAIN * place.loss {
             self.start_load(place.target, adapter, place.victim, None, now);
@@ -496,8 +495,7 @@
             if demand < PREFETCH_MIN_DEMAND || self.adapters[adapter].source.is_none() {
                 return false;
             }
-            let target = &self.targets[busy];
-            let place = self.place_on(*busy, target, adapter, None, f64::INFINITY, false, now);
+            let place = self.place_on(*busy, adapter, None, f64::INFINITY, false, now);
             let Some(place) = place else { continue };
             if demand > CONSOLIDATION_GAIN * place.loss {
                 return self.start_load(place.target, adapter, place.victim, None, now);
