Refuse no load while fewer than 12 are queued, and ignore long gaps between loads

The guarantee test rolling_restart failed: while owners change, a load may take seconds, and one such sample made the group refuse a request with 6 loads ahead of it.

--- a/crates/scheduler/src/state/admission.rs
+++ b/crates/scheduler/src/state/admission.rs
@@ -34,6 +34,9 @@
 const RUN_RESERVE: f64 = 1.5;
 /// Part of the remaining time that the answer may be expected to take.
 const MAX_RUN_SHARE: f64 = 0.5;
+/// Queues of fewer loads refuse nobody: the store works them off within about 5 s, and single slow
+/// loads, for example while owners change, say little about its rate.
+const MIN_REFUSED_QUEUE: usize = 12;
 /// Part of the remaining time that the wait for a load may be expected to take at `stall_weight`
 /// 0. Requests for popular adapters overtake, so the wait may become several times as long.
 const MAX_LOAD_SHARE: f64 = 0.3;
@@ -207,7 +210,8 @@
         let is_new_load = row.is_none_or(|row| {
             row.holders.is_empty() && row.loading.is_empty() && row.queue.is_empty()
         });
-        if !is_new_load || self.cfg.policy == Policy::Baseline {
+        let is_short = self.starved < MIN_REFUSED_QUEUE;
+        if !is_new_load || is_short || self.cfg.policy == Policy::Baseline {
             return Ok(());
         }
         let sub = self.subs.key(&work.subscriber);
--- a/crates/scheduler/src/state/loads.rs
+++ b/crates/scheduler/src/state/loads.rs
@@ -123,7 +123,11 @@
         let is_busy = !self.in_flight.is_empty();
         let last = std::mem::replace(&mut self.last_load_end, is_busy.then_some(now));
         if let Some(last) = last {
-            self.load_interval.add((now - last).as_secs_f64());
+            let secs = (now - last).as_secs_f64();
+            // Longer gaps are outages, such as a change of the permits' leader.
+            if secs < 2.0 {
+                self.load_interval.add(secs);
+            }
         }
     }
 
