--- a/crates/scheduler/src/state/loads.rs
+++ b/crates/scheduler/src/state/loads.rs
@@ -119,9 +119,12 @@
         let row = &mut self.adapters[adapter];
         row.failures = 0;
         row.failed_on.retain(|(target, _)| *target != key);
-        if let Some(last) = self.last_load_end.replace(now) {
-            // Longer gaps are idle time of the store, not its speed.
+        // A gap without another load under way is idle time of the store, not its speed.
+        let is_busy = !self.in_flight.is_empty();
+        let last = std::mem::replace(&mut self.last_load_end, is_busy.then_some(now));
+        if let Some(last) = last {
             let secs = (now - last).as_secs_f64();
+            // Longer gaps are outages, such as a change of the permits' leader.
             if secs < 2.0 {
                 self.load_interval.add(secs);
             }
--- a/crates/scheduler/src/state/planner.rs
+++ b/crates/scheduler/src/state/planner.rs
@@ -14,7 +14,7 @@
     api::Policy,
     fair::{Seq, Tag},
     slots::{AdapterKey, Slot},
-    target::{Target, TargetKey},
+    target::TargetKey,
 };
 
 /// Time between scans that decided nothing; short against the load time of 250 ms.
@@ -27,7 +27,8 @@
 /// more than the subscriber's share.
 const FAIR_LEAD_TOKENS: f64 = 1000.0;
 /// Loads within the half-life of the demand that halve the weight of a subscriber's requests. Of
-/// the store's 3 loads/s this is the part of one among about 16 active subscribers.
+/// the store's 3 loads/s this is the part of one among about 16 active subscribers. More adapters
+/// that wait for the same subscriber count as this many in all.
 const FAIR_LOADS: f64 = 16.0;
 /// Queued requests of a subscriber that count in full; a flood counts as this many in all.
 const FAIR_BACKLOG: f64 = 4.0;
@@ -55,6 +56,9 @@
 const PREFETCH_GAIN: f64 = 2.0;
 /// Requests within the half-life of the demand that make a prefetch worthwhile.
 const PREFETCH_MIN_DEMAND: f64 = 2.0;
+/// An adapter that moves to a busier engine must have this many times the victim's demand, as the
+/// victim may have to be loaded again.
+const CONSOLIDATION_GAIN: f64 = 2.0;
 /// Time between prefetches; leaves most of the store's 2 to 3 loads/s to real demand.
 const PREFETCH_INTERVAL: Duration = Duration::from_secs(1);
 /// Demand of an adapter that nobody asked for within the half-life.
@@ -136,6 +140,7 @@
     fn candidates(&mut self, now: Instant) -> Vec<Candidate> {
         let mut candidates = Vec::new();
         let (mut starved, mut starved_share) = (0, 0.0);
+        self.count_starved_subs();
         for key in &self.waiting {
             let adapter = &self.adapters[*key];
             if adapter.holders.is_empty() {
@@ -162,6 +167,19 @@
         candidates
     }
 
+    /// Counts the adapters without a holder for each subscriber that waits first for them.
+    fn count_starved_subs(&mut self) {
+        self.starved_subs.clear();
+        for key in &self.waiting {
+            let adapter = &self.adapters[*key];
+            if let Some((_, seq)) = adapter.queue.first()
+                && adapter.holders.is_empty()
+            {
+                *self.starved_subs.entry(self.queued[seq].sub).or_default() += 1;
+            }
+        }
+    }
+
     fn candidate(&self, key: AdapterKey, is_replica: bool, now: Instant) -> Option<Candidate> {
         let queue = &self.adapters[key].queue;
         let (tag, cause) = queue.first().copied()?;
@@ -228,12 +246,15 @@
     }
 
     /// Weight of a queued request in the choice of loads: less the further its subscriber is
-    /// beyond the fair share, and the more loads it caused lately.
+    /// beyond the fair share, and the more loads it caused lately. The limit over all
+    /// adapters that wait holds back a flood that could not load any lately but grows old.
     pub(super) fn load_share(&self, sub: SubKey, tag: Tag, now: Instant) -> f64 {
         let account = &self.subs[sub];
         let loads = account.loads.get(now) / account.weight;
-        1.0 / ((1.0 + self.clock.lead(tag) / FAIR_LEAD_TOKENS)
-            * (1.0 + (loads / FAIR_LOADS).powi(2)))
+        let starved = self.starved_subs.get(&sub).map_or(1.0, |n| f64::from(*n));
+        (FAIR_LOADS / starved).min(1.0)
+            / ((1.0 + self.clock.lead(tag) / FAIR_LEAD_TOKENS)
+                * (1.0 + (loads / FAIR_LOADS).powi(2)))
     }
 
     /// Urgency of a load that serves this many requests, the oldest of which waited for `oldest`.
@@ -267,7 +288,8 @@
                 None if candidate.is_replica => None,
                 None => Some(candidate.tag),
             };
-            self.place_on(*key, target, candidate.adapter, tag, max_loss, now)
+            let is_replica = candidate.is_replica;
+            self.place_on(*key, candidate.adapter, tag, max_loss, is_replica, now)
         });
         places.min_by(|a, b| a.cost.total_cmp(&b.cost))
     }
@@ -275,12 +297,13 @@
     fn place_on(
         &self,
         key: TargetKey,
-        target: &Target,
         adapter: AdapterKey,
         tag: Option<Tag>,
         max_loss: f64,
+        is_replica: bool,
         now: Instant,
     ) -> Option<Place> {
+        let target = &self.targets[&key];
         let has_failed = self.has_failed(adapter, key, now);
         if !target.takes_orders(now) || target.slots.refers_to(adapter) || has_failed {
             return None;
@@ -296,7 +319,9 @@
             (Some(victim), loss)
         };
         let no_room = if target.has_room(now) { 0.0 } else { NO_ROOM_DEMAND };
-        let cost = loss + LOAD_SCORE_DEMAND * self.load_score(target, now) + no_room;
+        // A replica that joins a full batch relieves nothing, so replicas are spread.
+        let packing = if is_replica { target.fullness(now) } else { self.packing(target, now) };
+        let cost = loss + LOAD_SCORE_DEMAND * (self.load_score(target, now) + packing) + no_room;
         Some(Place { target: key, victim, loss, cost })
     }
 
@@ -420,6 +445,9 @@
         }
         self.next_prefetch_at = now + PREFETCH_INTERVAL;
         self.end_drains(true, now);
+        if self.batch_weight() > 0.0 && self.consolidate(now) {
+            return;
+        }
         let absent = self.adapters.iter().filter(|(_, _, adapter)| {
             adapter.holders.is_empty() && adapter.source.is_some() && now >= adapter.retry_at
         });
@@ -429,12 +457,50 @@
             return;
         }
         let targets = self.targets.iter().filter(|(_, target)| target.is_open(now));
-        let places = targets.filter_map(|(key, target)| {
-            self.place_on(*key, target, adapter, None, f64::INFINITY, now)
-        });
+        let places = targets
+            .filter_map(|(key, _)| self.place_on(*key, adapter, None, f64::INFINITY, false, now));
         let Some(place) = places.min_by(|a, b| a.cost.total_cmp(&b.cost)) else { return };
         if place.victim.is_none() || demand > PREFETCH_GAIN * place.loss {
             self.start_load(place.target, adapter, place.victim, None, now);
         }
     }
+
+    /// Loads a popular adapter on a busier engine than the one that holds it, from spare permits.
+    ///
+    /// Requests then go to the fuller batch, and the other copy becomes the first to be evicted.
+    fn consolidate(&mut self, now: Instant) -> bool {
+        let open = self.targets.iter().filter(|(_, target)| {
+            target.is_open(now) && target.is_engine() && target.has_room(now)
+        });
+        let mut engines: Vec<(f64, TargetKey)> = open
+            .map(|(key, target)| {
+                let ready = target.slots.slots.iter().filter(|slot| slot.is_ready());
+                let demand = ready.map(|slot| {
+                    let adapter = &self.adapters[slot.adapter];
+                    adapter.demand.get(now) / adapter.holders.len().max(1) as f64
+                });
+                (demand.sum(), *key)
+            })
+            .collect();
+        engines.sort_by(|a, b| b.0.total_cmp(&a.0));
+        for (at, (_, busy)) in engines.iter().enumerate() {
+            let less_busy = engines[at + 1..].iter().flat_map(|(_, key)| {
+                self.targets[key].slots.slots.iter().filter(|slot| slot.is_ready())
+            });
+            let single = less_busy.filter(|slot| self.adapters[slot.adapter].holders.len() == 1);
+            let demands = single.map(|slot| (self.gain(slot.adapter, now), slot.adapter));
+            let Some((demand, adapter)) = demands.max_by(|a, b| a.0.total_cmp(&b.0)) else {
+                return false;
+            };
+            if demand < PREFETCH_MIN_DEMAND || self.adapters[adapter].source.is_none() {
+                return false;
+            }
+            let place = self.place_on(*busy, adapter, None, f64::INFINITY, false, now);
+            let Some(place) = place else { continue };
+            if demand > CONSOLIDATION_GAIN * place.loss {
+                return self.start_load(place.target, adapter, place.victim, None, now);
+            }
+        }
+        false
+    }
 }
