Run a queued copy of a crashing request as a suspect

Cause: whether a request is a suspect was read when it was queued. A copy that was queued before the first crash was counted got a target like any other request, also while another copy ran alone as a suspect. It is now read again after admission, and the request is queued anew as a suspect.

Ruled out: copies that start on three engines at once (arrival times at the engines in the failed run).

--- a/crates/owner/src/completion.rs
+++ b/crates/owner/src/completion.rs
@@ -88,17 +88,26 @@
             Ok(group) => group,
             Err(error) => return Attempt::Failed(error),
         };
-        let work = match self.work(run) {
-            Ok(work) => work,
-            Err(error) => return Attempt::Failed(error),
-        };
-        let admitted = tokio::select! {
-            admitted = group.scheduler.admit(work) => admitted,
-            () = tx.closed() => return Attempt::Done,
-        };
-        let lease = match admitted {
-            Ok(lease) => lease,
-            Err(error) => return Attempt::Failed(error),
+        let lease = loop {
+            let work = match self.work(run) {
+                Ok(work) => work,
+                Err(error) => return Attempt::Failed(error),
+            };
+            let was_suspect = work.is_suspect;
+            let admitted = tokio::select! {
+                admitted = group.scheduler.admit(work) => admitted,
+                () = tx.closed() => return Attempt::Done,
+            };
+            let lease = match admitted {
+                Ok(lease) => lease,
+                Err(error) => return Attempt::Failed(error),
+            };
+            // A copy of the request may have crashed a target since this one was queued.
+            let is_suspect = self.cx.view.read(|state| state.suspect_crashes(&run.fingerprint) > 0);
+            if was_suspect || !is_suspect {
+                break lease;
+            }
+            lease.finish(Finish::Cancelled);
         };
         self.record_waits(&run.call.subscriber, &lease);
         let allowed =
