Bound the time of a manifest submission by its size

Cause: the flat limit of 30 s let an operator wait longer than its client does when there is no quorum; replicas::leader_cut and no_quorum failed on it. Ruled out: a fault of the log itself; it was not asked to accept anything.

--- a/crates/rpc/src/control_client.rs
+++ b/crates/rpc/src/control_client.rs
@@ -13,6 +13,7 @@
 use jsonrpsee::{core::ClientError, http_client::HttpClient};
 use rand::RngExt;
 use shallotdrum_control::{Proposal, ProposeError, Reply};
+use shallotdrum_manifest::Manifest;
 use shallotdrum_types::{InstanceId, PermitId, SessionId};
 use tokio::time::Instant;
 
@@ -32,10 +33,12 @@
 /// Shortest and longest pause before another replica is tried, in milliseconds.
 const RETRY_PAUSE_MS: std::ops::Range<u64> = 20..100;
 
-/// Time for a whole manifest: at the design size the leader parses about 16 MB and compares it with
-/// the one in force, which takes seconds on a busy machine.
-const MANIFEST_LIMITS: Limits =
-    Limits { total: Duration::from_secs(30), attempt: Duration::from_secs(9) };
+/// Time to send, parse and compare one adapter or subscriber of a whole manifest: about ten times
+/// what an idle machine takes, because a busy one needed several seconds for 100,000 of them.
+const MANIFEST_ENTRY_TIME: Duration = Duration::from_micros(70);
+
+/// Attempts at a whole manifest that fit into the limit.
+const MANIFEST_ATTEMPTS: u32 = 3;
 
 /// Time limits of a call.
 #[derive(Clone, Copy)]
@@ -65,11 +68,13 @@
 
     /// Writes a proposal to the control log.
     pub async fn propose(&self, proposal: Proposal) -> Result<Reply, ProposeError> {
-        let limits = match proposal {
-            Proposal::Manifest { .. } => MANIFEST_LIMITS,
-            Proposal::Command(_) => {
-                Limits { total: self.cfg.propose_timeout, attempt: self.cfg.attempt_timeout }
-            }
+        let extra = match &proposal {
+            Proposal::Manifest { manifest, .. } => manifest_time(manifest),
+            Proposal::Command(_) => Duration::ZERO,
+        };
+        let limits = Limits {
+            total: self.cfg.propose_timeout + extra * MANIFEST_ATTEMPTS,
+            attempt: self.cfg.attempt_timeout + extra,
         };
         let result = self
             .call_leader_within(limits, |client| {
@@ -205,3 +210,9 @@
         *self.leader.lock().unwrap_or_else(PoisonError::into_inner) = leader;
     }
 }
+
+/// Time that a whole manifest needs beyond a small command.
+fn manifest_time(manifest: &Manifest) -> Duration {
+    let entries = manifest.adapters.len() + manifest.subscribers.len();
+    MANIFEST_ENTRY_TIME.saturating_mul(u32::try_from(entries).unwrap_or(u32::MAX))
+}
