--- a/crates/bench/src/cluster.rs
+++ b/crates/bench/src/cluster.rs
@@ -3,10 +3,10 @@
 use std::{net::SocketAddr, path::PathBuf, time::Duration};
 
 use anyhow::{Context, ensure};
-use hyper::Method;
 use serde_json::json;
 use shallotdrum_harness::{
-    Caller, Cluster, ClusterConfig, Deployment, Operator, Targets, TargetsConfig, wait_until,
+    Cluster, ClusterConfig, Deployment, Operator, Targets, TargetsConfig, wait_until,
+    wait_until_served,
 };
 use shallotdrum_types::Revision;
 
@@ -48,10 +48,10 @@
         });
         let cluster = Cluster::start(deployment, cluster_cfg).await?;
         cluster.set_up(deployment, SET_UP_LIMIT).await?;
-        wait_in_force(&cluster).await?;
+        Operator::default().wait_in_force(cluster.rpc_addr(0), Revision(1), SET_UP_LIMIT).await?;
         let entries = cluster.entries();
         let targets = Targets::start(deployment, &cfg.targets, &entries).await?;
-        wait_until_served(deployment, &entries).await?;
+        wait_until_served(deployment, &entries, SET_UP_LIMIT).await?;
         wait_for_all_targets(&cluster, deployment).await?;
         Ok(Self { cluster, targets, entries })
     }
@@ -80,39 +80,6 @@
     Ok(program)
 }
 
-async fn wait_in_force(cluster: &Cluster) -> anyhow::Result<()> {
-    let operator = Operator::default();
-    let look = || async {
-        let rows = operator.instances(cluster.rpc_addr(0)).await.map_err(|e| e.to_string())?;
-        match rows.iter().filter(|row| row.revision != Some(Revision(1))).count() {
-            0 => Ok(()),
-            n => Err(format!("not in force on {n} instances")),
-        }
-    };
-    wait_until("the manifest is in force everywhere", SET_UP_LIMIT, look).await?;
-    Ok(())
-}
-
-/// Waits until each entry answers a lookup and a completion.
-async fn wait_until_served(deployment: &Deployment, entries: &[SocketAddr]) -> anyhow::Result<()> {
-    let caller = Caller::new(&deployment.key(0));
-    for entry in entries {
-        let path = format!("/{}/status/1", deployment.service);
-        let lookup = || async {
-            let answer = caller.call(*entry, Method::GET, &path, None, "").await;
-            answer.map(drop).map_err(|e| e.to_string())
-        };
-        wait_until("a lookup is answered", SET_UP_LIMIT, lookup).await?;
-        let model = deployment.model(0, 2);
-        let complete = || async {
-            let answer = caller.complete(*entry, &model, "ready?", 1, false).await;
-            answer.map(drop).map_err(|e| e.to_string())
-        };
-        wait_until("a completion is answered", SET_UP_LIMIT, complete).await?;
-    }
-    Ok(())
-}
-
 /// Waits until all targets are registered and have owners.
 async fn wait_for_all_targets(cluster: &Cluster, deployment: &Deployment) -> anyhow::Result<()> {
     let operator = Operator::default();
--- a/crates/bench/src/quick.rs
+++ b/crates/bench/src/quick.rs
@@ -14,7 +14,7 @@
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use shallotdrum_fakes::expected_text;
 use shallotdrum_harness::{
-    Caller, Deployment, Embedded, Operator, Targets, TargetsConfig, wait_until,
+    Caller, Deployment, Embedded, Operator, Targets, TargetsConfig, wait_until_served,
 };
 use shallotdrum_types::{AdapterRef, Revision};
 use tokio::task::JoinSet;
@@ -91,12 +91,12 @@
     operator.wait_for_instances(embedded.rpcs[0], INSTANCES, SET_UP_LIMIT).await?;
     let start = Instant::now();
     operator.submit(embedded.rpcs[0], "quick", 0, &deployment.manifest()).await?;
-    wait_in_force(&operator, embedded.rpcs[0]).await?;
+    operator.wait_in_force(embedded.rpcs[0], Revision(1), SET_UP_LIMIT).await?;
     let in_force = start.elapsed();
 
     let cfg = TargetsConfig { seed, ..TargetsConfig::default() };
     let targets = Targets::start(deployment, &cfg, &embedded.entries).await?;
-    wait_for_targets(deployment, &embedded.entries).await?;
+    wait_until_served(deployment, &embedded.entries, SET_UP_LIMIT).await?;
 
     let mut row = Row {
         answers: 0,
@@ -251,36 +251,3 @@
         is_streamed: rng.random(),
     }
 }
-
-async fn wait_in_force(operator: &Operator, rpc: SocketAddr) -> anyhow::Result<()> {
-    let look = || async {
-        let rows = operator.instances(rpc).await.map_err(|e| e.to_string())?;
-        let missing = rows.iter().filter(|row| row.revision != Some(Revision(1))).count();
-        match missing {
-            0 => Ok(()),
-            n => Err(format!("not in force on {n} instances")),
-        }
-    };
-    wait_until("the manifest is in force everywhere", SET_UP_LIMIT, look).await?;
-    Ok(())
-}
-
-/// Waits until each entry answers a lookup and a completion.
-async fn wait_for_targets(deployment: &Deployment, entries: &[SocketAddr]) -> anyhow::Result<()> {
-    let caller = Caller::new(&deployment.key(0));
-    for entry in entries {
-        let path = format!("/{}/status/1", deployment.service);
-        let lookup = || async {
-            let answer = caller.call(*entry, Method::GET, &path, None, "").await;
-            answer.map(drop).map_err(|e| e.to_string())
-        };
-        wait_until("a lookup is answered", SET_UP_LIMIT, lookup).await?;
-        let model = deployment.model(0, 2);
-        let complete = || async {
-            let answer = caller.complete(*entry, &model, "ready?", 1, false).await;
-            answer.map(drop).map_err(|e| e.to_string())
-        };
-        wait_until("a completion is answered", SET_UP_LIMIT, complete).await?;
-    }
-    Ok(())
-}
--- a/crates/daemon/tests/guarantees/setup.rs
+++ b/crates/daemon/tests/guarantees/setup.rs
@@ -94,15 +94,7 @@
 
     /// Waits until the revision is in force on each instance that has a session.
     pub(crate) async fn wait_in_force(&self, rpc: SocketAddr, revision: u64, limit: Duration) {
-        let look = || async {
-            let rows = self.operator.instances(rpc).await.map_err(|e| e.to_string())?;
-            let is_missing = |r: Option<Revision>| r.is_none_or(|r| r < Revision(revision));
-            match rows.iter().filter(|row| is_missing(row.revision)).count() {
-                0 => Ok(()),
-                n => Err(format!("{n} instances lack the revision")),
-            }
-        };
-        wait_until(&format!("revision {revision} is in force"), limit, look).await.unwrap();
+        self.operator.wait_in_force(rpc, Revision(revision), limit).await.unwrap();
     }
 
     /// Index of the instance that owns the group of the engines.
--- a/crates/harness/src/caller.rs
+++ b/crates/harness/src/caller.rs
@@ -14,6 +14,8 @@
 use serde_json::{Value, json};
 use tokio::time::Instant;
 
+use crate::{Deployment, WaitError, wait_until};
+
 /// Caller with a bearer key; clones share connections.
 #[derive(Clone)]
 pub struct Caller {
@@ -205,6 +207,30 @@
     }
 }
 
+/// Waits until each entry answers a lookup and a completion.
+pub async fn wait_until_served(
+    deployment: &Deployment,
+    entries: &[SocketAddr],
+    limit: Duration,
+) -> Result<(), WaitError> {
+    let caller = Caller::new(&deployment.key(0));
+    for entry in entries {
+        let path = format!("/{}/status/1", deployment.service);
+        let lookup = || async {
+            let answer = caller.call(*entry, Method::GET, &path, None, "").await;
+            answer.map(drop).map_err(|e| e.to_string())
+        };
+        wait_until("a lookup is answered", limit, lookup).await?;
+        let model = deployment.model(0, 2);
+        let complete = || async {
+            let answer = caller.complete(*entry, &model, "ready?", 1, false).await;
+            answer.map(drop).map_err(|e| e.to_string())
+        };
+        wait_until("a completion is answered", limit, complete).await?;
+    }
+    Ok(())
+}
+
 async fn read_problem(res: Response<Incoming>) -> CallerError {
     let retry_after =
         res.headers().get(header::RETRY_AFTER).and_then(|value| value.to_str().ok()?.parse().ok());
--- a/crates/harness/src/lib.rs
+++ b/crates/harness/src/lib.rs
@@ -15,7 +15,7 @@
 mod targets;
 mod wait;
 
-pub use caller::{Answer, Caller, CallerError, Problem, ServiceAnswer};
+pub use caller::{Answer, Caller, CallerError, Problem, ServiceAnswer, wait_until_served};
 pub use cluster::{Cluster, ClusterConfig};
 pub use deployment::Deployment;
 pub use embedded::Embedded;
--- a/crates/harness/src/operator.rs
+++ b/crates/harness/src/operator.rs
@@ -49,6 +49,25 @@
         Ok(self.client(rpc)?.instances().await?)
     }
 
+    /// Waits until a manifest revision is in force on each instance that has a session.
+    pub async fn wait_in_force(
+        &self,
+        rpc: SocketAddr,
+        revision: Revision,
+        limit: Duration,
+    ) -> Result<Duration, WaitError> {
+        let look = || async {
+            let rows = self.instances(rpc).await.map_err(|e| e.to_string())?;
+            let is_missing = |row: &&InstanceRow| row.revision.is_none_or(|r| r < revision);
+            match rows.iter().filter(is_missing).count() {
+                0 => Ok(()),
+                n => Err(format!("{n} instances lack the revision")),
+            }
+        };
+        let what = format!("revision {revision} is in force everywhere");
+        wait_until(&what, limit, look).await.map(|(_, time)| time)
+    }
+
     /// Waits until `count` instances have open sessions.
     pub async fn wait_for_instances(
         &self,
--- a/crates/owner/src/completion.rs
+++ b/crates/owner/src/completion.rs
@@ -7,12 +7,12 @@
 };
 use shallotdrum_scheduler::{Finish, Job, Lease, Work};
 use shallotdrum_telemetry::event;
-use shallotdrum_types::{Fingerprint, RequestError, RequestErrorKind, TargetId};
+use shallotdrum_types::{Fingerprint, Outcome, RequestError, RequestErrorKind, TargetId};
 use tokio::{sync::mpsc, time::Instant};
 
 use crate::{
     CompletionCall, Frame, OwnerService,
-    crash::Verdict,
+    crash::{RunningGuard, Verdict},
     fingerprint::completion_fingerprint,
     service::{OwnedGroup, owner_changed},
 };
@@ -190,7 +190,7 @@
         run: &mut Run<'_>,
         group: &OwnedGroup,
         lease: Lease,
-        guard: crate::crash::RunningGuard<'_>,
+        guard: RunningGuard<'_>,
         error: CallError,
     ) -> Attempt {
         run.avoid.push(lease.target.clone());
@@ -216,7 +216,7 @@
         run: &mut Run<'_>,
         group: &OwnedGroup,
         lease: Lease,
-        guard: crate::crash::RunningGuard<'_>,
+        guard: RunningGuard<'_>,
         error: &StreamError,
     ) -> Attempt {
         event!(self.cx.log, ANSWER_BROKEN;
@@ -233,7 +233,7 @@
         run: &mut Run<'_>,
         group: &OwnedGroup,
         lease: Lease,
-        guard: crate::crash::RunningGuard<'_>,
+        guard: RunningGuard<'_>,
         failure: RequestError,
     ) -> Attempt {
         run.may_have_run = true;
@@ -320,7 +320,7 @@
     /// Marks an error as unknown once any target may have run the request.
     fn classify(&self, error: RequestError) -> RequestError {
         match self.may_have_run {
-            true => RequestError { outcome: shallotdrum_types::Outcome::Unknown, ..error },
+            true => RequestError { outcome: Outcome::Unknown, ..error },
             false => error,
         }
     }
