--- a/crates/engine/src/client.rs
+++ b/crates/engine/src/client.rs
@@ -331,7 +331,7 @@
 }
 
 /// Formats an error with its causes.
-pub(crate) fn error_chain(error: &dyn Error) -> String {
+pub fn error_chain(error: &dyn Error) -> String {
     let mut text = error.to_string();
     let mut source = error.source();
     while let Some(cause) = source {
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -9,7 +9,7 @@
 
 pub use client::{
     CallError, ClientTimeouts, EngineClient, GENERATE_PATH, NOT_RUN_HEADER, ORDERS_PATH,
-    OrderError, REQUEST_ID_HEADER, RequestBody, full_body,
+    OrderError, REQUEST_ID_HEADER, RequestBody, error_chain, full_body,
 };
 pub use messages::{
     AdapterStatus, AnnounceReply, Announcement, CacheEvents, Chunk, CompletionRequest, End,
--- a/crates/owner/src/forwarder.rs
+++ b/crates/owner/src/forwarder.rs
@@ -5,14 +5,15 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use bytes::{Bytes, BytesMut};
+use bytes::BytesMut;
 use http::{Method, Request, Response, StatusCode, header::CONTENT_TYPE};
-use http_body_util::{BodyExt, Full, combinators::BoxBody};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper_util::{
     client::legacy::{Client, connect::HttpConnector},
     rt::TokioExecutor,
 };
+use shallotdrum_engine::{RequestBody, error_chain, full_body};
 use shallotdrum_types::{RequestError, RequestErrorKind, RequestId};
 use tokio::{sync::mpsc, time::Instant};
 
@@ -31,7 +32,7 @@
 pub(crate) const FRAME_BUFFER: usize = 256;
 
 /// Body of forwarded requests and their answers.
-pub type ForwardBody = BoxBody<Bytes, Box<dyn std::error::Error + Send + Sync>>;
+pub type ForwardBody = RequestBody;
 
 /// Longest time to open a connection; a lost first packet is sent again after 1 s.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1500);
@@ -263,20 +264,3 @@
 fn malformed(addr: SocketAddr, reason: &str) -> ForwardError {
     ForwardError::Malformed { addr, reason: reason.to_owned() }
 }
-
-/// Makes a body of bytes that are at hand.
-pub fn full_body(bytes: impl Into<Bytes>) -> ForwardBody {
-    Full::new(bytes.into()).map_err(|never| match never {}).boxed()
-}
-
-/// Formats an error with its causes.
-fn error_chain(error: &dyn std::error::Error) -> String {
-    let mut text = error.to_string();
-    let mut source = error.source();
-    while let Some(cause) = source {
-        text.push_str(": ");
-        text.push_str(&cause.to_string());
-        source = cause.source();
-    }
-    text
-}
--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -20,8 +20,9 @@
 pub use fingerprint::completion_fingerprint;
 pub use forwarder::{
     CALL_HEADER, COMPLETION_PATH, ERROR_HEADER, ForwardBody, ForwardError, Forwarder, FrameStream,
-    SERVICE_PATH, full_body,
+    SERVICE_PATH,
 };
 pub use messages::{CompletionCall, Frame, ServiceCall};
 pub use server::serve_forwarded;
 pub use service::{NotOwned, ORDER_TIMEOUT, OwnerService, TARGET_TIMEOUT};
+pub use shallotdrum_engine::full_body;
