--- a/crates/consensus/src/node/mod.rs
+++ b/crates/consensus/src/node/mod.rs
@@ -191,6 +191,26 @@
         self.0.status.subscribe()
     }
 
+    /// Whether this replica belongs to the voters and its leader, or a quorum, has been heard of
+    /// lately; a replica that was removed while it was cut off is not told.
+    pub fn takes_part(&self) -> bool {
+        let core = self.0.core();
+        core.is_voter() && (core.hears_leader() || matches!(core.role, RoleState::Leader(_)))
+    }
+
+    /// Voters that a leader has not heard of for this time; empty on other replicas.
+    pub fn silent_voters(&self, silence: std::time::Duration) -> Vec<InstanceId> {
+        let core = self.0.core();
+        let (RoleState::Leader(leading), Some(membership)) = (&core.role, core.membership()) else {
+            return Vec::new();
+        };
+        let is_silent = |m: &&Member| {
+            let acked = leading.progress.get(*m).and_then(|progress| progress.acked);
+            **m != self.0.me && acked.map_or(leading.since, |at| at).elapsed() >= silence
+        };
+        membership.voters.iter().filter(is_silent).map(|m| m.id.clone()).collect()
+    }
+
     /// Whether this replica is certainly the only leader now.
     ///
     /// Its replicas refuse votes for `election_min` after each of its messages. The lease counts
--- a/crates/control/src/command.rs
+++ b/crates/control/src/command.rs
@@ -4,9 +4,10 @@
 
 use serde::{Deserialize, Serialize};
 use shallotdrum_engine::TargetKind;
+use shallotdrum_routes::RouteTable;
 use shallotdrum_manifest::{Manifest, ManifestDelta, ManifestErrors};
 use shallotdrum_types::{
-    AvailabilityZone, ControlTimeMs, Digest, Epoch, Fingerprint, GroupId, IdempotencyKey,
+    AdapterId, AvailabilityZone, BaseModelId, ControlTimeMs, Digest, Epoch, Fingerprint, GroupId, IdempotencyKey,
     Incarnation, InstanceId, PoolId, Region, RequestId, Revision, SessionId, SubmissionId,
     SubscriberId, TargetId,
 };
@@ -135,6 +136,20 @@
         /// Request to allow again.
         request: Fingerprint,
     },
+    /// Puts a route table in force if its revision is higher than the one in force.
+    PutRoutes {
+        /// Table, already checked.
+        table: Arc<RouteTable>,
+    },
+    /// Names the current version of an adapter; a lower one than before has no effect.
+    RaiseAdapterVersion {
+        /// Base model of the adapter.
+        base: BaseModelId,
+        /// Adapter.
+        adapter: AdapterId,
+        /// Version.
+        version: u64,
+    },
     /// Advances control time and forgets what has expired.
     Tick,
 }
@@ -229,6 +244,8 @@
     SessionOpened(SessionId),
     /// A manifest is in force at this revision, now or by the same earlier submission.
     ManifestAccepted(Revision),
+    /// Route table in force after the command.
+    RoutesInForce(Revision),
     /// A target belongs to this group.
     TargetRegistered(GroupId),
     /// A group is owned at this epoch.
--- a/crates/control/src/state/mod.rs
+++ b/crates/control/src/state/mod.rs
@@ -8,6 +8,7 @@
 mod groups;
 mod ledger;
 mod manifests;
+mod routes;
 mod sessions;
 mod snapshot;
 mod suspects;
@@ -16,8 +17,9 @@
 
 use serde::{Deserialize, Serialize};
 use shallotdrum_manifest::Manifest;
+use shallotdrum_routes::{RouteIndex, RouteTable};
 use shallotdrum_types::{
-    ControlTimeMs, Digest, Epoch, Fingerprint, GroupId, Incarnation, InstanceId, KeyHash, LogIndex,
+    AdapterId, BaseModelId, ControlTimeMs, Digest, Epoch, Fingerprint, GroupId, Incarnation, InstanceId, KeyHash, LogIndex,
     PoolId, Revision, SessionId, SubmissionId, SubscriberId, TargetId,
 };
 
@@ -26,6 +28,7 @@
     groups::Groups,
     ledger::Ledger,
     manifests::{Manifests, Prepared},
+    routes::Routes,
     sessions::Sessions,
     suspects::Suspects,
 };
@@ -58,6 +61,8 @@
     sessions: Sessions,
     groups: Groups,
     suspects: Suspects,
+    #[serde(default)]
+    routes: Routes,
 }
 
 impl ControlState {
@@ -128,6 +133,21 @@
         }
     }
 
+    /// Routes in force, if any were accepted.
+    pub fn routes(&self) -> Option<&Arc<RouteIndex>> {
+        self.shared.routes.index()
+    }
+
+    /// Route table in force, if one was accepted.
+    pub fn route_table(&self) -> Option<&Arc<RouteTable>> {
+        self.shared.routes.table()
+    }
+
+    /// Version of an adapter that operators named last.
+    pub fn adapter_version(&self, base: &BaseModelId, adapter: &AdapterId) -> Option<u64> {
+        self.shared.routes.version(base, adapter)
+    }
+
     /// Live sessions.
     pub fn sessions(&self) -> impl Iterator<Item = &Session> {
         self.shared.sessions.iter()
@@ -342,6 +362,11 @@
                 self.suspects.report(&(target, incarnation), requests, now);
                 Ok(Reply::Done)
             }
+            Command::PutRoutes { table } => Ok(Reply::RoutesInForce(self.routes.put(table))),
+            Command::RaiseAdapterVersion { base, adapter, version } => {
+                self.routes.raise_version(base, adapter, version);
+                Ok(Reply::Done)
+            }
             Command::LiftQuarantine { request } => self.suspects.lift(request).map(done),
             Command::BeginCall { .. }
             | Command::FinishCall { .. }
--- /dev/null
+++ b/crates/control/src/state/routes.rs
@@ -0,0 +1,72 @@
+//! Route table in force and the current version of each adapter.
+//!
+//! Architecture Invariant: the revision of the table and the version of an adapter only rise. A
+//! submission that does not raise them changes nothing and is accepted, so an operator may send
+//! it again after a lost answer.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+use shallotdrum_routes::{RouteIndex, RouteTable};
+use shallotdrum_types::{AdapterId, BaseModelId, Revision};
+
+/// Route table in force and the current version of each adapter.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub(crate) struct Routes {
+    #[serde(serialize_with = "write_table", deserialize_with = "read_table")]
+    index: Option<Arc<RouteIndex>>,
+    /// Versions that operators named; other adapters have their first version.
+    versions: BTreeMap<BaseModelId, BTreeMap<AdapterId, u64>>,
+}
+
+impl PartialEq for Routes {
+    fn eq(&self, other: &Self) -> bool {
+        self.table() == other.table() && self.versions == other.versions
+    }
+}
+
+impl Routes {
+    pub(crate) fn index(&self) -> Option<&Arc<RouteIndex>> {
+        self.index.as_ref()
+    }
+
+    pub(crate) fn table(&self) -> Option<&Arc<RouteTable>> {
+        self.index.as_ref().map(|index| index.table())
+    }
+
+    pub(crate) fn revision(&self) -> Revision {
+        self.table().map_or(Revision(0), |table| table.revision)
+    }
+
+    /// Puts a table in force if its revision is higher; returns the revision in force.
+    pub(crate) fn put(&mut self, table: Arc<RouteTable>) -> Revision {
+        if self.index.is_none() || table.revision > self.revision() {
+            self.index = Some(Arc::new(RouteIndex::new(table)));
+        }
+        self.revision()
+    }
+
+    pub(crate) fn version(&self, base: &BaseModelId, adapter: &AdapterId) -> Option<u64> {
+        self.versions.get(base)?.get(adapter).copied()
+    }
+
+    /// Raises the version of an adapter.
+    pub(crate) fn raise_version(&mut self, base: BaseModelId, adapter: AdapterId, version: u64) {
+        let current = self.versions.entry(base).or_default().entry(adapter).or_default();
+        *current = version.max(*current);
+    }
+}
+
+fn write_table<S: Serializer>(
+    index: &Option<Arc<RouteIndex>>,
+    serializer: S,
+) -> Result<S::Ok, S::Error> {
+    index.as_ref().map(|index| index.table().as_ref()).serialize(serializer)
+}
+
+fn read_table<'de, D: Deserializer<'de>>(
+    deserializer: D,
+) -> Result<Option<Arc<RouteIndex>>, D::Error> {
+    let table = Option::<RouteTable>::deserialize(deserializer)?;
+    Ok(table.map(|table| Arc::new(RouteIndex::new(Arc::new(table)))))
+}
--- a/crates/daemon/src/follower.rs
+++ b/crates/daemon/src/follower.rs
@@ -6,7 +6,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use shallotdrum_control::ControlView;
-use shallotdrum_rpc::{PeerApiClient, Peers, RpcError, WatchReply};
+use shallotdrum_rpc::{Directory, PeerApiClient, Peers, RpcError, WatchReply};
 use shallotdrum_telemetry::event;
 
 /// How long a replica waits for a new command before it answers with none.
@@ -20,16 +20,22 @@
 
 /// Follows the control log until the task is dropped.
 ///
-/// `replicas` holds the RPC addresses in order of preference and is not empty.
 pub(crate) async fn follow(
     view: ControlView,
     peers: Peers,
-    replicas: Vec<SocketAddr>,
+    directory: Directory,
     log: slog::Logger,
 ) {
-    let mut current = 0;
+    // Followers spread over the replicas.
+    let mut current = rand::random::<u32>() as usize;
     loop {
-        let addr = replicas[current % replicas.len()];
+        let names = directory.names();
+        let name = names.get(current % names.len().max(1));
+        let Some(addr) = name.and_then(|name| directory.addr(name)) else {
+            current += 1;
+            tokio::time::sleep(RETRY_PAUSE).await;
+            continue;
+        };
         let result = match tokio::time::timeout(WATCH_TIMEOUT, poll(&view, &peers, addr)).await {
             Ok(result) => result,
             Err(_) => Err(RpcError::NoAnswer("timed out".to_owned())),
--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -1,7 +1,6 @@
 //! Assembles an instance from its settings, and stops it gracefully.
 
 use std::{
-    collections::BTreeMap,
     net::SocketAddr,
     sync::{Arc, PoisonError},
     time::Duration,
@@ -13,22 +12,27 @@
 use shallotdrum_control::{ControlView, InstanceAddrs, InstanceInfo, permit_term};
 use shallotdrum_engine::{AnnounceReply, ClientTimeouts, EngineClient};
 use shallotdrum_entry::{EntryConfig, EntryContext, EntryHandle, EntryServer};
-use shallotdrum_owner::{Forwarder, HeldPermits, OwnerContext, OwnerService, serve_forwarded};
+use shallotdrum_gateway::{Connections, Dialect, Gateway, GatewayContext, RetryShare};
+use shallotdrum_owner::{
+    Forwarder, HeldPermits, OrderFn, OwnerContext, OwnerService, engine_orders, serve_forwarded,
+};
 use shallotdrum_rpc::{
-    AdminApiServer, ControlClient, ControlClientConfig, PeerApiServer, Peers, PeersConfig,
+    AdminApiServer, ControlClient, ControlClientConfig, Directory, PeerApiServer, Peers, PeersConfig,
     PermitRequest, RpcTransport,
 };
 use shallotdrum_scheduler::{Policy, SchedulerConfig};
 use shallotdrum_settings::{PolicyMode, Settings, WhenStale};
 use shallotdrum_telemetry::{Metrics, event};
-use shallotdrum_types::Incarnation;
+use shallotdrum_types::{Incarnation, InstanceId, PermitId};
 use tokio::{net::TcpListener, task::JoinSet};
 
 use crate::{
     admin::Admin,
     catalog::ViewCatalog,
     follower::follow,
+    membership::{join, learn_replicas},
     peer::Peer,
+    plane::ControlPlane,
     replica::Replica,
     session::{SessionConfig, SessionKeeper},
     targets::Targets,
@@ -73,8 +77,16 @@
     }
 }
 
+/// Parts of a front end in place of the product's own.
+#[derive(Default)]
+pub struct InstanceOptions {
+    /// Sends orders to engines.
+    pub order: Option<OrderFn>,
+}
+
 /// Running instance.
 pub struct Instance {
+    parts: Parts,
     entry: EntryHandle,
     rpc: ServerHandle,
     owner: Arc<OwnerService>,
@@ -86,6 +98,15 @@
     log: slog::Logger,
 }
 
+/// What front ends share with the instance.
+struct Parts {
+    view: ControlView,
+    client: ControlClient,
+    peers: Peers,
+    targets: Targets,
+    metrics: Metrics,
+}
+
 /// Why an instance could not start.
 #[derive(Debug, thiserror::Error)]
 pub enum InstanceError {
@@ -119,15 +140,25 @@
         settings: Settings,
         listeners: Listeners,
         log: slog::Logger,
+    ) -> Result<Self, InstanceError> {
+        Self::start_with(settings, listeners, InstanceOptions::default(), log).await
+    }
+
+    /// Starts an instance with parts of a front end in place of the product's own.
+    pub async fn start_with(
+        settings: Settings,
+        listeners: Listeners,
+        options: InstanceOptions,
+        log: slog::Logger,
     ) -> Result<Self, InstanceError> {
         let log = log.new(slog::o!("instance" => settings.instance.to_string()));
         let view = ControlView::new();
         let peers = Peers::new(PeersConfig { timeout: PEER_TIMEOUT });
-        let replicas: BTreeMap<_, _> =
-            settings.replicas.iter().map(|r| (r.instance.clone(), r.rpc)).collect();
+        let is_seeded = !settings.seeds.is_empty();
+        let directory = directory(&settings);
         let client = ControlClient::new(
             ControlClientConfig {
-                replicas: replicas.clone(),
+                directory: directory.clone(),
                 propose_timeout: PROPOSE_TIMEOUT,
                 attempt_timeout: ATTEMPT_TIMEOUT,
             },
@@ -142,21 +173,26 @@
                 let cfg = NodeConfig::new(
                     settings.instance.clone(),
                     data_dir.clone(),
-                    replicas.keys().cloned().collect(),
+                    initial_members(&settings),
                 );
-                let transport = RpcTransport::new(peers.clone(), replicas.clone());
+                let transport = RpcTransport::new(peers.clone(), directory.clone());
                 let node = Node::start(cfg, view.clone(), transport, log.clone()).await?;
-                let replica = Replica::new(node, view.clone(), log.clone());
+                let replica = Replica::new(node, view.clone(), is_seeded, log.clone());
                 tasks.spawn(replica.clone().run());
+                if is_seeded {
+                    let id = settings.instance.clone();
+                    tasks.spawn(join(id, replica.clone(), client.clone(), log.clone()));
+                }
                 Some(replica)
             }
             None => {
-                let addrs = preferred_replicas(&settings);
-                tasks.spawn(follow(view.clone(), peers.clone(), addrs, log.clone()));
+                let directory = directory.clone();
+                tasks.spawn(follow(view.clone(), peers.clone(), directory, log.clone()));
                 None
             }
         };
 
+        tasks.spawn(learn_replicas(view.clone(), directory.clone()));
         tasks.spawn(follow_gauges(view.clone(), metrics.clone()));
         let session = SessionKeeper::new(
             SessionConfig {
@@ -170,7 +206,7 @@
             log.clone(),
         );
         let owner = OwnerService::new(owner_context(
-            &settings, &view, &client, &session, &permits, &metrics, &log,
+            &settings, options, &view, &client, &session, &permits, &metrics, &log,
         ));
         tasks.spawn(owner.clone().run());
         tasks.spawn(serve_forwarded(listeners.data, owner.clone()));
@@ -193,6 +229,13 @@
             owner: owner.clone(),
             session: session.clone(),
         };
+        let parts = Parts {
+            view: view.clone(),
+            client: client.clone(),
+            peers: targets.peers.clone(),
+            targets: targets.clone(),
+            metrics: metrics.clone(),
+        };
         let entry = EntryServer::start(
             listeners.entry,
             EntryConfig::from(&settings),
@@ -200,6 +243,7 @@
         )?;
         event!(log, INSTANCE_STARTED; "entry" => %entry.local_addr());
         Ok(Self {
+            parts,
             entry,
             rpc,
             owner,
@@ -211,6 +255,36 @@
         })
     }
 
+    /// Changes and reads of the control state for a front end.
+    pub fn control_plane(&self) -> ControlPlane {
+        ControlPlane {
+            view: self.parts.view.clone(),
+            client: self.parts.client.clone(),
+            targets: self.parts.targets.clone(),
+        }
+    }
+
+    /// Gateway of a front end for opaque requests.
+    pub fn gateway(
+        &self,
+        dialect: Dialect,
+        retries: RetryShare,
+        connections: Connections,
+    ) -> Arc<Gateway> {
+        let session = self.session.clone();
+        let cx = GatewayContext {
+            view: self.parts.view.clone(),
+            session: Arc::new(move || session.current()),
+            owner: self.owner.clone(),
+            peers: self.parts.peers.clone(),
+            dialect,
+            retries,
+            metrics: self.parts.metrics.clone(),
+            log: self.log.clone(),
+        };
+        Gateway::new(cx, connections)
+    }
+
     /// Address of the entry listener.
     pub fn entry_addr(&self) -> SocketAddr {
         self.entry.local_addr()
@@ -295,16 +369,30 @@
     Incarnation(since_epoch.map_or(0, |time| time.as_millis() as u64))
 }
 
-/// RPC addresses of the replicas, starting at a place that differs between instances.
-fn preferred_replicas(settings: &Settings) -> Vec<SocketAddr> {
-    let mut addrs: Vec<_> = settings.replicas.iter().map(|replica| replica.rpc).collect();
-    let start = rand::random::<u64>() as usize % addrs.len().max(1);
-    addrs.rotate_left(start);
-    addrs
+/// Addresses of the control replicas.
+fn directory(settings: &Settings) -> Directory {
+    match settings.seeds.is_empty() {
+        true => {
+            let replicas = settings.replicas.iter().map(|r| (r.instance.clone(), r.rpc));
+            Directory::listed(replicas.collect())
+        }
+        false => Directory::seeded(settings.seeds.clone(), settings.advertised().rpc.port()),
+    }
 }
 
+/// Replicas that form the control log at the first start; none if it was formed before.
+fn initial_members(settings: &Settings) -> Vec<InstanceId> {
+    match settings.seeds.is_empty() {
+        true => settings.replicas.iter().map(|replica| replica.instance.clone()).collect(),
+        false if settings.forms_log => settings.seeds.clone(),
+        false => Vec::new(),
+    }
+}
+
+#[expect(clippy::too_many_arguments, reason = "each part of the instance is used once")]
 fn owner_context(
     settings: &Settings,
+    options: InstanceOptions,
     view: &ControlView,
     client: &ControlClient,
     session: &Arc<SessionKeeper>,
@@ -317,10 +405,15 @@
         PolicyMode::Adaptive => Policy::Adaptive,
         PolicyMode::Baseline => Policy::Baseline,
     };
+    scheduler.max_outstanding_loads = settings.policy.max_loads;
     scheduler.stall_weight = settings.policy.stall_weight;
     scheduler.max_queued = settings.limits.max_queued;
     scheduler.max_queued_per_subscriber = settings.limits.max_queued_per_subscriber;
 
+    let engine = EngineClient::new(ClientTimeouts {
+        idle: Duration::from_millis(settings.limits.idle_timeout_ms),
+        ..ClientTimeouts::default()
+    });
     let keeper = session.clone();
     let proposer = client.clone();
     let (granter, holder, held) = (client.clone(), session.clone(), permits.clone());
@@ -332,7 +425,10 @@
             let client = proposer.clone();
             async move { client.propose(proposal).await }.boxed()
         }),
-        permit: Arc::new(move |group| {
+        permit: if !settings.policy.load_permits {
+            Arc::new(|_| async { Some(PermitId(0)) }.boxed())
+        } else {
+            Arc::new(move |group| {
             let (client, holder, held) = (granter.clone(), holder.clone(), held.clone());
             async move {
                 let wait_ms = PERMIT_WAIT.as_millis() as u64;
@@ -346,18 +442,22 @@
                 Some(permit.id)
             }
             .boxed()
-        }),
-        release: Arc::new(move |permit| {
+        })
+        },
+        release: if !settings.policy.load_permits {
+            Arc::new(|_| ())
+        } else {
+            Arc::new(move |permit| {
             returned.lock().unwrap_or_else(PoisonError::into_inner).remove(&permit);
             let Some(session) = returning.current() else { return };
             let client = returner.clone();
             // A permit whose return is lost expires at the leader.
             tokio::spawn(async move { client.release_permit(session, permit).await });
-        }),
-        engine: EngineClient::new(ClientTimeouts {
-            idle: Duration::from_millis(settings.limits.idle_timeout_ms),
-            ..ClientTimeouts::default()
-        }),
+        })
+        },
+        order: options.order.unwrap_or_else(|| engine_orders(engine.clone())),
+        engine,
+        target_timeout: Duration::from_millis(settings.target_timeout_ms),
         scheduler,
         metrics: metrics.clone(),
         log: log.clone(),
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -10,9 +10,12 @@
 mod catalog;
 mod follower;
 mod instance;
+mod membership;
 mod peer;
+mod plane;
 mod replica;
 mod session;
 mod targets;
 
-pub use instance::{Instance, InstanceError, Listeners};
+pub use instance::{Instance, InstanceError, InstanceOptions, Listeners};
+pub use plane::{ChangeError, ControlPlane};
--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -1,13 +1,15 @@
 //! Methods that other instances call.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use jsonrpsee::core::async_trait;
 use shallotdrum_control::{Proposal, Reply};
 use shallotdrum_engine::{Announcement, CacheEvents};
-use shallotdrum_owner::OwnerService;
+use shallotdrum_owner::{OwnerService, PlaceNeed, PlaceWork};
+use shallotdrum_routes::RouteTable;
 use shallotdrum_rpc::{
-    Base64Bytes, PeerApiServer, Permit, PermitRequest, PermitRow, RenewReply, RenewRequest,
+    Base64Bytes, EndedPlace, GrantedPlace, Need, PeerApiServer, Permit, PermitRequest, PermitRow,
+    PlaceReply, PlaceRequest, RenewReply, RenewRequest,
     RpcError, SessionRow, WatchReply,
 };
 use shallotdrum_types::{Incarnation, InstanceId, LogIndex, PermitId, SessionId, TargetId};
@@ -69,6 +71,39 @@
         self.replica()?.remove_replica(instance).await
     }
 
+    async fn take_place(&self, request: PlaceRequest) -> Result<PlaceReply, RpcError> {
+        let PlaceRequest { session, request, place, group, subscriber, need, left_ms, avoid } =
+            request;
+        let need = match need {
+            Need::Generation { adapter, prompt_tokens, max_tokens, prefixes } => {
+                PlaceNeed::Generation { adapter, prompt_tokens, max_tokens, prefixes }
+            }
+            Need::Call { is_repeatable } => PlaceNeed::Call { is_repeatable },
+        };
+        let left = Duration::from_millis(left_ms);
+        let work = PlaceWork { request, subscriber, need, left, avoid };
+        Ok(match self.owner.take_place(&group, (session, place), work).await {
+            Ok(granted) => PlaceReply::Granted(GrantedPlace {
+                target: granted.target,
+                incarnation: granted.incarnation,
+                addr: granted.addr,
+                priority: granted.priority,
+            }),
+            Err(error) => PlaceReply::Refused { error },
+        })
+    }
+
+    async fn end_places(&self, session: SessionId, ended: Vec<EndedPlace>) -> Result<(), RpcError> {
+        for EndedPlace { place, end } in ended {
+            self.owner.end_place((session, place), shallotdrum_gateway::finish(end));
+        }
+        Ok(())
+    }
+
+    async fn leader_routes(&self) -> Result<Option<RouteTable>, RpcError> {
+        self.replica()?.newest_routes().await
+    }
+
     async fn target_announce(&self, announcement: Announcement) -> Result<(), RpcError> {
         self.owner.announce(&announcement).map_err(|e| RpcError::NotOwner(e.target))
     }
--- a/crates/daemon/src/replica.rs
+++ b/crates/daemon/src/replica.rs
@@ -14,6 +14,7 @@
     Command, ControlView, LeaderDuties, PermitAnswer, Proposal, Reply, Session, TimedCommand,
 };
 use shallotdrum_manifest::Manifest;
+use shallotdrum_routes::RouteTable;
 use shallotdrum_rpc::{
     Base64Bytes, CallCounts, Permit, PermitRequest, PermitRow, RenewReply, RenewRequest,
     ReplicaStatus, RpcError, SessionRow, WatchEntry, WatchReply,
@@ -23,6 +24,8 @@
     ControlTimeMs, InstanceId, LogIndex, PermitId, Revision, SessionId, SubmissionId, Term,
 };
 
+use crate::membership::may_remove;
+
 /// Pause between rounds of the leader's duties; far below the lease of a session.
 const DUTY_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -35,10 +38,15 @@
 /// Longest wait that a follower may ask for.
 const MAX_WATCH_WAIT: Duration = Duration::from_secs(30);
 
+/// Silence after which a replica counts as lost; longer than a restart with a transfer of the
+/// state. One that comes back later joins anew.
+const LOST_AFTER: Duration = Duration::from_secs(15);
+
 /// Control replica of this instance.
 pub(crate) struct Replica {
     pub(crate) node: Node<ControlView>,
     view: ControlView,
+    replaces_lost: bool,
     log: slog::Logger,
     leader: Mutex<Option<Leader>>,
 }
@@ -52,8 +60,14 @@
 }
 
 impl Replica {
-    pub(crate) fn new(node: Node<ControlView>, view: ControlView, log: slog::Logger) -> Arc<Self> {
-        Arc::new(Self { node, view, log, leader: Mutex::default() })
+    /// `replaces_lost` lets a leader remove replicas that are silent for long.
+    pub(crate) fn new(
+        node: Node<ControlView>,
+        view: ControlView,
+        replaces_lost: bool,
+        log: slog::Logger,
+    ) -> Arc<Self> {
+        Arc::new(Self { node, view, replaces_lost, log, leader: Mutex::default() })
     }
 
     /// Performs the leader's duties whenever this replica leads, until the task is dropped.
@@ -67,6 +81,9 @@
             for command in self.due() {
                 self.duty(command).await;
             }
+            if self.replaces_lost {
+                self.remove_lost().await;
+            }
             if last_tick.elapsed() >= TICK_INTERVAL {
                 last_tick = Instant::now();
                 self.duty(Command::Tick).await;
@@ -74,6 +91,23 @@
         }
     }
 
+    /// Removes one replica that has been silent for long, if the others suffice.
+    async fn remove_lost(&self) {
+        let silent = self.node.silent_voters(LOST_AFTER);
+        let voters = self.node.status().members.map_or(0, |members| members.voters.len());
+        let Some(lost) = silent.first().filter(|_| may_remove(voters, silent.len())) else { return };
+        event!(self.log, REPLICA_LOST; "replica" => %lost, "silent_s" => LOST_AFTER.as_secs());
+        if let Err(error) = self.node.remove_replica(lost.clone()).await {
+            event!(self.log, DUTY_FAILED; "error" => %error);
+        }
+    }
+
+    /// Newest route table; waits until everything committed before the call is applied here.
+    pub(crate) async fn newest_routes(&self) -> Result<Option<RouteTable>, RpcError> {
+        self.node.read_index().await.map_err(propose_error)?;
+        Ok(self.view.read(|state| state.route_table().map(|table| table.as_ref().clone())))
+    }
+
     /// Writes a proposal to the log.
     pub(crate) async fn propose(&self, proposal: Proposal) -> Result<Reply, RpcError> {
         let command = match proposal {
--- a/crates/daemon/src/targets.rs
+++ b/crates/daemon/src/targets.rs
@@ -1,6 +1,6 @@
 //! Announcements of targets, taken by any instance and relayed to the owner.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use shallotdrum_control::{AnnouncedTarget, Command, ControlView, Proposal, Reply};
 use shallotdrum_engine::{Announcement, CacheEvents};
@@ -10,6 +10,9 @@
 
 use crate::session::SessionKeeper;
 
+/// Longest wait for an owner; targets want an acknowledgement within a second.
+const TELL_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Announcements of targets.
 #[derive(Clone)]
 pub(crate) struct Targets {
@@ -54,25 +57,49 @@
         }
     }
 
+    /// Stops new work for a target that still answers what it has.
+    pub(crate) async fn drain(&self, announcement: Announcement) -> Result<(), RequestError> {
+        let announced = announced_part(&announcement);
+        let Announcement { target, incarnation, .. } = announcement;
+        self.tell_owner(&target, incarnation).await;
+        let registered = self.view.read(|state| {
+            let registered = state.target(&target)?;
+            (registered.announced.incarnation == incarnation).then_some(registered.draining)
+        });
+        if registered.is_none() {
+            self.propose(Command::RegisterTarget(announced)).await?;
+        }
+        if registered == Some(true) {
+            return Ok(());
+        }
+        self.propose(Command::DrainTarget { target, drain: true }).await
+    }
+
     /// Stops new work for a target, then removes it.
     pub(crate) async fn leave(
         &self,
         target: TargetId,
         incarnation: Incarnation,
     ) -> Result<(), RequestError> {
-        match self.owner_of(&target) {
+        self.tell_owner(&target, incarnation).await;
+        self.propose(Command::RemoveTarget { target, incarnation, is_leaving: true }).await
+    }
+
+    /// Tells the owner at once that a target takes no new work.
+    async fn tell_owner(&self, target: &TargetId, incarnation: Incarnation) {
+        match self.owner_of(target) {
             Owner::None => {}
             Owner::This => {
-                let _ = self.owner.leave(&target, incarnation);
+                let _ = self.owner.leave(target, incarnation);
             }
-            // If the owner can't be reached, the removal below reaches it through the log.
+            // If the owner can't be reached, the command that follows reaches it through the log.
             Owner::Other(addr) => {
                 if let Ok(client) = self.peers.get(addr) {
-                    let _ = client.target_leave(target.clone(), incarnation).await;
+                    let told = client.target_leave(target.clone(), incarnation);
+                    let _ = tokio::time::timeout(TELL_TIMEOUT, told).await;
                 }
             }
         }
-        self.propose(Command::RemoveTarget { target, incarnation, is_leaving: true }).await
     }
 
     /// Relays cache events to the owner; lost ones are made up for by later ones.
--- a/crates/engine/src/messages.rs
+++ b/crates/engine/src/messages.rs
@@ -100,6 +100,12 @@
 pub struct LoadReport {
     /// Age of the sample when it was sent, in milliseconds.
     pub age_ms: u64,
+    /// Number of the report, which rises within one process start; 0 if reports have none.
+    #[serde(default)]
+    pub sequence: u64,
+    /// The engine holds no base model and can't serve.
+    #[serde(default)]
+    pub base_missing: bool,
     /// Requests that are running.
     pub running: u32,
     /// Requests that wait in the target.
--- a/crates/owner/src/context.rs
+++ b/crates/owner/src/context.rs
@@ -1,12 +1,12 @@
 //! What the owner's request path needs from the rest of the instance.
 
-use std::{collections::BTreeSet, pin::Pin, sync::Arc};
+use std::{collections::BTreeSet, net::SocketAddr, pin::Pin, sync::Arc, time::Duration};
 
 use shallotdrum_control::{Command, ControlView, Proposal, ProposeError, ProposeFn, Reply};
-use shallotdrum_engine::EngineClient;
-use shallotdrum_scheduler::SchedulerConfig;
+use shallotdrum_engine::{EngineClient, Order, OrderError, OrderRequest};
+use shallotdrum_scheduler::{LoadFailure, LoadOrder, SchedulerConfig};
 use shallotdrum_telemetry::Metrics;
-use shallotdrum_types::{GroupId, PermitId, SessionId};
+use shallotdrum_types::{BaseModelId, Epoch, GroupId, Incarnation, PermitId, SessionId, TargetId};
 
 /// Returns the instance's session while its lease is certainly valid.
 pub type SessionFn = Arc<dyn Fn() -> Option<SessionId> + Send + Sync>;
@@ -18,6 +18,65 @@
 /// Gives a weight-store permit back.
 pub type ReleaseFn = Arc<dyn Fn(PermitId) + Send + Sync>;
 
+/// Order to an engine.
+#[derive(Clone, Debug)]
+pub struct TargetOrder {
+    /// Fencing number of the owner.
+    pub epoch: Epoch,
+    /// Target.
+    pub target: TargetId,
+    /// Process start of the target.
+    pub incarnation: Incarnation,
+    /// Address of the target.
+    pub addr: SocketAddr,
+    /// Base model of the target.
+    pub base: BaseModelId,
+    /// What the target is to hold.
+    pub wanted: Wanted,
+    /// Longest time for the order.
+    pub timeout: Duration,
+}
+
+/// What an engine is told to hold.
+#[derive(Clone, Debug)]
+pub enum Wanted {
+    /// An adapter, in place of another if one is named.
+    Adapter(LoadOrder),
+    /// The base model; the engine holds none.
+    Base,
+}
+
+/// Sends an order to an engine; done when it is carried out.
+pub type OrderFn = Arc<
+    dyn Fn(TargetOrder) -> Pin<Box<dyn Future<Output = Result<(), LoadFailure>> + Send>>
+        + Send
+        + Sync,
+>;
+
+/// Orders over the product's own engine interface, whose engines always hold their base model.
+pub fn engine_orders(engine: EngineClient) -> OrderFn {
+    Arc::new(move |order| {
+        let engine = engine.clone();
+        Box::pin(async move {
+            let Wanted::Adapter(load) = order.wanted else { return Ok(()) };
+            let request = OrderRequest {
+                epoch: order.epoch,
+                order: Order::Load {
+                    adapter: load.adapter,
+                    source: load.source,
+                    evict: load.evict,
+                },
+            };
+            let result = engine.order(order.addr, &request, order.timeout).await;
+            result.map_err(|error| match error {
+                OrderError::NotSent { .. } => LoadFailure::Failed,
+                OrderError::Refused(refusal) => LoadFailure::Refused(refusal),
+                OrderError::Unknown { .. } => LoadFailure::Unknown,
+            })
+        })
+    })
+}
+
 /// What the owner's request path needs from the rest of the instance.
 #[derive(Clone)]
 pub struct OwnerContext {
@@ -31,6 +90,8 @@
     pub permit: PermitFn,
     /// Gives weight-store permits back.
     pub release: ReleaseFn,
+    /// Sends orders to engines.
+    pub order: OrderFn,
     /// Client of the targets.
     pub engine: EngineClient,
     /// Settings of the schedulers.
@@ -39,6 +100,8 @@
     pub metrics: Metrics,
     /// Log of this instance.
     pub log: slog::Logger,
+    /// Silence after which a target gets no new work.
+    pub target_timeout: Duration,
     /// Longest body of a service call.
     pub max_body_bytes: usize,
 }
--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -13,10 +13,15 @@
 mod forwarder;
 mod load;
 mod messages;
+mod places;
 mod server;
 mod service;
 
-pub use context::{HeldPermits, OwnerContext, PermitFn, ReleaseFn, SessionFn};
+pub use context::{
+    HeldPermits, OrderFn, OwnerContext, PermitFn, ReleaseFn, SessionFn, TargetOrder, Wanted,
+    engine_orders,
+};
+pub use places::{GrantedTarget, PlaceKey, PlaceNeed, PlaceWork};
 pub use fingerprint::completion_fingerprint;
 pub use forwarder::{
     CALL_HEADER, COMPLETION_PATH, ERROR_HEADER, ForwardBody, ForwardError, Forwarder, FrameStream,
@@ -26,3 +31,4 @@
 pub use server::serve_forwarded;
 pub use service::{NotOwned, ORDER_TIMEOUT, OwnerService, TARGET_TIMEOUT};
 pub use shallotdrum_engine::full_body;
+pub use shallotdrum_scheduler::{Finish, LoadFailure, LoadOrder};
--- a/crates/owner/src/load.rs
+++ b/crates/owner/src/load.rs
@@ -6,12 +6,12 @@
 };
 
 use futures_util::FutureExt;
-use shallotdrum_engine::{Order, OrderError, OrderRequest};
+use shallotdrum_engine::TargetKind;
 use shallotdrum_scheduler::{LoadFailure, LoadFn, LoadOrder};
 use shallotdrum_telemetry::event;
-use shallotdrum_types::{Epoch, GroupId, SessionId};
+use shallotdrum_types::{BaseModelId, Epoch, GroupId, SessionId};
 
-use crate::{ORDER_TIMEOUT, OwnerContext};
+use crate::{ORDER_TIMEOUT, OwnerContext, TargetOrder, Wanted};
 
 /// Makes the function with which a group's scheduler loads adapters.
 pub(crate) fn load_fn(
@@ -58,12 +58,18 @@
     let Some(permit) = (cx.permit)(group.clone()).await else { return Err(LoadFailure::NoPermit) };
     let in_flight = orders.enter();
     // The permit may have taken longer than the lease or the ownership lasted.
-    let epoch = cx.view.read(|state| {
+    let allowed = cx.view.read(|state| {
         let is_owned = state.group(&group).is_some_and(|group| group.owner == Some(session));
-        is_owned.then(|| state.fencing(&order.target)).flatten()
+        let base = match &state.target(&order.target)?.announced.kind {
+            TargetKind::Engine { base_model, .. } => base_model.clone(),
+            TargetKind::Service { .. } => return None,
+        };
+        is_owned.then(|| Some((state.fencing(&order.target)?, base))).flatten()
     });
-    let result = match epoch {
-        Some(epoch) if (cx.session)() == Some(session) => send(&cx, epoch, order).await,
+    let result = match allowed {
+        Some((epoch, base)) if (cx.session)() == Some(session) => {
+            send(&cx, epoch, base, order).await
+        }
         _ => Err(LoadFailure::NoPermit),
     };
     drop(in_flight);
@@ -71,19 +77,25 @@
     result
 }
 
-async fn send(cx: &OwnerContext, epoch: Epoch, load: LoadOrder) -> Result<(), LoadFailure> {
+async fn send(
+    cx: &OwnerContext,
+    epoch: Epoch,
+    base: BaseModelId,
+    load: LoadOrder,
+) -> Result<(), LoadFailure> {
     let is_eviction = load.evict.is_some();
-    let order = OrderRequest {
+    let (target, adapter) = (load.target.clone(), load.adapter.clone());
+    let order = TargetOrder {
         epoch,
-        order: Order::Load {
-            adapter: load.adapter.clone(),
-            source: load.source,
-            evict: load.evict,
-        },
+        target: target.clone(),
+        incarnation: load.incarnation,
+        addr: load.addr,
+        base,
+        wanted: Wanted::Adapter(load),
+        timeout: ORDER_TIMEOUT,
     };
     cx.metrics.loads().inc();
-    let result = cx.engine.order(load.addr, &order, ORDER_TIMEOUT).await;
-    match result {
+    match (cx.order)(order).await {
         Ok(()) => {
             cx.metrics.evictions().inc_by(u64::from(is_eviction));
             Ok(())
@@ -91,12 +103,8 @@
         Err(error) => {
             cx.metrics.load_failures().inc();
             event!(cx.log, ORDER_FAILED;
-                "target" => %load.target, "adapter" => %load.adapter, "error" => %error);
-            Err(match error {
-                OrderError::NotSent { .. } => LoadFailure::Failed,
-                OrderError::Refused(refusal) => LoadFailure::Refused(refusal),
-                OrderError::Unknown { .. } => LoadFailure::Unknown,
-            })
+                "target" => %target, "adapter" => %adapter, "error" => %error);
+            Err(error)
         }
     }
 }
--- a/crates/owner/src/service.rs
+++ b/crates/owner/src/service.rs
@@ -23,15 +23,20 @@
 };
 
 use crate::{
-    OwnerContext,
+    OwnerContext, TargetOrder, Wanted,
     crash::CrashWatch,
     load::{OrderCount, load_fn},
+    places::Places,
 };
 
 /// Longest time that an order may take at a target; a part of `LOST_OWNER_SETTLE_MS`, which a new
 /// owner waits before it sends orders to targets that ignore fencing numbers.
 pub const ORDER_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Longest time for the load of a base model: several seconds each, and only one at a time at
+/// full speed.
+const BASE_LOAD_TIMEOUT: Duration = Duration::from_secs(30);
+
 /// Target without an announcement for this time gets no new work. Together with `CHECK_INTERVAL`
 /// it stays below 3 s; two of the announcements that come every second may be lost.
 pub const TARGET_TIMEOUT: Duration = Duration::from_millis(2_700);
@@ -54,6 +59,7 @@
     groups: Mutex<BTreeMap<GroupId, Arc<OwnedGroup>>>,
     busy: Arc<AtomicUsize>,
     is_stopping: AtomicBool,
+    pub(crate) places: Places,
 }
 
 /// A message of a target came to an instance that does not own the target's group.
@@ -84,6 +90,8 @@
     handover: Handover,
     since: Instant,
     targets: Mutex<BTreeMap<TargetId, TargetHealth>>,
+    /// Targets with an order in flight to load their base model.
+    base_loads: Mutex<BTreeSet<TargetId>>,
 }
 
 /// When a target was last heard of.
@@ -96,11 +104,19 @@
     is_leaving: bool,
     /// It has not announced itself in time.
     is_silent: bool,
+    /// It holds no base model.
+    is_empty: bool,
+    /// Number of its latest announcement.
+    sequence: u64,
 }
 
 impl TargetHealth {
     fn takes_no_work(&self) -> bool {
-        self.is_draining || self.is_leaving || self.is_silent
+        self.is_draining || self.is_leaving || self.is_silent || self.is_empty
+    }
+
+    fn takes_orders_no_more(&self) -> bool {
+        self.is_draining || self.is_leaving
     }
 }
 
@@ -112,6 +128,7 @@
             groups: Mutex::default(),
             busy: Arc::default(),
             is_stopping: AtomicBool::new(false),
+            places: Places::default(),
         })
     }
 
@@ -124,6 +141,8 @@
                 false => self.sync_groups(),
             }
             self.remove_silent_targets();
+            let live = self.cx.view.read(|state| state.sessions().map(|s| s.id).collect());
+            self.places.expire(&live);
             self.update_gauges();
             tokio::select! {
                 _ = changed.changed() => {}
@@ -169,14 +188,27 @@
     }
 
     /// Takes a target's announcement relayed by an entry.
-    pub fn announce(&self, announcement: &Announcement) -> Result<(), NotOwned> {
+    pub fn announce(self: &Arc<Self>, announcement: &Announcement) -> Result<(), NotOwned> {
         let group = self.group_of(&announcement.target)?;
         let mut targets = group.targets();
         let Some(health) = targets.get_mut(&announcement.target) else { return Ok(()) };
         if health.incarnation != announcement.incarnation {
             return Ok(());
         }
+        let load = &announcement.load;
+        let is_late = load.sequence != 0 && load.sequence <= health.sequence;
         health.last_seen = Instant::now();
+        if is_late {
+            return Ok(());
+        }
+        health.sequence = load.sequence;
+        if health.is_empty != load.base_missing {
+            health.is_empty = load.base_missing;
+            group.scheduler.set_draining(&announcement.target, health.takes_no_work());
+        }
+        if health.is_empty && !health.takes_orders_no_more() {
+            self.load_base(&group, announcement);
+        }
         if std::mem::take(&mut health.is_silent) {
             group.scheduler.set_draining(&announcement.target, health.takes_no_work());
         }
@@ -185,6 +217,44 @@
         Ok(())
     }
 
+    /// Orders an engine that holds no base model to load it, unless such an order is in flight.
+    fn load_base(self: &Arc<Self>, group: &Arc<OwnedGroup>, announcement: &Announcement) {
+        let Announcement { target, incarnation, addr, .. } = announcement;
+        let TargetKind::Engine { base_model, .. } = &announcement.kind else { return };
+        let epoch = self.cx.view.read(|state| state.fencing(target));
+        let Some(epoch) = epoch.filter(|_| self.check_owned(group).is_ok()) else { return };
+        if !group.base_loads().insert(target.clone()) {
+            return;
+        }
+        event!(self.cx.log, BASE_LOADING; "target" => %target, "base" => %base_model);
+        let order = TargetOrder {
+            epoch,
+            target: target.clone(),
+            incarnation: *incarnation,
+            addr: *addr,
+            base: base_model.clone(),
+            wanted: Wanted::Base,
+            timeout: BASE_LOAD_TIMEOUT,
+        };
+        let (service, group) = (self.clone(), group.clone());
+        tokio::spawn(async move {
+            let target = order.target.clone();
+            let result = (service.cx.order)(order).await;
+            group.base_loads().remove(&target);
+            let mut targets = group.targets();
+            match (result, targets.get_mut(&target)) {
+                (Ok(()), Some(health)) => {
+                    health.is_empty = false;
+                    group.scheduler.set_draining(&target, health.takes_no_work());
+                }
+                (Ok(()), None) => {}
+                (Err(error), _) => {
+                    event!(service.cx.log, BASE_LOAD_FAILED; "target" => %target, "error" => %error);
+                }
+            }
+        });
+    }
+
     /// Stops new work for a target that is leaving, at once and before the log says so.
     pub fn leave(&self, target: &TargetId, incarnation: Incarnation) -> Result<(), NotOwned> {
         let group = self.group_of(target)?;
@@ -330,6 +400,7 @@
             handover,
             since: Instant::now(),
             targets: Mutex::default(),
+            base_loads: Mutex::default(),
         });
         groups.insert(id, group.clone());
         group
@@ -374,6 +445,8 @@
                     is_draining,
                     is_leaving: false,
                     is_silent: false,
+                    is_empty: false,
+                    sequence: 0,
                 },
             );
             group.scheduler.upsert_target(TargetSpec {
@@ -395,7 +468,7 @@
             let mut targets = group.targets();
             let now = Instant::now();
             for (id, health) in &mut *targets {
-                if now.saturating_duration_since(health.last_seen) < TARGET_TIMEOUT {
+                if now.saturating_duration_since(health.last_seen) < self.cx.target_timeout {
                     continue;
                 }
                 // Asks again only after another time-out if the log does not answer.
@@ -428,6 +501,10 @@
         self.targets.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn base_loads(&self) -> MutexGuard<'_, BTreeSet<TargetId>> {
+        self.base_loads.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Waits until no order is in flight; each ends within `ORDER_TIMEOUT`.
     async fn orders_finished(&self) {
         while !self.orders.is_zero() {
--- a/crates/rpc/src/api.rs
+++ b/crates/rpc/src/api.rs
@@ -3,14 +3,15 @@
 use jsonrpsee::proc_macros::rpc;
 use shallotdrum_control::{Proposal, Reply};
 use shallotdrum_engine::{Announcement, CacheEvents};
+use shallotdrum_routes::RouteTable;
 use shallotdrum_types::{
     AdapterId, Fingerprint, Incarnation, InstanceId, LogIndex, PermitId, Revision, SessionId,
     SubmissionId, TargetId,
 };
 
 use crate::{
-    AdapterRow, Base64Bytes, GroupRow, InstanceRow, ManifestCheck, ManifestView, Permit,
-    PermitRequest, PermitRow, QuarantineRow, RenewReply, RenewRequest, ReplicaStatus, RpcError,
+    AdapterRow, Base64Bytes, EndedPlace, GroupRow, InstanceRow, ManifestCheck, ManifestView, Permit,
+    PermitRequest, PermitRow, PlaceReply, PlaceRequest, QuarantineRow, RenewReply, RenewRequest, ReplicaStatus, RpcError,
     SessionRow, SubmissionRow, SubscriberRow, TargetRow, WatchReply,
 };
 
@@ -57,6 +58,18 @@
     #[method(name = "control_remove_replica")]
     async fn leader_remove_replica(&self, instance: InstanceId) -> Result<(), RpcError>;
 
+    /// Waits for a place at a target of a group; served by the group's owner.
+    #[method(name = "place_take")]
+    async fn take_place(&self, request: PlaceRequest) -> Result<PlaceReply, RpcError>;
+
+    /// Ends places of a session, also such that still wait.
+    #[method(name = "place_end")]
+    async fn end_places(&self, session: SessionId, ended: Vec<EndedPlace>) -> Result<(), RpcError>;
+
+    /// Returns the newest route table; served by the leader.
+    #[method(name = "control_routes")]
+    async fn leader_routes(&self) -> Result<Option<RouteTable>, RpcError>;
+
     /// Relays a target's announcement to the owner of its group.
     #[method(name = "target_announce")]
     async fn target_announce(&self, announcement: Announcement) -> Result<(), RpcError>;
--- a/crates/rpc/src/control_client.rs
+++ b/crates/rpc/src/control_client.rs
@@ -4,8 +4,6 @@
 //! method may be run twice. `Unavailable` is reported only if no attempt can have been run.
 
 use std::{
-    collections::BTreeMap,
-    net::SocketAddr,
     sync::{Arc, Mutex, PoisonError},
     time::Duration,
 };
@@ -17,13 +15,13 @@
 use shallotdrum_types::{InstanceId, PermitId, SessionId};
 use tokio::time::Instant;
 
-use crate::{PeerApiClient, Peers, Permit, PermitRequest, RenewReply, RenewRequest, RpcError};
+use crate::{Directory, PeerApiClient, Peers, Permit, PermitRequest, RenewReply, RenewRequest, RpcError};
 
 /// Settings of the client.
 #[derive(Clone, Debug)]
 pub struct ControlClientConfig {
-    /// RPC addresses of the control replicas.
-    pub replicas: BTreeMap<InstanceId, SocketAddr>,
+    /// Control replicas.
+    pub directory: Directory,
     /// Longest time for a proposal; several elections fit into it.
     pub propose_timeout: Duration,
     /// Longest wait for one attempt; a silent replica must leave time for the others.
@@ -61,9 +59,9 @@
         Self { cfg: Arc::new(cfg), peers, leader: Arc::default() }
     }
 
-    /// Address of each replica.
-    pub fn replicas(&self) -> &BTreeMap<InstanceId, SocketAddr> {
-        &self.cfg.replicas
+    /// The control replicas.
+    pub fn directory(&self) -> &Directory {
+        &self.cfg.directory
     }
 
     /// Writes a proposal to the control log.
@@ -145,13 +143,16 @@
         let deadline = Instant::now() + limits.total;
         let mut may_have_run = false;
         let mut next = 0;
-        let names: Vec<_> = self.cfg.replicas.keys().cloned().collect();
         loop {
             let name = match self.known_leader() {
                 Some(name) => name,
                 None => {
                     next += 1;
-                    names[next % names.len()].clone()
+                    let names = self.cfg.directory.names();
+                    let Some(name) = names.get(next % names.len().max(1)) else {
+                        return Err(RpcError::Unavailable);
+                    };
+                    name.clone()
                 }
             };
             let attempt_deadline = deadline.min(Instant::now() + limits.attempt);
@@ -192,8 +193,8 @@
         F: Fn(HttpClient) -> Fut,
         Fut: Future<Output = Result<T, ClientError>>,
     {
-        let addr = self.cfg.replicas.get(name).ok_or(RpcError::NotReplica)?;
-        let client = self.peers.get(*addr)?;
+        let addr = self.cfg.directory.addr(name).ok_or(RpcError::NotReplica)?;
+        let client = self.peers.get(addr)?;
         match tokio::time::timeout_at(deadline, call(client)).await {
             Ok(result) => result.map_err(RpcError::from),
             Err(_) => Err(RpcError::NoAnswer(format!("replica {name} timed out"))),
@@ -206,7 +207,7 @@
     }
 
     fn set_leader(&self, leader: Option<InstanceId>) {
-        let leader = leader.filter(|leader| self.cfg.replicas.contains_key(leader));
+        let leader = leader.filter(|leader| self.cfg.directory.addr(leader).is_some());
         *self.leader.lock().unwrap_or_else(PoisonError::into_inner) = leader;
     }
 }
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -10,9 +10,11 @@
 mod admin;
 mod api;
 mod control_client;
+mod directory;
 mod error;
 mod messages;
 mod peers;
+mod places;
 mod transport;
 
 pub use admin::{
@@ -21,10 +23,12 @@
 };
 pub use api::{AdminApiClient, AdminApiServer, PeerApiClient, PeerApiServer};
 pub use control_client::{ControlClient, ControlClientConfig};
+pub use directory::Directory;
 pub use error::RpcError;
 pub use messages::{
     Base64Bytes, Permit, PermitRequest, RenewReply, RenewRequest, SessionRow, WatchEntry,
     WatchReply,
 };
 pub use peers::{MAX_MESSAGE_BYTES, Peers, PeersConfig};
+pub use places::{EndedPlace, GrantedPlace, Need, PlaceEnd, PlaceReply, PlaceRequest};
 pub use transport::RpcTransport;
--- /dev/null
+++ b/crates/rpc/src/places.rs
@@ -0,0 +1,108 @@
+//! Messages with which an entry asks a group's owner for a place at a target.
+//!
+//! The entry sends the request to the target itself, so its bytes cross the network once and an
+//! answer outlasts the owner.
+
+use serde::{Deserialize, Serialize};
+use shallotdrum_engine::Priority;
+use shallotdrum_types::{
+    AdapterRef, GroupId, Incarnation, RequestError, RequestId, SessionId, SubscriberId, TargetId,
+};
+use std::net::SocketAddr;
+
+/// Asks for a place at a target of a group.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct PlaceRequest {
+    /// Session of the entry; its places end with it.
+    pub session: SessionId,
+    /// Request, for the log.
+    pub request: RequestId,
+    /// Number of the place, unique within the session.
+    pub place: u64,
+    /// Group that the request goes to.
+    pub group: GroupId,
+    /// Whom the request is charged to.
+    pub subscriber: SubscriberId,
+    /// What the request needs.
+    pub need: Need,
+    /// Time left for the whole answer, in milliseconds.
+    pub left_ms: u64,
+    /// Targets on which the request failed before.
+    pub avoid: Vec<TargetId>,
+}
+
+/// What a request needs of a target.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(tag = "type", rename_all = "kebab-case")]
+pub enum Need {
+    /// A model, with an adapter if one is named.
+    Generation {
+        /// Adapter and version.
+        adapter: Option<AdapterRef>,
+        /// Tokens of the prompt.
+        prompt_tokens: u64,
+        /// Most tokens of the answer.
+        max_tokens: u64,
+        /// Identifiers of successively longer prefixes of the prompt.
+        prefixes: Vec<u64>,
+    },
+    /// A call of a plain service.
+    Call {
+        /// Whether the call may be sent again.
+        is_repeatable: bool,
+    },
+}
+
+/// Answer to a `PlaceRequest`.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(tag = "type", rename_all = "kebab-case")]
+pub enum PlaceReply {
+    /// The request may be sent to this target.
+    Granted(GrantedPlace),
+    /// The request has no place; it was not sent anywhere.
+    Refused {
+        /// Why.
+        error: RequestError,
+    },
+}
+
+/// Place at a target.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct GrantedPlace {
+    /// Target.
+    pub target: TargetId,
+    /// Process start of the target.
+    pub incarnation: Incarnation,
+    /// Address of the target.
+    pub addr: SocketAddr,
+    /// Priority to pass to the engine.
+    pub priority: Priority,
+}
+
+/// End of a place.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub struct EndedPlace {
+    /// Number of the place.
+    pub place: u64,
+    /// How the request ended.
+    pub end: PlaceEnd,
+}
+
+/// How a request that had a place ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum PlaceEnd {
+    /// The whole answer was received.
+    Answered {
+        /// Tokens of the prompt.
+        prompt_tokens: u64,
+        /// Tokens of the answer.
+        completion_tokens: u64,
+    },
+    /// The target failed or its answer ended early.
+    Failed,
+    /// The caller no longer wants the answer.
+    Cancelled,
+    /// The target refused the request without running it.
+    Refused,
+}
--- a/crates/scheduler/src/api.rs
+++ b/crates/scheduler/src/api.rs
@@ -101,6 +101,15 @@
         /// Hashes of successively longer prefixes of the prompt.
         prompt_prefix_hashes: Vec<u64>,
     },
+    /// Completion on the base model itself.
+    Base {
+        /// Tokens of the prompt.
+        prompt_tokens: u64,
+        /// Most tokens to generate.
+        max_tokens: u64,
+        /// Hashes of successively longer prefixes of the prompt.
+        prompt_prefix_hashes: Vec<u64>,
+    },
     /// Call of a plain service.
     Service {
         /// Whether the call may be sent again. Some places are reserved for such lookups.
--- a/crates/scheduler/src/state/admission.rs
+++ b/crates/scheduler/src/state/admission.rs
@@ -68,7 +68,8 @@
         let account = &mut self.subs[sub];
         account.weight = work.weight.get();
         let (cost, prompt_tokens) = match &work.job {
-            Job::Completion { prompt_tokens, max_tokens, .. } => {
+            Job::Completion { prompt_tokens, max_tokens, .. }
+            | Job::Base { prompt_tokens, max_tokens, .. } => {
                 let expected = account.expected_completion(*max_tokens);
                 (Cost::tokens(*prompt_tokens, expected), *prompt_tokens)
             }
@@ -83,6 +84,8 @@
         let seq = self.next_seq;
         self.next_seq += 1;
         let is_repeatable = !matches!(work.job, Job::Service { is_repeatable: false });
+        let is_engine = is_engine_job(&work.job);
+        let is_base = matches!(work.job, Job::Base { .. });
         let (adapter, prefixes) = match work.job {
             Job::Completion { adapter, source, prompt_prefix_hashes, .. } => {
                 let key = self.adapters.key_or_insert_with(&adapter, || Adapter::new(now));
@@ -93,9 +96,10 @@
                 row.demand.add(share, now);
                 (Some(key), prompt_prefix_hashes)
             }
+            Job::Base { prompt_prefix_hashes, .. } => (None, prompt_prefix_hashes),
             Job::Service { .. } => (None, Vec::new()),
         };
-        let is_special = work.is_suspect || !work.avoid.is_empty();
+        let is_special = work.is_suspect || is_base || !work.avoid.is_empty();
         let lane = match (self.cfg.policy, adapter) {
             (Policy::Baseline, _) => Lane::Assigned(None),
             (Policy::Adaptive, _) if is_special => Lane::Special,
@@ -106,6 +110,7 @@
         let queued = Queued {
             sub,
             adapter,
+            is_engine,
             lane,
             tag,
             cost,
@@ -171,7 +176,7 @@
             let detail = format!("the deadline of request {} has passed", work.request);
             return Err(RequestError::not_run(RequestErrorKind::DeadlineExceeded, detail));
         }
-        let is_completion = matches!(work.job, Job::Completion { .. });
+        let is_completion = is_engine_job(&work.job);
         let can_serve = self
             .targets
             .values()
@@ -289,7 +294,7 @@
     /// admitted late.
     fn run_time(&self, work: &Work, now: Instant) -> Duration {
         let secs = match &work.job {
-            Job::Completion { max_tokens, .. } => {
+            Job::Completion { max_tokens, .. } | Job::Base { max_tokens, .. } => {
                 let sub = self.subs.key(&work.subscriber).map(|sub| &self.subs[sub]);
                 let tokens = match sub {
                     Some(account) => account.expected_completion(*max_tokens),
@@ -346,7 +351,7 @@
     fn expected_wait(&self, work: &Work, now: Instant) -> Duration {
         let adapter = match &work.job {
             Job::Completion { adapter, .. } => self.adapters.key(adapter),
-            Job::Service { .. } => None,
+            Job::Base { .. } | Job::Service { .. } => None,
         };
         let sub = self.subs.key(&work.subscriber);
         let queue_wait = match sub {
@@ -354,7 +359,7 @@
             _ => Duration::ZERO,
         };
         match &work.job {
-            Job::Service { .. } => queue_wait,
+            Job::Base { .. } | Job::Service { .. } => queue_wait,
             Job::Completion { .. } => queue_wait.max(self.load_wait(sub, adapter, now)),
         }
     }
@@ -424,3 +429,8 @@
     let secs = wait.as_secs_f64().ceil();
     Duration::from_secs_f64(secs).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
 }
+
+/// Whether the request runs on an engine.
+fn is_engine_job(job: &Job) -> bool {
+    !matches!(job, Job::Service { .. })
+}
--- a/crates/scheduler/src/state/choice.rs
+++ b/crates/scheduler/src/state/choice.rs
@@ -60,6 +60,18 @@
         self.choose(claim, services.map(|(key, _)| *key), &[], avoid, now)
     }
 
+    /// Chooses an engine with room for a request on its base model.
+    pub(super) fn choose_engine(
+        &self,
+        claim: Claim,
+        prefixes: &[u64],
+        avoid: &[TargetId],
+        now: Instant,
+    ) -> Option<TargetKey> {
+        let engines = self.targets.iter().filter(|(_, target)| target.is_engine());
+        self.choose(claim, engines.map(|(key, _)| *key), prefixes, avoid, now)
+    }
+
     fn choose(
         &self,
         claim: Claim,
--- a/crates/scheduler/src/state/dispatch.rs
+++ b/crates/scheduler/src/state/dispatch.rs
@@ -79,7 +79,7 @@
 
     fn choose_special(&self, seq: Seq, now: Instant) -> Option<TargetKey> {
         let queued = &self.queued[&seq];
-        let avoid = match self.avoids_all(&queued.avoid, queued.adapter.is_some(), now) {
+        let avoid = match self.avoids_all(&queued.avoid, queued.is_engine, now) {
             true => &[][..],
             false => &queued.avoid,
         };
@@ -87,6 +87,9 @@
             Some(adapter) => {
                 self.choose_holder(queued.claim(), adapter, &queued.prefixes, avoid, now)
             }
+            None if queued.is_engine => {
+                self.choose_engine(queued.claim(), &queued.prefixes, avoid, now)
+            }
             None => self.choose_service(queued.claim(), avoid, now),
         }
     }
@@ -107,7 +110,7 @@
             return None;
         }
         let queued = &self.queued[&seq];
-        let is_engine = queued.adapter.is_some();
+        let is_engine = queued.is_engine;
         let ignores_avoid = self.avoids_all(&queued.avoid, is_engine, now);
         let allowed = self.targets.iter().filter(|(_, target)| {
             target.is_open(now)
--- a/crates/scheduler/src/state/mod.rs
+++ b/crates/scheduler/src/state/mod.rs
@@ -179,6 +179,8 @@
 struct Queued {
     sub: SubKey,
     adapter: Option<AdapterKey>,
+    /// Whether it runs on an engine; without an adapter then, on the base model.
+    is_engine: bool,
     lane: Lane,
     tag: Tag,
     cost: Cost,
@@ -413,8 +415,8 @@
             if let Lane::Adapter(_) = queued.lane {
                 ready_since = self.adapters[adapter].available_since;
             }
-            target.prefixes.sent(&queued.prefixes, now);
         }
+        target.prefixes.sent(&queued.prefixes, now);
         // Lookups take a reserved place only if the others are in use.
         let is_common = has_common_place(target, now);
         target.running += 1;
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -1,6 +1,9 @@
 //! Rules for single values and between values.
 
-use std::{collections::BTreeSet, net::SocketAddr};
+use std::{
+    collections::BTreeSet,
+    net::{IpAddr, SocketAddr},
+};
 
 use serde_json::json;
 
@@ -78,6 +81,18 @@
         }
     }
 
+    fn check_seeds(&self, problems: &Problems) {
+        for (i, seed) in self.seeds.iter().enumerate() {
+            if seed.as_str().parse::<IpAddr>().is_err() {
+                problems.add(&format!("seeds[{i}]"), Some(&json!(seed)), "an IP number");
+            }
+        }
+        if self.instance.as_str().parse() != Ok(self.advertised().rpc.ip()) {
+            let expected = "the IP number of this instance's rpc address, because of `seeds`";
+            problems.add("instance", Some(&json!(self.instance)), expected);
+        }
+    }
+
     fn check_port(&self, path: &str, addr: SocketAddr, problems: &Problems) {
         if addr.port() == 0 && !self.allow_port_zero {
             problems.add(path, Some(&json!(addr)), "a port from 1 to 65535");
@@ -85,6 +100,9 @@
     }
 
     fn check_replicas(&self, problems: &Problems) {
+        if !self.seeds.is_empty() {
+            return self.check_seeds(problems);
+        }
         if self.replicas.is_empty() {
             problems.add("replicas", Some(&json!([])), "at least one control replica");
         }
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -5,6 +5,13 @@
 use serde::{Deserialize, Serialize};
 use shallotdrum_types::{AvailabilityZone, InstanceId, Region};
 
+/// Default silence after which a target gets no new work. With checks every 250 ms it stays below
+/// 3 s; two of the announcements that come every second may be lost.
+pub(crate) const DEFAULT_TARGET_TIMEOUT_MS: u64 = 2_700;
+
+/// Default time for the platform's load balancer to see that the instance is not ready.
+pub(crate) const DEFAULT_DRAIN_DELAY_MS: u64 = 2_000;
+
 /// Settings of one instance.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct Settings {
@@ -19,8 +26,16 @@
     /// Addresses that other instances use, if they differ from `addrs`.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub advertise: Option<Addrs>,
-    /// Control replicas of the deployment.
+    /// Control replicas of the deployment; empty if seeds are named instead.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
     pub replicas: Vec<ReplicaAddr>,
+    /// A few control replicas, through which the others are found. Each replica's name is its IP
+    /// number, and all use the RPC port of this instance.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub seeds: Vec<InstanceId>,
+    /// The seeds form the control log; only at the first start of the whole deployment.
+    #[serde(skip_serializing_if = "std::ops::Not::not")]
+    pub forms_log: bool,
     /// Data folder; present exactly on control replicas.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub data_dir: Option<PathBuf>,
@@ -30,6 +45,8 @@
     pub freshness: Freshness,
     /// Policy of the scheduler.
     pub policy: Policy,
+    /// Silence after which a target gets no new work, in milliseconds.
+    pub target_timeout_ms: u64,
     /// How long the listener stays open after the instance reports not ready, in milliseconds.
     pub drain_delay_ms: u64,
     /// Log output.
@@ -47,9 +64,41 @@
         self.advertise.unwrap_or(self.addrs)
     }
 
+    /// Settings of an instance that finds the control replicas through seeds.
+    pub fn seeded(
+        instance: InstanceId,
+        region: Region,
+        zone: AvailabilityZone,
+        addrs: Addrs,
+        seeds: Vec<InstanceId>,
+    ) -> Self {
+        Self {
+            instance,
+            region,
+            zone,
+            addrs,
+            advertise: None,
+            replicas: Vec::new(),
+            seeds,
+            forms_log: false,
+            data_dir: None,
+            limits: Limits::default(),
+            freshness: Freshness::default(),
+            policy: Policy::default(),
+            target_timeout_ms: DEFAULT_TARGET_TIMEOUT_MS,
+            drain_delay_ms: DEFAULT_DRAIN_DELAY_MS,
+            log: Log::default(),
+            forward_headers: Vec::new(),
+            allow_port_zero: false,
+        }
+    }
+
     /// Whether the instance is a control replica.
     pub fn is_replica(&self) -> bool {
-        self.replicas.iter().any(|replica| replica.instance == self.instance)
+        match self.seeds.is_empty() {
+            true => self.replicas.iter().any(|replica| replica.instance == self.instance),
+            false => self.data_dir.is_some(),
+        }
     }
 }
 
@@ -150,11 +199,23 @@
     pub stall_weight: f64,
     /// Scheduler that is used.
     pub mode: PolicyMode,
+    /// Adapter loads that the owner of a group has under way at a time.
+    pub max_loads: usize,
+    /// Whether each adapter load needs a permit of the control leader; without, only `max_loads`
+    /// bounds them.
+    pub load_permits: bool,
 }
 
 impl Default for Policy {
     fn default() -> Self {
-        Self { stall_weight: 0.5, mode: PolicyMode::Adaptive }
+        Self {
+            stall_weight: 0.5,
+            mode: PolicyMode::Adaptive,
+            // The next choice is made while one load is in progress, so that the store's permit is
+            // used as soon as it is granted; more would be decided on older information.
+            max_loads: 2,
+            load_permits: true,
+        }
     }
 }
 
--- a/crates/settings/src/parse.rs
+++ b/crates/settings/src/parse.rs
@@ -7,6 +7,7 @@
 use crate::{
     Addrs, Freshness, Limits, Log, Policy, Problem, ReplicaAddr, Settings, SettingsErrors,
     fields::{Fields, Problems},
+    model::{DEFAULT_DRAIN_DELAY_MS, DEFAULT_TARGET_TIMEOUT_MS},
     tree::Tree,
 };
 
@@ -26,9 +27,6 @@
     "tracestate",
 ];
 
-/// Default time for the platform's load balancer to see that the instance is not ready.
-const DEFAULT_DRAIN_DELAY_MS: u64 = 2_000;
-
 impl Settings {
     /// Reads and checks a settings file.
     pub fn load(path: impl AsRef<Path>) -> Result<Self, SettingsErrors> {
@@ -69,11 +67,17 @@
     let zone = root.required("zone", NAME);
     let addrs = root.section("addrs").and_then(read_addrs);
     let advertise = root.optional_section("advertise").and_then(read_addrs);
-    let replicas = read_replicas(&mut root, problems);
+    let seeds = root.or("seeds", "a list of IP numbers", Vec::new());
+    let forms_log = root.or("forms_log", "true or false", false);
+    let replicas = match seeds.is_empty() {
+        true => read_replicas(&mut root, problems),
+        false => Some(Vec::new()),
+    };
     let data_dir = root.optional::<PathBuf>("data_dir", "a path");
     let limits = root.optional_section("limits").map(read_limits).unwrap_or_default();
     let freshness = root.optional_section("freshness").map(read_freshness).unwrap_or_default();
     let policy = root.optional_section("policy").map(read_policy).unwrap_or_default();
+    let target_timeout_ms = root.or("target_timeout_ms", NUMBER, DEFAULT_TARGET_TIMEOUT_MS);
     let drain_delay_ms = root.or("drain_delay_ms", NUMBER, DEFAULT_DRAIN_DELAY_MS);
     let log = root.optional_section("log").map(read_log).unwrap_or_default();
     let default_headers =
@@ -89,10 +93,13 @@
         addrs: addrs?,
         advertise,
         replicas: replicas?,
+        seeds,
+        forms_log,
         data_dir,
         limits,
         freshness,
         policy,
+        target_timeout_ms,
         drain_delay_ms,
         log,
         forward_headers,
@@ -164,6 +171,8 @@
     let policy = Policy {
         stall_weight: fields.or("stall_weight", "a number from 0 to 1", default.stall_weight),
         mode: fields.or("mode", "\"adaptive\" or \"baseline\"", default.mode),
+        max_loads: fields.or("max_loads", NUMBER, default.max_loads),
+        load_permits: fields.or("load_permits", "true or false", default.load_permits),
     };
     fields.finish();
     policy
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -104,6 +104,8 @@
         SESSION_DRAIN_FAILED = "K0212", Warning, "cannot mark the session as draining", "none; the instance stops all the same";
         LEADER_READY = "K0210", Info, "control leader took over its duties", "none";
         DUTY_FAILED = "K0211", Warning, "control leader cannot write to the log", "check the control replicas and the network between them";
+        JOIN_RETRIED = "K0213", Debug, "cannot join the control replicas yet", "none; check the seeds if it lasts";
+        REPLICA_LOST = "K0214", Warning, "control replica was silent for long; removing it", "replace the machine";
         CONTROL_UNAVAILABLE = "K0203", Warning, "control replicas cannot be reached", "check the network and the control replicas";
     }
     "O03" "Owner" {
@@ -120,6 +122,12 @@
         ORDER_REFUSED = "O0306", Warning, "engine refused an order", "none, unless it repeats for one engine; then restart the engine";
         REQUEST_SUSPECTED = "O0307", Warning, "request was running on a crashed target", "none; list quarantined requests if it repeats";
         REQUEST_QUARANTINED = "O0308", Error, "request quarantined after a second crash", "examine the request; lift the quarantine when the engine is fixed";
+        PLACE_GRANTED = "O0315", Debug, "place at a target granted", "none";
+        PLACE_END_LOST = "O0320", Debug, "end of a place could not be reported; the place expires by its deadline", "none";
+        PLACE_REFUSED = "O0316", Info, "no place at a target; the request was not run", "compare the detail with the load of the group";
+        ORDER_SENT = "O0317", Debug, "order carried out by an engine", "none";
+        BASE_LOADING = "O0318", Warning, "engine holds no base model; loading it", "check why the engine restarted";
+        BASE_LOAD_FAILED = "O0319", Warning, "base model could not be loaded", "check the weight store and the engine, if it repeats";
         CALL_RESULT_UNKNOWN = "O0309", Error, "result of a non-repeatable call is unknown", "look up in the service whether the call took effect";
     }
     "N04" "Entry" {
@@ -132,6 +140,13 @@
         ENTRY_ANSWER_RESUMED = "N0407", Info, "answer resumed at the new owner", "none";
         ENTRY_RETRY_BUDGET_EMPTY = "N0408", Warning, "retry budget is empty", "find the fault that causes the retries; the entry recovers by itself";
         ENTRY_DRAINING = "N0409", Info, "entry is draining", "none";
+        REQUEST_ROUTED = "N0411", Debug, "request sent to a target", "none";
+        REQUEST_ENDED = "N0412", Info, "request ended without a whole answer", "follow the request's id through the other lines";
+        REQUEST_ANSWERED = "N0415", Debug, "request answered", "none";
+        TARGET_DECLINED = "N0416", Info, "target refused a request without running it", "none, unless it repeats for one target";
+        STREAM_BROKEN = "N0417", Info, "stream of a target broke off", "check the target, if it repeats";
+        ROUTES_CHANGED = "N0413", Info, "route table in force", "none";
+        INPUT_REFUSED = "N0414", Warning, "malformed message refused", "correct the sender";
         ENTRY_CLOSED = "N0410", Info, "entry listener closed, all requests finished", "none";
     }
     "S05" "Start, stop and settings" {
@@ -142,6 +157,7 @@
         INSTANCE_STOPPED = "S0505", Info, "instance stopped", "none";
         SETTINGS_INVALID = "S0506", Critical, "settings are invalid", "correct the listed values and start again";
         REPLICA_COUNT_EVEN = "S0507", Warning, "even number of control replicas", "list an odd number of replicas; an even one tolerates no more failures than one less";
+        SETTINGS_RELOADED = "S0509", Info, "settings reloaded", "none";
         START_FAILED = "S0508", Critical, "instance cannot start", "correct the reported cause and start again";
     }
     "T06" "Targets" {
