--- a/crates/control/src/command.rs
+++ b/crates/control/src/command.rs
@@ -4,12 +4,12 @@
 
 use serde::{Deserialize, Serialize};
 use shallotdrum_engine::TargetKind;
-use shallotdrum_routes::RouteTable;
 use shallotdrum_manifest::{Manifest, ManifestDelta, ManifestErrors};
+use shallotdrum_routes::RouteTable;
 use shallotdrum_types::{
-    AdapterId, AvailabilityZone, BaseModelId, ControlTimeMs, Digest, Epoch, Fingerprint, GroupId, IdempotencyKey,
-    Incarnation, InstanceId, PoolId, Region, RequestId, Revision, SessionId, SubmissionId,
-    SubscriberId, TargetId,
+    AdapterId, AvailabilityZone, BaseModelId, ControlTimeMs, Digest, Epoch, Fingerprint, GroupId,
+    IdempotencyKey, Incarnation, InstanceId, PoolId, Region, RequestId, Revision, SessionId,
+    SubmissionId, SubscriberId, TargetId,
 };
 
 /// Command with the control time at which the leader proposed it.
--- a/crates/control/src/state/mod.rs
+++ b/crates/control/src/state/mod.rs
@@ -19,8 +19,9 @@
 use shallotdrum_manifest::Manifest;
 use shallotdrum_routes::{RouteIndex, RouteTable};
 use shallotdrum_types::{
-    AdapterId, BaseModelId, ControlTimeMs, Digest, Epoch, Fingerprint, GroupId, Incarnation, InstanceId, KeyHash, LogIndex,
-    PoolId, Revision, SessionId, SubmissionId, SubscriberId, TargetId,
+    AdapterId, BaseModelId, ControlTimeMs, Digest, Epoch, Fingerprint, GroupId, Incarnation,
+    InstanceId, KeyHash, LogIndex, PoolId, Revision, SessionId, SubmissionId, SubscriberId,
+    TargetId,
 };
 
 use crate::{CallKey, Command, CommandError, Reply, TimedCommand};
--- a/crates/daemon/src/follower.rs
+++ b/crates/daemon/src/follower.rs
@@ -9,11 +9,13 @@
 use shallotdrum_rpc::{Directory, PeerApiClient, Peers, RpcError, WatchReply};
 use shallotdrum_telemetry::event;
 
-/// How long a replica waits for a new command before it answers with none.
-const WATCH_WAIT: Duration = Duration::from_secs(2);
+/// How long a replica waits for a new command before it answers with none; short, so that a
+/// replica that is cut off is noticed.
+const WATCH_WAIT: Duration = Duration::from_millis(600);
 
-/// Longest wait for an answer; longer than the replica's wait.
-const WATCH_TIMEOUT: Duration = Duration::from_secs(4);
+/// Longest wait for an answer; longer than the replica's wait. A replica that fell silent delays a
+/// change by this much.
+const WATCH_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// Pause before another replica is asked.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -14,11 +14,12 @@
 use shallotdrum_entry::{EntryConfig, EntryContext, EntryHandle, EntryServer};
 use shallotdrum_gateway::{Connections, Dialect, Gateway, GatewayContext, RetryShare};
 use shallotdrum_owner::{
-    Forwarder, HeldPermits, OrderFn, OwnerContext, OwnerService, engine_orders, serve_forwarded,
+    Forwarder, HeldPermits, InspectFn, OrderFn, OwnerContext, OwnerService, engine_orders,
+    serve_forwarded,
 };
 use shallotdrum_rpc::{
-    AdminApiServer, ControlClient, ControlClientConfig, Directory, PeerApiServer, Peers, PeersConfig,
-    PermitRequest, RpcTransport,
+    AdminApiServer, ControlClient, ControlClientConfig, Directory, PeerApiServer, Peers,
+    PeersConfig, PermitRequest, RpcTransport,
 };
 use shallotdrum_scheduler::{Policy, SchedulerConfig};
 use shallotdrum_settings::{PolicyMode, Settings, WhenStale};
@@ -82,6 +83,8 @@
 pub struct InstanceOptions {
     /// Sends orders to engines.
     pub order: Option<OrderFn>,
+    /// Asks engines what they hold.
+    pub inspect: Option<InspectFn>,
 }
 
 /// Running instance.
@@ -406,6 +409,10 @@
         PolicyMode::Baseline => Policy::Baseline,
     };
     scheduler.max_outstanding_loads = settings.policy.max_loads;
+    if options.inspect.is_some() {
+        // An inspection's age is known; it is not relayed.
+        scheduler.report_transit = Duration::ZERO;
+    }
     scheduler.stall_weight = settings.policy.stall_weight;
     scheduler.max_queued = settings.limits.max_queued;
     scheduler.max_queued_per_subscriber = settings.limits.max_queued_per_subscriber;
@@ -429,33 +436,34 @@
             Arc::new(|_| async { Some(PermitId(0)) }.boxed())
         } else {
             Arc::new(move |group| {
-            let (client, holder, held) = (granter.clone(), holder.clone(), held.clone());
-            async move {
-                let wait_ms = PERMIT_WAIT.as_millis() as u64;
-                let request = PermitRequest { session: holder.current()?, group, wait_ms };
-                let permit = client.permit(request).await.ok()?;
-                // A grant of an earlier leader is unknown to the one that leads now.
-                if permit_term(permit.id) < holder.leader_term() {
-                    return None;
+                let (client, holder, held) = (granter.clone(), holder.clone(), held.clone());
+                async move {
+                    let wait_ms = PERMIT_WAIT.as_millis() as u64;
+                    let request = PermitRequest { session: holder.current()?, group, wait_ms };
+                    let permit = client.permit(request).await.ok()?;
+                    // A grant of an earlier leader is unknown to the one that leads now.
+                    if permit_term(permit.id) < holder.leader_term() {
+                        return None;
+                    }
+                    held.lock().unwrap_or_else(PoisonError::into_inner).insert(permit.id);
+                    Some(permit.id)
                 }
-                held.lock().unwrap_or_else(PoisonError::into_inner).insert(permit.id);
-                Some(permit.id)
-            }
-            .boxed()
-        })
+                .boxed()
+            })
         },
         release: if !settings.policy.load_permits {
             Arc::new(|_| ())
         } else {
             Arc::new(move |permit| {
-            returned.lock().unwrap_or_else(PoisonError::into_inner).remove(&permit);
-            let Some(session) = returning.current() else { return };
-            let client = returner.clone();
-            // A permit whose return is lost expires at the leader.
-            tokio::spawn(async move { client.release_permit(session, permit).await });
-        })
+                returned.lock().unwrap_or_else(PoisonError::into_inner).remove(&permit);
+                let Some(session) = returning.current() else { return };
+                let client = returner.clone();
+                // A permit whose return is lost expires at the leader.
+                tokio::spawn(async move { client.release_permit(session, permit).await });
+            })
         },
         order: options.order.unwrap_or_else(|| engine_orders(engine.clone())),
+        inspect: options.inspect,
         engine,
         target_timeout: Duration::from_millis(settings.target_timeout_ms),
         scheduler,
--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -9,8 +9,7 @@
 use shallotdrum_routes::RouteTable;
 use shallotdrum_rpc::{
     Base64Bytes, EndedPlace, GrantedPlace, Need, PeerApiServer, Permit, PermitRequest, PermitRow,
-    PlaceReply, PlaceRequest, RenewReply, RenewRequest,
-    RpcError, SessionRow, WatchReply,
+    PlaceReply, PlaceRequest, RenewReply, RenewRequest, RpcError, SessionRow, WatchReply,
 };
 use shallotdrum_types::{Incarnation, InstanceId, LogIndex, PermitId, SessionId, TargetId};
 
--- a/crates/daemon/src/plane.rs
+++ b/crates/daemon/src/plane.rs
@@ -81,9 +81,9 @@
 
     /// Removes a target that has left.
     pub async fn target_left(&self, target: TargetId) -> Result<(), ChangeError> {
-        let registered = self.view.read(|state| {
-            state.target(&target).map(|registered| registered.announced.incarnation)
-        });
+        let registered = self
+            .view
+            .read(|state| state.target(&target).map(|registered| registered.announced.incarnation));
         match registered {
             Some(incarnation) => Ok(self.targets.leave(target, incarnation).await?),
             // It has left before, or this instance has not heard of it yet.
--- a/crates/daemon/src/replica.rs
+++ b/crates/daemon/src/replica.rs
@@ -95,7 +95,9 @@
     async fn remove_lost(&self) {
         let silent = self.node.silent_voters(LOST_AFTER);
         let voters = self.node.status().members.map_or(0, |members| members.voters.len());
-        let Some(lost) = silent.first().filter(|_| may_remove(voters, silent.len())) else { return };
+        let Some(lost) = silent.first().filter(|_| may_remove(voters, silent.len())) else {
+            return;
+        };
         event!(self.log, REPLICA_LOST; "replica" => %lost, "silent_s" => LOST_AFTER.as_secs());
         if let Err(error) = self.node.remove_replica(lost.clone()).await {
             event!(self.log, DUTY_FAILED; "error" => %error);
--- a/crates/fakes/src/engine/mod.rs
+++ b/crates/fakes/src/engine/mod.rs
@@ -207,6 +207,8 @@
         let batch = lock(&self.batch);
         let fresh = LoadReport {
             age_ms: 0,
+            sequence: 0,
+            base_missing: false,
             running: batch.running.len() as u32,
             queued: batch.queue.len() as u32,
             adapters: lock(&self.slots).statuses(&batch),
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -100,10 +100,8 @@
         addr: SocketAddr,
         mut sender: SendRequest<Full<Bytes>>,
         request: Request<Full<Bytes>>,
-    ) -> Result<
-        (Connection, Response<Incoming>),
-        (hyper::Error, Option<Request<Full<Bytes>>>),
-    > {
+    ) -> Result<(Connection, Response<Incoming>), (hyper::Error, Option<Request<Full<Bytes>>>)>
+    {
         match sender.try_send_request(request).await {
             Ok(response) => {
                 let idle = stated_idle(&response).unwrap_or(DEFAULT_IDLE);
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -245,19 +245,17 @@
             };
         }
         let (parts, body) = response.into_parts();
-        let body = match timeout_at(run.deadline, Limited::new(body, MAX_ANSWER_BYTES).collect())
-            .await
-        {
-            Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(error)) => {
-                place.end(PlaceEnd::Failed);
-                return Ended::Not(Attempt::Unknown, target_failed(&*error));
-            }
-            Err(_) => return Ended::Not(Attempt::Unknown, timed_out()),
-        };
+        let body =
+            match timeout_at(run.deadline, Limited::new(body, MAX_ANSWER_BYTES).collect()).await {
+                Ok(Ok(body)) => body.to_bytes(),
+                Ok(Err(error)) => {
+                    place.end(PlaceEnd::Failed);
+                    return Ended::Not(Attempt::Unknown, target_failed(&*error));
+                }
+                Err(_) => return Ended::Not(Attempt::Unknown, timed_out()),
+            };
         connection.keep();
-        let answer =
-            Answer::Whole { status, headers: answer_headers(parts.headers), body };
+        let answer = Answer::Whole { status, headers: answer_headers(parts.headers), body };
         if status.is_server_error() {
             place.end(PlaceEnd::Failed);
             run.failure = Some(answer);
@@ -278,7 +276,8 @@
             left: Duration::ZERO,
             avoid: run.avoid.clone(),
         };
-        let place = self.places.take(&run.pool, work, run.deadline).await.map_err(Ended::NoPlace)?;
+        let place =
+            self.places.take(&run.pool, work, run.deadline).await.map_err(Ended::NoPlace)?;
         let left = run.deadline.saturating_duration_since(Instant::now());
         if left.is_zero() {
             return Err(Ended::NoPlace(no_time()));
@@ -383,8 +382,7 @@
         generation: &Generation,
         adapter: &shallotdrum_types::AdapterId,
     ) -> AdapterVersion {
-        let version =
-            self.cx.view.read(|state| state.adapter_version(&generation.base, adapter));
+        let version = self.cx.view.read(|state| state.adapter_version(&generation.base, adapter));
         // Decimal digits are a valid name.
         version.unwrap_or(FIRST_VERSION).to_string().parse().expect("a number is a valid version")
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,8 +20,8 @@
 pub use connections::{Connection, Connections, SendError};
 pub use decision::{After, Attempt, Step, next_step};
 pub use events::EventSplitter;
-pub use places::finish;
 pub use exchange::{Gateway, GatewayContext};
+pub use places::finish;
 pub use request::{
     Answer, AnswerInfo, CallerRequest, Dialect, Dispatch, Generation, PromptPart, StreamBody,
 };
--- a/crates/owner/src/context.rs
+++ b/crates/owner/src/context.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeSet, net::SocketAddr, pin::Pin, sync::Arc, time::Duration};
 
 use shallotdrum_control::{Command, ControlView, Proposal, ProposeError, ProposeFn, Reply};
-use shallotdrum_engine::{EngineClient, Order, OrderError, OrderRequest};
+use shallotdrum_engine::{EngineClient, LoadReport, Order, OrderError, OrderRequest};
 use shallotdrum_scheduler::{LoadFailure, LoadOrder, SchedulerConfig};
 use shallotdrum_telemetry::Metrics;
 use shallotdrum_types::{BaseModelId, Epoch, GroupId, Incarnation, PermitId, SessionId, TargetId};
@@ -53,6 +53,27 @@
         + Sync,
 >;
 
+/// Asks an engine what it holds, for owners that can't rely on announcements; `None` without an
+/// answer.
+pub type InspectFn = Arc<
+    dyn Fn(InspectRequest) -> Pin<Box<dyn Future<Output = Option<LoadReport>> + Send>>
+        + Send
+        + Sync,
+>;
+
+/// Engine to inspect.
+#[derive(Clone, Debug)]
+pub struct InspectRequest {
+    /// Target.
+    pub target: TargetId,
+    /// Process start of the target.
+    pub incarnation: Incarnation,
+    /// Address of the target.
+    pub addr: SocketAddr,
+    /// Base model of the target.
+    pub base: BaseModelId,
+}
+
 /// Orders over the product's own engine interface, whose engines always hold their base model.
 pub fn engine_orders(engine: EngineClient) -> OrderFn {
     Arc::new(move |order| {
@@ -92,6 +113,8 @@
     pub release: ReleaseFn,
     /// Sends orders to engines.
     pub order: OrderFn,
+    /// Asks engines what they hold; without it, their announcements say so.
+    pub inspect: Option<InspectFn>,
     /// Client of the targets.
     pub engine: EngineClient,
     /// Settings of the schedulers.
--- /dev/null
+++ b/crates/owner/src/inspect.rs
@@ -0,0 +1,56 @@
+//! Inspection of engines whose announcements do not tell reliably what they hold.
+//!
+//! A new owner inspects each engine before it sends orders, and again after an order whose result
+//! is unknown.
+
+use std::{sync::Arc, time::Duration};
+
+use shallotdrum_engine::TargetKind;
+use shallotdrum_scheduler::TargetSpec;
+use shallotdrum_telemetry::event;
+
+use crate::{InspectRequest, OwnerService, service::OwnedGroup};
+
+/// Pause between two inspections; what an engine tells is a few hundred milliseconds old.
+const INSPECT_PAUSE: Duration = Duration::from_millis(300);
+
+/// Inspections that settle the slots of an engine: two that tell of the time after the take-over,
+/// and one before them that is older than it.
+const INSPECTIONS: usize = 3;
+
+/// Tries for each inspection; an engine that answers none is silent or gone.
+const MAX_TRIES: usize = 20;
+
+impl OwnerService {
+    /// Inspects an engine in a task of its own, unless announcements tell what it holds.
+    pub(crate) fn inspect(self: &Arc<Self>, group: &Arc<OwnedGroup>, spec: &TargetSpec) {
+        let Some(inspect) = self.cx.inspect.clone() else { return };
+        let TargetKind::Engine { base_model, .. } = &spec.kind else { return };
+        let request = InspectRequest {
+            target: spec.id.clone(),
+            incarnation: spec.incarnation,
+            addr: spec.addr,
+            base: base_model.clone(),
+        };
+        let (service, group) = (self.clone(), Arc::downgrade(group));
+        tokio::spawn(async move {
+            let mut done = 0;
+            for _ in 0..MAX_TRIES {
+                let report = inspect(request.clone()).await;
+                let Some(group) = group.upgrade() else { return };
+                if let Some(report) = report {
+                    let adapters = report.adapters.len();
+                    event!(service.cx.log, ENGINE_INSPECTED; "target" => %request.target,
+                        "adapters" => adapters, "age_ms" => report.age_ms);
+                    group.scheduler.report(&request.target, request.incarnation, &report);
+                    done += 1;
+                }
+                if done == INSPECTIONS || !group.holds(&request.target, request.incarnation) {
+                    return;
+                }
+                drop(group);
+                tokio::time::sleep(INSPECT_PAUSE).await;
+            }
+        });
+    }
+}
--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -11,6 +11,7 @@
 mod end_guard;
 mod fingerprint;
 mod forwarder;
+mod inspect;
 mod load;
 mod messages;
 mod places;
@@ -18,16 +19,16 @@
 mod service;
 
 pub use context::{
-    HeldPermits, OrderFn, OwnerContext, PermitFn, ReleaseFn, SessionFn, TargetOrder, Wanted,
-    engine_orders,
+    HeldPermits, InspectFn, InspectRequest, OrderFn, OwnerContext, PermitFn, ReleaseFn, SessionFn,
+    TargetOrder, Wanted, engine_orders,
 };
-pub use places::{GrantedTarget, PlaceKey, PlaceNeed, PlaceWork};
 pub use fingerprint::completion_fingerprint;
 pub use forwarder::{
     CALL_HEADER, COMPLETION_PATH, ERROR_HEADER, ForwardBody, ForwardError, Forwarder, FrameStream,
     SERVICE_PATH,
 };
 pub use messages::{CompletionCall, Frame, ServiceCall};
+pub use places::{GrantedTarget, PlaceKey, PlaceNeed, PlaceWork};
 pub use server::serve_forwarded;
 pub use service::{NotOwned, ORDER_TIMEOUT, OwnerService, TARGET_TIMEOUT};
 pub use shallotdrum_engine::full_body;
--- a/crates/owner/src/service.rs
+++ b/crates/owner/src/service.rs
@@ -7,15 +7,17 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
+        Arc, Mutex, MutexGuard, PoisonError, Weak,
         atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     time::{Duration, Instant},
 };
 
-use shallotdrum_control::{Command, Handover, LOST_OWNER_SETTLE_MS, Reply};
+use shallotdrum_control::{AnnouncedTarget, Command, Handover, LOST_OWNER_SETTLE_MS, Reply};
 use shallotdrum_engine::{Announcement, CacheEvents, TargetKind};
-use shallotdrum_scheduler::{GroupScheduler, GroupSnapshot, Lease, TargetSpec};
+use shallotdrum_scheduler::{
+    GroupScheduler, GroupSnapshot, Lease, LoadFailure, LoadFn, TargetSpec,
+};
 use shallotdrum_telemetry::event;
 use shallotdrum_types::{
     Epoch, Fingerprint, GroupId, Incarnation, RequestError, RequestErrorKind, SessionId,
@@ -60,6 +62,8 @@
     busy: Arc<AtomicUsize>,
     is_stopping: AtomicBool,
     pub(crate) places: Places,
+    /// Held while groups are released, so that no one releases them before their orders ended.
+    releasing: tokio::sync::Mutex<()>,
 }
 
 /// A message of a target came to an instance that does not own the target's group.
@@ -129,6 +133,7 @@
             busy: Arc::default(),
             is_stopping: AtomicBool::new(false),
             places: Places::default(),
+            releasing: tokio::sync::Mutex::default(),
         })
     }
 
@@ -167,6 +172,7 @@
     /// Gives up all groups: queued requests fail, and the ownership is released once no order is
     /// in flight.
     async fn release_all(&self) {
+        let _releasing = self.releasing.lock().await;
         let held: Vec<_> = std::mem::take(&mut *self.groups()).into_values().collect();
         for group in &held {
             group.scheduler.close(owner_changed(&group.id));
@@ -209,6 +215,12 @@
         if health.is_empty && !health.takes_orders_no_more() {
             self.load_base(&group, announcement);
         }
+        if self.cx.inspect.is_some() {
+            if std::mem::take(&mut health.is_silent) {
+                group.scheduler.set_draining(&announcement.target, health.takes_no_work());
+            }
+            return Ok(());
+        }
         if std::mem::take(&mut health.is_silent) {
             group.scheduler.set_draining(&announcement.target, health.takes_no_work());
         }
@@ -389,7 +401,9 @@
         }
         event!(self.cx.log, GROUP_ACQUIRED; "group" => %id, "epoch" => epoch.0, "handover" => ?handover);
         let orders = OrderCount::default();
+        let service = Arc::downgrade(self);
         let load = load_fn(self.cx.clone(), id.clone(), session, orders.clone());
+        let load = self.inspecting(load, service, id.clone());
         let group = Arc::new(OwnedGroup {
             id: id.clone(),
             session,
@@ -406,8 +420,38 @@
         group
     }
 
+    /// Inspects an engine after each order whose result is not certain.
+    fn inspecting(&self, load: LoadFn, service: Weak<Self>, group: GroupId) -> LoadFn {
+        if self.cx.inspect.is_none() {
+            return load;
+        }
+        Arc::new(move |order| {
+            let (service, group, load) = (service.clone(), group.clone(), load.clone());
+            Box::pin(async move {
+                let target = order.target.clone();
+                let result = load(order).await;
+                let is_certain = matches!(result, Ok(()) | Err(LoadFailure::NoPermit));
+                let owned = service.upgrade().filter(|_| !is_certain).and_then(|service| {
+                    let group = service.groups().get(&group).cloned()?;
+                    Some((service, group))
+                });
+                if let Some((service, group)) = owned
+                    && let Some(spec) = service.spec_of(&group, &target)
+                {
+                    service.inspect(&group, &spec);
+                }
+                result
+            })
+        })
+    }
+
+    fn spec_of(&self, group: &OwnedGroup, target: &TargetId) -> Option<TargetSpec> {
+        let announced = self.cx.view.read(|state| Some(state.target(target)?.announced.clone()))?;
+        Some(group.spec(announced))
+    }
+
     /// Brings the scheduler's targets in line with the control state.
-    fn sync_targets(&self, group: &OwnedGroup) {
+    fn sync_targets(self: &Arc<Self>, group: &Arc<OwnedGroup>) {
         let registered: Vec<_> = self.cx.view.read(|state| {
             let ids = state.group(&group.id).into_iter().flat_map(|g| g.targets.iter());
             ids.filter_map(|id| state.target(id))
@@ -449,15 +493,11 @@
                     sequence: 0,
                 },
             );
-            group.scheduler.upsert_target(TargetSpec {
-                orders_allowed_from: group.orders_allowed_from(&announced.kind).into(),
-                id: announced.target.clone(),
-                incarnation: announced.incarnation,
-                addr: announced.addr,
-                zone: announced.zone,
-                kind: announced.kind,
-            });
-            group.scheduler.set_draining(&announced.target, is_draining);
+            let target = announced.target.clone();
+            let spec = group.spec(announced);
+            group.scheduler.upsert_target(spec.clone());
+            self.inspect(group, &spec);
+            group.scheduler.set_draining(&target, is_draining);
         }
     }
 
@@ -501,6 +541,11 @@
         self.targets.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Whether the group has this process start of a target.
+    pub(crate) fn holds(&self, target: &TargetId, incarnation: Incarnation) -> bool {
+        self.targets().get(target).is_some_and(|health| health.incarnation == incarnation)
+    }
+
     fn base_loads(&self) -> MutexGuard<'_, BTreeSet<TargetId>> {
         self.base_loads.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -512,6 +557,17 @@
         }
     }
 
+    fn spec(&self, announced: AnnouncedTarget) -> TargetSpec {
+        TargetSpec {
+            orders_allowed_from: self.orders_allowed_from(&announced.kind).into(),
+            id: announced.target,
+            incarnation: announced.incarnation,
+            addr: announced.addr,
+            zone: announced.zone,
+            kind: announced.kind,
+        }
+    }
+
     /// When orders may be sent to a target without overlapping those of the previous owner.
     fn orders_allowed_from(&self, kind: &TargetKind) -> Instant {
         match (kind, self.handover) {
--- a/crates/rpc/src/api.rs
+++ b/crates/rpc/src/api.rs
@@ -10,9 +10,10 @@
 };
 
 use crate::{
-    AdapterRow, Base64Bytes, EndedPlace, GroupRow, InstanceRow, ManifestCheck, ManifestView, Permit,
-    PermitRequest, PermitRow, PlaceReply, PlaceRequest, QuarantineRow, RenewReply, RenewRequest, ReplicaStatus, RpcError,
-    SessionRow, SubmissionRow, SubscriberRow, TargetRow, WatchReply,
+    AdapterRow, Base64Bytes, EndedPlace, GroupRow, InstanceRow, ManifestCheck, ManifestView,
+    Permit, PermitRequest, PermitRow, PlaceReply, PlaceRequest, QuarantineRow, RenewReply,
+    RenewRequest, ReplicaStatus, RpcError, SessionRow, SubmissionRow, SubscriberRow, TargetRow,
+    WatchReply,
 };
 
 /// Methods between instances.
--- a/crates/rpc/src/control_client.rs
+++ b/crates/rpc/src/control_client.rs
@@ -15,7 +15,9 @@
 use shallotdrum_types::{InstanceId, PermitId, SessionId};
 use tokio::time::Instant;
 
-use crate::{Directory, PeerApiClient, Peers, Permit, PermitRequest, RenewReply, RenewRequest, RpcError};
+use crate::{
+    Directory, PeerApiClient, Peers, Permit, PermitRequest, RenewReply, RenewRequest, RpcError,
+};
 
 /// Settings of the client.
 #[derive(Clone, Debug)]
--- a/crates/rpc/src/transport.rs
+++ b/crates/rpc/src/transport.rs
@@ -21,7 +21,8 @@
 impl Transport for RpcTransport {
     async fn call(&self, to: &InstanceId, message: Vec<u8>) -> Result<Vec<u8>, TransportError> {
         let failed = |reason: String| TransportError { to: to.clone(), reason };
-        let addr = self.directory.addr(to).ok_or_else(|| failed("its address is unknown".to_owned()))?;
+        let addr =
+            self.directory.addr(to).ok_or_else(|| failed("its address is unknown".to_owned()))?;
         let client = self.peers.get(addr).map_err(|e| failed(e.to_string()))?;
         let answer = client
             .consensus_message(Base64Bytes(message))
--- a/crates/scheduler/src/state/planner.rs
+++ b/crates/scheduler/src/state/planner.rs
@@ -14,7 +14,7 @@
     api::Policy,
     fair::{Seq, Tag},
     slots::{AdapterKey, Slot},
-    target::TargetKey,
+    target::{Target, TargetKey},
 };
 
 /// Time between scans that decided nothing; short against the load time of 250 ms.
@@ -308,7 +308,13 @@
         if !target.takes_orders(now) || target.slots.refers_to(adapter) || has_failed {
             return None;
         }
-        let (victim, loss) = if target.slots.has_free() {
+        let (victim, loss) = if let Some(former) = self.other_version(target, adapter) {
+            // The engine replaces the former version, so it must be the victim.
+            if !former.is_idle(now) {
+                return None;
+            }
+            (Some(former.adapter), 0.0)
+        } else if target.slots.has_free() {
             (None, 0.0)
         } else {
             let victims = target.slots.slots.iter().filter(|slot| self.may_evict(slot, tag, now));
@@ -325,6 +331,15 @@
         Some(Place { target: key, victim, loss, cost })
     }
 
+    /// Slot of another version of the adapter on the target.
+    fn other_version<'a>(&self, target: &'a Target, adapter: AdapterKey) -> Option<&'a Slot> {
+        let wanted = self.adapters.name(adapter);
+        target.slots.slots.iter().find(|slot| {
+            let held = self.adapters.name(slot.adapter);
+            held.adapter == wanted.adapter && held.version != wanted.version
+        })
+    }
+
     /// Whether a load of this adapter failed on the target lately, and others are left to try.
     fn has_failed(&self, adapter: AdapterKey, key: TargetKey, now: Instant) -> bool {
         let failed_on = &self.adapters[adapter].failed_on;
--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -70,6 +70,8 @@
     pub(crate) fn report(&self, id: &str, incarnation: u64, age_ms: u64, adapters: &[(&str, u32)]) {
         let report = LoadReport {
             age_ms,
+            sequence: 0,
+            base_missing: false,
             running: adapters.iter().map(|(_, running)| running).sum(),
             queued: 0,
             adapters: adapters
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -123,9 +123,10 @@
         REQUEST_SUSPECTED = "O0307", Warning, "request was running on a crashed target", "none; list quarantined requests if it repeats";
         REQUEST_QUARANTINED = "O0308", Error, "request quarantined after a second crash", "examine the request; lift the quarantine when the engine is fixed";
         PLACE_GRANTED = "O0315", Debug, "place at a target granted", "none";
+        ENGINE_INSPECTED = "O0321", Info, "engine told what it holds", "none";
         PLACE_END_LOST = "O0320", Debug, "end of a place could not be reported; the place expires by its deadline", "none";
         PLACE_REFUSED = "O0316", Info, "no place at a target; the request was not run", "compare the detail with the load of the group";
-        ORDER_SENT = "O0317", Debug, "order carried out by an engine", "none";
+        ORDER_ANSWERED = "O0317", Debug, "engine answered an order", "none";
         BASE_LOADING = "O0318", Warning, "engine holds no base model; loading it", "check why the engine restarted";
         BASE_LOAD_FAILED = "O0319", Warning, "base model could not be loaded", "check the weight store and the engine, if it repeats";
         CALL_RESULT_UNKNOWN = "O0309", Error, "result of a non-repeatable call is unknown", "look up in the service whether the call took effect";
