--- a/crates/daemon/src/follower.rs
+++ b/crates/daemon/src/follower.rs
@@ -3,11 +3,12 @@
 //! Long-polls one replica for commands after the last one applied; changes the replica when it
 //! does not answer.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use shallotdrum_control::ControlView;
 use shallotdrum_rpc::{Directory, PeerApiClient, Peers, RpcError, WatchReply};
 use shallotdrum_telemetry::event;
+use tokio::sync::Notify;
 
 /// How long a replica waits for a new command before it answers with none; short, so that a
 /// replica that is cut off is noticed.
@@ -26,6 +27,7 @@
     view: ControlView,
     peers: Peers,
     directory: Directory,
+    is_behind: Arc<Notify>,
     log: slog::Logger,
 ) {
     // Followers spread over the replicas.
@@ -38,9 +40,14 @@
             tokio::time::sleep(RETRY_PAUSE).await;
             continue;
         };
-        let result = match tokio::time::timeout(WATCH_TIMEOUT, poll(&view, &peers, addr)).await {
-            Ok(result) => result,
-            Err(_) => Err(RpcError::NoAnswer("timed out".to_owned())),
+        let polled = tokio::time::timeout(WATCH_TIMEOUT, poll(&view, &peers, addr));
+        let result = tokio::select! {
+            polled = polled => {
+                polled.unwrap_or_else(|_| Err(RpcError::NoAnswer("timed out".to_owned())))
+            }
+            () = is_behind.notified() => {
+                Err(RpcError::NoAnswer("the replica is behind the leader".to_owned()))
+            }
         };
         if let Err(error) = result {
             event!(log, FOLLOW_RETRIED; "addr" => %addr, "error" => %error);
--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -30,6 +30,7 @@
 use crate::{
     admin::Admin,
     catalog::ViewCatalog,
+    disk,
     follower::follow,
     membership::{join, learn_replicas},
     peer::Peer,
@@ -98,6 +99,7 @@
     /// Tasks that end with the instance.
     tasks: JoinSet<()>,
     max_deadline: Duration,
+    data_dir: Option<std::path::PathBuf>,
     log: slog::Logger,
 }
 
@@ -188,11 +190,7 @@
                 }
                 Some(replica)
             }
-            None => {
-                let directory = directory.clone();
-                tasks.spawn(follow(view.clone(), peers.clone(), directory, log.clone()));
-                None
-            }
+            None => None,
         };
 
         tasks.spawn(learn_replicas(view.clone(), directory.clone()));
@@ -208,6 +206,16 @@
             permits.clone(),
             log.clone(),
         );
+        if replica.is_none() {
+            let is_behind = session.behind();
+            tasks.spawn(follow(
+                view.clone(),
+                peers.clone(),
+                directory.clone(),
+                is_behind,
+                log.clone(),
+            ));
+        }
         let owner = OwnerService::new(owner_context(
             &settings, options, &view, &client, &session, &permits, &metrics, &log,
         ));
@@ -254,6 +262,7 @@
             replica,
             tasks,
             max_deadline: Duration::from_millis(settings.limits.max_deadline_ms),
+            data_dir: settings.data_dir.clone(),
             log,
         })
     }
@@ -301,6 +310,17 @@
         }
     }
 
+    /// Resolves when the control replica has failed and its data folder takes writes again, so
+    /// that a new start will succeed. Until then this instance serves without its replica.
+    pub async fn failed_and_writable(&self) -> shallotdrum_consensus::FatalError {
+        let error = self.failed().await;
+        event!(self.log, REPLICA_WAITING; "error" => %error);
+        if let Some(dir) = &self.data_dir {
+            disk::writable(dir).await;
+        }
+        error
+    }
+
     /// Stops without interrupting a request in progress.
     ///
     /// The instance reports not ready and gives its groups to others at once. It accepts
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod admin;
 mod catalog;
+mod disk;
 mod follower;
 mod instance;
 mod membership;
--- a/crates/daemon/src/session.rs
+++ b/crates/daemon/src/session.rs
@@ -17,7 +17,8 @@
 use shallotdrum_owner::HeldPermits;
 use shallotdrum_rpc::{ControlClient, RenewRequest, RpcError};
 use shallotdrum_telemetry::event;
-use shallotdrum_types::{Revision, SessionId, Term};
+use shallotdrum_types::{LogIndex, Revision, SessionId, Term};
+use tokio::sync::Notify;
 
 /// Pause between renewals; two may fail before the lease ends.
 const RENEW_INTERVAL: Duration = Duration::from_secs(1);
@@ -25,6 +26,10 @@
 /// Longest time for one renewal, so that a lost answer leaves time for another.
 const RENEW_TIMEOUT: Duration = Duration::from_millis(900);
 
+/// Time in which a command reaches a follower from a replica that follows the leader; a replica
+/// that takes longer is cut off or overloaded.
+const CATCH_UP_TIME: Duration = Duration::from_millis(250);
+
 /// Pause before another try to renew or to open a session.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
@@ -38,6 +43,8 @@
     serve_when_stale: bool,
     log: slog::Logger,
     state: Mutex<State>,
+    /// The leader has applied commands that have not arrived here in time.
+    is_behind: Arc<Notify>,
 }
 
 #[derive(Default)]
@@ -80,6 +87,7 @@
             serve_when_stale: cfg.serve_when_stale,
             log,
             state: Mutex::default(),
+            is_behind: Arc::default(),
         })
     }
 
@@ -111,6 +119,25 @@
         }
     }
 
+    /// Notified when commands that the leader has applied do not arrive here in time.
+    pub(crate) fn behind(&self) -> Arc<Notify> {
+        self.is_behind.clone()
+    }
+
+    /// Looks some time after a renewal whether this instance has caught up with the leader.
+    fn watch_lag(&self, applied: LogIndex) {
+        if self.view.applied() >= applied {
+            return;
+        }
+        let (view, is_behind) = (self.view.clone(), self.is_behind.clone());
+        tokio::spawn(async move {
+            tokio::time::sleep(CATCH_UP_TIME).await;
+            if view.applied() < applied {
+                is_behind.notify_one();
+            }
+        });
+    }
+
     /// Term of the leader that the session was renewed with last.
     pub(crate) fn leader_term(&self) -> Term {
         self.state().leader_term
@@ -183,6 +210,7 @@
                 state.leader_term = reply.term;
                 drop(state);
                 self.freshness();
+                self.watch_lag(reply.applied);
                 RENEW_INTERVAL.saturating_sub(sent_at.elapsed())
             }
             Err(RpcError::NoSession(_)) => {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -259,7 +259,7 @@
         if status.is_server_error() {
             place.end(PlaceEnd::Failed);
             run.failure = Some(answer);
-            let error = target_failed(&format!("status {}", status.as_u16()));
+            let error = target_failed(format!("status {}", status.as_u16()));
             return Ended::Not(Attempt::Failed, error);
         }
         place.end(PlaceEnd::Answered { prompt_tokens: 0, completion_tokens: 0 });
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,5 +23,6 @@
 pub use exchange::{Gateway, GatewayContext};
 pub use places::finish;
 pub use request::{
-    Answer, AnswerInfo, CallerRequest, Dialect, Dispatch, Generation, PromptPart, StreamBody,
+    Answer, AnswerInfo, CallerRequest, Dialect, Dispatch, Generation, PromptPart, ReadFn,
+    StreamBody, WriteFn,
 };
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -102,13 +102,19 @@
     }
 }
 
+/// Adds what concerns one send to a request.
+pub type WriteFn = Arc<dyn Fn(&Dispatch, &mut request::Parts) + Send + Sync>;
+
+/// Reads what an answer says about its request.
+pub type ReadFn = Arc<dyn Fn(&response::Parts) -> AnswerInfo + Send + Sync>;
+
 /// How requests are written for targets, and their answers read.
 #[derive(Clone)]
 pub struct Dialect {
     /// Adds what concerns one send to the request.
-    pub write: Arc<dyn Fn(&Dispatch, &mut request::Parts) + Send + Sync>,
+    pub write: WriteFn,
     /// Reads what an answer says about the request.
-    pub read: Arc<dyn Fn(&response::Parts) -> AnswerInfo + Send + Sync>,
+    pub read: ReadFn,
 }
 
 /// One send of a request to a target.
--- a/crates/routes/src/model.rs
+++ b/crates/routes/src/model.rs
@@ -156,6 +156,6 @@
             left < 0.0
         });
         // A draw of exactly 1 falls behind the last share.
-        chosen.or_else(|| positive().last()).map(|share| &share.pool)
+        chosen.or_else(|| positive().next_back()).map(|share| &share.pool)
     }
 }
--- a/crates/scheduler/tests/pins.rs
+++ b/crates/scheduler/tests/pins.rs
@@ -85,6 +85,8 @@
 
     fn report(&self, id: &TargetId) -> LoadReport {
         self.with(id, |engine| LoadReport {
+            sequence: 0,
+            base_missing: false,
             age_ms: 0,
             running: engine.resident.values().sum(),
             queued: 0,
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -104,6 +104,8 @@
         SESSION_DRAIN_FAILED = "K0212", Warning, "cannot mark the session as draining", "none; the instance stops all the same";
         LEADER_READY = "K0210", Info, "control leader took over its duties", "none";
         DUTY_FAILED = "K0211", Warning, "control leader cannot write to the log", "check the control replicas and the network between them";
+        CHANGE_UNCLEAR = "K0215", Warning, "change was not confirmed by the control log", "none; the sender repeats it. Check the control replicas, if it lasts";
+        READ_UNCLEAR = "K0216", Warning, "newest route table could not be read from the control leader", "check the control replicas, if it lasts";
         JOIN_RETRIED = "K0213", Debug, "cannot join the control replicas yet", "none; check the seeds if it lasts";
         REPLICA_LOST = "K0214", Warning, "control replica was silent for long; removing it", "replace the machine";
         CONTROL_UNAVAILABLE = "K0203", Warning, "control replicas cannot be reached", "check the network and the control replicas";
@@ -158,6 +160,7 @@
         INSTANCE_STOPPED = "S0505", Info, "instance stopped", "none";
         SETTINGS_INVALID = "S0506", Critical, "settings are invalid", "correct the listed values and start again";
         REPLICA_COUNT_EVEN = "S0507", Warning, "even number of control replicas", "list an odd number of replicas; an even one tolerates no more failures than one less";
+        REPLICA_WAITING = "S0510", Error, "control replica failed; serving without it until the data folder takes writes", "free or replace the disk";
         SETTINGS_RELOADED = "S0509", Info, "settings reloaded", "none";
         START_FAILED = "S0508", Critical, "instance cannot start", "correct the reported cause and start again";
     }
