--- a/crates/owner/src/inspect.rs
+++ b/crates/owner/src/inspect.rs
@@ -9,7 +9,7 @@
 use shallotdrum_scheduler::TargetSpec;
 use shallotdrum_telemetry::event;
 
-use crate::{InspectRequest, OwnerService, service::OwnedGroup};
+use crate::{InspectFn, InspectRequest, OwnerService, service::OwnedGroup};
 
 /// Pause between two inspections; what an engine tells is a few hundred milliseconds old.
 const INSPECT_PAUSE: Duration = Duration::from_millis(300);
@@ -32,25 +32,39 @@
             addr: spec.addr,
             base: base_model.clone(),
         };
-        let (service, group) = (self.clone(), Arc::downgrade(group));
+        let key = (spec.id.clone(), spec.incarnation);
+        if !group.inspections().insert(key.clone()) {
+            return;
+        }
+        let (service, group) = (self.clone(), group.clone());
         tokio::spawn(async move {
-            let mut done = 0;
-            for _ in 0..MAX_TRIES {
-                let report = inspect(request.clone()).await;
-                let Some(group) = group.upgrade() else { return };
-                if let Some(report) = report {
-                    let adapters = report.adapters.len();
-                    event!(service.cx.log, ENGINE_INSPECTED; "target" => %request.target,
-                        "adapters" => adapters, "age_ms" => report.age_ms);
-                    group.scheduler.report(&request.target, request.incarnation, &report);
-                    done += 1;
-                }
-                if done == INSPECTIONS || !group.holds(&request.target, request.incarnation) {
-                    return;
-                }
-                drop(group);
-                tokio::time::sleep(INSPECT_PAUSE).await;
-            }
+            service.inspect_until_settled(&group, &request, &inspect).await;
+            group.inspections().remove(&key);
         });
     }
+
+    async fn inspect_until_settled(
+        &self,
+        group: &OwnedGroup,
+        request: &InspectRequest,
+        inspect: &InspectFn,
+    ) {
+        let mut done = 0;
+        for _ in 0..MAX_TRIES {
+            let is_owned = self.check_owned(group).is_ok();
+            if done == INSPECTIONS
+                || !is_owned
+                || !group.holds(&request.target, request.incarnation)
+            {
+                return;
+            }
+            if let Some(report) = inspect(request.clone()).await {
+                event!(self.cx.log, ENGINE_INSPECTED; "target" => %request.target,
+                    "adapters" => report.adapters.len(), "age_ms" => report.age_ms);
+                group.scheduler.report(&request.target, request.incarnation, &report);
+                done += 1;
+            }
+            tokio::time::sleep(INSPECT_PAUSE).await;
+        }
+    }
 }
--- a/crates/owner/src/service.rs
+++ b/crates/owner/src/service.rs
@@ -96,6 +96,8 @@
     targets: Mutex<BTreeMap<TargetId, TargetHealth>>,
     /// Targets with an order in flight to load their base model.
     base_loads: Mutex<BTreeSet<TargetId>>,
+    /// Targets that are being inspected.
+    inspections: Mutex<BTreeSet<(TargetId, Incarnation)>>,
 }
 
 /// When a target was last heard of.
@@ -415,6 +417,7 @@
             since: Instant::now(),
             targets: Mutex::default(),
             base_loads: Mutex::default(),
+            inspections: Mutex::default(),
         });
         groups.insert(id, group.clone());
         group
@@ -546,6 +549,10 @@
         self.targets().get(target).is_some_and(|health| health.incarnation == incarnation)
     }
 
+    pub(crate) fn inspections(&self) -> MutexGuard<'_, BTreeSet<(TargetId, Incarnation)>> {
+        self.inspections.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn base_loads(&self) -> MutexGuard<'_, BTreeSet<TargetId>> {
         self.base_loads.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/scheduler/src/api.rs
+++ b/crates/scheduler/src/api.rs
@@ -169,6 +169,9 @@
     /// The order failed for certain.
     #[error("the load failed")]
     Failed,
+    /// The engine must be inspected before the next order; no order was sent.
+    #[error("what the engine holds is not known")]
+    NotInspected,
     /// The order may or may not have been carried out.
     #[error("the result of the load is unknown")]
     Unknown,
--- a/crates/scheduler/src/slots.rs
+++ b/crates/scheduler/src/slots.rs
@@ -185,6 +185,11 @@
         self.slots.iter().any(|slot| matches!(slot.state, SlotState::Loading { .. }))
     }
 
+    /// Whether the result of an order is unknown; another one could then exceed the slots.
+    pub(crate) fn has_unsettled(&self) -> bool {
+        self.slots.iter().any(|slot| matches!(slot.state, SlotState::Unsettled { .. }))
+    }
+
     /// Whether requests of others may be running on any adapter.
     pub(crate) fn has_uncertain(&self, now: Instant) -> bool {
         self.slots.iter().any(|slot| slot.is_uncertain(now))
--- a/crates/scheduler/src/state/loads.rs
+++ b/crates/scheduler/src/state/loads.rs
@@ -21,6 +21,8 @@
 const MAX_BACKOFF: Duration = Duration::from_secs(30);
 /// Pause after a lacking permit; the store grants 2 to 3 a second.
 const PERMIT_BACKOFF: Duration = Duration::from_millis(100);
+/// Pause until an inspection of the engine has settled what it holds.
+const INSPECT_BACKOFF: Duration = Duration::from_millis(300);
 /// Pause after the target refused an order as outdated; ownership is probably lost by then.
 const FENCED_BACKOFF: Duration = Duration::from_secs(5);
 /// Pause after a refusal that only a load report, sent every second, explains.
@@ -83,7 +85,7 @@
         self.adapters[adapter].loading.retain(|other| *other != key);
         let end = match result {
             Ok(()) => OrderEnd::Loaded,
-            Err(LoadFailure::NoPermit) => OrderEnd::NotCarriedOut,
+            Err(LoadFailure::NoPermit | LoadFailure::NotInspected) => OrderEnd::NotCarriedOut,
             Err(LoadFailure::Refused(OrderRefusal::OldEpoch { .. })) => OrderEnd::NotCarriedOut,
             Err(LoadFailure::Refused(OrderRefusal::AdapterBusy)) => OrderEnd::VictimBusy,
             Err(LoadFailure::Refused(OrderRefusal::NoFreeSlot)) => OrderEnd::Unknown,
@@ -142,7 +144,7 @@
         // Jitter keeps retries of several owners apart.
         let jitter = 0.5 + self.rng.random::<f64>();
         let Some(target) = self.targets.get_mut(&key) else { return };
-        if *failure != LoadFailure::NoPermit {
+        if !matches!(failure, LoadFailure::NoPermit | LoadFailure::NotInspected) {
             event!(self.log, ADAPTER_LOAD_FAILED;
                 "target" => %target.spec.id, "adapter" => %self.adapters.name(adapter),
                 "error" => %failure);
@@ -154,6 +156,7 @@
                 self.next_plan_at = now + PERMIT_BACKOFF.mul_f64(jitter);
                 target.orders_resume_at = self.next_plan_at;
             }
+            LoadFailure::NotInspected => target.orders_resume_at = now + INSPECT_BACKOFF,
             LoadFailure::Refused(OrderRefusal::OldEpoch { .. }) => {
                 target.orders_resume_at = now + FENCED_BACKOFF;
             }
--- a/crates/scheduler/src/target.rs
+++ b/crates/scheduler/src/target.rs
@@ -145,6 +145,7 @@
             && now >= self.spec.orders_allowed_from
             && now >= self.orders_resume_at
             && !self.slots.is_loading()
+            && !self.slots.has_unsettled()
     }
 }
 
