--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -21,7 +21,7 @@
     AdminApiServer, ControlClient, ControlClientConfig, Directory, PeerApiServer, Peers,
     PeersConfig, PermitRequest, RpcTransport,
 };
-use shallotdrum_scheduler::{Policy, SchedulerConfig};
+use shallotdrum_scheduler::{EngineModel, Policy, SchedulerConfig};
 use shallotdrum_settings::{PolicyMode, Settings, WhenStale};
 use shallotdrum_telemetry::{Metrics, event};
 use shallotdrum_types::{Incarnation, InstanceId, PermitId};
@@ -429,6 +429,10 @@
         PolicyMode::Baseline => Policy::Baseline,
     };
     scheduler.max_outstanding_loads = settings.policy.max_loads;
+    scheduler.engine_model = settings
+        .policy
+        .prefill_tokens_per_ms
+        .map(|prefill_per_ms| EngineModel { prefill_per_ms, ..EngineModel::default() });
     if options.inspect.is_some() {
         // An inspection's age is known; it is not relayed.
         scheduler.report_transit = Duration::ZERO;
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -41,6 +41,10 @@
 /// Pause between looks for connections that have been idle for too long.
 const EXPIRE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Tokens that one hash of a prefix stands for; the share of known hashes is then about the share
+/// of cached tokens.
+const BLOCK_TOKENS: u64 = 256;
+
 /// Version of an adapter for which operators have named none.
 const FIRST_VERSION: u64 = 1;
 
@@ -449,12 +453,16 @@
     if let Some(adapter) = adapter {
         hasher.update(adapter.to_string().as_bytes());
     }
-    let hash = |part: &crate::PromptPart| {
-        hasher.update(&part.id.to_le_bytes());
-        let hash = hasher.finalize();
-        hash.as_bytes().first_chunk::<8>().copied().map_or(0, u64::from_le_bytes)
-    };
-    generation.prompt.iter().map(hash).collect()
+    let mut hashes = Vec::new();
+    for part in &generation.prompt {
+        for block in 0..part.tokens.div_ceil(BLOCK_TOKENS) {
+            hasher.update(&part.id.to_le_bytes()).update(&block.to_le_bytes());
+            let hash = hasher.finalize();
+            let first = hash.as_bytes().first_chunk::<8>();
+            hashes.push(first.copied().map_or(0, u64::from_le_bytes));
+        }
+    }
+    hashes
 }
 
 /// Headers of a target's answer that concern the answer itself.
--- a/crates/scheduler/src/api.rs
+++ b/crates/scheduler/src/api.rs
@@ -11,6 +11,8 @@
 };
 use tokio::time::Instant;
 
+use crate::EngineModel;
+
 /// Longest deadline of a request; bounds how long a request of a former owner can run.
 pub const MAX_REQUEST_DEADLINE: Duration = Duration::from_secs(120);
 
@@ -44,6 +46,8 @@
     pub report_transit: Duration,
     /// Seed of back-off jitter; random if absent.
     pub seed: Option<u64>,
+    /// Times of the group's engines, if they are known; decides targets and loads then.
+    pub engine_model: Option<EngineModel>,
 }
 
 impl SchedulerConfig {
@@ -64,6 +68,7 @@
             // within a second.
             report_transit: Duration::from_secs(1),
             seed: None,
+            engine_model: None,
         }
     }
 }
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -8,6 +8,7 @@
 //! as the victim of a load order, and the slots in use never exceed the engine's adapter slots.
 
 mod api;
+mod engine_model;
 mod fair;
 mod group;
 mod measure;
@@ -21,5 +22,6 @@
     Finish, Job, LoadFailure, LoadFn, LoadOrder, MAX_REQUEST_DEADLINE, Policy, SchedulerConfig,
     TargetSpec, Work,
 };
+pub use engine_model::EngineModel;
 pub use group::{GroupScheduler, Lease};
 pub use snapshot::{GroupSnapshot, SubscriberQueue, TargetSnapshot};
--- a/crates/scheduler/src/state/choice.rs
+++ b/crates/scheduler/src/state/choice.rs
@@ -5,6 +5,8 @@
 
 use super::{Claim, State, SubKey};
 use crate::{
+    EngineModel,
+    engine_model::{REMOTE_ZONE_MS, millis},
     slots::AdapterKey,
     target::{Target, TargetKey},
 };
@@ -34,11 +36,13 @@
 
 impl State {
     /// Chooses a target that holds the adapter and has room.
+    #[expect(clippy::too_many_arguments, reason = "each part of the choice is its own")]
     pub(super) fn choose_holder(
         &self,
         claim: Claim,
         adapter: AdapterKey,
         prefixes: &[u64],
+        tokens: u64,
         avoid: &[TargetId],
         now: Instant,
     ) -> Option<TargetKey> {
@@ -46,7 +50,7 @@
             let target = &self.targets[key];
             target.slots.get(adapter).is_some_and(|slot| slot.accepts())
         });
-        self.choose(claim, holders, prefixes, avoid, now)
+        self.choose(claim, holders, prefixes, tokens, avoid, now)
     }
 
     /// Chooses a target with room for a service call.
@@ -57,7 +61,7 @@
         now: Instant,
     ) -> Option<TargetKey> {
         let services = self.targets.iter().filter(|(_, target)| !target.is_engine());
-        self.choose(claim, services.map(|(key, _)| *key), &[], avoid, now)
+        self.choose(claim, services.map(|(key, _)| *key), &[], 0, avoid, now)
     }
 
     /// Chooses an engine with room for a request on its base model.
@@ -65,18 +69,21 @@
         &self,
         claim: Claim,
         prefixes: &[u64],
+        tokens: u64,
         avoid: &[TargetId],
         now: Instant,
     ) -> Option<TargetKey> {
         let engines = self.targets.iter().filter(|(_, target)| target.is_engine());
-        self.choose(claim, engines.map(|(key, _)| *key), prefixes, avoid, now)
+        self.choose(claim, engines.map(|(key, _)| *key), prefixes, tokens, avoid, now)
     }
 
+    #[expect(clippy::too_many_arguments, reason = "each part of the choice is its own")]
     fn choose(
         &self,
         claim: Claim,
         keys: impl Iterator<Item = TargetKey>,
         prefixes: &[u64],
+        tokens: u64,
         avoid: &[TargetId],
         now: Instant,
     ) -> Option<TargetKey> {
@@ -88,6 +95,9 @@
         });
         let scored = open.map(|key| {
             let target = &self.targets[&key];
+            if let Some(model) = self.cfg.engine_model.filter(|_| target.is_engine()) {
+                return (self.first_token_ms(&model, target, prefixes, tokens, now), key);
+            }
             (self.load_score(target, now) - PREFIX_BONUS * target.prefixes.matched(prefixes), key)
         });
         scored.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, key)| key)
@@ -98,6 +108,11 @@
     /// While there are light subscribers, the last places are kept for them: they would otherwise
     /// wait for the end of an answer each time that a flood fills the batch.
     pub(super) fn has_room(&self, target: &Target, claim: Claim, now: Instant) -> bool {
+        if let Some(model) = self.cfg.engine_model.filter(|_| target.is_engine())
+            && target.backlog.wait(now) > model.max_backlog
+        {
+            return false;
+        }
         let in_use = target.running + target.foreign(now);
         if !target.is_engine() && !has_common_place(target, now) && !self.may_use_reserved(claim) {
             return false;
@@ -143,6 +158,21 @@
         load + slow + zone
     }
 
+    /// Expected time until the first token, in milliseconds.
+    fn first_token_ms(
+        &self,
+        model: &EngineModel,
+        target: &Target,
+        prefixes: &[u64],
+        tokens: u64,
+        now: Instant,
+    ) -> f64 {
+        let cached = target.prefixes.matched(prefixes);
+        let work = target.backlog.wait(now) + model.prefill(tokens, cached);
+        let zone = if target.spec.zone == self.cfg.zone { 0.0 } else { REMOTE_ZONE_MS };
+        millis(work) * target.health.slowness.unwrap_or(1.0) + zone
+    }
+
     /// How far batches come before stalls: 1 at `stall_weight` 0, 0 from 0.5 on.
     pub(super) fn batch_weight(&self) -> f64 {
         (1.0 - 2.0 * self.cfg.stall_weight).clamp(0.0, 1.0)
--- a/crates/scheduler/src/state/dispatch.rs
+++ b/crates/scheduler/src/state/dispatch.rs
@@ -25,7 +25,14 @@
     pub(super) fn dispatch_adapter(&mut self, key: AdapterKey, now: Instant) {
         while let Some((_, seq)) = self.adapters[key].queue.first().copied() {
             let queued = &self.queued[&seq];
-            match self.choose_holder(queued.claim(), key, &queued.prefixes, &[], now) {
+            match self.choose_holder(
+                queued.claim(),
+                key,
+                &queued.prefixes,
+                queued.prompt_tokens,
+                &[],
+                now,
+            ) {
                 Some(target) => self.grant(seq, target, now),
                 None => break,
             }
@@ -84,12 +91,21 @@
             false => &queued.avoid,
         };
         match queued.adapter {
-            Some(adapter) => {
-                self.choose_holder(queued.claim(), adapter, &queued.prefixes, avoid, now)
-            }
-            None if queued.is_engine => {
-                self.choose_engine(queued.claim(), &queued.prefixes, avoid, now)
-            }
+            Some(adapter) => self.choose_holder(
+                queued.claim(),
+                adapter,
+                &queued.prefixes,
+                queued.prompt_tokens,
+                avoid,
+                now,
+            ),
+            None if queued.is_engine => self.choose_engine(
+                queued.claim(),
+                &queued.prefixes,
+                queued.prompt_tokens,
+                avoid,
+                now,
+            ),
             None => self.choose_service(queued.claim(), avoid, now),
         }
     }
--- a/crates/scheduler/src/state/membership.rs
+++ b/crates/scheduler/src/state/membership.rs
@@ -208,6 +208,7 @@
                 self.in_flight.iter().map(|(_, adapter)| *adapter).collect();
             used.extend(self.orphaned.keys().map(|(_, adapter)| *adapter));
             used.extend(self.targets.values().flat_map(|target| target.slots.adapters()));
+            used.extend(self.targets.values().flat_map(|target| target.kept.adapters()));
             used.extend(self.running.values().filter_map(|running| running.adapter));
             self.adapters.retain(|key, adapter| {
                 let is_wanted = adapter.demand.get(now) > FORGOTTEN_DEMAND || adapter.users > 0;
--- a/crates/scheduler/src/state/mod.rs
+++ b/crates/scheduler/src/state/mod.rs
@@ -416,6 +416,13 @@
                 ready_since = self.adapters[adapter].available_since;
             }
         }
+        if let Some(model) = self.cfg.engine_model.filter(|_| queued.is_engine) {
+            let cached = target.prefixes.matched(&queued.prefixes);
+            target.backlog.add(model.prefill(queued.prompt_tokens, cached), now);
+            if let Some(adapter) = queued.adapter {
+                target.kept.touch(adapter, model.kept_adapters);
+            }
+        }
         target.prefixes.sent(&queued.prefixes, now);
         // Lookups take a reserved place only if the others are in use.
         let is_common = has_common_place(target, now);
--- a/crates/scheduler/src/state/planner.rs
+++ b/crates/scheduler/src/state/planner.rs
@@ -153,8 +153,13 @@
                 continue;
             }
             let is_held = adapter.holders.iter().any(|key| self.targets[key].is_open(now));
+            // With known times, holders take no request beyond their bound on the backlog.
+            let replica_after = match self.cfg.engine_model {
+                Some(_) => Duration::ZERO,
+                None => REPLICA_AFTER,
+            };
             let is_blocked =
-                adapter.blocked_since.is_some_and(|since| now >= since + REPLICA_AFTER);
+                adapter.blocked_since.is_some_and(|since| now >= since + replica_after);
             if !is_held || is_blocked {
                 candidates.extend(self.candidate(*key, is_held, now));
             }
@@ -324,6 +329,11 @@
             let (loss, victim) = losses.min_by(|a, b| a.0.total_cmp(&b.0))?;
             (Some(victim), loss)
         };
+        if let Some(model) = &self.cfg.engine_model {
+            let is_kept = target.kept.contains(adapter);
+            let cost = model.load_cost(is_kept, loss, target.backlog.wait(now));
+            return Some(Place { target: key, victim, loss, cost });
+        }
         let no_room = if target.has_room(now) { 0.0 } else { NO_ROOM_DEMAND };
         // A replica that joins a full batch relieves nothing, so replicas are spread.
         let packing = if is_replica { target.fullness(now) } else { self.packing(target, now) };
@@ -455,7 +465,9 @@
 
     /// Loads the most popular adapter that no target holds, if nothing waits.
     fn prefetch(&mut self, now: Instant) {
-        if now < self.next_prefetch_at || !self.in_flight.is_empty() {
+        // With known times, a load costs others more than a later one would cost its requests.
+        let is_modelled = self.cfg.engine_model.is_some();
+        if is_modelled || now < self.next_prefetch_at || !self.in_flight.is_empty() {
             return;
         }
         self.next_prefetch_at = now + PREFETCH_INTERVAL;
--- a/crates/scheduler/src/target.rs
+++ b/crates/scheduler/src/target.rs
@@ -8,7 +8,13 @@
 use shallotdrum_engine::TargetKind;
 use tokio::time::Instant;
 
-use crate::{api::TargetSpec, fair::Seq, measure::Mean, slots::Slots};
+use crate::{
+    api::TargetSpec,
+    engine_model::{Backlog, Kept},
+    fair::Seq,
+    measure::Mean,
+    slots::Slots,
+};
 
 /// Key of one incarnation of a target; a new incarnation gets a new key.
 pub(crate) type TargetKey = u64;
@@ -50,6 +56,8 @@
     /// Requests assigned by the baseline policy.
     pub(crate) fifo: VecDeque<Seq>,
     pub(crate) prefixes: PrefixCache,
+    pub(crate) backlog: Backlog,
+    pub(crate) kept: Kept,
     pub(crate) health: Health,
 }
 
@@ -77,6 +85,8 @@
             reserved: None,
             fifo: VecDeque::new(),
             prefixes: PrefixCache::default(),
+            backlog: Backlog::new(now),
+            kept: Kept::default(),
             health,
         }
     }
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -204,6 +204,10 @@
     /// Whether each adapter load needs a permit of the control leader; without, only `max_loads`
     /// bounds them.
     pub load_permits: bool,
+    /// Prompt tokens that an engine reads in a millisecond, if known; targets and loads are then
+    /// chosen by expected times.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub prefill_tokens_per_ms: Option<f64>,
 }
 
 impl Default for Policy {
@@ -215,6 +219,7 @@
             // used as soon as it is granted; more would be decided on older information.
             max_loads: 2,
             load_permits: true,
+            prefill_tokens_per_ms: None,
         }
     }
 }
--- a/crates/settings/src/parse.rs
+++ b/crates/settings/src/parse.rs
@@ -173,6 +173,7 @@
         mode: fields.or("mode", "\"adaptive\" or \"baseline\"", default.mode),
         max_loads: fields.or("max_loads", NUMBER, default.max_loads),
         load_permits: fields.or("load_permits", "true or false", default.load_permits),
+        prefill_tokens_per_ms: fields.optional("prefill_tokens_per_ms", "a number above 0"),
     };
     fields.finish();
     policy
