Load kept adapters beside those from the weight store

Cause: 8 loads were under way most of the time, so an adapter that an engine still kept waited behind fetches from the store that take ten times as long; an engine took one load at a time although it can take four.

--- a/crates/scheduler/src/engine_model.rs
+++ b/crates/scheduler/src/engine_model.rs
@@ -22,6 +22,8 @@
     pub store_load: Duration,
     /// Time of a load of an adapter that the engine has kept.
     pub kept_load: Duration,
+    /// Loads that an engine takes at a time.
+    pub parallel_loads: usize,
     /// Backlog of prompts beyond which an engine gets no further request: later ones wait in the
     /// group's queue, where they are ordered fairly and another engine can take them.
     pub max_backlog: Duration,
@@ -36,6 +38,8 @@
             kept_adapters: 32,
             store_load: Duration::from_millis(250),
             kept_load: Duration::from_millis(25),
+            // Stated by the engine interface.
+            parallel_loads: 4,
             // A third of the time in which the first token is due.
             max_backlog: Duration::from_millis(350),
         }
--- a/crates/scheduler/src/slots.rs
+++ b/crates/scheduler/src/slots.rs
@@ -182,7 +182,12 @@
     }
 
     pub(crate) fn is_loading(&self) -> bool {
-        self.slots.iter().any(|slot| matches!(slot.state, SlotState::Loading { .. }))
+        self.loading() > 0
+    }
+
+    /// Number of load orders that are outstanding.
+    pub(crate) fn loading(&self) -> usize {
+        self.slots.iter().filter(|slot| matches!(slot.state, SlotState::Loading { .. })).count()
     }
 
     /// Whether the result of an order is unknown; another one could then exceed the slots.
@@ -356,6 +361,8 @@
         now: Instant,
         changes: &mut Vec<Change>,
     ) {
+        // While another order is outstanding, an adapter without a slot could not be discovered.
+        let is_loading = self.is_loading();
         self.slots.retain_mut(|slot| {
             let is_reported = |adapter| reported.iter().any(|status| status.adapter == adapter);
             if is_reported(slot.adapter) {
@@ -376,7 +383,7 @@
                     false
                 }
                 SlotState::Unsettled { victim, ended_at, .. } => {
-                    if sampled <= *ended_at {
+                    if sampled <= *ended_at || is_loading {
                         return true;
                     }
                     slot.absent_reports += 1;
--- a/crates/scheduler/src/state/loads.rs
+++ b/crates/scheduler/src/state/loads.rs
@@ -65,6 +65,9 @@
             "under_way" => self.in_flight.len() + 1, "waiting_adapters" => self.waiting.len());
         self.adapters[adapter].loading.push(key);
         self.in_flight.insert((key, adapter));
+        if !is_kept {
+            self.store_loads.insert((key, adapter));
+        }
         self.stats.loads += 1;
         if let Some(cause) = cause.and_then(|seq| self.queued.get(&seq)) {
             let account = &mut self.subs[cause.sub];
@@ -83,6 +86,7 @@
         result: &Result<(), LoadFailure>,
         now: Instant,
     ) {
+        self.store_loads.remove(&(key, adapter));
         // The target may have been removed or restarted meanwhile.
         if !self.in_flight.remove(&(key, adapter)) {
             self.end_orphaned(key, adapter, now);
--- a/crates/scheduler/src/state/membership.rs
+++ b/crates/scheduler/src/state/membership.rs
@@ -49,6 +49,9 @@
         self.target_keys.insert(spec.id.clone(), key);
         let mut target = Target::new(spec, health, now);
         target.is_draining = is_draining;
+        if let Some(model) = &self.cfg.engine_model {
+            target.parallel_loads = model.parallel_loads;
+        }
         target.orphaned_orders = self
             .orphaned
             .values()
@@ -70,6 +73,7 @@
         for slot in &target.slots.slots {
             self.lose_holder(key, slot.adapter);
             self.adapters[slot.adapter].loading.retain(|other| *other != key);
+            self.store_loads.remove(&(key, slot.adapter));
             if self.in_flight.remove(&(key, slot.adapter)) {
                 let order = (target.spec.id.clone(), target.spec.incarnation);
                 self.orphaned.insert((key, slot.adapter), order);
--- a/crates/scheduler/src/state/mod.rs
+++ b/crates/scheduler/src/state/mod.rs
@@ -78,6 +78,8 @@
     orders: Vec<(TargetKey, AdapterKey, LoadOrder)>,
     /// Load decisions without a result.
     pub(crate) in_flight: BTreeSet<(TargetKey, AdapterKey)>,
+    /// Those of them that fetch from the weight store.
+    store_loads: BTreeSet<(TargetKey, AdapterKey)>,
     /// Orders without a result to targets that were removed meanwhile.
     orphaned: BTreeMap<(TargetKey, AdapterKey), (TargetId, Incarnation)>,
     next_plan_at: Instant,
@@ -262,6 +264,7 @@
             longest: BTreeSet::new(),
             orders: Vec::new(),
             in_flight: BTreeSet::new(),
+            store_loads: BTreeSet::new(),
             orphaned: BTreeMap::new(),
             next_plan_at: now,
             next_prefetch_at: now,
--- a/crates/scheduler/src/state/planner.rs
+++ b/crates/scheduler/src/state/planner.rs
@@ -99,7 +99,7 @@
         if self.cfg.policy == Policy::Baseline || self.closed.is_some() {
             return;
         }
-        while now >= self.next_plan_at && self.in_flight.len() < self.cfg.max_outstanding_loads {
+        while now >= self.next_plan_at && self.may_load() {
             if self.waiting.is_empty() && self.special.is_empty() {
                 self.prefetch(now);
                 return;
@@ -113,14 +113,27 @@
         }
     }
 
+    /// Whether another load may be under way. Loads of kept adapters don't use the weight store,
+    /// so they are bounded by the engines only.
+    fn may_load(&self) -> bool {
+        self.cfg.engine_model.is_some() || !self.is_store_busy()
+    }
+
+    /// Whether as many loads fetch from the weight store as may at a time.
+    fn is_store_busy(&self) -> bool {
+        self.store_loads.len() >= self.cfg.max_outstanding_loads
+    }
+
     fn plan_one(&mut self, now: Instant) -> bool {
         let mut candidates = self.candidates(now);
         candidates.sort_by(|a, b| b.score.total_cmp(&a.score));
         // Replicas of a flooded adapter must not keep the others from being tried.
         let (replicas, missing): (Vec<_>, Vec<_>) =
             candidates.iter().partition(|candidate| candidate.is_replica);
-        let mut tried: Vec<&Candidate> = replicas.into_iter().take(MAX_TRIED).collect();
-        tried.extend(missing.into_iter().take(MAX_TRIED));
+        // While the store is busy, only adapters that an engine has kept can be loaded.
+        let most = if self.is_store_busy() { usize::MAX } else { MAX_TRIED };
+        let mut tried: Vec<&Candidate> = replicas.into_iter().take(most).collect();
+        tried.extend(missing.into_iter().take(most));
         tried.sort_by(|a, b| b.score.total_cmp(&a.score));
         for candidate in tried {
             let Some(place) = self.place(candidate, now) else { continue };
@@ -331,6 +344,9 @@
         };
         if let Some(model) = &self.cfg.engine_model {
             let is_kept = target.kept.contains(adapter);
+            if !is_kept && self.is_store_busy() {
+                return None;
+            }
             let cost = model.load_cost(is_kept, loss, target.backlog.wait(now));
             return Some(Place { target: key, victim, loss, cost });
         }
--- a/crates/scheduler/src/target.rs
+++ b/crates/scheduler/src/target.rs
@@ -58,6 +58,8 @@
     pub(crate) prefixes: PrefixCache,
     pub(crate) backlog: Backlog,
     pub(crate) kept: Kept,
+    /// Loads that the engine takes at a time.
+    pub(crate) parallel_loads: usize,
     pub(crate) health: Health,
 }
 
@@ -87,6 +89,7 @@
             prefixes: PrefixCache::default(),
             backlog: Backlog::new(now),
             kept: Kept::default(),
+            parallel_loads: 1,
             health,
         }
     }
@@ -154,7 +157,7 @@
             && knows_slots
             && now >= self.spec.orders_allowed_from
             && now >= self.orders_resume_at
-            && !self.slots.is_loading()
+            && self.slots.loading() < self.parallel_loads
             && !self.slots.has_unsettled()
     }
 }
