Pin no slot for failed requests at engines that wait for them; eject only outliers

Ruled out: the weight store (1 to 3 loads under way), lost ends of places.

Tests finish_failed_leaves_slot_evictable and eject_only_outliers failed without the changes.

--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -434,6 +434,7 @@
         .prefill_tokens_per_ms
         .map(|prefill_per_ms| EngineModel { prefill_per_ms, ..EngineModel::default() });
     if options.inspect.is_some() {
+        scheduler.relative_ejection = true;
         // An inspection's age is known; it is not relayed.
         scheduler.report_transit = Duration::ZERO;
     }
--- a/crates/owner/src/inspect.rs
+++ b/crates/owner/src/inspect.rs
@@ -11,8 +11,9 @@
 
 use crate::{InspectFn, InspectRequest, OwnerService, service::OwnedGroup};
 
-/// Pause between two inspections; what an engine tells is a few hundred milliseconds old.
-const INSPECT_PAUSE: Duration = Duration::from_millis(300);
+/// Pause between two inspections; half of the age of what an engine tells, so that the second one
+/// after the take-over follows the first soon.
+const INSPECT_PAUSE: Duration = Duration::from_millis(130);
 
 /// Inspections until an engine counts as silent or gone; it is inspected again when an order to it
 /// fails.
--- a/crates/scheduler/src/api.rs
+++ b/crates/scheduler/src/api.rs
@@ -46,6 +46,9 @@
     pub report_transit: Duration,
     /// Seed of back-off jitter; random if absent.
     pub seed: Option<u64>,
+    /// Ejects only targets that fail much more often than the others of their group. Otherwise a
+    /// fault that all targets share, such as a failing store behind them, ejects half of them.
+    pub relative_ejection: bool,
     /// Times of the group's engines, if they are known; decides targets and loads then.
     pub engine_model: Option<EngineModel>,
 }
@@ -68,6 +71,7 @@
             // within a second.
             report_transit: Duration::from_secs(1),
             seed: None,
+            relative_ejection: false,
             engine_model: None,
         }
     }
--- a/crates/scheduler/src/engine_model.rs
+++ b/crates/scheduler/src/engine_model.rs
@@ -24,6 +24,9 @@
     pub kept_load: Duration,
     /// Loads that an engine takes at a time.
     pub parallel_loads: usize,
+    /// An engine that is ordered to evict an adapter waits for the adapter's requests to end, so
+    /// requests that may still run there need no pin.
+    pub evicts_after_requests: bool,
     /// Backlog of prompts beyond which an engine gets no further request: later ones wait in the
     /// group's queue, where they are ordered fairly and another engine can take them.
     pub max_backlog: Duration,
@@ -38,6 +41,7 @@
             kept_adapters: 32,
             store_load: Duration::from_millis(250),
             kept_load: Duration::from_millis(25),
+            evicts_after_requests: true,
             // Stated by the engine interface.
             parallel_loads: 4,
             // A third of the time in which the first token is due.
--- a/crates/scheduler/src/slots.rs
+++ b/crates/scheduler/src/slots.rs
@@ -34,6 +34,8 @@
     /// Set while no new requests are admitted so that the slot becomes idle.
     pub(crate) draining_since: Option<Instant>,
     absent_reports: u32,
+    /// The engine itself evicts the adapter only after its requests have ended.
+    is_protected: bool,
 }
 
 /// State of a slot.
@@ -67,8 +69,9 @@
 }
 
 impl Slot {
-    fn ready(adapter: AdapterKey, now: Instant) -> Self {
+    fn ready(adapter: AdapterKey, is_protected: bool, now: Instant) -> Self {
         Self {
+            is_protected,
             adapter,
             state: SlotState::Ready,
             leases: 0,
@@ -100,7 +103,9 @@
 
     /// Pins the adapter until a later sample shows that nothing runs on it.
     pub(crate) fn pin_uncertain(&mut self, since: Instant) {
-        self.uncertain = Some(Uncertain::from(since));
+        if !self.is_protected {
+            self.uncertain = Some(Uncertain::from(since));
+        }
     }
 }
 
@@ -141,6 +146,8 @@
 pub(crate) struct Slots {
     pub(crate) slots: Vec<Slot>,
     pub(crate) max: usize,
+    /// The engine evicts an adapter only after its requests have ended.
+    pub(crate) engine_protects: bool,
     /// End of the latest order; older samples say nothing about unknown adapters.
     last_order_end: Option<Instant>,
     /// Take-over of the target by this owner.
@@ -157,6 +164,7 @@
         Self {
             slots: Vec::new(),
             max,
+            engine_protects: false,
             last_order_end: None,
             known_since: now,
             reports_since_known: 0,
@@ -231,7 +239,7 @@
         let is_busy = self.busy_elsewhere.iter().any(|(busy, _)| *busy == adapter);
         let was_absent = self.reports_since_known >= REPORTS_SETTLED && !is_busy;
         let state = SlotState::Loading { victim, was_absent };
-        self.slots.push(Slot { state, ..Slot::ready(adapter, now) });
+        self.slots.push(Slot { state, ..Slot::ready(adapter, self.engine_protects, now) });
         true
     }
 
@@ -252,7 +260,7 @@
         let ordered_at = slot.last_used;
         match (end, victim) {
             (OrderEnd::Loaded, _) => {
-                *slot = Slot::ready(adapter, now);
+                *slot = Slot::ready(adapter, self.engine_protects, now);
                 if !was_absent {
                     // The engine may have held it already, with requests of the former owner.
                     slot.pin_uncertain(self.known_since);
@@ -340,7 +348,7 @@
         if is_victim || !is_current || self.is_loading() || !self.has_free() {
             return;
         }
-        let mut slot = Slot::ready(status.adapter, now);
+        let mut slot = Slot::ready(status.adapter, self.engine_protects, now);
         slot.pin_uncertain(self.known_since);
         if status.is_ready && status.running == 0 {
             slot.uncertain = slot.uncertain.filter(|pin| sampled <= pin.since);
--- a/crates/scheduler/src/state/membership.rs
+++ b/crates/scheduler/src/state/membership.rs
@@ -51,6 +51,7 @@
         target.is_draining = is_draining;
         if let Some(model) = &self.cfg.engine_model {
             target.parallel_loads = model.parallel_loads;
+            target.slots.engine_protects = model.evicts_after_requests;
         }
         target.orphaned_orders = self
             .orphaned
--- a/crates/scheduler/src/state/mod.rs
+++ b/crates/scheduler/src/state/mod.rs
@@ -529,6 +529,10 @@
                 slot.pin_uncertain(now);
             }
         }
+        let counts = !matches!(finish, Finish::Cancelled | Finish::Refused);
+        if counts {
+            target.health.ended(!matches!(finish, Finish::Answered { .. }), now);
+        }
         let is_failure = match finish {
             Finish::Answered { completion_tokens, .. } => {
                 target.health.succeeded(now);
@@ -547,9 +551,24 @@
         }
     }
 
+    /// Whether a target fails much more often than the others of the group together.
+    fn is_outlier(&self, key: TargetKey, now: Instant) -> bool {
+        /// Rate of failures relative to the others from which the target is the cause.
+        const OUTLIER_RATIO: f64 = 2.0;
+        let rate = |(ends, failures): (f64, f64)| failures / ends.max(1.0);
+        let others = self.targets.iter().filter(|(other, _)| **other != key);
+        let others = others.fold((0.0, 0.0), |sum, (_, target)| {
+            let (ends, failures) = target.health.recent(now);
+            (sum.0 + ends, sum.1 + failures)
+        });
+        let own = self.targets.get(&key).map_or(0.0, |target| rate(target.health.recent(now)));
+        own > OUTLIER_RATIO * rate(others)
+    }
+
     /// Ejects a failing target unless half of the group is ejected already.
     fn eject(&mut self, key: TargetKey, now: Instant) {
-        if self.cfg.policy == Policy::Baseline {
+        let is_shared = self.cfg.relative_ejection && !self.is_outlier(key, now);
+        if self.cfg.policy == Policy::Baseline || is_shared {
             return;
         }
         let ejected = self
--- a/crates/scheduler/src/target.rs
+++ b/crates/scheduler/src/target.rs
@@ -12,7 +12,7 @@
     api::TargetSpec,
     engine_model::{Backlog, Kept},
     fair::Seq,
-    measure::Mean,
+    measure::{Decayed, Mean},
     slots::Slots,
 };
 
@@ -267,6 +267,8 @@
     consecutive_failures: u32,
     ejections: u32,
     ejected_until: Option<Instant>,
+    /// Recent ends of requests, and how many of them were failures.
+    recent: Option<(Decayed, Decayed)>,
     pub(crate) secs_per_token: Mean,
     /// Speed relative to the group's median; 1 is usual, higher is slower.
     pub(crate) slowness: Option<f64>,
@@ -277,6 +279,8 @@
     const FAILURES_TO_EJECT: u32 = 3;
     /// First ejection; about the time in which an engine process restarts.
     const FIRST_EJECTION: Duration = Duration::from_secs(5);
+    /// Time in which a past end counts half.
+    const RECENT_HALF_LIFE: Duration = Duration::from_secs(3);
     /// An ejected target is tried again at least this often.
     const MAX_EJECTION: Duration = Duration::from_secs(60);
 
@@ -284,6 +288,19 @@
         self.ejected_until.is_some_and(|until| now < until)
     }
 
+    /// Takes note of the end of a request.
+    pub(crate) fn ended(&mut self, is_failure: bool, now: Instant) {
+        let new = || Decayed::new(Self::RECENT_HALF_LIFE, now);
+        let (ends, failures) = self.recent.get_or_insert_with(|| (new(), new()));
+        ends.add(1.0, now);
+        failures.add(f64::from(u8::from(is_failure)), now);
+    }
+
+    /// Recent ends of requests, and how many of them were failures.
+    pub(crate) fn recent(&self, now: Instant) -> (f64, f64) {
+        self.recent.map_or((0.0, 0.0), |(ends, failures)| (ends.get(now), failures.get(now)))
+    }
+
     pub(crate) fn succeeded(&mut self, now: Instant) {
         self.consecutive_failures = 0;
         if self.ejected_until.is_some_and(|until| now > until + Self::MAX_EJECTION) {
--- a/crates/scheduler/tests/engine_model.rs
+++ b/crates/scheduler/tests/engine_model.rs
@@ -5,11 +5,14 @@
 use std::{sync::Arc, time::Duration};
 
 use rstest::rstest;
-use shallotdrum_scheduler::{EngineModel, Job, LoadFailure, SchedulerConfig, Work};
+use shallotdrum_engine::TargetKind;
+use shallotdrum_scheduler::{EngineModel, Finish, Job, LoadFailure, SchedulerConfig, Work};
 use shallotdrum_types::{AdapterRef, Tokens};
 use tokio::time::{sleep, timeout};
 
-use support::{LOAD_TIME, adapter, answered, completion, config, group, group_with, target, work};
+use support::{
+    LOAD_TIME, adapter, answered, completion, config, group, group_with, spec, target, work,
+};
 
 /// Longer than any wait in these tests but for requests that never get a place.
 const SOON: Duration = Duration::from_secs(2);
@@ -144,3 +147,50 @@
     assert_eq!(lease.target, target("e1"));
     assert_eq!(group.orders(), []);
 }
+
+/// Guards against slots that stay taken after failed requests: with engines that evict only after
+/// their requests have ended, the failures of a few seconds blocked all loads for two minutes.
+#[tokio::test(start_paused = true)]
+async fn finish_failed_leaves_slot_evictable() {
+    let group = group(modelled());
+    group.engine("e1", 1, 1, 8);
+    let first = timeout(SOON, group.admit(completion("a", "a"))).await.unwrap().unwrap();
+    first.started();
+    first.finish(Finish::TargetFailed);
+    sleep(Duration::from_secs(3)).await;
+    let second = timeout(SOON, group.admit(completion("b", "b"))).await.unwrap().unwrap();
+    assert_eq!(group.orders().last().unwrap().evict, Some(adapter("a")));
+    second.finish(answered(10));
+}
+
+/// Guards against the ejection of half of a group for a fault that all its targets share, and
+/// against a single failing target that keeps getting work.
+#[rstest]
+#[case::all(&["s0", "s1", "s2", "s3"], 0)]
+#[case::one(&["s2"], 1)]
+#[tokio::test(start_paused = true)]
+async fn eject_only_outliers(#[case] failing: &[&str], #[case] expected: usize) {
+    let group = group(SchedulerConfig { relative_ejection: true, ..config() });
+    for n in 0..4 {
+        let kind = TargetKind::Service { max_concurrent: 8 };
+        group.scheduler.upsert_target(spec(&format!("s{n}"), 1, kind));
+    }
+    for _ in 0..20 {
+        let mut leases = Vec::new();
+        for _ in 0..4 {
+            let job = Job::Service { is_repeatable: true };
+            leases.push(timeout(SOON, group.admit(work("light", job))).await.unwrap().unwrap());
+        }
+        for lease in leases {
+            lease.started();
+            let end = match failing.contains(&lease.target.as_str()) {
+                true => Finish::TargetFailed,
+                false => answered(10),
+            };
+            lease.finish(end);
+        }
+    }
+    let snapshot = group.scheduler.snapshot();
+    let ejected = snapshot.targets.values().filter(|target| target.is_ejected).count();
+    assert_eq!(ejected, expected);
+}
