Go on without an owner that is lost or silent; prefer owners without a replica

Ruled out: slow assignment (0.1 s after the lease's end), slow inspections (0.5 s).

An entry remembers which engines were granted for an adapter and sends there while the owner does not answer; it orders nothing.

--- a/crates/control/src/leader/assignments.rs
+++ b/crates/control/src/leader/assignments.rs
@@ -12,14 +12,16 @@
 
 /// Unowned groups with targets, and the sessions that should get them.
 ///
-/// A session in the group's region is preferred, then the one with the fewest groups.
+/// A session in the group's region is preferred, then one of an instance that is no control
+/// replica, then the one with the fewest groups.
 pub fn assignments(state: &ControlState, live: &BTreeSet<SessionId>) -> Vec<(GroupId, SessionId)> {
     let mut owned = owned_groups(state, live);
     let mut result = Vec::new();
     for group in state.groups().filter(|group| is_assignable(group)) {
         let rank = |(session, count): &(&SessionId, &usize)| {
             let is_remote = region_of(state, **session) != Some(&group.id.region);
-            (is_remote, **count, **session)
+            // A replica's machine is small and busy with the log; its loss costs both at once.
+            (is_remote, is_replica(state, **session), **count, **session)
         };
         let Some((session, _)) = owned.iter().min_by_key(rank) else { break };
         let session = *session;
@@ -62,6 +64,10 @@
     group.owner.is_none() && !group.targets.is_empty()
 }
 
+fn is_replica(state: &ControlState, session: SessionId) -> bool {
+    state.session(session).is_some_and(|session| session.info.replica)
+}
+
 fn region_of(state: &ControlState, session: SessionId) -> Option<&Region> {
     state.session(session).map(|session| &session.info.region)
 }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -5,7 +5,7 @@
 
 use std::{
     collections::HashMap,
-    sync::{Arc, Mutex, PoisonError, atomic::AtomicU64},
+    sync::{Arc, Mutex, PoisonError},
     time::Duration,
 };
 
@@ -115,14 +115,13 @@
 impl Gateway {
     /// Creates a gateway; must be called within a runtime.
     pub fn new(cx: GatewayContext, connections: Connections) -> Arc<Self> {
-        let places = Places {
-            view: cx.view.clone(),
-            session: cx.session.clone(),
-            owner: cx.owner.clone(),
-            peers: cx.peers.clone(),
-            log: cx.log.clone(),
-            next: Arc::new(AtomicU64::new(1)),
-        };
+        let places = Places::new(
+            cx.view.clone(),
+            cx.session.clone(),
+            cx.owner.clone(),
+            cx.peers.clone(),
+            cx.log.clone(),
+        );
         let gateway = Arc::new(Self {
             cx,
             places,
@@ -280,7 +279,7 @@
         let work = PlaceWork {
             request: run.req.id.clone(),
             subscriber: subscriber(run),
-            need,
+            need: need.clone(),
             left: Duration::ZERO,
             avoid: run.avoid.clone(),
         };
@@ -334,6 +333,7 @@
             event!(self.cx.log, TARGET_DECLINED; "request" => %run.req.id, "target" => %target,
                 "status" => parts.status.as_u16());
             place.end(PlaceEnd::Refused);
+            self.places.refused(&run.pool, &need, &target);
             run.avoid.push(target);
             let drained = timeout_at(run.deadline, Limited::new(body, MAX_ANSWER_BYTES).collect());
             if let Ok(Ok(_)) = drained.await {
--- a/crates/gateway/src/places.rs
+++ b/crates/gateway/src/places.rs
@@ -1,42 +1,61 @@
 //! Asks the owner of a target group for a place, and reports the place's end.
 
 use std::{
+    collections::HashMap,
     net::SocketAddr,
     sync::{
-        Arc,
+        Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicU64, Ordering},
     },
     time::Duration,
 };
 
-use shallotdrum_control::ControlView;
-use shallotdrum_owner::{OwnerService, PlaceNeed, PlaceWork, SessionFn};
+use shallotdrum_control::{AnnouncedTarget, ControlView};
+use shallotdrum_engine::Priority;
+use shallotdrum_owner::{OwnerService, PlaceKey, PlaceNeed, PlaceWork, SessionFn};
 use shallotdrum_rpc::{
     EndedPlace, GrantedPlace, Need, PeerApiClient, Peers, PlaceEnd, PlaceReply, PlaceRequest,
     RpcError,
 };
 use shallotdrum_telemetry::event;
-use shallotdrum_types::{GroupId, PoolId, RequestError, RequestErrorKind, SessionId};
+use shallotdrum_types::{GroupId, PoolId, RequestError, RequestErrorKind, SessionId, TargetId};
 use tokio::time::Instant;
 
+use crate::Holders;
+
 /// Pause before the owner of a group is looked up again.
 const OWNER_RETRY: Duration = Duration::from_millis(40);
 
 /// When a caller should come back while a group has no owner: about a session lease.
 const NO_OWNER_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Priority of a request that no owner has compared with others.
+const USUAL_PRIORITY: Priority = Priority(64);
+
 /// Longest time for reporting an end; a lost report expires at the owner.
 const END_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Silence of an owner after which an entry goes on without it: many round trips, and a sixth of a
+/// session's lease.
+const OWNER_SILENCE: Duration = Duration::from_millis(500);
+
+/// Longest wait for an owner that has been silent; a hundred round trips.
+const PING_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// Asks for places.
 #[derive(Clone)]
-pub(crate) struct Places {
-    pub(crate) view: ControlView,
-    pub(crate) session: SessionFn,
-    pub(crate) owner: Arc<OwnerService>,
-    pub(crate) peers: Peers,
-    pub(crate) log: slog::Logger,
-    pub(crate) next: Arc<AtomicU64>,
+pub(crate) struct Places(Arc<Shared>);
+
+struct Shared {
+    view: ControlView,
+    session: SessionFn,
+    owner: Arc<OwnerService>,
+    peers: Peers,
+    log: slog::Logger,
+    next: AtomicU64,
+    holders: Mutex<Holders>,
+    /// When each owner answered last.
+    heard: Mutex<HashMap<SocketAddr, Instant>>,
 }
 
 /// Place at a target; ends as cancelled when dropped.
@@ -48,10 +67,18 @@
 /// Place or request for one; reports its end when dropped.
 struct Ticket {
     places: Places,
-    session: SessionId,
-    place: u64,
-    owner: Option<SocketAddr>,
     end: PlaceEnd,
+    granted_by: GrantedBy,
+}
+
+/// Who has to know of the end of a place.
+enum GrantedBy {
+    /// This instance owns the group.
+    This { key: PlaceKey },
+    /// Another instance owns the group.
+    Other { key: PlaceKey, addr: SocketAddr },
+    /// No owner; this entry counts for itself.
+    NoOwner { target: TargetId },
 }
 
 impl Place {
@@ -63,18 +90,12 @@
 
 impl Drop for Ticket {
     fn drop(&mut self) {
-        let ended = EndedPlace { place: self.place, end: self.end };
-        let (places, session) = (self.places.clone(), self.session);
-        match self.owner {
-            None => places.owner.end_place((session, ended.place), finish(ended.end)),
-            Some(addr) => {
-                tokio::spawn(async move {
-                    let Ok(client) = places.peers.get(addr) else { return };
-                    let sent = client.end_places(session, vec![ended]);
-                    if let Ok(Err(error)) = tokio::time::timeout(END_TIMEOUT, sent).await {
-                        event!(places.log, PLACE_END_LOST; "owner" => %addr, "error" => %error);
-                    }
-                });
+        match &self.granted_by {
+            GrantedBy::This { key } => self.places.0.owner.end_place(*key, finish(self.end)),
+            GrantedBy::NoOwner { target } => self.places.holders().end(target),
+            GrantedBy::Other { key: (session, place), addr } => {
+                let ended = EndedPlace { place: *place, end: self.end };
+                tokio::spawn(self.places.clone().report_end(*addr, *session, ended));
             }
         }
     }
@@ -94,6 +115,55 @@
 }
 
 impl Places {
+    pub(crate) fn new(
+        view: ControlView,
+        session: SessionFn,
+        owner: Arc<OwnerService>,
+        peers: Peers,
+        log: slog::Logger,
+    ) -> Self {
+        Self(Arc::new(Shared {
+            view,
+            session,
+            owner,
+            peers,
+            log,
+            next: AtomicU64::new(1),
+            holders: Mutex::default(),
+            heard: Mutex::default(),
+        }))
+    }
+
+    fn holders(&self) -> MutexGuard<'_, Holders> {
+        self.0.holders.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes note that a target refused a request for an adapter.
+    pub(crate) fn refused(&self, pool: &PoolId, need: &PlaceNeed, target: &TargetId) {
+        if let PlaceNeed::Generation { adapter: Some(adapter), .. } = need {
+            self.holders().forget(pool, adapter, target);
+        }
+    }
+
+    async fn report_end(self, addr: SocketAddr, session: SessionId, ended: EndedPlace) {
+        let Ok(client) = self.0.peers.get(addr) else { return };
+        let sent = client.end_places(session, vec![ended]);
+        match tokio::time::timeout(END_TIMEOUT, sent).await {
+            Ok(Ok(())) => self.hear(addr),
+            Ok(Err(error)) => {
+                event!(self.0.log, PLACE_END_LOST; "owner" => %addr, "error" => %error);
+            }
+            Err(_) => {
+                event!(self.0.log, PLACE_END_LOST; "owner" => %addr, "error" => "timed out");
+            }
+        }
+    }
+
+    fn hear(&self, addr: SocketAddr) {
+        let mut heard = self.0.heard.lock().unwrap_or_else(PoisonError::into_inner);
+        heard.insert(addr, Instant::now());
+    }
+
     /// Waits for a place in a pool until the deadline.
     pub(crate) async fn take(
         &self,
@@ -101,36 +171,80 @@
         work: PlaceWork,
         deadline: Instant,
     ) -> Result<Place, RequestError> {
-        let mut last = no_owner(pool);
         loop {
             let left = deadline.saturating_duration_since(Instant::now());
-            if left.is_zero() {
-                return Err(last);
-            }
             let work = PlaceWork { left, ..work.clone() };
-            match self.try_take(pool, work, deadline).await {
-                Ok(place) => return Ok(place),
-                Err(error) if error.kind == RequestErrorKind::NotReady => last = error,
+            let error = match self.try_take(pool, work.clone(), deadline).await {
+                Ok(place) => {
+                    if let PlaceNeed::Generation { adapter: Some(adapter), .. } = &work.need {
+                        let target = &place.granted.target;
+                        self.holders().note(pool, adapter, target, Instant::now());
+                    }
+                    return Ok(place);
+                }
+                Err(error) if error.kind == RequestErrorKind::NotReady => error,
                 Err(error) => return Err(error),
+            };
+            if let Some(place) = self.without_owner(pool, &work) {
+                event!(self.0.log, PLACE_WITHOUT_OWNER; "request" => %work.request,
+                    "pool" => %pool, "target" => %place.granted.target, "cause" => &error.detail);
+                return Ok(place);
+            }
+            if Instant::now() + OWNER_RETRY >= deadline {
+                return Err(error);
             }
             tokio::time::sleep(OWNER_RETRY).await;
         }
     }
 
+    /// Place at a target that needs no decision of the owner, if there is one.
+    fn without_owner(&self, pool: &PoolId, work: &PlaceWork) -> Option<Place> {
+        let adapter = match &work.need {
+            PlaceNeed::Generation { adapter, .. } => adapter.as_ref(),
+            PlaceNeed::Call { .. } => None,
+        };
+        let usable: Vec<AnnouncedTarget> = self.0.view.read(|state| {
+            let targets = state.targets().filter(|target| {
+                let announced = &target.announced;
+                announced.pool == *pool
+                    && !target.draining
+                    && !work.avoid.contains(&announced.target)
+            });
+            targets.map(|target| target.announced.clone()).collect()
+        });
+        let names: Vec<TargetId> = usable.iter().map(|target| target.target.clone()).collect();
+        let mut holders = self.holders();
+        let chosen = holders.choose(pool, adapter, &names, rand::random(), Instant::now())?;
+        let target = usable.into_iter().find(|target| target.target == chosen)?;
+        holders.begin(&chosen);
+        drop(holders);
+        let granted = GrantedPlace {
+            target: chosen.clone(),
+            incarnation: target.incarnation,
+            addr: target.addr,
+            priority: USUAL_PRIORITY,
+        };
+        let granted_by = GrantedBy::NoOwner { target: chosen };
+        let ticket = Ticket { places: self.clone(), end: PlaceEnd::Cancelled, granted_by };
+        Some(Place { granted, ticket })
+    }
+
     async fn try_take(
         &self,
         pool: &PoolId,
         work: PlaceWork,
         deadline: Instant,
     ) -> Result<Place, RequestError> {
-        let Some(session) = (self.session)() else { return Err(no_owner(pool)) };
+        let Some(session) = (self.0.session)() else { return Err(no_owner(pool)) };
         let (group, owner, addr) = self.choose_group(pool, &work)?;
-        let place = self.next.fetch_add(1, Ordering::Relaxed);
-        let remote = (owner != session).then_some(addr);
-        let end = PlaceEnd::Cancelled;
-        let ticket = Ticket { places: self.clone(), session, place, owner: remote, end };
-        if remote.is_none() {
-            let granted = self.owner.take_place(&group, (session, place), work).await?;
+        let key = (session, self.0.next.fetch_add(1, Ordering::Relaxed));
+        let granted_by = match owner == session {
+            true => GrantedBy::This { key },
+            false => GrantedBy::Other { key, addr },
+        };
+        let ticket = Ticket { places: self.clone(), end: PlaceEnd::Cancelled, granted_by };
+        if owner == session {
+            let granted = self.0.owner.take_place(&group, key, work).await?;
             let granted = GrantedPlace {
                 target: granted.target,
                 incarnation: granted.incarnation,
@@ -142,21 +256,27 @@
         let request = PlaceRequest {
             session,
             request: work.request,
-            place,
+            place: key.1,
             group: group.clone(),
             subscriber: work.subscriber,
             need: need(work.need),
             left_ms: work.left.as_millis() as u64,
             avoid: work.avoid,
         };
-        let client = self.peers.get(addr).map_err(|e| not_reached(&group, &e))?;
+        let client = self.0.peers.get(addr).map_err(|e| not_reached(&group, &e))?;
         let reply = tokio::select! {
             reply = tokio::time::timeout_at(deadline, client.take_place(request)) => reply,
             () = self.owner_changed(&group, owner) => return Err(no_owner(pool)),
+            () = self.owner_silent(addr) => return Err(no_owner(pool)),
         };
         match reply {
-            Ok(Ok(PlaceReply::Granted(granted))) => Ok(Place { granted, ticket }),
-            Ok(Ok(PlaceReply::Refused { error })) => Err(error),
+            Ok(Ok(reply)) => {
+                self.hear(addr);
+                match reply {
+                    PlaceReply::Granted(granted) => Ok(Place { granted, ticket }),
+                    PlaceReply::Refused { error } => Err(error),
+                }
+            }
             Ok(Err(error)) => Err(not_reached(&group, &error.into())),
             Err(_) => Err(RequestError::not_run(
                 RequestErrorKind::DeadlineExceeded,
@@ -165,11 +285,40 @@
         }
     }
 
+    /// Whether an owner answers a call that changes nothing.
+    async fn answers(&self, addr: SocketAddr) -> bool {
+        let (Some(session), Ok(client)) = ((self.0.session)(), self.0.peers.get(addr)) else {
+            return false;
+        };
+        let asked = client.end_places(session, Vec::new());
+        matches!(tokio::time::timeout(PING_TIMEOUT, asked).await, Ok(Ok(())))
+    }
+
+    /// Resolves when an owner has answered nothing for `OWNER_SILENCE` since now.
+    async fn owner_silent(&self, addr: SocketAddr) {
+        let asked = Instant::now();
+        loop {
+            let heard = {
+                let heard = self.0.heard.lock().unwrap_or_else(PoisonError::into_inner);
+                heard.get(&addr).copied().unwrap_or(asked).max(asked)
+            };
+            if heard.elapsed() >= OWNER_SILENCE {
+                // A request that waits in the queue says nothing about the owner, so it is asked.
+                if !self.answers(addr).await {
+                    return;
+                }
+                self.hear(addr);
+                continue;
+            }
+            tokio::time::sleep_until(heard + OWNER_SILENCE).await;
+        }
+    }
+
     /// Resolves when another session owns the group.
     async fn owner_changed(&self, group: &GroupId, owner: SessionId) {
-        let mut changed = self.view.changed();
+        let mut changed = self.0.view.changed();
         let is_owner =
-            || self.view.read(|state| state.group(group).and_then(|g| g.owner) == Some(owner));
+            || self.0.view.read(|state| state.group(group).and_then(|g| g.owner) == Some(owner));
         while is_owner() {
             if changed.changed().await.is_err() {
                 std::future::pending::<()>().await;
@@ -192,7 +341,7 @@
             let hash = blake3::hash(format!("{key} {group}").as_bytes());
             hash.as_bytes().first_chunk::<8>().copied().map(u64::from_le_bytes)
         };
-        self.view.read(|state| {
+        self.0.view.read(|state| {
             let groups = state.groups_of_pool(pool).filter(|group| !group.targets.is_empty());
             let owned = groups.filter_map(|group| {
                 let owner = group.owner?;
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -127,6 +127,7 @@
         PLACE_GRANTED = "O0315", Debug, "place at a target granted", "none";
         LOAD_DECIDED = "O0322", Debug, "load of an adapter decided", "none";
         ENGINE_INSPECTED = "O0321", Info, "engine told what it holds", "none";
+        PLACE_WITHOUT_OWNER = "O0323", Info, "request goes to a target without its owner's decision", "none, unless it lasts; then check the instance that owned the group";
         PLACE_END_LOST = "O0320", Debug, "end of a place could not be reported; the place expires by its deadline", "none";
         PLACE_REFUSED = "O0316", Info, "no place at a target; the request was not run", "compare the detail with the load of the group";
         ORDER_ANSWERED = "O0317", Debug, "engine answered an order", "none";
