--- a/crates/owner/src/inspect.rs
+++ b/crates/owner/src/inspect.rs
@@ -5,7 +5,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use shallotdrum_engine::TargetKind;
+use shallotdrum_engine::{LoadReport, TargetKind};
 use shallotdrum_scheduler::TargetSpec;
 use shallotdrum_telemetry::event;
 
@@ -54,7 +54,7 @@
             }
             if let Some(report) = inspect(engine.clone()).await {
                 event!(self.cx.log, ENGINE_INSPECTED; "target" => %engine.target,
-                    "adapters" => report.adapters.len(), "base_missing" => report.base_missing,
+                    "adapters" => names(&report), "base_missing" => report.base_missing,
                     "age_ms" => report.age_ms);
                 self.inspected(group, engine, &report);
                 if group.scheduler.is_settled(&engine.target) {
@@ -65,3 +65,9 @@
         }
     }
 }
+
+/// Adapters in a report, for the log.
+fn names(report: &LoadReport) -> String {
+    let names: Vec<String> = report.adapters.iter().map(|a| a.adapter.to_string()).collect();
+    names.join(" ")
+}
