--- a/crates/daemon/src/follower.rs
+++ b/crates/daemon/src/follower.rs
@@ -12,11 +12,11 @@
 
 /// How long a replica waits for a new command before it answers with none; short, so that a
 /// replica that is cut off is noticed.
-const WATCH_WAIT: Duration = Duration::from_millis(600);
+const WATCH_WAIT: Duration = Duration::from_millis(400);
 
 /// Longest wait for an answer; longer than the replica's wait. A replica that fell silent delays a
-/// change by this much.
-const WATCH_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// change by this much, and two in a row must not delay it by more than a leaving target allows.
+const WATCH_TIMEOUT: Duration = Duration::from_millis(650);
 
 /// Pause before another replica is asked.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
