Send an engine one prompt at a time

Several prompts that an engine reads in a row fall into the three steps of one event. Ruled out: relaying (a few ms), batch size.

The owner sends the next prompt when the former is read and a step has passed.

--- a/crates/scheduler/src/engine_model.rs
+++ b/crates/scheduler/src/engine_model.rs
@@ -16,6 +16,8 @@
 pub struct EngineModel {
     /// Prompt tokens that an engine reads in a millisecond.
     pub prefill_per_ms: f64,
+    /// Time that each prompt takes beyond its tokens: about one step of the batch.
+    pub prompt_overhead: Duration,
     /// Adapters that an engine keeps in its memory after it has unloaded them.
     pub kept_adapters: usize,
     /// Time of a load from the weight store.
@@ -37,6 +39,7 @@
         Self {
             // Stated by the operators for their engines.
             prefill_per_ms: 25.0,
+            prompt_overhead: Duration::from_millis(12),
             // About 2.4 GB of adapters of 66 MB each, a small part of an engine's memory.
             kept_adapters: 32,
             store_load: Duration::from_millis(250),
@@ -44,8 +47,9 @@
             evicts_after_requests: true,
             // Stated by the engine interface.
             parallel_loads: 4,
-            // A third of the time in which the first token is due.
-            max_backlog: Duration::from_millis(350),
+            // Several prompts in a row hold up every running stream: an event of three tokens
+            // would take three prompts' time, beyond the longest pause of 400 ms.
+            max_backlog: Duration::ZERO,
         }
     }
 }
@@ -64,7 +68,7 @@
     /// Time to read a prompt of which a part, 0 to 1, is cached.
     pub(crate) fn prefill(&self, tokens: u64, cached: f64) -> Duration {
         let ms = tokens as f64 * (1.0 - cached.clamp(0.0, 1.0)) / self.prefill_per_ms;
-        Duration::from_secs_f64(ms / 1_000.0)
+        self.prompt_overhead + Duration::from_secs_f64(ms / 1_000.0)
     }
 
     /// Cost in milliseconds of a load, with the recent requests for the adapter that makes room.
--- a/crates/scheduler/src/state/membership.rs
+++ b/crates/scheduler/src/state/membership.rs
@@ -164,6 +164,9 @@
     pub(crate) fn tick(&mut self, now: Instant) -> Duration {
         /// Queued requests may become admissible by the end of a pin, an ejection or a back-off.
         const BUSY_TICK: Duration = Duration::from_millis(20);
+        /// With known times, an engine becomes free without any message; an idle tenth of a
+        /// prompt's time is little.
+        const MODELLED_TICK: Duration = Duration::from_millis(10);
         /// With nothing queued, only prefetch and upkeep are due.
         const IDLE_TICK: Duration = Duration::from_millis(500);
 
@@ -178,7 +181,11 @@
             self.fill_all(now);
         }
         self.plan(now);
-        if self.queued.is_empty() { IDLE_TICK } else { BUSY_TICK }
+        match self.cfg.engine_model {
+            _ if self.queued.is_empty() => IDLE_TICK,
+            Some(_) => MODELLED_TICK,
+            None => BUSY_TICK,
+        }
     }
 
     fn upkeep(&mut self, now: Instant) {
