--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -297,6 +297,16 @@
         Gateway::new(cx, connections)
     }
 
+    /// Replaces the seeds after the settings have changed.
+    pub fn set_seeds(&self, seeds: Vec<InstanceId>) {
+        self.parts.client.directory().set_seeds(seeds);
+    }
+
+    /// All metrics in the prometheus text format.
+    pub fn metrics(&self) -> Metrics {
+        self.parts.metrics.clone()
+    }
+
     /// Address of the entry listener.
     pub fn entry_addr(&self) -> SocketAddr {
         self.entry.local_addr()
--- a/crates/daemon/tests/guarantees/random_mix.rs
+++ b/crates/daemon/tests/guarantees/random_mix.rs
@@ -209,6 +209,9 @@
     match fault {
         Fault::Kill => setup.cluster.kill(i).unwrap(),
         Fault::Restart => {
+            // A process that was started by the fault before has no signal handlers yet; only one
+            // that listens can be asked for a graceful stop.
+            setup.cluster.wait_listening(i, START_LIMIT).await.unwrap();
             load.ready[i].store(false, Ordering::SeqCst);
             setup.cluster.stop(i, START_LIMIT).await.unwrap();
         }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -147,8 +147,24 @@
     pub async fn handle(self: Arc<Self>, req: CallerRequest) -> Result<Answer, RequestError> {
         let id = req.id.clone();
         let arrived = req.arrived;
+        let class = self.class(&req);
+        let in_flight = InFlight::enter(self.cx.metrics.in_flight());
         let result = self.clone().try_handle(req).await;
-        let ms = arrived.elapsed().as_millis() as u64;
+        drop(in_flight);
+        let took = arrived.elapsed();
+        let metrics = self.cx.metrics.subscriber(&class);
+        match &result {
+            Ok(Answer::Whole { .. }) => metrics.total(took),
+            Ok(Answer::Stream { .. }) => metrics.first_token(took),
+            Err(_) => {}
+        }
+        match &result {
+            Ok(_) => self.cx.metrics.finished("answered", "none"),
+            Err(error) => {
+                self.cx.metrics.finished(&error.outcome.to_string(), error.kind.code());
+            }
+        }
+        let ms = took.as_millis() as u64;
         match &result {
             Ok(Answer::Whole { status, .. }) => {
                 event!(self.cx.log, REQUEST_ANSWERED; "request" => %id, "status" => status.as_u16(), "ms" => ms);
@@ -164,6 +180,14 @@
         result
     }
 
+    /// Name under which the times of a request are counted: that of its route.
+    fn class(&self, req: &CallerRequest) -> SubscriberId {
+        let routes = self.routes();
+        let route = routes.as_ref().and_then(|r| r.find(&req.host, req.target.path()));
+        let name = route.map_or("no-route", |route| route.name.as_str());
+        name.parse().unwrap_or_else(|_| other_class())
+    }
+
     async fn try_handle(self: Arc<Self>, req: CallerRequest) -> Result<Answer, RequestError> {
         let Some(routes) = self.routes() else {
             let detail = "no route table is in force yet; retry later";
@@ -217,12 +241,19 @@
         let after = After { attempt, runs: run.runs, sends: run.sends, left };
         match next_step(run.route.repeat, run.route.max_targets, after) {
             Step::GiveUp => false,
-            Step::Resend { is_charged: false } => true,
-            Step::Resend { is_charged: true } => {
+            Step::Resend { is_charged } => {
                 let entries = self.entries();
-                self.with_budget(&run.pool, |budget, now| {
-                    budget.take(now, &self.cx.retries, entries)
-                })
+                let is_allowed = !is_charged
+                    || self.with_budget(&run.pool, |budget, now| {
+                        budget.take(now, &self.cx.retries, entries)
+                    });
+                if is_allowed {
+                    self.cx.metrics.retries().inc();
+                } else {
+                    event!(self.cx.log, ENTRY_RETRY_BUDGET_EMPTY; "request" => %run.req.id,
+                        "pool" => %run.pool);
+                }
+                is_allowed
             }
         }
     }
@@ -448,7 +479,28 @@
 fn subscriber(run: &Run) -> SubscriberId {
     let adapter = run.req.generation.as_ref().and_then(|g| g.adapter.as_ref());
     let name = adapter.map_or(run.route.name.as_str(), |adapter| adapter.as_str());
-    name.parse().unwrap_or_else(|_| "other".parse().expect("a valid name"))
+    name.parse().unwrap_or_else(|_| other_class())
+}
+
+/// Stands for names that are no valid identifiers.
+fn other_class() -> SubscriberId {
+    "other".parse().expect("a valid name")
+}
+
+/// Counts a request as in progress until dropped.
+struct InFlight(prometheus::IntGauge);
+
+impl InFlight {
+    fn enter(gauge: &prometheus::IntGauge) -> Self {
+        gauge.inc();
+        Self(gauge.clone())
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.dec();
+    }
 }
 
 /// Hashes of successively longer prefixes; engines share them only within an adapter.
--- a/crates/harness/src/cluster.rs
+++ b/crates/harness/src/cluster.rs
@@ -15,7 +15,7 @@
 use shallotdrum_fakes::{Direction, FaultProxy, Process};
 use tempfile::TempDir;
 
-use crate::{Deployment, InstancePorts, Operator, instance_settings};
+use crate::{Deployment, InstancePorts, Operator, instance_settings, wait_until};
 
 /// What to start.
 #[derive(Clone, Debug)]
@@ -131,6 +131,16 @@
         Ok(())
     }
 
+    /// Waits until an instance accepts connections, which it does after it handles signals.
+    pub async fn wait_listening(&self, i: usize, limit: Duration) -> anyhow::Result<()> {
+        let addr = self.entry(i);
+        let look = || async move {
+            tokio::net::TcpStream::connect(addr).await.map(drop).map_err(|e| e.to_string())
+        };
+        wait_until("the instance listens", limit, look).await?;
+        Ok(())
+    }
+
     /// Kills an instance with SIGKILL.
     pub fn kill(&mut self, i: usize) -> anyhow::Result<()> {
         if let Some(mut process) = self.processes[i].take() {
--- a/crates/owner/src/places.rs
+++ b/crates/owner/src/places.rs
@@ -139,6 +139,7 @@
         self.places.lock().insert(key, place);
         let waiting = Waiting(&self.places, key);
         let request = work.request.clone();
+        let subscriber = work.subscriber.clone();
         let admitted = tokio::select! {
             admitted = owned.scheduler.admit(scheduler_work(work)) => admitted,
             () = cancelled.notified() => Err(RequestError::not_run(
@@ -155,6 +156,7 @@
             }
         };
         self.check_owned(&owned)?;
+        self.record_waits(&subscriber, &lease);
         lease.started();
         let granted = GrantedTarget {
             target: lease.target.clone(),
--- a/crates/scheduler/src/state/choice.rs
+++ b/crates/scheduler/src/state/choice.rs
@@ -36,7 +36,6 @@
 
 impl State {
     /// Chooses a target that holds the adapter and has room.
-    #[expect(clippy::too_many_arguments, reason = "each part of the choice is its own")]
     pub(super) fn choose_holder(
         &self,
         claim: Claim,
@@ -77,7 +76,6 @@
         self.choose(claim, engines.map(|(key, _)| *key), prefixes, tokens, avoid, now)
     }
 
-    #[expect(clippy::too_many_arguments, reason = "each part of the choice is its own")]
     fn choose(
         &self,
         claim: Claim,
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -163,6 +163,7 @@
         SETTINGS_INVALID = "S0506", Critical, "settings are invalid", "correct the listed values and start again";
         REPLICA_COUNT_EVEN = "S0507", Warning, "even number of control replicas", "list an odd number of replicas; an even one tolerates no more failures than one less";
         REPLICA_WAITING = "S0510", Error, "control replica failed; serving without it until the data folder takes writes", "free or replace the disk";
+        SETTINGS_KEPT = "S0511", Error, "changed settings file is not usable; the former settings hold", "correct the file";
         SETTINGS_RELOADED = "S0509", Info, "settings reloaded", "none";
         START_FAILED = "S0508", Critical, "instance cannot start", "correct the reported cause and start again";
     }
