--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -38,6 +38,7 @@
     replica::Replica,
     session::{SessionConfig, SessionKeeper},
     targets::Targets,
+    watch,
 };
 
 /// Longest wait for an answer of another instance; above that for a whole manifest, 9 s.
@@ -194,7 +195,7 @@
         };
 
         tasks.spawn(learn_replicas(view.clone(), directory.clone()));
-        tasks.spawn(follow_gauges(view.clone(), metrics.clone()));
+        tasks.spawn(watch::watch_state(view.clone(), metrics.clone(), log.clone()));
         let session = SessionKeeper::new(
             SessionConfig {
                 info: instance_info(&settings),
@@ -364,19 +365,6 @@
     }
 }
 
-/// Keeps the gauges of the control state up to date until the task is dropped.
-async fn follow_gauges(view: ControlView, metrics: Metrics) {
-    let mut changed = view.changed();
-    loop {
-        let (index, revision) = view.read(|state| (state.applied(), state.revision()));
-        metrics.log_index().set(index.0 as i64);
-        metrics.manifest_revision().set(revision.0 as i64);
-        if changed.changed().await.is_err() {
-            return;
-        }
-    }
-}
-
 async fn listen(name: &'static str, addr: SocketAddr) -> Result<TcpListener, InstanceError> {
     TcpListener::bind(addr).await.map_err(|source| InstanceError::Listen { name, addr, source })
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -17,6 +17,7 @@
 mod replica;
 mod session;
 mod targets;
+mod watch;
 
 pub use instance::{Instance, InstanceError, InstanceOptions, Listeners};
 pub use plane::{ChangeError, ControlPlane};
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -19,8 +19,8 @@
 use shallotdrum_rpc::{Peers, PlaceEnd};
 use shallotdrum_telemetry::{Metrics, event};
 use shallotdrum_types::{
-    AdapterRef, AdapterVersion, PoolId, RequestError, RequestErrorKind, RequestId, SubscriberId,
-    TargetId,
+    AdapterRef, AdapterVersion, PoolId, RequestError, RequestErrorKind, RequestId, Revision,
+    SubscriberId, TargetId,
 };
 use tokio::time::{Instant, timeout_at};
 
@@ -85,6 +85,8 @@
     pub(crate) req: CallerRequest,
     pub(crate) route: Route,
     pub(crate) pool: PoolId,
+    /// Route table by which the request goes to the pool.
+    revision: Revision,
     pub(crate) deadline: Instant,
     pub(crate) avoid: Vec<TargetId>,
     runs: u32,
@@ -202,6 +204,7 @@
             let detail = format!("route {} leads nowhere", route.name);
             return Err(RequestError::not_run(RequestErrorKind::NoTarget, detail));
         };
+        let revision = routes.table().revision;
         drop(routes);
         self.with_budget(&pool, |budget, now| {
             budget.count_request(now, &self.cx.retries);
@@ -212,6 +215,7 @@
             req,
             route,
             pool,
+            revision,
             avoid: Vec::new(),
             runs: 0,
             sends: 0,
@@ -329,6 +333,7 @@
             resume_after: run.resume_after.clone(),
         };
         event!(self.cx.log, REQUEST_ROUTED; "request" => %run.req.id, "route" => &run.route.name,
+            "revision" => run.revision.0, "version" => dispatch.version.as_ref().map(ToString::to_string),
             "target" => %granted.target, "send" => run.sends + 1, "left_ms" => left.as_millis() as u64);
         let target = granted.target.clone();
         let sent = self.connections.send(granted.addr, run.request(&self.cx.dialect, &dispatch));
@@ -460,6 +465,7 @@
             req: self.req.clone(),
             route: self.route.clone(),
             pool: self.pool.clone(),
+            revision: self.revision,
             deadline: self.deadline,
             avoid: std::mem::take(&mut self.avoid),
             runs: self.runs,
--- a/crates/owner/src/places.rs
+++ b/crates/owner/src/places.rs
@@ -165,6 +165,7 @@
             priority: lease.priority,
         };
         event!(self.cx.log, PLACE_GRANTED; "request" => %request, "target" => %granted.target,
+            "group" => %group, "epoch" => owned.epoch.0,
             "waited_ms" => lease.queue_wait.as_millis() as u64,
             "stall_ms" => lease.load_stall.as_millis() as u64);
         let late = match self.places.lock().get_mut(&key) {
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -124,8 +124,8 @@
         ORDER_REFUSED = "O0306", Warning, "engine refused an order", "none, unless it repeats for one engine; then restart the engine";
         REQUEST_SUSPECTED = "O0307", Warning, "request was running on a crashed target", "none; list quarantined requests if it repeats";
         REQUEST_QUARANTINED = "O0308", Error, "request quarantined after a second crash", "examine the request; lift the quarantine when the engine is fixed";
-        PLACE_GRANTED = "O0315", Debug, "place at a target granted", "none";
-        LOAD_DECIDED = "O0322", Debug, "load of an adapter decided", "none";
+        PLACE_GRANTED = "O0315", Info, "place at a target granted", "none";
+        LOAD_DECIDED = "O0322", Info, "load of an adapter decided", "none";
         ENGINE_INSPECTED = "O0321", Info, "engine told what it holds", "none";
         PLACE_WITHOUT_OWNER = "O0323", Info, "request goes to a target without its owner's decision", "none, unless it lasts; then check the instance that owned the group";
         PLACE_END_LOST = "O0320", Debug, "end of a place could not be reported; the place expires by its deadline", "none";
@@ -145,9 +145,9 @@
         ENTRY_ANSWER_RESUMED = "N0407", Info, "answer resumed at the new owner", "none";
         ENTRY_RETRY_BUDGET_EMPTY = "N0408", Warning, "retry budget is empty", "find the fault that causes the retries; the entry recovers by itself";
         ENTRY_DRAINING = "N0409", Info, "entry is draining", "none";
-        REQUEST_ROUTED = "N0411", Debug, "request sent to a target", "none";
+        REQUEST_ROUTED = "N0411", Info, "request sent to a target", "none";
         REQUEST_ENDED = "N0412", Info, "request ended without a whole answer", "follow the request's id through the other lines";
-        REQUEST_ANSWERED = "N0415", Debug, "request answered", "none";
+        REQUEST_ANSWERED = "N0415", Info, "request answered", "none";
         TARGET_DECLINED = "N0416", Info, "target refused a request without running it", "none, unless it repeats for one target";
         STREAM_BROKEN = "N0417", Info, "stream of a target broke off", "check the target, if it repeats";
         ROUTES_CHANGED = "N0413", Info, "route table in force", "none";
@@ -170,6 +170,7 @@
     "T06" "Targets" {
         TARGET_REGISTERED = "T0601", Info, "target registered", "none";
         TARGET_LEFT = "T0602", Info, "target left", "none";
+        TARGET_DRAINING = "T0609", Info, "target takes no new work until it leaves", "none";
         TARGET_LOST = "T0603", Warning, "target stopped announcing itself", "check the target's machine and process";
         TARGET_REMOVAL_FAILED = "T0607", Warning, "cannot remove a silent target", "check the control replicas";
         TARGET_CRASHED = "T0604", Error, "target crashed with requests in flight", "check the target's own log";
