--- a/crates/scheduler/src/state/admission.rs
+++ b/crates/scheduler/src/state/admission.rs
@@ -387,7 +387,13 @@
         // The planner weights adapters by fair share, so a light subscriber is ahead of most.
         let share = sub.map_or(1.0, |sub| self.load_share(sub, self.subs[sub].last_finish, now));
         let ahead = (self.starved_share / share).min(self.starved.min(self.waiting.len()) as f64);
-        let interval = self.load_interval.get().unwrap_or(INITIAL_LOAD_INTERVAL_SECS);
+        let interval = match self.cfg.engine_model {
+            // As many loads as may be under way end within the time of one.
+            Some(model) => {
+                model.store_load.as_secs_f64() / self.cfg.max_outstanding_loads.max(1) as f64
+            }
+            None => self.load_interval.get().unwrap_or(INITIAL_LOAD_INTERVAL_SECS),
+        };
         backoff.max(Duration::from_secs_f64(LOAD_SECS + interval * ahead))
     }
 
--- a/crates/scheduler/tests/engine_model.rs
+++ b/crates/scheduler/tests/engine_model.rs
@@ -194,3 +194,26 @@
     let ejected = snapshot.targets.values().filter(|target| target.is_ejected).count();
     assert_eq!(ejected, expected);
 }
+
+/// Guards against refusals at a cold start: the wait for a load was estimated by a store that
+/// grants two to three loads a second, so requests were refused that had seconds left.
+#[tokio::test(start_paused = true)]
+async fn admit_cold_start_refuses_nobody() {
+    let cfg = SchedulerConfig { max_outstanding_loads: 8, ..modelled() };
+    let group = group(cfg);
+    for n in 0..6 {
+        group.engine(&format!("e{n}"), 1, 6, 64);
+    }
+    // Their loads take 20 / 8 times 250 ms, well within a fifth of the time that is left.
+    let requests: Vec<_> = (0..20)
+        .map(|n| {
+            let name = format!("a{n}");
+            let mut work = completion(&name, &name);
+            work.deadline = tokio::time::Instant::now() + Duration::from_secs(5);
+            group.run(work, Duration::ZERO)
+        })
+        .collect();
+    for request in requests {
+        request.await.unwrap().unwrap();
+    }
+}
