--- a/crates/scheduler/src/state/mod.rs
+++ b/crates/scheduler/src/state/mod.rs
@@ -568,7 +568,9 @@
     /// Ejects a failing target unless half of the group is ejected already.
     fn eject(&mut self, key: TargetKey, now: Instant) {
         let is_shared = self.cfg.relative_ejection && !self.is_outlier(key, now);
-        if self.cfg.policy == Policy::Baseline || is_shared {
+        // Requests that were in progress at the ejection say nothing new.
+        let is_ejected = self.targets.get(&key).is_some_and(|t| t.health.is_ejected(now));
+        if self.cfg.policy == Policy::Baseline || is_shared || is_ejected {
             return;
         }
         let ejected = self
--- a/crates/scheduler/tests/engine_model.rs
+++ b/crates/scheduler/tests/engine_model.rs
@@ -217,3 +217,25 @@
         request.await.unwrap().unwrap();
     }
 }
+
+/// Guards against a crash that ejects a target for a minute, because each of the requests that it
+/// interrupted doubled the time.
+#[tokio::test(start_paused = true)]
+async fn eject_once_for_one_crash() {
+    let group = group(modelled());
+    for id in ["e1", "e2"] {
+        group.engine(id, 1, 2, 64);
+        group.report(id, 1, 0, &[("a", 0)]);
+    }
+    let mut leases = Vec::new();
+    for _ in 0..40 {
+        leases.push(timeout(SOON, group.admit(completion("a", "a"))).await.unwrap().unwrap());
+    }
+    for lease in leases.into_iter().filter(|lease| lease.target == target("e1")) {
+        lease.started();
+        lease.finish(Finish::TargetFailed);
+    }
+    assert!(group.scheduler.snapshot().targets[&target("e1")].is_ejected);
+    sleep(Duration::from_secs(7)).await;
+    assert!(!group.scheduler.snapshot().targets[&target("e1")].is_ejected);
+}
