--- a/crates/daemon/src/follower.rs
+++ b/crates/daemon/src/follower.rs
@@ -18,6 +18,10 @@
 /// change by this much, and two in a row must not delay it by more than a leaving target allows.
 const WATCH_TIMEOUT: Duration = Duration::from_millis(650);
 
+/// Longest wait for the whole state, at the start or after time-outs: half a megabyte over a link
+/// of 10 Mbit/s that other instances use too.
+const STATE_TIMEOUT: Duration = Duration::from_secs(3);
+
 /// Pause before another replica is asked.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
@@ -30,6 +34,7 @@
     is_behind: Arc<Notify>,
     log: slog::Logger,
 ) {
+    let mut timeout = STATE_TIMEOUT;
     // Followers spread over the replicas.
     let mut current = rand::random::<u32>() as usize;
     loop {
@@ -40,7 +45,7 @@
             tokio::time::sleep(RETRY_PAUSE).await;
             continue;
         };
-        let polled = tokio::time::timeout(WATCH_TIMEOUT, poll(&view, &peers, addr));
+        let polled = tokio::time::timeout(timeout, poll(&view, &peers, addr));
         let result = tokio::select! {
             polled = polled => {
                 polled.unwrap_or_else(|_| Err(RpcError::NoAnswer("timed out".to_owned())))
@@ -49,6 +54,11 @@
                 Err(RpcError::NoAnswer("the replica is behind the leader".to_owned()))
             }
         };
+        timeout = match &result {
+            Ok(()) => WATCH_TIMEOUT,
+            // The answer may be large and the link slow.
+            Err(_) => (2 * timeout).min(STATE_TIMEOUT),
+        };
         if let Err(error) = result {
             event!(log, FOLLOW_RETRIED; "addr" => %addr, "error" => %error);
             current += 1;
--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -53,6 +53,13 @@
 /// How long the leader may let one request for a permit wait.
 const PERMIT_WAIT: Duration = Duration::from_secs(1);
 
+/// Applied entries between two snapshots where each may carry a route table of 100 KB and more:
+/// the log stays below a third of a disk of 128 MB.
+const SEEDED_SNAPSHOT_EVERY: u64 = 200;
+
+/// Entries kept behind the newest snapshot in such a log, for replicas that lag a little.
+const SEEDED_RETAIN_ENTRIES: u64 = 50;
+
 /// When a target announces itself again; three announcements fit into its time-out.
 const RENEW_ANNOUNCEMENT_MS: u64 = 1_000;
 
@@ -176,11 +183,16 @@
 
         let replica = match &settings.data_dir {
             Some(data_dir) => {
-                let cfg = NodeConfig::new(
+                let mut cfg = NodeConfig::new(
                     settings.instance.clone(),
                     data_dir.clone(),
                     initial_members(&settings),
                 );
+                if is_seeded {
+                    // Entries carry whole route tables, and disks are small.
+                    cfg.snapshot_every = SEEDED_SNAPSHOT_EVERY;
+                    cfg.retain_entries = SEEDED_RETAIN_ENTRIES;
+                }
                 let transport = RpcTransport::new(peers.clone(), directory.clone());
                 let node = Node::start(cfg, view.clone(), transport, log.clone()).await?;
                 let replica = Replica::new(node, view.clone(), is_seeded, log.clone());
@@ -274,6 +286,7 @@
             view: self.parts.view.clone(),
             client: self.parts.client.clone(),
             targets: self.parts.targets.clone(),
+            log: self.log.clone(),
         }
     }
 
--- a/crates/daemon/src/plane.rs
+++ b/crates/daemon/src/plane.rs
@@ -6,6 +6,7 @@
 use shallotdrum_engine::Announcement;
 use shallotdrum_routes::RouteTable;
 use shallotdrum_rpc::{ControlClient, PeerApiClient, RpcError};
+use shallotdrum_telemetry::event;
 use shallotdrum_types::{AdapterId, BaseModelId, RequestError, TargetId};
 use tokio::time::Instant;
 
@@ -20,6 +21,7 @@
     pub(crate) view: ControlView,
     pub(crate) client: ControlClient,
     pub(crate) targets: Targets,
+    pub(crate) log: slog::Logger,
 }
 
 /// Why a change has no clear result.
@@ -71,7 +73,16 @@
 
     /// Takes a target's announcement.
     pub async fn announce(&self, announcement: Announcement) -> Result<(), ChangeError> {
-        Ok(self.targets.announce(announcement).await?)
+        let target = announcement.target.clone();
+        let is_registered = || self.view.read(|state| state.target(&target).is_some());
+        match self.targets.announce(announcement).await {
+            // The owner may just have changed; the next announcement comes in time.
+            Err(error) if is_registered() => {
+                event!(self.log, TARGET_RELAY_FAILED; "target" => %target, "error" => %error);
+                Ok(())
+            }
+            result => Ok(result?),
+        }
     }
 
     /// Takes a target's announcement that it leaves but still answers.
--- a/crates/daemon/src/replica.rs
+++ b/crates/daemon/src/replica.rs
@@ -35,6 +35,10 @@
 /// Most bytes of commands in one answer to a follower.
 const MAX_WATCH_BYTES: usize = 4 * 1024 * 1024;
 
+/// Most commands in one answer to a follower; one that is further behind gets the state instead.
+/// Each may carry a whole route table.
+const MAX_WATCH_ENTRIES: usize = 32;
+
 /// Longest wait that a follower may ask for.
 const MAX_WATCH_WAIT: Duration = Duration::from_secs(30);
 
@@ -136,11 +140,10 @@
         loop {
             let seen = status.borrow_and_update().applied;
             match self.node.committed_after(after, MAX_WATCH_BYTES) {
-                CommittedTail::Snapshot { .. } => {
-                    return Ok(self.view.read(|state| WatchReply::Snapshot {
-                        index: state.applied(),
-                        state: Base64Bytes(state.snapshot_without_ledger()),
-                    }));
+                CommittedTail::Snapshot { .. } => return Ok(self.follower_snapshot()),
+                // The state is smaller than a long history of route tables.
+                CommittedTail::Entries { entries, .. } if entries.len() > MAX_WATCH_ENTRIES => {
+                    return Ok(self.follower_snapshot());
                 }
                 CommittedTail::Entries { entries, last } => {
                     let entries: Vec<_> = entries
@@ -159,6 +162,14 @@
         }
     }
 
+    /// State for a follower that is far behind.
+    fn follower_snapshot(&self) -> WatchReply {
+        self.view.read(|state| WatchReply::Snapshot {
+            index: state.applied(),
+            state: Base64Bytes(state.snapshot_without_ledger()),
+        })
+    }
+
     /// Confirms that a session is alive.
     pub(crate) fn renew(&self, request: RenewRequest) -> Result<RenewReply, RpcError> {
         let RenewRequest { session, revision, permits, .. } = request;
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -170,6 +170,7 @@
     "T06" "Targets" {
         TARGET_REGISTERED = "T0601", Info, "target registered", "none";
         TARGET_LEFT = "T0602", Info, "target left", "none";
+        TARGET_RELAY_FAILED = "T0610", Debug, "announcement of a registered target did not reach its owner", "none; see the instance that owns the group";
         TARGET_DRAINING = "T0609", Info, "target takes no new work until it leaves", "none";
         TARGET_LOST = "T0603", Warning, "target stopped announcing itself", "check the target's machine and process";
         TARGET_REMOVAL_FAILED = "T0607", Warning, "cannot remove a silent target", "check the control replicas";
