--- a/crates/scheduler/src/slots.rs
+++ b/crates/scheduler/src/slots.rs
@@ -154,6 +154,9 @@
     known_since: Instant,
     /// Reports that were sampled after the take-over.
     reports_since_known: u32,
+    /// The latest report named an adapter that no slot refers to: the engine holds something else
+    /// than is known here.
+    has_unknown: bool,
     /// Adapters that were reported busy while no slot could be given to them, with the number of
     /// later reports without them.
     busy_elsewhere: Vec<(AdapterKey, u32)>,
@@ -168,6 +171,7 @@
             last_order_end: None,
             known_since: now,
             reports_since_known: 0,
+            has_unknown: false,
             busy_elsewhere: Vec::new(),
         }
     }
@@ -206,7 +210,12 @@
     /// Whether reports since the take-over, and since the latest order of unknown result, tell
     /// what the engine holds.
     pub(crate) fn is_settled(&self) -> bool {
-        self.reports_since_known >= REPORTS_SETTLED && !self.has_unsettled()
+        self.reports_since_known >= REPORTS_SETTLED && !self.has_unsettled() && !self.has_unknown
+    }
+
+    /// Whether an order could exceed the slots of an engine that is known only by its reports.
+    pub(crate) fn is_doubtful(&self) -> bool {
+        self.has_unsettled() || (self.engine_protects && self.has_unknown)
     }
 
     /// Whether requests of others may be running on any adapter.
@@ -312,6 +321,10 @@
                 self.discover(*status, sampled, now, &mut changes);
             }
         }
+        // A report from before the latest order may name what that order evicted.
+        if self.last_order_end.is_none_or(|end| sampled > end) && !self.is_loading() {
+            self.has_unknown = reported.iter().any(|status| !self.refers_to(status.adapter));
+        }
         changes
     }
 
--- a/crates/scheduler/src/target.rs
+++ b/crates/scheduler/src/target.rs
@@ -158,7 +158,7 @@
             && now >= self.spec.orders_allowed_from
             && now >= self.orders_resume_at
             && self.slots.loading() < self.parallel_loads
-            && !self.slots.has_unsettled()
+            && !self.slots.is_doubtful()
     }
 }
 
--- a/crates/scheduler/tests/engine_model.rs
+++ b/crates/scheduler/tests/engine_model.rs
@@ -11,7 +11,8 @@
 use tokio::time::{sleep, timeout};
 
 use support::{
-    LOAD_TIME, adapter, answered, completion, config, group, group_with, spec, target, work,
+    LOAD_TIME, adapter, answered, completion, config, engine_spec, group, group_with, spec, target,
+    work,
 };
 
 /// Longer than any wait in these tests but for requests that never get a place.
@@ -239,3 +240,26 @@
     sleep(Duration::from_secs(7)).await;
     assert!(!group.scheduler.snapshot().targets[&target("e1")].is_ejected);
 }
+
+/// Guards against more adapters than slots after a take-over: an order of the former owner replaced
+/// an adapter between two reports, and the new one had no slot here.
+#[tokio::test(start_paused = true)]
+async fn takeover_unknown_adapter_blocks_orders() {
+    let group = group(modelled());
+    group.scheduler.upsert_target(engine_spec("e1", 1, 2, 8));
+    sleep(Duration::from_millis(10)).await;
+    group.report("e1", 1, 0, &[("a", 0), ("b", 0)]);
+    sleep(Duration::from_millis(130)).await;
+    group.report("e1", 1, 0, &[("a", 0), ("c", 0)]);
+    assert!(!group.scheduler.is_settled(&target("e1")));
+    let next = group.run(completion("d", "d"), Duration::ZERO);
+    sleep(Duration::from_millis(500)).await;
+    assert_eq!(group.orders(), []);
+    for _ in 0..4 {
+        group.report("e1", 1, 0, &[("a", 0), ("c", 0)]);
+        sleep(Duration::from_millis(130)).await;
+    }
+    next.await.unwrap().unwrap();
+    let evicted = group.orders()[0].evict.clone();
+    assert!([adapter("a"), adapter("c")].map(Some).contains(&evicted), "{evicted:?}");
+}
