--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -146,6 +146,12 @@
         self.cx.view.read(|state| state.routes().cloned())
     }
 
+    /// Takes note of a request that a front end could not decode.
+    pub fn note_malformed(&self, error: &dyn std::fmt::Display) {
+        event!(self.cx.log, INPUT_REFUSED; "error" => %error);
+        self.cx.metrics.finished("not-run", RequestErrorKind::InvalidRequest.code());
+    }
+
     /// Answers a request, or says why it can't be answered.
     pub async fn handle(self: Arc<Self>, req: CallerRequest) -> Result<Answer, RequestError> {
         let id = req.id.clone();
