Send route tables through the control log as differences

Cause: a change of one route wrote the whole table to the log, twice (as routes and as the operator's document), and every instance fetched it. With a thousand routes that is more than half a megabyte per change and instance, over links of 10 Mbit/s: longer than the 650 ms that a follower waits, so followers gave up half-read answers and asked the next replica again. Decoding and encoding the entry for each follower also kept the replicas from answering the leader within 400 ms, and sessions expired.

The leader now writes the difference from the table in force. A difference that another change has overtaken is refused and computed again. Base64Bytes moves to `types`, since `routes` needs it too.

Ruled out: the order of the leader's duties, which was tried before and did not help.

--- a/crates/control/src/command.rs
+++ b/crates/control/src/command.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use shallotdrum_engine::TargetKind;
 use shallotdrum_manifest::{Manifest, ManifestDelta, ManifestErrors};
-use shallotdrum_routes::RouteTable;
+use shallotdrum_routes::{DeltaError, RouteDelta, RouteTable};
 use shallotdrum_types::{
     AdapterId, AvailabilityZone, BaseModelId, ControlTimeMs, Digest, Epoch, Fingerprint, GroupId,
     IdempotencyKey, Incarnation, InstanceId, PoolId, Region, RequestId, Revision, SessionId,
@@ -141,6 +141,12 @@
         /// Table, already checked.
         table: Arc<RouteTable>,
     },
+    /// Puts a route table in force, as the difference from the table in force; the leader
+    /// computes it.
+    PatchRoutes {
+        /// Difference; it has no effect if its revision is not higher than the one in force.
+        delta: Box<RouteDelta>,
+    },
     /// Names the current version of an adapter; a lower one than before has no effect.
     RaiseAdapterVersion {
         /// Base model of the adapter.
@@ -223,6 +229,19 @@
 }
 
 impl Command {
+    /// Puts a route table in force, by its difference from the table in force if there is one.
+    ///
+    /// Takes long for a large table, so a leader calls it without access to the state.
+    pub fn put_routes(
+        in_force: Option<&RouteTable>,
+        table: Arc<RouteTable>,
+    ) -> Result<Self, DeltaError> {
+        match in_force {
+            Some(base) => Ok(Self::PatchRoutes { delta: Box::new(base.diff(&table)?) }),
+            None => Ok(Self::PutRoutes { table }),
+        }
+    }
+
     /// Whether the command changes the ledger and control time only; followers are not sent it.
     pub fn is_ledger_only(&self) -> bool {
         matches!(
@@ -299,6 +318,17 @@
     /// The delta leads to a manifest that is not valid.
     #[error("invalid manifest: {0}")]
     ManifestInvalid(ManifestErrors),
+    /// Another route table came in force since the difference was computed.
+    #[error("route table conflict: based on revision {base}, but revision {current} is in force")]
+    RoutesConflict {
+        /// Revision that the difference is based on.
+        base: Revision,
+        /// Revision in force.
+        current: Revision,
+    },
+    /// The difference does not lead to a route table.
+    #[error("invalid route table: {0}")]
+    RoutesInvalid(String),
     /// The session has ended or never existed.
     #[error("session {0} has ended")]
     NoSession(SessionId),
--- a/crates/control/src/state/mod.rs
+++ b/crates/control/src/state/mod.rs
@@ -364,6 +364,7 @@
                 Ok(Reply::Done)
             }
             Command::PutRoutes { table } => Ok(Reply::RoutesInForce(self.routes.put(table))),
+            Command::PatchRoutes { delta } => self.routes.patch(&delta).map(Reply::RoutesInForce),
             Command::RaiseAdapterVersion { base, adapter, version } => {
                 self.routes.raise_version(base, adapter, version);
                 Ok(Reply::Done)
--- a/crates/control/src/state/routes.rs
+++ b/crates/control/src/state/routes.rs
@@ -7,9 +7,11 @@
 use std::{collections::BTreeMap, sync::Arc};
 
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
-use shallotdrum_routes::{RouteIndex, RouteTable};
+use shallotdrum_routes::{RouteDelta, RouteIndex, RouteTable};
 use shallotdrum_types::{AdapterId, BaseModelId, Revision};
 
+use crate::CommandError;
+
 /// Route table in force and the current version of each adapter.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub(crate) struct Routes {
@@ -46,6 +48,21 @@
         self.revision()
     }
 
+    /// Puts the table in force that a difference leads to, if its revision is higher; returns the
+    /// revision in force.
+    pub(crate) fn patch(&mut self, delta: &RouteDelta) -> Result<Revision, CommandError> {
+        let current = self.revision();
+        if delta.revision <= current {
+            return Ok(current);
+        }
+        let table = match self.table() {
+            Some(table) if delta.base == current => table.apply(delta),
+            _ => return Err(CommandError::RoutesConflict { base: delta.base, current }),
+        };
+        let table = table.map_err(|error| CommandError::RoutesInvalid(error.to_string()))?;
+        Ok(self.put(Arc::new(table)))
+    }
+
     pub(crate) fn version(&self, base: &BaseModelId, adapter: &AdapterId) -> Option<u64> {
         self.versions.get(base)?.get(adapter).copied()
     }
--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -8,10 +8,12 @@
 use shallotdrum_owner::{OwnerService, PlaceWork};
 use shallotdrum_routes::RouteTable;
 use shallotdrum_rpc::{
-    Base64Bytes, EndedPlace, PeerApiServer, Permit, PermitRequest, PermitRow, PlaceReply,
-    PlaceRequest, RenewReply, RenewRequest, RpcError, SessionRow, WatchReply,
+    EndedPlace, PeerApiServer, Permit, PermitRequest, PermitRow, PlaceReply, PlaceRequest,
+    RenewReply, RenewRequest, RpcError, SessionRow, WatchReply,
+};
+use shallotdrum_types::{
+    Base64Bytes, Incarnation, InstanceId, LogIndex, PermitId, SessionId, TargetId,
 };
-use shallotdrum_types::{Incarnation, InstanceId, LogIndex, PermitId, SessionId, TargetId};
 
 use crate::replica::Replica;
 
--- a/crates/daemon/src/replica.rs
+++ b/crates/daemon/src/replica.rs
@@ -11,17 +11,19 @@
 
 use shallotdrum_consensus::{CommittedTail, MembershipError, Node, ProposeError, Role};
 use shallotdrum_control::{
-    Command, ControlView, LeaderDuties, PermitAnswer, Proposal, Reply, Session, TimedCommand,
+    Command, CommandError, ControlView, LeaderDuties, PermitAnswer, Proposal, Reply, Session,
+    TimedCommand,
 };
 use shallotdrum_manifest::Manifest;
 use shallotdrum_routes::RouteTable;
 use shallotdrum_rpc::{
-    Base64Bytes, CallCounts, Permit, PermitRequest, PermitRow, RenewReply, RenewRequest,
-    ReplicaStatus, RpcError, SessionRow, WatchEntry, WatchReply,
+    CallCounts, Permit, PermitRequest, PermitRow, RenewReply, RenewRequest, ReplicaStatus,
+    RpcError, SessionRow, WatchEntry, WatchReply,
 };
 use shallotdrum_telemetry::event;
 use shallotdrum_types::{
-    ControlTimeMs, InstanceId, LogIndex, PermitId, Revision, SessionId, SubmissionId, Term,
+    Base64Bytes, ControlTimeMs, InstanceId, LogIndex, PermitId, Revision, SessionId, SubmissionId,
+    Term,
 };
 
 use crate::membership::may_remove;
@@ -39,6 +41,10 @@
 /// Each may carry a whole route table.
 const MAX_WATCH_ENTRIES: usize = 32;
 
+/// Most differences of one route table that are tried; operators send up to eight changes at a
+/// time.
+const MAX_ROUTE_DIFFERENCES: u32 = 8;
+
 /// Longest wait that a follower may ask for.
 const MAX_WATCH_WAIT: Duration = Duration::from_secs(30);
 
@@ -117,11 +123,33 @@
     /// Writes a proposal to the log.
     pub(crate) async fn propose(&self, proposal: Proposal) -> Result<Reply, RpcError> {
         let command = match proposal {
+            Proposal::Command(Command::PutRoutes { table }) => return self.put_routes(table).await,
             Proposal::Command(command) => command,
             Proposal::Manifest { submission, base, manifest } => {
                 self.manifest_command(submission, base, &manifest).await?
             }
         };
+        self.write(command).await
+    }
+
+    /// Puts a route table in force by its difference from the one in force.
+    ///
+    /// Another table that is committed in between makes the difference useless; it is computed
+    /// again, and after some tries the whole table is written.
+    async fn put_routes(&self, table: Arc<RouteTable>) -> Result<Reply, RpcError> {
+        for _ in 0..MAX_ROUTE_DIFFERENCES {
+            let in_force = self.view.read(|state| state.route_table().cloned());
+            let command = Command::put_routes(in_force.as_deref(), table.clone())
+                .map_err(|error| RpcError::Malformed(error.to_string()))?;
+            match self.write(command).await? {
+                Reply::Refused(CommandError::RoutesConflict { .. }) => {}
+                reply => return Ok(reply),
+            }
+        }
+        self.write(Command::PutRoutes { table }).await
+    }
+
+    async fn write(&self, command: Command) -> Result<Reply, RpcError> {
         let command = TimedCommand { at: self.now()?, command };
         self.node.propose(command).await.map_err(propose_error)
     }
--- a/crates/rpc/src/api.rs
+++ b/crates/rpc/src/api.rs
@@ -5,15 +5,14 @@
 use shallotdrum_engine::{Announcement, CacheEvents};
 use shallotdrum_routes::RouteTable;
 use shallotdrum_types::{
-    AdapterId, Fingerprint, Incarnation, InstanceId, LogIndex, PermitId, Revision, SessionId,
-    SubmissionId, TargetId,
+    AdapterId, Base64Bytes, Fingerprint, Incarnation, InstanceId, LogIndex, PermitId, Revision,
+    SessionId, SubmissionId, TargetId,
 };
 
 use crate::{
-    AdapterRow, Base64Bytes, EndedPlace, GroupRow, InstanceRow, ManifestCheck, ManifestView,
-    Permit, PermitRequest, PermitRow, PlaceReply, PlaceRequest, QuarantineRow, RenewReply,
-    RenewRequest, ReplicaStatus, RpcError, SessionRow, SubmissionRow, SubscriberRow, TargetRow,
-    WatchReply,
+    AdapterRow, EndedPlace, GroupRow, InstanceRow, ManifestCheck, ManifestView, Permit,
+    PermitRequest, PermitRow, PlaceReply, PlaceRequest, QuarantineRow, RenewReply, RenewRequest,
+    ReplicaStatus, RpcError, SessionRow, SubmissionRow, SubscriberRow, TargetRow, WatchReply,
 };
 
 /// Methods between instances.
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -26,8 +26,7 @@
 pub use directory::Directory;
 pub use error::RpcError;
 pub use messages::{
-    Base64Bytes, Permit, PermitRequest, RenewReply, RenewRequest, SessionRow, WatchEntry,
-    WatchReply,
+    Permit, PermitRequest, RenewReply, RenewRequest, SessionRow, WatchEntry, WatchReply,
 };
 pub use peers::{MAX_MESSAGE_BYTES, Peers, PeersConfig};
 pub use places::{EndedPlace, PlaceEnd, PlaceReply, PlaceRequest};
--- a/crates/rpc/src/messages.rs
+++ b/crates/rpc/src/messages.rs
@@ -1,34 +1,10 @@
 //! Parameters and results of the methods between instances.
 
-use std::{collections::BTreeSet, fmt};
+use std::collections::BTreeSet;
 
-use base64::{Engine, prelude::BASE64_STANDARD};
-use serde::{Deserialize, Deserializer, Serialize, Serializer, de::Error};
+use serde::{Deserialize, Serialize};
 use shallotdrum_control::TimedCommand;
-use shallotdrum_types::{GroupId, LogIndex, PermitId, Revision, SessionId, Term};
-
-/// Bytes, as base64 text in JSON.
-#[derive(Clone, PartialEq, Eq)]
-pub struct Base64Bytes(pub Vec<u8>);
-
-impl fmt::Debug for Base64Bytes {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "Base64Bytes({} bytes)", self.0.len())
-    }
-}
-
-impl Serialize for Base64Bytes {
-    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
-        serializer.serialize_str(&BASE64_STANDARD.encode(&self.0))
-    }
-}
-
-impl<'de> Deserialize<'de> for Base64Bytes {
-    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
-        let text = String::deserialize(deserializer)?;
-        BASE64_STANDARD.decode(text).map(Self).map_err(D::Error::custom)
-    }
-}
+use shallotdrum_types::{Base64Bytes, GroupId, LogIndex, PermitId, Revision, SessionId, Term};
 
 /// Renews a session and reports what the instance has in force.
 #[derive(Clone, Debug, Serialize, Deserialize)]
--- a/crates/rpc/src/transport.rs
+++ b/crates/rpc/src/transport.rs
@@ -1,9 +1,9 @@
 //! Carries the messages of the control log between replicas.
 
 use shallotdrum_consensus::{Transport, TransportError};
-use shallotdrum_types::InstanceId;
+use shallotdrum_types::{Base64Bytes, InstanceId};
 
-use crate::{Base64Bytes, Directory, PeerApiClient, Peers};
+use crate::{Directory, PeerApiClient, Peers};
 
 /// Transport of the control log over JSON-RPC.
 pub struct RpcTransport {
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -5,6 +5,7 @@
 //! Architecture Invariant: a value of a type in this crate is valid. Parsing is the only way to
 //! obtain a name from text, so code that holds a name need not check it again.
 
+mod base64_bytes;
 mod define;
 mod hash;
 mod ids;
@@ -13,6 +14,7 @@
 mod outcome;
 mod units;
 
+pub use base64_bytes::Base64Bytes;
 pub use hash::{Digest, Fingerprint, KeyHash, ParseHashError};
 pub use ids::{
     ControlTimeMs, Epoch, Incarnation, LogIndex, ParseIdError, PermitId, Revision, SessionId, Term,
