Compress the state that followers and replicas fetch

Cause: after all machines had lost power, each instance fetched the whole state, 0.7 MB of JSON and a third more in base64, over a link of 10 Mbit/s that also carries its requests. Answers timed out or were given up, and instances had the newest table only 5 to 20 s after their start.

Tests: state_of_thousand_routes_is_small_for_followers failed first with 402685 bytes.

--- a/crates/control/tests/follower.rs
+++ b/crates/control/tests/follower.rs
@@ -2,7 +2,11 @@
 
 mod common;
 
-use common::{answer, attempt, call_key, engine, instance_info, registry_with, service};
+use std::sync::Arc;
+
+use common::{
+    answer, attempt, call_key, engine, instance_info, registry_with, route_table, service,
+};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use rstest::rstest;
 use shallotdrum_consensus::StateMachine;
@@ -24,7 +28,7 @@
     let key = call_key(&format!("k{}", rng.random_range(0..8)));
     let request = Fingerprint::of(&[rng.random_range(0..6)]);
     let flag = rng.random_bool(0.5);
-    match rng.random_range(0..18) {
+    match rng.random_range(0..19) {
         0 | 1 => Command::OpenSession(instance_info(instance, incarnation)),
         2 => Command::EndSession { session },
         3 => Command::DrainInstance { instance: instance.parse().unwrap(), drain: flag },
@@ -53,6 +57,11 @@
         14 | 15 => {
             Command::BeginCall { key, fingerprint: request, session, attempt: attempt(incarnation) }
         }
+        17 => {
+            let in_force = state.route_table().filter(|_| flag).map(Arc::as_ref);
+            let revision = rng.random_range(1..400);
+            Command::put_routes(in_force, route_table(revision, rng.random_range(1..9))).unwrap()
+        }
         16 if flag => Command::FinishCall { key, session, answer: flag.then(|| answer("x")) },
         16 => Command::AbandonCall { key, session, attempt: attempt(incarnation) },
         _ => Command::Tick,
@@ -119,10 +128,14 @@
 fn restore_error() {
     let mut view = ControlView::new();
     view.apply(LogIndex(7), TimedCommand { at: ControlTimeMs(1), command: Command::Tick });
-    let snapshot = String::from_utf8(StateMachine::snapshot(&view)).unwrap();
-    let newer = snapshot.replacen("\"version\":1", "\"version\":2", 1);
+    let snapshot = StateMachine::snapshot(&view);
+    let plain = String::from_utf8(zstd::decode_all(snapshot.as_slice()).unwrap()).unwrap();
+    let newer = plain.replacen("\"version\":1", "\"version\":2", 1);
     assert!(matches!(view.restore(newer.as_bytes()), Err(DecodeError::Version(2))));
-    assert!(matches!(view.restore(&snapshot.as_bytes()[1..]), Err(DecodeError::Json(_))));
+    assert!(matches!(view.restore(&plain.as_bytes()[1..]), Err(DecodeError::Json(_))));
+    assert!(matches!(view.restore(&snapshot[1..]), Err(DecodeError::Json(_))));
+    let cut = &snapshot[..snapshot.len() - 1];
+    assert!(matches!(view.restore(cut), Err(DecodeError::Compression(_))));
     assert_eq!(view.applied(), LogIndex(7));
     // An older snapshot must not move a follower back.
     view.restore_follower(&ControlView::new().snapshot_without_ledger()).unwrap();
--- a/crates/control/tests/routes.rs
+++ b/crates/control/tests/routes.rs
@@ -4,43 +4,25 @@
 
 use std::{sync::Arc, time::Duration};
 
-use common::Log;
+use common::{Log, route_table};
 use shallotdrum_consensus::StateMachine;
 use shallotdrum_control::{Command, CommandError, ControlView, Reply, TimedCommand};
-use shallotdrum_routes::{PoolSpec, Repeat, Route, RouteTable, Share};
-use shallotdrum_types::{ControlTimeMs, Revision};
+use shallotdrum_routes::RouteTable;
+use shallotdrum_types::{ControlTimeMs, LogIndex, Revision};
 
 /// Control traffic that a node may have in one second, in bytes; from `docs/CAPACITY.md`.
 const CONTROL_BYTES_PER_S: usize = 17_000;
 
+/// Most bytes of the state that a follower gets at once: half of a link of 10 Mbit/s, which also
+/// carries requests, during the 650 ms that the follower waits, less a quarter for base64.
+const STATE_BYTES: usize = 10_000_000 / 8 / 2 * 65 / 100 * 3 / 4;
+
 /// Table of a thousand routes whose first route has the given time-out.
 fn table(revision: u64, timeout_s: u64) -> Arc<RouteTable> {
-    let route = |at: usize| Route {
-        name: format!("r-{at}"),
-        host: format!("h{}.example", at % 40),
-        prefix: format!("/p{at}/"),
-        shares: vec![Share { pool: "desk".parse().unwrap(), weight: 1 }],
-        repeat: Repeat::Idempotent,
-        timeout: Duration::from_secs(if at == 0 { timeout_s } else { 4 }),
-        objective: Duration::from_secs(1),
-        rank: 1,
-        max_targets: 2,
-    };
-    let pool = PoolSpec {
-        pool: "desk".parse().unwrap(),
-        health_path: "/healthz".to_owned(),
-        max_connections: 100,
-        engine: None,
-    };
-    let routes: Vec<_> = (0..1000).map(route).collect();
-    let document = format!("{revision} {routes:?}");
-    Arc::new(RouteTable {
-        revision: Revision(revision),
-        routes,
-        pools: vec![pool],
-        limits: Default::default(),
-        document,
-    })
+    let mut table = RouteTable::clone(&route_table(revision, 1000));
+    table.routes[0].timeout = Duration::from_secs(timeout_s);
+    table.document = format!("{revision} {:?}", table.routes);
+    Arc::new(table)
 }
 
 /// Command of a leader that puts a table in force.
@@ -90,3 +72,25 @@
     assert_eq!(log.apply(second), Reply::RoutesInForce(Revision(3)));
     assert_eq!(log.state.route_table(), Some(&table(3, 6)));
 }
+
+/// Guards against a state that a follower cannot fetch in time over a slow link: after a restart
+/// of all instances it took them up to 20 s.
+#[test]
+fn state_of_thousand_routes_is_small_for_followers() {
+    let mut log = Log::default();
+    log.apply(Command::PutRoutes { table: table(1, 4) });
+    let bytes = log.state.snapshot_without_ledger().len();
+    assert!(bytes <= STATE_BYTES, "{bytes} bytes");
+}
+
+/// Guards against a data folder that a new release cannot read.
+#[test]
+fn plain_snapshot_of_earlier_release_restored() {
+    let mut log = Log::default();
+    log.apply(Command::PutRoutes { table: table(1, 4) });
+    let plain = zstd::decode_all(log.state.snapshot().as_slice()).unwrap();
+    let mut view = ControlView::new();
+    view.restore(&plain).unwrap();
+    assert_eq!(view.applied(), LogIndex(1));
+    assert_eq!(view.read(|state| state.route_table().cloned()), Some(table(1, 4)));
+}
