Let followers fetch large answers over slow links

Cause: an answer to a follower was given up whenever a renewal showed that the instance was behind the leader, about once a second, and a change that was large in itself (2,000 subscribers, 1,000 routes) came as plain JSON. Over a slow link such an answer never arrived whole.

Answers to followers are compressed as a whole, and after a failed poll the next one is not interrupted. A replica encodes the state once for all followers that ask for it at the same index.

Tests: restart_over_slow_link failed first (not served within 30 s), also with only the interruption removed; the entries took more than 3 s then.

--- a/crates/daemon/src/follower.rs
+++ b/crates/daemon/src/follower.rs
@@ -6,7 +6,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use shallotdrum_control::ControlView;
-use shallotdrum_rpc::{Directory, PeerApiClient, Peers, RpcError, WatchReply};
+use shallotdrum_rpc::{Compressed, Directory, PeerApiClient, Peers, RpcError, WatchReply};
 use shallotdrum_telemetry::event;
 use tokio::sync::Notify;
 
@@ -26,7 +26,6 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
 /// Follows the control log until the task is dropped.
-///
 pub(crate) async fn follow(
     view: ControlView,
     peers: Peers,
@@ -35,6 +34,9 @@
     log: slog::Logger,
 ) {
     let mut timeout = STATE_TIMEOUT;
+    // The answer after a failure may be the whole state, which takes long over a slow link: giving
+    // it up whenever this instance is behind would never let it arrive.
+    let mut may_interrupt = true;
     // Followers spread over the replicas.
     let mut current = rand::random::<u32>() as usize;
     loop {
@@ -50,10 +52,11 @@
             polled = polled => {
                 polled.unwrap_or_else(|_| Err(RpcError::NoAnswer("timed out".to_owned())))
             }
-            () = is_behind.notified() => {
+            () = is_behind.notified(), if may_interrupt => {
                 Err(RpcError::NoAnswer("the replica is behind the leader".to_owned()))
             }
         };
+        may_interrupt = result.is_ok();
         timeout = match &result {
             Ok(()) => WATCH_TIMEOUT,
             // The answer may be large and the link slow.
@@ -70,7 +73,8 @@
 async fn poll(view: &ControlView, peers: &Peers, addr: SocketAddr) -> Result<(), RpcError> {
     let after = view.read(|state| state.applied());
     let wait_ms = WATCH_WAIT.as_millis() as u64;
-    match peers.get(addr)?.watch(after, wait_ms).await? {
+    let Compressed(reply) = peers.get(addr)?.watch(after, wait_ms).await?;
+    match reply {
         WatchReply::Entries { entries, through } => {
             for entry in entries {
                 view.apply_follow(entry.index, entry.command);
--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -8,8 +8,8 @@
 use shallotdrum_owner::{OwnerService, PlaceWork};
 use shallotdrum_routes::RouteTable;
 use shallotdrum_rpc::{
-    EndedPlace, PeerApiServer, Permit, PermitRequest, PermitRow, PlaceReply, PlaceRequest,
-    RenewReply, RenewRequest, RpcError, SessionRow, WatchReply,
+    Compressed, EndedPlace, PeerApiServer, Permit, PermitRequest, PermitRow, PlaceReply,
+    PlaceRequest, RenewReply, RenewRequest, RpcError, SessionRow, WatchReply,
 };
 use shallotdrum_types::{
     Base64Bytes, Incarnation, InstanceId, LogIndex, PermitId, SessionId, TargetId,
@@ -40,8 +40,12 @@
         self.replica()?.propose(proposal).await
     }
 
-    async fn watch(&self, after: LogIndex, wait_ms: u64) -> Result<WatchReply, RpcError> {
-        self.replica()?.watch(after, wait_ms).await
+    async fn watch(
+        &self,
+        after: LogIndex,
+        wait_ms: u64,
+    ) -> Result<Compressed<WatchReply>, RpcError> {
+        self.replica()?.watch(after, wait_ms).await.map(Compressed)
     }
 
     async fn renew(&self, request: RenewRequest) -> Result<RenewReply, RpcError> {
--- a/crates/daemon/src/replica.rs
+++ b/crates/daemon/src/replica.rs
@@ -59,6 +59,8 @@
     replaces_lost: bool,
     log: slog::Logger,
     leader: Mutex<Option<Leader>>,
+    /// Newest state encoded for followers, and its index.
+    follower_state: Mutex<Option<(LogIndex, Vec<u8>)>>,
 }
 
 /// Memory of a leader in one term.
@@ -77,7 +79,14 @@
         replaces_lost: bool,
         log: slog::Logger,
     ) -> Arc<Self> {
-        Arc::new(Self { node, view, replaces_lost, log, leader: Mutex::default() })
+        Arc::new(Self {
+            node,
+            view,
+            replaces_lost,
+            log,
+            leader: Mutex::default(),
+            follower_state: Mutex::default(),
+        })
     }
 
     /// Performs the leader's duties whenever this replica leads, until the task is dropped.
@@ -190,12 +199,17 @@
         }
     }
 
-    /// State for a follower that is far behind.
+    /// State for a follower that is far behind; encoded once for all followers that ask for it.
     fn follower_snapshot(&self) -> WatchReply {
-        self.view.read(|state| WatchReply::Snapshot {
-            index: state.applied(),
-            state: Base64Bytes(state.snapshot_without_ledger()),
-        })
+        let index = self.view.applied();
+        let mut cached = self.follower_state.lock().unwrap_or_else(PoisonError::into_inner);
+        if cached.as_ref().is_none_or(|(encoded, _)| *encoded < index) {
+            let (index, state) =
+                self.view.read(|state| (state.applied(), state.snapshot_without_ledger()));
+            *cached = Some((index, state));
+        }
+        let (index, state) = cached.clone().expect("encoded above");
+        WatchReply::Snapshot { index, state: Base64Bytes(state) }
     }
 
     /// Confirms that a session is alive.
--- a/crates/daemon/tests/guarantees/manifests.rs
+++ b/crates/daemon/tests/guarantees/manifests.rs
@@ -139,3 +139,30 @@
     assert_eq!(next, Ok(Revision(3)));
     setup.wait_in_force(alive, 3, IN_FORCE_LIMIT).await;
 }
+
+/// Guards against an instance that never gets the whole state over a slow link: the answer was
+/// given up each time a renewal showed that the instance was behind, about once a second.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn restart_over_slow_link() {
+    let mut setup = start().await;
+    let mut deployment = setup.deployment.clone();
+    setup.cluster.kill(6).unwrap();
+    // Each key hash takes 32 bytes that cannot be compressed: above 85 kB in base64, so about 2 s
+    // at the rate below.
+    deployment.subscribers += 2_000;
+    let rpc = setup.cluster.rpc_addr(0);
+    setup.operator.submit(rpc, "many", 1, &deployment.manifest()).await.unwrap();
+    for proxy in &setup.cluster.control[6] {
+        proxy.configure(|settings| settings.to_client.bytes_per_second = Some(45_000));
+    }
+    setup.cluster.restart(6).unwrap();
+    let caller = setup.caller.with_key(&deployment.key(deployment.subscribers - 1));
+    let (entry, model) = (setup.cluster.entry(6), deployment.model(0, 1));
+    let look = || async {
+        caller.complete(entry, &model, "who?", 1, false).await.map(drop).map_err(|e| e.to_string())
+    };
+    let (_, time) =
+        shallotdrum_harness::wait_until("the instance serves", START_LIMIT, look).await.unwrap();
+    eprintln!("measured: served {time:?} after the restart");
+}
--- a/crates/rpc/src/api.rs
+++ b/crates/rpc/src/api.rs
@@ -10,7 +10,7 @@
 };
 
 use crate::{
-    AdapterRow, EndedPlace, GroupRow, InstanceRow, ManifestCheck, ManifestView, Permit,
+    AdapterRow, Compressed, EndedPlace, GroupRow, InstanceRow, ManifestCheck, ManifestView, Permit,
     PermitRequest, PermitRow, PlaceReply, PlaceRequest, QuarantineRow, RenewReply, RenewRequest,
     ReplicaStatus, RpcError, SessionRow, SubmissionRow, SubscriberRow, TargetRow, WatchReply,
 };
@@ -28,7 +28,11 @@
 
     /// Returns committed commands, waiting for one if there are none; served by replicas.
     #[method(name = "control_watch")]
-    async fn watch(&self, after: LogIndex, wait_ms: u64) -> Result<WatchReply, RpcError>;
+    async fn watch(
+        &self,
+        after: LogIndex,
+        wait_ms: u64,
+    ) -> Result<Compressed<WatchReply>, RpcError>;
 
     /// Renews a session; served by the leader.
     #[method(name = "control_renew")]
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod admin;
 mod api;
+mod compressed;
 mod control_client;
 mod directory;
 mod error;
@@ -22,6 +23,7 @@
     PermitRow, QuarantineRow, ReplicaStatus, SubmissionRow, SubscriberRow, TargetRow,
 };
 pub use api::{AdminApiClient, AdminApiServer, PeerApiClient, PeerApiServer};
+pub use compressed::Compressed;
 pub use control_client::{ControlClient, ControlClientConfig};
 pub use directory::Directory;
 pub use error::RpcError;
