Settle a call whose caller is gone or whose lease lapsed

calls::leader_killed_under_load was red once: the resend of key load-1-7 got 409 in-progress for 30 s. Two causes were found by reading, and each gives the same symptom on every run of a test made for it:

- The owner wrote the intent of a call inside the request's own future.
If the entry of the call was killed at that moment, the future was dropped while the intent was being committed, and nobody ran or withdrew the call.
Key load-1-7 went through entry 0, the instance that was killed.
The intent is now written by the task that runs the call.
- The result of a call was no longer written once the owner could not renew its session, although the next leader may keep the session.
It is now tried until the log takes it or has ended the session.

The once-red test's own log was deleted, so which of the two hit it is inferred from the entry of the key. Clusters now keep their folder when a test fails.

Ruled out: a loss of the record itself; every resend saw it as running.

Tests: entry_killed_before_intent_is_confirmed and result_recorded_after_long_loss_of_quorum failed first (in-progress for 30 s) and pass now.

--- a/crates/daemon/tests/guarantees/calls.rs
+++ b/crates/daemon/tests/guarantees/calls.rs
@@ -12,7 +12,7 @@
 use futures_util::{StreamExt, future::join_all, stream};
 use http::Method;
 use rstest::rstest;
-use shallotdrum_fakes::ServiceSettings;
+use shallotdrum_fakes::{Direction, ServiceSettings};
 use shallotdrum_harness::{CallerError, ServiceAnswer, wait_until};
 use shallotdrum_rpc::AdminApiClient;
 
@@ -236,6 +236,86 @@
     setup.check_targets();
 }
 
+/// Owner of the services' group, on an instance that is no control replica.
+async fn owner_outside_replicas(setup: &Setup) -> usize {
+    let rpc = setup.cluster.rpc_addr(0);
+    let client = setup.operator.client(rpc).unwrap();
+    for i in 0..setup.cluster.replicas() {
+        client.drain_instance(format!("instance-{i}").parse().unwrap(), true).await.unwrap();
+    }
+    let look = || async {
+        match setup.owner_of(rpc, setup.deployment.service.as_str()).await {
+            Some(owner) if owner >= setup.cluster.replicas() => Ok(owner),
+            owner => Err(format!("owner {owner:?}")),
+        }
+    };
+    wait_until("no replica owns the group", START_LIMIT, look).await.unwrap().0
+}
+
+/// Guards against a key that stays in progress because the entry of the call was killed while its
+/// owner wrote the intent to the control log, and nobody withdrew or ran the call.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn entry_killed_before_intent_is_confirmed() {
+    let mut setup = start().await;
+    let owner = owner_outside_replicas(&setup).await;
+    let mut others = (setup.cluster.replicas()..setup.cluster.len()).filter(|i| *i != owner);
+    let (killed, alive) = (others.next().unwrap(), others.next().unwrap());
+    // The owner's commands reach the replicas, their answers are lost.
+    for proxy in &setup.cluster.control[owner] {
+        proxy.cut(Direction::ToClient);
+    }
+    let path = format!("/{}/certificates", setup.deployment.service);
+    let (caller, entry) = (setup.caller.clone(), setup.cluster.entry(killed));
+    let call =
+        tokio::spawn(
+            async move { caller.call(entry, Method::POST, &path, Some("intent"), BODY).await },
+        );
+    // Within the owner's lease, so that its session stays.
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    setup.cluster.kill(killed).unwrap();
+    assert!(call.await.unwrap().is_err(), "the entry was killed");
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    setup.cluster.heal(owner);
+    settled(&setup, alive, "intent").await.unwrap();
+    assert_eq!(runs_of(&setup, "intent"), 1);
+}
+
+/// Guards against a key that stays in progress because its owner stopped writing the result when
+/// it could not renew its session for a while; the session was not ended in the meantime.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn result_recorded_after_long_loss_of_quorum() {
+    let mut setup = start().await;
+    let owner = owner_outside_replicas(&setup).await;
+    configure(&setup, |service| service.delay_ms = 500);
+    let path = format!("/{}/certificates", setup.deployment.service);
+    let (caller, entry) = (setup.caller.clone(), setup.cluster.entry(owner));
+    let call =
+        tokio::spawn(
+            async move { caller.call(entry, Method::POST, &path, Some("slow"), BODY).await },
+        );
+    // The intent is written before the call runs.
+    let look = || async {
+        match setup.targets.services.iter().any(|service| service.stats().running > 0) {
+            true => Ok(()),
+            false => Err("not sent yet".to_owned()),
+        }
+    };
+    wait_until("the call is sent", START_LIMIT, look).await.unwrap();
+    for i in 0..2 {
+        setup.cluster.kill(i).unwrap();
+    }
+    // Longer than two proposals, and than the owner's lease.
+    tokio::time::sleep(Duration::from_secs(12)).await;
+    for i in 0..2 {
+        setup.cluster.restart(i).unwrap();
+    }
+    let _ = call.await.unwrap();
+    settled(&setup, owner, "slow").await.unwrap();
+    assert_eq!(runs_of(&setup, "slow"), 1);
+}
+
 /// Guards against second runs and false "not run" while the control leader changes under load.
 #[rstest]
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/harness/src/cluster.rs
+++ b/crates/harness/src/cluster.rs
@@ -242,6 +242,16 @@
     }
 }
 
+impl Drop for Cluster {
+    /// Keeps the outputs and data of a failed test, so that the failure can be traced.
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            self.folder.disable_cleanup(true);
+            eprintln!("folder of the cluster kept: {}", self.folder.path().display());
+        }
+    }
+}
+
 fn settings_path(folder: &Path, i: usize) -> PathBuf {
     folder.join(format!("settings-{i}.json"))
 }
--- a/crates/owner/src/call.rs
+++ b/crates/owner/src/call.rs
@@ -14,7 +14,8 @@
 use shallotdrum_engine::{CallError, REQUEST_ID_HEADER};
 use shallotdrum_scheduler::{Finish, Job, Lease, Work};
 use shallotdrum_types::{
-    Fingerprint, IdempotencyKey, Outcome, RequestError, RequestErrorKind, RequestId, TargetId,
+    Fingerprint, IdempotencyKey, Outcome, RequestError, RequestErrorKind, RequestId, SessionId,
+    TargetId,
 };
 use tokio::{sync::oneshot, time::Instant};
 
@@ -115,6 +116,27 @@
     ) -> Result<Response<ForwardBody>, RequestError> {
         let group = self.owned(&call.call.group)?;
         let key = CallKey { subscriber: call.call.subscriber.clone(), key };
+        // A task of its own, so that the intent is followed by a result when the caller or its
+        // entry has gone.
+        let (tx, rx) = oneshot::channel();
+        let service = self.clone();
+        tokio::spawn(async move {
+            let _busy = service.enter();
+            let result = service.begin_and_run(&call, &group, key).await;
+            // The caller may be gone; the result is recorded all the same.
+            let _ = tx.send(result);
+        });
+        rx.await.unwrap_or_else(|_| {
+            Err(RequestError::unknown(RequestErrorKind::Internal, "the call's task ended early"))
+        })
+    }
+
+    async fn begin_and_run(
+        self: &Arc<Self>,
+        call: &BufferedCall,
+        group: &OwnedGroup,
+        key: CallKey,
+    ) -> Result<Response<ForwardBody>, RequestError> {
         // The entry may forward the same request twice; each forward is an attempt of its own.
         let attempt = new_attempt()?;
         let begin = Command::BeginCall {
@@ -124,39 +146,29 @@
             attempt: attempt.clone(),
         };
         match self.cx.propose(begin).await {
-            Ok(Reply::Begin(BeginOutcome::Begun)) => {}
-            Ok(Reply::Begin(outcome)) => return not_begun(outcome, &key),
+            Ok(Reply::Begin(BeginOutcome::Begun)) => {
+                self.run_begun(call, group, key, attempt).await
+            }
+            Ok(Reply::Begin(outcome)) => not_begun(outcome, &key),
             Ok(Reply::Refused(error)) => {
                 let detail = format!("call with key {}: {error}", key.key);
-                return Err(RequestError::not_run(RequestErrorKind::NotReady, detail)
-                    .retry_after(RETRY_AFTER_IN_PROGRESS));
+                Err(RequestError::not_run(RequestErrorKind::NotReady, detail)
+                    .retry_after(RETRY_AFTER_IN_PROGRESS))
             }
             Ok(reply) => {
                 let detail = format!("unexpected reply of the control log: {reply:?}");
-                return Err(RequestError::not_run(RequestErrorKind::Internal, detail));
+                Err(RequestError::not_run(RequestErrorKind::Internal, detail))
             }
             Err(error) => {
                 // The intent may have been written; without this the key would stay in progress
                 // until this session ends.
                 let session = group.session;
-                self.settle(Command::AbandonCall { key: key.clone(), session, attempt });
+                self.settle(session, Command::AbandonCall { key: key.clone(), session, attempt });
                 let detail = format!("call with key {}: {error}", key.key);
-                return Err(RequestError::not_run(RequestErrorKind::NotReady, detail)
-                    .retry_after(RETRY_AFTER_IN_PROGRESS));
+                Err(RequestError::not_run(RequestErrorKind::NotReady, detail)
+                    .retry_after(RETRY_AFTER_IN_PROGRESS))
             }
         }
-        // A task of its own, so that the result is recorded when the caller has gone.
-        let (tx, rx) = oneshot::channel();
-        let service = self.clone();
-        tokio::spawn(async move {
-            let _busy = service.enter();
-            let result = service.run_begun(&call, &group, key, attempt).await;
-            // The caller may be gone; the result is recorded all the same.
-            let _ = tx.send(result);
-        });
-        rx.await.unwrap_or_else(|_| {
-            Err(RequestError::unknown(RequestErrorKind::Internal, "the call's task ended early"))
-        })
     }
 
     async fn run_begun(
@@ -185,14 +197,14 @@
                 let abandon = Command::AbandonCall { key, session, attempt };
                 // Otherwise the key would stay in progress until this session ends.
                 if self.cx.propose(abandon.clone()).await.is_err() {
-                    self.settle(abandon);
+                    self.settle(session, abandon);
                 }
                 Err(error)
             }
             Err(
                 CallFailure::NotRun(error) | CallFailure::Refused(error) | CallFailure::Lost(error),
             ) => {
-                self.settle(Command::FinishCall { key, session, answer: None });
+                self.settle(session, Command::FinishCall { key, session, answer: None });
                 Err(error)
             }
         }
@@ -214,7 +226,7 @@
             Ok(Ok(body)) => body.to_bytes(),
             Ok(Err(_)) | Err(_) => {
                 lease.finish(Finish::TargetFailed);
-                self.settle(Command::FinishCall { key, session, answer: None });
+                self.settle(session, Command::FinishCall { key, session, answer: None });
                 let detail = "the answer broke off; the call was run, its answer is not known";
                 return Err(RequestError::unknown(RequestErrorKind::TargetFailed, detail));
             }
@@ -228,7 +240,7 @@
         let finish = Command::FinishCall { key, session, answer: Some(answer) };
         // The answer is known even if it can't be recorded at the moment.
         if self.cx.propose(finish.clone()).await.is_err() {
-            self.settle(finish);
+            self.settle(session, finish);
         }
         Ok(Response::from_parts(parts, full_body(body)))
     }
@@ -338,12 +350,14 @@
         }
     }
 
-    /// Writes a command that settles a call, trying until the log takes it or the session ends.
-    fn settle(self: &Arc<Self>, command: Command) {
+    /// Writes a command that settles a call, trying until the log takes it or has ended the session
+    /// that began the call, which settles it too. A lease that cannot be renewed is no such end:
+    /// the next leader may keep the session.
+    fn settle(self: &Arc<Self>, session: SessionId, command: Command) {
         let service = self.clone();
         tokio::spawn(async move {
             while service.cx.propose(command.clone()).await.is_err()
-                && (service.cx.session)().is_some()
+                && service.cx.view.read(|state| state.session(session).is_some())
             {
                 tokio::time::sleep(RETRY_AFTER_IN_PROGRESS).await;
             }
