Let restarted replicas answer followers only when caught up

Cause: a restarted replica knows what it has stored, not what was committed, until it hears of a leader that has committed an entry of its own term.

`Status::is_caught_up` is true once the replica has applied, since its start, all that was committed when it first heard of a leader. A replica that was not restarted answers as before, also without a quorum.

Ruled out: taking the commit index that the first message of a leader names; a leader that was itself restarted names an old one (the test failed with 28 of 34 commands).

Test: restarted_replica_is_not_caught_up_without_leader failed first.

--- a/crates/consensus/src/node/apply.rs
+++ b/crates/consensus/src/node/apply.rs
@@ -62,6 +62,7 @@
         drop(machine);
         let mut core = self.core();
         core.applied = snapshot.index;
+        core.note_applied();
         self.publish(&core);
         Ok(())
     }
@@ -78,6 +79,7 @@
         drop(machine);
         let mut core = self.core();
         core.applied = entries.last().map_or(core.applied, |e| e.index);
+        core.note_applied();
         for (index, reply) in replies {
             let Some(waiter) = core.waiters.remove(&index) else { continue };
             let result = if self.has_failed() { Err(ProposeError::Unknown) } else { Ok(reply) };
--- a/crates/consensus/src/node/core.rs
+++ b/crates/consensus/src/node/core.rs
@@ -31,6 +31,9 @@
     pub(super) log: Log,
     pub(super) commit: LogIndex,
     pub(super) applied: LogIndex,
+    /// What a leader had committed when this replica first heard of it since its start.
+    pub(super) first_commit: Option<LogIndex>,
+    is_caught_up: bool,
     /// Configurations by the index of their entry; the last one is in force.
     configurations: Vec<(LogIndex, Membership)>,
     pub(super) snapshot: Option<Arc<Snapshot>>,
@@ -103,6 +106,8 @@
             election_deadline: Instant::now(),
             commit: start,
             applied: start,
+            first_commit: None,
+            is_caught_up: false,
             configurations: snapshot.iter().map(|s| (s.index, s.membership.clone())).collect(),
             log: opened.log,
             snapshot,
@@ -218,6 +223,8 @@
     /// Becomes the leader of the term.
     pub(super) fn become_leader(&mut self) {
         let next = self.log.last().next();
+        // Everything that was committed before the election precedes the first own entry.
+        self.first_commit.get_or_insert(next);
         self.leader = Some(self.me.id.clone());
         self.role = RoleState::Leader(Leading {
             since: Instant::now(),
@@ -334,6 +341,15 @@
         }
     }
 
+    /// Notes whether the state machine has caught up with the leader.
+    ///
+    /// A leader that was just elected may name an old commit index, until an entry of its own term
+    /// is committed; then everything that was committed before its election is, too.
+    pub(super) fn note_applied(&mut self) {
+        self.is_caught_up |= self.first_commit.is_some_and(|commit| self.applied >= commit)
+            && self.log.term(self.applied) == Some(self.term);
+    }
+
     pub(super) fn status(&self, syncs: u64) -> Status {
         let role = match self.role {
             RoleState::Leader(_) => Role::Leader,
@@ -347,6 +363,7 @@
             leader: self.leader.clone(),
             commit: self.commit,
             applied: self.applied,
+            is_caught_up: self.is_caught_up,
             first_index: self.log.base().next(),
             last_index: self.log.last(),
             snapshot_index: self.snapshot.as_ref().map_or(LogIndex(0), |s| s.index),
--- a/crates/consensus/src/node/receive.rs
+++ b/crates/consensus/src/node/receive.rs
@@ -111,6 +111,7 @@
         let AppendRequest { term, prev, prev_term, commit, mut entries } = request;
         let mut core = self.core();
         self.follow(&mut core, from, term)?;
+        core.first_commit.get_or_insert(commit);
         let base = core.log.base();
         let matched = LogIndex(prev.0 + entries.len() as u64);
         if prev >= base && core.log.term(prev) != Some(prev_term) {
@@ -135,6 +136,7 @@
             core.commit = commit;
             self.apply_wake.notify_one();
         }
+        core.note_applied();
         self.publish(&core);
         // Covers entries of an earlier message that was not answered.
         Ok((core.writer.latest(), Response::Matched { index: matched }))
--- a/crates/consensus/src/node/status.rs
+++ b/crates/consensus/src/node/status.rs
@@ -32,6 +32,9 @@
     pub commit: LogIndex,
     /// Last entry applied to the state machine.
     pub applied: LogIndex,
+    /// Whether it has applied, since its start, all that was committed when it first heard of a
+    /// leader. Until then its state may be older than what it had applied before the start.
+    pub is_caught_up: bool,
     /// First entry that the log still holds.
     pub first_index: LogIndex,
     /// Last entry of the log, committed or not.
--- a/crates/consensus/tests/members.rs
+++ b/crates/consensus/tests/members.rs
@@ -2,7 +2,7 @@
 
 mod harness;
 
-use std::sync::atomic::Ordering;
+use std::{sync::atomic::Ordering, time::Duration};
 
 use harness::{Cluster, Journal, id, names, until, until_true};
 use rstest::rstest;
@@ -251,3 +251,30 @@
     let result = cluster.nodes[&follower].propose("b".to_owned()).await;
     assert_eq!(result, Err(ProposeError::NotLeader { leader: Some(id(leader)) }));
 }
+
+/// Guards against a restarted replica that passes its old state on as the committed one: after a
+/// loss of power of all machines, instances served tables that had long been replaced.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn restarted_replica_is_not_caught_up_without_leader() {
+    let mut cluster = Cluster::new(3);
+    (cluster.snapshot_every, cluster.retain_entries) = (10, 5);
+    cluster.start_all().await;
+    cluster.propose_many("a", 34).await;
+    for n in 1..=3 {
+        cluster.stop(n).await;
+    }
+    cluster.start(1).await;
+    // Two elections of at most 500 ms have failed by then.
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert!(!cluster.nodes[&1].status().is_caught_up, "no leader has been heard of");
+    cluster.start(2).await;
+    for n in 1..=2 {
+        until_true("caught up", || cluster.nodes[&n].status().is_caught_up).await;
+        assert_eq!(cluster.commands(n).len(), 34);
+    }
+    // A replica with an empty folder has nothing until it has the leader's snapshot.
+    cluster.wipe(3);
+    cluster.start(3).await;
+    until_true("caught up", || cluster.nodes[&3].status().is_caught_up).await;
+    assert_eq!(cluster.commands(3).len(), 34);
+}
--- a/crates/daemon/src/replica.rs
+++ b/crates/daemon/src/replica.rs
@@ -164,6 +164,9 @@
     }
 
     /// Returns committed commands after an index, waiting for one if there are none.
+    ///
+    /// A restarted replica answers only after it has caught up with a leader: its snapshot may be
+    /// much older than what followers had before they restarted too.
     pub(crate) async fn watch(
         &self,
         after: LogIndex,
@@ -175,7 +178,14 @@
         // it would wake this loop too early.
         let mut status = self.node.watch();
         loop {
-            let seen = status.borrow_and_update().applied;
+            let seen = status.borrow_and_update().clone();
+            if !seen.is_caught_up {
+                let caught_up = status.wait_for(|status| status.is_caught_up);
+                match tokio::time::timeout_at(deadline, caught_up).await {
+                    Ok(_) => continue,
+                    Err(_) => return Err(RpcError::Unavailable),
+                }
+            }
             match self.node.committed_after(after, MAX_WATCH_BYTES) {
                 CommittedTail::Snapshot { .. } => return Ok(self.follower_snapshot()),
                 // The state is smaller than a long history of route tables.
@@ -194,7 +204,7 @@
                 }
             }
             // On a time-out the next round returns what there is.
-            let applied = status.wait_for(|status| status.applied > seen);
+            let applied = status.wait_for(|status| status.applied > seen.applied);
             let _ = tokio::time::timeout_at(deadline, applied).await;
         }
     }
