End an expired session before its instance opens another

Cause: until the end of an expired session is applied, an opening by the same process returns the old number, whose renewal is refused. The leader now ends an expired session when its instance asks for another.

Test: expired_session_ends_before_opening (needs the new function).

--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -10,7 +10,7 @@
 use std::{collections::BTreeSet, time::Instant};
 
 use shallotdrum_manifest::Manifest;
-use shallotdrum_types::{GroupId, PermitId, Revision, SessionId, Term};
+use shallotdrum_types::{GroupId, InstanceId, PermitId, Revision, SessionId, Term};
 
 pub use assignments::{assignments, rebalance};
 pub use permits::{PERMIT_LIFETIME, PermitAnswer, PermitTable, permit_term};
@@ -101,6 +101,20 @@
         ends.chain(assignments(state, &live).into_iter().map(assign)).collect()
     }
 
+    /// Expired session of an instance, to be ended before the instance opens another.
+    ///
+    /// Until its end is applied, an opening by the same process returns the expired session.
+    pub fn expired_session_of(
+        &mut self,
+        now: Instant,
+        state: &ControlState,
+        instance: &InstanceId,
+    ) -> Option<SessionId> {
+        let session = state.session_of(instance)?.id;
+        self.sync(now, state);
+        self.sessions.expired(now).contains(&session).then_some(session)
+    }
+
     /// A group that its owner should be asked to release.
     pub fn rebalance(&self, now: Instant, state: &ControlState) -> Option<(GroupId, SessionId)> {
         rebalance(state, &self.sessions.live(now))
--- a/crates/control/tests/leader.rs
+++ b/crates/control/tests/leader.rs
@@ -252,3 +252,25 @@
     let counts = (owned(A), owned(B), owned(C));
     assert!(counts == (3, 2, 0) || counts == (2, 3, 0), "{counts:?}");
 }
+
+/// Guards against an instance that is given its expired session again and again: the end of the
+/// session waited behind the leader's other duties, and instances opened it up to ten times.
+#[test]
+fn expired_session_ends_before_opening() {
+    let start = Instant::now();
+    let mut log = Log::default();
+    let (a, b) = (log.open("a", 1), log.open("b", 1));
+    let mut duties = LeaderDuties::new(start, Term(1), &log.state);
+    let late = start + SESSION_LEASE + CLOCK_DRIFT_MARGIN;
+    let renewed = duties.renew(late - ms(1), &log.state, b, Revision(0), Vec::new());
+    assert_eq!(renewed, Ok(()));
+    let mut expired = |log: &Log, instance: &str| {
+        duties.expired_session_of(late, &log.state, &instance.parse().unwrap())
+    };
+    assert_eq!(expired(&log, "a"), Some(a));
+    assert_eq!(expired(&log, "b"), None);
+    assert_eq!(expired(&log, "c"), None);
+    log.apply(Command::EndSession { session: a });
+    assert!(log.open("a", 1) > a);
+    assert_eq!(expired(&log, "a"), None);
+}
--- a/crates/daemon/src/replica.rs
+++ b/crates/daemon/src/replica.rs
@@ -11,8 +11,8 @@
 
 use shallotdrum_consensus::{CommittedTail, MembershipError, Node, ProposeError, Role};
 use shallotdrum_control::{
-    Command, CommandError, ControlView, LeaderDuties, PermitAnswer, Proposal, Reply, Session,
-    TimedCommand,
+    Command, CommandError, ControlView, InstanceInfo, LeaderDuties, PermitAnswer, Proposal, Reply,
+    Session, TimedCommand,
 };
 use shallotdrum_manifest::Manifest;
 use shallotdrum_routes::RouteTable;
@@ -132,6 +132,7 @@
     /// Writes a proposal to the log.
     pub(crate) async fn propose(&self, proposal: Proposal) -> Result<Reply, RpcError> {
         let command = match proposal {
+            Proposal::Command(Command::OpenSession(info)) => return self.open_session(info).await,
             Proposal::Command(Command::PutRoutes { table }) => return self.put_routes(table).await,
             Proposal::Command(command) => command,
             Proposal::Manifest { submission, base, manifest } => {
@@ -141,6 +142,20 @@
         self.write(command).await
     }
 
+    async fn open_session(&self, info: InstanceInfo) -> Result<Reply, RpcError> {
+        let expired = {
+            let mut leader = self.leader();
+            let leader = leader.as_mut().ok_or_else(|| self.not_leader())?;
+            self.view.read(|state| {
+                leader.duties.expired_session_of(Instant::now(), state, &info.instance)
+            })
+        };
+        if let Some(session) = expired {
+            self.duty(Command::EndSession { session }).await;
+        }
+        self.write(Command::OpenSession(info)).await
+    }
+
     /// Puts a route table in force by its difference from the one in force.
     ///
     /// Another table that is committed in between makes the difference useless; it is computed
