--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -189,7 +189,7 @@
                     initial_members(&settings),
                 );
                 if is_seeded {
-                    // Entries carry whole route tables, and disks are small.
+                    // Entries may carry large route tables, and disks are small.
                     cfg.snapshot_every = SEEDED_SNAPSHOT_EVERY;
                     cfg.retain_entries = SEEDED_RETAIN_ENTRIES;
                 }
--- a/crates/daemon/src/replica.rs
+++ b/crates/daemon/src/replica.rs
@@ -38,7 +38,7 @@
 const MAX_WATCH_BYTES: usize = 4 * 1024 * 1024;
 
 /// Most commands in one answer to a follower; one that is further behind gets the state instead.
-/// Each may carry a whole route table.
+/// Each may add a thousand routes.
 const MAX_WATCH_ENTRIES: usize = 32;
 
 /// Most differences of one route table that are tried; operators send up to eight changes at a
