--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -161,27 +161,20 @@
         let result = self.clone().try_handle(req).await;
         drop(in_flight);
         let took = arrived.elapsed();
-        let metrics = self.cx.metrics.subscriber(&class);
-        match &result {
-            Ok(Answer::Whole { .. }) => metrics.total(took),
-            Ok(Answer::Stream { .. }) => metrics.first_token(took),
-            Err(_) => {}
-        }
-        match &result {
-            Ok(_) => self.cx.metrics.finished("answered", "none"),
-            Err(error) => {
-                self.cx.metrics.finished(&error.outcome.to_string(), error.kind.code());
-            }
-        }
         let ms = took.as_millis() as u64;
         match &result {
             Ok(Answer::Whole { status, .. }) => {
+                self.cx.metrics.subscriber(&class).total(took);
+                self.cx.metrics.finished("answered", "none");
                 event!(self.cx.log, REQUEST_ANSWERED; "request" => %id, "status" => status.as_u16(), "ms" => ms);
             }
             Ok(Answer::Stream { .. }) => {
+                self.cx.metrics.subscriber(&class).first_token(took);
+                self.cx.metrics.finished("answered", "none");
                 event!(self.cx.log, REQUEST_ANSWERED; "request" => %id, "first_event_ms" => ms);
             }
             Err(error) => {
+                self.cx.metrics.finished(&error.outcome.to_string(), error.kind.code());
                 event!(self.cx.log, REQUEST_ENDED; "request" => %id, "kind" => %error.kind,
                     "outcome" => %error.outcome, "detail" => &error.detail, "ms" => ms);
             }
--- a/crates/owner/src/inspect.rs
+++ b/crates/owner/src/inspect.rs
@@ -63,6 +63,7 @@
             }
             tokio::time::sleep(INSPECT_PAUSE).await;
         }
+        event!(self.cx.log, ENGINE_NOT_INSPECTED; "target" => %engine.target, "tries" => MAX_TRIES);
     }
 }
 
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -125,6 +125,8 @@
         REQUEST_SUSPECTED = "O0307", Warning, "request was running on a crashed target", "none; list quarantined requests if it repeats";
         REQUEST_QUARANTINED = "O0308", Error, "request quarantined after a second crash", "examine the request; lift the quarantine when the engine is fixed";
         PLACE_GRANTED = "O0315", Info, "place at a target granted", "none";
+        ENGINE_CALL_FAILED = "O0324", Info, "call to an engine failed", "check the engine, if it repeats";
+        ENGINE_NOT_INSPECTED = "O0325", Warning, "engine did not tell what it holds; it gets no orders until it is inspected again", "check the engine";
         LOAD_DECIDED = "O0322", Info, "load of an adapter decided", "none";
         ENGINE_INSPECTED = "O0321", Info, "engine told what it holds", "none";
         PLACE_WITHOUT_OWNER = "O0323", Info, "request goes to a target without its owner's decision", "none, unless it lasts; then check the instance that owned the group";
@@ -165,6 +167,7 @@
         REPLICA_WAITING = "S0510", Error, "control replica failed; serving without it until the data folder takes writes", "free or replace the disk";
         SETTINGS_KEPT = "S0511", Error, "changed settings file is not usable; the former settings hold", "correct the file";
         SETTINGS_RELOADED = "S0509", Info, "settings reloaded", "none";
+        STOP_INCOMPLETE = "S0512", Warning, "requests were still in progress when the time to stop was over", "none for single requests; raise the stop time, if it repeats";
         START_FAILED = "S0508", Critical, "instance cannot start", "correct the reported cause and start again";
     }
     "T06" "Targets" {
