End orders that were decided without what is known by now

Cause: all orders to an engine shared the number of accepted orders, and each repetition of an unanswered order read it anew. After an inspection had learned of a foreign order, or when an owner that stood still for less than its lease owned the group again, an order that was decided before got the new number, and the engine took more adapters than it has room for.

Ruled out: late orders by themselves; the age of an engine's state, mended before.

--- a/crates/owner/src/base.rs
+++ b/crates/owner/src/base.rs
@@ -4,6 +4,7 @@
 
 use shallotdrum_engine::LoadReport;
 use shallotdrum_telemetry::event;
+use tokio::time::Instant;
 
 use crate::{
     InspectRequest, OwnerService, TargetOrder, Wanted,
@@ -51,7 +52,7 @@
 
     /// Orders an engine that holds no base model to load it, unless such an order is in flight.
     fn load_base(self: &Arc<Self>, group: &Arc<OwnedGroup>, engine: &InspectRequest) {
-        let InspectRequest { target, incarnation, addr, base } = engine;
+        let InspectRequest { target, incarnation, addr, base, .. } = engine;
         let epoch = self.cx.view.read(|state| state.fencing(target));
         let Some(epoch) = epoch.filter(|_| self.check_owned(group).is_ok()) else { return };
         if !group.base_loads().insert(target.clone()) {
@@ -65,6 +66,7 @@
             addr: *addr,
             base: base.clone(),
             wanted: Wanted::Base,
+            decided_at: Instant::now(),
             timeout: BASE_LOAD_TIMEOUT,
         };
         let (service, group) = (self.clone(), group.clone());
--- a/crates/owner/src/context.rs
+++ b/crates/owner/src/context.rs
@@ -7,6 +7,7 @@
 use shallotdrum_scheduler::{LoadFailure, LoadOrder, SchedulerConfig};
 use shallotdrum_telemetry::Metrics;
 use shallotdrum_types::{BaseModelId, Epoch, GroupId, Incarnation, PermitId, SessionId, TargetId};
+use tokio::time::Instant;
 
 /// Returns the instance's session while its lease is certainly valid.
 pub type SessionFn = Arc<dyn Fn() -> Option<SessionId> + Send + Sync>;
@@ -33,6 +34,8 @@
     pub base: BaseModelId,
     /// What the target is to hold.
     pub wanted: Wanted,
+    /// When it was decided, by what was known of the target at that time.
+    pub decided_at: Instant,
     /// Longest time for the order.
     pub timeout: Duration,
 }
@@ -64,6 +67,9 @@
 /// Engine to inspect.
 #[derive(Clone, Debug)]
 pub struct InspectRequest {
+    /// When this instance began to own the target's group. It may have lost it for a moment and
+    /// kept its fencing number, but not what it knew of the target.
+    pub owned_since: std::time::Instant,
     /// Target.
     pub target: TargetId,
     /// Process start of the target.
--- a/crates/owner/src/inspect.rs
+++ b/crates/owner/src/inspect.rs
@@ -25,6 +25,7 @@
         let Some(inspect) = self.cx.inspect.clone() else { return };
         let TargetKind::Engine { base_model, .. } = &spec.kind else { return };
         let request = InspectRequest {
+            owned_since: group.since,
             target: spec.id.clone(),
             incarnation: spec.incarnation,
             addr: spec.addr,
--- a/crates/owner/src/load.rs
+++ b/crates/owner/src/load.rs
@@ -13,14 +13,21 @@
 
 use crate::{ORDER_TIMEOUT, OwnerContext, TargetOrder, Wanted};
 
+/// Under what a group is owned.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Ownership {
+    pub(crate) session: SessionId,
+    pub(crate) epoch: Epoch,
+}
+
 /// Makes the function with which a group's scheduler loads adapters.
 pub(crate) fn load_fn(
     cx: OwnerContext,
     group: GroupId,
-    session: SessionId,
+    ownership: Ownership,
     orders: OrderCount,
 ) -> LoadFn {
-    Arc::new(move |order| load(cx.clone(), group.clone(), session, orders.clone(), order).boxed())
+    Arc::new(move |order| load(cx.clone(), group.clone(), ownership, orders.clone(), order).boxed())
 }
 
 /// Number of orders that a group's owner has in flight.
@@ -51,7 +58,7 @@
 async fn load(
     cx: OwnerContext,
     group: GroupId,
-    session: SessionId,
+    ownership: Ownership,
     orders: OrderCount,
     order: LoadOrder,
 ) -> Result<(), LoadFailure> {
@@ -59,7 +66,10 @@
     let in_flight = orders.enter();
     // The permit may have taken longer than the lease or the ownership lasted.
     let allowed = cx.view.read(|state| {
-        let is_owned = state.group(&group).is_some_and(|group| group.owner == Some(session));
+        // The same session may have lost the group and got it again, with another epoch.
+        let is_owned = state.group(&group).is_some_and(|group| {
+            group.owner == Some(ownership.session) && group.epoch == ownership.epoch
+        });
         let base = match &state.target(&order.target)?.announced.kind {
             TargetKind::Engine { base_model, .. } => base_model.clone(),
             TargetKind::Service { .. } => return None,
@@ -67,7 +77,7 @@
         is_owned.then(|| Some((state.fencing(&order.target)?, base))).flatten()
     });
     let result = match allowed {
-        Some((epoch, base)) if (cx.session)() == Some(session) => {
+        Some((epoch, base)) if (cx.session)() == Some(ownership.session) => {
             send(&cx, epoch, base, order).await
         }
         _ => Err(LoadFailure::NoPermit),
@@ -91,6 +101,7 @@
         incarnation: load.incarnation,
         addr: load.addr,
         base,
+        decided_at: load.decided_at,
         wanted: Wanted::Adapter(load),
         timeout: ORDER_TIMEOUT,
     };
--- a/crates/owner/src/service.rs
+++ b/crates/owner/src/service.rs
@@ -27,7 +27,7 @@
 use crate::{
     InspectRequest, OwnerContext,
     crash::CrashWatch,
-    load::{OrderCount, load_fn},
+    load::{OrderCount, Ownership, load_fn},
     places::Places,
 };
 
@@ -88,7 +88,7 @@
     pub(crate) crashes: CrashWatch,
     orders: OrderCount,
     handover: Handover,
-    since: Instant,
+    pub(crate) since: Instant,
     targets: Mutex<BTreeMap<TargetId, TargetHealth>>,
     /// Targets with an order in flight to load their base model.
     base_loads: Mutex<BTreeSet<TargetId>>,
@@ -212,6 +212,7 @@
         let Announcement { target, incarnation, addr, load, .. } = announcement;
         if let TargetKind::Engine { base_model, .. } = &announcement.kind {
             let engine = InspectRequest {
+                owned_since: group.since,
                 target: target.clone(),
                 incarnation: *incarnation,
                 addr: *addr,
@@ -360,7 +361,8 @@
         event!(self.cx.log, GROUP_ACQUIRED; "group" => %id, "epoch" => epoch.0, "handover" => ?handover);
         let orders = OrderCount::default();
         let service = Arc::downgrade(self);
-        let load = load_fn(self.cx.clone(), id.clone(), session, orders.clone());
+        let load =
+            load_fn(self.cx.clone(), id.clone(), Ownership { session, epoch }, orders.clone());
         let load = self.inspecting(load, service, id.clone());
         let group = Arc::new(OwnedGroup {
             id: id.clone(),
--- a/crates/scheduler/src/api.rs
+++ b/crates/scheduler/src/api.rs
@@ -164,6 +164,8 @@
     pub source: String,
     /// Adapter to evict first.
     pub evict: Option<AdapterRef>,
+    /// When it was decided, by what was known of the target at that time.
+    pub decided_at: Instant,
 }
 
 /// Why a load did not succeed.
--- a/crates/scheduler/src/state/loads.rs
+++ b/crates/scheduler/src/state/loads.rs
@@ -52,6 +52,7 @@
             adapter: self.adapters.name(adapter).clone(),
             source,
             evict: victim.map(|victim| self.adapters.name(victim).clone()),
+            decided_at: now,
         };
         let is_kept = target.kept.contains(adapter);
         let backlog = target.backlog.wait(now);
