--- a/crates/control/src/state/snapshot.rs
+++ b/crates/control/src/state/snapshot.rs
@@ -13,7 +13,8 @@
 /// Version of the encoding; another version is refused instead of being misread.
 const VERSION: u32 = 1;
 
-/// Compression level: the fastest, since a replica encodes the state for each follower.
+/// Compression level: the fastest, since a replica encodes the state after each change that a
+/// follower has missed.
 const COMPRESSION_LEVEL: i32 = 1;
 
 /// First bytes of a compressed snapshot; earlier releases wrote plain JSON.
--- a/crates/daemon/src/replica.rs
+++ b/crates/daemon/src/replica.rs
@@ -142,6 +142,7 @@
         self.write(command).await
     }
 
+    /// Opens a session; ends the instance's former one first if that has expired.
     async fn open_session(&self, info: InstanceInfo) -> Result<Reply, RpcError> {
         let expired = {
             let mut leader = self.leader();
--- a/crates/owner/src/call.rs
+++ b/crates/owner/src/call.rs
@@ -131,6 +131,7 @@
         })
     }
 
+    /// Writes the intent of a call to the control log, then runs the call.
     async fn begin_and_run(
         self: &Arc<Self>,
         call: &BufferedCall,
--- a/crates/owner/src/service.rs
+++ b/crates/owner/src/service.rs
@@ -88,6 +88,7 @@
     pub(crate) crashes: CrashWatch,
     orders: OrderCount,
     handover: Handover,
+    /// When this instance began to own the group.
     pub(crate) since: Instant,
     targets: Mutex<BTreeMap<TargetId, TargetHealth>>,
     /// Targets with an order in flight to load their base model.
