Share the route tables of the tests of routes and control

It now has one copy, which the tests of control include by path, since a crate of its own for one function would be more. Ruled out: putting it into the fakes, which would tie them to the routes.

--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -2,15 +2,12 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
-use std::{sync::Arc, time::Duration};
-
 use shallotdrum_control::{
     AnnouncedTarget, BeginOutcome, CallKey, Command, CommandError, ControlState, InstanceAddrs,
     InstanceInfo, RecordedAnswer, Reply, TimedCommand,
 };
 use shallotdrum_engine::TargetKind;
 use shallotdrum_manifest::Manifest;
-use shallotdrum_routes::{PoolSpec, Repeat, Route, RouteTable, Share};
 use shallotdrum_types::{
     ControlTimeMs, Epoch, Fingerprint, GroupId, Incarnation, RequestId, Revision, SessionId,
 };
@@ -156,33 +153,3 @@
 pub(crate) fn attempt(number: u64) -> RequestId {
     format!("attempt-{number}").parse().unwrap()
 }
-
-/// Table with one pool and the given number of routes.
-pub(crate) fn route_table(revision: u64, routes: usize) -> Arc<RouteTable> {
-    let route = |at: usize| Route {
-        name: format!("r-{at}"),
-        host: format!("h{}.example", at % 40),
-        prefix: format!("/p{at}/"),
-        shares: vec![Share { pool: "desk".parse().unwrap(), weight: 1 }],
-        repeat: Repeat::Idempotent,
-        timeout: Duration::from_secs(4),
-        objective: Duration::from_secs(1),
-        rank: 1,
-        max_targets: 2,
-    };
-    let pool = PoolSpec {
-        pool: "desk".parse().unwrap(),
-        health_path: "/healthz".to_owned(),
-        max_connections: 100,
-        engine: None,
-    };
-    let routes: Vec<_> = (0..routes).map(route).collect();
-    let document = format!("{revision} {routes:?}");
-    Arc::new(RouteTable {
-        revision: Revision(revision),
-        routes,
-        pools: vec![pool],
-        limits: Default::default(),
-        document,
-    })
-}
--- a/crates/control/tests/follower.rs
+++ b/crates/control/tests/follower.rs
@@ -1,12 +1,12 @@
 //! Agreement of replicas, followers and restored states on random command sequences.
 
 mod common;
+#[path = "../../routes/tests/support/mod.rs"]
+mod tables;
 
 use std::sync::Arc;
 
-use common::{
-    answer, attempt, call_key, engine, instance_info, registry_with, route_table, service,
-};
+use common::{answer, attempt, call_key, engine, instance_info, registry_with, service};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use rstest::rstest;
 use shallotdrum_consensus::StateMachine;
@@ -14,6 +14,7 @@
 use shallotdrum_types::{
     ControlTimeMs, Fingerprint, GroupId, Incarnation, LogIndex, Revision, SessionId,
 };
+use tables::route_table;
 
 /// Commands of one sequence; enough to see each kind often.
 const COMMANDS: u64 = 600;
--- a/crates/control/tests/routes.rs
+++ b/crates/control/tests/routes.rs
@@ -1,14 +1,17 @@
 //! Route tables in the control log: what a change costs, and what happens when two changes meet.
 
 mod common;
+#[path = "../../routes/tests/support/mod.rs"]
+mod tables;
 
 use std::{sync::Arc, time::Duration};
 
-use common::{Log, route_table};
+use common::Log;
 use shallotdrum_consensus::StateMachine;
 use shallotdrum_control::{Command, CommandError, ControlView, Reply, TimedCommand};
 use shallotdrum_routes::RouteTable;
 use shallotdrum_types::{ControlTimeMs, LogIndex, Revision};
+use tables::route_table;
 
 /// Control traffic that a node may have in one second, in bytes; from `docs/CAPACITY.md`.
 const CONTROL_BYTES_PER_S: usize = 17_000;
--- a/crates/routes/tests/delta.rs
+++ b/crates/routes/tests/delta.rs
@@ -1,42 +1,14 @@
 //! Differences between route tables lead to the same table and stay small.
 
-use std::time::Duration;
+mod support;
 
 use rstest::rstest;
-use shallotdrum_routes::{
-    CallerLimits, DeltaError, PoolSpec, Repeat, Route, RouteDelta, RouteTable, Share,
-};
-use shallotdrum_types::Revision;
+use shallotdrum_routes::{DeltaError, RouteDelta, RouteTable};
+
+use support::route_table;
 
-/// Table with one pool and the given number of routes.
 fn table(revision: u64, routes: usize) -> RouteTable {
-    let route = |at: usize| Route {
-        name: format!("r-{at}"),
-        host: format!("h{}.example", at % 40),
-        prefix: format!("/p{at}/"),
-        shares: vec![Share { pool: "desk".parse().unwrap(), weight: 1 }],
-        repeat: Repeat::Idempotent,
-        timeout: Duration::from_secs(4),
-        objective: Duration::from_secs(1),
-        rank: 1,
-        max_targets: 2,
-    };
-    let pool = PoolSpec {
-        pool: "desk".parse().unwrap(),
-        health_path: "/healthz".to_owned(),
-        max_connections: 100,
-        engine: None,
-    };
-    let routes = (0..routes).map(route).collect();
-    let mut table = RouteTable {
-        revision: Revision(revision),
-        routes,
-        pools: vec![pool],
-        limits: CallerLimits::default(),
-        document: String::new(),
-    };
-    write_document(&mut table);
-    table
+    RouteTable::clone(&route_table(revision, routes))
 }
 
 fn write_document(table: &mut RouteTable) {
--- /dev/null
+++ b/crates/routes/tests/support/mod.rs
@@ -0,0 +1,36 @@
+//! Route tables for the tests of this crate and of `control`.
+
+use std::{sync::Arc, time::Duration};
+
+use shallotdrum_routes::{CallerLimits, PoolSpec, Repeat, Route, RouteTable, Share};
+use shallotdrum_types::Revision;
+
+/// Table with one pool and the given number of routes.
+pub(crate) fn route_table(revision: u64, routes: usize) -> Arc<RouteTable> {
+    let route = |at: usize| Route {
+        name: format!("r-{at}"),
+        host: format!("h{}.example", at % 40),
+        prefix: format!("/p{at}/"),
+        shares: vec![Share { pool: "desk".parse().unwrap(), weight: 1 }],
+        repeat: Repeat::Idempotent,
+        timeout: Duration::from_secs(4),
+        objective: Duration::from_secs(1),
+        rank: 1,
+        max_targets: 2,
+    };
+    let pool = PoolSpec {
+        pool: "desk".parse().unwrap(),
+        health_path: "/healthz".to_owned(),
+        max_connections: 100,
+        engine: None,
+    };
+    let routes: Vec<_> = (0..routes).map(route).collect();
+    let document = format!("{revision} {routes:?}");
+    Arc::new(RouteTable {
+        revision: Revision(revision),
+        routes,
+        pools: vec![pool],
+        limits: CallerLimits::default(),
+        document,
+    })
+}
