Wait for the first configuration before a test cuts a replica off

The test cut a replica off as soon as there was a leader. It cannot campaign, as it does not know whom to ask, so the test waited in vain. That is as designed; the test's precondition was missing.

Cluster::started now waits until each replica knows the configuration. What the tests check after that is unchanged, and no bound is.

Ruled out: the disk (the folders are in memory), and a lost cut.

--- a/crates/consensus/tests/harness/mod.rs
+++ b/crates/consensus/tests/harness/mod.rs
@@ -160,9 +160,13 @@
         }
     }
 
+    /// Starts replicas and waits until each knows the first configuration. One that is cut off
+    /// before that never campaigns, as it does not know whom to ask.
     pub(crate) async fn started(n: usize) -> Self {
         let mut cluster = Self::new(n);
         cluster.start_all().await;
+        let knows = |node: &Node<Journal>| node.status().members.is_some();
+        until_true("the first configuration", || cluster.nodes.values().all(knows)).await;
         cluster
     }
 
