Log the fingerprint of a request and each send without a response

N0411, N0417 and the new N0418 now carry a fingerprint of method, destination, model, prompt and body.

No request is handled differently.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -20,8 +20,8 @@
 use shallotdrum_rpc::{Peers, PlaceEnd};
 use shallotdrum_telemetry::{Metrics, event};
 use shallotdrum_types::{
-    AdapterRef, AdapterVersion, PoolId, RequestError, RequestErrorKind, RequestId, Revision,
-    SubscriberId, TargetId,
+    AdapterRef, AdapterVersion, Fingerprint, PoolId, RequestError, RequestErrorKind, RequestId,
+    Revision, SubscriberId, TargetId,
 };
 use tokio::time::{Instant, timeout_at};
 
@@ -29,6 +29,7 @@
     CallerRequest, Dispatch, GatewayResponse, Generation, HeaderCodec, RetryAllowance, RetryBudget,
     connections::{CONNECTION_HEADERS, Connection, ConnectionPool, SendError},
     decision::{RequestProgress, RetryDecision, SendFailure, decide_retry},
+    fingerprint::request_fingerprint,
     places::{Place, PlaceClient},
     relay::{Relay, StartedStream},
 };
@@ -84,6 +85,8 @@
 /// State of a request across its attempts.
 pub(crate) struct RequestRun {
     pub(crate) req: CallerRequest,
+    /// Equal for repeats of the request with other ids.
+    pub(crate) fingerprint: Fingerprint,
     pub(crate) route: Route,
     pub(crate) pool: PoolId,
     /// Revision of the route table that selected the pool.
@@ -223,6 +226,7 @@
         let run = RequestRun {
             deadline: req.arrived + req.timeout.min(route.timeout),
             resume_after: req.resume_after.clone(),
+            fingerprint: request_fingerprint(&req),
             req,
             route,
             pool,
@@ -306,6 +310,8 @@
         {
             Ok(Ok(body)) => body.to_bytes(),
             Ok(Err(error)) => {
+                let target = &place.granted.target;
+                self.log_send_failure(run, target, SendFailure::Unknown, &*error);
                 place.end(PlaceEnd::Failed);
                 return AttemptOutcome::Failed(SendFailure::Unknown, target_failed(&*error));
             }
@@ -351,7 +357,8 @@
             version,
             resume_after: run.resume_after.clone(),
         };
-        event!(self.cx.log, REQUEST_ROUTED; "request" => %run.req.id, "route" => &run.route.name,
+        event!(self.cx.log, REQUEST_ROUTED; "request" => %run.req.id,
+            "fingerprint" => %run.fingerprint, "route" => &run.route.name,
             "revision" => run.revision.0, "version" => dispatch.version.as_ref().map(ToString::to_string),
             "target" => %granted.target, "send" => run.sends + 1, "left_ms" => left.as_millis() as u64);
         let target = granted.target.clone();
@@ -360,11 +367,12 @@
             Ok(Ok(received)) => received,
             Ok(Err(error)) => {
                 place.end(PlaceEnd::Failed);
-                run.avoid.push(target);
+                run.avoid.push(target.clone());
                 let failure = match error {
                     SendError::NotSent(_) => SendFailure::NotSent,
                     SendError::Unknown(_) => SendFailure::Unknown,
                 };
+                self.log_send_failure(run, &target, failure, &error);
                 let error = match failure {
                     SendFailure::NotSent => target_unreachable(&error),
                     _ => target_failed(&error),
@@ -409,6 +417,18 @@
         Ok(Received { place, connection, response })
     }
 
+    pub(crate) fn log_send_failure(
+        &self,
+        run: &RequestRun,
+        target: &TargetId,
+        failure: SendFailure,
+        error: &dyn std::fmt::Display,
+    ) {
+        event!(self.cx.log, SEND_FAILED; "request" => %run.req.id,
+            "fingerprint" => %run.fingerprint, "target" => %target,
+            "may_have_run" => failure.may_have_run(), "error" => %error);
+    }
+
     /// Resumes an interrupted stream at another target.
     pub(crate) async fn resume(&self, run: &mut RequestRun) -> Option<Received> {
         loop {
@@ -488,6 +508,7 @@
     pub(crate) fn take_for_relay(&mut self) -> Self {
         Self {
             req: self.req.clone(),
+            fingerprint: self.fingerprint,
             route: self.route.clone(),
             pool: self.pool.clone(),
             revision: self.revision,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,7 +3,8 @@
 //! `exchange` drives a caller's request through its attempts, `places` acquires a place, which is
 //! a reservation at a target, from the owner of the target's group, and `connections` is the
 //! connection pool. `relay` forwards event streams, `fallback` selects a target while a group has
-//! no owner, `budget` limits retries, and `decision` holds the retry rules.
+//! no owner, `budget` limits retries, `decision` holds the retry rules, and `fingerprint` recognises repeats of
+//! a request.
 //!
 //! Architecture Invariant: an at-most-once request is sent to a second target only if no byte of
 //! it can have reached the first, or the first refused it without running it.
@@ -14,6 +15,7 @@
 mod events;
 mod exchange;
 mod fallback;
+mod fingerprint;
 mod places;
 mod relay;
 mod request;
@@ -24,6 +26,7 @@
 pub use events::EventSplitter;
 pub use exchange::{Gateway, GatewayContext};
 pub use fallback::FallbackSelector;
+pub use fingerprint::request_fingerprint;
 pub use places::to_finish;
 pub use request::{
     CallerRequest, Dispatch, GatewayResponse, Generation, HeaderCodec, PromptPart, ReadFn,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -74,7 +74,9 @@
                 Ok(None) => break None,
                 Err(StreamEnd::TimedOut) => return Err(target_timed_out()),
                 Err(StreamEnd::Broken(cause)) => {
-                    run.avoid.push(self.place.granted.target.clone());
+                    let target = &self.place.granted.target;
+                    self.gateway.log_send_failure(run, target, SendFailure::Unknown, &cause);
+                    run.avoid.push(target.clone());
                     self.place.end(PlaceEnd::Failed);
                     return Err(target_failed(cause));
                 }
@@ -124,7 +126,8 @@
             };
             let target = place.granted.target.clone();
             let is_resumable = run.route.repeat == RetryPolicy::Stream { is_resumable: true };
-            event!(gateway.cx.log, STREAM_INTERRUPTED; "request" => %run.id(), "target" => %target,
+            event!(gateway.cx.log, STREAM_INTERRUPTED; "request" => %run.id(),
+                "fingerprint" => %run.fingerprint, "target" => %target,
                 "cause" => &cause, "last_event" => splitter.last_id().unwrap_or(""));
             run.avoid.push(target);
             place.end(PlaceEnd::Failed);
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -151,6 +151,7 @@
         REQUEST_ENDED = "N0412", Info, "request ended without a complete response", "search the log for the request id";
         REQUEST_ANSWERED = "N0415", Info, "request answered", "none";
         TARGET_DECLINED = "N0416", Info, "target refused a request without running it", "none, unless it repeats for one target";
+        SEND_FAILED = "N0418", Info, "request got no response from a target", "check the target if it repeats; a fingerprint that repeats is one request, sent again";
         STREAM_INTERRUPTED = "N0417", Info, "stream from a target was interrupted", "check the target if it repeats";
         ROUTES_CHANGED = "N0413", Info, "route table in force", "none";
         INPUT_REFUSED = "N0414", Warning, "malformed message refused", "correct the sender";
