Quarantine opaque requests that crash their targets

What callers saw: a request that crashes each target was sent on as long as a target came back (15 to 18 crashes in 12 s, 7 to 10 of them later than 3 s after the third), and 39 to 47% of the proper requests beside it were not served.

Cause: the quarantine lived in the owner's two request paths of the product's own interface. The gateway has a third one, in which the entry sends to the target itself; there no broken connection was examined, the place was requested with a hash of the caller's id, and never as a suspect.

Change: the crash detector serves all three paths. The entry tracks what it sends, checks a broken connection in a task of its own and reports the crash, so that an owner's loss does not matter. The owner and the entry refuse a request after three crashes (suspects run beside others here, so two are not enough). A run that ends clears the request: identical proper requests are in flight at each crash, a crashing one never ends. A crash counts on its instance until the control log has it, and the report is retried. A check that found the target alive is no longer reused for its later crash.

Tests that failed or did not exist before: control quarantine::shared_crash_three_times, completed_run_clears. SRM and policies are untouched.

--- a/crates/control/src/command.rs
+++ b/crates/control/src/command.rs
@@ -12,6 +12,8 @@
     SubmissionId, SubscriberId, TargetId,
 };
 
+use crate::Isolation;
+
 /// Log entry: a command with the control time at which the leader proposed it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct TimedCommand {
@@ -131,6 +133,16 @@
         incarnation: Incarnation,
         /// Requests that were running.
         requests: Vec<Fingerprint>,
+        /// How these requests run if they are suspects.
+        #[serde(default)]
+        isolation: Isolation,
+    },
+    /// Forgets the crashes of a request that has run to its end, and releases it from quarantine.
+    ///
+    /// A request that crashes each target never reaches its end.
+    ClearSuspect {
+        /// No effect if it is not a suspect.
+        request: Fingerprint,
     },
     /// Lifts the quarantine of a request and clears its crash count.
     LiftQuarantine {
--- a/crates/control/src/state/mod.rs
+++ b/crates/control/src/state/mod.rs
@@ -44,7 +44,8 @@
 pub use sessions::Session;
 pub use snapshot::DecodeError;
 pub use suspects::{
-    CRASHES_TO_QUARANTINE, MAX_QUARANTINED, MAX_SUSPECTS, Quarantined, SUSPECT_LIFETIME_MS,
+    CRASHES_TO_QUARANTINE, Isolation, MAX_QUARANTINED, MAX_SUSPECTS, Quarantined,
+    SHARED_CRASHES_TO_QUARANTINE, SUSPECT_LIFETIME_MS,
 };
 
 /// Replicated control state; on followers, the ledger is empty.
@@ -361,8 +362,12 @@
             Command::ReleaseGroup { group, session } => {
                 self.groups.release(group, session, now).map(done)
             }
-            Command::ReportCrash { target, incarnation, requests } => {
-                self.suspects.report(&(target, incarnation), requests, now);
+            Command::ReportCrash { target, incarnation, requests, isolation } => {
+                self.suspects.report(&(target, incarnation), requests, isolation, now);
+                Ok(Reply::Done)
+            }
+            Command::ClearSuspect { request } => {
+                self.suspects.clear(&request);
                 Ok(Reply::Done)
             }
             Command::PutRoutes { table } => Ok(Reply::RoutesInForce(self.routes.put(table))),
--- a/crates/control/src/state/suspects.rs
+++ b/crates/control/src/state/suspects.rs
@@ -7,18 +7,41 @@
 
 use crate::CommandError;
 
-/// Number of crashes, of different target processes, after which a request is quarantined. A
-/// single crash may have another cause. A suspect then runs alone on a target, so a second crash
-/// is caused by the suspect.
+/// Number of crashes, of different target processes, after which a request is quarantined if
+/// suspects run alone. A single crash may have another cause; a second one is the suspect's.
 pub const CRASHES_TO_QUARANTINE: usize = 2;
+/// Number of crashes after which a request is quarantined if suspects run beside others. A request
+/// that moves from one crashed target to the next victim of a crashing one has two.
+pub const SHARED_CRASHES_TO_QUARANTINE: usize = 3;
 /// Maximum number of suspects. A crash adds at most the requests of one target, some hundreds.
 pub const MAX_SUSPECTS: usize = 10_000;
 /// Maximum number of quarantined requests. Beyond it, the oldest one is released and is
-/// quarantined again only after two more crashes.
+/// quarantined again only after as many crashes as before.
 pub const MAX_QUARANTINED: usize = 10_000;
 /// Control time after its last crash at which a suspect is cleared.
 pub const SUSPECT_LIFETIME_MS: u64 = 24 * 60 * 60 * 1_000;
 
+/// How suspects run, which decides how many crashes show that a request is their cause.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Isolation {
+    /// Alone on a target.
+    #[default]
+    Alone,
+    /// Beside other requests.
+    Shared,
+}
+
+impl Isolation {
+    /// Number of crashes after which a request is quarantined.
+    pub fn crashes_to_quarantine(self) -> usize {
+        match self {
+            Self::Alone => CRASHES_TO_QUARANTINE,
+            Self::Shared => SHARED_CRASHES_TO_QUARANTINE,
+        }
+    }
+}
+
 /// Quarantined request, which all instances refuse.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Quarantined {
@@ -82,6 +105,7 @@
         &mut self,
         crash: &(TargetId, Incarnation),
         requests: Vec<Fingerprint>,
+        isolation: Isolation,
         now: ControlTimeMs,
     ) {
         for request in requests {
@@ -93,7 +117,7 @@
                 continue;
             }
             suspect.last_crash = now;
-            if suspect.crashes.len() < CRASHES_TO_QUARANTINE {
+            if suspect.crashes.len() < isolation.crashes_to_quarantine() {
                 self.order.push_back((now, request));
                 self.enforce_limit();
                 continue;
@@ -110,6 +134,14 @@
         Ok(())
     }
 
+    /// Forgets the crashes of a request that has run to its end, and releases it from quarantine.
+    pub(crate) fn clear(&mut self, request: &Fingerprint) {
+        self.suspects.remove(request);
+        if self.quarantined.remove(request).is_some() {
+            self.quarantine_order.retain(|other| other != request);
+        }
+    }
+
     /// Removes suspects whose last crash is older than `SUSPECT_LIFETIME_MS`.
     pub(crate) fn expire(&mut self, now: ControlTimeMs) {
         while let Some((time, _)) = self.order.front()
--- a/crates/control/tests/follower.rs
+++ b/crates/control/tests/follower.rs
@@ -10,7 +10,9 @@
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use rstest::rstest;
 use shallotdrum_consensus::StateMachine;
-use shallotdrum_control::{Command, ControlState, ControlView, DecodeError, Reply, TimedCommand};
+use shallotdrum_control::{
+    Command, ControlState, ControlView, DecodeError, Isolation, Reply, TimedCommand,
+};
 use shallotdrum_types::{
     ControlTimeMs, Fingerprint, GroupId, Incarnation, LogIndex, Revision, SessionId,
 };
@@ -52,8 +54,10 @@
             target: target.parse().unwrap(),
             incarnation: Incarnation(incarnation),
             requests: vec![request],
+            isolation: if flag { Isolation::Shared } else { Isolation::Alone },
         },
         13 if flag => Command::LiftQuarantine { request },
+        13 if rng.random_bool(0.5) => Command::ClearSuspect { request },
         13 => Command::DrainSession { session },
         14 | 15 => {
             Command::BeginCall { key, fingerprint: request, session, attempt: attempt(incarnation) }
--- a/crates/control/tests/quarantine.rs
+++ b/crates/control/tests/quarantine.rs
@@ -3,7 +3,9 @@
 mod common;
 
 use common::Log;
-use shallotdrum_control::{Command, CommandError, MAX_SUSPECTS, Reply, SUSPECT_LIFETIME_MS};
+use shallotdrum_control::{
+    Command, CommandError, Isolation, MAX_SUSPECTS, Reply, SUSPECT_LIFETIME_MS,
+};
 use shallotdrum_types::{Fingerprint, Incarnation};
 
 fn request(name: &str) -> Fingerprint {
@@ -11,9 +13,18 @@
 }
 
 fn crash(log: &mut Log, target: &str, incarnation: u64, requests: &[&str]) {
+    report(log, target, incarnation, requests, Isolation::Alone);
+}
+
+fn shared_crash(log: &mut Log, target: &str, incarnation: u64, requests: &[&str]) {
+    report(log, target, incarnation, requests, Isolation::Shared);
+}
+
+fn report(log: &mut Log, target: &str, incarnation: u64, requests: &[&str], isolation: Isolation) {
     let requests = requests.iter().map(|name| request(name)).collect();
     let target = target.parse().unwrap();
-    let report = Command::ReportCrash { target, incarnation: Incarnation(incarnation), requests };
+    let incarnation = Incarnation(incarnation);
+    let report = Command::ReportCrash { target, incarnation, requests, isolation };
     assert_eq!(log.apply(report), Reply::Done);
 }
 
@@ -71,3 +82,38 @@
     assert_eq!(log.state.suspect_crashes(&request("r0")), 0);
     assert_eq!(log.state.suspect_crashes(&request("r1")), 1);
 }
+
+/// Guards against a quarantine of requests that moved from one crashed target to the next beside
+/// the request that crashed both.
+#[test]
+fn shared_crash_three_times() {
+    let mut log = Log::default();
+    shared_crash(&mut log, "e1", 1, &["bad", "moved"]);
+    shared_crash(&mut log, "e2", 1, &["bad", "moved"]);
+    assert!(!log.state.is_quarantined(&request("bad")));
+    shared_crash(&mut log, "e3", 1, &["bad"]);
+    assert!(log.state.is_quarantined(&request("bad")));
+    assert!(!log.state.is_quarantined(&request("moved")));
+}
+
+/// Guards against a quarantine of identical proper requests, of which one is in flight at each
+/// crash while others run to their end.
+#[test]
+fn completed_run_clears() {
+    let mut log = Log::default();
+    let clear = |name| Command::ClearSuspect { request: request(name) };
+    shared_crash(&mut log, "e1", 1, &["proper"]);
+    shared_crash(&mut log, "e2", 1, &["proper"]);
+    assert_eq!(log.apply(clear("proper")), Reply::Done);
+    shared_crash(&mut log, "e3", 1, &["proper"]);
+    assert_eq!(log.state.suspect_crashes(&request("proper")), 1);
+
+    // Two more complete the count before the run on another target ends.
+    shared_crash(&mut log, "e4", 1, &["proper"]);
+    shared_crash(&mut log, "e5", 1, &["proper"]);
+    assert!(log.state.is_quarantined(&request("proper")));
+    assert_eq!(log.apply(clear("proper")), Reply::Done);
+    assert!(!log.state.is_quarantined(&request("proper")));
+    assert_eq!(log.state.suspect_crashes(&request("proper")), 0);
+    assert_eq!(log.apply(clear("unknown")), Reply::Done);
+}
--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -12,7 +12,7 @@
     PlaceRequest, RenewReply, RenewRequest, RpcError, SessionRow, WatchReply,
 };
 use shallotdrum_types::{
-    Base64Bytes, Incarnation, InstanceId, LogIndex, PermitId, SessionId, TargetId,
+    Base64Bytes, Fingerprint, Incarnation, InstanceId, LogIndex, PermitId, SessionId, TargetId,
 };
 
 use crate::replica::Replica;
@@ -77,10 +77,21 @@
     }
 
     async fn take_place(&self, request: PlaceRequest) -> Result<PlaceReply, RpcError> {
-        let PlaceRequest { session, request, place, group, subscriber, need, left_ms, avoid } =
-            request;
+        let PlaceRequest {
+            session,
+            request,
+            place,
+            group,
+            subscriber,
+            need,
+            fingerprint,
+            left_ms,
+            avoid,
+        } = request;
         let left = Duration::from_millis(left_ms);
-        let admission = PlaceAdmission { request, subscriber, need, left, avoid };
+        let fingerprint =
+            fingerprint.unwrap_or_else(|| Fingerprint::of(request.as_str().as_bytes()));
+        let admission = PlaceAdmission { request, fingerprint, subscriber, need, left, avoid };
         Ok(match self.owner.take_place(&group, (session, place), admission).await {
             Ok(granted) => PlaceReply::Granted(granted),
             Err(error) => PlaceReply::Refused { error },
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -15,7 +15,7 @@
 use hyper::body::Incoming;
 use shallotdrum_control::ControlView;
 use shallotdrum_engine::Requirements;
-use shallotdrum_owner::{OwnerService, PlaceAdmission, SessionFn};
+use shallotdrum_owner::{CrashStatus, OwnerService, PlaceAdmission, RunningGuard, SessionFn};
 use shallotdrum_routes::{Route, RouteIndex};
 use shallotdrum_rpc::{Peers, PlaceEnd};
 use shallotdrum_telemetry::{Metrics, event};
@@ -23,7 +23,10 @@
     AdapterRef, AdapterVersion, Fingerprint, PoolId, RequestError, RequestErrorKind, RequestId,
     Revision, SubscriberId, TargetId,
 };
-use tokio::time::{Instant, timeout_at};
+use tokio::{
+    task::JoinHandle,
+    time::{Instant, timeout_at},
+};
 
 use crate::{
     CallerRequest, Dispatch, GatewayResponse, Generation, HeaderCodec, RetryAllowance, RetryBudget,
@@ -44,6 +47,13 @@
 /// the transfer of the state take about a second.
 const RETRY_AFTER_START: Duration = Duration::from_millis(1_200);
 
+/// `Retry-After` for a quarantined request, which an operator must release first.
+const RETRY_AFTER_QUARANTINE: Duration = Duration::from_secs(60);
+
+/// Maximum wait for the crash check of a request that is not a suspect yet. A closed port shows at
+/// once, and a log entry takes some tens of milliseconds.
+const FIRST_CHECK_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Interval between checks for expired idle connections.
 const EXPIRE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -100,6 +110,8 @@
     sends: u32,
     /// Id of the last event of the stream that the caller has received.
     pub(crate) resume_after: Option<String>,
+    /// Check whether the target of the latest broken connection crashed.
+    crash_check: Option<JoinHandle<CrashStatus>>,
     /// Latest complete error response of a target.
     error_response: Option<GatewayResponse>,
 }
@@ -107,6 +119,7 @@
 /// Response of a target whose head has been read.
 pub(crate) struct Received {
     pub(crate) place: Place,
+    pub(crate) running: RunningGuard,
     pub(crate) connection: Connection,
     pub(crate) response: Response<Incoming>,
 }
@@ -220,13 +233,15 @@
         };
         let revision = routes.table().revision;
         drop(routes);
+        let fingerprint = request_fingerprint(&req);
+        self.check_quarantine(&fingerprint)?;
         self.with_budget(&pool, |budget, now| {
             budget.count_request(now, &self.cx.retries);
         });
         let run = RequestRun {
             deadline: req.arrived + req.timeout.min(route.timeout),
             resume_after: req.resume_after.clone(),
-            fingerprint: request_fingerprint(&req),
+            fingerprint,
             req,
             route,
             pool,
@@ -234,6 +249,7 @@
             avoid: Vec::new(),
             possible_runs: 0,
             sends: 0,
+            crash_check: None,
             error_response: None,
         };
         self.run(run).await
@@ -247,14 +263,14 @@
                 AttemptOutcome::Failed(failure, error) => (failure, error),
                 AttemptOutcome::NoPlace(error) => return run.give_up(error),
             };
-            if !self.may_resend(&mut run, failure) {
+            if !self.may_resend(&mut run, failure).await {
                 return run.give_up(error);
             }
         }
     }
 
     /// Counts a failed attempt and decides whether another one follows.
-    pub(crate) fn may_resend(&self, run: &mut RequestRun, failure: SendFailure) -> bool {
+    pub(crate) async fn may_resend(&self, run: &mut RequestRun, failure: SendFailure) -> bool {
         run.possible_runs += u32::from(failure.may_have_run());
         run.sends += 1;
         let left = run.deadline.saturating_duration_since(Instant::now());
@@ -263,6 +279,10 @@
         match decide_retry(run.route.repeat, run.route.max_targets, progress) {
             RetryDecision::GiveUp => false,
             RetryDecision::Resend { uses_budget } => {
+                self.wait_for_crash_check(run).await;
+                if self.check_quarantine(&run.fingerprint).is_err() {
+                    return false;
+                }
                 let entries = self.entries();
                 let is_allowed = !uses_budget
                     || self.with_budget(&run.pool, |budget, now| {
@@ -295,10 +315,10 @@
             Ok(received) => received,
             Err(ended) => return ended,
         };
-        let Received { place, connection, response } = received;
+        let Received { place, running, connection, response } = received;
         let status = response.status();
         if run.route.repeat.is_stream() && status.is_success() {
-            let relay = Relay::new(self.clone(), place, connection);
+            let relay = Relay::new(self.clone(), place, running, connection);
             return match relay.start(run, response).await {
                 Ok(StartedStream { response }) => AttemptOutcome::Answered(response),
                 Err(error) => AttemptOutcome::Failed(SendFailure::Unknown, error),
@@ -312,12 +332,14 @@
             Ok(Err(error)) => {
                 let target = &place.granted.target;
                 self.log_send_failure(run, target, SendFailure::Unknown, &*error);
+                self.check_crash(run, running, &place);
                 place.end(PlaceEnd::Failed);
                 return AttemptOutcome::Failed(SendFailure::Unknown, target_failed(&*error));
             }
             Err(_) => return AttemptOutcome::Failed(SendFailure::Unknown, target_timed_out()),
         };
         connection.release();
+        self.cx.owner.complete_relayed(run.fingerprint);
         let response =
             GatewayResponse::Whole { status, headers: response_headers(parts.headers), body };
         if status.is_server_error() {
@@ -335,6 +357,7 @@
         let (need, version) = self.need(run);
         let admission = PlaceAdmission {
             request: run.req.id.clone(),
+            fingerprint: run.fingerprint,
             subscriber: subscriber(run),
             need: need.clone(),
             left: Duration::ZERO,
@@ -349,6 +372,8 @@
         if left.is_zero() {
             return Err(AttemptOutcome::NoPlace(timed_out_waiting()));
         }
+        // The control state of this instance may be newer than that of the owner.
+        self.check_quarantine(&run.fingerprint).map_err(AttemptOutcome::NoPlace)?;
         let granted = &place.granted;
         let dispatch = Dispatch {
             target: granted.target.clone(),
@@ -362,16 +387,20 @@
             "revision" => run.revision.0, "version" => dispatch.version.as_ref().map(ToString::to_string),
             "target" => %granted.target, "send" => run.sends + 1, "left_ms" => left.as_millis() as u64);
         let target = granted.target.clone();
+        let running = self.cx.owner.enter_relayed(granted, &run.req.id, run.fingerprint);
         let sent = self.connections.send(granted.addr, run.request(&self.cx.codec, &dispatch));
         let (connection, response) = match timeout_at(run.deadline, sent).await {
             Ok(Ok(received)) => received,
             Ok(Err(error)) => {
-                place.end(PlaceEnd::Failed);
                 run.avoid.push(target.clone());
                 let failure = match error {
                     SendError::NotSent(_) => SendFailure::NotSent,
-                    SendError::Unknown(_) => SendFailure::Unknown,
+                    SendError::Unknown(_) => {
+                        self.check_crash(run, running, &place);
+                        SendFailure::Unknown
+                    }
                 };
+                place.end(PlaceEnd::Failed);
                 self.log_send_failure(run, &target, failure, &error);
                 let error = match failure {
                     SendFailure::NotSent => target_unreachable(&error),
@@ -414,7 +443,7 @@
             ));
         }
         let response = Response::from_parts(parts, body);
-        Ok(Received { place, connection, response })
+        Ok(Received { place, running, connection, response })
     }
 
     pub(crate) fn log_send_failure(
@@ -429,6 +458,29 @@
             "may_have_run" => failure.may_have_run(), "error" => %error);
     }
 
+    fn check_quarantine(&self, fingerprint: &Fingerprint) -> Result<(), RequestError> {
+        let checked = self.cx.owner.check_relayed_quarantine(fingerprint);
+        checked.map_err(|error| error.retry_after(RETRY_AFTER_QUARANTINE))
+    }
+
+    /// Starts a check whether the target crashed, after its connection broke with the request
+    /// possibly running.
+    pub(crate) fn check_crash(&self, run: &mut RequestRun, running: RunningGuard, place: &Place) {
+        run.crash_check = Some(self.cx.owner.check_relayed(running, place.granted.addr));
+    }
+
+    /// Waits for a started check, so that the crash counts before the request is sent again.
+    async fn wait_for_crash_check(&self, run: &mut RequestRun) {
+        let Some(check) = run.crash_check.take() else { return };
+        // A single interruption seldom is a crash that the request caused, and callers wait.
+        let limit = match self.cx.owner.is_relayed_suspect(&run.fingerprint) {
+            true => run.deadline,
+            false => run.deadline.min(Instant::now() + FIRST_CHECK_TIMEOUT),
+        };
+        // The check goes on in its own task.
+        let _ = timeout_at(limit, check).await;
+    }
+
     /// Resumes an interrupted stream at another target.
     pub(crate) async fn resume(&self, run: &mut RequestRun) -> Option<Received> {
         loop {
@@ -438,7 +490,11 @@
                     received.place.end(PlaceEnd::Failed);
                     return None;
                 }
-                Err(AttemptOutcome::Failed(failure, _)) if self.may_resend(run, failure) => {}
+                Err(AttemptOutcome::Failed(failure, _)) => {
+                    if !self.may_resend(run, failure).await {
+                        return None;
+                    }
+                }
                 Err(_) => return None,
             }
         }
@@ -516,6 +572,7 @@
             avoid: std::mem::take(&mut self.avoid),
             possible_runs: self.possible_runs,
             sends: self.sends,
+            crash_check: None,
             resume_after: self.resume_after.take(),
             error_response: None,
         }
--- a/crates/gateway/src/places.rs
+++ b/crates/gateway/src/places.rs
@@ -257,6 +257,7 @@
             group: group.clone(),
             subscriber: admission.subscriber,
             need: admission.need,
+            fingerprint: Some(admission.fingerprint),
             left_ms: admission.left.as_millis() as u64,
             avoid: admission.avoid,
         };
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -6,6 +6,7 @@
 use http::Response;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use shallotdrum_owner::RunningGuard;
 use shallotdrum_routes::RetryPolicy;
 use shallotdrum_rpc::PlaceEnd;
 use shallotdrum_telemetry::event;
@@ -29,6 +30,7 @@
 pub(crate) struct Relay {
     gateway: Arc<Gateway>,
     place: Place,
+    running: RunningGuard,
     connection: Connection,
 }
 
@@ -46,8 +48,13 @@
 }
 
 impl Relay {
-    pub(crate) fn new(gateway: Arc<Gateway>, place: Place, connection: Connection) -> Self {
-        Self { gateway, place, connection }
+    pub(crate) fn new(
+        gateway: Arc<Gateway>,
+        place: Place,
+        running: RunningGuard,
+        connection: Connection,
+    ) -> Self {
+        Self { gateway, place, running, connection }
     }
 
     /// Waits for the first event, then relays the stream in a separate task.
@@ -77,6 +84,7 @@
                     let target = &self.place.granted.target;
                     self.gateway.log_send_failure(run, target, SendFailure::Unknown, &cause);
                     run.avoid.push(target.clone());
+                    self.gateway.check_crash(run, self.running, &self.place);
                     self.place.end(PlaceEnd::Failed);
                     return Err(target_failed(cause));
                 }
@@ -102,7 +110,7 @@
         mut splitter: EventSplitter,
         tx: mpsc::Sender<Result<Bytes, StreamBroken>>,
     ) {
-        let Self { gateway, mut place, mut connection } = self;
+        let Self { gateway, mut place, mut running, mut connection } = self;
         let mut body = body;
         if let Some(first) = first
             && tx.send(Ok(first)).await.is_err()
@@ -114,6 +122,7 @@
             let cause = match ended {
                 StreamEnd::Complete => {
                     connection.release();
+                    gateway.cx.owner.complete_relayed(run.fingerprint);
                     let generation = run.req.generation.as_ref();
                     let prompt_tokens = generation.map_or(0, |g| g.prompt_tokens);
                     place.end(PlaceEnd::Answered { prompt_tokens, completion_tokens: 0 });
@@ -122,7 +131,10 @@
                 // Dropping the connection cancels the request at the target.
                 StreamEnd::CallerGone => return,
                 StreamEnd::TimedOut => "the deadline passed".to_owned(),
-                StreamEnd::Broken(cause) => cause,
+                StreamEnd::Broken(cause) => {
+                    gateway.check_crash(&mut run, running, &place);
+                    cause
+                }
             };
             let target = place.granted.target.clone();
             let is_resumable = run.route.repeat == RetryPolicy::Stream { is_resumable: true };
@@ -133,18 +145,26 @@
             place.end(PlaceEnd::Failed);
             run.resume_after = splitter.last_id().map(str::to_owned).or(run.resume_after);
             splitter.discard_pending();
-            let resumed = match is_resumable && gateway.may_resend(&mut run, SendFailure::Unknown) {
-                true => gateway.resume(&mut run).await,
-                false => None,
-            };
-            let Some(Received { place: next_place, connection: next, response }) = resumed else {
+            let resumed =
+                match is_resumable && gateway.may_resend(&mut run, SendFailure::Unknown).await {
+                    true => gateway.resume(&mut run).await,
+                    false => None,
+                };
+            let Some(Received {
+                place: next_place,
+                running: next_running,
+                connection: next,
+                response,
+            }) = resumed
+            else {
                 // The error keeps the caller from taking the response as complete.
                 let _ = tx.send(Err(StreamBroken)).await;
                 return;
             };
             event!(gateway.cx.log, ENTRY_ANSWER_RESUMED; "request" => %run.id(),
                 "target" => %next_place.granted.target);
-            (place, connection, body) = (next_place, next, response.into_body());
+            (place, running) = (next_place, next_running);
+            (connection, body) = (next, response.into_body());
         }
     }
 }
--- a/crates/owner/src/call.rs
+++ b/crates/owner/src/call.rs
@@ -330,7 +330,7 @@
         call: &BufferedCall,
         group: &OwnedGroup,
         lease: Lease,
-        guard: &RunningGuard<'_>,
+        guard: &RunningGuard,
         failure: RequestError,
     ) -> CallFailure {
         let status = group.crashes.check(&self.cx, guard, lease.addr).await;
--- a/crates/owner/src/completion.rs
+++ b/crates/owner/src/completion.rs
@@ -195,7 +195,7 @@
         run: &mut CompletionRun<'_>,
         group: &OwnedGroup,
         lease: Lease,
-        guard: RunningGuard<'_>,
+        guard: RunningGuard,
         error: CallError,
     ) -> Attempt {
         run.avoid.push(lease.target.clone());
@@ -221,7 +221,7 @@
         run: &mut CompletionRun<'_>,
         group: &OwnedGroup,
         lease: Lease,
-        guard: RunningGuard<'_>,
+        guard: RunningGuard,
         error: &StreamError,
     ) -> Attempt {
         event!(self.cx.log, RESPONSE_INTERRUPTED;
@@ -239,7 +239,7 @@
         run: &mut CompletionRun<'_>,
         group: &OwnedGroup,
         lease: Lease,
-        guard: RunningGuard<'_>,
+        guard: RunningGuard,
         failure: RequestError,
     ) -> Attempt {
         run.may_have_run = true;
--- a/crates/owner/src/crash.rs
+++ b/crates/owner/src/crash.rs
@@ -1,22 +1,25 @@
 //! Detects crashes of targets and records the requests that were running on them.
 //!
-//! Architecture Invariant: before a request that ran on a crashed target is sent to another
-//! target, the crash is durable in the control log. Otherwise the crash count of the request would
-//! be lost when the owner restarts.
+//! A crash counts for a request from the moment at which this instance detects it: until the
+//! control log has recorded it, `unrecorded` holds it and the report is retried.
+//!
+//! Architecture Invariant: before a request of the product's own interface that ran on a crashed
+//! target is sent to another target, the crash is durable in the control log. Otherwise the crash
+//! count of the request would be lost when the owner restarts.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
-use shallotdrum_control::{Command, Reply};
+use shallotdrum_control::{Command, ControlState, Isolation, Reply};
 use shallotdrum_telemetry::event;
 use shallotdrum_types::{Fingerprint, Incarnation, RequestId, TargetId};
 use tokio::{net::TcpStream, sync::OnceCell, time::Instant};
 
-use crate::OwnerContext;
+use crate::{OwnerContext, unrecorded::UnrecordedCrashes};
 
 /// How long to look for evidence of a crash after a connection broke; a restarted target announces
 /// itself within a second.
@@ -25,13 +28,30 @@
 /// Interval between checks for evidence of a crash.
 const CRASH_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Number of checks that open a connection. The port of a crashed process is closed together with
+/// its connections, and connections take capacity from a target that is alive.
+const MAX_PROBES: u32 = 3;
+
 /// Timeout for the local copy of the control state to apply a reported crash.
 const VIEW_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Delay between attempts to report a crash that the control log did not record; about as long as
+/// the election of a leader.
+const REPORT_RETRY_DELAY: Duration = Duration::from_secs(1);
+
+/// Number of further attempts to report a crash; covers a partition of about half a minute.
+const MAX_REPORT_RETRIES: usize = 30;
+
+/// One crash: the target and its incarnation.
+pub(crate) type Crash = (TargetId, Incarnation);
+
 /// Tracks the running requests of each target incarnation and detects its crash.
-#[derive(Default)]
 pub(crate) struct CrashDetector {
-    running: Mutex<BTreeMap<(TargetId, Incarnation), RunningRequests>>,
+    isolation: Isolation,
+    running: Mutex<BTreeMap<Crash, RunningRequests>>,
+    unrecorded: Mutex<UnrecordedCrashes>,
+    /// Requests that are being cleared in the control log.
+    clearing: Mutex<BTreeSet<Fingerprint>>,
 }
 
 #[derive(Default)]
@@ -43,7 +63,7 @@
 
 /// Status of a target whose connection broke.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum CrashStatus {
+pub enum CrashStatus {
     /// No crash was detected; only the connection broke.
     Alive,
     /// The target crashed, and the crash is durable in the control log.
@@ -53,13 +73,13 @@
 }
 
 /// Keeps a request registered as running until dropped.
-pub(crate) struct RunningGuard<'a> {
-    detector: &'a CrashDetector,
-    key: (TargetId, Incarnation),
+pub struct RunningGuard {
+    detector: Arc<CrashDetector>,
+    key: Crash,
     request: RequestId,
 }
 
-impl Drop for RunningGuard<'_> {
+impl Drop for RunningGuard {
     fn drop(&mut self) {
         let mut running = self.detector.running();
         if let Some(target) = running.get_mut(&self.key) {
@@ -72,42 +92,87 @@
 }
 
 impl CrashDetector {
+    /// Creates a detector for requests whose suspects run with this isolation.
+    pub(crate) fn new(isolation: Isolation) -> Arc<Self> {
+        Arc::new(Self {
+            isolation,
+            running: Mutex::default(),
+            unrecorded: Mutex::default(),
+            clearing: Mutex::default(),
+        })
+    }
+
     /// Registers a request as running on a target.
     pub(crate) fn enter(
-        &self,
+        self: &Arc<Self>,
         target: &TargetId,
         incarnation: Incarnation,
         request: &RequestId,
         fingerprint: Fingerprint,
-    ) -> RunningGuard<'_> {
+    ) -> RunningGuard {
         let key = (target.clone(), incarnation);
         let mut running = self.running();
         running.entry(key.clone()).or_default().requests.insert(request.clone(), fingerprint);
-        RunningGuard { detector: self, key, request: request.clone() }
+        RunningGuard { detector: self.clone(), key, request: request.clone() }
     }
 
     /// Checks whether the target crashed; if so, reports the crash and all requests running on it.
     pub(crate) async fn check(
-        &self,
+        self: &Arc<Self>,
         cx: &OwnerContext,
-        guard: &RunningGuard<'_>,
+        guard: &RunningGuard,
         addr: SocketAddr,
     ) -> CrashStatus {
-        let status =
+        let cell =
             self.running().get(&guard.key).map(|target| target.status.clone()).unwrap_or_default();
-        *status
+        let status = *cell
             .get_or_init(|| async {
                 let (target, incarnation) = &guard.key;
                 if !has_crashed(cx, target, *incarnation, addr).await {
                     return CrashStatus::Alive;
                 }
                 let requests = self.requests_on(&guard.key);
-                report(cx, target.clone(), *incarnation, requests).await
+                self.report(cx, guard.key.clone(), requests).await
             })
-            .await
+            .await;
+        if status == CrashStatus::Alive {
+            // The target may crash later, with requests that keep this entry in the table.
+            let mut running = self.running();
+            if let Some(target) = running.get_mut(&guard.key)
+                && Arc::ptr_eq(&target.status, &cell)
+            {
+                target.status = Arc::default();
+            }
+        }
+        status
+    }
+
+    /// Number of known crashes of a request, including those not yet recorded.
+    pub(crate) fn crashes(&self, state: &ControlState, request: &Fingerprint) -> usize {
+        let is_recorded = |crash: &Crash| state.is_crash_counted(request, crash);
+        let unrecorded = self.unrecorded().count(request, is_recorded);
+        state.suspect_crashes(request) as usize + unrecorded
     }
 
-    fn requests_on(&self, key: &(TargetId, Incarnation)) -> Vec<Fingerprint> {
+    /// Whether a request has crashed too many targets to be sent again.
+    pub(crate) fn is_quarantined(&self, state: &ControlState, request: &Fingerprint) -> bool {
+        state.is_quarantined(request)
+            || self.crashes(state, request) >= self.isolation.crashes_to_quarantine()
+    }
+
+    /// Forgets the unrecorded crashes of a request that has run to its end, and marks it as being
+    /// cleared; `false` if it already is.
+    pub(crate) fn begin_clear(&self, request: Fingerprint) -> bool {
+        self.unrecorded().clear(&request);
+        self.clearing().insert(request)
+    }
+
+    /// Ends what `begin_clear` began.
+    pub(crate) fn end_clear(&self, request: &Fingerprint) {
+        self.clearing().remove(request);
+    }
+
+    fn requests_on(&self, key: &Crash) -> Vec<Fingerprint> {
         let mut requests: Vec<_> = self
             .running()
             .get(key)
@@ -118,12 +183,89 @@
         requests
     }
 
-    fn running(&self) -> MutexGuard<'_, BTreeMap<(TargetId, Incarnation), RunningRequests>> {
+    /// Reports a crash; if the control log does not record it, the report is retried in the
+    /// background.
+    async fn report(
+        self: &Arc<Self>,
+        cx: &OwnerContext,
+        crash: Crash,
+        requests: Vec<Fingerprint>,
+    ) -> CrashStatus {
+        event!(cx.log, TARGET_CRASHED;
+            "target" => %crash.0, "incarnation" => crash.1.0, "requests" => requests.len());
+        self.unrecorded().add(&crash, &requests);
+        if self.record(cx, &crash, &requests).await {
+            return CrashStatus::Crashed;
+        }
+        event!(cx.log, CRASH_UNRECORDED; "target" => %crash.0, "incarnation" => crash.1.0);
+        let (detector, cx) = (self.clone(), cx.clone());
+        tokio::spawn(async move {
+            for _ in 0..MAX_REPORT_RETRIES {
+                tokio::time::sleep(REPORT_RETRY_DELAY).await;
+                if detector.record(&cx, &crash, &requests).await {
+                    return;
+                }
+            }
+            detector.unrecorded().remove(&crash);
+        });
+        CrashStatus::NotRecorded
+    }
+
+    /// Records a crash in the control log and waits until the local state has applied it.
+    async fn record(&self, cx: &OwnerContext, crash: &Crash, requests: &[Fingerprint]) -> bool {
+        // Requests that have run to their end since then are no longer suspects.
+        let requests = self.unrecorded().retain_suspects(crash, requests);
+        let command = Command::ReportCrash {
+            target: crash.0.clone(),
+            incarnation: crash.1,
+            requests: requests.clone(),
+            isolation: self.isolation,
+        };
+        match cx.propose(command).await {
+            Ok(Reply::Refused(_)) | Err(_) => return false,
+            Ok(_) => {}
+        }
+        let mut changed = cx.view.changed();
+        let applied = tokio::time::timeout(VIEW_TIMEOUT, async {
+            // Checks for this particular crash, as the same request may have crashed a target
+            // before.
+            let is_counted = |request: &Fingerprint| {
+                cx.view.read(|state| state.is_crash_counted(request, crash))
+            };
+            while !requests.iter().all(is_counted) && changed.changed().await.is_ok() {}
+        });
+        if applied.await.is_err() {
+            return false;
+        }
+        self.unrecorded().remove(crash);
+        for request in &requests {
+            let (crashes, is_quarantined) = cx
+                .view
+                .read(|state| (state.suspect_crashes(request), state.is_quarantined(request)));
+            match is_quarantined {
+                true => event!(cx.log, REQUEST_QUARANTINED;
+                    "fingerprint" => %request, "crashes" => crashes, "target" => %crash.0),
+                false => event!(cx.log, REQUEST_SUSPECTED;
+                    "fingerprint" => %request, "crashes" => crashes, "target" => %crash.0),
+            }
+        }
+        true
+    }
+
+    fn running(&self) -> MutexGuard<'_, BTreeMap<Crash, RunningRequests>> {
         self.running.lock().unwrap_or_else(PoisonError::into_inner)
     }
+
+    fn clearing(&self) -> MutexGuard<'_, BTreeSet<Fingerprint>> {
+        self.clearing.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn unrecorded(&self) -> MutexGuard<'_, UnrecordedCrashes> {
+        self.unrecorded.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
-/// Waits for evidence of a crash: a refused connection or a different incarnation.
+/// Waits for evidence of a crash: a refused connection or a later process of the target.
 ///
 /// A refused connection shows that the host is up and the process is gone; a network partition
 /// leads to a timeout instead.
@@ -134,44 +276,36 @@
     addr: SocketAddr,
 ) -> bool {
     let deadline = Instant::now() + CRASH_CHECK_TIMEOUT;
-    loop {
-        let current = cx.view.read(|state| state.target(target).map(|t| t.announced.incarnation));
-        if current.is_some_and(|current| current != incarnation) {
+    for check in 0.. {
+        if cx.view.read(|state| is_replaced(state, target, incarnation, addr)) {
+            return true;
+        }
+        if check < MAX_PROBES && is_refused(addr).await {
             return true;
         }
-        let probe = tokio::time::timeout(CRASH_CHECK_INTERVAL, TcpStream::connect(addr)).await;
-        match probe {
-            Ok(Err(e)) if e.kind() == std::io::ErrorKind::ConnectionRefused => return true,
-            _ if Instant::now() >= deadline => return false,
-            _ => tokio::time::sleep(CRASH_CHECK_INTERVAL).await,
+        if Instant::now() >= deadline {
+            break;
         }
+        tokio::time::sleep(CRASH_CHECK_INTERVAL).await;
     }
+    false
 }
 
-/// Records a crash in the control log and waits until the local state has applied it.
-async fn report(
-    cx: &OwnerContext,
-    target: TargetId,
+/// Whether a later process has registered as this target, or under another id at its address.
+fn is_replaced(
+    state: &ControlState,
+    target: &TargetId,
     incarnation: Incarnation,
-    requests: Vec<Fingerprint>,
-) -> CrashStatus {
-    event!(cx.log, TARGET_CRASHED;
-        "target" => %target, "incarnation" => incarnation.0, "requests" => requests.len());
-    let crash = (target.clone(), incarnation);
-    let command = Command::ReportCrash { target, incarnation, requests: requests.clone() };
-    match cx.propose(command).await {
-        Ok(Reply::Refused(_)) | Err(_) => return CrashStatus::NotRecorded,
-        Ok(_) => {}
-    }
-    let mut changed = cx.view.changed();
-    let applied = tokio::time::timeout(VIEW_TIMEOUT, async {
-        // Checks for this particular crash, as the same request may have crashed a target before.
-        let is_counted =
-            |request: &Fingerprint| cx.view.read(|state| state.is_crash_counted(request, &crash));
-        while !requests.iter().all(is_counted) && changed.changed().await.is_ok() {}
-    });
-    match applied.await {
-        Ok(()) => CrashStatus::Crashed,
-        Err(_) => CrashStatus::NotRecorded,
-    }
+    addr: SocketAddr,
+) -> bool {
+    let same_id = state.target(target).map(|current| current.announced.incarnation);
+    same_id.is_some_and(|current| current != incarnation)
+        || state
+            .targets()
+            .any(|other| other.announced.addr == addr && other.announced.incarnation > incarnation)
+}
+
+async fn is_refused(addr: SocketAddr) -> bool {
+    let probe = tokio::time::timeout(CRASH_CHECK_INTERVAL, TcpStream::connect(addr)).await;
+    matches!(probe, Ok(Err(e)) if e.kind() == std::io::ErrorKind::ConnectionRefused)
 }
--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -5,7 +5,9 @@
 //! listener in the owner. `service` synchronizes the owned groups with the control log,
 //! `completion` runs model requests, `call` runs calls to plain services, `places` grants
 //! reservations at targets, `load` and `base` send load orders, `inspect` queries the state of
-//! engines, and `crash` detects requests that crash targets.
+//! engines, `crash` detects
+//! requests that crash targets, `relayed` those that entries send themselves, and `unrecorded` holds
+//! the crashes that the control log does not have yet.
 
 mod base;
 mod call;
@@ -19,13 +21,16 @@
 mod load;
 mod messages;
 mod places;
+mod relayed;
 mod server;
 mod service;
+mod unrecorded;
 
 pub use context::{
     HeldPermits, InspectFn, InspectRequest, OrderFn, OrderKind, OwnerContext, PermitFn, ReleaseFn,
     SessionFn, TargetOrder, engine_orders,
 };
+pub use crash::{CrashStatus, RunningGuard};
 pub use fingerprint::completion_fingerprint;
 pub use forwarder::{
     CALL_HEADER, COMPLETION_PATH, ERROR_HEADER, ForwardBody, ForwardError, Forwarder, FrameStream,
--- a/crates/owner/src/places.rs
+++ b/crates/owner/src/places.rs
@@ -36,6 +36,8 @@
 pub struct PlaceAdmission {
     /// Request that the place is for.
     pub request: RequestId,
+    /// Equal for repeats of the request with other ids.
+    pub fingerprint: Fingerprint,
     /// Subscriber whose fair share the request counts against.
     pub subscriber: SubscriberId,
     /// Resources that the request needs at the target.
@@ -102,6 +104,8 @@
         admission: PlaceAdmission,
     ) -> Result<GrantedPlace, RequestError> {
         let owned = self.owned(group)?;
+        let fingerprint = admission.fingerprint;
+        self.check_relayed_quarantine(&fingerprint)?;
         let cancelled = Arc::new(Notify::new());
         let expires_at = Instant::now() + admission.left + PLACE_GRACE;
         let place = Place { lease: None, cancelled: cancelled.clone(), expires_at };
@@ -125,6 +129,8 @@
             }
         };
         self.check_owned(&owned)?;
+        // The request may have been quarantined while it was queued.
+        self.check_relayed_quarantine(&fingerprint)?;
         self.record_waits(&subscriber, &lease);
         lease.started();
         let granted = GrantedPlace {
@@ -180,7 +186,7 @@
         Requirements::Call { is_repeatable } => RequestKind::Service { is_repeatable },
     };
     AdmissionRequest {
-        fingerprint: Fingerprint::of(admission.request.as_str().as_bytes()),
+        fingerprint: admission.fingerprint,
         request: admission.request,
         subscriber: admission.subscriber,
         weight: Weight::default(),
--- a/crates/owner/src/service.rs
+++ b/crates/owner/src/service.rs
@@ -13,7 +13,9 @@
     time::{Duration, Instant},
 };
 
-use shallotdrum_control::{AnnouncedTarget, Command, Handover, LOST_OWNER_SETTLE_MS, Reply};
+use shallotdrum_control::{
+    AnnouncedTarget, Command, Handover, Isolation, LOST_OWNER_SETTLE_MS, Reply,
+};
 use shallotdrum_engine::{Announcement, CacheEvents, TargetKind};
 use shallotdrum_scheduler::{
     GroupScheduler, GroupSnapshot, Lease, LoadFailure, LoadFn, TargetSpec,
@@ -59,6 +61,8 @@
     in_progress: Arc<AtomicUsize>,
     is_stopping: AtomicBool,
     pub(crate) places: PlaceTable,
+    /// Requests that this instance sends to targets under a place.
+    pub(crate) relayed: Arc<CrashDetector>,
     /// Serializes releases, so that no group is released before its orders have ended.
     releasing: tokio::sync::Mutex<()>,
 }
@@ -86,7 +90,7 @@
     pub(crate) session: SessionId,
     pub(crate) epoch: Epoch,
     pub(crate) scheduler: GroupScheduler,
-    pub(crate) crashes: CrashDetector,
+    pub(crate) crashes: Arc<CrashDetector>,
     orders: OrderCount,
     handover: Handover,
     /// When this instance began to own the group.
@@ -137,6 +141,7 @@
             in_progress: Arc::default(),
             is_stopping: AtomicBool::new(false),
             places: PlaceTable::default(),
+            relayed: CrashDetector::new(Isolation::Shared),
             releasing: tokio::sync::Mutex::default(),
         })
     }
@@ -294,13 +299,10 @@
     /// Rejects a request that crashed two targets, including one that was queued before the second
     /// crash.
     pub(crate) fn check_quarantine(&self, request: &Fingerprint) -> Result<(), RequestError> {
-        if !self.cx.view.read(|state| state.is_quarantined(request)) {
-            return Ok(());
+        match self.cx.view.read(|state| state.is_quarantined(request)) {
+            true => Err(quarantined(request)),
+            false => Ok(()),
         }
-        let detail = format!(
-            "request {request} crashed two targets and is quarantined until an operator lifts it"
-        );
-        Err(RequestError::not_run(RequestErrorKind::Quarantined, detail))
     }
 
     fn groups(&self) -> MutexGuard<'_, BTreeMap<GroupId, Arc<OwnedGroup>>> {
@@ -379,7 +381,7 @@
             session,
             epoch,
             scheduler: GroupScheduler::new(self.cx.scheduler.clone(), load, self.cx.log.clone()),
-            crashes: CrashDetector::default(),
+            crashes: CrashDetector::new(Isolation::Alone),
             orders,
             handover,
             since: Instant::now(),
@@ -555,6 +557,15 @@
     }
 }
 
+/// Error for a request that has crashed too many targets; nothing was sent to a target.
+pub(crate) fn quarantined(request: &Fingerprint) -> RequestError {
+    let detail = format!(
+        "request {request} crashed the targets that ran it and is quarantined until an operator \
+         lifts it"
+    );
+    RequestError::not_run(RequestErrorKind::Quarantined, detail)
+}
+
 /// Error that makes the entry look up the new owner; nothing was sent to a target.
 pub(crate) fn owner_changed(group: &GroupId) -> RequestError {
     let detail = format!("this instance does not own target group {group}; retry later");
--- a/crates/rpc/src/places.rs
+++ b/crates/rpc/src/places.rs
@@ -6,7 +6,9 @@
 
 use serde::{Deserialize, Serialize};
 use shallotdrum_engine::{GrantedPlace, Requirements};
-use shallotdrum_types::{GroupId, RequestError, RequestId, SessionId, SubscriberId, TargetId};
+use shallotdrum_types::{
+    Fingerprint, GroupId, RequestError, RequestId, SessionId, SubscriberId, TargetId,
+};
 
 /// Requests a place at a target of a group.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -23,6 +25,9 @@
     pub subscriber: SubscriberId,
     /// Requirements of the request, by which the owner chooses the target.
     pub need: Requirements,
+    /// Equal for repeats of the request with other ids; absent from entries of earlier releases.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub fingerprint: Option<Fingerprint>,
     /// Time left until the request's deadline, in milliseconds.
     pub left_ms: u64,
     /// Targets on which earlier attempts failed.
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -123,7 +123,10 @@
         ANSWER_MISMATCH = "O0305", Error, "engine responded with a different adapter", "take the engine out of service and report the engine bug";
         ORDER_REFUSED = "O0306", Warning, "engine refused an order", "none, unless it repeats for one engine; then restart the engine";
         REQUEST_SUSPECTED = "O0307", Warning, "request was running on a crashed target", "none; list quarantined requests if it repeats";
-        REQUEST_QUARANTINED = "O0308", Error, "request quarantined after a second crash", "analyse the request; lift the quarantine when the engine is fixed";
+        REQUEST_QUARANTINED = "O0308", Error, "request quarantined after repeated crashes", "analyse the request; lift the quarantine when the engine is fixed";
+        CRASH_UNRECORDED = "O0326", Warning, "control log has not recorded a crash yet; it counts on this instance, and the report is retried", "check the control replicas if it persists";
+        SUSPECT_CLEARED = "O0327", Info, "suspected request ran to its end; its crashes are forgotten", "none";
+        SUSPECT_KEPT = "O0328", Info, "cannot clear a suspected request that ran to its end", "none; its next complete run clears it";
         PLACE_GRANTED = "O0315", Info, "place at a target granted", "none";
         ENGINE_CALL_FAILED = "O0324", Info, "call to an engine failed", "check the engine if it repeats";
         ENGINE_NOT_INSPECTED = "O0325", Warning, "engine did not report its loaded adapters; it gets no orders until it is inspected again", "check the engine";
