Remove a registration when a new process announces its address

Cause: a registration ends by its owner's timeout only, although a later process that announces the same address shows that the earlier one is gone. The crash detector already takes that as evidence.

Change: registering a target removes those of lower incarnation at its address, as departed, so that a delayed announcement does not bring them back.

--- a/crates/control/src/state/groups.rs
+++ b/crates/control/src/state/groups.rs
@@ -190,7 +190,9 @@
             let (target, pool) = (announced.target, announced.pool);
             return Err(CommandError::PoolKindMismatch { target, pool });
         }
+        self.remove_predecessors(&announced);
 
+        let earlier = self.targets.get(&announced.target);
         let id = announced.target.clone();
         let draining = earlier.is_some_and(|earlier| {
             earlier.draining && earlier.announced.incarnation == announced.incarnation
@@ -220,6 +222,28 @@
         Ok(group)
     }
 
+    /// Removes earlier processes at the address of a target, which ended without leaving: only one
+    /// process can listen on it.
+    fn remove_predecessors(&mut self, announced: &AnnouncedTarget) {
+        let is_predecessor = |other: &AnnouncedTarget| {
+            other.addr == announced.addr
+                && other.target != announced.target
+                && other.incarnation < announced.incarnation
+        };
+        let predecessors: Vec<_> = self
+            .targets
+            .values()
+            .filter(|target| is_predecessor(&target.announced))
+            .map(|target| (target.announced.target.clone(), target.announced.incarnation))
+            .collect();
+        for (id, incarnation) in predecessors {
+            // A delayed announcement must not register it again.
+            self.record_departure(&id, incarnation);
+            self.leave_group(&id);
+            self.targets.remove(&id);
+        }
+    }
+
     pub(crate) fn remove(
         &mut self,
         id: &TargetId,
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses only some of the helpers")]
 
+use std::net::SocketAddr;
+
 use shallotdrum_control::{
     AnnouncedTarget, BeginOutcome, CallKey, Command, CommandError, ControlState, InstanceAddrs,
     InstanceInfo, RecordedAnswer, Reply, TimedCommand,
@@ -111,12 +113,13 @@
     }
 }
 
-/// Engine of pool `engines` in region `fj`.
+/// Engine of pool `engines` in region `fj`, at an address of its own.
 pub(crate) fn engine(target: &str, incarnation: u64) -> AnnouncedTarget {
+    let port = target.bytes().fold(1, |hash: u16, b| hash.wrapping_mul(31) ^ u16::from(b));
     AnnouncedTarget {
         target: target.parse().unwrap(),
         incarnation: Incarnation(incarnation),
-        addr: "127.0.0.1:2".parse().unwrap(),
+        addr: SocketAddr::from(([127, 0, 0, 1], port)),
         pool: "engines".parse().unwrap(),
         region: "fj".parse().unwrap(),
         zone: "z".parse().unwrap(),
--- a/crates/control/tests/ownership.rs
+++ b/crates/control/tests/ownership.rs
@@ -5,7 +5,8 @@
 use common::{Log, engine, instance_info, service};
 use rstest::rstest;
 use shallotdrum_control::{
-    Command, CommandError, GroupKind, Handover, LOST_OWNER_SETTLE_MS, MAX_GROUP_TARGETS, Reply,
+    AnnouncedTarget, Command, CommandError, GroupKind, Handover, LOST_OWNER_SETTLE_MS,
+    MAX_GROUP_TARGETS, Reply,
 };
 use shallotdrum_types::{GroupId, Incarnation, SessionId};
 
@@ -199,3 +200,23 @@
     assert_eq!(log.apply(remove), Reply::Done);
     log.register(engine("e1", 2));
 }
+
+/// Guards against sending requests to a crashed target whose address a new process has taken, and
+/// against a delayed announcement of the crashed one that registers it again.
+#[test]
+fn register_at_address_of_crashed() {
+    let mut log = Log::default();
+    let old = engine("old", 1);
+    let other = engine("other", 1);
+    let new = AnnouncedTarget { addr: old.addr, ..engine("new", 2) };
+    for target in [&old, &other] {
+        log.register(target.clone());
+    }
+    log.register(new.clone());
+    let registered: Vec<_> = log.state.targets().map(|t| t.announced.target.to_string()).collect();
+    assert_eq!(registered, ["new", "other"]);
+    assert_eq!(
+        log.refused(Command::RegisterTarget(old.clone())),
+        CommandError::TargetLeft { target: old.target }
+    );
+}
