Record a complete run only for requests with two crashes

Each crash of a full target makes dozens of requests suspects, and each of them that ended later added a command to the log; at 25% of 140 engines some hundreds. Requests with one crash are not refused, so their record may wait.

--- a/crates/owner/src/relayed.rs
+++ b/crates/owner/src/relayed.rs
@@ -18,6 +18,10 @@
     service::quarantined,
 };
 
+/// Crashes from which a complete run is recorded. Requests with fewer are not refused, and each
+/// crash of a full target leaves dozens of them.
+const MIN_CRASHES_TO_CLEAR: usize = 2;
+
 impl OwnerService {
     /// Registers a request as running at the target of its place.
     pub fn enter_relayed(
@@ -57,7 +61,8 @@
 
     /// Clears the suspicion against a request that has run to its end.
     pub fn complete_relayed(self: &Arc<Self>, request: Fingerprint) {
-        if !self.is_relayed_suspect(&request) || !self.relayed.begin_clear(request) {
+        let crashes = self.cx.view.read(|state| self.relayed.crashes(state, &request));
+        if crashes < MIN_CRASHES_TO_CLEAR || !self.relayed.begin_clear(request) {
             return;
         }
         let service = self.clone();
