Keep the shares of the retry budget while sessions reopen

Cause: an entry divides the fixed part of the retry budget by the sessions that it sees. While sessions end with their leader it sees few or none and takes the parts of the others, who are alive and do the same.

Change: the divisor is the highest count of the last two windows.

--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -24,6 +24,39 @@
 /// restarts.
 const SAFETY_FACTOR: f64 = 0.7;
 
+/// Number of windows for which an entry that is no longer counted keeps its share. Sessions that end
+/// with their control leader are open again within seconds, and their entries make retries meanwhile.
+const SHARE_WINDOWS: u32 = 2;
+
+/// Number of entries that share the allowances: the highest of recent counts.
+#[derive(Debug, Default)]
+pub struct EntryCount {
+    /// Counts that no later one has reached, oldest and highest first.
+    counts: VecDeque<(Instant, usize)>,
+}
+
+impl EntryCount {
+    /// Adds the current count.
+    pub fn record(&mut self, now: Instant, count: usize) {
+        while self.counts.back().is_some_and(|(_, last)| *last <= count) {
+            self.counts.pop_back();
+        }
+        self.counts.push_back((now, count));
+    }
+
+    /// Returns the highest recent count.
+    pub fn highest(&mut self, now: Instant, allowance: &RetryAllowance) -> usize {
+        let lifetime = allowance.window * SHARE_WINDOWS;
+        // The newest count stays, however old it is.
+        while self.counts.len() > 1
+            && self.counts.front().is_some_and(|(at, _)| now.duration_since(*at) > lifetime)
+        {
+            self.counts.pop_front();
+        }
+        self.counts.front().map_or(0, |(_, count)| *count)
+    }
+}
+
 /// Requests and retries of one entry to one pool within the window.
 #[derive(Debug, Default)]
 pub struct RetryBudget {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -29,7 +29,8 @@
 };
 
 use crate::{
-    CallerRequest, Dispatch, GatewayResponse, Generation, HeaderCodec, RetryAllowance, RetryBudget,
+    CallerRequest, Dispatch, EntryCount, GatewayResponse, Generation, HeaderCodec, RetryAllowance,
+    RetryBudget,
     connections::{CONNECTION_HEADERS, Connection, ConnectionPool, SendError},
     decision::{RequestProgress, RetryDecision, SendFailure, decide_retry},
     fingerprint::request_fingerprint,
@@ -54,7 +55,7 @@
 /// once, and a log entry takes some tens of milliseconds.
 const FIRST_CHECK_TIMEOUT: Duration = Duration::from_millis(100);
 
-/// Interval between checks for expired idle connections.
+/// Interval between checks for expired idle connections, and between counts of the entries.
 const EXPIRE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Tokens per prefix hash. As all blocks are equally long, the share of a prompt's hashes in an
@@ -90,6 +91,7 @@
     places: PlaceClient,
     pub(crate) connections: ConnectionPool,
     budgets: Mutex<HashMap<PoolId, RetryBudget>>,
+    entries: Mutex<EntryCount>,
 }
 
 /// State of a request across its attempts.
@@ -150,10 +152,13 @@
             places,
             connections: connections.clone(),
             budgets: Mutex::default(),
+            entries: Mutex::default(),
         });
         let weak = Arc::downgrade(&gateway);
         tokio::spawn(async move {
-            while weak.strong_count() > 0 {
+            while let Some(gateway) = weak.upgrade() {
+                gateway.entries();
+                drop(gateway);
                 tokio::time::sleep(EXPIRE_INTERVAL).await;
                 connections.expire();
             }
@@ -299,9 +304,13 @@
         }
     }
 
-    /// Returns the number of entries, which share the retry allowance.
+    /// Counts the entries, which share the retry allowance.
     fn entries(&self) -> usize {
-        self.cx.view.read(|state| state.sessions().filter(|s| !s.info.replica).count())
+        let count = self.cx.view.read(|state| state.sessions().filter(|s| !s.info.replica).count());
+        let now = Instant::now();
+        let mut entries = self.entries.lock().unwrap_or_else(PoisonError::into_inner);
+        entries.record(now, count);
+        entries.highest(now, &self.cx.retries)
     }
 
     fn with_budget<T>(&self, pool: &PoolId, f: impl FnOnce(&mut RetryBudget, Instant) -> T) -> T {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,7 +20,7 @@
 mod relay;
 mod request;
 
-pub use budget::{RetryAllowance, RetryBudget};
+pub use budget::{EntryCount, RetryAllowance, RetryBudget};
 pub use connections::{Connection, ConnectionPool, SendError};
 pub use decision::{RequestProgress, RetryDecision, SendFailure, decide_retry};
 pub use events::EventSplitter;
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -4,8 +4,8 @@
 
 use rstest::rstest;
 use shallotdrum_gateway::{
-    EventSplitter, FallbackSelector, RequestProgress, RetryAllowance, RetryBudget, RetryDecision,
-    SendFailure, decide_retry,
+    EntryCount, EventSplitter, FallbackSelector, RequestProgress, RetryAllowance, RetryBudget,
+    RetryDecision, SendFailure, decide_retry,
 };
 use shallotdrum_routes::RetryPolicy;
 use shallotdrum_types::{AdapterRef, PoolId, TargetId};
@@ -108,6 +108,31 @@
     assert!(granted as f64 >= allowed / 2.0, "{granted} of {allowed}");
 }
 
+/// Guards against an entry that takes the shares of others whose sessions ended with their leader:
+/// they make retries meanwhile.
+#[test]
+fn budget_shared_while_sessions_reopen() {
+    const ENTRIES: usize = 8;
+    let allowance = RetryAllowance { ratio: 0.0, extra: 56.0, window: Duration::from_secs(10) };
+    let mut now = Instant::now();
+    let mut granted = 0;
+    let mut entries = EntryCount::default();
+    let mut budgets: Vec<_> = (0..ENTRIES).map(|_| RetryBudget::default()).collect();
+    for sessions in [ENTRIES, 0, 1, 3] {
+        now += Duration::from_secs(1);
+        entries.record(now, sessions);
+        let shared_by = entries.highest(now, &allowance);
+        for budget in &mut budgets {
+            granted += (0..100).filter(|_| budget.try_consume(now, &allowance, shared_by)).count();
+        }
+    }
+    assert!(granted as f64 <= allowance.extra, "{granted} of {}", allowance.extra);
+
+    now += allowance.window * 3;
+    entries.record(now, 3);
+    assert_eq!(entries.highest(now, &allowance), 3);
+}
+
 /// Guards against retries that are never forgotten: after a window, the budget must be available
 /// again.
 #[test]
