Split the gateway's exchange, and check streams that end within their first event

One change of behaviour, seen while moving: a stream that ends within its first event is checked for a crash like one whose connection is reset; before, such a crash was not counted. No test of its own: the fakes do not end a stream in this way.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -14,14 +14,13 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use shallotdrum_control::ControlView;
-use shallotdrum_engine::Requirements;
 use shallotdrum_owner::{CrashStatus, OwnerService, PlaceAdmission, RunningGuard, SessionFn};
 use shallotdrum_routes::{Route, RouteIndex};
 use shallotdrum_rpc::{Peers, PlaceEnd};
 use shallotdrum_telemetry::{Metrics, event};
 use shallotdrum_types::{
-    AdapterRef, AdapterVersion, Fingerprint, PoolId, RequestError, RequestErrorKind, RequestId,
-    Revision, SubscriberId, TargetId,
+    Fingerprint, PoolId, RequestError, RequestErrorKind, RequestId, Revision, SubscriberId,
+    TargetId,
 };
 use tokio::{
     task::JoinHandle,
@@ -29,11 +28,11 @@
 };
 
 use crate::{
-    CallerRequest, Dispatch, EntryCount, GatewayResponse, Generation, HeaderCodec, RetryAllowance,
-    RetryBudget,
+    CallerRequest, Dispatch, EntryCount, GatewayResponse, HeaderCodec, RetryAllowance, RetryBudget,
     connections::{CONNECTION_HEADERS, Connection, ConnectionPool, SendError},
     decision::{RequestProgress, RetryDecision, SendFailure, decide_retry},
     fingerprint::request_fingerprint,
+    need::{fallback_label, subscriber},
     places::{Place, PlaceClient},
     relay::{Relay, StartedStream},
 };
@@ -48,23 +47,9 @@
 /// the transfer of the state take about a second.
 const RETRY_AFTER_START: Duration = Duration::from_millis(1_200);
 
-/// `Retry-After` for a quarantined request, which an operator must release first.
-const RETRY_AFTER_QUARANTINE: Duration = Duration::from_secs(60);
-
-/// Maximum wait for the crash check of a request that is not a suspect yet. A closed port shows at
-/// once, and a log entry takes some tens of milliseconds.
-const FIRST_CHECK_TIMEOUT: Duration = Duration::from_millis(100);
-
 /// Interval between checks for expired idle connections, and between counts of the entries.
 const EXPIRE_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Tokens per prefix hash. As all blocks are equally long, the share of a prompt's hashes in an
-/// engine's cache is about the share of its tokens that are cached.
-const BLOCK_TOKENS: u64 = 256;
-
-/// Version of an adapter for which the operators have set none.
-const DEFAULT_VERSION: u64 = 1;
-
 /// Dependencies and settings of a `Gateway`.
 pub struct GatewayContext {
     /// Local copy of the control state; may lag behind the log.
@@ -91,7 +76,7 @@
     places: PlaceClient,
     pub(crate) connections: ConnectionPool,
     budgets: Mutex<HashMap<PoolId, RetryBudget>>,
-    entries: Mutex<EntryCount>,
+    entry_count: Mutex<EntryCount>,
 }
 
 /// State of a request across its attempts.
@@ -113,7 +98,7 @@
     /// Id of the last event of the stream that the caller has received.
     pub(crate) resume_after: Option<String>,
     /// Check whether the target of the latest broken connection crashed.
-    crash_check: Option<JoinHandle<CrashStatus>>,
+    pub(crate) crash_check: Option<JoinHandle<CrashStatus>>,
     /// Latest complete error response of a target.
     error_response: Option<GatewayResponse>,
 }
@@ -152,12 +137,12 @@
             places,
             connections: connections.clone(),
             budgets: Mutex::default(),
-            entries: Mutex::default(),
+            entry_count: Mutex::default(),
         });
         let weak = Arc::downgrade(&gateway);
         tokio::spawn(async move {
             while let Some(gateway) = weak.upgrade() {
-                gateway.entries();
+                gateway.count_entries();
                 drop(gateway);
                 tokio::time::sleep(EXPIRE_INTERVAL).await;
                 connections.expire();
@@ -288,7 +273,7 @@
                 if self.check_quarantine(&run.fingerprint).is_err() {
                     return false;
                 }
-                let entries = self.entries();
+                let entries = self.count_entries();
                 let is_allowed = !uses_budget
                     || self.with_budget(&run.pool, |budget, now| {
                         budget.try_consume(now, &self.cx.retries, entries)
@@ -304,11 +289,11 @@
         }
     }
 
-    /// Counts the entries, which share the retry allowance.
-    fn entries(&self) -> usize {
+    /// Records the number of entries, and returns the one that shares the retry allowance.
+    fn count_entries(&self) -> usize {
         let count = self.cx.view.read(|state| state.sessions().filter(|s| !s.info.replica).count());
         let now = Instant::now();
-        let mut entries = self.entries.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut entries = self.entry_count.lock().unwrap_or_else(PoisonError::into_inner);
         entries.record(now, count);
         entries.highest(now, &self.cx.retries)
     }
@@ -455,41 +440,6 @@
         Ok(Received { place, running, connection, response })
     }
 
-    pub(crate) fn log_send_failure(
-        &self,
-        run: &RequestRun,
-        target: &TargetId,
-        failure: SendFailure,
-        error: &dyn std::fmt::Display,
-    ) {
-        event!(self.cx.log, SEND_FAILED; "request" => %run.req.id,
-            "fingerprint" => %run.fingerprint, "target" => %target,
-            "may_have_run" => failure.may_have_run(), "error" => %error);
-    }
-
-    fn check_quarantine(&self, fingerprint: &Fingerprint) -> Result<(), RequestError> {
-        let checked = self.cx.owner.check_relayed_quarantine(fingerprint);
-        checked.map_err(|error| error.retry_after(RETRY_AFTER_QUARANTINE))
-    }
-
-    /// Starts a check whether the target crashed, after its connection broke with the request
-    /// possibly running.
-    pub(crate) fn check_crash(&self, run: &mut RequestRun, running: RunningGuard, place: &Place) {
-        run.crash_check = Some(self.cx.owner.check_relayed(running, place.granted.addr));
-    }
-
-    /// Waits for a started check, so that the crash counts before the request is sent again.
-    async fn wait_for_crash_check(&self, run: &mut RequestRun) {
-        let Some(check) = run.crash_check.take() else { return };
-        // A single interruption seldom is a crash that the request caused, and callers wait.
-        let limit = match self.cx.owner.is_relayed_suspect(&run.fingerprint) {
-            true => run.deadline,
-            false => run.deadline.min(Instant::now() + FIRST_CHECK_TIMEOUT),
-        };
-        // The check goes on in its own task.
-        let _ = timeout_at(limit, check).await;
-    }
-
     /// Resumes an interrupted stream at another target.
     pub(crate) async fn resume(&self, run: &mut RequestRun) -> Option<Received> {
         loop {
@@ -508,37 +458,6 @@
             }
         }
     }
-
-    /// Returns the resources that the request needs at a target, and the adapter version that it
-    /// must run on.
-    fn need(&self, run: &RequestRun) -> (Requirements, Option<AdapterVersion>) {
-        let Some(generation) = &run.req.generation else {
-            let is_repeatable = run.route.repeat.allows_resend();
-            return (Requirements::Call { is_repeatable }, None);
-        };
-        let adapter = generation.adapter.as_ref().map(|adapter| AdapterRef {
-            adapter: adapter.clone(),
-            version: self.adapter_version(generation, adapter),
-        });
-        let version = adapter.as_ref().map(|adapter| adapter.version.clone());
-        let need = Requirements::Generation {
-            prefixes: prefix_hashes(generation, adapter.as_ref()),
-            adapter,
-            prompt_tokens: generation.prompt_tokens,
-            max_tokens: generation.max_tokens,
-        };
-        (need, version)
-    }
-
-    fn adapter_version(
-        &self,
-        generation: &Generation,
-        adapter: &shallotdrum_types::AdapterId,
-    ) -> AdapterVersion {
-        let version = self.cx.view.read(|state| state.adapter_version(&generation.base, adapter));
-        // Decimal digits form a valid version name.
-        version.unwrap_or(DEFAULT_VERSION).to_string().parse().expect("a number is a valid version")
-    }
 }
 
 impl RequestRun {
@@ -593,19 +512,6 @@
     }
 }
 
-/// Returns the subscriber that a request is charged to: its adapter, as each adapter belongs to one
-/// subscriber, or else its route.
-fn subscriber(run: &RequestRun) -> SubscriberId {
-    let adapter = run.req.generation.as_ref().and_then(|g| g.adapter.as_ref());
-    let name = adapter.map_or(run.route.name.as_str(), |adapter| adapter.as_str());
-    name.parse().unwrap_or_else(|_| fallback_label())
-}
-
-/// Label for names that are not valid identifiers.
-fn fallback_label() -> SubscriberId {
-    "other".parse().expect("a valid name")
-}
-
 /// Counts a request as in flight until dropped.
 struct InFlightGuard(prometheus::IntGauge);
 
@@ -622,25 +528,6 @@
     }
 }
 
-/// Returns the hashes of successively longer prompt prefixes. The adapter is hashed too, as engines
-/// share cached prefixes only within an adapter.
-fn prefix_hashes(generation: &Generation, adapter: Option<&AdapterRef>) -> Vec<u64> {
-    let mut hasher = blake3::Hasher::new();
-    if let Some(adapter) = adapter {
-        hasher.update(adapter.to_string().as_bytes());
-    }
-    let mut hashes = Vec::new();
-    for part in &generation.prompt {
-        for block in 0..part.tokens.div_ceil(BLOCK_TOKENS) {
-            hasher.update(&part.id.to_le_bytes()).update(&block.to_le_bytes());
-            let hash = hasher.finalize();
-            let first = hash.as_bytes().first_chunk::<8>();
-            hashes.push(first.copied().map_or(0, u64::from_le_bytes));
-        }
-    }
-    hashes
-}
-
 /// Removes the headers of a target's response that apply to its connection only.
 pub(crate) fn response_headers(mut headers: HeaderMap) -> HeaderMap {
     for name in CONNECTION_HEADERS {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,19 +3,22 @@
 //! `exchange` drives a caller's request through its attempts, `places` acquires a place, which is
 //! a reservation at a target, from the owner of the target's group, and `connections` is the
 //! connection pool. `relay` forwards event streams, `fallback` selects a target while a group has
-//! no owner, `budget` limits retries, `decision` holds the retry rules, and `fingerprint` recognises repeats of
-//! a request.
+//! no owner, `need` describes a request to the owner, `budget` limits retries, and `decision` holds
+//! the retry rules. `fingerprint` recognises repeats of a request, and `crash` those that crash
+//! targets.
 //!
 //! Architecture Invariant: an at-most-once request is sent to a second target only if no byte of
 //! it can have reached the first, or the first refused it without running it.
 
 mod budget;
 mod connections;
+mod crash;
 mod decision;
 mod events;
 mod exchange;
 mod fallback;
 mod fingerprint;
+mod need;
 mod places;
 mod relay;
 mod request;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -75,19 +75,12 @@
                     }
                 }
                 Ok(None) if splitter.has_pending() => {
-                    self.place.end(PlaceEnd::Failed);
-                    return Err(target_failed("the stream ended within its first event"));
+                    let cause = "the stream ended within its first event";
+                    return Err(self.broken_at_start(run, cause));
                 }
                 Ok(None) => break None,
                 Err(StreamEnd::TimedOut) => return Err(target_timed_out()),
-                Err(StreamEnd::Broken(cause)) => {
-                    let target = &self.place.granted.target;
-                    self.gateway.log_send_failure(run, target, SendFailure::Unknown, &cause);
-                    run.avoid.push(target.clone());
-                    self.gateway.check_crash(run, self.running, &self.place);
-                    self.place.end(PlaceEnd::Failed);
-                    return Err(target_failed(cause));
-                }
+                Err(StreamEnd::Broken(cause)) => return Err(self.broken_at_start(run, &cause)),
                 Err(_) => return Err(target_failed("the caller disconnected")),
             }
         };
@@ -101,6 +94,16 @@
         })
     }
 
+    /// Ends a stream that broke before its first event.
+    fn broken_at_start(self, run: &mut RequestRun, cause: &str) -> RequestError {
+        let target = &self.place.granted.target;
+        self.gateway.log_send_failure(run, target, SendFailure::Unknown, &cause);
+        run.avoid.push(target.clone());
+        self.gateway.check_crash(run, self.running, &self.place);
+        self.place.end(PlaceEnd::Failed);
+        target_failed(cause)
+    }
+
     /// Forwards events until the stream ends, resuming at other targets if allowed.
     async fn relay(
         self,
