--- a/crates/daemon/src/follower.rs
+++ b/crates/daemon/src/follower.rs
@@ -40,6 +40,8 @@
     let mut may_cancel = true;
     // A random start spreads the followers over the replicas.
     let mut current = rand::random::<u32>() as usize;
+    // Replica whose last poll succeeded.
+    let mut followed = None;
     loop {
         let names = directory.names();
         let name = names.get(current % names.len().max(1));
@@ -58,13 +60,18 @@
             }
         };
         may_cancel = result.is_ok();
+        let applied = view.applied().0;
+        if result.is_ok() && followed.replace(addr) != Some(addr) {
+            event!(log, FOLLOW_STARTED; "addr" => %addr, "index" => applied);
+        }
         timeout = match &result {
             Ok(()) => WATCH_TIMEOUT,
             // The next reply may be a snapshot over a slow link.
             Err(_) => (2 * timeout).min(SNAPSHOT_TIMEOUT),
         };
         if let Err(error) = result {
-            event!(log, FOLLOW_RETRIED; "addr" => %addr, "error" => %error);
+            followed = None;
+            event!(log, FOLLOW_RETRIED; "addr" => %addr, "index" => applied, "error" => %error);
             current += 1;
             tokio::time::sleep(RETRY_PAUSE).await;
         }
--- a/crates/daemon/src/plane.rs
+++ b/crates/daemon/src/plane.rs
@@ -7,7 +7,7 @@
 use shallotdrum_routes::RouteTable;
 use shallotdrum_rpc::{ControlClient, PeerApiClient, RpcError};
 use shallotdrum_telemetry::event;
-use shallotdrum_types::{AdapterId, BaseModelId, RequestError, TargetId};
+use shallotdrum_types::{AdapterId, BaseModelId, LogIndex, RequestError, TargetId};
 use tokio::time::Instant;
 
 use crate::targets::TargetRelay;
@@ -44,6 +44,11 @@
         self.view.read(|state| state.route_table().cloned())
     }
 
+    /// Index of the last command applied by this instance.
+    pub fn applied(&self) -> LogIndex {
+        self.view.applied()
+    }
+
     /// Makes a validated route table the current one, unless the current one has the same or a
     /// higher revision.
     pub async fn put_routes(&self, table: Arc<RouteTable>) -> Result<(), ChangeError> {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -214,7 +214,10 @@
                 .retry_after(RETRY_AFTER_START));
         };
         let Some(route) = routes.find(&req.host, req.target.path()).cloned() else {
-            let detail = format!("no route of host {} matches this path", req.host);
+            let revision = routes.table().revision;
+            let host = &req.host;
+            let detail =
+                format!("no route of host {host} matches this path in revision {revision}");
             return Err(RequestError::not_run(RequestErrorKind::NotFound, detail));
         };
         let Some(pool) = route.choose_pool(rand::random()).cloned() else {
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -95,7 +95,8 @@
     "K02" "Control" {
         MANIFEST_APPLIED = "K0201", Info, "manifest revision in force", "none";
         SESSION_EXPIRED = "K0202", Warning, "session expired", "check the instance, unless it was stopped on purpose";
-        FOLLOW_RETRIED = "K0204", Debug, "cannot follow the control log through this replica; trying the next", "none";
+        FOLLOW_RETRIED = "K0204", Info, "no longer following the control log through this replica", "none, unless it repeats for one replica";
+        FOLLOW_STARTED = "K0217", Info, "following the control log through this replica", "none";
         SESSION_OPENED = "K0205", Info, "session opened", "none";
         SESSION_REFUSED = "K0206", Error, "control log refused a session", "compare the instance's settings with those of the other instances";
         SESSION_ENDED = "K0207", Warning, "session ended; opening a new one", "check why it was not renewed: a stalled process, or the network to the control replicas";
@@ -105,6 +106,7 @@
         LEADER_READY = "K0210", Info, "control leader started its tasks", "none";
         LEADER_COMMAND_FAILED = "K0211", Warning, "control leader cannot write to the log", "check the control replicas and the network between them";
         CHANGE_UNCONFIRMED = "K0215", Warning, "change was not confirmed by the control log", "none; the sender retries. Check the control replicas if it persists";
+        CHANGE_CONFIRMED = "K0218", Info, "change confirmed by the control log", "none";
         ROUTES_READ_FAILED = "K0216", Warning, "cannot read the latest route table from the control leader", "check the control replicas if it persists";
         JOIN_RETRIED = "K0213", Debug, "cannot join the control replicas yet", "none; check the seeds if it persists";
         REPLICA_LOST = "K0214", Warning, "control replica did not respond for too long; removing it", "replace the machine";
