--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -408,12 +408,12 @@
 /// Directory of the control replicas: a fixed list, or seeds that use the same RPC port as
 /// this instance.
 fn directory(settings: &Settings) -> Directory {
+    let replicas = settings.replicas.iter().map(|r| (r.instance.clone(), r.rpc)).collect();
     match settings.seeds.is_empty() {
-        true => {
-            let replicas = settings.replicas.iter().map(|r| (r.instance.clone(), r.rpc));
-            Directory::listed(replicas.collect())
+        true => Directory::listed(replicas),
+        false => {
+            Directory::seeded(settings.seeds.clone(), settings.advertised().rpc.port(), replicas)
         }
-        false => Directory::seeded(settings.seeds.clone(), settings.advertised().rpc.port()),
     }
 }
 
--- a/crates/daemon/tests/guarantees/manifests.rs
+++ b/crates/daemon/tests/guarantees/manifests.rs
@@ -2,16 +2,22 @@
 
 use std::time::Duration;
 
+use futures_util::future::join_all;
 use rstest::rstest;
 use shallotdrum_control::CommandError;
+use shallotdrum_harness::{ClusterConfig, TargetsConfig, wait_until};
 use shallotdrum_rpc::RpcError;
 use shallotdrum_types::Revision;
 
-use crate::setup::{START_LIMIT, start};
+use crate::setup::{START_LIMIT, start, start_with};
 
 /// Time within which an accepted manifest must be in force on every instance.
 const IN_FORCE_LIMIT: Duration = Duration::from_secs(5);
 
+/// Time within which deployments expect it to be in force where the instance reaches the control
+/// leader and the replicas around it.
+const CONNECTED_LIMIT: Duration = Duration::from_secs(2);
+
 /// Guards against accepting two manifests with one revision when operators submit concurrently, and
 /// against treating a resend as a new submission.
 #[rstest]
@@ -166,3 +172,55 @@
         shallotdrum_harness::wait_until("the instance serves", START_LIMIT, poll).await.unwrap();
     eprintln!("measured: served {time:?} after the restart");
 }
+
+/// Guards against an instance that keeps following a replica without contact to the leader.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn in_force_behind_split() {
+    const REPLICAS: usize = 5;
+    let program = env!("CARGO_BIN_EXE_shallotdrumd");
+    // Enough instances without a replica that some follow each replica.
+    let cfg = ClusterConfig { instances: 13, replicas: REPLICAS, ..ClusterConfig::new(program) };
+    let setup = start_with(cfg, TargetsConfig::default()).await;
+    let cluster = &setup.cluster;
+    let mut deployment = setup.deployment.clone();
+    let path = format!("/{}/status/7", deployment.service);
+    let mut revision = 1;
+    let mut slowest = Duration::ZERO;
+    for round in 0..REPLICAS {
+        let minority = [2 * round % REPLICAS, (2 * round + 1) % REPLICAS];
+        let majority = (0..REPLICAS).find(|i| !minority.contains(i)).unwrap();
+        cluster.split(&minority);
+        for _ in 0..3 {
+            deployment.subscribers += 1;
+            let (submission, manifest) = (format!("split-{revision}"), deployment.manifest());
+            let submit = || async {
+                let rpc = cluster.rpc_addr(majority);
+                let submitted = setup.operator.submit(rpc, &submission, revision, &manifest);
+                submitted.await.map_err(|e| e.to_string())
+            };
+            let submitted = wait_until("the manifest is accepted", START_LIMIT, submit).await;
+            revision = submitted.unwrap().0.0;
+            let accepted_at = tokio::time::Instant::now();
+            let caller = setup.caller.with_key(&deployment.key(deployment.subscribers - 1));
+            let in_force = (REPLICAS..cluster.len()).map(|i| {
+                let (caller, path) = (&caller, &path);
+                async move {
+                    let poll = || async {
+                        let call =
+                            caller.call(cluster.entry(i), hyper::Method::GET, path, None, "");
+                        call.await.map(drop).map_err(|e| e.to_string())
+                    };
+                    wait_until("the manifest is in force", START_LIMIT, poll).await.unwrap();
+                    accepted_at.elapsed()
+                }
+            });
+            let times = join_all(in_force).await;
+            eprintln!("revision {revision}, {minority:?} cut off: in force after {times:?}");
+            slowest = slowest.max(times.into_iter().max().unwrap());
+        }
+        cluster.heal_split();
+        tokio::time::sleep(CONNECTED_LIMIT).await;
+    }
+    assert!(slowest < CONNECTED_LIMIT, "{slowest:?}");
+}
--- a/crates/harness/src/cluster.rs
+++ b/crates/harness/src/cluster.rs
@@ -179,6 +179,23 @@
         self.for_each_proxy_of(i, FaultProxy::cut_both);
     }
 
+    /// Silently drops the traffic between these control replicas and the others; all instances still
+    /// reach every replica.
+    pub fn split(&self, minority: &[usize]) {
+        for i in 0..self.cfg.replicas {
+            for r in 0..self.cfg.replicas {
+                if minority.contains(&i) != minority.contains(&r) {
+                    self.control[i][r].cut_both();
+                }
+            }
+        }
+    }
+
+    /// Removes the faults between control replicas.
+    pub fn heal_split(&self) {
+        self.control[..self.cfg.replicas].iter().flatten().for_each(FaultProxy::heal);
+    }
+
     /// Like `isolate`, but in one direction: drops what the instance sends if `outgoing`, otherwise
     /// what it receives.
     pub fn isolate_one_way(&self, i: usize, outgoing: bool) {
--- a/crates/rpc/src/directory.rs
+++ b/crates/rpc/src/directory.rs
@@ -19,7 +19,13 @@
 #[derive(Debug)]
 enum Replicas {
     Listed(BTreeMap<InstanceId, SocketAddr>),
-    Seeded { port: u16, seeds: RwLock<Vec<InstanceId>>, discovered: RwLock<BTreeSet<InstanceId>> },
+    Seeded {
+        port: u16,
+        /// Replicas that are not reached at the IP address that is their name.
+        forwarded: BTreeMap<InstanceId, SocketAddr>,
+        seeds: RwLock<Vec<InstanceId>>,
+        discovered: RwLock<BTreeSet<InstanceId>>,
+    },
 }
 
 impl Directory {
@@ -29,9 +35,16 @@
     }
 
     /// Creates a directory that starts with seeds and is extended by discovered replicas.
-    pub fn seeded(seeds: Vec<InstanceId>, port: u16) -> Self {
+    ///
+    /// `forwarded` holds the addresses of replicas behind a port forwarding; all others are reached
+    /// at the IP address that is their name.
+    pub fn seeded(
+        seeds: Vec<InstanceId>,
+        port: u16,
+        forwarded: BTreeMap<InstanceId, SocketAddr>,
+    ) -> Self {
         let (seeds, discovered) = (RwLock::new(seeds), RwLock::default());
-        Self(Arc::new(Replicas::Seeded { port, seeds, discovered }))
+        Self(Arc::new(Replicas::Seeded { port, forwarded, seeds, discovered }))
     }
 
     /// Returns the RPC address of a replica; `None` if it is not listed, or with seeds, if its name
@@ -39,9 +52,10 @@
     pub fn addr(&self, id: &InstanceId) -> Option<SocketAddr> {
         match &*self.0 {
             Replicas::Listed(replicas) => replicas.get(id).copied(),
-            Replicas::Seeded { port, .. } => {
-                Some(SocketAddr::new(id.as_str().parse::<IpAddr>().ok()?, *port))
-            }
+            Replicas::Seeded { port, forwarded, .. } => match forwarded.get(id) {
+                Some(addr) => Some(*addr),
+                None => Some(SocketAddr::new(id.as_str().parse::<IpAddr>().ok()?, *port)),
+            },
         }
     }
 
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -27,7 +27,8 @@
     /// Addresses for other instances, if they differ from `addrs`.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub advertise: Option<Addrs>,
-    /// Control replicas of the deployment; empty if `seeds` is set.
+    /// Control replicas of the deployment. If `seeds` is set, only those that this instance does
+    /// not reach at the address that is their name, for example behind a port forwarding.
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub replicas: Vec<ReplicaAddr>,
     /// Control replicas from which the others are discovered. Each replica's name is its IP
