Refuse followers on replicas that lost contact to the control leader

Callers got 404 for routes that an acknowledged table had, or were served by the former pool, up to 2.35 s after the acknowledgement (2 s allowed).

Cause: a replica that was cut off from its leader went on replying that there is nothing new. A follower found out by its renewal at the leader (1 s, plus 250 ms) and then asked the next replica by index, which could be cut off as well: 2 x 1.35 s with two of five.

A replica now counts as connected for election_min after the last message of a leader, a leader for the rest of its lease. Without a connection it fails polls at once, waiting ones included, as "not connected". A replica of an old leader is covered too: no change can be acknowledged elsewhere until election_min after the old leader's last message.

--- a/crates/consensus/src/node/core.rs
+++ b/crates/consensus/src/node/core.rs
@@ -210,6 +210,16 @@
         contact.is_some_and(|at| at.elapsed() < self.timing.election_min)
     }
 
+    /// Time until which this replica counts as connected to a leader, unless it hears from one again:
+    /// as leader the end of its lease, otherwise `election_min` after the last message of a leader.
+    pub(super) fn connected_until(&self) -> Option<Instant> {
+        match self.role {
+            _ if self.is_stopped => None,
+            RoleState::Leader(_) => Some(self.quorum_contact()? + self.timing.lease()),
+            _ => Some(self.leader_contact? + self.timing.election_min),
+        }
+    }
+
     /// Becomes a follower, in the given term if it is later than the current one.
     pub(super) fn step_down(&mut self, term: Term) {
         if let RoleState::Leader(_) = self.role {
--- a/crates/consensus/src/node/mod.rs
+++ b/crates/consensus/src/node/mod.rs
@@ -232,6 +232,15 @@
         }
     }
 
+    /// Time until which this replica counts as connected to the leader, unless it hears from it
+    /// again; `None` if it has stopped or had no contact yet.
+    ///
+    /// A replica that is connected learns of each committed command within a heartbeat. One that is
+    /// cut off from the leader is not connected `election_min` later.
+    pub fn connected_until(&self) -> Option<tokio::time::Instant> {
+        self.0.core().connected_until()
+    }
+
     /// Stops the node: it refuses all further messages and proposals.
     ///
     /// Dropping a node doesn't stop it. After the shutdown its data folder can be opened again.
--- a/crates/daemon/src/replica.rs
+++ b/crates/daemon/src/replica.rs
@@ -185,8 +185,9 @@
 
     /// Returns the commands committed after an index; waits up to `wait_ms` if there are none.
     ///
-    /// A restarted replica replies only after it has caught up with a leader: its snapshot may be
-    /// much older than the state that followers had before they restarted as well.
+    /// Fails as soon as this replica is not connected to the leader: it cannot tell whether there are
+    /// new commands. A restarted replica must also have caught up with a leader, since its snapshot
+    /// may be much older than the state that followers had before they restarted as well.
     pub(crate) async fn watch(
         &self,
         after: LogIndex,
@@ -199,13 +200,11 @@
         let mut status = self.node.watch();
         loop {
             let seen = status.borrow_and_update().clone();
-            if !seen.is_caught_up {
-                let caught_up = status.wait_for(|status| status.is_caught_up);
-                match tokio::time::timeout_at(deadline, caught_up).await {
-                    Ok(_) => continue,
-                    Err(_) => return Err(RpcError::Unavailable),
-                }
-            }
+            let now = tokio::time::Instant::now();
+            let connected_until = match self.node.connected_until() {
+                Some(until) if until > now && seen.is_caught_up => until,
+                _ => return Err(RpcError::NotConnected),
+            };
             match self.node.committed_after(after, MAX_WATCH_BYTES) {
                 CommittedTail::Snapshot { .. } => return Ok(self.follower_snapshot()),
                 // A snapshot is smaller than a long history of route tables.
@@ -218,14 +217,14 @@
                         .filter(|(_, command)| !command.command.is_ledger_only())
                         .map(|(index, command)| WatchEntry { index, command })
                         .collect();
-                    if !entries.is_empty() || tokio::time::Instant::now() >= deadline {
+                    if !entries.is_empty() || now >= deadline {
                         return Ok(WatchReply::Entries { entries, through: last.max(after) });
                     }
                 }
             }
-            // After a timeout the next iteration returns what is available.
+            // After a timeout the next iteration returns what is available, or fails.
             let applied = status.wait_for(|status| status.applied > seen.applied);
-            let _ = tokio::time::timeout_at(deadline, applied).await;
+            let _ = tokio::time::timeout_at(deadline.min(connected_until), applied).await;
         }
     }
 
--- a/crates/daemon/tests/guarantees/replicas.rs
+++ b/crates/daemon/tests/guarantees/replicas.rs
@@ -8,8 +8,11 @@
 use shallotdrum_control::CommandError;
 use shallotdrum_fakes::FaultProxy;
 use shallotdrum_harness::{CallerError, Deployment, wait_until};
-use shallotdrum_rpc::{AdminApiClient, ReplicaStatus, RpcError};
+use shallotdrum_rpc::{
+    AdminApiClient, Compressed, PeerApiClient, ReplicaStatus, RpcError, WatchReply,
+};
 use shallotdrum_types::{Revision, Term};
+use tokio::time::Instant;
 
 use crate::setup::{START_LIMIT, Setup, start};
 
@@ -447,3 +450,42 @@
     let alive: Vec<_> = (0..setup.cluster.len()).filter(|i| *i != leader).collect();
     accepted.check(&setup, &alive).await;
 }
+
+/// Guards against a replica that goes on replying "nothing new" after it lost contact to the leader.
+#[rstest]
+#[case::follower(false)]
+#[case::leader(true)]
+#[tokio::test(flavor = "multi_thread")]
+async fn watch_of_cut_off_replica_fails(#[case] is_leader_cut: bool) {
+    /// Share of the 2 s until a change is in force in which a cut-off replica must be noticed.
+    const NOTICED_WITHIN: Duration = Duration::from_secs(1);
+
+    let setup = start().await;
+    let leader = setup.leader(None).await;
+    let cut = if is_leader_cut { leader } else { (leader + 1) % setup.cluster.replicas() };
+    let client = setup.operator.client(setup.cluster.rpc_addr(cut)).unwrap();
+    let applied = client.replica_status().await.unwrap().applied;
+    let before = client.watch(applied, 0).await;
+    assert!(before.is_ok(), "{before:?}");
+
+    setup.cluster.split(&[cut]);
+    let cut_at = Instant::now();
+    // Commands from before the cut may still be delivered.
+    let mut after = applied;
+    let error = loop {
+        match client.watch(after, 10_000).await {
+            Ok(Compressed(WatchReply::Entries { through, .. })) => after = through,
+            Ok(Compressed(reply)) => panic!("{reply:?}"),
+            Err(error) => break RpcError::from(error),
+        }
+    };
+    let took = cut_at.elapsed();
+    assert_eq!(error, RpcError::NotConnected);
+    assert!(took < NOTICED_WITHIN, "{took:?}");
+
+    setup.cluster.heal_split();
+    let poll = || async {
+        client.watch(after, 0).await.map(drop).map_err(|e| RpcError::from(e).to_string())
+    };
+    wait_until("the replica replies again", START_LIMIT, poll).await.unwrap();
+}
--- a/crates/rpc/src/error.rs
+++ b/crates/rpc/src/error.rs
@@ -28,6 +28,9 @@
     /// The control log is unavailable; the call had no effect.
     #[error("the control log is unavailable; no change was made")]
     Unavailable,
+    /// The replica cannot tell whether it has the newest commands.
+    #[error("this replica is not connected to the control leader")]
+    NotConnected,
     /// The result is unknown; the change may or may not have been made.
     #[error("the control log did not respond in time; the change may have been made")]
     Unknown,
