Ask all control replicas at once for the leader and for one to follow

Cause: a follower left silent replicas one by one, with a timeout that doubled, by an index into a list that changes when sessions expire. ControlClient had the same fault: without a known leader each call began at the second name of the list and waited its whole time there if that replica was silent.

A survey now asks all replicas for their position. The first suitable one within 20 ms is followed, chosen at random; the leader is the replica that says so itself. The time to find one no longer depends on how many are out of order, nor on their place in the list. A poll that is given up because of a known lag asks for a replica that has the command, so the leader is suitable at least. The notification of a lag is now the index itself: one that was answered meanwhile no longer ends the next poll.

Replicas must be updated before followers: the method is new.

--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -31,7 +31,7 @@
     admin::Admin,
     catalog::ViewCatalog,
     disk,
-    follower::follow,
+    follower::Follower,
     membership::{join, track_replicas},
     peer::Peer,
     plane::ControlPlane,
@@ -221,14 +221,14 @@
             log.clone(),
         );
         if replica.is_none() {
-            let lag_notify = session.lag_notify();
-            tasks.spawn(follow(
-                view.clone(),
-                peers.clone(),
-                directory.clone(),
-                lag_notify,
-                log.clone(),
-            ));
+            let follower = Follower {
+                view: view.clone(),
+                peers: peers.clone(),
+                directory: directory.clone(),
+                overdue: session.overdue(),
+                log: log.clone(),
+            };
+            tasks.spawn(follower.run());
         }
         let owner = OwnerService::new(owner_context(
             &settings, options, &view, &client, &session, &permits, &metrics, &log,
--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -9,7 +9,7 @@
 use shallotdrum_routes::RouteTable;
 use shallotdrum_rpc::{
     Compressed, EndedPlace, PeerApiServer, Permit, PermitRequest, PermitRow, PlaceReply,
-    PlaceRequest, RenewReply, RenewRequest, RpcError, SessionRow, WatchReply,
+    PlaceRequest, RenewReply, RenewRequest, ReplicaPosition, RpcError, SessionRow, WatchReply,
 };
 use shallotdrum_types::{
     Base64Bytes, Fingerprint, Incarnation, InstanceId, LogIndex, PermitId, SessionId, TargetId,
@@ -48,6 +48,10 @@
         self.replica()?.watch(after, wait_ms).await.map(Compressed)
     }
 
+    async fn position(&self) -> Result<ReplicaPosition, RpcError> {
+        Ok(self.replica()?.position())
+    }
+
     async fn renew(&self, request: RenewRequest) -> Result<RenewReply, RpcError> {
         self.replica()?.renew(request)
     }
--- a/crates/daemon/src/replica.rs
+++ b/crates/daemon/src/replica.rs
@@ -20,8 +20,8 @@
 use shallotdrum_manifest::Manifest;
 use shallotdrum_routes::RouteTable;
 use shallotdrum_rpc::{
-    CallCounts, Permit, PermitRequest, PermitRow, RenewReply, RenewRequest, ReplicaStatus,
-    RpcError, SessionRow, WatchEntry, WatchReply,
+    CallCounts, Permit, PermitRequest, PermitRow, RenewReply, RenewRequest, ReplicaPosition,
+    ReplicaStatus, RpcError, SessionRow, WatchEntry, WatchReply,
 };
 use shallotdrum_telemetry::event;
 use shallotdrum_types::{
@@ -42,7 +42,7 @@
 
 /// Maximum number of commands in one reply to a follower; one that is further behind gets a
 /// snapshot instead. Each command may add a thousand routes.
-const MAX_WATCH_ENTRIES: usize = 32;
+pub(crate) const MAX_WATCH_ENTRIES: usize = 32;
 
 /// Number of attempts to write a route table as a difference before it is written whole; operators
 /// send up to eight changes concurrently.
@@ -228,6 +228,19 @@
         }
     }
 
+    /// Position in the log, by which followers choose a replica and callers find the leader.
+    pub(crate) fn position(&self) -> ReplicaPosition {
+        let status = self.node.status();
+        let now = tokio::time::Instant::now();
+        let is_connected = self.node.connected_until().is_some_and(|until| until > now);
+        ReplicaPosition {
+            leader: status.leader.filter(|_| is_connected),
+            is_caught_up: status.is_caught_up,
+            first: status.first_index,
+            applied: status.applied,
+        }
+    }
+
     /// Snapshot for a follower that is far behind, encoded once per index for all followers.
     fn follower_snapshot(&self) -> WatchReply {
         let index = self.view.applied();
--- a/crates/daemon/src/session.rs
+++ b/crates/daemon/src/session.rs
@@ -18,7 +18,7 @@
 use shallotdrum_rpc::{ControlClient, RenewRequest, RpcError};
 use shallotdrum_telemetry::event;
 use shallotdrum_types::{LogIndex, Revision, SessionId, Term};
-use tokio::sync::Notify;
+use tokio::sync::watch;
 
 /// Interval of renewals; two may fail before the lease expires.
 const RENEW_INTERVAL: Duration = Duration::from_secs(1);
@@ -43,8 +43,8 @@
     serve_when_stale: bool,
     log: slog::Logger,
     state: Mutex<State>,
-    /// Notified when commands applied by the leader do not arrive here in time.
-    lag_notify: Arc<Notify>,
+    /// Newest index that the leader had applied and that did not arrive here in time.
+    overdue: watch::Sender<LogIndex>,
 }
 
 #[derive(Default)]
@@ -88,7 +88,7 @@
             serve_when_stale: cfg.serve_when_stale,
             log,
             state: Mutex::default(),
-            lag_notify: Arc::default(),
+            overdue: watch::Sender::new(LogIndex(0)),
         })
     }
 
@@ -120,10 +120,9 @@
         }
     }
 
-    /// Returns the handle that is notified when commands applied by the leader do not arrive here
-    /// in time.
-    pub(crate) fn lag_notify(&self) -> Arc<Notify> {
-        self.lag_notify.clone()
+    /// Receiver of the newest index that the leader had applied and that did not arrive here in time.
+    pub(crate) fn overdue(&self) -> watch::Receiver<LogIndex> {
+        self.overdue.subscribe()
     }
 
     /// Notifies the follower if this instance has not applied `applied` after [`CATCH_UP_TIMEOUT`].
@@ -131,11 +130,11 @@
         if self.view.applied() >= applied {
             return;
         }
-        let (view, lag_notify) = (self.view.clone(), self.lag_notify.clone());
+        let (view, overdue) = (self.view.clone(), self.overdue.clone());
         tokio::spawn(async move {
             tokio::time::sleep(CATCH_UP_TIMEOUT).await;
             if view.applied() < applied {
-                lag_notify.notify_one();
+                overdue.send_replace(applied);
             }
         });
     }
--- a/crates/rpc/src/api.rs
+++ b/crates/rpc/src/api.rs
@@ -12,7 +12,8 @@
 use crate::{
     AdapterRow, Compressed, EndedPlace, GroupRow, InstanceRow, ManifestCheck, ManifestView, Permit,
     PermitRequest, PermitRow, PlaceReply, PlaceRequest, QuarantineRow, RenewReply, RenewRequest,
-    ReplicaStatus, RpcError, SessionRow, SubmissionRow, SubscriberRow, TargetRow, WatchReply,
+    ReplicaPosition, ReplicaStatus, RpcError, SessionRow, SubmissionRow, SubscriberRow, TargetRow,
+    WatchReply,
 };
 
 /// Methods that instances call on each other.
@@ -35,6 +36,10 @@
         wait_ms: u64,
     ) -> Result<Compressed<WatchReply>, RpcError>;
 
+    /// Returns the position of a replica in the log.
+    #[method(name = "control_position")]
+    async fn position(&self) -> Result<ReplicaPosition, RpcError>;
+
     /// Renews the lease of a session; served by the leader.
     #[method(name = "control_renew")]
     async fn renew(&self, request: RenewRequest) -> Result<RenewReply, RpcError>;
--- a/crates/rpc/src/control_client.rs
+++ b/crates/rpc/src/control_client.rs
@@ -18,6 +18,7 @@
 
 use crate::{
     Directory, PeerApiClient, Peers, Permit, PermitRequest, RenewReply, RenewRequest, RpcError,
+    survey::find_leader,
 };
 
 /// Settings of a [`ControlClient`].
@@ -145,37 +146,24 @@
     {
         let deadline = Instant::now() + limits.total;
         let mut may_have_run = false;
-        let mut next = 0;
         loop {
-            let name = match self.known_leader() {
-                Some(name) => name,
-                None => {
-                    next += 1;
-                    let names = self.cfg.directory.names();
-                    let Some(name) = names.get(next % names.len().max(1)) else {
-                        return Err(RpcError::Unavailable);
-                    };
-                    name.clone()
+            if let Some(name) = self.locate_leader(deadline).await {
+                let attempt_deadline = deadline.min(Instant::now() + limits.attempt);
+                match self.attempt(&name, attempt_deadline, &call).await {
+                    Ok(response) => {
+                        self.set_leader(Some(name));
+                        return Ok(response);
+                    }
+                    Err(RpcError::NotLeader { leader }) => {
+                        self.set_leader(leader.filter(|leader| *leader != name));
+                    }
+                    Err(RpcError::NotReplica | RpcError::Unavailable) => self.set_leader(None),
+                    Err(RpcError::Unknown | RpcError::NoAnswer(_)) => {
+                        may_have_run = true;
+                        self.set_leader(None);
+                    }
+                    Err(error) => return Err(error),
                 }
-            };
-            let attempt_deadline = deadline.min(Instant::now() + limits.attempt);
-            let error = match self.attempt(&name, attempt_deadline, &call).await {
-                Ok(response) => {
-                    self.set_leader(Some(name));
-                    return Ok(response);
-                }
-                Err(error) => error,
-            };
-            match error {
-                RpcError::NotLeader { leader } => {
-                    self.set_leader(leader.filter(|leader| *leader != name));
-                }
-                RpcError::NotReplica | RpcError::Unavailable => self.set_leader(None),
-                RpcError::Unknown | RpcError::NoAnswer(_) => {
-                    may_have_run = true;
-                    self.set_leader(None);
-                }
-                error => return Err(error),
             }
             let delay = Duration::from_millis(rand::rng().random_range(RETRY_DELAY_MS));
             if Instant::now() + delay >= deadline {
@@ -186,6 +174,15 @@
         }
     }
 
+    /// Returns the leader as last observed, or asks the replicas; `None` if none of them leads.
+    async fn locate_leader(&self, deadline: Instant) -> Option<InstanceId> {
+        if let Some(leader) = self.known_leader() {
+            return Some(leader);
+        }
+        let found = find_leader(&self.peers, &self.cfg.directory);
+        tokio::time::timeout_at(deadline, found).await.ok().flatten()
+    }
+
     async fn attempt<T, F, Fut>(
         &self,
         name: &InstanceId,
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -2,8 +2,8 @@
 //!
 //! `api` declares the methods, `messages`, `places` and `admin` their parameters and results, and
 //! `error` their errors. `peers` caches one client per address, `directory` holds the addresses of
-//! the control replicas, `control_client` locates the control leader, and `transport` delivers
-//! consensus messages.
+//! the control replicas, `survey` finds the leader or a replica to follow, `control_client` calls the
+//! leader, and `transport` delivers consensus messages.
 //!
 //! Architecture Invariant: each method is safe to execute twice, so that it may be called again
 //! when a response was lost.
@@ -17,6 +17,7 @@
 mod messages;
 mod peers;
 mod places;
+mod survey;
 mod transport;
 
 pub use admin::{
@@ -29,8 +30,10 @@
 pub use directory::Directory;
 pub use error::RpcError;
 pub use messages::{
-    Permit, PermitRequest, RenewReply, RenewRequest, SessionRow, WatchEntry, WatchReply,
+    Permit, PermitRequest, RenewReply, RenewRequest, ReplicaPosition, SessionRow, WatchEntry,
+    WatchReply,
 };
 pub use peers::{MAX_MESSAGE_BYTES, Peers, PeersConfig};
 pub use places::{EndedPlace, PlaceEnd, PlaceReply, PlaceRequest};
+pub use survey::{SurveyedReplica, find_leader, find_source};
 pub use transport::RpcTransport;
--- a/crates/rpc/src/messages.rs
+++ b/crates/rpc/src/messages.rs
@@ -4,7 +4,9 @@
 
 use serde::{Deserialize, Serialize};
 use shallotdrum_control::TimedCommand;
-use shallotdrum_types::{Base64Bytes, GroupId, LogIndex, PermitId, Revision, SessionId, Term};
+use shallotdrum_types::{
+    Base64Bytes, GroupId, InstanceId, LogIndex, PermitId, Revision, SessionId, Term,
+};
 
 /// Renews a session and reports the state of its instance.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -30,6 +32,26 @@
     pub applied: LogIndex,
 }
 
+/// Position of a control replica in the log.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ReplicaPosition {
+    /// Leader that the replica is connected to, or the replica itself if it holds the leader lease.
+    pub leader: Option<InstanceId>,
+    /// Whether the replica has caught up with a leader since its start.
+    pub is_caught_up: bool,
+    /// First command that is not compacted.
+    pub first: LogIndex,
+    /// Last command that the replica has applied.
+    pub applied: LogIndex,
+}
+
+impl ReplicaPosition {
+    /// Whether a follower that needs the commands up to `index` can get them from this replica.
+    pub fn can_serve(&self, index: LogIndex) -> bool {
+        self.leader.is_some() && self.is_caught_up && self.applied >= index
+    }
+}
+
 /// Report of a session's last renewal.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 pub struct SessionRow {
--- /dev/null
+++ b/crates/rpc/src/survey.rs
@@ -0,0 +1,98 @@
+//! Asks all control replicas at once for their position in the log.
+//!
+//! Architecture Invariant: the time until a replica is found does not depend on how many others do
+//! not respond.
+
+use std::{net::SocketAddr, time::Duration};
+
+use futures_util::{StreamExt, future::BoxFuture, stream::FuturesUnordered};
+use rand::seq::IndexedRandom;
+use shallotdrum_types::{InstanceId, LogIndex};
+use tokio::time::{Instant, timeout_at};
+
+use crate::{Directory, PeerApiClient, Peers, ReplicaPosition};
+
+/// Time limit of a survey; the leader counts a replica that takes longer as unreachable.
+const SURVEY_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Time after the first suitable response in which others are awaited, so that followers spread over
+/// the replicas; a few round trips between availability zones.
+const SPREAD_WINDOW: Duration = Duration::from_millis(20);
+
+/// Control replica that responded to a survey.
+#[derive(Clone, Debug)]
+pub struct SurveyedReplica {
+    /// Name of the replica.
+    pub name: InstanceId,
+    /// RPC address of the replica.
+    pub addr: SocketAddr,
+    /// Position in the log.
+    pub position: ReplicaPosition,
+}
+
+/// Survey in progress.
+struct Survey {
+    pending: FuturesUnordered<BoxFuture<'static, Option<SurveyedReplica>>>,
+    deadline: Instant,
+}
+
+impl Survey {
+    fn start(peers: &Peers, directory: &Directory) -> Self {
+        let ask = |name: InstanceId| {
+            let client = peers.get(directory.addr(&name)?).ok()?;
+            let addr = directory.addr(&name)?;
+            let asked: BoxFuture<'static, _> = Box::pin(async move {
+                let position = client.position().await.ok()?;
+                Some(SurveyedReplica { name, addr, position })
+            });
+            Some(asked)
+        };
+        Self {
+            pending: directory.names().into_iter().filter_map(ask).collect(),
+            deadline: Instant::now() + SURVEY_TIMEOUT,
+        }
+    }
+
+    /// Next response; `None` once all have responded or the time limit has passed.
+    async fn next(&mut self) -> Option<SurveyedReplica> {
+        loop {
+            match timeout_at(self.deadline, self.pending.next()).await {
+                Ok(Some(Some(replica))) => return Some(replica),
+                Ok(Some(None)) => {}
+                Ok(None) | Err(_) => return None,
+            }
+        }
+    }
+}
+
+/// Finds the control leader; `None` if no replica says that it leads.
+pub async fn find_leader(peers: &Peers, directory: &Directory) -> Option<InstanceId> {
+    let mut survey = Survey::start(peers, directory);
+    while let Some(replica) = survey.next().await {
+        if replica.position.leader.as_ref() == Some(&replica.name) {
+            return Some(replica.name);
+        }
+    }
+    None
+}
+
+/// Finds a replica that can pass on the log to a follower: one that is connected to the leader and
+/// has applied at least `index`. Chooses at random among those that respond first.
+pub async fn find_source(
+    peers: &Peers,
+    directory: &Directory,
+    index: LogIndex,
+) -> Option<SurveyedReplica> {
+    let mut survey = Survey::start(peers, directory);
+    let mut suitable = Vec::new();
+    while let Some(replica) = survey.next().await {
+        if !replica.position.can_serve(index) {
+            continue;
+        }
+        if suitable.is_empty() {
+            survey.deadline = survey.deadline.min(Instant::now() + SPREAD_WINDOW);
+        }
+        suitable.push(replica);
+    }
+    suitable.choose(&mut rand::rng()).cloned()
+}
