Refuse for good only by a confirmed state, on both fronts

Cause: the product's own interface asked for freshness, the gateway did not. It answered by any table it had, confirmed or not, for as long as it liked, also when the leader had named a newer one. Freshness compared manifest revisions only, which the platform does not use.

Freshness is now a type of its own crate that both fronts decide by: an unconfirmed state serves what it allows (if so configured) but refuses nothing for good; one that is known to be outdated is not used. A confirmation covers manifest and route table.

--- a/crates/control/src/state/mod.rs
+++ b/crates/control/src/state/mod.rs
@@ -142,6 +142,11 @@
         self.shared.routes.index()
     }
 
+    /// Revision of the current route table; 0 until one is accepted.
+    pub fn route_revision(&self) -> Revision {
+        self.route_table().map_or(Revision(0), |table| table.revision)
+    }
+
     /// Current route table, once one was accepted.
     pub fn route_table(&self) -> Option<&Arc<RouteTable>> {
         self.shared.routes.table()
--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -108,6 +108,7 @@
     /// Background tasks, aborted when the instance stops.
     tasks: JoinSet<()>,
     max_deadline: Duration,
+    serve_when_stale: bool,
     data_dir: Option<std::path::PathBuf>,
     log: slog::Logger,
 }
@@ -213,7 +214,6 @@
             SessionConfig {
                 info: instance_info(&settings),
                 freshness_bound: Duration::from_millis(settings.freshness.bound_ms),
-                serve_when_stale: settings.freshness.when_stale == WhenStale::Serve,
             },
             client.clone(),
             view.clone(),
@@ -276,6 +276,7 @@
             replica,
             tasks,
             max_deadline: Duration::from_millis(settings.limits.max_deadline_ms),
+            serve_when_stale: settings.freshness.when_stale == WhenStale::Serve,
             data_dir: settings.data_dir.clone(),
             log,
         })
@@ -298,10 +299,12 @@
         retries: RetryAllowance,
         connections: ConnectionPool,
     ) -> Arc<Gateway> {
-        let session = self.session.clone();
+        let (session, manager) = (self.session.clone(), self.session.clone());
         let cx = GatewayContext {
             view: self.front_end.view.clone(),
             session: Arc::new(move || session.current()),
+            freshness: Arc::new(move || manager.freshness()),
+            serve_when_stale: self.serve_when_stale,
             owner: self.owner.clone(),
             peers: self.front_end.peers.clone(),
             codec,
--- a/crates/daemon/src/replica.rs
+++ b/crates/daemon/src/replica.rs
@@ -265,7 +265,12 @@
                 .renew(Instant::now(), state, session, revision, permits.into_iter().collect())
                 .map_err(|_| RpcError::NoSession(session))?;
             let term = current.term;
-            Ok(RenewReply { term, revision: state.revision(), applied: state.applied() })
+            Ok(RenewReply {
+                term,
+                revision: state.revision(),
+                routes: state.route_revision(),
+                applied: state.applied(),
+            })
         });
         // A leader that was frozen since the check above may have lost its lease.
         self.check_lease()?;
--- a/crates/daemon/src/session.rs
+++ b/crates/daemon/src/session.rs
@@ -6,18 +6,19 @@
 //! soon as it resumes.
 
 use std::{
+    collections::VecDeque,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
 };
 
 use shallotdrum_control::{
-    CLOCK_DRIFT_MARGIN, Command, ControlView, InstanceInfo, Proposal, Reply, SESSION_LEASE,
+    CLOCK_DRIFT_MARGIN, Command, ControlState, ControlView, InstanceInfo, Proposal, Reply,
+    SESSION_LEASE,
 };
-use shallotdrum_entry::Freshness;
 use shallotdrum_owner::HeldPermits;
 use shallotdrum_rpc::{ControlClient, RenewRequest, RpcError};
 use shallotdrum_telemetry::event;
-use shallotdrum_types::{LogIndex, Revision, SessionId, Term};
+use shallotdrum_types::{Freshness, LogIndex, Revision, SessionId, Term};
 use tokio::sync::watch;
 
 /// Interval of renewals; two may fail before the lease expires.
@@ -40,7 +41,7 @@
     view: ControlView,
     permits: HeldPermits,
     freshness_bound: Duration,
-    serve_when_stale: bool,
+    started: Instant,
     log: slog::Logger,
     state: Mutex<State>,
     /// Newest index that the leader had applied and that did not arrive here in time.
@@ -51,24 +52,60 @@
 struct State {
     session: Option<SessionId>,
     lease_until: Option<Instant>,
-    /// Send time of the last renewal whose revision this instance has applied.
-    confirmed_at: Option<Instant>,
-    /// Revision in the reply to the last renewal and the renewal's send time, until that revision
-    /// is applied here.
-    pending_confirmation: Option<(Revision, Instant)>,
+    confirmations: Confirmations,
     /// Term of the leader that confirmed the last renewal.
     leader_term: Term,
     is_draining: bool,
 }
 
+/// Revisions that make up what requests are served by.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct Revisions {
+    manifest: Revision,
+    routes: Revision,
+}
+
+impl Revisions {
+    fn of(state: &ControlState) -> Self {
+        Self { manifest: state.revision(), routes: state.route_revision() }
+    }
+
+    fn includes(&self, other: &Self) -> bool {
+        self.manifest >= other.manifest && self.routes >= other.routes
+    }
+}
+
+/// Confirmations by the leader, which count from the time at which the renewal was sent.
+#[derive(Default)]
+struct Confirmations {
+    /// Send time of the last renewal whose revisions this instance has applied.
+    confirmed_at: Option<Instant>,
+    /// Revisions that the leader named and that are not applied here yet, oldest first, with the send
+    /// time of the last renewal that named them.
+    pending: VecDeque<(Revisions, Instant)>,
+}
+
+impl Confirmations {
+    fn add(&mut self, newest: Revisions, sent_at: Instant) {
+        match self.pending.back_mut() {
+            Some((revisions, last_sent_at)) if *revisions == newest => *last_sent_at = sent_at,
+            _ => self.pending.push_back((newest, sent_at)),
+        }
+    }
+
+    fn advance(&mut self, applied: Revisions) {
+        while let Some((_, sent_at)) = self.pending.pop_front_if(|(r, _)| applied.includes(r)) {
+            self.confirmed_at = Some(sent_at);
+        }
+    }
+}
+
 /// Settings of a [`SessionManager`].
 pub(crate) struct SessionConfig {
     /// Description of this instance that opens the session.
     pub(crate) info: InstanceInfo,
     /// Maximum time since the newest manifest was last confirmed to be in force here.
     pub(crate) freshness_bound: Duration,
-    /// Whether to keep serving after `freshness_bound` has passed.
-    pub(crate) serve_when_stale: bool,
 }
 
 impl SessionManager {
@@ -85,7 +122,7 @@
             view,
             permits,
             freshness_bound: cfg.freshness_bound,
-            serve_when_stale: cfg.serve_when_stale,
+            started: Instant::now(),
             log,
             state: Mutex::default(),
             overdue: watch::Sender::new(LogIndex(0)),
@@ -100,23 +137,19 @@
 
     /// Whether requests may be served.
     pub(crate) fn freshness(&self) -> Freshness {
-        let revision = self.view.read(|state| state.revision());
+        let applied = self.view.read(Revisions::of);
         let mut state = self.state();
-        if let Some((newest, sent_at)) = state.pending_confirmation
-            && newest <= revision
-        {
-            state.confirmed_at = Some(sent_at);
-            state.pending_confirmation = None;
-        }
-        let age = state.confirmed_at.map(|at| at.elapsed());
-        match age {
-            _ if state.is_draining => Freshness::Draining,
-            None => Freshness::NoManifest,
-            Some(_) if revision == Revision(0) => Freshness::NoManifest,
-            Some(age) if age > self.freshness_bound && !self.serve_when_stale => {
-                Freshness::Stale { age }
+        state.confirmations.advance(applied);
+        let confirmed_at = state.confirmations.confirmed_at;
+        let age = confirmed_at.unwrap_or(self.started).elapsed();
+        match confirmed_at {
+            _ if applied == Revisions::default() => Freshness::NoManifest,
+            Some(_) if age <= self.freshness_bound && state.is_draining => Freshness::Draining,
+            Some(_) if age <= self.freshness_bound => Freshness::Ready,
+            _ if age > self.freshness_bound && !state.confirmations.pending.is_empty() => {
+                Freshness::Outdated { age }
             }
-            Some(_) => Freshness::Ready,
+            _ => Freshness::Stale { age },
         }
     }
 
@@ -207,7 +240,8 @@
             Ok(reply) => {
                 let mut state = self.state();
                 state.lease_until = Some(sent_at + SESSION_LEASE - CLOCK_DRIFT_MARGIN);
-                state.pending_confirmation = Some((reply.revision, sent_at));
+                let newest = Revisions { manifest: reply.revision, routes: reply.routes };
+                state.confirmations.add(newest, sent_at);
                 state.leader_term = reply.term;
                 drop(state);
                 self.freshness();
--- a/crates/entry/src/auth.rs
+++ b/crates/entry/src/auth.rs
@@ -7,15 +7,11 @@
 use shallotdrum_types::{KeyHash, RequestError, RequestErrorKind, SubscriberId};
 use tokio::time::Instant;
 
-use crate::{Freshness, context::Shared};
+use crate::context::Shared;
 
 /// Request header with the time that the caller waits for the response, in milliseconds.
 pub(crate) const DEADLINE_HEADER: &str = "x-request-deadline-ms";
 
-/// `Retry-After` of an instance that is not ready; the renewals that confirm the manifest are sent
-/// every second.
-const NOT_READY_RETRY_AFTER: Duration = Duration::from_secs(1);
-
 /// Authenticates the caller by the API key in its `Authorization` header.
 pub(crate) fn subscriber(
     shared: &Shared,
@@ -34,23 +30,18 @@
         .catalog
         .subscriber_of_key(&KeyHash::of(key))
         .ok_or_else(|| unauthorized("the API key does not belong to any subscriber"))
+        .map_err(|error| confirmed(shared, error))
 }
 
-/// Rejects the request if the manifest is missing, or stale and `when_stale` is `refuse`.
+/// Rejects the request if the manifest is missing or outdated, or stale and `when_stale` is `refuse`.
 pub(crate) fn check_ready(shared: &Shared) -> Result<(), RequestError> {
-    let not_ready = |detail| {
-        let error = RequestError::not_run(RequestErrorKind::NotReady, detail);
-        Err(error.retry_after(NOT_READY_RETRY_AFTER))
-    };
-    match (shared.cx.freshness)() {
-        Freshness::Ready | Freshness::Draining => Ok(()),
-        Freshness::NoManifest => not_ready("the instance has no manifest yet".to_owned()),
-        Freshness::Stale { .. } if shared.cfg.when_stale == WhenStale::Serve => Ok(()),
-        Freshness::Stale { age } => not_ready(format!(
-            "the instance could not confirm its manifest for {} ms",
-            age.as_millis()
-        )),
-    }
+    (shared.cx.freshness)().check_serving(shared.cfg.when_stale == WhenStale::Serve)
+}
+
+/// Replaces an error by which a name does not exist or may not be used with a temporary one, unless
+/// the manifest that lacks it is confirmed.
+pub(crate) fn confirmed(shared: &Shared, error: RequestError) -> RequestError {
+    (shared.cx.freshness)().check_absence().err().unwrap_or(error)
 }
 
 /// Deadline of the request: from its header, capped at the limit, or the default.
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -7,7 +7,7 @@
 use shallotdrum_owner::Forwarder;
 use shallotdrum_settings::{Limits, Settings, WhenStale};
 use shallotdrum_telemetry::Metrics;
-use shallotdrum_types::{Region, RequestError};
+use shallotdrum_types::{FreshnessFn, Region, RequestError};
 
 use crate::{AnnounceReply, CacheEvents, Catalog, Leave, budget::RetryBudget, routing::InFlight};
 
@@ -47,25 +47,6 @@
     }
 }
 
-/// Whether the instance's manifest is confirmed to be current.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Freshness {
-    /// Confirmed recently.
-    Ready,
-    /// The instance has not received a manifest yet.
-    NoManifest,
-    /// The last confirmation is older than the limit.
-    Stale {
-        /// Time since the last confirmation.
-        age: Duration,
-    },
-    /// The instance is shutting down; it still serves requests.
-    Draining,
-}
-
-/// Returns the current [`Freshness`]; called for each request, so it must be cheap.
-pub type FreshnessFn = Arc<dyn Fn() -> Freshness + Send + Sync>;
-
 /// Handler for one type of message from targets.
 pub type TargetFn<Message, Reply> =
     Arc<dyn Fn(Message) -> BoxFuture<'static, Result<Reply, RequestError>> + Send + Sync>;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -28,7 +28,8 @@
 mod targets;
 
 pub use catalog::{Catalog, GroupOwner, LookupError, Owner, ResolvedModel, ServiceRoute};
-pub use context::{EntryConfig, EntryContext, Freshness, FreshnessFn, TargetFn};
+pub use context::{EntryConfig, EntryContext, TargetFn};
 pub use server::{EntryHandle, EntryServer};
 pub use shallotdrum_engine::{AnnounceReply, CacheEvents, Leave, PrefixHash};
 pub use shallotdrum_owner::completion_fingerprint as fingerprint;
+pub use shallotdrum_types::{Freshness, FreshnessFn};
--- a/crates/entry/src/router.rs
+++ b/crates/entry/src/router.rs
@@ -132,6 +132,10 @@
             let reason = format!("stale: manifest not confirmed for {} ms", age.as_millis());
             plain_text(StatusCode::SERVICE_UNAVAILABLE, &reason)
         }
+        Freshness::Outdated { age } => {
+            let reason = format!("outdated: manifest not confirmed for {} ms", age.as_millis());
+            plain_text(StatusCode::SERVICE_UNAVAILABLE, &reason)
+        }
     }
 }
 
--- a/crates/entry/tests/entry/http.rs
+++ b/crates/entry/tests/entry/http.rs
@@ -272,6 +272,7 @@
 #[case::no_manifest(Freshness::NoManifest, WhenStale::Serve, 503, 503)]
 #[case::stale(Freshness::Stale { age: Duration::from_secs(6) }, WhenStale::Refuse, 503, 503)]
 #[case::stale_serve(Freshness::Stale { age: Duration::from_secs(6) }, WhenStale::Serve, 503, 200)]
+#[case::outdated(Freshness::Outdated { age: Duration::from_secs(6) }, WhenStale::Serve, 503, 503)]
 #[case::draining(Freshness::Draining, WhenStale::Refuse, 503, 200)]
 #[case::ready(Freshness::Ready, WhenStale::Refuse, 200, 200)]
 #[tokio::test]
@@ -293,6 +294,26 @@
     }
 }
 
+/// Guards against "unknown key" and "no such model" by a manifest that is not confirmed: a newer one
+/// may contain them.
+#[rstest]
+#[case::ready(Freshness::Ready, 401, 404)]
+#[case::stale(Freshness::Stale { age: Duration::from_secs(6) }, 503, 503)]
+#[tokio::test]
+async fn absence_needs_confirmation(
+    #[case] freshness: Freshness,
+    #[case] unknown_key: u16,
+    #[case] unknown_model: u16,
+) {
+    let fixture = Fixture::with(|cfg| cfg.when_stale = WhenStale::Serve).await;
+    *fixture.freshness.lock().unwrap() = freshness;
+    let headers = [("authorization", "Bearer unknown")];
+    let reply = fixture.call("GET", "/v1/models", &headers, "").await;
+    assert_eq!(reply.status, unknown_key);
+    let reply = fixture.complete(json!({"model": "base/unknown"})).await;
+    assert_eq!(reply.status, unknown_model);
+}
+
 /// Guards against a `/readyz` that reports ready while draining, so that load balancers send new
 /// callers.
 #[tokio::test]
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -19,8 +19,8 @@
 use shallotdrum_rpc::{Peers, PlaceEnd};
 use shallotdrum_telemetry::{Metrics, event};
 use shallotdrum_types::{
-    Fingerprint, PoolId, RequestError, RequestErrorKind, RequestId, Revision, SubscriberId,
-    TargetId,
+    Fingerprint, FreshnessFn, PoolId, RequestError, RequestErrorKind, RequestId, Revision,
+    SubscriberId, TargetId,
 };
 use tokio::{
     task::JoinHandle,
@@ -56,6 +56,10 @@
     pub view: ControlView,
     /// Session of this instance while its lease is valid.
     pub session: SessionFn,
+    /// Whether the control state of this instance is confirmed to be current.
+    pub freshness: FreshnessFn,
+    /// Whether requests are served while the control state is not confirmed.
+    pub serve_when_stale: bool,
     /// Grants places in the groups that this instance owns.
     pub owner: Arc<OwnerService>,
     /// RPC clients for the owners in other instances.
@@ -156,6 +160,18 @@
         self.cx.view.read(|state| state.routes().cloned())
     }
 
+    /// Whether requests are served at the moment.
+    pub fn is_ready(&self) -> bool {
+        self.routes().is_some()
+            && (self.cx.freshness)().check_serving(self.cx.serve_when_stale).is_ok()
+    }
+
+    /// Fails unless the current route table is confirmed, so that requests which it does not allow may
+    /// be refused for good.
+    pub fn check_absence(&self) -> Result<(), RequestError> {
+        (self.cx.freshness)().check_absence()
+    }
+
     /// Records a request that the front end could not decode.
     pub fn record_malformed(&self, error: &dyn std::fmt::Display) {
         event!(self.cx.log, INPUT_REFUSED; "error" => %error);
@@ -213,7 +229,10 @@
             return Err(RequestError::not_run(RequestErrorKind::NotReady, detail)
                 .retry_after(RETRY_AFTER_START));
         };
+        let freshness = (self.cx.freshness)();
+        freshness.check_serving(self.cx.serve_when_stale)?;
         let Some(route) = routes.find(&req.host, req.target.path()).cloned() else {
+            freshness.check_absence()?;
             let revision = routes.table().revision;
             let host = &req.host;
             let detail =
--- a/crates/rpc/src/messages.rs
+++ b/crates/rpc/src/messages.rs
@@ -28,6 +28,9 @@
     pub term: Term,
     /// Newest accepted manifest revision.
     pub revision: Revision,
+    /// Revision of the newest accepted route table; 0 without one.
+    #[serde(default)]
+    pub routes: Revision,
     /// Index of the last command that the leader has applied.
     pub applied: LogIndex,
 }
--- /dev/null
+++ b/crates/types/src/freshness.rs
@@ -0,0 +1,74 @@
+//! Whether an instance's copy of the control state may be used to answer.
+//!
+//! Architecture Invariant: a request is refused for good ("no such route", "unknown key") only by a
+//! confirmed state. All front ends decide by the methods of this module.
+
+use std::{sync::Arc, time::Duration};
+
+use crate::{RequestError, RequestErrorKind};
+
+/// `Retry-After` of an instance that cannot confirm its state; the renewals that confirm it are sent
+/// every second.
+const UNCONFIRMED_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// `Retry-After` of an instance that knows of a newer state, which it is fetching.
+const OUTDATED_RETRY_AFTER: Duration = Duration::from_millis(500);
+
+/// Whether an instance's copy of the control state is confirmed to be current.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Freshness {
+    /// Confirmed recently.
+    Ready,
+    /// The instance has received neither a manifest nor a route table yet.
+    NoManifest,
+    /// The last confirmation is older than the limit, or there was none since the start.
+    Stale {
+        /// Time since the last confirmation, or since the start.
+        age: Duration,
+    },
+    /// The leader named a newer revision, which has not arrived within the limit.
+    Outdated {
+        /// Time since the last confirmation, or since the start.
+        age: Duration,
+    },
+    /// The instance is shutting down; it still serves requests.
+    Draining,
+}
+
+/// Returns the current [`Freshness`]; called for each request, so it must be cheap.
+pub type FreshnessFn = Arc<dyn Fn() -> Freshness + Send + Sync>;
+
+impl Freshness {
+    /// Fails if requests must be refused; `serve_when_stale` accepts an unconfirmed state, but not one
+    /// that is known to be outdated.
+    pub fn check_serving(self, serve_when_stale: bool) -> Result<(), RequestError> {
+        match self {
+            Self::Ready | Self::Draining => Ok(()),
+            Self::Stale { .. } if serve_when_stale => Ok(()),
+            _ => Err(self.not_ready()),
+        }
+    }
+
+    /// Fails unless the state is confirmed, so that what it lacks is known not to exist.
+    pub fn check_absence(self) -> Result<(), RequestError> {
+        match self {
+            Self::Ready | Self::Draining => Ok(()),
+            _ => Err(self.not_ready()),
+        }
+    }
+
+    fn not_ready(self) -> RequestError {
+        let (detail, retry_after) = match self {
+            Self::Stale { age } => (
+                format!("the instance could not confirm its manifest for {} ms", age.as_millis()),
+                UNCONFIRMED_RETRY_AFTER,
+            ),
+            Self::Outdated { age } => (
+                format!("the instance lacks a newer manifest for {} ms", age.as_millis()),
+                OUTDATED_RETRY_AFTER,
+            ),
+            _ => ("the instance has no manifest yet".to_owned(), UNCONFIRMED_RETRY_AFTER),
+        };
+        RequestError::not_run(RequestErrorKind::NotReady, detail).retry_after(retry_after)
+    }
+}
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod base64_bytes;
 mod define;
+mod freshness;
 mod hash;
 mod ids;
 mod model;
@@ -15,6 +16,7 @@
 mod units;
 
 pub use base64_bytes::Base64Bytes;
+pub use freshness::{Freshness, FreshnessFn};
 pub use hash::{Digest, Fingerprint, KeyHash, ParseHashError};
 pub use ids::{
     ControlTimeMs, Epoch, Incarnation, LogIndex, ParseIdError, PermitId, Revision, SessionId, Term,
