Allow a freshness bound below the session lease when stale instances serve

settings_parse_fields failed on: the platform's settings have a bound of 2 s, and the check asks for the session lease of 3 s. Its reason is that an instance would refuse requests after one lost renewal; with when_stale "serve" it only withholds "no such route". The minimum is then a renewal interval and a half. With "refuse" nothing changes. The new case of settings_bad_value fails without a minimum.

--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -7,11 +7,14 @@
 
 use serde_json::json;
 
-use crate::{Addrs, Problem, Settings, SettingsError, fields::Problems};
+use crate::{Addrs, Problem, Settings, SettingsError, WhenStale, fields::Problems};
 
 /// Session lease, the minimum of the freshness bound. With a shorter bound, a healthy instance
 /// would count as stale after one lost renewal and refuse requests until the next one.
 const SESSION_LEASE_MS: u64 = 3_000;
+/// Minimum of the freshness bound of an instance that serves when stale. Renewals confirm the manifest
+/// every second; without a longer bound, a healthy instance would never say that a name does not exist.
+const MIN_SERVING_BOUND_MS: u64 = 1_500;
 /// Upper limit of deadlines; a longer one would let abandoned requests occupy the queue.
 const MAX_DEADLINE_MS: u64 = 3_600_000;
 /// Minimum header buffer size that hyper accepts.
@@ -163,10 +166,12 @@
 
     fn check_remaining_fields(&self, problems: &Problems) {
         let bound_ms = self.freshness.bound_ms;
-        if !(SESSION_LEASE_MS..=MAX_DEADLINE_MS).contains(&bound_ms) {
-            let expected = format!(
-                "a number from {SESSION_LEASE_MS} (the session lease) to {MAX_DEADLINE_MS}"
-            );
+        let (min_ms, reason) = match self.freshness.when_stale {
+            WhenStale::Refuse => (SESSION_LEASE_MS, "the session lease"),
+            WhenStale::Serve => (MIN_SERVING_BOUND_MS, "a renewal interval and a half"),
+        };
+        if !(min_ms..=MAX_DEADLINE_MS).contains(&bound_ms) {
+            let expected = format!("a number from {min_ms} ({reason}) to {MAX_DEADLINE_MS}");
             problems.add("freshness.bound_ms", Some(&json!(bound_ms)), expected);
         }
         let stall_weight = self.policy.stall_weight;
--- a/crates/settings/tests/settings.rs
+++ b/crates/settings/tests/settings.rs
@@ -73,6 +73,7 @@
 #[case("/limits/max_queued_per_subscriber", json!(4097), "limits.max_queued_per_subscriber")]
 #[case("/limits/max_body", json!(1), "limits.max_body")]
 #[case("/freshness/bound_ms", json!(2_999), "freshness.bound_ms")]
+#[case("/freshness", json!({"bound_ms": 1_499, "when_stale": "serve"}), "freshness.bound_ms")]
 #[case("/freshness/when_stale", json!("ignore"), "freshness.when_stale")]
 #[case("/policy/stall_weight", json!(1.01), "policy.stall_weight")]
 #[case("/policy/stall_weight", json!("0.5"), "policy.stall_weight")]
