Give a restarted entry no part of the fixed retries for one window

Callers' requests were repeated at services beyond the allowance (BUDGET): with responses lost and entries killed in turn, 77 repeats above it in a window of 10 s; with all four killed each 4 s, 39 above.

Cause: the retry budget lives in a process. Each process of an entry took its part of the fixed number again, although its predecessor had used it within the same window. An entry that was cut off kept its part as well, while the others, who no longer counted its session, divided the whole among themselves (by reading).

A process now has no part of the fixed number in the first window after its start, nor when it had no session for two windows, after which the others share its part. The ratio of its own requests stays.

--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -3,6 +3,9 @@
 //! In any window, all entries together may make a fixed number of retries plus a ratio of the
 //! pool's requests. Each entry applies the ratio to its own requests and uses an equal part of the
 //! fixed number, so the total stays within the allowance without coordination between entries.
+//!
+//! Architecture Invariant: a part of the fixed number is used by one process within a window. One that
+//! has just started has none, because its predecessor may have used it.
 
 use std::{collections::VecDeque, time::Duration};
 
@@ -29,14 +32,21 @@
 const SHARE_WINDOWS: u32 = 2;
 
 /// Number of entries that share the allowances: the highest of recent counts.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct EntryCount {
+    /// Start of this process.
+    started: Instant,
     /// Counts that no later one has reached, oldest and highest first.
     counts: VecDeque<(Instant, usize)>,
 }
 
 impl EntryCount {
-    /// Adds the current count.
+    /// Creates the count of a process that started at this time.
+    pub fn new(started: Instant) -> Self {
+        Self { started, counts: VecDeque::new() }
+    }
+
+    /// Adds the current count. An entry without a session must not add any: the others do not count it.
     pub fn record(&mut self, now: Instant, count: usize) {
         while self.counts.back().is_some_and(|(_, last)| *last <= count) {
             self.counts.pop_back();
@@ -44,16 +54,15 @@
         self.counts.push_back((now, count));
     }
 
-    /// Returns the highest recent count.
-    pub fn highest(&mut self, now: Instant, allowance: &RetryAllowance) -> usize {
+    /// Returns the highest recent count; `None` if this process has no part of the fixed number, in the
+    /// first window after its start and when it was not counted recently.
+    pub fn sharing(&mut self, now: Instant, allowance: &RetryAllowance) -> Option<usize> {
         let lifetime = allowance.window * SHARE_WINDOWS;
-        // The newest count stays, however old it is.
-        while self.counts.len() > 1
-            && self.counts.front().is_some_and(|(at, _)| now.duration_since(*at) > lifetime)
-        {
+        while self.counts.front().is_some_and(|(at, _)| now.duration_since(*at) > lifetime) {
             self.counts.pop_front();
         }
-        self.counts.front().map_or(0, |(_, count)| *count)
+        let is_new = now.duration_since(self.started) <= allowance.window;
+        self.counts.front().filter(|_| !is_new).map(|(_, count)| *count)
     }
 }
 
@@ -71,15 +80,16 @@
         self.drop_expired(now, allowance);
     }
 
-    /// Consumes one retry if the budget allows it; the fixed number is divided by `entries`.
+    /// Consumes one retry if the budget allows it. The fixed number is divided by `sharing`; without
+    /// it, only the ratio counts.
     pub fn try_consume(
         &mut self,
         now: Instant,
         allowance: &RetryAllowance,
-        entries: usize,
+        sharing: Option<usize>,
     ) -> bool {
         self.drop_expired(now, allowance);
-        let fixed = allowance.extra / entries.max(1) as f64;
+        let fixed = sharing.map_or(0.0, |entries| allowance.extra / entries.max(1) as f64);
         let allowed = SAFETY_FACTOR * (allowance.ratio * self.requests.len() as f64 + fixed);
         if (self.retries.len() + 1) as f64 > allowed {
             return false;
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -141,7 +141,7 @@
             places,
             connections: connections.clone(),
             budgets: Mutex::default(),
-            entry_count: Mutex::default(),
+            entry_count: Mutex::new(EntryCount::new(Instant::now())),
         });
         let weak = Arc::downgrade(&gateway);
         tokio::spawn(async move {
@@ -295,29 +295,31 @@
                 if self.check_quarantine(&run.fingerprint).is_err() {
                     return false;
                 }
-                let entries = self.count_entries();
+                let sharing = self.count_entries();
                 let is_allowed = !uses_budget
                     || self.with_budget(&run.pool, |budget, now| {
-                        budget.try_consume(now, &self.cx.retries, entries)
+                        budget.try_consume(now, &self.cx.retries, sharing)
                     });
                 if is_allowed {
                     self.cx.metrics.retries().inc();
                 } else {
                     event!(self.cx.log, ENTRY_RETRY_BUDGET_EMPTY; "request" => %run.req.id,
-                        "pool" => %run.pool);
+                        "pool" => %run.pool, "sharing" => sharing);
                 }
                 is_allowed
             }
         }
     }
 
-    /// Records the number of entries, and returns the one that shares the retry allowance.
-    fn count_entries(&self) -> usize {
+    /// Records the number of entries, and returns how many share the fixed part of the allowance.
+    fn count_entries(&self) -> Option<usize> {
         let count = self.cx.view.read(|state| state.sessions().filter(|s| !s.info.replica).count());
         let now = Instant::now();
         let mut entries = self.entry_count.lock().unwrap_or_else(PoisonError::into_inner);
-        entries.record(now, count);
-        entries.highest(now, &self.cx.retries)
+        if (self.cx.session)().is_some() && count > 0 {
+            entries.record(now, count);
+        }
+        entries.sharing(now, &self.cx.retries)
     }
 
     fn with_budget<T>(&self, pool: &PoolId, f: impl FnOnce(&mut RetryBudget, Instant) -> T) -> T {
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -100,8 +100,9 @@
         for _ in 0..requests {
             budget.count_request(Instant::now(), &allowance);
         }
-        granted +=
-            (0..1_000).filter(|_| budget.try_consume(Instant::now(), &allowance, entries)).count();
+        granted += (0..1_000)
+            .filter(|_| budget.try_consume(Instant::now(), &allowance, Some(entries)))
+            .count();
     }
     let allowed = allowance.ratio * (entries * requests) as f64 + allowance.extra;
     assert!(granted as f64 <= allowed, "{granted} of {allowed}");
@@ -116,21 +117,44 @@
     let allowance = RetryAllowance { ratio: 0.0, extra: 56.0, window: Duration::from_secs(10) };
     let mut now = Instant::now();
     let mut granted = 0;
-    let mut entries = EntryCount::default();
+    let mut entries = EntryCount::new(now);
+    now += allowance.window;
     let mut budgets: Vec<_> = (0..ENTRIES).map(|_| RetryBudget::default()).collect();
     for sessions in [ENTRIES, 0, 1, 3] {
         now += Duration::from_secs(1);
         entries.record(now, sessions);
-        let shared_by = entries.highest(now, &allowance);
+        let sharing = entries.sharing(now, &allowance);
+        assert!(sharing.is_some());
         for budget in &mut budgets {
-            granted += (0..100).filter(|_| budget.try_consume(now, &allowance, shared_by)).count();
+            granted += (0..100).filter(|_| budget.try_consume(now, &allowance, sharing)).count();
         }
     }
     assert!(granted as f64 <= allowance.extra, "{granted} of {}", allowance.extra);
 
     now += allowance.window * 3;
     entries.record(now, 3);
-    assert_eq!(entries.highest(now, &allowance), 3);
+    assert_eq!(entries.sharing(now, &allowance), Some(3));
+}
+
+/// Guards against a fixed part that each process of a restarted entry uses again, and against one that
+/// an entry keeps when the others no longer count it.
+#[test]
+fn budget_without_fixed_part() {
+    let allowance = RetryAllowance { ratio: 0.2, extra: 56.0, window: Duration::from_secs(10) };
+    let started = Instant::now();
+    let second = Duration::from_secs(1);
+    let mut entries = EntryCount::new(started);
+    entries.record(started + second, 4);
+    assert_eq!(entries.sharing(started + allowance.window, &allowance), None);
+    assert_eq!(entries.sharing(started + allowance.window + second, &allowance), Some(4));
+    assert_eq!(entries.sharing(started + allowance.window * 3 + second, &allowance), None);
+
+    let mut budget = RetryBudget::default();
+    for _ in 0..100 {
+        budget.count_request(started, &allowance);
+    }
+    let granted = (0..100).filter(|_| budget.try_consume(started, &allowance, None)).count();
+    assert!((1..=20).contains(&granted), "{granted}");
 }
 
 /// Guards against retries that are never forgotten: after a window, the budget must be available
@@ -140,10 +164,10 @@
     let allowance = RetryAllowance { ratio: 0.0, extra: 10.0, window: Duration::from_secs(10) };
     let mut budget = RetryBudget::default();
     let now = Instant::now();
-    let first = (0..100).filter(|_| budget.try_consume(now, &allowance, 1)).count();
+    let first = (0..100).filter(|_| budget.try_consume(now, &allowance, Some(1))).count();
     assert!(first > 0);
     let later = now + allowance.window + Duration::from_millis(1);
-    assert_eq!((0..100).filter(|_| budget.try_consume(later, &allowance, 1)).count(), first);
+    assert_eq!((0..100).filter(|_| budget.try_consume(later, &allowance, Some(1))).count(), first);
 }
 
 /// Guards against incomplete events that reach the caller before a stream breaks, and against a
