Keep the part of the fixed retries at the first start of a deployment

Callers of an entry that has just been restarted do lose retries for a window; that is the price of the sum. But at the first start of a deployment (forms_log) no process was there before, so the part is free.

--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -109,6 +109,7 @@
     tasks: JoinSet<()>,
     max_deadline: Duration,
     serve_when_stale: bool,
+    is_first_start: bool,
     data_dir: Option<std::path::PathBuf>,
     log: slog::Logger,
 }
@@ -277,6 +278,7 @@
             tasks,
             max_deadline: Duration::from_millis(settings.limits.max_deadline_ms),
             serve_when_stale: settings.freshness.when_stale == WhenStale::Serve,
+            is_first_start: settings.forms_log,
             data_dir: settings.data_dir.clone(),
             log,
         })
@@ -309,6 +311,7 @@
             peers: self.front_end.peers.clone(),
             codec,
             retries,
+            is_first_start: self.is_first_start,
             metrics: self.front_end.metrics.clone(),
             log: self.log.clone(),
         };
--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -5,7 +5,7 @@
 //! fixed number, so the total stays within the allowance without coordination between entries.
 //!
 //! Architecture Invariant: a part of the fixed number is used by one process within a window. One that
-//! has just started has none, because its predecessor may have used it.
+//! may have replaced another process has none at first, because its predecessor may have used it.
 
 use std::{collections::VecDeque, time::Duration};
 
@@ -34,16 +34,17 @@
 /// Number of entries that share the allowances: the highest of recent counts.
 #[derive(Debug)]
 pub struct EntryCount {
-    /// Start of this process.
-    started: Instant,
+    /// Start of this process if it may have replaced another one.
+    restarted: Option<Instant>,
     /// Counts that no later one has reached, oldest and highest first.
     counts: VecDeque<(Instant, usize)>,
 }
 
 impl EntryCount {
-    /// Creates the count of a process that started at this time.
-    pub fn new(started: Instant) -> Self {
-        Self { started, counts: VecDeque::new() }
+    /// Creates the count of a process that started at this time and may have replaced another one;
+    /// `None` at the first start of the deployment.
+    pub fn new(restarted: Option<Instant>) -> Self {
+        Self { restarted, counts: VecDeque::new() }
     }
 
     /// Adds the current count. An entry without a session must not add any: the others do not count it.
@@ -55,13 +56,14 @@
     }
 
     /// Returns the highest recent count; `None` if this process has no part of the fixed number, in the
-    /// first window after its start and when it was not counted recently.
+    /// first window after a restart and when it was not counted recently.
     pub fn sharing(&mut self, now: Instant, allowance: &RetryAllowance) -> Option<usize> {
         let lifetime = allowance.window * SHARE_WINDOWS;
         while self.counts.front().is_some_and(|(at, _)| now.duration_since(*at) > lifetime) {
             self.counts.pop_front();
         }
-        let is_new = now.duration_since(self.started) <= allowance.window;
+        let is_new = |at: Instant| now.duration_since(at) <= allowance.window;
+        let is_new = self.restarted.is_some_and(is_new);
         self.counts.front().filter(|_| !is_new).map(|(_, count)| *count)
     }
 }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -68,6 +68,8 @@
     pub codec: HeaderCodec,
     /// Allowance for retries, applied to each pool.
     pub retries: RetryAllowance,
+    /// Whether the deployment starts for the first time, so that no process was here before.
+    pub is_first_start: bool,
     /// Receives request counts and latencies.
     pub metrics: Metrics,
     /// Receives the events of requests.
@@ -136,12 +138,13 @@
             cx.peers.clone(),
             cx.log.clone(),
         );
+        let restarted = Some(Instant::now()).filter(|_| !cx.is_first_start);
         let gateway = Arc::new(Self {
             cx,
             places,
             connections: connections.clone(),
             budgets: Mutex::default(),
-            entry_count: Mutex::new(EntryCount::new(Instant::now())),
+            entry_count: Mutex::new(EntryCount::new(restarted)),
         });
         let weak = Arc::downgrade(&gateway);
         tokio::spawn(async move {
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -117,8 +117,7 @@
     let allowance = RetryAllowance { ratio: 0.0, extra: 56.0, window: Duration::from_secs(10) };
     let mut now = Instant::now();
     let mut granted = 0;
-    let mut entries = EntryCount::new(now);
-    now += allowance.window;
+    let mut entries = EntryCount::new(None);
     let mut budgets: Vec<_> = (0..ENTRIES).map(|_| RetryBudget::default()).collect();
     for sessions in [ENTRIES, 0, 1, 3] {
         now += Duration::from_secs(1);
@@ -143,7 +142,7 @@
     let allowance = RetryAllowance { ratio: 0.2, extra: 56.0, window: Duration::from_secs(10) };
     let started = Instant::now();
     let second = Duration::from_secs(1);
-    let mut entries = EntryCount::new(started);
+    let mut entries = EntryCount::new(Some(started));
     entries.record(started + second, 4);
     assert_eq!(entries.sharing(started + allowance.window, &allowance), None);
     assert_eq!(entries.sharing(started + allowance.window + second, &allowance), Some(4));
