Share the surveys of calls that wait for a leader

Found by reading: without a leader, each waiting call asked all replicas by itself every 20 to 100 ms; an instance with a hundred calls would have asked five replicas some 8,000 times a second.

Calls now share one survey, and one that found no leader stands for 50 ms. survey_shared_by_calls: 100 calls, 500 ms, three replicas; it fails when each call surveys alone, and passes (fewer than 100 positions) now.

--- a/crates/rpc/src/control_client.rs
+++ b/crates/rpc/src/control_client.rs
@@ -35,6 +35,9 @@
 /// Range of the random delay before the next attempt, in milliseconds.
 const RETRY_DELAY_MS: std::ops::Range<u64> = 20..100;
 
+/// Minimum interval between two surveys that find no leader; all calls of an instance share them.
+const SURVEY_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Time allowed to send, parse and compare one adapter or subscriber of a manifest: about ten times
 /// that of an idle machine, because a busy one takes several seconds for 100,000 of them.
 const TIME_PER_MANIFEST_ENTRY: Duration = Duration::from_micros(70);
@@ -55,12 +58,14 @@
     cfg: Arc<ControlClientConfig>,
     peers: Peers,
     leader: Arc<Mutex<Option<InstanceId>>>,
+    /// Time of the last survey that found no leader; locked during a survey.
+    surveyed: Arc<tokio::sync::Mutex<Option<Instant>>>,
 }
 
 impl ControlClient {
     /// Creates a client of the replicas in `cfg.directory`; connects on first use.
     pub fn new(cfg: ControlClientConfig, peers: Peers) -> Self {
-        Self { cfg: Arc::new(cfg), peers, leader: Arc::default() }
+        Self { cfg: Arc::new(cfg), peers, leader: Arc::default(), surveyed: Arc::default() }
     }
 
     /// Returns the directory of the control replicas.
@@ -179,8 +184,26 @@
         if let Some(leader) = self.known_leader() {
             return Some(leader);
         }
-        let found = find_leader(&self.peers, &self.cfg.directory);
-        tokio::time::timeout_at(deadline, found).await.ok().flatten()
+        tokio::time::timeout_at(deadline, self.survey_leader()).await.ok().flatten()
+    }
+
+    /// Asks the replicas for the leader; concurrent calls share surveys.
+    async fn survey_leader(&self) -> Option<InstanceId> {
+        let called_at = Instant::now();
+        let mut surveyed = self.surveyed.lock().await;
+        let is_answered = surveyed.is_some_and(|at| at + SURVEY_INTERVAL >= called_at);
+        if let Some(leader) = self.known_leader() {
+            return Some(leader);
+        }
+        if is_answered {
+            return None;
+        }
+        let found = find_leader(&self.peers, &self.cfg.directory).await;
+        match &found {
+            Some(_) => self.set_leader(found.clone()),
+            None => *surveyed = Some(Instant::now()),
+        }
+        found
     }
 
     async fn attempt<T, F, Fut>(
--- a/crates/rpc/tests/survey.rs
+++ b/crates/rpc/tests/survey.rs
@@ -3,16 +3,25 @@
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
     time::{Duration, Instant},
 };
 
+use futures_util::future::join_all;
+
 use jsonrpsee::{
     RpcModule,
     server::{Server, ServerHandle},
 };
 use rstest::rstest;
-use shallotdrum_rpc::{Directory, Peers, PeersConfig, ReplicaPosition, find_leader, find_source};
-use shallotdrum_types::{InstanceId, LogIndex};
+use shallotdrum_rpc::{
+    ControlClient, ControlClientConfig, Directory, Peers, PeersConfig, RenewRequest,
+    ReplicaPosition, RpcError, find_leader, find_source,
+};
+use shallotdrum_types::{InstanceId, LogIndex, Revision, SessionId};
 use tokio::net::TcpListener;
 
 /// Bound of a survey with at least one suitable replica: one round trip, the window in which others
@@ -25,6 +34,8 @@
 struct Replicas {
     directory: Directory,
     peers: Peers,
+    /// Number of positions that were asked for, at all replicas.
+    asked: Arc<AtomicU64>,
     _servers: Vec<ServerHandle>,
     /// Accept connections and never respond.
     _silent: Vec<TcpListener>,
@@ -34,10 +45,11 @@
     /// Starts replicas with these positions; those with `None` are silent.
     async fn start(positions: Vec<Option<ReplicaPosition>>) -> Self {
         let (mut addrs, mut servers, mut silent) = (BTreeMap::new(), Vec::new(), Vec::new());
+        let asked = Arc::new(AtomicU64::new(0));
         for (i, position) in positions.into_iter().enumerate() {
             let addr = match position {
                 Some(position) => {
-                    let (addr, server) = serve(position).await;
+                    let (addr, server) = serve(position, asked.clone()).await;
                     servers.push(server);
                     addr
                 }
@@ -52,16 +64,17 @@
         }
         let peers = Peers::new(PeersConfig { timeout: Duration::from_secs(10) });
         let directory = Directory::listed(addrs);
-        Self { directory, peers, _servers: servers, _silent: silent }
+        Self { directory, peers, asked, _servers: servers, _silent: silent }
     }
 }
 
-async fn serve(position: ReplicaPosition) -> (SocketAddr, ServerHandle) {
+async fn serve(position: ReplicaPosition, asked: Arc<AtomicU64>) -> (SocketAddr, ServerHandle) {
     let server = Server::builder().build("127.0.0.1:0").await.unwrap();
     let addr = server.local_addr().unwrap();
     let mut methods = RpcModule::new(position);
     methods
-        .register_method("control_position", |_, position, _| {
+        .register_method("control_position", move |_, position, _| {
+            asked.fetch_add(1, Ordering::SeqCst);
             serde_json::to_value(position).unwrap()
         })
         .unwrap();
@@ -135,3 +148,32 @@
     assert_eq!(find_leader(&replicas.peers, &replicas.directory).await, None);
     assert!(find_source(&replicas.peers, &replicas.directory, LogIndex(101)).await.is_none());
 }
+
+/// Guards against one survey for each of the calls that wait for a leader.
+#[tokio::test]
+async fn survey_shared_by_calls() {
+    const CALLS: u64 = 100;
+    const TIMEOUT: Duration = Duration::from_millis(500);
+    let replicas = Replicas::start(vec![Some(position(None)); 3]).await;
+    let client = ControlClient::new(
+        ControlClientConfig {
+            directory: replicas.directory.clone(),
+            propose_timeout: TIMEOUT,
+            attempt_timeout: TIMEOUT,
+        },
+        replicas.peers.clone(),
+    );
+    let request = RenewRequest {
+        session: SessionId(1),
+        revision: Revision(0),
+        applied: LogIndex(0),
+        permits: Default::default(),
+    };
+    let calls = (0..CALLS).map(|_| client.renew(request.clone(), TIMEOUT));
+    for result in join_all(calls).await {
+        assert_eq!(result.unwrap_err(), RpcError::Unavailable);
+    }
+    // Each call alone would ask several times.
+    let asked = replicas.asked.load(Ordering::SeqCst);
+    assert!(asked < CALLS, "{asked} positions for {CALLS} calls");
+}
