Log a follower that finds no connected replica

Between K0204 and K0217 nothing said why an instance followed no replica. K0203, which nothing logged, now does, once for each search, with the number of replicas asked. Before, a log of a run without a leader failed to tell a slow survey from one without a suitable response.

--- a/crates/daemon/src/follower.rs
+++ b/crates/daemon/src/follower.rs
@@ -73,6 +73,7 @@
     /// Asks the replicas until one can serve this instance.
     async fn choose_source(&self) -> SurveyedReplica {
         let mut pause = RETRY_PAUSE;
+        let mut is_logged = false;
         loop {
             let applied = self.view.applied();
             // Without a known lag, any connected replica catches up with this instance on its own.
@@ -81,6 +82,10 @@
             if let Some(source) = find_source(&self.peers, &self.directory, index).await {
                 return source;
             }
+            if !std::mem::replace(&mut is_logged, true) {
+                event!(self.log, CONTROL_UNAVAILABLE; "replicas" => self.directory.names().len(),
+                    "index" => applied.0);
+            }
             tokio::time::sleep(pause).await;
             pause = (2 * pause).min(MAX_SURVEY_PAUSE);
         }
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -110,7 +110,7 @@
         ROUTES_READ_FAILED = "K0216", Warning, "cannot read the latest route table from the control leader", "check the control replicas if it persists";
         JOIN_RETRIED = "K0213", Debug, "cannot join the control replicas yet", "none; check the seeds if it persists";
         REPLICA_LOST = "K0214", Warning, "control replica did not respond for too long; removing it", "replace the machine";
-        CONTROL_UNAVAILABLE = "K0203", Warning, "control replicas are unreachable", "check the network and the control replicas";
+        CONTROL_UNAVAILABLE = "K0203", Warning, "no control replica is connected to a leader", "check the network and the control replicas";
     }
     "O03" "Owner" {
         GROUP_ACQUIRED = "O0301", Info, "group ownership acquired", "none";
