Retry at another target than the one that failed the request

Callers got 500 although a sound target was free: a retry after a target's own 5xx, or after a broken body, could go to the same target, 6 ms later in the log of split-in-changes. The other failures put the target on the request's list of targets to avoid; these two did not. The list is soft: a service with one target is still retried there.

call_failed_by_one_target failed before (500), and passes 30 of 30 calls.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -354,6 +354,7 @@
                 let target = &place.granted.target;
                 self.log_send_failure(run, target, SendFailure::Unknown, &*error);
                 self.check_crash(run, running, &place);
+                run.avoid.push(place.granted.target.clone());
                 place.end(PlaceEnd::Failed);
                 return AttemptOutcome::Failed(SendFailure::Unknown, target_failed(&*error));
             }
@@ -364,6 +365,7 @@
         let response =
             GatewayResponse::Whole { status, headers: response_headers(parts.headers), body };
         if status.is_server_error() {
+            run.avoid.push(place.granted.target.clone());
             place.end(PlaceEnd::Failed);
             run.error_response = Some(response);
             let error = target_failed(format!("status {}", status.as_u16()));
