--- a/crates/entry/src/auth.rs
+++ b/crates/entry/src/auth.rs
@@ -30,7 +30,7 @@
         .catalog
         .subscriber_of_key(&KeyHash::of(key))
         .ok_or_else(|| unauthorized("the API key does not belong to any subscriber"))
-        .map_err(|error| confirmed(shared, error))
+        .map_err(|error| refusal_if_confirmed(shared, error))
 }
 
 /// Rejects the request if the manifest is missing or outdated, or stale and `when_stale` is `refuse`.
@@ -38,9 +38,9 @@
     (shared.cx.freshness)().check_serving(shared.cfg.when_stale == WhenStale::Serve)
 }
 
-/// Replaces an error by which a name does not exist or may not be used with a temporary one, unless
-/// the manifest that lacks it is confirmed.
-pub(crate) fn confirmed(shared: &Shared, error: RequestError) -> RequestError {
+/// Returns a refusal by which a name does not exist or may not be used if the manifest is confirmed,
+/// otherwise a temporary error: a newer manifest may contain the name.
+pub(crate) fn refusal_if_confirmed(shared: &Shared, error: RequestError) -> RequestError {
     (shared.cx.freshness)().check_absence().err().unwrap_or(error)
 }
 
--- a/crates/entry/src/completions.rs
+++ b/crates/entry/src/completions.rs
@@ -48,7 +48,7 @@
     let body = body::read(req.into_body(), &shared.cfg.limits).await?;
     let parsed = openai::parse(api, &body)?;
     let model = shared.cx.catalog.model(&subscriber, &parsed.model);
-    let model = model.map_err(|error| auth::confirmed(shared, error.into()))?;
+    let model = model.map_err(|error| auth::refusal_if_confirmed(shared, error.into()))?;
     let (stream, include_usage) = (parsed.stream, parsed.include_usage);
     let call = build_call(shared, parsed, &model, subscriber, request)?;
     let fingerprint = fingerprint(&call.subscriber, &call.request);
--- a/crates/entry/src/services.rs
+++ b/crates/entry/src/services.rs
@@ -68,7 +68,8 @@
     let (service, path) = split_path(&parts)?;
     let method = parts.method.as_str();
     let service_route = shared.cx.catalog.service(&subscriber, &service, method, path);
-    let service_route = service_route.map_err(|error| auth::confirmed(shared, error.into()))?;
+    let service_route =
+        service_route.map_err(|error| auth::refusal_if_confirmed(shared, error.into()))?;
     let idempotency_key = match idempotency_key(&parts.headers)? {
         Some(_) if service_route.repeatable => None,
         None if !service_route.repeatable => {
