--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -406,7 +406,8 @@
             resume_after: run.resume_after.clone(),
         };
         event!(self.cx.log, REQUEST_ROUTED; "request" => %run.req.id,
-            "fingerprint" => %run.fingerprint, "route" => &run.route.name,
+            "fingerprint" => %run.fingerprint, "path" => run.req.target.path(),
+            "caller" => run.req.caller.map(|caller| caller.to_string()), "route" => &run.route.name,
             "revision" => run.revision.0, "version" => dispatch.version.as_ref().map(ToString::to_string),
             "target" => %granted.target, "send" => run.sends + 1, "left_ms" => left.as_millis() as u64);
         let target = granted.target.clone();
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -1,6 +1,6 @@
 //! Interface of the gateway to the front end and to the protocol of targets.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::IpAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, StatusCode, request, response};
@@ -14,6 +14,8 @@
 pub struct CallerRequest {
     /// Identifier given by the caller; responses of targets must not name another one.
     pub id: RequestId,
+    /// Address that the caller's connection comes from; absent if the front end does not know it.
+    pub caller: Option<IpAddr>,
     /// Host to route by, as given by the caller.
     pub host: String,
     /// HTTP method; sent to the target unchanged.
