Recognise a crashing request by caller and path, and weigh its successful runs

Callers saw: a call that crashes its targets was sent on where its query changed, or where other callers use the same path; then the whole path was refused until an operator lifted it.

Cause: a repeat had to be equal in its query, callers were not told apart, and a single complete run of an equal request, also one that ended in a 500, forgot all crashes.

Now a request has two identities, with and without the caller's address, both without the query. Successful runs weigh against crashes, ten to one, in place of one that clears all; a quarantine ends by itself unless no run succeeded; and the crashes of a certain cause no longer count against others. All of it is in the control log, and entries and owners check both identities.

completed_run_clears keeps testing ClearSuspect, which is in the logs of earlier releases; the new rule has six tests of its own in control.

--- a/crates/control/src/command.rs
+++ b/crates/control/src/command.rs
@@ -12,7 +12,7 @@
     SubmissionId, SubscriberId, TargetId,
 };
 
-use crate::Isolation;
+use crate::{CompletedRuns, Isolation};
 
 /// Log entry: a command with the control time at which the leader proposed it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -136,10 +136,26 @@
         /// How these requests run if they are suspects.
         #[serde(default)]
         isolation: Isolation,
+        /// Identities in `requests` that stand for the same request by any caller.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        any_caller: Vec<Fingerprint>,
+        /// Successful runs of these requests shortly before the crash that were not reported yet.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        completed: Vec<CompletedRuns>,
     },
-    /// Forgets the crashes of a request that has run to its end, and releases it from quarantine.
+    /// Records successful runs of suspected or quarantined requests.
+    ReportRuns {
+        /// Runs since the previous report of the instance.
+        completed: Vec<CompletedRuns>,
+    },
+    /// Ends the temporary quarantine of a request. Refused until its time has passed.
+    EndSuspension {
+        /// No effect if it is not quarantined, or only until an operator lifts it.
+        request: Fingerprint,
+    },
+    /// Forgets the crashes of a request, and releases it from quarantine.
     ///
-    /// A request that crashes each target never reaches its end.
+    /// Written by earlier releases, for which a single complete run cleared a request.
     ClearSuspect {
         /// No effect if it is not a suspect.
         request: Fingerprint,
@@ -409,6 +425,9 @@
     /// The request is not quarantined.
     #[error("request {0} is not quarantined")]
     NotQuarantined(Fingerprint),
+    /// The time of the temporary quarantine has not passed.
+    #[error("request {0} is still suspended")]
+    Suspended(Fingerprint),
 }
 
 /// Request to the leader to append a command to the log.
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -18,10 +18,10 @@
     SESSION_LEASE, SessionTable, assignments, permit_term, rebalance,
 };
 pub use state::{
-    CRASHES_TO_QUARANTINE, Call, CallResult, ControlState, DecodeError, Group, GroupKind, Handover,
-    Isolation, LEDGER_LIFETIME_MS, LOST_OWNER_SETTLE_MS, MAX_GROUP_TARGETS, MAX_LEDGER_CALLS,
-    MAX_QUARANTINED, MAX_RECORDED_BODY_BYTES, MAX_RECORDED_BYTES, MAX_RECORDED_HEADER_BYTES,
-    MAX_SUBMISSIONS, MAX_SUSPECTS, Quarantined, SHARED_CRASHES_TO_QUARANTINE, SUSPECT_LIFETIME_MS,
-    Session, Submission, Target,
+    CRASHES_TO_QUARANTINE, Call, CallResult, CompletedRuns, ControlState, DecodeError, Group,
+    GroupKind, Handover, Isolation, LEDGER_LIFETIME_MS, LOST_OWNER_SETTLE_MS, MAX_GROUP_TARGETS,
+    MAX_LEDGER_CALLS, MAX_QUARANTINED, MAX_RECORDED_BODY_BYTES, MAX_RECORDED_BYTES,
+    MAX_RECORDED_HEADER_BYTES, MAX_SUBMISSIONS, MAX_SUSPECTS, Quarantined, RUNS_PER_CRASH,
+    SHARED_CRASHES_TO_QUARANTINE, SUSPECT_LIFETIME_MS, SUSPENSION_MS, Session, Submission, Target,
 };
 pub use view::ControlView;
--- a/crates/control/src/state/mod.rs
+++ b/crates/control/src/state/mod.rs
@@ -32,7 +32,7 @@
     manifests::{Manifests, PreparedManifest},
     routes::Routes,
     sessions::Sessions,
-    suspects::Suspects,
+    suspects::{CrashReport, Suspects},
 };
 
 pub use groups::{Group, GroupKind, Handover, LOST_OWNER_SETTLE_MS, MAX_GROUP_TARGETS, Target};
@@ -44,8 +44,8 @@
 pub use sessions::Session;
 pub use snapshot::DecodeError;
 pub use suspects::{
-    CRASHES_TO_QUARANTINE, Isolation, MAX_QUARANTINED, MAX_SUSPECTS, Quarantined,
-    SHARED_CRASHES_TO_QUARANTINE, SUSPECT_LIFETIME_MS,
+    CRASHES_TO_QUARANTINE, CompletedRuns, Isolation, MAX_QUARANTINED, MAX_SUSPECTS, Quarantined,
+    RUNS_PER_CRASH, SHARED_CRASHES_TO_QUARANTINE, SUSPECT_LIFETIME_MS, SUSPENSION_MS,
 };
 
 /// Replicated control state; on followers, the ledger is empty.
@@ -217,7 +217,17 @@
 
     /// Whether all instances refuse the request.
     pub fn is_quarantined(&self, request: &Fingerprint) -> bool {
-        self.shared.suspects.is_quarantined(request)
+        self.shared.suspects.quarantine_of(request).is_some()
+    }
+
+    /// Quarantine of a request.
+    pub fn quarantine_of(&self, request: &Fingerprint) -> Option<&Quarantined> {
+        self.shared.suspects.quarantine_of(request)
+    }
+
+    /// Successful runs of a suspect since its first crash, and shortly before it.
+    pub fn suspect_runs(&self, request: &Fingerprint) -> u64 {
+        self.shared.suspects.completed(request)
     }
 
     /// Number of target processes that crashed while the request was running on them.
@@ -225,8 +235,8 @@
         self.shared.suspects.crashes(request)
     }
 
-    /// Whether the crash of a target process is already counted for a request, or the request is
-    /// quarantined.
+    /// Whether the crash of a target process is already counted for a request, the request is
+    /// quarantined, or the crash has another cause.
     pub fn is_crash_counted(&self, request: &Fingerprint, crash: &(TargetId, Incarnation)) -> bool {
         self.shared.suspects.is_counted(request, crash)
     }
@@ -367,10 +377,26 @@
             Command::ReleaseGroup { group, session } => {
                 self.groups.release(group, session, now).map(done)
             }
-            Command::ReportCrash { target, incarnation, requests, isolation } => {
-                self.suspects.report(&(target, incarnation), requests, isolation, now);
+            Command::ReportCrash {
+                target,
+                incarnation,
+                requests,
+                isolation,
+                any_caller,
+                completed,
+            } => {
+                let crash = (target, incarnation);
+                let report = CrashReport { crash, requests, isolation, any_caller, completed };
+                self.suspects.report(report, now);
                 Ok(Reply::Done)
             }
+            Command::ReportRuns { completed } => {
+                self.suspects.complete(&completed);
+                Ok(Reply::Done)
+            }
+            Command::EndSuspension { request } => {
+                self.suspects.end_suspension(request, now).map(done)
+            }
             Command::ClearSuspect { request } => {
                 self.suspects.clear(&request);
                 Ok(Reply::Done)
--- a/crates/control/tests/follower.rs
+++ b/crates/control/tests/follower.rs
@@ -11,7 +11,7 @@
 use rstest::rstest;
 use shallotdrum_consensus::StateMachine;
 use shallotdrum_control::{
-    Command, ControlState, ControlView, DecodeError, Isolation, Reply, TimedCommand,
+    Command, CompletedRuns, ControlState, ControlView, DecodeError, Isolation, Reply, TimedCommand,
 };
 use shallotdrum_types::{
     ControlTimeMs, Fingerprint, GroupId, Incarnation, LogIndex, Revision, SessionId,
@@ -55,9 +55,15 @@
             incarnation: Incarnation(incarnation),
             requests: vec![request],
             isolation: if flag { Isolation::Shared } else { Isolation::Alone },
+            any_caller: if incarnation % 2 == 0 { vec![request] } else { Vec::new() },
+            completed: vec![CompletedRuns { request, runs: incarnation }],
         },
         13 if flag => Command::LiftQuarantine { request },
-        13 if rng.random_bool(0.5) => Command::ClearSuspect { request },
+        13 if rng.random_bool(0.3) => Command::ClearSuspect { request },
+        13 if rng.random_bool(0.3) => Command::EndSuspension { request },
+        13 if rng.random_bool(0.3) => {
+            Command::ReportRuns { completed: vec![CompletedRuns { request, runs: 5 }] }
+        }
         13 => Command::DrainSession { session },
         14 | 15 => {
             Command::BeginCall { key, fingerprint: request, session, attempt: attempt(incarnation) }
--- a/crates/control/tests/quarantine.rs
+++ b/crates/control/tests/quarantine.rs
@@ -4,7 +4,8 @@
 
 use common::Log;
 use shallotdrum_control::{
-    Command, CommandError, Isolation, MAX_SUSPECTS, Reply, SUSPECT_LIFETIME_MS,
+    Command, CommandError, CompletedRuns, Isolation, MAX_SUSPECTS, RUNS_PER_CRASH, Reply,
+    SUSPECT_LIFETIME_MS, SUSPENSION_MS,
 };
 use shallotdrum_types::{Fingerprint, Incarnation};
 
@@ -24,7 +25,14 @@
     let requests = requests.iter().map(|name| request(name)).collect();
     let target = target.parse().unwrap();
     let incarnation = Incarnation(incarnation);
-    let report = Command::ReportCrash { target, incarnation, requests, isolation };
+    let report = Command::ReportCrash {
+        target,
+        incarnation,
+        requests,
+        isolation,
+        any_caller: Vec::new(),
+        completed: Vec::new(),
+    };
     assert_eq!(log.apply(report), Reply::Done);
 }
 
@@ -117,3 +125,125 @@
     assert_eq!(log.state.suspect_crashes(&request("proper")), 0);
     assert_eq!(log.apply(clear("unknown")), Reply::Done);
 }
+
+/// Reports a crash for requests of known callers, each with the identity of its path.
+fn path_crash(log: &mut Log, target: &str, callers: &[&str], runs: &[(&str, u64)]) {
+    let requests = callers.iter().chain(&["path"]).map(|name| request(name)).collect();
+    let report = Command::ReportCrash {
+        target: target.parse().unwrap(),
+        incarnation: Incarnation(1),
+        requests,
+        isolation: Isolation::Shared,
+        any_caller: vec![request("path")],
+        completed: completed(runs),
+    };
+    assert_eq!(log.apply(report), Reply::Done);
+}
+
+fn completed(runs: &[(&str, u64)]) -> Vec<CompletedRuns> {
+    runs.iter().map(|(name, runs)| CompletedRuns { request: request(name), runs: *runs }).collect()
+}
+
+fn suspension(log: &Log, name: &str) -> Option<u64> {
+    log.state.quarantine_of(&request(name)).and_then(|quarantined| quarantined.suspension_ms)
+}
+
+/// Guards against refusing all callers of a path because of the one whose requests crash.
+#[test]
+fn crashing_caller_explains_crashes() {
+    let mut log = Log::default();
+    for target in ["e1", "e2", "e3"] {
+        path_crash(&mut log, target, &["bad", "moved"], &[("moved", 1)]);
+    }
+    assert!(log.state.is_quarantined(&request("bad")));
+    assert_eq!(suspension(&log, "bad"), None);
+    for innocent in ["moved", "path"] {
+        assert!(!log.state.is_quarantined(&request(innocent)), "{innocent}");
+        assert_eq!(log.state.suspect_crashes(&request(innocent)), 0, "{innocent}");
+    }
+
+    // Copies that were still running on other targets, reported for others first.
+    path_crash(&mut log, "e4", &["moved"], &[]);
+    path_crash(&mut log, "e4", &["bad"], &[]);
+    path_crash(&mut log, "e4", &["moved"], &[]);
+    assert_eq!(log.state.suspect_crashes(&request("moved")), 0);
+    assert_eq!(log.state.suspect_crashes(&request("path")), 0);
+}
+
+/// Guards against releasing a crashing request because a bystander was reported first.
+#[test]
+fn crashing_caller_reported_after_bystander() {
+    let mut log = Log::default();
+    for target in ["e1", "e2", "e3"] {
+        path_crash(&mut log, target, &["moved"], &[("moved", 1)]);
+        path_crash(&mut log, target, &["bad"], &[]);
+    }
+    assert!(log.state.is_quarantined(&request("bad")));
+    assert!(!log.state.is_quarantined(&request("moved")));
+    assert!(!log.state.is_quarantined(&request("path")));
+}
+
+/// Guards against a request that crashes targets under a new caller each time.
+#[test]
+fn crashing_path_of_many_callers() {
+    let mut log = Log::default();
+    for (target, caller) in [("e1", "a"), ("e2", "b"), ("e3", "c")] {
+        path_crash(&mut log, target, &[caller], &[]);
+    }
+    assert_eq!(suspension(&log, "path"), Some(SUSPENSION_MS));
+    assert!(!log.state.is_quarantined(&request("a")));
+}
+
+/// Guards against a quarantine of a path that many callers use while targets crash at the same time
+/// for another reason.
+#[test]
+fn successful_runs_outweigh_crashes() {
+    let mut log = Log::default();
+    path_crash(&mut log, "e1", &["a"], &[("path", 3 * RUNS_PER_CRASH)]);
+    path_crash(&mut log, "e2", &["a"], &[]);
+    path_crash(&mut log, "e3", &["b"], &[]);
+    assert!(!log.state.is_quarantined(&request("path")));
+    path_crash(&mut log, "e4", &["c"], &[]);
+    assert!(log.state.is_quarantined(&request("path")));
+    let runs = Command::ReportRuns { completed: completed(&[("path", RUNS_PER_CRASH)]) };
+    assert_eq!(log.apply(runs), Reply::Done);
+    assert!(!log.state.is_quarantined(&request("path")));
+}
+
+/// Guards against refusing for good a request whose runs also succeed, and against a release that lets it
+/// crash several targets again.
+#[test]
+fn suspension_doubles() {
+    let mut log = Log::default();
+    for target in ["e1", "e2", "e3"] {
+        path_crash(&mut log, target, &["mixed"], &[("mixed", 1)]);
+    }
+    let end = || Command::EndSuspension { request: request("mixed") };
+    let mut now = 0;
+    for (n, target) in (0..3).zip(["e4", "e5", "e6"]) {
+        let duration = SUSPENSION_MS << n;
+        assert_eq!(suspension(&log, "mixed"), Some(duration));
+        log.now = now + duration - 1;
+        assert_eq!(log.refused(end()), CommandError::Suspended(request("mixed")));
+        now += duration;
+        log.now = now;
+        assert_eq!(log.apply(end()), Reply::Done);
+        assert!(!log.state.is_quarantined(&request("mixed")));
+        path_crash(&mut log, target, &["mixed"], &[]);
+    }
+    assert_eq!(suspension(&log, "mixed"), Some(SUSPENSION_MS << 3));
+}
+
+/// Guards against refusing for good a request that a run in progress shows to be harmless.
+#[test]
+fn successful_run_in_quarantine() {
+    let mut log = Log::default();
+    for target in ["e1", "e2", "e3"] {
+        path_crash(&mut log, target, &["unlucky"], &[]);
+    }
+    assert_eq!(suspension(&log, "unlucky"), None);
+    assert!(log.state.is_quarantined(&request("unlucky")));
+    let runs = Command::ReportRuns { completed: completed(&[("unlucky", 1)]) };
+    assert_eq!(log.apply(runs), Reply::Done);
+    assert_eq!(suspension(&log, "unlucky"), Some(SUSPENSION_MS));
+}
--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -12,7 +12,8 @@
     PlaceRequest, RenewReply, RenewRequest, ReplicaPosition, RpcError, SessionRow, WatchReply,
 };
 use shallotdrum_types::{
-    Base64Bytes, Fingerprint, Incarnation, InstanceId, LogIndex, PermitId, SessionId, TargetId,
+    Base64Bytes, Fingerprint, Incarnation, InstanceId, LogIndex, PermitId, RequestIdentity,
+    SessionId, TargetId,
 };
 
 use crate::replica::Replica;
@@ -89,13 +90,15 @@
             subscriber,
             need,
             fingerprint,
+            any_caller,
             left_ms,
             avoid,
         } = request;
         let left = Duration::from_millis(left_ms);
         let fingerprint =
             fingerprint.unwrap_or_else(|| Fingerprint::of(request.as_str().as_bytes()));
-        let admission = PlaceAdmission { request, fingerprint, subscriber, need, left, avoid };
+        let identity = RequestIdentity { request: fingerprint, any_caller };
+        let admission = PlaceAdmission { request, identity, subscriber, need, left, avoid };
         Ok(match self.owner.take_place(&group, (session, place), admission).await {
             Ok(granted) => PlaceReply::Granted(granted),
             Err(error) => PlaceReply::Refused { error },
--- a/crates/gateway/src/crash.rs
+++ b/crates/gateway/src/crash.rs
@@ -4,13 +4,10 @@
 
 use shallotdrum_owner::RunningGuard;
 use shallotdrum_telemetry::event;
-use shallotdrum_types::{Fingerprint, RequestError, TargetId};
+use shallotdrum_types::{RequestError, RequestIdentity, TargetId};
 use tokio::time::{Instant, timeout_at};
 
-use crate::{Gateway, SendFailure, exchange::RequestRun, places::Place};
-
-/// `Retry-After` for a quarantined request, which an operator must release first.
-const RETRY_AFTER_QUARANTINE: Duration = Duration::from_secs(60);
+use crate::{Gateway, SendFailure, exchange::RequestRun};
 
 /// Maximum wait for the crash check of a request that is not a suspect yet. A closed port shows at
 /// once, and a log entry takes some tens of milliseconds.
@@ -26,26 +23,25 @@
         error: &dyn std::fmt::Display,
     ) {
         event!(self.cx.log, SEND_FAILED; "request" => %run.req.id,
-            "fingerprint" => %run.fingerprint, "target" => %target,
+            "fingerprint" => %run.identity.request, "target" => %target,
             "may_have_run" => failure.may_have_run(), "error" => %error);
     }
 
-    pub(crate) fn check_quarantine(&self, fingerprint: &Fingerprint) -> Result<(), RequestError> {
-        let checked = self.cx.owner.check_relayed_quarantine(fingerprint);
-        checked.map_err(|error| error.retry_after(RETRY_AFTER_QUARANTINE))
+    pub(crate) fn check_quarantine(&self, identity: &RequestIdentity) -> Result<(), RequestError> {
+        self.cx.owner.check_relayed_quarantine(identity)
     }
 
     /// Starts a check whether the target crashed, after its connection broke with the request
     /// possibly running.
-    pub(crate) fn check_crash(&self, run: &mut RequestRun, running: RunningGuard, place: &Place) {
-        run.crash_check = Some(self.cx.owner.check_relayed(running, place.granted.addr));
+    pub(crate) fn check_crash(&self, run: &mut RequestRun, running: RunningGuard) {
+        run.crash_check = Some(self.cx.owner.check_relayed(running));
     }
 
     /// Waits for a started check, so that the crash counts before the request is sent again.
     pub(crate) async fn wait_for_crash_check(&self, run: &mut RequestRun) {
         let Some(check) = run.crash_check.take() else { return };
         // A single interruption seldom is a crash that the request caused, and callers wait.
-        let limit = match self.cx.owner.is_relayed_suspect(&run.fingerprint) {
+        let limit = match self.cx.owner.is_relayed_suspect(&run.identity) {
             true => run.deadline,
             false => run.deadline.min(Instant::now() + FIRST_CHECK_TIMEOUT),
         };
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -19,7 +19,7 @@
 use shallotdrum_rpc::{Peers, PlaceEnd};
 use shallotdrum_telemetry::{Metrics, event};
 use shallotdrum_types::{
-    Fingerprint, FreshnessFn, PoolId, RequestError, RequestErrorKind, RequestId, Revision,
+    FreshnessFn, PoolId, RequestError, RequestErrorKind, RequestId, RequestIdentity, Revision,
     SubscriberId, TargetId,
 };
 use tokio::{
@@ -31,7 +31,7 @@
     CallerRequest, Dispatch, EntryCount, GatewayResponse, HeaderCodec, RetryAllowance, RetryBudget,
     connections::{CONNECTION_HEADERS, Connection, ConnectionPool, SendError},
     decision::{RequestProgress, RetryDecision, SendFailure, decide_retry},
-    fingerprint::request_fingerprint,
+    fingerprint::request_identity,
     need::{fallback_label, subscriber},
     places::{Place, PlaceClient},
     relay::{Relay, StartedStream},
@@ -89,7 +89,7 @@
 pub(crate) struct RequestRun {
     pub(crate) req: CallerRequest,
     /// Equal for repeats of the request with other ids.
-    pub(crate) fingerprint: Fingerprint,
+    pub(crate) identity: RequestIdentity,
     pub(crate) route: Route,
     pub(crate) pool: PoolId,
     /// Revision of the route table that selected the pool.
@@ -248,15 +248,15 @@
         };
         let revision = routes.table().revision;
         drop(routes);
-        let fingerprint = request_fingerprint(&req);
-        self.check_quarantine(&fingerprint)?;
+        let identity = request_identity(&req);
+        self.check_quarantine(&identity)?;
         self.with_budget(&pool, |budget, now| {
             budget.count_request(now, &self.cx.retries);
         });
         let run = RequestRun {
             deadline: req.arrived + req.timeout.min(route.timeout),
             resume_after: req.resume_after.clone(),
-            fingerprint,
+            identity,
             req,
             route,
             pool,
@@ -295,7 +295,7 @@
             RetryDecision::GiveUp => false,
             RetryDecision::Resend { uses_budget } => {
                 self.wait_for_crash_check(run).await;
-                if self.check_quarantine(&run.fingerprint).is_err() {
+                if self.check_quarantine(&run.identity).is_err() {
                     return false;
                 }
                 let sharing = self.count_entries();
@@ -353,7 +353,7 @@
             Ok(Err(error)) => {
                 let target = &place.granted.target;
                 self.log_send_failure(run, target, SendFailure::Unknown, &*error);
-                self.check_crash(run, running, &place);
+                self.check_crash(run, running);
                 run.avoid.push(place.granted.target.clone());
                 place.end(PlaceEnd::Failed);
                 return AttemptOutcome::Failed(SendFailure::Unknown, target_failed(&*error));
@@ -361,7 +361,6 @@
             Err(_) => return AttemptOutcome::Failed(SendFailure::Unknown, target_timed_out()),
         };
         connection.release();
-        self.cx.owner.complete_relayed(run.fingerprint);
         let response =
             GatewayResponse::Whole { status, headers: response_headers(parts.headers), body };
         if status.is_server_error() {
@@ -371,6 +370,7 @@
             let error = target_failed(format!("status {}", status.as_u16()));
             return AttemptOutcome::Failed(SendFailure::Failed, error);
         }
+        self.cx.owner.complete_relayed(&running);
         place.end(PlaceEnd::Answered { prompt_tokens: 0, completion_tokens: 0 });
         AttemptOutcome::Answered(response)
     }
@@ -380,7 +380,7 @@
         let (need, version) = self.need(run);
         let admission = PlaceAdmission {
             request: run.req.id.clone(),
-            fingerprint: run.fingerprint,
+            identity: run.identity,
             subscriber: subscriber(run),
             need: need.clone(),
             left: Duration::ZERO,
@@ -396,7 +396,7 @@
             return Err(AttemptOutcome::NoPlace(timed_out_waiting()));
         }
         // The control state of this instance may be newer than that of the owner.
-        self.check_quarantine(&run.fingerprint).map_err(AttemptOutcome::NoPlace)?;
+        self.check_quarantine(&run.identity).map_err(AttemptOutcome::NoPlace)?;
         let granted = &place.granted;
         let dispatch = Dispatch {
             target: granted.target.clone(),
@@ -406,12 +406,12 @@
             resume_after: run.resume_after.clone(),
         };
         event!(self.cx.log, REQUEST_ROUTED; "request" => %run.req.id,
-            "fingerprint" => %run.fingerprint, "path" => run.req.target.path(),
+            "fingerprint" => %run.identity.request, "path" => run.req.target.path(),
             "caller" => run.req.caller.map(|caller| caller.to_string()), "route" => &run.route.name,
             "revision" => run.revision.0, "version" => dispatch.version.as_ref().map(ToString::to_string),
             "target" => %granted.target, "send" => run.sends + 1, "left_ms" => left.as_millis() as u64);
         let target = granted.target.clone();
-        let running = self.cx.owner.enter_relayed(granted, &run.req.id, run.fingerprint);
+        let running = self.cx.owner.enter_relayed(granted, &run.req.id, run.identity);
         let sent = self.connections.send(granted.addr, run.request(&self.cx.codec, &dispatch));
         let (connection, response) = match timeout_at(run.deadline, sent).await {
             Ok(Ok(received)) => received,
@@ -420,7 +420,7 @@
                 let failure = match error {
                     SendError::NotSent(_) => SendFailure::NotSent,
                     SendError::Unknown(_) => {
-                        self.check_crash(run, running, &place);
+                        self.check_crash(run, running);
                         SendFailure::Unknown
                     }
                 };
@@ -522,7 +522,7 @@
     pub(crate) fn take_for_relay(&mut self) -> Self {
         Self {
             req: self.req.clone(),
-            fingerprint: self.fingerprint,
+            identity: self.identity,
             route: self.route.clone(),
             pool: self.pool.clone(),
             revision: self.revision,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -29,7 +29,7 @@
 pub use events::EventSplitter;
 pub use exchange::{Gateway, GatewayContext};
 pub use fallback::FallbackSelector;
-pub use fingerprint::request_fingerprint;
+pub use fingerprint::request_identity;
 pub use places::to_finish;
 pub use request::{
     CallerRequest, Dispatch, GatewayResponse, Generation, HeaderCodec, PromptPart, ReadFn,
--- a/crates/gateway/src/places.rs
+++ b/crates/gateway/src/places.rs
@@ -257,7 +257,8 @@
             group: group.clone(),
             subscriber: admission.subscriber,
             need: admission.need,
-            fingerprint: Some(admission.fingerprint),
+            fingerprint: Some(admission.identity.request),
+            any_caller: admission.identity.any_caller,
             left_ms: admission.left.as_millis() as u64,
             avoid: admission.avoid,
         };
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -99,7 +99,7 @@
         let target = &self.place.granted.target;
         self.gateway.log_send_failure(run, target, SendFailure::Unknown, &cause);
         run.avoid.push(target.clone());
-        self.gateway.check_crash(run, self.running, &self.place);
+        self.gateway.check_crash(run, self.running);
         self.place.end(PlaceEnd::Failed);
         target_failed(cause)
     }
@@ -125,7 +125,7 @@
             let cause = match ended {
                 StreamEnd::Complete => {
                     connection.release();
-                    gateway.cx.owner.complete_relayed(run.fingerprint);
+                    gateway.cx.owner.complete_relayed(&running);
                     let generation = run.req.generation.as_ref();
                     let prompt_tokens = generation.map_or(0, |g| g.prompt_tokens);
                     place.end(PlaceEnd::Answered { prompt_tokens, completion_tokens: 0 });
@@ -135,14 +135,14 @@
                 StreamEnd::CallerGone => return,
                 StreamEnd::TimedOut => "the deadline passed".to_owned(),
                 StreamEnd::Broken(cause) => {
-                    gateway.check_crash(&mut run, running, &place);
+                    gateway.check_crash(&mut run, running);
                     cause
                 }
             };
             let target = place.granted.target.clone();
             let is_resumable = run.route.repeat == RetryPolicy::Stream { is_resumable: true };
             event!(gateway.cx.log, STREAM_INTERRUPTED; "request" => %run.id(),
-                "fingerprint" => %run.fingerprint, "target" => %target,
+                "fingerprint" => %run.identity.request, "target" => %target,
                 "cause" => &cause, "last_event" => splitter.last_id().unwrap_or(""));
             run.avoid.push(target);
             place.end(PlaceEnd::Failed);
--- a/crates/owner/src/call.rs
+++ b/crates/owner/src/call.rs
@@ -282,12 +282,7 @@
             return Err(CallFailure::Refused(error));
         }
         let req = call.target_request(&lease).map_err(CallFailure::Refused)?;
-        let guard = group.crashes.enter(
-            &lease.target,
-            lease.incarnation,
-            &call.call.request,
-            call.fingerprint,
-        );
+        let guard = group.crashes.enter((&lease).into(), &call.call.request, call.fingerprint);
         lease.started();
         let exchange = async {
             match call.call.idempotency_key {
@@ -299,7 +294,9 @@
         };
         let sent = tokio::time::timeout_at(call.deadline, exchange);
         let error = match sent.await {
-            Ok(Ok(res)) => return Ok((res, lease)),
+            Ok(Ok(res)) => {
+                return Ok((res, lease));
+            }
             Ok(Err(error)) => error,
             Err(_) => {
                 lease.finish(Finish::TargetFailed);
@@ -333,7 +330,7 @@
         guard: &RunningGuard,
         failure: RequestError,
     ) -> CallFailure {
-        let status = group.crashes.check(&self.cx, guard, lease.addr).await;
+        let status = group.crashes.check(&self.cx, guard).await;
         match status {
             CrashStatus::Alive => lease.finish(Finish::TargetFailed),
             CrashStatus::Crashed | CrashStatus::NotRecorded => lease.finish(Finish::TargetCrashed),
--- a/crates/owner/src/completion.rs
+++ b/crates/owner/src/completion.rs
@@ -133,12 +133,7 @@
         tx: &mpsc::Sender<Frame>,
     ) -> Attempt {
         let request = run.request(&lease);
-        let guard = group.crashes.enter(
-            &lease.target,
-            lease.incarnation,
-            &request.request,
-            run.fingerprint,
-        );
+        let guard = group.crashes.enter((&lease).into(), &request.request, run.fingerprint);
         lease.started();
         let sent =
             tokio::time::timeout_at(run.deadline, self.cx.engine.generate(lease.addr, &request));
@@ -243,7 +238,7 @@
         failure: RequestError,
     ) -> Attempt {
         run.may_have_run = true;
-        let status = group.crashes.check(&self.cx, &guard, lease.addr).await;
+        let status = group.crashes.check(&self.cx, &guard).await;
         match status {
             CrashStatus::Alive => lease.finish(Finish::TargetFailed),
             CrashStatus::Crashed | CrashStatus::NotRecorded => lease.finish(Finish::TargetCrashed),
--- a/crates/owner/src/crash.rs
+++ b/crates/owner/src/crash.rs
@@ -8,18 +8,20 @@
 //! count of the request would be lost when the owner restarts.
 
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::BTreeMap,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
 use shallotdrum_control::{Command, ControlState, Isolation, Reply};
+use shallotdrum_engine::GrantedPlace;
+use shallotdrum_scheduler::Lease;
 use shallotdrum_telemetry::event;
-use shallotdrum_types::{Fingerprint, Incarnation, RequestId, TargetId};
+use shallotdrum_types::{Fingerprint, Incarnation, RequestId, RequestIdentity, TargetId};
 use tokio::{net::TcpStream, sync::OnceCell, time::Instant};
 
-use crate::{OwnerContext, unrecorded::UnrecordedCrashes};
+use crate::{OwnerContext, runs::RunCounts, unrecorded::UnrecordedCrashes};
 
 /// How long to look for evidence of a crash after a connection broke; a restarted target announces
 /// itself within a second.
@@ -45,18 +47,36 @@
 /// One crash: the target and its incarnation.
 pub(crate) type Crash = (TargetId, Incarnation);
 
+/// Target process that runs a request.
+#[derive(Clone, Debug)]
+pub(crate) struct Process {
+    pub(crate) key: Crash,
+    pub(crate) addr: SocketAddr,
+}
+
+impl From<&Lease> for Process {
+    fn from(lease: &Lease) -> Self {
+        Self { key: (lease.target.clone(), lease.incarnation), addr: lease.addr }
+    }
+}
+
+impl From<&GrantedPlace> for Process {
+    fn from(place: &GrantedPlace) -> Self {
+        Self { key: (place.target.clone(), place.incarnation), addr: place.addr }
+    }
+}
+
 /// Tracks the running requests of each target incarnation and detects its crash.
 pub(crate) struct CrashDetector {
     isolation: Isolation,
     running: Mutex<BTreeMap<Crash, RunningRequests>>,
     unrecorded: Mutex<UnrecordedCrashes>,
-    /// Requests that are being cleared in the control log.
-    clearing: Mutex<BTreeSet<Fingerprint>>,
+    runs: Mutex<RunCounts>,
 }
 
 #[derive(Default)]
 struct RunningRequests {
-    requests: BTreeMap<RequestId, Fingerprint>,
+    requests: BTreeMap<RequestId, RequestIdentity>,
     /// Result of the crash check, which runs once for all requests that lost their connection.
     status: Arc<OnceCell<CrashStatus>>,
 }
@@ -75,17 +95,26 @@
 /// Keeps a request registered as running until dropped.
 pub struct RunningGuard {
     detector: Arc<CrashDetector>,
-    key: Crash,
+    process: Process,
     request: RequestId,
+    identity: RequestIdentity,
+}
+
+impl RunningGuard {
+    pub(crate) fn identity(&self) -> RequestIdentity {
+        self.identity
+    }
 }
 
 impl Drop for RunningGuard {
     fn drop(&mut self) {
-        let mut running = self.detector.running();
-        if let Some(target) = running.get_mut(&self.key) {
-            target.requests.remove(&self.request);
-            if target.requests.is_empty() {
-                running.remove(&self.key);
+        {
+            let mut running = self.detector.running();
+            if let Some(target) = running.get_mut(&self.process.key) {
+                target.requests.remove(&self.request);
+                if target.requests.is_empty() {
+                    running.remove(&self.process.key);
+                }
             }
         }
     }
@@ -98,22 +127,22 @@
             isolation,
             running: Mutex::default(),
             unrecorded: Mutex::default(),
-            clearing: Mutex::default(),
+            runs: Mutex::new(RunCounts::new()),
         })
     }
 
     /// Registers a request as running on a target.
     pub(crate) fn enter(
         self: &Arc<Self>,
-        target: &TargetId,
-        incarnation: Incarnation,
+        process: Process,
         request: &RequestId,
-        fingerprint: Fingerprint,
+        identity: impl Into<RequestIdentity>,
     ) -> RunningGuard {
-        let key = (target.clone(), incarnation);
+        let identity = identity.into();
         let mut running = self.running();
-        running.entry(key.clone()).or_default().requests.insert(request.clone(), fingerprint);
-        RunningGuard { detector: self.clone(), key, request: request.clone() }
+        let requests = &mut running.entry(process.key.clone()).or_default().requests;
+        requests.insert(request.clone(), identity);
+        RunningGuard { detector: self.clone(), process, request: request.clone(), identity }
     }
 
     /// Checks whether the target crashed; if so, reports the crash and all requests running on it.
@@ -121,24 +150,22 @@
         self: &Arc<Self>,
         cx: &OwnerContext,
         guard: &RunningGuard,
-        addr: SocketAddr,
     ) -> CrashStatus {
-        let cell =
-            self.running().get(&guard.key).map(|target| target.status.clone()).unwrap_or_default();
+        let Process { key, addr } = &guard.process;
+        let cell = self.running().get(key).map(|target| target.status.clone()).unwrap_or_default();
         let status = *cell
             .get_or_init(|| async {
-                let (target, incarnation) = &guard.key;
-                if !has_crashed(cx, target, *incarnation, addr).await {
+                if !has_crashed(cx, &key.0, key.1, *addr).await {
                     return CrashStatus::Alive;
                 }
-                let requests = self.requests_on(&guard.key);
-                self.report(cx, guard.key.clone(), requests).await
+                let requests = self.requests_on(key);
+                self.report(cx, key.clone(), requests).await
             })
             .await;
         if status == CrashStatus::Alive {
             // The target may crash later, with requests that keep this entry in the table.
             let mut running = self.running();
-            if let Some(target) = running.get_mut(&guard.key)
+            if let Some(target) = running.get_mut(key)
                 && Arc::ptr_eq(&target.status, &cell)
             {
                 target.status = Arc::default();
@@ -154,33 +181,20 @@
         state.suspect_crashes(request) as usize + unrecorded
     }
 
-    /// Whether a request has crashed too many targets to be sent again.
-    pub(crate) fn is_quarantined(&self, state: &ControlState, request: &Fingerprint) -> bool {
-        state.is_quarantined(request)
-            || self.crashes(state, request) >= self.isolation.crashes_to_quarantine()
+    /// Whether the crashes known to this instance, before the control log quarantines the request, are
+    /// too many for it to be sent again.
+    pub(crate) fn is_known_cause(&self, state: &ControlState, request: &Fingerprint) -> bool {
+        let crashes = self.crashes(state, request);
+        let completed = state.suspect_runs(request) + self.runs().unreported(request);
+        self.isolation.is_cause(crashes, completed)
     }
 
-    /// Forgets the unrecorded crashes of a request that has run to its end, and marks it as being
-    /// cleared; `false` if it already is.
-    pub(crate) fn begin_clear(&self, request: Fingerprint) -> bool {
-        self.unrecorded().clear(&request);
-        self.clearing().insert(request)
-    }
-
-    /// Ends what `begin_clear` began.
-    pub(crate) fn end_clear(&self, request: &Fingerprint) {
-        self.clearing().remove(request);
-    }
-
-    fn requests_on(&self, key: &Crash) -> Vec<Fingerprint> {
-        let mut requests: Vec<_> = self
-            .running()
+    fn requests_on(&self, key: &Crash) -> Vec<RequestIdentity> {
+        let running = self.running();
+        running
             .get(key)
             .map(|target| target.requests.values().copied().collect())
-            .unwrap_or_default();
-        requests.sort_unstable();
-        requests.dedup();
-        requests
+            .unwrap_or_default()
     }
 
     /// Reports a crash; if the control log does not record it, the report is retried in the
@@ -189,8 +203,10 @@
         self: &Arc<Self>,
         cx: &OwnerContext,
         crash: Crash,
-        requests: Vec<Fingerprint>,
+        mut requests: Vec<RequestIdentity>,
     ) -> CrashStatus {
+        requests.sort_unstable();
+        requests.dedup();
         event!(cx.log, TARGET_CRASHED;
             "target" => %crash.0, "incarnation" => crash.1.0, "requests" => requests.len());
         self.unrecorded().add(&crash, &requests);
@@ -206,20 +222,31 @@
                     return;
                 }
             }
-            detector.unrecorded().remove(&crash);
+            detector.unrecorded().remove(&crash, &requests);
         });
         CrashStatus::NotRecorded
     }
 
     /// Records a crash in the control log and waits until the local state has applied it.
-    async fn record(&self, cx: &OwnerContext, crash: &Crash, requests: &[Fingerprint]) -> bool {
-        // Requests that have run to their end since then are no longer suspects.
-        let requests = self.unrecorded().retain_suspects(crash, requests);
+    async fn record(
+        &self,
+        cx: &OwnerContext,
+        crash: &Crash,
+        identities: &[RequestIdentity],
+    ) -> bool {
+        let mut requests: Vec<_> = identities.iter().flat_map(|identity| identity.all()).collect();
+        requests.sort_unstable();
+        requests.dedup();
+        let mut any_caller: Vec<_> = identities.iter().filter_map(|i| i.any_caller).collect();
+        any_caller.sort_unstable();
+        any_caller.dedup();
         let command = Command::ReportCrash {
             target: crash.0.clone(),
             incarnation: crash.1,
+            completed: self.runs().take(&requests),
             requests: requests.clone(),
             isolation: self.isolation,
+            any_caller,
         };
         match cx.propose(command).await {
             Ok(Reply::Refused(_)) | Err(_) => return false,
@@ -237,16 +264,19 @@
         if applied.await.is_err() {
             return false;
         }
-        self.unrecorded().remove(crash);
+        self.unrecorded().remove(crash, identities);
         for request in &requests {
-            let (crashes, is_quarantined) = cx
-                .view
-                .read(|state| (state.suspect_crashes(request), state.is_quarantined(request)));
-            match is_quarantined {
-                true => event!(cx.log, REQUEST_QUARANTINED;
-                    "fingerprint" => %request, "crashes" => crashes, "target" => %crash.0),
-                false => event!(cx.log, REQUEST_SUSPECTED;
-                    "fingerprint" => %request, "crashes" => crashes, "target" => %crash.0),
+            let (crashes, completed, quarantine) = cx.view.read(|state| {
+                let quarantine = state.quarantine_of(request).cloned();
+                (state.suspect_crashes(request), state.suspect_runs(request), quarantine)
+            });
+            match quarantine {
+                Some(quarantine) => event!(cx.log, REQUEST_QUARANTINED;
+                    "fingerprint" => %request, "crashes" => crashes, "target" => %crash.0,
+                    "runs" => quarantine.completed, "suspension_ms" => quarantine.suspension_ms),
+                None => event!(cx.log, REQUEST_SUSPECTED;
+                    "fingerprint" => %request, "crashes" => crashes, "target" => %crash.0,
+                    "runs" => completed),
             }
         }
         true
@@ -256,8 +286,8 @@
         self.running.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn clearing(&self) -> MutexGuard<'_, BTreeSet<Fingerprint>> {
-        self.clearing.lock().unwrap_or_else(PoisonError::into_inner)
+    pub(crate) fn runs(&self) -> MutexGuard<'_, RunCounts> {
+        self.runs.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     fn unrecorded(&self) -> MutexGuard<'_, UnrecordedCrashes> {
--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -22,6 +22,7 @@
 mod messages;
 mod places;
 mod relayed;
+mod runs;
 mod server;
 mod service;
 mod unrecorded;
--- a/crates/owner/src/places.rs
+++ b/crates/owner/src/places.rs
@@ -17,7 +17,7 @@
 use shallotdrum_scheduler::{AdmissionRequest, Finish, Lease, RequestKind};
 use shallotdrum_telemetry::event;
 use shallotdrum_types::{
-    Fingerprint, GroupId, RequestError, RequestErrorKind, RequestId, SessionId, SubscriberId,
+    GroupId, RequestError, RequestErrorKind, RequestId, RequestIdentity, SessionId, SubscriberId,
     TargetId, Weight,
 };
 use tokio::sync::Notify;
@@ -37,7 +37,7 @@
     /// Request that the place is for.
     pub request: RequestId,
     /// Equal for repeats of the request with other ids.
-    pub fingerprint: Fingerprint,
+    pub identity: RequestIdentity,
     /// Subscriber whose fair share the request counts against.
     pub subscriber: SubscriberId,
     /// Resources that the request needs at the target.
@@ -98,14 +98,14 @@
     /// Waits for a place at a target of an owned group; `end_place` with the same key cancels the
     /// wait.
     pub async fn take_place(
-        &self,
+        self: &Arc<Self>,
         group: &GroupId,
         key: PlaceKey,
         admission: PlaceAdmission,
     ) -> Result<GrantedPlace, RequestError> {
         let owned = self.owned(group)?;
-        let fingerprint = admission.fingerprint;
-        self.check_relayed_quarantine(&fingerprint)?;
+        let identity = admission.identity;
+        self.check_relayed_quarantine(&identity)?;
         let cancelled = Arc::new(Notify::new());
         let expires_at = Instant::now() + admission.left + PLACE_GRACE;
         let place = Place { lease: None, cancelled: cancelled.clone(), expires_at };
@@ -130,7 +130,7 @@
         };
         self.check_owned(&owned)?;
         // The request may have been quarantined while it was queued.
-        self.check_relayed_quarantine(&fingerprint)?;
+        self.check_relayed_quarantine(&identity)?;
         self.record_waits(&subscriber, &lease);
         lease.started();
         let granted = GrantedPlace {
@@ -186,7 +186,7 @@
         Requirements::Call { is_repeatable } => RequestKind::Service { is_repeatable },
     };
     AdmissionRequest {
-        fingerprint: admission.fingerprint,
+        fingerprint: admission.identity.request,
         request: admission.request,
         subscriber: admission.subscriber,
         weight: Weight::default(),
--- a/crates/owner/src/service.rs
+++ b/crates/owner/src/service.rs
@@ -31,6 +31,7 @@
     crash::CrashDetector,
     load::{OrderCount, Ownership, load_fn},
     places::PlaceTable,
+    relayed::Suspensions,
 };
 
 /// Timeout of a load order. It is part of `LOST_OWNER_SETTLE_MS`, for which a new owner waits
@@ -63,6 +64,7 @@
     pub(crate) places: PlaceTable,
     /// Requests that this instance sends to targets under a place.
     pub(crate) relayed: Arc<CrashDetector>,
+    pub(crate) suspensions: Suspensions,
     /// Serializes releases, so that no group is released before its orders have ended.
     releasing: tokio::sync::Mutex<()>,
 }
@@ -142,6 +144,7 @@
             is_stopping: AtomicBool::new(false),
             places: PlaceTable::default(),
             relayed: CrashDetector::new(Isolation::Shared),
+            suspensions: Suspensions::default(),
             releasing: tokio::sync::Mutex::default(),
         })
     }
--- a/crates/owner/src/unrecorded.rs
+++ b/crates/owner/src/unrecorded.rs
@@ -1,8 +1,8 @@
 //! Crashes that this instance has detected and the control log has not recorded yet.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 
-use shallotdrum_types::Fingerprint;
+use shallotdrum_types::{Fingerprint, RequestIdentity};
 
 use crate::crash::Crash;
 
@@ -13,18 +13,22 @@
 /// Crashes by request, until they are recorded.
 #[derive(Debug, Default)]
 pub(crate) struct UnrecordedCrashes {
-    requests: BTreeMap<Crash, BTreeSet<Fingerprint>>,
+    /// Requests of each crash, with the number of reports that are under way.
+    requests: BTreeMap<Crash, BTreeMap<Fingerprint, usize>>,
     /// Keys of `requests`, oldest first.
     order: VecDeque<Crash>,
 }
 
 impl UnrecordedCrashes {
     /// Adds a crash for each of the requests.
-    pub(crate) fn add(&mut self, crash: &Crash, requests: &[Fingerprint]) {
+    pub(crate) fn add(&mut self, crash: &Crash, requests: &[RequestIdentity]) {
         if !self.requests.contains_key(crash) {
             self.order.push_back(crash.clone());
         }
-        self.requests.entry(crash.clone()).or_default().extend(requests);
+        let reports = self.requests.entry(crash.clone()).or_default();
+        for request in requests {
+            *reports.entry(request.request).or_default() += 1;
+        }
         while self.order.len() > MAX_CRASHES
             && let Some(oldest) = self.order.pop_front()
         {
@@ -32,16 +36,18 @@
         }
     }
 
-    /// Removes a crash.
-    pub(crate) fn remove(&mut self, crash: &Crash) {
-        self.requests.remove(crash);
-        self.order.retain(|other| other != crash);
-    }
-
-    /// Removes a request from all crashes.
-    pub(crate) fn clear(&mut self, request: &Fingerprint) {
-        for requests in self.requests.values_mut() {
-            requests.remove(request);
+    /// Removes what one `add` added.
+    pub(crate) fn remove(&mut self, crash: &Crash, requests: &[RequestIdentity]) {
+        let Some(reports) = self.requests.get_mut(crash) else { return };
+        for request in requests {
+            if let Some(count) = reports.get_mut(&request.request) {
+                *count -= 1;
+            }
+        }
+        reports.retain(|_, count| *count > 0);
+        if reports.is_empty() {
+            self.requests.remove(crash);
+            self.order.retain(|other| other != crash);
         }
     }
 
@@ -51,17 +57,7 @@
         request: &Fingerprint,
         is_recorded: impl Fn(&Crash) -> bool,
     ) -> usize {
-        let crashes = self.requests.iter().filter(|(_, requests)| requests.contains(request));
+        let crashes = self.requests.iter().filter(|(_, requests)| requests.contains_key(request));
         crashes.filter(|(crash, _)| !is_recorded(crash)).count()
     }
-
-    /// Returns those of the requests that still have the crash.
-    pub(crate) fn retain_suspects(
-        &self,
-        crash: &Crash,
-        requests: &[Fingerprint],
-    ) -> Vec<Fingerprint> {
-        let Some(suspects) = self.requests.get(crash) else { return requests.to_vec() };
-        requests.iter().filter(|request| suspects.contains(request)).copied().collect()
-    }
 }
--- a/crates/rpc/src/places.rs
+++ b/crates/rpc/src/places.rs
@@ -28,6 +28,9 @@
     /// Equal for repeats of the request with other ids; absent from entries of earlier releases.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub fingerprint: Option<Fingerprint>,
+    /// Equal for repeats of the request by any caller.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub any_caller: Option<Fingerprint>,
     /// Time left until the request's deadline, in milliseconds.
     pub left_ms: u64,
     /// Targets on which earlier attempts failed.
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -127,8 +127,10 @@
         REQUEST_SUSPECTED = "O0307", Warning, "request was running on a crashed target", "none; list quarantined requests if it repeats";
         REQUEST_QUARANTINED = "O0308", Error, "request quarantined after repeated crashes", "analyse the request; lift the quarantine when the engine is fixed";
         CRASH_UNRECORDED = "O0326", Warning, "control log has not recorded a crash yet; it counts on this instance, and the report is retried", "check the control replicas if it persists";
-        SUSPECT_CLEARED = "O0327", Info, "suspected request ran to its end; its crashes are forgotten", "none";
-        SUSPECT_KEPT = "O0328", Info, "cannot clear a suspected request that ran to its end", "none; its next complete run clears it";
+        RUNS_REPORTED = "O0329", Info, "reported successful runs of suspected requests", "none";
+        RUNS_NOT_REPORTED = "O0330", Info, "cannot report successful runs of suspected requests", "none; later runs are reported";
+        SUSPENSION_ENDED = "O0331", Info, "ended the temporary quarantine of a request", "none; a single crash quarantines it again, for twice as long";
+        SUSPENSION_KEPT = "O0332", Info, "cannot end the temporary quarantine of a request yet", "none; a later request tries again";
         PLACE_GRANTED = "O0315", Info, "place at a target granted", "none";
         ENGINE_CALL_FAILED = "O0324", Info, "call to an engine failed", "check the engine if it repeats";
         ENGINE_NOT_INSPECTED = "O0325", Warning, "engine did not report its loaded adapters; it gets no orders until it is inspected again", "check the engine";
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -9,6 +9,7 @@
 mod define;
 mod freshness;
 mod hash;
+mod identity;
 mod ids;
 mod model;
 mod names;
@@ -18,6 +19,7 @@
 pub use base64_bytes::Base64Bytes;
 pub use freshness::{Freshness, FreshnessFn};
 pub use hash::{Digest, Fingerprint, KeyHash, ParseHashError};
+pub use identity::RequestIdentity;
 pub use ids::{
     ControlTimeMs, Epoch, Incarnation, LogIndex, ParseIdError, PermitId, Revision, SessionId, Term,
 };
