Take the successor of a silent target as evidence of its crash

Callers saw: a call after which its target falls silent, with connections left open, was sent on to each target that came back.

Cause: only a broken connection was examined, for 1.5 s. A request whose deadline passed or whose caller left was forgotten at that moment.

Now a request counts as running until its target is known to have ended or refused it, or to have completed one that began later. If another process takes the target's place within 10 s, the crash is reported for all such requests. The guard of a running request does this when it is dropped, on both request paths. Planned departures do not count.

--- a/crates/control/src/state/groups.rs
+++ b/crates/control/src/state/groups.rs
@@ -346,6 +346,11 @@
         group
     }
 
+    /// Whether this incarnation of a target left, or was replaced at its address.
+    pub(crate) fn has_left(&self, id: &TargetId, incarnation: Incarnation) -> bool {
+        self.left.get(id).is_some_and(|left| *left >= incarnation)
+    }
+
     fn record_departure(&mut self, id: &TargetId, incarnation: Incarnation) {
         let newest = self.left.entry(id.clone()).or_insert(incarnation);
         *newest = incarnation.max(*newest);
--- a/crates/control/src/state/mod.rs
+++ b/crates/control/src/state/mod.rs
@@ -202,6 +202,12 @@
         self.shared.groups.target(id)
     }
 
+    /// Whether this incarnation of a target left by itself, or a later process replaced it at its
+    /// address. Departures that many others followed are forgotten.
+    pub fn has_left(&self, id: &TargetId, incarnation: Incarnation) -> bool {
+        self.shared.groups.has_left(id, incarnation)
+    }
+
     /// All registered targets, ordered by id.
     pub fn targets(&self) -> impl Iterator<Item = &Target> {
         self.shared.groups.targets()
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -361,6 +361,7 @@
             Err(_) => return AttemptOutcome::Failed(SendFailure::Unknown, target_timed_out()),
         };
         connection.release();
+        running.complete();
         let response =
             GatewayResponse::Whole { status, headers: response_headers(parts.headers), body };
         if status.is_server_error() {
@@ -418,7 +419,10 @@
             Ok(Err(error)) => {
                 run.avoid.push(target.clone());
                 let failure = match error {
-                    SendError::NotSent(_) => SendFailure::NotSent,
+                    SendError::NotSent(_) => {
+                        running.end();
+                        SendFailure::NotSent
+                    }
                     SendError::Unknown(_) => {
                         self.check_crash(run, running);
                         SendFailure::Unknown
@@ -446,6 +450,7 @@
             return Err(AttemptOutcome::Failed(SendFailure::Unknown, error));
         }
         if info.is_not_run {
+            running.end();
             event!(self.cx.log, TARGET_DECLINED; "request" => %run.req.id, "target" => %target,
                 "status" => parts.status.as_u16());
             place.end(PlaceEnd::Refused);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -125,6 +125,7 @@
             let cause = match ended {
                 StreamEnd::Complete => {
                     connection.release();
+                    running.complete();
                     gateway.cx.owner.complete_relayed(&running);
                     let generation = run.req.generation.as_ref();
                     let prompt_tokens = generation.map_or(0, |g| g.prompt_tokens);
--- a/crates/owner/src/call.rs
+++ b/crates/owner/src/call.rs
@@ -282,7 +282,8 @@
             return Err(CallFailure::Refused(error));
         }
         let req = call.target_request(&lease).map_err(CallFailure::Refused)?;
-        let guard = group.crashes.enter((&lease).into(), &call.call.request, call.fingerprint);
+        let guard =
+            group.crashes.enter(&self.cx, (&lease).into(), &call.call.request, call.fingerprint);
         lease.started();
         let exchange = async {
             match call.call.idempotency_key {
@@ -295,6 +296,7 @@
         let sent = tokio::time::timeout_at(call.deadline, exchange);
         let error = match sent.await {
             Ok(Ok(res)) => {
+                guard.end();
                 return Ok((res, lease));
             }
             Ok(Err(error)) => error,
@@ -309,6 +311,7 @@
         let detail = format!("target {}: {error}", lease.target);
         match error {
             CallError::NotSent { .. } | CallError::Refused { .. } => {
+                guard.end();
                 let is_refused = matches!(error, CallError::Refused { .. });
                 lease.finish(if is_refused { Finish::Refused } else { Finish::TargetFailed });
                 let error = RequestError::not_run(RequestErrorKind::TargetFailed, detail);
--- a/crates/owner/src/completion.rs
+++ b/crates/owner/src/completion.rs
@@ -133,7 +133,8 @@
         tx: &mpsc::Sender<Frame>,
     ) -> Attempt {
         let request = run.request(&lease);
-        let guard = group.crashes.enter((&lease).into(), &request.request, run.fingerprint);
+        let guard =
+            group.crashes.enter(&self.cx, (&lease).into(), &request.request, run.fingerprint);
         lease.started();
         let sent =
             tokio::time::timeout_at(run.deadline, self.cx.engine.generate(lease.addr, &request));
@@ -162,6 +163,7 @@
                     let _ = tx.send(Frame::Chunk(chunk)).await;
                 }
                 Ok(Some(Ok(EngineEvent::End(end)))) => {
+                    guard.complete();
                     lease.finish(answered(&end));
                     let _ = tx.send(Frame::End(end)).await;
                     return Attempt::Done;
@@ -200,10 +202,12 @@
         );
         match error {
             CallError::NotSent { .. } => {
+                guard.end();
                 lease.finish(Finish::TargetFailed);
                 Attempt::Retry(failure)
             }
             CallError::Refused { .. } => {
+                guard.end();
                 lease.finish(Finish::Refused);
                 Attempt::Retry(failure)
             }
--- a/crates/owner/src/crash.rs
+++ b/crates/owner/src/crash.rs
@@ -10,7 +10,10 @@
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
@@ -21,7 +24,9 @@
 use shallotdrum_types::{Fingerprint, Incarnation, RequestId, RequestIdentity, TargetId};
 use tokio::{net::TcpStream, sync::OnceCell, time::Instant};
 
-use crate::{OwnerContext, runs::RunCounts, unrecorded::UnrecordedCrashes};
+use crate::{
+    OwnerContext, runs::RunCounts, unanswered::UnansweredRequests, unrecorded::UnrecordedCrashes,
+};
 
 /// How long to look for evidence of a crash after a connection broke; a restarted target announces
 /// itself within a second.
@@ -70,6 +75,7 @@
 pub(crate) struct CrashDetector {
     isolation: Isolation,
     running: Mutex<BTreeMap<Crash, RunningRequests>>,
+    pub(crate) unanswered: UnansweredRequests,
     unrecorded: Mutex<UnrecordedCrashes>,
     runs: Mutex<RunCounts>,
 }
@@ -93,14 +99,32 @@
 }
 
 /// Keeps a request registered as running until dropped.
+///
+/// If it is dropped before the request is known to have ended, a later process of the target shows
+/// that the request was running at a crash.
 pub struct RunningGuard {
     detector: Arc<CrashDetector>,
+    cx: OwnerContext,
     process: Process,
     request: RequestId,
     identity: RequestIdentity,
+    started_at: Instant,
+    has_ended: AtomicBool,
 }
 
 impl RunningGuard {
+    /// Records that the request did not run, or that it is known how it ended.
+    pub fn end(&self) {
+        self.has_ended.store(true, Ordering::Relaxed);
+    }
+
+    /// Records that the target ran the request to its end, and so survived those that ended before it
+    /// began.
+    pub fn complete(&self) {
+        self.end();
+        self.detector.unanswered.remove_survived(&self.process.key, self.started_at);
+    }
+
     pub(crate) fn identity(&self) -> RequestIdentity {
         self.identity
     }
@@ -117,6 +141,9 @@
                 }
             }
         }
+        if !*self.has_ended.get_mut() {
+            self.detector.watch_unanswered(&self.cx, &self.process, self.identity);
+        }
     }
 }
 
@@ -126,6 +153,7 @@
         Arc::new(Self {
             isolation,
             running: Mutex::default(),
+            unanswered: UnansweredRequests::default(),
             unrecorded: Mutex::default(),
             runs: Mutex::new(RunCounts::new()),
         })
@@ -134,6 +162,7 @@
     /// Registers a request as running on a target.
     pub(crate) fn enter(
         self: &Arc<Self>,
+        cx: &OwnerContext,
         process: Process,
         request: &RequestId,
         identity: impl Into<RequestIdentity>,
@@ -142,7 +171,15 @@
         let mut running = self.running();
         let requests = &mut running.entry(process.key.clone()).or_default().requests;
         requests.insert(request.clone(), identity);
-        RunningGuard { detector: self.clone(), process, request: request.clone(), identity }
+        RunningGuard {
+            detector: self.clone(),
+            cx: cx.clone(),
+            process,
+            request: request.clone(),
+            identity,
+            started_at: Instant::now(),
+            has_ended: AtomicBool::new(false),
+        }
     }
 
     /// Checks whether the target crashed; if so, reports the crash and all requests running on it.
@@ -170,6 +207,8 @@
             {
                 target.status = Arc::default();
             }
+        } else {
+            guard.end();
         }
         status
     }
@@ -189,7 +228,7 @@
         self.isolation.is_cause(crashes, completed)
     }
 
-    fn requests_on(&self, key: &Crash) -> Vec<RequestIdentity> {
+    pub(crate) fn requests_on(&self, key: &Crash) -> Vec<RequestIdentity> {
         let running = self.running();
         running
             .get(key)
@@ -199,7 +238,7 @@
 
     /// Reports a crash; if the control log does not record it, the report is retried in the
     /// background.
-    async fn report(
+    pub(crate) async fn report(
         self: &Arc<Self>,
         cx: &OwnerContext,
         crash: Crash,
@@ -322,7 +361,7 @@
 }
 
 /// Whether a later process has registered as this target, or under another id at its address.
-fn is_replaced(
+pub(crate) fn is_replaced(
     state: &ControlState,
     target: &TargetId,
     incarnation: Incarnation,
--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -25,6 +25,7 @@
 mod runs;
 mod server;
 mod service;
+mod unanswered;
 mod unrecorded;
 
 pub use context::{
--- a/crates/owner/src/relayed.rs
+++ b/crates/owner/src/relayed.rs
@@ -76,7 +76,7 @@
         request: &RequestId,
         identity: RequestIdentity,
     ) -> RunningGuard {
-        self.relayed.enter(place.into(), request, identity)
+        self.relayed.enter(&self.cx, place.into(), request, identity)
     }
 
     /// Checks whether the target of a request whose connection broke has crashed.
--- /dev/null
+++ b/crates/owner/src/unanswered.rs
@@ -0,0 +1,121 @@
+//! Requests that were sent to a target and got no complete response, until the target is known to
+//! have survived them or a later process shows that it crashed.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use shallotdrum_types::RequestIdentity;
+use tokio::time::Instant;
+
+use crate::{
+    OwnerContext,
+    crash::{Crash, CrashDetector, Process, is_replaced},
+};
+
+/// Time for which a later process of a target counts as evidence that an unanswered request crashed
+/// the target. Targets restart within a few seconds.
+const SUCCESSOR_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Interval between checks for a later process.
+const SUCCESSOR_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Maximum number of unanswered requests of a target process; beyond it, the oldest one is dropped.
+const MAX_UNANSWERED: usize = 64;
+
+/// Unanswered requests by target process.
+#[derive(Debug, Default)]
+pub(crate) struct UnansweredRequests(Mutex<BTreeMap<Crash, VecDeque<Unanswered>>>);
+
+#[derive(Clone, Copy, Debug)]
+struct Unanswered {
+    identity: RequestIdentity,
+    since: Instant,
+}
+
+impl UnansweredRequests {
+    /// Adds a request; `true` if it is the first one of the process.
+    fn add(&self, process: &Crash, identity: RequestIdentity) -> bool {
+        let mut processes = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let is_first = !processes.contains_key(process);
+        let requests = processes.entry(process.clone()).or_default();
+        requests.push_back(Unanswered { identity, since: Instant::now() });
+        if requests.len() > MAX_UNANSWERED {
+            requests.pop_front();
+        }
+        is_first
+    }
+
+    /// Removes the requests that a process survived: those that ended before it began to run another
+    /// one that it completed.
+    pub(crate) fn remove_survived(&self, process: &Crash, started_at: Instant) {
+        let mut processes = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(requests) = processes.get_mut(process) {
+            requests.retain(|request| request.since >= started_at);
+        }
+    }
+
+    /// Removes the requests whose time is over, and the process if none are left; returns whether it
+    /// is watched further.
+    fn expire(&self, process: &Crash) -> bool {
+        let mut processes = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let Some(requests) = processes.get_mut(process) else { return false };
+        requests.retain(|request| request.since.elapsed() < SUCCESSOR_TIMEOUT);
+        if requests.is_empty() {
+            processes.remove(process);
+            return false;
+        }
+        true
+    }
+
+    fn take(&self, process: &Crash) -> Vec<RequestIdentity> {
+        let mut processes = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let requests = processes.remove(process).unwrap_or_default();
+        requests.into_iter().map(|request| request.identity).collect()
+    }
+}
+
+impl CrashDetector {
+    /// Watches for a later process of a target that did not respond completely to a request.
+    pub(crate) fn watch_unanswered(
+        self: &Arc<Self>,
+        cx: &OwnerContext,
+        process: &Process,
+        identity: RequestIdentity,
+    ) {
+        let Ok(runtime) = tokio::runtime::Handle::try_current() else { return };
+        if self.unanswered.add(&process.key, identity) {
+            let (detector, cx, process) = (self.clone(), cx.clone(), process.clone());
+            runtime.spawn(async move { detector.wait_for_successor(&cx, process).await });
+        }
+    }
+
+    async fn wait_for_successor(self: &Arc<Self>, cx: &OwnerContext, process: Process) {
+        let (target, incarnation) = &process.key;
+        loop {
+            let (is_replaced, is_leaving) = cx.view.read(|state| {
+                let is_draining = state.target(target).is_some_and(|current| {
+                    current.announced.incarnation == *incarnation && current.draining
+                });
+                let is_leaving = is_draining || state.has_left(target, *incarnation);
+                (is_replaced(state, target, *incarnation, process.addr), is_leaving)
+            });
+            if is_replaced {
+                let unanswered = self.unanswered.take(&process.key);
+                let requests = [unanswered, self.requests_on(&process.key)].concat();
+                if !requests.is_empty() {
+                    self.report(cx, process.key.clone(), requests).await;
+                }
+                return;
+            }
+            // A target that leaves by itself does not crash.
+            if is_leaving || !self.unanswered.expire(&process.key) {
+                self.unanswered.take(&process.key);
+                return;
+            }
+            tokio::time::sleep(SUCCESSOR_CHECK_INTERVAL).await;
+        }
+    }
+}
