Apply the limits that targets name, by one bucket at the owner of their group

Callers saw: nothing.

Cause: the limit was not read, and no part of the product bounded the rate of a target's requests.

Now entries keep the last limit that each process named to them and send it with each request for a place. The owner, which grants every place, applies it by a token bucket, which is empty at a new owner; without an owner, entries do not choose a limited target. Adapters of limited engines are loaded elsewhere. If all targets name limits, requests that get no place in time are refused at once, in fair order, with the wait as Retry-After. A limit ends with a later response that names none, or with the process; malformed ones are logged once and ignored.

Why it works: the sum has one owner at a time, and no entry can ask it for a place without telling it the limit.

--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -91,6 +91,7 @@
             need,
             fingerprint,
             any_caller,
+            limits,
             left_ms,
             avoid,
         } = request;
@@ -98,7 +99,7 @@
         let fingerprint =
             fingerprint.unwrap_or_else(|| Fingerprint::of(request.as_str().as_bytes()));
         let identity = RequestIdentity { request: fingerprint, any_caller };
-        let admission = PlaceAdmission { request, identity, subscriber, need, left, avoid };
+        let admission = PlaceAdmission { request, identity, subscriber, need, left, avoid, limits };
         Ok(match self.owner.take_place(&group, (session, place), admission).await {
             Ok(granted) => PlaceReply::Granted(granted),
             Err(error) => PlaceReply::Refused { error },
--- a/crates/engine/src/place.rs
+++ b/crates/engine/src/place.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
-use shallotdrum_types::{AdapterRef, Incarnation, TargetId};
+use shallotdrum_types::{AdapterRef, Incarnation, RequestRate, TargetId};
 
 use crate::Priority;
 
@@ -40,4 +40,21 @@
     pub addr: SocketAddr,
     /// Priority to pass to the engine.
     pub priority: Priority,
+    /// Whether the owner applies a limit that the target named.
+    #[serde(default)]
+    pub is_rate_limited: bool,
+}
+
+/// What an entry last saw of the limit on a target's requests.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ObservedLimit {
+    /// Target that named the limit.
+    pub target: TargetId,
+    /// Process start of the target; the limit ends with the process.
+    pub incarnation: Incarnation,
+    /// Requests per second from all instances together; absent if the target no longer names a
+    /// limit.
+    pub limit: Option<RequestRate>,
+    /// Time since the response that shows it, in milliseconds.
+    pub age_ms: u64,
 }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -150,6 +150,7 @@
         tokio::spawn(async move {
             while let Some(gateway) = weak.upgrade() {
                 gateway.count_entries();
+                gateway.places.expire_limits();
                 drop(gateway);
                 tokio::time::sleep(EXPIRE_INTERVAL).await;
                 connections.expire();
@@ -386,6 +387,7 @@
             need: need.clone(),
             left: Duration::ZERO,
             avoid: run.avoid.clone(),
+            limits: Vec::new(),
         };
         let place = self
             .places
@@ -413,6 +415,7 @@
             "target" => %granted.target, "send" => run.sends + 1, "left_ms" => left.as_millis() as u64);
         let target = granted.target.clone();
         let running = self.cx.owner.enter_relayed(granted, &run.req.id, run.identity);
+        let sent_at = Instant::now();
         let sent = self.connections.send(granted.addr, run.request(&self.cx.codec, &dispatch));
         let (connection, response) = match timeout_at(run.deadline, sent).await {
             Ok(Ok(received)) => received,
@@ -449,6 +452,10 @@
             let error = target_failed("the response belongs to another request");
             return Err(AttemptOutcome::Failed(SendFailure::Unknown, error));
         }
+        // A misdirected request reached another process.
+        if parts.status != StatusCode::MISDIRECTED_REQUEST {
+            self.places.record_limit(&place.granted, sent_at, info.limit);
+        }
         if info.is_not_run {
             running.end();
             event!(self.cx.log, TARGET_DECLINED; "request" => %run.req.id, "target" => %target,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,7 +3,8 @@
 //! `exchange` drives a caller's request through its attempts, `places` acquires a place, which is
 //! a reservation at a target, from the owner of the target's group, and `connections` is the
 //! connection pool. `relay` forwards event streams, `fallback` selects a target while a group has
-//! no owner, `need` describes a request to the owner, `budget` limits retries, and `decision` holds
+//! no owner, `need` describes a request to the owner, `budget` limits retries,
+//! `limits` keeps the limits that targets name, and `decision` holds
 //! the retry rules. `fingerprint` recognises repeats of a request, and `crash` those that crash
 //! targets.
 //!
@@ -18,6 +19,7 @@
 mod exchange;
 mod fallback;
 mod fingerprint;
+mod limits;
 mod need;
 mod places;
 mod relay;
--- a/crates/gateway/src/places.rs
+++ b/crates/gateway/src/places.rs
@@ -13,16 +13,21 @@
 };
 
 use shallotdrum_control::{AnnouncedTarget, ControlView};
-use shallotdrum_engine::{GrantedPlace, Priority, Requirements};
+use shallotdrum_engine::{GrantedPlace, ObservedLimit, Priority, Requirements};
 use shallotdrum_owner::{OwnerService, PlaceAdmission, PlaceKey, SessionFn};
 use shallotdrum_rpc::{
     EndedPlace, PeerApiClient, Peers, PlaceEnd, PlaceReply, PlaceRequest, RpcError,
 };
 use shallotdrum_telemetry::event;
-use shallotdrum_types::{GroupId, PoolId, RequestError, RequestErrorKind, SessionId, TargetId};
+use shallotdrum_types::{
+    GroupId, Incarnation, PoolId, RequestError, RequestErrorKind, RequestRate, SessionId, TargetId,
+};
 use tokio::time::Instant;
 
-use crate::FallbackSelector;
+use crate::{
+    FallbackSelector,
+    limits::{LimitChange, TargetLimits},
+};
 
 /// Delay before the owner of a group is looked up again.
 const OWNER_RETRY_DELAY: Duration = Duration::from_millis(40);
@@ -55,6 +60,7 @@
     log: slog::Logger,
     next_place: AtomicU64,
     fallback: Mutex<FallbackSelector>,
+    limits: Mutex<TargetLimits>,
     /// Time of the latest reply of each owner.
     last_replies: Mutex<HashMap<SocketAddr, Instant>>,
 }
@@ -131,6 +137,7 @@
             log,
             next_place: AtomicU64::new(1),
             fallback: Mutex::default(),
+            limits: Mutex::default(),
             last_replies: Mutex::default(),
         }))
     }
@@ -139,6 +146,40 @@
         self.0.fallback.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn limits(&self) -> MutexGuard<'_, TargetLimits> {
+        self.0.limits.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Records the limit that a target names in its response to a request that was sent at `sent_at`.
+    pub(crate) fn record_limit(
+        &self,
+        place: &GrantedPlace,
+        sent_at: Instant,
+        named: Option<Result<RequestRate, String>>,
+    ) {
+        let process = (place.target.clone(), place.incarnation);
+        let is_limited = place.is_rate_limited;
+        let change = self.limits().record(process, is_limited, sent_at, named);
+        match change {
+            Some(LimitChange::Named(limit)) => event!(self.0.log, TARGET_LIMIT_NAMED;
+                "target" => %place.target, "incarnation" => place.incarnation.0,
+                "limit" => limit.map(RequestRate::get)),
+            Some(LimitChange::Malformed(text)) => event!(self.0.log, TARGET_LIMIT_MALFORMED;
+                "target" => %place.target, "limit" => text),
+            None => {}
+        }
+    }
+
+    /// Forgets the limits of processes that have ended.
+    pub(crate) fn expire_limits(&self) {
+        let is_current = |(target, incarnation): &(TargetId, Incarnation)| {
+            self.0.view.read(|state| {
+                state.target(target).is_some_and(|t| t.announced.incarnation == *incarnation)
+            })
+        };
+        self.limits().expire(is_current);
+    }
+
     /// Records that a target refused a request for an adapter.
     pub(crate) fn record_refusal(&self, pool: &PoolId, need: &Requirements, target: &TargetId) {
         if let Requirements::Generation { adapter: Some(adapter), .. } = need {
@@ -205,15 +246,19 @@
             Requirements::Generation { adapter, .. } => adapter.as_ref(),
             Requirements::Call { .. } => None,
         };
+        let limits = self.limits();
         let candidates: Vec<AnnouncedTarget> = self.0.view.read(|state| {
             let targets = state.targets().filter(|target| {
                 let announced = &target.announced;
                 announced.pool == *pool
                     && !target.draining
                     && !admission.avoid.contains(&announced.target)
+                    // Without an owner, nobody knows how much of a limit is left.
+                    && !limits.is_limited(&announced.target, announced.incarnation)
             });
             targets.map(|target| target.announced.clone()).collect()
         });
+        drop(limits);
         let names: Vec<TargetId> = candidates.iter().map(|target| target.target.clone()).collect();
         let mut fallback = self.fallback();
         let chosen = fallback.choose(pool, adapter, &names, rand::random(), Instant::now())?;
@@ -225,6 +270,7 @@
             incarnation: target.incarnation,
             addr: target.addr,
             priority: DEFAULT_PRIORITY,
+            is_rate_limited: false,
         };
         let granted_by = GrantedBy::NoOwner { target: chosen };
         let guard = PlaceGuard { places: self.clone(), end: PlaceEnd::Cancelled, granted_by };
@@ -240,6 +286,7 @@
     ) -> Result<Place, RequestError> {
         let Some(session) = (self.0.session)() else { return Err(no_owner(pool)) };
         let (group, owner, addr) = self.choose_group(pool, &admission)?;
+        let admission = PlaceAdmission { limits: self.limits_of(&group), ..admission };
         let key = (session, self.0.next_place.fetch_add(1, Ordering::Relaxed));
         let granted_by = match owner == session {
             true => GrantedBy::This { key },
@@ -261,6 +308,7 @@
             any_caller: admission.identity.any_caller,
             left_ms: admission.left.as_millis() as u64,
             avoid: admission.avoid,
+            limits: admission.limits,
         };
         let client = self.0.peers.get(addr).map_err(|e| owner_unreachable(&group, &e))?;
         let reply = tokio::select! {
@@ -284,6 +332,18 @@
         }
     }
 
+    /// Limits of a group's targets that this entry knows of.
+    fn limits_of(&self, group: &GroupId) -> Vec<ObservedLimit> {
+        let limits = self.limits();
+        if limits.is_empty() {
+            return Vec::new();
+        }
+        self.0.view.read(|state| {
+            let targets = state.group(group).map(|group| &group.targets);
+            limits.observed(|target| targets.is_some_and(|targets| targets.contains(target)))
+        })
+    }
+
     /// Sends an empty report to an owner and returns whether it replies.
     async fn ping(&self, addr: SocketAddr) -> bool {
         let (Some(session), Ok(client)) = ((self.0.session)(), self.0.peers.get(addr)) else {
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -6,7 +6,7 @@
 use http::{HeaderMap, Method, StatusCode, request, response};
 use http_body::Frame;
 use shallotdrum_engine::Priority;
-use shallotdrum_types::{AdapterId, AdapterVersion, BaseModelId, RequestId, TargetId};
+use shallotdrum_types::{AdapterId, AdapterVersion, BaseModelId, RequestId, RequestRate, TargetId};
 use tokio::{sync::mpsc, time::Instant};
 
 /// Caller's request, decoded by the front end and read completely.
@@ -135,7 +135,7 @@
 }
 
 /// Information about the request in the head of a response.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct ResponseInfo {
     /// Request that the response belongs to; absent if it does not say so.
     pub request: Option<RequestId>,
@@ -143,4 +143,6 @@
     pub is_not_run: bool,
     /// Whether the response carries a target's signature.
     pub is_signed: bool,
+    /// Limit on its requests that the target names, or the text that is not one.
+    pub limit: Option<Result<RequestRate, String>>,
 }
--- a/crates/owner/src/places.rs
+++ b/crates/owner/src/places.rs
@@ -13,8 +13,8 @@
     time::{Duration, Instant},
 };
 
-use shallotdrum_engine::{GrantedPlace, Requirements};
-use shallotdrum_scheduler::{AdmissionRequest, Finish, Lease, RequestKind};
+use shallotdrum_engine::{GrantedPlace, ObservedLimit, Requirements};
+use shallotdrum_scheduler::{AdmissionRequest, Finish, GroupScheduler, Lease, RequestKind};
 use shallotdrum_telemetry::event;
 use shallotdrum_types::{
     GroupId, RequestError, RequestErrorKind, RequestId, RequestIdentity, SessionId, SubscriberId,
@@ -46,6 +46,8 @@
     pub left: Duration,
     /// Targets that already failed or refused the request.
     pub avoid: Vec<TargetId>,
+    /// Limits of the group's targets that the entry knows of.
+    pub limits: Vec<ObservedLimit>,
 }
 
 /// Granted places and pending requests for places, by key.
@@ -106,6 +108,7 @@
         let owned = self.owned(group)?;
         let identity = admission.identity;
         self.check_relayed_quarantine(&identity)?;
+        observe_limits(&owned.scheduler, &admission.limits);
         let cancelled = Arc::new(Notify::new());
         let expires_at = Instant::now() + admission.left + PLACE_GRACE;
         let place = Place { lease: None, cancelled: cancelled.clone(), expires_at };
@@ -138,6 +141,7 @@
             incarnation: lease.incarnation,
             addr: lease.addr,
             priority: lease.priority,
+            is_rate_limited: lease.is_rate_limited,
         };
         event!(self.cx.log, PLACE_GRANTED; "request" => %request, "target" => %granted.target,
             "group" => %group, "epoch" => owned.epoch.0,
@@ -166,6 +170,14 @@
     }
 }
 
+fn observe_limits(scheduler: &GroupScheduler, limits: &[ObservedLimit]) {
+    let now = tokio::time::Instant::now();
+    for ObservedLimit { target, incarnation, limit, age_ms } in limits {
+        let observed_at = now.checked_sub(Duration::from_millis(*age_ms)).unwrap_or(now);
+        scheduler.observe_limit(target, *incarnation, *limit, observed_at);
+    }
+}
+
 fn place_admission(admission: PlaceAdmission) -> AdmissionRequest {
     let kind = match admission.need {
         Requirements::Generation {
--- a/crates/rpc/src/places.rs
+++ b/crates/rpc/src/places.rs
@@ -5,7 +5,7 @@
 //! the response does not depend on the owner staying up.
 
 use serde::{Deserialize, Serialize};
-use shallotdrum_engine::{GrantedPlace, Requirements};
+use shallotdrum_engine::{GrantedPlace, ObservedLimit, Requirements};
 use shallotdrum_types::{
     Fingerprint, GroupId, RequestError, RequestId, SessionId, SubscriberId, TargetId,
 };
@@ -31,6 +31,9 @@
     /// Equal for repeats of the request by any caller.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub any_caller: Option<Fingerprint>,
+    /// Limits of the group's targets that the entry knows of.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub limits: Vec<ObservedLimit>,
     /// Time left until the request's deadline, in milliseconds.
     pub left_ms: u64,
     /// Targets on which earlier attempts failed.
--- a/crates/scheduler/src/group.rs
+++ b/crates/scheduler/src/group.rs
@@ -9,7 +9,7 @@
 
 use futures_util::FutureExt;
 use shallotdrum_engine::{CacheEvents, LoadReport, Priority};
-use shallotdrum_types::{Incarnation, RequestError, RequestErrorKind, TargetId};
+use shallotdrum_types::{Incarnation, RequestError, RequestErrorKind, RequestRate, TargetId};
 use tokio::{
     runtime::Handle,
     sync::Notify,
@@ -86,6 +86,20 @@
         self.shared.update(|state, now| state.cache_events(events, now));
     }
 
+    /// Applies a limit that one incarnation of a target named, or no longer names, at `observed_at`.
+    ///
+    /// An observation that is older than the latest one is ignored.
+    pub fn observe_limit(
+        &self,
+        id: &TargetId,
+        incarnation: Incarnation,
+        limit: Option<RequestRate>,
+        observed_at: Instant,
+    ) {
+        self.shared
+            .update(|state, now| state.observe_limit(id, incarnation, limit, observed_at, now));
+    }
+
     /// Whether the reports received so far account for all adapters on the target.
     pub fn is_reconciled(&self, id: &TargetId) -> bool {
         self.shared.lock().is_reconciled(id)
@@ -225,6 +239,8 @@
     pub incarnation: Incarnation,
     /// Address of the target.
     pub addr: SocketAddr,
+    /// Whether the target names a limit on its requests.
+    pub is_rate_limited: bool,
     /// Priority to pass to the engine.
     pub priority: Priority,
     /// Time in the queue, including the load stall.
@@ -247,8 +263,9 @@
 
 impl Lease {
     fn new(grant: Grant, guard: RequestGuard) -> Self {
-        let Grant { target, incarnation, addr, priority, queue_wait, load_stall } = grant;
-        Self { target, incarnation, addr, priority, queue_wait, load_stall, guard }
+        let Grant { target, incarnation, addr, is_rate_limited, priority, queue_wait, load_stall } =
+            grant;
+        Self { target, incarnation, addr, is_rate_limited, priority, queue_wait, load_stall, guard }
     }
 
     /// Records that the request is being sent. Before this call, the target cannot be running it.
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -12,6 +12,7 @@
 mod fair;
 mod group;
 mod measure;
+mod rate_limit;
 mod slots;
 mod snapshot;
 mod state;
--- a/crates/scheduler/src/state/admission.rs
+++ b/crates/scheduler/src/state/admission.rs
@@ -190,7 +190,7 @@
         }
         self.check_limits(request, now)?;
         self.check_load_queue(request, now)?;
-        let wait = self.expected_wait(request, now);
+        let wait = self.expected_wait(request, now).max(self.limit_wait(request, now));
         let expected_run_time = self.expected_run_time(request, now);
         if now + wait + expected_run_time > request.deadline {
             let detail = format!(
@@ -449,12 +449,12 @@
 }
 
 /// Suggested delay before a retry: whole seconds, within bounds.
-fn retry_after(wait: Duration) -> Duration {
+pub(super) fn retry_after(wait: Duration) -> Duration {
     let secs = wait.as_secs_f64().ceil();
     Duration::from_secs_f64(secs).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
 }
 
 /// Whether the request runs on an engine.
-fn is_engine_request(kind: &RequestKind) -> bool {
+pub(super) fn is_engine_request(kind: &RequestKind) -> bool {
     !matches!(kind, RequestKind::Service { .. })
 }
--- a/crates/scheduler/src/state/baseline.rs
+++ b/crates/scheduler/src/state/baseline.rs
@@ -77,7 +77,11 @@
         for seq in seqs {
             let Some(target) = self.targets.get(&key) else { return };
             let is_closed = target.is_draining || target.orphaned_orders > 0;
-            if is_closed || target.exclusive_to.is_some() || !target.has_capacity(now) {
+            if is_closed
+                || target.exclusive_to.is_some()
+                || !target.has_capacity(now)
+                || !target.is_within_limit(now)
+            {
                 return;
             }
             let queued = &self.queued[&seq];
--- a/crates/scheduler/src/state/dispatch.rs
+++ b/crates/scheduler/src/state/dispatch.rs
@@ -155,7 +155,9 @@
     fn can_run_alone(&self, seq: Seq, key: TargetKey, now: Instant) -> bool {
         let target = &self.targets[&key];
         let is_ready = |key| target.slots.get(key).is_some_and(|slot| slot.is_ready());
-        target.is_unoccupied(now) && self.queued[&seq].adapter.is_none_or(is_ready)
+        target.is_unoccupied(now)
+            && target.is_within_limit(now)
+            && self.queued[&seq].adapter.is_none_or(is_ready)
     }
 
     /// Admits queued requests to one target while it has capacity, lowest tag first.
--- a/crates/scheduler/src/state/membership.rs
+++ b/crates/scheduler/src/state/membership.rs
@@ -179,6 +179,7 @@
             self.run_maintenance(now);
         }
         if !self.queued.is_empty() {
+            self.refuse_hopeless(now);
             self.fill_all(now);
         }
         self.plan(now);
--- a/crates/scheduler/src/state/mod.rs
+++ b/crates/scheduler/src/state/mod.rs
@@ -12,6 +12,7 @@
 mod baseline;
 mod choice;
 mod dispatch;
+mod limits;
 mod loads;
 mod membership;
 mod planner;
@@ -232,6 +233,7 @@
     pub(crate) target: TargetId,
     pub(crate) incarnation: Incarnation,
     pub(crate) addr: SocketAddr,
+    pub(crate) is_rate_limited: bool,
     pub(crate) priority: Priority,
     pub(crate) queue_wait: Duration,
     pub(crate) load_stall: Duration,
@@ -431,6 +433,9 @@
         target.prefix_cache.record_request(&queued.prefixes, now);
         // A lookup uses reserved capacity only if there is no other.
         let is_unreserved = has_unreserved_capacity(target, now);
+        if let Some(limit) = &mut target.limit {
+            limit.take(now);
+        }
         target.running += 1;
         target.unreserved_running += u32::from(is_unreserved);
         target.running_peak = target.running_peak.max(target.running);
@@ -443,6 +448,7 @@
             target: target.spec.id.clone(),
             incarnation: target.spec.incarnation,
             addr: target.spec.addr,
+            is_rate_limited: target.limit.is_some(),
             priority: queued.priority,
             queue_wait: now - queued.queued_at,
             load_stall,
--- a/crates/scheduler/src/state/planner.rs
+++ b/crates/scheduler/src/state/planner.rs
@@ -308,10 +308,17 @@
         // A flooding subscriber must not evict adapters that others use.
         let is_flooding = self.is_flooding(self.queued[&candidate.cause].sub);
         let max_loss = if is_flooding { MAX_UNUSED_DEMAND } else { f64::INFINITY };
+        let is_unlimited = |target: &Target| target.is_engine() && target.limit.is_none();
+        // A target with a limit serves too few requests to be worth a load.
+        let avoids_limited = self.targets.values().any(|t| is_unlimited(t) && t.is_active(now));
         let placements = self.targets.iter().filter_map(|(key, target)| {
             let is_allowed = match candidate.required_target {
                 Some(required) => required == *key && target.exclusive_to.is_none(),
-                None => target.accepts_requests(now) && !candidate.avoid.contains(&target.spec.id),
+                None => {
+                    target.accepts_requests(now)
+                        && !candidate.avoid.contains(&target.spec.id)
+                        && !(avoids_limited && target.limit.is_some())
+                }
             };
             if !is_allowed {
                 return None;
--- a/crates/scheduler/src/target.rs
+++ b/crates/scheduler/src/target.rs
@@ -13,6 +13,7 @@
     engine_model::{AdapterCache, Backlog},
     fair::Seq,
     measure::{DecayingCounter, Ewma},
+    rate_limit::RateLimit,
     slots::Slots,
 };
 
@@ -61,6 +62,10 @@
     /// Limit on loads that the engine carries out at the same time.
     pub(crate) parallel_loads: usize,
     pub(crate) health: Health,
+    /// Limit that the target names.
+    pub(crate) limit: Option<RateLimit>,
+    /// Time of the latest observation that the target names a limit, or none.
+    pub(crate) limit_observed_at: Option<Instant>,
 }
 
 impl Target {
@@ -91,6 +96,8 @@
             adapter_cache: AdapterCache::default(),
             parallel_loads: 1,
             health,
+            limit: None,
+            limit_observed_at: None,
         }
     }
 
@@ -140,10 +147,18 @@
         !self.is_draining && self.orphaned_orders == 0 && !self.health.is_ejected(now)
     }
 
-    /// Whether requests other than suspects may be admitted: the target is active and neither
-    /// occupied by nor reserved for a suspect.
+    /// Whether the limit that the target names allows another request now.
+    pub(crate) fn is_within_limit(&self, now: Instant) -> bool {
+        self.limit.is_none_or(|limit| limit.tokens(now) >= 1.0)
+    }
+
+    /// Whether requests other than suspects may be admitted: the target is active, within its limit
+    /// and neither occupied by nor reserved for a suspect.
     pub(crate) fn accepts_requests(&self, now: Instant) -> bool {
-        self.is_active(now) && self.exclusive_to.is_none() && self.reserved_for.is_none()
+        self.is_active(now)
+            && self.is_within_limit(now)
+            && self.exclusive_to.is_none()
+            && self.reserved_for.is_none()
     }
 
     /// Whether no request is running and none can be running without a lease.
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -142,6 +142,7 @@
         ORDER_ANSWERED = "O0317", Debug, "engine responded to an order", "none";
         BASE_LOADING = "O0318", Warning, "engine has no base model loaded; loading it", "check why the engine restarted";
         BASE_LOAD_FAILED = "O0319", Warning, "base model load failed", "check the weight store and the engine if it repeats";
+        TARGET_LIMIT_APPLIED = "O0333", Info, "limit on the requests of a target changed", "check why the target names a limit";
         CALL_RESULT_UNKNOWN = "O0309", Error, "result of a non-repeatable call is unknown", "look up in the service whether the call took effect";
     }
     "N04" "Entry" {
@@ -160,6 +161,8 @@
         TARGET_DECLINED = "N0416", Info, "target refused a request without running it", "none, unless it repeats for one target";
         SEND_FAILED = "N0418", Info, "request got no response from a target", "check the target if it repeats; a fingerprint that repeats is one request, sent again";
         STREAM_INTERRUPTED = "N0417", Info, "stream from a target was interrupted", "check the target if it repeats";
+        TARGET_LIMIT_NAMED = "N0419", Info, "target named another limit on its requests, or none", "none; see the events of its group's owner";
+        TARGET_LIMIT_MALFORMED = "N0420", Warning, "target named a limit that is not a decimal number; ignored", "correct the target";
         ROUTES_CHANGED = "N0413", Info, "route table in force", "none";
         INPUT_REFUSED = "N0414", Warning, "malformed message refused", "correct the sender";
         ENTRY_CLOSED = "N0410", Info, "entry listener closed, all requests finished", "none";
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -14,6 +14,7 @@
 mod model;
 mod names;
 mod outcome;
+mod rate;
 mod units;
 
 pub use base64_bytes::Base64Bytes;
@@ -29,4 +30,5 @@
     ParseNameError, PoolId, Region, RequestId, ServiceId, SubmissionId, SubscriberId, TargetId,
 };
 pub use outcome::{Outcome, ParseOutcomeError, RequestError, RequestErrorKind};
+pub use rate::{ParseRateError, RequestRate};
 pub use units::{ParseUnitError, RatePerSecond, Tokens, Weight};
