Refuse a request whose place under the targets' limits would come too late

Cause: its place was expected within the last 20 ms, and the scheduler grants places at ticks that far apart.

Now 0.1 s is added to the expected wait of a new request. Evidence: place_just_too_late failed before and passes; limits_of_all_targets passes with its slowest refusal after 7 ms.

--- a/crates/scheduler/src/state/limits.rs
+++ b/crates/scheduler/src/state/limits.rs
@@ -17,6 +17,10 @@
 /// Steps of the search for a wait; the last one is below a millisecond.
 const SEARCH_STEPS: u32 = 24;
 
+/// Added to the expected wait of a new request. Places are granted at ticks, 20 ms apart; a request that
+/// is admitted to the queue must not miss its time by less than a few of them.
+const GRANT_MARGIN: Duration = Duration::from_millis(100);
+
 /// Admissions to a kind of targets that all name limits.
 struct LimitedAdmissions {
     /// Tokens and rate of each target.
@@ -104,7 +108,10 @@
         let others = self.active_weight - sub.map_or(0.0, |account| account.active_weight);
         // In fair order, each other subscriber gets its part before as well.
         let ahead = (own + 1) as f64 * (weight + others.max(0.0)) / weight - 1.0;
-        admissions.wait(ahead.min(self.queued.len() as f64))
+        match admissions.wait(ahead.min(self.queued.len() as f64)) {
+            Duration::ZERO => Duration::ZERO,
+            wait => wait + GRANT_MARGIN,
+        }
     }
 
     /// Refuses the queued requests that the limits of the targets leave no time for.
--- a/crates/scheduler/tests/limits.rs
+++ b/crates/scheduler/tests/limits.rs
@@ -102,6 +102,18 @@
     assert_eq!(served + refused, 20);
 }
 
+/// Guards against queueing a request whose place would come a moment too late.
+#[tokio::test(start_paused = true)]
+async fn place_just_too_late() {
+    let group = services(1);
+    name_limit(&group, "s1", Some(1.0));
+    let at = Instant::now();
+    let deadline = Duration::from_secs(1) + RUN_TIME + Duration::from_millis(10);
+    let refused = group.run(call("a", deadline), RUN_TIME).await.unwrap().unwrap_err();
+    assert_eq!(refused.kind, RequestErrorKind::Overloaded);
+    assert!(at.elapsed() < RUN_TIME);
+}
+
 /// Guards against refusing queued requests only at their deadline when the last target names a limit.
 #[tokio::test(start_paused = true)]
 async fn queued_refused_when_limited() {
