End a stream whose event exceeds 256 KiB

Callers saw: a stream from a target in trouble, which sends bytes without end and no end of an event, was held until the deadline of the request (5.2 s of 5 s), while the entry buffered all of it (129 MB with 24 such streams).

Cause: the splitter of events had no bound.

Now an event of more than 256 KiB breaks the stream like a lost connection, so that the request fails or goes on at another target.

--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -5,6 +5,14 @@
 
 use bytes::{Bytes, BytesMut};
 
+/// Maximum size of an event; engines send some tokens in each.
+pub const MAX_EVENT_BYTES: usize = 256 * 1024;
+
+/// Error of a stream with an event that is too long, or that does not end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("an event exceeds {MAX_EVENT_BYTES} bytes")]
+pub struct EventTooLong;
+
 /// Buffers bytes and returns complete events.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
@@ -13,17 +21,20 @@
 }
 
 impl EventSplitter {
-    /// Appends bytes and returns the events that they complete.
-    pub fn push(&mut self, part: &[u8]) -> Option<Bytes> {
+    /// Appends bytes and returns the events that they complete; fails if an event is too long.
+    pub fn push(&mut self, part: &[u8]) -> Result<Option<Bytes>, EventTooLong> {
         // A delimiter may span the boundary between the pending bytes and the new ones.
         let searched = self.pending.len().saturating_sub(3);
         self.pending.extend_from_slice(part);
-        let end = last_event_end(&self.pending[searched..])? + searched;
-        let complete = self.pending.split_to(end).freeze();
-        if let Some(id) = last_id(&complete) {
+        let complete = last_event_end(&self.pending[searched..])
+            .map(|end| self.pending.split_to(end + searched).freeze());
+        if self.pending.len() > MAX_EVENT_BYTES {
+            return Err(EventTooLong);
+        }
+        if let Some(id) = complete.as_deref().and_then(last_id) {
             self.last_id = Some(id);
         }
-        Some(complete)
+        Ok(complete)
     }
 
     /// Returns the id of the last complete event that has one.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -28,7 +28,7 @@
 pub use budget::{EntryCount, RetryAllowance, RetryBudget};
 pub use connections::{Connection, ConnectionPool, SendError};
 pub use decision::{RequestProgress, RetryDecision, SendFailure, decide_retry};
-pub use events::EventSplitter;
+pub use events::{EventSplitter, EventTooLong, MAX_EVENT_BYTES};
 pub use exchange::{Gateway, GatewayContext};
 pub use fallback::FallbackSelector;
 pub use fingerprint::request_identity;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -69,11 +69,11 @@
         let mut splitter = EventSplitter::default();
         let first = loop {
             match next_chunk(run, &mut body).await {
-                Ok(Some(chunk)) => {
-                    if let Some(events) = splitter.push(&chunk) {
-                        break Some(events);
-                    }
-                }
+                Ok(Some(chunk)) => match splitter.push(&chunk) {
+                    Ok(Some(events)) => break Some(events),
+                    Ok(None) => {}
+                    Err(error) => return Err(self.broken_at_start(run, &error.to_string())),
+                },
                 Ok(None) if splitter.has_pending() => {
                     let cause = "the stream ended within its first event";
                     return Err(self.broken_at_start(run, cause));
@@ -204,9 +204,12 @@
             Ok(None) => return StreamEnd::Complete,
             Err(ended) => return ended,
         };
-        if let Some(events) = splitter.push(&chunk)
-            && tx.send(Ok(events)).await.is_err()
-        {
+        let events = match splitter.push(&chunk) {
+            Ok(Some(events)) => events,
+            Ok(None) => continue,
+            Err(error) => return StreamEnd::Broken(error.to_string()),
+        };
+        if tx.send(Ok(events)).await.is_err() {
             return StreamEnd::CallerGone;
         }
     }
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -4,8 +4,8 @@
 
 use rstest::rstest;
 use shallotdrum_gateway::{
-    EntryCount, EventSplitter, FallbackSelector, RequestProgress, RetryAllowance, RetryBudget,
-    RetryDecision, SendFailure, decide_retry,
+    EntryCount, EventSplitter, EventTooLong, FallbackSelector, MAX_EVENT_BYTES, RequestProgress,
+    RetryAllowance, RetryBudget, RetryDecision, SendFailure, decide_retry,
 };
 use shallotdrum_routes::RetryPolicy;
 use shallotdrum_types::{AdapterRef, PoolId, TargetId};
@@ -186,7 +186,7 @@
 ) {
     let mut splitter = EventSplitter::default();
     let output: Vec<u8> =
-        parts.iter().filter_map(|part| splitter.push(part.as_bytes())).flatten().collect();
+        parts.iter().filter_map(|part| splitter.push(part.as_bytes()).unwrap()).flatten().collect();
     assert_eq!(String::from_utf8(output).unwrap(), expected);
     assert_eq!(splitter.last_id(), last);
     assert_eq!(splitter.has_pending(), has_pending);
@@ -200,8 +200,11 @@
         for second in first..stream.len() {
             let mut splitter = EventSplitter::default();
             let parts = [&stream[..first], &stream[first..second], &stream[second..]];
-            let output: Vec<u8> =
-                parts.iter().filter_map(|part| splitter.push(part.as_bytes())).flatten().collect();
+            let output: Vec<u8> = parts
+                .iter()
+                .filter_map(|part| splitter.push(part.as_bytes()).unwrap())
+                .flatten()
+                .collect();
             assert_eq!(output, stream.as_bytes(), "cut at {first} and {second}");
             assert_eq!(splitter.last_id(), Some("3"));
         }
@@ -269,3 +272,14 @@
     fallback.end(&candidates[0]);
     assert_eq!(fallback.choose(&pool(), None, &candidates, 0.9, now), Some(candidates[0].clone()));
 }
+
+/// Guards against buffering an event that does not end.
+#[test]
+fn splitter_endless_event() {
+    let mut splitter = EventSplitter::default();
+    let complete = "data: 1\n\n".repeat(MAX_EVENT_BYTES);
+    assert_eq!(splitter.push(complete.as_bytes()).unwrap().unwrap(), complete);
+    let part = [b'x'; 1024];
+    let pushed = (0..).find(|_| splitter.push(&part) == Err(EventTooLong)).unwrap();
+    assert_eq!(pushed, MAX_EVENT_BYTES / part.len());
+}
