Bound the memory for all bodies that an entry reads at the same time

Callers saw: nothing yet. An entry that gets bodies without end from a target in trouble runs out of memory and ends with all its requests.

Now all bodies together take 32 MiB beyond the first 64 KiB of each, so that small responses of other targets always find room. The body of a refusal is discarded as it arrives, and after 64 KiB its connection is closed.

--- /dev/null
+++ b/crates/gateway/src/body.rs
@@ -0,0 +1,97 @@
+//! Reads the bodies of responses that are not streamed, within the memory of the instance.
+//!
+//! A target in trouble may send bytes without end. Small responses always find room, so that those of
+//! other targets do not fail because of it.
+
+use std::sync::{
+    Arc,
+    atomic::{AtomicUsize, Ordering},
+};
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+
+/// Maximum body size of a response that is not streamed; plain services return a few kilobytes.
+const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
+
+/// Size up to which a body does not count; larger than most responses, and with some hundred of them
+/// at the same time a small part of an instance's memory.
+const UNCOUNTED_BYTES: usize = 64 * 1024;
+
+/// Maximum size of all bodies that are being read, without the uncounted part of each: an eighth of the
+/// memory of the smallest instances.
+const MAX_BUFFERED_BYTES: usize = 32 * 1024 * 1024;
+
+/// Memory for the bodies that are being read; clones share it.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct BodyBuffers(Arc<AtomicUsize>);
+
+/// Why a body was not read to its end.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum BodyError {
+    /// The connection broke.
+    #[error(transparent)]
+    Connection(#[from] hyper::Error),
+    /// The body is too long.
+    #[error("the body exceeds {0} bytes")]
+    TooLong(usize),
+    /// Bodies of other responses take the memory.
+    #[error("{0} bytes of bodies are being read already")]
+    NoMemory(usize),
+}
+
+impl BodyBuffers {
+    /// Reads a body to its end.
+    pub(crate) async fn read(&self, mut body: Incoming) -> Result<Bytes, BodyError> {
+        let mut counted = Counted { buffers: self, bytes: 0 };
+        let mut read = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let Ok(data) = frame?.into_data() else { continue };
+            let len = read.len() + data.len();
+            if len > MAX_RESPONSE_BYTES {
+                return Err(BodyError::TooLong(MAX_RESPONSE_BYTES));
+            }
+            counted.grow_to(len.saturating_sub(UNCOUNTED_BYTES))?;
+            read.extend_from_slice(&data);
+        }
+        Ok(read.freeze())
+    }
+}
+
+/// Reads a short body that is not needed; whether it came to its end.
+pub(crate) async fn discard(mut body: Incoming) -> bool {
+    let mut len = 0;
+    while let Some(frame) = body.frame().await {
+        let Ok(frame) = frame else { return false };
+        len += frame.data_ref().map_or(0, Bytes::len);
+        if len > UNCOUNTED_BYTES {
+            return false;
+        }
+    }
+    true
+}
+
+/// Part of the memory that one body takes, until dropped.
+struct Counted<'a> {
+    buffers: &'a BodyBuffers,
+    bytes: usize,
+}
+
+impl Counted<'_> {
+    fn grow_to(&mut self, bytes: usize) -> Result<(), BodyError> {
+        let added = bytes.saturating_sub(self.bytes);
+        let before = self.buffers.0.fetch_add(added, Ordering::Relaxed);
+        self.bytes += added;
+        match before + added > MAX_BUFFERED_BYTES && added > 0 {
+            true => Err(BodyError::NoMemory(before)),
+            false => Ok(()),
+        }
+    }
+}
+
+impl Drop for Counted<'_> {
+    fn drop(&mut self) {
+        self.buffers.0.fetch_sub(self.bytes, Ordering::Relaxed);
+    }
+}
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -11,7 +11,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use shallotdrum_control::ControlView;
 use shallotdrum_owner::{CrashStatus, OwnerService, PlaceAdmission, RunningGuard, SessionFn};
@@ -29,6 +29,7 @@
 
 use crate::{
     CallerRequest, Dispatch, EntryCount, GatewayResponse, HeaderCodec, RetryAllowance, RetryBudget,
+    body::{BodyBuffers, discard},
     connections::{CONNECTION_HEADERS, Connection, ConnectionPool, SendError},
     decision::{RequestProgress, RetryDecision, SendFailure, decide_retry},
     fingerprint::request_identity,
@@ -37,9 +38,6 @@
     relay::{Relay, StartedStream},
 };
 
-/// Maximum body size of a response that is not streamed; plain services return a few kilobytes.
-const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
-
 /// `Retry-After` if a target refused the request or could not be reached, and no retry was made.
 const RETRY_AFTER_REFUSALS: Duration = Duration::from_millis(500);
 
@@ -81,6 +79,7 @@
     pub(crate) cx: GatewayContext,
     places: PlaceClient,
     pub(crate) connections: ConnectionPool,
+    bodies: BodyBuffers,
     budgets: Mutex<HashMap<PoolId, RetryBudget>>,
     entry_count: Mutex<EntryCount>,
 }
@@ -143,6 +142,7 @@
             cx,
             places,
             connections: connections.clone(),
+            bodies: BodyBuffers::default(),
             budgets: Mutex::default(),
             entry_count: Mutex::new(EntryCount::new(restarted)),
         });
@@ -347,17 +347,15 @@
             };
         }
         let (parts, body) = response.into_parts();
-        let body = match timeout_at(run.deadline, Limited::new(body, MAX_RESPONSE_BYTES).collect())
-            .await
-        {
-            Ok(Ok(body)) => body.to_bytes(),
+        let body = match timeout_at(run.deadline, self.bodies.read(body)).await {
+            Ok(Ok(body)) => body,
             Ok(Err(error)) => {
                 let target = &place.granted.target;
-                self.log_send_failure(run, target, SendFailure::Unknown, &*error);
+                self.log_send_failure(run, target, SendFailure::Unknown, &error);
                 self.check_crash(run, running);
                 run.avoid.push(place.granted.target.clone());
                 place.end(PlaceEnd::Failed);
-                return AttemptOutcome::Failed(SendFailure::Unknown, target_failed(&*error));
+                return AttemptOutcome::Failed(SendFailure::Unknown, target_failed(&error));
             }
             Err(_) => return AttemptOutcome::Failed(SendFailure::Unknown, target_timed_out()),
         };
@@ -463,9 +461,7 @@
             place.end(PlaceEnd::Refused);
             self.places.record_refusal(&run.pool, &need, &target);
             run.avoid.push(target);
-            let drained =
-                timeout_at(run.deadline, Limited::new(body, MAX_RESPONSE_BYTES).collect());
-            if let Ok(Ok(_)) = drained.await {
+            if let Ok(true) = timeout_at(run.deadline, discard(body)).await {
                 connection.release();
             }
             return Err(AttemptOutcome::Failed(SendFailure::NotRun, target_refused(parts.status)));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,13 +4,14 @@
 //! a reservation at a target, from the owner of the target's group, and `connections` is the
 //! connection pool. `relay` forwards event streams, `fallback` selects a target while a group has
 //! no owner, `need` describes a request to the owner, `budget` limits retries,
-//! `limits` keeps the limits that targets name, and `decision` holds
+//! `body` reads whole responses, `limits` keeps the limits that targets name, and `decision` holds
 //! the retry rules. `fingerprint` recognises repeats of a request, and `crash` those that crash
 //! targets.
 //!
 //! Architecture Invariant: an at-most-once request is sent to a second target only if no byte of
 //! it can have reached the first, or the first refused it without running it.
 
+mod body;
 mod budget;
 mod connections;
 mod crash;
