--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -32,15 +32,15 @@
     body::{BodyBuffers, discard},
     connections::{CONNECTION_HEADERS, Connection, ConnectionPool, SendError},
     decision::{RequestProgress, RetryDecision, SendFailure, decide_retry},
+    errors::{
+        target_failed, target_refused, target_timed_out, target_unreachable, timed_out_waiting,
+    },
     fingerprint::request_identity,
     need::{fallback_label, subscriber},
     places::{Place, PlaceClient},
     relay::{Relay, StartedStream},
 };
 
-/// `Retry-After` if a target refused the request or could not be reached, and no retry was made.
-const RETRY_AFTER_REFUSALS: Duration = Duration::from_millis(500);
-
 /// `Retry-After` of an instance that has no route table yet. The election of a control leader and
 /// the transfer of the state take about a second.
 const RETRY_AFTER_START: Duration = Duration::from_millis(1_200);
@@ -574,30 +574,3 @@
     headers.remove("keep-alive");
     headers
 }
-
-pub(crate) fn target_failed(cause: impl std::fmt::Display) -> RequestError {
-    let detail = format!("the target returned no complete response: {cause}");
-    RequestError::unknown(RequestErrorKind::TargetFailed, detail)
-}
-
-fn target_unreachable(cause: impl std::fmt::Display) -> RequestError {
-    let detail = format!("cannot reach the target: {cause}; retry later");
-    RequestError::not_run(RequestErrorKind::NoTarget, detail).retry_after(RETRY_AFTER_REFUSALS)
-}
-
-fn target_refused(status: StatusCode) -> RequestError {
-    let detail = format!("the target refused the request with status {}", status.as_u16());
-    RequestError::not_run(RequestErrorKind::Overloaded, detail).retry_after(RETRY_AFTER_REFUSALS)
-}
-
-pub(crate) fn target_timed_out() -> RequestError {
-    RequestError::unknown(
-        RequestErrorKind::DeadlineExceeded,
-        "the deadline passed before the target's response was complete",
-    )
-}
-
-fn timed_out_waiting() -> RequestError {
-    let detail = "the deadline passed while the request waited for a target";
-    RequestError::not_run(RequestErrorKind::DeadlineExceeded, detail)
-}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod connections;
 mod crash;
 mod decision;
+mod errors;
 mod events;
 mod exchange;
 mod fallback;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -17,7 +17,8 @@
     EventSplitter, Gateway, GatewayResponse, StreamBody,
     connections::Connection,
     decision::SendFailure,
-    exchange::{Received, RequestRun, response_headers, target_failed, target_timed_out},
+    errors::{target_failed, target_timed_out},
+    exchange::{Received, RequestRun, response_headers},
     places::Place,
     request::StreamBroken,
 };
