Keep bodies that are being read to a tenth of the smallest instances' memory

Callers saw: nothing yet. The bound of 32 MiB was taken for machines with 260 MB; the grown deployments have 160 MB, of which 24 endless bodies took 102 MB.

Cause: the bound was chosen for the wrong size, and the buffer of each body doubled as it grew. Now all bodies together take 16 MiB, in the pieces in which they arrive.

--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -8,7 +8,7 @@
     atomic::{AtomicUsize, Ordering},
 };
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
@@ -19,9 +19,9 @@
 /// at the same time a small part of an instance's memory.
 const UNCOUNTED_BYTES: usize = 64 * 1024;
 
-/// Maximum size of all bodies that are being read, without the uncounted part of each: an eighth of the
+/// Maximum size of all bodies that are being read, without the uncounted part of each: a tenth of the
 /// memory of the smallest instances.
-const MAX_BUFFERED_BYTES: usize = 32 * 1024 * 1024;
+const MAX_BUFFERED_BYTES: usize = 16 * 1024 * 1024;
 
 /// Memory for the bodies that are being read; clones share it.
 #[derive(Clone, Debug, Default)]
@@ -45,17 +45,20 @@
     /// Reads a body to its end.
     pub(crate) async fn read(&self, mut body: Incoming) -> Result<Bytes, BodyError> {
         let mut counted = Counted { buffers: self, bytes: 0 };
-        let mut read = BytesMut::new();
+        let (mut parts, mut len) = (Vec::new(), 0);
         while let Some(frame) = body.frame().await {
             let Ok(data) = frame?.into_data() else { continue };
-            let len = read.len() + data.len();
+            len += data.len();
             if len > MAX_RESPONSE_BYTES {
                 return Err(BodyError::TooLong(MAX_RESPONSE_BYTES));
             }
             counted.grow_to(len.saturating_sub(UNCOUNTED_BYTES))?;
-            read.extend_from_slice(&data);
+            parts.push(data);
+        }
+        match parts.len() {
+            1 => Ok(parts.remove(0)),
+            _ => Ok(parts.concat().into()),
         }
-        Ok(read.freeze())
     }
 }
 
