Use high limits of targets fully

Callers saw: requests waited although the target's limit left room: at 200 a second only half of it was used.

Cause: the bucket held two admissions, and queued requests are admitted at ticks 20 ms apart.

--- a/crates/scheduler/src/rate_limit.rs
+++ b/crates/scheduler/src/rate_limit.rs
@@ -7,7 +7,11 @@
 
 /// Number of requests that may be admitted at once after a pause. Small, as the target asked for relief,
 /// and admissions reach it with some jitter.
-const BURST: f64 = 2.0;
+const MIN_BURST: f64 = 2.0;
+
+/// Time for which unused admissions are kept, if they are more than `MIN_BURST`. Some ticks of the
+/// scheduler, at which queued requests are admitted.
+const BURST_SECS: f64 = 0.1;
 
 /// Lower bound on the applied rate: only a response shows that a target no longer names a limit, also
 /// one of 0.
@@ -40,7 +44,7 @@
     /// Number of requests that may be admitted now.
     pub(crate) fn tokens(&self, now: Instant) -> f64 {
         let elapsed = now.saturating_duration_since(self.updated_at).as_secs_f64();
-        (self.tokens + elapsed * self.rate).min(BURST)
+        (self.tokens + elapsed * self.rate).min(MIN_BURST.max(BURST_SECS * self.rate))
     }
 
     /// Counts an admission.
--- a/crates/scheduler/tests/limits.rs
+++ b/crates/scheduler/tests/limits.rs
@@ -63,6 +63,24 @@
     assert!((5..=12).contains(&limited), "{limited}");
 }
 
+/// Guards against a limit that holds back more than it must, where it is high.
+#[tokio::test(start_paused = true)]
+async fn high_limit_used() {
+    let group = services(1);
+    name_limit(&group, "s1", Some(200.0));
+    let mut runs = Vec::new();
+    for _ in 0..600 {
+        runs.push(group.run(call("a", Duration::from_secs(8)), Duration::from_millis(1)));
+    }
+    let at = Instant::now();
+    for run in runs {
+        run.await.unwrap().unwrap();
+    }
+    let took = at.elapsed();
+    assert!(took <= Duration::from_millis(3_300), "{took:?}");
+    assert!(took >= Duration::from_millis(2_800), "{took:?}");
+}
+
 /// Guards against a new owner that admits a burst to a target although the previous one just did.
 #[tokio::test(start_paused = true)]
 async fn limit_starts_empty() {
