Check for successors of silent targets only when the control state has changed

Callers saw: nothing. Each process with an unanswered request had the registrations scanned four times a second, which at 140 engines is 56,000 reads a second on a small instance; by calculation, not measured. The scan failed to use that the registrations change rarely. The four cases of crashing_call_disguised pass as before.

--- a/crates/owner/src/unanswered.rs
+++ b/crates/owner/src/unanswered.rs
@@ -94,7 +94,9 @@
 
     async fn wait_for_successor(self: &Arc<Self>, cx: &OwnerContext, process: Process) {
         let (target, incarnation) = &process.key;
+        let mut changed = cx.view.changed();
         loop {
+            changed.mark_unchanged();
             let (is_replaced, is_leaving) = cx.view.read(|state| {
                 let is_draining = state.target(target).is_some_and(|current| {
                     current.announced.incarnation == *incarnation && current.draining
@@ -111,11 +113,20 @@
                 return;
             }
             // A target that leaves by itself does not crash.
-            if is_leaving || !self.unanswered.expire(&process.key) {
+            if is_leaving {
                 self.unanswered.take(&process.key);
                 return;
             }
-            tokio::time::sleep(SUCCESSOR_CHECK_INTERVAL).await;
+            while let Ok(false) = changed.has_changed() {
+                if !self.unanswered.expire(&process.key) {
+                    return;
+                }
+                tokio::time::sleep(SUCCESSOR_CHECK_INTERVAL).await;
+            }
+            if changed.has_changed().is_err() {
+                // The instance stops.
+                return;
+            }
         }
     }
 }
