--- a/crates/control/src/state/suspects.rs
+++ b/crates/control/src/state/suspects.rs
@@ -1,7 +1,7 @@
 //! Requests that were running on crashed targets (suspects), and quarantined requests.
 //!
-//! A crash has one cause. Of the requests that ran on the target, the cause is the one that
-//! crashes its targets and does not run to its end. Where requests run beside others, successful runs
+//! A crash has one cause. Of the requests that ran on the target, the cause is the one that crashes
+//! its targets and does not run to its end. Where requests run beside others, successful runs
 //! therefore count against the suspicion, and the crashes of a quarantined request no longer count
 //! against others.
 
@@ -18,15 +18,15 @@
 /// Number of crashes after which a request is quarantined if suspects run beside others. A request
 /// that moves from one crashed target to the next victim of a crashing one has two.
 pub const SHARED_CRASHES_TO_QUARANTINE: usize = 3;
-/// Number of successful runs per crash from which a request that runs beside others is no suspect. A
-/// crash takes about as many other requests with it, those that run on the target.
+/// Number of successful runs per crash from which a request that runs beside others is no suspect.
+/// A crash takes about as many other requests with it, those that run on the target.
 pub const RUNS_PER_CRASH: u64 = 10;
 /// Duration of the first temporary quarantine of a request; each later one is twice as long. A
 /// crashed target is back within a few seconds, so that most of its capacity remains even if the
 /// request crashes one after each release.
 pub const SUSPENSION_MS: u64 = 20_000;
-/// Number of times that the duration of a temporary quarantine doubles; the last one takes an hour and a
-/// half.
+/// Number of times that the duration of a temporary quarantine doubles; the last one takes an hour
+/// and a half.
 const MAX_DOUBLINGS: u32 = 8;
 /// Maximum number of suspects. A crash adds at most the requests of one target, some hundreds.
 pub const MAX_SUSPECTS: usize = 10_000;
@@ -296,8 +296,8 @@
         }
     }
 
-    /// Quarantines those of the requests that are the cause of their crashes, the likeliest ones first, as
-    /// their crashes then no longer count against the others.
+    /// Quarantines those of the requests that are the cause of their crashes, the likeliest ones
+    /// first, as their crashes then no longer count against the others.
     fn quarantine_causes(
         &mut self,
         requests: &[Fingerprint],
--- a/crates/control/tests/follower.rs
+++ b/crates/control/tests/follower.rs
@@ -93,7 +93,8 @@
     let (mut accepted, mut refused, mut skipped) = (0, 0, 0);
     for i in 1..=COMMANDS {
         let index = LogIndex(i);
-        // Advance by up to 3 s; sometimes by 20 h, and sometimes backwards, as with a faulty leader.
+        // Advance by up to 3 s; sometimes by 20 h, and sometimes backwards, as with a faulty
+        // leader.
         now = match rng.random_range(0..20) {
             0 => now + 20 * 3_600_000,
             1 => now.saturating_sub(30 * 3_600_000),
--- a/crates/control/tests/quarantine.rs
+++ b/crates/control/tests/quarantine.rs
@@ -210,8 +210,8 @@
     assert!(!log.state.is_quarantined(&request("path")));
 }
 
-/// Guards against refusing for good a request whose runs also succeed, and against a release that lets it
-/// crash several targets again.
+/// Guards against refusing for good a request whose runs also succeed, and against a release that
+/// lets it crash several targets again.
 #[test]
 fn suspension_doubles() {
     let mut log = Log::default();
--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -1,7 +1,7 @@
 //! Reads the bodies of responses that are not streamed, within the memory of the instance.
 //!
-//! A target in trouble may send bytes without end. Small responses always find room, so that those of
-//! other targets do not fail because of it.
+//! A target in trouble may send bytes without end. Small responses always find room, so that those
+//! of other targets do not fail because of it.
 
 use std::sync::{
     Arc,
@@ -15,12 +15,12 @@
 /// Maximum body size of a response that is not streamed; plain services return a few kilobytes.
 const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
 
-/// Size up to which a body does not count; larger than most responses, and with some hundred of them
-/// at the same time a small part of an instance's memory.
+/// Size up to which a body does not count; larger than most responses, and with some hundred of
+/// them at the same time a small part of an instance's memory.
 const UNCOUNTED_BYTES: usize = 64 * 1024;
 
-/// Maximum size of all bodies that are being read, without the uncounted part of each: a tenth of the
-/// memory of the smallest instances.
+/// Maximum size of all bodies that are being read, without the uncounted part of each: a tenth of
+/// the memory of the smallest instances.
 const MAX_BUFFERED_BYTES: usize = 16 * 1024 * 1024;
 
 /// Memory for the bodies that are being read; clones share it.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -170,8 +170,8 @@
             && (self.cx.freshness)().check_serving(self.cx.serve_when_stale).is_ok()
     }
 
-    /// Fails unless the current route table is confirmed, so that requests which it does not allow may
-    /// be refused for good.
+    /// Fails unless the current route table is confirmed, so that requests which it does not allow
+    /// may be refused for good.
     pub fn check_absence(&self) -> Result<(), RequestError> {
         (self.cx.freshness)().check_absence()
     }
--- a/crates/gateway/src/fingerprint.rs
+++ b/crates/gateway/src/fingerprint.rs
@@ -6,11 +6,11 @@
 
 use crate::CallerRequest;
 
-/// Hashes what a crash at a target depends on: method, host, path, model and body, with the caller and
-/// without.
+/// Hashes what a crash at a target depends on: method, host, path, model and body, with the caller
+/// and without.
 ///
-/// The query is left out, as repeats may differ in it, and so are the other headers. They are new with
-/// each repeat (id, deadline, resume position) or describe the body.
+/// The query is left out, as repeats may differ in it, and so are the other headers. They are new
+/// with each repeat (id, deadline, resume position) or describe the body.
 pub fn request_identity(req: &CallerRequest) -> RequestIdentity {
     let generation = req.generation.as_ref();
     let body = Fingerprint::of(&req.body);
--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -9,8 +9,8 @@
 use shallotdrum_types::{Incarnation, RequestRate, TargetId};
 use tokio::time::Instant;
 
-/// Time for which owners are told that a target no longer names a limit. Entries ask for places more
-/// often while there is load that the limit could hold back.
+/// Time for which owners are told that a target no longer names a limit. Entries ask for places
+/// more often while there is load that the limit could hold back.
 const ENDED_TTL: Duration = Duration::from_secs(10);
 
 /// Maximum length of a malformed limit in the log.
--- a/crates/gateway/src/places.rs
+++ b/crates/gateway/src/places.rs
@@ -150,7 +150,8 @@
         self.0.limits.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Records the limit that a target names in its response to a request that was sent at `sent_at`.
+    /// Records the limit that a target names in its response to a request that was sent at
+    /// `sent_at`.
     pub(crate) fn record_limit(
         &self,
         place: &GrantedPlace,
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -135,8 +135,8 @@
     assert_eq!(entries.sharing(now, &allowance), Some(3));
 }
 
-/// Guards against a fixed part that each process of a restarted entry uses again, and against one that
-/// an entry keeps when the others no longer count it.
+/// Guards against a fixed part that each process of a restarted entry uses again, and against one
+/// that an entry keeps when the others no longer count it.
 #[test]
 fn budget_without_fixed_part() {
     let allowance = RetryAllowance { ratio: 0.2, extra: 56.0, window: Duration::from_secs(10) };
--- a/crates/owner/src/call.rs
+++ b/crates/owner/src/call.rs
@@ -127,7 +127,8 @@
         tokio::spawn(async move {
             let _in_progress = service.enter();
             let result = service.begin_and_run(&call, &group, key).await;
-            // The receiver is dropped if the caller disconnected; the result is recorded regardless.
+            // The receiver is dropped if the caller disconnected; the result is recorded
+            // regardless.
             let _ = tx.send(result);
         });
         rx.await.unwrap_or_else(|_| {
--- a/crates/owner/src/completion.rs
+++ b/crates/owner/src/completion.rs
@@ -258,8 +258,8 @@
         }
     }
 
-    /// Describes the request to the scheduler; the subscriber's weight and limits and the path of the
-    /// adapter's weights come from the manifest.
+    /// Describes the request to the scheduler; the subscriber's weight and limits and the path of
+    /// the adapter's weights come from the manifest.
     fn completion_admission(
         &self,
         run: &CompletionRun<'_>,
--- a/crates/owner/src/crash.rs
+++ b/crates/owner/src/crash.rs
@@ -118,8 +118,8 @@
         self.has_ended.store(true, Ordering::Relaxed);
     }
 
-    /// Records that the target ran the request to its end, and so survived those that ended before it
-    /// began.
+    /// Records that the target ran the request to its end, and so survived those that ended before
+    /// it began.
     pub fn complete(&self) {
         self.end();
         self.detector.unanswered.remove_survived(&self.process.key, self.started_at);
@@ -220,8 +220,8 @@
         state.suspect_crashes(request) as usize + unrecorded
     }
 
-    /// Whether the crashes known to this instance, before the control log quarantines the request, are
-    /// too many for it to be sent again.
+    /// Whether the crashes known to this instance, before the control log quarantines the request,
+    /// are too many for it to be sent again.
     pub(crate) fn is_known_cause(&self, state: &ControlState, request: &Fingerprint) -> bool {
         let crashes = self.crashes(state, request);
         let completed = state.suspect_runs(request) + self.runs().unreported(request);
--- a/crates/owner/src/relayed.rs
+++ b/crates/owner/src/relayed.rs
@@ -22,8 +22,8 @@
     service::quarantined,
 };
 
-/// Crashes from which successful runs are reported to the control log. Requests with fewer are far from
-/// a quarantine, and each crash of a full target leaves dozens of them.
+/// Crashes from which successful runs are reported to the control log. Requests with fewer are far
+/// from a quarantine, and each crash of a full target leaves dozens of them.
 const MIN_CRASHES_TO_REPORT_RUNS: u32 = 2;
 
 /// Delay after which successful runs are reported, all together.
@@ -129,7 +129,8 @@
                     }
                     Err(error) => error.to_string(),
                 };
-                event!(service.cx.log, SUSPENSION_KEPT; "fingerprint" => %request, "error" => error);
+                event!(service.cx.log, SUSPENSION_KEPT;
+                    "fingerprint" => %request, "error" => error);
             });
         }
         refused.retry_after(left)
--- a/crates/owner/src/runs.rs
+++ b/crates/owner/src/runs.rs
@@ -9,8 +9,8 @@
 use shallotdrum_types::Fingerprint;
 use tokio::time::Instant;
 
-/// Time for which a run is remembered at least: longer than a request that fails repeatedly takes to
-/// be quarantined.
+/// Time for which a run is remembered at least: longer than a request that fails repeatedly takes
+/// to be quarantined.
 const RUN_MEMORY: Duration = Duration::from_secs(30);
 
 /// Maximum number of identities per generation, about half a megabyte; runs of further ones are not
--- a/crates/owner/src/unanswered.rs
+++ b/crates/owner/src/unanswered.rs
@@ -48,8 +48,8 @@
         is_first
     }
 
-    /// Removes the requests that a process survived: those that ended before it began to run another
-    /// one that it completed.
+    /// Removes the requests that a process survived: those that ended before it began to run
+    /// another one that it completed.
     pub(crate) fn remove_survived(&self, process: &Crash, started_at: Instant) {
         let mut processes = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         if let Some(requests) = processes.get_mut(process) {
@@ -57,8 +57,8 @@
         }
     }
 
-    /// Removes the requests whose time is over, and the process if none are left; returns whether it
-    /// is watched further.
+    /// Removes the requests whose time is over, and the process if none are left; returns whether
+    /// it is watched further.
     fn expire(&self, process: &Crash) -> bool {
         let mut processes = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         let Some(requests) = processes.get_mut(process) else { return false };
--- a/crates/scheduler/src/group.rs
+++ b/crates/scheduler/src/group.rs
@@ -86,7 +86,8 @@
         self.shared.update(|state, now| state.cache_events(events, now));
     }
 
-    /// Applies a limit that one incarnation of a target named, or no longer names, at `observed_at`.
+    /// Applies a limit that one incarnation of a target named, or no longer names, at
+    /// `observed_at`.
     ///
     /// An observation that is older than the latest one is ignored.
     pub fn observe_limit(
--- a/crates/scheduler/src/rate_limit.rs
+++ b/crates/scheduler/src/rate_limit.rs
@@ -5,16 +5,16 @@
 use shallotdrum_types::RequestRate;
 use tokio::time::Instant;
 
-/// Number of requests that may be admitted at once after a pause. Small, as the target asked for relief,
-/// and admissions reach it with some jitter.
+/// Number of requests that may be admitted at once after a pause. Small, as the target asked for
+/// relief, and admissions reach it with some jitter.
 const MIN_BURST: f64 = 2.0;
 
 /// Time for which unused admissions are kept, if they are more than `MIN_BURST`. Some ticks of the
 /// scheduler, at which queued requests are admitted.
 const BURST_SECS: f64 = 0.1;
 
-/// Lower bound on the applied rate: only a response shows that a target no longer names a limit, also
-/// one of 0.
+/// Lower bound on the applied rate: only a response shows that a target no longer names a limit,
+/// also one of 0.
 const MIN_RATE: f64 = 0.25;
 
 /// Token bucket of one target.
--- a/crates/scheduler/src/state/limits.rs
+++ b/crates/scheduler/src/state/limits.rs
@@ -17,8 +17,8 @@
 /// Steps of the search for a wait; the last one is below a millisecond.
 const SEARCH_STEPS: u32 = 24;
 
-/// Added to the expected wait of a new request. Places are granted at ticks, 20 ms apart; a request that
-/// is admitted to the queue must not miss its time by less than a few of them.
+/// Added to the expected wait of a new request. Places are granted at ticks, 20 ms apart; a request
+/// that is admitted to the queue must not miss its time by less than a few of them.
 const GRANT_MARGIN: Duration = Duration::from_millis(100);
 
 /// Admissions to a kind of targets that all name limits.
--- a/crates/scheduler/tests/limits.rs
+++ b/crates/scheduler/tests/limits.rs
@@ -91,8 +91,8 @@
     assert!(at.elapsed() >= Duration::from_secs(1));
 }
 
-/// Guards against requests that wait until their deadline although it is known that they get no place,
-/// and against a `Retry-After` before there is one.
+/// Guards against requests that wait until their deadline although it is known that they get no
+/// place, and against a `Retry-After` before there is one.
 #[tokio::test(start_paused = true)]
 async fn hopeless_refused_at_once() {
     let group = services(2);
@@ -132,7 +132,8 @@
     assert!(at.elapsed() < RUN_TIME);
 }
 
-/// Guards against refusing queued requests only at their deadline when the last target names a limit.
+/// Guards against refusing queued requests only at their deadline when the last target names a
+/// limit.
 #[tokio::test(start_paused = true)]
 async fn queued_refused_when_limited() {
     let group = services(1);
