Keep a target draining when it is removed for silence and registers again

Cause: the mark was lost with the registration. A draining target that had not announced itself for 2.7 s was removed; its next announcement registered it, and only the following command drained it, 10 ms later. A request that waited for its adapter was granted a place in between.

The control state now remembers processes that were removed while draining. register_again_while_draining failed before and passes.

--- a/crates/control/src/state/groups.rs
+++ b/crates/control/src/state/groups.rs
@@ -134,6 +134,9 @@
     left: BTreeMap<TargetId, Incarnation>,
     /// Keys of `left`, oldest first; a target may occur more than once.
     left_order: VecDeque<TargetId>,
+    /// Incarnations that were removed while they were draining, and may announce themselves again.
+    #[serde(default)]
+    removed_draining: VecDeque<(TargetId, Incarnation)>,
 }
 
 impl Groups {
@@ -194,9 +197,15 @@
 
         let earlier = self.targets.get(&announced.target);
         let id = announced.target.clone();
-        let draining = earlier.is_some_and(|earlier| {
-            earlier.draining && earlier.announced.incarnation == announced.incarnation
-        });
+        let is_removed = |removed: &(TargetId, Incarnation)| {
+            removed.0 == id && removed.1 == announced.incarnation
+        };
+        let draining = match earlier {
+            Some(earlier) => {
+                earlier.draining && earlier.announced.incarnation == announced.incarnation
+            }
+            None => self.removed_draining.iter().any(is_removed),
+        };
         let keeps_group = earlier.is_some_and(|earlier| {
             earlier.group.pool == announced.pool && earlier.group.region == announced.region
         });
@@ -263,6 +272,14 @@
         if current > incarnation {
             return Err(CommandError::OldIncarnation { target: id.clone(), current });
         }
+        let is_draining = target.draining;
+        self.removed_draining.retain(|(removed, _)| removed != id);
+        if is_draining && !is_leaving {
+            self.removed_draining.push_back((id.clone(), current));
+            if self.removed_draining.len() > MAX_LEFT_TARGETS {
+                self.removed_draining.pop_front();
+            }
+        }
         self.leave_group(id);
         self.targets.remove(id);
         Ok(())
--- a/crates/control/tests/ownership.rs
+++ b/crates/control/tests/ownership.rs
@@ -8,7 +8,7 @@
     AnnouncedTarget, Command, CommandError, GroupKind, Handover, LOST_OWNER_SETTLE_MS,
     MAX_GROUP_TARGETS, Reply,
 };
-use shallotdrum_types::{GroupId, Incarnation, SessionId};
+use shallotdrum_types::{GroupId, Incarnation, SessionId, TargetId};
 
 fn group() -> GroupId {
     "engines/fj/0".parse().unwrap()
@@ -220,3 +220,32 @@
         CommandError::TargetLeft { target: old.target }
     );
 }
+
+/// Guards against new work for a draining target that fell silent, was removed and announces itself
+/// again: its registration is a command of its own, before the one that drains it.
+#[test]
+fn register_again_while_draining() {
+    let mut log = Log::default();
+    let id: TargetId = "e1".parse().unwrap();
+    let is_draining = |log: &Log| log.state.target(&id).unwrap().draining;
+    let remove = || Command::RemoveTarget {
+        target: id.clone(),
+        incarnation: Incarnation(1),
+        is_leaving: false,
+    };
+    log.register(engine("e1", 1));
+    log.apply(Command::DrainTarget { target: id.clone(), drain: true });
+    log.apply(remove());
+    log.register(engine("e1", 1));
+    assert!(is_draining(&log));
+
+    log.apply(Command::DrainTarget { target: id.clone(), drain: false });
+    log.apply(remove());
+    log.register(engine("e1", 1));
+    assert!(!is_draining(&log));
+
+    log.apply(Command::DrainTarget { target: id.clone(), drain: true });
+    log.apply(remove());
+    log.register(engine("e1", 2));
+    assert!(!is_draining(&log));
+}
