--- a/crates/scheduler/src/state/limits.rs
+++ b/crates/scheduler/src/state/limits.rs
@@ -19,7 +19,11 @@
 
 /// Added to the expected wait of a new request. Places are granted at ticks, 20 ms apart; a request
 /// that is admitted to the queue must not miss its time by less than a few of them.
-const GRANT_MARGIN: Duration = Duration::from_millis(100);
+const MIN_GRANT_MARGIN: Duration = Duration::from_millis(100);
+
+/// Share of the remaining time that is added at least: transit to the owner and back is not part of
+/// the owner's view of the deadline.
+const GRANT_MARGIN_SHARE: f64 = 0.1;
 
 /// Admissions to a kind of targets that all name limits.
 struct LimitedAdmissions {
@@ -110,7 +114,10 @@
         let ahead = (own + 1) as f64 * (weight + others.max(0.0)) / weight - 1.0;
         match admissions.wait(ahead.min(self.queued.len() as f64)) {
             Duration::ZERO => Duration::ZERO,
-            wait => wait + GRANT_MARGIN,
+            wait => {
+                let left = request.deadline.saturating_duration_since(now);
+                wait + MIN_GRANT_MARGIN.max(left.mul_f64(GRANT_MARGIN_SHARE))
+            }
         }
     }
 
