--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -28,7 +28,8 @@
 };
 
 use crate::{
-    CallerRequest, Dispatch, EntryCount, GatewayResponse, HeaderCodec, RetryAllowance, RetryBudget,
+    CallerRequest, Dispatch, EntryCount, GatewayResponse, Generation, HeaderCodec, RetryAllowance,
+    RetryBudget,
     body::{BodyBuffers, discard},
     connections::{CONNECTION_HEADERS, Connection, ConnectionPool, SendError},
     decision::{RequestProgress, RetryDecision, SendFailure, decide_retry},
@@ -408,7 +409,8 @@
         };
         event!(self.cx.log, REQUEST_ROUTED; "request" => %run.req.id,
             "fingerprint" => %run.identity.request, "path" => run.req.target.path(),
-            "caller" => run.req.caller.map(|caller| caller.to_string()), "route" => &run.route.name,
+            "caller" => run.req.caller.map(|caller| caller.to_string()),
+            "prompt" => run.req.generation.as_ref().map(Generation::part_ids), "route" => &run.route.name,
             "revision" => run.revision.0, "version" => dispatch.version.as_ref().map(ToString::to_string),
             "target" => %granted.target, "send" => run.sends + 1, "left_ms" => left.as_millis() as u64);
         let target = granted.target.clone();
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -51,6 +51,14 @@
     pub prompt: Vec<PromptPart>,
 }
 
+impl Generation {
+    /// Ids of the prompt's parts, as hexadecimal numbers separated by commas, for log lines.
+    pub(crate) fn part_ids(&self) -> String {
+        let ids: Vec<_> = self.prompt.iter().map(|part| format!("{:x}", part.id)).collect();
+        ids.join(",")
+    }
+}
+
 /// Part of a prompt that other requests may share.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PromptPart {
