Blame the parts of prompts for crashes, and clear them by one later run

Callers saw engine after engine end under requests of which no two were alike, and most of their sound requests fail beside them.

Cause: a crash was counted for whole requests only. The common part of their prompts was not looked at.

A crash now counts for each part aboard too. A run that began when the crash was known and succeeded clears its parts; those left are chosen as the fewest that explain the crashes, anew with each crash, and are quarantined. Numbers given by the control log take the place of clocks. The end of a quarantine permits one request in the whole deployment.

Why it works: the crashing part is in every such request and never in a successful run, the others are cleared within about a second.

One case is left: streams without a length that end with their engine.

--- a/crates/control/src/command.rs
+++ b/crates/control/src/command.rs
@@ -12,7 +12,7 @@
     SubmissionId, SubscriberId, TargetId,
 };
 
-use crate::{CompletedRuns, Isolation};
+use crate::{CompletedRuns, Isolation, PartRun, SuspectPart};
 
 /// Log entry: a command with the control time at which the leader proposed it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -142,15 +142,25 @@
         /// Successful runs of these requests shortly before the crash that were not reported yet.
         #[serde(default, skip_serializing_if = "Vec::is_empty")]
         completed: Vec<CompletedRuns>,
+        /// Parts of the prompts of these requests that others may share.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        parts: Vec<SuspectPart>,
+        /// Successful runs on these parts shortly before the crash.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        part_runs: Vec<PartRun>,
     },
-    /// Records successful runs of suspected or quarantined requests.
+    /// Records successful runs of suspected or quarantined requests, and on such parts of prompts.
     ReportRuns {
         /// Runs since the previous report of the instance.
         completed: Vec<CompletedRuns>,
+        /// The latest run on each of the parts.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        part_runs: Vec<PartRun>,
     },
-    /// Ends the temporary quarantine of a request. Refused until its time has passed.
+    /// Ends the temporary quarantine of a request, or permits the sender one request with a
+    /// quarantined part. Refused until the time has passed.
     EndSuspension {
-        /// No effect if it is not quarantined, or only until an operator lifts it.
+        /// Request or part; no effect if it is not quarantined, or only until an operator lifts it.
         request: Fingerprint,
     },
     /// Forgets the crashes of a request, and releases it from quarantine.
--- a/crates/control/src/state/mod.rs
+++ b/crates/control/src/state/mod.rs
@@ -9,6 +9,7 @@
 mod groups;
 mod ledger;
 mod manifests;
+mod parts;
 mod routes;
 mod sessions;
 mod snapshot;
@@ -41,6 +42,11 @@
     MAX_RECORDED_BYTES, MAX_RECORDED_HEADER_BYTES,
 };
 pub use manifests::{MAX_SUBMISSIONS, Submission};
+pub use parts::{
+    CRASH_SETTLE_MS, FIRST_PART_OBSERVATION_MS, PART_CRASHES_TO_QUARANTINE, PART_LIFETIME_MS,
+    PART_OBSERVATION_MS, PartQuarantine, PartRun, SHARED_FIRST_PART_OBSERVATION_MS,
+    SHARED_PART_CRASHES_TO_QUARANTINE, SuspectPart,
+};
 pub use sessions::Session;
 pub use snapshot::DecodeError;
 pub use suspects::{
@@ -247,6 +253,31 @@
         self.shared.suspects.is_counted(request, crash)
     }
 
+    /// Number of crashes of targets recorded so far.
+    pub fn crash_count(&self) -> u64 {
+        self.shared.suspects.crash_count()
+    }
+
+    /// Whether a target process is known to have crashed; older crashes are forgotten.
+    pub fn is_crashed(&self, process: &(TargetId, Incarnation)) -> bool {
+        self.shared.suspects.is_crashed(process)
+    }
+
+    /// Quarantine of a part of prompts.
+    pub fn part_quarantine(&self, part: &Fingerprint) -> Option<PartQuarantine> {
+        self.shared.suspects.part_quarantine(part)
+    }
+
+    /// Whether a suspected part ran successfully shortly before its first crash or since then.
+    pub fn part_had_runs(&self, part: &Fingerprint) -> bool {
+        self.shared.suspects.part_had_runs(part)
+    }
+
+    /// Suspected parts of prompts with their numbers of crashes, and whether they are quarantined.
+    pub fn suspect_parts(&self) -> impl Iterator<Item = (Fingerprint, u32, bool)> {
+        self.shared.suspects.parts()
+    }
+
     /// Quarantined requests, ordered by fingerprint.
     pub fn quarantine(&self) -> impl Iterator<Item = &Quarantined> {
         self.shared.suspects.quarantined()
@@ -304,7 +335,7 @@
             true => self.apply_ledger(index, command),
             false => {
                 self.shared.now = self.shared.now.max(at);
-                self.shared.suspects.expire(self.shared.now);
+                self.shared.suspects.advance(self.shared.now);
                 self.shared.apply(command, prepared)
             }
         };
@@ -390,14 +421,24 @@
                 isolation,
                 any_caller,
                 completed,
+                parts,
+                part_runs,
             } => {
                 let crash = (target, incarnation);
-                let report = CrashReport { crash, requests, isolation, any_caller, completed };
+                let report = CrashReport {
+                    crash,
+                    requests,
+                    isolation,
+                    any_caller,
+                    completed,
+                    parts,
+                    part_runs,
+                };
                 self.suspects.report(report, now);
                 Ok(Reply::Done)
             }
-            Command::ReportRuns { completed } => {
-                self.suspects.complete(&completed);
+            Command::ReportRuns { completed, part_runs } => {
+                self.suspects.complete(&completed, &part_runs);
                 Ok(Reply::Done)
             }
             Command::EndSuspension { request } => {
--- a/crates/control/src/state/suspects.rs
+++ b/crates/control/src/state/suspects.rs
@@ -3,13 +3,14 @@
 //! A crash has one cause. Of the requests that ran on the target, the cause is the one that crashes
 //! its targets and does not run to its end. Where requests run beside others, successful runs
 //! therefore count against the suspicion, and the crashes of a quarantined request no longer count
-//! against others.
+//! against others. `parts` holds what is known of the parts of their prompts.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use serde::{Deserialize, Serialize};
 use shallotdrum_types::{ControlTimeMs, Fingerprint, Incarnation, TargetId};
 
+use super::parts::{CrashLog, PartQuarantine, PartRun, Parts, SuspectPart};
 use crate::CommandError;
 
 /// Number of crashes, of different target processes, after which a request is quarantined if
@@ -149,6 +150,9 @@
     /// Those of `requests` that stand for a request by any caller.
     pub(crate) any_caller: Vec<Fingerprint>,
     pub(crate) completed: Vec<CompletedRuns>,
+    /// Parts of the prompts of `requests`.
+    pub(crate) parts: Vec<SuspectPart>,
+    pub(crate) part_runs: Vec<PartRun>,
 }
 
 /// Suspects and quarantined requests.
@@ -160,13 +164,40 @@
     quarantined: BTreeMap<Fingerprint, Quarantined>,
     /// Keys of `quarantined`, oldest first.
     quarantine_order: VecDeque<Fingerprint>,
+    #[serde(default)]
+    log: CrashLog,
+    #[serde(default)]
+    parts: Parts,
 }
 
 impl Suspects {
     pub(crate) fn crashes(&self, request: &Fingerprint) -> u32 {
         let suspect = self.suspects.get(request).map(|s| s.crashes.len());
         let quarantined = self.quarantined.get(request).map(|q| q.crashes.len());
-        quarantined.or(suspect).unwrap_or(0) as u32
+        quarantined.or(suspect).map_or_else(|| self.parts.crashes(request), |n| n as u32)
+    }
+
+    /// Number of crashes recorded so far.
+    pub(crate) fn crash_count(&self) -> u64 {
+        self.log.last()
+    }
+
+    /// Whether the crash of a target process was recorded; older ones are forgotten.
+    pub(crate) fn is_crashed(&self, process: &Crash) -> bool {
+        self.log.number(process).is_some()
+    }
+
+    pub(crate) fn part_quarantine(&self, part: &Fingerprint) -> Option<PartQuarantine> {
+        self.parts.quarantine(part)
+    }
+
+    pub(crate) fn part_had_runs(&self, part: &Fingerprint) -> bool {
+        self.parts.had_runs(part)
+    }
+
+    /// Parts with their numbers of crashes, and whether they are quarantined.
+    pub(crate) fn parts(&self) -> impl Iterator<Item = (Fingerprint, u32, bool)> {
+        self.parts.iter()
     }
 
     pub(crate) fn completed(&self, request: &Fingerprint) -> u64 {
@@ -181,6 +212,7 @@
     ) -> bool {
         self.quarantined.contains_key(request)
             || self.suspects.get(request).is_some_and(|suspect| suspect.crashes.contains(crash))
+            || self.log.number(crash).is_some_and(|n| self.parts.is_counted(request, n))
             || self.is_explained(crash)
     }
 
@@ -199,7 +231,14 @@
 
     /// Records a crash of a target process for each request; a repeated report has no effect.
     pub(crate) fn report(&mut self, report: CrashReport, now: ControlTimeMs) {
-        let CrashReport { crash, requests, isolation, any_caller, completed } = report;
+        let CrashReport { crash, requests, isolation, any_caller, completed, parts, part_runs } =
+            report;
+        let number = self.log.record(&crash, now);
+        self.parts.report(number, &parts, now);
+        self.parts.complete(&part_runs);
+        if self.parts.is_explained(number) {
+            self.explain_crashes(&BTreeSet::from([crash.clone()]));
+        }
         // A copy of a quarantined request that was still running explains the crash of its target.
         for request in &requests {
             if let Some(cause) = self.quarantined.get_mut(request).filter(|q| q.is_certain()) {
@@ -208,7 +247,10 @@
                 self.explain(&cause);
             }
         }
-        let is_explained = isolation == Isolation::Shared && self.is_explained(&crash);
+        let is_explained = match isolation {
+            Isolation::Shared => self.is_explained(&crash),
+            Isolation::Alone => self.parts.is_explained(number),
+        };
         for request in &requests {
             if is_explained || self.quarantined.contains_key(request) {
                 continue;
@@ -227,7 +269,8 @@
     }
 
     /// Records successful runs; enough of them clear a suspect or end its quarantine.
-    pub(crate) fn complete(&mut self, completed: &[CompletedRuns]) {
+    pub(crate) fn complete(&mut self, completed: &[CompletedRuns], part_runs: &[PartRun]) {
+        self.parts.complete(part_runs);
         self.add_runs(completed);
         for CompletedRuns { request, .. } in completed {
             let Some(quarantined) = self.quarantined.get_mut(request) else { continue };
@@ -246,7 +289,9 @@
         request: Fingerprint,
         now: ControlTimeMs,
     ) -> Result<(), CommandError> {
-        let Some(quarantined) = self.quarantined.get(&request) else { return Ok(()) };
+        let Some(quarantined) = self.quarantined.get(&request) else {
+            return self.parts.permit(request, now);
+        };
         let Some(suspension_ms) = quarantined.suspension_ms else { return Ok(()) };
         if now.0 < quarantined.since.0.saturating_add(suspension_ms) {
             return Err(CommandError::Suspended(request));
@@ -267,8 +312,10 @@
     }
 
     pub(crate) fn lift(&mut self, request: Fingerprint) -> Result<(), CommandError> {
-        self.remove_quarantined(&request).ok_or(CommandError::NotQuarantined(request))?;
-        Ok(())
+        match self.remove_quarantined(&request).is_some() || self.parts.lift(&request) {
+            true => Ok(()),
+            false => Err(CommandError::NotQuarantined(request)),
+        }
     }
 
     /// Forgets the crashes of a request, and releases it from quarantine.
@@ -277,13 +324,20 @@
         self.remove_quarantined(request);
     }
 
-    /// Removes suspects whose last crash is older than `SUSPECT_LIFETIME_MS`.
-    pub(crate) fn expire(&mut self, now: ControlTimeMs) {
+    /// Removes suspects whose last crash is older than `SUSPECT_LIFETIME_MS`, and quarantines parts
+    /// whose crashes have settled.
+    pub(crate) fn advance(&mut self, now: ControlTimeMs) {
         while let Some((time, _)) = self.order.front()
             && now.0.saturating_sub(time.0) >= SUSPECT_LIFETIME_MS
         {
             self.drop_oldest();
         }
+        self.parts.expire(now);
+        let numbers = self.parts.update_quarantine(&self.log, now);
+        if !numbers.is_empty() {
+            let crashes = numbers.iter().filter_map(|number| self.log.crash(*number)).collect();
+            self.explain_crashes(&crashes);
+        }
     }
 
     fn add_runs(&mut self, completed: &[CompletedRuns]) {
@@ -330,6 +384,7 @@
     fn is_explained(&self, crash: &Crash) -> bool {
         let mut certain = self.quarantined.values().filter(|q| q.is_certain());
         certain.any(|quarantined| quarantined.crashes.contains(crash))
+            || self.log.number(crash).is_some_and(|number| self.parts.is_explained(number))
     }
 
     /// Removes the crashes of a request that is certainly their cause from all others.
@@ -337,13 +392,19 @@
         if !cause.is_certain() {
             return;
         }
+        // Parts keep these crashes, as one of them may be the cause of those of the request.
+        self.explain_crashes(&cause.crashes);
+    }
+
+    /// Removes crashes whose cause is known from all other requests.
+    fn explain_crashes(&mut self, explained: &BTreeSet<Crash>) {
         self.suspects.retain(|_, suspect| {
-            suspect.crashes.retain(|crash| !cause.crashes.contains(crash));
+            suspect.crashes.retain(|crash| !explained.contains(crash));
             !suspect.crashes.is_empty()
         });
         let mut released = Vec::new();
         for other in self.quarantined.values_mut().filter(|other| other.suspension_ms.is_some()) {
-            other.crashes.retain(|crash| !cause.crashes.contains(crash));
+            other.crashes.retain(|crash| !explained.contains(crash));
             if !Isolation::Shared.is_cause(other.crashes.len(), other.completed) {
                 released.push(other.request);
             }
@@ -384,6 +445,6 @@
 }
 
 /// Duration of a temporary quarantine after this number of earlier ones.
-fn suspension_ms(earlier: u32) -> u64 {
+pub(super) fn suspension_ms(earlier: u32) -> u64 {
     SUSPENSION_MS << earlier.min(MAX_DOUBLINGS)
 }
--- a/crates/control/tests/follower.rs
+++ b/crates/control/tests/follower.rs
@@ -11,7 +11,8 @@
 use rstest::rstest;
 use shallotdrum_consensus::StateMachine;
 use shallotdrum_control::{
-    Command, CompletedRuns, ControlState, ControlView, DecodeError, Isolation, Reply, TimedCommand,
+    Command, CompletedRuns, ControlState, ControlView, DecodeError, Isolation, PartRun, Reply,
+    SuspectPart, TimedCommand,
 };
 use shallotdrum_types::{
     ControlTimeMs, Fingerprint, GroupId, Incarnation, LogIndex, Revision, SessionId,
@@ -57,12 +58,19 @@
             isolation: if flag { Isolation::Shared } else { Isolation::Alone },
             any_caller: if incarnation % 2 == 0 { vec![request] } else { Vec::new() },
             completed: vec![CompletedRuns { request, runs: incarnation }],
+            parts: vec![SuspectPart {
+                part: Fingerprint::of(&[incarnation as u8]),
+                is_first: flag,
+            }],
+            part_runs: Vec::new(),
         },
         13 if flag => Command::LiftQuarantine { request },
         13 if rng.random_bool(0.3) => Command::ClearSuspect { request },
         13 if rng.random_bool(0.3) => Command::EndSuspension { request },
         13 if rng.random_bool(0.3) => {
-            Command::ReportRuns { completed: vec![CompletedRuns { request, runs: 5 }] }
+            let part = Fingerprint::of(&[incarnation as u8]);
+            let part_runs = vec![PartRun { part, crashes_known: rng.random_range(0..9) }];
+            Command::ReportRuns { completed: vec![CompletedRuns { request, runs: 5 }], part_runs }
         }
         13 => Command::DrainSession { session },
         14 | 15 => {
--- a/crates/control/tests/quarantine.rs
+++ b/crates/control/tests/quarantine.rs
@@ -4,8 +4,9 @@
 
 use common::Log;
 use shallotdrum_control::{
-    Command, CommandError, CompletedRuns, Isolation, MAX_SUSPECTS, RUNS_PER_CRASH, Reply,
-    SUSPECT_LIFETIME_MS, SUSPENSION_MS,
+    CRASH_SETTLE_MS, Command, CommandError, CompletedRuns, FIRST_PART_OBSERVATION_MS, Isolation,
+    MAX_SUSPECTS, PART_OBSERVATION_MS, PartRun, RUNS_PER_CRASH, Reply,
+    SHARED_PART_CRASHES_TO_QUARANTINE, SUSPECT_LIFETIME_MS, SUSPENSION_MS, SuspectPart,
 };
 use shallotdrum_types::{Fingerprint, Incarnation};
 
@@ -32,6 +33,8 @@
         isolation,
         any_caller: Vec::new(),
         completed: Vec::new(),
+        parts: Vec::new(),
+        part_runs: Vec::new(),
     };
     assert_eq!(log.apply(report), Reply::Done);
 }
@@ -136,6 +139,8 @@
         isolation: Isolation::Shared,
         any_caller: vec![request("path")],
         completed: completed(runs),
+        parts: Vec::new(),
+        part_runs: Vec::new(),
     };
     assert_eq!(log.apply(report), Reply::Done);
 }
@@ -205,7 +210,10 @@
     assert!(!log.state.is_quarantined(&request("path")));
     path_crash(&mut log, "e4", &["c"], &[]);
     assert!(log.state.is_quarantined(&request("path")));
-    let runs = Command::ReportRuns { completed: completed(&[("path", RUNS_PER_CRASH)]) };
+    let runs = Command::ReportRuns {
+        completed: completed(&[("path", RUNS_PER_CRASH)]),
+        part_runs: Vec::new(),
+    };
     assert_eq!(log.apply(runs), Reply::Done);
     assert!(!log.state.is_quarantined(&request("path")));
 }
@@ -243,7 +251,201 @@
     }
     assert_eq!(suspension(&log, "unlucky"), None);
     assert!(log.state.is_quarantined(&request("unlucky")));
-    let runs = Command::ReportRuns { completed: completed(&[("unlucky", 1)]) };
+    let runs =
+        Command::ReportRuns { completed: completed(&[("unlucky", 1)]), part_runs: Vec::new() };
     assert_eq!(log.apply(runs), Reply::Done);
     assert_eq!(suspension(&log, "unlucky"), Some(SUSPENSION_MS));
 }
+
+/// Reports a crash under requests without parts in common but these.
+fn part_crash(log: &mut Log, target: &str, parts: &[&str]) {
+    let report = Command::ReportCrash {
+        target: target.parse().unwrap(),
+        incarnation: Incarnation(1),
+        requests: vec![request(&format!("request on {target}"))],
+        isolation: Isolation::Shared,
+        any_caller: Vec::new(),
+        completed: Vec::new(),
+        parts: suspect_parts(parts),
+        part_runs: Vec::new(),
+    };
+    assert_eq!(log.apply(report), Reply::Done);
+}
+
+/// Parts of prompts; those whose names begin with `first` begin a prompt.
+fn suspect_parts(names: &[&str]) -> Vec<SuspectPart> {
+    let part =
+        |name: &&str| SuspectPart { part: request(name), is_first: name.starts_with("first") };
+    names.iter().map(part).collect()
+}
+
+/// Reports a successful run that began when all crashes so far were known.
+fn part_run(log: &mut Log, name: &str) {
+    let crashes_known = log.state.crash_count();
+    let part_runs = vec![PartRun { part: request(name), crashes_known }];
+    let report = Command::ReportRuns { completed: Vec::new(), part_runs };
+    assert_eq!(log.apply(report), Reply::Done);
+}
+
+fn is_part_quarantined(log: &mut Log, name: &str) -> bool {
+    log.now += CRASH_SETTLE_MS;
+    log.apply(Command::ReportRuns { completed: Vec::new(), part_runs: Vec::new() });
+    log.state.part_quarantine(&request(name)).is_some()
+}
+
+/// Guards against a quarantine of the parts that share a crashed target with the crashing one.
+#[test]
+fn part_crash_explained() {
+    let mut log = Log::default();
+    part_crash(&mut log, "e1", &["first", "bad", "a", "b"]);
+    part_crash(&mut log, "e2", &["first", "bad", "a", "c"]);
+    part_crash(&mut log, "e3", &["first", "bad", "a"]);
+    assert!(!is_part_quarantined(&mut log, "bad"), "two parts are equally likely");
+    part_crash(&mut log, "e4", &["first", "bad", "d"]);
+    assert!(is_part_quarantined(&mut log, "bad"));
+    for innocent in ["first", "a", "b", "c", "d"] {
+        assert!(!is_part_quarantined(&mut log, innocent), "{innocent}");
+    }
+    // None of them is blamed for these crashes later, when the cause is gone.
+    part_run(&mut log, "bad");
+    for innocent in ["first", "a", "b", "c", "d"] {
+        assert_eq!(log.state.suspect_crashes(&request(innocent)), 0, "{innocent}");
+    }
+}
+
+/// Guards against a quarantine of a part that was aboard by chance, after its cause is known.
+#[test]
+fn part_released_by_cause() {
+    let mut log = Log::default();
+    for (target, parts) in [("e1", ["bad1", "a"]), ("e2", ["bad2", "a"]), ("e3", ["bad1", "a"])] {
+        part_crash(&mut log, target, &parts);
+    }
+    assert!(is_part_quarantined(&mut log, "a"));
+    for target in ["e4", "e5"] {
+        part_crash(&mut log, target, &["bad1"]);
+    }
+    assert!(is_part_quarantined(&mut log, "bad1"));
+    assert!(!is_part_quarantined(&mut log, "a"));
+}
+
+/// Guards against blaming a part because the report of its crash comes before that of the cause.
+#[test]
+fn part_crash_reported_twice() {
+    let mut log = Log::default();
+    for target in ["e1", "e2"] {
+        part_crash(&mut log, target, &["bad", "a"]);
+        log.now += CRASH_SETTLE_MS;
+    }
+    part_crash(&mut log, "e3", &["first", "a"]);
+    part_crash(&mut log, "e3", &["first", "bad"]);
+    part_crash(&mut log, "e4", &["first", "bad"]);
+    assert!(is_part_quarantined(&mut log, "bad"));
+    assert!(!is_part_quarantined(&mut log, "a"));
+}
+
+/// Guards against requests that go on with a crashing part because it always comes with the same
+/// others.
+#[test]
+fn part_crash_same_companions() {
+    let mut log = Log::default();
+    for n in 0..SHARED_PART_CRASHES_TO_QUARANTINE {
+        part_crash(&mut log, &format!("e{n}"), &["first", "bad", "companion"]);
+    }
+    assert!(is_part_quarantined(&mut log, "bad"));
+    assert!(!is_part_quarantined(&mut log, "first"));
+}
+
+/// Guards against a quarantine of a part that others crash targets beside, as soon as one run shows
+/// that it is sound, and against clearing a part by a run that began before its crash.
+#[test]
+fn part_run_clears() {
+    let mut log = Log::default();
+    let before = PartRun { part: request("bad"), crashes_known: 0 };
+    part_crash(&mut log, "e1", &["first", "bad"]);
+    let runs = Command::ReportRuns { completed: Vec::new(), part_runs: vec![before] };
+    assert_eq!(log.apply(runs), Reply::Done);
+    assert_eq!(log.state.suspect_crashes(&request("bad")), 1);
+    part_run(&mut log, "first");
+    assert_eq!(log.state.suspect_crashes(&request("first")), 0);
+    assert_eq!(log.state.suspect_crashes(&request("bad")), 1);
+}
+
+/// Guards against a quarantine of a part that thousands share, when two parts crash targets, and
+/// against one that never ends for a part that was sound before its first crash.
+#[test]
+fn part_crash_sound_before() {
+    let mut log = Log::default();
+    let before = |name| PartRun { part: request(name), crashes_known: 0 };
+    for n in 0..SHARED_PART_CRASHES_TO_QUARANTINE {
+        part_crash(&mut log, &format!("e{n}"), &["first", "bad"]);
+        let part_runs = vec![before("first"), before("bad")];
+        log.apply(Command::ReportRuns { completed: Vec::new(), part_runs });
+    }
+    assert!(!is_part_quarantined(&mut log, "bad"));
+    log.now = PART_OBSERVATION_MS;
+    part_crash(&mut log, "e9", &["first", "bad"]);
+    assert!(is_part_quarantined(&mut log, "bad"));
+    assert!(!is_part_quarantined(&mut log, "first"));
+}
+
+/// Guards against a first part that only ever appears in crashed runs.
+#[test]
+fn part_crash_first() {
+    let mut log = Log::default();
+    for n in 0..SHARED_PART_CRASHES_TO_QUARANTINE {
+        log.now = n as u64 * FIRST_PART_OBSERVATION_MS;
+        part_crash(&mut log, &format!("e{n}"), &["first"]);
+    }
+    assert!(is_part_quarantined(&mut log, "first"));
+}
+
+/// Guards against more than one request at the end of a quarantine, and against a quarantine that
+/// goes on after its run.
+#[test]
+fn part_suspension_ends() {
+    let mut log = Log::default();
+    for target in ["e1", "e2", "e3"] {
+        part_crash(&mut log, target, &["first", "bad"]);
+    }
+    assert!(is_part_quarantined(&mut log, "bad"));
+    let permit = Command::EndSuspension { request: request("bad") };
+    assert_eq!(log.refused(permit.clone()), CommandError::Suspended(request("bad")));
+    log.now += SUSPENSION_MS;
+    assert_eq!(log.apply(permit.clone()), Reply::Done);
+    assert!(is_part_quarantined(&mut log, "bad"));
+    assert_eq!(log.refused(permit.clone()), CommandError::Suspended(request("bad")));
+    log.now += SUSPENSION_MS;
+    assert_eq!(log.refused(permit.clone()), CommandError::Suspended(request("bad")));
+    log.now += SUSPENSION_MS;
+    assert_eq!(log.apply(permit), Reply::Done);
+    part_run(&mut log, "bad");
+    assert!(!is_part_quarantined(&mut log, "bad"));
+    assert_eq!(log.state.suspect_crashes(&request("bad")), 0);
+}
+
+/// Guards against a part that stays free because a request with it crashed several targets and
+/// explains their crashes as well.
+#[test]
+fn part_crash_one_request_first() {
+    let mut log = Log::default();
+    let mut resumed = |target: &str, parts: &[&str]| {
+        let report = Command::ReportCrash {
+            target: target.parse().unwrap(),
+            incarnation: Incarnation(1),
+            requests: vec![request("resumed")],
+            isolation: Isolation::Shared,
+            any_caller: Vec::new(),
+            completed: Vec::new(),
+            parts: suspect_parts(parts),
+            part_runs: Vec::new(),
+        };
+        log.apply(report)
+    };
+    for target in ["e1", "e2", "e3"] {
+        resumed(target, &["first", "bad", "own"]);
+    }
+    assert!(log.state.is_quarantined(&request("resumed")));
+    part_crash(&mut log, "e4", &["first", "bad", "other"]);
+    assert!(is_part_quarantined(&mut log, "bad"));
+    assert!(!is_part_quarantined(&mut log, "own"));
+}
--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -212,13 +212,15 @@
 
     async fn quarantine(&self) -> Result<Vec<QuarantineRow>, RpcError> {
         Ok(self.view.read(|state| {
-            state
-                .suspects()
-                .chain(state.quarantine().map(|q| (q.request, q.crashes.len() as u32)))
-                .map(|(request, crashes)| QuarantineRow {
+            let suspects = state.suspects().map(|(request, crashes)| (request, crashes, false));
+            let quarantined = state.quarantine().map(|q| (q.request, q.crashes.len() as u32, true));
+            suspects
+                .chain(quarantined)
+                .chain(state.suspect_parts())
+                .map(|(request, crashes, is_quarantined)| QuarantineRow {
                     request,
                     crashes,
-                    is_quarantined: state.is_quarantined(&request),
+                    is_quarantined,
                 })
                 .collect()
         }))
--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -98,7 +98,7 @@
         let left = Duration::from_millis(left_ms);
         let fingerprint =
             fingerprint.unwrap_or_else(|| Fingerprint::of(request.as_str().as_bytes()));
-        let identity = RequestIdentity { request: fingerprint, any_caller };
+        let identity = RequestIdentity { any_caller, ..fingerprint.into() };
         let admission = PlaceAdmission { request, identity, subscriber, need, left, avoid, limits };
         Ok(match self.owner.take_place(&group, (session, place), admission).await {
             Ok(granted) => PlaceReply::Granted(granted),
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -19,8 +19,8 @@
 use shallotdrum_rpc::{Peers, PlaceEnd};
 use shallotdrum_telemetry::{Metrics, event};
 use shallotdrum_types::{
-    FreshnessFn, PoolId, RequestError, RequestErrorKind, RequestId, RequestIdentity, Revision,
-    SubscriberId, TargetId,
+    Fingerprint, FreshnessFn, PoolId, RequestError, RequestErrorKind, RequestId, RequestIdentity,
+    Revision, SubscriberId, TargetId,
 };
 use tokio::{
     task::JoinHandle,
@@ -90,6 +90,8 @@
     pub(crate) req: CallerRequest,
     /// Equal for repeats of the request with other ids.
     pub(crate) identity: RequestIdentity,
+    /// Quarantined part of the prompt with which the first send is permitted.
+    permitted_part: Option<Fingerprint>,
     pub(crate) route: Route,
     pub(crate) pool: PoolId,
     /// Revision of the route table that selected the pool.
@@ -192,6 +194,7 @@
         let id = req.id.clone();
         let arrived = req.arrived;
         let label = self.metrics_label(&req);
+        let prompt = req.generation.as_ref().map(Generation::part_ids);
         let in_flight = InFlightGuard::enter(self.cx.metrics.in_flight());
         let result = self.clone().try_handle(req).await;
         drop(in_flight);
@@ -211,7 +214,8 @@
             Err(error) => {
                 self.cx.metrics.finished(&error.outcome.to_string(), error.kind.code());
                 event!(self.cx.log, REQUEST_ENDED; "request" => %id, "kind" => %error.kind,
-                    "outcome" => %error.outcome, "detail" => &error.detail, "ms" => ms);
+                    "outcome" => %error.outcome, "detail" => &error.detail, "prompt" => prompt,
+                    "ms" => ms);
             }
         }
         result
@@ -251,7 +255,7 @@
         let revision = routes.table().revision;
         drop(routes);
         let identity = request_identity(&req);
-        self.check_quarantine(&identity)?;
+        let permitted_part = self.cx.owner.admit_relayed(&identity)?;
         self.with_budget(&pool, |budget, now| {
             budget.count_request(now, &self.cx.retries);
         });
@@ -259,6 +263,7 @@
             deadline: req.arrived + req.timeout.min(route.timeout),
             resume_after: req.resume_after.clone(),
             identity,
+            permitted_part,
             req,
             route,
             pool,
@@ -381,7 +386,7 @@
         let (need, version) = self.need(run);
         let admission = PlaceAdmission {
             request: run.req.id.clone(),
-            identity: run.identity,
+            identity: run.admitted_identity(),
             subscriber: subscriber(run),
             need: need.clone(),
             left: Duration::ZERO,
@@ -398,7 +403,7 @@
             return Err(AttemptOutcome::NoPlace(timed_out_waiting()));
         }
         // The control state of this instance may be newer than that of the owner.
-        self.check_quarantine(&run.identity).map_err(AttemptOutcome::NoPlace)?;
+        self.check_quarantine(&run.admitted_identity()).map_err(AttemptOutcome::NoPlace)?;
         let granted = &place.granted;
         let dispatch = Dispatch {
             target: granted.target.clone(),
@@ -414,7 +419,7 @@
             "revision" => run.revision.0, "version" => dispatch.version.as_ref().map(ToString::to_string),
             "target" => %granted.target, "send" => run.sends + 1, "left_ms" => left.as_millis() as u64);
         let target = granted.target.clone();
-        let running = self.cx.owner.enter_relayed(granted, &run.req.id, run.identity);
+        let running = self.cx.owner.enter_relayed(granted, &run.req.id, run.identity.clone());
         let sent_at = Instant::now();
         let sent = self.connections.send(granted.addr, run.request(&self.cx.codec, &dispatch));
         let (connection, response) = match timeout_at(run.deadline, sent).await {
@@ -518,6 +523,14 @@
         Err(error)
     }
 
+    /// Identity to check for quarantines before the next send.
+    fn admitted_identity(&self) -> RequestIdentity {
+        match &self.permitted_part {
+            Some(part) if self.sends == 0 => self.identity.without_part(part),
+            _ => self.identity.clone(),
+        }
+    }
+
     fn request(&self, codec: &HeaderCodec, dispatch: &Dispatch) -> Request<Full<Bytes>> {
         let mut request = Request::new(Full::new(self.req.body.clone()));
         *request.method_mut() = self.req.method.clone();
@@ -532,7 +545,8 @@
     pub(crate) fn take_for_relay(&mut self) -> Self {
         Self {
             req: self.req.clone(),
-            identity: self.identity,
+            identity: self.identity.clone(),
+            permitted_part: self.permitted_part,
             route: self.route.clone(),
             pool: self.pool.clone(),
             revision: self.revision,
--- a/crates/owner/src/crash.rs
+++ b/crates/owner/src/crash.rs
@@ -17,7 +17,10 @@
     time::Duration,
 };
 
-use shallotdrum_control::{Command, ControlState, Isolation, Reply};
+use shallotdrum_control::{
+    Command, ControlState, Isolation, PartRun, Reply, SHARED_PART_CRASHES_TO_QUARANTINE,
+    SuspectPart,
+};
 use shallotdrum_engine::GrantedPlace;
 use shallotdrum_scheduler::Lease;
 use shallotdrum_telemetry::event;
@@ -25,7 +28,8 @@
 use tokio::{net::TcpStream, sync::OnceCell, time::Instant};
 
 use crate::{
-    OwnerContext, runs::RunCounts, unanswered::UnansweredRequests, unrecorded::UnrecordedCrashes,
+    OwnerContext, part_runs::PartRuns, runs::RunCounts, unanswered::UnansweredRequests,
+    unrecorded::UnrecordedCrashes,
 };
 
 /// How long to look for evidence of a crash after a connection broke; a restarted target announces
@@ -78,6 +82,7 @@
     pub(crate) unanswered: UnansweredRequests,
     unrecorded: Mutex<UnrecordedCrashes>,
     runs: Mutex<RunCounts>,
+    part_runs: Mutex<PartRuns>,
 }
 
 #[derive(Default)]
@@ -109,6 +114,8 @@
     request: RequestId,
     identity: RequestIdentity,
     started_at: Instant,
+    /// Number of crashes known when the request was sent.
+    crashes_known: u64,
     has_ended: AtomicBool,
 }
 
@@ -125,8 +132,21 @@
         self.detector.unanswered.remove_survived(&self.process.key, self.started_at);
     }
 
-    pub(crate) fn identity(&self) -> RequestIdentity {
-        self.identity
+    pub(crate) fn identity(&self) -> &RequestIdentity {
+        &self.identity
+    }
+
+    /// Records that the run was successful. Returns whether runs on parts with this many crashes are
+    /// to be reported, and no report was due before.
+    pub(crate) fn succeed(&self, min_crashes: u32) -> bool {
+        let Self { detector, cx, process, identity, crashes_known, .. } = self;
+        cx.view.read(|state| {
+            let mut part_runs = detector.part_runs();
+            part_runs.add(process.key.clone(), &identity.parts, *crashes_known);
+            part_runs.confirm(|run| detector.is_crashed(state, run));
+            let is_suspected = |part: &&Fingerprint| state.suspect_crashes(part) >= min_crashes;
+            part_runs.mark_due(identity.parts.iter().filter(is_suspected).copied())
+        })
     }
 }
 
@@ -142,7 +162,7 @@
             }
         }
         if !*self.has_ended.get_mut() {
-            self.detector.watch_unanswered(&self.cx, &self.process, self.identity);
+            self.detector.watch_unanswered(&self.cx, &self.process, self.identity.clone());
         }
     }
 }
@@ -156,6 +176,7 @@
             unanswered: UnansweredRequests::default(),
             unrecorded: Mutex::default(),
             runs: Mutex::new(RunCounts::new()),
+            part_runs: Mutex::new(PartRuns::new()),
         })
     }
 
@@ -170,7 +191,7 @@
         let identity = identity.into();
         let mut running = self.running();
         let requests = &mut running.entry(process.key.clone()).or_default().requests;
-        requests.insert(request.clone(), identity);
+        requests.insert(request.clone(), identity.clone());
         RunningGuard {
             detector: self.clone(),
             cx: cx.clone(),
@@ -178,6 +199,7 @@
             request: request.clone(),
             identity,
             started_at: Instant::now(),
+            crashes_known: cx.view.read(ControlState::crash_count),
             has_ended: AtomicBool::new(false),
         }
     }
@@ -215,9 +237,12 @@
 
     /// Number of known crashes of a request, including those not yet recorded.
     pub(crate) fn crashes(&self, state: &ControlState, request: &Fingerprint) -> usize {
+        state.suspect_crashes(request) as usize + self.unrecorded_crashes(state, request)
+    }
+
+    fn unrecorded_crashes(&self, state: &ControlState, request: &Fingerprint) -> usize {
         let is_recorded = |crash: &Crash| state.is_crash_counted(request, crash);
-        let unrecorded = self.unrecorded().count(request, is_recorded);
-        state.suspect_crashes(request) as usize + unrecorded
+        self.unrecorded().count(request, is_recorded)
     }
 
     /// Whether the crashes known to this instance, before the control log quarantines the request,
@@ -228,11 +253,44 @@
         self.isolation.is_cause(crashes, completed)
     }
 
+    /// Whether the crashes known to this instance, of which the control log lacks some, are too many for
+    /// requests with a part to be sent.
+    pub(crate) fn is_known_cause_part(&self, state: &ControlState, part: &Fingerprint) -> bool {
+        let unrecorded = self.unrecorded_crashes(state, part);
+        unrecorded > 0
+            && state.suspect_crashes(part) as usize + unrecorded
+                >= SHARED_PART_CRASHES_TO_QUARANTINE
+            && !self.may_be_shared(state, part)
+    }
+
+    /// Whether a part crashed targets, as far as is known.
+    pub(crate) fn is_suspect_part(&self, state: &ControlState, part: &Fingerprint) -> bool {
+        self.crashes(state, part) > 0 && !self.may_be_shared(state, part)
+    }
+
+    fn may_be_shared(&self, state: &ControlState, part: &Fingerprint) -> bool {
+        state.part_had_runs(part) || self.part_runs().contains(part)
+    }
+
+    /// Whether the crash of a process is known to this instance.
+    fn is_crashed(&self, state: &ControlState, process: &Crash) -> bool {
+        state.is_crashed(process) || self.unrecorded().contains(process)
+    }
+
+    /// Takes the runs on parts that are to be reported; also returns whether none are left.
+    pub(crate) fn take_due_part_runs(&self, cx: &OwnerContext) -> (Vec<PartRun>, bool) {
+        cx.view.read(|state| {
+            let mut part_runs = self.part_runs();
+            part_runs.confirm(|run| self.is_crashed(state, run));
+            part_runs.take_due()
+        })
+    }
+
     pub(crate) fn requests_on(&self, key: &Crash) -> Vec<RequestIdentity> {
         let running = self.running();
         running
             .get(key)
-            .map(|target| target.requests.values().copied().collect())
+            .map(|target| target.requests.values().cloned().collect())
             .unwrap_or_default()
     }
 
@@ -273,12 +331,13 @@
         crash: &Crash,
         identities: &[RequestIdentity],
     ) -> bool {
-        let mut requests: Vec<_> = identities.iter().flat_map(|identity| identity.all()).collect();
+        let mut requests: Vec<_> = identities.iter().flat_map(RequestIdentity::whole).collect();
         requests.sort_unstable();
         requests.dedup();
         let mut any_caller: Vec<_> = identities.iter().filter_map(|i| i.any_caller).collect();
         any_caller.sort_unstable();
         any_caller.dedup();
+        let parts = suspect_parts(identities);
         let command = Command::ReportCrash {
             target: crash.0.clone(),
             incarnation: crash.1,
@@ -286,6 +345,8 @@
             requests: requests.clone(),
             isolation: self.isolation,
             any_caller,
+            part_runs: self.part_runs().latest(parts.iter().map(|suspect| suspect.part)),
+            parts: parts.clone(),
         };
         match cx.propose(command).await {
             Ok(Reply::Refused(_)) | Err(_) => return false,
@@ -318,6 +379,12 @@
                     "runs" => completed),
             }
         }
+        for SuspectPart { part, is_first } in parts {
+            let (crashes, had_runs) =
+                cx.view.read(|state| (state.suspect_crashes(&part), state.part_had_runs(&part)));
+            event!(cx.log, PART_SUSPECTED; "fingerprint" => %part, "crashes" => crashes,
+                "target" => %crash.0, "had_runs" => had_runs, "is_first" => is_first);
+        }
         true
     }
 
@@ -329,11 +396,26 @@
         self.runs.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(crate) fn part_runs(&self) -> MutexGuard<'_, PartRuns> {
+        self.part_runs.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn unrecorded(&self) -> MutexGuard<'_, UnrecordedCrashes> {
         self.unrecorded.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
+/// Parts of the prompts of requests; the first one of any prompt is marked.
+fn suspect_parts(identities: &[RequestIdentity]) -> Vec<SuspectPart> {
+    let mut parts = BTreeMap::new();
+    for identity in identities {
+        for (i, part) in identity.parts.iter().enumerate() {
+            *parts.entry(*part).or_default() |= i == 0;
+        }
+    }
+    parts.into_iter().map(|(part, is_first)| SuspectPart { part, is_first }).collect()
+}
+
 /// Waits for evidence of a crash: a refused connection or a later process of the target.
 ///
 /// A refused connection shows that the host is up and the process is gone; a network partition
--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -6,8 +6,9 @@
 //! `completion` runs model requests, `call` runs calls to plain services, `places` grants
 //! reservations at targets, `load` and `base` send load orders, `inspect` queries the state of
 //! engines, `crash` detects
-//! requests that crash targets, `relayed` those that entries send themselves, and `unrecorded` holds
-//! the crashes that the control log does not have yet.
+//! requests that crash targets, `relayed` those that entries send themselves, `runs` and `part_runs`
+//! count what speaks against a suspicion, and `unrecorded` holds the crashes that the control log
+//! does not have yet.
 
 mod base;
 mod call;
@@ -20,6 +21,7 @@
 mod inspect;
 mod load;
 mod messages;
+mod part_runs;
 mod places;
 mod relayed;
 mod runs;
--- a/crates/owner/src/places.rs
+++ b/crates/owner/src/places.rs
@@ -106,7 +106,7 @@
         admission: PlaceAdmission,
     ) -> Result<GrantedPlace, RequestError> {
         let owned = self.owned(group)?;
-        let identity = admission.identity;
+        let identity = admission.identity.clone();
         self.check_relayed_quarantine(&identity)?;
         observe_limits(&owned.scheduler, &admission.limits);
         let cancelled = Arc::new(Notify::new());
--- a/crates/owner/src/unanswered.rs
+++ b/crates/owner/src/unanswered.rs
@@ -29,7 +29,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct UnansweredRequests(Mutex<BTreeMap<Crash, VecDeque<Unanswered>>>);
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Unanswered {
     identity: RequestIdentity,
     since: Instant,
--- a/crates/owner/src/unrecorded.rs
+++ b/crates/owner/src/unrecorded.rs
@@ -1,6 +1,6 @@
 //! Crashes that this instance has detected and the control log has not recorded yet.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use shallotdrum_types::{Fingerprint, RequestIdentity};
 
@@ -13,7 +13,7 @@
 /// Crashes by request, until they are recorded.
 #[derive(Debug, Default)]
 pub(crate) struct UnrecordedCrashes {
-    /// Requests of each crash, with the number of reports that are under way.
+    /// Requests and parts of each crash, with the number of reports that are under way.
     requests: BTreeMap<Crash, BTreeMap<Fingerprint, usize>>,
     /// Keys of `requests`, oldest first.
     order: VecDeque<Crash>,
@@ -26,8 +26,8 @@
             self.order.push_back(crash.clone());
         }
         let reports = self.requests.entry(crash.clone()).or_default();
-        for request in requests {
-            *reports.entry(request.request).or_default() += 1;
+        for request in blamed(requests) {
+            *reports.entry(request).or_default() += 1;
         }
         while self.order.len() > MAX_CRASHES
             && let Some(oldest) = self.order.pop_front()
@@ -39,8 +39,8 @@
     /// Removes what one `add` added.
     pub(crate) fn remove(&mut self, crash: &Crash, requests: &[RequestIdentity]) {
         let Some(reports) = self.requests.get_mut(crash) else { return };
-        for request in requests {
-            if let Some(count) = reports.get_mut(&request.request) {
+        for request in blamed(requests) {
+            if let Some(count) = reports.get_mut(&request) {
                 *count -= 1;
             }
         }
@@ -51,7 +51,12 @@
         }
     }
 
-    /// Number of crashes of a request, without those for which `is_recorded` holds.
+    /// Whether a crash of this process is held.
+    pub(crate) fn contains(&self, crash: &Crash) -> bool {
+        self.requests.contains_key(crash)
+    }
+
+    /// Number of crashes of a request or part, without those for which `is_recorded` holds.
     pub(crate) fn count(
         &self,
         request: &Fingerprint,
@@ -61,3 +66,12 @@
         crashes.filter(|(crash, _)| !is_recorded(crash)).count()
     }
 }
+
+/// Identities and parts of prompts that a crash counts for.
+fn blamed(requests: &[RequestIdentity]) -> BTreeSet<Fingerprint> {
+    let blamed = |request: &RequestIdentity| {
+        let parts = request.parts.clone();
+        std::iter::once(request.request).chain((0..parts.len()).map(move |i| parts[i]))
+    };
+    requests.iter().flat_map(blamed).collect()
+}
--- a/crates/types/src/identity.rs
+++ b/crates/types/src/identity.rs
@@ -1,11 +1,13 @@
 //! Identities by which the repeats of a request are recognised.
 
+use std::sync::Arc;
+
 use serde::{Deserialize, Serialize};
 
 use crate::Fingerprint;
 
-/// Identities of a request, from the more to the less specific one.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+/// Identities of a request, from the more to the less specific one, and the parts of its prompt.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct RequestIdentity {
     /// Equal for repeats by the same caller.
     pub request: Fingerprint,
@@ -13,17 +15,30 @@
     /// are not told apart further.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub any_caller: Option<Fingerprint>,
+    /// Parts of the prompt that other requests may share, in order.
+    #[serde(default = "no_parts", skip_serializing_if = "<[_]>::is_empty")]
+    pub parts: Arc<[Fingerprint]>,
+}
+
+fn no_parts() -> Arc<[Fingerprint]> {
+    Arc::default()
 }
 
 impl RequestIdentity {
-    /// All identities of the request.
-    pub fn all(self) -> impl Iterator<Item = Fingerprint> {
+    /// Identities of the request as a whole.
+    pub fn whole(&self) -> impl Iterator<Item = Fingerprint> + use<> {
         std::iter::once(self.request).chain(self.any_caller)
     }
+
+    /// The same request without one of its parts.
+    pub fn without_part(&self, part: &Fingerprint) -> Self {
+        let parts = self.parts.iter().filter(|other| *other != part).copied().collect();
+        Self { parts, ..self.clone() }
+    }
 }
 
 impl From<Fingerprint> for RequestIdentity {
     fn from(request: Fingerprint) -> Self {
-        Self { request, any_caller: None }
+        Self { request, any_caller: None, parts: no_parts() }
     }
 }
