Probe the target after a response that ends with its connection

Callers got streams and bodies that ended with a crash as complete ones, and engines went on being crashed under them.

Cause: a body with neither a length nor chunks has no end of its own. The end of its connection was taken for it, whether the target had finished or crashed; the run then even counted as a success of its request.

After such an end the target must now accept a connection. Otherwise the response is broken: a stream is resumed if it may be, a call is repeated if it may be, and the target is checked for a crash. A process that ends closes its listener together with its connections, so the probe tells the two apart; 10 ms before it cover the order in which it closes them.

--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -9,9 +9,15 @@
 };
 
 use bytes::Bytes;
+use http::HeaderMap;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
+use crate::{
+    crash::{ends_with_connection, is_alive_after_end},
+    places::Place,
+};
+
 /// Maximum body size of a response that is not streamed; plain services return a few kilobytes.
 const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
 
@@ -33,6 +39,9 @@
     /// The connection broke.
     #[error(transparent)]
     Connection(#[from] hyper::Error),
+    /// The body ended with its connection, and the target is not reachable any more.
+    #[error("the connection ended, and the target accepts no other one")]
+    TargetGone,
     /// The body is too long.
     #[error("the body exceeds {0} bytes")]
     TooLong(usize),
@@ -42,8 +51,14 @@
 }
 
 impl BodyBuffers {
-    /// Reads a body to its end.
-    pub(crate) async fn read(&self, mut body: Incoming) -> Result<Bytes, BodyError> {
+    /// Reads the body of a response of a place's target to its end.
+    pub(crate) async fn read(
+        &self,
+        headers: &HeaderMap,
+        mut body: Incoming,
+        place: &Place,
+    ) -> Result<Bytes, BodyError> {
+        let ends_with_connection = ends_with_connection(headers, &body);
         let mut counted = Counted { buffers: self, bytes: 0 };
         let (mut parts, mut len) = (Vec::new(), 0);
         while let Some(frame) = body.frame().await {
@@ -55,6 +70,9 @@
             counted.grow_to(len.saturating_sub(UNCOUNTED_BYTES))?;
             parts.push(data);
         }
+        if ends_with_connection && !is_alive_after_end(place).await {
+            return Err(BodyError::TargetGone);
+        }
         match parts.len() {
             1 => Ok(parts.remove(0)),
             _ => Ok(parts.concat().into()),
--- a/crates/gateway/src/crash.rs
+++ b/crates/gateway/src/crash.rs
@@ -2,17 +2,41 @@
 
 use std::time::Duration;
 
-use shallotdrum_owner::RunningGuard;
+use http::{
+    HeaderMap,
+    header::{CONTENT_LENGTH, TRANSFER_ENCODING},
+};
+use http_body::Body;
+use hyper::body::Incoming;
+use shallotdrum_owner::{RunningGuard, is_listening};
 use shallotdrum_telemetry::event;
 use shallotdrum_types::{RequestError, RequestIdentity, TargetId};
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep, timeout_at};
 
-use crate::{Gateway, SendFailure, exchange::RequestRun};
+use crate::{Gateway, SendFailure, exchange::RequestRun, places::Place};
 
 /// Maximum wait for the crash check of a request that is not a suspect yet. A closed port shows at
 /// once, and a log entry takes some tens of milliseconds.
 const FIRST_CHECK_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// Delay after the end of a connection before its target is probed. A process that ends closes its
+/// connections and its listener within a few milliseconds.
+const CLOSE_SETTLE_TIME: Duration = Duration::from_millis(10);
+
+/// Whether a response has neither a length nor chunks, so that its body ends with its connection.
+pub(crate) fn ends_with_connection(headers: &HeaderMap, body: &Incoming) -> bool {
+    !body.is_end_stream()
+        && !headers.contains_key(CONTENT_LENGTH)
+        && !headers.contains_key(TRANSFER_ENCODING)
+}
+
+/// Whether a target is alive after a body that ended with its connection, so that the body is
+/// complete.
+pub(crate) async fn is_alive_after_end(place: &Place) -> bool {
+    sleep(CLOSE_SETTLE_TIME).await;
+    is_listening(place.granted.addr).await
+}
+
 impl Gateway {
     /// Logs a send that got no complete response.
     pub(crate) fn log_send_failure(
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -353,7 +353,8 @@
             };
         }
         let (parts, body) = response.into_parts();
-        let body = match timeout_at(run.deadline, self.bodies.read(body)).await {
+        let body = self.bodies.read(&parts.headers, body, &place);
+        let body = match timeout_at(run.deadline, body).await {
             Ok(Ok(body)) => body,
             Ok(Err(error)) => {
                 let target = &place.granted.target;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -16,6 +16,7 @@
 use crate::{
     EventSplitter, Gateway, GatewayResponse, StreamBody,
     connections::Connection,
+    crash::{ends_with_connection, is_alive_after_end},
     decision::SendFailure,
     errors::{target_failed, target_timed_out},
     exchange::{Received, RequestRun, response_headers},
@@ -40,6 +41,16 @@
     pub(crate) response: GatewayResponse,
 }
 
+/// Cause of a broken stream whose end may be that of its target.
+const TARGET_GONE: &str = "the connection ended, and the target accepts no other one";
+
+/// Body of one target's response.
+struct StreamPart {
+    body: Incoming,
+    /// Whether it has neither a length nor chunks.
+    ends_with_connection: bool,
+}
+
 /// How the stream of one target ended.
 enum StreamEnd {
     Complete,
@@ -67,6 +78,7 @@
         response: Response<Incoming>,
     ) -> Result<StartedStream, RequestError> {
         let (parts, mut body) = response.into_parts();
+        let ends_with_connection = ends_with_connection(&parts.headers, &body);
         let mut splitter = EventSplitter::default();
         let first = loop {
             match next_chunk(run, &mut body).await {
@@ -79,6 +91,9 @@
                     let cause = "the stream ended within its first event";
                     return Err(self.broken_at_start(run, cause));
                 }
+                Ok(None) if ends_with_connection && !is_alive_after_end(&self.place).await => {
+                    return Err(self.broken_at_start(run, TARGET_GONE));
+                }
                 Ok(None) => break None,
                 Err(StreamEnd::TimedOut) => return Err(target_timed_out()),
                 Err(StreamEnd::Broken(cause)) => return Err(self.broken_at_start(run, &cause)),
@@ -87,6 +102,7 @@
         };
         let (tx, rx) = mpsc::channel(CHANNEL_CAPACITY);
         let status = parts.status;
+        let body = StreamPart { body, ends_with_connection };
         let headers = response_headers(parts.headers);
         let run = run.take_for_relay();
         tokio::spawn(self.relay(run, first, body, splitter, tx));
@@ -110,19 +126,25 @@
         self,
         mut run: RequestRun,
         first: Option<Bytes>,
-        body: Incoming,
+        mut body: StreamPart,
         mut splitter: EventSplitter,
         tx: mpsc::Sender<Result<Bytes, StreamBroken>>,
     ) {
         let Self { gateway, mut place, mut running, mut connection } = self;
-        let mut body = body;
         if let Some(first) = first
             && tx.send(Ok(first)).await.is_err()
         {
             return;
         }
         loop {
-            let ended = forward_events(&run, &mut body, &mut splitter, &tx).await;
+            let ended = match forward_events(&run, &mut body.body, &mut splitter, &tx).await {
+                StreamEnd::Complete
+                    if body.ends_with_connection && !is_alive_after_end(&place).await =>
+                {
+                    StreamEnd::Broken(TARGET_GONE.to_owned())
+                }
+                ended => ended,
+            };
             let cause = match ended {
                 StreamEnd::Complete => {
                     connection.release();
@@ -169,7 +191,9 @@
             event!(gateway.cx.log, ENTRY_ANSWER_RESUMED; "request" => %run.id(),
                 "target" => %next_place.granted.target);
             (place, running) = (next_place, next_running);
-            (connection, body) = (next, response.into_body());
+            let ends_with_connection = ends_with_connection(response.headers(), response.body());
+            (connection, body) =
+                (next, StreamPart { body: response.into_body(), ends_with_connection });
         }
     }
 }
--- a/crates/owner/src/crash.rs
+++ b/crates/owner/src/crash.rs
@@ -43,6 +43,9 @@
 /// its connections, and connections take capacity from a target that is alive.
 const MAX_PROBES: u32 = 3;
 
+/// Timeout for a connection to a target that may be alive; some hundred round trips.
+const LISTENING_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Timeout for the local copy of the control state to apply a reported crash.
 const VIEW_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -456,6 +459,12 @@
             .any(|other| other.announced.addr == addr && other.announced.incarnation > incarnation)
 }
 
+/// Whether a process accepts connections at an address.
+pub async fn is_listening(addr: SocketAddr) -> bool {
+    let probe = tokio::time::timeout(LISTENING_TIMEOUT, TcpStream::connect(addr)).await;
+    matches!(probe, Ok(Ok(_)))
+}
+
 async fn is_refused(addr: SocketAddr) -> bool {
     let probe = tokio::time::timeout(CRASH_CHECK_INTERVAL, TcpStream::connect(addr)).await;
     matches!(probe, Ok(Err(e)) if e.kind() == std::io::ErrorKind::ConnectionRefused)
