Blame the messages of chats for crashes on the product's own interface

Callers of chat completions saw engine after engine end under chats of which no two were alike, because all of them held the same message.

Cause: the same as for opaque requests, which blame the parts of their prompts since the last commits; this interface blamed whole requests. Its prompts name no parts, so the messages without the last one take their place, and quarantine, permits and the runs that clear are shared. The checks move to a module of their own, as both paths need them.

--- a/crates/daemon/tests/guarantees/crashes.rs
+++ b/crates/daemon/tests/guarantees/crashes.rs
@@ -116,3 +116,31 @@
     set_crash_marker(&setup, None);
     setup.wait_serving(2, START_LIMIT).await;
 }
+
+/// Guards against crashing one engine after another by a message that always comes in another chat,
+/// and against refusing the chats that share their other messages.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn message_in_new_chats() {
+    /// Crashes of different chats that show the message to be their cause.
+    const MAX_CRASHES: u64 = 5;
+    let setup = start().await;
+    set_crash_marker(&setup, Some(CRASH_MARKER));
+    let chat = |message: &str, n: usize| {
+        format!("<|system|>\nshared\n<|user|>\n{message}\n<|user|>\nown {n}\n<|assistant|>\n")
+    };
+    let mut refused = 0;
+    for n in 0..12 {
+        let instance = setup.cluster.entry(n % setup.cluster.len());
+        let crashing = setup.complete(instance, 0, 1, &chat(CRASH_MARKER, n), 8).await;
+        refused += usize::from(crashing.unwrap_err().is_not_run());
+        let poll = || async {
+            let sound = setup.complete(instance, 0, 1, &chat("sound", n), 8).await;
+            sound.map(drop).map_err(|e| e.to_string())
+        };
+        wait_until("sound chats are served", Duration::from_secs(10), poll).await.unwrap();
+    }
+    let crashes = crashes(&setup);
+    eprintln!("{crashes} crashes, {refused} of 12 chats refused");
+    assert!(crashes <= MAX_CRASHES, "{crashes} crashes");
+}
--- a/crates/owner/src/completion.rs
+++ b/crates/owner/src/completion.rs
@@ -7,13 +7,15 @@
 };
 use shallotdrum_scheduler::{AdmissionRequest, Finish, Lease, RequestKind};
 use shallotdrum_telemetry::event;
-use shallotdrum_types::{Fingerprint, Outcome, RequestError, RequestErrorKind, TargetId};
+use shallotdrum_types::{
+    Fingerprint, Outcome, RequestError, RequestErrorKind, RequestIdentity, TargetId,
+};
 use tokio::{sync::mpsc, time::Instant};
 
 use crate::{
     CompletionCall, Frame, OwnerService,
     crash::{CrashStatus, RunningGuard},
-    fingerprint::completion_fingerprint,
+    fingerprint::completion_identity,
     service::{OwnedGroup, owner_changed},
 };
 
@@ -28,7 +30,9 @@
 /// State of a model request across its attempts.
 struct CompletionRun<'a> {
     call: &'a CompletionCall,
-    fingerprint: Fingerprint,
+    identity: RequestIdentity,
+    /// Quarantined part of the prompt with which the first send is permitted.
+    permitted_part: Option<Fingerprint>,
     deadline: Instant,
     /// Number of tokens generated so far, including those of an earlier forward.
     offset: u64,
@@ -61,14 +65,18 @@
     }
 
     async fn try_complete(
-        &self,
+        self: &Arc<Self>,
         call: &CompletionCall,
         tx: &mpsc::Sender<Frame>,
     ) -> Result<(), RequestError> {
         let resume = call.request.resume.clone();
+        let identity = completion_identity(&call.subscriber, &call.request);
+        let group = self.owned(&call.group)?;
+        let permitted_part = self.admit_parts(&group.crashes, &identity.parts)?;
         let mut run = CompletionRun {
             call,
-            fingerprint: completion_fingerprint(&call.subscriber, &call.request),
+            identity,
+            permitted_part,
             deadline: Instant::now() + Duration::from_millis(call.request.deadline_ms),
             offset: resume.as_ref().map_or(0, |resume| resume.offset),
             // Covers this forward only; the entry tracks whether an earlier forward ran.
@@ -88,7 +96,11 @@
         Err(run.classify(last_error))
     }
 
-    async fn attempt(&self, run: &mut CompletionRun<'_>, tx: &mpsc::Sender<Frame>) -> Attempt {
+    async fn attempt(
+        self: &Arc<Self>,
+        run: &mut CompletionRun<'_>,
+        tx: &mpsc::Sender<Frame>,
+    ) -> Attempt {
         let group = match self.owned(&run.call.group) {
             Ok(group) => group,
             Err(error) => return Attempt::Failed(error),
@@ -108,15 +120,21 @@
                 Err(error) => return Attempt::Failed(error),
             };
             // A duplicate of the request may have crashed a target while this one was queued.
-            let is_suspect = self.cx.view.read(|state| state.suspect_crashes(&run.fingerprint) > 0);
+            let is_suspect =
+                self.cx.view.read(|state| state.suspect_crashes(&run.identity.request) > 0);
             if was_suspect || !is_suspect {
                 break lease;
             }
             lease.finish(Finish::Cancelled);
         };
         self.record_waits(&run.call.subscriber, &lease);
-        let allowed =
-            self.check_owned(&group).and_then(|()| self.check_quarantine(&run.fingerprint));
+        let permitted = run.permitted_part.take();
+        let allowed = self
+            .check_owned(&group)
+            .and_then(|()| self.check_quarantine(&run.identity.request))
+            .and_then(|()| {
+                self.check_parts(&group.crashes, &run.identity.parts, permitted.as_ref())
+            });
         if let Err(error) = allowed {
             lease.finish(Finish::Cancelled);
             return Attempt::Failed(error);
@@ -126,7 +144,7 @@
 
     /// Sends the request to the lease's target and relays the response.
     async fn generate(
-        &self,
+        self: &Arc<Self>,
         run: &mut CompletionRun<'_>,
         group: &OwnedGroup,
         lease: Lease,
@@ -134,7 +152,7 @@
     ) -> Attempt {
         let request = run.request(&lease);
         let guard =
-            group.crashes.enter(&self.cx, (&lease).into(), &request.request, run.fingerprint);
+            group.crashes.enter(&self.cx, (&lease).into(), &request.request, run.identity.clone());
         lease.started();
         let sent =
             tokio::time::timeout_at(run.deadline, self.cx.engine.generate(lease.addr, &request));
@@ -164,6 +182,7 @@
                 }
                 Ok(Some(Ok(EngineEvent::End(end)))) => {
                     guard.complete();
+                    self.complete_parts(&group.crashes, &guard);
                     lease.finish(answered(&end));
                     let _ = tx.send(Frame::End(end)).await;
                     return Attempt::Done;
@@ -247,12 +266,12 @@
             CrashStatus::Alive => lease.finish(Finish::TargetFailed),
             CrashStatus::Crashed | CrashStatus::NotRecorded => lease.finish(Finish::TargetCrashed),
         }
-        let is_quarantined = self.cx.view.read(|state| state.is_quarantined(&run.fingerprint));
+        let is_quarantined = self.cx.view.read(|state| state.is_quarantined(&run.identity.request));
         match status {
             CrashStatus::NotRecorded => Attempt::Failed(failure),
             CrashStatus::Crashed if is_quarantined => Attempt::Failed(RequestError::unknown(
                 RequestErrorKind::Quarantined,
-                format!("request {} crashed two targets and is quarantined", run.fingerprint),
+                format!("request {} crashed two targets and is quarantined", run.identity.request),
             )),
             CrashStatus::Alive | CrashStatus::Crashed => Attempt::Retry(failure),
         }
@@ -272,7 +291,7 @@
                 let subscriber = manifest.subscribers.get(&run.call.subscriber)?;
                 Some((source.path.clone(), subscriber.weight, subscriber.limits.clone()))
             });
-            (found, state.suspect_crashes(&run.fingerprint) > 0)
+            (found, state.suspect_crashes(&run.identity.request) > 0)
         });
         let Some((source, weight, limits)) = found else {
             let detail = format!(
@@ -285,7 +304,7 @@
             request: request.request.clone(),
             subscriber: run.call.subscriber.clone(),
             weight,
-            fingerprint: run.fingerprint,
+            fingerprint: run.identity.request,
             kind: RequestKind::Completion {
                 adapter: request.adapter.clone(),
                 source,
--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -6,7 +6,7 @@
 //! `completion` runs model requests, `call` runs calls to plain services, `places` grants
 //! reservations at targets, `load` and `base` send load orders, `inspect` queries the state of
 //! engines, `crash` detects
-//! requests that crash targets, `relayed` those that entries send themselves, `runs` and `part_runs`
+//! requests that crash targets, `relayed` those that entries send themselves, `quarantine` refuses them, `runs` and `part_runs`
 //! count what speaks against a suspicion, and `unrecorded` holds the crashes that the control log
 //! does not have yet.
 
@@ -23,6 +23,7 @@
 mod messages;
 mod part_runs;
 mod places;
+mod quarantine;
 mod relayed;
 mod runs;
 mod server;
@@ -35,7 +36,7 @@
     SessionFn, TargetOrder, engine_orders,
 };
 pub use crash::{CrashStatus, RunningGuard, is_listening};
-pub use fingerprint::completion_fingerprint;
+pub use fingerprint::{completion_fingerprint, completion_identity};
 pub use forwarder::{
     CALL_HEADER, COMPLETION_PATH, ERROR_HEADER, ForwardBody, ForwardError, Forwarder, FrameStream,
     SERVICE_PATH,
--- a/crates/owner/src/service.rs
+++ b/crates/owner/src/service.rs
@@ -31,7 +31,7 @@
     crash::CrashDetector,
     load::{OrderCount, Ownership, load_fn},
     places::PlaceTable,
-    relayed::Suspensions,
+    quarantine::Suspensions,
 };
 
 /// Timeout of a load order. It is part of `LOST_OWNER_SETTLE_MS`, for which a new owner waits
