Keep a stream at the software version that began it

Callers got streams whose events came from two software versions, within one response and over their tries.

Cause: the version of a target's software was read nowhere. A stream that was resumed, or taken up at any entry, got a place at any target.

A target tells its version when it registers, and the scheduler takes it as a condition of the place once an event has reached the caller. A stream of unknown version, or whose version has no target left, is refused at once as not run.

Why it works: the version is that of the process in the grant, and every later attempt has it as a condition, so the latest grant is right even if the entry that saw the first event is gone.

--- a/crates/bench/src/slopes/messages.rs
+++ b/crates/bench/src/slopes/messages.rs
@@ -334,6 +334,7 @@
         region: row.region,
         zone: row.zone,
         kind: row.kind,
+        software: None,
         load: LoadReport { adapters, ..LoadReport::default() },
     })
 }
--- a/crates/bench/src/slopes/scheduler.rs
+++ b/crates/bench/src/slopes/scheduler.rs
@@ -55,6 +55,7 @@
                 max_batch: 16,
                 checks_fencing: true,
             },
+            software: None,
             orders_allowed_from: Instant::now(),
         });
         let loaded = |j: usize| {
@@ -106,6 +107,7 @@
         deadline: Instant::now() + std::time::Duration::from_secs(60),
         is_suspect: false,
         avoid: Vec::new(),
+        software: None,
         max_concurrent: None,
     })
 }
--- a/crates/bench/src/slopes/state.rs
+++ b/crates/bench/src/slopes/state.rs
@@ -260,6 +260,7 @@
                 max_batch: 16,
                 checks_fencing: true,
             },
+            software: None,
         };
         apply(&mut state, Command::RegisterTarget(target))?;
     }
--- a/crates/control/src/command.rs
+++ b/crates/control/src/command.rs
@@ -9,7 +9,7 @@
 use shallotdrum_types::{
     AdapterId, AvailabilityZone, BaseModelId, ControlTimeMs, Digest, Epoch, Fingerprint, GroupId,
     IdempotencyKey, Incarnation, InstanceId, PoolId, Region, RequestId, Revision, SessionId,
-    SubmissionId, SubscriberId, TargetId,
+    SoftwareVersion, SubmissionId, SubscriberId, TargetId,
 };
 
 use crate::{CompletedRuns, Isolation, PartRun, SuspectPart};
@@ -243,6 +243,9 @@
     pub zone: AvailabilityZone,
     /// Model engine or plain service, with its capacity.
     pub kind: TargetKind,
+    /// Version of the software of this process.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub software: Option<SoftwareVersion>,
 }
 
 /// Identifies a non-repeatable call.
--- a/crates/control/src/state/mod.rs
+++ b/crates/control/src/state/mod.rs
@@ -13,6 +13,7 @@
 mod routes;
 mod sessions;
 mod snapshot;
+mod software;
 mod suspects;
 
 use std::{collections::BTreeSet, sync::Arc};
@@ -22,8 +23,8 @@
 use shallotdrum_routes::{RouteIndex, RouteTable};
 use shallotdrum_types::{
     AdapterId, BaseModelId, ControlTimeMs, Digest, Epoch, Fingerprint, GroupId, Incarnation,
-    InstanceId, KeyHash, LogIndex, PoolId, Revision, SessionId, SubmissionId, SubscriberId,
-    TargetId,
+    InstanceId, KeyHash, LogIndex, PoolId, Revision, SessionId, SoftwareVersion, SubmissionId,
+    SubscriberId, TargetId,
 };
 
 use crate::{CallKey, Command, CommandError, Reply, TimedCommand};
@@ -33,6 +34,7 @@
     manifests::{Manifests, PreparedManifest},
     routes::Routes,
     sessions::Sessions,
+    software::SoftwareHistory,
     suspects::{CrashReport, Suspects},
 };
 
@@ -49,6 +51,7 @@
 };
 pub use sessions::Session;
 pub use snapshot::DecodeError;
+pub use software::SOFTWARE_MEMORY_MS;
 pub use suspects::{
     CRASHES_TO_QUARANTINE, CompletedRuns, Isolation, MAX_QUARANTINED, MAX_SUSPECTS, Quarantined,
     RUNS_PER_CRASH, SHARED_CRASHES_TO_QUARANTINE, SUSPECT_LIFETIME_MS, SUSPENSION_MS,
@@ -69,6 +72,8 @@
     manifests: Manifests,
     sessions: Sessions,
     groups: Groups,
+    #[serde(default)]
+    software: SoftwareHistory,
     suspects: Suspects,
     #[serde(default)]
     routes: Routes,
@@ -219,6 +224,12 @@
         self.shared.groups.targets()
     }
 
+    /// Software versions at which a stream of the pool may have begun, as far as its targets tell
+    /// theirs.
+    pub fn software_versions(&self, pool: &PoolId) -> Vec<SoftwareVersion> {
+        self.shared.software.versions(&self.shared.groups, pool, self.shared.now)
+    }
+
     /// Fencing token for orders from the current owner to a target.
     ///
     /// It is the epoch of the target's group, or a higher one if the target joined during the
@@ -396,10 +407,13 @@
                 .submit(submission, base, &delta, digest, prepared)
                 .map(Reply::ManifestAccepted),
             Command::RegisterTarget(announced) => {
-                self.groups.register(announced, now).map(Reply::TargetRegistered)
+                let register = |groups: &mut Groups| groups.register(announced, now);
+                let registered = self.software.record_ends(&mut self.groups, now, register);
+                registered.map(Reply::TargetRegistered)
             }
             Command::RemoveTarget { target, incarnation, is_leaving } => {
-                self.groups.remove(&target, incarnation, is_leaving).map(done)
+                let remove = |groups: &mut Groups| groups.remove(&target, incarnation, is_leaving);
+                self.software.record_ends(&mut self.groups, now, remove).map(done)
             }
             Command::DrainTarget { target, drain } => self.groups.drain(target, drain).map(done),
             Command::AssignGroup { group, session } => {
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -129,6 +129,7 @@
             max_batch: 8,
             checks_fencing: false,
         },
+        software: None,
     }
 }
 
--- a/crates/control/tests/ownership.rs
+++ b/crates/control/tests/ownership.rs
@@ -6,7 +6,7 @@
 use rstest::rstest;
 use shallotdrum_control::{
     AnnouncedTarget, Command, CommandError, GroupKind, Handover, LOST_OWNER_SETTLE_MS,
-    MAX_GROUP_TARGETS, Reply,
+    MAX_GROUP_TARGETS, Reply, SOFTWARE_MEMORY_MS,
 };
 use shallotdrum_types::{GroupId, Incarnation, SessionId, TargetId};
 
@@ -249,3 +249,34 @@
     log.register(engine("e1", 2));
     assert!(!is_draining(&log));
 }
+
+/// Guards against taking the versions that serve now for those at which a stream may have begun, and
+/// against remembering a version for good.
+#[rstest]
+#[case::removed(false)]
+#[case::replaced(true)]
+fn software_version_remembered(#[case] is_replaced: bool) {
+    let mut log = Log::default();
+    let with_software = |software: &str, target| AnnouncedTarget {
+        software: Some(software.parse().unwrap()),
+        ..target
+    };
+    let versions = |log: &Log| {
+        let versions = log.state.software_versions(&"engines".parse().unwrap());
+        versions.iter().map(ToString::to_string).collect::<Vec<_>>()
+    };
+    log.register(with_software("v1", engine("e1", 1)));
+    log.register(with_software("v2", engine("e2", 1)));
+    log.now = 1_000;
+    match is_replaced {
+        true => drop(log.register(with_software("v1", engine("e2", 2)))),
+        false => {
+            let (target, incarnation) = ("e2".parse().unwrap(), Incarnation(1));
+            log.apply(Command::RemoveTarget { target, incarnation, is_leaving: true });
+        }
+    }
+    assert_eq!(versions(&log), ["v1", "v2"]);
+    log.now += SOFTWARE_MEMORY_MS;
+    log.register(with_software("v1", engine("e3", 1)));
+    assert_eq!(versions(&log), ["v1"]);
+}
--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -4,7 +4,7 @@
 
 use jsonrpsee::core::async_trait;
 use shallotdrum_control::{Proposal, Reply};
-use shallotdrum_engine::{Announcement, CacheEvents};
+use shallotdrum_engine::{Announcement, CacheEvents, StreamOrigin};
 use shallotdrum_owner::{OwnerService, PlaceAdmission};
 use shallotdrum_routes::RouteTable;
 use shallotdrum_rpc::{
@@ -12,8 +12,8 @@
     PlaceRequest, RenewReply, RenewRequest, ReplicaPosition, RpcError, SessionRow, WatchReply,
 };
 use shallotdrum_types::{
-    Base64Bytes, Fingerprint, Incarnation, InstanceId, LogIndex, PermitId, RequestIdentity,
-    SessionId, TargetId,
+    Base64Bytes, Fingerprint, Incarnation, InstanceId, LogIndex, PermitId, RequestId,
+    RequestIdentity, SessionId, TargetId,
 };
 
 use crate::replica::Replica;
@@ -94,18 +94,24 @@
             limits,
             left_ms,
             avoid,
+            software,
         } = request;
         let left = Duration::from_millis(left_ms);
         let fingerprint =
             fingerprint.unwrap_or_else(|| Fingerprint::of(request.as_str().as_bytes()));
         let identity = RequestIdentity { any_caller, ..fingerprint.into() };
-        let admission = PlaceAdmission { request, identity, subscriber, need, left, avoid, limits };
+        let admission =
+            PlaceAdmission { request, identity, subscriber, need, left, avoid, software, limits };
         Ok(match self.owner.take_place(&group, (session, place), admission).await {
             Ok(granted) => PlaceReply::Granted(granted),
             Err(error) => PlaceReply::Refused { error },
         })
     }
 
+    async fn stream_origin(&self, request: RequestId) -> Result<Option<StreamOrigin>, RpcError> {
+        Ok(self.owner.streams.find(&request))
+    }
+
     async fn end_places(&self, session: SessionId, ended: Vec<EndedPlace>) -> Result<(), RpcError> {
         for EndedPlace { place, end } in ended {
             self.owner.end_place((session, place), shallotdrum_gateway::to_finish(end));
--- a/crates/daemon/src/targets.rs
+++ b/crates/daemon/src/targets.rs
@@ -155,6 +155,7 @@
         region: announcement.region.clone(),
         zone: announcement.zone.clone(),
         kind: announcement.kind.clone(),
+        software: announcement.software.clone(),
     }
 }
 
--- a/crates/engine/src/messages.rs
+++ b/crates/engine/src/messages.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use shallotdrum_types::{
     AdapterRef, AvailabilityZone, BaseModelId, Epoch, Incarnation, PoolId, Region, RequestId,
-    TargetId, Tokens,
+    SoftwareVersion, TargetId, Tokens,
 };
 
 /// A target's registration, sent to any entry and renewed every second.
@@ -26,6 +26,10 @@
     pub zone: AvailabilityZone,
     /// What the target serves, and its capacity.
     pub kind: TargetKind,
+    /// Version of the target's software; streams of one version do not go on at another. Absent if the
+    /// target does not tell it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub software: Option<SoftwareVersion>,
     /// Current load.
     pub load: LoadReport,
 }
--- a/crates/engine/src/place.rs
+++ b/crates/engine/src/place.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
-use shallotdrum_types::{AdapterRef, Incarnation, RequestRate, TargetId};
+use shallotdrum_types::{AdapterRef, Incarnation, RequestRate, SoftwareVersion, TargetId};
 
 use crate::Priority;
 
@@ -43,6 +43,9 @@
     /// Whether the owner applies a limit that the target named.
     #[serde(default)]
     pub is_rate_limited: bool,
+    /// Version of the software of the process, if it tells one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub software: Option<SoftwareVersion>,
 }
 
 /// What an entry last saw of the limit on a target's requests.
@@ -58,3 +61,14 @@
     /// Time since the response that shows it, in milliseconds.
     pub age_ms: u64,
 }
+
+/// Software version at which a stream began, as far as one instance knows.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct StreamOrigin {
+    /// Version of the target's software.
+    pub software: SoftwareVersion,
+    /// Whether the first event came from this version; else a place was granted there last.
+    pub has_begun: bool,
+    /// Time since then, in milliseconds.
+    pub age_ms: u64,
+}
--- a/crates/fakes/src/presence.rs
+++ b/crates/fakes/src/presence.rs
@@ -152,6 +152,7 @@
                 region: self.identity.region.clone(),
                 zone: self.identity.zone.clone(),
                 kind: kind.clone(),
+                software: None,
                 load: load(),
             };
             let pause = match self.post("/targets/announce", &announcement, &mut first).await {
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -11,7 +11,7 @@
 };
 
 use bytes::Bytes;
-use http::{Request, Response, header};
+use http::{HeaderMap, Request, Response, header};
 use http_body_util::Full;
 use hyper::{
     body::Incoming,
@@ -174,10 +174,19 @@
 }
 
 /// Headers that apply to a single connection and are never forwarded.
-pub(crate) const CONNECTION_HEADERS: [header::HeaderName; 5] = [
+const CONNECTION_HEADERS: [header::HeaderName; 5] = [
     header::CONNECTION,
     header::TRANSFER_ENCODING,
     header::CONTENT_LENGTH,
     header::UPGRADE,
     header::TE,
 ];
+
+/// Removes the headers of a target's response that apply to its connection only.
+pub(crate) fn response_headers(mut headers: HeaderMap) -> HeaderMap {
+    for name in CONNECTION_HEADERS {
+        headers.remove(name);
+    }
+    headers.remove("keep-alive");
+    headers
+}
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -10,7 +10,7 @@
 };
 
 use bytes::Bytes;
-use http::{HeaderMap, Request, Response, StatusCode};
+use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use shallotdrum_control::ControlView;
@@ -20,7 +20,7 @@
 use shallotdrum_telemetry::{Metrics, event};
 use shallotdrum_types::{
     Fingerprint, FreshnessFn, PoolId, RequestError, RequestErrorKind, RequestId, RequestIdentity,
-    Revision, SubscriberId, TargetId,
+    Revision, SoftwareVersion, SubscriberId, TargetId,
 };
 use tokio::{
     task::JoinHandle,
@@ -31,7 +31,7 @@
     CallerRequest, Dispatch, EntryCount, GatewayResponse, Generation, HeaderCodec, RetryAllowance,
     RetryBudget,
     body::{BodyBuffers, discard},
-    connections::{CONNECTION_HEADERS, Connection, ConnectionPool, SendError},
+    connections::{Connection, ConnectionPool, SendError, response_headers},
     decision::{RequestProgress, RetryDecision, SendFailure, decide_retry},
     errors::{
         target_failed, target_refused, target_timed_out, target_unreachable, timed_out_waiting,
@@ -92,6 +92,8 @@
     pub(crate) identity: RequestIdentity,
     /// Quarantined part of the prompt with which the first send is permitted.
     permitted_part: Option<Fingerprint>,
+    /// Software version that the events received by the caller came from.
+    pub(crate) software: Option<SoftwareVersion>,
     pub(crate) route: Route,
     pub(crate) pool: PoolId,
     /// Revision of the route table that selected the pool.
@@ -255,6 +257,7 @@
         let revision = routes.table().revision;
         drop(routes);
         let identity = request_identity(&req);
+        let software = self.required_software(&req, &pool).await?;
         let permitted_part = self.cx.owner.admit_relayed(&identity)?;
         self.with_budget(&pool, |budget, now| {
             budget.count_request(now, &self.cx.retries);
@@ -264,6 +267,7 @@
             resume_after: req.resume_after.clone(),
             identity,
             permitted_part,
+            software,
             req,
             route,
             pool,
@@ -392,6 +396,7 @@
             need: need.clone(),
             left: Duration::ZERO,
             avoid: run.avoid.clone(),
+            software: run.software.clone(),
             limits: Vec::new(),
         };
         let place = self
@@ -418,7 +423,9 @@
             "caller" => run.req.caller.map(|caller| caller.to_string()),
             "prompt" => run.req.generation.as_ref().map(Generation::part_ids), "route" => &run.route.name,
             "revision" => run.revision.0, "version" => dispatch.version.as_ref().map(ToString::to_string),
-            "target" => %granted.target, "send" => run.sends + 1, "left_ms" => left.as_millis() as u64);
+            "target" => %granted.target,
+            "software" => granted.software.as_ref().map(ToString::to_string),
+            "resumes" => run.req.resumes.as_ref().map(ToString::to_string), "send" => run.sends + 1, "left_ms" => left.as_millis() as u64);
         let target = granted.target.clone();
         let running = self.cx.owner.enter_relayed(granted, &run.req.id, run.identity.clone());
         let sent_at = Instant::now();
@@ -548,6 +555,7 @@
             req: self.req.clone(),
             identity: self.identity.clone(),
             permitted_part: self.permitted_part,
+            software: self.software.clone(),
             route: self.route.clone(),
             pool: self.pool.clone(),
             revision: self.revision,
@@ -582,12 +590,3 @@
         self.0.dec();
     }
 }
-
-/// Removes the headers of a target's response that apply to its connection only.
-pub(crate) fn response_headers(mut headers: HeaderMap) -> HeaderMap {
-    for name in CONNECTION_HEADERS {
-        headers.remove(name);
-    }
-    headers.remove("keep-alive");
-    headers
-}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 mod fingerprint;
 mod limits;
 mod need;
+mod origin;
 mod places;
 mod relay;
 mod request;
--- a/crates/gateway/src/places.rs
+++ b/crates/gateway/src/places.rs
@@ -20,7 +20,8 @@
 };
 use shallotdrum_telemetry::event;
 use shallotdrum_types::{
-    GroupId, Incarnation, PoolId, RequestError, RequestErrorKind, RequestRate, SessionId, TargetId,
+    GroupId, Incarnation, PoolId, RequestError, RequestErrorKind, RequestRate, SessionId,
+    SoftwareVersion, TargetId,
 };
 use tokio::time::Instant;
 
@@ -215,6 +216,7 @@
         deadline: Instant,
     ) -> Result<Place, RequestError> {
         loop {
+            self.check_software(pool, admission.software.as_ref())?;
             let left = deadline.saturating_duration_since(Instant::now());
             let admission = PlaceAdmission { left, ..admission.clone() };
             let error = match self.try_take(pool, admission.clone(), deadline).await {
@@ -241,6 +243,25 @@
         }
     }
 
+    /// Fails if no target of the pool runs the required version of its software, so that the request
+    /// does not wait for one.
+    fn check_software(
+        &self,
+        pool: &PoolId,
+        required: Option<&SoftwareVersion>,
+    ) -> Result<(), RequestError> {
+        let Some(software) = required else { return Ok(()) };
+        let is_served = self.0.view.read(|state| {
+            let mut targets = state.targets().filter(|target| target.announced.pool == *pool);
+            targets.any(|target| !target.draining && runs_software(&target.announced, required))
+        });
+        if is_served {
+            return Ok(());
+        }
+        let detail = format!("no target of pool {pool} runs version {software} any more");
+        Err(RequestError::not_run(RequestErrorKind::NoTarget, detail))
+    }
+
     /// Selects a target without the owner, if one can serve the request as it is.
     fn take_without_owner(&self, pool: &PoolId, admission: &PlaceAdmission) -> Option<Place> {
         let adapter = match &admission.need {
@@ -253,6 +274,7 @@
                 let announced = &target.announced;
                 announced.pool == *pool
                     && !target.draining
+                    && runs_software(announced, admission.software.as_ref())
                     && !admission.avoid.contains(&announced.target)
                     // Without an owner, nobody knows how much of a limit is left.
                     && !limits.is_limited(&announced.target, announced.incarnation)
@@ -272,6 +294,7 @@
             addr: target.addr,
             priority: DEFAULT_PRIORITY,
             is_rate_limited: false,
+            software: target.software,
         };
         let granted_by = GrantedBy::NoOwner { target: chosen };
         let guard = PlaceGuard { places: self.clone(), end: PlaceEnd::Cancelled, granted_by };
@@ -309,6 +332,7 @@
             any_caller: admission.identity.any_caller,
             left_ms: admission.left.as_millis() as u64,
             avoid: admission.avoid,
+            software: admission.software,
             limits: admission.limits,
         };
         let client = self.0.peers.get(addr).map_err(|e| owner_unreachable(&group, &e))?;
@@ -404,7 +428,13 @@
             hash.as_bytes().first_chunk::<8>().copied().map(u64::from_le_bytes)
         };
         self.0.view.read(|state| {
-            let groups = state.groups_of_pool(pool).filter(|group| !group.targets.is_empty());
+            let software = admission.software.as_ref();
+            let has_software = |target: &TargetId| {
+                let target = state.target(target);
+                target.is_some_and(|target| runs_software(&target.announced, software))
+            };
+            let groups = state.groups_of_pool(pool);
+            let groups = groups.filter(|group| group.targets.iter().any(has_software));
             let owned = groups.filter_map(|group| {
                 let owner = group.owner?;
                 let addr = state.session(owner)?.info.addrs.rpc;
@@ -415,6 +445,11 @@
     }
 }
 
+/// Whether a target runs the required version of its software.
+fn runs_software(target: &AnnouncedTarget, required: Option<&SoftwareVersion>) -> bool {
+    required.is_none() || target.software.as_ref() == required
+}
+
 fn no_owner(pool: &PoolId) -> RequestError {
     let detail = format!("no instance currently owns the targets of pool {pool}; retry later");
     RequestError::not_run(RequestErrorKind::NotReady, detail).retry_after(NO_OWNER_RETRY_AFTER)
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -15,11 +15,11 @@
 
 use crate::{
     EventSplitter, Gateway, GatewayResponse, StreamBody,
-    connections::Connection,
+    connections::{Connection, response_headers},
     crash::{ends_with_connection, is_alive_after_end},
     decision::SendFailure,
     errors::{target_failed, target_timed_out},
-    exchange::{Received, RequestRun, response_headers},
+    exchange::{Received, RequestRun},
     places::Place,
     request::StreamBroken,
 };
@@ -104,7 +104,12 @@
         let status = parts.status;
         let body = StreamPart { body, ends_with_connection };
         let headers = response_headers(parts.headers);
-        let run = run.take_for_relay();
+        let mut run = run.take_for_relay();
+        if first.is_some() {
+            run.software.clone_from(&self.place.granted.software);
+            let streams = &self.gateway.cx.owner.streams;
+            streams.record_begin(run.id(), run.software.as_ref());
+        }
         tokio::spawn(self.relay(run, first, body, splitter, tx));
         Ok(StartedStream {
             response: GatewayResponse::Stream { status, headers, body: StreamBody(rx) },
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -34,6 +34,8 @@
     pub generation: Option<Generation>,
     /// Id of the last event that the caller received, if it resumes a stream.
     pub resume_after: Option<String>,
+    /// Request of the caller that brought the first event of the stream that it resumes.
+    pub resumes: Option<RequestId>,
 }
 
 /// Model parameters of a request, used for scheduling.
--- a/crates/owner/src/call.rs
+++ b/crates/owner/src/call.rs
@@ -366,6 +366,7 @@
             deadline: call.deadline,
             is_suspect,
             avoid: avoid.to_vec(),
+            software: None,
             max_concurrent: limits.1,
         }
     }
--- a/crates/owner/src/completion.rs
+++ b/crates/owner/src/completion.rs
@@ -8,7 +8,8 @@
 use shallotdrum_scheduler::{AdmissionRequest, Finish, Lease, RequestKind};
 use shallotdrum_telemetry::event;
 use shallotdrum_types::{
-    Fingerprint, Outcome, RequestError, RequestErrorKind, RequestIdentity, TargetId,
+    Fingerprint, Outcome, RequestError, RequestErrorKind, RequestIdentity, SoftwareVersion,
+    TargetId,
 };
 use tokio::{sync::mpsc, time::Instant};
 
@@ -42,6 +43,8 @@
     may_have_run: bool,
     /// Targets that already failed or refused the request.
     avoid: Vec<TargetId>,
+    /// Software version of the target that generated the text so far, if it tells one.
+    software: Option<SoftwareVersion>,
 }
 
 /// How one attempt ended.
@@ -83,6 +86,7 @@
             may_have_run: false,
             text: resume.map(|resume| resume.text).unwrap_or_default(),
             avoid: Vec::new(),
+            software: None,
         };
         let mut last_error = owner_changed(&call.group);
         for _ in 0..MAX_ATTEMPTS {
@@ -176,6 +180,7 @@
             match event {
                 Ok(Some(Ok(EngineEvent::Chunk(chunk)))) => {
                     run.record_chunk(&chunk);
+                    run.software.clone_from(&lease.software);
                     lease.tokens(chunk.tokens);
                     // A closed channel is handled by the `select!` above.
                     let _ = tx.send(Frame::Chunk(chunk)).await;
@@ -318,6 +323,7 @@
             deadline: run.deadline,
             is_suspect,
             avoid: run.avoid.clone(),
+            software: run.software.clone(),
             max_concurrent: limits.max_concurrent_requests,
         })
     }
--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -5,7 +5,7 @@
 //! listener in the owner. `service` synchronizes the owned groups with the control log,
 //! `completion` runs model requests, `call` runs calls to plain services, `places` grants
 //! reservations at targets, `load` and `base` send load orders, `inspect` queries the state of
-//! engines, `crash` detects
+//! engines, `streams` remembers where streams began, `crash` detects
 //! requests that crash targets, `relayed` those that entries send themselves, `quarantine` refuses them, `runs` and `part_runs`
 //! count what speaks against a suspicion, and `unrecorded` holds the crashes that the control log
 //! does not have yet.
@@ -28,6 +28,7 @@
 mod runs;
 mod server;
 mod service;
+mod streams;
 mod unanswered;
 mod unrecorded;
 
@@ -47,3 +48,4 @@
 pub use service::{NotOwned, ORDER_TIMEOUT, OwnerService, TARGET_TIMEOUT};
 pub use shallotdrum_engine::full_body;
 pub use shallotdrum_scheduler::{Finish, LoadFailure, LoadOrder};
+pub use streams::StreamOrigins;
--- a/crates/owner/src/places.rs
+++ b/crates/owner/src/places.rs
@@ -17,8 +17,8 @@
 use shallotdrum_scheduler::{AdmissionRequest, Finish, GroupScheduler, Lease, RequestKind};
 use shallotdrum_telemetry::event;
 use shallotdrum_types::{
-    GroupId, RequestError, RequestErrorKind, RequestId, RequestIdentity, SessionId, SubscriberId,
-    TargetId, Weight,
+    GroupId, RequestError, RequestErrorKind, RequestId, RequestIdentity, SessionId,
+    SoftwareVersion, SubscriberId, TargetId, Weight,
 };
 use tokio::sync::Notify;
 
@@ -46,6 +46,8 @@
     pub left: Duration,
     /// Targets that already failed or refused the request.
     pub avoid: Vec<TargetId>,
+    /// Software version of a target at which the request may run; any if absent.
+    pub software: Option<SoftwareVersion>,
     /// Limits of the group's targets that the entry knows of.
     pub limits: Vec<ObservedLimit>,
 }
@@ -142,9 +144,11 @@
             addr: lease.addr,
             priority: lease.priority,
             is_rate_limited: lease.is_rate_limited,
+            software: lease.software.clone(),
         };
+        self.streams.record_grant(&request, granted.software.as_ref());
         event!(self.cx.log, PLACE_GRANTED; "request" => %request, "target" => %granted.target,
-            "group" => %group, "epoch" => owned.epoch.0,
+            "software" => granted.software.as_ref().map(ToString::to_string), "group" => %group, "epoch" => owned.epoch.0,
             "waited_ms" => lease.queue_wait.as_millis() as u64,
             "stall_ms" => lease.load_stall.as_millis() as u64);
         let unclaimed = match self.places.lock().get_mut(&key) {
@@ -206,6 +210,7 @@
         deadline: (Instant::now() + admission.left).into(),
         is_suspect: false,
         avoid: admission.avoid,
+        software: admission.software,
         max_concurrent: None,
     }
 }
--- a/crates/owner/src/service.rs
+++ b/crates/owner/src/service.rs
@@ -32,6 +32,7 @@
     load::{OrderCount, Ownership, load_fn},
     places::PlaceTable,
     quarantine::Suspensions,
+    streams::StreamOrigins,
 };
 
 /// Timeout of a load order. It is part of `LOST_OWNER_SETTLE_MS`, for which a new owner waits
@@ -62,6 +63,8 @@
     in_progress: Arc<AtomicUsize>,
     is_stopping: AtomicBool,
     pub(crate) places: PlaceTable,
+    /// Where streams began that this instance sent, or granted places for.
+    pub streams: StreamOrigins,
     /// Requests that this instance sends to targets under a place.
     pub(crate) relayed: Arc<CrashDetector>,
     pub(crate) suspensions: Suspensions,
@@ -143,6 +146,7 @@
             in_progress: Arc::default(),
             is_stopping: AtomicBool::new(false),
             places: PlaceTable::default(),
+            streams: StreamOrigins::default(),
             relayed: CrashDetector::new(Isolation::Shared),
             suspensions: Suspensions::default(),
             releasing: tokio::sync::Mutex::default(),
@@ -546,6 +550,7 @@
             addr: announced.addr,
             zone: announced.zone,
             kind: announced.kind,
+            software: announced.software,
         }
     }
 
--- a/crates/rpc/src/api.rs
+++ b/crates/rpc/src/api.rs
@@ -2,11 +2,11 @@
 
 use jsonrpsee::proc_macros::rpc;
 use shallotdrum_control::{Proposal, Reply};
-use shallotdrum_engine::{Announcement, CacheEvents};
+use shallotdrum_engine::{Announcement, CacheEvents, StreamOrigin};
 use shallotdrum_routes::RouteTable;
 use shallotdrum_types::{
-    AdapterId, Base64Bytes, Fingerprint, Incarnation, InstanceId, LogIndex, PermitId, Revision,
-    SessionId, SubmissionId, TargetId,
+    AdapterId, Base64Bytes, Fingerprint, Incarnation, InstanceId, LogIndex, PermitId, RequestId,
+    Revision, SessionId, SubmissionId, TargetId,
 };
 
 use crate::{
@@ -73,6 +73,11 @@
     #[method(name = "place_take")]
     async fn take_place(&self, request: PlaceRequest) -> Result<PlaceReply, RpcError>;
 
+    /// Returns the software version at which the stream of a request began, if this instance sent it
+    /// or granted a place for it.
+    #[method(name = "stream_origin")]
+    async fn stream_origin(&self, request: RequestId) -> Result<Option<StreamOrigin>, RpcError>;
+
     /// Releases places of a session and cancels those that are still queued; served by the owner.
     #[method(name = "place_end")]
     async fn end_places(&self, session: SessionId, ended: Vec<EndedPlace>) -> Result<(), RpcError>;
--- a/crates/rpc/src/places.rs
+++ b/crates/rpc/src/places.rs
@@ -7,7 +7,8 @@
 use serde::{Deserialize, Serialize};
 use shallotdrum_engine::{GrantedPlace, ObservedLimit, Requirements};
 use shallotdrum_types::{
-    Fingerprint, GroupId, RequestError, RequestId, SessionId, SubscriberId, TargetId,
+    Fingerprint, GroupId, RequestError, RequestId, SessionId, SoftwareVersion, SubscriberId,
+    TargetId,
 };
 
 /// Requests a place at a target of a group.
@@ -38,6 +39,9 @@
     pub left_ms: u64,
     /// Targets on which earlier attempts failed.
     pub avoid: Vec<TargetId>,
+    /// Software version of a target at which the request may run; any if absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub software: Option<SoftwareVersion>,
 }
 
 /// Reply to a [`PlaceRequest`].
--- a/crates/scheduler/benches/policies.rs
+++ b/crates/scheduler/benches/policies.rs
@@ -365,6 +365,7 @@
                 addr: "127.0.0.1:1".parse().expect("address"),
                 zone: name("suva-a"),
                 kind: TargetKind::Service { max_concurrent: PLACES },
+                software: None,
                 orders_allowed_from: Instant::now(),
             });
         }
@@ -466,6 +467,7 @@
                 max_batch: MAX_BATCH,
                 checks_fencing: true,
             },
+            software: None,
             orders_allowed_from: Instant::now(),
         });
         // The slots are reconciled after two reports.
@@ -496,6 +498,7 @@
         deadline: Instant::now() + DEADLINE,
         is_suspect: false,
         avoid: Vec::new(),
+        software: None,
         max_concurrent: None,
     }
 }
--- a/crates/scheduler/src/api.rs
+++ b/crates/scheduler/src/api.rs
@@ -6,8 +6,8 @@
 use serde::{Deserialize, Serialize};
 use shallotdrum_engine::{OrderRefusal, TargetKind};
 use shallotdrum_types::{
-    AdapterRef, AvailabilityZone, Fingerprint, Incarnation, RequestId, SubscriberId, TargetId,
-    Weight,
+    AdapterRef, AvailabilityZone, Fingerprint, Incarnation, RequestId, SoftwareVersion,
+    SubscriberId, TargetId, Weight,
 };
 use tokio::time::Instant;
 
@@ -91,6 +91,8 @@
     pub zone: AvailabilityZone,
     /// Kind and limits of the target.
     pub kind: TargetKind,
+    /// Version of the software of the process, if it tells one.
+    pub software: Option<SoftwareVersion>,
     /// Earliest time at which this owner may send load orders.
     pub orders_allowed_from: Instant,
 }
@@ -147,6 +149,8 @@
     pub is_suspect: bool,
     /// Targets on which the request already failed.
     pub avoid: Vec<TargetId>,
+    /// Software version of a target at which the request may run; any if absent.
+    pub software: Option<SoftwareVersion>,
     /// Limit on the subscriber's queued and running requests; unlimited if absent.
     pub max_concurrent: Option<u32>,
 }
--- a/crates/scheduler/src/group.rs
+++ b/crates/scheduler/src/group.rs
@@ -9,7 +9,9 @@
 
 use futures_util::FutureExt;
 use shallotdrum_engine::{CacheEvents, LoadReport, Priority};
-use shallotdrum_types::{Incarnation, RequestError, RequestErrorKind, RequestRate, TargetId};
+use shallotdrum_types::{
+    Incarnation, RequestError, RequestErrorKind, RequestRate, SoftwareVersion, TargetId,
+};
 use tokio::{
     runtime::Handle,
     sync::Notify,
@@ -242,6 +244,8 @@
     pub addr: SocketAddr,
     /// Whether the target names a limit on its requests.
     pub is_rate_limited: bool,
+    /// Version of the software of the process, if it tells one.
+    pub software: Option<SoftwareVersion>,
     /// Priority to pass to the engine.
     pub priority: Priority,
     /// Time in the queue, including the load stall.
@@ -264,9 +268,27 @@
 
 impl Lease {
     fn new(grant: Grant, guard: RequestGuard) -> Self {
-        let Grant { target, incarnation, addr, is_rate_limited, priority, queue_wait, load_stall } =
-            grant;
-        Self { target, incarnation, addr, is_rate_limited, priority, queue_wait, load_stall, guard }
+        let Grant {
+            target,
+            incarnation,
+            addr,
+            is_rate_limited,
+            software,
+            priority,
+            queue_wait,
+            load_stall,
+        } = grant;
+        Self {
+            target,
+            incarnation,
+            addr,
+            is_rate_limited,
+            software,
+            priority,
+            queue_wait,
+            load_stall,
+            guard,
+        }
     }
 
     /// Records that the request is being sent. Before this call, the target cannot be running it.
--- a/crates/scheduler/src/state/admission.rs
+++ b/crates/scheduler/src/state/admission.rs
@@ -7,7 +7,7 @@
 use shallotdrum_types::{RequestError, RequestErrorKind, SubscriberId};
 use tokio::{sync::oneshot, time::Instant};
 
-use super::{Adapter, Grant, QueueId, QueuedRequest, State, SubKey};
+use super::{Adapter, Exclusion, Grant, QueueId, QueuedRequest, State, SubKey};
 use crate::{
     api::{AdmissionRequest, MAX_REQUEST_DEADLINE, Policy, RequestKind},
     fair::{Account, Cost, Seq},
@@ -101,7 +101,10 @@
             RequestKind::Base { prompt_prefix_hashes, .. } => (None, prompt_prefix_hashes),
             RequestKind::Service { .. } => (None, Vec::new()),
         };
-        let is_restricted = request.is_suspect || is_base || !request.avoid.is_empty();
+        let is_restricted = request.is_suspect
+            || is_base
+            || !request.avoid.is_empty()
+            || request.software.is_some();
         let queue_id = match (self.cfg.policy, adapter) {
             (Policy::Baseline, _) => QueueId::Assigned(None),
             (Policy::Adaptive, _) if is_restricted => QueueId::Restricted,
@@ -123,6 +126,7 @@
             is_repeatable,
             is_suspect: request.is_suspect,
             avoid: request.avoid,
+            software: request.software,
             priority: Priority(DEFAULT_PRIORITY + steps),
             tx,
         };
@@ -179,10 +183,12 @@
             return Err(RequestError::not_run(RequestErrorKind::DeadlineExceeded, detail));
         }
         let is_completion = is_engine_request(&request.kind);
-        let can_serve = self
-            .targets
-            .values()
-            .any(|target| !target.is_draining && target.is_engine() == is_completion);
+        let exclusion = Exclusion { avoid: &[], software: request.software.as_ref() };
+        let can_serve = self.targets.values().any(|target| {
+            !target.is_draining
+                && target.is_engine() == is_completion
+                && !exclusion.excludes(target)
+        });
         if !can_serve {
             let detail = "no target of the group accepts requests; retry later";
             return Err(RequestError::not_run(RequestErrorKind::NoTarget, detail)
--- a/crates/scheduler/src/state/baseline.rs
+++ b/crates/scheduler/src/state/baseline.rs
@@ -22,7 +22,11 @@
         let usable: Vec<TargetKey> = self
             .targets
             .iter()
-            .filter(|(_, target)| !target.is_draining && target.is_engine() == is_engine)
+            .filter(|(_, target)| {
+                !target.is_draining
+                    && target.is_engine() == is_engine
+                    && !queued.exclusion().is_other_software(target)
+            })
             .map(|(key, _)| *key)
             .collect();
         let is_avoided = |key: &&TargetKey| queued.avoid.contains(&self.targets[*key].spec.id);
--- a/crates/scheduler/src/state/choice.rs
+++ b/crates/scheduler/src/state/choice.rs
@@ -1,9 +1,8 @@
 //! Selection of a target for a request among those that can serve it.
 
-use shallotdrum_types::TargetId;
 use tokio::time::Instant;
 
-use super::{AdmissionClass, State, SubKey};
+use super::{AdmissionClass, Exclusion, QueuedRequest, State, SubKey};
 use crate::{
     EngineModel,
     engine_model::{REMOTE_ZONE_MS, millis},
@@ -46,25 +45,25 @@
         adapter: AdapterKey,
         prefixes: &[u64],
         tokens: u64,
-        avoid: &[TargetId],
+        exclusion: Exclusion<'_>,
         now: Instant,
     ) -> Option<TargetKey> {
         let holders = self.adapters[adapter].holders.iter().copied().filter(|key| {
             let target = &self.targets[key];
             target.slots.get(adapter).is_some_and(|slot| slot.accepts_requests())
         });
-        self.choose(class, holders, prefixes, tokens, avoid, now)
+        self.choose(class, holders, prefixes, tokens, exclusion, now)
     }
 
     /// Chooses a target with capacity for a service call.
     pub(super) fn choose_service(
         &self,
         class: AdmissionClass,
-        avoid: &[TargetId],
+        exclusion: Exclusion<'_>,
         now: Instant,
     ) -> Option<TargetKey> {
         let services = self.targets.iter().filter(|(_, target)| !target.is_engine());
-        self.choose(class, services.map(|(key, _)| *key), &[], 0, avoid, now)
+        self.choose(class, services.map(|(key, _)| *key), &[], 0, exclusion, now)
     }
 
     /// Chooses an engine with capacity for a request on its base model.
@@ -73,11 +72,11 @@
         class: AdmissionClass,
         prefixes: &[u64],
         tokens: u64,
-        avoid: &[TargetId],
+        exclusion: Exclusion<'_>,
         now: Instant,
     ) -> Option<TargetKey> {
         let engines = self.targets.iter().filter(|(_, target)| target.is_engine());
-        self.choose(class, engines.map(|(key, _)| *key), prefixes, tokens, avoid, now)
+        self.choose(class, engines.map(|(key, _)| *key), prefixes, tokens, exclusion, now)
     }
 
     fn choose(
@@ -86,14 +85,14 @@
         keys: impl Iterator<Item = TargetKey>,
         prefixes: &[u64],
         tokens: u64,
-        avoid: &[TargetId],
+        exclusion: Exclusion<'_>,
         now: Instant,
     ) -> Option<TargetKey> {
         let eligible = keys.filter(|key| {
             let target = &self.targets[key];
             target.accepts_requests(now)
                 && self.may_admit(target, class, now)
-                && !avoid.contains(&target.spec.id)
+                && !exclusion.excludes(target)
         });
         let scored = eligible.map(|key| {
             let target = &self.targets[&key];
@@ -197,13 +196,22 @@
         LOAD_PACKING_WEIGHT * self.batching_weight() * target.utilization(now)
     }
 
-    /// Whether `avoid` contains every active target, so that it must be ignored.
-    pub(super) fn avoids_all(&self, avoid: &[TargetId], is_engine: bool, now: Instant) -> bool {
-        !self.targets.values().any(|target| {
-            target.is_engine() == is_engine
+    /// The exclusion of a request, without the targets to avoid if no other one is active.
+    pub(super) fn effective_exclusion<'a>(
+        &self,
+        queued: &'a QueuedRequest,
+        now: Instant,
+    ) -> Exclusion<'a> {
+        let exclusion = queued.exclusion();
+        let has_other = self.targets.values().any(|target| {
+            target.is_engine() == queued.is_engine
                 && target.is_active(now)
-                && !avoid.contains(&target.spec.id)
-        })
+                && !exclusion.excludes(target)
+        });
+        match has_other {
+            true => exclusion,
+            false => Exclusion { avoid: &[], ..exclusion },
+        }
     }
 }
 
--- a/crates/scheduler/src/state/dispatch.rs
+++ b/crates/scheduler/src/state/dispatch.rs
@@ -4,7 +4,7 @@
 
 use tokio::time::Instant;
 
-use super::{AdmissionClass, State};
+use super::{AdmissionClass, Exclusion, State};
 use crate::{
     api::Policy,
     fair::{Seq, Tag},
@@ -31,7 +31,7 @@
                 key,
                 &queued.prefixes,
                 queued.prompt_tokens,
-                &[],
+                Exclusion::NONE,
                 now,
             ) {
                 Some(target) => self.grant(seq, target, now),
@@ -52,7 +52,8 @@
             if !self.targets.values().any(has_capacity) {
                 return;
             }
-            let first = self.first_service(|class| self.choose_service(class, &[], now));
+            let first =
+                self.first_service(|class| self.choose_service(class, Exclusion::NONE, now));
             let Some((seq, target)) = first else { return };
             self.grant(seq, target, now);
         }
@@ -90,27 +91,24 @@
 
     fn choose_restricted(&self, seq: Seq, now: Instant) -> Option<TargetKey> {
         let queued = &self.queued[&seq];
-        let avoid = match self.avoids_all(&queued.avoid, queued.is_engine, now) {
-            true => &[][..],
-            false => &queued.avoid,
-        };
+        let exclusion = self.effective_exclusion(queued, now);
         match queued.adapter {
             Some(adapter) => self.choose_holder(
                 queued.admission_class(),
                 adapter,
                 &queued.prefixes,
                 queued.prompt_tokens,
-                avoid,
+                exclusion,
                 now,
             ),
             None if queued.is_engine => self.choose_base_engine(
                 queued.admission_class(),
                 &queued.prefixes,
                 queued.prompt_tokens,
-                avoid,
+                exclusion,
                 now,
             ),
-            None => self.choose_service(queued.admission_class(), avoid, now),
+            None => self.choose_service(queued.admission_class(), exclusion, now),
         }
     }
 
@@ -133,11 +131,11 @@
         }
         let queued = &self.queued[&seq];
         let is_engine = queued.is_engine;
-        let ignores_avoid = self.avoids_all(&queued.avoid, is_engine, now);
+        let exclusion = self.effective_exclusion(queued, now);
         let allowed = self.targets.iter().filter(|(_, target)| {
             target.accepts_requests(now)
                 && target.is_engine() == is_engine
-                && (ignores_avoid || !queued.avoid.contains(&target.spec.id))
+                && !exclusion.excludes(target)
         });
         let (key, _) = allowed.min_by_key(|(_, target)| {
             let holds = queued
--- a/crates/scheduler/src/state/mod.rs
+++ b/crates/scheduler/src/state/mod.rs
@@ -26,7 +26,9 @@
 
 use rand::{SeedableRng, rngs::StdRng};
 use shallotdrum_engine::Priority;
-use shallotdrum_types::{AdapterRef, Incarnation, RequestError, SubscriberId, TargetId, Tokens};
+use shallotdrum_types::{
+    AdapterRef, Incarnation, RequestError, SoftwareVersion, SubscriberId, TargetId, Tokens,
+};
 use tokio::{sync::oneshot, time::Instant};
 
 use crate::{
@@ -195,6 +197,7 @@
     is_repeatable: bool,
     is_suspect: bool,
     avoid: Vec<TargetId>,
+    software: Option<SoftwareVersion>,
     priority: Priority,
     tx: oneshot::Sender<Result<Grant, RequestError>>,
 }
@@ -203,6 +206,32 @@
     fn admission_class(&self) -> AdmissionClass {
         AdmissionClass { sub: self.sub, is_repeatable: self.is_repeatable }
     }
+
+    /// Targets at which the request must not run.
+    fn exclusion(&self) -> Exclusion<'_> {
+        Exclusion { avoid: &self.avoid, software: self.software.as_ref() }
+    }
+}
+
+/// Targets at which a request must not run.
+#[derive(Clone, Copy)]
+struct Exclusion<'a> {
+    /// Ignored if no other target is left.
+    avoid: &'a [TargetId],
+    /// Only targets with this software version are left.
+    software: Option<&'a SoftwareVersion>,
+}
+
+impl Exclusion<'_> {
+    const NONE: Self = Self { avoid: &[], software: None };
+
+    fn is_other_software(&self, target: &Target) -> bool {
+        self.software.is_some_and(|required| target.spec.software.as_ref() != Some(required))
+    }
+
+    fn excludes(&self, target: &Target) -> bool {
+        self.avoid.contains(&target.spec.id) || self.is_other_software(target)
+    }
 }
 
 /// Properties of a request that decide which part of a target's capacity it may use.
@@ -234,6 +263,7 @@
     pub(crate) incarnation: Incarnation,
     pub(crate) addr: SocketAddr,
     pub(crate) is_rate_limited: bool,
+    pub(crate) software: Option<SoftwareVersion>,
     pub(crate) priority: Priority,
     pub(crate) queue_wait: Duration,
     pub(crate) load_stall: Duration,
@@ -449,6 +479,7 @@
             incarnation: target.spec.incarnation,
             addr: target.spec.addr,
             is_rate_limited: target.limit.is_some(),
+            software: target.spec.software.clone(),
             priority: queued.priority,
             queue_wait: now - queued.queued_at,
             load_stall,
--- a/crates/scheduler/src/state/planner.rs
+++ b/crates/scheduler/src/state/planner.rs
@@ -242,10 +242,9 @@
         if queued.is_suspect && required_target.is_none() {
             return None;
         }
-        let avoid = match self.avoids_all(&queued.avoid, true, now) {
-            true => Vec::new(),
-            false => queued.avoid.clone(),
-        };
+        let exclusion = self.effective_exclusion(queued, now);
+        let excluded = self.targets.values().filter(|target| exclusion.excludes(target));
+        let avoid: Vec<_> = excluded.map(|target| target.spec.id.clone()).collect();
         let is_held = row.holders.iter().any(|key| {
             let target = &self.targets[key];
             let is_allowed = required_target.is_none_or(|required| required == *key);
--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -155,6 +155,7 @@
         addr: "127.0.0.1:1".parse().unwrap(),
         zone: "suva-a".parse().unwrap(),
         kind,
+        software: None,
         orders_allowed_from: Instant::now(),
     }
 }
@@ -190,6 +191,7 @@
         deadline: Instant::now() + Duration::from_secs(60),
         is_suspect: false,
         avoid: Vec::new(),
+        software: None,
         max_concurrent: None,
     }
 }
--- a/crates/scheduler/tests/targets.rs
+++ b/crates/scheduler/tests/targets.rs
@@ -6,7 +6,9 @@
 
 use rstest::rstest;
 use shallotdrum_engine::{OrderRefusal, TargetKind};
-use shallotdrum_scheduler::{Finish, LoadFailure, LoadOrder, RequestKind, SchedulerConfig};
+use shallotdrum_scheduler::{
+    AdmissionRequest, Finish, LoadFailure, LoadOrder, RequestKind, SchedulerConfig, TargetSpec,
+};
 use shallotdrum_types::RequestErrorKind;
 use support::{
     adapter, answered, completion, config, counts, engine_spec, group, group_with, request_of_kind,
@@ -316,3 +318,37 @@
     assert!(asked_at.elapsed() >= Duration::from_millis(150));
     lease.finish(answered(1));
 }
+
+/// Guards against resuming a stream at a target whose software has another version, also when the
+/// only target with its version failed before, and against waiting when there is none.
+#[rstest]
+#[case::adapter(true)]
+#[case::base(false)]
+#[tokio::test(start_paused = true)]
+async fn required_software(#[case] is_adapter: bool) {
+    let group = group(config());
+    for (id, software) in [("e1", "v1"), ("e2", "v2"), ("e3", "v1")] {
+        let software = Some(software.parse().unwrap());
+        group.scheduler.upsert_target(TargetSpec { software, ..engine_spec(id, 1, 2, 4) });
+        group.report(id, 1, 0, &[]);
+        group.report(id, 1, 0, &[]);
+    }
+    let base =
+        RequestKind::Base { prompt_tokens: 10, max_tokens: 100, prompt_prefix_hashes: Vec::new() };
+    let request = |software: &str, avoid: &[&str]| AdmissionRequest {
+        software: Some(software.parse().unwrap()),
+        avoid: avoid.iter().map(|id| target(id)).collect(),
+        ..match is_adapter {
+            true => completion("light", "a"),
+            false => request_of_kind("light", base.clone()),
+        }
+    };
+    for avoid in [&[][..], &["e2"]] {
+        let lease = group.run(request("v2", avoid), HOLD).await.unwrap().unwrap();
+        assert_eq!(lease.target, "e2");
+    }
+    let lease = group.run(request("v1", &["e1"]), HOLD).await.unwrap().unwrap();
+    assert_eq!(lease.target, "e3");
+    let refused = group.admit(request("v3", &[])).await.unwrap_err();
+    assert_eq!(refused.kind, RequestErrorKind::NoTarget);
+}
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -166,6 +166,8 @@
         STREAM_INTERRUPTED = "N0417", Info, "stream from a target was interrupted", "check the target if it repeats";
         TARGET_LIMIT_NAMED = "N0419", Info, "target named another limit on its requests, or none", "none; see the events of its group's owner";
         TARGET_LIMIT_MALFORMED = "N0420", Warning, "target named a limit that is not a decimal number; ignored", "correct the target";
+        STREAM_ORIGIN_FOUND = "N0421", Info, "found the software version at which a stream began that a caller takes up", "none";
+        STREAM_ORIGIN_UNKNOWN = "N0422", Warning, "refused to take up a stream: its software version is unknown, and the pool had several", "none for single streams; the instances that knew it were stopped";
         ROUTES_CHANGED = "N0413", Info, "route table in force", "none";
         INPUT_REFUSED = "N0414", Warning, "malformed message refused", "correct the sender";
         ENTRY_CLOSED = "N0410", Info, "entry listener closed, all requests finished", "none";
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -27,7 +27,8 @@
 pub use model::{AdapterRef, GroupId, ModelName, ParseGroupIdError, ParseModelNameError};
 pub use names::{
     AdapterId, AdapterVersion, AvailabilityZone, BaseModelId, IdempotencyKey, InstanceId,
-    ParseNameError, PoolId, Region, RequestId, ServiceId, SubmissionId, SubscriberId, TargetId,
+    ParseNameError, PoolId, Region, RequestId, ServiceId, SoftwareVersion, SubmissionId,
+    SubscriberId, TargetId,
 };
 pub use outcome::{Outcome, ParseOutcomeError, RequestError, RequestErrorKind};
 pub use rate::{ParseRateError, RequestRate};
--- a/crates/types/src/names.rs
+++ b/crates/types/src/names.rs
@@ -48,6 +48,11 @@
     pub struct PoolId;
 }
 
+name_type! {
+    /// Name of a version of the software that a target runs.
+    pub struct SoftwareVersion;
+}
+
 name_type! {
     /// Name of a target; stable across restarts.
     pub struct TargetId;
