Send nothing to targets that say in a response that they leave

Callers' requests went on to a target that had said in all its responses that it leaves, until it was gone.

Cause: a target counted as leaving only when it reported so itself or left the registry; the mark on its responses was not read.

The entry that gets such a response withholds all further requests from the process at once, also without an owner or control replicas, and marks the target as draining in the control log for the others.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -155,7 +155,7 @@
         tokio::spawn(async move {
             while let Some(gateway) = weak.upgrade() {
                 gateway.count_entries();
-                gateway.places.expire_limits();
+                gateway.places.expire();
                 drop(gateway);
                 tokio::time::sleep(EXPIRE_INTERVAL).await;
                 connections.expire();
@@ -468,6 +468,9 @@
         // A misdirected request reached another process.
         if parts.status != StatusCode::MISDIRECTED_REQUEST {
             self.places.record_limit(&place.granted, sent_at, info.limit);
+            if info.is_leaving {
+                self.places.record_leaving(&place.granted);
+            }
         }
         if info.is_not_run {
             running.end();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,7 +4,8 @@
 //! a reservation at a target, from the owner of the target's group, and `connections` is the
 //! connection pool. `relay` forwards event streams, `fallback` selects a target while a group has
 //! no owner, `need` describes a request to the owner, `budget` limits retries,
-//! `body` reads whole responses, `limits` keeps the limits that targets name, and `decision` holds
+//! `body` reads whole responses, `limits` keeps the limits that targets name, `withheld` the targets that
+//! ask for no requests, `origin` finds the version of a stream that a caller takes up, and `decision` holds
 //! the retry rules. `fingerprint` recognises repeats of a request, and `crash` those that crash
 //! targets.
 //!
@@ -27,6 +28,7 @@
 mod places;
 mod relay;
 mod request;
+mod withheld;
 
 pub use budget::{EntryCount, RetryAllowance, RetryBudget};
 pub use connections::{Connection, ConnectionPool, SendError};
--- a/crates/gateway/src/places.rs
+++ b/crates/gateway/src/places.rs
@@ -20,14 +20,15 @@
 };
 use shallotdrum_telemetry::event;
 use shallotdrum_types::{
-    GroupId, Incarnation, PoolId, RequestError, RequestErrorKind, RequestRate, SessionId,
-    SoftwareVersion, TargetId,
+    GroupId, PoolId, RequestError, RequestErrorKind, RequestRate, SessionId, SoftwareVersion,
+    TargetId,
 };
 use tokio::time::Instant;
 
 use crate::{
     FallbackSelector,
     limits::{LimitChange, TargetLimits},
+    withheld::{Process, WithheldTargets},
 };
 
 /// Delay before the owner of a group is looked up again.
@@ -36,6 +37,13 @@
 /// `Retry-After` while a group has no reachable owner: about a session lease.
 const NO_OWNER_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Number of places at targets that take no requests after which a request is refused. The second one
+/// is granted only if the owner has no other target.
+const MAX_WITHHELD_GRANTS: usize = 2;
+
+/// `Retry-After` if all targets leave: about as long as another one takes to start.
+const WITHHELD_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// Priority of a request that was not scheduled by an owner.
 const DEFAULT_PRIORITY: Priority = Priority(64);
 
@@ -62,6 +70,7 @@
     next_place: AtomicU64,
     fallback: Mutex<FallbackSelector>,
     limits: Mutex<TargetLimits>,
+    withheld: Mutex<WithheldTargets>,
     /// Time of the latest reply of each owner.
     last_replies: Mutex<HashMap<SocketAddr, Instant>>,
 }
@@ -139,6 +148,7 @@
             next_place: AtomicU64::new(1),
             fallback: Mutex::default(),
             limits: Mutex::default(),
+            withheld: Mutex::default(),
             last_replies: Mutex::default(),
         }))
     }
@@ -172,14 +182,46 @@
         }
     }
 
-    /// Forgets the limits of processes that have ended.
-    pub(crate) fn expire_limits(&self) {
-        let is_current = |(target, incarnation): &(TargetId, Incarnation)| {
+    fn withheld(&self) -> MutexGuard<'_, WithheldTargets> {
+        self.0.withheld.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Records that a target says in a response that it leaves.
+    pub(crate) fn record_leaving(&self, place: &GrantedPlace) {
+        let GrantedPlace { target, incarnation, .. } = place;
+        if self.withheld().record_leaving((target.clone(), *incarnation)) {
+            event!(self.0.log, TARGET_LEAVING_NAMED;
+                "target" => %target, "incarnation" => incarnation.0);
+            self.0.owner.drain_target(target.clone(), *incarnation);
+        }
+    }
+
+    /// Targets of a pool to which this entry sends no requests, and that are not known as draining
+    /// to all instances.
+    fn withheld_targets(&self, pool: &PoolId) -> Vec<TargetId> {
+        let withheld = self.withheld();
+        self.0.view.read(|state| {
+            let is_granted = |(id, incarnation): &&Process| {
+                state.target(id).is_some_and(|target| {
+                    let announced = &target.announced;
+                    announced.pool == *pool
+                        && announced.incarnation == *incarnation
+                        && !target.draining
+                })
+            };
+            withheld.iter().filter(is_granted).map(|(target, _)| target.clone()).collect()
+        })
+    }
+
+    /// Forgets what processes that have ended said in responses.
+    pub(crate) fn expire(&self) {
+        let is_current = |(target, incarnation): &Process| {
             self.0.view.read(|state| {
                 state.target(target).is_some_and(|t| t.announced.incarnation == *incarnation)
             })
         };
         self.limits().expire(is_current);
+        self.withheld().expire(is_current);
     }
 
     /// Records that a target refused a request for an adapter.
@@ -208,12 +250,37 @@
         last_replies.insert(addr, Instant::now());
     }
 
-    /// Waits until the deadline for a place in a pool.
+    /// Waits until the deadline for a place in a pool, at a target to which this entry sends
+    /// requests.
     pub(crate) async fn take(
         &self,
         pool: &PoolId,
         admission: PlaceAdmission,
         deadline: Instant,
+    ) -> Result<Place, RequestError> {
+        let request = admission.request.clone();
+        for _ in 0..MAX_WITHHELD_GRANTS {
+            let mut admission = admission.clone();
+            admission.avoid.extend(self.withheld_targets(pool));
+            let place = self.take_any(pool, admission, deadline).await?;
+            let process = (place.granted.target.clone(), place.granted.incarnation);
+            if !self.withheld().contains(&process) {
+                return Ok(place);
+            }
+            // The owner may not know it yet, or has no other target.
+            event!(self.0.log, PLACE_WITHHELD; "request" => %request, "target" => %process.0);
+        }
+        let detail = format!("the targets of pool {pool} that could serve take no requests");
+        Err(RequestError::not_run(RequestErrorKind::NoTarget, detail)
+            .retry_after(WITHHELD_RETRY_AFTER))
+    }
+
+    /// Waits until the deadline for a place in a pool.
+    async fn take_any(
+        &self,
+        pool: &PoolId,
+        admission: PlaceAdmission,
+        deadline: Instant,
     ) -> Result<Place, RequestError> {
         loop {
             self.check_software(pool, admission.software.as_ref())?;
@@ -269,6 +336,7 @@
             Requirements::Call { .. } => None,
         };
         let limits = self.limits();
+        let withheld = self.withheld_targets(pool);
         let candidates: Vec<AnnouncedTarget> = self.0.view.read(|state| {
             let targets = state.targets().filter(|target| {
                 let announced = &target.announced;
@@ -276,6 +344,7 @@
                     && !target.draining
                     && runs_software(announced, admission.software.as_ref())
                     && !admission.avoid.contains(&announced.target)
+                    && !withheld.contains(&announced.target)
                     // Without an owner, nobody knows how much of a limit is left.
                     && !limits.is_limited(&announced.target, announced.incarnation)
             });
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -153,6 +153,8 @@
     pub is_not_run: bool,
     /// Whether the response carries a target's signature.
     pub is_signed: bool,
+    /// Whether the target says that it leaves.
+    pub is_leaving: bool,
     /// Limit on its requests that the target names, or the text that is not one.
     pub limit: Option<Result<RequestRate, String>>,
 }
--- a/crates/owner/src/service.rs
+++ b/crates/owner/src/service.rs
@@ -258,6 +258,25 @@
         Ok(())
     }
 
+    /// Marks a target process as draining in the control log, so that no instance sends it new work.
+    pub fn drain_target(self: &Arc<Self>, target: TargetId, incarnation: Incarnation) {
+        let is_ready = self.cx.view.read(|state| {
+            let current = state.target(&target);
+            current.is_some_and(|t| t.announced.incarnation == incarnation && !t.draining)
+        });
+        if !is_ready {
+            return;
+        }
+        let service = self.clone();
+        tokio::spawn(async move {
+            let _ = service.leave(&target, incarnation);
+            let drain = Command::DrainTarget { target: target.clone(), drain: true };
+            if let Err(error) = service.cx.propose(drain).await {
+                event!(service.cx.log, TARGET_DRAIN_FAILED; "target" => %target, "error" => %error);
+            }
+        });
+    }
+
     /// Applies cache events of an engine, which correct the estimate of its prefix cache.
     pub fn cache_events(&self, events: &CacheEvents) -> Result<(), NotOwned> {
         self.group_of(&events.target)?.scheduler.cache_events(events);
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -168,6 +168,8 @@
         TARGET_LIMIT_MALFORMED = "N0420", Warning, "target named a limit that is not a decimal number; ignored", "correct the target";
         STREAM_ORIGIN_FOUND = "N0421", Info, "found the software version at which a stream began that a caller takes up", "none";
         STREAM_ORIGIN_UNKNOWN = "N0422", Warning, "refused to take up a stream: its software version is unknown, and the pool had several", "none for single streams; the instances that knew it were stopped";
+        TARGET_LEAVING_NAMED = "N0423", Info, "target says in a response that it leaves; it takes no new requests", "none";
+        PLACE_WITHHELD = "N0424", Info, "place not used: its target asked for no more requests", "none, unless it persists for a target";
         ROUTES_CHANGED = "N0413", Info, "route table in force", "none";
         INPUT_REFUSED = "N0414", Warning, "malformed message refused", "correct the sender";
         ENTRY_CLOSED = "N0410", Info, "entry listener closed, all requests finished", "none";
@@ -191,6 +193,7 @@
         TARGET_LEFT = "T0602", Info, "target left", "none";
         TARGET_RELAY_FAILED = "T0610", Debug, "cannot relay the announcement of a registered target to its owner", "none; see the instance that owns the group";
         TARGET_DRAINING = "T0609", Info, "target is draining; it takes no new requests until it leaves", "none";
+        TARGET_DRAIN_FAILED = "T0611", Warning, "cannot mark a target as draining that says it leaves; this instance sends it no requests", "check the control replicas if it persists";
         TARGET_LOST = "T0603", Warning, "target stopped announcing itself", "check the target's machine and process";
         TARGET_REMOVAL_FAILED = "T0607", Warning, "cannot remove an unresponsive target", "check the control replicas";
         TARGET_CRASHED = "T0604", Error, "target crashed with requests in flight", "check the target's own log";
