Leave a target alone for the pause that it asks for with a refusal

Most callers were refused though three of four services were idle, and the fourth, which asked for a pause with each refusal, got all requests.

Cause: Retry-After of a target's 503 was not read. A target that refuses at once has no requests in progress, so it looked the least loaded.

If all targets are withheld, callers get 503 with the time to the first end.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -471,6 +471,9 @@
             if info.is_leaving {
                 self.places.record_leaving(&place.granted);
             }
+            if let Some(pause) = info.pause {
+                self.places.record_pause(&place.granted, pause);
+            }
         }
         if info.is_not_run {
             running.end();
--- a/crates/gateway/src/places.rs
+++ b/crates/gateway/src/places.rs
@@ -196,6 +196,14 @@
         }
     }
 
+    /// Records that a target refused a request and asked this entry for a pause.
+    pub(crate) fn record_pause(&self, place: &GrantedPlace, pause: Duration) {
+        let GrantedPlace { target, incarnation, .. } = place;
+        event!(self.0.log, TARGET_PAUSED; "target" => %target, "incarnation" => incarnation.0,
+            "pause_ms" => pause.as_millis() as u64);
+        self.withheld().record_pause((target.clone(), *incarnation), pause);
+    }
+
     /// Targets of a pool to which this entry sends no requests, and that are not known as draining
     /// to all instances.
     fn withheld_targets(&self, pool: &PoolId) -> Vec<TargetId> {
@@ -271,8 +279,8 @@
             event!(self.0.log, PLACE_WITHHELD; "request" => %request, "target" => %process.0);
         }
         let detail = format!("the targets of pool {pool} that could serve take no requests");
-        Err(RequestError::not_run(RequestErrorKind::NoTarget, detail)
-            .retry_after(WITHHELD_RETRY_AFTER))
+        let retry_after = self.withheld().shortest_pause().unwrap_or(WITHHELD_RETRY_AFTER);
+        Err(RequestError::not_run(RequestErrorKind::NoTarget, detail).retry_after(retry_after))
     }
 
     /// Waits until the deadline for a place in a pool.
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -169,6 +169,7 @@
         STREAM_ORIGIN_FOUND = "N0421", Info, "found the software version at which a stream began that a caller takes up", "none";
         STREAM_ORIGIN_UNKNOWN = "N0422", Warning, "refused to take up a stream: its software version is unknown, and the pool had several", "none for single streams; the instances that knew it were stopped";
         TARGET_LEAVING_NAMED = "N0423", Info, "target says in a response that it leaves; it takes no new requests", "none";
+        TARGET_PAUSED = "N0425", Info, "target refused a request and takes none from this instance for a time", "check the target's load if it repeats";
         PLACE_WITHHELD = "N0424", Info, "place not used: its target asked for no more requests", "none, unless it persists for a target";
         ROUTES_CHANGED = "N0413", Info, "route table in force", "none";
         INPUT_REFUSED = "N0414", Warning, "malformed message refused", "correct the sender";
