Choose the causes of crashes anew, a path when no single caller is one

Cause: the identity of a request by one caller and that by any caller competed as rivals; the first, once certain, removed its crashes from the second for good. The log shows the path at 2, then 0 crashes at each caller's quarantine.

All crashes are kept now. With each report the causes are chosen from all of them: a caller if it was aboard all crashes of the path, the path if no single caller was. Callers whose runs outweigh their crashes are served on, and their further runs do not speak for newcomers. The end of a path's quarantine permits one request.

New in control, not run on the old code, whose reports lack the callers: caller after caller, trusted callers, one permitted request, a bystander that is reported first.

--- a/crates/control/src/command.rs
+++ b/crates/control/src/command.rs
@@ -12,7 +12,7 @@
     SoftwareVersion, SubmissionId, SubscriberId, TargetId,
 };
 
-use crate::{CompletedRuns, Isolation, PartRun, SuspectPart};
+use crate::{CallerIdentity, CompletedRuns, Isolation, PartRun, SuspectPart};
 
 /// Log entry: a command with the control time at which the leader proposed it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -139,6 +139,9 @@
         /// Identities in `requests` that stand for the same request by any caller.
         #[serde(default, skip_serializing_if = "Vec::is_empty")]
         any_caller: Vec<Fingerprint>,
+        /// Which of these identities belong to the same request.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        callers: Vec<CallerIdentity>,
         /// Successful runs of these requests shortly before the crash that were not reported yet.
         #[serde(default, skip_serializing_if = "Vec::is_empty")]
         completed: Vec<CompletedRuns>,
@@ -157,8 +160,8 @@
         #[serde(default, skip_serializing_if = "Vec::is_empty")]
         part_runs: Vec<PartRun>,
     },
-    /// Ends the temporary quarantine of a request, or permits the sender one request with a
-    /// quarantined part. Refused until the time has passed.
+    /// Ends the temporary quarantine of a request by one caller, or permits the sender one request by
+    /// any caller or with a quarantined part. Refused until the time has passed.
     EndSuspension {
         /// Request or part; no effect if it is not quarantined, or only until an operator lifts it.
         request: Fingerprint,
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -18,8 +18,8 @@
     SESSION_LEASE, SessionTable, assignments, permit_term, rebalance,
 };
 pub use state::{
-    CRASH_SETTLE_MS, CRASHES_TO_QUARANTINE, Call, CallResult, CompletedRuns, ControlState,
-    DecodeError, FIRST_PART_OBSERVATION_MS, Group, GroupKind, Handover, Isolation,
+    CRASH_SETTLE_MS, CRASHES_TO_QUARANTINE, Call, CallResult, CallerIdentity, CompletedRuns,
+    ControlState, DecodeError, FIRST_PART_OBSERVATION_MS, Group, GroupKind, Handover, Isolation,
     LEDGER_LIFETIME_MS, LOST_OWNER_SETTLE_MS, MAX_GROUP_TARGETS, MAX_LEDGER_CALLS, MAX_QUARANTINED,
     MAX_RECORDED_BODY_BYTES, MAX_RECORDED_BYTES, MAX_RECORDED_HEADER_BYTES, MAX_SUBMISSIONS,
     MAX_SUSPECTS, PART_CRASHES_TO_QUARANTINE, PART_LIFETIME_MS, PART_OBSERVATION_MS,
--- a/crates/control/src/state/mod.rs
+++ b/crates/control/src/state/mod.rs
@@ -6,6 +6,7 @@
 //! the ledger's advances with every command, the shared one only with commands that followers
 //! receive.
 
+mod causes;
 mod groups;
 mod ledger;
 mod manifests;
@@ -53,8 +54,8 @@
 pub use snapshot::DecodeError;
 pub use software::SOFTWARE_MEMORY_MS;
 pub use suspects::{
-    CRASHES_TO_QUARANTINE, CompletedRuns, Isolation, MAX_QUARANTINED, MAX_SUSPECTS, Quarantined,
-    RUNS_PER_CRASH, SHARED_CRASHES_TO_QUARANTINE, SUSPECT_LIFETIME_MS, SUSPENSION_MS,
+    CRASHES_TO_QUARANTINE, CallerIdentity, CompletedRuns, Isolation, MAX_QUARANTINED, MAX_SUSPECTS,
+    Quarantined, RUNS_PER_CRASH, SHARED_CRASHES_TO_QUARANTINE, SUSPECT_LIFETIME_MS, SUSPENSION_MS,
 };
 
 /// Replicated control state; on followers, the ledger is empty.
@@ -434,6 +435,7 @@
                 requests,
                 isolation,
                 any_caller,
+                callers,
                 completed,
                 parts,
                 part_runs,
@@ -444,15 +446,16 @@
                     requests,
                     isolation,
                     any_caller,
+                    callers,
                     completed,
                     parts,
                     part_runs,
                 };
-                self.suspects.report(report, now);
+                self.suspects.report(&report, now);
                 Ok(Reply::Done)
             }
             Command::ReportRuns { completed, part_runs } => {
-                self.suspects.complete(&completed, &part_runs);
+                self.suspects.complete(&completed, &part_runs, now);
                 Ok(Reply::Done)
             }
             Command::EndSuspension { request } => {
--- a/crates/control/src/state/parts.rs
+++ b/crates/control/src/state/parts.rs
@@ -198,6 +198,12 @@
         self.parts.get(part).map_or(0, |state| state.crashes.len() as u32)
     }
 
+    /// Crashes of a quarantined part.
+    pub(super) fn quarantined_crashes(&self, part: &Fingerprint) -> BTreeSet<u64> {
+        let state = self.parts.get(part).filter(|state| state.quarantine.is_some());
+        state.map(|state| state.crashes.clone()).unwrap_or_default()
+    }
+
     pub(super) fn is_counted(&self, part: &Fingerprint, number: u64) -> bool {
         self.parts.get(part).is_some_and(|state| state.crashes.contains(&number))
     }
@@ -261,31 +267,27 @@
         self.parts.retain(|_, state| !state.crashes.is_empty());
     }
 
-    /// Chooses the causes of the crashes that have settled, and quarantines them. Returns the crashes
-    /// that the new ones explain.
-    pub(super) fn update_quarantine(
-        &mut self,
-        log: &CrashLog,
-        now: ControlTimeMs,
-    ) -> BTreeSet<u64> {
+    /// Chooses the causes of the crashes that have settled, and quarantines them. Returns whether that
+    /// changed any quarantine.
+    pub(super) fn update_quarantine(&mut self, log: &CrashLog, now: ControlTimeMs) -> bool {
         let undecided = CRASH_SETTLE_MS + SHARED_FIRST_PART_OBSERVATION_MS;
         if now.0.saturating_sub(self.reported.0) > undecided {
-            return BTreeSet::new();
+            return false;
         }
         let causes = self.causes(log.settled(now), now);
-        let mut explained = BTreeSet::new();
+        let mut has_changed = false;
         for (part, state) in &mut self.parts {
             match (causes.contains(part), state.quarantine) {
                 (true, None) => {
                     let suspension_ms = suspension_ms(state.permitted);
                     state.quarantine = Some(PartQuarantine { since: now, suspension_ms });
-                    explained.extend(&state.crashes);
                 }
                 (false, Some(_)) => state.quarantine = None,
-                _ => {}
+                _ => continue,
             }
+            has_changed = true;
         }
-        explained
+        has_changed
     }
 
     /// The likeliest causes of all crashes. Waits while one of them must be observed longer, or while
--- a/crates/control/src/state/suspects.rs
+++ b/crates/control/src/state/suspects.rs
@@ -3,14 +3,18 @@
 //! A crash has one cause. Of the requests that ran on the target, the cause is the one that crashes
 //! its targets and does not run to its end. Where requests run beside others, successful runs
 //! therefore count against the suspicion, and the crashes of a quarantined request no longer count
-//! against others. `parts` holds what is known of the parts of their prompts.
+//! against others. All crashes are kept, and `causes` chooses anew with each report. `parts` holds what
+//! is known of the parts of their prompts.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use serde::{Deserialize, Serialize};
 use shallotdrum_types::{ControlTimeMs, Fingerprint, Incarnation, TargetId};
 
-use super::parts::{CrashLog, PartQuarantine, PartRun, Parts, SuspectPart};
+use super::{
+    causes::{Evidence, choose_causes},
+    parts::{CrashLog, PartQuarantine, PartRun, Parts, SuspectPart},
+};
 use crate::CommandError;
 
 /// Number of crashes, of different target processes, after which a request is quarantined if
@@ -74,8 +78,20 @@
     pub runs: u64,
 }
 
+/// Identity of a request by one caller, and that of the same request by any caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct CallerIdentity {
+    /// The request by this caller.
+    pub request: Fingerprint,
+    /// The request by any caller.
+    pub any_caller: Fingerprint,
+}
+
 /// A crashed target process.
-type Crash = (TargetId, Incarnation);
+pub(super) type Crash = (TargetId, Incarnation);
+
+/// Crashes by the callers whose requests were aboard.
+pub(super) type CallerCrashes = BTreeMap<Fingerprint, BTreeSet<Crash>>;
 
 /// Quarantined request, which all instances refuse.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -84,7 +100,7 @@
     pub request: Fingerprint,
     /// Target processes that crashed while the request was running on them.
     pub crashes: BTreeSet<(TargetId, Incarnation)>,
-    /// Control time at which the request was quarantined.
+    /// Control time at which the request was quarantined, or one was permitted.
     pub since: ControlTimeMs,
     /// How the request ran.
     #[serde(default)]
@@ -98,20 +114,37 @@
     /// Number of earlier quarantines.
     #[serde(default)]
     pub earlier: u32,
+    /// Whether it stands for the request by any caller. Its end permits one request.
+    #[serde(default)]
+    pub is_any_caller: bool,
+    #[serde(default)]
+    pub(super) callers: CallerCrashes,
+    /// Number of requests permitted since it was quarantined.
+    #[serde(default)]
+    pub(super) permitted: u32,
 }
 
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-struct Suspect {
-    crashes: BTreeSet<Crash>,
-    last_crash: ControlTimeMs,
+pub(super) struct Suspect {
+    /// All crashes at which it was aboard.
+    pub(super) crashes: BTreeSet<Crash>,
+    /// Those of `crashes` that certainly have another cause.
+    #[serde(default)]
+    pub(super) explained: BTreeSet<Crash>,
+    pub(super) last_crash: ControlTimeMs,
     #[serde(default)]
-    completed: u64,
+    pub(super) completed: u64,
     /// Number of earlier quarantines.
     #[serde(default)]
-    quarantines: u32,
+    pub(super) quarantines: u32,
     /// Whether it stands for the request by any caller.
     #[serde(default)]
-    is_any_caller: bool,
+    pub(super) is_any_caller: bool,
+    /// Callers of a request by any caller.
+    #[serde(default)]
+    pub(super) callers: CallerCrashes,
+    #[serde(default)]
+    isolation: Isolation,
 }
 
 impl Quarantined {
@@ -119,17 +152,34 @@
     fn is_certain(&self) -> bool {
         self.isolation == Isolation::Shared && self.suspension_ms.is_none()
     }
+
+    fn into_suspect(self) -> Suspect {
+        Suspect {
+            crashes: self.crashes,
+            explained: BTreeSet::new(),
+            last_crash: self.since,
+            completed: self.completed,
+            quarantines: self.earlier,
+            is_any_caller: self.is_any_caller,
+            callers: self.callers,
+            isolation: self.isolation,
+        }
+    }
 }
 
 impl Suspect {
+    fn unexplained(&self) -> usize {
+        self.crashes.len() - self.explained.len()
+    }
+
     fn quarantined(
         self,
         request: Fingerprint,
         isolation: Isolation,
+        is_certain: bool,
         since: ControlTimeMs,
     ) -> Quarantined {
-        let is_shared = self.is_any_caller || self.completed > 0 || self.quarantines > 0;
-        let is_temporary = isolation == Isolation::Shared && is_shared;
+        let is_temporary = isolation == Isolation::Shared && !is_certain;
         Quarantined {
             request,
             crashes: self.crashes,
@@ -138,6 +188,9 @@
             suspension_ms: is_temporary.then(|| suspension_ms(self.quarantines)),
             completed: self.completed,
             earlier: self.quarantines,
+            is_any_caller: self.is_any_caller,
+            callers: self.callers,
+            permitted: 0,
         }
     }
 }
@@ -149,6 +202,7 @@
     pub(crate) isolation: Isolation,
     /// Those of `requests` that stand for a request by any caller.
     pub(crate) any_caller: Vec<Fingerprint>,
+    pub(crate) callers: Vec<CallerIdentity>,
     pub(crate) completed: Vec<CompletedRuns>,
     /// Parts of the prompts of `requests`.
     pub(crate) parts: Vec<SuspectPart>,
@@ -172,7 +226,7 @@
 
 impl Suspects {
     pub(crate) fn crashes(&self, request: &Fingerprint) -> u32 {
-        let suspect = self.suspects.get(request).map(|s| s.crashes.len());
+        let suspect = self.suspects.get(request).map(Suspect::unexplained);
         let quarantined = self.quarantined.get(request).map(|q| q.crashes.len());
         quarantined.or(suspect).map_or_else(|| self.parts.crashes(request), |n| n as u32)
     }
@@ -201,7 +255,9 @@
     }
 
     pub(crate) fn completed(&self, request: &Fingerprint) -> u64 {
-        self.suspects.get(request).map_or(0, |suspect| suspect.completed)
+        let suspect = self.suspects.get(request).map(|suspect| suspect.completed);
+        let quarantined = self.quarantined.get(request).map(|q| q.completed);
+        suspect.or(quarantined).unwrap_or_default()
     }
 
     /// Whether a crash is already counted for a request, or has another cause.
@@ -218,7 +274,8 @@
 
     /// Suspects with their numbers of crashes; excludes quarantined requests.
     pub(crate) fn suspects(&self) -> impl Iterator<Item = (Fingerprint, u32)> {
-        self.suspects.iter().map(|(request, suspect)| (*request, suspect.crashes.len() as u32))
+        let suspects = self.suspects.iter().filter(|(_, suspect)| suspect.unexplained() > 0);
+        suspects.map(|(request, suspect)| (*request, suspect.unexplained() as u32))
     }
 
     pub(crate) fn quarantine_of(&self, request: &Fingerprint) -> Option<&Quarantined> {
@@ -230,50 +287,89 @@
     }
 
     /// Records a crash of a target process for each request; a repeated report has no effect.
-    pub(crate) fn report(&mut self, report: CrashReport, now: ControlTimeMs) {
-        let CrashReport { crash, requests, isolation, any_caller, completed, parts, part_runs } =
-            report;
-        let number = self.log.record(&crash, now);
-        self.parts.report(number, &parts, now);
-        self.parts.complete(&part_runs);
-        if self.parts.is_explained(number) {
-            self.explain_crashes(&BTreeSet::from([crash.clone()]));
+    pub(crate) fn report(&mut self, report: &CrashReport, now: ControlTimeMs) {
+        let number = self.log.record(&report.crash, now);
+        self.parts.report(number, &report.parts, now);
+        self.parts.complete(&report.part_runs);
+        match report.isolation {
+            Isolation::Shared => {
+                self.record_shared(report, now);
+                self.add_runs(&report.completed);
+                self.update_quarantine(now);
+            }
+            Isolation::Alone => {
+                if !self.parts.is_explained(number) {
+                    self.record_alone(report, now);
+                }
+            }
         }
-        // A copy of a quarantined request that was still running explains the crash of its target.
-        for request in &requests {
-            if let Some(cause) = self.quarantined.get_mut(request).filter(|q| q.is_certain()) {
-                cause.crashes.insert(crash.clone());
-                let cause = cause.clone();
-                self.explain(&cause);
+    }
+
+    /// Records a crash for requests that ran alone, and quarantines those that crashed too many.
+    fn record_alone(&mut self, report: &CrashReport, now: ControlTimeMs) {
+        for request in &report.requests {
+            if !self.quarantined.contains_key(request) {
+                self.record_suspect(*request, report, now);
             }
         }
-        let is_explained = match isolation {
-            Isolation::Shared => self.is_explained(&crash),
-            Isolation::Alone => self.parts.is_explained(number),
-        };
-        for request in &requests {
-            if is_explained || self.quarantined.contains_key(request) {
-                continue;
+        self.add_runs(&report.completed);
+        for request in &report.requests {
+            let is_cause = |suspect: &&mut Suspect| {
+                report.isolation.is_cause(suspect.unexplained(), suspect.completed)
+            };
+            if self.suspects.get_mut(request).filter(is_cause).is_some()
+                && let Some(suspect) = self.suspects.remove(request)
+            {
+                self.quarantine(suspect.quarantined(*request, report.isolation, true, now));
             }
-            let suspect = self.suspects.entry(*request).or_default();
-            suspect.is_any_caller |= any_caller.contains(request);
-            if !suspect.crashes.insert(crash.clone()) {
-                continue;
+        }
+    }
+
+    /// Records a crash for requests that ran beside others, also for quarantined ones.
+    fn record_shared(&mut self, report: &CrashReport, now: ControlTimeMs) {
+        let crash = &report.crash;
+        for request in &report.requests {
+            match self.quarantined.get_mut(request) {
+                Some(quarantined) => drop(quarantined.crashes.insert(crash.clone())),
+                None => self.record_suspect(*request, report, now),
+            }
+        }
+        for CallerIdentity { request, any_caller } in &report.callers {
+            let quarantined = self.quarantined.get_mut(any_caller).map(|q| &mut q.callers);
+            let suspect = self.suspects.get_mut(any_caller).map(|suspect| &mut suspect.callers);
+            if let Some(callers) = quarantined.or(suspect) {
+                callers.entry(*request).or_default().insert(crash.clone());
             }
-            suspect.last_crash = now;
-            self.order.push_back((now, *request));
-            self.enforce_limit();
         }
-        self.add_runs(&completed);
-        self.quarantine_causes(&requests, isolation, now);
+    }
+
+    fn record_suspect(&mut self, request: Fingerprint, report: &CrashReport, now: ControlTimeMs) {
+        let suspect = self.suspects.entry(request).or_default();
+        suspect.is_any_caller |= report.any_caller.contains(&request);
+        suspect.isolation = report.isolation;
+        if !suspect.crashes.insert(report.crash.clone()) {
+            return;
+        }
+        suspect.last_crash = now;
+        self.order.push_back((now, request));
+        self.enforce_limit();
     }
 
     /// Records successful runs; enough of them clear a suspect or end its quarantine.
-    pub(crate) fn complete(&mut self, completed: &[CompletedRuns], part_runs: &[PartRun]) {
+    pub(crate) fn complete(
+        &mut self,
+        completed: &[CompletedRuns],
+        part_runs: &[PartRun],
+        now: ControlTimeMs,
+    ) {
         self.parts.complete(part_runs);
         self.add_runs(completed);
         for CompletedRuns { request, .. } in completed {
             let Some(quarantined) = self.quarantined.get_mut(request) else { continue };
+            if quarantined.permitted > 0 {
+                self.release(request, now);
+                continue;
+            }
             if Isolation::Shared.is_cause(quarantined.crashes.len(), quarantined.completed) {
                 // Some of its runs succeed, so it may be a request that many share.
                 quarantined.suspension_ms.get_or_insert(suspension_ms(quarantined.earlier));
@@ -283,7 +379,8 @@
         }
     }
 
-    /// Ends a temporary quarantine. A single further crash starts the next one.
+    /// Ends a temporary quarantine; of a request by any caller, permits one. A single further crash
+    /// starts the next quarantine.
     pub(crate) fn end_suspension(
         &mut self,
         request: Fingerprint,
@@ -296,32 +393,70 @@
         if now.0 < quarantined.since.0.saturating_add(suspension_ms) {
             return Err(CommandError::Suspended(request));
         }
-        if let Some(quarantined) = self.remove_quarantined(&request) {
-            let kept = Isolation::Shared.crashes_to_quarantine() - 1;
-            let suspect = Suspect {
-                crashes: quarantined.crashes.into_iter().take(kept).collect(),
-                last_crash: now,
-                quarantines: quarantined.earlier + 1,
-                ..Suspect::default()
-            };
-            self.suspects.insert(request, suspect);
-            self.order.push_back((now, request));
-            self.enforce_limit();
+        if quarantined.is_any_caller {
+            let quarantined = self.quarantined.get_mut(&request);
+            if let Some(quarantined) = quarantined {
+                quarantined.permitted += 1;
+                quarantined.since = now;
+                quarantined.suspension_ms =
+                    Some(self::suspension_ms(quarantined.earlier + quarantined.permitted));
+            }
+            return Ok(());
         }
+        self.release(&request, now);
         Ok(())
     }
 
+    /// Releases a request that is quarantined again after a single further crash.
+    fn release(&mut self, request: &Fingerprint, now: ControlTimeMs) {
+        let Some(quarantined) = self.remove_quarantined(request) else { return };
+        let kept = Isolation::Shared.crashes_to_quarantine() - 1;
+        let quarantines = quarantined.earlier + quarantined.permitted.max(1);
+        let mut suspect = quarantined.into_suspect();
+        suspect.crashes = suspect.crashes.into_iter().take(kept).collect();
+        (suspect.completed, suspect.quarantines, suspect.last_crash) = (0, quarantines, now);
+        self.suspects.insert(*request, suspect);
+        self.order.push_back((now, *request));
+        self.enforce_limit();
+    }
+
     pub(crate) fn lift(&mut self, request: Fingerprint) -> Result<(), CommandError> {
-        match self.remove_quarantined(&request).is_some() || self.parts.lift(&request) {
-            true => Ok(()),
-            false => Err(CommandError::NotQuarantined(request)),
+        let numbers = self.parts.quarantined_crashes(&request);
+        if self.parts.lift(&request) {
+            let crashes = numbers.iter().filter_map(|number| self.log.crash(*number)).collect();
+            self.forget(&crashes);
+            return Ok(());
+        }
+        match self.remove_quarantined(&request) {
+            Some(quarantined) => {
+                self.forget_explained(&quarantined);
+                Ok(())
+            }
+            None => Err(CommandError::NotQuarantined(request)),
         }
     }
 
     /// Forgets the crashes of a request, and releases it from quarantine.
     pub(crate) fn clear(&mut self, request: &Fingerprint) {
         self.suspects.remove(request);
-        self.remove_quarantined(request);
+        if let Some(quarantined) = self.remove_quarantined(request) {
+            self.forget_explained(&quarantined);
+        }
+    }
+
+    /// Keeps the crashes of a released request from being blamed on others.
+    fn forget_explained(&mut self, cause: &Quarantined) {
+        if cause.is_certain() {
+            self.forget(&cause.crashes);
+        }
+    }
+
+    fn forget(&mut self, crashes: &BTreeSet<Crash>) {
+        self.suspects.retain(|_, suspect| {
+            suspect.crashes.retain(|crash| !crashes.contains(crash));
+            suspect.explained.retain(|crash| !crashes.contains(crash));
+            !suspect.crashes.is_empty()
+        });
     }
 
     /// Removes suspects whose last crash is older than `SUSPECT_LIFETIME_MS`, and quarantines parts
@@ -333,10 +468,8 @@
             self.drop_oldest();
         }
         self.parts.expire(now);
-        let numbers = self.parts.update_quarantine(&self.log, now);
-        if !numbers.is_empty() {
-            let crashes = numbers.iter().filter_map(|number| self.log.crash(*number)).collect();
-            self.explain_crashes(&crashes);
+        if self.parts.update_quarantine(&self.log, now) {
+            self.update_quarantine(now);
         }
     }
 
@@ -350,68 +483,72 @@
         }
     }
 
-    /// Quarantines those of the requests that are the cause of their crashes, the likeliest ones
-    /// first, as their crashes then no longer count against the others.
-    fn quarantine_causes(
-        &mut self,
-        requests: &[Fingerprint],
-        isolation: Isolation,
-        now: ControlTimeMs,
-    ) {
-        loop {
-            let causes = requests.iter().filter_map(|request| {
-                let suspect = self.suspects.get(request)?;
-                let is_cause = isolation.is_cause(suspect.crashes.len(), suspect.completed);
-                is_cause.then_some(((suspect.completed, suspect.is_any_caller), *request))
-            });
-            let causes: BTreeSet<_> = causes.collect();
-            let Some((likeliest, _)) = causes.first().copied() else { return };
-            let causes = causes.into_iter().take_while(|(likelihood, _)| *likelihood == likeliest);
-            let quarantined: Vec<_> = causes
-                .filter_map(|(_, request)| {
-                    let suspect = self.suspects.remove(&request)?;
-                    Some(suspect.quarantined(request, isolation, now))
-                })
-                .collect();
-            for quarantined in quarantined {
-                self.explain(&quarantined);
-                self.quarantine(quarantined);
+    /// Chooses the causes of all crashes anew: quarantines them, and releases requests whose crashes
+    /// another cause explains.
+    fn update_quarantine(&mut self, now: ControlTimeMs) {
+        let suspects = self.suspects.iter().filter(|(_, s)| s.isolation == Isolation::Shared);
+        let suspects = suspects.map(|(request, suspect)| Evidence {
+            request: *request,
+            crashes: &suspect.crashes,
+            completed: suspect.completed,
+            is_repeated: suspect.quarantines > 0,
+            callers: suspect.is_any_caller.then_some(&suspect.callers),
+        });
+        let quarantined = self.quarantined.values().filter(|q| q.isolation == Isolation::Shared);
+        let quarantined = quarantined.map(|quarantined| Evidence {
+            request: quarantined.request,
+            crashes: &quarantined.crashes,
+            completed: quarantined.completed,
+            is_repeated: quarantined.earlier > 0 || quarantined.suspension_ms.is_some(),
+            callers: quarantined.is_any_caller.then_some(&quarantined.callers),
+        });
+        let evidence: Vec<_> = suspects.chain(quarantined).collect();
+        let is_explained = |crash: &Crash| {
+            self.log.number(crash).is_some_and(|number| self.parts.is_explained(number))
+        };
+        let causes = choose_causes(&evidence, is_explained, |caller| self.is_trusted(caller));
+
+        let quarantined = self.quarantined.values();
+        let quarantined = quarantined.filter(|q| q.isolation == Isolation::Shared);
+        let released = quarantined.filter(|q| !causes.contains_key(&q.request));
+        let released: Vec<_> = released.map(|q| q.request).collect();
+        for request in released {
+            let Some(quarantined) = self.remove_quarantined(&request) else { continue };
+            self.suspects.insert(request, quarantined.into_suspect());
+            self.order.push_back((now, request));
+        }
+        for (request, is_certain) in causes {
+            if let Some(suspect) = self.suspects.remove(&request) {
+                self.quarantine(suspect.quarantined(request, Isolation::Shared, is_certain, now));
             }
         }
+        self.update_explained();
+        self.enforce_limit();
     }
 
-    /// Whether a quarantined request is known as the cause of a crash.
-    fn is_explained(&self, crash: &Crash) -> bool {
-        let mut certain = self.quarantined.values().filter(|q| q.is_certain());
-        certain.any(|quarantined| quarantined.crashes.contains(crash))
-            || self.log.number(crash).is_some_and(|number| self.parts.is_explained(number))
+    /// Whether the successful runs of a caller's request outweigh its crashes.
+    fn is_trusted(&self, caller: &Fingerprint) -> bool {
+        let suspect = self.suspects.get(caller).map(|s| (s.crashes.len(), s.completed));
+        let quarantined = self.quarantined.get(caller).map(|q| (q.crashes.len(), q.completed));
+        suspect.or(quarantined).is_some_and(|(crashes, completed)| {
+            completed >= RUNS_PER_CRASH.saturating_mul(crashes as u64)
+        })
     }
 
-    /// Removes the crashes of a request that is certainly their cause from all others.
-    fn explain(&mut self, cause: &Quarantined) {
-        if !cause.is_certain() {
-            return;
+    fn update_explained(&mut self) {
+        let mut suspects = std::mem::take(&mut self.suspects);
+        for suspect in suspects.values_mut().filter(|s| s.isolation == Isolation::Shared) {
+            let explained = suspect.crashes.iter().filter(|crash| self.is_explained(crash));
+            suspect.explained = explained.cloned().collect();
         }
-        // Parts keep these crashes, as one of them may be the cause of those of the request.
-        self.explain_crashes(&cause.crashes);
+        self.suspects = suspects;
     }
 
-    /// Removes crashes whose cause is known from all other requests.
-    fn explain_crashes(&mut self, explained: &BTreeSet<Crash>) {
-        self.suspects.retain(|_, suspect| {
-            suspect.crashes.retain(|crash| !explained.contains(crash));
-            !suspect.crashes.is_empty()
-        });
-        let mut released = Vec::new();
-        for other in self.quarantined.values_mut().filter(|other| other.suspension_ms.is_some()) {
-            other.crashes.retain(|crash| !explained.contains(crash));
-            if !Isolation::Shared.is_cause(other.crashes.len(), other.completed) {
-                released.push(other.request);
-            }
-        }
-        for request in released {
-            self.remove_quarantined(&request);
-        }
+    /// Whether a quarantined request is known as the cause of a crash.
+    fn is_explained(&self, crash: &Crash) -> bool {
+        let mut certain = self.quarantined.values().filter(|q| q.is_certain());
+        certain.any(|quarantined| quarantined.crashes.contains(crash))
+            || self.log.number(crash).is_some_and(|number| self.parts.is_explained(number))
     }
 
     fn quarantine(&mut self, quarantined: Quarantined) {
--- a/crates/control/tests/follower.rs
+++ b/crates/control/tests/follower.rs
@@ -57,6 +57,7 @@
             requests: vec![request],
             isolation: if flag { Isolation::Shared } else { Isolation::Alone },
             any_caller: if incarnation % 2 == 0 { vec![request] } else { Vec::new() },
+            callers: Vec::new(),
             completed: vec![CompletedRuns { request, runs: incarnation }],
             parts: vec![SuspectPart {
                 part: Fingerprint::of(&[incarnation as u8]),
--- a/crates/control/tests/quarantine.rs
+++ b/crates/control/tests/quarantine.rs
@@ -4,9 +4,10 @@
 
 use common::Log;
 use shallotdrum_control::{
-    CRASH_SETTLE_MS, Command, CommandError, CompletedRuns, FIRST_PART_OBSERVATION_MS, Isolation,
-    MAX_SUSPECTS, PART_OBSERVATION_MS, PartRun, RUNS_PER_CRASH, Reply,
-    SHARED_PART_CRASHES_TO_QUARANTINE, SUSPECT_LIFETIME_MS, SUSPENSION_MS, SuspectPart,
+    CRASH_SETTLE_MS, CallerIdentity, Command, CommandError, CompletedRuns,
+    FIRST_PART_OBSERVATION_MS, Isolation, MAX_SUSPECTS, PART_OBSERVATION_MS, PartRun,
+    RUNS_PER_CRASH, Reply, SHARED_PART_CRASHES_TO_QUARANTINE, SUSPECT_LIFETIME_MS, SUSPENSION_MS,
+    SuspectPart,
 };
 use shallotdrum_types::{Fingerprint, Incarnation};
 
@@ -32,6 +33,7 @@
         requests,
         isolation,
         any_caller: Vec::new(),
+        callers: Vec::new(),
         completed: Vec::new(),
         parts: Vec::new(),
         part_runs: Vec::new(),
@@ -129,6 +131,10 @@
     assert_eq!(log.apply(clear("unknown")), Reply::Done);
 }
 
+fn caller_of_path(name: &&str) -> CallerIdentity {
+    CallerIdentity { request: request(name), any_caller: request("path") }
+}
+
 /// Reports a crash for requests of known callers, each with the identity of its path.
 fn path_crash(log: &mut Log, target: &str, callers: &[&str], runs: &[(&str, u64)]) {
     let requests = callers.iter().chain(&["path"]).map(|name| request(name)).collect();
@@ -138,6 +144,7 @@
         requests,
         isolation: Isolation::Shared,
         any_caller: vec![request("path")],
+        callers: callers.iter().map(caller_of_path).collect(),
         completed: completed(runs),
         parts: Vec::new(),
         part_runs: Vec::new(),
@@ -199,6 +206,75 @@
     assert!(!log.state.is_quarantined(&request("a")));
 }
 
+/// Guards against a path that costs three targets again with each new caller.
+#[test]
+fn crashing_path_caller_after_caller() {
+    let mut log = Log::default();
+    for target in ["e1", "e2", "e3"] {
+        path_crash(&mut log, target, &["a"], &[]);
+    }
+    assert!(!log.state.is_quarantined(&request("path")));
+    path_crash(&mut log, "e4", &["b"], &[]);
+    assert_eq!(suspension(&log, "path"), Some(SUSPENSION_MS));
+    assert_eq!(suspension(&log, "a"), None);
+    assert!(log.state.is_quarantined(&request("a")));
+    path_crash(&mut log, "e5", &["b"], &[]);
+    path_crash(&mut log, "e6", &["b"], &[]);
+    assert!(log.state.is_quarantined(&request("path")));
+}
+
+/// Guards against refusing a path because callers whose runs succeed were aboard crashes with other
+/// causes.
+#[test]
+fn crashing_path_of_trusted_callers() {
+    let mut log = Log::default();
+    for (target, caller) in [("e1", "a"), ("e2", "b"), ("e3", "c"), ("e4", "a")] {
+        path_crash(&mut log, target, &[caller], &[(caller, RUNS_PER_CRASH), ("path", 1)]);
+    }
+    assert!(!log.state.is_quarantined(&request("path")));
+}
+
+/// Guards against a released path that crashes as many targets as there are copies of the request.
+#[test]
+fn crashing_path_permits_one() {
+    let mut log = Log::default();
+    for (target, caller) in [("e1", "a"), ("e2", "b"), ("e3", "c")] {
+        path_crash(&mut log, target, &[caller], &[]);
+    }
+    let end = || Command::EndSuspension { request: request("path") };
+    log.now = SUSPENSION_MS - 1;
+    assert_eq!(log.refused(end()), CommandError::Suspended(request("path")));
+    log.now = SUSPENSION_MS;
+    assert_eq!(log.apply(end()), Reply::Done);
+    assert_eq!(suspension(&log, "path"), Some(2 * SUSPENSION_MS));
+    assert_eq!(log.refused(end()), CommandError::Suspended(request("path")));
+
+    // The run of the permitted request.
+    let runs = Command::ReportRuns { completed: completed(&[("path", 1)]), part_runs: Vec::new() };
+    assert_eq!(log.apply(runs), Reply::Done);
+    assert!(!log.state.is_quarantined(&request("path")));
+    path_crash(&mut log, "e4", &["d"], &[]);
+    assert_eq!(suspension(&log, "path"), Some(2 * SUSPENSION_MS));
+}
+
+/// Guards against a request that is quarantined for good because its crashes were reported before
+/// those of the one that caused them.
+#[test]
+fn crashing_request_reported_last() {
+    let mut log = Log::default();
+    for target in ["e1", "e2"] {
+        shared_crash(&mut log, target, 1, &["moved", "bad"]);
+    }
+    shared_crash(&mut log, "e3", 1, &["moved"]);
+    assert!(log.state.is_quarantined(&request("moved")));
+    shared_crash(&mut log, "e3", 1, &["bad"]);
+    assert!(!log.state.is_quarantined(&request("moved")));
+    shared_crash(&mut log, "e4", 1, &["bad"]);
+    assert!(log.state.is_quarantined(&request("bad")));
+    assert!(!log.state.is_quarantined(&request("moved")));
+    assert_eq!(log.state.suspect_crashes(&request("moved")), 0);
+}
+
 /// Guards against a quarantine of a path that many callers use while targets crash at the same time
 /// for another reason.
 #[test]
@@ -265,6 +341,7 @@
         requests: vec![request(&format!("request on {target}"))],
         isolation: Isolation::Shared,
         any_caller: Vec::new(),
+        callers: Vec::new(),
         completed: Vec::new(),
         parts: suspect_parts(parts),
         part_runs: Vec::new(),
@@ -435,6 +512,7 @@
             requests: vec![request("resumed")],
             isolation: Isolation::Shared,
             any_caller: Vec::new(),
+            callers: Vec::new(),
             completed: Vec::new(),
             parts: suspect_parts(parts),
             part_runs: Vec::new(),
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -90,8 +90,8 @@
     pub(crate) req: CallerRequest,
     /// Equal for repeats of the request with other ids.
     pub(crate) identity: RequestIdentity,
-    /// Quarantined part of the prompt with which the first send is permitted.
-    permitted_part: Option<Fingerprint>,
+    /// What is quarantined about the request and permitted for its first send.
+    permitted: Option<Fingerprint>,
     /// Software version that the events received by the caller came from.
     pub(crate) software: Option<SoftwareVersion>,
     pub(crate) route: Route,
@@ -258,7 +258,7 @@
         drop(routes);
         let identity = request_identity(&req);
         let software = self.required_software(&req, &pool).await?;
-        let permitted_part = self.cx.owner.admit_relayed(&identity)?;
+        let permitted = self.cx.owner.admit_relayed(&identity)?;
         self.with_budget(&pool, |budget, now| {
             budget.count_request(now, &self.cx.retries);
         });
@@ -266,7 +266,7 @@
             deadline: req.arrived + req.timeout.min(route.timeout),
             resume_after: req.resume_after.clone(),
             identity,
-            permitted_part,
+            permitted,
             software,
             req,
             route,
@@ -391,7 +391,7 @@
         let (need, version) = self.need(run);
         let admission = PlaceAdmission {
             request: run.req.id.clone(),
-            identity: run.admitted_identity(),
+            identity: self.cx.owner.identity_to_admit(run.admitted_identity()),
             subscriber: subscriber(run),
             need: need.clone(),
             left: Duration::ZERO,
@@ -539,8 +539,8 @@
 
     /// Identity to check for quarantines before the next send.
     fn admitted_identity(&self) -> RequestIdentity {
-        match &self.permitted_part {
-            Some(part) if self.sends == 0 => self.identity.without_part(part),
+        match &self.permitted {
+            Some(permitted) if self.sends == 0 => self.identity.without(permitted),
             _ => self.identity.clone(),
         }
     }
@@ -560,7 +560,7 @@
         Self {
             req: self.req.clone(),
             identity: self.identity.clone(),
-            permitted_part: self.permitted_part,
+            permitted: self.permitted,
             software: self.software.clone(),
             route: self.route.clone(),
             pool: self.pool.clone(),
--- a/crates/owner/src/crash.rs
+++ b/crates/owner/src/crash.rs
@@ -18,8 +18,8 @@
 };
 
 use shallotdrum_control::{
-    Command, ControlState, Isolation, PartRun, Reply, SHARED_PART_CRASHES_TO_QUARANTINE,
-    SuspectPart,
+    CallerIdentity, Command, ControlState, Isolation, PartRun, RUNS_PER_CRASH, Reply,
+    SHARED_PART_CRASHES_TO_QUARANTINE, SuspectPart,
 };
 use shallotdrum_engine::GrantedPlace;
 use shallotdrum_scheduler::Lease;
@@ -256,6 +256,13 @@
         self.isolation.is_cause(crashes, completed)
     }
 
+    /// Whether the successful runs of a caller's request outweigh its crashes.
+    pub(crate) fn is_trusted(&self, state: &ControlState, request: &Fingerprint) -> bool {
+        let runs = self.runs().remembered(request).max(state.suspect_runs(request));
+        let crashes = self.crashes(state, request) as u64;
+        runs > 0 && runs >= RUNS_PER_CRASH.saturating_mul(crashes)
+    }
+
     /// Whether the crashes known to this instance, of which the control log lacks some, are too many for
     /// requests with a part to be sent.
     pub(crate) fn is_known_cause_part(&self, state: &ControlState, part: &Fingerprint) -> bool {
@@ -340,6 +347,13 @@
         let mut any_caller: Vec<_> = identities.iter().filter_map(|i| i.any_caller).collect();
         any_caller.sort_unstable();
         any_caller.dedup();
+        let caller = |identity: &RequestIdentity| {
+            let RequestIdentity { request, any_caller, .. } = identity;
+            any_caller.map(|any_caller| CallerIdentity { request: *request, any_caller })
+        };
+        let mut callers: Vec<_> = identities.iter().filter_map(caller).collect();
+        callers.sort_unstable();
+        callers.dedup();
         let parts = suspect_parts(identities);
         let command = Command::ReportCrash {
             target: crash.0.clone(),
@@ -348,6 +362,7 @@
             requests: requests.clone(),
             isolation: self.isolation,
             any_caller,
+            callers,
             part_runs: self.part_runs().latest(parts.iter().map(|suspect| suspect.part)),
             parts: parts.clone(),
         };
--- a/crates/owner/src/quarantine.rs
+++ b/crates/owner/src/quarantine.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use shallotdrum_control::{Command, PartQuarantine, Quarantined, Reply};
+use shallotdrum_control::{Command, ControlState, PartQuarantine, Quarantined, Reply};
 use shallotdrum_telemetry::event;
 use shallotdrum_types::{
     ControlTimeMs, Fingerprint, RequestError, RequestErrorKind, RequestIdentity,
@@ -33,7 +33,7 @@
 #[derive(Default)]
 pub(crate) struct Suspensions {
     known: Mutex<HashMap<Fingerprint, Suspension>>,
-    /// Parts with which the control log permitted this instance one request, and since when.
+    /// Paths and parts with which the control log permitted this instance one request, and since when.
     permits: Mutex<HashMap<Fingerprint, Instant>>,
 }
 
@@ -43,7 +43,17 @@
     since: ControlTimeMs,
     /// Absent until an operator lifts it.
     duration: Option<Duration>,
-    is_part: bool,
+    kind: QuarantineKind,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum QuarantineKind {
+    /// A request by one caller.
+    Caller,
+    /// A request by any caller, except those whose runs succeed. Its end permits one.
+    AnyCaller,
+    /// A part of prompts. Its end permits one request.
+    Part,
 }
 
 struct SuspensionStatus {
@@ -81,18 +91,18 @@
         SuspensionStatus { left: suspension.ends_at - now, has_ended, is_new }
     }
 
-    /// Permits one request with a part.
-    fn permit(&self, part: Fingerprint) {
-        self.permits().insert(part, Instant::now());
+    /// Permits one request by any caller, or with a part.
+    fn permit(&self, quarantined: Fingerprint) {
+        self.permits().insert(quarantined, Instant::now());
     }
 
-    fn is_permitted(&self, part: &Fingerprint) -> bool {
-        self.permits().get(part).is_some_and(|since| since.elapsed() < PERMIT_LIFETIME)
+    fn is_permitted(&self, quarantined: &Fingerprint) -> bool {
+        self.permits().get(quarantined).is_some_and(|since| since.elapsed() < PERMIT_LIFETIME)
     }
 
-    fn take_permit(&self, part: &Fingerprint) {
+    fn take_permit(&self, quarantined: &Fingerprint) {
         let mut permits = self.permits();
-        permits.retain(|other, since| other != part && since.elapsed() < PERMIT_LIFETIME);
+        permits.retain(|other, since| other != quarantined && since.elapsed() < PERMIT_LIFETIME);
     }
 
     fn permits(&self) -> MutexGuard<'_, HashMap<Fingerprint, Instant>> {
@@ -109,13 +119,21 @@
 
 impl OwnerService {
     /// Refuses a request that has crashed too many targets, or with a part in its prompt that has,
-    /// unless the control log permitted this instance one request with the part. Returns that part.
+    /// unless the control log permitted this instance one request by any caller or with the part.
+    /// Returns which.
     pub fn admit_relayed(
         self: &Arc<Self>,
         identity: &RequestIdentity,
     ) -> Result<Option<Fingerprint>, RequestError> {
-        self.check_whole(identity)?;
-        self.admit_parts(&self.relayed, &identity.parts)
+        let Err(error) = self.check_whole(identity) else {
+            return self.admit_parts(&self.relayed, &identity.parts);
+        };
+        let permitted = identity.any_caller.filter(|path| self.suspensions.is_permitted(path));
+        let Some(path) = permitted else { return Err(error) };
+        self.check_relayed_quarantine(&identity.without(&path))?;
+        self.suspensions.take_permit(&path);
+        event!(self.cx.log, REQUEST_PERMITTED; "fingerprint" => %path);
+        Ok(Some(path))
     }
 
     /// Refuses a request that has crashed too many targets, or with such a part in its prompt.
@@ -127,20 +145,36 @@
         self.check_parts(&self.relayed, &identity.parts, None)
     }
 
+    /// The identity by which other instances decide on a request: a caller whose runs succeed is not
+    /// refused for the others of its path.
+    pub fn identity_to_admit(&self, identity: RequestIdentity) -> RequestIdentity {
+        let is_trusted = |state: &ControlState| self.relayed.is_trusted(state, &identity.request);
+        match identity.any_caller {
+            Some(path) if self.cx.view.read(is_trusted) => identity.without(&path),
+            _ => identity,
+        }
+    }
+
     fn check_whole(self: &Arc<Self>, identity: &RequestIdentity) -> Result<(), RequestError> {
+        let RequestIdentity { request, any_caller, .. } = identity;
         let (quarantine, is_known_cause) = self.cx.view.read(|state| {
-            let quarantine = identity.whole().find_map(|request| {
-                let Quarantined { since, suspension_ms, .. } = state.quarantine_of(&request)?;
+            let find = |request: &Fingerprint| {
+                let Quarantined { since, suspension_ms, is_any_caller, .. } =
+                    state.quarantine_of(request)?;
                 let duration = suspension_ms.map(Duration::from_millis);
-                Some(Quarantine { fingerprint: request, since: *since, duration, is_part: false })
-            });
-            (quarantine, self.relayed.is_known_cause(state, &identity.request))
+                let kind = match is_any_caller {
+                    true => QuarantineKind::AnyCaller,
+                    false => QuarantineKind::Caller,
+                };
+                Some(Quarantine { fingerprint: *request, since: *since, duration, kind })
+            };
+            let path = any_caller.filter(|_| !self.relayed.is_trusted(state, request));
+            let quarantine = find(request).or_else(|| find(&path?));
+            (quarantine, self.relayed.is_known_cause(state, request))
         });
         match quarantine {
             Some(quarantine) => Err(self.refuse_quarantined(&quarantine)),
-            None if is_known_cause => {
-                Err(quarantined(&identity.request).retry_after(RETRY_AFTER_QUARANTINE))
-            }
+            None if is_known_cause => Err(quarantined(request).retry_after(RETRY_AFTER_QUARANTINE)),
             None => Ok(()),
         }
     }
@@ -157,7 +191,7 @@
         let Some(part) = permitted else { return Err(error) };
         self.check_parts(crashes, parts, Some(part))?;
         self.suspensions.take_permit(part);
-        event!(self.cx.log, PART_PERMITTED; "fingerprint" => %part);
+        event!(self.cx.log, REQUEST_PERMITTED; "fingerprint" => %part);
         Ok(Some(*part))
     }
 
@@ -173,7 +207,7 @@
             let quarantine = checked.clone().find_map(|part| {
                 let PartQuarantine { since, suspension_ms } = state.part_quarantine(part)?;
                 let duration = Some(Duration::from_millis(suspension_ms));
-                Some(Quarantine { fingerprint: *part, since, duration, is_part: true })
+                Some(Quarantine { fingerprint: *part, since, duration, kind: QuarantineKind::Part })
             });
             // The first part of a prompt may be shared by most requests.
             let is_known_cause = |part: &&Fingerprint| {
@@ -189,7 +223,8 @@
     }
 
     fn refuse_quarantined(self: &Arc<Self>, quarantine: &Quarantine) -> RequestError {
-        let refused = match quarantine.is_part {
+        let is_part = quarantine.kind == QuarantineKind::Part;
+        let refused = match is_part {
             true => part_quarantined(&quarantine.fingerprint),
             false => quarantined(&quarantine.fingerprint),
         };
@@ -198,7 +233,7 @@
         };
         let SuspensionStatus { left, has_ended, is_new } =
             self.suspensions.check(quarantine, duration);
-        if is_new && quarantine.is_part {
+        if is_new && is_part {
             let part = &quarantine.fingerprint;
             let (crashes, had_runs) =
                 self.cx.view.read(|state| (state.suspect_crashes(part), state.part_had_runs(part)));
@@ -207,13 +242,13 @@
         }
         if has_ended {
             let (service, request) = (self.clone(), quarantine.fingerprint);
-            let is_part = quarantine.is_part;
+            let permits_one = quarantine.kind != QuarantineKind::Caller;
             tokio::spawn(async move {
                 let ended = service.cx.propose(Command::EndSuspension { request }).await;
                 let error = match ended {
                     Ok(Reply::Refused(error)) => error.to_string(),
                     Ok(_) => {
-                        if is_part {
+                        if permits_one {
                             service.suspensions.permit(request);
                         }
                         return event!(service.cx.log, SUSPENSION_ENDED; "fingerprint" => %request,
--- a/crates/owner/src/relayed.rs
+++ b/crates/owner/src/relayed.rs
@@ -56,17 +56,31 @@
     /// Counts a successful run of a request, as evidence that neither it nor a part of its prompt
     /// crashes targets.
     pub fn complete_relayed(self: &Arc<Self>, guard: &RunningGuard) {
-        for request in guard.identity().whole() {
-            self.relayed.runs().add(request);
-            let crashes = self.cx.view.read(|state| state.suspect_crashes(&request));
-            if crashes >= MIN_CRASHES_TO_REPORT_RUNS && self.relayed.runs().mark_due(request) {
-                let service = self.clone();
-                tokio::spawn(async move { service.report_runs().await });
-            }
+        let RequestIdentity { request, any_caller, .. } = guard.identity();
+        let is_first = self.relayed.runs().remembered(request) == 0;
+        self.count_run(*request, true);
+        if let Some(any_caller) = any_caller {
+            // Further runs of a caller say nothing about the others.
+            self.count_run(*any_caller, is_first);
         }
         self.complete_parts(&self.relayed, guard);
     }
 
+    /// Counts a run if `is_counted`, and reports all runs of a suspect.
+    fn count_run(self: &Arc<Self>, request: Fingerprint, is_counted: bool) {
+        if is_counted {
+            self.relayed.runs().add(request);
+        }
+        let crashes = self.cx.view.read(|state| state.suspect_crashes(&request));
+        if crashes >= MIN_CRASHES_TO_REPORT_RUNS
+            && self.relayed.runs().unreported(&request) > 0
+            && self.relayed.runs().mark_due(request)
+        {
+            let service = self.clone();
+            tokio::spawn(async move { service.report_runs().await });
+        }
+    }
+
     /// Counts a successful run on the parts of a prompt.
     pub(crate) fn complete_parts(
         self: &Arc<Self>,
--- a/crates/owner/src/runs.rs
+++ b/crates/owner/src/runs.rs
@@ -17,11 +17,19 @@
 /// counted.
 const MAX_IDENTITIES: usize = 8_192;
 
-/// Runs that were not reported to the control log, by identity.
+/// Runs of one identity.
+#[derive(Clone, Copy, Debug, Default)]
+struct Runs {
+    total: u64,
+    /// Those that were not reported to the control log.
+    unreported: u64,
+}
+
+/// Recent runs by identity.
 #[derive(Debug)]
 pub(crate) struct RunCounts {
-    current: HashMap<Fingerprint, u64>,
-    previous: HashMap<Fingerprint, u64>,
+    current: HashMap<Fingerprint, Runs>,
+    previous: HashMap<Fingerprint, Runs>,
     rotated_at: Instant,
     /// Identities whose runs are to be reported soon.
     due: BTreeSet<Fingerprint>,
@@ -40,21 +48,33 @@
             self.rotated_at = Instant::now();
         }
         if self.current.len() < MAX_IDENTITIES || self.current.contains_key(&request) {
-            *self.current.entry(request).or_default() += 1;
+            let runs = self.current.entry(request).or_default();
+            runs.total += 1;
+            runs.unreported += 1;
         }
     }
 
+    /// Number of runs, reported or not.
+    pub(crate) fn remembered(&self, request: &Fingerprint) -> u64 {
+        self.sum(request, |runs| runs.total)
+    }
+
     /// Number of runs that were not reported.
     pub(crate) fn unreported(&self, request: &Fingerprint) -> u64 {
-        let count = |runs: &HashMap<_, u64>| runs.get(request).copied().unwrap_or_default();
-        count(&self.current) + count(&self.previous)
+        self.sum(request, |runs| runs.unreported)
+    }
+
+    fn sum(&self, request: &Fingerprint, count: impl Fn(&Runs) -> u64) -> u64 {
+        let generations = [&self.current, &self.previous];
+        generations.iter().filter_map(|runs| runs.get(request)).map(count).sum()
     }
 
     /// Returns the runs of these identities that were not reported, and counts them as reported.
     pub(crate) fn take(&mut self, requests: &[Fingerprint]) -> Vec<CompletedRuns> {
         let take = |request: &Fingerprint| {
-            let runs = self.current.remove(request).unwrap_or_default()
-                + self.previous.remove(request).unwrap_or_default();
+            let generations = [&mut self.current, &mut self.previous];
+            let runs = generations.into_iter().filter_map(|runs| runs.get_mut(request));
+            let runs = runs.map(|runs| std::mem::take(&mut runs.unreported)).sum();
             (runs > 0).then_some(CompletedRuns { request: *request, runs })
         };
         requests.iter().filter_map(take).collect()
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -128,7 +128,7 @@
         REQUEST_QUARANTINED = "O0308", Error, "request quarantined after repeated crashes", "analyse the request; lift the quarantine when the engine is fixed";
         PART_SUSPECTED = "O0334", Info, "part of a prompt was in a request on a crashed target", "none; list quarantined requests if it repeats";
         PART_QUARANTINED = "O0335", Error, "part of prompts is quarantined after repeated crashes; refusing requests with it", "analyse the requests; lift the quarantine when the engine is fixed";
-        PART_PERMITTED = "O0336", Info, "sending one request with a quarantined part, to see whether it still crashes targets", "none";
+        REQUEST_PERMITTED = "O0336", Info, "sending one request in spite of a quarantine, to see whether it still crashes targets", "none";
         CRASH_UNRECORDED = "O0326", Warning, "control log has not recorded a crash yet; it counts on this instance, and the report is retried", "check the control replicas if it persists";
         RUNS_REPORTED = "O0329", Info, "reported successful runs of suspected requests", "none";
         RUNS_NOT_REPORTED = "O0330", Info, "cannot report successful runs of suspected requests", "none; later runs are reported";
--- a/crates/types/src/identity.rs
+++ b/crates/types/src/identity.rs
@@ -30,10 +30,11 @@
         std::iter::once(self.request).chain(self.any_caller)
     }
 
-    /// The same request without one of its parts.
-    pub fn without_part(&self, part: &Fingerprint) -> Self {
-        let parts = self.parts.iter().filter(|other| *other != part).copied().collect();
-        Self { parts, ..self.clone() }
+    /// The same request without its identity by any caller, or without a part of its prompt.
+    pub fn without(&self, removed: &Fingerprint) -> Self {
+        let any_caller = self.any_caller.filter(|other| other != removed);
+        let parts = self.parts.iter().filter(|other| *other != removed).copied().collect();
+        Self { request: self.request, any_caller, parts }
     }
 }
 
