--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -13,6 +13,7 @@
 use shallotdrum_engine::{AnnounceReply, ClientTimeouts, EngineClient};
 use shallotdrum_entry::{EntryConfig, EntryContext, EntryHandle, EntryServer};
 use shallotdrum_gateway::{ConnectionPool, Gateway, GatewayContext, HeaderCodec, RetryAllowance};
+use shallotdrum_links::Links;
 use shallotdrum_owner::{
     Forwarder, HeldPermits, InspectFn, OrderFn, OwnerContext, OwnerService, engine_orders,
     serve_forwarded,
@@ -95,6 +96,8 @@
     pub order: Option<OrderFn>,
     /// Queries engines for their state; if `None`, announced load reports are used instead.
     pub inspect: Option<InspectFn>,
+    /// Connections to targets.
+    pub links: Links,
 }
 
 /// Running instance; call [`Instance::stop`] for a graceful stop.
@@ -157,7 +160,9 @@
         listeners: Listeners,
         log: slog::Logger,
     ) -> Result<Self, InstanceError> {
-        Self::start_with(settings, listeners, InstanceOptions::default(), log).await
+        let links = Links::new(settings.forwarded_targets.clone());
+        let options = InstanceOptions { links, ..InstanceOptions::default() };
+        Self::start_with(settings, listeners, options, log).await
     }
 
     /// Starts an instance with functions that a front end supplies.
@@ -512,6 +517,7 @@
         order: options.order.unwrap_or_else(|| engine_orders(engine.clone())),
         inspect: options.inspect,
         engine,
+        links: options.links,
         target_timeout: Duration::from_millis(settings.target_timeout_ms),
         scheduler,
         metrics: metrics.clone(),
--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -13,6 +13,8 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
+use shallotdrum_links::Links;
+
 use crate::{
     crash::{ends_with_connection, is_alive_after_end},
     places::Place,
@@ -54,6 +56,7 @@
     /// Reads the body of a response of a place's target to its end.
     pub(crate) async fn read(
         &self,
+        links: &Links,
         headers: &HeaderMap,
         mut body: Incoming,
         place: &Place,
@@ -70,7 +73,7 @@
             counted.grow_to(len.saturating_sub(UNCOUNTED_BYTES))?;
             parts.push(data);
         }
-        if ends_with_connection && !is_alive_after_end(place).await {
+        if ends_with_connection && !is_alive_after_end(links, place).await {
             return Err(BodyError::TargetGone);
         }
         match parts.len() {
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -18,10 +18,8 @@
     client::conn::http1::{self, SendRequest},
 };
 use hyper_util::rt::TokioIo;
-use tokio::{
-    net::TcpStream,
-    time::{Instant, timeout},
-};
+use shallotdrum_links::Links;
+use tokio::time::{Instant, timeout};
 
 /// Connect timeout. The round trip to a target takes about a millisecond; an attempt that loses a
 /// packet would take a second longer and fails instead.
@@ -39,7 +37,10 @@
 
 /// Pool of connections to targets; clones share it.
 #[derive(Clone, Default)]
-pub struct ConnectionPool(Arc<Mutex<HashMap<SocketAddr, Vec<IdleConnection>>>>);
+pub struct ConnectionPool {
+    idle: Arc<Mutex<HashMap<SocketAddr, Vec<IdleConnection>>>>,
+    links: Links,
+}
 
 struct IdleConnection {
     sender: SendRequest<Full<Bytes>>,
@@ -66,8 +67,18 @@
 }
 
 impl ConnectionPool {
+    /// Creates an empty pool that opens connections through `links`.
+    pub fn new(links: Links) -> Self {
+        Self { idle: Arc::default(), links }
+    }
+
+    /// Links that new connections are opened through.
+    pub fn links(&self) -> &Links {
+        &self.links
+    }
+
     fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, Vec<IdleConnection>>> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Sends a request on an idle or a new connection and returns the head of the response.
@@ -88,7 +99,7 @@
                 Err((error, None)) => return Err(SendError::Unknown(error)),
             }
         }
-        let sender = connect(addr).await.map_err(SendError::NotSent)?;
+        let sender = connect(&self.links, addr).await.map_err(SendError::NotSent)?;
         match self.send_on(addr, sender, request).await {
             Ok(sent) => Ok(sent),
             Err((error, Some(_))) => Err(SendError::NotSent(error.to_string())),
@@ -151,8 +162,8 @@
     }
 }
 
-async fn connect(addr: SocketAddr) -> Result<SendRequest<Full<Bytes>>, String> {
-    let stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await {
+async fn connect(links: &Links, addr: SocketAddr) -> Result<SendRequest<Full<Bytes>>, String> {
+    let stream = match timeout(CONNECT_TIMEOUT, links.connect(addr)).await {
         Ok(Ok(stream)) => stream,
         Ok(Err(error)) => return Err(error.to_string()),
         Err(_) => return Err("timed out while connecting".to_owned()),
--- a/crates/gateway/src/crash.rs
+++ b/crates/gateway/src/crash.rs
@@ -8,6 +8,7 @@
 };
 use http_body::Body;
 use hyper::body::Incoming;
+use shallotdrum_links::Links;
 use shallotdrum_owner::{RunningGuard, is_listening};
 use shallotdrum_telemetry::event;
 use shallotdrum_types::{RequestError, RequestIdentity, TargetId};
@@ -32,9 +33,9 @@
 
 /// Whether a target is alive after a body that ended with its connection, so that the body is
 /// complete.
-pub(crate) async fn is_alive_after_end(place: &Place) -> bool {
+pub(crate) async fn is_alive_after_end(links: &Links, place: &Place) -> bool {
     sleep(CLOSE_SETTLE_TIME).await;
-    is_listening(place.granted.addr).await
+    is_listening(links, place.granted.addr).await
 }
 
 impl Gateway {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -14,6 +14,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use shallotdrum_control::ControlView;
+use shallotdrum_links::Links;
 use shallotdrum_owner::{CrashStatus, OwnerService, PlaceAdmission, RunningGuard, SessionFn};
 use shallotdrum_routes::{Route, RouteIndex};
 use shallotdrum_rpc::{Peers, PlaceEnd};
@@ -164,6 +165,10 @@
         gateway
     }
 
+    pub(crate) fn links(&self) -> &Links {
+        self.connections.links()
+    }
+
     /// Returns the current route table; `None` until the first one is received.
     pub fn routes(&self) -> Option<Arc<RouteIndex>> {
         self.cx.view.read(|state| state.routes().cloned())
@@ -357,7 +362,7 @@
             };
         }
         let (parts, body) = response.into_parts();
-        let body = self.bodies.read(&parts.headers, body, &place);
+        let body = self.bodies.read(self.links(), &parts.headers, body, &place);
         let body = match timeout_at(run.deadline, body).await {
             Ok(Ok(body)) => body,
             Ok(Err(error)) => {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -91,7 +91,10 @@
                     let cause = "the stream ended within its first event";
                     return Err(self.broken_at_start(run, cause));
                 }
-                Ok(None) if ends_with_connection && !is_alive_after_end(&self.place).await => {
+                Ok(None)
+                    if ends_with_connection
+                        && !is_alive_after_end(self.gateway.links(), &self.place).await =>
+                {
                     return Err(self.broken_at_start(run, TARGET_GONE));
                 }
                 Ok(None) => break None,
@@ -144,7 +147,8 @@
         loop {
             let ended = match forward_events(&run, &mut body.body, &mut splitter, &tx).await {
                 StreamEnd::Complete
-                    if body.ends_with_connection && !is_alive_after_end(&place).await =>
+                    if body.ends_with_connection
+                        && !is_alive_after_end(gateway.links(), &place).await =>
                 {
                     StreamEnd::Broken(TARGET_GONE.to_owned())
                 }
--- a/crates/owner/src/context.rs
+++ b/crates/owner/src/context.rs
@@ -4,6 +4,7 @@
 
 use shallotdrum_control::{Command, ControlView, Proposal, ProposeError, ProposeFn, Reply};
 use shallotdrum_engine::{EngineClient, LoadReport, Order, OrderError, OrderRequest};
+use shallotdrum_links::Links;
 use shallotdrum_scheduler::{LoadFailure, LoadOrder, SchedulerConfig};
 use shallotdrum_telemetry::Metrics;
 use shallotdrum_types::{BaseModelId, Epoch, GroupId, Incarnation, PermitId, SessionId, TargetId};
@@ -124,6 +125,8 @@
     pub inspect: Option<InspectFn>,
     /// Client for requests to targets.
     pub engine: EngineClient,
+    /// Connections to targets.
+    pub links: Links,
     /// Settings for the scheduler of each group.
     pub scheduler: SchedulerConfig,
     /// Receives counters and wait times of requests.
--- a/crates/owner/src/crash.rs
+++ b/crates/owner/src/crash.rs
@@ -22,10 +22,11 @@
     SHARED_PART_CRASHES_TO_QUARANTINE, SuspectPart,
 };
 use shallotdrum_engine::GrantedPlace;
+use shallotdrum_links::Links;
 use shallotdrum_scheduler::Lease;
 use shallotdrum_telemetry::event;
 use shallotdrum_types::{Fingerprint, Incarnation, RequestId, RequestIdentity, TargetId};
-use tokio::{net::TcpStream, sync::OnceCell, time::Instant};
+use tokio::{sync::OnceCell, time::Instant};
 
 use crate::{
     OwnerContext, part_runs::PartRuns, runs::RunCounts, unanswered::UnansweredRequests,
@@ -449,7 +450,7 @@
         if cx.view.read(|state| is_replaced(state, target, incarnation, addr)) {
             return true;
         }
-        if check < MAX_PROBES && is_refused(addr).await {
+        if check < MAX_PROBES && is_refused(&cx.links, addr).await {
             return true;
         }
         if Instant::now() >= deadline {
@@ -475,12 +476,12 @@
 }
 
 /// Whether a process accepts connections at an address.
-pub async fn is_listening(addr: SocketAddr) -> bool {
-    let probe = tokio::time::timeout(LISTENING_TIMEOUT, TcpStream::connect(addr)).await;
+pub async fn is_listening(links: &Links, addr: SocketAddr) -> bool {
+    let probe = tokio::time::timeout(LISTENING_TIMEOUT, links.connect(addr)).await;
     matches!(probe, Ok(Ok(_)))
 }
 
-async fn is_refused(addr: SocketAddr) -> bool {
-    let probe = tokio::time::timeout(CRASH_CHECK_INTERVAL, TcpStream::connect(addr)).await;
+async fn is_refused(links: &Links, addr: SocketAddr) -> bool {
+    let probe = tokio::time::timeout(CRASH_CHECK_INTERVAL, links.connect(addr)).await;
     matches!(probe, Ok(Err(e)) if e.kind() == std::io::ErrorKind::ConnectionRefused)
 }
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -1,6 +1,6 @@
 //! Data model of the settings; serialises to the format of the settings file.
 
-use std::{net::SocketAddr, path::PathBuf};
+use std::{collections::BTreeMap, net::SocketAddr, path::PathBuf};
 
 use serde::{Deserialize, Serialize};
 use shallotdrum_types::{AvailabilityZone, InstanceId, Region};
@@ -31,6 +31,9 @@
     /// not reach at the address that is their name, for example behind a port forwarding.
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub replicas: Vec<ReplicaAddr>,
+    /// Targets behind a port forwarding, by the address that they announce.
+    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
+    pub forwarded_targets: BTreeMap<SocketAddr, SocketAddr>,
     /// Control replicas from which the others are discovered. Each replica's name is its IP
     /// address, and all use the RPC port of this instance.
     #[serde(skip_serializing_if = "Vec::is_empty")]
@@ -81,6 +84,7 @@
             addrs,
             advertise: None,
             replicas: Vec::new(),
+            forwarded_targets: BTreeMap::new(),
             seeds,
             forms_log: false,
             data_dir: None,
--- a/crates/settings/src/parse.rs
+++ b/crates/settings/src/parse.rs
@@ -1,6 +1,9 @@
 //! Parses settings from JSON.
 
-use std::path::{Path, PathBuf};
+use std::{
+    collections::BTreeMap,
+    path::{Path, PathBuf},
+};
 
 use serde_json::Value;
 
@@ -74,6 +77,8 @@
         true => parse_replicas(&mut root, problems),
         false => Some(Vec::new()),
     };
+    let forwarded_targets =
+        root.optional_or("forwarded_targets", "addresses by address", BTreeMap::new());
     let data_dir = root.optional::<PathBuf>("data_dir", "a path");
     let limits = root.optional_section("limits").map(parse_limits).unwrap_or_default();
     let freshness = root.optional_section("freshness").map(parse_freshness).unwrap_or_default();
@@ -96,6 +101,7 @@
         addrs: addrs?,
         advertise,
         replicas: replicas?,
+        forwarded_targets,
         seeds,
         forms_log,
         data_dir,
