Open connections through another instance when a link to a target is broken

Cause: an entry took each failed send for one of the target, and learned nothing about its own links from it. Owners set targets aside for it, and where connections are reset a crash was seen that did not happen.

What tells a broken link from a failed target is another instance that reaches the target. It is asked when a connection fails or is slow to open, or when a request waits and the target is silent; if it gets a connection and this one does not, new connections take that detour until a trial succeeds. Decisions stay at the entry, so places, budgets, quarantine and at-most-once hold unchanged (docs/decisions/0012). A detour has one hop; orders take none.

--- a/crates/engine/src/client.rs
+++ b/crates/engine/src/client.rs
@@ -12,13 +12,19 @@
 use http_body_util::{BodyExt, Full, Limited, combinators::BoxBody};
 use hyper::body::Incoming;
 use hyper_util::{
-    client::legacy::{Client, connect::HttpConnector},
+    client::legacy::{
+        Client,
+        connect::{Connect, HttpConnector},
+    },
     rt::{TokioExecutor, TokioTimer},
 };
+use shallotdrum_links::{LinkStatus, Links};
 use shallotdrum_types::RequestId;
 use tokio::time::timeout;
 
-use crate::{CompletionRequest, CompletionStream, OrderRefusal, OrderRequest};
+use crate::{
+    CompletionRequest, CompletionStream, OrderRefusal, OrderRequest, connector::LinkConnector,
+};
 
 /// Body of a request to a target.
 pub type RequestBody = BoxBody<Bytes, Box<dyn Error + Send + Sync>>;
@@ -57,12 +63,17 @@
     }
 }
 
+type LinkClient = Client<LinkConnector, RequestBody>;
+
 /// Client for engines and plain services; clones share a connection pool.
 #[derive(Clone)]
 pub struct EngineClient {
-    client: Client<HttpConnector, RequestBody>,
+    client: LinkClient,
     /// Opens a new connection for each call.
-    unpooled: Client<HttpConnector, RequestBody>,
+    unpooled: LinkClient,
+    /// Sends orders, never through another instance.
+    direct: Client<HttpConnector, RequestBody>,
+    links: Links,
     timeouts: ClientTimeouts,
 }
 
@@ -126,6 +137,11 @@
 impl EngineClient {
     /// Creates a client with its own connection pool.
     pub fn new(timeouts: ClientTimeouts) -> Self {
+        Self::with_links(timeouts, Links::default())
+    }
+
+    /// Creates a client with its own connection pool that opens connections through `links`.
+    pub fn with_links(timeouts: ClientTimeouts, links: Links) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(timeouts.connect));
@@ -133,12 +149,17 @@
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(POOL_IDLE_TIMEOUT)
             .retry_canceled_requests(false)
-            .build(connector.clone());
+            .build(LinkConnector::new(links.clone()));
         let unpooled = Client::builder(TokioExecutor::new())
             .pool_max_idle_per_host(0)
             .retry_canceled_requests(false)
+            .build(LinkConnector::new(links.clone()));
+        let direct = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(POOL_IDLE_TIMEOUT)
+            .retry_canceled_requests(false)
             .build(connector);
-        Self { client, unpooled, timeouts }
+        Self { client, unpooled, direct, links, timeouts }
     }
 
     /// Starts a completion request; dropping the stream or this future closes the connection, which
@@ -171,7 +192,9 @@
     ) -> Result<(), OrderError> {
         let req = json_request(target, Method::POST, ORDERS_PATH, order)
             .map_err(|reason| OrderError::NotSent { addr: target, reason })?;
-        let res = self.send_within(target, req, limit).await.map_err(|e| match e {
+        let sent = timeout(limit, send(&self.direct, target, req)).await;
+        let res = sent.unwrap_or_else(|_| Err(no_response(target, limit)));
+        let res = res.map_err(|e| match e {
             CallError::NotSent { addr, reason } => OrderError::NotSent { addr, reason },
             other => OrderError::Unknown { reason: other.to_string() },
         })?;
@@ -199,7 +222,7 @@
         target: SocketAddr,
         req: Request<RequestBody>,
     ) -> Result<Response<Incoming>, CallError> {
-        call(&self.client, target, req).await
+        call(&self.links, self.client_for(target), target, req).await
     }
 
     /// Calls a plain service like `call`, but on a new connection.
@@ -211,7 +234,7 @@
         target: SocketAddr,
         req: Request<RequestBody>,
     ) -> Result<Response<Incoming>, CallError> {
-        call(&self.unpooled, target, req).await
+        call(&self.links, &self.unpooled, target, req).await
     }
 
     /// Cancels a completion request; succeeds if the engine doesn't know the request.
@@ -237,18 +260,50 @@
         req: Request<RequestBody>,
         limit: Duration,
     ) -> Result<Response<Incoming>, CallError> {
-        timeout(limit, send(&self.client, addr, req)).await.unwrap_or_else(|_| {
-            let reason = format!("no response within {} ms", limit.as_millis());
-            Err(CallError::Lost { addr, reason })
-        })
+        let sent = send_watched(&self.links, self.client_for(addr), addr, req);
+        timeout(limit, sent).await.unwrap_or_else(|_| Err(no_response(addr, limit)))
+    }
+
+    /// Client for a target; pooled connections of a broken link may hang.
+    fn client_for(&self, target: SocketAddr) -> &LinkClient {
+        match self.links.status(target) {
+            LinkStatus::Open => &self.client,
+            LinkStatus::Refusing | LinkStatus::Silent => &self.unpooled,
+        }
     }
 }
 
-async fn send(
-    client: &Client<HttpConnector, RequestBody>,
+fn no_response(addr: SocketAddr, limit: Duration) -> CallError {
+    CallError::Lost { addr, reason: format!("no response within {} ms", limit.as_millis()) }
+}
+
+/// Sends a request, and gives up if its link is found silent.
+async fn send_watched(
+    links: &Links,
+    client: &LinkClient,
     addr: SocketAddr,
     req: Request<RequestBody>,
 ) -> Result<Response<Incoming>, CallError> {
+    let is_open = links.status(addr) == LinkStatus::Open;
+    let res = tokio::select! {
+        res = send(client, addr, req) => res?,
+        () = links.lost(addr), if is_open => {
+            let reason = "the link to the target was lost".to_owned();
+            return Err(CallError::Lost { addr, reason });
+        }
+    };
+    links.record_heard(addr);
+    Ok(res)
+}
+
+async fn send<C>(
+    client: &Client<C, RequestBody>,
+    addr: SocketAddr,
+    req: Request<RequestBody>,
+) -> Result<Response<Incoming>, CallError>
+where
+    C: Connect + Clone + Send + Sync + 'static,
+{
     client.request(req).await.map_err(|e| {
         let reason = error_chain(&e);
         if e.is_connect() {
@@ -259,14 +314,15 @@
 }
 
 async fn call(
-    client: &Client<HttpConnector, RequestBody>,
+    links: &Links,
+    client: &LinkClient,
     target: SocketAddr,
     mut req: Request<RequestBody>,
 ) -> Result<Response<Incoming>, CallError> {
     let path = req.uri().path_and_query().map_or("/", |path| path.as_str());
     *req.uri_mut() =
         target_uri(target, path).map_err(|reason| CallError::NotSent { addr: target, reason })?;
-    let res = send(client, target, req).await?;
+    let res = send_watched(links, client, target, req).await?;
     let status = res.status();
     let is_refused = !status.is_success() && res.headers().contains_key(NOT_RUN_HEADER);
     if !is_refused {
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -3,6 +3,7 @@
 //! `docs/engine-interface.md` specifies the interface for authors of engines and services.
 
 mod client;
+mod connector;
 mod messages;
 mod place;
 mod prefix;
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -17,13 +17,9 @@
     body::Incoming,
     client::conn::http1::{self, SendRequest},
 };
-use hyper_util::rt::TokioIo;
-use shallotdrum_links::Links;
-use tokio::time::{Instant, timeout};
-
-/// Connect timeout. The round trip to a target takes about a millisecond; an attempt that loses a
-/// packet would take a second longer and fails instead.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
+use shallotdrum_links::{LinkStatus, Links};
+use shallotdrum_types::RequestId;
+use tokio::time::Instant;
 
 /// Maximum number of idle connections per target.
 const MAX_IDLE: usize = 24;
@@ -35,6 +31,9 @@
 /// target closes the connection.
 const IDLE_MARGIN: Duration = Duration::from_millis(600);
 
+/// Error of a request whose link was found broken.
+pub(crate) const LINK_LOST: &str = "the link to the target was lost";
+
 /// Pool of connections to targets; clones share it.
 #[derive(Clone, Default)]
 pub struct ConnectionPool {
@@ -55,13 +54,15 @@
     NotSent(String),
     /// The request may have reached the target.
     #[error("no response: {0}")]
-    Unknown(hyper::Error),
+    Unknown(String),
 }
 
 /// Connection in use; `release` returns it to the pool after a complete response.
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     addr: SocketAddr,
+    /// Whether it does not go through another instance.
+    is_direct: bool,
     idle_timeout: Duration,
     pool: ConnectionPool,
 }
@@ -81,28 +82,34 @@
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Sends a request on an idle or a new connection and returns the head of the response.
+    /// Sends a request on an idle or a new connection and returns the head of the response. With the
+    /// id of a caller's request, a new connection may go through another instance.
     pub async fn send(
         &self,
         addr: SocketAddr,
         request: Request<Full<Bytes>>,
+        detour_for: Option<&RequestId>,
     ) -> Result<(Connection, Response<Incoming>), SendError> {
+        if self.links.status(addr) == LinkStatus::Silent {
+            self.lock().remove(&addr);
+        }
         let mut request = request;
         while let Some(mut sender) = self.take_idle(addr) {
             if sender.ready().await.is_err() {
                 continue;
             }
-            match self.send_on(addr, sender, request).await {
+            match self.send_on(addr, sender, true, request).await {
                 Ok(sent) => return Ok(sent),
                 // The connection was closed before the request was written; try the next one.
                 Err((_, Some(unsent))) => request = unsent,
                 Err((error, None)) => return Err(SendError::Unknown(error)),
             }
         }
-        let sender = connect(&self.links, addr).await.map_err(SendError::NotSent)?;
-        match self.send_on(addr, sender, request).await {
+        let connected = connect(&self.links, addr, detour_for).await;
+        let (sender, is_direct) = connected.map_err(SendError::NotSent)?;
+        match self.send_on(addr, sender, is_direct, request).await {
             Ok(sent) => Ok(sent),
-            Err((error, Some(_))) => Err(SendError::NotSent(error.to_string())),
+            Err((error, Some(_))) => Err(SendError::NotSent(error)),
             Err((error, None)) => Err(SendError::Unknown(error)),
         }
     }
@@ -111,17 +118,25 @@
         &self,
         addr: SocketAddr,
         mut sender: SendRequest<Full<Bytes>>,
+        is_direct: bool,
         request: Request<Full<Bytes>>,
-    ) -> Result<(Connection, Response<Incoming>), (hyper::Error, Option<Request<Full<Bytes>>>)>
-    {
-        match sender.try_send_request(request).await {
+    ) -> Result<(Connection, Response<Incoming>), (String, Option<Request<Full<Bytes>>>)> {
+        let lost = self.links.lost(addr);
+        let sent = tokio::select! {
+            sent = sender.try_send_request(request) => sent,
+            () = lost, if is_direct => return Err((LINK_LOST.to_owned(), None)),
+        };
+        match sent {
             Ok(response) => {
                 let idle_timeout = keep_alive_timeout(&response).unwrap_or(DEFAULT_IDLE_TIMEOUT);
-                Ok((Connection { sender, addr, idle_timeout, pool: self.clone() }, response))
+                let pool = self.clone();
+                let connection = Connection { sender, addr, is_direct, idle_timeout, pool };
+                connection.record_heard();
+                Ok((connection, response))
             }
             Err(mut error) => {
                 let unsent = error.take_message();
-                Err((error.into_error(), unsent))
+                Err((error.into_error().to_string(), unsent))
             }
         }
     }
@@ -149,8 +164,27 @@
 }
 
 impl Connection {
-    /// Returns the connection to the pool for another request.
+    /// Records that bytes of the target arrived.
+    pub(crate) fn record_heard(&self) {
+        if self.is_direct {
+            self.pool.links.record_heard(self.addr);
+        }
+    }
+
+    /// Resolves when the link of the connection is lost.
+    pub(crate) async fn lost(&self) {
+        match self.is_direct {
+            true => self.pool.links.lost(self.addr).await,
+            false => std::future::pending().await,
+        }
+    }
+
+    /// Returns the connection to the pool for another request. One through another instance is closed,
+    /// as that instance decides on each request whether the target takes any.
     pub fn release(self) {
+        if !self.is_direct {
+            return;
+        }
         let mut connections = self.pool.lock();
         let idle = connections.entry(self.addr).or_default();
         if idle.len() < MAX_IDLE && !self.idle_timeout.is_zero() {
@@ -162,18 +196,22 @@
     }
 }
 
-async fn connect(links: &Links, addr: SocketAddr) -> Result<SendRequest<Full<Bytes>>, String> {
-    let stream = match timeout(CONNECT_TIMEOUT, links.connect(addr)).await {
-        Ok(Ok(stream)) => stream,
-        Ok(Err(error)) => return Err(error.to_string()),
-        Err(_) => return Err("timed out while connecting".to_owned()),
+/// Opens a connection; returns whether it is a direct one.
+async fn connect(
+    links: &Links,
+    addr: SocketAddr,
+    detour_for: Option<&RequestId>,
+) -> Result<(SendRequest<Full<Bytes>>, bool), String> {
+    let stream = match detour_for {
+        Some(request) => links.connect(addr, request.as_str()).await,
+        None => links.connect_without_detour(addr).await,
     };
-    stream.set_nodelay(true).map_err(|e| e.to_string())?;
-    let (sender, connection) =
-        http1::handshake(TokioIo::new(stream)).await.map_err(|e| e.to_string())?;
+    let stream = stream.map_err(|e| e.to_string())?;
+    let is_direct = stream.through().is_none();
+    let (sender, connection) = http1::handshake(stream).await.map_err(|e| e.to_string())?;
     // The request in progress reports an error itself; an idle connection is just dropped.
     tokio::spawn(connection);
-    Ok(sender)
+    Ok((sender, is_direct))
 }
 
 /// Returns the `Keep-Alive` timeout of a response, less a margin.
--- a/crates/gateway/src/crash.rs
+++ b/crates/gateway/src/crash.rs
@@ -9,7 +9,7 @@
 use http_body::Body;
 use hyper::body::Incoming;
 use shallotdrum_links::Links;
-use shallotdrum_owner::{RunningGuard, is_listening};
+use shallotdrum_owner::RunningGuard;
 use shallotdrum_telemetry::event;
 use shallotdrum_types::{RequestError, RequestIdentity, TargetId};
 use tokio::time::{Instant, sleep, timeout_at};
@@ -35,7 +35,7 @@
 /// complete.
 pub(crate) async fn is_alive_after_end(links: &Links, place: &Place) -> bool {
     sleep(CLOSE_SETTLE_TIME).await;
-    is_listening(links, place.granted.addr).await
+    links.is_listening(place.granted.addr).await
 }
 
 impl Gateway {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -143,6 +143,8 @@
             cx.peers.clone(),
             cx.log.clone(),
         );
+        let withheld = places.clone();
+        connections.links().withhold(move |addr| withheld.is_withheld(addr));
         let restarted = Some(Instant::now()).filter(|_| !cx.is_first_start);
         let gateway = Arc::new(Self {
             cx,
@@ -160,11 +162,25 @@
                 drop(gateway);
                 tokio::time::sleep(EXPIRE_INTERVAL).await;
                 connections.expire();
+                connections.links().expire();
             }
         });
         gateway
     }
 
+    /// Ends the place of a send without a complete response; a failure of the link does not count
+    /// against the target.
+    pub(crate) fn end_failed(&self, place: Place) {
+        let links = self.links().clone();
+        tokio::spawn(async move {
+            let end = match links.is_link_failure(place.granted.addr).await {
+                true => PlaceEnd::Cancelled,
+                false => PlaceEnd::Failed,
+            };
+            place.end(end);
+        });
+    }
+
     pub(crate) fn links(&self) -> &Links {
         self.connections.links()
     }
@@ -370,7 +386,7 @@
                 self.log_send_failure(run, target, SendFailure::Unknown, &error);
                 self.check_crash(run, running);
                 run.avoid.push(place.granted.target.clone());
-                place.end(PlaceEnd::Failed);
+                self.end_failed(place);
                 return AttemptOutcome::Failed(SendFailure::Unknown, target_failed(&error));
             }
             Err(_) => return AttemptOutcome::Failed(SendFailure::Unknown, target_timed_out()),
@@ -434,7 +450,8 @@
         let target = granted.target.clone();
         let running = self.cx.owner.enter_relayed(granted, &run.req.id, run.identity.clone());
         let sent_at = Instant::now();
-        let sent = self.connections.send(granted.addr, run.request(&self.cx.codec, &dispatch));
+        let request = run.request(&self.cx.codec, &dispatch);
+        let sent = self.connections.send(granted.addr, request, Some(&run.req.id));
         let (connection, response) = match timeout_at(run.deadline, sent).await {
             Ok(Ok(received)) => received,
             Ok(Err(error)) => {
@@ -449,7 +466,7 @@
                         SendFailure::Unknown
                     }
                 };
-                place.end(PlaceEnd::Failed);
+                self.end_failed(place);
                 self.log_send_failure(run, &target, failure, &error);
                 let error = match failure {
                     SendFailure::NotSent => target_unreachable(&error),
@@ -458,7 +475,7 @@
                 return Err(AttemptOutcome::Failed(failure, error));
             }
             Err(_) => {
-                place.end(PlaceEnd::Failed);
+                self.end_failed(place);
                 return Err(AttemptOutcome::Failed(SendFailure::Unknown, target_timed_out()));
             }
         };
--- a/crates/gateway/src/places.rs
+++ b/crates/gateway/src/places.rs
@@ -204,6 +204,17 @@
         self.withheld().record_pause((target.clone(), *incarnation), pause);
     }
 
+    /// Whether this entry sends no requests to the target at an address.
+    pub(crate) fn is_withheld(&self, addr: SocketAddr) -> bool {
+        let withheld = self.withheld();
+        self.0.view.read(|state| {
+            withheld.iter().any(|(id, incarnation)| {
+                let announced = state.target(id).map(|target| &target.announced);
+                announced.is_some_and(|a| a.addr == addr && a.incarnation == *incarnation)
+            })
+        })
+    }
+
     /// Targets of a pool to which this entry sends no requests, and that are not known as draining
     /// to all instances.
     fn withheld_targets(&self, pool: &PoolId) -> Vec<TargetId> {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     EventSplitter, Gateway, GatewayResponse, StreamBody,
-    connections::{Connection, response_headers},
+    connections::{Connection, LINK_LOST, response_headers},
     crash::{ends_with_connection, is_alive_after_end},
     decision::SendFailure,
     errors::{target_failed, target_timed_out},
@@ -81,7 +81,7 @@
         let ends_with_connection = ends_with_connection(&parts.headers, &body);
         let mut splitter = EventSplitter::default();
         let first = loop {
-            match next_chunk(run, &mut body).await {
+            match next_chunk(run, &self.connection, &mut body).await {
                 Ok(Some(chunk)) => match splitter.push(&chunk) {
                     Ok(Some(events)) => break Some(events),
                     Ok(None) => {}
@@ -125,7 +125,7 @@
         self.gateway.log_send_failure(run, target, SendFailure::Unknown, &cause);
         run.avoid.push(target.clone());
         self.gateway.check_crash(run, self.running);
-        self.place.end(PlaceEnd::Failed);
+        self.gateway.end_failed(self.place);
         target_failed(cause)
     }
 
@@ -145,7 +145,9 @@
             return;
         }
         loop {
-            let ended = match forward_events(&run, &mut body.body, &mut splitter, &tx).await {
+            let forwarded =
+                forward_events(&run, &connection, &mut body.body, &mut splitter, &tx).await;
+            let ended = match forwarded {
                 StreamEnd::Complete
                     if body.ends_with_connection
                         && !is_alive_after_end(gateway.links(), &place).await =>
@@ -178,7 +180,7 @@
                 "fingerprint" => %run.identity.request, "target" => %target,
                 "cause" => &cause, "last_event" => splitter.last_id().unwrap_or(""));
             run.avoid.push(target);
-            place.end(PlaceEnd::Failed);
+            gateway.end_failed(place);
             run.resume_after = splitter.last_id().map(str::to_owned).or(run.resume_after);
             splitter.discard_pending();
             let resumed =
@@ -208,8 +210,17 @@
 }
 
 /// Returns the next bytes of a stream, or `None` at its end.
-async fn next_chunk(run: &RequestRun, body: &mut Incoming) -> Result<Option<Bytes>, StreamEnd> {
-    match timeout_at(run.deadline, body.frame()).await {
+async fn next_chunk(
+    run: &RequestRun,
+    connection: &Connection,
+    body: &mut Incoming,
+) -> Result<Option<Bytes>, StreamEnd> {
+    let frame = tokio::select! {
+        frame = timeout_at(run.deadline, body.frame()) => frame,
+        () = connection.lost() => return Err(StreamEnd::Broken(LINK_LOST.to_owned())),
+    };
+    connection.record_heard();
+    match frame {
         Err(_) => Err(StreamEnd::TimedOut),
         Ok(None) => Ok(None),
         Ok(Some(Err(error))) => Err(StreamEnd::Broken(error.to_string())),
@@ -221,13 +232,14 @@
 /// Forwards events to the caller until the target's stream ends.
 async fn forward_events(
     run: &RequestRun,
+    connection: &Connection,
     body: &mut Incoming,
     splitter: &mut EventSplitter,
     tx: &mpsc::Sender<Result<Bytes, StreamBroken>>,
 ) -> StreamEnd {
     loop {
         let chunk = tokio::select! {
-            chunk = next_chunk(run, body) => chunk,
+            chunk = next_chunk(run, connection, body) => chunk,
             () = tx.closed() => return StreamEnd::CallerGone,
         };
         let chunk = match chunk {
--- a/crates/links/src/lib.rs
+++ b/crates/links/src/lib.rs
@@ -1,25 +1,20 @@
-//! Connections from this instance to targets.
+//! Connections from this instance to targets, directly or through another instance.
+//!
+//! A target that does not respond may have failed, or only the link from this instance to it. What
+//! tells them apart is another instance that reaches the target: then the link is broken, and new
+//! connections go through another instance until a trial succeeds. `links` decides this, `link` holds
+//! the state of one link, and `tunnel` is the protocol between the instances: HTTP `CONNECT` on the
+//! address for forwarded requests.
+//!
+//! Architecture Invariant: an instance opens tunnels for others over its own links only, so a request
+//! takes one detour at most. Orders to engines never take one, as engines tell owners apart by it.
 
-use std::{collections::BTreeMap, io, net::SocketAddr, sync::Arc};
+mod link;
+mod links;
+mod stream;
+mod tunnel;
 
-use tokio::net::TcpStream;
-
-/// Opens connections to targets; clones share the state.
-#[derive(Clone, Debug, Default)]
-pub struct Links {
-    /// Addresses at which this instance reaches targets behind a port forwarding.
-    forwarded: Arc<BTreeMap<SocketAddr, SocketAddr>>,
-}
-
-impl Links {
-    /// Creates links to targets, of which those in `forwarded` are reached at another address than
-    /// the one they announce.
-    pub fn new(forwarded: BTreeMap<SocketAddr, SocketAddr>) -> Self {
-        Self { forwarded: Arc::new(forwarded) }
-    }
-
-    /// Opens a connection to a target.
-    pub async fn connect(&self, target: SocketAddr) -> io::Result<TcpStream> {
-        TcpStream::connect(self.forwarded.get(&target).copied().unwrap_or(target)).await
-    }
-}
+pub use link::LinkStatus;
+pub use links::{ConnectError, LinkContext, Links, PeerInstance};
+pub use stream::LinkStream;
+pub use tunnel::{REQUEST_HEADER, serve_tunnel};
--- /dev/null
+++ b/crates/links/src/links.rs
@@ -0,0 +1,397 @@
+//! Opens connections to targets, and decides which links are broken.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError},
+    time::Duration,
+};
+
+use hyper_util::rt::TokioIo;
+use rand::seq::SliceRandom;
+use shallotdrum_telemetry::event;
+use shallotdrum_types::InstanceId;
+use tokio::{
+    net::TcpStream,
+    time::{Instant, sleep, timeout, timeout_at},
+};
+
+use crate::{
+    LinkStatus, LinkStream,
+    link::Link,
+    tunnel::{TunnelError, open_tunnel},
+};
+
+/// Timeout for a connection. The round trip to a target takes about a millisecond; an attempt that
+/// loses a packet would take a second longer and fails instead.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// Timeout for a connection that shows whether a target is reachable, and time after which another
+/// instance is asked for one: many round trips, and under half of the time of the shortest calls.
+pub(crate) const CHECK_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Time without a byte from a target, while a request waits, after which its link is checked.
+const SILENCE: Duration = Duration::from_millis(350);
+
+/// Interval between checks of a link.
+const CHECK_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Interval between trials of a broken link.
+const TRIAL_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Time for which other instances are asked for one connection, all together and each.
+const PEERS_TIMEOUT: Duration = Duration::from_millis(600);
+const PEER_TIMEOUT: Duration = Duration::from_millis(350);
+
+/// Maximum number of instances that are asked for one connection. Those that know of their own broken
+/// links refuse at once.
+const MAX_PEERS: usize = 6;
+
+/// Time for which an instance that could not open a connection is asked last, and for which a target
+/// that no instance reached is not asked for again.
+const FAILURE_MEMORY: Duration = Duration::from_secs(2);
+const UNREACHABLE_MEMORY: Duration = Duration::from_millis(500);
+
+/// Time without use after which a link is forgotten.
+const LINK_MEMORY: Duration = Duration::from_secs(60);
+
+/// Time since its last use within which a link is checked when another one is broken.
+const RECENT_USE: Duration = Duration::from_secs(10);
+
+/// Instance that may open connections for this one.
+#[derive(Clone, Debug)]
+pub struct PeerInstance {
+    /// Its name, for log lines.
+    pub instance: InstanceId,
+    /// Its address for forwarded requests.
+    pub data: SocketAddr,
+    /// Order in which instances are asked, lowest first.
+    pub rank: u8,
+}
+
+/// Functions that an instance supplies to its links.
+pub struct LinkContext {
+    /// Other instances.
+    pub peers: Box<dyn Fn() -> Vec<PeerInstance> + Send + Sync>,
+    /// Whether a target has this address.
+    pub is_target: Box<dyn Fn(SocketAddr) -> bool + Send + Sync>,
+    /// Receives the events of links.
+    pub log: slog::Logger,
+}
+
+/// Why no connection to a target was opened.
+#[derive(Debug, thiserror::Error)]
+pub enum ConnectError {
+    /// The target, or its link, refuses connections.
+    #[error("{0}")]
+    Failed(#[from] io::Error),
+    /// The target did not respond.
+    #[error("timed out while connecting")]
+    TimedOut,
+    /// The link is broken, and no other instance opened a connection.
+    #[error("the link to the target is broken, and no other instance reaches it")]
+    NoDetour,
+}
+
+/// Decides whether a target is sent no requests at the moment.
+type WithheldFn = Box<dyn Fn(SocketAddr) -> bool + Send + Sync>;
+
+/// Opens connections to targets; clones share the state.
+#[derive(Clone, Default)]
+pub struct Links(Arc<Shared>);
+
+#[derive(Default)]
+struct Shared {
+    /// Addresses at which this instance reaches targets behind a port forwarding.
+    forwarded: BTreeMap<SocketAddr, SocketAddr>,
+    context: OnceLock<LinkContext>,
+    withheld: OnceLock<WithheldFn>,
+    links: Mutex<HashMap<SocketAddr, Arc<Link>>>,
+    /// When an instance could not open a connection.
+    failed_peers: Mutex<HashMap<SocketAddr, Instant>>,
+}
+
+impl Links {
+    /// Creates links to targets, of which those in `forwarded` are reached at another address than
+    /// the one they announce. Without a context, they are never taken for broken.
+    pub fn new(forwarded: BTreeMap<SocketAddr, SocketAddr>) -> Self {
+        Self(Arc::new(Shared { forwarded, ..Shared::default() }))
+    }
+
+    /// Sets the functions by which other instances are found; later calls have no effect.
+    pub fn attach(&self, cx: LinkContext) {
+        let _ = self.0.context.set(cx);
+    }
+
+    /// Sets the function that keeps tunnels from targets that take no requests.
+    pub fn withhold(&self, withheld: impl Fn(SocketAddr) -> bool + Send + Sync + 'static) {
+        let _ = self.0.withheld.set(Box::new(withheld));
+    }
+
+    pub(crate) fn is_withheld(&self, target: SocketAddr) -> bool {
+        self.0.withheld.get().is_some_and(|withheld| withheld(target))
+    }
+
+    pub(crate) fn is_target(&self, target: SocketAddr) -> bool {
+        self.0.context.get().is_some_and(|cx| (cx.is_target)(target))
+    }
+
+    pub(crate) fn log(&self) -> Option<&slog::Logger> {
+        self.0.context.get().map(|cx| &cx.log)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, Arc<Link>>> {
+        self.0.links.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn link(&self, target: SocketAddr) -> Arc<Link> {
+        let mut links = self.lock();
+        let link = links.entry(target).or_insert_with(|| Arc::new(Link::new(target)));
+        link.clone()
+    }
+
+    /// Status of the link to a target.
+    pub fn status(&self, target: SocketAddr) -> LinkStatus {
+        self.lock().get(&target).map_or(LinkStatus::Open, |link| link.status())
+    }
+
+    /// Forgets links that were not used for long.
+    pub fn expire(&self) {
+        self.lock()
+            .retain(|_, link| link.unused_for() < LINK_MEMORY || link.status() != LinkStatus::Open);
+    }
+
+    /// Records that bytes of a target arrived on a direct connection.
+    pub fn record_heard(&self, target: SocketAddr) {
+        if let Some(link) = self.lock().get(&target) {
+            link.record_heard();
+        }
+    }
+
+    /// Opens a direct connection to a target.
+    pub async fn connect_direct(&self, target: SocketAddr) -> io::Result<TcpStream> {
+        let addr = self.0.forwarded.get(&target).copied().unwrap_or(target);
+        let stream = TcpStream::connect(addr).await?;
+        stream.set_nodelay(true)?;
+        Ok(stream)
+    }
+
+    /// Opens a connection to a target for a request, through another instance if the link is broken.
+    pub async fn connect(
+        &self,
+        target: SocketAddr,
+        request: &str,
+    ) -> Result<LinkStream, ConnectError> {
+        let link = self.link(target);
+        link.record_used();
+        if link.status() != LinkStatus::Open {
+            return self.detour(&link, request).await.ok_or(ConnectError::NoDetour);
+        }
+        let deadline = Instant::now() + CONNECT_TIMEOUT;
+        let mut direct = std::pin::pin!(self.connect_direct(target));
+        match timeout(CHECK_TIMEOUT, direct.as_mut()).await {
+            Ok(Ok(stream)) => return Ok(LinkStream::new(TokioIo::new(stream), None)),
+            Ok(Err(error)) => {
+                let Some(stream) = self.detour(&link, request).await else {
+                    return Err(error.into());
+                };
+                self.mark_broken(&link, LinkStatus::Refusing);
+                return Ok(stream);
+            }
+            Err(_) => {}
+        }
+        let mut detour = std::pin::pin!(self.detour(&link, request));
+        let stream = tokio::select! {
+            connected = timeout_at(deadline, direct.as_mut()) => {
+                let connected = connected.map_err(|_| ConnectError::TimedOut)??;
+                return Ok(LinkStream::new(TokioIo::new(connected), None));
+            }
+            stream = detour.as_mut() => stream,
+        };
+        let Some(stream) = stream else {
+            let connected = timeout_at(deadline, direct).await;
+            let connected = connected.map_err(|_| ConnectError::TimedOut)??;
+            return Ok(LinkStream::new(TokioIo::new(connected), None));
+        };
+        // A single packet may have been lost.
+        self.suspect(target);
+        Ok(stream)
+    }
+
+    /// Opens a direct connection to a target, whatever the state of its link.
+    pub async fn connect_without_detour(
+        &self,
+        target: SocketAddr,
+    ) -> Result<LinkStream, ConnectError> {
+        let connected = timeout(CONNECT_TIMEOUT, self.connect_direct(target)).await;
+        let stream = connected.map_err(|_| ConnectError::TimedOut)??;
+        Ok(LinkStream::new(TokioIo::new(stream), None))
+    }
+
+    /// Asks other instances for a connection; `None` if there is none that reaches the target.
+    async fn detour(&self, link: &Link, request: &str) -> Option<LinkStream> {
+        let cx = self.0.context.get()?;
+        if link.is_unreachable() {
+            return None;
+        }
+        let deadline = Instant::now() + PEERS_TIMEOUT;
+        for peer in self.ranked_peers(cx) {
+            let limit = deadline.min(Instant::now() + PEER_TIMEOUT);
+            let opened = timeout_at(limit, open_tunnel(peer.data, link.target, request)).await;
+            let error = match opened {
+                Ok(Ok(stream)) => {
+                    event!(cx.log, LINK_DETOUR; "request" => request, "addr" => %link.target,
+                        "through" => %peer.instance);
+                    return Some(LinkStream::new(stream, Some(peer.instance)));
+                }
+                Ok(Err(error)) => error,
+                Err(_) => TunnelError::NoPeer("timed out".to_owned()),
+            };
+            event!(cx.log, LINK_DETOUR_REFUSED; "request" => request, "addr" => %link.target,
+                "through" => %peer.instance, "error" => %error);
+            if let TunnelError::Refused = error {
+                break;
+            }
+            self.failed_peers().insert(peer.data, Instant::now());
+            if Instant::now() >= deadline {
+                break;
+            }
+        }
+        link.record_unreachable(UNREACHABLE_MEMORY);
+        None
+    }
+
+    fn failed_peers(&self) -> MutexGuard<'_, HashMap<SocketAddr, Instant>> {
+        self.0.failed_peers.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Instances to ask, those that failed lately last.
+    fn ranked_peers(&self, cx: &LinkContext) -> Vec<PeerInstance> {
+        let mut peers = (cx.peers)();
+        peers.shuffle(&mut rand::rng());
+        let mut failed = self.failed_peers();
+        failed.retain(|_, at| at.elapsed() < FAILURE_MEMORY);
+        peers.sort_by_key(|peer| (failed.contains_key(&peer.data), peer.rank));
+        peers.truncate(MAX_PEERS);
+        peers
+    }
+
+    /// Starts a check of a link, unless one ended just before.
+    pub fn suspect(&self, target: SocketAddr) {
+        let links = self.clone();
+        tokio::spawn(async move { links.check(target).await });
+    }
+
+    /// Checks whether a failure at a target is one of its link. Another instance must reach the target
+    /// for that.
+    pub async fn is_link_failure(&self, target: SocketAddr) -> bool {
+        self.check(target).await;
+        self.status(target) != LinkStatus::Open
+    }
+
+    /// Whether a target accepts connections, of this instance or of another one.
+    pub async fn is_listening(&self, target: SocketAddr) -> bool {
+        let direct = timeout(CONNECT_TIMEOUT, self.connect_direct(target)).await;
+        matches!(direct, Ok(Ok(_))) || self.is_reached_by_other(target).await
+    }
+
+    /// Whether a target refuses connections, of this instance and, as far as one can be asked, of
+    /// another one.
+    pub async fn is_refused(&self, target: SocketAddr, limit: Duration) -> bool {
+        match timeout(limit, self.connect_direct(target)).await {
+            Ok(Err(e)) if e.kind() == io::ErrorKind::ConnectionRefused => {
+                !self.is_reached_by_other(target).await
+            }
+            _ => false,
+        }
+    }
+
+    async fn is_reached_by_other(&self, target: SocketAddr) -> bool {
+        self.detour(&self.link(target), "check").await.is_some()
+    }
+
+    async fn check(&self, target: SocketAddr) {
+        let link = self.link(target);
+        let mut last_check = link.last_check.lock().await;
+        if link.status() != LinkStatus::Open
+            || last_check.is_some_and(|at| at.elapsed() < CHECK_INTERVAL)
+        {
+            return;
+        }
+        let broken = match timeout(CHECK_TIMEOUT, self.connect_direct(target)).await {
+            Ok(Ok(_)) => None,
+            Ok(Err(_)) => Some(LinkStatus::Refusing),
+            Err(_) => Some(LinkStatus::Silent),
+        };
+        if let Some(status) = broken
+            && self.detour(&link, "check").await.is_some()
+        {
+            self.mark_broken(&link, status);
+        }
+        *last_check = Some(Instant::now());
+    }
+
+    /// Records that a link is broken, starts trials of it, and checks the other links in use.
+    fn mark_broken(&self, link: &Arc<Link>, status: LinkStatus) {
+        if !link.set(status) {
+            return;
+        }
+        if let Some(log) = self.log() {
+            event!(log, LINK_BROKEN; "addr" => %link.target, "status" => ?status,
+                "heard_ms_ago" => link.silent_for().as_millis() as u64);
+        }
+        let others: Vec<_> = {
+            let links = self.lock();
+            let in_use = links.values().filter(|other| other.unused_for() < RECENT_USE);
+            in_use.filter(|other| other.status() == LinkStatus::Open).map(|l| l.target).collect()
+        };
+        others.into_iter().for_each(|other| self.suspect(other));
+        tokio::spawn(self.clone().try_until_open(link.clone()));
+    }
+
+    /// Tries a broken link until a connection opens.
+    async fn try_until_open(self, link: Arc<Link>) {
+        let broken_at = Instant::now();
+        loop {
+            sleep(TRIAL_INTERVAL).await;
+            if !self.is_target(link.target) {
+                self.lock().remove(&link.target);
+                return;
+            }
+            let connected = timeout(CHECK_TIMEOUT, self.connect_direct(link.target)).await;
+            if !matches!(connected, Ok(Ok(_))) {
+                continue;
+            }
+            link.set(LinkStatus::Open);
+            if let Some(log) = self.log() {
+                event!(log, LINK_RESTORED; "addr" => %link.target,
+                    "after_ms" => broken_at.elapsed().as_millis() as u64);
+            }
+            return;
+        }
+    }
+
+    /// Resolves when the link to a target is found silent, while a request waits for bytes of the target;
+    /// starts the check after some silence.
+    pub async fn lost(&self, target: SocketAddr) {
+        let link = self.link(target);
+        let started = Instant::now();
+        let watch = async {
+            loop {
+                let silence = link.silent_for().min(started.elapsed());
+                match SILENCE.checked_sub(silence) {
+                    Some(left) if !left.is_zero() => sleep(left).await,
+                    _ => {
+                        self.check(target).await;
+                        sleep(CHECK_INTERVAL).await;
+                    }
+                }
+            }
+        };
+        tokio::select! {
+            () = link.silent() => {}
+            () = watch => {}
+        }
+    }
+}
--- a/crates/owner/src/call.rs
+++ b/crates/owner/src/call.rs
@@ -240,7 +240,7 @@
         let body = match collected {
             Ok(Ok(body)) => body.to_bytes(),
             Ok(Err(_)) | Err(_) => {
-                lease.finish(Finish::TargetFailed);
+                self.cx.finish_failed(lease);
                 self.propose_with_retry(
                     session,
                     Command::FinishCall { key, session, answer: None },
@@ -302,7 +302,7 @@
             }
             Ok(Err(error)) => error,
             Err(_) => {
-                lease.finish(Finish::TargetFailed);
+                self.cx.finish_failed(lease);
                 let detail = "the deadline passed while the target ran the call";
                 let error = RequestError::unknown(RequestErrorKind::DeadlineExceeded, detail);
                 return Err(CallFailure::Lost(error));
@@ -314,7 +314,10 @@
             CallError::NotSent { .. } | CallError::Refused { .. } => {
                 guard.end();
                 let is_refused = matches!(error, CallError::Refused { .. });
-                lease.finish(if is_refused { Finish::Refused } else { Finish::TargetFailed });
+                match is_refused {
+                    true => lease.finish(Finish::Refused),
+                    false => self.cx.finish_failed(lease),
+                }
                 let error = RequestError::not_run(RequestErrorKind::TargetFailed, detail);
                 Err(CallFailure::NotRun(error))
             }
@@ -336,7 +339,7 @@
     ) -> CallFailure {
         let status = group.crashes.check(&self.cx, guard).await;
         match status {
-            CrashStatus::Alive => lease.finish(Finish::TargetFailed),
+            CrashStatus::Alive => self.cx.finish_failed(lease),
             CrashStatus::Crashed | CrashStatus::NotRecorded => lease.finish(Finish::TargetCrashed),
         }
         let is_quarantined = self.cx.view.read(|state| state.is_quarantined(&call.fingerprint));
--- a/crates/owner/src/completion.rs
+++ b/crates/owner/src/completion.rs
@@ -5,6 +5,7 @@
 use shallotdrum_engine::{
     CallError, Chunk, CompletionRequest, End, EngineEvent, Resume, StreamError, prefix_hashes,
 };
+use shallotdrum_links::LinkStatus;
 use shallotdrum_scheduler::{AdmissionRequest, Finish, Lease, RequestKind};
 use shallotdrum_telemetry::event;
 use shallotdrum_types::{
@@ -158,6 +159,7 @@
         let guard =
             group.crashes.enter(&self.cx, (&lease).into(), &request.request, run.identity.clone());
         lease.started();
+        let is_direct = self.cx.links.status(lease.addr) == LinkStatus::Open;
         let sent =
             tokio::time::timeout_at(run.deadline, self.cx.engine.generate(lease.addr, &request));
         let mut stream = match sent.await {
@@ -172,6 +174,13 @@
         loop {
             let event = tokio::select! {
                 event = tokio::time::timeout_at(run.deadline, stream.next()) => event,
+                () = self.cx.links.lost(lease.addr), if is_direct => {
+                    let error = StreamError::Incomplete {
+                        delivered_tokens: run.offset,
+                        reason: "the link to the target was lost".to_owned(),
+                    };
+                    return self.stream_failed(run, group, lease, guard, &error).await;
+                }
                 () = tx.closed() => {
                     lease.finish(Finish::Cancelled);
                     return Attempt::Done;
@@ -179,6 +188,7 @@
             };
             match event {
                 Ok(Some(Ok(EngineEvent::Chunk(chunk)))) => {
+                    self.cx.links.record_heard(lease.addr);
                     run.record_chunk(&chunk);
                     run.software.clone_from(&lease.software);
                     lease.tokens(chunk.tokens);
@@ -227,7 +237,7 @@
         match error {
             CallError::NotSent { .. } => {
                 guard.end();
-                lease.finish(Finish::TargetFailed);
+                self.cx.finish_failed(lease);
                 Attempt::Retry(failure)
             }
             CallError::Refused { .. } => {
@@ -268,7 +278,7 @@
         run.may_have_run = true;
         let status = group.crashes.check(&self.cx, &guard).await;
         match status {
-            CrashStatus::Alive => lease.finish(Finish::TargetFailed),
+            CrashStatus::Alive => self.cx.finish_failed(lease),
             CrashStatus::Crashed | CrashStatus::NotRecorded => lease.finish(Finish::TargetCrashed),
         }
         let is_quarantined = self.cx.view.read(|state| state.is_quarantined(&run.identity.request));
--- a/crates/owner/src/context.rs
+++ b/crates/owner/src/context.rs
@@ -5,7 +5,7 @@
 use shallotdrum_control::{Command, ControlView, Proposal, ProposeError, ProposeFn, Reply};
 use shallotdrum_engine::{EngineClient, LoadReport, Order, OrderError, OrderRequest};
 use shallotdrum_links::Links;
-use shallotdrum_scheduler::{LoadFailure, LoadOrder, SchedulerConfig};
+use shallotdrum_scheduler::{Finish, Lease, LoadFailure, LoadOrder, SchedulerConfig};
 use shallotdrum_telemetry::Metrics;
 use shallotdrum_types::{BaseModelId, Epoch, GroupId, Incarnation, PermitId, SessionId, TargetId};
 use tokio::time::Instant;
@@ -144,6 +144,19 @@
     pub(crate) async fn propose(&self, command: Command) -> Result<Reply, ProposeError> {
         (self.propose)(Proposal::Command(command)).await
     }
+
+    /// Ends the lease of a request without a complete response; a failure of the link does not count
+    /// against the target.
+    pub(crate) fn finish_failed(&self, lease: Lease) {
+        let links = self.links.clone();
+        tokio::spawn(async move {
+            let finish = match links.is_link_failure(lease.addr).await {
+                true => Finish::Cancelled,
+                false => Finish::TargetFailed,
+            };
+            lease.finish(finish);
+        });
+    }
 }
 
 /// Weight-store permits that an instance holds, reported with each lease renewal.
--- a/crates/owner/src/crash.rs
+++ b/crates/owner/src/crash.rs
@@ -22,7 +22,6 @@
     SHARED_PART_CRASHES_TO_QUARANTINE, SuspectPart,
 };
 use shallotdrum_engine::GrantedPlace;
-use shallotdrum_links::Links;
 use shallotdrum_scheduler::Lease;
 use shallotdrum_telemetry::event;
 use shallotdrum_types::{Fingerprint, Incarnation, RequestId, RequestIdentity, TargetId};
@@ -44,9 +43,6 @@
 /// its connections, and connections take capacity from a target that is alive.
 const MAX_PROBES: u32 = 3;
 
-/// Timeout for a connection to a target that may be alive; some hundred round trips.
-const LISTENING_TIMEOUT: Duration = Duration::from_millis(500);
-
 /// Timeout for the local copy of the control state to apply a reported crash.
 const VIEW_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -450,7 +446,7 @@
         if cx.view.read(|state| is_replaced(state, target, incarnation, addr)) {
             return true;
         }
-        if check < MAX_PROBES && is_refused(&cx.links, addr).await {
+        if check < MAX_PROBES && cx.links.is_refused(addr, CRASH_CHECK_INTERVAL).await {
             return true;
         }
         if Instant::now() >= deadline {
@@ -474,14 +470,3 @@
             .targets()
             .any(|other| other.announced.addr == addr && other.announced.incarnation > incarnation)
 }
-
-/// Whether a process accepts connections at an address.
-pub async fn is_listening(links: &Links, addr: SocketAddr) -> bool {
-    let probe = tokio::time::timeout(LISTENING_TIMEOUT, links.connect(addr)).await;
-    matches!(probe, Ok(Ok(_)))
-}
-
-async fn is_refused(links: &Links, addr: SocketAddr) -> bool {
-    let probe = tokio::time::timeout(CRASH_CHECK_INTERVAL, links.connect(addr)).await;
-    matches!(probe, Ok(Err(e)) if e.kind() == std::io::ErrorKind::ConnectionRefused)
-}
--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -36,7 +36,7 @@
     HeldPermits, InspectFn, InspectRequest, OrderFn, OrderKind, OwnerContext, PermitFn, ReleaseFn,
     SessionFn, TargetOrder, engine_orders,
 };
-pub use crash::{CrashStatus, RunningGuard, is_listening};
+pub use crash::{CrashStatus, RunningGuard};
 pub use fingerprint::{completion_fingerprint, completion_identity};
 pub use forwarder::{
     CALL_HEADER, COMPLETION_PATH, ERROR_HEADER, ForwardBody, ForwardError, Forwarder, FrameStream,
--- a/crates/owner/src/server.rs
+++ b/crates/owner/src/server.rs
@@ -1,4 +1,5 @@
-//! HTTP server for requests that other instances forward.
+//! HTTP server for requests that other instances forward, and for connections that this instance
+//! opens for them.
 
 use std::{convert::Infallible, sync::Arc};
 
@@ -12,6 +13,7 @@
     service::service_fn,
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
+use shallotdrum_links::serve_tunnel;
 use shallotdrum_types::{RequestError, RequestErrorKind};
 use tokio::{net::TcpListener, sync::mpsc, time::Instant};
 
@@ -43,12 +45,17 @@
             let _ = http1::Builder::new()
                 .timer(TokioTimer::new())
                 .serve_connection(TokioIo::new(stream), handler)
+                .with_upgrades()
                 .await;
         });
     }
 }
 
 async fn handle(service: Arc<OwnerService>, req: Request<Incoming>) -> Response<ForwardBody> {
+    if req.method() == Method::CONNECT {
+        let links = service.cx.links.clone();
+        return serve_tunnel(links, req).await.map(|()| full_body(Bytes::new()));
+    }
     let result = match (req.method(), req.uri().path()) {
         (&Method::POST, COMPLETION_PATH) => completion(service, req).await,
         (&Method::POST, SERVICE_PATH) => service_call(service, req).await,
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -200,6 +200,12 @@
         TARGET_CRASHED = "T0604", Error, "target crashed with requests in flight", "check the target's own log";
         TARGET_REFUSED = "T0605", Warning, "target announcement refused", "correct the target's announcement or the manifest's pools";
         TARGET_EJECTED = "T0608", Warning, "target ejected as an outlier after repeated failures", "check the target's machine and its own log";
+        LINK_BROKEN = "T0612", Warning, "link to a target is broken, though another instance reaches the target; requests take a detour", "check the network between the instance and the target";
+        LINK_RESTORED = "T0613", Info, "link to a target works again", "none";
+        LINK_DETOUR = "T0614", Info, "another instance opened a connection to a target", "none, unless it persists; then see why the link is broken";
+        LINK_DETOUR_REFUSED = "T0615", Info, "another instance opened no connection to a target", "compare with the log of the other instance";
+        TUNNEL_OPENED = "T0616", Info, "opened a connection to a target for another instance", "see the other instance for why its link is broken";
+        TUNNEL_REFUSED = "T0617", Info, "opened no connection to a target for another instance", "compare the status with the state of the target";
         TARGET_OUTLIER = "T0606", Warning, "target is much slower than the others of its group", "check the target's machine";
     }
 }
