Leave groups to other instances while the links to targets are broken

While the owner of the engines was cut off from them, no entry served a request that needed an adapter which wasn't loaded: 0 of 35. Cause: orders go from the owner to the engine and may take no detour, and the owner kept the group, as its session was sound. An instance now records in the control log that most of its links are broken, releases its groups, and gets none while another instance can have them; it records when the links are back. A link counts once a trial has failed after it was found broken, so a target that restarts moves no group.

--- a/crates/control/src/command.rs
+++ b/crates/control/src/command.rs
@@ -39,6 +39,14 @@
         /// Session to drain.
         session: SessionId,
     },
+    /// Records whether an instance has lost its links to most targets. It gets groups only if no other
+    /// instance can.
+    ReportLinks {
+        /// Session of the instance.
+        session: SessionId,
+        /// Whether most links are broken.
+        is_cut_off: bool,
+    },
     /// Starts or stops draining an instance: it gets no new groups and releases those it owns.
     ///
     /// The instance keeps draining across restarts until this is revoked.
--- a/crates/control/src/leader/assignments.rs
+++ b/crates/control/src/leader/assignments.rs
@@ -12,7 +12,7 @@
 
 /// Unowned groups that have targets, each with the session that should own it.
 ///
-/// Prefers a session in the group's region, then one of an instance that is not a control
+/// Prefers a session with links to targets, then one in the group's region, then one of an instance that is not a control
 /// replica, then the one with the fewest groups.
 pub fn assignments(state: &ControlState, live: &BTreeSet<SessionId>) -> Vec<(GroupId, SessionId)> {
     let mut owned = owned_groups(state, live);
@@ -22,7 +22,8 @@
             let is_remote = region_of(state, **session) != Some(&group.id.region);
             // Replicas run on small machines that are busy with the log, and the failure of one
             // that owns groups would disrupt both the log and those groups.
-            (is_remote, is_replica(state, **session), **count, **session)
+            let is_cut_off = state.session(**session).is_some_and(|session| session.is_cut_off);
+            (is_cut_off, is_remote, is_replica(state, **session), **count, **session)
         };
         let Some((session, _)) = owned.iter().min_by_key(rank) else { break };
         let session = *session;
--- a/crates/control/src/state/mod.rs
+++ b/crates/control/src/state/mod.rs
@@ -400,6 +400,9 @@
                 Ok(Reply::Done)
             }
             Command::DrainSession { session } => self.sessions.drain_session(session).map(done),
+            Command::ReportLinks { session, is_cut_off } => {
+                self.sessions.set_cut_off(session, is_cut_off).map(done)
+            }
             Command::DrainInstance { instance, drain } => {
                 self.sessions.drain_instance(instance, drain).map(done)
             }
--- a/crates/control/src/state/sessions.rs
+++ b/crates/control/src/state/sessions.rs
@@ -18,6 +18,9 @@
     pub opened_at: ControlTimeMs,
     /// Set by `Command::DrainSession`, when the process shuts down.
     pub draining: bool,
+    /// Whether the instance has lost its links to most targets, so that others should own groups.
+    #[serde(default)]
+    pub is_cut_off: bool,
 }
 
 /// Result of opening a session.
@@ -78,7 +81,8 @@
             self.live.remove(&ended);
         }
         self.last = self.last.next();
-        let session = Session { id: self.last, info, opened_at: now, draining: false };
+        let session =
+            Session { id: self.last, info, opened_at: now, draining: false, is_cut_off: false };
         self.live.insert(self.last, session);
         Ok(OpenedSession { session: self.last, ended })
     }
@@ -93,6 +97,16 @@
         Ok(())
     }
 
+    pub(crate) fn set_cut_off(
+        &mut self,
+        id: SessionId,
+        is_cut_off: bool,
+    ) -> Result<(), CommandError> {
+        let session = self.live.get_mut(&id).ok_or(CommandError::NoSession(id))?;
+        session.is_cut_off = is_cut_off;
+        Ok(())
+    }
+
     /// Starts or stops draining an instance. Starting requires a live session; stopping also
     /// works for a drained instance without one.
     pub(crate) fn drain_instance(
--- a/crates/control/tests/leader.rs
+++ b/crates/control/tests/leader.rs
@@ -234,6 +234,20 @@
     assert!(assignments(&log.state, &live).iter().all(|(_, session)| *session == C));
 }
 
+/// Guards against groups that an instance without links to targets gets while another one could.
+#[test]
+fn assignments_cut_off() {
+    let (mut log, live) = log_with_groups(2);
+    let report = |session, is_cut_off| Command::ReportLinks { session, is_cut_off };
+    log.apply(report(A, true));
+    log.apply(report(B, true));
+    assert!(assignments(&log.state, &live).iter().all(|(_, session)| *session == C));
+    log.apply(report(C, true));
+    assert_eq!(assignments(&log.state, &live)[0], (group(0), A));
+    log.apply(report(B, false));
+    assert!(assignments(&log.state, &live).iter().all(|(_, session)| *session == B));
+}
+
 /// Guards against groups that stay on one instance after the others have restarted, and against
 /// groups that move back and forth.
 #[test]
--- a/crates/links/src/link.rs
+++ b/crates/links/src/link.rs
@@ -2,7 +2,7 @@
 
 use std::{
     net::SocketAddr,
-    sync::atomic::{AtomicU64, Ordering},
+    sync::atomic::{AtomicBool, AtomicU64, Ordering},
 };
 
 use tokio::{
@@ -27,6 +27,8 @@
 pub(crate) struct Link {
     pub(crate) target: SocketAddr,
     status: watch::Sender<LinkStatus>,
+    /// Whether a trial has failed since the link was found broken.
+    pub(crate) is_confirmed: AtomicBool,
     /// Held while the link is checked; when the last check ended.
     pub(crate) last_check: tokio::sync::Mutex<Option<Instant>>,
     created_at: Instant,
@@ -42,6 +44,7 @@
         Self {
             target,
             status: watch::Sender::new(LinkStatus::Open),
+            is_confirmed: AtomicBool::new(false),
             last_check: tokio::sync::Mutex::default(),
             created_at: Instant::now(),
             heard_at: AtomicU64::new(0),
@@ -58,6 +61,11 @@
         *self.status.borrow()
     }
 
+    /// Whether the link has been broken for some time. A target that restarts can look so for an instant.
+    pub(crate) fn is_broken(&self) -> bool {
+        self.status() != LinkStatus::Open && self.is_confirmed.load(Ordering::Relaxed)
+    }
+
     /// Changes the status; returns whether it was another one.
     pub(crate) fn set(&self, status: LinkStatus) -> bool {
         self.status.send_if_modified(|current| std::mem::replace(current, status) != status)
--- a/crates/links/src/links.rs
+++ b/crates/links/src/links.rs
@@ -4,7 +4,7 @@
     collections::{BTreeMap, HashMap},
     io,
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, atomic::Ordering},
     time::Duration,
 };
 
@@ -156,6 +156,14 @@
         self.lock().get(&target).map_or(LinkStatus::Open, |link| link.status())
     }
 
+    /// Whether most of the links in use are broken.
+    pub fn is_cut_off(&self) -> bool {
+        let links = self.lock();
+        let broken = links.values().filter(|link| link.is_broken()).count();
+        let in_use = links.values().filter(|l| l.is_broken() || l.unused_for() < RECENT_USE);
+        2 * broken > in_use.count()
+    }
+
     /// Forgets links that were not used for long.
     pub fn expire(&self) {
         self.lock()
@@ -337,6 +345,7 @@
         if !link.set(status) {
             return;
         }
+        link.is_confirmed.store(false, Ordering::Relaxed);
         if let Some(log) = self.log() {
             event!(log, LINK_BROKEN; "addr" => %link.target, "status" => ?status,
                 "heard_ms_ago" => link.silent_for().as_millis() as u64);
@@ -361,6 +370,7 @@
             }
             let connected = timeout(CHECK_TIMEOUT, self.connect_direct(link.target)).await;
             if !matches!(connected, Ok(Ok(_))) {
+                link.is_confirmed.store(true, Ordering::Relaxed);
                 continue;
             }
             link.set(LinkStatus::Open);
--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -19,6 +19,7 @@
 mod fingerprint;
 mod forwarder;
 mod inspect;
+mod links;
 mod load;
 mod messages;
 mod part_runs;
--- a/crates/owner/src/service.rs
+++ b/crates/owner/src/service.rs
@@ -158,7 +158,7 @@
     pub async fn run(self: Arc<Self>) {
         let mut changed = self.cx.view.changed();
         loop {
-            match self.is_draining() {
+            match self.is_draining() || self.report_links().await {
                 true => self.release_all().await,
                 false => self.sync_groups(),
             }
@@ -199,8 +199,7 @@
         }
         let Some(session) = (self.cx.session)() else { return };
         let owned: Vec<_> = self.cx.view.read(|state| {
-            let owned = state.groups().filter(|group| group.owner == Some(session));
-            owned.map(|group| group.id.clone()).collect()
+            state.groups().filter(|g| g.owner == Some(session)).map(|g| g.id.clone()).collect()
         });
         for group in owned {
             let command = Command::ReleaseGroup { group: group.clone(), session };
@@ -438,6 +437,7 @@
                 if let Some((service, group)) = owned
                     && let Some(spec) = service.target_spec(&group, &target)
                 {
+                    service.cx.links.suspect(spec.addr);
                     service.inspect(&group, &spec);
                 }
                 result
