--- a/crates/control/src/state/suspects.rs
+++ b/crates/control/src/state/suspects.rs
@@ -536,12 +536,15 @@
     }
 
     fn update_explained(&mut self) {
-        let mut suspects = std::mem::take(&mut self.suspects);
-        for suspect in suspects.values_mut().filter(|s| s.isolation == Isolation::Shared) {
-            let explained = suspect.crashes.iter().filter(|crash| self.is_explained(crash));
-            suspect.explained = explained.cloned().collect();
+        let certain = self.quarantined.values().filter(|q| q.is_certain());
+        let certain: BTreeSet<&Crash> = certain.flat_map(|q| &q.crashes).collect();
+        for suspect in self.suspects.values_mut().filter(|s| s.isolation == Isolation::Shared) {
+            let is_explained = |crash: &&Crash| {
+                let number = self.log.number(crash);
+                certain.contains(*crash) || number.is_some_and(|n| self.parts.is_explained(n))
+            };
+            suspect.explained = suspect.crashes.iter().filter(is_explained).cloned().collect();
         }
-        self.suspects = suspects;
     }
 
     /// Whether a quarantined request is known as the cause of a crash.
--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -13,7 +13,7 @@
 use shallotdrum_engine::{AnnounceReply, ClientTimeouts, EngineClient};
 use shallotdrum_entry::{EntryConfig, EntryContext, EntryHandle, EntryServer};
 use shallotdrum_gateway::{ConnectionPool, Gateway, GatewayContext, HeaderCodec, RetryAllowance};
-use shallotdrum_links::{LinkContext, Links, PeerInstance};
+use shallotdrum_links::Links;
 use shallotdrum_owner::{
     Forwarder, HeldPermits, InspectFn, OrderFn, OwnerContext, OwnerService, engine_orders,
     serve_forwarded,
@@ -33,6 +33,7 @@
     catalog::ViewCatalog,
     disk,
     follower::Follower,
+    links::link_context,
     membership::{join, track_replicas},
     peer::Peer,
     plane::ControlPlane,
@@ -408,34 +409,6 @@
     }
 }
 
-/// Finds the instances that may open connections for this one: entries in other zones, as a zone may
-/// lose its links together, then those in its own, then replicas.
-fn link_context(settings: &Settings, view: &ControlView, log: &slog::Logger) -> LinkContext {
-    let (instance, zone) = (settings.instance.clone(), settings.zone.clone());
-    let (peers, targets) = (view.clone(), view.clone());
-    LinkContext {
-        peers: Box::new(move || {
-            peers.read(|state| {
-                let others = state.sessions().filter(|s| s.info.instance != instance);
-                let others = others.map(|session| PeerInstance {
-                    instance: session.info.instance.clone(),
-                    data: session.info.addrs.data,
-                    rank: match (session.info.replica, session.info.zone == zone) {
-                        (false, false) => 0,
-                        (false, true) => 1,
-                        (true, _) => 2,
-                    },
-                });
-                others.collect()
-            })
-        }),
-        is_target: Box::new(move |addr| {
-            targets.read(|state| state.targets().any(|target| target.announced.addr == addr))
-        }),
-        log: log.clone(),
-    }
-}
-
 /// Incarnation of this process, derived from the wall clock so that it exceeds the previous one.
 ///
 /// If the wall clock was set back, the control log refuses the new session until the previous one
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -13,6 +13,7 @@
 mod disk;
 mod follower;
 mod instance;
+mod links;
 mod membership;
 mod peer;
 mod plane;
--- a/crates/gateway/src/crash.rs
+++ b/crates/gateway/src/crash.rs
@@ -10,6 +10,7 @@
 use hyper::body::Incoming;
 use shallotdrum_links::Links;
 use shallotdrum_owner::RunningGuard;
+use shallotdrum_rpc::PlaceEnd;
 use shallotdrum_telemetry::event;
 use shallotdrum_types::{RequestError, RequestIdentity, TargetId};
 use tokio::time::{Instant, sleep, timeout_at};
@@ -52,6 +53,19 @@
             "may_have_run" => failure.may_have_run(), "error" => %error);
     }
 
+    /// Ends the place of a send without a complete response; a failure of the link does not count
+    /// against the target.
+    pub(crate) fn end_failed(&self, place: Place) {
+        let links = self.links().clone();
+        tokio::spawn(async move {
+            let end = match links.is_link_failure(place.granted.addr).await {
+                true => PlaceEnd::Cancelled,
+                false => PlaceEnd::Failed,
+            };
+            place.end(end);
+        });
+    }
+
     pub(crate) fn check_quarantine(&self, identity: &RequestIdentity) -> Result<(), RequestError> {
         self.cx.owner.check_relayed_quarantine(identity)
     }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -168,19 +168,6 @@
         gateway
     }
 
-    /// Ends the place of a send without a complete response; a failure of the link does not count
-    /// against the target.
-    pub(crate) fn end_failed(&self, place: Place) {
-        let links = self.links().clone();
-        tokio::spawn(async move {
-            let end = match links.is_link_failure(place.granted.addr).await {
-                true => PlaceEnd::Cancelled,
-                false => PlaceEnd::Failed,
-            };
-            place.end(end);
-        });
-    }
-
     pub(crate) fn links(&self) -> &Links {
         self.connections.links()
     }
