Count the adapters that an engine reports as occupying its room

Cause: the scheduler gave no slot to a reported adapter while an order was outstanding or if the report was sampled before the end of its latest order, and then took its places for free. The number of orders that the engine has accepted came from the same report, so the engine accepted the loads into places that were taken: five adapters reported, six places, three loads. Change: a place is free only if neither a slot nor an adapter of the latest report occupies it; adapters that this owner's own orders evicted after the report was sampled don't count. Ruled out: a place given back with an unknown result by itself: the engine refuses a late order after a newer one.

--- a/crates/scheduler/src/slots.rs
+++ b/crates/scheduler/src/slots.rs
@@ -162,6 +162,11 @@
     /// Adapters without a slot here that were reported with running requests, each with the number
     /// of later reports that omit it.
     busy_without_slot: Vec<(AdapterKey, u32)>,
+    /// Adapters of the latest report, which occupy room on the engine with or without a slot here.
+    reported: Vec<AdapterKey>,
+    /// Adapters that orders of this owner evicted, each with the end of its order. Reports sampled
+    /// earlier still name them.
+    evicted: Vec<(AdapterKey, Instant)>,
 }
 
 impl Slots {
@@ -175,6 +180,8 @@
             reports_since_added: 0,
             has_untracked_adapter: false,
             busy_without_slot: Vec::new(),
+            reported: Vec::new(),
+            evicted: Vec::new(),
         }
     }
 
@@ -192,7 +199,18 @@
     }
 
     pub(crate) fn has_free(&self) -> bool {
-        self.slots.len() < self.max
+        self.free() > 0
+    }
+
+    /// Number of adapters that the engine certainly has room for.
+    pub(crate) fn free(&self) -> usize {
+        let untracked = self.reported.iter().filter(|adapter| !self.references(**adapter)).count();
+        self.max.saturating_sub(self.slots.len() + untracked)
+    }
+
+    /// Number of adapters in the latest report.
+    pub(crate) fn reported(&self) -> usize {
+        self.reported.len()
     }
 
     pub(crate) fn is_loading(&self) -> bool {
@@ -271,7 +289,11 @@
         self.last_order_end = Some(now);
         let ordered_at = slot.last_used;
         match (outcome, victim) {
-            (LoadOutcome::Loaded, _) => {
+            (LoadOutcome::Loaded, victim) => {
+                if let Some(victim) = victim {
+                    self.reported.retain(|adapter| *adapter != victim.adapter);
+                    self.evicted.push((victim.adapter, now));
+                }
                 *slot = Slot::ready(adapter, self.evicts_after_requests, now);
                 if !was_absent {
                     // The adapter may have been resident before, with requests of the previous
@@ -312,6 +334,10 @@
             self.reports_since_added += 1;
         }
         self.update_busy_without_slot(reported, sampled);
+        self.evicted.retain(|(_, at)| sampled <= *at);
+        let is_evicted = |adapter| self.evicted.iter().any(|(evicted, _)| *evicted == adapter);
+        self.reported = reported.iter().map(|status| status.adapter).collect();
+        self.reported.retain(|adapter| !is_evicted(*adapter));
         let mut changes = Vec::new();
         for status in reported {
             if let Some(slot) = self.get_mut(status.adapter) {
@@ -364,7 +390,8 @@
     ) {
         let is_victim = self.slots.iter().any(|slot| slot.victim() == Some(status.adapter));
         let is_current = self.last_order_end.is_none_or(|end| sampled > end);
-        if is_victim || !is_current || self.is_loading() || !self.has_free() {
+        let has_slot = self.slots.len() < self.max;
+        if is_victim || !is_current || self.is_loading() || !has_slot {
             return;
         }
         let mut slot = Slot::ready(status.adapter, self.evicts_after_requests, now);
--- a/crates/scheduler/src/state/loads.rs
+++ b/crates/scheduler/src/state/loads.rs
@@ -57,12 +57,14 @@
         };
         let is_cached = target.adapter_cache.contains(adapter);
         let backlog = target.prefill_backlog.wait(now);
+        let (free, reported) = (target.slots.free(), target.slots.reported());
         if let Some(victim) = victim {
             self.stats.evictions += 1;
             self.remove_holder(key, victim);
         }
         event!(self.log, LOAD_DECIDED; "target" => %order.target, "adapter" => %order.adapter,
             "evict" => order.evict.as_ref().map(ToString::to_string),
+            "free" => free, "reported" => reported,
             "is_kept" => is_cached, "backlog_ms" => backlog.as_millis() as u64,
             "under_way" => self.loads_in_flight.len() + 1, "waiting_adapters" => self.waiting.len());
         self.adapters[adapter].loading.push(key);
