Raise the order count of an engine only with a report that was applied

Cause: the number of accepted orders was raised when an engine's state was read, before the scheduler had applied it, and also if the scheduler dropped the report as older than one before. Orders decided without the adapters of that report then passed. Change: the inspection hands the number over with the report, keeps orders back until the scheduler has applied it, and refuses what was decided before that moment; a report that is not applied changes nothing.

--- a/crates/owner/src/base.rs
+++ b/crates/owner/src/base.rs
@@ -33,13 +33,13 @@
         }
     }
 
-    /// Applies the load report of an inspected engine.
+    /// Applies the load report of an inspected engine; returns when the scheduler did.
     pub(crate) fn apply_inspection(
         self: &Arc<Self>,
         group: &Arc<OwnedGroup>,
         engine: &InspectRequest,
         report: &LoadReport,
-    ) {
+    ) -> Option<Instant> {
         {
             let mut targets = group.targets();
             let health = targets.get_mut(&engine.target);
@@ -47,7 +47,7 @@
                 self.update_base_state(group, health, engine, report.base_missing);
             }
         }
-        group.scheduler.report(&engine.target, engine.incarnation, report);
+        group.scheduler.report(&engine.target, engine.incarnation, report)
     }
 
     /// Orders an engine to load its base model, unless such an order is already in flight.
--- a/crates/owner/src/context.rs
+++ b/crates/owner/src/context.rs
@@ -57,10 +57,20 @@
         + Sync,
 >;
 
+/// Load report of an inspected engine.
+pub struct Inspection {
+    /// What the engine holds.
+    pub report: LoadReport,
+    /// Called with the time at which the scheduler applied the report. No order is sent to the engine
+    /// until then, and orders that were decided earlier are refused if the engine has accepted
+    /// others that were unknown to this instance.
+    pub applied: Box<dyn FnOnce(Instant) + Send>,
+}
+
 /// Queries the load report of an engine, for engines whose announcements don't state reliably what
 /// they hold; `None` if the engine does not respond.
 pub type InspectFn = Arc<
-    dyn Fn(InspectRequest) -> Pin<Box<dyn Future<Output = Option<LoadReport>> + Send>>
+    dyn Fn(InspectRequest) -> Pin<Box<dyn Future<Output = Option<Inspection>> + Send>>
         + Send
         + Sync,
 >;
--- a/crates/owner/src/inspect.rs
+++ b/crates/owner/src/inspect.rs
@@ -9,7 +9,7 @@
 use shallotdrum_scheduler::TargetSpec;
 use shallotdrum_telemetry::event;
 
-use crate::{InspectFn, InspectRequest, OwnerService, service::OwnedGroup};
+use crate::{InspectFn, InspectRequest, Inspection, OwnerService, service::OwnedGroup};
 
 /// Delay between two inspections of an engine. Half the maximum age of an engine's report, so that
 /// the second report, which the scheduler needs after a takeover, follows soon after the first.
@@ -55,11 +55,13 @@
             if !is_owned || !group.contains(&engine.target, engine.incarnation) {
                 return;
             }
-            if let Some(report) = inspect(engine.clone()).await {
+            if let Some(Inspection { report, applied }) = inspect(engine.clone()).await {
                 event!(self.cx.log, ENGINE_INSPECTED; "target" => %engine.target,
                     "adapters" => adapter_names(&report), "base_missing" => report.base_missing,
                     "age_ms" => report.age_ms);
-                self.apply_inspection(group, engine, &report);
+                if let Some(at) = self.apply_inspection(group, engine, &report) {
+                    applied(at);
+                }
                 if group.scheduler.is_reconciled(&engine.target) {
                     return;
                 }
--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -34,8 +34,8 @@
 mod unrecorded;
 
 pub use context::{
-    HeldPermits, InspectFn, InspectRequest, OrderFn, OrderKind, OwnerContext, PermitFn, ReleaseFn,
-    SessionFn, TargetOrder, engine_orders,
+    HeldPermits, InspectFn, InspectRequest, Inspection, OrderFn, OrderKind, OwnerContext, PermitFn,
+    ReleaseFn, SessionFn, TargetOrder, engine_orders,
 };
 pub use crash::{CrashStatus, RunningGuard};
 pub use fingerprint::{completion_fingerprint, completion_identity};
--- a/crates/scheduler/src/group.rs
+++ b/crates/scheduler/src/group.rs
@@ -77,8 +77,13 @@
     }
 
     /// Applies a load report from one incarnation of a target. Reports may be late and incomplete.
-    pub fn report(&self, id: &TargetId, incarnation: Incarnation, report: &LoadReport) {
-        self.shared.update(|state, now| state.report(id, incarnation, report, now));
+    pub fn report(
+        &self,
+        id: &TargetId,
+        incarnation: Incarnation,
+        report: &LoadReport,
+    ) -> Option<Instant> {
+        self.shared.update(|state, now| state.report(id, incarnation, report, now).then_some(now))
     }
 
     /// Applies changes of an engine's prefix cache. Events may be late or missing.
--- a/crates/scheduler/src/state/membership.rs
+++ b/crates/scheduler/src/state/membership.rs
@@ -102,15 +102,16 @@
         }
     }
 
-    /// Applies a load report from one incarnation of a target.
+    /// Applies a load report from one incarnation of a target; returns false if the report is of
+    /// another incarnation or older than the previous one.
     pub(crate) fn report(
         &mut self,
         id: &TargetId,
         incarnation: Incarnation,
         report: &LoadReport,
         now: Instant,
-    ) {
-        let Some(key) = self.target_keys.get(id).copied() else { return };
+    ) -> bool {
+        let Some(key) = self.target_keys.get(id).copied() else { return false };
         let reported: Vec<ReportedAdapter> = report
             .adapters
             .iter()
@@ -120,16 +121,16 @@
                 running: status.running,
             })
             .collect();
-        let Some(target) = self.targets.get_mut(&key) else { return };
+        let Some(target) = self.targets.get_mut(&key) else { return false };
         if target.spec.incarnation != incarnation {
-            return;
+            return false;
         }
         // The sample is at least `age_ms` old, and older by the transit time of the report.
         let age = Duration::from_millis(report.age_ms);
         let newest = now.checked_sub(age).unwrap_or(now);
         let oldest = newest.checked_sub(self.cfg.report_transit).unwrap_or(newest);
         if target.sampled_at.is_some_and(|at| newest < at) {
-            return;
+            return false;
         }
         target.sampled_at = Some(newest);
         target.reported_at = Some(now);
@@ -140,6 +141,7 @@
             self.apply_residency_change(key, change, now);
         }
         self.fill_target(key, now);
+        true
     }
 
     /// Whether the reports received so far account for all adapters on the target; true if the
