Send base model orders only while the group is owned

Cause: three gaps of one kind in the order of a base model, which lasts up to 30 s and is sent again every 25 ms until it is done. The number was read from the state as it was then, with a look at the session only, so that a former owner could order under the next owner's number; a release waited for adapter orders but not for this one; and a new owner of a lost group did not wait for the settling time of targets that ignore fences. Change: adapter and base orders take owner, epoch and token from one state (Ownership::order_grant, which also demands that the target is still in that group); a base order ends with the ownership and counts as an order in flight for the release; base orders wait for the settling time. Ruled out: other orders that take a number later than their grant: load.rs is the only other place, and it checked owner and epoch.

--- a/crates/owner/src/base.rs
+++ b/crates/owner/src/base.rs
@@ -3,7 +3,9 @@
 use std::{sync::Arc, time::Duration};
 
 use shallotdrum_engine::LoadReport;
+use shallotdrum_scheduler::LoadFailure;
 use shallotdrum_telemetry::event;
+use shallotdrum_types::Epoch;
 use tokio::time::Instant;
 
 use crate::{
@@ -15,6 +17,9 @@
 /// other down.
 const BASE_LOAD_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Interval between checks whether an order in flight must end because the ownership has.
+const OWNERSHIP_POLL_INTERVAL: Duration = Duration::from_millis(10);
+
 impl OwnerService {
     /// Updates whether an engine holds its base model, and orders the load if it does not.
     pub(crate) fn update_base_state(
@@ -28,7 +33,9 @@
             health.is_base_missing = is_missing;
             group.scheduler.set_draining(&engine.target, health.is_unschedulable());
         }
-        if is_missing && !health.rejects_orders() {
+        // Targets that ignore fencing tokens may still execute orders of a lost owner.
+        let is_settled = std::time::Instant::now() >= health.orders_allowed_from;
+        if is_missing && is_settled && !health.rejects_orders() {
             self.load_base(group, engine);
         }
     }
@@ -50,17 +57,26 @@
         group.scheduler.report(&engine.target, engine.incarnation, report)
     }
 
+    /// Resolves when this instance no longer owns the group.
+    async fn ownership_end(&self, group: &Arc<OwnedGroup>) {
+        while self.holds(group) && self.check_owned(group).is_ok() {
+            tokio::time::sleep(OWNERSHIP_POLL_INTERVAL).await;
+        }
+    }
+
     /// Orders an engine to load its base model, unless such an order is already in flight.
     fn load_base(self: &Arc<Self>, group: &Arc<OwnedGroup>, engine: &InspectRequest) {
         let InspectRequest { target, incarnation, addr, base, .. } = engine;
-        let epoch = self.cx.view.read(|state| state.fencing_token(target));
-        let Some(epoch) = epoch.filter(|_| self.check_owned(group).is_ok()) else { return };
+        let in_flight = group.orders.enter();
+        let grant = group.ownership().order_grant(&self.cx, &group.id, target);
+        let Some(grant) = grant.filter(|_| self.holds(group)) else { return };
         if !group.base_loads().insert(target.clone()) {
             return;
         }
-        event!(self.cx.log, BASE_LOADING; "target" => %target, "base" => %base);
+        let Epoch(epoch) = grant.epoch;
+        event!(self.cx.log, BASE_LOADING; "target" => %target, "base" => %base, "epoch" => epoch);
         let order = TargetOrder {
-            epoch,
+            epoch: grant.epoch,
             target: target.clone(),
             incarnation: *incarnation,
             addr: *addr,
@@ -72,7 +88,14 @@
         let (service, group) = (self.clone(), group.clone());
         tokio::spawn(async move {
             let target = order.target.clone();
-            let result = (service.cx.order)(order).await;
+            // A base load outlasts the time that a new owner waits for the orders of this one, so it
+            // is not sent again once the ownership has ended.
+            let result = tokio::select! {
+                biased;
+                () = service.ownership_end(&group) => Err(LoadFailure::Unknown),
+                result = (service.cx.order)(order) => result,
+            };
+            drop(in_flight);
             group.base_loads().remove(&target);
             let mut targets = group.targets();
             match (result, targets.get_mut(&target)) {
--- a/crates/owner/src/load.rs
+++ b/crates/owner/src/load.rs
@@ -9,7 +9,7 @@
 use shallotdrum_engine::TargetKind;
 use shallotdrum_scheduler::{LoadFailure, LoadFn, LoadOrder};
 use shallotdrum_telemetry::event;
-use shallotdrum_types::{BaseModelId, Epoch, GroupId, SessionId};
+use shallotdrum_types::{BaseModelId, Epoch, GroupId, SessionId, TargetId};
 
 use crate::{ORDER_TIMEOUT, OrderKind, OwnerContext, TargetOrder};
 
@@ -20,6 +20,38 @@
     pub(crate) epoch: Epoch,
 }
 
+/// What an order to an engine needs from the control state.
+pub(crate) struct OrderGrant {
+    /// Fencing token of the owner.
+    pub(crate) epoch: Epoch,
+    /// Base model that the engine announced.
+    pub(crate) base: BaseModelId,
+}
+
+impl Ownership {
+    /// Grants an order to an engine of the group, unless this ownership or the lease has ended.
+    ///
+    /// The owner and the token come from one state: another instance may own the group by the time
+    /// an order is sent, and a token read later would be that of the next owner.
+    pub(crate) fn order_grant(
+        self,
+        cx: &OwnerContext,
+        group: &GroupId,
+        target: &TargetId,
+    ) -> Option<OrderGrant> {
+        let grant = cx.view.read(|state| {
+            // The session may have lost the group and acquired it again under another epoch.
+            let is_owned = state
+                .group(group)
+                .is_some_and(|g| g.owner == Some(self.session) && g.epoch == self.epoch);
+            let member = state.target(target).filter(|t| is_owned && t.group == *group)?;
+            let TargetKind::Engine { base_model, .. } = &member.announced.kind else { return None };
+            Some(OrderGrant { epoch: state.fencing_token(target)?, base: base_model.clone() })
+        });
+        grant.filter(|_| (cx.session)() == Some(self.session))
+    }
+}
+
 /// Returns the function that a group's scheduler calls to load adapters.
 pub(crate) fn load_fn(
     cx: OwnerContext,
@@ -40,14 +72,14 @@
         self.0.load(Ordering::SeqCst) == 0
     }
 
-    fn enter(&self) -> OrderGuard {
+    pub(crate) fn enter(&self) -> OrderGuard {
         self.0.fetch_add(1, Ordering::SeqCst);
         OrderGuard(self.clone())
     }
 }
 
 /// Counts an order as in flight until dropped.
-struct OrderGuard(OrderCount);
+pub(crate) struct OrderGuard(OrderCount);
 
 impl Drop for OrderGuard {
     fn drop(&mut self) {
@@ -65,42 +97,24 @@
     let Some(permit) = (cx.permit)(group.clone()).await else { return Err(LoadFailure::NoPermit) };
     let in_flight = orders.enter();
     // The lease or the ownership may have ended while the permit was being acquired.
-    let allowed = cx.view.read(|state| {
-        // The session may have lost the group and acquired it again under another epoch.
-        let is_owned = state.group(&group).is_some_and(|group| {
-            group.owner == Some(ownership.session) && group.epoch == ownership.epoch
-        });
-        let base = match &state.target(&order.target)?.announced.kind {
-            TargetKind::Engine { base_model, .. } => base_model.clone(),
-            TargetKind::Service { .. } => return None,
-        };
-        is_owned.then(|| Some((state.fencing_token(&order.target)?, base))).flatten()
-    });
-    let result = match allowed {
-        Some((epoch, base)) if (cx.session)() == Some(ownership.session) => {
-            send(&cx, epoch, base, order).await
-        }
-        _ => Err(LoadFailure::NoPermit),
+    let result = match ownership.order_grant(&cx, &group, &order.target) {
+        Some(grant) => send(&cx, grant, order).await,
+        None => Err(LoadFailure::NoPermit),
     };
     drop(in_flight);
     (cx.release)(permit);
     result
 }
 
-async fn send(
-    cx: &OwnerContext,
-    epoch: Epoch,
-    base: BaseModelId,
-    load: LoadOrder,
-) -> Result<(), LoadFailure> {
+async fn send(cx: &OwnerContext, grant: OrderGrant, load: LoadOrder) -> Result<(), LoadFailure> {
     let is_eviction = load.evict.is_some();
     let (target, adapter) = (load.target.clone(), load.adapter.clone());
     let order = TargetOrder {
-        epoch,
+        epoch: grant.epoch,
         target: target.clone(),
         incarnation: load.incarnation,
         addr: load.addr,
-        base,
+        base: grant.base,
         decided_at: load.decided_at,
         wanted: OrderKind::Adapter(load),
         timeout: ORDER_TIMEOUT,
--- a/crates/owner/src/service.rs
+++ b/crates/owner/src/service.rs
@@ -96,7 +96,7 @@
     pub(crate) epoch: Epoch,
     pub(crate) scheduler: GroupScheduler,
     pub(crate) crashes: Arc<CrashDetector>,
-    orders: OrderCount,
+    pub(crate) orders: OrderCount,
     handover: Handover,
     /// When this instance began to own the group.
     pub(crate) since: Instant,
@@ -121,6 +121,8 @@
     is_timed_out: bool,
     /// The target holds no base model.
     pub(crate) is_base_missing: bool,
+    /// Earliest time at which this owner may order a base model.
+    pub(crate) orders_allowed_from: Instant,
     /// Sequence number of the latest announcement.
     sequence: u64,
 }
@@ -321,6 +323,11 @@
         Err(owner_changed(&group.id))
     }
 
+    /// Whether the group has been neither lost nor given up for release.
+    pub(crate) fn holds(&self, group: &Arc<OwnedGroup>) -> bool {
+        self.groups().get(&group.id).is_some_and(|held| Arc::ptr_eq(held, group))
+    }
+
     /// Rejects a request that crashed two targets, including one that was queued before the second
     /// crash.
     pub(crate) fn check_quarantine(&self, request: &Fingerprint) -> Result<(), RequestError> {
@@ -490,6 +497,7 @@
                     is_leaving: false,
                     is_timed_out: false,
                     is_base_missing: false,
+                    orders_allowed_from: group.orders_allowed_from(&announced.kind),
                     sequence: 0,
                 },
             );
@@ -541,6 +549,10 @@
         self.targets.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(crate) fn ownership(&self) -> Ownership {
+        Ownership { session: self.session, epoch: self.epoch }
+    }
+
     /// Whether the group contains this incarnation of a target.
     pub(crate) fn contains(&self, target: &TargetId, incarnation: Incarnation) -> bool {
         self.targets().get(target).is_some_and(|health| health.incarnation == incarnation)
