Agree on the format of the control log before writing newer commands

Cause: nothing told the leader what the other instances can read. Change: a session states the newest format that its instance reads (none: 1); the leader raises the format of the log once every replica has a session and all live sessions have read the newer format for 10 s; until then the leader and the owner keep back commands of a newer format, so that an entry with broken links keeps its groups. A release that reads less says which format it met. max_control_format in the settings keeps the way back open; `shallotdrum instances` shows what each instance reads.

--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -59,6 +59,7 @@
                 "zone",
                 "session",
                 "is_replica",
+                "control_format",
                 "is_leader",
                 "is_draining",
                 "revision",
--- a/crates/control/src/command.rs
+++ b/crates/control/src/command.rs
@@ -7,12 +7,15 @@
 use shallotdrum_manifest::{Manifest, ManifestDelta, ManifestErrors};
 use shallotdrum_routes::{DeltaError, RouteDelta, RouteTable};
 use shallotdrum_types::{
-    AdapterId, AvailabilityZone, BaseModelId, ControlTimeMs, Digest, Epoch, Fingerprint, GroupId,
-    IdempotencyKey, Incarnation, InstanceId, PoolId, Region, RequestId, Revision, SessionId,
-    SoftwareVersion, SubmissionId, SubscriberId, TargetId,
+    AdapterId, AvailabilityZone, BaseModelId, ControlFormat, ControlTimeMs, Digest, Epoch,
+    Fingerprint, GroupId, IdempotencyKey, Incarnation, InstanceId, PoolId, Region, RequestId,
+    Revision, SessionId, SoftwareVersion, SubmissionId, SubscriberId, TargetId,
 };
 
-use crate::{CallerIdentity, CompletedRuns, Isolation, PartRun, SuspectPart};
+use crate::{
+    CallerIdentity, CompletedRuns, Isolation, PartRun, SuspectPart,
+    format::{initial_format, is_initial_format},
+};
 
 /// Log entry: a command with the control time at which the leader proposed it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -205,6 +208,14 @@
         /// Version to serve from now on.
         version: u64,
     },
+    /// Raises the format of the log. A lower format has no effect.
+    ///
+    /// Written once all replicas and live sessions can read the format; releases that cannot must not
+    /// be started on this log any more.
+    RaiseFormat {
+        /// Format of the commands that may follow.
+        format: ControlFormat,
+    },
     /// Advances control time and drops expired calls.
     Tick,
 }
@@ -224,6 +235,9 @@
     pub addrs: InstanceAddrs,
     /// Whether the instance is a control replica.
     pub replica: bool,
+    /// Newest format of the control log that the instance reads.
+    #[serde(default = "initial_format", skip_serializing_if = "is_initial_format")]
+    pub format: ControlFormat,
 }
 
 /// Addresses on which an instance listens.
@@ -449,6 +463,14 @@
     /// The request is not quarantined.
     #[error("request {0} is not quarantined")]
     NotQuarantined(Fingerprint),
+    /// Some instance could not read the command.
+    #[error("the control log has format {agreed}, and this command needs format {needed}")]
+    FormatNotAgreed {
+        /// Format that the command belongs to.
+        needed: ControlFormat,
+        /// Format of the log.
+        agreed: ControlFormat,
+    },
     /// The time of the temporary quarantine has not passed.
     #[error("request {0} is still suspended")]
     Suspended(Fingerprint),
--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -8,10 +8,13 @@
 mod permits;
 mod sessions;
 
-use std::{collections::BTreeSet, time::Instant};
+use std::{
+    collections::BTreeSet,
+    time::{Duration, Instant},
+};
 
 use shallotdrum_manifest::Manifest;
-use shallotdrum_types::{GroupId, InstanceId, PermitId, Revision, SessionId, Term};
+use shallotdrum_types::{ControlFormat, GroupId, InstanceId, PermitId, Revision, SessionId, Term};
 
 pub use assignments::{assignments, rebalance};
 pub use permits::{PERMIT_LIFETIME, PermitReply, PermitTable, permit_term};
@@ -19,6 +22,10 @@
 
 use crate::{Command, ControlState};
 
+/// Time for which all instances must have been able to read a format before the log is raised to it.
+/// Covers the restart of an instance that is replaced last, so that its session is missing for a while.
+const RAISE_SETTLE: Duration = Duration::from_secs(10);
+
 /// Session leases and load permits of a leader, created at its election.
 #[derive(Debug)]
 pub struct LeaderState {
@@ -26,6 +33,8 @@
     permits: PermitTable,
     /// Manifest revision whose limits the permit table uses.
     limits_revision: Revision,
+    /// Newest format that all instances can read, and since when.
+    readable: Option<(ControlFormat, Instant)>,
 }
 
 impl LeaderState {
@@ -37,7 +46,7 @@
         let mut sessions = SessionTable::default();
         sessions.reset(now, live.iter().copied());
         let permits = PermitTable::new(now, term, &store, live);
-        Self { sessions, permits, limits_revision: state.revision() }
+        Self { sessions, permits, limits_revision: state.revision(), readable: None }
     }
 
     /// Updates the sessions and limits from the control state; must be called when it changes.
@@ -106,6 +115,26 @@
         ends.chain(assignments(state, &live).into_iter().map(assign)).collect()
     }
 
+    /// Command that raises the format of the log, once all sessions and replicas can read a newer one
+    /// for long enough.
+    pub fn due_raise<'a>(
+        &mut self,
+        now: Instant,
+        state: &ControlState,
+        replicas: impl IntoIterator<Item = &'a InstanceId>,
+    ) -> Option<Command> {
+        let formats = state.sessions().map(|session| session.info.format);
+        let have_sessions = replicas.into_iter().all(|id| state.session_of(id).is_some());
+        let readable = formats.min().filter(|format| have_sessions && *format > state.format());
+        let since = match (readable, self.readable) {
+            (Some(format), Some((before, since))) if format == before => since,
+            _ => now,
+        };
+        self.readable = readable.map(|format| (format, since));
+        let format = readable.filter(|_| now >= since + RAISE_SETTLE)?;
+        Some(Command::RaiseFormat { format })
+    }
+
     /// Expired session of an instance, which must be ended before the instance opens another.
     ///
     /// Until `EndSession` is applied, `OpenSession` by the same process returns the expired
--- a/crates/control/src/state/mod.rs
+++ b/crates/control/src/state/mod.rs
@@ -23,12 +23,15 @@
 use shallotdrum_manifest::Manifest;
 use shallotdrum_routes::{RouteIndex, RouteTable};
 use shallotdrum_types::{
-    AdapterId, BaseModelId, ControlTimeMs, Digest, Epoch, Fingerprint, GroupId, Incarnation,
-    InstanceId, KeyHash, LogIndex, PoolId, Revision, SessionId, SoftwareVersion, SubmissionId,
-    SubscriberId, TargetId,
+    AdapterId, BaseModelId, ControlFormat, ControlTimeMs, Digest, Epoch, Fingerprint, GroupId,
+    Incarnation, InstanceId, KeyHash, LogIndex, PoolId, Revision, SessionId, SoftwareVersion,
+    SubmissionId, SubscriberId, TargetId,
 };
 
-use crate::{CallKey, Command, CommandError, Reply, TimedCommand};
+use crate::{
+    CallKey, Command, CommandError, Reply, TimedCommand,
+    format::{INITIAL_FORMAT, is_initial_format},
+};
 use {
     groups::Groups,
     ledger::Ledger,
@@ -78,6 +81,25 @@
     suspects: Suspects,
     #[serde(default)]
     routes: Routes,
+    #[serde(default, skip_serializing_if = "AgreedFormat::is_initial")]
+    format: AgreedFormat,
+}
+
+/// Format of the control log that all instances can read.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(transparent)]
+struct AgreedFormat(ControlFormat);
+
+impl Default for AgreedFormat {
+    fn default() -> Self {
+        Self(INITIAL_FORMAT)
+    }
+}
+
+impl AgreedFormat {
+    fn is_initial(&self) -> bool {
+        is_initial_format(&self.0)
+    }
 }
 
 impl ControlState {
@@ -96,6 +118,21 @@
         self.shared.now.max(self.ledger.now())
     }
 
+    /// Format of the log; commands of a newer one are not written.
+    pub fn format(&self) -> ControlFormat {
+        self.shared.format.0
+    }
+
+    /// Whether all instances can read the command.
+    pub fn allows(&self, command: &Command) -> Result<(), CommandError> {
+        match (command.format(), self.format()) {
+            (needed, agreed) if needed > agreed => {
+                Err(CommandError::FormatNotAgreed { needed, agreed })
+            }
+            _ => Ok(()),
+        }
+    }
+
     /// Current manifest, once one was accepted.
     pub fn manifest(&self) -> Option<&Arc<Manifest>> {
         self.shared.manifests.current()
@@ -475,6 +512,10 @@
                 Ok(Reply::Done)
             }
             Command::LiftQuarantine { request } => self.suspects.lift(request).map(done),
+            Command::RaiseFormat { format } => {
+                self.format.0 = self.format.0.max(format);
+                Ok(Reply::Done)
+            }
             Command::BeginCall { .. }
             | Command::FinishCall { .. }
             | Command::AbandonCall { .. }
--- a/crates/control/src/state/snapshot.rs
+++ b/crates/control/src/state/snapshot.rs
@@ -6,7 +6,9 @@
 use std::borrow::Cow;
 
 use serde::{Deserialize, Serialize};
-use shallotdrum_types::LogIndex;
+use shallotdrum_types::{ControlFormat, LogIndex};
+
+use crate::NEWEST_FORMAT;
 
 use super::{ControlState, SharedState, ledger::Ledger};
 
@@ -32,6 +34,12 @@
     /// The snapshot has another format version.
     #[error("unsupported control snapshot version {0}; expected version {VERSION}")]
     Version(u32),
+    /// All instances had agreed on a format that this release cannot read.
+    #[error(
+        "the control log has format {0}, and this release reads up to {NEWEST_FORMAT}; install the \
+         release that was running before"
+    )]
+    Format(ControlFormat),
 }
 
 #[derive(Serialize)]
@@ -81,6 +89,9 @@
             return Err(DecodeError::Version(header.version));
         }
         let mut loaded: DecodedState = serde_json::from_slice(&json)?;
+        if loaded.shared.format.0 > NEWEST_FORMAT {
+            return Err(DecodeError::Format(loaded.shared.format.0));
+        }
         loaded.shared.manifests.rebuild_key_index();
         Ok(Self {
             applied: loaded.applied,
--- a/crates/control/src/view.rs
+++ b/crates/control/src/view.rs
@@ -11,7 +11,7 @@
 use shallotdrum_types::LogIndex;
 use tokio::sync::watch;
 
-use crate::{ControlState, DecodeError, Reply, TimedCommand};
+use crate::{ControlState, DecodeError, NEWEST_FORMAT, Reply, TimedCommand};
 
 /// Shared handle to the control state; clones refer to the same state.
 #[derive(Clone, Debug)]
@@ -109,7 +109,11 @@
     }
 
     fn decode(bytes: &[u8]) -> Result<TimedCommand, DecodeError> {
-        Ok(serde_json::from_slice(bytes)?)
+        let command: TimedCommand = serde_json::from_slice(bytes)?;
+        match command.command.format() {
+            format if format > NEWEST_FORMAT => Err(DecodeError::Format(format)),
+            _ => Ok(command),
+        }
     }
 
     fn apply(&mut self, index: LogIndex, command: TimedCommand) -> Reply {
--- /dev/null
+++ b/crates/control/tests/upgrade.rs
@@ -0,0 +1,255 @@
+//! Instances of two releases that share the control log.
+//!
+//! `releases/COMMIT` holds commands and the resulting snapshot as that commit wrote them: the platform's
+//! first release, one before the parts of prompts were known, and the last one without formats.
+
+mod common;
+
+use std::{
+    collections::BTreeSet,
+    time::{Duration, Instant},
+};
+
+use common::{Log, instance_info};
+use rstest::rstest;
+use serde_json::Value;
+use shallotdrum_consensus::StateMachine;
+use shallotdrum_control::{
+    Command, CommandError, ControlState, ControlView, DecodeError, INITIAL_FORMAT, InstanceInfo,
+    LeaderState, NEWEST_FORMAT, Reply, TimedCommand,
+};
+use shallotdrum_types::{ControlFormat, ControlTimeMs, Revision, SessionId, Term};
+
+/// Time within which the log is raised once all instances can read a newer format. Longer than the
+/// restart of an instance.
+const RAISE_LIMIT: Duration = Duration::from_secs(20);
+
+fn commands(release: &str) -> Vec<String> {
+    let path = format!("tests/releases/{release}/commands.jsonl");
+    std::fs::read_to_string(path).unwrap().lines().map(str::to_owned).collect()
+}
+
+fn snapshot(release: &str) -> Vec<u8> {
+    std::fs::read(format!("tests/releases/{release}/snapshot")).unwrap()
+}
+
+fn decode(line: &str) -> TimedCommand {
+    ControlView::decode(line.as_bytes()).unwrap()
+}
+
+/// Whether the commit f07eb35 can read the command. The match has no wildcard, so that a new command
+/// must be placed here.
+fn is_known_at_f07eb35(command: &Command) -> bool {
+    match command {
+        Command::ReportLinks { .. } | Command::RaiseFormat { .. } => false,
+        Command::OpenSession(_)
+        | Command::EndSession { .. }
+        | Command::DrainSession { .. }
+        | Command::DrainInstance { .. }
+        | Command::SubmitManifest { .. }
+        | Command::RegisterTarget(_)
+        | Command::RemoveTarget { .. }
+        | Command::DrainTarget { .. }
+        | Command::AssignGroup { .. }
+        | Command::ReleaseGroup { .. }
+        | Command::BeginCall { .. }
+        | Command::FinishCall { .. }
+        | Command::AbandonCall { .. }
+        | Command::ReportCrash { .. }
+        | Command::ReportRuns { .. }
+        | Command::EndSuspension { .. }
+        | Command::ClearSuspect { .. }
+        | Command::LiftQuarantine { .. }
+        | Command::PutRoutes { .. }
+        | Command::PatchRoutes { .. }
+        | Command::RaiseAdapterVersion { .. }
+        | Command::Tick => true,
+    }
+}
+
+/// Guards against a log or a snapshot on disk that the next release cannot read, or from which it
+/// computes something else.
+#[rstest]
+#[case("248bc0e")]
+#[case("97a9259")]
+#[case("f07eb35")]
+fn read_earlier_release(#[case] release: &str) {
+    let mut replayed = Log::default();
+    for line in commands(release) {
+        let TimedCommand { at, command } = decode(&line);
+        replayed.now = at.0;
+        replayed.apply(command);
+    }
+    let restored = ControlState::from_snapshot(&snapshot(release)).unwrap();
+    let replayed = replayed.state;
+    assert_eq!(restored.applied(), replayed.applied());
+    assert_eq!(restored.revision(), Revision(1));
+    assert_eq!(restored.digest(), replayed.digest());
+    assert_eq!(restored.route_table(), replayed.route_table());
+    assert!(restored.route_table().is_some());
+    let sessions = |state: &ControlState| state.sessions().cloned().collect::<Vec<_>>();
+    assert_eq!(sessions(&restored), sessions(&replayed));
+    let groups = |state: &ControlState| state.groups().cloned().collect::<Vec<_>>();
+    assert_eq!(groups(&restored), groups(&replayed));
+    assert_eq!((restored.ledger_len(), replayed.ledger_len()), (2, 2));
+    let key = common::call_key("k1");
+    assert_eq!(restored.call(&key), replayed.call(&key));
+    assert_eq!((restored.format(), replayed.format()), (INITIAL_FORMAT, INITIAL_FORMAT));
+    // What this release writes of that state can be read again.
+    assert_eq!(ControlState::from_snapshot(&restored.snapshot()).unwrap(), restored);
+}
+
+/// Guards against commands of the initial format without a field that earlier releases demand.
+#[rstest]
+#[case("97a9259")]
+#[case("f07eb35")]
+fn write_for_earlier_release(#[case] release: &str) {
+    for line in commands(release) {
+        let command = decode(&line);
+        assert_eq!(command.command.format(), INITIAL_FORMAT);
+        let written: Value = serde_json::from_slice(&ControlView::encode(&command)).unwrap();
+        assert_contains(&written, &serde_json::from_str(&line).unwrap());
+    }
+}
+
+/// Panics unless `value` has all fields of `expected`, with the same values; earlier releases ignore
+/// others.
+fn assert_contains(value: &Value, expected: &Value) {
+    match (value, expected) {
+        (Value::Object(value), Value::Object(expected)) => {
+            for (name, expected) in expected {
+                let found = value.get(name).unwrap_or_else(|| panic!("no field {name}: {value:?}"));
+                assert_contains(found, expected);
+            }
+        }
+        _ => assert_eq!(value, expected),
+    }
+}
+
+/// Guards against a command that earlier releases cannot read, which would end their replicas, in a
+/// log of the initial format.
+#[test]
+fn allows_unknown_to_earlier_release() {
+    let mut log = Log::default();
+    let session = log.open("fj-a", 1);
+    let report = Command::ReportLinks { session, is_cut_off: true };
+    let samples = commands("f07eb35").into_iter().map(|line| decode(&line).command);
+    for command in samples.chain([report.clone(), Command::RaiseFormat { format: NEWEST_FORMAT }]) {
+        assert_eq!(log.state.allows(&command).is_ok(), is_known_at_f07eb35(&command));
+    }
+    let refused = CommandError::FormatNotAgreed { needed: NEWEST_FORMAT, agreed: INITIAL_FORMAT };
+    assert_eq!(log.state.allows(&report), Err(refused));
+    assert_eq!(log.apply(Command::RaiseFormat { format: NEWEST_FORMAT }), Reply::Done);
+    assert_eq!(log.state.allows(&report), Ok(()));
+    // The format never goes down, and a snapshot keeps it.
+    log.apply(Command::RaiseFormat { format: INITIAL_FORMAT });
+    let restored = ControlState::from_snapshot(&log.state.snapshot()).unwrap();
+    assert_eq!(restored.format(), NEWEST_FORMAT);
+}
+
+/// Instance of a release without formats.
+fn earlier(instance: &str, incarnation: u64) -> InstanceInfo {
+    InstanceInfo { format: INITIAL_FORMAT, ..instance_info(instance, incarnation) }
+}
+
+/// Rolling upgrade of a replica and two entries, seen by a leader of this release.
+struct Upgrade {
+    log: Log,
+    leader: LeaderState,
+    now: Instant,
+}
+
+impl Upgrade {
+    fn new() -> Self {
+        let log = Log::default();
+        let now = Instant::now();
+        Self { leader: LeaderState::new(now, Term(1), &log.state), log, now }
+    }
+
+    fn open(&mut self, info: InstanceInfo) -> SessionId {
+        match self.log.apply(Command::OpenSession(info)) {
+            Reply::SessionOpened(session) => session,
+            reply => panic!("{reply:?}"),
+        }
+    }
+
+    /// Raise that the leader proposes within the time, if any.
+    fn raise_within(&mut self, time: Duration) -> Option<Command> {
+        let replicas = ["fj-a".parse().unwrap()];
+        let end = self.now + time;
+        while self.now < end {
+            self.now += Duration::from_millis(100);
+            let raise = self.leader.due_raise(self.now, &self.log.state, &replicas);
+            if raise.is_some() {
+                return raise;
+            }
+        }
+        None
+    }
+}
+
+/// Guards against a raise while an instance of an earlier release runs, or may come back, and against
+/// one that never comes.
+#[test]
+fn due_raise_rolling_upgrade() {
+    let raise = Some(Command::RaiseFormat { format: NEWEST_FORMAT });
+    let mut upgrade = Upgrade::new();
+    for (n, instance) in ["fj-a", "fj-b", "fj-c"].into_iter().enumerate() {
+        upgrade.open(earlier(instance, n as u64));
+    }
+    upgrade.open(instance_info("fj-a", 10));
+    upgrade.open(instance_info("fj-b", 11));
+    assert_eq!(upgrade.raise_within(RAISE_LIMIT), None);
+    let last = upgrade.open(instance_info("fj-c", 12));
+    // The last one returns to its earlier release.
+    assert_eq!(upgrade.raise_within(Duration::from_secs(5)), None);
+    upgrade.log.apply(Command::EndSession { session: last });
+    upgrade.open(earlier("fj-c", 13));
+    assert_eq!(upgrade.raise_within(RAISE_LIMIT), None);
+    upgrade.open(instance_info("fj-c", 14));
+    assert_eq!(upgrade.raise_within(RAISE_LIMIT), raise);
+    upgrade.log.apply(raise.unwrap());
+    assert_eq!(upgrade.raise_within(RAISE_LIMIT), None);
+}
+
+/// Guards against a raise while the release of a replica is unknown, because it has no session.
+#[test]
+fn due_raise_replica_without_session() {
+    let mut upgrade = Upgrade::new();
+    upgrade.open(instance_info("fj-b", 1));
+    assert_eq!(upgrade.raise_within(RAISE_LIMIT), None);
+    upgrade.open(instance_info("fj-a", 1));
+    assert!(upgrade.raise_within(RAISE_LIMIT).is_some());
+}
+
+/// Guards against a release that reads what it cannot understand, in place of saying which one is
+/// needed.
+#[test]
+fn decode_newer_format() {
+    let newer = ControlFormat(NEWEST_FORMAT.0 + 1);
+    let command = Command::RaiseFormat { format: newer };
+    let bytes =
+        ControlView::encode(&TimedCommand { at: ControlTimeMs(1), command: command.clone() });
+    let error = ControlView::decode(&bytes).unwrap_err();
+    assert!(matches!(error, DecodeError::Format(format) if format == newer), "{error}");
+    let mut log = Log::default();
+    log.apply(command);
+    let error = ControlState::from_snapshot(&log.state.snapshot()).unwrap_err();
+    assert!(error.to_string().contains("install the release that was running before"), "{error}");
+}
+
+/// Guards against fixtures that leave out the commands whose form matters most.
+#[test]
+fn fixtures_cover_commands() {
+    let tags: BTreeSet<String> = commands("f07eb35")
+        .iter()
+        .map(|line| match serde_json::from_str::<Value>(line).unwrap()["command"].clone() {
+            Value::String(tag) => tag,
+            Value::Object(fields) => fields.keys().next().unwrap().clone(),
+            other => panic!("{other}"),
+        })
+        .collect();
+    for tag in ["OpenSession", "RegisterTarget", "AssignGroup", "PutRoutes", "ReportCrash"] {
+        assert!(tags.contains(tag), "{tags:?}");
+    }
+}
--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -9,7 +9,7 @@
 use futures_util::FutureExt;
 use jsonrpsee::server::{Server, ServerConfig, ServerHandle};
 use shallotdrum_consensus::{Node, NodeConfig};
-use shallotdrum_control::{ControlView, InstanceAddrs, InstanceInfo, permit_term};
+use shallotdrum_control::{ControlView, InstanceAddrs, InstanceInfo, NEWEST_FORMAT, permit_term};
 use shallotdrum_engine::{AnnounceReply, ClientTimeouts, EngineClient};
 use shallotdrum_entry::{EntryConfig, EntryContext, EntryHandle, EntryServer};
 use shallotdrum_gateway::{ConnectionPool, Gateway, GatewayContext, HeaderCodec, RetryAllowance};
@@ -406,6 +406,7 @@
         zone: settings.zone.clone(),
         addrs: InstanceAddrs { entry: addrs.entry, rpc: addrs.rpc, data: addrs.data },
         replica: settings.is_replica(),
+        format: settings.max_control_format.map_or(NEWEST_FORMAT, |max| max.min(NEWEST_FORMAT)),
     }
 }
 
--- a/crates/daemon/src/replica.rs
+++ b/crates/daemon/src/replica.rs
@@ -138,7 +138,10 @@
         let command = match proposal {
             Proposal::Command(Command::OpenSession(info)) => return self.open_session(info).await,
             Proposal::Command(Command::PutRoutes { table }) => return self.put_routes(table).await,
-            Proposal::Command(command) => command,
+            Proposal::Command(command) => match self.view.read(|state| state.allows(&command)) {
+                Ok(()) => command,
+                Err(error) => return Ok(Reply::Refused(error)),
+            },
             Proposal::Manifest { submission, base, manifest } => {
                 self.manifest_command(submission, base, &manifest).await?
             }
@@ -392,7 +395,14 @@
     fn due_commands(&self) -> Vec<Command> {
         let mut leader = self.leader();
         let Some(leader) = leader.as_mut() else { return Vec::new() };
-        self.view.read(|state| leader.leader_state.due_commands(Instant::now(), state))
+        let members = self.node.status().members;
+        let replicas = members.iter().flat_map(|members| &members.voters).map(|member| &member.id);
+        let now = Instant::now();
+        self.view.read(|state| {
+            let mut commands = leader.leader_state.due_commands(now, state);
+            commands.extend(leader.leader_state.due_raise(now, state, replicas));
+            commands
+        })
     }
 
     /// Writes a command that the leader issues itself; a failure is only logged.
@@ -401,6 +411,10 @@
         if let Command::EndSession { session } = command {
             event!(self.log, SESSION_EXPIRED; "session" => session.0);
         }
+        if let Command::RaiseFormat { format } = command {
+            let agreed = self.view.read(|state| state.format());
+            event!(self.log, FORMAT_RAISED; "from" => agreed.0, "to" => format.0);
+        }
         if let Err(error) = self.node.propose(TimedCommand { at, command }).await {
             event!(self.log, LEADER_COMMAND_FAILED; "error" => %error);
         }
--- a/crates/owner/src/links.rs
+++ b/crates/owner/src/links.rs
@@ -19,14 +19,19 @@
     pub(crate) async fn report_links(&self) -> bool {
         let Some(session) = (self.cx.session)() else { return false };
         let is_cut_off = self.cx.links.is_cut_off();
+        let report = Command::ReportLinks { session, is_cut_off };
+        // During an upgrade some instances could not read the report.
+        if self.cx.view.read(|state| state.allows(&report)).is_err() {
+            return false;
+        }
         let (is_recorded, has_other) = self.cx.view.read(|state| {
             let is_recorded = state.session(session).is_some_and(|s| s.is_cut_off) == is_cut_off;
             let mut others = state.sessions().filter(|other| other.id != session);
             (is_recorded, others.any(|other| !other.is_cut_off && !state.is_draining(other.id)))
         });
         if !is_recorded {
-            let report = self.cx.propose(Command::ReportLinks { session, is_cut_off });
-            let error = match tokio::time::timeout(REPORT_TIMEOUT, report).await {
+            let report = tokio::time::timeout(REPORT_TIMEOUT, self.cx.propose(report));
+            let error = match report.await {
                 Ok(Ok(Reply::Refused(error))) => Some(error.to_string()),
                 Ok(Ok(_)) => None,
                 Ok(Err(error)) => Some(error.to_string()),
--- a/crates/rpc/src/admin.rs
+++ b/crates/rpc/src/admin.rs
@@ -4,9 +4,9 @@
 use shallotdrum_engine::TargetKind;
 use shallotdrum_manifest::Manifest;
 use shallotdrum_types::{
-    AdapterId, AdapterVersion, AvailabilityZone, BaseModelId, Digest, Epoch, Fingerprint, GroupId,
-    Incarnation, InstanceId, LogIndex, PermitId, Region, Revision, SessionId, SubmissionId,
-    SubscriberId, TargetId, Term, Weight,
+    AdapterId, AdapterVersion, AvailabilityZone, BaseModelId, ControlFormat, Digest, Epoch,
+    Fingerprint, GroupId, Incarnation, InstanceId, LogIndex, PermitId, Region, Revision, SessionId,
+    SubmissionId, SubscriberId, TargetId, Term, Weight,
 };
 
 /// Result of validating a manifest without submitting it.
@@ -72,6 +72,9 @@
     pub zone: AvailabilityZone,
     /// Whether it is a control replica.
     pub is_replica: bool,
+    /// Newest format of the control log that its release reads; absent in replies of earlier releases.
+    #[serde(default)]
+    pub control_format: Option<ControlFormat>,
     /// Whether it is the leader of the control log, as last observed.
     pub is_leader: bool,
     /// Whether it is draining.
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, net::SocketAddr, path::PathBuf};
 
 use serde::{Deserialize, Serialize};
-use shallotdrum_types::{AvailabilityZone, InstanceId, Region};
+use shallotdrum_types::{AvailabilityZone, ControlFormat, InstanceId, Region};
 
 /// Default of `Settings::target_timeout_ms`. Targets announce themselves every second, so two lost
 /// announcements are tolerated; with a check every 250 ms, detection still takes less than 3 s.
@@ -58,6 +58,10 @@
     pub log: Log,
     /// Request headers that are forwarded to plain services, in lower case.
     pub forward_headers: Vec<String>,
+    /// Newest format of the control log that this instance says it can read; by default the newest
+    /// that its release reads. Keeps the return to an earlier release open during an upgrade.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub max_control_format: Option<ControlFormat>,
     /// Accepts port 0, for which the operating system assigns a port; for tests only.
     #[serde(skip_serializing_if = "std::ops::Not::not")]
     pub allow_port_zero: bool,
@@ -95,6 +99,7 @@
             drain_delay_ms: DEFAULT_DRAIN_DELAY_MS,
             log: Log::default(),
             forward_headers: Vec::new(),
+            max_control_format: None,
             allow_port_zero: false,
         }
     }
--- a/crates/settings/src/parse.rs
+++ b/crates/settings/src/parse.rs
@@ -92,6 +92,7 @@
         || DEFAULT_FORWARD_HEADERS.iter().map(|name| (*name).to_owned()).collect();
     let forward_headers =
         root.optional("forward_headers", "a list of header names").unwrap_or_else(default_headers);
+    let max_control_format = root.optional("max_control_format", NUMBER_EXPECTED);
     let allow_port_zero = root.optional_or("allow_port_zero", "true or false", false);
     root.finish();
     Some(Settings {
@@ -112,6 +113,7 @@
         drain_delay_ms,
         log,
         forward_headers,
+        max_control_format,
         allow_port_zero,
     })
 }
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -97,6 +97,7 @@
         SESSION_EXPIRED = "K0202", Warning, "session expired", "check the instance, unless it was stopped on purpose";
         FOLLOW_RETRIED = "K0204", Info, "no longer following the control log through this replica", "none, unless it repeats for one replica";
         FOLLOW_STARTED = "K0217", Info, "following the control log through this replica", "none";
+        FORMAT_RAISED = "K0219", Info, "all instances read a newer format; raising that of the control log", "do not start earlier releases on this log any more";
         SESSION_OPENED = "K0205", Info, "session opened", "none";
         SESSION_REFUSED = "K0206", Error, "control log refused a session", "compare the instance's settings with those of the other instances";
         SESSION_ENDED = "K0207", Warning, "session ended; opening a new one", "check why it was not renewed: a stalled process, or the network to the control replicas";
--- a/crates/types/src/ids.rs
+++ b/crates/types/src/ids.rs
@@ -32,6 +32,12 @@
     pub struct Term(u64);
 }
 
+id_type! {
+    /// Format of control commands and snapshots. Each instance states the newest one it can read, and
+    /// nothing newer than what all can read is written to the control log.
+    pub struct ControlFormat(u64);
+}
+
 id_type! {
     /// Identifies a permit to load an adapter from the weight store.
     pub struct PermitId(u64);
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -22,7 +22,8 @@
 pub use hash::{Digest, Fingerprint, KeyHash, ParseHashError};
 pub use identity::RequestIdentity;
 pub use ids::{
-    ControlTimeMs, Epoch, Incarnation, LogIndex, ParseIdError, PermitId, Revision, SessionId, Term,
+    ControlFormat, ControlTimeMs, Epoch, Incarnation, LogIndex, ParseIdError, PermitId, Revision,
+    SessionId, Term,
 };
 pub use model::{AdapterRef, GroupId, ModelName, ParseGroupIdError, ParseModelNameError};
 pub use names::{
