Refuse a response that belongs to an earlier call on the connection

Reported by operators of similar systems: a late second copy of an answer, on a connection in use again, reached the next caller. On the platform the id of each response is compared already (gateway/src/exchange.rs); plain calls of the product's own interface took whatever came on a pooled connection. Change: a response with another id is not passed on, its call counts as lost and the connection is closed; a connection whose response has no id is not used again. Completions check the id in each event already. Tests: call_late_copy_of_earlier_response ("first" came back as the second response before) and call_after_response_without_id (the connection was used again before).

--- a/crates/engine/src/client.rs
+++ b/crates/engine/src/client.rs
@@ -14,7 +14,7 @@
 use hyper_util::{
     client::legacy::{
         Client,
-        connect::{Connect, HttpConnector},
+        connect::{Connect, HttpConnector, capture_connection},
     },
     rt::{TokioExecutor, TokioTimer},
 };
@@ -322,7 +322,21 @@
     let path = req.uri().path_and_query().map_or("/", |path| path.as_str());
     *req.uri_mut() =
         target_uri(target, path).map_err(|reason| CallError::NotSent { addr: target, reason })?;
+    let id = req.headers().get(REQUEST_ID_HEADER).cloned();
+    let connection = capture_connection(&mut req);
     let res = send_watched(links, client, target, req).await?;
+    let echo = res.headers().get(REQUEST_ID_HEADER);
+    // A second copy of a response may arrive late, as the apparent response to a later request on the
+    // connection. Only the echoed id tells, so a connection without it is not used again.
+    if id.is_some() && echo != id.as_ref() {
+        if let Some(connection) = connection.connection_metadata().as_ref() {
+            connection.poison();
+        }
+        if echo.is_some() {
+            let reason = "the response belongs to another request".to_owned();
+            return Err(CallError::Lost { addr: target, reason });
+        }
+    }
     let status = res.status();
     let is_refused = !status.is_success() && res.headers().contains_key(NOT_RUN_HEADER);
     if !is_refused {
--- a/crates/engine/tests/client.rs
+++ b/crates/engine/tests/client.rs
@@ -5,10 +5,11 @@
 use std::{net::SocketAddr, time::Duration};
 
 use http::Request;
+use http_body_util::BodyExt;
 use rstest::rstest;
 use shallotdrum_engine::{
     CallError, ClientTimeouts, EngineClient, EngineEvent, NOT_RUN_HEADER, Order, OrderError,
-    OrderRefusal, OrderRequest, full_body,
+    OrderRefusal, OrderRequest, REQUEST_ID_HEADER, full_body,
 };
 use shallotdrum_types::Epoch;
 use support::{
@@ -237,3 +238,46 @@
     assert_eq!(result.is_ok(), is_ok, "{result:?}");
     assert_eq!(server.log(), ["delete /v1/generate/r"]);
 }
+
+/// HTTP response that echoes a request id.
+fn echoing(id: &str, body: &str) -> String {
+    response("200 OK", body).replace("\r\n\r\n", &format!("\r\n{REQUEST_ID_HEADER}: {id}\r\n\r\n"))
+}
+
+async fn call_as(client: &EngineClient, addr: SocketAddr, id: &str) -> String {
+    let req = Request::get("/look").header(REQUEST_ID_HEADER, id).body(full_body("")).unwrap();
+    match client.call(addr, req).await {
+        Ok(res) => {
+            let body = res.into_body().collect().await.unwrap().to_bytes();
+            String::from_utf8(body.to_vec()).unwrap()
+        }
+        Err(e) => error_name(&e),
+    }
+}
+
+/// Guards against passing on the second copy of a response, which arrives when the connection is in use
+/// by another caller.
+#[tokio::test]
+async fn call_late_copy_of_earlier_response() {
+    let (first, second) = (echoing("r1", "first"), echoing("r2", "second"));
+    let late = format!("{first}{second}");
+    let third = echoing("r3", "third");
+    let script = vec![Step::Respond(first), Step::Respond(late), Step::Respond(third)];
+    let server = ScriptedServer::start(script).await;
+    let client = client();
+    assert_eq!(call_as(&client, server.addr, "r1").await, "first");
+    assert_eq!(call_as(&client, server.addr, "r2").await, "Lost");
+    assert_eq!(call_as(&client, server.addr, "r3").await, "third");
+}
+
+/// Guards against another use of a connection on which a late copy would not be recognised.
+#[tokio::test]
+async fn call_after_response_without_id() {
+    let first = Step::RespondAndWait(response("200 OK", "first"));
+    let script = vec![first, Step::Respond(response("200 OK", "second"))];
+    let server = ScriptedServer::start(script).await;
+    let client = client();
+    assert_eq!(call_as(&client, server.addr, "r1").await, "first");
+    let second = timeout(WAIT_LIMIT / 4, call_as(&client, server.addr, "r2")).await;
+    assert_eq!(second.as_deref(), Ok("second"));
+}
--- a/crates/fakes/src/service.rs
+++ b/crates/fakes/src/service.rs
@@ -231,7 +231,17 @@
         Duration::from_millis(lock(&self.settings).restart_delay_ms)
     }
 
+    /// Handles a request and echoes its id.
     async fn handle(self: Arc<Self>, req: Request<Incoming>) -> HandlerResult {
+        let id = req.headers().get(REQUEST_ID_HEADER).cloned();
+        let mut res = self.respond(req).await?;
+        if let Some(id) = id {
+            res.headers_mut().insert(REQUEST_ID_HEADER, id);
+        }
+        Ok(res)
+    }
+
+    async fn respond(self: Arc<Self>, req: Request<Incoming>) -> HandlerResult {
         let path = req.uri().path().to_owned();
         match (req.method(), path.as_str()) {
             (&Method::GET, "/fake/stats") => json(StatusCode::OK, &self.stats()),
