Learn how fast engines read prompts

With one prompt at a time by the model, engines there stood idle for a third of the time. Load: any; prefill_speed_is_learned plays engines that are faster, as configured, and late for other causes. It needs a method that did not exist before; with the speed fixed as before the case "faster" cannot hold (25 in place of 40).

--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -113,8 +113,10 @@
     }
 
     async fn end_places(&self, session: SessionId, ended: Vec<EndedPlace>) -> Result<(), RpcError> {
-        for EndedPlace { place, end } in ended {
-            self.owner.end_place((session, place), shallotdrum_gateway::to_finish(end));
+        for EndedPlace { place, end, first_event_ms } in ended {
+            let first_event = first_event_ms.map(Duration::from_millis);
+            let finish = shallotdrum_gateway::to_finish(end);
+            self.owner.end_place((session, place), finish, first_event);
         }
         Ok(())
     }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -407,7 +407,7 @@
             software: run.software.clone(),
             limits: Vec::new(),
         };
-        let place = self
+        let mut place = self
             .places
             .take(&run.pool, admission, run.deadline)
             .await
@@ -418,6 +418,7 @@
         }
         // The control state of this instance may be newer than that of the owner.
         self.check_quarantine(&run.admitted_identity()).map_err(AttemptOutcome::NoPlace)?;
+        place.record_send();
         let granted = &place.granted;
         let dispatch = Dispatch {
             target: granted.target.clone(),
--- a/crates/gateway/src/places.rs
+++ b/crates/gateway/src/places.rs
@@ -86,6 +86,9 @@
     places: PlaceClient,
     end: PlaceEnd,
     granted_by: GrantedBy,
+    sent_at: Option<Instant>,
+    /// Time from the send to the first event of a stream.
+    first_event: Option<Duration>,
 }
 
 /// Who granted a place and is told of its end.
@@ -99,19 +102,38 @@
 }
 
 impl Place {
+    /// Records that the request is being sent.
+    pub(crate) fn record_send(&mut self) {
+        self.guard.sent_at = Some(Instant::now());
+    }
+
+    /// Records that the first event of a stream has arrived.
+    pub(crate) fn record_first_event(&mut self) {
+        self.guard.first_event = self.guard.sent_at.map(|at| at.elapsed());
+    }
+
     /// Ends the place and reports how it ended.
     pub(crate) fn end(mut self, end: PlaceEnd) {
         self.guard.end = end;
     }
 }
 
+impl PlaceGuard {
+    fn new(places: PlaceClient, granted_by: GrantedBy) -> Self {
+        Self { places, end: PlaceEnd::Cancelled, granted_by, sent_at: None, first_event: None }
+    }
+}
+
 impl Drop for PlaceGuard {
     fn drop(&mut self) {
         match &self.granted_by {
-            GrantedBy::This { key } => self.places.0.owner.end_place(*key, to_finish(self.end)),
+            GrantedBy::This { key } => {
+                self.places.0.owner.end_place(*key, to_finish(self.end), self.first_event);
+            }
             GrantedBy::NoOwner { target } => self.places.fallback().end(target),
             GrantedBy::Other { key: (session, place), addr } => {
-                let ended = EndedPlace { place: *place, end: self.end };
+                let first_event_ms = self.first_event.map(|time| time.as_millis() as u64);
+                let ended = EndedPlace { place: *place, end: self.end, first_event_ms };
                 tokio::spawn(self.places.clone().report_end(*addr, *session, ended));
             }
         }
@@ -385,7 +407,7 @@
             software: target.software,
         };
         let granted_by = GrantedBy::NoOwner { target: chosen };
-        let guard = PlaceGuard { places: self.clone(), end: PlaceEnd::Cancelled, granted_by };
+        let guard = PlaceGuard::new(self.clone(), granted_by);
         Some(Place { granted, guard })
     }
 
@@ -404,7 +426,7 @@
             true => GrantedBy::This { key },
             false => GrantedBy::Other { key, addr },
         };
-        let guard = PlaceGuard { places: self.clone(), end: PlaceEnd::Cancelled, granted_by };
+        let guard = PlaceGuard::new(self.clone(), granted_by);
         if owner == session {
             let granted = self.0.owner.take_place(&group, key, admission).await?;
             return Ok(Place { granted, guard });
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -73,7 +73,7 @@
     ///
     /// Before the first event, a failure can still be returned to the caller as an error.
     pub(crate) async fn start(
-        self,
+        mut self,
         run: &mut RequestRun,
         response: Response<Incoming>,
     ) -> Result<StartedStream, RequestError> {
@@ -109,6 +109,7 @@
         let headers = response_headers(parts.headers);
         let mut run = run.take_for_relay();
         if first.is_some() {
+            self.place.record_first_event();
             run.software.clone_from(&self.place.granted.software);
             let streams = &self.gateway.cx.owner.streams;
             streams.record_begin(run.id(), run.software.as_ref());
--- a/crates/owner/src/places.rs
+++ b/crates/owner/src/places.rs
@@ -164,11 +164,17 @@
         Ok(granted)
     }
 
-    /// Ends a place, or cancels the wait for it.
-    pub fn end_place(&self, key: PlaceKey, finish: Finish) {
+    /// Ends a place, or cancels the wait for it; `first_event` is the time from the send to the first event
+    /// of a stream.
+    pub fn end_place(&self, key: PlaceKey, finish: Finish, first_event: Option<Duration>) {
         let Some(place) = self.places.lock().remove(&key) else { return };
         match place.lease {
-            Some(lease) => lease.finish(finish),
+            Some(lease) => {
+                if let Some(time) = first_event {
+                    lease.first_token_after(time);
+                }
+                lease.finish(finish);
+            }
             None => place.cancelled.notify_one(),
         }
     }
--- a/crates/rpc/src/places.rs
+++ b/crates/rpc/src/places.rs
@@ -64,6 +64,9 @@
     pub place: u64,
     /// Result of the request.
     pub end: PlaceEnd,
+    /// Time from the send to the first event of a stream, in milliseconds; absent without one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub first_event_ms: Option<u64>,
 }
 
 /// Result of the request that a place was requested for.
--- a/crates/scheduler/src/engine_model.rs
+++ b/crates/scheduler/src/engine_model.rs
@@ -86,6 +86,62 @@
     duration.as_secs_f64() * 1_000.0
 }
 
+/// Measured speed at which the engines of a group read prompts.
+///
+/// Engines of another deployment may be faster than the settings say. With too low a speed, an engine
+/// waits for prompts that are held back for it.
+#[derive(Debug)]
+pub(crate) struct PrefillSpeed {
+    /// Speed of the settings, in tokens per millisecond. It is never undercut: the time to a first token
+    /// also holds waits that have other causes.
+    configured: f64,
+    /// Speeds of the latest prompts.
+    samples: VecDeque<f64>,
+}
+
+/// Prompts from which a speed is learned.
+const SPEED_SAMPLES: usize = 64;
+/// Prompts that must have been measured before the speed changes.
+const MIN_SPEED_SAMPLES: usize = 16;
+/// Tokens of a prompt below which its time is mostly overhead.
+const MIN_MEASURED_TOKENS: f64 = 1_000.0;
+/// Relative change of the speed below which the earlier one is kept.
+const MIN_SPEED_CHANGE: f64 = 0.05;
+/// Largest factor between the measured and the configured speed.
+const MAX_SPEEDUP: f64 = 4.0;
+
+impl PrefillSpeed {
+    pub(crate) fn new(configured: f64) -> Self {
+        Self { configured, samples: VecDeque::new() }
+    }
+
+    /// Adds a prompt that an idle engine read; returns the speed if it has changed.
+    pub(crate) fn record(
+        &mut self,
+        model: &EngineModel,
+        tokens: f64,
+        first_token_after: Duration,
+    ) -> Option<f64> {
+        let reading = first_token_after.saturating_sub(model.prompt_overhead);
+        if tokens < MIN_MEASURED_TOKENS || reading.is_zero() {
+            return None;
+        }
+        self.samples.push_back(tokens / millis(reading));
+        if self.samples.len() > SPEED_SAMPLES {
+            self.samples.pop_front();
+        }
+        if self.samples.len() < MIN_SPEED_SAMPLES {
+            return None;
+        }
+        let mut sorted: Vec<f64> = self.samples.iter().copied().collect();
+        sorted.sort_by(f64::total_cmp);
+        let median = sorted[sorted.len() / 2];
+        let speed = median.clamp(self.configured, self.configured * MAX_SPEEDUP);
+        let change = (speed / model.prefill_tokens_per_ms - 1.0).abs();
+        (change >= MIN_SPEED_CHANGE).then_some(speed)
+    }
+}
+
 /// Estimated prefill work that an engine has yet to do.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Backlog {
--- a/crates/scheduler/src/group.rs
+++ b/crates/scheduler/src/group.rs
@@ -301,6 +301,11 @@
         self.guard.shared.lock().started(self.guard.seq);
     }
 
+    /// Records the time from the send to the first token, which tells how fast the engine reads prompts.
+    pub fn first_token_after(&self, time: Duration) {
+        self.guard.shared.lock().first_token_after(self.guard.seq, time);
+    }
+
     /// Records `n` more generated tokens.
     pub fn tokens(&self, n: u64) {
         self.guard.shared.lock().tokens(self.guard.seq, n, Instant::now());
--- a/crates/scheduler/src/state/mod.rs
+++ b/crates/scheduler/src/state/mod.rs
@@ -26,6 +26,7 @@
 
 use rand::{SeedableRng, rngs::StdRng};
 use shallotdrum_engine::Priority;
+use shallotdrum_telemetry::event;
 use shallotdrum_types::{
     AdapterRef, Incarnation, RequestError, SoftwareVersion, SubscriberId, TargetId, Tokens,
 };
@@ -33,6 +34,7 @@
 
 use crate::{
     api::{Finish, LoadOrder, SchedulerConfig},
+    engine_model::PrefillSpeed,
     fair::{Account, Cost, FairClock, Seq, Tag},
     measure::{DecayingCounter, Ewma},
     slots::AdapterKey,
@@ -99,6 +101,7 @@
     active_weight: f64,
     /// Mean seconds per generated token, from admission to the end of the response.
     secs_per_token: Ewma,
+    prefill_speed: PrefillSpeed,
     /// Mean seconds from admission to the end of the response.
     service_secs: Ewma,
     /// Mean seconds between the ends of consecutive loads while the weight store is busy.
@@ -251,6 +254,8 @@
     cost: Cost,
     prompt_tokens: u64,
     admitted_at: Instant,
+    /// Prompt tokens that the engine had to read, if it was expected to be idle.
+    unread_tokens: Option<f64>,
     is_started: bool,
     first_token_at: Option<Instant>,
     tokens: u64,
@@ -275,6 +280,8 @@
             Some(seed) => StdRng::seed_from_u64(seed),
             None => rand::make_rng(),
         };
+        let configured = cfg.engine_model.map_or(1.0, |model| model.prefill_tokens_per_ms);
+        let prefill_speed = PrefillSpeed::new(configured);
         Self {
             cfg,
             log,
@@ -307,6 +314,7 @@
             light_arrivals: DecayingCounter::new(DEMAND_HALF_LIFE, now),
             active_weight: 0.0,
             secs_per_token: Ewma::default(),
+            prefill_speed,
             service_secs: Ewma::default(),
             load_interval_secs: Ewma::default(),
             last_load_end: None,
@@ -453,8 +461,11 @@
                 ready_since = self.adapters[adapter].available_since;
             }
         }
+        let mut unread_tokens = None;
         if let Some(model) = self.cfg.engine_model.filter(|_| queued.is_engine) {
             let cached = target.prefix_cache.hit_ratio(&queued.prefixes);
+            let is_idle = target.prefill_backlog.wait(now).is_zero();
+            unread_tokens = is_idle.then(|| queued.prompt_tokens as f64 * (1.0 - cached));
             target.prefill_backlog.add(model.prefill(queued.prompt_tokens, cached), now);
             if let Some(adapter) = queued.adapter {
                 target.adapter_cache.touch(adapter, model.cached_adapters);
@@ -498,6 +509,7 @@
             cost: queued.cost,
             prompt_tokens: queued.prompt_tokens,
             admitted_at: now,
+            unread_tokens,
             is_started: false,
             first_token_at: None,
             tokens: 0,
@@ -514,6 +526,19 @@
         }
     }
 
+    /// Learns the speed at which engines read prompts from the time to a request's first token.
+    pub(crate) fn first_token_after(&mut self, seq: Seq, time: Duration) {
+        let Some(tokens) = self.running.get(&seq).and_then(|running| running.unread_tokens) else {
+            return;
+        };
+        let Some(model) = &mut self.cfg.engine_model else { return };
+        if let Some(speed) = self.prefill_speed.record(model, tokens, time) {
+            event!(self.log, PREFILL_SPEED_LEARNED;
+                "from" => model.prefill_tokens_per_ms, "to" => speed);
+            model.prefill_tokens_per_ms = speed;
+        }
+    }
+
     /// Records `n` more generated tokens.
     pub(crate) fn tokens(&mut self, seq: Seq, n: u64, now: Instant) {
         if let Some(running) = self.running.get_mut(&seq) {
--- a/crates/scheduler/tests/engine_model.rs
+++ b/crates/scheduler/tests/engine_model.rs
@@ -272,3 +272,37 @@
     let evicted = group.orders()[0].evict.clone();
     assert!([adapter("a"), adapter("c")].map(Some).contains(&evicted), "{evicted:?}");
 }
+
+/// Reads prompts on one idle engine at a speed, in tokens per millisecond, until the scheduler has seen
+/// `count` of them; returns the time from one admission to the next.
+async fn read_prompts(group: &support::Group, speed: f64, count: usize) -> Duration {
+    const TOKENS: u64 = 40_000;
+    let mut last = tokio::time::Instant::now();
+    let mut interval = Duration::ZERO;
+    for _ in 0..count {
+        let lease = group.admit(prompt("a", Tokens(TOKENS))).await.unwrap();
+        (interval, last) = (last.elapsed(), tokio::time::Instant::now());
+        lease.started();
+        let reading = Duration::from_secs_f64(TOKENS as f64 / speed / 1_000.0);
+        lease.first_token_after(EngineModel::default().prompt_overhead + reading);
+        lease.finish(answered(10));
+    }
+    interval
+}
+
+/// Guards against engines that wait for prompts because they read faster than the settings say, and
+/// against less than the speed of the settings because first tokens are late for other causes.
+#[rstest]
+#[case::faster(40.0, 40.0)]
+#[case::as_configured(25.0, 25.0)]
+#[case::delayed(10.0, 25.0)]
+#[case::implausible(1_000.0, 100.0)]
+#[tokio::test(start_paused = true)]
+async fn prefill_speed_is_learned(#[case] measured: f64, #[case] expected: f64) {
+    let group = group(config_with_model());
+    group.engine("e1", 1, 2, 64);
+    let interval = read_prompts(&group, measured, 100).await;
+    let overhead = EngineModel::default().prompt_overhead;
+    let speed = 40_000.0 / (interval - overhead).as_secs_f64() / 1_000.0;
+    assert!((speed / expected - 1.0).abs() < 0.05, "{speed} tokens per ms");
+}
