Choose among plain services by their load where entries send the calls

Cause: a service's score was a quarter of its utilization plus 0.15 for another availability zone than the group owner's. The zone of the owner outweighed up to six tenths of the slots, although the entries send the calls, and equal services were taken by their key. Change: where entries send the requests, the least loaded service takes a call, and among equal ones the one that has waited longest. Where owners send them, their zone counts as before. Test: calls_spread_over_services plays 600 calls of 30 ms on three services; at light and steady load one got all 600 before.

--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -464,6 +464,7 @@
     });
     if options.inspect.is_some() {
         scheduler.relative_ejection = true;
+        scheduler.prefers_own_zone = false;
         // The age of an inspection is known, because inspections are not relayed.
         scheduler.report_transit = Duration::ZERO;
     }
--- a/crates/scheduler/src/api.rs
+++ b/crates/scheduler/src/api.rs
@@ -52,6 +52,9 @@
     pub relative_ejection: bool,
     /// Timing of the group's engines. If set, it decides target selection and loads.
     pub engine_model: Option<EngineModel>,
+    /// Whether targets in this instance's availability zone are preferred, because requests are sent from
+    /// here; otherwise entries send them.
+    pub prefers_own_zone: bool,
 }
 
 impl SchedulerConfig {
@@ -74,6 +77,7 @@
             seed: None,
             relative_ejection: false,
             engine_model: None,
+            prefers_own_zone: true,
         }
     }
 }
--- a/crates/scheduler/src/state/choice.rs
+++ b/crates/scheduler/src/state/choice.rs
@@ -97,15 +97,19 @@
         let scored = eligible.map(|key| {
             let target = &self.targets[&key];
             if let Some(model) = self.cfg.engine_model.filter(|_| target.is_engine()) {
-                return (self.expected_first_token_ms(&model, target, prefixes, tokens, now), key);
+                let time = self.expected_first_token_ms(&model, target, prefixes, tokens, now);
+                return (time, None, key);
             }
-            (
-                self.load_score(target, now)
-                    - PREFIX_BONUS * target.prefix_cache.hit_ratio(prefixes),
-                key,
-            )
+            if !target.is_engine() && !self.cfg.prefers_own_zone {
+                return (service_score(target, now), target.granted_at, key);
+            }
+            let prefix_bonus = PREFIX_BONUS * target.prefix_cache.hit_ratio(prefixes);
+            (self.load_score(target, now) - prefix_bonus, target.granted_at, key)
         });
-        scored.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, key)| key)
+        let order = |a: &(f64, Option<Instant>, _), b: &(f64, Option<Instant>, _)| {
+            a.0.total_cmp(&b.0).then(a.1.cmp(&b.1))
+        };
+        scored.min_by(order).map(|(_, _, key)| key)
     }
 
     /// Whether a request of this class may use the target's free capacity.
@@ -230,3 +234,13 @@
         capacity => (LOOKUP_RESERVE_SHARE * f64::from(capacity)).round().max(1.0) as u32,
     }
 }
+
+/// Expected wait of a call on a plain service relative to others; lower is better.
+///
+/// Used where entries send the calls, so that the owner's availability zone says nothing about their way.
+/// Calls are short and services have few slots: the least loaded one takes a call, and among equal ones
+/// the one that has waited longest.
+fn service_score(target: &Target, now: Instant) -> f64 {
+    let slowness = target.health.slowness.unwrap_or(1.0);
+    target.utilization(now) * slowness + (slowness - 1.0)
+}
--- a/crates/scheduler/src/state/mod.rs
+++ b/crates/scheduler/src/state/mod.rs
@@ -478,6 +478,7 @@
             limit.take(now);
         }
         target.running += 1;
+        target.granted_at = Some(now);
         target.unreserved_running += u32::from(is_unreserved);
         target.running_peak = target.running_peak.max(target.running);
         if queued.is_suspect {
--- a/crates/scheduler/src/target.rs
+++ b/crates/scheduler/src/target.rs
@@ -35,6 +35,8 @@
     pub(crate) slots: Slots,
     /// Admitted requests that have not ended.
     pub(crate) running: u32,
+    /// Time of the latest admission.
+    pub(crate) granted_at: Option<Instant>,
     /// Admitted requests that do not use the capacity reserved for lookups.
     pub(crate) unreserved_running: u32,
     /// Maximum of `running` since the latest report.
@@ -92,6 +94,7 @@
             reserved_for: None,
             assigned: VecDeque::new(),
             prefix_cache: PrefixCacheEstimate::default(),
+            granted_at: None,
             prefill_backlog: Backlog::new(now),
             adapter_cache: AdapterCache::default(),
             parallel_loads: 1,
--- a/crates/scheduler/tests/lookups.rs
+++ b/crates/scheduler/tests/lookups.rs
@@ -6,8 +6,8 @@
 
 use rstest::rstest;
 use shallotdrum_engine::TargetKind;
-use shallotdrum_scheduler::{AdmissionRequest, RequestKind};
-use support::{Group, answered, config, group, request_of_kind, spec, target};
+use shallotdrum_scheduler::{AdmissionRequest, RequestKind, SchedulerConfig};
+use support::{Group, answered, config, counts, group, request_of_kind, spec, target};
 use tokio::time::sleep;
 
 /// Duration of a call that outlasts the test's checks.
@@ -90,3 +90,33 @@
         queued.await.unwrap().unwrap();
     }
 }
+
+/// Guards against one of several equal services that gets nearly all calls, by its place in a list or by
+/// its availability zone. Plays calls of 30 ms that come one by one, and more than all services can run.
+#[rstest]
+#[case::light(Duration::from_millis(100))]
+#[case::steady(Duration::from_millis(8))]
+#[case::heavy(Duration::from_millis(1))]
+#[tokio::test(start_paused = true)]
+async fn calls_spread_over_services(#[case] interval: Duration) {
+    const CALLS: usize = 600;
+    const SERVICES: usize = 3;
+    let group = group(SchedulerConfig { prefers_own_zone: false, ..config() });
+    for (n, zone) in ["suva-a", "nausori-b", "lami-c"].into_iter().enumerate() {
+        let mut service = spec(&format!("s{n}"), 1, TargetKind::Service { max_concurrent: 6 });
+        service.zone = zone.parse().unwrap();
+        group.scheduler.upsert_target(service);
+    }
+    let mut calls = Vec::new();
+    for n in 0..CALLS {
+        calls.push(group.run(call(&format!("c{}", n % 40), n % 2 == 0), Duration::from_millis(30)));
+        sleep(interval).await;
+    }
+    let mut targets = Vec::new();
+    for call in calls {
+        targets.push(call.await.unwrap().unwrap().target);
+    }
+    let used = counts(targets);
+    let busiest = *used.values().max().unwrap() as f64;
+    assert!(busiest * SERVICES as f64 <= 1.3 * CALLS as f64, "{used:?}");
+}
