Find replicas of earlier releases that know no positions

Change: a replica that does not know the method is asked for its status instead; its leader may be one that is no longer connected. Test: survey_of_earlier_release found no leader before.

--- a/crates/rpc/src/survey.rs
+++ b/crates/rpc/src/survey.rs
@@ -6,11 +6,12 @@
 use std::{net::SocketAddr, time::Duration};
 
 use futures_util::{StreamExt, future::BoxFuture, stream::FuturesUnordered};
+use jsonrpsee::{core::ClientError, http_client::HttpClient, types::ErrorCode};
 use rand::seq::IndexedRandom;
 use shallotdrum_types::{InstanceId, LogIndex};
 use tokio::time::{Instant, timeout_at};
 
-use crate::{Directory, PeerApiClient, Peers, ReplicaPosition};
+use crate::{AdminApiClient, Directory, PeerApiClient, Peers, ReplicaPosition, ReplicaStatus};
 
 /// Time limit of a survey; the leader counts a replica that takes longer as unreachable.
 const SURVEY_TIMEOUT: Duration = Duration::from_millis(400);
@@ -30,6 +31,19 @@
     pub position: ReplicaPosition,
 }
 
+/// Asks a replica for its position. Earlier releases know only `replica_status`, which may name a leader
+/// that is no longer connected.
+async fn position_of(client: &HttpClient) -> Result<ReplicaPosition, ClientError> {
+    match client.position().await {
+        Err(ClientError::Call(error)) if error.code() == ErrorCode::MethodNotFound.code() => {
+            let ReplicaStatus { leader, first, applied, .. } = client.replica_status().await?;
+            let is_caught_up = leader.is_some();
+            Ok(ReplicaPosition { leader, is_caught_up, first, applied })
+        }
+        position => position,
+    }
+}
+
 /// Survey in progress.
 struct Survey {
     pending: FuturesUnordered<BoxFuture<'static, Option<SurveyedReplica>>>,
@@ -42,7 +56,7 @@
             let client = peers.get(directory.addr(&name)?).ok()?;
             let addr = directory.addr(&name)?;
             let asked: BoxFuture<'static, _> = Box::pin(async move {
-                let position = client.position().await.ok()?;
+                let position = position_of(&client).await.ok()?;
                 Some(SurveyedReplica { name, addr, position })
             });
             Some(asked)
--- a/crates/rpc/tests/survey.rs
+++ b/crates/rpc/tests/survey.rs
@@ -178,3 +178,25 @@
     let asked = replicas.asked.load(Ordering::SeqCst);
     assert!(asked < CALLS, "{asked} positions for {CALLS} calls");
 }
+
+/// Guards against followers and callers that find no replica while replicas of an earlier release, which
+/// know no positions, are being replaced.
+#[tokio::test]
+async fn survey_of_earlier_release() {
+    let server = Server::builder().build("127.0.0.1:0").await.unwrap();
+    let addr = server.local_addr().unwrap();
+    let mut methods = RpcModule::new(());
+    let status = serde_json::json!({
+        "instance": "replica-0", "is_leader": true, "leader": "replica-0", "term": 3, "commit": 100,
+        "applied": 100, "first": 1, "syncs": 7, "members": ["replica-0"], "learners": [],
+        "calls": {"pending": 0, "total": 0},
+    });
+    methods.register_method("admin_replica_status", move |_, (), _| status.clone()).unwrap();
+    let _server = server.start(methods);
+    let directory = Directory::listed(BTreeMap::from([(name(0), addr)]));
+    let peers = Peers::new(PeersConfig { timeout: Duration::from_secs(10) });
+    assert_eq!(find_leader(&peers, &directory).await, Some(name(0)));
+    let source =
+        find_source(&peers, &directory, LogIndex(100)).await.expect("the replica is found");
+    assert_eq!(source.position, position(Some(0)));
+}
