--- a/crates/daemon/tests/guarantees/manifests.rs
+++ b/crates/daemon/tests/guarantees/manifests.rs
@@ -224,3 +224,41 @@
     }
     assert!(slowest < CONNECTED_LIMIT, "{slowest:?}");
 }
+
+/// Guards against a key that was withdrawn and is accepted again after a restart, of one instance while
+/// the others run, or of all.
+#[rstest]
+#[case::one(false)]
+#[case::all(true)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn withdrawn_key_after_restart(#[case] restarts_all: bool) {
+    let mut setup = start().await;
+    let rpc = setup.cluster.rpc_addr(0);
+    let withdrawn = setup.caller.with_key(&setup.deployment.key(setup.deployment.subscribers - 1));
+    let path = format!("/{}/status/7", setup.deployment.service);
+    let last = setup.cluster.len() - 1;
+    let entry = setup.cluster.entry(last);
+    withdrawn.call(entry, hyper::Method::GET, &path, None, "").await.unwrap();
+    let mut deployment = setup.deployment.clone();
+    deployment.subscribers -= 1;
+    let submitted = setup.operator.submit(rpc, "withdraw", 1, &deployment.manifest()).await;
+    assert_eq!(submitted.unwrap(), Revision(2));
+    setup.wait_in_force(rpc, 2, IN_FORCE_LIMIT).await;
+
+    let restarted = if restarts_all { 0..last + 1 } else { last..last + 1 };
+    for i in restarted.clone() {
+        setup.cluster.kill(i).unwrap();
+    }
+    for i in restarted {
+        setup.cluster.restart(i).unwrap();
+    }
+    // From the first response on, while the instance does not know the manifest yet.
+    let served = wait_until("the instance serves", START_LIMIT, || async {
+        let response = withdrawn.call(entry, hyper::Method::GET, &path, None, "").await;
+        assert!(response.is_err(), "a withdrawn key was accepted");
+        setup.lookup(entry).await.map_err(|e| e.to_string())
+    });
+    served.await.unwrap();
+    let response = withdrawn.call(entry, hyper::Method::GET, &path, None, "").await;
+    assert!(response.is_err(), "a withdrawn key was accepted");
+}
