Fill targets no further than they have had room

Nothing read that header, and a target that announces six places and takes two was filled to six again and again. Change: an entry tells the owner when a target had no room (503, not run; of engines only if they say that they are brittle, as they refuse for other reasons too). The scheduler then admits one request fewer than were running, and one more for each half second with a response.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -489,7 +489,12 @@
             running.end();
             event!(self.cx.log, TARGET_DECLINED; "request" => %run.req.id, "target" => %target,
                 "status" => parts.status.as_u16());
-            place.end(PlaceEnd::Refused);
+            // Engines refuse for other reasons as well, unless they say that they must not be filled.
+            let tells_room = run.req.generation.is_none() || info.is_brittle;
+            match parts.status {
+                StatusCode::SERVICE_UNAVAILABLE if tells_room => place.end_without_room(),
+                _ => place.end(PlaceEnd::Refused),
+            }
             self.places.record_refusal(&run.pool, &need, &target);
             run.avoid.push(target);
             if let Ok(true) = timeout_at(run.deadline, discard(body)).await {
--- a/crates/gateway/src/places.rs
+++ b/crates/gateway/src/places.rs
@@ -89,6 +89,8 @@
     sent_at: Option<Instant>,
     /// Time from the send to the first event of a stream.
     first_event: Option<Duration>,
+    /// Whether the target had no room.
+    has_no_room: bool,
 }
 
 /// Who granted a place and is told of its end.
@@ -112,6 +114,12 @@
         self.guard.first_event = self.guard.sent_at.map(|at| at.elapsed());
     }
 
+    /// Ends the place of a request that the target had no room for.
+    pub(crate) fn end_without_room(mut self) {
+        self.guard.has_no_room = true;
+        self.end(PlaceEnd::Refused);
+    }
+
     /// Ends the place and reports how it ended.
     pub(crate) fn end(mut self, end: PlaceEnd) {
         self.guard.end = end;
@@ -120,7 +128,14 @@
 
 impl PlaceGuard {
     fn new(places: PlaceClient, granted_by: GrantedBy) -> Self {
-        Self { places, end: PlaceEnd::Cancelled, granted_by, sent_at: None, first_event: None }
+        Self {
+            places,
+            end: PlaceEnd::Cancelled,
+            granted_by,
+            sent_at: None,
+            first_event: None,
+            has_no_room: false,
+        }
     }
 }
 
@@ -128,12 +143,15 @@
     fn drop(&mut self) {
         match &self.granted_by {
             GrantedBy::This { key } => {
-                self.places.0.owner.end_place(*key, to_finish(self.end), self.first_event);
+                let finish = to_finish(self.end, self.has_no_room);
+                self.places.0.owner.end_place(*key, finish, self.first_event);
             }
             GrantedBy::NoOwner { target } => self.places.fallback().end(target),
             GrantedBy::Other { key: (session, place), addr } => {
                 let first_event_ms = self.first_event.map(|time| time.as_millis() as u64);
-                let ended = EndedPlace { place: *place, end: self.end, first_event_ms };
+                let has_no_room = self.has_no_room;
+                let ended =
+                    EndedPlace { place: *place, end: self.end, first_event_ms, has_no_room };
                 tokio::spawn(self.places.clone().report_end(*addr, *session, ended));
             }
         }
@@ -141,7 +159,7 @@
 }
 
 /// Converts the end of a place to the scheduler's `Finish`.
-pub fn to_finish(end: PlaceEnd) -> shallotdrum_owner::Finish {
+pub fn to_finish(end: PlaceEnd, has_no_room: bool) -> shallotdrum_owner::Finish {
     use shallotdrum_owner::Finish;
     match end {
         PlaceEnd::Answered { prompt_tokens, completion_tokens } => {
@@ -149,6 +167,7 @@
         }
         PlaceEnd::Failed => Finish::TargetFailed,
         PlaceEnd::Cancelled => Finish::Cancelled,
+        PlaceEnd::Refused if has_no_room => Finish::NoRoom,
         PlaceEnd::Refused => Finish::Refused,
     }
 }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -155,6 +155,8 @@
     pub is_signed: bool,
     /// Whether the target says that it leaves.
     pub is_leaving: bool,
+    /// Whether the target says that it falls over if it must refuse several requests within a second.
+    pub is_brittle: bool,
     /// Time for which the target, which refused the request, takes none from this instance.
     pub pause: Option<Duration>,
     /// Limit on its requests that the target names, or the text that is not one.
--- a/crates/rpc/src/places.rs
+++ b/crates/rpc/src/places.rs
@@ -67,6 +67,9 @@
     /// Time from the send to the first event of a stream, in milliseconds; absent without one.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub first_event_ms: Option<u64>,
+    /// Whether the target refused the request because it has no room for another.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub has_no_room: bool,
 }
 
 /// Result of the request that a place was requested for.
--- a/crates/scheduler/src/api.rs
+++ b/crates/scheduler/src/api.rs
@@ -221,4 +221,6 @@
     Cancelled,
     /// The target refused the request without running it.
     Refused,
+    /// The target refused the request because it has no room for another.
+    NoRoom,
 }
--- a/crates/scheduler/src/state/mod.rs
+++ b/crates/scheduler/src/state/mod.rs
@@ -565,7 +565,7 @@
                 self.stats.tokens.0 += completion_tokens;
                 Cost::tokens(prompt_tokens, completion_tokens as f64)
             }
-            Finish::Refused => Cost::default(),
+            Finish::Refused | Finish::NoRoom => Cost::default(),
             _ if !running.is_started => Cost::default(),
             Finish::TargetFailed | Finish::TargetCrashed | Finish::Cancelled => {
                 self.stats.tokens.0 += running.tokens;
@@ -581,25 +581,31 @@
 
     fn release_target(&mut self, seq: Seq, running: &RunningRequest, finish: Finish, now: Instant) {
         let Some(target) = self.targets.get_mut(&running.target) else { return };
+        if finish == Finish::NoRoom {
+            target.lower_ceiling(now);
+        }
         target.running -= 1;
         target.unreserved_running -= u32::from(running.is_unreserved);
         target.exclusive_to = target.exclusive_to.filter(|exclusive| *exclusive != seq);
+        let is_settled =
+            matches!(finish, Finish::Answered { .. } | Finish::Refused | Finish::NoRoom);
         if let Some(slot) = running.adapter.and_then(|key| target.slots.get_mut(key)) {
             let secs = (now - running.admitted_at).as_secs_f64();
             self.subs[running.sub].charge(Cost::slot_time(secs, slot.leases));
             slot.leases = slot.leases.saturating_sub(1);
             slot.last_used = now;
             // The engine may still be running a request without a complete response.
-            if running.is_started && !matches!(finish, Finish::Answered { .. } | Finish::Refused) {
+            if running.is_started && !is_settled {
                 slot.pin_uncertain(now);
             }
         }
-        let is_counted = !matches!(finish, Finish::Cancelled | Finish::Refused);
+        let is_counted = !matches!(finish, Finish::Cancelled | Finish::Refused | Finish::NoRoom);
         if is_counted {
             target.health.record_end(!matches!(finish, Finish::Answered { .. }), now);
         }
         let is_failure = match finish {
             Finish::Answered { completion_tokens, .. } => {
+                target.raise_ceiling(now);
                 target.health.record_success(now);
                 if let Some(first) = running.first_token_at.filter(|_| completion_tokens > 1) {
                     let secs = (now - first).as_secs_f64();
@@ -609,7 +615,7 @@
             }
             Finish::TargetFailed => target.health.record_failure(false),
             Finish::TargetCrashed => target.health.record_failure(true),
-            Finish::Cancelled | Finish::Refused => false,
+            Finish::Cancelled | Finish::Refused | Finish::NoRoom => false,
         };
         if is_failure {
             self.eject(running.target, now);
--- a/crates/scheduler/src/target.rs
+++ b/crates/scheduler/src/target.rs
@@ -35,6 +35,8 @@
     pub(crate) slots: Slots,
     /// Admitted requests that have not ended.
     pub(crate) running: u32,
+    /// Limit on concurrent requests since the target had no room for one.
+    pub(crate) ceiling: Option<Ceiling>,
     /// Time of the latest admission.
     pub(crate) granted_at: Option<Instant>,
     /// Admitted requests that do not use the capacity reserved for lookups.
@@ -70,6 +72,17 @@
     pub(crate) limit_observed_at: Option<Instant>,
 }
 
+/// Limit on concurrent requests that is below what the target announced.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Ceiling {
+    limit: u32,
+    changed_at: Instant,
+}
+
+/// Time between two raises of a ceiling. Each may cost a refusal, and a target that says it is brittle
+/// falls over if it must refuse several requests within a second.
+const CEILING_RAISE_INTERVAL: Duration = Duration::from_millis(500);
+
 impl Target {
     pub(crate) fn new(spec: TargetSpec, health: Health, now: Instant) -> Self {
         let max_slots = match &spec.kind {
@@ -94,6 +107,7 @@
             reserved_for: None,
             assigned: VecDeque::new(),
             prefix_cache: PrefixCacheEstimate::default(),
+            ceiling: None,
             granted_at: None,
             prefill_backlog: Backlog::new(now),
             adapter_cache: AdapterCache::default(),
@@ -108,8 +122,13 @@
         matches!(self.spec.kind, TargetKind::Engine { .. })
     }
 
-    /// Limit on concurrent requests.
+    /// Limit on concurrent requests: what the target announced, or fewer after it had no room.
     pub(crate) fn capacity(&self) -> u32 {
+        let announced = self.announced_capacity();
+        self.ceiling.map_or(announced, |ceiling| ceiling.limit.min(announced))
+    }
+
+    fn announced_capacity(&self) -> u32 {
         match self.spec.kind {
             TargetKind::Engine { max_batch, .. } => max_batch,
             TargetKind::Service { max_concurrent } => max_concurrent,
@@ -117,6 +136,24 @@
         .max(1)
     }
 
+    /// Lowers the limit below the number of requests with which the target had no room for another.
+    pub(crate) fn lower_ceiling(&mut self, now: Instant) {
+        let limit = self.running.saturating_sub(1).clamp(1, self.capacity());
+        self.ceiling = Some(Ceiling { limit, changed_at: now });
+    }
+
+    /// Raises the limit by one after a response, at most once per [`CEILING_RAISE_INTERVAL`].
+    pub(crate) fn raise_ceiling(&mut self, now: Instant) {
+        let announced = self.announced_capacity();
+        self.ceiling = match self.ceiling {
+            Some(Ceiling { limit, changed_at }) if now >= changed_at + CEILING_RAISE_INTERVAL => {
+                let raised = Ceiling { limit: limit + 1, changed_at: now };
+                Some(raised).filter(|ceiling| ceiling.limit < announced)
+            }
+            ceiling => ceiling,
+        };
+    }
+
     /// Maximum of `running` since a sample was taken; starts a new interval.
     pub(crate) fn take_peak(&mut self, sampled: Instant, now: Instant) -> u32 {
         /// Number of intervals between reports that are kept; older peaks are ignored.
--- a/crates/scheduler/tests/lookups.rs
+++ b/crates/scheduler/tests/lookups.rs
@@ -2,13 +2,19 @@
 
 mod support;
 
-use std::time::Duration;
+use std::{
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::Duration,
+};
 
 use rstest::rstest;
 use shallotdrum_engine::TargetKind;
-use shallotdrum_scheduler::{AdmissionRequest, RequestKind, SchedulerConfig};
+use shallotdrum_scheduler::{AdmissionRequest, Finish, RequestKind, SchedulerConfig};
 use support::{Group, answered, config, counts, group, request_of_kind, spec, target};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 /// Duration of a call that outlasts the test's checks.
 const LONG_CALL: Duration = Duration::from_secs(20);
@@ -120,3 +126,45 @@
     let busiest = *used.values().max().unwrap() as f64;
     assert!(busiest * SERVICES as f64 <= 1.3 * CALLS as f64, "{used:?}");
 }
+
+/// Guards against a target that is filled again and again beyond what it takes, and falls over for it.
+/// Plays a service that takes two calls of 30 ms at a time and announces six places, and calls at two
+/// thirds of its real rate.
+#[tokio::test(start_paused = true)]
+async fn target_without_room_is_not_filled() {
+    const TAKES: u32 = 2;
+    /// Refusals in one second that a brittle target stands.
+    const STANDS: usize = 5;
+    let group = group(SchedulerConfig { prefers_own_zone: false, ..config() });
+    group.scheduler.upsert_target(spec("s1", 1, TargetKind::Service { max_concurrent: 6 }));
+    let refusals = Arc::new(Mutex::new(Vec::new()));
+    let running = Arc::new(AtomicU32::new(0));
+    for n in 0..1_000 {
+        let (scheduler, refusals) = (group.scheduler.clone(), refusals.clone());
+        let running = running.clone();
+        tokio::spawn(async move {
+            let Ok(lease) = scheduler.admit(call(&format!("c{}", n % 20), true)).await else {
+                return;
+            };
+            lease.started();
+            if running.fetch_add(1, Ordering::SeqCst) >= TAKES {
+                sleep(Duration::from_millis(2)).await;
+                running.fetch_sub(1, Ordering::SeqCst);
+                refusals.lock().unwrap().push(Instant::now());
+                lease.finish(Finish::NoRoom);
+                return;
+            }
+            sleep(Duration::from_millis(30)).await;
+            running.fetch_sub(1, Ordering::SeqCst);
+            lease.finish(answered(1));
+        });
+        // In pairs, and now and then many at once.
+        sleep(Duration::from_millis(if n % 50 < 10 { 0 } else { 28 })).await;
+    }
+    let refusals = refusals.lock().unwrap();
+    let in_second = |from: &Instant| {
+        refusals.iter().filter(|at| (*from..*from + Duration::from_secs(1)).contains(*at)).count()
+    };
+    let worst = refusals.iter().map(in_second).max().unwrap_or(0);
+    assert!(worst <= STANDS, "{worst} refusals in a second, {} in all", refusals.len());
+}
