--- a/crates/control/tests/upgrade.rs
+++ b/crates/control/tests/upgrade.rs
@@ -195,7 +195,7 @@
 /// one that never comes.
 #[test]
 fn due_raise_rolling_upgrade() {
-    let raise = Some(Command::RaiseFormat { format: NEWEST_FORMAT });
+    let raise = Command::RaiseFormat { format: NEWEST_FORMAT };
     let newest = Some(NEWEST_FORMAT);
     let mut upgrade = Upgrade::new();
     for instance in ["fj-a", "fj-b", "fj-c"] {
@@ -210,8 +210,8 @@
     upgrade.start("fj-c", 3, None);
     assert_eq!(upgrade.raise_within(RAISE_LIMIT), None);
     upgrade.start("fj-c", 4, newest);
-    assert_eq!(upgrade.raise_within(RAISE_LIMIT), raise);
-    upgrade.log.apply(raise.unwrap());
+    assert_eq!(upgrade.raise_within(RAISE_LIMIT), Some(raise.clone()));
+    upgrade.log.apply(raise);
     assert_eq!(upgrade.raise_within(RAISE_LIMIT), None);
 }
 
--- a/crates/scheduler/src/state/mod.rs
+++ b/crates/scheduler/src/state/mod.rs
@@ -465,7 +465,7 @@
         if let Some(model) = self.cfg.engine_model.filter(|_| queued.is_engine) {
             let cached = target.prefix_cache.hit_ratio(&queued.prefixes);
             let is_idle = target.prefill_backlog.wait(now).is_zero();
-            unread_tokens = is_idle.then(|| queued.prompt_tokens as f64 * (1.0 - cached));
+            unread_tokens = is_idle.then_some(queued.prompt_tokens as f64 * (1.0 - cached));
             target.prefill_backlog.add(model.prefill(queued.prompt_tokens, cached), now);
             if let Some(adapter) = queued.adapter {
                 target.adapter_cache.touch(adapter, model.cached_adapters);
