Raise the format of a new log after a second

Cause: the wait that covers the restart of an instance in an upgrade also held in a new deployment. Change: while no session has ended since the log was formed the leader waits for one second.

--- a/crates/control/src/leader/mod.rs
+++ b/crates/control/src/leader/mod.rs
@@ -26,6 +26,10 @@
 /// Covers the restart of an instance that is replaced last, so that its session is missing for a while.
 const RAISE_SETTLE: Duration = Duration::from_secs(10);
 
+/// The same while no instance has stopped or restarted since the log was formed: it is a new deployment,
+/// whose instances start within a second.
+const NEW_LOG_RAISE_SETTLE: Duration = Duration::from_secs(1);
+
 /// Session leases and load permits of a leader, created at its election.
 #[derive(Debug)]
 pub struct LeaderState {
@@ -136,7 +140,11 @@
             _ => now,
         };
         self.readable = readable.map(|format| (format, since));
-        let format = readable.filter(|_| now >= since + RAISE_SETTLE)?;
+        let settle = match state.has_ended_sessions() {
+            true => RAISE_SETTLE,
+            false => NEW_LOG_RAISE_SETTLE,
+        };
+        let format = readable.filter(|_| now >= since + settle)?;
         Some(Command::RaiseFormat { format })
     }
 
--- a/crates/control/src/state/mod.rs
+++ b/crates/control/src/state/mod.rs
@@ -120,6 +120,11 @@
         self.shared.format.0
     }
 
+    /// Whether any instance has stopped or restarted since the log was formed.
+    pub fn has_ended_sessions(&self) -> bool {
+        self.shared.sessions.has_ended()
+    }
+
     /// Whether all instances can read the command.
     pub fn allows(&self, command: &Command) -> Result<(), CommandError> {
         match (command.format(), self.format()) {
--- a/crates/control/src/state/sessions.rs
+++ b/crates/control/src/state/sessions.rs
@@ -49,6 +49,11 @@
         self.live.values()
     }
 
+    /// Whether any session has ended.
+    pub(crate) fn has_ended(&self) -> bool {
+        self.last.0 != self.live.len() as u64
+    }
+
     pub(crate) fn drained(&self) -> &BTreeSet<InstanceId> {
         &self.drained
     }
--- a/crates/control/tests/upgrade.rs
+++ b/crates/control/tests/upgrade.rs
@@ -215,6 +215,24 @@
     assert_eq!(upgrade.raise_within(RAISE_LIMIT), None);
 }
 
+/// Guards against a new deployment that does without the newest commands for long after its start, and
+/// against the short wait once an instance has restarted.
+#[test]
+fn due_raise_new_deployment() {
+    let mut upgrade = Upgrade::new();
+    for instance in ["fj-a", "fj-b", "fj-c"] {
+        upgrade.start(instance, 1, Some(NEWEST_FORMAT));
+    }
+    assert!(upgrade.raise_within(Duration::from_secs(2)).is_some());
+    let mut upgrade = Upgrade::new();
+    upgrade.start("fj-a", 1, Some(NEWEST_FORMAT));
+    upgrade.start("fj-b", 1, None);
+    assert_eq!(upgrade.raise_within(RAISE_LIMIT), None);
+    upgrade.start("fj-b", 2, Some(NEWEST_FORMAT));
+    assert_eq!(upgrade.raise_within(Duration::from_secs(5)), None);
+    assert!(upgrade.raise_within(RAISE_LIMIT).is_some());
+}
+
 /// Guards against a raise by a leader that has not yet heard from all instances, or while the release of
 /// a replica is unknown because it has no session.
 #[test]
@@ -225,7 +243,9 @@
     upgrade.start("fj-a", 1, Some(NEWEST_FORMAT));
     assert!(upgrade.raise_within(RAISE_LIMIT).is_some());
     upgrade.leader = LeaderState::new(upgrade.now, Term(2), &upgrade.log.state);
-    assert_eq!(upgrade.raise_within(Duration::from_secs(5)), None);
+    // Nobody renews with the new leader.
+    upgrade.formats.clear();
+    assert_eq!(upgrade.raise_within(RAISE_LIMIT), None);
 }
 
 /// Guards against a release that reads what it cannot understand, in place of saying which one is
