--- a/crates/daemon/src/plane.rs
+++ b/crates/daemon/src/plane.rs
@@ -105,6 +105,11 @@
         Ok(self.targets.announce(announcement).await?)
     }
 
+    /// Whether the target is registered, as far as this instance knows.
+    pub fn knows_target(&self, target: &TargetId) -> bool {
+        self.view.read(|state| state.target(target).is_some())
+    }
+
     /// Address of the instance that owns the target's group, if targets may report to it directly.
     ///
     /// Replicas would otherwise relay each report of each target.
