Recognise a torn write of which few bytes lie in a sector

What callers saw: nothing yet; operators lose a replica. After a loss of power a replica refused to start, with "unreadable record", and would have refused at every later start.

Cause: a last frame counts as torn if one of its sectors is all zero, but only if at least 16 bytes of the frame lie in that sector. A frame that begins in the last 15 bytes of a sector, or ends in the first 15, counted as corrupt.

Why it works: a frame begins with its magic, so its part of the first sector is never all zero, however short; the part in the last sector is taken as missing whatever its length. A sector of which only the beginning was written is recognised by 16 zeros at the end.

--- a/crates/consensus/src/storage/frame.rs
+++ b/crates/consensus/src/storage/frame.rs
@@ -67,7 +67,7 @@
 }
 
 /// Whether the frame extends beyond the end of the file, or contains sectors that were never
-/// written.
+/// written, however few of their bytes belong to it.
 fn is_partly_written(file: &[u8], at: usize) -> bool {
     let rest = &file[at..];
     let is_short = match parse_header(rest) {
@@ -75,9 +75,14 @@
         None => rest.len() < HEADER_BYTES,
     };
     let (first, sectors) = rest.split_at(rest.len().min(SECTOR_BYTES - at % SECTOR_BYTES));
-    // Shorter runs of zeros also occur in valid frames.
-    let is_zeroed = |s: &[u8]| s.len() >= HEADER_BYTES && s.iter().all(|b| *b == 0);
-    is_short || is_zeroed(first) || sectors.chunks(SECTOR_BYTES).any(is_zeroed)
+    let is_zeroed = |s: &[u8]| s.iter().all(|b| *b == 0);
+    // A frame begins with its magic, so it has no zeros at its start. Short runs of zeros also occur in
+    // the middle and at the end of valid frames.
+    let zeros_at_end = rest.iter().rev().take_while(|b| **b == 0).count();
+    is_short
+        || is_zeroed(first)
+        || sectors.chunks(SECTOR_BYTES).any(is_zeroed)
+        || zeros_at_end >= HEADER_BYTES
 }
 
 /// Offsets of the magic bytes, starting the search at `from`.
--- a/crates/consensus/tests/disk.rs
+++ b/crates/consensus/tests/disk.rs
@@ -69,6 +69,42 @@
     cluster.check_converged(&command_names("a", 5)).await;
 }
 
+/// Guards against a replica that refuses to start after a crash during a write of which one sector, with
+/// few bytes of it, is missing.
+#[rstest]
+#[case::first_sector(true)]
+#[case::last_sector(false)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn torn_tail_lacks_part_of_sector(#[case] is_first: bool) {
+    const SECTOR: usize = 512;
+    const FEW: usize = 16;
+
+    let mut cluster = Cluster::started(1).await;
+    let length = |cluster: &Cluster| fs::metadata(cluster.log_file(1)).unwrap().len() as usize;
+    let mut expected = Vec::new();
+    cluster.propose("start").await;
+    let torn = loop {
+        let start = length(&cluster);
+        let name = format!("a-{}", expected.len());
+        cluster.propose(&name).await;
+        let end = length(&cluster);
+        let boundary = end - end % SECTOR;
+        let torn = if is_first { start..boundary } else { boundary..end };
+        if start < boundary && boundary < end && torn.len() < FEW {
+            break torn;
+        }
+        expected.push(name);
+    };
+    cluster.stop(1).await;
+    let path = cluster.log_file(1);
+    let mut bytes = fs::read(&path).unwrap();
+    bytes[torn].fill(0);
+    fs::write(&path, bytes).unwrap();
+    cluster.start(1).await;
+    cluster.propose("b-0").await;
+    cluster.check_converged(&expected).await;
+}
+
 /// Guards against silent truncation of a corrupt log, which would lose acknowledged entries, and
 /// against a replica that can't be rebuilt from the others.
 #[rstest]
