Sync the names of a replica's files when it starts

What callers saw: possibly a route table that had been acknowledged and came back older after a loss of power; an acknowledged entry of the log was lost at the replica concerned.

Cause: a replica renames its new log file and then syncs the folder. If its process ended between the two, the next process found the new name, took it as durable, removed the old file and appended acknowledged entries to the new one. Its content was synced at the start, its name never was: a later loss of power brought the old file back.

Evidence: crash_then_power_loss ends the process at each of the first 80 syncs, starts it again and cuts the power later.

Why it works: a start syncs the folder and its parent before it relies on what it read. The hook before each sync now also sees folders, so the tests' disk knows which names and bytes outlast a loss of power and builds the folder from that.

--- a/crates/consensus/src/config.rs
+++ b/crates/consensus/src/config.rs
@@ -4,7 +4,7 @@
 
 use shallotdrum_types::InstanceId;
 
-/// Called with the path of the file before each sync; an error makes the sync fail.
+/// Called with the path of the file or folder before each sync; an error makes the sync fail.
 pub type SyncHook = Arc<dyn Fn(&Path) -> io::Result<()> + Send + Sync>;
 
 /// Settings of a node; checked by `Node::start`.
--- a/crates/consensus/src/node/snapshots.rs
+++ b/crates/consensus/src/node/snapshots.rs
@@ -82,10 +82,9 @@
         if self.core().is_stopped {
             return false;
         }
-        let dir = &self.cfg.data_dir;
-        let result = snapshot
-            .write(dir, self.cfg.before_sync.as_ref())
-            .and_then(|()| remove_older(dir, snapshot.index));
+        let (dir, hook) = (&self.cfg.data_dir, self.cfg.before_sync.as_ref());
+        let result =
+            snapshot.write(dir, hook).and_then(|()| remove_older(dir, snapshot.index, hook));
         if let Err(e) = &result {
             self.fail(FatalError::Storage {
                 action: "write a snapshot to",
--- a/crates/consensus/src/storage/mod.rs
+++ b/crates/consensus/src/storage/mod.rs
@@ -37,8 +37,12 @@
     file.sync_data()
 }
 
-/// Syncs the folder, which makes created, renamed and removed entries durable.
-fn sync_dir(dir: &Path) -> io::Result<()> {
+/// Syncs the folder, which makes created, renamed and removed entries durable, after the fault
+/// injection hook.
+fn sync_dir(dir: &Path, hook: Option<&SyncHook>) -> io::Result<()> {
+    if let Some(hook) = hook {
+        hook(dir)?;
+    }
     File::open(dir)?.sync_all()
 }
 
@@ -49,7 +53,7 @@
     for part in parts {
         file.write_all(part)?;
     }
-    sync(&file, path, hook)?;
+    sync(&file, &temporary, hook)?;
     fs::rename(&temporary, path)?;
-    sync_dir(path.parent().unwrap_or(Path::new(".")))
+    sync_dir(path.parent().unwrap_or(Path::new(".")), hook)
 }
--- a/crates/consensus/src/storage/open.rs
+++ b/crates/consensus/src/storage/open.rs
@@ -2,15 +2,18 @@
 
 use std::{
     fs::{self, File, TryLockError},
+    io,
     path::{Path, PathBuf},
 };
 
 use serde::{Deserialize, Serialize};
 use shallotdrum_types::{LogIndex, Term};
 
-use super::{TEMPORARY_SUFFIX, frame, frame::Frame, snapshot, snapshot::Snapshot, sync_dir, wal};
+use super::{
+    TEMPORARY_SUFFIX, frame, frame::Frame, snapshot, snapshot::Snapshot, sync, sync_dir, wal,
+};
 use super::{wal::Record, write_durably};
-use crate::{DiskId, Member, NodeConfig, StartError, log::Log};
+use crate::{DiskId, Member, NodeConfig, StartError, SyncHook, log::Log};
 
 /// Content of the identity file.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
@@ -61,20 +64,22 @@
         Err(StartError::Corrupt { .. }) if cfg.set_aside_damaged => (),
         result => return Ok((result?, lock)),
     }
-    let set_aside = set_aside(dir)?;
+    let set_aside = set_aside(dir, cfg.before_sync.as_ref())?;
     initialise(cfg, true)?;
     let opened = Opened { set_aside: Some(set_aside), ..load(cfg)? };
     Ok((opened, lock))
 }
 
 fn load(cfg: &NodeConfig) -> Result<Opened, StartError> {
-    let dir = &cfg.data_dir;
+    let (dir, hook) = (&cfg.data_dir, cfg.before_sync.as_ref());
     let identity_path = dir.join("identity");
     if !identity_path.try_exists().map_err(|e| StartError::io("read", &identity_path, e))? {
         check_uninitialised(dir, &identity_path)?;
         // A previous start may have been interrupted after it moved the damaged files.
         initialise(cfg, damaged_path(dir, 1).exists())?;
     }
+    // The previous process may have ended before it synced the names of its files.
+    sync_names(dir, hook).map_err(|e| StartError::io("sync", dir, e))?;
     let identity = read_identity(&identity_path)?;
     let found = scan(dir)?;
     let Some(&generation) = found.logs.last() else {
@@ -86,7 +91,7 @@
     // If the previous process was killed before a sync, the data may only be in the page cache.
     // Syncs it, because it is treated as durable from here on.
     let file = File::options().write(true).open(&path);
-    file.and_then(|f| f.set_len(replayed.valid_bytes).and_then(|()| f.sync_all()))
+    file.and_then(|f| f.set_len(replayed.valid_bytes).and_then(|()| sync(&f, &path, hook)))
         .map_err(|e| StartError::io("sync", &path, e))?;
     let newest = found.snapshots.last().map(|&i| Snapshot::path(dir, LogIndex(i)));
     let snapshot = newest.map(|path| Snapshot::read(&path)).transpose()?;
@@ -133,10 +138,14 @@
     write_durably(&path, &[&base], hook).map_err(|e| StartError::io("write", &path, e))?;
     let path = dir.join("identity");
     let identity = frame::encode(&Identity { disk: DiskId::random(), must_relearn });
-    write_durably(&path, &[&identity], hook).map_err(|e| StartError::io("write", &path, e))?;
-    // Makes the data folder itself durable.
+    write_durably(&path, &[&identity], hook).map_err(|e| StartError::io("write", &path, e))
+}
+
+/// Makes the names of all files and of the data folder itself durable.
+fn sync_names(dir: &Path, hook: Option<&SyncHook>) -> io::Result<()> {
     let parent = dir.parent().filter(|p| !p.as_os_str().is_empty()).unwrap_or(Path::new("."));
-    sync_dir(parent).map_err(|e| StartError::io("sync", parent, e))
+    sync_dir(dir, hook)?;
+    sync_dir(parent, hook)
 }
 
 /// Checks that a folder without identity file contains at most the empty log of an interrupted
@@ -191,7 +200,7 @@
 ///
 /// The identity file is moved first: if this is interrupted, the next start finds the remaining
 /// files without it and refuses them.
-fn set_aside(dir: &Path) -> Result<PathBuf, StartError> {
+fn set_aside(dir: &Path, hook: Option<&SyncHook>) -> Result<PathBuf, StartError> {
     let aside = (1..)
         .map(|n| damaged_path(dir, n))
         .find(|p| !p.exists())
@@ -205,12 +214,14 @@
     for name in names {
         let (from, to) = (dir.join(&name), aside.join(&name));
         match fs::rename(&from, &to) {
-            Err(e) if e.kind() != std::io::ErrorKind::NotFound => {
+            Err(e) if e.kind() != io::ErrorKind::NotFound => {
                 return Err(StartError::io("move", from, e));
             }
             _ => (),
         }
     }
-    sync_dir(&aside).and_then(|()| sync_dir(dir)).map_err(|e| StartError::io("sync", &aside, e))?;
+    sync_dir(&aside, hook)
+        .and_then(|()| sync_dir(dir, hook))
+        .map_err(|e| StartError::io("sync", &aside, e))?;
     Ok(aside)
 }
--- a/crates/consensus/src/storage/snapshot.rs
+++ b/crates/consensus/src/storage/snapshot.rs
@@ -50,12 +50,16 @@
 }
 
 /// Removes all snapshot files with an index below `newest`.
-pub(crate) fn remove_older(dir: &Path, newest: LogIndex) -> io::Result<()> {
+pub(crate) fn remove_older(
+    dir: &Path,
+    newest: LogIndex,
+    hook: Option<&SyncHook>,
+) -> io::Result<()> {
     for file in fs::read_dir(dir)? {
         let file = file?;
         if file.file_name().to_str().and_then(index).is_some_and(|i| i < newest.0) {
             fs::remove_file(file.path())?;
         }
     }
-    sync_dir(dir)
+    sync_dir(dir, hook)
 }
--- a/crates/consensus/src/storage/writer.rs
+++ b/crates/consensus/src/storage/writer.rs
@@ -182,11 +182,12 @@
             file.write_all(&frame)?;
         }
         self.file = file;
+        let replaced = std::mem::replace(&mut self.path, temporary);
         self.sync()?;
-        fs::rename(&temporary, &path)?;
-        sync_dir(&self.dir)?;
-        fs::remove_file(&self.path)?;
+        fs::rename(&self.path, &path)?;
         self.path = path;
+        sync_dir(&self.dir, self.hook.as_ref())?;
+        fs::remove_file(replaced)?;
         self.generation += 1;
         Ok(())
     }
--- a/crates/consensus/tests/harness/mod.rs
+++ b/crates/consensus/tests/harness/mod.rs
@@ -3,6 +3,8 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub(crate) mod power;
+
 use std::{
     collections::{HashMap, HashSet},
     io,
@@ -22,6 +24,8 @@
 use shallotdrum_types::{InstanceId, LogIndex};
 use tempfile::TempDir;
 
+use power::{Disk, UnsyncedWrites};
+
 /// Timeout of every wait; far above what a loaded machine needs.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
 
@@ -134,6 +138,8 @@
     pub(crate) net: SharedNetwork,
     pub(crate) nodes: HashMap<usize, Node<RecordingMachine>>,
     pub(crate) disks: HashMap<usize, DiskFaults>,
+    /// What a loss of power leaves of the files, by replica.
+    power: Mutex<HashMap<usize, Arc<Disk>>>,
     dir: TempDir,
     initial: Vec<InstanceId>,
     pub(crate) snapshot_every: u64,
@@ -155,6 +161,7 @@
             net: Arc::new(Mutex::new(net)),
             nodes: HashMap::new(),
             disks: HashMap::new(),
+            power: Mutex::default(),
             dir: data_folder(),
             initial: (1..=n).map(id).collect(),
             snapshot_every: 10_000,
@@ -189,13 +196,18 @@
         cfg.snapshot_every = self.snapshot_every;
         cfg.retain_entries = self.retain_entries;
         let disk = self.disks.get(&n).cloned().unwrap_or_default();
-        cfg.before_sync = Some(Arc::new(move |_| disk.before_sync()));
+        let power = self.power(n);
+        cfg.before_sync = Some(Arc::new(move |path| {
+            disk.before_sync()?;
+            power.sync(path)
+        }));
         cfg
     }
 
     pub(crate) async fn start(&mut self, n: usize) {
         self.disks.insert(n, DiskFaults::default());
-        self.start_with(n, self.config(n)).await.unwrap();
+        let cfg = self.config(n);
+        self.start_with(n, cfg).await.unwrap();
     }
 
     pub(crate) async fn start_with(&mut self, n: usize, cfg: NodeConfig) -> Result<(), StartError> {
@@ -213,12 +225,35 @@
         self.nodes.remove(&n).unwrap().shutdown().await;
     }
 
+    /// Disk of a replica.
+    pub(crate) fn power(&self, n: usize) -> Arc<Disk> {
+        let mut power = self.power.lock().unwrap();
+        power.entry(n).or_insert_with(|| Arc::new(Disk::new(self.folder(n)))).clone()
+    }
+
+    /// Cuts the power of some replicas, and restores their files as the loss of power left them.
+    pub(crate) async fn lose_power(
+        &mut self,
+        replicas: &[usize],
+        unsynced: UnsyncedWrites,
+        rng: &mut StdRng,
+    ) {
+        for n in replicas {
+            self.power(*n).cut_power();
+        }
+        for n in replicas {
+            self.stop(*n).await;
+            self.power(*n).restore(unsynced, rng);
+        }
+    }
+
     pub(crate) fn folder(&self, n: usize) -> PathBuf {
         self.dir.path().join(format!("n{n}"))
     }
 
     pub(crate) fn wipe(&self, n: usize) {
         std::fs::remove_dir_all(self.folder(n)).unwrap();
+        self.power.lock().unwrap().remove(&n);
     }
 
     /// Path of the replica's current log file.
