--- a/crates/consensus/src/storage/open.rs
+++ b/crates/consensus/src/storage/open.rs
@@ -82,10 +82,10 @@
     sync_names(dir, hook).map_err(|e| StartError::io("sync", dir, e))?;
     let identity = read_identity(&identity_path)?;
     let found = scan(dir)?;
-    let Some(&generation) = found.logs.last() else {
+    let Some(&newest) = found.logs.last() else {
         return Err(corrupt(wal::path(dir, 1), "the log file is missing"));
     };
-    let path = wal::path(dir, generation);
+    let path = wal::path(dir, newest);
     let mut replayed = wal::replay(&path)?;
     let truncated_bytes = replayed.file_bytes - replayed.valid_bytes;
     // If the previous process was killed before a sync, the data may only be in the page cache.
@@ -93,8 +93,8 @@
     let file = File::options().write(true).open(&path);
     file.and_then(|f| f.set_len(replayed.valid_bytes).and_then(|()| sync(&f, &path, hook)))
         .map_err(|e| StartError::io("sync", &path, e))?;
-    let newest = found.snapshots.last().map(|&i| Snapshot::path(dir, LogIndex(i)));
-    let snapshot = newest.map(|path| Snapshot::read(&path)).transpose()?;
+    let path = found.snapshots.last().map(|&i| Snapshot::path(dir, LogIndex(i)));
+    let snapshot = path.map(|path| Snapshot::read(&path)).transpose()?;
     let base = snapshot.as_ref().map_or(LogIndex(0), |s| s.index);
     if replayed.log.base() > base {
         return Err(corrupt(
@@ -102,13 +102,17 @@
             "the snapshot that precedes the log is missing",
         ));
     }
+    let mut generation = newest;
     if let Some(s) = &snapshot
         && replayed.log.term(s.index) != Some(s.term)
     {
-        // The replica stopped after storing a received snapshot and before rewriting its log.
-        replayed.log = Log::new(s.index, s.term);
+        // The replica stopped after storing the snapshot and before its log was written up to it.
+        replayed.begin_at(s);
+        generation += 1;
+        write_durably(&wal::path(dir, generation), &[&replayed.encode_start()], hook)
+            .map_err(|e| StartError::io("compact", wal::path(dir, generation), e))?;
     }
-    for &previous in &found.logs[..found.logs.len() - 1] {
+    for previous in found.logs.into_iter().filter(|log| *log < generation) {
         let path = wal::path(dir, previous);
         fs::remove_file(&path).map_err(|e| StartError::io("remove", &path, e))?;
     }
--- a/crates/consensus/src/storage/wal.rs
+++ b/crates/consensus/src/storage/wal.rs
@@ -9,7 +9,10 @@
 use serde::{Deserialize, Serialize};
 use shallotdrum_types::{LogIndex, Term};
 
-use super::frame::{self, Frame};
+use super::{
+    frame::{self, Frame},
+    snapshot::Snapshot,
+};
 use crate::{
     Member, StartError,
     log::{Entry, Log},
@@ -50,6 +53,23 @@
     pub(super) file_bytes: u64,
 }
 
+impl Replayed {
+    /// Drops all entries, so that the log begins after a snapshot.
+    pub(super) fn begin_at(&mut self, snapshot: &Snapshot) {
+        self.log = Log::new(snapshot.index, snapshot.term);
+        if snapshot.term > self.term {
+            (self.term, self.vote) = (snapshot.term, None);
+        }
+    }
+
+    /// Encodes the first records of a log file without entries.
+    pub(super) fn encode_start(&self) -> Vec<u8> {
+        let base = Record::Base { index: self.log.base(), term: self.log.base_term() };
+        let vote = Record::Vote { term: self.term, vote: self.vote.clone() };
+        frame::encode(&[base, vote][..])
+    }
+}
+
 /// Path of the log file of a generation; each compaction starts a new one.
 pub(super) fn path(dir: &Path, generation: u64) -> PathBuf {
     dir.join(format!("log-{generation:016}"))
--- a/crates/consensus/tests/power_loss.rs
+++ b/crates/consensus/tests/power_loss.rs
@@ -4,7 +4,7 @@
 
 use std::{sync::atomic::Ordering, time::Duration};
 
-use futures_util::future::join_all;
+use futures_util::{FutureExt, future::join_all};
 use harness::{Cluster, command_names, power::UnsyncedWrites, wait_until, with_timeout};
 use rand::{RngExt, SeedableRng, rngs::StdRng, seq::SliceRandom};
 use rstest::rstest;
@@ -88,6 +88,69 @@
     assert!(ended.contains(&false), "the commands take more than {MAX_SYNCS} syncs");
 }
 
+/// Guards against a replica that stored a snapshot and ended before it had rewritten its log: its log
+/// then begins after a gap, or before entries that the snapshot superseded.
+#[rstest]
+#[case::process_end(false, UnsyncedWrites::Kept)]
+#[case::power_loss(false, UnsyncedWrites::Lost)]
+#[case::torn_writes(false, UnsyncedWrites::Mixed)]
+#[case::previous_leader_process_end(true, UnsyncedWrites::Kept)]
+#[case::previous_leader_power_loss(true, UnsyncedWrites::Lost)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn crash_during_snapshot_install(
+    #[case] has_conflict: bool,
+    #[case] unsynced: UnsyncedWrites,
+) {
+    join_all((0..12).map(|syncs| install_to_end(syncs, has_conflict, unsynced))).await;
+}
+
+async fn install_to_end(syncs: u64, has_conflict: bool, unsynced: UnsyncedWrites) {
+    let rng = &mut StdRng::seed_from_u64(syncs);
+    let mut cluster = Cluster::new(3);
+    (cluster.snapshot_every, cluster.retain_entries) = (5, 1);
+    cluster.start_all().await;
+    cluster.propose("start").await;
+    cluster.check_converged(&["start".to_owned()]).await;
+    let is_leader = |n: &usize| cluster.nodes[n].status().role == Role::Leader;
+    let behind = (1..=3).find(|n| is_leader(n) == has_conflict).unwrap();
+    cluster.isolate(behind);
+    let node = cluster.nodes[&behind].clone();
+    for _ in 0..if has_conflict { 40 } else { 0 } {
+        // Appended to its own log only.
+        assert!(node.propose("superseded".to_owned()).now_or_never().is_none());
+    }
+    cluster.propose_many("a", 20).await;
+    let power = cluster.power(behind);
+    power.end_after(syncs);
+    cluster.heal();
+    let installed = || node.status().snapshot_index.0 >= 15;
+    wait_until("the snapshot, or the end of the process", || installed() || power.has_ended())
+        .await;
+    power.cut_power();
+    cluster.stop(behind).await;
+    power.restore(unsynced, rng);
+    cluster.start(behind).await;
+    let mut expected = command_names("a", 20);
+    cluster.check_converged(&expected).await;
+    // From here on a command is acknowledged only once the replica has it.
+    let other = (1..=3).find(|n| *n != behind && cluster.nodes[n].status().role != Role::Leader);
+    cluster.stop(other.unwrap()).await;
+    for round in ["b", "c"] {
+        // Few enough that the replica takes no snapshot of its own, which would rewrite its log.
+        cluster.propose(round).await;
+        expected.push(round.to_owned());
+        cluster.isolate(behind);
+        let acknowledged = cluster.nodes[&behind].status().last_index;
+        cluster.lose_power(&[behind], unsynced, rng).await;
+        cluster.start(behind).await;
+        let held = cluster.nodes[&behind].status().last_index;
+        assert!(held >= acknowledged, "{syncs} syncs: {held} after {acknowledged}");
+        cluster.heal();
+    }
+    cluster.start(other.unwrap()).await;
+    cluster.check_converged(&expected).await;
+}
+
 /// Guards against acknowledged commands that are lost with the power of all replicas and the disks of as
 /// many as may be lost, and against reads that go back behind them.
 #[rstest]
