Add draining targets to a scheduler without offering them to waiting requests

Callers saw nothing; a target that leaves got calls 4.2 s after its departure was acknowledged, with no fault at all: it has only to stay for longer than the target timeout (here 4.8 s, on the platform four heartbeats) while calls wait for a place.

Cause: the owner added a target to its group's scheduler and marked it as draining afterwards. The first step gave the target to the requests that waited.

The target is now added as draining in one step, under the scheduler's lock.

--- a/crates/owner/src/service.rs
+++ b/crates/owner/src/service.rs
@@ -501,11 +501,12 @@
                     sequence: 0,
                 },
             );
-            let target = announced.target.clone();
             let spec = group.spec(announced);
-            group.scheduler.upsert_target(spec.clone());
+            match is_draining {
+                true => group.scheduler.upsert_draining_target(spec.clone()),
+                false => group.scheduler.upsert_target(spec.clone()),
+            }
             self.inspect(group, &spec);
-            group.scheduler.set_draining(&target, is_draining);
         }
     }
 
--- a/crates/owner/tests/base_orders.rs
+++ b/crates/owner/tests/base_orders.rs
@@ -1,7 +1,8 @@
 //! Base model orders of an owner whose group passes to another session.
 
+mod support;
+
 use std::{
-    net::SocketAddr,
     sync::{
         Arc, Mutex,
         atomic::{AtomicUsize, Ordering},
@@ -11,69 +12,24 @@
 
 use futures_util::FutureExt;
 use rstest::rstest;
-use shallotdrum_control::{
-    AnnouncedTarget, Command, ControlView, InstanceAddrs, InstanceInfo, Proposal, ProposeError,
-    Reply, TimedCommand,
-};
-use shallotdrum_engine::{ClientTimeouts, EngineClient, LoadReport, TargetKind};
-use shallotdrum_links::Links;
+use shallotdrum_control::{Command, Proposal, ProposeError};
+use shallotdrum_engine::{LoadReport, TargetKind};
 use shallotdrum_owner::{Inspection, OrderFn, OwnerContext, OwnerService};
-use shallotdrum_scheduler::SchedulerConfig;
-use shallotdrum_telemetry::Metrics;
-use shallotdrum_types::{ControlTimeMs, Epoch, GroupId, Incarnation, PermitId, SessionId};
+use shallotdrum_types::{Epoch, GroupId, SessionId};
+use support::{Log, context};
 use tokio::{sync::Notify, time::sleep};
 
 /// Time within which an owner reacts to a change of its groups; its checks are 250 ms apart.
 const REACTION: Duration = Duration::from_secs(1);
 
-/// Control log whose commands are applied at once.
-#[derive(Clone, Default)]
-struct Log(ControlView, Arc<Mutex<()>>);
-
-impl Log {
-    fn apply(&self, command: Command) -> Reply {
-        let _lock = self.1.lock().unwrap();
-        let index = self.0.read(|state| state.applied()).next();
-        let at = ControlTimeMs(1);
-        self.0.apply_on_follower(index, TimedCommand { at, command });
-        Reply::Done
-    }
-
-    fn open(&self, instance: &str) -> SessionId {
-        let addr: SocketAddr = "127.0.0.1:1".parse().unwrap();
-        self.apply(Command::OpenSession(InstanceInfo {
-            instance: instance.parse().unwrap(),
-            incarnation: Incarnation(1),
-            region: "fj".parse().unwrap(),
-            zone: "z".parse().unwrap(),
-            addrs: InstanceAddrs { entry: addr, rpc: addr, data: addr },
-            replica: false,
-        }));
-        self.0.read(|state| state.sessions().map(|s| s.id).max()).unwrap()
-    }
-
-    fn register_engine(&self) -> GroupId {
-        self.apply(Command::RegisterTarget(AnnouncedTarget {
-            target: "e1".parse().unwrap(),
-            incarnation: Incarnation(1),
-            addr: "127.0.0.1:1".parse().unwrap(),
-            pool: "engines".parse().unwrap(),
-            region: "fj".parse().unwrap(),
-            zone: "z".parse().unwrap(),
-            kind: TargetKind::Engine {
-                base_model: "m".parse().unwrap(),
-                adapter_slots: 4,
-                max_batch: 8,
-                checks_fencing: false,
-            },
-            software: None,
-        }));
-        self.0.read(|state| state.groups().next().map(|group| group.id.clone())).unwrap()
-    }
-
-    fn assign(&self, group: &GroupId, session: SessionId) {
-        self.apply(Command::AssignGroup { group: group.clone(), session });
-    }
+fn register_engine(log: &Log) -> GroupId {
+    let kind = TargetKind::Engine {
+        base_model: "m".parse().unwrap(),
+        adapter_slots: 4,
+        max_batch: 8,
+        checks_fencing: false,
+    };
+    log.register("e1", kind)
 }
 
 /// Owner of an engine without a base model.
@@ -117,24 +73,21 @@
     });
     let (gate, begun) = (inspect.clone(), inspecting.clone());
     let (proposals, count, seen) = (log.clone(), in_flight.clone(), at_release.clone());
-    let cx = OwnerContext {
-        view: log.0.clone(),
-        session: Arc::new(move || Some(session)),
-        propose: Arc::new(move |proposal| {
-            let (log, count, seen) = (proposals.clone(), count.clone(), seen.clone());
-            async move {
-                let Proposal::Command(command) = proposal else {
-                    return Err(ProposeError::Unknown);
-                };
-                if matches!(command, Command::ReleaseGroup { .. }) {
-                    seen.lock().unwrap().push(count.load(Ordering::SeqCst));
-                }
-                Ok(log.apply(command))
+    let propose = Arc::new(move |proposal: Proposal| {
+        let (log, count, seen) = (proposals.clone(), count.clone(), seen.clone());
+        async move {
+            let Proposal::Command(command) = proposal else {
+                return Err(ProposeError::Unknown);
+            };
+            if matches!(command, Command::ReleaseGroup { .. }) {
+                seen.lock().unwrap().push(count.load(Ordering::SeqCst));
             }
-            .boxed()
-        }),
-        permit: Arc::new(|_| async { Some(PermitId(0)) }.boxed()),
-        release: Arc::new(|_| {}),
+            Ok(log.apply(command))
+        }
+        .boxed()
+    });
+    let cx = OwnerContext {
+        propose,
         order,
         inspect: Some(Arc::new(move |_| {
             let (gate, begun) = (gate.clone(), begun.clone());
@@ -146,13 +99,7 @@
             }
             .boxed()
         })),
-        engine: EngineClient::new(ClientTimeouts::default()),
-        links: Links::default(),
-        scheduler: SchedulerConfig::new("z".parse().unwrap()),
-        metrics: Metrics::new().unwrap(),
-        log: slog::Logger::root(slog::Discard, slog::o!()),
-        target_timeout: Duration::from_secs(60),
-        max_body_bytes: 1024,
+        ..context(log, session)
     };
     let service = OwnerService::new(cx);
     tokio::spawn(service.clone().run());
@@ -174,7 +121,7 @@
 async fn base_order_after_inspection_outlasts_ownership(#[case] to_other: bool) {
     let log = Log::default();
     let (a, b) = (log.open("a"), log.open("b"));
-    let group = log.register_engine();
+    let group = register_engine(&log);
     log.assign(&group, a);
     let owner = owner(&log, a);
     owner.inspecting.notified().await;
@@ -192,7 +139,7 @@
 async fn base_order_outlasts_release() {
     let log = Log::default();
     let a = log.open("a");
-    let group = log.register_engine();
+    let group = register_engine(&log);
     log.assign(&group, a);
     let owner = owner(&log, a);
     owner.inspecting.notified().await;
@@ -210,7 +157,7 @@
 async fn base_order_after_lost_owner() {
     let log = Log::default();
     let (a, b) = (log.open("a"), log.open("b"));
-    let group = log.register_engine();
+    let group = register_engine(&log);
     log.assign(&group, a);
     log.apply(Command::EndSession { session: a });
     log.assign(&group, b);
--- /dev/null
+++ b/crates/owner/tests/leaving_targets.rs
@@ -0,0 +1,79 @@
+//! Owners of targets that leave.
+
+mod support;
+
+use std::{sync::Arc, time::Duration};
+
+use shallotdrum_control::Command;
+use shallotdrum_engine::{GrantedPlace, Requirements, TargetKind};
+use shallotdrum_owner::{Finish, OwnerContext, OwnerService, PlaceAdmission, PlaceKey};
+use shallotdrum_types::{
+    Fingerprint, GroupId, Incarnation, RequestError, RequestId, RequestIdentity, SessionId,
+    TargetId,
+};
+use support::{Log, context};
+use tokio::{task::JoinHandle, time::sleep};
+
+/// Time within which an owner reacts to a change of its groups; its checks are 250 ms apart.
+const REACTION: Duration = Duration::from_secs(1);
+
+/// A service that runs one call at a time.
+const KIND: TargetKind = TargetKind::Service { max_concurrent: 1 };
+
+fn take_place(
+    owner: &Arc<OwnerService>,
+    group: &GroupId,
+    key: PlaceKey,
+) -> JoinHandle<Result<GrantedPlace, RequestError>> {
+    let request: RequestId = format!("r{}", key.1).parse().unwrap();
+    let fingerprint = Fingerprint::of(request.as_str().as_bytes());
+    let admission = PlaceAdmission {
+        request,
+        identity: RequestIdentity::from(fingerprint),
+        subscriber: "caller".parse().unwrap(),
+        need: Requirements::Call { is_repeatable: true },
+        left: Duration::from_secs(30),
+        avoid: Vec::new(),
+        software: None,
+        limits: Vec::new(),
+    };
+    let (owner, group) = (owner.clone(), group.clone());
+    tokio::spawn(async move { owner.take_place(&group, key, admission).await })
+}
+
+/// An owner of the group of one service.
+async fn owner_of_service(
+    log: &Log,
+    target_timeout: Duration,
+) -> (Arc<OwnerService>, SessionId, GroupId) {
+    let session = log.open("a");
+    let group = log.register("stays", KIND);
+    log.assign(&group, session);
+    let owner = OwnerService::new(OwnerContext { target_timeout, ..context(log, session) });
+    tokio::spawn(owner.clone().run());
+    sleep(REACTION).await;
+    (owner, session, group)
+}
+
+/// Guards against a place at a target that was draining before this owner knew it, for a call that
+/// waits for one.
+#[tokio::test(start_paused = true)]
+async fn target_registered_while_draining() {
+    let log = Log::default();
+    let (owner, session, group) = owner_of_service(&log, Duration::from_secs(60)).await;
+    let place = take_place(&owner, &group, (session, 1)).await.unwrap().unwrap();
+    assert_eq!(place.target.as_str(), "stays");
+    let waiting = take_place(&owner, &group, (session, 2));
+    // The owner learns of both commands at once.
+    let target: TargetId = "leaves".parse().unwrap();
+    log.register("leaves", KIND);
+    log.apply(Command::DrainTarget { target: target.clone(), drain: true });
+    sleep(REACTION).await;
+    let remove = Command::RemoveTarget { target, incarnation: Incarnation(1), is_leaving: false };
+    log.apply(remove);
+    sleep(REACTION).await;
+    log.register("leaves", KIND);
+    sleep(REACTION).await;
+    owner.end_place((session, 1), Finish::Cancelled, None);
+    assert_eq!(waiting.await.unwrap().unwrap().target.as_str(), "stays");
+}
--- a/crates/scheduler/src/group.rs
+++ b/crates/scheduler/src/group.rs
@@ -63,7 +63,12 @@
 
     /// Adds or updates a target. A new incarnation starts without loaded adapters.
     pub fn upsert_target(&self, target: TargetSpec) {
-        self.shared.update(|state, now| state.upsert_target(target, now));
+        self.shared.update(|state, now| state.upsert_target(target, false, now));
+    }
+
+    /// Like `upsert_target`, for a target that is draining: requests that wait get no place there.
+    pub fn upsert_draining_target(&self, target: TargetSpec) {
+        self.shared.update(|state, now| state.upsert_target(target, true, now));
     }
 
     /// Removes a target; admitted requests keep their leases.
--- a/crates/scheduler/src/state/membership.rs
+++ b/crates/scheduler/src/state/membership.rs
@@ -27,20 +27,24 @@
 
 impl State {
     /// Adds or updates a target. A new incarnation starts without loaded adapters.
-    pub(crate) fn upsert_target(&mut self, spec: TargetSpec, now: Instant) {
+    pub(crate) fn upsert_target(&mut self, spec: TargetSpec, is_draining: bool, now: Instant) {
         let known = self.target_keys.get(&spec.id).copied();
         let mut health = Health::default();
-        let mut is_draining = false;
+        let mut is_draining = is_draining;
         if let Some(target) = known.and_then(|key| self.targets.get_mut(&key)) {
             if spec.incarnation < target.spec.incarnation {
                 return;
             }
             if spec.incarnation == target.spec.incarnation && spec.kind == target.spec.kind {
+                let id = spec.id.clone();
                 target.spec = spec;
+                if is_draining {
+                    self.set_draining(&id, true, now);
+                }
                 return;
             }
             health = target.health.clone();
-            is_draining = target.is_draining && spec.incarnation == target.spec.incarnation;
+            is_draining |= target.is_draining && spec.incarnation == target.spec.incarnation;
             let id = spec.id.clone();
             self.remove_target(&id, now);
         }
--- a/crates/scheduler/tests/targets.rs
+++ b/crates/scheduler/tests/targets.rs
@@ -352,3 +352,41 @@
     let refused = group.admit(request("v3", &[])).await.unwrap_err();
     assert_eq!(refused.kind, RequestErrorKind::NoTarget);
 }
+
+/// Guards against a waiting request that is granted the first place at a target that is added while it
+/// drains.
+#[rstest]
+#[case::engine(true)]
+#[case::service(false)]
+#[tokio::test(start_paused = true)]
+async fn draining_target_added(#[case] is_engine: bool) {
+    let group = group(config());
+    let (kind, request) = match is_engine {
+        true => (
+            engine_spec("e", 1, 2, 1).kind,
+            RequestKind::Base {
+                prompt_tokens: 10,
+                max_tokens: 10,
+                prompt_prefix_hashes: Vec::new(),
+            },
+        ),
+        false => {
+            let kind = TargetKind::Service { max_concurrent: 1 };
+            (kind, RequestKind::Service { is_repeatable: true })
+        }
+    };
+    group.scheduler.upsert_target(spec("t1", 1, kind.clone()));
+    let first = group.run(request_of_kind("light", request.clone()), HOLD);
+    let second = group.run(request_of_kind("light", request.clone()), HOLD);
+    sleep(HOLD / 2).await;
+    for incarnation in [1, 1, 2] {
+        group.scheduler.upsert_draining_target(spec("t2", incarnation, kind.clone()));
+    }
+    assert_eq!(first.await.unwrap().unwrap().target, "t1");
+    assert_eq!(second.await.unwrap().unwrap().target, "t1");
+    // A target that was ready before takes no more requests either.
+    group.scheduler.upsert_target(spec("t3", 1, kind.clone()));
+    group.scheduler.upsert_draining_target(spec("t3", 1, kind.clone()));
+    let third = group.run(request_of_kind("light", request), HOLD);
+    assert_eq!(third.await.unwrap().unwrap().target, "t1");
+}
