Take the draining reports of a target as signs of life

Cause: a draining report reached the owner only as "this target leaves", which stopped new work and did not count as an announcement. So the owner had heard of the target for the last time just before its departure.

--- a/crates/owner/src/service.rs
+++ b/crates/owner/src/service.rs
@@ -246,7 +246,8 @@
         Ok(())
     }
 
-    /// Stops new work for a target that is leaving, without waiting for the control log.
+    /// Stops new work for a target that says it is leaving, without waiting for the control log. The
+    /// target is not silent, as long as it says so.
     pub fn leave(&self, target: &TargetId, incarnation: Incarnation) -> Result<(), NotOwned> {
         let group = self.group_of(target)?;
         let mut targets = group.targets();
@@ -254,6 +255,7 @@
             && health.incarnation == incarnation
         {
             health.is_leaving = true;
+            health.last_seen = Instant::now();
             group.scheduler.set_draining(target, true);
         }
         Ok(())
--- a/crates/owner/tests/leaving_targets.rs
+++ b/crates/owner/tests/leaving_targets.rs
@@ -12,7 +12,10 @@
     TargetId,
 };
 use support::{Log, context};
-use tokio::{task::JoinHandle, time::sleep};
+use tokio::{
+    task::JoinHandle,
+    time::{Instant, sleep},
+};
 
 /// Time within which an owner reacts to a change of its groups; its checks are 250 ms apart.
 const REACTION: Duration = Duration::from_secs(1);
@@ -77,3 +80,24 @@
     owner.end_place((session, 1), Finish::Cancelled, None);
     assert_eq!(waiting.await.unwrap().unwrap().target.as_str(), "stays");
 }
+
+/// Guards against the removal of a target that goes on saying that it leaves.
+#[tokio::test]
+async fn target_reports_while_draining() {
+    const TARGET_TIMEOUT: Duration = Duration::from_millis(500);
+    /// Longer than the timeout and the grace time of a new owner, 3 s, together.
+    const STAY_TIME: Duration = Duration::from_secs(5);
+    let log = Log::default();
+    let (owner, ..) = owner_of_service(&log, TARGET_TIMEOUT).await;
+    let target: TargetId = "stays".parse().unwrap();
+    log.apply(Command::DrainTarget { target: target.clone(), drain: true });
+    let is_registered = || log.0.read(|state| state.target(&target).is_some());
+    let started = Instant::now();
+    while started.elapsed() < STAY_TIME {
+        owner.leave(&target, Incarnation(1)).unwrap();
+        sleep(TARGET_TIMEOUT / 5).await;
+        assert!(is_registered(), "after {:?}", started.elapsed());
+    }
+    sleep(TARGET_TIMEOUT + REACTION).await;
+    assert!(!is_registered());
+}
