Check places against the entry's own knowledge of departures

Callers saw nothing; a target that had left got requests for as long as its group's owner granted places by an older state, from entries that knew better. An owner that is cut off from the replicas while entries reach it does so until its lease ends, 2.7 s after its last renewal; 2 s are allowed.

Cause: an entry sent to whatever target the owner granted. It checked only what the target itself had said in its responses.

The entry now uses no place at a target that drains, left, or was draining when it was removed, by its own state and for this process of the target. It asks again without the target, and chooses one itself if the owner has no other.

--- a/crates/control/src/state/groups.rs
+++ b/crates/control/src/state/groups.rs
@@ -368,6 +368,20 @@
         self.left.get(id).is_some_and(|left| *left >= incarnation)
     }
 
+    /// Whether this incarnation of a target gets no new requests: it is draining, or left, or was draining
+    /// when it was removed.
+    pub(crate) fn is_leaving(&self, id: &TargetId, incarnation: Incarnation) -> bool {
+        let target = self.targets.get(id).filter(|t| t.announced.incarnation == incarnation);
+        match target {
+            Some(target) => target.draining,
+            None => {
+                let mut removed = self.removed_draining.iter();
+                self.has_left(id, incarnation)
+                    || removed.any(|(other, at)| (other, *at) == (id, incarnation))
+            }
+        }
+    }
+
     fn record_departure(&mut self, id: &TargetId, incarnation: Incarnation) {
         let newest = self.left.entry(id.clone()).or_insert(incarnation);
         *newest = incarnation.max(*newest);
--- a/crates/control/src/state/mod.rs
+++ b/crates/control/src/state/mod.rs
@@ -253,6 +253,12 @@
         self.shared.groups.target(id)
     }
 
+    /// Whether this incarnation of a target gets no new requests: it is draining, or left, or was draining
+    /// when it was removed.
+    pub fn is_leaving(&self, id: &TargetId, incarnation: Incarnation) -> bool {
+        self.shared.groups.is_leaving(id, incarnation)
+    }
+
     /// Whether this incarnation of a target left by itself, or a later process replaced it at its
     /// address. Departures that many others followed are forgotten.
     pub fn has_left(&self, id: &TargetId, incarnation: Incarnation) -> bool {
--- a/crates/gateway/src/places.rs
+++ b/crates/gateway/src/places.rs
@@ -315,20 +315,34 @@
     pub(crate) async fn take(
         &self,
         pool: &PoolId,
-        admission: PlaceAdmission,
+        mut admission: PlaceAdmission,
         deadline: Instant,
     ) -> Result<Place, RequestError> {
         let request = admission.request.clone();
-        for _ in 0..MAX_WITHHELD_GRANTS {
-            let mut admission = admission.clone();
-            admission.avoid.extend(self.withheld_targets(pool));
-            let place = self.take_any(pool, admission, deadline).await?;
-            let process = (place.granted.target.clone(), place.granted.incarnation);
-            if !self.withheld().contains(&process) {
+        let mut withheld_grants = 0;
+        while withheld_grants < MAX_WITHHELD_GRANTS {
+            let mut avoiding = admission.clone();
+            avoiding.avoid.extend(self.withheld_targets(pool));
+            let place = self.take_any(pool, avoiding, deadline).await?;
+            let (target, incarnation) = (&place.granted.target, place.granted.incarnation);
+            if self.0.view.read(|state| state.is_leaving(target, incarnation)) {
+                event!(self.0.log, PLACE_OUTDATED; "request" => %request, "target" => %target,
+                    "incarnation" => incarnation.0);
+                if !admission.avoid.contains(target) {
+                    admission.avoid.push(target.clone());
+                    continue;
+                }
+                let Some(place) = self.take_without_owner(pool, &admission) else { break };
+                event!(self.0.log, PLACE_WITHOUT_OWNER; "request" => %request, "pool" => %pool,
+                    "target" => %place.granted.target, "cause" => "the owner knows no other target");
+                return Ok(place);
+            }
+            if !self.withheld().contains(&(target.clone(), incarnation)) {
                 return Ok(place);
             }
             // The owner may not know it yet, or has no other target.
-            event!(self.0.log, PLACE_WITHHELD; "request" => %request, "target" => %process.0);
+            event!(self.0.log, PLACE_WITHHELD; "request" => %request, "target" => %target);
+            withheld_grants += 1;
         }
         let detail = format!("the targets of pool {pool} that could serve take no requests");
         let retry_after = self.withheld().shortest_pause().unwrap_or(WITHHELD_RETRY_AFTER);
