Keep responses that may be repeated off connections that are used again

What callers saw: lookups of plain services and completions were reported as "not run" although they ran. A service wrote its refusal once more, late, on the kept connection; the copy was taken as the response to the next request, or to the same request sent again. Cause: the id that compares names the request, not the attempt, so a call sent again on a connection that carried it before took an old refusal for its own. A response without an id was taken as one's own on a kept connection too. Completions, cancellations and orders had no comparison before the events: an engine's old 404, 409, 429 or 503 became the refusal of another request, and an old 200 the success of another order. Why it works: what can harm as a copy is a refusal, and no connection that brought one is used again; the same holds for any response that is not a success of an engine, and for one of a service without its call's id. Orders and cancellations, whose responses name nothing, get a connection each; calls with a key had one already. A connection counts its responses and the sound ones, since a response without a body returns its connection to the pool before it is judged. Logs: O0338 names request, target and reason of a response that is not passed on. The fakes can repeat responses (`late_copy`).

--- a/crates/daemon/tests/guarantees/main.rs
+++ b/crates/daemon/tests/guarantees/main.rs
@@ -5,6 +5,7 @@
 mod answers;
 mod calls;
 mod crashes;
+mod late_copies;
 mod load;
 mod manifests;
 mod ownership;
--- a/crates/engine/src/client.rs
+++ b/crates/engine/src/client.rs
@@ -4,6 +4,10 @@
 //! it assigns a connection to the request. Every other transport error is `Lost` or `Unknown`, even
 //! if a pooled connection turns out to be closed: the client can't tell whether the kernel had
 //! already accepted bytes of the request. The client never retries a request.
+//!
+//! Architecture Invariant: a connection is used again only after sound responses: successes, and other
+//! responses that echo the id of their call. A target may write a response once more, late; a copy of a
+//! refusal would say "not run" of whatever request is waiting by then.
 
 use std::{error::Error, net::SocketAddr, time::Duration};
 
@@ -14,7 +18,7 @@
 use hyper_util::{
     client::legacy::{
         Client,
-        connect::{Connect, HttpConnector, capture_connection},
+        connect::{CaptureConnection, Connect, HttpConnector, capture_connection},
     },
     rt::{TokioExecutor, TokioTimer},
 };
@@ -23,7 +27,8 @@
 use tokio::time::timeout;
 
 use crate::{
-    CompletionRequest, CompletionStream, OrderRefusal, OrderRequest, connector::LinkConnector,
+    CompletionRequest, CompletionStream, OrderRefusal, OrderRequest,
+    connector::{Earlier, LinkConnector, Responses},
 };
 
 /// Body of a request to a target.
@@ -71,7 +76,8 @@
     client: LinkClient,
     /// Opens a new connection for each call.
     unpooled: LinkClient,
-    /// Sends orders, never through another instance.
+    /// Sends orders, never through another instance and each on a new connection, as responses to
+    /// orders name no order.
     direct: Client<HttpConnector, RequestBody>,
     links: Links,
     timeouts: ClientTimeouts,
@@ -155,8 +161,7 @@
             .retry_canceled_requests(false)
             .build(LinkConnector::new(links.clone()));
         let direct = Client::builder(TokioExecutor::new())
-            .pool_timer(TokioTimer::new())
-            .pool_idle_timeout(POOL_IDLE_TIMEOUT)
+            .pool_max_idle_per_host(0)
             .retry_canceled_requests(false)
             .build(connector);
         Self { client, unpooled, direct, links, timeouts }
@@ -171,8 +176,10 @@
     ) -> Result<CompletionStream, CallError> {
         let http_req = json_request(target, Method::POST, GENERATE_PATH, req)
             .map_err(|reason| CallError::NotSent { addr: target, reason })?;
-        let res = self.send_within(target, http_req, self.timeouts.idle).await?;
+        let client = self.client_for(target);
+        let (res, connection) = self.send_within(client, target, http_req).await?;
         let status = res.status();
+        connection.judge(status == StatusCode::OK);
         if status == StatusCode::OK {
             return Ok(CompletionStream::new(res.into_body(), req, self.timeouts.idle));
         }
@@ -245,7 +252,7 @@
                 req.body(full_body(Bytes::new())).map_err(|e| e.to_string())
             })
             .map_err(|reason| CallError::NotSent { addr: target, reason })?;
-        let res = self.send_within(target, req, self.timeouts.idle).await?;
+        let (res, _) = self.send_within(&self.unpooled, target, req).await?;
         let status = res.status();
         if status.is_success() || status == StatusCode::NOT_FOUND {
             return Ok(());
@@ -256,11 +263,12 @@
 
     async fn send_within(
         &self,
+        client: &LinkClient,
         addr: SocketAddr,
         req: Request<RequestBody>,
-        limit: Duration,
-    ) -> Result<Response<Incoming>, CallError> {
-        let sent = send_watched(&self.links, self.client_for(addr), addr, req);
+    ) -> Result<(Response<Incoming>, UsedConnection), CallError> {
+        let limit = self.timeouts.idle;
+        let sent = send_watched(&self.links, client, addr, req);
         timeout(limit, sent).await.unwrap_or_else(|_| Err(no_response(addr, limit)))
     }
 
@@ -277,13 +285,32 @@
     CallError::Lost { addr, reason: format!("no response within {} ms", limit.as_millis()) }
 }
 
+/// Connection that brought a response.
+struct UsedConnection {
+    connection: CaptureConnection,
+    responses: Responses,
+    earlier: Earlier,
+}
+
+impl UsedConnection {
+    /// Permits another use of the connection after a sound response only.
+    fn judge(&self, is_sound: bool) {
+        if is_sound {
+            self.responses.record_sound();
+        } else if let Some(connection) = self.connection.connection_metadata().as_ref() {
+            connection.poison();
+        }
+    }
+}
+
 /// Sends a request, and gives up if its link is found silent.
 async fn send_watched(
     links: &Links,
     client: &LinkClient,
     addr: SocketAddr,
-    req: Request<RequestBody>,
-) -> Result<Response<Incoming>, CallError> {
+    mut req: Request<RequestBody>,
+) -> Result<(Response<Incoming>, UsedConnection), CallError> {
+    let connection = capture_connection(&mut req);
     let is_open = links.status(addr) == LinkStatus::Open;
     let res = tokio::select! {
         res = send(client, addr, req) => res?,
@@ -293,7 +320,18 @@
         }
     };
     links.record_heard(addr);
-    Ok(res)
+    let responses = res.extensions().get::<Responses>().cloned().unwrap_or_default();
+    let connection = UsedConnection { connection, earlier: responses.receive(), responses };
+    // Without a body a response returns its connection to the pool before it is judged.
+    if connection.earlier == Earlier::Doubtful {
+        connection.judge(false);
+        let status = res.status();
+        let reason = format!(
+            "response with status {status} discarded: it may be a copy of an earlier response"
+        );
+        return Err(CallError::Lost { addr, reason });
+    }
+    Ok((res, connection))
 }
 
 async fn send<C>(
@@ -323,22 +361,22 @@
     *req.uri_mut() =
         target_uri(target, path).map_err(|reason| CallError::NotSent { addr: target, reason })?;
     let id = req.headers().get(REQUEST_ID_HEADER).cloned();
-    let connection = capture_connection(&mut req);
-    let res = send_watched(links, client, target, req).await?;
+    let (res, connection) = send_watched(links, client, target, req).await?;
+    let status = res.status();
     let echo = res.headers().get(REQUEST_ID_HEADER);
-    // A second copy of a response may arrive late, as the apparent response to a later request on the
-    // connection. Only the echoed id tells, so a connection without it is not used again.
-    if id.is_some() && echo != id.as_ref() {
-        if let Some(connection) = connection.connection_metadata().as_ref() {
-            connection.poison();
-        }
-        if echo.is_some() {
-            let reason = "the response belongs to another request".to_owned();
-            return Err(CallError::Lost { addr: target, reason });
+    let is_refused = !status.is_success() && res.headers().contains_key(NOT_RUN_HEADER);
+    connection.judge(echo == id.as_ref() && !is_refused);
+    let foreign = match echo {
+        Some(_) if id.is_some() && echo != id.as_ref() => Some("it belongs to another request"),
+        None if id.is_some() && connection.earlier != Earlier::Nothing => {
+            Some("it has no id, and the connection was used before")
         }
+        _ => None,
+    };
+    if let Some(foreign) = foreign {
+        let reason = format!("response with status {status} discarded: {foreign}");
+        return Err(CallError::Lost { addr: target, reason });
     }
-    let status = res.status();
-    let is_refused = !status.is_success() && res.headers().contains_key(NOT_RUN_HEADER);
     if !is_refused {
         return Ok(res);
     }
--- a/crates/engine/src/connector.rs
+++ b/crates/engine/src/connector.rs
@@ -5,10 +5,16 @@
     io,
     net::SocketAddr,
     pin::Pin,
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
     task::{Context, Poll},
 };
 
 use http::Uri;
+use hyper::rt::{Read, ReadBufCursor, Write};
+use hyper_util::client::legacy::connect::{Connected, Connection};
 use shallotdrum_links::{LinkStream, Links};
 use tower_service::Service;
 
@@ -26,9 +32,9 @@
 }
 
 impl Service<Uri> for LinkConnector {
-    type Response = LinkStream;
+    type Response = TargetStream;
     type Error = io::Error;
-    type Future = Pin<Box<dyn Future<Output = Result<LinkStream, io::Error>> + Send>>;
+    type Future = Pin<Box<dyn Future<Output = Result<TargetStream, io::Error>> + Send>>;
 
     fn poll_ready(&mut self, _: &mut Context<'_>) -> Poll<Result<(), io::Error>> {
         Poll::Ready(Ok(()))
@@ -39,7 +45,98 @@
         Box::pin(async move {
             let addr: Option<SocketAddr> = uri.authority().and_then(|a| a.as_str().parse().ok());
             let addr = addr.ok_or_else(|| io::Error::other("the URI names no socket address"))?;
-            links.connect(addr, POOLED).await.map_err(io::Error::other)
+            let stream = links.connect(addr, POOLED).await.map_err(io::Error::other)?;
+            Ok(TargetStream { stream, responses: Responses::default() })
         })
     }
 }
+
+/// Connection to a target that counts its responses.
+pub(crate) struct TargetStream {
+    stream: LinkStream,
+    responses: Responses,
+}
+
+/// Responses that one connection brought; clones share the counts.
+#[derive(Clone, Default)]
+pub(crate) struct Responses(Arc<Counts>);
+
+#[derive(Default)]
+struct Counts {
+    received: AtomicU32,
+    sound: AtomicU32,
+}
+
+/// What a connection brought before a response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Earlier {
+    /// No response.
+    Nothing,
+    /// Only sound ones.
+    Sound,
+    /// One that is not sound, or not known to be. A copy of it may follow.
+    Doubtful,
+}
+
+impl Responses {
+    /// Counts a response whose head arrived.
+    pub(crate) fn receive(&self) -> Earlier {
+        let sound = self.0.sound.load(Ordering::SeqCst);
+        match self.0.received.fetch_add(1, Ordering::SeqCst) {
+            0 => Earlier::Nothing,
+            received if received == sound => Earlier::Sound,
+            _ => Earlier::Doubtful,
+        }
+    }
+
+    /// Counts the response received last as sound.
+    pub(crate) fn record_sound(&self) {
+        self.0.sound.fetch_add(1, Ordering::SeqCst);
+    }
+}
+
+impl Connection for TargetStream {
+    fn connected(&self) -> Connected {
+        self.stream.connected().extra(self.responses.clone())
+    }
+}
+
+impl Read for TargetStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl Write for TargetStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+}
--- a/crates/engine/tests/support/mod.rs
+++ b/crates/engine/tests/support/mod.rs
@@ -1,6 +1,10 @@
 //! Scripted HTTP server and request builders shared by the tests.
 
-#![allow(dead_code, reason = "each test file uses only some of the items")]
+#![allow(dead_code, unused_imports, reason = "each test file uses only some of the items")]
+
+mod late_copies;
+
+pub(crate) use late_copies::LateCopies;
 
 use std::{
     net::SocketAddr,
@@ -89,7 +93,7 @@
 }
 
 /// Reads one request; returns its request line in lower case without the HTTP version.
-async fn read_request(stream: &mut TcpStream) -> Option<String> {
+pub(crate) async fn read_request(stream: &mut TcpStream) -> Option<String> {
     let mut head = String::new();
     while !head.ends_with("\r\n\r\n") {
         head.push(stream.read_u8().await.ok()?.into());
--- a/crates/fakes/src/engine/config.rs
+++ b/crates/fakes/src/engine/config.rs
@@ -80,6 +80,8 @@
     pub crash_marker: Option<String>,
     /// Delay between a crash and the restart, in milliseconds.
     pub restart_delay_ms: u64,
+    /// Probability that a response is written once more, before the next response on its connection.
+    pub late_copy: f64,
     /// Probability that a chunk is sent twice.
     pub duplicate_chunk: f64,
     /// Probability that a chunk is swapped with the next one.
@@ -113,6 +115,7 @@
             obeys_blindly: false,
             crash_marker: None,
             restart_delay_ms: 500,
+            late_copy: 0.0,
             duplicate_chunk: 0.0,
             reorder_chunk: 0.0,
             lose_chunk: 0.0,
--- a/crates/fakes/src/engine/mod.rs
+++ b/crates/fakes/src/engine/mod.rs
@@ -181,10 +181,17 @@
         let _guard = StopGuard(engine.clone());
         let reports = Mutex::default();
         tokio::select! {
-            () = serve(listener, {
-                let engine = engine.clone();
-                move |req: Request<Incoming>| engine.clone().handle(req)
-            }) => {}
+            () = serve(
+                listener,
+                {
+                    let engine = engine.clone();
+                    move |req: Request<Incoming>| engine.clone().handle(req)
+                },
+                {
+                    let shared = shared.clone();
+                    move || shared.random_bool(shared.settings().late_copy)
+                },
+            ) => {}
             () = engine.run_batches() => {}
             () = engine.send_cache_events() => {}
             () = shared.presence.announce(incarnation, engine.kind(), || engine.report(&reports)) => {}
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -9,6 +9,7 @@
 mod cli;
 mod clock;
 mod engine;
+mod late_copy;
 mod port;
 mod presence;
 mod process;
--- a/crates/fakes/src/proxy.rs
+++ b/crates/fakes/src/proxy.rs
@@ -235,7 +235,7 @@
     /// dropped.
     pub async fn serve_control(&self, listener: TcpListener) {
         let shared = self.shared.clone();
-        serve(listener, move |req: Request<Incoming>| shared.clone().control(req)).await;
+        serve(listener, move |req: Request<Incoming>| shared.clone().control(req), || false).await;
     }
 }
 
--- a/crates/fakes/src/serve.rs
+++ b/crates/fakes/src/serve.rs
@@ -10,6 +10,8 @@
 use serde_json::Value;
 use tokio::{net::TcpListener, task::JoinSet};
 
+use crate::late_copy::LateCopyStream;
+
 /// Maximum request body size; larger than any prompt in tests.
 const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
 
@@ -24,10 +26,14 @@
 pub(crate) struct CloseConnection;
 
 /// Serves connections until the future is dropped, which closes all of them.
-pub(crate) async fn serve<H, F>(listener: TcpListener, handler: H)
+///
+/// A response for which `is_repeated` returns true is written once more before the next response on its
+/// connection.
+pub(crate) async fn serve<H, F, R>(listener: TcpListener, handler: H, is_repeated: R)
 where
     H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
     F: Future<Output = HandlerResult> + Send + 'static,
+    R: Fn() -> bool + Clone + Send + Unpin + 'static,
 {
     let mut connections = JoinSet::new();
     loop {
@@ -40,6 +46,7 @@
         // Nagle's algorithm would delay the small events of a stream.
         let _ = stream.set_nodelay(true);
         let handler = handler.clone();
+        let stream = LateCopyStream::new(stream, is_repeated.clone());
         connections.spawn(async move {
             let service = service_fn(handler);
             // An error closes only this connection, which the peer notices.
--- a/crates/fakes/src/service.rs
+++ b/crates/fakes/src/service.rs
@@ -67,6 +67,8 @@
     pub slow_body_ms: u64,
     /// Probability that a call is refused with 503 and the not-run header.
     pub refuse: f64,
+    /// Probability that a response is written once more, before the next response on its connection.
+    pub late_copy: f64,
     /// Probability of a 500 response after the call has taken effect.
     pub fail: f64,
     /// Text in a request body that crashes the service before the call takes effect.
@@ -80,8 +82,8 @@
 pub struct ServiceStats {
     /// Calls that took effect, in order of execution.
     pub executions: Vec<Execution>,
-    /// GET requests that ran, including those whose response was lost.
-    pub lookups: u64,
+    /// Paths of GET requests that ran, including those whose response was lost.
+    pub lookups: Vec<String>,
     /// Calls refused by the `refuse` fault.
     pub refused: u64,
     /// Calls in progress.
@@ -221,10 +223,20 @@
         let kind = TargetKind::Service { max_concurrent: self.max_concurrent };
         let report = || LoadReport { running: lock(&self.stats).running, ..LoadReport::default() };
         tokio::select! {
-            () = serve(listener, {
-                let shared = self.clone();
-                move |req: Request<Incoming>| shared.clone().handle(req)
-            }) => {}
+            () = serve(
+                listener,
+                {
+                    let shared = self.clone();
+                    move |req: Request<Incoming>| shared.clone().handle(req)
+                },
+                {
+                    let shared = self.clone();
+                    move || {
+                        let late_copy = lock(&shared.settings).late_copy;
+                        shared.random_bool(late_copy)
+                    }
+                },
+            ) => {}
             () = self.presence.announce(incarnation, kind, report) => {}
             () = self.presence.crashed() => {}
         }
@@ -310,7 +322,7 @@
             return self.refuse();
         }
         sleep(Duration::from_millis(settings.delay_ms)).await;
-        lock(&self.stats).lookups += 1;
+        lock(&self.stats).lookups.push(path.to_owned());
         if self.random_bool(settings.lose_answer) {
             return Err(CloseConnection);
         }
--- a/crates/fakes/tests/service.rs
+++ b/crates/fakes/tests/service.rs
@@ -8,6 +8,10 @@
 use shallotdrum_fakes::{FakeService, FakeServiceConfig, ServiceSettings, ServiceStats};
 use shallotdrum_types::Fingerprint;
 use support::{EntryRecorder, call, identity, wait_until};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
 
 async fn start() -> FakeService {
     FakeService::start(FakeServiceConfig::new(identity("s"))).await.unwrap()
@@ -29,7 +33,7 @@
     assert_eq!(stats.executions[0].body, Fingerprint::of(b"one"));
     assert_eq!(stats.executions[3].request.as_deref(), Some("r"));
     assert_eq!(stats.repeated_keys().into_iter().collect::<Vec<_>>(), [("k", 3)]);
-    assert_eq!(stats.lookups, 1);
+    assert_eq!(stats.lookups, ["/pickups/1"]);
     let json = call(service.addr(), Method::GET, "/fake/stats", &[], "").await.unwrap().1;
     assert_eq!(serde_json::from_str::<ServiceStats>(&json).unwrap(), stats);
 }
@@ -86,3 +90,27 @@
     })
     .await;
 }
+
+/// Guards against late copies that are not written, with which tests of kept connections would check
+/// nothing.
+#[tokio::test]
+async fn late_copy_precedes_next_response() {
+    let service = start().await;
+    service.configure(|settings| settings.late_copy = 1.0);
+    let mut stream = TcpStream::connect(service.addr()).await.unwrap();
+    let mut received = String::new();
+    for (path, bodies) in [("/a", vec!["/a"]), ("/b", vec!["/a", "/b"])] {
+        received.clear();
+        let request = format!("GET {path} HTTP/1.1\r\nhost: x\r\n\r\n");
+        stream.write_all(request.as_bytes()).await.unwrap();
+        while received.matches("HTTP/1.1 200 OK").count() < bodies.len() || !received.ends_with('}')
+        {
+            let mut buf = [0; 1024];
+            let len = stream.read(&mut buf).await.unwrap();
+            assert!(len > 0, "{received}");
+            received += std::str::from_utf8(&buf[..len]).unwrap();
+        }
+        let found: Vec<_> = received.split("\"path\":\"").skip(1).map(|rest| &rest[..2]).collect();
+        assert_eq!(found, bodies);
+    }
+}
--- a/crates/owner/src/call.rs
+++ b/crates/owner/src/call.rs
@@ -15,6 +15,7 @@
 use shallotdrum_control::{BeginOutcome, CallKey, Command, RecordedAnswer, Reply};
 use shallotdrum_engine::{CallError, REQUEST_ID_HEADER};
 use shallotdrum_scheduler::{AdmissionRequest, Finish, Lease, RequestKind};
+use shallotdrum_telemetry::event;
 use shallotdrum_types::{
     Fingerprint, IdempotencyKey, Outcome, RequestError, RequestErrorKind, RequestId, SessionId,
     TargetId,
@@ -240,6 +241,8 @@
         let body = match collected {
             Ok(Ok(body)) => body.to_bytes(),
             Ok(Err(_)) | Err(_) => {
+                event!(self.cx.log, RESPONSE_INTERRUPTED; "request" => %call.call.request,
+                    "target" => %lease.target, "error" => "the body is incomplete");
                 self.cx.finish_failed(lease);
                 self.propose_with_retry(
                     session,
@@ -322,6 +325,8 @@
                 Err(CallFailure::NotRun(error))
             }
             CallError::Lost { .. } => {
+                event!(self.cx.log, TARGET_RESPONSE_LOST; "request" => %call.call.request,
+                    "target" => %lease.target, "error" => %error);
                 let failure = RequestError::unknown(RequestErrorKind::TargetFailed, detail);
                 Err(self.call_lost(call, &group, lease, &guard, failure).await)
             }
--- a/crates/owner/src/completion.rs
+++ b/crates/owner/src/completion.rs
@@ -245,7 +245,11 @@
                 lease.finish(Finish::Refused);
                 Attempt::Retry(failure)
             }
-            CallError::Lost { .. } => self.connection_lost(run, group, lease, guard, failure).await,
+            CallError::Lost { .. } => {
+                event!(self.cx.log, TARGET_RESPONSE_LOST; "request" => %run.call.request.request,
+                    "target" => %lease.target, "error" => %error);
+                self.connection_lost(run, group, lease, guard, failure).await
+            }
         }
     }
 
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -120,6 +120,7 @@
         ADAPTER_LOAD_FAILED = "O0304", Warning, "adapter load failed", "check the weight store and the adapter's path in the manifest if it repeats";
         GROUP_RELEASE_FAILED = "O0310", Warning, "cannot release a group; its owner's lease will expire", "none";
         RESPONSE_INTERRUPTED = "O0311", Warning, "response from a target was interrupted", "check the target if it repeats";
+        TARGET_RESPONSE_LOST = "O0338", Warning, "no response from a target that can be passed on; the request may have run", "check the target if it repeats";
         ORDER_FAILED = "O0312", Debug, "load order failed", "none; see the event of the adapter load";
         SUBSCRIBER_QUEUE_FULL = "O0313", Warning, "queue of a subscriber is full", "check the subscriber's traffic; raise limits.max_queued_per_subscriber if it is legitimate";
         LOAD_ORDER_DROPPED = "O0314", Error, "load order dropped: the slot is in use", "report it as a scheduler bug";
