Reset tunnels whose target did not close its connection

What callers saw: through an instance that opens connections for another, a response without length and chunks looked complete after a part of its body, if the target reset its connection or the instance between was gone. Both fronts use such tunnels when a link is broken. Cause: `pipe` ended broken connections like closed ones, with a regular close towards the other instance, and the kernel closes the connections of a process that ends regularly as well. The body of such a response ends with its connection. Why it works: the connection to the other instance is set to be reset when the tunnel opens, and to be closed only after the target closed its own. However the tunnel ends otherwise, with its task or its process, the other side sees a reset. T0619 names request and error.

--- a/crates/links/src/tunnel.rs
+++ b/crates/links/src/tunnel.rs
@@ -1,6 +1,6 @@
 //! Tunnels: connections to targets that another instance opens.
 
-use std::net::SocketAddr;
+use std::{io, net::SocketAddr};
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
@@ -9,7 +9,7 @@
 use hyper_util::rt::TokioIo;
 use shallotdrum_telemetry::event;
 use tokio::{
-    io::{AsyncWriteExt, copy, split},
+    io::{AsyncWriteExt, copy},
     net::TcpStream,
 };
 
@@ -83,12 +83,17 @@
         }
     };
     if let Some(log) = links.log() {
-        event!(log, TUNNEL_OPENED; "request" => request, "addr" => target);
+        event!(log, TUNNEL_OPENED; "request" => &request, "addr" => &target);
     }
     tokio::spawn(async move {
         // An error means that the other instance is gone.
-        if let Ok(client) = hyper::upgrade::on(&mut req).await {
-            pipe(client, stream).await;
+        let Ok(client) = hyper::upgrade::on(&mut req).await else { return };
+        let ended = match client.downcast::<TokioIo<TcpStream>>() {
+            Ok(client) => pipe(client.io.into_inner(), &client.read_buf, stream).await,
+            Err(_) => Err(io::Error::other("the other instance's connection is not TCP")),
+        };
+        if let (Err(error), Some(log)) = (ended, links.log()) {
+            event!(log, TUNNEL_BROKEN; "request" => request, "addr" => target, "error" => %error);
         }
     });
     response
@@ -108,15 +113,24 @@
     }
 }
 
-/// Copies both directions until one ends, which cancels the request.
-async fn pipe(client: Upgraded, target: TcpStream) {
-    let (mut from_client, mut to_client) = split(TokioIo::new(client));
-    let (mut from_target, mut to_target) = split(target);
-    // Broken connections end in the same way.
+/// Copies both directions until one ends, which cancels the request; fails if the target's connection
+/// broke.
+///
+/// The client's connection is closed regularly only if the target closed its own, since a close may mean
+/// that a body is complete. However else this ends, even with the process, the client sees a reset.
+async fn pipe(mut client: TcpStream, sent: &[u8], mut target: TcpStream) -> io::Result<()> {
+    client.set_zero_linger()?;
+    let (mut from_client, mut to_client) = client.split();
+    let (mut from_target, mut to_target) = target.split();
+    to_target.write_all(sent).await?;
     tokio::select! {
-        _ = copy(&mut from_client, &mut to_target) => {}
-        _ = copy(&mut from_target, &mut to_client) => {
-            let _ = to_client.shutdown().await;
+        // The client has all that it wants, or is gone.
+        _ = copy(&mut from_client, &mut to_target) => Ok(()),
+        copied = copy(&mut from_target, &mut to_client) => {
+            copied?;
+            #[expect(deprecated, reason = "blocks only with a duration")]
+            to_client.as_ref().set_linger(None)?;
+            to_client.shutdown().await
         }
     }
 }
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -209,6 +209,7 @@
         LINK_DETOUR = "T0614", Info, "another instance opened a connection to a target", "none, unless it persists; then see why the link is broken";
         LINK_DETOUR_REFUSED = "T0615", Info, "another instance opened no connection to a target", "compare with the log of the other instance";
         TUNNEL_OPENED = "T0616", Info, "opened a connection to a target for another instance", "see the other instance for why its link is broken";
+        TUNNEL_BROKEN = "T0619", Info, "connection opened for another instance broke", "check the target if it repeats";
         TUNNEL_REFUSED = "T0617", Info, "opened no connection to a target for another instance", "compare the status with the state of the target";
         LINKS_REPORTED = "T0618", Warning, "this instance lost its links to most targets, or has them back; without them it leaves its groups to others", "check the network between the instance and the targets";
         TARGET_OUTLIER = "T0606", Warning, "target is much slower than the others of its group", "check the target's machine";
