Reset connections of HTTP/1.0 callers in the middle of a response

What callers saw: a caller that speaks HTTP/1.0 gets responses of unknown length without chunks, so that only the close of the connection tells their end. A stream or a service's response that broke off was closed like a complete one. Cause: hyper drops the connection when a body fails; the kernel then closes it regularly, and does so when the process ends. Why it works: before the head of such a response is written, its connection is set to be reset, and it is set to be closed only when hyper shuts it down, which follows a complete response. Callers with HTTP/1.1 get a length or chunks, which show the end, and are not affected. The last bytes that a slow caller has not yet read may be lost with the reset, among them the error event of a stream.

--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -11,8 +11,9 @@
     time::{Duration, Instant},
 };
 
+use http::Version;
 use http_body_util::BodyExt;
-use hyper::{server::conn::http1, service::service_fn};
+use hyper::{body::Body as _, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use shallotdrum_telemetry::event;
 use tokio::{
@@ -27,7 +28,7 @@
     context::{Phase, Shared},
     router,
     routing::InFlight,
-    stall::WriteTimeoutStream,
+    stall::{EndsWithConnection, WriteTimeoutStream},
 };
 
 /// Delay after a failed accept; the usual cause is that the process is out of file descriptors.
@@ -155,12 +156,19 @@
     let _ = stream.set_nodelay(true);
     let limits = &shared.cfg.limits;
     let idle_timeout = Duration::from_millis(limits.idle_timeout_ms);
-    let io = TokioIo::new(WriteTimeoutStream::new(stream, idle_timeout));
+    let ends_with_connection = EndsWithConnection::default();
+    let io = WriteTimeoutStream::new(stream, idle_timeout, ends_with_connection.clone());
+    let io = TokioIo::new(io);
     let active = Arc::new(AtomicUsize::new(0));
     let service = service_fn(|req| {
         let (shared, request) = (shared.clone(), ActiveRequestGuard::new(&active));
+        let ends_with_connection = ends_with_connection.clone();
         async move {
+            let has_chunks = req.version() > Version::HTTP_10;
             let res = router::handle(&shared, req).await;
+            if !has_chunks && res.body().size_hint().exact().is_none() {
+                ends_with_connection.set();
+            }
             // The request is active until hyper has consumed or dropped the whole body.
             let keep_active = move |e| {
                 let _ = &request;
