--- a/crates/engine/tests/client.rs
+++ b/crates/engine/tests/client.rs
@@ -58,6 +58,8 @@
 #[case::too_many("Refused(429)", Step::Respond(response("429 Too Many Requests", "")))]
 #[case::unavailable("Refused(503)", Step::Respond(response("503 Service Unavailable", "")))]
 #[case::failed("Lost", Step::Respond(response("500 Internal Server Error", "")))]
+#[case::no_content("Lost", Step::Respond("HTTP/1.1 204 No Content\r\n\r\n".to_owned()))]
+#[case::partial("Lost", Step::Respond(response("206 Partial Content", "")))]
 #[case::bad_gateway("Lost", Step::Respond(response("502 Bad Gateway", "")))]
 #[case::closed_after_request("Lost", Step::RespondAndClose(String::new()))]
 #[case::closed_in_head("Lost", Step::RespondAndClose("HTTP/1.1 503 Serv".to_owned()))]
