Log how each relayed stream ended, and why a resumption was refused

Callers saw streams that end as complete too early, and no line of an entry says how a relayed stream ended: one that was completed, cut, or dropped with its task looked the same in the log.

N0430 is written once for each stream, when what its task holds is dropped, so that it also comes where the task ends early. N0431 names a response that does not continue its stream.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -520,6 +520,10 @@
             match self.dispatch(run).await {
                 Ok(received) if received.response.status().is_success() => return Some(received),
                 Ok(received) => {
+                    event!(self.cx.log, RESUMPTION_REFUSED; "request" => %run.req.id,
+                        "target" => %received.place.granted.target,
+                        "status" => received.response.status().as_u16(),
+                        "expected_after" => run.resume_after.as_deref().unwrap_or(""));
                     received.place.end(PlaceEnd::Failed);
                     return None;
                 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,7 +6,7 @@
 //! no owner, `need` describes a request to the owner, `budget` limits retries,
 //! `body` reads whole responses, `limits` keeps the limits that targets name, `withheld` the targets that
 //! ask for no requests, `origin` finds the version of a stream that a caller takes up, and `decision` holds
-//! the retry rules. `fingerprint` recognises repeats of a request, and `crash` those that crash
+//! the retry rules. `stream_log` says how each stream ended, `fingerprint` recognises repeats of a request, and `crash` those that crash
 //! targets.
 //!
 //! Architecture Invariant: an at-most-once request is sent to a second target only if no byte of
@@ -28,6 +28,7 @@
 mod places;
 mod relay;
 mod request;
+mod stream_log;
 mod withheld;
 
 pub use budget::{EntryCount, RetryAllowance, RetryBudget};
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -22,6 +22,7 @@
     exchange::{Received, RequestRun},
     places::Place,
     request::StreamBroken,
+    stream_log::{StreamLog, StreamOutcome},
 };
 
 /// Number of chunks buffered for the caller; while the buffer is full, the target's stream is not
@@ -140,24 +141,35 @@
         tx: mpsc::Sender<Result<Bytes, StreamBroken>>,
     ) {
         let Self { gateway, mut place, mut running, mut connection } = self;
+        let mut ended = StreamLog {
+            log: gateway.cx.log.clone(),
+            request: run.id().clone(),
+            target: place.granted.target.clone(),
+            last_event: None,
+            resumptions: 0,
+            outcome: StreamOutcome::Dropped,
+            started: run.req.arrived,
+        };
         if let Some(first) = first
             && tx.send(Ok(first)).await.is_err()
         {
+            ended.outcome = StreamOutcome::CallerLeft;
             return;
         }
         loop {
             let forwarded =
                 forward_events(&run, &connection, &mut body.body, &mut splitter, &tx).await;
-            let ended = match forwarded {
+            ended.last_event = splitter.last_id().map(str::to_owned);
+            let end = match forwarded {
                 StreamEnd::Complete
                     if body.ends_with_connection
                         && !is_alive_after_end(gateway.links(), &place).await =>
                 {
                     StreamEnd::Broken(TARGET_GONE.to_owned())
                 }
-                ended => ended,
+                end => end,
             };
-            let cause = match ended {
+            let cause = match end {
                 StreamEnd::Complete => {
                     connection.release();
                     running.complete();
@@ -165,10 +177,14 @@
                     let generation = run.req.generation.as_ref();
                     let prompt_tokens = generation.map_or(0, |g| g.prompt_tokens);
                     place.end(PlaceEnd::Answered { prompt_tokens, completion_tokens: 0 });
+                    ended.outcome = StreamOutcome::Complete;
                     return;
                 }
                 // Dropping the connection cancels the request at the target.
-                StreamEnd::CallerGone => return,
+                StreamEnd::CallerGone => {
+                    ended.outcome = StreamOutcome::CallerLeft;
+                    return;
+                }
                 StreamEnd::TimedOut => "the deadline passed".to_owned(),
                 StreamEnd::Broken(cause) => {
                     gateway.check_crash(&mut run, running);
@@ -196,12 +212,15 @@
                 response,
             }) = resumed
             else {
+                ended.outcome = StreamOutcome::Broken;
                 // The error keeps the caller from taking the response as complete.
                 let _ = tx.send(Err(StreamBroken)).await;
                 return;
             };
             event!(gateway.cx.log, ENTRY_ANSWER_RESUMED; "request" => %run.id(),
                 "target" => %next_place.granted.target);
+            ended.target = next_place.granted.target.clone();
+            ended.resumptions += 1;
             (place, running) = (next_place, next_running);
             let ends_with_connection = ends_with_connection(response.headers(), response.body());
             (connection, body) =
