End a relayed stream as complete only if its task says so

Callers may see a stream that ends as complete too early when the task that relays it ends for another reason: cancelled, panicked, or with its runtime. The body ended whenever its sender was dropped, and an error had to be sent to prevent that.

StreamSender::complete is now the only way to a complete end; a dropped sender is StreamBroken. It needs no place in the buffer, so that a caller who reads slowly does not keep the relaying task waiting.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,7 +6,8 @@
 //! no owner, `need` describes a request to the owner, `budget` limits retries,
 //! `body` reads whole responses, `limits` keeps the limits that targets name, `withheld` the targets that
 //! ask for no requests, `origin` finds the version of a stream that a caller takes up, and `decision` holds
-//! the retry rules. `stream_log` says how each stream ended, `fingerprint` recognises repeats of a request, and `crash` those that crash
+//! the retry rules. `stream_body` is what callers read
+//! of a stream, `stream_log` says how each one ended, `fingerprint` recognises repeats of a request, and `crash` those that crash
 //! targets.
 //!
 //! Architecture Invariant: an at-most-once request is sent to a second target only if no byte of
@@ -28,6 +29,7 @@
 mod places;
 mod relay;
 mod request;
+mod stream_body;
 mod stream_log;
 mod withheld;
 
@@ -41,5 +43,6 @@
 pub use places::to_finish;
 pub use request::{
     CallerRequest, Dispatch, GatewayResponse, Generation, HeaderCodec, PromptPart, ReadFn,
-    ResponseInfo, StreamBody, WriteFn,
+    ResponseInfo, WriteFn,
 };
+pub use stream_body::{CallerLeft, StreamBody, StreamBroken, StreamSender};
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -11,17 +11,16 @@
 use shallotdrum_rpc::PlaceEnd;
 use shallotdrum_telemetry::event;
 use shallotdrum_types::RequestError;
-use tokio::{sync::mpsc, time::timeout_at};
+use tokio::time::timeout_at;
 
 use crate::{
-    EventSplitter, Gateway, GatewayResponse, StreamBody,
+    EventSplitter, Gateway, GatewayResponse, StreamBody, StreamSender,
     connections::{Connection, LINK_LOST, response_headers},
     crash::{ends_with_connection, is_alive_after_end},
     decision::SendFailure,
     errors::{target_failed, target_timed_out},
     exchange::{Received, RequestRun},
     places::Place,
-    request::StreamBroken,
     stream_log::{StreamLog, StreamOutcome},
 };
 
@@ -104,7 +103,7 @@
                 Err(_) => return Err(target_failed("the caller disconnected")),
             }
         };
-        let (tx, rx) = mpsc::channel(CHANNEL_CAPACITY);
+        let (sender, caller_body) = StreamBody::channel(CHANNEL_CAPACITY);
         let status = parts.status;
         let body = StreamPart { body, ends_with_connection };
         let headers = response_headers(parts.headers);
@@ -115,9 +114,9 @@
             let streams = &self.gateway.cx.owner.streams;
             streams.record_begin(run.id(), run.software.as_ref());
         }
-        tokio::spawn(self.relay(run, first, body, splitter, tx));
+        tokio::spawn(self.relay(run, first, body, splitter, sender));
         Ok(StartedStream {
-            response: GatewayResponse::Stream { status, headers, body: StreamBody(rx) },
+            response: GatewayResponse::Stream { status, headers, body: caller_body },
         })
     }
 
@@ -138,7 +137,7 @@
         first: Option<Bytes>,
         mut body: StreamPart,
         mut splitter: EventSplitter,
-        tx: mpsc::Sender<Result<Bytes, StreamBroken>>,
+        sender: StreamSender,
     ) {
         let Self { gateway, mut place, mut running, mut connection } = self;
         let mut ended = StreamLog {
@@ -151,14 +150,14 @@
             started: run.req.arrived,
         };
         if let Some(first) = first
-            && tx.send(Ok(first)).await.is_err()
+            && sender.send(first).await.is_err()
         {
             ended.outcome = StreamOutcome::CallerLeft;
             return;
         }
         loop {
             let forwarded =
-                forward_events(&run, &connection, &mut body.body, &mut splitter, &tx).await;
+                forward_events(&run, &connection, &mut body.body, &mut splitter, &sender).await;
             ended.last_event = splitter.last_id().map(str::to_owned);
             let end = match forwarded {
                 StreamEnd::Complete
@@ -178,6 +177,7 @@
                     let prompt_tokens = generation.map_or(0, |g| g.prompt_tokens);
                     place.end(PlaceEnd::Answered { prompt_tokens, completion_tokens: 0 });
                     ended.outcome = StreamOutcome::Complete;
+                    sender.complete();
                     return;
                 }
                 // Dropping the connection cancels the request at the target.
@@ -213,8 +213,6 @@
             }) = resumed
             else {
                 ended.outcome = StreamOutcome::Broken;
-                // The error keeps the caller from taking the response as complete.
-                let _ = tx.send(Err(StreamBroken)).await;
                 return;
             };
             event!(gateway.cx.log, ENTRY_ANSWER_RESUMED; "request" => %run.id(),
@@ -255,12 +253,12 @@
     connection: &Connection,
     body: &mut Incoming,
     splitter: &mut EventSplitter,
-    tx: &mpsc::Sender<Result<Bytes, StreamBroken>>,
+    sender: &StreamSender,
 ) -> StreamEnd {
     loop {
         let chunk = tokio::select! {
             chunk = next_chunk(run, connection, body) => chunk,
-            () = tx.closed() => return StreamEnd::CallerGone,
+            () = sender.closed() => return StreamEnd::CallerGone,
         };
         let chunk = match chunk {
             Ok(Some(chunk)) => chunk,
@@ -275,7 +273,7 @@
             Ok(None) => continue,
             Err(error) => return StreamEnd::Broken(error.to_string()),
         };
-        if tx.send(Ok(events)).await.is_err() {
+        if sender.send(events).await.is_err() {
             return StreamEnd::CallerGone;
         }
     }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -4,10 +4,11 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, StatusCode, request, response};
-use http_body::Frame;
 use shallotdrum_engine::Priority;
 use shallotdrum_types::{AdapterId, AdapterVersion, BaseModelId, RequestId, RequestRate, TargetId};
-use tokio::{sync::mpsc, time::Instant};
+use tokio::time::Instant;
+
+use crate::StreamBody;
 
 /// Caller's request, decoded by the front end and read completely.
 #[derive(Clone, Debug)]
@@ -93,27 +94,6 @@
     },
 }
 
-/// HTTP body that yields complete events as they arrive.
-#[derive(Debug)]
-pub struct StreamBody(pub(crate) mpsc::Receiver<Result<Bytes, StreamBroken>>);
-
-/// Error of a stream that was interrupted and can't be resumed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("the stream was interrupted")]
-pub struct StreamBroken;
-
-impl http_body::Body for StreamBody {
-    type Data = Bytes;
-    type Error = StreamBroken;
-
-    fn poll_frame(
-        mut self: std::pin::Pin<&mut Self>,
-        cx: &mut std::task::Context<'_>,
-    ) -> std::task::Poll<Option<Result<Frame<Bytes>, StreamBroken>>> {
-        self.0.poll_recv(cx).map(|next| next.map(|part| part.map(Frame::data)))
-    }
-}
-
 /// Adds the headers of one send to a request.
 pub type WriteFn = Arc<dyn Fn(&Dispatch, &mut request::Parts) + Send + Sync>;
 
