Let the control log decide about departures of targets that an instance does not know

Callers saw nothing; a target that sent DELETE could go on getting requests. A replica that did not know it acknowledged the departure and did nothing, as if it had been removed before.

Cause: "not registered here" was taken for "has left". It may also mean that the replica has just restarted, is behind or not yet a member, or that the owner removed the target for its silence: then a status report that arrives late registered it again, as ready.

The replica now writes the departure in any case; without a known process it names incarnation 0.

--- a/crates/control/src/command.rs
+++ b/crates/control/src/command.rs
@@ -73,7 +73,8 @@
     RemoveTarget {
         /// Target to remove.
         target: TargetId,
-        /// Incarnation to remove; the command is refused if a newer one is registered.
+        /// Incarnation to remove; the command is refused if a newer one is registered. 0 if the sender
+        /// knows of none: the one that was removed last, then.
         incarnation: Incarnation,
         /// Whether the target left on its own; a delayed announcement of this incarnation then
         /// does not register it again.
--- a/crates/control/src/state/groups.rs
+++ b/crates/control/src/state/groups.rs
@@ -137,6 +137,9 @@
     /// Incarnations that were removed while they were draining, and may announce themselves again.
     #[serde(default)]
     removed_draining: VecDeque<(TargetId, Incarnation)>,
+    /// Other incarnations that were removed for their silence, and may still leave.
+    #[serde(default)]
+    removed_silent: VecDeque<(TargetId, Incarnation)>,
 }
 
 impl Groups {
@@ -260,7 +263,11 @@
         is_leaving: bool,
     ) -> Result<(), CommandError> {
         if is_leaving {
-            self.record_departure(id, incarnation);
+            let removed = match self.targets.contains_key(id) {
+                false if incarnation == Incarnation::default() => self.last_removed(id),
+                _ => None,
+            };
+            self.record_departure(id, removed.unwrap_or(incarnation));
         }
         let target = match self.targets.get(id) {
             Some(target) => target,
@@ -274,10 +281,15 @@
         }
         let is_draining = target.draining;
         self.removed_draining.retain(|(removed, _)| removed != id);
-        if is_draining && !is_leaving {
-            self.removed_draining.push_back((id.clone(), current));
-            if self.removed_draining.len() > MAX_LEFT_TARGETS {
-                self.removed_draining.pop_front();
+        self.removed_silent.retain(|(removed, _)| removed != id);
+        let removed = match is_draining {
+            true => &mut self.removed_draining,
+            false => &mut self.removed_silent,
+        };
+        if !is_leaving {
+            removed.push_back((id.clone(), current));
+            if removed.len() > MAX_LEFT_TARGETS {
+                removed.pop_front();
             }
         }
         self.leave_group(id);
@@ -368,6 +380,12 @@
         self.left.get(id).is_some_and(|left| *left >= incarnation)
     }
 
+    /// Incarnation of a target that was removed for its silence last.
+    fn last_removed(&self, id: &TargetId) -> Option<Incarnation> {
+        let mut removed = self.removed_draining.iter().chain(&self.removed_silent);
+        removed.find(|(removed, _)| removed == id).map(|(_, incarnation)| *incarnation)
+    }
+
     /// Whether this incarnation of a target gets no new requests: it is draining, or left, or was draining
     /// when it was removed.
     pub(crate) fn is_leaving(&self, id: &TargetId, incarnation: Incarnation) -> bool {
--- a/crates/control/tests/ownership.rs
+++ b/crates/control/tests/ownership.rs
@@ -201,6 +201,36 @@
     log.register(engine("e1", 2));
 }
 
+/// Guards against a target that was removed for its silence, left then, and gets new work because of a
+/// delayed announcement.
+#[rstest]
+#[case::ready(false)]
+#[case::draining(true)]
+fn register_after_silence_and_leaving(#[case] was_draining: bool) {
+    let mut log = Log::default();
+    let target: TargetId = "e1".parse().unwrap();
+    let remove = |incarnation, is_leaving| Command::RemoveTarget {
+        target: target.clone(),
+        incarnation: Incarnation(incarnation),
+        is_leaving,
+    };
+    log.register(engine("e1", 7));
+    log.apply(Command::DrainTarget { target: target.clone(), drain: was_draining });
+    log.apply(remove(7, false));
+    assert_eq!(log.apply(remove(0, true)), Reply::Done);
+    let late = log.refused(Command::RegisterTarget(engine("e1", 7)));
+    assert_eq!(late, CommandError::TargetLeft { target: target.clone() });
+    assert!(log.state.is_leaving(&target, Incarnation(7)));
+
+    // The departure of an unknown process concerns none that is registered.
+    log.register(engine("e1", 8));
+    let current = Incarnation(8);
+    let refused = log.refused(remove(0, true));
+    assert_eq!(refused, CommandError::OldIncarnation { target: target.clone(), current });
+    log.apply(remove(8, false));
+    log.register(engine("e1", 8));
+}
+
 /// Guards against sending requests to a crashed target whose address a new process has taken, and
 /// against a delayed announcement of the crashed one that registers it again.
 #[test]
--- a/crates/daemon/src/plane.rs
+++ b/crates/daemon/src/plane.rs
@@ -127,16 +127,15 @@
         Ok(self.targets.drain(announcement).await?)
     }
 
-    /// Removes a target that has left; no effect if it is not registered here.
+    /// Removes a target that has left.
+    ///
+    /// The control log decides about one that is not registered here: this instance may be behind, or
+    /// the target was removed for its silence and must not come back.
     pub async fn remove_target(&self, target: TargetId) -> Result<(), ChangeError> {
         let registered = self
             .view
             .read(|state| state.target(&target).map(|registered| registered.announced.incarnation));
-        match registered {
-            Some(incarnation) => Ok(self.targets.leave(target, incarnation).await?),
-            // Already removed, or its registration has not reached this instance yet.
-            None => Ok(()),
-        }
+        Ok(self.targets.leave(target, registered.unwrap_or_default()).await?)
     }
 
     async fn propose(&self, command: Command) -> Result<(), ChangeError> {
