Probe services whose responses end with their connection

What callers saw: a service that crashed in the middle of a response without length and chunks was reported as answered, with half of its body: for a call with a key a 200 with `content-length: 6` of 12 bytes, for other calls in chunks with a regular end. The half body of a call with a key was also recorded and given to later calls with that key. Cause: the kernel closes the connections of a process that ends like any others, and such a body ends with its connection. The gateway probes the target after such an end; the product's own calls did not. Why it works: such a body is complete only if its target still accepts connections after its end, as on the platform. Completions are not affected, as their streams end with an event. O0311 names the request of each interrupted body of a service now.

--- /dev/null
+++ b/crates/daemon/tests/guarantees/close_delimited.rs
@@ -0,0 +1,111 @@
+//! G1 with services whose responses have neither a length nor chunks and end with their connection.
+
+use std::net::SocketAddr;
+
+use http::Method;
+use rstest::rstest;
+use shallotdrum_engine::REQUEST_ID_HEADER;
+use shallotdrum_harness::{CallerError, ServiceResponse};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+};
+
+use crate::setup::{Setup, start};
+
+/// Body of a response.
+const BODY: &str = "{\"number\":7}";
+
+/// What a service does in its response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Service {
+    /// Closes the connection after the whole body.
+    Completes,
+    /// Ends as a process does: its listener and its connections are closed after half of the body.
+    Crashes,
+}
+
+/// Replaces the services by ones at the same addresses that respond once or crash.
+async fn replace_services(setup: &mut Setup, service: Service) {
+    let addrs: Vec<_> = setup.targets.services.drain(..).map(|service| service.addr()).collect();
+    for addr in addrs {
+        tokio::spawn(serve(bind(addr).await, service));
+    }
+}
+
+async fn bind(addr: SocketAddr) -> TcpListener {
+    loop {
+        match TcpListener::bind(addr).await {
+            Ok(listener) => return listener,
+            // The service before is being closed.
+            Err(_) => tokio::time::sleep(std::time::Duration::from_millis(5)).await,
+        }
+    }
+}
+
+async fn serve(listener: TcpListener, service: Service) {
+    loop {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        // Connections that only check the target bring nothing.
+        let Some(id) = read_request(&mut stream).await else { continue };
+        let body = match service {
+            Service::Completes => BODY,
+            Service::Crashes => &BODY[..BODY.len() / 2],
+        };
+        let response = format!("HTTP/1.1 200 OK\r\n{REQUEST_ID_HEADER}: {id}\r\n\r\n{body}");
+        stream.write_all(response.as_bytes()).await.unwrap();
+        if service == Service::Crashes {
+            drop(listener);
+            return;
+        }
+    }
+}
+
+/// Reads the head of a request and returns its id.
+async fn read_request(stream: &mut TcpStream) -> Option<String> {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        head.push(stream.read_u8().await.ok()?);
+    }
+    let head = String::from_utf8(head).unwrap();
+    let id = head.lines().find_map(|line| line.strip_prefix(REQUEST_ID_HEADER))?;
+    Some(id.trim_start_matches(": ").to_owned())
+}
+
+async fn call(
+    setup: &Setup,
+    instance: usize,
+    key: Option<&str>,
+) -> Result<ServiceResponse, CallerError> {
+    let (method, path) = match key {
+        Some(_) => (Method::POST, "certificates"),
+        None => (Method::GET, "status/7"),
+    };
+    let path = format!("/{}/{path}", setup.deployment.service);
+    setup.caller.call(setup.cluster.entry(instance), method, &path, key, "").await
+}
+
+/// Guards against taking a response as complete that ends because its service has crashed, and against
+/// refusing complete ones.
+#[rstest]
+#[case::repeatable(None)]
+#[case::once(Some("once"))]
+#[tokio::test(flavor = "multi_thread")]
+async fn response_ends_with_crash(#[case] key: Option<&str>) {
+    let mut setup = start().await;
+    replace_services(&mut setup, Service::Crashes).await;
+    let response = call(&setup, 4, key).await;
+    let error = response.expect_err("the response is not complete");
+    assert!(!error.is_not_run(), "{error}");
+}
+
+/// Guards against refusing complete responses because they have no length.
+#[rstest]
+#[case::repeatable(None)]
+#[case::once(Some("once"))]
+#[tokio::test(flavor = "multi_thread")]
+async fn response_without_length(#[case] key: Option<&str>) {
+    let mut setup = start().await;
+    replace_services(&mut setup, Service::Completes).await;
+    assert_eq!(call(&setup, 4, key).await.unwrap().body, BODY);
+}
--- a/crates/daemon/tests/guarantees/main.rs
+++ b/crates/daemon/tests/guarantees/main.rs
@@ -4,6 +4,7 @@
 
 mod answers;
 mod calls;
+mod close_delimited;
 mod crashes;
 mod late_copies;
 mod load;
--- a/crates/owner/src/call.rs
+++ b/crates/owner/src/call.rs
@@ -11,7 +11,6 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use shallotdrum_control::{BeginOutcome, CallKey, Command, RecordedAnswer, Reply};
 use shallotdrum_engine::{CallError, REQUEST_ID_HEADER};
 use shallotdrum_scheduler::{AdmissionRequest, Finish, Lease, RequestKind};
@@ -28,6 +27,7 @@
     end_guard::EndGuard,
     full_body,
     service::{InProgressGuard, OwnedGroup},
+    target_body::{BodySource, TargetBody, check_end},
 };
 
 /// Maximum number of targets that one call is sent to.
@@ -229,7 +229,7 @@
     /// Records the response in the control log, then returns it.
     async fn record(
         self: &Arc<Self>,
-        res: Response<Incoming>,
+        res: Response<TargetBody>,
         lease: Lease,
         key: CallKey,
         group: &OwnedGroup,
@@ -240,9 +240,11 @@
         let collected = tokio::time::timeout_at(call.deadline, body.collect()).await;
         let body = match collected {
             Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(_)) | Err(_) => {
-                event!(self.cx.log, RESPONSE_INTERRUPTED; "request" => %call.call.request,
-                    "target" => %lease.target, "error" => "the body is incomplete");
+            ended => {
+                if ended.is_err() {
+                    event!(self.cx.log, RESPONSE_INTERRUPTED; "request" => %call.call.request,
+                        "target" => %lease.target, "error" => "the deadline passed");
+                }
                 self.cx.finish_failed(lease);
                 self.propose_with_retry(
                     session,
@@ -271,7 +273,7 @@
         &self,
         call: &BufferedCall,
         avoid: &mut Vec<TargetId>,
-    ) -> Result<(Response<Incoming>, Lease), CallFailure> {
+    ) -> Result<(Response<TargetBody>, Lease), CallFailure> {
         let group = self.owned(&call.call.group).map_err(CallFailure::Refused)?;
         // Checked after the ledger, so that a duplicate gets the result of the first call with its
         // key even if the call is quarantined by now.
@@ -301,6 +303,12 @@
         let error = match sent.await {
             Ok(Ok(res)) => {
                 guard.end();
+                let source = BodySource {
+                    request: call.call.request.clone(),
+                    target: lease.target.clone(),
+                    log: self.cx.log.clone(),
+                };
+                let res = check_end(res, &self.cx.links, lease.addr, source);
                 return Ok((res, lease));
             }
             Ok(Err(error)) => error,
@@ -474,7 +482,7 @@
 
 /// Streams a target's response to the entry and finishes the lease when the body ends.
 fn stream_response(
-    res: Response<Incoming>,
+    res: Response<TargetBody>,
     lease: Lease,
     call: &BufferedCall,
     in_progress: InProgressGuard,
@@ -488,7 +496,7 @@
             false => Finish::TargetFailed,
         });
     };
-    res.map(|body| EndGuard::new(body, on_end).map_err(Into::into).boxed())
+    res.map(|body| EndGuard::new(body, on_end).boxed())
 }
 
 /// Hashes everything that determines the effect of a call: subscriber, service, method, path and
--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -30,6 +30,7 @@
 mod server;
 mod service;
 mod streams;
+mod target_body;
 mod unanswered;
 mod unrecorded;
 
