Pass on no header of services that owners use for errors

What callers saw: 502 with the outcome "not run" for a call that ran, if the service's response had a header `x-shallotdrum-error`. Cause: an owner reports errors to the entry in that header, and passed on the one of a service; the entry read it as its owner's. Why it works: the owner removes the header from responses of services, so that it can only come from an owner.

--- a/crates/daemon/tests/guarantees/close_delimited.rs
+++ b/crates/daemon/tests/guarantees/close_delimited.rs
@@ -6,6 +6,8 @@
 use rstest::rstest;
 use shallotdrum_engine::REQUEST_ID_HEADER;
 use shallotdrum_harness::{CallerError, ServiceResponse};
+use shallotdrum_owner::ERROR_HEADER;
+use shallotdrum_types::{RequestError, RequestErrorKind};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
@@ -21,6 +23,8 @@
 enum Service {
     /// Closes the connection after the whole body.
     Completes,
+    /// Like `Completes`, with the header in which owners report errors to entries.
+    NamesError,
     /// Ends as a process does: its listener and its connections are closed after half of the body.
     Crashes,
 }
@@ -49,10 +53,15 @@
         // Connections that only check the target bring nothing.
         let Some(id) = read_request(&mut stream).await else { continue };
         let body = match service {
-            Service::Completes => BODY,
+            Service::Completes | Service::NamesError => BODY,
             Service::Crashes => &BODY[..BODY.len() / 2],
         };
-        let response = format!("HTTP/1.1 200 OK\r\n{REQUEST_ID_HEADER}: {id}\r\n\r\n{body}");
+        let mut head = format!("HTTP/1.1 200 OK\r\n{REQUEST_ID_HEADER}: {id}\r\n");
+        if service == Service::NamesError {
+            let error = RequestError::not_run(RequestErrorKind::TargetFailed, "of the service");
+            head += &format!("{ERROR_HEADER}: {}\r\n", serde_json::to_string(&error).unwrap());
+        }
+        let response = format!("{head}\r\n{body}");
         stream.write_all(response.as_bytes()).await.unwrap();
         if service == Service::Crashes {
             drop(listener);
@@ -109,3 +118,19 @@
     replace_services(&mut setup, Service::Completes).await;
     assert_eq!(call(&setup, 4, key).await.unwrap().body, BODY);
 }
+
+/// Guards against reporting "not run" for a call that ran, because its service's response has a header that
+/// owners use.
+#[rstest]
+#[case::repeatable(false)]
+#[case::once(true)]
+#[tokio::test(flavor = "multi_thread")]
+async fn response_with_header_of_owners(#[case] is_once: bool) {
+    let mut setup = start().await;
+    replace_services(&mut setup, Service::NamesError).await;
+    for i in 0..setup.cluster.len() {
+        let key = format!("key-{i}");
+        let response = call(&setup, i, is_once.then_some(key.as_str())).await;
+        assert_eq!(response.unwrap().body, BODY, "through instance {i}");
+    }
+}
--- a/crates/owner/src/call.rs
+++ b/crates/owner/src/call.rs
@@ -22,7 +22,7 @@
 use tokio::{sync::oneshot, time::Instant};
 
 use crate::{
-    ForwardBody, OwnerService, ServiceCall,
+    ERROR_HEADER, ForwardBody, OwnerService, ServiceCall,
     crash::{CrashStatus, RunningGuard},
     end_guard::EndGuard,
     full_body,
@@ -308,7 +308,9 @@
                     target: lease.target.clone(),
                     log: self.cx.log.clone(),
                 };
-                let res = check_end(res, &self.cx.links, lease.addr, source);
+                let mut res = check_end(res, &self.cx.links, lease.addr, source);
+                // Only an owner speaks of errors to an entry.
+                res.headers_mut().remove(ERROR_HEADER);
                 return Ok((res, lease));
             }
             Ok(Err(error)) => error,
