Make each order on a connection of its own

What callers saw: nothing yet; found while looking for places where a response is attributed to the wrong call. An engine that writes a response once more on a kept connection answers the next order with it: an adapter counts as loaded that the engine refused to load (409), or as evicted, so that a later order overfills the engine; a report of before counts as new, with its order count.

Cause: orders and reports carry no id, and used the pool of connections of callers' requests. Any earlier response on the connection, to a request, a report or another order, was taken as theirs.

Each report, and each order with its polls, now has a connection of its own that is closed after it. All responses on it concern one order, and a repeated one says nothing wrong: 202 again is one more poll, and the other statuses end the order. Cost: one new connection for each order and each report, not for each poll.

--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -2,6 +2,8 @@
 //!
 //! Architecture Invariant: a connection carries one request at a time and returns to the pool only
 //! after a complete response; bytes that follow a response make it unusable.
+//!
+//! Calls that have no id use connections of their own (`exclusive`).
 
 use std::{
     collections::HashMap,
@@ -11,13 +13,13 @@
 };
 
 use bytes::Bytes;
-use http::{HeaderMap, Request, Response, header};
-use http_body_util::Full;
+use http::{HeaderMap, Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::{
     body::Incoming,
     client::conn::http1::{self, SendRequest},
 };
-use shallotdrum_links::{LinkStatus, Links};
+use shallotdrum_links::{ConnectError, LinkStatus, LinkStream, Links};
 use shallotdrum_types::RequestId;
 use tokio::time::Instant;
 
@@ -67,6 +69,15 @@
     pool: ConnectionPool,
 }
 
+/// Connection for calls without an id, which is not shared; opened by the first call.
+///
+/// Responses to different calls on it can't be told apart.
+pub struct ExclusiveConnection {
+    sender: Option<SendRequest<Full<Bytes>>>,
+    addr: SocketAddr,
+    links: Links,
+}
+
 impl ConnectionPool {
     /// Creates an empty pool that opens connections through `links`.
     pub fn new(links: Links) -> Self {
@@ -82,13 +93,18 @@
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Sends a request on an idle or a new connection and returns the head of the response. With the
-    /// id of a caller's request, a new connection may go through another instance.
+    /// Returns a connection for calls without an id. It never goes through another instance.
+    pub fn exclusive(&self, addr: SocketAddr) -> ExclusiveConnection {
+        ExclusiveConnection { sender: None, addr, links: self.links.clone() }
+    }
+
+    /// Sends a caller's request on an idle or a new connection and returns the head of the response. A
+    /// new connection may go through another instance.
     pub async fn send(
         &self,
         addr: SocketAddr,
         request: Request<Full<Bytes>>,
-        detour_for: Option<&RequestId>,
+        id: &RequestId,
     ) -> Result<(Connection, Response<Incoming>), SendError> {
         if self.links.status(addr) == LinkStatus::Silent {
             self.lock().remove(&addr);
@@ -101,17 +117,13 @@
             match self.send_on(addr, sender, true, request).await {
                 Ok(sent) => return Ok(sent),
                 // The connection was closed before the request was written; try the next one.
-                Err((_, Some(unsent))) => request = unsent,
-                Err((error, None)) => return Err(SendError::Unknown(error)),
+                Err(SendFailed { unsent: Some(unsent), .. }) => request = unsent,
+                Err(failed) => return Err(failed.into()),
             }
         }
-        let connected = connect(&self.links, addr, detour_for).await;
+        let connected = open(self.links.connect(addr, id.as_str()).await).await;
         let (sender, is_direct) = connected.map_err(SendError::NotSent)?;
-        match self.send_on(addr, sender, is_direct, request).await {
-            Ok(sent) => Ok(sent),
-            Err((error, Some(_))) => Err(SendError::NotSent(error)),
-            Err((error, None)) => Err(SendError::Unknown(error)),
-        }
+        self.send_on(addr, sender, is_direct, request).await.map_err(SendError::from)
     }
 
     async fn send_on(
@@ -120,25 +132,11 @@
         mut sender: SendRequest<Full<Bytes>>,
         is_direct: bool,
         request: Request<Full<Bytes>>,
-    ) -> Result<(Connection, Response<Incoming>), (String, Option<Request<Full<Bytes>>>)> {
-        let lost = self.links.lost(addr);
-        let sent = tokio::select! {
-            sent = sender.try_send_request(request) => sent,
-            () = lost, if is_direct => return Err((LINK_LOST.to_owned(), None)),
-        };
-        match sent {
-            Ok(response) => {
-                let idle_timeout = keep_alive_timeout(&response).unwrap_or(DEFAULT_IDLE_TIMEOUT);
-                let pool = self.clone();
-                let connection = Connection { sender, addr, is_direct, idle_timeout, pool };
-                connection.record_heard();
-                Ok((connection, response))
-            }
-            Err(mut error) => {
-                let unsent = error.take_message();
-                Err((error.into_error().to_string(), unsent))
-            }
-        }
+    ) -> Result<(Connection, Response<Incoming>), SendFailed> {
+        let response = send(&self.links, addr, &mut sender, is_direct, request).await?;
+        let idle_timeout = keep_alive_timeout(&response).unwrap_or(DEFAULT_IDLE_TIMEOUT);
+        let pool = self.clone();
+        Ok((Connection { sender, addr, is_direct, idle_timeout, pool }, response))
     }
 
     fn take_idle(&self, addr: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
@@ -196,16 +194,94 @@
     }
 }
 
-/// Opens a connection; returns whether it is a direct one.
-async fn connect(
+impl ExclusiveConnection {
+    /// Makes a call, on a new connection if the one before has been closed, and reads the response. A
+    /// response of more than `max_bytes` counts as none.
+    pub async fn call(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        max_bytes: usize,
+    ) -> Result<(StatusCode, Bytes), SendError> {
+        // Without a complete response, the connection is closed.
+        let (sender, response) = match self.sender.take() {
+            None => self.send_on_new(request).await?,
+            Some(mut sender) => {
+                match send(&self.links, self.addr, &mut sender, true, request).await {
+                    Ok(response) => (sender, response),
+                    Err(SendFailed { unsent: Some(unsent), .. }) => {
+                        self.send_on_new(unsent).await?
+                    }
+                    Err(failed) => return Err(failed.into()),
+                }
+            }
+        };
+        let (parts, body) = response.into_parts();
+        let body = Limited::new(body, max_bytes).collect().await;
+        let body = body.map_err(|e| SendError::Unknown(e.to_string()))?.to_bytes();
+        self.sender = Some(sender);
+        Ok((parts.status, body))
+    }
+
+    async fn send_on_new(
+        &self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<(SendRequest<Full<Bytes>>, Response<Incoming>), SendError> {
+        let stream = self.links.connect_without_detour(self.addr).await;
+        let (mut sender, _) = open(stream).await.map_err(SendError::NotSent)?;
+        let response = send(&self.links, self.addr, &mut sender, true, request).await?;
+        Ok((sender, response))
+    }
+}
+
+/// Failure of a send.
+struct SendFailed {
+    error: String,
+    /// The request, if no byte of it was written.
+    unsent: Option<Request<Full<Bytes>>>,
+}
+
+impl From<SendFailed> for SendError {
+    fn from(failed: SendFailed) -> Self {
+        match failed.unsent {
+            Some(_) => Self::NotSent(failed.error),
+            None => Self::Unknown(failed.error),
+        }
+    }
+}
+
+/// Sends a request and waits for the head of a response.
+async fn send(
     links: &Links,
     addr: SocketAddr,
-    detour_for: Option<&RequestId>,
-) -> Result<(SendRequest<Full<Bytes>>, bool), String> {
-    let stream = match detour_for {
-        Some(request) => links.connect(addr, request.as_str()).await,
-        None => links.connect_without_detour(addr).await,
+    sender: &mut SendRequest<Full<Bytes>>,
+    is_direct: bool,
+    request: Request<Full<Bytes>>,
+) -> Result<Response<Incoming>, SendFailed> {
+    let sent = tokio::select! {
+        sent = sender.try_send_request(request) => sent,
+        () = links.lost(addr), if is_direct => {
+            let error = LINK_LOST.to_owned();
+            return Err(SendFailed { error, unsent: None });
+        }
     };
+    match sent {
+        Ok(response) => {
+            if is_direct {
+                links.record_heard(addr);
+            }
+            Ok(response)
+        }
+        Err(mut error) => {
+            let unsent = error.take_message();
+            Err(SendFailed { error: error.into_error().to_string(), unsent })
+        }
+    }
+}
+
+/// Starts HTTP on a connection; returns whether it is a direct one.
+async fn open(
+    stream: Result<LinkStream, ConnectError>,
+) -> Result<(SendRequest<Full<Bytes>>, bool), String> {
     let stream = stream.map_err(|e| e.to_string())?;
     let is_direct = stream.through().is_none();
     let (sender, connection) = http1::handshake(stream).await.map_err(|e| e.to_string())?;
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -439,7 +439,7 @@
         let running = self.cx.owner.enter_relayed(granted, &run.req.id, run.identity.clone());
         let sent_at = Instant::now();
         let request = run.request(&self.cx.codec, &dispatch);
-        let sent = self.connections.send(granted.addr, request, Some(&run.req.id));
+        let sent = self.connections.send(granted.addr, request, &run.req.id);
         let (connection, response) = match timeout_at(run.deadline, sent).await {
             Ok(Ok(received)) => received,
             Ok(Err(error)) => {
