Attribute a response to the attempt, not only to the request

Cause: the id of a response names the request, not the attempt. A request that is sent again, by the gateway after a refusal or by the caller with the same id, could go out on a connection that had carried it, and took the copy of its earlier refusal as its response while the target ran it. A response without an id was taken as that of whatever request waited.

Now a connection never carries two requests with one id (it remembers the hashes of all ids that it carried and is closed after 1,024 requests), and a response without an id is accepted only as the first one of its connection, which is not kept. Whatever else arrives is of unknown origin: it is logged (N0432) and discarded before anything is learnt from it, the connection is closed, and the request is retried only if its route allows a second run. For 10 s after such a response, or bytes that are no response, each connection to that target carries one request, so that the copies that follow cost nothing. Two differing ids, and one that cannot be read, name no request.

--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -3,10 +3,15 @@
 //! Architecture Invariant: a connection carries one request at a time and returns to the pool only
 //! after a complete response; bytes that follow a response make it unusable.
 //!
-//! Calls that have no id use connections of their own (`exclusive`).
+//! Architecture Invariant: a response is taken as that of an attempt only if no other response can
+//! have been due at its place. A target may write a response once more, later than the connection is
+//! used again. So a connection never carries two requests with the same id, and a response without
+//! an id is only accepted as the first one of its connection. Calls that have no id use connections
+//! of their own (`exclusive`).
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, hash_map::RandomState},
+    hash::BuildHasher,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
@@ -33,21 +38,47 @@
 /// target closes the connection.
 const IDLE_MARGIN: Duration = Duration::from_millis(600);
 
+/// Maximum number of requests that a connection carries. The ids of all of them are remembered, in
+/// 8 KB, as much as the read buffer of the connection takes.
+const MAX_REQUESTS: usize = 1024;
+
+/// Time for which each connection to a target carries a single request, after a response that named
+/// no request or another one, or bytes that are no response. A target in trouble goes on to send them;
+/// this way, they cost no further request in that time.
+const SINGLE_USE_TIME: Duration = Duration::from_secs(10);
+
 /// Error of a request whose link was found broken.
 pub(crate) const LINK_LOST: &str = "the link to the target was lost";
 
 /// Pool of connections to targets; clones share it.
 #[derive(Clone, Default)]
 pub struct ConnectionPool {
-    idle: Arc<Mutex<HashMap<SocketAddr, Vec<IdleConnection>>>>,
+    kept: Arc<Mutex<Kept>>,
+    /// Hashes the ids of requests.
+    hasher: Arc<RandomState>,
     links: Links,
 }
 
+#[derive(Default)]
+struct Kept {
+    idle: HashMap<SocketAddr, Vec<IdleConnection>>,
+    /// Until when connections to a target carry a single request.
+    single_use: HashMap<SocketAddr, Instant>,
+}
+
 struct IdleConnection {
-    sender: SendRequest<Full<Bytes>>,
+    open: OpenConnection,
     expires_at: Instant,
 }
 
+struct OpenConnection {
+    sender: SendRequest<Full<Bytes>>,
+    /// Whether it does not go through another instance.
+    is_direct: bool,
+    /// Hashes of the ids of the requests that it has carried.
+    carried: Vec<u64>,
+}
+
 /// Why a request got no response.
 #[derive(Debug, thiserror::Error)]
 pub enum SendError {
@@ -59,12 +90,27 @@
     Unknown(String),
 }
 
+/// Why a response is not taken as that of the request on its connection.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum UnattributedResponse {
+    /// The target writes a response late, or once more.
+    #[error("the response belongs to an earlier request on its connection")]
+    Earlier,
+    /// It names a request that the connection has not carried.
+    #[error("the response belongs to another request")]
+    Other,
+    /// It names none, and may be one to an earlier request.
+    #[error("the response names no request, and its connection has carried others")]
+    Unnamed,
+}
+
 /// Connection in use; `release` returns it to the pool after a complete response.
 pub struct Connection {
-    sender: SendRequest<Full<Bytes>>,
+    open: OpenConnection,
     addr: SocketAddr,
-    /// Whether it does not go through another instance.
-    is_direct: bool,
+    request: RequestId,
+    /// Whether the response named the request.
+    is_named: bool,
     idle_timeout: Duration,
     pool: ConnectionPool,
 }
@@ -81,7 +127,7 @@
 impl ConnectionPool {
     /// Creates an empty pool that opens connections through `links`.
     pub fn new(links: Links) -> Self {
-        Self { idle: Arc::default(), links }
+        Self { links, ..Self::default() }
     }
 
     /// Links that new connections are opened through.
@@ -89,17 +135,17 @@
         &self.links
     }
 
-    fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, Vec<IdleConnection>>> {
-        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, Kept> {
+        self.kept.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Returns a connection for calls without an id. It never goes through another instance.
-    pub fn exclusive(&self, addr: SocketAddr) -> ExclusiveConnection {
-        ExclusiveConnection { sender: None, addr, links: self.links.clone() }
+    fn hash(&self, id: &RequestId) -> u64 {
+        self.hasher.hash_one(id.as_str())
     }
 
-    /// Sends a caller's request on an idle or a new connection and returns the head of the response. A
-    /// new connection may go through another instance.
+    /// Sends a caller's request on an idle or a new connection and returns the head of the response,
+    /// which is to be checked by `Connection::check_response`. A new connection may go through another
+    /// instance.
     pub async fn send(
         &self,
         addr: SocketAddr,
@@ -107,71 +153,124 @@
         id: &RequestId,
     ) -> Result<(Connection, Response<Incoming>), SendError> {
         if self.links.status(addr) == LinkStatus::Silent {
-            self.lock().remove(&addr);
+            self.lock().idle.remove(&addr);
         }
         let mut request = request;
-        while let Some(mut sender) = self.take_idle(addr) {
-            if sender.ready().await.is_err() {
+        while let Some(mut open) = self.take_idle(addr, id) {
+            if open.sender.ready().await.is_err() {
                 continue;
             }
-            match self.send_on(addr, sender, true, request).await {
+            match self.send_on(addr, open, id, request).await {
                 Ok(sent) => return Ok(sent),
                 // The connection was closed before the request was written; try the next one.
                 Err(SendFailed { unsent: Some(unsent), .. }) => request = unsent,
                 Err(failed) => return Err(failed.into()),
             }
         }
-        let connected = open(self.links.connect(addr, id.as_str()).await).await;
-        let (sender, is_direct) = connected.map_err(SendError::NotSent)?;
-        self.send_on(addr, sender, is_direct, request).await.map_err(SendError::from)
+        let stream = self.links.connect(addr, id.as_str()).await;
+        let (sender, is_direct) = open(stream).await.map_err(SendError::NotSent)?;
+        let open = OpenConnection { sender, is_direct, carried: Vec::new() };
+        self.send_on(addr, open, id, request).await.map_err(SendError::from)
+    }
+
+    /// Returns a connection for calls without an id. It never goes through another instance.
+    pub fn exclusive(&self, addr: SocketAddr) -> ExclusiveConnection {
+        ExclusiveConnection { sender: None, addr, links: self.links.clone() }
     }
 
     async fn send_on(
         &self,
         addr: SocketAddr,
-        mut sender: SendRequest<Full<Bytes>>,
-        is_direct: bool,
+        mut open: OpenConnection,
+        id: &RequestId,
         request: Request<Full<Bytes>>,
     ) -> Result<(Connection, Response<Incoming>), SendFailed> {
-        let response = send(&self.links, addr, &mut sender, is_direct, request).await?;
+        open.carried.push(self.hash(id));
+        let sent = send(&self.links, addr, &mut open.sender, open.is_direct, request).await;
+        if sent.as_ref().is_err_and(|failed| failed.is_unreadable) {
+            self.record_unattributed(addr);
+        }
+        let response = sent?;
         let idle_timeout = keep_alive_timeout(&response).unwrap_or(DEFAULT_IDLE_TIMEOUT);
-        let pool = self.clone();
-        Ok((Connection { sender, addr, is_direct, idle_timeout, pool }, response))
+        let (request, pool) = (id.clone(), self.clone());
+        let connection = Connection { open, addr, request, is_named: false, idle_timeout, pool };
+        Ok((connection, response))
     }
 
-    fn take_idle(&self, addr: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
-        let mut connections = self.lock();
-        let idle = connections.get_mut(&addr)?;
+    /// Takes the latest idle connection that has not carried a request with this id.
+    fn take_idle(&self, addr: SocketAddr, id: &RequestId) -> Option<OpenConnection> {
+        let hash = self.hash(id);
+        let mut kept = self.lock();
+        let idle = kept.idle.get_mut(&addr)?;
         let now = Instant::now();
-        while let Some(connection) = idle.pop() {
-            if now < connection.expires_at && !connection.sender.is_closed() {
-                return Some(connection.sender);
-            }
-        }
-        None
+        idle.retain(|connection| connection.is_usable(now));
+        let position = idle.iter().rposition(|c| !c.open.carried.contains(&hash))?;
+        Some(idle.remove(position).open)
     }
 
     /// Closes connections that exceeded their idle timeout.
     pub(crate) fn expire(&self) {
         let now = Instant::now();
-        self.lock().retain(|_, idle| {
-            idle.retain(|connection| now < connection.expires_at && !connection.sender.is_closed());
+        let mut kept = self.lock();
+        kept.idle.retain(|_, idle| {
+            idle.retain(|connection| connection.is_usable(now));
             !idle.is_empty()
         });
+        kept.single_use.retain(|_, until| now < *until);
+    }
+
+    /// Lets connections to a target carry a single request each for some time.
+    fn record_unattributed(&self, addr: SocketAddr) {
+        let mut kept = self.lock();
+        kept.idle.remove(&addr);
+        kept.single_use.insert(addr, Instant::now() + SINGLE_USE_TIME);
+    }
+}
+
+impl IdleConnection {
+    fn is_usable(&self, now: Instant) -> bool {
+        now < self.expires_at && !self.open.sender.is_closed()
     }
 }
 
 impl Connection {
+    /// Checks that a response is the one to the request, by the id that it names; an `Err` is a text
+    /// that is not an id. Only then anything in the response concerns the request.
+    pub fn check_response(
+        &mut self,
+        named: Option<&Result<RequestId, String>>,
+    ) -> Result<(), UnattributedResponse> {
+        let unattributed = match named {
+            Some(Ok(id)) if *id == self.request => {
+                self.is_named = true;
+                return Ok(());
+            }
+            None if self.uses() == 1 => return Ok(()),
+            None => UnattributedResponse::Unnamed,
+            Some(Ok(id)) if self.open.carried.contains(&self.pool.hash(id)) => {
+                UnattributedResponse::Earlier
+            }
+            Some(_) => UnattributedResponse::Other,
+        };
+        self.pool.record_unattributed(self.addr);
+        Err(unattributed)
+    }
+
+    /// Number of requests that the connection has carried, with the present one.
+    pub fn uses(&self) -> usize {
+        self.open.carried.len()
+    }
+
     /// Records that bytes of the target arrived.
     pub(crate) fn record_heard(&self) {
-        if self.is_direct {
+        if self.open.is_direct {
             self.pool.links.record_heard(self.addr);
         }
     }
 
     /// Resolves when the link of the connection is lost.
     pub(crate) async fn lost(&self) {
-        match self.is_direct {
+        match self.open.is_direct {
             true => self.pool.links.lost(self.addr).await,
             false => std::future::pending().await,
         }
@@ -180,16 +279,21 @@
     /// Returns the connection to the pool for another request. One through another instance is closed,
     /// as that instance decides on each request whether the target takes any.
     pub fn release(self) {
-        if !self.is_direct {
+        if !self.is_named {
+            // The response to the next request could not be told from another one to this request.
+            return self.pool.record_unattributed(self.addr);
+        }
+        if !self.open.is_direct || self.uses() >= MAX_REQUESTS || self.idle_timeout.is_zero() {
+            return;
+        }
+        let now = Instant::now();
+        let mut kept = self.pool.lock();
+        if kept.single_use.get(&self.addr).is_some_and(|until| now < *until) {
             return;
         }
-        let mut connections = self.pool.lock();
-        let idle = connections.entry(self.addr).or_default();
-        if idle.len() < MAX_IDLE && !self.idle_timeout.is_zero() {
-            idle.push(IdleConnection {
-                sender: self.sender,
-                expires_at: Instant::now() + self.idle_timeout,
-            });
+        let idle = kept.idle.entry(self.addr).or_default();
+        if idle.len() < MAX_IDLE {
+            idle.push(IdleConnection { open: self.open, expires_at: now + self.idle_timeout });
         }
     }
 }
@@ -238,6 +342,8 @@
     error: String,
     /// The request, if no byte of it was written.
     unsent: Option<Request<Full<Bytes>>>,
+    /// Whether bytes arrived that are no response.
+    is_unreadable: bool,
 }
 
 impl From<SendFailed> for SendError {
@@ -261,7 +367,7 @@
         sent = sender.try_send_request(request) => sent,
         () = links.lost(addr), if is_direct => {
             let error = LINK_LOST.to_owned();
-            return Err(SendFailed { error, unsent: None });
+            return Err(SendFailed { error, unsent: None, is_unreadable: false });
         }
     };
     match sent {
@@ -273,7 +379,8 @@
         }
         Err(mut error) => {
             let unsent = error.take_message();
-            Err(SendFailed { error: error.into_error().to_string(), unsent })
+            let error = error.into_error();
+            Err(SendFailed { error: error.to_string(), unsent, is_unreadable: error.is_parse() })
         }
     }
 }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -440,7 +440,7 @@
         let sent_at = Instant::now();
         let request = run.request(&self.cx.codec, &dispatch);
         let sent = self.connections.send(granted.addr, request, &run.req.id);
-        let (connection, response) = match timeout_at(run.deadline, sent).await {
+        let (mut connection, response) = match timeout_at(run.deadline, sent).await {
             Ok(Ok(received)) => received,
             Ok(Err(error)) => {
                 run.avoid.push(target.clone());
@@ -469,11 +469,14 @@
         };
         let (parts, body) = response.into_parts();
         let info = (self.cx.codec.read)(&parts);
-        if info.request.as_ref().is_some_and(|id| *id != run.req.id) {
+        if let Err(cause) = connection.check_response(info.request.as_ref()) {
+            event!(self.cx.log, RESPONSE_DISCARDED; "request" => %run.req.id, "target" => %target,
+                "cause" => %cause, "named" => info.request.as_ref().map(named_request),
+                "use" => connection.uses(), "status" => parts.status.as_u16(),
+                "outcome" => "unknown");
             place.end(PlaceEnd::Failed);
             run.avoid.push(target);
-            let error = target_failed("the response belongs to another request");
-            return Err(AttemptOutcome::Failed(SendFailure::Unknown, error));
+            return Err(AttemptOutcome::Failed(SendFailure::Unknown, target_failed(cause)));
         }
         // A misdirected request reached another process.
         if parts.status != StatusCode::MISDIRECTED_REQUEST {
@@ -600,6 +603,14 @@
     }
 }
 
+/// Text of a response that names its request, as it is.
+fn named_request(named: &Result<RequestId, String>) -> &str {
+    match named {
+        Ok(id) => id.as_str(),
+        Err(text) => text,
+    }
+}
+
 /// Counts a request as in flight until dropped.
 struct InFlightGuard(prometheus::IntGauge);
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -34,7 +34,9 @@
 mod withheld;
 
 pub use budget::{EntryCount, RetryAllowance, RetryBudget};
-pub use connections::{Connection, ConnectionPool, ExclusiveConnection, SendError};
+pub use connections::{
+    Connection, ConnectionPool, ExclusiveConnection, SendError, UnattributedResponse,
+};
 pub use decision::{RequestProgress, RetryDecision, SendFailure, decide_retry};
 pub use events::{EventSplitter, EventTooLong, MAX_EVENT_BYTES};
 pub use exchange::{Gateway, GatewayContext};
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -127,8 +127,8 @@
 /// Information about the request in the head of a response.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ResponseInfo {
-    /// Request that the response belongs to; absent if it does not say so.
-    pub request: Option<RequestId>,
+    /// Request that the response names, or the text that is not an id; absent if it names none.
+    pub request: Option<Result<RequestId, String>>,
     /// Whether the target states that it did not run the request.
     pub is_not_run: bool,
     /// Whether the response carries a target's signature.
--- /dev/null
+++ b/crates/gateway/tests/connections.rs
@@ -0,0 +1,176 @@
+//! Connections to targets whose responses are scripted.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+};
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use rstest::rstest;
+use shallotdrum_gateway::{Connection, ConnectionPool, UnattributedResponse};
+use shallotdrum_types::RequestId;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+};
+
+const ID_HEADER: &str = "x-id";
+
+/// Target that answers each request; `script` names the ids of the responses.
+struct Target {
+    addr: SocketAddr,
+    connections: Arc<AtomicUsize>,
+}
+
+/// Returns the id that the response to a request names, from the id and the number of requests on its
+/// connection.
+type Script = fn(&str, usize) -> Option<String>;
+
+/// Names the request.
+fn own(id: &str, _: usize) -> Option<String> {
+    Some(id.to_owned())
+}
+
+impl Target {
+    async fn start(script: Script) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let addr = listener.local_addr().unwrap();
+        let connections = Arc::new(AtomicUsize::new(0));
+        let accepted = connections.clone();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                accepted.fetch_add(1, Ordering::Relaxed);
+                tokio::spawn(serve(stream, script));
+            }
+        });
+        Self { addr, connections }
+    }
+
+    fn connections(&self) -> usize {
+        self.connections.load(Ordering::Relaxed)
+    }
+}
+
+async fn serve(mut stream: TcpStream, script: Script) {
+    let mut buf = vec![0; 4096];
+    let mut requests = 0;
+    // Requests are small and arrive in a single read.
+    while let Ok(len @ 1..) = stream.read(&mut buf).await {
+        requests += 1;
+        let request = String::from_utf8_lossy(&buf[..len]).into_owned();
+        let id = request.lines().find_map(|line| line.strip_prefix("x-id: ")).unwrap();
+        let named = script(id, requests).map_or_else(String::new, |id| format!("x-id: {id}\r\n"));
+        let response = format!("HTTP/1.1 200 OK\r\n{named}content-length: 2\r\n\r\nok");
+        if stream.write_all(response.as_bytes()).await.is_err() {
+            return;
+        }
+    }
+}
+
+fn request(id: &str) -> Request<Full<Bytes>> {
+    Request::get("/").header(ID_HEADER, id).body(Full::default()).unwrap()
+}
+
+fn named<T>(response: &Response<T>) -> Option<Result<RequestId, String>> {
+    let id = response.headers().get(ID_HEADER)?.to_str().unwrap();
+    Some(id.parse().map_err(|_| id.to_owned()))
+}
+
+async fn send(
+    pool: &ConnectionPool,
+    target: &Target,
+    id: &str,
+) -> (Connection, Response<Incoming>) {
+    pool.send(target.addr, request(id), &id.parse().unwrap()).await.unwrap()
+}
+
+/// Sends a request, checks its response and, if that is its own, reads it.
+async fn call(
+    pool: &ConnectionPool,
+    target: &Target,
+    id: &str,
+) -> Result<(), UnattributedResponse> {
+    let (mut connection, response) = send(pool, target, id).await;
+    connection.check_response(named(&response).as_ref())?;
+    response.into_body().collect().await.unwrap();
+    connection.release();
+    Ok(())
+}
+
+/// Guards against sending a request again on a connection on which a response to it may still come.
+#[tokio::test]
+async fn connection_carries_each_id_once() {
+    let target = Target::start(own).await;
+    let pool = ConnectionPool::default();
+    for id in ["a", "b", "c"] {
+        assert_eq!(call(&pool, &target, id).await, Ok(()));
+    }
+    assert_eq!(target.connections(), 1);
+    for expected in 2..5 {
+        assert_eq!(call(&pool, &target, "b").await, Ok(()));
+        assert_eq!(target.connections(), expected);
+    }
+    // Kept connections serve other requests.
+    assert_eq!(call(&pool, &target, "d").await, Ok(()));
+    assert_eq!(target.connections(), 4);
+}
+
+/// Guards against unlimited memory for ids, and against forgetting some of them.
+#[tokio::test]
+async fn connection_is_closed_after_many_requests() {
+    const REQUESTS: usize = 3_000;
+    let target = Target::start(own).await;
+    let pool = ConnectionPool::default();
+    for n in 0..REQUESTS {
+        assert_eq!(call(&pool, &target, &format!("id-{n}")).await, Ok(()));
+    }
+    assert_eq!(target.connections(), REQUESTS.div_ceil(1024));
+}
+
+/// Guards against taking a response without an id on a connection that carried another request, and
+/// against losing requests at a target that never names them.
+#[tokio::test]
+async fn unnamed_responses_use_one_connection_each() {
+    let target = Target::start(|_, _| None).await;
+    let pool = ConnectionPool::default();
+    for (n, id) in ["a", "b", "c", "d"].into_iter().enumerate() {
+        assert_eq!(call(&pool, &target, id).await, Ok(()));
+        assert_eq!(target.connections(), n + 1);
+    }
+}
+
+/// Guards against responses of earlier requests, of other ones and of unknown origin.
+#[rstest]
+#[case::earlier(|id: &str, n: usize| Some(if n < 3 { id } else { "a" }.to_owned()), UnattributedResponse::Earlier)]
+#[case::other(|id: &str, n: usize| Some(if n < 3 { id } else { "x" }.to_owned()), UnattributedResponse::Other)]
+#[case::no_id(|id: &str, n: usize| Some(if n < 3 { id } else { "" }.to_owned()), UnattributedResponse::Other)]
+#[case::unnamed(|id: &str, n: usize| (n < 3).then(|| id.to_owned()), UnattributedResponse::Unnamed)]
+#[tokio::test]
+async fn other_response_is_discarded(
+    #[case] script: Script,
+    #[case] expected: UnattributedResponse,
+) {
+    let target = Target::start(script).await;
+    let pool = ConnectionPool::default();
+    // Remains in use when the response is discarded.
+    let (mut second, response) = send(&pool, &target, "z").await;
+    assert_eq!(second.check_response(named(&response).as_ref()), Ok(()));
+    for id in ["a", "b"] {
+        assert_eq!(call(&pool, &target, id).await, Ok(()));
+    }
+    assert_eq!(call(&pool, &target, "c").await, Err(expected));
+    assert_eq!(target.connections(), 2);
+    // The target may be faulty: from here on, each connection carries one request.
+    response.into_body().collect().await.unwrap();
+    second.release();
+    for (n, id) in ["d", "e", "f"].into_iter().enumerate() {
+        assert_eq!(call(&pool, &target, id).await, Ok(()));
+        assert_eq!(target.connections(), n + 3);
+    }
+}
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -177,6 +177,7 @@
         TARGET_PAUSED = "N0425", Info, "target refused a request and takes none from this instance for a time", "check the target's load if it repeats";
         PLACE_WITHHELD = "N0424", Info, "place not used: its target asked for no more requests", "none, unless it persists for a target";
         PLACE_OUTDATED = "N0426", Info, "place not used: its target leaves, which the owner of its group did not know", "check the owner's connection to the control replicas if it persists";
+        RESPONSE_DISCARDED = "N0432", Info, "discarded a response that is not certainly that of the request; the request may have run", "check the target: it writes responses late or once more (the cause says an earlier request), or names no request in them";
         ROUTES_CHANGED = "N0413", Info, "route table in force", "none";
         INPUT_REFUSED = "N0414", Warning, "malformed message refused", "correct the sender";
         ENTRY_CLOSED = "N0410", Info, "entry listener closed, all requests finished", "none";
