Check that a resumption goes on where its stream stood

Callers saw resumed streams that end as complete after 1 to 7 of 8 events, hold a text between two events, or bring events twice or not at all. Gateway::resume took any 2xx response as the rest of the stream, whatever its type or first event, and nothing compared the events that follow with those that were delivered.

EventOrder now checks each event before it is forwarded. Ids must increase, within a response too. After a resumption each block must be an event, its id a number, and where the delivered events kept a constant distance, the next one; ids are only said to increase, so a larger step is no gap otherwise. The head must have the status of the first response and be an event stream. A response that brings no event is not the rest, since it is not known whether the last one was delivered. What is refused is tried at another target within attempts, budget and time; else the stream is broken off. The connection to the former target is dropped before another one goes on: it was kept, which matters now that a stream is left for what it says.

--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -17,7 +17,6 @@
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     pending: BytesMut,
-    last_id: Option<String>,
 }
 
 impl EventSplitter {
@@ -31,26 +30,13 @@
         if self.pending.len() > MAX_EVENT_BYTES {
             return Err(EventTooLong);
         }
-        if let Some(id) = complete.as_deref().and_then(last_id) {
-            self.last_id = Some(id);
-        }
         Ok(complete)
     }
 
-    /// Returns the id of the last complete event that has one.
-    pub fn last_id(&self) -> Option<&str> {
-        self.last_id.as_deref()
-    }
-
     /// Whether bytes of an incomplete event are buffered.
     pub fn has_pending(&self) -> bool {
         !self.pending.is_empty()
     }
-
-    /// Discards the bytes of an incomplete event.
-    pub fn discard_pending(&mut self) {
-        self.pending.clear();
-    }
 }
 
 /// Returns the index after the last blank line.
@@ -61,11 +47,3 @@
     });
     ends.max()
 }
-
-/// Returns the value of the last `id` field.
-fn last_id(events: &[u8]) -> Option<String> {
-    let lines = events.split(|byte| *byte == b'\n').rev();
-    let mut ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
-    let id = std::str::from_utf8(ids.next()?).ok()?;
-    Some(id.trim().to_owned())
-}
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -33,6 +33,7 @@
     RetryBudget,
     body::{BodyBuffers, discard},
     connections::{Connection, ConnectionPool, SendError, response_headers},
+    continuation::check_head,
     decision::{RequestProgress, RetryDecision, SendFailure, decide_retry},
     errors::{
         target_failed, target_refused, target_timed_out, target_unreachable, timed_out_waiting,
@@ -40,7 +41,7 @@
     fingerprint::request_identity,
     need::{fallback_label, subscriber},
     places::{Place, PlaceClient},
-    relay::{Relay, StartedStream},
+    relay::Relay,
 };
 
 /// `Retry-After` of an instance that has no route table yet. The election of a control leader and
@@ -355,15 +356,15 @@
             Ok(received) => received,
             Err(ended) => return ended,
         };
-        let Received { place, running, connection, response } = received;
-        let status = response.status();
+        let status = received.response.status();
         if run.route.repeat.is_stream() && status.is_success() {
-            let relay = Relay::new(self.clone(), place, running, connection);
-            return match relay.start(run, response).await {
-                Ok(StartedStream { response }) => AttemptOutcome::Answered(response),
+            let (relay, head) = Relay::new(self.clone(), received);
+            return match relay.start(run, head).await {
+                Ok(response) => AttemptOutcome::Answered(response),
                 Err(error) => AttemptOutcome::Failed(SendFailure::Unknown, error),
             };
         }
+        let Received { place, running, connection, response } = received;
         let (parts, body) = response.into_parts();
         let body = self.bodies.read(self.links(), &parts.headers, body, &place);
         let body = match timeout_at(run.deadline, body).await {
@@ -517,25 +518,26 @@
         Ok(Received { place, running, connection, response })
     }
 
-    /// Resumes an interrupted stream at another target.
-    pub(crate) async fn resume(&self, run: &mut RequestRun) -> Option<Received> {
+    /// Resumes an interrupted stream, which a response with this status began, at another target.
+    pub(crate) async fn resume(
+        &self,
+        run: &mut RequestRun,
+        began_with: StatusCode,
+    ) -> Option<Received> {
         loop {
-            match self.dispatch(run).await {
-                Ok(received) if received.response.status().is_success() => return Some(received),
+            let failure = match self.dispatch(run).await {
                 Ok(received) => {
-                    event!(self.cx.log, RESUMPTION_REFUSED; "request" => %run.req.id,
-                        "target" => %received.place.granted.target,
-                        "status" => received.response.status().as_u16(),
-                        "expected_after" => run.resume_after.as_deref().unwrap_or(""));
-                    received.place.end(PlaceEnd::Failed);
-                    return None;
-                }
-                Err(AttemptOutcome::Failed(failure, _)) => {
-                    if !self.may_resend(run, failure).await {
-                        return None;
+                    let response = &received.response;
+                    match check_head(began_with, response.status(), response.headers()) {
+                        Ok(()) => return Some(received),
+                        Err(error) => self.refuse_resumption(run, received, &error),
                     }
                 }
+                Err(AttemptOutcome::Failed(failure, _)) => failure,
                 Err(_) => return None,
+            };
+            if !self.may_resend(run, failure).await {
+                return None;
             }
         }
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! `exchange` drives a caller's request through its attempts, `places` acquires a place, which is
 //! a reservation at a target, from the owner of the target's group, and `connections` is the
-//! connection pool. `relay` forwards event streams, `fallback` selects a target while a group has
+//! connection pool. `relay` forwards event streams, `continuation` checks that their events follow each other, `fallback` selects a target while a group has
 //! no owner, `need` describes a request to the owner, `budget` limits retries,
 //! `body` reads whole responses, `limits` keeps the limits that targets name, `withheld` the targets that
 //! ask for no requests, `origin` finds the version of a stream that a caller takes up, and `decision` holds
@@ -16,6 +16,7 @@
 mod body;
 mod budget;
 mod connections;
+mod continuation;
 mod crash;
 mod decision;
 mod errors;
@@ -37,6 +38,9 @@
 pub use connections::{
     Connection, ConnectionPool, ExclusiveConnection, SendError, UnattributedResponse,
 };
+pub use continuation::{
+    ContinuationError, EventOrder, PositionUnknown, check_head, is_event_stream,
+};
 pub use decision::{RequestProgress, RetryDecision, SendFailure, decide_retry};
 pub use events::{EventSplitter, EventTooLong, MAX_EVENT_BYTES};
 pub use exchange::{Gateway, GatewayContext};
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -3,19 +3,20 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use http::Response;
+use http::{StatusCode, response::Parts};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use shallotdrum_owner::RunningGuard;
 use shallotdrum_routes::RetryPolicy;
 use shallotdrum_rpc::PlaceEnd;
 use shallotdrum_telemetry::event;
-use shallotdrum_types::RequestError;
+use shallotdrum_types::{RequestError, TargetId};
 use tokio::time::timeout_at;
 
 use crate::{
     EventSplitter, Gateway, GatewayResponse, StreamBody, StreamSender,
     connections::{Connection, LINK_LOST, response_headers},
+    continuation::{ContinuationError, EventOrder},
     crash::{ends_with_connection, is_alive_after_end},
     decision::SendFailure,
     errors::{target_failed, target_timed_out},
@@ -28,45 +29,46 @@
 /// read.
 const CHANNEL_CAPACITY: usize = 8;
 
-/// Event stream of one target, together with its place and connection.
+/// Cause of a broken stream whose end may be that of its target.
+const TARGET_GONE: &str = "the connection ended, and the target accepts no other one";
+
+/// Response of one target, together with its place and connection.
 pub(crate) struct Relay {
     gateway: Arc<Gateway>,
     place: Place,
     running: RunningGuard,
     connection: Connection,
-}
-
-/// Stream whose first event has arrived, or that ended without one.
-pub(crate) struct StartedStream {
-    pub(crate) response: GatewayResponse,
-}
-
-/// Cause of a broken stream whose end may be that of its target.
-const TARGET_GONE: &str = "the connection ended, and the target accepts no other one";
-
-/// Body of one target's response.
-struct StreamPart {
     body: Incoming,
-    /// Whether it has neither a length nor chunks.
+    /// Whether the body has neither a length nor chunks.
     ends_with_connection: bool,
+    splitter: EventSplitter,
 }
 
-/// How the stream of one target ended.
+/// How the response of one target ended.
 enum StreamEnd {
     Complete,
+    Interrupted(Interruption),
+    CallerGone,
+}
+
+/// Why the response of one target is not the stream, or not the rest of it.
+enum Interruption {
     Broken(String),
+    /// The target is well, but what it sends does not go on with the stream.
+    Refused(ContinuationError),
     TimedOut,
-    CallerGone,
 }
 
 impl Relay {
-    pub(crate) fn new(
-        gateway: Arc<Gateway>,
-        place: Place,
-        running: RunningGuard,
-        connection: Connection,
-    ) -> Self {
-        Self { gateway, place, running, connection }
+    /// Returns the relay of a response, and its head.
+    pub(crate) fn new(gateway: Arc<Gateway>, received: Received) -> (Self, Parts) {
+        let Received { place, running, connection, response } = received;
+        let (parts, body) = response.into_parts();
+        let ends_with_connection = ends_with_connection(&parts.headers, &body);
+        let splitter = EventSplitter::default();
+        let relay =
+            Self { gateway, place, running, connection, body, ends_with_connection, splitter };
+        (relay, parts)
     }
 
     /// Waits for the first event, then relays the stream in a separate task.
@@ -75,49 +77,47 @@
     pub(crate) async fn start(
         mut self,
         run: &mut RequestRun,
-        response: Response<Incoming>,
-    ) -> Result<StartedStream, RequestError> {
-        let (parts, mut body) = response.into_parts();
-        let ends_with_connection = ends_with_connection(&parts.headers, &body);
-        let mut splitter = EventSplitter::default();
-        let first = loop {
-            match next_chunk(run, &self.connection, &mut body).await {
-                Ok(Some(chunk)) => match splitter.push(&chunk) {
-                    Ok(Some(events)) => break Some(events),
-                    Ok(None) => {}
-                    Err(error) => return Err(self.broken_at_start(run, &error.to_string())),
-                },
-                Ok(None) if splitter.has_pending() => {
-                    let cause = "the stream ended within its first event";
-                    return Err(self.broken_at_start(run, cause));
-                }
-                Ok(None)
-                    if ends_with_connection
-                        && !is_alive_after_end(self.gateway.links(), &self.place).await =>
-                {
-                    return Err(self.broken_at_start(run, TARGET_GONE));
-                }
-                Ok(None) => break None,
-                Err(StreamEnd::TimedOut) => return Err(target_timed_out()),
-                Err(StreamEnd::Broken(cause)) => return Err(self.broken_at_start(run, &cause)),
-                Err(_) => return Err(target_failed("the caller disconnected")),
-            }
+        head: Parts,
+    ) -> Result<GatewayResponse, RequestError> {
+        let mut order = EventOrder::new(None);
+        let (first, refused) = match self.first_events(run, &mut order).await {
+            Ok(first) => first,
+            Err(Interruption::TimedOut) => return Err(target_timed_out()),
+            Err(Interruption::Broken(cause)) => return Err(self.broken_at_start(run, &cause)),
+            Err(Interruption::Refused(error)) => return Err(self.refused_at_start(run, error)),
         };
-        let (sender, caller_body) = StreamBody::channel(CHANNEL_CAPACITY);
-        let status = parts.status;
-        let body = StreamPart { body, ends_with_connection };
-        let headers = response_headers(parts.headers);
+        let (sender, body) = StreamBody::channel(CHANNEL_CAPACITY);
+        let status = head.status;
         let mut run = run.take_for_relay();
-        if first.is_some() {
+        if !first.is_empty() {
             self.place.record_first_event();
             run.software.clone_from(&self.place.granted.software);
             let streams = &self.gateway.cx.owner.streams;
             streams.record_begin(run.id(), run.software.as_ref());
         }
-        tokio::spawn(self.relay(run, first, body, splitter, sender));
-        Ok(StartedStream {
-            response: GatewayResponse::Stream { status, headers, body: caller_body },
-        })
+        tokio::spawn(self.relay(run, status, first, refused, order, sender));
+        Ok(GatewayResponse::Stream { status, headers: response_headers(head.headers), body })
+    }
+
+    /// Waits for the first events, of which there are none if the stream is empty. What follows them may
+    /// have to be refused.
+    async fn first_events(
+        &mut self,
+        run: &RequestRun,
+        order: &mut EventOrder,
+    ) -> Result<(Bytes, Option<ContinuationError>), Interruption> {
+        while let Some(chunk) = self.next_chunk(run).await? {
+            let Some(events) = self.split(&chunk)? else { continue };
+            match order.admit(&events) {
+                (first, Ok(())) if first.is_empty() => {}
+                (first, Err(error)) if first.is_empty() => {
+                    return Err(Interruption::Refused(error));
+                }
+                (first, checked) => return Ok((first, checked.err())),
+            }
+        }
+        self.check_end(order).await?;
+        Ok((Bytes::new(), None))
     }
 
     /// Ends a stream that broke before its first event.
@@ -130,52 +130,51 @@
         target_failed(cause)
     }
 
+    /// Ends a stream whose first event can't be the one that its caller asked for.
+    fn refused_at_start(self, run: &mut RequestRun, error: ContinuationError) -> RequestError {
+        let target = &self.place.granted.target;
+        self.gateway.log_refused(run, target, &error, run.resume_after.as_deref());
+        run.avoid.push(target.clone());
+        self.running.end();
+        self.gateway.end_failed(self.place);
+        target_failed(error)
+    }
+
     /// Forwards events until the stream ends, resuming at other targets if allowed.
     async fn relay(
-        self,
+        mut self,
         mut run: RequestRun,
-        first: Option<Bytes>,
-        mut body: StreamPart,
-        mut splitter: EventSplitter,
+        status: StatusCode,
+        first: Bytes,
+        refused: Option<ContinuationError>,
+        mut order: EventOrder,
         sender: StreamSender,
     ) {
-        let Self { gateway, mut place, mut running, mut connection } = self;
+        let gateway = self.gateway.clone();
         let mut ended = StreamLog {
             log: gateway.cx.log.clone(),
             request: run.id().clone(),
-            target: place.granted.target.clone(),
+            target: self.place.granted.target.clone(),
             last_event: None,
             resumptions: 0,
             outcome: StreamOutcome::Dropped,
             started: run.req.arrived,
         };
-        if let Some(first) = first
-            && sender.send(first).await.is_err()
-        {
+        if !first.is_empty() && sender.send(first).await.is_err() {
             ended.outcome = StreamOutcome::CallerLeft;
             return;
         }
+        let mut refused = refused;
         loop {
-            let forwarded =
-                forward_events(&run, &connection, &mut body.body, &mut splitter, &sender).await;
-            ended.last_event = splitter.last_id().map(str::to_owned);
-            let end = match forwarded {
-                StreamEnd::Complete
-                    if body.ends_with_connection
-                        && !is_alive_after_end(gateway.links(), &place).await =>
-                {
-                    StreamEnd::Broken(TARGET_GONE.to_owned())
-                }
-                end => end,
+            let end = match refused.take() {
+                Some(error) => StreamEnd::Interrupted(Interruption::Refused(error)),
+                None => self.forward_events(&run, &mut order, &sender).await,
             };
+            ended.last_event = Some(order.last_id().to_owned());
+            let target = self.place.granted.target.clone();
             let cause = match end {
                 StreamEnd::Complete => {
-                    connection.release();
-                    running.complete();
-                    gateway.cx.owner.complete_relayed(&running);
-                    let generation = run.req.generation.as_ref();
-                    let prompt_tokens = generation.map_or(0, |g| g.prompt_tokens);
-                    place.end(PlaceEnd::Answered { prompt_tokens, completion_tokens: 0 });
+                    self.complete(&run);
                     ended.outcome = StreamOutcome::Complete;
                     sender.complete();
                     return;
@@ -185,96 +184,175 @@
                     ended.outcome = StreamOutcome::CallerLeft;
                     return;
                 }
-                StreamEnd::TimedOut => "the deadline passed".to_owned(),
-                StreamEnd::Broken(cause) => {
-                    gateway.check_crash(&mut run, running);
-                    cause
+                StreamEnd::Interrupted(interruption) => {
+                    self.abandon(&mut run, interruption, &order)
                 }
             };
-            let target = place.granted.target.clone();
-            let is_resumable = run.route.repeat == RetryPolicy::Stream { is_resumable: true };
             event!(gateway.cx.log, STREAM_INTERRUPTED; "request" => %run.id(),
                 "fingerprint" => %run.identity.request, "target" => %target,
-                "cause" => &cause, "last_event" => splitter.last_id().unwrap_or(""));
-            run.avoid.push(target);
-            gateway.end_failed(place);
-            run.resume_after = splitter.last_id().map(str::to_owned).or(run.resume_after);
-            splitter.discard_pending();
-            let resumed =
-                match is_resumable && gateway.may_resend(&mut run, SendFailure::Unknown).await {
-                    true => gateway.resume(&mut run).await,
-                    false => None,
-                };
-            let Some(Received {
-                place: next_place,
-                running: next_running,
-                connection: next,
-                response,
-            }) = resumed
-            else {
+                "cause" => &cause, "last_event" => order.last_id());
+            let Some(received) = gateway.resume_stream(&mut run, status, &order).await else {
                 ended.outcome = StreamOutcome::Broken;
                 return;
             };
-            event!(gateway.cx.log, ENTRY_ANSWER_RESUMED; "request" => %run.id(),
-                "target" => %next_place.granted.target);
-            ended.target = next_place.granted.target.clone();
+            order.begin_resumption();
+            ended.target = received.place.granted.target.clone();
             ended.resumptions += 1;
-            (place, running) = (next_place, next_running);
-            let ends_with_connection = ends_with_connection(response.headers(), response.body());
-            (connection, body) =
-                (next, StreamPart { body: response.into_body(), ends_with_connection });
+            event!(gateway.cx.log, ENTRY_ANSWER_RESUMED; "request" => %run.id(),
+                "target" => %ended.target);
+            (self, _) = Self::new(gateway.clone(), received);
         }
     }
-}
 
-/// Returns the next bytes of a stream, or `None` at its end.
-async fn next_chunk(
-    run: &RequestRun,
-    connection: &Connection,
-    body: &mut Incoming,
-) -> Result<Option<Bytes>, StreamEnd> {
-    let frame = tokio::select! {
-        frame = timeout_at(run.deadline, body.frame()) => frame,
-        () = connection.lost() => return Err(StreamEnd::Broken(LINK_LOST.to_owned())),
-    };
-    connection.record_heard();
-    match frame {
-        Err(_) => Err(StreamEnd::TimedOut),
-        Ok(None) => Ok(None),
-        Ok(Some(Err(error))) => Err(StreamEnd::Broken(error.to_string())),
-        // Trailers are dropped; callers do not need them.
-        Ok(Some(Ok(frame))) => Ok(Some(frame.into_data().unwrap_or_default())),
+    /// Ends the place and returns the connection to the pool, after a complete response.
+    fn complete(self, run: &RequestRun) {
+        self.connection.release();
+        self.running.complete();
+        self.gateway.cx.owner.complete_relayed(&self.running);
+        let prompt_tokens = run.req.generation.as_ref().map_or(0, |g| g.prompt_tokens);
+        self.place.end(PlaceEnd::Answered { prompt_tokens, completion_tokens: 0 });
     }
-}
 
-/// Forwards events to the caller until the target's stream ends.
-async fn forward_events(
-    run: &RequestRun,
-    connection: &Connection,
-    body: &mut Incoming,
-    splitter: &mut EventSplitter,
-    sender: &StreamSender,
-) -> StreamEnd {
-    loop {
-        let chunk = tokio::select! {
-            chunk = next_chunk(run, connection, body) => chunk,
-            () = sender.closed() => return StreamEnd::CallerGone,
+    /// Ends the response of a target that another one is to go on with; returns why.
+    fn abandon(
+        self,
+        run: &mut RequestRun,
+        interruption: Interruption,
+        order: &EventOrder,
+    ) -> String {
+        let Self { gateway, place, running, connection, body, .. } = self;
+        // Cancels the request at the target, which may still be at work on it.
+        drop((connection, body));
+        let target = place.granted.target.clone();
+        let cause = match interruption {
+            Interruption::Refused(error) => {
+                gateway.log_refused(run, &target, &error, Some(order.last_id()));
+                running.end();
+                error.to_string()
+            }
+            Interruption::Broken(cause) => {
+                gateway.check_crash(run, running);
+                cause
+            }
+            Interruption::TimedOut => "the deadline passed".to_owned(),
         };
-        let chunk = match chunk {
-            Ok(Some(chunk)) => chunk,
-            Ok(None) if splitter.has_pending() => {
-                return StreamEnd::Broken("the stream ended within an event".to_owned());
+        run.avoid.push(target);
+        gateway.end_failed(place);
+        cause
+    }
+
+    /// Forwards events to the caller until the target's response ends.
+    async fn forward_events(
+        &mut self,
+        run: &RequestRun,
+        order: &mut EventOrder,
+        sender: &StreamSender,
+    ) -> StreamEnd {
+        let forwarded = async {
+            while let Some(chunk) = self.next_chunk(run).await? {
+                let Some(events) = self.split(&chunk)? else { continue };
+                let (events, checked) = order.admit(&events);
+                if !events.is_empty() && sender.send(events).await.is_err() {
+                    return Ok(StreamEnd::CallerGone);
+                }
+                checked.map_err(Interruption::Refused)?;
             }
-            Ok(None) => return StreamEnd::Complete,
-            Err(ended) => return ended,
+            self.check_end(order).await.map(|()| StreamEnd::Complete)
         };
-        let events = match splitter.push(&chunk) {
-            Ok(Some(events)) => events,
-            Ok(None) => continue,
-            Err(error) => return StreamEnd::Broken(error.to_string()),
+        tokio::select! {
+            forwarded = forwarded => forwarded.unwrap_or_else(StreamEnd::Interrupted),
+            () = sender.closed() => StreamEnd::CallerGone,
+        }
+    }
+
+    /// Fails unless a body that has ended is complete.
+    async fn check_end(&self, order: &EventOrder) -> Result<(), Interruption> {
+        if self.splitter.has_pending() {
+            return Err(Interruption::Broken("the stream ended within an event".to_owned()));
+        }
+        if self.ends_with_connection && !is_alive_after_end(self.gateway.links(), &self.place).await
+        {
+            return Err(Interruption::Broken(TARGET_GONE.to_owned()));
+        }
+        match order.lacks_event() {
+            // Whether the last event was delivered before is not known.
+            true => Err(Interruption::Refused(ContinuationError::NoEvent)),
+            false => Ok(()),
+        }
+    }
+
+    /// Returns the events that a part of the body completes.
+    fn split(&mut self, chunk: &[u8]) -> Result<Option<Bytes>, Interruption> {
+        self.splitter.push(chunk).map_err(|error| Interruption::Broken(error.to_string()))
+    }
+
+    /// Returns the next bytes of the body, or `None` at its end.
+    async fn next_chunk(&mut self, run: &RequestRun) -> Result<Option<Bytes>, Interruption> {
+        let frame = tokio::select! {
+            frame = timeout_at(run.deadline, self.body.frame()) => frame,
+            () = self.connection.lost() => {
+                return Err(Interruption::Broken(LINK_LOST.to_owned()));
+            }
         };
-        if sender.send(events).await.is_err() {
-            return StreamEnd::CallerGone;
+        self.connection.record_heard();
+        match frame {
+            Err(_) => Err(Interruption::TimedOut),
+            Ok(None) => Ok(None),
+            Ok(Some(Err(error))) => Err(Interruption::Broken(error.to_string())),
+            // Trailers are dropped; callers do not need them.
+            Ok(Some(Ok(frame))) => Ok(Some(frame.into_data().unwrap_or_default())),
+        }
+    }
+}
+
+impl Gateway {
+    /// Resumes an interrupted stream at another target, if its route and its position allow it.
+    async fn resume_stream(
+        &self,
+        run: &mut RequestRun,
+        began_with: StatusCode,
+        order: &EventOrder,
+    ) -> Option<Received> {
+        if run.route.repeat != (RetryPolicy::Stream { is_resumable: true }) {
+            return None;
+        }
+        if let Ok(Some(after)) = order.resume_after() {
+            run.resume_after = Some(after.to_owned());
+        }
+        match self.may_resend(run, SendFailure::Unknown).await {
+            true => self.resume(run, began_with).await,
+            false => None,
+        }
+    }
+
+    /// Logs a response that does not go on with its stream.
+    pub(crate) fn log_refused(
+        &self,
+        run: &RequestRun,
+        target: &TargetId,
+        error: &ContinuationError,
+        last_event: Option<&str>,
+    ) {
+        event!(self.cx.log, RESUMPTION_REFUSED; "request" => %run.id(), "target" => %target,
+            "cause" => %error, "last_event" => last_event.unwrap_or(""));
+    }
+
+    /// Ends a send whose response can't go on with its stream.
+    pub(crate) fn refuse_resumption(
+        &self,
+        run: &mut RequestRun,
+        received: Received,
+        error: &ContinuationError,
+    ) -> SendFailure {
+        let Received { place, running, response, .. } = received;
+        let target = place.granted.target.clone();
+        self.log_refused(run, &target, error, run.resume_after.as_deref());
+        run.avoid.push(target);
+        running.end();
+        self.end_failed(place);
+        match response.status().is_server_error() {
+            true => SendFailure::Failed,
+            false => SendFailure::Unknown,
         }
     }
 }
--- a/crates/gateway/src/stream_log.rs
+++ b/crates/gateway/src/stream_log.rs
@@ -38,7 +38,7 @@
     pub(crate) target: TargetId,
     /// Id of the last event that was delivered.
     pub(crate) last_event: Option<String>,
-    /// Number of resumptions that brought an event.
+    /// Number of targets that were to go on with the stream.
     pub(crate) resumptions: u32,
     pub(crate) outcome: StreamOutcome,
     pub(crate) started: Instant,
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -4,8 +4,8 @@
 
 use rstest::rstest;
 use shallotdrum_gateway::{
-    EntryCount, EventSplitter, EventTooLong, FallbackSelector, MAX_EVENT_BYTES, RequestProgress,
-    RetryAllowance, RetryBudget, RetryDecision, SendFailure, decide_retry,
+    EntryCount, EventOrder, EventSplitter, EventTooLong, FallbackSelector, MAX_EVENT_BYTES,
+    RequestProgress, RetryAllowance, RetryBudget, RetryDecision, SendFailure, decide_retry,
 };
 use shallotdrum_routes::RetryPolicy;
 use shallotdrum_types::{AdapterRef, PoolId, TargetId};
@@ -187,8 +187,10 @@
     let mut splitter = EventSplitter::default();
     let output: Vec<u8> =
         parts.iter().filter_map(|part| splitter.push(part.as_bytes()).unwrap()).flatten().collect();
-    assert_eq!(String::from_utf8(output).unwrap(), expected);
-    assert_eq!(splitter.last_id(), last);
+    assert_eq!(String::from_utf8(output.clone()).unwrap(), expected);
+    let mut order = EventOrder::new(None);
+    assert_eq!(order.admit(&output.into()), (expected.to_owned().into(), Ok(())));
+    assert_eq!(order.resume_after(), Ok(last));
     assert_eq!(splitter.has_pending(), has_pending);
 }
 
@@ -206,7 +208,9 @@
                 .flatten()
                 .collect();
             assert_eq!(output, stream.as_bytes(), "cut at {first} and {second}");
-            assert_eq!(splitter.last_id(), Some("3"));
+            let mut order = EventOrder::new(None);
+            assert_eq!(order.admit(&output.into()), (stream.into(), Ok(())));
+            assert_eq!(order.resume_after(), Ok(Some("3")));
         }
     }
 }
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -167,7 +167,7 @@
         TARGET_DECLINED = "N0416", Info, "target refused a request without running it", "none, unless it repeats for one target";
         SEND_FAILED = "N0418", Info, "request got no response from a target", "check the target if it repeats; a fingerprint that repeats is one request, sent again";
         STREAM_INTERRUPTED = "N0417", Info, "stream from a target was interrupted", "check the target if it repeats";
-        RESUMPTION_REFUSED = "N0431", Info, "response is not the rest of the stream that it was asked for", "check the target if it repeats";
+        RESUMPTION_REFUSED = "N0431", Info, "target sent what does not go on with its stream", "check the target if it repeats";
         STREAM_ENDED = "N0430", Info, "relayed stream ended", "none for a complete one; for others see the events of the request before it";
         TARGET_LIMIT_NAMED = "N0419", Info, "target named another limit on its requests, or none", "none; see the events of its group's owner";
         TARGET_LIMIT_MALFORMED = "N0420", Warning, "target named a limit that is not a decimal number; ignored", "correct the target";
