Do not resume a stream whose position is unknown

Where the last delivered event has no id, a stream was resumed after the last one that had, or from its beginning, so that callers got events twice. Other targets' events can be compared only with numbers, so that a stream whose last id is none could be joined anywhere.

Such a stream is broken off visibly now; its caller may take it up.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -316,9 +316,7 @@
         if run.route.repeat != (RetryPolicy::Stream { is_resumable: true }) {
             return None;
         }
-        if let Ok(Some(after)) = order.resume_after() {
-            run.resume_after = Some(after.to_owned());
-        }
+        run.resume_after = order.resume_after().ok()?.map(str::to_owned);
         match self.may_resend(run, SendFailure::Unknown).await {
             true => self.resume(run, began_with).await,
             false => None,
