Check that a stream which a caller takes up goes on after its last event

A caller that sends Last-Event-Id could get a complete response without an event, or the events that it has, and take the stream as complete. Events are now checked against the id that the caller names.

By how much ids may increase after the one that a caller names is not known, so that missing events at that place are not seen.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -79,7 +79,7 @@
         run: &mut RequestRun,
         head: Parts,
     ) -> Result<GatewayResponse, RequestError> {
-        let mut order = EventOrder::new(None);
+        let mut order = EventOrder::new(run.resume_after.as_deref());
         let (first, refused) = match self.first_events(run, &mut order).await {
             Ok(first) => first,
             Err(Interruption::TimedOut) => return Err(target_timed_out()),
