Write departures of unknown targets only once all instances decide them alike

During an upgrade, replicas of an earlier release give RemoveTarget with incarnation 0 no effect and remember no process that was removed for its silence. A late status report would then register the target again at them and not at replicas of this release, whose states differ from there on.

The command belongs to format 3 of the log now, and the memory is kept from that format on. Until then a replica acknowledges the departure of a target that it does not know, as earlier releases do.

--- a/crates/control/src/format.rs
+++ b/crates/control/src/format.rs
@@ -9,7 +9,7 @@
 //! Architecture Invariant: a command whose `Command::format` exceeds the agreed format is never
 //! appended to the log.
 
-use shallotdrum_types::ControlFormat;
+use shallotdrum_types::{ControlFormat, Incarnation};
 
 use crate::Command;
 
@@ -19,14 +19,20 @@
 /// Format from which all instances that own groups take reports of targets themselves.
 pub const DIRECT_REPORTS_FORMAT: ControlFormat = ControlFormat(2);
 
+/// Format from which the log decides about departures of targets that their sender does not know.
+pub const UNKNOWN_DEPARTURES_FORMAT: ControlFormat = ControlFormat(3);
+
 /// Newest format that this release reads and writes.
-pub const NEWEST_FORMAT: ControlFormat = ControlFormat(2);
+pub const NEWEST_FORMAT: ControlFormat = ControlFormat(3);
 
 impl Command {
     /// Lowest format that includes this command.
     pub fn format(&self) -> ControlFormat {
         match self {
             Self::ReportLinks { .. } => ControlFormat(2),
+            Self::RemoveTarget { incarnation: Incarnation(0), is_leaving: true, .. } => {
+                UNKNOWN_DEPARTURES_FORMAT
+            }
             Self::RaiseFormat { format } => *format,
             _ => INITIAL_FORMAT,
         }
--- a/crates/control/src/state/groups.rs
+++ b/crates/control/src/state/groups.rs
@@ -256,11 +256,14 @@
         }
     }
 
+    /// Removes a target; `remembers_silent` keeps in mind which process was removed for its silence, so
+    /// that it may still leave.
     pub(crate) fn remove(
         &mut self,
         id: &TargetId,
         incarnation: Incarnation,
         is_leaving: bool,
+        remembers_silent: bool,
     ) -> Result<(), CommandError> {
         if is_leaving {
             let removed = match self.targets.contains_key(id) {
@@ -286,7 +289,7 @@
             true => &mut self.removed_draining,
             false => &mut self.removed_silent,
         };
-        if !is_leaving {
+        if !is_leaving && (is_draining || remembers_silent) {
             removed.push_back((id.clone(), current));
             if removed.len() > MAX_LEFT_TARGETS {
                 removed.pop_front();
--- a/crates/control/src/state/mod.rs
+++ b/crates/control/src/state/mod.rs
@@ -28,7 +28,10 @@
     SubmissionId, SubscriberId, TargetId,
 };
 
-use crate::{CallKey, Command, CommandError, Reply, TimedCommand, format::INITIAL_FORMAT};
+use crate::{
+    CallKey, Command, CommandError, Reply, TimedCommand,
+    format::{INITIAL_FORMAT, UNKNOWN_DEPARTURES_FORMAT},
+};
 use {
     groups::Groups,
     ledger::Ledger,
@@ -461,7 +464,10 @@
                 registered.map(Reply::TargetRegistered)
             }
             Command::RemoveTarget { target, incarnation, is_leaving } => {
-                let remove = |groups: &mut Groups| groups.remove(&target, incarnation, is_leaving);
+                let remembers_silent = self.format.0 >= UNKNOWN_DEPARTURES_FORMAT;
+                let remove = |groups: &mut Groups| {
+                    groups.remove(&target, incarnation, is_leaving, remembers_silent)
+                };
                 self.software.record_ends(&mut self.groups, now, remove).map(done)
             }
             Command::DrainTarget { target, drain } => self.groups.drain(target, drain).map(done),
--- a/crates/control/tests/ownership.rs
+++ b/crates/control/tests/ownership.rs
@@ -6,7 +6,7 @@
 use rstest::rstest;
 use shallotdrum_control::{
     AnnouncedTarget, Command, CommandError, GroupKind, Handover, LOST_OWNER_SETTLE_MS,
-    MAX_GROUP_TARGETS, Reply, SOFTWARE_MEMORY_MS,
+    MAX_GROUP_TARGETS, NEWEST_FORMAT, Reply, SOFTWARE_MEMORY_MS,
 };
 use shallotdrum_types::{GroupId, Incarnation, SessionId, TargetId};
 
@@ -214,6 +214,7 @@
         incarnation: Incarnation(incarnation),
         is_leaving,
     };
+    log.apply(Command::RaiseFormat { format: NEWEST_FORMAT });
     log.register(engine("e1", 7));
     log.apply(Command::DrainTarget { target: target.clone(), drain: was_draining });
     log.apply(remove(7, false));
--- a/crates/control/tests/upgrade.rs
+++ b/crates/control/tests/upgrade.rs
@@ -16,9 +16,11 @@
 use shallotdrum_consensus::StateMachine;
 use shallotdrum_control::{
     Command, CommandError, ControlState, ControlView, DecodeError, INITIAL_FORMAT, LeaderState,
-    NEWEST_FORMAT, Reply, TimedCommand,
+    NEWEST_FORMAT, Reply, TimedCommand, UNKNOWN_DEPARTURES_FORMAT,
+};
+use shallotdrum_types::{
+    ControlFormat, ControlTimeMs, Incarnation, Revision, SessionId, TargetId, Term,
 };
-use shallotdrum_types::{ControlFormat, ControlTimeMs, Revision, SessionId, Term};
 
 /// Time within which the log is raised once all instances can read a newer format. Longer than the
 /// restart of an instance.
@@ -137,7 +139,8 @@
     for command in samples.chain([report.clone(), Command::RaiseFormat { format: NEWEST_FORMAT }]) {
         assert_eq!(log.state.allows(&command).is_ok(), is_known_at_f07eb35(&command));
     }
-    let refused = CommandError::FormatNotAgreed { needed: NEWEST_FORMAT, agreed: INITIAL_FORMAT };
+    let needed = report.format();
+    let refused = CommandError::FormatNotAgreed { needed, agreed: INITIAL_FORMAT };
     assert_eq!(log.state.allows(&report), Err(refused));
     assert_eq!(log.apply(Command::RaiseFormat { format: NEWEST_FORMAT }), Reply::Done);
     assert_eq!(log.state.allows(&report), Ok(()));
@@ -147,6 +150,28 @@
     assert_eq!(restored.format(), NEWEST_FORMAT);
 }
 
+/// Guards against replicas that differ on whether a target has left: those of earlier releases do not keep
+/// in mind which processes were removed for their silence.
+#[test]
+fn unknown_departure_in_log_of_earlier_release() {
+    let target: TargetId = "e1".parse().unwrap();
+    let remove = |incarnation, is_leaving| Command::RemoveTarget {
+        target: target.clone(),
+        incarnation: Incarnation(incarnation),
+        is_leaving,
+    };
+    let mut log = Log::default();
+    log.register(common::engine("e1", 7));
+    log.apply(remove(7, false));
+    let needed = UNKNOWN_DEPARTURES_FORMAT;
+    let refused = CommandError::FormatNotAgreed { needed, agreed: INITIAL_FORMAT };
+    assert_eq!(log.state.allows(&remove(0, true)), Err(refused));
+    log.apply(Command::RaiseFormat { format: NEWEST_FORMAT });
+    // A replica that was upgraded after the removal knows nothing of it, so no other one may.
+    assert_eq!(log.apply(remove(0, true)), Reply::Done);
+    log.register(common::engine("e1", 7));
+}
+
 /// Rolling upgrade of a replica and two entries, seen by a leader of this release.
 struct Upgrade {
     log: Log,
