--- a/crates/entry/tests/entry/close_delimited.rs
+++ b/crates/entry/tests/entry/close_delimited.rs
@@ -91,3 +91,38 @@
     let ended = tokio::time::timeout(TEST_TIMEOUT, stream.read_to_end(&mut Vec::new())).await;
     assert!(ended.unwrap().is_err(), "the connection was closed regularly");
 }
+
+/// Guards against a stream that looks complete to a caller that announces the end of its connection, or has
+/// sent its next request already.
+#[rstest]
+#[case::complete(vec![chunk(0, "one "), end(1)], true)]
+#[case::broken_off(vec![chunk(0, "one "), failure()], false)]
+#[tokio::test]
+async fn stream_over_http_1_1(
+    #[case] steps: Vec<Step>,
+    #[case] is_complete: bool,
+    #[values("close", "keep-alive")] connection: &str,
+) {
+    let fixture = Fixture::start().await;
+    fixture.owner.script(steps);
+    let mut stream = TcpStream::connect(fixture.entry.local_addr()).await.unwrap();
+    let body = completion_body(&json!({"stream": true}));
+    let head = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {KEY}\r\n\
+         connection: {connection}\r\ncontent-length: {}\r\n\r\n",
+        body.len()
+    );
+    let next = "GET /healthz HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
+    stream.write_all(&[head.as_bytes(), &body, next.as_bytes()].concat()).await.unwrap();
+    let mut bytes = Vec::new();
+    // The connection may be reset, since the next request is not read.
+    let _ = tokio::time::timeout(TEST_TIMEOUT, stream.read_to_end(&mut bytes)).await.unwrap();
+    let text = String::from_utf8(bytes).unwrap();
+    assert_eq!(text.contains("\r\n0\r\n\r\n"), is_complete, "{text}");
+    let is_next_answered = is_complete && connection == "keep-alive";
+    assert_eq!(
+        text.matches("HTTP/1.1 200 OK").count(),
+        1 + usize::from(is_next_answered),
+        "{text}"
+    );
+}
