--- a/crates/consensus/src/node/core.rs
+++ b/crates/consensus/src/node/core.rs
@@ -38,6 +38,8 @@
     /// Configurations with the indexes of their entries; the last one is in force.
     configurations: Vec<(LogIndex, Membership)>,
     pub(super) snapshot: Option<Arc<Snapshot>>,
+    /// A snapshot of the own state is being written to disk.
+    pub(super) is_taking_snapshot: bool,
     /// Received snapshot that is not yet restored to the state machine.
     pub(super) pending_restore: Option<Arc<Snapshot>>,
     /// Snapshot that is being received.
@@ -120,6 +122,7 @@
             configurations: snapshot.iter().map(|s| (s.index, s.membership.clone())).collect(),
             log: opened.log,
             snapshot,
+            is_taking_snapshot: false,
             pending_restore: None,
             incoming: None,
             pending_proposals: BTreeMap::new(),
--- a/crates/consensus/src/node/snapshots.rs
+++ b/crates/consensus/src/node/snapshots.rs
@@ -17,39 +17,55 @@
 
 impl<S: StateMachine> Shared<S> {
     /// Takes a snapshot if `snapshot_every` entries were applied since the last one.
+    ///
+    /// Returns once the state is encoded. The file is written in a separate task, because the apply task
+    /// must not wait for a disk that hangs: the others make entries durable meanwhile.
     pub(super) async fn compact_if_due(self: &Arc<Self>) {
         {
-            let core = self.core();
+            let mut core = self.core();
             let newest = core.snapshot.as_ref().map_or(0, |s| s.index.0);
             let is_due = core.applied.0.saturating_sub(newest) >= self.cfg.snapshot_every;
-            if !is_due || core.pending_restore.is_some() {
+            if !is_due || core.pending_restore.is_some() || core.is_taking_snapshot {
                 return;
             }
+            core.is_taking_snapshot = true;
         }
         let shared = self.clone();
-        let task = tokio::task::spawn_blocking(move || {
-            // The state machine doesn't change here: only the apply task modifies it, and that
-            // waits for this one.
-            let (index, position) = {
-                let core = shared.core();
-                let position = core.log.term(core.applied);
-                (core.applied, position.zip(core.membership_at(core.applied).cloned()))
-            };
-            let Some((term, membership)) = position else { return };
-            let machine = shared.machine.read().unwrap_or_else(PoisonError::into_inner);
-            let data = Bytes::from(machine.snapshot());
-            drop(machine);
-            let snapshot = Snapshot { index, term, membership, data };
-            if !shared.store(&snapshot) {
-                return;
-            }
-            let mut core = shared.core();
-            if !core.is_stopped && core.snapshot.as_ref().is_none_or(|s| s.index < index) {
-                shared.adopt(&mut core, snapshot);
-            }
-        });
-        if task.await.is_err() {
-            self.fail(FatalError::Panicked { task: "snapshot" });
+        // The state machine doesn't change here: only the apply task modifies it, and that waits for
+        // this one.
+        let encoded = tokio::task::spawn_blocking(move || shared.encode_state());
+        match encoded.await {
+            Ok(Some(snapshot)) => self.spawn("snapshot", self.clone().take(snapshot)),
+            Ok(None) => self.core().is_taking_snapshot = false,
+            Err(_) => self.fail(FatalError::Panicked { task: "snapshot" }),
+        }
+    }
+
+    /// Encodes the state machine as of the last applied entry.
+    fn encode_state(&self) -> Option<Snapshot> {
+        let (index, term, membership) = {
+            let core = self.core();
+            let index = core.applied;
+            (index, core.log.term(index)?, core.membership_at(index).cloned()?)
+        };
+        let machine = self.machine.read().unwrap_or_else(PoisonError::into_inner);
+        Some(Snapshot { index, term, membership, data: Bytes::from(machine.snapshot()) })
+    }
+
+    /// Writes a snapshot of the own state to disk, and compacts the log up to it.
+    async fn take(self: Arc<Self>, snapshot: Snapshot) {
+        let shared = self.clone();
+        let stored =
+            tokio::task::spawn_blocking(move || shared.store(&snapshot).then_some(snapshot));
+        let Ok(stored) = stored.await else {
+            return self.fail(FatalError::Panicked { task: "snapshot" });
+        };
+        let mut core = self.core();
+        core.is_taking_snapshot = false;
+        let Some(snapshot) = stored else { return };
+        // A snapshot of the leader may have arrived meanwhile.
+        if !core.is_stopped && core.snapshot.as_ref().is_none_or(|s| s.index < snapshot.index) {
+            self.adopt(&mut core, snapshot);
         }
     }
 
--- a/crates/consensus/tests/disk.rs
+++ b/crates/consensus/tests/disk.rs
@@ -2,7 +2,11 @@
 
 mod harness;
 
-use std::{fs, sync::atomic::Ordering, time::Instant};
+use std::{
+    fs,
+    sync::atomic::Ordering,
+    time::{Duration, Instant},
+};
 
 use harness::{Cluster, command_names, id, wait_until, with_timeout};
 use rstest::rstest;
@@ -186,6 +190,37 @@
     cluster.propose("d-0").await;
 }
 
+/// Guards against a leader that applies nothing while its disk hangs, although the others' disks make its
+/// commands durable: it would neither acknowledge nor show a change that others already serve.
+#[rstest]
+#[case::between_snapshots(10_000)]
+#[case::during_snapshot(5)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn hanging_disk_holds_up_no_commands(#[case] snapshot_every: u64) {
+    /// Time within which a change must be acknowledged, `ack_ms` of the platform.
+    const ACK_LIMIT: Duration = Duration::from_secs(4);
+
+    let mut cluster = Cluster::new(3);
+    (cluster.snapshot_every, cluster.retain_entries) = (snapshot_every, 2);
+    cluster.start_all().await;
+    cluster.propose("start").await;
+    cluster.check_converged(&["start".to_owned()]).await;
+    let leader = cluster.leader().await;
+    let node = cluster.nodes[&leader].clone();
+    let hang = 2 * ACK_LIMIT.as_millis() as u64;
+    cluster.disks[&leader].delay_ms.store(hang, Ordering::Relaxed);
+    let mut slowest = Duration::ZERO;
+    for name in command_names("a", 20) {
+        let proposed = Instant::now();
+        with_timeout(node.propose(name)).await.unwrap();
+        slowest = slowest.max(proposed.elapsed());
+    }
+    println!("slowest acknowledgement {slowest:?}");
+    assert!(slowest < ACK_LIMIT, "{slowest:?}");
+    cluster.disks[&leader].delay_ms.store(0, Ordering::Relaxed);
+    cluster.check_converged(&command_names("a", 20)).await;
+}
+
 /// Guards against one sync per proposal, which would limit throughput to the disk's sync rate.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn concurrent_proposals_share_syncs() {
