Log what a departure and each request to a target relied on

The record of requests that reached a target after its departure could not tell apart an entry with an old state, an owner with one, and an acknowledgement by an instance that knew less than the log.

- T0619, once for each departure: the process, whether the owner was told at once, the index of this instance.
- N0411 (request sent): who granted the place, the index of the entry's state, and its session if the lease is valid.
O0315 (place granted): the index of the owner's state.
- K0202 (session expired): for how long it was overdue.

The owner's reply is not waited for longer than before, and nothing is logged more often.

--- a/crates/control/src/leader/sessions.rs
+++ b/crates/control/src/leader/sessions.rs
@@ -106,6 +106,11 @@
         expired.map(|(session, _)| *session).collect()
     }
 
+    /// Time since the lease of a session ended.
+    pub fn overdue(&self, session: SessionId, now: Instant) -> Option<Duration> {
+        now.checked_duration_since(self.leases.get(&session)?.deadline)
+    }
+
     /// Sessions whose lease has not expired.
     pub fn live(&self, now: Instant) -> BTreeSet<SessionId> {
         let is_live = |lease: &Lease| !lease.is_expired && lease.deadline > now;
--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -264,6 +264,7 @@
             peers,
             owner: owner.clone(),
             session: session.clone(),
+            log: log.clone(),
         };
         let front_end = FrontEndContext {
             view: view.clone(),
--- a/crates/daemon/src/replica.rs
+++ b/crates/daemon/src/replica.rs
@@ -411,7 +411,13 @@
     async fn write_command(&self, command: Command) {
         let Ok(at) = self.control_time() else { return };
         if let Command::EndSession { session } = command {
-            event!(self.log, SESSION_EXPIRED; "session" => session.0);
+            // Much more than the interval of the leader's tasks if the leader itself stood still.
+            let overdue = self
+                .leader()
+                .as_ref()
+                .and_then(|leader| leader.leader_state.sessions().overdue(session, Instant::now()));
+            event!(self.log, SESSION_EXPIRED; "session" => session.0,
+                "overdue_ms" => overdue.map(|overdue| overdue.as_millis() as u64));
         }
         if let Command::RaiseFormat { format } = command {
             let agreed = self.view.read(|state| state.format());
--- a/crates/daemon/src/targets.rs
+++ b/crates/daemon/src/targets.rs
@@ -6,6 +6,7 @@
 use shallotdrum_engine::{Announcement, CacheEvents};
 use shallotdrum_owner::OwnerService;
 use shallotdrum_rpc::{ControlClient, PeerApiClient, Peers, RpcError};
+use shallotdrum_telemetry::event;
 use shallotdrum_types::{Incarnation, RequestError, RequestErrorKind, SessionId, TargetId};
 
 use crate::session::SessionManager;
@@ -21,6 +22,16 @@
     pub(crate) peers: Peers,
     pub(crate) owner: Arc<OwnerService>,
     pub(crate) session: Arc<SessionManager>,
+    pub(crate) log: slog::Logger,
+}
+
+/// Whether the owner of a target's group was told at once that the target leaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Notice {
+    NoOwner,
+    Told,
+    /// The owner learns it from the control log.
+    Failed,
 }
 
 /// Where the owner of a target's group runs.
@@ -62,7 +73,7 @@
     pub(crate) async fn drain(&self, announcement: Announcement) -> Result<(), RequestError> {
         let announced = announced_target(&announcement);
         let Announcement { target, incarnation, .. } = announcement;
-        self.notify_owner(&target, incarnation).await;
+        let notice = self.notify_owner(&target, incarnation).await;
         let registered = self.view.read(|state| {
             let registered = state.target(&target)?;
             (registered.announced.incarnation == incarnation).then_some(registered.draining)
@@ -73,7 +84,9 @@
         if registered == Some(true) {
             return Ok(());
         }
-        self.propose(Command::DrainTarget { target, drain: true }).await
+        self.propose(Command::DrainTarget { target: target.clone(), drain: true }).await?;
+        self.log_confirmed(&target, incarnation, "draining", notice);
+        Ok(())
     }
 
     /// Stops new requests to a target, then removes it.
@@ -82,25 +95,43 @@
         target: TargetId,
         incarnation: Incarnation,
     ) -> Result<(), RequestError> {
-        self.notify_owner(&target, incarnation).await;
-        self.propose(Command::RemoveTarget { target, incarnation, is_leaving: true }).await
+        let notice = self.notify_owner(&target, incarnation).await;
+        let remove =
+            Command::RemoveTarget { target: target.clone(), incarnation, is_leaving: true };
+        self.propose(remove).await?;
+        self.log_confirmed(&target, incarnation, "left", notice);
+        Ok(())
+    }
+
+    /// Logs that a departure is about to be acknowledged.
+    fn log_confirmed(
+        &self,
+        target: &TargetId,
+        incarnation: Incarnation,
+        departure: &'static str,
+        notice: Notice,
+    ) {
+        event!(self.log, DEPARTURE_CONFIRMED; "target" => %target, "incarnation" => incarnation.0,
+            "departure" => departure, "owner" => ?notice, "index" => self.view.applied().0);
     }
 
     /// Notifies the owner directly that a target accepts no new requests.
-    async fn notify_owner(&self, target: &TargetId, incarnation: Incarnation) {
-        match self.owner_of(target) {
-            Owner::None => {}
-            Owner::Local => {
-                let _ = self.owner.leave(target, incarnation);
-            }
-            // If the call fails, the command that the caller proposes informs the owner.
-            Owner::Remote(addr) => {
-                if let Ok(client) = self.peers.get(addr) {
+    ///
+    /// If that fails, the command that the caller proposes informs the owner.
+    async fn notify_owner(&self, target: &TargetId, incarnation: Incarnation) -> Notice {
+        let is_told = match self.owner_of(target) {
+            Owner::None => return Notice::NoOwner,
+            Owner::Local => self.owner.leave(target, incarnation).is_ok(),
+            Owner::Remote(addr) => match self.peers.get(addr) {
+                Ok(client) => {
                     let notified = client.target_leave(target.clone(), incarnation);
-                    let _ = tokio::time::timeout(NOTIFY_TIMEOUT, notified).await;
+                    let told = tokio::time::timeout(NOTIFY_TIMEOUT, notified).await;
+                    matches!(told, Ok(Ok(())))
                 }
-            }
-        }
+                Err(_) => false,
+            },
+        };
+        if is_told { Notice::Told } else { Notice::Failed }
     }
 
     /// Relays cache events to the owner; later events compensate for lost ones.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -433,7 +433,8 @@
             "caller" => run.req.caller.map(|caller| caller.to_string()),
             "prompt" => run.req.generation.as_ref().map(Generation::part_ids), "route" => &run.route.name,
             "revision" => run.revision.0, "version" => dispatch.version.as_ref().map(ToString::to_string),
-            "target" => %granted.target,
+            "target" => %granted.target, "granted_by" => place.granted_by(),
+            "index" => self.cx.view.applied().0, "session" => (self.cx.session)().map(|session| session.0),
             "software" => granted.software.as_ref().map(ToString::to_string),
             "resumes" => run.req.resumes.as_ref().map(ToString::to_string), "send" => run.sends + 1, "left_ms" => left.as_millis() as u64);
         let target = granted.target.clone();
--- a/crates/gateway/src/places.rs
+++ b/crates/gateway/src/places.rs
@@ -104,6 +104,15 @@
 }
 
 impl Place {
+    /// Who granted the place, for log lines: the owner's address, or none.
+    pub(crate) fn granted_by(&self) -> String {
+        match &self.guard.granted_by {
+            GrantedBy::This { .. } => "this instance".to_owned(),
+            GrantedBy::Other { addr, .. } => addr.to_string(),
+            GrantedBy::NoOwner { .. } => "no owner".to_owned(),
+        }
+    }
+
     /// Records that the request is being sent.
     pub(crate) fn record_send(&mut self) {
         self.guard.sent_at = Some(Instant::now());
--- a/crates/owner/src/places.rs
+++ b/crates/owner/src/places.rs
@@ -149,6 +149,7 @@
         self.streams.record_grant(&request, granted.software.as_ref());
         event!(self.cx.log, PLACE_GRANTED; "request" => %request, "target" => %granted.target,
             "software" => granted.software.as_ref().map(ToString::to_string), "group" => %group, "epoch" => owned.epoch.0,
+            "index" => self.cx.view.applied().0,
             "waited_ms" => lease.queue_wait.as_millis() as u64,
             "stall_ms" => lease.load_stall.as_millis() as u64);
         let unclaimed = match self.places.lock().get_mut(&key) {
