Do not wait for a connection whose target left a body unread

What callers saw: nothing yet; found with a target that answers before it has read a long body, keeps the connection and reads on later. The next request that the entry sends on that connection waits until its deadline, and then counts as possibly run.

Cause: hyper takes the next request only when the body of the one before is flushed, and after that flush its task is not woken for the request. Waiting for an idle connection to be ready had no limit but the request's deadline. Such a task also stayed, with its connection, after the gateway had dropped its end.

An idle connection that is not ready within 10 ms is dropped and the next one, or a new one, is used; dropping a connection ends its task, so that it closes at once. The rest of the body is cut then, and nothing else takes its place.

Evidence: crates/gateway/tests/connections.rs, early_response_does_not_hold_next_request (body of 4 MiB): before, the request did not end within the 500 ms of the test (and not within 590 s in a first form of the test, in which the target read the whole body 50 ms later); with the limit alone, the first connection was still open after 190 s; after, the test passes in 0.1 s.

--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -26,7 +26,10 @@
 };
 use shallotdrum_links::{ConnectError, LinkStatus, LinkStream, Links};
 use shallotdrum_types::RequestId;
-use tokio::time::Instant;
+use tokio::{
+    task::AbortHandle,
+    time::{Instant, timeout},
+};
 
 /// Maximum number of idle connections per target.
 const MAX_IDLE: usize = 24;
@@ -42,6 +45,10 @@
 /// 8 KB, as much as the read buffer of the connection takes.
 const MAX_REQUESTS: usize = 1024;
 
+/// Maximum wait until an idle connection takes a request. Its task gets there in microseconds, unless
+/// the target responded to the request before without reading its whole body.
+const READY_TIMEOUT: Duration = Duration::from_millis(10);
+
 /// Time for which each connection to a target carries a single request, after a response that named
 /// no request or another one, or bytes that are no response. A target in trouble goes on to send them;
 /// this way, they cost no further request in that time.
@@ -73,12 +80,23 @@
 
 struct OpenConnection {
     sender: SendRequest<Full<Bytes>>,
+    _task: ConnectionTask,
     /// Whether it does not go through another instance.
     is_direct: bool,
     /// Hashes of the ids of the requests that it has carried.
     carried: Vec<u64>,
 }
 
+/// Task of a connection; dropping it closes the connection. By itself, the task goes on while the target
+/// leaves a part of a request unread.
+struct ConnectionTask(AbortHandle);
+
+impl Drop for ConnectionTask {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
 /// Why a request got no response.
 #[derive(Debug, thiserror::Error)]
 pub enum SendError {
@@ -119,7 +137,7 @@
 ///
 /// Responses to different calls on it can't be told apart.
 pub struct ExclusiveConnection {
-    sender: Option<SendRequest<Full<Bytes>>>,
+    open: Option<OpenConnection>,
     addr: SocketAddr,
     links: Links,
 }
@@ -157,7 +175,7 @@
         }
         let mut request = request;
         while let Some(mut open) = self.take_idle(addr, id) {
-            if open.sender.ready().await.is_err() {
+            if !matches!(timeout(READY_TIMEOUT, open.sender.ready()).await, Ok(Ok(()))) {
                 continue;
             }
             match self.send_on(addr, open, id, request).await {
@@ -168,14 +186,13 @@
             }
         }
         let stream = self.links.connect(addr, id.as_str()).await;
-        let (sender, is_direct) = open(stream).await.map_err(SendError::NotSent)?;
-        let open = OpenConnection { sender, is_direct, carried: Vec::new() };
+        let open = open(stream).await.map_err(SendError::NotSent)?;
         self.send_on(addr, open, id, request).await.map_err(SendError::from)
     }
 
     /// Returns a connection for calls without an id. It never goes through another instance.
     pub fn exclusive(&self, addr: SocketAddr) -> ExclusiveConnection {
-        ExclusiveConnection { sender: None, addr, links: self.links.clone() }
+        ExclusiveConnection { open: None, addr, links: self.links.clone() }
     }
 
     async fn send_on(
@@ -186,7 +203,7 @@
         request: Request<Full<Bytes>>,
     ) -> Result<(Connection, Response<Incoming>), SendFailed> {
         open.carried.push(self.hash(id));
-        let sent = send(&self.links, addr, &mut open.sender, open.is_direct, request).await;
+        let sent = send(&self.links, addr, &mut open, request).await;
         if sent.as_ref().is_err_and(|failed| failed.is_unreadable) {
             self.record_unattributed(addr);
         }
@@ -307,33 +324,29 @@
         max_bytes: usize,
     ) -> Result<(StatusCode, Bytes), SendError> {
         // Without a complete response, the connection is closed.
-        let (sender, response) = match self.sender.take() {
+        let (open, response) = match self.open.take() {
             None => self.send_on_new(request).await?,
-            Some(mut sender) => {
-                match send(&self.links, self.addr, &mut sender, true, request).await {
-                    Ok(response) => (sender, response),
-                    Err(SendFailed { unsent: Some(unsent), .. }) => {
-                        self.send_on_new(unsent).await?
-                    }
-                    Err(failed) => return Err(failed.into()),
-                }
-            }
+            Some(mut open) => match send(&self.links, self.addr, &mut open, request).await {
+                Ok(response) => (open, response),
+                Err(SendFailed { unsent: Some(unsent), .. }) => self.send_on_new(unsent).await?,
+                Err(failed) => return Err(failed.into()),
+            },
         };
         let (parts, body) = response.into_parts();
         let body = Limited::new(body, max_bytes).collect().await;
         let body = body.map_err(|e| SendError::Unknown(e.to_string()))?.to_bytes();
-        self.sender = Some(sender);
+        self.open = Some(open);
         Ok((parts.status, body))
     }
 
     async fn send_on_new(
         &self,
         request: Request<Full<Bytes>>,
-    ) -> Result<(SendRequest<Full<Bytes>>, Response<Incoming>), SendError> {
+    ) -> Result<(OpenConnection, Response<Incoming>), SendError> {
         let stream = self.links.connect_without_detour(self.addr).await;
-        let (mut sender, _) = open(stream).await.map_err(SendError::NotSent)?;
-        let response = send(&self.links, self.addr, &mut sender, true, request).await?;
-        Ok((sender, response))
+        let mut open = open(stream).await.map_err(SendError::NotSent)?;
+        let response = send(&self.links, self.addr, &mut open, request).await?;
+        Ok((open, response))
     }
 }
 
@@ -359,20 +372,19 @@
 async fn send(
     links: &Links,
     addr: SocketAddr,
-    sender: &mut SendRequest<Full<Bytes>>,
-    is_direct: bool,
+    open: &mut OpenConnection,
     request: Request<Full<Bytes>>,
 ) -> Result<Response<Incoming>, SendFailed> {
     let sent = tokio::select! {
-        sent = sender.try_send_request(request) => sent,
-        () = links.lost(addr), if is_direct => {
+        sent = open.sender.try_send_request(request) => sent,
+        () = links.lost(addr), if open.is_direct => {
             let error = LINK_LOST.to_owned();
             return Err(SendFailed { error, unsent: None, is_unreadable: false });
         }
     };
     match sent {
         Ok(response) => {
-            if is_direct {
+            if open.is_direct {
                 links.record_heard(addr);
             }
             Ok(response)
@@ -385,16 +397,14 @@
     }
 }
 
-/// Starts HTTP on a connection; returns whether it is a direct one.
-async fn open(
-    stream: Result<LinkStream, ConnectError>,
-) -> Result<(SendRequest<Full<Bytes>>, bool), String> {
+/// Starts HTTP on a connection.
+async fn open(stream: Result<LinkStream, ConnectError>) -> Result<OpenConnection, String> {
     let stream = stream.map_err(|e| e.to_string())?;
     let is_direct = stream.through().is_none();
     let (sender, connection) = http1::handshake(stream).await.map_err(|e| e.to_string())?;
     // The request in progress reports an error itself; an idle connection is just dropped.
-    tokio::spawn(connection);
-    Ok((sender, is_direct))
+    let task = ConnectionTask(tokio::spawn(connection).abort_handle());
+    Ok(OpenConnection { sender, _task: task, is_direct, carried: Vec::new() })
 }
 
 /// Returns the `Keep-Alive` timeout of a response, less a margin.
--- a/crates/gateway/tests/connections.rs
+++ b/crates/gateway/tests/connections.rs
@@ -6,6 +6,7 @@
         Arc,
         atomic::{AtomicUsize, Ordering},
     },
+    time::Duration,
 };
 
 use bytes::Bytes;
@@ -18,6 +19,8 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
+    sync::oneshot,
+    time::timeout,
 };
 
 const ID_HEADER: &str = "x-id";
@@ -174,3 +177,58 @@
         assert_eq!(target.connections(), n + 3);
     }
 }
+
+/// Reads a request up to the end of its headers; returns what follows them.
+async fn read_head(stream: &mut TcpStream) -> (String, Vec<u8>) {
+    let mut buf = Vec::new();
+    loop {
+        assert_ne!(stream.read_buf(&mut buf).await.unwrap(), 0, "no request");
+        if let Some(end) = buf.windows(4).position(|window| window == b"\r\n\r\n") {
+            let body = buf.split_off(end + 4);
+            return (String::from_utf8(buf).unwrap(), body);
+        }
+    }
+}
+
+fn response_to(id: &str) -> String {
+    format!("HTTP/1.1 200 OK\r\nx-id: {id}\r\ncontent-length: 2\r\n\r\nok")
+}
+
+/// Guards against a request that waits without end on a connection whose target responded to the one
+/// before without reading its body, and against other bytes where the rest of that body is due.
+#[tokio::test]
+async fn early_response_does_not_hold_next_request() {
+    const BODY: usize = 4 * 1024 * 1024;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    let (read_on, may_read) = oneshot::channel::<()>();
+    let target = tokio::spawn(async move {
+        let (mut first, _) = listener.accept().await.unwrap();
+        let (_, mut body) = read_head(&mut first).await;
+        first.write_all(response_to("a").as_bytes()).await.unwrap();
+        let (mut second, _) = listener.accept().await.unwrap();
+        let (head, _) = read_head(&mut second).await;
+        assert!(head.contains("x-id: b"), "{head}");
+        second.write_all(response_to("b").as_bytes()).await.unwrap();
+        may_read.await.unwrap();
+        first.read_to_end(&mut body).await.unwrap();
+        body
+    });
+    let pool = ConnectionPool::default();
+    let long = Request::post("/").body(Full::new(Bytes::from(vec![b'y'; BODY]))).unwrap();
+    let (mut connection, response) = pool.send(addr, long, &"a".parse().unwrap()).await.unwrap();
+    assert_eq!(connection.check_response(named(&response).as_ref()), Ok(()));
+    response.into_body().collect().await.unwrap();
+    connection.release();
+    let id = "b".parse().unwrap();
+    let next = pool.send(addr, request("b"), &id);
+    // The shortest time that a caller waits.
+    let (mut connection, response) =
+        timeout(Duration::from_millis(500), next).await.expect("the request waits").unwrap();
+    assert_eq!(connection.check_response(named(&response).as_ref()), Ok(()));
+    read_on.send(()).unwrap();
+    drop(pool);
+    let body =
+        timeout(Duration::from_secs(5), target).await.expect("the connection stays").unwrap();
+    assert!(body.len() <= BODY && body.iter().all(|byte| *byte == b'y'));
+}
