Return as a whole what a target responds in place of a stream

On a stream route each 2xx response was relayed as a stream: what a target sent with a length as plain text went on in chunks, looked like a stream to its caller, and was a failure unless a blank line ended it. A response that is no event stream (another content type, an encoding, 204) is now read completely and returned unchanged with its length, so that a part of it can't look complete; in place of the rest of a stream it is refused.

--- a/crates/gateway/src/continuation.rs
+++ b/crates/gateway/src/continuation.rs
@@ -37,7 +37,7 @@
         expected: StatusCode,
     },
     /// The response is no event stream.
-    #[error("its content type is {0:?}, or it is encoded")]
+    #[error("it is no event stream, with content type {0:?}")]
     NoEventStream(String),
     /// The response ended without an event.
     #[error("it ended without an event")]
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -358,11 +358,21 @@
         };
         let status = received.response.status();
         if run.route.repeat.is_stream() && status.is_success() {
-            let (relay, head) = Relay::new(self.clone(), received);
-            return match relay.start(run, head).await {
-                Ok(response) => AttemptOutcome::Answered(response),
-                Err(error) => AttemptOutcome::Failed(SendFailure::Unknown, error),
-            };
+            match check_head(status, status, received.response.headers()) {
+                Ok(()) => {
+                    let (relay, head) = Relay::new(self.clone(), received);
+                    return match relay.start(run, head).await {
+                        Ok(response) => AttemptOutcome::Answered(response),
+                        Err(error) => AttemptOutcome::Failed(SendFailure::Unknown, error),
+                    };
+                }
+                Err(error) if run.resume_after.is_some() => {
+                    let failure = self.refuse_resumption(run, received, &error);
+                    return AttemptOutcome::Failed(failure, target_failed(error));
+                }
+                // What the target responds in place of a stream is returned as a whole.
+                Err(_) => {}
+            }
         }
         let Received { place, running, connection, response } = received;
         let (parts, body) = response.into_parts();
