Stop resuming a stream whose caller has left

While a broken stream waited for a place or for the response of another target, the entry did not notice that its caller had left: the new target stayed at work until the deadline. The wait now ends with the caller, and with it the connection to the target.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -191,7 +191,14 @@
             event!(gateway.cx.log, STREAM_INTERRUPTED; "request" => %run.id(),
                 "fingerprint" => %run.identity.request, "target" => %target,
                 "cause" => &cause, "last_event" => order.last_id());
-            let Some(received) = gateway.resume_stream(&mut run, status, &order).await else {
+            let resumed = tokio::select! {
+                resumed = gateway.resume_stream(&mut run, status, &order) => resumed,
+                () = sender.closed() => {
+                    ended.outcome = StreamOutcome::CallerLeft;
+                    return;
+                }
+            };
+            let Some(received) = resumed else {
                 ended.outcome = StreamOutcome::Broken;
                 return;
             };
