End a stream at its deadline when its caller does not read

The deadline of a stream applied only while the entry read from the target. With full buffers to a caller that does not read, the relaying task, the place and the target stayed busy without a limit. Forwarding now ends at the deadline as well; the stream is broken off, and the target is not blamed.

Before: stalled_caller fails, the engine is at work 0.5 s after the deadline; after: it is not. slow_caller, a caller that reads late with all buffers full, gets the end of a whole stream, and no last chunk of a broken one, in both.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -14,7 +14,7 @@
 use tokio::time::timeout_at;
 
 use crate::{
-    EventSplitter, Gateway, GatewayResponse, StreamBody, StreamSender,
+    CallerLeft, EventSplitter, Gateway, GatewayResponse, StreamBody, StreamSender,
     connections::{Connection, LINK_LOST, response_headers},
     continuation::{ContinuationError, EventOrder},
     crash::{ends_with_connection, is_alive_after_end},
@@ -57,6 +57,8 @@
     /// The target is well, but what it sends does not go on with the stream.
     Refused(ContinuationError),
     TimedOut,
+    /// The caller did not read until the deadline.
+    CallerStalled,
 }
 
 impl Relay {
@@ -82,7 +84,9 @@
         let mut order = EventOrder::new(run.resume_after.as_deref());
         let (first, refused) = match self.first_events(run, &mut order).await {
             Ok(first) => first,
-            Err(Interruption::TimedOut) => return Err(target_timed_out()),
+            Err(Interruption::TimedOut | Interruption::CallerStalled) => {
+                return Err(target_timed_out());
+            }
             Err(Interruption::Broken(cause)) => return Err(self.broken_at_start(run, &cause)),
             Err(Interruption::Refused(error)) => return Err(self.refused_at_start(run, error)),
         };
@@ -242,6 +246,11 @@
                 cause
             }
             Interruption::TimedOut => "the deadline passed".to_owned(),
+            Interruption::CallerStalled => {
+                // Says nothing about the target.
+                place.end(PlaceEnd::Cancelled);
+                return "the caller did not read until the deadline".to_owned();
+            }
         };
         run.avoid.push(target);
         gateway.end_failed(place);
@@ -259,8 +268,12 @@
             while let Some(chunk) = self.next_chunk(run).await? {
                 let Some(events) = self.split(&chunk)? else { continue };
                 let (events, checked) = order.admit(&events);
-                if !events.is_empty() && sender.send(events).await.is_err() {
-                    return Ok(StreamEnd::CallerGone);
+                if !events.is_empty() {
+                    match timeout_at(run.deadline, sender.send(events)).await {
+                        Ok(Ok(())) => {}
+                        Ok(Err(CallerLeft)) => return Ok(StreamEnd::CallerGone),
+                        Err(_) => return Err(Interruption::CallerStalled),
+                    }
                 }
                 checked.map_err(Interruption::Refused)?;
             }
