Give the confirmation of a departure a code of its own

Two changes that were made side by side took the code T0619, so telemetry::events, codes_are_unique_and_in_their_area, failed. The broken tunnel keeps T0619, and a confirmed departure is T0622.

--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -201,7 +201,7 @@
         TARGET_LEFT = "T0602", Info, "target left", "none";
         TARGET_RELAY_FAILED = "T0610", Debug, "cannot relay the announcement of a registered target to its owner", "none; see the instance that owns the group";
         TARGET_DRAINING = "T0609", Info, "target is draining; it takes no new requests until it leaves", "none";
-        DEPARTURE_CONFIRMED = "T0619", Info, "departure of a target confirmed by the control log", "none";
+        DEPARTURE_CONFIRMED = "T0622", Info, "departure of a target confirmed by the control log", "none";
         TARGET_DRAIN_FAILED = "T0611", Warning, "cannot mark a target as draining that says it leaves; this instance sends it no requests", "check the control replicas if it persists";
         TARGET_LOST = "T0603", Warning, "target stopped announcing itself", "check the target's machine and process";
         TARGET_REMOVAL_FAILED = "T0607", Warning, "cannot remove an unresponsive target", "check the control replicas";
