Send a refused request again before the refusal's body has come

What callers saw: nothing yet; found with a target that stops within the body of its refusal and keeps the connection. The request waits for the rest until its deadline and is then answered 503, though another target has room.

Cause: the gateway read the whole refusal, so that the connection can be used again, before it decided on the request. The head of the refusal says all that counts. The body is now read in a task of its own, which keeps or drops the connection.

Evidence: platform/tests/repeated_responses.rs, truncated_refusal_does_not_hold_request (one of two targets refuses all calls and leaves out the bodies): before, 31 of 40 calls were served; after, 40 of 40.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -512,9 +512,13 @@
             }
             self.places.record_refusal(&run.pool, &need, &target);
             run.avoid.push(target);
-            if let Ok(true) = timeout_at(run.deadline, discard(body)).await {
-                connection.release();
-            }
+            // The rest of the refusal may never come.
+            let discarded = timeout_at(run.deadline, discard(body));
+            tokio::spawn(async move {
+                if let Ok(true) = discarded.await {
+                    connection.release();
+                }
+            });
             return Err(AttemptOutcome::Failed(SendFailure::NotRun, target_refused(parts.status)));
         }
         if parts.status.is_success() && !info.is_signed {
