Discard a response that switches the protocol

What callers saw: nothing yet; found while looking for responses that are not final. A target that answers a request with 101 had that status passed on to the caller, who asked for no other protocol, and cannot read what follows as HTTP.

Cause: every status that was neither a success nor an error was returned as the response of the target. 101 is now discarded like a response of unknown origin: the request counts as possibly run. Other interim responses were and are skipped by hyper.

Evidence: crates/gateway/tests/connections.rs, switch_of_protocol_is_discarded; without the check it gives Ok where the response names the request or is the first one of its connection.

--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -120,6 +120,9 @@
     /// It names none, and may be one to an earlier request.
     #[error("the response names no request, and its connection has carried others")]
     Unnamed,
+    /// It is an interim response that ends the use of HTTP on the connection.
+    #[error("the response switches to another protocol")]
+    Interim,
 }
 
 /// Connection in use; `release` returns it to the pool after a complete response.
@@ -255,9 +258,11 @@
     /// that is not an id. Only then anything in the response concerns the request.
     pub fn check_response(
         &mut self,
+        status: StatusCode,
         named: Option<&Result<RequestId, String>>,
     ) -> Result<(), UnattributedResponse> {
         let unattributed = match named {
+            _ if status.is_informational() => UnattributedResponse::Interim,
             Some(Ok(id)) if *id == self.request => {
                 self.is_named = true;
                 return Ok(());
--- a/crates/gateway/tests/connections.rs
+++ b/crates/gateway/tests/connections.rs
@@ -10,7 +10,7 @@
 };
 
 use bytes::Bytes;
-use http::{Request, Response};
+use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use rstest::rstest;
@@ -100,7 +100,7 @@
     id: &str,
 ) -> Result<(), UnattributedResponse> {
     let (mut connection, response) = send(pool, target, id).await;
-    connection.check_response(named(&response).as_ref())?;
+    connection.check_response(response.status(), named(&response).as_ref())?;
     response.into_body().collect().await.unwrap();
     connection.release();
     Ok(())
@@ -163,7 +163,7 @@
     let pool = ConnectionPool::default();
     // Remains in use when the response is discarded.
     let (mut second, response) = send(&pool, &target, "z").await;
-    assert_eq!(second.check_response(named(&response).as_ref()), Ok(()));
+    assert_eq!(second.check_response(response.status(), named(&response).as_ref()), Ok(()));
     for id in ["a", "b"] {
         assert_eq!(call(&pool, &target, id).await, Ok(()));
     }
@@ -217,7 +217,7 @@
     let pool = ConnectionPool::default();
     let long = Request::post("/").body(Full::new(Bytes::from(vec![b'y'; BODY]))).unwrap();
     let (mut connection, response) = pool.send(addr, long, &"a".parse().unwrap()).await.unwrap();
-    assert_eq!(connection.check_response(named(&response).as_ref()), Ok(()));
+    assert_eq!(connection.check_response(response.status(), named(&response).as_ref()), Ok(()));
     response.into_body().collect().await.unwrap();
     connection.release();
     let id = "b".parse().unwrap();
@@ -225,10 +225,24 @@
     // The shortest time that a caller waits.
     let (mut connection, response) =
         timeout(Duration::from_millis(500), next).await.expect("the request waits").unwrap();
-    assert_eq!(connection.check_response(named(&response).as_ref()), Ok(()));
+    assert_eq!(connection.check_response(response.status(), named(&response).as_ref()), Ok(()));
     read_on.send(()).unwrap();
     drop(pool);
     let body =
         timeout(Duration::from_secs(5), target).await.expect("the connection stays").unwrap();
     assert!(body.len() <= BODY && body.iter().all(|byte| *byte == b'y'));
 }
+
+/// Guards against passing on a response after which the connection carries another protocol, which no
+/// caller asked for.
+#[rstest]
+#[case::named(Some(Ok("a".parse().unwrap())))]
+#[case::unnamed(None)]
+#[tokio::test]
+async fn switch_of_protocol_is_discarded(#[case] named: Option<Result<RequestId, String>>) {
+    let target = Target::start(own).await;
+    let pool = ConnectionPool::default();
+    let (mut connection, _) = send(&pool, &target, "a").await;
+    let checked = connection.check_response(StatusCode::SWITCHING_PROTOCOLS, named.as_ref());
+    assert_eq!(checked, Err(UnattributedResponse::Interim));
+}
