Follow the control log until the last request of a stopping instance has ended

Callers saw nothing; streams that an entry resumed later than 2.5 s after its SIGTERM went to targets that had left meanwhile.

Cause: the instance stopped as soon as the listener of the product's own interface was closed, and with it its session and the task that follows the control log. The gateway's streams went on until the grace time was over. What was sent for them again went out without an owner, by a state that nothing updated any more.

The instance now ends its session and its tasks once the front end has finished as well. Both still begin to stop at the same time.

--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -344,6 +344,24 @@
         self.entry.local_addr()
     }
 
+    /// Hands over the groups and the leadership, and waits for the requests in progress.
+    async fn finish(&self) {
+        self.session.begin_drain().await;
+        self.owner.stop().await;
+        if let Some(replica) = &self.replica {
+            // Best effort: on failure the others elect a leader after their election timeout.
+            let _ = replica.node.transfer_leadership().await;
+        }
+        let finished = async {
+            self.entry.closed().await;
+            while self.owner.in_progress() > 0 {
+                tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
+            }
+        };
+        // No request outlives its deadline.
+        let _ = tokio::time::timeout(self.max_deadline, finished).await;
+    }
+
     /// Resolves when the control replica has failed, for example on a sync error; never resolves
     /// without a replica.
     pub async fn failed(&self) -> shallotdrum_consensus::FatalError {
@@ -369,23 +387,17 @@
     /// The instance immediately reports that it is not ready and releases its groups to other
     /// instances. It accepts connections until the load balancer has had time to notice, then
     /// finishes the requests in progress.
-    pub async fn stop(mut self) {
+    pub async fn stop(self) {
+        self.stop_after(std::future::ready(())).await;
+    }
+
+    /// Like `stop`, for a front end with requests of its own, which `front_end` finishes meanwhile. As
+    /// they may still be sent to targets, the instance holds its session and follows the control log
+    /// until then.
+    pub async fn stop_after(mut self, front_end: impl Future<Output = ()>) {
         event!(self.log, INSTANCE_STOPPING);
         self.entry.begin_drain();
-        self.session.begin_drain().await;
-        self.owner.stop().await;
-        if let Some(replica) = &self.replica {
-            // Best effort: on failure the others elect a leader after their election timeout.
-            let _ = replica.node.transfer_leadership().await;
-        }
-        let finished = async {
-            self.entry.closed().await;
-            while self.owner.in_progress() > 0 {
-                tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
-            }
-        };
-        // No request outlives its deadline.
-        let _ = tokio::time::timeout(self.max_deadline, finished).await;
+        tokio::join!(self.finish(), front_end);
         self.session.end().await;
         if let Some(replica) = &self.replica {
             replica.node.shutdown().await;
