Give each completion a connection of its own

Cause: hyper's pool hands a connection to a waiting request before the refusal on it is judged, and the count of sound responses then discarded the refusal of that request too. Besides, a completion that ended early because of another one's copy left a connection on which its own response was still due. Why it works: a connection that carries one request brings no copy of another's response. A completion takes seconds, and a connection within a region far less than a millisecond. Calls of plain services still share connections, as their responses name them: a call that was refused is sent again only after its connection is closed for others. The counts of responses are gone.

--- a/crates/engine/src/client.rs
+++ b/crates/engine/src/client.rs
@@ -5,9 +5,9 @@
 //! if a pooled connection turns out to be closed: the client can't tell whether the kernel had
 //! already accepted bytes of the request. The client never retries a request.
 //!
-//! Architecture Invariant: a connection is used again only after sound responses: successes, and other
-//! responses that echo the id of their call. A target may write a response once more, late; a copy of a
-//! refusal would say "not run" of whatever request is waiting by then.
+//! Architecture Invariant: a connection is used again only for calls of plain services, and only after a
+//! response that echoes the id of its call and is no refusal. A target may write a response once more, late; a
+//! copy of a refusal would say "not run" of whatever request is waiting by then.
 
 use std::{error::Error, net::SocketAddr, time::Duration};
 
@@ -18,7 +18,7 @@
 use hyper_util::{
     client::legacy::{
         Client,
-        connect::{CaptureConnection, Connect, HttpConnector, capture_connection},
+        connect::{Connect, HttpConnector, capture_connection},
     },
     rt::{TokioExecutor, TokioTimer},
 };
@@ -28,7 +28,7 @@
 
 use crate::{
     CompletionRequest, CompletionStream, OrderRefusal, OrderRequest,
-    connector::{Earlier, LinkConnector, Responses},
+    connector::{LinkConnector, UsedFlag},
 };
 
 /// Body of a request to a target.
@@ -74,7 +74,7 @@
 #[derive(Clone)]
 pub struct EngineClient {
     client: LinkClient,
-    /// Opens a new connection for each call.
+    /// Opens a new connection for each request.
     unpooled: LinkClient,
     /// Sends orders, never through another instance and each on a new connection, as responses to
     /// orders name no order.
@@ -176,10 +176,8 @@
     ) -> Result<CompletionStream, CallError> {
         let http_req = json_request(target, Method::POST, GENERATE_PATH, req)
             .map_err(|reason| CallError::NotSent { addr: target, reason })?;
-        let client = self.client_for(target);
-        let (res, connection) = self.send_within(client, target, http_req).await?;
+        let res = self.send_within(target, http_req).await?;
         let status = res.status();
-        connection.judge(status == StatusCode::OK);
         if status == StatusCode::OK {
             return Ok(CompletionStream::new(res.into_body(), req, self.timeouts.idle));
         }
@@ -252,7 +250,7 @@
                 req.body(full_body(Bytes::new())).map_err(|e| e.to_string())
             })
             .map_err(|reason| CallError::NotSent { addr: target, reason })?;
-        let (res, _) = self.send_within(&self.unpooled, target, req).await?;
+        let res = self.send_within(target, req).await?;
         let status = res.status();
         if status.is_success() || status == StatusCode::NOT_FOUND {
             return Ok(());
@@ -261,14 +259,14 @@
         Err(CallError::Refused { status, body })
     }
 
+    /// Sends a request on a new connection, as heads of responses to completions name no request.
     async fn send_within(
         &self,
-        client: &LinkClient,
         addr: SocketAddr,
         req: Request<RequestBody>,
-    ) -> Result<(Response<Incoming>, UsedConnection), CallError> {
+    ) -> Result<Response<Incoming>, CallError> {
         let limit = self.timeouts.idle;
-        let sent = send_watched(&self.links, client, addr, req);
+        let sent = send_watched(&self.links, &self.unpooled, addr, req);
         timeout(limit, sent).await.unwrap_or_else(|_| Err(no_response(addr, limit)))
     }
 
@@ -285,32 +283,13 @@
     CallError::Lost { addr, reason: format!("no response within {} ms", limit.as_millis()) }
 }
 
-/// Connection that brought a response.
-struct UsedConnection {
-    connection: CaptureConnection,
-    responses: Responses,
-    earlier: Earlier,
-}
-
-impl UsedConnection {
-    /// Permits another use of the connection after a sound response only.
-    fn judge(&self, is_sound: bool) {
-        if is_sound {
-            self.responses.record_sound();
-        } else if let Some(connection) = self.connection.connection_metadata().as_ref() {
-            connection.poison();
-        }
-    }
-}
-
 /// Sends a request, and gives up if its link is found silent.
 async fn send_watched(
     links: &Links,
     client: &LinkClient,
     addr: SocketAddr,
-    mut req: Request<RequestBody>,
-) -> Result<(Response<Incoming>, UsedConnection), CallError> {
-    let connection = capture_connection(&mut req);
+    req: Request<RequestBody>,
+) -> Result<Response<Incoming>, CallError> {
     let is_open = links.status(addr) == LinkStatus::Open;
     let res = tokio::select! {
         res = send(client, addr, req) => res?,
@@ -320,18 +299,7 @@
         }
     };
     links.record_heard(addr);
-    let responses = res.extensions().get::<Responses>().cloned().unwrap_or_default();
-    let connection = UsedConnection { connection, earlier: responses.receive(), responses };
-    // Without a body a response returns its connection to the pool before it is judged.
-    if connection.earlier == Earlier::Doubtful {
-        connection.judge(false);
-        let status = res.status();
-        let reason = format!(
-            "response with status {status} discarded: it may be a copy of an earlier response"
-        );
-        return Err(CallError::Lost { addr, reason });
-    }
-    Ok((res, connection))
+    Ok(res)
 }
 
 async fn send<C>(
@@ -361,14 +329,21 @@
     *req.uri_mut() =
         target_uri(target, path).map_err(|reason| CallError::NotSent { addr: target, reason })?;
     let id = req.headers().get(REQUEST_ID_HEADER).cloned();
-    let (res, connection) = send_watched(links, client, target, req).await?;
+    let connection = capture_connection(&mut req);
+    let res = send_watched(links, client, target, req).await?;
+    let was_used = res.extensions().get::<UsedFlag>().is_some_and(UsedFlag::record_response);
     let status = res.status();
     let echo = res.headers().get(REQUEST_ID_HEADER);
     let is_refused = !status.is_success() && res.headers().contains_key(NOT_RUN_HEADER);
-    connection.judge(echo == id.as_ref() && !is_refused);
+    // The call may be sent again under its id, but not before this closes the connection.
+    if (echo != id.as_ref() || is_refused)
+        && let Some(connection) = connection.connection_metadata().as_ref()
+    {
+        connection.poison();
+    }
     let foreign = match echo {
         Some(_) if id.is_some() && echo != id.as_ref() => Some("it belongs to another request"),
-        None if id.is_some() && connection.earlier != Earlier::Nothing => {
+        None if id.is_some() && was_used => {
             Some("it has no id, and the connection was used before")
         }
         _ => None,
--- a/crates/engine/src/connector.rs
+++ b/crates/engine/src/connector.rs
@@ -7,7 +7,7 @@
     pin::Pin,
     sync::{
         Arc,
-        atomic::{AtomicU32, Ordering},
+        atomic::{AtomicBool, Ordering},
     },
     task::{Context, Poll},
 };
@@ -46,58 +46,31 @@
             let addr: Option<SocketAddr> = uri.authority().and_then(|a| a.as_str().parse().ok());
             let addr = addr.ok_or_else(|| io::Error::other("the URI names no socket address"))?;
             let stream = links.connect(addr, POOLED).await.map_err(io::Error::other)?;
-            Ok(TargetStream { stream, responses: Responses::default() })
+            Ok(TargetStream { stream, is_used: UsedFlag::default() })
         })
     }
 }
 
-/// Connection to a target that counts its responses.
+/// Connection to a target that knows whether it was used before.
 pub(crate) struct TargetStream {
     stream: LinkStream,
-    responses: Responses,
+    is_used: UsedFlag,
 }
 
-/// Responses that one connection brought; clones share the counts.
+/// Whether one connection brought a response; clones share it.
 #[derive(Clone, Default)]
-pub(crate) struct Responses(Arc<Counts>);
+pub(crate) struct UsedFlag(Arc<AtomicBool>);
 
-#[derive(Default)]
-struct Counts {
-    received: AtomicU32,
-    sound: AtomicU32,
-}
-
-/// What a connection brought before a response.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Earlier {
-    /// No response.
-    Nothing,
-    /// Only sound ones.
-    Sound,
-    /// One that is not sound, or not known to be. A copy of it may follow.
-    Doubtful,
-}
-
-impl Responses {
-    /// Counts a response whose head arrived.
-    pub(crate) fn receive(&self) -> Earlier {
-        let sound = self.0.sound.load(Ordering::SeqCst);
-        match self.0.received.fetch_add(1, Ordering::SeqCst) {
-            0 => Earlier::Nothing,
-            received if received == sound => Earlier::Sound,
-            _ => Earlier::Doubtful,
-        }
-    }
-
-    /// Counts the response received last as sound.
-    pub(crate) fn record_sound(&self) {
-        self.0.sound.fetch_add(1, Ordering::SeqCst);
+impl UsedFlag {
+    /// Records a response; returns whether the connection brought another one before.
+    pub(crate) fn record_response(&self) -> bool {
+        self.0.swap(true, Ordering::Relaxed)
     }
 }
 
 impl Connection for TargetStream {
     fn connected(&self) -> Connected {
-        self.stream.connected().extra(self.responses.clone())
+        self.stream.connected().extra(self.is_used.clone())
     }
 }
 
--- a/crates/engine/src/stream.rs
+++ b/crates/engine/src/stream.rs
@@ -23,7 +23,7 @@
 /// Maximum number of chunks buffered while an earlier one is missing; engines swap only adjacent
 /// chunks.
 pub const MAX_BUFFERED_CHUNKS: usize = 16;
-/// Timeout for reading the rest of the body after `End`, so that the connection can be reused.
+/// Timeout for reading the rest of the body after `End`, so that the engine can finish its response.
 const DRAIN_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Validated events of one completion.
--- a/crates/engine/tests/late_copies.rs
+++ b/crates/engine/tests/late_copies.rs
@@ -108,7 +108,8 @@
     assert_eq!(generated, None);
 }
 
-/// Guards against a completion that is taken as complete with the text of another one.
+/// Guards against a completion that is taken as complete with the text of another one, and against another
+/// use of a connection on which a response is due.
 #[tokio::test]
 async fn generate_after_complete_stream() {
     let chunk = "data: {\"type\":\"chunk\",\"request\":\"ID\",\"adapter\":{\"adapter\":\"a\",\
@@ -117,21 +118,28 @@
         \"version\":\"1\"},\"finish_reason\":\"stop\",\"usage\":{\"prompt_tokens\":1,\
         \"completion_tokens\":1}}\n\n";
     let stream = |id: &str| response("200 OK", &[chunk, end].concat().replace("ID", id));
-    let server = LateCopies::start(1, vec![stream("r"), stream("r2")]).await;
+    // The third request is sent before the response to the second one.
+    let ids = ["r", "r2", "r3"];
+    let server = LateCopies::with_pause(WAIT_LIMIT / 40, ids.map(stream).to_vec()).await;
     let client = client();
-    let mut second = request();
-    second.request = "r2".parse().unwrap();
-    for req in [request(), second] {
+    let mut ended = Vec::new();
+    for id in ids {
+        let mut req = request();
+        req.request = id.parse().unwrap();
         let mut stream = client.generate(server.addr, &req).await.unwrap();
         let mut text = String::new();
         while let Some(event) = stream.next().await {
             match event {
                 Ok(EngineEvent::Chunk(chunk)) => text += &chunk.text,
-                Ok(EngineEvent::End(_)) => assert_eq!(text, req.request.as_str()),
+                Ok(EngineEvent::End(_)) => {
+                    assert_eq!(text, id);
+                    ended.push(id);
+                }
                 Err(_) => assert_eq!(text, ""),
             }
         }
     }
+    assert_eq!(ended, ids);
 }
 
 /// Guards against taking an order as carried out, or as refused, because the engine repeats its response
--- a/crates/engine/tests/support/late_copies.rs
+++ b/crates/engine/tests/support/late_copies.rs
@@ -3,6 +3,7 @@
 use std::{
     net::SocketAddr,
     sync::{Arc, Mutex},
+    time::Duration,
 };
 
 use tokio::{
@@ -25,6 +26,8 @@
     /// Each response with the copy of it.
     responses: Vec<(String, String)>,
     lag: usize,
+    /// Time from a copy to the response after it.
+    pause: Duration,
     requests: Mutex<usize>,
 }
 
@@ -32,14 +35,24 @@
     /// Starts a server whose copies equal the responses.
     pub(crate) async fn start(lag: usize, responses: Vec<String>) -> Self {
         let responses = responses.into_iter().map(|res| (res.clone(), res)).collect();
-        Self::with_copies(lag, responses).await
+        Self::run(lag, Duration::ZERO, responses).await
     }
 
     /// Starts a server from pairs of a response and its copy.
     pub(crate) async fn with_copies(lag: usize, responses: Vec<(String, String)>) -> Self {
+        Self::run(lag, Duration::ZERO, responses).await
+    }
+
+    /// Starts a server that sends a response some time after the copy before it.
+    pub(crate) async fn with_pause(pause: Duration, responses: Vec<String>) -> Self {
+        let responses = responses.into_iter().map(|res| (res.clone(), res)).collect();
+        Self::run(1, pause, responses).await
+    }
+
+    async fn run(lag: usize, pause: Duration, responses: Vec<(String, String)>) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let addr = listener.local_addr().unwrap();
-        let script = Arc::new(Script { responses, lag, requests: Mutex::default() });
+        let script = Arc::new(Script { responses, lag, pause, requests: Mutex::default() });
         let task = tokio::spawn(async move {
             let mut connections = JoinSet::new();
             while let Ok((stream, _)) = listener.accept().await {
@@ -66,10 +79,19 @@
         };
         let (response, copy) = script.responses[number.min(script.responses.len() - 1)].clone();
         let late = copies.len().checked_sub(script.lag).map(|at| copies[at].clone());
-        let bytes = late.unwrap_or_default() + &response;
-        // The client may have closed the connection.
-        if stream.write_all(bytes.as_bytes()).await.is_err() {
-            return;
+        let late = late.unwrap_or_default();
+        let parts = match script.pause.is_zero() || late.is_empty() {
+            true => vec![late + &response],
+            false => vec![late, response],
+        };
+        for (number, part) in parts.into_iter().enumerate() {
+            if number > 0 {
+                tokio::time::sleep(script.pause).await;
+            }
+            // The client may have closed the connection.
+            if stream.write_all(part.as_bytes()).await.is_err() {
+                return;
+            }
         }
         copies.push(copy);
     }
