Share the connections of callers that a broken response resets between both fronts

What callers saw: a stream of a caller that speaks HTTP/1.0 looked complete on the platform's front after its entry was killed. Cause: only the close of the connection tells the end, and the kernel closes the connections of a dead process regularly. Why it works: both fronts use one stream for callers' connections now, which is set to be reset before the head of such a response is written, and to be closed only when hyper shuts it down.

--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -15,6 +15,7 @@
 use http_body_util::BodyExt;
 use hyper::{body::Body as _, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use shallotdrum_links::{CallerStream, EndsWithConnection};
 use shallotdrum_telemetry::event;
 use tokio::{
     net::{TcpListener, TcpStream},
@@ -28,7 +29,7 @@
     context::{Phase, Shared},
     router,
     routing::InFlight,
-    stall::{EndsWithConnection, WriteTimeoutStream},
+    stall::WriteTimeoutStream,
 };
 
 /// Delay after a failed accept; the usual cause is that the process is out of file descriptors.
@@ -157,8 +158,8 @@
     let limits = &shared.cfg.limits;
     let idle_timeout = Duration::from_millis(limits.idle_timeout_ms);
     let ends_with_connection = EndsWithConnection::default();
-    let io = WriteTimeoutStream::new(stream, idle_timeout, ends_with_connection.clone());
-    let io = TokioIo::new(io);
+    let stream = CallerStream::new(stream, ends_with_connection.clone());
+    let io = TokioIo::new(WriteTimeoutStream::new(stream, idle_timeout));
     let active = Arc::new(AtomicUsize::new(0));
     let service = service_fn(|req| {
         let (shared, request) = (shared.clone(), ActiveRequestGuard::new(&active));
--- a/crates/links/src/lib.rs
+++ b/crates/links/src/lib.rs
@@ -6,14 +6,18 @@
 //! the state of one link, and `tunnel` is the protocol between the instances: HTTP `CONNECT` on the
 //! address for forwarded requests.
 //!
+//! `caller` is the connection of a caller, on both fronts.
+//!
 //! Architecture Invariant: an instance opens tunnels for others over its own links only, so a request
 //! takes one detour at most. Orders to engines never take one, as engines tell owners apart by it.
 
+mod caller;
 mod link;
 mod links;
 mod stream;
 mod tunnel;
 
+pub use caller::{CallerStream, EndsWithConnection};
 pub use link::LinkStatus;
 pub use links::{ConnectError, LinkContext, Links, PeerInstance};
 pub use stream::LinkStream;
