Find a leader that is not among the seeds

What callers saw: a replica that was started in place of another one, at a new address with an empty disk, never joined, read back 503 for good and took no change, while none of its seeds led. The others had one replica less to lose than the operators counted on, and a later loss of disks could take the table with it.

Cause: a survey took a replica for the leader only if it said so itself, and asked only the seeds and what sessions name. A replica without state knows no sessions. Followers among the seeds named the leader, which was not used.

Why it works: a leader that a connected replica names and that was not asked itself is tried. If it does not lead it refuses the call, and the next survey follows, as with a leader that has changed.

--- a/crates/rpc/src/survey.rs
+++ b/crates/rpc/src/survey.rs
@@ -79,15 +79,21 @@
     }
 }
 
-/// Finds the control leader; `None` if no replica says that it leads.
+/// Finds the control leader; `None` if no replica says that it leads, and none that is connected to the
+/// leader names one that was not asked.
 pub async fn find_leader(peers: &Peers, directory: &Directory) -> Option<InstanceId> {
+    let asked = directory.names();
     let mut survey = Survey::start(peers, directory);
-    while let Some(replica) = survey.next().await {
-        if replica.position.leader.as_ref() == Some(&replica.name) {
-            return Some(replica.name);
+    let mut named = None;
+    while let Some(SurveyedReplica { name, position, .. }) = survey.next().await {
+        match position.leader {
+            Some(leader) if leader == name => return Some(leader),
+            // The seeds of an instance that knows no other replicas need not include the leader.
+            Some(leader) if !asked.contains(&leader) => named = Some(leader),
+            _ => {}
         }
     }
-    None
+    named
 }
 
 /// Finds a replica that can pass on the log to a follower: one that is connected to the leader and
