--- a/crates/rpc/src/survey.rs
+++ b/crates/rpc/src/survey.rs
@@ -93,7 +93,8 @@
             _ => {}
         }
     }
-    named
+    // A fixed list has no address of others.
+    named.filter(|leader| directory.addr(leader).is_some())
 }
 
 /// Finds a replica that can pass on the log to a follower: one that is connected to the leader and
