Go on with streams whose engine says when to reconnect

What callers saw: a stream that is resumed at an engine which begins its response with a block of "retry" alone, or sends one later, is refused there ("an event has no number as its id"), and is cut once the attempts are used up.

Cause: such a block has a field and no id, so it was taken for an event without one. It is none: "retry" speaks of the connection. The block now counts as a comment does: it is dropped before the first event, and passed on after it.

Evidence: crates/gateway/tests/continuation.rs, bytes_after_resumption: before, 2 of its 3 new cases failed in the run that stopped there (retry_first, retry_later); after, all 136 tests of continuation and decisions pass.

--- a/crates/gateway/src/continuation.rs
+++ b/crates/gateway/src/continuation.rs
@@ -297,10 +297,10 @@
 /// Lines up to a blank one.
 #[derive(Debug, Default)]
 struct Block {
-    /// Value of the last `id` field that is not empty.
+    /// Value of the last `id` field; absent if that is empty.
     id: Option<EventId>,
     has_data: bool,
-    /// Whether there is any field; comments are none.
+    /// Whether there is any field of an event. Comments are none, and `retry` speaks of the connection.
     has_fields: bool,
     /// Whether there is a line that is neither a field nor a comment.
     has_text: bool,
@@ -317,7 +317,7 @@
                 (b"", _) => {}
                 (name, value) if !is_field(name, value.is_some()) => block.has_text = true,
                 (name, value) => {
-                    block.has_fields = true;
+                    block.has_fields |= name != b"retry";
                     block.has_data |= name == b"data";
                     if name == b"id" {
                         let value = value.unwrap_or_default().trim_ascii();
--- a/crates/gateway/tests/continuation.rs
+++ b/crates/gateway/tests/continuation.rs
@@ -101,6 +101,9 @@
 #[case::comment_first(": reading\n\nid: 3\ndata: c\n\n", "id: 3\ndata: c\n\n", true)]
 #[case::comment_later("id: 3\ndata: c\n\n: wait\n\n", "id: 3\ndata: c\n\n: wait\n\n", true)]
 #[case::comments_only(": reading\n\n\n\n", "", true)]
+#[case::retry_first("retry: 1000\n\nid: 3\ndata: c\n\n", "id: 3\ndata: c\n\n", true)]
+#[case::retry_later("id: 3\ndata: c\n\nretry: 1000\n\n", "id: 3\ndata: c\n\nretry: 1000\n\n", true)]
+#[case::retry_only("retry: 1000\n\n", "", true)]
 #[case::text_later("id: 3\ndata: c\n\ntext\n\n", "id: 3\ndata: c\n\n", false)]
 fn bytes_after_resumption(#[case] part: &str, #[case] admitted: &str, #[case] is_sound: bool) {
     let mut order = delivered(&["1", "2"]);
