Keep departures of targets that were never known out of those that are kept

What callers saw: nothing yet; found in review. Since the control log decides about departures of unknown targets, each such command took one of the 1,000 places for departures, also one that is sent again after the target has left. A delayed announcement of a target whose departure was forgotten that way registers it again, and it gets requests.

Cause: the departure was recorded as one of incarnation 0, which keeps no process away. It is recorded now only if the log knows which process was removed. In a log of an earlier format nothing changes: there the lookup of the process was not tied to the format either, so that a replica of this release could have recorded another incarnation than one of an earlier release.

--- a/crates/control/src/state/groups.rs
+++ b/crates/control/src/state/groups.rs
@@ -266,11 +266,14 @@
         remembers_silent: bool,
     ) -> Result<(), CommandError> {
         if is_leaving {
-            let removed = match self.targets.contains_key(id) {
-                false if incarnation == Incarnation::default() => self.last_removed(id),
-                _ => None,
-            };
-            self.record_departure(id, removed.unwrap_or(incarnation));
+            let is_unknown = remembers_silent
+                && incarnation == Incarnation::default()
+                && !self.targets.contains_key(id);
+            // What was never here has no place among the departures that are kept.
+            let left = if is_unknown { self.last_removed(id) } else { Some(incarnation) };
+            if let Some(left) = left {
+                self.record_departure(id, left);
+            }
         }
         let target = match self.targets.get(id) {
             Some(target) => target,
--- a/crates/control/tests/ownership.rs
+++ b/crates/control/tests/ownership.rs
@@ -232,6 +232,34 @@
     log.register(engine("e1", 8));
 }
 
+/// Guards against departures that are forgotten because of others, of targets that were never here or have
+/// left before.
+#[rstest]
+#[case::never_here(|n| format!("x{n}"))]
+#[case::left_before(|_| "e2".to_owned())]
+fn departures_of_unknown_targets(#[case] name: fn(usize) -> String) {
+    let mut log = Log::default();
+    log.apply(Command::RaiseFormat { format: NEWEST_FORMAT });
+    let leave = |name: &str, incarnation| Command::RemoveTarget {
+        target: name.parse().unwrap(),
+        incarnation: Incarnation(incarnation),
+        is_leaving: true,
+    };
+    for name in ["e1", "e2"] {
+        log.register(engine(name, 7));
+        assert_eq!(log.apply(leave(name, 7)), Reply::Done);
+    }
+    // As many departures are kept.
+    for n in 0..1_000 {
+        assert_eq!(log.apply(leave(&name(n), 0)), Reply::Done);
+    }
+    for name in ["e1", "e2"] {
+        let target: TargetId = name.parse().unwrap();
+        let late = log.refused(Command::RegisterTarget(engine(name, 7)));
+        assert_eq!(late, CommandError::TargetLeft { target });
+    }
+}
+
 /// Guards against sending requests to a crashed target whose address a new process has taken, and
 /// against a delayed announcement of the crashed one that registers it again.
 #[test]
