Give up connections whose refusal does not come to its end

What callers saw: nothing yet; found in review. A target that leaves out the bodies of its refusals and keeps their connections held one connection for each until the request's deadline, though the request was served elsewhere. A target takes a limited number of connections from all callers and resets those beyond.

Cause: the rest of a refusal is read beside the request since it no longer holds that up, and the deadline bounded it.

--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -3,17 +3,20 @@
 //! A target in trouble may send bytes without end. Small responses always find room, so that those
 //! of other targets do not fail because of it.
 
-use std::sync::{
-    Arc,
-    atomic::{AtomicUsize, Ordering},
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
 };
 
 use bytes::Bytes;
 use http::HeaderMap;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-
 use shallotdrum_links::Links;
+use tokio::time::timeout;
 
 use crate::{
     crash::{ends_with_connection, is_alive_after_end},
@@ -31,6 +34,10 @@
 /// the memory of the smallest instances.
 const MAX_BUFFERED_BYTES: usize = 16 * 1024 * 1024;
 
+/// Maximum time to read a body that is not needed: some round trips, as it is short. Opening another
+/// connection takes no longer.
+const DISCARD_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Memory for the bodies that are being read; clones share it.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct BodyBuffers(Arc<AtomicUsize>);
@@ -83,17 +90,20 @@
     }
 }
 
-/// Reads a short body that is not needed; whether it came to its end.
+/// Reads a short body that is not needed, and may never come to its end; whether it did.
 pub(crate) async fn discard(mut body: Incoming) -> bool {
-    let mut len = 0;
-    while let Some(frame) = body.frame().await {
-        let Ok(frame) = frame else { return false };
-        len += frame.data_ref().map_or(0, Bytes::len);
-        if len > UNCOUNTED_BYTES {
-            return false;
+    let read = async {
+        let mut len = 0;
+        while let Some(frame) = body.frame().await {
+            let Ok(frame) = frame else { return false };
+            len += frame.data_ref().map_or(0, Bytes::len);
+            if len > UNCOUNTED_BYTES {
+                return false;
+            }
         }
-    }
-    true
+        true
+    };
+    timeout(DISCARD_TIMEOUT, read).await.unwrap_or(false)
 }
 
 /// Part of the memory that one body takes, until dropped.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -512,10 +512,8 @@
             }
             self.places.record_refusal(&run.pool, &need, &target);
             run.avoid.push(target);
-            // The rest of the refusal may never come.
-            let discarded = timeout_at(run.deadline, discard(body));
             tokio::spawn(async move {
-                if let Ok(true) = discarded.await {
+                if discard(body).await {
                     connection.release();
                 }
             });
