Let only the log say that a departure of an unknown target has no effect

A replica that had just restarted and reached no other acknowledged a departure without effect again: without state it also knows no format of the log, and took the log for one of an earlier release.

Now the departure is proposed in any case, and only the leader's answer that the format is not agreed counts as done without effect.

--- a/crates/daemon/src/plane.rs
+++ b/crates/daemon/src/plane.rs
@@ -4,7 +4,6 @@
 
 use shallotdrum_control::{
     Command, ControlView, DIRECT_REPORTS_FORMAT, Proposal, ProposeError, Reply,
-    UNKNOWN_DEPARTURES_FORMAT,
 };
 use shallotdrum_engine::Announcement;
 use shallotdrum_routes::RouteTable;
@@ -133,14 +132,10 @@
     /// The control log decides about one that is not registered here: this instance may be behind, or
     /// the target was removed for its silence and must not come back.
     pub async fn remove_target(&self, target: TargetId) -> Result<(), ChangeError> {
-        let (registered, format) = self.view.read(|state| {
-            (state.target(&target).map(|known| known.announced.incarnation), state.format())
-        });
-        match registered {
-            // Instances of earlier releases give such a departure no effect.
-            None if format < UNKNOWN_DEPARTURES_FORMAT => Ok(()),
-            registered => Ok(self.targets.leave(target, registered.unwrap_or_default()).await?),
-        }
+        let registered = self
+            .view
+            .read(|state| state.target(&target).map(|registered| registered.announced.incarnation));
+        Ok(self.targets.leave(target, registered.unwrap_or_default()).await?)
     }
 
     async fn propose(&self, command: Command) -> Result<(), ChangeError> {
--- a/crates/daemon/src/targets.rs
+++ b/crates/daemon/src/targets.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use shallotdrum_control::{AnnouncedTarget, Command, ControlView, Proposal, Reply};
+use shallotdrum_control::{AnnouncedTarget, Command, CommandError, ControlView, Proposal, Reply};
 use shallotdrum_engine::{Announcement, CacheEvents};
 use shallotdrum_owner::OwnerService;
 use shallotdrum_rpc::{ControlClient, PeerApiClient, Peers, RpcError};
@@ -167,6 +167,8 @@
 
     async fn propose(&self, command: Command) -> Result<(), RequestError> {
         match self.client.propose(Proposal::Command(command)).await {
+            // Only the departure of an unknown target; in earlier formats it has no effect.
+            Ok(Reply::Refused(CommandError::FormatNotAgreed { .. })) => Ok(()),
             Ok(Reply::Refused(error)) => {
                 Err(RequestError::not_run(RequestErrorKind::InvalidRequest, error))
             }
