--- a/crates/consensus/tests/disk.rs
+++ b/crates/consensus/tests/disk.rs
@@ -197,7 +197,7 @@
 #[case::during_snapshot(5)]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn hanging_disk_holds_up_no_commands(#[case] snapshot_every: u64) {
-    /// Time within which a change must be acknowledged, `ack_ms` of the platform.
+    /// Time within which operators expect a change to be acknowledged.
     const ACK_LIMIT: Duration = Duration::from_secs(4);
 
     let mut cluster = Cluster::new(3);
