Keep the evidence of a crash when a response does not go on with its stream

A target that answers a resumption with events that are refused may crash on the request a moment later. The refusal recorded that it is known how the request ended, so that its crash counted for no request.

The guard is dropped instead, so that the request counts if the target's process is replaced soon after.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -139,7 +139,6 @@
         let target = &self.place.granted.target;
         self.gateway.log_refused(run, target, &error, run.resume_after.as_deref());
         run.avoid.push(target.clone());
-        self.running.end();
         self.gateway.end_failed(self.place);
         target_failed(error)
     }
@@ -237,8 +236,9 @@
         let target = place.granted.target.clone();
         let cause = match interruption {
             Interruption::Refused(error) => {
+                // The request may still crash its target.
+                drop(running);
                 gateway.log_refused(run, &target, &error, Some(order.last_id()));
-                running.end();
                 error.to_string()
             }
             Interruption::Broken(cause) => {
@@ -362,11 +362,10 @@
         received: Received,
         error: &ContinuationError,
     ) -> SendFailure {
-        let Received { place, running, response, .. } = received;
+        let Received { place, response, .. } = received;
         let target = place.granted.target.clone();
         self.log_refused(run, &target, error, run.resume_after.as_deref());
         run.avoid.push(target);
-        running.end();
         self.end_failed(place);
         match response.status().is_server_error() {
             true => SendFailure::Failed,
