Say in the log what a read of the route table waited for

The record of the incident is a read that did not come in time. K0216 named an error that stands for several causes: no leader known, a leader that does not confirm, one that does not respond. Reads now log how long they waited and what came back (K0220, K0216), and a leader that cannot confirm a read in time logs its last contact with a quorum, and what it has committed and applied (K0221), before the caller gives up.

No test: lines only. Before, a leader without a quorum let such a read end with its caller, without a line.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -23,4 +23,4 @@
 mod watch;
 
 pub use instance::{Instance, InstanceError, InstanceOptions, Listeners};
-pub use plane::{ChangeError, ControlPlane};
+pub use plane::{ChangeError, ControlPlane, ReadError};
--- a/crates/daemon/src/plane.rs
+++ b/crates/daemon/src/plane.rs
@@ -40,6 +40,14 @@
     Target(#[from] RequestError),
 }
 
+/// The newest route table could not be read.
+#[derive(Clone, Debug, PartialEq, thiserror::Error)]
+#[error("no table after {} ms: {source}", waited.as_millis())]
+pub struct ReadError {
+    source: RpcError,
+    waited: Duration,
+}
+
 impl ControlPlane {
     /// Current route table of this instance; a newer one may be committed already.
     pub fn routes(&self) -> Option<Arc<RouteTable>> {
@@ -72,11 +80,16 @@
     }
 
     /// Reads the newest committed route table from the control leader.
-    pub async fn read_routes(&self) -> Result<Option<RouteTable>, RpcError> {
-        let deadline = Instant::now() + READ_TIMEOUT;
-        self.client
-            .call_leader(deadline, |client| async move { client.leader_routes().await })
-            .await
+    pub async fn read_routes(&self) -> Result<Option<RouteTable>, ReadError> {
+        let start = Instant::now();
+        let read = self
+            .client
+            .call_leader(start + READ_TIMEOUT, |client| async move { client.leader_routes().await })
+            .await;
+        let table = read.map_err(|source| ReadError { source, waited: start.elapsed() })?;
+        event!(self.log, ROUTES_READ; "revision" => table.as_ref().map(|table| table.revision.0),
+            "waited_ms" => start.elapsed().as_millis() as u64);
+        Ok(table)
     }
 
     /// Registers a target or refreshes its load; failures to relay the load are only logged.
--- a/crates/daemon/src/replica.rs
+++ b/crates/daemon/src/replica.rs
@@ -48,6 +48,10 @@
 /// send up to eight changes concurrently.
 const MAX_ROUTE_DIFF_ATTEMPTS: u32 = 8;
 
+/// Maximum wait of a read for the confirmation that this replica leads; shorter than that of its
+/// caller, so that the log tells why there was none.
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(700);
+
 /// Maximum wait of a long poll or a permit request.
 const MAX_WATCH_WAIT: Duration = Duration::from_secs(30);
 
@@ -129,10 +133,25 @@
 
     /// Returns the newest route table, after everything committed before the call is applied here.
     pub(crate) async fn newest_routes(&self) -> Result<Option<RouteTable>, RpcError> {
-        self.node.read_index().await.map_err(propose_error)?;
+        self.read_index().await?;
         Ok(self.view.read(|state| state.route_table().map(|table| table.as_ref().clone())))
     }
 
+    /// Waits until this replica has confirmed that it leads and has applied everything committed
+    /// before the call.
+    async fn read_index(&self) -> Result<(), RpcError> {
+        match tokio::time::timeout(CONFIRM_TIMEOUT, self.node.read_index()).await {
+            Ok(confirmed) => confirmed.map(drop).map_err(propose_error),
+            Err(_) => {
+                let status = self.node.status();
+                event!(self.log, READ_UNCONFIRMED; "term" => status.term.0,
+                    "quorum_contact_ms" => status.last_quorum_contact_ms,
+                    "commit" => status.commit.0, "applied" => status.applied.0);
+                Err(RpcError::NotConnected)
+            }
+        }
+    }
+
     /// Appends a proposal to the log and returns the reply of the state machine.
     pub(crate) async fn propose(&self, proposal: Proposal) -> Result<Reply, RpcError> {
         let command = match proposal {
