Read the route table at the replica that is asked

One process paid for all reads at all replicas by the size of the table, at the moment at which it also opens the sessions of all instances.

Change: the leader confirms that it leads and names an index, as in Raft's ReadIndex; the replica that was asked waits until it has applied that index and answers from its own state, without a copy of the document. A leader of an earlier release does not know the call; its table is taken as before. A read that fails now says whether no leader confirmed an index, or which index is missing here.

--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -121,6 +121,10 @@
         Ok(())
     }
 
+    async fn read_index(&self) -> Result<LogIndex, RpcError> {
+        self.replica()?.read_index().await
+    }
+
     async fn leader_routes(&self) -> Result<Option<RouteTable>, RpcError> {
         self.replica()?.newest_routes().await
     }
--- a/crates/daemon/src/plane.rs
+++ b/crates/daemon/src/plane.rs
@@ -2,6 +2,7 @@
 
 use std::{net::IpAddr, sync::Arc, time::Duration};
 
+use jsonrpsee::{core::ClientError, http_client::HttpClient, types::ErrorCode};
 use shallotdrum_control::{
     Command, ControlView, DIRECT_REPORTS_FORMAT, Proposal, ProposeError, Reply,
 };
@@ -40,12 +41,45 @@
     Target(#[from] RequestError),
 }
 
-/// The newest route table could not be read.
+/// Why the newest route table could not be read.
 #[derive(Clone, Debug, PartialEq, thiserror::Error)]
-#[error("no table after {} ms: {source}", waited.as_millis())]
-pub struct ReadError {
-    source: RpcError,
-    waited: Duration,
+pub enum ReadError {
+    /// No control leader said which index is the newest.
+    #[error("no control leader confirmed an index within {} ms: {source}", waited.as_millis())]
+    Unconfirmed {
+        /// Why there was no index.
+        source: RpcError,
+        /// Time since the read began.
+        waited: Duration,
+    },
+    /// This instance has not applied what the leader has committed.
+    #[error("index {applied} is applied and {index} is needed after {} ms", waited.as_millis())]
+    Behind {
+        /// Index that the leader named.
+        index: LogIndex,
+        /// Index that this instance has applied.
+        applied: LogIndex,
+        /// Time since the read began.
+        waited: Duration,
+    },
+}
+
+/// What a read of the route table waits for.
+enum ReadPosition {
+    /// Index to apply here.
+    Index(LogIndex),
+    /// Table of a leader of an earlier release, which names no index.
+    Table(Option<Arc<RouteTable>>),
+}
+
+/// Asks the control leader for the position of a read.
+async fn read_position(leader: HttpClient) -> Result<ReadPosition, ClientError> {
+    match leader.read_index().await {
+        Err(ClientError::Call(error)) if error.code() == ErrorCode::MethodNotFound.code() => {
+            Ok(ReadPosition::Table(leader.leader_routes().await?.map(Arc::new)))
+        }
+        index => index.map(ReadPosition::Index),
+    }
 }
 
 impl ControlPlane {
@@ -79,15 +113,31 @@
         self.propose(Command::RaiseAdapterVersion { base, adapter, version }).await
     }
 
-    /// Reads the newest committed route table from the control leader.
-    pub async fn read_routes(&self) -> Result<Option<RouteTable>, ReadError> {
+    /// Reads the newest committed route table.
+    ///
+    /// The control leader names the index that this instance must have applied; the table itself is
+    /// that of this instance.
+    pub async fn read_routes(&self) -> Result<Option<Arc<RouteTable>>, ReadError> {
         let start = Instant::now();
-        let read = self
-            .client
-            .call_leader(start + READ_TIMEOUT, |client| async move { client.leader_routes().await })
-            .await;
-        let table = read.map_err(|source| ReadError { source, waited: start.elapsed() })?;
+        let deadline = start + READ_TIMEOUT;
+        let confirmed = self.client.call_leader(deadline, read_position).await;
+        let confirmed_after = start.elapsed();
+        let position = confirmed
+            .map_err(|source| ReadError::Unconfirmed { source, waited: confirmed_after })?;
+        let table = match position {
+            ReadPosition::Index(index) => {
+                let mut applied = self.view.changed();
+                let is_applied = applied.wait_for(|applied| *applied >= index);
+                if tokio::time::timeout_at(deadline, is_applied).await.is_err() {
+                    let (applied, waited) = (self.applied(), start.elapsed());
+                    return Err(ReadError::Behind { index, applied, waited });
+                }
+                self.routes()
+            }
+            ReadPosition::Table(table) => table,
+        };
         event!(self.log, ROUTES_READ; "revision" => table.as_ref().map(|table| table.revision.0),
+            "index" => self.applied().0, "confirmed_ms" => confirmed_after.as_millis() as u64,
             "waited_ms" => start.elapsed().as_millis() as u64);
         Ok(table)
     }
--- a/crates/daemon/src/replica.rs
+++ b/crates/daemon/src/replica.rs
@@ -138,10 +138,11 @@
     }
 
     /// Waits until this replica has confirmed that it leads and has applied everything committed
-    /// before the call.
-    async fn read_index(&self) -> Result<(), RpcError> {
+    /// before the call; returns the index of the last command applied.
+    pub(crate) async fn read_index(&self) -> Result<LogIndex, RpcError> {
         match tokio::time::timeout(CONFIRM_TIMEOUT, self.node.read_index()).await {
-            Ok(confirmed) => confirmed.map(drop).map_err(propose_error),
+            Ok(Ok(_)) => Ok(self.view.applied()),
+            Ok(Err(error)) => Err(propose_error(error)),
             Err(_) => {
                 let status = self.node.status();
                 event!(self.log, READ_UNCONFIRMED; "term" => status.term.0,
--- a/crates/rpc/src/api.rs
+++ b/crates/rpc/src/api.rs
@@ -82,7 +82,13 @@
     #[method(name = "place_end")]
     async fn end_places(&self, session: SessionId, ended: Vec<EndedPlace>) -> Result<(), RpcError>;
 
-    /// Returns the newest route table, if there is one; served by the leader.
+    /// Confirms that this replica leads, and returns an index by which everything that was committed
+    /// before the call is applied; served by the leader.
+    #[method(name = "control_read_index")]
+    async fn read_index(&self) -> Result<LogIndex, RpcError>;
+
+    /// Returns the newest route table, if there is one; served by the leader to instances of earlier
+    /// releases, which do not ask for an index.
     #[method(name = "control_routes")]
     async fn leader_routes(&self) -> Result<Option<RouteTable>, RpcError>;
 
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -110,7 +110,7 @@
         CHANGE_CONFIRMED = "K0218", Info, "change confirmed by the control log", "none";
         ROUTES_READ = "K0220", Info, "route table read by an operator", "none";
         READ_UNCONFIRMED = "K0221", Warning, "control leader cannot confirm a read in time", "check the other replicas if `quorum_contact_ms` is high, and this one's disk if `applied` is behind `commit`";
-        ROUTES_READ_FAILED = "K0216", Warning, "cannot read the latest route table from the control leader", "check the control replicas if it persists";
+        ROUTES_READ_FAILED = "K0216", Warning, "cannot read the latest route table", "check the control replicas if it persists";
         JOIN_RETRIED = "K0213", Debug, "cannot join the control replicas yet", "none; check the seeds if it persists";
         REPLICA_LOST = "K0214", Warning, "control replica did not respond for too long; removing it", "replace the machine";
         CONTROL_UNAVAILABLE = "K0203", Warning, "no control replica is connected to a leader", "check the network and the control replicas";
