Let a replica answer while it applies its log

What callers saw: after a loss of power of all machines, the route table could not be read back in time.

Cause: committed entries were applied in batches of 256 KiB without a pause. A process with one thread answers no heartbeat and no vote meanwhile: leaders follow each other, and none of them confirms a read. Instances without a replica did the same with each reply of up to 32 commands, while requests waited.

Change: applying pauses after 10 ms, between two entries, and lets the other tasks of the thread run.

Class: work that grows with the state, done in one go by a thread that must also keep a time limit.

--- a/crates/consensus/src/node/apply.rs
+++ b/crates/consensus/src/node/apply.rs
@@ -1,6 +1,9 @@
 //! Apply task, which applies committed entries to the state machine.
 
-use std::sync::{Arc, PoisonError};
+use std::{
+    sync::{Arc, PoisonError},
+    time::{Duration, Instant},
+};
 
 use shallotdrum_types::LogIndex;
 
@@ -11,10 +14,13 @@
     storage::Snapshot,
 };
 
-/// Approximate size of the batches in which entries are applied. The state machine is locked for
-/// one batch at a time, which bounds the wait of readers.
+/// Approximate size of the batches in which entries are read from the log.
 const APPLY_BATCH_BYTES: usize = 256 << 10;
 
+/// Time after which a batch is interrupted between two entries. It bounds the wait of readers of the
+/// state machine, and on a runtime with one thread that of heartbeats; far below a heartbeat interval.
+const APPLY_SLICE: Duration = Duration::from_millis(10);
+
 /// Next action of the apply task.
 enum Work {
     Restore(Arc<Snapshot>),
@@ -34,6 +40,8 @@
                 return;
             }
             shared.compact_if_due().await;
+            // A replica that applies its log after a restart would otherwise answer no heartbeat.
+            tokio::task::yield_now().await;
         }
         shared.apply_wake.notified().await;
     }
@@ -68,18 +76,25 @@
         Ok(())
     }
 
+    /// Applies entries for a slice of time, at least one of them.
     fn apply(&self, entries: &[Arc<Entry>]) -> Result<(), FatalError> {
-        let mut replies = Vec::with_capacity(entries.len());
+        let start = Instant::now();
+        let mut replies = Vec::new();
+        let mut applied = LogIndex(0);
         let mut machine = self.machine.write().unwrap_or_else(PoisonError::into_inner);
         for entry in entries {
             if let Payload::Command(bytes) = &entry.payload {
                 let command = decode_command::<S>(entry.index, bytes)?;
                 replies.push((entry.index, machine.apply(entry.index, command)));
             }
+            applied = entry.index;
+            if start.elapsed() >= APPLY_SLICE {
+                break;
+            }
         }
         drop(machine);
         let mut core = self.core();
-        core.applied = entries.last().map_or(core.applied, |e| e.index);
+        core.applied = core.applied.max(applied);
         core.update_caught_up();
         for (index, reply) in replies {
             let Some(reply_tx) = core.pending_proposals.remove(&index) else { continue };
--- a/crates/consensus/tests/elections.rs
+++ b/crates/consensus/tests/elections.rs
@@ -2,6 +2,8 @@
 
 mod harness;
 
+use std::time::Duration;
+
 use harness::{Cluster, command_names, id, wait_until, with_timeout};
 use rstest::rstest;
 use shallotdrum_consensus::{ProposeError, Role};
@@ -193,3 +195,20 @@
     cluster.propose("b-0").await;
     cluster.check_converged(&["a-0".to_owned(), "b-0".to_owned()]).await;
 }
+
+/// Guards against leaders that follow each other while replicas that all restarted apply their log again.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn replay_after_restart_of_all_keeps_leader() {
+    let mut cluster = Cluster::started(3).await;
+    cluster.propose_many("a", 100).await;
+    for n in 1..=3 {
+        cluster.stop(n).await;
+    }
+    // A replica applies its log for longer than several election timeouts.
+    (cluster.apply_time, cluster.own_threads) = (Duration::from_millis(15), true);
+    cluster.start_all().await;
+    let term = cluster.nodes[&cluster.leader().await].status().term;
+    cluster.check_converged(&command_names("a", 100)).await;
+    let terms: Vec<_> = cluster.nodes.values().map(|node| node.status().term).collect();
+    assert_eq!(terms, [term; 3], "another leader was elected during the replay");
+}
--- a/crates/consensus/tests/harness/mod.rs
+++ b/crates/consensus/tests/harness/mod.rs
@@ -33,6 +33,8 @@
 #[derive(Default)]
 pub(crate) struct RecordingMachine {
     pub(crate) commands: Vec<(LogIndex, String)>,
+    /// Time that applying a command takes the thread.
+    apply_time: Duration,
 }
 
 impl StateMachine for RecordingMachine {
@@ -49,6 +51,7 @@
     }
 
     fn apply(&mut self, index: LogIndex, command: String) -> usize {
+        std::thread::sleep(self.apply_time);
         self.commands.push((index, command));
         self.commands.len()
     }
@@ -71,6 +74,8 @@
 /// as in a real partition.
 pub(crate) struct Network {
     nodes: HashMap<InstanceId, Node<RecordingMachine>>,
+    /// Threads of the replicas that have one of their own.
+    threads: HashMap<InstanceId, Thread>,
     cuts: HashSet<(InstanceId, InstanceId)>,
     frozen: HashSet<InstanceId>,
     loss: f64,
@@ -79,6 +84,24 @@
     calls: HashMap<(InstanceId, InstanceId), u64>,
 }
 
+/// Thread that runs all tasks of one replica, as a process with a single core does.
+struct Thread {
+    runtime: tokio::runtime::Handle,
+    /// Ends the thread when it is dropped.
+    _stop: tokio::sync::oneshot::Sender<()>,
+}
+
+impl Thread {
+    fn start() -> Self {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        let (handle, (stop, stopped)) =
+            (runtime.handle().clone(), tokio::sync::oneshot::channel::<()>());
+        // Ends with an error once the sender is dropped.
+        std::thread::spawn(move || runtime.block_on(stopped).is_err());
+        Self { runtime: handle, _stop: stop }
+    }
+}
+
 type SharedNetwork = Arc<Mutex<Network>>;
 
 struct NetworkTransport(InstanceId, SharedNetwork);
@@ -91,7 +114,16 @@
         let node = net.lock().unwrap().nodes.get(to).cloned();
         let node =
             node.ok_or_else(|| TransportError { to: to.clone(), reason: "not running".into() })?;
-        let response = node.handle(message).await;
+        let thread = net.lock().unwrap().threads.get(to).map(|thread| thread.runtime.clone());
+        let response = match thread {
+            Some(thread) => {
+                let handled = thread.spawn(async move { node.handle(message).await });
+                handled
+                    .await
+                    .map_err(|e| TransportError { to: to.clone(), reason: e.to_string() })?
+            }
+            None => node.handle(message).await,
+        };
         deliver(net, to, from).await;
         Ok(response)
     }
@@ -144,6 +176,10 @@
     initial: Vec<InstanceId>,
     pub(crate) snapshot_every: u64,
     pub(crate) retain_entries: u64,
+    /// Time that applying a command takes replicas that start from now on.
+    pub(crate) apply_time: Duration,
+    /// Whether replicas that start from now on have a thread of their own.
+    pub(crate) own_threads: bool,
 }
 
 impl Cluster {
@@ -151,6 +187,7 @@
     pub(crate) fn new(n: usize) -> Self {
         let net = Network {
             nodes: HashMap::new(),
+            threads: HashMap::new(),
             cuts: HashSet::new(),
             frozen: HashSet::new(),
             loss: 0.0,
@@ -166,6 +203,8 @@
             initial: (1..=n).map(id).collect(),
             snapshot_every: 10_000,
             retain_entries: 10_000,
+            apply_time: Duration::ZERO,
+            own_threads: false,
         }
     }
 
@@ -213,7 +252,18 @@
     pub(crate) async fn start_with(&mut self, n: usize, cfg: NodeConfig) -> Result<(), StartError> {
         let link = NetworkTransport(id(n), self.net.clone());
         let log = slog::Logger::root(slog::Discard, slog::o!());
-        let node = Node::start(cfg, RecordingMachine::default(), link, log).await?;
+        let machine =
+            RecordingMachine { apply_time: self.apply_time, ..RecordingMachine::default() };
+        let started = Node::start(cfg, machine, link, log);
+        let node = match self.own_threads {
+            true => {
+                let thread = Thread::start();
+                let node = thread.runtime.spawn(started).await.unwrap()?;
+                self.net.lock().unwrap().threads.insert(id(n), thread);
+                node
+            }
+            false => started.await?,
+        };
         self.net.lock().unwrap().nodes.insert(id(n), node.clone());
         self.nodes.insert(n, node);
         Ok(())
--- a/crates/daemon/src/follower.rs
+++ b/crates/daemon/src/follower.rs
@@ -141,6 +141,8 @@
         WatchReply::Entries { entries, through } => {
             for entry in entries {
                 view.apply_on_follower(entry.index, entry.command);
+                // Requests wait for the thread meanwhile, and each command may change a large table.
+                tokio::task::yield_now().await;
             }
             view.advance_applied(through);
             Ok(())
