--- a/crates/control/tests/routes.rs
+++ b/crates/control/tests/routes.rs
@@ -24,7 +24,7 @@
 /// Table of a thousand routes whose first route has the given timeout.
 fn table(revision: u64, timeout_s: u64) -> Arc<RouteTable> {
     let mut table = RouteTable::clone(&route_table(revision, 1000));
-    table.routes[0].timeout = Duration::from_secs(timeout_s);
+    Arc::make_mut(&mut table.routes[0]).timeout = Duration::from_secs(timeout_s);
     table.document = format!("{revision} {:?}", table.routes);
     Arc::new(table)
 }
--- a/crates/routes/src/delta.rs
+++ b/crates/routes/src/delta.rs
@@ -6,7 +6,7 @@
 //!
 //! Architecture Invariant: `a.apply(&a.diff(&b)?) == Ok(b)` for any two tables.
 
-use std::{collections::HashMap, hash::Hash, io};
+use std::{collections::HashMap, hash::Hash, io, sync::Arc};
 
 use serde::{Deserialize, Serialize};
 use shallotdrum_types::{Base64Bytes, Revision};
@@ -27,7 +27,7 @@
     pub base: Revision,
     /// Revision of the resulting table.
     pub revision: Revision,
-    routes: Vec<ListEdit<Route>>,
+    routes: Vec<ListEdit<Arc<Route>>>,
     pools: Vec<ListEdit<PoolSpec>>,
     limits: CallerLimits,
     /// New document, compressed with the base document as dictionary.
--- a/crates/routes/src/model.rs
+++ b/crates/routes/src/model.rs
@@ -1,6 +1,6 @@
 //! Data model of the route table.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use serde::{Deserialize, Serialize};
 use shallotdrum_types::{BaseModelId, PoolId, Revision};
@@ -10,8 +10,8 @@
 pub struct RouteTable {
     /// Revision, set by the operator; the table with the highest one is the current one.
     pub revision: Revision,
-    /// Routes, in the order of the document.
-    pub routes: Vec<Route>,
+    /// Routes, in the order of the document; successive tables share those that did not change.
+    pub routes: Vec<Arc<Route>>,
     /// Pools that the routes refer to.
     pub pools: Vec<PoolSpec>,
     /// Limits on the connections and requests of callers.
--- a/crates/routes/tests/delta.rs
+++ b/crates/routes/tests/delta.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use std::sync::Arc;
+
 use rstest::rstest;
 use shallotdrum_routes::{DeltaError, RouteDelta, RouteTable};
 
@@ -26,7 +28,7 @@
 /// submits them in another order.
 #[rstest]
 #[case::same(|_: &mut RouteTable| ())]
-#[case::route_changed(|t: &mut RouteTable| t.routes[500].rank = 0)]
+#[case::route_changed(|t: &mut RouteTable| Arc::make_mut(&mut t.routes[500]).rank = 0)]
 #[case::route_removed(|t: &mut RouteTable| { t.routes.remove(0); })]
 #[case::routes_added(|t: &mut RouteTable| t.routes.extend(table(1, 1040).routes.split_off(1000)))]
 #[case::routes_reversed(|t: &mut RouteTable| t.routes.reverse())]
--- a/crates/routes/tests/support/mod.rs
+++ b/crates/routes/tests/support/mod.rs
@@ -24,7 +24,7 @@
         max_connections: 100,
         engine: None,
     };
-    let routes: Vec<_> = (0..routes).map(route).collect();
+    let routes: Vec<_> = (0..routes).map(route).map(Arc::new).collect();
     let document = format!("{revision} {routes:?}");
     Arc::new(RouteTable {
         revision: Revision(revision),
