Keep heartbeats going beside large messages between replicas

What callers saw: changes of many routes that took seconds, and leaders that follow each other without any fault.

Cause: each message to a replica had 400 ms, whatever its size, and no heartbeat was sent while one was under way. An entry that takes longer to encode, send, decode and store was sent again and again; the replica heard nothing from its leader meanwhile and started an election.

Change: the time for a message grows with its payload, at a tenth of a link of 10 Mbit/s, and heartbeats are sent beside a message of 32 KiB or more. They name the base of the log, so that they acknowledge nothing but the contact. A replica that answers none of them for election_max is given up.

Class: cost that grows with a size, against a fixed time.

--- a/crates/consensus/src/message.rs
+++ b/crates/consensus/src/message.rs
@@ -56,6 +56,17 @@
     Campaign { term: Term },
 }
 
+impl Request {
+    /// Approximate size of the entries or the part of a snapshot in the message.
+    pub(crate) fn payload_bytes(&self) -> usize {
+        match self {
+            Self::Append(append) => append.entries.iter().map(|entry| entry.approx_size()).sum(),
+            Self::Chunk(chunk) => chunk.data.len(),
+            Self::Probe { .. } | Self::Vote(_) | Self::Campaign { .. } => 0,
+        }
+    }
+}
+
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct VoteRequest {
     pub(crate) term: Term,
--- a/crates/consensus/src/node/mod.rs
+++ b/crates/consensus/src/node/mod.rs
@@ -22,6 +22,7 @@
     panic::AssertUnwindSafe,
     pin::Pin,
     sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock, atomic::Ordering},
+    time::Duration,
 };
 
 use futures_util::FutureExt;
@@ -44,6 +45,14 @@
     storage::{self, WriteSeq, Writer},
 };
 
+/// Payload from which a message may take longer than an election timeout on a slow machine or link, so
+/// that heartbeats are sent beside it.
+const LARGE_PAYLOAD_BYTES: usize = 32 << 10;
+
+/// Rate in bytes per second at which a large message is sent, received and stored at least: a tenth
+/// of a link of 10 Mbit/s, or of a core that decodes a megabyte each second.
+const SLOWEST_TRANSFER: f64 = 125_000.0;
+
 type CallFuture = Pin<Box<dyn Future<Output = Result<Vec<u8>, TransportError>> + Send>>;
 type TransportFn = Box<dyn Fn(InstanceId, Vec<u8>) -> CallFuture + Send + Sync>;
 
@@ -203,7 +212,7 @@
     }
 
     /// Voters that have not acknowledged a message for this time; empty unless this replica leads.
-    pub fn unresponsive_voters(&self, silence: std::time::Duration) -> Vec<InstanceId> {
+    pub fn unresponsive_voters(&self, silence: Duration) -> Vec<InstanceId> {
         let core = self.0.core();
         let (RoleState::Leader(leader_state), Some(membership)) = (&core.role, core.membership())
         else {
@@ -407,6 +416,7 @@
         member: Option<&Member>,
         request: Request,
     ) -> Result<ResponseEnvelope, String> {
+        let limit = self.cfg.timing.call_timeout + transfer_time(request.payload_bytes());
         let envelope = Envelope {
             from: self.local.clone(),
             to: to.clone(),
@@ -415,9 +425,9 @@
             request,
         };
         let call = (self.call)(to.clone(), encode(&envelope));
-        let response = tokio::time::timeout(self.cfg.timing.call_timeout, call)
+        let response = tokio::time::timeout(limit, call)
             .await
-            .map_err(|_| format!("no response within {:?}", self.cfg.timing.call_timeout))?
+            .map_err(|_| format!("no response within {limit:?}"))?
             .map_err(|e| e.to_string())?;
         let response: ResponseEnvelope = decode(&response).map_err(|e| e.to_string())?;
         if response.term > MAX_TERM {
@@ -431,6 +441,14 @@
     }
 }
 
+/// Time allowed for the payload of a message, besides that of a small one.
+fn transfer_time(payload_bytes: usize) -> Duration {
+    match payload_bytes {
+        0..LARGE_PAYLOAD_BYTES => Duration::ZERO,
+        large => Duration::from_secs_f64(large as f64 / SLOWEST_TRANSFER),
+    }
+}
+
 /// Advances the leader's own match index when writes become durable, and reports a failure of the
 /// log writer.
 async fn watch_writer<S: StateMachine>(shared: Arc<Shared<S>>) {
--- a/crates/consensus/src/node/peer.rs
+++ b/crates/consensus/src/node/peer.rs
@@ -8,7 +8,7 @@
 use tokio::time::Instant;
 
 use super::{
-    Shared,
+    LARGE_PAYLOAD_BYTES, Shared,
     core::{Core, Progress, RoleState},
 };
 use crate::{
@@ -75,7 +75,7 @@
             return;
         };
         let sent = Instant::now();
-        let outcome = shared.call_instance(&id, Some(&member), request).await;
+        let outcome = shared.transfer(&member, request, term).await;
         if is_reachable != outcome.is_ok() {
             is_reachable = outcome.is_ok();
             let reason = outcome.as_ref().err().map_or("", String::as_str);
@@ -96,6 +96,57 @@
     }
 }
 
+impl<S: StateMachine> Shared<S> {
+    /// Sends a message to a replica; beside a large one it sends heartbeats, since the replica would
+    /// otherwise start an election before the message has arrived.
+    async fn transfer(
+        &self,
+        member: &Member,
+        request: Request,
+        term: Term,
+    ) -> Result<ResponseEnvelope, String> {
+        let is_large = request.payload_bytes() >= LARGE_PAYLOAD_BYTES;
+        let call = self.call_instance(&member.id, Some(member), request);
+        if !is_large {
+            return call.await;
+        }
+        tokio::select! {
+            outcome = call => outcome,
+            () = self.send_heartbeats(member, term) => {
+                Err("no response to heartbeats beside a large message".to_owned())
+            }
+        }
+    }
+
+    /// Sends heartbeats to a replica until it has not responded for `election_max`.
+    async fn send_heartbeats(&self, member: &Member, term: Term) {
+        let timing = &self.cfg.timing;
+        let mut last_contact = Instant::now();
+        while last_contact.elapsed() < timing.election_max {
+            tokio::time::sleep(timing.heartbeat).await;
+            let heartbeat = {
+                let core = self.core();
+                if core.check_leader(term).is_err() {
+                    return;
+                }
+                // The base is committed, so that a replica that lacks the entry only says so.
+                let (prev, prev_term) = (core.log.base(), core.log.base_term());
+                AppendRequest { term, prev, prev_term, commit: core.commit, entries: Vec::new() }
+            };
+            let sent = Instant::now();
+            let request = Request::Append(heartbeat);
+            let Ok(envelope) = self.call_instance(&member.id, Some(member), request).await else {
+                continue;
+            };
+            last_contact = sent;
+            let mut core = self.core();
+            if accept_response(self, &mut core, member, term, sent, envelope).is_ok() {
+                self.acks.send_modify(|n| *n += 1);
+            }
+        }
+    }
+}
+
 /// Builds the next message; `None` ends the task.
 fn next_message<S: StateMachine>(
     shared: &Shared<S>,
@@ -154,34 +205,58 @@
     }
 }
 
-/// Handles a response; returns whether to send the next message immediately.
-fn handle_response<S: StateMachine>(
-    shared: &Arc<Shared<S>>,
+/// Why a response says nothing about the log of a replica.
+enum Unusable {
+    /// The replica refused the message.
+    Refused(Refusal),
+    /// The term has ended, or another replica or data folder responded.
+    Obsolete,
+}
+
+/// Checks a response and records the contact with the replica.
+fn accept_response<S: StateMachine>(
+    shared: &Shared<S>,
+    core: &mut Core<S::Reply>,
     member: &Member,
     term: Term,
     sent: Instant,
     envelope: ResponseEnvelope,
-    peer: &mut PeerState,
-) -> bool {
-    let mut core = shared.core();
+) -> Result<Response, Unusable> {
     if envelope.term > core.term {
         event!(shared.log, LEADER_SUPERSEDED; "peer" => %member.id, "term" => %envelope.term);
         core.step_down(envelope.term);
-        shared.publish(&core);
-        return false;
-    }
-    if core.check_leader(term).is_err() {
-        return false;
+        shared.publish(core);
+        return Err(Unusable::Obsolete);
     }
-    let last = core.log.last();
-    let Some(leader_state) = core.leader_state() else { return false };
+    core.check_leader(term).map_err(|_| Unusable::Obsolete)?;
+    let leader_state = core.leader_state().ok_or(Unusable::Obsolete)?;
     if let Some(from) = &envelope.from {
         leader_state.observed_disks.insert(from.id.clone(), from.disk);
     }
     let response = match envelope.response {
         Ok(response) if envelope.from.as_ref() == Some(member) => response,
-        Err(Refusal::WrongDisk) | Ok(_) => return false,
-        Err(refusal) => {
+        Err(Refusal::WrongDisk) | Ok(_) => return Err(Unusable::Obsolete),
+        Err(refusal) => return Err(Unusable::Refused(refusal)),
+    };
+    let progress = leader_state.progress.get_mut(member).ok_or(Unusable::Obsolete)?;
+    progress.acked_sent_at = progress.acked_sent_at.max(Some(sent));
+    Ok(response)
+}
+
+/// Handles a response; returns whether to send the next message immediately.
+fn handle_response<S: StateMachine>(
+    shared: &Arc<Shared<S>>,
+    member: &Member,
+    term: Term,
+    sent: Instant,
+    envelope: ResponseEnvelope,
+    peer: &mut PeerState,
+) -> bool {
+    let mut core = shared.core();
+    let response = match accept_response(shared, &mut core, member, term, sent, envelope) {
+        Ok(response) => response,
+        Err(Unusable::Obsolete) => return false,
+        Err(Unusable::Refused(refusal)) => {
             if peer.refusal.as_ref() != Some(&refusal) {
                 event!(shared.log, MESSAGE_REFUSED_BY_PEER; "refusal" => %refusal, "peer" => %member.id);
             }
@@ -189,9 +264,10 @@
             return false;
         }
     };
-    let Some(progress) = leader_state.progress.get_mut(member) else { return false };
     peer.refusal = None;
-    progress.acked_sent_at = progress.acked_sent_at.max(Some(sent));
+    let last = core.log.last();
+    let Some(leader_state) = core.leader_state() else { return false };
+    let Some(progress) = leader_state.progress.get_mut(member) else { return false };
     let send_now = match response {
         Response::Matched { index } => {
             progress.matched = progress.matched.max(index.min(last));
--- a/crates/consensus/tests/elections.rs
+++ b/crates/consensus/tests/elections.rs
@@ -212,3 +212,29 @@
     let terms: Vec<_> = cluster.nodes.values().map(|node| node.status().term).collect();
     assert_eq!(terms, [term; 3], "another leader was elected during the replay");
 }
+
+/// Guards against a command that is never committed, and a leader that is deposed, because sending the
+/// command takes longer than an election timeout.
+#[rstest]
+#[case::log(10_000)]
+#[case::snapshot(1)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn large_command_over_slow_links(#[case] snapshot_every: u64) {
+    let mut cluster = Cluster::new(3);
+    (cluster.snapshot_every, cluster.retain_entries) = (snapshot_every, 1);
+    cluster.start_all().await;
+    cluster.propose("a-0").await;
+    let leader = cluster.leader().await;
+    let term = cluster.nodes[&leader].status().term;
+    let behind = (1..=3).find(|n| *n != leader).unwrap();
+    cluster.stop(behind).await;
+    let command = "x".repeat(200_000);
+    // A second for the command, and milliseconds for a heartbeat.
+    cluster.set_rate(200_000);
+    cluster.propose(&command).await;
+    cluster.propose("b-0").await;
+    cluster.start(behind).await;
+    cluster.check_converged(&[command, "b-0".to_owned()]).await;
+    let terms: Vec<_> = cluster.nodes.values().map(|node| node.status().term).collect();
+    assert_eq!(terms, [term; 3], "another leader was elected");
+}
--- a/crates/consensus/tests/harness/mod.rs
+++ b/crates/consensus/tests/harness/mod.rs
@@ -79,6 +79,8 @@
     cuts: HashSet<(InstanceId, InstanceId)>,
     frozen: HashSet<InstanceId>,
     loss: f64,
+    /// Bytes per second at which each message is delivered, besides others.
+    rate: Option<u32>,
     rng: StdRng,
     /// Number of calls per sender and receiver.
     calls: HashMap<(InstanceId, InstanceId), u64>,
@@ -110,6 +112,11 @@
     async fn call(&self, to: &InstanceId, message: Vec<u8>) -> Result<Vec<u8>, TransportError> {
         let NetworkTransport(from, net) = self;
         *net.lock().unwrap().calls.entry((from.clone(), to.clone())).or_default() += 1;
+        let rate = net.lock().unwrap().rate;
+        let transfer = rate.map_or(Duration::ZERO, |rate| {
+            Duration::from_secs_f64(message.len() as f64 / f64::from(rate))
+        });
+        tokio::time::sleep(transfer).await;
         deliver(net, from, to).await;
         let node = net.lock().unwrap().nodes.get(to).cloned();
         let node =
@@ -191,6 +198,7 @@
             cuts: HashSet::new(),
             frozen: HashSet::new(),
             loss: 0.0,
+            rate: None,
             rng: StdRng::seed_from_u64(0),
             calls: HashMap::new(),
         };
@@ -334,6 +342,11 @@
         self.net.lock().unwrap().frozen.insert(id(n));
     }
 
+    /// Limits the rate of each message, in bytes per second.
+    pub(crate) fn set_rate(&self, rate: u32) {
+        self.net.lock().unwrap().rate = Some(rate);
+    }
+
     pub(crate) fn set_loss(&self, probability: f64, seed: u64) {
         let mut net = self.net.lock().unwrap();
         (net.loss, net.rng) = (probability, StdRng::seed_from_u64(seed));
