Let a replica with a full disk stay up until there is room

Other operators also report that changes were refused long after the last of several disks had room again.

Cause: a refused write was taken for a failed disk. The replica stopped for good, and the process ended so that a restart would open it again.

Change: a write that the disk refuses for want of room is undone (a short write leaves bytes behind) and repeated until there is room; whatever waits for it is not acknowledged meanwhile, so the replica gives no vote and counts towards no quorum. A failed sync stays fatal: what it covered may be lost (disk::failed_sync_stops_acknowledgements, unchanged). C0135 to C0137 tell.

Not covered: a replica that starts while its disk is full still ends.

--- a/crates/consensus/src/config.rs
+++ b/crates/consensus/src/config.rs
@@ -7,6 +7,9 @@
 /// Called with the path of the file or folder before each sync; an error makes the sync fail.
 pub type SyncHook = Arc<dyn Fn(&Path) -> io::Result<()> + Send + Sync>;
 
+/// Called with the path of the file before each write; an error makes the write fail.
+pub type WriteHook = Arc<dyn Fn(&Path) -> io::Result<()> + Send + Sync>;
+
 /// Settings of a node; checked by `Node::start`.
 #[derive(Clone)]
 pub struct NodeConfig {
@@ -27,6 +30,8 @@
     pub set_aside_damaged: bool,
     /// Fault injection for tests; `None` in production.
     pub before_sync: Option<SyncHook>,
+    /// Fault injection for tests; `None` in production.
+    pub before_write: Option<WriteHook>,
 }
 
 impl NodeConfig {
@@ -43,6 +48,7 @@
             retain_entries: 10_000,
             set_aside_damaged: false,
             before_sync: None,
+            before_write: None,
         }
     }
 }
--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -23,7 +23,7 @@
 mod storage;
 mod transport;
 
-pub use config::{NodeConfig, SyncHook, Timing};
+pub use config::{NodeConfig, SyncHook, Timing, WriteHook};
 pub use error::{FatalError, MembershipError, ProposeError, StartError};
 pub use machine::StateMachine;
 pub use member::{ClusterId, DiskId, Member, Membership};
--- a/crates/consensus/src/node/core.rs
+++ b/crates/consensus/src/node/core.rs
@@ -40,6 +40,8 @@
     pub(super) snapshot: Option<Arc<Snapshot>>,
     /// A snapshot of the own state is being written to disk.
     pub(super) is_taking_snapshot: bool,
+    /// Earliest time of the next snapshot, after a full disk refused one.
+    pub(super) snapshot_not_before: Option<Instant>,
     /// Received snapshot that is not yet restored to the state machine.
     pub(super) pending_restore: Option<Arc<Snapshot>>,
     /// Snapshot that is being received.
@@ -123,6 +125,7 @@
             log: opened.log,
             snapshot,
             is_taking_snapshot: false,
+            snapshot_not_before: None,
             pending_restore: None,
             incoming: None,
             pending_proposals: BTreeMap::new(),
--- a/crates/consensus/src/node/mod.rs
+++ b/crates/consensus/src/node/mod.rs
@@ -313,7 +313,7 @@
             "snapshot" => %opened.snapshot.as_ref().map_or(LogIndex(0), |s| s.index));
         let failure = watch::Sender::new(None);
         let generation = opened.generation;
-        let (handle, writer) = Writer::start(&cfg, generation, lock, failure.clone())?;
+        let (handle, writer) = Writer::start(&cfg, generation, lock, failure.clone(), log.clone())?;
         let core = Core::new(&cfg.timing, local.clone(), opened, handle);
         Ok(Self {
             status: watch::Sender::new(core.status(0)),
--- a/crates/consensus/src/node/snapshots.rs
+++ b/crates/consensus/src/node/snapshots.rs
@@ -2,19 +2,26 @@
 //!
 //! Architecture Invariant: a snapshot file is durable before the log is compacted up to it.
 
-use std::sync::{Arc, PoisonError};
+use std::{
+    sync::{Arc, PoisonError},
+    time::Duration,
+};
 
 use bytes::Bytes;
+use shallotdrum_telemetry::event;
+use tokio::time::Instant;
 
 use super::{Shared, core::Core};
-use shallotdrum_telemetry::event;
 
 use crate::{
     FatalError, StateMachine,
     message::ChunkRequest,
-    storage::{Snapshot, remove_older},
+    storage::{Snapshot, is_full, remove_older},
 };
 
+/// Pause after a full disk refused a snapshot; encoding one takes a few milliseconds.
+const POSTPONEMENT: Duration = Duration::from_secs(1);
+
 impl<S: StateMachine> Shared<S> {
     /// Takes a snapshot if `snapshot_every` entries were applied since the last one.
     ///
@@ -25,7 +32,9 @@
             let mut core = self.core();
             let newest = core.snapshot.as_ref().map_or(0, |s| s.index.0);
             let is_due = core.applied.0.saturating_sub(newest) >= self.cfg.snapshot_every;
-            if !is_due || core.pending_restore.is_some() || core.is_taking_snapshot {
+            let is_postponed = core.snapshot_not_before.is_some_and(|at| at > Instant::now());
+            if !is_due || is_postponed || core.pending_restore.is_some() || core.is_taking_snapshot
+            {
                 return;
             }
             core.is_taking_snapshot = true;
@@ -99,14 +108,21 @@
             return false;
         }
         let (dir, hook) = (&self.cfg.data_dir, self.cfg.before_sync.as_ref());
-        let result =
-            snapshot.write(dir, hook).and_then(|()| remove_older(dir, snapshot.index, hook));
-        if let Err(e) = &result {
-            self.fail(FatalError::Storage {
+        let result = snapshot
+            .write(dir, hook, self.cfg.before_write.as_ref())
+            .and_then(|()| remove_older(dir, snapshot.index, hook));
+        match &result {
+            Ok(()) => {}
+            // The log still has all that the snapshot would replace.
+            Err(e) if is_full(e) => {
+                event!(self.log, SNAPSHOT_POSTPONED; "index" => %snapshot.index, "error" => %e);
+                self.core().snapshot_not_before = Some(Instant::now() + POSTPONEMENT);
+            }
+            Err(e) => self.fail(FatalError::Storage {
                 action: "write a snapshot to",
                 path: dir.clone(),
                 reason: e.to_string(),
-            });
+            }),
         }
         result.is_ok()
     }
--- a/crates/consensus/src/storage/mod.rs
+++ b/crates/consensus/src/storage/mod.rs
@@ -29,6 +29,11 @@
 /// Extension of incomplete files; a start removes those that a crash left behind.
 const TEMPORARY_SUFFIX: &str = "tmp";
 
+/// Whether a write was refused because there is no room for it.
+pub(crate) fn is_full(error: &io::Error) -> bool {
+    matches!(error.kind(), io::ErrorKind::StorageFull | io::ErrorKind::QuotaExceeded)
+}
+
 /// Syncs the content of the file, after the fault injection hook.
 fn sync(file: &File, path: &Path, hook: Option<&SyncHook>) -> io::Result<()> {
     if let Some(hook) = hook {
@@ -50,10 +55,12 @@
 fn write_durably(path: &Path, parts: &[&[u8]], hook: Option<&SyncHook>) -> io::Result<()> {
     let temporary = path.with_extension(TEMPORARY_SUFFIX);
     let mut file = File::create(&temporary)?;
-    for part in parts {
-        file.write_all(part)?;
+    let written = parts.iter().try_for_each(|part| file.write_all(part));
+    if let Err(error) = written.and_then(|()| sync(&file, &temporary, hook)) {
+        // Leaves the room to the log. Whatever remains is removed at the next start.
+        let _ = fs::remove_file(&temporary);
+        return Err(error);
     }
-    sync(&file, &temporary, hook)?;
     fs::rename(&temporary, path)?;
     sync_dir(path.parent().unwrap_or(Path::new(".")), hook)
 }
--- a/crates/consensus/src/storage/snapshot.rs
+++ b/crates/consensus/src/storage/snapshot.rs
@@ -10,7 +10,7 @@
 use shallotdrum_types::{LogIndex, Term};
 
 use super::{frame, frame::Frame, sync_dir, write_durably};
-use crate::{Membership, StartError, SyncHook};
+use crate::{Membership, StartError, SyncHook, WriteHook};
 
 /// State of the state machine and the cluster configuration as of a log entry.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -27,7 +27,15 @@
     }
 
     /// Writes the snapshot file durably.
-    pub(crate) fn write(&self, dir: &Path, hook: Option<&SyncHook>) -> io::Result<()> {
+    pub(crate) fn write(
+        &self,
+        dir: &Path,
+        hook: Option<&SyncHook>,
+        before_write: Option<&WriteHook>,
+    ) -> io::Result<()> {
+        if let Some(hook) = before_write {
+            hook(&Self::path(dir, self.index))?;
+        }
         write_durably(&Self::path(dir, self.index), &[&frame::encode(self)], hook)
     }
 
--- a/crates/consensus/src/storage/writer.rs
+++ b/crates/consensus/src/storage/writer.rs
@@ -6,24 +6,30 @@
 use std::{
     fs::{self, File},
     io::{self, Write},
-    path::PathBuf,
+    path::{Path, PathBuf},
     sync::{
         Arc,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
         mpsc,
     },
     thread,
+    time::{Duration, Instant},
 };
 
+use shallotdrum_telemetry::event;
+use slog::Logger;
 use tokio::sync::watch;
 
-use super::{TEMPORARY_SUFFIX, sync, sync_dir, wal, wal::Record};
-use crate::{FatalError, NodeConfig, StartError, SyncHook};
+use super::{TEMPORARY_SUFFIX, is_full, sync, sync_dir, wal, wal::Record};
+use crate::{FatalError, NodeConfig, StartError, SyncHook, WriteHook};
 
 /// Approximate upper bound of a group commit, so that a proposal doesn't wait for the sync of much
 /// more data than its own.
 const MAX_GROUP_COMMIT_BYTES: usize = 8 << 20;
 
+/// Pause before a write that a full disk refused is repeated; a leader sends a heartbeat in this time.
+const FULL_RETRY_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Sequence number of a write that was submitted to the log writer.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct WriteSeq(u64);
@@ -48,6 +54,7 @@
 pub(crate) struct WriterHandle {
     tx: mpsc::Sender<Job>,
     latest: WriteSeq,
+    is_stopping: Arc<AtomicBool>,
 }
 
 impl WriterHandle {
@@ -66,8 +73,10 @@
         self.latest
     }
 
-    /// Stops the thread after all writes submitted so far.
+    /// Stops the thread after all writes submitted so far, of which it gives up those that a full
+    /// disk refuses.
     pub(crate) fn stop(&mut self) {
+        self.is_stopping.store(true, Ordering::Relaxed);
         // Fails if the thread already ended after a failed write.
         let _ = self.tx.send(Job::Stop);
     }
@@ -99,23 +108,30 @@
         generation: u64,
         lock: File,
         failure: watch::Sender<Option<FatalError>>,
+        log: Logger,
     ) -> Result<(WriterHandle, Self), StartError> {
         let path = wal::path(&cfg.data_dir, generation);
         let file = File::options()
             .append(true)
             .open(&path)
             .map_err(|e| StartError::io("open", &path, e))?;
+        let length = file.metadata().map_err(|e| StartError::io("read", &path, e))?.len();
+        let is_stopping = Arc::new(AtomicBool::new(false));
         let (tx, rx) = mpsc::channel();
         let (durable_tx, durable) = watch::channel(WriteSeq::default());
         let syncs = Arc::new(AtomicU64::new(0));
         let writer_thread = WriterThread {
             dir: cfg.data_dir.clone(),
             hook: cfg.before_sync.clone(),
+            before_write: cfg.before_write.clone(),
             generation,
             path: path.clone(),
             file,
+            length,
             syncs: syncs.clone(),
             durable: durable_tx,
+            is_stopping: is_stopping.clone(),
+            log,
         };
         let thread = thread::Builder::new()
             .name("consensus-log".to_owned())
@@ -124,7 +140,8 @@
                 writer_thread.run(&rx, &failure);
             })
             .map_err(|e| StartError::io("start the writer of", &path, e))?;
-        Ok((WriterHandle { tx, latest: WriteSeq::default() }, Self { durable, syncs, thread }))
+        let handle = WriterHandle { tx, latest: WriteSeq::default(), is_stopping };
+        Ok((handle, Self { durable, syncs, thread }))
     }
 }
 
@@ -132,11 +149,16 @@
 struct WriterThread {
     dir: PathBuf,
     hook: Option<SyncHook>,
+    before_write: Option<WriteHook>,
     generation: u64,
     path: PathBuf,
     file: File,
+    /// Length of the file up to the last frame that is durable.
+    length: u64,
     syncs: Arc<AtomicU64>,
     durable: watch::Sender<WriteSeq>,
+    is_stopping: Arc<AtomicBool>,
+    log: Logger,
 }
 
 impl WriterThread {
@@ -169,19 +191,33 @@
     fn append(&mut self, records: &[Record]) -> io::Result<()> {
         // A single frame, because a torn write must not leave a readable frame after an unreadable
         // one.
-        self.file.write_all(&super::frame::encode(records))?;
-        self.sync()
+        let frame = super::frame::encode(records);
+        let written = self.retry_while_full(|writer| {
+            let result =
+                write(&mut writer.file, &writer.path, &frame, writer.before_write.as_ref());
+            if result.is_err() {
+                writer.file.set_len(writer.length)?;
+            }
+            result
+        });
+        written?;
+        self.sync()?;
+        self.length += frame.len() as u64;
+        Ok(())
     }
 
     fn rewrite(&mut self, records: &[Record]) -> io::Result<()> {
         let path = wal::path(&self.dir, self.generation + 1);
         let temporary = path.with_extension(TEMPORARY_SUFFIX);
-        let mut file = File::options().create(true).append(true).open(&temporary)?;
-        file.set_len(0)?;
-        for frame in wal::encode(records) {
-            file.write_all(&frame)?;
-        }
+        let frames: Vec<u8> = wal::encode(records).concat();
+        let file = self.retry_while_full(|writer| {
+            let mut file = File::options().create(true).append(true).open(&temporary)?;
+            file.set_len(0)?;
+            write(&mut file, &temporary, &frames, writer.before_write.as_ref())?;
+            Ok(file)
+        })?;
         self.file = file;
+        self.length = frames.len() as u64;
         let replaced = std::mem::replace(&mut self.path, temporary);
         self.sync()?;
         fs::rename(&self.path, &path)?;
@@ -192,6 +228,35 @@
         Ok(())
     }
 
+    /// Repeats a write that a full disk refuses until it has room, or the writer is stopped.
+    ///
+    /// Nothing that waits for the write is acknowledged meanwhile, so this replica gives no vote and
+    /// counts towards no quorum. A failed sync is never repeated: what it covered may be lost.
+    fn retry_while_full<T>(
+        &mut self,
+        mut write: impl FnMut(&mut Self) -> io::Result<T>,
+    ) -> io::Result<T> {
+        let mut full_since = None;
+        loop {
+            let result = write(self);
+            match &result {
+                Err(error) if is_full(error) && !self.is_stopping.load(Ordering::Relaxed) => {
+                    if full_since.is_none() {
+                        event!(self.log, DISK_FULL; "path" => %self.path.display(), "error" => %error);
+                    }
+                    full_since.get_or_insert_with(Instant::now);
+                    thread::sleep(FULL_RETRY_INTERVAL);
+                }
+                Ok(_) if let Some(since) = full_since => {
+                    event!(self.log, DISK_HAS_ROOM; "path" => %self.path.display(),
+                        "after_ms" => since.elapsed().as_millis() as u64);
+                    return result;
+                }
+                _ => return result,
+            }
+        }
+    }
+
     fn sync(&self) -> io::Result<()> {
         sync(&self.file, &self.path, self.hook.as_ref())?;
         self.syncs.fetch_add(1, Ordering::Relaxed);
@@ -199,6 +264,14 @@
     }
 }
 
+/// Writes all bytes at the end of the file, after the fault injection hook.
+fn write(file: &mut File, path: &Path, bytes: &[u8], before: Option<&WriteHook>) -> io::Result<()> {
+    if let Some(hook) = before {
+        hook(path)?;
+    }
+    file.write_all(bytes)
+}
+
 /// Adds the records of pending append jobs to the group commit and returns the last sequence
 /// number. A job of another kind ends the group and is stored in `next`.
 fn coalesce_appends(
--- a/crates/consensus/tests/disk.rs
+++ b/crates/consensus/tests/disk.rs
@@ -254,3 +254,60 @@
     assert_eq!((after.term, after.leader), (before.term, Some(id(1))));
     cluster.propose("b-0").await;
 }
+
+/// Guards against replicas that end, or forget what they acknowledged, because their disks are full one
+/// after another.
+#[rstest]
+#[case::log_only(10_000, 3)]
+#[case::snapshots(4, 3)]
+#[case::nine(10_000, 9)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn disks_full_in_turn(#[case] snapshot_every: u64, #[case] replicas: usize) {
+    let mut cluster = Cluster::new(replicas);
+    (cluster.snapshot_every, cluster.retain_entries) = (snapshot_every, 2);
+    cluster.start_all().await;
+    cluster.propose("start").await;
+    cluster.check_converged(&[]).await;
+    let mut expected = Vec::new();
+    for round in 0..2 {
+        for n in 1..=replicas {
+            cluster.disks[&n].is_full.store(true, Ordering::Relaxed);
+            let name = format!("full-{round}-{n}");
+            cluster.propose_many(&name, 6).await;
+            expected.extend(command_names(&name, 6));
+            // Long enough that an election timeout passes.
+            let leader = cluster.leader().await;
+            let other = if leader == n { n % replicas + 1 } else { n };
+            let before = cluster.calls(leader, other);
+            wait_until("heartbeats", || cluster.calls(leader, other) >= before + 5).await;
+            cluster.disks[&n].is_full.store(false, Ordering::Relaxed);
+            let name = format!("room-{round}-{n}");
+            cluster.propose_many(&name, 2).await;
+            expected.extend(command_names(&name, 2));
+            cluster.check_converged(&expected).await;
+        }
+    }
+    let failed: Vec<_> = cluster.nodes.values().filter_map(|node| node.status().failure).collect();
+    assert!(failed.is_empty(), "{failed:?}");
+    for n in 1..=replicas {
+        cluster.stop(n).await;
+    }
+    cluster.start_all().await;
+    cluster.propose("end-0").await;
+    expected.push("end-0".to_owned());
+    cluster.check_converged(&expected).await;
+}
+
+/// Guards against a replica that can't be stopped while its disk is full.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn stop_with_full_disk() {
+    let mut cluster = Cluster::started(3).await;
+    cluster.propose("a-0").await;
+    let leader = cluster.leader().await;
+    cluster.disks[&leader].is_full.store(true, Ordering::Relaxed);
+    cluster.propose("b-0").await;
+    with_timeout(cluster.stop(leader)).await;
+    cluster.start(leader).await;
+    cluster.propose("c-0").await;
+    cluster.check_converged(&["a-0", "b-0", "c-0"].map(str::to_owned)).await;
+}
--- a/crates/consensus/tests/harness/mod.rs
+++ b/crates/consensus/tests/harness/mod.rs
@@ -7,8 +7,9 @@
 
 use std::{
     collections::{HashMap, HashSet},
-    io,
-    path::PathBuf,
+    fs::File,
+    io::{self, Write},
+    path::{Path, PathBuf},
     sync::{
         Arc, Mutex,
         atomic::{AtomicBool, AtomicU64, Ordering},
@@ -160,10 +161,22 @@
 #[derive(Clone, Default)]
 pub(crate) struct DiskFaults {
     pub(crate) fails: Arc<AtomicBool>,
+    /// Writes are refused, after a part of the bytes.
+    pub(crate) is_full: Arc<AtomicBool>,
     pub(crate) delay_ms: Arc<AtomicU64>,
 }
 
 impl DiskFaults {
+    fn before_write(&self, path: &Path) -> io::Result<()> {
+        if !self.is_full.load(Ordering::Relaxed) {
+            return Ok(());
+        }
+        if path.exists() {
+            File::options().append(true).open(path)?.write_all(&[0x55; 11])?;
+        }
+        Err(io::Error::from(io::ErrorKind::StorageFull))
+    }
+
     fn before_sync(&self) -> io::Result<()> {
         std::thread::sleep(Duration::from_millis(self.delay_ms.load(Ordering::Relaxed)));
         if self.fails.load(Ordering::Relaxed) {
@@ -244,6 +257,8 @@
         cfg.retain_entries = self.retain_entries;
         let disk = self.disks.get(&n).cloned().unwrap_or_default();
         let power = self.power(n);
+        let writes = disk.clone();
+        cfg.before_write = Some(Arc::new(move |path| writes.before_write(path)));
         cfg.before_sync = Some(Arc::new(move |path| {
             disk.before_sync()?;
             power.sync(path)
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -90,6 +90,9 @@
         LOG_COMPACTED = "C0130", Info, "log compacted", "none";
         SNAPSHOT_SENDING = "C0131", Info, "sending a snapshot", "none";
         SNAPSHOT_INSTALLING = "C0132", Info, "installing a received snapshot", "none";
+        DISK_FULL = "C0135", Error, "disk is full; the replica cannot vote or acknowledge until there is room", "free the disk; the replica then goes on by itself";
+        DISK_HAS_ROOM = "C0136", Info, "disk has room again", "none";
+        SNAPSHOT_POSTPONED = "C0137", Warning, "disk is full; snapshot postponed", "free the disk; the replica then goes on by itself";
         SNAPSHOT_CORRUPT = "C0133", Warning, "checksum mismatch in a received snapshot", "check the network if it repeats";
     }
     "K02" "Control" {
