Send the control leader only the difference of a route table

What callers saw: a change of a large table took seconds, and operators went on to another replica after one, which sent the whole table to the leader again.

Cause: the replica that received a table passed it on whole, routes and document; the leader decoded it, computed the difference and encoded that. One process paid for all changes by the size of the table, and again for each repetition.

Change: the replica that receives a table computes the difference from its own, which is committed, and proposes that. If another table was committed meanwhile the difference is refused, as before, and computed again once that one is here; then, and for the first table, the whole table is sent.

Class: cost that grows with (callers x size) on one process.

--- a/crates/daemon/src/plane.rs
+++ b/crates/daemon/src/plane.rs
@@ -4,13 +4,13 @@
 
 use jsonrpsee::{core::ClientError, http_client::HttpClient, types::ErrorCode};
 use shallotdrum_control::{
-    Command, ControlView, DIRECT_REPORTS_FORMAT, Proposal, ProposeError, Reply,
+    Command, CommandError, ControlView, DIRECT_REPORTS_FORMAT, Proposal, ProposeError, Reply,
 };
 use shallotdrum_engine::Announcement;
 use shallotdrum_routes::RouteTable;
 use shallotdrum_rpc::{ControlClient, PeerApiClient, RpcError};
 use shallotdrum_telemetry::event;
-use shallotdrum_types::{AdapterId, BaseModelId, LogIndex, RequestError, TargetId};
+use shallotdrum_types::{AdapterId, BaseModelId, LogIndex, RequestError, Revision, TargetId};
 use tokio::time::Instant;
 
 use crate::targets::TargetRelay;
@@ -18,6 +18,14 @@
 /// Timeout of an operator's read; operators try another instance after one second.
 const READ_TIMEOUT: Duration = Duration::from_millis(900);
 
+/// Number of attempts to write a route table as a difference from that of this instance; operators
+/// send up to eight changes concurrently.
+const MAX_DIFF_ATTEMPTS: u32 = 4;
+
+/// Maximum wait for a route table that another change has made the current one; a few heartbeats of
+/// the control log.
+const CONFLICT_WAIT: Duration = Duration::from_millis(300);
+
 /// Handle with which a front end reads and changes the control state; cheap to clone.
 #[derive(Clone)]
 pub struct ControlPlane {
@@ -35,7 +43,7 @@
     Propose(#[from] ProposeError),
     /// The control log refused the change, which has no effect.
     #[error("the control log refused the change: {0}")]
-    Refused(shallotdrum_control::CommandError),
+    Refused(CommandError),
     /// A message of a target was refused or could not be relayed.
     #[error(transparent)]
     Target(#[from] RequestError),
@@ -95,14 +103,43 @@
 
     /// Makes a validated route table the current one, unless the current one has the same or a
     /// higher revision.
+    ///
+    /// Sends only the difference from the table of this instance. If another one was committed
+    /// meanwhile, the difference is computed again once that is applied here; after
+    /// [`MAX_DIFF_ATTEMPTS`], and without a table here, the whole table is sent.
     pub async fn put_routes(&self, table: Arc<RouteTable>) -> Result<(), ChangeError> {
-        // State applied here is committed, so this table is superseded permanently.
-        if self.routes().is_some_and(|current| current.revision >= table.revision) {
-            return Ok(());
+        for _ in 0..MAX_DIFF_ATTEMPTS {
+            let Some(current) = self.routes() else { break };
+            // State applied here is committed, so this table is superseded permanently.
+            if current.revision >= table.revision {
+                return Ok(());
+            }
+            let command = match Command::put_routes(Some(&current), table.clone()) {
+                Ok(command) => command,
+                Err(error) => {
+                    event!(self.log, ROUTES_SENT_WHOLE; "revision" => table.revision.0, "error" => %error);
+                    break;
+                }
+            };
+            match self.propose(command).await {
+                Err(ChangeError::Refused(CommandError::RoutesConflict { current, .. })) => {
+                    self.wait_for_routes(current).await;
+                }
+                result => return result,
+            }
         }
         self.propose(Command::PutRoutes { table }).await
     }
 
+    /// Waits until this instance has a route table of at least this revision, for a limited time.
+    async fn wait_for_routes(&self, revision: Revision) {
+        let mut changed = self.view.changed();
+        let is_known =
+            changed.wait_for(|_| self.routes().is_some_and(|current| current.revision >= revision));
+        // After the time limit the difference conflicts once more, or the whole table is sent.
+        let _ = tokio::time::timeout(CONFLICT_WAIT, is_known).await;
+    }
+
     /// Raises the current version of an adapter; a version below the current one has no effect.
     pub async fn raise_adapter_version(
         &self,
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -111,6 +111,7 @@
         LEADER_COMMAND_FAILED = "K0211", Warning, "control leader cannot write to the log", "check the control replicas and the network between them";
         CHANGE_UNCONFIRMED = "K0215", Warning, "change was not confirmed by the control log", "none; the sender retries. Check the control replicas if it persists";
         CHANGE_CONFIRMED = "K0218", Info, "change confirmed by the control log", "none";
+        ROUTES_SENT_WHOLE = "K0222", Warning, "cannot compute the difference of a route table; sending the whole table", "none";
         ROUTES_READ = "K0220", Info, "route table read by an operator", "none";
         READ_UNCONFIRMED = "K0221", Warning, "control leader cannot confirm a read in time", "check the other replicas if `quorum_contact_ms` is high, and this one's disk if `applied` is behind `commit`";
         ROUTES_READ_FAILED = "K0216", Warning, "cannot read the latest route table", "check the control replicas if it persists";
