Limit what an engine says of its queue to what can be added up

What was seen: an engine that tells the greatest numbers as its running and waiting requests ended a task of the owner of its group in builds with overflow checks; in others the sum wrapped, and a full engine counted as an idle one.

Odd states of an engine, which were not tried until now: odd_state_ends_nothing::case_1_greatest failed before (attempt to add with overflow), the other three passed.

--- a/crates/scheduler/src/state/membership.rs
+++ b/crates/scheduler/src/state/membership.rs
@@ -25,6 +25,10 @@
 /// Upper bound on `Health::slowness`.
 const MAX_SLOWNESS: f64 = 4.0;
 
+/// Largest number of requests of others that a report is believed; far above the queue of any target,
+/// and small enough to be added up.
+const MAX_FOREIGN_REQUESTS: u32 = 1 << 20;
+
 impl State {
     /// Adds or updates a target. A new incarnation starts without loaded adapters.
     pub(crate) fn upsert_target(&mut self, spec: TargetSpec, is_draining: bool, now: Instant) {
@@ -138,8 +142,9 @@
         }
         target.sampled_at = Some(newest);
         target.reported_at = Some(now);
-        let on_target = report.running + report.queued;
-        target.foreign = on_target.saturating_sub(target.take_peak(oldest, now));
+        let on_target = report.running.saturating_add(report.queued);
+        target.foreign =
+            on_target.saturating_sub(target.take_peak(oldest, now)).min(MAX_FOREIGN_REQUESTS);
         let changes = target.slots.apply_report(&reported, oldest, now);
         for change in changes {
             self.apply_residency_change(key, change, now);
