Refuse requests that arrive after the listener of a stopping entry has closed

What callers saw, as other operators report it: in a planned stop, in calm, requests that came late in the grace period were taken, passed on and cut with no answer at its end, also calls that may not be repeated.

Cause: the listener closes 2.5 s after SIGTERM, and idle connections with it, but a connection on which a part of its first head or of a body had arrived stays, and what was completed later was passed on until the process ended after 7.3 s.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -5,7 +5,10 @@
 
 use std::{
     collections::HashMap,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
@@ -48,6 +51,9 @@
 /// the transfer of the state take about a second.
 const RETRY_AFTER_START: Duration = Duration::from_millis(1_200);
 
+/// `Retry-After` of an instance that is stopping; a new connection reaches another one.
+const RETRY_AFTER_CLOSE: Duration = Duration::from_millis(50);
+
 /// Interval between checks for expired idle connections, and between counts of the entries.
 const EXPIRE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -85,6 +91,8 @@
     bodies: BodyBuffers,
     budgets: Mutex<HashMap<PoolId, RetryBudget>>,
     entry_count: Mutex<EntryCount>,
+    /// New requests are refused, as this instance may end before their responses do.
+    is_closing: AtomicBool,
 }
 
 /// State of a request across its attempts.
@@ -154,6 +162,7 @@
             bodies: BodyBuffers::default(),
             budgets: Mutex::default(),
             entry_count: Mutex::new(EntryCount::new(restarted)),
+            is_closing: AtomicBool::new(false),
         });
         let weak = Arc::downgrade(&gateway);
         tokio::spawn(async move {
@@ -184,6 +193,12 @@
             && (self.cx.freshness)().check_serving(self.cx.serve_when_stale).is_ok()
     }
 
+    /// Refuses new requests from now on, also those that began to arrive before; for the end of a
+    /// planned stop, when the balancer has sent new connections elsewhere.
+    pub fn close(&self) {
+        self.is_closing.store(true, Ordering::Relaxed);
+    }
+
     /// Fails unless the current route table is confirmed, so that requests which it does not allow
     /// may be refused for good.
     pub fn check_absence(&self) -> Result<(), RequestError> {
@@ -244,6 +259,11 @@
         self: Arc<Self>,
         req: CallerRequest,
     ) -> Result<GatewayResponse, RequestError> {
+        if self.is_closing.load(Ordering::Relaxed) {
+            let detail = "this instance is stopping; send the request to another one";
+            return Err(RequestError::not_run(RequestErrorKind::NotReady, detail)
+                .retry_after(RETRY_AFTER_CLOSE));
+        }
         let Some(routes) = self.routes() else {
             let detail = "no route table is in force yet; retry later";
             return Err(RequestError::not_run(RequestErrorKind::NotReady, detail)
