Believe that a target refuses connections only if two other instances say so

Cause: the first instance that was asked for a detour and was refused ended the search. An instance that has not noticed its own broken link says what a crashed target says.

Change: the search goes on until two others were refused; a crashed target costs one more question.

Test: tunnels::refusal_of_one_instance::case_1_one_link_broken failed before (false for a target that listens); all_refuse passed before and after.

--- a/crates/engine/tests/tunnels.rs
+++ b/crates/engine/tests/tunnels.rs
@@ -57,21 +57,32 @@
     addr
 }
 
-fn context(peer: Option<SocketAddr>, target: SocketAddr) -> LinkContext {
+/// Context with instances that are asked in this order.
+fn context(peers: Vec<SocketAddr>, target: SocketAddr) -> LinkContext {
     LinkContext {
         peers: Box::new(move || {
-            let instance = "peer".parse().unwrap();
-            peer.map(|data| PeerInstance { instance, data, rank: 0 }).into_iter().collect()
+            let peer = |(data, rank): (&SocketAddr, u8)| PeerInstance {
+                instance: format!("peer-{rank}").parse().unwrap(),
+                data: *data,
+                rank,
+            };
+            peers.iter().zip(0..).map(peer).collect()
         }),
         is_target: Box::new(move |addr| addr == target),
         log: slog::Logger::root(slog::Discard, slog::o!()),
     }
 }
 
-/// Starts an instance, in a runtime of its own, that opens connections to the target.
-async fn start_peer(target: SocketAddr) -> (SocketAddr, Runtime) {
-    let links = Links::new(BTreeMap::new());
-    links.attach(context(None, target));
+/// Address at which nothing listens.
+async fn closed_addr() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap()
+}
+
+/// Starts an instance, in a runtime of its own, that opens connections to the target, which it reaches at
+/// an address of its own.
+async fn start_peer(target: SocketAddr, reached_at: SocketAddr) -> (SocketAddr, Runtime) {
+    let links = Links::new(BTreeMap::from([(target, reached_at)]));
+    links.attach(context(Vec::new(), target));
     let runtime = Runtime::new().unwrap();
     let (tx, rx) = tokio::sync::oneshot::channel();
     runtime.spawn(async move {
@@ -102,11 +113,10 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn body_without_length_through_tunnel(#[case] end: End, #[case] is_complete: bool) {
     let target = start_target(end).await;
-    let (peer, runtime) = start_peer(target).await;
+    let (peer, runtime) = start_peer(target, target).await;
     // Nothing listens where this instance reaches the target.
-    let direct = TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap();
-    let links = Links::new(BTreeMap::from([(target, direct)]));
-    links.attach(context(Some(peer), target));
+    let links = Links::new(BTreeMap::from([(target, closed_addr().await)]));
+    links.attach(context(vec![peer], target));
     let client = EngineClient::with_links(ClientTimeouts::default(), links);
     let req = Request::builder().uri("/").body(full_body(Bytes::new())).unwrap();
     let res = timeout(LIMIT, client.call_unpooled(target, req)).await.unwrap().unwrap();
@@ -132,3 +142,25 @@
     assert_eq!(text, b"body");
     assert_eq!(ended.is_ok(), is_complete, "{ended:?}");
 }
+
+/// Guards against taking a target for one that refuses connections on the word of a single instance, whose
+/// own link to it may be broken.
+#[rstest]
+#[case::one_link_broken(1, true)]
+#[case::all_refuse(3, false)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn refusal_of_one_instance(#[case] refusing: usize, #[case] is_listening: bool) {
+    let target = start_target(End::Close).await;
+    let closed = closed_addr().await;
+    let mut peers = Vec::new();
+    for n in 0..3 {
+        let reached_at = if n < refusing { closed } else { target };
+        peers.push(start_peer(target, reached_at).await);
+    }
+    let links = Links::new(BTreeMap::from([(target, closed)]));
+    links.attach(context(peers.iter().map(|(peer, _)| *peer).collect(), target));
+    assert_eq!(timeout(LIMIT, links.is_listening(target)).await.unwrap(), is_listening);
+    for (_, runtime) in peers {
+        runtime.shutdown_background();
+    }
+}
--- a/crates/links/src/links.rs
+++ b/crates/links/src/links.rs
@@ -48,6 +48,10 @@
 /// links refuse at once.
 const MAX_PEERS: usize = 6;
 
+/// Number of other instances that a target must refuse to count as one that refuses all. One of them may
+/// have a broken link itself and not know it yet.
+const CONVINCING_REFUSALS: u32 = 2;
+
 /// Time for which an instance that could not open a connection is asked last, and for which a target
 /// that no instance reached is not asked for again.
 const FAILURE_MEMORY: Duration = Duration::from_secs(2);
@@ -244,6 +248,7 @@
             return None;
         }
         let deadline = Instant::now() + PEERS_TIMEOUT;
+        let mut refusals = 0;
         for peer in self.ranked_peers(cx) {
             let limit = deadline.min(Instant::now() + PEER_TIMEOUT);
             let opened = timeout_at(limit, open_tunnel(peer.data, link.target, request)).await;
@@ -258,11 +263,11 @@
             };
             event!(cx.log, LINK_DETOUR_REFUSED; "request" => request, "addr" => %link.target,
                 "through" => %peer.instance, "error" => %error);
-            if let TunnelError::Refused = error {
-                break;
+            match error {
+                TunnelError::Refused => refusals += 1,
+                _ => drop(self.failed_peers().insert(peer.data, Instant::now())),
             }
-            self.failed_peers().insert(peer.data, Instant::now());
-            if Instant::now() >= deadline {
+            if refusals >= CONVINCING_REFUSALS || Instant::now() >= deadline {
                 break;
             }
         }
