Share an encoded state among followers that start together

Cause: a follower that is far behind gets the whole state, encoded for the index at that moment. When many instances start together, each opens a session, which changes the state, so that the next one gets another encoding: cost that grows with (instances x size of the state).

--- a/crates/daemon/src/replica.rs
+++ b/crates/daemon/src/replica.rs
@@ -229,10 +229,10 @@
                 _ => return Err(RpcError::NotConnected),
             };
             match self.node.committed_after(after, MAX_WATCH_BYTES) {
-                CommittedTail::Snapshot { .. } => return Ok(self.follower_snapshot()),
+                CommittedTail::Snapshot { .. } => return Ok(self.follower_snapshot(after)),
                 // A snapshot is smaller than a long history of route tables.
                 CommittedTail::Entries { entries, .. } if entries.len() > MAX_WATCH_ENTRIES => {
-                    return Ok(self.follower_snapshot());
+                    return Ok(self.follower_snapshot(after));
                 }
                 CommittedTail::Entries { entries, last } => {
                     let entries: Vec<_> = entries
@@ -264,11 +264,21 @@
         }
     }
 
-    /// Snapshot for a follower that is far behind, encoded once per index for all followers.
-    fn follower_snapshot(&self) -> WatchReply {
-        let index = self.view.applied();
+    /// Snapshot for a follower that is far behind.
+    ///
+    /// Followers share one as long as the commands after it are few enough to be sent as such. When
+    /// many instances start at the same time, each of them opens a session, and so changes the state
+    /// that the next one needs.
+    fn follower_snapshot(&self, after: LogIndex) -> WatchReply {
+        let retained = self.node.status().first_index;
+        let applied = self.view.applied();
+        let suffices = |index: LogIndex| {
+            index > after
+                && index.next() >= retained
+                && applied.0.saturating_sub(index.0) <= MAX_WATCH_ENTRIES as u64
+        };
         let mut cached = self.encoded_snapshot.lock().unwrap_or_else(PoisonError::into_inner);
-        if cached.as_ref().is_none_or(|(encoded, _)| *encoded < index) {
+        if cached.as_ref().is_none_or(|(index, _)| !suffices(*index)) {
             let (index, state) =
                 self.view.read(|state| (state.applied(), state.snapshot_without_ledger()));
             *cached = Some((index, state));
