Wait for the instances where a test of the command line asks for them

The set-up waits until the first instance knows all sessions, and the commands go to the last one, which follows a replica and lists what it has applied itself. It waits for each instance now; what the tests check is unchanged. The cause is read from the code, not shown by a run.

--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -28,7 +28,10 @@
     let deployment = Deployment::registry().scaled(2, 1, 5);
     let log = shallotdrum_telemetry::discard();
     let cluster = InProcessCluster::start(&deployment, 4, 3, &log).await.unwrap();
-    Operator::default().wait_for_instances(cluster.rpcs[0], 4, TIMEOUT).await.unwrap();
+    // The commands go to the last instance, which may be behind the others.
+    for rpc in &cluster.rpcs {
+        Operator::default().wait_for_instances(*rpc, 4, TIMEOUT).await.unwrap();
+    }
     let cfg = TargetsConfig::default();
     let targets = Targets::start(&deployment, &cfg, &cluster.entries).await.unwrap();
     let dir = tempfile::tempdir().unwrap();
