Show that a departure before a late first report is forgotten

A departure of a server that the control log does not know is acknowledged and not recorded, and its late report registers it.

--- a/review/stand-ins/main.rs
+++ b/review/stand-ins/main.rs
@@ -7,6 +7,7 @@
 mod first_start;
 mod http;
 mod join;
+mod late_report;
 mod prompt;
 mod replace;
 mod target;
@@ -21,6 +22,9 @@
 fn main() -> ExitCode {
     let mut args = std::env::args().skip(1);
     let (case, folder) = (args.next().unwrap_or_default(), args.next().unwrap_or_default());
+    if case == "server" {
+        late_report::serve(&folder);
+    }
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let root = std::env::current_dir().expect("a working folder");
     if !root.join("target/release/shallotdrum-node").exists() {
@@ -36,6 +40,7 @@
     let outcome = match case.as_str() {
         "replace" => replace::run(&mut deployment, has_trouble),
         "first-start" => first_start::run(&mut deployment, has_trouble),
+        "late-report" => late_report::run(&mut deployment, has_trouble),
         "join" => join::run(&mut deployment, has_trouble),
         "bodies" => bodies::run(&mut deployment, has_trouble),
         "prompt" => prompt::run(&mut deployment, has_trouble),
