--- a/review/stand-ins/late_report.rs
+++ b/review/4/late_report.rs
@@ -3,7 +3,7 @@
 use std::{
     io::{BufRead, BufReader, Write},
     net::SocketAddr,
-    process::{Command, Stdio},
+    process::{Child, Command, Stdio},
     sync::{Arc, Mutex},
     thread::{self, sleep},
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
@@ -37,6 +37,22 @@
 const INTERVAL: Duration = Duration::from_millis(40);
 const WORK: Duration = Duration::from_millis(300);
 
+/// Process of the server that leaves; ends with this value.
+struct Server(Child);
+
+impl Server {
+    fn end(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.end();
+    }
+}
+
 /// Runs the server that leaves, as a process of its own: prints its address and then a line for each
 /// request that it begins.
 pub fn serve(ip: &str) -> ! {
@@ -55,9 +71,9 @@
     });
     println!("{addr}");
     let _ = std::io::stdout().flush();
-    loop {
-        sleep(Duration::from_secs(60));
-    }
+    // Longer than the script runs; an end of the script by force leaves no server behind.
+    sleep(Duration::from_secs(100));
+    std::process::exit(0);
 }
 
 pub fn run(deployment: &mut Deployment, has_trouble: bool) -> Outcome {
@@ -89,13 +105,14 @@
 
     let record = deployment.record.clone();
     let program = std::env::current_exe().map_err(|e| e.to_string())?;
-    let mut server = Command::new(program)
+    let server = Command::new(program)
         .args(["server", &deployment.ip(19)])
         .stdin(Stdio::null())
         .stdout(Stdio::piped())
         .spawn()
         .map_err(|e| e.to_string())?;
-    let mut lines = BufReader::new(server.stdout.take().ok_or("no output")?).lines();
+    let mut server = Server(server);
+    let mut lines = BufReader::new(server.0.stdout.take().ok_or("no output")?).lines();
     let addr: SocketAddr =
         lines.next().and_then(|line| line.ok()?.parse().ok()).ok_or("the server did not start")?;
     let runs: Arc<Mutex<Vec<(Instant, String)>>> = Arc::default();
@@ -128,8 +145,6 @@
     let status = left.map_or_else(|e| e.to_string(), |response| response.status().to_string());
     record.line(&format!("{LEAVING} sends DELETE to {}: {status}", controls[3]));
     if status != "200" {
-        let _ = server.kill();
-        let _ = server.wait();
         return Err("the departure was not acknowledged".to_owned());
     }
     let acknowledged = Instant::now();
@@ -140,8 +155,7 @@
     let mut exited = false;
     while acknowledged.elapsed() < LINGER + Duration::from_secs(2) {
         if !exited && acknowledged.elapsed() >= LINGER {
-            let _ = server.kill();
-            let _ = server.wait();
+            server.end();
             record.line(&format!("{LEAVING} exits"));
             exited = true;
         }
--- a/review/build.sh
+++ b/review/build.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
 # Builds the stand-ins that the scripts of the cases start: one program without dependencies.
 set -eu
-cd "$(dirname "$0")"
+cd "$(dirname "$0")/.."
 mkdir -p target
-rustc --edition 2024 -O -D warnings -o target/stand-in stand-ins/main.rs
+rustc --edition 2024 -O -o target/review-stand-in review/main.rs
--- a/review/stand-ins/deploy.rs
+++ b/review/deploy.rs
@@ -307,7 +307,7 @@
 }
 
 fn version_of(config: &str) -> Option<u64> {
-    let rest = &config[config.find("\"version\":")? + 10..];
+    let (_, rest) = config.split_once("\"version\":")?;
     let digits: String = rest.chars().take_while(char::is_ascii_digit).collect();
     digits.parse().ok()
 }
--- a/review/stand-ins/main.rs
+++ b/review/main.rs
@@ -1,14 +1,20 @@
-//! Stand-ins and scripts of the review's cases: `stand-in CASE FOLDER`, run in the root of the repository.
+//! Stand-ins and scripts of the review's cases: `review-stand-in CASE FOLDER`, run in the
+//! root of the repository.
 //!
 //! Exits with 1 if the rule was broken, 0 if it held and 2 if the case could not run.
 
+#[path = "3/bodies.rs"]
 mod bodies;
 mod deploy;
+#[path = "5/first_start.rs"]
 mod first_start;
 mod http;
+#[path = "2/join.rs"]
 mod join;
+#[path = "4/late_report.rs"]
 mod late_report;
 mod prompt;
+#[path = "1/replace.rs"]
 mod replace;
 mod target;
 
--- a/review/stand-ins/target.rs
+++ b/review/target.rs
@@ -157,6 +157,7 @@
 }
 
 fn beat_addr(body: &str) -> Option<SocketAddr> {
-    let rest = &body[body.find("\"beat_addr\":\"")? + 13..];
-    rest[..rest.find('"')?].parse().ok()
+    let (_, rest) = body.split_once("\"beat_addr\":\"")?;
+    let (addr, _) = rest.split_once('"')?;
+    addr.parse().ok()
 }
