Let a replica that has caught up take the place of a silent voter

Cause: a replica became a voter as soon as it had the log, while a lost voter stayed for 15 s, which each new leader counted anew. Each replacement left a dead voter more, until the quorum was all that lived. A learner whose machine had gone was never given up, and no change may begin beside one.

Fix: a learner that has caught up waits until all voters have acknowledged a message sent since it came. A voter silent for 2 s gives way to it: removed first, then the learner is promoted, so that the quorum never grows beside a lost voter. A learner silent for 2 s is given up. A new leader counts the silence of the previous one from its last message, and a leader that stood still forgets what it took for silence. The learner is part of the replicated configuration, so this survives elections.

--- a/crates/consensus/src/config.rs
+++ b/crates/consensus/src/config.rs
@@ -78,6 +78,10 @@
     pub election_max: Duration,
     /// Timeout of one message, including its response.
     pub call_timeout: Duration,
+    /// Silence after which a voter gives way to a learner that has caught up, and after which a
+    /// learner is given up; above `election_max`, so that a leader that stood still steps down
+    /// before it takes the others for lost.
+    pub replace_after: Duration,
 }
 
 impl Default for Timing {
@@ -89,6 +93,9 @@
             election_max: Duration::from_millis(1200),
             // Below `election_min`, so that one lost message doesn't make the lease expire.
             call_timeout: Duration::from_millis(400),
+            // Half of the 4 s after which operators replace the next machine. The other half is for
+            // the election that a lost leader needs, and for the two changes that follow.
+            replace_after: Duration::from_secs(2),
         }
     }
 }
--- a/crates/consensus/src/member.rs
+++ b/crates/consensus/src/member.rs
@@ -94,6 +94,20 @@
         next
     }
 
+    /// Copy without the replica as a voter.
+    pub(crate) fn without_voter(&self, member: &Member) -> Self {
+        let mut next = self.clone();
+        next.voters.retain(|m| m != member);
+        next
+    }
+
+    /// Copy without the replica as a learner.
+    pub(crate) fn without_learner(&self, member: &Member) -> Self {
+        let mut next = self.clone();
+        next.learners.retain(|m| m != member);
+        next
+    }
+
     /// Copy with the replica as the only learner of its instance.
     pub(crate) fn with_learner(&self, member: Member) -> Self {
         let mut next = self.clone();
@@ -107,12 +121,10 @@
     /// Replacing a voter in a single step would allow disjoint quorums. A voter of the same
     /// instance with an older data folder is therefore removed in a separate step first.
     pub(crate) fn promote(&self, member: &Member) -> Self {
-        let mut next = self.clone();
-        if self.voter(&member.id).is_some() {
-            next.voters.retain(|m| m.id != member.id);
-            return next;
+        if let Some(previous) = self.voter(&member.id) {
+            return self.without_voter(previous);
         }
-        next.learners.retain(|m| m != member);
+        let mut next = self.without_learner(member);
         next.voters.push(member.clone());
         next.voters.sort();
         next
--- a/crates/consensus/src/node/core.rs
+++ b/crates/consensus/src/node/core.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
     sync::Arc,
+    time::Duration,
 };
 
 use shallotdrum_types::{InstanceId, LogIndex, Term};
@@ -27,6 +28,8 @@
     pub(super) leader: Option<InstanceId>,
     /// Time of the last message of a leader, or of the start of this replica.
     pub(super) leader_contact: Option<Instant>,
+    /// Replica whose message `leader_contact` tells the time of.
+    pub(super) last_leader: Option<Member>,
     pub(super) election_deadline: Instant,
     pub(super) log: Log,
     pub(super) commit: LogIndex,
@@ -63,6 +66,13 @@
 /// State that only a leader has.
 pub(super) struct LeaderState {
     pub(super) since: Instant,
+    /// Previous leader, and the time of its last message.
+    predecessor: Option<(Member, Instant)>,
+    /// Time of the last periodic check.
+    last_check: Instant,
+    /// Time of the first check after this replica stood still. Nothing that happened before tells
+    /// whether another replica is silent.
+    resumed_at: Option<Instant>,
     /// First entry of this leader's term.
     first: LogIndex,
     /// Last entry of this leader that is durable on its own disk.
@@ -88,6 +98,41 @@
     pub(super) matched: LogIndex,
     /// Send time of the newest message that the replica acknowledged.
     pub(super) acked_sent_at: Option<Instant>,
+    /// Time of the first message to the replica in this term.
+    pub(super) since: Instant,
+}
+
+impl LeaderState {
+    /// Records a periodic check; a pause longer than `still_after` means that this replica stood
+    /// still.
+    pub(super) fn record_check(&mut self, still_after: Duration) {
+        let now = Instant::now();
+        if now.duration_since(self.last_check) >= still_after {
+            self.resumed_at = Some(now);
+        }
+        self.last_check = now;
+    }
+
+    /// Drops what is known of replicas that are no longer members; one that is added again begins
+    /// anew.
+    pub(super) fn retain_members(&mut self, membership: &Membership) {
+        let is_member = |member: &Member| membership.members().any(|m| m == member);
+        self.progress.retain(|member, _| is_member(member));
+        self.predecessor.take_if(|(member, _)| !is_member(member));
+    }
+
+    /// Time for which a replica has not acknowledged a message although this leader sent some.
+    pub(super) fn silence(&self, member: &Member) -> Duration {
+        let progress = self.progress.get(member);
+        let acked = progress.and_then(|progress| progress.acked_sent_at);
+        let heard = || {
+            let (leader, at) = self.predecessor.as_ref()?;
+            (leader == member).then_some(*at)
+        };
+        let start = progress.map_or(self.since, |progress| progress.since);
+        let contact = acked.or_else(heard).unwrap_or(start);
+        self.resumed_at.map_or(contact, |at| at.max(contact)).elapsed()
+    }
 }
 
 /// Snapshot that is received in chunks.
@@ -116,6 +161,7 @@
             role: RoleState::Follower,
             leader: None,
             leader_contact: None,
+            last_leader: None,
             election_deadline: Instant::now(),
             commit: start,
             applied: start,
@@ -254,8 +300,12 @@
         // All entries committed before the election precede the first entry of this term.
         self.catch_up_index.get_or_insert(next);
         self.leader = Some(self.local.id.clone());
+        let now = Instant::now();
         self.role = RoleState::Leader(LeaderState {
-            since: Instant::now(),
+            since: now,
+            predecessor: self.last_leader.clone().zip(self.leader_contact),
+            last_check: now,
+            resumed_at: None,
             first: next,
             own_matched: LogIndex(0),
             own_pending: VecDeque::new(),
--- a/crates/consensus/src/node/election.rs
+++ b/crates/consensus/src/node/election.rs
@@ -43,7 +43,8 @@
     if core.is_stopped {
         return None;
     }
-    if let RoleState::Leader(leader_state) = &core.role {
+    if let RoleState::Leader(leader_state) = &mut core.role {
+        leader_state.record_check(timing.election_min);
         let since = leader_state.since;
         let contact = core.quorum_contact().map_or(since, |at| at.max(since));
         if contact.elapsed() > timing.election_max {
--- a/crates/consensus/src/node/membership.rs
+++ b/crates/consensus/src/node/membership.rs
@@ -1,7 +1,15 @@
 //! Membership changes.
 //!
+//! A learner that has caught up takes the place of a voter that is silent: the voter is removed
+//! first, and only then is the learner promoted. While a voter may still respond, the learner waits.
+//! A learner that is silent itself is given up, because no other change can begin before that.
+//!
 //! Architecture Invariant: a configuration is proposed only after the previous one is committed,
 //! and differs from it by at most one voter, so that quorums of successive configurations overlap.
+//!
+//! Architecture Invariant: the quorum grows only while all voters respond. A lost voter that stayed
+//! beside its successor would raise the quorum, and a few such replacements in a row would make it
+//! larger than the number of replicas that are left.
 
 use std::{sync::Arc, time::Duration};
 
@@ -13,9 +21,9 @@
     core::{Core, RoleState},
 };
 use crate::{
-    Member, Membership, MembershipError, StateMachine,
+    Member, Membership, MembershipError, StateMachine, Timing,
     log::Payload,
-    message::{Request, Response},
+    message::{Request, Response, millis_saturating},
 };
 
 impl<S: StateMachine> Shared<S> {
@@ -34,31 +42,44 @@
             core.step_down(term);
             return;
         }
-        if let Some(next) = core.next_membership(self.cfg.timing.election_min) {
-            self.change_membership(core, next);
+        let Some((next, reason)) = core.next_membership(&self.cfg.timing) else { return };
+        match reason {
+            Reason::VoterLost { voter, silence } => {
+                event!(self.log, VOTER_REPLACED; "voter" => %voter,
+                    "silent_ms" => millis_saturating(silence));
+            }
+            Reason::LearnerLost { learner, silence } => {
+                event!(self.log, LEARNER_GIVEN_UP; "learner" => %learner,
+                    "silent_ms" => millis_saturating(silence));
+            }
+            Reason::CaughtUp | Reason::FolderChanged => {}
         }
+        self.change_membership(core, next);
     }
 
     fn change_membership(self: &Arc<Self>, core: &mut Core<S::Reply>, next: Membership) {
         event!(self.log, MEMBERSHIP_CHANGE; "members" => %next);
+        if let Some(leader_state) = core.leader_state() {
+            leader_state.retain_members(&next);
+        }
         core.append_own(Payload::Membership(next));
         self.start_peers(core);
         self.publish(core);
     }
 
-    /// Waits until the configuration in force is committed and satisfies the condition.
+    /// Waits until the configuration in force is committed and decides the outcome.
     async fn wait_membership(
         &self,
         term: Term,
-        is_done: impl Fn(&Membership) -> bool,
+        outcome: impl Fn(&Membership) -> Option<Result<(), MembershipError>>,
     ) -> Result<(), MembershipError> {
         let mut status = self.status.subscribe();
         loop {
             {
                 let core = self.core();
                 let membership = core.membership().filter(|_| core.is_membership_committed());
-                match membership {
-                    Some(membership) if is_done(membership) => return Ok(()),
+                match membership.and_then(&outcome) {
+                    Some(outcome) => return outcome,
                     _ if core.is_stopped => return Err(MembershipError::Stopped),
                     _ if core.check_leader(term).is_err() => return Err(MembershipError::Unknown),
                     _ => (),
@@ -71,6 +92,18 @@
     }
 }
 
+/// Why the leader changes the configuration on its own.
+enum Reason {
+    /// A learner is up to date.
+    CaughtUp,
+    /// An instance responds with another data folder than before.
+    FolderChanged,
+    /// A learner that is up to date takes the place of a silent voter.
+    VoterLost { voter: Member, silence: Duration },
+    /// A learner does not respond.
+    LearnerLost { learner: Member, silence: Duration },
+}
+
 impl<R> Core<R> {
     /// Configuration in force, if this replica is leader and no change is in progress.
     fn changeable_membership(&self) -> Result<&Membership, MembershipError> {
@@ -98,25 +131,48 @@
         self.membership()?.voters.iter().find(is_ready).cloned()
     }
 
+    /// Voter other than this replica that has been silent for the longest time.
+    fn most_silent_voter(&self) -> Option<(Duration, &Member)> {
+        let RoleState::Leader(leader_state) = &self.role else { return None };
+        let others = self.membership()?.voters.iter().filter(|m| **m != self.local);
+        others.map(|m| (leader_state.silence(m), m)).max()
+    }
+
     /// Next configuration of a pending change or replacement, if any.
-    fn next_membership(&self, live_within: Duration) -> Option<Membership> {
+    fn next_membership(&self, timing: &Timing) -> Option<(Membership, Reason)> {
         let RoleState::Leader(leader_state) = &self.role else { return None };
         let membership = self.membership()?;
+        let live_within = timing.election_min;
         let observed = |m: &Member| leader_state.observed_disks.get(&m.id).copied();
         for learner in &membership.learners {
             let previous = membership.voter(&learner.id);
-            if previous.is_some_and(|previous| observed(previous) == Some(previous.disk)) {
-                // The instance responds with its previous data folder again.
-                let mut next = membership.clone();
-                next.learners.retain(|m| m != learner);
-                return Some(next);
-            }
-            let is_caught_up = leader_state.progress.get(learner).is_some_and(|p| {
+            let progress = leader_state.progress.get(learner);
+            let is_caught_up = progress.is_some_and(|p| {
                 p.matched >= self.commit
                     && p.acked_sent_at.is_some_and(|at| at.elapsed() < live_within)
             });
-            if is_caught_up {
-                return Some(membership.promote(learner));
+            let silence = leader_state.silence(learner);
+            match (previous, self.most_silent_voter()) {
+                // The instance responds with its previous data folder again.
+                (Some(previous), _) if observed(previous) == Some(previous.disk) => {
+                    return Some((membership.without_learner(learner), Reason::FolderChanged));
+                }
+                _ if silence >= timing.replace_after => {
+                    let reason = Reason::LearnerLost { learner: learner.clone(), silence };
+                    return Some((membership.without_learner(learner), reason));
+                }
+                _ if !is_caught_up => {}
+                // The learner takes the place of its instance, so that the quorum doesn't grow.
+                (Some(_), _) => return Some((membership.promote(learner), Reason::CaughtUp)),
+                (None, Some((silence, lost))) if silence >= timing.replace_after => {
+                    let reason = Reason::VoterLost { voter: lost.clone(), silence };
+                    return Some((membership.without_voter(lost), reason));
+                }
+                // The learner may be the successor of a voter that was lost a moment before it came.
+                // Only a response to a message that was sent later shows that the voter is live.
+                (None, Some((silence, _)))
+                    if progress.is_none_or(|p| silence >= p.since.elapsed()) => {}
+                _ => return Some((membership.promote(learner), Reason::CaughtUp)),
             }
         }
         let replaced = membership.members().find(|m| {
@@ -127,13 +183,16 @@
             })
         })?;
         let disk = observed(replaced)?;
-        Some(membership.with_learner(Member { id: replaced.id.clone(), disk }))
+        let next = membership.with_learner(Member { id: replaced.id.clone(), disk });
+        Some((next, Reason::FolderChanged))
     }
 }
 
 impl<S: StateMachine> Node<S> {
-    /// Adds a replica as a learner, and waits until it is up to date and promoted to voter.
+    /// Adds a replica as a learner, and waits until it is up to date and promoted to voter. It takes
+    /// the place of a voter that has not responded for `replace_after`, if there is one.
     ///
+    /// Fails with `Unreachable` if the replica stops responding before it is up to date.
     /// If this replica loses leadership, the next leader continues the change.
     pub async fn add_replica(&self, id: InstanceId) -> Result<(), MembershipError> {
         let shared = &self.0;
@@ -157,7 +216,14 @@
             shared.change_membership(&mut core, next);
             core.term
         };
-        shared.wait_membership(term, |m| m.voter(&id).is_some()).await
+        let given_up = || unreachable("it stopped responding before it was up to date".to_owned());
+        shared
+            .wait_membership(term, |m| match (m.voter(&id), m.learner(&id)) {
+                (Some(_), _) => Some(Ok(())),
+                (None, Some(_)) => None,
+                (None, None) => Some(Err(given_up())),
+            })
+            .await
     }
 
     /// Removes a replica and waits until the change is committed.
@@ -176,7 +242,8 @@
             shared.change_membership(&mut core, next);
             core.term
         };
-        shared.wait_membership(term, |m| m.members().all(|m| m.id != id)).await
+        let is_removed = |m: &Membership| m.members().all(|m| m.id != id);
+        shared.wait_membership(term, |m| is_removed(m).then_some(Ok(()))).await
     }
 
     /// Transfers the leadership to an up-to-date voter; returns whether another replica leads.
--- a/crates/consensus/src/node/mod.rs
+++ b/crates/consensus/src/node/mod.rs
@@ -218,10 +218,7 @@
         else {
             return Vec::new();
         };
-        let is_silent = |m: &&Member| {
-            let acked = leader_state.progress.get(*m).and_then(|progress| progress.acked_sent_at);
-            **m != self.0.local && acked.map_or(leader_state.since, |at| at).elapsed() >= silence
-        };
+        let is_silent = |m: &&Member| **m != self.0.local && leader_state.silence(m) >= silence;
         membership.voters.iter().filter(is_silent).map(|m| m.id.clone()).collect()
     }
 
@@ -475,6 +472,8 @@
         "election_min must be below election_max"
     } else if cfg.snapshot_every == 0 {
         "snapshot_every must be above zero"
+    } else if timing.replace_after <= timing.election_max {
+        "replace_after must be above election_max"
     } else {
         return Ok(());
     };
--- a/crates/consensus/src/node/peer.rs
+++ b/crates/consensus/src/node/peer.rs
@@ -165,6 +165,7 @@
         next,
         matched: LogIndex(0),
         acked_sent_at: None,
+        since: Instant::now(),
     });
     let prev = LogIndex(progress.next.0 - 1);
     if let Some(prev_term) = core.log.term(prev) {
--- a/crates/consensus/src/node/receive.rs
+++ b/crates/consensus/src/node/receive.rs
@@ -106,6 +106,9 @@
         }
         core.step_down(term);
         core.leader_contact = Some(Instant::now());
+        if core.last_leader.as_ref() != Some(from) {
+            core.last_leader = Some(from.clone());
+        }
         core.reset_election_timer();
         if core.leader.as_ref() != Some(&from.id) {
             core.leader = Some(from.id.clone());
--- a/crates/consensus/tests/harness/mod.rs
+++ b/crates/consensus/tests/harness/mod.rs
@@ -252,6 +252,7 @@
             election_min: Duration::from_millis(250),
             election_max: Duration::from_millis(500),
             call_timeout: Duration::from_millis(150),
+            ..Timing::default()
         };
         cfg.snapshot_every = self.snapshot_every;
         cfg.retain_entries = self.retain_entries;
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -87,6 +87,8 @@
         LEADERSHIP_TRANSFER = "C0118", Info, "transferring leadership", "none";
         MEMBERSHIP_CHANGE = "C0120", Info, "changing the membership", "none";
         LEADER_REMOVED = "C0121", Info, "leader was removed and steps down", "none";
+        VOTER_REPLACED = "C0122", Warning, "voter does not respond; a replica that has caught up takes its place", "replace the machine, unless that is what added the replica";
+        LEARNER_GIVEN_UP = "C0123", Warning, "replica stopped responding before it had caught up; giving it up", "check the machine; a replica that runs asks to be added again";
         LOG_COMPACTED = "C0130", Info, "log compacted", "none";
         SNAPSHOT_SENDING = "C0131", Info, "sending a snapshot", "none";
         SNAPSHOT_INSTALLING = "C0132", Info, "installing a received snapshot", "none";
