Record the departure of a target whose first report has not arrived

In a log of an earlier format a replica acknowledged what the leader had refused (departures::leave_at_replica_without_state).

Cause: the log forgot a departure of a target that it did not know, and the sender of the command took the refusal for its format as done.

Fix: the replica adds the newest process that can have sent the call, as processes are numbered by their start. The log records that this and earlier ones have left, with a limit apart from that of known departures, and refuses their reports at any replica. Before all instances read format 4, the departure is written like that of a known target. A refusal is never acknowledged.

--- a/crates/control/src/command.rs
+++ b/crates/control/src/command.rs
@@ -73,13 +73,22 @@
     RemoveTarget {
         /// Target to remove.
         target: TargetId,
-        /// Incarnation to remove; the command is refused if a newer one is registered. 0 if the sender
-        /// knows of none: the one that was removed last, then.
+        /// Incarnation to remove; the command is refused if a newer one is registered. 0 in commands of
+        /// earlier releases that knew of none: the one that was removed last, then.
         incarnation: Incarnation,
         /// Whether the target left on its own; a delayed announcement of this incarnation then
         /// does not register it again.
         is_leaving: bool,
     },
+    /// Records that a target left whose incarnation the sender does not know, because no announcement
+    /// has reached it yet. Removes the target if it is registered.
+    LeaveUnknown {
+        /// Target that left on its own.
+        target: TargetId,
+        /// Newest incarnation that may have left: a delayed announcement of this or an earlier one
+        /// does not register the target. The command is refused if a newer one is registered.
+        newest: Incarnation,
+    },
     /// Starts or stops draining a target: it gets no new work. A new incarnation is not draining.
     DrainTarget {
         /// Must be registered.
--- a/crates/control/src/format.rs
+++ b/crates/control/src/format.rs
@@ -22,8 +22,11 @@
 /// Format from which the log decides about departures of targets that their sender does not know.
 pub const UNKNOWN_DEPARTURES_FORMAT: ControlFormat = ControlFormat(3);
 
+/// Format from which the log records departures of targets that are not registered.
+pub const RECORDED_DEPARTURES_FORMAT: ControlFormat = ControlFormat(4);
+
 /// Newest format that this release reads and writes.
-pub const NEWEST_FORMAT: ControlFormat = ControlFormat(3);
+pub const NEWEST_FORMAT: ControlFormat = ControlFormat(4);
 
 impl Command {
     /// Lowest format that includes this command.
@@ -33,6 +36,7 @@
             Self::RemoveTarget { incarnation: Incarnation(0), is_leaving: true, .. } => {
                 UNKNOWN_DEPARTURES_FORMAT
             }
+            Self::LeaveUnknown { .. } => RECORDED_DEPARTURES_FORMAT,
             Self::RaiseFormat { format } => *format,
             _ => INITIAL_FORMAT,
         }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -14,7 +14,10 @@
     AnnouncedTarget, BeginOutcome, CallKey, Command, CommandError, InstanceAddrs, InstanceInfo,
     Proposal, ProposeError, ProposeFn, RecordedAnswer, Reply, TimedCommand,
 };
-pub use format::{DIRECT_REPORTS_FORMAT, INITIAL_FORMAT, NEWEST_FORMAT, UNKNOWN_DEPARTURES_FORMAT};
+pub use format::{
+    DIRECT_REPORTS_FORMAT, INITIAL_FORMAT, NEWEST_FORMAT, RECORDED_DEPARTURES_FORMAT,
+    UNKNOWN_DEPARTURES_FORMAT,
+};
 pub use leader::{
     CLOCK_DRIFT_MARGIN, LeaderState, PERMIT_LIFETIME, PermitReply, PermitTable, RenewError,
     SESSION_LEASE, SessionTable, assignments, permit_term, rebalance,
--- a/crates/control/src/state/groups.rs
+++ b/crates/control/src/state/groups.rs
@@ -24,6 +24,10 @@
 /// minutes, and 1,200 targets leave at most a few times a day each.
 const MAX_LEFT_TARGETS: usize = 1_000;
 
+/// Time in milliseconds for which an announcement may be delayed. After that, the departure of an
+/// unknown incarnation no longer refuses one that its sender's clock made seem older than it is.
+const MAX_ANNOUNCEMENT_DELAY_MS: u64 = 5 * 60_000;
+
 /// Time after which no order of an owner that lost its group can be in flight: a full session
 /// lease (3 s), the order timeout (5 s) and the clock drift margin (300 ms).
 pub const LOST_OWNER_SETTLE_MS: u64 = 3_000 + 5_000 + 300;
@@ -140,6 +144,26 @@
     /// Other incarnations that were removed for their silence, and may still leave.
     #[serde(default)]
     removed_silent: VecDeque<(TargetId, Incarnation)>,
+    /// Departures of targets that were not registered. They have a limit of their own, so that many of
+    /// them displace no others.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    left_unknown: BTreeMap<TargetId, UnknownDeparture>,
+}
+
+/// Departure of a target that was not registered.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+struct UnknownDeparture {
+    /// Newest incarnation that may have left.
+    newest: Incarnation,
+    /// Time at which it was recorded.
+    at: ControlTimeMs,
+}
+
+impl UnknownDeparture {
+    /// Whether delayed announcements may still arrive.
+    fn is_recent(&self, now: ControlTimeMs) -> bool {
+        now.0.saturating_sub(self.at.0) < MAX_ANNOUNCEMENT_DELAY_MS
+    }
 }
 
 impl Groups {
@@ -186,7 +210,8 @@
                 current: earlier.announced.incarnation,
             });
         }
-        if self.left.get(&announced.target).is_some_and(|left| *left >= announced.incarnation) {
+        self.left_unknown.retain(|_, left| left.is_recent(now));
+        if self.has_left(&announced.target, announced.incarnation) {
             return Err(CommandError::TargetLeft { target: announced.target });
         }
         let has_other_kind = |group: &Group| {
@@ -303,6 +328,36 @@
         Ok(())
     }
 
+    /// Removes a target that left if it is registered, and otherwise records that it left.
+    pub(crate) fn leave_unknown(
+        &mut self,
+        id: &TargetId,
+        newest: Incarnation,
+        now: ControlTimeMs,
+    ) -> Result<(), CommandError> {
+        if let Some(registered) = self.targets.get(id) {
+            let current = registered.announced.incarnation;
+            return match current > newest {
+                true => Err(CommandError::OldIncarnation { target: id.clone(), current }),
+                false => self.remove(id, current, true, true),
+            };
+        }
+        if let Some(removed) = self.last_removed(id) {
+            self.record_departure(id, removed);
+        }
+        self.left_unknown.retain(|_, left| left.is_recent(now));
+        if self.left_unknown.len() >= MAX_LEFT_TARGETS && !self.left_unknown.contains_key(id) {
+            let oldest = self.left_unknown.iter().min_by_key(|(_, left)| left.at);
+            if let Some(oldest) = oldest.map(|(id, _)| id.clone()) {
+                self.left_unknown.remove(&oldest);
+            }
+        }
+        let left = self.left_unknown.entry(id.clone());
+        let left = left.or_insert(UnknownDeparture { newest, at: now });
+        *left = UnknownDeparture { newest: newest.max(left.newest), at: now };
+        Ok(())
+    }
+
     pub(crate) fn drain(&mut self, id: TargetId, drain: bool) -> Result<(), CommandError> {
         let target = self.targets.get_mut(&id).ok_or(CommandError::NoTarget(id))?;
         target.draining = drain;
@@ -383,7 +438,9 @@
 
     /// Whether this incarnation of a target left, or was replaced at its address.
     pub(crate) fn has_left(&self, id: &TargetId, incarnation: Incarnation) -> bool {
-        self.left.get(id).is_some_and(|left| *left >= incarnation)
+        let known = self.left.get(id).copied();
+        let unknown = self.left_unknown.get(id).map(|left| left.newest);
+        known.max(unknown).is_some_and(|newest| newest >= incarnation)
     }
 
     /// Incarnation of a target that was removed for its silence last.
--- a/crates/control/src/state/mod.rs
+++ b/crates/control/src/state/mod.rs
@@ -470,6 +470,10 @@
                 };
                 self.software.record_ends(&mut self.groups, now, remove).map(done)
             }
+            Command::LeaveUnknown { target, newest } => {
+                let leave = |groups: &mut Groups| groups.leave_unknown(&target, newest, now);
+                self.software.record_ends(&mut self.groups, now, leave).map(done)
+            }
             Command::DrainTarget { target, drain } => self.groups.drain(target, drain).map(done),
             Command::AssignGroup { group, session } => {
                 let owner = self.sessions.get(session).ok_or(CommandError::NoSession(session))?;
--- a/crates/control/tests/ownership.rs
+++ b/crates/control/tests/ownership.rs
@@ -5,8 +5,8 @@
 use common::{Log, engine, instance_info, service};
 use rstest::rstest;
 use shallotdrum_control::{
-    AnnouncedTarget, Command, CommandError, GroupKind, Handover, LOST_OWNER_SETTLE_MS,
-    MAX_GROUP_TARGETS, NEWEST_FORMAT, Reply, SOFTWARE_MEMORY_MS,
+    AnnouncedTarget, Command, CommandError, ControlState, GroupKind, Handover,
+    LOST_OWNER_SETTLE_MS, MAX_GROUP_TARGETS, NEWEST_FORMAT, Reply, SOFTWARE_MEMORY_MS,
 };
 use shallotdrum_types::{GroupId, Incarnation, SessionId, TargetId};
 
@@ -260,6 +260,84 @@
     }
 }
 
+fn leave_unknown(name: &str, newest: u64) -> Command {
+    Command::LeaveUnknown { target: name.parse().unwrap(), newest: Incarnation(newest) }
+}
+
+/// Guards against a target that left before its first announcement arrived, and gets new work because of
+/// that announcement; also against refusing the next process of the target.
+#[rstest]
+#[case::never_here(None)]
+#[case::left_before(Some(true))]
+#[case::removed_for_silence(Some(false))]
+fn register_after_unknown_departure(#[case] earlier: Option<bool>) {
+    let mut log = Log::default();
+    let target: TargetId = "e1".parse().unwrap();
+    log.apply(Command::RaiseFormat { format: NEWEST_FORMAT });
+    if let Some(is_leaving) = earlier {
+        log.register(engine("e1", 500));
+        let incarnation = Incarnation(500);
+        log.apply(Command::RemoveTarget { target: target.clone(), incarnation, is_leaving });
+    }
+    assert_eq!(log.apply(leave_unknown("e1", 1_000)), Reply::Done);
+    log.state = ControlState::from_snapshot(&log.state.snapshot()).unwrap();
+    for incarnation in [500, 900, 1_000] {
+        let late = log.refused(Command::RegisterTarget(engine("e1", incarnation)));
+        assert_eq!(late, CommandError::TargetLeft { target: target.clone() });
+        assert!(log.state.is_leaving(&target, Incarnation(incarnation)));
+    }
+    log.register(engine("e1", 1_001));
+    let current = Incarnation(1_001);
+    let refused = log.refused(leave_unknown("e1", 1_000));
+    assert_eq!(refused, CommandError::OldIncarnation { target, current });
+}
+
+/// Guards against a departure that removes no target, since the instance that wrote it did not know yet
+/// that the target is registered.
+#[test]
+fn unknown_departure_of_registered() {
+    let mut log = Log::default();
+    let target: TargetId = "e1".parse().unwrap();
+    log.apply(Command::RaiseFormat { format: NEWEST_FORMAT });
+    log.register(engine("e1", 900));
+    assert_eq!(log.apply(leave_unknown("e1", 1_000)), Reply::Done);
+    assert!(log.state.target(&target).is_none());
+    let late = log.refused(Command::RegisterTarget(engine("e1", 900)));
+    assert_eq!(late, CommandError::TargetLeft { target });
+    // The incarnation that left is known, so that any other one may register.
+    log.register(engine("e1", 901));
+}
+
+/// Guards against departures that are forgotten because of others of targets that were never here, and
+/// against memory that grows with these.
+#[test]
+fn unknown_departures_displace_no_known() {
+    let mut log = Log::default();
+    log.apply(Command::RaiseFormat { format: NEWEST_FORMAT });
+    log.register(engine("e1", 7));
+    let leave = Command::RemoveTarget {
+        target: "e1".parse().unwrap(),
+        incarnation: Incarnation(7),
+        is_leaving: true,
+    };
+    assert_eq!(log.apply(leave), Reply::Done);
+    for n in 0..3_000 {
+        log.now += 1;
+        assert_eq!(log.apply(leave_unknown(&format!("x{n}"), 1_000)), Reply::Done);
+    }
+    let size = log.state.snapshot().len();
+    for name in ["e1", "x2999", "x2000"] {
+        let late = log.refused(Command::RegisterTarget(engine(name, 7)));
+        assert_eq!(late, CommandError::TargetLeft { target: name.parse().unwrap() });
+    }
+    // The oldest ones were displaced.
+    log.register(engine("x1", 7));
+    // None is kept for longer than an announcement may be delayed.
+    log.now += 600_000;
+    log.register(engine("e2", 7));
+    assert!(log.state.snapshot().len() < size / 2);
+}
+
 /// Guards against sending requests to a crashed target whose address a new process has taken, and
 /// against a delayed announcement of the crashed one that registers it again.
 #[test]
--- a/crates/control/tests/upgrade.rs
+++ b/crates/control/tests/upgrade.rs
@@ -16,7 +16,7 @@
 use shallotdrum_consensus::StateMachine;
 use shallotdrum_control::{
     Command, CommandError, ControlState, ControlView, DecodeError, INITIAL_FORMAT, LeaderState,
-    NEWEST_FORMAT, Reply, TimedCommand, UNKNOWN_DEPARTURES_FORMAT,
+    NEWEST_FORMAT, RECORDED_DEPARTURES_FORMAT, Reply, TimedCommand, UNKNOWN_DEPARTURES_FORMAT,
 };
 use shallotdrum_types::{
     ControlFormat, ControlTimeMs, Incarnation, Revision, SessionId, TargetId, Term,
@@ -43,7 +43,9 @@
 /// must be placed here.
 fn is_known_at_f07eb35(command: &Command) -> bool {
     match command {
-        Command::ReportLinks { .. } | Command::RaiseFormat { .. } => false,
+        Command::ReportLinks { .. }
+        | Command::LeaveUnknown { .. }
+        | Command::RaiseFormat { .. } => false,
         Command::OpenSession(_)
         | Command::EndSession { .. }
         | Command::DrainSession { .. }
@@ -172,6 +174,33 @@
     log.register(common::engine("e1", 7));
 }
 
+/// Guards against the departure of an unknown target that a log of an earlier format forgets, so that a
+/// delayed announcement registers the target.
+#[rstest]
+fn unknown_departure_in_earlier_format(#[values(1, 2, 3)] format: u64) {
+    let target: TargetId = "e1".parse().unwrap();
+    let mut log = Log::default();
+    log.apply(Command::RaiseFormat { format: ControlFormat(format) });
+    let leave = Command::LeaveUnknown { target: target.clone(), newest: Incarnation(1_000) };
+    let agreed = ControlFormat(format);
+    let refused = CommandError::FormatNotAgreed { needed: RECORDED_DEPARTURES_FORMAT, agreed };
+    assert_eq!(log.state.allows(&leave), Err(refused));
+    // What instances write in its place.
+    let remove = Command::RemoveTarget {
+        target: target.clone(),
+        incarnation: Incarnation(1_000),
+        is_leaving: true,
+    };
+    assert_eq!(log.state.allows(&remove), Ok(()));
+    assert_eq!(log.apply(remove), Reply::Done);
+    for _ in 0..2 {
+        let late = log.refused(Command::RegisterTarget(common::engine("e1", 900)));
+        assert_eq!(late, CommandError::TargetLeft { target: target.clone() });
+        log.apply(Command::RaiseFormat { format: NEWEST_FORMAT });
+    }
+    log.register(common::engine("e1", 1_001));
+}
+
 /// Rolling upgrade of a replica and two entries, seen by a leader of this release.
 struct Upgrade {
     log: Log,
--- a/crates/daemon/src/plane.rs
+++ b/crates/daemon/src/plane.rs
@@ -10,7 +10,9 @@
 use shallotdrum_routes::RouteTable;
 use shallotdrum_rpc::{ControlClient, PeerApiClient, RpcError};
 use shallotdrum_telemetry::event;
-use shallotdrum_types::{AdapterId, BaseModelId, LogIndex, RequestError, Revision, TargetId};
+use shallotdrum_types::{
+    AdapterId, BaseModelId, Incarnation, LogIndex, RequestError, Revision, TargetId,
+};
 use tokio::time::Instant;
 
 use crate::targets::TargetRelay;
@@ -230,12 +232,20 @@
     /// Removes a target that has left.
     ///
     /// The control log decides about one that is not registered here: this instance may be behind, or
-    /// the target was removed for its silence and must not come back.
-    pub async fn remove_target(&self, target: TargetId) -> Result<(), ChangeError> {
+    /// no announcement has arrived yet. Announcements of `newest` and earlier incarnations that arrive
+    /// later then do not register it.
+    pub async fn remove_target(
+        &self,
+        target: TargetId,
+        newest: Incarnation,
+    ) -> Result<(), ChangeError> {
         let registered = self
             .view
             .read(|state| state.target(&target).map(|registered| registered.announced.incarnation));
-        Ok(self.targets.leave(target, registered.unwrap_or_default()).await?)
+        match registered {
+            Some(incarnation) => Ok(self.targets.leave(target, incarnation).await?),
+            None => Ok(self.targets.leave_unknown(target, newest).await?),
+        }
     }
 
     async fn propose(&self, command: Command) -> Result<(), ChangeError> {
--- a/crates/daemon/src/targets.rs
+++ b/crates/daemon/src/targets.rs
@@ -2,7 +2,9 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use shallotdrum_control::{AnnouncedTarget, Command, CommandError, ControlView, Proposal, Reply};
+use shallotdrum_control::{
+    AnnouncedTarget, Command, CommandError, ControlView, Proposal, ProposeError, Reply,
+};
 use shallotdrum_engine::{Announcement, CacheEvents};
 use shallotdrum_owner::OwnerService;
 use shallotdrum_rpc::{ControlClient, PeerApiClient, Peers, RpcError};
@@ -103,6 +105,28 @@
         Ok(())
     }
 
+    /// Records that a target has left whose incarnation is not known here: it is not registered, or
+    /// this instance is behind.
+    pub(crate) async fn leave_unknown(
+        &self,
+        target: TargetId,
+        newest: Incarnation,
+    ) -> Result<(), RequestError> {
+        let leave = Command::LeaveUnknown { target: target.clone(), newest };
+        match self.client.propose(Proposal::Command(leave)).await {
+            // Releases that share the log and do not know the command keep the newest incarnation
+            // like that of a registered target.
+            Ok(Reply::Refused(CommandError::FormatNotAgreed { .. })) => {
+                self.leave(target, newest).await
+            }
+            result => {
+                check_reply(result)?;
+                self.log_confirmed(&target, newest, "left before it was known", Notice::NoOwner);
+                Ok(())
+            }
+        }
+    }
+
     /// Logs that a departure is about to be acknowledged.
     fn log_confirmed(
         &self,
@@ -166,15 +190,18 @@
     }
 
     async fn propose(&self, command: Command) -> Result<(), RequestError> {
-        match self.client.propose(Proposal::Command(command)).await {
-            // Only the departure of an unknown target; in earlier formats it has no effect.
-            Ok(Reply::Refused(CommandError::FormatNotAgreed { .. })) => Ok(()),
-            Ok(Reply::Refused(error)) => {
-                Err(RequestError::not_run(RequestErrorKind::InvalidRequest, error))
-            }
-            Ok(_) => Ok(()),
-            Err(error) => Err(RequestError::unknown(RequestErrorKind::NotReady, error)),
+        check_reply(self.client.propose(Proposal::Command(command)).await)
+    }
+}
+
+/// Fails unless the control log has accepted a command.
+fn check_reply(result: Result<Reply, ProposeError>) -> Result<(), RequestError> {
+    match result {
+        Ok(Reply::Refused(error)) => {
+            Err(RequestError::not_run(RequestErrorKind::InvalidRequest, error))
         }
+        Ok(_) => Ok(()),
+        Err(error) => Err(RequestError::unknown(RequestErrorKind::NotReady, error)),
     }
 }
 
