Take a stream as cut if a second connection to its target ended with it

What callers saw: a stream without length and chunks, cut by a crash of its engine, ended as complete if the next process listened within some milliseconds (ORDER).

Cause: the entry asked whether a process listens 10 ms after the end, not whether the same one runs on, and ended the caller's body regularly.

Fix: while such a body is relayed, an idle connection to the target is open as a witness. A connection that outlives the end shows that the process runs on; if the witness ended with it, the stream is broken and may be resumed. Without evidence the target is probed as before.

--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -18,10 +18,7 @@
 use shallotdrum_links::Links;
 use tokio::time::timeout;
 
-use crate::{
-    crash::{ends_with_connection, is_alive_after_end},
-    places::Place,
-};
+use crate::{crash::ends_with_connection, places::Place};
 
 /// Maximum body size of a response that is not streamed; plain services return a few kilobytes.
 const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
@@ -80,7 +77,7 @@
             counted.grow_to(len.saturating_sub(UNCOUNTED_BYTES))?;
             parts.push(data);
         }
-        if ends_with_connection && !is_alive_after_end(links, place).await {
+        if ends_with_connection && !links.is_alive_after_end(place.granted.addr, None).await {
             return Err(BodyError::TargetGone);
         }
         match parts.len() {
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -283,6 +283,11 @@
         self.open.carried.len()
     }
 
+    /// Whether the connection does not go through another instance.
+    pub(crate) fn is_direct(&self) -> bool {
+        self.open.is_direct
+    }
+
     /// Records that bytes of the target arrived.
     pub(crate) fn record_heard(&self) {
         if self.open.is_direct {
--- a/crates/gateway/src/crash.rs
+++ b/crates/gateway/src/crash.rs
@@ -8,12 +8,11 @@
 };
 use http_body::Body;
 use hyper::body::Incoming;
-use shallotdrum_links::Links;
 use shallotdrum_owner::RunningGuard;
 use shallotdrum_rpc::PlaceEnd;
 use shallotdrum_telemetry::event;
 use shallotdrum_types::{RequestError, RequestIdentity, TargetId};
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::{Instant, timeout_at};
 
 use crate::{Gateway, SendFailure, exchange::RequestRun, places::Place};
 
@@ -21,10 +20,6 @@
 /// once, and a log entry takes some tens of milliseconds.
 const FIRST_CHECK_TIMEOUT: Duration = Duration::from_millis(100);
 
-/// Delay after the end of a connection before its target is probed. A process that ends closes its
-/// connections and its listener within a few milliseconds.
-const CLOSE_SETTLE_TIME: Duration = Duration::from_millis(10);
-
 /// Whether a response has neither a length nor chunks, so that its body ends with its connection.
 pub(crate) fn ends_with_connection(headers: &HeaderMap, body: &Incoming) -> bool {
     !body.is_end_stream()
@@ -32,13 +27,6 @@
         && !headers.contains_key(TRANSFER_ENCODING)
 }
 
-/// Whether a target is alive after a body that ended with its connection, so that the body is
-/// complete.
-pub(crate) async fn is_alive_after_end(links: &Links, place: &Place) -> bool {
-    sleep(CLOSE_SETTLE_TIME).await;
-    links.is_listening(place.granted.addr).await
-}
-
 impl Gateway {
     /// Logs a send that got no complete response.
     pub(crate) fn log_send_failure(
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -6,6 +6,7 @@
 use http::{StatusCode, response::Parts};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use shallotdrum_links::Witness;
 use shallotdrum_owner::RunningGuard;
 use shallotdrum_routes::RetryPolicy;
 use shallotdrum_rpc::PlaceEnd;
@@ -17,7 +18,7 @@
     CallerLeft, EventSplitter, Gateway, GatewayResponse, StreamBody, StreamSender,
     connections::{Connection, LINK_LOST, response_headers},
     continuation::{ContinuationError, EventOrder},
-    crash::{ends_with_connection, is_alive_after_end},
+    crash::ends_with_connection,
     decision::SendFailure,
     errors::{target_failed, target_timed_out},
     exchange::{Received, RequestRun},
@@ -30,7 +31,7 @@
 const CHANNEL_CAPACITY: usize = 8;
 
 /// Cause of a broken stream whose end may be that of its target.
-const TARGET_GONE: &str = "the connection ended, and the target accepts no other one";
+const TARGET_GONE: &str = "the connection ended, and its target seems to have ended as well";
 
 /// Response of one target, together with its place and connection.
 pub(crate) struct Relay {
@@ -41,6 +42,8 @@
     body: Incoming,
     /// Whether the body has neither a length nor chunks.
     ends_with_connection: bool,
+    /// Tells at the end of such a body whether its target has ended as well.
+    witness: Option<Arc<Witness>>,
     splitter: EventSplitter,
 }
 
@@ -67,9 +70,18 @@
         let Received { place, running, connection, response } = received;
         let (parts, body) = response.into_parts();
         let ends_with_connection = ends_with_connection(&parts.headers, &body);
-        let splitter = EventSplitter::default();
-        let relay =
-            Self { gateway, place, running, connection, body, ends_with_connection, splitter };
+        let witness = (ends_with_connection && connection.is_direct())
+            .then(|| gateway.links().witness(place.granted.addr));
+        let relay = Self {
+            gateway,
+            place,
+            running,
+            connection,
+            body,
+            ends_with_connection,
+            witness,
+            splitter: EventSplitter::default(),
+        };
         (relay, parts)
     }
 
@@ -290,9 +302,11 @@
         if self.splitter.has_pending() {
             return Err(Interruption::Broken("the stream ended within an event".to_owned()));
         }
-        if self.ends_with_connection && !is_alive_after_end(self.gateway.links(), &self.place).await
-        {
-            return Err(Interruption::Broken(TARGET_GONE.to_owned()));
+        if self.ends_with_connection {
+            let (links, witness) = (self.gateway.links(), self.witness.as_deref());
+            if !links.is_alive_after_end(self.place.granted.addr, witness).await {
+                return Err(Interruption::Broken(TARGET_GONE.to_owned()));
+            }
         }
         match order.lacks_event() {
             // Whether the last event was delivered before is not known.
--- a/crates/links/src/lib.rs
+++ b/crates/links/src/lib.rs
@@ -6,19 +6,25 @@
 //! the state of one link, and `tunnel` is the protocol between the instances: HTTP `CONNECT` on the
 //! address for forwarded requests.
 //!
-//! `caller` is the connection of a caller, on both fronts.
+//! `stream` is an open connection to a target, `meter` limits what the target sends on it, and `lifetime`
+//! tells whether the target runs on after one has ended. `caller` is the connection of a caller, on
+//! both fronts.
 //!
 //! Architecture Invariant: an instance opens tunnels for others over its own links only, so a request
 //! takes one detour at most. Orders to engines never take one, as engines tell owners apart by it.
 
 mod caller;
+mod lifetime;
 mod link;
 mod links;
+mod meter;
 mod stream;
 mod tunnel;
 
 pub use caller::{CallerStream, EndsWithConnection};
+pub use lifetime::Witness;
 pub use link::LinkStatus;
 pub use links::{ConnectError, LinkContext, Links, PeerInstance};
+pub use meter::ReadMeter;
 pub use stream::LinkStream;
 pub use tunnel::{REQUEST_HEADER, serve_tunnel};
--- a/crates/links/src/link.rs
+++ b/crates/links/src/link.rs
@@ -2,7 +2,10 @@
 
 use std::{
     net::SocketAddr,
-    sync::atomic::{AtomicBool, AtomicU64, Ordering},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
 };
 
 use tokio::{
@@ -10,6 +13,8 @@
     time::{Duration, Instant},
 };
 
+use crate::lifetime::OpenConnections;
+
 /// Status of a link.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LinkStatus {
@@ -37,6 +42,8 @@
     used_at: AtomicU64,
     /// Until when no other instance is asked, as none reached the target.
     unreachable_until: AtomicU64,
+    /// Direct connections that are open.
+    pub(crate) connections: Arc<OpenConnections>,
 }
 
 impl Link {
@@ -50,6 +57,7 @@
             heard_at: AtomicU64::new(0),
             used_at: AtomicU64::new(0),
             unreachable_until: AtomicU64::new(0),
+            connections: Arc::default(),
         }
     }
 
--- a/crates/links/src/links.rs
+++ b/crates/links/src/links.rs
@@ -19,6 +19,7 @@
 
 use crate::{
     LinkStatus, LinkStream,
+    lifetime::OpenConnections,
     link::Link,
     tunnel::{TunnelError, open_tunnel},
 };
@@ -155,6 +156,11 @@
         link.clone()
     }
 
+    /// Direct connections to a target.
+    pub(crate) fn open_connections(&self, target: SocketAddr) -> Arc<OpenConnections> {
+        self.link(target).connections.clone()
+    }
+
     /// Status of the link to a target.
     pub fn status(&self, target: SocketAddr) -> LinkStatus {
         self.lock().get(&target).map_or(LinkStatus::Open, |link| link.status())
@@ -203,7 +209,9 @@
         let deadline = Instant::now() + CONNECT_TIMEOUT;
         let mut direct = std::pin::pin!(self.connect_direct(target));
         match timeout(CHECK_TIMEOUT, direct.as_mut()).await {
-            Ok(Ok(stream)) => return Ok(LinkStream::new(TokioIo::new(stream), None)),
+            Ok(Ok(stream)) => {
+                return Ok(LinkStream::direct(stream, link.connections.add()));
+            }
             Ok(Err(error)) => {
                 let Some(stream) = self.detour(&link, request).await else {
                     return Err(error.into());
@@ -217,14 +225,14 @@
         let stream = tokio::select! {
             connected = timeout_at(deadline, direct.as_mut()) => {
                 let connected = connected.map_err(|_| ConnectError::TimedOut)??;
-                return Ok(LinkStream::new(TokioIo::new(connected), None));
+                return Ok(LinkStream::direct(connected, link.connections.add()));
             }
             stream = detour.as_mut() => stream,
         };
         let Some(stream) = stream else {
             let connected = timeout_at(deadline, direct).await;
             let connected = connected.map_err(|_| ConnectError::TimedOut)??;
-            return Ok(LinkStream::new(TokioIo::new(connected), None));
+            return Ok(LinkStream::direct(connected, link.connections.add()));
         };
         // A single packet may have been lost.
         self.suspect(target);
@@ -238,7 +246,7 @@
     ) -> Result<LinkStream, ConnectError> {
         let connected = timeout(CONNECT_TIMEOUT, self.connect_direct(target)).await;
         let stream = connected.map_err(|_| ConnectError::TimedOut)??;
-        Ok(LinkStream::new(TokioIo::new(stream), None))
+        Ok(LinkStream::direct(stream, self.open_connections(target).add()))
     }
 
     /// Asks other instances for a connection; `None` if there is none that reaches the target.
@@ -256,7 +264,8 @@
                 Ok(Ok(stream)) => {
                     event!(cx.log, LINK_DETOUR; "request" => request, "addr" => %link.target,
                         "through" => %peer.instance);
-                    return Some(LinkStream::new(stream, Some(peer.instance)));
+                    let stream = TokioIo::new(stream);
+                    return Some(LinkStream::through_instance(stream, peer.instance));
                 }
                 Ok(Err(error)) => error,
                 Err(_) => TunnelError::NoPeer("timed out".to_owned()),
--- a/crates/links/src/stream.rs
+++ b/crates/links/src/stream.rs
@@ -7,8 +7,14 @@
 };
 
 use hyper::rt::{Read, ReadBufCursor, Write};
-use hyper_util::client::legacy::connect::{Connected, Connection};
+use hyper_util::{
+    client::legacy::connect::{Connected, Connection},
+    rt::TokioIo,
+};
 use shallotdrum_types::InstanceId;
+use tokio::io::{AsyncRead, AsyncWrite};
+
+use crate::{ReadMeter, lifetime::OpenConnection, meter::Metered};
 
 /// Bytes in both directions.
 trait Io: Read + Write + Send + Unpin {}
@@ -20,14 +26,39 @@
     io: Box<dyn Io>,
     /// Instance that it goes through.
     through: Option<InstanceId>,
+    meter: ReadMeter,
 }
 
 impl LinkStream {
-    pub(crate) fn new(
-        io: impl Read + Write + Send + Unpin + 'static,
+    /// Connection that this instance opened.
+    pub(crate) fn direct(
+        io: impl AsyncRead + AsyncWrite + Send + Unpin + 'static,
+        open: OpenConnection,
+    ) -> Self {
+        Self::new(io, None, Some(open))
+    }
+
+    /// Connection that another instance opened.
+    pub(crate) fn through_instance(
+        io: impl AsyncRead + AsyncWrite + Send + Unpin + 'static,
+        instance: InstanceId,
+    ) -> Self {
+        Self::new(io, Some(instance), None)
+    }
+
+    fn new(
+        io: impl AsyncRead + AsyncWrite + Send + Unpin + 'static,
         through: Option<InstanceId>,
+        open: Option<OpenConnection>,
     ) -> Self {
-        Self { io: Box::new(io), through }
+        let meter = ReadMeter::default();
+        let io = TokioIo::new(Metered::new(io, meter.clone(), open));
+        Self { io: Box::new(io), through, meter }
+    }
+
+    /// Limit on what the target sends.
+    pub fn meter(&self) -> &ReadMeter {
+        &self.meter
     }
 
     /// Instance that the connection goes through; `None` if it is direct.
--- a/crates/owner/src/target_body.rs
+++ b/crates/owner/src/target_body.rs
@@ -8,7 +8,6 @@
     net::SocketAddr,
     pin::Pin,
     task::{Context, Poll, ready},
-    time::Duration,
 };
 
 use bytes::Bytes;
@@ -22,11 +21,7 @@
 use shallotdrum_links::Links;
 use shallotdrum_telemetry::event;
 use shallotdrum_types::{RequestId, TargetId};
-use tokio::{task::JoinHandle, time::sleep};
-
-/// Delay after the end of a connection before its target is probed. A process that ends closes its
-/// connections and its listener within a few milliseconds.
-const CLOSE_SETTLE_TIME: Duration = Duration::from_millis(10);
+use tokio::task::JoinHandle;
 
 type BoxError = Box<dyn std::error::Error + Send + Sync>;
 
@@ -98,10 +93,10 @@
             let frame = ready!(Pin::new(&mut this.body).poll_frame(cx));
             match (frame, this.probed.take()) {
                 (None, Some((links, addr))) => {
-                    this.is_alive = Some(tokio::spawn(async move {
-                        sleep(CLOSE_SETTLE_TIME).await;
-                        links.is_listening(addr).await
-                    }));
+                    this.is_alive =
+                        Some(tokio::spawn(
+                            async move { links.is_alive_after_end(addr, None).await },
+                        ));
                 }
                 (Some(Err(error)), _) => return Poll::Ready(this.interrupted(error.into())),
                 (frame, probed) => {
