--- a/crates/consensus/src/node/core.rs
+++ b/crates/consensus/src/node/core.rs
@@ -60,7 +60,7 @@
 pub(super) enum RoleState {
     Follower,
     Candidate,
-    Leader(LeaderState),
+    Leader(Box<LeaderState>),
 }
 
 /// State that only a leader has.
@@ -301,7 +301,7 @@
         self.catch_up_index.get_or_insert(next);
         self.leader = Some(self.local.id.clone());
         let now = Instant::now();
-        self.role = RoleState::Leader(LeaderState {
+        self.role = RoleState::Leader(Box::new(LeaderState {
             since: now,
             predecessor: self.last_leader.clone().zip(self.leader_contact),
             last_check: now,
@@ -314,7 +314,7 @@
             peers: BTreeSet::new(),
             is_transferring: false,
             is_campaign_sent: false,
-        });
+        }));
         self.append_own(Payload::Noop);
     }
 
