Bound what a response costs that comes in many small pieces, and what is no part of one

A caller's body of 4 MiB in chunks of one byte took 163 MiB.

Cause: bytes were counted, not what a piece of them costs; what the HTTP client drops by itself was counted by nobody, and a connection that always has more to read never paused.

--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -11,14 +11,14 @@
     time::Duration,
 };
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::HeaderMap;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use shallotdrum_links::Links;
 use tokio::time::timeout;
 
-use crate::{crash::ends_with_connection, places::Place};
+use crate::{Connection, crash::ends_with_connection, places::Place};
 
 /// Maximum body size of a response that is not streamed; plain services return a few kilobytes.
 const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
@@ -31,6 +31,13 @@
 /// the memory of the smallest instances.
 const MAX_BUFFERED_BYTES: usize = 16 * 1024 * 1024;
 
+/// Size that a part of a body counts at least, since the work on it does not depend on its length. A body
+/// of the maximum size may come in 65,536 parts.
+const MIN_PART_BYTES: usize = 256;
+
+/// Step by which the buffer of a large body grows, so that little of it is unused.
+const MAX_GROWTH_BYTES: usize = 1024 * 1024;
+
 /// Maximum time to read a body that is not needed: some round trips, as it is short. Opening another
 /// connection takes no longer.
 const DISCARD_TIMEOUT: Duration = Duration::from_millis(100);
@@ -48,14 +55,69 @@
     /// The body ended with its connection, and the target is not reachable any more.
     #[error("the connection ended, and the target accepts no other one")]
     TargetGone,
-    /// The body is too long.
-    #[error("the body exceeds {0} bytes")]
+    /// The body is too long, or comes in too many parts.
+    #[error("the body exceeds {0} bytes, or comes in as many parts as one of that length may")]
     TooLong(usize),
     /// Bodies of other responses take the memory.
     #[error("{0} bytes of bodies are being read already")]
     NoMemory(usize),
 }
 
+/// Body that arrives in parts, held in one buffer.
+///
+/// A part keeps the whole buffer alive that it was read into, so many small ones would take a multiple
+/// of their length.
+#[derive(Debug, Default)]
+pub struct CollectedBody {
+    /// The only part so far, not copied.
+    first: Bytes,
+    buf: BytesMut,
+}
+
+impl CollectedBody {
+    /// Appends a part.
+    pub fn push(&mut self, part: Bytes) {
+        if self.is_empty() {
+            self.first = part;
+            return;
+        }
+        let first = std::mem::take(&mut self.first);
+        for part in [first, part] {
+            self.reserve(part.len());
+            self.buf.extend_from_slice(&part);
+        }
+    }
+
+    fn reserve(&mut self, len: usize) {
+        if self.buf.capacity() - self.buf.len() < len {
+            self.buf.reserve(len.max(self.buf.len().min(MAX_GROWTH_BYTES)));
+        }
+    }
+
+    /// Whether no byte has arrived.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Number of bytes.
+    pub fn len(&self) -> usize {
+        self.first.len() + self.buf.len()
+    }
+
+    /// Number of bytes of memory.
+    pub fn held(&self) -> usize {
+        self.first.len() + self.buf.capacity()
+    }
+
+    /// Returns the body.
+    pub fn into_bytes(self) -> Bytes {
+        match self.buf.is_empty() {
+            true => self.first,
+            false => self.buf.freeze(),
+        }
+    }
+}
+
 impl BodyBuffers {
     /// Reads the body of a response of a place's target to its end.
     pub(crate) async fn read(
@@ -64,26 +126,25 @@
         headers: &HeaderMap,
         mut body: Incoming,
         place: &Place,
+        connection: &Connection,
     ) -> Result<Bytes, BodyError> {
         let ends_with_connection = ends_with_connection(headers, &body);
         let mut counted = Counted { buffers: self, bytes: 0 };
-        let (mut parts, mut len) = (Vec::new(), 0);
+        let (mut collected, mut cost) = (CollectedBody::default(), 0);
         while let Some(frame) = body.frame().await {
+            connection.record_heard();
             let Ok(data) = frame?.into_data() else { continue };
-            len += data.len();
-            if len > MAX_RESPONSE_BYTES {
+            cost += data.len().max(MIN_PART_BYTES);
+            if cost > MAX_RESPONSE_BYTES {
                 return Err(BodyError::TooLong(MAX_RESPONSE_BYTES));
             }
-            counted.grow_to(len.saturating_sub(UNCOUNTED_BYTES))?;
-            parts.push(data);
+            collected.push(data);
+            counted.grow_to(collected.held().saturating_sub(UNCOUNTED_BYTES))?;
         }
         if ends_with_connection && !links.is_alive_after_end(place.granted.addr, None).await {
             return Err(BodyError::TargetGone);
         }
-        match parts.len() {
-            1 => Ok(parts.remove(0)),
-            _ => Ok(parts.concat().into()),
-        }
+        Ok(collected.into_bytes())
     }
 }
 
@@ -93,7 +154,7 @@
         let mut len = 0;
         while let Some(frame) = body.frame().await {
             let Ok(frame) = frame else { return false };
-            len += frame.data_ref().map_or(0, Bytes::len);
+            len += frame.data_ref().map_or(0, Bytes::len).max(MIN_PART_BYTES);
             if len > UNCOUNTED_BYTES {
                 return false;
             }
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -24,7 +24,7 @@
     body::Incoming,
     client::conn::http1::{self, SendRequest},
 };
-use shallotdrum_links::{ConnectError, LinkStatus, LinkStream, Links};
+use shallotdrum_links::{ConnectError, LinkStatus, LinkStream, Links, ReadMeter};
 use shallotdrum_types::RequestId;
 use tokio::{
     task::AbortHandle,
@@ -83,6 +83,8 @@
     _task: ConnectionTask,
     /// Whether it does not go through another instance.
     is_direct: bool,
+    /// Limit on what the target sends.
+    meter: ReadMeter,
     /// Hashes of the ids of the requests that it has carried.
     carried: Vec<u64>,
 }
@@ -288,8 +290,9 @@
         self.open.is_direct
     }
 
-    /// Records that bytes of the target arrived.
+    /// Records that a part of the response arrived.
     pub(crate) fn record_heard(&self) {
+        self.open.meter.record_progress();
         if self.open.is_direct {
             self.pool.links.record_heard(self.addr);
         }
@@ -385,6 +388,7 @@
     open: &mut OpenConnection,
     request: Request<Full<Bytes>>,
 ) -> Result<Response<Incoming>, SendFailed> {
+    open.meter.expect_head();
     let sent = tokio::select! {
         sent = open.sender.try_send_request(request) => sent,
         () = links.lost(addr), if open.is_direct => {
@@ -394,6 +398,7 @@
     };
     match sent {
         Ok(response) => {
+            open.meter.record_progress();
             if open.is_direct {
                 links.record_heard(addr);
             }
@@ -411,10 +416,11 @@
 async fn open(stream: Result<LinkStream, ConnectError>) -> Result<OpenConnection, String> {
     let stream = stream.map_err(|e| e.to_string())?;
     let is_direct = stream.through().is_none();
+    let meter = stream.meter().clone();
     let (sender, connection) = http1::handshake(stream).await.map_err(|e| e.to_string())?;
     // The request in progress reports an error itself; an idle connection is just dropped.
     let task = ConnectionTask(tokio::spawn(connection).abort_handle());
-    Ok(OpenConnection { sender, _task: task, is_direct, carried: Vec::new() })
+    Ok(OpenConnection { sender, _task: task, is_direct, meter, carried: Vec::new() })
 }
 
 /// Returns the `Keep-Alive` timeout of a response, less a margin.
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -8,15 +8,21 @@
 /// Maximum size of an event; engines send some tokens in each.
 pub const MAX_EVENT_BYTES: usize = 256 * 1024;
 
+/// Maximum number of parts that an event may come in; the work on a part does not depend on its length.
+/// Events take a few hundred bytes, and few parts of one byte each.
+const MAX_EVENT_PARTS: usize = 16 * 1024;
+
 /// Error of a stream with an event that is too long, or that does not end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("an event exceeds {MAX_EVENT_BYTES} bytes")]
+#[error("an event exceeds {MAX_EVENT_BYTES} bytes or {MAX_EVENT_PARTS} parts")]
 pub struct EventTooLong;
 
 /// Buffers bytes and returns complete events.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     pending: BytesMut,
+    /// Number of parts since the last complete event.
+    parts: usize,
 }
 
 impl EventSplitter {
@@ -27,7 +33,8 @@
         self.pending.extend_from_slice(part);
         let complete = last_event_end(&self.pending[searched..])
             .map(|end| self.pending.split_to(end + searched).freeze());
-        if self.pending.len() > MAX_EVENT_BYTES {
+        self.parts = if complete.is_some() { 0 } else { self.parts + 1 };
+        if self.pending.len() > MAX_EVENT_BYTES || self.parts > MAX_EVENT_PARTS {
             return Err(EventTooLong);
         }
         Ok(complete)
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -396,7 +396,7 @@
         }
         let Received { place, running, connection, response } = received;
         let (parts, body) = response.into_parts();
-        let body = self.bodies.read(self.links(), &parts.headers, body, &place);
+        let body = self.bodies.read(self.links(), &parts.headers, body, &place, &connection);
         let body = match timeout_at(run.deadline, body).await {
             Ok(Ok(body)) => body,
             Ok(Err(error)) => {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -34,6 +34,7 @@
 mod stream_log;
 mod withheld;
 
+pub use body::CollectedBody;
 pub use budget::{EntryCount, RetryAllowance, RetryBudget};
 pub use connections::{
     Connection, ConnectionPool, ExclusiveConnection, SendError, UnattributedResponse,
