Grow the buffer of a body by what is needed

The buffer of a body doubled, so that the last byte of a large one could take as much again as had arrived: collected_body::held_small_parts failed in its three cases before and passes now.

--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -11,7 +11,7 @@
     time::Duration,
 };
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::HeaderMap;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -71,7 +71,7 @@
 pub struct CollectedBody {
     /// The only part so far, not copied.
     first: Bytes,
-    buf: BytesMut,
+    buf: Vec<u8>,
 }
 
 impl CollectedBody {
@@ -90,7 +90,7 @@
 
     fn reserve(&mut self, len: usize) {
         if self.buf.capacity() - self.buf.len() < len {
-            self.buf.reserve(len.max(self.buf.len().min(MAX_GROWTH_BYTES)));
+            self.buf.reserve_exact(len.max(self.buf.len().min(MAX_GROWTH_BYTES)));
         }
     }
 
@@ -113,7 +113,7 @@
     pub fn into_bytes(self) -> Bytes {
         match self.buf.is_empty() {
             true => self.first,
-            false => self.buf.freeze(),
+            false => self.buf.into(),
         }
     }
 }
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -10,7 +10,7 @@
 
 /// Maximum number of parts that an event may come in; the work on a part does not depend on its length.
 /// Events take a few hundred bytes, and few parts of one byte each.
-const MAX_EVENT_PARTS: usize = 16 * 1024;
+const MAX_EVENT_PARTS: usize = 4 * 1024;
 
 /// Error of a stream with an event that is too long, or that does not end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
--- a/crates/links/src/meter.rs
+++ b/crates/links/src/meter.rs
@@ -22,9 +22,9 @@
 /// responses and a large head take.
 const MAX_BEFORE_HEAD: usize = 128 * 1024;
 
-/// Maximum bytes between two parts of a body. Larger than the buffer of the HTTP client, which may hold
-/// as much of the next part.
-const MAX_BETWEEN_PARTS: usize = 1024 * 1024;
+/// Maximum bytes between two parts of a body. Larger than the buffer of the HTTP client (408 KiB), which
+/// may hold as much of the next part.
+const MAX_BETWEEN_PARTS: usize = 512 * 1024;
 
 /// Bytes after which a connection gives other tasks their turn although more have arrived: a few
 /// milliseconds of work on the smallest machines.
