Serve nothing before a started instance has caught up with the control log

What callers saw: after a restart of an entry, alone or with all other processes, one request reached a target whose departure had been acknowledged before (DRAIN).

Requests were served by the state that it passed through: the table and the target had arrived, the departure of the target had not. The renewal of the session confirms the revisions of manifest and table only, and with when_stale "serve" no confirmation is needed.

Fix: Freshness::CatchingUp, until the entry has applied what the replica that it follows first had applied when it was chosen; that replica has caught up with the leader itself. An instance with a replica waits until this has caught up.

--- a/crates/daemon/src/follower.rs
+++ b/crates/daemon/src/follower.rs
@@ -8,7 +8,14 @@
 //! cut off (`Timing::election_min`, by the replica itself), silent ([`WATCH_TIMEOUT`]) or behind
 //! (`RENEW_INTERVAL` and `CATCH_UP_TIMEOUT` of the session), one survey, and one transfer.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 use shallotdrum_control::ControlView;
 use shallotdrum_rpc::{
@@ -47,6 +54,8 @@
     pub(crate) directory: Directory,
     /// Newest index that the leader had applied and that did not arrive here in time.
     pub(crate) overdue: watch::Receiver<LogIndex>,
+    /// Set once what the first replica had applied when it was chosen is applied here.
+    pub(crate) is_caught_up: Arc<AtomicBool>,
     pub(crate) log: slog::Logger,
 }
 
@@ -55,11 +64,13 @@
     pub(crate) async fn run(mut self) {
         // Longer after a first poll that timed out: its reply may be large, or the link slow.
         let mut first_timeout = WATCH_TIMEOUT;
+        let mut start_index = None;
         loop {
             let source = self.choose_source().await;
+            let start_index = *start_index.get_or_insert(source.position.applied);
             event!(self.log, FOLLOW_STARTED; "addr" => %source.addr,
                 "index" => self.view.applied().0, "replica_index" => source.position.applied.0);
-            let left = self.follow(&source, first_timeout).await;
+            let left = self.follow(&source, start_index, first_timeout).await;
             first_timeout = match left.polls {
                 0 => (2 * first_timeout).min(SNAPSHOT_TIMEOUT),
                 _ => WATCH_TIMEOUT,
@@ -91,8 +102,13 @@
         }
     }
 
-    /// Polls a replica until a poll fails.
-    async fn follow(&mut self, source: &SurveyedReplica, first_timeout: Duration) -> LeftReplica {
+    /// Polls a replica until a poll fails. This instance has caught up at `start_index`.
+    async fn follow(
+        &mut self,
+        source: &SurveyedReplica,
+        start_index: LogIndex,
+        first_timeout: Duration,
+    ) -> LeftReplica {
         let mut timeout = match needs_snapshot(self.view.applied(), &source.position) {
             true => SNAPSHOT_TIMEOUT,
             false => first_timeout,
@@ -113,7 +129,12 @@
                 }
             };
             match result {
-                Ok(()) => (polls, timeout) = (polls + 1, WATCH_TIMEOUT),
+                Ok(()) => {
+                    (polls, timeout) = (polls + 1, WATCH_TIMEOUT);
+                    if self.view.applied() >= start_index {
+                        self.is_caught_up.store(true, Ordering::Relaxed);
+                    }
+                }
                 Err(error) => return LeftReplica { polls, error },
             }
         }
--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -2,7 +2,10 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, PoisonError},
+    sync::{
+        Arc, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
@@ -38,7 +41,7 @@
     peer::Peer,
     plane::ControlPlane,
     replica::Replica,
-    session::{SessionConfig, SessionManager},
+    session::{CaughtUpFn, SessionConfig, SessionManager},
     targets::TargetRelay,
     watch,
 };
@@ -218,6 +221,17 @@
 
         tasks.spawn(track_replicas(view.clone(), directory.clone()));
         tasks.spawn(watch::watch_state(view.clone(), metrics.clone(), log.clone()));
+        let is_caught_up = Arc::new(AtomicBool::new(false));
+        let caught_up_fn: CaughtUpFn = match &replica {
+            Some(replica) => {
+                let status = replica.node.watch();
+                Box::new(move || status.borrow().is_caught_up)
+            }
+            None => {
+                let is_caught_up = is_caught_up.clone();
+                Box::new(move || is_caught_up.load(Ordering::Relaxed))
+            }
+        };
         let session = SessionManager::new(
             SessionConfig {
                 info: instance_info(&settings),
@@ -225,6 +239,7 @@
                     .max_control_format
                     .map_or(NEWEST_FORMAT, |max| max.min(NEWEST_FORMAT)),
                 freshness_bound: Duration::from_millis(settings.freshness.bound_ms),
+                is_caught_up: caught_up_fn,
             },
             client.clone(),
             view.clone(),
@@ -237,6 +252,7 @@
                 peers: peers.clone(),
                 directory: directory.clone(),
                 overdue: session.overdue(),
+                is_caught_up,
                 log: log.clone(),
             };
             tasks.spawn(follower.run());
--- a/crates/daemon/src/session.rs
+++ b/crates/daemon/src/session.rs
@@ -42,6 +42,7 @@
     view: ControlView,
     permits: HeldPermits,
     freshness_bound: Duration,
+    is_caught_up: CaughtUpFn,
     started: Instant,
     log: slog::Logger,
     state: Mutex<State>,
@@ -109,8 +110,14 @@
     pub(crate) format: ControlFormat,
     /// Maximum time since the newest manifest was last confirmed to be in force here.
     pub(crate) freshness_bound: Duration,
+    /// Tells whether this instance has caught up with the control log since its start.
+    pub(crate) is_caught_up: CaughtUpFn,
 }
 
+/// Returns whether this instance has applied what was committed when it started; called for each
+/// request, so it must be cheap.
+pub(crate) type CaughtUpFn = Box<dyn Fn() -> bool + Send + Sync>;
+
 impl SessionManager {
     pub(crate) fn new(
         cfg: SessionConfig,
@@ -126,6 +133,7 @@
             view,
             permits,
             freshness_bound: cfg.freshness_bound,
+            is_caught_up: cfg.is_caught_up,
             started: Instant::now(),
             log,
             state: Mutex::default(),
@@ -148,6 +156,8 @@
         let age = confirmed_at.unwrap_or(self.started).elapsed();
         match confirmed_at {
             _ if applied == Revisions::default() => Freshness::NoManifest,
+            // The newest revisions may have arrived without the departures of targets after them.
+            _ if !(self.is_caught_up)() => Freshness::CatchingUp,
             Some(_) if age <= self.freshness_bound && state.is_draining => Freshness::Draining,
             Some(_) if age <= self.freshness_bound => Freshness::Ready,
             _ if age > self.freshness_bound && !state.confirmations.pending.is_empty() => {
--- a/crates/daemon/tests/follower.rs
+++ b/crates/daemon/tests/follower.rs
@@ -13,9 +13,11 @@
     RpcModule,
     server::{Server, ServerHandle},
 };
-use shallotdrum_control::{Command, Reply, TimedCommand};
+use rstest::rstest;
+use shallotdrum_control::{Command, ControlState, Reply, TimedCommand};
 use shallotdrum_daemon::{Instance, Listeners};
-use shallotdrum_harness::{Deployment, InstancePorts, instance_settings, wait_until};
+use shallotdrum_harness::{Caller, Deployment, InstancePorts, instance_settings, wait_until};
+use shallotdrum_manifest::Manifest;
 use shallotdrum_rpc::{Compressed, RenewReply, ReplicaPosition, RpcError, WatchEntry, WatchReply};
 use shallotdrum_settings::Settings;
 use shallotdrum_types::{ControlTimeMs, InstanceId, LogIndex, Revision, SessionId, Term};
@@ -36,9 +38,40 @@
     leader_applied: Arc<AtomicU64>,
     /// Whether followers may choose this replica.
     is_caught_up: Arc<dyn Fn() -> bool + Send + Sync>,
+    /// Last command that this replica passes on, although it may have applied more.
+    passed_on: Arc<AtomicU64>,
+    /// Commands from index 1 on; those after them change nothing.
+    history: Arc<[Command]>,
+    /// Revision of the manifest that the leader names.
+    revision: Revision,
+    /// Number of renewals that were answered.
+    renewals: Arc<AtomicU64>,
 }
 
 impl PlayedReplica {
+    /// Replica with a log of commands that change nothing.
+    fn new(applied: Arc<AtomicU64>, leader_applied: Arc<AtomicU64>) -> Self {
+        Self {
+            passed_on: applied.clone(),
+            applied,
+            leader_applied,
+            is_caught_up: Arc::new(|| true),
+            history: Arc::default(),
+            revision: Revision(0),
+            renewals: Arc::default(),
+        }
+    }
+
+    /// Commands after an index that this replica passes on.
+    fn entries_after(&self, after: LogIndex) -> Vec<WatchEntry> {
+        let entry = |index: u64| {
+            let command = self.history.get(index as usize - 1).cloned().unwrap_or(Command::Tick);
+            let command = TimedCommand { at: ControlTimeMs(0), command };
+            WatchEntry { index: LogIndex(index), command }
+        };
+        (after.0 + 1..=self.passed_on.load(Ordering::SeqCst)).map(entry).collect()
+    }
+
     async fn serve(self) -> (SocketAddr, ServerHandle) {
         let server = Server::builder().build("127.0.0.1:0").await.unwrap();
         let addr = server.local_addr().unwrap();
@@ -62,9 +95,10 @@
             .unwrap();
         methods
             .register_method("control_renew", |_, replica, _| {
+                replica.renewals.fetch_add(1, Ordering::SeqCst);
                 serde_json::to_value(RenewReply {
                     term: Term(1),
-                    revision: Revision(0),
+                    revision: replica.revision,
                     routes: Revision(0),
                     applied: LogIndex(replica.leader_applied.load(Ordering::SeqCst)),
                 })
@@ -74,15 +108,11 @@
         methods
             .register_async_method("control_watch", |params, replica, _| async move {
                 let (after, wait_ms): (LogIndex, u64) = params.parse().unwrap();
-                if replica.applied.load(Ordering::SeqCst) <= after.0 {
+                if replica.passed_on.load(Ordering::SeqCst) <= after.0 {
                     sleep(Duration::from_millis(wait_ms)).await;
                 }
-                let applied = replica.applied.load(Ordering::SeqCst);
-                let command = TimedCommand { at: ControlTimeMs(0), command: Command::Tick };
-                let entries = (after.0 + 1..=applied)
-                    .map(|index| WatchEntry { index: LogIndex(index), command: command.clone() })
-                    .collect();
-                let through = LogIndex(applied).max(after);
+                let entries = replica.entries_after(after);
+                let through = entries.last().map_or(after, |entry| entry.index);
                 Ok::<_, RpcError>(Compressed(WatchReply::Entries { entries, through }))
             })
             .unwrap();
@@ -98,16 +128,11 @@
     let leader_applied = Arc::new(AtomicU64::new(BEFORE));
     let is_leader_chosen = leader_applied.clone();
     let leader = PlayedReplica {
-        applied: leader_applied.clone(),
-        leader_applied: leader_applied.clone(),
         // The follower begins with the other replica.
         is_caught_up: Arc::new(move || is_leader_chosen.load(Ordering::SeqCst) > BEFORE),
+        ..PlayedReplica::new(leader_applied.clone(), leader_applied.clone())
     };
-    let behind = PlayedReplica {
-        applied: Arc::new(AtomicU64::new(BEFORE)),
-        leader_applied: leader_applied.clone(),
-        is_caught_up: Arc::new(|| true),
-    };
+    let behind = PlayedReplica::new(Arc::new(AtomicU64::new(BEFORE)), leader_applied.clone());
     let (leader_addr, _leader) = leader.serve().await;
     let (behind_addr, _behind) = behind.serve().await;
 
@@ -143,3 +168,66 @@
     }
     instance.stop().await;
 }
+
+/// Guards against a started instance that serves requests by a state that it passes through while it
+/// receives the log: a target that has left, or a withdrawn key, would be in use again.
+#[rstest]
+#[case::refused_when_stale("refuse")]
+#[case::served_when_stale("serve")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn request_during_first_transfer(#[case] when_stale: &str) {
+    const APPLIED: u64 = 20;
+    let deployment = Deployment::registry();
+    let manifest = Manifest::parse(deployment.manifest().to_string().as_bytes()).unwrap();
+    let submission = "first".parse().unwrap();
+    let submit = ControlState::default().submit_command(submission, Revision(0), &manifest);
+    let applied = Arc::new(AtomicU64::new(APPLIED));
+    // The manifest arrives, and with it all that requests need, but not what follows in the log.
+    let passed_on = Arc::new(AtomicU64::new(1));
+    let replica = PlayedReplica {
+        passed_on: passed_on.clone(),
+        history: Arc::new([submit]),
+        revision: Revision(1),
+        ..PlayedReplica::new(applied.clone(), applied)
+    };
+    let renewals = replica.renewals.clone();
+    let (addr, _replica) = replica.serve().await;
+
+    let folder = tempfile::tempdir().unwrap();
+    let ports = InstancePorts::reserve().unwrap();
+    let mut json = instance_settings(&deployment, 1, &ports, &[addr], folder.path());
+    json["freshness"] = serde_json::json!({ "when_stale": when_stale });
+    let settings = Settings::from_json(&json.to_string()).unwrap();
+    let listeners = Listeners::open(&settings).await.unwrap();
+    let log = slog::Logger::root(slog::Discard, slog::o!());
+    let instance = Instance::start(settings, listeners, log).await.unwrap();
+    let plane = instance.control_plane();
+    let manifest_arrives = || async {
+        match plane.applied() {
+            LogIndex(1) => Ok(()),
+            applied => Err(format!("applied {applied}")),
+        }
+    };
+    wait_until("the manifest arrives", 10 * APPLY_LIMIT, manifest_arrives).await.unwrap();
+
+    let caller = Caller::new(&deployment.key(0));
+    let model = deployment.model(0, 1);
+    let is_refused = || async {
+        let response = caller.complete(ports.entry.addr(), &model, "prompt", 1, false).await;
+        response.expect_err("there are no targets").code() == Some("not-ready")
+    };
+    // The first renewal already confirms the manifest.
+    while renewals.load(Ordering::SeqCst) < 3 {
+        assert!(is_refused().await, "served before the log has arrived");
+        sleep(Duration::from_millis(10)).await;
+    }
+    passed_on.store(APPLIED, Ordering::SeqCst);
+    let served = || async {
+        match is_refused().await {
+            true => Err("refused".to_owned()),
+            false => Ok(()),
+        }
+    };
+    wait_until("requests are served", 10 * APPLY_LIMIT, served).await.unwrap();
+    instance.stop().await;
+}
--- a/crates/entry/src/router.rs
+++ b/crates/entry/src/router.rs
@@ -128,6 +128,7 @@
         Freshness::Ready => plain_text(StatusCode::OK, "ready"),
         Freshness::Draining => plain_text(StatusCode::SERVICE_UNAVAILABLE, "draining"),
         Freshness::NoManifest => plain_text(StatusCode::SERVICE_UNAVAILABLE, "no manifest"),
+        Freshness::CatchingUp => plain_text(StatusCode::SERVICE_UNAVAILABLE, "catching up"),
         Freshness::Stale { age } => {
             let reason = format!("stale: manifest not confirmed for {} ms", age.as_millis());
             plain_text(StatusCode::SERVICE_UNAVAILABLE, &reason)
--- a/crates/entry/tests/entry/http.rs
+++ b/crates/entry/tests/entry/http.rs
@@ -270,6 +270,7 @@
 /// manifest.
 #[rstest]
 #[case::no_manifest(Freshness::NoManifest, WhenStale::Serve, 503, 503)]
+#[case::catching_up(Freshness::CatchingUp, WhenStale::Serve, 503, 503)]
 #[case::stale(Freshness::Stale { age: Duration::from_secs(6) }, WhenStale::Refuse, 503, 503)]
 #[case::stale_serve(Freshness::Stale { age: Duration::from_secs(6) }, WhenStale::Serve, 503, 200)]
 #[case::outdated(Freshness::Outdated { age: Duration::from_secs(6) }, WhenStale::Serve, 503, 503)]
--- a/crates/types/src/freshness.rs
+++ b/crates/types/src/freshness.rs
@@ -21,6 +21,9 @@
     Ready,
     /// The instance has received neither a manifest nor a route table yet.
     NoManifest,
+    /// The instance has not received yet what was in the control log when it started. The states on the
+    /// way there are older than the one that it served by before.
+    CatchingUp,
     /// The last confirmation is older than the limit, or there was none since the start.
     Stale {
         /// Time since the last confirmation, or since the start.
@@ -67,6 +70,7 @@
                 format!("the instance lacks a newer manifest for {} ms", age.as_millis()),
                 OUTDATED_RETRY_AFTER,
             ),
+            Self::CatchingUp => ("the instance has just started".to_owned(), OUTDATED_RETRY_AFTER),
             _ => ("the instance has no manifest yet".to_owned(), UNCONFIRMED_RETRY_AFTER),
         };
         RequestError::not_run(RequestErrorKind::NotReady, detail).retry_after(retry_after)
--- a/crates/types/tests/freshness.rs
+++ b/crates/types/tests/freshness.rs
@@ -15,6 +15,7 @@
 #[case::stale(Freshness::Stale { age: AGE }, false, true, false)]
 #[case::outdated(Freshness::Outdated { age: AGE }, false, false, false)]
 #[case::no_manifest(Freshness::NoManifest, false, false, false)]
+#[case::catching_up(Freshness::CatchingUp, false, false, false)]
 fn check_by_freshness(
     #[case] freshness: Freshness,
     #[case] serves: bool,
