Log the confirmation by which a request is refused for good

Operators saw a refusal by an older table and could not tell why: the line of a refused request (N0412) named the revision of its table, but neither the confirmation nor its age, and a refused body wrote no line at all. N0433 holds the revision that refused, the index applied, and the index, term and age of the confirmation; no decision is changed. An instance that has not caught up refuses nothing for good, so it writes none. No test: the fields are read by hand.

--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -332,7 +332,7 @@
         let cx = GatewayContext {
             view: self.front_end.view.clone(),
             session: Arc::new(move || session.current()),
-            freshness: Arc::new(move || manager.freshness()),
+            confirmation: Arc::new(move || manager.confirmation()),
             serve_when_stale: self.serve_when_stale,
             owner: self.owner.clone(),
             peers: self.front_end.peers.clone(),
@@ -575,7 +575,7 @@
     EntryContext {
         catalog: Arc::new(ViewCatalog(view)),
         forwarder,
-        freshness: Arc::new(move || manager.freshness()),
+        freshness: Arc::new(move || manager.confirmation().freshness),
         announce: Arc::new(move |announcement| {
             let targets = announce.clone();
             async move {
--- a/crates/daemon/src/session.rs
+++ b/crates/daemon/src/session.rs
@@ -18,7 +18,9 @@
 use shallotdrum_owner::HeldPermits;
 use shallotdrum_rpc::{ControlClient, RenewRequest, RpcError};
 use shallotdrum_telemetry::event;
-use shallotdrum_types::{ControlFormat, Freshness, LogIndex, Revision, SessionId, Term};
+use shallotdrum_types::{
+    Confirmation, ControlFormat, Freshness, LastConfirmation, LogIndex, Revision, SessionId, Term,
+};
 use tokio::sync::watch;
 
 /// Interval of renewals; two may fail before the lease expires.
@@ -55,7 +57,7 @@
     session: Option<SessionId>,
     lease_until: Option<Instant>,
     confirmations: Confirmations,
-    /// Term of the leader that confirmed the last renewal.
+    /// Term of the leader that answered the last renewal.
     leader_term: Term,
     is_draining: bool,
 }
@@ -77,27 +79,38 @@
     }
 }
 
-/// Confirmations by the leader, which count from the time at which the renewal was sent.
+/// What the leader named in its answer to a renewal.
+#[derive(Clone, Copy, Debug)]
+struct Named {
+    revisions: Revisions,
+    index: LogIndex,
+    term: Term,
+    /// Time at which the renewal was sent, from which the confirmation counts.
+    sent_at: Instant,
+}
+
+/// Confirmations by the leader.
 #[derive(Default)]
 struct Confirmations {
-    /// Send time of the last renewal whose revisions this instance has applied.
-    confirmed_at: Option<Instant>,
-    /// Revisions that the leader named and that are not applied here yet, oldest first, with the send
-    /// time of the last renewal that named them.
-    pending: VecDeque<(Revisions, Instant)>,
+    /// Last answer whose revisions this instance has applied.
+    last: Option<Named>,
+    /// Answers that name revisions which are not applied here yet, oldest first; of several that name
+    /// the same revisions, the last one.
+    pending: VecDeque<Named>,
 }
 
 impl Confirmations {
-    fn add(&mut self, newest: Revisions, sent_at: Instant) {
+    fn add(&mut self, named: Named) {
         match self.pending.back_mut() {
-            Some((revisions, last_sent_at)) if *revisions == newest => *last_sent_at = sent_at,
-            _ => self.pending.push_back((newest, sent_at)),
+            Some(last) if last.revisions == named.revisions => *last = named,
+            _ => self.pending.push_back(named),
         }
     }
 
     fn advance(&mut self, applied: Revisions) {
-        while let Some((_, sent_at)) = self.pending.pop_front_if(|(r, _)| applied.includes(r)) {
-            self.confirmed_at = Some(sent_at);
+        let is_applied = |named: &mut Named| applied.includes(&named.revisions);
+        while let Some(named) = self.pending.pop_front_if(is_applied) {
+            self.last = Some(named);
         }
     }
 }
@@ -147,14 +160,14 @@
         state.session.filter(|_| state.lease_until.is_some_and(|until| Instant::now() < until))
     }
 
-    /// Whether requests may be served.
-    pub(crate) fn freshness(&self) -> Freshness {
+    /// Whether requests may be served, and by which confirmation.
+    pub(crate) fn confirmation(&self) -> Confirmation {
         let applied = self.view.read(Revisions::of);
         let mut state = self.state();
         state.confirmations.advance(applied);
-        let confirmed_at = state.confirmations.confirmed_at;
-        let age = confirmed_at.unwrap_or(self.started).elapsed();
-        match confirmed_at {
+        let last = state.confirmations.last;
+        let age = last.map_or(self.started, |named| named.sent_at).elapsed();
+        let freshness = match last {
             _ if applied == Revisions::default() => Freshness::NoManifest,
             // The newest revisions may have arrived without the departures of targets after them.
             _ if !(self.is_caught_up)() => Freshness::CatchingUp,
@@ -164,7 +177,9 @@
                 Freshness::Outdated { age }
             }
             _ => Freshness::Stale { age },
-        }
+        };
+        let last = last.map(|Named { index, term, .. }| LastConfirmation { index, term, age });
+        Confirmation { freshness, last }
     }
 
     /// Receiver of the newest index that the leader had applied and that did not arrive here in time.
@@ -255,11 +270,15 @@
             Ok(reply) => {
                 let mut state = self.state();
                 state.lease_until = Some(sent_at + SESSION_LEASE - CLOCK_DRIFT_MARGIN);
-                let newest = Revisions { manifest: reply.revision, routes: reply.routes };
-                state.confirmations.add(newest, sent_at);
+                state.confirmations.add(Named {
+                    revisions: Revisions { manifest: reply.revision, routes: reply.routes },
+                    index: reply.applied,
+                    term: reply.term,
+                    sent_at,
+                });
                 state.leader_term = reply.term;
                 drop(state);
-                self.freshness();
+                self.confirmation();
                 self.schedule_lag_check(reply.applied);
                 RENEW_INTERVAL.saturating_sub(sent_at.elapsed())
             }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -23,8 +23,8 @@
 use shallotdrum_rpc::{Peers, PlaceEnd};
 use shallotdrum_telemetry::{Metrics, event};
 use shallotdrum_types::{
-    Fingerprint, FreshnessFn, PoolId, RequestError, RequestErrorKind, RequestId, RequestIdentity,
-    Revision, SoftwareVersion, SubscriberId, TargetId,
+    Confirmation, ConfirmationFn, Fingerprint, PoolId, RequestError, RequestErrorKind, RequestId,
+    RequestIdentity, Revision, SoftwareVersion, SubscriberId, TargetId,
 };
 use tokio::{
     task::JoinHandle,
@@ -64,7 +64,7 @@
     /// Session of this instance while its lease is valid.
     pub session: SessionFn,
     /// Whether the control state of this instance is confirmed to be current.
-    pub freshness: FreshnessFn,
+    pub confirmation: ConfirmationFn,
     /// Whether requests are served while the control state is not confirmed.
     pub serve_when_stale: bool,
     /// Grants places in the groups that this instance owns.
@@ -190,7 +190,7 @@
     /// Whether requests are served at the moment.
     pub fn is_ready(&self) -> bool {
         self.routes().is_some()
-            && (self.cx.freshness)().check_serving(self.cx.serve_when_stale).is_ok()
+            && (self.cx.confirmation)().freshness.check_serving(self.cx.serve_when_stale).is_ok()
     }
 
     /// Refuses new requests from now on, also those that began to arrive before; for the end of a
@@ -199,10 +199,29 @@
         self.is_closing.store(true, Ordering::Relaxed);
     }
 
-    /// Fails unless the current route table is confirmed, so that requests which it does not allow
-    /// may be refused for good.
-    pub fn check_absence(&self) -> Result<(), RequestError> {
-        (self.cx.freshness)().check_absence()
+    /// Error for a request that a route table of this revision does not allow: `refusal` if the table is
+    /// confirmed, otherwise a temporary one, as a newer table may allow it.
+    pub fn refuse_for_good(
+        &self,
+        request: &str,
+        revision: Revision,
+        confirmation: Confirmation,
+        refusal: RequestError,
+    ) -> RequestError {
+        if let Err(not_ready) = confirmation.freshness.check_absence() {
+            return not_ready;
+        }
+        event!(self.cx.log, REFUSED_FOR_GOOD; "request" => request, "kind" => %refusal.kind,
+            "revision" => revision.0, "index" => self.cx.view.applied().0,
+            "confirmed_index" => confirmation.last.map(|last| last.index.0),
+            "confirmed_ms" => confirmation.last.map(|last| last.age.as_millis() as u64),
+            "term" => confirmation.last.map(|last| last.term.0));
+        refusal
+    }
+
+    /// Current confirmation of the control state.
+    pub fn confirmation(&self) -> Confirmation {
+        (self.cx.confirmation)()
     }
 
     /// Records a request that the front end could not decode.
@@ -269,15 +288,15 @@
             return Err(RequestError::not_run(RequestErrorKind::NotReady, detail)
                 .retry_after(RETRY_AFTER_START));
         };
-        let freshness = (self.cx.freshness)();
-        freshness.check_serving(self.cx.serve_when_stale)?;
+        let confirmation = self.confirmation();
+        confirmation.freshness.check_serving(self.cx.serve_when_stale)?;
         let Some(route) = routes.find(&req.host, req.target.path()).cloned() else {
-            freshness.check_absence()?;
             let revision = routes.table().revision;
             let host = &req.host;
             let detail =
                 format!("no route of host {host} matches this path in revision {revision}");
-            return Err(RequestError::not_run(RequestErrorKind::NotFound, detail));
+            let refusal = RequestError::not_run(RequestErrorKind::NotFound, detail);
+            return Err(self.refuse_for_good(req.id.as_str(), revision, confirmation, refusal));
         };
         let Some(pool) = route.choose_pool(rand::random()).cloned() else {
             let detail = format!("route {} has no pool to send to", route.name);
--- a/crates/types/src/freshness.rs
+++ b/crates/types/src/freshness.rs
@@ -5,7 +5,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use crate::{RequestError, RequestErrorKind};
+use crate::{LogIndex, RequestError, RequestErrorKind, Term};
 
 /// `Retry-After` of an instance that cannot confirm its state; the renewals that confirm it are sent
 /// every second.
@@ -41,6 +41,29 @@
 /// Returns the current [`Freshness`]; called for each request, so it must be cheap.
 pub type FreshnessFn = Arc<dyn Fn() -> Freshness + Send + Sync>;
 
+/// Freshness of an instance's copy of the control state, with the confirmation that it rests on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Confirmation {
+    /// Whether the copy is confirmed.
+    pub freshness: Freshness,
+    /// Last confirmation; `None` before the first one.
+    pub last: Option<LastConfirmation>,
+}
+
+/// Confirmation by the control leader that this instance has a state.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LastConfirmation {
+    /// Index of the control log up to which the state was confirmed.
+    pub index: LogIndex,
+    /// Term of the leader.
+    pub term: Term,
+    /// Time since the renewal that the leader answered was sent.
+    pub age: Duration,
+}
+
+/// Returns the current [`Confirmation`]; called for each request, so it must be cheap.
+pub type ConfirmationFn = Arc<dyn Fn() -> Confirmation + Send + Sync>;
+
 impl Freshness {
     /// Fails if requests must be refused; `serve_when_stale` accepts an unconfirmed state, but not one
     /// that is known to be outdated.
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -18,7 +18,7 @@
 mod units;
 
 pub use base64_bytes::Base64Bytes;
-pub use freshness::{Freshness, FreshnessFn};
+pub use freshness::{Confirmation, ConfirmationFn, Freshness, FreshnessFn, LastConfirmation};
 pub use hash::{Digest, Fingerprint, KeyHash, ParseHashError};
 pub use identity::RequestIdentity;
 pub use ids::{
