Refuse for good only by a state that was read after its confirmation

Callers got 413 for a body that the table in force allows: an entry was stopped for 3.5 s while a table with a larger limit was acknowledged, read the head of a request that had waited at its socket, awaited the body, and in the meantime received and confirmed the new table, which confirmed the refusal of the older one. The other way round a body passed that the table in force forbids.

Cause: state and confirmation were read apart, state first, so that the confirmation could be that of a successor. The platform's front awaited the body in between; the gateway, and the entry for keys, models and services, had no wait in between, but shallotdrumd has several threads. The entry checked max_tokens and a missing Idempotency-Key by a state without asking for its confirmation at all.

Fix: the confirmation is read first and the state after it, in one place of the gateway (Gateway::in_force) and in auth::check_ready of the entry. States only grow, so what is read later includes what was confirmed.

--- a/crates/entry/src/auth.rs
+++ b/crates/entry/src/auth.rs
@@ -4,7 +4,7 @@
 
 use http::{HeaderMap, header::AUTHORIZATION};
 use shallotdrum_settings::WhenStale;
-use shallotdrum_types::{KeyHash, RequestError, RequestErrorKind, SubscriberId};
+use shallotdrum_types::{Freshness, KeyHash, RequestError, RequestErrorKind, SubscriberId};
 use tokio::time::Instant;
 
 use crate::context::Shared;
@@ -12,11 +12,13 @@
 /// Request header with the time that the caller waits for the response, in milliseconds.
 pub(crate) const DEADLINE_HEADER: &str = "x-request-deadline-ms";
 
-/// Authenticates the caller by the API key in its `Authorization` header.
+/// Authenticates the caller by the API key in its `Authorization` header, unless the instance may not
+/// serve.
 pub(crate) fn subscriber(
     shared: &Shared,
     headers: &HeaderMap,
 ) -> Result<SubscriberId, RequestError> {
+    let freshness = check_ready(shared)?;
     let unauthorized = |detail| RequestError::not_run(RequestErrorKind::Unauthorized, detail);
     let value = headers
         .get(AUTHORIZATION)
@@ -30,18 +32,15 @@
         .catalog
         .subscriber_of_key(&KeyHash::of(key))
         .ok_or_else(|| unauthorized("the API key does not belong to any subscriber"))
-        .map_err(|error| refusal_if_confirmed(shared, error))
+        .map_err(|error| freshness.refuse(error))
 }
 
-/// Rejects the request if the manifest is missing or outdated, or stale and `when_stale` is `refuse`.
-pub(crate) fn check_ready(shared: &Shared) -> Result<(), RequestError> {
-    (shared.cx.freshness)().check_serving(shared.cfg.when_stale == WhenStale::Serve)
-}
-
-/// Returns a refusal by which a name does not exist or may not be used if the manifest is confirmed,
-/// otherwise a temporary error: a newer manifest may contain the name.
-pub(crate) fn refusal_if_confirmed(shared: &Shared, error: RequestError) -> RequestError {
-    (shared.cx.freshness)().check_absence().err().unwrap_or(error)
+/// Freshness of the manifest, to be read before what decides a request; fails if the manifest is missing or
+/// outdated, or stale and `when_stale` is `refuse`.
+pub(crate) fn check_ready(shared: &Shared) -> Result<Freshness, RequestError> {
+    let freshness = (shared.cx.freshness)();
+    freshness.check_serving(shared.cfg.when_stale == WhenStale::Serve)?;
+    Ok(freshness)
 }
 
 /// Deadline of the request: from its header, capped at the limit, or the default.
--- a/crates/entry/src/completions.rs
+++ b/crates/entry/src/completions.rs
@@ -41,16 +41,17 @@
     request: &RequestId,
 ) -> Result<Response<Body>, RequestError> {
     let started = Instant::now();
-    // Checked before the API key, because a stale manifest may lack the subscriber.
-    auth::check_ready(shared)?;
     let subscriber = auth::subscriber(shared, req.headers())?;
     let deadline = auth::deadline(shared, req.headers())?;
     let body = body::read(req.into_body(), &shared.cfg.limits).await?;
     let parsed = openai::parse(api, &body)?;
+    // The body may have taken long.
+    let freshness = auth::check_ready(shared)?;
     let model = shared.cx.catalog.model(&subscriber, &parsed.model);
-    let model = model.map_err(|error| auth::refusal_if_confirmed(shared, error.into()))?;
+    let model = model.map_err(|error| freshness.refuse(error.into()))?;
     let (stream, include_usage) = (parsed.stream, parsed.include_usage);
-    let call = build_call(shared, parsed, &model, subscriber, request)?;
+    let call = build_call(shared, parsed, &model, subscriber, request);
+    let call = call.map_err(|error| freshness.refuse(error))?;
     let fingerprint = fingerprint(&call.subscriber, &call.request);
     if shared.cx.catalog.is_quarantined(&fingerprint) {
         let detail = format!(
--- a/crates/entry/src/models.rs
+++ b/crates/entry/src/models.rs
@@ -35,8 +35,6 @@
     headers: &HeaderMap,
     query: Option<&str>,
 ) -> Result<Response<Body>, RequestError> {
-    // Checked before the API key, because a stale manifest may lack the subscriber.
-    auth::check_ready(shared)?;
     let subscriber = auth::subscriber(shared, headers)?;
     let invalid = |detail: String| RequestError::not_run(RequestErrorKind::InvalidRequest, detail);
     let mut after = None;
--- a/crates/entry/src/services.rs
+++ b/crates/entry/src/services.rs
@@ -61,21 +61,21 @@
 ) -> Result<Response<Body>, RequestError> {
     let started = Instant::now();
     let (parts, body) = req.into_parts();
-    // Checked before the API key, because a stale manifest may lack the subscriber.
-    auth::check_ready(shared)?;
     let subscriber = auth::subscriber(shared, &parts.headers)?;
     let deadline = auth::deadline(shared, &parts.headers)?;
     let (service, path) = split_path(&parts)?;
     let method = parts.method.as_str();
+    let freshness = auth::check_ready(shared)?;
     let service_route = shared.cx.catalog.service(&subscriber, &service, method, path);
-    let service_route =
-        service_route.map_err(|error| auth::refusal_if_confirmed(shared, error.into()))?;
+    let service_route = service_route.map_err(|error| freshness.refuse(error.into()))?;
     let idempotency_key = match idempotency_key(&parts.headers)? {
         Some(_) if service_route.repeatable => None,
         None if !service_route.repeatable => {
             let detail =
                 format!("{method} {path} of service {service} requires an Idempotency-Key header");
-            return Err(RequestError::not_run(RequestErrorKind::KeyRequired, detail));
+            return Err(
+                freshness.refuse(RequestError::not_run(RequestErrorKind::KeyRequired, detail))
+            );
         }
         key => key,
     };
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -23,8 +23,8 @@
 use shallotdrum_rpc::{Peers, PlaceEnd};
 use shallotdrum_telemetry::{Metrics, event};
 use shallotdrum_types::{
-    Confirmation, ConfirmationFn, Fingerprint, PoolId, RequestError, RequestErrorKind, RequestId,
-    RequestIdentity, Revision, SoftwareVersion, SubscriberId, TargetId,
+    Confirmation, ConfirmationFn, Fingerprint, LogIndex, PoolId, RequestError, RequestErrorKind,
+    RequestId, RequestIdentity, Revision, SoftwareVersion, SubscriberId, TargetId,
 };
 use tokio::{
     task::JoinHandle,
@@ -95,6 +95,21 @@
     is_closing: AtomicBool,
 }
 
+/// Route table in force, as one value with the confirmation that it is the newest.
+struct InForce {
+    confirmation: Confirmation,
+    routes: Option<Arc<RouteIndex>>,
+    /// Index of the control log that the table is part of.
+    applied: LogIndex,
+}
+
+impl InForce {
+    /// Revision of the table; 0 without one.
+    fn revision(&self) -> Revision {
+        self.routes.as_ref().map_or(Revision(0), |routes| routes.table().revision)
+    }
+}
+
 /// State of a request across its attempts.
 pub(crate) struct RequestRun {
     pub(crate) req: CallerRequest,
@@ -199,29 +214,46 @@
         self.is_closing.store(true, Ordering::Relaxed);
     }
 
-    /// Error for a request that a route table of this revision does not allow: `refusal` if the table is
-    /// confirmed, otherwise a temporary one, as a newer table may allow it.
-    pub fn refuse_for_good(
+    /// Route table in force, with its confirmation.
+    fn in_force(&self) -> InForce {
+        // Read before the table, which therefore includes what was confirmed.
+        let confirmation = (self.cx.confirmation)();
+        let (routes, applied) =
+            self.cx.view.read(|state| (state.routes().cloned(), state.applied()));
+        InForce { confirmation, routes, applied }
+    }
+
+    /// Returns the limit of request bodies; fails if one of this length exceeds it.
+    pub fn check_body_length(&self, request: &str, length: usize) -> Result<usize, RequestError> {
+        let in_force = self.in_force();
+        let limits = in_force.routes.as_ref().map(|routes| routes.table().limits);
+        let limit = limits.unwrap_or_default().body_bytes;
+        if length <= limit {
+            return Ok(limit);
+        }
+        let detail = format!("the body exceeds {limit} bytes");
+        let refusal = RequestError::not_run(RequestErrorKind::BodyTooLarge, detail);
+        Err(self.refuse_for_good(request, &in_force, refusal))
+    }
+
+    /// Error for a request that the table does not allow: `refusal` if the table is confirmed, otherwise
+    /// a temporary one.
+    fn refuse_for_good(
         &self,
         request: &str,
-        revision: Revision,
-        confirmation: Confirmation,
+        in_force: &InForce,
         refusal: RequestError,
     ) -> RequestError {
-        if let Err(not_ready) = confirmation.freshness.check_absence() {
-            return not_ready;
+        let Confirmation { freshness, last } = in_force.confirmation;
+        let error = freshness.refuse(refusal);
+        if error.kind != RequestErrorKind::NotReady {
+            event!(self.cx.log, REFUSED_FOR_GOOD; "request" => request, "kind" => %error.kind,
+                "revision" => in_force.revision().0, "index" => in_force.applied.0,
+                "confirmed_index" => last.map(|last| last.index.0),
+                "confirmed_ms" => last.map(|last| last.age.as_millis() as u64),
+                "term" => last.map(|last| last.term.0));
         }
-        event!(self.cx.log, REFUSED_FOR_GOOD; "request" => request, "kind" => %refusal.kind,
-            "revision" => revision.0, "index" => self.cx.view.applied().0,
-            "confirmed_index" => confirmation.last.map(|last| last.index.0),
-            "confirmed_ms" => confirmation.last.map(|last| last.age.as_millis() as u64),
-            "term" => confirmation.last.map(|last| last.term.0));
-        refusal
-    }
-
-    /// Current confirmation of the control state.
-    pub fn confirmation(&self) -> Confirmation {
-        (self.cx.confirmation)()
+        error
     }
 
     /// Records a request that the front end could not decode.
@@ -283,27 +315,26 @@
             return Err(RequestError::not_run(RequestErrorKind::NotReady, detail)
                 .retry_after(RETRY_AFTER_CLOSE));
         }
-        let Some(routes) = self.routes() else {
+        let in_force = self.in_force();
+        let Some(routes) = &in_force.routes else {
             let detail = "no route table is in force yet; retry later";
             return Err(RequestError::not_run(RequestErrorKind::NotReady, detail)
                 .retry_after(RETRY_AFTER_START));
         };
-        let confirmation = self.confirmation();
-        confirmation.freshness.check_serving(self.cx.serve_when_stale)?;
+        in_force.confirmation.freshness.check_serving(self.cx.serve_when_stale)?;
         let Some(route) = routes.find(&req.host, req.target.path()).cloned() else {
-            let revision = routes.table().revision;
-            let host = &req.host;
+            let (host, revision) = (&req.host, in_force.revision());
             let detail =
                 format!("no route of host {host} matches this path in revision {revision}");
             let refusal = RequestError::not_run(RequestErrorKind::NotFound, detail);
-            return Err(self.refuse_for_good(req.id.as_str(), revision, confirmation, refusal));
+            return Err(self.refuse_for_good(req.id.as_str(), &in_force, refusal));
         };
         let Some(pool) = route.choose_pool(rand::random()).cloned() else {
             let detail = format!("route {} has no pool to send to", route.name);
             return Err(RequestError::not_run(RequestErrorKind::NoTarget, detail));
         };
-        let revision = routes.table().revision;
-        drop(routes);
+        let revision = in_force.revision();
+        drop(in_force);
         let identity = request_identity(&req);
         let software = self.required_software(&req, &pool).await?;
         let permitted = self.cx.owner.admit_relayed(&identity)?;
--- a/crates/types/src/freshness.rs
+++ b/crates/types/src/freshness.rs
@@ -1,7 +1,9 @@
 //! Whether an instance's copy of the control state may be used to answer.
 //!
 //! Architecture Invariant: a request is refused for good ("no such route", "unknown key") only by a
-//! confirmed state. All front ends decide by the methods of this module.
+//! confirmed state. All front ends decide by the methods of this module, and read the freshness before
+//! the state that they decide by: a state that is read later includes what was confirmed, whereas one
+//! that was read before may have been replaced, and the freshness be that of its successor.
 
 use std::{sync::Arc, time::Duration};
 
@@ -83,6 +85,12 @@
         }
     }
 
+    /// Error for a request that a state does not allow which was read after this freshness: `refusal` if
+    /// the state is confirmed, otherwise a temporary one, as a newer state may allow it.
+    pub fn refuse(self, refusal: RequestError) -> RequestError {
+        self.check_absence().err().unwrap_or(refusal)
+    }
+
     fn not_ready(self) -> RequestError {
         let (detail, retry_after) = match self {
             Self::Stale { age } => (
