--- a/crates/consensus/src/machine.rs
+++ b/crates/consensus/src/machine.rs
@@ -20,6 +20,10 @@
     /// Applies the committed command at the given index.
     fn apply(&mut self, index: LogIndex, command: Self::Command) -> Self::Reply;
 
+    /// Records that the committed entries up to the index are applied; those after the last command are
+    /// none of the state machine's.
+    fn advance(&mut self, _index: LogIndex) {}
+
     /// Encodes the whole state.
     fn snapshot(&self) -> Vec<u8>;
 
--- a/crates/consensus/src/node/apply.rs
+++ b/crates/consensus/src/node/apply.rs
@@ -68,6 +68,7 @@
             index: snapshot.index,
             reason: e.to_string(),
         })?;
+        machine.advance(snapshot.index);
         drop(machine);
         let mut core = self.core();
         core.applied = snapshot.index;
@@ -83,9 +84,12 @@
         let mut applied = LogIndex(0);
         let mut machine = self.machine.write().unwrap_or_else(PoisonError::into_inner);
         for entry in entries {
-            if let Payload::Command(bytes) = &entry.payload {
-                let command = decode_command::<S>(entry.index, bytes)?;
-                replies.push((entry.index, machine.apply(entry.index, command)));
+            match &entry.payload {
+                Payload::Command(bytes) => {
+                    let command = decode_command::<S>(entry.index, bytes)?;
+                    replies.push((entry.index, machine.apply(entry.index, command)));
+                }
+                _ => machine.advance(entry.index),
             }
             applied = entry.index;
             if start.elapsed() >= APPLY_SLICE {
--- a/crates/consensus/src/node/mod.rs
+++ b/crates/consensus/src/node/mod.rs
@@ -238,6 +238,17 @@
         }
     }
 
+    /// Index up to which replicas may have applied the log by now; `None` unless this replica holds the
+    /// leader lease. It may have applied less itself.
+    pub fn leased_commit(&self) -> Option<LogIndex> {
+        let commit = {
+            let core = self.0.core();
+            core.has_committed_in_term().then_some(core.commit)
+        };
+        // The lease covers the moment of the read, since it is checked after it.
+        commit.filter(|_| self.leader_lease_valid())
+    }
+
     /// Time until which this replica counts as connected to the leader, unless it hears from it
     /// again; `None` if it has stopped or had no contact yet.
     ///
@@ -298,6 +309,7 @@
                 path: cfg.data_dir.clone(),
                 source: Box::new(e),
             })?;
+            machine.advance(snapshot.index);
         }
         if let Some(path) = &opened.set_aside {
             event!(log, DAMAGED_FILES_MOVED; "folder" => %path.display());
--- a/crates/control/src/view.rs
+++ b/crates/control/src/view.rs
@@ -62,7 +62,7 @@
         self.apply_command(index, command);
     }
 
-    /// Advances a follower to an index up to which no further commands will be sent to it.
+    /// Advances to an index up to which no further commands will be applied.
     pub fn advance_applied(&self, index: LogIndex) {
         self.write(|state| state.skip_to(index));
     }
@@ -120,6 +120,10 @@
         self.apply_command(index, command)
     }
 
+    fn advance(&mut self, index: LogIndex) {
+        self.advance_applied(index);
+    }
+
     fn snapshot(&self) -> Vec<u8> {
         // Encode a copy, so that the state is not locked meanwhile.
         self.read(ControlState::clone).snapshot()
--- a/crates/daemon/src/replica.rs
+++ b/crates/daemon/src/replica.rs
@@ -4,8 +4,12 @@
 //! commands.
 //!
 //! Architecture Invariant: only a leader that has applied everything committed before its election
-//! and holds a valid leader lease confirms renewals and grants permits. Hence a confirmed renewal
-//! carries the newest accepted revision, and never do two leaders grant permits at the same time.
+//! and holds a valid leader lease confirms renewals and grants permits. Hence never do two leaders grant
+//! permits at the same time.
+//!
+//! Architecture Invariant: a confirmed renewal names an index that no replica has passed when it was
+//! received. The revisions that it names are those that the leader has applied, and older ones if the
+//! leader is behind its own commit index.
 
 use std::{
     sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -292,6 +296,7 @@
         let RenewRequest { session, revision, permits, format, .. } = request;
         let mut leader = self.leader();
         let current = self.leased_leader(&mut leader)?;
+        let committed = self.node.leased_commit();
         let reply = self.view.read(|state| {
             current
                 .leader_state
@@ -304,6 +309,7 @@
                 revision: state.revision(),
                 routes: state.route_revision(),
                 applied: state.applied(),
+                committed,
             })
         });
         // A leader that was frozen since the check above may have lost its lease.
--- a/crates/daemon/src/session.rs
+++ b/crates/daemon/src/session.rs
@@ -83,6 +83,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Named {
     revisions: Revisions,
+    /// Index that a state must include to be confirmed; one that the leader has applied, from leaders of
+    /// earlier releases.
     index: LogIndex,
     term: Term,
     /// Time at which the renewal was sent, from which the confirmation counts.
@@ -92,27 +94,33 @@
 /// Confirmations by the leader.
 #[derive(Default)]
 struct Confirmations {
-    /// Last answer whose revisions this instance has applied.
+    /// Last answer that this instance has applied.
     last: Option<Named>,
-    /// Answers that name revisions which are not applied here yet, oldest first; of several that name
-    /// the same revisions, the last one.
+    /// Answers that are not applied here yet, oldest first; of several that name the same index, the
+    /// last one.
     pending: VecDeque<Named>,
 }
 
 impl Confirmations {
     fn add(&mut self, named: Named) {
         match self.pending.back_mut() {
-            Some(last) if last.revisions == named.revisions => *last = named,
+            Some(last) if last.index == named.index => *last = named,
             _ => self.pending.push_back(named),
         }
     }
 
-    fn advance(&mut self, applied: Revisions) {
-        let is_applied = |named: &mut Named| applied.includes(&named.revisions);
+    fn advance(&mut self, revisions: Revisions, applied: LogIndex) {
+        let is_applied =
+            |named: &mut Named| applied >= named.index && revisions.includes(&named.revisions);
         while let Some(named) = self.pending.pop_front_if(is_applied) {
             self.last = Some(named);
         }
     }
+
+    /// Whether the leader named newer revisions than these.
+    fn names_newer(&self, revisions: Revisions) -> bool {
+        self.pending.iter().any(|named| !revisions.includes(&named.revisions))
+    }
 }
 
 /// Settings of a [`SessionManager`].
@@ -162,18 +170,18 @@
 
     /// Whether requests may be served, and by which confirmation.
     pub(crate) fn confirmation(&self) -> Confirmation {
-        let applied = self.view.read(Revisions::of);
+        let (revisions, applied) = self.view.read(|state| (Revisions::of(state), state.applied()));
         let mut state = self.state();
-        state.confirmations.advance(applied);
+        state.confirmations.advance(revisions, applied);
         let last = state.confirmations.last;
         let age = last.map_or(self.started, |named| named.sent_at).elapsed();
         let freshness = match last {
-            _ if applied == Revisions::default() => Freshness::NoManifest,
+            _ if revisions == Revisions::default() => Freshness::NoManifest,
             // The newest revisions may have arrived without the departures of targets after them.
             _ if !(self.is_caught_up)() => Freshness::CatchingUp,
             Some(_) if age <= self.freshness_bound && state.is_draining => Freshness::Draining,
             Some(_) if age <= self.freshness_bound => Freshness::Ready,
-            _ if age > self.freshness_bound && !state.confirmations.pending.is_empty() => {
+            _ if age > self.freshness_bound && state.confirmations.names_newer(revisions) => {
                 Freshness::Outdated { age }
             }
             _ => Freshness::Stale { age },
@@ -272,7 +280,7 @@
                 state.lease_until = Some(sent_at + SESSION_LEASE - CLOCK_DRIFT_MARGIN);
                 state.confirmations.add(Named {
                     revisions: Revisions { manifest: reply.revision, routes: reply.routes },
-                    index: reply.applied,
+                    index: reply.committed.unwrap_or(reply.applied),
                     term: reply.term,
                     sent_at,
                 });
--- a/crates/daemon/tests/follower.rs
+++ b/crates/daemon/tests/follower.rs
@@ -36,6 +36,8 @@
     applied: Arc<AtomicU64>,
     /// Last command that the leader has applied.
     leader_applied: Arc<AtomicU64>,
+    /// Last command that the leader knows to be committed; `None` from an earlier release.
+    leader_committed: Option<Arc<AtomicU64>>,
     /// Whether followers may choose this replica.
     is_caught_up: Arc<dyn Fn() -> bool + Send + Sync>,
     /// Last command that this replica passes on, although it may have applied more.
@@ -55,6 +57,7 @@
             passed_on: applied.clone(),
             applied,
             leader_applied,
+            leader_committed: None,
             is_caught_up: Arc::new(|| true),
             history: Arc::default(),
             revision: Revision(0),
@@ -101,6 +104,10 @@
                     revision: replica.revision,
                     routes: Revision(0),
                     applied: LogIndex(replica.leader_applied.load(Ordering::SeqCst)),
+                    committed: replica
+                        .leader_committed
+                        .as_ref()
+                        .map(|committed| LogIndex(committed.load(Ordering::SeqCst))),
                 })
                 .unwrap()
             })
@@ -231,3 +238,60 @@
     wait_until("requests are served", 10 * APPLY_LIMIT, served).await.unwrap();
     instance.stop().await;
 }
+
+/// Guards against an instance that refuses for good by a state which lacks what is committed, and
+/// another replica may have acknowledged, because the leader has not applied it yet either.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn refusal_before_leader_applied_commit() {
+    let deployment = Deployment::registry();
+    let manifest = Manifest::parse(deployment.manifest().to_string().as_bytes()).unwrap();
+    let submission = "first".parse().unwrap();
+    let submit = ControlState::default().submit_command(submission, Revision(0), &manifest);
+    let applied = Arc::new(AtomicU64::new(1));
+    let replica = PlayedReplica {
+        leader_committed: Some(Arc::new(AtomicU64::new(2))),
+        history: Arc::new([submit]),
+        revision: Revision(1),
+        ..PlayedReplica::new(applied.clone(), applied.clone())
+    };
+    let renewals = replica.renewals.clone();
+    let (addr, _replica) = replica.serve().await;
+
+    let folder = tempfile::tempdir().unwrap();
+    let ports = InstancePorts::reserve().unwrap();
+    let mut json = instance_settings(&deployment, 1, &ports, &[addr], folder.path());
+    json["freshness"] = serde_json::json!({ "when_stale": "serve" });
+    let settings = Settings::from_json(&json.to_string()).unwrap();
+    let listeners = Listeners::open(&settings).await.unwrap();
+    let log = slog::Logger::root(slog::Discard, slog::o!());
+    let instance = Instance::start(settings, listeners, log).await.unwrap();
+
+    let model = deployment.model(0, 1);
+    let code = |key: String| {
+        let (model, entry) = (model.clone(), ports.entry.addr());
+        async move {
+            let response = Caller::new(&key).complete(entry, &model, "prompt", 1, false).await;
+            response.expect_err("there are no targets").code().unwrap_or_default().to_owned()
+        }
+    };
+    let known_key_served = || async {
+        match code(deployment.key(0)).await.as_str() {
+            "not-ready" => Err("not ready".to_owned()),
+            _ => Ok(()),
+        }
+    };
+    wait_until("requests are served", 10 * APPLY_LIMIT, known_key_served).await.unwrap();
+    while renewals.load(Ordering::SeqCst) < 4 {
+        assert_eq!(code("unknown".to_owned()).await, "not-ready");
+        sleep(Duration::from_millis(10)).await;
+    }
+    applied.store(2, Ordering::SeqCst);
+    let refused_for_good = || async {
+        match code("unknown".to_owned()).await.as_str() {
+            "unauthorized" => Ok(()),
+            other => Err(other.to_owned()),
+        }
+    };
+    wait_until("the key is refused", 10 * APPLY_LIMIT, refused_for_good).await.unwrap();
+    instance.stop().await;
+}
--- a/crates/rpc/src/messages.rs
+++ b/crates/rpc/src/messages.rs
@@ -36,6 +36,10 @@
     pub routes: Revision,
     /// Index of the last command that the leader has applied.
     pub applied: LogIndex,
+    /// Index of the last entry that the leader knows to be committed; absent from replies of earlier
+    /// releases. Another replica may have applied it, and acknowledged a change by it, before the leader.
+    #[serde(default)]
+    pub committed: Option<LogIndex>,
 }
 
 /// Position of a control replica in the log.
