--- a/crates/consensus/src/machine.rs
+++ b/crates/consensus/src/machine.rs
@@ -20,8 +20,7 @@
     /// Applies the committed command at the given index.
     fn apply(&mut self, index: LogIndex, command: Self::Command) -> Self::Reply;
 
-    /// Records that the committed entries up to the index are applied; those after the last command are
-    /// none of the state machine's.
+    /// Records that the log is applied up to the index, beyond the last command.
     fn advance(&mut self, _index: LogIndex) {}
 
     /// Encodes the whole state.
--- a/crates/daemon/src/replica.rs
+++ b/crates/daemon/src/replica.rs
@@ -296,7 +296,7 @@
         let RenewRequest { session, revision, permits, format, .. } = request;
         let mut leader = self.leader();
         let current = self.leased_leader(&mut leader)?;
-        let committed = self.node.leased_commit();
+        let committed = self.node.leased_commit().ok_or_else(|| self.not_leader())?;
         let reply = self.view.read(|state| {
             current
                 .leader_state
@@ -309,7 +309,7 @@
                 revision: state.revision(),
                 routes: state.route_revision(),
                 applied: state.applied(),
-                committed,
+                committed: Some(committed),
             })
         });
         // A leader that was frozen since the check above may have lost its lease.
--- a/crates/daemon/src/session.rs
+++ b/crates/daemon/src/session.rs
@@ -117,9 +117,9 @@
         }
     }
 
-    /// Whether the leader named newer revisions than these.
+    /// Whether the leader named newer revisions than these; its last answer names the newest.
     fn names_newer(&self, revisions: Revisions) -> bool {
-        self.pending.iter().any(|named| !revisions.includes(&named.revisions))
+        self.pending.back().is_some_and(|named| !revisions.includes(&named.revisions))
     }
 }
 
--- a/crates/daemon/tests/follower.rs
+++ b/crates/daemon/tests/follower.rs
@@ -37,7 +37,7 @@
     /// Last command that the leader has applied.
     leader_applied: Arc<AtomicU64>,
     /// Last command that the leader knows to be committed; `None` from an earlier release.
-    leader_committed: Option<Arc<AtomicU64>>,
+    leader_committed: Option<LogIndex>,
     /// Whether followers may choose this replica.
     is_caught_up: Arc<dyn Fn() -> bool + Send + Sync>,
     /// Last command that this replica passes on, although it may have applied more.
@@ -104,10 +104,7 @@
                     revision: replica.revision,
                     routes: Revision(0),
                     applied: LogIndex(replica.leader_applied.load(Ordering::SeqCst)),
-                    committed: replica
-                        .leader_committed
-                        .as_ref()
-                        .map(|committed| LogIndex(committed.load(Ordering::SeqCst))),
+                    committed: replica.leader_committed,
                 })
                 .unwrap()
             })
@@ -249,7 +246,7 @@
     let submit = ControlState::default().submit_command(submission, Revision(0), &manifest);
     let applied = Arc::new(AtomicU64::new(1));
     let replica = PlayedReplica {
-        leader_committed: Some(Arc::new(AtomicU64::new(2))),
+        leader_committed: Some(LogIndex(2)),
         history: Arc::new([submit]),
         revision: Revision(1),
         ..PlayedReplica::new(applied.clone(), applied.clone())
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -23,8 +23,8 @@
 use shallotdrum_rpc::{Peers, PlaceEnd};
 use shallotdrum_telemetry::{Metrics, event};
 use shallotdrum_types::{
-    Confirmation, ConfirmationFn, Fingerprint, LogIndex, PoolId, RequestError, RequestErrorKind,
-    RequestId, RequestIdentity, Revision, SoftwareVersion, SubscriberId, TargetId,
+    ConfirmationFn, Fingerprint, PoolId, RequestError, RequestErrorKind, RequestId,
+    RequestIdentity, Revision, SoftwareVersion, SubscriberId, TargetId,
 };
 use tokio::{
     task::JoinHandle,
@@ -95,21 +95,6 @@
     is_closing: AtomicBool,
 }
 
-/// Route table in force, as one value with the confirmation that it is the newest.
-struct InForce {
-    confirmation: Confirmation,
-    routes: Option<Arc<RouteIndex>>,
-    /// Index of the control log that the table is part of.
-    applied: LogIndex,
-}
-
-impl InForce {
-    /// Revision of the table; 0 without one.
-    fn revision(&self) -> Revision {
-        self.routes.as_ref().map_or(Revision(0), |routes| routes.table().revision)
-    }
-}
-
 /// State of a request across its attempts.
 pub(crate) struct RequestRun {
     pub(crate) req: CallerRequest,
@@ -214,48 +199,6 @@
         self.is_closing.store(true, Ordering::Relaxed);
     }
 
-    /// Route table in force, with its confirmation.
-    fn in_force(&self) -> InForce {
-        // Read before the table, which therefore includes what was confirmed.
-        let confirmation = (self.cx.confirmation)();
-        let (routes, applied) =
-            self.cx.view.read(|state| (state.routes().cloned(), state.applied()));
-        InForce { confirmation, routes, applied }
-    }
-
-    /// Returns the limit of request bodies; fails if one of this length exceeds it.
-    pub fn check_body_length(&self, request: &str, length: usize) -> Result<usize, RequestError> {
-        let in_force = self.in_force();
-        let limits = in_force.routes.as_ref().map(|routes| routes.table().limits);
-        let limit = limits.unwrap_or_default().body_bytes;
-        if length <= limit {
-            return Ok(limit);
-        }
-        let detail = format!("the body exceeds {limit} bytes");
-        let refusal = RequestError::not_run(RequestErrorKind::BodyTooLarge, detail);
-        Err(self.refuse_for_good(request, &in_force, refusal))
-    }
-
-    /// Error for a request that the table does not allow: `refusal` if the table is confirmed, otherwise
-    /// a temporary one.
-    fn refuse_for_good(
-        &self,
-        request: &str,
-        in_force: &InForce,
-        refusal: RequestError,
-    ) -> RequestError {
-        let Confirmation { freshness, last } = in_force.confirmation;
-        let error = freshness.refuse(refusal);
-        if error.kind != RequestErrorKind::NotReady {
-            event!(self.cx.log, REFUSED_FOR_GOOD; "request" => request, "kind" => %error.kind,
-                "revision" => in_force.revision().0, "index" => in_force.applied.0,
-                "confirmed_index" => last.map(|last| last.index.0),
-                "confirmed_ms" => last.map(|last| last.age.as_millis() as u64),
-                "term" => last.map(|last| last.term.0));
-        }
-        error
-    }
-
     /// Records a request that the front end could not decode.
     pub fn record_malformed(&self, error: &dyn std::fmt::Display) {
         event!(self.cx.log, INPUT_REFUSED; "error" => %error);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,6 +1,7 @@
 //! Gateway for opaque requests, which are routed by the route table and relayed unchanged.
 //!
-//! `exchange` drives a caller's request through its attempts, `places` acquires a place, which is
+//! `exchange` drives a caller's request through its attempts, `in_force` is the route table that judges
+//! it, `places` acquires a place, which is
 //! a reservation at a target, from the owner of the target's group, and `connections` is the
 //! connection pool. `relay` forwards event streams, `continuation` checks that their events follow
 //! each other, `stream_body` is what callers read of a stream, and `stream_log` says how each one
@@ -24,6 +25,7 @@
 mod exchange;
 mod fallback;
 mod fingerprint;
+mod in_force;
 mod limits;
 mod need;
 mod origin;
