--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,15 +1,14 @@
 //! Gateway for opaque requests, which are routed by the route table and relayed unchanged.
 //!
-//! `exchange` drives a caller's request through its attempts, `in_force` is the route table that judges
-//! it, `places` acquires a place, which is
-//! a reservation at a target, from the owner of the target's group, and `connections` is the
-//! connection pool. `relay` forwards event streams, `continuation` checks that their events follow
-//! each other, `stream_body` is what callers read of a stream, and `stream_log` says how each one
-//! ended. `fallback` selects a target while a group has no owner, `need` describes a request to the
-//! owner, `budget` limits retries, `body` reads whole responses, `limits` keeps the limits that
-//! targets name, `withheld` the targets that ask for no requests, `origin` finds the version of a
-//! stream that a caller takes up, and `decision` holds the retry rules. `fingerprint` recognises
-//! repeats of a request, and `crash` those that crash targets.
+//! `exchange` drives a caller's request through its attempts, `in_force` is the route table that
+//! judges it, `places` acquires a place, which is a reservation at a target, from the owner of the
+//! target's group, and `connections` is the connection pool. `relay` forwards event streams,
+//! `continuation` checks that their events follow each other, `stream_body` is what callers read of
+//! a stream, and `stream_log` says how each one ended. `fallback` selects a target while a group has
+//! no owner, `need` describes a request to the owner, `budget` limits retries, `body` reads whole
+//! responses, `limits` keeps the limits that targets name, `withheld` the targets that ask for no
+//! requests, `origin` finds the version of a stream that a caller takes up, and `decision` holds the
+//! retry rules. `fingerprint` recognises repeats of a request, and `crash` those that crash targets.
 //!
 //! Architecture Invariant: an at-most-once request is sent to a second target only if no byte of
 //! it can have reached the first, or the first refused it without running it.
