Tell which commands fill the control log and what applying them costs

The record of the incident has the indexes applied and committed, 10,788 apart, and nothing that tells which commands wait or what they cost, so that its hypotheses cannot be told apart.

Counters by kind of command on every instance, a gauge of the backlog on replicas, and one line a second (K0223) while a replica has not applied what was committed a second before. No logic changes. It decides nothing, so there is no test that failed before.

--- a/crates/control/src/command.rs
+++ b/crates/control/src/command.rs
@@ -312,6 +312,37 @@
         }
     }
 
+    /// Name of the kind of command, for logs and metrics.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::OpenSession(_) => "open-session",
+            Self::EndSession { .. } => "end-session",
+            Self::DrainSession { .. } => "drain-session",
+            Self::ReportLinks { .. } => "report-links",
+            Self::DrainInstance { .. } => "drain-instance",
+            Self::SubmitManifest { .. } => "submit-manifest",
+            Self::RegisterTarget(_) => "register-target",
+            Self::RemoveTarget { .. } => "remove-target",
+            Self::LeaveUnknown { .. } => "leave-unknown",
+            Self::DrainTarget { .. } => "drain-target",
+            Self::AssignGroup { .. } => "assign-group",
+            Self::ReleaseGroup { .. } => "release-group",
+            Self::BeginCall { .. } => "begin-call",
+            Self::FinishCall { .. } => "finish-call",
+            Self::AbandonCall { .. } => "abandon-call",
+            Self::ReportCrash { .. } => "report-crash",
+            Self::ReportRuns { .. } => "report-runs",
+            Self::EndSuspension { .. } => "end-suspension",
+            Self::ClearSuspect { .. } => "clear-suspect",
+            Self::LiftQuarantine { .. } => "lift-quarantine",
+            Self::PutRoutes { .. } => "put-routes",
+            Self::PatchRoutes { .. } => "patch-routes",
+            Self::RaiseAdapterVersion { .. } => "raise-adapter-version",
+            Self::RaiseFormat { .. } => "raise-format",
+            Self::Tick => "tick",
+        }
+    }
+
     /// Whether the command changes only the ledger and control time; followers do not receive it.
     pub fn is_ledger_only(&self) -> bool {
         matches!(
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -4,12 +4,14 @@
 //! Architecture Invariant: `ControlState` changes only through `apply` and by restoring a
 //! snapshot. `apply` is deterministic: it depends on no clock, random numbers or settings.
 
+mod apply_costs;
 mod command;
 mod format;
 mod leader;
 mod state;
 mod view;
 
+pub use apply_costs::{ApplyCost, ApplyCosts};
 pub use command::{
     AnnouncedTarget, BeginOutcome, CallKey, Command, CommandError, InstanceAddrs, InstanceInfo,
     Proposal, ProposeError, ProposeFn, RecordedAnswer, Reply, TimedCommand,
--- a/crates/control/src/view.rs
+++ b/crates/control/src/view.rs
@@ -5,13 +5,16 @@
 //! `restore_follower`. Expensive computations run without the write lock, so readers never wait for
 //! them.
 
-use std::sync::{Arc, PoisonError, RwLock};
+use std::{
+    sync::{Arc, Mutex, PoisonError, RwLock},
+    time::Instant,
+};
 
 use shallotdrum_consensus::StateMachine;
 use shallotdrum_types::LogIndex;
 use tokio::sync::watch;
 
-use crate::{ControlState, DecodeError, NEWEST_FORMAT, Reply, TimedCommand};
+use crate::{ApplyCosts, ControlState, DecodeError, NEWEST_FORMAT, Reply, TimedCommand};
 
 /// Shared handle to the control state; clones refer to the same state.
 #[derive(Clone, Debug)]
@@ -19,6 +22,8 @@
     state: Arc<RwLock<ControlState>>,
     /// Index of the last applied command, published after the change to the state is visible.
     applied: watch::Sender<LogIndex>,
+    /// Commands that were applied since the last `take_costs`.
+    costs: Arc<Mutex<ApplyCosts>>,
 }
 
 impl Default for ControlView {
@@ -31,7 +36,7 @@
     /// Creates a handle to an empty state, before the first command.
     pub fn new() -> Self {
         let (applied, _) = watch::channel(LogIndex::default());
-        Self { state: Arc::default(), applied }
+        Self { state: Arc::default(), applied, costs: Arc::default() }
     }
 
     /// Calls `f` under the read lock; `f` must be short because it blocks writers.
@@ -49,6 +54,11 @@
         self.applied.subscribe()
     }
 
+    /// Takes what applying commands has cost since the last call.
+    pub fn take_costs(&self) -> ApplyCosts {
+        std::mem::take(&mut self.costs.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
     /// Applies a command from the watch stream on a follower.
     ///
     /// Commands that were already applied and ledger commands have no effect on the state.
@@ -84,8 +94,11 @@
     }
 
     fn apply_command(&self, index: LogIndex, command: TimedCommand) -> Reply {
+        let (kind, start) = (command.command.kind(), Instant::now());
         let prepared = self.read(|state| state.prepare(&command.command));
-        self.write(|state| state.apply_prepared(index, command, prepared))
+        let reply = self.write(|state| state.apply_prepared(index, command, prepared));
+        self.costs.lock().unwrap_or_else(PoisonError::into_inner).add(kind, start.elapsed());
+        reply
     }
 
     fn write<T>(&self, f: impl FnOnce(&mut ControlState) -> T) -> T {
--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -33,6 +33,7 @@
 
 use crate::{
     admin::Admin,
+    apply_costs::watch_costs,
     catalog::ViewCatalog,
     disk,
     follower::Follower,
@@ -221,6 +222,7 @@
 
         tasks.spawn(track_replicas(view.clone(), directory.clone()));
         tasks.spawn(watch::watch_state(view.clone(), metrics.clone(), log.clone()));
+        tasks.spawn(watch_costs(view.clone(), replica.clone(), metrics.clone(), log.clone()));
         let is_caught_up = Arc::new(AtomicBool::new(false));
         let caught_up_fn: CaughtUpFn = match &replica {
             Some(replica) => {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -5,10 +5,11 @@
 //! replicas, `follower` keeps the control state up to date on instances without a replica,
 //! `session` opens and renews the session of this instance, `targets` relays announcements to
 //! owners, `peer` and `admin` serve the RPC methods, `catalog` serves the entry's lookups,
-//! `plane` is the interface for front ends, `watch` logs state changes and updates gauges, and
-//! `disk` waits for a writable data folder.
+//! `plane` is the interface for front ends, `watch` logs state changes and updates gauges,
+//! `apply_costs` tells what applying the log costs, and `disk` waits for a writable data folder.
 
 mod admin;
+mod apply_costs;
 mod catalog;
 mod disk;
 mod follower;
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -116,6 +116,7 @@
         ROUTES_SENT_WHOLE = "K0222", Warning, "cannot compute the difference of a route table; sending the whole table", "none";
         ROUTES_READ = "K0220", Info, "route table read by an operator", "none";
         READ_UNCONFIRMED = "K0221", Warning, "control leader cannot confirm a read in time", "check the other replicas if `quorum_contact_ms` is high, and this one's disk if `applied` is behind `commit`";
+        LOG_BEHIND = "K0223", Warning, "control log is applied more slowly than it is written", "find the kind of command that takes most of the time in `commands`, and what sends it";
         ROUTES_READ_FAILED = "K0216", Warning, "cannot read the latest route table", "check the control replicas if it persists";
         JOIN_RETRIED = "K0213", Debug, "cannot join the control replicas yet", "none; check the seeds if it persists";
         REPLICA_LOST = "K0214", Warning, "control replica did not respond for too long; removing it", "replace the machine";
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -11,8 +11,8 @@
 };
 
 use prometheus::{
-    Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    CounterVec, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
+    Registry, TextEncoder,
 };
 use shallotdrum_types::SubscriberId;
 
@@ -47,6 +47,8 @@
     between_tokens: HistogramVec,
     total: HistogramVec,
     requests: IntCounterVec,
+    applied: IntCounterVec,
+    apply_time: CounterVec,
     subscribers: RwLock<HashMap<SubscriberId, SubscriberMetrics>>,
     other: SubscriberMetrics,
     unlabelled: UnlabelledMetrics,
@@ -128,6 +130,7 @@
     owned_groups: IntGauge, "shallotdrum_owned_groups", "Target groups owned by this instance";
     manifest_revision: IntGauge, "shallotdrum_manifest_revision", "Manifest revision in force";
     log_index: IntGauge, "shallotdrum_log_index", "Last applied index of the control log";
+    log_backlog: IntGauge, "shallotdrum_log_backlog", "Committed entries of the control log that are not applied, on a replica";
     is_leader: IntGauge, "shallotdrum_is_leader", "1 on the control leader, else 0";
 }
 
@@ -168,6 +171,16 @@
             &["outcome", "error"],
         )?;
         registry.register(Box::new(requests.clone()))?;
+        let applied = IntCounterVec::new(
+            Opts::new("shallotdrum_applied_total", "Commands of the control log that were applied"),
+            &["kind"],
+        )?;
+        registry.register(Box::new(applied.clone()))?;
+        let apply_time = CounterVec::new(
+            Opts::new("shallotdrum_apply_seconds_total", "Time that applying these commands took"),
+            &["kind"],
+        )?;
+        registry.register(Box::new(apply_time.clone()))?;
         let other = SubscriberMetrics {
             queue_wait: queue_wait.with_label_values(&[OTHER]),
             load_stall: load_stall.with_label_values(&[OTHER]),
@@ -185,6 +198,8 @@
             between_tokens,
             total,
             requests,
+            applied,
+            apply_time,
             subscribers,
             other,
             unlabelled,
@@ -224,6 +239,12 @@
         self.0.requests.with_label_values(&[outcome, error]).inc();
     }
 
+    /// Counts commands of one kind that were applied, and the time that this took.
+    pub fn applied(&self, kind: &str, commands: u64, time: Duration) {
+        self.0.applied.with_label_values(&[kind]).inc_by(commands);
+        self.0.apply_time.with_label_values(&[kind]).inc_by(time.as_secs_f64());
+    }
+
     /// Renders all metrics in the Prometheus text format.
     pub fn render(&self) -> String {
         let mut text = String::new();
