Apply reports of crashes by indexes in place of scans

Each command went through all parts of prompts, once more for each cause found; each report went through all suspects, and for each crash of each suspect through the last 512 crashes and all parts again.

Suspects, parts and crashes have indexes now: who was aboard a crash, which have enough crashes to be suspected, which crashes are explained. The causes are chosen again only when a crash settles, evidence on it changes, or an observation ends, and only the suspects concerned are updated. The search for a path's cause ends as soon as enough crashes speak against it.

--- a/crates/control/src/state/causes.rs
+++ b/crates/control/src/state/causes.rs
@@ -14,8 +14,9 @@
 use shallotdrum_types::Fingerprint;
 
 use super::{
+    crash_callers::CrashCallers,
     parts::SHARED_PART_CRASHES_TO_QUARANTINE,
-    suspects::{CallerCrashes, Crash, Isolation},
+    suspects::{Crash, Isolation},
 };
 
 /// What is known of a request that ran beside others.
@@ -26,7 +27,7 @@
     /// Whether it was quarantined before, or ran successfully since.
     pub(super) is_repeated: bool,
     /// Callers, if it stands for the request by any caller.
-    pub(super) callers: Option<&'a CallerCrashes>,
+    pub(super) callers: Option<&'a CrashCallers>,
 }
 
 /// Returns the causes, and whether each is certainly the only one of its crashes.
@@ -40,63 +41,100 @@
 ) -> BTreeMap<Fingerprint, bool> {
     let needed = Isolation::Shared.crashes_to_quarantine();
     let suspects: Vec<_> = evidence.iter().filter(|e| e.crashes.len() >= needed).collect();
-    let crashes = suspects.iter().flat_map(|suspect| suspect.crashes);
-    let explained: BTreeSet<&Crash> = crashes.filter(|crash| is_explained(crash)).collect();
-
     let callers = suspects.iter().filter(|suspect| suspect.callers.is_none()).copied();
-    let mut causes = choose_callers(callers.collect(), explained.clone());
-    let certain: Vec<_> = suspects
-        .iter()
-        .filter(|suspect| causes.get(&suspect.request).is_some_and(|is_certain| *is_certain))
-        .collect();
+    let mut causes = choose_callers(callers, &is_explained);
+    let mut certain: BTreeMap<&Crash, Vec<Fingerprint>> = BTreeMap::new();
+    for suspect in suspects.iter().filter(|suspect| causes.get(&suspect.request) == Some(&true)) {
+        for crash in suspect.crashes {
+            certain.entry(crash).or_default().push(suspect.request);
+        }
+    }
     for path in &suspects {
         let Some(callers) = path.callers else { continue };
-        let is_other_cause = |crash: &Crash| {
-            let mut others = certain.iter().filter(|cause| !callers.contains_key(&cause.request));
-            explained.contains(crash) || others.any(|cause| cause.crashes.contains(crash))
-        };
-        // Earlier releases do not report callers.
-        let is_suspicious = |crash: &Crash| {
-            let mut aboard = callers.iter().filter(|(_, c)| c.contains(crash)).peekable();
-            aboard.peek().is_none() || aboard.any(|(caller, _)| !is_trusted(caller))
+        let has_other_cause = |crash: &Crash| {
+            let mut others = certain.get(crash).into_iter().flatten();
+            others.any(|cause| !callers.contains(cause)) || is_explained(crash)
         };
-        let caused = path.crashes.iter().filter(|c| !is_other_cause(c) && is_suspicious(c));
-        let caused: BTreeSet<_> = caused.cloned().collect();
-        let is_one_caller = callers.values().any(|crashes| crashes.is_superset(&caused));
-        if !is_one_caller && Isolation::Shared.is_cause(caused.len(), path.completed) {
+        if is_path_cause(path, callers, has_other_cause, &is_trusted) {
             causes.insert(path.request, false);
         }
     }
     causes
 }
 
+/// Whether a request by any caller is the cause of its crashes that have no other one. Ends as soon as
+/// enough of them are found, since more of them do not change that.
+fn is_path_cause(
+    path: &Evidence<'_>,
+    callers: &CrashCallers,
+    has_other_cause: impl Fn(&Crash) -> bool,
+    is_trusted: impl Fn(&Fingerprint) -> bool,
+) -> bool {
+    if !Isolation::Shared.is_cause(path.crashes.len(), path.completed) {
+        return false;
+    }
+    // Earlier releases do not report callers.
+    let is_suspicious = |crash: &Crash| match callers.aboard(crash) {
+        Some(aboard) => aboard.iter().any(|caller| !is_trusted(caller)),
+        None => true,
+    };
+    let mut caused = 0;
+    // Callers that were aboard all crashes so far.
+    let mut aboard_all: Option<BTreeSet<Fingerprint>> = None;
+    for crash in path.crashes {
+        if has_other_cause(crash) || !is_suspicious(crash) {
+            continue;
+        }
+        caused += 1;
+        let aboard = callers.aboard(crash);
+        aboard_all = match (aboard_all, aboard) {
+            (_, None) => Some(BTreeSet::new()),
+            (None, Some(aboard)) => Some(aboard.clone()),
+            (Some(mut all), Some(aboard)) => {
+                all.retain(|caller| aboard.contains(caller));
+                Some(all)
+            }
+        };
+        let is_one_caller = aboard_all.as_ref().is_some_and(|all| !all.is_empty());
+        if !is_one_caller && Isolation::Shared.is_cause(caused, path.completed) {
+            return true;
+        }
+    }
+    false
+}
+
 /// Chooses the causes among requests of known callers, the likeliest ones first, as their crashes
 /// then no longer count against the others.
 fn choose_callers<'a>(
-    mut suspects: Vec<&Evidence<'a>>,
-    mut explained: BTreeSet<&'a Crash>,
+    suspects: impl Iterator<Item = &'a Evidence<'a>>,
+    is_explained: impl Fn(&Crash) -> bool,
 ) -> BTreeMap<Fingerprint, bool> {
     let mut causes = BTreeMap::new();
+    let mut explained: BTreeSet<&Crash> = BTreeSet::new();
+    let count = |suspect: &Evidence<'_>, explained: &BTreeSet<&Crash>| {
+        let caused = |crash: &&Crash| !explained.contains(crash) && !is_explained(crash);
+        suspect.crashes.iter().filter(caused).count()
+    };
+    let mut suspects: Vec<_> = suspects.map(|s| (count(s, &explained), s)).collect();
     loop {
-        let caused = |suspect: &Evidence<'_>| {
-            suspect.crashes.iter().filter(|crash| !explained.contains(crash)).count()
-        };
-        suspects.retain(|suspect| Isolation::Shared.is_cause(caused(suspect), suspect.completed));
-        let likelihood = |suspect: &&Evidence<'_>| (suspect.completed, Reverse(caused(suspect)));
+        suspects.retain(|(caused, s)| Isolation::Shared.is_cause(*caused, s.completed));
+        let likelihood =
+            |(caused, suspect): &(usize, &Evidence<'_>)| (suspect.completed, Reverse(*caused));
         let Some(likeliest) = suspects.iter().map(likelihood).min() else { return causes };
-        let equal: Vec<_> =
-            suspects.iter().copied().filter(|s| likelihood(s) == likeliest).collect();
-        suspects.retain(|suspect| likelihood(suspect) != likeliest);
+        let equal: Vec<_> = suspects.extract_if(.., |s| likelihood(s) == likeliest).collect();
         // The next crash usually tells them apart.
         let Reverse(crashes) = likeliest.1;
         if equal.len() > 1 && crashes < SHARED_PART_CRASHES_TO_QUARANTINE {
             continue;
         }
-        for cause in &equal {
+        for (_, cause) in &equal {
             let is_certain = equal.len() == 1 && cause.completed == 0 && !cause.is_repeated;
             causes.insert(cause.request, is_certain);
             if is_certain {
                 explained.extend(cause.crashes);
+                for (caused, suspect) in &mut suspects {
+                    *caused = count(suspect, &explained);
+                }
             }
         }
     }
--- a/crates/control/src/state/mod.rs
+++ b/crates/control/src/state/mod.rs
@@ -7,6 +7,8 @@
 //! receive.
 
 mod causes;
+mod crash_callers;
+mod derived;
 mod groups;
 mod ledger;
 mod manifests;
@@ -15,6 +17,7 @@
 mod sessions;
 mod snapshot;
 mod software;
+mod suspect_index;
 mod suspects;
 
 use std::{collections::BTreeSet, sync::Arc};
--- a/crates/control/src/state/parts.rs
+++ b/crates/control/src/state/parts.rs
@@ -16,7 +16,7 @@
 use serde::{Deserialize, Serialize};
 use shallotdrum_types::{ControlTimeMs, Fingerprint, Incarnation, TargetId};
 
-use super::suspects::suspension_ms;
+use super::{derived::Derived, suspects::suspension_ms};
 use crate::CommandError;
 
 /// Number of crashes after which a part without any successful run is quarantined, if no other part
@@ -72,6 +72,8 @@
 pub(super) struct CrashLog {
     last: u64,
     crashes: VecDeque<LoggedCrash>,
+    #[serde(skip)]
+    numbers: Derived<BTreeMap<Crash, u64>>,
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -82,29 +84,38 @@
 }
 
 impl CrashLog {
-    /// Records a crash and returns its number; a known one keeps its own.
-    pub(super) fn record(&mut self, crash: &Crash, now: ControlTimeMs) -> u64 {
+    /// Records a crash and returns its number, and the crash that is forgotten for it; a known one
+    /// keeps its own number.
+    pub(super) fn record(&mut self, crash: &Crash, now: ControlTimeMs) -> (u64, Option<Crash>) {
         if let Some(number) = self.number(crash) {
-            return number;
+            return (number, None);
         }
         self.last += 1;
-        let crash = LoggedCrash { number: self.last, at: now, crash: crash.clone() };
-        self.crashes.push_back(crash);
-        if self.crashes.len() > MAX_CRASHES {
-            self.crashes.pop_front();
+        self.numbers.insert(crash.clone(), self.last);
+        let logged = LoggedCrash { number: self.last, at: now, crash: crash.clone() };
+        self.crashes.push_back(logged);
+        let is_full = self.crashes.len() > MAX_CRASHES;
+        let forgotten = self.crashes.pop_front_if(|_| is_full).map(|logged| logged.crash);
+        if let Some(crash) = &forgotten {
+            self.numbers.remove(crash);
         }
-        self.last
+        (self.last, forgotten)
+    }
+
+    /// Rebuilds what snapshots do not include.
+    pub(super) fn rebuild_index(&mut self) {
+        let numbers = self.crashes.iter().map(|logged| (logged.crash.clone(), logged.number));
+        *self.numbers = numbers.collect();
     }
 
     pub(super) fn number(&self, crash: &Crash) -> Option<u64> {
-        // Most queries are for a recent crash.
-        let mut latest = self.crashes.iter().rev();
-        latest.find(|logged| logged.crash == *crash).map(|logged| logged.number)
+        self.numbers.get(crash).copied()
     }
 
-    pub(super) fn crash(&self, number: u64) -> Option<Crash> {
-        let logged = self.crashes.iter().find(|logged| logged.number == number)?;
-        Some(logged.crash.clone())
+    pub(super) fn crash(&self, number: u64) -> Option<&Crash> {
+        // The numbers are consecutive.
+        let offset = number.checked_sub(self.crashes.front()?.number)?;
+        self.crashes.get(usize::try_from(offset).ok()?).map(|logged| &logged.crash)
     }
 
     /// Number of the latest crash that counts.
@@ -157,19 +168,49 @@
     }
 
     /// Weighs the crashes that are not explained, if they are enough to suspect the part.
-    fn suspicion(&self, explained: &BTreeSet<u64>, settled: u64) -> Option<Suspicion> {
+    fn suspicion(&self, explained: &NumberSet, settled: u64) -> Option<Suspicion> {
         let (needed, _) = self.evidence_needed();
         if self.crashes.len() < needed {
             return None;
         }
-        let caused = self.crashes.range(..=settled).filter(|number| !explained.contains(number));
+        let caused = self.crashes.range(..=settled).filter(|number| !explained.contains(**number));
         let caused = caused.count();
         let surplus = Reverse(caused.checked_sub(needed)?);
         Some(Suspicion { is_first: self.is_first, surplus, had_runs: self.had_runs, caused })
     }
 
-    fn is_observed(&self, now: ControlTimeMs) -> bool {
-        now.0.saturating_sub(self.first_crash.0) >= self.evidence_needed().1
+    /// Control time from which the part is observed long enough.
+    fn observed_at(&self) -> ControlTimeMs {
+        ControlTimeMs(self.first_crash.0.saturating_add(self.evidence_needed().1))
+    }
+}
+
+/// Numbers of crashes, which lie close together.
+#[derive(Debug, Default)]
+struct NumberSet {
+    first: u64,
+    present: VecDeque<bool>,
+}
+
+impl NumberSet {
+    fn insert(&mut self, number: u64) {
+        if self.present.is_empty() {
+            self.first = number;
+        }
+        while number < self.first {
+            self.first -= 1;
+            self.present.push_front(false);
+        }
+        let offset = (number - self.first) as usize;
+        if offset >= self.present.len() {
+            self.present.resize(offset + 1, false);
+        }
+        self.present[offset] = true;
+    }
+
+    fn contains(&self, number: u64) -> bool {
+        let offset = number.checked_sub(self.first).and_then(|offset| usize::try_from(offset).ok());
+        offset.and_then(|offset| self.present.get(offset)).is_some_and(|present| *present)
     }
 }
 
@@ -191,6 +232,64 @@
     order: VecDeque<(ControlTimeMs, Fingerprint)>,
     /// Control time of the latest report of a crash.
     reported: ControlTimeMs,
+    #[serde(skip)]
+    index: Derived<PartIndex>,
+}
+
+/// What a report changes or asks for, so that it does not go through all parts.
+#[derive(Clone, Debug, Default)]
+struct PartIndex {
+    /// Parts that were aboard each crash.
+    aboard: BTreeMap<u64, BTreeSet<Fingerprint>>,
+    /// Parts with `PART_CRASHES_TO_QUARANTINE` crashes or more.
+    candidates: BTreeSet<Fingerprint>,
+    quarantined: BTreeSet<Fingerprint>,
+    /// Number of quarantined parts that were aboard each crash.
+    explained: BTreeMap<u64, usize>,
+    /// Crashes that became explained, or are no longer.
+    changed: BTreeSet<u64>,
+    /// Last choice of causes; absent if the evidence has changed since then.
+    decision: Option<Decision>,
+}
+
+/// When the last choice of causes must be made anew, if the evidence does not change.
+#[derive(Clone, Copy, Debug)]
+struct Decision {
+    /// Number of the latest crash that counted.
+    settled: u64,
+    /// Earliest control time at which a part that is likely enough has been observed long enough.
+    observed_at: Option<ControlTimeMs>,
+}
+
+impl PartIndex {
+    fn explain(&mut self, number: u64) {
+        let parts = self.explained.entry(number).or_default();
+        *parts += 1;
+        if *parts == 1 {
+            self.changed.insert(number);
+        }
+    }
+
+    fn unexplain(&mut self, number: u64) {
+        let Some(parts) = self.explained.get_mut(&number) else { return };
+        *parts -= 1;
+        if *parts == 0 {
+            self.explained.remove(&number);
+            self.changed.insert(number);
+        }
+    }
+
+    fn add_aboard(&mut self, number: u64, part: Fingerprint) {
+        self.aboard.entry(number).or_default().insert(part);
+    }
+
+    fn remove_aboard(&mut self, number: u64, part: &Fingerprint) {
+        let Some(parts) = self.aboard.get_mut(&number) else { return };
+        parts.remove(part);
+        if parts.is_empty() {
+            self.aboard.remove(&number);
+        }
+    }
 }
 
 impl Parts {
@@ -226,8 +325,32 @@
 
     /// Whether a quarantined part is known as the cause of a crash.
     pub(super) fn is_explained(&self, number: u64) -> bool {
-        let mut quarantined = self.parts.values().filter(|state| state.quarantine.is_some());
-        quarantined.any(|state| state.crashes.contains(&number))
+        self.index.explained.contains_key(&number)
+    }
+
+    /// Takes the crashes that became explained, or are no longer, since the last call.
+    pub(super) fn take_changed(&mut self) -> BTreeSet<u64> {
+        std::mem::take(&mut self.index.changed)
+    }
+
+    /// Rebuilds what snapshots do not include.
+    pub(super) fn rebuild_index(&mut self) {
+        let mut index = PartIndex::default();
+        for (part, state) in &self.parts {
+            for number in &state.crashes {
+                index.add_aboard(*number, *part);
+                if state.quarantine.is_some() {
+                    index.explain(*number);
+                }
+            }
+            if state.crashes.len() >= PART_CRASHES_TO_QUARANTINE {
+                index.candidates.insert(*part);
+            }
+            if state.quarantine.is_some() {
+                index.quarantined.insert(*part);
+            }
+        }
+        *self.index = index;
     }
 
     /// Records a crash for the parts that were aboard.
@@ -238,12 +361,24 @@
             if !state.crashes.insert(number) {
                 continue;
             }
+            let becomes_first = *is_first && !state.is_first;
+            // A crash that has not settled changes nothing yet.
+            if becomes_first || self.index.decision.is_some_and(|d| number <= d.settled) {
+                self.index.decision = None;
+            }
             if state.crashes.len() == 1 {
                 state.first_crash = now;
             }
             state.last_crash = now;
             state.is_first |= *is_first;
             self.order.push_back((now, *part));
+            self.index.add_aboard(number, *part);
+            if state.crashes.len() >= PART_CRASHES_TO_QUARANTINE {
+                self.index.candidates.insert(*part);
+            }
+            if state.quarantine.is_some() {
+                self.index.explain(number);
+            }
         }
         while self.order.len() > MAX_PARTS {
             self.drop_oldest();
@@ -254,17 +389,17 @@
     pub(super) fn complete(&mut self, runs: &[PartRun]) {
         for PartRun { part, crashes_known } in runs {
             let Some(state) = self.parts.get_mut(part) else { continue };
-            state.had_runs = true;
-            let later = state.crashes.split_off(&(crashes_known + 1));
-            let earlier = std::mem::replace(&mut state.crashes, later);
-            if state.crashes.is_empty()
-                && let Some(PartState { quarantine: Some(_), .. }) = self.parts.remove(part)
-            {
+            if !std::mem::replace(&mut state.had_runs, true) {
+                self.index.decision = None;
+            }
+            let was_quarantined = state.quarantine.is_some();
+            let earlier: Vec<_> = state.crashes.range(..=crashes_known).copied().collect();
+            self.remove_crashes(part, &earlier);
+            if was_quarantined && !self.parts.contains_key(part) {
                 // It was the cause until its targets changed.
                 self.explain(&earlier);
             }
         }
-        self.parts.retain(|_, state| !state.crashes.is_empty());
     }
 
     /// Chooses the causes of the crashes that have settled, and quarantines them. Returns whether that
@@ -274,54 +409,84 @@
         if now.0.saturating_sub(self.reported.0) > undecided {
             return false;
         }
-        let causes = self.causes(log.settled(now), now);
-        let mut has_changed = false;
-        for (part, state) in &mut self.parts {
-            match (causes.contains(part), state.quarantine) {
-                (true, None) => {
-                    let suspension_ms = suspension_ms(state.permitted);
-                    state.quarantine = Some(PartQuarantine { since: now, suspension_ms });
-                }
-                (false, Some(_)) => state.quarantine = None,
-                _ => continue,
-            }
-            has_changed = true;
+        let settled = log.settled(now);
+        let is_due = |decision: Decision| {
+            decision.settled != settled || decision.observed_at.is_some_and(|at| at <= now)
+        };
+        if self.index.decision.is_some_and(|decision| !is_due(decision)) {
+            return false;
         }
+        let (causes, observed_at) = self.causes(settled, now);
+        let released = self.index.quarantined.difference(&causes).copied();
+        let released: Vec<_> = released.collect();
+        let added: Vec<_> = causes.difference(&self.index.quarantined).copied().collect();
+        for part in &released {
+            self.set_quarantine(part, None);
+        }
+        for part in &added {
+            let permitted = self.parts.get(part).map_or(0, |state| state.permitted);
+            let suspension_ms = suspension_ms(permitted);
+            self.set_quarantine(part, Some(PartQuarantine { since: now, suspension_ms }));
+        }
+        let has_changed = !released.is_empty() || !added.is_empty();
+        // A quarantine decides between parts that are equally likely, so that one that changed may change
+        // the next choice.
+        self.index.decision = (!has_changed).then_some(Decision { settled, observed_at });
         has_changed
     }
 
     /// The likeliest causes of all crashes. Waits while one of them must be observed longer, or while
-    /// several are equally likely.
-    fn causes(&self, settled: u64, now: ControlTimeMs) -> BTreeSet<Fingerprint> {
-        let (mut causes, mut explained) = (BTreeSet::new(), BTreeSet::new());
+    /// several are equally likely. Also returns when the observation of such a part ends.
+    fn causes(
+        &self,
+        settled: u64,
+        now: ControlTimeMs,
+    ) -> (BTreeSet<Fingerprint>, Option<ControlTimeMs>) {
+        let mut causes = BTreeSet::new();
+        let mut explained = NumberSet::default();
+        let suspicion = |part: &Fingerprint, explained: &NumberSet| {
+            Some((self.parts[part].suspicion(explained, settled)?, *part))
+        };
+        let candidates = self.index.candidates.iter();
+        let mut suspects: Vec<_> =
+            candidates.filter_map(|part| suspicion(part, &explained)).collect();
+        let mut observed_at: Option<ControlTimeMs> = None;
         loop {
-            let suspects = self
-                .parts
-                .iter()
-                .filter_map(|(part, state)| Some((state.suspicion(&explained, settled)?, *part)));
-            let suspects: BTreeSet<_> = suspects.collect();
-            let Some((likeliest, _)) = suspects.first().copied() else { return causes };
+            let Some(likeliest) = suspects.iter().map(|(suspicion, _)| *suspicion).min() else {
+                return (causes, observed_at);
+            };
             let equal = suspects.iter().filter(|(suspicion, _)| *suspicion == likeliest);
             let mut equal: Vec<_> = equal.map(|(_, part)| *part).collect();
             // The next crash usually tells the parts of a single request apart.
             if equal.len() > 1 && likeliest.caused < SHARED_PART_CRASHES_TO_QUARANTINE {
                 equal.retain(|part| self.quarantine(part).is_some());
             }
-            equal.retain(|part| self.parts[part].is_observed(now));
+            equal.retain(|part| {
+                let at = self.parts[part].observed_at();
+                if at > now {
+                    observed_at = Some(observed_at.map_or(at, |earliest| earliest.min(at)));
+                }
+                at <= now
+            });
             if equal.is_empty() {
-                return causes;
+                return (causes, observed_at);
             }
             for part in equal {
-                explained.extend(self.parts[&part].crashes.range(..=settled));
+                self.parts[&part].crashes.range(..=settled).for_each(|n| explained.insert(*n));
                 causes.insert(part);
             }
+            // Suspicions only become weaker.
+            suspects =
+                suspects.iter().filter_map(|(_, part)| suspicion(part, &explained)).collect();
         }
     }
 
     /// Removes explained crashes from all parts that are not quarantined.
-    fn explain(&mut self, explained: &BTreeSet<u64>) {
-        for state in self.parts.values_mut().filter(|state| state.quarantine.is_none()) {
-            state.crashes.retain(|number| !explained.contains(number));
+    fn explain(&mut self, explained: &[u64]) {
+        let aboard = explained.iter().filter_map(|number| self.index.aboard.get(number));
+        let aboard: BTreeSet<_> = aboard.flatten().copied().collect();
+        for part in aboard.difference(&self.index.quarantined.clone()) {
+            self.remove_crashes(part, explained);
         }
     }
 
@@ -346,9 +511,9 @@
         if self.quarantine(part).is_none() {
             return false;
         }
-        let crashes = self.parts.remove(part).map(|state| state.crashes).unwrap_or_default();
+        let crashes: Vec<_> = self.quarantined_crashes(part).into_iter().collect();
+        self.remove(part);
         self.explain(&crashes);
-        self.parts.retain(|_, state| !state.crashes.is_empty());
         true
     }
 
@@ -364,7 +529,49 @@
     fn drop_oldest(&mut self) {
         let Some((time, part)) = self.order.pop_front() else { return };
         if self.parts.get(&part).is_some_and(|state| state.last_crash == time) {
-            self.parts.remove(&part);
+            self.remove(&part);
+        }
+    }
+
+    fn set_quarantine(&mut self, part: &Fingerprint, quarantine: Option<PartQuarantine>) {
+        let Some(state) = self.parts.get_mut(part) else { return };
+        state.quarantine = quarantine;
+        if quarantine.is_some() && self.index.quarantined.insert(*part) {
+            state.crashes.iter().for_each(|number| self.index.explain(*number));
+        }
+        if quarantine.is_none() && self.index.quarantined.remove(part) {
+            state.crashes.iter().for_each(|number| self.index.unexplain(*number));
+        }
+    }
+
+    /// Removes crashes of a part, and the part itself when none are left.
+    fn remove_crashes(&mut self, part: &Fingerprint, numbers: &[u64]) {
+        let Some(state) = self.parts.get_mut(part) else { return };
+        if self.index.candidates.contains(part) {
+            self.index.decision = None;
+        }
+        for number in numbers.iter().filter(|number| state.crashes.remove(number)) {
+            self.index.remove_aboard(*number, part);
+            if state.quarantine.is_some() {
+                self.index.unexplain(*number);
+            }
+        }
+        if state.crashes.len() < PART_CRASHES_TO_QUARANTINE {
+            self.index.candidates.remove(part);
+        }
+        if state.crashes.is_empty() {
+            self.remove(part);
+        }
+    }
+
+    fn remove(&mut self, part: &Fingerprint) {
+        self.set_quarantine(part, None);
+        let Some(state) = self.parts.remove(part) else { return };
+        if self.index.candidates.remove(part) {
+            self.index.decision = None;
+        }
+        for number in state.crashes {
+            self.index.remove_aboard(number, part);
         }
     }
 }
--- a/crates/control/src/state/snapshot.rs
+++ b/crates/control/src/state/snapshot.rs
@@ -93,6 +93,7 @@
             return Err(DecodeError::Format(loaded.shared.format.0));
         }
         loaded.shared.manifests.rebuild_key_index();
+        loaded.shared.suspects.rebuild_index();
         Ok(Self {
             applied: loaded.applied,
             shared: loaded.shared,
--- a/crates/control/src/state/suspects.rs
+++ b/crates/control/src/state/suspects.rs
@@ -13,7 +13,10 @@
 
 use super::{
     causes::{Evidence, choose_causes},
+    crash_callers::CrashCallers,
+    derived::Derived,
     parts::{CrashLog, PartQuarantine, PartRun, Parts, SuspectPart},
+    suspect_index::SuspectIndex,
 };
 use crate::CommandError;
 
@@ -90,9 +93,6 @@
 /// A crashed target process.
 pub(super) type Crash = (TargetId, Incarnation);
 
-/// Crashes by the callers whose requests were aboard.
-pub(super) type CallerCrashes = BTreeMap<Fingerprint, BTreeSet<Crash>>;
-
 /// Quarantined request, which all instances refuse.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Quarantined {
@@ -118,7 +118,7 @@
     #[serde(default)]
     pub is_any_caller: bool,
     #[serde(default)]
-    pub(super) callers: CallerCrashes,
+    pub(super) callers: CrashCallers,
     /// Number of requests permitted since it was quarantined.
     #[serde(default)]
     pub(super) permitted: u32,
@@ -142,14 +142,14 @@
     pub(super) is_any_caller: bool,
     /// Callers of a request by any caller.
     #[serde(default)]
-    pub(super) callers: CallerCrashes,
+    pub(super) callers: CrashCallers,
     #[serde(default)]
-    isolation: Isolation,
+    pub(super) isolation: Isolation,
 }
 
 impl Quarantined {
     /// Whether the request is certainly the cause of its crashes, and they have no other one.
-    fn is_certain(&self) -> bool {
+    pub(super) fn is_certain(&self) -> bool {
         self.isolation == Isolation::Shared && self.suspension_ms.is_none()
     }
 
@@ -222,9 +222,18 @@
     log: CrashLog,
     #[serde(default)]
     parts: Parts,
+    #[serde(skip)]
+    index: Derived<SuspectIndex>,
 }
 
 impl Suspects {
+    /// Rebuilds what snapshots do not include.
+    pub(crate) fn rebuild_index(&mut self) {
+        self.log.rebuild_index();
+        self.parts.rebuild_index();
+        *self.index = SuspectIndex::new(&self.suspects, &self.quarantined);
+    }
+
     pub(crate) fn crashes(&self, request: &Fingerprint) -> u32 {
         let suspect = self.suspects.get(request).map(Suspect::unexplained);
         let quarantined = self.quarantined.get(request).map(|q| q.crashes.len());
@@ -288,7 +297,10 @@
 
     /// Records a crash of a target process for each request; a repeated report has no effect.
     pub(crate) fn report(&mut self, report: &CrashReport, now: ControlTimeMs) {
-        let number = self.log.record(&report.crash, now);
+        let (number, forgotten) = self.log.record(&report.crash, now);
+        if let Some(crash) = forgotten {
+            self.index.mark_changed(&crash);
+        }
         self.parts.report(number, &report.parts, now);
         self.parts.complete(&report.part_runs);
         match report.isolation {
@@ -318,7 +330,7 @@
                 report.isolation.is_cause(suspect.unexplained(), suspect.completed)
             };
             if self.suspects.get_mut(request).filter(is_cause).is_some()
-                && let Some(suspect) = self.suspects.remove(request)
+                && let Some(suspect) = self.remove_suspect(request)
             {
                 self.quarantine(suspect.quarantined(*request, report.isolation, true, now));
             }
@@ -330,7 +342,12 @@
         let crash = &report.crash;
         for request in &report.requests {
             match self.quarantined.get_mut(request) {
-                Some(quarantined) => drop(quarantined.crashes.insert(crash.clone())),
+                Some(quarantined) => {
+                    let is_new = quarantined.crashes.insert(crash.clone());
+                    if is_new && quarantined.is_certain() {
+                        self.index.explain(crash);
+                    }
+                }
                 None => self.record_suspect(*request, report, now),
             }
         }
@@ -338,7 +355,7 @@
             let quarantined = self.quarantined.get_mut(any_caller).map(|q| &mut q.callers);
             let suspect = self.suspects.get_mut(any_caller).map(|suspect| &mut suspect.callers);
             if let Some(callers) = quarantined.or(suspect) {
-                callers.entry(*request).or_default().insert(crash.clone());
+                callers.insert(*request, crash);
             }
         }
     }
@@ -347,10 +364,15 @@
         let suspect = self.suspects.entry(request).or_default();
         suspect.is_any_caller |= report.any_caller.contains(&request);
         suspect.isolation = report.isolation;
-        if !suspect.crashes.insert(report.crash.clone()) {
+        let is_new = suspect.crashes.insert(report.crash.clone());
+        if is_new {
+            suspect.last_crash = now;
+            self.index.add_aboard(&report.crash, request);
+        }
+        self.index.update(request, suspect);
+        if !is_new {
             return;
         }
-        suspect.last_crash = now;
         self.order.push_back((now, request));
         self.enforce_limit();
     }
@@ -372,6 +394,9 @@
             }
             if Isolation::Shared.is_cause(quarantined.crashes.len(), quarantined.completed) {
                 // Some of its runs succeed, so it may be a request that many share.
+                if quarantined.is_certain() {
+                    self.index.unexplain(&quarantined.crashes);
+                }
                 quarantined.suspension_ms.get_or_insert(suspension_ms(quarantined.earlier));
                 continue;
             }
@@ -415,7 +440,7 @@
         let mut suspect = quarantined.into_suspect();
         suspect.crashes = suspect.crashes.into_iter().take(kept).collect();
         (suspect.completed, suspect.quarantines, suspect.last_crash) = (0, quarantines, now);
-        self.suspects.insert(*request, suspect);
+        self.insert_suspect(*request, suspect);
         self.order.push_back((now, *request));
         self.enforce_limit();
     }
@@ -423,8 +448,8 @@
     pub(crate) fn lift(&mut self, request: Fingerprint) -> Result<(), CommandError> {
         let numbers = self.parts.quarantined_crashes(&request);
         if self.parts.lift(&request) {
-            let crashes = numbers.iter().filter_map(|number| self.log.crash(*number)).collect();
-            self.forget(&crashes);
+            let crashes = numbers.iter().filter_map(|number| self.log.crash(*number));
+            self.forget(&crashes.cloned().collect());
             return Ok(());
         }
         match self.remove_quarantined(&request) {
@@ -438,7 +463,7 @@
 
     /// Forgets the crashes of a request, and releases it from quarantine.
     pub(crate) fn clear(&mut self, request: &Fingerprint) {
-        self.suspects.remove(request);
+        self.remove_suspect(request);
         if let Some(quarantined) = self.remove_quarantined(request) {
             self.forget_explained(&quarantined);
         }
@@ -452,11 +477,17 @@
     }
 
     fn forget(&mut self, crashes: &BTreeSet<Crash>) {
-        self.suspects.retain(|_, suspect| {
-            suspect.crashes.retain(|crash| !crashes.contains(crash));
-            suspect.explained.retain(|crash| !crashes.contains(crash));
-            !suspect.crashes.is_empty()
-        });
+        for crash in crashes {
+            for request in self.index.take_aboard(crash) {
+                let Some(suspect) = self.suspects.get_mut(&request) else { continue };
+                suspect.crashes.remove(crash);
+                suspect.explained.remove(crash);
+                self.index.update(request, suspect);
+                if suspect.crashes.is_empty() {
+                    self.remove_suspect(&request);
+                }
+            }
+        }
     }
 
     /// Removes suspects whose last crash is older than `SUSPECT_LIFETIME_MS`, and quarantines parts
@@ -486,7 +517,8 @@
     /// Chooses the causes of all crashes anew: quarantines them, and releases requests whose crashes
     /// another cause explains.
     fn update_quarantine(&mut self, now: ControlTimeMs) {
-        let suspects = self.suspects.iter().filter(|(_, s)| s.isolation == Isolation::Shared);
+        let candidates = self.index.candidates();
+        let suspects = candidates.filter_map(|request| self.suspects.get_key_value(request));
         let suspects = suspects.map(|(request, suspect)| Evidence {
             request: *request,
             crashes: &suspect.crashes,
@@ -514,11 +546,11 @@
         let released: Vec<_> = released.map(|q| q.request).collect();
         for request in released {
             let Some(quarantined) = self.remove_quarantined(&request) else { continue };
-            self.suspects.insert(request, quarantined.into_suspect());
+            self.insert_suspect(request, quarantined.into_suspect());
             self.order.push_back((now, request));
         }
         for (request, is_certain) in causes {
-            if let Some(suspect) = self.suspects.remove(&request) {
+            if let Some(suspect) = self.remove_suspect(&request) {
                 self.quarantine(suspect.quarantined(request, Isolation::Shared, is_certain, now));
             }
         }
@@ -535,13 +567,22 @@
         })
     }
 
+    /// Determines anew which crashes of suspects have another cause, where that may have changed.
     fn update_explained(&mut self) {
-        let certain = self.quarantined.values().filter(|q| q.is_certain());
-        let certain: BTreeSet<&Crash> = certain.flat_map(|q| &q.crashes).collect();
-        for suspect in self.suspects.values_mut().filter(|s| s.isolation == Isolation::Shared) {
+        for number in self.parts.take_changed() {
+            // Crashes that the log has forgotten are not explained by parts.
+            if let Some(crash) = self.log.crash(number) {
+                self.index.mark_changed(crash);
+            }
+        }
+        for request in self.index.take_outdated() {
+            let suspect = self.suspects.get_mut(&request);
+            let Some(suspect) = suspect.filter(|s| s.isolation == Isolation::Shared) else {
+                continue;
+            };
             let is_explained = |crash: &&Crash| {
-                let number = self.log.number(crash);
-                certain.contains(*crash) || number.is_some_and(|n| self.parts.is_explained(n))
+                self.index.is_explained(crash)
+                    || self.log.number(crash).is_some_and(|n| self.parts.is_explained(n))
             };
             suspect.explained = suspect.crashes.iter().filter(is_explained).cloned().collect();
         }
@@ -549,24 +590,45 @@
 
     /// Whether a quarantined request is known as the cause of a crash.
     fn is_explained(&self, crash: &Crash) -> bool {
-        let mut certain = self.quarantined.values().filter(|q| q.is_certain());
-        certain.any(|quarantined| quarantined.crashes.contains(crash))
+        self.index.is_explained(crash)
             || self.log.number(crash).is_some_and(|number| self.parts.is_explained(number))
     }
 
+    fn insert_suspect(&mut self, request: Fingerprint, suspect: Suspect) {
+        for crash in &suspect.crashes {
+            self.index.add_aboard(crash, request);
+        }
+        self.index.update(request, &suspect);
+        self.suspects.insert(request, suspect);
+    }
+
+    fn remove_suspect(&mut self, request: &Fingerprint) -> Option<Suspect> {
+        let suspect = self.suspects.remove(request)?;
+        self.index.remove(request, &suspect);
+        Some(suspect)
+    }
+
     fn quarantine(&mut self, quarantined: Quarantined) {
         if self.quarantine_order.len() >= MAX_QUARANTINED
             && let Some(oldest) = self.quarantine_order.pop_front()
+            && let Some(oldest) = self.quarantined.remove(&oldest)
+            && oldest.is_certain()
         {
-            self.quarantined.remove(&oldest);
+            self.index.unexplain(&oldest.crashes);
         }
         self.quarantine_order.push_back(quarantined.request);
+        if quarantined.is_certain() {
+            quarantined.crashes.iter().for_each(|crash| self.index.explain(crash));
+        }
         self.quarantined.insert(quarantined.request, quarantined);
     }
 
     fn remove_quarantined(&mut self, request: &Fingerprint) -> Option<Quarantined> {
         let quarantined = self.quarantined.remove(request)?;
         self.quarantine_order.retain(|other| other != request);
+        if quarantined.is_certain() {
+            self.index.unexplain(&quarantined.crashes);
+        }
         Some(quarantined)
     }
 
@@ -579,7 +641,7 @@
     fn drop_oldest(&mut self) {
         let Some((time, request)) = self.order.pop_front() else { return };
         if self.suspects.get(&request).is_some_and(|suspect| suspect.last_crash == time) {
-            self.suspects.remove(&request);
+            self.remove_suspect(&request);
         }
     }
 }
