Answer a read as soon as its index is confirmed, not when the leader has applied it

Operators read 503 for seconds in calm, and the log of the replica that they asked said 'this replica is not connected to the control leader' although the leader had been reached.

The replica that serves the read waits for the index anyway, so the leader's backlog was waited for twice.

--- a/crates/consensus/src/node/mod.rs
+++ b/crates/consensus/src/node/mod.rs
@@ -149,19 +149,41 @@
     /// Confirms leadership with a quorum and waits until everything that was committed before the
     /// call is applied, so that a subsequent read is linearizable. Returns the confirmed index.
     pub async fn read_index(&self) -> Result<LogIndex, ProposeError> {
+        let index = self.confirm_index().await?;
+        let mut status = self.watch();
+        loop {
+            {
+                let core = self.0.core();
+                if core.is_stopped {
+                    return Err(ProposeError::Stopped);
+                }
+                if core.applied >= index {
+                    return Ok(index);
+                }
+            }
+            if status.changed().await.is_err() {
+                return Err(ProposeError::Stopped);
+            }
+        }
+    }
+
+    /// Confirms leadership with a quorum. Returns an index before which everything is that was committed
+    /// before the call; a replica that has applied it, this one or another, can serve a linearizable
+    /// read.
+    pub async fn confirm_index(&self) -> Result<LogIndex, ProposeError> {
         let mut acks = self.0.acks.subscribe();
         let started = tokio::time::Instant::now();
         let term = self.0.core().term;
         self.0.wake_peers();
         let mut status = self.watch();
-        let index = loop {
+        loop {
             {
                 let core = self.0.core();
                 core.check_leader(term)?;
                 let is_confirmed = core.quorum_contact().is_some_and(|at| at >= started);
                 // A new leader knows the commit index only once an entry of its term is committed.
                 if is_confirmed && core.has_committed_in_term() {
-                    break core.commit;
+                    return Ok(core.commit);
                 }
             }
             // A loss of leadership also changes the status.
@@ -169,20 +191,6 @@
                 _ = acks.changed() => (),
                 _ = status.changed() => (),
             }
-        };
-        loop {
-            {
-                let core = self.0.core();
-                if core.is_stopped {
-                    return Err(ProposeError::Stopped);
-                }
-                if core.applied >= index {
-                    return Ok(index);
-                }
-            }
-            if status.changed().await.is_err() {
-                return Err(ProposeError::Stopped);
-            }
         }
     }
 
--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -122,7 +122,7 @@
     }
 
     async fn read_index(&self) -> Result<LogIndex, RpcError> {
-        self.replica()?.read_index().await
+        self.replica()?.confirm_index().await
     }
 
     async fn leader_routes(&self) -> Result<Option<RouteTable>, RpcError> {
--- a/crates/daemon/src/replica.rs
+++ b/crates/daemon/src/replica.rs
@@ -137,22 +137,22 @@
 
     /// Returns the newest route table, after everything committed before the call is applied here.
     pub(crate) async fn newest_routes(&self) -> Result<Option<RouteTable>, RpcError> {
-        self.read_index().await?;
+        self.node.read_index().await.map_err(propose_error)?;
         Ok(self.view.read(|state| state.route_table().map(|table| table.as_ref().clone())))
     }
 
-    /// Waits until this replica has confirmed that it leads and has applied everything committed
-    /// before the call; returns the index of the last command applied.
-    pub(crate) async fn read_index(&self) -> Result<LogIndex, RpcError> {
-        match tokio::time::timeout(CONFIRM_TIMEOUT, self.node.read_index()).await {
-            Ok(Ok(_)) => Ok(self.view.applied()),
+    /// Waits until this replica has confirmed that it leads; returns an index that includes everything
+    /// committed before the call, whether it is applied here or not.
+    pub(crate) async fn confirm_index(&self) -> Result<LogIndex, RpcError> {
+        match tokio::time::timeout(CONFIRM_TIMEOUT, self.node.confirm_index()).await {
+            Ok(Ok(index)) => Ok(index),
             Ok(Err(error)) => Err(propose_error(error)),
             Err(_) => {
                 let status = self.node.status();
                 event!(self.log, READ_UNCONFIRMED; "term" => status.term.0,
                     "quorum_contact_ms" => status.last_quorum_contact_ms,
                     "commit" => status.commit.0, "applied" => status.applied.0);
-                Err(RpcError::NotConnected)
+                Err(RpcError::Unconfirmed { quorum_contact_ms: status.last_quorum_contact_ms })
             }
         }
     }
--- a/crates/rpc/src/api.rs
+++ b/crates/rpc/src/api.rs
@@ -82,8 +82,8 @@
     #[method(name = "place_end")]
     async fn end_places(&self, session: SessionId, ended: Vec<EndedPlace>) -> Result<(), RpcError>;
 
-    /// Confirms that this replica leads, and returns an index by which everything that was committed
-    /// before the call is applied; served by the leader.
+    /// Confirms that this replica leads, and returns an index that a replica must have applied to serve a
+    /// read that began with the call; served by the leader, which may not have applied it itself.
     #[method(name = "control_read_index")]
     async fn read_index(&self) -> Result<LogIndex, RpcError>;
 
--- a/crates/rpc/src/error.rs
+++ b/crates/rpc/src/error.rs
@@ -28,6 +28,13 @@
     /// The control log is unavailable; the call had no effect.
     #[error("the control log is unavailable; no change was made")]
     Unavailable,
+    /// The leader has not heard from a quorum since the call, so it may not lead any more.
+    #[error("no quorum confirmed the control leader in time (last contact: {} ms ago)",
+        contact_ms(.quorum_contact_ms))]
+    Unconfirmed {
+        /// Age of the last message that a quorum acknowledged, in milliseconds; absent unless leader.
+        quorum_contact_ms: Option<u64>,
+    },
     /// The replica cannot tell whether it has the newest commands.
     #[error("this replica is not connected to the control leader")]
     NotConnected,
@@ -60,6 +67,10 @@
     Malformed(String),
 }
 
+fn contact_ms(age: &Option<u64>) -> String {
+    age.map_or_else(|| "unknown".to_owned(), |ms| ms.to_string())
+}
+
 impl From<RpcError> for ErrorObjectOwned {
     fn from(error: RpcError) -> Self {
         let code = match error {
