Write a proposal once, however often its sender repeats it

A log that is behind fell behind still more: a sender that has no reply in 1.5 s sends its proposal again, for 5 s, and each attempt was an entry at full cost.

A proposal carries an id now, drawn once. Ends of sessions are kept under their session. Earlier releases send no id and are served as before, and their leaders ignore it.

--- a/crates/bench/src/slopes/messages.rs
+++ b/crates/bench/src/slopes/messages.rs
@@ -129,7 +129,7 @@
     .await?;
 
     let tick = async |_| {
-        leader_client.propose(Proposal::Command(Command::Tick)).await?;
+        leader_client.propose(Proposal::Command(Command::Tick), None).await?;
         Ok(())
     };
     measure_cpu(report, &monitored[..2], "command for replicas", &SYNCED_COUNTS, tick).await?;
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,7 +1,8 @@
 //! Assembly of an instance: `instance` wires the components together, the other modules connect
 //! them to the control log.
 //!
-//! `replica` runs the control replica and the leader's duties, `membership` changes the set of
+//! `replica` runs the control replica and the leader's duties, `in_flight` keeps its proposals from
+//! being written twice, `membership` changes the set of
 //! replicas, `follower` keeps the control state up to date on instances without a replica,
 //! `session` opens and renews the session of this instance, `targets` relays announcements to
 //! owners, `peer` and `admin` serve the RPC methods, `catalog` serves the entry's lookups,
@@ -13,6 +14,7 @@
 mod catalog;
 mod disk;
 mod follower;
+mod in_flight;
 mod instance;
 mod links;
 mod membership;
--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -9,7 +9,8 @@
 use shallotdrum_routes::RouteTable;
 use shallotdrum_rpc::{
     Compressed, EndedPlace, PeerApiServer, Permit, PermitRequest, PermitRow, PlaceReply,
-    PlaceRequest, RenewReply, RenewRequest, ReplicaPosition, RpcError, SessionRow, WatchReply,
+    PlaceRequest, ProposalTerms, RenewReply, RenewRequest, ReplicaPosition, RpcError, SessionRow,
+    WatchReply,
 };
 use shallotdrum_types::{
     Base64Bytes, Fingerprint, Incarnation, InstanceId, LogIndex, PermitId, RequestId,
@@ -37,8 +38,12 @@
         Ok(Base64Bytes(self.replica()?.node.handle(message.0).await))
     }
 
-    async fn propose(&self, proposal: Proposal) -> Result<Reply, RpcError> {
-        self.replica()?.propose(proposal).await
+    async fn propose(
+        &self,
+        proposal: Proposal,
+        terms: Option<ProposalTerms>,
+    ) -> Result<Reply, RpcError> {
+        self.replica()?.propose_as(proposal, terms).await
     }
 
     async fn watch(
--- a/crates/daemon/src/replica.rs
+++ b/crates/daemon/src/replica.rs
@@ -24,8 +24,8 @@
 use shallotdrum_manifest::Manifest;
 use shallotdrum_routes::RouteTable;
 use shallotdrum_rpc::{
-    CallCounts, Permit, PermitRequest, PermitRow, RenewReply, RenewRequest, ReplicaPosition,
-    ReplicaStatus, RpcError, SessionRow, WatchEntry, WatchReply,
+    CallCounts, Permit, PermitRequest, PermitRow, ProposalTerms, RenewReply, RenewRequest,
+    ReplicaPosition, ReplicaStatus, RpcError, SessionRow, WatchEntry, WatchReply,
 };
 use shallotdrum_telemetry::event;
 use shallotdrum_types::{
@@ -33,7 +33,10 @@
     Term,
 };
 
-use crate::membership::can_remove_voter;
+use crate::{
+    in_flight::{InFlight, ProposalKey},
+    membership::can_remove_voter,
+};
 
 /// Interval of the leader's duties; far shorter than a session lease.
 const LEADER_TASK_INTERVAL: Duration = Duration::from_millis(100);
@@ -70,6 +73,7 @@
     removes_silent: bool,
     log: slog::Logger,
     leader: Mutex<Option<Leader>>,
+    in_flight: InFlight,
     /// Newest encoded snapshot for followers, and its index.
     encoded_snapshot: Mutex<Option<(LogIndex, Vec<u8>)>>,
 }
@@ -97,6 +101,7 @@
             removes_silent,
             log,
             leader: Mutex::default(),
+            in_flight: InFlight::default(),
             encoded_snapshot: Mutex::default(),
         })
     }
@@ -157,11 +162,30 @@
         }
     }
 
-    /// Appends a proposal to the log and returns the reply of the state machine.
-    pub(crate) async fn propose(&self, proposal: Proposal) -> Result<Reply, RpcError> {
+    /// Appends a proposal to the log, unless it is in progress already, and returns the reply of the
+    /// state machine.
+    pub(crate) async fn propose_as(
+        self: &Arc<Self>,
+        proposal: Proposal,
+        terms: Option<ProposalTerms>,
+    ) -> Result<Reply, RpcError> {
+        let replica = self.clone();
+        let Some(ProposalTerms { id, .. }) = terms else {
+            return replica.propose(proposal).await;
+        };
+        let write = async move { replica.propose(proposal).await };
+        self.in_flight.join_or_write(ProposalKey::Sent(id), write).await
+    }
+
+    /// Appends a proposal to the log, and returns the reply.
+    async fn propose(self: &Arc<Self>, proposal: Proposal) -> Result<Reply, RpcError> {
         let command = match proposal {
-            Proposal::Command(Command::OpenSession(info)) => return self.open_session(info).await,
-            Proposal::Command(Command::PutRoutes { table }) => return self.put_routes(table).await,
+            Proposal::Command(Command::OpenSession(info)) => {
+                return self.open_session(info).await;
+            }
+            Proposal::Command(Command::PutRoutes { table }) => {
+                return self.put_routes(table).await;
+            }
             Proposal::Command(command) => match self.view.read(|state| state.allows(&command)) {
                 Ok(()) => command,
                 Err(error) => return Ok(Reply::Refused(error)),
@@ -174,7 +198,7 @@
     }
 
     /// Opens a session; first ends the instance's previous one if its lease has expired.
-    async fn open_session(&self, info: InstanceInfo) -> Result<Reply, RpcError> {
+    async fn open_session(self: &Arc<Self>, info: InstanceInfo) -> Result<Reply, RpcError> {
         let expired = {
             let mut leader = self.leader();
             let leader = leader.as_mut().ok_or_else(|| self.not_leader())?;
@@ -444,8 +468,19 @@
     }
 
     /// Writes a command that the leader issues itself; a failure is only logged.
-    async fn write_command(&self, command: Command) {
-        let Ok(at) = self.control_time() else { return };
+    async fn write_command(self: &Arc<Self>, command: Command) {
+        let replica = self.clone();
+        let Command::EndSession { session } = command else {
+            // A failure is logged there.
+            let _ = self.write_own(command).await;
+            return;
+        };
+        let write = async move { replica.write_own(command).await };
+        let _ = self.in_flight.join_or_write(ProposalKey::EndSession(session), write).await;
+    }
+
+    async fn write_own(&self, command: Command) -> Result<Reply, RpcError> {
+        let at = self.control_time()?;
         if let Command::EndSession { session } = command {
             // Much more than the interval of the leader's tasks if the leader itself stood still.
             let overdue = self
@@ -459,9 +494,11 @@
             let agreed = self.view.read(|state| state.format());
             event!(self.log, FORMAT_RAISED; "from" => agreed.0, "to" => format.0);
         }
-        if let Err(error) = self.node.propose(TimedCommand { at, command }).await {
+        let result = self.node.propose(TimedCommand { at, command }).await;
+        if let Err(error) = &result {
             event!(self.log, LEADER_COMMAND_FAILED; "error" => %error);
         }
+        result.map_err(propose_error)
     }
 
     async fn manifest_command(
--- a/crates/rpc/src/api.rs
+++ b/crates/rpc/src/api.rs
@@ -11,9 +11,9 @@
 
 use crate::{
     AdapterRow, Compressed, EndedPlace, GroupRow, InstanceRow, ManifestCheck, ManifestView, Permit,
-    PermitRequest, PermitRow, PlaceReply, PlaceRequest, QuarantineRow, RenewReply, RenewRequest,
-    ReplicaPosition, ReplicaStatus, RpcError, SessionRow, SubmissionRow, SubscriberRow, TargetRow,
-    WatchReply,
+    PermitRequest, PermitRow, PlaceReply, PlaceRequest, ProposalTerms, QuarantineRow, RenewReply,
+    RenewRequest, ReplicaPosition, ReplicaStatus, RpcError, SessionRow, SubmissionRow,
+    SubscriberRow, TargetRow, WatchReply,
 };
 
 /// Methods that instances call on each other.
@@ -23,9 +23,15 @@
     #[method(name = "consensus_message")]
     async fn consensus_message(&self, message: Base64Bytes) -> Result<Base64Bytes, RpcError>;
 
-    /// Appends a proposal to the control log; served by the leader.
+    /// Appends a proposal to the control log; served by the leader. One that is sent again under the same
+    /// id is not appended again, unless the leader has changed. Instances of earlier releases send
+    /// no terms.
     #[method(name = "control_propose")]
-    async fn propose(&self, proposal: Proposal) -> Result<Reply, RpcError>;
+    async fn propose(
+        &self,
+        proposal: Proposal,
+        terms: Option<ProposalTerms>,
+    ) -> Result<Reply, RpcError>;
 
     /// Returns the commands committed after an index, waiting up to `wait_ms` for the first one;
     /// served by replicas.
--- a/crates/rpc/src/control_client.rs
+++ b/crates/rpc/src/control_client.rs
@@ -13,12 +13,12 @@
 use rand::RngExt;
 use shallotdrum_control::{Proposal, ProposeError, Reply};
 use shallotdrum_manifest::Manifest;
-use shallotdrum_types::{InstanceId, PermitId, SessionId};
+use shallotdrum_types::{InstanceId, PermitId, ProposalId, SessionId};
 use tokio::time::Instant;
 
 use crate::{
-    Directory, PeerApiClient, Peers, Permit, PermitRequest, RenewReply, RenewRequest, RpcError,
-    survey::find_leader,
+    Directory, PeerApiClient, Peers, Permit, PermitRequest, ProposalTerms, RenewReply,
+    RenewRequest, RpcError, survey::find_leader,
 };
 
 /// Settings of a [`ControlClient`].
@@ -83,10 +83,12 @@
             total: self.cfg.propose_timeout + extra * MANIFEST_ATTEMPTS,
             attempt: self.cfg.attempt_timeout + extra,
         };
+        let id = ProposalId(rand::random());
+        let terms = ProposalTerms { id, wait_ms: limits.attempt.as_millis() as u64 };
         let result = self
             .call_leader_within(limits, |client| {
                 let proposal = proposal.clone();
-                async move { client.propose(proposal).await }
+                async move { client.propose(proposal, Some(terms)).await }
             })
             .await;
         match result {
@@ -152,6 +154,7 @@
         let deadline = Instant::now() + limits.total;
         let mut may_have_run = false;
         loop {
+            let delay = Duration::from_millis(rand::rng().random_range(RETRY_DELAY_MS));
             if let Some(name) = self.locate_leader(deadline).await {
                 let attempt_deadline = deadline.min(Instant::now() + limits.attempt);
                 match self.attempt(&name, attempt_deadline, &call).await {
@@ -170,7 +173,6 @@
                     Err(error) => return Err(error),
                 }
             }
-            let delay = Duration::from_millis(rand::rng().random_range(RETRY_DELAY_MS));
             if Instant::now() + delay >= deadline {
                 let error = if may_have_run { RpcError::Unknown } else { RpcError::Unavailable };
                 return Err(error);
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -30,8 +30,8 @@
 pub use directory::Directory;
 pub use error::RpcError;
 pub use messages::{
-    Permit, PermitRequest, RenewReply, RenewRequest, ReplicaPosition, SessionRow, WatchEntry,
-    WatchReply,
+    Permit, PermitRequest, ProposalTerms, RenewReply, RenewRequest, ReplicaPosition, SessionRow,
+    WatchEntry, WatchReply,
 };
 pub use peers::{MAX_MESSAGE_BYTES, Peers, PeersConfig};
 pub use places::{EndedPlace, PlaceEnd, PlaceReply, PlaceRequest};
--- a/crates/rpc/src/messages.rs
+++ b/crates/rpc/src/messages.rs
@@ -5,9 +5,19 @@
 use serde::{Deserialize, Serialize};
 use shallotdrum_control::TimedCommand;
 use shallotdrum_types::{
-    Base64Bytes, ControlFormat, GroupId, InstanceId, LogIndex, PermitId, Revision, SessionId, Term,
+    Base64Bytes, ControlFormat, GroupId, InstanceId, LogIndex, PermitId, ProposalId, Revision,
+    SessionId, Term,
 };
 
+/// Under which id a proposal is sent, and how long its sender waits.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub struct ProposalTerms {
+    /// Same for each attempt.
+    pub id: ProposalId,
+    /// Time for which the sender waits for the reply to this attempt, in milliseconds.
+    pub wait_ms: u64,
+}
+
 /// Renews a session and reports the state of its instance.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct RenewRequest {
--- a/crates/types/src/ids.rs
+++ b/crates/types/src/ids.rs
@@ -22,6 +22,11 @@
     pub struct Revision(u64);
 }
 
+id_type! {
+    /// Identifies a proposal to the control log, which may be sent several times; drawn by its sender.
+    pub struct ProposalId(u64);
+}
+
 id_type! {
     /// Position in the control log; the first entry has index 1.
     pub struct LogIndex(u64);
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -22,8 +22,8 @@
 pub use hash::{Digest, Fingerprint, KeyHash, ParseHashError};
 pub use identity::RequestIdentity;
 pub use ids::{
-    ControlFormat, ControlTimeMs, Epoch, Incarnation, LogIndex, ParseIdError, PermitId, Revision,
-    SessionId, Term,
+    ControlFormat, ControlTimeMs, Epoch, Incarnation, LogIndex, ParseIdError, PermitId, ProposalId,
+    Revision, SessionId, Term,
 };
 pub use model::{AdapterRef, GroupId, ModelName, ParseGroupIdError, ParseModelNameError};
 pub use names::{
