Refuse what the control log cannot apply while its sender waits

The leader measures how fast it applies entries while there are some, and refuses a proposal that would wait longer than its sender does, a second at most, with the time after which there is likely room. Reports of crashes, runs and links count at their sender before they are written, so they are refused from 200 ms on and hold up tables, sessions and departures by no more. If the log stands still, the age of the oldest entry decides. What the leader writes itself is not refused. Senders return after the named time with jitter, until their own time is up; the answer 'not made' is then true. Earlier releases are told that the log is unavailable, which they retry.

--- a/crates/consensus/src/error.rs
+++ b/crates/consensus/src/error.rs
@@ -1,6 +1,6 @@
 //! Errors returned by a node.
 
-use std::{io, path::PathBuf};
+use std::{io, path::PathBuf, time::Duration};
 
 use shallotdrum_types::{InstanceId, LogIndex};
 
@@ -79,6 +79,12 @@
     /// The node is stopped; the command was not written.
     #[error("the replica is stopped; the command was not written")]
     Stopped,
+    /// Earlier commands would hold it up for longer than its proposer waits; it was not written.
+    #[error("earlier commands take {} ms to apply; the command was not written", .wait.as_millis())]
+    Overloaded {
+        /// Expected time until the command would be applied.
+        wait: Duration,
+    },
     /// The command exceeds the size limit; it was not written.
     #[error("command of {bytes} bytes exceeds the limit of {limit} bytes; it was not written")]
     TooLarge {
--- a/crates/consensus/src/node/apply.rs
+++ b/crates/consensus/src/node/apply.rs
@@ -57,7 +57,12 @@
     }
     let mut entries = core.log.batch(core.applied, APPLY_BATCH_BYTES);
     entries.retain(|e| e.index <= core.commit);
-    (!entries.is_empty()).then_some(Work::Apply(entries))
+    if entries.is_empty() {
+        core.apply_rate.pause();
+        return None;
+    }
+    core.apply_rate.start();
+    Some(Work::Apply(entries))
 }
 
 impl<S: StateMachine> Shared<S> {
@@ -81,6 +86,7 @@
     fn apply(&self, entries: &[Arc<Entry>]) -> Result<(), FatalError> {
         let start = Instant::now();
         let mut replies = Vec::new();
+        let mut count = 0;
         let mut applied = LogIndex(0);
         let mut machine = self.machine.write().unwrap_or_else(PoisonError::into_inner);
         for entry in entries {
@@ -92,14 +98,15 @@
                 _ => machine.advance(entry.index),
             }
             applied = entry.index;
+            count += 1;
             if start.elapsed() >= APPLY_SLICE {
                 break;
             }
         }
         drop(machine);
         let mut core = self.core();
-        core.applied = core.applied.max(applied);
-        core.update_caught_up();
+        core.apply_rate.record(count);
+        core.record_applied(applied);
         for (index, reply) in replies {
             let Some(reply_tx) = core.pending_proposals.remove(&index) else { continue };
             let result = if self.has_failed() { Err(ProposeError::Unknown) } else { Ok(reply) };
--- a/crates/consensus/src/node/core.rs
+++ b/crates/consensus/src/node/core.rs
@@ -9,7 +9,10 @@
 use shallotdrum_types::{InstanceId, LogIndex, Term};
 use tokio::{sync::oneshot, time::Instant};
 
-use super::status::{Role, Status};
+use super::{
+    apply_rate::ApplyRate,
+    status::{Role, Status},
+};
 use crate::{
     DiskId, Member, Membership, ProposeError, Timing,
     log::{Entry, Log, Payload},
@@ -17,6 +20,9 @@
     storage::{Opened, Record, Snapshot, WriteSeq, WriterHandle},
 };
 
+/// Time in which a healthy log commits an entry, with a disk that syncs slowly and a message lost.
+const COMMIT_TIME: Duration = Duration::from_millis(500);
+
 type ReplySender<R> = oneshot::Sender<Result<R, ProposeError>>;
 
 /// Protocol state; `R` is the reply type of the state machine.
@@ -51,6 +57,7 @@
     pub(super) incoming: Option<IncomingSnapshot>,
     /// Proposals that wait for their entry to be applied.
     pub(super) pending_proposals: BTreeMap<LogIndex, ReplySender<R>>,
+    pub(super) apply_rate: ApplyRate,
     pub(super) writer: WriterHandle,
     pub(super) must_relearn: bool,
     pub(super) is_stopped: bool,
@@ -79,6 +86,8 @@
     own_matched: LogIndex,
     /// Own entries that are not yet durable.
     own_pending: VecDeque<(WriteSeq, LogIndex)>,
+    /// Own entries that are not yet applied, with the times at which they were appended.
+    waiting: VecDeque<(LogIndex, Instant)>,
     pub(super) progress: HashMap<Member, Progress>,
     /// Data folder that each instance named in its last response.
     pub(super) observed_disks: BTreeMap<InstanceId, DiskId>,
@@ -103,6 +112,11 @@
 }
 
 impl LeaderState {
+    /// Time for which the oldest own entry has waited to be applied.
+    fn oldest_wait(&self) -> Duration {
+        self.waiting.front().map_or(Duration::ZERO, |(_, since)| since.elapsed())
+    }
+
     /// Records a periodic check; a pause longer than `still_after` means that this replica stood
     /// still.
     pub(super) fn record_check(&mut self, still_after: Duration) {
@@ -175,6 +189,7 @@
             pending_restore: None,
             incoming: None,
             pending_proposals: BTreeMap::new(),
+            apply_rate: ApplyRate::default(),
             writer,
             must_relearn: opened.must_relearn,
             is_stopped: false,
@@ -309,6 +324,7 @@
             first: next,
             own_matched: LogIndex(0),
             own_pending: VecDeque::new(),
+            waiting: VecDeque::new(),
             progress: HashMap::new(),
             observed_disks: BTreeMap::new(),
             peers: BTreeSet::new(),
@@ -318,6 +334,27 @@
         self.append_own(Payload::Noop);
     }
 
+    /// Expected time until an entry that is appended now is applied here, beside that to commit it: the
+    /// rate of applying tells it, and, if the log stands still, the age of the oldest entry that waits.
+    pub(super) fn expected_wait(&self) -> Duration {
+        let backlog = self.log.last().0.saturating_sub(self.applied.0);
+        let oldest = match &self.role {
+            RoleState::Leader(leader_state) => leader_state.oldest_wait(),
+            _ => Duration::ZERO,
+        };
+        self.apply_rate.time_for(backlog).max(oldest.saturating_sub(COMMIT_TIME))
+    }
+
+    /// Records that entries up to the index are applied.
+    pub(super) fn record_applied(&mut self, applied: LogIndex) {
+        self.applied = self.applied.max(applied);
+        let applied = self.applied;
+        if let Some(leader_state) = self.leader_state() {
+            while leader_state.waiting.pop_front_if(|(index, _)| *index <= applied).is_some() {}
+        }
+        self.update_caught_up();
+    }
+
     /// Appends an entry as leader and returns its index.
     pub(super) fn append_own(&mut self, payload: Payload) -> LogIndex {
         let index = self.log.last().next();
@@ -325,6 +362,7 @@
         let seq = self.append(vec![entry]);
         if let Some(leader_state) = self.leader_state() {
             leader_state.own_pending.push_back((seq, index));
+            leader_state.waiting.push_back((index, Instant::now()));
         }
         index
     }
--- a/crates/consensus/src/node/mod.rs
+++ b/crates/consensus/src/node/mod.rs
@@ -8,6 +8,7 @@
 //! Architecture Invariant: only the apply task modifies the state machine.
 
 mod apply;
+mod apply_rate;
 mod bootstrap;
 mod core;
 mod election;
@@ -119,6 +120,16 @@
 
     /// Appends a command to the log and waits until it is committed and applied on this replica.
     pub async fn propose(&self, command: S::Command) -> Result<S::Reply, ProposeError> {
+        self.propose_within(command, Duration::MAX).await
+    }
+
+    /// Like `propose`, but refuses a command that would be applied later than `max_wait`, as far as is
+    /// known, so that the log does not grow faster than it is applied.
+    pub async fn propose_within(
+        &self,
+        command: S::Command,
+        max_wait: Duration,
+    ) -> Result<S::Reply, ProposeError> {
         let bytes = S::encode(&command);
         if bytes.len() > MAX_COMMAND_BYTES {
             return Err(ProposeError::TooLarge { bytes: bytes.len(), limit: MAX_COMMAND_BYTES });
@@ -132,6 +143,10 @@
                 RoleState::Leader(leader_state) if !leader_state.is_transferring => (),
                 _ => return Err(ProposeError::NotLeader { leader: core.other_leader() }),
             }
+            let wait = core.expected_wait();
+            if wait > max_wait {
+                return Err(ProposeError::Overloaded { wait });
+            }
             let index = core.append_own(Payload::Command(bytes.into()));
             let (tx, rx) = oneshot::channel();
             core.pending_proposals.insert(index, tx);
--- a/crates/control/src/command.rs
+++ b/crates/control/src/command.rs
@@ -343,6 +343,15 @@
         }
     }
 
+    /// Whether the command only adds to what is known of crashes and links. It counts at its sender before
+    /// it is written, so that it can wait for everything else.
+    pub fn is_evidence(&self) -> bool {
+        matches!(
+            self,
+            Self::ReportCrash { .. } | Self::ReportRuns { .. } | Self::ReportLinks { .. }
+        )
+    }
+
     /// Whether the command changes only the ledger and control time; followers do not receive it.
     pub fn is_ledger_only(&self) -> bool {
         matches!(
--- a/crates/daemon/src/replica.rs
+++ b/crates/daemon/src/replica.rs
@@ -55,6 +55,16 @@
 /// send up to eight changes concurrently.
 const MAX_ROUTE_DIFF_ATTEMPTS: u32 = 8;
 
+/// Longest time that a change may be expected to wait for earlier commands to be applied; shorter than
+/// an attempt of its sender.
+const MAX_APPLY_WAIT: Duration = Duration::from_secs(1);
+
+/// The same for reports of crashes, runs and links, so that they hold up everything else by no more.
+const MAX_EVIDENCE_WAIT: Duration = Duration::from_millis(200);
+
+/// Range of the time after which a sender whose proposal was refused tries again.
+const RETRY_AFTER_MS: std::ops::RangeInclusive<u64> = 50..=1_000;
+
 /// Maximum wait of a read for the confirmation that this replica leads; shorter than that of its
 /// caller, so that the log tells why there was none.
 const CONFIRM_TIMEOUT: Duration = Duration::from_millis(700);
@@ -170,21 +180,30 @@
         terms: Option<ProposalTerms>,
     ) -> Result<Reply, RpcError> {
         let replica = self.clone();
-        let Some(ProposalTerms { id, .. }) = terms else {
-            return replica.propose(proposal).await;
+        let Some(ProposalTerms { id, wait_ms }) = terms else {
+            // Earlier releases do not know that a log may be overloaded.
+            return match replica.propose(proposal, MAX_APPLY_WAIT).await {
+                Err(RpcError::Overloaded { .. }) => Err(RpcError::Unavailable),
+                result => result,
+            };
         };
-        let write = async move { replica.propose(proposal).await };
+        let max_wait = Duration::from_millis(wait_ms).min(MAX_APPLY_WAIT);
+        let write = async move { replica.propose(proposal, max_wait).await };
         self.in_flight.join_or_write(ProposalKey::Sent(id), write).await
     }
 
-    /// Appends a proposal to the log, and returns the reply.
-    async fn propose(self: &Arc<Self>, proposal: Proposal) -> Result<Reply, RpcError> {
+    /// Appends a proposal to the log, unless it would wait longer than `max_wait` to be applied.
+    async fn propose(
+        self: &Arc<Self>,
+        proposal: Proposal,
+        max_wait: Duration,
+    ) -> Result<Reply, RpcError> {
         let command = match proposal {
             Proposal::Command(Command::OpenSession(info)) => {
-                return self.open_session(info).await;
+                return self.open_session(info, max_wait).await;
             }
             Proposal::Command(Command::PutRoutes { table }) => {
-                return self.put_routes(table).await;
+                return self.put_routes(table, max_wait).await;
             }
             Proposal::Command(command) => match self.view.read(|state| state.allows(&command)) {
                 Ok(()) => command,
@@ -194,11 +213,15 @@
                 self.manifest_command(submission, base, &manifest).await?
             }
         };
-        self.write(command).await
+        self.write(command, max_wait).await
     }
 
     /// Opens a session; first ends the instance's previous one if its lease has expired.
-    async fn open_session(self: &Arc<Self>, info: InstanceInfo) -> Result<Reply, RpcError> {
+    async fn open_session(
+        self: &Arc<Self>,
+        info: InstanceInfo,
+        max_wait: Duration,
+    ) -> Result<Reply, RpcError> {
         let expired = {
             let mut leader = self.leader();
             let leader = leader.as_mut().ok_or_else(|| self.not_leader())?;
@@ -209,29 +232,37 @@
         if let Some(session) = expired {
             self.write_command(Command::EndSession { session }).await;
         }
-        self.write(Command::OpenSession(info)).await
+        self.write(Command::OpenSession(info), max_wait).await
     }
 
     /// Makes a route table the current one by writing its difference from the current one.
     ///
     /// If another table is committed in between, the difference no longer applies and is computed
     /// again; after [`MAX_ROUTE_DIFF_ATTEMPTS`] the whole table is written.
-    async fn put_routes(&self, table: Arc<RouteTable>) -> Result<Reply, RpcError> {
+    async fn put_routes(
+        &self,
+        table: Arc<RouteTable>,
+        max_wait: Duration,
+    ) -> Result<Reply, RpcError> {
         for _ in 0..MAX_ROUTE_DIFF_ATTEMPTS {
             let current = self.view.read(|state| state.route_table().cloned());
             let command = Command::put_routes(current.as_deref(), table.clone())
                 .map_err(|error| RpcError::Malformed(error.to_string()))?;
-            match self.write(command).await? {
+            match self.write(command, max_wait).await? {
                 Reply::Refused(CommandError::RoutesConflict { .. }) => {}
                 reply => return Ok(reply),
             }
         }
-        self.write(Command::PutRoutes { table }).await
+        self.write(Command::PutRoutes { table }, max_wait).await
     }
 
-    async fn write(&self, command: Command) -> Result<Reply, RpcError> {
+    async fn write(&self, command: Command, max_wait: Duration) -> Result<Reply, RpcError> {
+        let max_wait = match command.is_evidence() {
+            true => max_wait.min(MAX_EVIDENCE_WAIT),
+            false => max_wait,
+        };
         let command = TimedCommand { at: self.control_time()?, command };
-        self.node.propose(command).await.map_err(propose_error)
+        self.node.propose_within(command, max_wait).await.map_err(propose_error)
     }
 
     /// Returns the commands committed after an index; waits up to `wait_ms` if there are none.
@@ -551,6 +582,11 @@
         ProposeError::NotLeader { leader } => RpcError::NotLeader { leader },
         ProposeError::Stopped => RpcError::Unavailable,
         ProposeError::Unknown => RpcError::Unknown,
+        ProposeError::Overloaded { wait } => {
+            let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
+            let retry_after_ms = wait_ms.clamp(*RETRY_AFTER_MS.start(), *RETRY_AFTER_MS.end());
+            RpcError::Overloaded { retry_after_ms }
+        }
         error @ ProposeError::TooLarge { .. } => RpcError::Malformed(error.to_string()),
     }
 }
--- a/crates/rpc/src/control_client.rs
+++ b/crates/rpc/src/control_client.rs
@@ -154,7 +154,7 @@
         let deadline = Instant::now() + limits.total;
         let mut may_have_run = false;
         loop {
-            let delay = Duration::from_millis(rand::rng().random_range(RETRY_DELAY_MS));
+            let mut delay = Duration::from_millis(rand::rng().random_range(RETRY_DELAY_MS));
             if let Some(name) = self.locate_leader(deadline).await {
                 let attempt_deadline = deadline.min(Instant::now() + limits.attempt);
                 match self.attempt(&name, attempt_deadline, &call).await {
@@ -170,6 +170,11 @@
                         may_have_run = true;
                         self.set_leader(None);
                     }
+                    // Spread, so that those that were refused together do not return together.
+                    Err(RpcError::Overloaded { retry_after_ms }) => {
+                        let retry_after = Duration::from_millis(retry_after_ms);
+                        delay += retry_after.mul_f64(rand::rng().random_range(1.0..2.0));
+                    }
                     Err(error) => return Err(error),
                 }
             }
--- a/crates/rpc/src/error.rs
+++ b/crates/rpc/src/error.rs
@@ -28,6 +28,12 @@
     /// The control log is unavailable; the call had no effect.
     #[error("the control log is unavailable; no change was made")]
     Unavailable,
+    /// The control log applies its commands more slowly than they are sent; the call had no effect.
+    #[error("the control log is overloaded; no change was made, retry after {retry_after_ms} ms")]
+    Overloaded {
+        /// Time after which there is likely room, in milliseconds.
+        retry_after_ms: u64,
+    },
     /// The leader has not heard from a quorum since the call, so it may not lead any more.
     #[error("no quorum confirmed the control leader in time (last contact: {} ms ago)",
         contact_ms(.quorum_contact_ms))]
