Ask whether a crash is recorded before reporting it again

With a slow control log each report of a crash stood 7 to 14 times in it, and each of them was applied at full cost.

An instance that did not see its report applied within 3 s wrote it again, up to 30 times a second apart, although the log had replied that it is recorded, and also if the crash had been cleared before it was seen. A report is written again now only while no reply says that it is recorded, after growing waits with jitter in which the local copy of the state may show it, at most six times in about half a minute. Successful runs that a report carries are no longer lost with a failed attempt. A crash that was reported by a broken connection is reported again by the target's next process only for requests that are news.

--- a/crates/owner/src/crash.rs
+++ b/crates/owner/src/crash.rs
@@ -17,6 +17,7 @@
     time::Duration,
 };
 
+use rand::RngExt;
 use shallotdrum_control::{
     CallerIdentity, Command, ControlState, Isolation, PartRun, RUNS_PER_CRASH, Reply,
     SHARED_PART_CRASHES_TO_QUARANTINE, SuspectPart,
@@ -43,15 +44,22 @@
 /// its connections, and connections take capacity from a target that is alive.
 const MAX_PROBES: u32 = 3;
 
-/// Timeout for the local copy of the control state to apply a reported crash.
+/// Time for which a request waits for the local copy of the control state to apply its crash.
 const VIEW_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// Delay between attempts to report a crash that the control log did not record; about as long as
-/// the election of a leader.
+/// Time for which a crash that the control log has recorded counts on this instance alone, if the local
+/// copy of the control state does not apply it. It may also have been cleared before it was seen here.
+const RECORDED_LIFETIME: Duration = Duration::from_secs(30);
+
+/// Delay before the first further attempt to report a crash that the control log did not record; about
+/// as long as the election of a leader. Doubles with each attempt.
 const REPORT_RETRY_DELAY: Duration = Duration::from_secs(1);
 
+/// Maximum delay between attempts.
+const MAX_REPORT_RETRY_DELAY: Duration = Duration::from_secs(8);
+
 /// Number of further attempts to report a crash; covers a partition of about half a minute.
-const MAX_REPORT_RETRIES: usize = 30;
+const MAX_REPORT_RETRIES: usize = 6;
 
 /// One crash: the target and its incarnation.
 pub(crate) type Crash = (TargetId, Incarnation);
@@ -301,6 +309,26 @@
             .unwrap_or_default()
     }
 
+    /// Reports a crash for those of the requests for which that has not been done. A process that was seen
+    /// to crash by its connections is seen again by its successor.
+    pub(crate) async fn report_news(
+        self: &Arc<Self>,
+        cx: &OwnerContext,
+        crash: Crash,
+        mut requests: Vec<RequestIdentity>,
+    ) {
+        cx.view.read(|state| {
+            let unrecorded = self.unrecorded();
+            requests.retain(|identity| {
+                let request = &identity.request;
+                !unrecorded.holds(&crash, request) && !state.is_crash_counted(request, &crash)
+            });
+        });
+        if !requests.is_empty() {
+            self.report(cx, crash, requests).await;
+        }
+    }
+
     /// Reports a crash; if the control log does not record it, the report is retried in the
     /// background.
     pub(crate) async fn report(
@@ -314,30 +342,35 @@
         event!(cx.log, TARGET_CRASHED;
             "target" => %crash.0, "incarnation" => crash.1.0, "requests" => requests.len());
         self.unrecorded().add(&crash, &requests);
-        if self.record(cx, &crash, &requests).await {
-            return CrashStatus::Crashed;
+        let report = self.crash_report(crash, requests);
+        let status = match report.write(cx).await {
+            true => CrashStatus::Crashed,
+            false => CrashStatus::NotRecorded,
+        };
+        if status == CrashStatus::NotRecorded {
+            event!(cx.log, CRASH_UNRECORDED;
+                "target" => %report.crash.0, "incarnation" => report.crash.1.0);
         }
-        event!(cx.log, CRASH_UNRECORDED; "target" => %crash.0, "incarnation" => crash.1.0);
         let (detector, cx) = (self.clone(), cx.clone());
-        tokio::spawn(async move {
-            for _ in 0..MAX_REPORT_RETRIES {
-                tokio::time::sleep(REPORT_RETRY_DELAY).await;
-                if detector.record(&cx, &crash, &requests).await {
-                    return;
-                }
+        let settled = tokio::spawn(async move {
+            if status == CrashStatus::NotRecorded {
+                report.retry(&cx).await;
+            } else {
+                let counted = report.wait_until_counted(&cx);
+                // The crash is recorded in any case.
+                let _ = tokio::time::timeout(RECORDED_LIFETIME, counted).await;
             }
-            detector.unrecorded().remove(&crash, &requests);
+            report.log_suspects(&cx);
+            detector.unrecorded().remove(&report.crash, &report.identities);
         });
-        CrashStatus::NotRecorded
+        if status == CrashStatus::Crashed {
+            // Meanwhile the crash counts on this instance.
+            let _ = tokio::time::timeout(VIEW_TIMEOUT, settled).await;
+        }
+        status
     }
 
-    /// Records a crash in the control log and waits until the local state has applied it.
-    async fn record(
-        &self,
-        cx: &OwnerContext,
-        crash: &Crash,
-        identities: &[RequestIdentity],
-    ) -> bool {
+    fn crash_report(&self, crash: Crash, identities: Vec<RequestIdentity>) -> CrashReport {
         let mut requests: Vec<_> = identities.iter().flat_map(RequestIdentity::whole).collect();
         requests.sort_unstable();
         requests.dedup();
@@ -351,7 +384,7 @@
         let mut callers: Vec<_> = identities.iter().filter_map(caller).collect();
         callers.sort_unstable();
         callers.dedup();
-        let parts = suspect_parts(identities);
+        let parts = suspect_parts(&identities);
         let command = Command::ReportCrash {
             target: crash.0.clone(),
             incarnation: crash.1,
@@ -363,24 +396,76 @@
             part_runs: self.part_runs().latest(parts.iter().map(|suspect| suspect.part)),
             parts: parts.clone(),
         };
-        match cx.propose(command).await {
-            Ok(Reply::Refused(_)) | Err(_) => return false,
-            Ok(_) => {}
+        CrashReport { crash, identities, requests, parts, command }
+    }
+
+    fn running(&self) -> MutexGuard<'_, BTreeMap<Crash, RunningRequests>> {
+        self.running.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn runs(&self) -> MutexGuard<'_, RunCounts> {
+        self.runs.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn part_runs(&self) -> MutexGuard<'_, PartRuns> {
+        self.part_runs.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn unrecorded(&self) -> MutexGuard<'_, UnrecordedCrashes> {
+        self.unrecorded.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Crash of a target process, as this instance reports it.
+struct CrashReport {
+    crash: Crash,
+    /// Requests that were running.
+    identities: Vec<RequestIdentity>,
+    /// All identities of these requests.
+    requests: Vec<Fingerprint>,
+    parts: Vec<SuspectPart>,
+    command: Command,
+}
+
+impl CrashReport {
+    /// Writes the report to the control log; returns whether it is recorded.
+    async fn write(&self, cx: &OwnerContext) -> bool {
+        !matches!(cx.propose(self.command.clone()).await, Ok(Reply::Refused(_)) | Err(_))
+    }
+
+    /// Writes the report again until it is recorded. It may have been recorded although the reply was
+    /// lost, so each attempt first waits for the local state to show that.
+    async fn retry(&self, cx: &OwnerContext) {
+        let mut delay = REPORT_RETRY_DELAY;
+        for _ in 0..MAX_REPORT_RETRIES {
+            let jittered = delay.mul_f64(rand::rng().random_range(1.0..1.5));
+            let counted = tokio::time::timeout(jittered, self.wait_until_counted(cx)).await;
+            if counted.is_ok() || self.write(cx).await {
+                return;
+            }
+            delay = (2 * delay).min(MAX_REPORT_RETRY_DELAY);
         }
+    }
+
+    /// Waits until the local state counts this crash for all requests; they may have crashed other
+    /// targets before.
+    async fn wait_until_counted(&self, cx: &OwnerContext) {
         let mut changed = cx.view.changed();
-        let applied = tokio::time::timeout(VIEW_TIMEOUT, async {
-            // Checks for this particular crash, as the same request may have crashed a target
-            // before.
-            let is_counted = |request: &Fingerprint| {
-                cx.view.read(|state| state.is_crash_counted(request, crash))
-            };
-            while !requests.iter().all(is_counted) && changed.changed().await.is_ok() {}
-        });
-        if applied.await.is_err() {
-            return false;
+        let is_counted = |request: &Fingerprint| {
+            cx.view.read(|state| state.is_crash_counted(request, &self.crash))
+        };
+        while !self.requests.iter().all(is_counted) {
+            if changed.changed().await.is_err() {
+                // The instance stops.
+                std::future::pending::<()>().await;
+            }
         }
-        self.unrecorded().remove(crash, identities);
-        for request in &requests {
+    }
+
+    /// Logs what is known of the requests and their parts after the crash.
+    fn log_suspects(&self, cx: &OwnerContext) {
+        let Self { crash, requests, parts, .. } = self;
+        for request in requests {
             let (crashes, completed, quarantine) = cx.view.read(|state| {
                 let quarantine = state.quarantine_of(request).cloned();
                 (state.suspect_crashes(request), state.suspect_runs(request), quarantine)
@@ -396,27 +481,10 @@
         }
         for SuspectPart { part, is_first } in parts {
             let (crashes, had_runs) =
-                cx.view.read(|state| (state.suspect_crashes(&part), state.part_had_runs(&part)));
+                cx.view.read(|state| (state.suspect_crashes(part), state.part_had_runs(part)));
             event!(cx.log, PART_SUSPECTED; "fingerprint" => %part, "crashes" => crashes,
                 "target" => %crash.0, "had_runs" => had_runs, "is_first" => is_first);
         }
-        true
-    }
-
-    fn running(&self) -> MutexGuard<'_, BTreeMap<Crash, RunningRequests>> {
-        self.running.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    pub(crate) fn runs(&self) -> MutexGuard<'_, RunCounts> {
-        self.runs.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    pub(crate) fn part_runs(&self) -> MutexGuard<'_, PartRuns> {
-        self.part_runs.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    fn unrecorded(&self) -> MutexGuard<'_, UnrecordedCrashes> {
-        self.unrecorded.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
--- a/crates/owner/src/unanswered.rs
+++ b/crates/owner/src/unanswered.rs
@@ -107,9 +107,7 @@
             if is_replaced {
                 let unanswered = self.unanswered.take(&process.key);
                 let requests = [unanswered, self.requests_on(&process.key)].concat();
-                if !requests.is_empty() {
-                    self.report(cx, process.key.clone(), requests).await;
-                }
+                self.report_news(cx, process.key.clone(), requests).await;
                 return;
             }
             // A target that leaves by itself does not crash.
--- a/crates/owner/src/unrecorded.rs
+++ b/crates/owner/src/unrecorded.rs
@@ -51,6 +51,11 @@
         }
     }
 
+    /// Whether a crash of this process is held for a request.
+    pub(crate) fn holds(&self, crash: &Crash, request: &Fingerprint) -> bool {
+        self.requests.get(crash).is_some_and(|requests| requests.contains_key(request))
+    }
+
     /// Whether a crash of this process is held.
     pub(crate) fn contains(&self, crash: &Crash) -> bool {
         self.requests.contains_key(crash)
