--- a/crates/control/tests/reference/mod.rs
+++ b/crates/control/tests/reference/mod.rs
@@ -1,5 +1,8 @@
-//! Rules of quarantine as releases up to the fifth format of the control log apply them: plain scans,
-//! against which the indexed state is compared. Not to be changed, since all releases share one log.
+//! The rules of quarantine as plain scans, in the form that releases before the index have; the indexed state
+//! is compared with them.
+//!
+//! Architecture Invariant: releases that share a log decide alike. A change of the rules comes with a new format
+//! of the log, and this copy stays as it is for the formats before.
 
 #![allow(
     dead_code,
