Log by which evidence a response is taken as complete

N0430 and N0415 now hold the framing of the body (length, chunks, connection), what showed that it is complete, and the time from its end to that check; the metric shallotdrum_response_bodies_total counts the ends by that evidence, on the product's own interface as well. Nothing is decided otherwise, so no test failed before it.

--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -16,9 +16,9 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use shallotdrum_links::Links;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
-use crate::{Connection, crash::ends_with_connection, places::Place};
+use crate::{BodyEnd, Connection, Framing, places::Place};
 
 /// Maximum body size of a response that is not streamed; plain services return a few kilobytes.
 const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
@@ -52,9 +52,9 @@
     /// The connection broke.
     #[error(transparent)]
     Connection(#[from] hyper::Error),
-    /// The body ended with its connection, and the target is not reachable any more.
-    #[error("the connection ended, and the target accepts no other one")]
-    TargetGone,
+    /// The body ended with its connection, and its target seems to have ended as well.
+    #[error("the connection ended, and its target seems to have ended as well: {}", .0.evidence())]
+    TargetGone(BodyEnd),
     /// The body is too long, or comes in too many parts.
     #[error("the body exceeds {0} bytes, or comes in as many parts as one of that length may")]
     TooLong(usize),
@@ -127,8 +127,8 @@
         mut body: Incoming,
         place: &Place,
         connection: &Connection,
-    ) -> Result<Bytes, BodyError> {
-        let ends_with_connection = ends_with_connection(headers, &body);
+    ) -> Result<(Bytes, BodyEnd), BodyError> {
+        let framing = Framing::of(headers, &body);
         let mut counted = Counted { buffers: self, bytes: 0 };
         let (mut collected, mut cost) = (CollectedBody::default(), 0);
         while let Some(frame) = body.frame().await {
@@ -141,10 +141,16 @@
             collected.push(data);
             counted.grow_to(collected.held().saturating_sub(UNCOUNTED_BYTES))?;
         }
-        if ends_with_connection && !links.is_alive_after_end(place.granted.addr, None).await {
-            return Err(BodyError::TargetGone);
+        let mut end = BodyEnd::framed(framing);
+        if framing == Framing::Connection {
+            let read_at = Instant::now();
+            end.evidence = Some(links.evidence_after_end(place.granted.addr, None).await);
+            end.checked_after = read_at.elapsed();
+        }
+        match end.is_complete() {
+            true => Ok((collected.into_bytes(), end)),
+            false => Err(BodyError::TargetGone(end)),
         }
-        Ok(collected.into_bytes())
     }
 }
 
--- a/crates/gateway/src/crash.rs
+++ b/crates/gateway/src/crash.rs
@@ -2,12 +2,6 @@
 
 use std::time::Duration;
 
-use http::{
-    HeaderMap,
-    header::{CONTENT_LENGTH, TRANSFER_ENCODING},
-};
-use http_body::Body;
-use hyper::body::Incoming;
 use shallotdrum_owner::RunningGuard;
 use shallotdrum_rpc::PlaceEnd;
 use shallotdrum_telemetry::event;
@@ -20,13 +14,6 @@
 /// once, and a log entry takes some tens of milliseconds.
 const FIRST_CHECK_TIMEOUT: Duration = Duration::from_millis(100);
 
-/// Whether a response has neither a length nor chunks, so that its body ends with its connection.
-pub(crate) fn ends_with_connection(headers: &HeaderMap, body: &Incoming) -> bool {
-    !body.is_end_stream()
-        && !headers.contains_key(CONTENT_LENGTH)
-        && !headers.contains_key(TRANSFER_ENCODING)
-}
-
 impl Gateway {
     /// Logs a send that got no complete response.
     pub(crate) fn log_send_failure(
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -34,7 +34,7 @@
 use crate::{
     CallerRequest, Dispatch, EntryCount, GatewayResponse, Generation, HeaderCodec, RetryAllowance,
     RetryBudget,
-    body::{BodyBuffers, discard},
+    body::{BodyBuffers, BodyError, discard},
     connections::{Connection, ConnectionPool, SendError, response_headers},
     continuation::check_head,
     decision::{RequestProgress, RetryDecision, SendFailure, decide_retry},
@@ -221,10 +221,12 @@
         let took = arrived.elapsed();
         let ms = took.as_millis() as u64;
         match &result {
-            Ok(GatewayResponse::Whole { status, .. }) => {
+            Ok(GatewayResponse::Whole { status, end, .. }) => {
                 self.cx.metrics.subscriber(&label).total(took);
                 self.cx.metrics.finished("answered", "none");
-                event!(self.cx.log, REQUEST_ANSWERED; "request" => %id, "status" => status.as_u16(), "ms" => ms);
+                event!(self.cx.log, REQUEST_ANSWERED; "request" => %id, "status" => status.as_u16(),
+                    "framing" => %end.framing, "evidence" => end.evidence(),
+                    "checked_after_ms" => end.checked_after.as_millis() as u64, "ms" => ms);
             }
             Ok(GatewayResponse::Stream { .. }) => {
                 self.cx.metrics.subscriber(&label).first_token(took);
@@ -390,9 +392,12 @@
         let Received { place, running, connection, response } = received;
         let (parts, body) = response.into_parts();
         let body = self.bodies.read(self.links(), &parts.headers, body, &place, &connection);
-        let body = match timeout_at(run.deadline, body).await {
-            Ok(Ok(body)) => body,
+        let (body, end) = match timeout_at(run.deadline, body).await {
+            Ok(Ok(read)) => read,
             Ok(Err(error)) => {
+                if let BodyError::TargetGone(end) = &error {
+                    self.cx.metrics.body_ended(end.evidence());
+                }
                 let target = &place.granted.target;
                 self.log_send_failure(run, target, SendFailure::Unknown, &error);
                 self.check_crash(run, running);
@@ -402,10 +407,11 @@
             }
             Err(_) => return AttemptOutcome::Failed(SendFailure::Unknown, target_timed_out()),
         };
+        self.cx.metrics.body_ended(end.evidence());
         connection.release();
         running.complete();
         let response =
-            GatewayResponse::Whole { status, headers: response_headers(parts.headers), body };
+            GatewayResponse::Whole { status, headers: response_headers(parts.headers), body, end };
         if status.is_server_error() {
             run.avoid.push(place.granted.target.clone());
             place.end(PlaceEnd::Failed);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,7 +4,7 @@
 //! judges it, `places` acquires a place, which is a reservation at a target, from the owner of the
 //! target's group, and `connections` is the connection pool. `relay` forwards event streams,
 //! `continuation` checks that their events follow each other, `stream_body` is what callers read of
-//! a stream, and `stream_log` says how each one ended. `fallback` selects a target while a group has
+//! a stream, `stream_log` says how each one ended, and `body_end` what shows that a body is complete. `fallback` selects a target while a group has
 //! no owner, `need` describes a request to the owner, `budget` limits retries, `body` reads whole
 //! responses, `limits` keeps the limits that targets name, `withheld` the targets that ask for no
 //! requests, `origin` finds the version of a stream that a caller takes up, and `decision` holds the
@@ -14,6 +14,7 @@
 //! it can have reached the first, or the first refused it without running it.
 
 mod body;
+mod body_end;
 mod budget;
 mod connections;
 mod continuation;
@@ -36,6 +37,7 @@
 mod withheld;
 
 pub use body::CollectedBody;
+pub use body_end::{BodyEnd, Framing};
 pub use budget::{EntryCount, RetryAllowance, RetryBudget};
 pub use connections::{
     Connection, ConnectionPool, ExclusiveConnection, SendError, UnattributedResponse,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -12,13 +12,13 @@
 use shallotdrum_rpc::PlaceEnd;
 use shallotdrum_telemetry::event;
 use shallotdrum_types::{RequestError, TargetId};
-use tokio::time::timeout_at;
+use tokio::time::{Instant, timeout_at};
 
 use crate::{
-    CallerLeft, EventSplitter, Gateway, GatewayResponse, StreamBody, StreamSender,
+    BodyEnd, CallerLeft, EventSplitter, Framing, Gateway, GatewayResponse, StreamBody,
+    StreamSender,
     connections::{Connection, LINK_LOST, response_headers},
     continuation::{ContinuationError, EventOrder},
-    crash::ends_with_connection,
     decision::SendFailure,
     errors::{target_failed, target_timed_out},
     exchange::{Received, RequestRun},
@@ -40,16 +40,15 @@
     running: RunningGuard,
     connection: Connection,
     body: Incoming,
-    /// Whether the body has neither a length nor chunks.
-    ends_with_connection: bool,
-    /// Tells at the end of such a body whether its target has ended as well.
+    framing: Framing,
+    /// Tells at the end of a body that ends with its connection whether its target has ended as well.
     witness: Option<Arc<Witness>>,
     splitter: EventSplitter,
 }
 
 /// How the response of one target ended.
 enum StreamEnd {
-    Complete,
+    Complete(BodyEnd),
     Interrupted(Interruption),
     CallerGone,
 }
@@ -69,8 +68,8 @@
     pub(crate) fn new(gateway: Arc<Gateway>, received: Received) -> (Self, Parts) {
         let Received { place, running, connection, response } = received;
         let (parts, body) = response.into_parts();
-        let ends_with_connection = ends_with_connection(&parts.headers, &body);
-        let witness = (ends_with_connection && connection.is_direct())
+        let framing = Framing::of(&parts.headers, &body);
+        let witness = (framing == Framing::Connection && connection.is_direct())
             .then(|| gateway.links().witness(place.granted.addr));
         let relay = Self {
             gateway,
@@ -78,7 +77,7 @@
             running,
             connection,
             body,
-            ends_with_connection,
+            framing,
             witness,
             splitter: EventSplitter::default(),
         };
@@ -172,6 +171,7 @@
             target: self.place.granted.target.clone(),
             last_event: None,
             resumptions: 0,
+            end: None,
             outcome: StreamOutcome::Dropped,
             started: run.req.arrived,
         };
@@ -188,8 +188,9 @@
             ended.last_event = Some(order.last_id().to_owned());
             let target = self.place.granted.target.clone();
             let cause = match end {
-                StreamEnd::Complete => {
+                StreamEnd::Complete(end) => {
                     self.complete(&run);
+                    ended.end = Some(end);
                     ended.outcome = StreamOutcome::Complete;
                     sender.complete();
                     return;
@@ -289,7 +290,7 @@
                 }
                 checked.map_err(Interruption::Refused)?;
             }
-            self.check_end(order).await.map(|()| StreamEnd::Complete)
+            self.check_end(order).await.map(StreamEnd::Complete)
         };
         tokio::select! {
             forwarded = forwarded => forwarded.unwrap_or_else(StreamEnd::Interrupted),
@@ -298,20 +299,26 @@
     }
 
     /// Fails unless a body that has ended is complete.
-    async fn check_end(&self, order: &EventOrder) -> Result<(), Interruption> {
+    async fn check_end(&self, order: &EventOrder) -> Result<BodyEnd, Interruption> {
         if self.splitter.has_pending() {
             return Err(Interruption::Broken("the stream ended within an event".to_owned()));
         }
-        if self.ends_with_connection {
+        let mut end = BodyEnd::framed(self.framing);
+        if self.framing == Framing::Connection {
+            let read_at = Instant::now();
             let (links, witness) = (self.gateway.links(), self.witness.as_deref());
-            if !links.is_alive_after_end(self.place.granted.addr, witness).await {
-                return Err(Interruption::Broken(TARGET_GONE.to_owned()));
-            }
+            let evidence = links.evidence_after_end(self.place.granted.addr, witness).await;
+            end.evidence = Some(evidence);
+            end.checked_after = read_at.elapsed();
+        }
+        self.gateway.cx.metrics.body_ended(end.evidence());
+        if !end.is_complete() {
+            return Err(Interruption::Broken(format!("{TARGET_GONE}: {}", end.evidence())));
         }
         match order.lacks_event() {
             // Whether the last event was delivered before is not known.
             true => Err(Interruption::Refused(ContinuationError::NoEvent)),
-            false => Ok(()),
+            false => Ok(end),
         }
     }
 
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -8,7 +8,7 @@
 use shallotdrum_types::{AdapterId, AdapterVersion, BaseModelId, RequestId, RequestRate, TargetId};
 use tokio::time::Instant;
 
-use crate::StreamBody;
+use crate::{BodyEnd, StreamBody};
 
 /// Caller's request, decoded by the front end and read completely.
 #[derive(Clone, Debug)]
@@ -82,6 +82,8 @@
         headers: HeaderMap,
         /// Complete body, unchanged.
         body: Bytes,
+        /// What shows that the body is complete.
+        end: BodyEnd,
     },
     /// Event stream that has started.
     Stream {
--- a/crates/gateway/src/stream_log.rs
+++ b/crates/gateway/src/stream_log.rs
@@ -6,6 +6,8 @@
 use shallotdrum_types::{RequestId, TargetId};
 use tokio::time::Instant;
 
+use crate::BodyEnd;
+
 /// How a relayed stream ended for its caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum StreamOutcome {
@@ -40,6 +42,8 @@
     pub(crate) last_event: Option<String>,
     /// Number of targets that were to go on with the stream.
     pub(crate) resumptions: u32,
+    /// How the body of the latest response ended, if the stream is complete.
+    pub(crate) end: Option<BodyEnd>,
     pub(crate) outcome: StreamOutcome,
     pub(crate) started: Instant,
 }
@@ -48,6 +52,8 @@
     fn drop(&mut self) {
         event!(self.log, STREAM_ENDED; "request" => %self.request, "target" => %self.target,
             "last_event" => self.last_event.as_deref().unwrap_or(""), "resumptions" => self.resumptions,
-            "outcome" => %self.outcome, "ms" => self.started.elapsed().as_millis() as u64);
+            "outcome" => %self.outcome, "framing" => self.end.map(|end| end.framing.to_string()),
+            "evidence" => self.end.map(|end| end.evidence()),
+            "checked_after_ms" => self.end.map(|end| end.checked_after.as_millis() as u64), "ms" => self.started.elapsed().as_millis() as u64);
     }
 }
--- a/crates/links/src/lib.rs
+++ b/crates/links/src/lib.rs
@@ -22,7 +22,7 @@
 mod tunnel;
 
 pub use caller::{CallerStream, EndsWithConnection};
-pub use lifetime::Witness;
+pub use lifetime::{EndEvidence, Witness};
 pub use link::LinkStatus;
 pub use links::{ConnectError, LinkContext, Links, PeerInstance};
 pub use meter::ReadMeter;
--- a/crates/links/src/lifetime.rs
+++ b/crates/links/src/lifetime.rs
@@ -32,6 +32,36 @@
 /// Delay before a witness that the target closed is opened again; targets close idle connections.
 const REOPEN_DELAY: Duration = Duration::from_secs(1);
 
+/// What was taken as evidence that the process of a target runs on, or has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndEvidence {
+    /// Another connection to it is open.
+    OtherConnection,
+    /// Something listens at its address.
+    Listener,
+    /// Connections to it ended together.
+    EndedTogether,
+    /// Nothing listens at its address.
+    NoListener,
+}
+
+impl EndEvidence {
+    /// Whether the process runs on.
+    pub fn is_alive(self) -> bool {
+        matches!(self, Self::OtherConnection | Self::Listener)
+    }
+
+    /// Name in log lines and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::OtherConnection => "other-connection",
+            Self::Listener => "listener",
+            Self::EndedTogether => "ended-together",
+            Self::NoListener => "no-listener",
+        }
+    }
+}
+
 /// Direct connections to one target.
 #[derive(Debug, Default)]
 pub(crate) struct OpenConnections(Mutex<State>);
@@ -134,17 +164,23 @@
         witness
     }
 
-    /// Whether the process of a target runs on after it ended a connection just now, so that a response
-    /// that ended with it is complete.
+    /// Evidence of whether the process of a target runs on after it ended a connection just now, so that a
+    /// response that ended with it is complete.
     ///
     /// Without a witness that was open for long enough, a process that was started anew in its place
     /// can't be told from it.
-    pub async fn is_alive_after_end(&self, target: SocketAddr, witness: Option<&Witness>) -> bool {
+    pub async fn evidence_after_end(
+        &self,
+        target: SocketAddr,
+        witness: Option<&Witness>,
+    ) -> EndEvidence {
         let ended_at = Instant::now();
         sleep(SETTLE_TIME).await;
         match witness.and_then(|_| self.open_connections(target).outlived(ended_at)) {
-            Some(outlived) => outlived,
-            None => self.is_listening(target).await,
+            Some(true) => EndEvidence::OtherConnection,
+            Some(false) => EndEvidence::EndedTogether,
+            None if self.is_listening(target).await => EndEvidence::Listener,
+            None => EndEvidence::NoListener,
         }
     }
 }
--- a/crates/owner/src/call.rs
+++ b/crates/owner/src/call.rs
@@ -307,6 +307,7 @@
                     request: call.call.request.clone(),
                     target: lease.target.clone(),
                     log: self.cx.log.clone(),
+                    metrics: self.cx.metrics.clone(),
                 };
                 let mut res = check_end(res, &self.cx.links, lease.addr, source);
                 // Only an owner speaks of errors to an entry.
--- a/crates/owner/src/target_body.rs
+++ b/crates/owner/src/target_body.rs
@@ -18,8 +18,8 @@
 use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
 use shallotdrum_engine::error_chain;
-use shallotdrum_links::Links;
-use shallotdrum_telemetry::event;
+use shallotdrum_links::{EndEvidence, Links};
+use shallotdrum_telemetry::{Metrics, event};
 use shallotdrum_types::{RequestId, TargetId};
 use tokio::task::JoinHandle;
 
@@ -31,8 +31,8 @@
     body: Incoming,
     /// Target to probe at the end; absent if the end shows otherwise.
     probed: Option<(Links, SocketAddr)>,
-    /// Whether the target is alive after the end.
-    is_alive: Option<JoinHandle<bool>>,
+    /// Check of whether the target is alive after the end.
+    end_check: Option<JoinHandle<EndEvidence>>,
     is_ended: bool,
     source: BodySource,
 }
@@ -42,6 +42,7 @@
     pub(crate) request: RequestId,
     pub(crate) target: TargetId,
     pub(crate) log: slog::Logger,
+    pub(crate) metrics: Metrics,
 }
 
 /// Checks the end of a response's body.
@@ -55,13 +56,13 @@
         && !res.headers().contains_key(CONTENT_LENGTH)
         && !res.headers().contains_key(TRANSFER_ENCODING);
     let probed = ends_with_connection.then(|| (links.clone(), addr));
-    res.map(|body| TargetBody { body, probed, is_alive: None, is_ended: false, source })
+    res.map(|body| TargetBody { body, probed, end_check: None, is_ended: false, source })
 }
 
 impl TargetBody {
     fn interrupted(&mut self, error: BoxError) -> Option<Result<Frame<Bytes>, BoxError>> {
         self.is_ended = true;
-        let BodySource { request, target, log } = &self.source;
+        let BodySource { request, target, log, .. } = &self.source;
         event!(log, RESPONSE_INTERRUPTED; "request" => %request, "target" => %target,
             "error" => error_chain(&*error));
         Some(Err(error))
@@ -81,10 +82,13 @@
             if this.is_ended {
                 return Poll::Ready(None);
             }
-            if let Some(is_alive) = &mut this.is_alive {
-                let is_alive = ready!(Pin::new(is_alive).poll(cx));
+            if let Some(end_check) = &mut this.end_check {
+                let evidence = ready!(Pin::new(end_check).poll(cx));
                 this.is_ended = true;
-                if !is_alive.unwrap_or(false) {
+                if let Ok(evidence) = evidence {
+                    this.source.metrics.body_ended(evidence.as_str());
+                }
+                if !evidence.is_ok_and(EndEvidence::is_alive) {
                     let reason = "the connection ended, and the target accepts no other one";
                     return Poll::Ready(this.interrupted(reason.into()));
                 }
@@ -93,9 +97,9 @@
             let frame = ready!(Pin::new(&mut this.body).poll_frame(cx));
             match (frame, this.probed.take()) {
                 (None, Some((links, addr))) => {
-                    this.is_alive =
+                    this.end_check =
                         Some(tokio::spawn(
-                            async move { links.is_alive_after_end(addr, None).await },
+                            async move { links.evidence_after_end(addr, None).await },
                         ));
                 }
                 (Some(Err(error)), _) => return Poll::Ready(this.interrupted(error.into())),
@@ -109,7 +113,7 @@
 
     fn is_end_stream(&self) -> bool {
         self.is_ended
-            || self.probed.is_none() && self.is_alive.is_none() && self.body.is_end_stream()
+            || self.probed.is_none() && self.end_check.is_none() && self.body.is_end_stream()
     }
 
     fn size_hint(&self) -> SizeHint {
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -47,6 +47,7 @@
     between_tokens: HistogramVec,
     total: HistogramVec,
     requests: IntCounterVec,
+    bodies: IntCounterVec,
     applied: IntCounterVec,
     apply_time: CounterVec,
     subscribers: RwLock<HashMap<SubscriberId, SubscriberMetrics>>,
@@ -171,6 +172,14 @@
             &["outcome", "error"],
         )?;
         registry.register(Box::new(requests.clone()))?;
+        let bodies = IntCounterVec::new(
+            Opts::new(
+                "shallotdrum_response_bodies_total",
+                "Ends of bodies that targets sent, by what shows whether they are complete",
+            ),
+            &["evidence"],
+        )?;
+        registry.register(Box::new(bodies.clone()))?;
         let applied = IntCounterVec::new(
             Opts::new("shallotdrum_applied_total", "Commands of the control log that were applied"),
             &["kind"],
@@ -198,6 +207,7 @@
             between_tokens,
             total,
             requests,
+            bodies,
             applied,
             apply_time,
             subscribers,
@@ -239,6 +249,11 @@
         self.0.requests.with_label_values(&[outcome, error]).inc();
     }
 
+    /// Counts a body that ended, by what shows whether it is complete.
+    pub fn body_ended(&self, evidence: &str) {
+        self.0.bodies.with_label_values(&[evidence]).inc();
+    }
+
     /// Counts commands of one kind that were applied, and the time that this took.
     pub fn applied(&self, kind: &str, commands: u64, time: Duration) {
         self.0.applied.with_label_values(&[kind]).inc_by(commands);
