Take a response that ends with its connection as complete only if its target answers

Cause: for a body with neither a length nor chunks, the absence of bad news was taken as good news, by the clock of the reader. Another connection that was still open 10 ms later, or anything that listened at the address, counted as life of the process. But a process that is killed closes its connections one after the other, an entry with a small share of a core reads their ends late and in another order, and a successor listens as well.

Now a connection on which the target answered before the request was sent (one that was opened before it, for targets that close each connection after one answer) must bring the answer to a question that is asked after the end of the body was read, and the target must accept connections. Anything else is no evidence: the response is broken, which a resumable stream survives. The connections, two for each target, form a chain in which one joins only if an older one answers after it was opened, so that all belong to one process. They are opened for pools whose responses were seen to end with their connection, or before the first response of a pool; owners of plain services keep them always. While a response is read they are kept by questions, at intervals that grow as far as the target keeps idle connections. One question serves all responses that end together. It costs a connection and a question for each such end; responses with a length or chunks cost nothing.

A Transfer-Encoding that does not end in chunked is delimited by the connection as well; it was taken as chunks.

The stand-in of the product's own close_delimited tests served one connection at a time, so that one that was left idle blocked it, and knew calls only; it serves connections at the same time now and answers OPTIONS. Its checks are unchanged.

--- a/crates/daemon/tests/guarantees/close_delimited.rs
+++ b/crates/daemon/tests/guarantees/close_delimited.rs
@@ -11,6 +11,7 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
+    task::JoinSet,
 };
 
 use crate::setup::{Setup, start};
@@ -47,38 +48,46 @@
     }
 }
 
+/// Serves connections until one of them brings a call that crashes the service.
 async fn serve(listener: TcpListener, service: Service) {
+    let mut connections = JoinSet::new();
     loop {
-        let (mut stream, _) = listener.accept().await.unwrap();
-        // Connections that only check the target bring nothing.
-        let Some(id) = read_request(&mut stream).await else { continue };
-        let body = match service {
-            Service::Completes | Service::NamesError => BODY,
-            Service::Crashes => &BODY[..BODY.len() / 2],
-        };
-        let mut head = format!("HTTP/1.1 200 OK\r\n{REQUEST_ID_HEADER}: {id}\r\n");
-        if service == Service::NamesError {
-            let error = RequestError::not_run(RequestErrorKind::TargetFailed, "of the service");
-            head += &format!("{ERROR_HEADER}: {}\r\n", serde_json::to_string(&error).unwrap());
-        }
-        let response = format!("{head}\r\n{body}");
-        stream.write_all(response.as_bytes()).await.unwrap();
-        if service == Service::Crashes {
-            drop(listener);
-            return;
+        tokio::select! {
+            accepted = listener.accept() => {
+                connections.spawn(respond(accepted.unwrap().0, service));
+            }
+            Some(crashed) = connections.join_next() => if crashed.unwrap() {
+                return;
+            },
         }
     }
 }
 
-/// Reads the head of a request and returns its id.
-async fn read_request(stream: &mut TcpStream) -> Option<String> {
+/// Responds to one request; returns whether that crashes the service.
+async fn respond(mut stream: TcpStream, service: Service) -> bool {
+    // Connections that only check the target bring nothing.
+    let Some((id, is_call)) = read_request(&mut stream).await else { return false };
+    let crashes = is_call && service == Service::Crashes;
+    let body = if crashes { &BODY[..BODY.len() / 2] } else { BODY };
+    let mut head = format!("HTTP/1.1 200 OK\r\n{REQUEST_ID_HEADER}: {id}\r\n");
+    if service == Service::NamesError {
+        let error = RequestError::not_run(RequestErrorKind::TargetFailed, "of the service");
+        head += &format!("{ERROR_HEADER}: {}\r\n", serde_json::to_string(&error).unwrap());
+    }
+    let response = format!("{head}\r\n{body}");
+    stream.write_all(response.as_bytes()).await.unwrap();
+    crashes
+}
+
+/// Reads the head of a request; returns its id, and whether it is a call.
+async fn read_request(stream: &mut TcpStream) -> Option<(String, bool)> {
     let mut head = Vec::new();
     while !head.ends_with(b"\r\n\r\n") {
         head.push(stream.read_u8().await.ok()?);
     }
     let head = String::from_utf8(head).unwrap();
     let id = head.lines().find_map(|line| line.strip_prefix(REQUEST_ID_HEADER))?;
-    Some(id.trim_start_matches(": ").to_owned())
+    Some((id.trim_start_matches(": ").to_owned(), !head.starts_with("OPTIONS ")))
 }
 
 async fn call(
--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -12,13 +12,12 @@
 };
 
 use bytes::Bytes;
-use http::HeaderMap;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use shallotdrum_links::Links;
-use tokio::time::{Instant, timeout};
+use shallotdrum_links::WitnessUse;
+use tokio::time::timeout;
 
-use crate::{BodyEnd, Connection, Framing, places::Place};
+use crate::{BodyEnd, Connection, Framing};
 
 /// Maximum body size of a response that is not streamed; plain services return a few kilobytes.
 const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
@@ -52,9 +51,9 @@
     /// The connection broke.
     #[error(transparent)]
     Connection(#[from] hyper::Error),
-    /// The body ended with its connection, and its target seems to have ended as well.
-    #[error("the connection ended, and its target seems to have ended as well: {}", .0.evidence())]
-    TargetGone(BodyEnd),
+    /// The body ended with its connection, and nothing shows that it is complete.
+    #[error("the connection ended, and nothing shows that the body is complete: {}", .0.evidence())]
+    Unproven(BodyEnd),
     /// The body is too long, or comes in too many parts.
     #[error("the body exceeds {0} bytes, or comes in as many parts as one of that length may")]
     TooLong(usize),
@@ -119,16 +118,14 @@
 }
 
 impl BodyBuffers {
-    /// Reads the body of a response of a place's target to its end.
+    /// Reads the body of a response to its end.
     pub(crate) async fn read(
         &self,
-        links: &Links,
-        headers: &HeaderMap,
+        framing: Framing,
         mut body: Incoming,
-        place: &Place,
         connection: &Connection,
+        witness: Option<&WitnessUse>,
     ) -> Result<(Bytes, BodyEnd), BodyError> {
-        let framing = Framing::of(headers, &body);
         let mut counted = Counted { buffers: self, bytes: 0 };
         let (mut collected, mut cost) = (CollectedBody::default(), 0);
         while let Some(frame) = body.frame().await {
@@ -141,15 +138,10 @@
             collected.push(data);
             counted.grow_to(collected.held().saturating_sub(UNCOUNTED_BYTES))?;
         }
-        let mut end = BodyEnd::framed(framing);
-        if framing == Framing::Connection {
-            let read_at = Instant::now();
-            end.evidence = Some(links.evidence_after_end(place.granted.addr, None).await);
-            end.checked_after = read_at.elapsed();
-        }
+        let end = BodyEnd::check(framing, witness).await;
         match end.is_complete() {
             true => Ok((collected.into_bytes(), end)),
-            false => Err(BodyError::TargetGone(end)),
+            false => Err(BodyError::Unproven(end)),
         }
     }
 }
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -285,11 +285,6 @@
         self.open.carried.len()
     }
 
-    /// Whether the connection does not go through another instance.
-    pub(crate) fn is_direct(&self) -> bool {
-        self.open.is_direct
-    }
-
     /// Records that a part of the response arrived.
     pub(crate) fn record_heard(&self) {
         self.open.meter.record_progress();
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -17,7 +17,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use shallotdrum_control::ControlView;
-use shallotdrum_links::Links;
+use shallotdrum_links::{Links, WitnessUse};
 use shallotdrum_owner::{CrashStatus, OwnerService, PlaceAdmission, RunningGuard, SessionFn};
 use shallotdrum_routes::{Route, RouteIndex};
 use shallotdrum_rpc::{Peers, PlaceEnd};
@@ -32,8 +32,8 @@
 };
 
 use crate::{
-    CallerRequest, Dispatch, EntryCount, GatewayResponse, Generation, HeaderCodec, RetryAllowance,
-    RetryBudget,
+    CallerRequest, Dispatch, EntryCount, Framing, GatewayResponse, Generation, HeaderCodec,
+    RetryAllowance, RetryBudget,
     body::{BodyBuffers, BodyError, discard},
     connections::{Connection, ConnectionPool, SendError, response_headers},
     continuation::check_head,
@@ -54,6 +54,9 @@
 /// `Retry-After` of an instance that is stopping; a new connection reaches another one.
 const RETRY_AFTER_CLOSE: Duration = Duration::from_millis(50);
 
+/// Part of the time left that a request waits for a witness of its target, which takes some round trips.
+const WITNESS_SHARE: u32 = 2;
+
 /// Interval between checks for expired idle connections, and between counts of the entries.
 const EXPIRE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -129,6 +132,10 @@
     pub(crate) running: RunningGuard,
     pub(crate) connection: Connection,
     pub(crate) response: Response<Incoming>,
+    pub(crate) framing: Framing,
+    /// Shows at the end of the body whether the target runs on; present if it was needed and ready
+    /// before the request was sent.
+    pub(crate) witness: Option<WitnessUse>,
 }
 
 /// How an attempt ended.
@@ -389,13 +396,13 @@
                 Err(_) => {}
             }
         }
-        let Received { place, running, connection, response } = received;
+        let Received { place, running, connection, response, framing, witness } = received;
         let (parts, body) = response.into_parts();
-        let body = self.bodies.read(self.links(), &parts.headers, body, &place, &connection);
+        let body = self.bodies.read(framing, body, &connection, witness.as_ref());
         let (body, end) = match timeout_at(run.deadline, body).await {
             Ok(Ok(read)) => read,
             Ok(Err(error)) => {
-                if let BodyError::TargetGone(end) = &error {
+                if let BodyError::Unproven(end) = &error {
                     self.cx.metrics.body_ended(end.evidence());
                 }
                 let target = &place.granted.target;
@@ -442,6 +449,14 @@
             .take(&run.pool, admission, run.deadline)
             .await
             .map_err(AttemptOutcome::NoPlace)?;
+        let witness = self.witness(run, &place).await;
+        // The target may have left meanwhile.
+        if self.places.is_withheld(place.granted.addr) {
+            run.avoid.push(place.granted.target.clone());
+            place.end(PlaceEnd::Cancelled);
+            let error = target_unreachable("the target takes no requests any more");
+            return Err(AttemptOutcome::Failed(SendFailure::NotSent, error));
+        }
         let left = run.deadline.saturating_duration_since(Instant::now());
         if left.is_zero() {
             return Err(AttemptOutcome::NoPlace(timed_out_waiting()));
@@ -546,8 +561,25 @@
                 target_failed("the response is not signed"),
             ));
         }
+        let framing = Framing::of(&parts.headers, &body);
+        if framing != Framing::Empty && parts.status.is_success() {
+            self.links().record_framing(&run.pool, framing == Framing::Connection);
+        }
         let response = Response::from_parts(parts, body);
-        Ok(Received { place, running, connection, response })
+        Ok(Received { place, running, connection, response, framing, witness })
+    }
+
+    /// Witness of the target of a place, if its response may end with its connection.
+    async fn witness(&self, run: &RequestRun, place: &Place) -> Option<WitnessUse> {
+        if !self.links().may_end_with_connection(&run.pool) {
+            return None;
+        }
+        let granted = &place.granted;
+        let routes = self.routes()?;
+        let spec = routes.table().pool(&run.pool)?;
+        let ask = || (self.cx.codec.ask)(spec, &granted.target, granted.addr);
+        let left = run.deadline.saturating_duration_since(Instant::now());
+        self.links().witness(granted.addr, left / WITNESS_SHARE, ask).await
     }
 
     /// Resumes an interrupted stream, which a response with this status began, at another target.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -52,7 +52,7 @@
 pub use fingerprint::request_identity;
 pub use places::to_finish;
 pub use request::{
-    CallerRequest, Dispatch, GatewayResponse, Generation, HeaderCodec, PromptPart, ReadFn,
+    AskFn, CallerRequest, Dispatch, GatewayResponse, Generation, HeaderCodec, PromptPart, ReadFn,
     ResponseInfo, WriteFn,
 };
 pub use stream_body::{CallerLeft, StreamBody, StreamBroken, StreamSender};
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -6,13 +6,13 @@
 use http::{StatusCode, response::Parts};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use shallotdrum_links::Witness;
+use shallotdrum_links::WitnessUse;
 use shallotdrum_owner::RunningGuard;
 use shallotdrum_routes::RetryPolicy;
 use shallotdrum_rpc::PlaceEnd;
 use shallotdrum_telemetry::event;
 use shallotdrum_types::{RequestError, TargetId};
-use tokio::time::{Instant, timeout_at};
+use tokio::time::timeout_at;
 
 use crate::{
     BodyEnd, CallerLeft, EventSplitter, Framing, Gateway, GatewayResponse, StreamBody,
@@ -31,7 +31,7 @@
 const CHANNEL_CAPACITY: usize = 8;
 
 /// Cause of a broken stream whose end may be that of its target.
-const TARGET_GONE: &str = "the connection ended, and its target seems to have ended as well";
+const UNPROVEN_END: &str = "the connection ended, and nothing shows that the stream is complete";
 
 /// Response of one target, together with its place and connection.
 pub(crate) struct Relay {
@@ -41,8 +41,8 @@
     connection: Connection,
     body: Incoming,
     framing: Framing,
-    /// Tells at the end of a body that ends with its connection whether its target has ended as well.
-    witness: Option<Arc<Witness>>,
+    /// Tells at the end of a body that ends with its connection whether its target runs on.
+    witness: Option<WitnessUse>,
     splitter: EventSplitter,
 }
 
@@ -66,11 +66,8 @@
 impl Relay {
     /// Returns the relay of a response, and its head.
     pub(crate) fn new(gateway: Arc<Gateway>, received: Received) -> (Self, Parts) {
-        let Received { place, running, connection, response } = received;
+        let Received { place, running, connection, response, framing, witness } = received;
         let (parts, body) = response.into_parts();
-        let framing = Framing::of(&parts.headers, &body);
-        let witness = (framing == Framing::Connection && connection.is_direct())
-            .then(|| gateway.links().witness(place.granted.addr));
         let relay = Self {
             gateway,
             place,
@@ -131,7 +128,7 @@
                 (first, checked) => return Ok((first, checked.err())),
             }
         }
-        self.check_end(order).await?;
+        self.check_end(run, order).await?;
         Ok((Bytes::new(), None))
     }
 
@@ -290,7 +287,7 @@
                 }
                 checked.map_err(Interruption::Refused)?;
             }
-            self.check_end(order).await.map(StreamEnd::Complete)
+            self.check_end(run, order).await.map(StreamEnd::Complete)
         };
         tokio::select! {
             forwarded = forwarded => forwarded.unwrap_or_else(StreamEnd::Interrupted),
@@ -299,21 +296,21 @@
     }
 
     /// Fails unless a body that has ended is complete.
-    async fn check_end(&self, order: &EventOrder) -> Result<BodyEnd, Interruption> {
+    async fn check_end(
+        &self,
+        run: &RequestRun,
+        order: &EventOrder,
+    ) -> Result<BodyEnd, Interruption> {
         if self.splitter.has_pending() {
             return Err(Interruption::Broken("the stream ended within an event".to_owned()));
         }
-        let mut end = BodyEnd::framed(self.framing);
-        if self.framing == Framing::Connection {
-            let read_at = Instant::now();
-            let (links, witness) = (self.gateway.links(), self.witness.as_deref());
-            let evidence = links.evidence_after_end(self.place.granted.addr, witness).await;
-            end.evidence = Some(evidence);
-            end.checked_after = read_at.elapsed();
-        }
+        let check = BodyEnd::check(self.framing, self.witness.as_ref());
+        let Ok(end) = timeout_at(run.deadline, check).await else {
+            return Err(Interruption::TimedOut);
+        };
         self.gateway.cx.metrics.body_ended(end.evidence());
         if !end.is_complete() {
-            return Err(Interruption::Broken(format!("{TARGET_GONE}: {}", end.evidence())));
+            return Err(Interruption::Broken(format!("{UNPROVEN_END}: {}", end.evidence())));
         }
         match order.lacks_event() {
             // Whether the last event was delivered before is not known.
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -1,10 +1,16 @@
 //! Interface of the gateway to the front end and to the protocol of targets.
 
-use std::{net::IpAddr, sync::Arc, time::Duration};
+use std::{
+    net::{IpAddr, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, StatusCode, request, response};
 use shallotdrum_engine::Priority;
+use shallotdrum_links::QuestionFn;
+use shallotdrum_routes::PoolSpec;
 use shallotdrum_types::{AdapterId, AdapterVersion, BaseModelId, RequestId, RequestRate, TargetId};
 use tokio::time::Instant;
 
@@ -102,6 +108,9 @@
 /// Reads the response headers that refer to the request.
 pub type ReadFn = Arc<dyn Fn(&response::Parts) -> ResponseInfo + Send + Sync>;
 
+/// Returns what to ask a target of a pool, at its address, to learn that its process runs.
+pub type AskFn = Arc<dyn Fn(&PoolSpec, &TargetId, SocketAddr) -> QuestionFn + Send + Sync>;
+
 /// Protocol of the targets: how requests are written and response heads are read.
 #[derive(Clone)]
 pub struct HeaderCodec {
@@ -109,6 +118,8 @@
     pub write: WriteFn,
     /// Called with the head of each response.
     pub read: ReadFn,
+    /// Called for each target whose responses may end with their connection.
+    pub ask: AskFn,
 }
 
 /// Parameters of one send of a request to a target.
--- a/crates/links/src/link.rs
+++ b/crates/links/src/link.rs
@@ -3,7 +3,7 @@
 use std::{
     net::SocketAddr,
     sync::{
-        Arc,
+        Arc, Mutex,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
 };
@@ -13,7 +13,7 @@
     time::{Duration, Instant},
 };
 
-use crate::lifetime::OpenConnections;
+use crate::witness::Witness;
 
 /// Status of a link.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -42,8 +42,8 @@
     used_at: AtomicU64,
     /// Until when no other instance is asked, as none reached the target.
     unreachable_until: AtomicU64,
-    /// Direct connections that are open.
-    pub(crate) connections: Arc<OpenConnections>,
+    /// Connections that tell whether the target runs on.
+    pub(crate) witness: Mutex<Option<Arc<Witness>>>,
 }
 
 impl Link {
@@ -57,7 +57,7 @@
             heard_at: AtomicU64::new(0),
             used_at: AtomicU64::new(0),
             unreachable_until: AtomicU64::new(0),
-            connections: Arc::default(),
+            witness: Mutex::default(),
         }
     }
 
--- a/crates/links/src/links.rs
+++ b/crates/links/src/links.rs
@@ -11,7 +11,7 @@
 use hyper_util::rt::TokioIo;
 use rand::seq::SliceRandom;
 use shallotdrum_telemetry::event;
-use shallotdrum_types::InstanceId;
+use shallotdrum_types::{InstanceId, PoolId};
 use tokio::{
     net::TcpStream,
     time::{Instant, sleep, timeout, timeout_at},
@@ -19,9 +19,10 @@
 
 use crate::{
     LinkStatus, LinkStream,
-    lifetime::OpenConnections,
+    framing::Framings,
     link::Link,
     tunnel::{TunnelError, open_tunnel},
+    witness::{NotOpen, QuestionFn, Witness, WitnessUse},
 };
 
 /// Timeout for a connection. The round trip to a target takes about a millisecond; an attempt that
@@ -58,6 +59,10 @@
 const FAILURE_MEMORY: Duration = Duration::from_secs(2);
 const UNREACHABLE_MEMORY: Duration = Duration::from_millis(500);
 
+/// Maximum wait of a request for a witness of its target. An instance with a small share of a core takes some
+/// hundred milliseconds to open one.
+const WITNESS_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Time without use after which a link is forgotten.
 const LINK_MEMORY: Duration = Duration::from_secs(60);
 
@@ -113,6 +118,7 @@
     context: OnceLock<LinkContext>,
     withheld: OnceLock<WithheldFn>,
     links: Mutex<HashMap<SocketAddr, Arc<Link>>>,
+    framings: Mutex<Framings>,
     /// When an instance could not open a connection.
     failed_peers: Mutex<HashMap<SocketAddr, Instant>>,
 }
@@ -156,9 +162,51 @@
         link.clone()
     }
 
-    /// Direct connections to a target.
-    pub(crate) fn open_connections(&self, target: SocketAddr) -> Arc<OpenConnections> {
-        self.link(target).connections.clone()
+    fn framings(&self) -> MutexGuard<'_, Framings> {
+        self.0.framings.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Records whether a response of a pool's target ends with its connection.
+    pub fn record_framing(&self, pool: &PoolId, ends_with_connection: bool) {
+        self.framings().record(pool, ends_with_connection);
+    }
+
+    /// Whether the next response of a pool's target may end with its connection.
+    pub fn may_end_with_connection(&self, pool: &PoolId) -> bool {
+        self.framings().may_end_with_connection(pool)
+    }
+
+    /// Lets a response that ends with its connection be checked at its end; to be called before the request
+    /// is sent. `question` tells what to ask the target.
+    ///
+    /// `None` if the target does not answer within `limit`.
+    pub async fn witness(
+        &self,
+        target: SocketAddr,
+        limit: Duration,
+        question: impl Fn() -> QuestionFn,
+    ) -> Option<WitnessUse> {
+        let begin = async {
+            loop {
+                match self.open_witness(target, &question).begin_use().await {
+                    Ok(witness) => return Some(witness),
+                    Err(NotOpen::Ended) => {}
+                    Err(NotOpen::Failed) => return None,
+                }
+            }
+        };
+        timeout(limit.min(WITNESS_TIMEOUT), begin).await.ok().flatten()
+    }
+
+    /// Returns the witness of a target.
+    fn open_witness(&self, target: SocketAddr, question: &impl Fn() -> QuestionFn) -> Arc<Witness> {
+        let link = self.link(target);
+        link.record_used();
+        let mut known = link.witness.lock().unwrap_or_else(PoisonError::into_inner);
+        match known.as_ref().filter(|witness| !witness.is_over()) {
+            Some(witness) => witness.clone(),
+            None => known.insert(Witness::open(self.clone(), target, question())).clone(),
+        }
     }
 
     /// Status of the link to a target.
@@ -210,7 +258,7 @@
         let mut direct = std::pin::pin!(self.connect_direct(target));
         match timeout(CHECK_TIMEOUT, direct.as_mut()).await {
             Ok(Ok(stream)) => {
-                return Ok(LinkStream::direct(stream, link.connections.add()));
+                return Ok(LinkStream::direct(stream));
             }
             Ok(Err(error)) => {
                 let Some(stream) = self.detour(&link, request).await else {
@@ -225,14 +273,14 @@
         let stream = tokio::select! {
             connected = timeout_at(deadline, direct.as_mut()) => {
                 let connected = connected.map_err(|_| ConnectError::TimedOut)??;
-                return Ok(LinkStream::direct(connected, link.connections.add()));
+                return Ok(LinkStream::direct(connected));
             }
             stream = detour.as_mut() => stream,
         };
         let Some(stream) = stream else {
             let connected = timeout_at(deadline, direct).await;
             let connected = connected.map_err(|_| ConnectError::TimedOut)??;
-            return Ok(LinkStream::direct(connected, link.connections.add()));
+            return Ok(LinkStream::direct(connected));
         };
         // A single packet may have been lost.
         self.suspect(target);
@@ -246,7 +294,7 @@
     ) -> Result<LinkStream, ConnectError> {
         let connected = timeout(CONNECT_TIMEOUT, self.connect_direct(target)).await;
         let stream = connected.map_err(|_| ConnectError::TimedOut)??;
-        Ok(LinkStream::direct(stream, self.open_connections(target).add()))
+        Ok(LinkStream::direct(stream))
     }
 
     /// Asks other instances for a connection; `None` if there is none that reaches the target.
--- a/crates/links/src/meter.rs
+++ b/crates/links/src/meter.rs
@@ -16,8 +16,6 @@
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
-use crate::lifetime::OpenConnection;
-
 /// Maximum bytes before the head of a response, with the head itself: far more than some interim
 /// responses and a large head take.
 const MAX_BEFORE_HEAD: usize = 128 * 1024;
@@ -86,15 +84,13 @@
 pub(crate) struct Metered<T> {
     io: T,
     meter: ReadMeter,
-    /// Absent if another instance opened the connection, and may end it as well.
-    open: Option<OpenConnection>,
     /// Bytes read since other tasks had their turn.
     in_turn: usize,
 }
 
 impl<T> Metered<T> {
-    pub(crate) fn new(io: T, meter: ReadMeter, open: Option<OpenConnection>) -> Self {
-        Self { io, meter, open, in_turn: 0 }
+    pub(crate) fn new(io: T, meter: ReadMeter) -> Self {
+        Self { io, meter, in_turn: 0 }
     }
 }
 
@@ -122,9 +118,6 @@
         let bytes = buf.filled().len() - before;
         self.in_turn += bytes;
         self.meter.add(bytes);
-        if let Some(open) = self.open.as_ref().filter(|_| bytes == 0 || read.is_err()) {
-            open.record_end();
-        }
         Poll::Ready(read)
     }
 }
--- a/crates/links/src/stream.rs
+++ b/crates/links/src/stream.rs
@@ -14,7 +14,7 @@
 use shallotdrum_types::InstanceId;
 use tokio::io::{AsyncRead, AsyncWrite};
 
-use crate::{ReadMeter, lifetime::OpenConnection, meter::Metered};
+use crate::{ReadMeter, meter::Metered};
 
 /// Bytes in both directions.
 trait Io: Read + Write + Send + Unpin {}
@@ -31,11 +31,8 @@
 
 impl LinkStream {
     /// Connection that this instance opened.
-    pub(crate) fn direct(
-        io: impl AsyncRead + AsyncWrite + Send + Unpin + 'static,
-        open: OpenConnection,
-    ) -> Self {
-        Self::new(io, None, Some(open))
+    pub(crate) fn direct(io: impl AsyncRead + AsyncWrite + Send + Unpin + 'static) -> Self {
+        Self::new(io, None)
     }
 
     /// Connection that another instance opened.
@@ -43,16 +40,15 @@
         io: impl AsyncRead + AsyncWrite + Send + Unpin + 'static,
         instance: InstanceId,
     ) -> Self {
-        Self::new(io, Some(instance), None)
+        Self::new(io, Some(instance))
     }
 
     fn new(
         io: impl AsyncRead + AsyncWrite + Send + Unpin + 'static,
         through: Option<InstanceId>,
-        open: Option<OpenConnection>,
     ) -> Self {
         let meter = ReadMeter::default();
-        let io = TokioIo::new(Metered::new(io, meter.clone(), open));
+        let io = TokioIo::new(Metered::new(io, meter.clone()));
         Self { io: Box::new(io), through, meter }
     }
 
--- a/crates/owner/src/call.rs
+++ b/crates/owner/src/call.rs
@@ -6,13 +6,16 @@
 //! `Begun` to this attempt, and is sent to a second target only if it is certain that no byte of
 //! it reached the first or that the first refused it without running it.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode};
-use http_body_util::BodyExt;
+use http::{
+    HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode, Uri, header::HOST,
+};
+use http_body_util::{BodyExt, Empty};
 use shallotdrum_control::{BeginOutcome, CallKey, Command, RecordedAnswer, Reply};
 use shallotdrum_engine::{CallError, REQUEST_ID_HEADER};
+use shallotdrum_links::QuestionFn;
 use shallotdrum_scheduler::{AdmissionRequest, Finish, Lease, RequestKind};
 use shallotdrum_telemetry::event;
 use shallotdrum_types::{
@@ -41,6 +44,9 @@
 /// result.
 const RETRY_AFTER_IN_PROGRESS: Duration = Duration::from_secs(1);
 
+/// Part of the time left that a call waits for a witness of its target, which takes some round trips.
+const WITNESS_SHARE: u32 = 2;
+
 /// Header that marks a response recorded from the first call with the same key.
 const REPLAYED_HEADER: HeaderName = HeaderName::from_static("x-shallotdrum-replayed");
 
@@ -288,6 +294,9 @@
             return Err(CallFailure::Refused(error));
         }
         let req = call.target_request(&lease).map_err(CallFailure::Refused)?;
+        let limit = call.deadline.saturating_duration_since(Instant::now()) / WITNESS_SHARE;
+        // Few instances call a target, so that each one can keep connections to it for this.
+        let witness = self.cx.links.witness(lease.addr, limit, || ping(lease.addr)).await;
         let guard =
             group.crashes.enter(&self.cx, (&lease).into(), &call.call.request, call.fingerprint);
         lease.started();
@@ -309,7 +318,7 @@
                     log: self.cx.log.clone(),
                     metrics: self.cx.metrics.clone(),
                 };
-                let mut res = check_end(res, &self.cx.links, lease.addr, source);
+                let mut res = check_end(res, witness, source);
                 // Only an owner speaks of errors to an entry.
                 res.headers_mut().remove(ERROR_HEADER);
                 return Ok((res, lease));
@@ -405,6 +414,24 @@
     }
 }
 
+/// Asks a plain service whether it runs, by a request without an effect (RFC 9110, section 9.3.7).
+fn ping(addr: SocketAddr) -> QuestionFn {
+    Arc::new(move || {
+        let mut request = Request::new(Empty::new());
+        *request.method_mut() = Method::OPTIONS;
+        *request.uri_mut() = Uri::from_static("*");
+        let id = format!("ping-{:032x}", rand::random::<u128>());
+        let fields = [(HOST.as_str(), addr.to_string()), (REQUEST_ID_HEADER, id)];
+        for (name, value) in fields {
+            // Addresses and numbers contain only characters that are valid in a header value.
+            if let (Ok(name), Ok(value)) = (name.parse::<HeaderName>(), value.parse()) {
+                request.headers_mut().insert(name, value);
+            }
+        }
+        request
+    })
+}
+
 impl BufferedCall {
     /// Builds the HTTP request for the target.
     fn target_request(&self, lease: &Lease) -> Result<Request<ForwardBody>, RequestError> {
--- a/crates/owner/src/target_body.rs
+++ b/crates/owner/src/target_body.rs
@@ -5,34 +5,30 @@
 //! may be that of its target.
 
 use std::{
-    net::SocketAddr,
     pin::Pin,
     task::{Context, Poll, ready},
 };
 
 use bytes::Bytes;
-use http::{
-    Response,
-    header::{CONTENT_LENGTH, TRANSFER_ENCODING},
-};
+use http::Response;
 use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
 use shallotdrum_engine::error_chain;
-use shallotdrum_links::{EndEvidence, Links};
+use shallotdrum_links::{Unanswered, WitnessUse, ends_with_connection};
 use shallotdrum_telemetry::{Metrics, event};
 use shallotdrum_types::{RequestId, TargetId};
 use tokio::task::JoinHandle;
 
 type BoxError = Box<dyn std::error::Error + Send + Sync>;
 
-/// Body of a target's response. One that ends with its connection fails at its end if the target accepts
-/// no other connection.
+/// Body of a target's response. One that ends with its connection fails at its end unless the target
+/// answers after it.
 pub(crate) struct TargetBody {
     body: Incoming,
-    /// Target to probe at the end; absent if the end shows otherwise.
-    probed: Option<(Links, SocketAddr)>,
-    /// Check of whether the target is alive after the end.
-    end_check: Option<JoinHandle<EndEvidence>>,
+    /// Asks the target at the end; absent if the framing shows the end.
+    unproven: Option<Option<WitnessUse>>,
+    /// Check of whether the target answers after the end.
+    end_check: Option<JoinHandle<Result<(), Unanswered>>>,
     is_ended: bool,
     source: BodySource,
 }
@@ -48,15 +44,12 @@
 /// Checks the end of a response's body.
 pub(crate) fn check_end(
     res: Response<Incoming>,
-    links: &Links,
-    addr: SocketAddr,
+    witness: Option<WitnessUse>,
     source: BodySource,
 ) -> Response<TargetBody> {
-    let ends_with_connection = !res.body().is_end_stream()
-        && !res.headers().contains_key(CONTENT_LENGTH)
-        && !res.headers().contains_key(TRANSFER_ENCODING);
-    let probed = ends_with_connection.then(|| (links.clone(), addr));
-    res.map(|body| TargetBody { body, probed, end_check: None, is_ended: false, source })
+    let is_unproven = !res.body().is_end_stream() && ends_with_connection(res.headers());
+    let unproven = is_unproven.then_some(witness);
+    res.map(|body| TargetBody { body, unproven, end_check: None, is_ended: false, source })
 }
 
 impl TargetBody {
@@ -85,26 +78,29 @@
             if let Some(end_check) = &mut this.end_check {
                 let evidence = ready!(Pin::new(end_check).poll(cx));
                 this.is_ended = true;
-                if let Ok(evidence) = evidence {
-                    this.source.metrics.body_ended(evidence.as_str());
-                }
-                if !evidence.is_ok_and(EndEvidence::is_alive) {
-                    let reason = "the connection ended, and the target accepts no other one";
-                    return Poll::Ready(this.interrupted(reason.into()));
+                let evidence = evidence.unwrap_or(Err(Unanswered::Ended));
+                let name = evidence.map_or_else(Unanswered::as_str, |()| "answer");
+                this.source.metrics.body_ended(name);
+                if evidence.is_err() {
+                    let reason =
+                        "the connection ended, and nothing shows that the body is complete";
+                    return Poll::Ready(this.interrupted(format!("{reason}: {name}").into()));
                 }
                 continue;
             }
             let frame = ready!(Pin::new(&mut this.body).poll_frame(cx));
-            match (frame, this.probed.take()) {
-                (None, Some((links, addr))) => {
-                    this.end_check =
-                        Some(tokio::spawn(
-                            async move { links.evidence_after_end(addr, None).await },
-                        ));
+            match (frame, this.unproven.take()) {
+                (None, Some(witness)) => {
+                    this.end_check = Some(tokio::spawn(async move {
+                        match &witness {
+                            Some(witness) => witness.ask().await,
+                            None => Err(Unanswered::NoWitness),
+                        }
+                    }));
                 }
                 (Some(Err(error)), _) => return Poll::Ready(this.interrupted(error.into())),
-                (frame, probed) => {
-                    this.probed = probed;
+                (frame, unproven) => {
+                    this.unproven = unproven;
                     return Poll::Ready(frame.map(|frame| frame.map_err(Into::into)));
                 }
             }
@@ -113,7 +109,7 @@
 
     fn is_end_stream(&self) -> bool {
         self.is_ended
-            || self.probed.is_none() && self.end_check.is_none() && self.body.is_end_stream()
+            || self.unproven.is_none() && self.end_check.is_none() && self.body.is_end_stream()
     }
 
     fn size_hint(&self) -> SizeHint {
