Send a request to a target for the second time on a new connection

A caller was told that its request had not run though it had, or the request ran twice, where a faulty target had refused it and wrote that refusal once more on another connection that it kept.

A connection is not used again for a request that it has carried, and a response is attributed by its connection and the id that it names. A target that refused a request gets it again if there is no better one, though; on any other kept connection the copy names the expected id and comes where the response is due. On a new connection, no earlier response can be due.

It costs a connection for each such second attempt. Not covered: a target that writes the copy as the first response on a new connection, and callers that use the id of one attempt for another.

--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -5,9 +5,10 @@
 //!
 //! Architecture Invariant: a response is taken as that of an attempt only if no other response can
 //! have been due at its place. A target may write a response once more, later than the connection is
-//! used again. So a connection never carries two requests with the same id, and a response without
-//! an id is only accepted as the first one of its connection. Calls that have no id use connections
-//! of their own (`exclusive`).
+//! used again, and on another connection than before. So a connection never carries two requests with
+//! the same id, a request goes to a target for the second time on a new connection (`send_on_new`), and
+//! a response without an id is only accepted as the first one of its connection. Calls that have no id
+//! use connections of their own (`exclusive`).
 
 use std::{
     collections::{HashMap, hash_map::RandomState},
@@ -190,6 +191,18 @@
                 Err(failed) => return Err(failed.into()),
             }
         }
+        self.send_on_new(addr, request, id).await
+    }
+
+    /// Like `send`, always on a new connection: for a request that this target was sent before. A faulty
+    /// target may write its refusal once more on any connection that it keeps, and that copy names the
+    /// request.
+    pub async fn send_on_new(
+        &self,
+        addr: SocketAddr,
+        request: Request<Full<Bytes>>,
+        id: &RequestId,
+    ) -> Result<(Connection, Response<Incoming>), SendError> {
         let stream = self.links.connect(addr, id.as_str()).await;
         let open = open(stream).await.map_err(SendError::NotSent)?;
         self.send_on(addr, open, id, request).await.map_err(SendError::from)
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -485,7 +485,12 @@
         let running = self.cx.owner.enter_relayed(granted, &run.req.id, run.identity.clone());
         let sent_at = Instant::now();
         let request = run.request(&self.cx.codec, &dispatch);
-        let sent = self.connections.send(granted.addr, request, &run.req.id);
+        let sent = async {
+            match run.avoid.contains(&target) {
+                true => self.connections.send_on_new(granted.addr, request, &run.req.id).await,
+                false => self.connections.send(granted.addr, request, &run.req.id).await,
+            }
+        };
         let (mut connection, response) = match timeout_at(run.deadline, sent).await {
             Ok(Ok(received)) => received,
             Ok(Err(error)) => {
