--- a/crates/gateway/tests/connections.rs
+++ b/crates/gateway/tests/connections.rs
@@ -148,6 +148,17 @@
     }
 }
 
+/// Guards against sending a request to a target again on a kept connection, where a copy of the target's refusal
+/// may come.
+#[tokio::test]
+async fn request_sent_again_uses_new_connection() {
+    let target = Target::start(own).await;
+    let pool = ConnectionPool::default();
+    assert_eq!(call(&pool, &target, "a").await, Ok(()));
+    pool.send_on_new(target.addr, request("b"), &"b".parse().unwrap()).await.unwrap();
+    assert_eq!(target.connections(), 2);
+}
+
 /// Guards against responses of earlier requests, of other ones and of unknown origin.
 #[rstest]
 #[case::earlier(|id: &str, n: usize| Some(if n < 3 { id } else { "a" }.to_owned()), UnattributedResponse::Earlier)]
