Log what is sent, resent, answered and given up of each order to an engine

The only line, on each response, was on level debug, which the instances don't write.

New lines on level info: O0339 (sent), O0340 (sent again, with the precondition of the attempt before), O0317 (response, with the order count that is known after it), O0341 (given up, with the cause) and, by the scheduler, O0342 (reports resolved an order with an unknown result). O0321 (inspection) names the order count of the state.

--- a/crates/owner/src/context.rs
+++ b/crates/owner/src/context.rs
@@ -61,6 +61,8 @@
 pub struct Inspection {
     /// What the engine holds.
     pub report: LoadReport,
+    /// Number of orders that the engine had accepted by then.
+    pub order_count: u64,
     /// Called with the time at which the scheduler applied the report. No order is sent to the engine
     /// until then, and orders that were decided earlier are refused if the engine has accepted
     /// others that were unknown to this instance.
--- a/crates/owner/src/inspect.rs
+++ b/crates/owner/src/inspect.rs
@@ -55,10 +55,11 @@
             if !is_owned || !group.contains(&engine.target, engine.incarnation) {
                 return;
             }
-            if let Some(Inspection { report, applied }) = inspect(engine.clone()).await {
+            if let Some(Inspection { report, order_count, applied }) = inspect(engine.clone()).await
+            {
                 event!(self.cx.log, ENGINE_INSPECTED; "target" => %engine.target,
                     "adapters" => adapter_names(&report), "base_missing" => report.base_missing,
-                    "age_ms" => report.age_ms);
+                    "order_count" => order_count, "age_ms" => report.age_ms);
                 if let Some(at) = self.apply_inspection(group, engine, &report) {
                     applied(at);
                 }
--- a/crates/owner/tests/base_orders.rs
+++ b/crates/owner/tests/base_orders.rs
@@ -95,7 +95,7 @@
                 begun.notify_one();
                 gate.notified().await;
                 let report = LoadReport { base_missing: true, ..LoadReport::default() };
-                Some(Inspection { report, applied: Box::new(|_| {}) })
+                Some(Inspection { report, order_count: 0, applied: Box::new(|_| {}) })
             }
             .boxed()
         })),
--- a/crates/scheduler/src/slots.rs
+++ b/crates/scheduler/src/slots.rs
@@ -224,7 +224,20 @@
 
     /// Whether the result of an order is unknown, so that another order could exceed the slots.
     pub(crate) fn has_unresolved_order(&self) -> bool {
-        self.slots.iter().any(|slot| matches!(slot.state, SlotState::Unresolved { .. }))
+        self.unresolved().next().is_some()
+    }
+
+    /// Adapters whose orders have an unknown result.
+    pub(crate) fn unresolved(&self) -> impl Iterator<Item = AdapterKey> {
+        let slots = self.slots.iter();
+        slots
+            .filter(|slot| matches!(slot.state, SlotState::Unresolved { .. }))
+            .map(|slot| slot.adapter)
+    }
+
+    /// Whether the result of the adapter's order is unknown.
+    pub(crate) fn is_unresolved(&self, adapter: AdapterKey) -> bool {
+        self.unresolved().any(|other| other == adapter)
     }
 
     /// Whether the reports since the takeover account for all adapters, and no order is unresolved.
--- a/crates/scheduler/src/state/membership.rs
+++ b/crates/scheduler/src/state/membership.rs
@@ -3,6 +3,7 @@
 use std::{collections::HashSet, time::Duration};
 
 use shallotdrum_engine::{CacheEvents, LoadReport};
+use shallotdrum_telemetry::event;
 use shallotdrum_types::{Incarnation, RequestError, RequestErrorKind, TargetId};
 use tokio::time::Instant;
 
@@ -145,7 +146,14 @@
         let on_target = report.running.saturating_add(report.queued);
         target.foreign =
             on_target.saturating_sub(target.take_peak(oldest, now)).min(MAX_FOREIGN_REQUESTS);
+        let unresolved: Vec<AdapterKey> = target.slots.unresolved().collect();
         let changes = target.slots.apply_report(&reported, oldest, now);
+        for adapter in unresolved.into_iter().filter(|key| !target.slots.is_unresolved(*key)) {
+            event!(self.log, ORDER_RESOLVED; "target" => %id,
+                "adapter" => %self.adapters.name(adapter),
+                "is_loaded" => target.slots.get(adapter).is_some(), "age_ms" => report.age_ms,
+                "free" => target.slots.free(), "reported" => reported.len());
+        }
         for change in changes {
             self.apply_residency_change(key, change, now);
         }
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -153,7 +153,11 @@
         PLACE_WITHOUT_OWNER = "O0323", Info, "request sent to a target without a place from the group's owner", "none, unless it persists; then check the instance that owned the group";
         PLACE_END_LOST = "O0320", Debug, "cannot report the end of a place; the place expires at its deadline", "none";
         PLACE_REFUSED = "O0316", Info, "place at a target refused; the request was not run", "compare the detail with the load of the group";
-        ORDER_ANSWERED = "O0317", Debug, "engine responded to an order", "none";
+        ORDER_SENT = "O0339", Info, "order sent to an engine", "none";
+        ORDER_RESENT = "O0340", Info, "order sent again: the engine has not responded, and may still carry out the previous one", "none, unless it repeats for one engine; then check the engine and the network to it";
+        ORDER_ANSWERED = "O0317", Info, "engine responded to an order", "none";
+        ORDER_GIVEN_UP = "O0341", Info, "order given up", "none, unless it repeats for one engine; then check the engine and the network to it";
+        ORDER_RESOLVED = "O0342", Info, "reports of an engine show what became of an order with an unknown result", "none";
         BASE_LOADING = "O0318", Warning, "engine has no base model loaded; loading it", "check why the engine restarted";
         BASE_LOAD_FAILED = "O0319", Warning, "base model load failed", "check the weight store and the engine if it repeats";
         PREFILL_SPEED_LEARNED = "O0337", Info, "engines read prompts faster or slower than expected; expecting the measured speed, in tokens per ms", "none";
