Count crashes of services in the middle of their responses

A call to a plain service that made the service crash after the head of its response was never suspected. Its caller got a response that broke off, as it should, and could send the call again: it crashed one service after another and was not quarantined.

Cause: the owner ended the registration of a call as running when the head of the response arrived. That the service had not crashed by then was taken as evidence that it would not, so neither the crash check nor the watch for a successor knew of the call.

A call now counts as running until the end of the body. A body that ends with an error starts the same crash check as a response that does not begin; one that is dropped, as its caller has left, or that lasts until the deadline leaves the evidence to the next process of the service.

--- a/crates/owner/src/call.rs
+++ b/crates/owner/src/call.rs
@@ -5,6 +5,9 @@
 //! Architecture Invariant: an at-most-once call is sent only after the control log replied
 //! `Begun` to this attempt, and is sent to a second target only if it is certain that no byte of
 //! it reached the first or that the first refused it without running it.
+//!
+//! Architecture Invariant: a call counts as running until the end of its response's body. The head shows
+//! only that the target had not crashed by then.
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
@@ -26,8 +29,8 @@
 
 use crate::{
     ERROR_HEADER, ForwardBody, OwnerService, ServiceCall,
-    crash::{CrashStatus, RunningGuard},
-    end_guard::EndGuard,
+    crash::{CrashDetector, CrashStatus, RunningGuard},
+    end_guard::{EndGuard, Ended},
     full_body,
     service::{InProgressGuard, OwnedGroup},
     target_body::{BodySource, TargetBody, check_end},
@@ -61,6 +64,14 @@
     deadline: Instant,
 }
 
+/// Response of a target, which runs the call until the end of the body.
+struct Responded {
+    response: Response<TargetBody>,
+    lease: Lease,
+    running: RunningGuard,
+    crashes: Arc<CrashDetector>,
+}
+
 /// Why one send of a call returned no response.
 enum CallFailure {
     /// This target did not run the call; another one may be tried.
@@ -100,7 +111,7 @@
         let mut last = crate::service::owner_changed(&call.call.group);
         for _ in 0..MAX_ATTEMPTS {
             match self.send(call, &mut avoid).await {
-                Ok((res, lease)) => return Ok(stream_response(res, lease, call, in_progress)),
+                Ok(responded) => return Ok(self.stream_response(responded, call, in_progress)),
                 Err(CallFailure::Refused(error)) => {
                     last = error;
                     break;
@@ -207,7 +218,7 @@
         }
         let session = group.session;
         match result {
-            Ok((res, lease)) => self.record(res, lease, key, group, call).await,
+            Ok(responded) => self.record(responded, key, group, call).await,
             // A refusal can follow an attempt that may have run the call. The key is released only
             // if no target ran it.
             Err(CallFailure::NotRun(error) | CallFailure::Refused(error))
@@ -235,14 +246,14 @@
     /// Records the response in the control log, then returns it.
     async fn record(
         self: &Arc<Self>,
-        res: Response<TargetBody>,
-        lease: Lease,
+        responded: Responded,
         key: CallKey,
         group: &OwnedGroup,
         call: &BufferedCall,
     ) -> Result<Response<ForwardBody>, RequestError> {
         let session = group.session;
-        let (parts, body) = res.into_parts();
+        let Responded { response, lease, running, crashes } = responded;
+        let (parts, body) = response.into_parts();
         let collected = tokio::time::timeout_at(call.deadline, body.collect()).await;
         let body = match collected {
             Ok(Ok(body)) => body.to_bytes(),
@@ -250,8 +261,10 @@
                 if ended.is_err() {
                     event!(self.cx.log, RESPONSE_INTERRUPTED; "request" => %call.call.request,
                         "target" => %lease.target, "error" => "the deadline passed");
+                    self.cx.finish_failed(lease);
+                } else {
+                    self.finish_lost(&crashes, lease, &running).await;
                 }
-                self.cx.finish_failed(lease);
                 self.propose_with_retry(
                     session,
                     Command::FinishCall { key, session, answer: None },
@@ -260,6 +273,7 @@
                 return Err(RequestError::unknown(RequestErrorKind::TargetFailed, detail));
             }
         };
+        running.complete();
         lease.finish(answered(&call.body, &body));
         let answer = RecordedAnswer {
             status: parts.status.as_u16(),
@@ -279,7 +293,7 @@
         &self,
         call: &BufferedCall,
         avoid: &mut Vec<TargetId>,
-    ) -> Result<(Response<TargetBody>, Lease), CallFailure> {
+    ) -> Result<Responded, CallFailure> {
         let group = self.owned(&call.call.group).map_err(CallFailure::Refused)?;
         // Checked after the ledger, so that a duplicate gets the result of the first call with its
         // key even if the call is quarantined by now.
@@ -311,17 +325,17 @@
         let sent = tokio::time::timeout_at(call.deadline, exchange);
         let error = match sent.await {
             Ok(Ok(res)) => {
-                guard.end();
                 let source = BodySource {
                     request: call.call.request.clone(),
                     target: lease.target.clone(),
                     log: self.cx.log.clone(),
                     metrics: self.cx.metrics.clone(),
                 };
-                let mut res = check_end(res, witness, source);
+                let mut response = check_end(res, witness, source);
                 // Only an owner speaks of errors to an entry.
-                res.headers_mut().remove(ERROR_HEADER);
-                return Ok((res, lease));
+                response.headers_mut().remove(ERROR_HEADER);
+                let crashes = group.crashes.clone();
+                return Ok(Responded { response, lease, running: guard, crashes });
             }
             Ok(Err(error)) => error,
             Err(_) => {
@@ -362,11 +376,7 @@
         guard: &RunningGuard,
         failure: RequestError,
     ) -> CallFailure {
-        let status = group.crashes.check(&self.cx, guard).await;
-        match status {
-            CrashStatus::Alive => self.cx.finish_failed(lease),
-            CrashStatus::Crashed | CrashStatus::NotRecorded => lease.finish(Finish::TargetCrashed),
-        }
+        let status = self.finish_lost(&group.crashes, lease, guard).await;
         let is_quarantined = self.cx.view.read(|state| state.is_quarantined(&call.fingerprint));
         match status {
             CrashStatus::NotRecorded => CallFailure::Refused(failure),
@@ -378,6 +388,54 @@
         }
     }
 
+    /// Ends the lease of a call whose connection was lost, after a check whether its target crashed.
+    async fn finish_lost(
+        &self,
+        crashes: &Arc<CrashDetector>,
+        lease: Lease,
+        running: &RunningGuard,
+    ) -> CrashStatus {
+        let status = crashes.check(&self.cx, running).await;
+        match status {
+            CrashStatus::Alive => self.cx.finish_failed(lease),
+            CrashStatus::Crashed | CrashStatus::NotRecorded => lease.finish(Finish::TargetCrashed),
+        }
+        status
+    }
+
+    /// Streams a target's response to the entry and finishes the lease when the body ends.
+    fn stream_response(
+        self: &Arc<Self>,
+        responded: Responded,
+        call: &BufferedCall,
+        in_progress: InProgressGuard,
+    ) -> Response<ForwardBody> {
+        let Responded { response, lease, running, crashes } = responded;
+        let prompt_tokens = body_cost(call.body.len());
+        let service = self.clone();
+        let mut guards = Some((lease, running, crashes, in_progress));
+        let on_end = move |ended| {
+            let Some((lease, running, crashes, in_progress)) = guards.take() else { return };
+            match ended {
+                Ended::Complete => {
+                    running.complete();
+                    lease.finish(Finish::Answered { prompt_tokens, completion_tokens: 0 });
+                }
+                Ended::Failed => {
+                    let service = service.clone();
+                    tokio::spawn(async move {
+                        // A stop of this instance waits until the crash is recorded.
+                        let _in_progress = in_progress;
+                        service.finish_lost(&crashes, lease, &running).await;
+                    });
+                }
+                // Only a later process of the target would show a crash.
+                Ended::Dropped => lease.finish(Finish::TargetFailed),
+            }
+        };
+        response.map(|body| EndGuard::new(body, on_end).boxed())
+    }
+
     fn call_admission(&self, call: &BufferedCall, avoid: &[TargetId]) -> AdmissionRequest {
         let subscriber = &call.call.subscriber;
         let (limits, is_suspect) = self.cx.view.read(|state| {
@@ -510,25 +568,6 @@
     Ok(res)
 }
 
-/// Streams a target's response to the entry and finishes the lease when the body ends.
-fn stream_response(
-    res: Response<TargetBody>,
-    lease: Lease,
-    call: &BufferedCall,
-    in_progress: InProgressGuard,
-) -> Response<ForwardBody> {
-    let prompt_tokens = body_cost(call.body.len());
-    let mut guards = Some((lease, in_progress));
-    let on_end = move |is_complete| {
-        let Some((lease, _in_progress)) = guards.take() else { return };
-        lease.finish(match is_complete {
-            true => Finish::Answered { prompt_tokens, completion_tokens: 0 },
-            false => Finish::TargetFailed,
-        });
-    };
-    res.map(|body| EndGuard::new(body, on_end).boxed())
-}
-
 /// Hashes everything that determines the effect of a call: subscriber, service, method, path and
 /// body.
 fn call_fingerprint(call: &ServiceCall, body: &Bytes) -> Fingerprint {
--- a/crates/owner/src/end_guard.rs
+++ b/crates/owner/src/end_guard.rs
@@ -8,24 +8,34 @@
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
 
-/// HTTP body that calls `on_end` once: with `true` after the last frame, with `false` on an error
-/// or if it is dropped earlier.
-pub(crate) struct EndGuard<B, F: FnMut(bool)> {
+/// How a body ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Ended {
+    /// After its last frame.
+    Complete,
+    /// With an error.
+    Failed,
+    /// It was dropped before its end.
+    Dropped,
+}
+
+/// HTTP body that calls `on_end` once.
+pub(crate) struct EndGuard<B, F: FnMut(Ended)> {
     body: B,
     on_end: F,
     is_ended: bool,
 }
 
-impl<B: Body, F: FnMut(bool)> EndGuard<B, F> {
+impl<B: Body, F: FnMut(Ended)> EndGuard<B, F> {
     /// Wraps a body; `on_end` is called from `poll_frame` or `drop`.
     pub(crate) fn new(body: B, on_end: F) -> Self {
         Self { body, on_end, is_ended: false }
     }
 
-    fn end(&mut self, is_complete: bool) {
+    fn end(&mut self, ended: Ended) {
         if !self.is_ended {
             self.is_ended = true;
-            (self.on_end)(is_complete);
+            (self.on_end)(ended);
         }
     }
 }
@@ -33,7 +43,7 @@
 impl<B, F> Body for EndGuard<B, F>
 where
     B: Body<Data = Bytes> + Unpin,
-    F: FnMut(bool) + Unpin,
+    F: FnMut(Ended) + Unpin,
 {
     type Data = Bytes;
     type Error = B::Error;
@@ -44,10 +54,10 @@
     ) -> Poll<Option<Result<Frame<Bytes>, B::Error>>> {
         let frame = Pin::new(&mut self.body).poll_frame(cx);
         match &frame {
-            Poll::Ready(None) => self.end(true),
-            Poll::Ready(Some(Err(_))) => self.end(false),
+            Poll::Ready(None) => self.end(Ended::Complete),
+            Poll::Ready(Some(Err(_))) => self.end(Ended::Failed),
             // hyper does not poll a body of known length again once it is complete.
-            Poll::Ready(Some(Ok(_))) if self.body.is_end_stream() => self.end(true),
+            Poll::Ready(Some(Ok(_))) if self.body.is_end_stream() => self.end(Ended::Complete),
             Poll::Ready(Some(Ok(_))) | Poll::Pending => {}
         }
         frame
@@ -62,10 +72,10 @@
     }
 }
 
-impl<B, F: FnMut(bool)> Drop for EndGuard<B, F> {
+impl<B, F: FnMut(Ended)> Drop for EndGuard<B, F> {
     fn drop(&mut self) {
         if !self.is_ended {
-            (self.on_end)(false);
+            (self.on_end)(Ended::Dropped);
         }
     }
 }
