Count a crash also if the next process answers before it reports

A request that crashed its target without a complete response, such as one that ended at its deadline or whose caller left, was no longer suspected once the next process of the target had answered another request under the place of the one before. That happens if a target starts again at its address within its id, and its first report arrives here later than its first answer: reports may be seconds late, and an entry that is held to a small share of a core reads them late.

Cause: any complete answer to a request that was sent after the end of an unanswered one counted as evidence that the target had survived it. The place names the process that is known here, not the one that answered.

An answer is now such evidence only on a connection that had been opened before the unanswered request was sent: a connection ends with its process, so the one that answers is the one that was running then. An answer on a younger connection, or on one of unknown age as those of the product's own interface, counts after eight checks, about 2 s, that found no later process. The checks are counted, not the time, since an instance that is stopped reads no reports either.

What it costs: where connections are not used again, a request that its target did survive is suspected for 2 s longer, should the target crash by another one in that time. What remains: a report that arrives more than 2 s after the first answer of its process on a new connection.

--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -81,6 +81,7 @@
 
 struct OpenConnection {
     sender: SendRequest<Full<Bytes>>,
+    opened_at: Instant,
     _task: ConnectionTask,
     /// Whether it does not go through another instance.
     is_direct: bool,
@@ -298,6 +299,11 @@
         self.open.carried.len()
     }
 
+    /// When the connection was opened.
+    pub(crate) fn opened_at(&self) -> Instant {
+        self.open.opened_at
+    }
+
     /// Records that a part of the response arrived.
     pub(crate) fn record_heard(&self) {
         self.open.meter.record_progress();
@@ -423,12 +429,13 @@
 /// Starts HTTP on a connection.
 async fn open(stream: Result<LinkStream, ConnectError>) -> Result<OpenConnection, String> {
     let stream = stream.map_err(|e| e.to_string())?;
+    let opened_at = Instant::now();
     let is_direct = stream.through().is_none();
     let meter = stream.meter().clone();
     let (sender, connection) = http1::handshake(stream).await.map_err(|e| e.to_string())?;
     // The request in progress reports an error itself; an idle connection is just dropped.
     let task = ConnectionTask(tokio::spawn(connection).abort_handle());
-    Ok(OpenConnection { sender, _task: task, is_direct, meter, carried: Vec::new() })
+    Ok(OpenConnection { sender, opened_at, _task: task, is_direct, meter, carried: Vec::new() })
 }
 
 /// Returns the `Keep-Alive` timeout of a response, less a margin.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -415,8 +415,8 @@
             Err(_) => return AttemptOutcome::Failed(SendFailure::Unknown, target_timed_out()),
         };
         self.cx.metrics.body_ended(end.evidence());
+        running.complete(Some(connection.opened_at()));
         connection.release();
-        running.complete();
         let response =
             GatewayResponse::Whole { status, headers: response_headers(parts.headers), body, end };
         if status.is_server_error() {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -226,8 +226,8 @@
 
     /// Ends the place and returns the connection to the pool, after a complete response.
     fn complete(self, run: &RequestRun) {
+        self.running.complete(Some(self.connection.opened_at()));
         self.connection.release();
-        self.running.complete();
         self.gateway.cx.owner.complete_relayed(&self.running);
         let prompt_tokens = run.req.generation.as_ref().map_or(0, |g| g.prompt_tokens);
         self.place.end(PlaceEnd::Answered { prompt_tokens, completion_tokens: 0 });
--- a/crates/owner/src/call.rs
+++ b/crates/owner/src/call.rs
@@ -273,7 +273,7 @@
                 return Err(RequestError::unknown(RequestErrorKind::TargetFailed, detail));
             }
         };
-        running.complete();
+        running.complete(None);
         lease.finish(answered(&call.body, &body));
         let answer = RecordedAnswer {
             status: parts.status.as_u16(),
@@ -418,7 +418,7 @@
             let Some((lease, running, crashes, in_progress)) = guards.take() else { return };
             match ended {
                 Ended::Complete => {
-                    running.complete();
+                    running.complete(None);
                     lease.finish(Finish::Answered { prompt_tokens, completion_tokens: 0 });
                 }
                 Ended::Failed => {
--- a/crates/owner/src/completion.rs
+++ b/crates/owner/src/completion.rs
@@ -196,7 +196,7 @@
                     let _ = tx.send(Frame::Chunk(chunk)).await;
                 }
                 Ok(Some(Ok(EngineEvent::End(end)))) => {
-                    guard.complete();
+                    guard.complete(None);
                     self.complete_parts(&group.crashes, &guard);
                     lease.finish(answered(&end));
                     let _ = tx.send(Frame::End(end)).await;
--- a/crates/owner/src/crash.rs
+++ b/crates/owner/src/crash.rs
@@ -133,11 +133,11 @@
         self.has_ended.store(true, Ordering::Relaxed);
     }
 
-    /// Records that the target ran the request to its end, and so survived those that ended before
-    /// it began.
-    pub fn complete(&self) {
+    /// Records that the request was answered completely, on a connection that was opened at `connected_at`
+    /// as far as is known. The target may have survived those that ended before it was sent.
+    pub fn complete(&self, connected_at: Option<Instant>) {
         self.end();
-        self.detector.unanswered.remove_survived(&self.process.key, self.started_at);
+        self.detector.unanswered.record_answer(&self.process.key, self.started_at, connected_at);
     }
 
     pub(crate) fn identity(&self) -> &RequestIdentity {
@@ -170,7 +170,8 @@
             }
         }
         if !*self.has_ended.get_mut() {
-            self.detector.watch_unanswered(&self.cx, &self.process, self.identity.clone());
+            let (identity, sent_at) = (self.identity.clone(), self.started_at);
+            self.detector.watch_unanswered(&self.cx, &self.process, identity, sent_at);
         }
     }
 }
