Expect a witness after an error response that ends with its connection

A 404 that a target sent with neither a length nor chunks was answered with 502 by all four targets in turn: a pool counted as one whose responses end with their connection only after a success that did, so that no attempt had a witness. Now any response that ends so counts, and only successes count for the opposite.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -567,8 +567,10 @@
             ));
         }
         let framing = Framing::of(&parts.headers, &body);
-        if framing != Framing::Empty && parts.status.is_success() {
-            self.links().record_framing(&run.pool, framing == Framing::Connection);
+        let ends_with_connection = framing == Framing::Connection;
+        // An error response with a length says nothing of the others.
+        if ends_with_connection || framing != Framing::Empty && parts.status.is_success() {
+            self.links().record_framing(&run.pool, ends_with_connection);
         }
         let response = Response::from_parts(parts, body);
         Ok(Received { place, running, connection, response, framing, witness })
