Wait before another connection is opened to a target that closes each one

While a response of such a target was read and it accepted no connection, its witness tried to open one again at once, without a pause. The next trial comes after the interval of questions now.

--- a/crates/links/src/lib.rs
+++ b/crates/links/src/lib.rs
@@ -6,9 +6,9 @@
 //! the state of one link, and `tunnel` is the protocol between the instances: HTTP `CONNECT` on the
 //! address for forwarded requests.
 //!
-//! `stream` is an open connection to a target, `meter` limits what the target sends on it, and `witness`
-//! tells whether the target runs on after one has ended; `framing` says which requests need that. `caller` is the connection of a caller, on
-//! both fronts.
+//! `stream` is an open connection to a target, `meter` limits what the target sends on it, and
+//! `witness` tells whether the target runs on after one has ended; `framing` says which requests
+//! need that. `caller` is the connection of a caller, on both fronts.
 //!
 //! Architecture Invariant: an instance opens tunnels for others over its own links only, so a request
 //! takes one detour at most. Orders to engines never take one, as engines tell owners apart by it.
--- a/crates/links/src/witness.rs
+++ b/crates/links/src/witness.rs
@@ -16,8 +16,8 @@
 //! ends its connections one after the other while it answers and listens can't be told from a sound one.
 //!
 //! Architecture Invariant: all connections of a witness belong to one process. Another one joins them
-//! only if an older one answers after it was opened, and the last one to end ends the witness. This relies
-//! on one process at a time serving at an address, and on its listener ending with it.
+//! only if an older one answers after it was opened, and the last one to end ends the witness. This
+//! relies on one process at a time serving at an address, and on its listener ending with it.
 
 use std::{
     net::SocketAddr,
@@ -261,7 +261,7 @@
     meter: ReadMeter,
     /// Ends the connection when dropped.
     _task: ConnectionTask,
-    /// When the target answered last, or the connection was opened.
+    /// When the target answered last, the connection was opened, or another one could not be opened.
     answered_at: Instant,
     /// Interval of questions by the idle timeout that the target names.
     stated_interval: Option<Duration>,
@@ -340,7 +340,13 @@
                 // A connection has ended, or the first response relies on the witness.
                 () = self.changed.notified() => {}
                 () = sleep_until(wake_at) => match is_used {
-                    true if self.is_single_use => drop(self.ask_and_add().await),
+                    true if self.is_single_use => {
+                        if self.ask_and_add().await.is_err() {
+                            // The one that is left may still serve the end of a response.
+                            let now = Instant::now();
+                            self.connections.iter_mut().for_each(|c| c.answered_at = now);
+                        }
+                    }
                     true => self.ask_idle().await,
                     false if used_at.elapsed() > LINGER => return,
                     false => {}
