--- a/crates/bench/src/slopes/scheduler.rs
+++ b/crates/bench/src/slopes/scheduler.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use futures_util::FutureExt;
-use shallotdrum_engine::{AdapterStatus, LoadReport, TargetKind};
+use shallotdrum_engine::{AdapterStatus, LoadReport, TargetKind, Urgency};
 use shallotdrum_scheduler::{
     AdmissionRequest, Finish, GroupScheduler, RequestKind, SchedulerConfig, TargetSpec,
 };
@@ -109,5 +109,8 @@
         avoid: Vec::new(),
         software: None,
         max_concurrent: None,
+        urgency: Urgency::default(),
+        objective: None,
+        spread: 1,
     })
 }
--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -98,6 +98,9 @@
             any_caller,
             limits,
             left_ms,
+            urgency,
+            objective_ms,
+            spread,
             avoid,
             software,
         } = request;
@@ -105,8 +108,19 @@
         let fingerprint =
             fingerprint.unwrap_or_else(|| Fingerprint::of(request.as_str().as_bytes()));
         let identity = RequestIdentity { any_caller, ..fingerprint.into() };
-        let admission =
-            PlaceAdmission { request, identity, subscriber, need, left, avoid, software, limits };
+        let admission = PlaceAdmission {
+            request,
+            identity,
+            subscriber,
+            need,
+            left,
+            urgency,
+            objective: objective_ms.map(Duration::from_millis),
+            spread: spread.unwrap_or(1),
+            avoid,
+            software,
+            limits,
+        };
         Ok(match self.owner.take_place(&group, (session, place), admission).await {
             Ok(granted) => PlaceReply::Granted(granted),
             Err(error) => PlaceReply::Refused { error },
@@ -118,7 +132,7 @@
     }
 
     async fn end_places(&self, session: SessionId, ended: Vec<EndedPlace>) -> Result<(), RpcError> {
-        for EndedPlace { place, end, first_event_ms, has_no_room } in ended {
+        for EndedPlace { place, end, first_event_ms, has_no_room, .. } in ended {
             let first_event = first_event_ms.map(Duration::from_millis);
             let finish = shallotdrum_gateway::to_finish(end, has_no_room);
             self.owner.end_place((session, place), finish, first_event);
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -18,6 +18,6 @@
     EngineEvent, FinishReason, Leave, LoadReport, Order, OrderRefusal, OrderRequest, PrefixHash,
     Priority, Resume, TargetKind, Usage,
 };
-pub use place::{GrantedPlace, ObservedLimit, Requirements, StreamOrigin};
+pub use place::{GrantedPlace, ObservedLimit, Requirements, StreamOrigin, TargetLoad, Urgency};
 pub use prefix::{PREFIX_BLOCK_BYTES, prefix_hashes};
 pub use stream::{CompletionStream, MAX_BUFFERED_CHUNKS, MAX_LINE_BYTES, StreamError};
--- a/crates/engine/src/place.rs
+++ b/crates/engine/src/place.rs
@@ -46,6 +46,44 @@
     /// Version of the software of the process, if it tells one.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub software: Option<SoftwareVersion>,
+    /// Number of groups over which the requests for the adapter should be spread; absent if the owner
+    /// does not say.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub spread: Option<u32>,
+    /// Expected wait of another request in the group, in milliseconds; absent if the owner does not
+    /// say.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub group_wait_ms: Option<u64>,
+}
+
+/// How urgent a request is; the smaller, the more urgent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Urgency {
+    /// Rank of the customer; 0 is the most urgent.
+    pub customer: u8,
+    /// Rank of the route; 0 is the most urgent.
+    pub route: u8,
+}
+
+impl Default for Urgency {
+    fn default() -> Self {
+        // The middle of the ranks that operators use, for customers without one.
+        Self { customer: 5, route: 0 }
+    }
+}
+
+/// Load that a target states in a response.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct TargetLoad {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait for a slot.
+    pub waiting: u32,
+    /// Requests that can run at the same time.
+    pub slots: u32,
+    /// How many times as long as usual work takes at the moment; absent if the target does not say.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub slowness: Option<f64>,
 }
 
 /// What an entry last saw of the limit on a target's requests.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -17,6 +17,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use shallotdrum_control::ControlView;
+use shallotdrum_engine::Urgency;
 use shallotdrum_links::{Links, WitnessUse};
 use shallotdrum_owner::{CrashStatus, OwnerService, PlaceAdmission, RunningGuard, SessionFn};
 use shallotdrum_routes::{Route, RouteIndex};
@@ -440,6 +441,9 @@
             subscriber: subscriber(run),
             need: need.clone(),
             left: Duration::ZERO,
+            urgency: Urgency { route: run.route.rank, ..Urgency::default() },
+            objective: None,
+            spread: 1,
             avoid: run.avoid.clone(),
             software: run.software.clone(),
             limits: Vec::new(),
--- a/crates/gateway/src/places.rs
+++ b/crates/gateway/src/places.rs
@@ -159,8 +159,16 @@
             GrantedBy::Other { key: (session, place), addr } => {
                 let first_event_ms = self.first_event.map(|time| time.as_millis() as u64);
                 let has_no_room = self.has_no_room;
-                let ended =
-                    EndedPlace { place: *place, end: self.end, first_event_ms, has_no_room };
+                let ended = EndedPlace {
+                    place: *place,
+                    end: self.end,
+                    first_event_ms,
+                    has_no_room,
+                    load: None,
+                    load_age_ms: None,
+                    events: None,
+                    stream_ms: None,
+                };
                 tokio::spawn(self.places.clone().report_end(*addr, *session, ended));
             }
         }
@@ -447,6 +455,8 @@
             priority: DEFAULT_PRIORITY,
             is_rate_limited: false,
             software: target.software,
+            spread: None,
+            group_wait_ms: None,
         };
         let granted_by = GrantedBy::NoOwner { target: chosen };
         let guard = PlaceGuard::new(self.clone(), granted_by);
@@ -483,6 +493,9 @@
             fingerprint: Some(admission.identity.request),
             any_caller: admission.identity.any_caller,
             left_ms: admission.left.as_millis() as u64,
+            urgency: admission.urgency,
+            objective_ms: admission.objective.map(|left| left.as_millis() as u64),
+            spread: Some(admission.spread),
             avoid: admission.avoid,
             software: admission.software,
             limits: admission.limits,
--- a/crates/owner/src/call.rs
+++ b/crates/owner/src/call.rs
@@ -17,7 +17,7 @@
 };
 use http_body_util::{BodyExt, Empty};
 use shallotdrum_control::{BeginOutcome, CallKey, Command, RecordedAnswer, Reply};
-use shallotdrum_engine::{CallError, REQUEST_ID_HEADER};
+use shallotdrum_engine::{CallError, REQUEST_ID_HEADER, Urgency};
 use shallotdrum_links::QuestionFn;
 use shallotdrum_scheduler::{AdmissionRequest, Finish, Lease, RequestKind};
 use shallotdrum_telemetry::event;
@@ -454,6 +454,9 @@
             avoid: avoid.to_vec(),
             software: None,
             max_concurrent: limits.1,
+            urgency: Urgency::default(),
+            objective: None,
+            spread: 1,
         }
     }
 
--- a/crates/owner/src/completion.rs
+++ b/crates/owner/src/completion.rs
@@ -3,7 +3,8 @@
 use std::{sync::Arc, time::Duration};
 
 use shallotdrum_engine::{
-    CallError, Chunk, CompletionRequest, End, EngineEvent, Resume, StreamError, prefix_hashes,
+    CallError, Chunk, CompletionRequest, End, EngineEvent, Resume, StreamError, Urgency,
+    prefix_hashes,
 };
 use shallotdrum_links::LinkStatus;
 use shallotdrum_scheduler::{AdmissionRequest, Finish, Lease, RequestKind};
@@ -339,6 +340,9 @@
             avoid: run.avoid.clone(),
             software: run.software.clone(),
             max_concurrent: limits.max_concurrent_requests,
+            urgency: Urgency::default(),
+            objective: None,
+            spread: 1,
         })
     }
 }
--- a/crates/owner/src/places.rs
+++ b/crates/owner/src/places.rs
@@ -13,7 +13,7 @@
     time::{Duration, Instant},
 };
 
-use shallotdrum_engine::{GrantedPlace, ObservedLimit, Requirements};
+use shallotdrum_engine::{GrantedPlace, ObservedLimit, Requirements, Urgency};
 use shallotdrum_scheduler::{AdmissionRequest, Finish, GroupScheduler, Lease, RequestKind};
 use shallotdrum_telemetry::event;
 use shallotdrum_types::{
@@ -44,6 +44,12 @@
     pub need: Requirements,
     /// Time left for the complete response.
     pub left: Duration,
+    /// How urgent the request is.
+    pub urgency: Urgency,
+    /// Time left until the response is late by the objective of its route; absent without one.
+    pub objective: Option<Duration>,
+    /// Number of groups over which the entry spreads the requests for the adapter.
+    pub spread: u32,
     /// Targets that already failed or refused the request.
     pub avoid: Vec<TargetId>,
     /// Software version of a target at which the request may run; any if absent.
@@ -145,6 +151,8 @@
             priority: lease.priority,
             is_rate_limited: lease.is_rate_limited,
             software: lease.software.clone(),
+            spread: None,
+            group_wait_ms: None,
         };
         self.streams.record_grant(&request, granted.software.as_ref());
         event!(self.cx.log, PLACE_GRANTED; "request" => %request, "target" => %granted.target,
@@ -208,6 +216,7 @@
         }
         Requirements::Call { is_repeatable } => RequestKind::Service { is_repeatable },
     };
+    let objective = admission.objective.map(|left| (Instant::now() + left).into());
     AdmissionRequest {
         fingerprint: admission.identity.request,
         request: admission.request,
@@ -219,5 +228,8 @@
         avoid: admission.avoid,
         software: admission.software,
         max_concurrent: None,
+        urgency: admission.urgency,
+        objective,
+        spread: admission.spread,
     }
 }
--- a/crates/owner/tests/crash_reports.rs
+++ b/crates/owner/tests/crash_reports.rs
@@ -13,7 +13,7 @@
 use futures_util::FutureExt;
 use rstest::rstest;
 use shallotdrum_control::{AnnouncedTarget, Command, Proposal, ProposeError, Reply};
-use shallotdrum_engine::{Requirements, TargetKind};
+use shallotdrum_engine::{Requirements, TargetKind, Urgency};
 use shallotdrum_owner::{CrashStatus, OwnerContext, OwnerService, PlaceAdmission};
 use shallotdrum_types::{Fingerprint, Incarnation, RequestId, RequestIdentity};
 use support::{Log, context};
@@ -81,6 +81,9 @@
         subscriber: "caller".parse().unwrap(),
         need: Requirements::Call { is_repeatable: true },
         left: Duration::from_secs(30),
+        urgency: Urgency::default(),
+        objective: None,
+        spread: 1,
         avoid: Vec::new(),
         software: None,
         limits: Vec::new(),
--- a/crates/owner/tests/leaving_targets.rs
+++ b/crates/owner/tests/leaving_targets.rs
@@ -5,7 +5,7 @@
 use std::{sync::Arc, time::Duration};
 
 use shallotdrum_control::Command;
-use shallotdrum_engine::{GrantedPlace, Requirements, TargetKind};
+use shallotdrum_engine::{GrantedPlace, Requirements, TargetKind, Urgency};
 use shallotdrum_owner::{Finish, OwnerContext, OwnerService, PlaceAdmission, PlaceKey};
 use shallotdrum_types::{
     Fingerprint, GroupId, Incarnation, RequestError, RequestId, RequestIdentity, SessionId,
@@ -36,6 +36,9 @@
         subscriber: "caller".parse().unwrap(),
         need: Requirements::Call { is_repeatable: true },
         left: Duration::from_secs(30),
+        urgency: Urgency::default(),
+        objective: None,
+        spread: 1,
         avoid: Vec::new(),
         software: None,
         limits: Vec::new(),
--- a/crates/owner/tests/unanswered_requests.rs
+++ b/crates/owner/tests/unanswered_requests.rs
@@ -6,7 +6,7 @@
 
 use rstest::rstest;
 use shallotdrum_control::{AnnouncedTarget, Command};
-use shallotdrum_engine::{GrantedPlace, Requirements, TargetKind};
+use shallotdrum_engine::{GrantedPlace, Requirements, TargetKind, Urgency};
 use shallotdrum_owner::{OwnerService, PlaceAdmission, RunningGuard};
 use shallotdrum_types::{Fingerprint, Incarnation, RequestId, RequestIdentity, SessionId};
 use support::{Log, context};
@@ -37,6 +37,9 @@
             subscriber: "caller".parse().unwrap(),
             need: Requirements::Call { is_repeatable: true },
             left: Duration::from_secs(30),
+            urgency: Urgency::default(),
+            objective: None,
+            spread: 1,
             avoid: Vec::new(),
             software: None,
             limits: Vec::new(),
--- a/crates/routes/src/delta.rs
+++ b/crates/routes/src/delta.rs
@@ -105,6 +105,7 @@
             revision: delta.revision,
             routes: apply(&self.routes, &delta.routes)?,
             pools: apply(&self.pools, &delta.pools)?,
+            customers: self.customers.clone(),
             limits: delta.limits,
             document: String::from_utf8(document)?,
         })
--- a/crates/routes/src/lib.rs
+++ b/crates/routes/src/lib.rs
@@ -15,5 +15,6 @@
 pub use delta::{DeltaError, RouteDelta};
 pub use index::RouteIndex;
 pub use model::{
-    CallerLimits, EngineSpec, ModelSpec, PoolSpec, RetryPolicy, Route, RouteTable, WeightedPool,
+    Allotment, AllotmentUnit, CallerLimits, Customer, EngineSpec, ModelSpec, PoolSpec, RetryPolicy,
+    Route, RouteTable, WeightedPool,
 };
--- a/crates/routes/src/model.rs
+++ b/crates/routes/src/model.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use serde::{Deserialize, Serialize};
-use shallotdrum_types::{BaseModelId, PoolId, Revision};
+use shallotdrum_types::{BaseModelId, CustomerName, KeyHash, PoolId, Revision};
 
 /// All routes and pools of a deployment.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -14,6 +14,9 @@
     pub routes: Vec<Arc<Route>>,
     /// Pools that the routes refer to.
     pub pools: Vec<PoolSpec>,
+    /// Customers whose keys callers must send; `None` if requests need no key.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub customers: Option<Vec<Arc<Customer>>>,
     /// Limits on the connections and requests of callers.
     pub limits: CallerLimits,
     /// Document as the operator submitted it, returned unchanged when read back.
@@ -42,6 +45,47 @@
     pub rank: u8,
     /// Maximum number of targets that one request may run on.
     pub max_targets: u32,
+    /// Whether requests need no key although the table has customers.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_public: bool,
+}
+
+/// Customer, identified by the keys that its callers send.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Customer {
+    /// Name, set by the operator; told to targets.
+    pub name: CustomerName,
+    /// Hashes of the customer's keys.
+    pub keys: Vec<KeyHash>,
+    /// Priority, which goes before that of the route; 0 is the most urgent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub rank: Option<u8>,
+    /// Limit on what the customer uses; unlimited if absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub allotment: Option<Allotment>,
+}
+
+/// Limit on what a customer uses over all instances together.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Allotment {
+    /// Units per second.
+    pub rate: f64,
+    /// Units that may be used at once after a pause.
+    pub burst: f64,
+    /// What is counted.
+    pub unit: AllotmentUnit,
+    /// Tokens that a request counts that states none.
+    pub default_tokens: u64,
+}
+
+/// What an allotment counts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum AllotmentUnit {
+    /// Each request counts 1.
+    Requests,
+    /// Each request counts its prompt tokens and its limit on generated tokens.
+    Tokens,
 }
 
 /// Pool of a route and the proportion of requests that it serves.
--- a/crates/routes/tests/support/mod.rs
+++ b/crates/routes/tests/support/mod.rs
@@ -17,6 +17,7 @@
         objective: Duration::from_secs(1),
         rank: 1,
         max_targets: 2,
+        is_public: false,
     };
     let pool = PoolSpec {
         pool: "desk".parse().unwrap(),
@@ -30,6 +31,7 @@
         revision: Revision(revision),
         routes,
         pools: vec![pool],
+        customers: None,
         limits: CallerLimits::default(),
         document,
     })
--- a/crates/rpc/src/places.rs
+++ b/crates/rpc/src/places.rs
@@ -5,7 +5,7 @@
 //! the response does not depend on the owner staying up.
 
 use serde::{Deserialize, Serialize};
-use shallotdrum_engine::{GrantedPlace, ObservedLimit, Requirements};
+use shallotdrum_engine::{GrantedPlace, ObservedLimit, Requirements, TargetLoad, Urgency};
 use shallotdrum_types::{
     Fingerprint, GroupId, RequestError, RequestId, SessionId, SoftwareVersion, SubscriberId,
     TargetId,
@@ -35,6 +35,16 @@
     /// Limits of the group's targets that the entry knows of.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub limits: Vec<ObservedLimit>,
+    /// How urgent the request is.
+    #[serde(default)]
+    pub urgency: Urgency,
+    /// Time left until the response is late by the objective of its route, in milliseconds; absent
+    /// without an objective, and from entries of earlier releases.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub objective_ms: Option<u64>,
+    /// Number of groups over which the entry spreads the requests for the adapter.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub spread: Option<u32>,
     /// Time left until the request's deadline, in milliseconds.
     pub left_ms: u64,
     /// Targets on which earlier attempts failed.
@@ -67,6 +77,18 @@
     /// Time from the send to the first event of a stream, in milliseconds; absent without one.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub first_event_ms: Option<u64>,
+    /// Load that the target stated in its response; absent without one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub load: Option<TargetLoad>,
+    /// Time since `load` was received, in milliseconds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub load_age_ms: Option<u64>,
+    /// Number of events of a stream.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub events: Option<u64>,
+    /// Time from the first event of a stream to the last one, in milliseconds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub stream_ms: Option<u64>,
     /// Whether the target refused the request because it has no room for another.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub has_no_room: bool,
--- a/crates/scheduler/benches/policies.rs
+++ b/crates/scheduler/benches/policies.rs
@@ -16,7 +16,7 @@
 
 use futures_util::FutureExt;
 use rand::{RngExt, SeedableRng, rngs::StdRng};
-use shallotdrum_engine::{LoadReport, TargetKind};
+use shallotdrum_engine::{LoadReport, TargetKind, Urgency};
 use shallotdrum_scheduler::{
     AdmissionRequest, Finish, GroupScheduler, Lease, LoadFn, Policy, RequestKind, SchedulerConfig,
     TargetSpec,
@@ -500,6 +500,9 @@
         avoid: Vec::new(),
         software: None,
         max_concurrent: None,
+        urgency: Urgency::default(),
+        objective: None,
+        spread: 1,
     }
 }
 
--- a/crates/scheduler/src/api.rs
+++ b/crates/scheduler/src/api.rs
@@ -4,7 +4,7 @@
 
 use futures_util::future::BoxFuture;
 use serde::{Deserialize, Serialize};
-use shallotdrum_engine::{OrderRefusal, TargetKind};
+use shallotdrum_engine::{OrderRefusal, TargetKind, Urgency};
 use shallotdrum_types::{
     AdapterRef, AvailabilityZone, Fingerprint, Incarnation, RequestId, SoftwareVersion,
     SubscriberId, TargetId, Weight,
@@ -157,6 +157,13 @@
     pub software: Option<SoftwareVersion>,
     /// Limit on the subscriber's queued and running requests; unlimited if absent.
     pub max_concurrent: Option<u32>,
+    /// How urgent the request is.
+    pub urgency: Urgency,
+    /// Time from which the response is late by the objective of its route, although it is still
+    /// useful; absent without an objective.
+    pub objective: Option<Instant>,
+    /// Number of groups over which the requests for the adapter are spread, this one included.
+    pub spread: u32,
 }
 
 /// Order to load an adapter on a target.
--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -12,7 +12,7 @@
 };
 
 use futures_util::FutureExt;
-use shallotdrum_engine::{AdapterStatus, LoadReport, TargetKind};
+use shallotdrum_engine::{AdapterStatus, LoadReport, TargetKind, Urgency};
 use shallotdrum_scheduler::{
     AdmissionRequest, GroupScheduler, Lease, LoadFailure, LoadOrder, RequestKind, SchedulerConfig,
     TargetSpec,
@@ -193,6 +193,9 @@
         avoid: Vec::new(),
         software: None,
         max_concurrent: None,
+        urgency: Urgency::default(),
+        objective: None,
+        spread: 1,
     }
 }
 
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -27,9 +27,9 @@
 };
 pub use model::{AdapterRef, GroupId, ModelName, ParseGroupIdError, ParseModelNameError};
 pub use names::{
-    AdapterId, AdapterVersion, AvailabilityZone, BaseModelId, IdempotencyKey, InstanceId,
-    ParseNameError, PoolId, Region, RequestId, ServiceId, SoftwareVersion, SubmissionId,
-    SubscriberId, TargetId,
+    AdapterId, AdapterVersion, AvailabilityZone, BaseModelId, CustomerName, IdempotencyKey,
+    InstanceId, ParseNameError, PoolId, Region, RequestId, ServiceId, SoftwareVersion,
+    SubmissionId, SubscriberId, TargetId,
 };
 pub use outcome::{Outcome, ParseOutcomeError, RequestError, RequestErrorKind};
 pub use rate::{ParseRateError, RequestRate};
--- a/crates/types/src/names.rs
+++ b/crates/types/src/names.rs
@@ -28,6 +28,11 @@
     pub struct SubscriberId;
 }
 
+name_type! {
+    /// Name of a customer; unique within a route table.
+    pub struct CustomerName;
+}
+
 name_type! {
     /// Name of a LoRA adapter; unique across all base models.
     pub struct AdapterId;
