--- a/crates/bench/src/slopes/state.rs
+++ b/crates/bench/src/slopes/state.rs
@@ -243,6 +243,7 @@
             zone: deployment.zones[i % deployment.zones.len()].clone(),
             addrs: InstanceAddrs { entry: addr, rpc: addr, data: addr },
             replica: false,
+            cores: None,
         };
         apply(&mut state, Command::OpenSession(info))?;
     }
--- a/crates/control/src/command.rs
+++ b/crates/control/src/command.rs
@@ -8,8 +8,8 @@
 use shallotdrum_routes::{DeltaError, RouteDelta, RouteTable};
 use shallotdrum_types::{
     AdapterId, AvailabilityZone, BaseModelId, ControlFormat, ControlTimeMs, Digest, Epoch,
-    Fingerprint, GroupId, IdempotencyKey, Incarnation, InstanceId, PoolId, Region, RequestId,
-    Revision, SessionId, SoftwareVersion, SubmissionId, SubscriberId, TargetId,
+    Fingerprint, GroupId, IdempotencyKey, Incarnation, InstanceId, MilliCores, PoolId, Region,
+    RequestId, Revision, SessionId, SoftwareVersion, SubmissionId, SubscriberId, TargetId,
 };
 
 use crate::{CallerIdentity, CompletedRuns, Isolation, PartRun, SuspectPart};
@@ -242,6 +242,9 @@
     pub addrs: InstanceAddrs,
     /// Whether the instance is a control replica.
     pub replica: bool,
+    /// Processor time that the instance may use, if its settings say; earlier releases do not.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cores: Option<MilliCores>,
 }
 
 /// Addresses on which an instance listens.
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -110,6 +110,7 @@
         zone: "z".parse().unwrap(),
         addrs: InstanceAddrs { entry: addr, rpc: addr, data: addr },
         replica: false,
+        cores: None,
     }
 }
 
--- a/crates/control/tests/leader.rs
+++ b/crates/control/tests/leader.rs
@@ -7,13 +7,14 @@
     time::{Duration, Instant},
 };
 
-use common::{Log, engine, registry};
+use common::{Log, engine, instance_info, registry};
 use rstest::rstest;
 use shallotdrum_control::{
-    CLOCK_DRIFT_MARGIN, Command, LeaderState, PERMIT_LIFETIME, PermitReply, PermitTable,
-    RenewError, SESSION_LEASE, SessionTable, assignments, permit_term, rebalance,
+    CLOCK_DRIFT_MARGIN, Command, InstanceInfo, LeaderState, PERMIT_LIFETIME, PermitReply,
+    PermitTable, RenewError, Reply, SESSION_LEASE, SessionTable, assignments, permit_term,
+    rebalance,
 };
-use shallotdrum_types::{GroupId, PermitId, Revision, SessionId, Term};
+use shallotdrum_types::{GroupId, MilliCores, PermitId, Revision, SessionId, Term};
 
 const A: SessionId = SessionId(1);
 const B: SessionId = SessionId(2);
@@ -206,12 +207,17 @@
 fn log_with_groups(groups: usize) -> (Log, BTreeSet<SessionId>) {
     let mut log = Log::default();
     let live = ["fj-a", "fj-b", "in-c"].map(|name| log.open(name, 1)).into();
+    register_groups(&mut log, groups);
+    (log, live)
+}
+
+/// Registers one engine for each group.
+fn register_groups(log: &mut Log, groups: usize) {
     for i in 0..groups {
         let mut target = engine(&format!("e{i}"), 1);
         target.pool = format!("pool{i}").parse().unwrap();
         log.register(target);
     }
-    (log, live)
 }
 
 fn group(i: usize) -> GroupId {
@@ -272,6 +278,31 @@
     assert!(counts == (3, 2, 0) || counts == (2, 3, 0), "{counts:?}");
 }
 
+/// Guards against groups at instances with little processor time while others have more: an owner
+/// handles two messages for each request, and three of them on a tenth of a core delay all requests.
+#[test]
+fn assignments_uneven_cores() {
+    let mut log = Log::default();
+    let mut open = |name, cores| {
+        let cores = MilliCores::from_fraction(cores);
+        let info = InstanceInfo { cores, ..instance_info(name, 1) };
+        let Reply::SessionOpened(session) = log.apply(Command::OpenSession(info)) else { panic!() };
+        session
+    };
+    let small = [open("fj-1", 0.09), open("fj-2", 0.09)];
+    let large = open("fj-3", 0.3);
+    let live: BTreeSet<_> = small.into_iter().chain([large]).collect();
+    register_groups(&mut log, 4);
+    let assigned = assignments(&log.state, &live);
+    let of = |session| assigned.iter().filter(|(_, owner)| *owner == session).count();
+    assert_eq!((of(small[0]), of(small[1]), of(large)), (1, 0, 3));
+    log.assign(&group(0), small[0]);
+    log.assign(&group(1), small[1]);
+    log.assign(&group(2), large);
+    log.assign(&group(3), small[1]);
+    assert_eq!(rebalance(&log.state, &live).map(|(_, owner)| owner), Some(small[1]));
+}
+
 /// Guards against an instance that repeatedly gets its expired session when it opens a new one.
 /// When `EndSession` waited behind other work of the leader, instances opened the expired session
 /// up to ten times.
--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -440,6 +440,7 @@
         zone: settings.zone.clone(),
         addrs: InstanceAddrs { entry: addrs.entry, rpc: addrs.rpc, data: addrs.data },
         replica: settings.is_replica(),
+        cores: settings.cores,
     }
 }
 
--- a/crates/owner/tests/support/mod.rs
+++ b/crates/owner/tests/support/mod.rs
@@ -42,6 +42,7 @@
             zone: "z".parse().unwrap(),
             addrs: InstanceAddrs { entry: addr, rpc: addr, data: addr },
             replica: false,
+            cores: None,
         }));
         self.0.read(|state| state.sessions().map(|s| s.id).max()).unwrap()
     }
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, net::SocketAddr, path::PathBuf};
 
 use serde::{Deserialize, Serialize};
-use shallotdrum_types::{AvailabilityZone, ControlFormat, InstanceId, Region};
+use shallotdrum_types::{AvailabilityZone, ControlFormat, InstanceId, MilliCores, Region};
 
 /// Default of `Settings::target_timeout_ms`. Targets announce themselves every second, so two lost
 /// announcements are tolerated; with a check every 250 ms, detection still takes less than 3 s.
@@ -44,6 +44,10 @@
     /// Data folder; set on control replicas and nowhere else.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub data_dir: Option<PathBuf>,
+    /// Processor time that the instance may use. Instances with more own more groups; without it in all
+    /// settings, groups are spread evenly.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub cores: Option<MilliCores>,
     /// Limits of the public listener.
     pub limits: Limits,
     /// Bound on the age of the last manifest confirmation.
@@ -92,6 +96,7 @@
             seeds,
             forms_log: false,
             data_dir: None,
+            cores: None,
             limits: Limits::default(),
             freshness: Freshness::default(),
             policy: Policy::default(),
--- a/crates/settings/src/parse.rs
+++ b/crates/settings/src/parse.rs
@@ -80,6 +80,7 @@
     let forwarded_targets =
         root.optional_or("forwarded_targets", "addresses by address", BTreeMap::new());
     let data_dir = root.optional::<PathBuf>("data_dir", "a path");
+    let cores = root.optional("cores", "a number of thousandths of a core above zero");
     let limits = root.optional_section("limits").map(parse_limits).unwrap_or_default();
     let freshness = root.optional_section("freshness").map(parse_freshness).unwrap_or_default();
     let policy = root.optional_section("policy").map(parse_policy).unwrap_or_default();
@@ -106,6 +107,7 @@
         seeds,
         forms_log,
         data_dir,
+        cores,
         limits,
         freshness,
         policy,
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -33,4 +33,4 @@
 };
 pub use outcome::{Outcome, ParseOutcomeError, RequestError, RequestErrorKind};
 pub use rate::{ParseRateError, RequestRate};
-pub use units::{ParseUnitError, RatePerSecond, Tokens, Weight};
+pub use units::{MilliCores, ParseUnitError, RatePerSecond, Tokens, Weight};
--- a/crates/types/src/units.rs
+++ b/crates/types/src/units.rs
@@ -102,6 +102,38 @@
     }
 }
 
+/// Processor time that an instance may use, in thousandths of a core.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
+)]
+#[serde(transparent)]
+pub struct MilliCores(pub std::num::NonZeroU32);
+
+impl MilliCores {
+    /// Converts a fraction of a core; `None` unless it is at least a thousandth and finite.
+    pub fn from_fraction(cores: f64) -> Option<Self> {
+        let thousandths = (cores * 1_000.0).round();
+        // A float is cast to the nearest representable number.
+        thousandths.is_finite().then(|| std::num::NonZeroU32::new(thousandths as u32))?.map(Self)
+    }
+}
+
+impl std::fmt::Display for MilliCores {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}m", self.0)
+    }
+}
+
+impl std::str::FromStr for MilliCores {
+    type Err = ParseUnitError;
+
+    fn from_str(s: &str) -> Result<Self, Self::Err> {
+        let digits = s.strip_suffix('m').unwrap_or(s);
+        let invalid = |_| ParseUnitError { kind: "MilliCores", value: s.to_owned() };
+        digits.parse().map(Self).map_err(invalid)
+    }
+}
+
 /// Error for text or a number that is not a valid quantity.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("invalid {kind} `{value}`: expected a finite number above zero")]
