Check the keys of customers at the entry

A route table may list customers with API keys. Requests were served whatever key they carried. The entry now decides by the caller's key before a request is counted and again before each send; targets get the customer's name instead of the key. Tables with customers need control format 5, as earlier releases would serve them without checking keys. Leases and confirmations are measured on a clock that goes on while the machine is suspended.

--- a/crates/control/src/format.rs
+++ b/crates/control/src/format.rs
@@ -25,8 +25,12 @@
 /// Format from which the log records departures of targets that are not registered.
 pub const RECORDED_DEPARTURES_FORMAT: ControlFormat = ControlFormat(4);
 
+/// Format from which route tables may have customers. Earlier releases would serve such a table without
+/// checking keys.
+pub const CUSTOMERS_FORMAT: ControlFormat = ControlFormat(5);
+
 /// Newest format that this release reads and writes.
-pub const NEWEST_FORMAT: ControlFormat = ControlFormat(4);
+pub const NEWEST_FORMAT: ControlFormat = CUSTOMERS_FORMAT;
 
 impl Command {
     /// Lowest format that includes this command.
@@ -37,6 +41,8 @@
                 UNKNOWN_DEPARTURES_FORMAT
             }
             Self::LeaveUnknown { .. } => RECORDED_DEPARTURES_FORMAT,
+            Self::PutRoutes { table } if table.customers.is_some() => CUSTOMERS_FORMAT,
+            Self::PatchRoutes { delta } if delta.has_customers() => CUSTOMERS_FORMAT,
             Self::RaiseFormat { format } => *format,
             _ => INITIAL_FORMAT,
         }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -17,8 +17,8 @@
     Proposal, ProposeError, ProposeFn, RecordedAnswer, Reply, TimedCommand,
 };
 pub use format::{
-    DIRECT_REPORTS_FORMAT, INITIAL_FORMAT, NEWEST_FORMAT, RECORDED_DEPARTURES_FORMAT,
-    UNKNOWN_DEPARTURES_FORMAT,
+    CUSTOMERS_FORMAT, DIRECT_REPORTS_FORMAT, INITIAL_FORMAT, NEWEST_FORMAT,
+    RECORDED_DEPARTURES_FORMAT, UNKNOWN_DEPARTURES_FORMAT,
 };
 pub use leader::{
     CLOCK_DRIFT_MARGIN, LeaderState, PERMIT_LIFETIME, PermitReply, PermitTable, RenewError,
--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -15,7 +15,9 @@
 use shallotdrum_control::{ControlView, InstanceAddrs, InstanceInfo, NEWEST_FORMAT, permit_term};
 use shallotdrum_engine::{AnnounceReply, ClientTimeouts, EngineClient};
 use shallotdrum_entry::{EntryConfig, EntryContext, EntryHandle, EntryServer};
-use shallotdrum_gateway::{ConnectionPool, Gateway, GatewayContext, HeaderCodec, RetryAllowance};
+use shallotdrum_gateway::{
+    ConnectionPool, Gateway, GatewayContext, HeaderCodec, RetryAllowance, RevocationBound,
+};
 use shallotdrum_links::Links;
 use shallotdrum_owner::{
     Forwarder, HeldPermits, InspectFn, OrderFn, OwnerContext, OwnerService, engine_orders,
@@ -117,6 +119,7 @@
     tasks: JoinSet<()>,
     max_deadline: Duration,
     serve_when_stale: bool,
+    revocation: Option<RevocationBound>,
     is_first_start: bool,
     data_dir: Option<std::path::PathBuf>,
     log: slog::Logger,
@@ -307,6 +310,9 @@
             tasks,
             max_deadline: Duration::from_millis(settings.limits.max_deadline_ms),
             serve_when_stale: settings.freshness.when_stale == WhenStale::Serve,
+            revocation: settings
+                .revocation_ms
+                .map(|ms| RevocationBound::new(Duration::from_millis(ms))),
             is_first_start: settings.forms_log,
             data_dir: settings.data_dir.clone(),
             log,
@@ -336,6 +342,7 @@
             session: Arc::new(move || session.current()),
             confirmation: Arc::new(move || manager.confirmation()),
             serve_when_stale: self.serve_when_stale,
+            revocation: self.revocation,
             owner: self.owner.clone(),
             peers: self.front_end.peers.clone(),
             codec,
--- a/crates/daemon/src/replica.rs
+++ b/crates/daemon/src/replica.rs
@@ -203,7 +203,11 @@
                 return self.open_session(info, max_wait).await;
             }
             Proposal::Command(Command::PutRoutes { table }) => {
-                return self.put_routes(table, max_wait).await;
+                let command = Command::PutRoutes { table: table.clone() };
+                return match self.view.read(|state| state.allows(&command)) {
+                    Ok(()) => self.put_routes(table, max_wait).await,
+                    Err(error) => Ok(Reply::Refused(error)),
+                };
             }
             Proposal::Command(command) => match self.view.read(|state| state.allows(&command)) {
                 Ok(()) => command,
--- a/crates/daemon/src/session.rs
+++ b/crates/daemon/src/session.rs
@@ -1,14 +1,14 @@
 //! Session of this instance. Only this module opens it, at the start, and renews it every second.
 //!
 //! Architecture Invariant: `current` returns the session only while the leader cannot have ended
-//! it. The lease is counted on the monotonic clock from the time at which the renewal was sent,
-//! and ends `CLOCK_DRIFT_MARGIN` early, so a process that was frozen sees its lease expired as
-//! soon as it resumes.
+//! it. The lease is counted on `BootInstant` from the time at which the renewal was sent, and ends
+//! `CLOCK_DRIFT_MARGIN` early, so a process that was frozen, or whose machine was suspended, sees its
+//! lease expired as soon as it resumes. The age of a confirmation is counted in the same way.
 
 use std::{
     collections::VecDeque,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use shallotdrum_control::{
@@ -19,7 +19,8 @@
 use shallotdrum_rpc::{ControlClient, RenewRequest, RpcError};
 use shallotdrum_telemetry::event;
 use shallotdrum_types::{
-    Confirmation, ControlFormat, Freshness, LastConfirmation, LogIndex, Revision, SessionId, Term,
+    BootInstant, Confirmation, ControlFormat, Freshness, LastConfirmation, LogIndex, Revision,
+    SessionId, Term,
 };
 use tokio::sync::watch;
 
@@ -45,7 +46,7 @@
     permits: HeldPermits,
     freshness_bound: Duration,
     is_caught_up: CaughtUpFn,
-    started: Instant,
+    started: BootInstant,
     log: slog::Logger,
     state: Mutex<State>,
     /// Newest index that the leader had applied and that did not arrive here in time.
@@ -55,7 +56,7 @@
 #[derive(Default)]
 struct State {
     session: Option<SessionId>,
-    lease_until: Option<Instant>,
+    lease_until: Option<BootInstant>,
     confirmations: Confirmations,
     /// Term of the leader that answered the last renewal.
     leader_term: Term,
@@ -88,7 +89,7 @@
     index: LogIndex,
     term: Term,
     /// Time at which the renewal was sent, from which the confirmation counts.
-    sent_at: Instant,
+    sent_at: BootInstant,
 }
 
 /// Confirmations by the leader.
@@ -155,7 +156,7 @@
             permits,
             freshness_bound: cfg.freshness_bound,
             is_caught_up: cfg.is_caught_up,
-            started: Instant::now(),
+            started: BootInstant::now(),
             log,
             state: Mutex::default(),
             overdue: watch::Sender::new(LogIndex(0)),
@@ -165,7 +166,7 @@
     /// Session, if its lease is valid now.
     pub(crate) fn current(&self) -> Option<SessionId> {
         let state = self.state();
-        state.session.filter(|_| state.lease_until.is_some_and(|until| Instant::now() < until))
+        state.session.filter(|_| state.lease_until.is_some_and(|until| BootInstant::now() < until))
     }
 
     /// Whether requests may be served, and by which confirmation.
@@ -273,11 +274,11 @@
             permits: self.permits.lock().unwrap_or_else(PoisonError::into_inner).clone(),
             format: Some(self.format),
         };
-        let sent_at = Instant::now();
+        let sent_at = BootInstant::now();
         match self.client.renew(request, RENEW_TIMEOUT).await {
             Ok(reply) => {
                 let mut state = self.state();
-                state.lease_until = Some(sent_at + SESSION_LEASE - CLOCK_DRIFT_MARGIN);
+                state.lease_until = Some(sent_at + (SESSION_LEASE - CLOCK_DRIFT_MARGIN));
                 state.confirmations.add(Named {
                     revisions: Revisions { manifest: reply.revision, routes: reply.routes },
                     index: reply.committed.unwrap_or(reply.applied),
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -17,10 +17,9 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use shallotdrum_control::ControlView;
-use shallotdrum_engine::Urgency;
 use shallotdrum_links::{Links, WitnessUse};
 use shallotdrum_owner::{CrashStatus, OwnerService, PlaceAdmission, RunningGuard, SessionFn};
-use shallotdrum_routes::{Route, RouteIndex};
+use shallotdrum_routes::{Customer, Route, RouteIndex};
 use shallotdrum_rpc::{Peers, PlaceEnd};
 use shallotdrum_telemetry::{Metrics, event};
 use shallotdrum_types::{
@@ -33,11 +32,12 @@
 };
 
 use crate::{
-    CallerRequest, Dispatch, EntryCount, Framing, GatewayResponse, Generation, HeaderCodec,
-    RetryAllowance, RetryBudget,
+    Access, CallerRequest, Dispatch, EntryCount, Framing, GatewayResponse, Generation, HeaderCodec,
+    RetryAllowance, RetryBudget, RevocationBound,
     body::{BodyBuffers, BodyError, discard},
     connections::{Connection, ConnectionPool, SendError, response_headers},
     continuation::check_head,
+    customers::urgency,
     decision::{RequestProgress, RetryDecision, SendFailure, decide_retry},
     errors::{
         target_failed, target_refused, target_timed_out, target_unreachable, timed_out_waiting,
@@ -71,6 +71,8 @@
     pub confirmation: ConfirmationFn,
     /// Whether requests are served while the control state is not confirmed.
     pub serve_when_stale: bool,
+    /// Time within which a withdrawn key is refused; `None` without a bound.
+    pub revocation: Option<RevocationBound>,
     /// Grants places in the groups that this instance owns.
     pub owner: Arc<OwnerService>,
     /// RPC clients for the owners in other instances.
@@ -108,6 +110,10 @@
     permitted: Option<Fingerprint>,
     /// Software version that the events received by the caller came from.
     pub(crate) software: Option<SoftwareVersion>,
+    /// Customer that the request runs for; `None` without customers, and on public routes without a key.
+    pub(crate) customer: Option<Arc<Customer>>,
+    /// Whether what the caller says of itself is forwarded.
+    forwards_credentials: bool,
     pub(crate) route: Route,
     pub(crate) pool: PoolId,
     /// Revision of the route table that selected the pool.
@@ -282,6 +288,9 @@
             let refusal = RequestError::not_run(RequestErrorKind::NotFound, detail);
             return Err(self.refuse_for_good(req.id.as_str(), &in_force, refusal));
         };
+        let access = self
+            .check_key(req.id.as_str(), &req.credentials, &route, &in_force)
+            .map_err(|refusal| refusal.error)?;
         let Some(pool) = route.choose_pool(rand::random()).cloned() else {
             let detail = format!("route {} has no pool to send to", route.name);
             return Err(RequestError::not_run(RequestErrorKind::NoTarget, detail));
@@ -301,6 +310,8 @@
             permitted,
             software,
             req,
+            customer: access.customer().cloned(),
+            forwards_credentials: access == Access::Unchecked,
             route,
             pool,
             revision,
@@ -441,8 +452,8 @@
             subscriber: subscriber(run),
             need: need.clone(),
             left: Duration::ZERO,
-            urgency: Urgency { route: run.route.rank, ..Urgency::default() },
-            objective: None,
+            urgency: urgency(run.customer.as_deref(), &run.route),
+            objective: run.left_by_objective(),
             spread: 1,
             avoid: run.avoid.clone(),
             software: run.software.clone(),
@@ -467,6 +478,7 @@
         }
         // The control state of this instance may be newer than that of the owner.
         self.check_quarantine(&run.admitted_identity()).map_err(AttemptOutcome::NoPlace)?;
+        self.check_key_again(run).map_err(AttemptOutcome::NoPlace)?;
         place.record_send();
         let granted = &place.granted;
         let dispatch = Dispatch {
@@ -475,10 +487,12 @@
             priority: run.req.generation.is_some().then_some(granted.priority),
             version,
             resume_after: run.resume_after.clone(),
+            customer: run.customer.as_ref().map(|customer| customer.name.clone()),
         };
         event!(self.cx.log, REQUEST_ROUTED; "request" => %run.req.id,
             "fingerprint" => %run.identity.request, "path" => run.req.target.path(),
             "caller" => run.req.caller.map(|caller| caller.to_string()),
+            "customer" => dispatch.customer.as_ref().map(ToString::to_string),
             "prompt" => run.req.generation.as_ref().map(Generation::part_ids), "route" => &run.route.name,
             "revision" => run.revision.0, "version" => dispatch.version.as_ref().map(ToString::to_string),
             "target" => %granted.target, "granted_by" => place.granted_by(),
@@ -636,6 +650,23 @@
         Err(error)
     }
 
+    /// Applies a decision by a newer table.
+    pub(crate) fn set_access(&mut self, access: &Access) {
+        self.customer = access.customer().cloned();
+        self.forwards_credentials = *access == Access::Unchecked;
+    }
+
+    /// Whether a target may have run a part of the request.
+    pub(crate) fn may_have_run(&self) -> bool {
+        self.possible_runs > 0
+    }
+
+    /// Time until the response is late by the objective of the route.
+    fn left_by_objective(&self) -> Option<Duration> {
+        let objective = Some(self.route.objective).filter(|objective| !objective.is_zero())?;
+        Some((self.req.arrived + objective).saturating_duration_since(Instant::now()))
+    }
+
     /// Identity to check for quarantines before the next send.
     fn admitted_identity(&self) -> RequestIdentity {
         match &self.permitted {
@@ -649,6 +680,9 @@
         *request.method_mut() = self.req.method.clone();
         *request.uri_mut() = http::Uri::from(self.req.target.clone());
         *request.headers_mut() = self.req.headers.clone();
+        if self.forwards_credentials {
+            request.headers_mut().extend(self.req.credentials.forwarded().clone());
+        }
         let (mut parts, body) = request.into_parts();
         (codec.write)(dispatch, &mut parts);
         Request::from_parts(parts, body)
@@ -661,6 +695,8 @@
             identity: self.identity.clone(),
             permitted: self.permitted,
             software: self.software.clone(),
+            customer: self.customer.clone(),
+            forwards_credentials: self.forwards_credentials,
             route: self.route.clone(),
             pool: self.pool.clone(),
             revision: self.revision,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,7 +8,8 @@
 //! `fallback` selects a target while a group has no owner, `need` describes a request to the owner, `budget` limits retries, `body` reads whole
 //! responses, `limits` keeps the limits that targets name, `withheld` the targets that ask for no
 //! requests, `origin` finds the version of a stream that a caller takes up, and `decision` holds the
-//! retry rules. `fingerprint` recognises repeats of a request, and `crash` those that crash targets.
+//! retry rules. `customers` decides by the caller's key, which `credentials`
+//! reads. `fingerprint` recognises repeats of a request, and `crash` those that crash targets.
 //!
 //! Architecture Invariant: an at-most-once request is sent to a second target only if no byte of
 //! it can have reached the first, or the first refused it without running it.
@@ -19,6 +20,8 @@
 mod connections;
 mod continuation;
 mod crash;
+mod credentials;
+mod customers;
 mod decision;
 mod errors;
 mod events;
@@ -45,6 +48,10 @@
 pub use continuation::{
     ContinuationError, EventOrder, PositionUnknown, check_head, is_event_stream,
 };
+pub use credentials::Credentials;
+pub use customers::{
+    Access, KeyRefusal, KeyRefusalReason, RevocationBound, decide as decide_access,
+};
 pub use decision::{RequestProgress, RetryDecision, SendFailure, decide_retry};
 pub use events::{EventSplitter, EventTooLong, MAX_EVENT_BYTES};
 pub use exchange::{Gateway, GatewayContext};
--- a/crates/gateway/src/need.rs
+++ b/crates/gateway/src/need.rs
@@ -41,11 +41,12 @@
     }
 }
 
-/// Returns the subscriber that a request is charged to: its adapter, as each adapter belongs to one
-/// subscriber, or else its route.
+/// Returns the subscriber that a request is charged to: its customer if there is one, else its adapter, as
+/// each adapter belongs to one subscriber, or else its route.
 pub(crate) fn subscriber(run: &RequestRun) -> SubscriberId {
+    let customer = run.customer.as_ref().map(|customer| customer.name.as_str());
     let adapter = run.req.generation.as_ref().and_then(|g| g.adapter.as_ref());
-    let name = adapter.map_or(run.route.name.as_str(), |adapter| adapter.as_str());
+    let name = customer.or(adapter.map(AdapterId::as_str)).unwrap_or(&run.route.name);
     name.parse().unwrap_or_else(|_| fallback_label())
 }
 
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -11,10 +11,12 @@
 use shallotdrum_engine::Priority;
 use shallotdrum_links::QuestionFn;
 use shallotdrum_routes::PoolSpec;
-use shallotdrum_types::{AdapterId, AdapterVersion, BaseModelId, RequestId, RequestRate, TargetId};
+use shallotdrum_types::{
+    AdapterId, AdapterVersion, BaseModelId, CustomerName, RequestId, RequestRate, TargetId,
+};
 use tokio::time::Instant;
 
-use crate::{BodyEnd, StreamBody};
+use crate::{BodyEnd, Credentials, StreamBody};
 
 /// Caller's request, decoded by the front end and read completely.
 #[derive(Clone, Debug)]
@@ -29,7 +31,10 @@
     pub method: Method,
     /// Path and query as received; sent to the target unchanged.
     pub target: http::uri::PathAndQuery,
-    /// Headers to forward; headers of a single connection are already removed.
+    /// Key of the caller, and the headers by which it names itself.
+    pub credentials: Credentials,
+    /// Headers to forward, without those in `credentials`; headers of a single connection are already
+    /// removed.
     pub headers: HeaderMap,
     /// Complete body; sent to the target unchanged.
     pub body: Bytes,
@@ -135,6 +140,8 @@
     pub version: Option<AdapterVersion>,
     /// Id of the last event that the caller received, if the stream is resumed after it.
     pub resume_after: Option<String>,
+    /// Customer that the request runs for; the request has no other header that names one.
+    pub customer: Option<CustomerName>,
 }
 
 /// Information about the request in the head of a response.
--- a/crates/routes/src/check.rs
+++ b/crates/routes/src/check.rs
@@ -1,10 +1,13 @@
 //! Validation of a whole route table.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, HashMap, HashSet};
 
-use shallotdrum_types::PoolId;
+use shallotdrum_types::{CustomerName, KeyHash, PoolId};
 
-use crate::RouteTable;
+use crate::{Allotment, RouteTable};
+
+/// Maximum rate and burst of an allotment. Sums of such numbers stay exact to a fraction of a unit.
+pub const MAX_ALLOTMENT: f64 = 1e15;
 
 /// Reason for which a route table is rejected.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
@@ -39,6 +42,25 @@
         /// Path prefix as given.
         prefix: String,
     },
+    /// Two customers have the same name.
+    #[error("two customers have the name `{0}`")]
+    DuplicateCustomer(CustomerName),
+    /// Two customers have the same key, which the error does not show.
+    #[error("customers `{first}` and `{second}` have the same key")]
+    SharedKey {
+        /// Customer that has the key first in the table.
+        first: CustomerName,
+        /// Customer that has it as well.
+        second: CustomerName,
+    },
+    /// A number of an allotment is negative, not finite or too large.
+    #[error("{field} of customer `{customer}` is not a number from 0 to 10^15")]
+    InvalidAllotment {
+        /// Customer with the allotment.
+        customer: CustomerName,
+        /// Which number is invalid.
+        field: &'static str,
+    },
 }
 
 impl RouteTable {
@@ -68,6 +90,42 @@
                 return Err(RouteError::Duplicate { host, prefix });
             }
         }
+        self.check_customers()
+    }
+
+    fn check_customers(&self) -> Result<(), RouteError> {
+        let mut names: HashSet<&CustomerName> = HashSet::new();
+        let mut owners: HashMap<&KeyHash, &CustomerName> = HashMap::new();
+        for customer in self.customers.iter().flatten() {
+            if !names.insert(&customer.name) {
+                return Err(RouteError::DuplicateCustomer(customer.name.clone()));
+            }
+            for key in &customer.keys {
+                match owners.insert(key, &customer.name) {
+                    Some(first) if *first != customer.name => {
+                        let (first, second) = (first.clone(), customer.name.clone());
+                        return Err(RouteError::SharedKey { first, second });
+                    }
+                    _ => {}
+                }
+            }
+            if let Some(field) = customer.allotment.and_then(|allotment| allotment.invalid_field())
+            {
+                let customer = customer.name.clone();
+                return Err(RouteError::InvalidAllotment { customer, field });
+            }
+        }
         Ok(())
     }
 }
+
+impl Allotment {
+    fn invalid_field(&self) -> Option<&'static str> {
+        let numbers = [("rate", self.rate), ("burst", self.burst)];
+        numbers
+            .into_iter()
+            // Not a number is in no range.
+            .find(|(_, number)| !(0.0..=MAX_ALLOTMENT).contains(number))
+            .map(|(field, _)| field)
+    }
+}
--- a/crates/routes/src/delta.rs
+++ b/crates/routes/src/delta.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 use shallotdrum_types::{Base64Bytes, Revision};
 
-use crate::{CallerLimits, PoolSpec, Route, RouteTable};
+use crate::{CallerLimits, Customer, PoolSpec, Route, RouteTable};
 
 /// Compression level of the document. The fastest one suffices, since successive documents
 /// hardly differ.
@@ -29,6 +29,9 @@
     pub revision: Revision,
     routes: Vec<ListEdit<Arc<Route>>>,
     pools: Vec<ListEdit<PoolSpec>>,
+    /// Absent if the new table has no list of customers.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    customers: Option<Vec<ListEdit<Arc<Customer>>>>,
     limits: CallerLimits,
     /// New document, compressed with the base document as dictionary.
     document: Base64Bytes,
@@ -88,6 +91,9 @@
             revision: newer.revision,
             routes: diff(&self.routes, &newer.routes, |r| (r.host.as_str(), r.prefix.as_str())),
             pools: diff(&self.pools, &newer.pools, |spec| &spec.pool),
+            customers: newer.customers.as_ref().map(|newer| {
+                diff(self.customers.as_deref().unwrap_or_default(), newer, |c| &c.name)
+            }),
             limits: newer.limits,
             document: Base64Bytes(compressor.compress(newer.document.as_bytes())?),
         })
@@ -101,17 +107,28 @@
         let dictionary = self.document.as_bytes();
         let mut decompressor = zstd::bulk::Decompressor::with_dictionary(dictionary)?;
         let document = decompressor.decompress(&delta.document.0, MAX_DOCUMENT_BYTES)?;
+        let customers = delta.customers.as_ref().map(|edits| {
+            let base = self.customers.as_deref().unwrap_or_default();
+            apply(base, edits)
+        });
         Ok(RouteTable {
             revision: delta.revision,
             routes: apply(&self.routes, &delta.routes)?,
             pools: apply(&self.pools, &delta.pools)?,
-            customers: self.customers.clone(),
+            customers: customers.transpose()?,
             limits: delta.limits,
             document: String::from_utf8(document)?,
         })
     }
 }
 
+impl RouteDelta {
+    /// Whether the new table has a list of customers.
+    pub fn has_customers(&self) -> bool {
+        self.customers.is_some()
+    }
+}
+
 fn diff<'a, T, K>(base: &'a [T], newer: &'a [T], key: impl Fn(&'a T) -> K) -> Vec<ListEdit<T>>
 where
     T: Clone + PartialEq,
--- a/crates/routes/src/index.rs
+++ b/crates/routes/src/index.rs
@@ -1,27 +1,32 @@
-//! Lookup of the route for a request.
+//! Lookup of the route for a request, and of the customer for a key.
 
 use std::{
     collections::HashMap,
     sync::{Arc, OnceLock},
 };
 
-use crate::{Route, RouteTable};
+use shallotdrum_types::KeyHash;
 
-/// Route table with an index of the routes by host, longest prefix first.
+use crate::{Customer, Route, RouteTable};
+
+/// Route table with an index of the routes by host, longest prefix first, and one of the customers by
+/// key.
 ///
-/// The index is built at the first lookup: a replica that applies many changes in a row needs none
+/// Each index is built at the first lookup: a replica that applies many changes in a row needs none
 /// of those between.
 #[derive(Clone, Debug, Default)]
 pub struct RouteIndex {
     table: Arc<RouteTable>,
     /// Indices into `table.routes` by host.
     hosts: OnceLock<HashMap<String, Vec<usize>>>,
+    /// Indices into `table.customers` by hash of the key.
+    keys: OnceLock<HashMap<KeyHash, usize>>,
 }
 
 impl RouteIndex {
     /// Index of a table.
     pub fn new(table: Arc<RouteTable>) -> Self {
-        Self { table, hosts: OnceLock::new() }
+        Self { table, hosts: OnceLock::new(), keys: OnceLock::new() }
     }
 
     fn hosts(&self) -> &HashMap<String, Vec<usize>> {
@@ -40,6 +45,19 @@
         })
     }
 
+    fn keys(&self) -> &HashMap<KeyHash, usize> {
+        self.keys.get_or_init(|| {
+            let customers = self.table.customers.iter().flatten().enumerate();
+            customers.flat_map(|(at, c)| c.keys.iter().map(move |key| (*key, at))).collect()
+        })
+    }
+
+    /// Finds the customer with a key, in a time that does not depend on the number of keys.
+    pub fn customer_of(&self, key: &KeyHash) -> Option<&Arc<Customer>> {
+        let at = *self.keys().get(key)?;
+        self.table.customers.as_ref()?.get(at)
+    }
+
     /// Indexed table.
     pub fn table(&self) -> &Arc<RouteTable> {
         &self.table
--- a/crates/routes/src/model.rs
+++ b/crates/routes/src/model.rs
@@ -1,12 +1,12 @@
 //! Data model of the route table.
 
-use std::{sync::Arc, time::Duration};
+use std::{fmt, sync::Arc, time::Duration};
 
 use serde::{Deserialize, Serialize};
 use shallotdrum_types::{BaseModelId, CustomerName, KeyHash, PoolId, Revision};
 
 /// All routes and pools of a deployment.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct RouteTable {
     /// Revision, set by the operator; the table with the highest one is the current one.
     pub revision: Revision,
@@ -23,6 +23,19 @@
     pub document: String,
 }
 
+impl fmt::Debug for RouteTable {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        // The document holds the customers' keys.
+        f.debug_struct("RouteTable")
+            .field("revision", &self.revision)
+            .field("routes", &self.routes)
+            .field("pools", &self.pools)
+            .field("customers", &self.customers)
+            .field("limits", &self.limits)
+            .finish_non_exhaustive()
+    }
+}
+
 /// Rules for the requests that match a host and a path prefix.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Route {
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -174,6 +174,10 @@
             let expected = format!("a number from {min_ms} ({reason}) to {MAX_DEADLINE_MS}");
             problems.add("freshness.bound_ms", Some(&json!(bound_ms)), expected);
         }
+        if self.revocation_ms.is_some_and(|ms| !(1..=MAX_DEADLINE_MS).contains(&ms)) {
+            let expected = format!("a number from 1 to {MAX_DEADLINE_MS}");
+            problems.add("revocation_ms", Some(&json!(self.revocation_ms)), expected);
+        }
         let stall_weight = self.policy.stall_weight;
         if !(0.0..=1.0).contains(&stall_weight) {
             let path = "policy.stall_weight";
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -48,6 +48,11 @@
     pub limits: Limits,
     /// Bound on the age of the last manifest confirmation.
     pub freshness: Freshness,
+    /// Time after the acknowledgement of a route table from which no request may run by a key that it
+    /// removed, in milliseconds. Requests with keys are refused while the table is not confirmed;
+    /// without a value they are served.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub revocation_ms: Option<u64>,
     /// Scheduling policy.
     pub policy: Policy,
     /// Time without an announcement after which a target gets no new requests, in milliseconds.
@@ -94,6 +99,7 @@
             data_dir: None,
             limits: Limits::default(),
             freshness: Freshness::default(),
+            revocation_ms: None,
             policy: Policy::default(),
             target_timeout_ms: DEFAULT_TARGET_TIMEOUT_MS,
             drain_delay_ms: DEFAULT_DRAIN_DELAY_MS,
--- a/crates/settings/src/parse.rs
+++ b/crates/settings/src/parse.rs
@@ -82,6 +82,7 @@
     let data_dir = root.optional::<PathBuf>("data_dir", "a path");
     let limits = root.optional_section("limits").map(parse_limits).unwrap_or_default();
     let freshness = root.optional_section("freshness").map(parse_freshness).unwrap_or_default();
+    let revocation_ms = root.optional("revocation_ms", NUMBER_EXPECTED);
     let policy = root.optional_section("policy").map(parse_policy).unwrap_or_default();
     let target_timeout_ms =
         root.optional_or("target_timeout_ms", NUMBER_EXPECTED, DEFAULT_TARGET_TIMEOUT_MS);
@@ -108,6 +109,7 @@
         data_dir,
         limits,
         freshness,
+        revocation_ms,
         policy,
         target_timeout_ms,
         drain_delay_ms,
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -48,6 +48,7 @@
     total: HistogramVec,
     requests: IntCounterVec,
     bodies: IntCounterVec,
+    key_refusals: IntCounterVec,
     applied: IntCounterVec,
     apply_time: CounterVec,
     subscribers: RwLock<HashMap<SubscriberId, SubscriberMetrics>>,
@@ -180,6 +181,14 @@
             &["evidence"],
         )?;
         registry.register(Box::new(bodies.clone()))?;
+        let key_refusals = IntCounterVec::new(
+            Opts::new(
+                "shallotdrum_key_refusals_total",
+                "Requests refused for the key of their caller",
+            ),
+            &["reason", "error"],
+        )?;
+        registry.register(Box::new(key_refusals.clone()))?;
         let applied = IntCounterVec::new(
             Opts::new("shallotdrum_applied_total", "Commands of the control log that were applied"),
             &["kind"],
@@ -208,6 +217,7 @@
             total,
             requests,
             bodies,
+            key_refusals,
             applied,
             apply_time,
             subscribers,
@@ -254,6 +264,11 @@
         self.0.bodies.with_label_values(&[evidence]).inc();
     }
 
+    /// Counts a request that was refused for the key of its caller; `error` is the problem code.
+    pub fn key_refused(&self, reason: &str, error: &str) {
+        self.0.key_refusals.with_label_values(&[reason, error]).inc();
+    }
+
     /// Counts commands of one kind that were applied, and the time that this took.
     pub fn applied(&self, kind: &str, commands: u64, time: Duration) {
         self.0.applied.with_label_values(&[kind]).inc_by(commands);
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -6,6 +6,7 @@
 //! parsing, so code that receives one need not validate it again.
 
 mod base64_bytes;
+mod boot_instant;
 mod define;
 mod freshness;
 mod hash;
@@ -18,6 +19,7 @@
 mod units;
 
 pub use base64_bytes::Base64Bytes;
+pub use boot_instant::BootInstant;
 pub use freshness::{Confirmation, ConfirmationFn, Freshness, FreshnessFn, LastConfirmation};
 pub use hash::{Digest, Fingerprint, KeyHash, ParseHashError};
 pub use identity::RequestIdentity;
