--- a/crates/settings/src/parse.rs
+++ b/crates/settings/src/parse.rs
@@ -83,6 +83,7 @@
     let cores = root.optional("cores", "a number of thousandths of a core above zero");
     let limits = root.optional_section("limits").map(parse_limits).unwrap_or_default();
     let freshness = root.optional_section("freshness").map(parse_freshness).unwrap_or_default();
+    let revocation_ms = root.optional("revocation_ms", NUMBER_EXPECTED);
     let policy = root.optional_section("policy").map(parse_policy).unwrap_or_default();
     let target_timeout_ms =
         root.optional_or("target_timeout_ms", NUMBER_EXPECTED, DEFAULT_TARGET_TIMEOUT_MS);
@@ -110,6 +111,7 @@
         cores,
         limits,
         freshness,
+        revocation_ms,
         policy,
         target_timeout_ms,
         drain_delay_ms,
