--- a/crates/routes/tests/delta.rs
+++ b/crates/routes/tests/delta.rs
@@ -7,7 +7,7 @@
 use rstest::rstest;
 use shallotdrum_routes::{DeltaError, RouteDelta, RouteTable};
 
-use support::route_table;
+use support::{customer, route_table};
 
 fn table(revision: u64, routes: usize) -> RouteTable {
     RouteTable::clone(&route_table(revision, routes))
@@ -62,3 +62,47 @@
     let delta: RouteDelta = serde_json::from_str(&json.replace(text, corrupt)).unwrap();
     assert!(base.apply(&delta).is_err());
 }
+
+/// Names and keys of customers, or no list.
+type Customers = Option<&'static [(&'static str, &'static [&'static str])]>;
+
+const NONE: Customers = None;
+const EMPTY: Customers = Some(&[]);
+const ONE: Customers = Some(&[("kelp", &["a"])]);
+const TWO: Customers = Some(&[("kelp", &["a"]), ("moss", &["b", "c"])]);
+const KEY_MOVED: Customers = Some(&[("kelp", &["a", "b"]), ("moss", &["c"])]);
+
+/// Guards against a customer or key that stays in force after its removal, and against a lost list, without
+/// which nobody needs a key.
+#[rstest]
+fn delta_reproduces_customers(
+    #[values(NONE, EMPTY, ONE, TWO, KEY_MOVED)] before: Customers,
+    #[values(NONE, EMPTY, ONE, TWO, KEY_MOVED)] after: Customers,
+) {
+    let with = |revision, customers: Customers| {
+        let mut table = table(revision, 10);
+        table.customers = customers
+            .map(|list| list.iter().map(|(name, keys)| Arc::new(customer(name, keys))).collect());
+        table
+    };
+    let (base, newer) = (with(1, before), with(2, after));
+    let json = serde_json::to_vec(&base.diff(&newer).unwrap()).unwrap();
+    let delta: RouteDelta = serde_json::from_slice(&json).unwrap();
+    assert_eq!(delta.has_customers(), after.is_some());
+    assert_eq!(base.apply(&delta).unwrap(), newer);
+}
+
+/// Guards against a change of one customer that sends all of them to each instance.
+#[test]
+fn delta_of_one_customer_is_small() {
+    let with = |revision, changed: &str| {
+        let mut table = table(revision, 10);
+        let listed = (0..1_000).map(|n| customer(&format!("c-{n}"), &[&format!("k-{n}")]));
+        table.customers =
+            Some(listed.chain([customer("last", &[changed])]).map(Arc::new).collect());
+        table
+    };
+    let delta = with(1, "x").diff(&with(2, "y")).unwrap();
+    let bytes = serde_json::to_vec(&delta).unwrap().len();
+    assert!(bytes < 2_000, "{bytes} bytes");
+}
