--- a/crates/consensus/src/node/mod.rs
+++ b/crates/consensus/src/node/mod.rs
@@ -17,6 +17,7 @@
 mod receive;
 mod snapshots;
 mod status;
+mod suspension;
 
 use std::{
     future::Future,
@@ -37,7 +38,10 @@
 
 pub use self::status::{CommittedTail, Role, Status};
 
-use self::core::{Core, RoleState};
+use self::{
+    core::{Core, RoleState},
+    suspension::SuspensionWatch,
+};
 use crate::{
     FatalError, Member, NodeConfig, ProposeError, StartError, StateMachine, Transport,
     TransportError,
@@ -86,6 +90,7 @@
     /// Incremented on each acknowledgement of a peer.
     acks: watch::Sender<u64>,
     tasks: Mutex<JoinSet<()>>,
+    suspension: SuspensionWatch,
     /// Locked while snapshot files are written or removed.
     snapshot_files: tokio::sync::Mutex<()>,
 }
@@ -248,14 +253,19 @@
     /// Whether this replica holds the leader lease, so that no other replica can be leader.
     ///
     /// Replicas refuse votes for `election_min` after each message of the leader. The lease starts
-    /// at the send time of the newest message that a quorum acknowledged.
+    /// at the send time of the newest message that a quorum acknowledged. After a suspension of the
+    /// machine, that message must have been sent since.
     pub fn leader_lease_valid(&self) -> bool {
+        let resumed = self.0.suspension.last_noticed();
         let core = self.0.core();
         match &core.role {
             RoleState::Leader(leader_state)
                 if !leader_state.is_transferring && !core.is_stopped =>
             {
-                core.quorum_contact().is_some_and(|at| at.elapsed() < self.0.cfg.timing.lease())
+                core.quorum_contact().is_some_and(|at| {
+                    resumed.is_none_or(|resumed| at >= resumed)
+                        && at.elapsed() < self.0.cfg.timing.lease()
+                })
             }
             _ => false,
         }
@@ -358,6 +368,7 @@
             peer_wake: watch::Sender::new(0),
             acks: watch::Sender::new(0),
             tasks: Mutex::new(JoinSet::new()),
+            suspension: SuspensionWatch::new(),
             snapshot_files: tokio::sync::Mutex::new(()),
             cfg,
             local,
