Begin requests on the adapter version that is the newest at the grant

Callers got responses of the previous version of an adapter, up to the timeout of a route after a newer one was acknowledged.

Cause: the version was read once, before the request was queued, and the request was sent with it whenever a place was granted.

The wait for a place is now given up, at the owner as well, as soon as the instance knows of a newer version, and the request is queued again for that one, at a new position and with the same deadline. After the grant, and after the witness was opened, the version is compared once more; a place on an earlier version is given back. This happens in the one function through which each attempt gets its place: first sends, further sends, resumptions, and targets that are chosen without an owner. A resumption goes on at the newest version, as before; the software version of a stream is kept as before.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -17,9 +17,8 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use shallotdrum_control::ControlView;
-use shallotdrum_engine::Urgency;
 use shallotdrum_links::{Links, WitnessUse};
-use shallotdrum_owner::{CrashStatus, OwnerService, PlaceAdmission, RunningGuard, SessionFn};
+use shallotdrum_owner::{CrashStatus, OwnerService, RunningGuard, SessionFn};
 use shallotdrum_routes::{Route, RouteIndex};
 use shallotdrum_rpc::{Peers, PlaceEnd};
 use shallotdrum_telemetry::{Metrics, event};
@@ -43,7 +42,8 @@
         target_failed, target_refused, target_timed_out, target_unreachable, timed_out_waiting,
     },
     fingerprint::request_identity,
-    need::{fallback_label, subscriber},
+    grant::Granted,
+    need::fallback_label,
     places::{Place, PlaceClient},
     relay::Relay,
 };
@@ -90,7 +90,7 @@
 /// Routes callers' requests to targets and returns the responses.
 pub struct Gateway {
     pub(crate) cx: GatewayContext,
-    places: PlaceClient,
+    pub(crate) places: PlaceClient,
     pub(crate) connections: ConnectionPool,
     bodies: BodyBuffers,
     budgets: Mutex<HashMap<PoolId, RetryBudget>>,
@@ -434,26 +434,8 @@
 
     /// Acquires a place, sends the request to its target and reads the head of the response.
     async fn dispatch(&self, run: &mut RequestRun) -> Result<Received, AttemptOutcome> {
-        let (need, version) = self.need(run);
-        let admission = PlaceAdmission {
-            request: run.req.id.clone(),
-            identity: self.cx.owner.identity_to_admit(run.admitted_identity()),
-            subscriber: subscriber(run),
-            need: need.clone(),
-            left: Duration::ZERO,
-            urgency: Urgency { route: run.route.rank, ..Urgency::default() },
-            objective: None,
-            spread: 1,
-            avoid: run.avoid.clone(),
-            software: run.software.clone(),
-            limits: Vec::new(),
-        };
-        let mut place = self
-            .places
-            .take(&run.pool, admission, run.deadline)
-            .await
-            .map_err(AttemptOutcome::NoPlace)?;
-        let witness = self.witness(run, &place).await;
+        let Granted { mut place, witness, need, version } =
+            self.take_place(run).await.map_err(AttemptOutcome::NoPlace)?;
         // The target may have left meanwhile.
         if self.places.is_withheld(place.granted.addr) {
             run.avoid.push(place.granted.target.clone());
@@ -581,7 +563,7 @@
     }
 
     /// Witness of the target of a place, if its response may end with its connection.
-    async fn witness(&self, run: &RequestRun, place: &Place) -> Option<WitnessUse> {
+    pub(crate) async fn witness(&self, run: &RequestRun, place: &Place) -> Option<WitnessUse> {
         if !self.links().may_end_with_connection(&run.pool) {
             return None;
         }
@@ -637,7 +619,7 @@
     }
 
     /// Identity to check for quarantines before the next send.
-    fn admitted_identity(&self) -> RequestIdentity {
+    pub(crate) fn admitted_identity(&self) -> RequestIdentity {
         match &self.permitted {
             Some(permitted) if self.sends == 0 => self.identity.without(permitted),
             _ => self.identity.clone(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,8 +5,10 @@
 //! target's group, and `connections` is the connection pool. `relay` forwards event streams,
 //! `continuation` checks that their events follow each other, `stream_body` is what callers read of
 //! a stream, `stream_log` says how each one ended, and `body_end` what shows that a body is complete.
-//! `fallback` selects a target while a group has no owner, `need` describes a request to the owner, `budget` limits retries, `body` reads whole
-//! responses, `limits` keeps the limits that targets name, `withheld` the targets that ask for no
+//! `fallback` selects a target while a group has no owner, `need` describes a request to the owner,
+//! `grant` keeps it to the newest version of its adapter, `budget` limits retries,
+//! `body` reads whole responses,
+//! `limits` keeps the limits that targets name, `withheld` the targets that ask for no
 //! requests, `origin` finds the version of a stream that a caller takes up, and `decision` holds the
 //! retry rules. `fingerprint` recognises repeats of a request, and `crash` those that crash targets.
 //!
@@ -25,6 +27,7 @@
 mod exchange;
 mod fallback;
 mod fingerprint;
+mod grant;
 mod in_force;
 mod limits;
 mod need;
--- a/crates/gateway/src/need.rs
+++ b/crates/gateway/src/need.rs
@@ -1,7 +1,7 @@
 //! What a request needs at a target, and whom it is charged to.
 
 use shallotdrum_engine::Requirements;
-use shallotdrum_types::{AdapterId, AdapterRef, AdapterVersion, SubscriberId};
+use shallotdrum_types::{AdapterRef, AdapterVersion, SubscriberId};
 
 use crate::{Gateway, Generation, exchange::RequestRun};
 
@@ -12,35 +12,50 @@
 /// Version of an adapter for which the operators have set none.
 const DEFAULT_VERSION: u64 = 1;
 
+/// What a request needs at a target.
+pub(crate) struct Need {
+    pub(crate) requirements: Requirements,
+    /// Version of its adapter; absent without an adapter.
+    pub(crate) version: Option<u64>,
+}
+
 impl Gateway {
-    /// Returns the resources that the request needs at a target, and the adapter version that it
+    /// Returns the resources that the request needs at a target, and the version of its adapter that it
     /// must run on.
-    pub(crate) fn need(&self, run: &RequestRun) -> (Requirements, Option<AdapterVersion>) {
+    pub(crate) fn need(&self, run: &RequestRun) -> Need {
+        let version = self.adapter_version(run);
         let Some(generation) = &run.req.generation else {
             let is_repeatable = run.route.repeat.allows_resend();
-            return (Requirements::Call { is_repeatable }, None);
+            return Need { requirements: Requirements::Call { is_repeatable }, version };
         };
-        let adapter = generation.adapter.as_ref().map(|adapter| AdapterRef {
-            adapter: adapter.clone(),
-            version: self.adapter_version(generation, adapter),
-        });
-        let version = adapter.as_ref().map(|adapter| adapter.version.clone());
-        let need = Requirements::Generation {
+        let adapter = generation
+            .adapter
+            .clone()
+            .zip(version_name(version))
+            .map(|(adapter, version)| AdapterRef { adapter, version });
+        let requirements = Requirements::Generation {
             prefixes: prefix_hashes(generation, adapter.as_ref()),
             adapter,
             prompt_tokens: generation.prompt_tokens,
             max_tokens: generation.max_tokens,
         };
-        (need, version)
+        Need { requirements, version }
     }
 
-    fn adapter_version(&self, generation: &Generation, adapter: &AdapterId) -> AdapterVersion {
+    /// Newest version of the request's adapter that this instance knows of.
+    pub(crate) fn adapter_version(&self, run: &RequestRun) -> Option<u64> {
+        let generation = run.req.generation.as_ref()?;
+        let adapter = generation.adapter.as_ref()?;
         let version = self.cx.view.read(|state| state.adapter_version(&generation.base, adapter));
-        // Decimal digits form a valid version name.
-        version.unwrap_or(DEFAULT_VERSION).to_string().parse().expect("a number is a valid version")
+        Some(version.unwrap_or(DEFAULT_VERSION))
     }
 }
 
+/// Name of a version; its decimal digits form a valid one.
+pub(crate) fn version_name(version: Option<u64>) -> Option<AdapterVersion> {
+    version.map(|version| version.to_string().parse().expect("a number is a valid version"))
+}
+
 /// Returns the subscriber that a request is charged to: its adapter, as each adapter belongs to one
 /// subscriber, or else its route.
 pub(crate) fn subscriber(run: &RequestRun) -> SubscriberId {
