Take no response whose status is not that of a final response

Callers got responses with status 600 to 999 and the signature of a target, also from HTTP/1.0 and without a reason phrase, and through another instance. A refusal with such a status and the mark of a request that did not run was taken as proof of that, and sent to another target or answered with 503. An order that an engine answered with such a status counted as certainly not carried out.

Cause: the HTTP library reads any status from 100 to 999, and nothing checked it; 101 was the only one that was discarded, and not for orders.

All requests, state queries and orders go through `send` in connections.rs, which now takes only 200 to 599. Anything else is an unreadable response, like bytes that are no HTTP: outcome unknown, connection closed, counted in shallotdrum_unreadable_responses_total. A witness does not take it for an answer either.

Changed test: switch_of_protocol_is_discarded called check_response with status 101, which it no longer gets. Its cases (with and without the id of the request) are now cases of invalid_status_is_unreadable, which reads them from a connection, for requests and for calls without an id.

--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -25,7 +25,7 @@
     body::Incoming,
     client::conn::http1::{self, SendRequest},
 };
-use shallotdrum_links::{ConnectError, LinkStatus, LinkStream, Links, ReadMeter};
+use shallotdrum_links::{ConnectError, LinkStatus, LinkStream, Links, ReadMeter, is_final};
 use shallotdrum_types::RequestId;
 use tokio::{
     task::AbortHandle,
@@ -110,6 +110,9 @@
     /// The request may have reached the target.
     #[error("no response: {0}")]
     Unknown(String),
+    /// What arrived is no response; the request may have reached the target.
+    #[error("unreadable response: {0}")]
+    Unreadable(String),
 }
 
 /// Why a response is not taken as that of the request on its connection.
@@ -124,9 +127,6 @@
     /// It names none, and may be one to an earlier request.
     #[error("the response names no request, and its connection has carried others")]
     Unnamed,
-    /// It is an interim response that ends the use of HTTP on the connection.
-    #[error("the response switches to another protocol")]
-    Interim,
 }
 
 /// Connection in use; `release` returns it to the pool after a complete response.
@@ -274,11 +274,9 @@
     /// that is not an id. Only then anything in the response concerns the request.
     pub fn check_response(
         &mut self,
-        status: StatusCode,
         named: Option<&Result<RequestId, String>>,
     ) -> Result<(), UnattributedResponse> {
         let unattributed = match named {
-            _ if status.is_informational() => UnattributedResponse::Interim,
             Some(Ok(id)) if *id == self.request => {
                 self.is_named = true;
                 return Ok(());
@@ -390,6 +388,7 @@
     fn from(failed: SendFailed) -> Self {
         match failed.unsent {
             Some(_) => Self::NotSent(failed.error),
+            None if failed.is_unreadable => Self::Unreadable(failed.error),
             None => Self::Unknown(failed.error),
         }
     }
@@ -416,7 +415,15 @@
             if open.is_direct {
                 links.record_heard(addr);
             }
-            Ok(response)
+            match is_final(response.status()) {
+                true => Ok(response),
+                // Nothing in it counts, neither a signature nor that the request did not run.
+                false => Err(SendFailed {
+                    error: format!("status {} is no final one", response.status().as_u16()),
+                    unsent: None,
+                    is_unreadable: true,
+                }),
+            }
         }
         Err(mut error) => {
             let unsent = error.take_message();
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -494,6 +494,11 @@
                 self.end_failed(place);
                 self.log_send_failure(run, &target, failure, &error);
                 let error = match failure {
+                    SendError::Unreadable(_) => {
+                        self.cx.metrics.unreadable_responses().inc();
+                        self.check_crash(run, running);
+                        SendFailure::Unknown
+                    }
                     SendFailure::NotSent => target_unreachable(&error),
                     _ => target_failed(&error),
                 };
@@ -506,7 +511,7 @@
         };
         let (parts, body) = response.into_parts();
         let info = (self.cx.codec.read)(&parts);
-        if let Err(cause) = connection.check_response(parts.status, info.request.as_ref()) {
+        if let Err(cause) = connection.check_response(info.request.as_ref()) {
             event!(self.cx.log, RESPONSE_DISCARDED; "request" => %run.req.id, "target" => %target,
                 "cause" => %cause, "named" => info.request.as_ref().map(named_request),
                 "use" => connection.uses(), "status" => parts.status.as_u16(),
--- a/crates/gateway/tests/connections.rs
+++ b/crates/gateway/tests/connections.rs
@@ -14,7 +14,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use rstest::rstest;
-use shallotdrum_gateway::{Connection, ConnectionPool, UnattributedResponse};
+use shallotdrum_gateway::{Connection, ConnectionPool, SendError, UnattributedResponse};
 use shallotdrum_types::RequestId;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -100,7 +100,7 @@
     id: &str,
 ) -> Result<(), UnattributedResponse> {
     let (mut connection, response) = send(pool, target, id).await;
-    connection.check_response(response.status(), named(&response).as_ref())?;
+    connection.check_response(named(&response).as_ref())?;
     response.into_body().collect().await.unwrap();
     connection.release();
     Ok(())
@@ -174,7 +174,7 @@
     let pool = ConnectionPool::default();
     // Remains in use when the response is discarded.
     let (mut second, response) = send(&pool, &target, "z").await;
-    assert_eq!(second.check_response(response.status(), named(&response).as_ref()), Ok(()));
+    assert_eq!(second.check_response(named(&response).as_ref()), Ok(()));
     for id in ["a", "b"] {
         assert_eq!(call(&pool, &target, id).await, Ok(()));
     }
@@ -228,7 +228,7 @@
     let pool = ConnectionPool::default();
     let long = Request::post("/").body(Full::new(Bytes::from(vec![b'y'; BODY]))).unwrap();
     let (mut connection, response) = pool.send(addr, long, &"a".parse().unwrap()).await.unwrap();
-    assert_eq!(connection.check_response(response.status(), named(&response).as_ref()), Ok(()));
+    assert_eq!(connection.check_response(named(&response).as_ref()), Ok(()));
     response.into_body().collect().await.unwrap();
     connection.release();
     let id = "b".parse().unwrap();
@@ -236,7 +236,7 @@
     // The shortest time that a caller waits.
     let (mut connection, response) =
         timeout(Duration::from_millis(500), next).await.expect("the request waits").unwrap();
-    assert_eq!(connection.check_response(response.status(), named(&response).as_ref()), Ok(()));
+    assert_eq!(connection.check_response(named(&response).as_ref()), Ok(()));
     read_on.send(()).unwrap();
     drop(pool);
     let body =
@@ -244,16 +244,63 @@
     assert!(body.len() <= BODY && body.iter().all(|byte| *byte == b'y'));
 }
 
-/// Guards against passing on a response after which the connection carries another protocol, which no
-/// caller asked for.
+/// Target that writes the same text to each connection after the head of a request, and closes it.
+async fn writing_target(response: String) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            read_head(&mut stream).await;
+            stream.write_all(response.as_bytes()).await.unwrap();
+        }
+    });
+    addr
+}
+
+/// Guards against taking a response whose status is none that a final response may have: in a response to a
+/// request, named or not, and in that to a state query or an order.
 #[rstest]
-#[case::named(Some(Ok("a".parse().unwrap())))]
-#[case::unnamed(None)]
+#[case::above_range("HTTP/1.1 600 X")]
+#[case::highest("HTTP/1.1 999 X")]
+#[case::of_http_1_0("HTTP/1.0 600 X")]
+#[case::without_reason("HTTP/1.1 600")]
+#[case::zeros("HTTP/1.1 000 X")]
+#[case::below_range("HTTP/1.1 099 X")]
+#[case::two_digits("HTTP/1.1 99 X")]
+#[case::two_low_digits("HTTP/1.1 20 X")]
+#[case::four_digits("HTTP/1.1 1000 X")]
+#[case::four_digits_of_success("HTTP/1.1 2000 X")]
+#[case::letters("HTTP/1.1 abc X")]
+#[case::interim_as_last("HTTP/1.1 100 X")]
+#[case::switch_of_protocol("HTTP/1.1 101 X")]
 #[tokio::test]
-async fn switch_of_protocol_is_discarded(#[case] named: Option<Result<RequestId, String>>) {
-    let target = Target::start(own).await;
+async fn invalid_status_is_unreadable(
+    #[case] line: &str,
+    #[values("x-id: a\r\n", "")] named: &str,
+) {
+    let addr = writing_target(format!("{line}\r\n{named}content-length: 2\r\n\r\nok")).await;
     let pool = ConnectionPool::default();
-    let (mut connection, _) = send(&pool, &target, "a").await;
-    let checked = connection.check_response(StatusCode::SWITCHING_PROTOCOLS, named.as_ref());
-    assert_eq!(checked, Err(UnattributedResponse::Interim));
+    let sent = pool.send(addr, request("a"), &"a".parse().unwrap()).await;
+    let sent = sent.map(|(_, response)| response.status());
+    assert!(matches!(sent, Err(SendError::Unreadable(_) | SendError::Unknown(_))), "{sent:?}");
+    let called = pool.exclusive(addr).call(request("a"), 100).await;
+    assert!(matches!(called, Err(SendError::Unreadable(_) | SendError::Unknown(_))), "{called:?}");
+}
+
+/// Guards against refusing a response with an unusual status that is in the range.
+#[rstest]
+#[case::lowest_final("HTTP/1.1 200 X", 200)]
+#[case::highest("HTTP/1.1 599 X", 599)]
+#[case::of_http_1_0("HTTP/1.0 299 X", 299)]
+#[case::after_interim("HTTP/1.1 103 X\r\n\r\nHTTP/1.1 200 X", 200)]
+#[tokio::test]
+async fn unusual_status_is_read(#[case] line: &str, #[case] expected: u16) {
+    let addr = writing_target(format!("{line}\r\nx-id: a\r\ncontent-length: 2\r\n\r\nok")).await;
+    let pool = ConnectionPool::default();
+    let (mut connection, response) =
+        pool.send(addr, request("a"), &"a".parse().unwrap()).await.unwrap();
+    assert_eq!(response.status().as_u16(), expected);
+    assert_eq!(connection.check_response(named(&response).as_ref()), Ok(()));
+    let (status, _) = pool.exclusive(addr).call(request("a"), 100).await.unwrap();
+    assert_eq!(status.as_u16(), expected);
 }
--- a/crates/links/src/framing.rs
+++ b/crates/links/src/framing.rs
@@ -1,4 +1,4 @@
-//! Which pools have targets whose responses end with their connection.
+//! Which responses are final ones, and which pools have targets whose responses end with their connection.
 //!
 //! A witness costs connections, and has to be open before the request is sent, when nothing says yet
 //! how the response will end. So the responses that came before decide.
@@ -6,7 +6,7 @@
 use std::{collections::HashMap, time::Duration};
 
 use http::{
-    HeaderMap,
+    HeaderMap, StatusCode,
     header::{CONTENT_LENGTH, TRANSFER_ENCODING},
 };
 use shallotdrum_types::PoolId;
@@ -16,6 +16,12 @@
 /// come from few targets, or seldom.
 const MEMORY: Duration = Duration::from_secs(600);
 
+/// Whether a final response may have this status: RFC 9110, section 15. The HTTP client reads any status
+/// from 100 to 999, and passes on the switch to another protocol, which no request asks for.
+pub fn is_final(status: StatusCode) -> bool {
+    (200..=599).contains(&status.as_u16())
+}
+
 /// Whether a response with these headers, which has a body, has neither a length nor chunks.
 pub fn ends_with_connection(headers: &HeaderMap) -> bool {
     match headers.get_all(TRANSFER_ENCODING).iter().next_back() {
--- a/crates/links/src/lib.rs
+++ b/crates/links/src/lib.rs
@@ -23,7 +23,7 @@
 mod witness;
 
 pub use caller::{CallerStream, EndsWithConnection};
-pub use framing::ends_with_connection;
+pub use framing::{ends_with_connection, is_final};
 pub use link::LinkStatus;
 pub use links::{ConnectError, LinkContext, Links, PeerInstance};
 pub use meter::ReadMeter;
--- a/crates/links/src/witness.rs
+++ b/crates/links/src/witness.rs
@@ -39,7 +39,7 @@
     time::{Instant, sleep_until, timeout},
 };
 
-use crate::{ConnectError, Links, ReadMeter, ends_with_connection};
+use crate::{ConnectError, Links, ReadMeter, ends_with_connection, is_final};
 
 /// Returns a request without an effect whose answer shows that a target runs.
 pub type QuestionFn = Arc<dyn Fn() -> Request<Empty<Bytes>> + Send + Sync>;
@@ -486,6 +486,9 @@
         let response = self.sender.send_request(question).await.map_err(ended)?;
         self.meter.record_progress();
         let (parts, body) = response.into_parts();
+        if !is_final(parts.status) {
+            return Err(Unanswered::EndedUnanswered);
+        }
         let ends_with_connection = !body.is_end_stream() && ends_with_connection(&parts.headers);
         let read = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
         read.map_err(|_| Unanswered::EndedUnanswered)?;
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -121,6 +121,7 @@
 unlabelled_metrics! {
     retries: IntCounter, "shallotdrum_retries_total", "Requests sent again to an owner";
     resumes: IntCounter, "shallotdrum_resumes_total", "Answers resumed after an interruption";
+    unreadable_responses: IntCounter, "shallotdrum_unreadable_responses_total", "Responses of targets that are none, as for their status";
     loads: IntCounter, "shallotdrum_adapter_loads_total", "Adapter loads ordered";
     load_failures: IntCounter, "shallotdrum_adapter_load_failures_total", "Adapter loads that failed";
     evictions: IntCounter, "shallotdrum_adapter_evictions_total", "Adapters evicted";
