Read on from targets while callers are slow, within a bound in bytes

Callers that paused for some seconds lost their streams: the entry held eight parts for them, then stopped to read, and the target cut the response off, after its whole run. Request bodies and whole responses that slow readers hold had no bound in all, so that enough of them take all the memory.

An entry now holds up to 256 KB of each stream, and an eighth of the instance's memory of all bodies: unread parts of streams, request bodies while they arrive and run, and responses that are read as a whole, until they are written. The last quarter of the bound is left to small bodies and to the beginning of each stream. Beyond the bound the reading of streams pauses as before, and request bodies get 503, not run, with Retry-After. The limit of 16 MB on responses that are being read stays. What a caller has not read at its deadline is dropped, as a caller that is gone without a word would hold it for long.

Each stream has one queue with its end in it, so that parts keep their order and come before the end or the error. A sender that waits for room notices at once that its caller has left.

--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -1,34 +1,36 @@
-//! Reads the bodies of responses that are not streamed, within the memory of the instance.
+//! Reads request bodies, and the bodies of responses that are not streamed, within the memory of the
+//! instance (`held`).
 //!
-//! A target in trouble may send bytes without end. Small responses always find room, so that those
-//! of other targets do not fail because of it.
+//! A target in trouble may send bytes without end, and a caller may take long to send a body. Part of the
+//! memory is left to small bodies, so that those of others do not fail because of it.
 
-use std::{
-    sync::{
-        Arc,
-        atomic::{AtomicUsize, Ordering},
-    },
-    time::Duration,
-};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use shallotdrum_links::WitnessUse;
+use shallotdrum_telemetry::event;
+use shallotdrum_types::{RequestError, RequestErrorKind};
 use tokio::time::timeout;
 
-use crate::{BodyEnd, Connection, Framing};
+use crate::{BodyEnd, Connection, Framing, Gateway, HeldBytes, HeldMemory, NoMemory};
 
 /// Maximum body size of a response that is not streamed; plain services return a few kilobytes.
 const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
 
-/// Size up to which a body does not count; larger than most responses, and with some hundred of
-/// them at the same time a small part of an instance's memory.
-const UNCOUNTED_BYTES: usize = 64 * 1024;
+/// Size up to which a response is small; larger than most responses.
+const SMALL_RESPONSE_BYTES: usize = 64 * 1024;
 
-/// Maximum size of all bodies that are being read, without the uncounted part of each: a tenth of
-/// the memory of the smallest instances.
-const MAX_BUFFERED_BYTES: usize = 16 * 1024 * 1024;
+/// Maximum size of all responses that are being read, without the part of each up to which it is small. A
+/// few targets in trouble take no more, whatever the instance's memory.
+const MAX_READ_BYTES: usize = 16 * 1024 * 1024;
+
+/// Size up to which a request body is small.
+const SMALL_REQUEST_BYTES: usize = 16 * 1024;
+
+/// `Retry-After` of a request whose body has no room: some of the bodies have been sent on by then.
+const RETRY_AFTER_MEMORY: Duration = Duration::from_secs(1);
 
 /// Size that a part of a body counts at least, since the work on it does not depend on its length. A body
 /// of the maximum size may come in 65,536 parts.
@@ -41,10 +43,6 @@
 /// connection takes no longer.
 const DISCARD_TIMEOUT: Duration = Duration::from_millis(100);
 
-/// Memory for the bodies that are being read; clones share it.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct BodyBuffers(Arc<AtomicUsize>);
-
 /// Why a body was not read to its end.
 #[derive(Debug, thiserror::Error)]
 pub(crate) enum BodyError {
@@ -57,9 +55,9 @@
     /// The body is too long, or comes in too many parts.
     #[error("the body exceeds {0} bytes, or comes in as many parts as one of that length may")]
     TooLong(usize),
-    /// Bodies of other responses take the memory.
-    #[error("{0} bytes of bodies are being read already")]
-    NoMemory(usize),
+    /// Other bodies take the memory.
+    #[error(transparent)]
+    NoMemory(#[from] NoMemory),
 }
 
 /// Body that arrives in parts, held in one buffer.
@@ -117,7 +115,7 @@
     }
 }
 
-impl BodyBuffers {
+impl HeldMemory {
     /// Reads the body of a response to its end.
     pub(crate) async fn read(
         &self,
@@ -126,7 +124,7 @@
         connection: &Connection,
         witness: Option<&WitnessUse>,
     ) -> Result<(Bytes, BodyEnd), BodyError> {
-        let mut counted = Counted { buffers: self, bytes: 0 };
+        let (mut held, mut counted) = (self.begin(), self.begin_reading());
         let (mut collected, mut cost) = (CollectedBody::default(), 0);
         while let Some(frame) = body.frame().await {
             connection.record_heard();
@@ -136,11 +134,13 @@
                 return Err(BodyError::TooLong(MAX_RESPONSE_BYTES));
             }
             collected.push(data);
-            counted.grow_to(collected.held().saturating_sub(UNCOUNTED_BYTES))?;
+            counted
+                .grow_to(collected.held().saturating_sub(SMALL_RESPONSE_BYTES), MAX_READ_BYTES)?;
+            held.grow_to(collected.held(), SMALL_RESPONSE_BYTES)?;
         }
         let end = BodyEnd::check(framing, witness).await;
         match end.is_complete() {
-            true => Ok((collected.into_bytes(), end)),
+            true => Ok((held.attach(collected.into_bytes()), end)),
             false => Err(BodyError::Unproven(end)),
         }
     }
@@ -153,7 +153,7 @@
         while let Some(frame) = body.frame().await {
             let Ok(frame) = frame else { return false };
             len += frame.data_ref().map_or(0, Bytes::len).max(MIN_PART_BYTES);
-            if len > UNCOUNTED_BYTES {
+            if len > SMALL_RESPONSE_BYTES {
                 return false;
             }
         }
@@ -162,26 +162,26 @@
     timeout(DISCARD_TIMEOUT, read).await.unwrap_or(false)
 }
 
-/// Part of the memory that one body takes, until dropped.
-struct Counted<'a> {
-    buffers: &'a BodyBuffers,
-    bytes: usize,
-}
-
-impl Counted<'_> {
-    fn grow_to(&mut self, bytes: usize) -> Result<(), BodyError> {
-        let added = bytes.saturating_sub(self.bytes);
-        let before = self.buffers.0.fetch_add(added, Ordering::Relaxed);
-        self.bytes += added;
-        match before + added > MAX_BUFFERED_BYTES && added > 0 {
-            true => Err(BodyError::NoMemory(before)),
-            false => Ok(()),
-        }
+impl Gateway {
+    /// Begins to count a request body.
+    pub fn begin_body(&self) -> HeldBytes {
+        self.memory.begin()
     }
-}
 
-impl Drop for Counted<'_> {
-    fn drop(&mut self) {
-        self.buffers.0.fetch_sub(self.bytes, Ordering::Relaxed);
+    /// Takes memory for a request body that takes this many bytes by now; fails if there is no room.
+    pub fn hold_body(
+        &self,
+        request: &str,
+        held: &mut HeldBytes,
+        bytes: usize,
+    ) -> Result<(), RequestError> {
+        let Err(full) = held.grow_to(bytes, SMALL_REQUEST_BYTES) else { return Ok(()) };
+        let error = RequestError::not_run(RequestErrorKind::Overloaded, full.to_string())
+            .retry_after(RETRY_AFTER_MEMORY);
+        self.cx.metrics.refused_bodies().inc();
+        self.cx.metrics.finished(&error.outcome.to_string(), error.kind.code());
+        event!(self.cx.log, BODY_REFUSED; "request" => request, "bytes" => bytes,
+            "detail" => &error.detail);
+        Err(error)
     }
 }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -33,8 +33,8 @@
 
 use crate::{
     CallerRequest, Dispatch, EntryCount, Framing, GatewayResponse, Generation, HeaderCodec,
-    RetryAllowance, RetryBudget,
-    body::{BodyBuffers, BodyError, discard},
+    HeldMemory, RetryAllowance, RetryBudget,
+    body::{BodyError, discard},
     connections::{Connection, ConnectionPool, SendError, response_headers},
     continuation::check_head,
     decision::{RequestProgress, RetryDecision, SendFailure, decide_retry},
@@ -81,6 +81,8 @@
     pub retries: RetryAllowance,
     /// Whether the deployment starts for the first time, so that no process was here before.
     pub is_first_start: bool,
+    /// Memory limit of the instance in bytes, of which bodies may take a part.
+    pub memory: usize,
     /// Receives request counts and latencies.
     pub metrics: Metrics,
     /// Receives the events of requests.
@@ -92,7 +94,8 @@
     pub(crate) cx: GatewayContext,
     pub(crate) places: PlaceClient,
     pub(crate) connections: ConnectionPool,
-    bodies: BodyBuffers,
+    /// Memory for bodies.
+    pub(crate) memory: HeldMemory,
     budgets: Mutex<HashMap<PoolId, RetryBudget>>,
     entry_count: Mutex<EntryCount>,
     /// New requests are refused, as this instance may end before their responses do.
@@ -163,11 +166,12 @@
         let withheld = places.clone();
         connections.links().withhold(move |addr| withheld.is_withheld(addr));
         let restarted = Some(Instant::now()).filter(|_| !cx.is_first_start);
+        let memory = HeldMemory::new(cx.memory, cx.metrics.clone());
         let gateway = Arc::new(Self {
             cx,
             places,
             connections: connections.clone(),
-            bodies: BodyBuffers::default(),
+            memory,
             budgets: Mutex::default(),
             entry_count: Mutex::new(EntryCount::new(restarted)),
             is_closing: AtomicBool::new(false),
@@ -399,7 +403,7 @@
         }
         let Received { place, running, connection, response, framing, witness } = received;
         let (parts, body) = response.into_parts();
-        let body = self.bodies.read(framing, body, &connection, witness.as_ref());
+        let body = self.memory.read(framing, body, &connection, witness.as_ref());
         let (body, end) = match timeout_at(run.deadline, body).await {
             Ok(Ok(read)) => read,
             Ok(Err(error)) => {
@@ -490,15 +494,15 @@
                         self.check_crash(run, running);
                         SendFailure::Unknown
                     }
-                };
-                self.end_failed(place);
-                self.log_send_failure(run, &target, failure, &error);
-                let error = match failure {
                     SendError::Unreadable(_) => {
                         self.cx.metrics.unreadable_responses().inc();
                         self.check_crash(run, running);
                         SendFailure::Unknown
                     }
+                };
+                self.end_failed(place);
+                self.log_send_failure(run, &target, failure, &error);
+                let error = match failure {
                     SendFailure::NotSent => target_unreachable(&error),
                     _ => target_failed(&error),
                 };
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,7 +7,8 @@
 //! a stream, `stream_log` says how each one ended, and `body_end` what shows that a body is complete.
 //! `fallback` selects a target while a group has no owner, `need` describes a request to the owner,
 //! `grant` keeps it to the newest version of its adapter, `budget` limits retries,
-//! `body` reads whole responses,
+//! `body` reads request bodies and whole responses,
+//! `held` bounds the memory that bodies take,
 //! `limits` keeps the limits that targets name, `withheld` the targets that ask for no
 //! requests, `origin` finds the version of a stream that a caller takes up, and `decision` holds the
 //! retry rules. `fingerprint` recognises repeats of a request, and `crash` those that crash targets.
@@ -28,6 +29,7 @@
 mod fallback;
 mod fingerprint;
 mod grant;
+mod held;
 mod in_force;
 mod limits;
 mod need;
@@ -53,9 +55,10 @@
 pub use exchange::{Gateway, GatewayContext};
 pub use fallback::FallbackSelector;
 pub use fingerprint::request_identity;
+pub use held::{HeldBytes, HeldMemory, NoMemory};
 pub use places::to_finish;
 pub use request::{
     AskFn, CallerRequest, Dispatch, GatewayResponse, Generation, HeaderCodec, PromptPart, ReadFn,
     ResponseInfo, WriteFn,
 };
-pub use stream_body::{CallerLeft, StreamBody, StreamBroken, StreamSender};
+pub use stream_body::{CallerLeft, MAX_STREAM_BYTES, StreamBody, StreamBroken, StreamSender};
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -26,10 +26,6 @@
     stream_log::{StreamLog, StreamOutcome},
 };
 
-/// Number of chunks buffered for the caller; while the buffer is full, the target's stream is not
-/// read.
-const CHANNEL_CAPACITY: usize = 8;
-
 /// Cause of a broken stream whose end may be that of its target.
 const UNPROVEN_END: &str = "the connection ended, and nothing shows that the stream is complete";
 
@@ -98,7 +94,9 @@
             Err(Interruption::Broken(cause)) => return Err(self.broken_at_start(run, &cause)),
             Err(Interruption::Refused(error)) => return Err(self.refused_at_start(run, error)),
         };
-        let (sender, body) = StreamBody::channel(CHANNEL_CAPACITY);
+        let (sender, body) = StreamBody::channel(&self.gateway.memory);
+        // A caller that never reads on must not hold memory for good.
+        tokio::spawn(sender.expire_at(run.deadline));
         let status = head.status;
         let mut run = run.take_for_relay();
         if !first.is_empty() {
@@ -168,6 +166,7 @@
             target: self.place.granted.target.clone(),
             last_event: None,
             resumptions: 0,
+            pauses: 0,
             end: None,
             outcome: StreamOutcome::Dropped,
             started: run.req.arrived,
@@ -183,6 +182,7 @@
                 None => self.forward_events(&run, &mut order, &sender).await,
             };
             ended.last_event = Some(order.last_id().to_owned());
+            ended.pauses = sender.pauses();
             let target = self.place.granted.target.clone();
             let cause = match end {
                 StreamEnd::Complete(end) => {
--- a/crates/gateway/src/stream_log.rs
+++ b/crates/gateway/src/stream_log.rs
@@ -42,6 +42,8 @@
     pub(crate) last_event: Option<String>,
     /// Number of targets that were to go on with the stream.
     pub(crate) resumptions: u32,
+    /// Number of times that the target was not read on, as the caller was slow.
+    pub(crate) pauses: u32,
     /// How the body of the latest response ended, if the stream is complete.
     pub(crate) end: Option<BodyEnd>,
     pub(crate) outcome: StreamOutcome,
@@ -52,6 +54,7 @@
     fn drop(&mut self) {
         event!(self.log, STREAM_ENDED; "request" => %self.request, "target" => %self.target,
             "last_event" => self.last_event.as_deref().unwrap_or(""), "resumptions" => self.resumptions,
+            "pauses" => self.pauses,
             "outcome" => %self.outcome, "framing" => self.end.map(|end| end.framing.to_string()),
             "evidence" => self.end.map(|end| end.evidence()),
             "checked_after_ms" => self.end.map(|end| end.checked_after.as_millis() as u64), "ms" => self.started.elapsed().as_millis() as u64);
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -13,6 +13,9 @@
 /// instance is not ready.
 pub(crate) const DEFAULT_DRAIN_DELAY_MS: u64 = 2_000;
 
+/// Memory limit of an instance whose settings name none.
+const DEFAULT_MEMORY_MB: u64 = 256;
+
 /// Contents of the settings file.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct Settings {
@@ -62,6 +65,10 @@
     /// that its release reads. Keeps the return to an earlier release open during an upgrade.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub max_control_format: Option<ControlFormat>,
+    /// Memory limit of the instance in megabytes, of which an eighth holds bodies for callers and targets
+    /// that read slowly.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub memory_mb: Option<u64>,
     /// Accepts port 0, for which the operating system assigns a port; for tests only.
     #[serde(skip_serializing_if = "std::ops::Not::not")]
     pub allow_port_zero: bool,
@@ -100,10 +107,17 @@
             log: Log::default(),
             forward_headers: Vec::new(),
             max_control_format: None,
+            memory_mb: None,
             allow_port_zero: false,
         }
     }
 
+    /// Memory limit of the instance in bytes.
+    pub fn memory_bytes(&self) -> usize {
+        let megabytes = self.memory_mb.unwrap_or(DEFAULT_MEMORY_MB);
+        usize::try_from(megabytes.saturating_mul(1024 * 1024)).unwrap_or(usize::MAX)
+    }
+
     /// Whether the instance is a control replica.
     pub fn is_replica(&self) -> bool {
         match self.seeds.is_empty() {
--- a/crates/settings/src/parse.rs
+++ b/crates/settings/src/parse.rs
@@ -93,6 +93,7 @@
     let forward_headers =
         root.optional("forward_headers", "a list of header names").unwrap_or_else(default_headers);
     let max_control_format = root.optional("max_control_format", NUMBER_EXPECTED);
+    let memory_mb = root.optional("memory_mb", NUMBER_EXPECTED);
     let allow_port_zero = root.optional_or("allow_port_zero", "true or false", false);
     root.finish();
     Some(Settings {
@@ -114,6 +115,7 @@
         log,
         forward_headers,
         max_control_format,
+        memory_mb,
         allow_port_zero,
     })
 }
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -192,6 +192,7 @@
         PLACE_OUTDATED = "N0426", Info, "place not used: its target leaves, which the owner of its group did not know", "check the owner's connection to the control replicas if it persists";
         RESPONSE_DISCARDED = "N0432", Info, "discarded a response that is not certainly that of the request; the request may have run", "check the target: it writes responses late or once more (the cause says an earlier request), or names no request in them";
         QUEUED_FOR_NEW_VERSION = "N0440", Info, "request queued again, as a newer version of its adapter is known", "none";
+        BODY_REFUSED = "N0441", Info, "request refused, as other bodies take the memory", "check the callers' connections if it persists; see shallotdrum_held_bytes";
         REFUSED_FOR_GOOD = "N0433", Info, "request refused for good by a confirmed state", "compare the revision with the newest one, and the confirmation with the log of the leader of its term";
         ROUTES_CHANGED = "N0413", Info, "route table in force", "none";
         INPUT_REFUSED = "N0414", Warning, "malformed message refused", "correct the sender";
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -122,6 +122,9 @@
     retries: IntCounter, "shallotdrum_retries_total", "Requests sent again to an owner";
     resumes: IntCounter, "shallotdrum_resumes_total", "Answers resumed after an interruption";
     unreadable_responses: IntCounter, "shallotdrum_unreadable_responses_total", "Responses of targets that are none, as for their status";
+    held_bytes: IntGauge, "shallotdrum_held_bytes", "Memory that bodies take for callers and targets that read slowly";
+    paused_reads: IntCounter, "shallotdrum_paused_reads_total", "Times that a target's stream was not read on, as its caller was slow";
+    refused_bodies: IntCounter, "shallotdrum_refused_bodies_total", "Requests refused for want of memory for their bodies";
     loads: IntCounter, "shallotdrum_adapter_loads_total", "Adapter loads ordered";
     load_failures: IntCounter, "shallotdrum_adapter_load_failures_total", "Adapter loads that failed";
     evictions: IntCounter, "shallotdrum_adapter_evictions_total", "Adapters evicted";
