--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -120,6 +120,7 @@
     max_deadline: Duration,
     serve_when_stale: bool,
     revocation: Option<RevocationBound>,
+    memory: usize,
     is_first_start: bool,
     data_dir: Option<std::path::PathBuf>,
     log: slog::Logger,
@@ -313,6 +314,7 @@
             revocation: settings
                 .revocation_ms
                 .map(|ms| RevocationBound::new(Duration::from_millis(ms))),
+            memory: settings.memory_bytes(),
             is_first_start: settings.forms_log,
             data_dir: settings.data_dir.clone(),
             log,
@@ -343,6 +345,7 @@
             confirmation: Arc::new(move || manager.confirmation()),
             serve_when_stale: self.serve_when_stale,
             revocation: self.revocation,
+            memory: self.memory,
             owner: self.owner.clone(),
             peers: self.front_end.peers.clone(),
             codec,
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -18,7 +18,7 @@
 use hyper::body::Incoming;
 use shallotdrum_control::ControlView;
 use shallotdrum_links::{Links, WitnessUse};
-use shallotdrum_owner::{CrashStatus, OwnerService, PlaceAdmission, RunningGuard, SessionFn};
+use shallotdrum_owner::{CrashStatus, OwnerService, RunningGuard, SessionFn};
 use shallotdrum_routes::{Customer, Route, RouteIndex};
 use shallotdrum_rpc::{Peers, PlaceEnd};
 use shallotdrum_telemetry::{Metrics, event};
@@ -33,17 +33,17 @@
 
 use crate::{
     Access, CallerRequest, Dispatch, EntryCount, Framing, GatewayResponse, Generation, HeaderCodec,
-    RetryAllowance, RetryBudget, RevocationBound,
-    body::{BodyBuffers, BodyError, discard},
+    HeldMemory, RetryAllowance, RetryBudget, RevocationBound,
+    body::{BodyError, discard},
     connections::{Connection, ConnectionPool, SendError, response_headers},
     continuation::check_head,
-    customers::urgency,
     decision::{RequestProgress, RetryDecision, SendFailure, decide_retry},
     errors::{
         target_failed, target_refused, target_timed_out, target_unreachable, timed_out_waiting,
     },
     fingerprint::request_identity,
-    need::{fallback_label, subscriber},
+    grant::Granted,
+    need::fallback_label,
     places::{Place, PlaceClient},
     relay::Relay,
 };
@@ -83,6 +83,8 @@
     pub retries: RetryAllowance,
     /// Whether the deployment starts for the first time, so that no process was here before.
     pub is_first_start: bool,
+    /// Memory limit of the instance in bytes, of which bodies may take a part.
+    pub memory: usize,
     /// Receives request counts and latencies.
     pub metrics: Metrics,
     /// Receives the events of requests.
@@ -92,9 +94,10 @@
 /// Routes callers' requests to targets and returns the responses.
 pub struct Gateway {
     pub(crate) cx: GatewayContext,
-    places: PlaceClient,
+    pub(crate) places: PlaceClient,
     pub(crate) connections: ConnectionPool,
-    bodies: BodyBuffers,
+    /// Memory for bodies.
+    pub(crate) memory: HeldMemory,
     budgets: Mutex<HashMap<PoolId, RetryBudget>>,
     entry_count: Mutex<EntryCount>,
     /// New requests are refused, as this instance may end before their responses do.
@@ -169,11 +172,12 @@
         let withheld = places.clone();
         connections.links().withhold(move |addr| withheld.is_withheld(addr));
         let restarted = Some(Instant::now()).filter(|_| !cx.is_first_start);
+        let memory = HeldMemory::new(cx.memory, cx.metrics.clone());
         let gateway = Arc::new(Self {
             cx,
             places,
             connections: connections.clone(),
-            bodies: BodyBuffers::default(),
+            memory,
             budgets: Mutex::default(),
             entry_count: Mutex::new(EntryCount::new(restarted)),
             is_closing: AtomicBool::new(false),
@@ -410,7 +414,7 @@
         }
         let Received { place, running, connection, response, framing, witness } = received;
         let (parts, body) = response.into_parts();
-        let body = self.bodies.read(framing, body, &connection, witness.as_ref());
+        let body = self.memory.read(framing, body, &connection, witness.as_ref());
         let (body, end) = match timeout_at(run.deadline, body).await {
             Ok(Ok(read)) => read,
             Ok(Err(error)) => {
@@ -445,26 +449,8 @@
 
     /// Acquires a place, sends the request to its target and reads the head of the response.
     async fn dispatch(&self, run: &mut RequestRun) -> Result<Received, AttemptOutcome> {
-        let (need, version) = self.need(run);
-        let admission = PlaceAdmission {
-            request: run.req.id.clone(),
-            identity: self.cx.owner.identity_to_admit(run.admitted_identity()),
-            subscriber: subscriber(run),
-            need: need.clone(),
-            left: Duration::ZERO,
-            urgency: urgency(run.customer.as_deref(), &run.route),
-            objective: run.left_by_objective(),
-            spread: 1,
-            avoid: run.avoid.clone(),
-            software: run.software.clone(),
-            limits: Vec::new(),
-        };
-        let mut place = self
-            .places
-            .take(&run.pool, admission, run.deadline)
-            .await
-            .map_err(AttemptOutcome::NoPlace)?;
-        let witness = self.witness(run, &place).await;
+        let Granted { mut place, witness, need, version } =
+            self.take_place(run).await.map_err(AttemptOutcome::NoPlace)?;
         // The target may have left meanwhile.
         if self.places.is_withheld(place.granted.addr) {
             run.avoid.push(place.granted.target.clone());
@@ -522,6 +508,11 @@
                         self.check_crash(run, running);
                         SendFailure::Unknown
                     }
+                    SendError::Unreadable(_) => {
+                        self.cx.metrics.unreadable_responses().inc();
+                        self.check_crash(run, running);
+                        SendFailure::Unknown
+                    }
                 };
                 self.end_failed(place);
                 self.log_send_failure(run, &target, failure, &error);
@@ -538,7 +529,7 @@
         };
         let (parts, body) = response.into_parts();
         let info = (self.cx.codec.read)(&parts);
-        if let Err(cause) = connection.check_response(parts.status, info.request.as_ref()) {
+        if let Err(cause) = connection.check_response(info.request.as_ref()) {
             event!(self.cx.log, RESPONSE_DISCARDED; "request" => %run.req.id, "target" => %target,
                 "cause" => %cause, "named" => info.request.as_ref().map(named_request),
                 "use" => connection.uses(), "status" => parts.status.as_u16(),
@@ -595,7 +586,7 @@
     }
 
     /// Witness of the target of a place, if its response may end with its connection.
-    async fn witness(&self, run: &RequestRun, place: &Place) -> Option<WitnessUse> {
+    pub(crate) async fn witness(&self, run: &RequestRun, place: &Place) -> Option<WitnessUse> {
         if !self.links().may_end_with_connection(&run.pool) {
             return None;
         }
@@ -662,13 +653,13 @@
     }
 
     /// Time until the response is late by the objective of the route.
-    fn left_by_objective(&self) -> Option<Duration> {
+    pub(crate) fn left_by_objective(&self) -> Option<Duration> {
         let objective = Some(self.route.objective).filter(|objective| !objective.is_zero())?;
         Some((self.req.arrived + objective).saturating_duration_since(Instant::now()))
     }
 
     /// Identity to check for quarantines before the next send.
-    fn admitted_identity(&self) -> RequestIdentity {
+    pub(crate) fn admitted_identity(&self) -> RequestIdentity {
         match &self.permitted {
             Some(permitted) if self.sends == 0 => self.identity.without(permitted),
             _ => self.identity.clone(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,8 +5,11 @@
 //! target's group, and `connections` is the connection pool. `relay` forwards event streams,
 //! `continuation` checks that their events follow each other, `stream_body` is what callers read of
 //! a stream, `stream_log` says how each one ended, and `body_end` what shows that a body is complete.
-//! `fallback` selects a target while a group has no owner, `need` describes a request to the owner, `budget` limits retries, `body` reads whole
-//! responses, `limits` keeps the limits that targets name, `withheld` the targets that ask for no
+//! `fallback` selects a target while a group has no owner, `need` describes a request to the owner,
+//! `grant` keeps it to the newest version of its adapter, `budget` limits retries,
+//! `body` reads request bodies and whole responses,
+//! `held` bounds the memory that bodies take,
+//! `limits` keeps the limits that targets name, `withheld` the targets that ask for no
 //! requests, `origin` finds the version of a stream that a caller takes up, and `decision` holds the
 //! retry rules. `customers` decides by the caller's key, which `credentials`
 //! reads. `fingerprint` recognises repeats of a request, and `crash` those that crash targets.
@@ -28,6 +31,8 @@
 mod exchange;
 mod fallback;
 mod fingerprint;
+mod grant;
+mod held;
 mod in_force;
 mod limits;
 mod need;
@@ -57,9 +62,10 @@
 pub use exchange::{Gateway, GatewayContext};
 pub use fallback::FallbackSelector;
 pub use fingerprint::request_identity;
+pub use held::{HeldBytes, HeldMemory, NoMemory};
 pub use places::to_finish;
 pub use request::{
     AskFn, CallerRequest, Dispatch, GatewayResponse, Generation, HeaderCodec, PromptPart, ReadFn,
     ResponseInfo, WriteFn,
 };
-pub use stream_body::{CallerLeft, StreamBody, StreamBroken, StreamSender};
+pub use stream_body::{CallerLeft, MAX_STREAM_BYTES, StreamBody, StreamBroken, StreamSender};
