--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,7 +5,7 @@
 //! target's group, and `connections` is the connection pool. `relay` forwards event streams,
 //! `continuation` checks that their events follow each other, `stream_body` is what callers read of
 //! a stream, `stream_log` says how each one ended, and `body_end` what shows that a body is complete.
-//! `fallback` selects a target while a group has no owner, `need` describes a request to the owner,
+//! `spread` chooses the group of a popular adapter, `fallback` selects a target while a group has no owner, `need` describes a request to the owner,
 //! `grant` keeps it to the newest version of its adapter, `budget` limits retries,
 //! `body` reads request bodies and whole responses,
 //! `held` bounds the memory that bodies take,
@@ -40,6 +40,7 @@
 mod places;
 mod relay;
 mod request;
+mod spread;
 mod stream_body;
 mod stream_log;
 mod withheld;
@@ -68,4 +69,5 @@
     AskFn, CallerRequest, Dispatch, GatewayResponse, Generation, HeaderCodec, PromptPart, ReadFn,
     ResponseInfo, WriteFn,
 };
+pub use spread::{SpreadKnowledge, group_weight};
 pub use stream_body::{CallerLeft, MAX_STREAM_BYTES, StreamBody, StreamBroken, StreamSender};
