--- a/crates/scheduler/src/api.rs
+++ b/crates/scheduler/src/api.rs
@@ -28,11 +28,26 @@
     Baseline,
 }
 
+/// Who gets a place first when capacity is insufficient.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Scheduling {
+    /// Fair shares of the subscribers alone.
+    #[default]
+    Shares,
+    /// The more urgent first; requests that can no longer be finished are refused.
+    Urgency,
+    /// Like `Urgency` once a target has stated its pace, until then like `Shares`.
+    WhenPaced,
+}
+
 /// Settings of one group's scheduler.
 #[derive(Clone, Debug)]
 pub struct SchedulerConfig {
     /// Scheduling policy.
     pub policy: Policy,
+    /// Who gets a place first when capacity is insufficient.
+    pub scheduling: Scheduling,
     /// Trade-off from 0 (full batches) to 1 (short load stalls).
     pub stall_weight: f64,
     /// Limit on queued requests in the group.
@@ -62,6 +77,7 @@
     pub fn new(zone: AvailabilityZone) -> Self {
         Self {
             policy: Policy::Adaptive,
+            scheduling: Scheduling::default(),
             stall_weight: 0.5,
             // A wait of 10 s at 400 requests/s in one group; callers give up after that.
             max_queued: 4096,
--- a/crates/scheduler/src/fair.rs
+++ b/crates/scheduler/src/fair.rs
@@ -112,13 +112,18 @@
 impl FairClock {
     /// Assigns the start tag of a new request and charges its estimated cost.
     pub(crate) fn enqueue(&mut self, account: &mut Account, cost: Cost) -> Tag {
-        let start = self.now.max(account.last_finish);
+        let start = self.next_tag(Some(account.last_finish));
         account.last_finish = start;
         account.charge(cost);
         self.latest_finish = self.latest_finish.max(account.last_finish);
         start
     }
 
+    /// Start tag that the next request of a subscriber with this latest finish tag gets.
+    pub(crate) fn next_tag(&self, last_finish: Option<Tag>) -> Tag {
+        last_finish.map_or(self.now, |last| self.now.max(last))
+    }
+
     /// Advances virtual time to the start tag of a served request.
     pub(crate) fn serve(&mut self, start: Tag) {
         self.now = self.now.max(start);
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -18,10 +18,11 @@
 mod state;
 mod table;
 mod target;
+mod urgency;
 
 pub use api::{
     AdmissionRequest, Finish, LoadFailure, LoadFn, LoadOrder, MAX_REQUEST_DEADLINE, Policy,
-    RequestKind, SchedulerConfig, TargetSpec,
+    RequestKind, SchedulerConfig, Scheduling, TargetSpec,
 };
 pub use engine_model::EngineModel;
 pub use group::{GroupScheduler, Lease};
--- a/crates/scheduler/src/state/admission.rs
+++ b/crates/scheduler/src/state/admission.rs
@@ -2,17 +2,18 @@
 
 use std::time::Duration;
 
-use shallotdrum_engine::Priority;
+use shallotdrum_engine::{Priority, Urgency};
 use shallotdrum_telemetry::event;
 use shallotdrum_types::{RequestError, RequestErrorKind, SubscriberId};
 use tokio::{sync::oneshot, time::Instant};
 
-use super::{Adapter, Exclusion, Grant, QueueId, QueuedRequest, State, SubKey};
+use super::{Adapter, Exclusion, Grant, QueueId, QueuedRequest, State, SubKey, overload::Demand};
 use crate::{
     api::{AdmissionRequest, MAX_REQUEST_DEADLINE, Policy, RequestKind},
     fair::{Account, Cost, Seq},
     slots::AdapterKey,
     target::Target,
+    urgency::retry_after_secs,
 };
 
 /// Receives the admission, or the reason for a refusal.
@@ -65,14 +66,23 @@
             self.stats.refused += 1;
             return Err(error);
         }
-        let expires_at = request.deadline - self.expected_run_time(&request, now);
+        let expires_at = match self.is_urgency_active() {
+            // Refused earlier, by `sweep`, if it cannot be finished.
+            true => request.deadline - MIN_RUN_TIME.min(request.deadline - now),
+            false => request.deadline - self.expected_run_time(&request, now),
+        };
+        let is_urgency_active = self.is_urgency_active();
+        let demand = Demand::of(&request);
         let sub = self.account(&request.subscriber, &request, now);
         let account = &mut self.subs[sub];
         account.weight = request.weight.get();
         let (cost, prompt_tokens) = match &request.kind {
             RequestKind::Completion { prompt_tokens, max_tokens, .. }
             | RequestKind::Base { prompt_tokens, max_tokens, .. } => {
-                let expected = account.expected_completion(*max_tokens);
+                let expected = match is_urgency_active {
+                    true => self.overload.learned.expected_tokens(*max_tokens),
+                    false => account.expected_completion(*max_tokens),
+                };
                 (Cost::tokens(*prompt_tokens, expected), *prompt_tokens)
             }
             RequestKind::Service { .. } => (Cost::SERVICE, 0),
@@ -83,6 +93,10 @@
             self.light_arrivals.add(1.0, now);
         }
         let steps = (self.fair_clock.lead(tag) / PRIORITY_STEP_TOKENS).min(127.0) as u8;
+        let priority = match is_urgency_active {
+            true => self.urgent_priority(request.urgency, steps),
+            false => Priority(DEFAULT_PRIORITY + steps),
+        };
         let seq = self.next_seq;
         self.next_seq += 1;
         let is_repeatable = !matches!(request.kind, RequestKind::Service { is_repeatable: false });
@@ -117,7 +131,8 @@
             adapter,
             is_engine,
             queue_id,
-            tag,
+            rank: self.rank(request.urgency, tag),
+            demand,
             cost,
             prompt_tokens,
             prefixes,
@@ -127,7 +142,7 @@
             is_suspect: request.is_suspect,
             avoid: request.avoid,
             software: request.software,
-            priority: Priority(DEFAULT_PRIORITY + steps),
+            priority,
             tx,
         };
         self.queued.insert(seq, queued);
@@ -144,24 +159,24 @@
     }
 
     fn push_to_queue(&mut self, seq: Seq, queue_id: QueueId, now: Instant) {
-        let tag = self.queued[&seq].tag;
+        let rank = self.queued[&seq].rank;
         match queue_id {
             QueueId::Adapter(key) => {
-                self.adapters[key].queue.insert((tag, seq));
+                self.adapters[key].queue.insert((rank, seq));
                 if self.waiting.insert(key) && self.adapters[key].holders.is_empty() {
                     // Recounted by the next planning pass.
                     self.missing_adapters += 1;
                     *self.missing_by_sub.entry(self.queued[&seq].sub).or_default() += 1;
-                    self.missing_share += self.load_share(self.queued[&seq].sub, tag, now);
+                    self.missing_share += self.load_share(self.queued[&seq].sub, rank.tag, now);
                 }
                 self.dispatch_adapter(key, now);
             }
             QueueId::Service { is_repeatable } => {
-                self.services_mut(is_repeatable).insert((tag, seq));
+                self.services_mut(is_repeatable).insert((rank, seq));
                 self.dispatch_services(now);
             }
             QueueId::Restricted => {
-                self.restricted.insert((tag, seq));
+                self.restricted.insert((rank, seq));
                 self.dispatch_restricted(now);
             }
             QueueId::Assigned(_) => {
@@ -196,6 +211,10 @@
         }
         self.check_limits(request, now)?;
         self.check_load_queue(request, now)?;
+        if self.is_urgency_active() {
+            let wait = self.load_wait_of(request, now).max(self.limit_wait(request, now));
+            return self.check_urgency(request, wait, now);
+        }
         let wait = self.expected_wait(request, now).max(self.limit_wait(request, now));
         let expected_run_time = self.expected_run_time(request, now);
         if now + wait + expected_run_time > request.deadline {
@@ -204,7 +223,7 @@
                 wait.as_secs_f64()
             );
             return Err(RequestError::not_run(RequestErrorKind::Overloaded, detail)
-                .retry_after(retry_after(wait)));
+                .retry_after(self.retry_after(wait)));
         }
         if self.queued.len() >= self.cfg.max_queued {
             self.displace_newest(request, now)?;
@@ -227,12 +246,15 @@
         let is_new_load = row.is_none_or(|row| {
             row.holders.is_empty() && row.loading.is_empty() && row.queue.is_empty()
         });
-        let is_short = self.missing_adapters < MIN_LOAD_QUEUE;
+        let is_short = match self.is_urgency_active() {
+            true => self.missing_before(request.urgency) < MIN_LOAD_QUEUE,
+            false => self.missing_adapters < MIN_LOAD_QUEUE,
+        };
         if !is_new_load || is_short || self.cfg.policy == Policy::Baseline {
             return Ok(());
         }
         let sub = self.subs.key(&request.subscriber);
-        let wait = self.load_wait(sub, key, now);
+        let wait = self.load_wait(sub, key, request.urgency, now);
         let weight = self.cfg.stall_weight.clamp(0.0, 1.0);
         let left = request.deadline.saturating_duration_since(now);
         let max_wait = left.mul_f64(MAX_LOAD_WAIT_SHARE - LOAD_WAIT_SHARE_RANGE * weight);
@@ -245,7 +267,7 @@
             self.missing_adapters
         );
         Err(RequestError::not_run(RequestErrorKind::Overloaded, detail)
-            .retry_after(retry_after(wait - max_wait)))
+            .retry_after(self.retry_after(wait - max_wait)))
     }
 
     fn check_limits(
@@ -271,7 +293,7 @@
             self.log_queue_full(&request.subscriber, now);
         }
         Err(RequestError::not_run(RequestErrorKind::RateLimited, detail)
-            .retry_after(retry_after(wait)))
+            .retry_after(self.retry_after(wait)))
     }
 
     /// Logs a full queue at a limited rate, since a flood can cause thousands of refusals per
@@ -289,7 +311,7 @@
 
     /// Makes room in a full queue by refusing the newest request of the subscriber with the longest
     /// queue.
-    fn displace_newest(
+    pub(super) fn displace_newest(
         &mut self,
         request: &AdmissionRequest,
         now: Instant,
@@ -304,7 +326,7 @@
         let wait = sub.map_or(MIN_RETRY_AFTER, |sub| self.queue_wait(sub, None, now));
         let detail = format!("{} requests are queued in the group; retry later", self.queued.len());
         let error = RequestError::not_run(RequestErrorKind::Overloaded, detail)
-            .retry_after(retry_after(wait));
+            .retry_after(self.retry_after(wait));
         let Some(victim) = victim else { return Err(error) };
         self.fail(victim, error);
         Ok(())
@@ -380,10 +402,14 @@
             Some(sub) if !self.subs[sub].queued.is_empty() => self.queue_wait(sub, adapter, now),
             _ => Duration::ZERO,
         };
-        match &request.kind {
-            RequestKind::Base { .. } | RequestKind::Service { .. } => queue_wait,
-            RequestKind::Completion { .. } => queue_wait.max(self.load_wait(sub, adapter, now)),
-        }
+        queue_wait.max(self.load_wait_of(request, now))
+    }
+
+    /// Time until at least one target can serve the request's adapter, if it has one.
+    fn load_wait_of(&self, request: &AdmissionRequest, now: Instant) -> Duration {
+        let RequestKind::Completion { adapter, .. } = &request.kind else { return Duration::ZERO };
+        let sub = self.subs.key(&request.subscriber);
+        self.load_wait(sub, self.adapters.key(adapter), request.urgency, now)
     }
 
     /// Time until at least one target can serve the adapter.
@@ -391,6 +417,7 @@
         &self,
         sub: Option<SubKey>,
         adapter: Option<AdapterKey>,
+        urgency: Urgency,
         now: Instant,
     ) -> Duration {
         let mut backoff = Duration::ZERO;
@@ -409,8 +436,11 @@
         // The planner weights adapters by load share, so a light subscriber is ahead of most
         // others.
         let share = sub.map_or(1.0, |sub| self.load_share(sub, self.subs[sub].last_finish, now));
-        let ahead =
-            (self.missing_share / share).min(self.missing_adapters.min(self.waiting.len()) as f64);
+        let mut missing = self.missing_adapters.min(self.waiting.len());
+        if self.is_urgency_active() {
+            missing = missing.min(self.missing_before(urgency));
+        }
+        let ahead = (self.missing_share / share).min(missing as f64);
         let interval = match self.cfg.engine_model {
             // `max_outstanding_loads` loads complete within the duration of one.
             Some(model) => {
@@ -438,11 +468,20 @@
         );
         for seq in expiring {
             let error = RequestError::not_run(RequestErrorKind::LoadFailed, &detail)
-                .retry_after(retry_after(retry_at.saturating_duration_since(now)));
+                .retry_after(self.retry_after(retry_at.saturating_duration_since(now)));
             self.fail(seq, error);
         }
     }
 
+    /// Suggested delay before a retry, within bounds; whole seconds unless urgency decides.
+    pub(super) fn retry_after(&self, wait: Duration) -> Duration {
+        let secs = wait.as_secs_f64();
+        match self.is_urgency_active() {
+            true => retry_after_secs(secs),
+            false => Duration::from_secs_f64(secs.ceil()).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER),
+        }
+    }
+
     /// Returns the error for a request that expired in the queue.
     pub(crate) fn expired(&mut self, seq: Seq, now: Instant) -> RequestError {
         let sub = self.queued.get(&seq).map(|queued| queued.sub);
@@ -450,16 +489,10 @@
         self.stats.refused += 1;
         let detail = "the request could not be started before its deadline; retry later";
         RequestError::not_run(RequestErrorKind::DeadlineExceeded, detail)
-            .retry_after(retry_after(wait))
+            .retry_after(self.retry_after(wait))
     }
 }
 
-/// Suggested delay before a retry: whole seconds, within bounds.
-pub(super) fn retry_after(wait: Duration) -> Duration {
-    let secs = wait.as_secs_f64().ceil();
-    Duration::from_secs_f64(secs).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
-}
-
 /// Whether the request runs on an engine.
 pub(super) fn is_engine_request(kind: &RequestKind) -> bool {
     !matches!(kind, RequestKind::Service { .. })
--- a/crates/scheduler/src/state/dispatch.rs
+++ b/crates/scheduler/src/state/dispatch.rs
@@ -1,15 +1,14 @@
 //! Admission of queued requests to targets with capacity.
 
-use std::collections::BTreeSet;
-
 use tokio::time::Instant;
 
 use super::{AdmissionClass, Exclusion, State};
 use crate::{
     api::Policy,
-    fair::{Seq, Tag},
+    fair::Seq,
     slots::AdapterKey,
     target::{Target, TargetKey},
+    urgency::{Queue, Rank, head, heads},
 };
 
 /// Limit on the restricted requests that a pass visits. Usually there are few suspects and resends,
@@ -24,7 +23,7 @@
 impl State {
     /// Admits requests for one adapter while a holder has capacity.
     pub(super) fn dispatch_adapter(&mut self, key: AdapterKey, now: Instant) {
-        while let Some((_, seq)) = self.adapters[key].queue.first().copied() {
+        while let Some((_, seq)) = head(&self.adapters[key].queue, self.order(true)) {
             let queued = &self.queued[&seq];
             match self.choose_holder(
                 queued.admission_class(),
@@ -59,25 +58,23 @@
         }
     }
 
-    /// First service call, in order of tags, for which `choose` returns a choice.
+    /// First service call, in the order of the next grant, for which `choose` returns a choice.
     fn first_service<T>(&self, choose: impl Fn(AdmissionClass) -> Option<T>) -> Option<(Seq, T)> {
         // A call that may not use the free capacity must not block those that may.
-        let first = |queue: &BTreeSet<(Tag, Seq)>| {
-            let mut heads = queue.iter().take(MAX_SERVICE_HEADS);
-            heads.find_map(|(tag, seq)| {
-                Some((*tag, *seq, choose(self.queued[seq].admission_class())?))
+        let order = self.order(false);
+        let first = |queue: &Queue| {
+            heads(queue, order, MAX_SERVICE_HEADS).into_iter().find_map(|(rank, seq)| {
+                Some((order.key((rank, seq)), choose(self.queued[&seq].admission_class())?))
             })
         };
         let firsts = [first(&self.lookups), first(&self.calls)].into_iter().flatten();
-        firsts.min_by_key(|(tag, seq, _)| (*tag, *seq)).map(|(_, seq, choice)| (seq, choice))
+        firsts.min_by_key(|(key, _)| *key).map(|((_, seq), choice)| (seq, choice))
     }
 
     /// Admits suspects, resends and requests for the base model, each with its own target
     /// selection.
     pub(super) fn dispatch_restricted(&mut self, now: Instant) {
-        let seqs: Vec<Seq> =
-            self.restricted.iter().take(MAX_RESTRICTED_PER_PASS).map(|(_, seq)| *seq).collect();
-        for seq in seqs {
+        for (_, seq) in heads(&self.restricted, self.order(true), MAX_RESTRICTED_PER_PASS) {
             let target = if self.queued[&seq].is_suspect {
                 self.reserve_target(seq, now).filter(|key| self.can_run_alone(seq, *key, now))
             } else {
@@ -158,7 +155,7 @@
             && self.queued[&seq].adapter.is_none_or(is_ready)
     }
 
-    /// Admits queued requests to one target while it has capacity, lowest tag first.
+    /// Admits queued requests to one target while it has capacity, first in order first.
     pub(super) fn fill_target(&mut self, key: TargetKey, now: Instant) {
         if self.cfg.policy == Policy::Baseline {
             self.fill_baseline(key, now);
@@ -182,12 +179,13 @@
             let is_allowed = |class| self.may_admit(target, class, now).then_some(());
             return self.first_service(is_allowed).map(|(seq, ())| seq);
         }
-        let is_allowed = |(_, seq): &&(Tag, Seq)| {
+        let order = self.order(true);
+        let is_allowed = |(_, seq): &(Rank, Seq)| {
             self.may_admit(target, self.queued[seq].admission_class(), now)
         };
         let accepting = target.slots.slots.iter().filter(|slot| slot.accepts_requests());
-        let heads = accepting.filter_map(|slot| self.adapters[slot.adapter].queue.first());
-        heads.filter(is_allowed).min().map(|(_, seq)| *seq)
+        let heads = accepting.filter_map(|slot| head(&self.adapters[slot.adapter].queue, order));
+        heads.filter(is_allowed).min_by_key(|entry| order.key(*entry)).map(|(_, seq)| seq)
     }
 
     /// Admits queued requests to all targets with capacity.
--- a/crates/scheduler/src/state/limits.rs
+++ b/crates/scheduler/src/state/limits.rs
@@ -4,7 +4,7 @@
 use shallotdrum_types::{Incarnation, RequestError, RequestErrorKind, RequestRate, TargetId};
 use tokio::time::{Duration, Instant};
 
-use super::{State, admission::retry_after};
+use super::State;
 use crate::{
     api::{AdmissionRequest, MAX_REQUEST_DEADLINE},
     fair::Seq,
@@ -126,7 +126,7 @@
         for is_engine in [true, false] {
             let Some(admissions) = self.limited_admissions(is_engine, now) else { continue };
             let queued = self.queued.iter().filter(|(_, queued)| queued.is_engine == is_engine);
-            let mut queued: Vec<_> = queued.map(|(seq, q)| (q.tag, *seq, q.expires_at)).collect();
+            let mut queued: Vec<_> = queued.map(|(seq, q)| (q.rank, *seq, q.expires_at)).collect();
             queued.sort_unstable();
             let mut ahead = 0.0;
             let mut hopeless: Vec<(Seq, Duration)> = Vec::new();
@@ -143,7 +143,7 @@
                     wait.as_secs_f64()
                 );
                 let error = RequestError::not_run(RequestErrorKind::Overloaded, detail);
-                self.fail(seq, error.retry_after(retry_after(wait)));
+                self.fail(seq, error.retry_after(self.retry_after(wait)));
             }
         }
     }
--- a/crates/scheduler/src/state/membership.rs
+++ b/crates/scheduler/src/state/membership.rs
@@ -199,6 +199,7 @@
         }
         if !self.queued.is_empty() {
             self.refuse_hopeless(now);
+            self.sweep(now);
             self.fill_all(now);
         }
         self.plan(now);
--- a/crates/scheduler/src/state/mod.rs
+++ b/crates/scheduler/src/state/mod.rs
@@ -13,9 +13,11 @@
 mod choice;
 mod dispatch;
 mod ejection;
+mod lifecycle;
 mod limits;
 mod loads;
 mod membership;
+mod overload;
 mod planner;
 
 use std::{
@@ -26,24 +28,24 @@
 
 use rand::{SeedableRng, rngs::StdRng};
 use shallotdrum_engine::Priority;
-use shallotdrum_telemetry::event;
 use shallotdrum_types::{
     AdapterRef, Incarnation, RequestError, SoftwareVersion, SubscriberId, TargetId, Tokens,
 };
 use tokio::{sync::oneshot, time::Instant};
 
 use crate::{
-    api::{Finish, LoadOrder, SchedulerConfig},
+    api::{Finish, LoadOrder, Policy, SchedulerConfig, Scheduling},
     engine_model::PrefillSpeed,
-    fair::{Account, Cost, FairClock, Seq, Tag},
+    fair::{Account, Cost, FairClock, Seq},
     measure::{DecayingCounter, Ewma},
     slots::AdapterKey,
     snapshot::SubscriberQueue,
     table::Table,
     target::{Target, TargetKey},
+    urgency::{Queue, Rank},
 };
 
-use self::choice::has_unreserved_capacity;
+use self::overload::{Demand, Overload};
 
 /// Key of a subscriber in the group's table.
 pub(crate) type SubKey = usize;
@@ -66,12 +68,12 @@
     next_seq: Seq,
     queued: HashMap<Seq, QueuedRequest>,
     running: HashMap<Seq, RunningRequest>,
-    /// Repeatable service calls, ordered by tag.
-    lookups: BTreeSet<(Tag, Seq)>,
-    /// Non-repeatable service calls, ordered by tag.
-    calls: BTreeSet<(Tag, Seq)>,
-    /// Suspects, resends and requests for the base model, ordered by tag.
-    restricted: BTreeSet<(Tag, Seq)>,
+    /// Repeatable service calls.
+    lookups: Queue,
+    /// Non-repeatable service calls.
+    calls: Queue,
+    /// Suspects, resends and requests for the base model.
+    restricted: Queue,
     /// Adapters with queued requests.
     waiting: BTreeSet<AdapterKey>,
     /// Requests that the baseline policy has not assigned to a target yet.
@@ -113,8 +115,11 @@
     next_queue_full_log_at: Instant,
     /// Refusals because of a full queue that were not logged since the latest log line.
     suppressed_queue_full_logs: u64,
+    overload: Overload,
     pub(crate) stats: Stats,
     pub(crate) closed: Option<RequestError>,
+    /// Whether a target has stated its pace.
+    has_paced_target: bool,
 }
 
 /// Totals since the scheduler was created.
@@ -122,6 +127,9 @@
 pub(crate) struct Stats {
     pub(crate) admitted: u64,
     pub(crate) refused: u64,
+    pub(crate) refused_on_arrival: u64,
+    pub(crate) refused_in_queue: u64,
+    pub(crate) displaced: u64,
     pub(crate) loads: u64,
     pub(crate) failed_loads: u64,
     pub(crate) evictions: u64,
@@ -135,7 +143,7 @@
 #[derive(Debug)]
 pub(crate) struct Adapter {
     source: Option<String>,
-    queue: BTreeSet<(Tag, Seq)>,
+    queue: Queue,
     /// Recent requests, each weighted by its subscriber's fair share.
     demand: DecayingCounter,
     /// Targets on which the adapter is ready to serve.
@@ -158,7 +166,7 @@
     fn new(now: Instant) -> Self {
         Self {
             source: None,
-            queue: BTreeSet::new(),
+            queue: Queue::new(),
             demand: DecayingCounter::new(DEMAND_HALF_LIFE, now),
             holders: Vec::new(),
             loading: Vec::new(),
@@ -191,7 +199,8 @@
     /// Whether it runs on an engine: on an adapter, or on the base model if it has none.
     is_engine: bool,
     queue_id: QueueId,
-    tag: Tag,
+    rank: Rank,
+    demand: Demand,
     cost: Cost,
     prompt_tokens: u64,
     prefixes: Vec<u64>,
@@ -253,6 +262,7 @@
     is_unreserved: bool,
     cost: Cost,
     prompt_tokens: u64,
+    max_tokens: Option<u64>,
     admitted_at: Instant,
     /// Prompt tokens that the engine had to read, if it was expected to be idle.
     unread_tokens: Option<f64>,
@@ -295,9 +305,9 @@
             next_seq: 0,
             queued: HashMap::new(),
             running: HashMap::new(),
-            lookups: BTreeSet::new(),
-            calls: BTreeSet::new(),
-            restricted: BTreeSet::new(),
+            lookups: Queue::new(),
+            calls: Queue::new(),
+            restricted: Queue::new(),
             waiting: BTreeSet::new(),
             unassigned: VecDeque::new(),
             next_round_robin: 0,
@@ -322,11 +332,23 @@
             next_maintenance_at: now,
             next_queue_full_log_at: now,
             suppressed_queue_full_logs: 0,
+            overload: Overload::new(now),
             stats: Stats::default(),
             closed: None,
+            has_paced_target: false,
         }
     }
 
+    /// Whether more urgent requests go first and hopeless ones are refused.
+    pub(crate) fn is_urgency_active(&self) -> bool {
+        let is_chosen = match self.cfg.scheduling {
+            Scheduling::Shares => false,
+            Scheduling::Urgency => true,
+            Scheduling::WhenPaced => self.has_paced_target,
+        };
+        is_chosen && self.cfg.policy == Policy::Adaptive
+    }
+
     /// Takes the pending load orders.
     pub(crate) fn take_orders(&mut self) -> Vec<(TargetKey, AdapterKey, LoadOrder)> {
         std::mem::take(&mut self.orders)
@@ -368,13 +390,18 @@
     /// Fails a queued request.
     fn fail(&mut self, seq: Seq, error: RequestError) {
         if let Some(queued) = self.remove_queued(seq) {
-            self.refund(&queued);
-            self.stats.refused += 1;
-            // The caller may have dropped the receiver.
-            let _ = queued.tx.send(Err(error));
+            self.refuse(queued, error);
         }
     }
 
+    /// Responds to a request that was removed from the queue.
+    fn refuse(&mut self, queued: QueuedRequest, error: RequestError) {
+        self.refund(&queued);
+        self.stats.refused += 1;
+        // The caller may have dropped the receiver.
+        let _ = queued.tx.send(Err(error));
+    }
+
     /// Withdraws a request that is queued, or admitted without the caller having received the
     /// lease.
     pub(crate) fn withdraw(&mut self, seq: Seq, now: Instant) {
@@ -418,17 +445,17 @@
         match queued.queue_id {
             QueueId::Adapter(key) => {
                 let adapter = &mut self.adapters[key];
-                adapter.queue.remove(&(queued.tag, seq));
+                adapter.queue.remove(&(queued.rank, seq));
                 if adapter.queue.is_empty() {
                     adapter.blocked_since = None;
                     self.waiting.remove(&key);
                 }
             }
             QueueId::Service { is_repeatable } => {
-                self.services_mut(is_repeatable).remove(&(queued.tag, seq));
+                self.services_mut(is_repeatable).remove(&(queued.rank, seq));
             }
             QueueId::Restricted => {
-                self.restricted.remove(&(queued.tag, seq));
+                self.restricted.remove(&(queued.rank, seq));
             }
             QueueId::Assigned(target) => {
                 let fifo = match target.and_then(|key| self.targets.get_mut(&key)) {
@@ -442,186 +469,10 @@
         }
     }
 
-    fn services_mut(&mut self, is_repeatable: bool) -> &mut BTreeSet<(Tag, Seq)> {
+    fn services_mut(&mut self, is_repeatable: bool) -> &mut Queue {
         if is_repeatable { &mut self.lookups } else { &mut self.calls }
     }
 
-    /// Admits a queued request to a target.
-    fn grant(&mut self, seq: Seq, key: TargetKey, now: Instant) {
-        let Some(queued) = self.remove_queued(seq) else { return };
-        let Some(target) = self.targets.get_mut(&key) else { return };
-        let mut ready_since = None;
-        if let Some(adapter) = queued.adapter {
-            if let Some(slot) = target.slots.get_mut(adapter) {
-                slot.leases += 1;
-                slot.last_used = now;
-                ready_since = Some(slot.ready_at);
-            }
-            if let QueueId::Adapter(_) = queued.queue_id {
-                ready_since = self.adapters[adapter].available_since;
-            }
-        }
-        let mut unread_tokens = None;
-        if let Some(model) = self.cfg.engine_model.filter(|_| queued.is_engine) {
-            let cached = target.prefix_cache.hit_ratio(&queued.prefixes);
-            let is_idle = target.prefill_backlog.wait(now).is_zero();
-            unread_tokens = is_idle.then_some(queued.prompt_tokens as f64 * (1.0 - cached));
-            target.prefill_backlog.add(model.prefill(queued.prompt_tokens, cached), now);
-            if let Some(adapter) = queued.adapter {
-                target.adapter_cache.touch(adapter, model.cached_adapters);
-            }
-        }
-        target.prefix_cache.record_request(&queued.prefixes, now);
-        // A lookup uses reserved capacity only if there is no other.
-        let is_unreserved = has_unreserved_capacity(target, now);
-        if let Some(limit) = &mut target.limit {
-            limit.take(now);
-        }
-        target.running += 1;
-        target.granted_at = Some(now);
-        target.unreserved_running += u32::from(is_unreserved);
-        target.running_peak = target.running_peak.max(target.running);
-        if queued.is_suspect {
-            target.exclusive_to = Some(seq);
-        }
-        let load_stall = ready_since
-            .map_or(Duration::ZERO, |since| since.saturating_duration_since(queued.queued_at));
-        let grant = Grant {
-            target: target.spec.id.clone(),
-            incarnation: target.spec.incarnation,
-            addr: target.spec.addr,
-            is_rate_limited: target.limit.is_some(),
-            software: target.spec.software.clone(),
-            priority: queued.priority,
-            queue_wait: now - queued.queued_at,
-            load_stall,
-        };
-        self.stats.admitted += 1;
-        self.stats.queue_wait += grant.queue_wait;
-        self.stats.load_stall += load_stall;
-        self.stats.stalled += u64::from(!load_stall.is_zero());
-        self.fair_clock.serve(queued.tag);
-        self.subs[queued.sub].running += 1;
-        let running = RunningRequest {
-            sub: queued.sub,
-            target: key,
-            adapter: queued.adapter,
-            is_unreserved,
-            cost: queued.cost,
-            prompt_tokens: queued.prompt_tokens,
-            admitted_at: now,
-            unread_tokens,
-            is_started: false,
-            first_token_at: None,
-            tokens: 0,
-        };
-        self.running.insert(seq, running);
-        // If the caller has dropped the receiver, its guard releases the request.
-        let _ = queued.tx.send(Ok(grant));
-    }
-
-    /// Records that the request is being sent.
-    pub(crate) fn started(&mut self, seq: Seq) {
-        if let Some(running) = self.running.get_mut(&seq) {
-            running.is_started = true;
-        }
-    }
-
-    /// Learns the speed at which engines read prompts from the time to a request's first token.
-    pub(crate) fn first_token_after(&mut self, seq: Seq, time: Duration) {
-        let Some(tokens) = self.running.get(&seq).and_then(|running| running.unread_tokens) else {
-            return;
-        };
-        let Some(model) = &mut self.cfg.engine_model else { return };
-        if let Some(speed) = self.prefill_speed.record(model, tokens, time) {
-            event!(self.log, PREFILL_SPEED_LEARNED;
-                "from" => model.prefill_tokens_per_ms, "to" => speed);
-            model.prefill_tokens_per_ms = speed;
-        }
-    }
-
-    /// Records `n` more generated tokens.
-    pub(crate) fn tokens(&mut self, seq: Seq, n: u64, now: Instant) {
-        if let Some(running) = self.running.get_mut(&seq) {
-            running.is_started = true;
-            running.first_token_at.get_or_insert(now);
-            running.tokens += n;
-        }
-    }
-
-    /// Ends an admitted request and admits others in its place.
-    pub(crate) fn release(&mut self, seq: Seq, finish: Finish, now: Instant) {
-        let Some(running) = self.running.remove(&seq) else { return };
-        let account = &mut self.subs[running.sub];
-        account.running -= 1;
-        let actual = match finish {
-            Finish::Answered { prompt_tokens, completion_tokens } => {
-                account.completion.add(completion_tokens as f64);
-                let secs = (now - running.admitted_at).as_secs_f64();
-                self.service_secs.add(secs);
-                if running.adapter.is_some() {
-                    self.secs_per_token.add(secs / completion_tokens.max(1) as f64);
-                }
-                self.stats.tokens.0 += completion_tokens;
-                Cost::tokens(prompt_tokens, completion_tokens as f64)
-            }
-            Finish::Refused | Finish::NoRoom => Cost::default(),
-            _ if !running.is_started => Cost::default(),
-            Finish::TargetFailed | Finish::TargetCrashed | Finish::Cancelled => {
-                self.stats.tokens.0 += running.tokens;
-                Cost::tokens(running.prompt_tokens, running.tokens as f64)
-            }
-        };
-        account.refund(running.cost);
-        account.charge(if running.adapter.is_some() { actual } else { running.cost });
-        self.release_target(seq, &running, finish, now);
-        self.end_busy_period_if_idle();
-        self.fill_target(running.target, now);
-    }
-
-    fn release_target(&mut self, seq: Seq, running: &RunningRequest, finish: Finish, now: Instant) {
-        let Some(target) = self.targets.get_mut(&running.target) else { return };
-        if finish == Finish::NoRoom {
-            target.lower_ceiling(now);
-        }
-        target.running -= 1;
-        target.unreserved_running -= u32::from(running.is_unreserved);
-        target.exclusive_to = target.exclusive_to.filter(|exclusive| *exclusive != seq);
-        let is_settled =
-            matches!(finish, Finish::Answered { .. } | Finish::Refused | Finish::NoRoom);
-        if let Some(slot) = running.adapter.and_then(|key| target.slots.get_mut(key)) {
-            let secs = (now - running.admitted_at).as_secs_f64();
-            self.subs[running.sub].charge(Cost::slot_time(secs, slot.leases));
-            slot.leases = slot.leases.saturating_sub(1);
-            slot.last_used = now;
-            // The engine may still be running a request without a complete response.
-            if running.is_started && !is_settled {
-                slot.pin_uncertain(now);
-            }
-        }
-        let is_counted = !matches!(finish, Finish::Cancelled | Finish::Refused | Finish::NoRoom);
-        if is_counted {
-            target.health.record_end(!matches!(finish, Finish::Answered { .. }), now);
-        }
-        let is_failure = match finish {
-            Finish::Answered { completion_tokens, .. } => {
-                target.raise_ceiling(now);
-                target.health.record_success(now);
-                if let Some(first) = running.first_token_at.filter(|_| completion_tokens > 1) {
-                    let secs = (now - first).as_secs_f64();
-                    target.health.secs_per_token.add(secs / (completion_tokens - 1) as f64);
-                }
-                false
-            }
-            Finish::TargetFailed => target.health.record_failure(false),
-            Finish::TargetCrashed => target.health.record_failure(true),
-            Finish::Cancelled | Finish::Refused | Finish::NoRoom => false,
-        };
-        if is_failure {
-            self.eject(running.target, now);
-        }
-    }
-
     fn end_busy_period_if_idle(&mut self) {
         if self.queued.is_empty() {
             self.fair_clock.end_busy_period();
--- a/crates/scheduler/src/state/planner.rs
+++ b/crates/scheduler/src/state/planner.rs
@@ -4,7 +4,7 @@
 //! grants its permit. A decision scans the adapters with queued requests; decisions are as rare as
 //! permits, and scans that decide nothing are at least `PLAN_INTERVAL` apart.
 
-use std::time::Duration;
+use std::{cmp::Ordering, time::Duration};
 
 use shallotdrum_types::TargetId;
 use tokio::time::Instant;
@@ -15,6 +15,7 @@
     fair::{Seq, Tag},
     slots::{AdapterKey, Slot},
     target::{Target, TargetKey},
+    urgency::{Order, Rank},
 };
 
 /// Time between scans that decide nothing; short compared with the load time of 250 ms.
@@ -78,7 +79,7 @@
     adapter: AdapterKey,
     /// Queued request that is charged for the load.
     cause: Seq,
-    tag: Tag,
+    rank: Rank,
     queued_at: Instant,
     score: f64,
     /// Target reserved for a suspect, the only one allowed; if absent, any target not in `avoid`.
@@ -87,6 +88,12 @@
     is_replica: bool,
 }
 
+impl Candidate {
+    fn compare(&self, other: &Self, order: Order) -> Ordering {
+        order.compare_loads((self.rank.urgency, self.score), (other.rank.urgency, other.score))
+    }
+}
+
 /// Target for a load, and the adapter to evict there.
 struct Placement {
     target: TargetKey,
@@ -129,7 +136,8 @@
 
     fn plan_one(&mut self, now: Instant) -> bool {
         let mut candidates = self.candidates(now);
-        candidates.sort_by(|a, b| b.score.total_cmp(&a.score));
+        let order = self.load_order();
+        candidates.sort_by(|a, b| a.compare(b, order));
         // Replicas for a flood must not keep missing adapters from being tried.
         let (replicas, missing): (Vec<_>, Vec<_>) =
             candidates.iter().partition(|candidate| candidate.is_replica);
@@ -137,7 +145,7 @@
         let max_tried = if self.is_store_busy() { usize::MAX } else { MAX_TRIED_CANDIDATES };
         let mut tried: Vec<&Candidate> = replicas.into_iter().take(max_tried).collect();
         tried.extend(missing.into_iter().take(max_tried));
-        tried.sort_by(|a, b| b.score.total_cmp(&a.score));
+        tried.sort_by(|a, b| a.compare(b, order));
         for candidate in tried {
             let Some(placement) = self.find_placement(candidate, now) else { continue };
             if candidate.is_replica
@@ -146,6 +154,7 @@
                 continue;
             }
             let (adapter, cause) = (candidate.adapter, Some(candidate.cause));
+            self.count_load_turn();
             return self.start_load(placement.target, adapter, placement.victim, cause, now);
         }
         self.end_drains(candidates.iter().all(|candidate| candidate.is_replica), now);
@@ -164,8 +173,9 @@
             if adapter.holders.is_empty() {
                 missing_adapters += 1;
                 let head = adapter.queue.first();
-                missing_share +=
-                    head.map_or(0.0, |(tag, seq)| self.load_share(self.queued[seq].sub, *tag, now));
+                missing_share += head.map_or(0.0, |(rank, seq)| {
+                    self.load_share(self.queued[seq].sub, rank.tag, now)
+                });
             }
             if !adapter.loading.is_empty() || now < adapter.retry_at {
                 continue;
@@ -182,8 +192,8 @@
                 candidates.extend(self.candidate(*key, is_held, now));
             }
         }
-        for (tag, seq) in self.restricted.iter().take(MAX_SCORED_REQUESTS) {
-            candidates.extend(self.restricted_candidate(*tag, *seq, now));
+        for (rank, seq) in self.restricted.iter().take(MAX_SCORED_REQUESTS) {
+            candidates.extend(self.restricted_candidate(*rank, *seq, now));
         }
         self.missing_adapters = missing_adapters;
         self.missing_share = missing_share;
@@ -205,13 +215,13 @@
 
     fn candidate(&self, key: AdapterKey, is_replica: bool, now: Instant) -> Option<Candidate> {
         let queue = &self.adapters[key].queue;
-        let (tag, cause) = queue.first().copied()?;
+        let (rank, cause) = queue.first().copied()?;
         let mut requests = 0.0;
         let mut oldest = 0.0_f64;
         let mut queued_at = now;
-        for (tag, seq) in queue.iter().take(MAX_SCORED_REQUESTS) {
+        for (rank, seq) in queue.iter().take(MAX_SCORED_REQUESTS) {
             let queued = &self.queued[seq];
-            let share = self.load_share(queued.sub, *tag, now);
+            let share = self.load_share(queued.sub, rank.tag, now);
             requests += share;
             oldest = oldest.max(share * (now - queued.queued_at).as_secs_f64());
             queued_at = queued_at.min(queued.queued_at);
@@ -221,7 +231,7 @@
         Some(Candidate {
             adapter: key,
             cause,
-            tag,
+            rank,
             queued_at,
             score,
             required_target: None,
@@ -230,7 +240,7 @@
         })
     }
 
-    fn restricted_candidate(&self, tag: Tag, seq: Seq, now: Instant) -> Option<Candidate> {
+    fn restricted_candidate(&self, rank: Rank, seq: Seq, now: Instant) -> Option<Candidate> {
         let queued = &self.queued[&seq];
         let adapter = queued.adapter?;
         let row = &self.adapters[adapter];
@@ -254,13 +264,13 @@
             return None;
         }
         let age = (now - queued.queued_at).as_secs_f64();
-        let score = self.score(self.load_share(queued.sub, tag, now), age);
+        let score = self.score(self.load_share(queued.sub, rank.tag, now), age);
         let queued_at = queued.queued_at;
         let is_replica = false;
         Some(Candidate {
             adapter,
             cause: seq,
-            tag,
+            rank,
             queued_at,
             score,
             required_target,
@@ -302,7 +312,7 @@
         requests * (oldest + AGE_OFFSET_SECS).powf(by_age)
     }
 
-    /// Finds the cheapest target and victim for a candidate.
+    /// Finds the cheapest target and victim.
     fn find_placement(&self, candidate: &Candidate, now: Instant) -> Option<Placement> {
         // A flooding subscriber must not evict adapters that others use.
         let is_flooding = self.is_flooding(self.queued[&candidate.cause].sub);
@@ -322,16 +332,16 @@
             if !is_allowed {
                 return None;
             }
-            let tag = match candidate.required_target {
+            let rank = match candidate.required_target {
                 // Nothing else is admitted to a reserved target, so the queues of its adapters are
                 // ignored.
-                Some(_) => Some(Tag(0)),
+                Some(_) => Some(Rank::by_tag(Tag(0))),
                 // A replica must not evict an adapter with queued requests.
                 None if candidate.is_replica => None,
-                None => Some(candidate.tag),
+                None => Some(candidate.rank),
             };
             let is_replica = candidate.is_replica;
-            self.placement_on(*key, candidate.adapter, tag, max_loss, is_replica, now)
+            self.placement_on(*key, candidate.adapter, rank, max_loss, is_replica, now)
         });
         placements.min_by(|a, b| a.cost.total_cmp(&b.cost))
     }
@@ -340,7 +350,7 @@
         &self,
         key: TargetKey,
         adapter: AdapterKey,
-        tag: Option<Tag>,
+        rank: Option<Rank>,
         max_loss: f64,
         is_replica: bool,
         now: Instant,
@@ -359,7 +369,7 @@
         } else if target.slots.has_free() {
             (None, 0.0)
         } else {
-            let victims = target.slots.slots.iter().filter(|slot| self.may_evict(slot, tag, now));
+            let victims = target.slots.slots.iter().filter(|slot| self.may_evict(slot, rank, now));
             let losses = victims.map(|slot| (self.eviction_loss(slot, now), slot.adapter));
             let losses = losses
                 .filter(|(loss, adapter)| *loss <= max_loss || self.is_head_flooding(*adapter));
@@ -405,21 +415,21 @@
         is_recent(key) && others.any(|(other, _)| !is_recent(*other))
     }
 
-    /// Whether the slot may be evicted for a request with this tag, or for a prefetch or replica if
-    /// `tag` is `None`.
-    fn may_evict(&self, slot: &Slot, tag: Option<Tag>, now: Instant) -> bool {
+    /// Whether the slot may be evicted for a request with this rank, or for a prefetch or replica
+    /// if `rank` is `None`.
+    fn may_evict(&self, slot: &Slot, rank: Option<Rank>, now: Instant) -> bool {
         if !slot.is_idle(now) {
             return false;
         }
         if slot.draining_since.is_some() {
-            return tag.is_some();
+            return rank.is_some();
         }
         let has_served = slot.last_used > slot.ready_at;
         let min_residence = if has_served { MIN_RESIDENCE } else { MIN_UNUSED_RESIDENCE };
         let is_settled = now >= slot.ready_at + min_residence;
-        let is_unwanted = match (self.adapters[slot.adapter].queue.first(), tag) {
+        let is_unwanted = match (self.adapters[slot.adapter].queue.first(), rank) {
             (None, _) => true,
-            (Some((head, _)), Some(tag)) => *head > tag,
+            (Some((head, _)), Some(rank)) => *head > rank,
             (Some(_), None) => false,
         };
         is_settled && is_unwanted
@@ -486,7 +496,7 @@
                     && slot.leases > 0
                     && !slot.has_uncertain_pin(now)
                     && now >= slot.ready_at + MIN_DRAINED_RESIDENCE
-                    && head.is_none_or(|(head, _)| *head > candidate.tag)
+                    && head.is_none_or(|(head, _)| *head > candidate.rank)
                     && (!is_flooding || self.is_head_flooding(slot.adapter))
             });
             slots.map(|slot| (self.eviction_loss(slot, now), *key, slot.adapter))
--- /dev/null
+++ b/crates/scheduler/src/urgency.rs
@@ -0,0 +1,553 @@
+//! Order of queued requests, and which ones are refused, when capacity is insufficient.
+//!
+//! Pure functions on what the scheduler knows: they use no network and no clock. Times are seconds
+//! from the moment of the decision.
+//!
+//! A request uses two resources of its target: the target's undivided time while it reads the prompt,
+//! and a request slot from admission to the end of the response. The expected start of a request is the
+//! time after which both are free of the work ahead of it. A request is refused once that leaves no time
+//! to finish; only requests that would be late anyway, or the least urgent ones, are refused.
+
+use std::{
+    cmp::Ordering,
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    ops::{AddAssign, Bound, SubAssign},
+    time::Duration,
+};
+
+use shallotdrum_engine::{Priority, Urgency};
+use tokio::time::Instant;
+
+use crate::{
+    fair::{Seq, Tag},
+    measure::Ewma,
+};
+
+/// Every so many grants to waiting requests, one goes by tag alone. The least urgent kind then gets an
+/// eighth of the grants, more than the quarter of its share that it is to be served, unless it makes up
+/// more than half of all requests; there, the order by rank leaves it more.
+const GRANTS_PER_TAG_TURN: u32 = 8;
+/// Shortest time until a retry; a faster one comes back before the queue has changed.
+const MIN_RETRY_AFTER_SECS: f64 = 0.05;
+/// Longest time until a retry, so that callers notice when an overload ends.
+const MAX_RETRY_AFTER_SECS: f64 = 60.0;
+/// Responses of one size from which durations are learned.
+const DURATION_SAMPLES: usize = 32;
+/// Age of the latest duration from which the durations no longer count. Requests that are refused add
+/// no durations, so that those of an overload would otherwise be believed for ever.
+const MAX_DURATION_AGE: Duration = Duration::from_secs(30);
+/// Number of powers of two of a token limit.
+const SIZES: usize = u64::BITS as usize + 1;
+/// Distance of the engine priorities of two ranks. A target's interface has ten priorities, each of
+/// which covers 13 of these; a rank gets three of them.
+const PRIORITIES_PER_RANK: u8 = 39;
+
+/// Place of a request in a queue, apart from its order of arrival.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Rank {
+    /// The same for all requests if the order does not follow urgency.
+    pub(crate) urgency: Urgency,
+    /// Whether the request cannot meet its objective and has time to go after those that can.
+    pub(crate) is_late: bool,
+    pub(crate) tag: Tag,
+}
+
+/// Urgency of all requests while the order does not follow urgency.
+pub(crate) const NO_URGENCY: Urgency = Urgency { customer: 0, route: 0 };
+
+impl Rank {
+    pub(crate) fn new(urgency: Urgency, tag: Tag) -> Self {
+        Self { urgency, is_late: false, tag }
+    }
+
+    /// Rank by the fair-queueing tag alone.
+    pub(crate) fn by_tag(tag: Tag) -> Self {
+        Self::new(NO_URGENCY, tag)
+    }
+}
+
+/// Queued requests in order.
+pub(crate) type Queue = BTreeSet<(Rank, Seq)>;
+
+/// By what the next grant goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Order {
+    Rank,
+    Tag,
+}
+
+impl Order {
+    /// Key by which entries of several queues are compared.
+    pub(crate) fn key(self, (rank, seq): (Rank, Seq)) -> (Rank, Seq) {
+        match self {
+            Self::Rank => (rank, seq),
+            Self::Tag => (Rank::by_tag(rank.tag), seq),
+        }
+    }
+
+    /// Puts loads for more urgent requests first, and of these the ones with higher scores.
+    pub(crate) fn compare_loads(self, a: (Urgency, f64), b: (Urgency, f64)) -> Ordering {
+        let by_score = b.1.total_cmp(&a.1);
+        match self {
+            Self::Rank => a.0.cmp(&b.0).then(by_score),
+            Self::Tag => by_score,
+        }
+    }
+}
+
+/// Counts grants, to find those that go by tag alone.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Turns(u32);
+
+impl Turns {
+    pub(crate) fn order(self) -> Order {
+        match self.0 % GRANTS_PER_TAG_TURN {
+            turn if turn == GRANTS_PER_TAG_TURN - 1 => Order::Tag,
+            _ => Order::Rank,
+        }
+    }
+
+    pub(crate) fn count(&mut self) {
+        self.0 = self.0.wrapping_add(1);
+    }
+}
+
+/// First entry of each class of a queue; a class has one urgency and one lateness.
+fn classes(queue: &Queue) -> impl Iterator<Item = (Rank, Seq)> {
+    let first = queue.first().copied();
+    std::iter::successors(first, |(rank, _)| {
+        let end = (Rank { tag: Tag(u64::MAX), ..*rank }, Seq::MAX);
+        queue.range((Bound::Excluded(end), Bound::Unbounded)).next().copied()
+    })
+}
+
+/// First request of a queue.
+pub(crate) fn head(queue: &Queue, order: Order) -> Option<(Rank, Seq)> {
+    match order {
+        Order::Rank => queue.first().copied(),
+        Order::Tag => classes(queue).min_by_key(|entry| order.key(*entry)),
+    }
+}
+
+/// The first `max` requests of a queue.
+pub(crate) fn heads(queue: &Queue, order: Order, max: usize) -> Vec<(Rank, Seq)> {
+    if order == Order::Rank {
+        return queue.iter().take(max).copied().collect();
+    }
+    let firsts = classes(queue);
+    let mut heads: Vec<_> = firsts
+        .flat_map(|first| {
+            let end = (Rank { tag: Tag(u64::MAX), ..first.0 }, Seq::MAX);
+            queue.range(first..=end).take(max)
+        })
+        .copied()
+        .collect();
+    heads.sort_unstable_by_key(|entry| order.key(*entry));
+    heads.truncate(max);
+    heads
+}
+
+/// Expected use of targets by requests.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(crate) struct Work {
+    pub(crate) requests: f64,
+    /// Time of the target that no other request can use: reading the prompt.
+    pub(crate) serial_secs: f64,
+    /// Time in a request slot.
+    pub(crate) slot_secs: f64,
+}
+
+impl AddAssign for Work {
+    fn add_assign(&mut self, other: Self) {
+        self.requests += other.requests;
+        self.serial_secs += other.serial_secs;
+        self.slot_secs += other.slot_secs;
+    }
+}
+
+impl SubAssign for Work {
+    fn sub_assign(&mut self, other: Self) {
+        self.requests = (self.requests - other.requests).max(0.0);
+        self.serial_secs = (self.serial_secs - other.serial_secs).max(0.0);
+        self.slot_secs = (self.slot_secs - other.slot_secs).max(0.0);
+    }
+}
+
+impl Work {
+    fn times(self, factor: f64) -> Self {
+        Self {
+            requests: self.requests * factor,
+            serial_secs: self.serial_secs * factor,
+            slot_secs: self.slot_secs * factor,
+        }
+    }
+
+    fn min(self, other: Self) -> Self {
+        Self {
+            requests: self.requests.min(other.requests),
+            serial_secs: self.serial_secs.min(other.serial_secs),
+            slot_secs: self.slot_secs.min(other.slot_secs),
+        }
+    }
+
+    fn plus(mut self, other: Self) -> Self {
+        self += other;
+        self
+    }
+}
+
+/// What the active targets of one kind can do.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(crate) struct Capacity {
+    /// Targets, each weighted by its speed.
+    pub(crate) targets: f64,
+    pub(crate) slots: f64,
+    pub(crate) free_slots: f64,
+    /// Time of the targets that admitted requests have yet to use alone.
+    pub(crate) committed_secs: f64,
+}
+
+impl Capacity {
+    /// Time until this work has been started; 0 without a target, as nothing is known then.
+    pub(crate) fn wait_secs(&self, ahead: &Work) -> f64 {
+        if self.targets <= 0.0 || self.slots <= 0.0 {
+            return 0.0;
+        }
+        let serial = (self.committed_secs + ahead.serial_secs) / self.targets;
+        // As many requests as there are free slots need not wait for one.
+        let without_slot = (1.0 - self.free_slots / ahead.requests.max(1.0)).max(0.0);
+        serial.max(without_slot * ahead.slot_secs / self.slots)
+    }
+}
+
+/// Expected cost and duration of a request.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(crate) struct Estimate {
+    pub(crate) work: Work,
+    /// Time from admission to the end of the response.
+    pub(crate) run_secs: f64,
+    /// The same at best. Decides where no other request competes.
+    pub(crate) best_run_secs: f64,
+    /// Time from admission to the beginning of the response.
+    pub(crate) first_secs: f64,
+}
+
+/// Request to decide on.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Candidate {
+    pub(crate) seq: Seq,
+    pub(crate) rank: Rank,
+    /// Time until the deadline.
+    pub(crate) left_secs: f64,
+    /// Time until the objective is missed, if there is one.
+    pub(crate) objective_secs: Option<f64>,
+    pub(crate) estimate: Estimate,
+}
+
+impl Candidate {
+    /// Time that the request must have left when it is admitted.
+    fn needed_secs(&self, is_contended: bool) -> f64 {
+        match is_contended {
+            true => self.estimate.run_secs,
+            false => self.estimate.best_run_secs,
+        }
+    }
+
+    /// Work for each second until the deadline; the requests that need most are refused first.
+    fn work_for_deadline(&self) -> f64 {
+        let work = self.estimate.work;
+        work.serial_secs.max(work.slot_secs) / self.left_secs.max(MIN_RETRY_AFTER_SECS)
+    }
+}
+
+/// Expected start of a request, and by how much it comes too late.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct Outlook {
+    pub(crate) wait_secs: f64,
+    pub(crate) needed_secs: f64,
+    /// Time until a request like this one would finish in time; at most 0 if this one does.
+    pub(crate) excess_secs: f64,
+}
+
+impl Outlook {
+    pub(crate) fn new(candidate: &Candidate, wait_secs: f64, is_contended: bool) -> Self {
+        let needed_secs = candidate.needed_secs(is_contended);
+        Self { wait_secs, needed_secs, excess_secs: wait_secs + needed_secs - candidate.left_secs }
+    }
+
+    pub(crate) fn is_in_time(&self) -> bool {
+        self.excess_secs <= 0.0
+    }
+
+    /// Time until there is room for such a request.
+    pub(crate) fn retry_after(&self) -> Duration {
+        retry_after_secs(self.excess_secs)
+    }
+}
+
+/// Time until a retry, within bounds but not rounded: whole seconds would leave capacity unused.
+pub(crate) fn retry_after_secs(secs: f64) -> Duration {
+    Duration::from_secs_f64(secs.clamp(MIN_RETRY_AFTER_SECS, MAX_RETRY_AFTER_SECS))
+}
+
+/// What happens to a request that arrives.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum Decision {
+    Admit,
+    Refuse(Outlook),
+    /// Refuse this queued request in place of the newcomer.
+    Displace {
+        victim: Seq,
+        outlook: Outlook,
+    },
+}
+
+/// Decides on a newcomer, given the queued requests that use the same targets.
+///
+/// `is_full` says that the queue has no room for another request.
+pub(crate) fn decide(
+    newcomer: &Candidate,
+    queued: &[Candidate],
+    capacity: &Capacity,
+    is_full: bool,
+) -> Decision {
+    let (mut ahead, mut ahead_by_tag, mut less_urgent) = <(Work, Work, Work)>::default();
+    for other in queued {
+        if other.rank <= newcomer.rank {
+            ahead += other.estimate.work;
+        } else if other.rank.urgency > newcomer.rank.urgency {
+            less_urgent += other.estimate.work;
+        }
+        if other.rank.tag <= newcomer.rank.tag {
+            ahead_by_tag += other.estimate.work;
+        }
+    }
+    let is_contended = !queued.is_empty();
+    let outlook = |less_urgent: Work| {
+        let wait = start_secs(ahead, ahead_by_tag, less_urgent, capacity);
+        Outlook::new(newcomer, wait, is_contended)
+    };
+    let expected = outlook(less_urgent);
+    if expected.is_in_time() && !is_full {
+        return Decision::Admit;
+    }
+    let victim = least_valuable(newcomer.rank.urgency, queued);
+    match victim {
+        Some(victim) => {
+            less_urgent -= victim.estimate.work;
+            let without_victim = outlook(less_urgent);
+            match without_victim.is_in_time() {
+                true => Decision::Displace { victim: victim.seq, outlook: expected },
+                false => Decision::Refuse(expected),
+            }
+        }
+        None => Decision::Refuse(expected),
+    }
+}
+
+/// Request to refuse first among those less urgent than this: of the least urgent, the one that needs
+/// the most work for its deadline.
+fn least_valuable(urgency: Urgency, queued: &[Candidate]) -> Option<&Candidate> {
+    let less_urgent = queued.iter().filter(|other| other.rank.urgency > urgency);
+    less_urgent.max_by(|a, b| {
+        let by_work = a.work_for_deadline().total_cmp(&b.work_for_deadline());
+        a.rank.urgency.cmp(&b.rank.urgency).then(by_work)
+    })
+}
+
+/// Expected start of a request with this work ahead of it by rank and by tag.
+fn start_secs(ahead: Work, ahead_by_tag: Work, less_urgent: Work, capacity: &Capacity) -> f64 {
+    let turns = f64::from(GRANTS_PER_TAG_TURN);
+    // While the work ahead is done, the turns by tag may go to less urgent requests.
+    let by_tag_turns = ahead.times(1.0 / (turns - 1.0)).min(less_urgent);
+    let by_rank = capacity.wait_secs(&ahead.plus(by_tag_turns));
+    by_rank.min(capacity.wait_secs(&ahead_by_tag.times(turns)))
+}
+
+/// Queued requests that are known to miss their deadline, with what is expected of them.
+pub(crate) fn hopeless(queued: &mut [Candidate], capacity: &Capacity) -> Vec<(Seq, Outlook)> {
+    let turns = f64::from(GRANTS_PER_TAG_TURN);
+    let is_contended = queued.len() > 1;
+    queued.sort_unstable_by_key(|candidate| (candidate.rank.tag, candidate.seq));
+    let mut ahead = Work::default();
+    let mut by_tag = BTreeSet::new();
+    for candidate in queued.iter() {
+        let wait = capacity.wait_secs(&ahead.times(turns));
+        if Outlook::new(candidate, wait, is_contended).is_in_time() {
+            ahead += candidate.estimate.work;
+            by_tag.insert(candidate.seq);
+        }
+    }
+    queued.sort_unstable_by_key(|candidate| (candidate.rank, candidate.seq));
+    let mut ahead = Work::default();
+    let mut refused = Vec::new();
+    for candidate in queued.iter() {
+        let outlook = Outlook::new(candidate, capacity.wait_secs(&ahead), is_contended);
+        if outlook.is_in_time() || by_tag.contains(&candidate.seq) {
+            ahead += candidate.estimate.work;
+        } else {
+            refused.push((candidate.seq, outlook));
+        }
+    }
+    refused
+}
+
+/// Whether each queued request goes after those of its urgency that can still meet their objective.
+///
+/// A request that can no longer meet its own does so, unless it would then miss its deadline.
+pub(crate) fn lateness(queued: &[Candidate], capacity: &Capacity) -> Vec<(Seq, bool)> {
+    let misses = |candidate: &Candidate| {
+        candidate.objective_secs.is_some_and(|left| left < candidate.estimate.first_secs)
+    };
+    if !queued.iter().any(misses) {
+        return queued.iter().map(|candidate| (candidate.seq, false)).collect();
+    }
+    /// Work of one urgency: all, and that of requests that can meet their objective.
+    #[derive(Default)]
+    struct Sums {
+        all: Work,
+        on_time: Work,
+    }
+    let mut sums: BTreeMap<Urgency, Sums> = BTreeMap::new();
+    for candidate in queued {
+        let sum = sums.entry(candidate.rank.urgency).or_default();
+        sum.all += candidate.estimate.work;
+        if !misses(candidate) {
+            sum.on_time += candidate.estimate.work;
+        }
+    }
+    let mut more_urgent = Work::default();
+    let waits: BTreeMap<Urgency, f64> = sums
+        .iter()
+        .map(|(urgency, sum)| {
+            let wait = capacity.wait_secs(&more_urgent.plus(sum.on_time));
+            more_urgent += sum.all;
+            (*urgency, wait)
+        })
+        .collect();
+    let is_late = |candidate: &Candidate| {
+        let wait = waits.get(&candidate.rank.urgency).copied().unwrap_or_default();
+        misses(candidate) && wait + candidate.estimate.run_secs <= candidate.left_secs
+    };
+    queued.iter().map(|candidate| (candidate.seq, is_late(candidate))).collect()
+}
+
+/// Priority for the engine: a range for each rank, and within it the lead over the fair share in steps.
+///
+/// The rank is that of the route, or of the customer if the requests so far were of several ranks of
+/// customers.
+pub(crate) fn engine_priority(
+    urgency: Urgency,
+    customers: &BTreeSet<u8>,
+    lead_steps: u8,
+) -> Priority {
+    let rank = match customers.len() {
+        ..2 => urgency.route,
+        _ => customers.range(..urgency.customer).count().min(usize::from(u8::MAX)) as u8,
+    };
+    Priority(rank.min(3) * PRIORITIES_PER_RANK + lead_steps.min(PRIORITIES_PER_RANK - 1))
+}
+
+/// Latest durations of requests of one size.
+#[derive(Clone, Debug, Default)]
+struct Durations {
+    samples: VecDeque<f64>,
+    latest: Option<Instant>,
+    mean: f64,
+    best: f64,
+}
+
+impl Durations {
+    fn record(&mut self, secs: f64, now: Instant) {
+        if self.latest.is_some_and(|at| now > at + MAX_DURATION_AGE) {
+            self.samples.clear();
+        }
+        self.latest = Some(now);
+        self.samples.push_back(secs);
+        if self.samples.len() > DURATION_SAMPLES {
+            self.samples.pop_front();
+        }
+        self.mean = self.samples.iter().sum::<f64>() / self.samples.len() as f64;
+        self.best = self.samples.iter().copied().fold(f64::INFINITY, f64::min);
+    }
+
+    /// Mean and shortest duration.
+    fn get(&self, now: Instant) -> Option<(f64, f64)> {
+        let at = self.latest?;
+        (now <= at + MAX_DURATION_AGE).then_some((self.mean, self.best))
+    }
+}
+
+/// What ended requests tell of those to come. Engines and plain services are learned separately.
+#[derive(Debug)]
+pub(crate) struct Learned {
+    /// Generated tokens by power of two of the limit.
+    tokens: Vec<Ewma>,
+    /// Durations by power of two of the limit.
+    durations: Vec<Durations>,
+    calls: Durations,
+    secs_per_token: Ewma,
+}
+
+impl Default for Learned {
+    fn default() -> Self {
+        Self {
+            tokens: vec![Ewma::default(); SIZES],
+            durations: vec![Durations::default(); SIZES],
+            calls: Durations::default(),
+            secs_per_token: Ewma::default(),
+        }
+    }
+}
+
+/// Index of the power of two that is not below the limit.
+fn size(max_tokens: u64) -> usize {
+    (u64::BITS - max_tokens.saturating_sub(1).leading_zeros()) as usize
+}
+
+impl Learned {
+    /// Records a complete response; `tokens` is 0 if the number is not known.
+    pub(crate) fn record_response(
+        &mut self,
+        max_tokens: u64,
+        tokens: u64,
+        secs: f64,
+        now: Instant,
+    ) {
+        let size = size(max_tokens);
+        self.durations[size].record(secs, now);
+        if tokens > 0 {
+            self.tokens[size].add(tokens as f64);
+            self.secs_per_token.add(secs / tokens as f64);
+        }
+    }
+
+    /// Records a complete call of a plain service.
+    pub(crate) fn record_call(&mut self, secs: f64, now: Instant) {
+        self.calls.record(secs, now);
+    }
+
+    /// Expected number of generated tokens; half of the limit until responses of this size ended.
+    pub(crate) fn expected_tokens(&self, max_tokens: u64) -> f64 {
+        let max = max_tokens as f64;
+        self.tokens[size(max_tokens)].get().unwrap_or(max / 2.0).min(max)
+    }
+
+    /// Estimate for a request to an engine that reads its prompt in `prefill_secs`.
+    pub(crate) fn response(&self, prefill_secs: f64, max_tokens: u64, now: Instant) -> Estimate {
+        let by_tokens = self.expected_tokens(max_tokens) * self.secs_per_token.get().unwrap_or(0.0);
+        let (run_secs, best_run_secs) = match self.durations[size(max_tokens)].get(now) {
+            Some((mean, best)) => (mean.max(prefill_secs), best),
+            None => (prefill_secs + by_tokens, prefill_secs),
+        };
+        let work = Work { requests: 1.0, serial_secs: prefill_secs, slot_secs: run_secs };
+        Estimate { work, run_secs, best_run_secs, first_secs: prefill_secs }
+    }
+
+    /// Estimate for a call of a plain service.
+    pub(crate) fn call(&self, now: Instant) -> Estimate {
+        let (run_secs, best_run_secs) = self.calls.get(now).unwrap_or_default();
+        let work = Work { requests: 1.0, serial_secs: 0.0, slot_secs: run_secs };
+        Estimate { work, run_secs, best_run_secs, first_secs: run_secs }
+    }
+}
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -161,6 +161,8 @@
         BASE_LOADING = "O0318", Warning, "engine has no base model loaded; loading it", "check why the engine restarted";
         BASE_LOAD_FAILED = "O0319", Warning, "base model load failed", "check the weight store and the engine if it repeats";
         PREFILL_SPEED_LEARNED = "O0337", Info, "engines read prompts faster or slower than expected; expecting the measured speed, in tokens per ms", "none";
+        REQUEST_REFUSED_EARLY = "O0350", Info, "request refused: it could not be finished by its deadline", "none; if it persists, add targets or see which requests are more urgent";
+        REQUEST_DISPLACED = "O0351", Info, "queued request refused in favour of a more urgent one", "none; if it persists, add targets";
         TARGET_LIMIT_APPLIED = "O0333", Info, "limit on the requests of a target changed", "check why the target names a limit";
         CALL_RESULT_UNKNOWN = "O0309", Error, "result of a non-repeatable call is unknown", "look up in the service whether the call took effect";
     }
