--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -13,6 +13,7 @@
 mod group;
 mod measure;
 mod rate_limit;
+mod service_share;
 mod slots;
 mod snapshot;
 mod state;
--- a/crates/scheduler/src/snapshot.rs
+++ b/crates/scheduler/src/snapshot.rs
@@ -26,6 +26,12 @@
     pub admitted: u64,
     /// Total of requests that were refused or failed in the queue.
     pub refused: u64,
+    /// Total of requests refused on arrival because they could not be finished by their deadline.
+    pub refused_on_arrival: u64,
+    /// Total of queued requests refused for the same reason.
+    pub refused_in_queue: u64,
+    /// Total of queued requests refused in favour of more urgent ones.
+    pub displaced: u64,
     /// Total of load orders.
     pub loads: u64,
     /// Total of failed loads, except those without a permit.
@@ -90,6 +96,9 @@
             loads_in_flight: self.loads_in_flight.len(),
             admitted: self.stats.admitted,
             refused: self.stats.refused,
+            refused_on_arrival: self.stats.refused_on_arrival,
+            refused_in_queue: self.stats.refused_in_queue,
+            displaced: self.stats.displaced,
             loads: self.stats.loads,
             failed_loads: self.stats.failed_loads,
             evictions: self.stats.evictions,
--- a/crates/scheduler/src/state/overload.rs
+++ b/crates/scheduler/src/state/overload.rs
@@ -1,6 +1,9 @@
 //! Applies the decisions of [`crate::urgency`] to the queues.
 
-use std::{collections::BTreeSet, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use shallotdrum_engine::{Priority, Urgency};
 use shallotdrum_telemetry::event;
@@ -12,6 +15,7 @@
     api::{AdmissionRequest, Finish, RequestKind},
     engine_model::millis,
     fair::{Seq, Tag},
+    service_share::ServiceShares,
     target::Target,
     urgency::{
         Candidate, Capacity, Decision, Estimate, Learned, Order, Outlook, Queue, Rank, Turns,
@@ -21,6 +25,8 @@
 
 /// Time between two checks of the queued requests; no more than a tenth of the shortest response.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(10);
+/// Part of its time after which a waiting request counts as not served.
+const UNSERVED_AFTER: f64 = 0.5;
 /// Interval in which the number of logged refusals is limited.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 /// Refusals and displacements of one group that are logged in an interval; a burst causes hundreds.
@@ -59,13 +65,22 @@
     }
 }
 
+/// Who got places at the targets of one kind.
+#[derive(Debug, Default)]
+struct Service {
+    /// Grants that went to waiting requests.
+    turns: Turns,
+    shares: ServiceShares,
+    /// Urgency that is served too rarely, as of the latest sweep.
+    underserved: Option<Urgency>,
+}
+
 /// State of the order and refusal under overload.
 #[derive(Debug)]
 pub(super) struct Overload {
     pub(super) learned: Learned,
-    /// Grants of engines and of plain services that went to waiting requests.
-    engine_turns: Turns,
-    service_turns: Turns,
+    engines: Service,
+    services: Service,
     /// Loads for waiting requests.
     load_turns: Turns,
     /// Ranks of the customers that sent requests.
@@ -80,8 +95,8 @@
     pub(super) fn new(now: Instant) -> Self {
         Self {
             learned: Learned::default(),
-            engine_turns: Turns::default(),
-            service_turns: Turns::default(),
+            engines: Service::default(),
+            services: Service::default(),
             load_turns: Turns::default(),
             customer_ranks: BTreeSet::new(),
             next_sweep_at: now,
@@ -91,6 +106,14 @@
         }
     }
 
+    fn service(&self, is_engine: bool) -> &Service {
+        if is_engine { &self.engines } else { &self.services }
+    }
+
+    fn service_mut(&mut self, is_engine: bool) -> &mut Service {
+        if is_engine { &mut self.engines } else { &mut self.services }
+    }
+
     /// Counts a decision towards the limit on log lines; returns the number of those not logged since
     /// the last line, if this one may be logged.
     fn log_permit(&mut self, now: Instant) -> Option<u64> {
@@ -118,17 +141,19 @@
 
     /// By what the next grant of a place at an engine or a plain service goes.
     pub(super) fn order(&self, is_engine: bool) -> Order {
-        match (self.is_urgency_active(), is_engine) {
-            (false, _) => Order::Rank,
-            (true, true) => self.overload.engine_turns.order(),
-            (true, false) => self.overload.service_turns.order(),
+        match self.is_urgency_active() {
+            false => Order::Rank,
+            true => {
+                let service = self.overload.service(is_engine);
+                service.turns.order(service.underserved)
+            }
         }
     }
 
     /// By what the next load goes.
     pub(super) fn load_order(&self) -> Order {
         match self.is_urgency_active() {
-            true => self.overload.load_turns.order(),
+            true => self.overload.load_turns.order(None),
             false => Order::Rank,
         }
     }
@@ -139,11 +164,10 @@
 
     /// Counts a grant. Only requests that waited took their place from others.
     pub(super) fn count_turn(&mut self, queued: &QueuedRequest, now: Instant) {
+        let service = self.overload.service_mut(queued.is_engine);
+        service.shares.record_grant(queued.demand.urgency, now);
         if now > queued.queued_at {
-            match queued.is_engine {
-                true => self.overload.engine_turns.count(),
-                false => self.overload.service_turns.count(),
-            }
+            service.turns.count();
         }
     }
 
@@ -180,14 +204,18 @@
     /// What the active targets of a kind can do.
     fn capacity_of(&self, is_engine: bool, now: Instant) -> Capacity {
         let is_usable = |target: &&Target| target.is_engine() == is_engine && target.is_active(now);
-        let mut sum = Capacity::default();
+        let until_tag = self.overload.service(is_engine).turns.until_tag();
+        let mut sum = Capacity { until_tag, ..Capacity::default() };
+        let mut granted_at = None;
         for target in self.targets.values().filter(is_usable) {
             let in_use = target.running + target.foreign(now);
             sum.targets += target.health.slowness.unwrap_or(1.0).recip();
             sum.slots += f64::from(target.capacity());
             sum.free_slots += f64::from(target.capacity().saturating_sub(in_use));
+            granted_at = granted_at.max(target.granted_at);
             sum.committed_secs += target.prefill_backlog.wait(now).as_secs_f64();
         }
+        sum.since_grant_secs = granted_at.map_or(0.0, |at| (now - at).as_secs_f64());
         sum
     }
 
@@ -245,6 +273,8 @@
         outlook: &Outlook,
         now: Instant,
     ) -> RequestError {
+        let is_engine = demand.max_tokens.is_some();
+        self.overload.service_mut(is_engine).shares.record_refusal(demand.urgency, now);
         self.stats.refused_on_arrival += 1;
         self.log_refusal(demand, outlook, Duration::ZERO, now);
         refusal(outlook)
@@ -263,6 +293,8 @@
                 "by_needs_ms" => (outlook.needed_secs * 1_000.0) as u64,
                 "queued" => self.queued.len(), "unlogged" => unlogged);
         }
+        let (is_engine, urgency) = (queued.is_engine, queued.demand.urgency);
+        self.overload.service_mut(is_engine).shares.record_refusal(urgency, now);
         self.stats.displaced += 1;
         let detail = "a more urgent request took its place in the queue; retry later";
         let error = RequestError::not_run(RequestErrorKind::Overloaded, detail)
@@ -290,8 +322,10 @@
         for is_engine in [true, false] {
             let mut queued = self.waiting_for(is_engine, now);
             if queued.is_empty() {
+                self.overload.service_mut(is_engine).underserved = None;
                 continue;
             }
+            self.find_underserved(is_engine, now);
             let capacity = self.capacity_of(is_engine, now);
             for candidate in &mut queued {
                 candidate.rank.urgency = self.queued[&candidate.seq].demand.urgency;
@@ -307,9 +341,24 @@
         }
     }
 
+    /// Finds the urgency whose requests are served too rarely.
+    fn find_underserved(&mut self, is_engine: bool, now: Instant) {
+        let mut waiting = BTreeMap::new();
+        for queued in self.queued.values().filter(|queued| queued.is_engine == is_engine) {
+            let waited = (now - queued.queued_at).as_secs_f64();
+            let time = queued.demand.deadline.saturating_duration_since(queued.queued_at);
+            *waiting.entry(queued.demand.urgency).or_default() +=
+                (waited / time.as_secs_f64().max(f64::MIN_POSITIVE) / UNSERVED_AFTER).min(1.0);
+        }
+        let service = self.overload.service_mut(is_engine);
+        service.underserved = service.shares.underserved(&waiting, now);
+    }
+
     fn refuse_queued(&mut self, seq: Seq, outlook: &Outlook, now: Instant) {
         let Some(queued) = self.remove_queued(seq) else { return };
         self.log_refusal(&queued.demand, outlook, now - queued.queued_at, now);
+        let service = self.overload.service_mut(queued.is_engine);
+        service.shares.record_refusal(queued.demand.urgency, now);
         self.stats.refused_in_queue += 1;
         self.refuse(queued, refusal(outlook));
     }
--- a/crates/scheduler/src/urgency.rs
+++ b/crates/scheduler/src/urgency.rs
@@ -23,10 +23,13 @@
     measure::Ewma,
 };
 
-/// Every so many grants to waiting requests, one goes by tag alone. The least urgent kind then gets an
-/// eighth of the grants, more than the quarter of its share that it is to be served, unless it makes up
-/// more than half of all requests; there, the order by rank leaves it more.
+/// Every so many grants to waiting requests, one goes by tag alone.
 const GRANTS_PER_TAG_TURN: u32 = 8;
+/// Position among these grants of one for a kind that is served too rarely, if there is such a kind. It
+/// is to be served at least a quarter as often as all; for a kind that makes up half of all requests,
+/// this takes an eighth of the grants.
+const SHARE_TURN: u32 = 3;
+const LAST_TURN: u32 = GRANTS_PER_TAG_TURN - 1;
 /// Shortest time until a retry; a faster one comes back before the queue has changed.
 const MIN_RETRY_AFTER_SECS: f64 = 0.05;
 /// Longest time until a retry, so that callers notice when an overload ends.
@@ -74,13 +77,18 @@
 pub(crate) enum Order {
     Rank,
     Tag,
+    /// Requests of this urgency first.
+    Share(Urgency),
 }
 
 impl Order {
     /// Key by which entries of several queues are compared.
     pub(crate) fn key(self, (rank, seq): (Rank, Seq)) -> (Rank, Seq) {
         match self {
-            Self::Rank => (rank, seq),
+            Self::Share(urgency) if rank.urgency == urgency => {
+                (Rank { urgency: NO_URGENCY, ..rank }, seq)
+            }
+            Self::Rank | Self::Share(_) => (rank, seq),
             Self::Tag => (Rank::by_tag(rank.tag), seq),
         }
     }
@@ -89,7 +97,7 @@
     pub(crate) fn compare_loads(self, a: (Urgency, f64), b: (Urgency, f64)) -> Ordering {
         let by_score = b.1.total_cmp(&a.1);
         match self {
-            Self::Rank => a.0.cmp(&b.0).then(by_score),
+            Self::Rank | Self::Share(_) => a.0.cmp(&b.0).then(by_score),
             Self::Tag => by_score,
         }
     }
@@ -100,13 +108,20 @@
 pub(crate) struct Turns(u32);
 
 impl Turns {
-    pub(crate) fn order(self) -> Order {
-        match self.0 % GRANTS_PER_TAG_TURN {
-            turn if turn == GRANTS_PER_TAG_TURN - 1 => Order::Tag,
+    /// By what the next grant goes, if requests of one urgency are served too rarely.
+    pub(crate) fn order(self, underserved: Option<Urgency>) -> Order {
+        match (self.0 % GRANTS_PER_TAG_TURN, underserved) {
+            (LAST_TURN, _) => Order::Tag,
+            (SHARE_TURN, Some(urgency)) => Order::Share(urgency),
             _ => Order::Rank,
         }
     }
 
+    /// Grants before the next one by tag.
+    pub(crate) fn until_tag(self) -> f64 {
+        f64::from(LAST_TURN - self.0 % GRANTS_PER_TAG_TURN)
+    }
+
     pub(crate) fn count(&mut self) {
         self.0 = self.0.wrapping_add(1);
     }
@@ -125,7 +140,7 @@
 pub(crate) fn head(queue: &Queue, order: Order) -> Option<(Rank, Seq)> {
     match order {
         Order::Rank => queue.first().copied(),
-        Order::Tag => classes(queue).min_by_key(|entry| order.key(*entry)),
+        Order::Tag | Order::Share(_) => classes(queue).min_by_key(|entry| order.key(*entry)),
     }
 }
 
@@ -205,18 +220,31 @@
     pub(crate) free_slots: f64,
     /// Time of the targets that admitted requests have yet to use alone.
     pub(crate) committed_secs: f64,
+    /// Time since the latest grant. While no slot is free, one became free then.
+    pub(crate) since_grant_secs: f64,
+    /// Grants before the next one by tag.
+    pub(crate) until_tag: f64,
 }
 
 impl Capacity {
+    /// Time until a request is started by tag, with this work before it by tag. `mean` is the mean work
+    /// of the queued requests, which are granted until then.
+    fn wait_by_tag_secs(&self, ahead: &Work, mean: &Work) -> f64 {
+        let turns = f64::from(GRANTS_PER_TAG_TURN);
+        self.wait_secs(&ahead.times(turns).plus(mean.times(self.until_tag)))
+    }
+
     /// Time until this work has been started; 0 without a target, as nothing is known then.
     pub(crate) fn wait_secs(&self, ahead: &Work) -> f64 {
         if self.targets <= 0.0 || self.slots <= 0.0 {
             return 0.0;
         }
         let serial = (self.committed_secs + ahead.serial_secs) / self.targets;
-        // As many requests as there are free slots need not wait for one.
-        let without_slot = (1.0 - self.free_slots / ahead.requests.max(1.0)).max(0.0);
-        serial.max(without_slot * ahead.slot_secs / self.slots)
+        // A slot must become free for each request beyond the free slots, the one that waits included.
+        let to_free = (ahead.requests + 1.0 - self.free_slots).max(0.0);
+        let interval = ahead.slot_secs / ahead.requests.max(1.0) / self.slots;
+        let elapsed = if self.free_slots < 1.0 { self.since_grant_secs } else { 0.0 };
+        serial.max(to_free * interval - elapsed.min(interval))
     }
 }
 
@@ -224,9 +252,10 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub(crate) struct Estimate {
     pub(crate) work: Work,
-    /// Time from admission to the end of the response.
+    /// Time from admission to the end of the response, which most responses do not exceed: one that is
+    /// cut off by the deadline is wasted.
     pub(crate) run_secs: f64,
-    /// The same at best. Decides where no other request competes.
+    /// Shortest time from admission to the end. Decides where no other request competes.
     pub(crate) best_run_secs: f64,
     /// Time from admission to the beginning of the response.
     pub(crate) first_secs: f64,
@@ -312,6 +341,7 @@
     is_full: bool,
 ) -> Decision {
     let (mut ahead, mut ahead_by_tag, mut less_urgent) = <(Work, Work, Work)>::default();
+    let mean = mean_work(queued);
     for other in queued {
         if other.rank <= newcomer.rank {
             ahead += other.estimate.work;
@@ -324,7 +354,10 @@
     }
     let is_contended = !queued.is_empty();
     let outlook = |less_urgent: Work| {
-        let wait = start_secs(ahead, ahead_by_tag, less_urgent, capacity);
+        // While the work ahead is done, the turns by tag may go to less urgent requests.
+        let by_tag_turns = ahead.times(1.0 / f64::from(LAST_TURN)).min(less_urgent);
+        let by_rank = capacity.wait_secs(&ahead.plus(by_tag_turns));
+        let wait = by_rank.min(capacity.wait_by_tag_secs(&ahead_by_tag, &mean));
         Outlook::new(newcomer, wait, is_contended)
     };
     let expected = outlook(less_urgent);
@@ -355,24 +388,20 @@
     })
 }
 
-/// Expected start of a request with this work ahead of it by rank and by tag.
-fn start_secs(ahead: Work, ahead_by_tag: Work, less_urgent: Work, capacity: &Capacity) -> f64 {
-    let turns = f64::from(GRANTS_PER_TAG_TURN);
-    // While the work ahead is done, the turns by tag may go to less urgent requests.
-    let by_tag_turns = ahead.times(1.0 / (turns - 1.0)).min(less_urgent);
-    let by_rank = capacity.wait_secs(&ahead.plus(by_tag_turns));
-    by_rank.min(capacity.wait_secs(&ahead_by_tag.times(turns)))
+fn mean_work(queued: &[Candidate]) -> Work {
+    let sum = queued.iter().fold(Work::default(), |sum, other| sum.plus(other.estimate.work));
+    sum.times(1.0 / queued.len().max(1) as f64)
 }
 
 /// Queued requests that are known to miss their deadline, with what is expected of them.
 pub(crate) fn hopeless(queued: &mut [Candidate], capacity: &Capacity) -> Vec<(Seq, Outlook)> {
-    let turns = f64::from(GRANTS_PER_TAG_TURN);
     let is_contended = queued.len() > 1;
+    let mean = mean_work(queued);
     queued.sort_unstable_by_key(|candidate| (candidate.rank.tag, candidate.seq));
     let mut ahead = Work::default();
     let mut by_tag = BTreeSet::new();
     for candidate in queued.iter() {
-        let wait = capacity.wait_secs(&ahead.times(turns));
+        let wait = capacity.wait_by_tag_secs(&ahead, &mean);
         if Outlook::new(candidate, wait, is_contended).is_in_time() {
             ahead += candidate.estimate.work;
             by_tag.insert(candidate.seq);
@@ -453,8 +482,16 @@
 struct Durations {
     samples: VecDeque<f64>,
     latest: Option<Instant>,
+    summary: Summary,
+}
+
+/// Durations of some requests, in seconds.
+#[derive(Clone, Copy, Debug, Default)]
+struct Summary {
     mean: f64,
     best: f64,
+    /// Three quarters of the requests took no longer.
+    usual: f64,
 }
 
 impl Durations {
@@ -467,14 +504,18 @@
         if self.samples.len() > DURATION_SAMPLES {
             self.samples.pop_front();
         }
-        self.mean = self.samples.iter().sum::<f64>() / self.samples.len() as f64;
-        self.best = self.samples.iter().copied().fold(f64::INFINITY, f64::min);
+        let mut sorted: Vec<f64> = self.samples.iter().copied().collect();
+        sorted.sort_by(f64::total_cmp);
+        self.summary = Summary {
+            mean: sorted.iter().sum::<f64>() / sorted.len() as f64,
+            best: sorted[0],
+            usual: sorted[sorted.len() * 3 / 4],
+        };
     }
 
-    /// Mean and shortest duration.
-    fn get(&self, now: Instant) -> Option<(f64, f64)> {
+    fn get(&self, now: Instant) -> Option<Summary> {
         let at = self.latest?;
-        (now <= at + MAX_DURATION_AGE).then_some((self.mean, self.best))
+        (now <= at + MAX_DURATION_AGE).then_some(self.summary)
     }
 }
 
@@ -536,18 +577,22 @@
     /// Estimate for a request to an engine that reads its prompt in `prefill_secs`.
     pub(crate) fn response(&self, prefill_secs: f64, max_tokens: u64, now: Instant) -> Estimate {
         let by_tokens = self.expected_tokens(max_tokens) * self.secs_per_token.get().unwrap_or(0.0);
-        let (run_secs, best_run_secs) = match self.durations[size(max_tokens)].get(now) {
-            Some((mean, best)) => (mean.max(prefill_secs), best),
-            None => (prefill_secs + by_tokens, prefill_secs),
-        };
-        let work = Work { requests: 1.0, serial_secs: prefill_secs, slot_secs: run_secs };
-        Estimate { work, run_secs, best_run_secs, first_secs: prefill_secs }
+        let expected = prefill_secs + by_tokens;
+        let unlearned = Summary { mean: expected, best: prefill_secs, usual: expected };
+        let learned = self.durations[size(max_tokens)].get(now).unwrap_or(unlearned);
+        let work = Work { requests: 1.0, serial_secs: prefill_secs, slot_secs: learned.mean };
+        Estimate {
+            work,
+            run_secs: learned.usual,
+            best_run_secs: learned.best,
+            first_secs: prefill_secs,
+        }
     }
 
     /// Estimate for a call of a plain service.
     pub(crate) fn call(&self, now: Instant) -> Estimate {
-        let (run_secs, best_run_secs) = self.calls.get(now).unwrap_or_default();
-        let work = Work { requests: 1.0, serial_secs: 0.0, slot_secs: run_secs };
-        Estimate { work, run_secs, best_run_secs, first_secs: run_secs }
+        let Summary { mean, best, usual } = self.calls.get(now).unwrap_or_default();
+        let work = Work { requests: 1.0, serial_secs: 0.0, slot_secs: mean };
+        Estimate { work, run_secs: usual, best_run_secs: best, first_secs: mean }
     }
 }
