--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -485,6 +485,7 @@
     log: &slog::Logger,
 ) -> OwnerContext {
     let mut scheduler = SchedulerConfig::new(settings.zone.clone());
+    scheduler.counters = Some(metrics.overload_counters());
     scheduler.policy = match settings.policy.mode {
         PolicyMode::Adaptive => Policy::Adaptive,
         PolicyMode::Baseline => Policy::Baseline,
--- a/crates/scheduler/src/api.rs
+++ b/crates/scheduler/src/api.rs
@@ -5,6 +5,7 @@
 use futures_util::future::BoxFuture;
 use serde::{Deserialize, Serialize};
 use shallotdrum_engine::{OrderRefusal, TargetKind, Urgency};
+use shallotdrum_telemetry::OverloadCounters;
 use shallotdrum_types::{
     AdapterRef, AvailabilityZone, Fingerprint, Incarnation, RequestId, SoftwareVersion,
     SubscriberId, TargetId, Weight,
@@ -70,6 +71,8 @@
     /// Whether targets in this instance's availability zone are preferred, because requests are sent from
     /// here; otherwise entries send them.
     pub prefers_own_zone: bool,
+    /// Counters of what is refused under overload.
+    pub counters: Option<OverloadCounters>,
 }
 
 impl SchedulerConfig {
@@ -94,6 +97,7 @@
             relative_ejection: false,
             engine_model: None,
             prefers_own_zone: true,
+            counters: None,
         }
     }
 }
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -11,6 +11,7 @@
 mod engine_model;
 mod fair;
 mod group;
+mod learned;
 mod measure;
 mod rate_limit;
 mod service_share;
--- a/crates/scheduler/src/state/overload.rs
+++ b/crates/scheduler/src/state/overload.rs
@@ -15,11 +15,12 @@
     api::{AdmissionRequest, Finish, RequestKind},
     engine_model::millis,
     fair::{Seq, Tag},
+    learned::Learned,
     service_share::ServiceShares,
     target::Target,
     urgency::{
-        Candidate, Capacity, Decision, Estimate, Learned, Order, Outlook, Queue, Rank, Turns,
-        decide, engine_priority, hopeless, lateness, retry_after_secs,
+        Candidate, Capacity, Decision, Estimate, Order, Outlook, Queue, Rank, Turns, decide,
+        engine_priority, hopeless, lateness, retry_after_secs,
     },
 };
 
@@ -260,8 +261,9 @@
             // Among equally urgent requests, fair shares decide which one has no room.
             Decision::Refuse(outlook) if outlook.is_in_time() => self.displace_newest(request, now),
             Decision::Refuse(outlook) => Err(self.refuse_newcomer(&demand, &outlook, now)),
-            Decision::Displace { victim, outlook } => {
-                self.displace(victim, &demand, &outlook, now);
+            Decision::Displace { victim, outlook, room_secs } => {
+                let retry = retry_after_secs(room_secs);
+                self.displace(victim, &demand, &outlook, retry, now);
                 Ok(())
             }
         }
@@ -276,12 +278,22 @@
         let is_engine = demand.max_tokens.is_some();
         self.overload.service_mut(is_engine).shares.record_refusal(demand.urgency, now);
         self.stats.refused_on_arrival += 1;
+        if let Some(counters) = &self.cfg.counters {
+            counters.refused_on_arrival.inc();
+        }
         self.log_refusal(demand, outlook, Duration::ZERO, now);
         refusal(outlook)
     }
 
     /// Refuses a queued request in favour of a more urgent one.
-    fn displace(&mut self, victim: Seq, newcomer: &Demand, outlook: &Outlook, now: Instant) {
+    fn displace(
+        &mut self,
+        victim: Seq,
+        newcomer: &Demand,
+        outlook: &Outlook,
+        retry: Duration,
+        now: Instant,
+    ) {
         let Some(queued) = self.queued.get(&victim) else { return };
         if let Some(unlogged) = self.overload.log_permit(now) {
             event!(self.log, REQUEST_DISPLACED; "request" => %queued.demand.request,
@@ -291,14 +303,17 @@
                 "by" => %newcomer.request, "by_urgency" => urgency_text(newcomer.urgency),
                 "by_wait_ms" => (outlook.wait_secs * 1_000.0) as u64,
                 "by_needs_ms" => (outlook.needed_secs * 1_000.0) as u64,
+                "retry_ms" => millis(retry) as u64,
                 "queued" => self.queued.len(), "unlogged" => unlogged);
         }
         let (is_engine, urgency) = (queued.is_engine, queued.demand.urgency);
         self.overload.service_mut(is_engine).shares.record_refusal(urgency, now);
         self.stats.displaced += 1;
+        if let Some(counters) = &self.cfg.counters {
+            counters.displaced.inc();
+        }
         let detail = "a more urgent request took its place in the queue; retry later";
-        let error = RequestError::not_run(RequestErrorKind::Overloaded, detail)
-            .retry_after(retry_after_secs(outlook.wait_secs));
+        let error = RequestError::not_run(RequestErrorKind::Overloaded, detail).retry_after(retry);
         self.fail(victim, error);
     }
 
@@ -360,6 +375,9 @@
         let service = self.overload.service_mut(queued.is_engine);
         service.shares.record_refusal(queued.demand.urgency, now);
         self.stats.refused_in_queue += 1;
+        if let Some(counters) = &self.cfg.counters {
+            counters.refused_in_queue.inc();
+        }
         self.refuse(queued, refusal(outlook));
     }
 
--- a/crates/scheduler/src/urgency.rs
+++ b/crates/scheduler/src/urgency.rs
@@ -10,18 +10,14 @@
 
 use std::{
     cmp::Ordering,
-    collections::{BTreeMap, BTreeSet, VecDeque},
+    collections::{BTreeMap, BTreeSet},
     ops::{AddAssign, Bound, SubAssign},
     time::Duration,
 };
 
 use shallotdrum_engine::{Priority, Urgency};
-use tokio::time::Instant;
 
-use crate::{
-    fair::{Seq, Tag},
-    measure::Ewma,
-};
+use crate::fair::{Seq, Tag};
 
 /// Every so many grants to waiting requests, one goes by tag alone.
 const GRANTS_PER_TAG_TURN: u32 = 8;
@@ -30,17 +26,13 @@
 /// this takes an eighth of the grants.
 const SHARE_TURN: u32 = 3;
 const LAST_TURN: u32 = GRANTS_PER_TAG_TURN - 1;
+/// Wait for all queued work above which requests compete for time. Below that, some requests wait only
+/// for the load of an adapter, and one that an idle target can still finish must not be refused.
+const CONTENDED_SECS: f64 = 0.1;
 /// Shortest time until a retry; a faster one comes back before the queue has changed.
 const MIN_RETRY_AFTER_SECS: f64 = 0.05;
 /// Longest time until a retry, so that callers notice when an overload ends.
 const MAX_RETRY_AFTER_SECS: f64 = 60.0;
-/// Responses of one size from which durations are learned.
-const DURATION_SAMPLES: usize = 32;
-/// Age of the latest duration from which the durations no longer count. Requests that are refused add
-/// no durations, so that those of an overload would otherwise be believed for ever.
-const MAX_DURATION_AGE: Duration = Duration::from_secs(30);
-/// Number of powers of two of a token limit.
-const SIZES: usize = u64::BITS as usize + 1;
 /// Distance of the engine priorities of two ranks. A target's interface has ten priorities, each of
 /// which covers 13 of these; a rank gets three of them.
 const PRIORITIES_PER_RANK: u8 = 39;
@@ -255,7 +247,7 @@
     /// Time from admission to the end of the response, which most responses do not exceed: one that is
     /// cut off by the deadline is wasted.
     pub(crate) run_secs: f64,
-    /// Shortest time from admission to the end. Decides where no other request competes.
+    /// Shortest time from admission to the end. Decides where requests do not compete.
     pub(crate) best_run_secs: f64,
     /// Time from admission to the beginning of the response.
     pub(crate) first_secs: f64,
@@ -324,10 +316,13 @@
 pub(crate) enum Decision {
     Admit,
     Refuse(Outlook),
-    /// Refuse this queued request in place of the newcomer.
+    /// Refuse a queued request in place of the newcomer.
     Displace {
         victim: Seq,
+        /// What is expected of the newcomer otherwise.
         outlook: Outlook,
+        /// Time until all queued work has been started.
+        room_secs: f64,
     },
 }
 
@@ -341,7 +336,8 @@
     is_full: bool,
 ) -> Decision {
     let (mut ahead, mut ahead_by_tag, mut less_urgent) = <(Work, Work, Work)>::default();
-    let mean = mean_work(queued);
+    let (sum, mean) = sum_and_mean(queued);
+    let room_secs = capacity.wait_secs(&sum);
     for other in queued {
         if other.rank <= newcomer.rank {
             ahead += other.estimate.work;
@@ -352,7 +348,7 @@
             ahead_by_tag += other.estimate.work;
         }
     }
-    let is_contended = !queued.is_empty();
+    let is_contended = room_secs > CONTENDED_SECS;
     let outlook = |less_urgent: Work| {
         // While the work ahead is done, the turns by tag may go to less urgent requests.
         let by_tag_turns = ahead.times(1.0 / f64::from(LAST_TURN)).min(less_urgent);
@@ -370,7 +366,7 @@
             less_urgent -= victim.estimate.work;
             let without_victim = outlook(less_urgent);
             match without_victim.is_in_time() {
-                true => Decision::Displace { victim: victim.seq, outlook: expected },
+                true => Decision::Displace { victim: victim.seq, outlook: expected, room_secs },
                 false => Decision::Refuse(expected),
             }
         }
@@ -388,15 +384,15 @@
     })
 }
 
-fn mean_work(queued: &[Candidate]) -> Work {
+fn sum_and_mean(queued: &[Candidate]) -> (Work, Work) {
     let sum = queued.iter().fold(Work::default(), |sum, other| sum.plus(other.estimate.work));
-    sum.times(1.0 / queued.len().max(1) as f64)
+    (sum, sum.times(1.0 / queued.len().max(1) as f64))
 }
 
 /// Queued requests that are known to miss their deadline, with what is expected of them.
 pub(crate) fn hopeless(queued: &mut [Candidate], capacity: &Capacity) -> Vec<(Seq, Outlook)> {
-    let is_contended = queued.len() > 1;
-    let mean = mean_work(queued);
+    let (sum, mean) = sum_and_mean(queued);
+    let is_contended = capacity.wait_secs(&sum) > CONTENDED_SECS;
     queued.sort_unstable_by_key(|candidate| (candidate.rank.tag, candidate.seq));
     let mut ahead = Work::default();
     let mut by_tag = BTreeSet::new();
@@ -476,123 +472,3 @@
     };
     Priority(rank.min(3) * PRIORITIES_PER_RANK + lead_steps.min(PRIORITIES_PER_RANK - 1))
 }
-
-/// Latest durations of requests of one size.
-#[derive(Clone, Debug, Default)]
-struct Durations {
-    samples: VecDeque<f64>,
-    latest: Option<Instant>,
-    summary: Summary,
-}
-
-/// Durations of some requests, in seconds.
-#[derive(Clone, Copy, Debug, Default)]
-struct Summary {
-    mean: f64,
-    best: f64,
-    /// Three quarters of the requests took no longer.
-    usual: f64,
-}
-
-impl Durations {
-    fn record(&mut self, secs: f64, now: Instant) {
-        if self.latest.is_some_and(|at| now > at + MAX_DURATION_AGE) {
-            self.samples.clear();
-        }
-        self.latest = Some(now);
-        self.samples.push_back(secs);
-        if self.samples.len() > DURATION_SAMPLES {
-            self.samples.pop_front();
-        }
-        let mut sorted: Vec<f64> = self.samples.iter().copied().collect();
-        sorted.sort_by(f64::total_cmp);
-        self.summary = Summary {
-            mean: sorted.iter().sum::<f64>() / sorted.len() as f64,
-            best: sorted[0],
-            usual: sorted[sorted.len() * 3 / 4],
-        };
-    }
-
-    fn get(&self, now: Instant) -> Option<Summary> {
-        let at = self.latest?;
-        (now <= at + MAX_DURATION_AGE).then_some(self.summary)
-    }
-}
-
-/// What ended requests tell of those to come. Engines and plain services are learned separately.
-#[derive(Debug)]
-pub(crate) struct Learned {
-    /// Generated tokens by power of two of the limit.
-    tokens: Vec<Ewma>,
-    /// Durations by power of two of the limit.
-    durations: Vec<Durations>,
-    calls: Durations,
-    secs_per_token: Ewma,
-}
-
-impl Default for Learned {
-    fn default() -> Self {
-        Self {
-            tokens: vec![Ewma::default(); SIZES],
-            durations: vec![Durations::default(); SIZES],
-            calls: Durations::default(),
-            secs_per_token: Ewma::default(),
-        }
-    }
-}
-
-/// Index of the power of two that is not below the limit.
-fn size(max_tokens: u64) -> usize {
-    (u64::BITS - max_tokens.saturating_sub(1).leading_zeros()) as usize
-}
-
-impl Learned {
-    /// Records a complete response; `tokens` is 0 if the number is not known.
-    pub(crate) fn record_response(
-        &mut self,
-        max_tokens: u64,
-        tokens: u64,
-        secs: f64,
-        now: Instant,
-    ) {
-        let size = size(max_tokens);
-        self.durations[size].record(secs, now);
-        if tokens > 0 {
-            self.tokens[size].add(tokens as f64);
-            self.secs_per_token.add(secs / tokens as f64);
-        }
-    }
-
-    /// Records a complete call of a plain service.
-    pub(crate) fn record_call(&mut self, secs: f64, now: Instant) {
-        self.calls.record(secs, now);
-    }
-
-    /// Expected number of generated tokens; half of the limit until responses of this size ended.
-    pub(crate) fn expected_tokens(&self, max_tokens: u64) -> f64 {
-        let max = max_tokens as f64;
-        self.tokens[size(max_tokens)].get().unwrap_or(max / 2.0).min(max)
-    }
-
-    /// Estimate for a request to an engine that reads its prompt in `prefill_secs`.
-    pub(crate) fn response(&self, prefill_secs: f64, max_tokens: u64, now: Instant) -> Estimate {
-        let by_tokens = self.expected_tokens(max_tokens) * self.secs_per_token.get().unwrap_or(0.0);
-        let expected = prefill_secs + by_tokens;
-        let unlearned = Summary { mean: expected, best: prefill_secs, usual: expected };
-        let learned = self.durations[size(max_tokens)].get(now).unwrap_or(unlearned);
-        let work = Work { requests: 1.0, serial_secs: prefill_secs, slot_secs: learned.mean };
-        Estimate {
-            work,
-            run_secs: learned.usual,
-            best_run_secs: learned.best,
-            first_secs: prefill_secs,
-        }
-    }
-
-    /// Estimate for a call of a plain service.
-    pub(crate) fn call(&self, now: Instant) -> Estimate {
-        let Summary { mean, best, usual } = self.calls.get(now).unwrap_or_default();
-        let work = Work { requests: 1.0, serial_secs: 0.0, slot_secs: mean };
-        Estimate { work, run_secs: usual, best_run_secs: best, first_secs: mean }
-    }
-}
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -8,6 +8,6 @@
 mod metrics;
 
 pub use logger::{LogConfig, LogFormat, LogGuard, discard, open, open_to};
-pub use metrics::{MAX_SUBSCRIBER_LABELS, Metrics, SubscriberMetrics};
+pub use metrics::{MAX_SUBSCRIBER_LABELS, Metrics, OverloadCounters, SubscriberMetrics};
 #[doc(hidden)]
 pub use slog;
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -92,6 +92,17 @@
     }
 }
 
+/// Counters of what the scheduler refuses under overload; clones share their values.
+#[derive(Clone, Debug)]
+pub struct OverloadCounters {
+    /// Requests refused on arrival.
+    pub refused_on_arrival: IntCounter,
+    /// Queued requests that could no longer be finished.
+    pub refused_in_queue: IntCounter,
+    /// Queued requests refused in favour of more urgent ones.
+    pub displaced: IntCounter,
+}
+
 /// Defines the counters and gauges without labels, and an accessor for each.
 macro_rules! unlabelled_metrics {
     ($($field:ident: $kind:ident, $name:literal, $help:literal;)+) => {
@@ -124,6 +135,9 @@
     loads: IntCounter, "shallotdrum_adapter_loads_total", "Adapter loads ordered";
     load_failures: IntCounter, "shallotdrum_adapter_load_failures_total", "Adapter loads that failed";
     evictions: IntCounter, "shallotdrum_adapter_evictions_total", "Adapters evicted";
+    refused_on_arrival: IntCounter, "shallotdrum_refused_on_arrival_total", "Requests refused on arrival at a group because they could not be finished by their deadline";
+    refused_in_queue: IntCounter, "shallotdrum_refused_in_queue_total", "Queued requests refused because they could no longer be finished by their deadline";
+    displaced: IntCounter, "shallotdrum_displaced_total", "Queued requests refused in favour of more urgent ones";
     forwarded: IntCounter, "shallotdrum_forwarded_total", "Requests forwarded to an owner";
     connections: IntGauge, "shallotdrum_connections", "Open caller connections";
     queued: IntGauge, "shallotdrum_queued", "Requests that wait in queues of owned groups";
@@ -244,6 +258,15 @@
         known.entry(subscriber.clone()).or_insert_with(create).clone()
     }
 
+    /// Counters of what the scheduler refuses under overload.
+    pub fn overload_counters(&self) -> OverloadCounters {
+        OverloadCounters {
+            refused_on_arrival: self.refused_on_arrival().clone(),
+            refused_in_queue: self.refused_in_queue().clone(),
+            displaced: self.displaced().clone(),
+        }
+    }
+
     /// Counts a finished request; `error` is the problem code, or `none` if there was no problem.
     pub fn finished(&self, outcome: &str, error: &str) {
         self.0.requests.with_label_values(&[outcome, error]).inc();
