--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -1,6 +1,8 @@
 //! Scheduler of one target group: queueing, fairness, batching, adapter loads, eviction and target
 //! selection. It runs in the instance that owns the group.
 //!
+//! `urgency.rs` decides who gets room under overload, where the setting asks for it; it uses no clock.
+//!
 //! [`GroupScheduler`] keeps all state of the group behind one mutex. Each change is followed by a
 //! dispatch pass whose cost does not depend on the number of adapters.
 //!
--- a/crates/scheduler/src/state/overload.rs
+++ b/crates/scheduler/src/state/overload.rs
@@ -205,8 +205,12 @@
     /// What the active targets of a kind can do.
     fn capacity_of(&self, is_engine: bool, now: Instant) -> Capacity {
         let is_usable = |target: &&Target| target.is_engine() == is_engine && target.is_active(now);
-        let until_tag = self.overload.service(is_engine).turns.until_tag();
-        let mut sum = Capacity { until_tag, ..Capacity::default() };
+        let service = self.overload.service(is_engine);
+        let mut sum = Capacity {
+            until_tag: service.turns.until_tag(),
+            other_turns: if service.underserved.is_some() { 2.0 } else { 1.0 },
+            ..Capacity::default()
+        };
         let mut granted_at = None;
         for target in self.targets.values().filter(is_usable) {
             let in_use = target.running + target.foreign(now);
--- a/crates/scheduler/src/urgency.rs
+++ b/crates/scheduler/src/urgency.rs
@@ -216,6 +216,8 @@
     pub(crate) since_grant_secs: f64,
     /// Grants before the next one by tag.
     pub(crate) until_tag: f64,
+    /// Grants of each eight that do not go by rank.
+    pub(crate) other_turns: f64,
 }
 
 impl Capacity {
@@ -350,9 +352,10 @@
     }
     let is_contended = room_secs > CONTENDED_SECS;
     let outlook = |less_urgent: Work| {
-        // While the work ahead is done, the turns by tag may go to less urgent requests.
-        let by_tag_turns = ahead.times(1.0 / f64::from(LAST_TURN)).min(less_urgent);
-        let by_rank = capacity.wait_secs(&ahead.plus(by_tag_turns));
+        // While the work ahead is done, the other turns may go to less urgent requests.
+        let by_rank_turns = f64::from(GRANTS_PER_TAG_TURN) - capacity.other_turns;
+        let others = ahead.times(capacity.other_turns / by_rank_turns).min(less_urgent);
+        let by_rank = capacity.wait_secs(&ahead.plus(others));
         let wait = by_rank.min(capacity.wait_by_tag_secs(&ahead_by_tag, &mean));
         Outlook::new(newcomer, wait, is_contended)
     };
