--- a/crates/scheduler/src/api.rs
+++ b/crates/scheduler/src/api.rs
@@ -5,6 +5,7 @@
 use futures_util::future::BoxFuture;
 use serde::{Deserialize, Serialize};
 use shallotdrum_engine::{OrderRefusal, TargetKind, Urgency};
+use shallotdrum_telemetry::OverloadCounters;
 use shallotdrum_types::{
     AdapterRef, AvailabilityZone, Fingerprint, Incarnation, RequestId, SoftwareVersion,
     SubscriberId, TargetId, Weight,
@@ -28,15 +29,16 @@
     Baseline,
 }
 
-/// What decides the order and the place of requests.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+/// Who gets a place first when capacity is insufficient.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum Scheduling {
-    /// Fair shares of the subscribers, and the configured speed of the targets.
+    /// Fair shares of the subscribers alone.
     #[default]
     Shares,
-    /// Urgency of the requests, and the measured pace of each target.
+    /// The more urgent first; requests that can no longer be finished are refused.
     Urgency,
-    /// Like `Urgency` once a target of the group has stated how slow it is, else like `Shares`.
+    /// Like `Urgency` once a target has stated its pace, until then like `Shares`.
     WhenPaced,
 }
 
@@ -45,6 +47,8 @@
 pub struct SchedulerConfig {
     /// Scheduling policy.
     pub policy: Policy,
+    /// Who gets a place first when capacity is insufficient.
+    pub scheduling: Scheduling,
     /// Trade-off from 0 (full batches) to 1 (short load stalls).
     pub stall_weight: f64,
     /// Limit on queued requests in the group.
@@ -69,6 +73,8 @@
     pub prefers_own_zone: bool,
     /// What decides the order and the place of requests.
     pub scheduling: Scheduling,
+    /// Counters of what is refused under overload.
+    pub counters: Option<OverloadCounters>,
 }
 
 impl SchedulerConfig {
@@ -76,6 +82,7 @@
     pub fn new(zone: AvailabilityZone) -> Self {
         Self {
             policy: Policy::Adaptive,
+            scheduling: Scheduling::default(),
             stall_weight: 0.5,
             // A wait of 10 s at 400 requests/s in one group; callers give up after that.
             max_queued: 4096,
@@ -93,6 +100,7 @@
             engine_model: None,
             prefers_own_zone: true,
             scheduling: Scheduling::Shares,
+            counters: None,
         }
     }
 }
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -1,6 +1,8 @@
 //! Scheduler of one target group: queueing, fairness, batching, adapter loads, eviction and target
 //! selection. It runs in the instance that owns the group.
 //!
+//! `urgency.rs` decides who gets room under overload, where the setting asks for it; it uses no clock.
+//!
 //! [`GroupScheduler`] keeps all state of the group behind one mutex. Each change is followed by a
 //! dispatch pass whose cost does not depend on the number of adapters.
 //!
@@ -11,13 +13,16 @@
 mod engine_model;
 mod fair;
 mod group;
+mod learned;
 mod measure;
 mod rate_limit;
+mod service_share;
 mod slots;
 mod snapshot;
 mod state;
 mod table;
 mod target;
+mod urgency;
 
 pub use api::{
     AdmissionRequest, Finish, LoadFailure, LoadFn, LoadOrder, MAX_REQUEST_DEADLINE, Policy,
--- a/crates/scheduler/src/state/demand.rs
+++ b/crates/scheduler/src/state/demand.rs
@@ -116,11 +116,12 @@
 impl State {
     /// Whether urgency and the measured pace of targets decide the order and the place of requests.
     pub(crate) fn is_urgency_active(&self) -> bool {
-        match self.cfg.scheduling {
+        let is_chosen = match self.cfg.scheduling {
             Scheduling::Shares => false,
             Scheduling::Urgency => true,
             Scheduling::WhenPaced => self.demand.is_paced,
-        }
+        };
+        is_chosen && self.cfg.policy == Policy::Adaptive
     }
 
     /// Engine time that a request takes, in milliseconds; 0 for a service call.
