Add allotments of customers as shares of a token bucket

Cause: a customer may use rate and burst over all instances together, and nothing counts what it uses.

The owners of a customer's shards keep a bucket each. The request for a place carries the charge if its group has a share; otherwise the entry asks another owner. Customers are charged in fair queueing by their rate.

--- /dev/null
+++ b/crates/allotments/src/bucket.rs
@@ -0,0 +1,116 @@
+//! Share of a customer's token bucket.
+
+use std::time::{Duration, Instant};
+
+use shallotdrum_routes::Allotment;
+
+use crate::shard_count;
+
+/// Part of the burst by which a bucket may fall short and still be full; covers rounding.
+const FULL_TOLERANCE: f64 = 1e-9;
+
+/// Longest time until there is room that is stated.
+const MAX_ROOM_AFTER: Duration = Duration::from_secs(3600);
+
+/// Limits of one share of an allotment.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Limits {
+    /// Units per second.
+    pub rate: f64,
+    /// Largest level.
+    pub burst: f64,
+}
+
+impl Limits {
+    /// Limits of one of the shards of an allotment in a deployment with this many groups.
+    pub fn share(allotment: &Allotment, groups: usize) -> Self {
+        let shards = shard_count(allotment, groups) as f64;
+        Self { rate: allotment.rate / shards, burst: allotment.burst / shards }
+    }
+
+    /// Level from which a request of this many units is admitted.
+    pub(crate) fn needed(&self, units: f64) -> f64 {
+        units.min(self.burst * (1.0 - FULL_TOLERANCE))
+    }
+}
+
+/// Longest time for which a lack of units is put down to an empty beginning; the window over which
+/// allotments are judged.
+const MAX_RECOVERY: Duration = Duration::from_secs(8);
+
+/// Token bucket; its level rises with time up to the burst.
+#[derive(Clone, Debug)]
+pub struct Bucket {
+    limits: Limits,
+    level: f64,
+    /// Time that `level` refers to.
+    at: Instant,
+    /// When a bucket that began empty would be full without use.
+    recovers_until: Option<Instant>,
+}
+
+impl Bucket {
+    /// Bucket of the first owner of a group.
+    pub fn full(limits: Limits, now: Instant) -> Self {
+        Self { limits, level: limits.burst, at: now, recovers_until: None }
+    }
+
+    /// Bucket that was empty at `since`, when a previous owner may have given all units away.
+    pub fn empty_since(limits: Limits, since: Instant) -> Self {
+        let fill_time = Duration::try_from_secs_f64(limits.burst / limits.rate);
+        let recovery = fill_time.unwrap_or(MAX_RECOVERY).min(MAX_RECOVERY);
+        Self { limits, level: 0.0, at: since, recovers_until: Some(since + recovery) }
+    }
+
+    /// Applies the limits of a newer table; a lower burst reduces the level.
+    pub fn set_limits(&mut self, limits: Limits, now: Instant) {
+        if limits != self.limits {
+            // The time until now counts at the previous rate.
+            self.refill(now);
+            self.limits = limits;
+            self.level = self.level.min(limits.burst);
+        }
+    }
+
+    /// Whether the bucket began empty and may lack units for that reason.
+    pub fn is_recovering(&self, now: Instant) -> bool {
+        self.recovers_until.is_some_and(|until| now < until)
+    }
+
+    /// Units that are left.
+    pub fn level(&mut self, now: Instant) -> f64 {
+        self.refill(now);
+        self.level
+    }
+
+    /// Takes the units if there is room for them. A request larger than the bucket is admitted when
+    /// the bucket is full; the level is negative afterwards.
+    pub fn take(&mut self, units: u64, now: Instant) -> bool {
+        self.refill(now);
+        let has_room = self.level >= self.limits.needed(units as f64);
+        if has_room {
+            self.level -= units as f64;
+        }
+        has_room
+    }
+
+    /// Returns units of a request that did not run.
+    pub fn refund(&mut self, units: u64, now: Instant) {
+        self.refill(now);
+        self.level = (self.level + units as f64).min(self.limits.burst);
+    }
+
+    /// Time until there is room for the units, if nothing else is taken.
+    pub fn room_after(&mut self, units: u64, now: Instant) -> Duration {
+        self.refill(now);
+        let missing = (self.limits.needed(units as f64) - self.level).max(0.0);
+        let time = Duration::try_from_secs_f64(missing / self.limits.rate);
+        time.unwrap_or(MAX_ROOM_AFTER).min(MAX_ROOM_AFTER)
+    }
+
+    fn refill(&mut self, now: Instant) {
+        let elapsed = now.saturating_duration_since(self.at).as_secs_f64();
+        self.level = (self.level + elapsed * self.limits.rate).min(self.limits.burst);
+        self.at = self.at.max(now);
+    }
+}
--- /dev/null
+++ b/crates/allotments/src/lib.rs
@@ -0,0 +1,24 @@
+//! Allotments of customers as shares of a token bucket.
+//!
+//! The bucket of a customer is divided among the owners of some target groups, its shards. `shards`
+//! says which groups these are, `bucket` is the part that one owner keeps, `shares` all those of an
+//! owner, `hints` is what an entry
+//! knows of the shards, and `plan` chooses which of them to ask for the units of a request.
+//! `messages` has what entries and owners tell each other.
+//!
+//! Architecture Invariant: the functions of this crate use neither the network nor a clock; times
+//! are passed in.
+
+mod bucket;
+mod hints;
+mod messages;
+mod plan;
+mod shards;
+mod shares;
+
+pub use bucket::{Bucket, Limits};
+pub use hints::{Room, ShardHints};
+pub use messages::{AllotmentReply, Charge};
+pub use plan::{ChargeRequest, ChargeStep, MAX_OTHER_SHARDS, plan_charge, spread_delay};
+pub use shards::{shard_count, shards, units, weight};
+pub use shares::{AppliedAllotments, GroupShares};
--- /dev/null
+++ b/crates/allotments/src/messages.rs
@@ -0,0 +1,47 @@
+//! Messages between entries and the owners of shards.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use shallotdrum_types::CustomerName;
+
+/// Units to take from a customer's allotment.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Charge {
+    /// Customer to charge.
+    pub customer: CustomerName,
+    /// Number of units.
+    pub units: u64,
+}
+
+/// Response of a shard's owner to a charge.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct AllotmentReply {
+    /// Whether the units were taken.
+    pub granted: bool,
+    /// Units in the bucket after the decision; negative after a request larger than the bucket.
+    pub level: f64,
+    /// Time until the bucket has room for the units, in milliseconds; absent if they were taken, and
+    /// if the group is not a shard of the customer by the owner's state.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub room_after_ms: Option<u64>,
+    /// Whether the bucket lacks units because it began empty, not because the customer used them.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_recovering: bool,
+}
+
+impl AllotmentReply {
+    /// Refusal of an owner whose state does not have the group as a shard of the customer.
+    pub const NOT_A_SHARD: Self =
+        Self { granted: false, level: 0.0, room_after_ms: None, is_recovering: false };
+
+    /// Grant that leaves this level.
+    pub(crate) fn granted(level: f64) -> Self {
+        Self { granted: true, level, room_after_ms: None, is_recovering: false }
+    }
+
+    /// Time until there is room, if the bucket had none.
+    pub fn room_after(&self) -> Option<Duration> {
+        self.room_after_ms.map(Duration::from_millis)
+    }
+}
--- /dev/null
+++ b/crates/allotments/src/shares.rs
@@ -0,0 +1,166 @@
+//! Buckets of an owner, and when a bucket may be created with units in it.
+
+use std::{
+    collections::HashMap,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use shallotdrum_routes::{Customer, RouteTable};
+use shallotdrum_types::{CustomerName, GroupId};
+
+use crate::{AllotmentReply, Bucket, Charge, Limits, shard_count, shards};
+
+/// Time after an instance first saw a group during which the first owner of a group begins with full
+/// buckets. A group that is added later takes over shards whose units may already be used.
+const FIRST_START_TIME: Duration = Duration::from_secs(5);
+
+/// Customers and groups by the state that an owner has applied.
+#[derive(Debug, Default)]
+pub struct AppliedAllotments {
+    table: Option<Arc<RouteTable>>,
+    /// Customers of `table`.
+    customers: HashMap<CustomerName, AppliedCustomer>,
+    groups: Vec<GroupId>,
+    /// When the owner's process first saw a group.
+    first_seen: Option<Instant>,
+    /// When `groups` last changed.
+    groups_since: Option<Instant>,
+}
+
+#[derive(Debug)]
+struct AppliedCustomer {
+    customer: Arc<Customer>,
+    /// When a newer table added the customer or changed the number of its shards; absent since the
+    /// first table.
+    since: Option<Instant>,
+}
+
+/// Shares of allotments that belong to an owned group.
+#[derive(Debug)]
+pub struct GroupShares {
+    group: GroupId,
+    /// When the instance began to own the group.
+    since: Instant,
+    /// Whether the group had no owner before.
+    is_first_owner: bool,
+    buckets: HashMap<CustomerName, Bucket>,
+}
+
+impl AppliedAllotments {
+    /// Applies a state; returns whether shards may have changed.
+    pub fn update<'a, I: Iterator<Item = &'a GroupId>>(
+        &mut self,
+        table: Option<&Arc<RouteTable>>,
+        groups: impl Fn() -> I,
+        now: Instant,
+    ) -> bool {
+        let has_new_table = table.map(Arc::as_ptr) != self.table.as_ref().map(Arc::as_ptr);
+        if has_new_table {
+            self.apply_table(table, now);
+        }
+        let has_new_groups = !groups().eq(&self.groups);
+        if has_new_groups {
+            self.groups = groups().cloned().collect();
+            self.groups_since = Some(now);
+            self.first_seen.get_or_insert(now);
+        }
+        has_new_table || has_new_groups
+    }
+
+    fn apply_table(&mut self, table: Option<&Arc<RouteTable>>, now: Instant) {
+        let is_first = self.table.is_none();
+        let known = std::mem::take(&mut self.customers);
+        let shards = |customer: &Customer| customer.allotment.map(|a| shard_count(&a, usize::MAX));
+        let customers = table.and_then(|table| table.customers.as_ref());
+        let applied = customers.into_iter().flatten().map(|customer| {
+            let since = match known.get(&customer.name) {
+                Some(known) if shards(&known.customer) == shards(customer) => known.since,
+                _ if is_first => None,
+                _ => Some(now),
+            };
+            (customer.name.clone(), AppliedCustomer { customer: customer.clone(), since })
+        });
+        self.customers = applied.collect();
+        self.table = table.cloned();
+    }
+
+    /// Limits of a group's share of an allotment; absent if the group is not a shard of the customer.
+    fn limits(&self, name: &CustomerName, group: &GroupId) -> Option<Limits> {
+        let allotment = self.customers.get(name)?.customer.allotment?;
+        let count = shard_count(&allotment, self.groups.len());
+        let is_shard = shards(name, &self.groups).into_iter().take(count).any(|id| id == group);
+        is_shard.then(|| Limits::share(&allotment, self.groups.len()))
+    }
+}
+
+impl GroupShares {
+    /// Shares of a group that an instance owns since `since`.
+    pub fn new(group: GroupId, since: Instant, is_first_owner: bool) -> Self {
+        Self { group, since, is_first_owner, buckets: HashMap::new() }
+    }
+
+    /// Takes the units of a request, if there is room for them.
+    pub fn charge(
+        &mut self,
+        applied: &AppliedAllotments,
+        charge: &Charge,
+        now: Instant,
+    ) -> AllotmentReply {
+        let Charge { customer: name, units } = charge;
+        let known = applied.customers.get(name);
+        if known.is_some_and(|known| known.customer.allotment.is_none()) {
+            return AllotmentReply::granted(0.0);
+        }
+        let Some(limits) = applied.limits(name, &self.group) else {
+            return AllotmentReply::NOT_A_SHARD;
+        };
+        if !self.buckets.contains_key(name) {
+            let bucket = self.first_bucket(applied, name, limits, now);
+            self.buckets.insert(name.clone(), bucket);
+        }
+        let Some(bucket) = self.buckets.get_mut(name) else { return AllotmentReply::NOT_A_SHARD };
+        bucket.set_limits(limits, now);
+        if bucket.take(*units, now) {
+            return AllotmentReply::granted(bucket.level(now));
+        }
+        AllotmentReply {
+            granted: false,
+            level: bucket.level(now),
+            room_after_ms: Some(bucket.room_after(*units, now).as_millis() as u64),
+            is_recovering: bucket.is_recovering(now),
+        }
+    }
+
+    /// Returns the units of a request that got no place; `false` if the customer has no share here.
+    pub fn refund(&mut self, charge: &Charge, now: Instant) -> bool {
+        let bucket = self.buckets.get_mut(&charge.customer);
+        bucket.map(|bucket| bucket.refund(charge.units, now)).is_some()
+    }
+
+    /// Drops the buckets of customers of which the group is a shard no more.
+    pub fn retain_shards(&mut self, applied: &AppliedAllotments) {
+        self.buckets.retain(|name, _| applied.limits(name, &self.group).is_some());
+    }
+
+    /// Bucket of a customer that has none here yet.
+    ///
+    /// Until the groups or the number of shards last changed, another group may have been the shard
+    /// and have given away the units.
+    fn first_bucket(
+        &self,
+        applied: &AppliedAllotments,
+        name: &CustomerName,
+        limits: Limits,
+        now: Instant,
+    ) -> Bucket {
+        let changed = applied.customers.get(name).and_then(|known| known.since);
+        let is_first_start =
+            applied.first_seen.is_some_and(|at| self.since < at + FIRST_START_TIME);
+        if self.is_first_owner && is_first_start && changed.is_none() {
+            return Bucket::full(limits, now);
+        }
+        let since = [changed, applied.groups_since, Some(self.since)];
+        Bucket::empty_since(limits, since.into_iter().flatten().max().unwrap_or(now))
+    }
+}
--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -3,9 +3,10 @@
 use std::{sync::Arc, time::Duration};
 
 use jsonrpsee::core::async_trait;
+use shallotdrum_allotments::{AllotmentReply, Charge};
 use shallotdrum_control::{Proposal, Reply};
 use shallotdrum_engine::{Announcement, CacheEvents, StreamOrigin};
-use shallotdrum_owner::{OwnerService, PlaceAdmission};
+use shallotdrum_owner::{ChargeError, OwnerService, PlaceAdmission};
 use shallotdrum_routes::RouteTable;
 use shallotdrum_rpc::{
     Compressed, EndedPlace, PeerApiServer, Permit, PermitRequest, PermitRow, PlaceReply,
@@ -13,8 +14,8 @@
     WatchReply,
 };
 use shallotdrum_types::{
-    Base64Bytes, Fingerprint, Incarnation, InstanceId, LogIndex, PermitId, RequestId,
-    RequestIdentity, SessionId, TargetId,
+    Base64Bytes, CustomerName, Fingerprint, GroupId, Incarnation, InstanceId, LogIndex, PermitId,
+    RequestId, RequestIdentity, SessionId, TargetId,
 };
 
 use crate::replica::Replica;
@@ -93,6 +94,8 @@
             place,
             group,
             subscriber,
+            weight,
+            charge,
             need,
             fingerprint,
             any_caller,
@@ -112,6 +115,7 @@
             request,
             identity,
             subscriber,
+            weight: weight.unwrap_or_default(),
             need,
             left,
             urgency,
@@ -121,12 +125,46 @@
             software,
             limits,
         };
-        Ok(match self.owner.take_place(&group, (session, place), admission).await {
-            Ok(granted) => PlaceReply::Granted(granted),
-            Err(error) => PlaceReply::Refused { error },
+        let key = (session, place);
+        let Some(charge) = charge else {
+            return Ok(match self.owner.take_place(&group, key, admission).await {
+                Ok(granted) => PlaceReply::Granted(granted),
+                Err(error) => PlaceReply::Refused { error },
+            });
+        };
+        Ok(match self.owner.take_charged_place(&group, key, admission, &charge).await {
+            Ok((place, allotment)) => PlaceReply::Charged { place, allotment },
+            Err(ChargeError::NoRoom(allotment)) => PlaceReply::NoRoom { allotment },
+            Err(ChargeError::NoPlace(error)) => PlaceReply::Refused { error },
         })
     }
 
+    async fn take_allotment(
+        &self,
+        _session: SessionId,
+        request: RequestId,
+        customer: CustomerName,
+        units: u64,
+        group: GroupId,
+    ) -> Result<AllotmentReply, RpcError> {
+        let charge = Charge { customer, units };
+        let reply = self.owner.take_allotment(&group, &request, &charge);
+        reply.map_err(|_| RpcError::NotGroupOwner(group))
+    }
+
+    async fn return_allotment(
+        &self,
+        _session: SessionId,
+        request: RequestId,
+        customer: CustomerName,
+        units: u64,
+        group: GroupId,
+    ) -> Result<(), RpcError> {
+        let charge = Charge { customer, units };
+        let returned = self.owner.return_allotment(&group, &request, &charge);
+        returned.map_err(|_| RpcError::NotGroupOwner(group))
+    }
+
     async fn stream_origin(&self, request: RequestId) -> Result<Option<StreamOrigin>, RpcError> {
         Ok(self.owner.streams.find(&request))
     }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -16,11 +16,12 @@
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
+use shallotdrum_allotments::ShardHints;
 use shallotdrum_control::ControlView;
 use shallotdrum_engine::Urgency;
 use shallotdrum_links::{Links, WitnessUse};
 use shallotdrum_owner::{CrashStatus, OwnerService, PlaceAdmission, RunningGuard, SessionFn};
-use shallotdrum_routes::{Route, RouteIndex};
+use shallotdrum_routes::{Customer, Route, RouteIndex};
 use shallotdrum_rpc::{Peers, PlaceEnd};
 use shallotdrum_telemetry::{Metrics, event};
 use shallotdrum_types::{
@@ -43,7 +44,7 @@
         target_failed, target_refused, target_timed_out, target_unreachable, timed_out_waiting,
     },
     fingerprint::request_identity,
-    need::{fallback_label, subscriber},
+    need::{fallback_label, subscriber, weight},
     places::{Place, PlaceClient},
     relay::Relay,
 };
@@ -90,7 +91,8 @@
 /// Routes callers' requests to targets and returns the responses.
 pub struct Gateway {
     pub(crate) cx: GatewayContext,
-    places: PlaceClient,
+    pub(crate) places: PlaceClient,
+    pub(crate) shard_hints: Mutex<ShardHints>,
     pub(crate) connections: ConnectionPool,
     bodies: BodyBuffers,
     budgets: Mutex<HashMap<PoolId, RetryBudget>>,
@@ -108,6 +110,10 @@
     permitted: Option<Fingerprint>,
     /// Software version that the events received by the caller came from.
     pub(crate) software: Option<SoftwareVersion>,
+    /// Customer whose key the caller sent; absent without one.
+    pub(crate) customer: Option<Arc<Customer>>,
+    /// Whether the customer's allotment was charged.
+    pub(crate) is_charged: bool,
     pub(crate) route: Route,
     pub(crate) pool: PoolId,
     /// Revision of the route table that selected the pool.
@@ -166,6 +172,7 @@
         let gateway = Arc::new(Self {
             cx,
             places,
+            shard_hints: Mutex::default(),
             connections: connections.clone(),
             bodies: BodyBuffers::default(),
             budgets: Mutex::default(),
@@ -177,6 +184,7 @@
             while let Some(gateway) = weak.upgrade() {
                 gateway.count_entries();
                 gateway.places.expire();
+                gateway.expire_shard_hints();
                 drop(gateway);
                 tokio::time::sleep(EXPIRE_INTERVAL).await;
                 connections.expire();
@@ -300,6 +308,8 @@
             identity,
             permitted,
             software,
+            customer: None,
+            is_charged: false,
             req,
             route,
             pool,
@@ -439,6 +449,7 @@
             request: run.req.id.clone(),
             identity: self.cx.owner.identity_to_admit(run.admitted_identity()),
             subscriber: subscriber(run),
+            weight: weight(run),
             need: need.clone(),
             left: Duration::ZERO,
             urgency: Urgency { route: run.route.rank, ..Urgency::default() },
@@ -448,11 +459,7 @@
             software: run.software.clone(),
             limits: Vec::new(),
         };
-        let mut place = self
-            .places
-            .take(&run.pool, admission, run.deadline)
-            .await
-            .map_err(AttemptOutcome::NoPlace)?;
+        let mut place = self.take_place(run, admission).await.map_err(AttemptOutcome::NoPlace)?;
         let witness = self.witness(run, &place).await;
         // The target may have left meanwhile.
         if self.places.is_withheld(place.granted.addr) {
@@ -661,6 +668,8 @@
             identity: self.identity.clone(),
             permitted: self.permitted,
             software: self.software.clone(),
+            customer: self.customer.clone(),
+            is_charged: self.is_charged,
             route: self.route.clone(),
             pool: self.pool.clone(),
             revision: self.revision,
@@ -674,6 +683,11 @@
         }
     }
 
+    /// Revision of the route table that selected the pool.
+    pub(crate) fn revision(&self) -> Revision {
+        self.revision
+    }
+
     /// Identifier given by the caller.
     pub(crate) fn id(&self) -> &RequestId {
         &self.req.id
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,11 +8,13 @@
 //! `fallback` selects a target while a group has no owner, `need` describes a request to the owner, `budget` limits retries, `body` reads whole
 //! responses, `limits` keeps the limits that targets name, `withheld` the targets that ask for no
 //! requests, `origin` finds the version of a stream that a caller takes up, and `decision` holds the
-//! retry rules. `fingerprint` recognises repeats of a request, and `crash` those that crash targets.
+//! retry rules. `allotments` charges requests
+//! to the allotments of customers. `fingerprint` recognises repeats of a request, and `crash` those that crash targets.
 //!
 //! Architecture Invariant: an at-most-once request is sent to a second target only if no byte of
 //! it can have reached the first, or the first refused it without running it.
 
+mod allotments;
 mod body;
 mod body_end;
 mod budget;
--- a/crates/gateway/src/need.rs
+++ b/crates/gateway/src/need.rs
@@ -1,7 +1,7 @@
 //! What a request needs at a target, and whom it is charged to.
 
 use shallotdrum_engine::Requirements;
-use shallotdrum_types::{AdapterId, AdapterRef, AdapterVersion, SubscriberId};
+use shallotdrum_types::{AdapterId, AdapterRef, AdapterVersion, SubscriberId, Weight};
 
 use crate::{Gateway, Generation, exchange::RequestRun};
 
@@ -41,14 +41,24 @@
     }
 }
 
-/// Returns the subscriber that a request is charged to: its adapter, as each adapter belongs to one
-/// subscriber, or else its route.
+/// Returns the subscriber that a request is charged to in fair queueing: its customer, or else its
+/// adapter, as each adapter belongs to one subscriber, or else its route.
 pub(crate) fn subscriber(run: &RequestRun) -> SubscriberId {
+    if let Some(customer) = &run.customer {
+        // Both kinds of names have the same characters.
+        return customer.name.as_str().parse().unwrap_or_else(|_| fallback_label());
+    }
     let adapter = run.req.generation.as_ref().and_then(|g| g.adapter.as_ref());
     let name = adapter.map_or(run.route.name.as_str(), |adapter| adapter.as_str());
     name.parse().unwrap_or_else(|_| fallback_label())
 }
 
+/// Weight of the subscriber in fair queueing.
+pub(crate) fn weight(run: &RequestRun) -> Weight {
+    let allotment = run.customer.as_ref().and_then(|customer| customer.allotment.as_ref());
+    shallotdrum_allotments::weight(allotment)
+}
+
 /// Label for names that are not valid identifiers.
 pub(crate) fn fallback_label() -> SubscriberId {
     "other".parse().expect("a valid name")
--- a/crates/gateway/src/places.rs
+++ b/crates/gateway/src/places.rs
@@ -12,21 +12,23 @@
     time::Duration,
 };
 
+use shallotdrum_allotments::{AllotmentReply, Charge};
 use shallotdrum_control::{AnnouncedTarget, ControlView};
 use shallotdrum_engine::{GrantedPlace, ObservedLimit, Priority, Requirements};
-use shallotdrum_owner::{OwnerService, PlaceAdmission, PlaceKey, SessionFn};
+use shallotdrum_owner::{ChargeError, OwnerService, PlaceAdmission, PlaceKey, SessionFn};
 use shallotdrum_rpc::{
     EndedPlace, PeerApiClient, Peers, PlaceEnd, PlaceReply, PlaceRequest, RpcError,
 };
 use shallotdrum_telemetry::event;
 use shallotdrum_types::{
     GroupId, PoolId, RequestError, RequestErrorKind, RequestRate, SessionId, SoftwareVersion,
-    TargetId,
+    TargetId, Weight,
 };
 use tokio::time::Instant;
 
 use crate::{
     FallbackSelector,
+    errors::timed_out_waiting,
     limits::{LimitChange, TargetLimits},
     withheld::{Process, WithheldTargets},
 };
@@ -57,6 +59,9 @@
 /// Timeout for a ping; about a hundred round trips. An owner that misses it counts as unresponsive.
 const PING_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// Group that serves a request, with the session and the RPC address of its owner.
+pub(crate) type ChosenGroup = (GroupId, SessionId, SocketAddr);
+
 /// Acquires places for the requests of this entry; clones share the state.
 #[derive(Clone)]
 pub(crate) struct PlaceClient(Arc<Shared>);
@@ -463,6 +468,32 @@
         Some(Place { granted, guard })
     }
 
+    /// Requests a place together with a charge from the owner of a group, once.
+    ///
+    /// The place is absent if the request was charged but its target takes no requests.
+    pub(crate) async fn take_charged(
+        &self,
+        pool: &PoolId,
+        chosen: ChosenGroup,
+        mut admission: PlaceAdmission,
+        charge: Charge,
+        deadline: Instant,
+    ) -> Result<(Option<Place>, AllotmentReply), ChargeError> {
+        self.check_software(pool, admission.software.as_ref())?;
+        admission.avoid.extend(self.withheld_targets(pool));
+        admission.left = deadline.saturating_duration_since(Instant::now());
+        let need = admission.need.clone();
+        let (place, reply) = self.take_in(pool, chosen, admission, Some(charge), deadline).await?;
+        let Some(reply) = reply else { return Err(no_owner(pool).into()) };
+        let (target, incarnation) = (&place.granted.target, place.granted.incarnation);
+        if let Requirements::Generation { adapter: Some(adapter), .. } = &need {
+            self.fallback().record_grant(pool, adapter, target, Instant::now());
+        }
+        let is_withheld = self.withheld().contains(&(target.clone(), incarnation));
+        let is_leaving = self.0.view.read(|state| state.is_leaving(target, incarnation));
+        Ok((Some(place).filter(|_| !is_withheld && !is_leaving), reply))
+    }
+
     /// Requests a place from the owner of a group in the pool.
     async fn try_take(
         &self,
@@ -470,8 +501,25 @@
         admission: PlaceAdmission,
         deadline: Instant,
     ) -> Result<Place, RequestError> {
-        let Some(session) = (self.0.session)() else { return Err(no_owner(pool)) };
-        let (group, owner, addr) = self.choose_group(pool, &admission)?;
+        let chosen = self.choose_group(pool, &admission)?;
+        match self.take_in(pool, chosen, admission, None, deadline).await {
+            Ok((place, _)) => Ok(place),
+            Err(ChargeError::NoPlace(error)) => Err(error),
+            // Only for requests with a charge.
+            Err(ChargeError::NoRoom(_)) => Err(no_owner(pool)),
+        }
+    }
+
+    /// Requests a place from the owner of a group, which charges the request if `charge` is present.
+    async fn take_in(
+        &self,
+        pool: &PoolId,
+        (group, owner, addr): ChosenGroup,
+        admission: PlaceAdmission,
+        charge: Option<Charge>,
+        deadline: Instant,
+    ) -> Result<(Place, Option<AllotmentReply>), ChargeError> {
+        let Some(session) = (self.0.session)() else { return Err(no_owner(pool).into()) };
         let admission = PlaceAdmission { limits: self.limits_of(&group), ..admission };
         let key = (session, self.0.next_place.fetch_add(1, Ordering::Relaxed));
         let granted_by = match owner == session {
@@ -480,8 +528,15 @@
         };
         let guard = PlaceGuard::new(self.clone(), granted_by);
         if owner == session {
-            let granted = self.0.owner.take_place(&group, key, admission).await?;
-            return Ok(Place { granted, guard });
+            let owner = &self.0.owner;
+            let (granted, reply) = match &charge {
+                Some(charge) => {
+                    let charged = owner.take_charged_place(&group, key, admission, charge).await?;
+                    (charged.0, Some(charged.1))
+                }
+                None => (owner.take_place(&group, key, admission).await?, None),
+            };
+            return Ok((Place { granted, guard }, reply));
         }
         let request = PlaceRequest {
             session,
@@ -489,6 +544,8 @@
             place: key.1,
             group: group.clone(),
             subscriber: admission.subscriber,
+            weight: (admission.weight != Weight::default()).then_some(admission.weight),
+            charge,
             need: admission.need,
             fingerprint: Some(admission.identity.request),
             any_caller: admission.identity.any_caller,
@@ -503,22 +560,23 @@
         let client = self.0.peers.get(addr).map_err(|e| owner_unreachable(&group, &e))?;
         let reply = tokio::select! {
             reply = tokio::time::timeout_at(deadline, client.take_place(request)) => reply,
-            () = self.owner_changed(&group, owner) => return Err(no_owner(pool)),
-            () = self.owner_unresponsive(addr) => return Err(no_owner(pool)),
+            () = self.owner_changed(&group, owner) => return Err(no_owner(pool).into()),
+            () = self.owner_unresponsive(addr) => return Err(no_owner(pool).into()),
         };
         match reply {
             Ok(Ok(reply)) => {
                 self.record_reply(addr);
                 match reply {
-                    PlaceReply::Granted(granted) => Ok(Place { granted, guard }),
-                    PlaceReply::Refused { error } => Err(error),
+                    PlaceReply::Granted(granted) => Ok((Place { granted, guard }, None)),
+                    PlaceReply::Charged { place: granted, allotment } => {
+                        Ok((Place { granted, guard }, Some(allotment)))
+                    }
+                    PlaceReply::NoRoom { allotment } => Err(ChargeError::NoRoom(allotment)),
+                    PlaceReply::Refused { error } => Err(error.into()),
                 }
             }
-            Ok(Err(error)) => Err(owner_unreachable(&group, &error.into())),
-            Err(_) => Err(RequestError::not_run(
-                RequestErrorKind::DeadlineExceeded,
-                "the deadline passed while the request waited for a target",
-            )),
+            Ok(Err(error)) => Err(owner_unreachable(&group, &error.into()).into()),
+            Err(_) => Err(timed_out_waiting().into()),
         }
     }
 
@@ -579,11 +637,11 @@
 
     /// Selects a group of the pool by rendezvous hashing, so that requests for an adapter go to the
     /// same group as long as it has an owner.
-    fn choose_group(
+    pub(crate) fn choose_group(
         &self,
         pool: &PoolId,
         admission: &PlaceAdmission,
-    ) -> Result<(GroupId, SessionId, SocketAddr), RequestError> {
+    ) -> Result<ChosenGroup, RequestError> {
         let key = match &admission.need {
             Requirements::Generation { adapter: Some(adapter), .. } => adapter.adapter.to_string(),
             _ => admission.request.to_string(),
--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -10,6 +10,7 @@
 //! count what speaks against a suspicion, and `unrecorded` holds the crashes that the control log
 //! does not have yet.
 
+mod allotments;
 mod base;
 mod call;
 mod completion;
@@ -34,6 +35,7 @@
 mod unanswered;
 mod unrecorded;
 
+pub use allotments::ChargeError;
 pub use context::{
     HeldPermits, InspectFn, InspectRequest, Inspection, OrderFn, OrderKind, OwnerContext, PermitFn,
     ReleaseFn, SessionFn, TargetOrder, engine_orders,
--- a/crates/owner/src/places.rs
+++ b/crates/owner/src/places.rs
@@ -40,6 +40,8 @@
     pub identity: RequestIdentity,
     /// Subscriber whose fair share the request counts against.
     pub subscriber: SubscriberId,
+    /// Weight of the subscriber in fair queueing.
+    pub weight: Weight,
     /// Resources that the request needs at the target.
     pub need: Requirements,
     /// Time left for the complete response.
@@ -221,7 +223,7 @@
         fingerprint: admission.identity.request,
         request: admission.request,
         subscriber: admission.subscriber,
-        weight: Weight::default(),
+        weight: admission.weight,
         kind,
         deadline: (Instant::now() + admission.left).into(),
         is_suspect: false,
--- a/crates/owner/src/service.rs
+++ b/crates/owner/src/service.rs
@@ -13,6 +13,7 @@
     time::{Duration, Instant},
 };
 
+use shallotdrum_allotments::{AppliedAllotments, GroupShares};
 use shallotdrum_control::{
     AnnouncedTarget, Command, Handover, Isolation, LOST_OWNER_SETTLE_MS, Reply,
 };
@@ -63,6 +64,8 @@
     in_progress: Arc<AtomicUsize>,
     is_stopping: AtomicBool,
     pub(crate) places: PlaceTable,
+    /// Allotments of customers by the applied state.
+    pub(crate) allotments: Mutex<AppliedAllotments>,
     /// Where streams began that this instance sent, or granted places for.
     pub streams: StreamOrigins,
     /// Requests that this instance sends to targets under a place.
@@ -97,6 +100,8 @@
     pub(crate) scheduler: GroupScheduler,
     pub(crate) crashes: Arc<CrashDetector>,
     pub(crate) orders: OrderCount,
+    /// Shares of customers' allotments that belong to the group.
+    shares: Mutex<GroupShares>,
     handover: Handover,
     /// When this instance began to own the group.
     pub(crate) since: Instant,
@@ -148,6 +153,7 @@
             in_progress: Arc::default(),
             is_stopping: AtomicBool::new(false),
             places: PlaceTable::default(),
+            allotments: Mutex::default(),
             streams: StreamOrigins::default(),
             relayed: CrashDetector::new(Isolation::Shared),
             suspensions: Suspensions::default(),
@@ -165,6 +171,7 @@
                 false => self.sync_groups(),
             }
             self.remove_timed_out_targets();
+            self.update_allotments();
             let live = self.cx.view.read(|state| state.sessions().map(|s| s.id).collect());
             self.places.expire(&live);
             self.update_gauges();
@@ -339,6 +346,10 @@
         }
     }
 
+    pub(crate) fn owned_groups(&self) -> Vec<Arc<OwnedGroup>> {
+        self.groups().values().cloned().collect()
+    }
+
     fn groups(&self) -> MutexGuard<'_, BTreeMap<GroupId, Arc<OwnedGroup>>> {
         self.groups.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -405,6 +416,7 @@
             return group.clone();
         }
         event!(self.cx.log, GROUP_ACQUIRED; "group" => %id, "epoch" => epoch.0, "handover" => ?handover);
+        let since = Instant::now();
         let orders = OrderCount::default();
         let service = Arc::downgrade(self);
         let load =
@@ -417,8 +429,9 @@
             scheduler: GroupScheduler::new(self.cx.scheduler.clone(), load, self.cx.log.clone()),
             crashes: CrashDetector::new(Isolation::Alone),
             orders,
+            shares: Mutex::new(GroupShares::new(id.clone(), since, handover == Handover::First)),
             handover,
-            since: Instant::now(),
+            since,
             targets: Mutex::default(),
             base_loads: Mutex::default(),
             inspections: Mutex::default(),
@@ -552,6 +565,10 @@
         self.targets.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(crate) fn shares(&self) -> MutexGuard<'_, GroupShares> {
+        self.shares.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     pub(crate) fn ownership(&self) -> Ownership {
         Ownership { session: self.session, epoch: self.epoch }
     }
--- a/crates/owner/tests/crash_reports.rs
+++ b/crates/owner/tests/crash_reports.rs
@@ -79,6 +79,7 @@
         request: request.clone(),
         identity: identity.clone(),
         subscriber: "caller".parse().unwrap(),
+        weight: Default::default(),
         need: Requirements::Call { is_repeatable: true },
         left: Duration::from_secs(30),
         urgency: Urgency::default(),
--- a/crates/owner/tests/leaving_targets.rs
+++ b/crates/owner/tests/leaving_targets.rs
@@ -34,6 +34,7 @@
         request,
         identity: RequestIdentity::from(fingerprint),
         subscriber: "caller".parse().unwrap(),
+        weight: Default::default(),
         need: Requirements::Call { is_repeatable: true },
         left: Duration::from_secs(30),
         urgency: Urgency::default(),
--- a/crates/owner/tests/unanswered_requests.rs
+++ b/crates/owner/tests/unanswered_requests.rs
@@ -35,6 +35,7 @@
             request: "r0".parse().unwrap(),
             identity: RequestIdentity::from(fingerprint("r0")),
             subscriber: "caller".parse().unwrap(),
+            weight: Default::default(),
             need: Requirements::Call { is_repeatable: true },
             left: Duration::from_secs(30),
             urgency: Urgency::default(),
--- a/crates/rpc/src/api.rs
+++ b/crates/rpc/src/api.rs
@@ -1,12 +1,13 @@
 //! JSON-RPC methods that each instance serves on its RPC address.
 
 use jsonrpsee::proc_macros::rpc;
+use shallotdrum_allotments::AllotmentReply;
 use shallotdrum_control::{Proposal, Reply};
 use shallotdrum_engine::{Announcement, CacheEvents, StreamOrigin};
 use shallotdrum_routes::RouteTable;
 use shallotdrum_types::{
-    AdapterId, Base64Bytes, Fingerprint, Incarnation, InstanceId, LogIndex, PermitId, RequestId,
-    Revision, SessionId, SubmissionId, TargetId,
+    AdapterId, Base64Bytes, CustomerName, Fingerprint, GroupId, Incarnation, InstanceId, LogIndex,
+    PermitId, RequestId, Revision, SessionId, SubmissionId, TargetId,
 };
 
 use crate::{
@@ -79,6 +80,29 @@
     #[method(name = "place_take")]
     async fn take_place(&self, request: PlaceRequest) -> Result<PlaceReply, RpcError>;
 
+    /// Takes units of a customer from the share of its allotment that belongs to a group; served by the
+    /// group's owner. The session is that of the entry that asks.
+    #[method(name = "allotment_take")]
+    async fn take_allotment(
+        &self,
+        session: SessionId,
+        request: RequestId,
+        customer: CustomerName,
+        units: u64,
+        group: GroupId,
+    ) -> Result<AllotmentReply, RpcError>;
+
+    /// Returns units that were taken for a request which got no place; served by the group's owner.
+    #[method(name = "allotment_return")]
+    async fn return_allotment(
+        &self,
+        session: SessionId,
+        request: RequestId,
+        customer: CustomerName,
+        units: u64,
+        group: GroupId,
+    ) -> Result<(), RpcError>;
+
     /// Returns the software version at which the stream of a request began, if this instance sent it
     /// or granted a place for it.
     #[method(name = "stream_origin")]
--- a/crates/rpc/src/error.rs
+++ b/crates/rpc/src/error.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 use shallotdrum_control::CommandError;
 use shallotdrum_manifest::ManifestErrors;
-use shallotdrum_types::{InstanceId, SessionId, TargetId};
+use shallotdrum_types::{GroupId, InstanceId, SessionId, TargetId};
 
 /// First error code of the range that JSON-RPC reserves for implementation-defined server errors.
 const APPLICATION_ERROR_CODE: i32 = -32_000;
@@ -53,6 +53,9 @@
     /// The instance does not own the target's group.
     #[error("this instance does not own the group of target {0}")]
     NotOwner(TargetId),
+    /// The instance does not own the group, or its lease has ended.
+    #[error("this instance does not own target group {0}")]
+    NotGroupOwner(GroupId),
     /// No permit could be granted within the requested wait.
     #[error("no weight-store permit became available in time")]
     NoPermit,
--- a/crates/rpc/src/places.rs
+++ b/crates/rpc/src/places.rs
@@ -5,10 +5,11 @@
 //! the response does not depend on the owner staying up.
 
 use serde::{Deserialize, Serialize};
+use shallotdrum_allotments::{AllotmentReply, Charge};
 use shallotdrum_engine::{GrantedPlace, ObservedLimit, Requirements, TargetLoad, Urgency};
 use shallotdrum_types::{
     Fingerprint, GroupId, RequestError, RequestId, SessionId, SoftwareVersion, SubscriberId,
-    TargetId,
+    TargetId, Weight,
 };
 
 /// Requests a place at a target of a group.
@@ -24,6 +25,13 @@
     pub group: GroupId,
     /// Subscriber that the request is accounted to.
     pub subscriber: SubscriberId,
+    /// Weight of the subscriber in fair queueing; 1 if absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub weight: Option<Weight>,
+    /// Units to take from the share of a customer's allotment that belongs to the group; without
+    /// room for them no place is granted.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub charge: Option<Charge>,
     /// Requirements of the request, by which the owner chooses the target.
     pub need: Requirements,
     /// Equal for repeats of the request with other ids; absent from entries of earlier releases.
@@ -60,6 +68,18 @@
 pub enum PlaceReply {
     /// The request may be sent to this target.
     Granted(GrantedPlace),
+    /// The request may be sent to this target, and is charged; only for requests with a charge.
+    Charged {
+        /// Granted place.
+        place: GrantedPlace,
+        /// Level of the bucket.
+        allotment: AllotmentReply,
+    },
+    /// The allotment has no room, so no place was granted; only for requests with a charge.
+    NoRoom {
+        /// When there is room.
+        allotment: AllotmentReply,
+    },
     /// No place was granted, so the request must not be sent to a target.
     Refused {
         /// Reason for the refusal.
--- a/crates/scheduler/src/state/planner.rs
+++ b/crates/scheduler/src/state/planner.rs
@@ -270,9 +270,11 @@
     }
 
     /// Weight of a queued request. It decreases with the subscriber's lead over virtual time and
-    /// with the number of requests that the subscriber has queued.
+    /// with the number of requests that the subscriber has queued for each unit of its weight, so that
+    /// a large subscriber is not taken for a flood because of its size.
     pub(super) fn fair_share(&self, sub: SubKey, tag: Tag) -> f64 {
-        let queued = self.subs[sub].queued.len().max(1) as f64;
+        let account = &self.subs[sub];
+        let queued = account.queued.len().max(1) as f64 / account.weight;
         (MAX_COUNTED_BACKLOG / queued).min(1.0)
             / (1.0 + self.fair_clock.lead(tag) / FAIR_LEAD_TOKENS)
     }
@@ -283,7 +285,7 @@
     pub(super) fn load_share(&self, sub: SubKey, tag: Tag, now: Instant) -> f64 {
         let account = &self.subs[sub];
         let loads = account.loads.get(now) / account.weight;
-        let missing = self.missing_by_sub.get(&sub).map_or(1.0, |n| f64::from(*n));
+        let missing = self.missing_by_sub.get(&sub).map_or(1.0, |n| f64::from(*n)) / account.weight;
         (FAIR_LOADS / missing).min(1.0)
             / ((1.0 + self.fair_clock.lead(tag) / FAIR_LEAD_TOKENS)
                 * (1.0 + (loads / FAIR_LOADS).powi(2)))
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -150,6 +150,8 @@
         ENGINE_NOT_INSPECTED = "O0325", Warning, "engine did not report its loaded adapters; it gets no orders until it is inspected again", "check the engine";
         LOAD_DECIDED = "O0322", Info, "decided to load an adapter", "none";
         ENGINE_INSPECTED = "O0321", Info, "engine reported its loaded adapters", "none";
+        ALLOTMENT_DECIDED = "O0350", Info, "units of a customer's allotment taken, or refused for lack of room", "none";
+        ALLOTMENT_RETURNED = "O0351", Info, "units returned to a customer's allotment: the request got no place", "none";
         PLACE_WITHOUT_OWNER = "O0323", Info, "request sent to a target without a place from the group's owner", "none, unless it persists; then check the instance that owned the group";
         PLACE_END_LOST = "O0320", Debug, "cannot report the end of a place; the place expires at its deadline", "none";
         PLACE_REFUSED = "O0316", Info, "place at a target refused; the request was not run", "compare the detail with the load of the group";
@@ -191,6 +193,8 @@
         PLACE_WITHHELD = "N0424", Info, "place not used: its target asked for no more requests", "none, unless it persists for a target";
         PLACE_OUTDATED = "N0426", Info, "place not used: its target leaves, which the owner of its group did not know", "check the owner's connection to the control replicas if it persists";
         RESPONSE_DISCARDED = "N0432", Info, "discarded a response that is not certainly that of the request; the request may have run", "check the target: it writes responses late or once more (the cause says an earlier request), or names no request in them";
+        ALLOTMENT_REFUSED = "N0450", Info, "request refused: the allotment of its customer has no room", "none; see the section on status 429 in the operations manual";
+        ALLOTMENT_UNREACHED = "N0451", Info, "cannot ask the owner of a share of a customer's allotment", "none, unless it persists; then check the instance that owns the group";
         REFUSED_FOR_GOOD = "N0433", Info, "request refused for good by a confirmed state", "compare the revision with the newest one, and the confirmation with the log of the leader of its term";
         ROUTES_CHANGED = "N0413", Info, "route table in force", "none";
         INPUT_REFUSED = "N0414", Warning, "malformed message refused", "correct the sender";
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -132,6 +132,10 @@
     manifest_revision: IntGauge, "shallotdrum_manifest_revision", "Manifest revision in force";
     log_index: IntGauge, "shallotdrum_log_index", "Last applied index of the control log";
     log_backlog: IntGauge, "shallotdrum_log_backlog", "Committed entries of the control log that are not applied, on a replica";
+    allotment_admitted: IntCounter, "shallotdrum_allotment_admitted_total", "Requests of this entry that were charged to an allotment";
+    allotment_refused: IntCounter, "shallotdrum_allotment_refused_total", "Requests of this entry that were refused with 429, as their allotment had no room";
+    allotment_asked: IntCounter, "shallotdrum_allotment_asked_total", "Shards of allotments that this entry asked with a message of its own";
+    allotment_refunds: IntCounter, "shallotdrum_allotment_refunds_total", "Charges that this owner returned to an allotment";
     is_leader: IntGauge, "shallotdrum_is_leader", "1 on the control leader, else 0";
 }
 
