Wait for a share that began empty, and ask once while a customer exceeds

Cause: in crates/allotments/tests/bounds.rs the smallest customer (one share, whose owner failed every 16 s) was served 51 of 73 within its allotment: requests that waited for the next owner met its empty bucket. A flood of 7.5 times cost up to 2.4 messages a request.

A refusal says whether the bucket began empty a short time ago. The request then waits until there is room, unless most of the entry's charges of the customer were refused. Such a customer asks one share for each request.

--- a/crates/allotments/src/bucket.rs
+++ b/crates/allotments/src/bucket.rs
@@ -34,9 +34,9 @@
     }
 }
 
-/// Longest time for which a lack of units is put down to an empty beginning; the window over which
-/// allotments are judged.
-const MAX_RECOVERY: Duration = Duration::from_secs(8);
+/// Longest time for which a lack of units is put down to an empty beginning; twice the window over
+/// which allotments are judged.
+const MAX_RECOVERY: Duration = Duration::from_secs(16);
 
 /// Token bucket; its level rises with time up to the burst.
 #[derive(Clone, Debug)]
@@ -45,7 +45,7 @@
     level: f64,
     /// Time that `level` refers to.
     at: Instant,
-    /// When a bucket that began empty would be full without use.
+    /// Until when a lack of units is put down to the empty beginning.
     recovers_until: Option<Instant>,
 }
 
@@ -58,7 +58,8 @@
     /// Bucket that was empty at `since`, when a previous owner may have given all units away.
     pub fn empty_since(limits: Limits, since: Instant) -> Self {
         let fill_time = Duration::try_from_secs_f64(limits.burst / limits.rate);
-        let recovery = fill_time.unwrap_or(MAX_RECOVERY).min(MAX_RECOVERY);
+        // What is used while the bucket fills delays it by as much again.
+        let recovery = fill_time.map_or(MAX_RECOVERY, |time| (time * 2).min(MAX_RECOVERY));
         Self { limits, level: 0.0, at: since, recovers_until: Some(since + recovery) }
     }
 
--- a/crates/allotments/src/hints.rs
+++ b/crates/allotments/src/hints.rs
@@ -22,7 +22,7 @@
 
 /// The same for a refusal by a bucket that began empty. Requests that waited for an owner are refused
 /// several times then, although they are within the allotment.
-const RECOVERING_REPLY_WEIGHT: f64 = 0.1;
+const RECOVERING_REPLY_WEIGHT: f64 = 0.03;
 
 /// Share of granted charges below which the customer counts as exceeding its allotment.
 const EXCEEDING_SHARE: f64 = 0.5;
--- a/crates/allotments/src/plan.rs
+++ b/crates/allotments/src/plan.rs
@@ -6,8 +6,8 @@
 
 use crate::{Limits, Room, ShardHints};
 
-/// Number of shards besides that of the request's own group that are asked for one request;
-/// only one if the customer exceeds its allotment.
+/// Number of shards besides that of the request's own group that are asked for one request. A request of
+/// a customer that exceeds its allotment asks a single shard.
 pub const MAX_OTHER_SHARDS: usize = 3;
 
 /// Longest time after there is room at which a refused request is told to return, so that callers do
@@ -79,12 +79,15 @@
         return ChargeStep::Ask(own);
     }
     let others_asked = asked.iter().filter(|group| !is_own(group)).count();
-    let max_others = if hints.is_exceeding(customer, now) { 1 } else { MAX_OTHER_SHARDS };
+    let may_ask = match hints.is_exceeding(customer, now) {
+        true => asked.is_empty(),
+        false => others_asked < MAX_OTHER_SHARDS,
+    };
     let most = possible.iter().map(|(level, _)| *level).fold(f64::NEG_INFINITY, f64::max);
     possible.retain(|(level, _)| *level >= most);
     let chosen = (sample.clamp(0.0, 1.0) * possible.len() as f64) as usize;
     match possible.get(chosen.min(possible.len().saturating_sub(1))) {
-        Some((_, group)) if others_asked < max_others => ChargeStep::Ask(group),
+        Some((_, group)) if may_ask => ChargeStep::Ask(group),
         _ if is_unreached => ChargeStep::Unreached { is_known: shortest.is_some() },
         _ => {
             let left = shortest.unwrap_or(Duration::ZERO);
--- a/crates/allotments/tests/bounds.rs
+++ b/crates/allotments/tests/bounds.rs
@@ -1,7 +1,9 @@
 //! Bounds of an allotment over many entries and owners, with owners that fail.
 
-use std::time::{Duration, Instant};
-use std::{collections::VecDeque, sync::Arc};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use rstest::rstest;
@@ -17,6 +19,8 @@
 const WINDOW: Duration = Duration::from_secs(8);
 /// Time for which a group has no owner after the previous one failed: a session lease.
 const LEASE: Duration = Duration::from_millis(2_700);
+/// Interval at which an entry looks for an owner.
+const POLL_INTERVAL: Duration = Duration::from_millis(40);
 /// Time that a caller waits for an owner.
 const PATIENCE: Duration = Duration::from_secs(10);
 
@@ -42,12 +46,20 @@
     messages: usize,
 }
 
-#[derive(PartialEq)]
+/// Request that has no place yet.
+struct Request {
+    until: Instant,
+    next: Instant,
+    entry: usize,
+    units: u64,
+    is_within: bool,
+}
+
 enum Outcome {
     Admitted,
     Refused,
-    /// Status 503, or still waiting for an owner or for its bucket to fill.
-    Unreached,
+    /// Waits for an owner, or for its bucket to fill, and is sent again after this time.
+    Later(Duration),
 }
 
 /// What the callers of a run got.
@@ -159,8 +171,10 @@
             let group = match plan_charge(&request, &self.entries[entry], self.now, sample) {
                 ChargeStep::Ask(group) => group,
                 ChargeStep::NoRoom(_) => return Outcome::Refused,
-                ChargeStep::Recovering(_) | ChargeStep::Unreached { .. } => {
-                    return Outcome::Unreached;
+                ChargeStep::Unreached { .. } => return Outcome::Later(POLL_INTERVAL),
+                ChargeStep::Recovering(left) => {
+                    let wait = (left + POLL_INTERVAL).mul_f64(1.0 + self.rng.random::<f64>());
+                    return Outcome::Later(wait);
                 }
             };
             asked.push(group.clone());
@@ -182,33 +196,40 @@
     /// Sends requests of `load` times the allotment for some time, from `entries` of the entries.
     fn run(&mut self, time: Duration, load: f64, entries: usize, single: &mut Bucket) -> Tally {
         let mut tally = Tally::default();
-        let mut waiting: VecDeque<(Instant, usize, u64, bool)> = VecDeque::new();
+        let mut requests: Vec<Request> = Vec::new();
         let end = self.now + time;
         while self.now < end {
             self.advance();
-            let mut arrivals = std::mem::take(&mut waiting);
+            let now = self.now;
             let mut due = load * self.allotment.rate * STEP.as_secs_f64() / 2_400.0;
             while self.rng.random::<f64>() < due {
                 due -= 1.0;
                 let units = self.rng.random_range(800..=4_000);
-                let is_within = single.take(units, self.now);
+                let is_within = single.take(units, now);
                 tally.sent += 1;
                 tally.within += usize::from(is_within);
                 let entry = self.rng.random_range(0..entries);
-                arrivals.push_back((self.now, entry, units, is_within));
+                requests.push(Request {
+                    until: now + PATIENCE,
+                    next: now,
+                    entry,
+                    units,
+                    is_within,
+                });
             }
-            for (arrived, entry, units, is_within) in arrivals {
-                match self.send(entry, units) {
-                    Outcome::Unreached if self.now < arrived + PATIENCE => {
-                        waiting.push_back((arrived, entry, units, is_within));
-                    }
-                    Outcome::Admitted if is_within => tally.within_served += 1,
-                    Outcome::Refused if is_within => tally.within_refused += 1,
-                    _ => {}
+            requests.retain_mut(|request| {
+                if now < request.next {
+                    return true;
                 }
-            }
+                match self.send(request.entry, request.units) {
+                    Outcome::Later(wait) => request.next = now + wait,
+                    Outcome::Admitted => tally.within_served += usize::from(request.is_within),
+                    Outcome::Refused => tally.within_refused += usize::from(request.is_within),
+                }
+                request.next > now && request.next < request.until
+            });
         }
-        tally.within -= waiting.iter().filter(|(.., is_within)| *is_within).count();
+        tally.within -= requests.iter().filter(|request| request.is_within).count();
         tally
     }
 
