Take reserved units when the place is granted

Cause: units that are taken on arrival let requests that queued for some seconds reach targets together with later ones, beyond the bound of a window.

The request for a place reserves its units; the level does not rise above the burst meanwhile, and the units are taken with the grant.

--- a/crates/allotments/src/bucket.rs
+++ b/crates/allotments/src/bucket.rs
@@ -43,6 +43,8 @@
 pub struct Bucket {
     limits: Limits,
     level: f64,
+    /// Part of `level` that is kept for requests that wait for a place.
+    reserved: f64,
     /// Time that `level` refers to.
     at: Instant,
     /// Until when a lack of units is put down to the empty beginning.
@@ -52,7 +54,7 @@
 impl Bucket {
     /// Bucket of the first owner of a group.
     pub fn full(limits: Limits, now: Instant) -> Self {
-        Self { limits, level: limits.burst, at: now, recovers_until: None }
+        Self { limits, level: limits.burst, reserved: 0.0, at: now, recovers_until: None }
     }
 
     /// Bucket that was empty at `since`, when a previous owner may have given all units away.
@@ -60,7 +62,13 @@
         let fill_time = Duration::try_from_secs_f64(limits.burst / limits.rate);
         // What is used while the bucket fills delays it by as much again.
         let recovery = fill_time.map_or(MAX_RECOVERY, |time| (time * 2).min(MAX_RECOVERY));
-        Self { limits, level: 0.0, at: since, recovers_until: Some(since + recovery) }
+        Self {
+            limits,
+            level: 0.0,
+            reserved: 0.0,
+            at: since,
+            recovers_until: Some(since + recovery),
+        }
     }
 
     /// Applies the limits of a newer table; a lower burst reduces the level.
@@ -73,28 +81,54 @@
         }
     }
 
-    /// Whether the bucket began empty and may lack units for that reason.
-    pub fn is_recovering(&self, now: Instant) -> bool {
-        self.recovers_until.is_some_and(|until| now < until)
+    /// Whether a lack of room does not show that the customer used its units: the bucket began empty
+    /// a short time ago, or the units are kept for requests that wait for a place.
+    pub fn is_short_of_use(&mut self, units: u64, now: Instant) -> bool {
+        self.refill(now);
+        let is_recovering = self.recovers_until.is_some_and(|until| now < until);
+        is_recovering || self.level >= self.limits.needed(units as f64)
     }
 
     /// Units that are left.
     pub fn level(&mut self, now: Instant) -> f64 {
         self.refill(now);
-        self.level
+        self.level - self.reserved
     }
 
     /// Takes the units if there is room for them. A request larger than the bucket is admitted when
     /// the bucket is full; the level is negative afterwards.
     pub fn take(&mut self, units: u64, now: Instant) -> bool {
-        self.refill(now);
-        let has_room = self.level >= self.limits.needed(units as f64);
+        let has_room = self.reserve(units, now);
+        if has_room {
+            self.take_reserved(units, now);
+        }
+        has_room
+    }
+
+    /// Keeps the units for a request that waits for a place, if there is room for them.
+    ///
+    /// They are taken when the request gets its place. Units taken on arrival would let requests that
+    /// queued for some seconds reach targets together with those that arrive later.
+    pub fn reserve(&mut self, units: u64, now: Instant) -> bool {
+        let has_room = self.level(now) >= self.limits.needed(units as f64);
         if has_room {
-            self.level -= units as f64;
+            self.reserved += units as f64;
         }
         has_room
     }
 
+    /// Takes reserved units.
+    pub fn take_reserved(&mut self, units: u64, now: Instant) {
+        self.refill(now);
+        self.level -= units as f64;
+        self.release(units);
+    }
+
+    /// Ends the reservation of a request that gets no place.
+    pub fn release(&mut self, units: u64) {
+        self.reserved = (self.reserved - units as f64).max(0.0);
+    }
+
     /// Returns units of a request that did not run.
     pub fn refund(&mut self, units: u64, now: Instant) {
         self.refill(now);
@@ -103,8 +137,7 @@
 
     /// Time until there is room for the units, if nothing else is taken.
     pub fn room_after(&mut self, units: u64, now: Instant) -> Duration {
-        self.refill(now);
-        let missing = (self.limits.needed(units as f64) - self.level).max(0.0);
+        let missing = (self.limits.needed(units as f64) - self.level(now)).max(0.0);
         let time = Duration::try_from_secs_f64(missing / self.limits.rate);
         time.unwrap_or(MAX_ROOM_AFTER).min(MAX_ROOM_AFTER)
     }
--- a/crates/allotments/src/messages.rs
+++ b/crates/allotments/src/messages.rs
@@ -25,7 +25,8 @@
     /// if the group is not a shard of the customer by the owner's state.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub room_after_ms: Option<u64>,
-    /// Whether the bucket lacks units because it began empty, not because the customer used them.
+    /// Whether the bucket lacks units because it began empty or requests wait for places, not because
+    /// the customer used them.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub is_recovering: bool,
 }
@@ -35,8 +36,8 @@
     pub const NOT_A_SHARD: Self =
         Self { granted: false, level: 0.0, room_after_ms: None, is_recovering: false };
 
-    /// Grant that leaves this level.
-    pub(crate) fn granted(level: f64) -> Self {
+    /// Grant that leaves the bucket at a level.
+    pub fn granted_at(level: f64) -> Self {
         Self { granted: true, level, room_after_ms: None, is_recovering: false }
     }
 
--- a/crates/allotments/src/shares.rs
+++ b/crates/allotments/src/shares.rs
@@ -106,11 +106,39 @@
         applied: &AppliedAllotments,
         charge: &Charge,
         now: Instant,
+    ) -> AllotmentReply {
+        let reply = self.reserve(applied, charge, now);
+        if reply.granted {
+            self.take_reserved(charge, now);
+        }
+        reply
+    }
+
+    /// Takes the reserved units of a request that got a place.
+    pub fn take_reserved(&mut self, charge: &Charge, now: Instant) {
+        if let Some(bucket) = self.buckets.get_mut(&charge.customer) {
+            bucket.take_reserved(charge.units, now);
+        }
+    }
+
+    /// Ends the reservation of a request that got no place.
+    pub fn release(&mut self, charge: &Charge) {
+        if let Some(bucket) = self.buckets.get_mut(&charge.customer) {
+            bucket.release(charge.units);
+        }
+    }
+
+    /// Reserves the units of a request that waits for a place, if there is room for them.
+    pub fn reserve(
+        &mut self,
+        applied: &AppliedAllotments,
+        charge: &Charge,
+        now: Instant,
     ) -> AllotmentReply {
         let Charge { customer: name, units } = charge;
         let known = applied.customers.get(name);
         if known.is_some_and(|known| known.customer.allotment.is_none()) {
-            return AllotmentReply::granted(0.0);
+            return AllotmentReply::granted_at(0.0);
         }
         let Some(limits) = applied.limits(name, &self.group) else {
             return AllotmentReply::NOT_A_SHARD;
@@ -121,14 +149,14 @@
         }
         let Some(bucket) = self.buckets.get_mut(name) else { return AllotmentReply::NOT_A_SHARD };
         bucket.set_limits(limits, now);
-        if bucket.take(*units, now) {
-            return AllotmentReply::granted(bucket.level(now));
+        if bucket.reserve(*units, now) {
+            return AllotmentReply::granted_at(bucket.level(now));
         }
         AllotmentReply {
             granted: false,
             level: bucket.level(now),
             room_after_ms: Some(bucket.room_after(*units, now).as_millis() as u64),
-            is_recovering: bucket.is_recovering(now),
+            is_recovering: bucket.is_short_of_use(*units, now),
         }
     }
 
--- a/crates/owner/src/allotments.rs
+++ b/crates/owner/src/allotments.rs
@@ -11,7 +11,7 @@
     time::Instant,
 };
 
-use shallotdrum_allotments::{AllotmentReply, AppliedAllotments, Charge};
+use shallotdrum_allotments::{AllotmentReply, AppliedAllotments, Charge, GroupShares};
 use shallotdrum_engine::GrantedPlace;
 use shallotdrum_telemetry::event;
 use shallotdrum_types::{GroupId, RequestError, RequestId};
@@ -33,19 +33,20 @@
     }
 }
 
-/// Returns the units of a request that gets no place when dropped.
-struct RefundGuard<'a> {
+/// Ends the reservation of a request that gets no place when dropped.
+struct ReservationGuard<'a> {
     owner: &'a OwnerService,
     group: Arc<OwnedGroup>,
     request: RequestId,
     charge: &'a Charge,
-    is_used: bool,
+    is_taken: bool,
 }
 
-impl Drop for RefundGuard<'_> {
+impl Drop for ReservationGuard<'_> {
     fn drop(&mut self) {
-        if !self.is_used {
-            self.owner.refund(&self.group, &self.request, self.charge);
+        if !self.is_taken {
+            self.group.shares().release(self.charge);
+            self.owner.record_return(&self.group, &self.request, self.charge);
         }
     }
 }
@@ -59,13 +60,26 @@
         charge: &Charge,
     ) -> Result<AllotmentReply, RequestError> {
         let owned = self.owned(group)?;
-        let reply = self.charge(&owned, charge);
-        // The lease may have ended before the units were taken; they are lost then.
-        self.check_owned(&owned)?;
-        event!(self.cx.log, ALLOTMENT_DECIDED; "request" => %request, "group" => %group,
+        self.decide(&owned, request, charge, GroupShares::charge)
+    }
+
+    /// Charges a request and checks that the lease was valid until then; units are lost if it was not.
+    fn decide(
+        &self,
+        owned: &OwnedGroup,
+        request: &RequestId,
+        charge: &Charge,
+        take: fn(&mut GroupShares, &AppliedAllotments, &Charge, Instant) -> AllotmentReply,
+    ) -> Result<AllotmentReply, RequestError> {
+        let now = Instant::now();
+        let (applied, _) = self.applied_allotments(now);
+        let reply = take(&mut owned.shares(), &applied, charge, now);
+        drop(applied);
+        self.check_owned(owned)?;
+        event!(self.cx.log, ALLOTMENT_DECIDED; "request" => %request, "group" => %owned.id,
             "customer" => %charge.customer, "units" => charge.units, "granted" => reply.granted,
             "level" => reply.level, "room_after_ms" => reply.room_after_ms,
-            "index" => self.cx.view.applied().0);
+            "is_recovering" => reply.is_recovering, "index" => self.cx.view.applied().0);
         Ok(reply)
     }
 
@@ -77,11 +91,13 @@
         charge: &Charge,
     ) -> Result<(), RequestError> {
         let owned = self.owned(group)?;
-        self.refund(&owned, request, charge);
+        if owned.shares().refund(charge, Instant::now()) {
+            self.record_return(&owned, request, charge);
+        }
         Ok(())
     }
 
-    /// Takes units and waits for a place; the units are returned if there is none.
+    /// Reserves units and waits for a place; the units are taken when it is granted.
     pub async fn take_charged_place(
         self: &Arc<Self>,
         group: &GroupId,
@@ -91,22 +107,27 @@
     ) -> Result<(GrantedPlace, AllotmentReply), ChargeError> {
         let owned = self.owned(group)?;
         let request = admission.request.clone();
-        let reply = self.take_allotment(group, &request, charge)?;
+        let reply = self.decide(&owned, &request, charge, GroupShares::reserve)?;
         if !reply.granted {
             return Err(ChargeError::NoRoom(reply));
         }
-        let mut refund = RefundGuard { owner: self, group: owned, request, charge, is_used: false };
+        let mut reservation = ReservationGuard {
+            owner: self,
+            group: owned.clone(),
+            request,
+            charge,
+            is_taken: false,
+        };
         let granted = self.take_place(group, key, admission).await?;
-        refund.is_used = true;
+        owned.shares().take_reserved(charge, Instant::now());
+        reservation.is_taken = true;
         Ok((granted, reply))
     }
 
-    fn refund(&self, owned: &OwnedGroup, request: &RequestId, charge: &Charge) {
-        if owned.shares().refund(charge, Instant::now()) {
-            self.cx.metrics.allotment_refunds().inc();
-            event!(self.cx.log, ALLOTMENT_RETURNED; "request" => %request, "group" => %owned.id,
-                "customer" => %charge.customer, "units" => charge.units);
-        }
+    fn record_return(&self, owned: &OwnedGroup, request: &RequestId, charge: &Charge) {
+        self.cx.metrics.allotment_refunds().inc();
+        event!(self.cx.log, ALLOTMENT_RETURNED; "request" => %request, "group" => %owned.id,
+            "customer" => %charge.customer, "units" => charge.units);
     }
 
     /// Follows the applied table and groups, so that a group which becomes a shard begins with what
@@ -121,12 +142,6 @@
         }
     }
 
-    fn charge(&self, owned: &OwnedGroup, charge: &Charge) -> AllotmentReply {
-        let now = Instant::now();
-        let (applied, _) = self.applied_allotments(now);
-        owned.shares().charge(&applied, charge, now)
-    }
-
     /// Allotments of the state that this instance has applied, and whether they are new.
     fn applied_allotments(&self, now: Instant) -> (MutexGuard<'_, AppliedAllotments>, bool) {
         let mut applied = self.allotments.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/scheduler/tests/fairness.rs
+++ b/crates/scheduler/tests/fairness.rs
@@ -147,3 +147,30 @@
     }
     assert!(occupied > 0.95, "occupancy {occupied}");
 }
+
+/// Guards against a large subscriber that is held back as a flood because of its size alone.
+#[tokio::test(start_paused = true)]
+async fn admit_large_subscriber_is_no_flood() {
+    const LARGE: usize = 16;
+    let group = group(config());
+    for n in 0..4 {
+        group.engine(&format!("e{n}"), 1, 4, 8);
+    }
+    for n in 0..LARGE {
+        flood(&group, &format!("small{n}"), 1, 4, 1.0);
+    }
+    flood(&group, "large", LARGE, 4 * LARGE, LARGE as f64);
+    sleep(Duration::from_secs(20)).await;
+    let (mut large, mut small) = (0, 0);
+    for _ in 0..400 {
+        sleep(Duration::from_millis(250)).await;
+        for row in group.scheduler.snapshot().subscribers {
+            match row.subscriber.as_str() {
+                "large" => large += row.running,
+                _ => small += row.running,
+            }
+        }
+    }
+    println!("running requests of the large subscriber {large}, of the small ones {small}");
+    assert!(f64::from(large) >= 0.8 * f64::from(small), "{large} of {small}");
+}
