--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -16,6 +16,7 @@
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
+use shallotdrum_allotments::ShardHints;
 use shallotdrum_control::ControlView;
 use shallotdrum_links::{Links, WitnessUse};
 use shallotdrum_owner::{CrashStatus, OwnerService, RunningGuard, SessionFn};
@@ -95,6 +96,7 @@
 pub struct Gateway {
     pub(crate) cx: GatewayContext,
     pub(crate) places: PlaceClient,
+    pub(crate) shard_hints: Mutex<ShardHints>,
     pub(crate) connections: ConnectionPool,
     /// Memory for bodies.
     pub(crate) memory: HeldMemory,
@@ -117,6 +119,8 @@
     pub(crate) customer: Option<Arc<Customer>>,
     /// Whether what the caller says of itself is forwarded.
     forwards_credentials: bool,
+    /// Whether the customer's allotment was charged.
+    pub(crate) is_charged: bool,
     pub(crate) route: Route,
     pub(crate) pool: PoolId,
     /// Revision of the route table that selected the pool.
@@ -176,6 +180,7 @@
         let gateway = Arc::new(Self {
             cx,
             places,
+            shard_hints: Mutex::default(),
             connections: connections.clone(),
             memory,
             budgets: Mutex::default(),
@@ -187,6 +192,7 @@
             while let Some(gateway) = weak.upgrade() {
                 gateway.count_entries();
                 gateway.places.expire();
+                gateway.expire_shard_hints();
                 drop(gateway);
                 tokio::time::sleep(EXPIRE_INTERVAL).await;
                 connections.expire();
@@ -313,6 +319,7 @@
             identity,
             permitted,
             software,
+            is_charged: false,
             req,
             customer: access.customer().cloned(),
             forwards_credentials: access == Access::Unchecked,
@@ -688,6 +695,7 @@
             software: self.software.clone(),
             customer: self.customer.clone(),
             forwards_credentials: self.forwards_credentials,
+            is_charged: self.is_charged,
             route: self.route.clone(),
             pool: self.pool.clone(),
             revision: self.revision,
@@ -701,6 +709,11 @@
         }
     }
 
+    /// Revision of the route table that selected the pool.
+    pub(crate) fn revision(&self) -> Revision {
+        self.revision
+    }
+
     /// Identifier given by the caller.
     pub(crate) fn id(&self) -> &RequestId {
         &self.req.id
--- a/crates/gateway/src/grant.rs
+++ b/crates/gateway/src/grant.rs
@@ -16,7 +16,7 @@
     Gateway,
     customers::urgency,
     exchange::RequestRun,
-    need::{Need, subscriber, version_name},
+    need::{Need, subscriber, version_name, weight},
     places::Place,
 };
 
@@ -33,18 +33,19 @@
     ///
     /// A version that becomes known while the request waits, or between the grant and the send, lets it
     /// be queued again, at a new position and with the same deadline.
-    pub(crate) async fn take_place(&self, run: &RequestRun) -> Result<Granted, RequestError> {
+    pub(crate) async fn take_place(&self, run: &mut RequestRun) -> Result<Granted, RequestError> {
         loop {
             let Need { requirements, version } = self.need(run);
             let admission = self.admission(run, requirements.clone());
             let taken = tokio::select! {
-                taken = self.places.take(&run.pool, admission, run.deadline) => taken?,
+                taken = self.take_charged_place(run, admission) => taken?,
                 // Dropping the wait for a place cancels it at the owner.
                 () = self.version_raised(run, version) => {
                     self.log_queued_again(run, version, None);
                     continue;
                 }
             };
+            run.is_charged = run.customer.is_some();
             let witness = self.witness(run, &taken).await;
             // The grant and the witness take a while, and the newest version may arrive with them.
             if self.adapter_version(run) != version {
@@ -63,6 +64,7 @@
             request: run.req.id.clone(),
             identity: self.cx.owner.identity_to_admit(run.admitted_identity()),
             subscriber: subscriber(run),
+            weight: weight(run),
             need,
             left: Duration::ZERO,
             urgency: urgency(run.customer.as_deref(), &run.route),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,12 +11,14 @@
 //! `held` bounds the memory that bodies take,
 //! `limits` keeps the limits that targets name, `withheld` the targets that ask for no
 //! requests, `origin` finds the version of a stream that a caller takes up, and `decision` holds the
-//! retry rules. `customers` decides by the caller's key, which `credentials`
-//! reads. `fingerprint` recognises repeats of a request, and `crash` those that crash targets.
+//! retry rules. `customers` decides by the caller's key, which `credentials` reads, and `allotments` charges
+//! requests to the allotments of customers. `fingerprint` recognises repeats of a request, and `crash` those
+//! that crash targets.
 //!
 //! Architecture Invariant: an at-most-once request is sent to a second target only if no byte of
 //! it can have reached the first, or the first refused it without running it.
 
+mod allotments;
 mod body;
 mod body_end;
 mod budget;
--- a/crates/gateway/src/need.rs
+++ b/crates/gateway/src/need.rs
@@ -1,7 +1,7 @@
 //! What a request needs at a target, and whom it is charged to.
 
 use shallotdrum_engine::Requirements;
-use shallotdrum_types::{AdapterRef, AdapterVersion, SubscriberId};
+use shallotdrum_types::{AdapterId, AdapterRef, AdapterVersion, SubscriberId, Weight};
 
 use crate::{Gateway, Generation, exchange::RequestRun};
 
@@ -65,6 +65,12 @@
     name.parse().unwrap_or_else(|_| fallback_label())
 }
 
+/// Weight of the subscriber in fair queueing.
+pub(crate) fn weight(run: &RequestRun) -> Weight {
+    let allotment = run.customer.as_ref().and_then(|customer| customer.allotment.as_ref());
+    shallotdrum_allotments::weight(allotment)
+}
+
 /// Label for names that are not valid identifiers.
 pub(crate) fn fallback_label() -> SubscriberId {
     "other".parse().expect("a valid name")
--- a/crates/gateway/src/places.rs
+++ b/crates/gateway/src/places.rs
@@ -12,21 +12,23 @@
     time::Duration,
 };
 
+use shallotdrum_allotments::{AllotmentReply, Charge};
 use shallotdrum_control::{AnnouncedTarget, ControlView};
 use shallotdrum_engine::{GrantedPlace, ObservedLimit, Priority, Requirements};
-use shallotdrum_owner::{OwnerService, PlaceAdmission, PlaceKey, SessionFn};
+use shallotdrum_owner::{ChargeError, OwnerService, PlaceAdmission, PlaceKey, SessionFn};
 use shallotdrum_rpc::{
     EndedPlace, PeerApiClient, Peers, PlaceEnd, PlaceReply, PlaceRequest, RpcError,
 };
 use shallotdrum_telemetry::event;
 use shallotdrum_types::{
     AdapterId, GroupId, PoolId, RequestError, RequestErrorKind, RequestRate, SessionId,
-    SoftwareVersion, TargetId,
+    SoftwareVersion, TargetId, Weight,
 };
 use tokio::time::Instant;
 
 use crate::{
     FallbackSelector,
+    errors::timed_out_waiting,
     limits::{LimitChange, TargetLimits},
     spread::{SpreadKnowledge, group_weight},
     withheld::{Process, WithheldTargets},
@@ -487,6 +489,32 @@
         Some(Place { granted, guard })
     }
 
+    /// Requests a place together with a charge from the owner of a group, once.
+    ///
+    /// The place is absent if the request was charged but its target takes no requests.
+    pub(crate) async fn take_charged(
+        &self,
+        pool: &PoolId,
+        chosen: ChosenGroup,
+        mut admission: PlaceAdmission,
+        charge: Charge,
+        deadline: Instant,
+    ) -> Result<(Option<Place>, AllotmentReply), ChargeError> {
+        self.check_software(pool, admission.software.as_ref())?;
+        admission.avoid.extend(self.withheld_targets(pool));
+        admission.left = deadline.saturating_duration_since(Instant::now());
+        let need = admission.need.clone();
+        let (place, reply) = self.take_in(pool, chosen, admission, Some(charge), deadline).await?;
+        let Some(reply) = reply else { return Err(no_owner(pool).into()) };
+        let (target, incarnation) = (&place.granted.target, place.granted.incarnation);
+        if let Requirements::Generation { adapter: Some(adapter), .. } = &need {
+            self.fallback().record_grant(pool, adapter, target, Instant::now());
+        }
+        let is_withheld = self.withheld().contains(&(target.clone(), incarnation));
+        let is_leaving = self.0.view.read(|state| state.is_leaving(target, incarnation));
+        Ok((Some(place).filter(|_| !is_withheld && !is_leaving), reply))
+    }
+
     /// Requests a place from the owner of a group in the pool.
     async fn try_take(
         &self,
@@ -494,8 +522,26 @@
         admission: PlaceAdmission,
         deadline: Instant,
     ) -> Result<Place, RequestError> {
-        let Some(session) = (self.0.session)() else { return Err(no_owner(pool)) };
-        let ChosenGroup { group, owner, addr, spread } = self.choose_group(pool, &admission)?;
+        let chosen = self.choose_group(pool, &admission)?;
+        match self.take_in(pool, chosen, admission, None, deadline).await {
+            Ok((place, _)) => Ok(place),
+            Err(ChargeError::NoPlace(error)) => Err(error),
+            // Only for requests with a charge.
+            Err(ChargeError::NoRoom(_)) => Err(no_owner(pool)),
+        }
+    }
+
+    /// Requests a place from the owner of a group, which charges the request if `charge` is present.
+    async fn take_in(
+        &self,
+        pool: &PoolId,
+        chosen: ChosenGroup,
+        admission: PlaceAdmission,
+        charge: Option<Charge>,
+        deadline: Instant,
+    ) -> Result<(Place, Option<AllotmentReply>), ChargeError> {
+        let Some(session) = (self.0.session)() else { return Err(no_owner(pool).into()) };
+        let ChosenGroup { group, owner, addr, spread } = chosen;
         let limits = self.limits_of(&group);
         let admission = PlaceAdmission { limits, spread, ..admission };
         let adapter = needed_adapter(&admission.need).cloned();
@@ -507,10 +553,20 @@
         };
         let guard = PlaceGuard::new(self.clone(), granted_by);
         if owner == session {
-            let granted = self.0.owner.take_place(&group, key, admission).await;
-            let spread = granted.as_ref().ok().and_then(|granted| granted.spread);
-            self.record_owner_state(&group, adapter, spread, self.0.owner.group_wait(&group));
-            return granted.map(|granted| Place { granted, guard });
+            let owner = &self.0.owner;
+            let granted = match &charge {
+                Some(charge) => {
+                    let charged = owner.take_charged_place(&group, key, admission, charge).await;
+                    charged.map(|(granted, reply)| (granted, Some(reply)))
+                }
+                None => match owner.take_place(&group, key, admission).await {
+                    Ok(granted) => Ok((granted, None)),
+                    Err(error) => Err(error.into()),
+                },
+            };
+            let spread = granted.as_ref().ok().and_then(|(granted, _)| granted.spread);
+            self.record_owner_state(&group, adapter, spread, owner.group_wait(&group));
+            return granted.map(|(granted, reply)| (Place { granted, guard }, reply));
         }
         let request = PlaceRequest {
             session,
@@ -518,6 +574,8 @@
             place: key.1,
             group: group.clone(),
             subscriber: admission.subscriber,
+            weight: (admission.weight != Weight::default()).then_some(admission.weight),
+            charge,
             need: admission.need,
             fingerprint: Some(admission.identity.request),
             any_caller: admission.identity.any_caller,
@@ -532,8 +590,8 @@
         let client = self.0.peers.get(addr).map_err(|e| owner_unreachable(&group, &e))?;
         let reply = tokio::select! {
             reply = tokio::time::timeout_at(deadline, client.take_place(request)) => reply,
-            () = self.owner_changed(&group, owner) => return Err(no_owner(pool)),
-            () = self.owner_unresponsive(addr) => return Err(no_owner(pool)),
+            () = self.owner_changed(&group, owner) => return Err(no_owner(pool).into()),
+            () = self.owner_unresponsive(addr) => return Err(no_owner(pool).into()),
         };
         match reply {
             Ok(Ok(reply)) => {
@@ -542,20 +600,23 @@
                     PlaceReply::Granted(granted) => {
                         let wait = granted.group_wait_ms.map(Duration::from_millis);
                         self.record_owner_state(&group, adapter, granted.spread, wait);
-                        Ok(Place { granted, guard })
+                        Ok((Place { granted, guard }, None))
                     }
+                    PlaceReply::Charged { place: granted, allotment } => {
+                        let wait = granted.group_wait_ms.map(Duration::from_millis);
+                        self.record_owner_state(&group, adapter, granted.spread, wait);
+                        Ok((Place { granted, guard }, Some(allotment)))
+                    }
+                    PlaceReply::NoRoom { allotment } => Err(ChargeError::NoRoom(allotment)),
                     PlaceReply::Refused { error, group_wait_ms } => {
                         let wait = group_wait_ms.map(Duration::from_millis);
                         self.record_owner_state(&group, None, None, wait);
-                        Err(error)
+                        Err(error.into())
                     }
                 }
             }
-            Ok(Err(error)) => Err(owner_unreachable(&group, &error.into())),
-            Err(_) => Err(RequestError::not_run(
-                RequestErrorKind::DeadlineExceeded,
-                "the deadline passed while the request waited for a target",
-            )),
+            Ok(Err(error)) => Err(owner_unreachable(&group, &error.into()).into()),
+            Err(_) => Err(timed_out_waiting().into()),
         }
     }
 
@@ -616,7 +677,7 @@
 
     /// Selects a group of the pool by rendezvous hashing, so that requests for an adapter go to the
     /// same group as long as it has an owner; to the least loaded of several if the adapter is spread.
-    fn choose_group(
+    pub(crate) fn choose_group(
         &self,
         pool: &PoolId,
         admission: &PlaceAdmission,
@@ -662,10 +723,11 @@
 }
 
 /// Group that a request is sent to, with its owner.
-struct ChosenGroup {
-    group: GroupId,
-    owner: SessionId,
-    addr: SocketAddr,
+#[derive(Clone)]
+pub(crate) struct ChosenGroup {
+    pub(crate) group: GroupId,
+    pub(crate) owner: SessionId,
+    pub(crate) addr: SocketAddr,
     /// Number of groups that were considered.
     spread: u32,
 }
--- /dev/null
+++ b/crates/owner/src/allotments.rs
@@ -0,0 +1,154 @@
+//! Shares of customers' allotments that this owner keeps.
+//!
+//! A bucket belongs to an owned group and is dropped with it, so the next owner begins with an empty
+//! one. The limits of a bucket are those of the route table that this instance has applied.
+//!
+//! Architecture Invariant: units are taken only while the lease of the session that owns the group
+//! is valid, so at each time at most one instance gives away the units of a shard.
+
+use std::{
+    sync::{Arc, MutexGuard, PoisonError},
+    time::Instant,
+};
+
+use shallotdrum_allotments::{AllotmentReply, AppliedAllotments, Charge, GroupShares};
+use shallotdrum_engine::GrantedPlace;
+use shallotdrum_telemetry::event;
+use shallotdrum_types::{GroupId, RequestError, RequestId};
+
+use crate::{OwnerService, PlaceAdmission, PlaceKey, service::OwnedGroup};
+
+/// Why no place was granted for a request that is to be charged.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ChargeError {
+    /// The units were not taken.
+    NoRoom(AllotmentReply),
+    /// The units were not taken, or were returned.
+    NoPlace(RequestError),
+}
+
+impl From<RequestError> for ChargeError {
+    fn from(error: RequestError) -> Self {
+        Self::NoPlace(error)
+    }
+}
+
+/// Ends the reservation of a request that gets no place when dropped.
+struct ReservationGuard<'a> {
+    owner: &'a OwnerService,
+    group: Arc<OwnedGroup>,
+    request: RequestId,
+    charge: &'a Charge,
+    is_taken: bool,
+}
+
+impl Drop for ReservationGuard<'_> {
+    fn drop(&mut self) {
+        if !self.is_taken {
+            self.group.shares().release(self.charge);
+            self.owner.record_return(&self.group, &self.request, self.charge);
+        }
+    }
+}
+
+impl OwnerService {
+    /// Takes units of a customer from the bucket of an owned group.
+    pub fn take_allotment(
+        &self,
+        group: &GroupId,
+        request: &RequestId,
+        charge: &Charge,
+    ) -> Result<AllotmentReply, RequestError> {
+        let owned = self.owned(group)?;
+        self.decide(&owned, request, charge, GroupShares::charge)
+    }
+
+    /// Charges a request and checks that the lease was valid until then; units are lost if it was not.
+    fn decide(
+        &self,
+        owned: &OwnedGroup,
+        request: &RequestId,
+        charge: &Charge,
+        take: fn(&mut GroupShares, &AppliedAllotments, &Charge, Instant) -> AllotmentReply,
+    ) -> Result<AllotmentReply, RequestError> {
+        let now = Instant::now();
+        let (applied, _) = self.applied_allotments(now);
+        let reply = take(&mut owned.shares(), &applied, charge, now);
+        drop(applied);
+        self.check_owned(owned)?;
+        event!(self.cx.log, ALLOTMENT_DECIDED; "request" => %request, "group" => %owned.id,
+            "customer" => %charge.customer, "units" => charge.units, "granted" => reply.granted,
+            "level" => reply.level, "room_after_ms" => reply.room_after_ms,
+            "is_recovering" => reply.is_recovering, "index" => self.cx.view.applied().0);
+        Ok(reply)
+    }
+
+    /// Returns units to the bucket of an owned group, for a request that got no place.
+    pub fn return_allotment(
+        &self,
+        group: &GroupId,
+        request: &RequestId,
+        charge: &Charge,
+    ) -> Result<(), RequestError> {
+        let owned = self.owned(group)?;
+        if owned.shares().refund(charge, Instant::now()) {
+            self.record_return(&owned, request, charge);
+        }
+        Ok(())
+    }
+
+    /// Reserves units and waits for a place; the units are taken when it is granted.
+    pub async fn take_charged_place(
+        self: &Arc<Self>,
+        group: &GroupId,
+        key: PlaceKey,
+        admission: PlaceAdmission,
+        charge: &Charge,
+    ) -> Result<(GrantedPlace, AllotmentReply), ChargeError> {
+        let owned = self.owned(group)?;
+        let request = admission.request.clone();
+        let reply = self.decide(&owned, &request, charge, GroupShares::reserve)?;
+        if !reply.granted {
+            return Err(ChargeError::NoRoom(reply));
+        }
+        let mut reservation = ReservationGuard {
+            owner: self,
+            group: owned.clone(),
+            request,
+            charge,
+            is_taken: false,
+        };
+        let granted = self.take_place(group, key, admission).await?;
+        owned.shares().take_reserved(charge, Instant::now());
+        reservation.is_taken = true;
+        Ok((granted, reply))
+    }
+
+    fn record_return(&self, owned: &OwnedGroup, request: &RequestId, charge: &Charge) {
+        self.cx.metrics.allotment_refunds().inc();
+        event!(self.cx.log, ALLOTMENT_RETURNED; "request" => %request, "group" => %owned.id,
+            "customer" => %charge.customer, "units" => charge.units);
+    }
+
+    /// Follows the applied table and groups, so that a group which becomes a shard begins with what
+    /// has accrued since.
+    pub(crate) fn update_allotments(&self) {
+        let groups = self.owned_groups();
+        let (applied, has_changed) = self.applied_allotments(Instant::now());
+        if has_changed {
+            for group in groups {
+                group.shares().retain_shards(&applied);
+            }
+        }
+    }
+
+    /// Allotments of the state that this instance has applied, and whether they are new.
+    fn applied_allotments(&self, now: Instant) -> (MutexGuard<'_, AppliedAllotments>, bool) {
+        let mut applied = self.allotments.lock().unwrap_or_else(PoisonError::into_inner);
+        let has_changed = self.cx.view.read(|state| {
+            let table = state.routes().map(|routes| routes.table());
+            applied.update(table, || state.groups().map(|group| &group.id), now)
+        });
+        (applied, has_changed)
+    }
+}
--- a/crates/scheduler/src/api.rs
+++ b/crates/scheduler/src/api.rs
@@ -71,8 +71,6 @@
     /// Whether targets in this instance's availability zone are preferred, because requests are sent from
     /// here; otherwise entries send them.
     pub prefers_own_zone: bool,
-    /// What decides the order and the place of requests.
-    pub scheduling: Scheduling,
     /// Counters of what is refused under overload.
     pub counters: Option<OverloadCounters>,
 }
@@ -99,7 +97,6 @@
             relative_ejection: false,
             engine_model: None,
             prefers_own_zone: true,
-            scheduling: Scheduling::Shares,
             counters: None,
         }
     }
--- a/crates/scheduler/src/state/demand.rs
+++ b/crates/scheduler/src/state/demand.rs
@@ -13,7 +13,7 @@
 use super::State;
 use crate::{
     EngineModel,
-    api::{AdmissionRequest, RequestKind, Scheduling},
+    api::{AdmissionRequest, Policy, RequestKind, Scheduling},
     measure::{DecayingCounter, Ewma},
     slots::AdapterKey,
     target::Target,
--- a/crates/scheduler/src/state/mod.rs
+++ b/crates/scheduler/src/state/mod.rs
@@ -35,7 +35,7 @@
 use tokio::{sync::oneshot, time::Instant};
 
 use crate::{
-    api::{Finish, LoadOrder, Policy, SchedulerConfig, Scheduling},
+    api::{Finish, LoadOrder, SchedulerConfig},
     engine_model::PrefillSpeed,
     fair::{Account, Cost, FairClock, Seq},
     measure::{DecayingCounter, Ewma},
