--- a/crates/gateway/tests/customers.rs
+++ b/crates/gateway/tests/customers.rs
@@ -125,7 +125,7 @@
 }
 
 fn values<const N: usize>(values: [impl AsRef<[u8]>; N]) -> Vec<Vec<u8>> {
-    values.iter().map(|value| value.as_ref().to_vec()).collect()
+    values.map(|value| value.as_ref().to_vec()).into()
 }
 
 /// Guards against a header that is taken for a key, and against a usual form that is not.
