Tell why an allotment has no room

Cause: with reserved units, a full queue looked like a customer that exceeds its allotment, and would have led to status 429 within the allotment.

A refusal names its cause: used, recovering or queued. Only the first leads to 429. The test of the window also checks lowered limits by themselves.

--- a/crates/allotments/src/bucket.rs
+++ b/crates/allotments/src/bucket.rs
@@ -4,11 +4,15 @@
 
 use shallotdrum_routes::Allotment;
 
-use crate::shard_count;
+use crate::{Lack, shard_count};
 
 /// Part of the burst by which a bucket may fall short and still be full; covers rounding.
 const FULL_TOLERANCE: f64 = 1e-9;
 
+/// Part of the burst that must be reserved before a lack of room is put down to queued requests. A
+/// customer that exceeds its allotment also has some requests that wait for a place.
+const QUEUED_SHARE: f64 = 0.5;
+
 /// Longest time until there is room that is stated.
 const MAX_ROOM_AFTER: Duration = Duration::from_secs(3600);
 
@@ -81,12 +85,16 @@
         }
     }
 
-    /// Whether a lack of room does not show that the customer used its units: the bucket began empty
-    /// a short time ago, or the units are kept for requests that wait for a place.
-    pub fn is_short_of_use(&mut self, units: u64, now: Instant) -> bool {
+    /// Why there is no room for the units.
+    pub fn lack(&mut self, units: u64, now: Instant) -> Lack {
         self.refill(now);
+        let is_unused = self.level >= self.limits.needed(units as f64);
         let is_recovering = self.recovers_until.is_some_and(|until| now < until);
-        is_recovering || self.level >= self.limits.needed(units as f64)
+        match is_recovering {
+            _ if is_unused && self.reserved >= self.limits.burst * QUEUED_SHARE => Lack::Queued,
+            true => Lack::Recovering,
+            false => Lack::Used,
+        }
     }
 
     /// Units that are left.
--- a/crates/allotments/src/hints.rs
+++ b/crates/allotments/src/hints.rs
@@ -7,7 +7,7 @@
 
 use shallotdrum_types::{CustomerName, GroupId};
 
-use crate::{AllotmentReply, Limits};
+use crate::{AllotmentReply, Lack, Limits};
 
 /// Age from which a reply says nothing any more. The bounds that replies give are exact but for
 /// refunds and new limits, which take effect after this time at the latest.
@@ -44,7 +44,7 @@
 #[derive(Clone, Copy, Debug)]
 enum Hint {
     /// Level by the latest reply.
-    Level { level: f64, at: Instant, is_recovering: bool },
+    Level { level: f64, at: Instant, lack: Lack },
     /// The owner did not reply.
     Unreached { at: Instant },
 }
@@ -79,16 +79,17 @@
     ) {
         let is_decided = reply.granted || reply.room_after_ms.is_some();
         let hint = match is_decided {
-            true => Hint::Level { level: reply.level, at: now, is_recovering: reply.is_recovering },
+            true => Hint::Level { level: reply.level, at: now, lack: reply.lack },
             // The owner's state differs from this entry's.
             false => Hint::Unreached { at: now },
         };
         let known = self.insert(customer, group, hint, now);
         if is_decided {
             let newest = f64::from(u8::from(reply.granted));
-            let weight = match reply.is_recovering {
-                true => RECOVERING_REPLY_WEIGHT,
-                false => NEWEST_REPLY_WEIGHT,
+            let weight = match reply.lack {
+                Lack::Used => NEWEST_REPLY_WEIGHT,
+                Lack::Recovering => RECOVERING_REPLY_WEIGHT,
+                Lack::Queued => 0.0,
             };
             known.granted += weight * (newest - known.granted);
         }
@@ -121,11 +122,13 @@
         })
     }
 
-    /// Whether a shard lacks units because it began empty, by its latest reply.
-    pub fn is_recovering(&self, customer: &CustomerName, group: &GroupId, now: Instant) -> bool {
+    /// Why a shard has no room, by its latest reply.
+    pub fn lack(&self, customer: &CustomerName, group: &GroupId, now: Instant) -> Lack {
         let hint = self.0.get(customer).and_then(|known| known.shards.get(group));
-        matches!(hint, Some(Hint::Level { is_recovering: true, at, .. })
-            if age(*at, now) < MAX_HINT_AGE)
+        match hint {
+            Some(Hint::Level { lack, at, .. }) if age(*at, now) < MAX_HINT_AGE => *lack,
+            _ => Lack::Used,
+        }
     }
 
     /// Room of a shard with these limits for a request.
--- a/crates/allotments/src/lib.rs
+++ b/crates/allotments/src/lib.rs
@@ -18,7 +18,7 @@
 
 pub use bucket::{Bucket, Limits};
 pub use hints::{Room, ShardHints};
-pub use messages::{AllotmentReply, Charge};
+pub use messages::{AllotmentReply, Charge, Lack};
 pub use plan::{ChargeRequest, ChargeStep, MAX_OTHER_SHARDS, plan_charge, spread_delay};
 pub use shards::{shard_count, shards, units, weight};
 pub use shares::{AppliedAllotments, GroupShares};
--- a/crates/allotments/src/messages.rs
+++ b/crates/allotments/src/messages.rs
@@ -25,20 +25,32 @@
     /// if the group is not a shard of the customer by the owner's state.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub room_after_ms: Option<u64>,
-    /// Whether the bucket lacks units because it began empty or requests wait for places, not because
-    /// the customer used them.
-    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
-    pub is_recovering: bool,
+    /// Why the bucket has no room.
+    #[serde(default)]
+    pub lack: Lack,
+}
+
+/// Why a bucket has no room.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Lack {
+    /// The customer used the units.
+    #[default]
+    Used,
+    /// The bucket began empty a short time ago, so the customer may be within its allotment.
+    Recovering,
+    /// Most units are kept for requests that wait for a place, so targets lack capacity.
+    Queued,
 }
 
 impl AllotmentReply {
     /// Refusal of an owner whose state does not have the group as a shard of the customer.
     pub const NOT_A_SHARD: Self =
-        Self { granted: false, level: 0.0, room_after_ms: None, is_recovering: false };
+        Self { granted: false, level: 0.0, room_after_ms: None, lack: Lack::Used };
 
     /// Grant that leaves the bucket at a level.
     pub fn granted_at(level: f64) -> Self {
-        Self { granted: true, level, room_after_ms: None, is_recovering: false }
+        Self { granted: true, level, room_after_ms: None, lack: Lack::Used }
     }
 
     /// Time until there is room, if the bucket had none.
--- a/crates/allotments/src/plan.rs
+++ b/crates/allotments/src/plan.rs
@@ -4,7 +4,7 @@
 
 use shallotdrum_types::{CustomerName, GroupId};
 
-use crate::{Limits, Room, ShardHints};
+use crate::{Lack, Limits, Room, ShardHints};
 
 /// Number of shards besides that of the request's own group that are asked for one request. A request of
 /// a customer that exceeds its allotment asks a single shard.
@@ -24,6 +24,9 @@
     /// No shard has room before this time has passed, but one began empty a short time ago, so the
     /// request may be within the allotment.
     Recovering(Duration),
+    /// No shard has room before this time has passed, but units of one are kept for requests that wait
+    /// for a place, so the request may be within the allotment.
+    Queued(Duration),
     /// No shard has room as far as known, but one could not be reached.
     Unreached {
         /// Whether another shard is known to have no room.
@@ -91,9 +94,12 @@
         _ if is_unreached => ChargeStep::Unreached { is_known: shortest.is_some() },
         _ => {
             let left = shortest.unwrap_or(Duration::ZERO);
-            let is_recovering = |group: &&GroupId| hints.is_recovering(customer, group, now);
-            match shards.iter().any(is_recovering) && !hints.is_exceeding(customer, now) {
-                true => ChargeStep::Recovering(left),
+            let lacks = |lack| shards.iter().any(|group| hints.lack(customer, group, now) == lack);
+            match lacks(Lack::Queued) {
+                true => ChargeStep::Queued(left),
+                false if lacks(Lack::Recovering) && !hints.is_exceeding(customer, now) => {
+                    ChargeStep::Recovering(left)
+                }
                 false => ChargeStep::NoRoom(left),
             }
         }
--- a/crates/allotments/src/shares.rs
+++ b/crates/allotments/src/shares.rs
@@ -156,7 +156,7 @@
             granted: false,
             level: bucket.level(now),
             room_after_ms: Some(bucket.room_after(*units, now).as_millis() as u64),
-            is_recovering: bucket.is_short_of_use(*units, now),
+            lack: bucket.lack(*units, now),
         }
     }
 
--- a/crates/allotments/tests/bounds.rs
+++ b/crates/allotments/tests/bounds.rs
@@ -171,6 +171,7 @@
             let group = match plan_charge(&request, &self.entries[entry], self.now, sample) {
                 ChargeStep::Ask(group) => group,
                 ChargeStep::NoRoom(_) => return Outcome::Refused,
+                ChargeStep::Queued(_) => unreachable!("no request waits for a place here"),
                 ChargeStep::Unreached { .. } => return Outcome::Later(POLL_INTERVAL),
                 ChargeStep::Recovering(left) => {
                     let wait = (left + POLL_INTERVAL).mul_f64(1.0 + self.rng.random::<f64>());
@@ -233,20 +234,22 @@
         tally
     }
 
-    /// Largest number of units admitted in any window, as a share of the bound without the extra
-    /// units of the deployment.
-    fn largest_share_of_bound(&self, limits: Allotment) -> f64 {
+    /// Largest number of units admitted in any window between two times, as a share of the bound
+    /// without the extra units of the deployment.
+    fn largest_share_of_bound(&self, limits: Allotment, from: Instant, to: Instant) -> f64 {
+        let admitted: Vec<_> =
+            self.admitted.iter().filter(|(at, _)| (from..to).contains(at)).collect();
         let bound = (limits.rate * WINDOW.as_secs_f64() + limits.burst) * 1.1;
         let (mut first, mut sum, mut most) = (0, 0, 0);
-        for (at, units) in &self.admitted {
+        for (at, units) in &admitted {
             sum += units;
-            while self.admitted[first].0 + WINDOW < *at {
-                sum -= self.admitted[first].1;
+            while admitted[first].0 + WINDOW < *at {
+                sum -= admitted[first].1;
                 first += 1;
             }
             most = most.max(sum);
         }
-        println!("most {most} of {bound} units in {:?}", self.now - self.start);
+        println!("most {most} of {bound} units in {:?}", to - from);
         most as f64 / bound
     }
 }
@@ -263,23 +266,36 @@
     let mut deployment = Deployment::new(seed, allotment, 10);
     let mut single = Bucket::full(Limits::share(&allotment, 1), deployment.now);
     let second = Duration::from_secs(1);
+    let half = tokens(limits.0 / 2.0, limits.1 / 2.0);
+    let mut lowered_at = deployment.now;
     for round in 0..12 {
         let entries = if round % 2 == 0 { 1 } else { ENTRIES };
         deployment.run(second * 2, load, entries, &mut single);
         match round {
-            2 | 5 | 8 => (0..5).for_each(|n| deployment.fail((n * 2 + round) % 10)),
-            3 => deployment.set_limits(tokens(limits.0 / 2.0, limits.1 / 2.0)),
-            6 => deployment.set_limits(allotment),
-            7 => deployment.add_group(20, true),
+            2 | 5 => (0..5).for_each(|n| deployment.fail((n * 2 + round) % 10)),
+            3 => {
+                lowered_at = deployment.now;
+                deployment.set_limits(half);
+            }
+            7 => {
+                let share = deployment.largest_share_of_bound(half, lowered_at, deployment.now);
+                assert!(share <= 1.0, "with lowered limits: {share}");
+                deployment.set_limits(allotment);
+            }
+            8 => deployment.add_group(20, true),
             9 => {
                 deployment.owners.remove(0);
                 deployment.apply();
             }
-            10 => deployment.add_group(0, true),
+            10 => {
+                (0..5).for_each(|n| deployment.fail(n));
+                deployment.add_group(0, true);
+            }
             _ => {}
         }
     }
-    let share = deployment.largest_share_of_bound(allotment);
+    let (from, to) = (deployment.start, deployment.now + STEP);
+    let share = deployment.largest_share_of_bound(allotment, from, to);
     assert!(share <= 1.0, "{share}");
 }
 
--- a/crates/allotments/tests/decisions.rs
+++ b/crates/allotments/tests/decisions.rs
@@ -4,7 +4,7 @@
 
 use rstest::rstest;
 use shallotdrum_allotments::{
-    AllotmentReply, Bucket, ChargeRequest, ChargeStep, Limits, ShardHints, plan_charge,
+    AllotmentReply, Bucket, ChargeRequest, ChargeStep, Lack, Limits, ShardHints, plan_charge,
     shard_count, shards, spread_delay, units, weight,
 };
 use shallotdrum_routes::{Allotment, AllotmentUnit};
@@ -63,10 +63,10 @@
     }
     assert_eq!(reserved, 100);
     // The units are not used, so a refusal does not mean that the customer exceeds its allotment.
-    assert!(bucket.is_short_of_use(10, later));
+    assert_eq!(bucket.lack(10, later), Lack::Queued);
     (0..10).for_each(|_| bucket.take_reserved(10, later));
     assert_eq!(bucket.level(later), 0.0);
-    assert!(!bucket.is_short_of_use(10, later));
+    assert_eq!(bucket.lack(10, later), Lack::Used);
 }
 
 /// Guards against units that are returned beyond the burst, or lost.
@@ -146,12 +146,8 @@
         plan_charge(&request, hints, now, 0.999)
     };
     assert_eq!(plan(&hints, 6, &[]), ChargeStep::Ask(&all[3]));
-    let refusal = |level| AllotmentReply {
-        granted: false,
-        level,
-        room_after_ms: Some(1),
-        is_recovering: false,
-    };
+    let refusal =
+        |level| AllotmentReply { granted: false, level, room_after_ms: Some(1), lack: Lack::Used };
     hints.record(&customer, &all[3], &refusal(5.0), now);
     hints.record(&customer, &all[5], &AllotmentReply::granted_at(50.0), now);
     assert_eq!(plan(&hints, 6, &all[3..4]), ChargeStep::Ask(&all[4]));
@@ -162,6 +158,16 @@
     }
     assert_eq!(plan(&hints, 6, &[]), ChargeStep::NoRoom(SECOND));
     assert_eq!(plan(&hints, 7, &[]), ChargeStep::Unreached { is_known: true });
+    let mut queued = ShardHints::default();
+    for group in &all {
+        queued.record(
+            &customer,
+            group,
+            &AllotmentReply { lack: Lack::Queued, ..refusal(0.0) },
+            now,
+        );
+    }
+    assert_eq!(plan(&queued, 6, &[]), ChargeStep::Queued(SECOND));
     for group in &all {
         hints.record(&customer, group, &AllotmentReply::NOT_A_SHARD, now);
     }
--- a/crates/gateway/src/allotments.rs
+++ b/crates/gateway/src/allotments.rs
@@ -110,6 +110,10 @@
             if Instant::now() >= run.deadline {
                 return Err(timed_out_waiting());
             }
+            // Another entry may be able to ask.
+            if (self.cx.session)().is_none() {
+                return Err(unreached(charge));
+            }
             let shares = self.shares(allotment, charge);
             let own = self.places.choose_group(&run.pool, &admission).ok();
             let own = own.as_ref().map(|(group, ..)| group);
@@ -121,6 +125,7 @@
                 ChargeStep::NoRoom(room_after) => {
                     return Err(self.refuse(run, charge, room_after, asked.len()));
                 }
+                ChargeStep::Queued(room_after) => return Err(overloaded(charge, room_after)),
                 // As for a place, the request waits for the next owner of a group.
                 ChargeStep::Unreached { is_known: false }
                     if Instant::now() + OWNER_POLL_INTERVAL < run.deadline =>
@@ -336,6 +341,13 @@
     }
 }
 
+/// Error of a request that may be within its allotment, while many of its customer wait for places.
+fn overloaded(charge: &Charge, room_after: Duration) -> RequestError {
+    let detail = format!("many requests of customer {} wait for targets", charge.customer);
+    RequestError::not_run(RequestErrorKind::Overloaded, detail)
+        .retry_after(spread_delay(room_after, rand::random()))
+}
+
 fn unreached(charge: &Charge) -> RequestError {
     let customer = &charge.customer;
     let detail = format!("cannot ask all owners of the allotment of customer {customer}");
--- a/crates/owner/src/allotments.rs
+++ b/crates/owner/src/allotments.rs
@@ -79,7 +79,7 @@
         event!(self.cx.log, ALLOTMENT_DECIDED; "request" => %request, "group" => %owned.id,
             "customer" => %charge.customer, "units" => charge.units, "granted" => reply.granted,
             "level" => reply.level, "room_after_ms" => reply.room_after_ms,
-            "is_recovering" => reply.is_recovering, "index" => self.cx.view.applied().0);
+            "lack" => ?reply.lack, "index" => self.cx.view.applied().0);
         Ok(reply)
     }
 
