Choose targets by their own pace, where scheduling is by urgency

Engines of a pool differ in speed by a factor of 2.4, and each is slowed down by 2.5 for parts of a second; the scheduler expected the same times of all of them. Each target now has a pace: the learned ratio of its times to the expected ones, times the slowness that it stated last, which decays to half in 600 ms. A request goes to the holder where it is expected to finish first; the backlog of prompts counts at the target's own pace, and prompts take at most 0.8 of the time of an engine with running requests. Plain services are chosen by running and waiting requests, slots and pace. Nothing of this is used with the scheduling by shares.

--- a/crates/scheduler/src/api.rs
+++ b/crates/scheduler/src/api.rs
@@ -4,7 +4,7 @@
 
 use futures_util::future::BoxFuture;
 use serde::{Deserialize, Serialize};
-use shallotdrum_engine::{OrderRefusal, TargetKind, Urgency};
+use shallotdrum_engine::{OrderRefusal, TargetKind, TargetLoad, Urgency};
 use shallotdrum_types::{
     AdapterRef, AvailabilityZone, Fingerprint, Incarnation, RequestId, SoftwareVersion,
     SubscriberId, TargetId, Weight,
@@ -225,6 +225,19 @@
 pub type LoadFn =
     Arc<dyn Fn(LoadOrder) -> BoxFuture<'static, Result<(), LoadFailure>> + Send + Sync>;
 
+/// What is known at the end of a request of its target.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct PlaceFeedback {
+    /// Time from the send to the first event of a stream.
+    pub first_event: Option<Duration>,
+    /// Load that the target stated in its response, and the time since then.
+    pub load: Option<(TargetLoad, Duration)>,
+    /// Number of tokens that were received in a stream.
+    pub tokens: Option<u64>,
+    /// Time from the first event of a stream to the last one.
+    pub stream: Option<Duration>,
+}
+
 /// How an admitted request ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Finish {
--- a/crates/scheduler/src/group.rs
+++ b/crates/scheduler/src/group.rs
@@ -19,7 +19,10 @@
 };
 
 use crate::{
-    api::{AdmissionRequest, Finish, LoadFailure, LoadFn, LoadOrder, SchedulerConfig, TargetSpec},
+    api::{
+        AdmissionRequest, Finish, LoadFailure, LoadFn, LoadOrder, PlaceFeedback, SchedulerConfig,
+        TargetSpec,
+    },
     fair::Seq,
     slots::AdapterKey,
     snapshot::GroupSnapshot,
@@ -324,6 +327,16 @@
         self.guard.shared.lock().first_token_after(self.guard.seq, time);
     }
 
+    /// Records what is known of the target at the end of the request.
+    ///
+    /// The lengths of responses are learned from those that `finish` says are complete.
+    pub fn feedback(&self, feedback: PlaceFeedback, finish: Finish) {
+        if let Some(time) = feedback.first_event {
+            self.first_token_after(time);
+        }
+        self.guard.shared.lock().feedback(self.guard.seq, feedback, finish, Instant::now());
+    }
+
     /// Records `n` more generated tokens.
     pub fn tokens(&self, n: u64) {
         self.guard.shared.lock().tokens(self.guard.seq, n, Instant::now());
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -12,6 +12,7 @@
 mod fair;
 mod group;
 mod measure;
+mod pace;
 mod rate_limit;
 mod slots;
 mod snapshot;
@@ -20,8 +21,8 @@
 mod target;
 
 pub use api::{
-    AdmissionRequest, Finish, LoadFailure, LoadFn, LoadOrder, MAX_REQUEST_DEADLINE, Policy,
-    RequestKind, SchedulerConfig, Scheduling, TargetSpec,
+    AdmissionRequest, Finish, LoadFailure, LoadFn, LoadOrder, MAX_REQUEST_DEADLINE, PlaceFeedback,
+    Policy, RequestKind, SchedulerConfig, Scheduling, TargetSpec,
 };
 pub use engine_model::EngineModel;
 pub use group::{GroupScheduler, Lease};
--- a/crates/scheduler/src/pace.rs
+++ b/crates/scheduler/src/pace.rs
@@ -8,10 +8,7 @@
 
 use tokio::time::Instant;
 
-use crate::{
-    engine_model::millis,
-    measure::{DecayingCounter, Ewma},
-};
+use crate::{engine_model::millis, measure::DecayingCounter};
 
 /// Weight of the newest sample of the learned ratio.
 const RATIO_WEIGHT: f64 = 0.2;
@@ -55,8 +52,6 @@
     stated: Option<(f64, Instant)>,
     /// Recent time that prompts took, in milliseconds.
     prefill: DecayingCounter,
-    /// Milliseconds of a call of a plain service, from the send to its end.
-    call_ms: Ewma,
 }
 
 impl Pace {
@@ -66,7 +61,6 @@
             mean_stated: Learned::default(),
             stated: None,
             prefill: DecayingCounter::new(PREFILL_HALF_LIFE, now),
-            call_ms: Ewma::default(),
         }
     }
 
@@ -90,16 +84,6 @@
         }
     }
 
-    /// Records the time of a call of a plain service.
-    pub(crate) fn record_call(&mut self, time: Duration) {
-        self.call_ms.add(millis(time));
-    }
-
-    /// Mean time of a call of a plain service, in milliseconds.
-    pub(crate) fn call_ms(&self) -> Option<f64> {
-        self.call_ms.get()
-    }
-
     /// Expected factor on times; 1 is as the engine model expects.
     pub(crate) fn factor(&self, now: Instant) -> f64 {
         let (min, max) = RATIO_BOUNDS;
@@ -107,7 +91,7 @@
     }
 
     /// Momentary part of the factor: the stated slowness over its mean, the older the closer to 1.
-    pub(crate) fn spell(&self, now: Instant) -> f64 {
+    fn spell(&self, now: Instant) -> f64 {
         let Some((stated, at)) = self.stated else { return 1.0 };
         let mean = self.mean_stated.0.unwrap_or(1.0);
         let age = now.saturating_duration_since(at).as_secs_f64();
@@ -134,3 +118,24 @@
         step * self.factor(now) / left
     }
 }
+
+/// Number of tokens that responses have, by the power of two of their limit.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ResponseLengths([Learned; 32]);
+
+impl ResponseLengths {
+    fn class(max_tokens: u64) -> usize {
+        (max_tokens.max(1).ilog2() as usize).min(31)
+    }
+
+    /// Records the length of a complete response.
+    pub(crate) fn add(&mut self, max_tokens: u64, tokens: u64) {
+        self.0[Self::class(max_tokens)].add(tokens as f64);
+    }
+
+    /// Expected length of a response; half of the limit before any was seen.
+    pub(crate) fn expected(&self, max_tokens: u64) -> f64 {
+        let max = max_tokens as f64;
+        self.0[Self::class(max_tokens)].0.unwrap_or(max / 2.0).min(max)
+    }
+}
--- a/crates/scheduler/src/snapshot.rs
+++ b/crates/scheduler/src/snapshot.rs
@@ -80,6 +80,8 @@
     pub is_draining: bool,
     /// Whether the target is ejected after failures.
     pub is_ejected: bool,
+    /// Expected factor on the times of the target; absent if its pace is not used.
+    pub pace: Option<f64>,
 }
 
 impl State {
@@ -120,6 +122,7 @@
                 uncertain_for: target.slots.longest_uncertain_pin(now),
                 is_draining: target.is_draining,
                 is_ejected: target.health.is_ejected(now),
+                pace: self.is_urgency_active().then(|| target.pace.factor(now)),
             };
             snapshot.targets.insert(target.spec.id.clone(), state);
         }
--- a/crates/scheduler/src/state/admission.rs
+++ b/crates/scheduler/src/state/admission.rs
@@ -70,14 +70,15 @@
         let sub = self.account(&request.subscriber, &request, now);
         let account = &mut self.subs[sub];
         account.weight = request.weight.get();
-        let (cost, prompt_tokens) = match &request.kind {
+        let (cost, prompt_tokens, max_tokens) = match &request.kind {
             RequestKind::Completion { prompt_tokens, max_tokens, .. }
             | RequestKind::Base { prompt_tokens, max_tokens, .. } => {
                 let expected = account.expected_completion(*max_tokens);
-                (Cost::tokens(*prompt_tokens, expected), *prompt_tokens)
+                (Cost::tokens(*prompt_tokens, expected), *prompt_tokens, *max_tokens)
             }
-            RequestKind::Service { .. } => (Cost::SERVICE, 0),
+            RequestKind::Service { .. } => (Cost::SERVICE, 0, 0),
         };
+        let response_tokens = self.demand.lengths.expected(max_tokens);
         let tag = self.fair_clock.enqueue(account, cost);
         let share = self.fair_share(sub, tag);
         if share >= LIGHT_SHARE {
@@ -122,6 +123,8 @@
             cost,
             work_ms,
             prompt_tokens,
+            max_tokens,
+            response_tokens,
             prefixes,
             queued_at: now,
             expires_at,
--- a/crates/scheduler/src/state/choice.rs
+++ b/crates/scheduler/src/state/choice.rs
@@ -1,5 +1,7 @@
 //! Selection of a target for a request among those that can serve it.
 
+use std::time::Duration;
+
 use tokio::time::Instant;
 
 use super::{AdmissionClass, Exclusion, QueuedRequest, State, SubKey};
@@ -37,6 +39,9 @@
 /// many.
 const LOOKUP_RESERVE_SHARE: f64 = 0.125;
 
+/// Age up to which the requests that a service states are counted; calls end within it.
+const STATED_LOAD_TTL: Duration = Duration::from_millis(200);
+
 impl State {
     /// Chooses a target with capacity that holds the adapter.
     pub(super) fn choose_holder(
@@ -96,7 +101,15 @@
         });
         let scored = eligible.map(|key| {
             let target = &self.targets[&key];
+            if self.is_urgency_active() && !target.is_engine() {
+                return (paced_service_score(target, now), target.granted_at, key);
+            }
             if let Some(model) = self.cfg.engine_model.filter(|_| target.is_engine()) {
+                if self.is_urgency_active() {
+                    let response = class.response_tokens;
+                    let time = finish_ms(&model, target, prefixes, tokens, response, now);
+                    return (time, target.granted_at, key);
+                }
                 let time = self.expected_first_token_ms(&model, target, prefixes, tokens, now);
                 return (time, None, key);
             }
@@ -244,3 +257,30 @@
     let slowness = target.health.slowness.unwrap_or(1.0);
     target.utilization(now) * slowness + (slowness - 1.0)
 }
+
+/// Expected time until a request has its complete response, in milliseconds, at the pace of the target.
+fn finish_ms(
+    model: &EngineModel,
+    target: &Target,
+    prefixes: &[u64],
+    prompt_tokens: u64,
+    response_tokens: f64,
+    now: Instant,
+) -> f64 {
+    let cached = target.prefix_cache.hit_ratio(prefixes);
+    let prefill = millis(model.prefill(prompt_tokens, cached)) * target.pace.factor(now);
+    // The backlog is in the target's own pace.
+    let first_token = millis(target.prefill_backlog.wait(now)) + prefill;
+    first_token + response_tokens * target.pace.token_ms(target.running, now)
+}
+
+/// Expected time of a call on a plain service relative to others, at the pace of the target; lower is
+/// better. A service that states more requests than were granted here also serves others.
+fn paced_service_score(target: &Target, now: Instant) -> f64 {
+    let stated = target.stated_load.filter(|(_, at)| now <= *at + STATED_LOAD_TTL);
+    let stated = stated.map_or(0, |(load, _)| load.running.saturating_add(load.waiting));
+    let busy = (target.running + target.foreign(now)).max(stated);
+    let slots = target.stated_load.map_or(0, |(load, _)| load.slots);
+    let slots = if slots == 0 { target.capacity() } else { slots };
+    target.pace.factor(now) * (1.0 + f64::from(busy) / f64::from(slots))
+}
--- a/crates/scheduler/src/state/demand.rs
+++ b/crates/scheduler/src/state/demand.rs
@@ -10,11 +10,13 @@
 use shallotdrum_telemetry::event;
 use tokio::time::Instant;
 
-use super::State;
+use super::{RunningRequest, State};
 use crate::{
     EngineModel,
-    api::{AdmissionRequest, RequestKind, Scheduling},
+    api::{AdmissionRequest, Finish, PlaceFeedback, RequestKind, Scheduling},
+    fair::Seq,
     measure::{DecayingCounter, Ewma},
+    pace::{MAX_PREFILL_SHARE, ResponseLengths},
     slots::AdapterKey,
     target::Target,
 };
@@ -93,6 +95,7 @@
     request_ms: Ewma,
     /// Work of the queued requests, in milliseconds of engine time.
     pub(super) queued_ms: f64,
+    pub(super) lengths: ResponseLengths,
     /// Whether a target has stated how slow it is.
     pub(super) is_paced: bool,
 }
@@ -103,6 +106,7 @@
             work: DecayingCounter::new(GROUP_HALF_LIFE, now),
             request_ms: Ewma::default(),
             queued_ms: 0.0,
+            lengths: ResponseLengths::default(),
             is_paced: false,
         }
     }
@@ -128,18 +132,13 @@
         match kind {
             RequestKind::Completion { prompt_tokens, max_tokens, .. }
             | RequestKind::Base { prompt_tokens, max_tokens, .. } => {
-                let tokens = self.expected_tokens(*max_tokens);
+                let tokens = self.demand.lengths.expected(*max_tokens);
                 *prompt_tokens as f64 / model.prefill_tokens_per_ms + tokens * TOKEN_MS
             }
             RequestKind::Service { .. } => 0.0,
         }
     }
 
-    /// Number of tokens that a request with this limit is expected to generate.
-    fn expected_tokens(&self, max_tokens: u64) -> f64 {
-        max_tokens as f64 / 2.0
-    }
-
     /// Counts the work that a request asks for, whether it is admitted or not, and returns it in
     /// milliseconds of engine time.
     pub(super) fn record_demand(&mut self, request: &AdmissionRequest, now: Instant) -> f64 {
@@ -197,9 +196,62 @@
         Some(Duration::from_secs_f64(steady.max(queued) / 1_000.0))
     }
 
-    /// Number of engines that may be used.
+    /// Number of engines that may be used; one that takes twice as long counts half.
     fn engine_capacity(&self, now: Instant) -> f64 {
         let is_used = |target: &&Target| target.is_engine() && target.is_active(now);
-        self.targets.values().filter(is_used).count() as f64
+        let engines = self.targets.values().filter(is_used);
+        engines.map(|target| 1.0 / target.pace.factor(now)).sum()
+    }
+
+    /// Expected time of a prompt at the pace of a target, beside the prompts that it reads, in
+    /// milliseconds. The tokens do not count where a load is placed: they would outweigh the load, and
+    /// loads from the store cost the most.
+    pub(super) fn prompt_cost(&self, target: &Target, now: Instant) -> f64 {
+        let left = 1.0 - target.pace.prefill_share(now).min(MAX_PREFILL_SHARE);
+        let prompt_ms = self.demand.request_ms.get().unwrap_or(INITIAL_WORK_MS);
+        prompt_ms * target.pace.factor(now) / left
+    }
+
+    /// Applies what the end of a request tells of its target.
+    pub(crate) fn feedback(
+        &mut self,
+        seq: Seq,
+        feedback: PlaceFeedback,
+        finish: Finish,
+        now: Instant,
+    ) {
+        let Some(running) = self.running.get(&seq) else { return };
+        let Some(target) = self.targets.get_mut(&running.target) else { return };
+        if let Some((load, age)) = feedback.load {
+            let at = now.checked_sub(age).unwrap_or(now);
+            if target.stated_load.is_none_or(|(_, last)| at >= last) {
+                target.stated_load = Some((load, at));
+            }
+            if let Some(slowness) = load.slowness {
+                target.pace.record_stated(slowness, at);
+                if !self.demand.is_paced {
+                    self.demand.is_paced = true;
+                    event!(self.log, GROUP_PACED; "target" => %target.spec.id,
+                        "slowness" => slowness, "is_used" => self.cfg.scheduling != Scheduling::Shares);
+                }
+            }
+        }
+        let (time, expected) = (feedback.first_event, running.first_token);
+        if let Some((time, expected)) = time.zip(expected) {
+            target.pace.record_time(time, expected);
+        }
+        if let (Some(tokens), Finish::Answered { .. }) = (feedback.tokens, finish) {
+            self.demand.lengths.add(running.max_tokens, tokens);
+        }
+    }
+
+    /// Learns the pace of a plain service from the time of a call.
+    pub(super) fn record_call_time(&mut self, running: &RunningRequest, now: Instant) {
+        let Some(expected) = self.service_secs.get() else { return };
+        let Some(target) = self.targets.get_mut(&running.target) else { return };
+        if !target.is_engine() {
+            let expected = Duration::from_secs_f64(expected);
+            target.pace.record_time(now - running.admitted_at, expected);
+        }
     }
 }
--- a/crates/scheduler/src/state/mod.rs
+++ b/crates/scheduler/src/state/mod.rs
@@ -204,6 +204,9 @@
     /// Engine time that it takes, in milliseconds; 0 if that does not count.
     work_ms: f64,
     prompt_tokens: u64,
+    /// Limit on the generated tokens, and how many of them are expected.
+    max_tokens: u64,
+    response_tokens: f64,
     prefixes: Vec<u64>,
     queued_at: Instant,
     expires_at: Instant,
@@ -217,7 +220,8 @@
 
 impl QueuedRequest {
     fn admission_class(&self) -> AdmissionClass {
-        AdmissionClass { sub: self.sub, is_repeatable: self.is_repeatable }
+        let response_tokens = self.response_tokens;
+        AdmissionClass { sub: self.sub, is_repeatable: self.is_repeatable, response_tokens }
     }
 
     /// Targets at which the request must not run.
@@ -247,11 +251,14 @@
     }
 }
 
-/// Properties of a request that decide which part of a target's capacity it may use.
+/// Properties of a request that decide which part of a target's capacity it may use, and where it
+/// would finish first.
 #[derive(Clone, Copy, Debug)]
 struct AdmissionClass {
     sub: SubKey,
     is_repeatable: bool,
+    /// Number of tokens that it is expected to generate.
+    response_tokens: f64,
 }
 
 /// Admitted request.
@@ -266,6 +273,9 @@
     admitted_at: Instant,
     /// Prompt tokens that the engine had to read, if it was expected to be idle.
     unread_tokens: Option<f64>,
+    max_tokens: u64,
+    /// Expected time to the first token at the pace 1; absent without an engine model.
+    first_token: Option<Duration>,
     is_started: bool,
     first_token_at: Option<Instant>,
     tokens: u64,
@@ -479,12 +489,19 @@
                 ready_since = self.adapters[adapter].available_since;
             }
         }
-        let mut unread_tokens = None;
+        let is_paced = self.is_urgency_active();
+        let Some(target) = self.targets.get_mut(&key) else { return };
+        let (mut unread_tokens, mut first_token) = (None, None);
         if let Some(model) = self.cfg.engine_model.filter(|_| queued.is_engine) {
             let cached = target.prefix_cache.hit_ratio(&queued.prefixes);
             let is_idle = target.prefill_backlog.wait(now).is_zero();
             unread_tokens = is_idle.then_some(queued.prompt_tokens as f64 * (1.0 - cached));
-            target.prefill_backlog.add(model.prefill(queued.prompt_tokens, cached), now);
+            let prefill = model.prefill(queued.prompt_tokens, cached);
+            if is_paced {
+                first_token = Some(target.add_paced_prefill(&model, prefill, now));
+            } else {
+                target.prefill_backlog.add(prefill, now);
+            }
             if let Some(adapter) = queued.adapter {
                 target.adapter_cache.touch(adapter, model.cached_adapters);
             }
@@ -531,6 +548,8 @@
             prompt_tokens: queued.prompt_tokens,
             admitted_at: now,
             unread_tokens,
+            max_tokens: queued.max_tokens,
+            first_token,
             is_started: false,
             first_token_at: None,
             tokens: 0,
@@ -594,6 +613,9 @@
         };
         account.refund(running.cost);
         account.charge(if running.adapter.is_some() { actual } else { running.cost });
+        if matches!(finish, Finish::Answered { .. }) && self.is_urgency_active() {
+            self.record_call_time(&running, now);
+        }
         self.release_target(seq, &running, finish, now);
         self.end_busy_period_if_idle();
         self.fill_target(running.target, now);
--- a/crates/scheduler/src/state/planner.rs
+++ b/crates/scheduler/src/state/planner.rs
@@ -371,7 +371,10 @@
             if !is_cached && self.is_store_busy() {
                 return None;
             }
-            let cost = model.load_cost(is_cached, loss, target.prefill_backlog.wait(now));
+            let mut cost = model.load_cost(is_cached, loss, target.prefill_backlog.wait(now));
+            if self.is_urgency_active() {
+                cost += self.prompt_cost(target, now);
+            }
             return Some(Placement { target: key, victim, eviction_loss: loss, cost });
         }
         let capacity_cost = if target.has_capacity(now) { 0.0 } else { NO_CAPACITY_COST };
--- a/crates/scheduler/src/target.rs
+++ b/crates/scheduler/src/target.rs
@@ -5,14 +5,15 @@
     time::Duration,
 };
 
-use shallotdrum_engine::TargetKind;
+use shallotdrum_engine::{TargetKind, TargetLoad};
 use tokio::time::Instant;
 
 use crate::{
     api::TargetSpec,
-    engine_model::{AdapterCache, Backlog},
+    engine_model::{AdapterCache, Backlog, EngineModel},
     fair::Seq,
     measure::{DecayingCounter, Ewma},
+    pace::{MAX_PREFILL_SHARE, Pace},
     rate_limit::RateLimit,
     slots::Slots,
 };
@@ -66,6 +67,9 @@
     /// Limit on loads that the engine carries out at the same time.
     pub(crate) parallel_loads: usize,
     pub(crate) health: Health,
+    pub(crate) pace: Pace,
+    /// Load that the target stated in a response, and when.
+    pub(crate) stated_load: Option<(TargetLoad, Instant)>,
     /// Limit that the target names.
     pub(crate) limit: Option<RateLimit>,
     /// Time of the latest observation that the target names a limit, or none.
@@ -113,6 +117,8 @@
             adapter_cache: AdapterCache::default(),
             parallel_loads: 1,
             health,
+            pace: Pace::new(now),
+            stated_load: None,
             limit: None,
             limit_observed_at: None,
         }
@@ -172,6 +178,26 @@
         if is_valid { self.foreign } else { 0 }
     }
 
+    /// Adds a prompt that takes `prefill` at the pace 1, and returns the expected time to its first
+    /// token at that pace.
+    pub(crate) fn add_paced_prefill(
+        &mut self,
+        model: &EngineModel,
+        prefill: Duration,
+        now: Instant,
+    ) -> Duration {
+        let factor = self.pace.factor(now);
+        let first_token = self.prefill_backlog.wait(now).div_f64(factor) + prefill;
+        let reading = prefill.saturating_sub(model.prompt_overhead);
+        let occupied = match self.running {
+            0 => prefill,
+            _ => prefill.max(reading.div_f64(MAX_PREFILL_SHARE)),
+        };
+        self.prefill_backlog.add(occupied.mul_f64(factor), now);
+        self.pace.add_prefill(reading.mul_f64(factor), now);
+        first_token
+    }
+
     pub(crate) fn has_capacity(&self, now: Instant) -> bool {
         self.running + self.foreign(now) < self.capacity()
     }
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -162,6 +162,7 @@
         BASE_LOAD_FAILED = "O0319", Warning, "base model load failed", "check the weight store and the engine if it repeats";
         PREFILL_SPEED_LEARNED = "O0337", Info, "engines read prompts faster or slower than expected; expecting the measured speed, in tokens per ms", "none";
         ADAPTER_SPREAD_CHANGED = "O0343", Info, "entries are told another number of groups over which to spread the requests for an adapter", "none, unless it repeats for one adapter; then its demand is at a limit";
+        GROUP_PACED = "O0344", Info, "a target of the group states how slow it is; targets are chosen by their pace unless the scheduling is by shares", "none";
         TARGET_LIMIT_APPLIED = "O0333", Info, "limit on the requests of a target changed", "check why the target names a limit";
         CALL_RESULT_UNKNOWN = "O0309", Error, "result of a non-repeatable call is unknown", "look up in the service whether the call took effect";
     }
@@ -185,6 +186,7 @@
         STREAM_ENDED = "N0430", Info, "relayed stream ended", "none for a complete one; for others see the events of the request before it";
         TARGET_LIMIT_NAMED = "N0419", Info, "target named another limit on its requests, or none", "none; see the events of its group's owner";
         TARGET_LIMIT_MALFORMED = "N0420", Warning, "target named a limit that is not a decimal number; ignored", "correct the target";
+        TARGET_LOAD_MALFORMED = "N0434", Warning, "target stated a load that is not one; ignored, as are further ones of its process in the log", "correct the target";
         STREAM_ORIGIN_FOUND = "N0421", Info, "found the software version at which a stream began that a caller takes up", "none";
         STREAM_ORIGIN_UNKNOWN = "N0422", Warning, "refused to take up a stream: its software version is unknown, and the pool had several", "none for single streams; the instances that knew it were stopped";
         TARGET_LEAVING_NAMED = "N0423", Info, "target says in a response that it leaves; it takes no new requests", "none";
