Report the loads that targets state to their owner, and use them without one

Targets state their load, and how slow they are at the moment, in X-Server-Load; nothing read it. The platform decodes it into a TargetLoad; what is not three or four whole numbers is a typed error, logged once for each process, and the response is used as without it. The end of a place carries the load with its age, the number of events and the time between the first and the last one to the scheduler, as PlaceFeedback.

Without an owner, an entry chooses by the loads that it has seen, in pools whose targets have stated a slowness.

--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -136,10 +136,10 @@
     }
 
     async fn end_places(&self, session: SessionId, ended: Vec<EndedPlace>) -> Result<(), RpcError> {
-        for EndedPlace { place, end, first_event_ms, has_no_room, .. } in ended {
-            let first_event = first_event_ms.map(Duration::from_millis);
-            let finish = shallotdrum_gateway::to_finish(end, has_no_room);
-            self.owner.end_place((session, place), finish, first_event);
+        for ended in ended {
+            let finish = shallotdrum_gateway::to_finish(ended.end, ended.has_no_room);
+            let feedback = shallotdrum_gateway::to_feedback(&ended);
+            self.owner.end_place((session, ended.place), finish, feedback, ended.events);
         }
         Ok(())
     }
--- a/crates/gateway/src/continuation.rs
+++ b/crates/gateway/src/continuation.rs
@@ -157,6 +157,11 @@
         Self { position, step: Step::Unknown, expected_step: None, is_resumption, events: 0 }
     }
 
+    /// Number of events of the current response.
+    pub fn events(&self) -> u64 {
+        self.events
+    }
+
     /// Begins with the response of another target.
     pub fn begin_resumption(&mut self) {
         self.is_resumption = true;
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -536,6 +536,7 @@
         // A misdirected request reached another process.
         if parts.status != StatusCode::MISDIRECTED_REQUEST {
             self.places.record_limit(&place.granted, sent_at, info.limit);
+            place.record_load(&run.pool, info.load);
             if info.is_leaving {
                 self.places.record_leaving(&place.granted);
             }
--- a/crates/gateway/src/fallback.rs
+++ b/crates/gateway/src/fallback.rs
@@ -6,8 +6,12 @@
 //!
 //! Architecture Invariant: no load order is sent to an engine without an owner.
 
-use std::{collections::HashMap, time::Duration};
+use std::{
+    collections::{HashMap, HashSet},
+    time::Duration,
+};
 
+use shallotdrum_engine::TargetLoad;
 use shallotdrum_types::{AdapterRef, PoolId, TargetId};
 use tokio::time::Instant;
 
@@ -23,12 +27,28 @@
 /// all entries together do not exceed the target's batch size.
 const MAX_IN_PROGRESS: usize = 6;
 
+/// Age up to which a load that a target stated is used.
+const LOAD_TTL: Duration = Duration::from_secs(2);
+
+/// Time after which a stated slowness tells half as much; slow periods last about this long.
+const SLOWNESS_HALF_LIFE: Duration = Duration::from_millis(600);
+
+/// Number of targets above which the loads that are no longer used are removed.
+const MAX_LOADS: usize = 1_024;
+
+/// Scores that differ by less than this are equal, so that requests are spread over equal targets.
+const TIE_MARGIN: f64 = 0.01;
+
 /// Selects targets without an owner, based on the places granted to this entry earlier.
 #[derive(Debug, Default)]
 pub struct FallbackSelector {
     adapters: HashMap<(PoolId, AdapterRef), Vec<(TargetId, Instant)>>,
     /// Requests in progress that were sent without an owner, per target.
     in_progress: HashMap<TargetId, usize>,
+    /// Load that each target stated last, and when.
+    loads: HashMap<TargetId, (TargetLoad, Instant)>,
+    /// Pools of which a target has stated how slow it is.
+    paced: HashSet<PoolId>,
 }
 
 impl FallbackSelector {
@@ -57,8 +77,41 @@
         }
     }
 
+    /// Records the load that a target of a pool stated in a response to this entry.
+    pub fn record_load(
+        &mut self,
+        pool: &PoolId,
+        target: &TargetId,
+        load: TargetLoad,
+        now: Instant,
+    ) {
+        if load.slowness.is_some() && !self.paced.contains(pool) {
+            self.paced.insert(pool.clone());
+        }
+        if self.loads.len() >= MAX_LOADS && !self.loads.contains_key(target) {
+            self.loads.retain(|_, (_, at)| now.duration_since(*at) <= LOAD_TTL);
+            if self.loads.len() >= MAX_LOADS {
+                return;
+            }
+        }
+        self.loads.insert(target.clone(), (load, now));
+    }
+
+    /// Expected time of a request at a target relative to others, by the load that it stated and the
+    /// requests of this entry. A target of which nothing is known counts as idle.
+    fn score(&self, target: &TargetId, in_progress: usize, now: Instant) -> f64 {
+        let known = self.loads.get(target).filter(|(_, at)| now.duration_since(*at) <= LOAD_TTL);
+        let Some((load, at)) = known else { return 1.0 + in_progress as f64 };
+        let age = now.duration_since(*at).as_secs_f64();
+        let weight = (-age / SLOWNESS_HALF_LIFE.as_secs_f64()).exp2();
+        let slowness = 1.0 + (load.slowness.unwrap_or(1.0) - 1.0) * weight;
+        let busy = f64::from(load.running) + f64::from(load.waiting) + in_progress as f64;
+        slowness * (1.0 + busy / f64::from(load.slots.max(1)))
+    }
+
     /// Selects the candidate with the fewest requests of this entry, among those that hold the
-    /// adapter if one is given. `random` breaks ties and is uniform in 0 to 1.
+    /// adapter if one is given; in a pool whose targets state how slow they are, the one with the
+    /// shortest expected time. `random` breaks ties and is uniform in 0 to 1.
     pub fn choose(
         &self,
         pool: &PoolId,
@@ -81,10 +134,15 @@
             .iter()
             .filter(|target| holds(target) && in_progress(target) < MAX_IN_PROGRESS);
         let eligible: Vec<&TargetId> = eligible.collect();
+        if self.paced.contains(pool) {
+            let score = |target: &TargetId| self.score(target, in_progress(target), now);
+            let best = eligible.iter().map(|target| score(target)).min_by(f64::total_cmp)?;
+            let tied = eligible.into_iter().filter(|target| score(target) <= best + TIE_MARGIN);
+            return pick(&tied.collect::<Vec<_>>(), random);
+        }
         let fewest = eligible.iter().map(|target| in_progress(target)).min()?;
         let tied: Vec<_> = eligible.into_iter().filter(|t| in_progress(t) == fewest).collect();
-        let index = (random.clamp(0.0, 1.0) * tied.len() as f64) as usize;
-        tied.get(index.min(tied.len() - 1)).map(|target| (*target).clone())
+        pick(&tied, random)
     }
 
     /// Counts a request that is sent without an owner.
@@ -102,3 +160,9 @@
         }
     }
 }
+
+/// Selects one of equal targets; `random` is uniform in 0 to 1.
+fn pick(targets: &[&TargetId], random: f64) -> Option<TargetId> {
+    let index = (random.clamp(0.0, 1.0) * targets.len() as f64) as usize;
+    targets.get(index.min(targets.len().checked_sub(1)?)).map(|target| (*target).clone())
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -51,10 +51,10 @@
 pub use exchange::{Gateway, GatewayContext};
 pub use fallback::FallbackSelector;
 pub use fingerprint::request_identity;
-pub use places::to_finish;
+pub use places::{to_feedback, to_finish};
 pub use request::{
-    AskFn, CallerRequest, Dispatch, GatewayResponse, Generation, HeaderCodec, PromptPart, ReadFn,
-    ResponseInfo, WriteFn,
+    AskFn, CallerRequest, Dispatch, GatewayResponse, Generation, HeaderCodec, MalformedLoad,
+    PromptPart, ReadFn, ResponseInfo, WriteFn,
 };
 pub use spread::{SpreadKnowledge, group_weight};
 pub use stream_body::{CallerLeft, StreamBody, StreamBroken, StreamSender};
--- a/crates/gateway/src/places.rs
+++ b/crates/gateway/src/places.rs
@@ -3,7 +3,7 @@
 //! If no owner is reachable, targets are selected by `FallbackSelector`.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
@@ -13,8 +13,8 @@
 };
 
 use shallotdrum_control::{AnnouncedTarget, ControlView};
-use shallotdrum_engine::{GrantedPlace, ObservedLimit, Priority, Requirements};
-use shallotdrum_owner::{OwnerService, PlaceAdmission, PlaceKey, SessionFn};
+use shallotdrum_engine::{GrantedPlace, ObservedLimit, Priority, Requirements, TargetLoad};
+use shallotdrum_owner::{OwnerService, PlaceAdmission, PlaceFeedback, PlaceKey, SessionFn};
 use shallotdrum_rpc::{
     EndedPlace, PeerApiClient, Peers, PlaceEnd, PlaceReply, PlaceRequest, RpcError,
 };
@@ -26,7 +26,7 @@
 use tokio::time::Instant;
 
 use crate::{
-    FallbackSelector,
+    FallbackSelector, MalformedLoad,
     limits::{LimitChange, TargetLimits},
     spread::{SpreadKnowledge, group_weight},
     withheld::{Process, WithheldTargets},
@@ -51,6 +51,9 @@
 /// Timeout for reporting the end of a place; if the report is lost, the place expires at the owner.
 const REPORT_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Maximum length of a malformed load in the log.
+const MAX_LOGGED_CHARS: usize = 40;
+
 /// Time without a reply after which an owner is pinged: many round trips, and a sixth of a session
 /// lease.
 const OWNER_REPLY_TIMEOUT: Duration = Duration::from_millis(500);
@@ -72,6 +75,8 @@
     fallback: Mutex<FallbackSelector>,
     limits: Mutex<TargetLimits>,
     withheld: Mutex<WithheldTargets>,
+    /// Processes whose malformed load was logged.
+    malformed_loads: Mutex<HashSet<Process>>,
     spread: Mutex<SpreadKnowledge>,
     /// Time of the latest reply of each owner.
     last_replies: Mutex<HashMap<SocketAddr, Instant>>,
@@ -91,6 +96,10 @@
     sent_at: Option<Instant>,
     /// Time from the send to the first event of a stream.
     first_event: Option<Duration>,
+    /// Number of events of a stream, and the times of the first and the last one.
+    events: Option<(u64, Instant, Instant)>,
+    /// Load that the target stated, and when.
+    load: Option<(TargetLoad, Instant)>,
     /// Whether the target had no room.
     has_no_room: bool,
 }
@@ -125,6 +134,34 @@
         self.guard.first_event = self.guard.sent_at.map(|at| at.elapsed());
     }
 
+    /// Records that this many events of a stream have arrived by now.
+    pub(crate) fn record_events(&mut self, events: u64) {
+        if self.guard.events.is_some_and(|(known, ..)| known == events) || events == 0 {
+            return;
+        }
+        let now = Instant::now();
+        let first = self.guard.events.map_or(now, |(_, first, _)| first);
+        self.guard.events = Some((events, first, now));
+    }
+
+    /// Records the load that the target states in its response.
+    pub(crate) fn record_load(
+        &mut self,
+        pool: &PoolId,
+        load: Option<Result<TargetLoad, MalformedLoad>>,
+    ) {
+        match load {
+            Some(Ok(load)) => {
+                let now = Instant::now();
+                self.guard.load = Some((load, now));
+                let target = &self.granted.target;
+                self.guard.places.fallback().record_load(pool, target, load, now);
+            }
+            Some(Err(error)) => self.guard.places.log_malformed_load(&self.granted, &error),
+            None => {}
+        }
+    }
+
     /// Ends the place of a request that the target had no room for.
     pub(crate) fn end_without_room(mut self) {
         self.guard.has_no_room = true;
@@ -145,6 +182,8 @@
             granted_by,
             sent_at: None,
             first_event: None,
+            events: None,
+            load: None,
             has_no_room: false,
         }
     }
@@ -152,31 +191,47 @@
 
 impl Drop for PlaceGuard {
     fn drop(&mut self) {
+        let place = match &self.granted_by {
+            GrantedBy::This { key } | GrantedBy::Other { key, .. } => key.1,
+            GrantedBy::NoOwner { target } => return self.places.fallback().end(target),
+        };
+        let millis = |time: Duration| time.as_millis() as u64;
+        let ended = EndedPlace {
+            place,
+            end: self.end,
+            first_event_ms: self.first_event.map(millis),
+            has_no_room: self.has_no_room,
+            load: self.load.map(|(load, _)| load),
+            load_age_ms: self.load.map(|(_, at)| millis(at.elapsed())),
+            events: self.events.map(|(events, ..)| events),
+            stream_ms: self.events.map(|(_, first, last)| millis(last - first)),
+        };
         match &self.granted_by {
             GrantedBy::This { key } => {
                 let finish = to_finish(self.end, self.has_no_room);
-                self.places.0.owner.end_place(*key, finish, self.first_event);
+                let feedback =
+                    PlaceFeedback { first_event: self.first_event, ..to_feedback(&ended) };
+                self.places.0.owner.end_place(*key, finish, feedback, ended.events);
             }
-            GrantedBy::NoOwner { target } => self.places.fallback().end(target),
-            GrantedBy::Other { key: (session, place), addr } => {
-                let first_event_ms = self.first_event.map(|time| time.as_millis() as u64);
-                let has_no_room = self.has_no_room;
-                let ended = EndedPlace {
-                    place: *place,
-                    end: self.end,
-                    first_event_ms,
-                    has_no_room,
-                    load: None,
-                    load_age_ms: None,
-                    events: None,
-                    stream_ms: None,
-                };
+            GrantedBy::Other { key: (session, _), addr } => {
                 tokio::spawn(self.places.clone().report_end(*addr, *session, ended));
             }
+            GrantedBy::NoOwner { .. } => {}
         }
     }
 }
 
+/// Converts the end of a place to what the scheduler learns of its target.
+pub fn to_feedback(ended: &EndedPlace) -> PlaceFeedback {
+    let age = Duration::from_millis(ended.load_age_ms.unwrap_or(0));
+    PlaceFeedback {
+        first_event: ended.first_event_ms.map(Duration::from_millis),
+        load: ended.load.map(|load| (load, age)),
+        tokens: None,
+        stream: ended.stream_ms.map(Duration::from_millis),
+    }
+}
+
 /// Converts the end of a place to the scheduler's `Finish`.
 pub fn to_finish(end: PlaceEnd, has_no_room: bool) -> shallotdrum_owner::Finish {
     use shallotdrum_owner::Finish;
@@ -209,6 +264,7 @@
             fallback: Mutex::default(),
             limits: Mutex::default(),
             withheld: Mutex::default(),
+            malformed_loads: Mutex::default(),
             spread: Mutex::default(),
             last_replies: Mutex::default(),
         }))
@@ -268,6 +324,19 @@
         self.0.withheld.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn malformed_loads(&self) -> MutexGuard<'_, HashSet<Process>> {
+        self.0.malformed_loads.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Logs a malformed load, once for each process of a target.
+    fn log_malformed_load(&self, place: &GrantedPlace, error: &MalformedLoad) {
+        if self.malformed_loads().insert((place.target.clone(), place.incarnation)) {
+            let text: String = error.0.chars().take(MAX_LOGGED_CHARS).collect();
+            event!(self.0.log, TARGET_LOAD_MALFORMED; "target" => %place.target,
+                "incarnation" => place.incarnation.0, "load" => text);
+        }
+    }
+
     /// Records that a target says in a response that it leaves.
     pub(crate) fn record_leaving(&self, place: &GrantedPlace) {
         let GrantedPlace { target, incarnation, .. } = place;
@@ -323,6 +392,7 @@
         };
         self.limits().expire(is_current);
         self.withheld().expire(is_current);
+        self.malformed_loads().retain(is_current);
     }
 
     /// Records that a target refused a request for an adapter.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -103,6 +103,7 @@
         let mut run = run.take_for_relay();
         if !first.is_empty() {
             self.place.record_first_event();
+            self.place.record_events(order.events());
             run.software.clone_from(&self.place.granted.software);
             let streams = &self.gateway.cx.owner.streams;
             streams.record_begin(run.id(), run.software.as_ref());
@@ -278,6 +279,7 @@
             while let Some(chunk) = self.next_chunk(run).await? {
                 let Some(events) = self.split(&chunk)? else { continue };
                 let (events, checked) = order.admit(&events);
+                self.place.record_events(order.events());
                 if !events.is_empty() {
                     match timeout_at(run.deadline, sender.send(events)).await {
                         Ok(Ok(())) => {}
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, StatusCode, request, response};
-use shallotdrum_engine::Priority;
+use shallotdrum_engine::{Priority, TargetLoad};
 use shallotdrum_links::QuestionFn;
 use shallotdrum_routes::PoolSpec;
 use shallotdrum_types::{AdapterId, AdapterVersion, BaseModelId, RequestId, RequestRate, TargetId};
@@ -154,4 +154,11 @@
     pub pause: Option<Duration>,
     /// Limit on its requests that the target names, or the text that is not one.
     pub limit: Option<Result<RequestRate, String>>,
+    /// Load that the target states, or the text that is not one.
+    pub load: Option<Result<TargetLoad, MalformedLoad>>,
 }
+
+/// Statement of a target that is not a load.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("not a load: {0}")]
+pub struct MalformedLoad(pub String);
--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -49,5 +49,5 @@
 pub use server::serve_forwarded;
 pub use service::{NotOwned, ORDER_TIMEOUT, OwnerService, TARGET_TIMEOUT};
 pub use shallotdrum_engine::full_body;
-pub use shallotdrum_scheduler::{Finish, LoadFailure, LoadOrder};
+pub use shallotdrum_scheduler::{Finish, LoadFailure, LoadOrder, PlaceFeedback};
 pub use streams::StreamOrigins;
--- a/crates/owner/src/places.rs
+++ b/crates/owner/src/places.rs
@@ -14,7 +14,9 @@
 };
 
 use shallotdrum_engine::{GrantedPlace, ObservedLimit, Requirements, Urgency};
-use shallotdrum_scheduler::{AdmissionRequest, Finish, GroupScheduler, Lease, RequestKind};
+use shallotdrum_scheduler::{
+    AdmissionRequest, Finish, GroupScheduler, Lease, PlaceFeedback, RequestKind,
+};
 use shallotdrum_telemetry::event;
 use shallotdrum_types::{
     GroupId, RequestError, RequestErrorKind, RequestId, RequestIdentity, SessionId,
@@ -178,20 +180,34 @@
         self.owned(group).ok()?.scheduler.group_wait()
     }
 
-    /// Ends a place, or cancels the wait for it; `first_event` is the time from the send to the first event
-    /// of a stream.
-    pub fn end_place(&self, key: PlaceKey, finish: Finish, first_event: Option<Duration>) {
+    /// Ends a place, or cancels the wait for it; `events` is the number of events of a stream.
+    pub fn end_place(
+        &self,
+        key: PlaceKey,
+        finish: Finish,
+        feedback: PlaceFeedback,
+        events: Option<u64>,
+    ) {
         let Some(place) = self.places.lock().remove(&key) else { return };
         match place.lease {
             Some(lease) => {
-                if let Some(time) = first_event {
-                    lease.first_token_after(time);
-                }
+                let tokens = events.map(|events| events * self.tokens_per_event(&lease.target));
+                lease.feedback(PlaceFeedback { tokens, ..feedback }, finish);
                 lease.finish(finish);
             }
             None => place.cancelled.notify_one(),
         }
     }
+
+    /// Number of tokens in an event of a target.
+    fn tokens_per_event(&self, target: &TargetId) -> u64 {
+        let tokens = self.cx.view.read(|state| {
+            let pool = &state.target(target)?.announced.pool;
+            let engine = state.routes()?.table().pool(pool)?.engine.as_ref()?;
+            Some(engine.tokens_per_event)
+        });
+        u64::from(tokens.unwrap_or(1))
+    }
 }
 
 fn observe_limits(scheduler: &GroupScheduler, limits: &[ObservedLimit]) {
--- a/crates/owner/tests/leaving_targets.rs
+++ b/crates/owner/tests/leaving_targets.rs
@@ -6,7 +6,9 @@
 
 use shallotdrum_control::Command;
 use shallotdrum_engine::{GrantedPlace, Requirements, TargetKind, Urgency};
-use shallotdrum_owner::{Finish, OwnerContext, OwnerService, PlaceAdmission, PlaceKey};
+use shallotdrum_owner::{
+    Finish, OwnerContext, OwnerService, PlaceAdmission, PlaceFeedback, PlaceKey,
+};
 use shallotdrum_types::{
     Fingerprint, GroupId, Incarnation, RequestError, RequestId, RequestIdentity, SessionId,
     TargetId,
@@ -80,7 +82,7 @@
     sleep(REACTION).await;
     log.register("leaves", KIND);
     sleep(REACTION).await;
-    owner.end_place((session, 1), Finish::Cancelled, None);
+    owner.end_place((session, 1), Finish::Cancelled, PlaceFeedback::default(), None);
     assert_eq!(waiting.await.unwrap().unwrap().target.as_str(), "stays");
 }
 
--- a/crates/routes/src/model.rs
+++ b/crates/routes/src/model.rs
@@ -145,10 +145,21 @@
     pub max_batch: u32,
     /// Maximum number of adapters that an engine keeps loaded.
     pub adapter_slots: u32,
+    /// Number of tokens in an event of a stream.
+    #[serde(default = "one_token", skip_serializing_if = "is_one_token")]
+    pub tokens_per_event: u32,
     /// Base models that the pool serves.
     pub models: Vec<ModelSpec>,
 }
 
+fn one_token() -> u32 {
+    1
+}
+
+fn is_one_token(tokens: &u32) -> bool {
+    *tokens == 1
+}
+
 /// Base model that a pool serves.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ModelSpec {
