--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -66,10 +66,10 @@
 pub use fallback::FallbackSelector;
 pub use fingerprint::request_identity;
 pub use held::{HeldBytes, HeldMemory, NoMemory};
-pub use places::to_finish;
+pub use places::{to_feedback, to_finish};
 pub use request::{
-    AskFn, CallerRequest, Dispatch, GatewayResponse, Generation, HeaderCodec, PromptPart, ReadFn,
-    ResponseInfo, WriteFn,
+    AskFn, CallerRequest, Dispatch, GatewayResponse, Generation, HeaderCodec, MalformedLoad,
+    PromptPart, ReadFn, ResponseInfo, WriteFn,
 };
 pub use spread::{SpreadKnowledge, group_weight};
 pub use stream_body::{CallerLeft, MAX_STREAM_BYTES, StreamBody, StreamBroken, StreamSender};
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -15,6 +15,7 @@
 mod group;
 mod learned;
 mod measure;
+mod pace;
 mod rate_limit;
 mod service_share;
 mod slots;
@@ -25,8 +26,8 @@
 mod urgency;
 
 pub use api::{
-    AdmissionRequest, Finish, LoadFailure, LoadFn, LoadOrder, MAX_REQUEST_DEADLINE, Policy,
-    RequestKind, SchedulerConfig, Scheduling, TargetSpec,
+    AdmissionRequest, Finish, LoadFailure, LoadFn, LoadOrder, MAX_REQUEST_DEADLINE, PlaceFeedback,
+    Policy, RequestKind, SchedulerConfig, Scheduling, TargetSpec,
 };
 pub use engine_model::EngineModel;
 pub use group::{GroupScheduler, Lease};
--- a/crates/scheduler/src/state/admission.rs
+++ b/crates/scheduler/src/state/admission.rs
@@ -74,6 +74,8 @@
         };
         let is_urgency_active = self.is_urgency_active();
         let demand = Demand::of(&request);
+        let response_tokens =
+            demand.max_tokens.map_or(0.0, |max_tokens| self.demand.lengths.expected(max_tokens));
         let sub = self.account(&request.subscriber, &request, now);
         let account = &mut self.subs[sub];
         account.weight = request.weight.get();
@@ -81,7 +83,7 @@
             RequestKind::Completion { prompt_tokens, max_tokens, .. }
             | RequestKind::Base { prompt_tokens, max_tokens, .. } => {
                 let expected = match is_urgency_active {
-                    true => self.overload.learned.expected_tokens(*max_tokens),
+                    true => response_tokens,
                     false => account.expected_completion(*max_tokens),
                 };
                 (Cost::tokens(*prompt_tokens, expected), *prompt_tokens)
@@ -137,6 +139,7 @@
             cost,
             work_ms,
             prompt_tokens,
+            response_tokens,
             prefixes,
             queued_at: now,
             expires_at,
--- a/crates/scheduler/src/state/lifecycle.rs
+++ b/crates/scheduler/src/state/lifecycle.rs
@@ -18,6 +18,7 @@
         let Some(queued) = self.remove_queued(seq) else { return };
         let spread = queued.adapter.and_then(|adapter| self.update_spread(adapter, now));
         let group_wait = self.group_wait(now);
+        let is_paced = self.is_urgency_active();
         let Some(target) = self.targets.get_mut(&key) else { return };
         let mut ready_since = None;
         if let Some(adapter) = queued.adapter {
@@ -30,12 +31,17 @@
                 ready_since = self.adapters[adapter].available_since;
             }
         }
-        let mut unread_tokens = None;
+        let (mut unread_tokens, mut first_token) = (None, None);
         if let Some(model) = self.cfg.engine_model.filter(|_| queued.is_engine) {
             let cached = target.prefix_cache.hit_ratio(&queued.prefixes);
             let is_idle = target.prefill_backlog.wait(now).is_zero();
             unread_tokens = is_idle.then_some(queued.prompt_tokens as f64 * (1.0 - cached));
-            target.prefill_backlog.add(model.prefill(queued.prompt_tokens, cached), now);
+            let prefill = model.prefill(queued.prompt_tokens, cached);
+            if is_paced {
+                first_token = Some(target.add_paced_prefill(&model, prefill, now));
+            } else {
+                target.prefill_backlog.add(prefill, now);
+            }
             if let Some(adapter) = queued.adapter {
                 target.adapter_cache.touch(adapter, model.cached_adapters);
             }
@@ -84,6 +90,7 @@
             max_tokens: queued.demand.max_tokens,
             admitted_at: now,
             unread_tokens,
+            first_token,
             is_started: false,
             first_token_at: None,
             tokens: 0,
@@ -151,6 +158,9 @@
         };
         account.refund(running.cost);
         account.charge(if running.adapter.is_some() { actual } else { running.cost });
+        if matches!(finish, Finish::Answered { .. }) && is_urgency_active {
+            self.record_call_time(&running, now);
+        }
         self.release_target(seq, &running, finish, now);
         self.end_busy_period_if_idle();
         self.sweep(now);
--- a/crates/scheduler/src/state/mod.rs
+++ b/crates/scheduler/src/state/mod.rs
@@ -211,6 +211,8 @@
     /// Engine time that it takes, in milliseconds; 0 if that does not count.
     work_ms: f64,
     prompt_tokens: u64,
+    /// Expected number of generated tokens.
+    response_tokens: f64,
     prefixes: Vec<u64>,
     queued_at: Instant,
     expires_at: Instant,
@@ -224,7 +226,8 @@
 
 impl QueuedRequest {
     fn admission_class(&self) -> AdmissionClass {
-        AdmissionClass { sub: self.sub, is_repeatable: self.is_repeatable }
+        let response_tokens = self.response_tokens;
+        AdmissionClass { sub: self.sub, is_repeatable: self.is_repeatable, response_tokens }
     }
 
     /// Targets at which the request must not run.
@@ -254,11 +257,14 @@
     }
 }
 
-/// Properties of a request that decide which part of a target's capacity it may use.
+/// Properties of a request that decide which part of a target's capacity it may use, and where it
+/// would finish first.
 #[derive(Clone, Copy, Debug)]
 struct AdmissionClass {
     sub: SubKey,
     is_repeatable: bool,
+    /// Number of tokens that it is expected to generate.
+    response_tokens: f64,
 }
 
 /// Admitted request.
@@ -270,10 +276,13 @@
     is_unreserved: bool,
     cost: Cost,
     prompt_tokens: u64,
+    /// Limit on generated tokens; absent for a service call.
     max_tokens: Option<u64>,
     admitted_at: Instant,
     /// Prompt tokens that the engine had to read, if it was expected to be idle.
     unread_tokens: Option<f64>,
+    /// Expected time to the first token at the pace 1; absent without an engine model.
+    first_token: Option<Duration>,
     is_started: bool,
     first_token_at: Option<Instant>,
     tokens: u64,
