--- a/crates/scheduler/tests/simulation/mod.rs
+++ b/crates/scheduler/tests/simulation/mod.rs
@@ -385,14 +385,14 @@
     let result = tokio::time::timeout_at(sent_at + kind.deadline, run).await;
     fake.running.fetch_sub(1, Ordering::Relaxed);
     stats.in_objective = u32::from(first_at.is_some_and(|after| after <= objective));
-    end(lease, &mut stats, result);
+    end(lease, &mut stats, &result);
     stats
 }
 
 fn end(
     lease: Lease,
     stats: &mut Stats,
-    result: Result<Result<(), Stopped>, tokio::time::error::Elapsed>,
+    result: &Result<Result<(), Stopped>, tokio::time::error::Elapsed>,
 ) {
     let finish = match result {
         Ok(Ok(())) => {
