State the level of an allotment as of the grant

Cause: a grant stated the level from before the request waited in the queue. The entry took it for new, so its bound of the level was too low by what had accrued, and it could refuse a request that had room.

--- a/crates/allotments/src/shares.rs
+++ b/crates/allotments/src/shares.rs
@@ -114,11 +114,12 @@
         reply
     }
 
-    /// Takes the reserved units of a request that got a place.
-    pub fn take_reserved(&mut self, charge: &Charge, now: Instant) {
-        if let Some(bucket) = self.buckets.get_mut(&charge.customer) {
-            bucket.take_reserved(charge.units, now);
-        }
+    /// Takes the reserved units of a request that got a place; returns the level then, if the customer
+    /// still has a share here.
+    pub fn take_reserved(&mut self, charge: &Charge, now: Instant) -> Option<f64> {
+        let bucket = self.buckets.get_mut(&charge.customer)?;
+        bucket.take_reserved(charge.units, now);
+        Some(bucket.level(now))
     }
 
     /// Ends the reservation of a request that got no place.
--- a/crates/gateway/src/allotments.rs
+++ b/crates/gateway/src/allotments.rs
@@ -87,7 +87,8 @@
         };
         let place = match customer.allotment.filter(|_| !run.is_charged) {
             Some(allotment) => {
-                let tokens = run.req.generation.as_ref().map(|g| g.prompt_tokens + g.max_tokens);
+                let generation = run.req.generation.as_ref();
+                let tokens = generation.map(|g| g.prompt_tokens.saturating_add(g.max_tokens));
                 let units = units(&allotment, tokens);
                 let charge = Charge { customer: customer.name.clone(), units };
                 self.take_charged(run, admission, &allotment, &charge).await
--- a/crates/owner/src/allotments.rs
+++ b/crates/owner/src/allotments.rs
@@ -119,9 +119,10 @@
             is_taken: false,
         };
         let granted = self.take_place(group, key, admission).await?;
-        owned.shares().take_reserved(charge, Instant::now());
+        // The level has changed while the request waited.
+        let level = owned.shares().take_reserved(charge, Instant::now());
         reservation.is_taken = true;
-        Ok((granted, reply))
+        Ok((granted, AllotmentReply::granted_at(level.unwrap_or(reply.level))))
     }
 
     fn record_return(&self, owned: &OwnedGroup, request: &RequestId, charge: &Charge) {
