Leave targets out of it when callers do not read until the deadline

Three faults of the buffer for slow callers, found by its own tests beside a load of 20 to 50:

- At the deadline the unread events are dropped, which gave room to a relay that waited for some.
It went on, found the deadline passed, and ended the place as failed by the target: 167 of 200 stalled streams in one run of many_paused_callers_are_bounded.
A buffer that has expired now takes nothing, so that the relay ends with "the caller did not read".
- A caller that left gave room as well, and the relay could send once more before it noticed (paused_caller_leaves failed in 1 of 1 runs after the first change).
A buffer without a reader takes nothing either; 30 runs of stream_body.rs with 26 tests each have passed since.
- N0430 called a stream complete as soon as all of it was in the buffer.
The line now comes when the caller has read the end, or has left, or at the deadline.
The place and the request's body are given back before.

`memory_mb` of 0 is refused.

Evidence, debug build: slow_readers.rs 4 passed, at most 3,145,716 of 4,194,304 bytes held; streams_through_instances.rs 4, stream_body.rs 26.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -188,8 +188,13 @@
                 StreamEnd::Complete(end) => {
                     self.complete(&run);
                     ended.end = Some(end);
-                    ended.outcome = StreamOutcome::Complete;
-                    sender.complete();
+                    let deadline = run.deadline;
+                    // The body of the request counts as held.
+                    drop(run);
+                    ended.outcome = match sender.complete_and_wait(deadline).await {
+                        true => StreamOutcome::Complete,
+                        false => StreamOutcome::CallerLeft,
+                    };
                     return;
                 }
                 // Dropping the connection cancels the request at the target.
--- a/crates/gateway/src/stream_body.rs
+++ b/crates/gateway/src/stream_body.rs
@@ -18,7 +18,7 @@
 use http_body::{Body, Frame};
 use tokio::{
     sync::{Notify, mpsc},
-    time::{Instant, sleep_until},
+    time::{Instant, sleep_until, timeout_at},
 };
 
 use crate::{
@@ -65,6 +65,8 @@
     /// Number of times that the sender waited for room.
     pauses: u32,
     end: Option<End>,
+    /// Whether the caller has read the end of a complete body.
+    is_read: bool,
     reader: Option<Waker>,
 }
 
@@ -95,7 +97,7 @@
     pub fn channel(memory: &HeldMemory) -> (StreamSender, Self) {
         let (reader, closed) = mpsc::channel(1);
         let (parts, held) = (VecDeque::new(), memory.begin());
-        let state = State { parts, held, pauses: 0, end: None, reader: None };
+        let state = State { parts, held, pauses: 0, end: None, is_read: false, reader: None };
         let buffer = Arc::new(Buffer { state: Mutex::new(state), room: Notify::new() });
         let sender = StreamSender { buffer: buffer.clone(), reader };
         (sender, Self { buffer, has_ended: false, _reader: closed })
@@ -120,6 +122,10 @@
 impl State {
     /// Appends events if there is room for them.
     fn push(&mut self, events: &Bytes) -> bool {
+        // Expired or left: its sender would go on as if the caller had read.
+        if self.end.is_some() {
+            return false;
+        }
         let (held, cost) = (self.held.bytes(), cost(events.len()));
         let claim = match held + cost {
             // Otherwise they would wait elsewhere in memory.
@@ -212,6 +218,14 @@
     pub fn complete(self) {
         self.buffer.lock().finish(End::Complete);
     }
+
+    /// Ends the body as complete, and waits until the deadline for the caller to read its end; returns
+    /// whether it did.
+    pub async fn complete_and_wait(self, deadline: Instant) -> bool {
+        self.buffer.lock().finish(End::Complete);
+        let _ = timeout_at(deadline, self.reader.closed()).await;
+        self.buffer.lock().is_read
+    }
 }
 
 impl Drop for StreamSender {
@@ -245,6 +259,7 @@
             state.reader = Some(cx.waker().clone());
             return Poll::Pending;
         };
+        state.is_read = end == End::Complete;
         drop(state);
         self.has_ended = true;
         match end {
@@ -255,10 +270,8 @@
 }
 
 impl Drop for StreamBody {
+    /// Leaves no room for events that nobody reads.
     fn drop(&mut self) {
-        let mut state = self.buffer.lock();
-        state.parts.clear();
-        let held = state.held.bytes();
-        state.held.sub(held);
+        self.buffer.discard(End::Broken);
     }
 }
--- a/crates/gateway/src/stream_log.rs
+++ b/crates/gateway/src/stream_log.rs
@@ -15,7 +15,7 @@
     Complete,
     /// The caller sees that the stream is incomplete.
     Broken,
-    /// The caller left before the end.
+    /// The caller left before the end, or did not read it until its deadline.
     CallerLeft,
     /// The relaying task ended early; the caller sees that the stream is incomplete.
     Dropped,
--- a/crates/gateway/tests/connections.rs
+++ b/crates/gateway/tests/connections.rs
@@ -10,7 +10,7 @@
 };
 
 use bytes::Bytes;
-use http::{Request, Response, StatusCode};
+use http::{Request, Response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use rstest::rstest;
--- a/crates/gateway/tests/stream_body.rs
+++ b/crates/gateway/tests/stream_body.rs
@@ -199,6 +199,38 @@
     assert_eq!(memory.held(), 0);
 }
 
+/// Guards against a log line that calls a stream delivered although its caller left before it had read the
+/// end.
+#[rstest]
+#[case::read(true)]
+#[case::left(false)]
+#[tokio::test]
+async fn sender_learns_whether_end_was_read(#[case] is_read: bool) {
+    let (sender, body) = StreamBody::channel(&memory(MAX_STREAM_BYTES));
+    sender.send(event(0)).await.unwrap();
+    let completed = tokio::spawn(sender.complete_and_wait(Instant::now() + 20 * WAIT));
+    tokio::task::yield_now().await;
+    match is_read {
+        true => assert_eq!(read(body).await, (1, true)),
+        false => drop(body),
+    }
+    assert_eq!(completed.await.unwrap(), is_read);
+}
+
+/// Guards against a target that is blamed for a caller that did not read: room that is given back at the
+/// deadline let the relay go on, and find that the target had sent nothing until then.
+#[tokio::test]
+async fn expired_buffer_takes_no_events() {
+    let memory = memory(64 * MAX_STREAM_BYTES);
+    let (sender, _body) = StreamBody::channel(&memory);
+    let waiting = fill(&sender, 0).await;
+    let expired = tokio::spawn(sender.expire_at(Instant::now() + WAIT));
+    let sent = timeout(4 * WAIT, sender.send(event(waiting))).await;
+    assert!(sent.is_err(), "{sent:?}");
+    expired.await.unwrap();
+    assert_eq!(memory.held(), 0);
+}
+
 /// Guards against a caller that never reads on and holds memory for good, and against a stream that looks
 /// complete to it.
 #[rstest]
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -165,6 +165,9 @@
     }
 
     fn check_remaining_fields(&self, problems: &Problems) {
+        if self.memory_mb == Some(0) {
+            problems.add("memory_mb", Some(&json!(0)), "a number from 1");
+        }
         let bound_ms = self.freshness.bound_ms;
         let (min_ms, reason) = match self.freshness.when_stale {
             WhenStale::Refuse => (SESSION_LEASE_MS, "the session lease"),
