--- a/crates/scheduler/src/snapshot.rs
+++ b/crates/scheduler/src/snapshot.rs
@@ -42,6 +42,10 @@
     pub completion_tokens: u64,
     /// Running requests as a share of the capacity of all active targets, 0 to 1.
     pub batch_occupancy: f64,
+    /// Adapters that are spread over more than one group, with the number of groups.
+    pub spreads: Vec<(AdapterRef, u32)>,
+    /// Expected wait of another request; absent if entries are not told.
+    pub group_wait: Option<Duration>,
 }
 
 /// Queue of one subscriber.
@@ -99,6 +103,8 @@
             stalled: self.stats.stalled,
             queue_wait: self.stats.queue_wait,
             completion_tokens: self.stats.tokens.0,
+            spreads: self.spreads(),
+            group_wait: self.group_wait(now),
             ..GroupSnapshot::default()
         };
         let (mut running, mut capacity) = (0, 0);
--- a/crates/scheduler/src/state/demand.rs
+++ b/crates/scheduler/src/state/demand.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use shallotdrum_telemetry::event;
+use shallotdrum_types::AdapterRef;
 use tokio::time::Instant;
 
 use super::{RunningRequest, State};
@@ -95,6 +96,7 @@
     request_ms: Ewma,
     /// Work of the queued requests, in milliseconds of engine time.
     pub(super) queued_ms: f64,
+    /// Lengths of responses, from which the work of a request is estimated.
     pub(super) lengths: ResponseLengths,
     /// Whether a target has stated how slow it is.
     pub(super) is_paced: bool,
@@ -118,15 +120,6 @@
 }
 
 impl State {
-    /// Whether urgency and the measured pace of targets decide the order and the place of requests.
-    pub(crate) fn is_urgency_active(&self) -> bool {
-        match self.cfg.scheduling {
-            Scheduling::Shares => false,
-            Scheduling::Urgency => true,
-            Scheduling::WhenPaced => self.demand.is_paced,
-        }
-    }
-
     /// Engine time that a request takes, in milliseconds; 0 for a service call.
     pub(super) fn work_ms(&self, model: &EngineModel, kind: &RequestKind) -> f64 {
         match kind {
@@ -154,7 +147,7 @@
         if let RequestKind::Completion { adapter, .. } = &request.kind {
             let key = self.adapters.key_or_insert_with(adapter, || super::Adapter::new(now));
             let spread = f64::from(request.spread.max(1)).min(MAX_SPREAD);
-            self.adapters[key].work.add(work * spread, now);
+            self.adapters[key].engine_demand.add(work * spread, now);
         }
         work
     }
@@ -165,7 +158,7 @@
             return None;
         }
         let engines = self.engine_capacity(now);
-        let demand = &mut self.adapters[adapter].work;
+        let demand = &mut self.adapters[adapter].engine_demand;
         let before = demand.spread;
         let spread = demand.update_spread(engines, now);
         if spread != before {
@@ -176,6 +169,12 @@
         Some(spread)
     }
 
+    /// Adapters that are spread over more than one group, with the number of groups.
+    pub(crate) fn spreads(&self) -> Vec<(AdapterRef, u32)> {
+        let spread = self.adapters.iter().filter(|(.., adapter)| adapter.engine_demand.spread > 1);
+        spread.map(|(_, name, adapter)| (name.clone(), adapter.engine_demand.spread)).collect()
+    }
+
     /// Expected wait of another request in the group; absent if this owner does not say.
     ///
     /// It tells groups apart before a queue forms: at the utilization of the engines, it is the mean wait
--- a/crates/scheduler/src/state/mod.rs
+++ b/crates/scheduler/src/state/mod.rs
@@ -34,7 +34,7 @@
 use tokio::{sync::oneshot, time::Instant};
 
 use crate::{
-    api::{Finish, LoadOrder, SchedulerConfig},
+    api::{Finish, LoadOrder, SchedulerConfig, Scheduling},
     engine_model::PrefillSpeed,
     fair::{Account, Cost, FairClock, Seq, Tag},
     measure::{DecayingCounter, Ewma},
@@ -144,7 +144,7 @@
     /// Recent requests, each weighted by its subscriber's fair share.
     demand: DecayingCounter,
     /// Engine time that is asked for, over all groups that serve the adapter.
-    work: AdapterDemand,
+    engine_demand: AdapterDemand,
     /// Targets on which the adapter is ready to serve.
     holders: Vec<TargetKey>,
     /// Targets on which the adapter is being loaded.
@@ -167,7 +167,7 @@
             source: None,
             queue: BTreeSet::new(),
             demand: DecayingCounter::new(DEMAND_HALF_LIFE, now),
-            work: AdapterDemand::new(now),
+            engine_demand: AdapterDemand::new(now),
             holders: Vec::new(),
             loading: Vec::new(),
             available_since: None,
@@ -352,6 +352,15 @@
         }
     }
 
+    /// Whether urgency and the measured pace of targets decide the order and the place of requests.
+    pub(crate) fn is_urgency_active(&self) -> bool {
+        match self.cfg.scheduling {
+            Scheduling::Shares => false,
+            Scheduling::Urgency => true,
+            Scheduling::WhenPaced => self.demand.is_paced,
+        }
+    }
+
     /// Takes the pending load orders.
     pub(crate) fn take_orders(&mut self) -> Vec<(TargetKey, AdapterKey, LoadOrder)> {
         std::mem::take(&mut self.orders)
--- a/crates/scheduler/tests/pace.rs
+++ b/crates/scheduler/tests/pace.rs
@@ -12,13 +12,13 @@
 
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use rstest::rstest;
-use shallotdrum_engine::TargetLoad;
+use shallotdrum_engine::{TargetKind, TargetLoad};
 use shallotdrum_scheduler::{
     AdmissionRequest, EngineModel, Finish, PlaceFeedback, RequestKind, SchedulerConfig, Scheduling,
 };
 use tokio::time::{Instant, sleep, sleep_until};
 
-use self::support::{adapter, config, group, request_of_kind};
+use self::support::{adapter, config, group, request_of_kind, spec};
 
 const ENGINES: usize = 15;
 const TOKENS_PER_MS: f64 = 25.8;
@@ -197,3 +197,67 @@
     assert!(new.1 < old.1, "{old:.2?} {new:.2?}");
     assert!(after.refused <= before.refused);
 }
+
+/// Guards against a setting that does not switch the pace on, or that switches it on where targets
+/// state no slowness, or where the scheduling is by shares.
+#[rstest]
+#[case::shares(Scheduling::Shares, Some(2.5), false)]
+#[case::urgency(Scheduling::Urgency, None, true)]
+#[case::when_paced(Scheduling::WhenPaced, Some(1.0), true)]
+#[case::when_not_paced(Scheduling::WhenPaced, None, false)]
+#[tokio::test(start_paused = true)]
+async fn pace_switch(
+    #[case] scheduling: Scheduling,
+    #[case] slowness: Option<f64>,
+    #[case] is_active: bool,
+) {
+    let engine_model = Some(EngineModel::default());
+    let group = group(SchedulerConfig { scheduling, engine_model, ..config() });
+    group.engine("t0", 1, 5, 64);
+    let lease = group.admit(request(1, 1_000, 8)).await.unwrap();
+    let load = TargetLoad { running: 1, waiting: 0, slots: 64, slowness };
+    let feedback = PlaceFeedback {
+        load: Some((load, Duration::ZERO)),
+        first_event: Some(Duration::from_millis(100)),
+        ..PlaceFeedback::default()
+    };
+    let finish = Finish::Answered { prompt_tokens: 1_000, completion_tokens: 0 };
+    lease.feedback(feedback, finish);
+    lease.finish(finish);
+    let lease = group.admit(request(1, 1_000, 8)).await.unwrap();
+    assert_eq!((lease.spread.is_some(), lease.group_wait.is_some()), (is_active, is_active));
+    let snapshot = group.scheduler.snapshot();
+    let paces = snapshot.targets.values().map(|target| target.pace.is_some());
+    assert_eq!(paces.collect::<Vec<_>>(), [is_active]);
+    assert_eq!(snapshot.group_wait.is_some(), is_active);
+}
+
+/// Guards against calls that wait at a slow or a full service while another one is idle.
+#[rstest]
+#[case::slow([(0, 2.5), (1, 1.0)])]
+#[case::full([(6, 1.0), (1, 1.0)])]
+#[tokio::test(start_paused = true)]
+async fn pace_service(#[case] states: [(u32, f64); 2]) {
+    let cfg =
+        SchedulerConfig { scheduling: Scheduling::Urgency, prefers_own_zone: false, ..config() };
+    let group = group(cfg);
+    for n in 0..2 {
+        let kind = TargetKind::Service { max_concurrent: 6 };
+        group.scheduler.upsert_target(spec(&format!("t{n}"), 1, kind));
+    }
+    let call = || request_of_kind("u", RequestKind::Service { is_repeatable: true });
+    // Equal services take turns, so that each of them states its load.
+    let leases = [group.admit(call()).await.unwrap(), group.admit(call()).await.unwrap()];
+    for (lease, (running, slowness)) in leases.into_iter().zip(states) {
+        let slowness = Some(slowness);
+        let load = TargetLoad { running, waiting: 0, slots: 6, slowness };
+        let load = Some((load, Duration::ZERO));
+        lease.feedback(PlaceFeedback { load, ..PlaceFeedback::default() }, Finish::Cancelled);
+        lease.finish(Finish::Cancelled);
+    }
+    for _ in 0..2 {
+        let lease = group.admit(call()).await.unwrap();
+        assert_eq!(lease.target.as_str(), "t1");
+        lease.finish(Finish::Cancelled);
+    }
+}
