--- a/crates/gateway/tests/spread.rs
+++ b/crates/gateway/tests/spread.rs
@@ -213,9 +213,7 @@
         let entry = entries[rng.random_range(0..ENTRIES)].clone();
         let name: AdapterId = format!("a{adapter}").parse().unwrap();
         let mut ranked: Vec<usize> = (0..GROUPS).collect();
-        ranked.sort_by_key(|group| {
-            std::cmp::Reverse(group_weight(&name.to_string(), &groups[*group]))
-        });
+        ranked.sort_by_key(|group| std::cmp::Reverse(group_weight(name.as_str(), &groups[*group])));
         let (group, spread) = {
             let entry = entry.lock().unwrap();
             let spread = entry.spread(&pool, &name, at).min(GROUPS as u32);
