--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -27,8 +27,8 @@
     AdminApiServer, ControlClient, ControlClientConfig, Directory, PeerApiServer, Peers,
     PeersConfig, PermitRequest, RpcTransport,
 };
-use shallotdrum_scheduler::{EngineModel, Policy, SchedulerConfig};
-use shallotdrum_settings::{PolicyMode, Settings, WhenStale};
+use shallotdrum_scheduler::{EngineModel, Policy, SchedulerConfig, Scheduling};
+use shallotdrum_settings::{PolicyMode, Scheduling as SchedulingSetting, Settings, WhenStale};
 use shallotdrum_telemetry::{Metrics, event};
 use shallotdrum_types::{Incarnation, InstanceId, PermitId};
 use tokio::{net::TcpListener, task::JoinSet};
@@ -120,6 +120,7 @@
     max_deadline: Duration,
     serve_when_stale: bool,
     revocation: Option<RevocationBound>,
+    memory: usize,
     is_first_start: bool,
     data_dir: Option<std::path::PathBuf>,
     log: slog::Logger,
@@ -313,6 +314,7 @@
             revocation: settings
                 .revocation_ms
                 .map(|ms| RevocationBound::new(Duration::from_millis(ms))),
+            memory: settings.memory_bytes(),
             is_first_start: settings.forms_log,
             data_dir: settings.data_dir.clone(),
             log,
@@ -343,6 +345,7 @@
             confirmation: Arc::new(move || manager.confirmation()),
             serve_when_stale: self.serve_when_stale,
             revocation: self.revocation,
+            memory: self.memory,
             owner: self.owner.clone(),
             peers: self.front_end.peers.clone(),
             codec,
@@ -493,10 +496,16 @@
     log: &slog::Logger,
 ) -> OwnerContext {
     let mut scheduler = SchedulerConfig::new(settings.zone.clone());
+    scheduler.counters = Some(metrics.overload_counters());
     scheduler.policy = match settings.policy.mode {
         PolicyMode::Adaptive => Policy::Adaptive,
         PolicyMode::Baseline => Policy::Baseline,
     };
+    scheduler.scheduling = match settings.policy.scheduling {
+        SchedulingSetting::Shares => Scheduling::Shares,
+        SchedulingSetting::Urgency => Scheduling::Urgency,
+        SchedulingSetting::WhenPaced => Scheduling::WhenPaced,
+    };
     scheduler.max_outstanding_loads = settings.policy.max_loads;
     scheduler.engine_model = settings.policy.prefill_tokens_per_ms.map(|prefill_tokens_per_ms| {
         EngineModel { prefill_tokens_per_ms, ..EngineModel::default() }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,15 +5,20 @@
 //! target's group, and `connections` is the connection pool. `relay` forwards event streams,
 //! `continuation` checks that their events follow each other, `stream_body` is what callers read of
 //! a stream, `stream_log` says how each one ended, and `body_end` what shows that a body is complete.
-//! `fallback` selects a target while a group has no owner, `need` describes a request to the owner, `budget` limits retries, `body` reads whole
-//! responses, `limits` keeps the limits that targets name, `withheld` the targets that ask for no
+//! `spread` chooses the group of a popular adapter, `fallback` selects a target while a group has no owner, `need` describes a request to the owner,
+//! `grant` keeps it to the newest version of its adapter, `budget` limits retries,
+//! `body` reads request bodies and whole responses,
+//! `held` bounds the memory that bodies take,
+//! `limits` keeps the limits that targets name, `withheld` the targets that ask for no
 //! requests, `origin` finds the version of a stream that a caller takes up, and `decision` holds the
-//! retry rules. `customers` decides by the caller's key, which `credentials`
-//! reads. `fingerprint` recognises repeats of a request, and `crash` those that crash targets.
+//! retry rules. `customers` decides by the caller's key, which `credentials` reads, and `allotments` charges
+//! requests to the allotments of customers. `fingerprint` recognises repeats of a request, and `crash` those
+//! that crash targets.
 //!
 //! Architecture Invariant: an at-most-once request is sent to a second target only if no byte of
 //! it can have reached the first, or the first refused it without running it.
 
+mod allotments;
 mod body;
 mod body_end;
 mod budget;
@@ -28,6 +33,8 @@
 mod exchange;
 mod fallback;
 mod fingerprint;
+mod grant;
+mod held;
 mod in_force;
 mod limits;
 mod need;
@@ -35,6 +42,7 @@
 mod places;
 mod relay;
 mod request;
+mod spread;
 mod stream_body;
 mod stream_log;
 mod withheld;
@@ -57,9 +65,11 @@
 pub use exchange::{Gateway, GatewayContext};
 pub use fallback::FallbackSelector;
 pub use fingerprint::request_identity;
-pub use places::to_finish;
+pub use held::{HeldBytes, HeldMemory, NoMemory};
+pub use places::{to_feedback, to_finish};
 pub use request::{
-    AskFn, CallerRequest, Dispatch, GatewayResponse, Generation, HeaderCodec, PromptPart, ReadFn,
-    ResponseInfo, WriteFn,
+    AskFn, CallerRequest, Dispatch, GatewayResponse, Generation, HeaderCodec, MalformedLoad,
+    PromptPart, ReadFn, ResponseInfo, WriteFn,
 };
-pub use stream_body::{CallerLeft, StreamBody, StreamBroken, StreamSender};
+pub use spread::{SpreadKnowledge, group_weight};
+pub use stream_body::{CallerLeft, MAX_STREAM_BYTES, StreamBody, StreamBroken, StreamSender};
--- a/crates/gateway/src/places.rs
+++ b/crates/gateway/src/places.rs
@@ -3,7 +3,7 @@
 //! If no owner is reachable, targets are selected by `FallbackSelector`.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
@@ -12,22 +12,27 @@
     time::Duration,
 };
 
+use shallotdrum_allotments::{AllotmentReply, Charge};
 use shallotdrum_control::{AnnouncedTarget, ControlView};
-use shallotdrum_engine::{GrantedPlace, ObservedLimit, Priority, Requirements};
-use shallotdrum_owner::{OwnerService, PlaceAdmission, PlaceKey, SessionFn};
+use shallotdrum_engine::{GrantedPlace, ObservedLimit, Priority, Requirements, TargetLoad};
+use shallotdrum_owner::{
+    ChargeError, OwnerService, PlaceAdmission, PlaceFeedback, PlaceKey, SessionFn,
+};
 use shallotdrum_rpc::{
     EndedPlace, PeerApiClient, Peers, PlaceEnd, PlaceReply, PlaceRequest, RpcError,
 };
 use shallotdrum_telemetry::event;
 use shallotdrum_types::{
-    GroupId, PoolId, RequestError, RequestErrorKind, RequestRate, SessionId, SoftwareVersion,
-    TargetId,
+    AdapterId, GroupId, PoolId, RequestError, RequestErrorKind, RequestRate, SessionId,
+    SoftwareVersion, TargetId, Weight,
 };
 use tokio::time::Instant;
 
 use crate::{
-    FallbackSelector,
+    FallbackSelector, MalformedLoad,
+    errors::timed_out_waiting,
     limits::{LimitChange, TargetLimits},
+    spread::{SpreadKnowledge, group_weight},
     withheld::{Process, WithheldTargets},
 };
 
@@ -50,6 +55,9 @@
 /// Timeout for reporting the end of a place; if the report is lost, the place expires at the owner.
 const REPORT_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Maximum length of a malformed load in the log.
+const MAX_LOGGED_CHARS: usize = 40;
+
 /// Time without a reply after which an owner is pinged: many round trips, and a sixth of a session
 /// lease.
 const OWNER_REPLY_TIMEOUT: Duration = Duration::from_millis(500);
@@ -71,6 +79,9 @@
     fallback: Mutex<FallbackSelector>,
     limits: Mutex<TargetLimits>,
     withheld: Mutex<WithheldTargets>,
+    /// Processes whose malformed load was logged.
+    malformed_loads: Mutex<HashSet<Process>>,
+    spread: Mutex<SpreadKnowledge>,
     /// Time of the latest reply of each owner.
     last_replies: Mutex<HashMap<SocketAddr, Instant>>,
 }
@@ -89,6 +100,10 @@
     sent_at: Option<Instant>,
     /// Time from the send to the first event of a stream.
     first_event: Option<Duration>,
+    /// Number of events of a stream, and the times of the first and the last one.
+    events: Option<(u64, Instant, Instant)>,
+    /// Load that the target stated, and when.
+    load: Option<(TargetLoad, Instant)>,
     /// Whether the target had no room.
     has_no_room: bool,
 }
@@ -123,6 +138,34 @@
         self.guard.first_event = self.guard.sent_at.map(|at| at.elapsed());
     }
 
+    /// Records that this many events of a stream have arrived by now.
+    pub(crate) fn record_events(&mut self, events: u64) {
+        if self.guard.events.is_some_and(|(known, ..)| known == events) || events == 0 {
+            return;
+        }
+        let now = Instant::now();
+        let first = self.guard.events.map_or(now, |(_, first, _)| first);
+        self.guard.events = Some((events, first, now));
+    }
+
+    /// Records the load that the target states in its response.
+    pub(crate) fn record_load(
+        &mut self,
+        pool: &PoolId,
+        load: Option<Result<TargetLoad, MalformedLoad>>,
+    ) {
+        match load {
+            Some(Ok(load)) => {
+                let now = Instant::now();
+                self.guard.load = Some((load, now));
+                let target = &self.granted.target;
+                self.guard.places.fallback().record_load(pool, target, load, now);
+            }
+            Some(Err(error)) => self.guard.places.log_malformed_load(&self.granted, &error),
+            None => {}
+        }
+    }
+
     /// Ends the place of a request that the target had no room for.
     pub(crate) fn end_without_room(mut self) {
         self.guard.has_no_room = true;
@@ -143,6 +186,8 @@
             granted_by,
             sent_at: None,
             first_event: None,
+            events: None,
+            load: None,
             has_no_room: false,
         }
     }
@@ -150,31 +195,47 @@
 
 impl Drop for PlaceGuard {
     fn drop(&mut self) {
+        let place = match &self.granted_by {
+            GrantedBy::This { key } | GrantedBy::Other { key, .. } => key.1,
+            GrantedBy::NoOwner { target } => return self.places.fallback().end(target),
+        };
+        let millis = |time: Duration| time.as_millis() as u64;
+        let ended = EndedPlace {
+            place,
+            end: self.end,
+            first_event_ms: self.first_event.map(millis),
+            has_no_room: self.has_no_room,
+            load: self.load.map(|(load, _)| load),
+            load_age_ms: self.load.map(|(_, at)| millis(at.elapsed())),
+            events: self.events.map(|(events, ..)| events),
+            stream_ms: self.events.map(|(_, first, last)| millis(last - first)),
+        };
         match &self.granted_by {
             GrantedBy::This { key } => {
                 let finish = to_finish(self.end, self.has_no_room);
-                self.places.0.owner.end_place(*key, finish, self.first_event);
+                let feedback =
+                    PlaceFeedback { first_event: self.first_event, ..to_feedback(&ended) };
+                self.places.0.owner.end_place(*key, finish, feedback, ended.events);
             }
-            GrantedBy::NoOwner { target } => self.places.fallback().end(target),
-            GrantedBy::Other { key: (session, place), addr } => {
-                let first_event_ms = self.first_event.map(|time| time.as_millis() as u64);
-                let has_no_room = self.has_no_room;
-                let ended = EndedPlace {
-                    place: *place,
-                    end: self.end,
-                    first_event_ms,
-                    has_no_room,
-                    load: None,
-                    load_age_ms: None,
-                    events: None,
-                    stream_ms: None,
-                };
+            GrantedBy::Other { key: (session, _), addr } => {
                 tokio::spawn(self.places.clone().report_end(*addr, *session, ended));
             }
+            GrantedBy::NoOwner { .. } => {}
         }
     }
 }
 
+/// Converts the end of a place to what the scheduler learns of its target.
+pub fn to_feedback(ended: &EndedPlace) -> PlaceFeedback {
+    let age = Duration::from_millis(ended.load_age_ms.unwrap_or(0));
+    PlaceFeedback {
+        first_event: ended.first_event_ms.map(Duration::from_millis),
+        load: ended.load.map(|load| (load, age)),
+        tokens: None,
+        stream: ended.stream_ms.map(Duration::from_millis),
+    }
+}
+
 /// Converts the end of a place to the scheduler's `Finish`.
 pub fn to_finish(end: PlaceEnd, has_no_room: bool) -> shallotdrum_owner::Finish {
     use shallotdrum_owner::Finish;
@@ -207,6 +268,8 @@
             fallback: Mutex::default(),
             limits: Mutex::default(),
             withheld: Mutex::default(),
+            malformed_loads: Mutex::default(),
+            spread: Mutex::default(),
             last_replies: Mutex::default(),
         }))
     }
@@ -215,6 +278,27 @@
         self.0.fallback.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn spread(&self) -> MutexGuard<'_, SpreadKnowledge> {
+        self.0.spread.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Records what an owner states of its group, and of the adapter that the request needs.
+    fn record_owner_state(
+        &self,
+        group: &GroupId,
+        adapter: Option<(&PoolId, &AdapterId)>,
+        spread: Option<u32>,
+        wait: Option<Duration>,
+    ) {
+        let now = Instant::now();
+        if let Some(wait) = wait {
+            self.spread().record_wait(group, wait, now);
+        }
+        if let (Some((pool, adapter)), Some(spread)) = (adapter, spread) {
+            self.spread().record_spread(pool, adapter, spread, now);
+        }
+    }
+
     fn limits(&self) -> MutexGuard<'_, TargetLimits> {
         self.0.limits.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -244,6 +328,19 @@
         self.0.withheld.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn malformed_loads(&self) -> MutexGuard<'_, HashSet<Process>> {
+        self.0.malformed_loads.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Logs a malformed load, once for each process of a target.
+    fn log_malformed_load(&self, place: &GrantedPlace, error: &MalformedLoad) {
+        if self.malformed_loads().insert((place.target.clone(), place.incarnation)) {
+            let text: String = error.0.chars().take(MAX_LOGGED_CHARS).collect();
+            event!(self.0.log, TARGET_LOAD_MALFORMED; "target" => %place.target,
+                "incarnation" => place.incarnation.0, "load" => text);
+        }
+    }
+
     /// Records that a target says in a response that it leaves.
     pub(crate) fn record_leaving(&self, place: &GrantedPlace) {
         let GrantedPlace { target, incarnation, .. } = place;
@@ -299,6 +396,7 @@
         };
         self.limits().expire(is_current);
         self.withheld().expire(is_current);
+        self.malformed_loads().retain(is_current);
     }
 
     /// Records that a target refused a request for an adapter.
@@ -463,6 +561,32 @@
         Some(Place { granted, guard })
     }
 
+    /// Requests a place together with a charge from the owner of a group, once.
+    ///
+    /// The place is absent if the request was charged but its target takes no requests.
+    pub(crate) async fn take_charged(
+        &self,
+        pool: &PoolId,
+        chosen: ChosenGroup,
+        mut admission: PlaceAdmission,
+        charge: Charge,
+        deadline: Instant,
+    ) -> Result<(Option<Place>, AllotmentReply), ChargeError> {
+        self.check_software(pool, admission.software.as_ref())?;
+        admission.avoid.extend(self.withheld_targets(pool));
+        admission.left = deadline.saturating_duration_since(Instant::now());
+        let need = admission.need.clone();
+        let (place, reply) = self.take_in(pool, chosen, admission, Some(charge), deadline).await?;
+        let Some(reply) = reply else { return Err(no_owner(pool).into()) };
+        let (target, incarnation) = (&place.granted.target, place.granted.incarnation);
+        if let Requirements::Generation { adapter: Some(adapter), .. } = &need {
+            self.fallback().record_grant(pool, adapter, target, Instant::now());
+        }
+        let is_withheld = self.withheld().contains(&(target.clone(), incarnation));
+        let is_leaving = self.0.view.read(|state| state.is_leaving(target, incarnation));
+        Ok((Some(place).filter(|_| !is_withheld && !is_leaving), reply))
+    }
+
     /// Requests a place from the owner of a group in the pool.
     async fn try_take(
         &self,
@@ -470,9 +594,30 @@
         admission: PlaceAdmission,
         deadline: Instant,
     ) -> Result<Place, RequestError> {
-        let Some(session) = (self.0.session)() else { return Err(no_owner(pool)) };
-        let (group, owner, addr) = self.choose_group(pool, &admission)?;
-        let admission = PlaceAdmission { limits: self.limits_of(&group), ..admission };
+        let chosen = self.choose_group(pool, &admission)?;
+        match self.take_in(pool, chosen, admission, None, deadline).await {
+            Ok((place, _)) => Ok(place),
+            Err(ChargeError::NoPlace(error)) => Err(error),
+            // Only for requests with a charge.
+            Err(ChargeError::NoRoom(_)) => Err(no_owner(pool)),
+        }
+    }
+
+    /// Requests a place from the owner of a group, which charges the request if `charge` is present.
+    async fn take_in(
+        &self,
+        pool: &PoolId,
+        chosen: ChosenGroup,
+        admission: PlaceAdmission,
+        charge: Option<Charge>,
+        deadline: Instant,
+    ) -> Result<(Place, Option<AllotmentReply>), ChargeError> {
+        let Some(session) = (self.0.session)() else { return Err(no_owner(pool).into()) };
+        let ChosenGroup { group, owner, addr, spread } = chosen;
+        let limits = self.limits_of(&group);
+        let admission = PlaceAdmission { limits, spread, ..admission };
+        let adapter = needed_adapter(&admission.need).cloned();
+        let adapter = adapter.as_ref().map(|adapter| (pool, adapter));
         let key = (session, self.0.next_place.fetch_add(1, Ordering::Relaxed));
         let granted_by = match owner == session {
             true => GrantedBy::This { key },
@@ -480,8 +625,20 @@
         };
         let guard = PlaceGuard::new(self.clone(), granted_by);
         if owner == session {
-            let granted = self.0.owner.take_place(&group, key, admission).await?;
-            return Ok(Place { granted, guard });
+            let owner = &self.0.owner;
+            let granted = match &charge {
+                Some(charge) => {
+                    let charged = owner.take_charged_place(&group, key, admission, charge).await;
+                    charged.map(|(granted, reply)| (granted, Some(reply)))
+                }
+                None => match owner.take_place(&group, key, admission).await {
+                    Ok(granted) => Ok((granted, None)),
+                    Err(error) => Err(error.into()),
+                },
+            };
+            let spread = granted.as_ref().ok().and_then(|(granted, _)| granted.spread);
+            self.record_owner_state(&group, adapter, spread, owner.group_wait(&group));
+            return granted.map(|(granted, reply)| (Place { granted, guard }, reply));
         }
         let request = PlaceRequest {
             session,
@@ -489,6 +646,8 @@
             place: key.1,
             group: group.clone(),
             subscriber: admission.subscriber,
+            weight: (admission.weight != Weight::default()).then_some(admission.weight),
+            charge,
             need: admission.need,
             fingerprint: Some(admission.identity.request),
             any_caller: admission.identity.any_caller,
@@ -503,22 +662,33 @@
         let client = self.0.peers.get(addr).map_err(|e| owner_unreachable(&group, &e))?;
         let reply = tokio::select! {
             reply = tokio::time::timeout_at(deadline, client.take_place(request)) => reply,
-            () = self.owner_changed(&group, owner) => return Err(no_owner(pool)),
-            () = self.owner_unresponsive(addr) => return Err(no_owner(pool)),
+            () = self.owner_changed(&group, owner) => return Err(no_owner(pool).into()),
+            () = self.owner_unresponsive(addr) => return Err(no_owner(pool).into()),
         };
         match reply {
             Ok(Ok(reply)) => {
                 self.record_reply(addr);
                 match reply {
-                    PlaceReply::Granted(granted) => Ok(Place { granted, guard }),
-                    PlaceReply::Refused { error } => Err(error),
+                    PlaceReply::Granted(granted) => {
+                        let wait = granted.group_wait_ms.map(Duration::from_millis);
+                        self.record_owner_state(&group, adapter, granted.spread, wait);
+                        Ok((Place { granted, guard }, None))
+                    }
+                    PlaceReply::Charged { place: granted, allotment } => {
+                        let wait = granted.group_wait_ms.map(Duration::from_millis);
+                        self.record_owner_state(&group, adapter, granted.spread, wait);
+                        Ok((Place { granted, guard }, Some(allotment)))
+                    }
+                    PlaceReply::NoRoom { allotment } => Err(ChargeError::NoRoom(allotment)),
+                    PlaceReply::Refused { error, group_wait_ms } => {
+                        let wait = group_wait_ms.map(Duration::from_millis);
+                        self.record_owner_state(&group, None, None, wait);
+                        Err(error.into())
+                    }
                 }
             }
-            Ok(Err(error)) => Err(owner_unreachable(&group, &error.into())),
-            Err(_) => Err(RequestError::not_run(
-                RequestErrorKind::DeadlineExceeded,
-                "the deadline passed while the request waited for a target",
-            )),
+            Ok(Err(error)) => Err(owner_unreachable(&group, &error.into()).into()),
+            Err(_) => Err(timed_out_waiting().into()),
         }
     }
 
@@ -578,19 +748,18 @@
     }
 
     /// Selects a group of the pool by rendezvous hashing, so that requests for an adapter go to the
-    /// same group as long as it has an owner.
-    fn choose_group(
+    /// same group as long as it has an owner; to the least loaded of several if the adapter is spread.
+    pub(crate) fn choose_group(
         &self,
         pool: &PoolId,
         admission: &PlaceAdmission,
-    ) -> Result<(GroupId, SessionId, SocketAddr), RequestError> {
-        let key = match &admission.need {
-            Requirements::Generation { adapter: Some(adapter), .. } => adapter.adapter.to_string(),
-            _ => admission.request.to_string(),
-        };
-        let weight = |group: &GroupId| {
-            let hash = blake3::hash(format!("{key} {group}").as_bytes());
-            hash.as_bytes().first_chunk::<8>().copied().map(u64::from_le_bytes)
+    ) -> Result<ChosenGroup, RequestError> {
+        let adapter = needed_adapter(&admission.need);
+        let now = Instant::now();
+        let spread = adapter.map_or(1, |adapter| self.spread().spread(pool, adapter, now));
+        let key = match adapter {
+            Some(adapter) => adapter.to_string(),
+            None => admission.request.to_string(),
         };
         self.0.view.read(|state| {
             let software = admission.software.as_ref();
@@ -603,13 +772,46 @@
             let owned = groups.filter_map(|group| {
                 let owner = group.owner?;
                 let addr = state.session(owner)?.info.addrs.rpc;
-                Some((group.id.clone(), owner, addr))
+                Some(ChosenGroup { group: group.id.clone(), owner, addr, spread: 1 })
             });
-            owned.max_by_key(|(id, _, _)| weight(id)).ok_or_else(|| no_owner(pool))
+            let weight = |chosen: &ChosenGroup| group_weight(&key, &chosen.group);
+            if spread <= 1 {
+                return owned.max_by_key(weight).ok_or_else(|| no_owner(pool));
+            }
+            let mut ranked: Vec<ChosenGroup> = owned.collect();
+            ranked.sort_by_cached_key(|chosen| std::cmp::Reverse(weight(chosen)));
+            ranked.truncate(spread as usize);
+            let used = ranked.len() as u32;
+            let ids: Vec<GroupId> = ranked.iter().map(|chosen| chosen.group.clone()).collect();
+            let knowledge = self.spread();
+            let first = knowledge.choose(&ids, rand::random(), now);
+            let mut ranked = ranked.into_iter();
+            let chosen = ranked.find(|chosen| first == Some(&chosen.group));
+            chosen
+                .map(|chosen| ChosenGroup { spread: used, ..chosen })
+                .ok_or_else(|| no_owner(pool))
         })
     }
 }
 
+/// Group that a request is sent to, with its owner.
+#[derive(Clone)]
+pub(crate) struct ChosenGroup {
+    pub(crate) group: GroupId,
+    pub(crate) owner: SessionId,
+    pub(crate) addr: SocketAddr,
+    /// Number of groups that were considered.
+    spread: u32,
+}
+
+/// Adapter that a request needs.
+fn needed_adapter(need: &Requirements) -> Option<&AdapterId> {
+    match need {
+        Requirements::Generation { adapter: Some(adapter), .. } => Some(&adapter.adapter),
+        _ => None,
+    }
+}
+
 /// Whether a target runs the required version of its software.
 fn runs_software(target: &AnnouncedTarget, required: Option<&SoftwareVersion>) -> bool {
     required.is_none() || target.software.as_ref() == required
--- a/crates/owner/src/places.rs
+++ b/crates/owner/src/places.rs
@@ -14,7 +14,9 @@
 };
 
 use shallotdrum_engine::{GrantedPlace, ObservedLimit, Requirements, Urgency};
-use shallotdrum_scheduler::{AdmissionRequest, Finish, GroupScheduler, Lease, RequestKind};
+use shallotdrum_scheduler::{
+    AdmissionRequest, Finish, GroupScheduler, Lease, PlaceFeedback, RequestKind,
+};
 use shallotdrum_telemetry::event;
 use shallotdrum_types::{
     GroupId, RequestError, RequestErrorKind, RequestId, RequestIdentity, SessionId,
@@ -40,6 +42,8 @@
     pub identity: RequestIdentity,
     /// Subscriber whose fair share the request counts against.
     pub subscriber: SubscriberId,
+    /// Weight of the subscriber in fair queueing.
+    pub weight: Weight,
     /// Resources that the request needs at the target.
     pub need: Requirements,
     /// Time left for the complete response.
@@ -151,8 +155,8 @@
             priority: lease.priority,
             is_rate_limited: lease.is_rate_limited,
             software: lease.software.clone(),
-            spread: None,
-            group_wait_ms: None,
+            spread: lease.spread,
+            group_wait_ms: lease.group_wait.map(|wait| wait.as_millis() as u64),
         };
         self.streams.record_grant(&request, granted.software.as_ref());
         event!(self.cx.log, PLACE_GRANTED; "request" => %request, "target" => %granted.target,
@@ -173,20 +177,39 @@
         Ok(granted)
     }
 
-    /// Ends a place, or cancels the wait for it; `first_event` is the time from the send to the first event
-    /// of a stream.
-    pub fn end_place(&self, key: PlaceKey, finish: Finish, first_event: Option<Duration>) {
+    /// Expected wait of another request in an owned group; absent if its scheduler does not say.
+    pub fn group_wait(&self, group: &GroupId) -> Option<Duration> {
+        self.owned(group).ok()?.scheduler.group_wait()
+    }
+
+    /// Ends a place, or cancels the wait for it; `events` is the number of events of a stream.
+    pub fn end_place(
+        &self,
+        key: PlaceKey,
+        finish: Finish,
+        feedback: PlaceFeedback,
+        events: Option<u64>,
+    ) {
         let Some(place) = self.places.lock().remove(&key) else { return };
         match place.lease {
             Some(lease) => {
-                if let Some(time) = first_event {
-                    lease.first_token_after(time);
-                }
+                let tokens = events.map(|events| events * self.tokens_per_event(&lease.target));
+                lease.feedback(PlaceFeedback { tokens, ..feedback }, finish);
                 lease.finish(finish);
             }
             None => place.cancelled.notify_one(),
         }
     }
+
+    /// Number of tokens in an event of a target.
+    fn tokens_per_event(&self, target: &TargetId) -> u64 {
+        let tokens = self.cx.view.read(|state| {
+            let pool = &state.target(target)?.announced.pool;
+            let engine = state.routes()?.table().pool(pool)?.engine.as_ref()?;
+            Some(engine.tokens_per_event)
+        });
+        u64::from(tokens.unwrap_or(1))
+    }
 }
 
 fn observe_limits(scheduler: &GroupScheduler, limits: &[ObservedLimit]) {
@@ -221,7 +244,7 @@
         fingerprint: admission.identity.request,
         request: admission.request,
         subscriber: admission.subscriber,
-        weight: Weight::default(),
+        weight: admission.weight,
         kind,
         deadline: (Instant::now() + admission.left).into(),
         is_suspect: false,
--- a/crates/owner/tests/leaving_targets.rs
+++ b/crates/owner/tests/leaving_targets.rs
@@ -6,7 +6,9 @@
 
 use shallotdrum_control::Command;
 use shallotdrum_engine::{GrantedPlace, Requirements, TargetKind, Urgency};
-use shallotdrum_owner::{Finish, OwnerContext, OwnerService, PlaceAdmission, PlaceKey};
+use shallotdrum_owner::{
+    Finish, OwnerContext, OwnerService, PlaceAdmission, PlaceFeedback, PlaceKey,
+};
 use shallotdrum_types::{
     Fingerprint, GroupId, Incarnation, RequestError, RequestId, RequestIdentity, SessionId,
     TargetId,
@@ -34,6 +36,7 @@
         request,
         identity: RequestIdentity::from(fingerprint),
         subscriber: "caller".parse().unwrap(),
+        weight: Default::default(),
         need: Requirements::Call { is_repeatable: true },
         left: Duration::from_secs(30),
         urgency: Urgency::default(),
@@ -80,7 +83,7 @@
     sleep(REACTION).await;
     log.register("leaves", KIND);
     sleep(REACTION).await;
-    owner.end_place((session, 1), Finish::Cancelled, None);
+    owner.end_place((session, 1), Finish::Cancelled, PlaceFeedback::default(), None);
     assert_eq!(waiting.await.unwrap().unwrap().target.as_str(), "stays");
 }
 
--- a/crates/scheduler/src/api.rs
+++ b/crates/scheduler/src/api.rs
@@ -4,7 +4,8 @@
 
 use futures_util::future::BoxFuture;
 use serde::{Deserialize, Serialize};
-use shallotdrum_engine::{OrderRefusal, TargetKind, Urgency};
+use shallotdrum_engine::{OrderRefusal, TargetKind, TargetLoad, Urgency};
+use shallotdrum_telemetry::OverloadCounters;
 use shallotdrum_types::{
     AdapterRef, AvailabilityZone, Fingerprint, Incarnation, RequestId, SoftwareVersion,
     SubscriberId, TargetId, Weight,
@@ -28,11 +29,26 @@
     Baseline,
 }
 
+/// Who gets a place first when capacity is insufficient.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Scheduling {
+    /// Fair shares of the subscribers alone.
+    #[default]
+    Shares,
+    /// The more urgent first; requests that can no longer be finished are refused.
+    Urgency,
+    /// Like `Urgency` once a target has stated its pace, until then like `Shares`.
+    WhenPaced,
+}
+
 /// Settings of one group's scheduler.
 #[derive(Clone, Debug)]
 pub struct SchedulerConfig {
     /// Scheduling policy.
     pub policy: Policy,
+    /// Who gets a place first when capacity is insufficient.
+    pub scheduling: Scheduling,
     /// Trade-off from 0 (full batches) to 1 (short load stalls).
     pub stall_weight: f64,
     /// Limit on queued requests in the group.
@@ -55,6 +71,8 @@
     /// Whether targets in this instance's availability zone are preferred, because requests are sent from
     /// here; otherwise entries send them.
     pub prefers_own_zone: bool,
+    /// Counters of what is refused under overload.
+    pub counters: Option<OverloadCounters>,
 }
 
 impl SchedulerConfig {
@@ -62,6 +80,7 @@
     pub fn new(zone: AvailabilityZone) -> Self {
         Self {
             policy: Policy::Adaptive,
+            scheduling: Scheduling::default(),
             stall_weight: 0.5,
             // A wait of 10 s at 400 requests/s in one group; callers give up after that.
             max_queued: 4096,
@@ -78,6 +97,7 @@
             relative_ejection: false,
             engine_model: None,
             prefers_own_zone: true,
+            counters: None,
         }
     }
 }
@@ -210,6 +230,19 @@
 pub type LoadFn =
     Arc<dyn Fn(LoadOrder) -> BoxFuture<'static, Result<(), LoadFailure>> + Send + Sync>;
 
+/// What is known at the end of a request of its target.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct PlaceFeedback {
+    /// Time from the send to the first event of a stream.
+    pub first_event: Option<Duration>,
+    /// Load that the target stated in its response, and the time since then.
+    pub load: Option<(TargetLoad, Duration)>,
+    /// Number of tokens that were received in a stream.
+    pub tokens: Option<u64>,
+    /// Time from the first event of a stream to the last one.
+    pub stream: Option<Duration>,
+}
+
 /// How an admitted request ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Finish {
--- a/crates/scheduler/src/group.rs
+++ b/crates/scheduler/src/group.rs
@@ -19,7 +19,10 @@
 };
 
 use crate::{
-    api::{AdmissionRequest, Finish, LoadFailure, LoadFn, LoadOrder, SchedulerConfig, TargetSpec},
+    api::{
+        AdmissionRequest, Finish, LoadFailure, LoadFn, LoadOrder, PlaceFeedback, SchedulerConfig,
+        TargetSpec,
+    },
     fair::Seq,
     slots::AdapterKey,
     snapshot::GroupSnapshot,
@@ -146,6 +149,11 @@
         self.shared.wake.notify_one();
     }
 
+    /// Expected wait of another request in the group; absent if the owner does not say.
+    pub fn group_wait(&self) -> Option<Duration> {
+        self.shared.lock().group_wait(Instant::now())
+    }
+
     /// Current state of the group for operators and metrics.
     pub fn snapshot(&self) -> GroupSnapshot {
         self.shared.lock().snapshot(Instant::now())
@@ -262,6 +270,10 @@
     pub queue_wait: Duration,
     /// Part of the queue wait during which no target could serve the adapter.
     pub load_stall: Duration,
+    /// Number of groups over which the adapter should be spread; absent if the owner does not say.
+    pub spread: Option<u32>,
+    /// Expected wait of another request in the group; absent if the owner does not say.
+    pub group_wait: Option<Duration>,
     guard: RequestGuard,
 }
 
@@ -287,6 +299,8 @@
             priority,
             queue_wait,
             load_stall,
+            spread,
+            group_wait,
         } = grant;
         Self {
             target,
@@ -297,6 +311,8 @@
             priority,
             queue_wait,
             load_stall,
+            spread,
+            group_wait,
             guard,
         }
     }
@@ -311,6 +327,16 @@
         self.guard.shared.lock().first_token_after(self.guard.seq, time);
     }
 
+    /// Records what is known of the target at the end of the request.
+    ///
+    /// The lengths of responses are learned from those that `finish` says are complete.
+    pub fn feedback(&self, feedback: PlaceFeedback, finish: Finish) {
+        if let Some(time) = feedback.first_event {
+            self.first_token_after(time);
+        }
+        self.guard.shared.lock().feedback(self.guard.seq, feedback, finish, Instant::now());
+    }
+
     /// Records `n` more generated tokens.
     pub fn tokens(&self, n: u64) {
         self.guard.shared.lock().tokens(self.guard.seq, n, Instant::now());
--- a/crates/scheduler/src/snapshot.rs
+++ b/crates/scheduler/src/snapshot.rs
@@ -26,6 +26,12 @@
     pub admitted: u64,
     /// Total of requests that were refused or failed in the queue.
     pub refused: u64,
+    /// Total of requests refused on arrival because they could not be finished by their deadline.
+    pub refused_on_arrival: u64,
+    /// Total of queued requests refused for the same reason.
+    pub refused_in_queue: u64,
+    /// Total of queued requests refused in favour of more urgent ones.
+    pub displaced: u64,
     /// Total of load orders.
     pub loads: u64,
     /// Total of failed loads, except those without a permit.
@@ -42,6 +48,10 @@
     pub completion_tokens: u64,
     /// Running requests as a share of the capacity of all active targets, 0 to 1.
     pub batch_occupancy: f64,
+    /// Adapters that are spread over more than one group, with the number of groups.
+    pub spreads: Vec<(AdapterRef, u32)>,
+    /// Expected wait of another request; absent if entries are not told.
+    pub group_wait: Option<Duration>,
 }
 
 /// Queue of one subscriber.
@@ -80,6 +90,8 @@
     pub is_draining: bool,
     /// Whether the target is ejected after failures.
     pub is_ejected: bool,
+    /// Expected factor on the times of the target; absent if its pace is not used.
+    pub pace: Option<f64>,
 }
 
 impl State {
@@ -90,6 +102,9 @@
             loads_in_flight: self.loads_in_flight.len(),
             admitted: self.stats.admitted,
             refused: self.stats.refused,
+            refused_on_arrival: self.stats.refused_on_arrival,
+            refused_in_queue: self.stats.refused_in_queue,
+            displaced: self.stats.displaced,
             loads: self.stats.loads,
             failed_loads: self.stats.failed_loads,
             evictions: self.stats.evictions,
@@ -97,6 +112,8 @@
             stalled: self.stats.stalled,
             queue_wait: self.stats.queue_wait,
             completion_tokens: self.stats.tokens.0,
+            spreads: self.spreads(),
+            group_wait: self.group_wait(now),
             ..GroupSnapshot::default()
         };
         let (mut running, mut capacity) = (0, 0);
@@ -120,6 +137,7 @@
                 uncertain_for: target.slots.longest_uncertain_pin(now),
                 is_draining: target.is_draining,
                 is_ejected: target.health.is_ejected(now),
+                pace: self.is_urgency_active().then(|| target.pace.factor(now)),
             };
             snapshot.targets.insert(target.spec.id.clone(), state);
         }
--- a/crates/settings/src/parse.rs
+++ b/crates/settings/src/parse.rs
@@ -95,6 +95,7 @@
     let forward_headers =
         root.optional("forward_headers", "a list of header names").unwrap_or_else(default_headers);
     let max_control_format = root.optional("max_control_format", NUMBER_EXPECTED);
+    let memory_mb = root.optional("memory_mb", NUMBER_EXPECTED);
     let allow_port_zero = root.optional_or("allow_port_zero", "true or false", false);
     root.finish();
     Some(Settings {
@@ -118,6 +119,7 @@
         log,
         forward_headers,
         max_control_format,
+        memory_mb,
         allow_port_zero,
     })
 }
@@ -221,6 +223,11 @@
         max_loads: fields.optional_or("max_loads", NUMBER_EXPECTED, default.max_loads),
         load_permits: fields.optional_or("load_permits", "true or false", default.load_permits),
         prefill_tokens_per_ms: fields.optional("prefill_tokens_per_ms", "a number above 0"),
+        scheduling: fields.optional_or(
+            "scheduling",
+            "\"shares\", \"urgency\" or \"when-paced\"",
+            default.scheduling,
+        ),
     };
     fields.finish();
     policy
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -150,6 +150,8 @@
         ENGINE_NOT_INSPECTED = "O0325", Warning, "engine did not report its loaded adapters; it gets no orders until it is inspected again", "check the engine";
         LOAD_DECIDED = "O0322", Info, "decided to load an adapter", "none";
         ENGINE_INSPECTED = "O0321", Info, "engine reported its loaded adapters", "none";
+        ALLOTMENT_DECIDED = "O0350", Info, "units of a customer's allotment taken, or refused for lack of room", "none";
+        ALLOTMENT_RETURNED = "O0351", Info, "units returned to a customer's allotment: the request got no place", "none";
         PLACE_WITHOUT_OWNER = "O0323", Info, "request sent to a target without a place from the group's owner", "none, unless it persists; then check the instance that owned the group";
         PLACE_END_LOST = "O0320", Debug, "cannot report the end of a place; the place expires at its deadline", "none";
         PLACE_REFUSED = "O0316", Info, "place at a target refused; the request was not run", "compare the detail with the load of the group";
@@ -161,6 +163,10 @@
         BASE_LOADING = "O0318", Warning, "engine has no base model loaded; loading it", "check why the engine restarted";
         BASE_LOAD_FAILED = "O0319", Warning, "base model load failed", "check the weight store and the engine if it repeats";
         PREFILL_SPEED_LEARNED = "O0337", Info, "engines read prompts faster or slower than expected; expecting the measured speed, in tokens per ms", "none";
+        ADAPTER_SPREAD_CHANGED = "O0343", Info, "entries are told another number of groups over which to spread the requests for an adapter", "none, unless it repeats for one adapter; then its demand is at a limit";
+        REQUEST_REFUSED_EARLY = "O0350", Info, "request refused: it could not be finished by its deadline", "none; if it persists, add targets or see which requests are more urgent";
+        REQUEST_DISPLACED = "O0351", Info, "queued request refused in favour of a more urgent one", "none; if it persists, add targets";
+        GROUP_PACED = "O0344", Info, "a target of the group states how slow it is; targets are chosen by their pace unless the scheduling is by shares", "none";
         TARGET_LIMIT_APPLIED = "O0333", Info, "limit on the requests of a target changed", "check why the target names a limit";
         CALL_RESULT_UNKNOWN = "O0309", Error, "result of a non-repeatable call is unknown", "look up in the service whether the call took effect";
     }
@@ -184,6 +190,7 @@
         STREAM_ENDED = "N0430", Info, "relayed stream ended", "none for a complete one; for others see the events of the request before it";
         TARGET_LIMIT_NAMED = "N0419", Info, "target named another limit on its requests, or none", "none; see the events of its group's owner";
         TARGET_LIMIT_MALFORMED = "N0420", Warning, "target named a limit that is not a decimal number; ignored", "correct the target";
+        TARGET_LOAD_MALFORMED = "N0434", Warning, "target stated a load that is not one; ignored, as are further ones of its process in the log", "correct the target";
         STREAM_ORIGIN_FOUND = "N0421", Info, "found the software version at which a stream began that a caller takes up", "none";
         STREAM_ORIGIN_UNKNOWN = "N0422", Warning, "refused to take up a stream: its software version is unknown, and the pool had several", "none for single streams; the instances that knew it were stopped";
         TARGET_LEAVING_NAMED = "N0423", Info, "target says in a response that it leaves; it takes no new requests", "none";
@@ -191,8 +198,12 @@
         PLACE_WITHHELD = "N0424", Info, "place not used: its target asked for no more requests", "none, unless it persists for a target";
         PLACE_OUTDATED = "N0426", Info, "place not used: its target leaves, which the owner of its group did not know", "check the owner's connection to the control replicas if it persists";
         RESPONSE_DISCARDED = "N0432", Info, "discarded a response that is not certainly that of the request; the request may have run", "check the target: it writes responses late or once more (the cause says an earlier request), or names no request in them";
+        QUEUED_FOR_NEW_VERSION = "N0440", Info, "request queued again, as a newer version of its adapter is known", "none";
+        BODY_REFUSED = "N0441", Info, "request refused, as other bodies take the memory", "check the callers' connections if it persists; see shallotdrum_held_bytes";
+        ALLOTMENT_REFUSED = "N0450", Info, "request refused: the allotment of its customer has no room", "none; see the section on status 429 in the operations manual";
+        ALLOTMENT_UNREACHED = "N0451", Info, "cannot ask the owner of a share of a customer's allotment", "none, unless it persists; then check the instance that owns the group";
         REFUSED_FOR_GOOD = "N0433", Info, "request refused for good by a confirmed state", "compare the revision with the newest one, and the confirmation with the log of the leader of its term";
-        KEY_REFUSED = "N0440", Info, "request refused: its caller has no key of a customer, or the key is not confirmed to be valid", "see \"a caller got 401\" in docs/OPERATIONS.md";
+        KEY_REFUSED = "N0442", Info, "request refused: its caller has no key of a customer, or the key is not confirmed to be valid", "see \"a caller got 401\" in docs/OPERATIONS.md";
         ROUTES_CHANGED = "N0413", Info, "route table in force", "none";
         INPUT_REFUSED = "N0414", Warning, "malformed message refused", "correct the sender";
         ENTRY_CLOSED = "N0410", Info, "entry listener closed, all requests finished", "none";
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -93,6 +93,17 @@
     }
 }
 
+/// Counters of what the scheduler refuses under overload; clones share their values.
+#[derive(Clone, Debug)]
+pub struct OverloadCounters {
+    /// Requests refused on arrival.
+    pub refused_on_arrival: IntCounter,
+    /// Queued requests that could no longer be finished.
+    pub refused_in_queue: IntCounter,
+    /// Queued requests refused in favour of more urgent ones.
+    pub displaced: IntCounter,
+}
+
 /// Defines the counters and gauges without labels, and an accessor for each.
 macro_rules! unlabelled_metrics {
     ($($field:ident: $kind:ident, $name:literal, $help:literal;)+) => {
@@ -122,9 +133,16 @@
 unlabelled_metrics! {
     retries: IntCounter, "shallotdrum_retries_total", "Requests sent again to an owner";
     resumes: IntCounter, "shallotdrum_resumes_total", "Answers resumed after an interruption";
+    unreadable_responses: IntCounter, "shallotdrum_unreadable_responses_total", "Responses of targets that are none, as for their status";
+    held_bytes: IntGauge, "shallotdrum_held_bytes", "Memory that bodies take for callers and targets that read slowly";
+    paused_reads: IntCounter, "shallotdrum_paused_reads_total", "Times that a target's stream was not read on, as its caller was slow";
+    refused_bodies: IntCounter, "shallotdrum_refused_bodies_total", "Requests refused for want of memory for their bodies";
     loads: IntCounter, "shallotdrum_adapter_loads_total", "Adapter loads ordered";
     load_failures: IntCounter, "shallotdrum_adapter_load_failures_total", "Adapter loads that failed";
     evictions: IntCounter, "shallotdrum_adapter_evictions_total", "Adapters evicted";
+    refused_on_arrival: IntCounter, "shallotdrum_refused_on_arrival_total", "Requests refused on arrival at a group because they could not be finished by their deadline";
+    refused_in_queue: IntCounter, "shallotdrum_refused_in_queue_total", "Queued requests refused because they could no longer be finished by their deadline";
+    displaced: IntCounter, "shallotdrum_displaced_total", "Queued requests refused in favour of more urgent ones";
     forwarded: IntCounter, "shallotdrum_forwarded_total", "Requests forwarded to an owner";
     connections: IntGauge, "shallotdrum_connections", "Open caller connections";
     queued: IntGauge, "shallotdrum_queued", "Requests that wait in queues of owned groups";
@@ -133,6 +151,10 @@
     manifest_revision: IntGauge, "shallotdrum_manifest_revision", "Manifest revision in force";
     log_index: IntGauge, "shallotdrum_log_index", "Last applied index of the control log";
     log_backlog: IntGauge, "shallotdrum_log_backlog", "Committed entries of the control log that are not applied, on a replica";
+    allotment_admitted: IntCounter, "shallotdrum_allotment_admitted_total", "Requests of this entry that were charged to an allotment";
+    allotment_refused: IntCounter, "shallotdrum_allotment_refused_total", "Requests of this entry that were refused with 429, as their allotment had no room";
+    allotment_asked: IntCounter, "shallotdrum_allotment_asked_total", "Shards of allotments that this entry asked with a message of its own";
+    allotment_refunds: IntCounter, "shallotdrum_allotment_refunds_total", "Charges that this owner returned to an allotment";
     is_leader: IntGauge, "shallotdrum_is_leader", "1 on the control leader, else 0";
 }
 
@@ -254,6 +276,15 @@
         known.entry(subscriber.clone()).or_insert_with(create).clone()
     }
 
+    /// Counters of what the scheduler refuses under overload.
+    pub fn overload_counters(&self) -> OverloadCounters {
+        OverloadCounters {
+            refused_on_arrival: self.refused_on_arrival().clone(),
+            refused_in_queue: self.refused_in_queue().clone(),
+            displaced: self.displaced().clone(),
+        }
+    }
+
     /// Counts a finished request; `error` is the problem code, or `none` if there was no problem.
     pub fn finished(&self, outcome: &str, error: &str) {
         self.0.requests.with_label_values(&[outcome, error]).inc();
