--- a/crates/daemon/src/replica.rs
+++ b/crates/daemon/src/replica.rs
@@ -202,16 +202,12 @@
             Proposal::Command(Command::OpenSession(info)) => {
                 return self.open_session(info, max_wait).await;
             }
-            Proposal::Command(Command::PutRoutes { table }) => {
-                let command = Command::PutRoutes { table: table.clone() };
-                return match self.view.read(|state| state.allows(&command)) {
-                    Ok(()) => self.put_routes(table, max_wait).await,
-                    Err(error) => Ok(Reply::Refused(error)),
-                };
-            }
-            Proposal::Command(command) => match self.view.read(|state| state.allows(&command)) {
-                Ok(()) => command,
-                Err(error) => return Ok(Reply::Refused(error)),
+            Proposal::Command(command) => match (self.view.read(|s| s.allows(&command)), command) {
+                (Err(error), _) => return Ok(Reply::Refused(error)),
+                (Ok(()), Command::PutRoutes { table }) => {
+                    return self.put_routes(table, max_wait).await;
+                }
+                (Ok(()), command) => command,
             },
             Proposal::Manifest { submission, base, manifest } => {
                 self.manifest_command(submission, base, &manifest).await?
