--- a/crates/owner/tests/allotments.rs
+++ b/crates/owner/tests/allotments.rs
@@ -13,7 +13,9 @@
 use shallotdrum_allotments::{AllotmentReply, Charge};
 use shallotdrum_control::Command;
 use shallotdrum_engine::{Requirements, TargetKind, Urgency};
-use shallotdrum_owner::{ChargeError, Finish, OwnerContext, OwnerService, PlaceAdmission};
+use shallotdrum_owner::{
+    ChargeError, Finish, OwnerContext, OwnerService, PlaceAdmission, PlaceFeedback,
+};
 use shallotdrum_routes::{Allotment, AllotmentUnit, Customer, RouteTable};
 use shallotdrum_types::{
     Fingerprint, GroupId, RequestErrorKind, RequestId, RequestIdentity, Revision, SessionId, Weight,
@@ -123,7 +125,7 @@
         assert!(owned.has_room());
     }
     assert!(!owned.has_room());
-    owned.owner.end_place((owned.session, 1), Finish::Cancelled, None);
+    owned.owner.end_place((owned.session, 1), Finish::Cancelled, PlaceFeedback::default(), None);
     let refused = owned.take_place(3, long).await;
     let Err(ChargeError::NoRoom(reply)) = refused else { panic!("{refused:?}") };
     assert!(reply.room_after().unwrap() > Duration::from_secs(60), "{reply:?}");
