Give the events of allotments codes of their own

Two parts had used O0350 and O0351 for different events, so that a log line named two causes. docs/events.md is generated anew; before, each of the two codes stood there twice.

--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -150,8 +150,8 @@
         ENGINE_NOT_INSPECTED = "O0325", Warning, "engine did not report its loaded adapters; it gets no orders until it is inspected again", "check the engine";
         LOAD_DECIDED = "O0322", Info, "decided to load an adapter", "none";
         ENGINE_INSPECTED = "O0321", Info, "engine reported its loaded adapters", "none";
-        ALLOTMENT_DECIDED = "O0350", Info, "units of a customer's allotment taken, or refused for lack of room", "none";
-        ALLOTMENT_RETURNED = "O0351", Info, "units returned to a customer's allotment: the request got no place", "none";
+        ALLOTMENT_DECIDED = "O0352", Info, "units of a customer's allotment taken, or refused for lack of room", "none";
+        ALLOTMENT_RETURNED = "O0353", Info, "units returned to a customer's allotment: the request got no place", "none";
         PLACE_WITHOUT_OWNER = "O0323", Info, "request sent to a target without a place from the group's owner", "none, unless it persists; then check the instance that owned the group";
         PLACE_END_LOST = "O0320", Debug, "cannot report the end of a place; the place expires at its deadline", "none";
         PLACE_REFUSED = "O0316", Info, "place at a target refused; the request was not run", "compare the detail with the load of the group";
