Mend what the reviews of the new parts found

- A stream whose unread events had expired could end as complete (stream_body.rs); the first end stands now, and dropped events break a stream that had ended.
- One long prompt made a group refuse everything: the backlogs of all engines were added up and divided.
Work that targets do alone now fills them as each becomes free, at its own pace and with the part of an engine's time that prompts may take (urgency.rs, overload.rs).
- The time of calls was not learned under urgency, so that Retry-After was always 50 ms and the pace of services unknown.
- In a full queue a less urgent request could take the room of a more urgent one.
- A change of shares that a charge saw first left outdated buckets; an expired lease left a reservation; a hint without end overflowed; a request could state more units than a bucket counts exactly.
- A request with a charge is not queued again for a new adapter version before it has its place, as its charge could be lost.
- A group of a failed region did not return to a replica that is alone in it.

--- a/crates/allotments/src/bucket.rs
+++ b/crates/allotments/src/bucket.rs
@@ -14,7 +14,7 @@
 const QUEUED_SHARE: f64 = 0.5;
 
 /// Longest time until there is room that is stated.
-const MAX_ROOM_AFTER: Duration = Duration::from_secs(3600);
+pub(crate) const MAX_ROOM_AFTER: Duration = Duration::from_secs(3600);
 
 /// Limits of one share of an allotment.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/crates/allotments/src/hints.rs
+++ b/crates/allotments/src/hints.rs
@@ -7,7 +7,7 @@
 
 use shallotdrum_types::{CustomerName, GroupId};
 
-use crate::{AllotmentReply, Lack, Limits};
+use crate::{AllotmentReply, Lack, Limits, bucket::MAX_ROOM_AFTER};
 
 /// Age from which a reply says nothing any more. The bounds that replies give are exact but for
 /// refunds and new limits, which take effect after this time at the latest.
@@ -151,7 +151,7 @@
                     return Room::Possible(bound.min(limits.burst));
                 }
                 let left = Duration::try_from_secs_f64(missing / limits.rate);
-                Room::None(left.unwrap_or(Duration::MAX))
+                Room::None(left.unwrap_or(MAX_ROOM_AFTER).min(MAX_ROOM_AFTER))
             }
             Some(Hint::Unreached { at }) if age(*at, now) < UNREACHED_PAUSE => Room::Unreached,
             _ => Room::Possible(limits.burst),
--- a/crates/allotments/src/shards.rs
+++ b/crates/allotments/src/shards.rs
@@ -44,10 +44,14 @@
 pub fn units(allotment: &Allotment, tokens: Option<u64>) -> u64 {
     match allotment.unit {
         AllotmentUnit::Requests => 1,
-        AllotmentUnit::Tokens => tokens.unwrap_or(allotment.default_tokens),
+        AllotmentUnit::Tokens => tokens.unwrap_or(allotment.default_tokens).min(MAX_UNITS),
     }
 }
 
+/// Units that a request counts at most: far beyond the memory of an engine, and few enough to be exact in
+/// sums of a bucket. A request that states more would lock its customer out.
+const MAX_UNITS: u64 = 10_000_000;
+
 /// Weight of a customer in fair queueing; the default without an allotment.
 pub fn weight(allotment: Option<&Allotment>) -> Weight {
     let rate = allotment.map_or(1.0, |allotment| match allotment.unit {
--- a/crates/control/src/leader/assignments.rs
+++ b/crates/control/src/leader/assignments.rs
@@ -84,7 +84,9 @@
             let load = owned.get(&owner)?.load();
             let in_region = |session| region_of(state, session) == Some(&group.id.region);
             // A group that a replica could take would be assigned to another instance again.
-            let may_get = |session| is_replica(state, owner) || !is_replica(state, session);
+            let may_get = |session| {
+                !in_region(owner) || is_replica(state, owner) || !is_replica(state, session)
+            };
             let locals = owned.iter().filter(|(id, _)| in_region(**id) && may_get(**id));
             let least = locals.map(|(_, owner)| owner.load_with_another()).min()?;
             let is_remote = !in_region(owner);
--- a/crates/gateway/src/grant.rs
+++ b/crates/gateway/src/grant.rs
@@ -39,8 +39,9 @@
             let admission = self.admission(run, requirements.clone());
             let taken = tokio::select! {
                 taken = self.take_charged_place(run, admission) => taken?,
-                // Dropping the wait for a place cancels it at the owner.
-                () = self.version_raised(run, version) => {
+                // Dropping the wait for a place cancels it at the owner. A wait with a charge goes on, as
+                // what was taken from the allotment may be lost with it; the version is compared below.
+                () = self.version_raised(run, version), if run.customer.is_none() || run.is_charged => {
                     self.log_queued_again(run, version, None);
                     continue;
                 }
--- a/crates/gateway/src/stream_body.rs
+++ b/crates/gateway/src/stream_body.rs
@@ -115,7 +115,9 @@
         state.parts.clear();
         let held = state.held.bytes();
         state.held.sub(held);
-        state.finish(end);
+        // A complete end no longer holds without the events.
+        state.end = Some(end);
+        state.wake();
     }
 }
 
@@ -142,8 +144,9 @@
         true
     }
 
+    /// Ends the body; the first end stands, as events that were dropped at the deadline are missing.
     fn finish(&mut self, end: End) {
-        self.end = Some(end);
+        self.end.get_or_insert(end);
         self.wake();
     }
 
--- a/crates/gateway/tests/stream_body.rs
+++ b/crates/gateway/tests/stream_body.rs
@@ -250,3 +250,15 @@
     assert_eq!(memory.held(), 0);
     assert_eq!(read(body).await, (0, false));
 }
+
+/// Guards against a stream that ends as complete although events were dropped: its target ends it at the
+/// same moment at which the events that its caller has not read expire.
+#[tokio::test]
+async fn expired_stream_completed_late() {
+    let memory = memory(64 * MAX_STREAM_BYTES);
+    let (sender, body) = StreamBody::channel(&memory);
+    sender.send(event(0)).await.unwrap();
+    sender.expire_at(Instant::now()).await;
+    sender.complete();
+    assert_eq!(read(body).await, (0, false));
+}
--- a/crates/owner/src/allotments.rs
+++ b/crates/owner/src/allotments.rs
@@ -63,7 +63,7 @@
         self.decide(&owned, request, charge, GroupShares::charge)
     }
 
-    /// Charges a request and checks that the lease was valid until then; units are lost if it was not.
+    /// Charges a request, under a valid lease only.
     fn decide(
         &self,
         owned: &OwnedGroup,
@@ -72,10 +72,10 @@
         take: fn(&mut GroupShares, &AppliedAllotments, &Charge, Instant) -> AllotmentReply,
     ) -> Result<AllotmentReply, RequestError> {
         let now = Instant::now();
-        let (applied, _) = self.applied_allotments(now);
+        self.check_owned(owned)?;
+        let applied = self.current_allotments(now);
         let reply = take(&mut owned.shares(), &applied, charge, now);
         drop(applied);
-        self.check_owned(owned)?;
         event!(self.cx.log, ALLOTMENT_DECIDED; "request" => %request, "group" => %owned.id,
             "customer" => %charge.customer, "units" => charge.units, "granted" => reply.granted,
             "level" => reply.level, "room_after_ms" => reply.room_after_ms,
@@ -134,13 +134,20 @@
     /// Follows the applied table and groups, so that a group which becomes a shard begins with what
     /// has accrued since.
     pub(crate) fn update_allotments(&self) {
+        drop(self.current_allotments(Instant::now()));
+    }
+
+    /// Allotments of the state that this instance has applied. A change is told only once, to the caller
+    /// that sees it first, so that each one drops the buckets that the change ends.
+    fn current_allotments(&self, now: Instant) -> MutexGuard<'_, AppliedAllotments> {
         let groups = self.owned_groups();
-        let (applied, has_changed) = self.applied_allotments(Instant::now());
+        let (applied, has_changed) = self.applied_allotments(now);
         if has_changed {
             for group in groups {
                 group.shares().retain_shards(&applied);
             }
         }
+        applied
     }
 
     /// Allotments of the state that this instance has applied, and whether they are new.
--- a/crates/scheduler/src/state/admission.rs
+++ b/crates/scheduler/src/state/admission.rs
@@ -325,6 +325,10 @@
         let own = self.subs.key(&request.subscriber).map_or(0, |sub| self.subs[sub].queued.len());
         let longest = self.by_queue_len.last().copied().filter(|(len, _)| *len > own + 1);
         let newest = longest.and_then(|(_, sub)| self.subs[sub].queued.last().copied());
+        let newest = newest.filter(|seq| {
+            // A request never takes the room of a more urgent one.
+            !self.is_urgency_active() || self.queued[seq].demand.urgency >= request.urgency
+        });
         let (sub, victim) = match (longest, newest) {
             (Some((_, sub)), Some(victim)) => (Some(sub), Some(victim)),
             _ => (self.subs.key(&request.subscriber), None),
--- a/crates/scheduler/src/state/lifecycle.rs
+++ b/crates/scheduler/src/state/lifecycle.rs
@@ -139,7 +139,10 @@
         account.running -= 1;
         let actual = match finish {
             // The number of tokens is not known; the expected number was charged.
-            Finish::Answered { completion_tokens: 0, .. } if is_urgency_active => running.cost,
+            Finish::Answered { completion_tokens: 0, .. } if is_urgency_active => {
+                self.service_secs.add(secs);
+                running.cost
+            }
             Finish::Answered { prompt_tokens, completion_tokens } => {
                 account.completion.add(completion_tokens as f64);
                 self.service_secs.add(secs);
--- a/crates/scheduler/src/state/overload.rs
+++ b/crates/scheduler/src/state/overload.rs
@@ -16,11 +16,12 @@
     engine_model::millis,
     fair::{Seq, Tag},
     learned::Learned,
+    pace::MAX_PREFILL_SHARE,
     service_share::ServiceShares,
     target::Target,
     urgency::{
-        Candidate, Capacity, Decision, Estimate, Order, Outlook, Queue, Rank, Turns, decide,
-        engine_priority, hopeless, lateness, retry_after_secs,
+        Candidate, Capacity, Decision, Estimate, Order, Outlook, Queue, Rank, SerialTarget, Turns,
+        decide, engine_priority, hopeless, lateness, retry_after_secs,
     },
 };
 
@@ -214,11 +215,15 @@
         let mut granted_at = None;
         for target in self.targets.values().filter(is_usable) {
             let in_use = target.running + target.foreign(now);
-            sum.targets += target.health.slowness.unwrap_or(1.0).recip();
+            // Prompts take only a part of an engine's time beside running responses.
+            let share = if is_engine { MAX_PREFILL_SHARE } else { 1.0 };
+            sum.targets.push(SerialTarget {
+                free_after_secs: target.prefill_backlog.wait(now).as_secs_f64(),
+                speed: share / target.pace.factor(now),
+            });
             sum.slots += f64::from(target.capacity());
             sum.free_slots += f64::from(target.capacity().saturating_sub(in_use));
             granted_at = granted_at.max(target.granted_at);
-            sum.committed_secs += target.prefill_backlog.wait(now).as_secs_f64();
         }
         sum.since_grant_secs = granted_at.map_or(0.0, |at| (now - at).as_secs_f64());
         sum
--- a/crates/scheduler/src/urgency.rs
+++ b/crates/scheduler/src/urgency.rs
@@ -203,15 +203,43 @@
     }
 }
 
+/// What one target can do for work that it does alone.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct SerialTarget {
+    /// Time until it is done with the work of admitted requests.
+    pub(crate) free_after_secs: f64,
+    /// Work that it does in a second, in seconds at the usual pace.
+    pub(crate) speed: f64,
+}
+
+/// Time until targets have done this much work, each beginning when it is free. A target with much
+/// work ahead holds up none of what the others can do.
+pub(crate) fn serial_wait_secs(targets: &[SerialTarget], work_secs: f64) -> f64 {
+    let mut by_time: Vec<_> = targets.iter().filter(|target| target.speed > 0.0).collect();
+    by_time.sort_by(|a, b| a.free_after_secs.total_cmp(&b.free_after_secs));
+    let (mut speed, mut at, mut left) = (0.0, 0.0, work_secs);
+    for target in by_time {
+        let done = speed * (target.free_after_secs - at);
+        if speed > 0.0 && done >= left {
+            break;
+        }
+        left -= done;
+        at = target.free_after_secs;
+        speed += target.speed;
+    }
+    match speed > 0.0 {
+        true => at + left.max(0.0) / speed,
+        false => 0.0,
+    }
+}
+
 /// What the active targets of one kind can do.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub(crate) struct Capacity {
-    /// Targets, each weighted by its speed.
-    pub(crate) targets: f64,
+    /// Targets for work that each does alone.
+    pub(crate) targets: Vec<SerialTarget>,
     pub(crate) slots: f64,
     pub(crate) free_slots: f64,
-    /// Time of the targets that admitted requests have yet to use alone.
-    pub(crate) committed_secs: f64,
     /// Time since the latest grant. While no slot is free, one became free then.
     pub(crate) since_grant_secs: f64,
     /// Grants before the next one by tag.
@@ -230,10 +258,10 @@
 
     /// Time until this work has been started; 0 without a target, as nothing is known then.
     pub(crate) fn wait_secs(&self, ahead: &Work) -> f64 {
-        if self.targets <= 0.0 || self.slots <= 0.0 {
+        if self.targets.is_empty() || self.slots <= 0.0 {
             return 0.0;
         }
-        let serial = (self.committed_secs + ahead.serial_secs) / self.targets;
+        let serial = serial_wait_secs(&self.targets, ahead.serial_secs);
         // A slot must become free for each request beyond the free slots, the one that waits included.
         let to_free = (ahead.requests + 1.0 - self.free_slots).max(0.0);
         let interval = ahead.slot_secs / ahead.requests.max(1.0) / self.slots;
--- a/crates/scheduler/tests/urgency.rs
+++ b/crates/scheduler/tests/urgency.rs
@@ -200,3 +200,39 @@
     let load = Load { kinds: three_kinds(), phases: vec![CALM, burst], outage: None, seed: 9 };
     assert_eq!(run(&load, Scheduling::WhenPaced).await, run(&load, Scheduling::Shares).await);
 }
+
+/// Guards against a group that refuses everything because of one long prompt: its backlog was spread
+/// over all engines, as if each had to wait for it.
+#[tokio::test(start_paused = true)]
+async fn long_prompt_holds_up_one_engine() {
+    let model = shallotdrum_scheduler::EngineModel::default();
+    let cfg = shallotdrum_scheduler::SchedulerConfig {
+        scheduling: Scheduling::Urgency,
+        engine_model: Some(model),
+        ..support::config()
+    };
+    let group = support::group(cfg);
+    for i in 0..4 {
+        let id = format!("e{i}");
+        group.engine(&id, 1, 2, 8);
+        group.report(&id, 1, 0, &[("a", 0)]);
+        group.report(&id, 1, 0, &[("a", 0)]);
+    }
+    let prompt = |tokens: u64, secs: u64| {
+        let mut request = support::completion("light", "a");
+        let shallotdrum_scheduler::RequestKind::Completion { prompt_tokens, .. } =
+            &mut request.kind
+        else {
+            unreachable!()
+        };
+        *prompt_tokens = tokens;
+        request.deadline = tokio::time::Instant::now() + Duration::from_secs(secs);
+        request
+    };
+    // 60 s of the engine that gets it.
+    let long = group.run(prompt(1_500_000, 110), Duration::from_secs(60));
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    let short = group.run(prompt(1_500, 4), Duration::from_millis(300)).await.unwrap();
+    assert!(short.is_ok(), "{short:?}");
+    long.abort();
+}
