--- a/crates/scheduler/src/state/overload.rs
+++ b/crates/scheduler/src/state/overload.rs
@@ -16,7 +16,6 @@
     engine_model::millis,
     fair::{Seq, Tag},
     learned::Learned,
-    pace::MAX_PREFILL_SHARE,
     service_share::ServiceShares,
     target::Target,
     urgency::{
@@ -215,11 +214,9 @@
         let mut granted_at = None;
         for target in self.targets.values().filter(is_usable) {
             let in_use = target.running + target.foreign(now);
-            // Prompts take only a part of an engine's time beside running responses.
-            let share = if is_engine { MAX_PREFILL_SHARE } else { 1.0 };
             sum.targets.push(SerialTarget {
                 free_after_secs: target.prefill_backlog.wait(now).as_secs_f64(),
-                speed: share / target.pace.factor(now),
+                speed: target.pace.factor(now).recip(),
             });
             sum.slots += f64::from(target.capacity());
             sum.free_slots += f64::from(target.capacity().saturating_sub(in_use));
