Learn how many loads from the store a group may have in flight

Cause: a group had at most max_loads (8) loads from the store in flight, so six groups left a third of the store unused while adapters waited. An order without a response counted for a second.

Change, where urgency is active: StoreLimit raises and lowers the limit by the time of the loads; a group that has seen no short load for 20 s goes back to max_loads for two rounds, as its shortest time would otherwise be forgotten. LoadProgress tells the scheduler when an order is accepted; one without a response for 250 ms no longer counts, up to twice the limit. While the limit is reached, the expected wait follows the observed rate of loads.

Not run yet: the other tests with this code, and owner and platform.

--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -51,5 +51,7 @@
 pub use server::serve_forwarded;
 pub use service::{NotOwned, ORDER_TIMEOUT, OwnerService, TARGET_TIMEOUT};
 pub use shallotdrum_engine::full_body;
-pub use shallotdrum_scheduler::{Finish, LoadFailure, LoadOrder, PlaceFeedback};
+pub use shallotdrum_scheduler::{
+    Finish, LoadFailure, LoadOrder, ORDER_RESPONSE_TIMEOUT, PlaceFeedback,
+};
 pub use streams::StreamOrigins;
--- a/crates/scheduler/src/api.rs
+++ b/crates/scheduler/src/api.rs
@@ -12,11 +12,14 @@
 };
 use tokio::time::Instant;
 
-use crate::EngineModel;
+use crate::{EngineModel, LoadProgress};
 
 /// Upper bound on request deadlines, and so on how long a previous owner's request can run.
 pub const MAX_REQUEST_DEADLINE: Duration = Duration::from_secs(120);
 
+/// Timeout for the response to a load order; engines respond at once and carry the order out later.
+pub const ORDER_RESPONSE_TIMEOUT: Duration = Duration::from_millis(250);
+
 /// Scheduling policy.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -203,6 +206,8 @@
     pub evict: Option<AdapterRef>,
     /// Time of the decision. It reflects only what was known about the target by then.
     pub decided_at: Instant,
+    /// Told by the sender while the order is under way.
+    pub progress: LoadProgress,
 }
 
 /// Why a load did not succeed.
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -14,6 +14,7 @@
 mod fair;
 mod group;
 mod learned;
+mod load_progress;
 mod measure;
 mod pace;
 mod rate_limit;
@@ -21,14 +22,18 @@
 mod slots;
 mod snapshot;
 mod state;
+mod store_limit;
 mod table;
 mod target;
 mod urgency;
 
 pub use api::{
-    AdmissionRequest, Finish, LoadFailure, LoadFn, LoadOrder, MAX_REQUEST_DEADLINE, PlaceFeedback,
-    Policy, RequestKind, SchedulerConfig, Scheduling, TargetSpec,
+    AdmissionRequest, Finish, LoadFailure, LoadFn, LoadOrder, MAX_REQUEST_DEADLINE,
+    ORDER_RESPONSE_TIMEOUT, PlaceFeedback, Policy, RequestKind, SchedulerConfig, Scheduling,
+    TargetSpec,
 };
 pub use engine_model::EngineModel;
 pub use group::{GroupScheduler, Lease};
+pub use load_progress::LoadProgress;
 pub use snapshot::{GroupSnapshot, SubscriberQueue, TargetSnapshot};
+pub use store_limit::{EndedLoad, LimitChange, StoreLimit};
--- a/crates/scheduler/src/snapshot.rs
+++ b/crates/scheduler/src/snapshot.rs
@@ -22,6 +22,14 @@
     pub targets: BTreeMap<TargetId, TargetSnapshot>,
     /// Loads that were decided and have no result yet.
     pub loads_in_flight: usize,
+    /// Loads among them that fetch from the weight store.
+    pub store_loads: usize,
+    /// Loads from the store whose orders have had no response for a response timeout.
+    pub unanswered_loads: usize,
+    /// Limit on loads from the store; absent if it is not learned.
+    pub store_limit: Option<usize>,
+    /// Observed rate of loads from the store per second; absent if it is not used.
+    pub store_rate: Option<f64>,
     /// Total of admitted requests.
     pub admitted: u64,
     /// Total of requests that were refused or failed in the queue.
@@ -100,6 +108,10 @@
             queued: self.queued_len(),
             subscribers: self.longest_queues(MAX_LISTED_SUBSCRIBERS),
             loads_in_flight: self.loads_in_flight.len(),
+            store_loads: self.store_loads(),
+            unanswered_loads: self.unanswered_loads(now),
+            store_limit: self.store_limit(),
+            store_rate: self.store_rate(now),
             admitted: self.stats.admitted,
             refused: self.stats.refused,
             refused_on_arrival: self.stats.refused_on_arrival,
--- a/crates/scheduler/src/state/admission.rs
+++ b/crates/scheduler/src/state/admission.rs
@@ -452,10 +452,7 @@
         }
         let ahead = (self.missing_share / share).min(missing as f64);
         let interval = match self.cfg.engine_model {
-            // `max_outstanding_loads` loads complete within the duration of one.
-            Some(model) => {
-                model.store_load.as_secs_f64() / self.cfg.max_outstanding_loads.max(1) as f64
-            }
+            Some(model) => self.store_interval_secs(&model, now),
             None => self.load_interval_secs.get().unwrap_or(INITIAL_LOAD_INTERVAL_SECS),
         };
         backoff.max(Duration::from_secs_f64(MIN_LOAD_SECS + interval * ahead))
--- a/crates/scheduler/src/state/loads.rs
+++ b/crates/scheduler/src/state/loads.rs
@@ -7,10 +7,11 @@
 use shallotdrum_telemetry::event;
 use tokio::time::Instant;
 
-use super::State;
+use super::{State, store_loads::StoreLoad};
 use crate::{
     api::{LoadFailure, LoadOrder, Policy},
     fair::{Cost, Seq},
+    load_progress::LoadProgress,
     slots::{AdapterKey, LoadOutcome, ResidencyChange},
     target::TargetKey,
 };
@@ -54,6 +55,7 @@
             source,
             evict: victim.map(|victim| self.adapters.name(victim).clone()),
             decided_at: now,
+            progress: LoadProgress::default(),
         };
         let is_cached = target.adapter_cache.contains(adapter);
         let backlog = target.prefill_backlog.wait(now);
@@ -66,11 +68,14 @@
             "evict" => order.evict.as_ref().map(ToString::to_string),
             "free" => free, "reported" => reported,
             "is_kept" => is_cached, "backlog_ms" => backlog.as_millis() as u64,
-            "under_way" => self.loads_in_flight.len() + 1, "waiting_adapters" => self.waiting.len());
+            "under_way" => self.loads_in_flight.len() + 1, "waiting_adapters" => self.waiting.len(),
+            "from_store" => self.store_loads.len(), "store_limit" => self.store_limit());
         self.adapters[adapter].loading.push(key);
         self.loads_in_flight.insert((key, adapter));
         if !is_cached {
-            self.store_loads.insert((key, adapter));
+            let load = StoreLoad { decided_at: now, progress: order.progress.clone() };
+            self.store_loads.insert((key, adapter), load);
+            self.update_store_limit(now);
         }
         self.stats.loads += 1;
         if let Some(cause) = cause.and_then(|seq| self.queued.get(&seq)) {
@@ -90,7 +95,7 @@
         result: &Result<(), LoadFailure>,
         now: Instant,
     ) {
-        self.store_loads.remove(&(key, adapter));
+        self.end_store_load(key, adapter, result.is_ok(), now);
         // The target may have been removed or restarted since.
         if !self.loads_in_flight.remove(&(key, adapter)) {
             self.finish_orphaned_order(key, adapter, now);
--- a/crates/scheduler/src/state/mod.rs
+++ b/crates/scheduler/src/state/mod.rs
@@ -20,6 +20,7 @@
 mod membership;
 mod overload;
 mod planner;
+mod store_loads;
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
@@ -49,6 +50,7 @@
 use self::{
     demand::{AdapterDemand, GroupDemand},
     overload::{Demand, Overload},
+    store_loads::{StoreLoad, StoreState},
 };
 
 /// Key of a subscriber in the group's table.
@@ -90,7 +92,8 @@
     /// Loads that were decided and have no result yet.
     pub(crate) loads_in_flight: BTreeSet<(TargetKey, AdapterKey)>,
     /// Members of `loads_in_flight` that fetch from the weight store.
-    store_loads: BTreeSet<(TargetKey, AdapterKey)>,
+    store_loads: BTreeMap<(TargetKey, AdapterKey), StoreLoad>,
+    store: StoreState,
     /// Orders without a result to targets that have been removed since.
     orphaned_orders: BTreeMap<(TargetKey, AdapterKey), (TargetId, Incarnation)>,
     next_plan_at: Instant,
@@ -313,6 +316,9 @@
         };
         let configured = cfg.engine_model.map_or(1.0, |model| model.prefill_tokens_per_ms);
         let prefill_speed = PrefillSpeed::new(configured);
+        let max_loads = cfg.max_outstanding_loads;
+        let load = cfg.engine_model.unwrap_or_default().store_load.as_secs_f64();
+        let store = StoreState::new(max_loads, max_loads as f64 / load, now);
         Self {
             cfg,
             log,
@@ -335,7 +341,8 @@
             by_queue_len: BTreeSet::new(),
             orders: Vec::new(),
             loads_in_flight: BTreeSet::new(),
-            store_loads: BTreeSet::new(),
+            store_loads: BTreeMap::new(),
+            store,
             orphaned_orders: BTreeMap::new(),
             next_plan_at: now,
             next_prefetch_at: now,
--- a/crates/scheduler/src/state/planner.rs
+++ b/crates/scheduler/src/state/planner.rs
@@ -109,6 +109,7 @@
         if self.cfg.policy == Policy::Baseline || self.closed.is_some() {
             return;
         }
+        self.update_store_limit(now);
         while now >= self.next_plan_at && self.may_load() {
             if self.waiting.is_empty() && self.restricted.is_empty() {
                 self.prefetch(now);
@@ -129,11 +130,6 @@
         self.cfg.engine_model.is_some() || !self.is_store_busy()
     }
 
-    /// Whether the limit on concurrent loads from the weight store is reached.
-    fn is_store_busy(&self) -> bool {
-        self.store_loads.len() >= self.cfg.max_outstanding_loads
-    }
-
     fn plan_one(&mut self, now: Instant) -> bool {
         let mut candidates = self.candidates(now);
         let order = self.load_order();
