--- a/crates/gateway/tests/spread.rs
+++ b/crates/gateway/tests/spread.rs
@@ -369,3 +369,31 @@
     knowledge.record_spread(&pool, &adapter(4_999), 1, later);
     assert_eq!(knowledge.spread(&pool, &adapter(4_999), later), 1);
 }
+
+/// Guards against a popular adapter that goes to a single group after a takeover: the new owner does
+/// not know the demand yet, and its lower number replaced that of the previous owner. Before the
+/// takeover the adapter is spread over four groups; its demand needs only one.
+#[tokio::test(start_paused = true)]
+async fn spread_after_takeover() {
+    let (pool, name): (PoolId, AdapterId) = ("models".parse().unwrap(), "a1".parse().unwrap());
+    let mut knowledge = SpreadKnowledge::default();
+    knowledge.record_spread(&pool, &name, 4, Instant::now());
+    let scheduler = scheduler(Scheduling::Urgency, 1, Arc::default());
+    let begin = Instant::now();
+    let mut fell_after = None;
+    for n in 0..200 {
+        // The engines accept orders once two reports are later than the takeover.
+        sleep(Duration::from_millis(100)).await;
+        // Every fifth request comes from an entry that knows nothing.
+        let spread = if n % 5 == 4 { 1 } else { knowledge.spread(&pool, &name, Instant::now()) };
+        let lease = scheduler.admit(request(n, 1, 1_000, 24, spread)).await.unwrap();
+        knowledge.record_spread(&pool, &name, lease.spread.unwrap(), Instant::now());
+        if knowledge.spread(&pool, &name, Instant::now()) < 4 {
+            fell_after.get_or_insert(begin.elapsed());
+        }
+        lease.finish(Finish::Answered { prompt_tokens: 1_000, completion_tokens: 0 });
+    }
+    let fell_after = fell_after.expect("the number falls once the demand is known");
+    println!("fell after {fell_after:?}");
+    assert!(fell_after >= Duration::from_secs(10), "{fell_after:?}");
+}
--- a/crates/scheduler/src/state/admission.rs
+++ b/crates/scheduler/src/state/admission.rs
@@ -147,6 +147,7 @@
             is_suspect: request.is_suspect,
             avoid: request.avoid,
             software: request.software,
+            spread: request.spread,
             priority,
             tx,
         };
--- a/crates/scheduler/src/state/demand.rs
+++ b/crates/scheduler/src/state/demand.rs
@@ -35,6 +35,10 @@
 /// Time for which the demand must be lower before an adapter is spread over fewer groups, so that it
 /// is not moved back and forth.
 const SPREAD_HYSTERESIS: Duration = Duration::from_secs(5);
+/// Time after a takeover during which the number of groups is not lowered. The demand is known after
+/// about 4 s, and entries keep what the previous owner stated for 10 s; a lower number would send all
+/// requests for a popular adapter to one group.
+const TAKEOVER_GRACE: Duration = Duration::from_secs(10);
 /// Largest number of groups that an owner names; entries use at most those that exist.
 const MAX_SPREAD: f64 = 64.0;
 /// Engine time of one generated token in a busy batch, in milliseconds: a step with 32 running
@@ -67,11 +71,12 @@
     }
 
     /// Number of groups, each of which has `engines` engines, that keeps the share of the adapter in
-    /// each of them below the limit.
-    fn update_spread(&mut self, engines: f64, now: Instant) -> u32 {
+    /// each of them below the limit. After a takeover, it is at least the number `in_use` by entries.
+    fn update_spread(&mut self, engines: f64, in_use: Option<u32>, now: Instant) -> u32 {
         let limit = MAX_ADAPTER_SHARE * engines.max(1.0);
         let demand = per_sec(&self.work, ADAPTER_HALF_LIFE, now) / 1_000.0;
         let needed = (demand / limit).ceil().clamp(1.0, MAX_SPREAD) as u32;
+        let needed = in_use.map_or(needed, |in_use| needed.max(in_use).max(self.spread));
         if needed >= self.spread {
             (self.spread, self.lower) = (needed, None);
             return self.spread;
@@ -100,6 +105,7 @@
     pub(super) lengths: ResponseLengths,
     /// Whether a target has stated how slow it is.
     pub(super) is_paced: bool,
+    taken_over_at: Instant,
 }
 
 impl GroupDemand {
@@ -110,6 +116,7 @@
             queued_ms: 0.0,
             lengths: ResponseLengths::default(),
             is_paced: false,
+            taken_over_at: now,
         }
     }
 }
@@ -153,18 +160,26 @@
     }
 
     /// Number of groups over which an adapter should be spread; absent if this owner does not say.
-    pub(super) fn update_spread(&mut self, adapter: AdapterKey, now: Instant) -> Option<u32> {
+    /// `in_use` is the number over which the entry of a request spreads it.
+    pub(super) fn update_spread(
+        &mut self,
+        adapter: AdapterKey,
+        in_use: u32,
+        now: Instant,
+    ) -> Option<u32> {
         if self.cfg.engine_model.is_none() || !self.is_urgency_active() {
             return None;
         }
         let engines = self.engine_capacity(now);
+        let is_new = now < self.demand.taken_over_at + TAKEOVER_GRACE;
+        let in_use = is_new.then_some(in_use.clamp(1, MAX_SPREAD as u32));
         let demand = &mut self.adapters[adapter].engine_demand;
         let before = demand.spread;
-        let spread = demand.update_spread(engines, now);
+        let spread = demand.update_spread(engines, in_use, now);
         if spread != before {
             event!(self.log, ADAPTER_SPREAD_CHANGED;
                 "adapter" => %self.adapters.name(adapter), "from" => before, "to" => spread,
-                "engines" => engines);
+                "engines" => engines, "in_use" => in_use);
         }
         Some(spread)
     }
--- a/crates/scheduler/src/state/lifecycle.rs
+++ b/crates/scheduler/src/state/lifecycle.rs
@@ -16,7 +16,8 @@
     /// Admits a queued request to a target.
     pub(super) fn grant(&mut self, seq: Seq, key: TargetKey, now: Instant) {
         let Some(queued) = self.remove_queued(seq) else { return };
-        let spread = queued.adapter.and_then(|adapter| self.update_spread(adapter, now));
+        let spread =
+            queued.adapter.and_then(|adapter| self.update_spread(adapter, queued.spread, now));
         let group_wait = self.group_wait(now);
         let is_paced = self.is_urgency_active();
         let Some(target) = self.targets.get_mut(&key) else { return };
--- a/crates/scheduler/src/state/mod.rs
+++ b/crates/scheduler/src/state/mod.rs
@@ -223,6 +223,8 @@
     is_suspect: bool,
     avoid: Vec<TargetId>,
     software: Option<SoftwareVersion>,
+    /// Number of groups over which its entry spreads the adapter.
+    spread: u32,
     priority: Priority,
     tx: oneshot::Sender<Result<Grant, RequestError>>,
 }
