Load replicas from the store up to the configured limit only

Cause: with the learned limit, replicas used the room that adapters without a holder are to have. pace_busiest_engine::case_1_calm failed: the busiest engine was at 1.46 of the mean, the bound is 1.4.

Run: clippy of the scheduler; pace.rs (8 of 9), store_loads.rs (5 of 5). Not run: the other tests of the scheduler with this change, and those of owner, gateway and platform.

--- a/crates/scheduler/src/state/planner.rs
+++ b/crates/scheduler/src/state/planner.rs
@@ -376,7 +376,7 @@
         };
         if let Some(model) = &self.cfg.engine_model {
             let is_cached = target.adapter_cache.contains(adapter);
-            if !is_cached && self.is_store_busy() {
+            if !is_cached && self.is_store_busy_for(is_replica) {
                 return None;
             }
             let mut cost = model.load_cost(is_cached, loss, target.prefill_backlog.wait(now));
--- a/crates/scheduler/src/state/store_loads.rs
+++ b/crates/scheduler/src/state/store_loads.rs
@@ -113,6 +113,13 @@
         }
     }
 
+    /// Whether a load would exceed its limit. What is learned beyond the configured limit is for
+    /// adapters without a holder: more replicas would evict adapters that are in use.
+    pub(super) fn is_store_busy_for(&self, is_replica: bool) -> bool {
+        let is_configured_reached = self.store_loads.len() >= self.cfg.max_outstanding_loads;
+        self.is_store_busy() || (is_replica && is_configured_reached)
+    }
+
     /// Checks again whether the limit is reached.
     pub(super) fn update_store_limit(&mut self, now: Instant) {
         if !self.is_urgency_active() {
