Decide on arrivals without a scan of the queue, and spread the times told

Each told time books its work in a virtual queue (returns.rs). Refusals because of loads are not booked.

--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -1,8 +1,8 @@
 //! Scheduler of one target group: queueing, fairness, batching, adapter loads, eviction and target
 //! selection. It runs in the instance that owns the group.
 //!
-//! `urgency.rs` and `turns.rs` decide who gets room under overload, where the setting asks for it; they
-//! use no clock.
+//! `urgency.rs`, `turns.rs`, `returns.rs` and `queue_sums.rs` decide who gets room under overload, where
+//! the setting asks for it; they use no clock.
 //!
 //! [`GroupScheduler`] keeps all state of the group behind one mutex. Each change is followed by a
 //! dispatch pass whose cost does not depend on the number of adapters.
@@ -17,7 +17,9 @@
 mod learned;
 mod measure;
 mod pace;
+mod queue_sums;
 mod rate_limit;
+mod returns;
 mod service_share;
 mod slots;
 mod snapshot;
--- a/crates/scheduler/src/state/admission.rs
+++ b/crates/scheduler/src/state/admission.rs
@@ -11,6 +11,7 @@
 use crate::{
     api::{AdmissionRequest, MAX_REQUEST_DEADLINE, Policy, RequestKind},
     fair::{Account, Cost, Seq},
+    queue_sums::Weighed,
     slots::AdapterKey,
     target::Target,
     urgency::retry_after_secs,
@@ -135,6 +136,7 @@
             is_engine,
             queue_id,
             rank: self.rank(request.urgency, tag),
+            weighed: Weighed::default(),
             demand,
             cost,
             work_ms,
@@ -151,6 +153,7 @@
             tx,
         };
         self.queued.insert(seq, queued);
+        self.count_queued(seq, now);
         self.demand.queued_ms += work_ms;
         let account = &mut self.subs[sub];
         if account.queued.is_empty() {
--- a/crates/scheduler/src/state/mod.rs
+++ b/crates/scheduler/src/state/mod.rs
@@ -39,6 +39,7 @@
     engine_model::PrefillSpeed,
     fair::{Account, Cost, FairClock, Seq},
     measure::{DecayingCounter, Ewma},
+    queue_sums::Weighed,
     slots::AdapterKey,
     snapshot::SubscriberQueue,
     table::Table,
@@ -206,6 +207,8 @@
     is_engine: bool,
     queue_id: QueueId,
     rank: Rank,
+    /// As the sums over the queued requests know it.
+    weighed: Weighed,
     demand: Demand,
     cost: Cost,
     /// Engine time that it takes, in milliseconds; 0 if that does not count.
@@ -445,6 +448,7 @@
     fn remove_queued(&mut self, seq: Seq) -> Option<QueuedRequest> {
         let queued = self.queued.remove(&seq)?;
         self.remove_from_queue(seq, &queued);
+        self.discount_queued(seq, &queued);
         self.demand.queued_ms -= queued.work_ms;
         let sub = &mut self.subs[queued.sub];
         self.by_queue_len.remove(&(sub.queued.len(), queued.sub));
--- a/crates/scheduler/src/state/overload.rs
+++ b/crates/scheduler/src/state/overload.rs
@@ -16,6 +16,8 @@
     engine_model::millis,
     fair::{Seq, Tag},
     learned::Learned,
+    queue_sums::{QueueSums, Weighed, sweep_interval},
+    returns::{Refused, Returns},
     service_share::ServiceShares,
     target::Target,
     turns::{Order, ShareTurns, Turns},
@@ -25,8 +27,6 @@
     },
 };
 
-/// Time between two checks of the queued requests; no more than a tenth of the shortest response.
-const SWEEP_INTERVAL: Duration = Duration::from_millis(10);
 /// Part of its time after which a waiting request counts as not served.
 const UNSERVED_AFTER: f64 = 0.5;
 /// Interval in which the number of logged refusals is limited.
@@ -67,9 +67,11 @@
     }
 }
 
-/// Who got places at the targets of one kind.
-#[derive(Debug, Default)]
+/// Who waits for, and who got, places at the targets of one kind.
+#[derive(Debug)]
 struct Service {
+    sums: QueueSums,
+    returns: Returns,
     /// Grants that went to waiting requests.
     turns: Turns,
     shares: ServiceShares,
@@ -77,6 +79,18 @@
     behind: Vec<ShareTurns>,
 }
 
+impl Service {
+    fn new(now: Instant) -> Self {
+        Self {
+            sums: QueueSums::default(),
+            returns: Returns::new(now),
+            turns: Turns::default(),
+            shares: ServiceShares::default(),
+            behind: Vec::new(),
+        }
+    }
+}
+
 /// State of the order and refusal under overload.
 #[derive(Debug)]
 pub(super) struct Overload {
@@ -97,8 +111,8 @@
     pub(super) fn new(now: Instant) -> Self {
         Self {
             learned: Learned::default(),
-            engines: Service::default(),
-            services: Service::default(),
+            engines: Service::new(now),
+            services: Service::new(now),
             load_turns: Turns::default(),
             customer_ranks: BTreeSet::new(),
             next_sweep_at: now,
@@ -256,27 +270,50 @@
         let newcomer = candidate(self.next_seq, rank, &demand, estimate, (now, now));
         let by_load = Outlook::new(&newcomer, other_wait.as_secs_f64(), false);
         if !other_wait.is_zero() && !by_load.is_in_time() {
-            return Err(self.refuse_newcomer(&demand, &by_load, now));
+            let retry = retry_after_secs(by_load.excess_secs);
+            return Err(self.refuse_newcomer(&demand, &by_load, retry, now));
         }
-        let queued = self.waiting_for(is_engine, now);
+        let sums = &self.overload.service(is_engine).sums;
+        let ahead = sums.ahead(rank);
+        let victim = sums.least_valuable(rank.urgency);
+        let victim = victim.map(|seq| (seq, self.queued[&seq].weighed.work));
         let is_full = self.queued.len() >= self.cfg.max_queued;
-        match decide(&newcomer, &queued, &self.capacity_of(is_engine, now), is_full) {
+        let capacity = self.capacity_of(is_engine, now);
+        let work_secs = capacity.drain_secs(&estimate.work);
+        match decide(&newcomer, &ahead, victim, &capacity, is_full) {
             Decision::Admit => Ok(()),
             // Among equally urgent requests, fair shares decide which one has no room.
             Decision::Refuse(outlook) if outlook.is_in_time() => self.displace_newest(request, now),
-            Decision::Refuse(outlook) => Err(self.refuse_newcomer(&demand, &outlook, now)),
+            Decision::Refuse(outlook) => {
+                let retry = self.book_return(&demand, outlook.excess_secs, work_secs, now);
+                Err(self.refuse_newcomer(&demand, &outlook, retry, now))
+            }
             Decision::Displace { victim, outlook, room_secs } => {
-                let retry = retry_after_secs(room_secs);
-                self.displace(victim, &demand, &outlook, retry, now);
+                self.displace(victim, &demand, &outlook, (room_secs, &capacity), now);
                 Ok(())
             }
         }
     }
 
+    /// When the caller of a refused request is to return.
+    fn book_return(
+        &mut self,
+        demand: &Demand,
+        room_secs: f64,
+        work_secs: f64,
+        now: Instant,
+    ) -> Duration {
+        let left_secs = demand.deadline.saturating_duration_since(now).as_secs_f64();
+        let service = self.overload.service_mut(demand.max_tokens.is_some());
+        let refused = Refused { room_secs, work_secs, left_secs };
+        retry_after_secs(service.returns.book(&refused, now))
+    }
+
     fn refuse_newcomer(
         &mut self,
         demand: &Demand,
         outlook: &Outlook,
+        retry: Duration,
         now: Instant,
     ) -> RequestError {
         let is_engine = demand.max_tokens.is_some();
@@ -285,8 +322,8 @@
         if let Some(counters) = &self.cfg.counters {
             counters.refused_on_arrival.inc();
         }
-        self.log_refusal(demand, outlook, Duration::ZERO, now);
-        refusal(outlook)
+        self.log_refusal(demand, outlook, (Duration::ZERO, retry), now);
+        refusal(outlook, retry)
     }
 
     /// Refuses a queued request in favour of a more urgent one.
@@ -295,10 +332,15 @@
         victim: Seq,
         newcomer: &Demand,
         outlook: &Outlook,
-        retry: Duration,
+        (room_secs, capacity): (f64, &Capacity),
         now: Instant,
     ) {
         let Some(queued) = self.queued.get(&victim) else { return };
+        let work_secs = capacity.drain_secs(&queued.weighed.work);
+        let left_secs = queued.demand.deadline.saturating_duration_since(now).as_secs_f64();
+        let refused = Refused { room_secs, work_secs, left_secs };
+        let service = self.overload.service_mut(queued.is_engine);
+        let retry = retry_after_secs(service.returns.book(&refused, now));
         if let Some(unlogged) = self.overload.log_permit(now) {
             event!(self.log, REQUEST_DISPLACED; "request" => %queued.demand.request,
                 "urgency" => urgency_text(queued.demand.urgency),
@@ -321,14 +363,20 @@
         self.fail(victim, error);
     }
 
-    fn log_refusal(&mut self, demand: &Demand, outlook: &Outlook, waited: Duration, now: Instant) {
+    fn log_refusal(
+        &mut self,
+        demand: &Demand,
+        outlook: &Outlook,
+        (waited, retry): (Duration, Duration),
+        now: Instant,
+    ) {
         let Some(unlogged) = self.overload.log_permit(now) else { return };
         event!(self.log, REQUEST_REFUSED_EARLY; "request" => %demand.request,
             "urgency" => urgency_text(demand.urgency), "waited_ms" => millis(waited) as u64,
             "left_ms" => millis(demand.deadline.saturating_duration_since(now)) as u64,
             "wait_ms" => (outlook.wait_secs * 1_000.0) as u64,
             "needs_ms" => (outlook.needed_secs * 1_000.0) as u64,
-            "retry_ms" => millis(outlook.retry_after()) as u64,
+            "retry_ms" => millis(retry) as u64,
             "queued" => self.queued.len(), "unlogged" => unlogged);
     }
 
@@ -337,11 +385,13 @@
         if now < self.overload.next_sweep_at || !self.is_urgency_active() {
             return;
         }
-        self.overload.next_sweep_at = now + SWEEP_INTERVAL;
+        self.overload.next_sweep_at = now + sweep_interval(self.queued.len());
         for is_engine in [true, false] {
             let mut queued = self.waiting_for(is_engine, now);
             if queued.is_empty() {
-                self.overload.service_mut(is_engine).behind.clear();
+                let service = self.overload.service_mut(is_engine);
+                service.behind.clear();
+                service.sums.clear();
                 continue;
             }
             self.find_behind(is_engine, now);
@@ -354,12 +404,56 @@
                 candidate.rank.is_late = is_late;
                 self.set_rank(seq, candidate.rank);
             }
+            self.reweigh(is_engine, &queued);
             for (seq, outlook) in hopeless(&mut queued, &capacity) {
-                self.refuse_queued(seq, &outlook, now);
+                self.refuse_queued(seq, &outlook, &capacity, now);
             }
         }
     }
 
+    /// Brings the sums over the queued requests up to date; these are all for targets of a kind.
+    fn reweigh(&mut self, is_engine: bool, queued: &[Candidate]) {
+        for candidate in queued {
+            if let Some(queued) = self.queued.get_mut(&candidate.seq) {
+                queued.weighed = Weighed::of(candidate);
+            }
+        }
+        let sums = &mut self.overload.service_mut(is_engine).sums;
+        if sums.len() == queued.len() {
+            let requests = &self.queued;
+            sums.reweigh(|seq| requests.get(&seq).map(|queued| queued.weighed).unwrap_or_default());
+            return;
+        }
+        // Requests that came before the order followed urgency are not in the sums.
+        sums.clear();
+        for candidate in queued {
+            sums.insert(candidate.rank, candidate.seq, &Weighed::of(candidate));
+        }
+    }
+
+    /// Adds a request to the sums over the queued ones.
+    pub(super) fn count_queued(&mut self, seq: Seq, now: Instant) {
+        if !self.is_urgency_active() {
+            return;
+        }
+        let Some(queued) = self.queued.get(&seq) else { return };
+        let demand = &queued.demand;
+        let estimate = self.estimate(queued.prompt_tokens, demand.max_tokens, now);
+        let candidate = candidate(seq, queued.rank, demand, estimate, (queued.queued_at, now));
+        let weighed = Weighed::of(&candidate);
+        let is_engine = queued.is_engine;
+        self.overload.service_mut(is_engine).sums.insert(candidate.rank, seq, &weighed);
+        if let Some(queued) = self.queued.get_mut(&seq) {
+            queued.weighed = weighed;
+        }
+    }
+
+    /// Removes a request from the sums over the queued ones.
+    pub(super) fn discount_queued(&mut self, seq: Seq, queued: &QueuedRequest) {
+        let service = self.overload.service_mut(queued.is_engine);
+        service.sums.remove(queued.rank, seq, &queued.weighed);
+    }
+
     /// Finds the kinds whose requests are served too rarely.
     fn find_behind(&mut self, is_engine: bool, now: Instant) {
         let mut waiting = BTreeMap::new();
@@ -373,16 +467,18 @@
         service.behind = service.shares.behind(&waiting, now);
     }
 
-    fn refuse_queued(&mut self, seq: Seq, outlook: &Outlook, now: Instant) {
+    fn refuse_queued(&mut self, seq: Seq, outlook: &Outlook, capacity: &Capacity, now: Instant) {
         let Some(queued) = self.remove_queued(seq) else { return };
-        self.log_refusal(&queued.demand, outlook, now - queued.queued_at, now);
+        let work_secs = capacity.drain_secs(&queued.weighed.work);
+        let retry = self.book_return(&queued.demand, outlook.excess_secs, work_secs, now);
+        self.log_refusal(&queued.demand, outlook, (now - queued.queued_at, retry), now);
         let service = self.overload.service_mut(queued.is_engine);
         service.shares.record_refusal(queued.demand.urgency, now);
         self.stats.refused_in_queue += 1;
         if let Some(counters) = &self.cfg.counters {
             counters.refused_in_queue.inc();
         }
-        self.refuse(queued, refusal(outlook));
+        self.refuse(queued, refusal(outlook, retry));
     }
 
     /// Moves a request within its queue.
@@ -391,7 +487,10 @@
             return;
         };
         let previous = std::mem::replace(&mut queued.rank, rank);
-        let queue_id = queued.queue_id;
+        let (queue_id, is_engine, weighed) = (queued.queue_id, queued.is_engine, queued.weighed);
+        let sums = &mut self.overload.service_mut(is_engine).sums;
+        sums.remove(previous, seq, &weighed);
+        sums.insert(rank, seq, &weighed);
         if let Some(queue) = self.queue_mut(queue_id)
             && queue.remove(&(previous, seq))
         {
@@ -438,13 +537,13 @@
     }
 }
 
-fn refusal(outlook: &Outlook) -> RequestError {
+fn refusal(outlook: &Outlook, retry: Duration) -> RequestError {
     let Outlook { wait_secs, needed_secs, .. } = outlook;
     let detail = format!(
         "the request would start in {wait_secs:.2} s and needs {needed_secs:.2} s, more than its \
          deadline leaves; retry later"
     );
-    RequestError::not_run(RequestErrorKind::Overloaded, detail).retry_after(outlook.retry_after())
+    RequestError::not_run(RequestErrorKind::Overloaded, detail).retry_after(retry)
 }
 
 /// Ranks of customer and route, for log lines.
--- a/crates/scheduler/src/urgency.rs
+++ b/crates/scheduler/src/urgency.rs
@@ -141,10 +141,15 @@
         }
     }
 
-    fn plus(mut self, other: Self) -> Self {
+    pub(crate) fn plus(mut self, other: Self) -> Self {
         self += other;
         self
     }
+
+    pub(crate) fn minus(mut self, other: Self) -> Self {
+        self -= other;
+        self
+    }
 }
 
 /// What one target can do for work that it does alone.
@@ -215,6 +220,14 @@
         1.0 / f64::from(GRANTS_PER_TAG_TURN) + by_share
     }
 
+    /// Time for which this work occupies all targets.
+    pub(crate) fn drain_secs(&self, work: &Work) -> f64 {
+        let speed: f64 = self.targets.iter().map(|target| target.speed).sum();
+        let serial = if speed > 0.0 { work.serial_secs / speed } else { 0.0 };
+        let slots = if self.slots > 0.0 { work.slot_secs / self.slots } else { 0.0 };
+        serial.max(slots)
+    }
+
     /// Time until this work has been started; 0 without a target, as nothing is known then.
     pub(crate) fn wait_secs(&self, ahead: &Work) -> f64 {
         if self.targets.is_empty() || self.slots <= 0.0 {
@@ -267,7 +280,7 @@
     }
 
     /// Work for each second until the deadline; the requests that need most are refused first.
-    fn work_for_deadline(&self) -> f64 {
+    pub(crate) fn work_for_deadline(&self) -> f64 {
         let work = self.estimate.work;
         work.serial_secs.max(work.slot_secs) / self.left_secs.max(MIN_RETRY_AFTER_SECS)
     }
@@ -291,11 +304,6 @@
     pub(crate) fn is_in_time(&self) -> bool {
         self.excess_secs <= 0.0
     }
-
-    /// Time until there is room for such a request.
-    pub(crate) fn retry_after(&self) -> Duration {
-        retry_after_secs(self.excess_secs)
-    }
 }
 
 /// Time until a retry, within bounds but not rounded: whole seconds would leave capacity unused.
@@ -318,72 +326,55 @@
     },
 }
 
-/// Decides on a newcomer, given the queued requests that use the same targets.
+/// Work of the queued requests for the same targets, as seen from a newcomer.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(crate) struct Ahead {
+    pub(crate) all: Work,
+    /// Ahead of it by rank.
+    pub(crate) by_rank: Work,
+    /// Ahead of it by rank, with its urgency.
+    pub(crate) of_kind: Work,
+    /// Ahead of it by tag.
+    pub(crate) by_tag: Work,
+    pub(crate) less_urgent: Work,
+}
+
+/// Decides on a newcomer, given what is queued for the same targets.
 ///
-/// `is_full` says that the queue has no room for another request.
+/// `victim` is the request to refuse first among those less urgent, with its work; `is_full` says that
+/// the queue has no room for another request.
 pub(crate) fn decide(
     newcomer: &Candidate,
-    queued: &[Candidate],
+    ahead: &Ahead,
+    victim: Option<(Seq, Work)>,
     capacity: &Capacity,
     is_full: bool,
 ) -> Decision {
-    let (mut ahead, mut ahead_by_tag, mut less_urgent) = <(Work, Work, Work)>::default();
-    let mut ahead_of_kind = Work::default();
-    let (sum, mean) = sum_and_mean(queued);
-    let room_secs = capacity.wait_secs(&sum);
-    for other in queued {
-        if other.rank <= newcomer.rank {
-            ahead += other.estimate.work;
-            if other.rank.urgency == newcomer.rank.urgency {
-                ahead_of_kind += other.estimate.work;
-            }
-        } else if other.rank.urgency > newcomer.rank.urgency {
-            less_urgent += other.estimate.work;
-        }
-        if other.rank.tag <= newcomer.rank.tag {
-            ahead_by_tag += other.estimate.work;
-        }
-    }
+    let room_secs = capacity.wait_secs(&ahead.all);
+    let mean = ahead.all.times(1.0 / ahead.all.requests.max(1.0));
     let is_contended = room_secs > CONTENDED_SECS;
     let outlook = |less_urgent: Work| {
         // While the work ahead is done, the other turns may go to less urgent requests.
         let other_grants = capacity.other_grants();
-        let others = ahead.times(other_grants / (1.0 - other_grants)).min(less_urgent);
-        let by_rank = capacity.wait_secs(&ahead.plus(others));
-        let by_share = capacity.wait_by_share_secs(newcomer.rank.urgency, &ahead_of_kind, &mean);
+        let others = ahead.by_rank.times(other_grants / (1.0 - other_grants)).min(less_urgent);
+        let by_rank = capacity.wait_secs(&ahead.by_rank.plus(others));
+        let by_share = capacity.wait_by_share_secs(newcomer.rank.urgency, &ahead.of_kind, &mean);
         let wait = by_rank
-            .min(capacity.wait_by_tag_secs(&ahead_by_tag, &mean))
+            .min(capacity.wait_by_tag_secs(&ahead.by_tag, &mean))
             .min(by_share.unwrap_or(f64::INFINITY));
         Outlook::new(newcomer, wait, is_contended)
     };
-    let expected = outlook(less_urgent);
+    let expected = outlook(ahead.less_urgent);
     if expected.is_in_time() && !is_full {
         return Decision::Admit;
     }
-    let victim = least_valuable(newcomer.rank.urgency, queued);
-    match victim {
-        Some(victim) => {
-            less_urgent -= victim.estimate.work;
-            let without_victim = outlook(less_urgent);
-            match without_victim.is_in_time() {
-                true => Decision::Displace { victim: victim.seq, outlook: expected, room_secs },
-                false => Decision::Refuse(expected),
-            }
-        }
-        None => Decision::Refuse(expected),
+    let Some((victim, work)) = victim else { return Decision::Refuse(expected) };
+    match outlook(ahead.less_urgent.minus(work)).is_in_time() {
+        true => Decision::Displace { victim, outlook: expected, room_secs },
+        false => Decision::Refuse(expected),
     }
 }
 
-/// Request to refuse first among those less urgent than this: of the least urgent, the one that needs
-/// the most work for its deadline.
-fn least_valuable(urgency: Urgency, queued: &[Candidate]) -> Option<&Candidate> {
-    let less_urgent = queued.iter().filter(|other| other.rank.urgency > urgency);
-    less_urgent.max_by(|a, b| {
-        let by_work = a.work_for_deadline().total_cmp(&b.work_for_deadline());
-        a.rank.urgency.cmp(&b.rank.urgency).then(by_work)
-    })
-}
-
 fn sum_and_mean(queued: &[Candidate]) -> (Work, Work) {
     let sum = queued.iter().fold(Work::default(), |sum, other| sum.plus(other.estimate.work));
     (sum, sum.times(1.0 / queued.len().max(1) as f64))
