--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -1,7 +1,8 @@
 //! Scheduler of one target group: queueing, fairness, batching, adapter loads, eviction and target
 //! selection. It runs in the instance that owns the group.
 //!
-//! `urgency.rs` decides who gets room under overload, where the setting asks for it; it uses no clock.
+//! `urgency.rs`, `turns.rs`, `returns.rs` and `queue_sums.rs` decide who gets room under overload, where
+//! the setting asks for it; they use no clock.
 //!
 //! [`GroupScheduler`] keeps all state of the group behind one mutex. Each change is followed by a
 //! dispatch pass whose cost does not depend on the number of adapters.
@@ -17,7 +18,9 @@
 mod load_progress;
 mod measure;
 mod pace;
+mod queue_sums;
 mod rate_limit;
+mod returns;
 mod service_share;
 mod slots;
 mod snapshot;
@@ -25,6 +28,7 @@
 mod store_limit;
 mod table;
 mod target;
+mod turns;
 mod urgency;
 
 pub use api::{
--- a/crates/scheduler/src/state/mod.rs
+++ b/crates/scheduler/src/state/mod.rs
@@ -40,6 +40,7 @@
     engine_model::PrefillSpeed,
     fair::{Account, Cost, FairClock, Seq},
     measure::{DecayingCounter, Ewma},
+    queue_sums::Weighed,
     slots::AdapterKey,
     snapshot::SubscriberQueue,
     table::Table,
@@ -209,6 +210,8 @@
     is_engine: bool,
     queue_id: QueueId,
     rank: Rank,
+    /// As the sums over the queued requests know it.
+    weighed: Weighed,
     demand: Demand,
     cost: Cost,
     /// Engine time that it takes, in milliseconds; 0 if that does not count.
@@ -284,6 +287,8 @@
     /// Limit on generated tokens; absent for a service call.
     max_tokens: Option<u64>,
     admitted_at: Instant,
+    /// Time from the grant to the end as the entry measured it.
+    used: Option<Duration>,
     /// Prompt tokens that the engine had to read, if it was expected to be idle.
     unread_tokens: Option<f64>,
     /// Expected time to the first token at the pace 1; absent without an engine model.
@@ -452,6 +457,7 @@
     fn remove_queued(&mut self, seq: Seq) -> Option<QueuedRequest> {
         let queued = self.queued.remove(&seq)?;
         self.remove_from_queue(seq, &queued);
+        self.discount_queued(seq, &queued);
         self.demand.queued_ms -= queued.work_ms;
         let sub = &mut self.subs[queued.sub];
         self.by_queue_len.remove(&(sub.queued.len(), queued.sub));
