--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -221,6 +221,7 @@
         SETTINGS_RELOADED = "S0509", Info, "settings reloaded", "none";
         STOP_INCOMPLETE = "S0512", Warning, "stop timeout expired with requests in progress", "none for single requests; raise the stop timeout if it repeats";
         START_FAILED = "S0508", Critical, "instance cannot start", "correct the reported cause and start again";
+        LOG_LINES_DROPPED = "S0513", Error, "log lines were dropped because the queue of the log was full", "raise the log level, or check what the log is written to";
     }
     "T06" "Targets" {
         TARGET_REGISTERED = "T0601", Info, "target registered", "none";
