Add a multiplexed channel for places between entries and owners

Cause: each waiting request for a place occupies a connection from its entry to the owner, and each place costs the owner two JSON-RPC requests over HTTP/1.1. Under load, reports of ended places wait behind new requests.

Change: an entry opens one connection to the data address of an owner and upgrades it to frames in postcard's format (crates/rpc/src/place_channel). Reports of ended places go first in a write and in a read, are kept until a later reply confirms them, and go over the next connection or JSON-RPC if theirs breaks. An owner without the channel is asked by JSON-RPC. Refused requests send no report.

--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -42,6 +42,7 @@
     links::link_context,
     membership::{join, track_replicas},
     peer::Peer,
+    place_channel,
     plane::ControlPlane,
     replica::Replica,
     session::{CaughtUpFn, SessionConfig, SessionManager},
@@ -121,6 +122,7 @@
     serve_when_stale: bool,
     revocation: Option<RevocationBound>,
     memory: usize,
+    place_channel: bool,
     is_first_start: bool,
     data_dir: Option<std::path::PathBuf>,
     log: slog::Logger,
@@ -267,9 +269,12 @@
             &settings, options, &view, &client, &session, &permits, &metrics, &log,
         ));
         tasks.spawn(owner.clone().run());
-        tasks.spawn(serve_forwarded(listeners.data, owner.clone()));
-
         let peer = Peer { replica: replica.clone(), owner: owner.clone() };
+        let upgrade = settings
+            .policy
+            .place_channel
+            .then(|| place_channel::upgrade(&peer, metrics.clone(), log.clone()));
+        tasks.spawn(serve_forwarded(listeners.data, owner.clone(), upgrade));
         let admin = Admin {
             instance: settings.instance.clone(),
             view: view.clone(),
@@ -315,6 +320,7 @@
                 .revocation_ms
                 .map(|ms| RevocationBound::new(Duration::from_millis(ms))),
             memory: settings.memory_bytes(),
+            place_channel: settings.policy.place_channel,
             is_first_start: settings.forms_log,
             data_dir: settings.data_dir.clone(),
             log,
@@ -348,6 +354,7 @@
             memory: self.memory,
             owner: self.owner.clone(),
             peers: self.front_end.peers.clone(),
+            place_channel: self.place_channel,
             codec,
             retries,
             is_first_start: self.is_first_start,
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -19,6 +19,7 @@
 mod links;
 mod membership;
 mod peer;
+mod place_channel;
 mod plane;
 mod replica;
 mod session;
--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -31,6 +31,15 @@
     fn replica(&self) -> Result<&Arc<Replica>, RpcError> {
         self.replica.as_ref().ok_or(RpcError::NotReplica)
     }
+
+    /// Releases places of a session and cancels those that are still queued.
+    pub(crate) fn end(&self, session: SessionId, ended: Vec<EndedPlace>) {
+        for ended in ended {
+            let finish = shallotdrum_gateway::to_finish(ended.end, ended.has_no_room);
+            let feedback = shallotdrum_gateway::to_feedback(&ended);
+            self.owner.end_place((session, ended.place), finish, feedback, ended.events);
+        }
+    }
 }
 
 #[async_trait]
@@ -174,11 +183,7 @@
     }
 
     async fn end_places(&self, session: SessionId, ended: Vec<EndedPlace>) -> Result<(), RpcError> {
-        for ended in ended {
-            let finish = shallotdrum_gateway::to_finish(ended.end, ended.has_no_room);
-            let feedback = shallotdrum_gateway::to_feedback(&ended);
-            self.owner.end_place((session, ended.place), finish, feedback, ended.events);
-        }
+        self.end(session, ended);
         Ok(())
     }
 
--- a/crates/gateway/src/allotments.rs
+++ b/crates/gateway/src/allotments.rs
@@ -19,7 +19,7 @@
 };
 use shallotdrum_owner::{ChargeError, PlaceAdmission};
 use shallotdrum_routes::Allotment;
-use shallotdrum_rpc::{PeerApiClient, RpcError};
+use shallotdrum_rpc::{AllotmentCall, AllotmentStep, ChannelError, PeerApiClient, RpcError};
 use shallotdrum_telemetry::event;
 use shallotdrum_types::{GroupId, RequestError, RequestErrorKind, RequestId, SessionId};
 use tokio::time::Instant;
@@ -239,6 +239,15 @@
         self.cx.metrics.allotment_asked().inc();
         let Charge { customer, units } = charge.clone();
         let asked = async {
+            if let Some(channel) = self.places.channel(*owner) {
+                let call = allotment_call(session, request, group, charge, AllotmentStep::Take);
+                match channel.change_allotment(call).await {
+                    Ok(Some(reply)) => return Ok(reply),
+                    Ok(None) => return Err(RpcError::Malformed("no level".to_owned())),
+                    Err(ChannelError::Unsupported) => {}
+                    Err(error) => return Err(RpcError::NoAnswer(error.to_string())),
+                }
+            }
             let client = self.cx.peers.get(*addr)?;
             let reply =
                 client.take_allotment(session, request.clone(), customer, units, group.clone());
@@ -283,6 +292,12 @@
             let _ = self.cx.owner.return_allotment(group, request, charge);
             return;
         }
+        if let Some(channel) = self.places.channel(*owner) {
+            let call = allotment_call(session, request, group, charge, AllotmentStep::Return);
+            if channel.send_allotment(call).is_ok() {
+                return;
+            }
+        }
         let Ok(client) = self.cx.peers.get(*addr) else { return };
         let (request, group, Charge { customer, units }) =
             (request.clone(), group.clone(), charge.clone());
@@ -322,6 +337,23 @@
     }
 }
 
+fn allotment_call(
+    session: SessionId,
+    request: &RequestId,
+    group: &GroupId,
+    charge: &Charge,
+    step: AllotmentStep,
+) -> AllotmentCall {
+    AllotmentCall {
+        session,
+        request: request.clone(),
+        customer: charge.customer.clone(),
+        units: charge.units,
+        group: group.clone(),
+        step,
+    }
+}
+
 /// Error of a request that is within its allotment; a full queue is not the customer's excess.
 fn busy(error: RequestError) -> RequestError {
     match error.kind {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -78,6 +78,8 @@
     pub owner: Arc<OwnerService>,
     /// RPC clients for the owners in other instances.
     pub peers: Peers,
+    /// Whether owners in other instances are asked over channels for places.
+    pub place_channel: bool,
     /// Writes requests for targets and reads their responses.
     pub codec: HeaderCodec,
     /// Allowance for retries, applied to each pool.
@@ -171,6 +173,7 @@
             cx.session.clone(),
             cx.owner.clone(),
             cx.peers.clone(),
+            cx.place_channel.then(|| cx.metrics.clone()),
             cx.log.clone(),
         );
         let withheld = places.clone();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! `exchange` drives a caller's request through its attempts, `in_force` is the route table that
 //! judges it, `places` acquires a place, which is a reservation at a target, from the owner of the
-//! target's group, and `connections` is the connection pool. `relay` forwards event streams,
+//! target's group, `owner_calls` calls owners in other instances, and `connections` is the connection pool. `relay` forwards event streams,
 //! `continuation` checks that their events follow each other, `stream_body` is what callers read of
 //! a stream, `stream_log` says how each one ended, and `body_end` what shows that a body is complete.
 //! `spread` chooses the group of a popular adapter, `fallback` selects a target while a group has no owner, `need` describes a request to the owner,
@@ -39,6 +39,7 @@
 mod limits;
 mod need;
 mod origin;
+mod owner_calls;
 mod places;
 mod relay;
 mod request;
--- a/crates/gateway/src/places.rs
+++ b/crates/gateway/src/places.rs
@@ -19,9 +19,10 @@
     ChargeError, OwnerService, PlaceAdmission, PlaceFeedback, PlaceKey, SessionFn,
 };
 use shallotdrum_rpc::{
-    EndedPlace, PeerApiClient, Peers, PlaceEnd, PlaceReply, PlaceRequest, RpcError,
+    ChannelConfig, EndedPlace, Peers, PlaceChannel, PlaceChannels, PlaceEnd, PlaceReply,
+    PlaceRequest,
 };
-use shallotdrum_telemetry::event;
+use shallotdrum_telemetry::{Metrics, event};
 use shallotdrum_types::{
     AdapterId, GroupId, PoolId, RequestError, RequestErrorKind, RequestRate, SessionId,
     SoftwareVersion, TargetId, Weight,
@@ -30,8 +31,8 @@
 
 use crate::{
     FallbackSelector, MalformedLoad,
-    errors::timed_out_waiting,
     limits::{LimitChange, TargetLimits},
+    owner_calls::report_undelivered,
     spread::{SpreadKnowledge, group_weight},
     withheld::{Process, WithheldTargets},
 };
@@ -40,7 +41,7 @@
 const OWNER_RETRY_DELAY: Duration = Duration::from_millis(40);
 
 /// `Retry-After` while a group has no reachable owner: about a session lease.
-const NO_OWNER_RETRY_AFTER: Duration = Duration::from_secs(1);
+pub(crate) const NO_OWNER_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Number of places at targets that take no requests after which a request is refused. The second one
 /// is granted only if the owner has no other target.
@@ -52,29 +53,19 @@
 /// Priority of a request that was not scheduled by an owner.
 const DEFAULT_PRIORITY: Priority = Priority(64);
 
-/// Timeout for reporting the end of a place; if the report is lost, the place expires at the owner.
-const REPORT_TIMEOUT: Duration = Duration::from_secs(1);
-
 /// Maximum length of a malformed load in the log.
 const MAX_LOGGED_CHARS: usize = 40;
 
-/// Time without a reply after which an owner is pinged: many round trips, and a sixth of a session
-/// lease.
-const OWNER_REPLY_TIMEOUT: Duration = Duration::from_millis(500);
-
-/// Timeout for a ping; about a hundred round trips. An owner that misses it counts as unresponsive.
-const PING_TIMEOUT: Duration = Duration::from_millis(200);
-
 /// Acquires places for the requests of this entry; clones share the state.
 #[derive(Clone)]
-pub(crate) struct PlaceClient(Arc<Shared>);
+pub(crate) struct PlaceClient(pub(crate) Arc<Shared>);
 
-struct Shared {
-    view: ControlView,
-    session: SessionFn,
+pub(crate) struct Shared {
+    pub(crate) view: ControlView,
+    pub(crate) session: SessionFn,
     owner: Arc<OwnerService>,
-    peers: Peers,
-    log: slog::Logger,
+    pub(crate) peers: Peers,
+    pub(crate) log: slog::Logger,
     next_place: AtomicU64,
     fallback: Mutex<FallbackSelector>,
     limits: Mutex<TargetLimits>,
@@ -83,7 +74,9 @@
     malformed_loads: Mutex<HashSet<Process>>,
     spread: Mutex<SpreadKnowledge>,
     /// Time of the latest reply of each owner.
-    last_replies: Mutex<HashMap<SocketAddr, Instant>>,
+    pub(crate) last_replies: Mutex<HashMap<SocketAddr, Instant>>,
+    /// Channels to owners; absent if the settings do not allow them.
+    pub(crate) channels: Option<PlaceChannels>,
 }
 
 /// Place at a target; reported as cancelled if dropped without `end`.
@@ -93,10 +86,12 @@
 }
 
 /// Reports the end of a place, or cancels the request for one, when dropped.
-struct PlaceGuard {
+pub(crate) struct PlaceGuard {
     places: PlaceClient,
+    /// Whether the owner is told when the place ends. A channel tells it itself until the place is granted.
+    pub(crate) is_reported: bool,
     end: PlaceEnd,
-    granted_by: GrantedBy,
+    pub(crate) granted_by: GrantedBy,
     sent_at: Option<Instant>,
     /// Time from the send to the first event of a stream.
     first_event: Option<Duration>,
@@ -109,11 +104,16 @@
 }
 
 /// Who granted a place and is told of its end.
-enum GrantedBy {
+pub(crate) enum GrantedBy {
     /// This instance owns the group.
     This { key: PlaceKey },
     /// Another instance owns the group.
-    Other { key: PlaceKey, addr: SocketAddr },
+    Other {
+        key: PlaceKey,
+        addr: SocketAddr,
+        /// Channel that the place was requested over; absent with JSON-RPC.
+        channel: Option<PlaceChannel>,
+    },
     /// No owner was reachable; this entry selected the target and counts its own requests.
     NoOwner { target: TargetId },
 }
@@ -182,6 +182,7 @@
     fn new(places: PlaceClient, granted_by: GrantedBy) -> Self {
         Self {
             places,
+            is_reported: true,
             end: PlaceEnd::Cancelled,
             granted_by,
             sent_at: None,
@@ -217,7 +218,11 @@
                     PlaceFeedback { first_event: self.first_event, ..to_feedback(&ended) };
                 self.places.0.owner.end_place(*key, finish, feedback, ended.events);
             }
-            GrantedBy::Other { key: (session, _), addr } => {
+            GrantedBy::Other { .. } if !self.is_reported => {}
+            GrantedBy::Other { key: (session, _), channel: Some(channel), .. } => {
+                channel.end_place(*session, ended);
+            }
+            GrantedBy::Other { key: (session, _), addr, channel: None } => {
                 tokio::spawn(self.places.clone().report_end(*addr, *session, ended));
             }
             GrantedBy::NoOwner { .. } => {}
@@ -251,13 +256,19 @@
 }
 
 impl PlaceClient {
+    /// Creates a client, which uses channels to owners if it gets metrics for them.
     pub(crate) fn new(
         view: ControlView,
         session: SessionFn,
         owner: Arc<OwnerService>,
         peers: Peers,
+        metrics: Option<Metrics>,
         log: slog::Logger,
     ) -> Self {
+        let channels = metrics.map(|metrics| {
+            let undelivered = report_undelivered(peers.clone(), log.clone());
+            PlaceChannels::new(ChannelConfig { undelivered, metrics, log: log.clone() })
+        });
         Self(Arc::new(Shared {
             view,
             session,
@@ -271,6 +282,7 @@
             malformed_loads: Mutex::default(),
             spread: Mutex::default(),
             last_replies: Mutex::default(),
+            channels,
         }))
     }
 
@@ -397,6 +409,13 @@
         self.limits().expire(is_current);
         self.withheld().expire(is_current);
         self.malformed_loads().retain(is_current);
+        if let Some(channels) = &self.0.channels {
+            let owners: HashSet<SocketAddr> = self
+                .0
+                .view
+                .read(|state| state.sessions().map(|session| session.info.addrs.data).collect());
+            channels.retain(|addr| owners.contains(&addr));
+        }
     }
 
     /// Records that a target refused a request for an adapter.
@@ -406,25 +425,6 @@
         }
     }
 
-    async fn report_end(self, addr: SocketAddr, session: SessionId, ended: EndedPlace) {
-        let Ok(client) = self.0.peers.get(addr) else { return };
-        let sent = client.end_places(session, vec![ended]);
-        match tokio::time::timeout(REPORT_TIMEOUT, sent).await {
-            Ok(Ok(())) => self.record_reply(addr),
-            Ok(Err(error)) => {
-                event!(self.0.log, PLACE_END_LOST; "owner" => %addr, "error" => %error);
-            }
-            Err(_) => {
-                event!(self.0.log, PLACE_END_LOST; "owner" => %addr, "error" => "timed out");
-            }
-        }
-    }
-
-    fn record_reply(&self, addr: SocketAddr) {
-        let mut last_replies = self.0.last_replies.lock().unwrap_or_else(PoisonError::into_inner);
-        last_replies.insert(addr, Instant::now());
-    }
-
     /// Waits until the deadline for a place in a pool, at a target to which this entry sends
     /// requests.
     pub(crate) async fn take(
@@ -621,9 +621,9 @@
         let key = (session, self.0.next_place.fetch_add(1, Ordering::Relaxed));
         let granted_by = match owner == session {
             true => GrantedBy::This { key },
-            false => GrantedBy::Other { key, addr },
+            false => GrantedBy::Other { key, addr, channel: None },
         };
-        let guard = PlaceGuard::new(self.clone(), granted_by);
+        let mut guard = PlaceGuard::new(self.clone(), granted_by);
         if owner == session {
             let owner = &self.0.owner;
             let granted = match &charge {
@@ -659,36 +659,24 @@
             software: admission.software,
             limits: admission.limits,
         };
-        let client = self.0.peers.get(addr).map_err(|e| owner_unreachable(&group, &e))?;
-        let reply = tokio::select! {
-            reply = tokio::time::timeout_at(deadline, client.take_place(request)) => reply,
-            () = self.owner_changed(&group, owner) => return Err(no_owner(pool).into()),
-            () = self.owner_unresponsive(addr) => return Err(no_owner(pool).into()),
-        };
-        match reply {
-            Ok(Ok(reply)) => {
-                self.record_reply(addr);
-                match reply {
-                    PlaceReply::Granted(granted) => {
-                        let wait = granted.group_wait_ms.map(Duration::from_millis);
-                        self.record_owner_state(&group, adapter, granted.spread, wait);
-                        Ok((Place { granted, guard }, None))
-                    }
-                    PlaceReply::Charged { place: granted, allotment } => {
-                        let wait = granted.group_wait_ms.map(Duration::from_millis);
-                        self.record_owner_state(&group, adapter, granted.spread, wait);
-                        Ok((Place { granted, guard }, Some(allotment)))
-                    }
-                    PlaceReply::NoRoom { allotment } => Err(ChargeError::NoRoom(allotment)),
-                    PlaceReply::Refused { error, group_wait_ms } => {
-                        let wait = group_wait_ms.map(Duration::from_millis);
-                        self.record_owner_state(&group, None, None, wait);
-                        Err(error.into())
-                    }
-                }
+        match self.request_place(pool, &group, (owner, addr), request, &mut guard, deadline).await?
+        {
+            PlaceReply::Granted(granted) => {
+                let wait = granted.group_wait_ms.map(Duration::from_millis);
+                self.record_owner_state(&group, adapter, granted.spread, wait);
+                Ok((Place { granted, guard }, None))
+            }
+            PlaceReply::Charged { place: granted, allotment } => {
+                let wait = granted.group_wait_ms.map(Duration::from_millis);
+                self.record_owner_state(&group, adapter, granted.spread, wait);
+                Ok((Place { granted, guard }, Some(allotment)))
+            }
+            PlaceReply::NoRoom { allotment } => Err(ChargeError::NoRoom(allotment)),
+            PlaceReply::Refused { error, group_wait_ms } => {
+                let wait = group_wait_ms.map(Duration::from_millis);
+                self.record_owner_state(&group, None, None, wait);
+                Err(error.into())
             }
-            Ok(Err(error)) => Err(owner_unreachable(&group, &error.into()).into()),
-            Err(_) => Err(timed_out_waiting().into()),
         }
     }
 
@@ -704,49 +692,6 @@
         })
     }
 
-    /// Sends an empty report to an owner and returns whether it replies.
-    async fn ping(&self, addr: SocketAddr) -> bool {
-        let (Some(session), Ok(client)) = ((self.0.session)(), self.0.peers.get(addr)) else {
-            return false;
-        };
-        let reply = client.end_places(session, Vec::new());
-        matches!(tokio::time::timeout(PING_TIMEOUT, reply).await, Ok(Ok(())))
-    }
-
-    /// Resolves when an owner has not replied to anything for `OWNER_REPLY_TIMEOUT`, counted from
-    /// now, and then does not reply to a ping either.
-    async fn owner_unresponsive(&self, addr: SocketAddr) {
-        let started = Instant::now();
-        loop {
-            let last_reply = {
-                let last_replies =
-                    self.0.last_replies.lock().unwrap_or_else(PoisonError::into_inner);
-                last_replies.get(&addr).copied().unwrap_or(started).max(started)
-            };
-            if last_reply.elapsed() >= OWNER_REPLY_TIMEOUT {
-                // A queued request gets no reply even from a healthy owner, so the owner is pinged.
-                if !self.ping(addr).await {
-                    return;
-                }
-                self.record_reply(addr);
-                continue;
-            }
-            tokio::time::sleep_until(last_reply + OWNER_REPLY_TIMEOUT).await;
-        }
-    }
-
-    /// Resolves when `owner` no longer owns the group.
-    async fn owner_changed(&self, group: &GroupId, owner: SessionId) {
-        let mut changed = self.0.view.changed();
-        let is_owner =
-            || self.0.view.read(|state| state.group(group).and_then(|g| g.owner) == Some(owner));
-        while is_owner() {
-            if changed.changed().await.is_err() {
-                std::future::pending::<()>().await;
-            }
-        }
-    }
-
     /// Selects a group of the pool by rendezvous hashing, so that requests for an adapter go to the
     /// same group as long as it has an owner; to the least loaded of several if the adapter is spread.
     pub(crate) fn choose_group(
@@ -817,12 +762,7 @@
     required.is_none() || target.software.as_ref() == required
 }
 
-fn no_owner(pool: &PoolId) -> RequestError {
+pub(crate) fn no_owner(pool: &PoolId) -> RequestError {
     let detail = format!("no instance currently owns the targets of pool {pool}; retry later");
     RequestError::not_run(RequestErrorKind::NotReady, detail).retry_after(NO_OWNER_RETRY_AFTER)
 }
-
-fn owner_unreachable(group: &GroupId, error: &RpcError) -> RequestError {
-    let detail = format!("cannot reach the owner of target group {group}: {error}");
-    RequestError::not_run(RequestErrorKind::NotReady, detail).retry_after(NO_OWNER_RETRY_AFTER)
-}
--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -48,7 +48,7 @@
 };
 pub use messages::{CompletionCall, Frame, ServiceCall};
 pub use places::{PlaceAdmission, PlaceKey};
-pub use server::serve_forwarded;
+pub use server::{Upgrade, serve_forwarded};
 pub use service::{NotOwned, ORDER_TIMEOUT, OwnerService, TARGET_TIMEOUT};
 pub use shallotdrum_engine::full_body;
 pub use shallotdrum_scheduler::{Finish, LoadFailure, LoadOrder, PlaceFeedback};
--- a/crates/owner/src/server.rs
+++ b/crates/owner/src/server.rs
@@ -25,21 +25,34 @@
 /// Maximum size of a forwarded model request: a prompt, and the text so far if it is resumed.
 const MAX_CALL_BYTES: usize = 16 * 1024 * 1024;
 
-/// Serves forwarded requests until the future is dropped.
-pub async fn serve_forwarded(listener: TcpListener, service: Arc<OwnerService>) {
+/// Upgrades a request for a path of its own to another protocol.
+#[derive(Clone)]
+pub struct Upgrade {
+    /// Path that is upgraded.
+    pub path: &'static str,
+    /// Responds to the request, and serves the connection afterwards.
+    pub serve: Arc<dyn Fn(Request<Incoming>) -> Response<()> + Send + Sync>,
+}
+
+/// Serves forwarded requests, and upgrades if there is one, until the future is dropped.
+pub async fn serve_forwarded(
+    listener: TcpListener,
+    service: Arc<OwnerService>,
+    upgrade: Option<Upgrade>,
+) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             // Probably out of file descriptors; an immediate retry would busy-loop.
             tokio::time::sleep(std::time::Duration::from_millis(10)).await;
             continue;
         };
-        let service = service.clone();
+        let (service, upgrade) = (service.clone(), upgrade.clone());
         tokio::spawn(async move {
             // Disables Nagle's algorithm, which would delay small frames.
             let _ = stream.set_nodelay(true);
             let handler = service_fn(move |req| {
-                let service = service.clone();
-                async move { Ok::<_, Infallible>(handle(service, req).await) }
+                let (service, upgrade) = (service.clone(), upgrade.clone());
+                async move { Ok::<_, Infallible>(handle(service, upgrade, req).await) }
             });
             // An error means that the connection to the peer broke, which the peer itself reports.
             let _ = http1::Builder::new()
@@ -51,7 +64,16 @@
     }
 }
 
-async fn handle(service: Arc<OwnerService>, req: Request<Incoming>) -> Response<ForwardBody> {
+async fn handle(
+    service: Arc<OwnerService>,
+    upgrade: Option<Upgrade>,
+    req: Request<Incoming>,
+) -> Response<ForwardBody> {
+    let is_upgrade =
+        |upgrade: &Upgrade| req.method() == Method::GET && req.uri().path() == upgrade.path;
+    if let Some(upgrade) = upgrade.filter(is_upgrade) {
+        return (upgrade.serve)(req).map(|()| full_body(Bytes::new()));
+    }
     if req.method() == Method::CONNECT {
         let links = service.cx.links.clone();
         return serve_tunnel(links, req).await.map(|()| full_body(Bytes::new()));
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -3,7 +3,8 @@
 //! `api` declares the methods, `messages`, `places` and `admin` their parameters and results, and
 //! `error` their errors. `peers` caches one client per address, `directory` holds the addresses of
 //! the control replicas, `survey` finds the leader or a replica to follow, `control_client` calls the
-//! leader, and `transport` delivers consensus messages.
+//! leader, and `transport` delivers consensus messages. `place_channel` carries requests for places
+//! over one connection between an entry and an owner.
 //!
 //! Architecture Invariant: each method is safe to execute twice, so that it may be called again
 //! when a response was lost.
@@ -16,6 +17,7 @@
 mod error;
 mod messages;
 mod peers;
+mod place_channel;
 mod places;
 mod survey;
 mod transport;
@@ -34,6 +36,11 @@
     WatchEntry, WatchReply,
 };
 pub use peers::{MAX_MESSAGE_BYTES, Peers, PeersConfig};
+pub use place_channel::{
+    AllotmentCall, AllotmentStep, ChannelConfig, ChannelError, ChannelHandlers, MAX_FRAME_BYTES,
+    MAX_WAITING, MethodFn, MethodFuture, PLACES_PATH, PLACES_PROTOCOL, PlaceChannel, PlaceChannels,
+    PlaceServer, UndeliveredFn,
+};
 pub use places::{EndedPlace, PlaceEnd, PlaceReply, PlaceRequest};
 pub use survey::{SurveyedReplica, find_leader, find_source};
 pub use transport::RpcTransport;
--- a/crates/rpc/src/places.rs
+++ b/crates/rpc/src/places.rs
@@ -118,6 +118,22 @@
     pub has_no_room: bool,
 }
 
+impl EndedPlace {
+    /// Report for a place whose request is no longer needed.
+    pub fn cancelled(place: u64) -> Self {
+        Self {
+            place,
+            end: PlaceEnd::Cancelled,
+            first_event_ms: None,
+            load: None,
+            load_age_ms: None,
+            events: None,
+            stream_ms: None,
+            has_no_room: false,
+        }
+    }
+}
+
 /// Result of the request that a place was requested for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -247,6 +247,9 @@
     pub prefill_tokens_per_ms: Option<f64>,
     /// What decides the order and the place of requests.
     pub scheduling: Scheduling,
+    /// Whether entries ask owners for places over one connection, and owners accept it.
+    #[serde(skip_serializing_if = "std::ops::Not::not")]
+    pub place_channel: bool,
 }
 
 impl Default for Policy {
@@ -261,6 +264,7 @@
             load_permits: true,
             prefill_tokens_per_ms: None,
             scheduling: Scheduling::Shares,
+            place_channel: false,
         }
     }
 }
--- a/crates/settings/src/parse.rs
+++ b/crates/settings/src/parse.rs
@@ -228,6 +228,7 @@
             "\"shares\", \"urgency\" or \"when-paced\"",
             default.scheduling,
         ),
+        place_channel: fields.optional_or("place_channel", "true or false", default.place_channel),
     };
     fields.finish();
     policy
--- a/crates/settings/tests/settings.rs
+++ b/crates/settings/tests/settings.rs
@@ -82,6 +82,7 @@
 #[case("/policy/stall_weight", json!("0.5"), "policy.stall_weight")]
 #[case("/policy/mode", json!("fifo"), "policy.mode")]
 #[case("/policy/scheduling", json!("paced"), "policy.scheduling")]
+#[case("/policy/place_channel", json!("on"), "policy.place_channel")]
 #[case("/drain_delay_ms", json!(600_001), "drain_delay_ms")]
 #[case("/log/format", json!("xml"), "log.format")]
 #[case("/log/level", json!("loud"), "log.level")]
@@ -142,6 +143,7 @@
     assert_eq!(settings.freshness.when_stale, WhenStale::Refuse);
     assert_eq!((settings.policy.mode, settings.drain_delay_ms), (PolicyMode::Adaptive, 2_000));
     assert_eq!(settings.policy.scheduling, Scheduling::Shares);
+    assert!(!settings.policy.place_channel);
     assert!(settings.is_replica());
     assert_eq!(settings.advertised(), settings.addrs);
 }
@@ -158,6 +160,17 @@
     assert_eq!(settings.policy.scheduling, expected);
 }
 
+/// Guards against a setting that is not read.
+#[rstest]
+#[case::off(false)]
+#[case::on(true)]
+fn settings_place_channel(#[case] value: bool) {
+    let mut settings = valid_settings();
+    set_value(&mut settings, "/policy/place_channel", json!(value));
+    let settings = Settings::from_json(&settings.to_string()).unwrap();
+    assert_eq!(settings.policy.place_channel, value);
+}
+
 /// Guards against port 0 being accepted without `allow_port_zero`, or refused with it.
 #[test]
 fn settings_port_zero_needs_flag() {
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -154,6 +154,8 @@
         ALLOTMENT_RETURNED = "O0353", Info, "units returned to a customer's allotment: the request got no place", "none";
         PLACE_WITHOUT_OWNER = "O0323", Info, "request sent to a target without a place from the group's owner", "none, unless it persists; then check the instance that owned the group";
         PLACE_END_LOST = "O0320", Debug, "cannot report the end of a place; the place expires at its deadline", "none";
+        PLACE_CHANNEL_ACCEPTED = "O0360", Info, "an entry opened a channel for places", "none";
+        PLACE_CHANNEL_ENDED = "O0361", Info, "channel for places of an entry ended; its waiting requests were cancelled", "compare with the log of the entry if it repeats";
         PLACE_REFUSED = "O0316", Info, "place at a target refused; the request was not run", "compare the detail with the load of the group";
         ORDER_SENT = "O0339", Info, "order sent to an engine", "none";
         ORDER_RESENT = "O0340", Info, "order sent again: the engine has not responded, and may still carry out the previous one", "none, unless it repeats for one engine; then check the engine and the network to it";
@@ -201,6 +203,9 @@
         QUEUED_FOR_NEW_VERSION = "N0440", Info, "request queued again, as a newer version of its adapter is known", "none";
         BODY_REFUSED = "N0441", Info, "request refused, as other bodies take the memory", "check the callers' connections if it persists; see shallotdrum_held_bytes";
         ALLOTMENT_REFUSED = "N0450", Info, "request refused: the allotment of its customer has no room", "none; see the section on status 429 in the operations manual";
+        PLACE_CHANNEL_OPENED = "N0460", Info, "channel for places to an owner opened", "none";
+        PLACE_CHANNEL_BROKEN = "N0461", Warning, "channel for places to an owner broke or could not be opened; the requests that waited on it were not run there", "check the owner and the network if it repeats";
+        PLACE_CHANNEL_UNSUPPORTED = "N0462", Info, "owner has no channel for places; it is asked by JSON-RPC", "none during an upgrade; else compare `policy.place_channel` of the instances";
         ALLOTMENT_UNREACHED = "N0451", Info, "cannot ask the owner of a share of a customer's allotment", "none, unless it persists; then check the instance that owns the group";
         REFUSED_FOR_GOOD = "N0433", Info, "request refused for good by a confirmed state", "compare the revision with the newest one, and the confirmation with the log of the leader of its term";
         KEY_REFUSED = "N0442", Info, "request refused: its caller has no key of a customer, or the key is not confirmed to be valid", "see \"a caller got 401\" in docs/OPERATIONS.md";
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -155,6 +155,13 @@
     allotment_refused: IntCounter, "shallotdrum_allotment_refused_total", "Requests of this entry that were refused with 429, as their allotment had no room";
     allotment_asked: IntCounter, "shallotdrum_allotment_asked_total", "Shards of allotments that this entry asked with a message of its own";
     allotment_refunds: IntCounter, "shallotdrum_allotment_refunds_total", "Charges that this owner returned to an allotment";
+    place_channels: IntGauge, "shallotdrum_place_channels", "Open channels for places from this entry to owners";
+    place_channels_served: IntGauge, "shallotdrum_place_channels_served", "Open channels for places from entries to this owner";
+    place_channel_requests: IntCounter, "shallotdrum_place_channel_requests_total", "Requests that this entry sent to owners over channels for places";
+    place_channel_ends: IntCounter, "shallotdrum_place_channel_ends_total", "Ends of places that this entry reported over channels for places";
+    place_channel_writes: IntCounter, "shallotdrum_place_channel_writes_total", "Writes of frames to channels for places, at entry and owner";
+    place_channel_failures: IntCounter, "shallotdrum_place_channel_failures_total", "Channels for places that broke or could not be opened";
+    place_channel_refused: IntCounter, "shallotdrum_place_channel_refused_total", "Requests refused as too many wait on one channel for places";
     is_leader: IntGauge, "shallotdrum_is_leader", "1 on the control leader, else 0";
 }
 
--- a/crates/types/src/ids.rs
+++ b/crates/types/src/ids.rs
@@ -53,6 +53,21 @@
     pub struct ControlTimeMs(u64);
 }
 
+id_type! {
+    /// Identifies a request on a channel for places; unique among those of its entry to one owner.
+    pub struct RequestNumber(u64);
+}
+
+id_type! {
+    /// Identifies an entry's channel to an owner over all its connections; drawn by the entry.
+    pub struct ChannelId(u64);
+}
+
+id_type! {
+    /// Number of a connection of a channel; increases with each one that the entry opens.
+    pub struct ConnectionNumber(u64);
+}
+
 /// Error for text that is not an unsigned decimal number.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("invalid {kind} `{value}`: expected an unsigned decimal number")]
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -24,8 +24,8 @@
 pub use hash::{Digest, Fingerprint, KeyHash, ParseHashError};
 pub use identity::RequestIdentity;
 pub use ids::{
-    ControlFormat, ControlTimeMs, Epoch, Incarnation, LogIndex, ParseIdError, PermitId, ProposalId,
-    Revision, SessionId, Term,
+    ChannelId, ConnectionNumber, ControlFormat, ControlTimeMs, Epoch, Incarnation, LogIndex,
+    ParseIdError, PermitId, ProposalId, RequestNumber, Revision, SessionId, Term,
 };
 pub use model::{AdapterRef, GroupId, ModelName, ParseGroupIdError, ParseModelNameError};
 pub use names::{
