Refuse requests early that wait for an owner of an allotment's share

Cause: a request that waited for an owner, or for a share that began empty, was refused 40 ms before its deadline.

Change: the shortest time in which a request of its kind (pool, size of the response) was served in the last 60 to 120 s is recorded. A request is refused with 503 as soon as it has less time left, or at once if a recovering share has room too late. Retry-After says when the next owner is expected. N0452 and shallotdrum_allotment_unserved_total count these.

--- a/crates/allotments/src/hints.rs
+++ b/crates/allotments/src/hints.rs
@@ -45,8 +45,8 @@
 enum Hint {
     /// Level by the latest reply.
     Level { level: f64, at: Instant, lack: Lack },
-    /// The owner did not reply.
-    Unreached { at: Instant },
+    /// The owner did not reply, for the first time in a row at `since`.
+    Unreached { at: Instant, since: Instant },
 }
 
 /// Latest replies of the owners of shards, for each customer.
@@ -81,7 +81,7 @@
         let hint = match is_decided {
             true => Hint::Level { level: reply.level, at: now, lack: reply.lack },
             // The owner's state differs from this entry's.
-            false => Hint::Unreached { at: now },
+            false => Hint::Unreached { at: now, since: now },
         };
         let known = self.insert(customer, group, hint, now);
         if is_decided {
@@ -97,7 +97,12 @@
 
     /// Records that the owner of a shard could not be reached.
     pub fn record_unreached(&mut self, customer: &CustomerName, group: &GroupId, now: Instant) {
-        self.insert(customer, group, Hint::Unreached { at: now }, now);
+        let hint = self.0.get(customer).and_then(|known| known.shards.get(group));
+        let since = match hint {
+            Some(Hint::Unreached { since, .. }) => *since,
+            _ => now,
+        };
+        self.insert(customer, group, Hint::Unreached { at: now, since }, now);
     }
 
     fn insert(
@@ -153,16 +158,33 @@
                 let left = Duration::try_from_secs_f64(missing / limits.rate);
                 Room::None(left.unwrap_or(MAX_ROOM_AFTER).min(MAX_ROOM_AFTER))
             }
-            Some(Hint::Unreached { at }) if age(*at, now) < UNREACHED_PAUSE => Room::Unreached,
+            Some(Hint::Unreached { at, .. }) if age(*at, now) < UNREACHED_PAUSE => Room::Unreached,
             _ => Room::Possible(limits.burst),
         }
     }
 
+    /// Time until the first shard whose owner does not reply gets another one, if owners that fail keep
+    /// their shards for `lease`; absent if all replied.
+    pub fn next_owner_after(
+        &self,
+        customer: &CustomerName,
+        shards: &[&GroupId],
+        lease: Duration,
+        now: Instant,
+    ) -> Option<Duration> {
+        let known = self.0.get(customer)?;
+        let unreached = shards.iter().filter_map(|group| match known.shards.get(*group)? {
+            Hint::Unreached { since, .. } => Some(lease.saturating_sub(age(*since, now))),
+            Hint::Level { .. } => None,
+        });
+        unreached.min()
+    }
+
     /// Forgets what is too old to matter.
     pub fn expire(&mut self, now: Instant) {
         self.0.retain(|_, known| {
             known.shards.retain(|_, hint| {
-                let (Hint::Level { at, .. } | Hint::Unreached { at }) = hint;
+                let (Hint::Level { at, .. } | Hint::Unreached { at, .. }) = hint;
                 age(*at, now) < MAX_HINT_AGE
             });
             age(known.at, now) < MAX_EXCEEDING_AGE
--- a/crates/gateway/src/allotments.rs
+++ b/crates/gateway/src/allotments.rs
@@ -14,9 +14,10 @@
 };
 
 use shallotdrum_allotments::{
-    AllotmentReply, Charge, ChargeRequest, ChargeStep, Limits, ShardHints, plan_charge,
-    shard_count, shards, spread_delay, units,
+    AllotmentReply, Charge, ChargeRequest, ChargeStep, Limits, ServedKind, ServedTimes, ShardHints,
+    WaitStep, plan_charge, plan_wait, shard_count, shards, spread_delay, units,
 };
+use shallotdrum_control::SESSION_LEASE;
 use shallotdrum_owner::{ChargeError, PlaceAdmission};
 use shallotdrum_routes::Allotment;
 use shallotdrum_rpc::{PeerApiClient, RpcError};
@@ -33,8 +34,16 @@
 /// instance only.
 const OWNER_POLL_INTERVAL: Duration = Duration::from_millis(40);
 
-/// `Retry-After` while a share has no reachable owner: about a session lease.
-const UNREACHED_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// `Retry-After` of an entry that has no session: about the time in which one is opened.
+const NO_SESSION_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Time in which a group gets an owner after the lease of the previous one: some rounds of the control
+/// log.
+const ASSIGN_TIME: Duration = Duration::from_millis(500);
+
+/// Longest time after the next owner is expected at which a refused request is told to return, so that
+/// callers do not return together.
+const MAX_OWNER_SPREAD: Duration = Duration::from_secs(1);
 
 /// Group whose owner keeps a share, with its owner and the owner's address.
 type Share = (GroupId, SessionId, SocketAddr);
@@ -48,6 +57,18 @@
     count: usize,
 }
 
+/// Wait of a request that cannot be charged yet.
+struct ChargeWait {
+    /// What it waits for, for log lines.
+    cause: &'static str,
+    /// Time before which it cannot be charged.
+    needed: Duration,
+    /// Time after which it is to be charged.
+    wanted: Duration,
+    /// Time after which it is told to return if it is refused.
+    retry_after: Duration,
+}
+
 /// Returns units that were taken for a request which gets no place, when dropped.
 struct ReturnGuard<'a> {
     gateway: &'a Gateway,
@@ -70,9 +91,24 @@
         self.shard_hints.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Forgets replies of owners that are too old to matter.
+    fn served(&self) -> MutexGuard<'_, ServedTimes> {
+        self.served.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Forgets replies of owners and times of requests that are too old to matter.
     pub(crate) fn expire_shard_hints(&self) {
-        self.shard_hints().expire(Instant::now().into_std());
+        let now = Instant::now().into_std();
+        self.shard_hints().expire(now);
+        self.served().expire(now);
+    }
+
+    /// Records that a request with an allotment was served, and how long that took.
+    pub(crate) fn record_served(&self, run: &RequestRun) {
+        let has_allotment = run.customer.as_ref().is_some_and(|c| c.allotment.is_some());
+        if let Some(sent_at) = run.sent_at.filter(|_| has_allotment) {
+            let now = Instant::now();
+            self.served().record(&served_kind(run), now - sent_at, now.into_std());
+        }
     }
 
     /// Waits for a place at a target. The request is charged before, unless it is already.
@@ -110,7 +146,7 @@
             }
             // Another entry may be able to ask.
             if (self.cx.session)().is_none() {
-                return Err(unreached(charge));
+                return Err(unreached(charge, NO_SESSION_RETRY_AFTER));
             }
             let shares = self.shares(allotment, charge);
             let own = self.places.choose_group(&run.pool, &admission).ok();
@@ -118,29 +154,38 @@
             let (group, owner, addr) = match self.plan(&shares, charge, own_group, &asked) {
                 ChargeStep::Ask(group) => match shares.owner(group) {
                     Some(share) => share.clone(),
-                    None => return Err(unreached(charge)),
+                    None => return Err(unreached(charge, self.next_owner_after(&shares, charge))),
                 },
                 ChargeStep::NoRoom(room_after) => {
                     return Err(self.refuse(run, charge, room_after, asked.len()));
                 }
                 ChargeStep::Queued(room_after) => return Err(overloaded(charge, room_after)),
                 // As for a place, the request waits for the next owner of a group.
-                ChargeStep::Unreached { is_known: false }
-                    if Instant::now() + OWNER_POLL_INTERVAL < run.deadline =>
-                {
-                    tokio::time::sleep(OWNER_POLL_INTERVAL).await;
+                ChargeStep::Unreached { is_known: false } => {
+                    let wait = ChargeWait {
+                        cause: "no owner",
+                        needed: Duration::ZERO,
+                        wanted: OWNER_POLL_INTERVAL,
+                        retry_after: self.next_owner_after(&shares, charge),
+                    };
+                    self.wait_to_charge(run, charge, wait).await?;
                     asked.clear();
                     continue;
                 }
-                ChargeStep::Unreached { .. } => return Err(unreached(charge)),
+                ChargeStep::Unreached { is_known: true } => {
+                    return Err(unreached(charge, self.next_owner_after(&shares, charge)));
+                }
                 ChargeStep::Recovering(room_after) => {
                     // Requests that wait for the same share return at different times.
-                    let wait =
+                    let wanted =
                         (room_after + OWNER_POLL_INTERVAL).mul_f64(1.0 + rand::random::<f64>());
-                    if Instant::now() + wait >= run.deadline {
-                        return Err(unreached(charge));
-                    }
-                    tokio::time::sleep(wait).await;
+                    let wait = ChargeWait {
+                        cause: "recovering",
+                        needed: room_after,
+                        wanted,
+                        retry_after: spread_delay(room_after, rand::random()),
+                    };
+                    self.wait_to_charge(run, charge, wait).await?;
                     asked.clear();
                     continue;
                 }
@@ -189,6 +234,48 @@
         Ok(place)
     }
 
+    /// Waits until a request is charged again, or refuses it if it could not be served after the wait.
+    async fn wait_to_charge(
+        &self,
+        run: &RequestRun,
+        charge: &Charge,
+        wait: ChargeWait,
+    ) -> Result<(), RequestError> {
+        let now = Instant::now();
+        let left = run.deadline.saturating_duration_since(now);
+        let shortest = self.served().shortest(&served_kind(run), now.into_std());
+        match plan_wait(left, shortest.max(OWNER_POLL_INTERVAL), wait.needed, wait.wanted) {
+            WaitStep::Wait(time) => {
+                tokio::time::sleep(time).await;
+                Ok(())
+            }
+            WaitStep::Refuse => {
+                event!(self.cx.log, ALLOTMENT_WAIT_ENDED; "request" => %run.req.id,
+                    "customer" => %charge.customer, "units" => charge.units, "cause" => wait.cause,
+                    "left_ms" => left.as_millis() as u64,
+                    "shortest_ms" => shortest.as_millis() as u64,
+                    "room_after_ms" => wait.needed.as_millis() as u64,
+                    "retry_after_ms" => wait.retry_after.as_millis() as u64);
+                self.cx.metrics.allotment_unserved().inc();
+                Err(unreached(charge, wait.retry_after))
+            }
+        }
+    }
+
+    /// Time until a share without a reachable owner is expected to have one, for `Retry-After`.
+    fn next_owner_after(&self, shares: &Shares, charge: &Charge) -> Duration {
+        let now = Instant::now().into_std();
+        let expected = match shares.owned.len() < shares.count {
+            // The lease of the previous owner has ended.
+            true => Duration::ZERO,
+            false => self
+                .shard_hints()
+                .next_owner_after(&charge.customer, &shares.groups(), SESSION_LEASE, now)
+                .unwrap_or(SESSION_LEASE),
+        };
+        expected + ASSIGN_TIME + MAX_OWNER_SPREAD.mul_f64(rand::random())
+    }
+
     /// Shares of the customer's allotment, by the state of this instance.
     fn shares(&self, allotment: &Allotment, charge: &Charge) -> Shares {
         self.cx.view.read(|state| {
@@ -339,8 +426,13 @@
         .retry_after(spread_delay(room_after, rand::random()))
 }
 
-fn unreached(charge: &Charge) -> RequestError {
+/// Kind of a request, by which the time that it takes is told.
+fn served_kind(run: &RequestRun) -> ServedKind {
+    ServedKind::new(run.pool.clone(), run.req.generation.as_ref().map(|g| g.max_tokens))
+}
+
+fn unreached(charge: &Charge, retry_after: Duration) -> RequestError {
     let customer = &charge.customer;
     let detail = format!("cannot ask all owners of the allotment of customer {customer}");
-    RequestError::not_run(RequestErrorKind::NotReady, detail).retry_after(UNREACHED_RETRY_AFTER)
+    RequestError::not_run(RequestErrorKind::NotReady, detail).retry_after(retry_after)
 }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -16,7 +16,7 @@
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use shallotdrum_allotments::ShardHints;
+use shallotdrum_allotments::{ServedTimes, ShardHints};
 use shallotdrum_control::ControlView;
 use shallotdrum_links::{Links, WitnessUse};
 use shallotdrum_owner::{CrashStatus, OwnerService, RunningGuard, SessionFn};
@@ -97,6 +97,7 @@
     pub(crate) cx: GatewayContext,
     pub(crate) places: PlaceClient,
     pub(crate) shard_hints: Mutex<ShardHints>,
+    pub(crate) served: Mutex<ServedTimes>,
     pub(crate) connections: ConnectionPool,
     /// Memory for bodies.
     pub(crate) memory: HeldMemory,
@@ -132,6 +133,8 @@
     possible_runs: u32,
     /// Number of attempts to send the request.
     sends: u32,
+    /// Time of the latest attempt.
+    pub(crate) sent_at: Option<Instant>,
     /// Id of the last event of the stream that the caller has received.
     pub(crate) resume_after: Option<String>,
     /// Check whether the target of the latest broken connection crashed.
@@ -181,6 +184,7 @@
             cx,
             places,
             shard_hints: Mutex::default(),
+            served: Mutex::default(),
             connections: connections.clone(),
             memory,
             budgets: Mutex::default(),
@@ -329,6 +333,7 @@
             avoid: Vec::new(),
             possible_runs: 0,
             sends: 0,
+            sent_at: None,
             crash_check: None,
             error_response: None,
         };
@@ -449,6 +454,9 @@
             let error = target_failed(format!("status {}", status.as_u16()));
             return AttemptOutcome::Failed(SendFailure::Failed, error);
         }
+        if status.is_success() {
+            self.record_served(run);
+        }
         self.cx.owner.complete_relayed(&running);
         place.end(PlaceEnd::Answered { prompt_tokens: 0, completion_tokens: 0 });
         AttemptOutcome::Answered(response)
@@ -495,6 +503,7 @@
         let target = granted.target.clone();
         let running = self.cx.owner.enter_relayed(granted, &run.req.id, run.identity.clone());
         let sent_at = Instant::now();
+        run.sent_at = Some(sent_at);
         let request = run.request(&self.cx.codec, &dispatch);
         let sent = async {
             match run.avoid.contains(&target) {
@@ -704,6 +713,7 @@
             avoid: std::mem::take(&mut self.avoid),
             possible_runs: self.possible_runs,
             sends: self.sends,
+            sent_at: self.sent_at,
             crash_check: None,
             resume_after: self.resume_after.take(),
             error_response: None,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -234,6 +234,7 @@
     fn complete(self, run: &RequestRun) {
         self.running.complete(Some(self.connection.opened_at()));
         self.connection.release();
+        self.gateway.record_served(run);
         self.gateway.cx.owner.complete_relayed(&self.running);
         let prompt_tokens = run.req.generation.as_ref().map_or(0, |g| g.prompt_tokens);
         self.place.end(PlaceEnd::Answered { prompt_tokens, completion_tokens: 0 });
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -202,6 +202,7 @@
         BODY_REFUSED = "N0441", Info, "request refused, as other bodies take the memory", "check the callers' connections if it persists; see shallotdrum_held_bytes";
         ALLOTMENT_REFUSED = "N0450", Info, "request refused: the allotment of its customer has no room", "none; see the section on status 429 in the operations manual";
         ALLOTMENT_UNREACHED = "N0451", Info, "cannot ask the owner of a share of a customer's allotment", "none, unless it persists; then check the instance that owns the group";
+        ALLOTMENT_WAIT_ENDED = "N0452", Info, "request refused: it cannot be charged to its customer's allotment in time to be served", "none, unless it persists; then check the owners of the customer's shares";
         REFUSED_FOR_GOOD = "N0433", Info, "request refused for good by a confirmed state", "compare the revision with the newest one, and the confirmation with the log of the leader of its term";
         KEY_REFUSED = "N0442", Info, "request refused: its caller has no key of a customer, or the key is not confirmed to be valid", "see \"a caller got 401\" in docs/OPERATIONS.md";
         ROUTES_CHANGED = "N0413", Info, "route table in force", "none";
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -153,6 +153,7 @@
     log_backlog: IntGauge, "shallotdrum_log_backlog", "Committed entries of the control log that are not applied, on a replica";
     allotment_admitted: IntCounter, "shallotdrum_allotment_admitted_total", "Requests of this entry that were charged to an allotment";
     allotment_refused: IntCounter, "shallotdrum_allotment_refused_total", "Requests of this entry that were refused with 429, as their allotment had no room";
+    allotment_unserved: IntCounter, "shallotdrum_allotment_unserved_total", "Requests of this entry that were refused with 503, as no share of their allotment could be charged in time to serve them";
     allotment_asked: IntCounter, "shallotdrum_allotment_asked_total", "Shards of allotments that this entry asked with a message of its own";
     allotment_refunds: IntCounter, "shallotdrum_allotment_refunds_total", "Charges that this owner returned to an allotment";
     is_leader: IntGauge, "shallotdrum_is_leader", "1 on the control leader, else 0";
