Reserve units at the share's owner until the place is granted

Cause: a request whose group has no share was charged before it queued. Its units counted on arrival and not when it ran, so that a customer with few shares exceeded its bound after a long queue. Units of requests that targets refused were lost.

Change: allotment_take takes an optional reservation with a time limit, the request's deadline. The new method allotment_settle confirms or returns it; what is neither counts as used at the limit. Owners of earlier releases ignore the reservation and take the units at once. N0453, O0354, O0355 and shallotdrum_allotment_expired_total are new.

AllotmentReply has a new field; the literal in decisions.rs follows, and its checks are the same.

--- a/crates/allotments/src/messages.rs
+++ b/crates/allotments/src/messages.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use shallotdrum_types::CustomerName;
+use shallotdrum_types::{CustomerName, ReservationId};
 
 /// Units to take from a customer's allotment.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -14,10 +14,19 @@
     pub units: u64,
 }
 
+/// How units are reserved for a request that waits for a place in another group.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Reservation {
+    /// Identifier of the reservation, unique within the session of the entry.
+    pub id: ReservationId,
+    /// Time until the units count as used if they are neither confirmed nor returned, in milliseconds.
+    pub left_ms: u64,
+}
+
 /// Response of a shard's owner to a charge.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct AllotmentReply {
-    /// Whether the units were taken.
+    /// Whether the units were taken, or reserved.
     pub granted: bool,
     /// Units in the bucket after the decision; negative after a request larger than the bucket.
     pub level: f64,
@@ -28,6 +37,10 @@
     /// Why the bucket has no room.
     #[serde(default)]
     pub lack: Lack,
+    /// Whether the units are reserved until the entry confirms or returns them; owners of earlier
+    /// releases take them at once.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_reserved: bool,
 }
 
 /// Why a bucket has no room.
@@ -45,12 +58,17 @@
 
 impl AllotmentReply {
     /// Refusal of an owner whose state does not have the group as a shard of the customer.
-    pub const NOT_A_SHARD: Self =
-        Self { granted: false, level: 0.0, room_after_ms: None, lack: Lack::Used };
+    pub const NOT_A_SHARD: Self = Self {
+        granted: false,
+        level: 0.0,
+        room_after_ms: None,
+        lack: Lack::Used,
+        is_reserved: false,
+    };
 
     /// Grant that leaves the bucket at a level.
     pub fn granted_at(level: f64) -> Self {
-        Self { granted: true, level, room_after_ms: None, lack: Lack::Used }
+        Self { granted: true, level, ..Self::NOT_A_SHARD }
     }
 
     /// Time until there is room, if the bucket had none.
--- a/crates/allotments/src/shares.rs
+++ b/crates/allotments/src/shares.rs
@@ -9,7 +9,9 @@
 use shallotdrum_routes::{Customer, RouteTable};
 use shallotdrum_types::{CustomerName, GroupId};
 
-use crate::{AllotmentReply, Bucket, Charge, Limits, shard_count, shards};
+use crate::{
+    AllotmentReply, Bucket, Charge, Limits, ReservationKey, Reserved, shard_count, shards,
+};
 
 /// Time after an instance first saw a group during which the first owner of a group begins with full
 /// buckets. A group that is added later takes over shards whose units may already be used.
@@ -44,7 +46,9 @@
     since: Instant,
     /// Whether the group had no owner before.
     is_first_owner: bool,
-    buckets: HashMap<CustomerName, Bucket>,
+    pub(crate) buckets: HashMap<CustomerName, Bucket>,
+    /// Units that entries have neither confirmed nor returned yet.
+    pub(crate) reservations: HashMap<ReservationKey, Reserved>,
 }
 
 impl AppliedAllotments {
@@ -97,7 +101,7 @@
 impl GroupShares {
     /// Shares of a group that an instance owns since `since`.
     pub fn new(group: GroupId, since: Instant, is_first_owner: bool) -> Self {
-        Self { group, since, is_first_owner, buckets: HashMap::new() }
+        Self { group, since, is_first_owner, buckets: HashMap::new(), reservations: HashMap::new() }
     }
 
     /// Takes the units of a request, if there is room for them.
@@ -158,6 +162,7 @@
             level: bucket.level(now),
             room_after_ms: Some(bucket.room_after(*units, now).as_millis() as u64),
             lack: bucket.lack(*units, now),
+            is_reserved: false,
         }
     }
 
@@ -170,6 +175,8 @@
     /// Drops the buckets of customers of which the group is a shard no more.
     pub fn retain_shards(&mut self, applied: &AppliedAllotments) {
         self.buckets.retain(|name, _| applied.limits(name, &self.group).is_some());
+        let buckets = &self.buckets;
+        self.reservations.retain(|_, known| buckets.contains_key(&known.charge.customer));
     }
 
     /// Bucket of a customer that has none here yet.
--- a/crates/allotments/tests/decisions.rs
+++ b/crates/allotments/tests/decisions.rs
@@ -147,7 +147,7 @@
     };
     assert_eq!(plan(&hints, 6, &[]), ChargeStep::Ask(&all[3]));
     let refusal =
-        |level| AllotmentReply { granted: false, level, room_after_ms: Some(1), lack: Lack::Used };
+        |level| AllotmentReply { level, room_after_ms: Some(1), ..AllotmentReply::NOT_A_SHARD };
     hints.record(&customer, &all[3], &refusal(5.0), now);
     hints.record(&customer, &all[5], &AllotmentReply::granted_at(50.0), now);
     assert_eq!(plan(&hints, 6, &all[3..4]), ChargeStep::Ask(&all[4]));
--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -1,9 +1,12 @@
 //! RPC methods that other instances call.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use jsonrpsee::core::async_trait;
-use shallotdrum_allotments::{AllotmentReply, Charge};
+use shallotdrum_allotments::{AllotmentReply, Charge, Reservation, Reserved};
 use shallotdrum_control::{Proposal, Reply};
 use shallotdrum_engine::{Announcement, CacheEvents, StreamOrigin};
 use shallotdrum_owner::{ChargeError, OwnerService, PlaceAdmission};
@@ -15,7 +18,7 @@
 };
 use shallotdrum_types::{
     Base64Bytes, CustomerName, Fingerprint, GroupId, Incarnation, InstanceId, LogIndex, PermitId,
-    RequestId, RequestIdentity, SessionId, TargetId,
+    RequestId, RequestIdentity, ReservationId, SessionId, TargetId,
 };
 
 use crate::replica::Replica;
@@ -145,17 +148,38 @@
 
     async fn take_allotment(
         &self,
-        _session: SessionId,
+        session: SessionId,
         request: RequestId,
         customer: CustomerName,
         units: u64,
         group: GroupId,
+        reservation: Option<Reservation>,
     ) -> Result<AllotmentReply, RpcError> {
         let charge = Charge { customer, units };
-        let reply = self.owner.take_allotment(&group, &request, &charge);
+        let reply = match reservation {
+            Some(Reservation { id, left_ms }) => {
+                let until = Instant::now() + Duration::from_millis(left_ms);
+                let reserved = Reserved { request, charge, until };
+                self.owner.reserve_allotment(&group, (session, id), reserved)
+            }
+            None => self.owner.take_allotment(&group, &request, &charge),
+        };
         reply.map_err(|_| RpcError::NotGroupOwner(group))
     }
 
+    async fn settle_allotment(
+        &self,
+        session: SessionId,
+        request: RequestId,
+        group: GroupId,
+        reservation: ReservationId,
+        is_used: bool,
+    ) -> Result<bool, RpcError> {
+        let key = (session, reservation);
+        let settled = self.owner.settle_allotment(&group, &request, &key, is_used);
+        settled.map_err(|_| RpcError::NotGroupOwner(group))
+    }
+
     async fn return_allotment(
         &self,
         _session: SessionId,
--- a/crates/gateway/src/allotments.rs
+++ b/crates/gateway/src/allotments.rs
@@ -2,13 +2,12 @@
 //!
 //! The units of a request are taken from one of the customer's shares, each of which the owner of a
 //! target group keeps. The request for a place carries the charge if its group has a share; otherwise
-//! another owner is asked before.
+//! the units are reserved at another owner before, and confirmed when there is a place (`charges`).
 //!
 //! Architecture Invariant: a caller's request is charged at most once, however often it is sent, and
 //! it gets status 429 only if every share that was asked or is known has no room.
 
 use std::{
-    net::SocketAddr,
     sync::{MutexGuard, PoisonError},
     time::Duration,
 };
@@ -20,15 +19,18 @@
 use shallotdrum_control::SESSION_LEASE;
 use shallotdrum_owner::{ChargeError, PlaceAdmission};
 use shallotdrum_routes::Allotment;
-use shallotdrum_rpc::{PeerApiClient, RpcError};
+use shallotdrum_rpc::PlaceEnd;
 use shallotdrum_telemetry::event;
-use shallotdrum_types::{GroupId, RequestError, RequestErrorKind, RequestId, SessionId};
+use shallotdrum_types::{GroupId, RequestError, RequestErrorKind, RequestId};
 use tokio::time::Instant;
 
-use crate::{Gateway, errors::timed_out_waiting, exchange::RequestRun, places::Place};
-
-/// Time without a reply after which another share is asked; many round trips.
-const ASK_TIMEOUT: Duration = Duration::from_millis(300);
+use crate::{
+    Gateway,
+    charges::{ReturnGuard, Share, Taken},
+    errors::timed_out_waiting,
+    exchange::RequestRun,
+    places::Place,
+};
 
 /// Interval at which a request looks for an owner while no share has one. It reads the state of this
 /// instance only.
@@ -45,11 +47,8 @@
 /// callers do not return together.
 const MAX_OWNER_SPREAD: Duration = Duration::from_secs(1);
 
-/// Group whose owner keeps a share, with its owner and the owner's address.
-type Share = (GroupId, SessionId, SocketAddr);
-
 /// Shares of a customer's allotment, by the state of this instance.
-struct Shares {
+pub(crate) struct Shares {
     limits: Limits,
     /// Those that have an owner.
     owned: Vec<Share>,
@@ -69,23 +68,6 @@
     retry_after: Duration,
 }
 
-/// Returns units that were taken for a request which gets no place, when dropped.
-struct ReturnGuard<'a> {
-    gateway: &'a Gateway,
-    request: &'a RequestId,
-    share: Share,
-    charge: Charge,
-    is_used: bool,
-}
-
-impl Drop for ReturnGuard<'_> {
-    fn drop(&mut self) {
-        if !self.is_used {
-            self.gateway.return_units(self.request, &self.share, &self.charge);
-        }
-    }
-}
-
 impl Gateway {
     fn shard_hints(&self) -> MutexGuard<'_, ShardHints> {
         self.shard_hints.lock().unwrap_or_else(PoisonError::into_inner)
@@ -111,24 +93,30 @@
         }
     }
 
-    /// Waits for a place at a target. The request is charged before, unless it is already.
+    /// Waits for a place at a target, and charges the request for it unless it is charged already.
     pub(crate) async fn take_charged_place(
         &self,
         run: &RequestRun,
         admission: PlaceAdmission,
-    ) -> Result<Place, RequestError> {
-        let Some(customer) = &run.customer else {
-            return self.places.take(&run.pool, admission, run.deadline).await;
-        };
-        match customer.allotment.filter(|_| !run.is_charged) {
-            Some(allotment) => {
+    ) -> Result<(Place, Option<Taken>), RequestError> {
+        let allotment = run.customer.as_ref().and_then(|customer| customer.allotment);
+        match (&run.customer, allotment.filter(|_| !run.is_charged)) {
+            (Some(customer), Some(allotment)) => {
                 let generation = run.req.generation.as_ref();
                 let tokens = generation.map(|g| g.prompt_tokens.saturating_add(g.max_tokens));
                 let units = units(&allotment, tokens);
                 let charge = Charge { customer: customer.name.clone(), units };
-                self.take_charged(run, admission, &allotment, &charge).await
+                let placed = self.take_charged(run, admission, &allotment, &charge).await;
+                placed.map(|(place, taken)| (place, Some(taken)))
+            }
+            (customer, _) => {
+                let place = self.places.take(&run.pool, admission, run.deadline).await;
+                let place = match customer {
+                    Some(_) => place.map_err(busy),
+                    None => place,
+                };
+                place.map(|place| (place, None))
             }
-            None => self.places.take(&run.pool, admission, run.deadline).await.map_err(busy),
         }
     }
 
@@ -138,10 +126,43 @@
         admission: PlaceAdmission,
         allotment: &Allotment,
         charge: &Charge,
-    ) -> Result<Place, RequestError> {
+    ) -> Result<(Place, Taken), RequestError> {
+        let mut has_lost = false;
+        loop {
+            let taken = match self.charge(run, &admission, allotment, charge, has_lost).await? {
+                (Some(place), taken) => return Ok((place, taken)),
+                (None, taken) => taken,
+            };
+            let units = ReturnGuard::new(self, &run.req.id, taken);
+            let placed = self.places.take(&run.pool, admission.clone(), run.deadline).await;
+            let place = placed.map_err(busy)?;
+            if let Some(taken) = units.confirm().await {
+                return Ok((place, taken));
+            }
+            // The share has another owner, or cannot be reached.
+            if let Some(taken) = self.charge_placed(run, allotment, charge).await {
+                return Ok((place, taken));
+            }
+            place.end(PlaceEnd::Cancelled);
+            has_lost = true;
+        }
+    }
+
+    /// Charges a request, together with its place if its group has a share with room.
+    ///
+    /// One that `has_lost` units which were reserved for it is within its allotment.
+    async fn charge(
+        &self,
+        run: &RequestRun,
+        admission: &PlaceAdmission,
+        allotment: &Allotment,
+        charge: &Charge,
+        has_lost: bool,
+    ) -> Result<(Option<Place>, Taken), RequestError> {
         let mut asked: Vec<GroupId> = Vec::new();
-        let share = loop {
-            if Instant::now() >= run.deadline {
+        loop {
+            let now = Instant::now();
+            if now >= run.deadline {
                 return Err(timed_out_waiting());
             }
             // Another entry may be able to ask.
@@ -149,13 +170,16 @@
                 return Err(unreached(charge, NO_SESSION_RETRY_AFTER));
             }
             let shares = self.shares(allotment, charge);
-            let own = self.places.choose_group(&run.pool, &admission).ok();
+            let own = self.places.choose_group(&run.pool, admission).ok();
             let own_group = own.as_ref().map(|chosen| &chosen.group);
-            let (group, owner, addr) = match self.plan(&shares, charge, own_group, &asked) {
+            let share = match self.plan(&shares, charge, own_group, &asked) {
                 ChargeStep::Ask(group) => match shares.owner(group) {
                     Some(share) => share.clone(),
                     None => return Err(unreached(charge, self.next_owner_after(&shares, charge))),
                 },
+                ChargeStep::NoRoom(room_after) if has_lost => {
+                    return Err(unreached(charge, spread_delay(room_after, rand::random())));
+                }
                 ChargeStep::NoRoom(room_after) => {
                     return Err(self.refuse(run, charge, room_after, asked.len()));
                 }
@@ -190,28 +214,21 @@
                     continue;
                 }
             };
-            asked.push(group.clone());
-            let share = (group, owner, addr);
+            asked.push(share.0.clone());
             let Some(chosen) = own.filter(|chosen| chosen.group == share.0) else {
-                match self.ask(&run.req.id, &share, charge).await {
-                    true => break share,
-                    false => continue,
+                let left = run.deadline.saturating_duration_since(now);
+                match self.ask(&run.req.id, &share, charge, Some(left)).await {
+                    Some(taken) => return Ok((None, taken)),
+                    None => continue,
                 }
             };
-            let placed = self.places.take_charged(
-                &run.pool,
-                chosen,
-                admission.clone(),
-                charge.clone(),
-                run.deadline,
-            );
+            let (admission, deadline) = (admission.clone(), run.deadline);
+            let placed =
+                self.places.take_charged(&run.pool, chosen, admission, charge.clone(), deadline);
             match placed.await {
                 Ok((place, reply)) => {
                     self.record(charge, &share.0, &reply);
-                    match place {
-                        Some(place) => return Ok(place),
-                        None => break share,
-                    }
+                    return Ok((place, Taken::now(share, charge.clone())));
                 }
                 Err(ChargeError::NoRoom(reply)) => {
                     self.record(charge, &share.0, &reply);
@@ -221,17 +238,7 @@
                 }
                 Err(ChargeError::NoPlace(error)) => return Err(busy(error)),
             }
-        };
-        let mut taken = ReturnGuard {
-            gateway: self,
-            request: &run.req.id,
-            share,
-            charge: charge.clone(),
-            is_used: false,
-        };
-        let place = self.places.take(&run.pool, admission, run.deadline).await.map_err(busy)?;
-        taken.is_used = true;
-        Ok(place)
+        }
     }
 
     /// Waits until a request is charged again, or refuses it if it could not be served after the wait.
@@ -277,7 +284,7 @@
     }
 
     /// Shares of the customer's allotment, by the state of this instance.
-    fn shares(&self, allotment: &Allotment, charge: &Charge) -> Shares {
+    pub(crate) fn shares(&self, allotment: &Allotment, charge: &Charge) -> Shares {
         self.cx.view.read(|state| {
             let groups: Vec<&GroupId> = state.groups().map(|group| &group.id).collect();
             let count = shard_count(allotment, groups.len());
@@ -291,7 +298,7 @@
         })
     }
 
-    fn plan<'a>(
+    pub(crate) fn plan<'a>(
         &self,
         shares: &'a Shares,
         charge: &Charge,
@@ -310,37 +317,8 @@
         plan_charge(&request, &self.shard_hints(), Instant::now().into_std(), rand::random())
     }
 
-    /// Asks the owner of a share for the units; returns whether they were taken.
-    async fn ask(&self, request: &RequestId, share: &Share, charge: &Charge) -> bool {
-        let (group, owner, addr) = share;
-        let Some(session) = (self.cx.session)() else {
-            self.record_unreached(request, share, charge, &"this instance has no session");
-            return false;
-        };
-        if *owner == session {
-            return match self.cx.owner.take_allotment(group, request, charge) {
-                Ok(reply) => self.record(charge, group, &reply),
-                Err(error) => self.record_unreached(request, share, charge, &error),
-            };
-        }
-        self.cx.metrics.allotment_asked().inc();
-        let Charge { customer, units } = charge.clone();
-        let asked = async {
-            let client = self.cx.peers.get(*addr)?;
-            let reply =
-                client.take_allotment(session, request.clone(), customer, units, group.clone());
-            Ok::<_, RpcError>(reply.await?)
-        };
-        match tokio::time::timeout(ASK_TIMEOUT, asked).await {
-            Ok(Ok(reply)) => self.record(charge, group, &reply),
-            Ok(Err(error)) => self.record_unreached(request, share, charge, &error),
-            // The units may have been taken; they are not returned then.
-            Err(_) => self.record_unreached(request, share, charge, &"timed out"),
-        }
-    }
-
-    /// Records the reply of a share's owner; returns whether the units were taken.
-    fn record(&self, charge: &Charge, group: &GroupId, reply: &AllotmentReply) -> bool {
+    /// Records the reply of a share's owner; returns whether the units were given.
+    pub(crate) fn record(&self, charge: &Charge, group: &GroupId, reply: &AllotmentReply) -> bool {
         if reply.granted {
             self.cx.metrics.allotment_admitted().inc();
         }
@@ -349,35 +327,17 @@
         reply.granted
     }
 
-    fn record_unreached(
+    pub(crate) fn record_unreached(
         &self,
         request: &RequestId,
         (group, _, addr): &Share,
         charge: &Charge,
         error: &dyn std::fmt::Display,
-    ) -> bool {
+    ) {
         event!(self.cx.log, ALLOTMENT_UNREACHED; "request" => %request, "group" => %group,
             "customer" => %charge.customer, "owner" => %addr, "error" => %error);
         let now = Instant::now().into_std();
         self.shard_hints().record_unreached(&charge.customer, group, now);
-        false
-    }
-
-    fn return_units(&self, request: &RequestId, (group, owner, addr): &Share, charge: &Charge) {
-        let Some(session) = (self.cx.session)() else { return };
-        if *owner == session {
-            // A share that changed its owner does not get the units back.
-            let _ = self.cx.owner.return_allotment(group, request, charge);
-            return;
-        }
-        let Ok(client) = self.cx.peers.get(*addr) else { return };
-        let (request, group, Charge { customer, units }) =
-            (request.clone(), group.clone(), charge.clone());
-        tokio::spawn(async move {
-            let returned = client.return_allotment(session, request, customer, units, group);
-            // Units are lost if this fails, which only delays later requests of the customer.
-            let _ = tokio::time::timeout(ASK_TIMEOUT, returned).await;
-        });
     }
 
     fn refuse(
@@ -404,7 +364,7 @@
         self.owned.iter().map(|(group, ..)| group).collect()
     }
 
-    fn owner(&self, group: &GroupId) -> Option<&Share> {
+    pub(crate) fn owner(&self, group: &GroupId) -> Option<&Share> {
         self.owned.iter().find(|(id, ..)| id == group)
     }
 }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -7,7 +7,7 @@
     collections::HashMap,
     sync::{
         Arc, Mutex, PoisonError,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -36,6 +36,7 @@
     Access, CallerRequest, Dispatch, EntryCount, Framing, GatewayResponse, Generation, HeaderCodec,
     HeldMemory, RetryAllowance, RetryBudget, RevocationBound,
     body::{BodyError, discard},
+    charges::Taken,
     connections::{Connection, ConnectionPool, SendError, response_headers},
     continuation::check_head,
     decision::{RequestProgress, RetryDecision, SendFailure, decide_retry},
@@ -98,6 +99,7 @@
     pub(crate) places: PlaceClient,
     pub(crate) shard_hints: Mutex<ShardHints>,
     pub(crate) served: Mutex<ServedTimes>,
+    pub(crate) next_reservation: AtomicU64,
     pub(crate) connections: ConnectionPool,
     /// Memory for bodies.
     pub(crate) memory: HeldMemory,
@@ -122,6 +124,8 @@
     forwards_credentials: bool,
     /// Whether the customer's allotment was charged.
     pub(crate) is_charged: bool,
+    /// Units that were taken from the allotment.
+    pub(crate) taken: Option<Taken>,
     pub(crate) route: Route,
     pub(crate) pool: PoolId,
     /// Revision of the route table that selected the pool.
@@ -185,6 +189,7 @@
             places,
             shard_hints: Mutex::default(),
             served: Mutex::default(),
+            next_reservation: AtomicU64::new(1),
             connections: connections.clone(),
             memory,
             budgets: Mutex::default(),
@@ -324,6 +329,7 @@
             permitted,
             software,
             is_charged: false,
+            taken: None,
             req,
             customer: access.customer().cloned(),
             forwards_credentials: access == Access::Unchecked,
@@ -346,9 +352,13 @@
             let (failure, error) = match self.attempt(&mut run).await {
                 AttemptOutcome::Answered(response) => return Ok(response),
                 AttemptOutcome::Failed(failure, error) => (failure, error),
-                AttemptOutcome::NoPlace(error) => return run.give_up(error),
+                AttemptOutcome::NoPlace(error) => {
+                    self.return_unused(&mut run);
+                    return run.give_up(error);
+                }
             };
             if !self.may_resend(&mut run, failure).await {
+                self.return_unused(&mut run);
                 return run.give_up(error);
             }
         }
@@ -706,6 +716,7 @@
             customer: self.customer.clone(),
             forwards_credentials: self.forwards_credentials,
             is_charged: self.is_charged,
+            taken: None,
             route: self.route.clone(),
             pool: self.pool.clone(),
             revision: self.revision,
--- a/crates/gateway/src/grant.rs
+++ b/crates/gateway/src/grant.rs
@@ -46,12 +46,15 @@
                     continue;
                 }
             };
+            let (taken, units) = taken;
             run.is_charged = run.customer.is_some();
+            run.taken = units.or(run.taken.take());
             let witness = self.witness(run, &taken).await;
             // The grant and the witness take a while, and the newest version may arrive with them.
             if self.adapter_version(run) != version {
                 self.log_queued_again(run, version, Some(&taken));
                 taken.end(PlaceEnd::Cancelled);
+                self.return_unused(run);
                 continue;
             }
             let version = version_name(version);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,7 +12,7 @@
 //! `limits` keeps the limits that targets name, `withheld` the targets that ask for no
 //! requests, `origin` finds the version of a stream that a caller takes up, and `decision` holds the
 //! retry rules. `customers` decides by the caller's key, which `credentials` reads, and `allotments` charges
-//! requests to the allotments of customers. `fingerprint` recognises repeats of a request, and `crash` those
+//! requests to the allotments of customers, and `charges` keeps what they were given until it is known whether they ran. `fingerprint` recognises repeats of a request, and `crash` those
 //! that crash targets.
 //!
 //! Architecture Invariant: an at-most-once request is sent to a second target only if no byte of
@@ -22,6 +22,7 @@
 mod body;
 mod body_end;
 mod budget;
+mod charges;
 mod connections;
 mod continuation;
 mod crash;
--- a/crates/owner/src/allotments.rs
+++ b/crates/owner/src/allotments.rs
@@ -3,6 +3,9 @@
 //! A bucket belongs to an owned group and is dropped with it, so the next owner begins with an empty
 //! one. The limits of a bucket are those of the route table that this instance has applied.
 //!
+//! Units for a request of another group are reserved until its entry confirms or returns them. Those whose
+//! time limit passes count as used.
+//!
 //! Architecture Invariant: units are taken only while the lease of the session that owns the group
 //! is valid, so at each time at most one instance gives away the units of a shard.
 
@@ -11,7 +14,9 @@
     time::Instant,
 };
 
-use shallotdrum_allotments::{AllotmentReply, AppliedAllotments, Charge, GroupShares};
+use shallotdrum_allotments::{
+    AllotmentReply, AppliedAllotments, Charge, GroupShares, ReservationKey, Reserved, Settled,
+};
 use shallotdrum_engine::GrantedPlace;
 use shallotdrum_telemetry::event;
 use shallotdrum_types::{GroupId, RequestError, RequestId};
@@ -63,13 +68,58 @@
         self.decide(&owned, request, charge, GroupShares::charge)
     }
 
+    /// Reserves units of a customer for a request that waits for a place in another group.
+    pub fn reserve_allotment(
+        &self,
+        group: &GroupId,
+        key: ReservationKey,
+        reserved: Reserved,
+    ) -> Result<AllotmentReply, RequestError> {
+        let owned = self.owned(group)?;
+        let Reserved { request, charge, .. } = reserved.clone();
+        self.decide(&owned, &request, &charge, |shares, applied, _, now| {
+            shares.hold(applied, key, reserved, now)
+        })
+    }
+
+    /// Takes the units of a reservation, or releases them; returns whether it existed.
+    pub fn settle_allotment(
+        &self,
+        group: &GroupId,
+        request: &RequestId,
+        key: &ReservationKey,
+        is_used: bool,
+    ) -> Result<bool, RequestError> {
+        let owned = self.owned(group)?;
+        let settled = owned.shares().settle(key, is_used, Instant::now());
+        let Some(Settled { charge, level }) = settled else { return Ok(false) };
+        event!(self.cx.log, ALLOTMENT_SETTLED; "request" => %request, "group" => %owned.id,
+            "customer" => %charge.customer, "units" => charge.units, "used" => is_used,
+            "level" => level);
+        if !is_used {
+            self.cx.metrics.allotment_refunds().inc();
+        }
+        Ok(true)
+    }
+
+    /// Counts reserved units as used whose time limit has passed.
+    fn expire_reservations(&self, group: &OwnedGroup, now: Instant) {
+        // The guard of the lock is not kept while the lines are written.
+        let expired = group.shares().expire_reservations(now);
+        for Reserved { request, charge, .. } in expired {
+            self.cx.metrics.allotment_expired().inc();
+            event!(self.cx.log, ALLOTMENT_EXPIRED; "request" => %request, "group" => %group.id,
+                "customer" => %charge.customer, "units" => charge.units);
+        }
+    }
+
     /// Charges a request, under a valid lease only.
     fn decide(
         &self,
         owned: &OwnedGroup,
         request: &RequestId,
         charge: &Charge,
-        take: fn(&mut GroupShares, &AppliedAllotments, &Charge, Instant) -> AllotmentReply,
+        take: impl FnOnce(&mut GroupShares, &AppliedAllotments, &Charge, Instant) -> AllotmentReply,
     ) -> Result<AllotmentReply, RequestError> {
         let now = Instant::now();
         self.check_owned(owned)?;
@@ -78,6 +128,7 @@
         drop(applied);
         event!(self.cx.log, ALLOTMENT_DECIDED; "request" => %request, "group" => %owned.id,
             "customer" => %charge.customer, "units" => charge.units, "granted" => reply.granted,
+            "reserved" => reply.is_reserved,
             "level" => reply.level, "room_after_ms" => reply.room_after_ms,
             "lack" => ?reply.lack, "index" => self.cx.view.applied().0);
         Ok(reply)
@@ -132,9 +183,13 @@
     }
 
     /// Follows the applied table and groups, so that a group which becomes a shard begins with what
-    /// has accrued since.
+    /// has accrued since, and ends reservations whose time limit has passed.
     pub(crate) fn update_allotments(&self) {
-        drop(self.current_allotments(Instant::now()));
+        let now = Instant::now();
+        drop(self.current_allotments(now));
+        for group in self.owned_groups() {
+            self.expire_reservations(&group, now);
+        }
     }
 
     /// Allotments of the state that this instance has applied. A change is told only once, to the caller
--- a/crates/rpc/src/api.rs
+++ b/crates/rpc/src/api.rs
@@ -1,13 +1,13 @@
 //! JSON-RPC methods that each instance serves on its RPC address.
 
 use jsonrpsee::proc_macros::rpc;
-use shallotdrum_allotments::AllotmentReply;
+use shallotdrum_allotments::{AllotmentReply, Reservation};
 use shallotdrum_control::{Proposal, Reply};
 use shallotdrum_engine::{Announcement, CacheEvents, StreamOrigin};
 use shallotdrum_routes::RouteTable;
 use shallotdrum_types::{
     AdapterId, Base64Bytes, CustomerName, Fingerprint, GroupId, Incarnation, InstanceId, LogIndex,
-    PermitId, RequestId, Revision, SessionId, SubmissionId, TargetId,
+    PermitId, RequestId, ReservationId, Revision, SessionId, SubmissionId, TargetId,
 };
 
 use crate::{
@@ -81,7 +81,8 @@
     async fn take_place(&self, request: PlaceRequest) -> Result<PlaceReply, RpcError>;
 
     /// Takes units of a customer from the share of its allotment that belongs to a group; served by the
-    /// group's owner. The session is that of the entry that asks.
+    /// group's owner. The session is that of the entry that asks. With a reservation, the units are kept
+    /// until `allotment_settle`; owners of earlier releases take them at once, as they do without one.
     #[method(name = "allotment_take")]
     async fn take_allotment(
         &self,
@@ -90,8 +91,21 @@
         customer: CustomerName,
         units: u64,
         group: GroupId,
+        reservation: Option<Reservation>,
     ) -> Result<AllotmentReply, RpcError>;
 
+    /// Takes the units of a reservation, or releases them; `false` if there is no such reservation any
+    /// more. Served by the group's owner; those of earlier releases have no reservations.
+    #[method(name = "allotment_settle")]
+    async fn settle_allotment(
+        &self,
+        session: SessionId,
+        request: RequestId,
+        group: GroupId,
+        reservation: ReservationId,
+        is_used: bool,
+    ) -> Result<bool, RpcError>;
+
     /// Returns units that were taken for a request which got no place; served by the group's owner.
     #[method(name = "allotment_return")]
     async fn return_allotment(
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -152,6 +152,8 @@
         ENGINE_INSPECTED = "O0321", Info, "engine reported its loaded adapters", "none";
         ALLOTMENT_DECIDED = "O0352", Info, "units of a customer's allotment taken, or refused for lack of room", "none";
         ALLOTMENT_RETURNED = "O0353", Info, "units returned to a customer's allotment: the request got no place", "none";
+        ALLOTMENT_SETTLED = "O0354", Info, "reservation of units confirmed, or returned", "none";
+        ALLOTMENT_EXPIRED = "O0355", Info, "reserved units count as used: they were neither confirmed nor returned by the deadline of their request", "none, unless it persists; then check the network between the instances";
         PLACE_WITHOUT_OWNER = "O0323", Info, "request sent to a target without a place from the group's owner", "none, unless it persists; then check the instance that owned the group";
         PLACE_END_LOST = "O0320", Debug, "cannot report the end of a place; the place expires at its deadline", "none";
         PLACE_REFUSED = "O0316", Info, "place at a target refused; the request was not run", "compare the detail with the load of the group";
@@ -203,6 +205,7 @@
         ALLOTMENT_REFUSED = "N0450", Info, "request refused: the allotment of its customer has no room", "none; see the section on status 429 in the operations manual";
         ALLOTMENT_UNREACHED = "N0451", Info, "cannot ask the owner of a share of a customer's allotment", "none, unless it persists; then check the instance that owns the group";
         ALLOTMENT_WAIT_ENDED = "N0452", Info, "request refused: it cannot be charged to its customer's allotment in time to be served", "none, unless it persists; then check the owners of the customer's shares";
+        ALLOTMENT_UNCONFIRMED = "N0453", Info, "reserved units cannot be confirmed; charging the request to another share", "none, unless it persists; then check the instance that owns the group";
         REFUSED_FOR_GOOD = "N0433", Info, "request refused for good by a confirmed state", "compare the revision with the newest one, and the confirmation with the log of the leader of its term";
         KEY_REFUSED = "N0442", Info, "request refused: its caller has no key of a customer, or the key is not confirmed to be valid", "see \"a caller got 401\" in docs/OPERATIONS.md";
         ROUTES_CHANGED = "N0413", Info, "route table in force", "none";
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -155,6 +155,7 @@
     allotment_refused: IntCounter, "shallotdrum_allotment_refused_total", "Requests of this entry that were refused with 429, as their allotment had no room";
     allotment_unserved: IntCounter, "shallotdrum_allotment_unserved_total", "Requests of this entry that were refused with 503, as no share of their allotment could be charged in time to serve them";
     allotment_asked: IntCounter, "shallotdrum_allotment_asked_total", "Shards of allotments that this entry asked with a message of its own";
+    allotment_expired: IntCounter, "shallotdrum_allotment_expired_total", "Reservations of units that this owner counted as used, as they were neither confirmed nor returned";
     allotment_refunds: IntCounter, "shallotdrum_allotment_refunds_total", "Charges that this owner returned to an allotment";
     is_leader: IntGauge, "shallotdrum_is_leader", "1 on the control leader, else 0";
 }
--- a/crates/types/src/ids.rs
+++ b/crates/types/src/ids.rs
@@ -48,6 +48,11 @@
     pub struct PermitId(u64);
 }
 
+id_type! {
+    /// Identifies a reservation of units of an allotment; unique within the session of its entry.
+    pub struct ReservationId(u64);
+}
+
 id_type! {
     /// Time of the control log in milliseconds, advanced by the leader's monotonic clock.
     pub struct ControlTimeMs(u64);
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -25,7 +25,7 @@
 pub use identity::RequestIdentity;
 pub use ids::{
     ControlFormat, ControlTimeMs, Epoch, Incarnation, LogIndex, ParseIdError, PermitId, ProposalId,
-    Revision, SessionId, Term,
+    ReservationId, Revision, SessionId, Term,
 };
 pub use model::{AdapterRef, GroupId, ModelName, ParseGroupIdError, ParseModelNameError};
 pub use names::{
