Measure what is refused after the takeover of a share

Cause: a bucket begins empty after a takeover, and no test said what that costs callers.

Change: takeover_refusals in crates/allotments/tests/bounds.rs counts the requests within the allotment that are not served within 3 s, of those sent in the 8 s after the owner of a share is lost. Where a bucket begins is unchanged.

--- a/crates/allotments/tests/bounds.rs
+++ b/crates/allotments/tests/bounds.rs
@@ -21,7 +21,7 @@
 const LEASE: Duration = Duration::from_millis(2_700);
 /// Interval at which an entry looks for an owner.
 const POLL_INTERVAL: Duration = Duration::from_millis(40);
-/// Time that a caller waits for an owner.
+/// Time that a caller waits for an owner, if a test has no other.
 const PATIENCE: Duration = Duration::from_secs(10);
 
 /// Group with the instance that owns it.
@@ -44,6 +44,8 @@
     admitted: Vec<(Instant, u64)>,
     /// Messages besides the requests for places.
     messages: usize,
+    /// Time that a caller waits for an owner.
+    patience: Duration,
 }
 
 /// Request that has no place yet.
@@ -103,6 +105,7 @@
             entries: (0..ENTRIES).map(|_| ShardHints::default()).collect(),
             admitted: Vec::new(),
             messages: 0,
+            patience: PATIENCE,
         };
         (0..groups).for_each(|n| deployment.add_group(n, true));
         deployment
@@ -211,7 +214,7 @@
                 tally.within += usize::from(is_within);
                 let entry = self.rng.random_range(0..entries);
                 requests.push(Request {
-                    until: now + PATIENCE,
+                    until: now + self.patience,
                     next: now,
                     entry,
                     units,
@@ -343,3 +346,36 @@
     println!("after the flood: {after:?}");
     assert!(after.within_served as f64 >= 0.95 * after.within as f64, "{after:?}");
 }
+
+/// Time that a caller waits in `takeover_refusals`: about a lease.
+const SHORT_PATIENCE: Duration = Duration::from_secs(3);
+
+/// Guards against requests within the allotment that are refused, or wait for too long, in the 8 s after the
+/// owner of a share is lost.
+#[rstest]
+#[case::smallest_one_shard(4_200.0, 33_600.0, 0.55, 0.2)]
+#[case::smallest_one_shard_busy(4_200.0, 33_600.0, 0.9, 0.28)]
+#[case::large(120_000.0, 400_000.0, 0.55, 0.0)]
+#[case::large_busy(120_000.0, 400_000.0, 0.9, 0.0)]
+fn takeover_refusals(#[case] rate: f64, #[case] burst: f64, #[case] load: f64, #[case] most: f64) {
+    let allotment = tokens(rate, burst);
+    let (mut within, mut served) = (0, 0);
+    for seed in 1..=40 {
+        let mut deployment = Deployment::new(seed, allotment, 10);
+        deployment.patience = SHORT_PATIENCE;
+        let mut single = Bucket::full(Limits::share(&allotment, 1), deployment.now);
+        deployment.run(Duration::from_secs(20), load, ENTRIES, &mut single);
+        let groups: Vec<GroupId> = (0..10).map(group).collect();
+        let first = shards(&"c".parse().unwrap(), &groups)[0].clone();
+        let lost = deployment.owners.iter().position(|owner| owner.group == first).unwrap();
+        deployment.fail(lost);
+        let tally = deployment.run(WINDOW, load, ENTRIES, &mut single);
+        within += tally.within;
+        served += tally.within_served;
+        let (from, to) = (deployment.start, deployment.now + STEP);
+        assert!(deployment.largest_share_of_bound(allotment, from, to) <= 1.0);
+    }
+    let refused = (within - served) as f64 / within as f64;
+    println!("{refused} refused: {served} of {within} served");
+    assert!(refused <= most, "{refused}");
+}
