--- a/crates/daemon/src/place_channel.rs
+++ b/crates/daemon/src/place_channel.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use futures_util::FutureExt;
+use shallotdrum_allotments::{AllotmentReply, Reservation};
 use shallotdrum_owner::Upgrade;
 use shallotdrum_rpc::{
     AllotmentCall, AllotmentStep, ChannelHandlers, PLACES_PATH, PeerApiServer, PlaceServer,
@@ -30,10 +31,27 @@
             async move {
                 let AllotmentCall { session, request, customer, units, group, step } = call;
                 match step {
-                    AllotmentStep::Take => {
-                        let taken =
-                            peer.take_allotment(session, request, customer, units, group).await;
-                        taken.map(Some)
+                    AllotmentStep::Take | AllotmentStep::Reserve { .. } => {
+                        let reservation = match step {
+                            AllotmentStep::Reserve { id, left_ms } => {
+                                Some(Reservation { id, left_ms })
+                            }
+                            _ => None,
+                        };
+                        let taken = peer.take_allotment(
+                            session,
+                            request,
+                            customer,
+                            units,
+                            group,
+                            reservation,
+                        );
+                        taken.await.map(Some)
+                    }
+                    AllotmentStep::Settle { id, is_used } => {
+                        let settled =
+                            peer.settle_allotment(session, request, group, id, is_used).await?;
+                        Ok(Some(AllotmentReply { granted: settled, ..AllotmentReply::NOT_A_SHARD }))
                     }
                     AllotmentStep::Return => {
                         let returned =
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -7,7 +7,7 @@
     collections::HashMap,
     sync::{
         Arc, Mutex, PoisonError,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -16,7 +16,7 @@
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use shallotdrum_allotments::ShardHints;
+use shallotdrum_allotments::{ServedTimes, ShardHints};
 use shallotdrum_control::ControlView;
 use shallotdrum_links::{Links, WitnessUse};
 use shallotdrum_owner::{CrashStatus, OwnerService, RunningGuard, SessionFn};
@@ -36,6 +36,7 @@
     Access, CallerRequest, Dispatch, EntryCount, Framing, GatewayResponse, Generation, HeaderCodec,
     HeldMemory, RetryAllowance, RetryBudget, RevocationBound,
     body::{BodyError, discard},
+    charges::Taken,
     connections::{Connection, ConnectionPool, SendError, response_headers},
     continuation::check_head,
     decision::{RequestProgress, RetryDecision, SendFailure, decide_retry},
@@ -99,6 +100,8 @@
     pub(crate) cx: GatewayContext,
     pub(crate) places: PlaceClient,
     pub(crate) shard_hints: Mutex<ShardHints>,
+    pub(crate) served: Mutex<ServedTimes>,
+    pub(crate) next_reservation: AtomicU64,
     pub(crate) connections: ConnectionPool,
     /// Memory for bodies.
     pub(crate) memory: HeldMemory,
@@ -123,6 +126,8 @@
     forwards_credentials: bool,
     /// Whether the customer's allotment was charged.
     pub(crate) is_charged: bool,
+    /// Units that were taken from the allotment.
+    pub(crate) taken: Option<Taken>,
     pub(crate) route: Route,
     pub(crate) pool: PoolId,
     /// Revision of the route table that selected the pool.
@@ -134,6 +139,8 @@
     possible_runs: u32,
     /// Number of attempts to send the request.
     sends: u32,
+    /// Time of the latest attempt.
+    pub(crate) sent_at: Option<Instant>,
     /// Id of the last event of the stream that the caller has received.
     pub(crate) resume_after: Option<String>,
     /// Check whether the target of the latest broken connection crashed.
@@ -184,6 +191,8 @@
             cx,
             places,
             shard_hints: Mutex::default(),
+            served: Mutex::default(),
+            next_reservation: AtomicU64::new(1),
             connections: connections.clone(),
             memory,
             budgets: Mutex::default(),
@@ -323,6 +332,7 @@
             permitted,
             software,
             is_charged: false,
+            taken: None,
             req,
             customer: access.customer().cloned(),
             forwards_credentials: access == Access::Unchecked,
@@ -332,6 +342,7 @@
             avoid: Vec::new(),
             possible_runs: 0,
             sends: 0,
+            sent_at: None,
             crash_check: None,
             error_response: None,
         };
@@ -344,9 +355,13 @@
             let (failure, error) = match self.attempt(&mut run).await {
                 AttemptOutcome::Answered(response) => return Ok(response),
                 AttemptOutcome::Failed(failure, error) => (failure, error),
-                AttemptOutcome::NoPlace(error) => return run.give_up(error),
+                AttemptOutcome::NoPlace(error) => {
+                    self.return_unused(&mut run);
+                    return run.give_up(error);
+                }
             };
             if !self.may_resend(&mut run, failure).await {
+                self.return_unused(&mut run);
                 return run.give_up(error);
             }
         }
@@ -452,6 +467,9 @@
             let error = target_failed(format!("status {}", status.as_u16()));
             return AttemptOutcome::Failed(SendFailure::Failed, error);
         }
+        if status.is_success() {
+            self.record_served(run);
+        }
         self.cx.owner.complete_relayed(&running);
         place.end(PlaceEnd::Answered { prompt_tokens: 0, completion_tokens: 0 });
         AttemptOutcome::Answered(response)
@@ -498,6 +516,7 @@
         let target = granted.target.clone();
         let running = self.cx.owner.enter_relayed(granted, &run.req.id, run.identity.clone());
         let sent_at = Instant::now();
+        run.sent_at = Some(sent_at);
         let request = run.request(&self.cx.codec, &dispatch);
         let sent = async {
             match run.avoid.contains(&target) {
@@ -700,6 +719,7 @@
             customer: self.customer.clone(),
             forwards_credentials: self.forwards_credentials,
             is_charged: self.is_charged,
+            taken: None,
             route: self.route.clone(),
             pool: self.pool.clone(),
             revision: self.revision,
@@ -707,6 +727,7 @@
             avoid: std::mem::take(&mut self.avoid),
             possible_runs: self.possible_runs,
             sends: self.sends,
+            sent_at: self.sent_at,
             crash_check: None,
             resume_after: self.resume_after.take(),
             error_response: None,
--- a/crates/rpc/src/place_channel/messages.rs
+++ b/crates/rpc/src/place_channel/messages.rs
@@ -15,7 +15,7 @@
 };
 use shallotdrum_types::{
     AdapterRef, CustomerName, Fingerprint, GroupId, Incarnation, RequestError, RequestId,
-    RequestNumber, SessionId, SoftwareVersion, SubscriberId, TargetId, Weight,
+    RequestNumber, ReservationId, SessionId, SoftwareVersion, SubscriberId, TargetId, Weight,
 };
 
 use crate::{EndedPlace, PlaceEnd, PlaceReply, PlaceRequest};
@@ -102,6 +102,20 @@
         Take,
         /// Return them, as their request got no place.
         Return,
+        /// Reserve them for a request that waits for a place in another group.
+        Reserve {
+            /// Identifies the reservation within the session.
+            id: ReservationId,
+            /// Time after which it counts as used, in milliseconds.
+            left_ms: u64,
+        },
+        /// Take the units of a reservation, or release them.
+        Settle {
+            /// Identifies the reservation within the session.
+            id: ReservationId,
+            /// Whether the units are taken.
+            is_used: bool,
+        },
     }
 
     /// Copy of [`PlaceRequest`].
@@ -186,6 +200,7 @@
         level: f64,
         room_after_ms: Option<u64>,
         lack: Lack,
+        is_reserved: bool,
     }
 }
 
--- a/crates/rpc/tests/place_channel.rs
+++ b/crates/rpc/tests/place_channel.rs
@@ -10,6 +10,7 @@
     AllotmentCall, AllotmentStep, ChannelError, MAX_FRAME_BYTES, MAX_WAITING, PLACES_PROTOCOL,
     PlaceReply,
 };
+use shallotdrum_types::ReservationId;
 use support::{Owner, Proxy, SESSION, Step, ended, open_channel, request, wait_until};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -49,6 +50,15 @@
     assert_eq!(taken.map(|reply| (reply.granted, reply.level)), Some((true, 9.0)));
     let returned = channel.change_allotment(allotment(AllotmentStep::Return, 9)).await;
     assert_eq!(returned, Ok(None));
+    let step = AllotmentStep::Reserve { id: ReservationId(2), left_ms: 70 };
+    let reserved = channel.change_allotment(allotment(step, 9)).await.unwrap().unwrap();
+    assert_eq!((reserved.is_reserved, reserved.level), (true, 11.0));
+    assert_eq!(reserved.room_after_ms, Some(70));
+    for is_used in [true, false] {
+        let step = AllotmentStep::Settle { id: ReservationId(2), is_used };
+        let settled = channel.change_allotment(allotment(step, 9)).await.unwrap();
+        assert_eq!(settled.map(|reply| reply.granted), Some(is_used));
+    }
     let refused = channel.change_allotment(allotment(AllotmentStep::Take, 0)).await;
     assert!(matches!(refused, Err(ChannelError::Failed(_))), "{refused:?}");
 }
--- a/crates/rpc/tests/support/mod.rs
+++ b/crates/rpc/tests/support/mod.rs
@@ -130,6 +130,17 @@
                         (AllotmentStep::Take, units) => {
                             Ok(Some(AllotmentReply::granted_at(units as f64)))
                         }
+                        (AllotmentStep::Reserve { id, left_ms }, units) => {
+                            Ok(Some(AllotmentReply {
+                                is_reserved: true,
+                                room_after_ms: Some(left_ms),
+                                ..AllotmentReply::granted_at((units + id.0) as f64)
+                            }))
+                        }
+                        (AllotmentStep::Settle { is_used, .. }, _) => Ok(Some(AllotmentReply {
+                            granted: is_used,
+                            ..AllotmentReply::NOT_A_SHARD
+                        })),
                         (AllotmentStep::Return, _) => Ok(None),
                     }
                 }
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -152,6 +152,8 @@
         ENGINE_INSPECTED = "O0321", Info, "engine reported its loaded adapters", "none";
         ALLOTMENT_DECIDED = "O0352", Info, "units of a customer's allotment taken, or refused for lack of room", "none";
         ALLOTMENT_RETURNED = "O0353", Info, "units returned to a customer's allotment: the request got no place", "none";
+        ALLOTMENT_SETTLED = "O0354", Info, "reservation of units confirmed, or returned", "none";
+        ALLOTMENT_EXPIRED = "O0355", Info, "reserved units count as used: they were neither confirmed nor returned by the deadline of their request", "none, unless it persists; then check the network between the instances";
         PLACE_WITHOUT_OWNER = "O0323", Info, "request sent to a target without a place from the group's owner", "none, unless it persists; then check the instance that owned the group";
         PLACE_END_LOST = "O0320", Debug, "cannot report the end of a place; the place expires at its deadline", "none";
         PLACE_CHANNEL_ACCEPTED = "O0360", Info, "an entry opened a channel for places", "none";
@@ -208,6 +210,8 @@
         PLACE_CHANNEL_BROKEN = "N0461", Warning, "channel for places to an owner broke or could not be opened; the requests that waited on it were not run there", "check the owner and the network if it repeats";
         PLACE_CHANNEL_UNSUPPORTED = "N0462", Info, "owner has no channel for places; it is asked by JSON-RPC", "none during an upgrade; else compare `policy.place_channel` of the instances";
         ALLOTMENT_UNREACHED = "N0451", Info, "cannot ask the owner of a share of a customer's allotment", "none, unless it persists; then check the instance that owns the group";
+        ALLOTMENT_WAIT_ENDED = "N0452", Info, "request refused: it cannot be charged to its customer's allotment in time to be served", "none, unless it persists; then check the owners of the customer's shares";
+        ALLOTMENT_UNCONFIRMED = "N0453", Info, "reserved units cannot be confirmed; charging the request to another share", "none, unless it persists; then check the instance that owns the group";
         REFUSED_FOR_GOOD = "N0433", Info, "request refused for good by a confirmed state", "compare the revision with the newest one, and the confirmation with the log of the leader of its term";
         KEY_REFUSED = "N0442", Info, "request refused: its caller has no key of a customer, or the key is not confirmed to be valid", "see \"a caller got 401\" in docs/OPERATIONS.md";
         ROUTES_CHANGED = "N0413", Info, "route table in force", "none";
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -25,7 +25,7 @@
 pub use identity::RequestIdentity;
 pub use ids::{
     ChannelId, ConnectionNumber, ControlFormat, ControlTimeMs, Epoch, Incarnation, LogIndex,
-    ParseIdError, PermitId, ProposalId, RequestNumber, Revision, SessionId, Term,
+    ParseIdError, PermitId, ProposalId, RequestNumber, ReservationId, Revision, SessionId, Term,
 };
 pub use model::{AdapterRef, GroupId, ModelName, ParseGroupIdError, ParseModelNameError};
 pub use names::{
