--- a/crates/gateway/tests/allotments.rs
+++ b/crates/gateway/tests/allotments.rs
@@ -253,6 +253,8 @@
             revocation: None,
             owner,
             peers: Peers::new(PeersConfig { timeout: Duration::from_secs(5) }),
+            // The stand-ins for owners speak JSON-RPC only.
+            place_channel: false,
             codec: HeaderCodec {
                 write: Arc::new(|_, _| {}),
                 read: Arc::new(|head| ResponseInfo {
