--- a/crates/allotments/src/hints.rs
+++ b/crates/allotments/src/hints.rs
@@ -50,10 +50,10 @@
 }
 
 /// Latest replies of the owners of shards, for each customer.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct ShardHints(HashMap<CustomerName, CustomerHints>);
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct CustomerHints {
     shards: HashMap<GroupId, Hint>,
     /// Moving average of the share of charges that were granted.
@@ -170,6 +170,21 @@
     }
 }
 
+impl ShardHints {
+    /// Level of a shard by its latest reply, and the age of the reply; absent without one.
+    pub fn stated_level(
+        &self,
+        customer: &CustomerName,
+        group: &GroupId,
+        now: Instant,
+    ) -> Option<(f64, Duration)> {
+        match self.0.get(customer)?.shards.get(group)? {
+            Hint::Level { level, at, .. } => Some((*level, age(*at, now))),
+            Hint::Unreached { .. } => None,
+        }
+    }
+}
+
 fn age(at: Instant, now: Instant) -> Duration {
     now.saturating_duration_since(at)
 }
--- a/crates/allotments/src/shares.rs
+++ b/crates/allotments/src/shares.rs
@@ -37,7 +37,7 @@
 }
 
 /// Shares of allotments that belong to an owned group.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct GroupShares {
     group: GroupId,
     /// When the instance began to own the group.
@@ -193,3 +193,15 @@
         Bucket::empty_since(limits, since.into_iter().flatten().max().unwrap_or(now))
     }
 }
+
+impl GroupShares {
+    /// Reply to a charge if it were asked for now. Takes and reserves nothing.
+    pub fn try_charge(
+        &self,
+        applied: &AppliedAllotments,
+        charge: &Charge,
+        now: Instant,
+    ) -> AllotmentReply {
+        self.clone().reserve(applied, charge, now)
+    }
+}
--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -5,12 +5,13 @@
 use anyhow::{Context, bail};
 use jsonrpsee::http_client::HttpClient;
 use serde_json::json;
-use shallotdrum_rpc::{AdminApiClient, Peers, PeersConfig, RpcError};
+use shallotdrum_rpc::{AdminApiClient, ExplainQuery, Peers, PeersConfig, RpcError};
 use shallotdrum_types::{Revision, SubmissionId};
 use tokio::time::Instant;
 
 use crate::{
     exit::NotInForce,
+    explain,
     flags::{DrainCmd, ManifestCmd, ReplicaCmd, Shallotdrum, ShallotdrumCmd, Submit},
     output::Format,
 };
@@ -84,6 +85,19 @@
                 Ok(client.drain_target(cmd.target, !cmd.undo).await.map_err(RpcError::from)?)
             }
         },
+        ShallotdrumCmd::Explain(cmd) => {
+            let query = ExplainQuery {
+                host: cmd.host,
+                path: cmd.path,
+                customer: cmd.customer,
+                model: cmd.model,
+                adapter: cmd.adapter,
+                prompt_tokens: cmd.prompt_tokens,
+                max_tokens: cmd.max_tokens,
+                deadline_ms: cmd.deadline_ms,
+            };
+            explain::print(format, &client.explain(query).await.map_err(RpcError::from)?)
+        }
         ShallotdrumCmd::Replica(cmd) => match cmd.subcommand {
             ReplicaCmd::Status(_) => {
                 format.print_value(&client.replica_status().await.map_err(RpcError::from)?)
--- a/crates/cli/src/flags.rs
+++ b/crates/cli/src/flags.rs
@@ -2,7 +2,9 @@
 
 use std::{net::SocketAddr, path::PathBuf};
 
-use shallotdrum_types::{AdapterId, Fingerprint, InstanceId, Revision, SubmissionId, TargetId};
+use shallotdrum_types::{
+    AdapterId, BaseModelId, CustomerName, Fingerprint, InstanceId, Revision, SubmissionId, TargetId,
+};
 
 use crate::output::Format;
 
@@ -83,6 +85,25 @@
                 optional --undo
             }
         }
+        /// Shows where a request would go now and why, without sending it.
+        cmd explain {
+            /// Host that the caller names.
+            required --host host: String
+            /// Path of the request.
+            required --path path: String
+            /// Customer whose key the caller has. Default: no key.
+            optional --customer customer: CustomerName
+            /// Adapter of the base model.
+            optional --adapter adapter: AdapterId
+            /// Base model. Default: the only one of the pool.
+            optional --model model: BaseModelId
+            /// Length of the prompt in tokens; default 256.
+            optional --prompt-tokens prompt_tokens: u64
+            /// Limit on generated tokens; default 128.
+            optional --max-tokens max_tokens: u64
+            /// Time that the caller waits, in milliseconds. Default: the route's timeout.
+            optional --deadline-ms deadline_ms: u64
+        }
         /// Shows, adds and removes control replicas.
         cmd replica {
             /// Shows the status of the replica at the RPC address.
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,10 +1,12 @@
 //! Command-line client for operators.
 //!
-//! `flags` defines the commands, `commands` implements them, `output` prints tables or JSON, and
+//! `flags` defines the commands, `commands` implements them, `output` prints tables or JSON, `explain` the
+//! tables of an explanation, and
 //! `exit` maps errors to exit codes for scripts.
 
 mod commands;
 mod exit;
+mod explain;
 mod flags;
 mod output;
 
--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -169,6 +169,20 @@
     assert!(text(&unknown.stderr).contains("no-such-target"));
 }
 
+/// Guards against an instance without a route table's entry that explains requests, and against an error
+/// without its cause.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn explain_without_gateway() {
+    let setup = start().await;
+    let explained = setup.run(&["explain", "--host", "d.example", "--path", "/x"]).await;
+    assert_eq!(explained.status.code(), Some(1));
+    let stderr = text(&explained.stderr);
+    assert!(stderr.contains("no entry for requests by a route table"), "{stderr}");
+    let usage = setup.run(&["explain", "--host", "d.example"]).await;
+    assert_eq!(usage.status.code(), Some(2));
+}
+
 /// Guards against an error message without the cause if no instance is reachable.
 #[test]
 fn no_reachable_instance() {
--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -1,14 +1,19 @@
 //! RPC methods for operators, served from this instance's control state or by the leader.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, OnceLock, Weak},
+    time::Duration,
+};
 
 use jsonrpsee::core::async_trait;
 use shallotdrum_control::{Command, ControlState, ControlView, Proposal, Reply};
+use shallotdrum_gateway::Gateway;
 use shallotdrum_manifest::{Manifest, ManifestDelta};
 use shallotdrum_rpc::{
-    AdapterRow, AdminApiServer, CallCounts, ControlClient, GroupRow, InstanceRow, ManifestCheck,
-    ManifestSummary, ManifestView, PeerApiClient, PermitRow, QuarantineRow, ReplicaStatus,
-    RpcError, SubmissionRow, SubscriberRow, TargetRow,
+    AdapterRow, AdminApiServer, CallCounts, ControlClient, ExplainQuery, Explanation, GroupRow,
+    InstanceRow, ManifestCheck, ManifestSummary, ManifestView, PeerApiClient, PermitRow,
+    QuarantineRow, ReplicaStatus, RpcError, SubmissionRow, SubscriberRow, TargetRow,
 };
 use shallotdrum_types::{AdapterId, Fingerprint, InstanceId, Revision, SubmissionId, TargetId};
 use tokio::time::Instant;
@@ -31,6 +36,8 @@
     pub(crate) view: ControlView,
     pub(crate) client: ControlClient,
     pub(crate) replica: Option<Arc<Replica>>,
+    /// Gateway of the front end, once it has created one.
+    pub(crate) gateway: Arc<OnceLock<Weak<Gateway>>>,
 }
 
 impl Admin {
@@ -255,6 +262,12 @@
             .await
     }
 
+    async fn explain(&self, query: ExplainQuery) -> Result<Explanation, RpcError> {
+        let gateway = self.gateway.get().and_then(Weak::upgrade).ok_or(RpcError::NoGateway)?;
+        let explained = gateway.explain(&query).await;
+        explained.map_err(|error| RpcError::InvalidQuery(error.to_string()))
+    }
+
     async fn remove_replica(&self, instance: InstanceId) -> Result<(), RpcError> {
         let deadline = Instant::now() + MEMBERSHIP_TIMEOUT;
         self.client
--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -3,7 +3,7 @@
 use std::{
     net::SocketAddr,
     sync::{
-        Arc, PoisonError,
+        Arc, OnceLock, PoisonError, Weak,
         atomic::{AtomicBool, Ordering},
     },
     time::Duration,
@@ -133,6 +133,8 @@
     peers: Peers,
     targets: TargetRelay,
     metrics: Metrics,
+    /// First gateway of a front end, which answers operators.
+    gateway: Arc<OnceLock<Weak<Gateway>>>,
 }
 
 /// Why an instance could not start.
@@ -270,11 +272,13 @@
         tasks.spawn(serve_forwarded(listeners.data, owner.clone()));
 
         let peer = Peer { replica: replica.clone(), owner: owner.clone() };
+        let gateway = Arc::new(OnceLock::new());
         let admin = Admin {
             instance: settings.instance.clone(),
             view: view.clone(),
             client: client.clone(),
             replica: replica.clone(),
+            gateway: gateway.clone(),
         };
         let rpc = serve_rpc(listeners.rpc, peer, admin)?;
         tasks.spawn(session.clone().run());
@@ -294,6 +298,7 @@
             peers: targets.peers.clone(),
             targets: targets.clone(),
             metrics: metrics.clone(),
+            gateway,
         };
         let entry = EntryServer::start(
             listeners.entry,
@@ -354,7 +359,10 @@
             metrics: self.front_end.metrics.clone(),
             log: self.log.clone(),
         };
-        Gateway::new(cx, connections)
+        let gateway = Gateway::new(cx, connections);
+        // Of several gateways, the first one answers operators.
+        let _ = self.front_end.gateway.set(Arc::downgrade(&gateway));
+        gateway
     }
 
     /// Replaces the seeds after a change of the settings; the log's membership is unaffected.
--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -6,12 +6,12 @@
 use shallotdrum_allotments::{AllotmentReply, Charge};
 use shallotdrum_control::{Proposal, Reply};
 use shallotdrum_engine::{Announcement, CacheEvents, StreamOrigin};
-use shallotdrum_owner::{ChargeError, OwnerService, PlaceAdmission};
+use shallotdrum_owner::{ChargeError, OwnerService, PlaceAdmission, PlaceKey};
 use shallotdrum_routes::RouteTable;
 use shallotdrum_rpc::{
-    Compressed, EndedPlace, PeerApiServer, Permit, PermitRequest, PermitRow, PlaceReply,
-    PlaceRequest, ProposalTerms, RenewReply, RenewRequest, ReplicaPosition, RpcError, SessionRow,
-    WatchReply,
+    Compressed, EndedPlace, PeerApiServer, Permit, PermitRequest, PermitRow, PlaceExplanation,
+    PlaceReply, PlaceRequest, ProposalTerms, RenewReply, RenewRequest, ReplicaPosition, RpcError,
+    SessionRow, WatchReply,
 };
 use shallotdrum_types::{
     Base64Bytes, CustomerName, Fingerprint, GroupId, Incarnation, InstanceId, LogIndex, PermitId,
@@ -88,44 +88,7 @@
     }
 
     async fn take_place(&self, request: PlaceRequest) -> Result<PlaceReply, RpcError> {
-        let PlaceRequest {
-            session,
-            request,
-            place,
-            group,
-            subscriber,
-            weight,
-            charge,
-            need,
-            fingerprint,
-            any_caller,
-            limits,
-            left_ms,
-            urgency,
-            objective_ms,
-            spread,
-            avoid,
-            software,
-        } = request;
-        let left = Duration::from_millis(left_ms);
-        let fingerprint =
-            fingerprint.unwrap_or_else(|| Fingerprint::of(request.as_str().as_bytes()));
-        let identity = RequestIdentity { any_caller, ..fingerprint.into() };
-        let admission = PlaceAdmission {
-            request,
-            identity,
-            subscriber,
-            weight: weight.unwrap_or_default(),
-            need,
-            left,
-            urgency,
-            objective: objective_ms.map(Duration::from_millis),
-            spread: spread.unwrap_or(1),
-            avoid,
-            software,
-            limits,
-        };
-        let key = (session, place);
+        let AskedPlace { key, group, admission, charge } = request.into();
         let refused = |error| {
             let group_wait_ms = self.owner.group_wait(&group).map(|wait| wait.as_millis() as u64);
             PlaceReply::Refused { error, group_wait_ms }
@@ -182,6 +145,12 @@
         Ok(())
     }
 
+    async fn explain_place(&self, request: PlaceRequest) -> Result<PlaceExplanation, RpcError> {
+        let AskedPlace { group, admission, charge, .. } = request.into();
+        let allotment = charge.map(|charge| self.owner.explain_allotment(&group, &charge));
+        Ok(PlaceExplanation { place: self.owner.explain_place(&group, admission), allotment })
+    }
+
     async fn read_index(&self) -> Result<LogIndex, RpcError> {
         self.replica()?.confirm_index().await
     }
@@ -206,3 +175,54 @@
         self.owner.cache_events(&events).map_err(|e| RpcError::NotOwner(e.target))
     }
 }
+
+/// Request for a place as the owner takes it.
+struct AskedPlace {
+    key: PlaceKey,
+    group: GroupId,
+    admission: PlaceAdmission,
+    charge: Option<Charge>,
+}
+
+impl From<PlaceRequest> for AskedPlace {
+    fn from(request: PlaceRequest) -> Self {
+        let PlaceRequest {
+            session,
+            request,
+            place,
+            group,
+            subscriber,
+            weight,
+            charge,
+            need,
+            fingerprint,
+            any_caller,
+            limits,
+            left_ms,
+            urgency,
+            objective_ms,
+            spread,
+            avoid,
+            software,
+        } = request;
+        let left = Duration::from_millis(left_ms);
+        let fingerprint =
+            fingerprint.unwrap_or_else(|| Fingerprint::of(request.as_str().as_bytes()));
+        let identity = RequestIdentity { any_caller, ..fingerprint.into() };
+        let admission = PlaceAdmission {
+            request,
+            identity,
+            subscriber,
+            weight: weight.unwrap_or_default(),
+            need,
+            left,
+            urgency,
+            objective: objective_ms.map(Duration::from_millis),
+            spread: spread.unwrap_or(1),
+            avoid,
+            software,
+            limits,
+        };
+        Self { key: (session, place), group, admission, charge }
+    }
+}
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -5,6 +5,7 @@
 mod client;
 mod connector;
 mod messages;
+mod outlook;
 mod place;
 mod prefix;
 mod stream;
@@ -18,6 +19,7 @@
     EngineEvent, FinishReason, Leave, LoadReport, Order, OrderRefusal, OrderRequest, PrefixHash,
     Priority, Resume, TargetKind, Usage,
 };
+pub use outlook::{CandidateTarget, Holding, Lacking, PlaceOutlook, PlaceVerdict};
 pub use place::{GrantedPlace, ObservedLimit, Requirements, StreamOrigin, TargetLoad, Urgency};
 pub use prefix::{PREFIX_BLOCK_BYTES, prefix_hashes};
 pub use stream::{CompletionStream, MAX_BUFFERED_CHUNKS, MAX_LINE_BYTES, StreamError};
--- a/crates/gateway/src/allotments.rs
+++ b/crates/gateway/src/allotments.rs
@@ -18,7 +18,7 @@
     shard_count, shards, spread_delay, units,
 };
 use shallotdrum_owner::{ChargeError, PlaceAdmission};
-use shallotdrum_routes::Allotment;
+use shallotdrum_routes::{Allotment, Customer};
 use shallotdrum_rpc::{PeerApiClient, RpcError};
 use shallotdrum_telemetry::event;
 use shallotdrum_types::{GroupId, RequestError, RequestErrorKind, RequestId, SessionId};
@@ -37,13 +37,13 @@
 const UNREACHED_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Group whose owner keeps a share, with its owner and the owner's address.
-type Share = (GroupId, SessionId, SocketAddr);
+pub(crate) type Share = (GroupId, SessionId, SocketAddr);
 
 /// Shares of a customer's allotment, by the state of this instance.
-struct Shares {
+pub(crate) struct Shares {
     limits: Limits,
     /// Those that have an owner.
-    owned: Vec<Share>,
+    pub(crate) owned: Vec<Share>,
     /// Number of all shares.
     count: usize,
 }
@@ -66,7 +66,7 @@
 }
 
 impl Gateway {
-    fn shard_hints(&self) -> MutexGuard<'_, ShardHints> {
+    pub(crate) fn shard_hints(&self) -> MutexGuard<'_, ShardHints> {
         self.shard_hints.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -86,10 +86,7 @@
         };
         match customer.allotment.filter(|_| !run.is_charged) {
             Some(allotment) => {
-                let generation = run.req.generation.as_ref();
-                let tokens = generation.map(|g| g.prompt_tokens.saturating_add(g.max_tokens));
-                let units = units(&allotment, tokens);
-                let charge = Charge { customer: customer.name.clone(), units };
+                let charge = charge_of(run, customer, &allotment);
                 self.take_charged(run, admission, &allotment, &charge).await
             }
             None => self.places.take(&run.pool, admission, run.deadline).await.map_err(busy),
@@ -115,7 +112,8 @@
             let shares = self.shares(allotment, charge);
             let own = self.places.choose_group(&run.pool, &admission).ok();
             let own_group = own.as_ref().map(|chosen| &chosen.group);
-            let (group, owner, addr) = match self.plan(&shares, charge, own_group, &asked) {
+            let step = self.plan(&shares, charge, own_group, &asked, &self.shard_hints());
+            let (group, owner, addr) = match step {
                 ChargeStep::Ask(group) => match shares.owner(group) {
                     Some(share) => share.clone(),
                     None => return Err(unreached(charge)),
@@ -190,7 +188,7 @@
     }
 
     /// Shares of the customer's allotment, by the state of this instance.
-    fn shares(&self, allotment: &Allotment, charge: &Charge) -> Shares {
+    pub(crate) fn shares(&self, allotment: &Allotment, charge: &Charge) -> Shares {
         self.cx.view.read(|state| {
             let groups: Vec<&GroupId> = state.groups().map(|group| &group.id).collect();
             let count = shard_count(allotment, groups.len());
@@ -204,12 +202,13 @@
         })
     }
 
-    fn plan<'a>(
+    pub(crate) fn plan<'a>(
         &self,
         shares: &'a Shares,
         charge: &Charge,
         own: Option<&GroupId>,
         asked: &[GroupId],
+        hints: &ShardHints,
     ) -> ChargeStep<'a> {
         let request = ChargeRequest {
             customer: &charge.customer,
@@ -220,7 +219,7 @@
             own,
             asked,
         };
-        plan_charge(&request, &self.shard_hints(), Instant::now().into_std(), rand::random())
+        plan_charge(&request, hints, Instant::now().into_std(), rand::random())
     }
 
     /// Asks the owner of a share for the units; returns whether they were taken.
@@ -306,9 +305,7 @@
             "room_after_ms" => room_after.as_millis() as u64,
             "retry_after_ms" => delay.as_millis() as u64, "revision" => run.revision().0);
         self.cx.metrics.allotment_refused().inc();
-        let Charge { customer, units } = charge;
-        let detail = format!("the allotment of customer {customer} has no room for {units} units");
-        RequestError::not_run(RequestErrorKind::RateLimited, detail).retry_after(delay)
+        no_room(charge, delay)
     }
 }
 
@@ -317,13 +314,13 @@
         self.owned.iter().map(|(group, ..)| group).collect()
     }
 
-    fn owner(&self, group: &GroupId) -> Option<&Share> {
+    pub(crate) fn owner(&self, group: &GroupId) -> Option<&Share> {
         self.owned.iter().find(|(id, ..)| id == group)
     }
 }
 
 /// Error of a request that is within its allotment; a full queue is not the customer's excess.
-fn busy(error: RequestError) -> RequestError {
+pub(crate) fn busy(error: RequestError) -> RequestError {
     match error.kind {
         RequestErrorKind::RateLimited => {
             RequestError { kind: RequestErrorKind::Overloaded, ..error }
@@ -333,14 +330,28 @@
 }
 
 /// Error of a request that may be within its allotment, while many of its customer wait for places.
-fn overloaded(charge: &Charge, room_after: Duration) -> RequestError {
+pub(crate) fn overloaded(charge: &Charge, room_after: Duration) -> RequestError {
     let detail = format!("many requests of customer {} wait for targets", charge.customer);
     RequestError::not_run(RequestErrorKind::Overloaded, detail)
         .retry_after(spread_delay(room_after, rand::random()))
 }
 
-fn unreached(charge: &Charge) -> RequestError {
+pub(crate) fn unreached(charge: &Charge) -> RequestError {
     let customer = &charge.customer;
     let detail = format!("cannot ask all owners of the allotment of customer {customer}");
     RequestError::not_run(RequestErrorKind::NotReady, detail).retry_after(UNREACHED_RETRY_AFTER)
 }
+
+/// Error of a request that exceeds the allotment.
+pub(crate) fn no_room(charge: &Charge, delay: Duration) -> RequestError {
+    let Charge { customer, units } = charge;
+    let detail = format!("the allotment of customer {customer} has no room for {units} units");
+    RequestError::not_run(RequestErrorKind::RateLimited, detail).retry_after(delay)
+}
+
+/// What a request is charged.
+pub(crate) fn charge_of(run: &RequestRun, customer: &Customer, allotment: &Allotment) -> Charge {
+    let generation = run.req.generation.as_ref();
+    let tokens = generation.map(|g| g.prompt_tokens.saturating_add(g.max_tokens));
+    Charge { customer: customer.name.clone(), units: units(allotment, tokens) }
+}
--- a/crates/gateway/src/customers.rs
+++ b/crates/gateway/src/customers.rs
@@ -97,28 +97,38 @@
     routes: &RouteIndex,
     confirmation: &Confirmation,
     bound: Option<RevocationBound>,
+) -> Result<Access, KeyRefusal> {
+    let known = match credentials.key() {
+        Key::Hashed(hash) => routes.customer_of(&hash).cloned().ok_or(KeyRefusalReason::UnknownKey),
+        Key::Missing => Err(KeyRefusalReason::NoKey),
+        Key::Malformed => Err(KeyRefusalReason::MalformedKey),
+    };
+    decide_for(known, route, routes, confirmation, bound)
+}
+
+/// Like `decide`, for the customer that has the key, or the reason why there is none.
+pub(crate) fn decide_for(
+    known: Result<Arc<Customer>, KeyRefusalReason>,
+    route: &Route,
+    routes: &RouteIndex,
+    confirmation: &Confirmation,
+    bound: Option<RevocationBound>,
 ) -> Result<Access, KeyRefusal> {
     if routes.table().customers.is_none() {
         return Ok(Access::Unchecked);
     }
-    let customer = match credentials.key() {
-        Key::Hashed(hash) => routes.customer_of(&hash).cloned(),
-        _ => None,
-    };
     if route.is_public {
-        return Ok(Access::Checked(customer));
+        return Ok(Access::Checked(known.ok()));
     }
-    let Some(customer) = customer else {
-        let reason = match credentials.key() {
-            Key::Missing => KeyRefusalReason::NoKey,
-            Key::Malformed => KeyRefusalReason::MalformedKey,
-            Key::Hashed(_) => KeyRefusalReason::UnknownKey,
-        };
-        let detail = "the route needs `Authorization: Bearer KEY` with the key of a customer";
-        let refusal = RequestError::not_run(RequestErrorKind::Unauthorized, detail);
-        // A newer table may have the key.
-        let error = confirmation.freshness.refuse(refusal);
-        return Err(KeyRefusal { reason, customer: None, error });
+    let customer = match known {
+        Ok(customer) => customer,
+        Err(reason) => {
+            let detail = "the route needs `Authorization: Bearer KEY` with the key of a customer";
+            let refusal = RequestError::not_run(RequestErrorKind::Unauthorized, detail);
+            // A newer table may have the key.
+            let error = confirmation.freshness.refuse(refusal);
+            return Err(KeyRefusal { reason, customer: None, error });
+        }
     };
     let is_confirmed =
         |bound: RevocationBound| confirmation.last.is_some_and(|last| last.age < bound.max_age());
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -35,6 +35,7 @@
 use crate::{
     Access, CallerRequest, Dispatch, EntryCount, Framing, GatewayResponse, Generation, HeaderCodec,
     HeldMemory, RetryAllowance, RetryBudget, RevocationBound,
+    admit::{Admitted, NoRoute, choose_pool},
     body::{BodyError, discard},
     connections::{Connection, ConnectionPool, SendError, response_headers},
     continuation::check_head,
@@ -51,10 +52,10 @@
 
 /// `Retry-After` of an instance that has no route table yet. The election of a control leader and
 /// the transfer of the state take about a second.
-const RETRY_AFTER_START: Duration = Duration::from_millis(1_200);
+pub(crate) const RETRY_AFTER_START: Duration = Duration::from_millis(1_200);
 
 /// `Retry-After` of an instance that is stopping; a new connection reaches another one.
-const RETRY_AFTER_CLOSE: Duration = Duration::from_millis(50);
+pub(crate) const RETRY_AFTER_CLOSE: Duration = Duration::from_millis(50);
 
 /// Part of the time left that a request waits for a witness of its target, which takes some round trips.
 const WITNESS_SHARE: u32 = 2;
@@ -103,7 +104,7 @@
     budgets: Mutex<HashMap<PoolId, RetryBudget>>,
     entry_count: Mutex<EntryCount>,
     /// New requests are refused, as this instance may end before their responses do.
-    is_closing: AtomicBool,
+    pub(crate) is_closing: AtomicBool,
 }
 
 /// State of a request across its attempts.
@@ -112,32 +113,32 @@
     /// Equal for repeats of the request with other ids.
     pub(crate) identity: RequestIdentity,
     /// What is quarantined about the request and permitted for its first send.
-    permitted: Option<Fingerprint>,
+    pub(crate) permitted: Option<Fingerprint>,
     /// Software version that the events received by the caller came from.
     pub(crate) software: Option<SoftwareVersion>,
     /// Customer that the request runs for; `None` without customers, and on public routes without a key.
     pub(crate) customer: Option<Arc<Customer>>,
     /// Whether what the caller says of itself is forwarded.
-    forwards_credentials: bool,
+    pub(crate) forwards_credentials: bool,
     /// Whether the customer's allotment was charged.
     pub(crate) is_charged: bool,
     pub(crate) route: Route,
     pub(crate) pool: PoolId,
     /// Revision of the route table that selected the pool.
-    revision: Revision,
+    pub(crate) revision: Revision,
     pub(crate) deadline: Instant,
     /// Targets that already failed or refused the request.
     pub(crate) avoid: Vec<TargetId>,
     /// Number of targets that may have run the request.
-    possible_runs: u32,
+    pub(crate) possible_runs: u32,
     /// Number of attempts to send the request.
-    sends: u32,
+    pub(crate) sends: u32,
     /// Id of the last event of the stream that the caller has received.
     pub(crate) resume_after: Option<String>,
     /// Check whether the target of the latest broken connection crashed.
     pub(crate) crash_check: Option<JoinHandle<CrashStatus>>,
     /// Latest complete error response of a target.
-    error_response: Option<GatewayResponse>,
+    pub(crate) error_response: Option<GatewayResponse>,
 }
 
 /// Response of a target whose head has been read.
@@ -279,59 +280,28 @@
         self: Arc<Self>,
         req: CallerRequest,
     ) -> Result<GatewayResponse, RequestError> {
-        if self.is_closing.load(Ordering::Relaxed) {
-            let detail = "this instance is stopping; send the request to another one";
-            return Err(RequestError::not_run(RequestErrorKind::NotReady, detail)
-                .retry_after(RETRY_AFTER_CLOSE));
-        }
         let in_force = self.in_force();
-        let Some(routes) = &in_force.routes else {
-            let detail = "no route table is in force yet; retry later";
-            return Err(RequestError::not_run(RequestErrorKind::NotReady, detail)
-                .retry_after(RETRY_AFTER_START));
-        };
-        in_force.confirmation.freshness.check_serving(self.cx.serve_when_stale)?;
-        let Some(route) = routes.find(&req.host, req.target.path()).cloned() else {
-            let (host, revision) = (&req.host, in_force.revision());
-            let detail =
-                format!("no route of host {host} matches this path in revision {revision}");
-            let refusal = RequestError::not_run(RequestErrorKind::NotFound, detail);
-            return Err(self.refuse_for_good(req.id.as_str(), &in_force, refusal));
+        let found = self.find_route(&in_force, &req.host, req.target.path());
+        let route = match found {
+            Ok((_, route)) => route.clone(),
+            Err(NoRoute::NotServing(error)) => return Err(error),
+            Err(NoRoute::NotInTable(refusal)) => {
+                return Err(self.refuse_for_good(req.id.as_str(), &in_force, refusal));
+            }
         };
         let access = self
             .check_key(req.id.as_str(), &req.credentials, &route, &in_force)
             .map_err(|refusal| refusal.error)?;
-        let Some(pool) = route.choose_pool(rand::random()).cloned() else {
-            let detail = format!("route {} has no pool to send to", route.name);
-            return Err(RequestError::not_run(RequestErrorKind::NoTarget, detail));
-        };
-        let revision = in_force.revision();
+        let pool = choose_pool(&route, rand::random())?;
+        let admitted = Admitted { access, route, pool, revision: in_force.revision() };
         drop(in_force);
         let identity = request_identity(&req);
-        let software = self.required_software(&req, &pool).await?;
+        let software = self.required_software(&req, &admitted.pool).await?;
         let permitted = self.cx.owner.admit_relayed(&identity)?;
-        self.with_budget(&pool, |budget, now| {
+        self.with_budget(&admitted.pool, |budget, now| {
             budget.count_request(now, &self.cx.retries);
         });
-        let run = RequestRun {
-            deadline: req.arrived + req.timeout.min(route.timeout),
-            resume_after: req.resume_after.clone(),
-            identity,
-            permitted,
-            software,
-            is_charged: false,
-            req,
-            customer: access.customer().cloned(),
-            forwards_credentials: access == Access::Unchecked,
-            route,
-            pool,
-            revision,
-            avoid: Vec::new(),
-            possible_runs: 0,
-            sends: 0,
-            crash_check: None,
-            error_response: None,
-        };
+        let run = RequestRun::new(req, admitted, identity, permitted, software);
         self.run(run).await
     }
 
--- a/crates/gateway/src/grant.rs
+++ b/crates/gateway/src/grant.rs
@@ -60,7 +60,7 @@
     }
 
     /// What the owner of a target group is told of the request.
-    fn admission(&self, run: &RequestRun, need: Requirements) -> PlaceAdmission {
+    pub(crate) fn admission(&self, run: &RequestRun, need: Requirements) -> PlaceAdmission {
         PlaceAdmission {
             request: run.req.id.clone(),
             identity: self.cx.owner.identity_to_admit(run.admitted_identity()),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,6 +1,7 @@
 //! Gateway for opaque requests, which are routed by the route table and relayed unchanged.
 //!
-//! `exchange` drives a caller's request through its attempts, `in_force` is the route table that
+//! `admit` decides whether and on which route a request is served, `exchange` drives it through its attempts,
+//! `explain` says for operators what would happen to one, `in_force` is the route table that
 //! judges it, `places` acquires a place, which is a reservation at a target, from the owner of the
 //! target's group, and `connections` is the connection pool. `relay` forwards event streams,
 //! `continuation` checks that their events follow each other, `stream_body` is what callers read of
@@ -18,6 +19,7 @@
 //! Architecture Invariant: an at-most-once request is sent to a second target only if no byte of
 //! it can have reached the first, or the first refused it without running it.
 
+mod admit;
 mod allotments;
 mod body;
 mod body_end;
@@ -31,6 +33,7 @@
 mod errors;
 mod events;
 mod exchange;
+mod explain;
 mod fallback;
 mod fingerprint;
 mod grant;
@@ -63,6 +66,7 @@
 pub use decision::{RequestProgress, RetryDecision, SendFailure, decide_retry};
 pub use events::{EventSplitter, EventTooLong, MAX_EVENT_BYTES};
 pub use exchange::{Gateway, GatewayContext};
+pub use explain::InvalidQuery;
 pub use fallback::FallbackSelector;
 pub use fingerprint::request_identity;
 pub use held::{HeldBytes, HeldMemory, NoMemory};
--- a/crates/gateway/src/places.rs
+++ b/crates/gateway/src/places.rs
@@ -274,11 +274,11 @@
         }))
     }
 
-    fn fallback(&self) -> MutexGuard<'_, FallbackSelector> {
+    pub(crate) fn fallback(&self) -> MutexGuard<'_, FallbackSelector> {
         self.0.fallback.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn spread(&self) -> MutexGuard<'_, SpreadKnowledge> {
+    pub(crate) fn spread(&self) -> MutexGuard<'_, SpreadKnowledge> {
         self.0.spread.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -372,7 +372,7 @@
 
     /// Targets of a pool to which this entry sends no requests, and that are not known as draining
     /// to all instances.
-    fn withheld_targets(&self, pool: &PoolId) -> Vec<TargetId> {
+    pub(crate) fn withheld_targets(&self, pool: &PoolId) -> Vec<TargetId> {
         let withheld = self.withheld();
         self.0.view.read(|state| {
             let is_granted = |(id, incarnation): &&Process| {
@@ -520,30 +520,10 @@
 
     /// Selects a target without the owner, if one can serve the request as it is.
     fn take_without_owner(&self, pool: &PoolId, admission: &PlaceAdmission) -> Option<Place> {
-        let adapter = match &admission.need {
-            Requirements::Generation { adapter, .. } => adapter.as_ref(),
-            Requirements::Call { .. } => None,
-        };
-        let limits = self.limits();
-        let withheld = self.withheld_targets(pool);
-        let candidates: Vec<AnnouncedTarget> = self.0.view.read(|state| {
-            let targets = state.targets().filter(|target| {
-                let announced = &target.announced;
-                announced.pool == *pool
-                    && !target.draining
-                    && runs_software(announced, admission.software.as_ref())
-                    && !admission.avoid.contains(&announced.target)
-                    && !withheld.contains(&announced.target)
-                    // Without an owner, nobody knows how much of a limit is left.
-                    && !limits.is_limited(&announced.target, announced.incarnation)
-            });
-            targets.map(|target| target.announced.clone()).collect()
-        });
-        drop(limits);
-        let names: Vec<TargetId> = candidates.iter().map(|target| target.target.clone()).collect();
+        let candidates = self.candidates_without_owner(pool, admission);
         let mut fallback = self.fallback();
-        let chosen = fallback.choose(pool, adapter, &names, rand::random(), Instant::now())?;
-        let target = candidates.into_iter().find(|target| target.target == chosen)?;
+        let target = choose_fallback(&fallback, pool, admission, candidates)?;
+        let chosen = target.target;
         fallback.begin(&chosen);
         drop(fallback);
         let granted = GrantedPlace {
@@ -561,6 +541,29 @@
         Some(Place { granted, guard })
     }
 
+    /// Targets that may be selected without the owner.
+    pub(crate) fn candidates_without_owner(
+        &self,
+        pool: &PoolId,
+        admission: &PlaceAdmission,
+    ) -> Vec<AnnouncedTarget> {
+        let limits = self.limits();
+        let withheld = self.withheld_targets(pool);
+        self.0.view.read(|state| {
+            let targets = state.targets().filter(|target| {
+                let announced = &target.announced;
+                announced.pool == *pool
+                    && !target.draining
+                    && runs_software(announced, admission.software.as_ref())
+                    && !admission.avoid.contains(&announced.target)
+                    && !withheld.contains(&announced.target)
+                    // Without an owner, nobody knows how much of a limit is left.
+                    && !limits.is_limited(&announced.target, announced.incarnation)
+            });
+            targets.map(|target| target.announced.clone()).collect()
+        })
+    }
+
     /// Requests a place together with a charge from the owner of a group, once.
     ///
     /// The place is absent if the request was charged but its target takes no requests.
@@ -693,7 +696,7 @@
     }
 
     /// Limits of a group's targets that this entry knows of.
-    fn limits_of(&self, group: &GroupId) -> Vec<ObservedLimit> {
+    pub(crate) fn limits_of(&self, group: &GroupId) -> Vec<ObservedLimit> {
         let limits = self.limits();
         if limits.is_empty() {
             return Vec::new();
@@ -801,7 +804,23 @@
     pub(crate) owner: SessionId,
     pub(crate) addr: SocketAddr,
     /// Number of groups that were considered.
-    spread: u32,
+    pub(crate) spread: u32,
+}
+
+/// Target that is selected without the owner.
+pub(crate) fn choose_fallback(
+    fallback: &FallbackSelector,
+    pool: &PoolId,
+    admission: &PlaceAdmission,
+    candidates: Vec<AnnouncedTarget>,
+) -> Option<AnnouncedTarget> {
+    let adapter = match &admission.need {
+        Requirements::Generation { adapter, .. } => adapter.as_ref(),
+        Requirements::Call { .. } => None,
+    };
+    let names: Vec<TargetId> = candidates.iter().map(|target| target.target.clone()).collect();
+    let chosen = fallback.choose(pool, adapter, &names, rand::random(), Instant::now())?;
+    candidates.into_iter().find(|target| target.target == chosen)
 }
 
 /// Adapter that a request needs.
@@ -817,7 +836,7 @@
     required.is_none() || target.software.as_ref() == required
 }
 
-fn no_owner(pool: &PoolId) -> RequestError {
+pub(crate) fn no_owner(pool: &PoolId) -> RequestError {
     let detail = format!("no instance currently owns the targets of pool {pool}; retry later");
     RequestError::not_run(RequestErrorKind::NotReady, detail).retry_after(NO_OWNER_RETRY_AFTER)
 }
--- a/crates/gateway/src/spread.rs
+++ b/crates/gateway/src/spread.rs
@@ -75,6 +75,12 @@
         known.filter(|(_, at)| is_fresh(*at, SPREAD_TTL, now)).map_or(1, |(spread, _)| *spread)
     }
 
+    /// Latest statement of a group's wait, and its age.
+    pub fn stated_wait(&self, group: &GroupId, now: Instant) -> Option<(Duration, Duration)> {
+        let (wait, at) = self.waits.get(group)?;
+        Some((*wait, now.saturating_duration_since(*at)))
+    }
+
     /// Chooses among groups the one with the shortest wait. `random` breaks ties and is uniform in
     /// 0 to 1.
     pub fn choose<'a>(
--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -17,6 +17,7 @@
 mod context;
 mod crash;
 mod end_guard;
+mod explain;
 mod fingerprint;
 mod forwarder;
 mod inspect;
--- a/crates/owner/src/places.rs
+++ b/crates/owner/src/places.rs
@@ -220,7 +220,7 @@
     }
 }
 
-fn place_admission(admission: PlaceAdmission) -> AdmissionRequest {
+pub(crate) fn place_admission(admission: PlaceAdmission) -> AdmissionRequest {
     let kind = match admission.need {
         Requirements::Generation {
             adapter: Some(adapter),
--- a/crates/rpc/src/api.rs
+++ b/crates/rpc/src/api.rs
@@ -11,10 +11,10 @@
 };
 
 use crate::{
-    AdapterRow, Compressed, EndedPlace, GroupRow, InstanceRow, ManifestCheck, ManifestView, Permit,
-    PermitRequest, PermitRow, PlaceReply, PlaceRequest, ProposalTerms, QuarantineRow, RenewReply,
-    RenewRequest, ReplicaPosition, ReplicaStatus, RpcError, SessionRow, SubmissionRow,
-    SubscriberRow, TargetRow, WatchReply,
+    AdapterRow, Compressed, EndedPlace, ExplainQuery, Explanation, GroupRow, InstanceRow,
+    ManifestCheck, ManifestView, Permit, PermitRequest, PermitRow, PlaceExplanation, PlaceReply,
+    PlaceRequest, ProposalTerms, QuarantineRow, RenewReply, RenewRequest, ReplicaPosition,
+    ReplicaStatus, RpcError, SessionRow, SubmissionRow, SubscriberRow, TargetRow, WatchReply,
 };
 
 /// Methods that instances call on each other.
@@ -137,6 +137,11 @@
     /// Forwards a target's cache events to the owner of its group.
     #[method(name = "target_cache_events")]
     async fn target_cache_events(&self, events: CacheEvents) -> Result<(), RpcError>;
+
+    /// Says what the owner of a group would decide on a request for a place, and grants none; served by
+    /// the owner.
+    #[method(name = "place_explain")]
+    async fn explain_place(&self, request: PlaceRequest) -> Result<PlaceExplanation, RpcError>;
 }
 
 /// Methods for operators, served by every instance.
@@ -219,4 +224,9 @@
     /// Removes a control replica from the cluster.
     #[method(name = "remove_replica")]
     async fn remove_replica(&self, instance: InstanceId) -> Result<(), RpcError>;
+
+    /// Says where a request would go now and why, by what this instance and the owner of the group know.
+    /// Sends no request and changes nothing.
+    #[method(name = "explain")]
+    async fn explain(&self, query: ExplainQuery) -> Result<Explanation, RpcError>;
 }
--- a/crates/rpc/src/error.rs
+++ b/crates/rpc/src/error.rs
@@ -68,6 +68,12 @@
     /// The set of control replicas could not be changed.
     #[error("replica membership change failed: {0}")]
     Membership(String),
+    /// The instance has no entry for requests by a route table.
+    #[error("this instance has no entry for requests by a route table")]
+    NoGateway,
+    /// The request to explain is incomplete or contradicts itself.
+    #[error("cannot explain the request: {0}")]
+    InvalidQuery(String),
     /// No response from the peer; the method may or may not have been executed.
     #[error("no response: {0}")]
     NoAnswer(String),
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -1,6 +1,6 @@
 //! JSON-RPC interface between instances, and from the operators' client to an instance.
 //!
-//! `api` declares the methods, `messages`, `places` and `admin` their parameters and results, and
+//! `api` declares the methods, `messages`, `places`, `explain` and `admin` their parameters and results, and
 //! `error` their errors. `peers` caches one client per address, `directory` holds the addresses of
 //! the control replicas, `survey` finds the leader or a replica to follow, `control_client` calls the
 //! leader, and `transport` delivers consensus messages.
@@ -14,6 +14,7 @@
 mod control_client;
 mod directory;
 mod error;
+mod explain;
 mod messages;
 mod peers;
 mod places;
@@ -29,6 +30,10 @@
 pub use control_client::{ControlClient, ControlClientConfig};
 pub use directory::Directory;
 pub use error::RpcError;
+pub use explain::{
+    ExplainQuery, ExplainedCustomer, ExplainedOutcome, ExplainedRoute, Explanation, GroupChoiceRow,
+    PlaceExplanation, PoolRow, ShareRow, TableInForce,
+};
 pub use messages::{
     Permit, PermitRequest, ProposalTerms, RenewReply, RenewRequest, ReplicaPosition, SessionRow,
     WatchEntry, WatchReply,
--- a/crates/scheduler/src/engine_model.rs
+++ b/crates/scheduler/src/engine_model.rs
@@ -90,7 +90,7 @@
 ///
 /// Engines of another deployment may be faster than the settings say. With too low a speed, an engine
 /// waits for prompts that are held back for it.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct PrefillSpeed {
     /// Speed of the settings, in tokens per millisecond. It is never undercut: the time to a first token
     /// also holds waits that have other causes.
--- a/crates/scheduler/src/fair.rs
+++ b/crates/scheduler/src/fair.rs
@@ -51,7 +51,7 @@
 }
 
 /// Fair-queueing state of one subscriber.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Account {
     pub(crate) weight: f64,
     /// Finish tag of the subscriber's latest request.
@@ -103,7 +103,7 @@
 }
 
 /// Virtual time of the group.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct FairClock {
     now: Tag,
     latest_finish: Tag,
--- a/crates/scheduler/src/group.rs
+++ b/crates/scheduler/src/group.rs
@@ -8,7 +8,7 @@
 };
 
 use futures_util::FutureExt;
-use shallotdrum_engine::{CacheEvents, LoadReport, Priority};
+use shallotdrum_engine::{CacheEvents, LoadReport, PlaceOutlook, Priority};
 use shallotdrum_types::{
     Incarnation, RequestError, RequestErrorKind, RequestRate, SoftwareVersion, TargetId,
 };
@@ -154,6 +154,14 @@
         self.shared.lock().group_wait(Instant::now())
     }
 
+    /// What would happen to a request if it arrived now. Changes nothing.
+    pub fn explain(&self, request: &AdmissionRequest) -> PlaceOutlook {
+        let now = Instant::now();
+        // The trial runs outside the lock.
+        let copy = self.shared.lock().clone();
+        copy.try_admit(request, now)
+    }
+
     /// Current state of the group for operators and metrics.
     pub fn snapshot(&self) -> GroupSnapshot {
         self.shared.lock().snapshot(Instant::now())
--- a/crates/scheduler/src/learned.rs
+++ b/crates/scheduler/src/learned.rs
@@ -63,7 +63,7 @@
 }
 
 /// What ended requests tell of those to come. Engines and plain services are learned separately.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Learned {
     /// Generated tokens by power of two of the limit.
     tokens: Vec<Ewma>,
--- a/crates/scheduler/src/service_share.rs
+++ b/crates/scheduler/src/service_share.rs
@@ -31,7 +31,7 @@
 }
 
 /// Shares of served requests by urgency, for the targets of one kind.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct ServiceShares(BTreeMap<Urgency, Ended>);
 
 impl ServiceShares {
--- a/crates/scheduler/src/slots.rs
+++ b/crates/scheduler/src/slots.rs
@@ -143,7 +143,7 @@
 }
 
 /// Adapter slots of one engine.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Slots {
     pub(crate) slots: Vec<Slot>,
     pub(crate) max: usize,
--- a/crates/scheduler/src/state/admission.rs
+++ b/crates/scheduler/src/state/admission.rs
@@ -148,7 +148,7 @@
             avoid: request.avoid,
             software: request.software,
             priority,
-            tx,
+            tx: tx.into(),
         };
         self.queued.insert(seq, queued);
         self.demand.queued_ms += work_ms;
@@ -193,7 +193,12 @@
         self.plan(now);
     }
 
-    fn account(&mut self, id: &SubscriberId, request: &AdmissionRequest, now: Instant) -> SubKey {
+    pub(super) fn account(
+        &mut self,
+        id: &SubscriberId,
+        request: &AdmissionRequest,
+        now: Instant,
+    ) -> SubKey {
         self.subs.key_or_insert_with(id, || Account::new(request.weight, now))
     }
 
@@ -416,7 +421,7 @@
     }
 
     /// Time until at least one target can serve the request's adapter, if it has one.
-    fn load_wait_of(&self, request: &AdmissionRequest, now: Instant) -> Duration {
+    pub(super) fn load_wait_of(&self, request: &AdmissionRequest, now: Instant) -> Duration {
         let RequestKind::Completion { adapter, .. } = &request.kind else { return Duration::ZERO };
         let sub = self.subs.key(&request.subscriber);
         self.load_wait(sub, self.adapters.key(adapter), request.urgency, now)
--- a/crates/scheduler/src/state/choice.rs
+++ b/crates/scheduler/src/state/choice.rs
@@ -101,23 +101,8 @@
         });
         let scored = eligible.map(|key| {
             let target = &self.targets[&key];
-            if self.is_urgency_active() && !target.is_engine() {
-                return (paced_service_score(target, now), target.granted_at, key);
-            }
-            if let Some(model) = self.cfg.engine_model.filter(|_| target.is_engine()) {
-                if self.is_urgency_active() {
-                    let response = class.response_tokens;
-                    let time = finish_ms(&model, target, prefixes, tokens, response, now);
-                    return (time, target.granted_at, key);
-                }
-                let time = self.expected_first_token_ms(&model, target, prefixes, tokens, now);
-                return (time, None, key);
-            }
-            if !target.is_engine() && !self.cfg.prefers_own_zone {
-                return (service_score(target, now), target.granted_at, key);
-            }
-            let prefix_bonus = PREFIX_BONUS * target.prefix_cache.hit_ratio(prefixes);
-            (self.load_score(target, now) - prefix_bonus, target.granted_at, key)
+            let (score, granted_at) = self.target_score(target, class, prefixes, tokens, now);
+            (score, granted_at, key)
         });
         let order = |a: &(f64, Option<Instant>, _), b: &(f64, Option<Instant>, _)| {
             a.0.total_cmp(&b.0).then(a.1.cmp(&b.1))
@@ -125,6 +110,34 @@
         scored.min_by(order).map(|(_, _, key)| key)
     }
 
+    /// Score of a target for a request, and the time that decides between equal ones; the smaller, the
+    /// better.
+    pub(super) fn target_score(
+        &self,
+        target: &Target,
+        class: AdmissionClass,
+        prefixes: &[u64],
+        tokens: u64,
+        now: Instant,
+    ) -> (f64, Option<Instant>) {
+        if self.is_urgency_active() && !target.is_engine() {
+            return (paced_service_score(target, now), target.granted_at);
+        }
+        if let Some(model) = self.cfg.engine_model.filter(|_| target.is_engine()) {
+            if self.is_urgency_active() {
+                let response = class.response_tokens;
+                let time = finish_ms(&model, target, prefixes, tokens, response, now);
+                return (time, target.granted_at);
+            }
+            return (self.expected_first_token_ms(&model, target, prefixes, tokens, now), None);
+        }
+        if !target.is_engine() && !self.cfg.prefers_own_zone {
+            return (service_score(target, now), target.granted_at);
+        }
+        let prefix_bonus = PREFIX_BONUS * target.prefix_cache.hit_ratio(prefixes);
+        (self.load_score(target, now) - prefix_bonus, target.granted_at)
+    }
+
     /// Whether a request of this class may use the target's free capacity.
     ///
     /// While light subscribers send requests, some capacity is reserved for them. Otherwise, each
--- a/crates/scheduler/src/state/demand.rs
+++ b/crates/scheduler/src/state/demand.rs
@@ -88,7 +88,7 @@
 }
 
 /// Demand for the whole group.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct GroupDemand {
     /// Recent work of this group, in milliseconds of engine time.
     work: DecayingCounter,
--- a/crates/scheduler/src/state/lifecycle.rs
+++ b/crates/scheduler/src/state/lifecycle.rs
@@ -97,7 +97,7 @@
         };
         self.running.insert(seq, running);
         // If the caller has dropped the receiver, its guard releases the request.
-        let _ = queued.tx.send(Ok(grant));
+        queued.tx.send(Ok(grant));
     }
 
     /// Records that the request is being sent.
--- a/crates/scheduler/src/state/mod.rs
+++ b/crates/scheduler/src/state/mod.rs
@@ -20,6 +20,7 @@
 mod membership;
 mod overload;
 mod planner;
+mod trial;
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
@@ -32,7 +33,7 @@
 use shallotdrum_types::{
     AdapterRef, Incarnation, RequestError, SoftwareVersion, SubscriberId, TargetId, Tokens,
 };
-use tokio::{sync::oneshot, time::Instant};
+use tokio::time::Instant;
 
 use crate::{
     api::{Finish, LoadOrder, Policy, SchedulerConfig, Scheduling},
@@ -49,6 +50,7 @@
 use self::{
     demand::{AdapterDemand, GroupDemand},
     overload::{Demand, Overload},
+    trial::{GrantTx, Jitter},
 };
 
 /// Key of a subscriber in the group's table.
@@ -58,11 +60,12 @@
 /// steady, and with 30 to 60 s after popularity has shifted.
 pub(crate) const DEMAND_HALF_LIFE: Duration = Duration::from_secs(60);
 
-/// State of the group.
+/// State of the group. A copy serves for trials, which change nothing else; see `trial`.
+#[derive(Clone)]
 pub(crate) struct State {
     pub(crate) cfg: SchedulerConfig,
     pub(crate) log: slog::Logger,
-    rng: StdRng,
+    rng: Jitter,
     fair_clock: FairClock,
     pub(crate) subs: Table<SubscriberId, Account>,
     pub(crate) adapters: Table<AdapterRef, Adapter>,
@@ -143,7 +146,7 @@
 }
 
 /// Adapter that was requested, or reported by a target.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Adapter {
     source: Option<String>,
     queue: Queue,
@@ -199,6 +202,7 @@
 }
 
 /// Request that waits for admission.
+#[derive(Clone)]
 struct QueuedRequest {
     sub: SubKey,
     adapter: Option<AdapterKey>,
@@ -221,7 +225,7 @@
     avoid: Vec<TargetId>,
     software: Option<SoftwareVersion>,
     priority: Priority,
-    tx: oneshot::Sender<Result<Grant, RequestError>>,
+    tx: GrantTx,
 }
 
 impl QueuedRequest {
@@ -268,6 +272,7 @@
 }
 
 /// Admitted request.
+#[derive(Clone)]
 struct RunningRequest {
     sub: SubKey,
     target: TargetKey,
@@ -316,7 +321,7 @@
         Self {
             cfg,
             log,
-            rng,
+            rng: Jitter(rng),
             fair_clock: FairClock::default(),
             subs: Table::new(),
             adapters: Table::new(),
@@ -420,7 +425,7 @@
         self.refund(&queued);
         self.stats.refused += 1;
         // The caller may have dropped the receiver.
-        let _ = queued.tx.send(Err(error));
+        queued.tx.send(Err(error));
     }
 
     /// Withdraws a request that is queued, or admitted without the caller having received the
--- a/crates/scheduler/src/state/overload.rs
+++ b/crates/scheduler/src/state/overload.rs
@@ -34,7 +34,7 @@
 const MAX_LOGGED: u32 = 20;
 
 /// What a queued request needs, and by when.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Demand {
     pub(super) request: RequestId,
     pub(super) urgency: Urgency,
@@ -67,7 +67,7 @@
 }
 
 /// Who got places at the targets of one kind.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Service {
     /// Grants that went to waiting requests.
     turns: Turns,
@@ -77,7 +77,7 @@
 }
 
 /// State of the order and refusal under overload.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Overload {
     pub(super) learned: Learned,
     engines: Service,
--- a/crates/scheduler/src/table.rs
+++ b/crates/scheduler/src/table.rs
@@ -7,7 +7,7 @@
 };
 
 /// Values indexed by key, with an index by name. Keys of removed rows are reused.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Table<N, V> {
     index: HashMap<N, usize>,
     rows: Vec<Option<(N, V)>>,
--- a/crates/scheduler/src/target.rs
+++ b/crates/scheduler/src/target.rs
@@ -28,7 +28,7 @@
 const FIRST_REPORT_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Target with its slots, load and health.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Target {
     pub(crate) spec: TargetSpec,
     pub(crate) added_at: Instant,
@@ -252,7 +252,7 @@
 /// A lost event may have reported removals. After a gap, each prefix therefore counts half until a
 /// request or an event names it again; discarding all of them would move running conversations to
 /// engines without their cache.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct PrefixCacheEstimate {
     prefixes: HashMap<u64, Prefix>,
     /// Uses with their stamps, oldest first. Only the stamp of a prefix's latest use is current.
@@ -265,7 +265,7 @@
 }
 
 /// Prefix that the engine probably has cached.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Prefix {
     stamp: u64,
     /// Value of the cache's `gaps` at the latest use.
