--- a/crates/allotments/src/hints.rs
+++ b/crates/allotments/src/hints.rs
@@ -7,7 +7,7 @@
 
 use shallotdrum_types::{CustomerName, GroupId};
 
-use crate::{AllotmentReply, Lack, Limits, bucket::MAX_ROOM_AFTER};
+use crate::{AllotmentReply, Charge, Lack, Limits, bucket::MAX_ROOM_AFTER};
 
 /// Age from which a reply says nothing any more. The bounds that replies give are exact but for
 /// refunds and new limits, which take effect after this time at the latest.
@@ -50,10 +50,10 @@
 }
 
 /// Latest replies of the owners of shards, for each customer.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct ShardHints(HashMap<CustomerName, CustomerHints>);
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct CustomerHints {
     shards: HashMap<GroupId, Hint>,
     /// Moving average of the share of charges that were granted.
@@ -105,6 +105,15 @@
         self.insert(customer, group, Hint::Unreached { at: now, since }, now);
     }
 
+    /// Records that units go back to a shard, so that the known level stays an upper bound.
+    pub fn record_return(&mut self, charge: &Charge, group: &GroupId) {
+        let known = self.0.get_mut(&charge.customer);
+        if let Some(Hint::Level { level, .. }) = known.and_then(|known| known.shards.get_mut(group))
+        {
+            *level += charge.units as f64;
+        }
+    }
+
     fn insert(
         &mut self,
         customer: &CustomerName,
@@ -192,6 +201,21 @@
     }
 }
 
+impl ShardHints {
+    /// Level of a shard by its latest reply, and the age of the reply; absent without one.
+    pub fn stated_level(
+        &self,
+        customer: &CustomerName,
+        group: &GroupId,
+        now: Instant,
+    ) -> Option<(f64, Duration)> {
+        match self.0.get(customer)?.shards.get(group)? {
+            Hint::Level { level, at, .. } => Some((*level, age(*at, now))),
+            Hint::Unreached { .. } => None,
+        }
+    }
+}
+
 fn age(at: Instant, now: Instant) -> Duration {
     now.saturating_duration_since(at)
 }
--- a/crates/gateway/src/charges.rs
+++ b/crates/gateway/src/charges.rs
@@ -195,9 +195,8 @@
         let mut asked: Vec<GroupId> = Vec::new();
         while Instant::now() < run.deadline {
             let shares = self.shares(allotment, charge);
-            let ChargeStep::Ask(group) = self.plan(&shares, charge, None, &asked) else {
-                return None;
-            };
+            let step = self.plan(&shares, charge, None, &asked, &self.shard_hints());
+            let ChargeStep::Ask(group) = step else { return None };
             let share = shares.owner(group)?.clone();
             asked.push(group.clone());
             if let Some(taken) = self.ask(&run.req.id, &share, charge, None).await {
@@ -257,6 +256,7 @@
     fn return_units(&self, request: &RequestId, taken: &Taken) {
         let Taken { share, charge, at, reservation } = taken;
         if let Some(key) = reservation {
+            self.shard_hints().record_return(charge, &share.0);
             tokio::spawn(self.settle(request, share, charge, *key, false));
             return;
         }
@@ -264,6 +264,7 @@
         let Some(session) = (self.cx.session)().filter(|_| at.elapsed() <= MAX_RETURN_AGE) else {
             return;
         };
+        self.shard_hints().record_return(charge, group);
         if *owner == session {
             // A share that changed its owner does not get the units back.
             let _ = self.cx.owner.return_allotment(group, request, charge);
--- a/crates/rpc/src/place_channel/messages.rs
+++ b/crates/rpc/src/place_channel/messages.rs
@@ -204,6 +204,13 @@
     }
 }
 
+impl Take {
+    /// Identifies the place that is asked for.
+    pub(crate) fn key(&self) -> (SessionId, u64) {
+        (self.session, self.place)
+    }
+}
+
 impl From<PlaceRequest> for Take {
     fn from(req: PlaceRequest) -> Self {
         let PlaceRequest {
--- a/crates/rpc/src/place_channel/state.rs
+++ b/crates/rpc/src/place_channel/state.rs
@@ -99,6 +99,9 @@
     /// Time of the last message from the owner, or since when something waits for one.
     quiet_since: Instant,
     pinged_at: Option<Instant>,
+    /// Ping that asks for a confirmation of reports. It does not show whether the owner is alive: its reply
+    /// comes after those reports were processed.
+    confirming: Option<RequestNumber>,
     /// Time until which the owner counts as one without a channel.
     pub(crate) unsupported_until: Option<Instant>,
 }
@@ -114,6 +117,7 @@
             waiting: HashMap::new(),
             quiet_since: now,
             pinged_at: None,
+            confirming: None,
             unsupported_until: None,
         }
     }
@@ -158,7 +162,8 @@
         if self.is_unsupported(now) {
             return Err(ChannelError::Unsupported);
         }
-        if self.waiting.len() >= MAX_WAITING {
+        // Calls for units are few and end soon. Confirmations must not fail because requests wait.
+        if key.is_some() && self.waiting.len() >= MAX_WAITING {
             return Err(ChannelError::Overloaded);
         }
         // JSON-RPC takes requests that are too large for a frame.
@@ -223,8 +228,8 @@
         let written =
             ends.iter().map(|&(session, ended)| Unconfirmed { confirmed_by, session, ended });
         self.unconfirmed.extend(written);
-        if self.unconfirmed.len() >= MAX_UNCONFIRMED && self.pinged_at.is_none() {
-            self.ping(now);
+        if self.unconfirmed.len() >= MAX_UNCONFIRMED && self.confirming.is_none() {
+            self.confirming = self.push(EntryMessage::Ping).ok();
         }
         let requests = match self.queue.len() <= MAX_WRITE_BYTES {
             true => self.queue.split(),
@@ -258,6 +263,9 @@
             OwnerMessage::Pong(number) => (number, Ok(Answer::Pong)),
             OwnerMessage::Failed(number, error) => (number, Err(ChannelError::Failed(error))),
         };
+        if self.confirming.is_some_and(|ping| ping <= number) {
+            self.confirming = None;
+        }
         while self.unconfirmed.front().is_some_and(|front| front.confirmed_by <= number) {
             self.unconfirmed.pop_front();
         }
@@ -288,6 +296,7 @@
     pub(crate) fn opened(&mut self, now: Instant) {
         self.quiet_since = now;
         self.pinged_at = None;
+        self.confirming = None;
     }
 
     /// Fails all requests that wait, and queues the reports that the owner may not have received.
@@ -297,6 +306,7 @@
     pub(crate) fn fail(&mut self, error: &ChannelError, was_open: bool) -> usize {
         self.queue.clear();
         self.pinged_at = None;
+        self.confirming = None;
         let unconfirmed = self.unconfirmed.drain(..).map(|u| (u.session, u.ended));
         // The oldest reports first.
         let mut ends: Vec<_> = unconfirmed.collect();
--- a/crates/scheduler/src/queue_sums.rs
+++ b/crates/scheduler/src/queue_sums.rs
@@ -46,7 +46,7 @@
 }
 
 /// Queued requests for the targets of one kind.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct QueueSums {
     by_rank: SumTree<(Rank, Seq)>,
     by_tag: SumTree<(Tag, Seq)>,
@@ -111,7 +111,7 @@
     }
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Node<K> {
     key: K,
     /// Random, and no higher than that of the parent.
@@ -124,7 +124,7 @@
 }
 
 /// Treap: search tree in which the random priorities keep the expected depth logarithmic.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct SumTree<K> {
     nodes: Vec<Node<K>>,
     free: Vec<usize>,
--- a/crates/scheduler/src/returns.rs
+++ b/crates/scheduler/src/returns.rs
@@ -28,7 +28,7 @@
 }
 
 /// Virtual queue of the requests whose callers were told to return.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Returns {
     /// Beginning of the first slot.
     begin: Instant,
--- a/crates/scheduler/src/state/admission.rs
+++ b/crates/scheduler/src/state/admission.rs
@@ -151,7 +151,7 @@
             software: request.software,
             spread: request.spread,
             priority,
-            tx,
+            tx: tx.into(),
         };
         self.queued.insert(seq, queued);
         self.count_queued(seq, now);
@@ -197,7 +197,12 @@
         self.plan(now);
     }
 
-    fn account(&mut self, id: &SubscriberId, request: &AdmissionRequest, now: Instant) -> SubKey {
+    pub(super) fn account(
+        &mut self,
+        id: &SubscriberId,
+        request: &AdmissionRequest,
+        now: Instant,
+    ) -> SubKey {
         self.subs.key_or_insert_with(id, || Account::new(request.weight, now))
     }
 
@@ -256,11 +261,14 @@
         let is_new_load = row.is_none_or(|row| {
             row.holders.is_empty() && row.loading.is_empty() && row.queue.is_empty()
         });
+        if !is_new_load || self.cfg.policy == Policy::Baseline {
+            return Ok(());
+        }
         let is_short = match self.is_urgency_active() {
-            true => self.missing_before(request.urgency) < MIN_LOAD_QUEUE,
+            true => self.missing_before(request.urgency, MIN_LOAD_QUEUE) < MIN_LOAD_QUEUE,
             false => self.missing_adapters < MIN_LOAD_QUEUE,
         };
-        if !is_new_load || is_short || self.cfg.policy == Policy::Baseline {
+        if is_short {
             return Ok(());
         }
         let sub = self.subs.key(&request.subscriber);
@@ -420,7 +428,7 @@
     }
 
     /// Time until at least one target can serve the request's adapter, if it has one.
-    fn load_wait_of(&self, request: &AdmissionRequest, now: Instant) -> Duration {
+    pub(super) fn load_wait_of(&self, request: &AdmissionRequest, now: Instant) -> Duration {
         let RequestKind::Completion { adapter, .. } = &request.kind else { return Duration::ZERO };
         let sub = self.subs.key(&request.subscriber);
         self.load_wait(sub, self.adapters.key(adapter), request.urgency, now)
@@ -452,7 +460,7 @@
         let share = sub.map_or(1.0, |sub| self.load_share(sub, self.subs[sub].last_finish, now));
         let mut missing = self.missing_adapters.min(self.waiting.len());
         if self.is_urgency_active() {
-            missing = missing.min(self.missing_before(urgency));
+            missing = self.missing_before(urgency, missing);
         }
         let ahead = (self.missing_share / share).min(missing as f64);
         let interval = match self.cfg.engine_model {
@@ -495,6 +503,7 @@
 
     /// Returns the error for a request that expired in the queue.
     pub(crate) fn expired(&mut self, seq: Seq, now: Instant) -> RequestError {
+        self.count_expired(seq, now);
         let sub = self.queued.get(&seq).map(|queued| queued.sub);
         let wait = sub.map_or(MIN_RETRY_AFTER, |sub| self.queue_wait(sub, None, now));
         self.stats.refused += 1;
--- a/crates/scheduler/src/state/overload.rs
+++ b/crates/scheduler/src/state/overload.rs
@@ -35,7 +35,7 @@
 const MAX_LOGGED: u32 = 20;
 
 /// What a queued request needs, and by when.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Demand {
     pub(super) request: RequestId,
     pub(super) urgency: Urgency,
@@ -68,7 +68,7 @@
 }
 
 /// Who waits for, and who got, places at the targets of one kind.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Service {
     sums: QueueSums,
     returns: Returns,
@@ -92,7 +92,7 @@
 }
 
 /// State of the order and refusal under overload.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Overload {
     pub(super) learned: Learned,
     engines: Service,
@@ -507,14 +507,29 @@
         }
     }
 
-    /// Number of adapters that are loaded before one for a request of this urgency.
-    pub(super) fn missing_before(&self, urgency: Urgency) -> usize {
+    /// Number of adapters whose loads start before one for a request of this urgency, up to `max`.
+    ///
+    /// A load that is under way delays others only while the limit on loads is reached, which the
+    /// observed rate covers.
+    pub(super) fn missing_before(&self, urgency: Urgency, max: usize) -> usize {
         let is_missing = |key: &&usize| {
             let adapter = &self.adapters[**key];
             let head = adapter.queue.first();
-            adapter.holders.is_empty() && head.is_some_and(|(rank, _)| rank.urgency <= urgency)
+            adapter.holders.is_empty()
+                && adapter.loading.is_empty()
+                && head.is_some_and(|(rank, _)| rank.urgency <= urgency)
         };
-        self.waiting.iter().filter(is_missing).count()
+        self.waiting.iter().filter(is_missing).take(max).count()
+    }
+
+    /// Counts a request that expired in the queue as refused: sweeps of a long queue are rare.
+    pub(super) fn count_expired(&mut self, seq: Seq, now: Instant) {
+        if !self.is_urgency_active() {
+            return;
+        }
+        let Some(queued) = self.queued.get(&seq) else { return };
+        let service = self.overload.service_mut(queued.is_engine);
+        service.shares.record_refusal(queued.demand.urgency, now);
     }
 }
 
