--- a/crates/gateway/src/allotments.rs
+++ b/crates/gateway/src/allotments.rs
@@ -18,7 +18,7 @@
 };
 use shallotdrum_control::SESSION_LEASE;
 use shallotdrum_owner::{ChargeError, PlaceAdmission};
-use shallotdrum_routes::Allotment;
+use shallotdrum_routes::{Allotment, Customer};
 use shallotdrum_rpc::PlaceEnd;
 use shallotdrum_telemetry::event;
 use shallotdrum_types::{GroupId, RequestError, RequestErrorKind, RequestId};
@@ -51,7 +51,7 @@
 pub(crate) struct Shares {
     limits: Limits,
     /// Those that have an owner.
-    owned: Vec<Share>,
+    pub(crate) owned: Vec<Share>,
     /// Number of all shares.
     count: usize,
 }
@@ -69,7 +69,7 @@
 }
 
 impl Gateway {
-    fn shard_hints(&self) -> MutexGuard<'_, ShardHints> {
+    pub(crate) fn shard_hints(&self) -> MutexGuard<'_, ShardHints> {
         self.shard_hints.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -102,10 +102,7 @@
         let allotment = run.customer.as_ref().and_then(|customer| customer.allotment);
         match (&run.customer, allotment.filter(|_| !run.is_charged)) {
             (Some(customer), Some(allotment)) => {
-                let generation = run.req.generation.as_ref();
-                let tokens = generation.map(|g| g.prompt_tokens.saturating_add(g.max_tokens));
-                let units = units(&allotment, tokens);
-                let charge = Charge { customer: customer.name.clone(), units };
+                let charge = charge_of(run, customer, &allotment);
                 let placed = self.take_charged(run, admission, &allotment, &charge).await;
                 placed.map(|(place, taken)| (place, Some(taken)))
             }
@@ -172,7 +169,8 @@
             let shares = self.shares(allotment, charge);
             let own = self.places.choose_group(&run.pool, admission).ok();
             let own_group = own.as_ref().map(|chosen| &chosen.group);
-            let share = match self.plan(&shares, charge, own_group, &asked) {
+            let step = self.plan(&shares, charge, own_group, &asked, &self.shard_hints());
+            let share = match step {
                 ChargeStep::Ask(group) => match shares.owner(group) {
                     Some(share) => share.clone(),
                     None => return Err(unreached(charge, self.next_owner_after(&shares, charge))),
@@ -270,7 +268,7 @@
     }
 
     /// Time until a share without a reachable owner is expected to have one, for `Retry-After`.
-    fn next_owner_after(&self, shares: &Shares, charge: &Charge) -> Duration {
+    pub(crate) fn next_owner_after(&self, shares: &Shares, charge: &Charge) -> Duration {
         let now = Instant::now().into_std();
         let expected = match shares.owned.len() < shares.count {
             // The lease of the previous owner has ended.
@@ -304,6 +302,7 @@
         charge: &Charge,
         own: Option<&GroupId>,
         asked: &[GroupId],
+        hints: &ShardHints,
     ) -> ChargeStep<'a> {
         let request = ChargeRequest {
             customer: &charge.customer,
@@ -314,7 +313,7 @@
             own,
             asked,
         };
-        plan_charge(&request, &self.shard_hints(), Instant::now().into_std(), rand::random())
+        plan_charge(&request, hints, Instant::now().into_std(), rand::random())
     }
 
     /// Records the reply of a share's owner; returns whether the units were given.
@@ -353,9 +352,7 @@
             "room_after_ms" => room_after.as_millis() as u64,
             "retry_after_ms" => delay.as_millis() as u64, "revision" => run.revision().0);
         self.cx.metrics.allotment_refused().inc();
-        let Charge { customer, units } = charge;
-        let detail = format!("the allotment of customer {customer} has no room for {units} units");
-        RequestError::not_run(RequestErrorKind::RateLimited, detail).retry_after(delay)
+        no_room(charge, delay)
     }
 }
 
@@ -370,7 +367,7 @@
 }
 
 /// Error of a request that is within its allotment; a full queue is not the customer's excess.
-fn busy(error: RequestError) -> RequestError {
+pub(crate) fn busy(error: RequestError) -> RequestError {
     match error.kind {
         RequestErrorKind::RateLimited => {
             RequestError { kind: RequestErrorKind::Overloaded, ..error }
@@ -380,7 +377,7 @@
 }
 
 /// Error of a request that may be within its allotment, while many of its customer wait for places.
-fn overloaded(charge: &Charge, room_after: Duration) -> RequestError {
+pub(crate) fn overloaded(charge: &Charge, room_after: Duration) -> RequestError {
     let detail = format!("many requests of customer {} wait for targets", charge.customer);
     RequestError::not_run(RequestErrorKind::Overloaded, detail)
         .retry_after(spread_delay(room_after, rand::random()))
@@ -391,8 +388,22 @@
     ServedKind::new(run.pool.clone(), run.req.generation.as_ref().map(|g| g.max_tokens))
 }
 
-fn unreached(charge: &Charge, retry_after: Duration) -> RequestError {
+pub(crate) fn unreached(charge: &Charge, retry_after: Duration) -> RequestError {
     let customer = &charge.customer;
     let detail = format!("cannot ask all owners of the allotment of customer {customer}");
     RequestError::not_run(RequestErrorKind::NotReady, detail).retry_after(retry_after)
 }
+
+/// Error of a request that exceeds the allotment.
+pub(crate) fn no_room(charge: &Charge, delay: Duration) -> RequestError {
+    let Charge { customer, units } = charge;
+    let detail = format!("the allotment of customer {customer} has no room for {units} units");
+    RequestError::not_run(RequestErrorKind::RateLimited, detail).retry_after(delay)
+}
+
+/// What a request is charged.
+pub(crate) fn charge_of(run: &RequestRun, customer: &Customer, allotment: &Allotment) -> Charge {
+    let generation = run.req.generation.as_ref();
+    let tokens = generation.map(|g| g.prompt_tokens.saturating_add(g.max_tokens));
+    Charge { customer: customer.name.clone(), units: units(allotment, tokens) }
+}
--- a/crates/rpc/src/place_channel/server.rs
+++ b/crates/rpc/src/place_channel/server.rs
@@ -1,7 +1,7 @@
 //! Owner's side of channels: one task for each connection, and none for each request.
 
 use std::{
-    collections::{HashMap, VecDeque},
+    collections::{HashMap, HashSet, VecDeque},
     io,
     pin::Pin,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -24,7 +24,7 @@
 use super::{
     CHANNEL_HEADER, CONNECTION_HEADER, IDLE_TIMEOUT, MAX_WAITING, PLACES_PROTOCOL,
     frame::{FrameError, decode, encode, read_available, write_available},
-    messages::{AllotmentCall, EntryMessage, OwnerMessage},
+    messages::{AllotmentCall, EntryMessage, OwnerMessage, Take},
     state::PlaceKey,
 };
 use crate::{EndedPlace, PlaceReply, PlaceRequest, RpcError};
@@ -232,8 +232,10 @@
 struct Connection<'a> {
     server: &'a PlaceServer,
     read: BytesMut,
-    /// Messages that are read and not begun, in their order.
-    arrived: VecDeque<EntryMessage>,
+    /// Requests that are read and not begun, in their order.
+    arrived: VecDeque<(RequestNumber, Box<Take>)>,
+    /// Places of the requests in `arrived` that are not cancelled.
+    pending: HashSet<PlaceKey>,
     begun: FuturesUnordered<Begun>,
     out: BytesMut,
     /// Number of bytes written.
@@ -248,6 +250,7 @@
             server,
             read,
             arrived: VecDeque::new(),
+            pending: HashSet::new(),
             begun: FuturesUnordered::new(),
             out: BytesMut::new(),
             written: 0,
@@ -313,7 +316,9 @@
         }
     }
 
-    /// Carries out what has arrived: ends of places and pings at once, the rest in its order.
+    /// Carries out what has arrived: requests for places in their order, the rest at once.
+    ///
+    /// Whatever a reply confirms has been carried out then, apart from requests for places.
     fn receive(&mut self) -> Result<(), FrameError> {
         while let Some(message) = decode(&mut self.read)? {
             match message {
@@ -322,44 +327,48 @@
                     (self.server.handlers.end)(session, ended);
                 }
                 EntryMessage::Ping(number) => self.reply((OwnerMessage::Pong(number), None))?,
-                message => self.arrived.push_back(message),
+                EntryMessage::Allotment(number, call) => {
+                    let reply = (self.server.handlers.allotment)(call);
+                    self.begin(Begun { number, kind: BegunKind::Allotment(reply) })?;
+                }
+                EntryMessage::Cancel(session, place) => {
+                    // A request that has not begun is skipped when its turn comes.
+                    if !self.pending.remove(&(session, place)) {
+                        (self.server.handlers.end)(session, vec![EndedPlace::cancelled(place)]);
+                    }
+                }
+                EntryMessage::Take(number, _)
+                    if self.begun.len() + self.pending.len() >= MAX_WAITING =>
+                {
+                    self.refuse(number)?;
+                }
+                EntryMessage::Take(number, take) => {
+                    self.pending.insert(take.key());
+                    self.arrived.push_back((number, take));
+                }
             }
         }
         for _ in 0..MAX_BEGUN {
-            match self.arrived.pop_front() {
-                Some(message) => self.begin(message)?,
-                None => break,
+            let Some((number, take)) = self.arrived.pop_front() else { break };
+            let key = take.key();
+            if self.pending.remove(&key) {
+                let reply = (self.server.handlers.take)(PlaceRequest::from(*take));
+                self.begin(Begun { number, kind: BegunKind::Take(key, reply) })?;
             }
         }
         Ok(())
     }
 
-    fn begin(&mut self, message: EntryMessage) -> Result<(), FrameError> {
-        let handlers = &self.server.handlers;
-        let mut begun = match message {
-            EntryMessage::Take(number, _) if self.begun.len() >= MAX_WAITING => {
-                self.server.metrics.place_channel_refused().inc();
-                let detail = format!("{MAX_WAITING} requests wait on the channel for places");
-                let error = RequestError::not_run(RequestErrorKind::Overloaded, detail)
-                    .retry_after(OVERLOADED_RETRY_AFTER);
-                let reply = PlaceReply::Refused { error, group_wait_ms: None };
-                return self.reply((OwnerMessage::Place(number, reply.into()), None));
-            }
-            EntryMessage::Take(number, take) => {
-                let request = PlaceRequest::from(*take);
-                let key = (request.session, request.place);
-                Begun { number, kind: BegunKind::Take(key, (handlers.take)(request)) }
-            }
-            EntryMessage::Allotment(number, call) => {
-                Begun { number, kind: BegunKind::Allotment((handlers.allotment)(call)) }
-            }
-            EntryMessage::Cancel(session, place) => {
-                (handlers.end)(session, vec![EndedPlace::cancelled(place)]);
-                return Ok(());
-            }
-            // Carried out when they were read.
-            EntryMessage::End(..) | EntryMessage::Ping(_) => return Ok(()),
-        };
+    fn refuse(&mut self, number: RequestNumber) -> Result<(), FrameError> {
+        self.server.metrics.place_channel_refused().inc();
+        let detail = format!("{MAX_WAITING} requests wait on the channel for places");
+        let error = RequestError::not_run(RequestErrorKind::Overloaded, detail)
+            .retry_after(OVERLOADED_RETRY_AFTER);
+        let reply = PlaceReply::Refused { error, group_wait_ms: None };
+        self.reply((OwnerMessage::Place(number, reply.into()), None))
+    }
+
+    fn begin(&mut self, mut begun: Begun) -> Result<(), FrameError> {
         // The first poll registers the request, so that a cancellation finds it. Most have their reply
         // at once. The others are polled again with the waker of this task.
         match (&mut begun).now_or_never() {
@@ -394,7 +403,7 @@
     /// Cancels the requests that wait, and releases the places whose reply the entry cannot have; returns
     /// the numbers of both.
     fn end(mut self) -> (usize, usize) {
-        let waiting = self.begun.len() + self.arrived.len();
+        let waiting = self.begun.len() + self.pending.len();
         self.begun.clear();
         for (_, (session, place)) in &self.unsent {
             (self.server.handlers.end)(*session, vec![EndedPlace::cancelled(*place)]);
--- a/crates/scheduler/src/state/store_loads.rs
+++ b/crates/scheduler/src/state/store_loads.rs
@@ -31,14 +31,14 @@
 const MAX_UNANSWERED_FACTOR: usize = 2;
 
 /// Load from the store in flight.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct StoreLoad {
     pub(super) decided_at: Instant,
     pub(super) progress: LoadProgress,
 }
 
 /// What is learned about loads from the store.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct StoreState {
     limit: StoreLimit,
     rate: LimitedRate,
@@ -57,7 +57,7 @@
 
 /// Rate of completed loads, by the time during which the limit is reached. The rest of the time says
 /// nothing about the store.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct LimitedRate {
     completed: DecayingCounter,
     /// Start of the scale of `completed`, on which time passes only while the limit is reached.
@@ -126,6 +126,7 @@
             return;
         }
         let unanswered = self.unanswered_loads(now);
+        self.store.limit.end_overdue_probe(now);
         let limit = self.store.limit.get();
         let is_reached = self.store_loads.len() - unanswered >= limit
             || unanswered >= MAX_UNANSWERED_FACTOR * limit;
--- a/crates/scheduler/src/store_limit.rs
+++ b/crates/scheduler/src/store_limit.rs
@@ -38,7 +38,7 @@
 const MAX_PROBE_TIME: Duration = Duration::from_secs(3);
 
 /// Learned limit of one group.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct StoreLimit {
     /// Start value and lower bound.
     configured: usize,
@@ -159,6 +159,15 @@
         self.limit > self.configured && self.confirmed_at.is_some_and(|at| now >= at + PROBE_AFTER)
     }
 
+    /// Ends a probe whose time is over although no load with a known time has ended.
+    pub fn end_overdue_probe(&mut self, now: Instant) {
+        if self.probe.is_some_and(|probe| now >= probe.since + MAX_PROBE_TIME) {
+            self.probe = None;
+            self.decrease(now);
+            self.confirmed_at = Some(now);
+        }
+    }
+
     fn continue_probe(&mut self, mut probe: Probe, load: EndedLoad) {
         probe.loads += usize::from(load.accepted_at >= probe.since);
         let is_over = probe.loads >= PROBE_ROUNDS * self.configured
--- a/crates/telemetry/src/logger.rs
+++ b/crates/telemetry/src/logger.rs
@@ -17,6 +17,7 @@
         mpsc::{Receiver, SyncSender, TrySendError, sync_channel},
     },
     thread::JoinHandle,
+    time::{Duration, Instant},
 };
 
 use slog::{Drain, Level, LevelFilter, Logger, Never, OwnedKVList, Record, o};
@@ -174,6 +175,10 @@
     (Logger::root(drain, o!()), LogGuard { tx, thread: Some(thread) })
 }
 
+/// Time after which a batch is written although more records are queued; half of the longest delay of a
+/// line that is wanted.
+const MAX_BATCH_TIME: Duration = Duration::from_millis(25);
+
 fn write_records(
     rx: &Receiver<Message>,
     dropped: &AtomicU64,
@@ -183,17 +188,20 @@
     let batch = Batch::default();
     let formatter = formatter(batch.clone());
     let mut next = rx.recv().ok();
+    let mut begun_at = Instant::now();
     while let Some(Message::Record(record)) = next {
         let Ok(()) = record.log_to(&formatter);
         next = rx.try_recv().ok();
-        if next.is_none() {
+        if next.is_none() || batch.is_full() || begun_at.elapsed() >= MAX_BATCH_TIME {
             report_dropped(&formatter, dropped);
-        }
-        if next.is_none() || batch.is_full() {
             batch.write_to(&mut writer);
+            begun_at = Instant::now();
         }
         // Waits for the next record only while nothing is left to write.
-        next = next.or_else(|| rx.recv().ok());
+        if next.is_none() {
+            next = rx.recv().ok();
+            begun_at = Instant::now();
+        }
     }
     report_dropped(&formatter, dropped);
     batch.write_to(&mut writer);
