Give turns to kinds of which nothing waits

All kinds with recent requests are judged now. A kind that was passed over when its turn was due comes after the other kinds that are due. Refusals because of loads no longer count towards the share of a kind, as turns do not speed up loads.

--- a/crates/scheduler/src/service_share.rs
+++ b/crates/scheduler/src/service_share.rs
@@ -33,6 +33,16 @@
     refused: DecayingCounter,
 }
 
+/// Recent requests of one urgency, by what became of them.
+#[derive(Clone, Copy, Debug)]
+struct Counts {
+    urgency: Urgency,
+    granted: f64,
+    refused: f64,
+    /// With those that wait.
+    all: f64,
+}
+
 /// Shares of served requests by urgency, for the targets of one kind.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct ServiceShares(BTreeMap<Urgency, Ended>);
@@ -54,34 +64,31 @@
         self.0.entry(urgency).or_insert_with(|| Ended { granted: new(), refused: new() })
     }
 
-    /// Kinds of the waiting requests that are served too rarely, with their turns.
+    /// Kinds that are served too rarely, with their turns.
     ///
-    /// `waiting` is the number of waiting requests by urgency, each weighted from 0 for one that has just
-    /// arrived to 1 for one that counts as not served.
+    /// A kind of which nothing waits is judged as well: all its requests may be refused on arrival because
+    /// it has no turns. `waiting` is the number of waiting requests by urgency, each weighted from 0 for one
+    /// that has just arrived to 1 for one that counts as not served.
     pub(crate) fn behind(&self, waiting: &BTreeMap<Urgency, f64>, now: Instant) -> Vec<ShareTurns> {
-        let ended = |urgency: &Urgency| {
-            let ended = self.0.get(urgency);
-            ended.map_or((0.0, 0.0), |ended| (ended.granted.get(now), ended.refused.get(now)))
-        };
-        // Grants, and all requests.
-        let counts = |urgency: &Urgency| {
-            let waited = waiting.get(urgency).copied().unwrap_or_default();
-            let (granted, refused) = ended(urgency);
-            (granted, granted + refused + waited)
-        };
         let without_end = waiting.keys().filter(|urgency| !self.0.contains_key(urgency));
-        let (granted, all) = self
-            .0
-            .keys()
-            .chain(without_end)
-            .map(counts)
-            .fold((0.0, 0.0), |sum, (granted, all)| (sum.0 + granted, sum.1 + all));
-        let min_share = MIN_RELATIVE_SHARE * granted / f64::max(all, 1.0);
-        let behind = waiting.keys().filter_map(|urgency| {
-            let (granted, of_kind) = counts(urgency);
-            let is_short = of_kind >= MIN_ENDED && granted / of_kind < min_share;
-            let is_behind = is_short || ended(urgency).1 >= MIN_REFUSED;
-            is_behind.then(|| ShareTurns::of_demand(*urgency, of_kind / f64::max(all, 1.0)))
+        let urgencies = self.0.keys().chain(without_end);
+        let counts: Vec<Counts> = urgencies
+            .map(|urgency| {
+                let waiting = waiting.get(urgency).copied().unwrap_or_default();
+                let ended = self.0.get(urgency);
+                let (granted, refused) = ended.map_or((0.0, 0.0), |ended| {
+                    (ended.granted.get(now), ended.refused.get(now))
+                });
+                Counts { urgency: *urgency, granted, refused, all: granted + refused + waiting }
+            })
+            .collect();
+        let granted: f64 = counts.iter().map(|counts| counts.granted).sum();
+        let all = counts.iter().map(|counts| counts.all).sum::<f64>().max(1.0);
+        let min_share = MIN_RELATIVE_SHARE * granted / all;
+        let behind = counts.iter().filter_map(|counts| {
+            let is_short = counts.all >= MIN_ENDED && counts.granted / counts.all < min_share;
+            let is_behind = is_short || counts.refused >= MIN_REFUSED;
+            is_behind.then(|| ShareTurns::of_demand(counts.urgency, counts.all / all))
         });
         behind.collect()
     }
--- a/crates/scheduler/src/state/overload.rs
+++ b/crates/scheduler/src/state/overload.rs
@@ -285,6 +285,9 @@
             // Among equally urgent requests, fair shares decide which one has no room.
             Decision::Refuse(outlook) if outlook.is_in_time() => self.displace_newest(request, now),
             Decision::Refuse(outlook) => {
+                // Refusals because of loads do not count: turns do not speed up loads.
+                let shares = &mut self.overload.service_mut(is_engine).shares;
+                shares.record_refusal(demand.urgency, now);
                 let retry = self.book_return(&demand, outlook.excess_secs, work_secs, now);
                 Err(self.refuse_newcomer(&demand, &outlook, retry, now))
             }
@@ -316,8 +319,6 @@
         retry: Duration,
         now: Instant,
     ) -> RequestError {
-        let is_engine = demand.max_tokens.is_some();
-        self.overload.service_mut(is_engine).shares.record_refusal(demand.urgency, now);
         self.stats.refused_on_arrival += 1;
         if let Some(counters) = &self.cfg.counters {
             counters.refused_on_arrival.inc();
--- a/crates/scheduler/src/turns.rs
+++ b/crates/scheduler/src/turns.rs
@@ -76,12 +76,19 @@
     turns.iter().find(|turns| turns.urgency == urgency)
 }
 
+/// Turns that a kind which falls behind has not used yet.
+#[derive(Clone, Copy, Debug, Default)]
+struct Credit {
+    turns: f64,
+    /// Grants that went to other kinds although this one was due, since its latest grant.
+    passed_over: u32,
+}
+
 /// Counts grants, to find those that do not go by rank.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Turns {
     grants: u32,
-    /// Turns that the kinds which fall behind have not used yet.
-    credits: BTreeMap<Urgency, f64>,
+    credits: BTreeMap<Urgency, Credit>,
 }
 
 impl Turns {
@@ -90,9 +97,19 @@
         if self.grants % GRANTS_PER_TAG_TURN == LAST_TURN {
             return Order::Tag;
         }
-        let due = self.credits.iter().filter(|(_, credit)| **credit >= 1.0);
-        let most = due.max_by(|a, b| a.1.total_cmp(b.1));
-        most.map_or(Order::Rank, |(urgency, _)| Order::Share(*urgency))
+        self.due().map_or(Order::Rank, Order::Share)
+    }
+
+    /// Kind that has the next turn.
+    ///
+    /// One that was passed over comes after the others: no free target can take its requests, or none of
+    /// them wait, and it must not keep the turns from them.
+    fn due(&self) -> Option<Urgency> {
+        let due = self.credits.iter().filter(|(_, credit)| credit.turns >= 1.0);
+        let first = due.min_by(|(_, a), (_, b)| {
+            a.passed_over.cmp(&b.passed_over).then(b.turns.total_cmp(&a.turns))
+        });
+        first.map(|(urgency, _)| *urgency)
     }
 
     /// Grants before the next one by tag.
@@ -102,13 +119,20 @@
 
     /// Counts a grant to a request of this urgency, while these kinds fall behind.
     pub(crate) fn count(&mut self, granted: Urgency, behind: &[ShareTurns]) {
+        let passed_over = match self.order() {
+            Order::Share(due) if due != granted => Some(due),
+            _ => None,
+        };
         self.grants = self.grants.wrapping_add(1);
         self.credits.retain(|urgency, _| find_turns(behind, *urgency).is_some());
         for ShareTurns { urgency, grants } in behind {
             let credit = self.credits.entry(*urgency).or_default();
-            *credit = (*credit + grants).min(MAX_CREDIT);
+            credit.turns = (credit.turns + grants).min(MAX_CREDIT);
             if *urgency == granted {
-                *credit = (*credit - 1.0).max(0.0);
+                credit.turns = (credit.turns - 1.0).max(0.0);
+                credit.passed_over = 0;
+            } else if passed_over == Some(*urgency) {
+                credit.passed_over = credit.passed_over.saturating_add(1);
             }
         }
     }
--- a/crates/scheduler/tests/overload.rs
+++ b/crates/scheduler/tests/overload.rs
@@ -131,6 +131,28 @@
     }
 }
 
+/// Answers an overload in which few requests are of the least urgent kind, so that none of them may be
+/// queued for long. Guards against a kind that is refused on arrival and gets no turns for that reason.
+#[rstest]
+#[case::calls(call(), 1.5)]
+#[case::many_calls(call(), 3.0)]
+#[case::streams(short(), 2.0)]
+#[tokio::test(start_paused = true)]
+async fn rare_kind_gets_quarter(#[case] work: Demand, #[case] factor: f64) {
+    let kinds = vec![
+        kind("first", 0, 0.65, work.clone(), 2_500),
+        kind("second", 1, 0.3, work.clone(), 2_500),
+        kind("rare", 9, 0.05, work, 2_500),
+    ];
+    let phases = vec![CALM, Phase { secs: 15.0, factor }];
+    let load = Load { kinds, phases, outage: None, seed: 14 };
+    let report = run(&load, Scheduling::Urgency).await;
+    println!("{report}");
+    let (all, rare) = (report.all(1..2), report.of(1..2, "rare"));
+    let (all, rare) = (all.finished_share(), rare.finished_share());
+    assert!(rare >= MIN_RELATIVE_SERVICE * all, "the rare kind got {rare:.3}, all got {all:.3}");
+}
+
 /// Answers a customer that sends 10 times its share. Guards against others that wait behind it, or are
 /// refused for it.
 #[rstest]
