Give requests without a customer's rank the middle one of the table

Requests of public routes and of customers without a rank had the rank 5, which put them behind all others where customers have the ranks 0 and 1. The rank is now the middle one of those in the table.

--- a/crates/gateway/src/customers.rs
+++ b/crates/gateway/src/customers.rs
@@ -155,10 +155,17 @@
 }
 
 /// How urgent a request is: the customer's rank goes before that of the route.
-pub(crate) fn urgency(customer: Option<&Customer>, route: &Route) -> Urgency {
-    let middle = Urgency::default().customer;
-    let rank = customer.and_then(|customer| customer.rank);
-    Urgency { customer: rank.unwrap_or(middle), route: route.rank }
+///
+/// Without a rank of a customer, the request has the middle one of the table.
+pub(crate) fn urgency(
+    customer: Option<&Customer>,
+    route: &Route,
+    routes: Option<&RouteIndex>,
+) -> Urgency {
+    let stated = customer.and_then(|customer| customer.rank);
+    let rank = stated.or_else(|| routes.and_then(RouteIndex::middle_rank));
+    let customer = rank.unwrap_or(Urgency::default().customer);
+    Urgency { customer, route: route.rank }
 }
 
 impl Gateway {
--- a/crates/gateway/src/grant.rs
+++ b/crates/gateway/src/grant.rs
@@ -64,6 +64,7 @@
 
     /// What the owner of a target group is told of the request.
     pub(crate) fn admission(&self, run: &RequestRun, need: Requirements) -> PlaceAdmission {
+        let routes = self.in_force().routes;
         PlaceAdmission {
             request: run.req.id.clone(),
             identity: self.cx.owner.identity_to_admit(run.admitted_identity()),
@@ -71,7 +72,7 @@
             weight: weight(run),
             need,
             left: Duration::ZERO,
-            urgency: urgency(run.customer.as_deref(), &run.route),
+            urgency: urgency(run.customer.as_deref(), &run.route, routes.as_deref()),
             objective: run.left_by_objective(),
             spread: 1,
             avoid: run.avoid.clone(),
--- a/crates/routes/src/index.rs
+++ b/crates/routes/src/index.rs
@@ -21,12 +21,13 @@
     hosts: OnceLock<HashMap<String, Vec<usize>>>,
     /// Indices into `table.customers` by hash of the key.
     keys: OnceLock<HashMap<KeyHash, usize>>,
+    middle_rank: OnceLock<Option<u8>>,
 }
 
 impl RouteIndex {
     /// Index of a table.
     pub fn new(table: Arc<RouteTable>) -> Self {
-        Self { table, hosts: OnceLock::new(), keys: OnceLock::new() }
+        Self { table, hosts: OnceLock::new(), keys: OnceLock::new(), middle_rank: OnceLock::new() }
     }
 
     fn hosts(&self) -> &HashMap<String, Vec<usize>> {
@@ -58,6 +59,18 @@
         self.table.customers.as_ref()?.get(at)
     }
 
+    /// Middle one of the ranks that customers have; of two, the more urgent one.
+    ///
+    /// Ranks have no fixed scale: next to ranks of 0 and 1, a fixed default of 5 is behind everyone.
+    pub fn middle_rank(&self) -> Option<u8> {
+        *self.middle_rank.get_or_init(|| {
+            let customers = self.table.customers.iter().flatten();
+            let mut ranks: Vec<u8> = customers.filter_map(|customer| customer.rank).collect();
+            ranks.sort_unstable();
+            ranks.get(ranks.len().saturating_sub(1) / 2).copied()
+        })
+    }
+
     /// Indexed table.
     pub fn table(&self) -> &Arc<RouteTable> {
         &self.table
--- a/crates/routes/tests/customers.rs
+++ b/crates/routes/tests/customers.rs
@@ -82,3 +82,19 @@
     table.document = r#"{"keys": ["secret-1"]}"#.to_owned();
     assert!(!format!("{table:?}").contains("secret"));
 }
+
+/// Guards against requests of no customer that go behind all others, because their rank is of another
+/// scale than those of the customers.
+#[rstest]
+#[case::no_ranks(&[None, None], None)]
+#[case::low_ranks(&[Some(1), Some(0), Some(1), None], Some(1))]
+#[case::two(&[Some(7), Some(2)], Some(2))]
+#[case::one(&[Some(9)], Some(9))]
+fn middle_rank(#[case] ranks: &[Option<u8>], #[case] expected: Option<u8>) {
+    let ranked = |(n, rank): (usize, &Option<u8>)| {
+        let name = format!("c-{n}");
+        Customer { rank: *rank, ..customer(&name, &[&name]) }
+    };
+    let customers = ranks.iter().enumerate().map(ranked).collect();
+    assert_eq!(RouteIndex::new(Arc::new(table(customers))).middle_rank(), expected);
+}
