Weigh held places by the time of their use

Cause: the ratio of held to used time was the mean of the ratios of single calls. Many short calls that are reported late made up for a few long ones that use most of the slots: with nine calls of 5 ms held 10 ms and one of 500 ms held 505 ms, a service of 6 slots got 11 calls at a time. At engines, the same ratio lowered the requests that are expected to run at a time, so that requests were refused that could be finished.

Change: the ratio is that of the mean held time to the mean used time (`HeldPlaces`, a module of its own). Of one request, at most its time of use counts as held beyond it, as before.

--- /dev/null
+++ b/crates/scheduler/src/held.rs
@@ -0,0 +1,41 @@
+//! How much longer places are held than requests use them.
+//!
+//! A place is held from the grant until the owner has the report of its end. With calls of 33 ms and calls
+//! queued all the time, services of 24 slots were granted 378 calls per second, so that each place was held
+//! for some 63 ms. The module uses no network and no clock.
+
+use std::time::Duration;
+
+/// Weight of the newest request in the means.
+const WEIGHT: f64 = 0.05;
+/// Largest ratio. What arrives beyond the slots of a service waits there, out of the order by urgency.
+const MAX_RATIO: f64 = 2.0;
+/// Shortest use that a place is assumed to have.
+const MIN_USE: Duration = Duration::from_millis(1);
+
+/// Mean time for which places are used, and for which they are held beyond that.
+///
+/// The ratio of the means is that of the held places to the used ones. The mean of the ratios of single
+/// requests is not: many short calls would make up for a few long ones that use most of the slots.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct HeldPlaces {
+    /// Absent before the first request.
+    used_secs: Option<f64>,
+    unused_secs: f64,
+}
+
+impl HeldPlaces {
+    pub(crate) fn record(&mut self, held: Duration, used: Duration) {
+        let used = used.max(MIN_USE);
+        // One place that was held for long, such as that of a frozen entry, counts no more than others.
+        let unused = held.saturating_sub(used).min(used.mul_f64(MAX_RATIO - 1.0));
+        let mean = self.used_secs.get_or_insert(used.as_secs_f64());
+        *mean += WEIGHT * (used.as_secs_f64() - *mean);
+        self.unused_secs += WEIGHT * (unused.as_secs_f64() - self.unused_secs);
+    }
+
+    /// Places that are held for each one that is used; from 1 to [`MAX_RATIO`].
+    pub(crate) fn ratio(&self) -> f64 {
+        self.used_secs.map_or(1.0, |used| 1.0 + self.unused_secs / used)
+    }
+}
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -14,6 +14,7 @@
 mod engine_model;
 mod fair;
 mod group;
+mod held;
 mod learned;
 mod load_progress;
 mod measure;
--- a/crates/scheduler/src/state/lifecycle.rs
+++ b/crates/scheduler/src/state/lifecycle.rs
@@ -171,7 +171,7 @@
             if running.used.is_some()
                 && let Some(target) = self.targets.get_mut(&running.target)
             {
-                target.record_hold(held, used);
+                target.held.record(held, used);
             }
         }
         self.release_target(seq, &running, finish, now);
--- a/crates/scheduler/src/target.rs
+++ b/crates/scheduler/src/target.rs
@@ -12,6 +12,7 @@
     api::TargetSpec,
     engine_model::{AdapterCache, Backlog, EngineModel},
     fair::Seq,
+    held::HeldPlaces,
     measure::{DecayingCounter, Ewma},
     pace::{MAX_PREFILL_SHARE, Pace},
     rate_limit::RateLimit,
@@ -38,8 +39,7 @@
     pub(crate) running: u32,
     /// Limit on concurrent requests since the target had no room for one.
     pub(crate) ceiling: Option<Ceiling>,
-    /// Time for which places for calls are held over the time for which the calls use them; at least 1.
-    held_ratio: f64,
+    pub(crate) held: HeldPlaces,
     /// Time of the latest admission.
     pub(crate) granted_at: Option<Instant>,
     /// Admitted requests that do not use the capacity reserved for lookups.
@@ -89,14 +89,6 @@
 /// falls over if it must refuse several requests within a second.
 const CEILING_RAISE_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Weight of the newest call in the time for which places are held.
-const HELD_RATIO_WEIGHT: f64 = 0.05;
-/// Largest factor on the requests of a service. What arrives beyond its slots waits there, out of the order by
-/// urgency.
-const MAX_HELD_RATIO: f64 = 2.0;
-/// Shortest use of a place that is told from none.
-const MIN_USE: Duration = Duration::from_millis(1);
-
 impl Target {
     pub(crate) fn new(spec: TargetSpec, health: Health, now: Instant) -> Self {
         let max_slots = match &spec.kind {
@@ -122,7 +114,7 @@
             assigned: VecDeque::new(),
             prefix_cache: PrefixCacheEstimate::default(),
             ceiling: None,
-            held_ratio: 1.0,
+            held: HeldPlaces::default(),
             granted_at: None,
             prefill_backlog: Backlog::new(now),
             adapter_cache: AdapterCache::default(),
@@ -149,7 +141,7 @@
         match self.spec.kind {
             TargetKind::Engine { max_batch, .. } => max_batch,
             TargetKind::Service { max_concurrent } => {
-                (f64::from(max_concurrent) * self.held_ratio) as u32
+                (f64::from(max_concurrent) * self.held.ratio()) as u32
             }
         }
         .max(1)
@@ -157,17 +149,7 @@
 
     /// Requests that run at a time while the capacity is used.
     pub(crate) fn concurrency(&self) -> f64 {
-        f64::from(self.capacity()) / self.held_ratio
-    }
-
-    /// Learns for how long the place of a call is held beyond its use.
-    ///
-    /// A call that has ended occupies its place until the report arrives. With calls of 33 ms and calls queued all
-    /// the time, services of 24 slots were granted 378 calls per second, so that each place was held for some 63 ms.
-    pub(crate) fn record_hold(&mut self, held: Duration, used: Duration) {
-        let ratio = held.as_secs_f64() / used.as_secs_f64().max(MIN_USE.as_secs_f64());
-        let ratio = ratio.clamp(1.0, MAX_HELD_RATIO);
-        self.held_ratio += HELD_RATIO_WEIGHT * (ratio - self.held_ratio);
+        f64::from(self.capacity()) / self.held.ratio()
     }
 
     /// Lowers the limit below the number of requests with which the target had no room for another.
