Count a place whose use is not stated as used

Cause: the held time was learned only from calls whose entry states how long it used the place, and granted for all. With one of four entries stating it, the calls of the others were taken to hold their places as little. A stated time of 0 ms counted as 1 ms: it raised the ratio to its bound and was learned as the duration of a call.

Change: a place without a stated use, or with one below 1 ms, counts as used for the whole time that it was held.

--- a/crates/scheduler/src/held.rs
+++ b/crates/scheduler/src/held.rs
@@ -10,8 +10,8 @@
 const WEIGHT: f64 = 0.05;
 /// Largest ratio. What arrives beyond the slots of a service waits there, out of the order by urgency.
 const MAX_RATIO: f64 = 2.0;
-/// Shortest use that a place is assumed to have.
-const MIN_USE: Duration = Duration::from_millis(1);
+/// Shortest use of a place. Entries state whole milliseconds; a shorter time says nothing.
+pub(crate) const MIN_USE: Duration = Duration::from_millis(1);
 
 /// Mean time for which places are used, and for which they are held beyond that.
 ///
--- a/crates/scheduler/src/state/lifecycle.rs
+++ b/crates/scheduler/src/state/lifecycle.rs
@@ -9,6 +9,7 @@
 use crate::{
     api::Finish,
     fair::{Cost, Seq},
+    held::MIN_USE,
     target::TargetKey,
 };
 
@@ -137,7 +138,8 @@
         let is_urgency_active = self.is_urgency_active();
         // Under load, a report of an end waits at the owner: calls of 33 ms counted as 0.63 to 0.87 s.
         let held = now - running.admitted_at;
-        let used = running.used.filter(|_| is_urgency_active).map_or(held, |used| used.min(held));
+        let stated = running.used.filter(|used| is_urgency_active && *used >= MIN_USE);
+        let used = stated.map_or(held, |used| used.min(held));
         let secs = used.as_secs_f64();
         self.learn(running.max_tokens, finish, secs, now);
         let account = &mut self.subs[running.sub];
@@ -168,9 +170,7 @@
         account.charge(if running.adapter.is_some() { actual } else { running.cost });
         if matches!(finish, Finish::Answered { .. }) && is_urgency_active {
             self.record_call_time(&running, used);
-            if running.used.is_some()
-                && let Some(target) = self.targets.get_mut(&running.target)
-            {
+            if let Some(target) = self.targets.get_mut(&running.target) {
                 target.held.record(held, used);
             }
         }
--- a/crates/scheduler/tests/durations.rs
+++ b/crates/scheduler/tests/durations.rs
@@ -38,12 +38,13 @@
 }
 
 /// Guards against an owner that refuses calls because it processes the reports of ended ones late, and
-/// against a stated time beyond the one for which the place was held.
+/// against a stated time that is zero or beyond the one for which the place was held.
 #[rstest]
 #[case::stated(Some(CALL), 300, true)]
 #[case::not_stated(None, 300, false)]
 #[case::too_long(Some(Duration::from_secs(9)), 300, false)]
 #[case::bounded(Some(Duration::from_secs(9)), 800, true)]
+#[case::zero(Some(Duration::ZERO), 300, false)]
 #[tokio::test(start_paused = true)]
 async fn late_report_is_no_duration(
     #[case] used: Option<Duration>,
--- a/crates/scheduler/tests/held_places.rs
+++ b/crates/scheduler/tests/held_places.rs
@@ -101,6 +101,21 @@
     assert!(matches!(outlook.verdict, PlaceVerdict::Waits { .. }), "{outlook:?}");
 }
 
+/// Guards against extra calls for entries that do not state how long they used a place, or state no time:
+/// the ratio of a few other entries counted for all.
+#[rstest]
+#[case::one_in_four(4, ms(33))]
+#[case::no_time(1, Duration::ZERO)]
+#[tokio::test(start_paused = true)]
+async fn unstated_use_is_whole_time(#[case] stated_each: u32, #[case] used: Duration) {
+    let group = service();
+    for n in 0..200 {
+        let used = (n % stated_each == 0).then_some(used);
+        run(&group, call(), ms(66), used).await;
+    }
+    assert_eq!(capacity(&group), SLOTS);
+}
+
 /// Guards against extra calls that remain once reports arrive in time.
 #[tokio::test(start_paused = true)]
 async fn reports_in_time_end_extra_calls() {
