Learn held places from calls without a response

Cause: the held time was learned only from calls with a response. A service whose reports had been late and that then stopped responding kept 11 calls at a time in 6 slots for as long as its calls were abandoned.

Change: failed and abandoned calls whose entry states how long it used the place count as well. Refused ones do not: they used no slot.

Result: calls_without_response_count (11 calls at a time, 6 slots) fails before and passes now; the other tests of held_places.rs and durations.rs pass.

--- a/crates/scheduler/src/state/lifecycle.rs
+++ b/crates/scheduler/src/state/lifecycle.rs
@@ -170,9 +170,18 @@
         account.charge(if running.adapter.is_some() { actual } else { running.cost });
         if matches!(finish, Finish::Answered { .. }) && is_urgency_active {
             self.record_call_time(&running, used);
-            if let Some(target) = self.targets.get_mut(&running.target) {
-                target.held.record(held, used);
-            }
+        }
+        let is_held_known = match finish {
+            Finish::Answered { .. } => true,
+            Finish::Refused | Finish::NoRoom => false,
+            // Without a stated use, the request may never have been sent.
+            Finish::TargetFailed | Finish::TargetCrashed | Finish::Cancelled => stated.is_some(),
+        };
+        if let Some(target) = self.targets.get_mut(&running.target)
+            && is_held_known
+            && is_urgency_active
+        {
+            target.held.record(held, used);
         }
         self.release_target(seq, &running, finish, now);
         self.end_busy_period_if_idle();
--- a/crates/scheduler/tests/held_places.rs
+++ b/crates/scheduler/tests/held_places.rs
@@ -116,6 +116,19 @@
     assert_eq!(capacity(&group), SLOTS);
 }
 
+/// Guards against extra calls at a service that no longer responds: only calls with a response counted.
+#[tokio::test(start_paused = true)]
+async fn calls_without_response_count() {
+    let group = service_with_late_reports().await;
+    for _ in 0..CALLS {
+        let lease = group.admit(call()).await.unwrap();
+        lease.started();
+        sleep(ms(1_000)).await;
+        end(lease, Some(ms(1_000)), Finish::Cancelled);
+    }
+    assert_eq!(capacity(&group), SLOTS);
+}
+
 /// Guards against extra calls that remain once reports arrive in time.
 #[tokio::test(start_paused = true)]
 async fn reports_in_time_end_extra_calls() {
