Take back all extra calls when a service has no room

Cause: a service that refused a call for lack of room while it had 11 calls for its 6 slots was granted 10 from then on, so that it had to refuse one call for each place beyond its slots. A target that says it is brittle falls over if it must refuse several requests within a second.

Change: the first such refusal lowers the limit to the slots. It rises again as before, by one after a response and at most each 500 ms.

--- a/crates/scheduler/src/target.rs
+++ b/crates/scheduler/src/target.rs
@@ -137,12 +137,19 @@
         self.ceiling.map_or(announced, |ceiling| ceiling.limit.min(announced))
     }
 
-    fn announced_capacity(&self) -> u32 {
+    /// Requests that the target takes at a time.
+    fn announced_slots(&self) -> u32 {
         match self.spec.kind {
             TargetKind::Engine { max_batch, .. } => max_batch,
-            TargetKind::Service { max_concurrent } => {
-                (f64::from(max_concurrent) * self.held.ratio()) as u32
-            }
+            TargetKind::Service { max_concurrent } => max_concurrent,
+        }
+    }
+
+    fn announced_capacity(&self) -> u32 {
+        let slots = self.announced_slots();
+        match self.is_engine() {
+            true => slots,
+            false => (f64::from(slots) * self.held.ratio()) as u32,
         }
         .max(1)
     }
@@ -153,8 +160,11 @@
     }
 
     /// Lowers the limit below the number of requests with which the target had no room for another.
+    ///
+    /// The refusal shows that the places beyond the slots were in use, so all of them are taken back at once.
     pub(crate) fn lower_ceiling(&mut self, now: Instant) {
-        let limit = self.running.saturating_sub(1).clamp(1, self.capacity());
+        let highest = self.capacity().min(self.announced_slots()).max(1);
+        let limit = self.running.saturating_sub(1).clamp(1, highest);
         self.ceiling = Some(Ceiling { limit, changed_at: now });
     }
 
--- a/crates/scheduler/tests/held_places.rs
+++ b/crates/scheduler/tests/held_places.rs
@@ -129,6 +129,20 @@
     assert_eq!(capacity(&group), SLOTS);
 }
 
+/// Guards against one refusal for each extra call at a service that has no room beyond its slots.
+#[tokio::test(start_paused = true)]
+async fn refusal_ends_extra_calls() {
+    let group = service_with_late_reports().await;
+    let mut leases = Vec::new();
+    for n in 0..MOST {
+        // One customer alone gets none of the slots that are reserved for others.
+        let subscriber = format!("s{n}").parse().unwrap();
+        leases.push(group.admit(AdmissionRequest { subscriber, ..call() }).await.unwrap());
+    }
+    end(leases.pop().unwrap(), Some(ms(1)), Finish::NoRoom);
+    assert_eq!(capacity(&group), SLOTS);
+}
+
 /// Guards against extra calls that remain once reports arrive in time.
 #[tokio::test(start_paused = true)]
 async fn reports_in_time_end_extra_calls() {
