Forget held places after a pause

Cause: a service whose reports had been late kept its extra calls through a pause of any length. The first calls after it, whose reports may arrive in time, were granted 11 at a time for 6 slots.

Result: pause_ends_extra_calls (11 calls at a time, 6 slots) fails before and passes now; the other tests of held_places.rs, durations.rs and room.rs pass.

--- a/crates/scheduler/src/held.rs
+++ b/crates/scheduler/src/held.rs
@@ -6,12 +6,17 @@
 
 use std::time::Duration;
 
+use tokio::time::Instant;
+
 /// Weight of the newest request in the means.
 const WEIGHT: f64 = 0.05;
 /// Largest ratio. What arrives beyond the slots of a service waits there, out of the order by urgency.
 const MAX_RATIO: f64 = 2.0;
 /// Shortest use of a place. Entries state whole milliseconds; a shorter time says nothing.
 pub(crate) const MIN_USE: Duration = Duration::from_millis(1);
+/// Age of the latest ended request from which the means no longer count. Whether reports are late depends on
+/// the load of the moment, and the calls after a pause may arrive all at once.
+const MAX_AGE: Duration = Duration::from_secs(5);
 
 /// Mean time for which places are used, and for which they are held beyond that.
 ///
@@ -22,10 +27,12 @@
     /// Absent before the first request.
     used_secs: Option<f64>,
     unused_secs: f64,
+    latest: Option<Instant>,
 }
 
 impl HeldPlaces {
-    pub(crate) fn record(&mut self, held: Duration, used: Duration) {
+    pub(crate) fn record(&mut self, held: Duration, used: Duration, now: Instant) {
+        self.latest = Some(now);
         let used = used.max(MIN_USE);
         // One place that was held for long, such as that of a frozen entry, counts no more than others.
         let unused = held.saturating_sub(used).min(used.mul_f64(MAX_RATIO - 1.0));
@@ -34,6 +41,13 @@
         self.unused_secs += WEIGHT * (unused.as_secs_f64() - self.unused_secs);
     }
 
+    /// Forgets the means if no request has ended for [`MAX_AGE`].
+    pub(crate) fn expire(&mut self, now: Instant) {
+        if self.latest.is_some_and(|at| now > at + MAX_AGE) {
+            *self = Self::default();
+        }
+    }
+
     /// Places that are held for each one that is used; from 1 to [`MAX_RATIO`].
     pub(crate) fn ratio(&self) -> f64 {
         self.used_secs.map_or(1.0, |used| 1.0 + self.unused_secs / used)
--- a/crates/scheduler/src/state/lifecycle.rs
+++ b/crates/scheduler/src/state/lifecycle.rs
@@ -181,7 +181,7 @@
             && is_held_known
             && is_urgency_active
         {
-            target.held.record(held, used);
+            target.held.record(held, used, now);
         }
         self.release_target(seq, &running, finish, now);
         self.end_busy_period_if_idle();
--- a/crates/scheduler/src/state/membership.rs
+++ b/crates/scheduler/src/state/membership.rs
@@ -212,6 +212,9 @@
 
     fn run_maintenance(&mut self, now: Instant) {
         self.update_slowness();
+        for target in self.targets.values_mut() {
+            target.held.expire(now);
+        }
         self.evict_unused_rows(now);
         if self.no_target_since.is_some_and(|since| now >= since + NO_TARGET_GRACE_PERIOD) {
             let error = RequestError::not_run(
--- a/crates/scheduler/tests/held_places.rs
+++ b/crates/scheduler/tests/held_places.rs
@@ -143,6 +143,14 @@
     assert_eq!(capacity(&group), SLOTS);
 }
 
+/// Guards against extra calls after a pause because of reports that were late before it.
+#[tokio::test(start_paused = true)]
+async fn pause_ends_extra_calls() {
+    let group = service_with_late_reports().await;
+    sleep(ms(10_000)).await;
+    assert_eq!(capacity(&group), SLOTS);
+}
+
 /// Guards against extra calls that remain once reports arrive in time.
 #[tokio::test(start_paused = true)]
 async fn reports_in_time_end_extra_calls() {
