--- a/crates/scheduler/src/group.rs
+++ b/crates/scheduler/src/group.rs
@@ -156,10 +156,13 @@
 
     /// What would happen to a request if it arrived now. Changes nothing.
     pub fn explain(&self, request: &AdmissionRequest) -> PlaceOutlook {
-        let now = Instant::now();
-        // The trial runs outside the lock.
-        let copy = self.shared.lock().clone();
-        copy.try_admit(request, now)
+        self.copy().explain(request)
+    }
+
+    /// Copies the group's state. The group's lock is held only meanwhile.
+    pub fn copy(&self) -> GroupCopy {
+        let state = self.shared.lock();
+        GroupCopy { now: Instant::now(), state: state.clone() }
     }
 
     /// Current state of the group for operators and metrics.
@@ -221,6 +224,25 @@
     }
 }
 
+/// State of a group at one time, for a trial outside the group's lock.
+pub struct GroupCopy {
+    state: State,
+    now: Instant,
+}
+
+impl std::fmt::Debug for GroupCopy {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("GroupCopy").field("now", &self.now).finish_non_exhaustive()
+    }
+}
+
+impl GroupCopy {
+    /// What would have happened to a request if it had arrived at the time of the copy.
+    pub fn explain(self, request: &AdmissionRequest) -> PlaceOutlook {
+        self.state.try_admit(request, self.now)
+    }
+}
+
 /// Calls `State::tick` periodically until the scheduler is closed or dropped.
 async fn run_timer(shared: Weak<Shared>, wake: Arc<Notify>) {
     /// Minimum time between ticks caused by new requests, since each tick visits every target.
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -38,7 +38,7 @@
     TargetSpec,
 };
 pub use engine_model::EngineModel;
-pub use group::{GroupScheduler, Lease};
+pub use group::{GroupCopy, GroupScheduler, Lease};
 pub use load_progress::LoadProgress;
 pub use snapshot::{GroupSnapshot, SubscriberQueue, TargetSnapshot};
 pub use store_limit::{EndedLoad, LimitChange, StoreLimit};
