Explain places by the limits that the entry states

Cause: an owner applies the limits that targets named to an entry before it decides on a request for a place. For an explanation it ignored them, so that a request was explained as granted that is refused because its targets name limits.

Change: the limits are applied to the copy of the group's state. The copy is separated from the log, the counters and the load orders of the group when it is made rather than with the trial.

Result: explain_limit_of_entry (crates/owner/tests) fails before (granted) and passes now.

--- a/crates/owner/src/explain.rs
+++ b/crates/owner/src/explain.rs
@@ -6,7 +6,10 @@
 use shallotdrum_engine::PlaceOutlook;
 use shallotdrum_types::{GroupId, RequestError};
 
-use crate::{OwnerService, PlaceAdmission, places::place_admission};
+use crate::{
+    OwnerService, PlaceAdmission,
+    places::{place_admission, with_times},
+};
 
 impl OwnerService {
     /// What would happen now to a request for a place in an owned group.
@@ -19,7 +22,11 @@
     ) -> Result<PlaceOutlook, RequestError> {
         let owned = self.owned(group)?;
         self.check_owned(&owned)?;
-        Ok(owned.scheduler.explain(&place_admission(admission)))
+        let mut copy = owned.scheduler.copy();
+        for (limit, observed_at) in with_times(&admission.limits) {
+            copy.observe_limit(&limit.target, limit.incarnation, limit.limit, observed_at);
+        }
+        Ok(copy.explain(&place_admission(admission)))
     }
 
     /// Reply to a charge if an owned group were asked for it now. Takes and reserves nothing.
--- a/crates/owner/src/places.rs
+++ b/crates/owner/src/places.rs
@@ -213,13 +213,22 @@
 }
 
 fn observe_limits(scheduler: &GroupScheduler, limits: &[ObservedLimit]) {
-    let now = tokio::time::Instant::now();
-    for ObservedLimit { target, incarnation, limit, age_ms } in limits {
-        let observed_at = now.checked_sub(Duration::from_millis(*age_ms)).unwrap_or(now);
-        scheduler.observe_limit(target, *incarnation, *limit, observed_at);
+    for (limit, observed_at) in with_times(limits) {
+        scheduler.observe_limit(&limit.target, limit.incarnation, limit.limit, observed_at);
     }
 }
 
+/// Limits that an entry knows of, each with the time at which it was observed.
+pub(crate) fn with_times(
+    limits: &[ObservedLimit],
+) -> impl Iterator<Item = (&ObservedLimit, tokio::time::Instant)> {
+    let now = tokio::time::Instant::now();
+    limits.iter().map(move |limit| {
+        let age = Duration::from_millis(limit.age_ms);
+        (limit, now.checked_sub(age).unwrap_or(now))
+    })
+}
+
 pub(crate) fn place_admission(admission: PlaceAdmission) -> AdmissionRequest {
     let kind = match admission.need {
         Requirements::Generation {
--- a/crates/scheduler/src/group.rs
+++ b/crates/scheduler/src/group.rs
@@ -161,8 +161,12 @@
 
     /// Copies the group's state. The group's lock is held only meanwhile.
     pub fn copy(&self) -> GroupCopy {
-        let state = self.shared.lock();
-        GroupCopy { now: Instant::now(), state: state.clone() }
+        let (mut state, now) = {
+            let state = self.shared.lock();
+            (state.clone(), Instant::now())
+        };
+        state.detach();
+        GroupCopy { state, now }
     }
 
     /// Current state of the group for operators and metrics.
@@ -237,6 +241,17 @@
 }
 
 impl GroupCopy {
+    /// Like `GroupScheduler::observe_limit`, for the copy alone.
+    pub fn observe_limit(
+        &mut self,
+        id: &TargetId,
+        incarnation: Incarnation,
+        limit: Option<RequestRate>,
+        observed_at: Instant,
+    ) {
+        self.state.observe_limit(id, incarnation, limit, observed_at, self.now);
+    }
+
     /// What would have happened to a request if it had arrived at the time of the copy.
     pub fn explain(self, request: &AdmissionRequest) -> PlaceOutlook {
         self.state.try_admit(request, self.now)
--- a/crates/scheduler/src/state/trial.rs
+++ b/crates/scheduler/src/state/trial.rs
@@ -80,11 +80,15 @@
 }
 
 impl State {
-    /// Decides on a request; called on a copy.
-    pub(crate) fn try_admit(mut self, request: &AdmissionRequest, now: Instant) -> PlaceOutlook {
+    /// Separates a copy from what it shares with the group.
+    pub(crate) fn detach(&mut self) {
         self.log = slog::Logger::root(slog::Discard, slog::o!());
         self.cfg.counters = None;
         self.orders.clear();
+    }
+
+    /// Decides on a request; called on a detached copy.
+    pub(crate) fn try_admit(mut self, request: &AdmissionRequest, now: Instant) -> PlaceOutlook {
         let queued = self.queued_len();
         let group_wait_ms = self.group_wait(now).map(|wait| wait.as_millis() as u64);
         let is_by_urgency = self.is_urgency_active();
