--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -14,6 +14,7 @@
 mod engine_model;
 mod fair;
 mod group;
+mod held;
 mod learned;
 mod load_progress;
 mod measure;
@@ -37,7 +38,7 @@
     TargetSpec,
 };
 pub use engine_model::EngineModel;
-pub use group::{GroupScheduler, Lease};
+pub use group::{GroupCopy, GroupScheduler, Lease};
 pub use load_progress::LoadProgress;
 pub use snapshot::{GroupSnapshot, SubscriberQueue, TargetSnapshot};
 pub use store_limit::{EndedLoad, LimitChange, StoreLimit};
