--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -12,6 +12,7 @@
 
 mod api;
 mod engine_model;
+mod extra_calls;
 mod fair;
 mod group;
 mod held;
--- a/crates/scheduler/src/service_share.rs
+++ b/crates/scheduler/src/service_share.rs
@@ -76,9 +76,8 @@
             .map(|urgency| {
                 let waiting = waiting.get(urgency).copied().unwrap_or_default();
                 let ended = self.0.get(urgency);
-                let (granted, refused) = ended.map_or((0.0, 0.0), |ended| {
-                    (ended.granted.get(now), ended.refused.get(now))
-                });
+                let (granted, refused) = ended
+                    .map_or((0.0, 0.0), |ended| (ended.granted.get(now), ended.refused.get(now)));
                 Counts { urgency: *urgency, granted, refused, all: granted + refused + waiting }
             })
             .collect();
--- a/crates/scheduler/src/state/demand.rs
+++ b/crates/scheduler/src/state/demand.rs
@@ -234,6 +234,8 @@
         finish: Finish,
         now: Instant,
     ) {
+        let is_urgency_active = self.is_urgency_active();
+        let is_service_awaited = !self.lookups.is_empty() || !self.calls.is_empty();
         let Some(running) = self.running.get_mut(&seq) else { return };
         running.used = feedback.used;
         let Some(target) = self.targets.get_mut(&running.target) else { return };
@@ -241,6 +243,9 @@
             let at = now.checked_sub(age).unwrap_or(now);
             if target.stated_load.is_none_or(|(_, last)| at >= last) {
                 target.stated_load = Some((load, at));
+                if is_urgency_active {
+                    target.record_load(load, is_service_awaited);
+                }
             }
             if let Some(slowness) = load.slowness {
                 target.pace.record_stated(slowness, at);
--- a/crates/scheduler/src/target.rs
+++ b/crates/scheduler/src/target.rs
@@ -11,6 +11,7 @@
 use crate::{
     api::TargetSpec,
     engine_model::{AdapterCache, Backlog, EngineModel},
+    extra_calls::ExtraCalls,
     fair::Seq,
     held::HeldPlaces,
     measure::{DecayingCounter, Ewma},
@@ -40,6 +41,7 @@
     /// Limit on concurrent requests since the target had no room for one.
     pub(crate) ceiling: Option<Ceiling>,
     pub(crate) held: HeldPlaces,
+    extra: ExtraCalls,
     /// Time of the latest admission.
     pub(crate) granted_at: Option<Instant>,
     /// Admitted requests that do not use the capacity reserved for lookups.
@@ -115,6 +117,7 @@
             prefix_cache: PrefixCacheEstimate::default(),
             ceiling: None,
             held: HeldPlaces::default(),
+            extra: ExtraCalls::default(),
             granted_at: None,
             prefill_backlog: Backlog::new(now),
             adapter_cache: AdapterCache::default(),
@@ -149,7 +152,7 @@
         let slots = self.announced_slots();
         match self.is_engine() {
             true => slots,
-            false => (f64::from(slots) * self.held.ratio()) as u32,
+            false => (f64::from(slots) * self.held.ratio() + self.extra.get()) as u32,
         }
         .max(1)
     }
@@ -159,6 +162,14 @@
         f64::from(self.capacity()) / self.held.ratio()
     }
 
+    /// Learns from the load that a service states at the end of a call; `is_awaited` says that calls wait for
+    /// a place.
+    pub(crate) fn record_load(&mut self, load: TargetLoad, is_awaited: bool) {
+        if !self.is_engine() {
+            self.extra.record(load, self.announced_slots(), is_awaited);
+        }
+    }
+
     /// Lowers the limit below the number of requests with which the target had no room for another.
     ///
     /// The refusal shows that the places beyond the slots were in use, so all of them are taken back at once.
@@ -166,6 +177,7 @@
         let highest = self.capacity().min(self.announced_slots()).max(1);
         let limit = self.running.saturating_sub(1).clamp(1, highest);
         self.ceiling = Some(Ceiling { limit, changed_at: now });
+        self.extra = ExtraCalls::default();
     }
 
     /// Raises the limit by one after a response, at most once per [`CEILING_RAISE_INTERVAL`].
--- a/crates/scheduler/tests/durations.rs
+++ b/crates/scheduler/tests/durations.rs
@@ -2,15 +2,24 @@
 
 mod support;
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::Duration,
+};
 
 use rstest::rstest;
-use shallotdrum_engine::TargetKind;
+use shallotdrum_engine::{TargetKind, TargetLoad};
 use shallotdrum_scheduler::{
     AdmissionRequest, PlaceFeedback, RequestKind, SchedulerConfig, Scheduling,
 };
 use shallotdrum_types::RequestError;
-use tokio::time::{Instant, sleep};
+use tokio::{
+    sync::Semaphore,
+    time::{Instant, sleep},
+};
 
 use support::{Group, answered, config, group, request_of_kind, spec};
 
@@ -112,3 +121,72 @@
     assert!(urgency > 360 && urgency <= 480, "{urgency} calls, {shares} by shares");
     assert!(shares < 300, "{shares} calls by shares");
 }
+
+/// Number of calls of 24 callers that a service of 6 slots serves in 4 s, and the mean number of calls that
+/// wait there. A call takes `work`, and the way to the service and back 5 ms each.
+async fn served_over_network(scheduling: Scheduling, work: Duration) -> (u32, f64) {
+    const SLOTS: u32 = 6;
+    const WAY: Duration = Duration::from_millis(5);
+    let group = Arc::new(group(SchedulerConfig { scheduling, ..config() }));
+    group.scheduler.upsert_target(spec("s1", 1, TargetKind::Service { max_concurrent: SLOTS }));
+    let service = Arc::new(Semaphore::new(SLOTS as usize));
+    let waiting = Arc::new(AtomicU32::new(0));
+    let end = Instant::now() + Duration::from_secs(4);
+    let callers = (0..24).map(|_| {
+        let (group, service, waiting) = (group.clone(), service.clone(), waiting.clone());
+        tokio::spawn(async move {
+            let (mut served, mut seen) = (0, 0);
+            while Instant::now() < end {
+                let Ok(lease) = group.admit(call(Duration::from_secs(10))).await else { continue };
+                lease.started();
+                let sent_at = Instant::now();
+                sleep(WAY).await;
+                waiting.fetch_add(1, Ordering::Relaxed);
+                let slot = service.acquire().await.unwrap();
+                waiting.fetch_sub(1, Ordering::Relaxed);
+                sleep(work).await;
+                drop(slot);
+                let load = TargetLoad {
+                    running: SLOTS - service.available_permits() as u32,
+                    waiting: waiting.load(Ordering::Relaxed),
+                    slots: SLOTS,
+                    slowness: Some(1.0),
+                };
+                seen += load.waiting;
+                sleep(WAY).await;
+                let feedback = PlaceFeedback {
+                    used: Some(sent_at.elapsed()),
+                    load: Some((load, WAY)),
+                    ..PlaceFeedback::default()
+                };
+                lease.feedback(feedback, answered(0));
+                lease.finish(answered(0));
+                served += 1;
+            }
+            (served, seen)
+        })
+    });
+    let (mut served, mut seen) = (0, 0);
+    for caller in callers.collect::<Vec<_>>() {
+        let (calls, waiting) = caller.await.unwrap();
+        (served, seen) = (served + calls, seen + waiting);
+    }
+    (served, f64::from(seen) / f64::from(served))
+}
+
+/// Answers calls that wait for a place while the service is idle for the time of the way to it and back.
+/// Guards against slots that are granted one by one as calls end, and against a queue at the service, which
+/// does not know the order by urgency.
+#[rstest]
+#[case::short(30)]
+#[case::long(100)]
+#[tokio::test(start_paused = true)]
+async fn service_is_kept_busy(#[case] work_ms: u64) {
+    let work = Duration::from_millis(work_ms);
+    let (shares, _) = served_over_network(Scheduling::Shares, work).await;
+    let (urgency, waiting) = served_over_network(Scheduling::Urgency, work).await;
+    println!("{shares} calls by shares, {urgency} by urgency; {waiting:.2} wait at the service");
+    let possible = 6.0 * 4.0 / work.as_secs_f64();
+    assert!(f64::from(urgency) >= 0.9 * possible, "{urgency} of {possible} calls");
+    assert!(waiting <= 1.0, "{waiting} calls wait at the service");
+}
