--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -74,6 +74,8 @@
     pub confirmation: ConfirmationFn,
     /// Whether requests are served while the control state is not confirmed.
     pub serve_when_stale: bool,
+    /// Time from the start of the instance for which requests wait until it can decide on them.
+    pub startup_wait: Duration,
     /// Time within which a withdrawn key is refused; `None` without a bound.
     pub revocation: Option<RevocationBound>,
     /// Grants places in the groups that this instance owns.
@@ -108,6 +110,7 @@
     pub(crate) memory: HeldMemory,
     budgets: Mutex<HashMap<PoolId, RetryBudget>>,
     entry_count: Mutex<EntryCount>,
+    pub(crate) started_at: Instant,
     /// New requests are refused, as this instance may end before their responses do.
     pub(crate) is_closing: AtomicBool,
 }
@@ -198,6 +201,7 @@
             memory,
             budgets: Mutex::default(),
             entry_count: Mutex::new(EntryCount::new(restarted)),
+            started_at: Instant::now(),
             is_closing: AtomicBool::new(false),
         });
         let weak = Arc::downgrade(&gateway);
@@ -292,7 +296,7 @@
         self: Arc<Self>,
         req: CallerRequest,
     ) -> Result<GatewayResponse, RequestError> {
-        let in_force = self.in_force();
+        let in_force = self.in_force_for(&req).await;
         let found = self.find_route(&in_force, &req.host, req.target.path());
         let route = match found {
             Ok((_, route)) => route.clone(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -48,6 +48,7 @@
 mod relay;
 mod request;
 mod spread;
+mod startup;
 mod stream_body;
 mod stream_log;
 mod withheld;
--- a/crates/scheduler/src/extra_calls.rs
+++ b/crates/scheduler/src/extra_calls.rs
@@ -7,10 +7,9 @@
 
 use shallotdrum_engine::TargetLoad;
 
-/// Changes of the number with each stated load. With twice the decrease, calls wait at the service half as
-/// often as it has a free slot.
-const INCREASE: f64 = 0.05;
-const DECREASE: f64 = 0.1;
+/// Change of the number with each stated load. With equal steps, calls wait at the service as often as it has
+/// a free slot; with twice the step down, 0.88 of the slots were used for calls of 30 ms over ways of 5 ms.
+const STEP: f64 = 0.05;
 /// Largest number relative to the slots. What waits at a service is out of the order by urgency.
 const MAX_SHARE: f64 = 0.5;
 
@@ -23,9 +22,9 @@
     /// calls wait for a place.
     pub(crate) fn record(&mut self, load: TargetLoad, slots: u32, is_awaited: bool) {
         let step = match load {
-            TargetLoad { waiting: 1.., .. } => -DECREASE,
+            TargetLoad { waiting: 1.., .. } => -STEP,
             // The call that ended may still be counted.
-            TargetLoad { running, slots, .. } if is_awaited && running + 1 < slots => INCREASE,
+            TargetLoad { running, slots, .. } if is_awaited && running + 1 < slots => STEP,
             _ => 0.0,
         };
         self.0 = (self.0 + step).clamp(0.0, MAX_SHARE * f64::from(slots));
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -250,6 +250,14 @@
     /// Whether entries ask owners for places over one connection, and owners accept it.
     #[serde(skip_serializing_if = "std::ops::Not::not")]
     pub place_channel: bool,
+    /// Time from the start of an instance for which requests wait until it can decide on them, in
+    /// milliseconds; 0 to refuse them at once.
+    #[serde(skip_serializing_if = "is_zero")]
+    pub startup_wait_ms: u64,
+}
+
+fn is_zero(n: &u64) -> bool {
+    *n == 0
 }
 
 impl Default for Policy {
@@ -265,6 +273,7 @@
             prefill_tokens_per_ms: None,
             scheduling: Scheduling::Shares,
             place_channel: false,
+            startup_wait_ms: 0,
         }
     }
 }
--- a/crates/settings/src/parse.rs
+++ b/crates/settings/src/parse.rs
@@ -229,6 +229,11 @@
             default.scheduling,
         ),
         place_channel: fields.optional_or("place_channel", "true or false", default.place_channel),
+        startup_wait_ms: fields.optional_or(
+            "startup_wait_ms",
+            NUMBER_EXPECTED,
+            default.startup_wait_ms,
+        ),
     };
     fields.finish();
     policy
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -213,6 +213,7 @@
         ALLOTMENT_WAIT_ENDED = "N0452", Info, "request refused: it cannot be charged to its customer's allotment in time to be served", "none, unless it persists; then check the owners of the customer's shares";
         ALLOTMENT_UNCONFIRMED = "N0453", Info, "reserved units cannot be confirmed; charging the request to another share", "none, unless it persists; then check the instance that owns the group";
         REFUSED_FOR_GOOD = "N0433", Info, "request refused for good by a confirmed state", "compare the revision with the newest one, and the confirmation with the log of the leader of its term";
+        WAITED_FOR_START = "N0443", Info, "request waited while the instance started", "none; `is_ready` says whether the instance could decide on it then";
         KEY_REFUSED = "N0442", Info, "request refused: its caller has no key of a customer, or the key is not confirmed to be valid", "see \"a caller got 401\" in docs/OPERATIONS.md";
         ROUTES_CHANGED = "N0413", Info, "route table in force", "none";
         INPUT_REFUSED = "N0414", Warning, "malformed message refused", "correct the sender";
