Metrics of the limit on loads from the store, and fewer lines about it

Change: six gauges for each owned group whose limit is learned (limit, loads in flight, unanswered orders, rate, shortest and median time). The owner sets them at each check; the series of a group end with its ownership. O0345 is written when the limit differs by more than a quarter from the one in the line before, at most once per second and group; it has the median time, the loads in flight and the unanswered orders. StoreLimit::record returns nothing now, as the line is written from its state; by reading, ends of probes whose time is over were not logged before.

--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -6,7 +6,7 @@
 //! `completion` runs model requests, `call` runs calls to plain services, `places` grants
 //! reservations at targets, `load` and `base` send load orders, `inspect` queries the state of
 //! engines, `streams` remembers where streams began, `crash` detects
-//! requests that crash targets, `relayed` those that entries send themselves, `quarantine` refuses them, `runs` and `part_runs`
+//! requests that crash targets, `gauges` sets the metrics of owned groups, `relayed` those that entries send themselves, `quarantine` refuses them, `runs` and `part_runs`
 //! count what speaks against a suspicion, and `unrecorded` holds the crashes that the control log
 //! does not have yet.
 
@@ -20,6 +20,7 @@
 mod explain;
 mod fingerprint;
 mod forwarder;
+mod gauges;
 mod inspect;
 mod links;
 mod load;
--- a/crates/owner/src/service.rs
+++ b/crates/owner/src/service.rs
@@ -188,13 +188,6 @@
         self.release_all().await;
     }
 
-    fn update_gauges(&self) {
-        let snapshots = self.snapshots();
-        let queued: usize = snapshots.iter().map(|(_, group)| group.queued).sum();
-        self.cx.metrics.queued().set(queued as i64);
-        self.cx.metrics.owned_groups().set(snapshots.len() as i64);
-    }
-
     /// Releases all groups: fails queued requests, waits until no order is in flight, then releases
     /// the ownership.
     async fn release_all(&self) {
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -40,4 +40,4 @@
 pub use group::{GroupScheduler, Lease};
 pub use load_progress::LoadProgress;
 pub use snapshot::{GroupSnapshot, SubscriberQueue, TargetSnapshot};
-pub use store_limit::{EndedLoad, LimitChange, StoreLimit};
+pub use store_limit::{EndedLoad, StoreLimit};
--- a/crates/scheduler/src/snapshot.rs
+++ b/crates/scheduler/src/snapshot.rs
@@ -3,6 +3,7 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use serde::Serialize;
+use shallotdrum_telemetry::StoreLoadValues;
 use shallotdrum_types::{AdapterRef, Incarnation, SubscriberId, TargetId};
 use tokio::time::Instant;
 
@@ -30,6 +31,10 @@
     pub store_limit: Option<usize>,
     /// Observed rate of loads from the store per second; absent if it is not used.
     pub store_rate: Option<f64>,
+    /// Shortest time of a load from the store; absent if it is not known or not used.
+    pub shortest_store_load: Option<Duration>,
+    /// Median time of the latest loads from the store; absent if it is not known or not used.
+    pub median_store_load: Option<Duration>,
     /// Total of admitted requests.
     pub admitted: u64,
     /// Total of requests that were refused or failed in the queue.
@@ -62,6 +67,20 @@
     pub group_wait: Option<Duration>,
 }
 
+impl GroupSnapshot {
+    /// Values for the metrics of loads from the store; absent if their limit is not learned.
+    pub fn store_load_values(&self) -> Option<StoreLoadValues> {
+        Some(StoreLoadValues {
+            limit: self.store_limit?,
+            in_flight: self.store_loads,
+            unanswered: self.unanswered_loads,
+            rate: self.store_rate?,
+            shortest: self.shortest_store_load,
+            median: self.median_store_load,
+        })
+    }
+}
+
 /// Queue of one subscriber.
 #[derive(Clone, Debug, Serialize)]
 pub struct SubscriberQueue {
@@ -112,6 +131,8 @@
             unanswered_loads: self.unanswered_loads(now),
             store_limit: self.store_limit(),
             store_rate: self.store_rate(now),
+            shortest_store_load: self.shortest_store_load(),
+            median_store_load: self.median_store_load(),
             admitted: self.stats.admitted,
             refused: self.stats.refused,
             refused_on_arrival: self.stats.refused_on_arrival,
--- a/crates/scheduler/src/state/store_loads.rs
+++ b/crates/scheduler/src/state/store_loads.rs
@@ -29,6 +29,11 @@
 const MIN_RATE: f64 = 1.0;
 /// Unanswered orders may be this many times the limit.
 const MAX_UNANSWERED_FACTOR: usize = 2;
+/// The limit is logged when it differs from the logged one by more than one part of this many.
+const LOGGED_CHANGE_DIVISOR: usize = 4;
+/// Shortest time between two log lines about the limit. Probes of a group with a high limit and the
+/// increases after them change it many times a second.
+const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Load from the store in flight.
 #[derive(Clone, Debug)]
@@ -44,6 +49,7 @@
     rate: LimitedRate,
     /// Whether the limit is reached, as of the latest check.
     is_reached: bool,
+    logged: LoggedLimit,
 }
 
 impl StoreState {
@@ -51,7 +57,27 @@
     /// assumed until loads have been observed.
     pub(super) fn new(configured: usize, rate: f64, now: Instant) -> Self {
         let limit = StoreLimit::new(configured);
-        Self { limit, rate: LimitedRate::new(rate, now), is_reached: false }
+        let logged = LoggedLimit { limit: limit.get(), at: None };
+        Self { limit, rate: LimitedRate::new(rate, now), is_reached: false, logged }
+    }
+}
+
+/// Limit by the latest log line, at first the configured one.
+#[derive(Clone, Copy, Debug)]
+struct LoggedLimit {
+    limit: usize,
+    at: Option<Instant>,
+}
+
+impl LoggedLimit {
+    /// Records the limit if a log line about it is due; returns the one of the line before.
+    fn replace(&mut self, limit: usize, now: Instant) -> Option<usize> {
+        let is_small = limit.abs_diff(self.limit) * LOGGED_CHANGE_DIVISOR <= self.limit;
+        if is_small || self.at.is_some_and(|at| now < at + LOG_INTERVAL) {
+            return None;
+        }
+        self.at = Some(now);
+        Some(std::mem::replace(&mut self.limit, limit))
     }
 }
 
@@ -132,6 +158,21 @@
             || unanswered >= MAX_UNANSWERED_FACTOR * limit;
         self.store.is_reached = is_reached;
         self.store.rate.set_reached(is_reached, now);
+        self.log_store_limit(unanswered, now);
+    }
+
+    /// Logs the limit if it has changed much. A change right after a line is logged at the first check
+    /// after `LOG_INTERVAL`.
+    fn log_store_limit(&mut self, unanswered: usize, now: Instant) {
+        let to = self.store.limit.get();
+        let Some(from) = self.store.logged.replace(to, now) else { return };
+        let millis = |time: Option<Duration>| time.map(|time| time.as_millis() as u64);
+        event!(self.log, STORE_LIMIT_CHANGED; "from" => from, "to" => to,
+            "shortest_ms" => millis(self.store.limit.shortest()),
+            "median_ms" => millis(self.store.limit.median()),
+            "is_probe" => self.store.limit.is_probing(), "max" => self.max_store_limit(now),
+            "in_flight" => self.store_loads.len(), "unanswered" => unanswered,
+            "waiting_adapters" => self.missing_adapters);
     }
 
     /// Number of loads from the store whose orders have had no response for a response timeout.
@@ -150,6 +191,16 @@
         self.is_urgency_active().then(|| self.store.limit.get())
     }
 
+    /// Shortest time of a load from the store; absent if it is not known or not used.
+    pub(crate) fn shortest_store_load(&self) -> Option<Duration> {
+        self.store.limit.shortest().filter(|_| self.is_urgency_active())
+    }
+
+    /// Median time of the latest loads from the store; absent if it is not known or not used.
+    pub(crate) fn median_store_load(&self) -> Option<Duration> {
+        self.store.limit.median().filter(|_| self.is_urgency_active())
+    }
+
     /// Observed rate of completed loads per second; absent if it is not used.
     pub(crate) fn store_rate(&self, now: Instant) -> Option<f64> {
         self.is_urgency_active().then(|| self.store.rate.get(now))
@@ -180,12 +231,8 @@
         let is_limited = self.store.is_reached && self.has_unplanned_load();
         let ended = EndedLoad { accepted_at, ended_at: now, is_limited };
         let max = self.max_store_limit(now);
-        if let Some(change) = self.store.limit.record(ended, max) {
-            event!(self.log, STORE_LIMIT_CHANGED; "from" => change.from, "to" => change.to,
-                "load_ms" => change.took.as_millis() as u64,
-                "shortest_ms" => change.shortest.as_millis() as u64, "is_probe" => change.is_probe,
-                "max" => max, "waiting_adapters" => self.missing_adapters);
-        }
+        self.store.limit.record(ended, max);
+        self.log_store_limit(self.unanswered_loads(now), now);
     }
 
     /// Whether an adapter with queued requests has no holder and no load under way.
--- a/crates/scheduler/src/store_limit.rs
+++ b/crates/scheduler/src/store_limit.rs
@@ -51,6 +51,8 @@
     confirmed_at: Option<Instant>,
     /// Times of the latest loads that were accepted after the latest decrease.
     recent: VecDeque<Duration>,
+    /// Median of `recent` when it last had `MEDIAN_LOADS` times.
+    median: Option<Duration>,
     decreased_at: Option<Instant>,
     probe: Option<Probe>,
 }
@@ -73,21 +75,6 @@
     pub is_limited: bool,
 }
 
-/// Change of the limit.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct LimitChange {
-    /// Limit before the change.
-    pub from: usize,
-    /// Limit after the change.
-    pub to: usize,
-    /// Time of the load that led to the change.
-    pub took: Duration,
-    /// Shortest time of the window.
-    pub shortest: Duration,
-    /// Whether a probe began or ended.
-    pub is_probe: bool,
-}
-
 impl StoreLimit {
     /// Starts at the configured limit, which is also the lower bound.
     pub fn new(configured: usize) -> Self {
@@ -99,6 +86,7 @@
             shortest: VecDeque::new(),
             confirmed_at: None,
             recent: VecDeque::new(),
+            median: None,
             decreased_at: None,
             probe: None,
         }
@@ -117,11 +105,20 @@
         self.shortest.front().map(|(_, took)| *took)
     }
 
+    /// Median time of the latest loads that were compared with the shortest time.
+    pub fn median(&self) -> Option<Duration> {
+        self.median
+    }
+
+    /// Whether a probe is under way.
+    pub fn is_probing(&self) -> bool {
+        self.probe.is_some()
+    }
+
     /// Learns from a load; `max` is the upper bound, unless the configured limit is higher.
-    pub fn record(&mut self, load: EndedLoad, max: usize) -> Option<LimitChange> {
+    pub fn record(&mut self, load: EndedLoad, max: usize) {
         let now = load.ended_at;
         let took = now.saturating_duration_since(load.accepted_at);
-        let (from, was_probe) = (self.get(), self.probe.is_some());
         let shortest = self.add_time(took, now);
         let max = max.max(self.configured);
         self.limit = self.limit.min(max);
@@ -133,8 +130,6 @@
                 self.add_recent(load, took, shortest);
             }
         }
-        let (to, is_probe) = (self.get(), was_probe || self.probe.is_some());
-        (from != to).then_some(LimitChange { from, to, took, shortest, is_probe })
     }
 
     /// Adds a time, and returns the shortest one of the window.
@@ -207,6 +202,7 @@
         let mut times: Vec<Duration> = self.recent.iter().copied().collect();
         times.sort();
         let median = (times[MEDIAN_LOADS / 2 - 1] + times[MEDIAN_LOADS / 2]) / 2;
+        self.median = Some(median);
         if median > shortest.mul_f64(MAX_MEDIAN_RATIO) {
             self.decrease(load.ended_at);
         }
--- a/crates/scheduler/tests/store_loads.rs
+++ b/crates/scheduler/tests/store_loads.rs
@@ -22,6 +22,7 @@
 use shallotdrum_types::{AdapterRef, Incarnation, TargetId};
 use tokio::time::{Instant, sleep, sleep_until};
 
+use slog::{Drain, KV, Logger, OwnedKVList, Record, Serializer};
 use support::{answered, completion, config, engine_spec, target};
 
 const ENGINES: usize = 15;
@@ -92,7 +93,7 @@
     scheduler.report(id, Incarnation(1), &report);
 }
 
-fn scheduler(scheduling: Scheduling, engines: &Arc<Engines>) -> GroupScheduler {
+fn scheduler(scheduling: Scheduling, engines: &Arc<Engines>, logger: Logger) -> GroupScheduler {
     let cfg = SchedulerConfig {
         scheduling,
         engine_model: Some(EngineModel::default()),
@@ -102,7 +103,6 @@
     };
     let fakes = Arc::clone(engines);
     let load = move |order| carry_out(Arc::clone(&fakes), order).boxed();
-    let logger = slog::Logger::root(slog::Discard, slog::o!());
     let scheduler = GroupScheduler::new(cfg, Arc::new(load), logger);
     let ids: Vec<TargetId> = (0..ENGINES).map(|n| target(&format!("e{n}"))).collect();
     for id in &ids {
@@ -129,11 +129,23 @@
     unanswered: f64,
     rate: f64,
     time: Duration,
+) -> (Counts, u32, Option<usize>) {
+    let logger = Logger::root(slog::Discard, slog::o!());
+    run_logged(scheduling, unanswered, rate, time, logger).await
+}
+
+/// Like `run`, with a log.
+async fn run_logged(
+    scheduling: Scheduling,
+    unanswered: f64,
+    rate: f64,
+    time: Duration,
+    logger: Logger,
 ) -> (Counts, u32, Option<usize>) {
     let rng = Mutex::new(StdRng::seed_from_u64(11));
     let (loaded, counts) = (Mutex::default(), Mutex::default());
     let engines = Arc::new(Engines { loaded, unanswered, rng, counts });
-    let scheduler = scheduler(scheduling, &engines);
+    let scheduler = scheduler(scheduling, &engines, logger);
     let begin = Instant::now();
     let refused = Arc::new(Mutex::new(0));
     for n in 0.. {
@@ -208,3 +220,54 @@
     assert!(counts.most_in_flight as usize <= 3 * CONFIGURED, "{counts:?}");
     assert!(counts.started > 0);
 }
+
+/// Collects the time and the limits of each line about a changed limit.
+#[derive(Clone, Default)]
+struct LimitLines(Arc<Mutex<Vec<(Instant, usize, usize)>>>);
+
+impl Drain for LimitLines {
+    type Ok = ();
+    type Err = slog::Never;
+
+    fn log(&self, record: &Record<'_>, _: &OwnedKVList) -> Result<(), slog::Never> {
+        let mut values = Values::default();
+        record.kv().serialize(record, &mut values).unwrap();
+        if values.0.get("code").is_some_and(|code| code == "O0345") {
+            let limit = |key: &str| values.0[key].parse().unwrap();
+            self.0.lock().unwrap().push((Instant::now(), limit("from"), limit("to")));
+        }
+        Ok(())
+    }
+}
+
+#[derive(Default)]
+struct Values(HashMap<String, String>);
+
+impl Serializer for Values {
+    fn emit_arguments(&mut self, key: slog::Key, value: &std::fmt::Arguments<'_>) -> slog::Result {
+        self.0.insert(key.to_string(), value.to_string());
+        Ok(())
+    }
+}
+
+/// Guards against a line for each step of the limit, against more than one in a second, and against
+/// a limit that is far from the logged one after its last change.
+#[tokio::test(start_paused = true)]
+async fn limit_changes_logged() {
+    let lines = LimitLines::default();
+    let logger = Logger::root(lines.clone(), slog::o!());
+    let (_, _, limit) =
+        run_logged(Scheduling::Urgency, 0.0, 60.0, Duration::from_secs(60), logger).await;
+    let lines = lines.0.lock().unwrap().clone();
+    println!("{limit:?}, {lines:?}");
+    for (_, from, to) in &lines {
+        assert!(4 * from.abs_diff(*to) > *from, "from {from} to {to}");
+    }
+    for pair in lines.windows(2) {
+        let ((earlier, _, logged), (later, from, _)) = (pair[0], pair[1]);
+        assert!(later >= earlier + Duration::from_secs(1), "{:?}", later - earlier);
+        assert_eq!(logged, from);
+    }
+    let (_, _, logged) = *lines.last().expect("the limit rises by more than a quarter");
+    assert!(4 * logged.abs_diff(limit.unwrap()) <= logged, "{limit:?}, logged {logged}");
+}
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -167,7 +167,7 @@
         BASE_LOADING = "O0318", Warning, "engine has no base model loaded; loading it", "check why the engine restarted";
         BASE_LOAD_FAILED = "O0319", Warning, "base model load failed", "check the weight store and the engine if it repeats";
         PREFILL_SPEED_LEARNED = "O0337", Info, "engines read prompts faster or slower than expected; expecting the measured speed, in tokens per ms", "none";
-        STORE_LIMIT_CHANGED = "O0345", Info, "learned limit on the loads of the group from the weight store changed", "none; if it stays low while adapters wait, compare load_ms with shortest_ms: the store is at its limit";
+        STORE_LIMIT_CHANGED = "O0345", Info, "learned limit on the loads of the group from the weight store changed by more than a quarter since the last such line", "none; if it stays low while adapters wait, see the limit on loads in the operations manual";
         ADAPTER_SPREAD_CHANGED = "O0343", Info, "entries are told another number of groups over which to spread the requests for an adapter", "none, unless it repeats for one adapter; then its demand is at a limit";
         REQUEST_REFUSED_EARLY = "O0350", Info, "request refused: it could not be finished by its deadline", "none; if it persists, add targets or see which requests are more urgent";
         REQUEST_DISPLACED = "O0351", Info, "queued request refused in favour of a more urgent one", "none; if it persists, add targets";
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -6,8 +6,10 @@
 pub mod events;
 mod logger;
 mod metrics;
+mod store_loads;
 
 pub use logger::{LogConfig, LogFormat, LogGuard, discard, open, open_to};
 pub use metrics::{MAX_SUBSCRIBER_LABELS, Metrics, OverloadCounters, SubscriberMetrics};
 #[doc(hidden)]
 pub use slog;
+pub use store_loads::{MAX_GROUP_LABELS, StoreLoadValues};
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -1,8 +1,9 @@
 //! Metrics in the Prometheus text format.
 //!
 //! Architecture Invariant: the number of time series is bounded. Histograms have one series for
-//! each of the first `MAX_SUBSCRIBER_LABELS` subscribers and one for all others; no label carries
-//! an adapter, a target or a request.
+//! each of the first `MAX_SUBSCRIBER_LABELS` subscribers and one for all others, those of loads from
+//! the store one for each of up to `MAX_GROUP_LABELS` owned groups; no label carries an adapter, a
+//! target or a request.
 
 use std::{
     collections::HashMap,
@@ -14,7 +15,9 @@
     CounterVec, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
     Registry, TextEncoder,
 };
-use shallotdrum_types::SubscriberId;
+use shallotdrum_types::{GroupId, SubscriberId};
+
+use crate::store_loads::{StoreLoadMetrics, StoreLoadValues};
 
 /// Number of subscribers with their own label value. 200 subscribers with five histograms of about
 /// 16 series each keep the metrics page near 1.5 MB and its memory below 2 MB.
@@ -51,6 +54,7 @@
     key_refusals: IntCounterVec,
     applied: IntCounterVec,
     apply_time: CounterVec,
+    store_loads: StoreLoadMetrics,
     subscribers: RwLock<HashMap<SubscriberId, SubscriberMetrics>>,
     other: SubscriberMetrics,
     unlabelled: UnlabelledMetrics,
@@ -237,6 +241,7 @@
             between_tokens: between_tokens.with_label_values(&[OTHER]),
             total: total.with_label_values(&[OTHER]),
         };
+        let store_loads = StoreLoadMetrics::register(&registry)?;
         let unlabelled = UnlabelledMetrics::register(&registry)?;
         let subscribers = RwLock::default();
         Ok(Self(Arc::new(Inner {
@@ -251,6 +256,7 @@
             key_refusals,
             applied,
             apply_time,
+            store_loads,
             subscribers,
             other,
             unlabelled,
@@ -315,6 +321,12 @@
         self.0.apply_time.with_label_values(&[kind]).inc_by(time.as_secs_f64());
     }
 
+    /// Sets the metrics of loads from the store for the owned groups, in the order of their names, and
+    /// removes those of all other groups.
+    pub fn set_store_loads(&self, groups: &[(GroupId, StoreLoadValues)]) {
+        self.0.store_loads.set(groups);
+    }
+
     /// Renders all metrics in the Prometheus text format.
     pub fn render(&self) -> String {
         let mut text = String::new();
