--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -42,4 +42,4 @@
 pub use group::{GroupCopy, GroupScheduler, Lease};
 pub use load_progress::LoadProgress;
 pub use snapshot::{GroupSnapshot, SubscriberQueue, TargetSnapshot};
-pub use store_limit::{EndedLoad, LimitChange, StoreLimit};
+pub use store_limit::{EndedLoad, StoreLimit};
