Bound the pace of an engine by the times of its unended requests

Cause: the pace is learned from responses that have ended. In pace_busiest_engine::case_3_busy, an engine entered a slow period (2.5 times) while it was nearly full. Its prompts queued up and held up its streams, so that none of its responses ended for 7 s. Its factor stayed at 1.09 and it went on getting requests at that pace: from 7 to 56 running, 13.4 s of busy time in 14 s. The choice of engines for loads, which was suspected, is not the cause.

Change: with 8 or more unended requests, the factor is at least the ratio of their elapsed to their expected times. Each counts at most four times its expected time, so that a slow reader does not make its engine seem slow. Only requests granted while the order follows urgency count.

--- a/crates/scheduler/src/pace.rs
+++ b/crates/scheduler/src/pace.rs
@@ -2,13 +2,14 @@
 //!
 //! Targets of one pool differ in speed, and each shares its machine with other workloads, which slows
 //! it down for parts of a second. The lasting difference is learned from the times of its responses;
-//! the momentary one is what the target stated last, which soon no longer holds.
+//! the momentary one is what the target stated last, which soon no longer holds. Responses of an engine
+//! that falls behind end late and report late, so the times of unended requests are a lower bound.
 
 use std::time::Duration;
 
 use tokio::time::Instant;
 
-use crate::{engine_model::millis, measure::DecayingCounter};
+use crate::{engine_model::millis, fair::Seq, measure::DecayingCounter};
 
 /// Weight of the newest sample of the learned ratio.
 const RATIO_WEIGHT: f64 = 0.2;
@@ -29,6 +30,10 @@
 /// Additional time of a step for each running request, in milliseconds.
 const STEP_MS_PER_REQUEST: f64 = 0.018;
 
+/// Unended requests from which their times count. Among fewer, one long response or slow reader would
+/// make its target seem slow.
+const MIN_UNENDED: usize = 8;
+
 /// Mean with a fixed weight of the newest sample.
 #[derive(Clone, Copy, Debug, Default)]
 struct Learned(Option<f64>);
@@ -42,8 +47,17 @@
     }
 }
 
-/// Pace of a target.
+/// Request that has not ended.
 #[derive(Clone, Copy, Debug)]
+struct Unended {
+    seq: Seq,
+    granted_at: Instant,
+    /// Expected time until its end at the pace 1, in seconds.
+    expected_secs: f64,
+}
+
+/// Pace of a target.
+#[derive(Clone, Debug)]
 pub(crate) struct Pace {
     /// Measured over expected time.
     ratio: Learned,
@@ -52,6 +66,7 @@
     stated: Option<(f64, Instant)>,
     /// Recent time that prompts took, in milliseconds.
     prefill: DecayingCounter,
+    unended: Vec<Unended>,
 }
 
 impl Pace {
@@ -61,6 +76,7 @@
             mean_stated: Learned::default(),
             stated: None,
             prefill: DecayingCounter::new(PREFILL_HALF_LIFE, now),
+            unended: Vec::new(),
         }
     }
 
@@ -87,7 +103,34 @@
     /// Expected factor on times; 1 is as the engine model expects.
     pub(crate) fn factor(&self, now: Instant) -> f64 {
         let (min, max) = RATIO_BOUNDS;
-        (self.ratio.0.unwrap_or(1.0) * self.spell(now)).clamp(min, max)
+        let learned = self.ratio.0.unwrap_or(1.0) * self.spell(now);
+        learned.max(self.unended_ratio(now)).clamp(min, max)
+    }
+
+    /// Adds a request that is granted now and is expected to take this long at the pace 1.
+    pub(crate) fn begin(&mut self, seq: Seq, expected: Duration, now: Instant) {
+        let expected_secs = expected.as_secs_f64();
+        self.unended.push(Unended { seq, granted_at: now, expected_secs });
+    }
+
+    /// Removes a request that has ended.
+    pub(crate) fn end(&mut self, seq: Seq) {
+        self.unended.retain(|request| request.seq != seq);
+    }
+
+    /// Lower bound of the factor: elapsed over expected time of the unended requests. The time of each
+    /// is bounded, so that few that never end count little.
+    fn unended_ratio(&self, now: Instant) -> f64 {
+        if self.unended.len() < MIN_UNENDED {
+            return 0.0;
+        }
+        let (mut elapsed_secs, mut expected_secs) = (0.0, 0.0);
+        for request in &self.unended {
+            let elapsed = now.saturating_duration_since(request.granted_at).as_secs_f64();
+            elapsed_secs += elapsed.min(RATIO_BOUNDS.1 * request.expected_secs);
+            expected_secs += request.expected_secs;
+        }
+        if expected_secs > 0.0 { elapsed_secs / expected_secs } else { 0.0 }
     }
 
     /// Momentary part of the factor: the stated slowness over its mean, the older the closer to 1.
@@ -113,9 +156,14 @@
     /// Expected time of a token beside `running` other requests, in milliseconds. Prompts take their
     /// share of the time.
     pub(crate) fn token_ms(&self, running: u32, now: Instant) -> f64 {
+        self.usual_token_ms(running, now) * self.factor(now)
+    }
+
+    /// Expected time of a token at the pace 1, in milliseconds.
+    pub(crate) fn usual_token_ms(&self, running: u32, now: Instant) -> f64 {
         let step = STEP_MS + STEP_MS_PER_REQUEST * f64::from(running + 1);
         let left = 1.0 - self.prefill_share(now).min(MAX_PREFILL_SHARE);
-        step * self.factor(now) / left
+        step / left
     }
 }
 
--- a/crates/scheduler/src/state/lifecycle.rs
+++ b/crates/scheduler/src/state/lifecycle.rs
@@ -39,7 +39,11 @@
             unread_tokens = is_idle.then_some(queued.prompt_tokens as f64 * (1.0 - cached));
             let prefill = model.prefill(queued.prompt_tokens, cached);
             if is_paced {
-                first_token = Some(target.add_paced_prefill(&model, prefill, now));
+                let first = target.add_paced_prefill(&model, prefill, now);
+                first_token = Some(first);
+                let token_ms = target.pace.usual_token_ms(target.running, now);
+                let tokens_secs = queued.response_tokens * token_ms / 1_000.0;
+                target.pace.begin(seq, first + Duration::from_secs_f64(tokens_secs), now);
             } else {
                 target.prefill_backlog.add(prefill, now);
             }
@@ -186,6 +190,7 @@
             target.lower_ceiling(now);
         }
         target.running -= 1;
+        target.pace.end(seq);
         target.unreserved_running -= u32::from(running.is_unreserved);
         target.exclusive_to = target.exclusive_to.filter(|exclusive| *exclusive != seq);
         let is_settled =
--- a/crates/scheduler/tests/pace.rs
+++ b/crates/scheduler/tests/pace.rs
@@ -6,6 +6,7 @@
 mod support;
 
 use std::{
+    ops::RangeInclusive,
     sync::{Arc, Mutex},
     time::Duration,
 };
@@ -233,6 +234,32 @@
     assert_eq!(snapshot.group_wait.is_some(), is_active);
 }
 
+/// Guards against an engine that falls behind and gets more requests at its earlier pace, as no response
+/// ends that would tell otherwise, and against one that seems slow because of a few unended requests.
+#[rstest]
+#[case::behind(8, 1.5..=4.0)]
+#[case::few_unended(7, 1.0..=1.0)]
+#[tokio::test(start_paused = true)]
+async fn pace_unended(#[case] unended: usize, #[case] expected: RangeInclusive<f64>) {
+    let engine_model = Some(EngineModel::default());
+    let cfg = SchedulerConfig { scheduling: Scheduling::Urgency, engine_model, ..config() };
+    let group = group(cfg);
+    group.engine("t0", 1, 5, 64);
+    let mut leases = Vec::new();
+    for _ in 0..unended {
+        leases.push(group.admit(request(1, 1_000, 8)).await.unwrap());
+    }
+    let pace = || group.scheduler.snapshot().targets.values().next().unwrap().pace.unwrap();
+    assert_eq!(pace(), 1.0);
+    // The responses take 0.3 s on an engine that serves nothing else.
+    sleep(Duration::from_secs(2)).await;
+    assert!(expected.contains(&pace()), "{}", pace());
+    for lease in leases {
+        lease.finish(Finish::Cancelled);
+    }
+    assert_eq!(pace(), 1.0);
+}
+
 /// Guards against calls that wait at a slow or a full service while another one is idle.
 #[rstest]
 #[case::slow([(0, 2.5), (1, 1.0)])]
