Test two whole instances over the channel for places

Cause: the channel was tested only between an entry and an owner that tests play, and never with an owner whose channel is off. Change: two tests in the guarantees run three whole instances in this process, each in a runtime of its own that is ended to kill it: requests in both directions between instances that both have the channel or of which one has not, and an owner that is killed while requests wait for it.

--- a/crates/daemon/tests/guarantees/main.rs
+++ b/crates/daemon/tests/guarantees/main.rs
@@ -10,6 +10,7 @@
 mod load;
 mod manifests;
 mod ownership;
+mod place_channel;
 mod random_mix;
 mod replicas;
 mod setup;
--- /dev/null
+++ b/crates/daemon/tests/guarantees/place_channel.rs
@@ -0,0 +1,381 @@
+//! Requests whose places another instance grants: over the channel for places, by JSON-RPC, and both in one
+//! deployment.
+//!
+//! Each instance has a runtime of its own in this process, and is killed by ending the runtime, which closes
+//! all of its connections at once. Instance 0 is the control replica; 1 and 2 own a pool each.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use http::{HeaderMap, Method};
+use rstest::rstest;
+use serde_json::json;
+use shallotdrum_daemon::{ControlPlane, Instance, InstanceOptions, Listeners};
+use shallotdrum_engine::{Announcement, LoadReport, TargetKind};
+use shallotdrum_gateway::{
+    CallerRequest, ConnectionPool, Credentials, Gateway, GatewayResponse, HeaderCodec,
+    ResponseInfo, RetryAllowance,
+};
+use shallotdrum_harness::{Deployment, InstancePorts, Operator, instance_settings, wait_until};
+use shallotdrum_links::Links;
+use shallotdrum_routes::{RetryPolicy, Route, RouteTable, WeightedPool};
+use shallotdrum_rpc::AdminApiClient;
+use shallotdrum_settings::Settings;
+use shallotdrum_telemetry::Metrics;
+use shallotdrum_types::{Incarnation, RequestError, Revision};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpListener,
+    runtime::{Builder, Runtime},
+    task::{JoinHandle, JoinSet},
+    time::{Instant, sleep, timeout},
+};
+
+use crate::setup::START_LIMIT;
+
+const POOLS: [&str; 2] = ["left", "right"];
+
+/// Interval of the targets' announcements; several fit into their timeout.
+const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Time that a call of `/POOL/slow/` takes at the target.
+const SLOW: Duration = Duration::from_millis(400);
+
+/// Deadline of the requests; a killed owner is replaced within a fraction of it.
+const TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Number of runs of each path at a target.
+type Runs = Arc<Mutex<BTreeMap<String, usize>>>;
+
+struct Node {
+    runtime: Option<Runtime>,
+    /// Its background tasks end when it is dropped.
+    _instance: Instance,
+    gateway: Arc<Gateway>,
+    plane: ControlPlane,
+    metrics: Metrics,
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+impl Node {
+    async fn start(settings: Settings) -> Self {
+        let runtime = Builder::new_multi_thread().worker_threads(2).enable_all().build().unwrap();
+        let started = runtime.spawn(async move {
+            let log = slog::Logger::root(slog::Discard, slog::o!());
+            let listeners = Listeners::open(&settings).await.unwrap();
+            let links = Links::default();
+            let options = InstanceOptions { links: links.clone(), ..InstanceOptions::default() };
+            let instance = Instance::start_with(settings, listeners, options, log).await.unwrap();
+            let retries = RetryAllowance { ratio: 0.0, extra: 0.0, window: Duration::from_secs(1) };
+            let gateway = instance.gateway(codec(), retries, ConnectionPool::new(links));
+            (instance, gateway)
+        });
+        let (instance, gateway) = started.await.unwrap();
+        let (plane, metrics) = (instance.control_plane(), instance.metrics());
+        Self { runtime: Some(runtime), _instance: instance, gateway, plane, metrics }
+    }
+
+    /// Ends all tasks and connections of the instance, as SIGKILL does.
+    fn kill(&mut self) {
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+
+    /// Sends a call and returns the status of its response.
+    fn send(&self, path: &str) -> JoinHandle<Result<u16, RequestError>> {
+        let request = CallerRequest {
+            id: path.replace('/', "-").trim_matches('-').parse().unwrap(),
+            caller: None,
+            host: "desk.example".to_owned(),
+            method: Method::GET,
+            target: path.parse().unwrap(),
+            credentials: Credentials::new(&[], HeaderMap::new()),
+            headers: HeaderMap::new(),
+            body: bytes::Bytes::new(),
+            arrived: Instant::now(),
+            timeout: TIMEOUT,
+            generation: None,
+            resume_after: None,
+            resumes: None,
+        };
+        let gateway = self.gateway.clone();
+        self.runtime.as_ref().unwrap().spawn(async move {
+            match gateway.handle(request).await? {
+                GatewayResponse::Whole { status, .. } => Ok(status.as_u16()),
+                GatewayResponse::Stream { .. } => panic!("a call has no stream"),
+            }
+        })
+    }
+}
+
+fn codec() -> HeaderCodec {
+    HeaderCodec {
+        write: Arc::new(|_, _| {}),
+        read: Arc::new(|head| ResponseInfo {
+            request: None,
+            is_not_run: !head.status.is_success(),
+            is_signed: true,
+            is_leaving: false,
+            is_brittle: false,
+            pause: None,
+            limit: None,
+            load: None,
+        }),
+        ask: Arc::new(|_, _, _| unreachable!("the table has no pools")),
+    }
+}
+
+/// Target that responds to each call and counts its runs.
+async fn target() -> (SocketAddr, Runs) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    let runs = Runs::default();
+    let counted = runs.clone();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let runs = counted.clone();
+            tokio::spawn(async move {
+                let mut head = Vec::new();
+                while !head.ends_with(b"\r\n\r\n") {
+                    match stream.read_buf(&mut head).await {
+                        Ok(0) | Err(_) => return,
+                        Ok(_) => {}
+                    }
+                }
+                let head = String::from_utf8_lossy(&head);
+                let path = head.split(' ').nth(1).unwrap().to_owned();
+                let is_slow = path.contains("/slow/");
+                *runs.lock().unwrap().entry(path).or_default() += 1;
+                if is_slow {
+                    sleep(SLOW).await;
+                }
+                let response =
+                    "HTTP/1.1 200 OK\r\ncontent-length: 2\r\nconnection: close\r\n\r\nok";
+                let _ = stream.write_all(response.as_bytes()).await;
+            });
+        }
+    });
+    (addr, runs)
+}
+
+fn table() -> RouteTable {
+    let route = |pool: &str| Route {
+        name: pool.to_owned(),
+        host: "desk.example".to_owned(),
+        prefix: format!("/{pool}/"),
+        shares: vec![WeightedPool { pool: pool.parse().unwrap(), weight: 1 }],
+        repeat: RetryPolicy::AtMostOnce,
+        timeout: TIMEOUT,
+        objective: Duration::ZERO,
+        rank: 0,
+        max_targets: 1,
+        is_public: false,
+    };
+    RouteTable {
+        revision: Revision(1),
+        routes: POOLS.iter().map(|pool| Arc::new(route(pool))).collect(),
+        ..RouteTable::default()
+    }
+}
+
+/// Three instances, and a target for each pool.
+struct Instances {
+    nodes: Vec<Node>,
+    /// Instance that owns each pool.
+    owners: BTreeMap<&'static str, usize>,
+    runs: BTreeMap<&'static str, Runs>,
+    _targets: JoinSet<()>,
+    _folder: tempfile::TempDir,
+}
+
+impl Instances {
+    /// Starts instances, of which `without` has `policy.place_channel` off, and targets with some slots.
+    async fn start(without: Option<usize>, slots: u32) -> Self {
+        let deployment = Deployment::registry();
+        let folder = tempfile::tempdir().unwrap();
+        let ports: Vec<_> = (0..3).map(|_| InstancePorts::reserve().unwrap()).collect();
+        let replicas = [ports[0].rpc.addr()];
+        let mut nodes = Vec::new();
+        for (i, ports) in ports.iter().enumerate() {
+            let mut settings = instance_settings(&deployment, i, ports, &replicas, folder.path());
+            settings["policy"]["place_channel"] = json!(Some(i) != without);
+            nodes.push(Node::start(Settings::from_json(&settings.to_string()).unwrap()).await);
+        }
+        let operator = Operator::default();
+        operator.wait_for_instances(replicas[0], nodes.len(), START_LIMIT).await.unwrap();
+        nodes[0].plane.put_routes(Arc::new(table())).await.unwrap();
+        let (mut targets, mut runs) = (JoinSet::new(), BTreeMap::new());
+        for pool in POOLS {
+            let (addr, counted) = target().await;
+            runs.insert(pool, counted);
+            let announcement = Announcement {
+                target: format!("target-{pool}").parse().unwrap(),
+                incarnation: Incarnation(1),
+                addr,
+                pool: pool.parse().unwrap(),
+                region: deployment.region.clone(),
+                zone: deployment.zones[0].clone(),
+                kind: TargetKind::Service { max_concurrent: slots },
+                software: None,
+                load: LoadReport::default(),
+            };
+            let plane = nodes[0].plane.clone();
+            let runtime = nodes[0].runtime.as_ref().unwrap().handle().clone();
+            targets.spawn(async move {
+                loop {
+                    let (plane, announcement) = (plane.clone(), announcement.clone());
+                    // Before a target is registered, an instance that is starting may refuse it.
+                    let _ = runtime.spawn(async move { plane.announce(announcement).await }).await;
+                    sleep(ANNOUNCE_INTERVAL).await;
+                }
+            });
+        }
+        let poll = || async {
+            let owners = owners(&operator, replicas[0]).await;
+            let mut distinct: Vec<_> = owners.values().collect();
+            distinct.sort_unstable();
+            match distinct == [&1, &2] {
+                true => Ok(owners),
+                false => Err(format!("{owners:?}")),
+            }
+        };
+        let what = "instances 1 and 2 own a pool each";
+        let (owners, _) = wait_until(what, START_LIMIT, poll).await.unwrap();
+        let this = Self { nodes, owners, runs, _targets: targets, _folder: folder };
+        // Each instance has the table and knows the owners.
+        for node in &this.nodes {
+            let poll = || async {
+                let is_known = node.gateway.is_ready()
+                    && POOLS.iter().all(|pool| {
+                        node.plane.knows_target(&format!("target-{pool}").parse().unwrap())
+                    });
+                is_known.then_some(()).ok_or_else(|| "not ready".to_owned())
+            };
+            wait_until("the instance serves", START_LIMIT, poll).await.unwrap();
+        }
+        this
+    }
+
+    /// Pool that an instance owns.
+    fn pool_of(&self, owner: usize) -> &'static str {
+        self.owners.iter().find(|(_, i)| **i == owner).unwrap().0
+    }
+
+    /// Sends calls from an instance to a pool, and panics unless each one is answered.
+    async fn serve_all(&self, from: usize, pool: &str, calls: usize) {
+        let sent: Vec<_> =
+            (0..calls).map(|n| self.nodes[from].send(&format!("/{pool}/{from}/{n}"))).collect();
+        for (n, call) in sent.into_iter().enumerate() {
+            assert_eq!(call.await.unwrap(), Ok(200), "call {n} from {from} to {pool}");
+        }
+    }
+
+    /// Panics unless each call ran exactly once at the target of a pool.
+    fn check_runs(&self, pool: &str, calls: usize) {
+        let runs = self.runs[pool].lock().unwrap();
+        assert_eq!(runs.len(), calls, "{runs:?}");
+        assert!(runs.values().all(|count| *count == 1), "a call ran twice: {runs:?}");
+    }
+}
+
+/// Instance that owns the only group of each pool.
+async fn owners(operator: &Operator, rpc: SocketAddr) -> BTreeMap<&'static str, usize> {
+    let groups = operator.client(rpc).unwrap().groups().await.unwrap_or_default();
+    let owned = groups.iter().filter_map(|group| {
+        let pool = POOLS.into_iter().find(|pool| *pool == group.group.pool.as_str())?;
+        let owner = group.owner.as_ref()?.as_str().strip_prefix("instance-")?;
+        Some((pool, owner.parse().ok()?))
+    });
+    owned.collect()
+}
+
+/// Guards against instances that do not serve each other's requests because only one of them has the channel
+/// for places, and against a channel that is not used between two that have it.
+#[rstest]
+#[case::both_have_it(None)]
+#[case::one_has_it(Some(2))]
+#[tokio::test(flavor = "multi_thread")]
+async fn places_in_both_directions(#[case] without: Option<usize>) {
+    const CALLS: usize = 40;
+    // Enough that no request is refused for its expected wait.
+    let instances = Instances::start(without, 2 * CALLS as u32).await;
+    let (first, second) = (instances.pool_of(1), instances.pool_of(2));
+    tokio::join!(
+        instances.serve_all(0, first, CALLS),
+        instances.serve_all(0, second, CALLS),
+        instances.serve_all(1, second, CALLS),
+        instances.serve_all(2, first, CALLS),
+    );
+    for pool in POOLS {
+        instances.check_runs(pool, 2 * CALLS);
+    }
+    let [replica, one, two] = &instances.nodes[..] else { panic!("three instances") };
+    let sent = |node: &Node| node.metrics.place_channel_requests().get() as usize;
+    assert!(sent(replica) >= CALLS, "{} requests from 0 by the channel", sent(replica));
+    match without {
+        None => {
+            assert!(sent(one) >= CALLS, "{} requests from 1 by the channel", sent(one));
+            assert!(sent(two) >= CALLS, "{} requests from 2 by the channel", sent(two));
+            assert_eq!(two.metrics.place_channels_served().get(), 2);
+        }
+        Some(_) => {
+            assert_eq!(sent(two), 0);
+            assert_eq!(two.metrics.place_channels_served().get(), 0);
+        }
+    }
+    assert_eq!(instances.nodes[1].metrics.place_channel_failures().get(), 0);
+}
+
+/// Guards against requests that hang, fail or run twice because the owner that they wait for is killed, and
+/// against a pool that is not served afterwards.
+#[rstest]
+#[case::both_have_it(None, 1)]
+#[case::killed_has_it(Some(2), 1)]
+#[case::killed_has_none(Some(2), 2)]
+#[tokio::test(flavor = "multi_thread")]
+async fn owner_killed_while_requests_wait(#[case] without: Option<usize>, #[case] killed: usize) {
+    const CALLS: usize = 10;
+    let mut instances = Instances::start(without, 1).await;
+    let pool = instances.pool_of(killed);
+    let alive = [0, 3 - killed];
+    let calls: Vec<_> = alive
+        .into_iter()
+        .flat_map(|from| (0..CALLS).map(move |n| (from, format!("/{pool}/slow/{from}/{n}"))))
+        .map(|(from, path)| (instances.nodes[from].send(&path), path))
+        .collect();
+    let runs = instances.runs[pool].clone();
+    let poll = || async {
+        let running = runs.lock().unwrap().len();
+        (running > 0).then_some(running).ok_or_else(|| "none".to_owned())
+    };
+    let (running, _) = wait_until("a call runs", START_LIMIT, poll).await.unwrap();
+    assert!(running < calls.len(), "no request waited");
+    // Lets the other requests reach the owner's queue.
+    sleep(SLOW / 4).await;
+    instances.nodes[killed].kill();
+    let killed_at = Instant::now();
+    for (call, path) in calls {
+        let ended = timeout(TIMEOUT + Duration::from_secs(2), call).await;
+        let ended = ended.unwrap_or_else(|_| panic!("{path} hangs"));
+        assert_eq!(ended.unwrap(), Ok(200), "{path}, {:?} after the kill", killed_at.elapsed());
+    }
+    if Some(killed) != without {
+        let failures = instances.nodes[0].metrics.place_channel_failures().get();
+        assert!(failures > 0, "no request waited on the channel");
+    }
+    eprintln!("measured: all served {:?} after the kill", killed_at.elapsed());
+    instances.check_runs(pool, 2 * CALLS);
+    for from in alive {
+        instances.serve_all(from, pool, 5).await;
+    }
+}
