Send reports of ended places until their owner has them

Cause: reports that no channel delivered were sent by JSON-RPC once, with a timeout of 1 s, and dropped if that failed. The place then stayed taken until 1 s after its request's deadline. A report carries that time, so the channel gets it with each request.

--- a/crates/engine/src/place.rs
+++ b/crates/engine/src/place.rs
@@ -1,6 +1,6 @@
 //! Requirements of a request, and the reservation at a target that an owner grants for it.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use serde::{Deserialize, Serialize};
 use shallotdrum_types::{AdapterRef, Incarnation, RequestRate, SoftwareVersion, TargetId};
@@ -29,6 +29,10 @@
     },
 }
 
+/// Time after a request's deadline at which the owner ends its place itself. An entry reports the end within a
+/// round trip of the deadline.
+pub const PLACE_GRACE: Duration = Duration::from_secs(1);
+
 /// Reservation at a target, which permits sending one request to it.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct GrantedPlace {
--- a/crates/gateway/src/owner_calls.rs
+++ b/crates/gateway/src/owner_calls.rs
@@ -4,8 +4,7 @@
 use std::{fmt::Display, net::SocketAddr, sync::PoisonError, time::Duration};
 
 use shallotdrum_rpc::{
-    ChannelError, EndedPlace, PeerApiClient, Peers, PlaceChannel, PlaceReply, PlaceRequest,
-    UndeliveredFn,
+    ChannelError, EndReport, PeerApiClient, PlaceChannel, PlaceReply, PlaceRequest,
 };
 use shallotdrum_telemetry::event;
 use shallotdrum_types::{GroupId, PoolId, RequestError, RequestErrorKind, SessionId};
@@ -17,7 +16,7 @@
 };
 
 /// Timeout for reporting the end of a place; if the report is lost, the place expires at the owner.
-const REPORT_TIMEOUT: Duration = Duration::from_secs(1);
+pub(crate) const REPORT_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Time without a reply after which an owner is pinged: many round trips, and a sixth of a session
 /// lease.
@@ -107,17 +106,18 @@
         }
     }
 
-    pub(crate) async fn report_end(self, addr: SocketAddr, session: SessionId, ended: EndedPlace) {
+    /// Reports the end of a place by JSON-RPC. With channels, a report that is not delivered is kept.
+    pub(crate) async fn report_end(self, addr: SocketAddr, report: EndReport) {
         let Ok(client) = self.0.peers.get(addr) else { return };
-        let sent = client.end_places(session, vec![ended]);
-        match tokio::time::timeout(REPORT_TIMEOUT, sent).await {
-            Ok(Ok(())) => self.record_reply(addr),
-            Ok(Err(error)) => {
-                event!(self.0.log, PLACE_END_LOST; "owner" => %addr, "error" => %error);
-            }
-            Err(_) => {
-                event!(self.0.log, PLACE_END_LOST; "owner" => %addr, "error" => "timed out");
-            }
+        let sent = client.end_places(report.session, vec![report.ended]);
+        let error = match tokio::time::timeout(REPORT_TIMEOUT, sent).await {
+            Ok(Ok(())) => return self.record_reply(addr),
+            Ok(Err(error)) => error.to_string(),
+            Err(_) => "timed out".to_owned(),
+        };
+        match &self.0.undelivered {
+            Some(undelivered) => undelivered.send(addr, vec![report]),
+            None => event!(self.0.log, PLACE_END_LOST; "owner" => %addr, "error" => error),
         }
     }
 
@@ -170,29 +170,6 @@
     }
 }
 
-/// Reports ends of places by JSON-RPC that a channel could not deliver.
-pub(crate) fn report_undelivered(peers: Peers, log: slog::Logger) -> UndeliveredFn {
-    std::sync::Arc::new(move |addr, ends| {
-        let (peers, log) = (peers.clone(), log.clone());
-        tokio::spawn(async move {
-            for group in ends.chunk_by(|(a, _), (b, _)| a == b) {
-                let session = group[0].0;
-                let ended: Vec<EndedPlace> = group.iter().map(|(_, ended)| *ended).collect();
-                let places = ended.len();
-                let Ok(client) = peers.get(addr) else { return };
-                let sent = client.end_places(session, ended);
-                let error = match tokio::time::timeout(REPORT_TIMEOUT, sent).await {
-                    Ok(Ok(())) => continue,
-                    Ok(Err(error)) => error.to_string(),
-                    Err(_) => "timed out".to_owned(),
-                };
-                event!(log, PLACE_END_LOST; "owner" => %addr, "error" => error,
-                    "places" => places);
-            }
-        });
-    })
-}
-
 fn owner_unreachable(group: &GroupId, error: &dyn Display) -> RequestError {
     let detail = format!("cannot reach the owner of target group {group}: {error}");
     RequestError::not_run(RequestErrorKind::NotReady, detail).retry_after(NO_OWNER_RETRY_AFTER)
--- a/crates/gateway/src/places.rs
+++ b/crates/gateway/src/places.rs
@@ -14,12 +14,14 @@
 
 use shallotdrum_allotments::{AllotmentReply, Charge};
 use shallotdrum_control::{AnnouncedTarget, ControlView};
-use shallotdrum_engine::{GrantedPlace, ObservedLimit, Priority, Requirements, TargetLoad};
+use shallotdrum_engine::{
+    GrantedPlace, ObservedLimit, PLACE_GRACE, Priority, Requirements, TargetLoad,
+};
 use shallotdrum_owner::{
     ChargeError, OwnerService, PlaceAdmission, PlaceFeedback, PlaceKey, SessionFn,
 };
 use shallotdrum_rpc::{
-    ChannelConfig, EndedPlace, Peers, PlaceChannel, PlaceChannels, PlaceEnd, PlaceReply,
+    ChannelConfig, EndReport, EndedPlace, Peers, PlaceChannel, PlaceChannels, PlaceEnd, PlaceReply,
     PlaceRequest,
 };
 use shallotdrum_telemetry::{Metrics, event};
@@ -32,8 +34,8 @@
 use crate::{
     FallbackSelector, MalformedLoad,
     limits::{LimitChange, TargetLimits},
-    owner_calls::report_undelivered,
     spread::{SpreadKnowledge, group_weight},
+    undelivered::UndeliveredEnds,
     withheld::{Process, WithheldTargets},
 };
 
@@ -77,6 +79,8 @@
     pub(crate) last_replies: Mutex<HashMap<SocketAddr, Instant>>,
     /// Channels to owners; absent if the settings do not allow them.
     pub(crate) channels: Option<PlaceChannels>,
+    /// Reports that no channel delivered; absent without channels.
+    pub(crate) undelivered: Option<UndeliveredEnds>,
 }
 
 /// Place at a target; reported as cancelled if dropped without `end`.
@@ -114,6 +118,8 @@
         addr: SocketAddr,
         /// Channel that the place was requested over; absent with JSON-RPC.
         channel: Option<PlaceChannel>,
+        /// When the owner ends the place itself.
+        until: std::time::Instant,
     },
     /// No owner was reachable; this entry selected the target and counts its own requests.
     NoOwner { target: TargetId },
@@ -228,11 +234,14 @@
                 self.places.0.owner.end_place(*key, finish, feedback, ended.events);
             }
             GrantedBy::Other { .. } if !self.is_reported => {}
-            GrantedBy::Other { key: (session, _), channel: Some(channel), .. } => {
-                channel.end_place(*session, ended);
-            }
-            GrantedBy::Other { key: (session, _), addr, channel: None } => {
-                tokio::spawn(self.places.clone().report_end(*addr, *session, ended));
+            GrantedBy::Other { key: (session, _), addr, channel, until } => {
+                let report = EndReport { session: *session, ended, until: *until };
+                match channel {
+                    Some(channel) => channel.end_place(report),
+                    None => {
+                        tokio::spawn(self.places.clone().report_end(*addr, report));
+                    }
+                }
             }
             GrantedBy::NoOwner { .. } => {}
         }
@@ -275,8 +284,11 @@
         metrics: Option<Metrics>,
         log: slog::Logger,
     ) -> Self {
-        let channels = metrics.map(|metrics| {
-            let undelivered = report_undelivered(peers.clone(), log.clone());
+        let undelivered = metrics
+            .clone()
+            .map(|metrics| UndeliveredEnds::new(peers.clone(), view.clone(), metrics, log.clone()));
+        let channels = undelivered.clone().zip(metrics).map(|(ends, metrics)| {
+            let undelivered = Arc::new(move |addr, reports| ends.send(addr, reports));
             PlaceChannels::new(ChannelConfig { undelivered, metrics, log: log.clone() })
         });
         Self(Arc::new(Shared {
@@ -293,6 +305,7 @@
             spread: Mutex::default(),
             last_replies: Mutex::default(),
             channels,
+            undelivered,
         }))
     }
 
@@ -634,7 +647,10 @@
         let key = (session, self.0.next_place.fetch_add(1, Ordering::Relaxed));
         let granted_by = match owner == session {
             true => GrantedBy::This { key },
-            false => GrantedBy::Other { key, addr, channel: None },
+            false => {
+                let until = (Instant::now() + admission.left + PLACE_GRACE).into_std();
+                GrantedBy::Other { key, addr, channel: None, until }
+            }
         };
         let mut guard = PlaceGuard::new(self.clone(), granted_by);
         if owner == session {
--- a/crates/owner/src/places.rs
+++ b/crates/owner/src/places.rs
@@ -13,7 +13,7 @@
     time::{Duration, Instant},
 };
 
-use shallotdrum_engine::{GrantedPlace, ObservedLimit, Requirements, Urgency};
+use shallotdrum_engine::{GrantedPlace, ObservedLimit, PLACE_GRACE, Requirements, Urgency};
 use shallotdrum_scheduler::{
     AdmissionRequest, Finish, GroupScheduler, Lease, PlaceFeedback, RequestKind,
 };
@@ -26,10 +26,6 @@
 
 use crate::OwnerService;
 
-/// Time after a request's deadline at which its place expires. An entry reports the end within a
-/// round trip of the deadline.
-const PLACE_GRACE: Duration = Duration::from_secs(1);
-
 /// Identifies a place: the session of the entry and a number that is unique within it.
 pub type PlaceKey = (SessionId, u64);
 
--- a/crates/rpc/benches/place_channel.rs
+++ b/crates/rpc/benches/place_channel.rs
@@ -15,8 +15,8 @@
 use jsonrpsee::{RpcModule, server::Server};
 use shallotdrum_engine::{GrantedPlace, Priority, Requirements, Urgency};
 use shallotdrum_rpc::{
-    ChannelConfig, ChannelHandlers, EndedPlace, PeerApiClient, Peers, PeersConfig, PlaceChannels,
-    PlaceEnd, PlaceReply, PlaceRequest, PlaceServer, RpcError,
+    ChannelConfig, ChannelHandlers, EndReport, EndedPlace, PeerApiClient, Peers, PeersConfig,
+    PlaceChannels, PlaceEnd, PlaceReply, PlaceRequest, PlaceServer, RpcError,
 };
 use shallotdrum_telemetry::Metrics;
 use shallotdrum_types::{Fingerprint, Incarnation, SessionId};
@@ -204,7 +204,8 @@
             let channel = place_channel.clone();
             async move {
                 channel.take_place(request(place)).await.expect("a reply");
-                channel.end_place(SessionId(1), ended(place));
+                let until = Instant::now() + Duration::from_secs(3);
+                channel.end_place(EndReport { session: SessionId(1), ended: ended(place), until });
             }
         });
         let by_channel = by_channel.await;
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -42,9 +42,9 @@
 };
 pub use peers::{MAX_MESSAGE_BYTES, Peers, PeersConfig};
 pub use place_channel::{
-    AllotmentCall, AllotmentStep, ChannelConfig, ChannelError, ChannelHandlers, MAX_FRAME_BYTES,
-    MAX_WAITING, MethodFn, MethodFuture, PLACES_PATH, PLACES_PROTOCOL, PlaceChannel, PlaceChannels,
-    PlaceServer, UndeliveredFn,
+    AllotmentCall, AllotmentStep, ChannelConfig, ChannelError, ChannelHandlers, EndReport,
+    MAX_FRAME_BYTES, MAX_WAITING, MethodFn, MethodFuture, PLACES_PATH, PLACES_PROTOCOL,
+    PlaceChannel, PlaceChannels, PlaceServer, UndeliveredFn,
 };
 pub use places::{EndedPlace, PlaceEnd, PlaceReply, PlaceRequest};
 pub use survey::{SurveyedReplica, find_leader, find_source};
--- a/crates/rpc/src/place_channel/client.rs
+++ b/crates/rpc/src/place_channel/client.rs
@@ -9,18 +9,18 @@
 
 use shallotdrum_allotments::AllotmentReply;
 use shallotdrum_telemetry::{Metrics, event};
-use shallotdrum_types::{ChannelId, ConnectionNumber, RequestNumber, SessionId};
+use shallotdrum_types::{ChannelId, ConnectionNumber, RequestNumber};
 use tokio::{sync::Notify, task::AbortHandle};
 
 use super::{
     connection,
     messages::{AllotmentCall, EntryMessage},
-    state::{Answer, AnswerReceiver, ChannelError, ChannelState, PlaceKey},
+    state::{Answer, AnswerReceiver, ChannelError, ChannelState, EndReport},
 };
-use crate::{EndedPlace, PlaceReply, PlaceRequest};
+use crate::{PlaceReply, PlaceRequest};
 
 /// Delivers reports of ended places to the owner at an RPC address when no channel to it can be opened.
-pub type UndeliveredFn = Arc<dyn Fn(SocketAddr, Vec<(SessionId, EndedPlace)>) + Send + Sync>;
+pub type UndeliveredFn = Arc<dyn Fn(SocketAddr, Vec<EndReport>) + Send + Sync>;
 
 /// What channels need of their instance.
 #[derive(Clone)]
@@ -97,7 +97,7 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    pub(crate) fn deliver(&self, ends: Vec<(SessionId, EndedPlace)>) {
+    pub(crate) fn deliver(&self, ends: Vec<EndReport>) {
         if !ends.is_empty() {
             (self.cfg.undelivered)(self.rpc, ends);
         }
@@ -120,7 +120,8 @@
 struct Call {
     shared: Arc<Shared>,
     number: RequestNumber,
-    key: Option<PlaceKey>,
+    /// Report of the place that is asked for, if it is not used.
+    unused: Option<EndReport>,
     rx: AnswerReceiver,
     is_done: bool,
 }
@@ -141,15 +142,15 @@
         let mut state = self.shared.state();
         let has_cancelled = state.cancel(self.number, Instant::now());
         // The reply may have arrived and not been read.
-        let granted = match (self.key, self.rx.try_recv()) {
+        let granted = match (self.unused, self.rx.try_recv()) {
             (
-                Some(key),
+                Some(report),
                 Ok(Ok(Answer::Place(PlaceReply::Granted(_) | PlaceReply::Charged { .. }))),
-            ) => Some(key),
+            ) => Some(report),
             _ => None,
         };
-        if let Some((session, place)) = granted {
-            state.end(session, EndedPlace::cancelled(place));
+        if let Some(report) = granted {
+            state.end(report);
         }
         drop(state);
         if has_cancelled || granted.is_some() {
@@ -179,11 +180,11 @@
     /// Sends a request and waits for its reply.
     async fn call(
         &self,
-        key: Option<PlaceKey>,
+        unused: Option<EndReport>,
         message: impl FnOnce(RequestNumber) -> EntryMessage,
     ) -> Result<Answer, ChannelError> {
         let shared = self.shared();
-        let submitted = shared.state().submit(key, Instant::now(), message);
+        let submitted = shared.state().submit(unused, Instant::now(), message);
         let (number, rx) = submitted.inspect_err(|error| {
             if *error == ChannelError::Overloaded {
                 shared.cfg.metrics.place_channel_refused().inc();
@@ -191,14 +192,14 @@
         })?;
         shared.cfg.metrics.place_channel_requests().inc();
         shared.wake.notify_one();
-        Call { shared: shared.clone(), number, key, rx, is_done: false }.answer().await
+        Call { shared: shared.clone(), number, unused, rx, is_done: false }.answer().await
     }
 
     /// Waits for a place. Dropping the future cancels the request, or releases the place.
     pub async fn take_place(&self, request: PlaceRequest) -> Result<PlaceReply, ChannelError> {
-        let key = (request.session, request.place);
+        let unused = EndReport::unused(&request, Instant::now());
         let take = Box::new(request.into());
-        match self.call(Some(key), |number| EntryMessage::Take(number, take)).await? {
+        match self.call(Some(unused), |number| EntryMessage::Take(number, take)).await? {
             Answer::Place(reply) => Ok(reply),
             answer => Err(unexpected(&answer)),
         }
@@ -234,8 +235,8 @@
 
     /// Reports that a place ended. The report goes over the next connection if this one breaks, or to
     /// [`ChannelConfig::undelivered`].
-    pub fn end_place(&self, session: SessionId, ended: EndedPlace) {
-        self.shared().state().end(session, ended);
+    pub fn end_place(&self, report: EndReport) {
+        self.shared().state().end(report);
         self.shared().wake.notify_one();
     }
 
--- a/crates/rpc/src/place_channel/mod.rs
+++ b/crates/rpc/src/place_channel/mod.rs
@@ -22,7 +22,7 @@
 pub use frame::MAX_FRAME_BYTES;
 pub use messages::{AllotmentCall, AllotmentStep};
 pub use server::{ChannelHandlers, MethodFn, MethodFuture, PlaceServer};
-pub use state::ChannelError;
+pub use state::{ChannelError, EndReport};
 
 /// Path that is upgraded to a channel.
 pub const PLACES_PATH: &str = "/places";
--- a/crates/rpc/src/place_channel/state.rs
+++ b/crates/rpc/src/place_channel/state.rs
@@ -6,11 +6,12 @@
 
 use std::{
     collections::{HashMap, VecDeque},
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use bytes::BytesMut;
 use shallotdrum_allotments::AllotmentReply;
+use shallotdrum_engine::PLACE_GRACE;
 use shallotdrum_types::{ConnectionNumber, RequestNumber, SessionId};
 use tokio::sync::oneshot;
 
@@ -19,7 +20,7 @@
     frame::{self, FrameError},
     messages::{End, EntryMessage, OwnerMessage},
 };
-use crate::{EndedPlace, PlaceReply};
+use crate::{EndedPlace, PlaceReply, PlaceRequest};
 
 /// Maximum number of ended places in a frame; about 64 KiB.
 const MAX_ENDS_PER_FRAME: usize = 1_024;
@@ -59,6 +60,25 @@
 /// Session and number of a place.
 pub(crate) type PlaceKey = (SessionId, u64);
 
+/// Report that a place ended, or that its request was cancelled.
+#[derive(Clone, Copy, Debug)]
+pub struct EndReport {
+    /// Session of the entry.
+    pub session: SessionId,
+    /// How the place ended.
+    pub ended: EndedPlace,
+    /// When the owner ends the place itself, so that the report is not needed any more.
+    pub until: Instant,
+}
+
+impl EndReport {
+    /// Report of the place of a request that is made now, if it is not used.
+    pub(crate) fn unused(request: &PlaceRequest, now: Instant) -> Self {
+        let until = now + Duration::from_millis(request.left_ms) + PLACE_GRACE;
+        Self { session: request.session, ended: EndedPlace::cancelled(request.place), until }
+    }
+}
+
 /// Where the reply to a request goes.
 pub(crate) type AnswerReceiver = oneshot::Receiver<Result<Answer, ChannelError>>;
 
@@ -73,16 +93,15 @@
 
 struct Waiting {
     tx: oneshot::Sender<Result<Answer, ChannelError>>,
-    /// Place that the request is for.
-    key: Option<PlaceKey>,
+    /// Report of the place that the request is for, if it is not used.
+    unused: Option<EndReport>,
 }
 
 /// Report that the owner may not have received.
 struct Unconfirmed {
     /// Smallest number whose reply shows that the report arrived.
     confirmed_by: RequestNumber,
-    session: SessionId,
-    ended: EndedPlace,
+    report: EndReport,
 }
 
 /// State of a channel.
@@ -92,7 +111,7 @@
     /// Encoded frames of requests that are not written.
     queue: BytesMut,
     /// Reports that are not written.
-    ends: Vec<(SessionId, EndedPlace)>,
+    ends: Vec<EndReport>,
     /// Reports that are written, oldest first.
     unconfirmed: VecDeque<Unconfirmed>,
     waiting: HashMap<RequestNumber, Waiting>,
@@ -152,10 +171,10 @@
         Ok(number)
     }
 
-    /// Queues a request; `key` is that of the place that it is for.
+    /// Queues a request; `unused` reports the place that it is for, if it is not used.
     pub(crate) fn submit(
         &mut self,
-        key: Option<PlaceKey>,
+        unused: Option<EndReport>,
         now: Instant,
         message: impl FnOnce(RequestNumber) -> EntryMessage,
     ) -> Result<(RequestNumber, AnswerReceiver), ChannelError> {
@@ -163,7 +182,7 @@
             return Err(ChannelError::Unsupported);
         }
         // Calls for units are few and end soon. Confirmations must not fail because requests wait.
-        if key.is_some() && self.waiting.len() >= MAX_WAITING {
+        if unused.is_some() && self.waiting.len() >= MAX_WAITING {
             return Err(ChannelError::Overloaded);
         }
         // JSON-RPC takes requests that are too large for a frame.
@@ -172,7 +191,7 @@
             self.quiet_since = now;
         }
         let (tx, rx) = oneshot::channel();
-        self.waiting.insert(number, Waiting { tx, key });
+        self.waiting.insert(number, Waiting { tx, unused });
         Ok((number, rx))
     }
 
@@ -189,24 +208,23 @@
     }
 
     /// Queues the report of an ended place.
-    pub(crate) fn end(&mut self, session: SessionId, ended: EndedPlace) {
-        self.ends.push((session, ended));
+    pub(crate) fn end(&mut self, report: EndReport) {
+        self.ends.push(report);
     }
 
     /// Cancels a request unless it has a reply or failed; returns whether there is something to write.
     pub(crate) fn cancel(&mut self, number: RequestNumber, now: Instant) -> bool {
-        let Some((session, place)) = self.waiting.remove(&number).and_then(|w| w.key) else {
+        let Some(report) = self.waiting.remove(&number).and_then(|w| w.unused) else {
             return false;
         };
         // Unlike reports, this must not overtake its request.
-        if self.push(|_| EntryMessage::Cancel(session, place)).is_err() {
+        if self.push(|_| EntryMessage::Cancel(report.session, report.ended.place)).is_err() {
             return false;
         }
         if !self.is_pending() {
             self.quiet_since = now;
         }
-        let (confirmed_by, ended) = (self.next, EndedPlace::cancelled(place));
-        self.unconfirmed.push_back(Unconfirmed { confirmed_by, session, ended });
+        self.unconfirmed.push_back(Unconfirmed { confirmed_by: self.next, report });
         true
     }
 
@@ -216,17 +234,16 @@
         if !ends.is_empty() && !self.is_pending() {
             self.quiet_since = now;
         }
-        for group in ends.chunk_by(|(a, _), (b, _)| a == b) {
+        for group in ends.chunk_by(|a, b| a.session == b.session) {
             for chunk in group.chunks(MAX_ENDS_PER_FRAME) {
-                let session = chunk[0].0;
-                let ended = chunk.iter().map(|(_, ended)| End::from(*ended)).collect();
+                let session = chunk[0].session;
+                let ended = chunk.iter().map(|report| End::from(report.ended)).collect();
                 // Has a bounded size.
                 let _ = frame::encode(&EntryMessage::End(session, ended), out);
             }
         }
         let confirmed_by = self.next;
-        let written =
-            ends.iter().map(|&(session, ended)| Unconfirmed { confirmed_by, session, ended });
+        let written = ends.iter().map(|&report| Unconfirmed { confirmed_by, report });
         self.unconfirmed.extend(written);
         if self.unconfirmed.len() >= MAX_UNCONFIRMED && self.confirming.is_none() {
             self.confirming = self.push(EntryMessage::Ping).ok();
@@ -307,15 +324,13 @@
         self.queue.clear();
         self.pinged_at = None;
         self.confirming = None;
-        let unconfirmed = self.unconfirmed.drain(..).map(|u| (u.session, u.ended));
+        let unconfirmed = self.unconfirmed.drain(..).map(|unconfirmed| unconfirmed.report);
         // The oldest reports first.
         let mut ends: Vec<_> = unconfirmed.collect();
         ends.append(&mut self.ends);
         let failed = self.waiting.len();
-        for (_, Waiting { tx, key }) in self.waiting.drain() {
-            if let Some((session, place)) = key.filter(|_| was_open) {
-                ends.push((session, EndedPlace::cancelled(place)));
-            }
+        for (_, Waiting { tx, unused }) in self.waiting.drain() {
+            ends.extend(unused.filter(|_| was_open));
             let _ = tx.send(Err(error.clone()));
         }
         self.ends = ends;
@@ -323,7 +338,7 @@
     }
 
     /// Takes the reports that no connection could deliver.
-    pub(crate) fn take_ends(&mut self) -> Vec<(SessionId, EndedPlace)> {
+    pub(crate) fn take_ends(&mut self) -> Vec<EndReport> {
         std::mem::take(&mut self.ends)
     }
 }
--- a/crates/rpc/tests/place_channel.rs
+++ b/crates/rpc/tests/place_channel.rs
@@ -42,10 +42,10 @@
     assert_eq!(place.target.as_str(), "t-5");
     assert_eq!(place.software, request(5).software);
     assert_eq!((place.spread, place.group_wait_ms), (Some(2), None));
-    channel.end_place(SESSION, ended(5));
+    channel.end_place(ended(5));
     channel.ping().await.unwrap();
     let reports = format!("{:?}", owner.places().reports);
-    assert_eq!(reports, format!("{:?}", vec![ended(5)]));
+    assert_eq!(reports, format!("{:?}", vec![ended(5).ended]));
     let taken = channel.change_allotment(allotment(AllotmentStep::Take, 9)).await.unwrap();
     assert_eq!(taken.map(|reply| (reply.granted, reply.level)), Some((true, 9.0)));
     let returned = channel.change_allotment(allotment(AllotmentStep::Return, 9)).await;
@@ -118,7 +118,7 @@
         match take.unwrap() {
             (place, Ok(PlaceReply::Granted(_))) => {
                 received += 1;
-                channel.end_place(SESSION, ended(place));
+                channel.end_place(ended(place));
             }
             (_, Err(ChannelError::Broken(_))) => {}
             (place, reply) => panic!("{place}: {reply:?}"),
@@ -166,7 +166,7 @@
     let owner = Owner::default();
     let addr = owner.serve_without_channel().await;
     let (channels, channel, undelivered) = open_channel(addr);
-    channel.end_place(SESSION, ended(3));
+    channel.end_place(ended(3));
     let reply = channel.take_place(request(1)).await;
     assert_eq!(reply.unwrap_err(), ChannelError::Unsupported);
     wait_until("the report is handed back", || undelivered.lock().unwrap().len() == 1).await;
@@ -184,7 +184,7 @@
     let addr = listener.local_addr().unwrap();
     drop(listener);
     let (_channels, channel, undelivered) = open_channel(addr);
-    channel.end_place(SESSION, ended(3));
+    channel.end_place(ended(3));
     let reply = channel.take_place(request(1)).await;
     assert!(matches!(reply, Err(ChannelError::Broken(_))), "{reply:?}");
     wait_until("the report is handed back", || undelivered.lock().unwrap().len() == 1).await;
@@ -218,7 +218,7 @@
 async fn channel_stalled() {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let (_channels, channel, _) = open_channel(listener.local_addr().unwrap());
-    channel.end_place(SESSION, ended(8));
+    channel.end_place(ended(8));
     let (first, reply) = tokio::join!(accept_raw(&listener), channel.take_place(request(1)));
     assert!(matches!(reply, Err(ChannelError::Broken(_))), "{reply:?}");
     // The report was written and may not have been processed, and neither may the request.
@@ -301,7 +301,7 @@
         })
         .collect();
     wait_until("all are queued", || channel.waiting() == 20).await;
-    channel.end_place(SESSION, ended(500));
+    channel.end_place(ended(500));
     let mut entry = accept_raw(&listener).await;
     let mut frames = Vec::new();
     while frames.len() < 21 {
--- a/crates/rpc/tests/support/mod.rs
+++ b/crates/rpc/tests/support/mod.rs
@@ -8,7 +8,7 @@
         Arc, Mutex, MutexGuard,
         atomic::{AtomicUsize, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use futures_util::FutureExt;
@@ -19,8 +19,8 @@
 use shallotdrum_allotments::AllotmentReply;
 use shallotdrum_engine::{GrantedPlace, Priority, Requirements, TargetLoad, Urgency};
 use shallotdrum_rpc::{
-    AllotmentStep, ChannelConfig, ChannelHandlers, EndedPlace, PLACES_PATH, PlaceChannel,
-    PlaceChannels, PlaceReply, PlaceRequest, PlaceServer, RpcError,
+    AllotmentStep, ChannelConfig, ChannelHandlers, EndReport, EndedPlace, PLACES_PATH,
+    PlaceChannel, PlaceChannels, PlaceReply, PlaceRequest, PlaceServer, RpcError,
 };
 use shallotdrum_telemetry::Metrics;
 use shallotdrum_types::{Fingerprint, Incarnation, SessionId};
@@ -198,7 +198,7 @@
     let kept = undelivered.clone();
     let channels = PlaceChannels::new(ChannelConfig {
         undelivered: Arc::new(move |_, ends| {
-            kept.lock().unwrap().extend(ends.into_iter().map(|(_, ended)| ended));
+            kept.lock().unwrap().extend(ends.into_iter().map(|report| report.ended));
         }),
         metrics: Metrics::new().unwrap(),
         log: slog::Logger::root(slog::Discard, slog::o!()),
@@ -287,11 +287,12 @@
     })
 }
 
-pub(crate) fn ended(place: u64) -> EndedPlace {
-    EndedPlace {
+pub(crate) fn ended(place: u64) -> EndReport {
+    let ended = EndedPlace {
         load: Some(TargetLoad { running: 1, waiting: 2, slots: 3, slowness: Some(1.5) }),
         first_event_ms: Some(4),
         has_no_room: true,
         ..EndedPlace::cancelled(place)
-    }
+    };
+    EndReport { session: SESSION, ended, until: Instant::now() + Duration::from_secs(20) }
 }
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -155,7 +155,8 @@
         ALLOTMENT_SETTLED = "O0354", Info, "reservation of units confirmed, or returned", "none";
         ALLOTMENT_EXPIRED = "O0355", Info, "reserved units count as used: they were neither confirmed nor returned by the deadline of their request", "none, unless it persists; then check the network between the instances";
         PLACE_WITHOUT_OWNER = "O0323", Info, "request sent to a target without a place from the group's owner", "none, unless it persists; then check the instance that owned the group";
-        PLACE_END_LOST = "O0320", Debug, "cannot report the end of a place; the place expires at its deadline", "none";
+        PLACE_END_LOST = "O0320", Debug, "ends of places are not reported; their places expire, or ended with the owner's session", "none";
+        PLACE_END_DELAYED = "O0362", Info, "cannot report ends of places to their owner; they are reported again", "check the owner and the network if it repeats";
         PLACE_CHANNEL_ACCEPTED = "O0360", Info, "an entry opened a channel for places", "none";
         PLACE_CHANNEL_ENDED = "O0361", Info, "channel for places of an entry ended; its waiting requests were cancelled", "compare with the log of the entry if it repeats";
         PLACE_REFUSED = "O0316", Info, "place at a target refused; the request was not run", "compare the detail with the load of the group";
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -164,6 +164,7 @@
     place_channel_writes: IntCounter, "shallotdrum_place_channel_writes_total", "Writes of frames to channels for places, at entry and owner";
     place_channel_failures: IntCounter, "shallotdrum_place_channel_failures_total", "Channels for places that broke or could not be opened";
     place_channel_refused: IntCounter, "shallotdrum_place_channel_refused_total", "Requests refused as too many wait on one channel for places";
+    place_ends_resent: IntCounter, "shallotdrum_place_ends_resent_total", "Ends of places that this entry reported to an owner again, as an earlier report failed or was not confirmed";
     is_leader: IntGauge, "shallotdrum_is_leader", "1 on the control leader, else 0";
 }
 
