Return the units of grants that could not be written

Cause: when an owner ended a connection, it released the places of grants that were still in its buffer, but the units of the customer's allotment stayed used. Change: the owner keeps with each charged grant in its buffer the call that returns its units, and makes it when it releases the place.

--- a/crates/rpc/src/place_channel/messages.rs
+++ b/crates/rpc/src/place_channel/messages.rs
@@ -209,6 +209,19 @@
     pub(crate) fn key(&self) -> (SessionId, u64) {
         (self.session, self.place)
     }
+
+    /// Call that returns the units of the request; absent without a charge.
+    pub(crate) fn return_units(&self) -> Option<Box<AllotmentCall>> {
+        let Charge { customer, units } = self.charge.clone()?;
+        Some(Box::new(AllotmentCall {
+            session: self.session,
+            request: self.request.clone(),
+            customer,
+            units,
+            group: self.group.clone(),
+            step: AllotmentStep::Return,
+        }))
+    }
 }
 
 impl From<PlaceRequest> for Take {
--- a/crates/rpc/src/place_channel/server.rs
+++ b/crates/rpc/src/place_channel/server.rs
@@ -191,7 +191,14 @@
 }
 
 /// Reply to a request, and the place that it grants.
-type Outcome = (OwnerMessage, Option<PlaceKey>);
+type Outcome = (OwnerMessage, Option<Granted>);
+
+/// Place that is granted by a reply.
+struct Granted {
+    key: PlaceKey,
+    /// Returns the units that the request was charged for.
+    return_units: Option<Box<AllotmentCall>>,
+}
 
 /// Request that waits.
 struct Begun {
@@ -200,7 +207,7 @@
 }
 
 enum BegunKind {
-    Take(PlaceKey, MethodFuture<PlaceReply>),
+    Take(Option<Granted>, MethodFuture<PlaceReply>),
     Allotment(MethodFuture<Option<AllotmentReply>>),
 }
 
@@ -211,12 +218,14 @@
         let number = self.number;
         let failed = |error: &RpcError| (OwnerMessage::Failed(number, error.to_string()), None);
         match &mut self.kind {
-            BegunKind::Take(key, fut) => fut.as_mut().poll(cx).map(|reply| match reply {
+            BegunKind::Take(granted, fut) => fut.as_mut().poll(cx).map(|reply| match reply {
                 Ok(reply) => {
-                    let is_granted =
-                        matches!(reply, PlaceReply::Granted(_) | PlaceReply::Charged { .. });
-                    let message = OwnerMessage::Place(number, reply.into());
-                    (message, is_granted.then_some(*key))
+                    let granted = granted.take().and_then(|granted| match &reply {
+                        PlaceReply::Charged { .. } => Some(granted),
+                        PlaceReply::Granted(_) => Some(Granted { return_units: None, ..granted }),
+                        PlaceReply::NoRoom { .. } | PlaceReply::Refused { .. } => None,
+                    });
+                    (OwnerMessage::Place(number, reply.into()), granted)
                 }
                 Err(error) => failed(&error),
             }),
@@ -241,7 +250,7 @@
     /// Number of bytes written.
     written: u64,
     /// Granted places whose reply is not written completely, with the position of its end.
-    unsent: VecDeque<(u64, PlaceKey)>,
+    unsent: VecDeque<(u64, Granted)>,
 }
 
 impl<'a> Connection<'a> {
@@ -352,8 +361,9 @@
             let Some((number, take)) = self.arrived.pop_front() else { break };
             let key = take.key();
             if self.pending.remove(&key) {
+                let granted = Granted { key, return_units: take.return_units() };
                 let reply = (self.server.handlers.take)(PlaceRequest::from(*take));
-                self.begin(Begun { number, kind: BegunKind::Take(key, reply) })?;
+                self.begin(Begun { number, kind: BegunKind::Take(Some(granted), reply) })?;
             }
         }
         Ok(())
@@ -382,8 +392,8 @@
 
     fn reply(&mut self, (message, granted): Outcome) -> Result<(), FrameError> {
         let encoded = encode(&message, &mut self.out);
-        if let Some(key) = granted {
-            self.unsent.push_back((self.written + self.out.len() as u64, key));
+        if let Some(granted) = granted {
+            self.unsent.push_back((self.written + self.out.len() as u64, granted));
         }
         encoded
     }
@@ -400,14 +410,18 @@
         Ok(())
     }
 
-    /// Cancels the requests that wait, and releases the places whose reply the entry cannot have; returns
-    /// the numbers of both.
+    /// Cancels the requests that wait, and releases the places whose reply the entry cannot have, with their
+    /// units; returns the numbers of both.
     fn end(mut self) -> (usize, usize) {
         let waiting = self.begun.len() + self.pending.len();
         self.begun.clear();
-        for (_, (session, place)) in &self.unsent {
-            (self.server.handlers.end)(*session, vec![EndedPlace::cancelled(*place)]);
+        let released = self.unsent.len();
+        for (_, Granted { key: (session, place), return_units }) in self.unsent {
+            (self.server.handlers.end)(session, vec![EndedPlace::cancelled(place)]);
+            if let Some(call) = return_units {
+                tokio::spawn((self.server.handlers.allotment)(*call));
+            }
         }
-        (waiting, self.unsent.len())
+        (waiting, released)
     }
 }
--- a/crates/rpc/tests/place_channel.rs
+++ b/crates/rpc/tests/place_channel.rs
@@ -6,15 +6,17 @@
 
 use futures_util::future::join_all;
 use rstest::rstest;
+use shallotdrum_allotments::Charge;
 use shallotdrum_rpc::{
     AllotmentCall, AllotmentStep, ChannelError, MAX_FRAME_BYTES, MAX_WAITING, PLACES_PROTOCOL,
-    PlaceReply,
+    PlaceReply, PlaceRequest,
 };
 use shallotdrum_types::ReservationId;
 use support::{Owner, Proxy, SESSION, Step, ended, open_channel, request, wait_until};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::{TcpListener, TcpStream},
+    net::{TcpListener, TcpSocket, TcpStream},
+    task::JoinSet,
 };
 
 /// Number of the variant of a report in version 1.
@@ -249,7 +251,10 @@
 
 /// Opens a connection to an owner by hand.
 async fn connect_raw(addr: std::net::SocketAddr, protocol: &str) -> (TcpStream, String) {
-    let mut stream = TcpStream::connect(addr).await.unwrap();
+    upgrade_raw(TcpStream::connect(addr).await.unwrap(), protocol).await
+}
+
+async fn upgrade_raw(mut stream: TcpStream, protocol: &str) -> (TcpStream, String) {
     let head = format!(
         "GET /places HTTP/1.1\r\nHost: o\r\nConnection: upgrade\r\nUpgrade: {protocol}\r\n\r\n"
     );
@@ -324,3 +329,53 @@
         take.abort();
     }
 }
+
+/// Guards against units that stay used though the owner could not write the grant that they were taken for.
+#[tokio::test]
+async fn channel_unsent_units() {
+    const UNITS: u64 = 9;
+    // Fewer than may wait on a connection.
+    const PLACES: u64 = 4_000;
+    const ROUNDS: usize = 8;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let (_channels, channel, _) = open_channel(listener.local_addr().unwrap());
+    let mut takes = JoinSet::new();
+    for place in 0..PLACES {
+        let charge = Some(Charge { customer: "c".parse().unwrap(), units: UNITS });
+        // Makes the replies long.
+        let software = Some("v".repeat(60).parse().unwrap());
+        let charged = PlaceRequest { charge, software, ..request(place) };
+        let channel = channel.clone();
+        takes.spawn(async move { channel.take_place(charged).await.map(drop) });
+    }
+    let mut entry = accept_raw(&listener).await;
+    let mut bytes = Vec::new();
+    for _ in 0..PLACES {
+        let frame = read_frame(&mut entry).await;
+        bytes.extend_from_slice(&(frame.len() as u32).to_be_bytes());
+        bytes.extend_from_slice(&frame);
+    }
+    let owner = Owner::default();
+    owner.places().grants_at_once = true;
+    // Replies do not fit into the buffers of the connection.
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(4_096).unwrap();
+    let stream = socket.connect(owner.serve().await).await.unwrap();
+    let (mut stream, _) = upgrade_raw(stream, PLACES_PROTOCOL).await;
+    for round in 1..=ROUNDS {
+        stream.write_all(&bytes).await.unwrap();
+        let granted = round * PLACES as usize;
+        wait_until("all are granted", || owner.places().steps.len() == granted).await;
+    }
+    assert!(owner.places().returned.is_empty());
+    drop(stream);
+    wait_until("the places are released", || !owner.places().reports.is_empty()).await;
+    wait_until("their units are returned", || {
+        let places = owner.places();
+        places.returned.len() == places.reports.len()
+    })
+    .await;
+    let places = owner.places();
+    assert!(places.returned.iter().all(|units| *units == UNITS));
+    assert!(places.returned.len() < ROUNDS * PLACES as usize, "some grants were written");
+}
--- a/crates/rpc/tests/support/mod.rs
+++ b/crates/rpc/tests/support/mod.rs
@@ -46,6 +46,8 @@
     pub(crate) granted: BTreeSet<u64>,
     pub(crate) steps: Vec<Step>,
     pub(crate) reports: Vec<EndedPlace>,
+    /// Units that were returned, by call.
+    pub(crate) returned: Vec<u64>,
     /// Grants each place at once.
     pub(crate) grants_at_once: bool,
 }
@@ -119,11 +121,12 @@
 
     /// Serves channels at a new address.
     pub(crate) async fn serve(&self) -> SocketAddr {
-        let (taker, ender) = (self.clone(), self.clone());
+        let (taker, ender, allotments) = (self.clone(), self.clone(), self.clone());
         let handlers = ChannelHandlers {
             take: Box::new(move |request| taker.clone().take(request).map(Ok).boxed()),
             end: Box::new(move |_, ended| ender.end(ended)),
-            allotment: Box::new(|call| {
+            allotment: Box::new(move |call| {
+                let owner = allotments.clone();
                 async move {
                     match (call.step, call.units) {
                         (_, 0) => Err(RpcError::NotGroupOwner(call.group)),
@@ -141,7 +144,10 @@
                             granted: is_used,
                             ..AllotmentReply::NOT_A_SHARD
                         })),
-                        (AllotmentStep::Return, _) => Ok(None),
+                        (AllotmentStep::Return, units) => {
+                            owner.places().returned.push(units);
+                            Ok(None)
+                        }
                     }
                 }
                 .boxed()
@@ -275,7 +281,7 @@
 }
 
 fn granted(request: &PlaceRequest) -> PlaceReply {
-    PlaceReply::Granted(GrantedPlace {
+    let place = GrantedPlace {
         target: format!("t-{}", request.place).parse().unwrap(),
         incarnation: Incarnation(3),
         addr: "127.0.0.1:9".parse().unwrap(),
@@ -284,7 +290,11 @@
         software: request.software.clone(),
         spread: Some(2),
         group_wait_ms: None,
-    })
+    };
+    match request.charge {
+        Some(_) => PlaceReply::Charged { place, allotment: AllotmentReply::granted_at(1.0) },
+        None => PlaceReply::Granted(place),
+    }
 }
 
 pub(crate) fn ended(place: u64) -> EndReport {
