Count connections, frames and fallbacks of the channel for places

Cause: operators could not tell connections that break from owners that cannot be reached, nor how many requests and reports a connection took with it. Change: counters for connections opened and broken, requests that waited on a channel that failed, frames sent and received, reports sent again, and requests that go by JSON-RPC as the owner has no channel.

--- a/crates/daemon/tests/guarantees/place_channel.rs
+++ b/crates/daemon/tests/guarantees/place_channel.rs
@@ -327,9 +327,15 @@
             assert!(sent(one) >= CALLS, "{} requests from 1 by the channel", sent(one));
             assert!(sent(two) >= CALLS, "{} requests from 2 by the channel", sent(two));
             assert_eq!(two.metrics.place_channels_served().get(), 2);
+            for node in &instances.nodes {
+                assert_eq!(node.metrics.place_channel_fallbacks().get(), 0);
+            }
         }
         Some(_) => {
             assert_eq!(sent(two), 0);
+            for node in [replica, one] {
+                assert_eq!(node.metrics.place_channel_fallbacks().get() as usize, CALLS);
+            }
             assert_eq!(two.metrics.place_channels_served().get(), 0);
         }
     }
--- a/crates/gateway/src/owner_calls.rs
+++ b/crates/gateway/src/owner_calls.rs
@@ -50,6 +50,7 @@
         deadline: Instant,
     ) -> Result<PlaceReply, RequestError> {
         let Some(used) = self.channel(owner) else {
+            self.record_fallback();
             return self.request_by_rpc(pool, group, (owner, addr), request, deadline).await;
         };
         guard.is_reported = false;
@@ -69,6 +70,7 @@
             }
             Ok(Err(ChannelError::Unsupported)) => {
                 guard.is_reported = true;
+                self.record_fallback();
                 self.request_by_rpc(pool, group, (owner, addr), request, deadline).await
             }
             Ok(Err(error @ ChannelError::Overloaded)) => {
@@ -80,6 +82,13 @@
         }
     }
 
+    /// Counts a request that goes by JSON-RPC though this entry uses channels.
+    fn record_fallback(&self) {
+        if let Some(channels) = &self.0.channels {
+            channels.record_fallback();
+        }
+    }
+
     async fn request_by_rpc(
         &self,
         pool: &PoolId,
--- a/crates/rpc/src/place_channel/client.rs
+++ b/crates/rpc/src/place_channel/client.rs
@@ -15,7 +15,7 @@
 use super::{
     connection,
     messages::{AllotmentCall, EntryMessage},
-    state::{Answer, AnswerReceiver, ChannelError, ChannelState, EndReport},
+    state::{Answer, AnswerReceiver, ChannelError, ChannelState, EndReport, Failed},
 };
 use crate::{PlaceReply, PlaceRequest};
 
@@ -59,6 +59,11 @@
         (!is_unsupported).then_some(channel)
     }
 
+    /// Counts a request that is sent by JSON-RPC, as its owner has no channel.
+    pub fn record_fallback(&self) {
+        self.cfg.metrics.place_channel_fallbacks().inc();
+    }
+
     /// Drops the channels to owners that are gone; their reports are lost with the owner.
     pub fn retain(&self, is_current: impl Fn(SocketAddr) -> bool) {
         let mut channels = self.channels.lock().unwrap_or_else(PoisonError::into_inner);
@@ -107,12 +112,16 @@
         &self,
         error: &str,
         number: ConnectionNumber,
-        failed: usize,
+        failed: Failed,
         ends: usize,
     ) {
-        self.cfg.metrics.place_channel_failures().inc();
+        let metrics = &self.cfg.metrics;
+        metrics.place_channel_failures().inc();
+        metrics.place_channel_failed_requests().inc_by(failed.requests as u64);
+        metrics.place_ends_resent().inc_by(failed.resent as u64);
         event!(self.cfg.log, PLACE_CHANNEL_BROKEN; "owner" => %self.addr, "error" => error,
-            "connection" => number.0, "failed_requests" => failed, "ends_by_rpc" => ends);
+            "connection" => number.0, "failed_requests" => failed.requests, "resent_ends" => failed.resent,
+            "ends_by_rpc" => ends);
     }
 }
 
--- a/crates/rpc/src/place_channel/connection.rs
+++ b/crates/rpc/src/place_channel/connection.rs
@@ -137,6 +137,7 @@
     shared.state().opened(Instant::now());
     let error = exchange(shared, stream, read).await;
     drop(open);
+    shared.cfg.metrics.place_channels_broken().inc();
     let failed = shared.state().fail(&ChannelError::Broken(error.clone()), true);
     shared.log_broken(&error, number, failed, 0);
 }
@@ -147,6 +148,7 @@
 impl<'a> OpenGuard<'a> {
     fn new(shared: &'a Shared) -> Self {
         shared.cfg.metrics.place_channels().inc();
+        shared.cfg.metrics.place_channels_opened().inc();
         Self(shared)
     }
 }
@@ -166,11 +168,15 @@
     loop {
         let arrived = read_available(stream, &mut read);
         let now = Instant::now();
+        let mut received = 0;
         let liveness = {
             let mut state = shared.state();
             loop {
                 match decode(&mut read) {
-                    Ok(Some(message)) => state.receive(message, now),
+                    Ok(Some(message)) => {
+                        received += 1;
+                        state.receive(message, now);
+                    }
                     Ok(None) => break,
                     Err(error) => return error.to_string(),
                 }
@@ -180,10 +186,12 @@
             }
             state.check(now)
         };
+        metrics.place_channel_frames_received().inc_by(received);
         loop {
             if out.is_empty() {
-                let ends = shared.state().next_write(&mut out, now);
-                metrics.place_channel_ends().inc_by(ends as u64);
+                let written = shared.state().next_write(&mut out, now);
+                metrics.place_channel_ends().inc_by(written.ends as u64);
+                metrics.place_channel_frames_sent().inc_by(written.frames as u64);
             }
             if out.is_empty() {
                 break;
--- a/crates/rpc/src/place_channel/server.rs
+++ b/crates/rpc/src/place_channel/server.rs
@@ -329,7 +329,9 @@
     ///
     /// Whatever a reply confirms has been carried out then, apart from requests for places.
     fn receive(&mut self) -> Result<(), FrameError> {
+        let mut received = 0;
         while let Some(message) = decode(&mut self.read)? {
+            received += 1;
             match message {
                 EntryMessage::End(session, ended) => {
                     let ended = ended.into_iter().map(Into::into).collect();
@@ -357,6 +359,9 @@
                 }
             }
         }
+        if received > 0 {
+            self.server.metrics.place_channel_frames_received().inc_by(received);
+        }
         for _ in 0..MAX_BEGUN {
             let Some((number, take)) = self.arrived.pop_front() else { break };
             let key = take.key();
@@ -392,6 +397,7 @@
 
     fn reply(&mut self, (message, granted): Outcome) -> Result<(), FrameError> {
         let encoded = encode(&message, &mut self.out);
+        self.server.metrics.place_channel_frames_sent().inc();
         if let Some(granted) = granted {
             self.unsent.push_back((self.written + self.out.len() as u64, granted));
         }
--- a/crates/rpc/src/place_channel/state.rs
+++ b/crates/rpc/src/place_channel/state.rs
@@ -91,6 +91,22 @@
     Silent,
 }
 
+/// What was moved to a buffer.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct Written {
+    pub(crate) ends: usize,
+    pub(crate) frames: usize,
+}
+
+/// What a connection took with it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct Failed {
+    /// Requests that waited.
+    pub(crate) requests: usize,
+    /// Reports that were written, and are sent again.
+    pub(crate) resent: usize,
+}
+
 struct Waiting {
     tx: oneshot::Sender<Result<Answer, ChannelError>>,
     /// Report of the place that the request is for, if it is not used.
@@ -228,8 +244,8 @@
         true
     }
 
-    /// Moves the frames of one write to a buffer, reports first; returns the number of reports.
-    pub(crate) fn next_write(&mut self, out: &mut BytesMut, now: Instant) -> usize {
+    /// Moves the frames of one write to an empty buffer, reports first.
+    pub(crate) fn next_write(&mut self, out: &mut BytesMut, now: Instant) -> Written {
         let ends = std::mem::take(&mut self.ends);
         if !ends.is_empty() && !self.is_pending() {
             self.quiet_since = now;
@@ -251,7 +267,7 @@
         let requests = match self.queue.len() <= MAX_WRITE_BYTES {
             true => self.queue.split(),
             false => {
-                let len = whole_frames(&self.queue, MAX_WRITE_BYTES);
+                let (len, _) = whole_frames(&self.queue, MAX_WRITE_BYTES);
                 self.queue.split_to(len)
             }
         };
@@ -259,7 +275,7 @@
             true => *out = requests,
             false => out.extend_from_slice(&requests),
         }
-        ends.len()
+        Written { ends: ends.len(), frames: whole_frames(out, usize::MAX).1 }
     }
 
     fn ping(&mut self, now: Instant) {
@@ -320,21 +336,22 @@
     ///
     /// `was_open` tells whether frames may have been written. Places may then be granted to the requests
     /// that fail, so they are reported as ended.
-    pub(crate) fn fail(&mut self, error: &ChannelError, was_open: bool) -> usize {
+    pub(crate) fn fail(&mut self, error: &ChannelError, was_open: bool) -> Failed {
         self.queue.clear();
         self.pinged_at = None;
         self.confirming = None;
+        let resent = self.unconfirmed.len();
         let unconfirmed = self.unconfirmed.drain(..).map(|unconfirmed| unconfirmed.report);
         // The oldest reports first.
         let mut ends: Vec<_> = unconfirmed.collect();
         ends.append(&mut self.ends);
-        let failed = self.waiting.len();
+        let requests = self.waiting.len();
         for (_, Waiting { tx, unused }) in self.waiting.drain() {
             ends.extend(unused.filter(|_| was_open));
             let _ = tx.send(Err(error.clone()));
         }
         self.ends = ends;
-        failed
+        Failed { requests, resent }
     }
 
     /// Takes the reports that no connection could deliver.
@@ -343,14 +360,15 @@
     }
 }
 
-/// Length of the frames at the start of a buffer that fit into a limit; at least one.
-fn whole_frames(buf: &[u8], limit: usize) -> usize {
-    let mut len = 0;
+/// Length and number of the frames at the start of a buffer that fit into a limit; at least one.
+fn whole_frames(buf: &[u8], limit: usize) -> (usize, usize) {
+    let (mut len, mut frames) = (0, 0);
     while let Some(next) = frame::frame_len(&buf[len..]) {
         if len > 0 && len + next > limit {
             break;
         }
         len += next;
+        frames += 1;
     }
-    len
+    (len, frames)
 }
--- a/crates/rpc/tests/place_channel.rs
+++ b/crates/rpc/tests/place_channel.rs
@@ -11,8 +11,11 @@
     AllotmentCall, AllotmentStep, ChannelError, MAX_FRAME_BYTES, MAX_WAITING, PLACES_PROTOCOL,
     PlaceReply, PlaceRequest,
 };
+use shallotdrum_telemetry::Metrics;
 use shallotdrum_types::ReservationId;
-use support::{Owner, Proxy, SESSION, Step, ended, open_channel, request, wait_until};
+use support::{
+    Owner, Proxy, SESSION, Step, ended, open_channel, open_measured, request, wait_until,
+};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpSocket, TcpStream},
@@ -379,3 +382,32 @@
     assert!(places.returned.iter().all(|units| *units == UNITS));
     assert!(places.returned.len() < ROUNDS * PLACES as usize, "some grants were written");
 }
+
+/// Guards against counters that miss a broken connection, or what was lost and sent again with it.
+#[tokio::test]
+async fn channel_counters() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let metrics = Metrics::new().unwrap();
+    let (_channels, channel, _) = open_measured(listener.local_addr().unwrap(), metrics.clone());
+    channel.end_place(ended(8));
+    let (first, reply) = tokio::join!(accept_raw(&listener), channel.take_place(request(1)));
+    assert!(matches!(reply, Err(ChannelError::Broken(_))), "{reply:?}");
+    let mut second = accept_raw(&listener).await;
+    read_frame(&mut second).await;
+    assert_eq!(metrics.place_channels_opened().get(), 2);
+    assert_eq!(metrics.place_channels_broken().get(), 1);
+    assert_eq!(metrics.place_channel_failures().get(), 1);
+    assert_eq!(metrics.place_channel_failed_requests().get(), 1);
+    assert_eq!(metrics.place_ends_resent().get(), 1);
+    // A report, a request and a ping, and the reports of both places.
+    assert_eq!(metrics.place_channel_frames_sent().get(), 4);
+    assert_eq!(metrics.place_channel_frames_received().get(), 0);
+    drop(first);
+    // An owner that replies to a ping.
+    let metrics = Metrics::new().unwrap();
+    let (_channels, channel, _) = open_measured(Owner::default().serve().await, metrics.clone());
+    channel.ping().await.unwrap();
+    assert_eq!(metrics.place_channel_frames_sent().get(), 1);
+    assert_eq!(metrics.place_channel_frames_received().get(), 1);
+    assert_eq!(metrics.place_channels_broken().get(), 0);
+}
--- a/crates/rpc/tests/support/mod.rs
+++ b/crates/rpc/tests/support/mod.rs
@@ -200,13 +200,20 @@
 pub(crate) type Undelivered = Arc<Mutex<Vec<EndedPlace>>>;
 
 pub(crate) fn open_channel(addr: SocketAddr) -> (PlaceChannels, PlaceChannel, Undelivered) {
+    open_measured(addr, Metrics::new().unwrap())
+}
+
+pub(crate) fn open_measured(
+    addr: SocketAddr,
+    metrics: Metrics,
+) -> (PlaceChannels, PlaceChannel, Undelivered) {
     let undelivered = Undelivered::default();
     let kept = undelivered.clone();
     let channels = PlaceChannels::new(ChannelConfig {
         undelivered: Arc::new(move |_, ends| {
             kept.lock().unwrap().extend(ends.into_iter().map(|report| report.ended));
         }),
-        metrics: Metrics::new().unwrap(),
+        metrics,
         log: slog::Logger::root(slog::Discard, slog::o!()),
     });
     let channel = channels.get(addr, addr).unwrap();
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -163,6 +163,12 @@
     place_channel_ends: IntCounter, "shallotdrum_place_channel_ends_total", "Ends of places that this entry reported over channels for places";
     place_channel_writes: IntCounter, "shallotdrum_place_channel_writes_total", "Writes of frames to channels for places, at entry and owner";
     place_channel_failures: IntCounter, "shallotdrum_place_channel_failures_total", "Channels for places that broke or could not be opened";
+    place_channels_opened: IntCounter, "shallotdrum_place_channels_opened_total", "Connections of channels for places that this entry opened";
+    place_channels_broken: IntCounter, "shallotdrum_place_channels_broken_total", "Open connections of channels for places that broke, at the entry";
+    place_channel_failed_requests: IntCounter, "shallotdrum_place_channel_failed_requests_total", "Requests of this entry that waited on a channel for places when it broke or could not be opened";
+    place_channel_frames_sent: IntCounter, "shallotdrum_place_channel_frames_sent_total", "Frames sent over channels for places, at entry and owner";
+    place_channel_frames_received: IntCounter, "shallotdrum_place_channel_frames_received_total", "Frames received over channels for places, at entry and owner";
+    place_channel_fallbacks: IntCounter, "shallotdrum_place_channel_fallbacks_total", "Requests for places that this entry sent by JSON-RPC, as the owner has no channel for places";
     place_channel_refused: IntCounter, "shallotdrum_place_channel_refused_total", "Requests refused as too many wait on one channel for places";
     place_ends_resent: IntCounter, "shallotdrum_place_ends_resent_total", "Ends of places that this entry reported to an owner again, as an earlier report failed or was not confirmed";
     is_leader: IntGauge, "shallotdrum_is_leader", "1 on the control leader, else 0";
