--- a/crates/rpc/tests/place_channel.rs
+++ b/crates/rpc/tests/place_channel.rs
@@ -6,15 +6,20 @@
 
 use futures_util::future::join_all;
 use rstest::rstest;
+use shallotdrum_allotments::Charge;
 use shallotdrum_rpc::{
     AllotmentCall, AllotmentStep, ChannelError, MAX_FRAME_BYTES, MAX_WAITING, PLACES_PROTOCOL,
-    PlaceReply,
+    PlaceReply, PlaceRequest,
 };
+use shallotdrum_telemetry::Metrics;
 use shallotdrum_types::ReservationId;
-use support::{Owner, Proxy, SESSION, Step, ended, open_channel, request, wait_until};
+use support::{
+    Owner, Proxy, SESSION, Step, ended, open_channel, open_measured, request, wait_until,
+};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::{TcpListener, TcpStream},
+    net::{TcpListener, TcpSocket, TcpStream},
+    task::JoinSet,
 };
 
 /// Number of the variant of a report in version 1.
@@ -42,10 +47,10 @@
     assert_eq!(place.target.as_str(), "t-5");
     assert_eq!(place.software, request(5).software);
     assert_eq!((place.spread, place.group_wait_ms), (Some(2), None));
-    channel.end_place(SESSION, ended(5));
+    channel.end_place(ended(5));
     channel.ping().await.unwrap();
     let reports = format!("{:?}", owner.places().reports);
-    assert_eq!(reports, format!("{:?}", vec![ended(5)]));
+    assert_eq!(reports, format!("{:?}", vec![ended(5).ended]));
     let taken = channel.change_allotment(allotment(AllotmentStep::Take, 9)).await.unwrap();
     assert_eq!(taken.map(|reply| (reply.granted, reply.level)), Some((true, 9.0)));
     let returned = channel.change_allotment(allotment(AllotmentStep::Return, 9)).await;
@@ -118,7 +123,7 @@
         match take.unwrap() {
             (place, Ok(PlaceReply::Granted(_))) => {
                 received += 1;
-                channel.end_place(SESSION, ended(place));
+                channel.end_place(ended(place));
             }
             (_, Err(ChannelError::Broken(_))) => {}
             (place, reply) => panic!("{place}: {reply:?}"),
@@ -166,7 +171,7 @@
     let owner = Owner::default();
     let addr = owner.serve_without_channel().await;
     let (channels, channel, undelivered) = open_channel(addr);
-    channel.end_place(SESSION, ended(3));
+    channel.end_place(ended(3));
     let reply = channel.take_place(request(1)).await;
     assert_eq!(reply.unwrap_err(), ChannelError::Unsupported);
     wait_until("the report is handed back", || undelivered.lock().unwrap().len() == 1).await;
@@ -184,7 +189,7 @@
     let addr = listener.local_addr().unwrap();
     drop(listener);
     let (_channels, channel, undelivered) = open_channel(addr);
-    channel.end_place(SESSION, ended(3));
+    channel.end_place(ended(3));
     let reply = channel.take_place(request(1)).await;
     assert!(matches!(reply, Err(ChannelError::Broken(_))), "{reply:?}");
     wait_until("the report is handed back", || undelivered.lock().unwrap().len() == 1).await;
@@ -218,7 +223,7 @@
 async fn channel_stalled() {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let (_channels, channel, _) = open_channel(listener.local_addr().unwrap());
-    channel.end_place(SESSION, ended(8));
+    channel.end_place(ended(8));
     let (first, reply) = tokio::join!(accept_raw(&listener), channel.take_place(request(1)));
     assert!(matches!(reply, Err(ChannelError::Broken(_))), "{reply:?}");
     // The report was written and may not have been processed, and neither may the request.
@@ -249,7 +254,10 @@
 
 /// Opens a connection to an owner by hand.
 async fn connect_raw(addr: std::net::SocketAddr, protocol: &str) -> (TcpStream, String) {
-    let mut stream = TcpStream::connect(addr).await.unwrap();
+    upgrade_raw(TcpStream::connect(addr).await.unwrap(), protocol).await
+}
+
+async fn upgrade_raw(mut stream: TcpStream, protocol: &str) -> (TcpStream, String) {
     let head = format!(
         "GET /places HTTP/1.1\r\nHost: o\r\nConnection: upgrade\r\nUpgrade: {protocol}\r\n\r\n"
     );
@@ -301,7 +309,7 @@
         })
         .collect();
     wait_until("all are queued", || channel.waiting() == 20).await;
-    channel.end_place(SESSION, ended(500));
+    channel.end_place(ended(500));
     let mut entry = accept_raw(&listener).await;
     let mut frames = Vec::new();
     while frames.len() < 21 {
@@ -324,3 +332,82 @@
         take.abort();
     }
 }
+
+/// Guards against units that stay used though the owner could not write the grant that they were taken for.
+#[tokio::test]
+async fn channel_unsent_units() {
+    const UNITS: u64 = 9;
+    // Fewer than may wait on a connection.
+    const PLACES: u64 = 4_000;
+    const ROUNDS: usize = 8;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let (_channels, channel, _) = open_channel(listener.local_addr().unwrap());
+    let mut takes = JoinSet::new();
+    for place in 0..PLACES {
+        let charge = Some(Charge { customer: "c".parse().unwrap(), units: UNITS });
+        // Makes the replies long.
+        let software = Some("v".repeat(60).parse().unwrap());
+        let charged = PlaceRequest { charge, software, ..request(place) };
+        let channel = channel.clone();
+        takes.spawn(async move { channel.take_place(charged).await.map(drop) });
+    }
+    let mut entry = accept_raw(&listener).await;
+    let mut bytes = Vec::new();
+    for _ in 0..PLACES {
+        let frame = read_frame(&mut entry).await;
+        bytes.extend_from_slice(&(frame.len() as u32).to_be_bytes());
+        bytes.extend_from_slice(&frame);
+    }
+    let owner = Owner::default();
+    owner.places().grants_at_once = true;
+    // Replies do not fit into the buffers of the connection.
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(4_096).unwrap();
+    let stream = socket.connect(owner.serve().await).await.unwrap();
+    let (mut stream, _) = upgrade_raw(stream, PLACES_PROTOCOL).await;
+    for round in 1..=ROUNDS {
+        stream.write_all(&bytes).await.unwrap();
+        let granted = round * PLACES as usize;
+        wait_until("all are granted", || owner.places().steps.len() == granted).await;
+    }
+    assert!(owner.places().returned.is_empty());
+    drop(stream);
+    wait_until("the places are released", || !owner.places().reports.is_empty()).await;
+    wait_until("their units are returned", || {
+        let places = owner.places();
+        places.returned.len() == places.reports.len()
+    })
+    .await;
+    let places = owner.places();
+    assert!(places.returned.iter().all(|units| *units == UNITS));
+    assert!(places.returned.len() < ROUNDS * PLACES as usize, "some grants were written");
+}
+
+/// Guards against counters that miss a broken connection, or what was lost and sent again with it.
+#[tokio::test]
+async fn channel_counters() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let metrics = Metrics::new().unwrap();
+    let (_channels, channel, _) = open_measured(listener.local_addr().unwrap(), metrics.clone());
+    channel.end_place(ended(8));
+    let (first, reply) = tokio::join!(accept_raw(&listener), channel.take_place(request(1)));
+    assert!(matches!(reply, Err(ChannelError::Broken(_))), "{reply:?}");
+    let mut second = accept_raw(&listener).await;
+    read_frame(&mut second).await;
+    assert_eq!(metrics.place_channels_opened().get(), 2);
+    assert_eq!(metrics.place_channels_broken().get(), 1);
+    assert_eq!(metrics.place_channel_failures().get(), 1);
+    assert_eq!(metrics.place_channel_failed_requests().get(), 1);
+    assert_eq!(metrics.place_ends_resent().get(), 1);
+    // A report, a request and a ping, and the reports of both places.
+    assert_eq!(metrics.place_channel_frames_sent().get(), 4);
+    assert_eq!(metrics.place_channel_frames_received().get(), 0);
+    drop(first);
+    // An owner that replies to a ping.
+    let metrics = Metrics::new().unwrap();
+    let (_channels, channel, _) = open_measured(Owner::default().serve().await, metrics.clone());
+    channel.ping().await.unwrap();
+    assert_eq!(metrics.place_channel_frames_sent().get(), 1);
+    assert_eq!(metrics.place_channel_frames_received().get(), 1);
+    assert_eq!(metrics.place_channels_broken().get(), 0);
+}
--- a/crates/rpc/tests/support/mod.rs
+++ b/crates/rpc/tests/support/mod.rs
@@ -8,7 +8,7 @@
         Arc, Mutex, MutexGuard,
         atomic::{AtomicUsize, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use futures_util::FutureExt;
@@ -19,8 +19,8 @@
 use shallotdrum_allotments::AllotmentReply;
 use shallotdrum_engine::{GrantedPlace, Priority, Requirements, TargetLoad, Urgency};
 use shallotdrum_rpc::{
-    AllotmentStep, ChannelConfig, ChannelHandlers, EndedPlace, PLACES_PATH, PlaceChannel,
-    PlaceChannels, PlaceReply, PlaceRequest, PlaceServer, RpcError,
+    AllotmentStep, ChannelConfig, ChannelHandlers, EndReport, EndedPlace, PLACES_PATH,
+    PlaceChannel, PlaceChannels, PlaceReply, PlaceRequest, PlaceServer, RpcError,
 };
 use shallotdrum_telemetry::Metrics;
 use shallotdrum_types::{Fingerprint, Incarnation, SessionId};
@@ -46,6 +46,8 @@
     pub(crate) granted: BTreeSet<u64>,
     pub(crate) steps: Vec<Step>,
     pub(crate) reports: Vec<EndedPlace>,
+    /// Units that were returned, by call.
+    pub(crate) returned: Vec<u64>,
     /// Grants each place at once.
     pub(crate) grants_at_once: bool,
 }
@@ -119,11 +121,12 @@
 
     /// Serves channels at a new address.
     pub(crate) async fn serve(&self) -> SocketAddr {
-        let (taker, ender) = (self.clone(), self.clone());
+        let (taker, ender, allotments) = (self.clone(), self.clone(), self.clone());
         let handlers = ChannelHandlers {
             take: Box::new(move |request| taker.clone().take(request).map(Ok).boxed()),
             end: Box::new(move |_, ended| ender.end(ended)),
-            allotment: Box::new(|call| {
+            allotment: Box::new(move |call| {
+                let owner = allotments.clone();
                 async move {
                     match (call.step, call.units) {
                         (_, 0) => Err(RpcError::NotGroupOwner(call.group)),
@@ -141,7 +144,10 @@
                             granted: is_used,
                             ..AllotmentReply::NOT_A_SHARD
                         })),
-                        (AllotmentStep::Return, _) => Ok(None),
+                        (AllotmentStep::Return, units) => {
+                            owner.places().returned.push(units);
+                            Ok(None)
+                        }
                     }
                 }
                 .boxed()
@@ -194,13 +200,20 @@
 pub(crate) type Undelivered = Arc<Mutex<Vec<EndedPlace>>>;
 
 pub(crate) fn open_channel(addr: SocketAddr) -> (PlaceChannels, PlaceChannel, Undelivered) {
+    open_measured(addr, Metrics::new().unwrap())
+}
+
+pub(crate) fn open_measured(
+    addr: SocketAddr,
+    metrics: Metrics,
+) -> (PlaceChannels, PlaceChannel, Undelivered) {
     let undelivered = Undelivered::default();
     let kept = undelivered.clone();
     let channels = PlaceChannels::new(ChannelConfig {
         undelivered: Arc::new(move |_, ends| {
-            kept.lock().unwrap().extend(ends.into_iter().map(|(_, ended)| ended));
+            kept.lock().unwrap().extend(ends.into_iter().map(|report| report.ended));
         }),
-        metrics: Metrics::new().unwrap(),
+        metrics,
         log: slog::Logger::root(slog::Discard, slog::o!()),
     });
     let channel = channels.get(addr, addr).unwrap();
@@ -275,7 +288,7 @@
 }
 
 fn granted(request: &PlaceRequest) -> PlaceReply {
-    PlaceReply::Granted(GrantedPlace {
+    let place = GrantedPlace {
         target: format!("t-{}", request.place).parse().unwrap(),
         incarnation: Incarnation(3),
         addr: "127.0.0.1:9".parse().unwrap(),
@@ -284,14 +297,19 @@
         software: request.software.clone(),
         spread: Some(2),
         group_wait_ms: None,
-    })
+    };
+    match request.charge {
+        Some(_) => PlaceReply::Charged { place, allotment: AllotmentReply::granted_at(1.0) },
+        None => PlaceReply::Granted(place),
+    }
 }
 
-pub(crate) fn ended(place: u64) -> EndedPlace {
-    EndedPlace {
+pub(crate) fn ended(place: u64) -> EndReport {
+    let ended = EndedPlace {
         load: Some(TargetLoad { running: 1, waiting: 2, slots: 3, slowness: Some(1.5) }),
         first_event_ms: Some(4),
         has_no_room: true,
         ..EndedPlace::cancelled(place)
-    }
+    };
+    EndReport { session: SESSION, ended, until: Instant::now() + Duration::from_secs(20) }
 }
