--- a/crates/gateway/tests/allotments.rs
+++ b/crates/gateway/tests/allotments.rs
@@ -255,6 +255,7 @@
             peers: Peers::new(PeersConfig { timeout: Duration::from_secs(5) }),
             // The stand-ins for owners speak JSON-RPC only.
             place_channel: false,
+            startup_wait: Duration::ZERO,
             codec: HeaderCodec {
                 write: Arc::new(|_, _| {}),
                 read: Arc::new(|head| ResponseInfo {
--- a/crates/gateway/tests/undelivered_ends.rs
+++ b/crates/gateway/tests/undelivered_ends.rs
@@ -245,6 +245,7 @@
         owner: OwnerService::new(cx),
         peers: Peers::new(PeersConfig { timeout: Duration::from_secs(5) }),
         place_channel: true,
+        startup_wait: Duration::ZERO,
         codec,
         retries: RetryAllowance { ratio: 0.0, extra: 0.0, window: Duration::from_secs(1) },
         is_first_start: true,
