Grant no places at targets that have crashed

Cause: an owner went on granting places at a target whose crash the control log had recorded, until its successor registered. A request uses up its four sends there within 20 to 40 ms and ends with 503 (no-target), although nothing ran, its deadline is 3 s away and the targets start again after 1.5 s. In crashing_call_of_callers::case_1 a caller's crashing calls end all four targets before they are quarantined, and proper calls are refused for 1.3 s. Ejection does not help: it takes three failures and stops at half of the group.

Change: the owner holds requests back from a target process whose crash is recorded. They wait for the next process, or go to other targets; they are not refused as with draining targets. A process that announces itself 1 s or more after its crash was seen gets requests again, since a refused connection may be taken for a crash. While all targets of a group have crashed, their slots count for the expected wait; otherwise one slot is assumed, and most calls are refused as overloaded.

The whole change has not been measured with processes yet.

--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -16,6 +16,7 @@
 mod completion;
 mod context;
 mod crash;
+mod crashed_targets;
 mod end_guard;
 mod explain;
 mod fingerprint;
--- a/crates/owner/src/service.rs
+++ b/crates/owner/src/service.rs
@@ -30,6 +30,7 @@
 use crate::{
     InspectRequest, OwnerContext,
     crash::CrashDetector,
+    crashed_targets::CrashHold,
     load::{OrderCount, Ownership, load_fn},
     places::PlaceTable,
     quarantine::Suspensions,
@@ -128,6 +129,8 @@
     pub(crate) is_base_missing: bool,
     /// Earliest time at which this owner may order a base model.
     pub(crate) orders_allowed_from: Instant,
+    /// Whether requests are held back from it after a crash.
+    pub(crate) crash: CrashHold,
     /// Sequence number of the latest announcement.
     sequence: u64,
 }
@@ -233,6 +236,7 @@
             return Ok(());
         }
         health.sequence = load.sequence;
+        self.release_survivor(&group, &announcement.target, &mut health.crash);
         if std::mem::take(&mut health.is_timed_out) {
             group.scheduler.set_draining(&announcement.target, health.is_unschedulable());
         }
@@ -513,6 +517,7 @@
                     is_timed_out: false,
                     is_base_missing: false,
                     orders_allowed_from: group.orders_allowed_from(&announced.kind),
+                    crash: CrashHold::None,
                     sequence: 0,
                 },
             );
@@ -523,6 +528,8 @@
             }
             self.inspect(group, &spec);
         }
+        drop(targets);
+        self.hold_crashed_targets(group);
     }
 
     /// Stops work for targets that timed out, and proposes their removal.
--- a/crates/scheduler/src/group.rs
+++ b/crates/scheduler/src/group.rs
@@ -84,6 +84,12 @@
         self.shared.update(|state, now| state.set_draining(id, is_draining, now));
     }
 
+    /// Stops or resumes admission to a target whose process crashed. Requests are not refused for it:
+    /// they wait for its successor, which `upsert_target` adds with a new incarnation.
+    pub fn set_crashed(&self, id: &TargetId, is_crashed: bool) {
+        self.shared.update(|state, now| state.set_crashed(id, is_crashed, now));
+    }
+
     /// Applies a load report from one incarnation of a target. Reports may be late and incomplete.
     pub fn report(
         &self,
--- a/crates/scheduler/src/state/admission.rs
+++ b/crates/scheduler/src/state/admission.rs
@@ -392,8 +392,19 @@
         targets: impl Iterator<Item = &'a Target>,
         now: Instant,
     ) -> Duration {
-        let active = targets.filter(|target| target.is_active(now));
-        let capacity: u32 = active.map(Target::capacity).sum();
+        let (mut capacity, mut crashed_capacity) = (0, 0);
+        for target in targets {
+            match target.is_crashed && !target.is_draining {
+                true => crashed_capacity += target.capacity(),
+                false if target.is_active(now) => capacity += target.capacity(),
+                false => {}
+            }
+        }
+        // Crashed targets start again within seconds; a single slot in their place would refuse most
+        // requests meanwhile.
+        if capacity == 0 {
+            capacity = crashed_capacity;
+        }
         let secs = self.service_secs.get().unwrap_or(0.0);
         let wait = requests * secs / f64::from(capacity.max(1));
         Duration::from_secs_f64(wait.min(2.0 * MAX_REQUEST_DEADLINE.as_secs_f64()))
--- a/crates/scheduler/src/state/membership.rs
+++ b/crates/scheduler/src/state/membership.rs
@@ -111,6 +111,20 @@
         }
     }
 
+    /// Stops or resumes admission to a target whose process crashed. Requests wait for its successor.
+    pub(crate) fn set_crashed(&mut self, id: &TargetId, is_crashed: bool, now: Instant) {
+        let Some(key) = self.target_keys.get(id).copied() else { return };
+        let Some(target) = self.targets.get_mut(&key) else { return };
+        target.is_crashed = is_crashed;
+        if is_crashed {
+            target.reserved_for = None;
+            self.dispatch_restricted(now);
+            self.plan(now);
+        } else {
+            self.fill_target(key, now);
+        }
+    }
+
     /// Applies a load report from one incarnation of a target; returns false if the report is of
     /// another incarnation or older than the previous one.
     pub(crate) fn report(
--- a/crates/scheduler/src/target.rs
+++ b/crates/scheduler/src/target.rs
@@ -33,6 +33,8 @@
     pub(crate) spec: TargetSpec,
     pub(crate) added_at: Instant,
     pub(crate) is_draining: bool,
+    /// The process is known to have crashed; its successor is added with a new incarnation.
+    pub(crate) is_crashed: bool,
     pub(crate) slots: Slots,
     /// Admitted requests that have not ended.
     pub(crate) running: u32,
@@ -107,6 +109,7 @@
             spec,
             added_at: now,
             is_draining: false,
+            is_crashed: false,
             slots: Slots::new(max_slots, now),
             running: 0,
             unreserved_running: 0,
@@ -235,10 +238,13 @@
         f64::from(self.running + self.foreign(now)) / f64::from(self.capacity())
     }
 
-    /// Whether the target may be used at all: it is not draining or ejected and has no orphaned
-    /// orders.
+    /// Whether the target may be used at all: it is not draining, crashed or ejected and has no
+    /// orphaned orders.
     pub(crate) fn is_active(&self, now: Instant) -> bool {
-        !self.is_draining && self.orphaned_orders == 0 && !self.health.is_ejected(now)
+        !self.is_draining
+            && !self.is_crashed
+            && self.orphaned_orders == 0
+            && !self.health.is_ejected(now)
     }
 
     /// Whether the limit that the target names allows another request now.
--- a/crates/scheduler/tests/targets.rs
+++ b/crates/scheduler/tests/targets.rs
@@ -43,6 +43,51 @@
     assert_eq!(refused.kind, RequestErrorKind::NoTarget);
 }
 
+/// Guards against refusing requests while all targets of a group start again after crashes.
+#[tokio::test(start_paused = true)]
+async fn requests_wait_for_successor_of_crashed() {
+    const WAIT: Duration = Duration::from_secs(1);
+    let group = group(config());
+    let service = TargetKind::Service { max_concurrent: 8 };
+    group.scheduler.upsert_target(spec("s1", 1, service.clone()));
+    group.scheduler.upsert_target(spec("s2", 1, service.clone()));
+    let call = || request_of_kind("light", RequestKind::Service { is_repeatable: true });
+    group.scheduler.set_crashed(&target("s1"), true);
+    for _ in 0..8 {
+        assert_eq!(group.run(call(), HOLD).await.unwrap().unwrap().target, "s2");
+    }
+    group.scheduler.set_crashed(&target("s2"), true);
+    let waiting: Vec<_> = (0..4).map(|_| group.run(call(), HOLD)).collect();
+    sleep(WAIT).await;
+    assert!(waiting.iter().all(|task| !task.is_finished()));
+    group.scheduler.upsert_target(spec("s1", 2, service));
+    for task in waiting {
+        let done = task.await.unwrap().unwrap();
+        assert_eq!(done.target, "s1");
+        assert!(done.wait >= WAIT);
+    }
+}
+
+/// Guards against refusing requests that wait for crashed targets because no target has slots meanwhile.
+#[tokio::test(start_paused = true)]
+async fn crashed_targets_count_for_wait() {
+    let group = group(config());
+    let service = TargetKind::Service { max_concurrent: 8 };
+    let call = || AdmissionRequest {
+        deadline: Instant::now() + Duration::from_secs(5),
+        ..request_of_kind("light", RequestKind::Service { is_repeatable: true })
+    };
+    group.scheduler.upsert_target(spec("s1", 1, service.clone()));
+    group.run(call(), HOLD).await.unwrap().unwrap();
+    group.scheduler.set_crashed(&target("s1"), true);
+    let waiting: Vec<_> = (0..24).map(|_| group.run(call(), HOLD)).collect();
+    sleep(Duration::from_secs(1)).await;
+    group.scheduler.upsert_target(spec("s1", 2, service));
+    for task in waiting {
+        task.await.unwrap().unwrap();
+    }
+}
+
 /// Guards against a suspect that shares a target with requests that its crash would interrupt.
 #[rstest]
 #[case::engine(true)]
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -243,6 +243,8 @@
         TARGET_LOST = "T0603", Warning, "target stopped announcing itself", "check the target's machine and process";
         TARGET_REMOVAL_FAILED = "T0607", Warning, "cannot remove an unresponsive target", "check the control replicas";
         TARGET_CRASHED = "T0604", Error, "target crashed with requests in flight", "check the target's own log";
+        TARGET_HELD = "T0623", Info, "target gets no requests until its next process registers, as it crashed", "none";
+        TARGET_SURVIVED = "T0624", Warning, "target that was reported as crashed goes on announcing itself; it gets requests again", "check whether the target closes its port while it runs";
         TARGET_REFUSED = "T0605", Warning, "target announcement refused", "correct the target's announcement or the manifest's pools";
         TARGET_EJECTED = "T0608", Warning, "target ejected as an outlier after repeated failures", "check the target's machine and its own log";
         LINK_BROKEN = "T0612", Warning, "link to a target is broken, though another instance reaches the target; requests take a detour", "check the network between the instance and the target";
