Wait before a send to a target that refused twice

Cause: between the crash of a target and its record in the control log, about 0.1 s beside load, the owner grants the same closed port again and again. A request for which it knows no other target uses up its four sends within 40 ms.

Change: if the target that refused the connection is one that failed the request before, the next send follows 100 ms later. Nothing changes while the owner knows other targets.

Result: resend_delayed in crates/gateway/tests/decisions.rs, new with the function; all tests of the gateway pass.

--- a/crates/gateway/src/decision.rs
+++ b/crates/gateway/src/decision.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use shallotdrum_routes::RetryPolicy;
+use shallotdrum_types::TargetId;
 
 /// How a send to a target failed to produce a complete response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -65,6 +66,23 @@
 /// Minimum time left for a retry; with less, no response can arrive before the caller gives up.
 const MIN_LEFT: Duration = Duration::from_millis(30);
 
+/// Delay before a request is sent again if a target refused its connection twice.
+///
+/// The owner granted the same target again because it knows no other one. It learns of a crash within
+/// about this time, and the next place is then one that a new process of a target can serve.
+const REPEATED_TARGET_DELAY: Duration = Duration::from_millis(100);
+
+/// Returns the delay before a request is sent again. `failed` are the targets that failed or refused
+/// it, the latest one last.
+pub fn resend_delay(failure: SendFailure, failed: &[TargetId]) -> Duration {
+    match failed.split_last() {
+        Some((latest, earlier)) if !failure.reached_target() && earlier.contains(latest) => {
+            REPEATED_TARGET_DELAY
+        }
+        _ => Duration::ZERO,
+    }
+}
+
 /// Decides whether a request is sent again after a failed send. At most `max_targets` targets may
 /// run it.
 pub fn decide_retry(
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -40,7 +40,7 @@
     charges::Taken,
     connections::{Connection, ConnectionPool, SendError, response_headers},
     continuation::check_head,
-    decision::{RequestProgress, RetryDecision, SendFailure, decide_retry},
+    decision::{RequestProgress, RetryDecision, SendFailure, decide_retry, resend_delay},
     errors::{
         target_failed, target_refused, target_timed_out, target_unreachable, timed_out_waiting,
     },
@@ -356,6 +356,10 @@
                     });
                 if is_allowed {
                     self.cx.metrics.retries().inc();
+                    let delay = resend_delay(failure, &run.avoid);
+                    if !delay.is_zero() {
+                        tokio::time::sleep(delay.min(left)).await;
+                    }
                 } else {
                     event!(self.cx.log, ENTRY_RETRY_BUDGET_EMPTY; "request" => %run.req.id,
                         "pool" => %run.pool, "sharing" => sharing);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -65,7 +65,7 @@
 pub use customers::{
     Access, KeyRefusal, KeyRefusalReason, RevocationBound, decide as decide_access,
 };
-pub use decision::{RequestProgress, RetryDecision, SendFailure, decide_retry};
+pub use decision::{RequestProgress, RetryDecision, SendFailure, decide_retry, resend_delay};
 pub use events::{EventSplitter, EventTooLong, MAX_EVENT_BYTES};
 pub use exchange::{Gateway, GatewayContext};
 pub use explain::InvalidQuery;
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -6,6 +6,7 @@
 use shallotdrum_gateway::{
     EntryCount, EventOrder, EventSplitter, EventTooLong, FallbackSelector, MAX_EVENT_BYTES,
     RequestProgress, RetryAllowance, RetryBudget, RetryDecision, SendFailure, decide_retry,
+    resend_delay,
 };
 use shallotdrum_routes::RetryPolicy;
 use shallotdrum_types::{AdapterRef, PoolId, TargetId};
@@ -19,6 +20,19 @@
     RequestProgress { failure, possible_runs, sends: possible_runs.max(1), left: LEFT }
 }
 
+/// Guards against requests that use up their sends within milliseconds at crashed targets, and against a
+/// delay while the owner knows other targets.
+#[rstest]
+#[case::first(SendFailure::NotSent, &["a"], false)]
+#[case::other(SendFailure::NotSent, &["a", "b"], false)]
+#[case::again(SendFailure::NotSent, &["a", "b", "a"], true)]
+#[case::again_refused(SendFailure::NotRun, &["a", "a"], false)]
+#[case::none(SendFailure::NotSent, &[], false)]
+fn resend_delayed(#[case] failure: SendFailure, #[case] failed: &[&str], #[case] expected: bool) {
+    let failed: Vec<TargetId> = failed.iter().map(|id| id.parse().unwrap()).collect();
+    assert_eq!(!resend_delay(failure, &failed).is_zero(), expected);
+}
+
 /// Guards against a second run of an at-most-once request, and against giving up a request that
 /// certainly did not run.
 #[rstest]
