Record the beginnings of ownerships as commands are applied

Cause: the control state has the latest ownership of a group only, and a reader of the state may miss a short one. A new owner therefore cannot tell from the state whether another owner of its group began a short time before.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -8,6 +8,7 @@
 mod command;
 mod format;
 mod leader;
+mod ownerships;
 mod state;
 mod view;
 
--- a/crates/control/src/view.rs
+++ b/crates/control/src/view.rs
@@ -6,15 +6,18 @@
 //! them.
 
 use std::{
-    sync::{Arc, Mutex, PoisonError, RwLock},
+    sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock},
     time::Instant,
 };
 
 use shallotdrum_consensus::StateMachine;
-use shallotdrum_types::LogIndex;
+use shallotdrum_types::{Epoch, GroupId, LogIndex};
 use tokio::sync::watch;
 
-use crate::{ApplyCosts, ControlState, DecodeError, NEWEST_FORMAT, Reply, TimedCommand};
+use crate::{
+    ApplyCosts, Command, ControlState, DecodeError, NEWEST_FORMAT, Reply, TimedCommand,
+    ownerships::Ownerships,
+};
 
 /// Shared handle to the control state; clones refer to the same state.
 #[derive(Clone, Debug)]
@@ -24,6 +27,7 @@
     applied: watch::Sender<LogIndex>,
     /// Commands that were applied since the last `take_costs`.
     costs: Arc<Mutex<ApplyCosts>>,
+    ownerships: Arc<Mutex<Ownerships>>,
 }
 
 impl Default for ControlView {
@@ -36,7 +40,8 @@
     /// Creates a handle to an empty state, before the first command.
     pub fn new() -> Self {
         let (applied, _) = watch::channel(LogIndex::default());
-        Self { state: Arc::default(), applied, costs: Arc::default() }
+        let ownerships = Arc::new(Mutex::new(Ownerships::new(Instant::now())));
+        Self { state: Arc::default(), applied, costs: Arc::default(), ownerships }
     }
 
     /// Calls `f` under the read lock; `f` must be short because it blocks writers.
@@ -54,6 +59,16 @@
         self.applied.subscribe()
     }
 
+    /// Time since which no ownership of a group began but that of `epoch`, by the commands that were
+    /// applied here; absent if it is not known.
+    pub fn quiet_since(&self, group: &GroupId, epoch: Epoch) -> Option<Instant> {
+        self.ownerships().quiet_since(group, epoch)
+    }
+
+    fn ownerships(&self) -> MutexGuard<'_, Ownerships> {
+        self.ownerships.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Takes what applying commands has cost since the last call.
     pub fn take_costs(&self) -> ApplyCosts {
         std::mem::take(&mut self.costs.lock().unwrap_or_else(PoisonError::into_inner))
@@ -82,7 +97,7 @@
         let restored = ControlState::from_snapshot(snapshot)?;
         self.write(|state| {
             if restored.applied() >= state.applied() {
-                *state = restored;
+                self.replace(state, restored);
             }
         });
         Ok(())
@@ -96,11 +111,31 @@
     fn apply_command(&self, index: LogIndex, command: TimedCommand) -> Reply {
         let (kind, start) = (command.command.kind(), Instant::now());
         let prepared = self.read(|state| state.prepare(&command.command));
-        let reply = self.write(|state| state.apply_prepared(index, command, prepared));
+        let assigned = match &command.command {
+            Command::AssignGroup { group, .. } => Some(group.clone()),
+            _ => None,
+        };
+        let reply = self.write(|state| {
+            let reply = state.apply_prepared(index, command, prepared);
+            if let Some((id, group)) = assigned.and_then(|id| Some((id.clone(), state.group(&id)?)))
+            {
+                // Before the change is published, so that the owner finds it.
+                let mut ownerships = self.ownerships();
+                ownerships.record(&id, group.epoch, Instant::now());
+                ownerships.retain(|id| state.group(id).is_some());
+            }
+            reply
+        });
         self.costs.lock().unwrap_or_else(PoisonError::into_inner).add(kind, start.elapsed());
         reply
     }
 
+    /// Replaces the state with that of a snapshot, which does not tell the ownerships before it.
+    fn replace(&self, state: &mut ControlState, restored: ControlState) {
+        *state = restored;
+        *self.ownerships() = Ownerships::new(Instant::now());
+    }
+
     fn write<T>(&self, f: impl FnOnce(&mut ControlState) -> T) -> T {
         let mut state = self.state.write().unwrap_or_else(PoisonError::into_inner);
         let result = f(&mut state);
@@ -144,7 +179,7 @@
 
     fn restore(&mut self, bytes: &[u8]) -> Result<(), DecodeError> {
         let restored = ControlState::from_snapshot(bytes)?;
-        self.write(|state| *state = restored);
+        self.write(|state| self.replace(state, restored));
         Ok(())
     }
 }
--- a/crates/owner/tests/allotments.rs
+++ b/crates/owner/tests/allotments.rs
@@ -168,3 +168,25 @@
     let owned = owner_of_service(log, "a", None).await;
     assert_eq!(owned.take("other"), Ok(AllotmentReply::NOT_A_SHARD));
 }
+
+/// Guards against units for a takeover after an ownership that ended before this instance read the state,
+/// and by an instance that has only a snapshot of what was before.
+#[test]
+fn short_ownership_known() {
+    let log = Log::default();
+    let group = log.register("service", KIND);
+    let epoch = || log.0.read(|state| state.group(&group).unwrap().epoch);
+    let sessions: Vec<SessionId> = ["a", "b", "c"].iter().map(|name| log.open(name)).collect();
+    log.assign(&group, sessions[0]);
+    log.apply(Command::EndSession { session: sessions[0] });
+    let before = std::time::Instant::now();
+    log.assign(&group, sessions[1]);
+    let short = epoch();
+    assert!(log.0.quiet_since(&group, short).is_some_and(|at| at <= before));
+    log.apply(Command::ReleaseGroup { group: group.clone(), session: sessions[1] });
+    log.assign(&group, sessions[2]);
+    assert!(log.0.quiet_since(&group, epoch()).is_some_and(|at| at >= before));
+    assert_eq!(log.0.quiet_since(&group, short), None);
+    log.0.restore_follower(&log.0.snapshot_without_ledger()).unwrap();
+    assert_eq!(log.0.quiet_since(&group, epoch()), None);
+}
