--- a/crates/scheduler/tests/durations.rs
+++ b/crates/scheduler/tests/durations.rs
@@ -28,7 +28,11 @@
 const REPORT_DELAY: Duration = Duration::from_millis(600);
 
 fn call(left: Duration) -> AdmissionRequest {
-    let request = request_of_kind("a", RequestKind::Service { is_repeatable: true });
+    call_of("a", left)
+}
+
+fn call_of(subscriber: &str, left: Duration) -> AdmissionRequest {
+    let request = request_of_kind(subscriber, RequestKind::Service { is_repeatable: true });
     AdmissionRequest { deadline: Instant::now() + left, ..request }
 }
 
@@ -122,8 +126,8 @@
     assert!(shares < 300, "{shares} calls by shares");
 }
 
-/// Number of calls of 24 callers that a service of 6 slots serves in 4 s, and the mean number of calls that
-/// wait there. A call takes `work`, and the way to the service and back 5 ms each.
+/// Number of calls of 24 customers that a service of 6 slots serves in 4 s, and the mean number of calls that
+/// wait there. A single customer would not get the slot that is reserved for lookups of others. A call takes `work`, and the way to the service and back 5 ms each.
 async fn served_over_network(scheduling: Scheduling, work: Duration) -> (u32, f64) {
     const SLOTS: u32 = 6;
     const WAY: Duration = Duration::from_millis(5);
@@ -132,12 +136,14 @@
     let service = Arc::new(Semaphore::new(SLOTS as usize));
     let waiting = Arc::new(AtomicU32::new(0));
     let end = Instant::now() + Duration::from_secs(4);
-    let callers = (0..24).map(|_| {
+    let callers = (0..24).map(|n| {
+        let subscriber = format!("c{n}");
         let (group, service, waiting) = (group.clone(), service.clone(), waiting.clone());
         tokio::spawn(async move {
             let (mut served, mut seen) = (0, 0);
             while Instant::now() < end {
-                let Ok(lease) = group.admit(call(Duration::from_secs(10))).await else { continue };
+                let request = call_of(&subscriber, Duration::from_secs(10));
+                let Ok(lease) = group.admit(request).await else { continue };
                 lease.started();
                 let sent_at = Instant::now();
                 sleep(WAY).await;
