Correct what is said of the extra calls of services

The comments gave a share of idle time that was not measured, and took 0.88 of use for an effect of the step down; equal steps gave the same, as the test then had one customer that may not use the reserved slot.

--- a/crates/scheduler/src/extra_calls.rs
+++ b/crates/scheduler/src/extra_calls.rs
@@ -1,14 +1,14 @@
 //! Calls that a service is given beyond its slots, so that it has the next one when a call ends.
 //!
 //! Answers calls that wait for places while the services have free slots: a slot that is granted when a call
-//! has ended is idle for the way of the report, the grant and the next call. With 6 slots and calls of 30 ms,
-//! that was a fifth of the time. Services that state their load show whether they are busy. The module uses no
+//! has ended is idle for the way of the report, the grant and the next call. On one day, two services of 6 slots
+//! with calls of 30 ms got 250 to 300 calls per second. Services that state their load show whether they are busy. The module uses no
 //! network and no clock.
 
 use shallotdrum_engine::TargetLoad;
 
 /// Change of the number with each stated load. With equal steps, calls wait at the service as often as it has
-/// a free slot; with twice the step down, 0.88 of the slots were used for calls of 30 ms over ways of 5 ms.
+/// a free slot.
 const STEP: f64 = 0.05;
 /// Largest number relative to the slots. What waits at a service is out of the order by urgency.
 const MAX_SHARE: f64 = 0.5;
