--- a/review/stand-ins-2/src/cases/mod.rs
+++ b/review/stand-ins-2/src/cases/mod.rs
@@ -11,6 +11,11 @@
 
 pub type Outcome = Result<bool, String>;
 
+/// Whether the case is run with its kill alone, to show that the kill doesn't suffice.
+fn is_kill_alone() -> bool {
+    std::env::var("TROUBLE").as_deref() == Ok("kill")
+}
+
 pub fn run(case: &str, has_trouble: bool, record: Record) -> Outcome {
     match case {
         "odd-reports" => odd_reports::run(has_trouble, record),
--- a/review/stand-ins-2/src/cases/odd_reports.rs
+++ b/review/stand-ins-2/src/cases/odd_reports.rs
@@ -10,7 +10,7 @@
     time::{Duration, Instant},
 };
 
-use super::{Outcome, streams::take_up};
+use super::{Outcome, is_kill_alone, streams::take_up};
 use crate::{
     client::{Request, config, submit},
     http,
@@ -79,7 +79,9 @@
     thread::sleep(Duration::from_millis(500));
     let is_over = Arc::new(AtomicBool::new(false));
     let mut writers = Vec::new();
-    for server in servers.iter().filter(|s| s.spec.version == "v1" && has_trouble) {
+    for server in
+        servers.iter().filter(|s| s.spec.version == "v1" && has_trouble && !is_kill_alone())
+    {
         let (server, controls, record, is_over) =
             (server.clone(), controls.clone(), record.clone(), is_over.clone());
         writers.push(thread::spawn(move || {
--- a/review/stand-ins-2/src/cases/versions.rs
+++ b/review/stand-ins-2/src/cases/versions.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeSet, thread, time::Duration};
 
-use super::{Outcome, streams::take_up};
+use super::{Outcome, is_kill_alone, streams::take_up};
 use crate::{
     client::{Request, config, submit},
     server::{Server, Spec},
@@ -65,7 +65,7 @@
         .find(|i| !in_busy_zone(*i))
         .ok_or("no zone to cut")?;
     let killed = cut + 1;
-    if has_trouble {
+    if has_trouble && !is_kill_alone() {
         world.cut(cut);
     }
     let healed_at = std::time::Instant::now() + CUT_FOR;
