--- a/review/stand-ins-2/src/cases/deadly.rs
+++ b/review/stand-ins-2/src/cases/deadly.rs
@@ -28,6 +28,13 @@
 /// Adapters that it comes for, and how often for each.
 const ADAPTERS: usize = 5;
 const TIMES: usize = 3;
+/// From one deadly request to the next; all of them come in 20 s.
+const GAP: Duration = Duration::from_millis(1_300);
+const LENGTH: Duration = Duration::from_secs(20);
+/// Largest share of the deadly requests among those of their route.
+const SHARE: f64 = 0.03;
+/// Consumers that send sound requests, so that the share is kept.
+const SOUND: usize = 24;
 
 pub fn run(has_trouble: bool, record: Record) -> Outcome {
     let mut world = World::new(CORE, &EDGES, record.clone());
@@ -85,37 +92,45 @@
     }
     // Sound requests of the same route go on all the while.
     let fronts: Vec<String> = (CORE..world.nodes.len()).map(|i| world.front(i)).collect();
-    let (over, sound_fronts, sound_record) = (is_over.clone(), fronts.clone(), record.clone());
-    let sound = thread::spawn(move || {
-        let mut served = 0;
-        for n in 0.. {
-            if over.load(Ordering::SeqCst) {
-                break;
-            }
-            let (id, model) =
-                (format!("{:016x}", unique()), format!("base1/a{}", 1 + n % ADAPTERS));
-            let prompt = format!("a1:568,{:x}:1800", unique() >> 16);
-            let path = format!("/read/{n}");
-            let request = Request::stream(&path, &id, &model, &prompt, Duration::from_secs(5));
-            served += usize::from(
-                request
-                    .send(&sound_fronts[n % sound_fronts.len()], &sound_record)
-                    .is_ok_and(|a| a.is_complete),
-            );
-            thread::sleep(Duration::from_millis(50));
-        }
-        served
-    });
+    let sound: Vec<_> = (0..SOUND)
+        .map(|consumer| {
+            let (over, fronts, record) = (is_over.clone(), fronts.clone(), record.clone());
+            thread::spawn(move || {
+                let (mut sent, mut served) = (0, 0);
+                while !over.load(Ordering::SeqCst) {
+                    let n = sent * SOUND + consumer;
+                    let model = format!("base1/a{}", 1 + n % ADAPTERS);
+                    let (id, path) = (format!("{:016x}", unique()), format!("/read/{n}"));
+                    let prompt = format!("a1:568,{:x}:1800", unique() >> 16);
+                    let request =
+                        Request::stream(&path, &id, &model, &prompt, Duration::from_secs(5));
+                    let answer = request.send(&fronts[n % fronts.len()], &record);
+                    sent += 1;
+                    served += usize::from(answer.is_ok_and(|a| a.status == 200 && a.is_complete));
+                    thread::sleep(Duration::from_millis(50));
+                }
+                (sent, served)
+            })
+        })
+        .collect();
     let mut n = 0;
+    let began = Instant::now();
     for adapter in 1..=ADAPTERS {
         for _ in 0..TIMES {
             send(&fronts[n % fronts.len()], PATH, adapter);
             n += 1;
-            thread::sleep(Duration::from_millis(1_500));
+            let next = began + GAP * u32::try_from(n).unwrap_or_default();
+            thread::sleep(next.saturating_duration_since(Instant::now()));
         }
     }
+    let took = began.elapsed();
     is_over.store(true, Ordering::SeqCst);
-    let served = sound.join().map_err(|_| "the sound consumer failed")?;
+    let (mut sent, mut served) = (0, 0);
+    for consumer in sound {
+        let (more_sent, more_served) = consumer.join().map_err(|_| "a sound consumer failed")?;
+        sent += more_sent;
+        served += more_served;
+    }
     let (mut arrivals, mut crashes) = (Vec::new(), Vec::new());
     for server in servers {
         let (reached, crashed) = server.join().map_err(|_| "a server failed")?;
@@ -127,10 +142,17 @@
         .get(2)
         .map_or(0, |third| arrivals.iter().filter(|at| **at > *third + CONTACT).count());
     record.line(format!(
-        "{n} deadly requests, {} reached servers, {} crashes, {late} arrivals later than contact_ms after the third; {served} sound requests served",
+        "{n} deadly requests, {} reached servers, {} crashes, {late} arrivals later than contact_ms after the third; {served} of {sent} sound requests served",
         arrivals.len(),
         crashes.len()
     ));
+    let share = f64::from(u32::try_from(n).unwrap_or(u32::MAX))
+        / f64::from(u32::try_from(n + sent).unwrap_or(u32::MAX));
+    record
+        .line(format!("share of the deadly requests: {share:.4}, in {:.1} s", took.as_secs_f64()));
+    if share > SHARE || took > LENGTH + Duration::from_millis(500) {
+        return Err("more deadly requests than the pages name".to_owned());
+    }
     if let Some(i) = (0..world.nodes.len()).find(|i| world.has_ended(*i)) {
         return Err(format!("machine {i} ended by itself"));
     }
