Take streams up only by a confirmed state or by who knows them

Seen: callers began 24 streams at one entry, a quarter at a target whose software version had just registered, and took them up at an entry that was cut off from the control replicas. The same happened at an entry that was frozen while the version registered.

Cause: an entry whose state held one version or none took that version without asking. The state may be outdated: cut off, frozen, or a change under way.

Change: that a pool has a single version counts only if the control leader names an index after the request arrived and this instance has applied it. An instance that knows where the stream began decides too, whichever comes first; without either within 300 ms the stream is refused as not run. This works because a stream can't have begun at a version that was registered after its resumption arrived.

Costs: a round trip to the leader where this instance doesn't know the stream; refusals where neither the leader nor one who knows it replies.

--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -352,10 +352,15 @@
         connections: ConnectionPool,
     ) -> Arc<Gateway> {
         let (session, manager) = (self.session.clone(), self.session.clone());
+        let plane = self.control_plane();
         let cx = GatewayContext {
             view: self.front_end.view.clone(),
             session: Arc::new(move || session.current()),
             confirmation: Arc::new(move || manager.confirmation()),
+            confirm_state: Arc::new(move |deadline| {
+                let plane = plane.clone();
+                async move { plane.confirm_state(deadline).await }.boxed()
+            }),
             serve_when_stale: self.serve_when_stale,
             revocation: self.revocation,
             memory: self.memory,
--- a/crates/daemon/src/plane.rs
+++ b/crates/daemon/src/plane.rs
@@ -165,9 +165,7 @@
             .map_err(|source| ReadError::Unconfirmed { source, waited: confirmed_after })?;
         let table = match position {
             ReadPosition::Index(index) => {
-                let mut applied = self.view.changed();
-                let is_applied = applied.wait_for(|applied| *applied >= index);
-                if tokio::time::timeout_at(deadline, is_applied).await.is_err() {
+                if !self.wait_for_index(index, deadline).await {
                     let (applied, waited) = (self.applied(), start.elapsed());
                     return Err(ReadError::Behind { index, applied, waited });
                 }
@@ -181,6 +179,23 @@
         Ok(table)
     }
 
+    /// Waits until this instance has applied all that was committed when the call began; `false` if that
+    /// was not confirmed by the deadline.
+    pub async fn confirm_state(&self, deadline: Instant) -> bool {
+        let read_index = async |leader: HttpClient| leader.read_index().await;
+        match self.client.call_leader(deadline, read_index).await {
+            Ok(index) => self.wait_for_index(index, deadline).await,
+            Err(_) => false,
+        }
+    }
+
+    /// Waits until this instance has applied an index; `false` if it has not by the deadline.
+    async fn wait_for_index(&self, index: LogIndex, deadline: Instant) -> bool {
+        let mut applied = self.view.changed();
+        let is_applied = applied.wait_for(|applied| *applied >= index);
+        matches!(tokio::time::timeout_at(deadline, is_applied).await, Ok(Ok(_)))
+    }
+
     /// Registers a target or refreshes its load; failures to relay the load are only logged.
     pub async fn announce(&self, announcement: Announcement) -> Result<(), ChangeError> {
         let target = announcement.target.clone();
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -13,6 +13,7 @@
 };
 
 use bytes::Bytes;
+use futures_util::future::BoxFuture;
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -64,6 +65,10 @@
 /// Interval between checks for expired idle connections, and between counts of the entries.
 const EXPIRE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Waits until the local copy of the control state includes all that was committed when it was called;
+/// `false` if the control leader did not confirm that by the deadline.
+pub type ConfirmStateFn = Arc<dyn Fn(Instant) -> BoxFuture<'static, bool> + Send + Sync>;
+
 /// Dependencies and settings of a `Gateway`.
 pub struct GatewayContext {
     /// Local copy of the control state; may lag behind the log.
@@ -72,6 +77,8 @@
     pub session: SessionFn,
     /// Whether the control state of this instance is confirmed to be current.
     pub confirmation: ConfirmationFn,
+    /// Confirms the control state of this instance anew.
+    pub confirm_state: ConfirmStateFn,
     /// Whether requests are served while the control state is not confirmed.
     pub serve_when_stale: bool,
     /// Time from the start of the instance for which requests wait until it can decide on them.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -69,7 +69,7 @@
 };
 pub use decision::{RequestProgress, RetryDecision, SendFailure, decide_retry, resend_delay};
 pub use events::{EventSplitter, EventTooLong, MAX_EVENT_BYTES};
-pub use exchange::{Gateway, GatewayContext};
+pub use exchange::{ConfirmStateFn, Gateway, GatewayContext};
 pub use explain::InvalidQuery;
 pub use fallback::FallbackSelector;
 pub use fingerprint::request_identity;
--- a/crates/gateway/src/origin.rs
+++ b/crates/gateway/src/origin.rs
@@ -1,7 +1,12 @@
 //! Finds the software version at which a stream began that a caller takes up.
 //!
-//! If the pool had several versions of late, and no instance knows where the stream began, it is
-//! refused: what two versions generate does not fit together.
+//! Instances that know where the stream began say so. Otherwise it may go on at any target if the pool
+//! had a single version of late, and is refused if it had several: what two versions generate does not
+//! fit together.
+//!
+//! Architecture Invariant: that a pool had a single version is concluded only from a state that was
+//! confirmed after the request arrived. An older one may lack the version at which the stream began,
+//! however recently it was confirmed.
 
 use std::{net::SocketAddr, time::Duration};
 
@@ -18,6 +23,9 @@
 /// of their time gone.
 const ASK_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Time for which the control leader alone is asked; a round trip within a region, several times.
+const CONFIRM_HEAD_START: Duration = Duration::from_millis(50);
+
 /// Maximum number of instances to ask; in larger deployments only the owners of the pool's groups
 /// are asked, which granted the place.
 const MAX_ASKED: usize = 32;
@@ -39,29 +47,81 @@
             }
             other => other.as_ref(),
         };
-        let mut versions = self.cx.view.read(|state| state.software_versions(pool));
-        if versions.len() <= 1 {
-            return Ok(versions.pop());
+        let arrived = Instant::now();
+        let by_origin = self.find_origin_of(began_as, pool);
+        let by_state = self.confirm_single_version(pool, arrived + ASK_TIMEOUT);
+        tokio::select! {
+            Some(StreamOrigin { software, has_begun, age_ms }) = by_origin => {
+                event!(self.cx.log, STREAM_ORIGIN_FOUND; "request" => %req.id,
+                    "resumes" => began_as.map(ToString::to_string), "software" => %software,
+                    "has_begun" => has_begun, "age_ms" => age_ms);
+                Ok(Some(software))
+            }
+            Some(single) = by_state => {
+                event!(self.cx.log, STREAM_VERSION_CONFIRMED; "request" => %req.id,
+                    "resumes" => began_as.map(ToString::to_string),
+                    "software" => single.as_ref().map(ToString::to_string),
+                    "ms" => arrived.elapsed().as_millis() as u64);
+                Ok(single)
+            }
+            else => {
+                event!(self.cx.log, STREAM_ORIGIN_UNKNOWN; "request" => %req.id,
+                    "resumes" => began_as.map(ToString::to_string),
+                    "versions" => self.software_versions(pool).len(),
+                    "ms" => arrived.elapsed().as_millis() as u64);
+                let detail = "no instance knows the software version at which the stream began";
+                Err(RequestError::not_run(RequestErrorKind::NoTarget, detail))
+            }
         }
-        let origin = match began_as {
-            Some(id) => self.find_origin(id, pool).await,
-            None => None,
-        };
-        let Some(StreamOrigin { software, has_begun, age_ms }) = origin else {
-            event!(self.cx.log, STREAM_ORIGIN_UNKNOWN; "request" => %req.id,
-                "resumes" => began_as.map(ToString::to_string), "versions" => versions.len());
-            let detail = "no instance knows the software version at which the stream began";
-            return Err(RequestError::not_run(RequestErrorKind::NoTarget, detail));
-        };
-        event!(self.cx.log, STREAM_ORIGIN_FOUND; "request" => %req.id,
-            "resumes" => began_as.map(ToString::to_string), "software" => %software,
-            "has_begun" => has_begun, "age_ms" => age_ms);
-        Ok(Some(software))
+    }
+
+    fn software_versions(&self, pool: &PoolId) -> Vec<SoftwareVersion> {
+        self.cx.view.read(|state| state.software_versions(pool))
+    }
+
+    /// Returns the only version that the pool had of late, or that it had none, by a state that is
+    /// confirmed now. Fails if there were several, or without a confirmation by the deadline.
+    async fn confirm_single_version(
+        &self,
+        pool: &PoolId,
+        deadline: Instant,
+    ) -> Option<Option<SoftwareVersion>> {
+        // A newer state seldom has fewer, and instances are asked at once.
+        if self.software_versions(pool).len() > 1 {
+            return None;
+        }
+        if !(self.cx.confirm_state)(deadline).await {
+            return None;
+        }
+        let mut versions = self.software_versions(pool);
+        (versions.len() <= 1).then(|| versions.pop())
     }
 
     /// Looks a stream up here, and then at other instances.
-    async fn find_origin(&self, request: &RequestId, pool: &PoolId) -> Option<StreamOrigin> {
-        let mut latest = self.cx.owner.streams.find(request);
+    async fn find_origin_of(
+        &self,
+        began_as: Option<&RequestId>,
+        pool: &PoolId,
+    ) -> Option<StreamOrigin> {
+        let began_as = began_as?;
+        let known = self.cx.owner.streams.find(began_as);
+        if known.as_ref().is_some_and(|origin| origin.has_begun) {
+            return known;
+        }
+        // A pool with a single version usually needs no other instance than the control leader.
+        if self.software_versions(pool).len() <= 1 {
+            tokio::time::sleep(CONFIRM_HEAD_START).await;
+        }
+        self.ask_for_origin(began_as, known, pool).await
+    }
+
+    /// Asks other instances for a stream; `latest` is what is known here.
+    async fn ask_for_origin(
+        &self,
+        request: &RequestId,
+        mut latest: Option<StreamOrigin>,
+        pool: &PoolId,
+    ) -> Option<StreamOrigin> {
         let deadline = Instant::now() + ASK_TIMEOUT;
         let asked = self.origin_addrs(pool).into_iter().map(async |addr| {
             let client = self.cx.peers.get(addr).ok()?;
--- a/crates/gateway/tests/allotments.rs
+++ b/crates/gateway/tests/allotments.rs
@@ -249,6 +249,7 @@
                     age: Duration::ZERO,
                 }),
             }),
+            confirm_state: Arc::new(|_| Box::pin(async { true })),
             serve_when_stale: false,
             revocation: None,
             owner,
--- a/crates/gateway/tests/undelivered_ends.rs
+++ b/crates/gateway/tests/undelivered_ends.rs
@@ -240,6 +240,7 @@
         view: log.0.clone(),
         session: cx.session.clone(),
         confirmation: Arc::new(move || confirmation),
+        confirm_state: Arc::new(|_| Box::pin(async { true })),
         serve_when_stale: false,
         revocation: None,
         owner: OwnerService::new(cx),
