Copy where streams began to two other instances

Seen: while targets of two software versions served, callers had 24 streams at the entry that owned the targets' group. The same happened when the owner was killed and started again, and the entry that had begun the streams was killed 1 s later.

Cause: the version of a stream was in the memory of its entry and of the owner that granted its place. These may be one process, or end one after the other; whoever takes the group over knows nothing of them.

Change: an entry copies the version to two instances, which a hash of the request chooses among the live sessions, and again when one of them ends. Only pools with several versions need it; streams of the last two minutes are copied when a second version appears. In deployments of more than 32 instances those with copies are asked too, not only owners. This works because the holders share no fate with the owner, and whoever takes the stream up finds them without knowing the entry.

--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -8,7 +8,7 @@
 use jsonrpsee::core::async_trait;
 use shallotdrum_allotments::{AllotmentReply, Charge, Reservation, Reserved};
 use shallotdrum_control::{Proposal, Reply};
-use shallotdrum_engine::{Announcement, CacheEvents, StreamOrigin};
+use shallotdrum_engine::{Announcement, CacheEvents, CopiedOrigin, StreamOrigin};
 use shallotdrum_owner::{ChargeError, OwnerService, PlaceAdmission, PlaceKey};
 use shallotdrum_routes::RouteTable;
 use shallotdrum_rpc::{
@@ -169,6 +169,13 @@
         Ok(self.owner.streams.find(&request))
     }
 
+    async fn copy_stream_origins(&self, origins: Vec<CopiedOrigin>) -> Result<(), RpcError> {
+        for CopiedOrigin { request, software } in &origins {
+            self.owner.streams.record_begin(request, software);
+        }
+        Ok(())
+    }
+
     async fn end_places(&self, session: SessionId, ended: Vec<EndedPlace>) -> Result<(), RpcError> {
         self.end(session, ended);
         Ok(())
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -21,7 +21,8 @@
 };
 pub use outlook::{CandidateTarget, Holding, Lacking, PlaceOutlook, PlaceVerdict};
 pub use place::{
-    GrantedPlace, ObservedLimit, PLACE_GRACE, Requirements, StreamOrigin, TargetLoad, Urgency,
+    CopiedOrigin, GrantedPlace, ObservedLimit, PLACE_GRACE, Requirements, StreamOrigin, TargetLoad,
+    Urgency,
 };
 pub use prefix::{PREFIX_BLOCK_BYTES, prefix_hashes};
 pub use stream::{CompletionStream, MAX_BUFFERED_CHUNKS, MAX_LINE_BYTES, StreamError};
--- a/crates/engine/src/place.rs
+++ b/crates/engine/src/place.rs
@@ -3,7 +3,9 @@
 use std::{net::SocketAddr, time::Duration};
 
 use serde::{Deserialize, Serialize};
-use shallotdrum_types::{AdapterRef, Incarnation, RequestRate, SoftwareVersion, TargetId};
+use shallotdrum_types::{
+    AdapterRef, Incarnation, RequestId, RequestRate, SoftwareVersion, TargetId,
+};
 
 use crate::Priority;
 
@@ -104,6 +106,15 @@
     pub age_ms: u64,
 }
 
+/// Software version at which a stream began, for an instance that has no part in the stream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CopiedOrigin {
+    /// Request whose response brought the first event.
+    pub request: RequestId,
+    /// Version of the target's software.
+    pub software: SoftwareVersion,
+}
+
 /// Software version at which a stream began, as far as one instance knows.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct StreamOrigin {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -48,6 +48,7 @@
     fingerprint::request_identity,
     grant::Granted,
     need::fallback_label,
+    origin_copies::OriginCopies,
     places::{Place, PlaceClient},
     relay::Relay,
 };
@@ -112,6 +113,7 @@
     pub(crate) shard_hints: Mutex<ShardHints>,
     pub(crate) served: Mutex<ServedTimes>,
     pub(crate) next_reservation: AtomicU64,
+    pub(crate) origin_copies: OriginCopies,
     pub(crate) connections: ConnectionPool,
     /// Memory for bodies.
     pub(crate) memory: HeldMemory,
@@ -183,7 +185,7 @@
 }
 
 impl Gateway {
-    /// Creates a gateway and spawns the task that expires idle connections; must be called within a
+    /// Creates a gateway and spawns its background tasks; must be called within a
     /// Tokio runtime.
     pub fn new(cx: GatewayContext, connections: ConnectionPool) -> Arc<Self> {
         let places = PlaceClient::new(
@@ -204,6 +206,7 @@
             shard_hints: Mutex::default(),
             served: Mutex::default(),
             next_reservation: AtomicU64::new(1),
+            origin_copies: OriginCopies::default(),
             connections: connections.clone(),
             memory,
             budgets: Mutex::default(),
@@ -212,6 +215,7 @@
             is_closing: AtomicBool::new(false),
         });
         let weak = Arc::downgrade(&gateway);
+        tokio::spawn(Self::copy_origins(weak.clone()));
         tokio::spawn(async move {
             while let Some(gateway) = weak.upgrade() {
                 gateway.count_entries();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,7 +11,7 @@
 //! `body` reads request bodies and whole responses,
 //! `held` bounds the memory that bodies take,
 //! `limits` keeps the limits that targets name, `withheld` the targets that ask for no
-//! requests, `undelivered` the reports of ended places that no owner has yet, `origin` finds the version of a stream that a caller takes up, and `decision` holds the
+//! requests, `undelivered` the reports of ended places that no owner has yet, `origin` finds the version of a stream that a caller takes up, `origin_copies` keeps it known when instances end, and `decision` holds the
 //! retry rules. `customers` decides by the caller's key, which `credentials` reads, and `allotments` charges
 //! requests to the allotments of customers, and `charges` keeps what they were given until it is known whether they ran. `fingerprint` recognises repeats of a request, and `crash` those
 //! that crash targets.
@@ -43,6 +43,7 @@
 mod limits;
 mod need;
 mod origin;
+mod origin_copies;
 mod owner_calls;
 mod places;
 mod relay;
--- a/crates/gateway/src/origin.rs
+++ b/crates/gateway/src/origin.rs
@@ -8,7 +8,7 @@
 //! confirmed after the request arrived. An older one may lack the version at which the stream began,
 //! however recently it was confirmed.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use shallotdrum_engine::StreamOrigin;
@@ -17,7 +17,10 @@
 use shallotdrum_types::{PoolId, RequestError, RequestErrorKind, RequestId, SoftwareVersion};
 use tokio::time::{Instant, timeout_at};
 
-use crate::{CallerRequest, Gateway};
+use crate::{
+    CallerRequest, Gateway,
+    origin_copies::{COPIES, ranked_holders},
+};
 
 /// Timeout for all replies. A frozen instance does not reply, and callers take streams up with half
 /// of their time gone.
@@ -26,10 +29,14 @@
 /// Time for which the control leader alone is asked; a round trip within a region, several times.
 const CONFIRM_HEAD_START: Duration = Duration::from_millis(50);
 
-/// Maximum number of instances to ask; in larger deployments only the owners of the pool's groups
-/// are asked, which granted the place.
+/// Maximum number of instances to ask; in larger deployments only those that may hold copies and the
+/// owners of the pool's groups are asked, which granted the place.
 const MAX_ASKED: usize = 32;
 
+/// Number of instances to ask for a copy. The first ones in their order may have joined or started again
+/// after the stream was copied.
+const ASKED_HOLDERS: usize = 2 * COPIES;
+
 impl Gateway {
     /// Returns the software version that a request must run at; `None` if any will do.
     pub(crate) async fn required_software(
@@ -123,7 +130,7 @@
         pool: &PoolId,
     ) -> Option<StreamOrigin> {
         let deadline = Instant::now() + ASK_TIMEOUT;
-        let asked = self.origin_addrs(pool).into_iter().map(async |addr| {
+        let asked = self.origin_addrs(request, pool).into_iter().map(async |addr| {
             let client = self.cx.peers.get(addr).ok()?;
             let reply = timeout_at(deadline, client.stream_origin(request.clone()));
             reply.await.ok()?.ok()?
@@ -141,18 +148,19 @@
     }
 
     /// Addresses of the instances that may know where a stream began.
-    fn origin_addrs(&self, pool: &PoolId) -> Vec<SocketAddr> {
+    fn origin_addrs(&self, request: &RequestId, pool: &PoolId) -> Vec<SocketAddr> {
         let own = (self.cx.session)();
         self.cx.view.read(|state| {
             let others = state.sessions().filter(|s| !s.info.replica && Some(s.id) != own);
-            let others: Vec<_> = others.map(|session| session.info.addrs.rpc).collect();
+            let others: BTreeMap<_, _> = others.map(|s| (s.id, s.info.addrs.rpc)).collect();
             if others.len() <= MAX_ASKED {
-                return others;
+                return others.into_values().collect();
             }
             let owners = state.groups_of_pool(pool).filter_map(|group| group.owner);
-            let others = owners.filter(|owner| Some(*owner) != own);
-            let addrs = others.filter_map(|owner| Some(state.session(owner)?.info.addrs.rpc));
-            addrs.take(MAX_ASKED).collect()
+            let owners = owners.filter_map(|owner| Some((owner, *others.get(&owner)?)));
+            let holders = ranked_holders(request, &others).into_iter().take(ASKED_HOLDERS);
+            let asked: BTreeMap<_, _> = holders.chain(owners.take(MAX_ASKED)).collect();
+            asked.into_values().collect()
         })
     }
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -103,8 +103,7 @@
             self.place.record_first_event();
             self.place.record_events(order.events());
             run.software.clone_from(&self.place.granted.software);
-            let streams = &self.gateway.cx.owner.streams;
-            streams.record_begin(run.id(), run.software.as_ref());
+            self.gateway.record_begin(&run);
         }
         tokio::spawn(self.relay(run, status, first, refused, order, sender));
         Ok(GatewayResponse::Stream { status, headers: response_headers(head.headers), body })
--- a/crates/gateway/tests/stream_origins.rs
+++ b/crates/gateway/tests/stream_origins.rs
@@ -1,9 +1,14 @@
-//! Streams that callers take up at an instance whose state may lack a software version, over real sockets.
+//! Streams that callers take up at an instance that did not begin them, over real sockets.
 
 #[path = "../../owner/tests/support/mod.rs"]
 mod owners;
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http::{HeaderMap, Method};
@@ -14,7 +19,7 @@
 use owners::{Log, context};
 use rstest::rstest;
 use shallotdrum_control::{AnnouncedTarget, Command, InstanceAddrs, InstanceInfo};
-use shallotdrum_engine::{StreamOrigin, TargetKind};
+use shallotdrum_engine::{CopiedOrigin, StreamOrigin, TargetKind};
 use shallotdrum_gateway::{
     CallerRequest, ConfirmStateFn, ConnectionPool, Credentials, Gateway, GatewayContext,
     GatewayResponse, HeaderCodec, ResponseInfo, RetryAllowance,
@@ -26,7 +31,7 @@
 use shallotdrum_telemetry::Metrics;
 use shallotdrum_types::{
     Confirmation, Freshness, GroupId, Incarnation, LastConfirmation, LogIndex, RequestErrorKind,
-    Revision, SessionId, Term,
+    RequestId, Revision, SessionId, SoftwareVersion, Term,
 };
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -43,6 +48,15 @@
 /// Time for which nobody may be waited for who does not reply.
 const MAX_REFUSAL_TIME: Duration = Duration::from_secs(1);
 
+/// Time within which changes of the sessions and the versions lead to copies; they are checked each second.
+const COPY_LIMIT: Duration = Duration::from_secs(5);
+
+/// Number of instances of which only some are asked for a stream.
+const INSTANCES: usize = 40;
+
+/// Maximum number of them that are asked.
+const MAX_ASKED_OF_MANY: usize = 6;
+
 /// What the control leader says when the instance asks it to confirm its state.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Leader {
@@ -161,22 +175,16 @@
     })
 }
 
-async fn gateway(
-    log: &Log,
-    leader: Leader,
-    known_at_peer: Option<&'static str>,
-) -> (Arc<Gateway>, ServerHandle) {
-    let group = register(log, "t1", "v1", target().await);
-    log.apply(Command::PutRoutes { table: Arc::new(table()) });
-    let peer = peer(log, known_at_peer).await;
-    let entry = session(log, "entry", "127.0.0.1:1".parse().unwrap());
+/// Gateway in an instance that owns the group of the pool.
+async fn gateway(log: &Log, group: &GroupId, instance: &str, leader: Leader) -> Arc<Gateway> {
+    let entry = session(log, instance, "127.0.0.1:1".parse().unwrap());
     let cx = context(log, entry);
     let owner = OwnerService::new(context(log, entry));
     tokio::spawn(owner.clone().run());
-    log.assign(&group, entry);
+    log.assign(group, entry);
     sleep(REACTION).await;
     let last = LastConfirmation { index: LogIndex(1), term: Term(1), age: Duration::ZERO };
-    let gateway = Gateway::new(
+    Gateway::new(
         GatewayContext {
             view: log.0.clone(),
             session: cx.session.clone(),
@@ -212,14 +220,30 @@
             log: slog::Logger::root(slog::Discard, slog::o!()),
         },
         ConnectionPool::new(Links::default()),
-    );
-    (gateway, peer)
+    )
+}
+
+/// Deployment with one target, and another instance that may know the stream.
+async fn deployment(
+    log: &Log,
+    leader: Leader,
+    known_at_peer: Option<&'static str>,
+) -> (Arc<Gateway>, ServerHandle) {
+    let group = register(log, "t1", "v1", target().await);
+    log.apply(Command::PutRoutes { table: Arc::new(table()) });
+    let peer = peer(log, known_at_peer).await;
+    (gateway(log, &group, "entry", leader).await, peer)
 }
 
 /// Request of a caller that has received the events of another one up to the second.
 fn resumption() -> CallerRequest {
+    let resumes = Some("first".parse().unwrap());
+    CallerRequest { resume_after: Some("2".to_owned()), resumes, ..request("second") }
+}
+
+fn request(id: &str) -> CallerRequest {
     CallerRequest {
-        id: "second".parse().unwrap(),
+        id: id.parse().unwrap(),
         caller: None,
         host: "desk.example".to_owned(),
         method: Method::POST,
@@ -230,8 +254,8 @@
         arrived: Instant::now(),
         timeout: TIMEOUT,
         generation: None,
-        resume_after: Some("2".to_owned()),
-        resumes: Some("first".parse().unwrap()),
+        resume_after: None,
+        resumes: None,
     }
 }
 
@@ -252,7 +276,7 @@
     #[case] goes_on: bool,
 ) {
     let log = Log::default();
-    let (gateway, _peer) = gateway(&log, leader, known_at_peer).await;
+    let (gateway, _peer) = deployment(&log, leader, known_at_peer).await;
     let began = Instant::now();
     match gateway.handle(resumption()).await {
         Ok(GatewayResponse::Stream { .. }) => assert!(goes_on, "the stream goes on"),
@@ -264,3 +288,102 @@
         }
     }
 }
+
+/// Instance that takes copies of where streams began, and is asked for them.
+struct Holder {
+    session: SessionId,
+    state: Arc<Mutex<HolderState>>,
+    _server: ServerHandle,
+}
+
+#[derive(Default)]
+struct HolderState {
+    copies: HashMap<RequestId, SoftwareVersion>,
+    asked: usize,
+}
+
+async fn holder(log: &Log, instance: &str) -> Holder {
+    let server = Server::builder().build("127.0.0.1:0").await.unwrap();
+    let session = session(log, instance, server.local_addr().unwrap());
+    let state = Arc::new(Mutex::new(HolderState::default()));
+    let mut module = RpcModule::new(state.clone());
+    module
+        .register_method("stream_origins_copy", |params, state, _| {
+            let origins: Vec<CopiedOrigin> = params.sequence().next().unwrap();
+            let origins = origins.into_iter().map(|origin| (origin.request, origin.software));
+            state.lock().unwrap().copies.extend(origins);
+        })
+        .unwrap();
+    module
+        .register_method("stream_origin", |params, state, _| {
+            let request: RequestId = params.sequence().next().unwrap();
+            let mut state = state.lock().unwrap();
+            state.asked += 1;
+            let software = state.copies.get(&request).cloned()?;
+            Some(StreamOrigin { software, has_begun: true, age_ms: 10 })
+        })
+        .unwrap();
+    Holder { session, state, _server: server.start(module) }
+}
+
+fn holding(holders: &[Holder]) -> Vec<SessionId> {
+    let holding = holders.iter().filter(|holder| !holder.state.lock().unwrap().copies.is_empty());
+    holding.map(|holder| holder.session).collect()
+}
+
+async fn wait_for_copies(holders: &[Holder], expected: usize) {
+    let deadline = Instant::now() + COPY_LIMIT;
+    while holding(holders).len() != expected {
+        assert!(Instant::now() < deadline, "{} instances hold copies", holding(holders).len());
+        sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Guards against streams that nobody knows any more after the end of their entry and of an instance with a
+/// copy, in a deployment where not all instances can be asked.
+#[tokio::test]
+async fn copies_found_among_many() {
+    let log = Log::default();
+    let target = target().await;
+    let group = register(&log, "t1", "v1", target);
+    register(&log, "t2", "v2", target);
+    log.apply(Command::PutRoutes { table: Arc::new(table()) });
+    let mut holders = Vec::new();
+    for n in 0..INSTANCES {
+        holders.push(holder(&log, &format!("i{n}")).await);
+    }
+    let began = gateway(&log, &group, "entry", Leader::Unreachable).await;
+    let response = began.handle(request("first")).await;
+    assert!(matches!(response, Ok(GatewayResponse::Stream { .. })));
+    wait_for_copies(&holders, 2).await;
+    let ended = holding(&holders)[0];
+    log.apply(Command::EndSession { session: ended });
+    // The one whose session has ended keeps its copy.
+    wait_for_copies(&holders, 3).await;
+
+    let ended = log.0.read(|state| state.sessions().map(|s| s.id).max()).unwrap();
+    log.apply(Command::EndSession { session: ended });
+    let other = gateway(&log, &group, "other", Leader::Unreachable).await;
+    let response = other.handle(resumption()).await;
+    assert!(matches!(response, Ok(GatewayResponse::Stream { .. })));
+    let asked: usize = holders.iter().map(|holder| holder.state.lock().unwrap().asked).sum();
+    assert!(asked <= MAX_ASKED_OF_MANY, "{asked} instances were asked");
+}
+
+/// Guards against messages for each stream in a pool that has a single version.
+#[tokio::test]
+async fn single_version_not_copied() {
+    let log = Log::default();
+    let target = target().await;
+    let group = register(&log, "t1", "v1", target);
+    log.apply(Command::PutRoutes { table: Arc::new(table()) });
+    let holders = [holder(&log, "i1").await, holder(&log, "i2").await];
+    let began = gateway(&log, &group, "entry", Leader::Confirms).await;
+    let response = began.clone().handle(request("first")).await;
+    assert!(matches!(response, Ok(GatewayResponse::Stream { .. })));
+    sleep(REACTION).await;
+    assert_eq!(holding(&holders), []);
+    // Streams of before are copied when another version appears.
+    register(&log, "t2", "v2", target);
+    wait_for_copies(&holders, 2).await;
+}
--- a/crates/owner/src/places.rs
+++ b/crates/owner/src/places.rs
@@ -154,7 +154,9 @@
             spread: lease.spread,
             group_wait_ms: lease.group_wait.map(|wait| wait.as_millis() as u64),
         };
-        self.streams.record_grant(&request, granted.software.as_ref());
+        if let Some(software) = &granted.software {
+            self.streams.record_grant(&request, software);
+        }
         event!(self.cx.log, PLACE_GRANTED; "request" => %request, "target" => %granted.target,
             "software" => granted.software.as_ref().map(ToString::to_string), "group" => %group, "epoch" => owned.epoch.0,
             "index" => self.cx.view.applied().0,
--- a/crates/owner/src/streams.rs
+++ b/crates/owner/src/streams.rs
@@ -1,7 +1,8 @@
 //! Software versions at which recent streams began, by the id of the request.
 //!
 //! A caller that lost its stream may take it up at any entry. The entry that began it knows the
-//! version, and so does the owner that granted the place, in case the entry is gone.
+//! version, and so do the owner that granted the place and the instances to which the entry copies it,
+//! in case the entry is gone.
 
 use std::{
     collections::{HashMap, VecDeque},
@@ -17,8 +18,8 @@
 /// Time for which a stream is remembered.
 const MEMORY: Duration = Duration::from_millis(SOFTWARE_MEMORY_MS);
 
-/// Maximum number of streams; two minutes at more than a hundred a second, and about 2 MB.
-const MAX_STREAMS: usize = 16_384;
+/// Maximum number of streams, including copies; two minutes at more than 250 a second.
+const MAX_STREAMS: usize = 32_768;
 
 /// Recent streams, by request.
 #[derive(Debug, Default)]
@@ -41,12 +42,12 @@
 
 impl StreamOrigins {
     /// Records the version at which a place was granted.
-    pub(crate) fn record_grant(&self, request: &RequestId, software: Option<&SoftwareVersion>) {
+    pub(crate) fn record_grant(&self, request: &RequestId, software: &SoftwareVersion) {
         self.record(request, software, false);
     }
 
     /// Records the version that the first event of a stream came from.
-    pub fn record_begin(&self, request: &RequestId, software: Option<&SoftwareVersion>) {
+    pub fn record_begin(&self, request: &RequestId, software: &SoftwareVersion) {
         self.record(request, software, true);
     }
 
@@ -57,8 +58,8 @@
         Some(StreamOrigin { software, has_begun, age_ms })
     }
 
-    fn record(&self, request: &RequestId, software: Option<&SoftwareVersion>, has_begun: bool) {
-        let Some(software) = software.cloned() else { return };
+    fn record(&self, request: &RequestId, software: &SoftwareVersion, has_begun: bool) {
+        let software = software.clone();
         let mut streams = self.lock();
         let Streams { origins, order } = &mut *streams;
         let at = Instant::now();
--- a/crates/rpc/src/api.rs
+++ b/crates/rpc/src/api.rs
@@ -3,7 +3,7 @@
 use jsonrpsee::proc_macros::rpc;
 use shallotdrum_allotments::{AllotmentReply, Reservation};
 use shallotdrum_control::{Proposal, Reply};
-use shallotdrum_engine::{Announcement, CacheEvents, StreamOrigin};
+use shallotdrum_engine::{Announcement, CacheEvents, CopiedOrigin, StreamOrigin};
 use shallotdrum_routes::RouteTable;
 use shallotdrum_types::{
     AdapterId, Base64Bytes, CustomerName, Fingerprint, GroupId, Incarnation, InstanceId, LogIndex,
@@ -122,6 +122,10 @@
     #[method(name = "stream_origin")]
     async fn stream_origin(&self, request: RequestId) -> Result<Option<StreamOrigin>, RpcError>;
 
+    /// Keeps at which software versions streams began that another instance sent.
+    #[method(name = "stream_origins_copy")]
+    async fn copy_stream_origins(&self, origins: Vec<CopiedOrigin>) -> Result<(), RpcError>;
+
     /// Releases places of a session and cancels those that are still queued; served by the owner.
     #[method(name = "place_end")]
     async fn end_places(&self, session: SessionId, ended: Vec<EndedPlace>) -> Result<(), RpcError>;
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -200,6 +200,7 @@
         STREAM_ORIGIN_FOUND = "N0421", Info, "found the software version at which a stream began that a caller takes up", "none";
         STREAM_ORIGIN_UNKNOWN = "N0422", Warning, "refused to take up a stream: no instance knows its software version, and the pool had several or the control leader did not confirm that it had one", "none for single streams: the instances that knew it were stopped, or this one is cut off; otherwise check its connection to the control replicas";
         STREAM_VERSION_CONFIRMED = "N0446", Info, "a stream that a caller takes up may go on at any target: the control leader confirmed that the pool had a single software version of late", "none";
+        STREAM_COPIES_FAILED = "N0447", Debug, "another instance did not take the copies of where streams began; they are sent again", "none, unless it persists; then check that instance";
         TARGET_LEAVING_NAMED = "N0423", Info, "target says in a response that it leaves; it takes no new requests", "none";
         TARGET_PAUSED = "N0425", Info, "target refused a request and takes none from this instance for a time", "check the target's load if it repeats";
         PLACE_WITHHELD = "N0424", Info, "place not used: its target asked for no more requests", "none, unless it persists for a target";
