Send orders only after an inspection under the same ownership

Seen: after the control replicas were without power for some seconds, an owner that could not reach one of its targets ordered it to load adapters as if it held none.

Cause: the owner gives its groups up with its lease and takes them again under the same epoch, with an empty scheduler. The order client kept the engine's order count of before, which was still right, so the engine accepted orders that were decided without knowledge of what it held.

Change: an order names the beginning of the ownership that decided it, and is sent only if an inspection of that ownership was applied. This works because the count then stands for orders that the scheduler knows.

--- a/crates/owner/src/base.rs
+++ b/crates/owner/src/base.rs
@@ -77,6 +77,7 @@
         event!(self.cx.log, BASE_LOADING; "target" => %target, "base" => %base, "epoch" => epoch);
         let order = TargetOrder {
             epoch: grant.epoch,
+            owned_since: group.since,
             target: target.clone(),
             incarnation: *incarnation,
             addr: *addr,
--- a/crates/owner/src/context.rs
+++ b/crates/owner/src/context.rs
@@ -25,6 +25,9 @@
 pub struct TargetOrder {
     /// Fencing token of the owner.
     pub epoch: Epoch,
+    /// When this instance began to own the target's group. What an earlier ownership knew of the target
+    /// does not count, even under the same fencing token.
+    pub owned_since: std::time::Instant,
     /// Engine that receives the order.
     pub target: TargetId,
     /// Process start of the target that the order is meant for.
--- a/crates/owner/src/load.rs
+++ b/crates/owner/src/load.rs
@@ -1,8 +1,11 @@
 //! Sends load orders to engines; each holds a weight-store permit while it runs.
 
-use std::sync::{
-    Arc,
-    atomic::{AtomicUsize, Ordering},
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Instant,
 };
 
 use futures_util::FutureExt;
@@ -18,6 +21,8 @@
 pub(crate) struct Ownership {
     pub(crate) session: SessionId,
     pub(crate) epoch: Epoch,
+    /// When it began; tells apart ownerships by one session under the same epoch.
+    pub(crate) since: Instant,
 }
 
 /// What an order to an engine needs from the control state.
@@ -98,7 +103,7 @@
     let in_flight = orders.enter();
     // The lease or the ownership may have ended while the permit was being acquired.
     let result = match ownership.order_grant(&cx, &group, &order.target) {
-        Some(grant) => send(&cx, grant, order).await,
+        Some(grant) => send(&cx, grant, ownership.since, order).await,
         None => Err(LoadFailure::NoPermit),
     };
     drop(in_flight);
@@ -106,11 +111,17 @@
     result
 }
 
-async fn send(cx: &OwnerContext, grant: OrderGrant, load: LoadOrder) -> Result<(), LoadFailure> {
+async fn send(
+    cx: &OwnerContext,
+    grant: OrderGrant,
+    owned_since: Instant,
+    load: LoadOrder,
+) -> Result<(), LoadFailure> {
     let is_eviction = load.evict.is_some();
     let (target, adapter) = (load.target.clone(), load.adapter.clone());
     let order = TargetOrder {
         epoch: grant.epoch,
+        owned_since,
         target: target.clone(),
         incarnation: load.incarnation,
         addr: load.addr,
--- a/crates/owner/src/service.rs
+++ b/crates/owner/src/service.rs
@@ -422,8 +422,12 @@
         };
         let orders = OrderCount::default();
         let service = Arc::downgrade(self);
-        let load =
-            load_fn(self.cx.clone(), id.clone(), Ownership { session, epoch }, orders.clone());
+        let load = load_fn(
+            self.cx.clone(),
+            id.clone(),
+            Ownership { session, epoch, since },
+            orders.clone(),
+        );
         let load = self.with_inspection(load, service, id.clone());
         let group = Arc::new(OwnedGroup {
             id: id.clone(),
@@ -576,7 +580,7 @@
     }
 
     pub(crate) fn ownership(&self) -> Ownership {
-        Ownership { session: self.session, epoch: self.epoch }
+        Ownership { session: self.session, epoch: self.epoch, since: self.since }
     }
 
     /// Whether the group contains this incarnation of a target.
--- a/crates/scheduler/src/state/loads.rs
+++ b/crates/scheduler/src/state/loads.rs
@@ -180,7 +180,11 @@
                 self.next_plan_at = now + PERMIT_BACKOFF.mul_f64(jitter);
                 target.orders_resume_at = self.next_plan_at;
             }
-            LoadFailure::InspectionRequired => target.orders_resume_at = now + INSPECTION_BACKOFF,
+            LoadFailure::InspectionRequired => {
+                // An engine that was never inspected may be out of reach for long.
+                let backoff = target.reported_at.map_or(REPORT_BACKOFF, |_| INSPECTION_BACKOFF);
+                target.orders_resume_at = now + backoff;
+            }
             LoadFailure::Refused(OrderRefusal::OldEpoch { .. }) => {
                 target.orders_resume_at = now + OLD_EPOCH_BACKOFF;
             }
