Recognise a crashing request that names another adapter

Seen: a request that crashes its targets came 15 times with the same path, caller and body, for another of five adapters each few times.

Cause: the identity of a request held its model and adapter, with and without the caller, so that it had three crashes anew for each.

Change: a third identity is that of the same caller for any adapter. The control log weighs it as it does a request by any caller: one adapter aboard all crashes is the cause itself, several make it that of the request. Requests for adapters for which its runs succeed are served on, and all runs count for it. Its quarantine ends with a single request each, and from the fifth crash without a run only by an operator. The log's commands and decisions are unchanged, so releases may be mixed.

--- a/crates/gateway/src/fingerprint.rs
+++ b/crates/gateway/src/fingerprint.rs
@@ -11,7 +11,7 @@
 const MAX_PARTS: usize = 16;
 
 /// Hashes what a crash at a target depends on: method, host, path, model and body, with the caller
-/// and without.
+/// and without, and for this caller also without the model.
 ///
 /// The query is left out, as repeats may differ in it, and so are the other headers. They are new
 /// with each repeat (id, deadline, resume position) or describe the body. The parts of the prompt are
@@ -19,18 +19,19 @@
 pub fn request_identity(req: &CallerRequest) -> RequestIdentity {
     let generation = req.generation.as_ref();
     let body = Fingerprint::of(&req.body);
-    let hash = |caller: Option<IpAddr>| {
-        let model = generation.map(|g| (&g.base, &g.adapter));
+    let model = generation.map(|g| (&g.base, &g.adapter));
+    let hash = |caller: Option<IpAddr>, model: Option<_>| {
         let identity = (req.method.as_str(), &req.host, req.target.path(), model, body, caller);
         // Strings and hashes always serialize.
         Fingerprint::of(&serde_json::to_vec(&identity).unwrap_or_default())
     };
-    let any_caller = hash(None);
+    let any_caller = hash(None, model);
     let parts = generation.map(shared_parts).unwrap_or_default();
     match req.caller {
         Some(caller) => {
-            let request = hash(Some(caller));
-            RequestIdentity { request, any_caller: Some(any_caller), parts }
+            let request = hash(Some(caller), model);
+            let any_adapter = model.map(|_| hash(Some(caller), None));
+            RequestIdentity { request, any_caller: Some(any_caller), any_adapter, parts }
         }
         None => RequestIdentity { parts, ..any_caller.into() },
     }
--- a/crates/owner/src/crash.rs
+++ b/crates/owner/src/crash.rs
@@ -375,14 +375,16 @@
         let mut requests: Vec<_> = identities.iter().flat_map(RequestIdentity::whole).collect();
         requests.sort_unstable();
         requests.dedup();
-        let mut any_caller: Vec<_> = identities.iter().filter_map(|i| i.any_caller).collect();
+        // The log weighs a request by any caller and one for any adapter in the same way, by the requests
+        // that each stands for.
+        let mut any_caller: Vec<_> = identities.iter().flat_map(RequestIdentity::groups).collect();
         any_caller.sort_unstable();
         any_caller.dedup();
-        let caller = |identity: &RequestIdentity| {
-            let RequestIdentity { request, any_caller, .. } = identity;
-            any_caller.map(|any_caller| CallerIdentity { request: *request, any_caller })
+        let members = |identity: &RequestIdentity| {
+            let request = identity.request;
+            identity.groups().map(move |any_caller| CallerIdentity { request, any_caller })
         };
-        let mut callers: Vec<_> = identities.iter().filter_map(caller).collect();
+        let mut callers: Vec<_> = identities.iter().flat_map(members).collect();
         callers.sort_unstable();
         callers.dedup();
         let parts = suspect_parts(&identities);
--- a/crates/owner/src/quarantine.rs
+++ b/crates/owner/src/quarantine.rs
@@ -26,6 +26,10 @@
 /// of the last suspension.
 const PERMIT_LIFETIME: Duration = Duration::from_secs(10);
 
+/// Number of crashes from which a request that ran successfully for no adapter is refused for all of them
+/// until an operator lifts the quarantine. Each suspension before that ends with a single request.
+const CRASHES_FOR_ANY_ADAPTER: usize = 5;
+
 /// Number of suspensions above which those that ended are forgotten.
 const MAX_SUSPENSIONS: usize = 256;
 
@@ -33,7 +37,7 @@
 #[derive(Default)]
 pub(crate) struct Suspensions {
     known: Mutex<HashMap<Fingerprint, Suspension>>,
-    /// Paths and parts with which the control log permitted this instance one request, and since when.
+    /// Groups of requests and parts with which the control log permitted this instance one request, and since when.
     permits: Mutex<HashMap<Fingerprint, Instant>>,
 }
 
@@ -50,8 +54,8 @@
 enum QuarantineKind {
     /// A request by one caller.
     Caller,
-    /// A request by any caller, except those whose runs succeed. Its end permits one.
-    AnyCaller,
+    /// A request by any caller or for any adapter, except those whose runs succeed. Its end permits one.
+    Group,
     /// A part of prompts. Its end permits one request.
     Part,
 }
@@ -91,7 +95,7 @@
         SuspensionStatus { left: suspension.ends_at - now, has_ended, is_new }
     }
 
-    /// Permits one request by any caller, or with a part.
+    /// Permits one request of a group, or with a part.
     fn permit(&self, quarantined: Fingerprint) {
         self.permits().insert(quarantined, Instant::now());
     }
@@ -110,6 +114,11 @@
     }
 }
 
+/// Whether a request crashed enough targets, and never ran successfully.
+fn crashes_always(quarantined: &Quarantined) -> bool {
+    quarantined.crashes.len() >= CRASHES_FOR_ANY_ADAPTER && quarantined.completed == 0
+}
+
 fn part_quarantined(part: &Fingerprint) -> RequestError {
     let detail = format!(
         "the prompt contains part {part}, which crashed the targets that ran it and is quarantined"
@@ -119,8 +128,8 @@
 
 impl OwnerService {
     /// Refuses a request that has crashed too many targets, or with a part in its prompt that has,
-    /// unless the control log permitted this instance one request by any caller or with the part.
-    /// Returns which.
+    /// unless the control log permitted this instance one request by any caller, for any adapter or with the
+    /// part. Returns which.
     pub fn admit_relayed(
         self: &Arc<Self>,
         identity: &RequestIdentity,
@@ -128,12 +137,12 @@
         let Err(error) = self.check_whole(identity) else {
             return self.admit_parts(&self.relayed, &identity.parts);
         };
-        let permitted = identity.any_caller.filter(|path| self.suspensions.is_permitted(path));
-        let Some(path) = permitted else { return Err(error) };
-        self.check_relayed_quarantine(&identity.without(&path))?;
-        self.suspensions.take_permit(&path);
-        event!(self.cx.log, REQUEST_PERMITTED; "fingerprint" => %path);
-        Ok(Some(path))
+        let permitted = identity.groups().find(|group| self.suspensions.is_permitted(group));
+        let Some(group) = permitted else { return Err(error) };
+        self.check_relayed_quarantine(&identity.without(&group))?;
+        self.suspensions.take_permit(&group);
+        event!(self.cx.log, REQUEST_PERMITTED; "fingerprint" => %group);
+        Ok(Some(group))
     }
 
     /// Refuses a request that has crashed too many targets, or with such a part in its prompt.
@@ -156,20 +165,22 @@
     }
 
     fn check_whole(self: &Arc<Self>, identity: &RequestIdentity) -> Result<(), RequestError> {
-        let RequestIdentity { request, any_caller, .. } = identity;
+        let RequestIdentity { request, any_adapter, .. } = identity;
         let (quarantine, is_known_cause) = self.cx.view.read(|state| {
             let find = |request: &Fingerprint| {
-                let Quarantined { since, suspension_ms, is_any_caller, .. } =
-                    state.quarantine_of(request)?;
-                let duration = suspension_ms.map(Duration::from_millis);
+                let quarantined = state.quarantine_of(request)?;
+                let Quarantined { since, suspension_ms, is_any_caller, .. } = quarantined;
+                let is_final = any_adapter.as_ref() == Some(request) && crashes_always(quarantined);
+                let duration = suspension_ms.map(Duration::from_millis).filter(|_| !is_final);
                 let kind = match is_any_caller {
-                    true => QuarantineKind::AnyCaller,
+                    true => QuarantineKind::Group,
                     false => QuarantineKind::Caller,
                 };
                 Some(Quarantine { fingerprint: *request, since: *since, duration, kind })
             };
-            let path = any_caller.filter(|_| !self.relayed.is_trusted(state, request));
-            let quarantine = find(request).or_else(|| find(&path?));
+            let is_trusted = self.relayed.is_trusted(state, request);
+            let mut groups = identity.groups().filter(|_| !is_trusted);
+            let quarantine = find(request).or_else(|| groups.find_map(|group| find(&group)));
             (quarantine, self.relayed.is_known_cause(state, request))
         });
         match quarantine {
--- a/crates/owner/src/relayed.rs
+++ b/crates/owner/src/relayed.rs
@@ -56,13 +56,16 @@
     /// Counts a successful run of a request, as evidence that neither it nor a part of its prompt
     /// crashes targets.
     pub fn complete_relayed(self: &Arc<Self>, guard: &RunningGuard) {
-        let RequestIdentity { request, any_caller, .. } = guard.identity();
+        let RequestIdentity { request, any_caller, any_adapter, .. } = guard.identity();
         let is_first = self.relayed.runs().remembered(request) == 0;
         self.count_run(*request, true);
         if let Some(any_caller) = any_caller {
             // Further runs of a caller say nothing about the others.
             self.count_run(*any_caller, is_first);
         }
+        if let Some(any_adapter) = any_adapter {
+            self.count_run(*any_adapter, true);
+        }
         self.complete_parts(&self.relayed, guard);
     }
 
--- a/crates/types/src/identity.rs
+++ b/crates/types/src/identity.rs
@@ -15,6 +15,10 @@
     /// are not told apart further.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub any_caller: Option<Fingerprint>,
+    /// Equal for repeats by the same caller that name another model or adapter; absent where they name
+    /// none, and where `request` does not tell callers apart.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub any_adapter: Option<Fingerprint>,
     /// Parts of the prompt that other requests may share, in order.
     #[serde(default = "no_parts", skip_serializing_if = "<[_]>::is_empty")]
     pub parts: Arc<[Fingerprint]>,
@@ -27,19 +31,25 @@
 impl RequestIdentity {
     /// Identities of the request as a whole.
     pub fn whole(&self) -> impl Iterator<Item = Fingerprint> + use<> {
-        std::iter::once(self.request).chain(self.any_caller)
+        std::iter::once(self.request).chain(self.groups())
+    }
+
+    /// Identities that the request shares with those of other callers, or for other adapters.
+    pub fn groups(&self) -> impl Iterator<Item = Fingerprint> + use<> {
+        self.any_caller.into_iter().chain(self.any_adapter)
     }
 
-    /// The same request without its identity by any caller, or without a part of its prompt.
+    /// The same request without one of the identities that it shares, or without a part of its prompt.
     pub fn without(&self, removed: &Fingerprint) -> Self {
         let any_caller = self.any_caller.filter(|other| other != removed);
+        let any_adapter = self.any_adapter.filter(|other| other != removed);
         let parts = self.parts.iter().filter(|other| *other != removed).copied().collect();
-        Self { request: self.request, any_caller, parts }
+        Self { request: self.request, any_caller, any_adapter, parts }
     }
 }
 
 impl From<Fingerprint> for RequestIdentity {
     fn from(request: Fingerprint) -> Self {
-        Self { request, any_caller: None, parts: no_parts() }
+        Self { request, any_caller: None, any_adapter: None, parts: no_parts() }
     }
 }
