Wake the task that copies origins only for streams that need copies

Seen by reading: each stream that began woke the task, also in pools with a single version, where nothing is ever sent.

A stream is settled at once if its pool is known to have a single version.

--- a/crates/gateway/src/origin_copies.rs
+++ b/crates/gateway/src/origin_copies.rs
@@ -124,8 +124,10 @@
     fn add(&self, request: &RequestId, pool: &PoolId, software: &SoftwareVersion) {
         let origin = CopiedOrigin { request: request.clone(), software: software.clone() };
         let (at, holders) = (Instant::now(), Vec::new());
-        self.streams().add(Begun { origin, pool: pool.clone(), at, holders });
-        self.0.added.notify_one();
+        // In a pool with a single version nothing is due.
+        if self.streams().add(Begun { origin, pool: pool.clone(), at, holders }) {
+            self.0.added.notify_one();
+        }
     }
 
     /// Waits until copies may be due.
@@ -143,13 +145,20 @@
 }
 
 impl BegunStreams {
-    fn add(&mut self, begun: Begun) {
-        self.pending.push_back(begun);
+    /// Adds a stream; returns whether it may lack copies.
+    fn add(&mut self, begun: Begun) -> bool {
+        let is_new_pool = !self.needs.versions.contains_key(&begun.pool);
+        let is_pending = is_new_pool || !self.needs.missing(&begun).is_empty();
+        match is_pending {
+            true => self.pending.push_back(begun),
+            false => self.settled.push_back(begun),
+        }
         while self.pending.len() + self.settled.len() > MAX_BEGUN {
             if self.settled.pop_front().is_none() {
                 self.pending.pop_front();
             }
         }
+        is_pending
     }
 
     fn pools(&self) -> BTreeSet<PoolId> {
