Recognise a crashing request that changes its caller and its adapter

Its identity by any caller holds the adapter, and its identity for any adapter the caller.

Change: a fourth identity, of method, host, path and body alone. It includes the identities by any caller and for any adapter, so that the log holds the least general one for the cause that was aboard all crashes. A request that has run for its adapter at an entry is served on there while the two identities without an adapter are quarantined.

--- a/crates/gateway/src/fingerprint.rs
+++ b/crates/gateway/src/fingerprint.rs
@@ -11,7 +11,7 @@
 const MAX_PARTS: usize = 16;
 
 /// Hashes what a crash at a target depends on: method, host, path, model and body, with the caller
-/// and without, and for this caller also without the model.
+/// and without, each also without the model.
 ///
 /// The query is left out, as repeats may differ in it, and so are the other headers. They are new
 /// with each repeat (id, deadline, resume position) or describe the body. The parts of the prompt are
@@ -31,7 +31,8 @@
         Some(caller) => {
             let request = hash(Some(caller), model);
             let any_adapter = model.map(|_| hash(Some(caller), None));
-            RequestIdentity { request, any_caller: Some(any_caller), any_adapter, parts }
+            let content = model.map(|_| hash(None, None));
+            RequestIdentity { request, any_caller: Some(any_caller), any_adapter, content, parts }
         }
         None => RequestIdentity { parts, ..any_caller.into() },
     }
--- a/crates/owner/src/crash.rs
+++ b/crates/owner/src/crash.rs
@@ -269,6 +269,11 @@
         runs > 0 && runs >= RUNS_PER_CRASH.saturating_mul(crashes)
     }
 
+    /// Whether a request is known to have run successfully.
+    pub(crate) fn has_run(&self, state: &ControlState, request: &Fingerprint) -> bool {
+        self.runs().remembered(request) > 0 || state.suspect_runs(request) > 0
+    }
+
     /// Whether the crashes known to this instance, of which the control log lacks some, are too many for
     /// requests with a part to be sent.
     pub(crate) fn is_known_cause_part(&self, state: &ControlState, part: &Fingerprint) -> bool {
@@ -375,16 +380,15 @@
         let mut requests: Vec<_> = identities.iter().flat_map(RequestIdentity::whole).collect();
         requests.sort_unstable();
         requests.dedup();
-        // The log weighs a request by any caller and one for any adapter in the same way, by the requests
-        // that each stands for.
+        // The log weighs a request by any caller and one for any adapter in the same way, by the identities
+        // that each includes.
         let mut any_caller: Vec<_> = identities.iter().flat_map(RequestIdentity::groups).collect();
         any_caller.sort_unstable();
         any_caller.dedup();
-        let members = |identity: &RequestIdentity| {
-            let request = identity.request;
-            identity.groups().map(move |any_caller| CallerIdentity { request, any_caller })
-        };
-        let mut callers: Vec<_> = identities.iter().flat_map(members).collect();
+        let inclusions = identities.iter().flat_map(RequestIdentity::inclusions);
+        let mut callers: Vec<_> = inclusions
+            .map(|(request, any_caller)| CallerIdentity { request, any_caller })
+            .collect();
         callers.sort_unstable();
         callers.dedup();
         let parts = suspect_parts(&identities);
--- a/crates/owner/src/quarantine.rs
+++ b/crates/owner/src/quarantine.rs
@@ -165,12 +165,13 @@
     }
 
     fn check_whole(self: &Arc<Self>, identity: &RequestIdentity) -> Result<(), RequestError> {
-        let RequestIdentity { request, any_adapter, .. } = identity;
+        let RequestIdentity { request, any_caller, any_adapter, content, .. } = identity;
         let (quarantine, is_known_cause) = self.cx.view.read(|state| {
             let find = |request: &Fingerprint| {
                 let quarantined = state.quarantine_of(request)?;
                 let Quarantined { since, suspension_ms, is_any_caller, .. } = quarantined;
-                let is_final = any_adapter.as_ref() == Some(request) && crashes_always(quarantined);
+                let is_any_adapter = [any_adapter, content].contains(&&Some(*request));
+                let is_final = is_any_adapter && crashes_always(quarantined);
                 let duration = suspension_ms.map(Duration::from_millis).filter(|_| !is_final);
                 let kind = match is_any_caller {
                     true => QuarantineKind::Group,
@@ -179,7 +180,12 @@
                 Some(Quarantine { fingerprint: *request, since: *since, duration, kind })
             };
             let is_trusted = self.relayed.is_trusted(state, request);
-            let mut groups = identity.groups().filter(|_| !is_trusted);
+            // A run for this adapter shows that the content alone does not crash targets.
+            let has_run = self.relayed.has_run(state, request);
+            let mut groups = identity.groups().filter(|group| match Some(*group) == *any_caller {
+                true => !is_trusted,
+                false => !has_run,
+            });
             let quarantine = find(request).or_else(|| groups.find_map(|group| find(&group)));
             (quarantine, self.relayed.is_known_cause(state, request))
         });
--- a/crates/owner/src/relayed.rs
+++ b/crates/owner/src/relayed.rs
@@ -56,10 +56,10 @@
     /// Counts a successful run of a request, as evidence that neither it nor a part of its prompt
     /// crashes targets.
     pub fn complete_relayed(self: &Arc<Self>, guard: &RunningGuard) {
-        let RequestIdentity { request, any_caller, any_adapter, .. } = guard.identity();
+        let RequestIdentity { request, any_caller, any_adapter, content, .. } = guard.identity();
         let is_first = self.relayed.runs().remembered(request) == 0;
         self.count_run(*request, true);
-        if let Some(any_caller) = any_caller {
+        for any_caller in any_caller.iter().chain(content) {
             // Further runs of a caller say nothing about the others.
             self.count_run(*any_caller, is_first);
         }
--- a/crates/owner/src/runs.rs
+++ b/crates/owner/src/runs.rs
@@ -13,9 +13,9 @@
 /// to be quarantined.
 const RUN_MEMORY: Duration = Duration::from_secs(30);
 
-/// Maximum number of identities per generation, about 0.8 MB; a request has up to three. Runs of further
+/// Maximum number of identities per generation, about 1 MB; a request has up to four. Runs of further
 /// ones are not counted.
-const MAX_IDENTITIES: usize = 12_288;
+const MAX_IDENTITIES: usize = 16_384;
 
 /// Runs of one identity.
 #[derive(Clone, Copy, Debug, Default)]
