--- a/crates/owner/src/quarantine.rs
+++ b/crates/owner/src/quarantine.rs
@@ -170,7 +170,7 @@
             let find = |request: &Fingerprint| {
                 let quarantined = state.quarantine_of(request)?;
                 let Quarantined { since, suspension_ms, is_any_caller, .. } = quarantined;
-                let is_any_adapter = [any_adapter, content].contains(&&Some(*request));
+                let is_any_adapter = *any_adapter == Some(*request) || *content == Some(*request);
                 let is_final = is_any_adapter && crashes_always(quarantined);
                 let duration = suspension_ms.map(Duration::from_millis).filter(|_| !is_final);
                 let kind = match is_any_caller {
