Say in the control log which identities include each other

The fields and the module on causes spoke of callers only, while requests for any adapter are weighed by the same rules.

--- a/crates/control/src/command.rs
+++ b/crates/control/src/command.rs
@@ -154,10 +154,10 @@
         /// How these requests run if they are suspects.
         #[serde(default)]
         isolation: Isolation,
-        /// Identities in `requests` that stand for the same request by any caller.
+        /// Identities in `requests` that stand for the same request by any caller or for any adapter.
         #[serde(default, skip_serializing_if = "Vec::is_empty")]
         any_caller: Vec<Fingerprint>,
-        /// Which of these identities belong to the same request.
+        /// Which of these identities each of them includes.
         #[serde(default, skip_serializing_if = "Vec::is_empty")]
         callers: Vec<CallerIdentity>,
         /// Successful runs of these requests shortly before the crash that were not reported yet.
--- a/crates/control/src/state/causes.rs
+++ b/crates/control/src/state/causes.rs
@@ -1,6 +1,8 @@
 //! Chooses the requests that caused crashes, among those that ran beside others.
 //!
-//! The identities of a request are nested: all requests of one caller are also requests by any caller.
+//! The identities of a request are nested: all requests of one caller are also requests by any caller, and
+//! all those for one adapter are also requests for any adapter. The rules are the same for both; this
+//! module speaks of callers and paths.
 //! If a single caller was aboard all crashes of a path, the caller is the cause. If no single caller
 //! was, the path is: one cause of the crashes of several callers is likelier than one for each of
 //! them. Callers whose runs on the path succeed speak for themselves only; crashes at which no other
--- a/crates/control/src/state/suspects.rs
+++ b/crates/control/src/state/suspects.rs
@@ -81,12 +81,13 @@
     pub runs: u64,
 }
 
-/// Identity of a request by one caller, and that of the same request by any caller.
+/// Identity of a request, and a less specific one of the same request that includes it: by any caller in
+/// place of one, or for any adapter.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct CallerIdentity {
-    /// The request by this caller.
+    /// The more specific identity, such as the request by this caller.
     pub request: Fingerprint,
-    /// The request by any caller.
+    /// The less specific one, such as the request by any caller.
     pub any_caller: Fingerprint,
 }
 
