Log what a planned stop ends, and what it waited for

What callers saw: a request that waited at a stopping entry ended without a response. Cause of the gap: while a request waits, no line says what for, and the process that ends says only that something was in progress (S0512), so that a bounded wait, a wait lost at a hand-over of its owner and an unwritten refusal look the same.

Change: each request in progress is known with its stage. A stop names the requests that it ends (N0470: stage, time in it, time left, whether it was sent) and counts what became of the others (S0514). An owner logs a request for a place that is cancelled while it waits (O0363), which tells whether it still held the request. No decision changes.

--- a/crates/gateway/src/admit.rs
+++ b/crates/gateway/src/admit.rs
@@ -14,6 +14,7 @@
     customers::Access,
     exchange::{RETRY_AFTER_CLOSE, RETRY_AFTER_START, RequestRun},
     in_force::InForce,
+    progress::ProgressGuard,
 };
 
 /// Why a request has no route.
@@ -79,6 +80,7 @@
     /// Run of a request of which nothing was sent.
     pub(crate) fn new(
         req: CallerRequest,
+        progress: Arc<ProgressGuard>,
         admitted: Admitted,
         identity: RequestIdentity,
         permitted: Option<Fingerprint>,
@@ -94,6 +96,7 @@
             is_charged: false,
             taken: None,
             req,
+            progress,
             customer: access.customer().cloned(),
             forwards_credentials: access == Access::Unchecked,
             route,
--- a/crates/gateway/src/allotments.rs
+++ b/crates/gateway/src/allotments.rs
@@ -30,6 +30,7 @@
     errors::timed_out_waiting,
     exchange::RequestRun,
     places::Place,
+    progress::Stage,
 };
 
 /// Interval at which a request looks for an owner while no share has one. It reads the state of this
@@ -107,6 +108,7 @@
                 placed.map(|(place, taken)| (place, Some(taken)))
             }
             (customer, _) => {
+                run.progress.wait_for(Stage::Place);
                 let place = self.places.take(&run.pool, admission, run.deadline).await;
                 let place = match customer {
                     Some(_) => place.map_err(busy),
@@ -131,8 +133,10 @@
                 (None, taken) => taken,
             };
             let units = ReturnGuard::new(self, &run.req.id, taken);
+            run.progress.wait_for(Stage::Place);
             let placed = self.places.take(&run.pool, admission.clone(), run.deadline).await;
             let place = placed.map_err(busy)?;
+            run.progress.wait_for(Stage::Confirmation);
             if let Some(taken) = units.confirm().await {
                 return Ok((place, taken));
             }
@@ -157,6 +161,7 @@
         has_lost: bool,
     ) -> Result<(Option<Place>, Taken), RequestError> {
         let mut asked: Vec<GroupId> = Vec::new();
+        run.progress.wait_for(Stage::Allotment);
         loop {
             let now = Instant::now();
             if now >= run.deadline {
@@ -221,6 +226,7 @@
                 }
             };
             let (admission, deadline) = (admission.clone(), run.deadline);
+            run.progress.wait_for(Stage::Place);
             let placed =
                 self.places.take_charged(&run.pool, chosen, admission, charge.clone(), deadline);
             match placed.await {
@@ -236,6 +242,7 @@
                 }
                 Err(ChargeError::NoPlace(error)) => return Err(busy(error)),
             }
+            run.progress.wait_for(Stage::Allotment);
         }
     }
 
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -25,7 +25,7 @@
 use shallotdrum_rpc::{Peers, PlaceEnd};
 use shallotdrum_telemetry::{Metrics, event};
 use shallotdrum_types::{
-    ConfirmationFn, Fingerprint, PoolId, RequestError, RequestErrorKind, RequestId,
+    ConfirmationFn, Fingerprint, Outcome, PoolId, RequestError, RequestErrorKind, RequestId,
     RequestIdentity, Revision, SoftwareVersion, SubscriberId, TargetId,
 };
 use tokio::{
@@ -50,6 +50,7 @@
     need::fallback_label,
     origin_copies::OriginCopies,
     places::{Place, PlaceClient},
+    progress::{ProgressGuard, RequestEnd, RequestsInProgress, Stage},
     relay::Relay,
 };
 
@@ -114,6 +115,7 @@
     pub(crate) served: Mutex<ServedTimes>,
     pub(crate) next_reservation: AtomicU64,
     pub(crate) origin_copies: OriginCopies,
+    pub(crate) in_progress: RequestsInProgress,
     pub(crate) connections: ConnectionPool,
     /// Memory for bodies.
     pub(crate) memory: HeldMemory,
@@ -127,6 +129,8 @@
 /// State of a request across its attempts.
 pub(crate) struct RequestRun {
     pub(crate) req: CallerRequest,
+    /// Entry among the requests in progress.
+    pub(crate) progress: Arc<ProgressGuard>,
     /// Equal for repeats of the request with other ids.
     pub(crate) identity: RequestIdentity,
     /// What is quarantined about the request and permitted for its first send.
@@ -207,6 +211,7 @@
             served: Mutex::default(),
             next_reservation: AtomicU64::new(1),
             origin_copies: OriginCopies::default(),
+            in_progress: RequestsInProgress::default(),
             connections: connections.clone(),
             memory,
             budgets: Mutex::default(),
@@ -251,6 +256,25 @@
         self.is_closing.store(true, Ordering::Relaxed);
     }
 
+    /// Counts what becomes of requests from now on, for a planned stop.
+    pub fn begin_stop(&self) {
+        self.in_progress.begin_stop();
+    }
+
+    /// Logs the requests that end with the process, and what became of the others since `begin_stop`.
+    pub fn log_stop(&self) {
+        for request in self.in_progress.list() {
+            event!(self.cx.log, REQUEST_CUT; "request" => %request.id, "stage" => %request.stage,
+                "stage_ms" => request.since.elapsed().as_millis() as u64,
+                "ms" => request.arrived.elapsed().as_millis() as u64,
+                "left_ms" => request.left().as_millis() as u64, "was_sent" => request.was_sent);
+        }
+        let counts = self.in_progress.since_stop().unwrap_or_default();
+        event!(self.cx.log, STOP_COUNTED; "in_progress" => counts.in_progress,
+            "answered" => counts.answered, "refused" => counts.refused, "failed" => counts.failed,
+            "broken" => counts.broken, "cut" => self.in_progress.list().len());
+    }
+
     /// Records a request that the front end could not decode.
     pub fn record_malformed(&self, error: &dyn std::fmt::Display) {
         event!(self.cx.log, INPUT_REFUSED; "error" => %error);
@@ -268,7 +292,9 @@
         let label = self.metrics_label(&req);
         let prompt = req.generation.as_ref().map(Generation::part_ids);
         let in_flight = InFlightGuard::enter(self.cx.metrics.in_flight());
-        let result = self.clone().try_handle(req).await;
+        let progress = self.in_progress.enter(id.clone(), arrived, arrived + req.timeout);
+        let progress = Arc::new(progress);
+        let result = self.clone().try_handle(req, &progress).await;
         drop(in_flight);
         let took = arrived.elapsed();
         let ms = took.as_millis() as u64;
@@ -276,6 +302,7 @@
             Ok(GatewayResponse::Whole { status, end, .. }) => {
                 self.cx.metrics.subscriber(&label).total(took);
                 self.cx.metrics.finished("answered", "none");
+                progress.record_end(RequestEnd::Answered);
                 event!(self.cx.log, REQUEST_ANSWERED; "request" => %id, "status" => status.as_u16(),
                     "framing" => %end.framing, "evidence" => end.evidence(),
                     "checked_after_ms" => end.checked_after.as_millis() as u64, "ms" => ms);
@@ -287,6 +314,10 @@
             }
             Err(error) => {
                 self.cx.metrics.finished(&error.outcome.to_string(), error.kind.code());
+                progress.record_end(match error.outcome {
+                    Outcome::NotRun => RequestEnd::Refused,
+                    _ => RequestEnd::Failed,
+                });
                 event!(self.cx.log, REQUEST_ENDED; "request" => %id, "kind" => %error.kind,
                     "outcome" => %error.outcome, "detail" => &error.detail, "prompt" => prompt,
                     "ms" => ms);
@@ -306,6 +337,7 @@
     async fn try_handle(
         self: Arc<Self>,
         req: CallerRequest,
+        progress: &Arc<ProgressGuard>,
     ) -> Result<GatewayResponse, RequestError> {
         let in_force = self.in_force_for(&req).await;
         let found = self.find_route(&in_force, &req.host, req.target.path());
@@ -323,12 +355,14 @@
         let admitted = Admitted { access, route, pool, revision: in_force.revision() };
         drop(in_force);
         let identity = request_identity(&req);
+        progress.wait_for(Stage::StreamOrigin);
         let software = self.required_software(&req, &admitted.pool).await?;
         let permitted = self.cx.owner.admit_relayed(&identity)?;
         self.with_budget(&admitted.pool, |budget, now| {
             budget.count_request(now, &self.cx.retries);
         });
-        let run = RequestRun::new(req, admitted, identity, permitted, software);
+        let run = RequestRun::new(req, progress.clone(), admitted, identity, permitted, software);
+        progress.set_deadline(run.deadline);
         self.run(run).await
     }
 
@@ -360,6 +394,7 @@
         match decide_retry(run.route.repeat, run.route.max_targets, progress) {
             RetryDecision::GiveUp => false,
             RetryDecision::Resend { uses_budget } => {
+                run.progress.wait_for(Stage::Resend);
                 self.wait_for_crash_check(run).await;
                 if self.check_quarantine(&run.identity).is_err() {
                     return false;
@@ -426,6 +461,7 @@
         }
         let Received { place, running, connection, response, framing, witness } = received;
         let (parts, body) = response.into_parts();
+        run.progress.wait_for(Stage::Body);
         let body = self.memory.read(framing, body, &connection, witness.as_ref());
         let (body, end) = match timeout_at(run.deadline, body).await {
             Ok(Ok(read)) => read,
@@ -504,6 +540,7 @@
         let running = self.cx.owner.enter_relayed(granted, &run.req.id, run.identity.clone());
         let sent_at = Instant::now();
         run.sent_at = Some(sent_at);
+        run.progress.record_send();
         let request = run.request(&self.cx.codec, &dispatch);
         let sent = async {
             match run.avoid.contains(&target) {
@@ -649,7 +686,7 @@
         }
         if self.possible_runs > 0 {
             return Err(RequestError {
-                outcome: shallotdrum_types::Outcome::Unknown,
+                outcome: Outcome::Unknown,
                 kind: RequestErrorKind::TargetFailed,
                 retry_after: None,
                 ..error
@@ -700,6 +737,7 @@
     pub(crate) fn take_for_relay(&mut self) -> Self {
         Self {
             req: self.req.clone(),
+            progress: self.progress.clone(),
             identity: self.identity.clone(),
             permitted: self.permitted,
             software: self.software.clone(),
--- a/crates/gateway/src/explain.rs
+++ b/crates/gateway/src/explain.rs
@@ -30,6 +30,7 @@
     exchange::RequestRun,
     in_force::InForce,
     places::{ChosenGroup, choose_fallback},
+    progress::RequestsInProgress,
 };
 
 /// Timeout for the reply of an owner; an operator waits for it.
@@ -202,7 +203,9 @@
         let admitted =
             Admitted { access, route: route.clone(), pool, revision: in_force.revision() };
         let identity = Fingerprint::of(req.id.as_str().as_bytes()).into();
-        Ok(RequestRun::new(req, admitted, identity, None, None))
+        let deadline = req.arrived + req.timeout;
+        let progress = RequestsInProgress::default().enter(req.id.clone(), req.arrived, deadline);
+        Ok(RequestRun::new(req, Arc::new(progress), admitted, identity, None, None))
     }
 
     /// Goes through the steps of a charge with the owners' replies to a question. Marks the shares that
--- a/crates/gateway/src/grant.rs
+++ b/crates/gateway/src/grant.rs
@@ -18,6 +18,7 @@
     exchange::RequestRun,
     need::{Need, subscriber, version_name, weight},
     places::Place,
+    progress::Stage,
 };
 
 /// Place at a target, and what the request needs there.
@@ -49,6 +50,7 @@
             let (taken, units) = taken;
             run.is_charged = run.customer.is_some();
             run.taken = units.or(run.taken.take());
+            run.progress.wait_for(Stage::Witness);
             let witness = self.witness(run, &taken).await;
             // The grant and the witness take a while, and the newest version may arrive with them.
             if self.adapter_version(run) != version {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,7 +13,8 @@
 //! `limits` keeps the limits that targets name, `withheld` the targets that ask for no
 //! requests, `undelivered` the reports of ended places that no owner has yet, `origin` finds the version of a stream that a caller takes up, `origin_copies` keeps it known when instances end, and `decision` holds the
 //! retry rules. `customers` decides by the caller's key, which `credentials` reads, and `allotments` charges
-//! requests to the allotments of customers, and `charges` keeps what they were given until it is known whether they ran. `fingerprint` recognises repeats of a request, and `crash` those
+//! requests to the allotments of customers, and `charges` keeps what they were given until it is known whether they ran.
+//! `progress` knows what each request waits for. `fingerprint` recognises repeats of a request, and `crash` those
 //! that crash targets.
 //!
 //! Architecture Invariant: an at-most-once request is sent to a second target only if no byte of
@@ -46,6 +47,7 @@
 mod origin_copies;
 mod owner_calls;
 mod places;
+mod progress;
 mod relay;
 mod request;
 mod spread;
@@ -76,6 +78,9 @@
 pub use fingerprint::request_identity;
 pub use held::{HeldBytes, HeldMemory, NoMemory};
 pub use places::{to_feedback, to_finish};
+pub use progress::{
+    ProgressGuard, RequestEnd, RequestState, RequestsInProgress, Stage, StopCounts,
+};
 pub use request::{
     AskFn, CallerRequest, Dispatch, GatewayResponse, Generation, HeaderCodec, MalformedLoad,
     PromptPart, ReadFn, ResponseInfo, WriteFn,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -23,6 +23,7 @@
     errors::{target_failed, target_timed_out},
     exchange::{Received, RequestRun},
     places::Place,
+    progress::{RequestEnd, Stage},
     stream_log::{StreamLog, StreamOutcome},
 };
 
@@ -86,6 +87,7 @@
         head: Parts,
     ) -> Result<GatewayResponse, RequestError> {
         let mut order = EventOrder::new(run.resume_after.as_deref());
+        run.progress.wait_for(Stage::FirstEvent);
         let (first, refused) = match self.first_events(run, &mut order).await {
             Ok(first) => first,
             Err(Interruption::TimedOut | Interruption::CallerStalled) => {
@@ -177,6 +179,7 @@
         }
         let mut refused = refused;
         loop {
+            run.progress.wait_for(Stage::Stream);
             let end = match refused.take() {
                 Some(error) => StreamEnd::Interrupted(Interruption::Refused(error)),
                 None => self.forward_events(&run, &mut order, &sender).await,
@@ -188,11 +191,14 @@
                 StreamEnd::Complete(end) => {
                     self.complete(&run);
                     ended.end = Some(end);
-                    let deadline = run.deadline;
+                    let (deadline, progress) = (run.deadline, run.progress.clone());
                     // The body of the request counts as held.
                     drop(run);
                     ended.outcome = match sender.complete_and_wait(deadline).await {
-                        true => StreamOutcome::Complete,
+                        true => {
+                            progress.record_end(RequestEnd::Answered);
+                            StreamOutcome::Complete
+                        }
                         false => StreamOutcome::CallerLeft,
                     };
                     return;
--- a/crates/owner/src/places.rs
+++ b/crates/owner/src/places.rs
@@ -93,13 +93,27 @@
 }
 
 /// Removes a pending place when its request stops waiting.
-struct WaitGuard<'a>(&'a PlaceTable, PlaceKey);
+struct WaitGuard<'a> {
+    owner: &'a OwnerService,
+    key: PlaceKey,
+    request: RequestId,
+    group: &'a GroupId,
+    since: Instant,
+    /// Whether the request was granted a place or refused one.
+    is_decided: bool,
+}
 
 impl Drop for WaitGuard<'_> {
     fn drop(&mut self) {
-        let mut places = self.0.lock();
-        if places.get(&self.1).is_some_and(|place| place.lease.is_none()) {
-            places.remove(&self.1);
+        let mut places = self.owner.places.lock();
+        if places.get(&self.key).is_some_and(|place| place.lease.is_none()) {
+            places.remove(&self.key);
+        }
+        drop(places);
+        if !self.is_decided {
+            event!(self.owner.cx.log, PLACE_CANCELLED; "request" => %self.request,
+                "group" => %self.group, "session" => self.key.0.0,
+                "waited_ms" => self.since.elapsed().as_millis() as u64);
         }
     }
 }
@@ -121,8 +135,15 @@
         let expires_at = Instant::now() + admission.left + PLACE_GRACE;
         let place = Place { lease: None, cancelled: cancelled.clone(), expires_at };
         self.places.lock().insert(key, place);
-        let waiting = WaitGuard(&self.places, key);
         let request = admission.request.clone();
+        let mut waiting = WaitGuard {
+            owner: self,
+            key,
+            request: request.clone(),
+            group,
+            since: Instant::now(),
+            is_decided: false,
+        };
         let subscriber = admission.subscriber.clone();
         let admitted = tokio::select! {
             admitted = owned.scheduler.admit(place_admission(admission)) => admitted,
@@ -131,6 +152,7 @@
                 "the request for a place was cancelled or expired",
             )),
         };
+        waiting.is_decided = true;
         let lease = match admitted {
             Ok(lease) => lease,
             Err(error) => {
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -160,6 +160,7 @@
         PLACE_CHANNEL_ACCEPTED = "O0360", Info, "an entry opened a channel for places", "none";
         PLACE_CHANNEL_ENDED = "O0361", Info, "channel for places of an entry ended; its waiting requests were cancelled", "compare with the log of the entry if it repeats";
         PLACE_REFUSED = "O0316", Info, "place at a target refused; the request was not run", "compare the detail with the load of the group";
+        PLACE_CANCELLED = "O0363", Info, "request for a place cancelled while it waited; it was not run", "none; see its entry for why it waits no longer";
         ORDER_SENT = "O0339", Info, "order sent to an engine", "none";
         ORDER_RESENT = "O0340", Info, "order sent again: the engine has not responded, and may still carry out the previous one", "none, unless it repeats for one engine; then check the engine and the network to it";
         ORDER_ANSWERED = "O0317", Info, "engine responded to an order", "none";
@@ -218,6 +219,7 @@
         REFUSED_FOR_GOOD = "N0433", Info, "request refused for good by a confirmed state", "compare the revision with the newest one, and the confirmation with the log of the leader of its term";
         WAITED_FOR_START = "N0443", Info, "request waited while the instance started", "none; `is_ready` says whether the instance could decide on it then";
         KEY_REFUSED = "N0442", Info, "request refused: its caller has no key of a customer, or the key is not confirmed to be valid", "see \"a caller got 401\" in docs/OPERATIONS.md";
+        REQUEST_CUT = "N0470", Warning, "request ended with the process, without a complete response", "see what it waited for (stage); raise the stop timeout if it repeats";
         ROUTES_CHANGED = "N0413", Info, "route table in force", "none";
         INPUT_REFUSED = "N0414", Warning, "malformed message refused", "correct the sender";
         ENTRY_CLOSED = "N0410", Info, "entry listener closed, all requests finished", "none";
@@ -234,6 +236,7 @@
         SETTINGS_KEPT = "S0511", Error, "cannot use the changed settings file; keeping the previous settings", "correct the file";
         SETTINGS_RELOADED = "S0509", Info, "settings reloaded", "none";
         STOP_INCOMPLETE = "S0512", Warning, "stop timeout expired with requests in progress", "none for single requests; raise the stop timeout if it repeats";
+        STOP_COUNTED = "S0514", Info, "what became of requests since the planned stop began", "none, unless some were cut; then see the event of each";
         START_FAILED = "S0508", Critical, "instance cannot start", "correct the reported cause and start again";
         LOG_LINES_DROPPED = "S0513", Error, "log lines were dropped because the queue of the log was full", "raise the log level, or check what the log is written to";
     }
