Bound the waits of requests by a planned stop

Cause: each wait of a request (for a place, units of an allotment, another attempt) is bounded by its own deadline, and the stop, which ends with the grace period, is known to none.

Change: a stop says when it ends. From its begin, a request is sent only while its run can be expected to end before the process does, by a running average of the times of its kind (RFC 6298). One that still waits then is refused with 503 and returns to another instance with the time that is left (N0471); nothing was sent of it, so the refusal is true. What was sent and is unfinished at the end gets 502 or, as a stream, a visible end, before the process ends. A request whose deadline comes before the end of the stop is treated as before.

--- a/crates/gateway/src/admit.rs
+++ b/crates/gateway/src/admit.rs
@@ -12,9 +12,10 @@
 use crate::{
     CallerRequest, Gateway,
     customers::Access,
-    exchange::{RETRY_AFTER_CLOSE, RETRY_AFTER_START, RequestRun},
+    exchange::{RETRY_AFTER_START, RequestRun},
     in_force::InForce,
     progress::ProgressGuard,
+    stop::stopping,
 };
 
 /// Why a request has no route.
@@ -42,12 +43,10 @@
         host: &str,
         path: &str,
     ) -> Result<(&'a Arc<RouteIndex>, &'a Route), NoRoute> {
-        if self.is_closing.load(Ordering::Relaxed) {
-            let detail = "this instance is stopping; send the request to another one";
-            return Err(NoRoute::NotServing(
-                RequestError::not_run(RequestErrorKind::NotReady, detail)
-                    .retry_after(RETRY_AFTER_CLOSE),
-            ));
+        // A request may have waited for the start of an instance that stops meanwhile.
+        let is_unready = in_force.routes.is_none() && self.stop_times().is_some();
+        if is_unready || self.is_closing.load(Ordering::Relaxed) {
+            return Err(NoRoute::NotServing(stopping()));
         }
         let Some(routes) = &in_force.routes else {
             let detail = "no route table is in force yet; retry later";
--- a/crates/gateway/src/allotments.rs
+++ b/crates/gateway/src/allotments.rs
@@ -85,12 +85,13 @@
         self.served().expire(now);
     }
 
-    /// Records that a request with an allotment was served, and how long that took.
+    /// Records that a request was served, and how long that took.
     pub(crate) fn record_served(&self, run: &RequestRun) {
-        let has_allotment = run.customer.as_ref().is_some_and(|c| c.allotment.is_some());
-        if let Some(sent_at) = run.sent_at.filter(|_| has_allotment) {
-            let now = Instant::now();
-            self.served().record(&served_kind(run), now - sent_at, now.into_std());
+        let Some(sent_at) = run.sent_at else { return };
+        let (kind, now) = (served_kind(run), Instant::now());
+        self.run_times().record(&kind, now - sent_at, now.into_std());
+        if run.customer.as_ref().is_some_and(|c| c.allotment.is_some()) {
+            self.served().record(&kind, now - sent_at, now.into_std());
         }
     }
 
@@ -391,7 +392,7 @@
 }
 
 /// Kind of a request, by which the time that it takes is told.
-fn served_kind(run: &RequestRun) -> ServedKind {
+pub(crate) fn served_kind(run: &RequestRun) -> ServedKind {
     ServedKind::new(run.pool.clone(), run.req.generation.as_ref().map(|g| g.max_tokens))
 }
 
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -29,13 +29,14 @@
     RequestIdentity, Revision, SoftwareVersion, SubscriberId, TargetId,
 };
 use tokio::{
+    sync::watch,
     task::JoinHandle,
     time::{Instant, timeout_at},
 };
 
 use crate::{
     Access, CallerRequest, Dispatch, EntryCount, Framing, GatewayResponse, Generation, HeaderCodec,
-    HeldMemory, RetryAllowance, RetryBudget, RevocationBound,
+    HeldMemory, RetryAllowance, RetryBudget, RevocationBound, RunTimes, StopTimes,
     admit::{Admitted, NoRoute, choose_pool},
     body::{BodyError, discard},
     charges::Taken,
@@ -52,6 +53,7 @@
     places::{Place, PlaceClient},
     progress::{ProgressGuard, RequestEnd, RequestsInProgress, Stage},
     relay::Relay,
+    stop::stopped_unfinished,
 };
 
 /// `Retry-After` of an instance that has no route table yet. The election of a control leader and
@@ -116,6 +118,9 @@
     pub(crate) next_reservation: AtomicU64,
     pub(crate) origin_copies: OriginCopies,
     pub(crate) in_progress: RequestsInProgress,
+    pub(crate) run_times: Mutex<RunTimes>,
+    /// Planned stop that has begun.
+    pub(crate) stop: watch::Sender<Option<StopTimes>>,
     pub(crate) connections: ConnectionPool,
     /// Memory for bodies.
     pub(crate) memory: HeldMemory,
@@ -212,6 +217,8 @@
             next_reservation: AtomicU64::new(1),
             origin_copies: OriginCopies::default(),
             in_progress: RequestsInProgress::default(),
+            run_times: Mutex::default(),
+            stop: watch::Sender::new(None),
             connections: connections.clone(),
             memory,
             budgets: Mutex::default(),
@@ -226,6 +233,7 @@
                 gateway.count_entries();
                 gateway.places.expire();
                 gateway.expire_shard_hints();
+                gateway.run_times().expire(Instant::now().into_std());
                 drop(gateway);
                 tokio::time::sleep(EXPIRE_INTERVAL).await;
                 connections.expire();
@@ -256,25 +264,6 @@
         self.is_closing.store(true, Ordering::Relaxed);
     }
 
-    /// Counts what becomes of requests from now on, for a planned stop.
-    pub fn begin_stop(&self) {
-        self.in_progress.begin_stop();
-    }
-
-    /// Logs the requests that end with the process, and what became of the others since `begin_stop`.
-    pub fn log_stop(&self) {
-        for request in self.in_progress.list() {
-            event!(self.cx.log, REQUEST_CUT; "request" => %request.id, "stage" => %request.stage,
-                "stage_ms" => request.since.elapsed().as_millis() as u64,
-                "ms" => request.arrived.elapsed().as_millis() as u64,
-                "left_ms" => request.left().as_millis() as u64, "was_sent" => request.was_sent);
-        }
-        let counts = self.in_progress.since_stop().unwrap_or_default();
-        event!(self.cx.log, STOP_COUNTED; "in_progress" => counts.in_progress,
-            "answered" => counts.answered, "refused" => counts.refused, "failed" => counts.failed,
-            "broken" => counts.broken, "cut" => self.in_progress.list().len());
-    }
-
     /// Records a request that the front end could not decode.
     pub fn record_malformed(&self, error: &dyn std::fmt::Display) {
         event!(self.cx.log, INPUT_REFUSED; "error" => %error);
@@ -393,9 +382,14 @@
             RequestProgress { failure, possible_runs: run.possible_runs, sends: run.sends, left };
         match decide_retry(run.route.repeat, run.route.max_targets, progress) {
             RetryDecision::GiveUp => false,
+            RetryDecision::Resend { .. } if self.is_too_late(run) => false,
             RetryDecision::Resend { uses_budget } => {
                 run.progress.wait_for(Stage::Resend);
-                self.wait_for_crash_check(run).await;
+                let too_late = self.too_late(run);
+                let checked = self.wait_for_crash_check(run);
+                if self.unless_too_late(too_late, checked).await.is_none() {
+                    return false;
+                }
                 if self.check_quarantine(&run.identity).is_err() {
                     return false;
                 }
@@ -408,7 +402,8 @@
                     self.cx.metrics.retries().inc();
                     let delay = resend_delay(failure, &run.avoid);
                     if !delay.is_zero() {
-                        tokio::time::sleep(delay.min(left)).await;
+                        let pause = tokio::time::sleep(delay.min(left));
+                        return self.unless_too_late(self.too_late(run), pause).await.is_some();
                     }
                 } else {
                     event!(self.cx.log, ENTRY_RETRY_BUDGET_EMPTY; "request" => %run.req.id,
@@ -463,7 +458,13 @@
         let (parts, body) = response.into_parts();
         run.progress.wait_for(Stage::Body);
         let body = self.memory.read(framing, body, &connection, witness.as_ref());
-        let (body, end) = match timeout_at(run.deadline, body).await {
+        let read = tokio::select! {
+            read = timeout_at(run.deadline, body) => read,
+            () = self.stop_end() => {
+                return AttemptOutcome::Failed(SendFailure::Unknown, stopped_unfinished());
+            }
+        };
+        let (body, end) = match read {
             Ok(Ok(read)) => read,
             Ok(Err(error)) => {
                 if let BodyError::Unproven(end) = &error {
@@ -500,8 +501,13 @@
 
     /// Acquires a place, sends the request to its target and reads the head of the response.
     async fn dispatch(&self, run: &mut RequestRun) -> Result<Received, AttemptOutcome> {
+        let too_late = self.too_late(run);
+        let granted = self.unless_too_late(too_late, self.take_place(run)).await;
+        let Some(granted) = granted.filter(|_| !self.is_too_late(run)) else {
+            return Err(AttemptOutcome::NoPlace(self.refuse_for_stop(run)));
+        };
         let Granted { mut place, witness, need, version } =
-            self.take_place(run).await.map_err(AttemptOutcome::NoPlace)?;
+            granted.map_err(AttemptOutcome::NoPlace)?;
         // The target may have left meanwhile.
         if self.places.is_withheld(place.granted.addr) {
             run.avoid.push(place.granted.target.clone());
@@ -548,7 +554,15 @@
                 false => self.connections.send(granted.addr, request, &run.req.id).await,
             }
         };
-        let (mut connection, response) = match timeout_at(run.deadline, sent).await {
+        let sent = tokio::select! {
+            sent = timeout_at(run.deadline, sent) => sent,
+            () = self.stop_end() => {
+                place.end(PlaceEnd::Cancelled);
+                let error = stopped_unfinished();
+                return Err(AttemptOutcome::Failed(SendFailure::Unknown, error));
+            }
+        };
+        let (mut connection, response) = match sent {
             Ok(Ok(received)) => received,
             Ok(Err(error)) => {
                 run.avoid.push(target.clone());
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,7 +14,8 @@
 //! requests, `undelivered` the reports of ended places that no owner has yet, `origin` finds the version of a stream that a caller takes up, `origin_copies` keeps it known when instances end, and `decision` holds the
 //! retry rules. `customers` decides by the caller's key, which `credentials` reads, and `allotments` charges
 //! requests to the allotments of customers, and `charges` keeps what they were given until it is known whether they ran.
-//! `progress` knows what each request waits for. `fingerprint` recognises repeats of a request, and `crash` those
+//! `progress` knows what each request waits for, `stop` bounds that by the life of the process, and
+//! `run_times` says how long runs are expected to take. `fingerprint` recognises repeats of a request, and `crash` those
 //! that crash targets.
 //!
 //! Architecture Invariant: an at-most-once request is sent to a second target only if no byte of
@@ -50,8 +51,10 @@
 mod progress;
 mod relay;
 mod request;
+mod run_times;
 mod spread;
 mod startup;
+mod stop;
 mod stream_body;
 mod stream_log;
 mod undelivered;
@@ -85,5 +88,7 @@
     AskFn, CallerRequest, Dispatch, GatewayResponse, Generation, HeaderCodec, MalformedLoad,
     PromptPart, ReadFn, ResponseInfo, WriteFn,
 };
+pub use run_times::RunTimes;
 pub use spread::{SpreadKnowledge, group_weight};
+pub use stop::StopTimes;
 pub use stream_body::{CallerLeft, MAX_STREAM_BYTES, StreamBody, StreamBroken, StreamSender};
--- a/crates/gateway/src/progress.rs
+++ b/crates/gateway/src/progress.rs
@@ -169,6 +169,13 @@
         }
     }
 
+    /// What the request waits for, and since when.
+    pub fn stage(&self) -> (Stage, Instant) {
+        let state = self.requests.lock();
+        let request = state.requests.get(&self.key);
+        request.map_or((Stage::Start, Instant::now()), |request| (request.stage, request.since))
+    }
+
     /// Records what the request waits for from now on.
     pub fn wait_for(&self, stage: Stage) {
         self.change(|request| (request.stage, request.since) = (stage, Instant::now()));
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -24,6 +24,7 @@
     exchange::{Received, RequestRun},
     places::Place,
     progress::{RequestEnd, Stage},
+    stop::stopped_unfinished,
     stream_log::{StreamLog, StreamOutcome},
 };
 
@@ -58,6 +59,8 @@
     TimedOut,
     /// The caller did not read until the deadline.
     CallerStalled,
+    /// This instance ends.
+    Stopped,
 }
 
 impl Relay {
@@ -88,8 +91,14 @@
     ) -> Result<GatewayResponse, RequestError> {
         let mut order = EventOrder::new(run.resume_after.as_deref());
         run.progress.wait_for(Stage::FirstEvent);
-        let (first, refused) = match self.first_events(run, &mut order).await {
+        let stop_end = self.gateway.stop_end();
+        let first = tokio::select! {
+            first = self.first_events(run, &mut order) => first,
+            () = stop_end => Err(Interruption::Stopped),
+        };
+        let (first, refused) = match first {
             Ok(first) => first,
+            Err(Interruption::Stopped) => return Err(stopped_unfinished()),
             Err(Interruption::TimedOut | Interruption::CallerStalled) => {
                 return Err(target_timed_out());
             }
@@ -268,11 +277,15 @@
                 cause
             }
             Interruption::TimedOut => "the deadline passed".to_owned(),
+            // These say nothing about the target.
             Interruption::CallerStalled => {
-                // Says nothing about the target.
                 place.end(PlaceEnd::Cancelled);
                 return "the caller did not read until the deadline".to_owned();
             }
+            Interruption::Stopped => {
+                place.end(PlaceEnd::Cancelled);
+                return "this instance stopped".to_owned();
+            }
         };
         run.avoid.push(target);
         gateway.end_failed(place);
@@ -286,6 +299,7 @@
         order: &mut EventOrder,
         sender: &StreamSender,
     ) -> StreamEnd {
+        let stop_end = self.gateway.stop_end();
         let forwarded = async {
             while let Some(chunk) = self.next_chunk(run).await? {
                 let Some(events) = self.split(&chunk)? else { continue };
@@ -305,6 +319,7 @@
         tokio::select! {
             forwarded = forwarded => forwarded.unwrap_or_else(StreamEnd::Interrupted),
             () = sender.closed() => StreamEnd::CallerGone,
+            () = stop_end => StreamEnd::Interrupted(Interruption::Stopped),
         }
     }
 
--- a/crates/gateway/src/startup.rs
+++ b/crates/gateway/src/startup.rs
@@ -4,7 +4,7 @@
 //! instances, for about a second. A request that is refused meanwhile is told to return later than the
 //! start takes, and callers return once at most. It waits instead, for a bounded time.
 
-use std::{sync::atomic::Ordering, time::Duration};
+use std::time::Duration;
 
 use shallotdrum_telemetry::event;
 use tokio::time::{Instant, sleep};
@@ -29,7 +29,7 @@
         loop {
             let in_force = self.in_force();
             let (can_judge, is_over) = (self.can_judge(&in_force), Instant::now() >= until);
-            if can_judge || is_over || self.is_closing.load(Ordering::Relaxed) {
+            if can_judge || is_over || self.stop_times().is_some() {
                 event!(self.cx.log, WAITED_FOR_START; "request" => %req.id,
                     "waited_ms" => start.elapsed().as_millis() as u64, "is_ready" => can_judge,
                     "revision" => in_force.revision().0);
