Log the age of the evidence for a broken link

T0612 tells when the target was heard last. Whether that was before the check of the link began, and how long other instances were asked after its direct connection was given up, could not be read from it.

--- a/crates/links/src/links.rs
+++ b/crates/links/src/links.rs
@@ -104,6 +104,21 @@
     NoDetour,
 }
 
+/// What a verdict on a link rests on.
+struct Evidence {
+    /// When the first direct connection was begun.
+    begun_at: Instant,
+    /// When the direct connection was given up, and other instances were asked.
+    asked_at: Instant,
+}
+
+impl Evidence {
+    fn new() -> Self {
+        let now = Instant::now();
+        Self { begun_at: now, asked_at: now }
+    }
+}
+
 /// Decides whether a target is sent no requests at the moment.
 type WithheldFn = Box<dyn Fn(SocketAddr) -> bool + Send + Sync>;
 
@@ -254,17 +269,19 @@
         if link.status() != LinkStatus::Open {
             return self.detour(&link, request).await.ok_or(ConnectError::NoDetour);
         }
-        let deadline = Instant::now() + CONNECT_TIMEOUT;
+        let mut evidence = Evidence::new();
+        let deadline = evidence.begun_at + CONNECT_TIMEOUT;
         let mut direct = std::pin::pin!(self.connect_direct(target));
         match timeout(CHECK_TIMEOUT, direct.as_mut()).await {
             Ok(Ok(stream)) => {
                 return Ok(LinkStream::direct(stream));
             }
             Ok(Err(error)) => {
+                evidence.asked_at = Instant::now();
                 let Some(stream) = self.detour(&link, request).await else {
                     return Err(error.into());
                 };
-                self.mark_broken(&link, LinkStatus::Refusing);
+                self.mark_broken(&link, LinkStatus::Refusing, &evidence);
                 return Ok(stream);
             }
             Err(_) => {}
@@ -389,28 +406,32 @@
         {
             return;
         }
+        let mut evidence = Evidence::new();
         let broken = match timeout(CHECK_TIMEOUT, self.connect_direct(target)).await {
             Ok(Ok(_)) => None,
             Ok(Err(_)) => Some(LinkStatus::Refusing),
             Err(_) => Some(LinkStatus::Silent),
         };
+        evidence.asked_at = Instant::now();
         if let Some(status) = broken
             && self.detour(&link, "check").await.is_some()
         {
-            self.mark_broken(&link, status);
+            self.mark_broken(&link, status, &evidence);
         }
         *last_check = Some(Instant::now());
     }
 
     /// Records that a link is broken, starts trials of it, and checks the other links in use.
-    fn mark_broken(&self, link: &Arc<Link>, status: LinkStatus) {
+    fn mark_broken(&self, link: &Arc<Link>, status: LinkStatus, evidence: &Evidence) {
         if !link.set(status) {
             return;
         }
         link.is_confirmed.store(false, Ordering::Relaxed);
         if let Some(log) = self.log() {
             event!(log, LINK_BROKEN; "addr" => %link.target, "status" => ?status,
-                "heard_ms_ago" => link.silent_for().as_millis() as u64);
+                "heard_ms_ago" => link.silent_for().as_millis() as u64,
+                "begun_ms_ago" => evidence.begun_at.elapsed().as_millis() as u64,
+                "asked_ms_ago" => evidence.asked_at.elapsed().as_millis() as u64);
         }
         let others: Vec<_> = {
             let links = self.lock();
