Take no link for broken on which something arrives meanwhile

Callers saw streams and calls end in the middle, all at once, though the target and the link to it were sound: T0612 with status Silent and bytes that had arrived 19 ms before.

The check of a link tried one direct connection for 250 ms, dropped it, and then asked other instances for up to 600 ms. When one of them opened a connection, the link was silent, whatever had arrived since the check began. A first packet that is lost, or that finds the target's backlog full, is repeated after a second only, so a target that accepts slowly was enough.

The verdict now asks the evidence when it falls. Direct connections are begun every 125 ms and go on being tried while others are asked; a last one is begun once another instance has opened one. One that opens, or any byte of the target on a direct connection since the check began, contradicts the verdict (T0625). Before a time-out counts, connections read what has arrived, so a process that did not run does not take its own pause for silence. Others are asked after 200 ms in place of 250, so that a silent link is found as fast.

Bytes are recorded where they are read. Callers did so before, also for bytes that another instance had forwarded (client.rs, completion.rs), which say nothing of the link. A link with open connections is not forgotten, as they would record at a link that nobody asks.

--- a/crates/engine/src/client.rs
+++ b/crates/engine/src/client.rs
@@ -298,7 +298,6 @@
             return Err(CallError::Lost { addr, reason });
         }
     };
-    links.record_heard(addr);
     Ok(res)
 }
 
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -305,9 +305,6 @@
     /// Records that a part of the response arrived.
     pub(crate) fn record_heard(&self) {
         self.open.meter.record_progress();
-        if self.open.is_direct {
-            self.pool.links.record_heard(self.addr);
-        }
     }
 
     /// Resolves when the link of the connection is lost.
@@ -412,9 +409,6 @@
     match sent {
         Ok(response) => {
             open.meter.record_progress();
-            if open.is_direct {
-                links.record_heard(addr);
-            }
             match is_final(response.status()) {
                 true => Ok(response),
                 // Nothing in it counts, neither a signature nor that the request did not run.
--- a/crates/links/src/link.rs
+++ b/crates/links/src/link.rs
@@ -40,6 +40,8 @@
     /// Times in milliseconds after `created_at`.
     heard_at: AtomicU64,
     used_at: AtomicU64,
+    /// Number of times that bytes of the target, or its acceptance of a connection, arrived directly.
+    arrivals: AtomicU64,
     /// Until when no other instance is asked, as none reached the target.
     unreachable_until: AtomicU64,
     /// Connections that tell whether the target runs on.
@@ -56,6 +58,7 @@
             created_at: Instant::now(),
             heard_at: AtomicU64::new(0),
             used_at: AtomicU64::new(0),
+            arrivals: AtomicU64::new(0),
             unreachable_until: AtomicU64::new(0),
             witness: Mutex::default(),
         }
@@ -87,9 +90,20 @@
         }
     }
 
-    /// Records that bytes of the target arrived.
+    /// Records that bytes of the target arrived on a direct connection.
     pub(crate) fn record_heard(&self) {
         self.heard_at.store(self.now_ms(), Ordering::Relaxed);
+        self.arrivals.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Records that the target accepted a direct connection.
+    pub(crate) fn record_opened(&self) {
+        self.arrivals.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Increases whenever anything of the target arrives directly.
+    pub(crate) fn arrivals(&self) -> u64 {
+        self.arrivals.load(Ordering::Relaxed)
     }
 
     /// Time since bytes of the target arrived last.
--- a/crates/links/src/links.rs
+++ b/crates/links/src/links.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::{BTreeMap, HashMap},
-    io,
+    io, iter,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, atomic::Ordering},
     time::Duration,
@@ -14,6 +14,7 @@
 use shallotdrum_types::{InstanceId, PoolId};
 use tokio::{
     net::TcpStream,
+    task::JoinSet,
     time::{Instant, sleep, timeout, timeout_at},
 };
 
@@ -33,6 +34,22 @@
 /// instance is asked for one: many round trips, and under half of the time of the shortest calls.
 pub(crate) const CHECK_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Time of a check after which other instances are asked; direct connections go on being tried.
+const ASK_AFTER: Duration = Duration::from_millis(200);
+
+/// Interval at which a check begins direct connections: the operating system repeats the first packet of
+/// one, if it is lost or the target accepts none at the moment, only after a second.
+const ATTEMPT_INTERVAL: Duration = Duration::from_millis(125);
+
+/// Time for a last direct connection, once another instance has opened one; with `ASK_AFTER` it makes up
+/// `CHECK_TIMEOUT`.
+const LAST_ATTEMPT: Duration = Duration::from_millis(50);
+
+/// Turns of the runtime, the shortest that its timer has, in which connections read what has arrived and
+/// hand it on to those that wait for it.
+const READ_TURN: Duration = Duration::from_millis(1);
+const READ_TURNS: usize = 3;
+
 /// Time without a byte from a target, while a request waits, after which its link is checked.
 const SILENCE: Duration = Duration::from_millis(350);
 
@@ -108,15 +125,34 @@
 struct Evidence {
     /// When the first direct connection was begun.
     begun_at: Instant,
-    /// When the direct connection was given up, and other instances were asked.
+    /// When other instances were asked.
     asked_at: Instant,
+    /// `Link::arrivals` at `begun_at`.
+    arrivals: u64,
 }
 
 impl Evidence {
-    fn new() -> Self {
+    fn new(link: &Link) -> Self {
         let now = Instant::now();
-        Self { begun_at: now, asked_at: now }
+        Self { begun_at: now, asked_at: now, arrivals: link.arrivals() }
+    }
+
+    /// Whether something of the target has arrived since.
+    fn is_contradicted(&self, link: &Link) -> bool {
+        link.arrivals() != self.arrivals
+    }
+}
+
+/// Waits for an operation whose time-out is held against a target. If this process did not run for some
+/// time, what has arrived meanwhile is read before the time-out counts.
+async fn timeout_read<F: Future>(limit: Duration, operation: F) -> Option<F::Output> {
+    let mut operation = std::pin::pin!(operation);
+    for limit in iter::once(limit).chain(iter::repeat_n(READ_TURN, READ_TURNS)) {
+        if let Ok(output) = timeout(limit, operation.as_mut()).await {
+            return Some(output);
+        }
     }
+    None
 }
 
 /// Decides whether a target is sent no requests at the moment.
@@ -237,17 +273,13 @@
         2 * broken > in_use.count()
     }
 
-    /// Forgets links that were not used for long.
+    /// Forgets links that were not used for long, and have no open connection.
     pub fn expire(&self) {
-        self.lock()
-            .retain(|_, link| link.unused_for() < LINK_MEMORY || link.status() != LinkStatus::Open);
-    }
-
-    /// Records that bytes of a target arrived on a direct connection.
-    pub fn record_heard(&self, target: SocketAddr) {
-        if let Some(link) = self.lock().get(&target) {
-            link.record_heard();
-        }
+        self.lock().retain(|_, link| {
+            link.unused_for() < LINK_MEMORY
+                || link.status() != LinkStatus::Open
+                || Arc::strong_count(link) > 1
+        });
     }
 
     /// Opens a direct connection to a target.
@@ -255,6 +287,9 @@
         let addr = self.0.forwarded.get(&target).copied().unwrap_or(target);
         let stream = TcpStream::connect(addr).await?;
         stream.set_nodelay(true)?;
+        if let Some(link) = self.lock().get(&target) {
+            link.record_opened();
+        }
         Ok(stream)
     }
 
@@ -269,12 +304,12 @@
         if link.status() != LinkStatus::Open {
             return self.detour(&link, request).await.ok_or(ConnectError::NoDetour);
         }
-        let mut evidence = Evidence::new();
+        let mut evidence = Evidence::new(&link);
         let deadline = evidence.begun_at + CONNECT_TIMEOUT;
         let mut direct = std::pin::pin!(self.connect_direct(target));
         match timeout(CHECK_TIMEOUT, direct.as_mut()).await {
             Ok(Ok(stream)) => {
-                return Ok(LinkStream::direct(stream));
+                return Ok(LinkStream::direct(stream, Some(link)));
             }
             Ok(Err(error)) => {
                 evidence.asked_at = Instant::now();
@@ -290,14 +325,14 @@
         let stream = tokio::select! {
             connected = timeout_at(deadline, direct.as_mut()) => {
                 let connected = connected.map_err(|_| ConnectError::TimedOut)??;
-                return Ok(LinkStream::direct(connected));
+                return Ok(LinkStream::direct(connected, Some(link.clone())));
             }
             stream = detour.as_mut() => stream,
         };
         let Some(stream) = stream else {
             let connected = timeout_at(deadline, direct).await;
             let connected = connected.map_err(|_| ConnectError::TimedOut)??;
-            return Ok(LinkStream::direct(connected));
+            return Ok(LinkStream::direct(connected, Some(link.clone())));
         };
         // A single packet may have been lost.
         self.suspect(target);
@@ -311,7 +346,8 @@
     ) -> Result<LinkStream, ConnectError> {
         let connected = timeout(CONNECT_TIMEOUT, self.connect_direct(target)).await;
         let stream = connected.map_err(|_| ConnectError::TimedOut)??;
-        Ok(LinkStream::direct(stream))
+        let link = self.lock().get(&target).cloned();
+        Ok(LinkStream::direct(stream, link))
     }
 
     /// Asks other instances for a connection; `None` if there is none that reaches the target.
@@ -406,21 +442,73 @@
         {
             return;
         }
-        let mut evidence = Evidence::new();
-        let broken = match timeout(CHECK_TIMEOUT, self.connect_direct(target)).await {
-            Ok(Ok(_)) => None,
-            Ok(Err(_)) => Some(LinkStatus::Refusing),
-            Err(_) => Some(LinkStatus::Silent),
-        };
-        evidence.asked_at = Instant::now();
-        if let Some(status) = broken
-            && self.detour(&link, "check").await.is_some()
-        {
+        let mut evidence = Evidence::new(&link);
+        if let Some(status) = self.try_link(&link, &mut evidence).await {
             self.mark_broken(&link, status, &evidence);
         }
         *last_check = Some(Instant::now());
     }
 
+    /// Tries a link, and asks other instances; returns its status if it is broken.
+    async fn try_link(&self, link: &Link, evidence: &mut Evidence) -> Option<LinkStatus> {
+        let mut direct = std::pin::pin!(self.try_directly(link.target));
+        let tried = timeout_read(ASK_AFTER, direct.as_mut()).await;
+        evidence.asked_at = Instant::now();
+        let mut is_refused = match tried {
+            Some(Ok(())) => return None,
+            Some(Err(_)) => true,
+            None if evidence.is_contradicted(link) => return self.log_sound(link, evidence),
+            None => false,
+        };
+        let mut detour = std::pin::pin!(self.detour(link, "check"));
+        let mut is_reached = false;
+        if !is_refused {
+            tokio::select! {
+                tried = direct.as_mut() => match tried {
+                    Ok(()) => return self.log_sound(link, evidence),
+                    Err(_) => is_refused = true,
+                },
+                opened = detour.as_mut() => {
+                    opened?;
+                    is_reached = true;
+                }
+            }
+        }
+        if !is_reached {
+            detour.as_mut().await?;
+        }
+        if is_refused {
+            return Some(LinkStatus::Refusing);
+        }
+        match timeout_read(LAST_ATTEMPT, self.try_directly(link.target)).await {
+            Some(Err(_)) => Some(LinkStatus::Refusing),
+            _ if evidence.is_contradicted(link) => self.log_sound(link, evidence),
+            _ => Some(LinkStatus::Silent),
+        }
+    }
+
+    /// Begins direct connections at intervals until one opens or is refused.
+    async fn try_directly(&self, target: SocketAddr) -> io::Result<()> {
+        let mut attempts = JoinSet::new();
+        loop {
+            let links = self.clone();
+            attempts.spawn(async move { links.connect_direct(target).await });
+            if let Ok(Some(ended)) = timeout(ATTEMPT_INTERVAL, attempts.join_next()).await {
+                return ended.map_err(io::Error::other)?.map(drop);
+            }
+        }
+    }
+
+    /// Logs that a link is not taken for broken.
+    fn log_sound<T>(&self, link: &Link, evidence: &Evidence) -> Option<T> {
+        let log = self.log()?;
+        event!(log, LINK_SOUND; "addr" => %link.target,
+            "heard_ms_ago" => link.silent_for().as_millis() as u64,
+            "begun_ms_ago" => evidence.begun_at.elapsed().as_millis() as u64,
+            "asked_ms_ago" => evidence.asked_at.elapsed().as_millis() as u64);
+        None
+    }
+
     /// Records that a link is broken, starts trials of it, and checks the other links in use.
     fn mark_broken(&self, link: &Arc<Link>, status: LinkStatus, evidence: &Evidence) {
         if !link.set(status) {
--- a/crates/links/src/meter.rs
+++ b/crates/links/src/meter.rs
@@ -3,6 +3,7 @@
 //! The HTTP client reads and drops interim responses, and any number of zeros before the size of a
 //! chunk. Whoever waits for the response sees nothing of them, but they take the processor. So the
 //! connection counts the bytes, and gives other tasks their turn while more arrive than it can read.
+//! Any byte on a direct connection shows that its link works.
 
 use std::{
     io,
@@ -16,6 +17,8 @@
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
+use crate::link::Link;
+
 /// Maximum bytes before the head of a response, with the head itself: far more than some interim
 /// responses and a large head take.
 const MAX_BEFORE_HEAD: usize = 128 * 1024;
@@ -84,13 +87,15 @@
 pub(crate) struct Metered<T> {
     io: T,
     meter: ReadMeter,
+    /// Link that the bytes arrive on; `None` if another instance forwards them.
+    link: Option<Arc<Link>>,
     /// Bytes read since other tasks had their turn.
     in_turn: usize,
 }
 
 impl<T> Metered<T> {
-    pub(crate) fn new(io: T, meter: ReadMeter) -> Self {
-        Self { io, meter, in_turn: 0 }
+    pub(crate) fn new(io: T, meter: ReadMeter, link: Option<Arc<Link>>) -> Self {
+        Self { io, meter, link, in_turn: 0 }
     }
 }
 
@@ -118,6 +123,9 @@
         let bytes = buf.filled().len() - before;
         self.in_turn += bytes;
         self.meter.add(bytes);
+        if let Some(link) = self.link.as_ref().filter(|_| bytes > 0) {
+            link.record_heard();
+        }
         Poll::Ready(read)
     }
 }
--- a/crates/links/src/stream.rs
+++ b/crates/links/src/stream.rs
@@ -3,6 +3,7 @@
 use std::{
     io,
     pin::Pin,
+    sync::Arc,
     task::{Context, Poll},
 };
 
@@ -14,7 +15,7 @@
 use shallotdrum_types::InstanceId;
 use tokio::io::{AsyncRead, AsyncWrite};
 
-use crate::{ReadMeter, meter::Metered};
+use crate::{ReadMeter, link::Link, meter::Metered};
 
 /// Bytes in both directions.
 trait Io: Read + Write + Send + Unpin {}
@@ -31,8 +32,11 @@
 
 impl LinkStream {
     /// Connection that this instance opened.
-    pub(crate) fn direct(io: impl AsyncRead + AsyncWrite + Send + Unpin + 'static) -> Self {
-        Self::new(io, None)
+    pub(crate) fn direct(
+        io: impl AsyncRead + AsyncWrite + Send + Unpin + 'static,
+        link: Option<Arc<Link>>,
+    ) -> Self {
+        Self::new(io, None, link)
     }
 
     /// Connection that another instance opened.
@@ -40,15 +44,16 @@
         io: impl AsyncRead + AsyncWrite + Send + Unpin + 'static,
         instance: InstanceId,
     ) -> Self {
-        Self::new(io, Some(instance))
+        Self::new(io, Some(instance), None)
     }
 
     fn new(
         io: impl AsyncRead + AsyncWrite + Send + Unpin + 'static,
         through: Option<InstanceId>,
+        link: Option<Arc<Link>>,
     ) -> Self {
         let meter = ReadMeter::default();
-        let io = TokioIo::new(Metered::new(io, meter.clone()));
+        let io = TokioIo::new(Metered::new(io, meter.clone(), link));
         Self { io: Box::new(io), through, meter }
     }
 
--- a/crates/owner/src/completion.rs
+++ b/crates/owner/src/completion.rs
@@ -189,7 +189,6 @@
             };
             match event {
                 Ok(Some(Ok(EngineEvent::Chunk(chunk)))) => {
-                    self.cx.links.record_heard(lease.addr);
                     run.record_chunk(&chunk);
                     run.software.clone_from(&lease.software);
                     lease.tokens(chunk.tokens);
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -256,6 +256,7 @@
         TARGET_REFUSED = "T0605", Warning, "target announcement refused", "correct the target's announcement or the manifest's pools";
         TARGET_EJECTED = "T0608", Warning, "target ejected as an outlier after repeated failures", "check the target's machine and its own log";
         LINK_BROKEN = "T0612", Warning, "link to a target is broken, though another instance reaches the target; requests take a detour", "check the network between the instance and the target";
+        LINK_SOUND = "T0625", Info, "no connection to a target opened in time, but something of it arrived meanwhile; its link is not taken for broken", "none, unless it persists; then see why the target accepts connections late";
         LINK_RESTORED = "T0613", Info, "link to a target works again", "none";
         LINK_DETOUR = "T0614", Info, "another instance opened a connection to a target", "none, unless it persists; then see why the link is broken";
         LINK_DETOUR_REFUSED = "T0615", Info, "another instance opened no connection to a target", "compare with the log of the other instance";
