Take no link for refusing whose target listens again

A target that restarts refuses connections for an instant.

The refusal is now confirmed by another direct connection after the other instance has opened one, in the check of a link and when a request connects, which then uses that connection.

--- a/crates/links/src/links.rs
+++ b/crates/links/src/links.rs
@@ -316,7 +316,12 @@
                 let Some(stream) = self.detour(&link, request).await else {
                     return Err(error.into());
                 };
-                self.mark_broken(&link, LinkStatus::Refusing, &evidence);
+                // A target that restarts refuses connections for an instant.
+                match timeout_read(LAST_ATTEMPT, self.connect_direct(target)).await {
+                    Some(Ok(direct)) => return Ok(LinkStream::direct(direct, Some(link))),
+                    Some(Err(_)) => self.mark_broken(&link, LinkStatus::Refusing, &evidence),
+                    None => self.suspect(target),
+                }
                 return Ok(stream);
             }
             Err(_) => {}
@@ -477,13 +482,12 @@
         if !is_reached {
             detour.as_mut().await?;
         }
-        if is_refused {
-            return Some(LinkStatus::Refusing);
-        }
         match timeout_read(LAST_ATTEMPT, self.try_directly(link.target)).await {
+            Some(Ok(())) => self.log_sound(link, evidence),
             Some(Err(_)) => Some(LinkStatus::Refusing),
-            _ if evidence.is_contradicted(link) => self.log_sound(link, evidence),
-            _ => Some(LinkStatus::Silent),
+            None if is_refused => Some(LinkStatus::Refusing),
+            None if evidence.is_contradicted(link) => self.log_sound(link, evidence),
+            None => Some(LinkStatus::Silent),
         }
     }
 
--- a/crates/links/tests/verdicts.rs
+++ b/crates/links/tests/verdicts.rs
@@ -256,6 +256,24 @@
     assert!(!links.is_link_failure(remote.target).await);
 }
 
+/// Guards against a link that is taken for refusing though the target restarts meanwhile.
+#[rstest]
+#[case::check(false)]
+#[case::connect(true)]
+#[tokio::test]
+async fn target_listens_again(#[case] connects: bool) {
+    let (remote, links) = Remote::start(Duration::from_millis(200));
+    remote.read_directly(&links).await;
+    remote.refuse().await;
+    remote.after(Duration::from_millis(100), Remote::accept);
+    if connects {
+        assert!(links.connect(remote.target, "request-2").await.is_ok());
+    } else {
+        assert!(!links.is_link_failure(remote.target).await);
+    }
+    assert_eq!(links.status(remote.target), LinkStatus::Open);
+}
+
 /// Guards against a silent link that is not found, or later, also where another instance brings bytes.
 #[rstest]
 #[case::nothing_arrives(false)]
