Count no time in which this process stands still against other instances

An instance that did not run for a while after it had asked others for a connection found on its return that all had timed out, and concluded that none reaches the target. With a link that is reset this was evidence of a crash (is_refused), for which requests are quarantined, and for half a second nobody was asked again.

A pause now uses up half of the time for one other instance at most, and only that time counts against the limit for all of them.

is_refused_process_stands_still failed on the code before.

--- a/crates/links/src/links.rs
+++ b/crates/links/src/links.rs
@@ -155,6 +155,18 @@
     None
 }
 
+/// Waits for an operation that takes several steps, each with an answer of another process. A time in
+/// which this process does not run uses up half of the limit at most.
+async fn timeout_running<F: Future>(limit: Duration, operation: F) -> Option<F::Output> {
+    let mut operation = std::pin::pin!(operation);
+    for _ in 0..2 {
+        if let Ok(output) = timeout(limit / 2, operation.as_mut()).await {
+            return Some(output);
+        }
+    }
+    None
+}
+
 /// Decides whether a target is sent no requests at the moment.
 type WithheldFn = Box<dyn Fn(SocketAddr) -> bool + Send + Sync>;
 
@@ -361,20 +373,23 @@
         if link.is_unreachable() {
             return None;
         }
-        let deadline = Instant::now() + PEERS_TIMEOUT;
+        let mut left = PEERS_TIMEOUT;
         let mut refusals = 0;
         for peer in self.ranked_peers(cx) {
-            let limit = deadline.min(Instant::now() + PEER_TIMEOUT);
-            let opened = timeout_at(limit, open_tunnel(peer.data, link.target, request)).await;
+            let limit = left.min(PEER_TIMEOUT);
+            let asked_at = Instant::now();
+            let asked = open_tunnel(peer.data, link.target, request);
+            let opened = timeout_running(limit, asked).await;
+            left -= asked_at.elapsed().min(limit);
             let error = match opened {
-                Ok(Ok(stream)) => {
+                Some(Ok(stream)) => {
                     event!(cx.log, LINK_DETOUR; "request" => request, "addr" => %link.target,
                         "through" => %peer.instance);
                     let stream = TokioIo::new(stream);
                     return Some(LinkStream::through_instance(stream, peer.instance));
                 }
-                Ok(Err(error)) => error,
-                Err(_) => TunnelError::NoPeer("timed out".to_owned()),
+                Some(Err(error)) => error,
+                None => TunnelError::NoPeer("timed out".to_owned()),
             };
             event!(cx.log, LINK_DETOUR_REFUSED; "request" => request, "addr" => %link.target,
                 "through" => %peer.instance, "error" => %error);
@@ -382,7 +397,7 @@
                 TunnelError::Refused => refusals += 1,
                 _ => drop(self.failed_peers().insert(peer.data, Instant::now())),
             }
-            if refusals >= CONVINCING_REFUSALS || Instant::now() >= deadline {
+            if refusals >= CONVINCING_REFUSALS || left.is_zero() {
                 break;
             }
         }
--- a/crates/links/tests/verdicts.rs
+++ b/crates/links/tests/verdicts.rs
@@ -214,6 +214,14 @@
     });
 }
 
+/// Lets nothing else run on this thread for some time, as in a process that is stopped.
+fn stand_still(from_ms: u64, for_ms: u64) {
+    tokio::spawn(async move {
+        sleep(Duration::from_millis(from_ms)).await;
+        std::thread::sleep(Duration::from_millis(for_ms));
+    });
+}
+
 /// Guards against a link that is taken for silent though bytes arrive on it during the check.
 #[rstest]
 #[case::while_check_waits(100)]
@@ -248,11 +256,7 @@
     remote.read_directly(&links).await;
     remote.stop_accepting().await;
     remote.after(Duration::from_millis(from_ms + for_ms / 2), Remote::send);
-    tokio::spawn(async move {
-        sleep(Duration::from_millis(from_ms)).await;
-        // Nothing else runs on this thread, as in a process that is stopped.
-        std::thread::sleep(Duration::from_millis(for_ms));
-    });
+    stand_still(from_ms, for_ms);
     assert!(!links.is_link_failure(remote.target).await);
 }
 
@@ -304,3 +308,13 @@
     assert!(links.is_link_failure(remote.target).await);
     assert_eq!(links.status(remote.target), LinkStatus::Refusing);
 }
+
+/// Guards against a broken link that is taken for a crash by a process that did not run while it asked
+/// another instance.
+#[tokio::test]
+async fn is_refused_process_stands_still() {
+    let (remote, links) = Remote::start(Duration::from_millis(100));
+    remote.refuse().await;
+    stand_still(50, 900);
+    assert!(!links.is_refused(remote.target, Duration::from_secs(1)).await);
+}
