Test that no wait for a place is lost when owners stop

Owners are stopped in turn, together with all successors but one, frozen in the stop, and killed in it at 0, 4 and 40 ms, by the channel for places and by JSON-RPC. Each request waits at an instance that does not stop. Places charged to an allotment are not covered.

--- a/crates/daemon/tests/guarantees/place_channel.rs
+++ b/crates/daemon/tests/guarantees/place_channel.rs
@@ -5,7 +5,7 @@
 //! all of its connections at once. Instance 0 is the control replica; 1 and 2 own a pool each.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     sync::{Arc, Mutex},
     time::Duration,
@@ -37,6 +37,9 @@
 
 use crate::setup::START_LIMIT;
 
+/// Number of threads of an instance.
+const WORKERS: usize = 2;
+
 const POOLS: [&str; 2] = ["left", "right"];
 
 /// Interval of the targets' announcements; several fit into their timeout.
@@ -45,6 +48,14 @@
 /// Time that a call of `/POOL/slow/` takes at the target.
 const SLOW: Duration = Duration::from_millis(400);
 
+/// Times after the begin of a stop at which owners are frozen or killed: before, while and after their
+/// groups are released.
+const MID_STOP: [Duration; 3] =
+    [Duration::ZERO, Duration::from_millis(4), Duration::from_millis(40)];
+
+/// Time for which an instance is frozen; longer than the lease of its session.
+const FROZEN: Duration = Duration::from_secs(5);
+
 /// Deadline of the requests; a killed owner is replaced within a fraction of it.
 const TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -54,7 +65,7 @@
 struct Node {
     runtime: Option<Runtime>,
     /// Its background tasks end when it is dropped.
-    _instance: Instance,
+    instance: Option<Instance>,
     gateway: Arc<Gateway>,
     plane: ControlPlane,
     metrics: Metrics,
@@ -68,7 +79,8 @@
 
 impl Node {
     async fn start(settings: Settings) -> Self {
-        let runtime = Builder::new_multi_thread().worker_threads(2).enable_all().build().unwrap();
+        let runtime =
+            Builder::new_multi_thread().worker_threads(WORKERS).enable_all().build().unwrap();
         let started = runtime.spawn(async move {
             let log = slog::Logger::root(slog::Discard, slog::o!());
             let listeners = Listeners::open(&settings).await.unwrap();
@@ -81,7 +93,7 @@
         });
         let (instance, gateway) = started.await.unwrap();
         let (plane, metrics) = (instance.control_plane(), instance.metrics());
-        Self { runtime: Some(runtime), _instance: instance, gateway, plane, metrics }
+        Self { runtime: Some(runtime), instance: Some(instance), gateway, plane, metrics }
     }
 
     /// Ends all tasks and connections of the instance, as SIGKILL does.
@@ -91,6 +103,19 @@
         }
     }
 
+    /// Begins a planned stop.
+    fn begin_stop(&mut self) -> JoinHandle<()> {
+        let instance = self.instance.take().unwrap();
+        self.runtime.as_ref().unwrap().spawn(instance.stop())
+    }
+
+    /// Keeps all threads of the instance from running anything else for a while.
+    fn freeze(&self, time: Duration) {
+        for _ in 0..WORKERS {
+            self.runtime.as_ref().unwrap().spawn(async move { std::thread::sleep(time) });
+        }
+    }
+
     /// Sends a call and returns the status of its response.
     fn send(&self, path: &str) -> JoinHandle<Result<u16, RequestError>> {
         let request = CallerRequest {
@@ -194,6 +219,7 @@
     /// Instance that owns each pool.
     owners: BTreeMap<&'static str, usize>,
     runs: BTreeMap<&'static str, Runs>,
+    replica: SocketAddr,
     _targets: JoinSet<()>,
     _folder: tempfile::TempDir,
 }
@@ -201,9 +227,14 @@
 impl Instances {
     /// Starts instances, of which `without` has `policy.place_channel` off, and targets with some slots.
     async fn start(without: Option<usize>, slots: u32) -> Self {
+        Self::start_several(3, without, slots).await
+    }
+
+    /// Like `start`, with a number of instances, of which the first is the control replica.
+    async fn start_several(instances: usize, without: Option<usize>, slots: u32) -> Self {
         let deployment = Deployment::registry();
         let folder = tempfile::tempdir().unwrap();
-        let ports: Vec<_> = (0..3).map(|_| InstancePorts::reserve().unwrap()).collect();
+        let ports: Vec<_> = (0..instances).map(|_| InstancePorts::reserve().unwrap()).collect();
         let replicas = [ports[0].rpc.addr()];
         let mut nodes = Vec::new();
         for (i, ports) in ports.iter().enumerate() {
@@ -242,16 +273,16 @@
         }
         let poll = || async {
             let owners = owners(&operator, replicas[0]).await;
-            let mut distinct: Vec<_> = owners.values().collect();
-            distinct.sort_unstable();
-            match distinct == [&1, &2] {
+            let distinct: BTreeSet<_> = owners.values().filter(|owner| **owner != 0).collect();
+            match distinct.len() == POOLS.len() {
                 true => Ok(owners),
                 false => Err(format!("{owners:?}")),
             }
         };
-        let what = "instances 1 and 2 own a pool each";
+        let what = "two instances other than the replica own a pool each";
         let (owners, _) = wait_until(what, START_LIMIT, poll).await.unwrap();
-        let this = Self { nodes, owners, runs, _targets: targets, _folder: folder };
+        let this =
+            Self { nodes, owners, runs, replica: replicas[0], _targets: targets, _folder: folder };
         // Each instance has the table and knows the owners.
         for node in &this.nodes {
             let poll = || async {
@@ -385,3 +416,89 @@
         instances.serve_all(from, pool, 5).await;
     }
 }
+
+/// What happens to owners while requests wait for places of a pool.
+#[derive(Clone, Copy, Debug)]
+enum OwnerStops {
+    /// Each owner stops once it has granted places.
+    InTurn,
+    /// The owner stops together with all that may succeed it but one.
+    Together,
+    /// Each owner stops and is frozen meanwhile.
+    Frozen,
+    /// Each owner stops and is killed meanwhile.
+    Killed,
+}
+
+/// Guards against requests whose wait for a place is lost when their owner stops.
+#[rstest]
+#[case::in_turn(OwnerStops::InTurn)]
+#[case::together(OwnerStops::Together)]
+#[case::frozen(OwnerStops::Frozen)]
+#[case::killed(OwnerStops::Killed)]
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_wait_while_owners_stop(
+    #[case] stops: OwnerStops,
+    #[values(None, Some(0))] without: Option<usize>,
+) {
+    // The replica, owners that stop, and one that remains.
+    const INSTANCES: usize = MID_STOP.len() + 2;
+    const CALLS: usize = 10;
+    let mut instances = Instances::start_several(INSTANCES, without, 1).await;
+    let (operator, replica) = (Operator::default(), instances.replica);
+    let pool = POOLS[0];
+    let runs = instances.runs[pool].clone();
+    let mut calls = Vec::new();
+    let mut stopping = BTreeSet::new();
+    for (phase, mid_stop) in MID_STOP.into_iter().enumerate() {
+        let poll = || async {
+            let owner = owners(&operator, replica).await.get(pool).copied();
+            owner.filter(|i| !stopping.contains(i)).ok_or_else(|| format!("owner {owner:?}"))
+        };
+        let (owner, _) = wait_until("an instance owns the pool", START_LIMIT, poll).await.unwrap();
+        let began = runs.lock().unwrap().len();
+        calls.extend((0..CALLS).map(|n| {
+            let path = format!("/{pool}/slow/{phase}/{n}");
+            (instances.nodes[0].send(&path), path, Instant::now())
+        }));
+        let poll = || async {
+            let running = runs.lock().unwrap().len();
+            (running > began).then_some(()).ok_or_else(|| "none".to_owned())
+        };
+        wait_until("a call runs", START_LIMIT, poll).await.unwrap();
+        let stopped: Vec<_> = match stops {
+            OwnerStops::Together => {
+                let others = (1..INSTANCES).filter(|i| *i != owner);
+                others.skip(1).chain([owner]).collect()
+            }
+            _ => vec![owner],
+        };
+        for i in &stopped {
+            instances.nodes[*i].begin_stop();
+        }
+        stopping.extend(stopped);
+        let left = calls.len() - runs.lock().unwrap().len();
+        assert!(left > 0, "no request waits");
+        eprintln!("measured: {stops:?} of {owner} while {left} requests wait");
+        match stops {
+            OwnerStops::InTurn => {}
+            OwnerStops::Together => break,
+            OwnerStops::Frozen => {
+                sleep(mid_stop).await;
+                instances.nodes[owner].freeze(FROZEN);
+            }
+            OwnerStops::Killed => {
+                sleep(mid_stop).await;
+                instances.nodes[owner].kill();
+            }
+        }
+    }
+    let count = calls.len();
+    for (call, path, sent_at) in calls {
+        let ended = timeout(TIMEOUT + Duration::from_secs(2), call).await;
+        let ended = ended.unwrap_or_else(|_| panic!("{path} hangs"));
+        assert_eq!(ended.unwrap(), Ok(200), "{path}, after {:?}", sent_at.elapsed());
+        eprintln!("measured: {path} served within {:?}", sent_at.elapsed());
+    }
+    instances.check_runs(pool, count);
+}
