Count the longest stop of an instance from its last request

Callers saw their connection end without an answer when their request arrived late in the drain delay of an instance that stops and had nearly the longest deadline. The instance waited for max_deadline_ms from the release of its groups, but accepts requests until the listener closes, drain_delay_ms later, and the bound left no time to write the response.

Stop::request_accepted_late_in_stop_is_answered failed before: with a deadline of 3 s and a drain delay of 2 s, a call sent 1.6 s after the SIGTERM ended with IncompleteMessage. It passes now. The bound counts from the begin of the stop and includes the drain delay, the time in which idle connections close, and that for a slow caller.

--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -31,7 +31,7 @@
 use shallotdrum_settings::{PolicyMode, Scheduling as SchedulingSetting, Settings, WhenStale};
 use shallotdrum_telemetry::{Metrics, event};
 use shallotdrum_types::{Incarnation, InstanceId, PermitId};
-use tokio::{net::TcpListener, task::JoinSet};
+use tokio::{net::TcpListener, task::JoinSet, time::Instant};
 
 use crate::{
     admin::Admin,
@@ -118,7 +118,7 @@
     replica: Option<Arc<Replica>>,
     /// Background tasks, aborted when the instance stops.
     tasks: JoinSet<()>,
-    max_deadline: Duration,
+    max_stop: Duration,
     serve_when_stale: bool,
     revocation: Option<RevocationBound>,
     memory: usize,
@@ -320,7 +320,7 @@
             session,
             replica,
             tasks,
-            max_deadline: Duration::from_millis(settings.limits.max_deadline_ms),
+            max_stop: max_stop(&settings),
             serve_when_stale: settings.freshness.when_stale == WhenStale::Serve,
             revocation: settings
                 .revocation_ms
@@ -397,6 +397,7 @@
 
     /// Hands over the groups and the leadership, and waits for the requests in progress.
     async fn finish(&self) {
+        let began = Instant::now();
         self.session.begin_drain().await;
         self.owner.stop().await;
         if let Some(replica) = &self.replica {
@@ -409,8 +410,7 @@
                 tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
             }
         };
-        // No request outlives its deadline.
-        let _ = tokio::time::timeout(self.max_deadline, finished).await;
+        let _ = tokio::time::timeout_at(began + self.max_stop, finished).await;
     }
 
     /// Resolves when the control replica has failed, for example on a sync error; never resolves
@@ -460,6 +460,14 @@
     }
 }
 
+/// Time from the begin of a stop in which each request ends: the last one begins when the entry closes, has
+/// the longest deadline, and its caller reads the response slowly.
+fn max_stop(settings: &Settings) -> Duration {
+    let limits = &settings.limits;
+    let ms = settings.drain_delay_ms + limits.max_deadline_ms + limits.idle_timeout_ms;
+    shallotdrum_entry::CLOSE_TIMEOUT + Duration::from_millis(ms)
+}
+
 async fn listen(name: &'static str, addr: SocketAddr) -> Result<TcpListener, InstanceError> {
     TcpListener::bind(addr).await.map_err(|source| InstanceError::Listen { name, addr, source })
 }
--- a/crates/daemon/tests/guarantees/setup.rs
+++ b/crates/daemon/tests/guarantees/setup.rs
@@ -110,6 +110,17 @@
         owner.as_str().strip_prefix("instance-")?.parse().ok()
     }
 
+    /// Index of an instance that is no control replica and owns no group.
+    pub(crate) async fn idle_instance(&self) -> usize {
+        use shallotdrum_rpc::AdminApiClient;
+        let groups =
+            self.operator.client(self.cluster.rpc_addr(0)).unwrap().groups().await.unwrap();
+        let owners: Vec<_> = groups.iter().filter_map(|group| group.owner.clone()).collect();
+        (self.cluster.replicas()..self.cluster.len())
+            .find(|i| owners.iter().all(|owner| owner.as_str() != format!("instance-{i}")))
+            .expect("there are more instances than groups")
+    }
+
     /// Waits for a control leader other than `without` and returns its index.
     pub(crate) async fn leader(&self, without: Option<usize>) -> usize {
         use shallotdrum_rpc::AdminApiClient;
--- a/crates/daemon/tests/guarantees/stops.rs
+++ b/crates/daemon/tests/guarantees/stops.rs
@@ -9,11 +9,13 @@
 };
 
 use rstest::rstest;
-use shallotdrum_harness::wait_until;
+use serde_json::{Value, json};
+use shallotdrum_harness::{ClusterConfig, TargetsConfig, wait_until};
+use tokio::time::sleep;
 
 use crate::{
     load::{Load, LoadConfig, check_history},
-    setup::{START_LIMIT, start},
+    setup::{START_LIMIT, Setup, start, start_with},
 };
 
 /// Maximum duration of a stop: the drain delay in the test's settings plus the longest request,
@@ -169,3 +171,36 @@
     check_history(&setup, &history);
     setup.check_targets();
 }
+
+async fn start_with_settings(overrides: Value) -> Setup {
+    let mut cfg = ClusterConfig::new(env!("CARGO_BIN_EXE_shallotdrumd"));
+    cfg.overrides = overrides;
+    start_with(cfg, TargetsConfig::default()).await
+}
+
+/// Guards against an instance that ends with a request in progress because it counts the longest deadline
+/// from the begin of the stop, not from the last request that it accepts.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn request_accepted_late_in_stop_is_answered() {
+    const DEADLINE: Duration = Duration::from_millis(3_000);
+    const DRAIN_DELAY: Duration = Duration::from_millis(2_000);
+    const RUN: Duration = Duration::from_millis(2_500);
+    let mut setup = start_with_settings(json!({
+        "limits": {
+            "default_deadline_ms": DEADLINE.as_millis(), "max_deadline_ms": DEADLINE.as_millis(),
+        },
+        "drain_delay_ms": DRAIN_DELAY.as_millis(),
+    }))
+    .await;
+    // An instance without a group, so that nothing else keeps it running.
+    let entry = setup.idle_instance().await;
+    for service in &setup.targets.services {
+        service.configure(|settings| settings.delay_ms = RUN.as_millis() as u64);
+    }
+    setup.cluster.process(entry).unwrap().sigterm().unwrap();
+    sleep(DRAIN_DELAY - Duration::from_millis(400)).await;
+    setup.lookup(setup.cluster.entry(entry)).await.unwrap();
+    let status = setup.cluster.process(entry).unwrap().wait(STOP_LIMIT).await.unwrap();
+    assert!(status.success(), "{status}");
+}
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -38,7 +38,7 @@
 /// Time after the listener is closed in which idle connections must close: callers may still send
 /// the rest of a request header or read the rest of a finished response. Well below the 30 s after
 /// which platforms kill a process that is shutting down.
-const CLOSE_TIMEOUT: Duration = Duration::from_secs(5);
+pub const CLOSE_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Starts the public HTTP server of an instance.
 pub struct EntryServer;
