End requests of a stopping instance before the platform kills it

Callers of the product's front saw their connection end without an answer when the platform sent SIGKILL before their request had ended. A stop waited for max_deadline_ms (120 s) whatever the platform allows, and no wait of a request knew of the stop.

The setting grace_period_ms tells the instance when SIGKILL comes; its default is the time in which each request can end. Requests that are left 1.5 s before get 503 with outcome not-run if nothing was sent, else unknown, and streams an error event. Owners get only that time, so that they can refuse what is still queued.

--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -31,7 +31,11 @@
 use shallotdrum_settings::{PolicyMode, Scheduling as SchedulingSetting, Settings, WhenStale};
 use shallotdrum_telemetry::{Metrics, event};
 use shallotdrum_types::{Incarnation, InstanceId, PermitId};
-use tokio::{net::TcpListener, task::JoinSet, time::Instant};
+use tokio::{
+    net::TcpListener,
+    task::JoinSet,
+    time::{Instant, timeout_at},
+};
 
 use crate::{
     admin::Admin,
@@ -76,6 +80,12 @@
 /// Pause between checks of whether forwarded requests have finished.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Time reserved in the grace period for the end of the session and of the replica.
+const STOP_MARGIN: Duration = Duration::from_secs(1);
+
+/// Time reserved before `STOP_MARGIN` in which the callers of requests that are ended read their responses.
+const RESPONSE_MARGIN: Duration = Duration::from_millis(500);
+
 /// Maximum number of open connections from other instances and operators.
 const MAX_RPC_CONNECTIONS: u32 = 2000;
 
@@ -118,7 +128,7 @@
     replica: Option<Arc<Replica>>,
     /// Background tasks, aborted when the instance stops.
     tasks: JoinSet<()>,
-    max_stop: Duration,
+    grace_period: Duration,
     serve_when_stale: bool,
     revocation: Option<RevocationBound>,
     memory: usize,
@@ -308,7 +318,7 @@
         };
         let entry = EntryServer::start(
             listeners.entry,
-            EntryConfig::from(&settings),
+            entry_config(&settings),
             entry_context(view, &session, targets, forwarder, metrics, &log),
         )?;
         event!(log, INSTANCE_STARTED; "entry" => %entry.local_addr());
@@ -320,7 +330,7 @@
             session,
             replica,
             tasks,
-            max_stop: max_stop(&settings),
+            grace_period: settings.grace_period(),
             serve_when_stale: settings.freshness.when_stale == WhenStale::Serve,
             revocation: settings
                 .revocation_ms
@@ -397,7 +407,6 @@
 
     /// Hands over the groups and the leadership, and waits for the requests in progress.
     async fn finish(&self) {
-        let began = Instant::now();
         self.session.begin_drain().await;
         self.owner.stop().await;
         if let Some(replica) = &self.replica {
@@ -410,7 +419,7 @@
                 tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
             }
         };
-        let _ = tokio::time::timeout_at(began + self.max_stop, finished).await;
+        finished.await;
     }
 
     /// Resolves when the control replica has failed, for example on a sync error; never resolves
@@ -447,9 +456,13 @@
     /// until then.
     pub async fn stop_after(mut self, front_end: impl Future<Output = ()>) {
         event!(self.log, INSTANCE_STOPPING);
+        let kill_at = Instant::now() + self.grace_period;
         self.entry.begin_drain();
-        tokio::join!(self.finish(), front_end);
-        self.session.end().await;
+        tokio::join!(timeout_at(kill_at - STOP_MARGIN, self.finish()), front_end).0.unwrap_or_else(
+            |_| event!(self.log, STOP_INCOMPLETE; "after_ms" => (self.grace_period - STOP_MARGIN).as_millis()),
+        );
+        // The session ends by itself after its lease.
+        let _ = timeout_at(kill_at - STOP_MARGIN / 2, self.session.end()).await;
         if let Some(replica) = &self.replica {
             replica.node.shutdown().await;
         }
@@ -460,14 +473,6 @@
     }
 }
 
-/// Time from the begin of a stop in which each request ends: the last one begins when the entry closes, has
-/// the longest deadline, and its caller reads the response slowly.
-fn max_stop(settings: &Settings) -> Duration {
-    let limits = &settings.limits;
-    let ms = settings.drain_delay_ms + limits.max_deadline_ms + limits.idle_timeout_ms;
-    shallotdrum_entry::CLOSE_TIMEOUT + Duration::from_millis(ms)
-}
-
 async fn listen(name: &'static str, addr: SocketAddr) -> Result<TcpListener, InstanceError> {
     TcpListener::bind(addr).await.map_err(|source| InstanceError::Listen { name, addr, source })
 }
@@ -612,6 +617,12 @@
     }
 }
 
+fn entry_config(settings: &Settings) -> EntryConfig {
+    let cfg = EntryConfig::from(settings);
+    let stop_timeout = cfg.stop_timeout.saturating_sub(STOP_MARGIN + RESPONSE_MARGIN);
+    EntryConfig { stop_timeout, ..cfg }
+}
+
 fn entry_context(
     view: ControlView,
     session: &Arc<SessionManager>,
--- a/crates/daemon/tests/guarantees/stops.rs
+++ b/crates/daemon/tests/guarantees/stops.rs
@@ -8,10 +8,11 @@
     time::Duration,
 };
 
+use http::Method;
 use rstest::rstest;
 use serde_json::{Value, json};
-use shallotdrum_harness::{ClusterConfig, TargetsConfig, wait_until};
-use tokio::time::sleep;
+use shallotdrum_harness::{CallerError, ClusterConfig, ServiceResponse, TargetsConfig, wait_until};
+use tokio::time::{Instant, sleep};
 
 use crate::{
     load::{Load, LoadConfig, check_history},
@@ -204,3 +205,81 @@
     let status = setup.cluster.process(entry).unwrap().wait(STOP_LIMIT).await.unwrap();
     assert!(status.success(), "{status}");
 }
+
+/// Guards against requests without any answer because their deadlines are later than the end of the grace
+/// period, after which the platform kills the process.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn stop_answers_all_within_grace_period() {
+    const GRACE_PERIOD: Duration = Duration::from_secs(5);
+    // More than the 64 that each of the two services runs at a time.
+    const CALLS: usize = 160;
+    const RUN: Duration = Duration::from_secs(6);
+    let mut setup =
+        start_with_settings(json!({ "grace_period_ms": GRACE_PERIOD.as_millis() })).await;
+    let entry = setup.idle_instance().await;
+    let addr = setup.cluster.entry(entry);
+    for service in &setup.targets.services {
+        service.configure(|settings| settings.delay_ms = RUN.as_millis() as u64);
+    }
+    let mut calls = tokio::task::JoinSet::new();
+    let call = |i: usize| {
+        let (caller, service) = (setup.caller.clone(), setup.deployment.service.clone());
+        async move {
+            let (method, path, key) = match i % 2 {
+                0 => (Method::GET, format!("/{service}/status/{i}"), None),
+                _ => (Method::POST, format!("/{service}/certificates"), Some(format!("key-{i}"))),
+            };
+            let result = caller.call(addr, method, &path, key.as_deref(), "{}").await;
+            (i, key, result)
+        }
+    };
+    (0..CALLS).for_each(|i| drop(calls.spawn(call(i))));
+    let (caller, model) = (setup.caller.clone(), setup.deployment.model(1, 1));
+    let stream =
+        tokio::spawn(async move { caller.complete(addr, &model, "long", 4_000, true).await });
+    let poll = || async {
+        let stats = setup.targets.services.iter().map(|service| service.stats());
+        let running: u32 = stats.map(|stats| stats.running).sum();
+        (running > 0).then_some(()).ok_or_else(|| "no call runs".to_owned())
+    };
+    wait_until("calls run", START_LIMIT, poll).await.unwrap();
+    let stopped_at = Instant::now();
+    setup.cluster.process(entry).unwrap().sigterm().unwrap();
+    let kill_at = stopped_at + GRACE_PERIOD;
+    let mut results: Vec<(usize, Option<String>, Result<ServiceResponse, CallerError>)> =
+        Vec::new();
+    while let Ok(Some(result)) = tokio::time::timeout_at(kill_at, calls.join_next()).await {
+        results.push(result.unwrap());
+    }
+    let ended =
+        tokio::time::timeout_at(kill_at, setup.cluster.process(entry).unwrap().wait(STOP_LIMIT));
+    let status = ended.await.expect("the process ends before it is killed").unwrap();
+    assert!(status.success(), "{status}");
+    eprintln!("measured: stopped within {:?}", stopped_at.elapsed());
+    assert_eq!(results.len(), CALLS, "requests without an answer");
+    let poll = || async {
+        let stats = setup.targets.services.iter().map(|service| service.stats());
+        match stats.map(|stats| stats.running).sum::<u32>() {
+            0 => Ok(()),
+            running => Err(format!("{running} calls run")),
+        }
+    };
+    wait_until("the calls end", START_LIMIT, poll).await.unwrap();
+    let stats: Vec<_> = setup.targets.services.iter().map(|service| service.stats()).collect();
+    let mut outcomes = std::collections::BTreeMap::new();
+    for (i, key, result) in results {
+        let Err(CallerError::Problem(problem)) = result else { panic!("call {i}: {result:?}") };
+        let has_run = stats.iter().any(|stats| match &key {
+            Some(_) => stats.executions.iter().any(|run| run.idempotency_key == key),
+            None => stats.lookups.iter().any(|path| *path == format!("/status/{i}")),
+        });
+        assert!(!(has_run && problem.outcome == "not-run"), "call {i} ran: {problem:?}");
+        *outcomes.entry((problem.status, problem.outcome)).or_insert(0) += 1;
+    }
+    eprintln!("measured: {outcomes:?}");
+    let Err(CallerError::Problem(problem)) = stream.await.unwrap() else {
+        panic!("the stream has no last event")
+    };
+    assert_eq!(problem.outcome, "unknown", "{problem:?}");
+}
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -1,6 +1,9 @@
 //! Configuration and dependencies of an entry, and the state that its connections share.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, OnceLock},
+    time::Duration,
+};
 
 use futures_util::future::BoxFuture;
 use shallotdrum_engine::Announcement;
@@ -9,6 +12,8 @@
 use shallotdrum_telemetry::Metrics;
 use shallotdrum_types::{FreshnessFn, Region, RequestError};
 
+use tokio::time::Instant;
+
 use crate::{AnnounceReply, CacheEvents, Catalog, Leave, budget::RetryBudget, routing::InFlight};
 
 /// Minimum delay before a retry after repeated losses. Outlasts the lease of a killed owner
@@ -27,6 +32,9 @@
     pub when_stale: WhenStale,
     /// How long the listener stays open after [`begin_drain`](crate::EntryHandle::begin_drain).
     pub drain_delay: Duration,
+    /// How long after [`begin_drain`](crate::EntryHandle::begin_drain) requests that are still in progress end
+    /// with an error, so that their callers have it before the process ends.
+    pub stop_timeout: Duration,
     /// Minimum delay before each retry once a request has lost two owners; ends early if the owner
     /// changes.
     pub repeated_loss_pause: Duration,
@@ -41,6 +49,7 @@
             limits: settings.limits.clone(),
             when_stale: settings.freshness.when_stale,
             drain_delay: Duration::from_millis(settings.drain_delay_ms),
+            stop_timeout: settings.grace_period(),
             repeated_loss_pause: REPEATED_LOSS_PAUSE,
             forward_headers: settings.forward_headers.clone(),
         }
@@ -79,6 +88,8 @@
     pub(crate) budget: RetryBudget,
     pub(crate) in_flight: InFlight,
     pub(crate) phase: tokio::sync::watch::Sender<Phase>,
+    /// When requests end that are still in progress; set when the instance stops.
+    pub(crate) stop_at: OnceLock<Instant>,
 }
 
 /// Shutdown phase of an entry; the order of the variants is the order of the phases.
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -29,7 +29,7 @@
 
 pub use catalog::{Catalog, GroupOwner, LookupError, Owner, ResolvedModel, ServiceRoute};
 pub use context::{EntryConfig, EntryContext, TargetFn};
-pub use server::{CLOSE_TIMEOUT, EntryHandle, EntryServer};
+pub use server::{EntryHandle, EntryServer};
 pub use shallotdrum_engine::{AnnounceReply, CacheEvents, Leave, PrefixHash};
 pub use shallotdrum_owner::completion_fingerprint as fingerprint;
 pub use shallotdrum_types::{Freshness, FreshnessFn};
--- a/crates/entry/src/route.rs
+++ b/crates/entry/src/route.rs
@@ -37,7 +37,8 @@
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Time after the deadline in which the owner can still report whether the request ran.
 pub(crate) const DEADLINE_GRACE: Duration = Duration::from_millis(250);
-/// Interval at which a pending step checks that the owner's session has not ended.
+/// Interval at which a pending step checks that the owner's session has not ended, and that the instance does
+/// not stop.
 const LIVENESS_CHECK: Duration = Duration::from_millis(500);
 
 /// Forwarding state of one request.
@@ -87,16 +88,28 @@
         self.max_losses = max;
     }
 
-    /// Milliseconds until the deadline, at least 1.
+    /// When the instance ends the request because it stops; absent unless that is before the deadline.
+    fn stop_at(&self) -> Option<Instant> {
+        self.shared.stop_at.get().copied().filter(|at| *at < self.deadline)
+    }
+
+    /// When the request ends at the latest, apart from the wait for an owner's last report.
+    fn end(&self) -> Instant {
+        self.stop_at().unwrap_or(self.deadline)
+    }
+
+    /// Milliseconds that the owner has for the request, at least 1. An instance that stops leaves time for the
+    /// owner's report of a request that did not run.
     pub(crate) fn left_ms(&self) -> u64 {
-        let left = self.deadline.saturating_duration_since(Instant::now());
+        let end = self.stop_at().map_or(self.deadline, |at| at - DEADLINE_GRACE);
+        let left = end.saturating_duration_since(Instant::now());
         u64::try_from(left.as_millis()).unwrap_or(u64::MAX).max(1)
     }
 
     /// Chooses a group unless one is chosen already; waits while the group has no owner.
     pub(crate) async fn resolve_owner(&mut self) -> Result<(GroupId, Owner), RequestError> {
         loop {
-            if Instant::now() >= self.deadline {
+            if Instant::now() >= self.end() {
                 return Err(self.deadline_exceeded("before the request reached a target"));
             }
             self.changes.borrow_and_update();
@@ -187,7 +200,7 @@
     /// Withdraws a retry from the budget; returns `error` as final if no retry is left.
     fn withdraw_retry(&mut self, error: RequestError) -> Result<(), RequestError> {
         self.retries += 1;
-        if self.retries > MAX_RETRIES || Instant::now() >= self.deadline {
+        if self.retries > MAX_RETRIES || Instant::now() >= self.end() {
             return Err(self.final_error(error));
         }
         if let Err(exhausted) = self.shared.budget.withdraw(std::time::Instant::now()) {
@@ -215,7 +228,7 @@
         match previous {
             Some(previous) => self.back_off(group, previous, Duration::ZERO).await,
             None => {
-                let end = (Instant::now() + self.next_backoff()).min(self.deadline);
+                let end = (Instant::now() + self.next_backoff()).min(self.end());
                 // Fails only if the replicated state was dropped; the timeout bounds the wait.
                 let _ = tokio::time::timeout_at(end, self.changes.changed()).await;
             }
@@ -225,13 +238,15 @@
 
     /// Backs off for at least `min_delay`, but returns early if the group's owner changes.
     async fn back_off(&mut self, group: &GroupId, previous: Owner, min_delay: Duration) {
-        let end = Instant::now() + self.next_backoff().max(min_delay);
-        let end = end.min(self.deadline);
+        let until = Instant::now() + self.next_backoff().max(min_delay);
         while self.shared.cx.catalog.owner(group) == GroupOwner::Owned(previous) {
-            match tokio::time::timeout_at(end, self.changes.changed()).await {
-                Ok(Ok(())) => {}
-                Ok(Err(_)) => return tokio::time::sleep_until(end).await,
-                Err(_) => return,
+            let (now, end) = (Instant::now(), until.min(self.end()));
+            if now >= end {
+                return;
+            }
+            let check = (now + LIVENESS_CHECK).min(end);
+            if let Ok(Err(_)) = tokio::time::timeout_at(check, self.changes.changed()).await {
+                tokio::time::sleep_until(check).await;
             }
         }
     }
@@ -243,16 +258,16 @@
         delay.mul_f64(rand::rng().random_range(0.5..1.0))
     }
 
-    /// Runs a forwarding step until it completes, the deadline and its grace period pass, or the
-    /// owner's session ends.
+    /// Runs a forwarding step until it completes, the deadline and its grace period pass, the owner's session
+    /// ends, or the instance must end its requests.
     pub(crate) async fn run_step<T>(
         &self,
         owner: Owner,
         step: impl Future<Output = Result<T, ForwardError>>,
     ) -> Result<T, StepError> {
         tokio::pin!(step);
-        let end = self.deadline + DEADLINE_GRACE;
         loop {
+            let end = self.stop_at().unwrap_or(self.deadline + DEADLINE_GRACE);
             let check = (Instant::now() + LIVENESS_CHECK).min(end);
             match tokio::time::timeout_at(check, step.as_mut()).await {
                 Ok(result) => return result.map_err(StepError::Failed),
@@ -277,8 +292,15 @@
         self.final_error(RequestError::not_run(RequestErrorKind::DeadlineExceeded, detail))
     }
 
-    /// Final error of the request: "not run" becomes "unknown" if an attempt may have run it.
+    /// Final error of the request: "not run" becomes "unknown" if an attempt may have run it, and a deadline
+    /// that the stop of the instance set is told as such.
     pub(crate) fn final_error(&self, mut error: RequestError) -> RequestError {
+        if error.kind == RequestErrorKind::DeadlineExceeded && self.stop_at().is_some() {
+            let outcome = error.outcome;
+            let detail = "this instance stops before the response is complete; use another one";
+            error = RequestError::not_run(RequestErrorKind::NotReady, detail);
+            error = RequestError { outcome, ..error.retry_after(RETRY_AFTER) };
+        }
         if self.may_have_run && error.outcome == Outcome::NotRun {
             error.outcome = Outcome::Unknown;
         }
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -5,7 +5,7 @@
     io,
     net::SocketAddr,
     sync::{
-        Arc,
+        Arc, OnceLock,
         atomic::{AtomicUsize, Ordering},
     },
     time::{Duration, Instant},
@@ -38,7 +38,7 @@
 /// Time after the listener is closed in which idle connections must close: callers may still send
 /// the rest of a request header or read the rest of a finished response. Well below the 30 s after
 /// which platforms kill a process that is shutting down.
-pub const CLOSE_TIMEOUT: Duration = Duration::from_secs(5);
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Starts the public HTTP server of an instance.
 pub struct EntryServer;
@@ -65,6 +65,7 @@
             budget: RetryBudget::new(Instant::now()),
             in_flight: InFlight::default(),
             phase: watch::Sender::new(Phase::Serving),
+            stop_at: OnceLock::new(),
         });
         event!(shared.cx.log, ENTRY_LISTENING; "addr" => %local_addr);
         let (closed_tx, closed) = watch::channel(false);
@@ -86,11 +87,14 @@
         self.local_addr
     }
 
-    /// Reports not ready from now on and closes the listener after `drain_delay`; returns at once.
+    /// Reports not ready from now on, closes the listener after `drain_delay` and ends requests after
+    /// `stop_timeout`; returns at once.
     pub fn begin_drain(&self) {
         let is_first = self.shared.phase.send_if_modified(|phase| {
             let is_first = *phase == Phase::Serving;
             if is_first {
+                let stop_at = tokio::time::Instant::now() + self.shared.cfg.stop_timeout;
+                let _ = self.shared.stop_at.set(stop_at);
                 *phase = Phase::Draining;
             }
             is_first
--- a/crates/entry/tests/entry/common/mod.rs
+++ b/crates/entry/tests/entry/common/mod.rs
@@ -86,6 +86,7 @@
             limits: Limits::default(),
             when_stale: WhenStale::Refuse,
             drain_delay: Duration::ZERO,
+            stop_timeout: TEST_TIMEOUT,
             repeated_loss_pause: Duration::ZERO,
             forward_headers: vec!["content-type".to_owned()],
         };
--- a/crates/entry/tests/entry/completions.rs
+++ b/crates/entry/tests/entry/completions.rs
@@ -359,6 +359,73 @@
     drop((silent, partial));
 }
 
+/// What a request waits for when the instance stops.
+#[derive(Clone, Copy, Debug)]
+enum WaitsFor {
+    /// An owner of its group.
+    Owner,
+    /// The first reply of the owner.
+    Reply,
+    /// A further part of the response.
+    Rest,
+}
+
+/// Guards against requests whose deadline is later than the end of the process and that end without an answer,
+/// or are said not to have run though they may have.
+#[rstest]
+#[case::owner(WaitsFor::Owner, "not-run")]
+#[case::reply(WaitsFor::Reply, "unknown")]
+#[case::rest(WaitsFor::Rest, "unknown")]
+#[tokio::test]
+async fn stop_ends_waits(
+    #[case] waits_for: WaitsFor,
+    #[case] outcome: &str,
+    #[values(false, true)] is_sent_before: bool,
+) {
+    const STOP_TIMEOUT: Duration = Duration::from_millis(1_500);
+    let fixture = Fixture::with(|cfg| {
+        cfg.stop_timeout = STOP_TIMEOUT;
+        cfg.drain_delay = STOP_TIMEOUT / 2;
+    })
+    .await;
+    match waits_for {
+        WaitsFor::Owner => fixture.catalog.set_owner(None),
+        WaitsFor::Reply => fixture.owner.script(vec![Step::Hang]),
+        WaitsFor::Rest => fixture.owner.script(vec![chunk(0, "one "), Step::Hang]),
+    }
+    if !is_sent_before {
+        fixture.entry.begin_drain();
+    }
+    let stop = async {
+        wait_until("the request", || fixture.metrics.in_flight().get() == 1).await;
+        fixture.entry.begin_drain();
+    };
+    let (reply, ()) = tokio::join!(fixture.complete(json!({})), stop);
+    let expected = ("not-ready".to_owned(), outcome.to_owned());
+    assert_eq!((reply.status, reply.problem()), (503, expected), "{}", reply.text());
+    assert_eq!(reply.header("retry-after"), "1");
+    let left = fixture.owner.completions().first().map(|call| call.request.deadline_ms);
+    let is_bounded = left.is_none_or(|left| left < STOP_TIMEOUT.as_millis() as u64);
+    assert!(is_sent_before || is_bounded, "the owner has {left:?} ms");
+    tokio::time::timeout(STOP_TIMEOUT, fixture.entry.closed()).await.unwrap();
+}
+
+/// Guards against streams that end without an error event when the instance stops.
+#[tokio::test]
+async fn stop_ends_stream_with_error_event() {
+    let fixture = Fixture::with(|cfg| cfg.stop_timeout = Duration::from_secs(1)).await;
+    fixture.owner.script(vec![chunk(0, "one "), Step::Hang]);
+    let stop = async {
+        wait_until("the stream", || fixture.owner.active_streams() == 1).await;
+        fixture.entry.begin_drain();
+        fixture.entry.closed().await;
+    };
+    let ((reply, is_clean), ()) = tokio::join!(fixture.stream(json!({})), stop);
+    assert!(!is_clean, "the stream looks complete");
+    assert!(reply.text().contains("urn:shallotdrum:problem:not-ready"), "{}", reply.text());
+    assert!(reply.text().contains(r#""outcome":"unknown""#), "{}", reply.text());
+}
+
 /// Guards against callers that stop reading and thereby hold their connection and the owner's
 /// stream open.
 #[tokio::test]
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -25,6 +25,11 @@
 const MAX_BODY_BYTES: usize = 256 * 1024 * 1024;
 /// Upper limit of the drain delay; platforms kill a process that takes longer to stop.
 const MAX_DRAIN_DELAY_MS: u64 = 600_000;
+/// Minimum time between the drain delay and the end of the grace period, in which the last requests get their
+/// responses and the instance ends.
+const MIN_CLOSE_MS: u64 = 2_000;
+/// Upper limit of the grace period: the longest drain delay and deadline, and as much for slow callers.
+const MAX_GRACE_PERIOD_MS: u64 = 2 * (MAX_DRAIN_DELAY_MS + MAX_DEADLINE_MS);
 /// Headers that the entry handles itself, and hop-by-hop headers.
 const RESERVED_HEADERS: &[&str] = &[
     "authorization",
@@ -190,6 +195,13 @@
             let expected = format!("a number from 0 to {MAX_DRAIN_DELAY_MS}");
             problems.add("drain_delay_ms", Some(&json!(self.drain_delay_ms)), expected);
         }
+        let min_ms = self.drain_delay_ms.saturating_add(MIN_CLOSE_MS);
+        if self.grace_period_ms.is_some_and(|ms| !(min_ms..=MAX_GRACE_PERIOD_MS).contains(&ms)) {
+            let expected = format!(
+                "a number from {min_ms} (drain_delay_ms and {MIN_CLOSE_MS}) to {MAX_GRACE_PERIOD_MS}"
+            );
+            problems.add("grace_period_ms", Some(&json!(self.grace_period_ms)), expected);
+        }
         for (i, name) in self.forward_headers.iter().enumerate() {
             let is_token = |b: u8| b.is_ascii_lowercase() || b.is_ascii_digit() || b == b'-';
             let is_valid = !name.is_empty() && name.bytes().all(is_token);
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -1,6 +1,6 @@
 //! Data model of the settings; serialises to the format of the settings file.
 
-use std::{collections::BTreeMap, net::SocketAddr, path::PathBuf};
+use std::{collections::BTreeMap, net::SocketAddr, path::PathBuf, time::Duration};
 
 use serde::{Deserialize, Serialize};
 use shallotdrum_types::{AvailabilityZone, ControlFormat, InstanceId, MilliCores, Region};
@@ -13,6 +13,9 @@
 /// instance is not ready.
 pub(crate) const DEFAULT_DRAIN_DELAY_MS: u64 = 2_000;
 
+/// Part of the default grace period in which idle connections close (5 s) and the instance ends.
+const CLOSE_ALLOWANCE_MS: u64 = 10_000;
+
 /// Memory limit of an instance whose settings name none.
 const DEFAULT_MEMORY_MB: u64 = 256;
 
@@ -66,6 +69,10 @@
     pub target_timeout_ms: u64,
     /// Time that the listener stays open after the instance reports not ready, in milliseconds.
     pub drain_delay_ms: u64,
+    /// Time after SIGTERM at which the platform kills the process, in milliseconds; by default long enough
+    /// for a request with the longest deadline.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub grace_period_ms: Option<u64>,
     /// Log format and level.
     pub log: Log,
     /// Request headers that are forwarded to plain services, in lower case.
@@ -115,6 +122,7 @@
             policy: Policy::default(),
             target_timeout_ms: DEFAULT_TARGET_TIMEOUT_MS,
             drain_delay_ms: DEFAULT_DRAIN_DELAY_MS,
+            grace_period_ms: None,
             log: Log::default(),
             forward_headers: Vec::new(),
             max_control_format: None,
@@ -123,6 +131,14 @@
         }
     }
 
+    /// Time after SIGTERM in which the process must end. The default is that in which each request ends: the
+    /// last one begins when the listener closes, has the longest deadline, and its caller reads slowly.
+    pub fn grace_period(&self) -> Duration {
+        let limits = &self.limits;
+        let longest = self.drain_delay_ms + limits.max_deadline_ms + limits.idle_timeout_ms;
+        Duration::from_millis(self.grace_period_ms.unwrap_or(longest + CLOSE_ALLOWANCE_MS))
+    }
+
     /// Memory limit of the instance in bytes.
     pub fn memory_bytes(&self) -> usize {
         let megabytes = self.memory_mb.unwrap_or(DEFAULT_MEMORY_MB);
--- a/crates/settings/src/parse.rs
+++ b/crates/settings/src/parse.rs
@@ -89,6 +89,7 @@
         root.optional_or("target_timeout_ms", NUMBER_EXPECTED, DEFAULT_TARGET_TIMEOUT_MS);
     let drain_delay_ms =
         root.optional_or("drain_delay_ms", NUMBER_EXPECTED, DEFAULT_DRAIN_DELAY_MS);
+    let grace_period_ms = root.optional("grace_period_ms", NUMBER_EXPECTED);
     let log = root.optional_section("log").map(parse_log).unwrap_or_default();
     let default_headers =
         || DEFAULT_FORWARD_HEADERS.iter().map(|name| (*name).to_owned()).collect();
@@ -116,6 +117,7 @@
         policy,
         target_timeout_ms,
         drain_delay_ms,
+        grace_period_ms,
         log,
         forward_headers,
         max_control_format,
