Finish connections for other instances before a stop ends

Callers of another instance saw their response cut off when it came over a connection that a stopping instance had opened for it, as the other's link was broken. The tasks of these connections belonged to nothing that a stop waits for, so they ended with the process, 0.3 s after SIGTERM with the drain delay of the tests, though the grace period had not.

Such a connection now counts as in progress until it ends, like a forwarded request, within the grace period.

--- a/crates/daemon/tests/guarantees/place_channel.rs
+++ b/crates/daemon/tests/guarantees/place_channel.rs
@@ -29,7 +29,7 @@
 use shallotdrum_types::{Incarnation, RequestError, Revision};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpListener,
+    net::{TcpListener, TcpStream},
     runtime::{Builder, Runtime},
     task::{JoinHandle, JoinSet},
     time::{Instant, sleep, timeout},
@@ -45,7 +45,7 @@
 /// Interval of the targets' announcements; several fit into their timeout.
 const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Time that a call of `/POOL/slow/` takes at the target.
+/// Time that a call takes at the target for each `/slow` in its path.
 const SLOW: Duration = Duration::from_millis(400);
 
 /// Times after the begin of a stop at which owners are frozen or killed: before, while and after their
@@ -179,11 +179,9 @@
                 }
                 let head = String::from_utf8_lossy(&head);
                 let path = head.split(' ').nth(1).unwrap().to_owned();
-                let is_slow = path.contains("/slow/");
+                let slow = path.matches("/slow").count() as u32 * SLOW;
                 *runs.lock().unwrap().entry(path).or_default() += 1;
-                if is_slow {
-                    sleep(SLOW).await;
-                }
+                sleep(slow).await;
                 let response =
                     "HTTP/1.1 200 OK\r\ncontent-length: 2\r\nconnection: close\r\n\r\nok";
                 let _ = stream.write_all(response.as_bytes()).await;
@@ -216,11 +214,15 @@
 /// Three instances, and a target for each pool.
 struct Instances {
     nodes: Vec<Node>,
+    /// Address at which each instance opens connections for others.
+    data: Vec<SocketAddr>,
+    /// Target of each pool.
+    targets: BTreeMap<&'static str, SocketAddr>,
     /// Instance that owns each pool.
     owners: BTreeMap<&'static str, usize>,
     runs: BTreeMap<&'static str, Runs>,
     replica: SocketAddr,
-    _targets: JoinSet<()>,
+    _announcing: JoinSet<()>,
     _folder: tempfile::TempDir,
 }
 
@@ -245,10 +247,12 @@
         let operator = Operator::default();
         operator.wait_for_instances(replicas[0], nodes.len(), START_LIMIT).await.unwrap();
         nodes[0].plane.put_routes(Arc::new(table())).await.unwrap();
-        let (mut targets, mut runs) = (JoinSet::new(), BTreeMap::new());
+        let (mut announcing, mut targets, mut runs) =
+            (JoinSet::new(), BTreeMap::new(), BTreeMap::new());
         for pool in POOLS {
             let (addr, counted) = target().await;
             runs.insert(pool, counted);
+            targets.insert(pool, addr);
             let announcement = Announcement {
                 target: format!("target-{pool}").parse().unwrap(),
                 incarnation: Incarnation(1),
@@ -262,7 +266,7 @@
             };
             let plane = nodes[0].plane.clone();
             let runtime = nodes[0].runtime.as_ref().unwrap().handle().clone();
-            targets.spawn(async move {
+            announcing.spawn(async move {
                 loop {
                     let (plane, announcement) = (plane.clone(), announcement.clone());
                     // Before a target is registered, an instance that is starting may refuse it.
@@ -281,8 +285,16 @@
         };
         let what = "two instances other than the replica own a pool each";
         let (owners, _) = wait_until(what, START_LIMIT, poll).await.unwrap();
-        let this =
-            Self { nodes, owners, runs, replica: replicas[0], _targets: targets, _folder: folder };
+        let this = Self {
+            nodes,
+            data: ports.iter().map(|ports| ports.data.addr()).collect(),
+            targets,
+            owners,
+            runs,
+            replica: replicas[0],
+            _announcing: announcing,
+            _folder: folder,
+        };
         // Each instance has the table and knows the owners.
         for node in &this.nodes {
             let poll = || async {
@@ -502,3 +514,42 @@
     }
     instances.check_runs(pool, count);
 }
+
+/// Guards against a response that is cut off because it comes over a connection that another instance opened,
+/// and that instance stops.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn stop_finishes_connections_for_others() {
+    let mut instances = Instances::start(None, 1).await;
+    let (through, pool) = (1, POOLS[0]);
+    let target = instances.targets[pool];
+    let mut stream = TcpStream::connect(instances.data[through]).await.unwrap();
+    let connect = format!("CONNECT {target} HTTP/1.1\r\nhost: {target}\r\n\r\n");
+    stream.write_all(connect.as_bytes()).await.unwrap();
+    let head = read_until(&mut stream, b"\r\n\r\n").await;
+    assert!(head.starts_with("HTTP/1.1 200"), "{head}");
+    // Longer than all that the instance itself waits for.
+    let request = format!("GET /{pool}/slow/slow/0 HTTP/1.1\r\nhost: x\r\n\r\n");
+    stream.write_all(request.as_bytes()).await.unwrap();
+    let stop = instances.nodes[through].begin_stop();
+    let response = read_until(&mut stream, b"ok");
+    let ended = async {
+        timeout(TIMEOUT, stop).await.expect("the stop ends").unwrap();
+        // As the end of the process does.
+        instances.nodes[through].kill();
+    };
+    let (response, ()) = tokio::join!(response, ended);
+    assert!(response.ends_with("ok"), "{response:?}");
+}
+
+/// Reads until the data ends with `end`, or the connection ends.
+async fn read_until(stream: &mut TcpStream, end: &[u8]) -> String {
+    let mut read = Vec::new();
+    while !read.ends_with(end) {
+        match stream.read_buf(&mut read).await {
+            Ok(0) | Err(_) => break,
+            Ok(_) => {}
+        }
+    }
+    String::from_utf8(read).unwrap()
+}
--- a/crates/owner/src/server.rs
+++ b/crates/owner/src/server.rs
@@ -67,7 +67,7 @@
 async fn handle(
     service: Arc<OwnerService>,
     upgrade: Option<Upgrade>,
-    req: Request<Incoming>,
+    mut req: Request<Incoming>,
 ) -> Response<ForwardBody> {
     let is_upgrade =
         |upgrade: &Upgrade| req.method() == Method::GET && req.uri().path() == upgrade.path;
@@ -76,6 +76,8 @@
     }
     if req.method() == Method::CONNECT {
         let links = service.cx.links.clone();
+        // `serve_tunnel` keeps the request until the tunnel ends.
+        req.extensions_mut().insert(Arc::new(service.enter()));
         return serve_tunnel(links, req).await.map(|()| full_body(Bytes::new()));
     }
     let result = match (req.method(), req.uri().path()) {
--- a/crates/owner/src/service.rs
+++ b/crates/owner/src/service.rs
@@ -84,7 +84,7 @@
     pub target: TargetId,
 }
 
-/// Counts a forwarded request as in progress until dropped.
+/// Counts a forwarded request, or a connection for another instance, as in progress until dropped.
 pub(crate) struct InProgressGuard(Arc<AtomicUsize>);
 
 impl Drop for InProgressGuard {
@@ -296,12 +296,12 @@
         groups.iter().map(|group| (group.id.clone(), group.scheduler.snapshot())).collect()
     }
 
-    /// Returns the number of forwarded requests in progress.
+    /// Returns the number of forwarded requests and of connections for other instances in progress.
     pub fn in_progress(&self) -> usize {
         self.in_progress.load(Ordering::SeqCst)
     }
 
-    /// Counts a forwarded request as in progress.
+    /// Counts a forwarded request, or a connection for another instance, as in progress.
     pub(crate) fn enter(&self) -> InProgressGuard {
         self.in_progress.fetch_add(1, Ordering::SeqCst);
         InProgressGuard(self.in_progress.clone())
