Release each group of a stopping instance by itself

Requests waited up to 5 s longer than needed when their owner stopped. It closed the queues of all its groups at once, waited until the load orders of all of them had ended (ORDER_TIMEOUT is 5 s), and then proposed one release after the other. Until then the state names it as the owner, and it refuses every request for a place, so also groups without any order had nobody to serve them.

Each group is now released when its own orders have ended, and the releases are proposed together.

--- a/crates/owner/src/service.rs
+++ b/crates/owner/src/service.rs
@@ -13,6 +13,7 @@
     time::{Duration, Instant},
 };
 
+use futures_util::future::join_all;
 use shallotdrum_allotments::{AppliedAllotments, Beginning, GroupShares};
 use shallotdrum_control::{
     AnnouncedTarget, Command, Handover, Isolation, LOST_OWNER_SETTLE_MS, Reply,
@@ -191,26 +192,33 @@
         self.release_all().await;
     }
 
-    /// Releases all groups: fails queued requests, waits until no order is in flight, then releases
-    /// the ownership.
+    /// Releases all groups, each one by itself, as none is served until it has another owner.
     async fn release_all(&self) {
         let _releasing = self.releasing.lock().await;
-        let held: Vec<_> = std::mem::take(&mut *self.groups()).into_values().collect();
-        for group in &held {
+        let held = std::mem::take(&mut *self.groups());
+        for group in held.values() {
             group.scheduler.close(owner_changed(&group.id));
         }
-        for group in &held {
+        let session = (self.cx.session)();
+        let owned: BTreeSet<_> = self.cx.view.read(|state| {
+            let groups = state.groups().filter(|g| session.is_some() && g.owner == session);
+            groups.map(|g| g.id.clone()).chain(held.keys().cloned()).collect()
+        });
+        join_all(owned.iter().map(|id| self.release(id, held.get(id)))).await;
+    }
+
+    /// Releases the ownership of a group once no order is in flight in it.
+    async fn release(&self, id: &GroupId, held: Option<&Arc<OwnedGroup>>) {
+        if let Some(group) = held {
             group.wait_for_orders().await;
         }
-        let Some(session) = (self.cx.session)() else { return };
-        let owned: Vec<_> = self.cx.view.read(|state| {
-            state.groups().filter(|g| g.owner == Some(session)).map(|g| g.id.clone()).collect()
-        });
-        for group in owned {
-            let command = Command::ReleaseGroup { group: group.clone(), session };
-            if let Err(error) = self.cx.propose(command).await {
-                event!(self.cx.log, GROUP_RELEASE_FAILED; "group" => %group, "error" => %error);
-            }
+        let owner = self.cx.view.read(|state| state.group(id).and_then(|group| group.owner));
+        let Some(session) = (self.cx.session)().filter(|session| owner == Some(*session)) else {
+            return;
+        };
+        let command = Command::ReleaseGroup { group: id.clone(), session };
+        if let Err(error) = self.cx.propose(command).await {
+            event!(self.cx.log, GROUP_RELEASE_FAILED; "group" => %id, "error" => %error);
         }
     }
 
