--- a/crates/links/src/links.rs
+++ b/crates/links/src/links.rs
@@ -34,15 +34,17 @@
 /// instance is asked for one: many round trips, and under half of the time of the shortest calls.
 pub(crate) const CHECK_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// Time of a check after which other instances are asked; direct connections go on being tried.
-const ASK_AFTER: Duration = Duration::from_millis(200);
+/// Time of a check after which other instances are asked; direct connections go on being tried. An
+/// instance with a small share of a core, which runs every 100 ms, needs the rest of `CHECK_TIMEOUT` for
+/// the last one.
+const ASK_AFTER: Duration = Duration::from_millis(100);
 
 /// Interval at which a check begins direct connections: the operating system repeats the first packet of
 /// one, if it is lost or the target accepts none at the moment, only after a second.
 const ATTEMPT_INTERVAL: Duration = Duration::from_millis(125);
 
-/// Time for a last direct connection, once another instance has opened one; with `ASK_AFTER` it makes up
-/// `CHECK_TIMEOUT`.
+/// Minimum time for a last direct connection, once another instance has opened one. A check takes
+/// `CHECK_TIMEOUT` at least.
 const LAST_ATTEMPT: Duration = Duration::from_millis(50);
 
 /// Turns of the runtime, the shortest that its timer has, in which connections read what has arrived and
@@ -497,7 +499,8 @@
         if !is_reached {
             detour.as_mut().await?;
         }
-        match timeout_read(LAST_ATTEMPT, self.try_directly(link.target)).await {
+        let left = CHECK_TIMEOUT.saturating_sub(evidence.begun_at.elapsed());
+        match timeout_read(left.max(LAST_ATTEMPT), self.try_directly(link.target)).await {
             Some(Ok(())) => self.log_sound(link, evidence),
             Some(Err(_)) => Some(LinkStatus::Refusing),
             None if is_refused => Some(LinkStatus::Refusing),
