Finish requests when the control replica of an instance fails

Callers of the product's front saw their connection end without an answer when the control replica of its instance failed, for example on a disk that refuses a write: the process ended at once, with all requests in progress, though neither they nor the targets need the replica. It was held that a graceful stop needs the log, which the failed replica cannot write; the other replicas can.

stops::failed_replica_finishes_requests failed before: a call of 2 s ended with IncompleteMessage after a write of the replica beyond a limit on the size of files. The instance now stops as on SIGTERM, within the grace period, and still exits with an error.

--- a/crates/daemon/src/bin/shallotdrumd.rs
+++ b/crates/daemon/src/bin/shallotdrumd.rs
@@ -66,12 +66,10 @@
         _ = interrupt.recv() => None,
         error = instance.failed() => Some(error),
     };
+    // The other replicas still write the log, and the requests in progress do not need this one.
+    instance.stop().await;
     match failure {
-        // A graceful stop needs the control log, which a failed replica can no longer write.
         Some(error) => Err(error).context("the control replica has failed"),
-        None => {
-            instance.stop().await;
-            Ok(())
-        }
+        None => Ok(()),
     }
 }
--- a/crates/daemon/tests/guarantees/stops.rs
+++ b/crates/daemon/tests/guarantees/stops.rs
@@ -1,6 +1,7 @@
 //! G7: a graceful stop interrupts no request in progress.
 
 use std::{
+    os::unix::fs::PermissionsExt,
     sync::{
         Arc,
         atomic::{AtomicBool, AtomicUsize, Ordering},
@@ -283,3 +284,44 @@
     };
     assert_eq!(problem.outcome, "unknown", "{problem:?}");
 }
+
+/// Guards against requests without an answer because the process ends as soon as its control replica fails.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn failed_replica_finishes_requests() {
+    const RUN: Duration = Duration::from_secs(2);
+    let folder = tempfile::tempdir().unwrap();
+    let program = folder.path().join("shallotdrumd");
+    // A write beyond the limit on the size of files then fails, and does not end the process.
+    let script =
+        format!("#!/bin/sh\ntrap '' XFSZ\nexec {} \"$@\"\n", env!("CARGO_BIN_EXE_shallotdrumd"));
+    std::fs::write(&program, script).unwrap();
+    std::fs::set_permissions(&program, std::fs::Permissions::from_mode(0o755)).unwrap();
+    let mut setup = start_with(ClusterConfig::new(program), TargetsConfig::default()).await;
+    // No leader, so that the failure does not stop commands.
+    let leader = setup.leader(None).await;
+    let failing = (0..setup.cluster.replicas()).find(|i| *i != leader).unwrap();
+    let other = setup.cluster.entry(setup.idle_instance().await);
+    for service in &setup.targets.services {
+        service.configure(|settings| settings.delay_ms = RUN.as_millis() as u64);
+    }
+    let (caller, entry) = (setup.caller.clone(), setup.cluster.entry(failing));
+    let path = format!("/{}/status/9", setup.deployment.service);
+    let call = tokio::spawn(async move { caller.call(entry, Method::GET, &path, None, "").await });
+    let poll = || async {
+        let stats = setup.targets.services.iter().map(|service| service.stats());
+        let running: u32 = stats.map(|stats| stats.running).sum();
+        (running > 0).then_some(()).ok_or_else(|| "no call runs".to_owned())
+    };
+    wait_until("the call runs", START_LIMIT, poll).await.unwrap();
+    let pid = setup.cluster.process(failing).unwrap().id().to_string();
+    let limited = std::process::Command::new("prlimit").args(["--pid", &pid, "--fsize=1"]).status();
+    assert!(limited.unwrap().success());
+    // Begins with a command, which the replica cannot write.
+    let path = format!("/{}/certificates", setup.deployment.service);
+    setup.caller.call(other, Method::POST, &path, Some("key-1"), "{}").await.unwrap();
+    let response = call.await.unwrap();
+    assert_eq!(response.expect("the request is finished").status, 200);
+    let status = setup.cluster.process(failing).unwrap().wait(STOP_LIMIT).await.unwrap();
+    assert!(!status.success(), "the replica did not fail");
+}
