Stop gracefully on SIGHUP

Callers saw their connection end without an answer when shallotdrumd got SIGHUP, while it served or in the middle of a stop: the daemon did not handle the signal, so the process ended at once.

SIGHUP now begins a stop, like SIGTERM, and changes nothing in one.

--- a/crates/daemon/src/bin/shallotdrumd.rs
+++ b/crates/daemon/src/bin/shallotdrumd.rs
@@ -1,4 +1,4 @@
-//! Daemon that runs one instance of the serving layer until SIGTERM or SIGINT.
+//! Daemon that runs one instance of the serving layer until SIGTERM, SIGINT or SIGHUP.
 
 use anyhow::Context;
 use flags::Shallotdrumd;
@@ -59,11 +59,13 @@
 async fn run(settings: Settings, log: slog::Logger) -> anyhow::Result<()> {
     let mut terminate = signal(SignalKind::terminate()).context("cannot handle SIGTERM")?;
     let mut interrupt = signal(SignalKind::interrupt()).context("cannot handle SIGINT")?;
+    let mut hangup = signal(SignalKind::hangup()).context("cannot handle SIGHUP")?;
     let listeners = Listeners::open(&settings).await?;
     let instance = Instance::start(settings, listeners, log).await?;
     let failure = tokio::select! {
         _ = terminate.recv() => None,
         _ = interrupt.recv() => None,
+        _ = hangup.recv() => None,
         error = instance.failed() => Some(error),
     };
     // The other replicas still write the log, and the requests in progress do not need this one.
--- a/crates/daemon/tests/guarantees/stops.rs
+++ b/crates/daemon/tests/guarantees/stops.rs
@@ -325,3 +325,31 @@
     let status = setup.cluster.process(failing).unwrap().wait(STOP_LIMIT).await.unwrap();
     assert!(!status.success(), "the replica did not fail");
 }
+
+/// Guards against requests without an answer because a signal ends the process while it serves or stops.
+#[rstest]
+#[case::hangup_while_serving(&["HUP"])]
+#[case::hangup_in_stop(&["TERM", "HUP"])]
+#[case::second_terminate(&["TERM", "TERM"])]
+#[case::interrupt_in_stop(&["TERM", "INT"])]
+#[tokio::test(flavor = "multi_thread")]
+async fn signals_cut_no_request(#[case] signals: &[&str]) {
+    const RUN: Duration = Duration::from_secs(2);
+    let mut setup = start().await;
+    let entry = setup.idle_instance().await;
+    for service in &setup.targets.services {
+        service.configure(|settings| settings.delay_ms = RUN.as_millis() as u64);
+    }
+    let pid = setup.cluster.process(entry).unwrap().id().to_string();
+    let send_signals = async {
+        for signal in signals {
+            sleep(RUN / 4).await;
+            let sent = std::process::Command::new("kill").args(["-s", signal, &pid]).status();
+            assert!(sent.unwrap().success());
+        }
+    };
+    let (response, ()) = tokio::join!(setup.lookup(setup.cluster.entry(entry)), send_signals);
+    response.expect("the request is finished");
+    let status = setup.cluster.process(entry).unwrap().wait(STOP_LIMIT).await.unwrap();
+    assert!(status.success(), "{status}");
+}
