--- a/crates/daemon/tests/guarantees/place_channel.rs
+++ b/crates/daemon/tests/guarantees/place_channel.rs
@@ -515,8 +515,7 @@
     instances.check_runs(pool, count);
 }
 
-/// Guards against a response that is cut off because it comes over a connection that another instance opened,
-/// and that instance stops.
+/// Guards against responses that are cut off because the instance that opened the connection stops.
 #[rstest]
 #[tokio::test(flavor = "multi_thread")]
 async fn stop_finishes_connections_for_others() {
--- a/crates/daemon/tests/guarantees/stops.rs
+++ b/crates/daemon/tests/guarantees/stops.rs
@@ -180,8 +180,7 @@
     start_with(cfg, TargetsConfig::default()).await
 }
 
-/// Guards against an instance that ends with a request in progress because it counts the longest deadline
-/// from the begin of the stop, not from the last request that it accepts.
+/// Guards against a stop that counts the longest deadline from its begin, not from the last request.
 #[rstest]
 #[tokio::test(flavor = "multi_thread")]
 async fn request_accepted_late_in_stop_is_answered() {
@@ -207,8 +206,7 @@
     assert!(status.success(), "{status}");
 }
 
-/// Guards against requests without any answer because their deadlines are later than the end of the grace
-/// period, after which the platform kills the process.
+/// Guards against requests without an answer whose deadlines are later than the grace period.
 #[rstest]
 #[tokio::test(flavor = "multi_thread")]
 async fn stop_answers_all_within_grace_period() {
@@ -285,7 +283,7 @@
     assert_eq!(problem.outcome, "unknown", "{problem:?}");
 }
 
-/// Guards against requests without an answer because the process ends as soon as its control replica fails.
+/// Guards against requests without an answer because the process ends when its replica fails.
 #[rstest]
 #[tokio::test(flavor = "multi_thread")]
 async fn failed_replica_finishes_requests() {
@@ -326,7 +324,7 @@
     assert!(!status.success(), "the replica did not fail");
 }
 
-/// Guards against requests without an answer because a signal ends the process while it serves or stops.
+/// Guards against requests without an answer because a signal ends the process.
 #[rstest]
 #[case::hangup_while_serving(&["HUP"])]
 #[case::hangup_in_stop(&["TERM", "HUP"])]
--- a/crates/entry/tests/entry/completions.rs
+++ b/crates/entry/tests/entry/completions.rs
@@ -370,8 +370,7 @@
     Rest,
 }
 
-/// Guards against requests whose deadline is later than the end of the process and that end without an answer,
-/// or are said not to have run though they may have.
+/// Guards against requests that outlast a stop, and against a false "not run" for them.
 #[rstest]
 #[case::owner(WaitsFor::Owner, "not-run")]
 #[case::reply(WaitsFor::Reply, "unknown")]
--- a/crates/owner/tests/releases.rs
+++ b/crates/owner/tests/releases.rs
@@ -69,7 +69,7 @@
     }
 }
 
-/// Guards against groups that nobody serves while the instance that stops waits for an order in another one.
+/// Guards against groups without an owner while a stop waits for an order in another group.
 #[tokio::test(start_paused = true)]
 async fn stop_releases_group_despite_order_in_other_group() {
     let log = Log::default();
