Let all calls connect before the stop that they outlast

stop_answers_all_within_grace_period failed once beside load: a call had not connected when the listener closed, 0.2 s after SIGTERM, and was refused. The test is about calls that were accepted; all 160 must still be answered.

--- a/crates/daemon/tests/guarantees/stops.rs
+++ b/crates/daemon/tests/guarantees/stops.rs
@@ -243,6 +243,8 @@
         (running > 0).then_some(()).ok_or_else(|| "no call runs".to_owned())
     };
     wait_until("calls run", START_LIMIT, poll).await.unwrap();
+    // The listener must not close before the last call has connected.
+    sleep(Duration::from_secs(1)).await;
     let stopped_at = Instant::now();
     setup.cluster.process(entry).unwrap().sigterm().unwrap();
     let kill_at = stopped_at + GRACE_PERIOD;
