Grant places until a group's orders have ended and it is released

Cause: `release_all` closed the schedulers first and only then waited until no order was in flight. An eviction takes effect when the runs of its adapter have ended, within ORDER_TIMEOUT of 5 s, and the load that belongs to it follows. Queued requests were failed at the start of that wait and new ones refused, though the group could not pass to anyone else before its end. Class: a wait that outlives what it waits for.

Why it works: the count of orders is closed first, so that no new order, base model loads included, can begin, and the wait is never longer than before. Until it is zero the schedulers start no loads but admit what needs none. Requests that need one get "owner changed" at once, as before. Changes of targets, time-outs, allotments and the end of the lease or the ownership take effect as they do while the group is owned. Then the schedulers are closed and the groups released. That no order is in flight at the release is as before; the load that follows an eviction is still sent, as its requests now wait for it.

A drained instance does the same. One that is cut off from its targets, at the begin or meanwhile, closes its schedulers at once, as before; no test has shown this. Requests that other instances forward to the owner are refused from the begin, as before, since the instance could not end before they do. Those already queued are no longer failed at once: they are served, or fail at the release.

--- a/crates/owner/src/base.rs
+++ b/crates/owner/src/base.rs
@@ -57,9 +57,10 @@
         group.scheduler.report(&engine.target, engine.incarnation, report)
     }
 
-    /// Resolves when this instance no longer owns the group.
+    /// Resolves when this instance no longer owns the group, or is about to release it.
     async fn ownership_end(&self, group: &Arc<OwnedGroup>) {
-        while self.holds(group) && self.check_owned(group).is_ok() {
+        let is_kept = || !group.orders.is_closed() && self.holds(group);
+        while is_kept() && self.check_owned(group).is_ok() {
             tokio::time::sleep(OWNERSHIP_POLL_INTERVAL).await;
         }
     }
@@ -67,7 +68,7 @@
     /// Orders an engine to load its base model, unless such an order is already in flight.
     fn load_base(self: &Arc<Self>, group: &Arc<OwnedGroup>, engine: &InspectRequest) {
         let InspectRequest { target, incarnation, addr, base, .. } = engine;
-        let in_flight = group.orders.enter();
+        let Some(in_flight) = group.orders.enter() else { return };
         let grant = group.ownership().order_grant(&self.cx, &group.id, target);
         let Some(grant) = grant.filter(|_| self.holds(group)) else { return };
         if !group.base_loads().insert(target.clone()) {
--- a/crates/owner/src/call.rs
+++ b/crates/owner/src/call.rs
@@ -136,7 +136,7 @@
         call: BufferedCall,
         key: IdempotencyKey,
     ) -> Result<Response<ForwardBody>, RequestError> {
-        let group = self.owned(&call.call.group)?;
+        let group = self.owned_for_send(&call.call.group)?;
         let key = CallKey { subscriber: call.call.subscriber.clone(), key };
         // Runs in a separate task so that the result is recorded even if the caller or its entry
         // disconnects.
@@ -294,7 +294,7 @@
         call: &BufferedCall,
         avoid: &mut Vec<TargetId>,
     ) -> Result<Responded, CallFailure> {
-        let group = self.owned(&call.call.group).map_err(CallFailure::Refused)?;
+        let group = self.owned_for_send(&call.call.group).map_err(CallFailure::Refused)?;
         // Checked after the ledger, so that a duplicate gets the result of the first call with its
         // key even if the call is quarantined by now.
         self.check_quarantine(&call.fingerprint).map_err(CallFailure::Refused)?;
--- a/crates/owner/src/completion.rs
+++ b/crates/owner/src/completion.rs
@@ -76,7 +76,7 @@
     ) -> Result<(), RequestError> {
         let resume = call.request.resume.clone();
         let identity = completion_identity(&call.subscriber, &call.request);
-        let group = self.owned(&call.group)?;
+        let group = self.owned_for_send(&call.group)?;
         let permitted_part = self.admit_parts(&group.crashes, &identity.parts)?;
         let mut run = CompletionRun {
             call,
@@ -107,7 +107,7 @@
         run: &mut CompletionRun<'_>,
         tx: &mpsc::Sender<Frame>,
     ) -> Attempt {
-        let group = match self.owned(&run.call.group) {
+        let group = match self.owned_for_send(&run.call.group) {
             Ok(group) => group,
             Err(error) => return Attempt::Failed(error),
         };
--- a/crates/owner/src/load.rs
+++ b/crates/owner/src/load.rs
@@ -3,7 +3,7 @@
 use std::{
     sync::{
         Arc,
-        atomic::{AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     time::Instant,
 };
@@ -69,17 +69,36 @@
 
 /// Number of load orders in flight for a group; clones share it.
 #[derive(Clone, Default)]
-pub(crate) struct OrderCount(Arc<AtomicUsize>);
+pub(crate) struct OrderCount(Arc<Orders>);
+
+#[derive(Default)]
+struct Orders {
+    in_flight: AtomicUsize,
+    is_closed: AtomicBool,
+}
 
 impl OrderCount {
     /// Whether no order is in flight.
     pub(crate) fn is_zero(&self) -> bool {
-        self.0.load(Ordering::SeqCst) == 0
+        self.0.in_flight.load(Ordering::SeqCst) == 0
+    }
+
+    /// Counts an order as in flight; `None` after `close`.
+    pub(crate) fn enter(&self) -> Option<OrderGuard> {
+        // Counted before the check, so that whoever closes the count and then finds it zero has seen
+        // every order that is sent.
+        self.0.in_flight.fetch_add(1, Ordering::SeqCst);
+        let guard = OrderGuard(self.clone());
+        (!self.is_closed()).then_some(guard)
+    }
+
+    /// Allows no more orders; those in flight go on.
+    pub(crate) fn close(&self) {
+        self.0.is_closed.store(true, Ordering::SeqCst);
     }
 
-    pub(crate) fn enter(&self) -> OrderGuard {
-        self.0.fetch_add(1, Ordering::SeqCst);
-        OrderGuard(self.clone())
+    pub(crate) fn is_closed(&self) -> bool {
+        self.0.is_closed.load(Ordering::SeqCst)
     }
 }
 
@@ -88,7 +107,7 @@
 
 impl Drop for OrderGuard {
     fn drop(&mut self) {
-        self.0.0.fetch_sub(1, Ordering::SeqCst);
+        self.0.0.in_flight.fetch_sub(1, Ordering::SeqCst);
     }
 }
 
@@ -102,7 +121,8 @@
     let Some(permit) = (cx.permit)(group.clone()).await else { return Err(LoadFailure::NoPermit) };
     let in_flight = orders.enter();
     // The lease or the ownership may have ended while the permit was being acquired.
-    let result = match ownership.order_grant(&cx, &group, &order.target) {
+    let grant = ownership.order_grant(&cx, &group, &order.target);
+    let result = match grant.filter(|_| in_flight.is_some()) {
         Some(grant) => send(&cx, grant, ownership.since, order).await,
         None => Err(LoadFailure::NoPermit),
     };
--- a/crates/owner/src/service.rs
+++ b/crates/owner/src/service.rs
@@ -174,11 +174,7 @@
                 true => self.release_all().await,
                 false => self.sync_groups(),
             }
-            self.remove_timed_out_targets();
-            self.update_allotments();
-            let live = self.cx.view.read(|state| state.sessions().map(|s| s.id).collect());
-            self.places.expire(&live);
-            self.update_gauges();
+            self.check_groups();
             tokio::select! {
                 _ = changed.changed() => {}
                 () = tokio::time::sleep(CHECK_INTERVAL) => {}
@@ -186,31 +182,76 @@
         }
     }
 
+    /// Does what is due for the groups and their places.
+    fn check_groups(self: &Arc<Self>) {
+        self.remove_timed_out_targets();
+        self.update_allotments();
+        let live = self.cx.view.read(|state| state.sessions().map(|s| s.id).collect());
+        self.places.expire(&live);
+        self.update_gauges();
+    }
+
     /// Releases all groups permanently because the instance is shutting down.
-    pub async fn stop(&self) {
+    pub async fn stop(self: &Arc<Self>) {
         self.is_stopping.store(true, Ordering::SeqCst);
         self.release_all().await;
     }
 
-    /// Releases all groups, each one by itself, as none is served until it has another owner.
-    async fn release_all(&self) {
+    /// Releases all groups, each one by itself, as few requests are served until it has another owner.
+    async fn release_all(self: &Arc<Self>) {
         let _releasing = self.releasing.lock().await;
-        let held = std::mem::take(&mut *self.groups());
+        let held = self.groups().clone();
         for group in held.values() {
-            group.scheduler.close(owner_changed(&group.id));
+            group.orders.close();
         }
         let session = (self.cx.session)();
         let owned: BTreeSet<_> = self.cx.view.read(|state| {
             let groups = state.groups().filter(|g| session.is_some() && g.owner == session);
             groups.map(|g| g.id.clone()).chain(held.keys().cloned()).collect()
         });
-        join_all(owned.iter().map(|id| self.release(id, held.get(id)))).await;
+        let released = join_all(owned.iter().map(|id| self.release(id, held.get(id))));
+        tokio::select! {
+            biased;
+            () = self.serve_without_loads(&held) => {}
+            _ = released => {}
+        }
+    }
+
+    /// Grants places where no load is needed, as no other instance can until the groups are released.
+    /// An instance that is cut off from the targets grants none. Runs until the future is dropped.
+    async fn serve_without_loads(self: &Arc<Self>, held: &BTreeMap<GroupId, Arc<OwnedGroup>>) {
+        let mut changed = self.cx.view.changed();
+        loop {
+            let is_cut_off = self.cx.links.is_cut_off();
+            for group in held.values() {
+                match is_cut_off {
+                    true => self.give_up(group),
+                    false => group.scheduler.stop_loads(owner_changed(&group.id)),
+                }
+            }
+            self.close_lost_groups();
+            for group in self.owned_groups() {
+                self.sync_targets(&group);
+            }
+            self.check_groups();
+            tokio::select! {
+                _ = changed.changed() => {}
+                () = tokio::time::sleep(CHECK_INTERVAL) => {}
+            }
+        }
+    }
+
+    /// Fails the queued requests of a group and accepts no more.
+    fn give_up(&self, group: &Arc<OwnedGroup>) {
+        self.groups().retain(|_, held| !Arc::ptr_eq(held, group));
+        group.scheduler.close(owner_changed(&group.id));
     }
 
     /// Releases the ownership of a group once no order is in flight in it.
     async fn release(&self, id: &GroupId, held: Option<&Arc<OwnedGroup>>) {
         if let Some(group) = held {
             group.wait_for_orders().await;
+            self.give_up(group);
         }
         let owner = self.cx.view.read(|state| state.group(id).and_then(|group| group.owner));
         let Some(session) = (self.cx.session)().filter(|session| owner == Some(*session)) else {
@@ -315,6 +356,16 @@
         InProgressGuard(self.in_progress.clone())
     }
 
+    /// Returns an owned group for a request that this instance itself sends. It would have to stay
+    /// until the end of the request, so there is none while it releases the group.
+    pub(crate) fn owned_for_send(&self, id: &GroupId) -> Result<Arc<OwnedGroup>, RequestError> {
+        let group = self.owned(id)?;
+        match group.orders.is_closed() {
+            true => Err(owner_changed(id)),
+            false => Ok(group),
+        }
+    }
+
     /// Returns an owned group, or the error that makes the entry look up the new owner.
     pub(crate) fn owned(&self, id: &GroupId) -> Result<Arc<OwnedGroup>, RequestError> {
         let group = self.groups().get(id).cloned().ok_or_else(|| owner_changed(id))?;
@@ -374,12 +425,23 @@
 
     /// Closes groups that were lost and acquires groups that the control state newly assigns.
     fn sync_groups(self: &Arc<Self>) {
+        let assigned = self.close_lost_groups();
+        for (id, session, epoch, handover) in assigned {
+            let group = self.take_over(id, session, epoch, handover);
+            self.sync_targets(&group);
+        }
+    }
+
+    /// Closes groups that were lost; returns those that the control state assigns to this instance.
+    fn close_lost_groups(&self) -> Vec<(GroupId, SessionId, Epoch, Handover)> {
         let session = (self.cx.session)();
         let assigned: Vec<_> = self.cx.view.read(|state| {
             state
                 .groups()
-                .filter(|group| session.is_some() && group.owner == session)
-                .map(|group| (group.id.clone(), group.epoch, group.handover))
+                .filter_map(|group| {
+                    let owner = group.owner.filter(|owner| Some(*owner) == session)?;
+                    Some((group.id.clone(), owner, group.epoch, group.handover))
+                })
                 .collect()
         });
         let lost: Vec<_> = {
@@ -388,7 +450,7 @@
                 Some(group.session) == session
                     && assigned
                         .iter()
-                        .any(|(id, epoch, _)| (id, epoch) == (&group.id, &group.epoch))
+                        .any(|(id, _, epoch, _)| (id, epoch) == (&group.id, &group.epoch))
             };
             let ids: Vec<_> = groups
                 .values()
@@ -401,11 +463,7 @@
             event!(self.cx.log, GROUP_LOST; "group" => %group.id, "epoch" => group.epoch.0);
             group.scheduler.close(owner_changed(&group.id));
         }
-        let Some(session) = session else { return };
-        for (id, epoch, handover) in assigned {
-            let group = self.take_over(id, session, epoch, handover);
-            self.sync_targets(&group);
-        }
+        assigned
     }
 
     /// Returns the owned group, creating it if it was newly assigned.
--- a/crates/scheduler/src/group.rs
+++ b/crates/scheduler/src/group.rs
@@ -149,6 +149,12 @@
         }
     }
 
+    /// Starts no more loads, and fails the requests that need one. Loads under way go on, and requests
+    /// for adapters that are loaded, or being loaded, are still admitted.
+    pub fn stop_loads(&self, error: RequestError) {
+        self.shared.update(|state, now| state.stop_loads(error, now));
+    }
+
     /// Fails all queued requests immediately and refuses new ones. Existing leases stay valid.
     pub fn close(&self, error: RequestError) {
         self.shared.update(|state, _| state.close(error));
--- a/crates/scheduler/src/state/admission.rs
+++ b/crates/scheduler/src/state/admission.rs
@@ -63,6 +63,12 @@
         if let Some(error) = &self.closed {
             return Err(error.clone());
         }
+        if let Some(error) = &self.loads_stopped
+            && let RequestKind::Completion { adapter, .. } = &request.kind
+            && !self.adapters.key(adapter).is_some_and(|key| self.is_held_or_loading(key))
+        {
+            return Err(error.clone());
+        }
         let work_ms = self.record_demand(&request, now);
         if let Err(error) = self.check(&request, now) {
             self.stats.refused += 1;
--- a/crates/scheduler/src/state/baseline.rs
+++ b/crates/scheduler/src/state/baseline.rs
@@ -109,7 +109,9 @@
 
     fn load_on_demand(&mut self, key: TargetKey, adapter: AdapterKey, seq: Seq, now: Instant) {
         let target = &self.targets[&key];
-        let may_load_now = now >= self.adapters[adapter].retry_at && target.accepts_orders(now);
+        let may_load_now = self.loads_stopped.is_none()
+            && now >= self.adapters[adapter].retry_at
+            && target.accepts_orders(now);
         if !may_load_now || target.slots.references(adapter) {
             return;
         }
--- a/crates/scheduler/src/state/mod.rs
+++ b/crates/scheduler/src/state/mod.rs
@@ -131,6 +131,8 @@
     suppressed_queue_full_logs: u64,
     overload: Overload,
     pub(crate) stats: Stats,
+    /// Error for requests that need a load, if no more loads are started.
+    loads_stopped: Option<RequestError>,
     pub(crate) closed: Option<RequestError>,
 }
 
@@ -378,6 +380,7 @@
             suppressed_queue_full_logs: 0,
             overload: Overload::new(now),
             stats: Stats::default(),
+            loads_stopped: None,
             closed: None,
         }
     }
--- a/crates/scheduler/src/state/planner.rs
+++ b/crates/scheduler/src/state/planner.rs
@@ -6,7 +6,7 @@
 
 use std::{cmp::Ordering, time::Duration};
 
-use shallotdrum_types::TargetId;
+use shallotdrum_types::{RequestError, TargetId};
 use tokio::time::Instant;
 
 use super::{State, SubKey};
@@ -107,6 +107,10 @@
 impl State {
     /// Starts loads as long as one is useful and the limits allow another.
     pub(super) fn plan(&mut self, now: Instant) {
+        if let Some(error) = self.loads_stopped.clone() {
+            self.fail_missing(&error);
+            return;
+        }
         if self.cfg.policy == Policy::Baseline || self.closed.is_some() {
             return;
         }
@@ -510,6 +514,31 @@
         }
     }
 
+    /// Starts no more loads, and fails the requests that need one.
+    pub(crate) fn stop_loads(&mut self, error: RequestError, now: Instant) {
+        if self.loads_stopped.is_some() || self.closed.is_some() {
+            return;
+        }
+        self.loads_stopped = Some(error);
+        self.end_drains(true, now);
+        self.plan(now);
+    }
+
+    /// Fails queued requests for adapters that no target holds or loads.
+    fn fail_missing(&mut self, error: &RequestError) {
+        let is_missing = |adapter: AdapterKey| !self.is_held_or_loading(adapter);
+        let missing = self.queued.iter().filter(|(_, q)| q.adapter.is_some_and(is_missing));
+        let seqs: Vec<Seq> = missing.map(|(seq, _)| *seq).collect();
+        for seq in seqs {
+            self.fail(seq, error.clone());
+        }
+    }
+
+    pub(super) fn is_held_or_loading(&self, adapter: AdapterKey) -> bool {
+        let row = &self.adapters[adapter];
+        !row.holders.is_empty() || !row.loading.is_empty()
+    }
+
     /// Ends drains that take too long or are no longer needed.
     fn end_drains(&mut self, is_unneeded: bool, now: Instant) {
         let mut resumed = Vec::new();
--- a/crates/scheduler/tests/admission.rs
+++ b/crates/scheduler/tests/admission.rs
@@ -58,6 +58,29 @@
     running.finish(answered(1));
 }
 
+/// Guards against loads of an owner that is about to release the group, and against refusing what needs
+/// none meanwhile.
+#[tokio::test(start_paused = true)]
+async fn stop_loads_admits_without_load() {
+    let group = group(config());
+    group.engine("e1", 1, 2, 8);
+    group.admit(completion("light", "a")).await.unwrap().finish(answered(10));
+    let loading = group.run(completion("light", "b"), Duration::ZERO);
+    sleep(Duration::from_millis(50)).await;
+    let missing = group.run(completion("light", "c"), Duration::ZERO);
+    sleep(Duration::from_millis(10)).await;
+    assert!(!missing.is_finished());
+    let error = RequestError::not_run(RequestErrorKind::NotReady, "about to be released");
+    group.scheduler.stop_loads(error.clone());
+    assert_eq!(missing.await.unwrap().unwrap_err(), error);
+    assert_eq!(group.admit(completion("light", "d")).await.unwrap_err(), error);
+    group.admit(completion("light", "a")).await.unwrap().finish(answered(10));
+    assert!(!loading.is_finished());
+    loading.await.unwrap().unwrap();
+    sleep(Duration::from_secs(2)).await;
+    assert_eq!(group.orders().len(), 2);
+}
+
 /// Guards against one subscriber that fills the group's queue, and against refusals without a
 /// suggested retry delay.
 #[tokio::test(start_paused = true)]
