Let callers that a stop refuses return after their places are cancelled

Change: a request that a stop refuses is told to return after 250 to 500 ms, at random, so that callers refused together do not return together. New requests at a closing instance are told 50 ms as before, as no owner knows of them.

--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -22,6 +22,10 @@
     exchange::{RETRY_AFTER_CLOSE, RequestRun},
 };
 
+/// Time in which an owner learns that a request waits no longer, from an instance with a small share of a
+/// core. It would count a request that returns earlier twice, and refuse it for its queue.
+const CANCEL_TIME: Duration = Duration::from_millis(250);
+
 /// Begin and end of a planned stop.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StopTimes {
@@ -138,7 +142,8 @@
             "left_ms" => run.deadline.saturating_duration_since(now).as_millis() as u64,
             "run_ms" => self.expected_run_time(run).map(|time| time.as_millis() as u64),
             "stop_ends_ms" => ends_after.map(|time| time.as_millis() as u64));
-        stopping()
+        // Callers of requests that are refused together return one after the other.
+        stopping().retry_after(CANCEL_TIME.mul_f64(1.0 + rand::random::<f64>()))
     }
 }
 
