Refuse what is too late for a stop before anything is reserved for it

What callers saw: nothing shown. Found by a review of the fix: a request that arrived too late in a stop was still polled once, which asked the owner of a share for units and a group for a place, and then dropped; an error of its own, such as 429, was replaced by that of the stop; and the end of the stop could change without those that wait for it.

Change: whether a request is too late is checked before it asks for anything; errors stay as they are; only the first begin of a stop counts. The event says that the request was not sent, as one that broke midway may have run. The bound of an instance's stop no longer panics with a grace period under a second.

--- a/crates/daemon/src/instance.rs
+++ b/crates/daemon/src/instance.rs
@@ -458,9 +458,12 @@
         event!(self.log, INSTANCE_STOPPING);
         let kill_at = Instant::now() + self.grace_period;
         self.entry.begin_drain();
-        tokio::join!(timeout_at(kill_at - STOP_MARGIN, self.finish()), front_end).0.unwrap_or_else(
-            |_| event!(self.log, STOP_INCOMPLETE; "after_ms" => (self.grace_period - STOP_MARGIN).as_millis()),
-        );
+        let (finished, ()) =
+            tokio::join!(timeout_at(kill_at - STOP_MARGIN, self.finish()), front_end);
+        if finished.is_err() {
+            let after = self.grace_period.saturating_sub(STOP_MARGIN);
+            event!(self.log, STOP_INCOMPLETE; "after_ms" => after.as_millis());
+        }
         // The session ends by itself after its lease.
         let _ = timeout_at(kill_at - STOP_MARGIN / 2, self.session.end()).await;
         if let Some(replica) = &self.replica {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -501,13 +501,8 @@
 
     /// Acquires a place, sends the request to its target and reads the head of the response.
     async fn dispatch(&self, run: &mut RequestRun) -> Result<Received, AttemptOutcome> {
-        let too_late = self.too_late(run);
-        let granted = self.unless_too_late(too_late, self.take_place(run)).await;
-        let Some(granted) = granted.filter(|_| !self.is_too_late(run)) else {
-            return Err(AttemptOutcome::NoPlace(self.refuse_for_stop(run)));
-        };
         let Granted { mut place, witness, need, version } =
-            granted.map_err(AttemptOutcome::NoPlace)?;
+            self.take_place_in_time(run).await.map_err(AttemptOutcome::NoPlace)?;
         // The target may have left meanwhile.
         if self.places.is_withheld(place.granted.addr) {
             run.avoid.push(place.granted.target.clone());
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -4,8 +4,8 @@
 //! process does. One that waits for longer is refused, and another instance can still serve it. What was
 //! sent and is not finished at the end is ended with an error, or as an incomplete stream.
 //!
-//! Architecture Invariant: no wait of a request outlives the process. A refusal is only given to a request
-//! of which no byte was sent.
+//! Architecture Invariant: no wait of a request for its next send outlives the process. A request that a
+//! target may have run is not refused: `RequestRun::give_up` tells its caller so.
 
 use std::{
     sync::{MutexGuard, PoisonError},
@@ -20,6 +20,7 @@
     Gateway, RunTimes,
     allotments::served_kind,
     exchange::{RETRY_AFTER_CLOSE, RequestRun},
+    grant::Granted,
 };
 
 /// Time in which an owner learns that a request waits no longer, from an instance with a small share of a
@@ -55,7 +56,13 @@
     pub fn begin_stop(&self, ends_at: Instant) {
         self.in_progress.begin_stop();
         let times = StopTimes { begins_at: Instant::now(), ends_at };
-        self.stop.send_if_modified(|stop| stop.replace(times).is_none());
+        self.stop.send_if_modified(|stop| match stop {
+            Some(_) => false,
+            None => {
+                *stop = Some(times);
+                true
+            }
+        });
     }
 
     /// Logs the requests that end with the process, and what became of the others since `begin_stop`.
@@ -85,7 +92,8 @@
         self.run_times().expected(&served_kind(run), Instant::now().into_std())
     }
 
-    /// Runs what precedes a send, unless a planned stop leaves no time to send the request meanwhile.
+    /// Runs what precedes a send, unless a planned stop leaves no time to send the request meanwhile. What is
+    /// ready counts.
     pub(crate) async fn unless_too_late<T>(
         &self,
         too_late: impl Future<Output = ()>,
@@ -98,6 +106,22 @@
         }
     }
 
+    /// Waits for a place, until a planned stop leaves no time to send the request.
+    pub(crate) async fn take_place_in_time(
+        &self,
+        run: &mut RequestRun,
+    ) -> Result<Granted, RequestError> {
+        // Nothing is reserved for a request that is too late from the begin.
+        if self.is_too_late(run) {
+            return Err(self.refuse_for_stop(run));
+        }
+        let too_late = self.too_late(run);
+        match self.unless_too_late(too_late, self.take_place(run)).await {
+            Some(granted) if granted.is_err() || !self.is_too_late(run) => granted,
+            _ => Err(self.refuse_for_stop(run)),
+        }
+    }
+
     /// Whether a planned stop leaves no time to send the request.
     pub(crate) fn is_too_late(&self, run: &RequestRun) -> bool {
         let last_send = self
@@ -131,7 +155,8 @@
         }
     }
 
-    /// Logs that a planned stop ends a request before it is sent, and returns its error.
+    /// Logs that a planned stop ends a request before its next send, and returns the error of one of which
+    /// nothing was sent.
     pub(crate) fn refuse_for_stop(&self, run: &RequestRun) -> RequestError {
         let (stage, since) = run.progress.stage();
         let now = Instant::now();
--- a/crates/telemetry/src/events.rs
+++ b/crates/telemetry/src/events.rs
@@ -220,7 +220,7 @@
         WAITED_FOR_START = "N0443", Info, "request waited while the instance started", "none; `is_ready` says whether the instance could decide on it then";
         KEY_REFUSED = "N0442", Info, "request refused: its caller has no key of a customer, or the key is not confirmed to be valid", "see \"a caller got 401\" in docs/OPERATIONS.md";
         REQUEST_CUT = "N0470", Warning, "request ended with the process, without a complete response", "see what it waited for (stage); raise the stop timeout if it repeats";
-        REFUSED_FOR_STOP = "N0471", Info, "request refused: a planned stop leaves no time to serve it here", "none; its caller is told to use another instance";
+        REFUSED_FOR_STOP = "N0471", Info, "request not sent: a planned stop leaves no time for its run", "none; its caller is told to use another instance, or that it may have run";
         ROUTES_CHANGED = "N0413", Info, "route table in force", "none";
         INPUT_REFUSED = "N0414", Warning, "malformed message refused", "correct the sender";
         ENTRY_CLOSED = "N0410", Info, "entry listener closed, all requests finished", "none";
