Let callers return at once that no owner knows of

What callers saw: a request that arrives too late in a stop is refused before anything is asked for it, and was told to return after 250 to 500 ms like those that had waited, which lose their aim of 150 ms by that.

Change: only those that waited for a place are told so.

--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -11,7 +11,6 @@
 use shallotdrum_settings::{Limits, Settings, WhenStale};
 use shallotdrum_telemetry::Metrics;
 use shallotdrum_types::{FreshnessFn, Region, RequestError};
-
 use tokio::time::Instant;
 
 use crate::{AnnounceReply, CacheEvents, Catalog, Leave, budget::RetryBudget, routing::InFlight};
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -118,7 +118,11 @@
         let too_late = self.too_late(run);
         match self.unless_too_late(too_late, self.take_place(run)).await {
             Some(granted) if granted.is_err() || !self.is_too_late(run) => granted,
-            _ => Err(self.refuse_for_stop(run)),
+            // Callers of requests that are refused together return one after the other.
+            _ => {
+                let delay = CANCEL_TIME.mul_f64(1.0 + rand::random::<f64>());
+                Err(self.refuse_for_stop(run).retry_after(delay))
+            }
         }
     }
 
@@ -167,8 +171,7 @@
             "left_ms" => run.deadline.saturating_duration_since(now).as_millis() as u64,
             "run_ms" => self.expected_run_time(run).map(|time| time.as_millis() as u64),
             "stop_ends_ms" => ends_after.map(|time| time.as_millis() as u64));
-        // Callers of requests that are refused together return one after the other.
-        stopping().retry_after(CANCEL_TIME.mul_f64(1.0 + rand::random::<f64>()))
+        stopping()
     }
 }
 
