Resume a broken stream until the end of a stop

Cause: the time that a whole run takes was expected of the rest of a stream as well, so that the last send had passed 4 s before the end of the stop.

Change: for a stream whose caller has its begin, the bound is the end of the stop. A stream that can't go on by then is ended visibly, as before.

--- a/crates/gateway/src/admit.rs
+++ b/crates/gateway/src/admit.rs
@@ -96,6 +96,7 @@
             taken: None,
             req,
             progress,
+            is_relayed: false,
             customer: access.customer().cloned(),
             forwards_credentials: access == Access::Unchecked,
             route,
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -136,6 +136,8 @@
     pub(crate) req: CallerRequest,
     /// Entry among the requests in progress.
     pub(crate) progress: Arc<ProgressGuard>,
+    /// Whether its caller has the begin of a stream.
+    pub(crate) is_relayed: bool,
     /// Equal for repeats of the request with other ids.
     pub(crate) identity: RequestIdentity,
     /// What is quarantined about the request and permitted for its first send.
@@ -747,6 +749,7 @@
         Self {
             req: self.req.clone(),
             progress: self.progress.clone(),
+            is_relayed: true,
             identity: self.identity.clone(),
             permitted: self.permitted,
             software: self.software.clone(),
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -89,6 +89,10 @@
     }
 
     fn expected_run_time(&self, run: &RequestRun) -> Option<Duration> {
+        // Only a part of a stream is left once it has begun, and without it the stream is broken.
+        if run.is_relayed {
+            return Some(Duration::ZERO);
+        }
         self.run_times().expected(&served_kind(run), Instant::now().into_std())
     }
 
