Let a crashed service of a test answer no more questions

The stand-in closed the connection of the call first, and until its listener and its other connections were closed too, its tasks still answered the question that the owner asks after the end of such a response. No process does that: once it has crashed, it answers on none of its connections.

The order in which connections end is unchanged; from the crash on, the stand-in brings nothing on those that are still open. No check is changed.

--- a/crates/daemon/tests/guarantees/close_delimited.rs
+++ b/crates/daemon/tests/guarantees/close_delimited.rs
@@ -1,6 +1,12 @@
 //! G1 with services whose responses have neither a length nor chunks and end with their connection.
 
-use std::net::SocketAddr;
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+};
 
 use http::Method;
 use rstest::rstest;
@@ -51,10 +57,11 @@
 /// Serves connections until one of them brings a call that crashes the service.
 async fn serve(listener: TcpListener, service: Service) {
     let mut connections = JoinSet::new();
+    let has_crashed = Arc::new(AtomicBool::new(false));
     loop {
         tokio::select! {
             accepted = listener.accept() => {
-                connections.spawn(respond(accepted.unwrap().0, service));
+                connections.spawn(respond(accepted.unwrap().0, service, has_crashed.clone()));
             }
             Some(crashed) = connections.join_next() => if crashed.unwrap() {
                 return;
@@ -64,9 +71,13 @@
 }
 
 /// Responds to one request; returns whether that crashes the service.
-async fn respond(mut stream: TcpStream, service: Service) -> bool {
+async fn respond(mut stream: TcpStream, service: Service, has_crashed: Arc<AtomicBool>) -> bool {
     // Connections that only check the target bring nothing.
     let Some((id, is_call)) = read_request(&mut stream).await else { return false };
+    // The other connections of a crashed process may end later, and bring nothing more.
+    if has_crashed.load(Ordering::SeqCst) {
+        return false;
+    }
     let crashes = is_call && service == Service::Crashes;
     let body = if crashes { &BODY[..BODY.len() / 2] } else { BODY };
     let mut head = format!("HTTP/1.1 200 OK\r\n{REQUEST_ID_HEADER}: {id}\r\n");
@@ -76,6 +87,7 @@
     }
     let response = format!("{head}\r\n{body}");
     stream.write_all(response.as_bytes()).await.unwrap();
+    has_crashed.fetch_or(crashes, Ordering::SeqCst);
     crashes
 }
 
