Read what has arrived before a time-out of a witness counts

A whole response that ends with its connection was taken for broken, and its caller got an error, if the instance did not run while the target answered the question after its end: the timer of 2 s had run out when the instance ran again, and the answer that lay in the socket was not read. The same holds for opening a witness, without which such a response can't be shown to be whole, and for the question whether a target still listens.

These waits use the functions that verdicts on links use since then: a time-out counts once what has arrived was read, and time without running uses up half of the time for opening a witness.

--- a/crates/links/src/links.rs
+++ b/crates/links/src/links.rs
@@ -147,7 +147,7 @@
 
 /// Waits for an operation whose time-out is held against a target. If this process did not run for some
 /// time, what has arrived meanwhile is read before the time-out counts.
-async fn timeout_read<F: Future>(limit: Duration, operation: F) -> Option<F::Output> {
+pub(crate) async fn timeout_read<F: Future>(limit: Duration, operation: F) -> Option<F::Output> {
     let mut operation = std::pin::pin!(operation);
     for limit in iter::once(limit).chain(iter::repeat_n(READ_TURN, READ_TURNS)) {
         if let Ok(output) = timeout(limit, operation.as_mut()).await {
@@ -260,7 +260,7 @@
                 }
             }
         };
-        timeout(limit.min(WITNESS_TIMEOUT), begin).await.ok().flatten()
+        timeout_running(limit.min(WITNESS_TIMEOUT), begin).await.flatten()
     }
 
     /// Returns the witness of a target.
@@ -437,8 +437,8 @@
 
     /// Whether a target accepts connections, of this instance or of another one.
     pub async fn is_listening(&self, target: SocketAddr) -> bool {
-        let direct = timeout(CONNECT_TIMEOUT, self.connect_direct(target)).await;
-        matches!(direct, Ok(Ok(_))) || self.is_reached_by_other(target).await
+        let direct = timeout_read(CONNECT_TIMEOUT, self.connect_direct(target)).await;
+        matches!(direct, Some(Ok(_))) || self.is_reached_by_other(target).await
     }
 
     /// Whether a target refuses connections, of this instance and, as far as one can be asked, of
--- a/crates/links/src/witness.rs
+++ b/crates/links/src/witness.rs
@@ -39,7 +39,7 @@
     time::{Instant, sleep_until, timeout},
 };
 
-use crate::{ConnectError, Links, ReadMeter, ends_with_connection, is_final};
+use crate::{ConnectError, Links, ReadMeter, ends_with_connection, is_final, links::timeout_read};
 
 /// Returns a request without an effect whose answer shows that a target runs.
 pub type QuestionFn = Arc<dyn Fn() -> Request<Empty<Bytes>> + Send + Sync>;
@@ -473,10 +473,8 @@
 
 impl Connection {
     async fn ask(&mut self, question: &QuestionFn) -> Result<(), Unanswered> {
-        match timeout(ANSWER_TIMEOUT, self.exchange(question())).await {
-            Ok(answered) => answered,
-            Err(_) => Err(Unanswered::TimedOut),
-        }
+        let answered = timeout_read(ANSWER_TIMEOUT, self.exchange(question())).await;
+        answered.unwrap_or(Err(Unanswered::TimedOut))
     }
 
     async fn exchange(&mut self, question: Request<Empty<Bytes>>) -> Result<(), Unanswered> {
