Ask instances that stop last for connections to targets

An instance whose link is broken asked all other instances for connections, those that stop like any other.

Instances that drain come last in the order in which others are asked. They are still asked, as a connection that may end is better than none.

--- a/crates/daemon/src/links.rs
+++ b/crates/daemon/src/links.rs
@@ -5,7 +5,8 @@
 use shallotdrum_settings::Settings;
 
 /// Finds the instances that may open connections for this one: entries in other zones, as a zone may
-/// lose its links together, then those in its own, then replicas.
+/// lose its links together, then those in its own, then replicas. Those that drain come last, as connections
+/// through an instance that stops end with it.
 pub(crate) fn link_context(
     settings: &Settings,
     view: &ControlView,
@@ -21,6 +22,7 @@
                     instance: session.info.instance.clone(),
                     data: session.info.addrs.data,
                     rank: match (session.info.replica, session.info.zone == zone) {
+                        _ if state.is_draining(session.id) => 3,
                         (false, false) => 0,
                         (false, true) => 1,
                         (true, _) => 2,
