Mark a session that is opened during a stop as draining

An instance that stops marks its session as draining, so that it gets no groups any more. If that session expires during the stop, because the process did not run or its share of a core is small, the next one was opened without the mark, and a failed command was only logged: the instance could get back the groups that it had released, and requests waited for an owner that was about to end. A renewal that ran when the session was ended could also open another one, which its groups follow for the lease of 3 s after the process is gone.

Each session of a draining instance is marked, and the command is repeated until it is accepted. Once the session is ended, no other one is opened, and one that opens at that moment is ended as well.

That no session is opened after the end is by reading.

--- a/crates/daemon/src/session.rs
+++ b/crates/daemon/src/session.rs
@@ -61,6 +61,10 @@
     /// Term of the leader that answered the last renewal.
     leader_term: Term,
     is_draining: bool,
+    /// Session that the control log has marked as draining.
+    drained: Option<SessionId>,
+    /// Whether this instance has ended its session for good.
+    has_ended: bool,
 }
 
 /// Revisions that make up what requests are served by.
@@ -218,28 +222,58 @@
     /// Marks the instance as draining, so that the leader assigns it no more groups.
     pub(crate) async fn begin_drain(&self) {
         self.state().is_draining = true;
-        let Some(session) = self.state().session else { return };
+        self.drain().await;
+    }
+
+    /// Marks the session of a draining instance, unless it is marked already.
+    async fn drain(&self) {
+        let session = {
+            let state = self.state();
+            match state.session {
+                Some(session) if state.is_draining && state.drained != Some(session) => session,
+                _ => return,
+            }
+        };
         let command = Command::DrainSession { session };
-        if let Err(error) = self.client.propose(Proposal::Command(command)).await {
-            event!(self.log, SESSION_DRAIN_FAILED; "session" => session.0, "error" => %error);
+        match self.client.propose(Proposal::Command(command)).await {
+            Ok(_) => self.state().drained = Some(session),
+            Err(error) => {
+                event!(self.log, SESSION_DRAIN_FAILED; "session" => session.0, "error" => %error);
+            }
         }
     }
 
-    /// Opens the session and renews it until the task is dropped.
+    /// Opens the session and renews it until it is ended.
     pub(crate) async fn run(self: Arc<Self>) {
         loop {
-            let session = self.state().session;
+            let (session, has_ended) = {
+                let state = self.state();
+                (state.session, state.has_ended)
+            };
             let pause = match session {
+                _ if has_ended => return,
                 Some(session) => self.renew(session).await,
                 None => self.open().await,
             };
+            // The session may have been opened during a stop, or the command may have failed.
+            self.drain().await;
             tokio::time::sleep(pause).await;
         }
     }
 
     /// Ends the session of a stopping instance.
     pub(crate) async fn end(&self) {
-        let Some(session) = self.state().session.take() else { return };
+        let session = {
+            let mut state = self.state();
+            state.has_ended = true;
+            state.session.take()
+        };
+        if let Some(session) = session {
+            self.propose_end(session).await;
+        }
+    }
+
+    async fn propose_end(&self, session: SessionId) {
         let command = Command::EndSession { session };
         if let Err(error) = self.client.propose(Proposal::Command(command)).await {
             event!(self.log, SESSION_END_FAILED; "session" => session.0, "error" => %error);
@@ -251,7 +285,14 @@
         match self.client.propose(Proposal::Command(command)).await {
             Ok(Reply::SessionOpened(session)) => {
                 event!(self.log, SESSION_OPENED; "session" => session.0);
-                self.state().session = Some(session);
+                let has_ended = {
+                    let mut state = self.state();
+                    state.session = Some(session).filter(|_| !state.has_ended);
+                    state.has_ended
+                };
+                if has_ended {
+                    self.propose_end(session).await;
+                }
                 Duration::ZERO
             }
             Ok(reply) => {
--- a/crates/daemon/tests/guarantees/place_channel.rs
+++ b/crates/daemon/tests/guarantees/place_channel.rs
@@ -541,6 +541,63 @@
     assert!(response.ends_with("ok"), "{response:?}");
 }
 
+/// Guards against an instance that gets groups while it stops, because its session expired and the next one is
+/// not marked as draining.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn session_opened_in_stop_drains() {
+    const STOPPING: usize = 1;
+    let mut instances = Instances::start(None, 1).await;
+    // A connection for another instance, which the stop waits for.
+    let target = instances.targets[POOLS[0]];
+    let mut stream = TcpStream::connect(instances.data[STOPPING]).await.unwrap();
+    let connect = format!("CONNECT {target} HTTP/1.1\r\nhost: {target}\r\n\r\n");
+    stream.write_all(connect.as_bytes()).await.unwrap();
+    let head = read_until(&mut stream, b"\r\n\r\n").await;
+    assert!(head.starts_with("HTTP/1.1 200"), "{head}");
+    let stop = instances.nodes[STOPPING].begin_stop();
+    let (operator, replica) = (Operator::default(), instances.replica);
+    let session = || async {
+        let rows = operator.instances(replica).await.map_err(|e| e.to_string())?;
+        let row = rows.into_iter().find(|row| row.instance.as_str() == "instance-1");
+        row.filter(|row| row.is_draining).map(|row| row.session).ok_or_else(|| "none".to_owned())
+    };
+    let (first, _) = wait_until("the session drains", START_LIMIT, session).await.unwrap();
+    instances.nodes[STOPPING].freeze(FROZEN);
+    let next = || async {
+        match session().await {
+            Ok(session) if session != first => Ok(()),
+            other => Err(format!("{other:?}")),
+        }
+    };
+    wait_until("the next session drains", START_LIMIT, next).await.unwrap();
+    assert!(!stop.is_finished());
+}
+
+/// Guards against whole responses that are refused because the instance did not run at the end of its stop.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn response_arrives_while_stop_ends() {
+    const CALLS: usize = 20;
+    /// Time from the send of the calls to the end of the stop, to which the responses come before.
+    const STOP_TIME: Duration = Duration::from_millis(1_600);
+    let instances = Instances::start(None, 2 * CALLS as u32).await;
+    let (node, pool) = (&instances.nodes[0], POOLS[0]);
+    // Opens the connections, so that all calls are sent at once.
+    let calls: Vec<_> = (0..CALLS).map(|n| node.send(&format!("/{pool}/first/{n}"))).collect();
+    for call in calls {
+        assert_eq!(call.await.unwrap(), Ok(200));
+    }
+    node.gateway.begin_stop(Instant::now() + STOP_TIME);
+    let calls: Vec<_> =
+        (0..CALLS).map(|n| node.send(&format!("/{pool}/slow/slow/slow/{n}"))).collect();
+    sleep(2 * SLOW).await;
+    node.freeze(4 * SLOW);
+    for (n, call) in calls.into_iter().enumerate() {
+        assert_eq!(call.await.unwrap(), Ok(200), "call {n}");
+    }
+}
+
 /// Reads until the data ends with `end`, or the connection ends.
 async fn read_until(stream: &mut TcpStream, end: &[u8]) -> String {
     let mut read = Vec::new();
