Read what has arrived before a stop ends requests

A whole response was replaced by 502, or a stream ended early, if the instance did not run when its stop ended and the response had arrived by then: the timer of the end had run out, and what lay in the socket takes several turns of the runtime to read. Callers of requests that may not be repeated can't return.

`timeout_read` shares these turns.

--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -12,6 +12,7 @@
     time::Duration,
 };
 
+use shallotdrum_links::read_arrived;
 use shallotdrum_telemetry::event;
 use shallotdrum_types::{RequestError, RequestErrorKind};
 use tokio::time::{Instant, sleep_until};
@@ -151,7 +152,7 @@
         }
     }
 
-    /// Resolves at the end of a planned stop.
+    /// Resolves at the end of a planned stop, once what had arrived by then could be read.
     pub(crate) fn stop_end(&self) -> impl Future<Output = ()> + use<> {
         let mut stop = self.stop.subscribe();
         async move {
@@ -160,6 +161,7 @@
                 Some(times) => sleep_until(times.ends_at).await,
                 None => std::future::pending().await,
             }
+            read_arrived().await;
         }
     }
 
--- a/crates/links/src/lib.rs
+++ b/crates/links/src/lib.rs
@@ -25,7 +25,7 @@
 pub use caller::{CallerStream, EndsWithConnection};
 pub use framing::{ends_with_connection, is_final};
 pub use link::LinkStatus;
-pub use links::{ConnectError, LinkContext, Links, PeerInstance};
+pub use links::{ConnectError, LinkContext, Links, PeerInstance, read_arrived};
 pub use meter::ReadMeter;
 pub use stream::LinkStream;
 pub use tunnel::{REQUEST_HEADER, serve_tunnel};
--- a/crates/links/src/links.rs
+++ b/crates/links/src/links.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::{BTreeMap, HashMap},
-    io, iter,
+    io,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, atomic::Ordering},
     time::Duration,
@@ -145,16 +145,25 @@
     }
 }
 
+/// Lets connections read what has arrived, after a time in which this process may not have run.
+pub async fn read_arrived() {
+    for _ in 0..READ_TURNS {
+        sleep(READ_TURN).await;
+    }
+}
+
 /// Waits for an operation whose time-out is held against a target. If this process did not run for some
 /// time, what has arrived meanwhile is read before the time-out counts.
 pub(crate) async fn timeout_read<F: Future>(limit: Duration, operation: F) -> Option<F::Output> {
     let mut operation = std::pin::pin!(operation);
-    for limit in iter::once(limit).chain(iter::repeat_n(READ_TURN, READ_TURNS)) {
-        if let Ok(output) = timeout(limit, operation.as_mut()).await {
-            return Some(output);
-        }
+    if let Ok(output) = timeout(limit, operation.as_mut()).await {
+        return Some(output);
+    }
+    tokio::select! {
+        biased;
+        output = operation => Some(output),
+        () = read_arrived() => None,
     }
-    None
 }
 
 /// Waits for an operation that takes several steps, each with an answer of another process. A time in
