Let no command of a stop hold up the renewal of its session

The mark of a draining session, which made part of the loop of renewals, may take the 5 s of a proposal while the control log has no leader or is overloaded: longer than the lease of 3 s that the renewals keep. A session could be lost at a stop that was not lost before.

--- a/crates/daemon/src/session.rs
+++ b/crates/daemon/src/session.rs
@@ -22,7 +22,10 @@
     BootInstant, Confirmation, ControlFormat, Freshness, LastConfirmation, LogIndex, Revision,
     SessionId, Term,
 };
-use tokio::sync::watch;
+use tokio::{
+    sync::watch,
+    time::{sleep, timeout},
+};
 
 /// Interval of renewals; two may fail before the lease expires.
 const RENEW_INTERVAL: Duration = Duration::from_secs(1);
@@ -207,7 +210,7 @@
         }
         let (view, overdue) = (self.view.clone(), self.overdue.clone());
         tokio::spawn(async move {
-            tokio::time::sleep(CATCH_UP_TIMEOUT).await;
+            sleep(CATCH_UP_TIMEOUT).await;
             if view.applied() < applied {
                 overdue.send_replace(applied);
             }
@@ -255,9 +258,10 @@
                 Some(session) => self.renew(session).await,
                 None => self.open().await,
             };
-            // The session may have been opened during a stop, or the command may have failed.
-            self.drain().await;
-            tokio::time::sleep(pause).await;
+            // The session may have been opened during a stop, or the command may have failed. The next renewal
+            // does not wait for it.
+            let _ = timeout(RENEW_TIMEOUT, self.drain()).await;
+            sleep(pause).await;
         }
     }
 
